--- /dev/null
+++ b/src/core/mod.ts
@@ -0,0 +1,24 @@
+/** The deciding core: pure, synchronous, without I/O, clock or chance. */
+export * from "./errors.ts";
+export * from "./events.ts";
+export * from "./ids.ts";
+export * from "./options.ts";
+export * from "./orders.ts";
+export * from "./policies/mod.ts";
+export * from "./step.ts";
+export * from "./world.ts";
+export * from "./setups/customer.ts";
+export * from "./setups/setup.ts";
+export * from "./setups/template.ts";
+export { Phase } from "./tables/requests.ts";
+export { Role } from "./tables/upstreams.ts";
+export type { Setup } from "./tables/settings.ts";
+export { BLOCK_TOKENS } from "./systems/upstreams.ts";
+export { rendezvous } from "./util/rendezvous.ts";
+export {
+  type Envelope,
+  Envelope as EnvelopeCodec,
+  type HostList,
+  type ListEntry,
+  type PeerMessage,
+} from "./messages/peer.ts";
--- /dev/null
+++ b/src/core/policies/policy.ts
@@ -0,0 +1,165 @@
+/** What a policy is given and what it chooses. */
+import type { Milliseconds } from "../ids.ts";
+import type { Upstream } from "../tables/upstreams.ts";
+
+/** One upstream as seen for one query. */
+export type Candidate = {
+  readonly upstream: Upstream;
+  /** Tokens granted to it that are not prefilled yet. */
+  readonly queueTokens: number;
+  /** Prompt tokens of this query thought to be in its cache. */
+  readonly cachedTokens: number;
+  /** Prefill tokens a second. */
+  readonly rate: number;
+  /** Requests that hold a decode slot, those in prefill included. */
+  readonly held: number;
+  /** Requests that decode now. */
+  readonly decoding: number;
+  /** Requests that may decode at once within the query's target. */
+  readonly slots: number;
+  /** Held by the query's prefill time, going by how fast decodes end. */
+  readonly heldThen: number;
+  /** Predicted step time with one more request. */
+  readonly stepMs: Milliseconds;
+  /** Transfers that have not ended at this prefill upstream. */
+  readonly transfers: number;
+};
+
+/** What is asked for. */
+export type Query = {
+  readonly promptTokens: number;
+  /** Uncached prompts up to this size may skip the prefill pool. */
+  readonly wholePrefillTokens: number;
+  /** The prefill upstream whose export is to be used; "" for none. */
+  readonly exportUpstream: string;
+  /** Transfer time of one prompt token on an idle link. */
+  readonly transferMsPerToken: Milliseconds;
+};
+
+/** The upstreams of one service that may take work now. */
+export type Pool = {
+  readonly prefill: readonly Candidate[];
+  readonly decode: readonly Candidate[];
+};
+
+/** Where a request goes and when its first token is expected. */
+export type Choice = {
+  /** Absent: the decode upstream does the prefill. */
+  readonly prefill?: Candidate;
+  readonly decode: Candidate;
+  readonly uncachedTokens: number;
+  readonly cachedTokens: number;
+  /** Wait before the prefill starts. */
+  readonly waitMs: Milliseconds;
+  readonly transferMs: Milliseconds;
+  /** From now to the first token. */
+  readonly predictedMs: Milliseconds;
+};
+
+/** Chooses, or finds no free place. */
+export type Chooser = (query: Query, pool: Pool) => Choice | undefined;
+
+/** How a planner places requests. */
+export type Policy = {
+  readonly name: string;
+  readonly choose: Chooser;
+  /**
+   * A prefill upstream is given work until its queue takes this long; what
+   * comes later waits at the planner, where it can still be ordered.
+   */
+  readonly aheadMs: Milliseconds;
+  /** Refuses at once what can't meet its first-token target. */
+  readonly refusesLate: boolean;
+};
+
+/** Whether a decode upstream will have a slot when the prefill ends. */
+export function hasSlot(candidate: Candidate): boolean {
+  return candidate.heldThen < candidate.slots;
+}
+
+/** The candidate with the least value, the first of equals. */
+export function least(
+  candidates: readonly Candidate[],
+  value: (one: Candidate) => number,
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestValue = Infinity;
+  for (const one of candidates) {
+    const its = value(one);
+    if (its >= bestValue) continue;
+    best = one;
+    bestValue = its;
+  }
+  return best;
+}
+
+/** The free decode upstream that is least full. */
+export function emptiestDecode(pool: Pool): Candidate | undefined {
+  return least(pool.decode.filter(hasSlot), (one) => one.held / one.slots);
+}
+
+/** Time that the candidate's queue takes. */
+export function queueMs(one: Candidate): Milliseconds {
+  return one.queueTokens / one.rate * 1000;
+}
+
+/** Tokens that the candidate would have to compute. */
+export function uncached(query: Query, one: Candidate): number {
+  return Math.max(1, query.promptTokens - one.cachedTokens);
+}
+
+/** Completes a choice whose upstreams are known. */
+export function choice(
+  query: Query,
+  decode: Candidate,
+  prefill?: Candidate,
+): Choice {
+  const place = prefill ?? decode;
+  const cold = uncached(query, place);
+  const waitMs = queueMs(place);
+  const workMs = cold / place.rate * 1000;
+  const transferMs = prefill
+    ? query.promptTokens * query.transferMsPerToken * (1 + prefill.transfers)
+    : 0;
+  return {
+    decode,
+    ...(prefill ? { prefill } : {}),
+    uncachedTokens: cold,
+    cachedTokens: place.cachedTokens,
+    waitMs,
+    transferMs,
+    predictedMs: waitMs + workMs + transferMs + decode.stepMs,
+  };
+}
+
+/** The choice when an export is at hand: only the decode is open. */
+export function choiceFromExport(
+  query: Query,
+  pool: Pool,
+): Choice | undefined {
+  const decode = emptiestDecode(pool);
+  if (!decode) return undefined;
+  const transferMs = query.promptTokens * query.transferMsPerToken;
+  return {
+    decode,
+    uncachedTokens: 0,
+    cachedTokens: query.promptTokens,
+    waitMs: 0,
+    transferMs,
+    predictedMs: transferMs + decode.stepMs,
+  };
+}
+
+/** The choice for a plain service: the emptiest upstream, no prefill. */
+export function choosePlain(pool: Pool): Choice | undefined {
+  const decode = emptiestDecode(pool);
+  if (!decode) return undefined;
+  return {
+    decode,
+    uncachedTokens: 0,
+    cachedTokens: 0,
+    waitMs: 0,
+    transferMs: 0,
+    predictedMs: 0,
+  };
+}
--- /dev/null
+++ b/src/core/systems/ledger.ts
@@ -0,0 +1,217 @@
+/** The planner's ledger: places granted, and what they come to. */
+import type {
+  CustomerId,
+  Milliseconds,
+  RequestId,
+  ServiceId,
+  UpstreamId,
+} from "../ids.ts";
+import {
+  type Grant,
+  type Holding,
+  type Occupancy,
+  type Service,
+  Stage,
+} from "../tables/plans.ts";
+import type { Upstream } from "../tables/upstreams.ts";
+import { count, type World } from "../world.ts";
+
+/** Decode time assumed before any request has ended. */
+const FIRST_DECODE_MS = 4000;
+/** Gap between ends assumed before any request has ended. */
+const FIRST_END_GAP_MS = 200;
+/** Weight of the newest sample in smoothed times. */
+const SMOOTHING = 0.1;
+
+/** What the grants of an upstream come to. */
+export function occupancyOf(world: World, upstream: UpstreamId): Occupancy {
+  const known = world.plans.occupancy.get(upstream);
+  if (known) return known;
+  const empty: Occupancy = {
+    held: 0,
+    decoding: 0,
+    prefilling: new Map(),
+    prefillTokens: 0,
+    headSince: 0,
+    transfers: 0,
+    decodingAtReport: 0,
+  };
+  world.plans.occupancy.set(upstream, empty);
+  return empty;
+}
+
+/** The service's row at this planner. */
+export function serviceOf(world: World, service: ServiceId): Service {
+  const known = world.plans.services.get(service);
+  if (known) return known;
+  const row: Service = {
+    holdings: new Map(),
+    held: 0,
+    decodeMs: FIRST_DECODE_MS,
+    endGapMs: FIRST_END_GAP_MS,
+    lastEndAt: 0,
+    changed: true,
+    nextPassAt: 0,
+  };
+  world.plans.services.set(service, row);
+  return row;
+}
+
+/** What a customer holds of a service. */
+export function holdingOf(service: Service, customer: CustomerId): Holding {
+  const known = service.holdings.get(customer);
+  if (known) return known;
+  const row = { held: 0, share: 1 };
+  service.holdings.set(customer, row);
+  return row;
+}
+
+/** Enters a grant. */
+export function addGrant(
+  world: World,
+  grant: Grant,
+  now: Milliseconds,
+): void {
+  endGrant(world, grant.request, now);
+  world.plans.grants.set(grant.request, grant);
+  const service = serviceOf(world, grant.service);
+  service.held += 1;
+  service.changed = true;
+  holdingOf(service, grant.customer).held += 1;
+  occupancyOf(world, grant.decode).held += 1;
+  enterStage(world, grant, now);
+}
+
+/** Moves a grant to a later stage. */
+export function moveGrant(
+  world: World,
+  request: RequestId,
+  stage: Stage,
+  now: Milliseconds,
+): void {
+  const grant = world.plans.grants.get(request);
+  if (!grant || grant.stage === stage) return;
+  if (stage === Stage.ended) return endGrant(world, request, now);
+  leaveStage(world, grant, now);
+  grant.stage = stage;
+  grant.stageSince = now;
+  grant.renewedAt = now;
+  enterStage(world, grant, now);
+  serviceOf(world, grant.service).changed = true;
+}
+
+/** Strikes a grant; its places are free. */
+export function endGrant(
+  world: World,
+  request: RequestId,
+  now: Milliseconds,
+): void {
+  const grant = world.plans.grants.get(request);
+  if (!grant) return;
+  leaveStage(world, grant, now);
+  world.plans.grants.delete(request);
+  occupancyOf(world, grant.decode).held -= 1;
+  const service = serviceOf(world, grant.service);
+  service.held -= 1;
+  service.changed = true;
+  const holding = holdingOf(service, grant.customer);
+  holding.held -= 1;
+  if (holding.held === 0) service.holdings.delete(grant.customer);
+  noteEnd(service, grant, now);
+}
+
+function noteEnd(service: Service, grant: Grant, now: Milliseconds): void {
+  if (grant.stage !== Stage.decode) return;
+  const decodeMs = now - grant.stageSince;
+  service.decodeMs += (decodeMs - service.decodeMs) * SMOOTHING;
+  const gapMs = now - service.lastEndAt;
+  if (service.lastEndAt > 0) {
+    service.endGapMs += (gapMs - service.endGapMs) * SMOOTHING;
+  }
+  service.lastEndAt = now;
+}
+
+/** The upstream that does a grant's prefill. */
+function prefillPlace(grant: Grant): UpstreamId {
+  return grant.prefill === "" ? grant.decode : grant.prefill;
+}
+
+function enterStage(world: World, grant: Grant, now: Milliseconds): void {
+  const place = occupancyOf(world, prefillPlace(grant));
+  switch (grant.stage) {
+    case Stage.prefill:
+      if (place.prefilling.size === 0) place.headSince = now;
+      place.prefilling.set(grant.request, grant.uncachedTokens);
+      place.prefillTokens += grant.uncachedTokens;
+      return;
+    case Stage.transfer:
+      place.transfers += 1;
+      return;
+    case Stage.decode:
+      occupancyOf(world, grant.decode).decoding += 1;
+      return;
+    case Stage.ended:
+      return;
+  }
+}
+
+function leaveStage(world: World, grant: Grant, now: Milliseconds): void {
+  const place = occupancyOf(world, prefillPlace(grant));
+  switch (grant.stage) {
+    case Stage.prefill:
+      leavePrefill(place, grant, now);
+      return;
+    case Stage.transfer:
+      place.transfers -= 1;
+      return;
+    case Stage.decode:
+      occupancyOf(world, grant.decode).decoding -= 1;
+      return;
+    case Stage.ended:
+      return;
+  }
+}
+
+function leavePrefill(
+  place: Occupancy,
+  grant: Grant,
+  now: Milliseconds,
+): void {
+  const head = place.prefilling.keys().next().value;
+  if (head === grant.request) place.headSince = now;
+  place.prefilling.delete(grant.request);
+  place.prefillTokens -= grant.uncachedTokens;
+}
+
+/** Tokens that an upstream still has to prefill, going by time passed. */
+export function prefillBacklog(
+  world: World,
+  upstream: Upstream,
+  now: Milliseconds,
+): number {
+  const place = occupancyOf(world, upstream.id);
+  const head = place.prefilling.values().next().value;
+  if (head === undefined) return 0;
+  const passedMs = now - place.headSince;
+  const done = passedMs * upstream.prefillRate / 1000;
+  return place.prefillTokens - Math.min(head, done);
+}
+
+/** Strikes grants that their owners no longer renew. */
+export function expireGrants(world: World, now: Milliseconds): void {
+  for (const grant of world.plans.grants.values()) {
+    const age = now - grant.renewedAt;
+    if (age < world.options.grantTimeoutMs) continue;
+    count(world, "grants_expired");
+    endGrant(world, grant.request, now);
+  }
+}
+
+/** Notes what the ledger said when an upstream reported its load. */
+export function noteReport(world: World, id: UpstreamId): void {
+  const upstream = world.upstreams.get(id);
+  if (!upstream) return;
+  const place = occupancyOf(world, id);
+  place.decodingAtReport = place.decoding;
+  serviceOf(world, upstream.service).changed = true;
+}
--- /dev/null
+++ b/src/core/systems/placement.ts
@@ -0,0 +1,290 @@
+/**
+ * The planner: keeps waiting asks in order of their slack, chooses places for
+ * them, and refuses at once what can't be served in time.
+ */
+import { ErrorKind } from "../errors.ts";
+import type { HostId, Milliseconds, RequestId, ServiceId } from "../ids.ts";
+import type { PlanAsk, PlanKeep, PlanProgress } from "../messages/peer.ts";
+import {
+  type Candidate,
+  type Choice,
+  choosePlain,
+  type Query,
+} from "../policies/mod.ts";
+import { type Ask, type Service, Stage } from "../tables/plans.ts";
+import { count, type World } from "../world.ts";
+import {
+  addGrant,
+  endGrant,
+  holdingOf,
+  moveGrant,
+  serviceOf,
+} from "./ledger.ts";
+import { tell } from "./peers.ts";
+import { type Draft, makeDraft, poolFor } from "./pool.ts";
+import { expectCached } from "./upstreams.ts";
+
+/** A queue without changes is gone through again after this time. */
+const PASS_MS = 20;
+/** One step of priority is worth this much slack. */
+const PRIORITY_MS = 100;
+/** Being over one's fair share by all of it costs this much slack. */
+const OVERUSE_MS = 1000;
+/** A pool whose wait takes more than this part of the target is loaded. */
+const LOADED_SHARE = 0.25;
+/** Longest time to come back that a caller is told. */
+const MOST_RETRY_SECONDS = 30;
+
+/** Queues an ask; it is looked at in this step. */
+export function takeAsk(
+  world: World,
+  from: HostId,
+  ask: PlanAsk,
+  now: Milliseconds,
+): void {
+  const queue = queueOf(world, ask.service);
+  const known = world.plans.grants.get(ask.request);
+  if (known) endGrant(world, ask.request, now);
+  const service = serviceOf(world, ask.service);
+  service.changed = true;
+  holdingOf(service, ask.customer).share = ask.share;
+  queue.set(ask.request, {
+    from,
+    ask,
+    arrived: now,
+    due: now + ask.slackMs,
+    giveUpAt: now + ask.patienceMs,
+    queued: false,
+  });
+}
+
+function queueOf(world: World, service: ServiceId): Map<RequestId, Ask> {
+  const known = world.plans.asks.get(service);
+  if (known) return known;
+  const queue = new Map<RequestId, Ask>();
+  world.plans.asks.set(service, queue);
+  return queue;
+}
+
+/** Takes an owner's word of how far its request is. */
+export function takeProgress(
+  world: World,
+  progress: PlanProgress,
+  now: Milliseconds,
+): void {
+  const { request, stage } = progress;
+  if (stage === Stage.ended) dropAsk(world, request);
+  moveGrant(world, request, stage as Stage, now);
+}
+
+function dropAsk(world: World, request: RequestId): void {
+  for (const queue of world.plans.asks.values()) queue.delete(request);
+}
+
+/** Renews a grant, or enters one that an earlier planner made. */
+export function takeKeep(
+  world: World,
+  keep: PlanKeep,
+  now: Milliseconds,
+): void {
+  const known = world.plans.grants.get(keep.request);
+  if (known) {
+    known.renewedAt = now;
+    return;
+  }
+  addGrant(world, {
+    request: keep.request,
+    service: keep.service,
+    customer: keep.customer,
+    prefill: keep.prefill,
+    decode: keep.decode,
+    uncachedTokens: keep.uncachedTokens,
+    stage: keep.stage as Stage,
+    stageSince: now,
+    renewedAt: now,
+  }, now);
+}
+
+/** Goes through the queues that have changed. */
+export function placeAsks(world: World, now: Milliseconds): void {
+  for (const [name, queue] of world.plans.asks) {
+    if (queue.size === 0) continue;
+    const service = serviceOf(world, name);
+    if (!service.changed && now < service.nextPassAt) continue;
+    service.changed = false;
+    service.nextPassAt = now + PASS_MS;
+    passQueue(world, name, service, queue, now);
+    service.changed = false;
+  }
+}
+
+function passQueue(
+  world: World,
+  name: ServiceId,
+  service: Service,
+  queue: Map<RequestId, Ask>,
+  now: Milliseconds,
+): void {
+  const draft = makeDraft(world, name, now);
+  for (const ask of inOrder(service, queue)) {
+    placeAsk(world, service, queue, draft, ask, now);
+  }
+}
+
+function inOrder(service: Service, queue: Map<RequestId, Ask>): Ask[] {
+  const asks = [...queue.values()];
+  if (asks.length < 2) return asks;
+  const rank = (one: Ask): number =>
+    one.due - one.ask.priority * PRIORITY_MS +
+    overuse(service, one) * OVERUSE_MS;
+  const ranked = asks.map((ask) => ({ ask, rank: rank(ask) }));
+  ranked.sort((a, b) => a.rank - b.rank);
+  return ranked.map((one) => one.ask);
+}
+
+/** How far the ask's customer is over its fair share, from 0 to 1. */
+function overuse(service: Service, ask: Ask): number {
+  if (service.held === 0) return 0;
+  let shares = 0;
+  for (const one of service.holdings.values()) shares += one.share;
+  const holding = holdingOf(service, ask.ask.customer);
+  const fair = holding.share / Math.max(shares, holding.share);
+  return Math.max(0, holding.held / service.held - fair);
+}
+
+function placeAsk(
+  world: World,
+  service: Service,
+  queue: Map<RequestId, Ask>,
+  draft: Draft,
+  ask: Ask,
+  now: Milliseconds,
+): void {
+  if (now >= ask.giveUpAt) {
+    queue.delete(ask.ask.request);
+    return;
+  }
+  const query = queryOf(world, ask.ask);
+  const pool = poolFor(service, draft, ask.ask);
+  if (pool.decode.length === 0) return refuse(world, queue, ask, "none");
+  const choice = draft.plain
+    ? choosePlain(pool)
+    : world.policy.choose(query, pool);
+  if (!choice) {
+    const late = waitsInVain(service, draft, ask, now);
+    if (late) return refuse(world, queue, ask, late);
+    draft.waiting += 1;
+    return wait(world, queue, ask);
+  }
+  if (lateUnderLoad(world, ask, choice, now)) {
+    return refuse(world, queue, ask, choice.waitMs);
+  }
+  draft.take(choice);
+  if (choice.waitMs > world.policy.aheadMs) {
+    return wait(world, queue, ask);
+  }
+  grant(world, queue, ask, choice, now);
+}
+
+function queryOf(world: World, ask: PlanAsk): Query {
+  return {
+    promptTokens: ask.promptTokens,
+    wholePrefillTokens: ask.wholePrefillTokens,
+    exportUpstream: ask.exportUpstream,
+    transferMsPerToken: world.options.transferMsPerToken,
+  };
+}
+
+/** Whether it can't meet its target and its pool has no time to spare. */
+function lateUnderLoad(
+  world: World,
+  ask: Ask,
+  choice: Choice,
+  now: Milliseconds,
+): boolean {
+  if (!world.policy.refusesLate) return false;
+  if (now + choice.predictedMs <= ask.due) return false;
+  return choice.waitMs > ask.ask.firstTokenMs * LOADED_SHARE;
+}
+
+/** Without a free slot: the wait, when it takes longer than the target. */
+function waitsInVain(
+  service: Service,
+  draft: Draft,
+  ask: Ask,
+  now: Milliseconds,
+): Milliseconds | undefined {
+  if (!draft.refusesLate) return undefined;
+  const waitMs = (draft.waiting + 1) * service.endGapMs;
+  if (now + waitMs <= ask.due) return undefined;
+  return waitMs;
+}
+
+function wait(
+  world: World,
+  queue: Map<RequestId, Ask>,
+  ask: Ask,
+): void {
+  if (queue.size > world.options.askQueueLimit) {
+    return refuse(world, queue, ask, world.options.askQueueLimit);
+  }
+  if (ask.queued) return;
+  ask.queued = true;
+  const value = { request: ask.ask.request };
+  tell(world, ask.from, { $case: "planQueued", value });
+}
+
+function refuse(
+  world: World,
+  queue: Map<RequestId, Ask>,
+  ask: Ask,
+  wait: Milliseconds | "none",
+): void {
+  queue.delete(ask.ask.request);
+  const none = wait === "none";
+  const seconds = none ? MOST_RETRY_SECONDS / 3 : Math.ceil(wait / 1000);
+  const value = {
+    request: ask.ask.request,
+    error: none ? ErrorKind.noUpstream : ErrorKind.overloaded,
+    retryAfterSeconds: Math.min(MOST_RETRY_SECONDS, Math.max(1, seconds)),
+  };
+  count(world, "asks_refused");
+  tell(world, ask.from, { $case: "planRefusal", value });
+}
+
+function grant(
+  world: World,
+  queue: Map<RequestId, Ask>,
+  ask: Ask,
+  choice: Choice,
+  now: Milliseconds,
+): void {
+  queue.delete(ask.ask.request);
+  const { request, service, customer, prefixes } = ask.ask;
+  const prefill = choice.prefill?.upstream.id ?? "";
+  const decode = choice.decode.upstream.id;
+  const exported = ask.ask.exportUpstream !== "";
+  addGrant(world, {
+    request,
+    service,
+    customer,
+    prefill,
+    decode,
+    uncachedTokens: choice.uncachedTokens,
+    stage: exported ? Stage.transfer : Stage.prefill,
+    stageSince: now,
+    renewedAt: now,
+  }, now);
+  const place: Candidate = choice.prefill ?? choice.decode;
+  if (!exported) expectCached(place.upstream, prefixes);
+  const value = {
+    request,
+    prefill,
+    decode,
+    predictedMs: choice.predictedMs,
+    transferMs: choice.transferMs,
+    cachedTokens: Math.floor(choice.cachedTokens),
+  };
+  count(world, "grants");
+  tell(world, ask.from, { $case: "planGrant", value });
+}
--- /dev/null
+++ b/src/core/systems/pool.ts
@@ -0,0 +1,133 @@
+/** What a policy sees of a service's upstreams during one pass. */
+import type { Milliseconds, ServiceId, UpstreamId } from "../ids.ts";
+import type { PlanAsk } from "../messages/peer.ts";
+import type { Candidate, Choice, Pool } from "../policies/mod.ts";
+import type { Service } from "../tables/plans.ts";
+import { Role, type Upstream } from "../tables/upstreams.ts";
+import type { World } from "../world.ts";
+import { occupancyOf, prefillBacklog } from "./ledger.ts";
+import { accepting, cachedTokens, stepLine } from "./upstreams.ts";
+
+/** Part of the between-tokens target that a full batch may use. */
+const STEP_SHARE = 0.92;
+/** Step time assumed before any report. */
+const FIRST_STEP_MS = 20;
+/** Running requests more than the ledger's that lag alone explains. */
+const LAG_REQUESTS = 2;
+
+/** An upstream during one pass over a queue. */
+type Row = {
+  readonly upstream: Upstream;
+  queueTokens: number;
+  held: number;
+  readonly decoding: number;
+  readonly transfers: number;
+};
+
+/** The pool during one pass, with what the pass has given out so far. */
+export type Draft = {
+  readonly rows: readonly Row[];
+  readonly refusesLate: boolean;
+  /** A plain service: no prefill, no cache. */
+  readonly plain: boolean;
+  /** Asks of this pass that found no slot. */
+  waiting: number;
+  /** Notes a choice, so that the next ask sees its load. */
+  take(choice: Choice): void;
+};
+
+/** Starts a pass: the usable upstreams of a service as they are now. */
+export function makeDraft(
+  world: World,
+  service: ServiceId,
+  now: Milliseconds,
+): Draft {
+  const rows = (world.pools.get(service) ?? [])
+    .filter((one) => usable(world, one, now))
+    .map((one) => makeRow(world, one, now));
+  const take = (choice: Choice): void => takeChoice(rows, choice);
+  const plain = rows.some((row) => row.upstream.role === Role.plain);
+  const { refusesLate } = world.policy;
+  return { rows, refusesLate, plain, waiting: 0, take };
+}
+
+function usable(
+  world: World,
+  upstream: Upstream,
+  now: Milliseconds,
+): boolean {
+  if (!accepting(world, upstream.id)) return false;
+  return now - upstream.reportedAt < world.options.reportTimeoutMs;
+}
+
+function makeRow(world: World, upstream: Upstream, now: Milliseconds): Row {
+  const place = occupancyOf(world, upstream.id);
+  const running = upstream.report?.running ?? 0;
+  const foreign = running - place.decodingAtReport - LAG_REQUESTS;
+  return {
+    upstream,
+    queueTokens: prefillBacklog(world, upstream, now),
+    held: place.held + Math.max(0, foreign),
+    decoding: place.decoding + Math.max(0, foreign),
+    transfers: place.transfers,
+  };
+}
+
+function takeChoice(rows: readonly Row[], choice: Choice): void {
+  const place = (choice.prefill ?? choice.decode).upstream.id;
+  const decode = choice.decode.upstream.id;
+  for (const row of rows) {
+    if (row.upstream.id === place) row.queueTokens += choice.uncachedTokens;
+    if (row.upstream.id === decode) row.held += 1;
+  }
+}
+
+/** The pool as one ask may use it. */
+export function poolFor(
+  service: Service,
+  draft: Draft,
+  ask: PlanAsk,
+): Pool {
+  const open = draft.rows.filter((row) => isOpen(ask, row.upstream.id));
+  const view = (row: Row): Candidate => candidate(service, row, ask);
+  const prefill = open.filter((row) => row.upstream.role === Role.prefill);
+  const decode = open.filter((row) => row.upstream.role !== Role.prefill);
+  return { prefill: prefill.map(view), decode: decode.map(view) };
+}
+
+function isOpen(ask: PlanAsk, upstream: UpstreamId): boolean {
+  return !ask.excluded.includes(upstream);
+}
+
+function candidate(service: Service, row: Row, ask: PlanAsk): Candidate {
+  const { upstream, held, decoding } = row;
+  const rate = Math.max(1, upstream.prefillRate);
+  const prefillMs = ask.promptTokens / rate * 1000;
+  const ending = decoding * Math.min(1, prefillMs / service.decodeMs);
+  return {
+    upstream,
+    queueTokens: row.queueTokens,
+    cachedTokens: cachedTokens(upstream, ask.prefixes),
+    rate,
+    held,
+    decoding,
+    slots: slotsWithin(upstream, ask.betweenTokensMs),
+    heldThen: held - ending,
+    stepMs: stepWith(upstream, decoding + 1),
+    transfers: row.transfers,
+  };
+}
+
+/** Requests that the upstream can decode at once within a step time. */
+function slotsWithin(upstream: Upstream, betweenMs: Milliseconds): number {
+  const line = stepLine(upstream);
+  if (!line) return upstream.slots;
+  const fitting = (betweenMs * STEP_SHARE - line.base) / line.slope;
+  return Math.max(1, Math.min(upstream.slots, Math.floor(fitting)));
+}
+
+function stepWith(upstream: Upstream, running: number): Milliseconds {
+  const line = stepLine(upstream);
+  if (line) return line.base + line.slope * running;
+  return upstream.report?.stepMs || FIRST_STEP_MS;
+}
--- /dev/null
+++ b/src/core/systems/registry.ts
@@ -0,0 +1,277 @@
+/**
+ * Callers' request keys. A key is registered with a majority of three hosts
+ * before anything is dispatched and renewed while the request runs. The
+ * registration is a lease: an owner that could not renew it delivers nothing
+ * more. docs/design/answered-once.md tells what holds when.
+ */
+import { ErrorKind } from "../errors.ts";
+import type { HostId, Milliseconds, RequestId } from "../ids.ts";
+import { Mechanism } from "../options.ts";
+import type { KeyEnd, KeyPut, KeyVerdict } from "../messages/peer.ts";
+import type { Registration } from "../tables/keys.ts";
+import { Phase, type Request } from "../tables/requests.ts";
+import { rendezvous } from "../util/rendezvous.ts";
+import { count, enabled, log, type World } from "../world.ts";
+import { isLive } from "./membership.ts";
+import { tell } from "./peers.ts";
+import { enter, failRequest } from "./requests.ts";
+
+/** Hosts that keep each key; any two majorities share one. */
+const KEEPERS = 3;
+/** Time between two renewals of a running request's key. */
+const RENEW_MS = 2000;
+/** Time between two renewals of an answered key. */
+const RENEW_ANSWERED_MS = 30_000;
+/** An owner delivers only within this time of its last majority. */
+export const LEASE_MS = 8000;
+/** A keeper forgets a running key unrenewed for this long: lease and drift. */
+export const KEEP_MS = 12_000;
+
+/** What a keeper says of a key. */
+const Verdict = {
+  granted: "granted",
+  running: "running",
+  answered: "answered",
+} as const;
+
+/** The row name of a request's key. */
+export function keyOf(request: Request): string | undefined {
+  const { callerKey, once, service } = request.call;
+  if (callerKey === undefined || once) return undefined;
+  return `${request.customer}/${service}/${callerKey}`;
+}
+
+/** Registers the keys of requests that wait for it. */
+export function registerKeys(world: World, now: Milliseconds): void {
+  for (const request of world.requests.values()) {
+    if (request.phase !== Phase.registering) continue;
+    const key = keyOf(request);
+    if (key === undefined || !enabled(world, Mechanism.registry)) {
+      enter(world, request, Phase.planning, now);
+      continue;
+    }
+    if (world.registrations.get(key)?.request === request.id) continue;
+    register(world, request, key, now);
+  }
+}
+
+function register(
+  world: World,
+  request: Request,
+  key: string,
+  now: Milliseconds,
+): void {
+  const own = world.registrations.get(key);
+  if (own) {
+    const error = own.answered
+      ? ErrorKind.duplicateAnswered
+      : ErrorKind.duplicateRunning;
+    return failRequest(world, request, error, now);
+  }
+  const registration: Registration = {
+    key,
+    request: request.id,
+    answered: false,
+    leasedUntil: 0,
+    renewal: { askedAt: now, by: new Set() },
+    nextPutAt: now,
+    until: Infinity,
+  };
+  world.registrations.set(key, registration);
+  putToKeepers(world, registration, now);
+}
+
+function keepersOf(world: World, key: string): HostId[] {
+  const roster: HostId[] = [];
+  for (const host of world.hosts.values()) {
+    if (host.region === world.self.region) roster.push(host.id);
+  }
+  return rendezvous(`key/${key}`, roster).slice(0, KEEPERS);
+}
+
+function majority(keepers: readonly HostId[]): number {
+  return Math.floor(keepers.length / 2) + 1;
+}
+
+function putToKeepers(
+  world: World,
+  registration: Registration,
+  now: Milliseconds,
+): void {
+  const { key, request, answered } = registration;
+  const span = answered ? RENEW_ANSWERED_MS : RENEW_MS;
+  registration.renewal = { askedAt: now, by: new Set() };
+  registration.nextPutAt = now + span;
+  const value = { key, request, answered };
+  for (const keeper of keepersOf(world, key)) {
+    tell(world, keeper, { $case: "keyPut", value });
+  }
+}
+
+/** Keeps a key for an owner, unless another has it. */
+export function takeKeyPut(
+  world: World,
+  from: HostId,
+  put: KeyPut,
+  now: Milliseconds,
+): void {
+  const { key, request } = put;
+  const known = world.keys.get(key);
+  const others = known !== undefined && known.request !== request;
+  const lapsed = known !== undefined && !known.answered &&
+    now - known.renewedAt > KEEP_MS;
+  if (others && !lapsed) {
+    const verdict = known.answered ? Verdict.answered : Verdict.running;
+    const value = { key, request, verdict };
+    return tell(world, from, { $case: "keyVerdict", value });
+  }
+  const answered = put.answered || (known?.answered === true && !others);
+  world.keys.set(key, { key, request, answered, renewedAt: now });
+  const value = { key, request, verdict: Verdict.granted };
+  tell(world, from, { $case: "keyVerdict", value });
+}
+
+/** Counts a keeper's word for a registration of this host. */
+export function takeKeyVerdict(
+  world: World,
+  from: HostId,
+  message: KeyVerdict,
+  now: Milliseconds,
+): void {
+  const registration = world.registrations.get(message.key);
+  if (!registration || registration.request !== message.request) return;
+  if (message.verdict !== Verdict.granted) {
+    return takeRefusal(world, registration, message.verdict, now);
+  }
+  const { renewal } = registration;
+  renewal.by.add(from);
+  const keepers = keepersOf(world, message.key);
+  const granted = keepers.filter((one) => renewal.by.has(one)).length;
+  if (granted < majority(keepers)) return;
+  registration.leasedUntil = renewal.askedAt + LEASE_MS;
+  const request = world.requests.get(registration.request);
+  if (request?.phase !== Phase.registering) return;
+  enter(world, request, Phase.planning, now);
+}
+
+function takeRefusal(
+  world: World,
+  registration: Registration,
+  verdict: string,
+  now: Milliseconds,
+): void {
+  const request = world.requests.get(registration.request);
+  if (request?.phase !== Phase.registering) return;
+  const error = verdict === Verdict.answered
+    ? ErrorKind.duplicateAnswered
+    : ErrorKind.duplicateRunning;
+  count(world, "duplicates_refused");
+  failRequest(world, request, error, now);
+}
+
+/** Whether the request may still deliver under its key. */
+export function mayDeliver(
+  world: World,
+  request: Request,
+  now: Milliseconds,
+): boolean {
+  const key = keyOf(request);
+  if (key === undefined || !enabled(world, Mechanism.registry)) return true;
+  if (request.setup.doubt === "serve") return true;
+  const registration = world.registrations.get(key);
+  if (registration?.request !== request.id) return false;
+  return now < registration.leasedUntil;
+}
+
+/** Lets go of the keys of requests that ended in this step. */
+export function closeKeys(world: World, now: Milliseconds): void {
+  for (const request of world.ended) closeKey(world, request, now);
+}
+
+/**
+ * A key whose answer was passed on whole is remembered until the shell tells
+ * whether the caller got it; any other key may be used again.
+ */
+function closeKey(world: World, request: Request, now: Milliseconds): void {
+  const key = keyOf(request);
+  const registration = key && world.registrations.get(key);
+  if (!registration || registration.request !== request.id) return;
+  if (request.answered) return rememberAnswer(world, registration, now);
+  forgetKey(world, registration);
+}
+
+/** The caller of an answered request went away before its answer left. */
+export function forgetUndelivered(world: World, request: RequestId): void {
+  for (const registration of world.registrations.values()) {
+    if (registration.request === request) forgetKey(world, registration);
+  }
+}
+
+function forgetKey(world: World, registration: Registration): void {
+  world.registrations.delete(registration.key);
+  const { key, request } = registration;
+  const value = { key, request };
+  for (const keeper of keepersOf(world, registration.key)) {
+    tell(world, keeper, { $case: "keyEnd", value });
+  }
+}
+
+function rememberAnswer(
+  world: World,
+  registration: Registration,
+  now: Milliseconds,
+): void {
+  registration.answered = true;
+  registration.until = now + world.options.keyKeepMs;
+  putToKeepers(world, registration, now);
+}
+
+/** Forgets a key that its owner gave back. */
+export function takeKeyEnd(world: World, message: KeyEnd): void {
+  const known = world.keys.get(message.key);
+  if (known?.request !== message.request) return;
+  world.keys.delete(message.key);
+}
+
+/** Renews keys, gives up registrations that take too long, forgets old ones. */
+export function renewKeys(world: World, now: Milliseconds): void {
+  for (const registration of world.registrations.values()) {
+    if (now >= registration.until) {
+      world.registrations.delete(registration.key);
+      continue;
+    }
+    if (now >= registration.nextPutAt) putToKeepers(world, registration, now);
+    checkRegistering(world, registration, now);
+  }
+  for (const record of world.keys.values()) {
+    const keepMs = record.answered ? world.options.keyKeepMs : KEEP_MS;
+    if (now - record.renewedAt > keepMs) world.keys.delete(record.key);
+  }
+}
+
+function checkRegistering(
+  world: World,
+  registration: Registration,
+  now: Milliseconds,
+): void {
+  const request = world.requests.get(registration.request);
+  if (request?.phase !== Phase.registering) return;
+  const late = now - request.phaseSince >= world.options.keyTimeoutMs;
+  const keepers = keepersOf(world, registration.key);
+  const live = keepers.filter((id) => {
+    const host = world.hosts.get(id);
+    return host !== undefined && isLive(world, host, now);
+  });
+  const hopeless = live.length < majority(keepers);
+  if (!late && !hopeless) return;
+  if (request.setup.doubt === "serve") {
+    return enter(world, request, Phase.planning, now);
+  }
+  log(world, {
+    part: "registry",
+    sentence: "Too few keepers answered",
+    request: request.id,
+    fields: { live: live.length, keepers: keepers.length },
+  });
+  failRequest(world, request, ErrorKind.duplicateUnsure, now);
+}
--- /dev/null
+++ b/src/core/systems/upstreams.ts
@@ -0,0 +1,165 @@
+/** Reads upstreams' reports and cache events, and judges what may get work. */
+import type { CacheEvent, LoadReport } from "../events.ts";
+import type { Milliseconds, UpstreamId } from "../ids.ts";
+import { Mechanism } from "../options.ts";
+import { emptyFit, Role, type Upstream } from "../tables/upstreams.ts";
+import { count, enabled, log, order, type World } from "../world.ts";
+import { plannerOf } from "./membership.ts";
+
+/** Tokens covered by one prefix hash. */
+export const BLOCK_TOKENS = 256;
+/** Part of the old samples that stays in the fit of step times. */
+const FIT_MEMORY = 0.97;
+/** Trust left after a gap in the cache events. */
+const TRUST_AFTER_GAP = 0.8;
+/** Trust regained with each clean page of cache events. */
+const TRUST_REGAINED = 0.05;
+
+/** Whether an upstream may get new work. */
+export function accepting(world: World, id: UpstreamId): boolean {
+  const upstream = world.upstreams.get(id);
+  if (!upstream) return false;
+  if (!enabled(world, Mechanism.drain)) return true;
+  if (upstream.leaving || world.settings.stops.has(id)) return false;
+  return upstream.report?.draining !== true;
+}
+
+/** Reads reports and cache events of the upstreams that this host plans. */
+export function pollUpstreams(world: World, now: Milliseconds): void {
+  for (const upstream of world.upstreams.values()) {
+    if (now < upstream.nextLoadAt && now < upstream.nextCacheAt) continue;
+    if (upstream.region !== world.self.region) continue;
+    if (plannerOf(world, upstream.service, now) !== world.self.id) continue;
+    pollUpstream(world, upstream, now);
+  }
+}
+
+function pollUpstream(
+  world: World,
+  upstream: Upstream,
+  now: Milliseconds,
+): void {
+  if (now >= upstream.nextLoadAt) {
+    upstream.nextLoadAt = now + world.options.loadPollMs;
+    order(world, { type: "readLoad", upstream: upstream.id });
+  }
+  const caches = upstream.role !== Role.plain;
+  if (caches && now >= upstream.nextCacheAt) {
+    upstream.nextCacheAt = now + world.options.cachePollMs;
+    const after = upstream.cacheSequence;
+    order(world, { type: "readCache", upstream: upstream.id, after });
+  }
+}
+
+/** Takes a load report. */
+export function takeLoadReport(
+  world: World,
+  id: UpstreamId,
+  report: LoadReport,
+  now: Milliseconds,
+): void {
+  const upstream = world.upstreams.get(id);
+  if (!upstream) return;
+  const restarted = upstream.report !== undefined &&
+    upstream.report.epoch !== report.epoch;
+  if (restarted) forgetState(world, upstream);
+  upstream.report = report;
+  upstream.reportedAt = now;
+  if (report.slots > 0) upstream.slots = report.slots;
+  if (report.prefillRate > 0) upstream.prefillRate = report.prefillRate;
+  if (report.stepMs > 0) addStep(upstream, report.running, report.stepMs);
+}
+
+/** A restarted engine holds and caches nothing. */
+function forgetState(world: World, upstream: Upstream): void {
+  upstream.prefixes.clear();
+  upstream.cacheSequence = 0;
+  upstream.step = emptyFit();
+  log(world, {
+    part: "upstreams",
+    sentence: "An upstream has restarted",
+    fields: { upstream: upstream.id },
+  });
+}
+
+function addStep(upstream: Upstream, running: number, stepMs: number): void {
+  const fit = upstream.step;
+  fit.weight = fit.weight * FIT_MEMORY + 1;
+  fit.x = fit.x * FIT_MEMORY + running;
+  fit.y = fit.y * FIT_MEMORY + stepMs;
+  fit.xx = fit.xx * FIT_MEMORY + running * running;
+  fit.xy = fit.xy * FIT_MEMORY + running * stepMs;
+}
+
+/** A line: step time = base + slope * running requests. */
+export type StepLine = { readonly base: number; readonly slope: number };
+
+/** The line through an upstream's step times; undefined without spread. */
+export function stepLine(upstream: Upstream): StepLine | undefined {
+  const { weight, x, y, xx, xy } = upstream.step;
+  if (weight < 3) return undefined;
+  const spread = weight * xx - x * x;
+  if (spread < weight) return undefined;
+  const slope = (weight * xy - x * y) / spread;
+  if (slope <= 0) return undefined;
+  return { base: (y - slope * x) / weight, slope };
+}
+
+/** Takes a page of cache events; a gap lowers the trust in the index. */
+export function takeCacheEvents(
+  world: World,
+  id: UpstreamId,
+  from: number,
+  events: readonly CacheEvent[],
+): void {
+  const upstream = world.upstreams.get(id);
+  if (!upstream || events.length === 0) return;
+  if (from > upstream.cacheSequence + 1) noteGap(world, upstream);
+  else regainTrust(upstream);
+  let sequence = from - 1;
+  for (const event of events) {
+    sequence += 1;
+    if (sequence <= upstream.cacheSequence) continue;
+    if (event.stored) upstream.prefixes.set(event.hash, true);
+    else upstream.prefixes.delete(event.hash);
+  }
+  upstream.cacheSequence = Math.max(sequence, upstream.cacheSequence);
+}
+
+function noteGap(world: World, upstream: Upstream): void {
+  upstream.cacheTrust *= TRUST_AFTER_GAP;
+  count(world, "cache_gaps");
+}
+
+function regainTrust(upstream: Upstream): void {
+  upstream.cacheTrust = Math.min(1, upstream.cacheTrust + TRUST_REGAINED);
+}
+
+/** Notes that a prompt's blocks will be in the upstream's cache. */
+export function expectCached(
+  upstream: Upstream,
+  prefixes: readonly number[],
+): void {
+  for (const hash of prefixes) {
+    upstream.prefixes.delete(hash);
+    upstream.prefixes.set(hash, true);
+  }
+  const most = upstream.cacheTokens / BLOCK_TOKENS;
+  for (const hash of upstream.prefixes.keys()) {
+    if (upstream.prefixes.size <= most) return;
+    upstream.prefixes.delete(hash);
+  }
+}
+
+/** Prompt tokens thought to be in the upstream's cache. */
+export function cachedTokens(
+  upstream: Upstream,
+  prefixes: readonly number[],
+): number {
+  let blocks = 0;
+  for (const hash of prefixes) {
+    if (!upstream.prefixes.has(hash)) break;
+    blocks += 1;
+  }
+  return blocks * BLOCK_TOKENS * upstream.cacheTrust;
+}
--- /dev/null
+++ b/src/core/tables/keys.ts
@@ -0,0 +1,30 @@
+/** Callers' request keys: this host's registrations and what it keeps. */
+import type { HostId, Milliseconds, RequestId } from "../ids.ts";
+
+/** A key kept for an owner; lost with this host. */
+export type KeyRecord = {
+  readonly key: string;
+  request: RequestId;
+  answered: boolean;
+  renewedAt: Milliseconds;
+};
+
+/** One round of asking the keepers. */
+export type Renewal = {
+  readonly askedAt: Milliseconds;
+  /** Keepers that granted it. */
+  readonly by: Set<HostId>;
+};
+
+/** A registration that this host makes for a request of its own. */
+export type Registration = {
+  readonly key: string;
+  readonly request: RequestId;
+  answered: boolean;
+  /** The owner may deliver until then. */
+  leasedUntil: Milliseconds;
+  renewal: Renewal;
+  nextPutAt: Milliseconds;
+  /** Kept until then once answered. */
+  until: Milliseconds;
+};
--- /dev/null
+++ b/src/core/tables/upstreams.ts
@@ -0,0 +1,63 @@
+/** Upstreams: what the host list, their reports and their events say. */
+import type { LoadReport } from "../events.ts";
+import type {
+  HallId,
+  Milliseconds,
+  RegionId,
+  ServiceId,
+  UpstreamId,
+} from "../ids.ts";
+
+/** What an upstream does. */
+export const Role = {
+  prefill: "prefill",
+  decode: "decode",
+  plain: "plain",
+} as const;
+/** One of the values of {@link Role}. */
+export type Role = typeof Role[keyof typeof Role];
+
+/** One model engine or plain service. */
+export type Upstream = {
+  readonly id: UpstreamId;
+  readonly hall: HallId;
+  readonly region: RegionId;
+  readonly service: ServiceId;
+  role: Role;
+  address: string;
+  /** The host list says that it is leaving. */
+  leaving: boolean;
+  /** Decode requests at once, from the list, until a report says better. */
+  slots: number;
+  /** Prefill tokens a second, from the list, until a report says better. */
+  prefillRate: number;
+  /** Prefix cache size in tokens. */
+  cacheTokens: number;
+  report?: LoadReport;
+  reportedAt: Milliseconds;
+  /** Fit of step time over running requests. */
+  step: StepFit;
+  /** Prefix blocks thought to be cached, oldest first. */
+  readonly prefixes: Map<number, true>;
+  /** Sequence number of the last cache event read. */
+  cacheSequence: number;
+  /** Share of the index's claims that is believed: falls on a gap. */
+  cacheTrust: number;
+  nextLoadAt: Milliseconds;
+  nextCacheAt: Milliseconds;
+  nextSweepAt: Milliseconds;
+};
+
+/** Weighted sums for a least-squares line, older samples fading. */
+export type StepFit = {
+  weight: number;
+  x: number;
+  y: number;
+  xx: number;
+  xy: number;
+};
+
+/** A fit without samples. */
+export function emptyFit(): StepFit {
+  return { weight: 0, x: 0, y: 0, xx: 0, xy: 0 };
+}
