--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,6 +1,6 @@
 /** What the shell tells the core: one tagged union. */
 import type { AttemptId, HostId, RequestId, UpstreamId } from "./ids.ts";
-import type { HostList, PeerMessage } from "./messages/peer.ts";
+import type { HostList, PeerMessage } from "../messages/peer.ts";
 
 /** A caller's request, already parsed and measured by the shell. */
 export type CallerRequest = {
@@ -35,6 +35,8 @@
   broken: "broken",
   /** The upstream does not know the attempt (any more). */
   gone: "gone",
+  /** The upstream read the request and finds it faulty; nothing ran. */
+  rejected: "rejected",
 } as const;
 /** One of the values of {@link Failure}. */
 export type Failure = typeof Failure[keyof typeof Failure];
@@ -85,6 +87,8 @@
     readonly tokens: number;
     readonly text: string;
     readonly last: boolean;
+    /** Why the answer ends, on the last chunk. */
+    readonly finish?: string;
   }
   | {
     readonly type: "plainDone";
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -14,6 +14,7 @@
 export { Role } from "./tables/upstreams.ts";
 export type { Setup } from "./tables/settings.ts";
 export { BLOCK_TOKENS } from "./systems/upstreams.ts";
+export { draw } from "./util/chance.ts";
 export { rendezvous } from "./util/rendezvous.ts";
 export {
   type Envelope,
@@ -21,4 +22,6 @@
   type HostList,
   type ListEntry,
   type PeerMessage,
-} from "./messages/peer.ts";
+} from "../messages/peer.ts";
+export { isLive, plannerOf } from "./systems/membership.ts";
+export { accepting } from "./systems/upstreams.ts";
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -1,7 +1,7 @@
 /** What the core tells the shell to do: one tagged union. */
 import type { ErrorKind, Ran } from "./errors.ts";
 import type { AttemptId, HostId, RequestId, UpstreamId } from "./ids.ts";
-import type { PeerMessage } from "./messages/peer.ts";
+import type { PeerMessage } from "../messages/peer.ts";
 
 /** One conditional change in a table write; null removes the row. */
 export type TableChange = {
@@ -42,7 +42,12 @@
     readonly text: string;
     readonly tokens: number;
   }
-  | { readonly type: "replyEnd"; readonly request: RequestId }
+  | {
+    readonly type: "replyEnd";
+    readonly request: RequestId;
+    readonly finish: string;
+    readonly tokens: number;
+  }
   | {
     readonly type: "replyPlain";
     readonly request: RequestId;
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -4,7 +4,7 @@
  */
 import type { Event } from "./events.ts";
 import type { HostId, Milliseconds } from "./ids.ts";
-import type { PeerMessage } from "./messages/peer.ts";
+import type { PeerMessage } from "../messages/peer.ts";
 import type { Order } from "./orders.ts";
 import { handleEvent } from "./handle.ts";
 import { askPlanners, renewGrants } from "./systems/asking.ts";
--- a/src/core/systems/asking.ts
+++ b/src/core/systems/asking.ts
@@ -1,7 +1,7 @@
 /** Asks planners for places, and takes their answers. */
 import { ErrorKind } from "../errors.ts";
 import type { HostId, Milliseconds, RequestId } from "../ids.ts";
-import type { PlanGrant, PlanRefusal } from "../messages/peer.ts";
+import type { PlanGrant, PlanRefusal } from "../../messages/peer.ts";
 import { Stage } from "../tables/plans.ts";
 import { Phase, type Request } from "../tables/requests.ts";
 import { count, log, type World } from "../world.ts";
--- a/src/core/systems/delivery.ts
+++ b/src/core/systems/delivery.ts
@@ -63,7 +63,14 @@
   }
   if (!chunk.last) return;
   if (!request.call.stream) replyWhole(world, request);
-  order(world, { type: "replyEnd", request: request.id });
+  const finish = chunk.finish ?? "stop";
+  const total = request.tokens;
+  order(world, {
+    type: "replyEnd",
+    request: request.id,
+    finish,
+    tokens: total,
+  });
   completeRequest(world, request, now);
 }
 
--- a/src/core/systems/membership.ts
+++ b/src/core/systems/membership.ts
@@ -8,7 +8,7 @@
   Heartbeat,
   HostList,
   ListEntry,
-} from "../messages/peer.ts";
+} from "../../messages/peer.ts";
 import type { Host } from "../tables/hosts.ts";
 import { emptyFit, Role, type Upstream } from "../tables/upstreams.ts";
 import { draw, jitter } from "../util/chance.ts";
--- a/src/core/systems/peers.ts
+++ b/src/core/systems/peers.ts
@@ -1,6 +1,6 @@
 /** Sending messages to peers, this host included. */
 import type { HostId } from "../ids.ts";
-import type { PeerMessage } from "../messages/peer.ts";
+import type { PeerMessage } from "../../messages/peer.ts";
 import { order, type World } from "../world.ts";
 
 /** The inside of a peer message. */
--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -4,7 +4,7 @@
  */
 import { ErrorKind } from "../errors.ts";
 import type { HostId, Milliseconds, RequestId, ServiceId } from "../ids.ts";
-import type { PlanAsk, PlanKeep, PlanProgress } from "../messages/peer.ts";
+import type { PlanAsk, PlanKeep, PlanProgress } from "../../messages/peer.ts";
 import {
   type Candidate,
   type Choice,
--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -1,6 +1,6 @@
 /** What a policy sees of a service's upstreams during one pass. */
 import type { Milliseconds, ServiceId, UpstreamId } from "../ids.ts";
-import type { PlanAsk } from "../messages/peer.ts";
+import type { PlanAsk } from "../../messages/peer.ts";
 import type { Candidate, Choice, Pool } from "../policies/mod.ts";
 import type { Service } from "../tables/plans.ts";
 import { Role, type Upstream } from "../tables/upstreams.ts";
--- a/src/core/systems/registry.ts
+++ b/src/core/systems/registry.ts
@@ -7,7 +7,7 @@
 import { ErrorKind } from "../errors.ts";
 import type { HostId, Milliseconds, RequestId } from "../ids.ts";
 import { Mechanism } from "../options.ts";
-import type { KeyEnd, KeyPut, KeyVerdict } from "../messages/peer.ts";
+import type { KeyEnd, KeyPut, KeyVerdict } from "../../messages/peer.ts";
 import type { Registration } from "../tables/keys.ts";
 import { Phase, type Request } from "../tables/requests.ts";
 import { rendezvous } from "../util/rendezvous.ts";
--- a/src/core/systems/retry.ts
+++ b/src/core/systems/retry.ts
@@ -40,6 +40,10 @@
     request: request.id,
     fields: { upstream, failure, tokens: request.tokens },
   });
+  if (failure === Failure.rejected) {
+    request.ran = Ran.notRun;
+    return failRequest(world, request, ErrorKind.badRequest, now);
+  }
   if (failure === Failure.notStarted) {
     return takeNotStarted(world, request, attempt, now);
   }
--- a/src/core/systems/settings.ts
+++ b/src/core/systems/settings.ts
@@ -5,7 +5,7 @@
 import type { HostId, Milliseconds } from "../ids.ts";
 import { Mechanism } from "../options.ts";
 import type { TableRow } from "../events.ts";
-import type { SettingsRows } from "../messages/peer.ts";
+import type { SettingsRows } from "../../messages/peer.ts";
 import { CustomerSchema } from "../setups/customer.ts";
 import { RowKey } from "../setups/setup.ts";
 import { TemplateSchema } from "../setups/template.ts";
--- a/src/core/systems/sweep.ts
+++ b/src/core/systems/sweep.ts
@@ -5,7 +5,7 @@
 import type { AttemptId, HostId, Milliseconds, UpstreamId } from "../ids.ts";
 import { ownerOf } from "../ids.ts";
 import { Mechanism } from "../options.ts";
-import type { SweepAsk } from "../messages/peer.ts";
+import type { SweepAsk } from "../../messages/peer.ts";
 import { count, enabled, log, order, type World } from "../world.ts";
 import { plannerOf } from "./membership.ts";
 import { tell } from "./peers.ts";
--- a/src/core/tables/plans.ts
+++ b/src/core/tables/plans.ts
@@ -7,7 +7,7 @@
   ServiceId,
   UpstreamId,
 } from "../ids.ts";
-import type { PlanAsk } from "../messages/peer.ts";
+import type { PlanAsk } from "../../messages/peer.ts";
 
 /** An ask that waits at its planner. */
 export type Ask = {
--- a/src/core/tables/requests.ts
+++ b/src/core/tables/requests.ts
@@ -9,7 +9,7 @@
   UpstreamId,
 } from "../ids.ts";
 import type { Ran } from "../errors.ts";
-import type { PlanGrant } from "../messages/peer.ts";
+import type { PlanGrant } from "../../messages/peer.ts";
 import type { Setup } from "./settings.ts";
 
 /** How far a request is. */
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -12,7 +12,7 @@
 } from "./ids.ts";
 import type { LogLine, Order } from "./orders.ts";
 import { DEFAULT_OPTIONS, type Mechanism, type Options } from "./options.ts";
-import type { HostList } from "./messages/peer.ts";
+import type { HostList } from "../messages/peer.ts";
 import type { Host } from "./tables/hosts.ts";
 import type { Upstream } from "./tables/upstreams.ts";
 import type { Attempt, Release, Request } from "./tables/requests.ts";
--- /dev/null
+++ b/src/programs/common/command.ts
@@ -0,0 +1,57 @@
+/** What the command lines of all programs share. */
+import { readFileSync } from "node:fs";
+import { Command } from "commander";
+import type { z } from "zod";
+import { faultLine, loadSettings } from "../../settings/mod.ts";
+import { ExitCode } from "./exit_code.ts";
+
+/** Makes a program's command with its version and its exit codes. */
+export function makeCommand(name: string, description: string): Command {
+  const command = new Command(name);
+  command.description(description).version(version());
+  command.exitOverride((error) => {
+    process.exit(error.exitCode === 0 ? ExitCode.ok : ExitCode.usage);
+  });
+  return command;
+}
+
+function version(): string {
+  const file = new URL("../../../../package.json", import.meta.url);
+  const { version: its } = JSON.parse(readFileSync(file, "utf8")) as {
+    version: string;
+  };
+  return its;
+}
+
+/** Reads a settings file, or ends the program naming every fault. */
+export function settingsOrExit<Schema extends z.ZodType>(
+  file: string,
+  schema: Schema,
+): z.output<Schema> {
+  const loaded = loadSettings(file, schema);
+  if (loaded.ok) return loaded.val;
+  for (const fault of loaded.val) console.error(faultLine(fault));
+  process.exit(ExitCode.usage);
+}
+
+/** Runs a program's work; an error is told in one line. */
+export async function runProgram(work: () => Promise<void>): Promise<void> {
+  try {
+    await work();
+  } catch (error) {
+    console.error(error instanceof Error ? error.message : String(error));
+    process.exit(ExitCode.failure);
+  }
+}
+
+/** Calls `stop` once, on the first signal that asks the process to end. */
+export function onStopSignal(stop: () => void): void {
+  let asked = false;
+  for (const signal of ["SIGTERM", "SIGINT"] as const) {
+    process.on(signal, () => {
+      if (asked) return;
+      asked = true;
+      stop();
+    });
+  }
+}
--- /dev/null
+++ b/src/programs/demo/fleet.ts
@@ -0,0 +1,180 @@
+/** The demo's fleet: platform, engines and entry hosts in one process. */
+import type { ListEntry } from "../../core/mod.ts";
+import {
+  checkSettings,
+  EngineSchema,
+  PlainSchema,
+  PlatformSchema,
+  RouterSchema,
+} from "../../settings/mod.ts";
+import { type Log, type RunningHost, startHost } from "../../shell/mod.ts";
+import type { Engine } from "../../standins/engine/mod.ts";
+import { startEngine } from "../../standins/engine/server.ts";
+import type { RunningStandin } from "../../standins/http/json_server.ts";
+import { startPlain } from "../../standins/plain/server.ts";
+import { putHosts, writeRows } from "../../standins/platform/model.ts";
+import { startPlatform } from "../../standins/platform/server.ts";
+import { sha256 } from "../../util/sha256.ts";
+import type { z } from "zod";
+
+/** The demo's data halls, region, model, plain service and API key. */
+export const HALLS: readonly string[] = ["brest", "quimper", "lorient"];
+const REGION = "bzh-west";
+/** The demo's model. */
+export const MODEL = "recap-llm";
+/** The demo's plain service. */
+export const SERVICE = "reel-api";
+/** The demo's API key. */
+export const API_KEY = "demo-key";
+
+/** A running demo fleet. */
+export type DemoFleet = {
+  /** Where callers reach the entry hosts. */
+  readonly targets: readonly string[];
+  readonly engines: readonly Engine[];
+  stop(): Promise<void>;
+};
+
+/** Starts the fleet on loopback. */
+export async function startFleet(log: Log): Promise<DemoFleet> {
+  const platform = await startPlatform(
+    check(PlatformSchema, `listen = "127.0.0.1:0"`),
+  );
+  writeRows(platform.platform, settingsRows());
+  const entries: ListEntry[] = [];
+  const standins: RunningStandin[] = [platform];
+  const engines: Engine[] = [];
+  const hosts: RunningHost[] = [];
+  for (const hall of HALLS) {
+    for (const role of ["prefill", "decode"] as const) {
+      const id = `${role}-${hall}`;
+      const engine = await startEngine(check(EngineSchema, listening(id)));
+      standins.push(engine);
+      engines.push(engine.engine);
+      entries.push(upstream(id, hall, role, engine.address));
+    }
+    const id = `api-${hall}`;
+    const plain = await startPlain(check(PlainSchema, listening(id)));
+    standins.push(plain);
+    entries.push(upstream(id, hall, "plain", plain.address));
+  }
+  for (const hall of HALLS) {
+    const text = routerText(`${hall}-1`, hall, platform.address);
+    const host = await startHost(check(RouterSchema, text), log);
+    hosts.push(host);
+    entries.push(entry(`${hall}-1`, hall, host.peers));
+  }
+  putHosts(platform.platform, entries);
+  const targets = hosts.map((host) => host.callers);
+  await allReady(targets);
+  return { targets, engines, stop: () => stopAll(hosts, standins) };
+}
+
+async function stopAll(
+  hosts: readonly RunningHost[],
+  standins: readonly RunningStandin[],
+): Promise<void> {
+  await Promise.all(hosts.map((host) => host.stop()));
+  for (const standin of standins) standin.stop();
+}
+
+function check<Schema extends z.ZodType>(
+  schema: Schema,
+  text: string,
+): z.output<Schema> {
+  return checkSettings("demo", text, schema).unwrap();
+}
+
+function listening(id: string): string {
+  return `id = "${id}"\nlisten = "127.0.0.1:0"\n`;
+}
+
+function routerText(id: string, hall: string, platform: string): string {
+  return `
+[host]
+id = "${id}"
+hall = "${hall}"
+region = "${REGION}"
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+[platform]
+address = "${platform}"
+`;
+}
+
+function entry(id: string, hall: string, address: string): ListEntry {
+  return {
+    id,
+    kind: "entry",
+    hall,
+    region: REGION,
+    address,
+    service: "",
+    role: "",
+    leaving: false,
+    checksOrders: true,
+    slots: 48,
+    prefillRate: 20_000,
+    cacheTokens: 200_000,
+  };
+}
+
+function upstream(
+  id: string,
+  hall: string,
+  role: string,
+  address: string,
+): ListEntry {
+  const service = role === "plain" ? SERVICE : MODEL;
+  return { ...entry(id, hall, address), kind: "upstream", service, role };
+}
+
+function settingsRows() {
+  const template = {
+    name: "recap",
+    doc: "Recaps and captions of one broadcaster",
+    parameters: {
+      models: {
+        type: "names",
+        doc: "Models",
+        default: [MODEL],
+        choices: [MODEL],
+      },
+      plain_services: {
+        type: "names",
+        doc: "Plain services",
+        default: [SERVICE],
+        choices: [SERVICE],
+      },
+    },
+  };
+  const customer = {
+    name: "demo",
+    template: "recap",
+    parameters: {},
+    key_hashes: [sha256(API_KEY)],
+  };
+  return [
+    { key: "settings/template/recap", value: JSON.stringify(template) },
+    { key: "settings/customer/demo", value: JSON.stringify(customer) },
+  ];
+}
+
+/** The hosts have read settings, list and load reports by then. */
+const SETTLE_MS = 3500;
+
+async function allReady(targets: readonly string[]): Promise<void> {
+  for (const target of targets) {
+    for (;;) {
+      const answer = await fetch(`http://${target}/readyz`);
+      if (answer.status === 200) break;
+      await sleep(100);
+    }
+  }
+  await sleep(SETTLE_MS);
+}
+
+function sleep(span: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, span));
+}
--- /dev/null
+++ b/src/settings/units.ts
@@ -0,0 +1,45 @@
+/** Settings with a unit: durations, sizes and addresses. */
+import bytes from "bytes";
+import ms, { type StringValue } from "ms";
+import { z } from "zod";
+import { parseAddress } from "../util/address.ts";
+
+/** A duration such as "250ms" or "3s", as milliseconds. */
+export function duration(usual: string) {
+  return z.string().transform((text, context) => {
+    const value = /[a-z]\s*$/i.test(text) ? ms(text as StringValue) : undefined;
+    if (typeof value === "number" && value >= 0) return value;
+    const message =
+      `expected a duration such as "250ms" or "3s", got "${text}"`;
+    context.addIssue({ code: "custom", message });
+    return z.NEVER;
+  }).prefault(usual);
+}
+
+/** A size such as "8MB" (powers of 1024), as bytes. */
+export function size(usual: string) {
+  return z.string().transform((text, context) => {
+    const value = /[a-z]\s*$/i.test(text) ? bytes.parse(text) : null;
+    if (value !== null && value > 0) return value;
+    const message = `expected a size such as "512KB" or "8MB", got "${text}"`;
+    context.addIssue({ code: "custom", message });
+    return z.NEVER;
+  }).prefault(usual);
+}
+
+/** An address of the form `IP:port`. */
+export function address() {
+  return z.string().refine((text) => parseAddress(text) !== undefined, {
+    error: (issue) => `expected "IP:port", got "${String(issue.input)}"`,
+  });
+}
+
+/** A name of a host, a data hall, a region or an upstream. */
+export function name() {
+  return z.string().regex(/^[a-z0-9][a-z0-9._-]*$/, {
+    error: (issue) =>
+      `expected a name of a-z, 0-9, ".", "_" and "-", got "${
+        String(issue.input)
+      }"`,
+  });
+}
--- /dev/null
+++ b/src/shell/mod.ts
@@ -0,0 +1,6 @@
+/** The shell: turns the world into events and orders into I/O. */
+export { type RunningHost, startHost } from "./host.ts";
+export { type Log, openLog } from "./log.ts";
+export { measurePrompt } from "./callers/prompt.ts";
+export { PlatformClient } from "./platform/client.ts";
+export { HttpFailure, openCall, readText } from "./upstreams/http.ts";
--- /dev/null
+++ b/src/standins/platform/server.ts
@@ -0,0 +1,138 @@
+/** The platform stand-in as a process; docs/PLATFORM.md is its interface. */
+import { z } from "zod";
+import type { ListEntry } from "../../core/mod.ts";
+import type { PlatformSettings } from "../../settings/mod.ts";
+import {
+  type Exchange,
+  type RunningStandin,
+  sendJson,
+  startServer,
+} from "../http/json_server.ts";
+import {
+  createPlatform,
+  type Platform,
+  putHosts,
+  readRows,
+  writeRows,
+} from "./model.ts";
+
+const Changes = z.object({
+  changes: z.array(z.object({
+    key: z.string(),
+    value: z.string().nullable(),
+    ifRevision: z.number().exactOptional(),
+    ifValue: z.string().exactOptional(),
+  })),
+});
+const Faults = z.strictObject({
+  down: z.boolean().optional(),
+  slow_ms: z.number().min(0).optional(),
+  lose_writes: z.int().min(0).optional(),
+});
+const Leaving = z.object({ id: z.string(), leaving: z.boolean() });
+
+/** Starts the platform stand-in. */
+export async function startPlatform(
+  settings: PlatformSettings,
+): Promise<RunningStandin & { readonly platform: Platform }> {
+  const platform = createPlatform();
+  putHosts(platform, settings.hosts.map(entryOf));
+  const running = await startServer(settings.listen, (exchange) => {
+    serve(platform, exchange);
+  });
+  return { ...running, platform };
+}
+
+function entryOf(one: PlatformSettings["hosts"][number]): ListEntry {
+  return {
+    id: one.id,
+    kind: one.kind,
+    hall: one.hall,
+    region: one.region,
+    address: one.address,
+    service: one.service,
+    role: one.role,
+    leaving: one.leaving,
+    checksOrders: one.checks_orders,
+    slots: one.slots,
+    prefillRate: one.prefill_tokens_per_second,
+    cacheTokens: one.cache_tokens,
+  };
+}
+
+function serve(platform: Platform, exchange: Exchange): void {
+  const { method, url, body, response } = exchange;
+  if (url.pathname === "/faults" && method === "POST") {
+    setFaults(platform, body);
+    return sendJson(response, 200, {});
+  }
+  if (platform.down) return;
+  setTimeout(() => answer(platform, exchange), platform.slowMs);
+}
+
+function setFaults(platform: Platform, body: string): void {
+  const faults = Faults.parse(JSON.parse(body));
+  platform.down = faults.down ?? platform.down;
+  platform.slowMs = faults.slow_ms ?? platform.slowMs;
+  platform.loseWrites = faults.lose_writes ?? platform.loseWrites;
+}
+
+function answer(platform: Platform, exchange: Exchange): void {
+  const { method, url, body, response } = exchange;
+  const route = `${method} ${url.pathname}`;
+  if (route === "GET /table") {
+    const prefix = url.searchParams.get("prefix") ?? "";
+    const after = Number(url.searchParams.get("after") ?? 0);
+    const rows = readRows(platform, prefix, after);
+    return sendJson(response, 200, { revision: platform.revision, rows });
+  }
+  if (route === "POST /table") return write(platform, exchange);
+  if (route === "GET /hosts") {
+    const { revision, entries } = platform.list;
+    return sendJson(response, 200, { revision, entries: entries.map(wireOf) });
+  }
+  if (route === "POST /hosts") {
+    const { id, leaving } = Leaving.parse(JSON.parse(body));
+    const entries = platform.list.entries
+      .map((one) => one.id === id ? { ...one, leaving } : one);
+    putHosts(platform, entries);
+    return sendJson(response, 200, { revision: platform.list.revision });
+  }
+  if (url.pathname.startsWith("/objects/")) {
+    return serveObject(platform, exchange);
+  }
+  sendJson(response, 404, { error: `No route ${route}` });
+}
+
+function write(platform: Platform, { body, response }: Exchange): void {
+  const { changes } = Changes.parse(JSON.parse(body));
+  const result = writeRows(platform, changes);
+  if (platform.loseWrites > 0) {
+    platform.loseWrites -= 1;
+    response.destroy();
+    return;
+  }
+  if (result.ok) return sendJson(response, 200, { revision: result.revision });
+  sendJson(response, 409, { conflicts: result.conflicts });
+}
+
+function serveObject(platform: Platform, exchange: Exchange): void {
+  const { method, url, body, response } = exchange;
+  if (method === "PUT") {
+    platform.objects.set(url.pathname, body);
+    return sendJson(response, 200, {});
+  }
+  const value = platform.objects.get(url.pathname);
+  if (value === undefined) return sendJson(response, 404, {});
+  response.end(value);
+}
+
+function wireOf(one: ListEntry): unknown {
+  const { checksOrders, prefillRate, cacheTokens, ...rest } = one;
+  return {
+    ...rest,
+    checks_orders: checksOrders,
+    prefill_tokens_per_second: prefillRate,
+    cache_tokens: cacheTokens,
+  };
+}
