--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -3,10 +3,11 @@
 import type { AttemptId, HostId, RequestId, UpstreamId } from "./ids.ts";
 import type { PeerMessage } from "../messages/peer.ts";
 
-/** One conditional change in a table write; null removes the row. */
+/** One conditional change in a table write. */
 export type TableChange = {
   readonly key: string;
-  readonly value: string | null;
+  /** Null removes the row; absent: the row is only checked. */
+  readonly value?: string | null;
   /** 0: the row must not exist; absent: no condition. */
   readonly ifRevision?: number;
   /** The row's value must be this one. */
--- a/src/core/systems/asking.ts
+++ b/src/core/systems/asking.ts
@@ -1,6 +1,6 @@
 /** Asks planners for places, and takes their answers. */
 import { ErrorKind } from "../errors.ts";
-import type { HostId, Milliseconds, RequestId } from "../ids.ts";
+import type { HostId, Milliseconds, RequestId, UpstreamId } from "../ids.ts";
 import type { PlanGrant, PlanRefusal } from "../../messages/peer.ts";
 import { Stage } from "../tables/plans.ts";
 import { Phase, type Request } from "../tables/requests.ts";
@@ -58,6 +58,7 @@
     wholePrefillTokens: setup.wholePrefillTokens,
     exportUpstream: request.export?.upstream ?? "",
     excluded: request.excluded,
+    round: request.rounds,
   };
   tell(world, planner, { $case: "planAsk", value });
 }
@@ -83,28 +84,35 @@
   const wanted = request?.phase === Phase.planning && request.planner === from;
   if (!wanted) {
     if (request?.planner === from) return;
-    const value = { request: grant.request, stage: Stage.ended };
+    const { request: id } = grant;
+    const value = { request: id, stage: Stage.ended, failedUpstream: "" };
     return tell(world, from, { $case: "planProgress", value });
   }
   const places = [grant.prefill, grant.decode].filter((one) => one !== "");
   const closed = places.find((one) => !accepting(world, one));
-  if (closed !== undefined) {
-    request.excluded.push(closed);
-    returnGrant(world, request);
-    return ask(
-      world,
-      request,
-      plannerOf(world, request.call.service, now),
-      now,
-    );
-  }
-  request.grant = grant;
   request.rounds += 1;
+  if (closed !== undefined) return askElsewhere(world, request, closed, now);
+  request.grant = grant;
   request.nextKeepAt = now + world.options.keepMs;
   enter(world, request, Phase.claiming, now);
   logGrant(world, request, grant);
 }
 
+/** The planner does not know yet that an upstream takes no new work. */
+function askElsewhere(
+  world: World,
+  request: Request,
+  closed: UpstreamId,
+  now: Milliseconds,
+): void {
+  returnGrant(world, request);
+  if (request.rounds >= world.options.roundLimit) {
+    return failRequest(world, request, ErrorKind.noUpstream, now);
+  }
+  request.excluded.push(closed);
+  world.changed = true;
+}
+
 function logGrant(world: World, request: Request, grant: PlanGrant): void {
   log(world, {
     part: "placement",
--- a/src/core/systems/dispatch.ts
+++ b/src/core/systems/dispatch.ts
@@ -129,6 +129,6 @@
   stage: Stage,
 ): void {
   if (request.planner === undefined) return;
-  const value = { request: request.id, stage };
+  const value = { request: request.id, stage, failedUpstream: "" };
   tell(world, request.planner, { $case: "planProgress", value });
 }
--- a/src/core/systems/membership.ts
+++ b/src/core/systems/membership.ts
@@ -113,6 +113,8 @@
     prefixes: new Map(),
     cacheSequence: 0,
     cacheTrust: 1,
+    polledAt: -Infinity,
+    pollingSince: -Infinity,
     nextLoadAt: 0,
     nextCacheAt: 0,
     nextSweepAt: 0,
--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -22,7 +22,7 @@
 } from "./ledger.ts";
 import { tell } from "./peers.ts";
 import { type Draft, makeDraft, poolFor } from "./pool.ts";
-import { expectCached } from "./upstreams.ts";
+import { expectCached, suspectUpstream } from "./upstreams.ts";
 
 /** A queue without changes is gone through again after this time. */
 const PASS_MS = 20;
@@ -72,7 +72,8 @@
   progress: PlanProgress,
   now: Milliseconds,
 ): void {
-  const { request, stage } = progress;
+  const { request, stage, failedUpstream } = progress;
+  if (failedUpstream !== "") suspectUpstream(world, failedUpstream, now);
   if (stage === Stage.ended) dropAsk(world, request);
   moveGrant(world, request, stage as Stage, now);
 }
@@ -166,7 +167,10 @@
   }
   const query = queryOf(world, ask.ask);
   const pool = poolFor(service, draft, ask.ask);
-  if (pool.decode.length === 0) return refuse(world, queue, ask, "none");
+  if (pool.decode.length === 0) {
+    if (draft.pending) return wait(world, queue, ask);
+    return refuse(world, queue, ask, "none");
+  }
   const choice = draft.plain
     ? choosePlain(pool)
     : world.policy.choose(query, pool);
@@ -202,7 +206,7 @@
   choice: Choice,
   now: Milliseconds,
 ): boolean {
-  if (!world.policy.refusesLate) return false;
+  if (!world.policy.refusesLate || ask.ask.round > 0) return false;
   if (now + choice.predictedMs <= ask.due) return false;
   return choice.waitMs > ask.ask.firstTokenMs * LOADED_SHARE;
 }
@@ -214,7 +218,7 @@
   ask: Ask,
   now: Milliseconds,
 ): Milliseconds | undefined {
-  if (!draft.refusesLate) return undefined;
+  if (!draft.refusesLate || ask.ask.round > 0) return undefined;
   const waitMs = (draft.waiting + 1) * service.endGapMs;
   if (now + waitMs <= ask.due) return undefined;
   return waitMs;
--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -12,6 +12,8 @@
 const STEP_SHARE = 0.92;
 /** Step time assumed before any report. */
 const FIRST_STEP_MS = 20;
+/** An upstream's first report comes within this time or not at all. */
+const FIRST_REPORT_MS = 1000;
 /** Running requests more than the ledger's that lag alone explains. */
 const LAG_REQUESTS = 2;
 
@@ -28,6 +30,8 @@
 export type Draft = {
   readonly rows: readonly Row[];
   readonly refusesLate: boolean;
+  /** Reports of some upstreams have been asked for and not come yet. */
+  readonly pending: boolean;
   /** A plain service: no prefill, no cache. */
   readonly plain: boolean;
   /** Asks of this pass that found no slot. */
@@ -42,13 +46,15 @@
   service: ServiceId,
   now: Milliseconds,
 ): Draft {
-  const rows = (world.pools.get(service) ?? [])
+  const all = world.pools.get(service) ?? [];
+  const pending = all.some((one) => isPending(world, one, now));
+  const rows = all
     .filter((one) => usable(world, one, now))
     .map((one) => makeRow(world, one, now));
   const take = (choice: Choice): void => takeChoice(rows, choice);
   const plain = rows.some((row) => row.upstream.role === Role.plain);
   const { refusesLate } = world.policy;
-  return { rows, refusesLate, plain, waiting: 0, take };
+  return { rows, refusesLate, pending, plain, waiting: 0, take };
 }
 
 function usable(
@@ -60,6 +66,19 @@
   return now - upstream.reportedAt < world.options.reportTimeoutMs;
 }
 
+/** This host has only just begun to plan for the upstream. */
+function isPending(
+  world: World,
+  upstream: Upstream,
+  now: Milliseconds,
+): boolean {
+  if (!accepting(world, upstream.id)) return false;
+  const begun = now - upstream.polledAt < 2 * world.options.loadPollMs;
+  if (!begun) return true;
+  if (upstream.reportedAt >= upstream.pollingSince) return false;
+  return now - upstream.pollingSince < FIRST_REPORT_MS;
+}
+
 function makeRow(world: World, upstream: Upstream, now: Milliseconds): Row {
   const place = occupancyOf(world, upstream.id);
   const running = upstream.report?.running ?? 0;
@@ -88,15 +107,23 @@
   draft: Draft,
   ask: PlanAsk,
 ): Pool {
-  const open = draft.rows.filter((row) => isOpen(ask, row.upstream.id));
   const view = (row: Row): Candidate => candidate(service, row, ask);
-  const prefill = open.filter((row) => row.upstream.role === Role.prefill);
-  const decode = open.filter((row) => row.upstream.role !== Role.prefill);
-  return { prefill: prefill.map(view), decode: decode.map(view) };
+  const { rows } = draft;
+  const prefill = rows.filter((row) => row.upstream.role === Role.prefill);
+  const decode = rows.filter((row) => row.upstream.role !== Role.prefill);
+  return {
+    prefill: preferred(prefill, ask.excluded).map(view),
+    decode: preferred(decode, ask.excluded).map(view),
+  };
 }
 
-function isOpen(ask: PlanAsk, upstream: UpstreamId): boolean {
-  return !ask.excluded.includes(upstream);
+/** Those where the request has not failed yet; failing that, all. */
+function preferred(
+  rows: readonly Row[],
+  excluded: readonly UpstreamId[],
+): readonly Row[] {
+  const open = rows.filter((row) => !excluded.includes(row.upstream.id));
+  return open.length > 0 ? open : rows;
 }
 
 function candidate(service: Service, row: Row, ask: PlanAsk): Candidate {
--- a/src/core/systems/requests.ts
+++ b/src/core/systems/requests.ts
@@ -81,13 +81,17 @@
   release(world, kept.attempt, kept.upstream, now);
 }
 
-/** Tells the request's planner that its places are free. */
-export function returnGrant(world: World, request: Request): void {
+/** Tells the request's planner that its places are free, and why. */
+export function returnGrant(
+  world: World,
+  request: Request,
+  failedUpstream: UpstreamId | "" = "",
+): void {
   const asked = request.planner;
   delete request.grant;
   delete request.planner;
   if (asked === undefined) return;
-  const value = { request: request.id, stage: Stage.ended };
+  const value = { request: request.id, stage: Stage.ended, failedUpstream };
   tell(world, asked, { $case: "planProgress", value });
 }
 
--- a/src/core/systems/retry.ts
+++ b/src/core/systems/retry.ts
@@ -47,8 +47,12 @@
   if (failure === Failure.notStarted) {
     return takeNotStarted(world, request, attempt, now);
   }
-  if (failure === Failure.broken && request.tokens > 0) {
-    return resume(world, request, attempt, now);
+  if (failure === Failure.broken) {
+    const left = attempt.resumes < world.options.resumeLimit;
+    if (request.tokens > 0 && left) {
+      return resume(world, request, attempt, now);
+    }
+    returnGrant(world, request, upstream);
   }
   moveOn(world, request, attempt, now);
 }
@@ -63,6 +67,7 @@
   if (request.attempts === 1 || request.call.once) request.ran = Ran.notRun;
   world.attempts.delete(attempt.id);
   delete request.attempt;
+  returnGrant(world, request, attempt.upstream);
   planAgain(world, request, attempt.upstream, now);
 }
 
--- a/src/core/systems/upstreams.ts
+++ b/src/core/systems/upstreams.ts
@@ -40,7 +40,11 @@
   now: Milliseconds,
 ): void {
   if (now >= upstream.nextLoadAt) {
-    upstream.nextLoadAt = now + world.options.loadPollMs;
+    const { loadPollMs } = world.options;
+    const anew = now - upstream.polledAt > 2 * loadPollMs;
+    if (anew) upstream.pollingSince = now;
+    upstream.polledAt = now;
+    upstream.nextLoadAt = now + loadPollMs;
     order(world, { type: "readLoad", upstream: upstream.id });
   }
   const caches = upstream.role !== Role.plain;
@@ -51,6 +55,19 @@
   }
 }
 
+/** An upstream that did not answer gets no work until it reports again. */
+export function suspectUpstream(
+  world: World,
+  id: UpstreamId,
+  now: Milliseconds,
+): void {
+  const upstream = world.upstreams.get(id);
+  if (!upstream) return;
+  upstream.reportedAt = -Infinity;
+  upstream.pollingSince = now;
+  upstream.nextLoadAt = now;
+}
+
 /** Takes a load report. */
 export function takeLoadReport(
   world: World,
--- a/src/core/tables/upstreams.ts
+++ b/src/core/tables/upstreams.ts
@@ -43,6 +43,9 @@
   cacheSequence: number;
   /** Share of the index's claims that is believed: falls on a gap. */
   cacheTrust: number;
+  /** When this host last asked for a report, and since when it does so. */
+  polledAt: Milliseconds;
+  pollingSince: Milliseconds;
   nextLoadAt: Milliseconds;
   nextCacheAt: Milliseconds;
   nextSweepAt: Milliseconds;
--- a/src/messages/control.ts
+++ b/src/messages/control.ts
@@ -117,8 +117,8 @@
 
 export interface WriteChange {
   key: string;
-  /** Empty: the row is removed. */
-  value: string;
+  /** Empty: the row is removed; absent: it is only checked. */
+  value?: string | undefined;
   ifRevision?: number | undefined;
 }
 
@@ -1284,7 +1284,7 @@
 };
 
 function createBaseWriteChange(): WriteChange {
-  return { key: "", value: "", ifRevision: undefined };
+  return { key: "", value: undefined, ifRevision: undefined };
 }
 
 export const WriteChange: MessageFns<WriteChange> = {
@@ -1292,7 +1292,7 @@
     if (message.key !== "") {
       writer.uint32(10).string(message.key);
     }
-    if (message.value !== "") {
+    if (message.value !== undefined) {
       writer.uint32(18).string(message.value);
     }
     if (message.ifRevision !== undefined) {
--- a/src/messages/peer.ts
+++ b/src/messages/peer.ts
@@ -106,6 +106,8 @@
   wholePrefillTokens: number;
   exportUpstream: string;
   excluded: string[];
+  /** Rounds of places that the request has had before. */
+  round: number;
 }
 
 export interface PlanQueued {
@@ -131,8 +133,8 @@
 export interface PlanProgress {
   request: string;
   stage: string;
-  /** Prompt tokens that the prefill upstream really had in its cache. */
-  cachedTokens?: number | undefined;
+  /** An upstream that did not answer the request. */
+  failedUpstream: string;
 }
 
 /** Renews a grant, and rebuilds the ledger of a new planner. */
@@ -1022,6 +1024,7 @@
     wholePrefillTokens: 0,
     exportUpstream: "",
     excluded: [],
+    round: 0,
   };
 }
 
@@ -1076,6 +1079,9 @@
     for (const v of message.excluded) {
       writer.uint32(122).string(v!);
     }
+    if (message.round !== 0) {
+      writer.uint32(128).uint32(message.round);
+    }
     return writer;
   },
 
@@ -1222,6 +1228,14 @@
             message.excluded.push(reader.string());
             continue;
           }
+          case 16: {
+            if (tag !== 128) {
+              break;
+            }
+
+            message.round = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1451,7 +1465,7 @@
 };
 
 function createBasePlanProgress(): PlanProgress {
-  return { request: "", stage: "", cachedTokens: undefined };
+  return { request: "", stage: "", failedUpstream: "" };
 }
 
 export const PlanProgress: MessageFns<PlanProgress> = {
@@ -1462,8 +1476,8 @@
     if (message.stage !== "") {
       writer.uint32(18).string(message.stage);
     }
-    if (message.cachedTokens !== undefined) {
-      writer.uint32(24).uint32(message.cachedTokens);
+    if (message.failedUpstream !== "") {
+      writer.uint32(26).string(message.failedUpstream);
     }
     return writer;
   },
@@ -1498,11 +1512,11 @@
             continue;
           }
           case 3: {
-            if (tag !== 24) {
+            if (tag !== 26) {
               break;
             }
 
-            message.cachedTokens = reader.uint32();
+            message.failedUpstream = reader.string();
             continue;
           }
         }
--- a/src/shell/control/answer.ts
+++ b/src/shell/control/answer.ts
@@ -82,7 +82,7 @@
 ): Promise<WriteAnswer> {
   const changes = ask.changes.map((one): TableChange => ({
     key: one.key,
-    value: one.value === "" ? null : one.value,
+    ...(one.value === undefined ? {} : { value: one.value || null }),
     ...(one.ifRevision === undefined ? {} : { ifRevision: one.ifRevision }),
   }));
   try {
--- a/src/standins/engine/prefill.ts
+++ b/src/standins/engine/prefill.ts
@@ -79,7 +79,8 @@
   now: number,
 ): void {
   const kept = engine.exports.get(exportOf);
-  if (!kept || kept.fetching) {
+  if (kept?.fetching) dropTransfer(engine, exportOf);
+  if (!kept) {
     const { attempt } = to;
     const answer = { type: "fetched", to: to.engine, attempt } as const;
     engine.outputs.push({ ...answer, ok: false });
@@ -142,7 +143,12 @@
 function cancelExport(engine: Engine, attempt: string, tokens: number): void {
   engine.exports.delete(attempt);
   engine.record.thrownTokens += tokens;
-  const place = engine.transfers.findIndex((one) => one.exportOf === attempt);
+  dropTransfer(engine, attempt);
+}
+
+/** A transfer that nobody waits for any more. */
+function dropTransfer(engine: Engine, exportOf: string): void {
+  const place = engine.transfers.findIndex((one) => one.exportOf === exportOf);
   if (place >= 0) engine.transfers.splice(place, 1);
 }
 
--- a/src/standins/platform/model.ts
+++ b/src/standins/platform/model.ts
@@ -11,7 +11,8 @@
 /** One conditional change; see docs/PLATFORM.md. */
 export type Change = {
   readonly key: string;
-  readonly value: string | null;
+  /** Null removes the row; absent: the row is only checked. */
+  readonly value?: string | null;
   readonly ifRevision?: number;
   readonly ifValue?: string;
 };
@@ -60,6 +61,7 @@
   platform.revision += 1;
   const { revision } = platform;
   for (const { key, value } of changes) {
+    if (value === undefined) continue;
     platform.rows.set(key, { key, value, revision });
   }
   return { ok: true, revision };
--- a/src/standins/platform/server.ts
+++ b/src/standins/platform/server.ts
@@ -19,7 +19,7 @@
 const Changes = z.object({
   changes: z.array(z.object({
     key: z.string(),
-    value: z.string().nullable(),
+    value: z.string().nullable().exactOptional(),
     ifRevision: z.number().exactOptional(),
     ifValue: z.string().exactOptional(),
   })),
--- a/test/fake/carry.ts
+++ b/test/fake/carry.ts
@@ -120,7 +120,7 @@
 ): void {
   const at = fleet.upstream(order.upstream);
   const { attempt, upstream } = order;
-  const failure = order.type === "resume" ? "gone" : "not-started";
+  const failure = order.type === "resume" ? "broken" : "not-started";
   const failed: Event = { type: "attemptFailed", attempt, upstream, failure };
   const { network } = fleet;
   if (!network.reaches(host.hall, at.laid.hall)) {
--- /dev/null
+++ b/test/scenario/expectations.ts
@@ -0,0 +1,124 @@
+/** What a scenario can expect. */
+import { setupOf } from "../../src/core/mod.ts";
+import { answerText } from "../../src/standins/engine/mod.ts";
+import { plainAnswer } from "../../src/standins/plain/model.ts";
+import type { Got } from "../fake/callers.ts";
+import { callNamed, type Stage } from "./actions.ts";
+
+/** The reason why it does not hold; undefined when it does. */
+type Expectation = (
+  stage: Stage,
+  words: readonly string[],
+) => string | undefined;
+
+/** Every kind of `expect`, by its first word. */
+export const EXPECTATIONS: Readonly<Record<string, Expectation>> = {
+  answered: (stage, [name]) => {
+    const got = callNamed(stage, name);
+    if (!got.whole) return `not whole (${got.error ?? "no end"})`;
+    return got.text === answerOf(got) ? undefined : "not its own answer";
+  },
+  error: (stage, [name, kind]) => {
+    const got = callNamed(stage, name);
+    return same(got.error ?? (got.whole ? "whole" : "no end"), kind);
+  },
+  ran: (stage, [name, ...words]) =>
+    same(callNamed(stage, name).ran ?? "", words.join(" ")),
+  "answered-at-most-once": (stage, [key]) => {
+    const whole = [...stage.calls.values()]
+      .filter((one) => one.call.callerKey === key && one.whole);
+    return whole.length <= 1 ? undefined : `${whole.length} whole answers`;
+  },
+  within: (stage, [name, limit]) => {
+    const got = callNamed(stage, name);
+    const span = (got.endedAt ?? Infinity) - got.at;
+    return span <= Number(limit) ? undefined : `took ${span} ms`;
+  },
+  "come-back": (stage, [name]) => {
+    const got = callNamed(stage, name);
+    return got.retryAfterSeconds === undefined ? "no time given" : undefined;
+  },
+  held: (stage, [what]) => {
+    if (what !== "nothing") return `expected "nothing", got "${what}"`;
+    const holding = [...stage.fleet.upstreams.values()]
+      .filter((one) => one.held().length > 0)
+      .map((one) => `${one.laid.id}: ${one.held().join(" ")}`);
+    return holding.length === 0 ? undefined : holding.join("; ");
+  },
+  runs: (stage, [text, count]) => {
+    const runs = runsOf(stage, text ?? "");
+    return same(String(runs), count);
+  },
+  "runs-at-most": (stage, [text, most]) => {
+    const runs = runsOf(stage, text ?? "");
+    return runs <= Number(most) ? undefined : `${runs} runs`;
+  },
+  idle: (stage, [upstream, span]) => {
+    const { fleet } = stage;
+    const idleMs = fleet.now - fleet.upstream(upstream ?? "").lastStartAt;
+    const fits = idleMs >= Number(span);
+    return fits ? undefined : `took work ${idleMs.toFixed(0)} ms ago`;
+  },
+  empty: (stage, [upstream]) => {
+    const left = stage.fleet.upstream(upstream ?? "").held();
+    return left.length === 0 ? undefined : left.join(" ");
+  },
+  publish: (stage, [name, outcome]) => {
+    const published = stage.published.get(name ?? "");
+    if (outcome !== "resolved") return same(published?.type ?? "", outcome);
+    const resolved = published?.type === "accepted" && published.resolved;
+    return resolved ? undefined : JSON.stringify(published);
+  },
+  priority: (stage, words) => expectPriority(stage, words),
+  "all-settled": (stage) => {
+    const open = [...stage.calls]
+      .filter(([, got]) => got.endedAt === undefined && !got.gone)
+      .filter(([, got]) => !got.broken)
+      .map(([name]) => name);
+    return open.length === 0 ? undefined : `open: ${open.join(" ")}`;
+  },
+};
+
+function same(got: string, expected: string | undefined): string | undefined {
+  return got === expected ? undefined : `got "${got}"`;
+}
+
+/** The whole answer that a call must get. */
+export function answerOf(got: Got): string {
+  const { text, kind, outputTokens = 40 } = got.call;
+  if (kind === "plain") return plainAnswer(text);
+  const job = {
+    attempt: "",
+    promptTokens: 0,
+    prefixes: [],
+    outputTokens,
+    priority: 0,
+    text,
+  };
+  return answerText(job, 0, outputTokens);
+}
+
+/** Times that a plain call's text ran, by the services' own record. */
+export function runsOf(stage: Pick<Stage, "fleet">, text: string): number {
+  let runs = 0;
+  for (const upstream of stage.fleet.upstreams.values()) {
+    runs += upstream.ranEver.get(text) ?? 0;
+  }
+  return runs;
+}
+
+/** expect priority CUSTOMER NUMBER [on HOST...]: on all hosts that run. */
+function expectPriority(
+  stage: Stage,
+  [customer = "", number, , ...names]: readonly string[],
+): string | undefined {
+  const hosts = [...stage.fleet.hosts.values()]
+    .filter((host) => host.alive && !host.frozen)
+    .filter((host) => names.length === 0 || names.includes(host.id));
+  const wrong = hosts.flatMap((host) => {
+    const setup = setupOf(host.world.settings, customer);
+    const its = setup?.priority ?? "none";
+    return its === Number(number) ? [] : [`${host.id}: ${its}`];
+  });
+  return wrong.length === 0 ? undefined : wrong.join(", ");
+}
