--- a/src/core/systems/intake.ts
+++ b/src/core/systems/intake.ts
@@ -86,7 +86,7 @@
     type: "replyError",
     request: call.request,
     error,
-    ran: Ran.notRun,
+    ran: call.once && call.callerKey !== undefined ? Ran.unknown : Ran.notRun,
     ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
   });
 }
--- a/src/core/systems/requests.ts
+++ b/src/core/systems/requests.ts
@@ -65,7 +65,8 @@
   const attempt = request.attempt && world.attempts.get(request.attempt);
   delete request.attempt;
   if (!attempt) return;
-  world.attempts.delete(attempt.id);
+  const matches = enabled(world, Mechanism.matchAttempts);
+  if (matches) world.attempts.delete(attempt.id);
   release(world, attempt.id, attempt.upstream, now);
 }
 
@@ -105,7 +106,7 @@
 ): void {
   const answer = ANSWERS[error];
   const proved = enabled(world, Mechanism.proveNotRun);
-  const ran = proved ? worse(answer.ran, request.ran) : Ran.notRun;
+  const ran = proved ? certainty(request, answer.ran) : Ran.notRun;
   const comeBack = retryAfterSeconds ?? answer.retryAfterSeconds;
   order(world, {
     type: "replyError",
@@ -124,6 +125,16 @@
   closeRequest(world, request, now);
 }
 
+/**
+ * What may be said of a request. Of one that may not be repeated, an earlier
+ * call under its key can only be ruled out by winning the claim.
+ */
+function certainty(request: Request, ofKind: Ran): Ran {
+  const unclaimed = request.call.once && !request.claimed;
+  const earlier = unclaimed ? Ran.unknown : Ran.notRun;
+  return worse(worse(ofKind, request.ran), earlier);
+}
+
 const CERTAINTY: readonly Ran[] = [Ran.notRun, Ran.unknown, Ran.ran];
 
 /** The one that claims less innocence. */
--- a/src/core/systems/retry.ts
+++ b/src/core/systems/retry.ts
@@ -54,6 +54,7 @@
     }
     returnGrant(world, request, upstream);
   }
+  if (failure === Failure.gone) abandonExport(world, request, now);
   moveOn(world, request, attempt, now);
 }
 
--- a/src/standins/engine/decode.ts
+++ b/src/standins/engine/decode.ts
@@ -1,4 +1,5 @@
 /** The engine's decode side: slots, fetched caches, steps and streams. */
+import murmurhash from "murmurhash";
 import { type DecodeJob, type Engine, type Job, noteStart } from "./model.ts";
 
 /** How long an ended stream can still be resumed. */
@@ -115,11 +116,16 @@
   });
 }
 
-/** The answer's words: they name their own prompt. */
-export function answerText(job: Job, from: number, tokens: number): string {
+/** The answer's words: they name their own prompt, place and attempt. */
+export function answerText(
+  job: Pick<Job, "attempt" | "text">,
+  from: number,
+  tokens: number,
+): string {
+  const mark = murmurhash.v3(job.attempt).toString(36);
   const words: string[] = [];
   for (let place = from; place < from + tokens; place += 1) {
-    words.push(`${job.text}.${place} `);
+    words.push(`${job.text}.${place}~${mark} `);
   }
   return words.join("");
 }
--- a/test/scenario/expectations.ts
+++ b/test/scenario/expectations.ts
@@ -1,6 +1,5 @@
 /** What a scenario can expect. */
 import { setupOf } from "../../src/core/mod.ts";
-import { answerText } from "../../src/standins/engine/mod.ts";
 import { plainAnswer } from "../../src/standins/plain/model.ts";
 import type { Got } from "../fake/callers.ts";
 import { callNamed, type Stage } from "./actions.ts";
@@ -16,8 +15,9 @@
   answered: (stage, [name]) => {
     const got = callNamed(stage, name);
     if (!got.whole) return `not whole (${got.error ?? "no end"})`;
-    return got.text === answerOf(got) ? undefined : "not its own answer";
+    return answerFault(got);
   },
+  "one-attempt": (stage, [name]) => wordsFault(callNamed(stage, name)),
   error: (stage, [name, kind]) => {
     const got = callNamed(stage, name);
     return same(got.error ?? (got.whole ? "whole" : "no end"), kind);
@@ -83,19 +83,26 @@
   return got === expected ? undefined : `got "${got}"`;
 }
 
-/** The whole answer that a call must get. */
-export function answerOf(got: Got): string {
+/** Why a call's answer is not whole and its own; undefined when it is. */
+export function answerFault(got: Got): string | undefined {
   const { text, kind, outputTokens = 40 } = got.call;
-  if (kind === "plain") return plainAnswer(text);
-  const job = {
-    attempt: "",
-    promptTokens: 0,
-    prefixes: [],
-    outputTokens,
-    priority: 0,
-    text,
-  };
-  return answerText(job, 0, outputTokens);
+  if (kind === "plain") {
+    return got.text === plainAnswer(text) ? undefined : "not its own answer";
+  }
+  const words = got.text.split(" ").slice(0, -1);
+  if (words.length !== outputTokens) return `${words.length} words`;
+  return wordsFault(got);
+}
+
+/** Why what a call got is not part of one attempt's answer to it. */
+export function wordsFault(got: Got): string | undefined {
+  const words = got.text.split(" ").slice(0, -1);
+  const marks = new Set(words.map((word) => word.split("~")[1]));
+  if (marks.size > 1) return "words of several attempts";
+  const wrong = words.findIndex((word, place) =>
+    word.split("~")[0] !== `${got.call.text}.${place}`
+  );
+  return wrong < 0 ? undefined : `word ${wrong} is "${words[wrong]}"`;
 }
 
 /** Times that a plain call's text ran, by the services' own record. */
