--- a/src/settings/standin.ts
+++ b/src/settings/standin.ts
@@ -25,7 +25,8 @@
   service_time: duration("30ms"),
 });
 
-const ListEntry = z.strictObject({
+/** One entry of the platform's host list. */
+export const ListEntrySchema = z.strictObject({
   id: name(),
   kind: z.enum(["entry", "upstream"]),
   hall: name(),
@@ -62,7 +63,7 @@
 /** The schema of the platform stand-in's settings file. */
 export const PlatformSchema = z.strictObject({
   listen: address(),
-  hosts: z.array(ListEntry).default([]),
+  hosts: z.array(ListEntrySchema).default([]),
 });
 /** Checked settings of the platform stand-in. */
 export type PlatformSettings = z.output<typeof PlatformSchema>;
--- a/src/standins/platform/server.ts
+++ b/src/standins/platform/server.ts
@@ -1,7 +1,10 @@
 /** The platform stand-in as a process; docs/PLATFORM.md is its interface. */
 import { z } from "zod";
 import type { ListEntry } from "../../core/mod.ts";
-import type { PlatformSettings } from "../../settings/mod.ts";
+import {
+  ListEntrySchema,
+  type PlatformSettings,
+} from "../../settings/standin.ts";
 import {
   type Exchange,
   type RunningStandin,
@@ -30,6 +33,7 @@
   lose_writes: z.int().min(0).optional(),
 });
 const Leaving = z.object({ id: z.string(), leaving: z.boolean() });
+const Added = z.object({ hosts: z.array(ListEntrySchema) });
 
 /** Starts the platform stand-in. */
 export async function startPlatform(
@@ -92,10 +96,7 @@
     return sendJson(response, 200, { revision, entries: entries.map(wireOf) });
   }
   if (route === "POST /hosts") {
-    const { id, leaving } = Leaving.parse(JSON.parse(body));
-    const entries = platform.list.entries
-      .map((one) => one.id === id ? { ...one, leaving } : one);
-    putHosts(platform, entries);
+    changeHosts(platform, JSON.parse(body));
     return sendJson(response, 200, { revision: platform.list.revision });
   }
   if (url.pathname.startsWith("/objects/")) {
@@ -104,6 +105,16 @@
   sendJson(response, 404, { error: `No route ${route}` });
 }
 
+/** Replaces the whole list, or marks one entry as leaving. */
+function changeHosts(platform: Platform, body: unknown): void {
+  const whole = Added.safeParse(body);
+  if (whole.success) return putHosts(platform, whole.data.hosts.map(entryOf));
+  const { id, leaving } = Leaving.parse(body);
+  const entries = platform.list.entries
+    .map((one) => one.id === id ? { ...one, leaving } : one);
+  putHosts(platform, entries);
+}
+
 function write(platform: Platform, { body, response }: Exchange): void {
   const { changes } = Changes.parse(JSON.parse(body));
   const result = writeRows(platform, changes);
