--- /dev/null
+++ b/bench/policy/main.ts
@@ -0,0 +1,136 @@
+/** npm run bench:policy: the decisions under load and faults. */
+import { execFileSync } from "node:child_process";
+import { parseArgs } from "node:util";
+import { writeSection } from "../report.ts";
+import { DISTURBANCES } from "./disturbances.ts";
+import { runTrials } from "./pool.ts";
+import { FIGURES, figures, groupBy, table } from "./tables.ts";
+import type { TrialResult, TrialSource } from "./trial.ts";
+
+const { values } = parseArgs({
+  options: {
+    seeds: { type: "string", default: "2" },
+    seconds: { type: "string", default: "40" },
+    only: { type: "string" },
+  },
+});
+const SEEDS = Array.from({ length: Number(values.seeds) }, (_, n) => n + 1);
+const SPAN_MS = Number(values.seconds) * 1000;
+const WORKLOADS = ["armor", "forum", "paper"] as const;
+const LOADS = [0.5, 0.8, 1.0, 1.2, 1.5];
+const POLICIES = [
+  "round-robin",
+  "least-loaded",
+  "always-sticky",
+  "sticky-tau:20000",
+  "cost",
+];
+const SWEEP = [
+  "sticky-tau:5000",
+  "sticky-tau:20000",
+  "sticky-tau:80000",
+  "sticky-tau:280000",
+  "cost-charge:0",
+  "cost-charge:0.5",
+  "cost-charge:1",
+  "cost-charge:2",
+  "cost-ahead:0",
+  "cost-ahead:20",
+  "cost-ahead:60",
+  "cost-ahead:200",
+  "cost-ahead:100000",
+  "cost-keeps",
+];
+
+type Section = {
+  readonly name: string;
+  readonly title: string;
+  readonly sources: readonly Omit<TrialSource, "seed" | "spanMs">[];
+  readonly row: (one: TrialResult) => string;
+  readonly rowTitle: string;
+};
+
+const plain = { disturbance: "none", hosts: 9 };
+
+const SECTIONS: readonly Section[] = [
+  {
+    name: "policies",
+    title: "Policies side by side",
+    sources: WORKLOADS.flatMap((workload) =>
+      LOADS.flatMap((load) =>
+        POLICIES.map((policy) => ({ workload, load, policy, ...plain }))
+      )
+    ),
+    rowTitle: "workload, load, policy",
+    row: (one) => `${one.workload}, ${one.load}, ${one.policy}`,
+  },
+  {
+    name: "sweep",
+    title: "Parameters swept, at load 1.0",
+    sources: WORKLOADS.flatMap((workload) =>
+      SWEEP.map((policy) => ({ workload, load: 1, policy, ...plain }))
+    ),
+    rowTitle: "workload, policy:parameter",
+    row: (one) => `${one.workload}, ${one.policy}`,
+  },
+  {
+    name: "disturbances",
+    title: "Ours under disturbances, at load 0.8",
+    sources: (["armor", "forum"] as const).flatMap((workload) =>
+      Object.keys(DISTURBANCES).flatMap((disturbance) =>
+        ["cost", "sticky-tau:20000"].map((policy) => ({
+          workload,
+          load: 0.8,
+          policy,
+          disturbance,
+          hosts: 9,
+        }))
+      )
+    ),
+    rowTitle: "workload, disturbance, policy",
+    row: (one) => `${one.workload}, ${one.disturbance}, ${one.policy}`,
+  },
+  {
+    name: "hosts",
+    title: "Many hosts: one planner, or each host alone",
+    sources: WORKLOADS.flatMap((workload) =>
+      [0.8, 1.0].flatMap((load) => [
+        { workload, load, policy: "cost", disturbance: "none", hosts: 1 },
+        { workload, load, policy: "cost", disturbance: "none", hosts: 9 },
+        { workload, load, policy: "cost-alone", disturbance: "none", hosts: 9 },
+      ])
+    ),
+    rowTitle: "workload, load, policy, hosts",
+    row: (one) =>
+      `${one.workload}, ${one.load}, ${one.policy}, ${one.hosts} hosts`,
+  },
+];
+
+for (const section of SECTIONS) {
+  if (values.only !== undefined && values.only !== section.name) continue;
+  const sources = section.sources.flatMap((one) =>
+    SEEDS.map((seed) => ({ ...one, seed, spanMs: SPAN_MS }))
+  );
+  const results = await runTrials(sources);
+  const groups = groupBy(results, section.row);
+  const rows = [...groups].map(([name, group]) => [name, ...figures(group)]);
+  const text = table([section.rowTitle, ...FIGURES], rows);
+  console.log(`\n${section.title}\n${text}`);
+  writeSection(
+    "docs/MEASUREMENTS.md",
+    section.name,
+    [
+      `## ${section.title}`,
+      "",
+      `Written by \`npm run bench:policy\`, seeds ${SEEDS.join(", ")}, ` +
+      `${values.seconds} s of virtual time each, at commit ${commit()}.`,
+      "",
+      text,
+    ].join("\n"),
+  );
+}
+
+function commit(): string {
+  const args = ["describe", "--always", "--dirty"];
+  return execFileSync("git", args, { encoding: "utf8" }).trim();
+}
--- /dev/null
+++ b/bench/policy/trial.ts
@@ -0,0 +1,321 @@
+/** One trial: a policy, a workload, a load and a disturbance. */
+import hdr from "hdr-histogram-js";
+import {
+  alwaysSticky,
+  costChooser,
+  EnvelopeCodec,
+  leastLoaded,
+  type Options,
+  type Order,
+  type Policy,
+  predictedCost,
+  roundRobin,
+  stickyUntilSaturated,
+} from "../../src/core/mod.ts";
+import { Fleet } from "../../test/fake/fleet.ts";
+import { customer } from "../../test/fake/seed_rows.ts";
+import { writeRows } from "../../src/standins/platform/model.ts";
+import { boundOf } from "./bound.ts";
+import { DISTURBANCES } from "./disturbances.ts";
+import {
+  armor,
+  type Arrival,
+  arrivalsOf,
+  capacityOf,
+  forum,
+  paper,
+  type Workload,
+} from "./workloads.ts";
+
+/** What to try. */
+export type TrialSource = {
+  readonly workload: "armor" | "forum" | "paper";
+  readonly policy: string;
+  readonly load: number;
+  readonly disturbance: string;
+  readonly hosts: number;
+  readonly seed: number;
+  readonly spanMs: number;
+};
+
+/** What a trial came to. */
+export type TrialResult = TrialSource & {
+  readonly requests: number;
+  readonly good: number;
+  readonly bound: number;
+  readonly onTimePerSecond: number;
+  readonly misses: Readonly<Record<string, number>>;
+  /** Prefill tokens thrown away, and done again for the same request. */
+  readonly thrown: number;
+  readonly redone: number;
+  readonly prefilled: number;
+  readonly hitShare: number;
+  readonly refused: number;
+  readonly refusedWrongly: number;
+  readonly firstToken: readonly [number, number, number];
+  readonly betweenTokens: readonly [number, number, number];
+  readonly messagesPerRequest: number;
+  readonly bytesPerRequest: number;
+};
+
+const WORKLOADS = { armor, forum, paper };
+const WARM_MS = 12_000;
+const COOL_MS = 20_000;
+const SETTLE_MS = 6000;
+
+/** The policies by name; "name:number" sets a parameter. */
+export function policyOf(name: string): () => Policy {
+  const [kind, parameter] = name.split(":");
+  const number = Number(parameter);
+  switch (kind) {
+    case "round-robin":
+      return roundRobin;
+    case "least-loaded":
+      return () => leastLoaded;
+    case "always-sticky":
+      return () => alwaysSticky;
+    case "sticky-tau":
+      return () => stickyUntilSaturated(number);
+    case "cost-charge":
+      return () => ({ ...predictedCost, choose: costChooser(number) });
+    case "cost-ahead":
+      return () => ({ ...predictedCost, aheadMs: number });
+    case "cost-keeps":
+      return () => ({ ...predictedCost, refusesLate: false });
+    default:
+      return () => predictedCost;
+  }
+}
+
+function optionsOf(source: TrialSource, workload: Workload): Partial<Options> {
+  return {
+    planAlone: source.policy === "cost-alone",
+    transferMsPerToken: workload.engine.transferMsPerToken,
+  };
+}
+
+/** Runs a trial. */
+export function runTrial(source: TrialSource): TrialResult {
+  const disturbance = DISTURBANCES[source.disturbance];
+  if (!disturbance) throw new Error(`No disturbance ${source.disturbance}`);
+  const make = WORKLOADS[source.workload];
+  const workload: Workload = make(source.hosts, disturbance.engine);
+  const fleet = new Fleet({
+    layout: workload.layout,
+    seed: source.seed,
+    policy: policyOf(source.policy),
+    options: optionsOf(source, workload),
+  });
+  writeRows(fleet.platform, [customer("paper", { first_token_ms: 4000 })]);
+  const rate = capacityOf(workload) * source.load;
+  const span = WARM_MS + source.spanMs;
+  const arrivals = arrivalsOf(workload, rate, span, source.seed);
+  const tally = new Tally(fleet);
+  fleet.onOrder = (host, order) => tally.note(host, order);
+  sendAll(fleet, workload, arrivals, source.seed, disturbance.cancelShare);
+  disturbance.apply(fleet, SETTLE_MS + WARM_MS, source.spanMs);
+  fleet.queue.push(SETTLE_MS + WARM_MS, () => tally.start());
+  fleet.runUntil(SETTLE_MS + span + COOL_MS);
+  const counted = arrivals.filter((one) => one.at >= WARM_MS);
+  return {
+    ...source,
+    ...tally.result(counted.length, source.spanMs),
+    bound: boundOf(workload, counted),
+  };
+}
+
+function sendAll(
+  fleet: Fleet,
+  workload: Workload,
+  arrivals: readonly Arrival[],
+  seed: number,
+  cancelShare: number,
+): void {
+  const hosts = [...fleet.hosts.keys()];
+  for (const [number, one] of arrivals.entries()) {
+    fleet.queue.push(SETTLE_MS + one.at, () => {
+      const got = fleet.call({
+        host: hosts[(number * 7 + seed) % hosts.length] ?? "",
+        customer: one.kind.customer,
+        service: workload.service,
+        text: `${one.kind.name}-${number}`,
+        prefix: `${one.kind.name}-group-${one.group}`,
+        prefixTokens: one.sharedTokens,
+        promptTokens: one.promptTokens,
+        outputTokens: one.outputTokens,
+      });
+      const leaves = (number * 31 + seed) % 100 < cancelShare * 100;
+      if (leaves) fleet.after(150 + number % 700, () => fleet.hangUp(got));
+    });
+  }
+}
+
+/** Counts what the fleet does from a moment on. */
+class Tally {
+  readonly #fleet: Fleet;
+  readonly #first = newHistogram();
+  readonly #between = newHistogram();
+  readonly #misses: Record<string, number> = {};
+  readonly #prefillsOf = new Map<string, number>();
+  #startedAt = Infinity;
+  #good = 0;
+  #redone = 0;
+  #refused = 0;
+  #refusedWrongly = 0;
+  #messages = 0;
+  #bytes = 0;
+  #before = { prefilled: 0, thrown: 0, hits: 0, prompts: 0 };
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+  }
+
+  start(): void {
+    this.#startedAt = this.#fleet.now;
+    this.#before = this.#records();
+  }
+
+  #records() {
+    const sums = { prefilled: 0, thrown: 0, hits: 0, prompts: 0 };
+    for (const { engine: { record } } of this.#fleet.upstreams.values()) {
+      sums.prefilled += record.prefilledTokens;
+      sums.thrown += record.thrownTokens;
+      sums.hits += record.hitTokens;
+      sums.prompts += record.promptTokens;
+    }
+    return sums;
+  }
+
+  note(
+    host: {
+      readonly world: Fleet["hosts"] extends Map<string, infer H>
+        ? H extends { world: infer W } ? W : never
+        : never;
+    },
+    order: Order,
+  ): void {
+    if (this.#fleet.now < this.#startedAt) return;
+    if (order.type === "tell") {
+      const { id, incarnation } = host.world.self;
+      const messages = [order.message];
+      this.#messages += 1;
+      this.#bytes += EnvelopeCodec.encode({ from: id, incarnation, messages })
+        .finish().length;
+    }
+    if (order.type === "prefill") this.#notePrefill(host, order);
+    if (order.type === "replyError") this.#noteError(order);
+    if (order.type === "replyEnd") this.#noteEnd(order.request);
+  }
+
+  #notePrefill(
+    host: Parameters<Tally["note"]>[0],
+    order: Extract<Order, { type: "prefill" }>,
+  ): void {
+    const before = this.#prefillsOf.get(order.request) ?? 0;
+    this.#prefillsOf.set(order.request, before + 1);
+    if (before === 0) return;
+    const request = host.world.requests.get(order.request);
+    const cached = request?.grant?.cachedTokens ?? 0;
+    this.#redone += (request?.call.promptTokens ?? 0) - cached;
+  }
+
+  #counts(request: string): boolean {
+    const got = this.#fleet.got.get(request);
+    return got !== undefined && got.at >= this.#startedAt;
+  }
+
+  #noteError(order: Extract<Order, { type: "replyError" }>): void {
+    if (!this.#counts(order.request)) return;
+    this.#miss(order.error);
+    if (order.error !== "overloaded") return;
+    this.#refused += 1;
+    if (this.#couldServe(order.request)) this.#refusedWrongly += 1;
+  }
+
+  /** Whether the engines as they truly are could still be on time. */
+  #couldServe(id: string): boolean {
+    const got = this.#fleet.got.get(id);
+    if (!got) return false;
+    const left = got.at + this.#targetOf(got.call.customer) - this.#fleet.now;
+    const { promptTokens = 0, prefixTokens = 0 } = got.call;
+    const cold = promptTokens - Math.floor(prefixTokens / 256) * 256;
+    return [...this.#fleet.upstreams.values()].some(({ laid, engine }) => {
+      if (laid.role !== "prefill") return false;
+      const { prefillRate, transferMsPerToken } = engine.parameters;
+      const queued = engine.prefillQueue.reduce(
+        (sum, one) => sum + one.job.promptTokens,
+        0,
+      );
+      const running = (engine.prefillNow?.endsAt ?? 0) - this.#fleet.now;
+      const waitMs = Math.max(0, running) + queued / prefillRate * 1000;
+      const workMs = cold / prefillRate * 1000;
+      return waitMs + workMs + promptTokens * transferMsPerToken + 30 <= left;
+    });
+  }
+
+  #targetOf(name = ""): number {
+    return { armor: 560, forum: 2000, counter: 400, paper: 4000 }[name] ?? 560;
+  }
+
+  #noteEnd(id: string): void {
+    if (!this.#counts(id)) return;
+    const got = this.#fleet.got.get(id);
+    if (!got || got.gone) return;
+    const firstMs = (got.firstAt ?? Infinity) - got.at;
+    const span = this.#fleet.now - (got.firstAt ?? this.#fleet.now);
+    const tokens = got.call.outputTokens ?? 1;
+    const betweenMs = tokens > 1 ? span / (tokens - 1) : 0;
+    record(this.#first, firstMs);
+    record(this.#between, betweenMs);
+    const late = firstMs > this.#targetOf(got.call.customer);
+    const slow = betweenMs > 35;
+    if (late) this.#miss("first token late");
+    else if (slow) this.#miss("between tokens slow");
+    else this.#good += 1;
+  }
+
+  #miss(cause: string): void {
+    this.#misses[cause] = (this.#misses[cause] ?? 0) + 1;
+  }
+
+  result(requests: number, spanMs: number) {
+    const gone = [...this.#fleet.got.values()]
+      .filter((one) => one.gone && one.at >= this.#startedAt).length;
+    const after = this.#records();
+    const prefilled = after.prefilled - this.#before.prefilled;
+    const prompts = after.prompts - this.#before.prompts;
+    const served = requests - gone;
+    return {
+      requests: served,
+      good: this.#good,
+      onTimePerSecond: this.#good / spanMs * 1000,
+      misses: this.#misses,
+      thrown: after.thrown - this.#before.thrown,
+      redone: this.#redone,
+      prefilled,
+      hitShare: (after.hits - this.#before.hits) / Math.max(1, prompts),
+      refused: this.#refused,
+      refusedWrongly: this.#refusedWrongly,
+      firstToken: percentiles(this.#first),
+      betweenTokens: percentiles(this.#between),
+      messagesPerRequest: this.#messages / requests,
+      bytesPerRequest: this.#bytes / requests,
+    };
+  }
+}
+
+function newHistogram() {
+  return hdr.build({ autoResize: true, numberOfSignificantValueDigits: 3 });
+}
+
+function record(histogram: hdr.Histogram, ms: number): void {
+  if (Number.isFinite(ms)) histogram.recordValue(Math.round(ms * 1000));
+}
+
+function percentiles(
+  histogram: hdr.Histogram,
+): readonly [number, number, number] {
+  const at = (share: number): number =>
+    histogram.getValueAtPercentile(share) / 1000;
+  return [at(50), at(95), at(99)];
+}
--- /dev/null
+++ b/bench/policy/workloads.ts
@@ -0,0 +1,284 @@
+/** The three workloads of the policy bench. */
+import { type RandomGenerator, xoroshiro128plus } from "pure-rand";
+import { draw } from "../../src/core/mod.ts";
+import {
+  DEFAULT_ENGINE,
+  type EngineParameters,
+} from "../../src/standins/engine/mod.ts";
+import type { LaidUpstream, Layout } from "../../test/fake/layout.ts";
+
+/** One kind of request of a workload. */
+export type Kind = {
+  readonly name: string;
+  readonly customer: string;
+  /** Share of all requests. */
+  readonly share: number;
+  readonly prompt: readonly [number, number];
+  readonly output: readonly [number, number];
+  /** Groups that share a leading part, with the part's size. */
+  readonly groups: number;
+  readonly sharedTokens: readonly [number, number];
+  /** How skewed the groups are: Zipf's exponent. */
+  readonly skew: number;
+  readonly firstTokenMs: number;
+};
+
+/** A workload: a fleet and what is asked of it. */
+export type Workload = {
+  readonly name: string;
+  readonly service: string;
+  readonly layout: Layout;
+  readonly engine: EngineParameters;
+  readonly kinds: readonly Kind[];
+  /** The rate rises by this factor for a tenth of the time. */
+  readonly burst: number;
+};
+
+/** One request to be sent. */
+export type Arrival = {
+  readonly at: number;
+  readonly kind: Kind;
+  readonly group: number;
+  readonly sharedTokens: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+};
+
+const HALLS = ["hall-a", "hall-b", "hall-c"];
+
+function layout(
+  service: string,
+  prefills: number,
+  decodes: number,
+  engine: Partial<EngineParameters>,
+  hosts: number,
+): Layout {
+  const place = (n: number): string => HALLS[n % HALLS.length] ?? "";
+  const upstreams = Array.from(
+    { length: prefills + decodes },
+    (_, n): LaidUpstream => ({
+      id: n < prefills ? `p-${n}` : `d-${n - prefills}`,
+      hall: place(n),
+      service,
+      role: n < prefills ? "prefill" : "decode",
+      engine,
+    }),
+  );
+  return {
+    hosts: Array.from(
+      { length: hosts },
+      (_, n) => ({ id: `host-${n}`, hall: place(n) }),
+    ),
+    upstreams,
+  };
+}
+
+const BENCH_ENGINE = { ...DEFAULT_ENGINE, chunkTokens: 8 };
+
+/** Recaps of long logs, captions and tags; bursts after final whistles. */
+export function armor(hosts = 9, engine: Partial<EngineParameters> = {}) {
+  const its = { ...BENCH_ENGINE, cacheTokens: 120_000, ...engine };
+  return {
+    name: "armor",
+    service: "recap-llm",
+    layout: layout("recap-llm", 3, 5, its, hosts),
+    engine: its,
+    burst: 3,
+    kinds: [
+      {
+        name: "recap",
+        customer: "armor",
+        share: 0.35,
+        prompt: [3000, 10_000],
+        output: [150, 350],
+        groups: 24,
+        sharedTokens: [2500, 8000],
+        skew: 0.8,
+        firstTokenMs: 560,
+      },
+      {
+        name: "caption",
+        customer: "armor",
+        share: 0.45,
+        prompt: [60, 250],
+        output: [15, 40],
+        groups: 0,
+        sharedTokens: [0, 0],
+        skew: 0,
+        firstTokenMs: 560,
+      },
+      {
+        name: "tag",
+        customer: "armor",
+        share: 0.2,
+        prompt: [40, 120],
+        output: [2, 4],
+        groups: 0,
+        sharedTokens: [0, 0],
+        skew: 0,
+        firstTokenMs: 560,
+      },
+    ],
+  } satisfies Workload;
+}
+
+/** Long planning files read repeatedly, and checks at the counter. */
+export function forum(hosts = 9, engine: Partial<EngineParameters> = {}) {
+  const its = { ...BENCH_ENGINE, ...engine };
+  return {
+    name: "forum",
+    service: "jazykovy-model",
+    layout: layout("jazykovy-model", 6, 7, its, hosts),
+    engine: its,
+    burst: 2,
+    kinds: [
+      {
+        name: "file",
+        customer: "forum",
+        share: 0.5,
+        prompt: [8000, 30_000],
+        output: [150, 400],
+        groups: 40,
+        sharedTokens: [7000, 28_000],
+        skew: 0.9,
+        firstTokenMs: 2000,
+      },
+      {
+        name: "check",
+        customer: "counter",
+        share: 0.5,
+        prompt: [80, 300],
+        output: [4, 10],
+        groups: 0,
+        sharedTokens: [0, 0],
+        skew: 0,
+        firstTokenMs: 400,
+      },
+    ],
+  } satisfies Workload;
+}
+
+/** The paper's: long prefixes, four to an upstream's cache. */
+export function paper(hosts = 9, engine: Partial<EngineParameters> = {}) {
+  const its = {
+    ...BENCH_ENGINE,
+    prefillRate: 20_480,
+    cacheTokens: 220_000,
+    transferMsPerToken: 0.002,
+    ...engine,
+  };
+  return {
+    name: "paper",
+    service: "paper-llm",
+    layout: layout("paper-llm", 10, 6, its, hosts),
+    engine: its,
+    burst: 1,
+    kinds: [{
+      name: "code",
+      customer: "paper",
+      share: 1,
+      prompt: [56_000, 57_000],
+      output: [20, 60],
+      groups: 40,
+      sharedTokens: [54_784, 54_784],
+      skew: 1,
+      firstTokenMs: 4000,
+    }],
+  } satisfies Workload;
+}
+
+/** A draw between two whole numbers. */
+function between(
+  random: RandomGenerator,
+  [low, high]: readonly [number, number],
+): number {
+  return low + draw(random, high - low + 1);
+}
+
+/** A group, the first ones more often. */
+function groupOf(random: RandomGenerator, kind: Kind): number {
+  const weights = Array.from(
+    { length: kind.groups },
+    (_, n) => 1 / (n + 1) ** kind.skew,
+  );
+  const total = weights.reduce((sum, one) => sum + one, 0);
+  let left = draw(random, 1_000_000) / 1_000_000 * total;
+  for (const [group, weight] of weights.entries()) {
+    left -= weight;
+    if (left < 0) return group;
+  }
+  return 0;
+}
+
+/** The size of a group's shared part: always the same for a group. */
+function sharedOf(kind: Kind, group: number): number {
+  const random = xoroshiro128plus(group * 7919 + 13);
+  return between(random, kind.sharedTokens);
+}
+
+/** Arrivals at a mean rate, in requests a second, with bursts. */
+export function arrivalsOf(
+  workload: Workload,
+  rate: number,
+  spanMs: number,
+  seed: number,
+): Arrival[] {
+  const random = xoroshiro128plus(seed);
+  const made: Arrival[] = [];
+  const calm = 1 / (0.9 + 0.1 * workload.burst);
+  let at = 0;
+  for (;;) {
+    const unit = (draw(random, 1_000_000) + 1) / 1_000_001;
+    const inBurst = at % 20_000 >= 18_000;
+    const factor = calm * (inBurst ? workload.burst : 1);
+    at += -Math.log(unit) / (rate * factor) * 1000;
+    if (at >= spanMs) return made;
+    made.push(arrival(random, workload, at));
+  }
+}
+
+function arrival(
+  random: RandomGenerator,
+  workload: Workload,
+  at: number,
+): Arrival {
+  let left = draw(random, 1_000_000) / 1_000_000;
+  const kind = workload.kinds.find((one) => (left -= one.share) < 0) ??
+    workload.kinds[0];
+  if (!kind) throw new Error("A workload needs a kind of request");
+  const group = kind.groups > 0 ? groupOf(random, kind) : 0;
+  const shared = kind.groups > 0 ? sharedOf(kind, group) : 0;
+  const drawn = between(random, kind.prompt);
+  const own = Math.max(40, Math.round(shared * 0.1));
+  const promptTokens = shared > 0 ? shared + own : drawn;
+  const outputTokens = between(random, kind.output);
+  return { at, kind, group, sharedTokens: shared, promptTokens, outputTokens };
+}
+
+/** Requests a second that the fleet can serve with all shared parts cached. */
+export function capacityOf(workload: Workload): number {
+  const sample = arrivalsOf(workload, 100, 60_000, 99);
+  const { engine, layout: { upstreams } } = workload;
+  const prefills = upstreams.filter((one) => one.role === "prefill").length;
+  const decodes = upstreams.length - prefills;
+  const mean = (value: (one: Arrival) => number): number =>
+    sample.reduce((sum, one) => sum + value(one), 0) / sample.length;
+  const colds = mean((one) => coldTokens(one));
+  const slots = Math.min(
+    engine.slots,
+    Math.floor((35 * 0.92 - engine.stepBaseMs) / engine.stepPerRequestMs),
+  );
+  const stepMs = engine.stepBaseMs + engine.stepPerRequestMs * slots;
+  const decodeMs = mean((one) => one.outputTokens) * stepMs;
+  const byPrefill = prefills * engine.prefillRate / colds;
+  const byDecode = decodes * slots / decodeMs * 1000;
+  const moved = mean((one) => one.promptTokens) * engine.transferMsPerToken;
+  const byLink = prefills * 1000 / moved;
+  return Math.min(byPrefill, byDecode, byLink);
+}
+
+/** Tokens that a request needs computed when its shared part is cached. */
+export function coldTokens(one: Arrival): number {
+  const whole = Math.floor(one.sharedTokens / 256) * 256;
+  return one.promptTokens - whole;
+}
--- a/src/core/options.ts
+++ b/src/core/options.ts
@@ -73,6 +73,8 @@
   readonly roundLimit: number;
   /** Retries allowed per first attempt, as a share, over the last seconds. */
   readonly retryShare: number;
+  /** For comparison: every host plans by itself, with what it knows. */
+  readonly planAlone: boolean;
   /** Tests only: mechanisms turned off. */
   readonly disabled: ReadonlySet<Mechanism>;
 };
@@ -107,5 +109,6 @@
   resumeLimit: 2,
   roundLimit: 4,
   retryShare: 0.1,
+  planAlone: false,
   disabled: new Set(),
 };
--- a/src/core/policies/policy.ts
+++ b/src/core/policies/policy.ts
@@ -21,8 +21,8 @@
   readonly heldThen: number;
   /** Predicted step time with one more request. */
   readonly stepMs: Milliseconds;
-  /** Transfers that have not ended at this prefill upstream. */
-  readonly transfers: number;
+  /** Tokens to be moved from here before this query's. */
+  readonly transferTokens: number;
 };
 
 /** What is asked for. */
@@ -49,7 +49,9 @@
   readonly decode: Candidate;
   readonly uncachedTokens: number;
   readonly cachedTokens: number;
-  /** Wait before the prefill starts. */
+  /** Tokens whose cache is moved. */
+  readonly transferTokens: number;
+  /** Wait for the prefill and for the link. */
   readonly waitMs: Milliseconds;
   readonly transferMs: Milliseconds;
   /** From now to the first token. */
@@ -108,6 +110,13 @@
   return Math.max(1, query.promptTokens - one.cachedTokens);
 }
 
+/** Time that the link is still busy with others once the prefill is done. */
+export function linkWaitMs(query: Query, one: Candidate): Milliseconds {
+  const busyMs = one.transferTokens * query.transferMsPerToken;
+  const workMs = uncached(query, one) / one.rate * 1000;
+  return Math.max(0, busyMs - queueMs(one) - workMs);
+}
+
 /** Completes a choice whose upstreams are known. */
 export function choice(
   query: Query,
@@ -116,16 +125,16 @@
 ): Choice {
   const place = prefill ?? decode;
   const cold = uncached(query, place);
-  const waitMs = queueMs(place);
   const workMs = cold / place.rate * 1000;
-  const transferMs = prefill
-    ? query.promptTokens * query.transferMsPerToken * (1 + prefill.transfers)
-    : 0;
+  const waitMs = queueMs(place) + (prefill ? linkWaitMs(query, prefill) : 0);
+  const transferTokens = prefill ? query.promptTokens : 0;
+  const transferMs = transferTokens * query.transferMsPerToken;
   return {
     decode,
     ...(prefill ? { prefill } : {}),
     uncachedTokens: cold,
     cachedTokens: place.cachedTokens,
+    transferTokens,
     waitMs,
     transferMs,
     predictedMs: waitMs + workMs + transferMs + decode.stepMs,
@@ -144,6 +153,7 @@
     decode,
     uncachedTokens: 0,
     cachedTokens: query.promptTokens,
+    transferTokens: query.promptTokens,
     waitMs: 0,
     transferMs,
     predictedMs: transferMs + decode.stepMs,
@@ -158,6 +168,7 @@
     decode,
     uncachedTokens: 0,
     cachedTokens: 0,
+    transferTokens: 0,
     waitMs: 0,
     transferMs: 0,
     predictedMs: 0,
--- a/src/core/policies/predicted_cost.ts
+++ b/src/core/policies/predicted_cost.ts
@@ -12,6 +12,7 @@
   emptiestDecode,
   hasSlot,
   least,
+  linkWaitMs,
   type Policy,
   type Pool,
   type Query,
@@ -74,9 +75,8 @@
   evictionCharge: number,
 ): Milliseconds {
   const workMs = uncached(query, one) / one.rate * 1000;
-  const transferMs = query.promptTokens * query.transferMsPerToken;
-  const linkMs = transferMs * (1 + one.transfers);
-  return queueMs(one) + workMs * (1 + evictionCharge) + linkMs;
+  const waitMs = queueMs(one) + linkWaitMs(query, one);
+  return waitMs + workMs * (1 + evictionCharge);
 }
 
 function wholeChoice(query: Query, pool: Pool): Choice | undefined {
--- a/src/core/systems/asking.ts
+++ b/src/core/systems/asking.ts
@@ -174,6 +174,7 @@
     decode: grant.decode,
     stage: decoding ? Stage.decode : Stage.prefill,
     uncachedTokens: Math.max(0, call.promptTokens - grant.cachedTokens),
+    promptTokens: call.promptTokens,
   };
   tell(world, planner, { $case: "planKeep", value });
 }
--- a/src/core/systems/ledger.ts
+++ b/src/core/systems/ledger.ts
@@ -13,8 +13,8 @@
   type Service,
   Stage,
 } from "../tables/plans.ts";
-import type { Upstream } from "../tables/upstreams.ts";
 import { count, type World } from "../world.ts";
+import { emptyLine, joinLine, leaveLine } from "./line.ts";
 
 /** Decode time assumed before any request has ended. */
 const FIRST_DECODE_MS = 4000;
@@ -30,10 +30,9 @@
   const empty: Occupancy = {
     held: 0,
     decoding: 0,
-    prefilling: new Map(),
-    prefillTokens: 0,
-    headSince: 0,
-    transfers: 0,
+    prefills: emptyLine(),
+    transfers: emptyLine(),
+    transfersToCome: 0,
     decodingAtReport: 0,
   };
   world.plans.occupancy.set(upstream, empty);
@@ -138,15 +137,14 @@
 
 function enterStage(world: World, grant: Grant, now: Milliseconds): void {
   const place = occupancyOf(world, prefillPlace(grant));
+  const { request, uncachedTokens, transferTokens } = grant;
   switch (grant.stage) {
     case Stage.prefill:
-      if (place.prefilling.size === 0) place.headSince = now;
-      place.prefilling.set(grant.request, grant.uncachedTokens);
-      place.prefillTokens += grant.uncachedTokens;
+      joinLine(place.prefills, request, uncachedTokens, now);
+      place.transfersToCome += transferTokens;
       return;
     case Stage.transfer:
-      place.transfers += 1;
-      return;
+      return joinLine(place.transfers, request, transferTokens, now);
     case Stage.decode:
       occupancyOf(world, grant.decode).decoding += 1;
       return;
@@ -159,11 +157,11 @@
   const place = occupancyOf(world, prefillPlace(grant));
   switch (grant.stage) {
     case Stage.prefill:
-      leavePrefill(place, grant, now);
+      leaveLine(place.prefills, grant.request, now);
+      place.transfersToCome -= grant.transferTokens;
       return;
     case Stage.transfer:
-      place.transfers -= 1;
-      return;
+      return leaveLine(place.transfers, grant.request, now);
     case Stage.decode:
       occupancyOf(world, grant.decode).decoding -= 1;
       return;
@@ -172,31 +170,6 @@
   }
 }
 
-function leavePrefill(
-  place: Occupancy,
-  grant: Grant,
-  now: Milliseconds,
-): void {
-  const head = place.prefilling.keys().next().value;
-  if (head === grant.request) place.headSince = now;
-  place.prefilling.delete(grant.request);
-  place.prefillTokens -= grant.uncachedTokens;
-}
-
-/** Tokens that an upstream still has to prefill, going by time passed. */
-export function prefillBacklog(
-  world: World,
-  upstream: Upstream,
-  now: Milliseconds,
-): number {
-  const place = occupancyOf(world, upstream.id);
-  const head = place.prefilling.values().next().value;
-  if (head === undefined) return 0;
-  const passedMs = now - place.headSince;
-  const done = passedMs * upstream.prefillRate / 1000;
-  return place.prefillTokens - Math.min(head, done);
-}
-
 /** Strikes grants that their owners no longer renew. */
 export function expireGrants(world: World, now: Milliseconds): void {
   for (const grant of world.plans.grants.values()) {
--- a/src/core/systems/membership.ts
+++ b/src/core/systems/membership.ts
@@ -289,6 +289,7 @@
   service: ServiceId,
   now: Milliseconds,
 ): HostId {
+  if (world.options.planAlone) return world.self.id;
   refreshView(world, now);
   const known = world.view.planners.get(service);
   if (known !== undefined) return known;
--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -5,7 +5,8 @@
 import type { Service } from "../tables/plans.ts";
 import { Role, type Upstream } from "../tables/upstreams.ts";
 import type { World } from "../world.ts";
-import { occupancyOf, prefillBacklog } from "./ledger.ts";
+import { occupancyOf } from "./ledger.ts";
+import { backlog } from "./line.ts";
 import { accepting, cachedTokens, stepLine } from "./upstreams.ts";
 
 /** Part of the between-tokens target that a full batch may use. */
@@ -21,9 +22,10 @@
 type Row = {
   readonly upstream: Upstream;
   queueTokens: number;
+  /** Tokens to be moved from here, those still in prefill included. */
+  transferTokens: number;
   held: number;
   readonly decoding: number;
-  readonly transfers: number;
 };
 
 /** The pool during one pass, with what the pass has given out so far. */
@@ -85,10 +87,11 @@
   const foreign = running - place.decodingAtReport - LAG_REQUESTS;
   return {
     upstream,
-    queueTokens: prefillBacklog(world, upstream, now),
+    queueTokens: backlog(place.prefills, upstream.prefillRate / 1000, now),
+    transferTokens: place.transfersToCome +
+      backlog(place.transfers, 1 / world.options.transferMsPerToken, now),
     held: place.held + Math.max(0, foreign),
     decoding: place.decoding + Math.max(0, foreign),
-    transfers: place.transfers,
   };
 }
 
@@ -96,7 +99,10 @@
   const place = (choice.prefill ?? choice.decode).upstream.id;
   const decode = choice.decode.upstream.id;
   for (const row of rows) {
-    if (row.upstream.id === place) row.queueTokens += choice.uncachedTokens;
+    if (row.upstream.id === place) {
+      row.queueTokens += choice.uncachedTokens;
+      row.transferTokens += choice.transferTokens;
+    }
     if (row.upstream.id === decode) row.held += 1;
   }
 }
@@ -141,7 +147,7 @@
     slots: slotsWithin(upstream, ask.betweenTokensMs),
     heldThen: held - ending,
     stepMs: stepWith(upstream, decoding + 1),
-    transfers: row.transfers,
+    transferTokens: row.transferTokens,
   };
 }
 
--- a/src/core/tables/plans.ts
+++ b/src/core/tables/plans.ts
@@ -39,25 +39,35 @@
   readonly prefill: UpstreamId;
   readonly decode: UpstreamId;
   readonly uncachedTokens: number;
+  /** Tokens whose cache must be moved; 0 when nothing is. */
+  readonly transferTokens: number;
   stage: Stage;
   stageSince: Milliseconds;
   renewedAt: Milliseconds;
 };
 
+/** Work that one upstream does one after the other. */
+export type Line = {
+  /** Tokens of each request, oldest first. */
+  readonly tokensOf: Map<RequestId, number>;
+  /** Sum of them. */
+  tokens: number;
+  /** When the oldest became the oldest. */
+  headSince: Milliseconds;
+};
+
 /** What the grants of one upstream come to, kept beside the ledger. */
 export type Occupancy = {
   /** Requests that hold a decode slot, in whatever stage. */
   held: number;
   /** Those of them that decode. */
   decoding: number;
-  /** Uncached tokens of each request in prefill, oldest first. */
-  readonly prefilling: Map<RequestId, number>;
-  /** Sum of `prefilling`. */
-  prefillTokens: number;
-  /** When the oldest of `prefilling` became the oldest. */
-  headSince: Milliseconds;
-  /** Transfers that have started and not ended. */
-  transfers: number;
+  /** Uncached tokens that wait for or are in prefill. */
+  readonly prefills: Line;
+  /** Tokens whose cache waits to be moved or is being moved. */
+  readonly transfers: Line;
+  /** Tokens to be moved once the requests in prefill are through. */
+  transfersToCome: number;
   /** `decoding` when the last load report came. */
   decodingAtReport: number;
 };
--- a/src/messages/peer.ts
+++ b/src/messages/peer.ts
@@ -146,6 +146,7 @@
   decode: string;
   stage: string;
   uncachedTokens: number;
+  promptTokens: number;
 }
 
 export interface KeyPut {
@@ -1533,7 +1534,16 @@
 };
 
 function createBasePlanKeep(): PlanKeep {
-  return { request: "", service: "", customer: "", prefill: "", decode: "", stage: "", uncachedTokens: 0 };
+  return {
+    request: "",
+    service: "",
+    customer: "",
+    prefill: "",
+    decode: "",
+    stage: "",
+    uncachedTokens: 0,
+    promptTokens: 0,
+  };
 }
 
 export const PlanKeep: MessageFns<PlanKeep> = {
@@ -1559,6 +1569,9 @@
     if (message.uncachedTokens !== 0) {
       writer.uint32(56).uint32(message.uncachedTokens);
     }
+    if (message.promptTokens !== 0) {
+      writer.uint32(64).uint32(message.promptTokens);
+    }
     return writer;
   },
 
@@ -1631,6 +1644,14 @@
             message.uncachedTokens = reader.uint32();
             continue;
           }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.promptTokens = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/test/property/invariants.ts
+++ b/test/property/invariants.ts
@@ -108,7 +108,7 @@
       grants: world.plans.grants.size,
       claims: world.claims.size,
       occupancy: [...world.plans.occupancy.values()]
-        .filter((one) => one.held !== 0 || one.prefillTokens !== 0).length,
+        .filter((one) => one.held !== 0 || one.prefills.tokens !== 0).length,
     };
     return Object.entries(tables)
       .filter(([, size]) => size > 0)
