Placement prefers places that are on time; charge 0.5; larger whole prefills

Ruled out: the ledger's link estimate (late first tokens are under 1%). Change: the least cost among places predicted on time; eviction charge 0.5; prompts of up to 1,024 uncached tokens may skip the prefill pool (was 256).

--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -31,6 +31,7 @@
   "sticky-tau:80000",
   "sticky-tau:280000",
   "cost-charge:0",
+  "cost-charge:0.25",
   "cost-charge:0.5",
   "cost-charge:1",
   "cost-charge:2",
--- a/bench/policy/trial.ts
+++ b/bench/policy/trial.ts
@@ -12,7 +12,11 @@
   roundRobin,
   stickyUntilSaturated,
 } from "../../src/core/mod.ts";
-import { type Engine, hitBlocks } from "../../src/standins/engine/mod.ts";
+import {
+  type Engine,
+  hitBlocks,
+  storeBlocks,
+} from "../../src/standins/engine/mod.ts";
 import { callerRequest } from "../../test/fake/callers.ts";
 import { type FakeHost, Fleet } from "../../test/fake/fleet.ts";
 import { customer } from "../../test/fake/seed_rows.ts";
@@ -26,6 +30,7 @@
   capacityOf,
   forum,
   paper,
+  sharedOf,
   type Workload,
 } from "./workloads.ts";
 
@@ -90,7 +95,13 @@
 }
 
 function optionsOf(source: TrialSource, workload: Workload): Partial<Options> {
+  const ours = source.policy.startsWith("cost");
+  // Baselines wait for what they have sent; giving up would only cost them.
+  const patience = ours
+    ? {}
+    : { prefillSlackMs: 60_000, transferSlackMs: 60_000 };
   return {
+    ...patience,
     planAlone: source.policy === "cost-alone",
     transferMsPerToken: workload.engine.transferMsPerToken,
   };
@@ -109,6 +120,7 @@
     options: optionsOf(source, workload),
   });
   writeRows(fleet.platform, [customer("paper", { first_token_ms: 4000 })]);
+  prewarm(fleet, workload);
   const rate = capacityOf(workload) * source.load;
   const span = WARM_MS + source.spanMs;
   const arrivals = arrivalsOf(workload, rate, span, source.seed);
@@ -127,6 +139,26 @@
   };
 }
 
+/** Fills the caches as a fleet has them that has run for a while. */
+function prewarm(fleet: Fleet, workload: Workload): void {
+  const prefills = [...fleet.upstreams.values()]
+    .filter((one) => one.laid.role === "prefill");
+  for (const kind of workload.kinds) {
+    for (let group = kind.groups - 1; group >= 0; group -= 1) {
+      const tokens = sharedOf(kind, group);
+      const { prefixes } = callerRequest("", {
+        host: "",
+        text: "",
+        prefix: `${kind.name}-group-${group}`,
+        prefixTokens: tokens,
+        promptTokens: tokens,
+      });
+      const place = prefills[group % prefills.length];
+      if (place) storeBlocks(place.engine.cache, prefixes);
+    }
+  }
+}
+
 function sendAll(
   fleet: Fleet,
   workload: Workload,
@@ -239,15 +271,39 @@
     const left = got.at + this.#targetOf(got.call.customer) - now;
     const { prefixes } = callerRequest(id, got.call);
     const upstreams = [...this.#fleet.upstreams.values()];
+    const waitingMs = this.#waitingMs(upstreams.map((one) => one.engine));
     const slot = upstreams.some(({ laid, engine }) => {
       const held = engine.running.size + engine.fetching.size;
       return laid.role === "decode" && held < SLOTS_IN_TIME;
     });
-    return slot && upstreams.some(({ laid, engine }) =>
-      laid.role === "prefill" &&
-      firstTokenAt(engine, got.call.promptTokens ?? 0, prefixes, now) - now <=
-        left
-    );
+    return slot &&
+      upstreams.some(({ laid, engine }) =>
+        laid.role === "prefill" &&
+        firstTokenAt(engine, got.call.promptTokens ?? 0, prefixes, now) - now <=
+          left - waitingMs
+      );
+  }
+
+  /** Time that the work waiting at planners takes the prefill engines. */
+  #waitingMs(engines: readonly Engine[]): number {
+    let waitMs = 0;
+    for (const { world } of this.#fleet.hosts.values()) {
+      for (const queue of world.plans.asks.values()) {
+        for (const { ask } of queue.values()) {
+          const least = Math.min(
+            ...engines.map((engine) =>
+              prefillMs(engine, ask.promptTokens, ask.prefixes)
+            ),
+          );
+          waitMs += Math.max(
+            least,
+            ask.promptTokens * world.options.transferMsPerToken,
+          );
+        }
+      }
+    }
+    const prefills = engines.filter((one) => one.record.promptTokens > 0);
+    return waitMs / Math.max(1, prefills.length);
   }
 
   #targetOf(name = ""): number {
@@ -306,6 +362,17 @@
 /** A first decode step, and the way there and back. */
 const STEP_MS = 35;
 
+/** Time of a prompt's own prefill at an engine. */
+function prefillMs(
+  engine: Engine,
+  promptTokens: number,
+  prefixes: readonly number[],
+): number {
+  const { prefillRate, blockTokens } = engine.parameters;
+  const hits = hitBlocks(engine.cache, prefixes) * blockTokens;
+  return (promptTokens - hits) / prefillRate * 1000;
+}
+
 /** When a first token could come by way of an engine as it is. */
 function firstTokenAt(
   engine: Engine,
@@ -320,9 +387,9 @@
       hitBlocks(engine.cache, job.prefixes) * blockTokens,
     0,
   );
-  const cold = promptTokens - hitBlocks(engine.cache, prefixes) * blockTokens;
   const startAt = Math.max(now, engine.prefillNow?.endsAt ?? 0);
-  const prefilledAt = startAt + (queued + cold) / prefillRate * 1000;
+  const prefilledAt = startAt + queued / prefillRate * 1000 +
+    prefillMs(engine, promptTokens, prefixes);
   const linkAt = Math.max(engine.linkFreeAt, prefilledAt);
   return linkAt + promptTokens * transferMsPerToken + STEP_MS;
 }
--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -18,6 +18,8 @@
   /** Groups that share a leading part, with the part's size. */
   readonly groups: number;
   readonly sharedTokens: readonly [number, number];
+  /** Size of a prompt's own part, as a share of the shared part. */
+  readonly ownShare: number;
   /** How skewed the groups are: Zipf's exponent. */
   readonly skew: number;
   readonly firstTokenMs: number;
@@ -93,6 +95,7 @@
         output: [150, 350],
         groups: 24,
         sharedTokens: [2500, 8000],
+        ownShare: 0.1,
         skew: 0.8,
         firstTokenMs: 560,
       },
@@ -104,6 +107,7 @@
         output: [15, 40],
         groups: 0,
         sharedTokens: [0, 0],
+        ownShare: 0.1,
         skew: 0,
         firstTokenMs: 560,
       },
@@ -115,6 +119,7 @@
         output: [2, 4],
         groups: 0,
         sharedTokens: [0, 0],
+        ownShare: 0.1,
         skew: 0,
         firstTokenMs: 560,
       },
@@ -140,6 +145,7 @@
         output: [150, 400],
         groups: 40,
         sharedTokens: [7000, 28_000],
+        ownShare: 0.1,
         skew: 0.9,
         firstTokenMs: 2000,
       },
@@ -151,6 +157,7 @@
         output: [4, 10],
         groups: 0,
         sharedTokens: [0, 0],
+        ownShare: 0.1,
         skew: 0,
         firstTokenMs: 400,
       },
@@ -181,6 +188,7 @@
       output: [20, 60],
       groups: 40,
       sharedTokens: [54_784, 54_784],
+      ownShare: 0.027,
       skew: 1,
       firstTokenMs: 4000,
     }],
@@ -211,7 +219,7 @@
 }
 
 /** The size of a group's shared part: always the same for a group. */
-function sharedOf(kind: Kind, group: number): number {
+export function sharedOf(kind: Kind, group: number): number {
   const random = xoroshiro128plus(group * 7919 + 13);
   return between(random, kind.sharedTokens);
 }
@@ -249,7 +257,7 @@
   const group = kind.groups > 0 ? groupOf(random, kind) : 0;
   const shared = kind.groups > 0 ? sharedOf(kind, group) : 0;
   const drawn = between(random, kind.prompt);
-  const own = Math.max(40, Math.round(shared * 0.1));
+  const own = Math.max(40, Math.round(shared * kind.ownShare));
   const promptTokens = shared > 0 ? shared + own : drawn;
   const outputTokens = between(random, kind.output);
   return { at, kind, group, sharedTokens: shared, promptTokens, outputTokens };
--- a/src/core/policies/policy.ts
+++ b/src/core/policies/policy.ts
@@ -30,6 +30,8 @@
   readonly wholePrefillTokens: number;
   /** The prefill upstream whose export is to be used; "" for none. */
   readonly exportUpstream: string;
+  /** Time left until the first token is due. */
+  readonly slackMs: Milliseconds;
   /** Transfer time of one prompt token on an idle link. */
   readonly transferMsPerToken: Milliseconds;
 };
--- a/src/core/policies/predicted_cost.ts
+++ b/src/core/policies/predicted_cost.ts
@@ -25,7 +25,7 @@
  * it evicts about one token that another request would have hit. See
  * docs/design/placement.md for the sweep behind the value.
  */
-export const EVICTION_CHARGE = 1;
+export const EVICTION_CHARGE = 0.5;
 
 /** A prefill beside decodes slows them: charge per decoding request. */
 const DISTURBANCE = 0.02;
@@ -61,12 +61,15 @@
   evictionCharge: number,
 ): Choice | undefined {
   const decode = emptiestDecode(pool);
+  if (!decode) return undefined;
+  const onTime = pool.prefill.filter((one) =>
+    choice(query, decode, one).predictedMs <= query.slackMs
+  );
   const prefill = least(
-    pool.prefill,
+    onTime.length > 0 ? onTime : pool.prefill,
     (one) => prefillCost(query, one, evictionCharge),
   );
-  if (!decode || !prefill) return undefined;
-  return choice(query, decode, prefill);
+  return prefill && choice(query, decode, prefill);
 }
 
 function prefillCost(
--- a/src/core/setups/setup.ts
+++ b/src/core/setups/setup.ts
@@ -21,7 +21,7 @@
   betweenTokensMs: 35,
   priority: 5,
   share: 1,
-  wholePrefillTokens: 256,
+  wholePrefillTokens: 1024,
   doubt: "refuse",
 };
 
--- a/src/core/systems/delivery.ts
+++ b/src/core/systems/delivery.ts
@@ -7,12 +7,7 @@
 import { count, order, type World } from "../world.ts";
 import { tellStage } from "./dispatch.ts";
 import { announceAnswer, answerConfirmed, mayDeliver } from "./registry.ts";
-import {
-  completeRequest,
-  enter,
-  failRequest,
-  requestOf,
-} from "./requests.ts";
+import { completeRequest, enter, failRequest, requestOf } from "./requests.ts";
 import { resume } from "./retry.ts";
 
 /** Takes a piece of an answer; those of abandoned attempts are dropped. */
--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -174,7 +174,7 @@
     queue.delete(ask.ask.request);
     return;
   }
-  const query = queryOf(world, ask.ask);
+  const query = queryOf(world, ask, now);
   const pool = poolFor(draft, ask.ask);
   if (pool.decode.length === 0) {
     if (draft.pending) return wait(world, queue, ask);
@@ -199,11 +199,12 @@
   grant(world, queue, ask, choice, now);
 }
 
-function queryOf(world: World, ask: PlanAsk): Query {
+function queryOf(world: World, { ask, due }: Ask, now: Milliseconds): Query {
   return {
     promptTokens: ask.promptTokens,
     wholePrefillTokens: ask.wholePrefillTokens,
     exportUpstream: ask.exportUpstream,
+    slackMs: due - now,
     transferMsPerToken: world.options.transferMsPerToken,
   };
 }
--- a/src/standins/engine/mod.ts
+++ b/src/standins/engine/mod.ts
@@ -7,7 +7,7 @@
 export * from "./model.ts";
 export { acceptDecode, answerText, endFetch, resumeDecode } from "./decode.ts";
 export { acceptPrefill, acceptWhole, sendExport } from "./prefill.ts";
-export { hitBlocks } from "./cache.ts";
+export { hitBlocks, storeBlocks } from "./cache.ts";
 
 /** Snapshots of the load are taken this often. */
 const SNAPSHOT_MS = 50;
--- a/test/fake/seed_rows.ts
+++ b/test/fake/seed_rows.ts
@@ -18,7 +18,7 @@
         between_tokens_ms: number("Between tokens", 35, 5, 1000),
         priority: number("Priority", 5, 0, 9),
         share: number("Share", 1, 0.1, 10),
-        whole_prefill_tokens: number("Whole", 256, 0, 100_000),
+        whole_prefill_tokens: number("Whole", 1024, 0, 100_000),
         doubt: {
           type: "choice",
           doc: "Doubt",
