otterhillctl and otterhill-burn, tested as processes

Templates, customers and stops are checked, compared and published by compare-and-set with a change row; status, explain, burn report as text and page. Cause of one failure on the way: 'stop watch' through a host that had not read the new row yet said that no stop was planned; it now waits the 12 s in which a change is in force, and a host that passes a publish on reads settings at once.

--- /dev/null
+++ b/bench/policy/tally.ts
@@ -0,0 +1,168 @@
+/** Counts what a fake fleet does, from a moment on. */
+import hdr from "hdr-histogram-js";
+import { EnvelopeCodec, type Order } from "../../src/core/mod.ts";
+import type { FakeHost, Fleet } from "../../test/fake/fleet.ts";
+import { couldServe } from "./room.ts";
+
+/** What was counted. */
+export type Tallied = {
+  readonly requests: number;
+  readonly good: number;
+  readonly onTimePerSecond: number;
+  readonly misses: Readonly<Record<string, number>>;
+  /** Prefill tokens thrown away, and done again for the same request. */
+  readonly thrown: number;
+  readonly redone: number;
+  readonly prefilled: number;
+  readonly hitShare: number;
+  readonly refused: number;
+  readonly refusedWrongly: number;
+  readonly firstToken: readonly [number, number, number];
+  readonly betweenTokens: readonly [number, number, number];
+  readonly messagesPerRequest: number;
+  readonly bytesPerRequest: number;
+};
+
+/** Counts what the fleet does from a moment on. */
+export class Tally {
+  readonly #fleet: Fleet;
+  readonly #first = newHistogram();
+  readonly #between = newHistogram();
+  readonly #misses: Record<string, number> = {};
+  readonly #prefillsOf = new Map<string, number>();
+  #startedAt = Infinity;
+  #good = 0;
+  #redone = 0;
+  #refused = 0;
+  #refusedWrongly = 0;
+  #messages = 0;
+  #bytes = 0;
+  #before = { prefilled: 0, thrown: 0, hits: 0, prompts: 0 };
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+  }
+
+  /** Counts from now on. */
+  start(): void {
+    this.#startedAt = this.#fleet.now;
+    this.#before = this.#records();
+  }
+
+  #records() {
+    const sums = { prefilled: 0, thrown: 0, hits: 0, prompts: 0 };
+    for (const { engine: { record } } of this.#fleet.upstreams.values()) {
+      sums.prefilled += record.prefilledTokens;
+      sums.thrown += record.thrownTokens;
+      sums.hits += record.hitTokens;
+      sums.prompts += record.promptTokens;
+    }
+    return sums;
+  }
+
+  /** Counts an order. */
+  note(host: FakeHost, order: Order): void {
+    if (this.#fleet.now < this.#startedAt) return;
+    if (order.type === "tell") {
+      const { id, incarnation } = host.world.self;
+      const messages = [order.message];
+      this.#messages += 1;
+      this.#bytes += EnvelopeCodec.encode({ from: id, incarnation, messages })
+        .finish().length;
+    }
+    if (order.type === "replyError") this.#noteError(order);
+    if (order.type === "replyEnd") this.#noteEnd(order.request);
+  }
+
+  /** Each prefill of a request after its first was done again. */
+  notePrefill(attempt: string, computedTokens: number): void {
+    const request = attempt.split("/").slice(0, 3).join("/");
+    const before = this.#prefillsOf.get(request) ?? 0;
+    this.#prefillsOf.set(request, before + 1);
+    const counts = this.#fleet.now >= this.#startedAt;
+    if (counts && before > 0) this.#redone += computedTokens;
+  }
+
+  #counts(request: string): boolean {
+    const got = this.#fleet.got.get(request);
+    return got !== undefined && got.at >= this.#startedAt;
+  }
+
+  #noteError(order: Extract<Order, { type: "replyError" }>): void {
+    if (!this.#counts(order.request)) return;
+    this.#miss(order.error);
+    if (order.error !== "overloaded") return;
+    this.#refused += 1;
+    const got = this.#fleet.got.get(order.request);
+    if (!got) return;
+    const left = got.at + this.#targetOf(got.call.customer) - this.#fleet.now;
+    if (couldServe(this.#fleet, got, left)) this.#refusedWrongly += 1;
+  }
+
+  #targetOf(name = ""): number {
+    return { armor: 560, forum: 2000, counter: 400, paper: 4000 }[name] ?? 560;
+  }
+
+  #noteEnd(id: string): void {
+    if (!this.#counts(id)) return;
+    const got = this.#fleet.got.get(id);
+    if (!got || got.gone) return;
+    const firstMs = (got.firstAt ?? Infinity) - got.at;
+    const span = this.#fleet.now - (got.firstAt ?? this.#fleet.now);
+    const tokens = got.call.outputTokens ?? 1;
+    const betweenMs = tokens > 1 ? span / (tokens - 1) : 0;
+    record(this.#first, firstMs);
+    record(this.#between, betweenMs);
+    const late = firstMs > this.#targetOf(got.call.customer);
+    const slow = betweenMs > 35;
+    if (late) this.#miss("first token late");
+    else if (slow) this.#miss("between tokens slow");
+    else this.#good += 1;
+  }
+
+  #miss(cause: string): void {
+    this.#misses[cause] = (this.#misses[cause] ?? 0) + 1;
+  }
+
+  /** What was counted since the start. */
+  result(requests: number, spanMs: number): Tallied {
+    const gone = [...this.#fleet.got.values()]
+      .filter((one) => one.gone && one.at >= this.#startedAt).length;
+    const after = this.#records();
+    const prefilled = after.prefilled - this.#before.prefilled;
+    const prompts = after.prompts - this.#before.prompts;
+    const served = requests - gone;
+    return {
+      requests: served,
+      good: this.#good,
+      onTimePerSecond: this.#good / spanMs * 1000,
+      misses: this.#misses,
+      thrown: after.thrown - this.#before.thrown,
+      redone: this.#redone,
+      prefilled,
+      hitShare: (after.hits - this.#before.hits) / Math.max(1, prompts),
+      refused: this.#refused,
+      refusedWrongly: this.#refusedWrongly,
+      firstToken: percentiles(this.#first),
+      betweenTokens: percentiles(this.#between),
+      messagesPerRequest: this.#messages / requests,
+      bytesPerRequest: this.#bytes / requests,
+    };
+  }
+}
+
+function newHistogram() {
+  return hdr.build({ autoResize: true, numberOfSignificantValueDigits: 3 });
+}
+
+function record(histogram: hdr.Histogram, ms: number): void {
+  if (Number.isFinite(ms)) histogram.recordValue(Math.round(ms * 1000));
+}
+
+function percentiles(
+  histogram: hdr.Histogram,
+): readonly [number, number, number] {
+  const at = (share: number): number =>
+    histogram.getValueAtPercentile(share) / 1000;
+  return [at(50), at(95), at(99)];
+}
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -146,6 +146,8 @@
   }
   /** No answer: a write may or may not have taken effect. */
   | { readonly type: "tableLost"; readonly call: number }
+  /** This host has passed an operator's publish on to the platform. */
+  | { readonly type: "settingsPublished" }
   /** The process was asked to stop. */
   | { readonly type: "stopAsked" };
 
--- a/src/core/handle.ts
+++ b/src/core/handle.ts
@@ -57,6 +57,9 @@
       return takeFailure(world, event, now);
     case "cancelDone":
       return takeCancelDone(world, event.attempt, event.upstream);
+    case "settingsPublished":
+      world.schedule.settings = now;
+      return;
     case "stopAsked":
       world.stopping = true;
       world.view.until = 0;
@@ -76,6 +79,7 @@
     | "plainDone"
     | "attemptFailed"
     | "cancelDone"
+    | "settingsPublished"
     | "stopAsked";
 }>;
 
--- /dev/null
+++ b/src/programs/burn/merge.ts
@@ -0,0 +1,91 @@
+/** Merges hosts' windows and works out how fast the budget burns. */
+import hdr, { type Histogram } from "hdr-histogram-js";
+import type { BurnWindow } from "../../messages/control.ts";
+
+/** Percentiles in milliseconds. */
+export type Percentiles = readonly [p50: number, p95: number, p99: number];
+
+/** One customer and service over one window, all hosts together. */
+export type BurnRow = {
+  readonly customer: string;
+  readonly service: string;
+  readonly windowMs: number;
+  readonly requests: number;
+  readonly good: number;
+  /** 1: the budget is used up exactly at the end of its period. */
+  readonly burn: number;
+  /** Since the hosts have started. */
+  readonly firstToken: Percentiles;
+  readonly betweenTokens: Percentiles;
+};
+
+/** Histograms count microseconds. */
+const MICROS = 1000;
+
+type Merged = {
+  readonly customer: string;
+  readonly service: string;
+  readonly windowMs: number;
+  requests: number;
+  good: number;
+  readonly firstToken: Histogram;
+  readonly betweenTokens: Histogram;
+};
+
+/** Merges the windows of all hosts, for an objective such as 0.95. */
+export function mergeBurn(
+  windows: readonly BurnWindow[],
+  objective: number,
+): BurnRow[] {
+  const merged = new Map<string, Merged>();
+  for (const window of windows) mergeOne(merged, window);
+  return [...merged.values()].map((one) => ({
+    customer: one.customer,
+    service: one.service,
+    windowMs: one.windowMs,
+    requests: one.requests,
+    good: one.good,
+    burn: burnOf(one, objective),
+    firstToken: percentiles(one.firstToken),
+    betweenTokens: percentiles(one.betweenTokens),
+  }));
+}
+
+function mergeOne(merged: Map<string, Merged>, window: BurnWindow): void {
+  const { customer, service, windowMs } = window;
+  const name = `${customer} ${service} ${windowMs}`;
+  const row = merged.get(name) ?? {
+    customer,
+    service,
+    windowMs,
+    requests: 0,
+    good: 0,
+    firstToken: newHistogram(),
+    betweenTokens: newHistogram(),
+  };
+  row.requests += window.requests;
+  row.good += window.good;
+  add(row.firstToken, window.firstToken);
+  add(row.betweenTokens, window.betweenTokens);
+  merged.set(name, row);
+}
+
+function newHistogram(): Histogram {
+  return hdr.build({ autoResize: true, numberOfSignificantValueDigits: 2 });
+}
+
+function add(histogram: Histogram, encoded: string): void {
+  if (encoded === "") return;
+  histogram.add(hdr.decodeFromCompressedBase64(encoded));
+}
+
+function percentiles(histogram: Histogram): Percentiles {
+  const at = (share: number): number =>
+    histogram.getValueAtPercentile(share) / MICROS;
+  return [at(50), at(95), at(99)];
+}
+
+function burnOf(one: Merged, objective: number): number {
+  if (one.requests === 0) return 0;
+  return (1 - one.good / one.requests) / (1 - objective);
+}
--- /dev/null
+++ b/src/programs/burn/page.ts
@@ -0,0 +1,79 @@
+/** The burn report as an HTML page with plots. */
+import type { BurnRow } from "./merge.ts";
+import { goodShare, windowName } from "./text.ts";
+
+const BAR_WIDTH = 260;
+const BAR_HEIGHT = 14;
+/** A burn of this much fills a bar. */
+const FULL_BURN = 4;
+const COLOURS = { calm: "#2e7d5b", fast: "#c77800", gone: "#b3261e" };
+
+const STYLE = `
+body { font: 15px/1.45 system-ui, sans-serif; margin: 2rem auto;
+  max-width: 62rem; color: #1c1c1c; }
+table { border-collapse: collapse; width: 100%; }
+th, td { text-align: left; padding: .3rem .7rem .3rem 0;
+  border-bottom: 1px solid #ddd; font-variant-numeric: tabular-nums; }
+th { font-weight: 600; }
+.number { text-align: right; }
+p { max-width: 44rem; }`;
+
+/** The page. */
+export function burnPage(
+  rows: readonly BurnRow[],
+  objective: number,
+  now: Date,
+): string {
+  const share = (objective * 100).toFixed(1);
+  return `<!doctype html>
+<html lang="en">
+<head><meta charset="utf-8"><title>otterhill: burn</title>
+<style>${STYLE}</style></head>
+<body>
+<h1>Service-level burn</h1>
+<p>${now.toISOString()}. Objective: ${share}% of requests meet both latency
+targets of their customer. A burn of 1 uses the budget up exactly at the end
+of its period; the bars end at ${FULL_BURN}.</p>
+<table>
+<tr><th>customer</th><th>service</th><th>window</th>
+<th class="number">requests</th><th class="number">good</th><th>burn</th>
+<th>first token p50 / p95 / p99</th></tr>
+${rows.map(rowHtml).join("\n")}
+</table>
+</body>
+</html>
+`;
+}
+
+function rowHtml(row: BurnRow): string {
+  const first = row.firstToken.map((one) => one.toFixed(0)).join(" / ");
+  return `<tr><td>${escaped(row.customer)}</td>
+<td>${escaped(row.service)}</td><td>${windowName(row.windowMs)}</td>
+<td class="number">${row.requests}</td>
+<td class="number">${goodShare(row)}</td>
+<td>${bar(row.burn)}</td><td>${first} ms</td></tr>`;
+}
+
+function bar(burn: number): string {
+  const width = Math.min(1, burn / FULL_BURN) * BAR_WIDTH;
+  const mark = BAR_WIDTH / FULL_BURN;
+  const label = burn.toFixed(2);
+  return `<svg width="${BAR_WIDTH + 50}" height="${BAR_HEIGHT + 4}"
+ role="img" aria-label="burn ${label}">
+<rect x="0" y="2" width="${BAR_WIDTH}" height="${BAR_HEIGHT}" fill="#eee"/>
+<rect x="0" y="2" width="${width.toFixed(1)}" height="${BAR_HEIGHT}"
+ fill="${colourOf(burn)}"/>
+<line x1="${mark}" x2="${mark}" y1="0" y2="${BAR_HEIGHT + 4}"
+ stroke="#1c1c1c"/>
+<text x="${BAR_WIDTH + 6}" y="${BAR_HEIGHT}" font-size="12">${label}</text>
+</svg>`;
+}
+
+function colourOf(burn: number): string {
+  if (burn <= 1) return COLOURS.calm;
+  return burn <= 2 ? COLOURS.fast : COLOURS.gone;
+}
+
+function escaped(text: string): string {
+  return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;");
+}
--- /dev/null
+++ b/src/programs/ctl/context.ts
@@ -0,0 +1,123 @@
+/** What every command of otterhillctl works with. */
+import { randomUUID } from "node:crypto";
+import { userInfo } from "node:os";
+import type { Command } from "commander";
+import {
+  type Change,
+  publish,
+  type Published,
+} from "../../operators/publish.ts";
+import { hostStore, platformStore } from "../../operators/reach.ts";
+import type { Store } from "../../operators/store.ts";
+import type { ControlTarget } from "../../shell/mod.ts";
+import { sha256 } from "../../util/sha256.ts";
+import { ExitCode } from "../common/exit_code.ts";
+
+/** Flags of all commands. */
+export type Flags = {
+  readonly platform?: string;
+  readonly host?: string[];
+  readonly json?: boolean;
+  readonly author?: string;
+  readonly dryRun?: boolean;
+};
+
+/** A call to an entry host is given up after this. */
+const CALL_MS = 3000;
+/** A call to the platform is given up after this. */
+const PLATFORM_MS = 2000;
+
+/** What a command works with. */
+export type Context = {
+  readonly flags: Flags;
+  readonly hosts: readonly ControlTarget[];
+  /** The platform, or the first entry host. */
+  readonly store: Store;
+  /** Prints for people, or as JSON for scripts. */
+  show(text: string, value: unknown): void;
+};
+
+/** The context of a command. */
+export function contextOf(command: Command): Context {
+  const flags = command.optsWithGlobals<Flags>();
+  const key = process.env["OTTERHILL_OPERATOR_KEY"] ?? "";
+  const hosts = (flags.host ?? []).map((address) => ({
+    address,
+    keyHash: sha256(key),
+    timeoutMs: CALL_MS,
+  }));
+  return {
+    flags,
+    hosts,
+    store: storeOf(flags, hosts),
+    show: (text, value) =>
+      console.log(flags.json ? JSON.stringify(value) : text),
+  };
+}
+
+function storeOf(flags: Flags, hosts: readonly ControlTarget[]): Store {
+  if (flags.platform !== undefined) {
+    return platformStore(flags.platform, PLATFORM_MS);
+  }
+  const [first] = hosts;
+  if (first) return hostStore(first);
+  console.error("--platform or --host is missing; see --help");
+  process.exit(ExitCode.usage);
+}
+
+/** What a command wants to change. */
+export type Wish = Pick<Change, "key" | "value" | "base" | "guards">;
+
+/** Publishes a change, tells how it went and sets the exit code. */
+export async function publishAndTell(
+  context: Context,
+  wish: Wish,
+): Promise<void> {
+  const outcome = await publish(context.store, {
+    ...wish,
+    id: randomUUID(),
+    author: context.flags.author ?? userInfo().username,
+    at: Date.now(),
+  });
+  context.show(outcomeText(wish, outcome), outcome);
+  process.exitCode = exitCodeOf(outcome);
+}
+
+function exitCodeOf(outcome: Published): number {
+  switch (outcome.type) {
+    case "accepted":
+      return ExitCode.ok;
+    case "conflict":
+      return ExitCode.conflict;
+    case "unknown":
+      return ExitCode.unknown;
+  }
+}
+
+function outcomeText(wish: Wish, outcome: Published): string {
+  switch (outcome.type) {
+    case "accepted": {
+      const how = outcome.resolved ? " (an answer was lost; read back)" : "";
+      return `accepted as version ${outcome.version}${how}`;
+    }
+    case "conflict":
+      return [
+        `conflict: ${outcome.keys.join(", ")} changed since it was read`,
+        `yours:  ${wish.value ?? "(removed)"}`,
+        `theirs: ${outcome.theirs?.value ?? "(none)"}`,
+      ].join("\n");
+    case "unknown":
+      return `not known: no answer; look for change ${outcome.id} later`;
+  }
+}
+
+/** Prints faults and sets the exit code; true when there were some. */
+export function tellFaults(
+  context: Context,
+  faults: readonly string[],
+): boolean {
+  if (faults.length === 0) return false;
+  context.show(faults.join("\n"), { faults });
+  process.exitCode = ExitCode.usage;
+  return true;
+}
--- /dev/null
+++ b/src/programs/ctl/customer.ts
@@ -0,0 +1,96 @@
+/** otterhillctl customer: set, show, history. */
+import type { Command } from "commander";
+import { type Customer, RowKey } from "../../core/mod.ts";
+import { checkCustomer } from "../../operators/checks.ts";
+import { differences, differenceText } from "../../operators/diff.ts";
+import { readRow } from "../../operators/publish.ts";
+import { sha256 } from "../../util/sha256.ts";
+import {
+  type Context,
+  contextOf,
+  publishAndTell,
+  tellFaults,
+} from "./context.ts";
+import { showHistory, showRows } from "./rows.ts";
+
+type SetFlags = {
+  readonly template?: string;
+  readonly addKey?: string[];
+  readonly base?: string;
+};
+
+/** Adds the customer commands. */
+export function addCustomer(program: Command): void {
+  const customer = program.command("customer")
+    .description("customers and their parameters");
+  customer.command("set <name> [parameters...]")
+    .description("set parameters: priority=7 models=recap-llm,tagger")
+    .option("--template <name>", "the template that it is made from")
+    .option("--add-key <key...>", "API keys; only their hashes are kept")
+    .option("--base <version>", "the version that the change is made against")
+    .action(
+      async (
+        name: string,
+        parameters: string[],
+        flags: SetFlags,
+        command: Command,
+      ) => {
+        await setCustomer(contextOf(command), name, parameters, flags);
+      },
+    );
+  customer.command("show [name]")
+    .description("customers in force")
+    .action((name: string | undefined, _: unknown, command: Command) =>
+      showRows(contextOf(command), RowKey.customer, name)
+    );
+  customer.command("history <name>")
+    .description("changes of a customer")
+    .action((name: string, _: unknown, command: Command) =>
+      showHistory(contextOf(command), RowKey.customer + name)
+    );
+}
+
+async function setCustomer(
+  context: Context,
+  name: string,
+  parameters: readonly string[],
+  flags: SetFlags,
+): Promise<void> {
+  const row = await readRow(context.store, RowKey.customer + name);
+  const before = row?.value
+    ? JSON.parse(row.value) as Customer
+    : { name, template: "", parameters: {}, key_hashes: [] };
+  const given = parameters.map(parseParameter);
+  const after = {
+    ...before,
+    template: flags.template ?? before.template,
+    parameters: { ...before.parameters, ...Object.fromEntries(given) },
+    key_hashes: [
+      ...new Set([
+        ...before.key_hashes,
+        ...(flags.addKey ?? []).map(sha256),
+      ]),
+    ],
+  };
+  const checked = await checkCustomer(context.store, after);
+  if (tellFaults(context, checked.faults)) return;
+  if (!context.flags.json) {
+    console.log(differenceText(differences(row ? before : null, after)));
+  }
+  await publishAndTell(context, {
+    key: RowKey.customer + name,
+    value: JSON.stringify(after),
+    base: flags.base === undefined ? row?.revision ?? 0 : Number(flags.base),
+    guards: checked.guards,
+  });
+}
+
+/** `name=value`: a number, a list with commas, or a word. */
+function parseParameter(text: string): readonly [string, unknown] {
+  const equals = text.indexOf("=");
+  const name = text.slice(0, Math.max(0, equals));
+  const value = text.slice(equals + 1);
+  if (/^-?\d+(\.\d+)?$/.test(value)) return [name, Number(value)];
+  const lists = ["models", "adapters", "plain_services"];
+  return [name, lists.includes(name) ? value.split(",") : value];
+}
--- /dev/null
+++ b/src/programs/ctl/main.ts
@@ -0,0 +1,40 @@
+#!/usr/bin/env node
+/** otterhillctl: the operators' command. */
+import { makeCommand, runProgram } from "../common/command.ts";
+import { addCustomer } from "./customer.ts";
+import { addStatus } from "./status.ts";
+import { addStop } from "./stop.ts";
+import { addTemplate } from "./template.ts";
+
+const EXAMPLES = `
+Examples:
+  otterhillctl --platform 10.0.0.9:7000 template publish recap.toml
+  otterhillctl --platform 10.0.0.9:7000 customer set armor priority=7
+  otterhillctl --host 10.0.0.1:9001 --host 10.0.0.2:9001 status
+  otterhillctl --host 10.0.0.1:9001 stop plan d-brest
+  otterhillctl --host 10.0.0.1:9001 stop watch d-brest
+
+The operator key is read from OTTERHILL_OPERATOR_KEY.
+Exit codes: 0 done, 1 could not be done, 2 faulty command line or settings,
+3 conflict, 4 not known whether it was done (or only done in part).`;
+
+const program = makeCommand(
+  "otterhillctl",
+  "Publishes templates and parameters, plans stops, shows the fleet.",
+)
+  .option("-p, --platform <address>", "IP:port of the platform")
+  .option(
+    "-H, --host <address>",
+    "IP:port of an entry host's peer listener; may be repeated",
+    (address: string, before: string[] = []) => [...before, address],
+  )
+  .option("--author <name>", "name kept with changes")
+  .option("--json", "print JSON")
+  .addHelpText("after", EXAMPLES);
+addTemplate(program);
+addCustomer(program);
+addStop(program);
+addStatus(program);
+await runProgram(async () => {
+  await program.parseAsync();
+});
--- /dev/null
+++ b/src/programs/ctl/rows.ts
@@ -0,0 +1,52 @@
+/** Shows rows in force and their history. */
+import { CHANGE_PREFIX, type ChangeRecord } from "../../operators/publish.ts";
+import type { Context } from "./context.ts";
+import { textTable } from "./table.ts";
+
+/** Shows one row, or all under a prefix. */
+export async function showRows(
+  context: Context,
+  prefix: string,
+  name?: string,
+): Promise<void> {
+  const all = await context.store.read(prefix + (name ?? ""));
+  const rows = all
+    .filter((row) => row.value !== null)
+    .filter((row) => name === undefined || row.key === prefix + name)
+    .map((row) => ({
+      name: row.key.slice(prefix.length),
+      version: row.revision,
+      value: JSON.parse(row.value ?? "null") as unknown,
+    }));
+  const text = name === undefined
+    ? textTable(
+      ["name", "version"],
+      rows.map((row) => [row.name, String(row.version)]),
+    )
+    : rows.map((row) =>
+      `version ${row.version}\n${JSON.stringify(row.value, null, 2)}`
+    ).join("\n");
+  context.show(text || "none", rows);
+}
+
+/** Shows the changes of a row, oldest first. */
+export async function showHistory(
+  context: Context,
+  key: string,
+): Promise<void> {
+  const rows = await context.store.read(CHANGE_PREFIX);
+  const changes = rows.flatMap((row) => {
+    const record = JSON.parse(row.value ?? "{}") as ChangeRecord;
+    return record.key === key ? [{ version: row.revision, ...record }] : [];
+  });
+  const text = textTable(
+    ["version", "when", "who", "value"],
+    changes.map((one) => [
+      String(one.version),
+      new Date(one.at).toISOString(),
+      one.author,
+      one.value ?? "(removed)",
+    ]),
+  );
+  context.show(changes.length === 0 ? "no changes" : text, changes);
+}
--- a/src/shell/control/answer.ts
+++ b/src/shell/control/answer.ts
@@ -23,6 +23,8 @@
   readonly keyHashes: readonly string[];
   readonly now: () => number;
   readonly wallNow: () => number;
+  /** A publish was passed on and accepted. */
+  onPublished(): void;
   /** What an upstream holds; rejects when it can't be reached. */
   held(upstream: string): Promise<readonly AttemptId[]>;
 };
@@ -92,6 +94,7 @@
       return { outcome: "conflict", revision: 0, conflicts };
     }
     const { revision } = outcome;
+    source.onPublished();
     return { outcome: "written", revision, conflicts: [] };
   } catch {
     return { outcome: "lost", revision: 0, conflicts: [] };
--- a/src/shell/host.ts
+++ b/src/shell/host.ts
@@ -177,6 +177,7 @@
       keyHashes: this.#settings.access.operator_key_hashes,
       now: monotonicNow,
       wallNow: () => Date.now(),
+      onPublished: () => this.#loop?.push({ type: "settingsPublished" }),
       held: (upstream: string) => this.#held(upstream),
     };
   }
--- a/src/shell/mod.ts
+++ b/src/shell/mod.ts
@@ -4,3 +4,8 @@
 export { measurePrompt } from "./callers/prompt.ts";
 export { PlatformClient } from "./platform/client.ts";
 export { HttpFailure, openCall, readText } from "./upstreams/http.ts";
+export {
+  callControl,
+  type ControlAnswer,
+  type ControlTarget,
+} from "./peers/control_client.ts";
