--- a/bench/policy/trial.ts
+++ b/bench/policy/trial.ts
@@ -80,8 +80,11 @@
   const patience = ours
     ? {}
     : { prefillSlackMs: 60_000, transferSlackMs: 60_000 };
+  const [kind, parameter] = source.policy.split(":");
+  const polls = kind === "cost-poll" ? { loadPollMs: Number(parameter) } : {};
   return {
     ...patience,
+    ...polls,
     planAlone: source.policy === "cost-alone",
     transferMsPerToken: workload.engine.transferMsPerToken,
   };
--- a/src/core/options.ts
+++ b/src/core/options.ts
@@ -19,7 +19,7 @@
 export type Options = {
   /** Time between two gossip rounds: a tenth of the detection time. */
   readonly gossipMs: Milliseconds;
-  /** Peers told in each round: reaches 110 hosts in about five rounds. */
+  /** Peers told in each round; each tells back (docs/CAPACITY.md, gossip). */
   readonly gossipFanout: number;
   /** A host whose counter stands still this long is not live. */
   readonly hostTimeoutMs: Milliseconds;
@@ -82,8 +82,8 @@
 /** The defaults; docs/SETTINGS.md gives the reasons at more length. */
 export const DEFAULT_OPTIONS: Options = {
   gossipMs: 1000,
-  gossipFanout: 3,
-  hostTimeoutMs: 6000,
+  gossipFanout: 1,
+  hostTimeoutMs: 8000,
   suspectMs: 2000,
   listPollMs: 2000,
   settingsPollMs: 3000,
@@ -94,9 +94,9 @@
   askQueueLimit: 256,
   transferMsPerToken: 0.0128,
   keepMs: 5000,
-  grantTimeoutMs: 15000,
+  grantTimeoutMs: 15_000,
   sweepMs: 3000,
-  ownerGraceMs: 10000,
+  ownerGraceMs: 12_000,
   cancelRetryMs: 200,
   cancelRetryMaxMs: 3000,
   platformTimeoutMs: 1000,
--- a/src/settings/router.ts
+++ b/src/settings/router.ts
@@ -37,19 +37,16 @@
 const Access = z.strictObject({
   operator_key_hashes: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
   peer_secret_file: z.string().optional(),
-  certificate_file: z.string().optional(),
-  key_file: z.string().optional(),
-  ca_file: z.string().optional(),
 });
 
 const Tuning = z.strictObject({
   gossip_interval: duration("1s"),
-  host_timeout: duration("6s"),
+  host_timeout: duration("8s"),
   settings_interval: duration("3s"),
   hosts_interval: duration("2s"),
   load_interval: duration("250ms"),
   sweep_interval: duration("3s"),
-  owner_grace: duration("10s"),
+  owner_grace: duration("12s"),
   retry_share: z.number().min(0).max(1).default(0.1),
   kv_bytes_per_token: size("160KB"),
   link_bytes_per_second: size("12.5GB"),
