--- a/src/core/policies/policy.ts
+++ b/src/core/policies/policy.ts
@@ -115,7 +115,8 @@
   );
 }
 
-function farCharge(query: Query, one: Candidate): number {
+/** What being in another data hall counts as, in shares of the slots. */
+export function farCharge(query: Query, one: Candidate): number {
   const near = query.hall === "" || one.upstream.hall === query.hall;
   return near ? 0 : HALL_CHARGE;
 }
--- a/src/core/policies/predicted_cost.ts
+++ b/src/core/policies/predicted_cost.ts
@@ -10,6 +10,7 @@
   choiceFromExport,
   type Chooser,
   emptiestDecode,
+  farCharge,
   hasSlot,
   least,
   linkWaitMs,
@@ -36,6 +37,9 @@
  */
 export const AHEAD_MS = 60;
 
+/** What a wholly occupied decode upstream would cost a request. */
+const FULL_MS = 200;
+
 /** Makes the chooser with a given eviction charge. */
 export function costChooser(evictionCharge: number): Chooser {
   return (query, pool) => {
@@ -86,7 +90,10 @@
   const fitting = pool.decode.filter((one) =>
     hasSlot(one) && uncached(query, one) <= query.wholePrefillTokens
   );
-  const decode = least(fitting, (one) => wholeCost(choice(query, one)));
+  const decode = least(
+    fitting,
+    (one) => wholeCost(choice(query, one)) + farCharge(query, one) * FULL_MS,
+  );
   return decode && choice(query, decode);
 }
 
