--- /dev/null
+++ b/bench/core/wire.ts
@@ -0,0 +1,86 @@
+/** Bytes that one message between hosts takes on the wire, both ways. */
+import { once } from "node:events";
+import { connect, createServer, type Socket } from "node:net";
+import { credentials, ServerCredentials } from "@grpc/grpc-js";
+import type { PeerMessage } from "../../src/core/mod.ts";
+import { Peers } from "../../src/shell/peers/client.ts";
+import { bindServer, createPeerServer } from "../../src/shell/peers/server.ts";
+
+/** A relay on loopback that counts what passes. */
+class CountingRelay {
+  bytes = 0;
+  readonly #server = createServer((from) => this.#join(from));
+  readonly #sockets: Socket[] = [];
+  #target = 0;
+
+  async start(target: number): Promise<number> {
+    this.#target = target;
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    const bound = this.#server.address();
+    return typeof bound === "object" && bound ? bound.port : 0;
+  }
+
+  #join(from: Socket): void {
+    const to = connect(this.#target, "127.0.0.1");
+    this.#sockets.push(from, to);
+    this.#pass(from, to);
+    this.#pass(to, from);
+  }
+
+  #pass(from: Socket, to: Socket): void {
+    from.on("data", (part) => {
+      this.bytes += part.length;
+      to.write(part);
+    });
+    from.on("error", () => to.destroy());
+  }
+
+  stop(): void {
+    for (const socket of this.#sockets) socket.destroy();
+    this.#server.close();
+  }
+}
+
+const WARM = 20;
+const RUNS = 200;
+
+/** Mean bytes of a message that is sent alone, its receipt included. */
+export async function wireBytes(message: PeerMessage): Promise<number> {
+  let arrived = 0;
+  const server = createPeerServer({
+    push: () => arrived += 1,
+    control: () => Promise.reject(new Error("Not served here")),
+    secret: "",
+  });
+  const open = ServerCredentials.createInsecure();
+  const port = await bindServer(server, "127.0.0.1:0", open);
+  const relay = new CountingRelay();
+  const address = `127.0.0.1:${await relay.start(port)}`;
+  const peers = new Peers({
+    self: { id: "host-0", incarnation: Date.now() },
+    push: () => undefined,
+    addressOf: () => address,
+    timeoutMs: 2000,
+    credentials: credentials.createInsecure(),
+    secret: "",
+  });
+  const send = async (): Promise<void> => {
+    const before = arrived;
+    peers.send([{ to: "host-1", message }]);
+    while (arrived === before) await pause();
+    await pause();
+  };
+  for (let n = 0; n < WARM; n += 1) await send();
+  const before = relay.bytes;
+  for (let n = 0; n < RUNS; n += 1) await send();
+  const bytes = relay.bytes - before;
+  peers.close();
+  relay.stop();
+  server.forceShutdown();
+  return bytes / RUNS;
+}
+
+function pause(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 1));
+}
--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -50,6 +50,8 @@
   readonly sources: readonly Omit<TrialSource, "seed" | "spanMs">[];
   readonly row: (one: TrialResult) => string;
   readonly rowTitle: string;
+  /** Virtual time of each trial, when not the usual one. */
+  readonly spanMs?: number;
 };
 
 const plain = { disturbance: "none", hosts: 9 };
@@ -92,6 +94,23 @@
     rowTitle: "workload, disturbance, policy",
     row: (one) => `${one.workload}, ${one.disturbance}, ${one.policy}`,
   },
+  {
+    name: "split",
+    title: "The split fixed, or following the load (90 s)",
+    spanMs: 90_000,
+    sources: (["armor", "armor 6 + 2"] as const).flatMap((workload) =>
+      [0.8, 1.5].flatMap((load) =>
+        ["cost", "cost-split"].map((policy) => ({
+          workload,
+          load,
+          policy,
+          ...plain,
+        }))
+      )
+    ),
+    rowTitle: "workload, load, policy",
+    row: (one) => `${one.workload}, ${one.load}, ${one.policy}`,
+  },
   {
     name: "hosts",
     title: "Many hosts: one planner, or each host alone",
@@ -111,7 +130,11 @@
 for (const section of SECTIONS) {
   if (values.only !== undefined && values.only !== section.name) continue;
   const sources = section.sources.flatMap((one) =>
-    SEEDS.map((seed) => ({ ...one, seed, spanMs: SPAN_MS }))
+    SEEDS.map((seed) => ({
+      ...one,
+      seed,
+      spanMs: section.spanMs ?? SPAN_MS,
+    }))
   );
   const results = await runTrials(sources);
   const groups = groupBy(results, section.row);
--- a/bench/policy/trial.ts
+++ b/bench/policy/trial.ts
@@ -19,6 +19,7 @@
 import { type Tallied, Tally } from "./tally.ts";
 import {
   armor,
+  armorSkewed,
   type Arrival,
   arrivalsOf,
   capacityOf,
@@ -30,7 +31,7 @@
 
 /** What to try. */
 export type TrialSource = {
-  readonly workload: "armor" | "forum" | "paper";
+  readonly workload: keyof typeof WORKLOADS;
   readonly policy: string;
   readonly load: number;
   readonly disturbance: string;
@@ -45,7 +46,7 @@
   readonly bound: number;
 };
 
-const WORKLOADS = { armor, forum, paper };
+const WORKLOADS = { armor, "armor 6 + 2": armorSkewed, forum, paper };
 const WARM_MS = 12_000;
 const COOL_MS = 20_000;
 const SETTLE_MS = 6000;
@@ -103,6 +104,7 @@
     options: optionsOf(source, workload),
   });
   writeRows(fleet.platform, [customer("paper", { first_token_ms: 4000 })]);
+  if (source.policy === "cost-split") followLoad(fleet, workload);
   prewarm(fleet, workload);
   const rate = capacityOf(workload) * source.load;
   const span = WARM_MS + source.spanMs;
@@ -122,6 +124,12 @@
   };
 }
 
+/** The split between prefill and decode follows the load. */
+function followLoad(fleet: Fleet, workload: Workload): void {
+  const key = `settings/split/${workload.service}`;
+  writeRows(fleet.platform, [{ key, value: "{}" }]);
+}
+
 /** Fills the caches as a fleet has them that has run for a while. */
 function prewarm(fleet: Fleet, workload: Workload): void {
   const prefills = [...fleet.upstreams.values()]
--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -127,6 +127,17 @@
   } satisfies Workload;
 }
 
+/** The same with too many prefill upstreams. */
+export function armorSkewed(
+  hosts = 9,
+  engine: Partial<EngineParameters> = {},
+): Workload {
+  const usual = armor(hosts, engine);
+  const its = usual.engine;
+  const skewed = layout("recap-llm", 6, 2, its, hosts);
+  return { ...usual, name: "armor 6 + 2", layout: skewed };
+}
+
 /** Long planning files read repeatedly, and checks at the counter. */
 export function forum(hosts = 9, engine: Partial<EngineParameters> = {}) {
   const its = { ...BENCH_ENGINE, ...engine };
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -51,6 +51,8 @@
   /** Last step time of the decode batch. */
   readonly stepMs: number;
   readonly draining: boolean;
+  /** What it does now; absent: as the host list says. */
+  readonly role?: string;
   /** Changes when the engine has restarted. */
   readonly epoch: number;
 };
@@ -138,7 +140,11 @@
     readonly rows: readonly TableRow[];
     readonly revision: number;
   }
-  | { readonly type: "tableWritten"; readonly call: number }
+  | {
+    readonly type: "tableWritten";
+    readonly call: number;
+    readonly revision: number;
+  }
   | {
     readonly type: "tableConflict";
     readonly call: number;
@@ -146,6 +152,8 @@
   }
   /** No answer: a write may or may not have taken effect. */
   | { readonly type: "tableLost"; readonly call: number }
+  /** An upstream has seen a higher fence than an order's. */
+  | { readonly type: "orderRefused"; readonly upstream: UpstreamId }
   /** This host has passed an operator's publish on to the platform. */
   | { readonly type: "settingsPublished" }
   /** The process was asked to stop. */
--- a/src/core/handle.ts
+++ b/src/core/handle.ts
@@ -13,6 +13,11 @@
 import { takeChunk, takePlainAnswer } from "./systems/delivery.ts";
 import { takePrefilled } from "./systems/dispatch.ts";
 import { takeCall, takeCallerGone } from "./systems/intake.ts";
+import {
+  takeLeaseFailed,
+  takeLeaseRead,
+  takeLeaseWritten,
+} from "./systems/lease.ts";
 import { noteReport } from "./systems/ledger.ts";
 import {
   adoptHostList,
@@ -30,6 +35,7 @@
   takeTableRows,
 } from "./systems/settings.ts";
 import { takeHeld, takeSweepAsk } from "./systems/sweep.ts";
+import { takeOrderRefused } from "./systems/turns.ts";
 import { takeCacheEvents, takeLoadReport } from "./systems/upstreams.ts";
 import type { World } from "./world.ts";
 
@@ -57,6 +63,8 @@
       return takeFailure(world, event, now);
     case "cancelDone":
       return takeCancelDone(world, event.attempt, event.upstream);
+    case "orderRefused":
+      return takeOrderRefused(world, event.upstream, now);
     case "settingsPublished":
       world.schedule.settings = now;
       return;
@@ -79,6 +87,7 @@
     | "plainDone"
     | "attemptFailed"
     | "cancelDone"
+    | "orderRefused"
     | "settingsPublished"
     | "stopAsked";
 }>;
@@ -123,12 +132,20 @@
   switch (event.type) {
     case "tableRows":
       if (call.purpose === "settings") return takeTableRows(world, event.rows);
+      if (call.purpose === "leaseRead") {
+        return takeLeaseRead(world, call, event.rows, now);
+      }
       return takeClaimRead(world, call, event.rows, now);
     case "tableWritten":
+      if (call.purpose === "lease") {
+        return takeLeaseWritten(world, call, event.revision);
+      }
       return takeClaimsWritten(world, call, now);
     case "tableConflict":
+      if (call.purpose === "lease") return takeLeaseFailed(world, call, now);
       return takeClaimsConflict(world, call, event.keys, now);
     case "tableLost":
+      if (call.purpose === "lease") return takeLeaseFailed(world, call, now);
       return takeClaimsLost(world, call, now);
   }
 }
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -9,6 +9,7 @@
 export * from "./world.ts";
 export * from "./setups/customer.ts";
 export * from "./setups/setup.ts";
+export * from "./setups/split.ts";
 export * from "./setups/template.ts";
 export { Phase } from "./tables/requests.ts";
 export { Role } from "./tables/upstreams.ts";
--- a/src/core/options.ts
+++ b/src/core/options.ts
@@ -11,6 +11,7 @@
   matchAttempts: "match-attempts",
   proveNotRun: "prove-not-run",
   keepVersions: "keep-versions",
+  leases: "leases",
 } as const;
 /** One of the values of {@link Mechanism}. */
 export type Mechanism = typeof Mechanism[keyof typeof Mechanism];
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -102,6 +102,14 @@
     readonly attempt: AttemptId;
     readonly upstream: UpstreamId;
   }
+  | {
+    readonly type: "turnRole";
+    readonly upstream: UpstreamId;
+    readonly role: string;
+    readonly fence: number;
+    /** Not to be sent later than this, by the core's clock. */
+    readonly sendBefore: number;
+  }
   | { readonly type: "readLoad"; readonly upstream: UpstreamId }
   | {
     readonly type: "readCache";
--- a/src/core/setups/setup.ts
+++ b/src/core/setups/setup.ts
@@ -10,6 +10,7 @@
   template: "settings/template/",
   customer: "settings/customer/",
   stop: "settings/stop/",
+  split: "settings/split/",
 } as const;
 
 /** What holds for a parameter that the template leaves out. */
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -23,8 +23,10 @@
 import { retryReleases } from "./systems/release.ts";
 import { checkProgress } from "./systems/retry.ts";
 import { pollSettings } from "./systems/settings.ts";
+import { planTurns } from "./systems/split.ts";
 import { finishStop } from "./systems/stopping.ts";
 import { pollHeld } from "./systems/sweep.ts";
+import { advanceTurns } from "./systems/turns.ts";
 import { pollUpstreams } from "./systems/upstreams.ts";
 import type { World } from "./world.ts";
 
@@ -40,6 +42,8 @@
   pollHeld,
   expireCalls,
   expireGrants,
+  planTurns,
+  advanceTurns,
   renewKeys,
   renewGrants,
   checkProgress,
--- a/src/core/systems/claims.ts
+++ b/src/core/systems/claims.ts
@@ -11,10 +11,13 @@
 import { Phase, type Request } from "../tables/requests.ts";
 import { count, enabled, log, order, type World } from "../world.ts";
 import { closeCall, openCall } from "./calls.ts";
+import { takeLeaseFailed } from "./lease.ts";
 import { enter, failRequest } from "./requests.ts";
 
 /** Claims in one write of the table. */
 const BATCH = 50;
+/** Calls that are about claims. */
+const CLAIM_PURPOSES = ["claim", "claimRead", "void"];
 /** After silence the platform counts as lost this long, or till it answers. */
 const LOST_MS = 5000;
 /** Wait before the same thing is asked of the table again. */
@@ -224,6 +227,7 @@
 }
 
 function claimsOf(world: World, call: TableCall): Claim[] {
+  if (!CLAIM_PURPOSES.includes(call.purpose)) return [];
   return call.rows.flatMap((row) => world.claims.get(row) ?? []);
 }
 
@@ -265,6 +269,7 @@
     if (age < world.options.platformTimeoutMs) continue;
     closeCall(world, number);
     world.platformLostAt = now;
-    if (call.purpose !== "settings") takeClaimsLost(world, call, now);
+    if (call.purpose === "lease") takeLeaseFailed(world, call, now);
+    else takeClaimsLost(world, call, now);
   }
 }
--- a/src/core/systems/membership.ts
+++ b/src/core/systems/membership.ts
@@ -90,6 +90,7 @@
   const known = world.upstreams.get(entry.id);
   if (known) {
     known.address = entry.address;
+    known.checksOrders = entry.checksOrders;
     known.leaving = entry.leaving;
     return;
   }
@@ -104,6 +105,7 @@
     service: entry.service,
     role: roleOf(entry.role),
     address: entry.address,
+    checksOrders: entry.checksOrders,
     leaving: entry.leaving,
     slots: entry.slots,
     prefillRate: entry.prefillRate,
--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -6,6 +6,7 @@
 import type { World } from "../world.ts";
 import { occupancyOf } from "./ledger.ts";
 import { backlog } from "./line.ts";
+import { isTurning } from "./turns.ts";
 import { accepting, cachedTokens, stepLine } from "./upstreams.ts";
 
 /** Part of the between-tokens target that a full batch may use. */
@@ -64,6 +65,7 @@
   now: Milliseconds,
 ): boolean {
   if (!accepting(world, upstream.id)) return false;
+  if (isTurning(world, upstream)) return false;
   return now - upstream.reportedAt < world.options.reportTimeoutMs;
 }
 
--- a/src/core/systems/settings.ts
+++ b/src/core/systems/settings.ts
@@ -8,6 +8,7 @@
 import type { SettingsRows } from "../../messages/peer.ts";
 import { CustomerSchema } from "../setups/customer.ts";
 import { RowKey } from "../setups/setup.ts";
+import { SplitSchema } from "../setups/split.ts";
 import { TemplateSchema } from "../setups/template.ts";
 import type { Settings, SettingsRow } from "../tables/settings.ts";
 import { jitter } from "../util/chance.ts";
@@ -136,6 +137,7 @@
     const value: unknown = JSON.parse(row.value);
     if (row.key.startsWith(RowKey.template)) TemplateSchema.parse(value);
     if (row.key.startsWith(RowKey.customer)) CustomerSchema.parse(value);
+    if (row.key.startsWith(RowKey.split)) SplitSchema.parse(value);
     return undefined;
   } catch (error) {
     return error instanceof Error ? error.message : String(error);
--- a/src/core/systems/upstreams.ts
+++ b/src/core/systems/upstreams.ts
@@ -82,6 +82,9 @@
   if (restarted) forgetState(world, upstream);
   upstream.report = report;
   upstream.reportedAt = now;
+  if (report.role === Role.prefill || report.role === Role.decode) {
+    upstream.role = report.role;
+  }
   if (report.slots > 0) upstream.slots = report.slots;
   if (report.prefillRate > 0) upstream.prefillRate = report.prefillRate;
   if (report.stepMs > 0) addStep(upstream, report.running, report.stepMs);
--- a/src/core/tables/claims.ts
+++ b/src/core/tables/claims.ts
@@ -25,7 +25,14 @@
 
 /** What a platform call was for. */
 export type TableCall = {
-  readonly purpose: "claim" | "claimRead" | "void" | "settings";
+  readonly purpose:
+    | "claim"
+    | "claimRead"
+    | "void"
+    | "settings"
+    | "lease"
+    | "leaseRead"
+    | "leaseReturn";
   readonly startedAt: Milliseconds;
   readonly rows: readonly string[];
 };
--- a/src/core/tables/upstreams.ts
+++ b/src/core/tables/upstreams.ts
@@ -25,6 +25,8 @@
   readonly service: ServiceId;
   role: Role;
   address: string;
+  /** It refuses orders with a lower fence than it has seen. */
+  checksOrders: boolean;
   /** The host list says that it is leaving. */
   leaving: boolean;
   /** Decode requests at once, from the list, until a report says better. */
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -20,6 +20,7 @@
 import { emptyPlans, type Plans } from "./tables/plans.ts";
 import type { KeyRecord, Registration } from "./tables/keys.ts";
 import type { Claim, TableCall } from "./tables/claims.ts";
+import type { Lease, Pressure, Turn } from "./tables/turns.ts";
 import { type Policy, predictedCost } from "./policies/mod.ts";
 
 /** Who this host is. */
@@ -71,6 +72,9 @@
   readonly keys: Map<string, KeyRecord>;
   readonly registrations: Map<string, Registration>;
   readonly claims: Map<string, Claim>;
+  readonly leases: Map<ServiceId, Lease>;
+  readonly turns: Map<ServiceId, Turn>;
+  readonly pressures: Map<ServiceId, Pressure>;
   readonly calls: Map<number, TableCall>;
   nextCall: number;
   /** When the platform last answered, and last failed to. */
@@ -119,6 +123,9 @@
     keys: new Map(),
     registrations: new Map(),
     claims: new Map(),
+    leases: new Map(),
+    turns: new Map(),
+    pressures: new Map(),
     calls: new Map(),
     nextCall: 1,
     platformOkAt: 0,
--- a/src/programs/ctl/main.ts
+++ b/src/programs/ctl/main.ts
@@ -2,6 +2,7 @@
 /** otterhillctl: the operators' command. */
 import { makeCommand, runProgram } from "../common/command.ts";
 import { addCustomer } from "./customer.ts";
+import { addSplit } from "./split.ts";
 import { addStatus } from "./status.ts";
 import { addStop } from "./stop.ts";
 import { addTemplate } from "./template.ts";
@@ -34,6 +35,7 @@
 addTemplate(program);
 addCustomer(program);
 addStop(program);
+addSplit(program);
 addStatus(program);
 await runProgram(async () => {
   await program.parseAsync();
--- a/src/shell/platform/client.ts
+++ b/src/shell/platform/client.ts
@@ -153,7 +153,9 @@
     case "writeTable": {
       const { call } = order;
       const outcome = await client.writeRows(order.changes);
-      if (outcome.type === "written") return { type: "tableWritten", call };
+      if (outcome.type === "written") {
+        return { type: "tableWritten", call, revision: outcome.revision };
+      }
       return { type: "tableConflict", call, keys: outcome.keys };
     }
   }
--- a/src/shell/upstreams/bodies.ts
+++ b/src/shell/upstreams/bodies.ts
@@ -28,6 +28,7 @@
   prefill_tokens_per_second: z.number(),
   step_ms: z.number(),
   draining: z.boolean(),
+  role: z.string().optional(),
   epoch: z.number(),
 });
 
--- a/src/shell/upstreams/client.ts
+++ b/src/shell/upstreams/client.ts
@@ -1,6 +1,7 @@
 /** The upstreams' side: calls engines and plain services, tells the core. */
 import type { IncomingMessage } from "node:http";
 import PQueue from "p-queue";
+import { monotonicNow } from "../clock.ts";
 import {
   type AttemptId,
   type Event,
@@ -35,7 +36,8 @@
     | "cancel"
     | "readLoad"
     | "readCache"
-    | "readHeld";
+    | "readHeld"
+    | "turnRole";
 }>;
 
 /** What the upstreams' side needs from the rest of the host. */
@@ -82,6 +84,9 @@
         this.#open.get(order.attempt)?.destroy();
         void control.add(() => this.#control(order));
         return;
+      case "turnRole":
+        void control.add(() => this.#order(order));
+        return;
       case "readLoad":
       case "readCache":
       case "readHeld":
@@ -201,6 +206,25 @@
     }
   }
 
+  /** Orders an upstream about, unless its time has passed in the queue. */
+  async #order(order: RoleOrder): Promise<void> {
+    const { upstream, role, fence } = order;
+    if (monotonicNow() >= order.sendBefore) return;
+    try {
+      const { status } = await callText({
+        address: this.#source.addressOf(upstream) ?? "",
+        method: "POST",
+        path: "/v1/orders",
+        body: JSON.stringify({ fence, role }),
+        connectTimeoutMs: this.#source.connectTimeoutMs,
+        silenceTimeoutMs: CONTROL_TIMEOUT_MS,
+      });
+      if (status === 409) this.#source.push({ type: "orderRefused", upstream });
+    } catch {
+      return;
+    }
+  }
+
   async #ask(order: ControlOrder): Promise<Event> {
     const { upstream } = order;
     switch (order.type) {
@@ -248,7 +272,8 @@
 type WorkOrder = Extract<UpstreamOrder, {
   type: "prefill" | "decode" | "resume" | "callPlain";
 }>;
-type ControlOrder = Exclude<UpstreamOrder, WorkOrder>;
+type RoleOrder = Extract<UpstreamOrder, { type: "turnRole" }>;
+type ControlOrder = Exclude<UpstreamOrder, WorkOrder | RoleOrder>;
 
 function requestPath(attempt: AttemptId): string {
   return `/v1/requests/${encodeURIComponent(attempt)}`;
@@ -272,6 +297,7 @@
     prefillRate: load.prefill_tokens_per_second,
     stepMs: load.step_ms,
     draining: load.draining,
+    ...(load.role === undefined ? {} : { role: load.role }),
     epoch: load.epoch,
   };
 }
--- a/src/standins/engine/mod.ts
+++ b/src/standins/engine/mod.ts
@@ -84,6 +84,7 @@
     prefillRate: parameters.prefillRate / slowdown,
     stepMs: engine.running.size === 0 ? 0 : engine.stepMs,
     draining: engine.draining,
+    ...(engine.role === undefined ? {} : { role: engine.role }),
     epoch: engine.epoch,
   };
 }
--- a/src/standins/engine/model.ts
+++ b/src/standins/engine/model.ts
@@ -154,6 +154,8 @@
   stepEndsAt: number;
   stepMs: number;
   draining: boolean;
+  /** Its role as ordered; absent: as the host list says. */
+  role: string | undefined;
   /** Highest fence of any order so far. */
   fence: number;
   snapshots: { readonly at: number; readonly report: Report }[];
@@ -169,6 +171,7 @@
   readonly prefillRate: number;
   readonly stepMs: number;
   readonly draining: boolean;
+  readonly role?: string;
   readonly epoch: number;
 };
 
@@ -198,6 +201,7 @@
     stepEndsAt: Infinity,
     stepMs: 0,
     draining: false,
+    role: undefined,
     fence: 0,
     snapshots: [],
     outputs: [],
--- a/src/standins/engine/server.ts
+++ b/src/standins/engine/server.ts
@@ -150,6 +150,7 @@
       prefill_tokens_per_second: report.prefillRate,
       step_ms: report.stepMs,
       draining: report.draining,
+      ...(report.role === undefined ? {} : { role: report.role }),
       epoch: report.epoch,
     });
   }
@@ -165,6 +166,7 @@
       return sendJson(response, 409, { fence: this.#engine.fence });
     }
     this.#engine.fence = order.fence;
+    this.#engine.role = order.role ?? this.#engine.role;
     this.#engine.draining = order.drain ?? this.#engine.draining;
     sendJson(response, 200, { fence: order.fence });
   }
--- a/src/standins/engine/wire.ts
+++ b/src/standins/engine/wire.ts
@@ -29,6 +29,7 @@
 export const Order = z.object({
   fence: z.number(),
   drain: z.boolean().optional(),
+  role: z.enum(["prefill", "decode"]).optional(),
 });
 
 /** Who reads an attempt's answer. */
--- a/test/fake/carry.ts
+++ b/test/fake/carry.ts
@@ -60,6 +60,12 @@
         upstream: order.upstream,
         attempts: at.held(),
       }));
+    case "turnRole":
+      return ask(fleet, host, order.upstream, (at) => {
+        const { upstream, role, fence } = order;
+        if (at.turn(host.id, role, fence)) return undefined;
+        return { type: "orderRefused", upstream };
+      });
     case "tell":
       return tell(fleet, host, order);
     case "readHosts":
@@ -221,6 +227,8 @@
     return undefined;
   }
   const { call } = order;
-  if (result.ok) return { type: "tableWritten", call };
+  if (result.ok) {
+    return { type: "tableWritten", call, revision: result.revision };
+  }
   return { type: "tableConflict", call, keys: result.conflicts };
 }
--- a/test/fake/layout.ts
+++ b/test/fake/layout.ts
@@ -12,6 +12,8 @@
   readonly service: string;
   readonly role: "prefill" | "decode" | "plain";
   readonly engine?: Partial<EngineParameters>;
+  /** Whether it checks the fences of orders; it does unless told. */
+  readonly checksOrders?: boolean;
 };
 
 /** A whole layout. */
@@ -38,6 +40,7 @@
     hall: one.hall,
     kind: "upstream",
     service: one.service,
+    checksOrders: one.checksOrders ?? true,
     role: one.role,
     slots: engine.slots,
     prefillRate: engine.prefillRate,
--- a/test/fake/upstream.ts
+++ b/test/fake/upstream.ts
@@ -57,6 +57,11 @@
   readonly startedEver = new Map<AttemptId, number>();
   /** Plain calls run here over all its runs, by body. */
   readonly ranEver = new Map<string, number>();
+  /** Refuses orders with a lower fence than it has seen. */
+  checksOrders: boolean;
+  /** Orders taken, in their order. */
+  readonly orders: { from: string; role: string; fence: number; at: number }[] =
+    [];
   /** When the last new work was taken. */
   lastStartAt = -Infinity;
   #wakeAt = Infinity;
@@ -65,6 +70,7 @@
   constructor(fleet: Fleet, laid: LaidUpstream) {
     this.#fleet = fleet;
     this.laid = laid;
+    this.checksOrders = laid.checksOrders ?? true;
     this.engine = this.#newEngine();
     this.plain = this.#newPlain();
   }
@@ -98,6 +104,15 @@
     this.#wakeAt = Infinity;
   }
 
+  /** Takes an order to change its role; false when its fence is too low. */
+  turn(from: string, role: string, fence: number): boolean {
+    if (this.checksOrders && fence < this.engine.fence) return false;
+    this.engine.fence = Math.max(fence, this.engine.fence);
+    this.engine.role = role;
+    this.orders.push({ from, role, fence, at: this.#fleet.now });
+    return true;
+  }
+
   /** Every attempt that holds memory here. */
   held(): AttemptId[] {
     return this.laid.role === "plain"
--- a/test/property/invariants.ts
+++ b/test/property/invariants.ts
@@ -30,6 +30,7 @@
     ...settled(calls),
     ...settingsInForce(fleet),
     ...nothingLeft(fleet),
+    ...ordersFenced(fleet),
   ];
 }
 
@@ -98,6 +99,15 @@
   });
 }
 
+/** No order of an earlier lease's holder is taken after a later one's. */
+function ordersFenced(fleet: Fleet): string[] {
+  return [...fleet.upstreams.values()]
+    .filter(({ orders }) =>
+      orders.some((one, place) => one.fence < (orders[place - 1]?.fence ?? 0))
+    )
+    .map((one) => `${one.laid.id} took an order of an earlier holder`);
+}
+
 /** Tables must not grow: what is done with is forgotten. */
 function nothingLeft(fleet: Fleet): string[] {
   return [...fleet.hosts.values()].flatMap(({ id, world }) => {
--- a/test/property/play.ts
+++ b/test/property/play.ts
@@ -110,6 +110,11 @@
         writeRows(platform, [{ key, value: null }]);
       });
     }
+    case "split": {
+      const value = JSON.stringify({ prefill: what.prefill });
+      writeRows(platform, [{ key: "settings/split/recap-llm", value }]);
+      return;
+    }
     case "publish": {
       const { priority } = what;
       writeRows(platform, [customer("armor", { priority })]);
--- a/test/property/schedule.ts
+++ b/test/property/schedule.ts
@@ -45,6 +45,7 @@
     readonly upstream: number;
     readonly spanMs: number;
   }
+  | { readonly type: "split"; readonly prefill: number }
   | { readonly type: "publish"; readonly priority: number };
 
 /** A happening and when it happens. */
@@ -106,6 +107,10 @@
   }),
   fc.record({ type: fc.constant("dropCache" as const), upstream }),
   fc.record({ type: fc.constant("stop" as const), upstream, spanMs: span }),
+  fc.record({
+    type: fc.constant("split" as const),
+    prefill: fc.integer({ min: 1, max: 5 }),
+  }),
   fc.record({
     type: fc.constant("publish" as const),
     priority: fc.integer({ min: 0, max: 9 }),
--- a/test/scenario/actions.ts
+++ b/test/scenario/actions.ts
@@ -1,5 +1,5 @@
 /** What a scenario can make happen. */
-import type { Options } from "../../src/core/mod.ts";
+import type { ListEntry, Options } from "../../src/core/mod.ts";
 import { checkCustomer } from "../../src/operators/checks.ts";
 import { publish, type Published } from "../../src/operators/publish.ts";
 import type { Store, StoredRow } from "../../src/operators/store.ts";
@@ -60,6 +60,7 @@
   upstream: (stage, words, line) => changeUpstream(stage, words, line),
   stop: (stage, [upstream]) => planStop(stage, upstream ?? "", true),
   unstop: (stage, [upstream]) => planStop(stage, upstream ?? "", false),
+  split: (stage, words) => setSplit(stage, words),
   edit: (stage, [name, customer]) => startEdit(stage, name, customer),
   publish: (stage, words, line) => commitEdit(stage, words, line),
 };
@@ -146,12 +147,7 @@
     case "restarts":
       return upstream.restart();
     case "leaves":
-      return putHosts(
-        fleet.platform,
-        fleet.platform.list.entries.map((one) =>
-          one.id === name ? { ...one, leaving: true } : one
-        ),
-      );
+      return changeEntry(fleet, name, { leaving: true });
     case "stalls":
       upstream.engine.stalledUntil = fleet.now +
         timeOf(word ?? "", line.number);
@@ -159,6 +155,9 @@
     case "slows":
       upstream.engine.slowdown = Number(word);
       return;
+    case "checks-nothing":
+      upstream.checksOrders = false;
+      return changeEntry(fleet, name, { checksOrders: false });
     case "loses-cancels":
       upstream.loseCancels = Number(word);
       return;
@@ -170,6 +169,26 @@
   }
 }
 
+function changeEntry(
+  fleet: Fleet,
+  name: string | undefined,
+  change: Partial<ListEntry>,
+): void {
+  const entries = fleet.platform.list.entries
+    .map((one) => one.id === name ? { ...one, ...change } : one);
+  putHosts(fleet.platform, entries);
+}
+
+/** split SERVICE N: operators want N prefill upstreams; `load`: as needed. */
+function setSplit(
+  { fleet }: Stage,
+  [service, word]: readonly string[],
+): void {
+  const split = word === "load" ? {} : { prefill: Number(word) };
+  const key = `settings/split/${service}`;
+  writeRows(fleet.platform, [{ key, value: JSON.stringify(split) }]);
+}
+
 function planStop({ fleet }: Stage, upstream: string, on: boolean): void {
   const value = on ? JSON.stringify({ author: "scenario" }) : null;
   writeRows(fleet.platform, [{ key: `settings/stop/${upstream}`, value }]);
--- a/test/scenario/expectations.ts
+++ b/test/scenario/expectations.ts
@@ -63,6 +63,23 @@
     const left = stage.fleet.upstream(upstream ?? "").held();
     return left.length === 0 ? undefined : left.join(" ");
   },
+  prefills: (stage, [service, count]) => {
+    const prefills = [...stage.fleet.upstreams.values()]
+      .filter(({ laid }) => laid.service === service)
+      .filter(({ laid, engine }) => (engine.role ?? laid.role) === "prefill");
+    return same(String(prefills.length), count);
+  },
+  "orders-by": (stage, [upstream, ...hosts]) => {
+    const orders = stage.fleet.upstream(upstream ?? "").orders;
+    const by = new Set(orders.map((one) => one.from));
+    return same([...by].join(" "), hosts.join(" "));
+  },
+  "orders-fenced": (stage) => {
+    const wrong = [...stage.fleet.upstreams.values()].filter(({ orders }) =>
+      orders.some((one, place) => one.fence < (orders[place - 1]?.fence ?? 0))
+    );
+    return wrong.length === 0 ? undefined : wrong[0]?.laid.id;
+  },
   publish: (stage, [name, outcome]) => {
     const published = stage.published.get(name ?? "");
     if (outcome !== "resolved") return same(published?.type ?? "", outcome);
--- a/test/scenario/mechanisms_test.ts
+++ b/test/scenario/mechanisms_test.ts
@@ -13,6 +13,7 @@
   [Mechanism.sweep]: "held_host_killed",
   [Mechanism.drain]: "stop_cuts_nothing",
   [Mechanism.matchAttempts]: "whole_late_answers",
+  [Mechanism.leases]: "lease_paused_holder_unchecked",
   [Mechanism.proveNotRun]: "not_run_is_true",
 };
 
