Evictions cost more where the block to go was used lately; reports every 500 ms

Change: the charge is up to doubled by how lately the block that would go was used; blocks are kept in the order of use.

--- a/src/core/handle.ts
+++ b/src/core/handle.ts
@@ -98,7 +98,7 @@
       takeLoadReport(world, event.upstream, event.report, now);
       return noteReport(world, event.upstream);
     case "cacheEvents":
-      return takeCacheEvents(world, event.upstream, event.from, event.events);
+      return takeCacheEvents(world, event, now);
     case "heldList":
       return takeHeld(world, event.upstream, event.attempts, now);
     case "peerMessage":
--- a/src/core/options.ts
+++ b/src/core/options.ts
@@ -88,7 +88,7 @@
   suspectMs: 2000,
   listPollMs: 2000,
   settingsPollMs: 3000,
-  loadPollMs: 250,
+  loadPollMs: 500,
   cachePollMs: 500,
   reportTimeoutMs: 3000,
   askTimeoutMs: 200,
--- a/src/core/policies/policy.ts
+++ b/src/core/policies/policy.ts
@@ -9,6 +9,8 @@
   readonly queueTokens: number;
   /** Prompt tokens of this query thought to be in its cache. */
   readonly cachedTokens: number;
+  /** For how long the block that it evicts next has not been used. */
+  readonly victimAgeMs: Milliseconds;
   /** Prefill tokens a second. */
   readonly rate: number;
   /** Requests that hold a decode slot, those in prefill included. */
--- a/src/core/policies/predicted_cost.ts
+++ b/src/core/policies/predicted_cost.ts
@@ -28,6 +28,9 @@
  */
 export const EVICTION_CHARGE = 0.5;
 
+/** Age at which a block to be evicted costs half the charge. */
+const EVICTION_MS = 10_000;
+
 /** A prefill beside decodes slows them: charge per decoding request. */
 const DISTURBANCE = 0.02;
 
@@ -83,7 +86,9 @@
 ): Milliseconds {
   const workMs = uncached(query, one) / one.rate * 1000;
   const waitMs = queueMs(one) + linkWaitMs(query, one);
-  return waitMs + workMs * (1 + evictionCharge);
+  const fresh = EVICTION_MS / (EVICTION_MS + one.victimAgeMs);
+  const charge = evictionCharge * (1 + fresh);
+  return waitMs + workMs * (1 + charge);
 }
 
 function wholeChoice(query: Query, pool: Pool): Choice | undefined {
--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -296,7 +296,7 @@
     renewedAt: now,
   }, now);
   const place: Candidate = choice.prefill ?? choice.decode;
-  if (!exported) expectCached(place.upstream, prefixes);
+  if (!exported) expectCached(place.upstream, prefixes, now);
   const value = {
     request,
     prefill,
--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -7,7 +7,7 @@
 import { occupancyOf } from "./ledger.ts";
 import { backlog } from "./line.ts";
 import { isTurning } from "./turns.ts";
-import { accepting, cachedTokens, stepLine } from "./upstreams.ts";
+import { accepting, cachedTokens, stepLine, victimAge } from "./upstreams.ts";
 
 /** Part of the between-tokens target that a full batch may use. */
 const STEP_SHARE = 0.92;
@@ -26,6 +26,7 @@
   transferTokens: number;
   held: number;
   readonly decoding: number;
+  readonly victimAgeMs: Milliseconds;
 };
 
 /** The pool during one pass, with what the pass has given out so far. */
@@ -91,6 +92,7 @@
     queueTokens: backlog(place.prefills, upstream.prefillRate / 1000, now),
     transferTokens: place.transfersToCome +
       backlog(place.transfers, 1 / world.options.transferMsPerToken, now),
+    victimAgeMs: victimAge(upstream, now),
     held: place.held + Math.max(0, foreign),
     decoding: place.decoding + Math.max(0, foreign),
   };
@@ -142,6 +144,7 @@
     slots: slotsWithin(upstream, ask.betweenTokensMs),
     stepMs: stepWith(upstream, decoding + 1),
     transferTokens: row.transferTokens,
+    victimAgeMs: row.victimAgeMs,
   };
 }
 
--- a/src/core/systems/upstreams.ts
+++ b/src/core/systems/upstreams.ts
@@ -1,5 +1,5 @@
 /** Reads upstreams' reports and cache events, and judges what may get work. */
-import type { CacheEvent, LoadReport } from "../events.ts";
+import type { Event, LoadReport } from "../events.ts";
 import type { Milliseconds, UpstreamId } from "../ids.ts";
 import { Mechanism } from "../options.ts";
 import { emptyFit, Role, type Upstream } from "../tables/upstreams.ts";
@@ -125,14 +125,17 @@
   return { base: (y - slope * x) / weight, slope };
 }
 
+/** A page of cache events. */
+export type CachePage = Extract<Event, { type: "cacheEvents" }>;
+
 /** Takes a page of cache events; a gap lowers the trust in the index. */
 export function takeCacheEvents(
   world: World,
-  id: UpstreamId,
-  from: number,
-  events: readonly CacheEvent[],
+  page: CachePage,
+  now: Milliseconds,
 ): void {
-  const upstream = world.upstreams.get(id);
+  const { from, events } = page;
+  const upstream = world.upstreams.get(page.upstream);
   if (!upstream || events.length === 0) return;
   if (from > upstream.cacheSequence + 1) noteGap(world, upstream);
   else regainTrust(upstream);
@@ -140,12 +143,29 @@
   for (const event of events) {
     sequence += 1;
     if (sequence <= upstream.cacheSequence) continue;
-    if (event.stored) upstream.prefixes.set(event.hash, true);
+    if (event.stored) noteStored(upstream, event.hash, now);
     else upstream.prefixes.delete(event.hash);
   }
   upstream.cacheSequence = Math.max(sequence, upstream.cacheSequence);
 }
 
+/** A block that was expected keeps its place in the order of use. */
+function noteStored(
+  upstream: Upstream,
+  hash: number,
+  now: Milliseconds,
+): void {
+  if (!upstream.prefixes.has(hash)) upstream.prefixes.set(hash, now);
+}
+
+/** For how long the block to be evicted next has not been used. */
+export function victimAge(upstream: Upstream, now: Milliseconds): Milliseconds {
+  const full = upstream.prefixes.size >= upstream.cacheTokens / BLOCK_TOKENS;
+  if (!full) return Infinity;
+  const oldest = upstream.prefixes.values().next().value;
+  return oldest === undefined ? Infinity : now - oldest;
+}
+
 function noteGap(world: World, upstream: Upstream): void {
   upstream.cacheTrust *= TRUST_AFTER_GAP;
   count(world, "cache_gaps");
@@ -159,10 +179,11 @@
 export function expectCached(
   upstream: Upstream,
   prefixes: readonly number[],
+  now: Milliseconds,
 ): void {
-  for (const hash of prefixes) {
+  for (const hash of [...prefixes].reverse()) {
     upstream.prefixes.delete(hash);
-    upstream.prefixes.set(hash, true);
+    upstream.prefixes.set(hash, now);
   }
   const most = upstream.cacheTokens / BLOCK_TOKENS;
   for (const hash of upstream.prefixes.keys()) {
--- a/src/core/tables/upstreams.ts
+++ b/src/core/tables/upstreams.ts
@@ -40,7 +40,7 @@
   /** Fit of step time over running requests. */
   step: StepFit;
   /** Prefix blocks thought to be cached, oldest first. */
-  readonly prefixes: Map<number, true>;
+  readonly prefixes: Map<number, Milliseconds>;
   /** Sequence number of the last cache event read. */
   cacheSequence: number;
   /** Share of the index's claims that is believed: falls on a gap. */
--- a/src/settings/router.ts
+++ b/src/settings/router.ts
@@ -44,7 +44,7 @@
   host_timeout: duration("8s"),
   settings_interval: duration("3s"),
   hosts_interval: duration("2s"),
-  load_interval: duration("250ms"),
+  load_interval: duration("500ms"),
   sweep_interval: duration("3s"),
   owner_grace: duration("12s"),
   retry_share: z.number().min(0).max(1).default(0.1),
