Unit tests; long files split: host list, keepers, order of asks, arrivals

The mapping of host list entries stood twice and stands once now; planners forget customers that hold and wait for nothing.

--- a/bench/policy/bound.ts
+++ b/bench/policy/bound.ts
@@ -3,7 +3,8 @@
  * together and every shared part cached, one pool of decode slots; requests
  * by deadline, the largest given up when not all can be on time.
  */
-import { type Arrival, coldTokens, type Workload } from "./workloads.ts";
+import { type Arrival, coldTokens } from "./arrivals.ts";
+import type { Workload } from "./workloads.ts";
 
 type Waiting = { readonly arrival: Arrival; workMs: number; due: number };
 
--- a/bench/policy/trial.ts
+++ b/bench/policy/trial.ts
@@ -14,18 +14,15 @@
 import { Fleet } from "../../test/fake/fleet.ts";
 import { customer } from "../../test/fake/seed_rows.ts";
 import { writeRows } from "../../src/standins/platform/model.ts";
+import { type Arrival, arrivalsOf, capacityOf, sharedOf } from "./arrivals.ts";
 import { boundOf } from "./bound.ts";
 import { DISTURBANCES } from "./disturbances.ts";
 import { type Tallied, Tally } from "./tally.ts";
 import {
   armor,
   armorSkewed,
-  type Arrival,
-  arrivalsOf,
-  capacityOf,
   forum,
   paper,
-  sharedOf,
   type Workload,
 } from "./workloads.ts";
 
--- a/src/core/handle.ts
+++ b/src/core/handle.ts
@@ -19,14 +19,15 @@
   takeLeaseWritten,
 } from "./systems/lease.ts";
 import { noteReport } from "./systems/ledger.ts";
+import { adoptHostList } from "./systems/host_list.ts";
 import {
-  adoptHostList,
   clearSuspicion,
   suspectPeer,
   takeGossip,
 } from "./systems/membership.ts";
 import { takeAsk, takeKeep, takeProgress } from "./systems/placement.ts";
-import { takeKeyEnd, takeKeyPut, takeKeyVerdict } from "./systems/registry.ts";
+import { takeKeyEnd, takeKeyPut } from "./systems/keepers.ts";
+import { takeKeyVerdict } from "./systems/registry.ts";
 import { takeCancelDone } from "./systems/release.ts";
 import { earnRetry, takeFailure } from "./systems/retry.ts";
 import {
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -16,8 +16,10 @@
 } from "./systems/claims.ts";
 import { finishClosing } from "./systems/delivery.ts";
 import { dispatchReady } from "./systems/dispatch.ts";
+import { forgetKeys } from "./systems/keepers.ts";
 import { expireGrants } from "./systems/ledger.ts";
-import { gossip, pollHosts } from "./systems/membership.ts";
+import { pollHosts } from "./systems/host_list.ts";
+import { gossip } from "./systems/membership.ts";
 import { placeAsks } from "./systems/placement.ts";
 import { closeKeys, registerKeys, renewKeys } from "./systems/registry.ts";
 import { retryReleases } from "./systems/release.ts";
@@ -45,6 +47,7 @@
   planTurns,
   advanceTurns,
   renewKeys,
+  forgetKeys,
   renewGrants,
   checkProgress,
   retryReleases,
--- a/src/core/systems/membership.ts
+++ b/src/core/systems/membership.ts
@@ -1,19 +1,10 @@
-/**
- * Who is live: a gossip of heartbeat counters within the region, and the
- * platform's host list, which hosts also pass on to each other.
- */
+/** Who is live: a gossip of heartbeat counters within the region. */
 import type { HostId, Milliseconds, ServiceId } from "../ids.ts";
-import type {
-  Gossip,
-  Heartbeat,
-  HostList,
-  ListEntry,
-} from "../../messages/peer.ts";
+import type { Gossip, Heartbeat } from "../../messages/peer.ts";
 import type { Host } from "../tables/hosts.ts";
-import { emptyFit, Role, type Upstream } from "../tables/upstreams.ts";
 import { draw, jitter } from "../util/chance.ts";
 import { rendezvous } from "../util/rendezvous.ts";
-import { log, order, type World } from "../world.ts";
+import { log, type World } from "../world.ts";
 import { tell } from "./peers.ts";
 import { passSettings, pullSettings } from "./settings.ts";
 
@@ -22,112 +13,6 @@
 /** One gossip in so many goes to another region. */
 const OTHER_REGION_TURN = 5;
 
-/** Reads the platform's host list when the time has come. */
-export function pollHosts(world: World, now: Milliseconds): void {
-  if (now < world.schedule.list) return;
-  const span = world.options.listPollMs;
-  world.schedule.list = now + jitter(world.random, span);
-  order(world, { type: "readHosts" });
-}
-
-/** Takes a host list unless a newer one is known. */
-export function adoptHostList(
-  world: World,
-  list: HostList,
-  now: Milliseconds,
-): void {
-  const first = world.list.entries.length === 0;
-  if (list.revision <= world.list.revision && !first) return;
-  world.list = list;
-  adoptHosts(world, list.entries, now);
-  adoptUpstreams(world, list.entries);
-  world.view.until = 0;
-}
-
-function adoptHosts(
-  world: World,
-  entries: readonly ListEntry[],
-  now: Milliseconds,
-): void {
-  const listed = entries.filter((one) => one.kind === "entry");
-  const names = new Set(listed.map((one) => one.id));
-  for (const id of world.hosts.keys()) {
-    if (!names.has(id)) world.hosts.delete(id);
-  }
-  for (const entry of listed) {
-    const known = world.hosts.get(entry.id);
-    world.hosts.set(entry.id, {
-      id: entry.id,
-      hall: entry.hall,
-      region: entry.region,
-      address: entry.address,
-      incarnation: known?.incarnation ?? 0,
-      counter: known?.counter ?? 0,
-      heardAt: known?.heardAt ?? now,
-      suspectUntil: known?.suspectUntil ?? 0,
-      leaving: entry.leaving,
-    });
-  }
-}
-
-function adoptUpstreams(world: World, entries: readonly ListEntry[]): void {
-  const listed = entries.filter((one) => one.kind === "upstream");
-  const names = new Set(listed.map((one) => one.id));
-  for (const id of world.upstreams.keys()) {
-    if (!names.has(id)) world.upstreams.delete(id);
-  }
-  for (const entry of listed) adoptUpstream(world, entry);
-  world.pools.clear();
-  for (const upstream of world.upstreams.values()) {
-    if (upstream.region !== world.self.region) continue;
-    const pool = world.pools.get(upstream.service) ?? [];
-    pool.push(upstream);
-    world.pools.set(upstream.service, pool);
-  }
-}
-
-function adoptUpstream(world: World, entry: ListEntry): void {
-  const known = world.upstreams.get(entry.id);
-  if (known) {
-    known.address = entry.address;
-    known.checksOrders = entry.checksOrders;
-    known.leaving = entry.leaving;
-    return;
-  }
-  world.upstreams.set(entry.id, newUpstream(entry));
-}
-
-function newUpstream(entry: ListEntry): Upstream {
-  return {
-    id: entry.id,
-    hall: entry.hall,
-    region: entry.region,
-    service: entry.service,
-    role: roleOf(entry.role),
-    address: entry.address,
-    checksOrders: entry.checksOrders,
-    leaving: entry.leaving,
-    slots: entry.slots,
-    prefillRate: entry.prefillRate,
-    cacheTokens: entry.cacheTokens,
-    reportedAt: -Infinity,
-    step: emptyFit(),
-    prefixes: new Map(),
-    cacheSequence: 0,
-    cacheTrust: 1,
-    polledAt: -Infinity,
-    pollingSince: -Infinity,
-    nextLoadAt: 0,
-    nextCacheAt: 0,
-    nextSweepAt: 0,
-  };
-}
-
-function roleOf(word: string): Role {
-  if (word === Role.prefill || word === Role.decode) return word;
-  return Role.plain;
-}
-
 /** Tells a few peers which heartbeats this host has seen. */
 export function gossip(world: World, now: Milliseconds): void {
   if (now < world.schedule.gossip) return;
--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -21,22 +21,12 @@
   serviceOf,
 } from "./ledger.ts";
 import { tell } from "./peers.ts";
+import { inOrder } from "./ask_order.ts";
 import { type Draft, makeDraft, poolFor } from "./pool.ts";
 import { expectCached, suspectUpstream } from "./upstreams.ts";
 
 /** A queue without changes is gone through again after this time. */
 const PASS_MS = 20;
-/** One step of priority is worth this much slack. */
-const PRIORITY_MS = 100;
-/** Being over one's fair share by all of it costs this much slack. */
-const OVERUSE_MS = 1000;
-/**
- * A millisecond of decode slot counts as this much slack, so that short
- * requests go ahead of long ones where slots are short.
- */
-const SLOT_TIME_WEIGHT = 0.1;
-/** Time between two tokens of a full batch. */
-const FULL_STEP_MS = 32;
 /** A pool whose wait takes more than this part of the target is loaded. */
 const LOADED_SHARE = 0.25;
 /** Longest time to come back that a caller is told. */
@@ -123,10 +113,18 @@
     service.changed = false;
     service.nextPassAt = now + PASS_MS;
     passQueue(world, name, service, queue, now);
+    if (queue.size === 0) forgetIdle(service);
     service.changed = false;
   }
 }
 
+/** Customers that neither hold nor wait for anything need no row. */
+function forgetIdle(service: Service): void {
+  for (const [customer, one] of service.holdings) {
+    if (one.held === 0) service.holdings.delete(customer);
+  }
+}
+
 function passQueue(
   world: World,
   name: ServiceId,
@@ -140,28 +138,6 @@
   }
 }
 
-function inOrder(service: Service, queue: Map<RequestId, Ask>): Ask[] {
-  const asks = [...queue.values()];
-  if (asks.length < 2) return asks;
-  const rank = (one: Ask): number =>
-    one.due - one.ask.priority * PRIORITY_MS +
-    one.ask.maxTokens * FULL_STEP_MS * SLOT_TIME_WEIGHT +
-    overuse(service, one) * OVERUSE_MS;
-  const ranked = asks.map((ask) => ({ ask, rank: rank(ask) }));
-  ranked.sort((a, b) => a.rank - b.rank);
-  return ranked.map((one) => one.ask);
-}
-
-/** How far the ask's customer is over its fair share, from 0 to 1. */
-function overuse(service: Service, ask: Ask): number {
-  if (service.held === 0) return 0;
-  let shares = 0;
-  for (const one of service.holdings.values()) shares += one.share;
-  const holding = holdingOf(service, ask.ask.customer);
-  const fair = holding.share / Math.max(shares, holding.share);
-  return Math.max(0, holding.held / service.held - fair);
-}
-
 function placeAsk(
   world: World,
   service: Service,
--- a/src/core/systems/registry.ts
+++ b/src/core/systems/registry.ts
@@ -7,32 +7,21 @@
 import { ErrorKind } from "../errors.ts";
 import type { HostId, Milliseconds, RequestId } from "../ids.ts";
 import { Mechanism } from "../options.ts";
-import type { KeyEnd, KeyPut, KeyVerdict } from "../../messages/peer.ts";
+import type { KeyVerdict } from "../../messages/peer.ts";
 import type { Registration } from "../tables/keys.ts";
 import { Phase, type Request } from "../tables/requests.ts";
-import { rendezvous } from "../util/rendezvous.ts";
 import { count, enabled, log, type World } from "../world.ts";
+import { keepersOf, majority, Verdict } from "./keepers.ts";
 import { isLive } from "./membership.ts";
 import { tell } from "./peers.ts";
 import { enter, failRequest } from "./requests.ts";
 
-/** Hosts that keep each key; any two majorities share one. */
-const KEEPERS = 3;
 /** Time between two renewals of a running request's key. */
 const RENEW_MS = 2000;
 /** Time between two renewals of an answered key. */
 const RENEW_ANSWERED_MS = 30_000;
 /** An owner delivers only within this time of its last majority. */
 export const LEASE_MS = 8000;
-/** A keeper forgets a running key unrenewed for this long: lease and drift. */
-export const KEEP_MS = 12_000;
-
-/** What a keeper says of a key. */
-const Verdict = {
-  granted: "granted",
-  running: "running",
-  answered: "answered",
-} as const;
 
 /** The row name of a request's key. */
 export function keyOf(request: Request): string | undefined {
@@ -83,18 +72,6 @@
   putToKeepers(world, registration, now);
 }
 
-function keepersOf(world: World, key: string): HostId[] {
-  const roster: HostId[] = [];
-  for (const host of world.hosts.values()) {
-    if (host.region === world.self.region) roster.push(host.id);
-  }
-  return rendezvous(`key/${key}`, roster).slice(0, KEEPERS);
-}
-
-function majority(keepers: readonly HostId[]): number {
-  return Math.floor(keepers.length / 2) + 1;
-}
-
 function putToKeepers(
   world: World,
   registration: Registration,
@@ -111,29 +88,6 @@
   }
 }
 
-/** Keeps a key for an owner, unless another has it. */
-export function takeKeyPut(
-  world: World,
-  from: HostId,
-  put: KeyPut,
-  now: Milliseconds,
-): void {
-  const { key, request, round } = put;
-  const known = world.keys.get(key);
-  const others = known !== undefined && known.request !== request;
-  const lapsed = known !== undefined && !known.answered &&
-    now - known.renewedAt > KEEP_MS;
-  if (others && !lapsed) {
-    const verdict = known.answered ? Verdict.answered : Verdict.running;
-    const value = { key, request, verdict, round };
-    return tell(world, from, { $case: "keyVerdict", value });
-  }
-  const answered = put.answered || (known?.answered === true && !others);
-  world.keys.set(key, { key, request, answered, renewedAt: now });
-  const value = { key, request, verdict: Verdict.granted, round };
-  tell(world, from, { $case: "keyVerdict", value });
-}
-
 /** Counts a keeper's word for a registration of this host. */
 export function takeKeyVerdict(
   world: World,
@@ -270,14 +224,7 @@
   putToKeepers(world, registration, now);
 }
 
-/** Forgets a key that its owner gave back. */
-export function takeKeyEnd(world: World, message: KeyEnd): void {
-  const known = world.keys.get(message.key);
-  if (known?.request !== message.request) return;
-  world.keys.delete(message.key);
-}
-
-/** Renews keys, gives up registrations that take too long, forgets old ones. */
+/** Renews keys and gives up registrations that take too long. */
 export function renewKeys(world: World, now: Milliseconds): void {
   for (const registration of world.registrations.values()) {
     if (now >= registration.until) {
@@ -289,10 +236,6 @@
     if (due || moved) putToKeepers(world, registration, now);
     checkRegistering(world, registration, now);
   }
-  for (const record of world.keys.values()) {
-    const keepMs = record.answered ? world.options.keyKeepMs : KEEP_MS;
-    if (now - record.renewedAt > keepMs) world.keys.delete(record.key);
-  }
 }
 
 function checkRegistering(
--- a/src/shell/platform/client.ts
+++ b/src/shell/platform/client.ts
@@ -2,6 +2,7 @@
 import PQueue from "p-queue";
 import { z } from "zod";
 import type { Event, HostList, Order, TableChange } from "../../core/mod.ts";
+import { entryFromWire } from "../../util/list_entry.ts";
 import { callText } from "../upstreams/http.ts";
 
 /** Orders that concern the platform. */
@@ -88,20 +89,7 @@
     const { revision, entries } = HostsAnswer.parse(JSON.parse(text));
     return {
       revision,
-      entries: entries.map((one) => ({
-        id: one.id,
-        kind: one.kind,
-        hall: one.hall,
-        region: one.region,
-        address: one.address,
-        service: one.service,
-        role: one.role,
-        leaving: one.leaving,
-        checksOrders: one.checks_orders,
-        slots: one.slots,
-        prefillRate: one.prefill_tokens_per_second,
-        cacheTokens: one.cache_tokens,
-      })),
+      entries: entries.map(entryFromWire),
     };
   }
 
--- a/src/standins/platform/server.ts
+++ b/src/standins/platform/server.ts
@@ -1,10 +1,10 @@
 /** The platform stand-in as a process; docs/PLATFORM.md is its interface. */
 import { z } from "zod";
-import type { ListEntry } from "../../core/mod.ts";
 import {
   ListEntrySchema,
   type PlatformSettings,
 } from "../../settings/standin.ts";
+import { entryFromWire, entryToWire } from "../../util/list_entry.ts";
 import {
   type Exchange,
   type RunningStandin,
@@ -40,30 +40,13 @@
   settings: PlatformSettings,
 ): Promise<RunningStandin & { readonly platform: Platform }> {
   const platform = createPlatform();
-  putHosts(platform, settings.hosts.map(entryOf));
+  putHosts(platform, settings.hosts.map(entryFromWire));
   const running = await startServer(settings.listen, (exchange) => {
     serve(platform, exchange);
   });
   return { ...running, platform };
 }
 
-function entryOf(one: PlatformSettings["hosts"][number]): ListEntry {
-  return {
-    id: one.id,
-    kind: one.kind,
-    hall: one.hall,
-    region: one.region,
-    address: one.address,
-    service: one.service,
-    role: one.role,
-    leaving: one.leaving,
-    checksOrders: one.checks_orders,
-    slots: one.slots,
-    prefillRate: one.prefill_tokens_per_second,
-    cacheTokens: one.cache_tokens,
-  };
-}
-
 function serve(platform: Platform, exchange: Exchange): void {
   const { method, url, body, response } = exchange;
   if (url.pathname === "/faults" && method === "POST") {
@@ -93,7 +76,10 @@
   if (route === "POST /table") return write(platform, exchange);
   if (route === "GET /hosts") {
     const { revision, entries } = platform.list;
-    return sendJson(response, 200, { revision, entries: entries.map(wireOf) });
+    return sendJson(response, 200, {
+      revision,
+      entries: entries.map(entryToWire),
+    });
   }
   if (route === "POST /hosts") {
     changeHosts(platform, JSON.parse(body));
@@ -108,7 +94,9 @@
 /** Replaces the whole list, or marks one entry as leaving. */
 function changeHosts(platform: Platform, body: unknown): void {
   const whole = Added.safeParse(body);
-  if (whole.success) return putHosts(platform, whole.data.hosts.map(entryOf));
+  if (whole.success) {
+    return putHosts(platform, whole.data.hosts.map(entryFromWire));
+  }
   const { id, leaving } = Leaving.parse(body);
   const entries = platform.list.entries
     .map((one) => one.id === id ? { ...one, leaving } : one);
@@ -137,13 +125,3 @@
   if (value === undefined) return sendJson(response, 404, {});
   response.end(value);
 }
-
-function wireOf(one: ListEntry): unknown {
-  const { checksOrders, prefillRate, cacheTokens, ...rest } = one;
-  return {
-    ...rest,
-    checks_orders: checksOrders,
-    prefill_tokens_per_second: prefillRate,
-    cache_tokens: cacheTokens,
-  };
-}
--- a/test/core/settings_test.ts
+++ b/test/core/systems/settings_test.ts
@@ -7,7 +7,7 @@
   type PeerMessage,
   step,
   type World,
-} from "../../src/core/mod.ts";
+} from "../../../src/core/mod.ts";
 
 function newWorld(disabled: ReadonlySet<Mechanism> = new Set()): World {
   return createWorld({
--- /dev/null
+++ b/test/settings/load_test.ts
@@ -0,0 +1,56 @@
+/** Settings files: every fault is named. */
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { z } from "zod";
+import {
+  checkSettings,
+  faultLine,
+  RouterSchema,
+} from "../../src/settings/mod.ts";
+import { duration, size } from "../../src/settings/units.ts";
+
+const GOOD = `
+[host]
+id = "brest-1"
+hall = "brest"
+region = "bzh-west"
+[listen]
+callers = "127.0.0.1:8001"
+peers = "[::1]:9001"
+[platform]
+address = "10.0.0.9:7000"
+`;
+
+test("a good file gets its defaults, in milliseconds and bytes", () => {
+  const settings = checkSettings("f", GOOD, RouterSchema).unwrap();
+  assert.equal(settings.platform.timeout, 1000);
+  assert.equal(settings.limits.body, 8 * 1024 * 1024);
+});
+
+test("all faults are named at once with their keys", () => {
+  const text = GOOD.replace(`id = "brest-1"`, `id = "Brest 1"`)
+    .replace("8001", "eight") + "\n[limits]\nbody = 5\nbodies = 1\n";
+  const faults = checkSettings("f.toml", text, RouterSchema).val;
+  assert.ok(Array.isArray(faults));
+  assert.deepEqual(faults.map((one) => one.key).sort(), [
+    "host.id",
+    "limits.bodies",
+    "limits.body",
+    "listen.callers",
+  ]);
+  const lines = faults.map(faultLine).join("\n");
+  assert.match(lines, /^f\.toml: host\.id: expected a name/);
+});
+
+test("what is not TOML is told so with its place", () => {
+  const faults = checkSettings("f", "[host", RouterSchema).val;
+  assert.ok(Array.isArray(faults));
+  assert.match(faults.map(faultLine).join("\n"), /TOML \(/);
+});
+
+test("a number without a unit is no duration and no size", () => {
+  const schema = z.object({ a: duration("1s"), b: size("1KB") });
+  const parsed = schema.safeParse({ a: "250", b: "10" });
+  assert.equal(parsed.success, false);
+  assert.equal(parsed.error?.issues.length, 2);
+});
