Services with many upstreams are divided into pools, each with its planner

Cause: at the two-year size the planner of a busy model is told of some 230 requests a second, far over 29 KB/s. Ways weighed: one planner with smaller messages (not enough alone), a granter for each upstream (a question for each candidate), pools. Change: at most 16 upstreams (poolUpstreams) a pool, divided alike on every host; a request asks the pool of its prompt's first block, and the next one when refused. Today's sizes stay one pool.

--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -111,6 +111,21 @@
     rowTitle: "workload, load, policy",
     row: (one) => `${one.workload}, ${one.load}, ${one.policy}`,
   },
+  {
+    name: "pools",
+    title: "One pool of 32 upstreams, or several",
+    sources: [0.8, 1.0].flatMap((load) =>
+      ["cost-pools:32", "cost-pools:16", "cost-pools:8", "cost-pools:4"]
+        .map((policy) => ({
+          workload: "armor x 4" as const,
+          load,
+          policy,
+          ...plain,
+        }))
+    ),
+    rowTitle: "workload, load, upstreams of a pool",
+    row: (one) => `${one.workload}, ${one.load}, ${one.policy}`,
+  },
   {
     name: "hosts",
     title: "Many hosts: one planner, or each host alone",
--- a/bench/policy/trial.ts
+++ b/bench/policy/trial.ts
@@ -20,6 +20,7 @@
 import { type Tallied, Tally } from "./tally.ts";
 import {
   armor,
+  armorLarge,
   armorSkewed,
   forum,
   paper,
@@ -43,7 +44,13 @@
   readonly bound: number;
 };
 
-const WORKLOADS = { armor, "armor 6 + 2": armorSkewed, forum, paper };
+const WORKLOADS = {
+  armor,
+  "armor 6 + 2": armorSkewed,
+  "armor x 4": armorLarge,
+  forum,
+  paper,
+};
 const WARM_MS = 12_000;
 const COOL_MS = 20_000;
 const SETTLE_MS = 6000;
@@ -80,8 +87,12 @@
     : { prefillSlackMs: 60_000, transferSlackMs: 60_000 };
   const [kind, parameter] = source.policy.split(":");
   const polls = kind === "cost-poll" ? { loadPollMs: Number(parameter) } : {};
+  const pools = kind === "cost-pools"
+    ? { poolUpstreams: Number(parameter) }
+    : {};
   return {
     ...patience,
+    ...pools,
     ...polls,
     planAlone: source.policy === "cost-alone",
     transferMsPerToken: workload.engine.transferMsPerToken,
--- a/bench/policy/workloads.ts
+++ b/bench/policy/workloads.ts
@@ -126,6 +126,22 @@
   return { ...usual, name: "armor 6 + 2", layout: skewed };
 }
 
+/** Four times the fleet, for several pools. */
+export function armorLarge(
+  hosts = 9,
+  engine: Partial<EngineParameters> = {},
+): Workload {
+  const usual = armor(hosts, engine);
+  const [recap, ...others] = usual.kinds;
+  const its = usual.engine;
+  return {
+    ...usual,
+    name: "armor x 4",
+    layout: layout("recap-llm", 12, 20, its, hosts * 2),
+    kinds: recap ? [{ ...recap, groups: 96 }, ...others] : others,
+  };
+}
+
 /** Long planning files read repeatedly, and checks at the counter. */
 export function forum(hosts = 9, engine: Partial<EngineParameters> = {}) {
   const its = { ...BENCH_ENGINE, ...engine };
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -12,6 +12,8 @@
 export type UpstreamId = string;
 /** A service's name: a model, or a plain service. */
 export type ServiceId = string;
+/** A pool's name: its service's, and a number when there are several. */
+export type PoolId = string;
 /** A customer's name. */
 export type CustomerId = string;
 /** `host/incarnation/number`. */
--- a/src/core/options.ts
+++ b/src/core/options.ts
@@ -38,6 +38,8 @@
   readonly reportTimeoutMs: Milliseconds;
   /** A planner that has not answered an ask by then is passed over. */
   readonly askTimeoutMs: Milliseconds;
+  /** Upstreams of a service that one planner places requests on. */
+  readonly poolUpstreams: number;
   /** Asks that may wait at one planner for one service. */
   readonly askQueueLimit: number;
   /** Transfer of one token's KV cache on an idle link: 160 KB at 12.5 GB/s. */
@@ -92,6 +94,7 @@
   cachePollMs: 500,
   reportTimeoutMs: 3000,
   askTimeoutMs: 200,
+  poolUpstreams: 16,
   askQueueLimit: 256,
   transferMsPerToken: 0.0128,
   keepMs: 5000,
--- a/src/core/systems/asking.ts
+++ b/src/core/systems/asking.ts
@@ -1,12 +1,19 @@
 /** Asks planners for places, and takes their answers. */
 import { ErrorKind } from "../errors.ts";
-import type { HostId, Milliseconds, RequestId, UpstreamId } from "../ids.ts";
+import type {
+  HostId,
+  Milliseconds,
+  PoolId,
+  RequestId,
+  UpstreamId,
+} from "../ids.ts";
 import type { PlanGrant, PlanRefusal } from "../../messages/peer.ts";
 import { Stage } from "../tables/plans.ts";
 import { Phase, type Request } from "../tables/requests.ts";
 import { count, log, type World } from "../world.ts";
 import { plannerOf, suspectPeer } from "./membership.ts";
 import { tell } from "./peers.ts";
+import { nextPool } from "./pools.ts";
 import { enter, failRequest, returnGrant } from "./requests.ts";
 import { accepting } from "./upstreams.ts";
 
@@ -26,25 +33,37 @@
   const silent = asked !== undefined && !request.queued &&
     now - request.askedAt >= world.options.askTimeoutMs;
   if (silent && asked !== world.self.id) suspectPeer(world, asked, now);
-  const planner = plannerOf(world, request.call.service, now);
+  const pool = poolOf(world, request);
+  if (pool === undefined) {
+    return failRequest(world, request, ErrorKind.noUpstream, now);
+  }
+  const planner = plannerOf(world, pool, now);
   if (planner === asked && !silent) return;
   if (asked !== undefined) returnGrant(world, request);
-  ask(world, request, planner, now);
+  ask(world, request, { pool, planner }, now);
+}
+
+/** The pool asked last, while it stands, or the next. */
+function poolOf(world: World, request: Request): PoolId | undefined {
+  const { pool } = request;
+  if (pool !== undefined && world.pools.has(pool)) return pool;
+  return nextPool(world, request);
 }
 
 function ask(
   world: World,
   request: Request,
-  planner: HostId,
+  { pool, planner }: { readonly pool: PoolId; readonly planner: HostId },
   now: Milliseconds,
 ): void {
   const { call, setup } = request;
+  request.pool = pool;
   request.planner = planner;
   request.askedAt = now;
   request.queued = false;
   const value = {
     request: request.id,
-    service: call.service,
+    service: pool,
     customer: request.customer,
     promptTokens: call.promptTokens,
     prefixes: [...call.prefixes],
@@ -128,7 +147,7 @@
   });
 }
 
-/** Passes a planner's refusal on to the caller at once. */
+/** Asks the service's next pool, or tells the caller at once. */
 export function takeRefusal(
   world: World,
   from: HostId,
@@ -140,6 +159,11 @@
   const error = refusal.error === ErrorKind.noUpstream
     ? ErrorKind.noUpstream
     : ErrorKind.overloaded;
+  if (request.pool !== undefined) request.refusedBy.push(request.pool);
+  delete request.pool;
+  delete request.planner;
+  world.changed = true;
+  if (nextPool(world, request) !== undefined) return;
   count(world, "requests_refused");
   failRequest(world, request, error, now, refusal.retryAfterSeconds);
 }
@@ -148,7 +172,7 @@
 export function renewGrants(world: World, now: Milliseconds): void {
   for (const request of world.requests.values()) {
     if (!request.grant) continue;
-    const planner = plannerOf(world, request.call.service, now);
+    const planner = plannerOf(world, request.pool ?? "", now);
     const moved = planner !== request.planner;
     if (now < request.nextKeepAt && !moved) continue;
     request.nextKeepAt = now + world.options.keepMs;
@@ -168,7 +192,7 @@
   const { call } = request;
   const value = {
     request: request.id,
-    service: call.service,
+    service: request.pool ?? call.service,
     customer: request.customer,
     prefill: grant.prefill,
     decode: grant.decode,
--- a/src/core/systems/host_list.ts
+++ b/src/core/systems/host_list.ts
@@ -4,6 +4,7 @@
 import { emptyFit, Role, type Upstream } from "../tables/upstreams.ts";
 import { jitter } from "../util/chance.ts";
 import { order, type World } from "../world.ts";
+import { dividePools } from "./pools.ts";
 
 /** Reads the platform's host list when the time has come. */
 export function pollHosts(world: World, now: Milliseconds): void {
@@ -60,13 +61,7 @@
     if (!names.has(id)) world.upstreams.delete(id);
   }
   for (const entry of listed) adoptUpstream(world, entry);
-  world.pools.clear();
-  for (const upstream of world.upstreams.values()) {
-    if (upstream.region !== world.self.region) continue;
-    const pool = world.pools.get(upstream.service) ?? [];
-    pool.push(upstream);
-    world.pools.set(upstream.service, pool);
-  }
+  dividePools(world);
 }
 
 function adoptUpstream(world: World, entry: ListEntry): void {
@@ -86,6 +81,8 @@
     hall: entry.hall,
     region: entry.region,
     service: entry.service,
+    pool: entry.service,
+    listedRole: roleOf(entry.role),
     role: roleOf(entry.role),
     address: entry.address,
     checksOrders: entry.checksOrders,
--- a/src/core/systems/intake.ts
+++ b/src/core/systems/intake.ts
@@ -27,7 +27,7 @@
   if (!allowed(setup, call)) {
     return refuse(world, call, ErrorKind.unknownModel);
   }
-  if (!world.pools.has(call.service)) {
+  if (!world.services.has(call.service)) {
     return refuse(world, call, ErrorKind.noUpstream);
   }
   world.requests.set(call.request, openRequest(call, customer, setup, now));
@@ -66,6 +66,7 @@
     attempts: 0,
     rounds: 0,
     excluded: [],
+    refusedBy: [],
     claimed: false,
     ran: Ran.notRun,
     tokens: 0,
--- a/src/core/systems/ledger.ts
+++ b/src/core/systems/ledger.ts
@@ -181,5 +181,5 @@
   if (!upstream) return;
   const place = occupancyOf(world, id);
   place.decodingAtReport = place.decoding;
-  serviceOf(world, upstream.service).changed = true;
+  serviceOf(world, upstream.pool).changed = true;
 }
--- a/src/core/systems/membership.ts
+++ b/src/core/systems/membership.ts
@@ -1,5 +1,5 @@
 /** Who is live: a gossip of heartbeat counters within the region. */
-import type { HostId, Milliseconds, ServiceId } from "../ids.ts";
+import type { HostId, Milliseconds, PoolId } from "../ids.ts";
 import type { Gossip, Heartbeat } from "../../messages/peer.ts";
 import type { Host } from "../tables/hosts.ts";
 import { draw, jitter } from "../util/chance.ts";
@@ -170,19 +170,19 @@
   return world.view.live;
 }
 
-/** The host that plans a service's pools, as this host sees it. */
+/** The host that plans a pool, as this host sees it. */
 export function plannerOf(
   world: World,
-  service: ServiceId,
+  pool: PoolId,
   now: Milliseconds,
 ): HostId {
   if (world.options.planAlone) return world.self.id;
   refreshView(world, now);
-  const known = world.view.planners.get(service);
+  const known = world.view.planners.get(pool);
   if (known !== undefined) return known;
-  const best = rendezvous(`plan/${service}`, world.view.live)[0];
+  const best = rendezvous(`plan/${pool}`, world.view.live)[0];
   const planner = best ?? world.self.id;
-  world.view.planners.set(service, planner);
+  world.view.planners.set(pool, planner);
   return planner;
 }
 
--- a/src/core/systems/retry.ts
+++ b/src/core/systems/retry.ts
@@ -150,6 +150,7 @@
   count(world, "retries");
   returnGrant(world, request);
   request.excluded.push(failed);
+  request.refusedBy = [];
   enter(world, request, Phase.planning, now);
 }
 
--- a/src/core/systems/split.ts
+++ b/src/core/systems/split.ts
@@ -29,7 +29,8 @@
 /** Decides whether an upstream of a service should change its role. */
 export function planTurns(world: World, now: Milliseconds): void {
   for (const [service, pool] of world.pools) {
-    const row = world.settings.rows.get(RowKey.split + service);
+    const name = pool[0]?.service ?? "";
+    const row = world.settings.rows.get(RowKey.split + name);
     if (!row?.value) continue;
     if (plannerOf(world, service, now) !== world.self.id) continue;
     const pressure = pressureOf(world, service);
@@ -40,11 +41,28 @@
     const split = SplitSchema.parse(JSON.parse(row.value));
     const step = split.prefill === undefined
       ? stepByPressure(pressure, now)
-      : Math.sign(split.prefill - withRole(world, pool, Role.prefill).length);
+      : Math.sign(
+        wanted(world, pool, split.prefill) -
+          withRole(world, pool, Role.prefill).length,
+      );
     if (step !== 0) startTurn(world, service, pool, step, now);
   }
 }
 
+/** A pool's part of the prefill upstreams that operators want. */
+function wanted(
+  world: World,
+  pool: readonly Upstream[],
+  prefill: number,
+): number {
+  const { service = "", pool: name = "" } = pool[0] ?? {};
+  const pools = world.services.get(service) ?? [];
+  const place = pools.indexOf(name);
+  const part = Math.floor(prefill / pools.length);
+  const rest = place < prefill % pools.length ? 1 : 0;
+  return Math.max(1, part + rest);
+}
+
 function pressureOf(world: World, service: ServiceId): Pressure {
   const known = world.pressures.get(service);
   if (known) return known;
--- a/src/core/systems/sweep.ts
+++ b/src/core/systems/sweep.ts
@@ -18,7 +18,7 @@
     if (now < upstream.nextSweepAt) continue;
     if (upstream.region !== world.self.region) continue;
     upstream.nextSweepAt = now + world.options.sweepMs;
-    const planner = plannerOf(world, upstream.service, now);
+    const planner = plannerOf(world, upstream.pool, now);
     if (planner !== world.self.id) continue;
     order(world, { type: "readHeld", upstream: upstream.id });
   }
--- a/src/core/systems/turns.ts
+++ b/src/core/systems/turns.ts
@@ -20,7 +20,7 @@
 
 /** Whether an upstream is about to change its role. */
 export function isTurning(world: World, upstream: Upstream): boolean {
-  return world.turns.get(upstream.service)?.upstream === upstream.id;
+  return world.turns.get(upstream.pool)?.upstream === upstream.id;
 }
 
 /** Moves every change of role on. */
@@ -108,7 +108,7 @@
   now: Milliseconds,
 ): void {
   const upstream = world.upstreams.get(id);
-  const turn = upstream && world.turns.get(upstream.service);
+  const turn = upstream && world.turns.get(upstream.pool);
   if (!turn || turn.upstream !== id) return;
   count(world, "orders_refused");
   dropTurn(world, turn, now);
--- a/src/core/systems/upstreams.ts
+++ b/src/core/systems/upstreams.ts
@@ -29,7 +29,7 @@
   for (const upstream of world.upstreams.values()) {
     if (now < upstream.nextLoadAt && now < upstream.nextCacheAt) continue;
     if (upstream.region !== world.self.region) continue;
-    if (plannerOf(world, upstream.service, now) !== world.self.id) continue;
+    if (plannerOf(world, upstream.pool, now) !== world.self.id) continue;
     pollUpstream(world, upstream, now);
   }
 }
--- a/src/core/tables/requests.ts
+++ b/src/core/tables/requests.ts
@@ -5,6 +5,7 @@
   CustomerId,
   HostId,
   Milliseconds,
+  PoolId,
   RequestId,
   UpstreamId,
 } from "../ids.ts";
@@ -61,6 +62,9 @@
   /** Times that places were granted, retries included. */
   rounds: number;
   excluded: UpstreamId[];
+  /** The pool asked last, and those that have refused. */
+  pool?: PoolId;
+  refusedBy: PoolId[];
   export?: Export;
   /** Its claim in the platform's table is won. */
   claimed: boolean;
--- a/src/core/tables/upstreams.ts
+++ b/src/core/tables/upstreams.ts
@@ -3,6 +3,7 @@
 import type {
   HallId,
   Milliseconds,
+  PoolId,
   RegionId,
   ServiceId,
   UpstreamId,
@@ -23,6 +24,10 @@
   readonly hall: HallId;
   readonly region: RegionId;
   readonly service: ServiceId;
+  /** The pool that it is in. */
+  pool: PoolId;
+  /** What the host list says that it does; a report may say otherwise. */
+  readonly listedRole: Role;
   role: Role;
   address: string;
   /** It refuses orders with a lower fence than it has seen. */
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -5,6 +5,7 @@
   HallId,
   HostId,
   Milliseconds,
+  PoolId,
   RegionId,
   RequestId,
   ServiceId,
@@ -45,8 +46,8 @@
   until: Milliseconds;
   /** Live hosts of this region, this one included. */
   live: HostId[];
-  /** Planners found so far, by service. */
-  readonly planners: Map<ServiceId, HostId>;
+  /** Planners found so far, by pool. */
+  readonly planners: Map<PoolId, HostId>;
 };
 
 /** The whole state of one entry host's core. */
@@ -57,8 +58,9 @@
   readonly random: RandomGenerator;
   readonly schedule: Schedule;
   readonly view: View;
-  /** Upstreams of this region by service. */
-  readonly pools: Map<ServiceId, Upstream[]>;
+  /** Upstreams of this region by pool, and each service's pools. */
+  readonly pools: Map<PoolId, Upstream[]>;
+  readonly services: Map<ServiceId, PoolId[]>;
   list: HostList;
   readonly hosts: Map<HostId, Host>;
   readonly upstreams: Map<UpstreamId, Upstream>;
@@ -72,9 +74,9 @@
   readonly keys: Map<string, KeyRecord>;
   readonly registrations: Map<string, Registration>;
   readonly claims: Map<string, Claim>;
-  readonly leases: Map<ServiceId, Lease>;
-  readonly turns: Map<ServiceId, Turn>;
-  readonly pressures: Map<ServiceId, Pressure>;
+  readonly leases: Map<PoolId, Lease>;
+  readonly turns: Map<PoolId, Turn>;
+  readonly pressures: Map<PoolId, Pressure>;
   readonly calls: Map<number, TableCall>;
   nextCall: number;
   /** When the platform last answered, and last failed to. */
@@ -110,6 +112,7 @@
     schedule: { gossip: 0, list: 0, settings: 0 },
     view: { until: 0, live: [], planners: new Map() },
     pools: new Map(),
+    services: new Map(),
     list: { revision: 0, entries: [] },
     hosts: new Map(),
     upstreams: new Map(),
--- a/src/shell/control/status.ts
+++ b/src/shell/control/status.ts
@@ -44,7 +44,7 @@
     hall: upstream.hall,
     service: upstream.service,
     role: upstream.role || Role.plain,
-    planner: plannerOf(world, upstream.service, now),
+    planner: plannerOf(world, upstream.pool, now),
     accepting: accepting(world, upstream.id),
     stopPlanned: world.settings.stops.has(upstream.id),
     reportedMs: Number.isFinite(upstream.reportedAt)
--- a/test/scenario/actions.ts
+++ b/test/scenario/actions.ts
@@ -48,6 +48,10 @@
   hosts: (stage, [count]) => {
     stage.fleet = newFleet(Number(count), stage.options);
   },
+  pools: (stage, [upstreams]) => {
+    const poolUpstreams = Number(upstreams);
+    stage.fleet = newFleet(2, { ...stage.options, poolUpstreams });
+  },
   call: (stage, words) => makeCall(stage, words),
   cancel: (stage, [name]) => stage.fleet.hangUp(callNamed(stage, name)),
   kill: (stage, [host]) => stage.fleet.kill(host ?? ""),
