--- a/bench/core/main.ts
+++ b/bench/core/main.ts
@@ -38,7 +38,7 @@
 );
 writeSection(PAGE, "gossip", `## Gossip\n\n${head}\n\n${gossipTable}`);
 console.log(gossipTable);
-const rows = targetRows(slopes);
+const rows = await targetRows(slopes);
 const targetTable = table(["quantity at the target", "value", "limit"], rows);
 writeSection(PAGE, "target", `## The target\n\n${head}\n\n${targetTable}`);
 console.log(`${slopeTable}\n\n${targetTable}`);
@@ -60,3 +60,4 @@
 function short(value: number): string {
   return Math.abs(value) >= 100 ? value.toFixed(0) : value.toPrecision(3);
 }
+process.exit(0);
--- a/bench/core/wire.ts
+++ b/bench/core/wire.ts
@@ -4,6 +4,10 @@
 import { credentials, ServerCredentials } from "@grpc/grpc-js";
 import type { PeerMessage } from "../../src/core/mod.ts";
 import { Peers } from "../../src/shell/peers/client.ts";
+import { callText } from "../../src/shell/upstreams/http.ts";
+import { checkSettings, EngineSchema } from "../../src/settings/mod.ts";
+import { startEngine } from "../../src/standins/engine/server.ts";
+import { parseAddress } from "../../src/util/address.ts";
 import { bindServer, createPeerServer } from "../../src/shell/peers/server.ts";
 
 /** A relay on loopback that counts what passes. */
@@ -81,6 +85,28 @@
   return bytes / RUNS;
 }
 
+/** Mean bytes of a poll of an engine stand-in, both ways. */
+export async function pollBytes(path: string): Promise<number> {
+  const text = `id = "e"\nlisten = "127.0.0.1:0"\n`;
+  const settings = checkSettings("bench", text, EngineSchema).unwrap();
+  const engine = await startEngine(settings);
+  const relay = new CountingRelay();
+  const port = await relay.start(parseAddress(engine.address)?.port ?? 0);
+  const call = {
+    address: `127.0.0.1:${port}`,
+    method: "GET" as const,
+    path,
+    connectTimeoutMs: 1000,
+  };
+  for (let n = 0; n < WARM; n += 1) await callText(call);
+  const before = relay.bytes;
+  for (let n = 0; n < RUNS; n += 1) await callText(call);
+  const bytes = relay.bytes - before;
+  relay.stop();
+  engine.stop();
+  return bytes / RUNS;
+}
+
 function pause(): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, 1));
 }
--- a/bench/core/worlds.ts
+++ b/bench/core/worlds.ts
@@ -18,6 +18,8 @@
 };
 
 const REGION = "r";
+/** So many upstreams that a service is never divided. */
+const ONE_POOL = 1000;
 
 function entry(given: Partial<ListEntry>): ListEntry {
   return {
@@ -58,6 +60,7 @@
   const world = createWorld({
     self: { id: "host-0", hall: "hall-1", region: REGION, incarnation: 1 },
     seed: 1,
+    options: { poolUpstreams: ONE_POOL },
   });
   const list = { revision: 1, entries: entriesOf(size) };
   step(world, [{ type: "hostList", list }], 1);
