A request refused after its prefill ran is not told 'not run'; clearer names

Cause (found by reading): a 4xx from a decode upstream set ran to 'not run' although the prefill had run; and after two attempts that never started the first one's proof was forgotten, so that 'unknown' was told. Change: an attempt remembers what was certain before it. A full queue's time to come back was its length taken as milliseconds; it now follows the gaps between ends. Names: PlanAsk.pool, PoolUse, hopelessWait, hold.

--- a/bench/core/slopes.ts
+++ b/bench/core/slopes.ts
@@ -50,7 +50,7 @@
     const request = `host-1/1/${number}`;
     const value = {
       request,
-      service: "model-0",
+      pool: "model-0",
       customer: "armor",
       promptTokens: 8192,
       prefixes,
--- a/bench/core/target.ts
+++ b/bench/core/target.ts
@@ -56,7 +56,7 @@
     $case: "planAsk",
     value: {
       request: REQUEST,
-      service: "recap-llm#2",
+      pool: "recap-llm#2",
       customer: "customer-12345",
       promptTokens: 8192,
       prefixes: Array.from({ length: 32 }, (_, n) => n * 7919),
@@ -98,7 +98,7 @@
     $case: "planKeep",
     value: {
       request: REQUEST,
-      service: "recap-llm#2",
+      pool: "recap-llm#2",
       customer: "customer-12345",
       prefill: "upstream-123",
       decode: "upstream-124",
--- a/src/core/systems/ask_order.ts
+++ b/src/core/systems/ask_order.ts
@@ -1,6 +1,6 @@
 /** The order of asks that wait at a planner. */
 import type { RequestId } from "../ids.ts";
-import type { Ask, Service } from "../tables/plans.ts";
+import type { Ask, PoolUse } from "../tables/plans.ts";
 import { holdingOf } from "./ledger.ts";
 
 /** One step of priority is worth this much slack. */
@@ -16,24 +16,24 @@
 const FULL_STEP_MS = 32;
 
 /** By slack, priority, slot time and fair share; the first goes first. */
-export function inOrder(service: Service, queue: Map<RequestId, Ask>): Ask[] {
+export function inOrder(use: PoolUse, queue: Map<RequestId, Ask>): Ask[] {
   const asks = [...queue.values()];
   if (asks.length < 2) return asks;
   const rank = (one: Ask): number =>
     one.due - one.ask.priority * PRIORITY_MS +
     one.ask.maxTokens * FULL_STEP_MS * SLOT_TIME_WEIGHT +
-    overuse(service, one) * OVERUSE_MS;
+    overuse(use, one) * OVERUSE_MS;
   const ranked = asks.map((ask) => ({ ask, rank: rank(ask) }));
   ranked.sort((a, b) => a.rank - b.rank);
   return ranked.map((one) => one.ask);
 }
 
 /** How far the ask's customer is over its fair share, from 0 to 1. */
-function overuse(service: Service, ask: Ask): number {
-  if (service.held === 0) return 0;
+function overuse(use: PoolUse, ask: Ask): number {
+  if (use.held === 0) return 0;
   let shares = 0;
-  for (const one of service.holdings.values()) shares += one.share;
-  const holding = holdingOf(service, ask.ask.customer);
+  for (const one of use.holdings.values()) shares += one.share;
+  const holding = holdingOf(use, ask.ask.customer);
   const fair = holding.share / Math.max(shares, holding.share);
-  return Math.max(0, holding.held / service.held - fair);
+  return Math.max(0, holding.held / use.held - fair);
 }
--- a/src/core/systems/asking.ts
+++ b/src/core/systems/asking.ts
@@ -63,7 +63,7 @@
   request.queued = false;
   const value = {
     request: request.id,
-    service: pool,
+    pool,
     customer: request.customer,
     promptTokens: call.promptTokens,
     prefixes: [...call.prefixes],
@@ -192,7 +192,7 @@
   const { call } = request;
   const value = {
     request: request.id,
-    service: request.pool ?? call.service,
+    pool: request.pool ?? call.service,
     customer: request.customer,
     prefill: grant.prefill,
     decode: grant.decode,
--- a/src/core/systems/ledger.ts
+++ b/src/core/systems/ledger.ts
@@ -2,15 +2,15 @@
 import type {
   CustomerId,
   Milliseconds,
+  PoolId,
   RequestId,
-  ServiceId,
   UpstreamId,
 } from "../ids.ts";
 import {
   type Grant,
   type Holding,
   type Occupancy,
-  type Service,
+  type PoolUse,
   Stage,
 } from "../tables/plans.ts";
 import { count, type World } from "../world.ts";
@@ -37,11 +37,11 @@
   return empty;
 }
 
-/** The service's row at this planner. */
-export function serviceOf(world: World, service: ServiceId): Service {
-  const known = world.plans.services.get(service);
+/** The pool's row at this planner. */
+export function useOf(world: World, pool: PoolId): PoolUse {
+  const known = world.plans.uses.get(pool);
   if (known) return known;
-  const row: Service = {
+  const row: PoolUse = {
     holdings: new Map(),
     held: 0,
     endGapMs: FIRST_END_GAP_MS,
@@ -49,16 +49,16 @@
     changed: true,
     nextPassAt: 0,
   };
-  world.plans.services.set(service, row);
+  world.plans.uses.set(pool, row);
   return row;
 }
 
-/** What a customer holds of a service. */
-export function holdingOf(service: Service, customer: CustomerId): Holding {
-  const known = service.holdings.get(customer);
+/** What a customer holds of a pool. */
+export function holdingOf(use: PoolUse, customer: CustomerId): Holding {
+  const known = use.holdings.get(customer);
   if (known) return known;
   const row = { held: 0, share: 1 };
-  service.holdings.set(customer, row);
+  use.holdings.set(customer, row);
   return row;
 }
 
@@ -70,10 +70,10 @@
 ): void {
   endGrant(world, grant.request, now);
   world.plans.grants.set(grant.request, grant);
-  const service = serviceOf(world, grant.service);
-  service.held += 1;
-  service.changed = true;
-  holdingOf(service, grant.customer).held += 1;
+  const use = useOf(world, grant.pool);
+  use.held += 1;
+  use.changed = true;
+  holdingOf(use, grant.customer).held += 1;
   occupancyOf(world, grant.decode).held += 1;
   enterStage(world, grant, now);
 }
@@ -93,7 +93,7 @@
   grant.stageSince = now;
   grant.renewedAt = now;
   enterStage(world, grant, now);
-  serviceOf(world, grant.service).changed = true;
+  useOf(world, grant.pool).changed = true;
 }
 
 /** Strikes a grant; its places are free. */
@@ -107,22 +107,22 @@
   leaveStage(world, grant, now);
   world.plans.grants.delete(request);
   occupancyOf(world, grant.decode).held -= 1;
-  const service = serviceOf(world, grant.service);
-  service.held -= 1;
-  service.changed = true;
-  const holding = holdingOf(service, grant.customer);
+  const use = useOf(world, grant.pool);
+  use.held -= 1;
+  use.changed = true;
+  const holding = holdingOf(use, grant.customer);
   holding.held -= 1;
-  if (holding.held === 0) service.holdings.delete(grant.customer);
-  noteEnd(service, grant, now);
+  if (holding.held === 0) use.holdings.delete(grant.customer);
+  noteEnd(use, grant, now);
 }
 
-function noteEnd(service: Service, grant: Grant, now: Milliseconds): void {
+function noteEnd(use: PoolUse, grant: Grant, now: Milliseconds): void {
   if (grant.stage !== Stage.decode) return;
-  const gapMs = now - service.lastEndAt;
-  if (service.lastEndAt > 0) {
-    service.endGapMs += (gapMs - service.endGapMs) * SMOOTHING;
+  const gapMs = now - use.lastEndAt;
+  if (use.lastEndAt > 0) {
+    use.endGapMs += (gapMs - use.endGapMs) * SMOOTHING;
   }
-  service.lastEndAt = now;
+  use.lastEndAt = now;
 }
 
 /** The upstream that does a grant's prefill. */
@@ -181,5 +181,5 @@
   if (!upstream) return;
   const place = occupancyOf(world, id);
   place.decodingAtReport = place.decoding;
-  serviceOf(world, upstream.pool).changed = true;
+  useOf(world, upstream.pool).changed = true;
 }
--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -3,7 +3,7 @@
  * them, and refuses at once what can't be served in time.
  */
 import { ErrorKind } from "../errors.ts";
-import type { HostId, Milliseconds, RequestId, ServiceId } from "../ids.ts";
+import type { HostId, Milliseconds, PoolId, RequestId } from "../ids.ts";
 import type { PlanAsk, PlanKeep, PlanProgress } from "../../messages/peer.ts";
 import {
   type Candidate,
@@ -11,15 +11,9 @@
   choosePlain,
   type Query,
 } from "../policies/mod.ts";
-import { type Ask, type Service, Stage } from "../tables/plans.ts";
+import { type Ask, type PoolUse, Stage } from "../tables/plans.ts";
 import { count, type World } from "../world.ts";
-import {
-  addGrant,
-  endGrant,
-  holdingOf,
-  moveGrant,
-  serviceOf,
-} from "./ledger.ts";
+import { addGrant, endGrant, holdingOf, moveGrant, useOf } from "./ledger.ts";
 import { tell } from "./peers.ts";
 import { inOrder } from "./ask_order.ts";
 import { type Draft, makeDraft, poolFor } from "./pool.ts";
@@ -29,6 +23,8 @@
 const PASS_MS = 20;
 /** A pool whose wait takes more than this part of the target is loaded. */
 const LOADED_SHARE = 0.25;
+/** Time to come back when no upstream reports: a few reports and reads. */
+const NO_UPSTREAM_SECONDS = 10;
 /** Longest time to come back that a caller is told. */
 const MOST_RETRY_SECONDS = 30;
 
@@ -39,12 +35,12 @@
   ask: PlanAsk,
   now: Milliseconds,
 ): void {
-  const queue = queueOf(world, ask.service);
+  const queue = queueOf(world, ask.pool);
   const known = world.plans.grants.get(ask.request);
   if (known) endGrant(world, ask.request, now);
-  const service = serviceOf(world, ask.service);
-  service.changed = true;
-  holdingOf(service, ask.customer).share = ask.share;
+  const use = useOf(world, ask.pool);
+  use.changed = true;
+  holdingOf(use, ask.customer).share = ask.share;
   queue.set(ask.request, {
     from,
     ask,
@@ -55,11 +51,11 @@
   });
 }
 
-function queueOf(world: World, service: ServiceId): Map<RequestId, Ask> {
-  const known = world.plans.asks.get(service);
+function queueOf(world: World, pool: PoolId): Map<RequestId, Ask> {
+  const known = world.plans.asks.get(pool);
   if (known) return known;
   const queue = new Map<RequestId, Ask>();
-  world.plans.asks.set(service, queue);
+  world.plans.asks.set(pool, queue);
   return queue;
 }
 
@@ -92,7 +88,7 @@
   }
   addGrant(world, {
     request: keep.request,
-    service: keep.service,
+    pool: keep.pool,
     customer: keep.customer,
     prefill: keep.prefill,
     decode: keep.decode,
@@ -108,39 +104,39 @@
 export function placeAsks(world: World, now: Milliseconds): void {
   for (const [name, queue] of world.plans.asks) {
     if (queue.size === 0) continue;
-    const service = serviceOf(world, name);
-    if (!service.changed && now < service.nextPassAt) continue;
-    service.changed = false;
-    service.nextPassAt = now + PASS_MS;
-    passQueue(world, name, service, queue, now);
-    if (queue.size === 0) forgetIdle(service);
-    service.changed = false;
+    const use = useOf(world, name);
+    if (!use.changed && now < use.nextPassAt) continue;
+    use.changed = false;
+    use.nextPassAt = now + PASS_MS;
+    passQueue(world, name, use, queue, now);
+    if (queue.size === 0) forgetIdle(use);
+    use.changed = false;
   }
 }
 
 /** Customers that neither hold nor wait for anything need no row. */
-function forgetIdle(service: Service): void {
-  for (const [customer, one] of service.holdings) {
-    if (one.held === 0) service.holdings.delete(customer);
+function forgetIdle(use: PoolUse): void {
+  for (const [customer, one] of use.holdings) {
+    if (one.held === 0) use.holdings.delete(customer);
   }
 }
 
 function passQueue(
   world: World,
-  name: ServiceId,
-  service: Service,
+  name: PoolId,
+  use: PoolUse,
   queue: Map<RequestId, Ask>,
   now: Milliseconds,
 ): void {
   const draft = makeDraft(world, name, now);
-  for (const ask of inOrder(service, queue)) {
-    placeAsk(world, service, queue, draft, ask, now);
+  for (const ask of inOrder(use, queue)) {
+    placeAsk(world, use, queue, draft, ask, now);
   }
 }
 
 function placeAsk(
   world: World,
-  service: Service,
+  use: PoolUse,
   queue: Map<RequestId, Ask>,
   draft: Draft,
   ask: Ask,
@@ -153,24 +149,24 @@
   const query = queryOf(world, ask, now);
   const pool = poolFor(draft, ask.ask);
   if (pool.decode.length === 0) {
-    if (draft.pending) return wait(world, queue, ask);
+    if (draft.pending) return hold(world, use, queue, ask);
     return refuse(world, queue, ask, "none");
   }
   const choice = draft.plain
     ? choosePlain(query, pool)
     : world.policy.choose(query, pool);
   if (!choice) {
-    const late = waitsInVain(service, draft, ask, now);
-    if (late) return refuse(world, queue, ask, late);
+    const wait = hopelessWait(use, draft, ask, now);
+    if (wait !== undefined) return refuse(world, queue, ask, wait);
     draft.waiting += 1;
-    return wait(world, queue, ask);
+    return hold(world, use, queue, ask);
   }
   if (lateUnderLoad(world, ask, choice, now)) {
     return refuse(world, queue, ask, choice.waitMs);
   }
   draft.take(choice);
   if (choice.waitMs > world.policy.aheadMs) {
-    return wait(world, queue, ask);
+    return hold(world, use, queue, ask);
   }
   grant(world, queue, ask, choice, now);
 }
@@ -203,25 +199,27 @@
 }
 
 /** Without a free slot: the wait, when it takes longer than the target. */
-function waitsInVain(
-  service: Service,
+function hopelessWait(
+  use: PoolUse,
   draft: Draft,
   ask: Ask,
   now: Milliseconds,
 ): Milliseconds | undefined {
   if (!draft.refusesLate || ask.ask.round > 0) return undefined;
-  const waitMs = (draft.waiting + 1) * service.endGapMs;
+  const waitMs = (draft.waiting + 1) * use.endGapMs;
   if (now + waitMs <= ask.due) return undefined;
   return waitMs;
 }
 
-function wait(
+/** Keeps an ask in the queue, unless that is full. */
+function hold(
   world: World,
+  use: PoolUse,
   queue: Map<RequestId, Ask>,
   ask: Ask,
 ): void {
   if (queue.size > world.options.askQueueLimit) {
-    return refuse(world, queue, ask, world.options.askQueueLimit);
+    return refuse(world, queue, ask, queue.size * use.endGapMs);
   }
   if (ask.queued) return;
   ask.queued = true;
@@ -233,11 +231,11 @@
   world: World,
   queue: Map<RequestId, Ask>,
   ask: Ask,
-  wait: Milliseconds | "none",
+  waitMs: Milliseconds | "none",
 ): void {
   queue.delete(ask.ask.request);
-  const none = wait === "none";
-  const seconds = none ? MOST_RETRY_SECONDS / 3 : Math.ceil(wait / 1000);
+  const none = waitMs === "none";
+  const seconds = none ? NO_UPSTREAM_SECONDS : Math.ceil(waitMs / 1000);
   const value = {
     request: ask.ask.request,
     error: none ? ErrorKind.noUpstream : ErrorKind.overloaded,
@@ -255,13 +253,13 @@
   now: Milliseconds,
 ): void {
   queue.delete(ask.ask.request);
-  const { request, service, customer, prefixes } = ask.ask;
+  const { request, pool, customer, prefixes } = ask.ask;
   const prefill = choice.prefill?.upstream.id ?? "";
   const decode = choice.decode.upstream.id;
   const exported = ask.ask.exportUpstream !== "";
   addGrant(world, {
     request,
-    service,
+    pool,
     customer,
     prefill,
     decode,
--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -1,5 +1,5 @@
-/** What a policy sees of a service's upstreams during one pass. */
-import type { Milliseconds, ServiceId, UpstreamId } from "../ids.ts";
+/** What a policy sees of a pool's upstreams during one pass. */
+import type { Milliseconds, PoolId, UpstreamId } from "../ids.ts";
 import type { PlanAsk } from "../../messages/peer.ts";
 import type { Candidate, Choice, Pool } from "../policies/mod.ts";
 import { Role, type Upstream } from "../tables/upstreams.ts";
@@ -43,13 +43,13 @@
   take(choice: Choice): void;
 };
 
-/** Starts a pass: the usable upstreams of a service as they are now. */
+/** Starts a pass: the usable upstreams of a pool as they are now. */
 export function makeDraft(
   world: World,
-  service: ServiceId,
+  name: PoolId,
   now: Milliseconds,
 ): Draft {
-  const all = world.pools.get(service) ?? [];
+  const all = world.pools.get(name) ?? [];
   const pending = all.some((one) => isPending(world, one, now));
   const rows = all
     .filter((one) => usable(world, one, now))
--- a/src/core/systems/requests.ts
+++ b/src/core/systems/requests.ts
@@ -35,6 +35,7 @@
     id,
     request: request.id,
     upstream,
+    ranBefore: request.ran,
     startedAt: now,
     progressAt: now,
     resumes: 0,
--- a/src/core/systems/retry.ts
+++ b/src/core/systems/retry.ts
@@ -41,7 +41,7 @@
     fields: { upstream, failure, tokens: request.tokens },
   });
   if (failure === Failure.rejected) {
-    request.ran = Ran.notRun;
+    request.ran = attempt.ranBefore;
     return failRequest(world, request, ErrorKind.badRequest, now);
   }
   if (failure === Failure.notStarted) {
@@ -65,7 +65,7 @@
   attempt: Attempt,
   now: Milliseconds,
 ): void {
-  if (request.attempts === 1 || request.call.once) request.ran = Ran.notRun;
+  request.ran = attempt.ranBefore;
   world.attempts.delete(attempt.id);
   delete request.attempt;
   returnGrant(world, request, attempt.upstream);
@@ -140,11 +140,13 @@
   failed: UpstreamId,
   now: Milliseconds,
 ): void {
-  const ran = request.ran === Ran.notRun;
+  const notRun = request.ran === Ran.notRun;
   const late = now >= request.giveUpAt;
   const spent = request.rounds >= world.options.roundLimit;
   if (late || spent || !spendRetry(world)) {
-    const error = ran ? ErrorKind.noCapacityInTime : ErrorKind.upstreamFailed;
+    const error = notRun
+      ? ErrorKind.noCapacityInTime
+      : ErrorKind.upstreamFailed;
     return failRequest(world, request, error, now);
   }
   count(world, "retries");
--- a/src/core/tables/plans.ts
+++ b/src/core/tables/plans.ts
@@ -3,8 +3,8 @@
   CustomerId,
   HostId,
   Milliseconds,
+  PoolId,
   RequestId,
-  ServiceId,
   UpstreamId,
 } from "../ids.ts";
 import type { PlanAsk } from "../../messages/peer.ts";
@@ -33,7 +33,7 @@
 /** A place held for a request. */
 export type Grant = {
   readonly request: RequestId;
-  readonly service: ServiceId;
+  readonly pool: PoolId;
   readonly customer: CustomerId;
   /** "" when the decode upstream does the prefill. */
   readonly prefill: UpstreamId;
@@ -72,11 +72,11 @@
   decodingAtReport: number;
 };
 
-/** What one customer holds of a service. */
+/** What one customer holds of a pool. */
 export type Holding = { held: number; share: number };
 
-/** One service as its planner sees it. */
-export type Service = {
+/** The use of one pool, as its planner sees it. */
+export type PoolUse = {
   readonly holdings: Map<CustomerId, Holding>;
   /** Requests held by all customers. */
   held: number;
@@ -90,11 +90,11 @@
 
 /** The planner's tables. */
 export type Plans = {
-  /** Waiting asks by service. */
-  readonly asks: Map<ServiceId, Map<RequestId, Ask>>;
+  /** Waiting asks by pool. */
+  readonly asks: Map<PoolId, Map<RequestId, Ask>>;
   readonly grants: Map<RequestId, Grant>;
   readonly occupancy: Map<UpstreamId, Occupancy>;
-  readonly services: Map<ServiceId, Service>;
+  readonly uses: Map<PoolId, PoolUse>;
 };
 
 /** Tables without rows. */
@@ -103,6 +103,6 @@
     asks: new Map(),
     grants: new Map(),
     occupancy: new Map(),
-    services: new Map(),
+    uses: new Map(),
   };
 }
--- a/src/core/tables/requests.ts
+++ b/src/core/tables/requests.ts
@@ -87,6 +87,8 @@
   readonly id: AttemptId;
   readonly request: RequestId;
   upstream: UpstreamId;
+  /** What was certain of the request before this attempt was sent. */
+  readonly ranBefore: Ran;
   startedAt: Milliseconds;
   progressAt: Milliseconds;
   resumes: number;
--- a/src/messages/peer.ts
+++ b/src/messages/peer.ts
@@ -89,10 +89,10 @@
   entries: ListEntry[];
 }
 
-/** Asks the planner of a service for places. */
+/** Asks the planner of a pool for places. */
 export interface PlanAsk {
   request: string;
-  service: string;
+  pool: string;
   customer: string;
   promptTokens: number;
   prefixes: number[];
@@ -140,7 +140,7 @@
 /** Renews a grant, and rebuilds the ledger of a new planner. */
 export interface PlanKeep {
   request: string;
-  service: string;
+  pool: string;
   customer: string;
   prefill: string;
   decode: string;
@@ -1014,7 +1014,7 @@
 function createBasePlanAsk(): PlanAsk {
   return {
     request: "",
-    service: "",
+    pool: "",
     customer: "",
     promptTokens: 0,
     prefixes: [],
@@ -1037,8 +1037,8 @@
     if (message.request !== "") {
       writer.uint32(10).string(message.request);
     }
-    if (message.service !== "") {
-      writer.uint32(18).string(message.service);
+    if (message.pool !== "") {
+      writer.uint32(18).string(message.pool);
     }
     if (message.customer !== "") {
       writer.uint32(26).string(message.customer);
@@ -1115,7 +1115,7 @@
               break;
             }
 
-            message.service = reader.string();
+            message.pool = reader.string();
             continue;
           }
           case 3: {
@@ -1539,7 +1539,7 @@
 function createBasePlanKeep(): PlanKeep {
   return {
     request: "",
-    service: "",
+    pool: "",
     customer: "",
     prefill: "",
     decode: "",
@@ -1554,8 +1554,8 @@
     if (message.request !== "") {
       writer.uint32(10).string(message.request);
     }
-    if (message.service !== "") {
-      writer.uint32(18).string(message.service);
+    if (message.pool !== "") {
+      writer.uint32(18).string(message.pool);
     }
     if (message.customer !== "") {
       writer.uint32(26).string(message.customer);
@@ -1604,7 +1604,7 @@
               break;
             }
 
-            message.service = reader.string();
+            message.pool = reader.string();
             continue;
           }
           case 3: {
