--- a/src/programs/burn/page.ts
+++ b/src/programs/burn/page.ts
@@ -12,7 +12,7 @@
 body { font: 15px/1.45 system-ui, sans-serif; margin: 2rem auto;
   max-width: 62rem; color: #1c1c1c; }
 table { border-collapse: collapse; width: 100%; }
-th, td { text-align: left; padding: .3rem .7rem .3rem 0;
+th, td { text-align: left; white-space: nowrap; padding: .3rem .7rem .3rem 0;
   border-bottom: 1px solid #ddd; font-variant-numeric: tabular-nums; }
 th { font-weight: 600; }
 .number { text-align: right; }
@@ -37,7 +37,7 @@
 <table>
 <tr><th>customer</th><th>service</th><th>window</th>
 <th class="number">requests</th><th class="number">good</th><th>burn</th>
-<th>first token p50 / p95 / p99</th></tr>
+<th>first token p50 / p95 / p99<br>since the hosts' start</th></tr>
 ${rows.map(rowHtml).join("\n")}
 </table>
 </body>
