--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -149,7 +149,10 @@
 }
 
 /** Requests that the upstream can decode at once within a step time. */
-function slotsWithin(upstream: Upstream, betweenMs: Milliseconds): number {
+export function slotsWithin(
+  upstream: Upstream,
+  betweenMs: Milliseconds,
+): number {
   const line = stepLine(upstream);
   if (!line) return upstream.slots;
   const fitting = (betweenMs * STEP_SHARE - line.base) / line.slope;
--- a/src/core/systems/split.ts
+++ b/src/core/systems/split.ts
@@ -3,13 +3,14 @@
  * set it, or by how busy both sides are, with hysteresis.
  */
 import type { Milliseconds, ServiceId } from "../ids.ts";
-import { RowKey } from "../setups/setup.ts";
+import { DEFAULT_SETUP, RowKey } from "../setups/setup.ts";
 import { SplitSchema } from "../setups/split.ts";
 import { type Pressure, TurnPhase } from "../tables/turns.ts";
 import { Role, type Upstream } from "../tables/upstreams.ts";
 import { log, type World } from "../world.ts";
 import { occupancyOf } from "./ledger.ts";
 import { plannerOf } from "./membership.ts";
+import { slotsWithin } from "./pool.ts";
 import { accepting } from "./upstreams.ts";
 
 /** Time between two looks at a service. */
@@ -23,6 +24,8 @@
 const DECODE_SPARE = 0.5;
 /** One side must have been short for this long. */
 const PATIENCE_MS = 10_000;
+/** Slots count that meet this target between tokens. */
+const TARGET_MS = DEFAULT_SETUP.betweenTokensMs;
 /** Time for a change to show before the next. */
 const REST_MS = 30_000;
 
@@ -96,7 +99,8 @@
     return line.tokens > 0 || transfers.tokens > 0;
   });
   const decodes = withRole(world, pool, Role.decode);
-  const slots = decodes.reduce((sum, one) => sum + one.slots, 0);
+  const slots = decodes
+    .reduce((sum, one) => sum + slotsWithin(one, TARGET_MS), 0);
   const held = decodes
     .reduce((sum, one) => sum + occupancyOf(world, one.id).held, 0);
   const prefill = busy.length / Math.max(1, prefills.length);
