--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -34,9 +34,12 @@
   return `${request}/${attempt}`;
 }
 
-/** Reads the owner from the id of a request or an attempt. */
+/** `host/incarnation/number`, and a try for attempts. */
+const OWN_ID = /^([^/]+)\/(\d+)\/\d+(?:\/\d+)?$/;
+
+/** The owner of a request or an attempt; undefined when the id isn't ours. */
 export function ownerOf(id: RequestId | AttemptId): Owner | undefined {
-  const [host, incarnation] = id.split("/");
-  if (!host || !incarnation) return undefined;
+  const [, host, incarnation] = OWN_ID.exec(id) ?? [];
+  if (host === undefined || incarnation === undefined) return undefined;
   return { host, incarnation: Number(incarnation) };
 }
--- a/src/core/systems/sweep.ts
+++ b/src/core/systems/sweep.ts
@@ -3,7 +3,7 @@
  * holds, asks the owners, and cancels what has no owner any more.
  */
 import type { AttemptId, HostId, Milliseconds, UpstreamId } from "../ids.ts";
-import { ownerOf } from "../ids.ts";
+import { type Owner, ownerOf } from "../ids.ts";
 import { Mechanism } from "../options.ts";
 import type { SweepAsk } from "../../messages/peer.ts";
 import { count, enabled, log, order, type World } from "../world.ts";
@@ -33,7 +33,10 @@
 ): void {
   const asked = new Map<HostId, AttemptId[]>();
   for (const attempt of attempts) {
-    const owner = liveOwner(world, attempt, now);
+    const named = ownerOf(attempt);
+    // Others may use an upstream too; what isn't ours is left alone.
+    if (!named) continue;
+    const owner = liveOwner(world, named, now);
     if (owner === undefined) {
       cancelOrphan(world, upstream, attempt, now);
       continue;
@@ -49,12 +52,11 @@
 /** The host that may still want the attempt. */
 function liveOwner(
   world: World,
-  attempt: AttemptId,
+  owner: Owner,
   now: Milliseconds,
 ): HostId | undefined {
-  const owner = ownerOf(attempt);
-  const host = owner && world.hosts.get(owner.host);
-  if (!owner || !host) return undefined;
+  const host = world.hosts.get(owner.host);
+  if (!host) return undefined;
   if (host.id === world.self.id) {
     return owner.incarnation === world.self.incarnation ? host.id : undefined;
   }
