A host that stood still forgets its changes of role; lease scenarios check themselves

Cause 2, found by making it stricter: the woken holder took a new lease at once and gave its old order under it (expect orders-by failed: lorient-2 quimper-1). Change: after a gap of a second between ticks changes and leases are forgotten, and an order needs a fresh report of an empty upstream.

--- a/src/core/systems/turns.ts
+++ b/src/core/systems/turns.ts
@@ -2,7 +2,8 @@
 import type { Milliseconds, UpstreamId } from "../ids.ts";
 import { type Turn, TurnPhase } from "../tables/turns.ts";
 import type { Upstream } from "../tables/upstreams.ts";
-import { count, log, order, type World } from "../world.ts";
+import { Mechanism } from "../options.ts";
+import { count, enabled, log, order, type World } from "../world.ts";
 import {
   earlierOrdersOver,
   mayOrder,
@@ -15,6 +16,8 @@
 
 /** A change that takes longer is given up. */
 const TURN_MS = 180_000;
+/** A gap between ticks of this length is a pause of the process. */
+const PAUSE_MS = 1000;
 /** Time between two sendings of an order. */
 const RESEND_MS = 2000;
 
@@ -25,6 +28,9 @@
 
 /** Moves every change of role on. */
 export function advanceTurns(world: World, now: Milliseconds): void {
+  const paused = now - world.tickedAt > PAUSE_MS;
+  world.tickedAt = now;
+  if (paused && enabled(world, Mechanism.leases)) forgetTurns(world);
   for (const turn of world.turns.values()) {
     const planner = plannerOf(world, turn.service, now);
     const upstream = world.upstreams.get(turn.upstream);
@@ -41,6 +47,12 @@
   }
 }
 
+/** After a pause nothing that was decided before it is acted on. */
+function forgetTurns(world: World): void {
+  world.turns.clear();
+  world.leases.clear();
+}
+
 function advance(
   world: World,
   turn: Turn,
@@ -48,7 +60,7 @@
   now: Milliseconds,
 ): void {
   if (turn.phase === TurnPhase.draining) {
-    if (!isEmpty(world, upstream, turn)) return;
+    if (!isEmpty(world, upstream, turn, now)) return;
     turn.phase = TurnPhase.leasing;
   }
   const lease = pursueLease(world, turn.service, now);
@@ -58,7 +70,7 @@
   }
   if (!upstream.checksOrders && !earlierOrdersOver(lease, now)) return;
   turn.phase = TurnPhase.ordering;
-  if (now < turn.nextAt) return;
+  if (now < turn.nextAt || !isEmpty(world, upstream, turn, now)) return;
   turn.nextAt = now + RESEND_MS;
   order(world, {
     type: "turnRole",
@@ -70,10 +82,16 @@
 }
 
 /** Nothing is held there, by the ledger and by a report since the start. */
-function isEmpty(world: World, upstream: Upstream, turn: Turn): boolean {
+function isEmpty(
+  world: World,
+  upstream: Upstream,
+  turn: Turn,
+  now: Milliseconds,
+): boolean {
   const { held, prefills, transfers } = occupancyOf(world, upstream.id);
   if (held > 0 || prefills.tokens > 0 || transfers.tokens > 0) return false;
   if (upstream.reportedAt < turn.since + RESEND_MS) return false;
+  if (now - upstream.reportedAt > 2 * RESEND_MS) return false;
   return upstream.report?.running === 0;
 }
 
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -84,6 +84,8 @@
   platformLostAt: Milliseconds;
   /** Tokens of the retry budget. */
   retryTokens: number;
+  /** When the last tick came: a long gap means that the process stood still. */
+  tickedAt: Milliseconds;
   /** This host was asked to stop. */
   stopping: boolean;
   stopped: boolean;
@@ -134,6 +136,7 @@
     platformOkAt: 0,
     platformLostAt: -Infinity,
     retryTokens: 10,
+    tickedAt: 0,
     stopping: false,
     stopped: false,
     counters: new Map(),
--- a/test/scenario/expectations.ts
+++ b/test/scenario/expectations.ts
@@ -80,6 +80,10 @@
     );
     return wrong.length === 0 ? undefined : wrong[0]?.laid.id;
   },
+  "lease-of": ({ fleet }, [pool, host]) => {
+    const row = fleet.platform.rows.get(`leases/region/${pool}`);
+    return same(row?.value?.split("/")[0] ?? "", host);
+  },
   publish: (stage, [name, outcome]) => {
     const published = stage.published.get(name ?? "");
     if (outcome !== "resolved") return same(published?.type ?? "", outcome);
