--- a/bench/core/worlds.ts
+++ b/bench/core/worlds.ts
@@ -114,3 +114,26 @@
     },
   }));
 }
+
+/** An ask for a prompt of 8,192 tokens with 32 block hashes. */
+export function sampleAsk(request: string, pool: string): PeerMessage {
+  const value = {
+    request,
+    pool,
+    customer: "armor",
+    promptTokens: 8192,
+    prefixes: Array.from({ length: 32 }, (_, n) => n * 7919),
+    maxTokens: 200,
+    priority: 5,
+    share: 1,
+    slackMs: 560,
+    patienceMs: 30_000,
+    firstTokenMs: 560,
+    betweenTokensMs: 35,
+    wholePrefillTokens: 256,
+    exportUpstream: "",
+    excluded: [],
+    round: 0,
+  };
+  return { kind: { $case: "planAsk", value } };
+}
