--- a/test/fake/upstream.ts
+++ b/test/fake/upstream.ts
@@ -62,6 +62,8 @@
   /** Orders taken, in their order. */
   readonly orders: { from: string; role: string; fence: number; at: number }[] =
     [];
+  /** When new work was taken. */
+  readonly startTimes: number[] = [];
   /** When the last new work was taken. */
   lastStartAt = -Infinity;
   #wakeAt = Infinity;
@@ -155,6 +157,7 @@
   #noteStart(reader: FakeHost, attempt: AttemptId): void {
     this.#readers.set(attempt, reader.id);
     this.lastStartAt = this.#fleet.now;
+    this.startTimes.push(this.#fleet.now);
     const before = this.startedEver.get(attempt) ?? 0;
     this.startedEver.set(attempt, before + 1);
   }
--- a/test/property/play.ts
+++ b/test/property/play.ts
@@ -15,10 +15,11 @@
 const END_MS = 110_000;
 const PLACES = ["brest", "quimper", "lorient", PLATFORM];
 
-/** Plays a schedule; the options may turn mechanisms off. */
+/** Plays a schedule; the options may turn mechanisms off; more checks. */
 export function play(
   schedule: readonly Timed[],
   options: Partial<Options> = {},
+  more: (fleet: Fleet, calls: readonly Got[]) => string[] = () => [],
 ): string[] {
   const fleet = new Fleet({ layout: smallLayout(2), seed: 11, options });
   const faults: string[] = [];
@@ -30,7 +31,7 @@
   }
   fleet.queue.push(HEALED_MS, () => healAll(fleet));
   fleet.runUntil(END_MS);
-  faults.push(...checkEnd(fleet, calls));
+  faults.push(...checkEnd(fleet, calls), ...more(fleet, calls));
   return faults;
 }
 
@@ -105,6 +106,7 @@
     case "stop": {
       const { id } = nth(fleet.upstreams, what.upstream).laid;
       const key = `settings/stop/${id}`;
+      if (fleet.platform.rows.get(key)?.value) return;
       writeRows(platform, [{ key, value: "{}" }]);
       return fleet.after(what.spanMs, () => {
         writeRows(platform, [{ key, value: null }]);
--- a/test/property/schedule.ts
+++ b/test/property/schedule.ts
@@ -117,6 +117,21 @@
   }),
 );
 
+const stop = fc.record({
+  type: fc.constant("stop" as const),
+  upstream,
+  spanMs: fc.integer({ min: 8000, max: 25_000 }),
+});
+
+/** Only calls and planned stops: nothing fails. */
+export const calmSchedules: fc.Arbitrary<Timed[]> = fc.array(
+  fc.record({
+    at: fc.integer({ min: FAULTS_FROM_MS, max: FAULTS_UNTIL_MS }),
+    what: fc.oneof({ weight: 6, arbitrary: call }, stop),
+  }),
+  { minLength: 1, maxLength: 60 },
+);
+
 /** Schedules of up to sixty happenings. */
 export const schedules: fc.Arbitrary<Timed[]> = fc.array(
   fc.record({
