bench:router stops its processes also when it fails

Cause: its failed run left 13 processes behind (ended by id). Change: the fleet is stopped in any case.

--- a/bench/router/main.ts
+++ b/bench/router/main.ts
@@ -17,14 +17,8 @@
 const fleet = new Processes();
 await fleet.startFleet();
 const engine = fleet.programs.get("decode-brest")?.addresses["address"] ?? "";
-const direct = await timesOf(() => toEngine());
-const routed = await timesOf(() => toRouter());
-const before = cpuOf("brest-1");
-const start = performance.now();
-await flood();
-const seconds = (performance.now() - start) / 1000;
-const cpuSeconds = cpuOf("brest-1") - before;
-await fleet.stop();
+const { direct, routed, seconds, cpuSeconds } = await measure()
+  .finally(() => fleet.stop());
 
 const rows = [
   ["one token, engine directly, p50 / p95 ms", pair(direct)],
@@ -54,6 +48,18 @@
   ].join("\n"),
 );
 
+/** Times one by one, then a flood. */
+async function measure() {
+  const direct = await timesOf(() => toEngine());
+  const routed = await timesOf(() => toRouter());
+  const before = cpuOf("brest-1");
+  const start = performance.now();
+  await flood();
+  const seconds = (performance.now() - start) / 1000;
+  const cpuSeconds = cpuOf("brest-1") - before;
+  return { direct, routed, seconds, cpuSeconds };
+}
+
 function body(): string {
   const prompt = "a goal in minute twelve";
   return JSON.stringify({ model: "recap-llm", prompt, max_tokens: 1 });
