Read once more: state that nothing reads is gone

Ask.arrived, Attempt.startedAt and the engine server's Reader.prefill were written and never read; the fake upstream asked twice for outputs that advance had already given; a pass cleared the same mark twice; the cache's size in blocks was worked out in two places. No behaviour changed, no test touched but for the fake's dead loop.

--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -44,7 +44,6 @@
   queue.set(ask.request, {
     from,
     ask,
-    arrived: now,
     due: now + ask.slackMs,
     giveUpAt: now + ask.patienceMs,
     queued: false,
@@ -106,10 +105,10 @@
     if (queue.size === 0) continue;
     const use = useOf(world, name);
     if (!use.changed && now < use.nextPassAt) continue;
-    use.changed = false;
     use.nextPassAt = now + PASS_MS;
     passQueue(world, name, use, queue, now);
     if (queue.size === 0) forgetIdle(use);
+    // What the pass itself has granted needs no further pass.
     use.changed = false;
   }
 }
--- a/src/core/systems/registry.ts
+++ b/src/core/systems/registry.ts
@@ -21,7 +21,7 @@
 /** Time between two renewals of an answered key. */
 const RENEW_ANSWERED_MS = 30_000;
 /** An owner delivers only within this time of its last majority. */
-export const LEASE_MS = 8000;
+const LEASE_MS = 8000;
 
 /** The row name of a request's key. */
 export function keyOf(request: Request): string | undefined {
--- a/src/core/systems/requests.ts
+++ b/src/core/systems/requests.ts
@@ -36,7 +36,6 @@
     request: request.id,
     upstream,
     ranBefore: request.ran,
-    startedAt: now,
     progressAt: now,
     resumes: 0,
   };
--- a/src/core/systems/upstreams.ts
+++ b/src/core/systems/upstreams.ts
@@ -158,9 +158,14 @@
   if (!upstream.prefixes.has(hash)) upstream.prefixes.set(hash, now);
 }
 
+/** Blocks that the upstream's cache holds. */
+function cacheBlocks(upstream: Upstream): number {
+  return upstream.cacheTokens / BLOCK_TOKENS;
+}
+
 /** For how long the block to be evicted next has not been used. */
 export function victimAge(upstream: Upstream, now: Milliseconds): Milliseconds {
-  const full = upstream.prefixes.size >= upstream.cacheTokens / BLOCK_TOKENS;
+  const full = upstream.prefixes.size >= cacheBlocks(upstream);
   if (!full) return Infinity;
   const oldest = upstream.prefixes.values().next().value;
   return oldest === undefined ? Infinity : now - oldest;
@@ -185,7 +190,7 @@
     upstream.prefixes.delete(hash);
     upstream.prefixes.set(hash, now);
   }
-  const most = upstream.cacheTokens / BLOCK_TOKENS;
+  const most = cacheBlocks(upstream);
   for (const hash of upstream.prefixes.keys()) {
     if (upstream.prefixes.size <= most) return;
     upstream.prefixes.delete(hash);
--- a/src/core/tables/plans.ts
+++ b/src/core/tables/plans.ts
@@ -13,7 +13,6 @@
 export type Ask = {
   readonly from: HostId;
   readonly ask: PlanAsk;
-  readonly arrived: Milliseconds;
   /** When its first token is due. */
   readonly due: Milliseconds;
   readonly giveUpAt: Milliseconds;
--- a/src/core/tables/requests.ts
+++ b/src/core/tables/requests.ts
@@ -89,7 +89,6 @@
   upstream: UpstreamId;
   /** What was certain of the request before this attempt was sent. */
   readonly ranBefore: Ran;
-  startedAt: Milliseconds;
   progressAt: Milliseconds;
   resumes: number;
 };
--- a/src/standins/engine/server.ts
+++ b/src/standins/engine/server.ts
@@ -109,7 +109,7 @@
     const stream = body.stream ?? false;
     const remote = params !== undefined && "remote_address" in params;
     const prefill = params !== undefined && !remote;
-    const reader = { response, chat, stream, text: "", prefill };
+    const reader = { response, chat, stream, text: "" };
     this.#readers.set(job.attempt, reader);
     if (stream) startEvents(response);
     if (prefill) acceptPrefill(this.#engine, job, now);
@@ -127,7 +127,7 @@
     const known = this.#engine.running.has(id) || this.#engine.finished.has(id);
     if (!known) return sendJson(response, 404, { error: "unknown request" });
     startEvents(response);
-    const reader = { response, chat, stream: true, text: "", prefill: false };
+    const reader = { response, chat, stream: true, text: "" };
     this.#readers.set(id, reader);
     resumeDecode(this.#engine, id, after);
     this.#touch();
--- a/src/standins/engine/wire.ts
+++ b/src/standins/engine/wire.ts
@@ -37,7 +37,6 @@
   readonly response: ServerResponse;
   readonly chat: boolean;
   readonly stream: boolean;
-  readonly prefill: boolean;
   text: string;
 };
 
--- a/test/fake/upstream.ts
+++ b/test/fake/upstream.ts
@@ -17,7 +17,6 @@
   type Output,
   resumeDecode,
   sendExport,
-  takeOutputs,
 } from "../../src/standins/engine/mod.ts";
 import {
   acceptCall,
@@ -227,7 +226,6 @@
   touch(): void {
     const { now } = this.#fleet;
     for (const output of advance(this.engine, now)) this.#pass(output);
-    for (const output of takeOutputs(this.engine)) this.#pass(output);
     for (const done of advancePlain(this.plain, now)) {
       const { attempt, body } = done;
       const event = { type: "plainDone", attempt, status: 200, body } as const;
