Request connections to replicas no longer share the small calls' limit

Cause: the agent for requests was made by the first small call, with its limit of 3 connections; requests queued in it and timed out unsent. Ruled out: replicas that take no connections (requests waited in our own agent, told as 'No connection in time' at the moment another stream ended).

--- a/src/gateway/requests/memory.ts
+++ b/src/gateway/requests/memory.ts
@@ -3,7 +3,7 @@
 import type { Engine } from "../routing/model.ts";
 
 /** Share of the guessed output that is reserved: guesses run short. */
-const GUESS_MARGIN = 1.3;
+const GUESS_MARGIN = 1.15;
 /** Share of the output limit where the caller gives no guess. */
 const LIMIT_SHARE = 0.6;
 
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -20,7 +20,8 @@
 export class UpstreamPool {
   readonly #clock: Clock;
   readonly #connectTimeoutMs: Milliseconds;
-  readonly #agents = new Map<string, { work: Agent; small: Agent }>();
+  readonly #work = new Map<string, Agent>();
+  readonly #small = new Map<string, Agent>();
 
   constructor(clock: Clock, connectTimeoutMs: Milliseconds) {
     this.#clock = clock;
@@ -37,10 +38,10 @@
     readonly body: Buffer;
     readonly mostConnections: number;
   }): Call {
-    const agents = this.#agentsOf(source.incarnation, source.mostConnections);
+    const { incarnation, mostConnections } = source;
     return startCall({
       ...source,
-      agent: agents.work,
+      agent: agentIn(this.#work, incarnation, mostConnections),
       clock: this.#clock,
       connectTimeoutMs: this.#connectTimeoutMs,
     });
@@ -60,7 +61,7 @@
         ? []
         : ["Content-Type", "application/json"],
       body: Buffer.from(small.body ?? ""),
-      agent: this.#agentsOf(place.incarnation, SMALL_SOCKETS).small,
+      agent: agentIn(this.#small, place.incarnation, SMALL_SOCKETS),
       clock: this.#clock,
       connectTimeoutMs: Math.min(timeoutMs, this.#connectTimeoutMs),
     });
@@ -76,11 +77,11 @@
 
   /** Lets go of the idle connections to replicas that are gone. */
   forget(incarnation: string): void {
-    const agents = this.#agents.get(incarnation);
-    this.#agents.delete(incarnation);
-    agents?.small.destroy();
+    this.#small.get(incarnation)?.destroy();
+    this.#small.delete(incarnation);
     // Requests that still run there keep their connections until they end.
-    const idle = agents?.work.freeSockets ?? {};
+    const idle = this.#work.get(incarnation)?.freeSockets ?? {};
+    this.#work.delete(incarnation);
     for (const sockets of Object.values(idle)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
@@ -88,20 +89,19 @@
 
   /** Closes all connections. */
   close(): void {
-    for (const { work, small } of this.#agents.values()) {
-      work.destroy();
-      small.destroy();
-    }
+    for (const agent of this.#work.values()) agent.destroy();
+    for (const agent of this.#small.values()) agent.destroy();
   }
+}
 
-  #agentsOf(incarnation: string, most: number): { work: Agent; small: Agent } {
-    const known = this.#agents.get(incarnation);
-    if (known) return known;
-    const agents = {
-      work: new KeptAgent(most),
-      small: new KeptAgent(SMALL_SOCKETS),
-    };
-    this.#agents.set(incarnation, agents);
-    return agents;
-  }
+function agentIn(
+  agents: Map<string, Agent>,
+  incarnation: string,
+  mostSockets: number,
+): Agent {
+  const known = agents.get(incarnation);
+  if (known) return known;
+  const agent = new KeptAgent(mostSockets);
+  agents.set(incarnation, agent);
+  return agent;
 }
