--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -3,7 +3,6 @@
  * a request is sent on only while the earlier send is known not to have run,
  * or where the route says that it may run again.
  */
-import type { IncomingMessage } from "node:http";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
@@ -20,6 +19,7 @@
 } from "./relay.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import type { Reservations } from "./reservations.ts";
+import type { Answer } from "../upstreams/call.ts";
 import { type Sending, sendRequest, type SendResult } from "./sender.ts";
 
 /** Sends of one request, those that did not run included. */
@@ -139,7 +139,7 @@
 
   #discard(placed: Placement, result: SendResult): void {
     if (result.type !== "answer") return;
-    result.answer.destroy();
+    result.answer.message.destroy();
     placed.replica.tokens -= placed.tokens;
   }
 
@@ -179,10 +179,10 @@
 
   async #takeAnswer(
     placed: Placement,
-    answer: IncomingMessage,
+    answer: Answer,
   ): Promise<void> {
     this.#placer.taken();
-    const status = answer.statusCode ?? 0;
+    const status = answer.message.statusCode ?? 0;
     const failed = status >= 500 || (this.#headSent && status !== 200);
     if (failed && this.#retryAnswer(placed, answer)) return;
     if (failed && this.#headSent) {
@@ -199,23 +199,23 @@
   }
 
   /** A replica's own failure may be tried elsewhere before it is told. */
-  #retryAnswer(placed: Placement, answer: IncomingMessage): boolean {
+  #retryAnswer(placed: Placement, answer: Answer): boolean {
     if (!repeatable(this.#request.route)) return false;
-    if (!this.#affordRetry(`Status ${answer.statusCode}`)) return false;
-    answer.resume();
+    if (!this.#affordRetry(`Status ${answer.message.statusCode}`)) return false;
+    answer.message.resume();
     placed.replica.tokens -= placed.tokens;
     this.#placer.used();
     this.#excluded.add(placed.replica.entry.incarnation);
     return true;
   }
 
-  async #relay(answer: IncomingMessage, since: number): Promise<Relayed> {
+  async #relay(answer: Answer, since: number): Promise<Relayed> {
     const { clock, metrics, tuning } = this.#context;
     const { route, receivedAt } = this.#request;
     const head = () => {
       if (this.#headSent) return;
       this.#headSent = true;
-      this.#reply.head(answer.statusCode ?? 502, answer.rawHeaders);
+      this.#reply.head(answer.message.statusCode ?? 502, answer.message.rawHeaders);
     };
     if (route.kind !== RouteKind.streaming) {
       const held = await relayHeld(answer, this.#reply, head);
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -88,7 +88,7 @@
       timeoutMs: tuning.prefillTimeoutMs,
     });
     const result = await this.#sending.result;
-    const status = result.type === "answer" ? result.answer.statusCode : 0;
+    const status = result.type === "answer" ? result.answer.message.statusCode : 0;
     const body = result.type === "answer" && status === 200
       ? await readWhole(result.answer, BODY_LIMIT)
       : undefined;
@@ -99,7 +99,7 @@
       this.drop({ replica, id });
       return undefined;
     }
-    if (result.type === "answer") result.answer.resume();
+    if (result.type === "answer") result.answer.message.resume();
     if (this.#ended) return undefined;
     events.note("prefillFailed", {
       request: this.#request.facts.id,
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -1,7 +1,7 @@
 /** Passes a replica's answer on to the caller. */
-import type { IncomingMessage } from "node:http";
 import type { Clock } from "../clock.ts";
 import type { Milliseconds } from "../../core/ids.ts";
+import type { Answer } from "../upstreams/call.ts";
 import { EventEdges } from "./event_edges.ts";
 import type { Reply } from "./request.ts";
 
@@ -13,7 +13,7 @@
 
 /** Passes the body on as it comes. */
 export function relayBytes(
-  answer: IncomingMessage,
+  answer: Answer,
   reply: Reply,
 ): Promise<Relayed> {
   return relay(answer, {
@@ -30,7 +30,7 @@
  * stream without a byte for `stallMs` counts as cut.
  */
 export function relayEvents(
-  answer: IncomingMessage,
+  answer: Answer,
   reply: Reply,
   options: {
     readonly position: EventPosition;
@@ -43,7 +43,7 @@
   let cancelStall = () => {};
   const watch = () => {
     cancelStall();
-    cancelStall = clock.after(stallMs, () => answer.destroy());
+    cancelStall = clock.after(stallMs, () => answer.message.destroy());
   };
   watch();
   return relay(answer, {
@@ -65,7 +65,7 @@
  * has gone to the caller yet. `head` is called before the first byte goes.
  */
 export function relayHeld(
-  answer: IncomingMessage,
+  answer: Answer,
   reply: Reply,
   head: () => void,
 ): Promise<{ readonly relayed: Relayed; readonly started: boolean }> {
@@ -92,22 +92,22 @@
 }
 
 function relay(
-  answer: IncomingMessage,
+  answer: Answer,
   on: { part(bytes: Buffer): void; whole(): void },
 ): Promise<Relayed> {
   return new Promise((resolve) => {
-    answer.on("data", (bytes: Buffer) => on.part(bytes));
-    answer.on("close", () => {
-      // `complete` is Node's word that the framing came to its end.
-      if (!answer.complete) return resolve("cut");
+    const { message } = answer;
+    message.on("data", (bytes: Buffer) => on.part(bytes));
+    message.on("close", () => {
+      if (!answer.intact()) return resolve("cut");
       on.whole();
       resolve("whole");
     });
   });
 }
 
-function pass(answer: IncomingMessage, reply: Reply, bytes: Buffer): void {
+function pass(answer: Answer, reply: Reply, bytes: Buffer): void {
   if (reply.write(bytes)) return;
-  answer.pause();
-  void reply.drained().then(() => answer.resume());
+  answer.message.pause();
+  void reply.drained().then(() => answer.message.resume());
 }
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -1,10 +1,9 @@
 /** Sends a request to a replica and says what is certain afterwards. */
-import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
 import type { CallHead } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
-import type { Call } from "../upstreams/call.ts";
+import type { Answer, Call } from "../upstreams/call.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** Statuses that promise that nothing ran; a replica must say so itself. */
@@ -14,7 +13,7 @@
 
 /** How a send went, up to the head of the answer. */
 export type SendResult =
-  | { readonly type: "answer"; readonly answer: IncomingMessage }
+  | { readonly type: "answer"; readonly answer: Answer }
   /** It did not run at the replica and will not. */
   | { readonly type: "notRun"; readonly reason: string }
   /** It may have run. */
@@ -79,8 +78,9 @@
     return { type: "unknown", reason: outcome.reason };
   }
   const { answer } = outcome;
-  const status = answer.statusCode ?? 0;
-  const facts = context.dialect.readAnswer(status, answer.headers);
+  const { message } = answer;
+  const status = message.statusCode ?? 0;
+  const facts = context.dialect.readAnswer(status, message.headers);
   if (!belongs(request, status, facts.id)) {
     call.abort("An answer to another request");
     context.events.note("crossed", {
@@ -91,12 +91,12 @@
     return { type: "unknown", reason: "An answer to another request" };
   }
   if (facts.notRun) {
-    answer.resume();
+    message.resume();
     if (facts.misdirected) replica.noteFailure(now, true);
     return { type: "notRun", reason: `Status ${status}` };
   }
   if (PROMISES.has(status)) {
-    answer.resume();
+    message.resume();
     return { type: "unknown", reason: `Status ${status}` };
   }
   if (status >= 500) replica.noteFailure(now, false);
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -17,9 +17,19 @@
   readonly connectTimeoutMs: Milliseconds;
 };
 
+/** An answer whose head has come. */
+export type Answer = {
+  readonly message: IncomingMessage;
+  /**
+   * Once the message is closed: whether its body came whole. Node calls a
+   * body without a length complete also when its connection was reset.
+   */
+  intact(): boolean;
+};
+
 /** How a call went up to the head of its answer. */
 export type CallOutcome =
-  | { readonly type: "answer"; readonly answer: IncomingMessage }
+  | { readonly type: "answer"; readonly answer: Answer }
   /** No byte of the request has left. */
   | { readonly type: "notSent"; readonly reason: string }
   /** It was sent, at least in part, and no answer came. */
@@ -46,6 +56,7 @@
     setHost: false,
   });
   let connected = false;
+  let failed = false;
   const cancelTimer = source.clock.after(source.connectTimeoutMs, () => {
     if (!connected) sending.destroy(new Error("No connection in time"));
   });
@@ -59,12 +70,14 @@
     socket.once("connect", onConnected);
   });
   const outcome = new Promise<CallOutcome>((resolve) => {
-    sending.on("response", (answer) => {
+    sending.on("response", (message) => {
       // Errors of the body are seen by whoever reads it.
-      answer.on("error", () => undefined);
-      resolve({ type: "answer", answer });
+      message.on("error", () => undefined);
+      const intact = () => message.complete && !failed;
+      resolve({ type: "answer", answer: { message, intact } });
     });
     sending.on("error", (error) => {
+      failed = true;
       cancelTimer();
       const type = connected ? "broken" : "notSent";
       resolve({ type, reason: error.message });
@@ -107,19 +120,20 @@
 
 /** Reads a body whole; undefined when it ends early or is too long. */
 export function readWhole(
-  answer: IncomingMessage,
+  answer: Answer,
   limit: number,
 ): Promise<string | undefined> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let length = 0;
-    answer.on("data", (part: Buffer) => {
+    const { message } = answer;
+    message.on("data", (part: Buffer) => {
       length += part.length;
       if (length <= limit) parts.push(part);
-      else answer.destroy();
+      else message.destroy();
     });
-    answer.on("close", () => {
-      const whole = answer.complete && length <= limit;
+    message.on("close", () => {
+      const whole = answer.intact() && length <= limit;
       resolve(whole ? Buffer.concat(parts).toString("utf8") : undefined);
     });
   });
--- a/src/gateway/upstreams/json_client.ts
+++ b/src/gateway/upstreams/json_client.ts
@@ -54,7 +54,7 @@
     if (outcome.type !== "answer") throw new Error(outcome.reason);
     const body = await readWhole(outcome.answer, BODY_LIMIT);
     if (body === undefined) throw new Error("The answer was cut off");
-    return { status: outcome.answer.statusCode ?? 0, body };
+    return { status: outcome.answer.message.statusCode ?? 0, body };
   } finally {
     signal.removeEventListener("abort", abort);
   }
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -72,7 +72,7 @@
       : undefined;
     cancel();
     if (outcome.type !== "answer" || body === undefined) return undefined;
-    return { status: outcome.answer.statusCode ?? 0, body };
+    return { status: outcome.answer.message.statusCode ?? 0, body };
   }
 
   /** Lets go of the idle connections to replicas that are gone. */
--- /dev/null
+++ b/test/gateway/dialect.ts
@@ -0,0 +1,60 @@
+/** A dialect for tests, in names that no platform uses. */
+import {
+  type CallHead,
+  CallMode,
+  type Dialect,
+  withoutHeaders,
+} from "../../src/gateway/mod.ts";
+
+const OWN = /^x-(mode|incarnation|patience|export|reservation|not-run)$/;
+
+/** The tests' dialect. */
+export const testDialect: Dialect = {
+  readRequest: (headers) => {
+    const tokens = String(headers["x-tokens"] ?? "").split(",");
+    const id = headers["x-id"];
+    const patience = headers["x-patience"];
+    return {
+      ...(typeof id === "string" ? { id } : {}),
+      ...(patience === undefined ? {} : { patienceMs: Number(patience) }),
+      promptTokens: Number(tokens[0]) || 0,
+      outputLimit: Number(tokens[1]) || 0,
+    };
+  },
+  callHeaders: (raw, head) => [
+    ...withoutHeaders(raw, (name) => OWN.test(name)),
+    ...ownHeaders(head),
+  ],
+  readAnswer: (status, headers) => {
+    const id = headers["x-id"];
+    return {
+      ...(typeof id === "string" ? { id } : {}),
+      notRun: status === 421 || headers["x-not-run"] !== undefined,
+      misdirected: status === 421,
+    };
+  },
+  readExport: (body) => field(body, "export"),
+  reserve: (tokens, lifeMs) => ({
+    method: "POST",
+    path: "/reserve",
+    body: JSON.stringify({ tokens, lifeMs }),
+  }),
+  readReservation: (body) => field(body, "reservation"),
+  dropReservation: (id) => ({ method: "DELETE", path: `/reserve/${id}` }),
+  dropExport: (id) => ({ method: "DELETE", path: `/export/${id}` }),
+  retryAfterHeader: "retry-after",
+};
+
+function ownHeaders(head: CallHead): string[] {
+  const own = ["x-incarnation", head.incarnation];
+  if (head.mode === CallMode.prefill) own.push("x-mode", "prefill");
+  if (head.export) own.push("x-export", head.export.id);
+  if (head.reservation) own.push("x-reservation", head.reservation);
+  if (head.lastEventId) own.push("last-event-id", head.lastEventId);
+  return own;
+}
+
+function field(body: string, name: string): string | undefined {
+  const value = (JSON.parse(body) as Record<string, unknown>)[name];
+  return typeof value === "string" ? value : undefined;
+}
--- /dev/null
+++ b/test/gateway/raw_replica.ts
@@ -0,0 +1,122 @@
+/** A replica whose every byte a test decides. */
+import { createServer, type Server, type Socket } from "node:net";
+
+/** A request as a raw replica has read it. */
+export type RawRequest = {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: string;
+  /** Counts the requests of this replica from 1. */
+  readonly number: number;
+};
+
+/** Answers one request with whatever bytes. */
+export type RawAnswer = (request: RawRequest, socket: Socket) => void;
+
+/** A listening raw replica. */
+export type RawReplica = {
+  readonly address: string;
+  readonly requests: RawRequest[];
+  /** Connections that were opened to it. */
+  connections(): number;
+  stop(): void;
+};
+
+/** Starts a raw replica on a free port. */
+export async function startRawReplica(answer: RawAnswer): Promise<RawReplica> {
+  const requests: RawRequest[] = [];
+  const sockets = new Set<Socket>();
+  let opened = 0;
+  const server = createServer((socket) => {
+    opened += 1;
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.on("close", () => sockets.delete(socket));
+    readRequests(socket, (read) => {
+      const request = { ...read, number: requests.length + 1 };
+      requests.push(request);
+      answer(request, socket);
+    });
+  });
+  const port = await listen(server);
+  return {
+    address: `127.0.0.1:${port}`,
+    requests,
+    connections: () => opened,
+    stop: () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+}
+
+function listen(server: Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      const bound = server.address();
+      resolve(typeof bound === "object" && bound ? bound.port : 0);
+    });
+  });
+}
+
+function readRequests(
+  socket: Socket,
+  take: (request: Omit<RawRequest, "number">) => void,
+): void {
+  let text = "";
+  socket.on("data", (bytes) => {
+    text += bytes.toString("latin1");
+    for (;;) {
+      const end = text.indexOf("\r\n\r\n");
+      if (end < 0) return;
+      const [first = "", ...lines] = text.slice(0, end).split("\r\n");
+      const headers = new Map(lines.map(headerOf));
+      const length = Number(headers.get("content-length") ?? 0);
+      const bodyEnd = end + 4 + length;
+      if (text.length < bodyEnd) return;
+      const body = text.slice(end + 4, bodyEnd);
+      text = text.slice(bodyEnd);
+      const [method = "", path = ""] = first.split(" ");
+      take({ method, path, headers, body });
+    }
+  });
+}
+
+function headerOf(line: string): [string, string] {
+  const colon = line.indexOf(":");
+  const name = line.slice(0, colon).toLowerCase();
+  return [name, line.slice(colon + 1).trim()];
+}
+
+/** A whole answer with a length. */
+export function whole(
+  request: RawRequest,
+  body: string,
+  extra: readonly string[] = [],
+): string {
+  return [
+    "HTTP/1.1 200 OK",
+    `x-id: ${request.headers.get("x-id") ?? ""}`,
+    `content-length: ${Buffer.byteLength(body)}`,
+    ...extra,
+    "",
+    body,
+  ].join("\r\n");
+}
+
+/** The head of an answer in chunks. */
+export function chunkedHead(request: RawRequest): string {
+  return [
+    "HTTP/1.1 200 OK",
+    `x-id: ${request.headers.get("x-id") ?? ""}`,
+    "transfer-encoding: chunked",
+    "",
+    "",
+  ].join("\r\n");
+}
+
+/** One chunk; an empty text ends the body. */
+export function chunk(text: string): string {
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+}
--- /dev/null
+++ b/test/gateway/rig.ts
@@ -0,0 +1,218 @@
+/** A gateway's callers' side over raw replicas, with a caller for tests. */
+import { Agent, request } from "node:http";
+import { CallerServer } from "../../src/gateway/callers/server.ts";
+import { systemClock } from "../../src/gateway/clock.ts";
+import type { GatewayContext } from "../../src/gateway/context.ts";
+import {
+  type ReplicaEntry,
+  type ReplicaStage,
+  type Route,
+  RouteKind,
+  type Service,
+} from "../../src/gateway/mod.ts";
+import { Metrics } from "../../src/gateway/observe/metrics.ts";
+import { ReplicaTable } from "../../src/gateway/replicas/replica_table.ts";
+import { Reservations } from "../../src/gateway/requests/reservations.ts";
+import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
+import { RouteTable } from "../../src/gateway/routing/route_table.ts";
+import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
+import { testDialect } from "./dialect.ts";
+import { type RawAnswer, type RawReplica, startRawReplica } from "./raw_replica.ts";
+
+/** A long time: nothing in these tests may depend on its length. */
+const AMPLE_MS = 20_000;
+
+/** A replica of a rig. */
+export type RigReplica = {
+  readonly answer: RawAnswer;
+  readonly stage?: ReplicaStage;
+};
+
+/** What a rig is made from. */
+export type RigSource = {
+  readonly route?: Partial<Route>;
+  readonly engine?: Service["engine"];
+  readonly replicas: readonly RigReplica[];
+  readonly budget?: { readonly ratio: number; readonly extra: number };
+};
+
+/** What a caller saw. */
+export type Seen = {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** The answer's framing came to its end. */
+  readonly complete: boolean;
+};
+
+/** A running rig. */
+export type Rig = {
+  readonly context: GatewayContext;
+  readonly replicas: readonly RawReplica[];
+  readonly events: { readonly name: string; readonly fields: object }[];
+  readonly address: string;
+  /** Sends a request; rejects when no head comes. */
+  call(options?: CallOptions): Promise<Seen>;
+  stop(): void;
+};
+
+/** What a caller sends. */
+export type CallOptions = {
+  readonly id?: string;
+  readonly path?: string;
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+};
+
+/** An engine with room for everything. */
+export const ENGINE: NonNullable<Service["engine"]> = {
+  slots: 8,
+  cacheTokens: 10_000,
+  exportMs: AMPLE_MS,
+  reservationMs: AMPLE_MS,
+  tokensPerEvent: 1,
+  switchMs: AMPLE_MS,
+};
+
+const ROUTE: Route = {
+  name: "route",
+  host: "example",
+  pathPrefix: "/a/",
+  kind: RouteKind.safe,
+  timeoutMs: AMPLE_MS,
+  objectiveMs: AMPLE_MS,
+  gapMs: AMPLE_MS,
+  attempts: 2,
+  priority: 1,
+  targets: [{ service: "service", weight: 1 }],
+  resumable: false,
+};
+
+/** Starts replicas and a gateway before them. */
+export async function startRig(source: RigSource): Promise<Rig> {
+  const replicas = await Promise.all(
+    source.replicas.map((one) => startRawReplica(one.answer)),
+  );
+  const events: { name: string; fields: object }[] = [];
+  const context = createTestContext(source, events);
+  context.replicas.adopt({
+    revision: 1,
+    entries: replicas.map((one, at) => entryOf(one, source, at)),
+  });
+  const callers = new CallerServer(context, new Reservations(context));
+  const port = await new Promise<number>((resolve) => {
+    callers.server.listen(0, "127.0.0.1", () => {
+      const bound = callers.server.address();
+      resolve(typeof bound === "object" && bound ? bound.port : 0);
+    });
+  });
+  const agent = new Agent({ keepAlive: true });
+  return {
+    context,
+    replicas,
+    events,
+    address: `127.0.0.1:${port}`,
+    call: (options = {}) => call(port, agent, options),
+    stop: () => {
+      agent.destroy();
+      callers.server.closeAllConnections();
+      callers.server.close();
+      context.pool.close();
+      for (const one of replicas) one.stop();
+    },
+  };
+}
+
+function entryOf(
+  replica: RawReplica,
+  source: RigSource,
+  at: number,
+): ReplicaEntry {
+  const stage = source.replicas[at]?.stage;
+  return {
+    incarnation: `r${at}`,
+    service: "service",
+    address: replica.address,
+    hall: "hall",
+    slots: 4,
+    leaving: false,
+    ...(stage === undefined ? {} : { stage }),
+    coldMs: 0,
+  };
+}
+
+function createTestContext(
+  source: RigSource,
+  events: { name: string; fields: object }[],
+): GatewayContext {
+  const routes = new RouteTable();
+  const { engine, budget } = source;
+  routes.adopt({
+    version: 1,
+    routes: [{ ...ROUTE, ...source.route }],
+    services: [{
+      name: "service",
+      connectionLimit: 100,
+      ...(engine ? { engine } : {}),
+    }],
+    limits: { bodyBytes: 1 << 20, headerMs: AMPLE_MS, idleMs: AMPLE_MS },
+  });
+  const rule = { windowMs: AMPLE_MS, ratio: 0, extra: 10 };
+  return {
+    self: { id: "host", hall: "hall" },
+    clock: systemClock,
+    random: () => 0,
+    dialect: testDialect,
+    routes,
+    replicas: new ReplicaTable(),
+    budget: new RetryBudget({ ...rule, ...budget }),
+    pool: new UpstreamPool(systemClock, AMPLE_MS),
+    events: {
+      note: (name, fields) => events.push({ name, fields: fields ?? {} }),
+    },
+    metrics: new Metrics(),
+    tuning: {
+      reserveTimeoutMs: AMPLE_MS,
+      prefillTimeoutMs: AMPLE_MS,
+      retryAfterObjectives: 1,
+      stallMs: AMPLE_MS,
+      firstEventPatienceMs: AMPLE_MS,
+      farCharge: 0.1,
+    },
+    hostCount: () => 1,
+    stop: { graceMs: AMPLE_MS },
+  };
+}
+
+function call(
+  port: number,
+  agent: Agent,
+  options: CallOptions,
+): Promise<Seen> {
+  const { id = "1", path = "/a/b", method = "GET", body = "" } = options;
+  return new Promise((resolve, reject) => {
+    const sending = request({
+      host: "127.0.0.1",
+      port,
+      path,
+      method,
+      agent,
+      headers: { host: "example", "x-id": id, ...options.headers },
+    });
+    sending.on("error", reject);
+    sending.on("response", (answer) => {
+      let text = "";
+      answer.on("error", () => undefined);
+      answer.on("data", (bytes: Buffer) => text += bytes.toString());
+      answer.on("close", () =>
+        resolve({
+          status: answer.statusCode ?? 0,
+          headers: answer.headers,
+          body: text,
+          complete: answer.complete,
+        }));
+    });
+    sending.end(body === "" ? undefined : body);
+  });
+}
