A reset right behind the last bytes is told from an end; a stop closes connections at rest first

Test with an immediate reset fails first. A stop left a gap of 50 ms in which a request on a kept connection was passed on and then cut; the stop now stops listening, closes what rests and waits until every connection has ended.

--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -5,7 +5,9 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Milliseconds } from "../../core/ids.ts";
 import { GatewayError } from "../answers.ts";
+import { type Clock, sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import { requestHeaders } from "../http/headers.ts";
 import { Exchange } from "../requests/exchange.ts";
@@ -23,6 +25,7 @@
 /** A stream that may take longer than what is left is not begun. */
 const STREAM_MS = 4500;
 const PLAIN_MS = 1000;
+const FINISH_CHECK_MS = 50;
 
 /** The callers' side of a gateway. */
 export class CallerServer {
@@ -53,6 +56,19 @@
     this.server.headersTimeout = limits.headerMs;
   }
 
+  /**
+   * Takes no new connections, closes those at rest, and waits until the
+   * others have ended; what comes on them meanwhile is served.
+   */
+  async finish(clock: Clock, lastAt: Milliseconds): Promise<void> {
+    let closed = false;
+    this.server.close(() => closed = true);
+    while (!closed && clock.now() < lastAt) {
+      this.server.closeIdleConnections();
+      await sleep(clock, FINISH_CHECK_MS);
+    }
+  }
+
   async #serve(
     incoming: IncomingMessage,
     response: ServerResponse,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,7 +24,8 @@
 const LEAVE_MS = 3200;
 /** Kept back from the grace for the exit itself. */
 const EXIT_MARGIN_MS = 500;
-const CHECK_MS = 50;
+/** Lets the last log lines leave. */
+const LAST_LINES_MS = 50;
 /** A tick that comes so late means that the process stood still. */
 const STOOD_STILL_MS = 1000;
 const TICK_MS = 500;
@@ -112,19 +113,13 @@
     stop.askedAt = askedAt;
     events.note("stopping", { open: this.#callers.open });
     const lastAt = askedAt + stop.graceMs - EXIT_MARGIN_MS;
-    for (;;) {
-      await sleep(clock, CHECK_MS);
-      const now = clock.now();
-      const left = now - askedAt >= LEAVE_MS;
-      if (left && this.#callers.open === 0) break;
-      if (now >= lastAt) break;
-    }
+    await sleep(clock, LEAVE_MS);
+    await this.#callers.finish(clock, lastAt);
     for (const server of this.#servers) server.close();
-    this.#callers.server.closeIdleConnections();
     this.#synchronizer.stop();
     pool.close();
     events.note("stopped", { open: this.#callers.open });
-    await sleep(clock, CHECK_MS);
+    await sleep(clock, LAST_LINES_MS);
   }
 
   #ready(): boolean {
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -61,6 +61,13 @@
     if (!connected) sending.destroy(new Error("No connection in time"));
   });
   sending.on("socket", (socket) => {
+    const onEnd = () => {
+      // A reset that comes right behind the last bytes reads as an end; but
+      // a connection that was reset has no peer any more (getpeername(2)).
+      if (socket.remoteAddress === undefined) failed = true;
+    };
+    socket.prependListener("end", onEnd);
+    sending.once("close", () => socket.off("end", onEnd));
     const onConnected = () => {
       connected = true;
       cancelTimer();
--- a/test/gateway/requests/answers_test.ts
+++ b/test/gateway/requests/answers_test.ts
@@ -58,6 +58,18 @@
   });
 });
 
+test("a reset right behind the last bytes is not taken for an end", async () => {
+  const cut: RawAnswer = (request, socket) => {
+    const id = request.headers.get("x-id");
+    const head = `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\npart`;
+    socket.write(head, () => setImmediate(() => socket.resetAndDestroy()));
+  };
+  const route = { kind: RouteKind.unsafe, attempts: 1 };
+  await withRig({ route, replicas: [{ answer: cut }] }, async (rig) => {
+    assert.equal((await rig.call()).status, 502);
+  });
+});
+
 test("a body without a length that ends is whole", async () => {
   const answer: RawAnswer = (request, socket) => {
     const id = request.headers.get("x-id");
