--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -51,6 +51,8 @@
   /** A send is out, or one may have run. */
   #mayHaveRun = false;
   #headSent = false;
+  /** The budget has already given the retry that follows. */
+  #retryTaken = false;
   #ended = false;
 
   constructor(source: ExchangeSource) {
@@ -190,7 +192,7 @@
       return this.#giveUp(GatewayError.outcomeUnknown, `Status ${status}`);
     }
     const startedAt = this.#context.clock.now();
-    const relayed = await this.#relay(answer, startedAt);
+    const relayed = await this.#relay(placed, answer, startedAt);
     placed.replica.tokens -= placed.tokens;
     this.#placer.used();
     if (this.#ended) return;
@@ -209,7 +211,11 @@
     return true;
   }
 
-  async #relay(answer: Answer, since: number): Promise<Relayed> {
+  async #relay(
+    placed: Placement,
+    answer: Answer,
+    since: number,
+  ): Promise<Relayed> {
     const { clock, metrics, tuning } = this.#context;
     const { route, receivedAt } = this.#request;
     const head = () => {
@@ -229,15 +235,25 @@
       position: this.#position,
       clock,
       stallMs: tuning.stallMs,
+      moveOn: () => this.#moveOn(placed),
     });
   }
 
+  /** A stalled stream is left only when its replica fails other calls too. */
+  #moveOn(placed: Placement): boolean {
+    if (!placed.replica.paused(this.#context.clock.now())) return false;
+    this.#retryTaken = this.#affordRetry("The stream stalled");
+    return this.#retryTaken;
+  }
+
   #takeCut(placed: Placement): void {
     const now = this.#context.clock.now();
     placed.replica.noteFailure(now, false);
     this.#excluded.add(placed.replica.entry.incarnation);
     const again = repeatable(this.#request.route);
-    if (again && this.#affordRetry("The answer was cut off")) {
+    const taken = this.#retryTaken;
+    this.#retryTaken = false;
+    if (taken || (again && this.#affordRetry("The answer was cut off"))) {
       if (this.#headSent) this.#note("resumed", { ...this.#position });
       return;
     }
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -26,8 +26,9 @@
 export type EventPosition = { lastId?: string };
 
 /**
- * Passes whole events on, so that another replica's events can follow. A
- * stream without a byte for `stallMs` counts as cut.
+ * Passes whole events on, so that another replica's events can follow. Each
+ * time that no byte came for `stallMs`, `moveOn` says whether the stream is
+ * cut to go on elsewhere; a silent replica alone is no reason.
  */
 export function relayEvents(
   answer: Answer,
@@ -36,14 +37,18 @@
     readonly position: EventPosition;
     readonly clock: Clock;
     readonly stallMs: Milliseconds;
+    moveOn(): boolean;
   },
 ): Promise<Relayed> {
-  const { position, clock, stallMs } = options;
+  const { position, clock, stallMs, moveOn } = options;
   const edges = new EventEdges();
   let cancelStall = () => {};
   const watch = () => {
     cancelStall();
-    cancelStall = clock.after(stallMs, () => answer.message.destroy());
+    cancelStall = clock.after(stallMs, () => {
+      if (!moveOn()) return watch();
+      answer.message.destroy();
+    });
   };
   watch();
   return relay(answer, {
