--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
 import { Synchronizer } from "./state/synchronizer.ts";
+import { runStageLoop } from "./stages/stage_loop.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 
 /** The balancer has surely left this long after the first refused check. */
@@ -83,6 +84,14 @@
       directory: this.#directory,
       synchronizer: this.#synchronizer,
     });
+    void runStageLoop({
+      context: this.#context,
+      store: port.store,
+      holder: host.id,
+      guardMs: settings.stages.guard,
+      prefillShare: settings.stages.prefill_share,
+      storeAgeMs: (now) => this.#synchronizer.storeAgeMs(now),
+    });
   }
 
   async listen(): Promise<void> {
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -6,6 +6,7 @@
 import { createJsonClient, type JsonClient } from "../upstreams/json_client.ts";
 import { type Synchronizer, within } from "../state/synchronizer.ts";
 import type { HostDirectory } from "./directory.ts";
+import { exchangeRows } from "./host_rows.ts";
 import { type PeerState, questionPath, readPeerState } from "./peer_state.ts";
 
 /** Without word from the store for so long, peers are asked. */
@@ -36,10 +37,11 @@
 async function keepRow(source: PeerLoopSource): Promise<void> {
   const { context: { clock }, store, self, directory } = source;
   for (;;) {
-    const hosts = await within(clock, STORE_TIMEOUT_MS, async (signal) => {
-      await store.writeHost(self, signal);
-      return await store.readHosts(signal);
-    });
+    const hosts = await within(
+      clock,
+      STORE_TIMEOUT_MS,
+      (signal) => exchangeRows(store, self, signal),
+    );
     if (hosts) directory.learn(hosts, clock.now());
     await sleep(clock, hosts ? ROW_MS : ROW_FAILED_MS);
   }
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../core/ids.ts";
 import type { RouteConfig } from "./routing/model.ts";
-import type { ReplicaListing } from "./replicas/model.ts";
+import type { ReplicaListing, ReplicaStage } from "./replicas/model.ts";
 
 /** What a request's head says of it. */
 export type RequestFacts = {
@@ -66,6 +66,39 @@
   readonly body?: string;
 };
 
+/** What a model engine tells of itself. */
+export type EngineReport = {
+  readonly stage: ReplicaStage;
+  /** Orders that it has taken. */
+  readonly orders: number;
+  /** An order is under way. */
+  readonly changing: boolean;
+};
+
+/** A change of stage, under a lease. */
+export type StageOrder = {
+  readonly incarnation: string;
+  readonly stage: ReplicaStage;
+  readonly holder: string;
+  readonly fence: number;
+  /** Only if it has taken so many orders. */
+  readonly ifOrders: number;
+};
+
+/** A small call that names the only start of the replica that may take it. */
+export type OrderCall = SmallCall & { readonly headers: readonly string[] };
+
+/** How a model engine took an order. */
+export const OrderOutcome = {
+  taken: "taken",
+  /** A higher fence was seen there. */
+  fenced: "fenced",
+  /** Another order is under way, or the replica is not as expected. */
+  refused: "refused",
+} as const;
+/** One of the values of {@link OrderOutcome}. */
+export type OrderOutcome = typeof OrderOutcome[keyof typeof OrderOutcome];
+
 /** How requests and replicas' calls look on the wire. */
 export type Dialect = {
   /** Reads the head of a caller's request. */
@@ -80,6 +113,13 @@
   readReservation(body: string): string | undefined;
   dropReservation(id: string): SmallCall;
   dropExport(id: string): SmallCall;
+  /** Asks a model engine how it is. */
+  readonly report: SmallCall;
+  readReport(body: string): EngineReport | undefined;
+  /** Orders a change of stage. */
+  orderStage(order: StageOrder): OrderCall;
+  /** How an order was taken. */
+  readOrder(status: number): OrderOutcome;
   /** Header with the seconds after which a refused caller may come back. */
   readonly retryAfterHeader: string;
 };
@@ -103,11 +143,46 @@
     waitMs: Milliseconds,
     signal: AbortSignal,
   ): Promise<ConfigReading>;
-  /** Hosts whose rows were written within `maxAgeMs` of the store's clock. */
-  readHosts(signal: AbortSignal): Promise<HostEntry[]>;
-  writeHost(host: HostEntry, signal: AbortSignal): Promise<void>;
+  /** The system's own rows of a table. */
+  readRows(table: string, signal: AbortSignal): Promise<RowReading>;
+  /** Writes a row; rejects when nobody can tell whether it was written. */
+  writeRow(write: RowWrite, signal: AbortSignal): Promise<RowWritten>;
 };
 
+/** A row of the system's own. */
+export type StoreRow = {
+  readonly key: string;
+  readonly value: string;
+  /** Rises with each write of the store. */
+  readonly revision: number;
+};
+
+/** Rows as of one moment. */
+export type RowReading = {
+  readonly rows: readonly StoreRow[];
+  /** The store's steady clock. */
+  readonly nowMs: Milliseconds;
+};
+
+/** A row to be written. */
+export type RowWrite = {
+  readonly table: string;
+  readonly key: string;
+  readonly value: string;
+  /** Only if the row has this revision; 0: only if there is none. */
+  readonly ifRevision?: number;
+};
+
+/** How a write went. */
+export type RowWritten =
+  | {
+    readonly type: "written";
+    readonly revision: number;
+    readonly nowMs: Milliseconds;
+  }
+  /** The row had another revision; nothing was written. */
+  | { readonly type: "conflict" };
+
 /** What the store says of the configuration. */
 export type ConfigReading = {
   /** Where to watch on from; undefined: history is lost, read it whole. */
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -9,6 +9,7 @@
 
 /** Longest answer to a small call. */
 const SMALL_BODY_LIMIT = 1 << 20;
+const JSON_HEADERS = ["Content-Type", "application/json"];
 /** Connections for small calls to one replica. */
 const SMALL_SOCKETS = 3;
 
@@ -50,16 +51,17 @@
   /** Makes a small call; undefined when no whole answer comes in time. */
   async small(
     place: { readonly address: string; readonly incarnation: string },
-    small: SmallCall,
+    small: SmallCall & { readonly headers?: readonly string[] },
     timeoutMs: Milliseconds,
   ): Promise<JsonAnswer | undefined> {
     const call = startCall({
       address: place.address,
       method: small.method,
       path: small.path,
-      headers: small.body === undefined
-        ? []
-        : ["Content-Type", "application/json"],
+      headers: [
+        ...(small.body === undefined ? [] : JSON_HEADERS),
+        ...(small.headers ?? []),
+      ],
       body: Buffer.from(small.body ?? ""),
       agent: agentIn(this.#small, place.incarnation, SMALL_SOCKETS),
       clock: this.#clock,
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -27,6 +27,13 @@
   extra: z.number().min(0).default(10),
 });
 
+const Stages = z.strictObject({
+  /** Share of a service's model engines that read prompts. */
+  prefill_share: z.number().min(0.05).max(0.95).default(0.22),
+  /** Least time between the orders of two hosts. */
+  guard: duration("3s"),
+});
+
 const Tuning = z.strictObject({
   connect_timeout: duration("400ms"),
   reserve_timeout: duration("250ms"),
@@ -51,6 +58,7 @@
   /** Time from SIGTERM to the forced end. */
   grace: duration("8s"),
   retries: Retries.prefault({}),
+  stages: Stages.prefault({}),
   tuning: Tuning.prefault({}),
   log: Log.prefault({}),
 });
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -42,6 +42,15 @@
   readReservation: (body) => field(body, "reservation"),
   dropReservation: (id) => ({ method: "DELETE", path: `/reserve/${id}` }),
   dropExport: (id) => ({ method: "DELETE", path: `/export/${id}` }),
+  report: { method: "GET", path: "/report" },
+  readReport: () => undefined,
+  orderStage: (order) => ({
+    method: "POST",
+    path: "/order",
+    headers: ["x-incarnation", order.incarnation],
+    body: JSON.stringify(order),
+  }),
+  readOrder: () => "refused",
   retryAfterHeader: "retry-after",
 };
 
