One planner a service: a ledger of memory and prefills, links of JSON lines

Change: hosts ask the first host in rendezvous order to which a link stands; it places in order of due time; the replica's reservation still decides. Prefill times are fitted (base and a part a token); decode replicas read prompts when the prefill replicas are behind. The line fit is now one unit for the core and the gateway.

--- a/src/core/systems/upstreams.ts
+++ b/src/core/systems/upstreams.ts
@@ -2,7 +2,13 @@
 import type { Event, LoadReport } from "../events.ts";
 import type { Milliseconds, UpstreamId } from "../ids.ts";
 import { Mechanism } from "../options.ts";
-import { emptyFit, Role, type Upstream } from "../tables/upstreams.ts";
+import { Role, type Upstream } from "../tables/upstreams.ts";
+import {
+  addSample,
+  emptyFit,
+  fittedLine,
+  type Line,
+} from "../util/line_fit.ts";
 import { count, enabled, log, order, type World } from "../world.ts";
 import { plannerOf } from "./membership.ts";
 
@@ -87,7 +93,10 @@
   }
   if (report.slots > 0) upstream.slots = report.slots;
   if (report.prefillRate > 0) upstream.prefillRate = report.prefillRate;
-  if (report.stepMs > 0) addStep(upstream, report.running, report.stepMs);
+  if (report.stepMs > 0) {
+    const sample = { x: report.running, y: report.stepMs };
+    addSample(upstream.step, sample, FIT_MEMORY);
+  }
 }
 
 /** A restarted engine holds and caches nothing. */
@@ -102,27 +111,9 @@
   });
 }
 
-function addStep(upstream: Upstream, running: number, stepMs: number): void {
-  const fit = upstream.step;
-  fit.weight = fit.weight * FIT_MEMORY + 1;
-  fit.x = fit.x * FIT_MEMORY + running;
-  fit.y = fit.y * FIT_MEMORY + stepMs;
-  fit.xx = fit.xx * FIT_MEMORY + running * running;
-  fit.xy = fit.xy * FIT_MEMORY + running * stepMs;
-}
-
-/** A line: step time = base + slope * running requests. */
-export type StepLine = { readonly base: number; readonly slope: number };
-
 /** The line through an upstream's step times; undefined without spread. */
-export function stepLine(upstream: Upstream): StepLine | undefined {
-  const { weight, x, y, xx, xy } = upstream.step;
-  if (weight < 3) return undefined;
-  const spread = weight * xx - x * x;
-  if (spread < weight) return undefined;
-  const slope = (weight * xy - x * y) / spread;
-  if (slope <= 0) return undefined;
-  return { base: (y - slope * x) / weight, slope };
+export function stepLine(upstream: Upstream): Line | undefined {
+  return fittedLine(upstream.step);
 }
 
 /** A page of cache events. */
--- a/src/core/tables/upstreams.ts
+++ b/src/core/tables/upstreams.ts
@@ -1,5 +1,6 @@
 /** Upstreams: what the host list, their reports and their events say. */
 import type { LoadReport } from "../events.ts";
+import type { LineFit } from "../util/line_fit.ts";
 import type {
   HallId,
   Milliseconds,
@@ -43,7 +44,7 @@
   report?: LoadReport;
   reportedAt: Milliseconds;
   /** Fit of step time over running requests. */
-  step: StepFit;
+  step: LineFit;
   /** Prefix blocks thought to be cached, oldest first. */
   readonly prefixes: Map<number, Milliseconds>;
   /** Sequence number of the last cache event read. */
@@ -57,17 +58,3 @@
   nextCacheAt: Milliseconds;
   nextSweepAt: Milliseconds;
 };
-
-/** Weighted sums for a least-squares line, older samples fading. */
-export type StepFit = {
-  weight: number;
-  x: number;
-  y: number;
-  xx: number;
-  xy: number;
-};
-
-/** A fit without samples. */
-export function emptyFit(): StepFit {
-  return { weight: 0, x: 0, y: 0, xx: 0, xy: 0 };
-}
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -10,9 +10,9 @@
 import { type Clock, sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import { requestHeaders } from "../http/headers.ts";
+import type { Places } from "../planning/places.ts";
 import { Exchange } from "../requests/exchange.ts";
 import type { GatewayRequest, Reply } from "../requests/request.ts";
-import type { Reservations } from "../requests/reservations.ts";
 import type { CallerLimits, Route } from "../routing/model.ts";
 import { pickTarget } from "../routing/route_table.ts";
 import { readCallerBody } from "./body.ts";
@@ -31,13 +31,13 @@
 export class CallerServer {
   readonly server: Server;
   readonly #context: GatewayContext;
-  readonly #reservations: Reservations;
+  readonly #places: Places;
   readonly #open = new Set<Exchange>();
   #reading = 0;
 
-  constructor(context: GatewayContext, reservations: Reservations) {
+  constructor(context: GatewayContext, places: Places) {
     this.#context = context;
-    this.#reservations = reservations;
+    this.#places = places;
     this.server = createServer(
       { maxHeaderSize: HEAD_BYTES },
       (request, response) => void this.#serve(request, response),
@@ -138,7 +138,7 @@
   ): void {
     const exchange = new Exchange({
       context: this.#context,
-      reservations: this.#reservations,
+      places: this.#places,
       request,
       reply,
       onEnd: () => this.#open.delete(exchange),
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -27,7 +27,12 @@
 
 /** Shared state and ports of one gateway. */
 export type GatewayContext = {
-  readonly self: { readonly id: HostId; readonly hall: HallId };
+  readonly self: {
+    readonly id: HostId;
+    readonly hall: HallId;
+    /** Names this run of the process. */
+    readonly run: string;
+  };
   readonly clock: Clock;
   /** In [0, 1). */
   readonly random: () => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** Puts the parts of a gateway together and listens. */
 import { createServer, type Server } from "node:http";
-import { monotonicNow } from "../shell/clock.ts";
+import { monotonicNow, newIncarnation } from "../shell/clock.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import { parseAddress } from "../util/address.ts";
 import { CallerServer } from "./callers/server.ts";
@@ -14,7 +14,8 @@
 import { createPeerServer } from "./peers/server.ts";
 import type { PlatformPort } from "./port.ts";
 import { ReplicaTable } from "./replicas/replica_table.ts";
-import { Reservations } from "./requests/reservations.ts";
+import { Places } from "./planning/places.ts";
+import { PlanService } from "./planning/plan_service.ts";
 import { RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
 import { Synchronizer } from "./state/synchronizer.ts";
@@ -51,7 +52,8 @@
 class Gateway implements RunningGateway {
   readonly #settings: GatewaySettings;
   readonly #context: GatewayContext;
-  readonly #reservations: Reservations;
+  readonly #plans: PlanService;
+  readonly #places: Places;
   readonly #callers: CallerServer;
   readonly #synchronizer: Synchronizer;
   readonly #directory: HostDirectory;
@@ -64,8 +66,13 @@
     const self = { id: host.id, address: listen.peers, hall: host.hall };
     this.#directory = new HostDirectory(self, settings.seeds);
     this.#context = createContext(settings, port, this.#directory);
-    this.#reservations = new Reservations(this.#context);
-    this.#callers = new CallerServer(this.#context, this.#reservations);
+    this.#plans = new PlanService(this.#context);
+    this.#places = new Places(
+      this.#context,
+      this.#plans,
+      () => this.#directory.entries(),
+    );
+    this.#callers = new CallerServer(this.#context, this.#places);
     this.#synchronizer = new Synchronizer({
       context: this.#context,
       store: port.store,
@@ -76,7 +83,12 @@
       },
       onConfig: (config) => this.#callers.applyLimits(config.limits),
     });
-    this.#peers = createPeerServer(this.#context, self, this.#directory);
+    this.#peers = createPeerServer({
+      context: this.#context,
+      self,
+      directory: this.#directory,
+      plans: this.#plans,
+    });
     startPeerLoops({
       context: this.#context,
       self,
@@ -144,7 +156,7 @@
       const age = this.#synchronizer.storeAgeMs(clock.now());
       const page = metrics.page({
         requests_open: this.#callers.open,
-        memory_waits: this.#reservations.waiting,
+        memory_waits: this.#plans.waiting,
         routes_version: routes.version,
         replicas_revision: replicas.revision,
         hosts_known: this.#directory.count,
@@ -164,10 +176,18 @@
       if (late > STOOD_STILL_MS) {
         events.note("stoodStill", { for_ms: Math.round(late) });
       }
+      this.#linkPlanners();
       this.#tick();
     });
   }
 
+  /** Links to planners stand before the first request needs them. */
+  #linkPlanners(): void {
+    for (const service of this.#context.routes.config?.services ?? []) {
+      if (service.engine) this.#places.plannerOf(service.name);
+    }
+  }
+
   #listenOn(server: Server, address: string): Promise<void> {
     const place = parseAddress(address);
     this.#servers.push(server);
@@ -186,7 +206,7 @@
   const { host, retries, grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   return {
-    self: host,
+    self: { ...host, run: String(newIncarnation()) },
     clock,
     random: Math.random,
     dialect: port.dialect,
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -41,6 +41,8 @@
     "A replica failed and is passed over for a while",
     BELIEFS_PER_SECOND,
   ),
+  plannerLost: warn("planning", "The planner is out of reach", 20),
+  plannerChanged: info("planning", "Another host plans a service", 20),
   placed: info("placement", "A request is sent", REQUESTS_PER_SECOND),
   prefillFailed: warn("prefill", "A prefill failed", FAILURES_PER_SECOND),
   retried: warn("retry", "A request is tried again", FAILURES_PER_SECOND),
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -1,17 +1,27 @@
 /** Tells peers the newest state that this host has. */
 import { createServer, type Server } from "node:http";
 import type { GatewayContext } from "../context.ts";
+import { LINK_PATH } from "../planning/link.ts";
+import type { PlanService } from "../planning/plan_service.ts";
 import type { HostEntry } from "../port.ts";
 import type { HostDirectory } from "./directory.ts";
 import { type PeerQuestion, type PeerState, readQuestion } from "./peer_state.ts";
 
+/** What the peers' server tells from. */
+export type PeerServerSource = {
+  readonly context: GatewayContext;
+  readonly self: HostEntry;
+  readonly directory: HostDirectory;
+  readonly plans: PlanService;
+};
+
 /** Makes the peers' server; it does not listen yet. */
 export function createPeerServer(
-  context: GatewayContext,
-  self: HostEntry,
-  directory: HostDirectory,
+  source: PeerServerSource,
 ): Server {
-  return createServer((request, response) => {
+  const { context, self, directory, plans } = source;
+  const server = createServer((request, response) => {
+    if (request.url === LINK_PATH) return plans.accept(request, response);
     request.resume();
     const question = readQuestion(request.url ?? "/");
     const state = stateFor(context, question, [self, ...directory.entries()]);
@@ -19,6 +29,9 @@
     response.writeHead(200, { "Content-Type": "application/json" });
     response.end(body);
   });
+  // A link's request has no end.
+  server.requestTimeout = 0;
+  return server;
 }
 
 /** What the asker does not have yet. */
--- /dev/null
+++ b/src/gateway/planning/ledger.ts
@@ -0,0 +1,114 @@
+/** What a planner has given away of each replica. */
+import type { Milliseconds } from "../../core/ids.ts";
+import {
+  addSample,
+  emptyFit,
+  fittedLine,
+  type Line,
+  type LineFit,
+} from "../../core/util/line_fit.ts";
+
+/** Time of a prefill before any was timed: a base and a part a token. */
+const FIRST_LINE: Line = { base: 50, slope: 0.04 };
+/** Part of the old samples that stays in the fit of prefill times. */
+const FIT_MEMORY = 0.95;
+
+/** One granted place. */
+export type LedgerEntry = {
+  readonly id: string;
+  /** The host that it was granted to. */
+  readonly from: string;
+  readonly decode: string;
+  readonly tokens: number;
+  /** The prefill under way; cleared when it is done. */
+  prefill: string | undefined;
+  readonly promptTokens: number;
+  /** Prompt tokens that were ahead of it when it was granted. */
+  readonly tokensAhead: number;
+  /** It is not believed any longer than this. */
+  until: Milliseconds;
+};
+
+/** Places by request, with sums by replica. */
+export class Ledger {
+  readonly #entries = new Map<string, LedgerEntry>();
+  readonly #memory = new Map<string, number>();
+  readonly #prompts = new Map<string, number>();
+  readonly #fits = new Map<string, LineFit>();
+
+  /** Memory given away at a decode replica, in tokens. */
+  memoryAt(replica: string): number {
+    return this.#memory.get(replica) ?? 0;
+  }
+
+  /** Time that a prefill replica needs for what it was given. */
+  queueMs(replica: string): Milliseconds {
+    return this.promptsAt(replica) * this.lineOf(replica).slope;
+  }
+
+  /** Prompt tokens that the replica was given and has not read. */
+  promptsAt(replica: string): number {
+    return this.#prompts.get(replica) ?? 0;
+  }
+
+  /** Time of a prefill at an idle replica, over its prompt's tokens. */
+  lineOf(replica: string): Line {
+    const fit = this.#fits.get(replica);
+    return (fit && fittedLine(fit)) ?? FIRST_LINE;
+  }
+
+  /** Enters a place, in the stead of an earlier one of the same request. */
+  add(entry: LedgerEntry): void {
+    this.remove(entry.id);
+    this.#entries.set(entry.id, entry);
+    addTo(this.#memory, entry.decode, entry.tokens);
+    if (entry.prefill === undefined) return;
+    addTo(this.#prompts, entry.prefill, entry.promptTokens);
+  }
+
+  /** The request's prefill is done; learns the replica's times. */
+  prefilled(id: string, spentMs: Milliseconds | undefined): void {
+    const entry = this.#entries.get(id);
+    const replica = entry?.prefill;
+    if (!entry || replica === undefined) return;
+    entry.prefill = undefined;
+    addTo(this.#prompts, replica, -entry.promptTokens);
+    // A prefill that waited for others tells nothing of its own time.
+    if (spentMs === undefined || entry.tokensAhead > 0) return;
+    const fit = this.#fits.get(replica) ?? emptyFit();
+    this.#fits.set(replica, fit);
+    addSample(fit, { x: entry.promptTokens, y: spentMs }, FIT_MEMORY);
+  }
+
+  /** Gives a place back. */
+  remove(id: string): LedgerEntry | undefined {
+    const entry = this.#entries.get(id);
+    if (!entry) return undefined;
+    this.#entries.delete(id);
+    addTo(this.#memory, entry.decode, -entry.tokens);
+    if (entry.prefill !== undefined) {
+      addTo(this.#prompts, entry.prefill, -entry.promptTokens);
+    }
+    return entry;
+  }
+
+  /** A host is out of touch: its places are believed until `until`. */
+  limitHost(from: string, until: Milliseconds): void {
+    for (const entry of this.#entries.values()) {
+      if (entry.from === from) entry.until = Math.min(entry.until, until);
+    }
+  }
+
+  /** Drops the places that are not believed any longer. */
+  expire(now: Milliseconds): void {
+    for (const entry of this.#entries.values()) {
+      if (now >= entry.until) this.remove(entry.id);
+    }
+  }
+}
+
+function addTo(sums: Map<string, number>, name: string, by: number): void {
+  const sum = (sums.get(name) ?? 0) + by;
+  if (sum <= 0) sums.delete(name);
+  else sums.set(name, sum);
+}
--- /dev/null
+++ b/src/gateway/planning/link.ts
@@ -0,0 +1,123 @@
+/** A long-lived connection over which lines of JSON go both ways. */
+import { type IncomingMessage, request } from "node:http";
+import type { Writable } from "node:stream";
+import { parseAddress } from "../../util/address.ts";
+import type { Clock } from "../clock.ts";
+
+/** The path of a planner's link on the peers' address. */
+export const LINK_PATH = "/plan";
+/** Header with the asking host's name. */
+export const LINK_HOST_HEADER = "otterhill-host";
+const CONNECT_MS = 400;
+/** Without a line for so long, a link is dead. */
+const SILENT_MS = 900;
+const PING_MS = 300;
+const PING_LINE = '{"type":"ping"}\n';
+/** A peer that does not read is cut off at this many waiting bytes. */
+const UNSENT_LIMIT = 1 << 20;
+
+/** One end of a link. */
+export type Link = {
+  send(message: object): void;
+  close(): void;
+};
+
+/** What happens on a link. */
+export type LinkEvents = {
+  /** The other side has answered. */
+  ready?(): void;
+  line(text: string): void;
+  /** Once, when the link ends for whatever reason. */
+  closed(): void;
+};
+
+/** Opens a link to a planner; `closed` tells also that none came about. */
+export function openLink(
+  source: { readonly address: string; readonly self: string; clock: Clock },
+  events: LinkEvents,
+): Link {
+  const place = parseAddress(source.address);
+  const sending = request({
+    host: place?.host,
+    port: place?.port,
+    method: "POST",
+    path: LINK_PATH,
+    headers: { [LINK_HOST_HEADER]: source.self },
+    agent: false,
+  });
+  sending.flushHeaders();
+  const end = makeEnd(sending, source.clock, events);
+  const cancel = source.clock.after(CONNECT_MS, () => end.close());
+  sending.on("response", (answer) => {
+    cancel();
+    events.ready?.();
+    end.read(answer);
+  });
+  return end;
+}
+
+/** Takes a link that a host has opened. */
+export function acceptLink(
+  incoming: IncomingMessage,
+  answer: Writable,
+  source: { readonly clock: Clock; readonly events: LinkEvents },
+): Link {
+  const end = makeEnd(answer, source.clock, source.events);
+  end.read(incoming);
+  return end;
+}
+
+type End = Link & { read(from: IncomingMessage): void };
+
+function makeEnd(out: Writable, clock: Clock, events: LinkEvents): End {
+  let open = true;
+  let cancelPing = () => {};
+  let cancelSilence = () => {};
+  const close = () => {
+    if (!open) return;
+    open = false;
+    cancelPing();
+    cancelSilence();
+    out.destroy();
+    events.closed();
+  };
+  const write = (line: string) => {
+    if (!open) return;
+    if (out.writableLength > UNSENT_LIMIT) return close();
+    out.write(line);
+  };
+  const ping = () => {
+    write(PING_LINE);
+    cancelPing = clock.after(PING_MS, ping);
+  };
+  const heard = () => {
+    cancelSilence();
+    cancelSilence = clock.after(SILENT_MS, close);
+  };
+  out.on("error", close);
+  out.on("close", close);
+  ping();
+  return {
+    send: (message) => write(`${JSON.stringify(message)}\n`),
+    close,
+    read: (from) => {
+      heard();
+      from.on("error", close);
+      from.on("close", close);
+      readLines(from, (line) => {
+        heard();
+        if (!line.startsWith('{"type":"ping"')) events.line(line);
+      });
+    },
+  };
+}
+
+function readLines(from: IncomingMessage, take: (line: string) => void): void {
+  let rest = "";
+  from.setEncoding("utf8");
+  from.on("data", (text: string) => {
+    const lines = (rest + text).split("\n");
+    rest = lines.pop() ?? "";
+    for (const line of lines) if (line !== "") take(line);
+  });
+}
--- /dev/null
+++ b/src/gateway/planning/messages.ts
@@ -0,0 +1,88 @@
+/** What hosts and a planner tell each other, as lines of JSON. */
+import { z } from "zod";
+
+/** How far a placed request is. */
+export const PlaceStage = {
+  /** Its prompt has been read. */
+  prefilled: "prefilled",
+  /** The decode replica had no memory for it. */
+  refused: "refused",
+  /** It holds nothing any more. */
+  ended: "ended",
+} as const;
+/** One of the values of {@link PlaceStage}. */
+export type PlaceStage = typeof PlaceStage[keyof typeof PlaceStage];
+
+const Ask = z.object({
+  type: z.literal("ask"),
+  id: z.string(),
+  service: z.string(),
+  /** Memory that it takes at a decode replica. */
+  tokens: z.number(),
+  promptTokens: z.number(),
+  hall: z.string(),
+  /** Time until its first event is due; negative when it is late. */
+  slackMs: z.number(),
+  patienceMs: z.number(),
+  excluded: z.array(z.string()),
+});
+
+const Keep = z.object({
+  type: z.literal("keep"),
+  id: z.string(),
+  decode: z.string(),
+  tokens: z.number(),
+});
+
+const Progress = z.object({
+  type: z.literal("progress"),
+  id: z.string(),
+  stage: z.enum(PlaceStage),
+  /** How long its prefill took, with stage "prefilled". */
+  spentMs: z.number().exactOptional(),
+});
+
+const Grant = z.object({
+  type: z.literal("grant"),
+  id: z.string(),
+  decode: z.string(),
+  /** Absent: the decode replica reads the prompt. */
+  prefill: z.string().exactOptional(),
+});
+
+const Refusal = z.object({
+  type: z.literal("refusal"),
+  id: z.string(),
+  reason: z.enum(["no-replica", "no-memory"]),
+});
+
+const Ping = z.object({ type: z.literal("ping") });
+
+/** From a host to its planner. */
+export const HostMessageSchema = z.discriminatedUnion("type", [
+  Ask,
+  Keep,
+  Progress,
+  Ping,
+]);
+/** From a host to its planner. */
+export type HostMessage = z.output<typeof HostMessageSchema>;
+/** Asks for a place. */
+export type PlanAsk = z.output<typeof Ask>;
+/** Names a place that an earlier planner gave. */
+export type PlanKeep = z.output<typeof Keep>;
+/** Tells how far a placed request is. */
+export type PlanProgress = z.output<typeof Progress>;
+
+/** From a planner to a host. */
+export const PlannerMessageSchema = z.discriminatedUnion("type", [
+  Grant,
+  Refusal,
+  Ping,
+]);
+/** From a planner to a host. */
+export type PlannerMessage = z.output<typeof PlannerMessageSchema>;
+/** A place is given. */
+export type PlanGrant = z.output<typeof Grant>;
+/** There is no place. */
+export type PlanRefusal = z.output<typeof Refusal>;
--- /dev/null
+++ b/src/gateway/planning/plan_service.ts
@@ -0,0 +1,117 @@
+/** This host's planner, for itself and for the hosts that link to it. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Milliseconds } from "../../core/ids.ts";
+import type { GatewayContext } from "../context.ts";
+import { acceptLink, type Link, LINK_HOST_HEADER } from "./link.ts";
+import {
+  type HostMessage,
+  HostMessageSchema,
+  type PlannerMessage,
+} from "./messages.ts";
+import { Planner } from "./planner.ts";
+
+/** The queue is gone through again after this time when nothing happens. */
+const PASS_MS = 20;
+
+/** Carries messages between the planner and the hosts. */
+export class PlanService {
+  readonly #context: GatewayContext;
+  readonly #planner: Planner;
+  readonly #hosts = new Map<string, (message: PlannerMessage) => void>();
+  #passing = false;
+
+  constructor(context: GatewayContext) {
+    this.#context = context;
+    this.#planner = new Planner({
+      replicasOf: (service) =>
+        context.replicas.openOf(service).map((one) => one.entry),
+      memoryOf: (service) =>
+        context.routes.service(service)?.engine?.cacheTokens ?? 0,
+      isPaused: (incarnation) =>
+        context.replicas.get(incarnation)?.paused(context.clock.now()) ?? false,
+      farCharge: context.tuning.farCharge,
+    });
+  }
+
+  /** Requests that wait for a place. */
+  get waiting(): number {
+    return this.#planner.waiting;
+  }
+
+  /** Where answers for a host go. */
+  attach(host: string, answer: (message: PlannerMessage) => void): void {
+    this.#hosts.set(host, answer);
+  }
+
+  /** Takes a host's message. */
+  take(from: string, message: HostMessage): void {
+    const now = this.#context.clock.now();
+    switch (message.type) {
+      case "ask":
+        this.#planner.ask(from, message, now);
+        break;
+      case "keep":
+        this.#planner.keep(from, message, now);
+        break;
+      case "progress":
+        this.#planner.progress(message, now);
+        break;
+      case "ping":
+        return;
+    }
+    this.#passSoon(0);
+  }
+
+  /** Serves a link that a host has opened. */
+  accept(incoming: IncomingMessage, answer: ServerResponse): void {
+    const name = String(incoming.headers[LINK_HOST_HEADER] ?? "");
+    answer.writeHead(200, { "Content-Type": "application/x-ndjson" });
+    answer.flushHeaders();
+    const { clock } = this.#context;
+    const reply = (message: PlannerMessage) => link.send(message);
+    const link: Link = acceptLink(incoming, answer, {
+      clock,
+      events: {
+        line: (text) => this.#takeLine(name, text),
+        closed: () => {
+          // A newer link of the same host may have taken its place.
+          if (this.#hosts.get(name) !== reply) return;
+          this.#hosts.delete(name);
+          this.#planner.lose(name, clock.now());
+        },
+      },
+    });
+    this.attach(name, reply);
+  }
+
+  #takeLine(from: string, text: string): void {
+    const read = HostMessageSchema.safeParse(parse(text));
+    if (read.success) this.take(from, read.data);
+  }
+
+  #passSoon(delayMs: Milliseconds): void {
+    if (this.#passing) return;
+    this.#passing = true;
+    const run = () => {
+      this.#passing = false;
+      this.#pass();
+    };
+    if (delayMs === 0) queueMicrotask(run);
+    else this.#context.clock.after(delayMs, run);
+  }
+
+  #pass(): void {
+    for (const { to, message } of this.#planner.pass(this.#context.clock.now())) {
+      this.#hosts.get(to)?.(message);
+    }
+    if (this.#planner.waiting > 0) this.#passSoon(PASS_MS);
+  }
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/gateway/planning/planner.ts
@@ -0,0 +1,250 @@
+/**
+ * Places the requests of one pool: a queue in order of due time, a ledger of
+ * what was given away. The ledger only guides: the replica's own reservation
+ * decides, so a planner may start empty and two may plan at once without harm.
+ */
+import type { Milliseconds } from "../../core/ids.ts";
+import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
+import { Ledger } from "./ledger.ts";
+import {
+  type PlanAsk,
+  type PlanGrant,
+  type PlanKeep,
+  type PlannerMessage,
+  type PlanProgress,
+  PlaceStage,
+} from "./messages.ts";
+
+/**
+ * Work that a prefill replica is given ahead, besides what its answers take
+ * on their way (the base of its prefill times): enough to keep it busy over a
+ * round trip, little enough that the order of the others stays open.
+ */
+const AHEAD_MS = 60;
+/** Time from the end of a prefill to the first event. */
+const FIRST_EVENT_MS = 90;
+/** A replica that had no memory is not given any for this time. */
+const FULL_MS = 60;
+/** A place is believed for so long without word of it. */
+const PLACE_LIFE_MS = 20_000;
+/** Places of a host that is out of touch are believed for so long. */
+const ORPHAN_LIFE_MS = 4000;
+
+/** What a planner sees of the fleet. */
+export type PlannerView = {
+  /** Replicas of a service that take new work. */
+  replicasOf(service: string): readonly ReplicaEntry[];
+  /** Memory of one decode replica of the service, in tokens. */
+  memoryOf(service: string): number;
+  /** A replica that fails is given nothing. */
+  isPaused(incarnation: string): boolean;
+  /** What another hall counts as, as a share of a replica's memory. */
+  readonly farCharge: number;
+};
+
+type Waiting = {
+  readonly from: string;
+  readonly ask: PlanAsk;
+  readonly dueAt: Milliseconds;
+  readonly giveUpAt: Milliseconds;
+};
+
+/** An answer on its way to a host. */
+export type PlannerAnswer = {
+  readonly to: string;
+  readonly message: PlannerMessage;
+};
+
+/** The planner of the services that this host plans. */
+export class Planner {
+  readonly #view: PlannerView;
+  readonly #ledger = new Ledger();
+  readonly #waiting = new Map<string, Waiting>();
+  readonly #fullUntil = new Map<string, Milliseconds>();
+
+  constructor(view: PlannerView) {
+    this.#view = view;
+  }
+
+  /** Requests that wait for a place. */
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
+  /** Queues an ask; `pass` answers it. */
+  ask(from: string, ask: PlanAsk, now: Milliseconds): void {
+    this.#ledger.remove(ask.id);
+    const dueAt = now + ask.slackMs;
+    const giveUpAt = now + ask.patienceMs;
+    this.#waiting.set(ask.id, { from, ask, dueAt, giveUpAt });
+  }
+
+  /** Enters a place that was given elsewhere. */
+  keep(from: string, keep: PlanKeep, now: Milliseconds): void {
+    this.#ledger.add({
+      id: keep.id,
+      from,
+      decode: keep.decode,
+      tokens: keep.tokens,
+      prefill: undefined,
+      promptTokens: 0,
+      tokensAhead: 0,
+      until: now + PLACE_LIFE_MS,
+    });
+  }
+
+  /** Takes word of a placed request. */
+  progress(word: PlanProgress, now: Milliseconds): void {
+    const { id, stage, spentMs } = word;
+    if (stage === PlaceStage.prefilled) {
+      return this.#ledger.prefilled(id, spentMs);
+    }
+    this.#waiting.delete(id);
+    const entry = this.#ledger.remove(id);
+    if (stage !== PlaceStage.refused || !entry) return;
+    this.#fullUntil.set(entry.decode, now + FULL_MS);
+  }
+
+  /** A host went out of touch. */
+  lose(from: string, now: Milliseconds): void {
+    this.#ledger.limitHost(from, now + ORPHAN_LIFE_MS);
+    for (const [id, one] of this.#waiting) {
+      if (one.from === from) this.#waiting.delete(id);
+    }
+  }
+
+  /** Goes through the queue; gives the answers that follow. */
+  pass(now: Milliseconds): PlannerAnswer[] {
+    this.#ledger.expire(now);
+    const answers: PlannerAnswer[] = [];
+    for (const one of inOrder([...this.#waiting.values()], now)) {
+      const message = this.#answer(one, now);
+      if (!message) continue;
+      this.#waiting.delete(one.ask.id);
+      answers.push({ to: one.from, message });
+    }
+    return answers;
+  }
+
+  #answer(one: Waiting, now: Milliseconds): PlannerMessage | undefined {
+    const { id, service, excluded } = one.ask;
+    if (now >= one.giveUpAt) return { type: "refusal", id, reason: "no-memory" };
+    const open = this.#view.replicasOf(service).filter((replica) =>
+      !excluded.includes(replica.incarnation)
+    );
+    const decodes = open.filter((r) => r.stage === ReplicaStage.decode);
+    if (decodes.length === 0) {
+      return { type: "refusal", id, reason: "no-replica" };
+    }
+    const decode = this.#decodeFor(one, decodes, now);
+    if (!decode) return undefined;
+    const prefills = open.filter((r) => r.stage === ReplicaStage.prefill);
+    const sound = prefills.filter((r) => !this.#view.isPaused(r.incarnation));
+    if (sound.length === 0) return this.#grant(one, { decode }, now);
+    const prefill = this.#prefillFor(sound, decode);
+    const { incarnation } = prefill;
+    const base = Math.max(0, this.#ledger.lineOf(incarnation).base);
+    const ahead = this.#ledger.queueMs(incarnation) - base;
+    if (ahead > AHEAD_MS) {
+      const whole = this.#wholeAt(one, decode, now);
+      return whole ? this.#grant(one, { decode }, now) : undefined;
+    }
+    return this.#grant(one, { decode, prefill }, now);
+  }
+
+  /** The decode replica with most memory left, rather in the asker's hall. */
+  #decodeFor(
+    one: Waiting,
+    decodes: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): ReplicaEntry | undefined {
+    const memory = Math.max(1, this.#view.memoryOf(one.ask.service));
+    const sound = decodes.filter((r) => !this.#view.isPaused(r.incarnation));
+    return least(sound.length > 0 ? sound : decodes, (replica) => {
+      const { incarnation, hall } = replica;
+      const held = this.#ledger.memoryAt(incarnation);
+      const full = (this.#fullUntil.get(incarnation) ?? 0) > now;
+      if (full || (held > 0 && held + one.ask.tokens > memory)) return Infinity;
+      const far = hall === one.ask.hall ? 0 : this.#view.farCharge;
+      return held / memory + far;
+    });
+  }
+
+  /**
+   * Whether the decode replica reads the prompt itself: only when the prefill
+   * replicas are behind and it runs few others, for it slows them.
+   */
+  #wholeAt(one: Waiting, decode: ReplicaEntry, now: Milliseconds): boolean {
+    const memory = Math.max(1, this.#view.memoryOf(one.ask.service));
+    const held = this.#ledger.memoryAt(decode.incarnation) / memory;
+    return held < WHOLE_BELOW && one.dueAt - now < WHOLE_SLACK_MS;
+  }
+
+  /** The prefill replica that is free first, rather in the decode's hall. */
+  #prefillFor(
+    prefills: readonly ReplicaEntry[],
+    decode: ReplicaEntry,
+  ): ReplicaEntry {
+    const cost = (replica: ReplicaEntry) => {
+      const far = replica.hall === decode.hall ? 0 : FAR_PREFILL_MS;
+      return this.#ledger.queueMs(replica.incarnation) + far;
+    };
+    return least(prefills, cost) ?? decode;
+  }
+
+  #grant(
+    one: Waiting,
+    places: {
+      readonly decode: ReplicaEntry;
+      readonly prefill?: ReplicaEntry;
+    },
+    now: Milliseconds,
+  ): PlanGrant {
+    const { id, tokens, promptTokens } = one.ask;
+    const decode = places.decode.incarnation;
+    const prefill = places.prefill?.incarnation;
+    this.#ledger.add({
+      id,
+      from: one.from,
+      decode,
+      tokens,
+      prefill,
+      promptTokens,
+      tokensAhead: prefill === undefined ? 0 : this.#ledger.promptsAt(prefill),
+      until: now + PLACE_LIFE_MS,
+    });
+    const base = { type: "grant" as const, id, decode };
+    return prefill === undefined ? base : { ...base, prefill };
+  }
+}
+
+/** Share of its memory up to which a decode replica reads prompts. */
+const WHOLE_BELOW = 0.6;
+/** A request with less time left than this need not wait for a prefill. */
+const WHOLE_SLACK_MS = 700;
+
+/** What a prefill in another hall than its decode counts as. */
+const FAR_PREFILL_MS = 15;
+
+/** Those that can still be on time by their due time, then the others. */
+export function inOrder<
+  One extends { readonly dueAt: Milliseconds },
+>(waits: readonly One[], now: Milliseconds): One[] {
+  const late = (one: One) => now + FIRST_EVENT_MS > one.dueAt ? 1 : 0;
+  return [...waits].sort((a, b) => late(a) - late(b) || a.dueAt - b.dueAt);
+}
+
+function least<One>(
+  all: readonly One[],
+  value: (one: One) => number,
+): One | undefined {
+  let best: One | undefined;
+  let bestValue = Infinity;
+  for (const one of all) {
+    const its = value(one);
+    if (its >= bestValue) continue;
+    best = one;
+    bestValue = its;
+  }
+  return best;
+}
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -46,6 +46,11 @@
     return { added, removed, leaving };
   }
 
+  /** The replica of that incarnation, while it is listed. */
+  get(incarnation: string): Replica | undefined {
+    return this.#byIncarnation.get(incarnation);
+  }
+
   /** Whether new work may go to the replica. */
   open(replica: Replica): boolean {
     const { incarnation } = replica.entry;
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -2,9 +2,12 @@
  * Places for requests of model engines: memory at a decode replica first,
  * then the prefill, so that no prompt is read without room for its answer.
  */
+import type { Milliseconds } from "../../core/ids.ts";
+import { sleep } from "../clock.ts";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
+import type { Places } from "../planning/places.ts";
 import { CallMode } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Engine } from "../routing/model.ts";
@@ -12,18 +15,25 @@
 import type { Placement, Placer } from "./placement.ts";
 import { type Export, Prefills } from "./prefill.ts";
 import type { GatewayRequest } from "./request.ts";
-import type { Reservation, Reservations } from "./reservations.ts";
+import {
+  dropReservation,
+  type Reservation,
+  takeReservation,
+} from "./reservations.ts";
 
 /** Time from a reservation to the first event, used for when to give up. */
 const SERVICE_MS = 400;
 /** A reservation that ends sooner than this is not used. */
 const EXPIRY_MARGIN_MS = 100;
+/** Pause before the planner is asked again after it named a replica that is
+ * not open here. */
+const LISTING_PAUSE_MS = 100;
 
 /** What a placement is made from. */
 export type EngineSource = {
   readonly context: GatewayContext;
   readonly request: GatewayRequest;
-  readonly reservations: Reservations;
+  readonly places: Places;
   readonly engine: Engine;
 };
 
@@ -32,9 +42,11 @@
   readonly #source: EngineSource;
   readonly #prefills: Prefills;
   #cancelWait: () => void = () => undefined;
+  /** Names the place at its planner; another for each try. */
+  #placeId: string | undefined;
+  #ended = false;
   #reservation: Reservation | undefined;
   #export: Export | undefined;
-  #place: Replica | undefined;
 
   constructor(source: EngineSource) {
     this.#source = source;
@@ -46,48 +58,104 @@
   ): Promise<Placement | GatewayError> {
     const { clock, metrics } = this.#source.context;
     const startedAt = clock.now();
-    const reservation = await this.#reserve(excluded);
-    if (typeof reservation === "string") return reservation;
-    metrics.time(Timing.memoryWait, clock.now() - startedAt);
-    this.#reservation = reservation;
-    this.#place = reservation.replica;
-    this.#export = await this.#prefills.run(reservation.replica.entry.hall);
-    const late = clock.now() > reservation.expiresAt - EXPIRY_MARGIN_MS;
-    if (late) {
+    for (;;) {
+      const found = await this.#find(excluded);
+      if (typeof found === "string") return found;
+      const reservation = await this.#reserve(found.replica);
+      if (!reservation) continue;
+      const waitMs = clock.now() - startedAt;
+      metrics.time(Timing.memoryWait, waitMs);
+      const prefillMs = await this.#prefill(reservation, found.prefill);
+      const late = clock.now() > reservation.expiresAt - EXPIRY_MARGIN_MS;
+      if (!late) return this.#placement(reservation, { waitMs, prefillMs });
       this.release();
-      return GatewayError.noMemory;
     }
-    return this.#placement(reservation);
   }
 
-  async #reserve(
+  /** A place from the planner; GatewayError when there is none in time. */
+  async #find(
     excluded: ReadonlySet<string>,
-  ): Promise<Reservation | GatewayError> {
-    const { context, request, reservations, engine } = this.#source;
-    const { receivedAt, route, limitAt, service } = request;
+  ): Promise<{ replica: Replica; prefill?: Replica } | GatewayError> {
+    const { context, request, places, engine } = this.#source;
+    const { receivedAt, route, limitAt, service, facts } = request;
     const patience = context.tuning.firstEventPatienceMs;
-    const wait = reservations.reserve({
-      request: request.facts.id ?? "",
+    const id = nextPlaceId(context);
+    const wait = places.find({
+      id,
       service,
-      tokens: reservedTokens(request.facts, engine),
+      tokens: reservedTokens(facts, engine),
+      promptTokens: facts.promptTokens,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, receivedAt + patience) - SERVICE_MS,
       excluded,
     });
     this.#cancelWait = wait.cancel;
-    const result = await wait.result;
-    if (typeof result !== "string") return result;
-    if (result === "no-replica") return GatewayError.noReplica;
-    return GatewayError.noMemory;
+    const place = await wait.result;
+    if (place === "no-replica") return GatewayError.noReplica;
+    if (typeof place === "string") return GatewayError.noMemory;
+    this.#placeId = id;
+    const replica = context.replicas.get(place.decode);
+    const prefill = place.prefill === undefined
+      ? undefined
+      : context.replicas.get(place.prefill);
+    if (replica && context.replicas.open(replica)) {
+      return prefill ? { replica, prefill } : { replica };
+    }
+    // The planner knows of another listing than this host.
+    this.#refusedPlace();
+    await sleep(context.clock, LISTING_PAUSE_MS);
+    return this.#find(excluded);
+  }
+
+  async #reserve(replica: Replica): Promise<Reservation | undefined> {
+    const { context, request, engine } = this.#source;
+    const reservation = await takeReservation(context, replica, {
+      tokens: reservedTokens(request.facts, engine),
+      mostMs: engine.reservationMs,
+    });
+    if (!reservation) {
+      this.#refusedPlace();
+      return undefined;
+    }
+    if (this.#ended) dropReservation(context, reservation);
+    else this.#reservation = reservation;
+    return reservation;
   }
 
-  #placement(reservation: Reservation): Placement {
+  async #prefill(
+    reservation: Reservation,
+    prefill: Replica | undefined,
+  ): Promise<Milliseconds> {
+    if (!prefill) return 0;
+    const { context, places } = this.#source;
+    const startedAt = context.clock.now();
+    const { hall } = reservation.replica.entry;
+    this.#export = await this.#prefills.run(prefill, hall);
+    const spentMs: Milliseconds = context.clock.now() - startedAt;
+    if (this.#placeId === undefined) return spentMs;
+    // Only a prefill where it was planned says how fast that replica is.
+    const asPlanned = this.#export?.replica === prefill;
+    places.prefilled(this.#placeId, asPlanned ? spentMs : undefined);
+    return spentMs;
+  }
+
+  #refusedPlace(): void {
+    if (this.#placeId !== undefined) this.#source.places.refused(this.#placeId);
+    this.#placeId = undefined;
+  }
+
+  #placement(
+    reservation: Reservation,
+    times: { readonly waitMs: Milliseconds; readonly prefillMs: Milliseconds },
+  ): Placement {
     const { replica, id, tokens } = reservation;
     const made = this.#export;
     const address = made?.replica.entry.address ?? "";
     return {
       replica,
       tokens,
+      waitMs: Math.round(times.waitMs),
+      prefillMs: Math.round(times.prefillMs),
       ...(made ? { export: made } : {}),
       head: {
         mode: CallMode.whole,
@@ -99,7 +167,8 @@
   }
 
   release(): void {
-    if (this.#reservation) this.#source.reservations.drop(this.#reservation);
+    const { context } = this.#source;
+    if (this.#reservation) dropReservation(context, this.#reservation);
     if (this.#export) this.#prefills.drop(this.#export);
     this.taken();
     this.used();
@@ -111,16 +180,22 @@
   }
 
   used(): void {
-    const replica = this.#place;
-    this.#place = undefined;
-    if (!replica) return;
-    replica.noteRoom();
-    this.#source.reservations.look();
+    if (this.#placeId !== undefined) this.#source.places.ended(this.#placeId);
+    this.#placeId = undefined;
   }
 
   end(): void {
+    this.#ended = true;
     this.#cancelWait();
     this.#prefills.end();
     this.release();
   }
 }
+
+let placeCount = 0;
+
+/** A name that no other host and no other run of this one gives. */
+function nextPlaceId(context: GatewayContext): string {
+  placeCount += 1;
+  return `${context.self.id}/${context.self.run}/${placeCount}`;
+}
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -6,6 +6,7 @@
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
+import type { Places } from "../planning/places.ts";
 import { repeatable, RouteKind } from "../routing/model.ts";
 import { EnginePlacement } from "./engine_placement.ts";
 import { PlainPlacement } from "./plain_placement.ts";
@@ -18,7 +19,6 @@
   relayHeld,
 } from "./relay.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
-import type { Reservations } from "./reservations.ts";
 import type { Answer } from "../upstreams/call.ts";
 import { type Sending, sendRequest, type SendResult } from "./sender.ts";
 
@@ -28,7 +28,7 @@
 /** What an exchange is made from. */
 export type ExchangeSource = {
   readonly context: GatewayContext;
-  readonly reservations: Reservations;
+  readonly places: Places;
   readonly request: GatewayRequest;
   readonly reply: Reply;
   readonly onEnd: () => void;
@@ -56,14 +56,14 @@
   #ended = false;
 
   constructor(source: ExchangeSource) {
-    const { context, request, reservations } = source;
+    const { context, request, places } = source;
     this.#context = context;
     this.#request = request;
     this.#reply = source.reply;
     this.#onEnd = source.onEnd;
     const engine = context.routes.service(request.service)?.engine;
     this.#placer = engine
-      ? new EnginePlacement({ context, request, reservations, engine })
+      ? new EnginePlacement({ context, request, places, engine })
       : new PlainPlacement(context, request);
     const left = request.limitAt - context.clock.now();
     this.#cancelLimit = context.clock.after(left, () => this.#atLimit());
@@ -118,6 +118,8 @@
       prefill: placed.export?.replica.entry.incarnation,
       tokens: placed.tokens,
       prompt: this.#request.facts.promptTokens,
+      wait_ms: placed.waitMs,
+      prefill_ms: placed.prefillMs,
       output_limit: this.#request.facts.outputLimit,
       output_hint: this.#request.facts.outputHint,
       send: this.#sends,
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -1,4 +1,5 @@
 /** Where one send of a request goes. */
+import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayError } from "../answers.ts";
 import type { CallHead } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
@@ -10,6 +11,9 @@
   /** Memory that it takes there, in tokens; 0 at a plain service. */
   readonly tokens: number;
   readonly export?: Export;
+  /** Time that was waited for memory, and that the prefill took. */
+  readonly waitMs?: Milliseconds;
+  readonly prefillMs?: Milliseconds;
   readonly head: CallHead;
 };
 
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -41,10 +41,10 @@
     this.#sending?.abort("The request ended");
   }
 
-  /** Reads the prompt; undefined when no prefill replica did. */
-  async run(hall: string): Promise<Export | undefined> {
+  /** Reads the prompt, first at `planned`; undefined when none did. */
+  async run(planned: Replica, hall: string): Promise<Export | undefined> {
     for (let tries = 0; tries < MOST_TRIES; tries++) {
-      const replica = this.#choose(hall);
+      const replica = tries === 0 ? planned : this.#choose(hall);
       if (!replica || this.#ended) return undefined;
       if (this.#calls > 0 && !this.#affordable()) return undefined;
       const made = await this.#runAt(replica);
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -37,7 +37,7 @@
 const Tuning = z.strictObject({
   connect_timeout: duration("400ms"),
   reserve_timeout: duration("250ms"),
-  prefill_timeout: duration("800ms"),
+  prefill_timeout: duration("1s"),
   retry_after_objectives: z.number().positive().default(2),
   stall: duration("1500ms"),
   first_event_patience: duration("3400ms"),
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -12,7 +12,8 @@
 } from "../../src/gateway/mod.ts";
 import { Metrics } from "../../src/gateway/observe/metrics.ts";
 import { ReplicaTable } from "../../src/gateway/replicas/replica_table.ts";
-import { Reservations } from "../../src/gateway/requests/reservations.ts";
+import { Places } from "../../src/gateway/planning/places.ts";
+import { PlanService } from "../../src/gateway/planning/plan_service.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
@@ -100,7 +101,10 @@
     revision: 1,
     entries: replicas.map((one, at) => entryOf(one, source, at)),
   });
-  const callers = new CallerServer(context, new Reservations(context));
+  const callers = new CallerServer(
+    context,
+    new Places(context, new PlanService(context), () => []),
+  );
   const port = await new Promise<number>((resolve) => {
     callers.server.listen(0, "127.0.0.1", () => {
       const bound = callers.server.address();
@@ -160,7 +164,7 @@
   });
   const rule = { windowMs: AMPLE_MS, ratio: 0, extra: 10 };
   return {
-    self: { id: "host", hall: "hall" },
+    self: { id: "host", hall: "hall", run: "1" },
     clock: systemClock,
     random: () => 0,
     dialect: testDialect,
