--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -103,6 +103,8 @@
       guardMs: settings.stages.guard,
       prefillShare: settings.stages.prefill_share,
       storeAgeMs: (now) => this.#synchronizer.storeAgeMs(now),
+      plannerOf: (service) => this.#places.plannerOf(service),
+      changing: this.#plans.changing,
     });
   }
 
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -66,18 +66,22 @@
     addTo(this.#prompts, entry.prefill, entry.promptTokens);
   }
 
-  /** The request's prefill is done; learns the replica's times. */
-  prefilled(id: string, spentMs: Milliseconds | undefined): void {
+  /**
+   * The request's prefill is over; learns the replica's times from one that
+   * went well. Gives the replica.
+   */
+  prefilled(id: string, spentMs: Milliseconds | undefined): string | undefined {
     const entry = this.#entries.get(id);
     const replica = entry?.prefill;
-    if (!entry || replica === undefined) return;
+    if (!entry || replica === undefined) return undefined;
     entry.prefill = undefined;
     addTo(this.#prompts, replica, -entry.promptTokens);
     // A prefill that waited for others tells nothing of its own time.
-    if (spentMs === undefined || entry.tokensAhead > 0) return;
+    if (spentMs === undefined || entry.tokensAhead > 0) return replica;
     const fit = this.#fits.get(replica) ?? emptyFit();
     this.#fits.set(replica, fit);
     addSample(fit, { x: entry.promptTokens, y: spentMs }, FIT_MEMORY);
+    return replica;
   }
 
   /** Gives a place back. */
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -5,8 +5,12 @@
 export const PlaceStage = {
   /** Its prompt has been read. */
   prefilled: "prefilled",
+  /** Its prompt could not be read where that was planned. */
+  prefillFailed: "prefill-failed",
   /** The decode replica had no memory for it. */
   refused: "refused",
+  /** The decode replica did not take it for another reason. */
+  failed: "failed",
   /** It holds nothing any more. */
   ended: "ended",
 } as const;
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -93,17 +93,25 @@
     return { result, cancel: () => this.#cancel(wish.id) };
   }
 
-  /** The request's prompt was read, at the planned replica in `spentMs`. */
-  prefilled(id: string, spentMs: Milliseconds | undefined): void {
+  /** The request's prompt was read at the planned replica in `spentMs`. */
+  prefilled(id: string, spentMs: Milliseconds): void {
     const held = this.#held.get(id);
     if (!held) return;
     const stage = PlaceStage.prefilled;
-    this.#send(held.planner, {
-      type: "progress",
-      id,
-      stage,
-      ...(spentMs === undefined ? {} : { spentMs }),
-    });
+    this.#send(held.planner, { type: "progress", id, stage, spentMs });
+  }
+
+  /** The planned replica did not read the prompt. */
+  prefillFailed(id: string): void {
+    const held = this.#held.get(id);
+    if (!held) return;
+    const stage = PlaceStage.prefillFailed;
+    this.#send(held.planner, { type: "progress", id, stage });
+  }
+
+  /** The decode replica did not take the request. */
+  failed(id: string): void {
+    this.#giveBack(id, PlaceStage.failed);
   }
 
   /** The place was of no use: its replica had no memory. */
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -19,16 +19,21 @@
   readonly #planner: Planner;
   readonly #hosts = new Map<string, (message: PlannerMessage) => void>();
   #passing = false;
+  /** Replicas that were ordered to change their stage: they take no work. */
+  readonly changing = new Set<string>();
 
   constructor(context: GatewayContext) {
     this.#context = context;
     this.#planner = new Planner({
       replicasOf: (service) =>
-        context.replicas.openOf(service).map((one) => one.entry),
+        context.replicas.openOf(service).map((one) => one.entry)
+          .filter((one) => !this.changing.has(one.incarnation)),
       memoryOf: (service) =>
         context.routes.service(service)?.engine?.cacheTokens ?? 0,
       isPaused: (incarnation) =>
         context.replicas.get(incarnation)?.paused(context.clock.now()) ?? false,
+      noteFailure: (incarnation, now) =>
+        context.replicas.get(incarnation)?.noteFailure(now, true),
       farCharge: context.tuning.farCharge,
     });
   }
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -38,6 +38,8 @@
   memoryOf(service: string): number;
   /** A replica that fails is given nothing. */
   isPaused(incarnation: string): boolean;
+  /** A host had no use of a replica that it was sent to. */
+  noteFailure(incarnation: string, now: Milliseconds): void;
   /** What another hall counts as, as a share of a replica's memory. */
   readonly farCharge: number;
 };
@@ -96,13 +98,28 @@
   /** Takes word of a placed request. */
   progress(word: PlanProgress, now: Milliseconds): void {
     const { id, stage, spentMs } = word;
-    if (stage === PlaceStage.prefilled) {
-      return this.#ledger.prefilled(id, spentMs);
+    switch (stage) {
+      case PlaceStage.prefilled:
+        this.#ledger.prefilled(id, spentMs);
+        return;
+      case PlaceStage.prefillFailed: {
+        const prefill = this.#ledger.prefilled(id, undefined);
+        if (prefill !== undefined) this.#view.noteFailure(prefill, now);
+        return;
+      }
+      default:
+        this.#takeBack(id, stage, now);
     }
+  }
+
+  #takeBack(id: string, stage: PlaceStage, now: Milliseconds): void {
     this.#waiting.delete(id);
-    const entry = this.#ledger.remove(id);
-    if (stage !== PlaceStage.refused || !entry) return;
-    this.#fullUntil.set(entry.decode, now + FULL_MS);
+    const decode = this.#ledger.remove(id)?.decode;
+    if (decode === undefined) return;
+    if (stage === PlaceStage.refused) {
+      this.#fullUntil.set(decode, now + FULL_MS);
+    }
+    if (stage === PlaceStage.failed) this.#view.noteFailure(decode, now);
   }
 
   /** A host went out of touch. */
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -133,9 +133,9 @@
     this.#export = await this.#prefills.run(prefill, hall);
     const spentMs: Milliseconds = context.clock.now() - startedAt;
     if (this.#placeId === undefined) return spentMs;
-    // Only a prefill where it was planned says how fast that replica is.
     const asPlanned = this.#export?.replica === prefill;
-    places.prefilled(this.#placeId, asPlanned ? spentMs : undefined);
+    if (asPlanned) places.prefilled(this.#placeId, spentMs);
+    else places.prefillFailed(this.#placeId);
     return spentMs;
   }
 
@@ -174,6 +174,12 @@
     this.used();
   }
 
+  failed(): void {
+    if (this.#placeId !== undefined) this.#source.places.failed(this.#placeId);
+    this.#placeId = undefined;
+    this.release();
+  }
+
   taken(): void {
     this.#reservation = undefined;
     this.#export = undefined;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -107,7 +107,7 @@
     const { clock, tuning, metrics } = this.#context;
     const { route, limitAt } = this.#request;
     const lastRun = this.#runs + 1 >= route.attempts;
-    const patient = !repeatable(route) || lastRun;
+    const patient = !repeatable(route) || lastRun || !this.#hasOther(placed);
     const timeoutMs = route.objectiveMs * tuning.retryAfterObjectives;
     this.#sends += 1;
     this.#runs += 1;
@@ -141,6 +141,16 @@
     return result;
   }
 
+  /** Whether another replica could take the request in its stead. */
+  #hasOther(placed: Placement): boolean {
+    const { replicas } = this.#context;
+    const { stage, incarnation } = placed.replica.entry;
+    return replicas.openOf(this.#request.service).some(({ entry }) =>
+      entry.stage === stage && entry.incarnation !== incarnation &&
+      !this.#excluded.has(entry.incarnation)
+    );
+  }
+
   #discard(placed: Placement, result: SendResult): void {
     if (result.type !== "answer") return;
     result.answer.message.destroy();
@@ -151,7 +161,7 @@
     placed: Placement,
     result: Exclude<SendResult, { type: "answer" }>,
   ): void {
-    this.#placer.release();
+    this.#placer.failed();
     const notRun = result.type === "notRun";
     if (notRun) this.#runs -= 1;
     this.#mayHaveRun = this.#runs > 0;
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -23,6 +23,8 @@
   place(excluded: ReadonlySet<string>): Promise<Placement | GatewayError>;
   /** The last place was not used: what is held there is let go. */
   release(): void;
+  /** The replica of the last place did not serve. */
+  failed(): void;
   /** The replica of the last place took what was held for it. */
   taken(): void;
   /** The last place is free again. */
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -39,6 +39,8 @@
 
   release(): void {}
 
+  failed(): void {}
+
   taken(): void {}
 
   used(): void {}
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps each service's share of prefill replicas. Any host may act: one that
- * sees a change wanted for a while takes the lease, asks the replica how it
- * is, and orders the change once.
+ * Keeps each service's share of prefill replicas. The host that plans a
+ * service acts: when a change is wanted for a while, it takes the lease, asks
+ * the replica how it is, and orders the change once. It plans nothing for the
+ * replica until the listing shows the change.
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import { sleep } from "../clock.ts";
@@ -21,6 +22,8 @@
 const CALL_TIMEOUT_MS = 600;
 /** An order without an answer may be carried out so much later. */
 const LATE_ORDER_MS = 13_000;
+/** A replica under a change finishes what it runs, at most about so long. */
+const DRAIN_MS = 5000;
 /** Pause after a try that ordered nothing. */
 const FAILED_REST_MS = 3000;
 /** A listing older than this decides nothing. */
@@ -36,6 +39,10 @@
   /** Share of a service's engines that read prompts. */
   readonly prefillShare: number;
   storeAgeMs(now: Milliseconds): Milliseconds;
+  /** The host that plans a service, as this host sees it. */
+  plannerOf(service: string): string;
+  /** Replicas under a change, kept from new work. */
+  readonly changing: Set<string>;
 };
 
 /** Runs for as long as the process lives. */
@@ -48,6 +55,7 @@
     if (source.storeAgeMs(context.clock.now()) > LISTING_AGE_MS) continue;
     for (const service of context.routes.config?.services ?? []) {
       if (!service.engine) continue;
+      if (source.plannerOf(service.name) !== context.self.id) continue;
       const own = patience.get(service.name) ?? new ChangePatience(
         PATIENCE_MS + context.random() * PATIENCE_SPREAD_MS,
       );
@@ -66,32 +74,46 @@
   const { clock } = context;
   const change = wantedChange(entriesOf(context, service), prefillShare);
   if (!patience.ripe(change !== undefined, clock.now()) || !change) return;
-  const rest = await act(source, service, change);
-  patience.rest(clock.now() + rest);
+  const { incarnation } = change.replica;
+  source.changing.add(incarnation);
+  const { taken, restMs } = await act(source, service, change);
+  patience.rest(clock.now() + restMs);
+  if (!taken) source.changing.delete(incarnation);
+  else clock.after(restMs, () => source.changing.delete(incarnation));
 }
 
 function entriesOf(context: GatewayContext, service: Service): ReplicaEntry[] {
   return context.replicas.openOf(service.name).map((one) => one.entry);
 }
 
-/** Tries to order the change; gives the time to wait before the next. */
+/** How a try to order a change went. */
+type Try = {
+  /** The change is under way, or may be. */
+  readonly taken: boolean;
+  /** Time to wait before the next. */
+  readonly restMs: Milliseconds;
+};
+
+const FAILED_TRY: Try = { taken: false, restMs: FAILED_REST_MS };
+
+/** Tries to order the change. */
 async function act(
   source: StageLoopSource,
   service: Service,
   change: StageChange,
-): Promise<Milliseconds> {
+): Promise<Try> {
   const { context, store, holder, guardMs } = source;
   const { clock } = context;
   const lease = await within(clock, STORE_TIMEOUT_MS, (signal) =>
     takeLease({ store, clock, holder, guardMs }, service.name, signal));
-  if (!lease) return FAILED_REST_MS + context.random() * FAILED_REST_MS;
+  if (!lease) return FAILED_TRY;
   const { dialect, pool } = context;
   const place = change.replica;
   const told = await pool.small(place, dialect.report, CALL_TIMEOUT_MS);
   const report = told && dialect.readReport(told.body);
-  if (!report || report.changing) return FAILED_REST_MS;
-  if (report.stage === change.stage) return FAILED_REST_MS;
-  if (clock.now() >= lease.until) return FAILED_REST_MS;
+  if (!report || report.changing) return FAILED_TRY;
+  if (report.stage === change.stage) return FAILED_TRY;
+  if (clock.now() >= lease.until) return FAILED_TRY;
   const outcome = await order(source, change, {
     lease,
     ifOrders: report.orders,
@@ -103,10 +125,12 @@
     fence: lease.fence,
     outcome: outcome ?? "unknown",
   });
+  const switchMs = service.engine?.switchMs ?? 0;
   if (outcome === OrderOutcome.taken) {
-    return LATE_ORDER_MS + (service.engine?.switchMs ?? 0);
+    return { taken: true, restMs: switchMs + DRAIN_MS };
   }
-  return outcome === undefined ? LATE_ORDER_MS : FAILED_REST_MS;
+  if (outcome !== undefined) return FAILED_TRY;
+  return { taken: true, restMs: LATE_ORDER_MS + switchMs };
 }
 
 async function order(
