Prefill fit anchored by two points; hosts find each other sooner

Two hosts planned at once until the second look at the host rows (20 s); rows are now read at 0, 1.5, 4.5 s.

--- a/src/gateway/http/headers.ts
+++ b/src/gateway/http/headers.ts
@@ -30,9 +30,12 @@
 /** Headers that go from end to end; the body's length is told anew. */
 export function requestHeaders(raw: readonly string[]): string[] {
   const named = namedByConnection(raw);
-  return withoutHeaders(raw, (name) =>
-    CONNECTION_HEADERS.has(name) || named.has(name) ||
-    name === "content-length" || name === "expect");
+  return withoutHeaders(
+    raw,
+    (name) =>
+      CONNECTION_HEADERS.has(name) || named.has(name) ||
+      name === "content-length" || name === "expect",
+  );
 }
 
 /** Headers of an answer; its length stays unless it came in chunks. */
@@ -41,9 +44,12 @@
   const chunked = raw.some((one, at) =>
     at % 2 === 0 && one.toLowerCase() === "transfer-encoding"
   );
-  return withoutHeaders(raw, (name) =>
-    CONNECTION_HEADERS.has(name) || named.has(name) ||
-    (chunked && name === "content-length"));
+  return withoutHeaders(
+    raw,
+    (name) =>
+      CONNECTION_HEADERS.has(name) || named.has(name) ||
+      (chunked && name === "content-length"),
+  );
 }
 
 function namedByConnection(raw: readonly string[]): Set<string> {
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -2,7 +2,7 @@
 export * from "./port.ts";
 export * from "./routing/model.ts";
 export * from "./replicas/model.ts";
-export { startGateway, type RunningGateway } from "./gateway.ts";
+export { type RunningGateway, startGateway } from "./gateway.ts";
 export { withoutHeaders } from "./http/headers.ts";
 export { createJsonClient, type JsonClient } from "./upstreams/json_client.ts";
 export { systemClock } from "./clock.ts";
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -15,6 +15,8 @@
 const ASK_TIMEOUT_MS = 350;
 /** Times of this host's own row and of the list of hosts. */
 const ROW_MS = 20_000;
+/** At the start all hosts come up together: they look more often. */
+const FIRST_ROWS_MS = [1500, 3000];
 const ROW_FAILED_MS = 2000;
 const STORE_TIMEOUT_MS = 1500;
 
@@ -36,6 +38,7 @@
 /** Writes this host's row now and then, and reads the others'. */
 async function keepRow(source: PeerLoopSource): Promise<void> {
   const { context: { clock }, store, self, directory } = source;
+  const pauses = [...FIRST_ROWS_MS];
   for (;;) {
     const hosts = await within(
       clock,
@@ -43,7 +46,7 @@
       (signal) => exchangeRows(store, self, signal),
     );
     if (hosts) directory.learn(hosts, clock.now());
-    await sleep(clock, hosts ? ROW_MS : ROW_FAILED_MS);
+    await sleep(clock, hosts ? pauses.shift() ?? ROW_MS : ROW_FAILED_MS);
   }
 }
 
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -5,7 +5,11 @@
 import type { PlanService } from "../planning/plan_service.ts";
 import type { HostEntry } from "../port.ts";
 import type { HostDirectory } from "./directory.ts";
-import { type PeerQuestion, type PeerState, readQuestion } from "./peer_state.ts";
+import {
+  type PeerQuestion,
+  type PeerState,
+  readQuestion,
+} from "./peer_state.ts";
 
 /** What the peers' server tells from. */
 export type PeerServerSource = {
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -8,8 +8,13 @@
   type LineFit,
 } from "../../core/util/line_fit.ts";
 
-/** Time of a prefill before any was timed: a base and a part a token. */
-const FIRST_LINE: Line = { base: 50, slope: 0.04 };
+/**
+ * Prefills as they may be before any was timed: two points, so that a few
+ * samples close together can't tilt the line.
+ */
+const FIRST_SAMPLES = [{ x: 500, y: 75 }, { x: 6000, y: 290 }];
+/** How often each of them counts. */
+const FIRST_WEIGHT = 3;
 /** Part of the old samples that stays in the fit of prefill times. */
 const FIT_MEMORY = 0.95;
 
@@ -53,8 +58,7 @@
 
   /** Time of a prefill at an idle replica, over its prompt's tokens. */
   lineOf(replica: string): Line {
-    const fit = this.#fits.get(replica);
-    return (fit && fittedLine(fit)) ?? FIRST_LINE;
+    return fittedLine(this.#fitOf(replica)) ?? { base: 0, slope: 1 };
   }
 
   /** Enters a place, in the stead of an earlier one of the same request. */
@@ -78,12 +82,22 @@
     addTo(this.#prompts, replica, -entry.promptTokens);
     // A prefill that waited for others tells nothing of its own time.
     if (spentMs === undefined || entry.tokensAhead > 0) return replica;
-    const fit = this.#fits.get(replica) ?? emptyFit();
-    this.#fits.set(replica, fit);
-    addSample(fit, { x: entry.promptTokens, y: spentMs }, FIT_MEMORY);
+    const sample = { x: entry.promptTokens, y: spentMs };
+    addSample(this.#fitOf(replica), sample, FIT_MEMORY);
     return replica;
   }
 
+  #fitOf(replica: string): LineFit {
+    const known = this.#fits.get(replica);
+    if (known) return known;
+    const fit = emptyFit();
+    for (let count = 0; count < FIRST_WEIGHT; count++) {
+      for (const sample of FIRST_SAMPLES) addSample(fit, sample, 1);
+    }
+    this.#fits.set(replica, fit);
+    return fit;
+  }
+
   /** Gives a place back. */
   remove(id: string): LedgerEntry | undefined {
     const entry = this.#entries.get(id);
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -76,8 +76,10 @@
     this.#context = context;
     this.#own = own;
     this.#hosts = hosts;
-    own.attach(context.self.id, (message) =>
-      this.#take(context.self.id, message));
+    own.attach(
+      context.self.id,
+      (message) => this.#take(context.self.id, message),
+    );
   }
 
   /** Waits for a place; `cancel` ends the wait. */
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -106,7 +106,9 @@
   }
 
   #pass(): void {
-    for (const { to, message } of this.#planner.pass(this.#context.clock.now())) {
+    for (
+      const { to, message } of this.#planner.pass(this.#context.clock.now())
+    ) {
       this.#hosts.get(to)?.(message);
     }
     if (this.#planner.waiting > 0) this.#passSoon(PASS_MS);
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -7,12 +7,12 @@
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import { Ledger } from "./ledger.ts";
 import {
+  PlaceStage,
   type PlanAsk,
   type PlanGrant,
   type PlanKeep,
   type PlannerMessage,
   type PlanProgress,
-  PlaceStage,
 } from "./messages.ts";
 
 /**
@@ -145,7 +145,9 @@
 
   #answer(one: Waiting, now: Milliseconds): PlannerMessage | undefined {
     const { id, service, excluded } = one.ask;
-    if (now >= one.giveUpAt) return { type: "refusal", id, reason: "no-memory" };
+    if (now >= one.giveUpAt) {
+      return { type: "refusal", id, reason: "no-memory" };
+    }
     const open = this.#view.replicasOf(service).filter((replica) =>
       !excluded.includes(replica.incarnation)
     );
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -233,7 +233,10 @@
     const head = () => {
       if (this.#headSent) return;
       this.#headSent = true;
-      this.#reply.head(answer.message.statusCode ?? 502, answer.message.rawHeaders);
+      this.#reply.head(
+        answer.message.statusCode ?? 502,
+        answer.message.rawHeaders,
+      );
     };
     if (route.kind !== RouteKind.streaming) {
       const held = await relayHeld(answer, this.#reply, head);
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -88,7 +88,9 @@
       timeoutMs: tuning.prefillTimeoutMs,
     });
     const result = await this.#sending.result;
-    const status = result.type === "answer" ? result.answer.message.statusCode : 0;
+    const status = result.type === "answer"
+      ? result.answer.message.statusCode
+      : 0;
     const body = result.type === "answer" && status === 200
       ? await readWhole(result.answer, BODY_LIMIT)
       : undefined;
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -104,8 +104,12 @@
 ): Promise<Try> {
   const { context, store, holder, guardMs } = source;
   const { clock } = context;
-  const lease = await within(clock, STORE_TIMEOUT_MS, (signal) =>
-    takeLease({ store, clock, holder, guardMs }, service.name, signal));
+  const lease = await within(
+    clock,
+    STORE_TIMEOUT_MS,
+    (signal) =>
+      takeLease({ store, clock, holder, guardMs }, service.name, signal),
+  );
   if (!lease) return FAILED_TRY;
   const { dialect, pool } = context;
   const place = change.replica;
--- a/test/gateway/requests/answers_test.ts
+++ b/test/gateway/requests/answers_test.ts
@@ -27,7 +27,9 @@
 
 test("an answer is passed on unchanged, without its connection's headers", async () => {
   const answer: RawAnswer = (request, socket) => {
-    socket.write(whole(request, "body", ["X-Seal: s", "Keep-Alive: timeout=9"]));
+    socket.write(
+      whole(request, "body", ["X-Seal: s", "Keep-Alive: timeout=9"]),
+    );
   };
   await withRig({ replicas: [{ answer }] }, async (rig) => {
     const seen = await rig.call();
@@ -122,7 +124,9 @@
 
 test("a request that a replica did not run is refused with a time", async () => {
   const refuse: RawAnswer = (_request, socket) => {
-    socket.write("HTTP/1.1 503 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+    socket.write(
+      "HTTP/1.1 503 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+    );
   };
   const route = { kind: RouteKind.unsafe, attempts: 1 };
   const budget = { ratio: 0, extra: 0 };
@@ -148,8 +152,10 @@
 test("a broken resumable stream goes on after its last whole event", async () => {
   const first: RawAnswer = (request, socket) => {
     const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
-    socket.write(chunkedHead(request) + chunk(events), () =>
-      setImmediate(() => socket.destroy()));
+    socket.write(
+      chunkedHead(request) + chunk(events),
+      () => setImmediate(() => socket.destroy()),
+    );
   };
   const second: RawAnswer = (request, socket) => {
     assert.equal(request.headers.get("last-event-id"), "2");
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -18,7 +18,11 @@
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
 import { testDialect } from "./dialect.ts";
-import { type RawAnswer, type RawReplica, startRawReplica } from "./raw_replica.ts";
+import {
+  type RawAnswer,
+  type RawReplica,
+  startRawReplica,
+} from "./raw_replica.ts";
 
 /** A long time: nothing in these tests may depend on its length. */
 const AMPLE_MS = 20_000;
