--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -7,21 +7,14 @@
 const LONGEST_PAUSE_MS = 5000;
 /** Failures in a row before a replica is passed over. */
 const FAILURES_TO_PAUSE = 2;
-/** First pause after a replica had no memory; doubles up to the longest. */
-const FULL_MS = 40;
-const LONGEST_FULL_MS = 160;
 
 /** One replica with this host's own use of it. */
 export class Replica {
   entry: ReplicaEntry;
   /** Calls of this host that it has not ended. */
   calls = 0;
-  /** Tokens that this host's requests there hold or wait for. */
-  tokens = 0;
   #failures = 0;
   #pausedUntil: Milliseconds = 0;
-  #refusals = 0;
-  #fullUntil: Milliseconds = 0;
 
   constructor(entry: ReplicaEntry) {
     this.entry = entry;
@@ -32,11 +25,6 @@
     return now < this.#pausedUntil;
   }
 
-  /** Until when it is thought to have no memory. */
-  get fullUntil(): Milliseconds {
-    return this.#fullUntil;
-  }
-
   /** Failures since its last success. */
   get failures(): number {
     return this.#failures;
@@ -56,17 +44,4 @@
     const pause = Math.min(LONGEST_PAUSE_MS, PAUSE_MS * 2 ** doublings);
     this.#pausedUntil = now + pause;
   }
-
-  /** It had no memory for a reservation. */
-  noteFull(now: Milliseconds): void {
-    const pause = Math.min(LONGEST_FULL_MS, FULL_MS * 2 ** this.#refusals);
-    this.#refusals += 1;
-    this.#fullUntil = now + pause;
-  }
-
-  /** It gave a reservation, or a request of this host there has ended. */
-  noteRoom(): void {
-    this.#refusals = 0;
-    this.#fullUntil = 0;
-  }
 }
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -7,7 +7,8 @@
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
 import type { Places } from "../planning/places.ts";
-import { repeatable, RouteKind } from "../routing/model.ts";
+import { RouteKind } from "../routing/model.ts";
+import { Attempts } from "./attempts.ts";
 import { EnginePlacement } from "./engine_placement.ts";
 import { PlainPlacement } from "./plain_placement.ts";
 import type { Placement, Placer } from "./placement.ts";
@@ -22,9 +23,6 @@
 import type { Answer } from "../upstreams/call.ts";
 import { type Sending, sendRequest, type SendResult } from "./sender.ts";
 
-/** Sends of one request, those that did not run included. */
-const MOST_SENDS = 4;
-
 /** What an exchange is made from. */
 export type ExchangeSource = {
   readonly context: GatewayContext;
@@ -41,15 +39,10 @@
   readonly #reply: Reply;
   readonly #placer: Placer;
   readonly #onEnd: () => void;
-  readonly #excluded = new Set<string>();
+  readonly #attempts: Attempts;
   readonly #position: EventPosition = {};
   readonly #cancelLimit: () => void;
   #sending: Sending | undefined;
-  #sends = 0;
-  /** Replicas where it may have run. */
-  #runs = 0;
-  /** A send is out, or one may have run. */
-  #mayHaveRun = false;
   #headSent = false;
   /** The budget has already given the retry that follows. */
   #retryTaken = false;
@@ -61,6 +54,7 @@
     this.#request = request;
     this.#reply = source.reply;
     this.#onEnd = source.onEnd;
+    this.#attempts = new Attempts(context, request);
     const engine = context.routes.service(request.service)?.engine;
     this.#placer = engine
       ? new EnginePlacement({ context, request, places, engine })
@@ -85,48 +79,32 @@
   }
 
   async #round(): Promise<void> {
-    const placed = await this.#placer.place(this.#excluded);
+    const placed = await this.#placer.place(this.#attempts.excluded);
     if (this.#ended) return;
     if (typeof placed === "string") return this.#giveUp(placed);
-    if (!this.#mayStillSend()) {
+    if (!this.#attempts.inTime) {
       this.#placer.release();
       return this.#giveUp(GatewayError.outOfTimeNotRun);
     }
     const result = await this.#send(placed);
-    if (this.#ended) return this.#discard(placed, result);
+    if (this.#ended) {
+      if (result.type === "answer") result.answer.message.destroy();
+      return;
+    }
     if (result.type === "answer") {
       await this.#takeAnswer(placed, result.answer);
     } else this.#takeFailure(placed, result);
   }
 
-  #mayStillSend(): boolean {
-    return this.#context.clock.now() < this.#request.limitAt;
-  }
-
   async #send(placed: Placement): Promise<SendResult> {
     const { clock, tuning, metrics } = this.#context;
     const { route, limitAt } = this.#request;
-    const lastRun = this.#runs + 1 >= route.attempts;
-    const patient = !repeatable(route) || lastRun || !this.#hasOther(placed);
-    const timeoutMs = route.objectiveMs * tuning.retryAfterObjectives;
-    this.#sends += 1;
-    this.#runs += 1;
-    this.#mayHaveRun = true;
+    this.#attempts.begin();
     metrics.count("sends");
-    this.#note("placed", {
-      replica: placed.replica.entry.incarnation,
-      prefill: placed.export?.replica.entry.incarnation,
-      tokens: placed.tokens,
-      prompt: this.#request.facts.promptTokens,
-      wait_ms: placed.waitMs,
-      prefill_ms: placed.prefillMs,
-      output_limit: this.#request.facts.outputLimit,
-      output_hint: this.#request.facts.outputHint,
-      send: this.#sends,
-      listing: this.#context.replicas.revision,
-      routes: this.#context.routes.version,
-    });
-    placed.replica.tokens += placed.tokens;
+    this.#notePlaced(placed);
+    const patient = !this.#attempts.repeatable || this.#attempts.isLast ||
+      !this.#hasOther(placed);
+    const timeoutMs = route.objectiveMs * tuning.retryAfterObjectives;
     const lastEventId = this.#position.lastId;
     this.#sending = sendRequest(this.#context, this.#request, placed.replica, {
       head: {
@@ -136,9 +114,24 @@
       },
       ...(patient ? {} : { timeoutMs }),
     });
-    const result = await this.#sending.result;
-    if (result.type !== "answer") placed.replica.tokens -= placed.tokens;
-    return result;
+    return await this.#sending.result;
+  }
+
+  #notePlaced(placed: Placement): void {
+    const { facts } = this.#request;
+    this.#note("placed", {
+      replica: placed.replica.entry.incarnation,
+      prefill: placed.export?.replica.entry.incarnation,
+      tokens: placed.tokens,
+      prompt: facts.promptTokens,
+      wait_ms: placed.waitMs,
+      prefill_ms: placed.prefillMs,
+      output_limit: facts.outputLimit,
+      output_hint: facts.outputHint,
+      send: this.#attempts.sends,
+      listing: this.#context.replicas.revision,
+      routes: this.#context.routes.version,
+    });
   }
 
   /** Whether another replica could take the request in its stead. */
@@ -147,65 +140,37 @@
     const { stage, incarnation } = placed.replica.entry;
     return replicas.openOf(this.#request.service).some(({ entry }) =>
       entry.stage === stage && entry.incarnation !== incarnation &&
-      !this.#excluded.has(entry.incarnation)
+      !this.#attempts.excluded.has(entry.incarnation)
     );
   }
 
-  #discard(placed: Placement, result: SendResult): void {
-    if (result.type !== "answer") return;
-    result.answer.message.destroy();
-    placed.replica.tokens -= placed.tokens;
-  }
-
   #takeFailure(
     placed: Placement,
     result: Exclude<SendResult, { type: "answer" }>,
   ): void {
     this.#placer.failed();
     const notRun = result.type === "notRun";
-    if (notRun) this.#runs -= 1;
-    this.#mayHaveRun = this.#runs > 0;
-    this.#excluded.add(placed.replica.entry.incarnation);
-    const { route } = this.#request;
-    const allowed = notRun || repeatable(route);
-    if (allowed && this.#affordRetry(result.reason)) return;
-    if (notRun && !this.#mayHaveRun) {
-      return this.#giveUp(GatewayError.refusedByReplicas, result.reason);
-    }
-    this.#giveUp(GatewayError.outcomeUnknown, result.reason);
+    if (notRun) this.#attempts.didNotRun();
+    this.#attempts.exclude(placed.replica.entry.incarnation);
+    const allowed = notRun || this.#attempts.repeatable;
+    if (allowed && this.#attempts.takeRetry(result.reason)) return;
+    const error = notRun
+      ? GatewayError.refusedByReplicas
+      : GatewayError.outcomeUnknown;
+    this.#giveUp(error, result.reason);
   }
 
-  /** Whether the route, the time and the budget have another send. */
-  #affordRetry(reason: string): boolean {
-    const { clock, budget, events } = this.#context;
-    const { route, service } = this.#request;
-    if (this.#runs >= route.attempts || this.#sends >= MOST_SENDS) return false;
-    if (!this.#mayStillSend()) return false;
-    const hosts = this.#context.hostCount();
-    if (!budget.take(service, hosts, clock.now())) {
-      events.note("retryDenied", { request: this.#request.facts.id, hosts });
-      return false;
-    }
-    this.#context.metrics.count("retries");
-    this.#note("retried", { reason, runs: this.#runs });
-    return true;
-  }
-
-  async #takeAnswer(
-    placed: Placement,
-    answer: Answer,
-  ): Promise<void> {
+  async #takeAnswer(placed: Placement, answer: Answer): Promise<void> {
     this.#placer.taken();
     const status = answer.message.statusCode ?? 0;
     const failed = status >= 500 || (this.#headSent && status !== 200);
     if (failed && this.#retryAnswer(placed, answer)) return;
     if (failed && this.#headSent) {
-      this.#discard(placed, { type: "answer", answer });
+      answer.message.destroy();
       return this.#giveUp(GatewayError.outcomeUnknown, `Status ${status}`);
     }
     const startedAt = this.#context.clock.now();
     const relayed = await this.#relay(placed, answer, startedAt);
-    placed.replica.tokens -= placed.tokens;
     this.#placer.used();
     if (this.#ended) return;
     if (relayed === "whole") return this.#complete(status);
@@ -214,12 +179,12 @@
 
   /** A replica's own failure may be tried elsewhere before it is told. */
   #retryAnswer(placed: Placement, answer: Answer): boolean {
-    if (!repeatable(this.#request.route)) return false;
-    if (!this.#affordRetry(`Status ${answer.message.statusCode}`)) return false;
+    if (!this.#attempts.repeatable) return false;
+    const reason = `Status ${answer.message.statusCode}`;
+    if (!this.#attempts.takeRetry(reason)) return false;
     answer.message.resume();
-    placed.replica.tokens -= placed.tokens;
     this.#placer.used();
-    this.#excluded.add(placed.replica.entry.incarnation);
+    this.#attempts.exclude(placed.replica.entry.incarnation);
     return true;
   }
 
@@ -257,18 +222,19 @@
   /** A stalled stream is left only when its replica fails other calls too. */
   #moveOn(placed: Placement): boolean {
     if (!placed.replica.paused(this.#context.clock.now())) return false;
-    this.#retryTaken = this.#affordRetry("The stream stalled");
+    this.#retryTaken = this.#attempts.takeRetry("The stream stalled");
     return this.#retryTaken;
   }
 
   #takeCut(placed: Placement): void {
     const now = this.#context.clock.now();
     placed.replica.noteFailure(now, false);
-    this.#excluded.add(placed.replica.entry.incarnation);
-    const again = repeatable(this.#request.route);
-    const taken = this.#retryTaken;
+    this.#attempts.exclude(placed.replica.entry.incarnation);
+    const taken = this.#retryTaken ||
+      (this.#attempts.repeatable &&
+        this.#attempts.takeRetry("The answer was cut off"));
     this.#retryTaken = false;
-    if (taken || (again && this.#affordRetry("The answer was cut off"))) {
+    if (taken) {
       if (this.#headSent) this.#note("resumed", { ...this.#position });
       return;
     }
@@ -294,7 +260,7 @@
       this.#note("broken", { error: told, reason, spent_ms });
       this.#reply.breakOff();
     } else {
-      const name = this.#mayHaveRun ? "failed" : "refused";
+      const name = this.#attempts.mayHaveRun ? "failed" : "refused";
       this.#note(name, { error: told, reason, spent_ms });
       this.#reply.fail(told);
     }
@@ -303,13 +269,13 @@
 
   /** What may truthfully be told: no promise once it may have run. */
   #told(error: GatewayError): GatewayError {
-    if (!this.#mayHaveRun) return error;
+    if (!this.#attempts.mayHaveRun) return error;
     if (error === GatewayError.outOfTime) return error;
     return GatewayError.outcomeUnknown;
   }
 
   #atLimit(): void {
-    const error = this.#mayHaveRun
+    const error = this.#attempts.mayHaveRun
       ? GatewayError.outOfTime
       : GatewayError.outOfTimeNotRun;
     this.#giveUp(error, "The request's time is over");
--- a/src/programs/common/command.ts
+++ b/src/programs/common/command.ts
@@ -1,5 +1,5 @@
 /** What the command lines of all programs share. */
-import { readFileSync } from "node:fs";
+import { existsSync, readFileSync } from "node:fs";
 import { Command } from "commander";
 import type { z } from "zod";
 import { faultLine, loadSettings } from "../../settings/mod.ts";
@@ -15,12 +15,19 @@
   return command;
 }
 
+/** The version in the nearest package.json above this file, or bundle. */
 function version(): string {
-  const file = new URL("../../../../package.json", import.meta.url);
-  const { version: its } = JSON.parse(readFileSync(file, "utf8")) as {
-    version: string;
-  };
-  return its;
+  let folder = new URL(".", import.meta.url);
+  for (;;) {
+    const file = new URL("package.json", folder);
+    if (existsSync(file)) {
+      const text = readFileSync(file, "utf8");
+      return (JSON.parse(text) as { version: string }).version;
+    }
+    const above = new URL("..", folder);
+    if (above.href === folder.href) return "unknown";
+    folder = above;
+  }
 }
 
 /** Reads a settings file, or ends the program naming every fault. */
