--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,15 @@
 const CLOCKS = ["Date", "performance", "setTimeout", "setInterval"];
 
 export default tseslint.config(
-  { ignores: ["dist/**", "target/**", "node_modules/**", "src/messages/**", "*.js"] },
+  {
+    ignores: [
+      "dist/**",
+      "target/**",
+      "node_modules/**",
+      "src/messages/**",
+      "*.js",
+    ],
+  },
   ...tseslint.configs.strict,
   {
     rules: {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -43,9 +43,10 @@
   readonly pool: UpstreamPool;
   readonly events: EventLog;
   readonly metrics: Metrics;
-  readonly tuning: GatewayTuning;
+  /** As the settings have it now. */
+  tuning: GatewayTuning;
   /** Live hosts of the fleet as far as is known, this one included. */
   hostCount(): number;
   /** When this process was asked to stop, and by when it must have ended. */
-  readonly stop: { askedAt?: Milliseconds; readonly graceMs: Milliseconds };
+  readonly stop: { askedAt?: Milliseconds; graceMs: Milliseconds };
 };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,7 +16,7 @@
 import { ReplicaTable } from "./replicas/replica_table.ts";
 import { Places } from "./planning/places.ts";
 import { PlanService } from "./planning/plan_service.ts";
-import { RetryBudget } from "./retries/retry_budget.ts";
+import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
 import { Synchronizer } from "./state/synchronizer.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
@@ -36,7 +36,10 @@
 export type RunningGateway = {
   /** Takes no new work, finishes what it has, then resolves. */
   stop(): Promise<void>;
-  noteReload(): void;
+  /** Puts changed settings in force; addresses stay until a restart. */
+  reload(settings: GatewaySettings, cause: string): void;
+  /** Changed settings can't be used. */
+  noteFault(fault: string): void;
 };
 
 /** Starts a gateway over a platform. */
@@ -126,8 +129,15 @@
     this.#tick();
   }
 
-  noteReload(): void {
-    this.#context.events.note("reloaded", {});
+  reload(settings: GatewaySettings, cause: string): void {
+    this.#context.tuning = tuningOf(settings);
+    this.#context.budget.change(budgetOf(settings));
+    this.#context.stop.graceMs = settings.grace;
+    this.#context.events.note("reloaded", { cause });
+  }
+
+  noteFault(fault: string): void {
+    this.#context.events.note("reloadRefused", { fault });
   }
 
   async stop(): Promise<void> {
@@ -205,7 +215,7 @@
   port: PlatformPort,
   directory: HostDirectory,
 ): GatewayContext {
-  const { host, retries, grace } = settings;
+  const { host, grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   return {
     self: { ...host, run: String(newIncarnation()) },
@@ -214,11 +224,7 @@
     dialect: port.dialect,
     routes: new RouteTable(),
     replicas: new ReplicaTable(),
-    budget: new RetryBudget({
-      windowMs: retries.window,
-      ratio: retries.ratio,
-      extra: retries.extra,
-    }),
+    budget: new RetryBudget(budgetOf(settings)),
     pool: new UpstreamPool(clock, settings.tuning.connect_timeout),
     events: openEventLog({
       program: "otterhill-gateway",
@@ -234,6 +240,11 @@
   };
 }
 
+function budgetOf({ retries }: GatewaySettings): BudgetRule {
+  const { window, ratio, extra } = retries;
+  return { windowMs: window, ratio, extra };
+}
+
 function tuningOf(settings: GatewaySettings): GatewayTuning {
   const { tuning } = settings;
   return {
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -22,6 +22,11 @@
 export const EVENT_KINDS = {
   started: info("process", "The process serves callers", BELIEFS_PER_SECOND),
   reloaded: info("process", "The settings are read again", BELIEFS_PER_SECOND),
+  reloadRefused: warn(
+    "process",
+    "The changed settings are faulty; the old ones stay",
+    BELIEFS_PER_SECOND,
+  ),
   stopping: info(
     "process",
     "The process stops and finishes what it has",
--- a/src/gateway/program.ts
+++ b/src/gateway/program.ts
@@ -1,14 +1,23 @@
 /** The gateway as a program: its command line, settings and signals. */
+import { watchFile } from "node:fs";
 import {
   makeCommand,
   onStopSignal,
   settingsOrExit,
 } from "../programs/common/command.ts";
 import { ExitCode } from "../programs/common/exit_code.ts";
-import { GatewaySchema, type GatewaySettings } from "../settings/mod.ts";
+import {
+  faultLine,
+  GatewaySchema,
+  type GatewaySettings,
+  loadSettings,
+} from "../settings/mod.ts";
 import { startGateway } from "./gateway.ts";
 import type { PlatformPort } from "./port.ts";
 
+/** The settings file may change without a signal: it is looked at so often. */
+const LOOK_MS = 2000;
+
 const EXAMPLES = `
 Examples:
   otterhill-gateway --settings /etc/otterhill/gateway.toml
@@ -54,7 +63,15 @@
 async function serve(file: string, program: GatewayProgram): Promise<void> {
   const settings = settingsOrExit(file, GatewaySchema);
   const gateway = await startGateway(settings, program.connect(settings));
-  process.on("SIGHUP", () => gateway.noteReload());
+  const reload = (cause: string) => {
+    const read = loadSettings(file, GatewaySchema);
+    if (read.ok) gateway.reload(read.val, cause);
+    else gateway.noteFault(read.val.map(faultLine).join("; "));
+  };
+  process.on("SIGHUP", () => reload("SIGHUP"));
+  watchFile(file, { interval: LOOK_MS }, (now, before) => {
+    if (now.mtimeMs !== before.mtimeMs) reload("the file changed");
+  }).unref();
   onStopSignal(() => {
     void gateway.stop().then(() => process.exit(ExitCode.ok));
   });
--- a/src/gateway/retries/retry_budget.ts
+++ b/src/gateway/retries/retry_budget.ts
@@ -21,13 +21,18 @@
 
 /** Counts requests and extra sends by service. */
 export class RetryBudget {
-  readonly #rule: BudgetRule;
+  #rule: BudgetRule;
   readonly #usage = new Map<string, Usage>();
 
   constructor(rule: BudgetRule) {
     this.#rule = rule;
   }
 
+  /** Puts another rule in force; what was counted stays counted. */
+  change(rule: BudgetRule): void {
+    this.#rule = rule;
+  }
+
   /** A request of the service has come. */
   noteRequest(service: string, now: Milliseconds): void {
     this.#of(service, now).requests.push(now);
--- a/src/programs/ctl/status.ts
+++ b/src/programs/ctl/status.ts
@@ -1,9 +1,12 @@
 /** otterhillctl status and explain: what the fleet says of itself. */
+import { createReadStream } from "node:fs";
+import { createInterface } from "node:readline";
 import type { Command } from "commander";
 import type { ExplainLine, Status } from "../../messages/control.ts";
 import { callControl } from "../../shell/mod.ts";
 import { ExitCode } from "../common/exit_code.ts";
 import { type Context, contextOf } from "./context.ts";
+import { storyOf, storyText } from "./story.ts";
 import { textTable } from "./table.ts";
 
 /** Adds both commands. */
@@ -13,11 +16,43 @@
     .action(async (_: unknown, command: Command) => {
       await showStatus(contextOf(command));
     });
-  program.command("explain <request>")
-    .description("why a request was placed, moved or refused so")
-    .action(async (request: string, _: unknown, command: Command) => {
-      await explain(contextOf(command), request);
-    });
+  program.command("explain <request> [logs...]")
+    .description(
+      "why a request was placed, moved or refused so; asks the hosts given, " +
+        "else reads log files, else standard input",
+    )
+    .action(
+      async (
+        request: string,
+        logs: string[],
+        _: unknown,
+        command: Command,
+      ) => {
+        const context = contextOf(command);
+        if (context.hosts.length > 0) return await explain(context, request);
+        await explainFromLogs(context, request, logs);
+      },
+    );
+}
+
+async function explainFromLogs(
+  context: Context,
+  request: string,
+  files: readonly string[],
+): Promise<void> {
+  const lines: string[] = [];
+  const inputs = files.length > 0
+    ? files.map((file) => createReadStream(file))
+    : [process.stdin];
+  for (const input of inputs) {
+    for await (const line of createInterface({ input })) {
+      if (line.includes(request)) lines.push(line);
+    }
+  }
+  const story = storyOf(lines, request);
+  if (story.length === 0) process.exitCode = ExitCode.failure;
+  const none = `No line names the request ${request}`;
+  context.show(story.length > 0 ? storyText(story) : none, { story });
 }
 
 async function showStatus(context: Context): Promise<void> {
--- /dev/null
+++ b/test/gateway/planning/planner_test.ts
@@ -0,0 +1,207 @@
+/** The planner: memory, order of due times, prefills, lost hosts. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { type ReplicaEntry, ReplicaStage } from "../../../src/gateway/mod.ts";
+import type {
+  PlanAsk,
+  PlannerMessage,
+} from "../../../src/gateway/planning/messages.ts";
+import {
+  inOrder,
+  Planner,
+  type PlannerView,
+} from "../../../src/gateway/planning/planner.ts";
+
+const MEMORY = 1000;
+
+function replica(incarnation: string, stage: ReplicaStage): ReplicaEntry {
+  return {
+    incarnation,
+    service: "s",
+    address: "127.0.0.1:1",
+    hall: "h",
+    slots: 64,
+    leaving: false,
+    stage,
+    coldMs: 0,
+  };
+}
+
+function view(change: Partial<PlannerView> = {}): PlannerView {
+  return {
+    replicasOf: () => [
+      replica("d1", ReplicaStage.decode),
+      replica("d2", ReplicaStage.decode),
+      replica("p1", ReplicaStage.prefill),
+    ],
+    memoryOf: () => MEMORY,
+    isPaused: () => false,
+    noteFailure: () => undefined,
+    farCharge: 0.1,
+    ...change,
+  };
+}
+
+function ask(id: string, change: Partial<PlanAsk> = {}): PlanAsk {
+  return {
+    type: "ask",
+    id,
+    service: "s",
+    tokens: 400,
+    promptTokens: 100,
+    hall: "h",
+    slackMs: 900,
+    patienceMs: 3000,
+    excluded: [],
+    ...change,
+  };
+}
+
+function grants(messages: readonly PlannerMessage[]): string[] {
+  return messages.flatMap((one) => one.type === "grant" ? [one.id] : []);
+}
+
+function messages(planner: Planner, now: number): PlannerMessage[] {
+  return planner.pass(now).map((one) => one.message);
+}
+
+test("no more memory is given than a replica has", () => {
+  const command = fc.oneof(
+    fc.record({
+      type: fc.constant("ask"),
+      tokens: fc.integer({ min: 1, max: 900 }),
+    }),
+    fc.record({ type: fc.constant("end"), tokens: fc.nat() }),
+  );
+  fc.assert(fc.property(fc.array(command), (commands) => {
+    const planner = new Planner(view());
+    const held = new Map<string, { decode: string; tokens: number }>();
+    const sizes = new Map<string, number>();
+    commands.forEach(({ type, tokens }, now) => {
+      if (type === "ask") {
+        sizes.set(`r${now}`, tokens);
+        planner.ask("host", ask(`r${now}`, { tokens, promptTokens: 1 }), now);
+      } else {
+        const id = [...held.keys()][tokens % Math.max(1, held.size)];
+        if (id !== undefined) {
+          held.delete(id);
+          planner.progress({ type: "progress", id, stage: "ended" }, now);
+        }
+      }
+      for (const message of messages(planner, now)) {
+        if (message.type !== "grant") continue;
+        const its = sizes.get(message.id) ?? 0;
+        held.set(message.id, { decode: message.decode, tokens: its });
+      }
+      for (const decode of ["d1", "d2"]) {
+        const here = [...held.values()].filter((one) => one.decode === decode);
+        const sum = here.reduce((total, one) => total + one.tokens, 0);
+        assert.ok(sum <= MEMORY, `${decode} holds ${sum}`);
+      }
+    });
+  }));
+});
+
+test("those that can be on time go first, by due time, the late ones last", () => {
+  const waits = [{ dueAt: 500 }, { dueAt: 10 }, { dueAt: 300 }, { dueAt: 5 }];
+  const order = inOrder(waits, 0).map((one) => one.dueAt);
+  assert.deepEqual(order, [300, 500, 5, 10]);
+});
+
+test("a full pool keeps asks waiting and refuses at the end of patience", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.deepEqual(grants(messages(planner, 0)), ["a", "b", "c", "d"]);
+  planner.ask("h", ask("e", { patienceMs: 100 }), 0);
+  assert.deepEqual(messages(planner, 99), []);
+  const refused = messages(planner, 100);
+  assert.deepEqual(refused, [
+    { type: "refusal", id: "e", reason: "no-memory" },
+  ]);
+  planner.ask("h", ask("f"), 100);
+  planner.progress({ type: "progress", id: "b", stage: "ended" }, 101);
+  assert.deepEqual(grants(messages(planner, 101)), ["f"]);
+});
+
+test("a replica that refused its reservation is passed over for a while", () => {
+  const planner = new Planner(view());
+  planner.ask("h", ask("a"), 0);
+  const [first] = messages(planner, 0);
+  assert.ok(first?.type === "grant");
+  planner.progress({ type: "progress", id: "a", stage: "refused" }, 1);
+  planner.ask("h", ask("b"), 1);
+  const [second] = messages(planner, 1);
+  assert.ok(second?.type === "grant");
+  assert.notEqual(second.decode, first.decode);
+});
+
+test("prefills beyond what keeps the replicas busy wait at the planner", () => {
+  const planner = new Planner(view({ memoryOf: () => 1e6 }));
+  const big = { promptTokens: 5000, slackMs: 5000 };
+  for (const id of ["a", "b", "c"]) planner.ask("h", ask(id, big), 0);
+  assert.deepEqual(grants(messages(planner, 0)), ["a"]);
+  planner.progress(
+    { type: "progress", id: "a", stage: "prefilled", spentMs: 250 },
+    250,
+  );
+  assert.deepEqual(grants(messages(planner, 250)), ["b"]);
+});
+
+test("without prefill replicas the decode replica reads the prompt", () => {
+  const only = [replica("d1", ReplicaStage.decode)];
+  const planner = new Planner(view({ replicasOf: () => only }));
+  planner.ask("h", ask("a"), 0);
+  assert.deepEqual(messages(planner, 0), [
+    { type: "grant", id: "a", decode: "d1" },
+  ]);
+});
+
+test("without decode replicas an ask is refused at once", () => {
+  const only = [replica("p1", ReplicaStage.prefill)];
+  const planner = new Planner(view({ replicasOf: () => only }));
+  planner.ask("h", ask("a"), 0);
+  assert.deepEqual(messages(planner, 0), [
+    { type: "refusal", id: "a", reason: "no-replica" },
+  ]);
+});
+
+test("places of a lost host are freed after a while", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("lost", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  planner.lose("lost", 10);
+  planner.ask("h", ask("e", { patienceMs: 10_000 }), 10);
+  assert.deepEqual(grants(messages(planner, 3000)), []);
+  assert.deepEqual(grants(messages(planner, 4011)), ["e"]);
+});
+
+test("failures are told to the view, by the replica that failed", () => {
+  const failures: string[] = [];
+  const planner = new Planner(view({
+    noteFailure: (incarnation) => failures.push(incarnation),
+  }));
+  planner.ask("h", ask("a"), 0);
+  const [grant] = messages(planner, 0);
+  assert.ok(grant?.type === "grant");
+  planner.progress({ type: "progress", id: "a", stage: "prefill-failed" }, 1);
+  planner.progress({ type: "progress", id: "a", stage: "failed" }, 2);
+  assert.deepEqual(failures, ["p1", grant.decode]);
+});
+
+test("a few samples close together don't tilt the prefill times", () => {
+  const planner = new Planner(view({ memoryOf: () => 1e6 }));
+  for (let round = 0; round < 5; round++) {
+    planner.ask("h", ask(`a${round}`, { promptTokens: 1000 + round }), round);
+    messages(planner, round);
+    planner.progress({
+      type: "progress",
+      id: `a${round}`,
+      stage: "prefilled",
+      spentMs: 100,
+    }, round);
+  }
+  const big = { promptTokens: 5000, slackMs: 5000 };
+  for (const id of ["x", "y", "z"]) planner.ask("h", ask(id, big), 10);
+  assert.deepEqual(grants(messages(planner, 10)), ["x"]);
+});
--- /dev/null
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -0,0 +1,60 @@
+/** Listings of replicas: what is open, and that they never go back. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ReplicaEntry } from "../../../src/gateway/mod.ts";
+import { Replica } from "../../../src/gateway/replicas/replica.ts";
+import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
+
+function entry(incarnation: string, leaving = false): ReplicaEntry {
+  return {
+    incarnation,
+    service: "s",
+    address: "127.0.0.1:1",
+    hall: "h",
+    slots: 1,
+    leaving,
+    coldMs: 0,
+  };
+}
+
+test("a listing older than the one in force is not taken", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 5, entries: [entry("a", true)] });
+  assert.equal(table.adopt({ revision: 4, entries: [entry("a")] }), undefined);
+  assert.deepEqual(table.openOf("s"), []);
+});
+
+test("a replica that leaves or is gone takes no new work", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [entry("a"), entry("b")] });
+  const [a, b] = table.openOf("s");
+  assert.ok(a && b);
+  const change = table.adopt({ revision: 2, entries: [entry("a", true)] });
+  assert.deepEqual(change?.leaving.map((one) => one.incarnation), ["a"]);
+  assert.deepEqual(change?.removed.map((one) => one.incarnation), ["b"]);
+  assert.equal(table.open(a), false);
+  assert.equal(table.open(b), false);
+});
+
+test("what is known of a replica outlives a listing, not its restart", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [entry("a")] });
+  table.get("a")?.noteFailure(0, true);
+  table.adopt({ revision: 2, entries: [entry("a")] });
+  assert.equal(table.get("a")?.paused(1), true);
+  table.adopt({ revision: 3, entries: [entry("b")] });
+  assert.equal(table.get("b")?.paused(1), false);
+});
+
+test("pauses grow with failures in a row and end with a success", () => {
+  const replica = new Replica(entry("a"));
+  replica.noteFailure(0, false);
+  assert.equal(replica.paused(1), false);
+  replica.noteFailure(0, false);
+  assert.equal(replica.paused(399), true);
+  assert.equal(replica.paused(400), false);
+  replica.noteFailure(400, false);
+  assert.equal(replica.paused(1199), true);
+  replica.noteSuccess();
+  assert.equal(replica.paused(401), false);
+});
--- /dev/null
+++ b/test/gateway/routing/route_table_test.ts
@@ -0,0 +1,71 @@
+/** Which route takes a request, and that versions never go back. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  type Route,
+  type RouteConfig,
+  RouteKind,
+} from "../../../src/gateway/mod.ts";
+import {
+  pickTarget,
+  RouteTable,
+} from "../../../src/gateway/routing/route_table.ts";
+
+function route(host: string, pathPrefix: string): Route {
+  return {
+    name: `${host}${pathPrefix}`,
+    host,
+    pathPrefix,
+    kind: RouteKind.safe,
+    timeoutMs: 1000,
+    objectiveMs: 100,
+    gapMs: 100,
+    attempts: 1,
+    priority: 0,
+    targets: [{ service: "s", weight: 1 }],
+    resumable: false,
+  };
+}
+
+function config(version: number, routes: readonly Route[]): RouteConfig {
+  const limits = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
+  return { version, routes, services: [], limits };
+}
+
+test("the longest prefix of the request's host wins", () => {
+  const table = new RouteTable();
+  const routes = [route("a", "/"), route("a", "/x/"), route("b", "/x/y/")];
+  table.adopt(config(1, routes));
+  assert.equal(table.match("a", "/x/y/z")?.pathPrefix, "/x/");
+  assert.equal(table.match("A:80", "/x/?q=/x/y/")?.pathPrefix, "/x/");
+  assert.equal(table.match("a", "/xy")?.pathPrefix, "/");
+  assert.equal(table.match("b", "/x/"), undefined);
+  assert.equal(table.match("c", "/"), undefined);
+});
+
+test("whatever order versions come in, the newest stays in force", () => {
+  fc.assert(fc.property(fc.array(fc.nat(50)), (versions) => {
+    const table = new RouteTable();
+    let newest = 0;
+    for (const version of versions) {
+      const taken = table.adopt(config(version, []));
+      assert.equal(taken, table.version === version && taken);
+      newest = Math.max(newest, version);
+      assert.equal(table.version, newest);
+    }
+  }));
+});
+
+test("targets are taken by their weights", () => {
+  const targets = [
+    { service: "a", weight: 90 },
+    { service: "none", weight: 0 },
+    { service: "b", weight: 10 },
+  ];
+  assert.equal(pickTarget(targets, 0), "a");
+  assert.equal(pickTarget(targets, 0.89), "a");
+  assert.equal(pickTarget(targets, 0.91), "b");
+  assert.equal(pickTarget(targets, 0.999999), "b");
+  assert.equal(pickTarget([], 0.5), undefined);
+});
--- /dev/null
+++ b/test/gateway/stages/stages_test.ts
@@ -0,0 +1,136 @@
+/** Changes of stage: which, when, and under whose lease. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { ReplicaEntry, ReplicaStage } from "../../../src/gateway/mod.ts";
+import type { Clock } from "../../../src/gateway/clock.ts";
+import type { RowWritten, Store, StoreRow } from "../../../src/gateway/port.ts";
+import {
+  ChangePatience,
+  wantedChange,
+  wantedPrefills,
+} from "../../../src/gateway/stages/balance.ts";
+import { isFree, takeLease } from "../../../src/gateway/stages/lease.ts";
+
+function replica(
+  incarnation: string,
+  stage: ReplicaStage,
+  hall: string,
+): ReplicaEntry {
+  return {
+    incarnation,
+    service: "s",
+    address: "127.0.0.1:1",
+    hall,
+    slots: 1,
+    leaving: false,
+    stage,
+    coldMs: 0,
+  };
+}
+
+test("changes lead to the wanted share and then stop, both stages kept", () => {
+  const sides = fc.array(fc.boolean(), { minLength: 2, maxLength: 30 });
+  const shares = fc.double({ min: 0.05, max: 0.95, noNaN: true });
+  fc.assert(fc.property(sides, shares, (stages, share) => {
+    const replicas = stages.map((prefill, at) =>
+      replica(`r${at}`, prefill ? "prefill" : "decode", `h${at % 3}`)
+    );
+    for (let step = 0; step <= replicas.length; step++) {
+      const change = wantedChange(replicas, share);
+      if (!change) break;
+      assert.notEqual(change.replica.stage, change.stage);
+      const at = replicas.indexOf(change.replica);
+      replicas[at] = { ...change.replica, stage: change.stage };
+    }
+    assert.equal(wantedChange(replicas, share), undefined);
+    const prefills = replicas.filter((one) => one.stage === "prefill").length;
+    assert.equal(prefills, wantedPrefills(replicas.length, share));
+    assert.ok(prefills >= 1 && prefills < replicas.length);
+  }));
+});
+
+test("the hall with most replicas of the stage gives first", () => {
+  const replicas = [
+    replica("a", "prefill", "one"),
+    replica("b", "prefill", "two"),
+    replica("c", "prefill", "two"),
+    replica("d", "decode", "one"),
+    replica("e", "decode", "one"),
+  ];
+  assert.equal(wantedChange(replicas, 0.4)?.replica.hall, "two");
+});
+
+test("a change must be wanted for a while, and rests after one", () => {
+  const patience = new ChangePatience(1000);
+  assert.equal(patience.ripe(true, 0), false);
+  assert.equal(patience.ripe(false, 500), false);
+  assert.equal(patience.ripe(true, 600), false);
+  assert.equal(patience.ripe(true, 1600), true);
+  patience.rest(5000);
+  assert.equal(patience.ripe(true, 4000), false);
+  assert.equal(patience.ripe(true, 5000), true);
+});
+
+/** A store with one table, and the clock that it tells. */
+function fakeStore(state: { now: number }): Store {
+  let revision = 0;
+  const rows = new Map<string, StoreRow>();
+  const never = () => Promise.reject(new Error("Not used"));
+  return {
+    readReplicas: never,
+    readConfig: never,
+    watchConfig: never,
+    readRows: () =>
+      Promise.resolve({ rows: [...rows.values()], nowMs: state.now }),
+    writeRow: ({ key, value, ifRevision }): Promise<RowWritten> => {
+      const known = rows.get(key)?.revision ?? 0;
+      if (ifRevision !== undefined && ifRevision !== known) {
+        return Promise.resolve({ type: "conflict" });
+      }
+      revision += 1;
+      rows.set(key, { key, value, revision });
+      return Promise.resolve({ type: "written", revision, nowMs: state.now });
+    },
+  };
+}
+
+function clockAt(state: { now: number }): Clock {
+  return { now: () => state.now, after: () => () => undefined };
+}
+
+test("two holders never hold within the guard time, fences only rise", async () => {
+  const state = { now: 0 };
+  const store = fakeStore(state);
+  const signal = new AbortController().signal;
+  const clock = clockAt(state);
+  const take = (holder: string) =>
+    takeLease({ store, clock, holder, guardMs: 3000 }, "s", signal);
+  const first = await take("a");
+  assert.ok(first);
+  assert.equal(await take("b"), undefined);
+  state.now = first.until + 2999;
+  assert.equal(await take("b"), undefined);
+  state.now = first.until + 3001;
+  const second = await take("b");
+  assert.ok(second && second.fence > first.fence);
+  assert.equal(await take("a"), undefined);
+});
+
+test("of two that ask at the same moment one gets the lease", async () => {
+  const state = { now: 0 };
+  const store = fakeStore(state);
+  const signal = new AbortController().signal;
+  const clock = clockAt(state);
+  const both = await Promise.all(
+    ["a", "b"].map((holder) =>
+      takeLease({ store, clock, holder, guardMs: 3000 }, "s", signal)
+    ),
+  );
+  assert.equal(both.filter((one) => one !== undefined).length, 1);
+});
+
+test("a row that nobody can read gives way", () => {
+  const row = { key: "s", value: "?", revision: 3 };
+  assert.equal(isFree(row, { holder: "a", guardMs: 1, nowMs: 0 }), true);
+});
--- /dev/null
+++ b/test/programs/story_test.ts
@@ -0,0 +1,30 @@
+/** A request's story from mixed logs. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { storyOf, storyText } from "../../src/programs/ctl/story.ts";
+
+function line(time: string, request: string, msg: string): string {
+  const base = { name: "otterhill-gateway", host: "h1", event: "e" };
+  return JSON.stringify({ ...base, request, reason: "r", msg, time });
+}
+
+test("lines of several hosts make one story in order of time", () => {
+  const lines = [
+    line("2026-12-02T10:00:02Z", "1", "requests: A request is answered"),
+    "not JSON at all 1",
+    line("2026-12-02T10:00:01Z", "12", "placement: Another request is sent"),
+    `   3.1 frontend-1 ${line("2026-12-02T10:00:01Z", "1", "placement: sent")}`,
+    '{"request": "1", cut',
+  ];
+  const story = storyOf(lines, "1");
+  assert.deepEqual(story.map((one) => one.sentence), [
+    "placement: sent",
+    "requests: A request is answered",
+  ]);
+  const [first] = storyText(story).split("\n");
+  assert.equal(first, "2026-12-02T10:00:01Z  h1  placement: sent  reason=r");
+});
+
+test("an id that no line names has no story", () => {
+  assert.deepEqual(storyOf([line("t", "1", "m")], "2"), []);
+});
