--- /dev/null
+++ b/test/platform/gateway_process_test.ts
@@ -0,0 +1,264 @@
+/** The gateway as a process, through the adapter, before a stand-in. */
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { Agent, request } from "node:http";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { type PlatformStandin, startPlatformStandin } from "./standin.ts";
+
+/** Longest time that anything here may take; no test is about its length. */
+const AMPLE_MS = 30_000;
+const LOOK_MS = 20;
+
+type Running = {
+  readonly standin: PlatformStandin;
+  readonly process: ChildProcess;
+  readonly callers: string;
+  readonly readiness: string;
+  readonly metrics: string;
+  readonly settings: string;
+  /** Lines logged so far. */
+  readonly lines: string[];
+  stop(): Promise<void>;
+};
+
+type Seen = { readonly status: number; readonly body: string };
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const bound = server.address();
+  const port = typeof bound === "object" && bound ? bound.port : 0;
+  server.close();
+  return port;
+}
+
+function config(version: number, prefix: string): object {
+  return {
+    Version: version,
+    Routes: [{
+      Name: "r",
+      Host: "example",
+      PathPrefix: prefix,
+      Kind: "unsafe",
+      TimeoutMs: AMPLE_MS,
+      TargetLatencyMs: 1000,
+      Priority: 1,
+      Service: "plain",
+      MaxAttempts: 1,
+    }],
+    Services: [{ Name: "plain", HealthPath: "/health", ConnectionLimit: 50 }],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 1000,
+      HeaderTimeoutMs: 3000,
+      IdleTimeoutMs: 15_000,
+    },
+  };
+}
+
+async function start(): Promise<Running> {
+  const standin = await startPlatformStandin();
+  standin.put("op", "config", config(1, "/a/"));
+  standin.put("servers", "i-1", {
+    Service: "plain",
+    Address: standin.replicaAddress,
+    Zone: "hall",
+    Version: "v1",
+    Slots: 4,
+    State: "ready",
+    ColdRemainingMs: 0,
+    Sequence: 1,
+  });
+  const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
+  const [callers, readiness, peers, metrics] = ports.map((port) =>
+    `127.0.0.1:${port}`
+  );
+  const folder = mkdtempSync(join(tmpdir(), "otterhill-"));
+  const settings = join(folder, "gateway.toml");
+  writeFileSync(
+    settings,
+    settingsText(standin, { callers, readiness, peers, metrics }),
+  );
+  const child = spawn(process.execPath, ["dist/platform/main.js"], {
+    env: { ...process.env, OTTERHILL_CONFIG: settings },
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  const lines: string[] = [];
+  child.stdout.on(
+    "data",
+    (bytes: Buffer) => lines.push(...bytes.toString().split("\n")),
+  );
+  return {
+    standin,
+    process: child,
+    callers: callers ?? "",
+    readiness: readiness ?? "",
+    metrics: metrics ?? "",
+    settings,
+    lines,
+    stop: async () => {
+      if (child.exitCode === null && child.signalCode === null) {
+        child.kill("SIGKILL");
+        await once(child, "exit");
+      }
+      standin.stop();
+      rmSync(folder, { recursive: true });
+    },
+  };
+}
+
+function settingsText(
+  standin: PlatformStandin,
+  listen: Readonly<Record<string, string | undefined>>,
+): string {
+  const places = Object.entries(listen).map(([name, address]) =>
+    `${name} = "${address}"`
+  );
+  return [
+    "[host]",
+    'id = "host-1"',
+    'hall = "hall"',
+    "[listen]",
+    ...places,
+    "[store]",
+    `address = "${standin.storeAddress}"`,
+    "",
+  ].join("\n");
+}
+
+function call(
+  address: string,
+  path: string,
+  options: { readonly agent?: Agent; readonly body?: string } = {},
+): Promise<Seen> {
+  const [host, port] = address.split(":");
+  const { agent = new Agent(), body } = options;
+  return new Promise((resolve, reject) => {
+    const sending = request({
+      host,
+      port,
+      path,
+      agent,
+      method: body === undefined ? "GET" : "POST",
+      headers: { host: "example", "attempt-id": "a1" },
+    });
+    sending.on("error", reject);
+    sending.on("response", (answer) => {
+      let text = "";
+      answer.on("data", (bytes: Buffer) => text += bytes.toString());
+      answer.on(
+        "end",
+        () => resolve({ status: answer.statusCode ?? 0, body: text }),
+      );
+      answer.on("error", reject);
+    });
+    sending.end(body);
+  });
+}
+
+/** Asks again and again until the answer is as wanted. */
+async function until(
+  ask: () => Promise<boolean> | boolean,
+): Promise<void> {
+  const endsAt = performance.now() + AMPLE_MS;
+  for (;;) {
+    const good = await Promise.resolve(ask()).catch(() => false);
+    if (good) return;
+    assert.ok(performance.now() < endsAt, "it never came about");
+    await new Promise((resolve) => setTimeout(resolve, LOOK_MS));
+  }
+}
+
+async function isReady(running: Running): Promise<boolean> {
+  return (await call(running.readiness, "/readiness")).status === 200;
+}
+
+async function withGateway(
+  work: (running: Running) => Promise<void>,
+): Promise<void> {
+  const running = await start();
+  try {
+    await until(() => isReady(running));
+    await work(running);
+  } finally {
+    await running.stop();
+  }
+}
+
+test("a request goes through the adapter; changes of routes come in force", async () => {
+  await withGateway(async (running) => {
+    const { standin, callers } = running;
+    assert.deepEqual(await call(callers, "/a/x"), {
+      status: 200,
+      body: "whole",
+    });
+    assert.equal((await call(callers, "/b/x")).status, 404);
+    const large = await call(callers, "/a/x", { body: "x".repeat(2000) });
+    assert.equal(large.status, 413);
+    standin.put("op", "config", config(2, "/b/"));
+    await until(async () => (await call(callers, "/b/x")).status === 200);
+    assert.equal((await call(callers, "/a/x")).status, 404);
+    // An older version that comes later changes nothing; a lost history
+    // and an outage are followed by what was written meanwhile.
+    standin.put("op", "config", config(1, "/a/"));
+    standin.down = true;
+    standin.put("op", "config", config(3, "/c/"));
+    standin.loseHistory();
+    assert.equal((await call(callers, "/b/x")).status, 200);
+    standin.down = false;
+    await until(async () => (await call(callers, "/c/x")).status === 200);
+    assert.ok((await call(running.metrics, "/metrics")).body.includes(
+      "otterhill_routes_version 3",
+    ));
+  });
+});
+
+test("SIGHUP reads the settings again and ends nothing", async () => {
+  await withGateway(async (running) => {
+    writeFileSync(running.settings, "not = [TOML");
+    running.process.kill("SIGHUP");
+    await until(() =>
+      running.lines.some((line) => line.includes('"event":"reloadRefused"'))
+    );
+    assert.equal((await call(running.callers, "/a/x")).status, 200);
+  });
+});
+
+test("a stop answers what it has and what comes on kept connections", async () => {
+  await withGateway(async (running) => {
+    const { standin, callers } = running;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    assert.equal((await call(callers, "/a/0", { agent })).status, 200);
+    standin.hold = true;
+    const slow = call(callers, "/a/1");
+    await until(() => standin.arrivals.some(({ path }) => path === "/a/1"));
+    running.process.kill("SIGTERM");
+    await until(async () => !(await isReady(running)));
+    standin.hold = false;
+    assert.equal((await call(callers, "/a/2", { agent })).status, 200);
+    standin.release();
+    assert.equal((await slow).status, 200);
+    const [code] = await once(running.process, "exit") as [number | null];
+    assert.equal(code, 0);
+    agent.destroy();
+  });
+});
+
+test("faulty settings are named and end the program with code 2", async () => {
+  const child = spawn(process.execPath, [
+    "dist/platform/main.js",
+    "--check-settings",
+    "package.json",
+  ], { stdio: ["ignore", "ignore", "pipe"] });
+  let told = "";
+  child.stderr.on("data", (bytes: Buffer) => told += bytes.toString());
+  const [code] = await once(child, "close") as [number | null];
+  assert.equal(code, 2);
+  assert.match(told, /package\.json: TOML/);
+});
