Asks that can't be on time, their prefill counted, go last; calmer changes of stage

Change: an ask counts as late when the prefill and a margin no longer fit; changes need 8 s of patience under traffic, a stage that is busy, and a count off the share by 0.75.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -107,6 +107,7 @@
       prefillShare: settings.stages.prefill_share,
       storeAgeMs: (now) => this.#synchronizer.storeAgeMs(now),
       plannerOf: (service) => this.#places.plannerOf(service),
+      loadOf: (service) => this.#plans.loadOf(service),
       changing: this.#plans.changing,
     });
   }
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -8,7 +8,7 @@
   HostMessageSchema,
   type PlannerMessage,
 } from "./messages.ts";
-import { Planner } from "./planner.ts";
+import { Planner, type StageLoad } from "./planner.ts";
 
 /** The queue is gone through again after this time when nothing happens. */
 const PASS_MS = 20;
@@ -43,6 +43,11 @@
     return this.#planner.waiting;
   }
 
+  /** How busy the two stages of a service are. */
+  loadOf(service: string): StageLoad {
+    return this.#planner.loadOf(service);
+  }
+
   /** Where answers for a host go. */
   attach(host: string, answer: (message: PlannerMessage) => void): void {
     this.#hosts.set(host, answer);
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -5,6 +5,7 @@
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
+import type { Line } from "../../core/util/line_fit.ts";
 import { Ledger } from "./ledger.ts";
 import {
   PlaceStage,
@@ -21,8 +22,11 @@
  * round trip, little enough that the order of the others stays open.
  */
 const AHEAD_MS = 60;
-/** Time from the end of a prefill to the first event. */
-const FIRST_EVENT_MS = 90;
+/**
+ * Time from the end of a prefill to the caller's first event, with a margin:
+ * under load every request is served near the last moment that it can be.
+ */
+const FIRST_EVENT_MS = 150;
 /** A replica that had no memory is not given any for this time. */
 const FULL_MS = 60;
 /** A place is believed for so long without word of it. */
@@ -44,6 +48,9 @@
   readonly farCharge: number;
 };
 
+/** How busy a service's stages are: shares of replicas and of memory. */
+export type StageLoad = { readonly prefill: number; readonly decode: number };
+
 type Waiting = {
   readonly from: string;
   readonly ask: PlanAsk;
@@ -73,6 +80,26 @@
     return this.#waiting.size;
   }
 
+  /** How busy the two stages of a service are, from 0 to 1. */
+  loadOf(service: string): StageLoad {
+    const memory = Math.max(1, this.#view.memoryOf(service));
+    const replicas = this.#view.replicasOf(service);
+    const prefills = replicas.filter((r) => r.stage === ReplicaStage.prefill);
+    const decodes = replicas.filter((r) => r.stage === ReplicaStage.decode);
+    return {
+      prefill: mean(
+        prefills.map((one) =>
+          this.#ledger.promptsAt(one.incarnation) > 0 ? 1 : 0
+        ),
+      ),
+      decode: mean(
+        decodes.map((one) =>
+          Math.min(1, this.#ledger.memoryAt(one.incarnation) / memory)
+        ),
+      ),
+    };
+  }
+
   /** Queues an ask; `pass` answers it. */
   ask(from: string, ask: PlanAsk, now: Milliseconds): void {
     this.#ledger.remove(ask.id);
@@ -134,7 +161,7 @@
   pass(now: Milliseconds): PlannerAnswer[] {
     this.#ledger.expire(now);
     const answers: PlannerAnswer[] = [];
-    for (const one of inOrder([...this.#waiting.values()], now)) {
+    for (const one of this.#inOrder(now)) {
       const message = this.#answer(one, now);
       if (!message) continue;
       this.#waiting.delete(one.ask.id);
@@ -143,6 +170,24 @@
     return answers;
   }
 
+  /** Those that can still be on time by their due time, then the others. */
+  #inOrder(now: Milliseconds): Waiting[] {
+    const lines = new Map<string, Line>();
+    return inOrder([...this.#waiting.values()], now, ({ ask }) => {
+      const line = lines.get(ask.service) ?? this.#usualLine(ask.service);
+      lines.set(ask.service, line);
+      return line.base + line.slope * ask.promptTokens + FIRST_EVENT_MS;
+    });
+  }
+
+  /** The prefill times of the service's fastest prefill replica. */
+  #usualLine(service: string): Line {
+    const lines = this.#view.replicasOf(service)
+      .filter((one) => one.stage === ReplicaStage.prefill)
+      .map((one) => this.#ledger.lineOf(one.incarnation));
+    return least(lines, (line) => line.slope) ?? { base: 0, slope: 0 };
+  }
+
   #answer(one: Waiting, now: Milliseconds): PlannerMessage | undefined {
     const { id, service, excluded } = one.ask;
     if (now >= one.giveUpAt) {
@@ -248,11 +293,20 @@
 /** Those that can still be on time by their due time, then the others. */
 export function inOrder<
   One extends { readonly dueAt: Milliseconds },
->(waits: readonly One[], now: Milliseconds): One[] {
-  const late = (one: One) => now + FIRST_EVENT_MS > one.dueAt ? 1 : 0;
+>(
+  waits: readonly One[],
+  now: Milliseconds,
+  serviceMs: (one: One) => Milliseconds,
+): One[] {
+  const late = (one: One) => now + serviceMs(one) > one.dueAt ? 1 : 0;
   return [...waits].sort((a, b) => late(a) - late(b) || a.dueAt - b.dueAt);
 }
 
+function mean(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  return values.reduce((sum, one) => sum + one, 0) / values.length;
+}
+
 function least<One>(
   all: readonly One[],
   value: (one: One) => number,
--- a/src/gateway/stages/balance.ts
+++ b/src/gateway/stages/balance.ts
@@ -1,5 +1,6 @@
 /** Which replica should change its stage; pure. */
 import type { Milliseconds } from "../../core/ids.ts";
+import type { StageLoad } from "../planning/planner.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 
 /** A change that would bring a service nearer to its share of prefill. */
@@ -8,36 +9,68 @@
   readonly stage: ReplicaStage;
 };
 
-/** How many replicas of a service should read prompts. */
-export function wantedPrefills(replicas: number, share: number): number {
-  return Math.max(1, Math.min(replicas - 1, Math.round(replicas * share)));
-}
+/** Replicas that the count may be off the share before one is changed. */
+const TOLERANCE = 0.75;
+/** A stage this busy is short of replicas; a stage below it can give one. */
+const BUSY = 0.6;
 
 /**
- * The change that is wanted now, if any. Halls with the most replicas of the
- * stage that is too many give first, so that a hall that is cut off keeps
- * both stages where it can.
+ * The change that is wanted now, if any: towards the share, and only where
+ * the load of the stages speaks for it. Halls with the most replicas of the
+ * stage that gives go first, so that a hall that is cut off keeps both stages
+ * where it can.
  */
 export function wantedChange(
   replicas: readonly ReplicaEntry[],
   share: number,
+  load: StageLoad | undefined,
 ): StageChange | undefined {
   const staged = replicas.filter((one) => !one.leaving && one.stage);
-  if (staged.length < 2) return undefined;
   const prefills = staged.filter((one) => one.stage === ReplicaStage.prefill);
   const decodes = staged.filter((one) => one.stage === ReplicaStage.decode);
-  const wanted = wantedPrefills(staged.length, share);
-  if (prefills.length > wanted) {
+  const surplus = prefills.length - staged.length * share;
+  if (surplus > TOLERANCE && prefills.length > 1) {
+    if (load && load.decode < BUSY) return undefined;
     const replica = fromFullestHall(prefills);
     return replica && { replica, stage: ReplicaStage.decode };
   }
-  if (prefills.length < wanted) {
+  if (surplus < -TOLERANCE && decodes.length > 1) {
+    if (load && load.prefill < BUSY) return undefined;
     const replica = fromFullestHall(decodes);
     return replica && { replica, stage: ReplicaStage.prefill };
   }
   return undefined;
 }
 
+/** Part of the old mean that stays with each new sample. */
+const LOAD_MEMORY = 0.9;
+/** A load below this is no traffic: the stages are still at rest. */
+const AT_REST = 0.01;
+
+/** The load of a service's stages, smoothed; none before the first traffic. */
+export class SmoothLoad {
+  #load: StageLoad | undefined;
+
+  /** The smoothed load; undefined while there was no traffic. */
+  get load(): StageLoad | undefined {
+    return this.#load;
+  }
+
+  /** Takes a sample. */
+  add(sample: StageLoad): void {
+    const known = this.#load;
+    if (!known && sample.decode < AT_REST) return;
+    const blend = (old: number, now: number) =>
+      old * LOAD_MEMORY + now * (1 - LOAD_MEMORY);
+    this.#load = known
+      ? {
+        prefill: blend(known.prefill, sample.prefill),
+        decode: blend(known.decode, sample.decode),
+      }
+      : sample;
+  }
+}
+
 function fromFullestHall(
   replicas: readonly ReplicaEntry[],
 ): ReplicaEntry | undefined {
@@ -53,20 +86,19 @@
 export class ChangePatience {
   #since: Milliseconds | undefined;
   #quietUntil: Milliseconds = 0;
-  readonly #patienceMs: Milliseconds;
-
-  constructor(patienceMs: Milliseconds) {
-    this.#patienceMs = patienceMs;
-  }
 
-  /** Whether a change that is wanted now has been so for long enough. */
-  ripe(wanted: boolean, now: Milliseconds): boolean {
+  /** Whether a change that is wanted now has been so for `patienceMs`. */
+  ripe(
+    wanted: boolean,
+    patienceMs: Milliseconds,
+    now: Milliseconds,
+  ): boolean {
     if (!wanted) {
       this.#since = undefined;
       return false;
     }
     this.#since ??= now;
-    return now >= this.#quietUntil && now - this.#since >= this.#patienceMs;
+    return now >= this.#quietUntil && now - this.#since >= patienceMs;
   }
 
   /** No further change until `until`. */
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -11,13 +11,20 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Service } from "../routing/model.ts";
 import { within } from "../state/synchronizer.ts";
-import { ChangePatience, type StageChange, wantedChange } from "./balance.ts";
+import type { StageLoad } from "../planning/planner.ts";
+import {
+  ChangePatience,
+  SmoothLoad,
+  type StageChange,
+  wantedChange,
+} from "./balance.ts";
 import { type Lease, takeLease } from "./lease.ts";
 
 const LOOK_MS = 500;
-/** A change must have been wanted for so long, plus a random part. */
-const PATIENCE_MS = 1500;
-const PATIENCE_SPREAD_MS = 1500;
+/** A change must have been wanted for so long, before the first traffic. */
+const FIRST_PATIENCE_MS = 1500;
+/** And later: replicas that crash or are cut off are mostly back by then. */
+const PATIENCE_MS = 8000;
 const STORE_TIMEOUT_MS = 1000;
 const CALL_TIMEOUT_MS = 600;
 /** An order without an answer may be carried out so much later. */
@@ -41,6 +48,8 @@
   storeAgeMs(now: Milliseconds): Milliseconds;
   /** The host that plans a service, as this host sees it. */
   plannerOf(service: string): string;
+  /** How busy a service's stages are. */
+  loadOf(service: string): StageLoad;
   /** Replicas under a change, kept from new work. */
   readonly changing: Set<string>;
 };
@@ -48,7 +57,7 @@
 /** Runs for as long as the process lives. */
 export async function runStageLoop(source: StageLoopSource): Promise<void> {
   const { context } = source;
-  const patience = new Map<string, ChangePatience>();
+  const states = new Map<string, ServiceState>();
   for (;;) {
     await sleep(context.clock, LOOK_MS);
     if (context.stop.askedAt !== undefined) continue;
@@ -56,24 +65,35 @@
     for (const service of context.routes.config?.services ?? []) {
       if (!service.engine) continue;
       if (source.plannerOf(service.name) !== context.self.id) continue;
-      const own = patience.get(service.name) ?? new ChangePatience(
-        PATIENCE_MS + context.random() * PATIENCE_SPREAD_MS,
-      );
-      patience.set(service.name, own);
-      await lookAt(source, service, own);
+      const state = states.get(service.name) ??
+        { patience: new ChangePatience(), load: new SmoothLoad() };
+      states.set(service.name, state);
+      await lookAt(source, service, state);
     }
   }
 }
 
+/** What is remembered of one service. */
+type ServiceState = {
+  readonly patience: ChangePatience;
+  readonly load: SmoothLoad;
+};
+
 async function lookAt(
   source: StageLoopSource,
   service: Service,
-  patience: ChangePatience,
+  state: ServiceState,
 ): Promise<void> {
   const { context, prefillShare } = source;
   const { clock } = context;
-  const change = wantedChange(entriesOf(context, service), prefillShare);
-  if (!patience.ripe(change !== undefined, clock.now()) || !change) return;
+  const { patience } = state;
+  state.load.add(source.loadOf(service.name));
+  const { load } = state.load;
+  const entries = entriesOf(context, service);
+  const change = wantedChange(entries, prefillShare, load);
+  const patienceMs = load ? PATIENCE_MS : FIRST_PATIENCE_MS;
+  const ripe = patience.ripe(change !== undefined, patienceMs, clock.now());
+  if (!ripe || !change) return;
   const { incarnation } = change.replica;
   source.changing.add(incarnation);
   const { taken, restMs } = await act(source, service, change);
