Lost exports are told apart from replicas that fail

Change: a decode replica that turns away a request with an export is not blamed; the prefill replica is avoided after two losses in a row, and the retry is read at the decode replica.

--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -27,6 +27,8 @@
   readonly tokens: number;
   /** The prefill under way; cleared when it is done. */
   prefill: string | undefined;
+  /** Where its prompt was, or is being, read. */
+  readonly readBy: string | undefined;
   readonly promptTokens: number;
   /** Prompt tokens that were ahead of it when it was granted. */
   readonly tokensAhead: number;
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -7,6 +7,8 @@
   prefilled: "prefilled",
   /** Its prompt could not be read where that was planned. */
   prefillFailed: "prefill-failed",
+  /** The prefill was done, but the decode replica could not have it. */
+  exportLost: "export-lost",
   /** The decode replica had no memory for it. */
   refused: "refused",
   /** The decode replica did not take it for another reason. */
@@ -28,6 +30,8 @@
   /** Time until its first event is due; negative when it is late. */
   slackMs: z.number(),
   patienceMs: z.number(),
+  /** The decode replica is to read the prompt itself. */
+  whole: z.boolean(),
   excluded: z.array(z.string()),
 });
 
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -27,6 +27,8 @@
   readonly promptTokens: number;
   readonly dueAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
+  /** The decode replica is to read the prompt itself. */
+  readonly whole: boolean;
   readonly excluded: ReadonlySet<string>;
 };
 
@@ -111,6 +113,11 @@
     this.#send(held.planner, { type: "progress", id, stage });
   }
 
+  /** The decode replica could not have the finished prefill. */
+  exportLost(id: string): void {
+    this.#giveBack(id, PlaceStage.exportLost);
+  }
+
   /** The decode replica did not take the request. */
   failed(id: string): void {
     this.#giveBack(id, PlaceStage.failed);
@@ -227,6 +234,7 @@
       hall: self.hall,
       slackMs: wish.dueAt - now,
       patienceMs: wish.giveUpAt - now,
+      whole: wish.whole,
       excluded: [...wish.excluded],
     });
   }
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from "../../core/ids.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Line } from "../../core/util/line_fit.ts";
+import { ExportLosses } from "./export_losses.ts";
 import { Ledger } from "./ledger.ts";
 import {
   PlaceStage,
@@ -69,6 +70,7 @@
   readonly #view: PlannerView;
   readonly #ledger = new Ledger();
   readonly #waiting = new Map<string, Waiting>();
+  readonly #losses = new ExportLosses();
   readonly #fullUntil = new Map<string, Milliseconds>();
 
   constructor(view: PlannerView) {
@@ -116,6 +118,7 @@
       decode: keep.decode,
       tokens: keep.tokens,
       prefill: undefined,
+      readBy: undefined,
       promptTokens: 0,
       tokensAhead: 0,
       until: now + PLACE_LIFE_MS,
@@ -141,8 +144,15 @@
 
   #takeBack(id: string, stage: PlaceStage, now: Milliseconds): void {
     this.#waiting.delete(id);
-    const decode = this.#ledger.remove(id)?.decode;
-    if (decode === undefined) return;
+    const entry = this.#ledger.remove(id);
+    if (!entry) return;
+    const { decode, readBy } = entry;
+    if (readBy !== undefined && stage === PlaceStage.exportLost) {
+      this.#losses.noteLost(readBy, now);
+    }
+    if (readBy !== undefined && stage === PlaceStage.ended) {
+      this.#losses.noteKept(readBy);
+    }
     if (stage === PlaceStage.refused) {
       this.#fullUntil.set(decode, now + FULL_MS);
     }
@@ -203,8 +213,13 @@
     const decode = this.#decodeFor(one, decodes, now);
     if (!decode) return undefined;
     const prefills = open.filter((r) => r.stage === ReplicaStage.prefill);
-    const sound = prefills.filter((r) => !this.#view.isPaused(r.incarnation));
-    if (sound.length === 0) return this.#grant(one, { decode }, now);
+    const sound = prefills.filter((r) =>
+      !this.#view.isPaused(r.incarnation) &&
+      !this.#losses.avoided(r.incarnation, now)
+    );
+    if (one.ask.whole || sound.length === 0) {
+      return this.#grant(one, { decode }, now);
+    }
     const prefill = this.#prefillFor(sound, decode);
     const { incarnation } = prefill;
     const base = Math.max(0, this.#ledger.lineOf(incarnation).base);
@@ -273,6 +288,7 @@
       decode,
       tokens,
       prefill,
+      readBy: prefill,
       promptTokens,
       tokensAhead: prefill === undefined ? 0 : this.#ledger.promptsAt(prefill),
       until: now + PLACE_LIFE_MS,
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -12,7 +12,7 @@
 import type { Replica } from "../replicas/replica.ts";
 import type { Engine } from "../routing/model.ts";
 import { reservedTokens } from "./memory.ts";
-import type { Placement, Placer } from "./placement.ts";
+import type { PlaceFailure, Placement, Placer } from "./placement.ts";
 import { type Export, Prefills } from "./prefill.ts";
 import type { GatewayRequest } from "./request.ts";
 import {
@@ -44,6 +44,8 @@
   #cancelWait: () => void = () => undefined;
   /** Names the place at its planner; another for each try. */
   #placeId: string | undefined;
+  /** An export was lost: the decode replica reads the prompt itself. */
+  #whole = false;
   #ended = false;
   #reservation: Reservation | undefined;
   #export: Export | undefined;
@@ -87,6 +89,7 @@
       promptTokens: facts.promptTokens,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, receivedAt + patience) - SERVICE_MS,
+      whole: this.#whole,
       excluded,
     });
     this.#cancelWait = wait.cancel;
@@ -174,9 +177,14 @@
     this.used();
   }
 
-  failed(): void {
-    if (this.#placeId !== undefined) this.#source.places.failed(this.#placeId);
+  failed(failure: PlaceFailure): void {
+    const { places } = this.#source;
+    const exportLost = failure.turnedAway && this.#export !== undefined;
+    const id = this.#placeId;
     this.#placeId = undefined;
+    if (exportLost) this.#whole = true;
+    if (id !== undefined && exportLost) places.exportLost(id);
+    if (id !== undefined && !exportLost) places.failed(id);
     this.release();
   }
 
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -148,10 +148,13 @@
     placed: Placement,
     result: Exclude<SendResult, { type: "answer" }>,
   ): void {
-    this.#placer.failed();
     const notRun = result.type === "notRun";
+    const turnedAway = notRun && result.turnedAway;
+    this.#placer.failed({ turnedAway });
     if (notRun) this.#attempts.didNotRun();
-    this.#attempts.exclude(placed.replica.entry.incarnation);
+    // What was lost with an export may well run at the same replica.
+    const exportLost = turnedAway && placed.export !== undefined;
+    if (!exportLost) this.#attempts.exclude(placed.replica.entry.incarnation);
     const allowed = notRun || this.#attempts.repeatable;
     if (allowed && this.#attempts.takeRetry(result.reason)) return;
     const error = notRun
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -17,6 +17,12 @@
   readonly head: CallHead;
 };
 
+/** Why the replica of a place did not serve. */
+export type PlaceFailure = {
+  /** It answered that it did not run the request. */
+  readonly turnedAway: boolean;
+};
+
 /** Finds places for one request. */
 export type Placer = {
   /** A place not among `excluded`, or why there is none. */
@@ -24,7 +30,7 @@
   /** The last place was not used: what is held there is let go. */
   release(): void;
   /** The replica of the last place did not serve. */
-  failed(): void;
+  failed(failure: PlaceFailure): void;
   /** The replica of the last place took what was held for it. */
   taken(): void;
   /** The last place is free again. */
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -15,7 +15,12 @@
 export type SendResult =
   | { readonly type: "answer"; readonly answer: Answer }
   /** It did not run at the replica and will not. */
-  | { readonly type: "notRun"; readonly reason: string }
+  | {
+    readonly type: "notRun";
+    readonly reason: string;
+    /** The replica itself said so, and it is the one that was meant. */
+    readonly turnedAway: boolean;
+  }
   /** It may have run. */
   | { readonly type: "unknown"; readonly reason: string };
 
@@ -70,7 +75,7 @@
   const now = context.clock.now();
   if (outcome.type === "notSent") {
     noteFailure(context, replica, { reason: outcome.reason, severe: true });
-    return { type: "notRun", reason: outcome.reason };
+    return { type: "notRun", reason: outcome.reason, turnedAway: false };
   }
   if (outcome.type === "broken") {
     const severe = outcome.reason === "No answer in time";
@@ -93,7 +98,8 @@
   if (facts.notRun) {
     message.resume();
     if (facts.misdirected) replica.noteFailure(now, true);
-    return { type: "notRun", reason: `Status ${status}` };
+    const turnedAway = !facts.misdirected;
+    return { type: "notRun", reason: `Status ${status}`, turnedAway };
   }
   if (PROMISES.has(status)) {
     message.resume();
--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -53,6 +53,7 @@
     hall: "h",
     slackMs: 900,
     patienceMs: 3000,
+    whole: false,
     excluded: [],
     ...change,
   };
@@ -176,6 +177,26 @@
   assert.deepEqual(grants(messages(planner, 4011)), ["e"]);
 });
 
+test("a prefill replica whose exports get lost is avoided for a while", () => {
+  const planner = new Planner(view());
+  const lose = (id: string, now: number) => {
+    planner.ask("h", ask(id), now);
+    messages(planner, now);
+    planner.progress({ type: "progress", id, stage: "prefilled" }, now);
+    planner.progress({ type: "progress", id, stage: "export-lost" }, now);
+  };
+  lose("a", 0);
+  lose("b", 1);
+  planner.ask("h", ask("c"), 2);
+  const [avoiding] = messages(planner, 2);
+  assert.ok(avoiding?.type === "grant");
+  assert.equal(avoiding.prefill, undefined);
+  planner.ask("h", ask("d"), 1002);
+  const [again] = messages(planner, 1002);
+  assert.ok(again?.type === "grant");
+  assert.equal(again.prefill, "p1");
+});
+
 test("failures are told to the view, by the replica that failed", () => {
   const failures: string[] = [];
   const planner = new Planner(view({
