--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -21,6 +21,10 @@
   readonly stallMs: Milliseconds;
   /** Streams whose first event comes later than this are given up on. */
   readonly firstEventPatienceMs: Milliseconds;
+  /** Output that is reserved, as a multiple of the caller's guess. */
+  readonly outputMargin: number;
+  /** Share of a replica's memory that is reserved at most. */
+  readonly memoryShare: number;
   /** What a replica in another hall counts as, as a share of its memory. */
   readonly farCharge: number;
 };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -254,6 +254,8 @@
     retryAfterObjectives: tuning.retry_after_objectives,
     stallMs: tuning.stall,
     firstEventPatienceMs: tuning.first_event_patience,
+    outputMargin: tuning.output_margin,
+    memoryShare: tuning.memory_share,
     farCharge: tuning.far_charge,
   };
 }
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -29,7 +29,8 @@
         context.replicas.openOf(service).map((one) => one.entry)
           .filter((one) => !this.changing.has(one.incarnation)),
       memoryOf: (service) =>
-        context.routes.service(service)?.engine?.cacheTokens ?? 0,
+        (context.routes.service(service)?.engine?.cacheTokens ?? 0) *
+        context.tuning.memoryShare,
       isPaused: (incarnation) =>
         context.replicas.get(incarnation)?.paused(context.clock.now()) ?? false,
       noteFailure: (incarnation, now) =>
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -85,7 +85,7 @@
     const wait = places.find({
       id,
       service,
-      tokens: reservedTokens(facts, engine),
+      tokens: reservedTokens(facts, engine, context.tuning.outputMargin),
       promptTokens: facts.promptTokens,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, receivedAt + patience) - SERVICE_MS,
@@ -113,7 +113,11 @@
   async #reserve(replica: Replica): Promise<Reservation | undefined> {
     const { context, request, engine } = this.#source;
     const reservation = await takeReservation(context, replica, {
-      tokens: reservedTokens(request.facts, engine),
+      tokens: reservedTokens(
+        request.facts,
+        engine,
+        context.tuning.outputMargin,
+      ),
       mostMs: engine.reservationMs,
     });
     if (!reservation) {
--- a/src/gateway/requests/memory.ts
+++ b/src/gateway/requests/memory.ts
@@ -2,17 +2,19 @@
 import type { RequestFacts } from "../port.ts";
 import type { Engine } from "../routing/model.ts";
 
-/** Share of the guessed output that is reserved: guesses run short. */
-const GUESS_MARGIN = 1.15;
 /** Share of the output limit where the caller gives no guess. */
 const LIMIT_SHARE = 0.6;
 
 /** Tokens to reserve: the prompt and the output as far as it is foreseen. */
-export function reservedTokens(facts: RequestFacts, engine: Engine): number {
+export function reservedTokens(
+  facts: RequestFacts,
+  engine: Engine,
+  outputMargin: number,
+): number {
   const { promptTokens, outputLimit, outputHint } = facts;
   const guess = outputHint === undefined
     ? outputLimit * LIMIT_SHARE
-    : Math.min(outputLimit, outputHint * GUESS_MARGIN);
+    : Math.min(outputLimit, outputHint * outputMargin);
   const tokens = Math.ceil(promptTokens + guess);
   return Math.max(1, Math.min(tokens, engine.cacheTokens));
 }
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -186,6 +186,8 @@
       retryAfterObjectives: 1,
       stallMs: AMPLE_MS,
       firstEventPatienceMs: AMPLE_MS,
+      outputMargin: 1,
+      memoryShare: 1,
       farCharge: 0.1,
     },
     hostCount: () => 1,
