Early refusals: what would be late comes back when the burst is over

Change: a quarter of the objective after its arrival an ask that can't be on time (memory given back evenly over the life of a place; prefills ahead) is refused with a time; one that came back is known by its prompt and waits.

--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -10,6 +10,7 @@
   bodyTooLarge: "body_too_large",
   noReplica: "no_replica",
   noMemory: "no_memory",
+  busy: "busy",
   refusedByReplicas: "refused_by_replicas",
   stopping: "stopping",
   outOfTimeNotRun: "out_of_time_not_run",
@@ -50,6 +51,11 @@
     message: "No replica has memory for the request in time; nothing ran",
     retryAfterSeconds: 1,
   },
+  busy: {
+    status: 503,
+    message: "The replicas are full; come back after the time given",
+    retryAfterSeconds: 2,
+  },
   refused_by_replicas: {
     status: 503,
     message: "The replicas turned the request away; nothing ran",
--- /dev/null
+++ b/src/gateway/planning/admission.ts
@@ -0,0 +1,76 @@
+/**
+ * Early refusals under load. A request that will be late is worth little and
+ * takes the memory of one that could be on time; refused at once, it can come
+ * back when the burst is over. One that has come back is never refused so.
+ */
+import type { Milliseconds } from "../../core/ids.ts";
+
+/** Life of a place before one has ended. */
+const FIRST_LIFE_MS = 4000;
+/** Part of the old mean that stays with each new life. */
+const LIFE_MEMORY = 0.95;
+/** Memory below this share in use: nothing is refused for want of it. */
+const FULL_SHARE = 0.6;
+/** Part of the free memory that can be used: requests don't fit exactly. */
+const FREE_USE = 0.8;
+/** A refused request is known again for so long. */
+const REMEMBER_MS = 12_000;
+/** Time to come back: the wait, at least this, and a random part. */
+const LEAST_RETRY_MS = 2000;
+const RETRY_SPREAD_MS = 2000;
+const LONGEST_RETRY_MS = 4500;
+
+/** The state of a pool when a request asks. */
+export type PoolState = {
+  /** Tokens of the request and of those before it. */
+  readonly tokens: number;
+  /** Tokens given away at each decode replica. */
+  readonly held: readonly number[];
+  /** Memory of one decode replica, in tokens. */
+  readonly memory: number;
+  /** Time that the prefill replicas need for those before it. */
+  readonly prefillMs: Milliseconds;
+};
+
+/** Foresees waits and remembers whom it refused. */
+export class Admission {
+  readonly #random: () => number;
+  readonly #refused = new Map<string, Milliseconds>();
+  #lifeMs: Milliseconds = FIRST_LIFE_MS;
+
+  constructor(random: () => number) {
+    this.#random = random;
+  }
+
+  /** A place has ended after `lifeMs`. */
+  noteEnd(lifeMs: Milliseconds): void {
+    this.#lifeMs = this.#lifeMs * LIFE_MEMORY + lifeMs * (1 - LIFE_MEMORY);
+  }
+
+  /** Whether the request was refused a while ago. */
+  cameBack(key: string, now: Milliseconds): boolean {
+    return now < (this.#refused.get(key) ?? 0);
+  }
+
+  /** Time until the pool can begin with the last of `tokens`. */
+  waitMs({ tokens, held, memory, prefillMs }: PoolState): Milliseconds {
+    const total = held.reduce((sum, one) => sum + one, 0);
+    const all = memory * held.length;
+    if (total < all * FULL_SHARE) return 0;
+    const missing = tokens - Math.max(0, all - total) * FREE_USE;
+    // Memory comes back evenly: what is held, over the life of a place.
+    const memoryMs = Math.max(0, missing) * this.#lifeMs / Math.max(1, total);
+    return Math.max(memoryMs, prefillMs);
+  }
+
+  /** Remembers a refusal; gives the time after which to come back. */
+  refuse(key: string, waitMs: Milliseconds, now: Milliseconds): Milliseconds {
+    for (const [known, until] of this.#refused) {
+      if (until <= now) this.#refused.delete(known);
+    }
+    if (key !== "") this.#refused.set(key, now + REMEMBER_MS);
+    const least = Math.max(LEAST_RETRY_MS, waitMs);
+    const spread = this.#random() * RETRY_SPREAD_MS;
+    return Math.min(LONGEST_RETRY_MS, least + spread);
+  }
+}
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -32,6 +32,7 @@
   readonly promptTokens: number;
   /** Prompt tokens that were ahead of it when it was granted. */
   readonly tokensAhead: number;
+  readonly grantedAt: Milliseconds;
   /** It is not believed any longer than this. */
   until: Milliseconds;
 };
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -30,6 +30,10 @@
   /** Time until its first event is due; negative when it is late. */
   slackMs: z.number(),
   patienceMs: z.number(),
+  /** Names the prompt, to know a request that comes back; may be empty. */
+  key: z.string(),
+  /** Within this time a refusal still counts as an early one. */
+  decideMs: z.number(),
   /** The decode replica is to read the prompt itself. */
   whole: z.boolean(),
   excluded: z.array(z.string()),
@@ -61,7 +65,9 @@
 const Refusal = z.object({
   type: z.literal("refusal"),
   id: z.string(),
-  reason: z.enum(["no-replica", "no-memory"]),
+  reason: z.enum(["no-replica", "no-memory", "busy"]),
+  /** When to come back, with reason "busy". */
+  retryAfterMs: z.number().exactOptional(),
 });
 
 const Ping = z.object({ type: z.literal("ping") });
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -13,6 +13,7 @@
   PlaceStage,
   type PlannerMessage,
   PlannerMessageSchema,
+  type PlanRefusal,
 } from "./messages.ts";
 import type { PlanService } from "./plan_service.ts";
 
@@ -27,6 +28,10 @@
   readonly promptTokens: number;
   readonly dueAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
+  /** Names the prompt, to know a request that comes back. */
+  readonly key: string;
+  /** Until then a refusal still counts as an early one. */
+  readonly decideAt: Milliseconds;
   /** The decode replica is to read the prompt itself. */
   readonly whole: boolean;
   readonly excluded: ReadonlySet<string>;
@@ -36,7 +41,10 @@
 export type Place = { readonly decode: string; readonly prefill?: string };
 
 /** Why there is no place. */
-export type NoPlace = "no-replica" | "no-memory" | "cancelled";
+export type NoPlace = {
+  readonly reason: "no-replica" | "no-memory" | "busy" | "cancelled";
+  readonly retryAfterMs?: Milliseconds;
+};
 
 type Asked = {
   readonly wish: PlaceWish;
@@ -212,7 +220,7 @@
     this.#asked.delete(id);
     const stage = PlaceStage.ended;
     this.#send(asked.planner, { type: "progress", id, stage });
-    asked.resolve("cancelled");
+    asked.resolve({ reason: "cancelled" });
   }
 
   #giveBack(id: string, stage: PlaceStage): void {
@@ -234,6 +242,8 @@
       hall: self.hall,
       slackMs: wish.dueAt - now,
       patienceMs: wish.giveUpAt - now,
+      key: wish.key,
+      decideMs: wish.decideAt - now,
       whole: wish.whole,
       excluded: [...wish.excluded],
     });
@@ -256,7 +266,7 @@
     const asked = this.#asked.get(id);
     if (!asked || asked.planner !== from) return;
     this.#asked.delete(id);
-    if (message.type === "refusal") return asked.resolve(message.reason);
+    if (message.type === "refusal") return asked.resolve(noPlace(message));
     const { decode, prefill } = message;
     const { service, tokens } = asked.wish;
     const held = { service, decode, tokens, planner: from };
@@ -265,3 +275,7 @@
     asked.resolve(prefill === undefined ? { decode } : { decode, prefill });
   }
 }
+
+function noPlace({ reason, retryAfterMs }: PlanRefusal): NoPlace {
+  return { reason, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
+}
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -8,7 +8,8 @@
   HostMessageSchema,
   type PlannerMessage,
 } from "./messages.ts";
-import { Planner, type StageLoad } from "./planner.ts";
+import { Planner } from "./planner.ts";
+import type { StageLoad } from "./view.ts";
 
 /** The queue is gone through again after this time when nothing happens. */
 const PASS_MS = 20;
@@ -35,6 +36,7 @@
         context.replicas.get(incarnation)?.paused(context.clock.now()) ?? false,
       noteFailure: (incarnation, now) =>
         context.replicas.get(incarnation)?.noteFailure(now, true),
+      random: context.random,
       farCharge: context.tuning.farCharge,
     });
   }
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -6,8 +6,12 @@
 import type { Milliseconds } from "../../core/ids.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Line } from "../../core/util/line_fit.ts";
+import { Admission } from "./admission.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { Ledger } from "./ledger.ts";
+import { inOrder, least, mean } from "./order.ts";
+import { readingMs, usualLine } from "./prefill_times.ts";
+import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
 import {
   PlaceStage,
   type PlanAsk,
@@ -35,34 +39,14 @@
 /** Places of a host that is out of touch are believed for so long. */
 const ORPHAN_LIFE_MS = 4000;
 
-/** What a planner sees of the fleet. */
-export type PlannerView = {
-  /** Replicas of a service that take new work. */
-  replicasOf(service: string): readonly ReplicaEntry[];
-  /** Memory of one decode replica of the service, in tokens. */
-  memoryOf(service: string): number;
-  /** A replica that fails is given nothing. */
-  isPaused(incarnation: string): boolean;
-  /** A host had no use of a replica that it was sent to. */
-  noteFailure(incarnation: string, now: Milliseconds): void;
-  /** What another hall counts as, as a share of a replica's memory. */
-  readonly farCharge: number;
-};
-
-/** How busy a service's stages are: shares of replicas and of memory. */
-export type StageLoad = { readonly prefill: number; readonly decode: number };
-
 type Waiting = {
   readonly from: string;
   readonly ask: PlanAsk;
   readonly dueAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
-};
-
-/** An answer on its way to a host. */
-export type PlannerAnswer = {
-  readonly to: string;
-  readonly message: PlannerMessage;
+  readonly decideAt: Milliseconds;
+  /** It was decided that it waits. */
+  decided: boolean;
 };
 
 /** The planner of the services that this host plans. */
@@ -71,10 +55,12 @@
   readonly #ledger = new Ledger();
   readonly #waiting = new Map<string, Waiting>();
   readonly #losses = new ExportLosses();
+  readonly #admission: Admission;
   readonly #fullUntil = new Map<string, Milliseconds>();
 
   constructor(view: PlannerView) {
     this.#view = view;
+    this.#admission = new Admission(view.random);
   }
 
   /** Requests that wait for a place. */
@@ -107,7 +93,10 @@
     this.#ledger.remove(ask.id);
     const dueAt = now + ask.slackMs;
     const giveUpAt = now + ask.patienceMs;
-    this.#waiting.set(ask.id, { from, ask, dueAt, giveUpAt });
+    const decideAt = now + ask.decideMs;
+    const decided = this.#admission.cameBack(ask.key, now);
+    const waiting = { from, ask, dueAt, giveUpAt, decideAt, decided };
+    this.#waiting.set(ask.id, waiting);
   }
 
   /** Enters a place that was given elsewhere. */
@@ -121,6 +110,7 @@
       readBy: undefined,
       promptTokens: 0,
       tokensAhead: 0,
+      grantedAt: now,
       until: now + PLACE_LIFE_MS,
     });
   }
@@ -150,8 +140,9 @@
     if (readBy !== undefined && stage === PlaceStage.exportLost) {
       this.#losses.noteLost(readBy, now);
     }
-    if (readBy !== undefined && stage === PlaceStage.ended) {
-      this.#losses.noteKept(readBy);
+    if (stage === PlaceStage.ended) {
+      this.#admission.noteEnd(now - entry.grantedAt);
+      if (readBy !== undefined) this.#losses.noteKept(readBy);
     }
     if (stage === PlaceStage.refused) {
       this.#fullUntil.set(decode, now + FULL_MS);
@@ -171,8 +162,13 @@
   pass(now: Milliseconds): PlannerAnswer[] {
     this.#ledger.expire(now);
     const answers: PlannerAnswer[] = [];
+    const ahead = { tokens: 0, promptTokens: 0 };
     for (const one of this.#inOrder(now)) {
-      const message = this.#answer(one, now);
+      const message = this.#answer(one, now) ?? this.#decide(one, ahead, now);
+      if (!message) {
+        ahead.tokens += one.ask.tokens;
+        ahead.promptTokens += one.ask.promptTokens;
+      }
       if (!message) continue;
       this.#waiting.delete(one.ask.id);
       answers.push({ to: one.from, message });
@@ -184,20 +180,13 @@
   #inOrder(now: Milliseconds): Waiting[] {
     const lines = new Map<string, Line>();
     return inOrder([...this.#waiting.values()], now, ({ ask }) => {
-      const line = lines.get(ask.service) ?? this.#usualLine(ask.service);
+      const line = lines.get(ask.service) ??
+        usualLine(this.#ledger, this.#prefillsOf(ask.service));
       lines.set(ask.service, line);
       return line.base + line.slope * ask.promptTokens + FIRST_EVENT_MS;
     });
   }
 
-  /** The prefill times of the service's fastest prefill replica. */
-  #usualLine(service: string): Line {
-    const lines = this.#view.replicasOf(service)
-      .filter((one) => one.stage === ReplicaStage.prefill)
-      .map((one) => this.#ledger.lineOf(one.incarnation));
-    return least(lines, (line) => line.slope) ?? { base: 0, slope: 0 };
-  }
-
   #answer(one: Waiting, now: Milliseconds): PlannerMessage | undefined {
     const { id, service, excluded } = one.ask;
     if (now >= one.giveUpAt) {
@@ -231,6 +220,41 @@
     return this.#grant(one, { decode, prefill }, now);
   }
 
+  /** Refuses at once what will not be on time, so that it can come back. */
+  #decide(
+    one: Waiting,
+    ahead: { readonly tokens: number; readonly promptTokens: number },
+    now: Milliseconds,
+  ): PlannerMessage | undefined {
+    if (one.decided || now < one.decideAt) return undefined;
+    one.decided = true;
+    const { id, service, tokens, promptTokens, key } = one.ask;
+    const prefills = this.#prefillsOf(service);
+    const line = usualLine(this.#ledger, prefills);
+    const waitMs = this.#admission.waitMs({
+      tokens: tokens + ahead.tokens,
+      held: this.#heldOf(service),
+      memory: this.#view.memoryOf(service),
+      prefillMs: readingMs(this.#ledger, prefills, ahead.promptTokens),
+    });
+    const startMs = line.base + line.slope * promptTokens + FIRST_EVENT_MS;
+    if (now + waitMs + startMs <= one.dueAt) return undefined;
+    const retryAfterMs = this.#admission.refuse(key, waitMs, now);
+    return { type: "refusal", id, reason: "busy", retryAfterMs };
+  }
+
+  #prefillsOf(service: string): ReplicaEntry[] {
+    return this.#view.replicasOf(service)
+      .filter((one) => one.stage === ReplicaStage.prefill);
+  }
+
+  /** Memory given away at each decode replica of the service. */
+  #heldOf(service: string): number[] {
+    return this.#view.replicasOf(service)
+      .filter((one) => one.stage === ReplicaStage.decode)
+      .map((one) => this.#ledger.memoryAt(one.incarnation));
+  }
+
   /** The decode replica with most memory left, rather in the asker's hall. */
   #decodeFor(
     one: Waiting,
@@ -291,6 +315,7 @@
       readBy: prefill,
       promptTokens,
       tokensAhead: prefill === undefined ? 0 : this.#ledger.promptsAt(prefill),
+      grantedAt: now,
       until: now + PLACE_LIFE_MS,
     });
     const base = { type: "grant" as const, id, decode };
@@ -305,35 +330,3 @@
 
 /** What a prefill in another hall than its decode counts as. */
 const FAR_PREFILL_MS = 15;
-
-/** Those that can still be on time by their due time, then the others. */
-export function inOrder<
-  One extends { readonly dueAt: Milliseconds },
->(
-  waits: readonly One[],
-  now: Milliseconds,
-  serviceMs: (one: One) => Milliseconds,
-): One[] {
-  const late = (one: One) => now + serviceMs(one) > one.dueAt ? 1 : 0;
-  return [...waits].sort((a, b) => late(a) - late(b) || a.dueAt - b.dueAt);
-}
-
-function mean(values: readonly number[]): number {
-  if (values.length === 0) return 0;
-  return values.reduce((sum, one) => sum + one, 0) / values.length;
-}
-
-function least<One>(
-  all: readonly One[],
-  value: (one: One) => number,
-): One | undefined {
-  let best: One | undefined;
-  let bestValue = Infinity;
-  for (const one of all) {
-    const its = value(one);
-    if (its >= bestValue) continue;
-    best = one;
-    bestValue = its;
-  }
-  return best;
-}
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -15,6 +15,8 @@
   readonly patienceMs?: Milliseconds;
   /** 0 when the head names no prompt. */
   readonly promptTokens: number;
+  /** Names the prompt: an attempt of the same request names the same. */
+  readonly promptKey?: string;
   /** Most tokens to be made. */
   readonly outputLimit: number;
   /** The caller's guess of the tokens to be made. */
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -7,12 +7,17 @@
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
-import type { Places } from "../planning/places.ts";
+import type { NoPlace, Places } from "../planning/places.ts";
 import { CallMode } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Engine } from "../routing/model.ts";
 import { reservedTokens } from "./memory.ts";
-import type { PlaceFailure, Placement, Placer } from "./placement.ts";
+import type {
+  PlaceFailure,
+  Placement,
+  Placer,
+  PlaceRefusal,
+} from "./placement.ts";
 import { type Export, Prefills } from "./prefill.ts";
 import type { GatewayRequest } from "./request.ts";
 import {
@@ -25,6 +30,10 @@
 const SERVICE_MS = 400;
 /** A reservation that ends sooner than this is not used. */
 const EXPIRY_MARGIN_MS = 100;
+/** A refusal within this share of the objective counts as an early one. */
+const EARLY_SHARE = 0.25;
+/** Time that an early refusal takes to its caller. */
+const EARLY_MARGIN_MS = 50;
 /** Pause before the planner is asked again after it named a replica that is
  * not open here. */
 const LISTING_PAUSE_MS = 100;
@@ -37,6 +46,9 @@
   readonly engine: Engine;
 };
 
+/** A place by the replicas that this host knows. */
+type PlannedPlace = { readonly replica: Replica; readonly prefill?: Replica };
+
 /** Places one request. */
 export class EnginePlacement implements Placer {
   readonly #source: EngineSource;
@@ -57,12 +69,12 @@
 
   async place(
     excluded: ReadonlySet<string>,
-  ): Promise<Placement | GatewayError> {
+  ): Promise<Placement | PlaceRefusal> {
     const { clock, metrics } = this.#source.context;
     const startedAt = clock.now();
     for (;;) {
       const found = await this.#find(excluded);
-      if (typeof found === "string") return found;
+      if ("error" in found) return found;
       const reservation = await this.#reserve(found.replica);
       if (!reservation) continue;
       const waitMs = clock.now() - startedAt;
@@ -77,7 +89,7 @@
   /** A place from the planner; GatewayError when there is none in time. */
   async #find(
     excluded: ReadonlySet<string>,
-  ): Promise<{ replica: Replica; prefill?: Replica } | GatewayError> {
+  ): Promise<PlannedPlace | PlaceRefusal> {
     const { context, request, places, engine } = this.#source;
     const { receivedAt, route, limitAt, service, facts } = request;
     const patience = context.tuning.firstEventPatienceMs;
@@ -89,13 +101,14 @@
       promptTokens: facts.promptTokens,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, receivedAt + patience) - SERVICE_MS,
+      key: facts.promptKey ?? "",
+      decideAt: receivedAt + route.objectiveMs * EARLY_SHARE - EARLY_MARGIN_MS,
       whole: this.#whole,
       excluded,
     });
     this.#cancelWait = wait.cancel;
     const place = await wait.result;
-    if (place === "no-replica") return GatewayError.noReplica;
-    if (typeof place === "string") return GatewayError.noMemory;
+    if ("reason" in place) return refusalOf(place);
     this.#placeId = id;
     const replica = context.replicas.get(place.decode);
     const prefill = place.prefill === undefined
@@ -210,6 +223,20 @@
   }
 }
 
+function refusalOf({ reason, retryAfterMs }: NoPlace): PlaceRefusal {
+  switch (reason) {
+    case "no-replica":
+      return { error: GatewayError.noReplica };
+    case "busy":
+      return {
+        error: GatewayError.busy,
+        ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+      };
+    default:
+      return { error: GatewayError.noMemory };
+  }
+}
+
 let placeCount = 0;
 
 /** A name that no other host and no other run of this one gives. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -11,7 +11,7 @@
 import { Attempts } from "./attempts.ts";
 import { EnginePlacement } from "./engine_placement.ts";
 import { PlainPlacement } from "./plain_placement.ts";
-import type { Placement, Placer } from "./placement.ts";
+import type { Placement, Placer, PlaceRefusal } from "./placement.ts";
 import {
   type EventPosition,
   relayBytes,
@@ -81,7 +81,7 @@
   async #round(): Promise<void> {
     const placed = await this.#placer.place(this.#attempts.excluded);
     if (this.#ended) return;
-    if (typeof placed === "string") return this.#giveUp(placed);
+    if ("error" in placed) return this.#refuse(placed);
     if (!this.#attempts.inTime) {
       this.#placer.release();
       return this.#giveUp(GatewayError.outOfTimeNotRun);
@@ -253,7 +253,18 @@
     this.#end();
   }
 
-  #giveUp(error: GatewayError, reason?: string): void {
+  #refuse({ error, retryAfterMs }: PlaceRefusal): void {
+    const seconds = retryAfterMs === undefined
+      ? undefined
+      : Math.round(retryAfterMs / 100) / 10;
+    this.#giveUp(error, undefined, seconds);
+  }
+
+  #giveUp(
+    error: GatewayError,
+    reason?: string,
+    retryAfterSeconds?: number,
+  ): void {
     if (this.#ended) return;
     const { clock, metrics } = this.#context;
     const spent_ms = Math.round(clock.now() - this.#request.receivedAt);
@@ -265,7 +276,7 @@
     } else {
       const name = this.#attempts.mayHaveRun ? "failed" : "refused";
       this.#note(name, { error: told, reason, spent_ms });
-      this.#reply.fail(told);
+      this.#reply.fail(told, told === error ? retryAfterSeconds : undefined);
     }
     this.#end();
   }
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -17,6 +17,12 @@
   readonly head: CallHead;
 };
 
+/** Why there is no place, and when to come back where that is known. */
+export type PlaceRefusal = {
+  readonly error: GatewayError;
+  readonly retryAfterMs?: Milliseconds;
+};
+
 /** Why the replica of a place did not serve. */
 export type PlaceFailure = {
   /** It answered that it did not run the request. */
@@ -26,7 +32,7 @@
 /** Finds places for one request. */
 export type Placer = {
   /** A place not among `excluded`, or why there is none. */
-  place(excluded: ReadonlySet<string>): Promise<Placement | GatewayError>;
+  place(excluded: ReadonlySet<string>): Promise<Placement | PlaceRefusal>;
   /** The last place was not used: what is held there is let go. */
   release(): void;
   /** The replica of the last place did not serve. */
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -3,7 +3,7 @@
 import type { GatewayContext } from "../context.ts";
 import { CallMode } from "../port.ts";
 import { chooseReplica } from "../replicas/choice.ts";
-import type { Placement, Placer } from "./placement.ts";
+import type { Placement, Placer, PlaceRefusal } from "./placement.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** Places one request; nothing is held. */
@@ -16,7 +16,7 @@
     this.#request = request;
   }
 
-  place(excluded: ReadonlySet<string>): Promise<Placement | GatewayError> {
+  place(excluded: ReadonlySet<string>): Promise<Placement | PlaceRefusal> {
     const { replicas, clock, random, self, tuning } = this.#context;
     const open = replicas.openOf(this.#request.service);
     const query = {
@@ -31,7 +31,7 @@
       query,
       (one) => one.calls / Math.max(1, one.entry.slots),
     );
-    if (!replica) return Promise.resolve(GatewayError.noReplica);
+    if (!replica) return Promise.resolve({ error: GatewayError.noReplica });
     const { incarnation } = replica.entry;
     const head = { mode: CallMode.whole, incarnation };
     return Promise.resolve({ replica, tokens: 0, head });
--- a/src/gateway/stages/balance.ts
+++ b/src/gateway/stages/balance.ts
@@ -1,6 +1,6 @@
 /** Which replica should change its stage; pure. */
 import type { Milliseconds } from "../../core/ids.ts";
-import type { StageLoad } from "../planning/planner.ts";
+import type { StageLoad } from "../planning/view.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 
 /** A change that would bring a service nearer to its share of prefill. */
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -11,7 +11,7 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Service } from "../routing/model.ts";
 import { within } from "../state/synchronizer.ts";
-import type { StageLoad } from "../planning/planner.ts";
+import type { StageLoad } from "../planning/view.ts";
 import {
   ChangePatience,
   SmoothLoad,
--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -7,11 +7,9 @@
   PlanAsk,
   PlannerMessage,
 } from "../../../src/gateway/planning/messages.ts";
-import {
-  inOrder,
-  Planner,
-  type PlannerView,
-} from "../../../src/gateway/planning/planner.ts";
+import { inOrder } from "../../../src/gateway/planning/order.ts";
+import { Planner } from "../../../src/gateway/planning/planner.ts";
+import type { PlannerView } from "../../../src/gateway/planning/view.ts";
 
 const MEMORY = 1000;
 
@@ -38,6 +36,7 @@
     memoryOf: () => MEMORY,
     isPaused: () => false,
     noteFailure: () => undefined,
+    random: () => 0,
     farCharge: 0.1,
     ...change,
   };
@@ -53,6 +52,8 @@
     hall: "h",
     slackMs: 900,
     patienceMs: 3000,
+    key: "",
+    decideMs: Infinity,
     whole: false,
     excluded: [],
     ...change,
@@ -125,6 +126,33 @@
   assert.deepEqual(grants(messages(planner, 101)), ["f"]);
 });
 
+test("what will be late is refused at once, but not when it comes back", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  const big = { key: "k", decideMs: 100, tokens: 900 };
+  planner.ask("h", ask("e", big), 0);
+  assert.deepEqual(messages(planner, 99), []);
+  const [refusal] = messages(planner, 100);
+  assert.ok(refusal?.type === "refusal");
+  assert.equal(refusal.reason, "busy");
+  assert.ok((refusal.retryAfterMs ?? 0) >= 2000);
+  planner.ask("h", ask("f", big), 2100);
+  assert.deepEqual(messages(planner, 2300), []);
+  for (const id of ["a", "b", "c", "d"]) {
+    planner.progress({ type: "progress", id, stage: "ended" }, 2400);
+  }
+  assert.deepEqual(grants(messages(planner, 2400)), ["f"]);
+});
+
+test("with memory to spare nothing is refused as busy", () => {
+  const planner = new Planner(view({ memoryOf: () => 4000 }));
+  const late = { decideMs: 0, slackMs: -500 };
+  for (const id of ["a", "b", "c"]) planner.ask("h", ask(id, late), 0);
+  const all = messages(planner, 0);
+  assert.ok(all.every((one) => one.type === "grant"));
+});
+
 test("a replica that refused its reservation is passed over for a while", () => {
   const planner = new Planner(view());
   planner.ask("h", ask("a"), 0);
