--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -22,8 +22,11 @@
 const HEAD_BYTES = 64 * 1024;
 /** Body limit before a configuration is known. */
 const FIRST_BODY_BYTES = 4 << 20;
-/** A stream that may take longer than what is left is not begun. */
-const STREAM_MS = 4500;
+/**
+ * A stream that may take longer than what is left of the grace is not begun:
+ * the longest take some five seconds.
+ */
+const STREAM_MS = 5300;
 const PLAIN_MS = 1000;
 const FINISH_CHECK_MS = 50;
 
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -58,6 +58,10 @@
   readonly address: string;
   /** Sends a request; rejects when no head comes. */
   call(options?: CallOptions): Promise<Seen>;
+  /** Resolves once the replicas were sent so many requests. */
+  arrived(count: number): Promise<void>;
+  /** The caller closes all its connections. */
+  leave(): void;
   stop(): void;
 };
 
@@ -122,6 +126,11 @@
     events,
     address: `127.0.0.1:${port}`,
     call: (options = {}) => call(port, agent, options),
+    arrived: async (count) => {
+      const sent = () => replicas.flatMap((one) => one.requests).length;
+      while (sent() < count) await new Promise((go) => setTimeout(go, 5));
+    },
+    leave: () => agent.destroy(),
     stop: () => {
       agent.destroy();
       callers.server.closeAllConnections();
