--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -18,7 +18,7 @@
 import type { PlanService } from "./plan_service.ts";
 
 /** A host whose link broke is not tried again for this time. */
-const SUSPECT_MS = 2500;
+const SUSPECT_MS = 800;
 
 /** A request that wants a place. */
 export type PlaceWish = {
