--- a/src/programs/ctl/context.ts
+++ b/src/programs/ctl/context.ts
@@ -31,7 +31,7 @@
 export type Context = {
   readonly flags: Flags;
   readonly hosts: readonly ControlTarget[];
-  /** The platform, or the first entry host. */
+  /** The platform, or the first entry host; ends the program without both. */
   readonly store: Store;
   /** Prints for people, or as JSON for scripts. */
   show(text: string, value: unknown): void;
@@ -49,7 +49,9 @@
   return {
     flags,
     hosts,
-    store: storeOf(flags, hosts),
+    get store() {
+      return storeOf(flags, hosts);
+    },
     show: (text, value) =>
       console.log(flags.json ? JSON.stringify(value) : text),
   };
--- a/test/programs/story_test.ts
+++ b/test/programs/story_test.ts
@@ -1,5 +1,6 @@
 /** A request's story from mixed logs. */
 import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
 import { test } from "node:test";
 import { storyOf, storyText } from "../../src/programs/ctl/story.ts";
 
@@ -28,3 +29,27 @@
 test("an id that no line names has no story", () => {
   assert.deepEqual(storyOf([line("t", "1", "m")], "2"), []);
 });
+
+type Run = { readonly code: number | null; readonly out: string };
+
+function explain(request: string, input: string): Promise<Run> {
+  const main = "dist/src/programs/ctl/main.js";
+  const child = spawn(process.execPath, [main, "explain", request]);
+  let out = "";
+  child.stdout.on("data", (part: Buffer) => out += part.toString("utf8"));
+  child.stderr.on("data", (part: Buffer) => out += part.toString("utf8"));
+  child.stdin.end(input);
+  return new Promise((resolve) => {
+    child.on("close", (code) => resolve({ code, out }));
+  });
+}
+
+test("explain reads standard input, without any host or platform", async () => {
+  const found = await explain("1", `${line("t", "1", "placement: sent")}\n`);
+  assert.deepEqual(found, {
+    code: 0,
+    out: "t  h1  placement: sent  reason=r\n",
+  });
+  const none = await explain("2", "");
+  assert.deepEqual(none, { code: 1, out: "No line names the request 2\n" });
+});
