Refusals tell what they were decided on; exchange and planner split

Each refusal of a model request logs the planner, the decode replicas, the share of their memory given away and the asks that wait. Asks of other services no longer count as ahead of one.

--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -62,12 +62,25 @@
   prefill: z.string().exactOptional(),
 });
 
+/** What a refusal was decided on. */
+const Basis = z.object({
+  /** Decode replicas that take new work. */
+  decodes: z.number(),
+  /** Share of their memory that is given away. */
+  held: z.number(),
+  /** Asks that wait at the planner. */
+  waiting: z.number(),
+});
+/** What a refusal was decided on. */
+export type RefusalBasis = z.output<typeof Basis>;
+
 const Refusal = z.object({
   type: z.literal("refusal"),
   id: z.string(),
   reason: z.enum(["no-replica", "no-memory", "busy"]),
   /** When to come back, with reason "busy". */
   retryAfterMs: z.number().exactOptional(),
+  basis: Basis,
 });
 
 const Ping = z.object({ type: z.literal("ping") });
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -13,12 +13,6 @@
   return [...waits].sort((a, b) => late(a) - late(b) || a.dueAt - b.dueAt);
 }
 
-/** The mean; 0 of nothing. */
-export function mean(values: readonly number[]): number {
-  if (values.length === 0) return 0;
-  return values.reduce((sum, one) => sum + one, 0) / values.length;
-}
-
 /** The one with the least value; undefined where all are infinite. */
 export function least<One>(
   all: readonly One[],
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -14,6 +14,7 @@
   type PlannerMessage,
   PlannerMessageSchema,
   type PlanRefusal,
+  type RefusalBasis,
 } from "./messages.ts";
 import type { PlanService } from "./plan_service.ts";
 
@@ -44,6 +45,9 @@
 export type NoPlace = {
   readonly reason: "no-replica" | "no-memory" | "busy" | "cancelled";
   readonly retryAfterMs?: Milliseconds;
+  /** The planner that said so, and what it went by. */
+  readonly planner?: string;
+  readonly basis?: RefusalBasis;
 };
 
 type Asked = {
@@ -266,7 +270,9 @@
     const asked = this.#asked.get(id);
     if (!asked || asked.planner !== from) return;
     this.#asked.delete(id);
-    if (message.type === "refusal") return asked.resolve(noPlace(message));
+    if (message.type === "refusal") {
+      return asked.resolve(noPlace(from, message));
+    }
     const { decode, prefill } = message;
     const { service, tokens } = asked.wish;
     const held = { service, decode, tokens, planner: from };
@@ -276,6 +282,8 @@
   }
 }
 
-function noPlace({ reason, retryAfterMs }: PlanRefusal): NoPlace {
-  return { reason, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
+function noPlace(planner: string, refusal: PlanRefusal): NoPlace {
+  const { reason, retryAfterMs, basis } = refusal;
+  const comeBack = retryAfterMs === undefined ? {} : { retryAfterMs };
+  return { reason, planner, basis, ...comeBack };
 }
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -9,8 +9,9 @@
 import { Admission } from "./admission.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { Ledger } from "./ledger.ts";
-import { inOrder, least, mean } from "./order.ts";
+import { inOrder, least } from "./order.ts";
 import { readingMs, usualLine } from "./prefill_times.ts";
+import { stageLoad } from "./stage_load.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
 import {
   PlaceStage,
@@ -19,6 +20,7 @@
   type PlanKeep,
   type PlannerMessage,
   type PlanProgress,
+  type PlanRefusal,
 } from "./messages.ts";
 
 /**
@@ -39,6 +41,9 @@
 /** Places of a host that is out of touch are believed for so long. */
 const ORPHAN_LIFE_MS = 4000;
 
+/** What waits before an ask. */
+type Queue = { tokens: number; promptTokens: number };
+
 type Waiting = {
   readonly from: string;
   readonly ask: PlanAsk;
@@ -70,22 +75,10 @@
 
   /** How busy the two stages of a service are, from 0 to 1. */
   loadOf(service: string): StageLoad {
-    const memory = Math.max(1, this.#view.memoryOf(service));
-    const replicas = this.#view.replicasOf(service);
-    const prefills = replicas.filter((r) => r.stage === ReplicaStage.prefill);
-    const decodes = replicas.filter((r) => r.stage === ReplicaStage.decode);
-    return {
-      prefill: mean(
-        prefills.map((one) =>
-          this.#ledger.promptsAt(one.incarnation) > 0 ? 1 : 0
-        ),
-      ),
-      decode: mean(
-        decodes.map((one) =>
-          Math.min(1, this.#ledger.memoryAt(one.incarnation) / memory)
-        ),
-      ),
-    };
+    return stageLoad(this.#ledger, {
+      replicas: this.#view.replicasOf(service),
+      memory: this.#view.memoryOf(service),
+    });
   }
 
   /** Queues an ask; `pass` answers it. */
@@ -162,14 +155,17 @@
   pass(now: Milliseconds): PlannerAnswer[] {
     this.#ledger.expire(now);
     const answers: PlannerAnswer[] = [];
-    const ahead = { tokens: 0, promptTokens: 0 };
+    const queues = new Map<string, Queue>();
     for (const one of this.#inOrder(now)) {
+      const { service } = one.ask;
+      const ahead = queues.get(service) ?? { tokens: 0, promptTokens: 0 };
+      queues.set(service, ahead);
       const message = this.#answer(one, now) ?? this.#decide(one, ahead, now);
       if (!message) {
         ahead.tokens += one.ask.tokens;
         ahead.promptTokens += one.ask.promptTokens;
+        continue;
       }
-      if (!message) continue;
       this.#waiting.delete(one.ask.id);
       answers.push({ to: one.from, message });
     }
@@ -188,17 +184,13 @@
   }
 
   #answer(one: Waiting, now: Milliseconds): PlannerMessage | undefined {
-    const { id, service, excluded } = one.ask;
-    if (now >= one.giveUpAt) {
-      return { type: "refusal", id, reason: "no-memory" };
-    }
+    const { service, excluded } = one.ask;
+    if (now >= one.giveUpAt) return this.#refusal(one, "no-memory");
     const open = this.#view.replicasOf(service).filter((replica) =>
       !excluded.includes(replica.incarnation)
     );
     const decodes = open.filter((r) => r.stage === ReplicaStage.decode);
-    if (decodes.length === 0) {
-      return { type: "refusal", id, reason: "no-replica" };
-    }
+    if (decodes.length === 0) return this.#refusal(one, "no-replica");
     const decode = this.#decodeFor(one, decodes, now);
     if (!decode) return undefined;
     const prefills = open.filter((r) => r.stage === ReplicaStage.prefill);
@@ -223,12 +215,12 @@
   /** Refuses at once what will not be on time, so that it can come back. */
   #decide(
     one: Waiting,
-    ahead: { readonly tokens: number; readonly promptTokens: number },
+    ahead: Readonly<Queue>,
     now: Milliseconds,
   ): PlannerMessage | undefined {
     if (one.decided || now < one.decideAt) return undefined;
     one.decided = true;
-    const { id, service, tokens, promptTokens, key } = one.ask;
+    const { service, tokens, promptTokens, key } = one.ask;
     const prefills = this.#prefillsOf(service);
     const line = usualLine(this.#ledger, prefills);
     const waitMs = this.#admission.waitMs({
@@ -240,7 +232,16 @@
     const startMs = line.base + line.slope * promptTokens + FIRST_EVENT_MS;
     if (now + waitMs + startMs <= one.dueAt) return undefined;
     const retryAfterMs = this.#admission.refuse(key, waitMs, now);
-    return { type: "refusal", id, reason: "busy", retryAfterMs };
+    return { ...this.#refusal(one, "busy"), retryAfterMs };
+  }
+
+  /** A refusal with what it was decided on. */
+  #refusal(one: Waiting, reason: PlanRefusal["reason"]): PlanRefusal {
+    const { id, service } = one.ask;
+    const held = Math.round(this.loadOf(service).decode * 100) / 100;
+    const decodes = this.#heldOf(service).length;
+    const basis = { decodes, held, waiting: this.#waiting.size };
+    return { type: "refusal", id, reason, basis };
   }
 
   #prefillsOf(service: string): ReplicaEntry[] {
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -223,17 +223,20 @@
   }
 }
 
-function refusalOf({ reason, retryAfterMs }: NoPlace): PlaceRefusal {
+function refusalOf(place: NoPlace): PlaceRefusal {
+  const { reason, retryAfterMs, planner, basis } = place;
+  const fields = { planner, ...basis };
   switch (reason) {
     case "no-replica":
-      return { error: GatewayError.noReplica };
+      return { error: GatewayError.noReplica, basis: fields };
     case "busy":
       return {
         error: GatewayError.busy,
         ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+        basis: fields,
       };
     default:
-      return { error: GatewayError.noMemory };
+      return { error: GatewayError.noMemory, basis: fields };
   }
 }
 
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
+import type { EventFields } from "../observe/event_log.ts";
 import { Timing } from "../observe/metrics.ts";
 import type { Places } from "../planning/places.ts";
 import { RouteKind } from "../routing/model.ts";
@@ -20,6 +21,7 @@
   relayHeld,
 } from "./relay.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
+import { RequestJournal } from "./request_journal.ts";
 import type { Answer } from "../upstreams/call.ts";
 import { type Sending, sendRequest, type SendResult } from "./sender.ts";
 
@@ -32,6 +34,12 @@
   readonly onEnd: () => void;
 };
 
+/** When to come back, and what a refusal was decided on. */
+type GiveUp = {
+  readonly seconds?: number | undefined;
+  readonly basis?: EventFields | undefined;
+};
+
 /** One request under way. */
 export class Exchange {
   readonly #context: GatewayContext;
@@ -40,6 +48,7 @@
   readonly #placer: Placer;
   readonly #onEnd: () => void;
   readonly #attempts: Attempts;
+  readonly #journal: RequestJournal;
   readonly #position: EventPosition = {};
   readonly #cancelLimit: () => void;
   #sending: Sending | undefined;
@@ -55,6 +64,7 @@
     this.#reply = source.reply;
     this.#onEnd = source.onEnd;
     this.#attempts = new Attempts(context, request);
+    this.#journal = new RequestJournal(context, request);
     const engine = context.routes.service(request.service)?.engine;
     this.#placer = engine
       ? new EnginePlacement({ context, request, places, engine })
@@ -74,7 +84,7 @@
   callerGone(): void {
     if (this.#ended) return;
     this.#context.metrics.count("callers_gone");
-    this.#note("callerGone");
+    this.#journal.note("callerGone");
     this.#end();
   }
 
@@ -97,11 +107,10 @@
   }
 
   async #send(placed: Placement): Promise<SendResult> {
-    const { clock, tuning, metrics } = this.#context;
+    const { clock, tuning } = this.#context;
     const { route, limitAt } = this.#request;
     this.#attempts.begin();
-    metrics.count("sends");
-    this.#notePlaced(placed);
+    this.#journal.placed(placed, this.#attempts.sends);
     const patient = !this.#attempts.repeatable || this.#attempts.isLast ||
       !this.#hasOther(placed);
     const timeoutMs = route.objectiveMs * tuning.retryAfterObjectives;
@@ -117,23 +126,6 @@
     return await this.#sending.result;
   }
 
-  #notePlaced(placed: Placement): void {
-    const { facts } = this.#request;
-    this.#note("placed", {
-      replica: placed.replica.entry.incarnation,
-      prefill: placed.export?.replica.entry.incarnation,
-      tokens: placed.tokens,
-      prompt: facts.promptTokens,
-      wait_ms: placed.waitMs,
-      prefill_ms: placed.prefillMs,
-      output_limit: facts.outputLimit,
-      output_hint: facts.outputHint,
-      send: this.#attempts.sends,
-      listing: this.#context.replicas.revision,
-      routes: this.#context.routes.version,
-    });
-  }
-
   /** Whether another replica could take the request in its stead. */
   #hasOther(placed: Placement): boolean {
     const { replicas } = this.#context;
@@ -238,45 +230,36 @@
         this.#attempts.takeRetry("The answer was cut off"));
     this.#retryTaken = false;
     if (taken) {
-      if (this.#headSent) this.#note("resumed", { ...this.#position });
+      if (this.#headSent) this.#journal.note("resumed", { ...this.#position });
       return;
     }
     this.#giveUp(GatewayError.outcomeUnknown, "The answer was cut off");
   }
 
   #complete(status: number): void {
-    const { clock, metrics } = this.#context;
-    const spentMs = clock.now() - this.#request.receivedAt;
-    metrics.time(Timing.whole, spentMs);
-    metrics.count(status < 400 ? "answers_good" : "answers_failed");
-    this.#note("answered", { status, spent_ms: Math.round(spentMs) });
+    this.#journal.answered(status);
     this.#end();
   }
 
-  #refuse({ error, retryAfterMs }: PlaceRefusal): void {
+  #refuse({ error, retryAfterMs, basis }: PlaceRefusal): void {
     const seconds = retryAfterMs === undefined
       ? undefined
       : Math.round(retryAfterMs / 100) / 10;
-    this.#giveUp(error, undefined, seconds);
+    this.#giveUp(error, undefined, { seconds, basis });
   }
 
-  #giveUp(
-    error: GatewayError,
-    reason?: string,
-    retryAfterSeconds?: number,
-  ): void {
+  #giveUp(error: GatewayError, reason?: string, more: GiveUp = {}): void {
     if (this.#ended) return;
-    const { clock, metrics } = this.#context;
-    const spent_ms = Math.round(clock.now() - this.#request.receivedAt);
     const told = this.#told(error);
-    metrics.count(`ended_${told}`);
+    const retryAfter = told === error ? more.seconds : undefined;
+    const ending = { error: told, reason, retry_after: retryAfter };
     if (this.#headSent) {
-      this.#note("broken", { error: told, reason, spent_ms });
+      this.#journal.ended("broken", ending);
       this.#reply.breakOff();
     } else {
       const name = this.#attempts.mayHaveRun ? "failed" : "refused";
-      this.#note(name, { error: told, reason, spent_ms });
-      this.#reply.fail(told, told === error ? retryAfterSeconds : undefined);
+      this.#journal.ended(name, { ...ending, ...more.basis });
+      this.#reply.fail(told, retryAfter);
     }
     this.#end();
   }
@@ -302,13 +285,4 @@
     this.#placer.end();
     this.#onEnd();
   }
-
-  #note(
-    name: Parameters<GatewayContext["events"]["note"]>[0],
-    fields: Parameters<GatewayContext["events"]["note"]>[1] = {},
-  ): void {
-    const { facts, route } = this.#request;
-    const request = facts.id;
-    this.#context.events.note(name, { request, route: route.name, ...fields });
-  }
 }
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -1,6 +1,7 @@
 /** Where one send of a request goes. */
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayError } from "../answers.ts";
+import type { EventFields } from "../observe/event_log.ts";
 import type { CallHead } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Export } from "./prefill.ts";
@@ -21,6 +22,8 @@
 export type PlaceRefusal = {
   readonly error: GatewayError;
   readonly retryAfterMs?: Milliseconds;
+  /** What it was decided on, for the log. */
+  readonly basis?: EventFields;
 };
 
 /** Why the replica of a place did not serve. */
--- /dev/null
+++ b/src/gateway/requests/request_journal.ts
@@ -0,0 +1,67 @@
+/** What is logged and counted of one request. */
+import type { GatewayContext } from "../context.ts";
+import type { EventFields } from "../observe/event_log.ts";
+import type { EventName } from "../observe/event_names.ts";
+import { Timing } from "../observe/metrics.ts";
+import type { Placement } from "./placement.ts";
+import type { GatewayRequest } from "./request.ts";
+
+/** Logs and counts one request. */
+export class RequestJournal {
+  readonly #context: GatewayContext;
+  readonly #request: GatewayRequest;
+
+  constructor(context: GatewayContext, request: GatewayRequest) {
+    this.#context = context;
+    this.#request = request;
+  }
+
+  /** An event of the request. */
+  note(name: EventName, fields: EventFields = {}): void {
+    const { facts, route } = this.#request;
+    const request = facts.id;
+    this.#context.events.note(name, { request, route: route.name, ...fields });
+  }
+
+  /** It is sent to a replica, with what that was decided on. */
+  placed(placed: Placement, sends: number): void {
+    const { metrics, replicas, routes } = this.#context;
+    const { facts } = this.#request;
+    metrics.count("sends");
+    this.note("placed", {
+      replica: placed.replica.entry.incarnation,
+      prefill: placed.export?.replica.entry.incarnation,
+      tokens: placed.tokens,
+      prompt: facts.promptTokens,
+      wait_ms: placed.waitMs,
+      prefill_ms: placed.prefillMs,
+      output_limit: facts.outputLimit,
+      output_hint: facts.outputHint,
+      send: sends,
+      listing: replicas.revision,
+      routes: routes.version,
+    });
+  }
+
+  /** Its whole answer was passed on. */
+  answered(status: number): void {
+    const { metrics } = this.#context;
+    const spentMs = this.#spentMs();
+    metrics.time(Timing.whole, spentMs);
+    metrics.count(status < 400 ? "answers_good" : "answers_failed");
+    this.note("answered", { status, spent_ms: Math.round(spentMs) });
+  }
+
+  /** It ended without a whole answer. */
+  ended(
+    name: "broken" | "failed" | "refused",
+    fields: EventFields & { readonly error: string },
+  ): void {
+    this.#context.metrics.count(`ended_${fields.error}`);
+    this.note(name, { ...fields, spent_ms: Math.round(this.#spentMs()) });
+  }
+
+  #spentMs(): number {
+    return this.#context.clock.now() - this.#request.receivedAt;
+  }
+}
--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -119,7 +119,12 @@
   assert.deepEqual(messages(planner, 99), []);
   const refused = messages(planner, 100);
   assert.deepEqual(refused, [
-    { type: "refusal", id: "e", reason: "no-memory" },
+    {
+      type: "refusal",
+      id: "e",
+      reason: "no-memory",
+      basis: { decodes: 2, held: 0.8, waiting: 1 },
+    },
   ]);
   planner.ask("h", ask("f"), 100);
   planner.progress({ type: "progress", id: "b", stage: "ended" }, 101);
@@ -191,7 +196,12 @@
   const planner = new Planner(view({ replicasOf: () => only }));
   planner.ask("h", ask("a"), 0);
   assert.deepEqual(messages(planner, 0), [
-    { type: "refusal", id: "a", reason: "no-replica" },
+    {
+      type: "refusal",
+      id: "a",
+      reason: "no-replica",
+      basis: { decodes: 0, held: 0, waiting: 1 },
+    },
   ]);
 });
 
