--- a/test/gateway/callers/server_test.ts
+++ b/test/gateway/callers/server_test.ts
@@ -3,22 +3,10 @@
 import { test } from "node:test";
 import { RouteKind } from "../../../src/gateway/mod.ts";
 import { chunk, chunkedHead, type RawAnswer, whole } from "../raw_replica.ts";
-import { ENGINE, type Rig, type RigSource, startRig } from "../rig.ts";
+import { ENGINE, type Rig, withRig } from "../rig.ts";
 
 const GRACE_MS = 8000;
 
-async function withRig(
-  source: RigSource,
-  work: (rig: Rig) => Promise<void>,
-): Promise<void> {
-  const rig = await startRig(source);
-  try {
-    await work(rig);
-  } finally {
-    rig.stop();
-  }
-}
-
 /** A decode replica that reserves, and streams one event. */
 const decode: RawAnswer = (request, socket) => {
   if (request.path.startsWith("/reserve")) {
--- a/test/gateway/requests/answers_test.ts
+++ b/test/gateway/requests/answers_test.ts
@@ -4,23 +4,11 @@
 import { RouteKind } from "../../../src/gateway/mod.ts";
 import { chunk, chunkedHead, whole } from "../raw_replica.ts";
 import type { RawAnswer } from "../raw_replica.ts";
-import { type Rig, type RigSource, startRig } from "../rig.ts";
+import { withRig } from "../rig.ts";
 
 /** Lets what was written be read first: a reset overtakes unread bytes. */
 const AFTER_READ_MS = 50;
 
-async function withRig(
-  source: RigSource,
-  work: (rig: Rig) => Promise<void>,
-): Promise<void> {
-  const rig = await startRig(source);
-  try {
-    await work(rig);
-  } finally {
-    rig.stop();
-  }
-}
-
 const sound: RawAnswer = (request, socket) => {
   socket.write(whole(request, "whole"));
 };
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -141,6 +141,19 @@
   };
 }
 
+/** Starts a rig for the time of `work`. */
+export async function withRig(
+  source: RigSource,
+  work: (rig: Rig) => Promise<void>,
+): Promise<void> {
+  const rig = await startRig(source);
+  try {
+    await work(rig);
+  } finally {
+    rig.stop();
+  }
+}
+
 function entryOf(
   replica: RawReplica,
   source: RigSource,
