--- a/test/platform/gateway_process_test.ts
+++ b/test/platform/gateway_process_test.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { config, engineConfig } from "./configs.ts";
 import { type PlatformStandin, startPlatformStandin } from "./standin.ts";
 
 /** Longest time that anything here may take; no test is about its length. */
@@ -38,30 +39,6 @@
   return port;
 }
 
-function config(version: number, prefix: string): object {
-  return {
-    Version: version,
-    Routes: [{
-      Name: "r",
-      Host: "example",
-      PathPrefix: prefix,
-      Kind: "unsafe",
-      TimeoutMs: AMPLE_MS,
-      TargetLatencyMs: 1000,
-      Priority: 1,
-      Service: "plain",
-      MaxAttempts: 1,
-    }],
-    Services: [{ Name: "plain", HealthPath: "/health", ConnectionLimit: 50 }],
-    Limits: {
-      MaxHeaderBytes: 16_384,
-      MaxBodyBytes: 1000,
-      HeaderTimeoutMs: 3000,
-      IdleTimeoutMs: 15_000,
-    },
-  };
-}
-
 async function start(): Promise<Running> {
   const standin = await startPlatformStandin();
   standin.put("op", "config", config(1, "/a/"));
@@ -219,6 +196,41 @@
   });
 });
 
+test("a model request reserves, is read, and runs from what was read", async () => {
+  await withGateway(async ({ standin, callers }) => {
+    standin.put("op", "config", engineConfig(2));
+    const replica = {
+      Service: "engine",
+      Address: standin.replicaAddress,
+      Zone: "hall",
+      Slots: 4,
+      State: "ready",
+      ColdRemainingMs: 0,
+    };
+    standin.put("servers", "i-2", { ...replica, Stage: "prefill" });
+    standin.put("servers", "i-3", { ...replica, Stage: "decode" });
+    await until(async () => (await call(callers, "/m/x")).status === 200);
+    const run = standin.arrivals.findLast((one) => one.path === "/m/x");
+    assert.deepEqual(run, {
+      path: "/m/x",
+      id: "a1",
+      stage: "",
+      source: `${standin.replicaAddress}/h1`,
+      reservation: "m1",
+    });
+    const stages = standin.arrivals.filter((one) => one.id === "a1")
+      .map((one) => one.stage);
+    assert.deepEqual(stages.slice(-2), ["prefill", ""]);
+    // A replica that leaves is told by its row alone.
+    standin.put("servers", "i-3", {
+      ...replica,
+      Stage: "decode",
+      State: "draining",
+    });
+    await until(async () => (await call(callers, "/m/x")).status === 503);
+  });
+});
+
 test("SIGHUP reads the settings again and ends nothing", async () => {
   await withGateway(async (running) => {
     writeFileSync(running.settings, "not = [TOML");
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -1,4 +1,4 @@
-/** A small stand-in of the platform: its store and one plain replica. */
+/** A small stand-in of the platform: its store, and a replica for all uses. */
 import {
   createServer,
   type IncomingMessage,
@@ -19,7 +19,7 @@
   readonly storeAddress: string;
   readonly replicaAddress: string;
   /** What the replica was sent. */
-  readonly arrivals: { readonly path: string; readonly id: string }[];
+  readonly arrivals: Arrival[];
   /** Writes a row as the operator or a replica does. */
   put(table: string, key: string, value: object): void;
   /** The store forgets its history: feeds get 410 once. */
@@ -32,6 +32,15 @@
   stop(): void;
 };
 
+/** One request or engine call that the replica was sent. */
+export type Arrival = {
+  readonly path: string;
+  readonly id: string;
+  readonly stage: string;
+  readonly source: string;
+  readonly reservation: string;
+};
+
 type State = {
   readonly rows: Map<string, KeptRow>;
   readonly watchers: Set<() => void>;
@@ -47,7 +56,7 @@
     ver: 0,
     lostBefore: 0,
   };
-  const arrivals: { path: string; id: string }[] = [];
+  const arrivals: Arrival[] = [];
   const held: (() => void)[] = [];
   const store = createServer((request, response) => {
     if (standin.down) return void send(response, 503, {});
@@ -55,11 +64,12 @@
   });
   const replica = createServer((request, response) => {
     request.resume();
-    const id = String(request.headers["attempt-id"] ?? "");
-    arrivals.push({ path: request.url ?? "", id });
+    const arrival = arrivalOf(request);
+    arrivals.push(arrival);
+    const { id } = arrival;
     const answer = () => {
       response.writeHead(200, { "Attempt-Id": id, "Server-Seal": "s" });
-      response.end("whole");
+      response.end(bodyOf(arrival));
     };
     if (standin.hold) held.push(answer);
     else answer();
@@ -89,6 +99,24 @@
   return standin;
 }
 
+function arrivalOf(request: IncomingMessage): Arrival {
+  const header = (name: string) => String(request.headers[name] ?? "");
+  return {
+    path: request.url ?? "",
+    id: header("attempt-id"),
+    stage: header("serving-stage"),
+    source: header("kv-source"),
+    reservation: header("kv-retention"),
+  };
+}
+
+/** What the replica answers: memory, a finished prefill, or the whole body. */
+function bodyOf({ path, stage }: Arrival): string {
+  if (path === "/hold-take") return JSON.stringify({ Retention: "m1" });
+  if (stage !== "prefill") return "whole";
+  return JSON.stringify({ PrefillHandle: "h1", Tokens: 100, Version: 1 });
+}
+
 function listen(server: Server): Promise<string> {
   return new Promise((resolve) => {
     server.listen(0, "127.0.0.1", () => {
