--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -34,8 +34,7 @@
 const EARLY_SHARE = 0.25;
 /** Time that an early refusal takes to its caller. */
 const EARLY_MARGIN_MS = 50;
-/** Pause before the planner is asked again after it named a replica that is
- * not open here. */
+/** Pause before the planner is asked again when it named a closed replica. */
 const LISTING_PAUSE_MS = 100;
 
 /** What a placement is made from. */
@@ -86,7 +85,7 @@
     }
   }
 
-  /** A place from the planner; GatewayError when there is none in time. */
+  /** A place from the planner, or why there is none in time. */
   async #find(
     excluded: ReadonlySet<string>,
   ): Promise<PlannedPlace | PlaceRefusal> {
