One host a hall reads the store for the others

Ruled out: a feed of replicas at every host (still a call a second and host); pushing whole listings (25 KB to 30 followers is 0.6 s of a 10 Mbit/s link).

Change: the first host of a hall by rendezvous hashing reads the store and tells the others over a link what changed, with the age of its word. A follower whose reader's word is older than 1.3 s reads for itself; if the store answers it, the reader is left for the next. Followers read a newer configuration from the store themselves when they hear of its version.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,12 +12,16 @@
 import { HostDirectory } from "./peers/directory.ts";
 import { startPeerLoops } from "./peers/peer_loop.ts";
 import { createPeerServer } from "./peers/server.ts";
-import type { PlatformPort } from "./port.ts";
+import type { HostEntry, PlatformPort } from "./port.ts";
 import { ReplicaTable } from "./replicas/replica_table.ts";
 import { Places } from "./planning/places.ts";
 import { PlanService } from "./planning/plan_service.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
+import { HallFollower } from "./state/hall_follower.ts";
+import type { StateMessage } from "./state/state_messages.ts";
+import { StateServer } from "./state/state_server.ts";
+import { StoreLoops } from "./state/store_loops.ts";
 import { Synchronizer } from "./state/synchronizer.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
@@ -54,11 +58,15 @@
 
 class Gateway implements RunningGateway {
   readonly #settings: GatewaySettings;
+  readonly #self: HostEntry;
   readonly #context: GatewayContext;
   readonly #plans: PlanService;
   readonly #places: Places;
   readonly #callers: CallerServer;
   readonly #synchronizer: Synchronizer;
+  readonly #follower: HallFollower;
+  readonly #states: StateServer;
+  readonly #storeLoops: StoreLoops;
   readonly #directory: HostDirectory;
   readonly #peers: Server;
   readonly #servers: Server[] = [];
@@ -67,6 +75,7 @@
     this.#settings = settings;
     const { host, listen } = settings;
     const self = { id: host.id, address: listen.peers, hall: host.hall };
+    this.#self = self;
     this.#directory = new HostDirectory(self, settings.seeds);
     this.#context = createContext(settings, port, this.#directory);
     this.#plans = new PlanService(this.#context);
@@ -78,33 +87,60 @@
     this.#callers = new CallerServer(this.#context, this.#places);
     this.#synchronizer = new Synchronizer({
       context: this.#context,
+      onConfig: (config) => this.#callers.applyLimits(config.limits),
+      onChange: () => this.#states.tell(),
+    });
+    const context = this.#context;
+    const directory = this.#directory;
+    this.#states = new StateServer({
+      context,
+      self,
+      directory,
+      storeAgeMs: (now) => this.#synchronizer.storeAgeMs(now),
+    });
+    this.#follower = new HallFollower({
+      context,
+      self,
+      directory,
+      onState: (message, reader) => this.#takeState(message, reader),
+    });
+    this.#storeLoops = new StoreLoops({
+      context,
       store: port.store,
       times: {
         listMs: settings.store.list_interval,
         timeoutMs: settings.store.timeout,
         watchMs: settings.store.watch,
       },
-      onConfig: (config) => this.#callers.applyLimits(config.limits),
+      synchronizer: this.#synchronizer,
+      follower: this.#follower,
     });
     this.#peers = createPeerServer({
-      context: this.#context,
+      context,
       self,
-      directory: this.#directory,
+      directory,
       plans: this.#plans,
+      states: this.#states,
     });
+    this.#startLoops(port);
+  }
+
+  #startLoops({ store }: PlatformPort): void {
+    const { host, stages } = this.#settings;
+    const context = this.#context;
     startPeerLoops({
-      context: this.#context,
-      self,
-      store: port.store,
+      context,
+      self: this.#self,
+      store,
       directory: this.#directory,
       synchronizer: this.#synchronizer,
     });
     void runStageLoop({
-      context: this.#context,
-      store: port.store,
+      context,
+      store,
       holder: host.id,
-      guardMs: settings.stages.guard,
-      prefillShare: settings.stages.prefill_share,
+      guardMs: stages.guard,
+      prefillShare: stages.prefill_share,
       storeAgeMs: (now) => this.#synchronizer.storeAgeMs(now),
       plannerOf: (service) => this.#places.plannerOf(service),
       loadOf: (service) => this.#plans.loadOf(service),
@@ -114,7 +150,8 @@
 
   async listen(): Promise<void> {
     const { listen } = this.#settings;
-    this.#synchronizer.start();
+    this.#storeLoops.start();
+    this.#follower.start();
     const readiness = createServer((request, response) => {
       request.resume();
       response.writeHead(this.#ready() ? 200 : 503);
@@ -150,12 +187,24 @@
     await sleep(clock, LEAVE_MS);
     await this.#callers.finish(clock, lastAt);
     for (const server of this.#servers) server.close();
-    this.#synchronizer.stop();
+    this.#storeLoops.stop();
     pool.close();
     events.note("stopped", { open: this.#callers.open });
     await sleep(clock, LAST_LINES_MS);
   }
 
+  /** Takes the word of the hall's reader. */
+  #takeState(message: StateMessage, reader: string): boolean {
+    const { clock, routes } = this.#context;
+    const { hosts, hostsGone, version } = message;
+    this.#directory.refresh(clock.now());
+    if (hosts) this.#directory.learn(hosts, clock.now());
+    if (hostsGone) this.#directory.forget(hostsGone);
+    const follows = this.#synchronizer.takeState(message, reader);
+    if (version > routes.version) void this.#storeLoops.readNewer();
+    return follows;
+  }
+
   #ready(): boolean {
     const { stop, routes, replicas } = this.#context;
     if (stop.askedAt !== undefined) return false;
--- a/src/gateway/peers/directory.ts
+++ b/src/gateway/peers/directory.ts
@@ -34,6 +34,18 @@
     }
   }
 
+  /** Whoever told of the hosts believes in them still. */
+  refresh(now: Milliseconds): void {
+    for (const [id, { entry }] of this.#hosts) {
+      this.#hosts.set(id, { entry, at: now });
+    }
+  }
+
+  /** Takes out hosts that are believed no more. */
+  forget(ids: readonly HostId[]): void {
+    for (const id of ids) this.#hosts.delete(id);
+  }
+
   /** All known hosts but this one. */
   entries(): HostEntry[] {
     return [...this.#hosts.values()].map((one) => one.entry);
--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -1,6 +1,7 @@
 /** Rows of the store by which hosts find each other. */
 import { z } from "zod";
 import type { Milliseconds } from "../../core/ids.ts";
+import { readJson } from "../../util/read_json.ts";
 import type { HostEntry, RowReading, Store } from "../port.ts";
 
 const TABLE = "otterhill-hosts";
@@ -15,6 +16,14 @@
   writtenMs: z.number(),
 });
 
+/** The hosts that wrote their rows lately. */
+export async function readHosts(
+  store: Store,
+  signal: AbortSignal,
+): Promise<HostEntry[]> {
+  return liveHosts(await store.readRows(TABLE, signal));
+}
+
 /** Writes this host's row and gives the hosts that wrote theirs lately. */
 export async function exchangeRows(
   store: Store,
@@ -30,7 +39,7 @@
 /** The hosts of rows that are not too old by the store's own clock. */
 export function liveHosts(reading: RowReading): HostEntry[] {
   return reading.rows
-    .map((row) => rowOf(row.value))
+    .map((row) => readJson(Row, row.value))
     .filter((row) => row !== undefined)
     .filter((row) => isFresh(row.writtenMs, reading.nowMs))
     .map(({ id, address, hall }) => ({ id, address, hall }));
@@ -39,12 +48,3 @@
 function isFresh(writtenMs: Milliseconds, nowMs: Milliseconds): boolean {
   return nowMs - writtenMs < ROW_LIFE_MS;
 }
-
-function rowOf(value: string): z.output<typeof Row> | undefined {
-  try {
-    const read = Row.safeParse(JSON.parse(value));
-    return read.success ? read.data : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/gateway/planning/link.ts
+++ b/src/gateway/peers/link.ts
@@ -4,8 +4,16 @@
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
 
-/** The path of a planner's link on the peers' address. */
-export const LINK_PATH = "/plan";
+/** The links that a host serves, by their path on the peers' address. */
+export const LinkPath = {
+  /** To the planner of a service. */
+  plan: "/plan",
+  /** To the host that reads the store for its hall. */
+  state: "/follow",
+} as const;
+/** One of the values of {@link LinkPath}. */
+export type LinkPath = typeof LinkPath[keyof typeof LinkPath];
+
 /** Header with the asking host's name. */
 export const LINK_HOST_HEADER = "otterhill-host";
 const CONNECT_MS = 400;
@@ -31,17 +39,22 @@
   closed(): void;
 };
 
-/** Opens a link to a planner; `closed` tells also that none came about. */
-export function openLink(
-  source: { readonly address: string; readonly self: string; clock: Clock },
-  events: LinkEvents,
-): Link {
+/** Where a link leads, and from whom. */
+export type LinkTarget = {
+  readonly address: string;
+  readonly path: LinkPath;
+  readonly self: string;
+  readonly clock: Clock;
+};
+
+/** Opens a link to a host; `closed` tells also that none came about. */
+export function openLink(source: LinkTarget, events: LinkEvents): Link {
   const place = parseAddress(source.address);
   const sending = request({
     host: place?.host,
     port: place?.port,
     method: "POST",
-    path: LINK_PATH,
+    path: source.path,
     headers: { [LINK_HOST_HEADER]: source.self },
     agent: false,
   });
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -4,9 +4,10 @@
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry, Store } from "../port.ts";
 import { createJsonClient, type JsonClient } from "../upstreams/json_client.ts";
-import { type Synchronizer, within } from "../state/synchronizer.ts";
+import type { Synchronizer } from "../state/synchronizer.ts";
+import { within } from "../state/within.ts";
 import type { HostDirectory } from "./directory.ts";
-import { exchangeRows } from "./host_rows.ts";
+import { exchangeRows, readHosts } from "./host_rows.ts";
 import { type PeerState, questionPath, readPeerState } from "./peer_state.ts";
 
 /** Without word from the store for so long, peers are asked. */
@@ -15,8 +16,10 @@
 const ASK_TIMEOUT_MS = 350;
 /** Times of this host's own row and of the list of hosts. */
 const ROW_MS = 20_000;
+/** The reader of a hall looks for new hosts so often. */
+const LOOK_MS = 4000;
 /** At the start all hosts come up together: they look more often. */
-const FIRST_ROWS_MS = [1500, 3000];
+const FIRST_LOOKS_MS = [1500, 3000];
 const ROW_FAILED_MS = 2000;
 const STORE_TIMEOUT_MS = 1500;
 
@@ -32,13 +35,13 @@
 /** Runs the loops for as long as the process lives. */
 export function startPeerLoops(source: PeerLoopSource): void {
   void keepRow(source);
+  void findHosts(source);
   void askPeers(source);
 }
 
-/** Writes this host's row now and then, and reads the others'. */
+/** Writes this host's row now and then. */
 async function keepRow(source: PeerLoopSource): Promise<void> {
   const { context: { clock }, store, self, directory } = source;
-  const pauses = [...FIRST_ROWS_MS];
   for (;;) {
     const hosts = await within(
       clock,
@@ -46,7 +49,23 @@
       (signal) => exchangeRows(store, self, signal),
     );
     if (hosts) directory.learn(hosts, clock.now());
-    await sleep(clock, hosts ? pauses.shift() ?? ROW_MS : ROW_FAILED_MS);
+    await sleep(clock, hosts ? ROW_MS : ROW_FAILED_MS);
+  }
+}
+
+/** Looks for new hosts, unless the reader of the hall tells of them. */
+async function findHosts(source: PeerLoopSource): Promise<void> {
+  const { context: { clock }, store, directory, synchronizer } = source;
+  const pauses = [...FIRST_LOOKS_MS];
+  for (;;) {
+    await sleep(clock, pauses.shift() ?? LOOK_MS);
+    if (synchronizer.isTold(clock.now())) continue;
+    const hosts = await within(
+      clock,
+      STORE_TIMEOUT_MS,
+      (signal) => readHosts(store, signal),
+    );
+    if (hosts) directory.learn(hosts, clock.now());
   }
 }
 
@@ -56,7 +75,9 @@
   const clients = new Map<string, JsonClient>();
   for (;;) {
     await sleep(clock, ASK_MS);
-    if (synchronizer.storeAgeMs(clock.now()) < STORE_SILENT_MS) continue;
+    const now = clock.now();
+    const isSilent = synchronizer.storeAgeMs(now) >= STORE_SILENT_MS;
+    if (!isSilent && !synchronizer.isBehind(now)) continue;
     const addresses = directory.addresses();
     const address = addresses[Math.floor(random() * addresses.length)];
     if (address === undefined) continue;
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -3,8 +3,9 @@
  * newest configuration and listing of replicas, and the hosts they know.
  */
 import { z } from "zod";
+import { readJson } from "../../util/read_json.ts";
 import { RouteKind } from "../routing/model.ts";
-import { ReplicaStage } from "../replicas/model.ts";
+import { ReplicaEntrySchema } from "../replicas/schema.ts";
 
 const Route = z.object({
   name: z.string(),
@@ -46,16 +47,7 @@
 
 const Listing = z.object({
   revision: z.number(),
-  entries: z.array(z.object({
-    incarnation: z.string(),
-    service: z.string(),
-    address: z.string(),
-    hall: z.string(),
-    slots: z.number(),
-    leaving: z.boolean(),
-    stage: z.enum(ReplicaStage).exactOptional(),
-    coldMs: z.number(),
-  })),
+  entries: z.array(ReplicaEntrySchema),
 });
 
 const Host = z.object({
@@ -97,10 +89,5 @@
 
 /** Reads an answer; undefined when it is none. */
 export function readPeerState(body: string): PeerState | undefined {
-  try {
-    const read = PeerStateSchema.safeParse(JSON.parse(body));
-    return read.success ? read.data : undefined;
-  } catch {
-    return undefined;
-  }
+  return readJson(PeerStateSchema, body);
 }
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -1,10 +1,11 @@
 /** Tells peers the newest state that this host has. */
 import { createServer, type Server } from "node:http";
 import type { GatewayContext } from "../context.ts";
-import { LINK_PATH } from "../planning/link.ts";
 import type { PlanService } from "../planning/plan_service.ts";
 import type { HostEntry } from "../port.ts";
+import type { StateServer } from "../state/state_server.ts";
 import type { HostDirectory } from "./directory.ts";
+import { LinkPath } from "./link.ts";
 import {
   type PeerQuestion,
   type PeerState,
@@ -17,15 +18,17 @@
   readonly self: HostEntry;
   readonly directory: HostDirectory;
   readonly plans: PlanService;
+  readonly states: StateServer;
 };
 
 /** Makes the peers' server; it does not listen yet. */
 export function createPeerServer(
   source: PeerServerSource,
 ): Server {
-  const { context, self, directory, plans } = source;
+  const { context, self, directory, plans, states } = source;
   const server = createServer((request, response) => {
-    if (request.url === LINK_PATH) return plans.accept(request, response);
+    if (request.url === LinkPath.plan) return plans.accept(request, response);
+    if (request.url === LinkPath.state) return states.accept(request, response);
     request.resume();
     const question = readQuestion(request.url ?? "/");
     const state = stateFor(context, question, [self, ...directory.entries()]);
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -5,9 +5,10 @@
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import { rendezvous } from "../../core/util/rendezvous.ts";
+import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry } from "../port.ts";
-import { type Link, openLink } from "./link.ts";
+import { type Link, LinkPath, openLink } from "../peers/link.ts";
 import {
   type HostMessage,
   PlaceStage,
@@ -177,7 +178,13 @@
 
   #open(host: HostEntry): void {
     const { clock, self } = this.#context;
-    const link = openLink({ address: host.address, self: self.id, clock }, {
+    const target = {
+      address: host.address,
+      path: LinkPath.plan,
+      self: self.id,
+      clock,
+    };
+    const link = openLink(target, {
       ready: () => {
         const known = this.#links.get(host.id);
         if (known) known.ready = true;
@@ -260,8 +267,8 @@
   }
 
   #takeLine(from: string, text: string): void {
-    const read = PlannerMessageSchema.safeParse(JSON.parse(text));
-    if (read.success) this.#take(from, read.data);
+    const message = readJson(PlannerMessageSchema, text);
+    if (message) this.#take(from, message);
   }
 
   #take(from: string, message: PlannerMessage): void {
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -1,8 +1,9 @@
 /** This host's planner, for itself and for the hosts that link to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "../../core/ids.ts";
+import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
-import { acceptLink, type Link, LINK_HOST_HEADER } from "./link.ts";
+import { acceptLink, type Link, LINK_HOST_HEADER } from "../peers/link.ts";
 import {
   type HostMessage,
   HostMessageSchema,
@@ -98,8 +99,8 @@
   }
 
   #takeLine(from: string, text: string): void {
-    const read = HostMessageSchema.safeParse(parse(text));
-    if (read.success) this.take(from, read.data);
+    const message = readJson(HostMessageSchema, text);
+    if (message) this.take(from, message);
   }
 
   #passSoon(delayMs: Milliseconds): void {
@@ -122,11 +123,3 @@
     if (this.#planner.waiting > 0) this.#passSoon(PASS_MS);
   }
 }
-
-function parse(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -31,3 +31,15 @@
   readonly revision: number;
   readonly entries: readonly ReplicaEntry[];
 };
+
+/** What changed in the listing after a revision. */
+export type ListingDelta = {
+  /** The revision that it follows on; -1: `changed` is the whole listing. */
+  readonly since: number;
+  readonly revision: number;
+  readonly changed: readonly ReplicaEntry[];
+  /** Incarnations that are listed no more. */
+  readonly gone: readonly string[];
+  /** Replicas listed at `revision`. */
+  readonly size: number;
+};
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -1,12 +1,20 @@
 /** The replicas that this host knows; listings never go back. */
-import type { ReplicaEntry, ReplicaListing } from "./model.ts";
+import { ListingHistory } from "./listing_history.ts";
+import type { ListingDelta, ReplicaEntry, ReplicaListing } from "./model.ts";
 import { Replica } from "./replica.ts";
 
+/** Replicas that have left are remembered up to this number. */
+const MOST_LEFT = 10_000;
+
 /** What a listing changed. */
 export type ListingChange = {
   readonly added: readonly ReplicaEntry[];
   readonly removed: readonly ReplicaEntry[];
   readonly leaving: readonly ReplicaEntry[];
+  /** Not listed, but kept: the store may only have lost their entries. */
+  readonly kept: readonly ReplicaEntry[];
+  /** Incarnations that are new or whose entry is another. */
+  readonly renewed: readonly string[];
 };
 
 /** Replicas by incarnation and by service. */
@@ -14,6 +22,9 @@
   #revision = -1;
   #byIncarnation = new Map<string, Replica>();
   #byService = new Map<string, Replica[]>();
+  readonly #history = new ListingHistory();
+  /** Incarnations that were leaving: they stay so, whatever comes later. */
+  readonly #left = new Set<string>();
 
   /** The store's revision of the newest listing; -1 before the first. */
   get revision(): number {
@@ -25,25 +36,64 @@
     return [...this.#byIncarnation.values()].map((one) => one.entry);
   }
 
-  /** Takes a listing unless a newer one was taken. */
-  adopt(listing: ReplicaListing): ListingChange | undefined {
+  /**
+   * Takes a listing unless a newer one was taken. With `keepMissing`, replicas
+   * that it lacks stay, unless they were leaving.
+   */
+  adopt(
+    listing: ReplicaListing,
+    keepMissing = false,
+  ): ListingChange | undefined {
     if (listing.revision < this.#revision) return undefined;
     this.#revision = listing.revision;
     const before = this.#byIncarnation;
-    const added: ReplicaEntry[] = [];
-    const leaving: ReplicaEntry[] = [];
+    const entries = listing.entries.map((one) => this.#stillLeaving(one));
+    const change = compare(before, entries, keepMissing);
     this.#byIncarnation = new Map();
-    for (const entry of listing.entries) {
+    for (const entry of [...entries, ...change.kept]) {
       const known = before.get(entry.incarnation);
-      if (!known) added.push(entry);
-      else if (entry.leaving && !known.entry.leaving) leaving.push(entry);
       this.#byIncarnation.set(entry.incarnation, renewed(known, entry));
     }
-    const removed = [...before.values()]
-      .filter((one) => !this.#byIncarnation.has(one.entry.incarnation))
-      .map((one) => one.entry);
     this.#byService = groupByService(this.#byIncarnation.values());
-    return { added, removed, leaving };
+    this.#history.record(listing.revision, this.entries(), {
+      changed: change.renewed,
+      gone: change.removed.map((one) => one.incarnation),
+    });
+    return change;
+  }
+
+  /** What a host lacks that has the listing as of `revision`. */
+  after(revision: number): ListingDelta | undefined {
+    return this.#history.after(revision);
+  }
+
+  /**
+   * Takes what changed since a revision that this table has reached. "older":
+   * this table is ahead; "gap": it does not lead to the other's listing.
+   */
+  follow(delta: ListingDelta): ListingChange | "older" | "gap" {
+    if (delta.revision < this.#revision) return "older";
+    if (delta.since > this.#revision) return "gap";
+    const entries = new Map<string, ReplicaEntry>();
+    if (delta.since >= 0) {
+      for (const one of this.entries()) entries.set(one.incarnation, one);
+    }
+    for (const incarnation of delta.gone) entries.delete(incarnation);
+    for (const one of delta.changed) entries.set(one.incarnation, one);
+    if (entries.size !== delta.size) return "gap";
+    const listing = {
+      revision: delta.revision,
+      entries: [...entries.values()],
+    };
+    return this.adopt(listing) ?? "older";
+  }
+
+  #stillLeaving(entry: ReplicaEntry): ReplicaEntry {
+    const { incarnation, leaving } = entry;
+    if (leaving) this.#left.add(incarnation);
+    if (this.#left.size > MOST_LEFT) forgetFirst(this.#left);
+    const known = leaving || !this.#left.has(incarnation);
+    return known ? entry : { ...entry, leaving: true };
   }
 
   /** The replica of that incarnation, while it is listed. */
@@ -65,12 +115,45 @@
   }
 }
 
+function compare(
+  before: ReadonlyMap<string, Replica>,
+  entries: readonly ReplicaEntry[],
+  keepMissing: boolean,
+): ListingChange {
+  const listed = new Set(entries.map((one) => one.incarnation));
+  const knownOf = (one: ReplicaEntry) => before.get(one.incarnation)?.entry;
+  const missing = [...before.values()].map((one) => one.entry)
+    .filter((one) => !listed.has(one.incarnation));
+  const isKept = (one: ReplicaEntry) => keepMissing && !one.leaving;
+  return {
+    added: entries.filter((one) => !knownOf(one)),
+    leaving: entries.filter((one) =>
+      one.leaving && knownOf(one)?.leaving === false
+    ),
+    removed: missing.filter((one) => !isKept(one)),
+    kept: missing.filter(isKept),
+    renewed: entries.filter((one) => !isSame(one, knownOf(one)))
+      .map((one) => one.incarnation),
+  };
+}
+
+function isSame(one: ReplicaEntry, other: ReplicaEntry | undefined): boolean {
+  return other !== undefined && JSON.stringify(one) === JSON.stringify(other);
+}
+
 function renewed(known: Replica | undefined, entry: ReplicaEntry): Replica {
   if (!known) return new Replica(entry);
   known.entry = entry;
   return known;
 }
 
+function forgetFirst(names: Set<string>): void {
+  for (const name of names) {
+    names.delete(name);
+    return;
+  }
+}
+
 function groupByService(replicas: Iterable<Replica>): Map<string, Replica[]> {
   const groups = new Map<string, Replica[]>();
   for (const one of replicas) {
--- a/src/gateway/stages/lease.ts
+++ b/src/gateway/stages/lease.ts
@@ -6,6 +6,7 @@
  */
 import { z } from "zod";
 import type { Milliseconds } from "../../core/ids.ts";
+import { readJson } from "../../util/read_json.ts";
 import type { Clock } from "../clock.ts";
 import type { Store, StoreRow } from "../port.ts";
 
@@ -71,17 +72,9 @@
   },
 ): boolean {
   if (!row) return true;
-  const read = Row.safeParse(parse(row.value));
-  if (!read.success) return true;
-  if (read.data.holder === asker.holder) return true;
-  const endsMs = read.data.takenMs + LEASE_MS + asker.guardMs;
+  const read = readJson(Row, row.value);
+  if (!read) return true;
+  if (read.holder === asker.holder) return true;
+  const endsMs = read.takenMs + LEASE_MS + asker.guardMs;
   return asker.nowMs > endsMs;
 }
-
-function parse(value: string): unknown {
-  try {
-    return JSON.parse(value);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -10,7 +10,7 @@
 import { OrderOutcome, type Store } from "../port.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Service } from "../routing/model.ts";
-import { within } from "../state/synchronizer.ts";
+import { within } from "../state/within.ts";
 import type { StageLoad } from "../planning/view.ts";
 import {
   ChangePatience,
--- /dev/null
+++ b/src/gateway/state/hall_follower.ts
@@ -0,0 +1,123 @@
+/**
+ * Follows the host of this hall that reads the store, so that one host a hall
+ * calls the store in place of all. A reader that falls silent, or that the
+ * store does not answer while it answers this host, is left for the next.
+ */
+import type { HostId, Milliseconds } from "../../core/ids.ts";
+import { readJson } from "../../util/read_json.ts";
+import type { GatewayContext } from "../context.ts";
+import type { HostDirectory } from "../peers/directory.ts";
+import { type Link, LinkPath, openLink } from "../peers/link.ts";
+import type { HostEntry } from "../port.ts";
+import { chooseReader } from "./reader_choice.ts";
+import { ReaderMessageSchema, type StateMessage } from "./state_messages.ts";
+
+/** How often the reader is chosen anew. */
+const LOOK_MS = 200;
+/** A reader is given so long to tell something fresh. */
+const STALE_MS = 1500;
+/** A reader that was of no use is not chosen for this time. */
+const SUSPECT_MS = 3000;
+
+/** What a follower is made from. */
+export type HallFollowerSource = {
+  readonly context: Pick<
+    GatewayContext,
+    "clock" | "events" | "replicas"
+  >;
+  readonly self: HostEntry;
+  readonly directory: HostDirectory;
+  /** Takes the reader's word; false: its listing does not follow on ours. */
+  onState(message: StateMessage, reader: HostId): boolean;
+};
+
+/** The link to the reader of this hall. */
+export class HallFollower {
+  readonly #source: HallFollowerSource;
+  readonly #suspects = new Map<HostId, Milliseconds>();
+  #reader: HostId;
+  #link: Link | undefined;
+  #openedAt: Milliseconds = 0;
+
+  constructor(source: HallFollowerSource) {
+    this.#source = source;
+    this.#reader = source.self.id;
+  }
+
+  /** The host that reads for this one; this one itself, or another. */
+  get reader(): HostId {
+    return this.#reader;
+  }
+
+  /** Chooses a reader again and again. */
+  start(): void {
+    this.#look();
+    this.#source.context.clock.after(LOOK_MS, () => this.start());
+  }
+
+  /** The reader has nothing fresh to tell: the next one is followed. */
+  leaveIfStale(reason: string): void {
+    const openMs = this.#source.context.clock.now() - this.#openedAt;
+    if (openMs > STALE_MS) this.#leave(reason);
+  }
+
+  #leave(reason: string): void {
+    const { self, context } = this.#source;
+    if (this.#reader === self.id) return;
+    const reader = this.#reader;
+    context.events.note("readerLeft", { reader, reason });
+    this.#suspects.set(reader, context.clock.now() + SUSPECT_MS);
+    this.#close();
+    this.#look();
+  }
+
+  #look(): void {
+    const { self, directory, context } = this.#source;
+    const now = context.clock.now();
+    const hosts = directory.entries();
+    const isSuspect = (id: HostId) => now < (this.#suspects.get(id) ?? 0);
+    const reader = chooseReader(self, hosts, isSuspect);
+    if (reader === this.#reader) return;
+    this.#close();
+    this.#reader = reader;
+    context.events.note("readerChosen", { reader });
+    const host = hosts.find((one) => one.id === reader);
+    if (host) this.#link = this.#open(host);
+  }
+
+  #open(host: HostEntry): Link {
+    const { self, context } = this.#source;
+    const target = {
+      address: host.address,
+      path: LinkPath.state,
+      self: self.id,
+      clock: context.clock,
+    };
+    this.#openedAt = context.clock.now();
+    const isCurrent = () => this.#link === link;
+    const link = openLink(target, {
+      line: (text) => {
+        if (isCurrent()) this.#take(text);
+      },
+      closed: () => {
+        if (isCurrent()) this.#leave("The link ended");
+      },
+    });
+    link.send({ type: "follow", revision: context.replicas.revision });
+    return link;
+  }
+
+  #take(text: string): void {
+    const message = readJson(ReaderMessageSchema, text);
+    if (message?.type !== "state") return;
+    if (this.#source.onState(message, this.#reader)) return;
+    this.#link?.send({ type: "follow", revision: -1 });
+  }
+
+  #close(): void {
+    const link = this.#link;
+    this.#link = undefined;
+    this.#reader = this.#source.self.id;
+    link?.close();
+  }
+}
--- /dev/null
+++ b/src/gateway/state/state_messages.ts
@@ -0,0 +1,49 @@
+/** What the reader of the store and its followers tell each other. */
+import { z } from "zod";
+import { ReplicaEntrySchema } from "../replicas/schema.ts";
+
+const Host = z.object({
+  id: z.string(),
+  address: z.string(),
+  hall: z.string(),
+});
+
+const Follow = z.object({
+  type: z.literal("follow"),
+  /** The revision of the follower's listing; -1: it wants the whole. */
+  revision: z.number(),
+});
+
+const State = z.object({
+  type: z.literal("state"),
+  /** How old the reader's word of the store is; absent: it has none. */
+  ageMs: z.number().exactOptional(),
+  /** Version of the configuration in force at the reader. */
+  version: z.number(),
+  /** What changed in the listing since the last message. */
+  listing: z.object({
+    since: z.number(),
+    revision: z.number(),
+    changed: z.array(ReplicaEntrySchema),
+    gone: z.array(z.string()),
+    size: z.number(),
+  }).exactOptional(),
+  /** Hosts that the follower was not told of yet. */
+  hosts: z.array(Host).exactOptional(),
+  /** Hosts that are believed no more. */
+  hostsGone: z.array(z.string()).exactOptional(),
+});
+
+const Ping = z.object({ type: z.literal("ping") });
+
+/** From a follower to its reader. */
+export const FollowerMessageSchema = z.discriminatedUnion("type", [
+  Follow,
+  Ping,
+]);
+/** From a reader to a follower. */
+export const ReaderMessageSchema = z.discriminatedUnion("type", [State, Ping]);
+/** From a follower: where it is. */
+export type FollowMessage = z.output<typeof Follow>;
+/** From a reader: how it is, and what the follower lacks. */
+export type StateMessage = z.output<typeof State>;
--- /dev/null
+++ b/src/gateway/state/state_server.ts
@@ -0,0 +1,113 @@
+/** Tells followers what this host knows of the store, as soon as it changes. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { HostId, Milliseconds } from "../../core/ids.ts";
+import { readJson } from "../../util/read_json.ts";
+import type { GatewayContext } from "../context.ts";
+import type { HostDirectory } from "../peers/directory.ts";
+import { acceptLink, type Link } from "../peers/link.ts";
+import type { HostEntry } from "../port.ts";
+import { FollowerMessageSchema, type StateMessage } from "./state_messages.ts";
+
+/** Followers hear so often, also when nothing has changed. */
+const STATE_MS = 400;
+
+/** What the server tells from. */
+export type StateServerSource = {
+  readonly context: Pick<GatewayContext, "clock" | "routes" | "replicas">;
+  readonly self: HostEntry;
+  readonly directory: HostDirectory;
+  /** Age of this host's word of the store; Infinity: none. */
+  storeAgeMs(now: Milliseconds): Milliseconds;
+};
+
+type Follower = {
+  readonly link: Link;
+  /** Revision of its listing; undefined until it has told. */
+  revision: number | undefined;
+  readonly hosts: Map<HostId, string>;
+};
+
+/** The followers of this host. */
+export class StateServer {
+  readonly #source: StateServerSource;
+  readonly #followers = new Set<Follower>();
+
+  constructor(source: StateServerSource) {
+    this.#source = source;
+    this.#repeat();
+  }
+
+  /** Serves a link that a follower has opened. */
+  accept(incoming: IncomingMessage, answer: ServerResponse): void {
+    answer.writeHead(200, { "Content-Type": "application/x-ndjson" });
+    answer.flushHeaders();
+    const { clock } = this.#source.context;
+    const link = acceptLink(incoming, answer, {
+      clock,
+      events: {
+        line: (text) => this.#take(follower, text),
+        closed: () => this.#followers.delete(follower),
+      },
+    });
+    const follower: Follower = { link, revision: undefined, hosts: new Map() };
+    this.#followers.add(follower);
+  }
+
+  /** Something has changed: all followers are told now. */
+  tell(): void {
+    for (const follower of this.#followers) this.#send(follower);
+  }
+
+  #repeat(): void {
+    this.#source.context.clock.after(STATE_MS, () => {
+      this.tell();
+      this.#repeat();
+    });
+  }
+
+  #take(follower: Follower, text: string): void {
+    const message = readJson(FollowerMessageSchema, text);
+    if (message?.type !== "follow") return;
+    follower.revision = message.revision;
+    this.#send(follower);
+  }
+
+  #send(follower: Follower): void {
+    if (follower.revision === undefined) return;
+    const message = this.#messageFor(follower, follower.revision);
+    if (message.listing) follower.revision = message.listing.revision;
+    follower.link.send(message);
+  }
+
+  #messageFor(follower: Follower, revision: number): StateMessage {
+    const { context, storeAgeMs } = this.#source;
+    const { routes, replicas, clock } = context;
+    const age = storeAgeMs(clock.now());
+    const listing = revision === replicas.revision
+      ? undefined
+      : replicas.after(revision);
+    return {
+      type: "state",
+      version: routes.version,
+      ...(Number.isFinite(age) ? { ageMs: Math.round(age) } : {}),
+      ...(listing ? { listing: structuredClone(listing) as never } : {}),
+      ...this.#hostsFor(follower),
+    };
+  }
+
+  #hostsFor(follower: Follower): Pick<StateMessage, "hosts" | "hostsGone"> {
+    const { self, directory } = this.#source;
+    const now = [self, ...directory.entries()];
+    const hosts = now.filter((one) =>
+      follower.hosts.get(one.id) !== one.address
+    );
+    const live = new Set(now.map((one) => one.id));
+    const hostsGone = [...follower.hosts.keys()].filter((id) => !live.has(id));
+    for (const one of hosts) follower.hosts.set(one.id, one.address);
+    for (const id of hostsGone) follower.hosts.delete(id);
+    return {
+      ...(hosts.length > 0 ? { hosts } : {}),
+      ...(hostsGone.length > 0 ? { hostsGone } : {}),
+    };
+  }
+}
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -1,71 +1,72 @@
 /**
- * Keeps routes and replicas in step with the store: replicas are listed again
- * and again, the configuration is watched, and when the store does not answer
- * this host, its peers are asked. What was taken never goes back.
+ * What this host believes of the store: routes and replicas as they were read
+ * here, told by the reader of the hall, or by peers. What was taken never
+ * goes back.
  */
-import type { Milliseconds } from "../../core/ids.ts";
-import { type Clock, sleep } from "../clock.ts";
+import type { HostId, Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
-import { Timing } from "../observe/metrics.ts";
-import type { ConfigReading, Store } from "../port.ts";
 import type { ReplicaListing } from "../replicas/model.ts";
+import type { ListingChange } from "../replicas/replica_table.ts";
 import type { RouteConfig } from "../routing/model.ts";
+import type { StateMessage } from "./state_messages.ts";
 
-/** Times of the synchronizer. */
-export type SyncTimes = {
-  /** Pause between two listings of replicas. */
-  readonly listMs: Milliseconds;
-  /** Longest wait for an answer of the store. */
-  readonly timeoutMs: Milliseconds;
-  /** How long the store holds a watch that has nothing to tell. */
-  readonly watchMs: Milliseconds;
-};
-
-/** Pause after a call to the store failed. */
-const FAILED_PAUSE_MS = 250;
+/** A word of the store that is older than this has to be read anew. */
+const FRESH_MS = 1300;
+/**
+ * After the store was away, entries of live replicas that it lost are back
+ * within about two seconds: until then a missing replica is kept.
+ */
+const SETTLE_MS = 2200;
+/** A newer configuration must have been heard of for so long to ask peers. */
+const BEHIND_MS = 300;
 
 /** What a synchronizer is made from. */
 export type SyncSource = {
   readonly context: GatewayContext;
-  readonly store: Store;
-  readonly times: SyncTimes;
   readonly onConfig: (config: RouteConfig) => void;
+  /** Routes or replicas have changed. */
+  readonly onChange: () => void;
+};
+
+/** What the reader of the hall has told. */
+type Told = {
+  readonly asOf: Milliseconds;
+  readonly version: number;
+  /** Since when a newer version than ours has been heard of. */
+  readonly behindSince: Milliseconds | undefined;
 };
 
-/** The loops that follow the store. */
+/** Takes state from wherever it comes, and knows how old it is. */
 export class Synchronizer {
   readonly #context: GatewayContext;
-  readonly #store: Store;
-  readonly #times: SyncTimes;
-  readonly #onConfig: (config: RouteConfig) => void;
-  #stopped = false;
-  #watch = new AbortController();
-  /** When the store last answered; undefined before the first answer. */
-  #storeOkAt: Milliseconds | undefined;
+  readonly #source: SyncSource;
+  /** When the store was last asked with success; undefined before. */
+  #readAt: Milliseconds | undefined;
+  #told: Told | undefined;
   #lost = false;
+  #settledAt: Milliseconds = 0;
 
   constructor(source: SyncSource) {
     this.#context = source.context;
-    this.#store = source.store;
-    this.#times = source.times;
-    this.#onConfig = source.onConfig;
+    this.#source = source;
   }
 
-  /** How long ago the store last answered; Infinity before the first. */
+  /** Age of the newest word of the store; Infinity before the first. */
   storeAgeMs(now: Milliseconds): Milliseconds {
-    return this.#storeOkAt === undefined ? Infinity : now - this.#storeOkAt;
+    const asOf = Math.max(this.#readAt ?? -1, this.#told?.asOf ?? -1);
+    return asOf < 0 ? Infinity : now - asOf;
   }
 
-  /** Starts the loops. */
-  start(): void {
-    void this.#followReplicas();
-    void this.#followConfig();
+  /** The reader's word is fresh: this host need not read the store. */
+  isTold(now: Milliseconds): boolean {
+    return this.#told !== undefined && now - this.#told.asOf < FRESH_MS;
   }
 
-  /** Ends the loops. */
-  stop(): void {
-    this.#stopped = true;
-    this.#watch.abort();
+  /** The reader has had a newer configuration for a while. */
+  isBehind(now: Milliseconds): boolean {
+    const since = this.#told?.behindSince;
+    if (since === undefined || now - since < BEHIND_MS) return false;
+    return (this.#told?.version ?? 0) > this.#context.routes.version;
   }
 
   /** Takes a configuration from the store or a peer. */
@@ -79,108 +80,70 @@
       routes: config.routes.length,
       source,
     });
-    this.#onConfig(config);
+    this.#source.onConfig(config);
+    this.#source.onChange();
     return true;
   }
 
-  /** Takes a listing from the store or a peer. */
-  takeListing(listing: ReplicaListing, source: string): void {
-    const { replicas, events, pool } = this.#context;
-    const change = replicas.adopt(listing);
-    if (!change) return;
-    const { revision } = listing;
-    for (const { incarnation, service, stage } of change.added) {
-      const fields = { replica: incarnation, service, stage, revision, source };
-      events.note("replicaAdded", fields);
-    }
-    for (const { incarnation } of change.leaving) {
-      events.note("replicaLeaving", { replica: incarnation, revision, source });
-    }
-    for (const { incarnation } of change.removed) {
-      events.note("replicaRemoved", { replica: incarnation, revision, source });
-      pool.forget(incarnation);
-    }
-  }
-
-  async #followReplicas(): Promise<void> {
-    const { clock } = this.#context;
-    while (!this.#stopped) {
-      const startedAt = clock.now();
-      const listing = await this.#call((signal) =>
-        this.#store.readReplicas(signal)
-      );
-      if (listing) {
-        this.takeListing(listing, "store");
-        this.#noteStore(true);
-      } else this.#noteStore(false);
-      const pause = listing ? this.#times.listMs : FAILED_PAUSE_MS;
-      const spent = clock.now() - startedAt;
-      await sleep(clock, Math.max(FAILED_PAUSE_MS, pause - spent));
-    }
-  }
-
-  async #followConfig(): Promise<void> {
-    const { clock } = this.#context;
-    let revision: number | undefined;
-    while (!this.#stopped) {
-      const reading = await this.#readConfig(revision);
-      if (reading?.config) this.takeConfig(reading.config, "store");
-      if (!reading) await sleep(clock, FAILED_PAUSE_MS);
-      revision = reading?.revision;
-    }
+  /** Takes a listing from a peer, or from the store; false: it is older. */
+  takeListing(listing: ReplicaListing, source: string): boolean {
+    const now = this.#context.clock.now();
+    const keepMissing = this.#lost || now < this.#settledAt;
+    const change = this.#context.replicas.adopt(listing, keepMissing);
+    if (change) this.#noteChange(change, listing.revision, source);
+    return change !== undefined;
   }
 
-  /** Reads the configuration, or watches for the next from `revision` on. */
-  async #readConfig(
-    revision: number | undefined,
-  ): Promise<ConfigReading | undefined> {
-    if (revision === undefined) {
-      return await this.#call((signal) => this.#store.readConfig(signal));
-    }
-    this.#watch = new AbortController();
-    const watch = this.#watch;
-    const { watchMs, timeoutMs } = this.#times;
-    const cancel = this.#context.clock.after(
-      watchMs + timeoutMs,
-      () => watch.abort(),
-    );
-    try {
-      return await this.#store.watchConfig(revision, watchMs, watch.signal);
-    } catch {
-      return undefined;
-    } finally {
-      cancel();
+  /** Takes the word of the hall's reader; false: its listing has a gap. */
+  takeState(message: StateMessage, reader: HostId): boolean {
+    const { clock, replicas, routes } = this.#context;
+    const now = clock.now();
+    const { listing, ageMs, version } = message;
+    const change = listing ? replicas.follow(listing) : undefined;
+    if (change === "gap") return false;
+    if (listing && change && change !== "older") {
+      this.#noteChange(change, listing.revision, reader);
     }
+    if (ageMs === undefined) return true;
+    const isNewer = version > routes.version;
+    const behindSince = isNewer ? this.#told?.behindSince ?? now : undefined;
+    this.#told = { asOf: now - ageMs, version, behindSince };
+    return true;
   }
 
-  async #call<Value>(
-    work: (signal: AbortSignal) => Promise<Value>,
-  ): Promise<Value | undefined> {
-    const { clock, metrics } = this.#context;
-    const startedAt = clock.now();
-    const value = await within(clock, this.#times.timeoutMs, work);
-    metrics.count(value === undefined ? "store_failures" : "store_calls");
-    metrics.time(Timing.storeCall, clock.now() - startedAt);
-    return value;
-  }
-
-  /** A watch may hang on a dead connection: it is begun anew on return. */
-  #noteStore(answered: boolean): void {
+  /** The store was asked at `askedAt`, and whether it answered. */
+  noteStore(answered: boolean, askedAt: Milliseconds): void {
     const { clock, events } = this.#context;
     const now = clock.now();
+    const fields = { age_ms: ageField(this.storeAgeMs(now)) };
     if (!answered) {
-      if (!this.#lost) {
-        events.note("storeLost", { age_ms: ageField(this.storeAgeMs(now)) });
-      }
+      if (!this.#lost) events.note("storeLost", fields);
       this.#lost = true;
       return;
     }
     if (this.#lost) {
-      events.note("storeBack", { age_ms: ageField(this.storeAgeMs(now)) });
-      this.#watch.abort();
+      events.note("storeBack", fields);
+      this.#settledAt = now + SETTLE_MS;
     }
     this.#lost = false;
-    this.#storeOkAt = now;
+    this.#readAt = askedAt;
+  }
+
+  #noteChange(change: ListingChange, revision: number, source: string): void {
+    const { events, pool } = this.#context;
+    for (const { incarnation, service, stage } of change.added) {
+      const fields = { replica: incarnation, service, stage, revision, source };
+      events.note("replicaAdded", fields);
+    }
+    for (const { incarnation } of change.leaving) {
+      events.note("replicaLeaving", { replica: incarnation, revision, source });
+    }
+    for (const { incarnation } of change.removed) {
+      events.note("replicaRemoved", { replica: incarnation, revision, source });
+      pool.forget(incarnation);
+    }
+    const count = change.renewed.length + change.removed.length;
+    if (count > 0) this.#source.onChange();
   }
 }
 
@@ -188,20 +151,3 @@
 function ageField(age: Milliseconds): number | undefined {
   return Number.isFinite(age) ? Math.round(age) : undefined;
 }
-
-/** Runs a call with a time limit; undefined when it fails or takes longer. */
-export async function within<Value>(
-  clock: Clock,
-  timeoutMs: Milliseconds,
-  work: (signal: AbortSignal) => Promise<Value>,
-): Promise<Value | undefined> {
-  const controller = new AbortController();
-  const cancel = clock.after(timeoutMs, () => controller.abort());
-  try {
-    return await work(controller.signal);
-  } catch {
-    return undefined;
-  } finally {
-    cancel();
-  }
-}
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -17,8 +17,8 @@
 const Store = z.strictObject({
   address: address(),
   timeout: duration("700ms"),
-  list_interval: duration("900ms"),
-  watch: duration("10s"),
+  list_interval: duration("700ms"),
+  watch: duration("1500ms"),
 });
 
 const Retries = z.strictObject({
--- a/test/gateway/replicas/replica_table_test.ts
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -58,3 +58,21 @@
   replica.noteSuccess();
   assert.equal(replica.paused(401), false);
 });
+
+test("replicas that a listing lacks are kept only where that is asked", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [entry("a"), entry("b", true)] });
+  const change = table.adopt({ revision: 2, entries: [] }, true);
+  assert.deepEqual(change?.kept.map((one) => one.incarnation), ["a"]);
+  assert.deepEqual(change?.removed.map((one) => one.incarnation), ["b"]);
+  assert.equal(table.openOf("s").length, 1);
+  table.adopt({ revision: 3, entries: [] });
+  assert.deepEqual(table.openOf("s"), []);
+});
+
+test("a replica that was leaving stays so when its entry comes back", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [entry("a", true)] });
+  table.adopt({ revision: 2, entries: [entry("a")] });
+  assert.deepEqual(table.openOf("s"), []);
+});
--- /dev/null
+++ b/test/gateway/state/synchronizer_test.ts
@@ -0,0 +1,96 @@
+/** What a host believes of the store, and how old it takes that to be. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { GatewayContext } from "../../../src/gateway/context.ts";
+import type { ReplicaEntry } from "../../../src/gateway/mod.ts";
+import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
+import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
+
+const REPLICA: ReplicaEntry = {
+  incarnation: "a",
+  service: "s",
+  address: "127.0.0.1:1",
+  hall: "h",
+  slots: 1,
+  leaving: false,
+  coldMs: 0,
+};
+
+function start() {
+  const time = { now: 0 };
+  const replicas = new ReplicaTable();
+  const context = {
+    clock: { now: () => time.now },
+    replicas,
+    routes: new RouteTable(),
+    events: { note: () => undefined },
+    pool: { forget: () => undefined },
+  } as unknown as GatewayContext;
+  const synchronizer = new Synchronizer({
+    context,
+    onConfig: () => undefined,
+    onChange: () => undefined,
+  });
+  const read = (revision: number, entries: readonly ReplicaEntry[]) => {
+    const taken = synchronizer.takeListing({ revision, entries }, "store");
+    synchronizer.noteStore(taken, time.now);
+  };
+  return { time, replicas, synchronizer, read };
+}
+
+test("a replica missing right after the store was away is kept a while", () => {
+  const { time, replicas, synchronizer, read } = start();
+  read(1, [REPLICA]);
+  time.now = 1000;
+  synchronizer.noteStore(false, time.now);
+  time.now = 2000;
+  read(2, []);
+  assert.equal(replicas.openOf("s").length, 1);
+  time.now = 3000;
+  read(3, []);
+  assert.equal(replicas.openOf("s").length, 1);
+  time.now = 4300;
+  read(4, []);
+  assert.equal(replicas.openOf("s").length, 0);
+});
+
+test("a replica missing while the store answers is gone at once", () => {
+  const { time, replicas, read } = start();
+  read(1, [REPLICA]);
+  time.now = 700;
+  read(2, []);
+  assert.equal(replicas.openOf("s").length, 0);
+});
+
+test("a reader's word is as old as the reader says, and so is ours", () => {
+  const { time, synchronizer } = start();
+  time.now = 10_000;
+  const word = { type: "state", version: 0 } as const;
+  synchronizer.takeState({ ...word, ageMs: 400 }, "reader");
+  assert.equal(synchronizer.storeAgeMs(10_000), 400);
+  assert.equal(synchronizer.isTold(10_500), true);
+  assert.equal(synchronizer.isTold(11_000), false);
+});
+
+test("a reader that heard nothing of the store tells nothing fresh", () => {
+  const { time, synchronizer } = start();
+  time.now = 10_000;
+  synchronizer.takeState({ type: "state", version: 0 }, "reader");
+  assert.equal(synchronizer.isTold(10_000), false);
+  assert.equal(synchronizer.storeAgeMs(10_000), Infinity);
+});
+
+test("a host that stays behind its reader's version asks peers", () => {
+  const { time, synchronizer } = start();
+  const word = { type: "state", version: 3, ageMs: 0 } as const;
+  synchronizer.takeState(word, "reader");
+  assert.equal(synchronizer.isBehind(100), false);
+  time.now = 250;
+  synchronizer.takeState(word, "reader");
+  assert.equal(synchronizer.isBehind(400), true);
+  const limits = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
+  const config = { version: 3, routes: [], services: [], limits };
+  synchronizer.takeConfig(config, "store");
+  assert.equal(synchronizer.isBehind(400), false);
+});
