Decode memory, planner health, planned plain services; a fault soak

Change: all wanted changes of stage at once before the first traffic, later a twentieth of the engines, under one lease; a changing replica is back in use as soon as it is listed with its new stage. Planners count successes (whole answers, prefills) and need two failures in a row; a silent reservation and a broken stream are failures too.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -74,7 +74,8 @@
   constructor(settings: GatewaySettings, port: PlatformPort) {
     this.#settings = settings;
     const { host, listen } = settings;
-    const self = { id: host.id, address: listen.peers, hall: host.hall };
+    const address = host.peer_address ?? listen.peers;
+    const self = { id: host.id, address, hall: host.hall };
     this.#self = self;
     this.#directory = new HostDirectory(self, settings.seeds);
     this.#context = createContext(settings, port, this.#directory);
@@ -246,7 +247,7 @@
   /** Links to planners stand before the first request needs them. */
   #linkPlanners(): void {
     for (const service of this.#context.routes.config?.services ?? []) {
-      if (service.engine) this.#places.plannerOf(service.name);
+      this.#places.plannerOf(service.name);
     }
   }
 
@@ -268,7 +269,7 @@
   const { host, grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   return {
-    self: { ...host, run: String(newIncarnation()) },
+    self: { id: host.id, hall: host.hall, run: String(newIncarnation()) },
     clock,
     random: Math.random,
     dialect: port.dialect,
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -13,7 +13,9 @@
   refused: "refused",
   /** The decode replica did not take it for another reason. */
   failed: "failed",
-  /** It holds nothing any more. */
+  /** Its whole answer came; it holds nothing any more. */
+  answered: "answered",
+  /** It holds nothing any more, and says nothing of its replica. */
   ended: "ended",
 } as const;
 /** One of the values of {@link PlaceStage}. */
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -141,6 +141,11 @@
     this.#giveBack(id, PlaceStage.refused);
   }
 
+  /** The request's whole answer came; the place is free again. */
+  answered(id: string): void {
+    this.#giveBack(id, PlaceStage.answered);
+  }
+
   /** The place is free again. */
   ended(id: string): void {
     this.#giveBack(id, PlaceStage.ended);
--- /dev/null
+++ b/src/gateway/planning/plain_choice.ts
@@ -0,0 +1,29 @@
+/** Which replica of a plain service takes a request; pure. */
+import type { ReplicaEntry } from "../replicas/model.ts";
+import { least } from "./order.ts";
+
+/** What a choice goes by. */
+export type PlainQuery = {
+  readonly hall: string;
+  /** What being in another hall counts as, as a share of the slots. */
+  readonly farCharge: number;
+  /** Requests that the whole fleet has at a replica. */
+  inFlight(incarnation: string): number;
+  isPaused(incarnation: string): boolean;
+  /** It turned a request away just now. */
+  isFull(incarnation: string): boolean;
+};
+
+/** The replica with the shortest queue for its slots, rather near. */
+export function choosePlain(
+  replicas: readonly ReplicaEntry[],
+  query: PlainQuery,
+): ReplicaEntry | undefined {
+  const sound = replicas.filter((one) => !query.isPaused(one.incarnation));
+  const candidates = sound.length > 0 ? sound : replicas;
+  return least(candidates, ({ incarnation, slots, hall }) => {
+    if (query.isFull(incarnation)) return Infinity;
+    const far = hall === query.hall ? 0 : query.farCharge;
+    return query.inFlight(incarnation) / Math.max(1, slots) + far;
+  });
+}
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from "../../core/ids.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
+import type { ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import { acceptLink, type Link, LINK_HOST_HEADER } from "../peers/link.ts";
 import {
   type HostMessage,
@@ -14,6 +15,9 @@
 
 /** The queue is gone through again after this time when nothing happens. */
 const PASS_MS = 20;
+/** A queue this long is gone through for several messages at once. */
+const LONG_QUEUE = 16;
+const LONG_PASS_MS = 3;
 
 /** Carries messages between the planner and the hosts. */
 export class PlanService {
@@ -21,27 +25,37 @@
   readonly #planner: Planner;
   readonly #hosts = new Map<string, (message: PlannerMessage) => void>();
   #passing = false;
-  /** Replicas that were ordered to change their stage: they take no work. */
-  readonly changing = new Set<string>();
+  /**
+   * Replicas that were ordered to change, with the stage that they change to:
+   * they take no work until they are listed with it.
+   */
+  readonly changing = new Map<string, ReplicaStage>();
 
   constructor(context: GatewayContext) {
     this.#context = context;
     this.#planner = new Planner({
       replicasOf: (service) =>
         context.replicas.openOf(service).map((one) => one.entry)
-          .filter((one) => !this.changing.has(one.incarnation)),
+          .filter((one) => !this.#isChanging(one)),
       memoryOf: (service) =>
         (context.routes.service(service)?.engine?.cacheTokens ?? 0) *
         context.tuning.memoryShare,
       isPaused: (incarnation) =>
         context.replicas.get(incarnation)?.paused(context.clock.now()) ?? false,
       noteFailure: (incarnation, now) =>
-        context.replicas.get(incarnation)?.noteFailure(now, true),
+        context.replicas.get(incarnation)?.noteFailure(now, false),
+      noteSuccess: (incarnation) =>
+        context.replicas.get(incarnation)?.noteSuccess(),
       random: context.random,
       farCharge: context.tuning.farCharge,
     });
   }
 
+  #isChanging({ incarnation, stage }: ReplicaEntry): boolean {
+    const wanted = this.changing.get(incarnation);
+    return wanted !== undefined && stage !== wanted;
+  }
+
   /** Requests that wait for a place. */
   get waiting(): number {
     return this.#planner.waiting;
@@ -73,7 +87,8 @@
       case "ping":
         return;
     }
-    this.#passSoon(0);
+    const isLong = this.#planner.waiting > LONG_QUEUE;
+    this.#passSoon(isLong ? LONG_PASS_MS : 0);
   }
 
   /** Serves a link that a host has opened. */
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -7,9 +7,11 @@
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Line } from "../../core/util/line_fit.ts";
 import { Admission } from "./admission.ts";
+import { EngineChoice } from "./engine_choice.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { Ledger } from "./ledger.ts";
-import { inOrder, least } from "./order.ts";
+import { inOrder } from "./order.ts";
+import { choosePlain } from "./plain_choice.ts";
 import { readingMs, usualLine } from "./prefill_times.ts";
 import { stageLoad } from "./stage_load.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
@@ -34,6 +36,8 @@
  * under load every request is served near the last moment that it can be.
  */
 const FIRST_EVENT_MS = 150;
+/** A caller of a plain service that is full comes back after this, or twice. */
+const PLAIN_RETRY_MS = 300;
 /** A replica that had no memory is not given any for this time. */
 const FULL_MS = 60;
 /** A place is believed for so long without word of it. */
@@ -61,10 +65,12 @@
   readonly #waiting = new Map<string, Waiting>();
   readonly #losses = new ExportLosses();
   readonly #admission: Admission;
+  readonly #choice: EngineChoice;
   readonly #fullUntil = new Map<string, Milliseconds>();
 
   constructor(view: PlannerView) {
     this.#view = view;
+    this.#choice = new EngineChoice(view, this.#ledger, this.#fullUntil);
     this.#admission = new Admission(view.random);
   }
 
@@ -112,9 +118,11 @@
   progress(word: PlanProgress, now: Milliseconds): void {
     const { id, stage, spentMs } = word;
     switch (stage) {
-      case PlaceStage.prefilled:
-        this.#ledger.prefilled(id, spentMs);
+      case PlaceStage.prefilled: {
+        const prefill = this.#ledger.prefilled(id, spentMs);
+        if (prefill !== undefined) this.#view.noteSuccess(prefill);
         return;
+      }
       case PlaceStage.prefillFailed: {
         const prefill = this.#ledger.prefilled(id, undefined);
         if (prefill !== undefined) this.#view.noteFailure(prefill, now);
@@ -133,8 +141,9 @@
     if (readBy !== undefined && stage === PlaceStage.exportLost) {
       this.#losses.noteLost(readBy, now);
     }
-    if (stage === PlaceStage.ended) {
+    if (stage === PlaceStage.answered) {
       this.#admission.noteEnd(now - entry.grantedAt);
+      this.#view.noteSuccess(decode);
       if (readBy !== undefined) this.#losses.noteKept(readBy);
     }
     if (stage === PlaceStage.refused) {
@@ -186,12 +195,13 @@
   #answer(one: Waiting, now: Milliseconds): PlannerMessage | undefined {
     const { service, excluded } = one.ask;
     if (now >= one.giveUpAt) return this.#refusal(one, "no-memory");
+    if (this.#view.memoryOf(service) === 0) return this.#plain(one, now);
     const open = this.#view.replicasOf(service).filter((replica) =>
       !excluded.includes(replica.incarnation)
     );
     const decodes = open.filter((r) => r.stage === ReplicaStage.decode);
     if (decodes.length === 0) return this.#refusal(one, "no-replica");
-    const decode = this.#decodeFor(one, decodes, now);
+    const decode = this.#choice.decodeFor(one.ask, decodes, now);
     if (!decode) return undefined;
     const prefills = open.filter((r) => r.stage === ReplicaStage.prefill);
     const sound = prefills.filter((r) =>
@@ -201,17 +211,35 @@
     if (one.ask.whole || sound.length === 0) {
       return this.#grant(one, { decode }, now);
     }
-    const prefill = this.#prefillFor(sound, decode);
+    const prefill = this.#choice.prefillFor(sound, decode);
     const { incarnation } = prefill;
     const base = Math.max(0, this.#ledger.lineOf(incarnation).base);
     const ahead = this.#ledger.queueMs(incarnation) - base;
     if (ahead > AHEAD_MS) {
-      const whole = this.#wholeAt(one, decode, now);
+      const whole = this.#choice.readsWhole(one.ask, decode, one.dueAt - now);
       return whole ? this.#grant(one, { decode }, now) : undefined;
     }
     return this.#grant(one, { decode, prefill }, now);
   }
 
+  /** A plain service queues at its replicas; a full one is left out. */
+  #plain(one: Waiting, now: Milliseconds): PlannerMessage {
+    const { service, hall, excluded } = one.ask;
+    const open = this.#view.replicasOf(service)
+      .filter(({ incarnation }) => !excluded.includes(incarnation));
+    if (open.length === 0) return this.#refusal(one, "no-replica");
+    const decode = choosePlain(open, {
+      hall,
+      farCharge: this.#view.farCharge,
+      inFlight: (incarnation) => this.#ledger.memoryAt(incarnation),
+      isPaused: (incarnation) => this.#view.isPaused(incarnation),
+      isFull: (incarnation) => (this.#fullUntil.get(incarnation) ?? 0) > now,
+    });
+    if (decode) return this.#grant(one, { decode }, now);
+    const retryAfterMs = PLAIN_RETRY_MS * (1 + this.#view.random());
+    return { ...this.#refusal(one, "busy"), retryAfterMs };
+  }
+
   /** Refuses at once what will not be on time, so that it can come back. */
   #decide(
     one: Waiting,
@@ -256,46 +284,6 @@
       .map((one) => this.#ledger.memoryAt(one.incarnation));
   }
 
-  /** The decode replica with most memory left, rather in the asker's hall. */
-  #decodeFor(
-    one: Waiting,
-    decodes: readonly ReplicaEntry[],
-    now: Milliseconds,
-  ): ReplicaEntry | undefined {
-    const memory = Math.max(1, this.#view.memoryOf(one.ask.service));
-    const sound = decodes.filter((r) => !this.#view.isPaused(r.incarnation));
-    return least(sound.length > 0 ? sound : decodes, (replica) => {
-      const { incarnation, hall } = replica;
-      const held = this.#ledger.memoryAt(incarnation);
-      const full = (this.#fullUntil.get(incarnation) ?? 0) > now;
-      if (full || (held > 0 && held + one.ask.tokens > memory)) return Infinity;
-      const far = hall === one.ask.hall ? 0 : this.#view.farCharge;
-      return held / memory + far;
-    });
-  }
-
-  /**
-   * Whether the decode replica reads the prompt itself: only when the prefill
-   * replicas are behind and it runs few others, for it slows them.
-   */
-  #wholeAt(one: Waiting, decode: ReplicaEntry, now: Milliseconds): boolean {
-    const memory = Math.max(1, this.#view.memoryOf(one.ask.service));
-    const held = this.#ledger.memoryAt(decode.incarnation) / memory;
-    return held < WHOLE_BELOW && one.dueAt - now < WHOLE_SLACK_MS;
-  }
-
-  /** The prefill replica that is free first, rather in the decode's hall. */
-  #prefillFor(
-    prefills: readonly ReplicaEntry[],
-    decode: ReplicaEntry,
-  ): ReplicaEntry {
-    const cost = (replica: ReplicaEntry) => {
-      const far = replica.hall === decode.hall ? 0 : FAR_PREFILL_MS;
-      return this.#ledger.queueMs(replica.incarnation) + far;
-    };
-    return least(prefills, cost) ?? decode;
-  }
-
   #grant(
     one: Waiting,
     places: {
@@ -323,11 +311,3 @@
     return prefill === undefined ? base : { ...base, prefill };
   }
 }
-
-/** Share of its memory up to which a decode replica reads prompts. */
-const WHOLE_BELOW = 0.6;
-/** A request with less time left than this need not wait for a prefill. */
-const WHOLE_SLACK_MS = 700;
-
-/** What a prefill in another hall than its decode counts as. */
-const FAR_PREFILL_MS = 15;
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -19,6 +19,7 @@
   PlaceRefusal,
 } from "./placement.ts";
 import { type Export, Prefills } from "./prefill.ts";
+import { nextPlaceId } from "./place_ids.ts";
 import type { GatewayRequest } from "./request.ts";
 import {
   dropReservation,
@@ -74,7 +75,9 @@
     for (;;) {
       const found = await this.#find(excluded);
       if ("error" in found) return found;
+      if (this.#ended) return this.#leaveUnused();
       const reservation = await this.#reserve(found.replica);
+      if (this.#ended) return this.#leaveUnused();
       if (!reservation) continue;
       const waitMs = clock.now() - startedAt;
       metrics.time(Timing.memoryWait, waitMs);
@@ -85,6 +88,12 @@
     }
   }
 
+  /** The request ended meanwhile: what it was given goes back. */
+  #leaveUnused(): PlaceRefusal {
+    this.release();
+    return { error: GatewayError.noMemory };
+  }
+
   /** A place from the planner, or why there is none in time. */
   async #find(
     excluded: ReadonlySet<string>,
@@ -132,12 +141,12 @@
       ),
       mostMs: engine.reservationMs,
     });
-    if (!reservation) {
-      this.#refusedPlace();
+    if (typeof reservation === "string") {
+      if (reservation === "silent") this.failed({ turnedAway: false });
+      else this.#refusedPlace();
       return undefined;
     }
-    if (this.#ended) dropReservation(context, reservation);
-    else this.#reservation = reservation;
+    this.#reservation = reservation;
     return reservation;
   }
 
@@ -190,7 +199,9 @@
     if (this.#reservation) dropReservation(context, this.#reservation);
     if (this.#export) this.#prefills.drop(this.#export);
     this.taken();
-    this.used();
+    const id = this.#placeId;
+    this.#placeId = undefined;
+    if (id !== undefined) this.#source.places.ended(id);
   }
 
   failed(failure: PlaceFailure): void {
@@ -210,8 +221,9 @@
   }
 
   used(): void {
-    if (this.#placeId !== undefined) this.#source.places.ended(this.#placeId);
+    const id = this.#placeId;
     this.#placeId = undefined;
+    if (id !== undefined) this.#source.places.answered(id);
   }
 
   end(): void {
@@ -238,11 +250,3 @@
       return { error: GatewayError.noMemory, basis: fields };
   }
 }
-
-let placeCount = 0;
-
-/** A name that no other host and no other run of this one gives. */
-function nextPlaceId(context: GatewayContext): string {
-  placeCount += 1;
-  return `${context.self.id}/${context.self.run}/${placeCount}`;
-}
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -68,7 +68,7 @@
     const engine = context.routes.service(request.service)?.engine;
     this.#placer = engine
       ? new EnginePlacement({ context, request, places, engine })
-      : new PlainPlacement(context, request);
+      : new PlainPlacement(context, request, places);
     const left = request.limitAt - context.clock.now();
     this.#cancelLimit = context.clock.after(left, () => this.#atLimit());
   }
@@ -166,7 +166,8 @@
     }
     const startedAt = this.#context.clock.now();
     const relayed = await this.#relay(placed, answer, startedAt);
-    this.#placer.used();
+    if (relayed === "whole") this.#placer.used();
+    else this.#placer.failed({ turnedAway: false });
     if (this.#ended) return;
     if (relayed === "whole") return this.#complete(status);
     this.#takeCut(placed);
--- a/src/gateway/requests/reservations.ts
+++ b/src/gateway/requests/reservations.ts
@@ -14,12 +14,15 @@
   readonly expiresAt: Milliseconds;
 };
 
-/** Reserves memory; undefined when the replica has none or does not answer. */
+/** Why there is no reservation: the replica said so, or said nothing. */
+export type NoReservation = "refused" | "silent";
+
+/** Reserves memory at a replica. */
 export async function takeReservation(
   context: GatewayContext,
   replica: Replica,
   memory: { readonly tokens: number; readonly mostMs: Milliseconds },
-): Promise<Reservation | undefined> {
+): Promise<Reservation | NoReservation> {
   const { clock, dialect, pool, tuning, metrics } = context;
   const lifeMs = Math.min(LIFE_MS, memory.mostMs);
   const askedAt = clock.now();
@@ -30,7 +33,7 @@
     : undefined;
   metrics.count(id === undefined ? "reservations_refused" : "reservations");
   if (!answer) replica.noteFailure(clock.now(), true);
-  if (id === undefined) return undefined;
+  if (id === undefined) return answer ? "refused" : "silent";
   const expiresAt = askedAt + lifeMs;
   return { replica, id, tokens: memory.tokens, expiresAt };
 }
--- a/src/gateway/stages/balance.ts
+++ b/src/gateway/stages/balance.ts
@@ -42,6 +42,33 @@
   return undefined;
 }
 
+/** Part of a service's engines that may change at once under traffic. */
+const CHANGING_SHARE = 0.05;
+
+/**
+ * All changes that are wanted now: before the first traffic as many as lead
+ * to the share, later only a few, for each takes its replica out for seconds.
+ */
+export function wantedChanges(
+  replicas: readonly ReplicaEntry[],
+  share: number,
+  load: StageLoad | undefined,
+): StageChange[] {
+  const most = load
+    ? Math.max(1, Math.floor(replicas.length * CHANGING_SHARE))
+    : replicas.length;
+  const after = [...replicas];
+  const changes: StageChange[] = [];
+  while (changes.length < most) {
+    const change = wantedChange(after, share, load);
+    if (!change) return changes;
+    changes.push(change);
+    const at = after.indexOf(change.replica);
+    after[at] = { ...change.replica, stage: change.stage };
+  }
+  return changes;
+}
+
 /** Part of the old mean that stays with each new sample. */
 const LOAD_MEMORY = 0.9;
 /** A load below this is no traffic: the stages are still at rest. */
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -8,7 +8,7 @@
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import { OrderOutcome, type Store } from "../port.ts";
-import type { ReplicaEntry } from "../replicas/model.ts";
+import type { ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Service } from "../routing/model.ts";
 import { within } from "../state/within.ts";
 import type { StageLoad } from "../planning/view.ts";
@@ -16,7 +16,7 @@
   ChangePatience,
   SmoothLoad,
   type StageChange,
-  wantedChange,
+  wantedChanges,
 } from "./balance.ts";
 import { type Lease, takeLease } from "./lease.ts";
 
@@ -31,7 +31,7 @@
 const LATE_ORDER_MS = 13_000;
 /** A replica under a change finishes what it runs, at most about so long. */
 const DRAIN_MS = 5000;
-/** Pause after a try that ordered nothing. */
+/** Pause after a try that ordered nothing, and before the first traffic. */
 const FAILED_REST_MS = 3000;
 /** A listing older than this decides nothing. */
 const LISTING_AGE_MS = 2500;
@@ -51,7 +51,7 @@
   /** How busy a service's stages are. */
   loadOf(service: string): StageLoad;
   /** Replicas under a change, kept from new work. */
-  readonly changing: Set<string>;
+  readonly changing: Map<string, ReplicaStage>;
 };
 
 /** Runs for as long as the process lives. */
@@ -89,21 +89,25 @@
   const { patience } = state;
   state.load.add(source.loadOf(service.name));
   const { load } = state.load;
-  const entries = entriesOf(context, service);
-  const change = wantedChange(entries, prefillShare, load);
+  const entries = entriesOf(source, service);
+  const changes = wantedChanges(entries, prefillShare, load);
   const patienceMs = load ? PATIENCE_MS : FIRST_PATIENCE_MS;
-  const ripe = patience.ripe(change !== undefined, patienceMs, clock.now());
-  if (!ripe || !change) return;
-  const { incarnation } = change.replica;
-  source.changing.add(incarnation);
-  const { taken, restMs } = await act(source, service, change);
-  patience.rest(clock.now() + restMs);
-  if (!taken) source.changing.delete(incarnation);
-  else clock.after(restMs, () => source.changing.delete(incarnation));
+  const now = clock.now();
+  if (!patience.ripe(changes.length > 0, patienceMs, now)) return;
+  const tries = await act(source, service, changes);
+  const longest = Math.max(FAILED_REST_MS, ...tries.map((one) => one.restMs));
+  patience.rest(clock.now() + (load ? longest : FAILED_REST_MS));
 }
 
-function entriesOf(context: GatewayContext, service: Service): ReplicaEntry[] {
-  return context.replicas.openOf(service.name).map((one) => one.entry);
+/** Replicas that take work; those under a change count as changed. */
+function entriesOf(
+  { context, changing }: StageLoopSource,
+  service: Service,
+): ReplicaEntry[] {
+  return context.replicas.openOf(service.name).map(({ entry }) => {
+    const stage = changing.get(entry.incarnation);
+    return stage === undefined ? entry : { ...entry, stage };
+  });
 }
 
 /** How a try to order a change went. */
@@ -116,22 +120,51 @@
 
 const FAILED_TRY: Try = { taken: false, restMs: FAILED_REST_MS };
 
-/** Tries to order the change. */
+/** Takes the lease and tries to order the changes, all at once. */
 async function act(
   source: StageLoopSource,
   service: Service,
-  change: StageChange,
-): Promise<Try> {
-  const { context, store, holder, guardMs } = source;
-  const { clock } = context;
+  changes: readonly StageChange[],
+): Promise<Try[]> {
+  const { context: { clock }, store, holder, guardMs } = source;
   const lease = await within(
     clock,
     STORE_TIMEOUT_MS,
     (signal) =>
       takeLease({ store, clock, holder, guardMs }, service.name, signal),
   );
-  if (!lease) return FAILED_TRY;
-  const { dialect, pool } = context;
+  if (!lease) return [FAILED_TRY];
+  return await Promise.all(
+    changes.map((change) => tryChange(source, { service, change, lease })),
+  );
+}
+
+type Wanted = {
+  readonly service: Service;
+  readonly change: StageChange;
+  readonly lease: Lease;
+};
+
+/** The replica takes no new work while its change may be under way. */
+async function tryChange(
+  source: StageLoopSource,
+  wanted: Wanted,
+): Promise<Try> {
+  const { context: { clock }, changing } = source;
+  const { replica: { incarnation }, stage } = wanted.change;
+  changing.set(incarnation, stage);
+  const tried = await orderChange(source, wanted);
+  if (!tried.taken) changing.delete(incarnation);
+  else clock.after(tried.restMs, () => changing.delete(incarnation));
+  return tried;
+}
+
+async function orderChange(
+  source: StageLoopSource,
+  { service, change, lease }: Wanted,
+): Promise<Try> {
+  const { context } = source;
+  const { dialect, pool, clock } = context;
   const place = change.replica;
   const told = await pool.small(place, dialect.report, CALL_TIMEOUT_MS);
   const report = told && dialect.readReport(told.body);
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -5,6 +5,8 @@
 const Host = z.strictObject({
   id: name(),
   hall: name(),
+  /** Where peers reach this host, if not at `listen.peers`. */
+  peer_address: address().optional(),
 });
 
 const Listen = z.strictObject({
--- /dev/null
+++ b/test/gateway/planning/planner_rig.ts
@@ -0,0 +1,75 @@
+/** A planner's view and asks, for its tests. */
+import { type ReplicaEntry, ReplicaStage } from "../../../src/gateway/mod.ts";
+import type {
+  PlanAsk,
+  PlannerMessage,
+} from "../../../src/gateway/planning/messages.ts";
+import type { Planner } from "../../../src/gateway/planning/planner.ts";
+import type { PlannerView } from "../../../src/gateway/planning/view.ts";
+
+/** Memory of a decode replica, in tokens. */
+export const MEMORY = 1000;
+
+/** A replica of the service "s". */
+export function replica(
+  incarnation: string,
+  stage: ReplicaStage,
+): ReplicaEntry {
+  return {
+    incarnation,
+    service: "s",
+    address: "127.0.0.1:1",
+    hall: "h",
+    slots: 64,
+    leaving: false,
+    stage,
+    coldMs: 0,
+  };
+}
+
+/** Two decode replicas and one for prefills. */
+export function view(change: Partial<PlannerView> = {}): PlannerView {
+  return {
+    replicasOf: () => [
+      replica("d1", ReplicaStage.decode),
+      replica("d2", ReplicaStage.decode),
+      replica("p1", ReplicaStage.prefill),
+    ],
+    memoryOf: () => MEMORY,
+    isPaused: () => false,
+    noteFailure: () => undefined,
+    noteSuccess: () => undefined,
+    random: () => 0,
+    farCharge: 0.1,
+    ...change,
+  };
+}
+
+/** An ask that can wait. */
+export function ask(id: string, change: Partial<PlanAsk> = {}): PlanAsk {
+  return {
+    type: "ask",
+    id,
+    service: "s",
+    tokens: 400,
+    promptTokens: 100,
+    hall: "h",
+    slackMs: 900,
+    patienceMs: 3000,
+    key: "",
+    decideMs: Infinity,
+    whole: false,
+    excluded: [],
+    ...change,
+  };
+}
+
+/** The requests that were granted a place. */
+export function grants(messages: readonly PlannerMessage[]): string[] {
+  return messages.flatMap((one) => one.type === "grant" ? [one.id] : []);
+}
+
+/** What the planner answers now. */
+export function messages(planner: Planner, now: number): PlannerMessage[] {
+  return planner.pass(now).map((one) => one.message);
+}
--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -2,71 +2,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { type ReplicaEntry, ReplicaStage } from "../../../src/gateway/mod.ts";
-import type {
-  PlanAsk,
-  PlannerMessage,
-} from "../../../src/gateway/planning/messages.ts";
+import { ReplicaStage } from "../../../src/gateway/mod.ts";
 import { inOrder } from "../../../src/gateway/planning/order.ts";
 import { Planner } from "../../../src/gateway/planning/planner.ts";
-import type { PlannerView } from "../../../src/gateway/planning/view.ts";
-
-const MEMORY = 1000;
-
-function replica(incarnation: string, stage: ReplicaStage): ReplicaEntry {
-  return {
-    incarnation,
-    service: "s",
-    address: "127.0.0.1:1",
-    hall: "h",
-    slots: 64,
-    leaving: false,
-    stage,
-    coldMs: 0,
-  };
-}
-
-function view(change: Partial<PlannerView> = {}): PlannerView {
-  return {
-    replicasOf: () => [
-      replica("d1", ReplicaStage.decode),
-      replica("d2", ReplicaStage.decode),
-      replica("p1", ReplicaStage.prefill),
-    ],
-    memoryOf: () => MEMORY,
-    isPaused: () => false,
-    noteFailure: () => undefined,
-    random: () => 0,
-    farCharge: 0.1,
-    ...change,
-  };
-}
-
-function ask(id: string, change: Partial<PlanAsk> = {}): PlanAsk {
-  return {
-    type: "ask",
-    id,
-    service: "s",
-    tokens: 400,
-    promptTokens: 100,
-    hall: "h",
-    slackMs: 900,
-    patienceMs: 3000,
-    key: "",
-    decideMs: Infinity,
-    whole: false,
-    excluded: [],
-    ...change,
-  };
-}
-
-function grants(messages: readonly PlannerMessage[]): string[] {
-  return messages.flatMap((one) => one.type === "grant" ? [one.id] : []);
-}
-
-function messages(planner: Planner, now: number): PlannerMessage[] {
-  return planner.pass(now).map((one) => one.message);
-}
+import { ask, grants, MEMORY, messages, replica, view } from "./planner_rig.ts";
 
 test("no more memory is given than a replica has", () => {
   const command = fc.oneof(
@@ -248,6 +187,20 @@
   assert.deepEqual(failures, ["p1", grant.decode]);
 });
 
+test("whole answers and prefills speak for their replicas, mere ends don't", () => {
+  const successes: string[] = [];
+  const planner = new Planner(view({
+    noteSuccess: (incarnation) => successes.push(incarnation),
+  }));
+  for (const id of ["a", "b"]) planner.ask("h", ask(id), 0);
+  const [grant] = messages(planner, 0);
+  assert.ok(grant?.type === "grant");
+  planner.progress({ type: "progress", id: "a", stage: "prefilled" }, 1);
+  planner.progress({ type: "progress", id: "a", stage: "answered" }, 2);
+  planner.progress({ type: "progress", id: "b", stage: "ended" }, 3);
+  assert.deepEqual(successes, ["p1", grant.decode]);
+});
+
 test("a few samples close together don't tilt the prefill times", () => {
   const planner = new Planner(view({ memoryOf: () => 1e6 }));
   for (let round = 0; round < 5; round++) {
--- a/test/gateway/stages/stages_test.ts
+++ b/test/gateway/stages/stages_test.ts
@@ -9,6 +9,7 @@
   ChangePatience,
   SmoothLoad,
   wantedChange,
+  wantedChanges,
 } from "../../../src/gateway/stages/balance.ts";
 import { isFree, takeLease } from "../../../src/gateway/stages/lease.ts";
 
@@ -70,6 +71,21 @@
   assert.equal(wantedChange(replicas, 0.8, busy)?.stage, "prefill");
 });
 
+test("at rest all changes are wanted at once, under traffic a few", () => {
+  const replicas = Array.from(
+    { length: 60 },
+    (_, at) =>
+      replica(`r${at}`, at % 3 === 0 ? "prefill" : "decode", `h${at % 4}`),
+  );
+  const all = wantedChanges(replicas, 0.2, undefined);
+  assert.equal(new Set(all.map((one) => one.replica)).size, all.length);
+  const prefills = 20 - all.length;
+  assert.ok(Math.abs(prefills - 60 * 0.2) <= 0.75);
+  const full = { prefill: 0.1, decode: 0.9 };
+  assert.equal(wantedChanges(replicas, 0.2, full).length, 3);
+  assert.deepEqual(wantedChanges([], 0.2, undefined), []);
+});
+
 test("the load is smoothed and starts with the first traffic", () => {
   const smooth = new SmoothLoad();
   smooth.add({ prefill: 0, decode: 0 });
--- /dev/null
+++ b/test/platform/replica_standin.ts
@@ -0,0 +1,235 @@
+/**
+ * A stand-in of one replica that remembers all it was asked: a plain service,
+ * or a model engine with memory to reserve and prefills to fetch.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { listen, send, textOf } from "./store_standin.ts";
+
+/** What a replica does. */
+export type ReplicaRole = "plain" | "prefill" | "decode";
+
+/** A request that a replica was sent. */
+export type ReplicaArrival = {
+  readonly request: string;
+  readonly replica: string;
+  readonly atMs: number;
+  /** It began to run; a prefill does not count as a run. */
+  readonly ran: boolean;
+  /** The first event or byte that it was to make. */
+  readonly fromEvent: number;
+};
+
+/** Something that a replica must never see. */
+export type ReplicaFault = { readonly what: string; readonly request: string };
+
+/** What all replicas of a test share. */
+export type ReplicaWorld = {
+  readonly arrivals: ReplicaArrival[];
+  readonly faults: ReplicaFault[];
+  /** Finished prefills by "address/handle". */
+  readonly exports: Map<string, { request: string; endsAtMs: number }>;
+};
+
+/** A running replica. */
+export type ReplicaStandin = {
+  readonly id: string;
+  readonly role: ReplicaRole;
+  readonly address: string;
+  /** Requests that run now. */
+  running(): number;
+  /** Ends it as a crash does: all connections are reset. */
+  crash(): void;
+};
+
+/** What a replica is made from. */
+export type ReplicaSource = {
+  readonly id: string;
+  readonly role: ReplicaRole;
+  readonly world: ReplicaWorld;
+  /** Where others reach it; prefills are known by it. */
+  publicAddress(): string;
+};
+
+/** Events of a whole stream, and the time between two. */
+export const STREAM_EVENTS = 20;
+const EVENT_MS = 40;
+const PLAIN_MS = 30;
+const PREFILL_MS = 25;
+const EXPORT_MS = 1500;
+
+type Engine = {
+  readonly source: ReplicaSource;
+  readonly holds: Map<string, number>;
+  running: number;
+  count: number;
+};
+
+/** Starts a replica on a free port. */
+export async function startReplica(
+  source: ReplicaSource,
+): Promise<ReplicaStandin> {
+  const engine: Engine = { source, holds: new Map(), running: 0, count: 0 };
+  const server = createServer((request, response) => {
+    response.on("error", () => undefined);
+    void answer(engine, request, response).catch(() => response.destroy());
+  });
+  const sockets = new Set<Socket>();
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.on("close", () => sockets.delete(socket));
+  });
+  const address = await listen(server);
+  return {
+    id: source.id,
+    role: source.role,
+    address,
+    running: () => engine.running,
+    crash: () => {
+      server.close();
+      for (const socket of sockets) socket.resetAndDestroy();
+    },
+  };
+}
+
+async function answer(
+  engine: Engine,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await textOf(request);
+  const path = request.url ?? "";
+  if (path === "/hold-take") return takeHold(engine, body, response);
+  if (path.startsWith("/hold-drop/")) {
+    engine.holds.delete(path.slice("/hold-drop/".length));
+    return send(response, 200, {});
+  }
+  if (path.startsWith("/kv-handle/")) {
+    const handle = path.slice("/kv-handle/".length);
+    const { world, publicAddress } = engine.source;
+    world.exports.delete(`${publicAddress()}/${handle}`);
+    return send(response, 200, {});
+  }
+  if (path === "/report") {
+    const report = { Stage: engine.source.role, Utilization: false };
+    return send(response, 200, { ...report, Sequence: 0 });
+  }
+  if (path === "/order") return send(response, 409, {});
+  return serve(engine, request, response);
+}
+
+function takeHold(
+  engine: Engine,
+  body: string,
+  response: ServerResponse,
+): void {
+  const { ttl_ms: lifeMs } = JSON.parse(body) as { ttl_ms: number };
+  engine.count += 1;
+  const id = `m${engine.count}`;
+  engine.holds.set(id, performance.now() + lifeMs);
+  send(response, 200, { Retention: id });
+}
+
+async function serve(
+  engine: Engine,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const { source } = engine;
+  const { role, world } = source;
+  const header = (name: string) => String(request.headers[name] ?? "");
+  const id = header("attempt-id");
+  if (header("expected-instance") !== source.id) {
+    return notRun(response, 421, id);
+  }
+  const isPrefill = header("serving-stage") === "prefill";
+  const fromEvent = Number(header("last-event-id") || -1) + 1;
+  const note = (ran: boolean) =>
+    world.arrivals.push({
+      request: id,
+      replica: source.id,
+      atMs: performance.now(),
+      ran,
+      fromEvent,
+    });
+  if (isPrefill !== (role === "prefill")) {
+    note(false);
+    return notRun(response, 421, id);
+  }
+  if (isPrefill) return await prefill(engine, id, response, note);
+  const from = header("kv-source");
+  if (from !== "" && !takeExport(world, from, id)) {
+    note(false);
+    return notRun(response, 503, id);
+  }
+  note(true);
+  engine.running += 1;
+  response.on("close", () => engine.running -= 1);
+  const seal = { "Attempt-Id": id, "Server-Seal": `${source.id}.${id}` };
+  if (role === "plain") {
+    await pause(PLAIN_MS);
+    response.writeHead(200, seal);
+    return void response.end(`body of ${id}`);
+  }
+  await stream(response, { id, fromEvent, seal });
+}
+
+async function prefill(
+  engine: Engine,
+  id: string,
+  response: ServerResponse,
+  note: (ran: boolean) => void,
+): Promise<void> {
+  note(false);
+  const { world, publicAddress } = engine.source;
+  await pause(PREFILL_MS);
+  engine.count += 1;
+  const handle = `h${engine.count}`;
+  const endsAtMs = performance.now() + EXPORT_MS;
+  world.exports.set(`${publicAddress()}/${handle}`, { request: id, endsAtMs });
+  response.setHeader("Attempt-Id", id);
+  send(response, 200, { PrefillHandle: handle, Tokens: 1, Version: 1 });
+}
+
+/** Takes a finished prefill; false when it is gone. */
+function takeExport(world: ReplicaWorld, from: string, id: string): boolean {
+  const made = world.exports.get(from);
+  world.exports.delete(from);
+  if (!made || made.endsAtMs < performance.now()) return false;
+  if (made.request === id) return true;
+  world.faults.push({ what: "It goes on from another's prefill", request: id });
+  return false;
+}
+
+async function stream(
+  response: ServerResponse,
+  run: {
+    readonly id: string;
+    readonly fromEvent: number;
+    readonly seal: Record<string, string>;
+  },
+): Promise<void> {
+  const type = { "Content-Type": "text/event-stream" };
+  response.writeHead(200, { ...run.seal, ...type });
+  for (let event = run.fromEvent; event < STREAM_EVENTS; event++) {
+    await pause(EVENT_MS);
+    if (response.destroyed) return;
+    const last = event === STREAM_EVENTS - 1 ? " last" : "";
+    response.write(`id: ${event}\ndata: ${run.id}${last}\n\n`);
+  }
+  response.end();
+}
+
+function notRun(response: ServerResponse, status: number, id: string): void {
+  response.writeHead(status, { "Attempt-Id": id, "Not-Executed": "1" });
+  response.end();
+}
+
+function pause(forMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, forMs));
+}
--- /dev/null
+++ b/test/soak/strike.ts
@@ -0,0 +1,166 @@
+/** Strikes a fault, and takes it back when its time is over. */
+import type { FleetHost } from "./fleet.ts";
+import type { GatewayProcess } from "./gateway_process.ts";
+import { type FaultProxy, Silence } from "./fault_proxy.ts";
+import { type Fault, FaultKind } from "./schedule.ts";
+import { StoreMode } from "../platform/store_standin.ts";
+import type { World, WorldReplica } from "./world.ts";
+
+/** What faults can strike. */
+export type Struck = {
+  readonly world: World;
+  readonly hosts: readonly FleetHost[];
+};
+
+const SLOW_MS = 150;
+const STORE_SLOW_MS = 500;
+/** Entries that lapsed are back so long after the store is. */
+const RETURN_MS = 1200;
+/** A process that ended starts again after this time. */
+const RESTART_MS = 400;
+
+/** Resolves when the fault is over. */
+export async function strike(struck: Struck, fault: Fault): Promise<void> {
+  const undo = await begin(struck, fault);
+  await pause(fault.forMs);
+  await undo();
+}
+
+type Undo = () => void | Promise<void>;
+
+const NOTHING: Undo = () => undefined;
+
+function begin(struck: Struck, fault: Fault): Undo | Promise<Undo> {
+  const { world, hosts } = struck;
+  const host = hosts[fault.target % hosts.length];
+  const ready = world.ready();
+  const replica = ready[fault.target % ready.length];
+  if (!host || !replica) return NOTHING;
+  switch (fault.kind) {
+    case FaultKind.kill:
+    case FaultKind.stop:
+    case FaultKind.pause:
+    case FaultKind.reload:
+      return strikeProcess(host, fault.kind);
+    case FaultKind.storeDown:
+    case FaultKind.storeSilent:
+    case FaultKind.storeSlow:
+    case FaultKind.storeLost:
+    case FaultKind.storeForgets:
+    case FaultKind.storeLapse:
+      return strikeStore(world, fault.kind);
+    case FaultKind.storePathSilent:
+      return silence(host.storePath, Silence.both);
+    case FaultKind.storePathOneWay:
+      return silence(host.storePath, Silence.toCaller);
+    case FaultKind.storePathReset:
+      return resetAll(host.storePath);
+    case FaultKind.peerPathSilent:
+      return silence(host.peerPath, Silence.both);
+    case FaultKind.peerPathSlow:
+      return slow(host.peerPath);
+    case FaultKind.peerPathReset:
+      return resetAll(host.peerPath);
+    case FaultKind.replicaPathSilent:
+      return silence(replica.proxy, Silence.toCaller);
+    case FaultKind.replicaPathSlow:
+      return slow(replica.proxy);
+    case FaultKind.replicaPathReset:
+      return resetAll(replica.proxy);
+    case FaultKind.replicaCrash:
+    case FaultKind.replicaLeave:
+      return strikeReplica(world, replica, fault.kind);
+    case FaultKind.config:
+      world.changeConfig();
+      return NOTHING;
+  }
+}
+
+function strikeProcess(
+  { process }: FleetHost,
+  kind: "kill" | "stop" | "pause" | "reload",
+): Undo {
+  switch (kind) {
+    case FaultKind.reload:
+      process.reload();
+      return NOTHING;
+    case FaultKind.pause:
+      process.pause();
+      return () => process.resume();
+    case FaultKind.kill:
+      return startAfter(process, process.kill());
+    case FaultKind.stop:
+      return startAfter(process, process.stop());
+  }
+}
+
+function startAfter(process: GatewayProcess, ended: Promise<void>): Undo {
+  return async () => {
+    await ended;
+    await pause(RESTART_MS);
+    process.start();
+  };
+}
+
+function strikeStore(world: World, kind: FaultKind): Undo {
+  const { store } = world;
+  const back = () => {
+    store.mode = StoreMode.up;
+    store.delayMs = 0;
+  };
+  switch (kind) {
+    case FaultKind.storeDown:
+      store.mode = StoreMode.down;
+      return back;
+    case FaultKind.storeSilent:
+      store.mode = StoreMode.silent;
+      return back;
+    case FaultKind.storeLost:
+      store.mode = StoreMode.lost;
+      return back;
+    case FaultKind.storeSlow:
+      store.delayMs = STORE_SLOW_MS;
+      return back;
+    case FaultKind.storeForgets:
+      store.loseHistory();
+      return NOTHING;
+    default:
+      store.mode = StoreMode.down;
+      world.lapse();
+      return async () => {
+        back();
+        await pause(RETURN_MS);
+        for (const one of world.ready()) world.list(one);
+      };
+  }
+}
+
+async function strikeReplica(
+  world: World,
+  replica: WorldReplica,
+  kind: FaultKind,
+): Promise<Undo> {
+  if (kind === FaultKind.replicaCrash) await world.crash(replica);
+  else await world.leave(replica);
+  return NOTHING;
+}
+
+function silence(proxy: FaultProxy, way: Silence): Undo {
+  proxy.silence = way;
+  return () => proxy.heal();
+}
+
+function slow(proxy: FaultProxy): Undo {
+  proxy.delayMs = SLOW_MS;
+  return () => proxy.heal();
+}
+
+function resetAll(proxy: FaultProxy): Undo {
+  proxy.reset(() => true);
+  return NOTHING;
+}
+
+/** Resolves after a time. */
+export function pause(forMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, forMs));
+}
--- /dev/null
+++ b/test/soak/world.ts
@@ -0,0 +1,192 @@
+/** The platform around a soak's gateways: store, replicas, configuration. */
+import {
+  type ReplicaRole,
+  type ReplicaStandin,
+  type ReplicaWorld,
+  startReplica,
+} from "../platform/replica_standin.ts";
+import { startStore, type StoreStandin } from "../platform/store_standin.ts";
+import { CallKind } from "./callers.ts";
+import { type FaultProxy, startProxy } from "./fault_proxy.ts";
+
+/** A replica and the proxy before it. */
+export type WorldReplica = {
+  readonly standin: ReplicaStandin;
+  readonly proxy: FaultProxy;
+  readonly hall: string;
+  /** Listed as ready. */
+  isReady: boolean;
+};
+
+/** Halls of the soak's hosts and replicas. */
+export const HALLS = ["north", "south"] as const;
+const ROLES: readonly ReplicaRole[] = [
+  "plain",
+  "plain",
+  "prefill",
+  "prefill",
+  "decode",
+  "decode",
+  "decode",
+];
+/** A replica that leaves goes from the store after this time. */
+const LEAVE_MS = 1200;
+
+/** Everything around the gateways. */
+export class World implements ReplicaWorld {
+  readonly arrivals: ReplicaWorld["arrivals"] = [];
+  readonly faults: ReplicaWorld["faults"] = [];
+  readonly exports: ReplicaWorld["exports"] = new Map();
+  readonly replicas: WorldReplica[] = [];
+  /** Replicas that were told to leave. */
+  readonly left = new Set<string>();
+  readonly store: StoreStandin;
+  #version = 0;
+  #count = 0;
+
+  private constructor(store: StoreStandin) {
+    this.store = store;
+  }
+
+  /** Starts the store and one replica of each role and hall. */
+  static async start(): Promise<World> {
+    const world = new World(await startStore());
+    world.changeConfig();
+    for (const [at, role] of ROLES.entries()) {
+      await world.addReplica(role, HALLS[at % HALLS.length] ?? HALLS[0]);
+    }
+    return world;
+  }
+
+  /** The version that was written last. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Writes the next version of the configuration. */
+  changeConfig(): void {
+    this.#version += 1 + this.#version % 2;
+    this.store.put("op", "config", configOf(this.#version));
+  }
+
+  /** Starts a replica and lists it. */
+  async addReplica(role: ReplicaRole, hall: string): Promise<void> {
+    this.#count += 1;
+    const id = `i-${this.#count}`;
+    let address = "";
+    const standin = await startReplica({
+      id,
+      role,
+      world: this,
+      publicAddress: () => address,
+    });
+    const proxy = await startProxy(standin.address);
+    address = proxy.address;
+    const replica = { standin, proxy, hall, isReady: true };
+    this.replicas.push(replica);
+    this.list(replica);
+  }
+
+  /** Writes a replica's entry. */
+  list({ standin, proxy, hall, isReady }: WorldReplica): void {
+    const { id, role } = standin;
+    this.store.put("servers", id, {
+      Service: role === "plain" ? "plain" : "engine",
+      Address: proxy.address,
+      Zone: hall,
+      Slots: 64,
+      State: isReady ? "ready" : "draining",
+      ...(role === "plain" ? {} : { Stage: role }),
+      ColdRemainingMs: 0,
+    });
+  }
+
+  /** Entries of live replicas go, as they do while a store is away. */
+  lapse(): void {
+    for (const { standin } of this.ready()) {
+      this.store.remove("servers", standin.id);
+    }
+  }
+
+  /** Replicas that are listed as ready. */
+  ready(): WorldReplica[] {
+    return this.replicas.filter((one) => one.isReady);
+  }
+
+  /** A replica crashes; another takes its stead. */
+  async crash(replica: WorldReplica): Promise<void> {
+    replica.isReady = false;
+    replica.standin.crash();
+    replica.proxy.stop();
+    this.store.remove("servers", replica.standin.id);
+    await this.addReplica(replica.standin.role, replica.hall);
+  }
+
+  /** A replica leaves as planned; another comes first. */
+  async leave(replica: WorldReplica): Promise<void> {
+    replica.isReady = false;
+    await this.addReplica(replica.standin.role, replica.hall);
+    this.list(replica);
+    this.left.add(replica.standin.id);
+    const { id } = replica.standin;
+    setTimeout(() => this.store.remove("servers", id), LEAVE_MS);
+  }
+
+  /** Requests that run at replicas now. */
+  running(): number {
+    return this.replicas.reduce((sum, one) => sum + one.standin.running(), 0);
+  }
+
+  stop(): void {
+    for (const { standin, proxy } of this.replicas) {
+      proxy.stop();
+      standin.crash();
+    }
+    this.store.stop();
+  }
+}
+
+function configOf(version: number): object {
+  const routes = Object.values(CallKind).map((kind) => ({
+    Name: kind,
+    Host: "example",
+    PathPrefix: `/${kind}/`,
+    Kind: kind === CallKind.resumable ? CallKind.stream : kind,
+    TimeoutMs: 4000,
+    TargetLatencyMs: 900,
+    GapTargetMs: 300,
+    Priority: 1,
+    MaxAttempts: 2,
+    Resumable: kind === CallKind.resumable,
+    Service: isStream(kind) ? "engine" : "plain",
+  })).map((route) =>
+    isStream(route.Kind) ? { ...route, Kind: "streaming" } : route
+  );
+  const service = { HealthPath: "/health", ConnectionLimit: 200 };
+  const engine = {
+    Slots: 64,
+    KvCacheTokens: 100_000,
+    HandleRetentionS: 1.5,
+    HoldMs: 2000,
+    Stride: 1,
+    StageSwitchS: 6,
+  };
+  return {
+    Version: version,
+    Routes: routes,
+    Services: [
+      { Name: "plain", ...service },
+      { Name: "engine", ...service, InferenceEngine: engine },
+    ],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 65_536,
+      HeaderTimeoutMs: 3000,
+      IdleTimeoutMs: 15_000,
+    },
+  };
+}
+
+function isStream(kind: string): boolean {
+  return kind === CallKind.stream || kind === CallKind.resumable;
+}
