Followers skip configurations in quick succession; readable state messages

Change: a follower reads at most one configuration in 0.3 s; the reader's next word (0.4 s) brings the last one.

--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -24,14 +24,14 @@
   listing: z.object({
     since: z.number(),
     revision: z.number(),
-    changed: z.array(ReplicaEntrySchema),
-    gone: z.array(z.string()),
+    changed: z.array(ReplicaEntrySchema).readonly(),
+    gone: z.array(z.string()).readonly(),
     size: z.number(),
   }).exactOptional(),
   /** Hosts that the follower was not told of yet. */
-  hosts: z.array(Host).exactOptional(),
+  hosts: z.array(Host).readonly().exactOptional(),
   /** Hosts that are believed no more. */
-  hostsGone: z.array(z.string()).exactOptional(),
+  hostsGone: z.array(z.string()).readonly().exactOptional(),
 });
 
 const Ping = z.object({ type: z.literal("ping") });
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -90,7 +90,7 @@
       type: "state",
       version: routes.version,
       ...(Number.isFinite(age) ? { ageMs: Math.round(age) } : {}),
-      ...(listing ? { listing: structuredClone(listing) as never } : {}),
+      ...(listing ? { listing } : {}),
       ...this.#hostsFor(follower),
     };
   }
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -27,6 +27,8 @@
 /** A host that is not its hall's reader asks a store that is away so often. */
 const FOLLOWER_PAUSE_MS = 900;
 const FOLLOWER_SPREAD_MS = 400;
+/** Of configurations in quick succession a follower skips some. */
+const NEWER_PAUSE_MS = 300;
 /** How often the freshness of the reader's word is looked at. */
 const LOOK_MS = 150;
 
@@ -45,6 +47,8 @@
   #stopped = false;
   #watch = new AbortController();
   #readingConfig = false;
+  /** When a follower last read a configuration that it had heard of. */
+  #newerAt: Milliseconds = -Infinity;
   /** The last listing did not come. */
   #lost = false;
 
@@ -64,10 +68,15 @@
     this.#watch.abort();
   }
 
-  /** Reads the configuration now: there is a newer one. */
+  /**
+   * Reads the configuration: there is a newer one. What is skipped here is
+   * read at the next word of the reader.
+   */
   async readNewer(): Promise<void> {
-    if (this.#readingConfig) return;
+    const now = this.#source.context.clock.now();
+    if (this.#readingConfig || now - this.#newerAt < NEWER_PAUSE_MS) return;
     this.#readingConfig = true;
+    this.#newerAt = now;
     await this.#readConfig(undefined);
     this.#readingConfig = false;
   }
