--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -4,6 +4,12 @@
 import { createWriteStream, writeFileSync } from "node:fs";
 import { join } from "node:path";
 
+/** Children that run now: they end with this process, however it ends. */
+const running = new Set<ChildProcess>();
+process.on("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+
 /** How a process came to its end. */
 export type Exit = {
   readonly code: number | null;
@@ -63,8 +69,10 @@
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this.#child = child;
+    running.add(child);
     child.on("exit", (code, signal) => {
       this.exits.push({ code, signal, isAsked: this.#isAsked });
+      running.delete(child);
       this.#child = undefined;
       this.#isPaused = false;
     });
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -32,6 +32,9 @@
   )
   .option("--no-regressions", "leave out the seeds that once failed")
   .parse();
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.on(signal, () => process.exit(1));
+}
 const flags = command.opts<Flags>();
 const first = flags.first ?? Math.floor(Math.random() * 1e9);
 const fresh = Array.from({ length: flags.seeds }, (_, at) => first + at);
