--- /dev/null
+++ b/test/gateway/stages/stage_loop_test.ts
@@ -0,0 +1,135 @@
+/** Orders to change a stage: none twice, and none for a replica in doubt. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { GatewayContext } from "../../../src/gateway/context.ts";
+import {
+  type ReplicaEntry,
+  ReplicaStage,
+  type Store,
+} from "../../../src/gateway/mod.ts";
+import { Metrics } from "../../../src/gateway/observe/metrics.ts";
+import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
+import { runStageLoop } from "../../../src/gateway/stages/stage_loop.ts";
+import { ENGINE } from "../rig.ts";
+
+const SWITCH_MS = 6000;
+/** An order without an answer may be carried out so much later. */
+const LATE_MS = 12_000;
+const STEP_MS = 100;
+
+type Timer = { readonly at: number; readonly work: () => void };
+
+/** A clock that moves in steps, and lets promises settle between them. */
+function makeTime() {
+  const timers = new Set<Timer>();
+  const time = { now: 0 };
+  const clock = {
+    now: () => time.now,
+    after: (delayMs: number, work: () => void) => {
+      const timer = { at: time.now + delayMs, work };
+      timers.add(timer);
+      return () => void timers.delete(timer);
+    },
+  };
+  const pass = async (forMs: number) => {
+    for (const end = time.now + forMs; time.now < end;) {
+      time.now += STEP_MS;
+      for (const timer of [...timers]) {
+        if (timer.at > time.now || !timers.delete(timer)) continue;
+        timer.work();
+      }
+      for (let turn = 0; turn < 30; turn++) await Promise.resolve();
+    }
+  };
+  return { clock, pass };
+}
+
+function engine(incarnation: string, stage: ReplicaStage): ReplicaEntry {
+  return {
+    incarnation,
+    service: "s",
+    address: "127.0.0.1:1",
+    hall: "h",
+    slots: 1,
+    leaving: false,
+    stage,
+    coldMs: 0,
+  };
+}
+
+/** Six engines that all read prompts; a third would be enough. */
+function start(orderStatus: number | undefined) {
+  const { clock, pass } = makeTime();
+  const orders: string[] = [];
+  const changing = new Map<string, ReplicaStage>();
+  const replicas = new ReplicaTable();
+  const entries = ["a", "b", "c", "d", "e", "f"].map((one) =>
+    engine(one, ReplicaStage.prefill)
+  );
+  replicas.adopt({ revision: 1, entries });
+  const report = { method: "GET" as const, path: "/report" };
+  const context = {
+    self: { id: "host", hall: "h", run: "1" },
+    clock,
+    replicas,
+    routes: {
+      config: {
+        services: [{
+          name: "s",
+          connectionLimit: 9,
+          engine: { ...ENGINE, switchMs: SWITCH_MS },
+        }],
+      },
+    },
+    dialect: {
+      report,
+      readReport: () => ({ stage: "prefill", orders: 0, changing: false }),
+      orderStage: () => ({ method: "POST", path: "/order", headers: [] }),
+      readOrder: () => "taken",
+    },
+    pool: {
+      small: ({ incarnation }: ReplicaEntry, { path }: { path: string }) => {
+        if (path === "/order") orders.push(incarnation);
+        const status = path === "/order" ? orderStatus : 200;
+        const answer = status === undefined ? undefined : { status, body: "" };
+        return Promise.resolve(answer);
+      },
+    },
+    events: { note: () => undefined },
+    metrics: new Metrics(),
+    stop: { graceMs: 8000 },
+  } as unknown as GatewayContext;
+  const store = {
+    readRows: () => Promise.resolve({ rows: [], nowMs: clock.now() }),
+    writeRow: () =>
+      Promise.resolve({ type: "written", revision: 7, nowMs: clock.now() }),
+  } as unknown as Store;
+  void runStageLoop({
+    context,
+    store,
+    holder: "host",
+    guardMs: 3000,
+    prefillShare: 1 / 3,
+    storeAgeMs: () => 0,
+    plannerOf: () => "host",
+    loadOf: () => ({ prefill: 0, decode: 0 }),
+    changing,
+  });
+  return { pass, orders, changing };
+}
+
+test("before the first traffic all changes are ordered at once, none twice", async () => {
+  const { pass, orders } = start(202);
+  await pass(10_000);
+  assert.equal(orders.length, 4);
+  assert.equal(new Set(orders).size, 4);
+});
+
+test("a replica whose order got no answer stays out while it may be late", async () => {
+  const { pass, orders, changing } = start(undefined);
+  await pass(3000);
+  assert.equal(orders.length, 4);
+  await pass(LATE_MS + SWITCH_MS - 3000);
+  assert.deepEqual([...changing.keys()].sort(), [...orders].sort());
+  assert.equal(orders.length, 4);
+});
