Orders of hosts and lists are made only when hosts change

Cause, by reading: each request hashed and sorted 86 host names two or three times (plannerOf), plain requests too since they are planned; readers made a list of all hosts for each follower each 0.4 s; three links a host ping each 0.3 s although messages run on them.

--- a/src/gateway/peers/directory.ts
+++ b/src/gateway/peers/directory.ts
@@ -5,13 +5,15 @@
 /** A host that nobody has named for so long is forgotten. */
 const FORGET_MS = 60_000;
 
-type Known = { readonly entry: HostEntry; readonly at: Milliseconds };
+type Known = { readonly entry: HostEntry; at: Milliseconds };
 
 /** Known hosts, this one left out. */
 export class HostDirectory {
   readonly #self: HostId;
   readonly #seeds: readonly string[];
   readonly #hosts = new Map<HostId, Known>();
+  /** All entries; made anew only when one of them has changed. */
+  #entries: readonly HostEntry[] | undefined;
 
   constructor(self: HostEntry, seeds: readonly string[]) {
     this.#self = self.id;
@@ -26,29 +28,42 @@
   /** Takes entries named at `now`. */
   learn(entries: readonly HostEntry[], now: Milliseconds): void {
     for (const entry of entries) {
-      if (entry.id === this.#self) continue;
-      this.#hosts.set(entry.id, { entry, at: now });
+      if (entry.id !== this.#self) this.#learnOne(entry, now);
     }
     for (const [id, known] of this.#hosts) {
-      if (now - known.at > FORGET_MS) this.#hosts.delete(id);
+      if (now - known.at > FORGET_MS) this.#drop(id);
     }
   }
 
+  #learnOne(entry: HostEntry, now: Milliseconds): void {
+    const known = this.#hosts.get(entry.id);
+    const { address, hall } = known?.entry ?? {};
+    if (known && address === entry.address && hall === entry.hall) {
+      known.at = now;
+      return;
+    }
+    this.#hosts.set(entry.id, { entry, at: now });
+    this.#entries = undefined;
+  }
+
+  #drop(id: HostId): void {
+    if (this.#hosts.delete(id)) this.#entries = undefined;
+  }
+
   /** Whoever told of the hosts believes in them still. */
   refresh(now: Milliseconds): void {
-    for (const [id, { entry }] of this.#hosts) {
-      this.#hosts.set(id, { entry, at: now });
-    }
+    for (const known of this.#hosts.values()) known.at = now;
   }
 
   /** Takes out hosts that are believed no more. */
   forget(ids: readonly HostId[]): void {
-    for (const id of ids) this.#hosts.delete(id);
+    for (const id of ids) this.#drop(id);
   }
 
-  /** All known hosts but this one. */
-  entries(): HostEntry[] {
-    return [...this.#hosts.values()].map((one) => one.entry);
+  /** All known hosts but this one; the same array while none changes. */
+  entries(): readonly HostEntry[] {
+    this.#entries ??= [...this.#hosts.values()].map((one) => one.entry);
+    return this.#entries;
   }
 
   /** Addresses to ask, those from the settings included. */
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -19,7 +19,7 @@
 const CONNECT_MS = 400;
 /** Without a line for so long, a link is dead. */
 const SILENT_MS = 900;
-const PING_MS = 300;
+const PING_MS = 250;
 const PING_LINE = '{"type":"ping"}\n';
 /** A peer that does not read is cut off at this many waiting bytes. */
 const UNSENT_LIMIT = 1 << 20;
@@ -94,13 +94,17 @@
     out.destroy();
     events.closed();
   };
+  let isQuiet = true;
   const write = (line: string) => {
     if (!open) return;
+    isQuiet = false;
     if (out.writableLength > UNSENT_LIMIT) return close();
     out.write(line);
   };
+  // What is sent says as much as a ping: one goes only after silence.
   const ping = () => {
-    write(PING_LINE);
+    if (isQuiet) write(PING_LINE);
+    isQuiet = true;
     cancelPing = clock.after(PING_MS, ping);
   };
   const heard = () => {
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -4,10 +4,10 @@
  * no other plans for itself.
  */
 import type { Milliseconds } from "../../core/ids.ts";
-import { rendezvous } from "../../core/util/rendezvous.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry } from "../port.ts";
+import { HostOrders } from "../peers/host_order.ts";
 import { type Link, LinkPath, openLink } from "../peers/link.ts";
 import {
   type HostMessage,
@@ -82,6 +82,7 @@
   readonly #suspects = new Map<string, Milliseconds>();
   /** The planner used last, by service. */
   readonly #planners = new Map<string, string>();
+  readonly #orders: HostOrders;
 
   constructor(
     context: GatewayContext,
@@ -91,6 +92,7 @@
     this.#context = context;
     this.#own = own;
     this.#hosts = hosts;
+    this.#orders = new HostOrders(context.self.id);
     own.attach(
       context.self.id,
       (message) => this.#take(context.self.id, message),
@@ -169,12 +171,12 @@
   #bestPlanner(service: string): string {
     const now = this.#context.clock.now();
     const { self } = this.#context;
-    const hosts = new Map(this.#hosts().map((one) => [one.id, one]));
-    for (const id of rendezvous(service, [self.id, ...hosts.keys()])) {
+    const hosts = this.#hosts();
+    for (const id of this.#orders.of(service, hosts)) {
       if (id === self.id) return id;
       const known = this.#links.get(id);
       if (known?.ready) return id;
-      const host = hosts.get(id);
+      const host = hosts.find((one) => one.id === id);
       const suspect = (this.#suspects.get(id) ?? 0) > now;
       if (host && !known && !suspect) this.#open(host);
     }
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -7,6 +7,7 @@
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
+import { HostOrders } from "../peers/host_order.ts";
 import { type Link, LinkPath, openLink } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
 import { chooseReader } from "./reader_choice.ts";
@@ -34,6 +35,7 @@
 /** The link to the reader of this hall. */
 export class HallFollower {
   readonly #source: HallFollowerSource;
+  readonly #orders: HostOrders;
   readonly #suspects = new Map<HostId, Milliseconds>();
   #reader: HostId;
   #link: Link | undefined;
@@ -41,6 +43,7 @@
 
   constructor(source: HallFollowerSource) {
     this.#source = source;
+    this.#orders = new HostOrders(source.self.id);
     this.#reader = source.self.id;
   }
 
@@ -76,7 +79,8 @@
     const now = context.clock.now();
     const hosts = directory.entries();
     const isSuspect = (id: HostId) => now < (this.#suspects.get(id) ?? 0);
-    const reader = chooseReader(self, hosts, isSuspect);
+    const orders = this.#orders;
+    const reader = chooseReader({ self, hosts, orders, isSuspect });
     if (reader === this.#reader) return;
     this.#close();
     this.#reader = reader;
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -25,6 +25,8 @@
   /** Revision of its listing; undefined until it has told. */
   revision: number | undefined;
   readonly hosts: Map<HostId, string>;
+  /** The directory's entries that `hosts` was made from. */
+  from: readonly HostEntry[] | undefined;
 };
 
 /** The followers of this host. */
@@ -49,7 +51,12 @@
         closed: () => this.#followers.delete(follower),
       },
     });
-    const follower: Follower = { link, revision: undefined, hosts: new Map() };
+    const follower: Follower = {
+      link,
+      revision: undefined,
+      hosts: new Map(),
+      from: undefined,
+    };
     this.#followers.add(follower);
   }
 
@@ -97,7 +104,10 @@
 
   #hostsFor(follower: Follower): Pick<StateMessage, "hosts" | "hostsGone"> {
     const { self, directory } = this.#source;
-    const now = [self, ...directory.entries()];
+    const entries = directory.entries();
+    if (follower.from === entries) return {};
+    follower.from = entries;
+    const now = [self, ...entries];
     const hosts = now.filter((one) =>
       follower.hosts.get(one.id) !== one.address
     );
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -30,7 +30,7 @@
 /** Of configurations in quick succession a follower skips some. */
 const NEWER_PAUSE_MS = 300;
 /** How often the freshness of the reader's word is looked at. */
-const LOOK_MS = 150;
+const LOOK_MS = 250;
 
 /** What the loops need. */
 export type StoreLoopsSource = {
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from "../../../src/gateway/context.ts";
 import type { HostEntry, ReplicaEntry } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
+import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { HallFollower } from "../../../src/gateway/state/hall_follower.ts";
@@ -51,7 +52,12 @@
   const hosts = ["a", "b"].map((id) => ({ id, address: "", hall: "h" }));
   const [first, second] = hosts;
   assert.ok(first && second);
-  const reader = chooseReader(first, [second], () => false);
+  const reader = chooseReader({
+    self: first,
+    hosts: [second],
+    orders: new HostOrders(first.id),
+    isSuspect: () => false,
+  });
   return { reader, follower: reader === "a" ? "b" : "a" };
 }
 
--- a/test/gateway/state/reader_choice_test.ts
+++ b/test/gateway/state/reader_choice_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
+import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
 import { chooseReader } from "../../../src/gateway/state/reader_choice.ts";
 
 const HOSTS: HostEntry[] = ["a", "b", "c", "d", "e", "f"].map((id, at) => ({
@@ -12,7 +13,12 @@
 
 function readerOf(self: HostEntry, suspects: readonly string[] = []): string {
   const others = HOSTS.filter((one) => one !== self);
-  return chooseReader(self, others, (id) => suspects.includes(id));
+  return chooseReader({
+    self,
+    hosts: others,
+    orders: new HostOrders(self.id),
+    isSuspect: (id) => suspects.includes(id),
+  });
 }
 
 test("all hosts of a hall choose the same reader, one of their own", () => {
