A reader that keeps missing replicas tells its followers nothing

Back, the reader kept missing replicas for 2.2 s and told its listing to a follower that had been served all the time; the follower took a replica back whose entry had gone. Ruled out: a late poll (0.7 s) or a silent link (0.9 s), each under 2 s. Change: while a host keeps missing replicas it tells followers neither a listing nor an age, so they read for themselves; the time is 2.0 s. Tests: synchronizer_test and hall_link_test (both fail on the code before).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -97,7 +97,7 @@
       context,
       self,
       directory,
-      storeAgeMs: (now) => this.#synchronizer.storeAgeMs(now),
+      storeAgeMs: (now) => this.#synchronizer.tellableAgeMs(now),
     });
     this.#follower = new HallFollower({
       context,
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -16,7 +16,7 @@
   readonly context: Pick<GatewayContext, "clock" | "routes" | "replicas">;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
-  /** Age of this host's word of the store; Infinity: none. */
+  /** Age of this host's word of the store; Infinity: none to be told. */
   storeAgeMs(now: Milliseconds): Milliseconds;
 };
 
@@ -90,13 +90,13 @@
     const { context, storeAgeMs } = this.#source;
     const { routes, replicas, clock } = context;
     const age = storeAgeMs(clock.now());
-    const listing = revision === replicas.revision
-      ? undefined
-      : replicas.after(revision);
+    const isFresh = Number.isFinite(age);
+    const isNewer = revision !== replicas.revision;
+    const listing = isFresh && isNewer ? replicas.after(revision) : undefined;
     return {
       type: "state",
       version: routes.version,
-      ...(Number.isFinite(age) ? { ageMs: Math.round(age) } : {}),
+      ...(isFresh ? { ageMs: Math.round(age) } : {}),
       ...(listing ? { listing } : {}),
       ...this.#hostsFor(follower),
     };
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -16,7 +16,7 @@
  * After the store was away, entries of live replicas that it lost are back
  * within about two seconds: until then a missing replica is kept.
  */
-const SETTLE_MS = 2200;
+const SETTLE_MS = 2000;
 /** A newer configuration must have been heard of for so long to ask peers. */
 const BEHIND_MS = 300;
 
@@ -57,6 +57,15 @@
     return asOf < 0 ? Infinity : now - asOf;
   }
 
+  /**
+   * What followers may be told. While replicas that a listing lacks are kept,
+   * nothing: a follower whom the store served all the time knows better.
+   */
+  tellableAgeMs(now: Milliseconds): Milliseconds {
+    const keepsMissing = this.#lost || now < this.#settledAt;
+    return keepsMissing ? Infinity : this.storeAgeMs(now);
+  }
+
   /** The reader's word is fresh: this host need not read the store. */
   isTold(now: Milliseconds): boolean {
     return this.#told !== undefined && now - this.#told.asOf < FRESH_MS;
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -67,6 +67,7 @@
 
 test("a follower takes what its reader tells, and leaves it when it is gone", async () => {
   const { reader, follower } = names();
+  const ages = { now: Infinity };
   const there = makeContext();
   there.context.replicas.adopt({ revision: 1, entries: [replica("x")] });
   const server = createServer((request, response) =>
@@ -86,7 +87,7 @@
     context: there.context,
     self: place,
     directory: new HostDirectory(place, []),
-    storeAgeMs: () => 7,
+    storeAgeMs: () => ages.now,
   });
   const here = makeContext();
   const self = { id: follower, address: "127.0.0.1:1", hall: "h" };
@@ -105,8 +106,14 @@
   });
   link.start();
   assert.equal(link.reader, reader);
+  // A reader with no word of its own to tell does not tell its listing.
+  await until(() => told.length > 0);
+  assert.equal(told[0]?.ageMs, undefined);
+  assert.equal(told[0]?.listing, undefined);
+  ages.now = 7;
+  states.tell();
   await until(() => here.context.replicas.get("x") !== undefined);
-  assert.equal(told[0]?.ageMs, 7);
+  assert.equal(told.at(-1)?.ageMs, 7);
   assert.deepEqual(told[0]?.hosts?.map((one) => one.id), [reader]);
   there.context.replicas.adopt({ revision: 2, entries: [replica("y")] });
   states.tell();
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -50,7 +50,7 @@
   time.now = 3000;
   read(3, []);
   assert.equal(replicas.openOf("s").length, 1);
-  time.now = 4300;
+  time.now = 4100;
   read(4, []);
   assert.equal(replicas.openOf("s").length, 0);
 });
@@ -94,3 +94,18 @@
   synchronizer.takeConfig(config, "store");
   assert.equal(synchronizer.isBehind(400), false);
 });
+
+test("a host that keeps missing replicas has nothing to tell its followers", () => {
+  const { time, synchronizer, read } = start();
+  read(1, [REPLICA]);
+  assert.equal(synchronizer.tellableAgeMs(100), 100);
+  time.now = 1000;
+  synchronizer.noteStore(false, time.now);
+  assert.equal(synchronizer.tellableAgeMs(1000), Infinity);
+  time.now = 2000;
+  read(2, []);
+  assert.equal(synchronizer.tellableAgeMs(2500), Infinity);
+  time.now = 4100;
+  read(3, []);
+  assert.equal(synchronizer.tellableAgeMs(4200), 100);
+});
