--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -43,7 +43,5 @@
 ]);
 /** From a reader to a follower. */
 export const ReaderMessageSchema = z.discriminatedUnion("type", [State, Ping]);
-/** From a follower: where it is. */
-export type FollowMessage = z.output<typeof Follow>;
 /** From a reader: how it is, and what the follower lacks. */
 export type StateMessage = z.output<typeof State>;
--- a/test/gateway/planning/planner_rig.ts
+++ b/test/gateway/planning/planner_rig.ts
@@ -6,6 +6,7 @@
 } from "../../../src/gateway/planning/messages.ts";
 import type { Planner } from "../../../src/gateway/planning/planner.ts";
 import type { PlannerView } from "../../../src/gateway/planning/view.ts";
+import { replicaEntry } from "../replica_entry.ts";
 
 /** Memory of a decode replica, in tokens. */
 export const MEMORY = 1000;
@@ -15,16 +16,7 @@
   incarnation: string,
   stage: ReplicaStage,
 ): ReplicaEntry {
-  return {
-    incarnation,
-    service: "s",
-    address: "127.0.0.1:1",
-    hall: "h",
-    slots: 64,
-    leaving: false,
-    stage,
-    coldMs: 0,
-  };
+  return replicaEntry(incarnation, { stage, slots: 64 });
 }
 
 /** Two decode replicas and one for prefills. */
--- a/test/gateway/replicas/listing_history_test.ts
+++ b/test/gateway/replicas/listing_history_test.ts
@@ -4,17 +4,10 @@
 import fc from "fast-check";
 import type { ReplicaEntry } from "../../../src/gateway/mod.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
+import { replicaEntry } from "../replica_entry.ts";
 
 function entry(incarnation: string, leaving: boolean): ReplicaEntry {
-  return {
-    incarnation,
-    service: "s",
-    address: "127.0.0.1:1",
-    hall: "h",
-    slots: 1,
-    leaving,
-    coldMs: 0,
-  };
+  return replicaEntry(incarnation, { leaving });
 }
 
 const listing = fc.uniqueArray(
--- a/test/gateway/replicas/replica_table_test.ts
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -4,17 +4,10 @@
 import type { ReplicaEntry } from "../../../src/gateway/mod.ts";
 import { Replica } from "../../../src/gateway/replicas/replica.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
+import { replicaEntry } from "../replica_entry.ts";
 
 function entry(incarnation: string, leaving = false): ReplicaEntry {
-  return {
-    incarnation,
-    service: "s",
-    address: "127.0.0.1:1",
-    hall: "h",
-    slots: 1,
-    leaving,
-    coldMs: 0,
-  };
+  return replicaEntry(incarnation, { leaving });
 }
 
 test("a listing older than the one in force is not taken", () => {
--- a/test/gateway/stages/stage_loop_test.ts
+++ b/test/gateway/stages/stage_loop_test.ts
@@ -11,6 +11,7 @@
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { runStageLoop } from "../../../src/gateway/stages/stage_loop.ts";
 import { ENGINE } from "../rig.ts";
+import { replicaEntry } from "../replica_entry.ts";
 
 const SWITCH_MS = 6000;
 /** An order without an answer may be carried out so much later. */
@@ -45,16 +46,7 @@
 }
 
 function engine(incarnation: string, stage: ReplicaStage): ReplicaEntry {
-  return {
-    incarnation,
-    service: "s",
-    address: "127.0.0.1:1",
-    hall: "h",
-    slots: 1,
-    leaving: false,
-    stage,
-    coldMs: 0,
-  };
+  return replicaEntry(incarnation, { stage });
 }
 
 /** Six engines that all read prompts; a third would be enough. */
--- a/test/gateway/stages/stages_test.ts
+++ b/test/gateway/stages/stages_test.ts
@@ -12,22 +12,14 @@
   wantedChanges,
 } from "../../../src/gateway/stages/balance.ts";
 import { isFree, takeLease } from "../../../src/gateway/stages/lease.ts";
+import { replicaEntry } from "../replica_entry.ts";
 
 function replica(
   incarnation: string,
   stage: ReplicaStage,
   hall: string,
 ): ReplicaEntry {
-  return {
-    incarnation,
-    service: "s",
-    address: "127.0.0.1:1",
-    hall,
-    slots: 1,
-    leaving: false,
-    stage,
-    coldMs: 0,
-  };
+  return replicaEntry(incarnation, { stage, hall });
 }
 
 test("at rest, changes lead near the share and then stop, both stages kept", () => {
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { type Clock, systemClock } from "../../../src/gateway/clock.ts";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
-import type { HostEntry, ReplicaEntry } from "../../../src/gateway/mod.ts";
+import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
@@ -12,20 +12,9 @@
 import { HallFollower } from "../../../src/gateway/state/hall_follower.ts";
 import { chooseReader } from "../../../src/gateway/state/reader_choice.ts";
 import type { StateMessage } from "../../../src/gateway/state/state_messages.ts";
+import { replicaEntry } from "../replica_entry.ts";
 import { StateServer } from "../../../src/gateway/state/state_server.ts";
 
-function replica(incarnation: string): ReplicaEntry {
-  return {
-    incarnation,
-    service: "s",
-    address: "127.0.0.1:1",
-    hall: "h",
-    slots: 1,
-    leaving: false,
-    coldMs: 0,
-  };
-}
-
 /** Timers that go on for the life of a process do not keep this one. */
 const clock: Clock = {
   now: systemClock.now,
@@ -69,7 +58,7 @@
   const { reader, follower } = names();
   const ages = { now: Infinity };
   const there = makeContext();
-  there.context.replicas.adopt({ revision: 1, entries: [replica("x")] });
+  there.context.replicas.adopt({ revision: 1, entries: [replicaEntry("x")] });
   const server = createServer((request, response) =>
     states.accept(request, response)
   );
@@ -115,7 +104,7 @@
   await until(() => here.context.replicas.get("x") !== undefined);
   assert.equal(told.at(-1)?.ageMs, 7);
   assert.deepEqual(told[0]?.hosts?.map((one) => one.id), [reader]);
-  there.context.replicas.adopt({ revision: 2, entries: [replica("y")] });
+  there.context.replicas.adopt({ revision: 2, entries: [replicaEntry("y")] });
   states.tell();
   await until(() => here.context.replicas.get("y") !== undefined);
   assert.equal(here.context.replicas.get("x"), undefined);
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -5,17 +5,10 @@
 import type { ReplicaEntry } from "../../../src/gateway/mod.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import { replicaEntry } from "../replica_entry.ts";
 import { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 
-const REPLICA: ReplicaEntry = {
-  incarnation: "a",
-  service: "s",
-  address: "127.0.0.1:1",
-  hall: "h",
-  slots: 1,
-  leaving: false,
-  coldMs: 0,
-};
+const REPLICA = replicaEntry("a");
 
 function start() {
   const time = { now: 0 };
