--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -6,6 +6,7 @@
 import { readJson } from "../../util/read_json.ts";
 import { RouteKind } from "../routing/model.ts";
 import { ReplicaEntrySchema } from "../replicas/schema.ts";
+import { HostEntrySchema } from "./host_schema.ts";
 
 const Route = z.object({
   name: z.string(),
@@ -50,18 +51,12 @@
   entries: z.array(ReplicaEntrySchema),
 });
 
-const Host = z.object({
-  id: z.string(),
-  address: z.string(),
-  hall: z.string(),
-});
-
 /** The schema of a peer's answer. */
 export const PeerStateSchema = z.object({
   /** Absent: no newer than the asker's. */
   config: Config.exactOptional(),
   listing: Listing.exactOptional(),
-  hosts: z.array(Host),
+  hosts: z.array(HostEntrySchema),
 });
 
 /** A peer's answer. */
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -1,12 +1,7 @@
 /** What the reader of the store and its followers tell each other. */
 import { z } from "zod";
 import { ReplicaEntrySchema } from "../replicas/schema.ts";
-
-const Host = z.object({
-  id: z.string(),
-  address: z.string(),
-  hall: z.string(),
-});
+import { HostEntrySchema } from "../peers/host_schema.ts";
 
 const Follow = z.object({
   type: z.literal("follow"),
@@ -29,7 +24,7 @@
     size: z.number(),
   }).exactOptional(),
   /** Hosts that the follower was not told of yet. */
-  hosts: z.array(Host).readonly().exactOptional(),
+  hosts: z.array(HostEntrySchema).readonly().exactOptional(),
   /** Hosts that are believed no more. */
   hostsGone: z.array(z.string()).readonly().exactOptional(),
 });
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -62,8 +62,12 @@
    * nothing: a follower whom the store served all the time knows better.
    */
   tellableAgeMs(now: Milliseconds): Milliseconds {
-    const keepsMissing = this.#lost || now < this.#settledAt;
-    return keepsMissing ? Infinity : this.storeAgeMs(now);
+    return this.#keepsMissing(now) ? Infinity : this.storeAgeMs(now);
+  }
+
+  /** The store was away until just now: it may lack live replicas. */
+  #keepsMissing(now: Milliseconds): boolean {
+    return this.#lost || now < this.#settledAt;
   }
 
   /** The reader's word is fresh: this host need not read the store. */
@@ -97,7 +101,7 @@
   /** Takes a listing from a peer, or from the store; false: it is older. */
   takeListing(listing: ReplicaListing, source: string): boolean {
     const now = this.#context.clock.now();
-    const keepMissing = this.#lost || now < this.#settledAt;
+    const keepMissing = this.#keepsMissing(now);
     const change = this.#context.replicas.adopt(listing, keepMissing);
     if (change) this.#noteChange(change, listing.revision, source);
     return change !== undefined;
