Begun requests go first, and back to the replica that keeps their prompt

Change: an ask says whether the request has begun; begun ones are never refused early, are served first, and wait anew from now on. Planners remember for some seconds where a prompt was read; a request with that prompt goes back there and nothing is read twice. The first cut of an answer no longer excludes its replica, for often only the connection was lost. The queue is a unit of its own.

--- /dev/null
+++ b/src/gateway/planning/ask_queue.ts
@@ -0,0 +1,65 @@
+/** The requests that wait for a place at a planner. */
+import type { Milliseconds } from "../../core/ids.ts";
+import type { PlanAsk } from "./messages.ts";
+import { inOrder } from "./order.ts";
+
+/** A request that waits. */
+export type Waiting = {
+  /** The host that asks for it. */
+  readonly from: string;
+  readonly ask: PlanAsk;
+  readonly begun: boolean;
+  /** When its first event is due. */
+  readonly dueAt: Milliseconds;
+  readonly giveUpAt: Milliseconds;
+  /** Until then a refusal still counts as an early one. */
+  readonly decideAt: Milliseconds;
+  /** It was decided that it waits. */
+  decided: boolean;
+};
+
+/** Requests by the id of their ask. */
+export class AskQueue {
+  readonly #waiting = new Map<string, Waiting>();
+
+  /** Requests that wait. */
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  /** Enters an ask that came at `now`. */
+  add(
+    asked: Pick<Waiting, "from" | "ask" | "decided">,
+    now: Milliseconds,
+  ): void {
+    const { ask } = asked;
+    this.#waiting.set(ask.id, {
+      ...asked,
+      begun: ask.begun,
+      dueAt: now + ask.slackMs,
+      giveUpAt: now + ask.patienceMs,
+      decideAt: now + ask.decideMs,
+    });
+  }
+
+  /** The request waits no longer. */
+  remove(id: string): void {
+    this.#waiting.delete(id);
+  }
+
+  /** The host is out of touch: nobody waits for its answers. */
+  removeHost(from: string): void {
+    for (const [id, one] of this.#waiting) {
+      if (one.from === from) this.#waiting.delete(id);
+    }
+  }
+
+  /** The queue as it is served; `serviceMs`: time until its first event. */
+  inOrder(
+    now: Milliseconds,
+    serviceMs: (ask: PlanAsk) => Milliseconds,
+  ): Waiting[] {
+    const all = [...this.#waiting.values()];
+    return inOrder(all, now, ({ ask }) => serviceMs(ask));
+  }
+}
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -30,6 +30,8 @@
   /** Where its prompt was, or is being, read. */
   readonly readBy: string | undefined;
   readonly promptTokens: number;
+  /** Names the prompt; may be empty. */
+  readonly key: string;
   /** Prompt tokens that were ahead of it when it was granted. */
   readonly tokensAhead: number;
   readonly grantedAt: Milliseconds;
@@ -75,19 +77,22 @@
 
   /**
    * The request's prefill is over; learns the replica's times from one that
-   * went well. Gives the replica.
+   * went well. Gives the place, if its prefill was under way.
    */
-  prefilled(id: string, spentMs: Milliseconds | undefined): string | undefined {
+  prefilled(
+    id: string,
+    spentMs: Milliseconds | undefined,
+  ): LedgerEntry | undefined {
     const entry = this.#entries.get(id);
     const replica = entry?.prefill;
     if (!entry || replica === undefined) return undefined;
     entry.prefill = undefined;
     addTo(this.#prompts, replica, -entry.promptTokens);
     // A prefill that waited for others tells nothing of its own time.
-    if (spentMs === undefined || entry.tokensAhead > 0) return replica;
+    if (spentMs === undefined || entry.tokensAhead > 0) return entry;
     const sample = { x: entry.promptTokens, y: spentMs };
     addSample(this.#fitOf(replica), sample, FIT_MEMORY);
-    return replica;
+    return entry;
   }
 
   #fitOf(replica: string): LineFit {
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -1,5 +1,5 @@
 /** What hosts and a planner tell each other, as lines of JSON. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** How far a placed request is. */
 export const PlaceStage = {
@@ -36,6 +36,11 @@
   key: z.string(),
   /** Within this time a refusal still counts as an early one. */
   decideMs: z.number(),
+  /**
+   * An earlier send of the request may have run, or its caller already has a
+   * part of the answer: it goes before new requests and is never refused early.
+   */
+  begun: z.boolean(),
   /** The decode replica is to read the prompt itself. */
   whole: z.boolean(),
   excluded: z.array(z.string()),
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -34,6 +34,8 @@
   readonly key: string;
   /** Until then a refusal still counts as an early one. */
   readonly decideAt: Milliseconds;
+  /** An earlier send may have run: the request goes before new ones. */
+  readonly begun: boolean;
   /** The decode replica is to read the prompt itself. */
   readonly whole: boolean;
   readonly excluded: ReadonlySet<string>;
@@ -262,6 +264,7 @@
       patienceMs: wish.giveUpAt - now,
       key: wish.key,
       decideMs: wish.decideAt - now,
+      begun: wish.begun,
       whole: wish.whole,
       excluded: [...wish.excluded],
     });
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -7,12 +7,13 @@
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Line } from "../../core/util/line_fit.ts";
 import { Admission } from "./admission.ts";
+import { AskQueue, type Waiting } from "./ask_queue.ts";
 import { EngineChoice } from "./engine_choice.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { Ledger } from "./ledger.ts";
-import { inOrder } from "./order.ts";
 import { choosePlain } from "./plain_choice.ts";
 import { readingMs, usualLine } from "./prefill_times.ts";
+import { PromptMemory } from "./prompt_memory.ts";
 import { stageLoad } from "./stage_load.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
 import {
@@ -48,22 +49,13 @@
 /** What waits before an ask. */
 type Queue = { tokens: number; promptTokens: number };
 
-type Waiting = {
-  readonly from: string;
-  readonly ask: PlanAsk;
-  readonly dueAt: Milliseconds;
-  readonly giveUpAt: Milliseconds;
-  readonly decideAt: Milliseconds;
-  /** It was decided that it waits. */
-  decided: boolean;
-};
-
 /** The planner of the services that this host plans. */
 export class Planner {
   readonly #view: PlannerView;
   readonly #ledger = new Ledger();
-  readonly #waiting = new Map<string, Waiting>();
+  readonly #queue = new AskQueue();
   readonly #losses = new ExportLosses();
+  readonly #prompts = new PromptMemory();
   readonly #admission: Admission;
   readonly #choice: EngineChoice;
   readonly #fullUntil = new Map<string, Milliseconds>();
@@ -76,7 +68,7 @@
 
   /** Requests that wait for a place. */
   get waiting(): number {
-    return this.#waiting.size;
+    return this.#queue.size;
   }
 
   /** How busy the two stages of a service are, from 0 to 1. */
@@ -90,12 +82,8 @@
   /** Queues an ask; `pass` answers it. */
   ask(from: string, ask: PlanAsk, now: Milliseconds): void {
     this.#ledger.remove(ask.id);
-    const dueAt = now + ask.slackMs;
-    const giveUpAt = now + ask.patienceMs;
-    const decideAt = now + ask.decideMs;
-    const decided = this.#admission.cameBack(ask.key, now);
-    const waiting = { from, ask, dueAt, giveUpAt, decideAt, decided };
-    this.#waiting.set(ask.id, waiting);
+    const decided = ask.begun || this.#admission.cameBack(ask.key, now);
+    this.#queue.add({ from, ask, decided }, now);
   }
 
   /** Enters a place that was given elsewhere. */
@@ -108,6 +96,7 @@
       prefill: undefined,
       readBy: undefined,
       promptTokens: 0,
+      key: "",
       tokensAhead: 0,
       grantedAt: now,
       until: now + PLACE_LIFE_MS,
@@ -119,13 +108,16 @@
     const { id, stage, spentMs } = word;
     switch (stage) {
       case PlaceStage.prefilled: {
-        const prefill = this.#ledger.prefilled(id, spentMs);
-        if (prefill !== undefined) this.#view.noteSuccess(prefill);
+        const entry = this.#ledger.prefilled(id, spentMs);
+        if (entry?.readBy === undefined) return;
+        const { key, decode, readBy } = entry;
+        this.#prompts.note(key, { decode, prefill: readBy }, now);
+        this.#view.noteSuccess(readBy);
         return;
       }
       case PlaceStage.prefillFailed: {
-        const prefill = this.#ledger.prefilled(id, undefined);
-        if (prefill !== undefined) this.#view.noteFailure(prefill, now);
+        const readBy = this.#ledger.prefilled(id, undefined)?.readBy;
+        if (readBy !== undefined) this.#view.noteFailure(readBy, now);
         return;
       }
       default:
@@ -134,12 +126,13 @@
   }
 
   #takeBack(id: string, stage: PlaceStage, now: Milliseconds): void {
-    this.#waiting.delete(id);
+    this.#queue.remove(id);
     const entry = this.#ledger.remove(id);
     if (!entry) return;
     const { decode, readBy } = entry;
     if (readBy !== undefined && stage === PlaceStage.exportLost) {
       this.#losses.noteLost(readBy, now);
+      this.#prompts.forget(entry.key);
     }
     if (stage === PlaceStage.answered) {
       this.#admission.noteEnd(now - entry.grantedAt);
@@ -155,9 +148,7 @@
   /** A host went out of touch. */
   lose(from: string, now: Milliseconds): void {
     this.#ledger.limitHost(from, now + ORPHAN_LIFE_MS);
-    for (const [id, one] of this.#waiting) {
-      if (one.from === from) this.#waiting.delete(id);
-    }
+    this.#queue.removeHost(from);
   }
 
   /** Goes through the queue; gives the answers that follow. */
@@ -175,20 +166,20 @@
         ahead.promptTokens += one.ask.promptTokens;
         continue;
       }
-      this.#waiting.delete(one.ask.id);
+      this.#queue.remove(one.ask.id);
       answers.push({ to: one.from, message });
     }
     return answers;
   }
 
-  /** Those that can still be on time by their due time, then the others. */
+  /** The queue as it is served. */
   #inOrder(now: Milliseconds): Waiting[] {
     const lines = new Map<string, Line>();
-    return inOrder([...this.#waiting.values()], now, ({ ask }) => {
-      const line = lines.get(ask.service) ??
-        usualLine(this.#ledger, this.#prefillsOf(ask.service));
-      lines.set(ask.service, line);
-      return line.base + line.slope * ask.promptTokens + FIRST_EVENT_MS;
+    return this.#queue.inOrder(now, ({ service, promptTokens }) => {
+      const line = lines.get(service) ??
+        usualLine(this.#ledger, this.#prefillsOf(service));
+      lines.set(service, line);
+      return line.base + line.slope * promptTokens + FIRST_EVENT_MS;
     });
   }
 
@@ -201,6 +192,8 @@
     );
     const decodes = open.filter((r) => r.stage === ReplicaStage.decode);
     if (decodes.length === 0) return this.#refusal(one, "no-replica");
+    const keeper = this.#keeperOf(one.ask, decodes, now);
+    if (keeper) return this.#grant(one, { decode: keeper }, now);
     const decode = this.#choice.decodeFor(one.ask, decodes, now);
     if (!decode) return undefined;
     const prefills = open.filter((r) => r.stage === ReplicaStage.prefill);
@@ -211,6 +204,9 @@
     if (one.ask.whole || sound.length === 0) {
       return this.#grant(one, { decode }, now);
     }
+    const readBy = this.#prompts.prefillOf(one.ask.key, now);
+    const reader = sound.find((r) => r.incarnation === readBy);
+    if (reader) return this.#grant(one, { decode, prefill: reader }, now);
     const prefill = this.#choice.prefillFor(sound, decode);
     const { incarnation } = prefill;
     const base = Math.max(0, this.#ledger.lineOf(incarnation).base);
@@ -222,6 +218,18 @@
     return this.#grant(one, { decode, prefill }, now);
   }
 
+  /** The decode replica that keeps the request's prompt and has room for it. */
+  #keeperOf(
+    ask: PlanAsk,
+    decodes: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): ReplicaEntry | undefined {
+    const kept = this.#prompts.decodeOf(ask.key, now);
+    const keeper = decodes.find(({ incarnation }) => incarnation === kept);
+    if (!keeper || this.#view.isPaused(keeper.incarnation)) return undefined;
+    return this.#choice.decodeFor(ask, [keeper], now);
+  }
+
   /** A plain service queues at its replicas; a full one is left out. */
   #plain(one: Waiting, now: Milliseconds): PlannerMessage {
     const { service, hall, excluded } = one.ask;
@@ -268,7 +276,7 @@
     const { id, service } = one.ask;
     const held = Math.round(this.loadOf(service).decode * 100) / 100;
     const decodes = this.#heldOf(service).length;
-    const basis = { decodes, held, waiting: this.#waiting.size };
+    const basis = { decodes, held, waiting: this.#queue.size };
     return { type: "refusal", id, reason, basis };
   }
 
@@ -292,7 +300,7 @@
     },
     now: Milliseconds,
   ): PlanGrant {
-    const { id, tokens, promptTokens } = one.ask;
+    const { id, tokens, promptTokens, key } = one.ask;
     const decode = places.decode.incarnation;
     const prefill = places.prefill?.incarnation;
     this.#ledger.add({
@@ -303,10 +311,12 @@
       prefill,
       readBy: prefill,
       promptTokens,
+      key,
       tokensAhead: prefill === undefined ? 0 : this.#ledger.promptsAt(prefill),
       grantedAt: now,
       until: now + PLACE_LIFE_MS,
     });
+    if (prefill === undefined) this.#prompts.note(key, { decode }, now);
     const base = { type: "grant" as const, id, decode };
     return prefill === undefined ? base : { ...base, prefill };
   }
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -11,6 +11,8 @@
   readonly #context: GatewayContext;
   readonly #request: GatewayRequest;
   readonly #excluded = new Set<string>();
+  /** Replicas whose answer was cut off once. */
+  readonly #cut = new Set<string>();
   #sends = 0;
   /** Replicas where it may have run. */
   #runs = 0;
@@ -61,6 +63,15 @@
     this.#excluded.add(incarnation);
   }
 
+  /**
+   * The replica's answer was cut off. The first time it stays in use: it keeps
+   * the prompt, and often only the connection was lost.
+   */
+  noteCut(incarnation: string): void {
+    if (this.#cut.has(incarnation)) this.exclude(incarnation);
+    this.#cut.add(incarnation);
+  }
+
   /** Whether the route allows another send after one that may have run. */
   get repeatable(): boolean {
     return repeatable(this.#request.route);
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -15,6 +15,7 @@
 import type {
   PlaceFailure,
   Placement,
+  PlaceNeed,
   Placer,
   PlaceRefusal,
 } from "./placement.ts";
@@ -67,13 +68,11 @@
     this.#prefills = new Prefills(source.context, source.request);
   }
 
-  async place(
-    excluded: ReadonlySet<string>,
-  ): Promise<Placement | PlaceRefusal> {
+  async place(need: PlaceNeed): Promise<Placement | PlaceRefusal> {
     const { clock, metrics } = this.#source.context;
     const startedAt = clock.now();
     for (;;) {
-      const found = await this.#find(excluded);
+      const found = await this.#find(need);
       if ("error" in found) return found;
       if (this.#ended) return this.#leaveUnused();
       const reservation = await this.#reserve(found.replica);
@@ -95,12 +94,12 @@
   }
 
   /** A place from the planner, or why there is none in time. */
-  async #find(
-    excluded: ReadonlySet<string>,
-  ): Promise<PlannedPlace | PlaceRefusal> {
+  async #find(need: PlaceNeed): Promise<PlannedPlace | PlaceRefusal> {
     const { context, request, places, engine } = this.#source;
     const { receivedAt, route, limitAt, service, facts } = request;
     const patience = context.tuning.firstEventPatienceMs;
+    // The caller of a started answer waits anew after each event.
+    const waitsSince = need.begun ? context.clock.now() : receivedAt;
     const id = nextPlaceId(context);
     const wait = places.find({
       id,
@@ -108,11 +107,12 @@
       tokens: reservedTokens(facts, engine, context.tuning.outputMargin),
       promptTokens: facts.promptTokens,
       dueAt: receivedAt + route.objectiveMs,
-      giveUpAt: Math.min(limitAt, receivedAt + patience) - SERVICE_MS,
+      giveUpAt: Math.min(limitAt, waitsSince + patience) - SERVICE_MS,
       key: facts.promptKey ?? "",
       decideAt: receivedAt + route.objectiveMs * EARLY_SHARE - EARLY_MARGIN_MS,
+      begun: need.begun,
       whole: this.#whole,
-      excluded,
+      excluded: need.excluded,
     });
     this.#cancelWait = wait.cancel;
     const place = await wait.result;
@@ -128,7 +128,7 @@
     // The planner knows of another listing than this host.
     this.#refusedPlace();
     await sleep(context.clock, LISTING_PAUSE_MS);
-    return this.#find(excluded);
+    return this.#find(need);
   }
 
   async #reserve(replica: Replica): Promise<Reservation | undefined> {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -89,7 +89,10 @@
   }
 
   async #round(): Promise<void> {
-    const placed = await this.#placer.place(this.#attempts.excluded);
+    const placed = await this.#placer.place({
+      excluded: this.#attempts.excluded,
+      begun: this.#begun(),
+    });
     if (this.#ended) return;
     if ("error" in placed) return this.#refuse(placed);
     if (!this.#attempts.inTime) {
@@ -106,6 +109,12 @@
     } else this.#takeFailure(placed, result);
   }
 
+  /** An earlier send may have run, or the caller has a part of the answer. */
+  #begun(): boolean {
+    const { lastEventId } = this.#request.facts;
+    return this.#attempts.mayHaveRun || lastEventId !== undefined;
+  }
+
   async #send(placed: Placement): Promise<SendResult> {
     const { clock, tuning } = this.#context;
     const { route, limitAt } = this.#request;
@@ -225,7 +234,7 @@
   #takeCut(placed: Placement): void {
     const now = this.#context.clock.now();
     placed.replica.noteFailure(now, false);
-    this.#attempts.exclude(placed.replica.entry.incarnation);
+    this.#attempts.noteCut(placed.replica.entry.incarnation);
     const taken = this.#retryTaken ||
       (this.#attempts.repeatable &&
         this.#attempts.takeRetry("The answer was cut off"));
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -32,10 +32,18 @@
   readonly turnedAway: boolean;
 };
 
+/** What is known of a request's earlier sends when it wants a place. */
+export type PlaceNeed = {
+  /** Replicas that are not to be tried again, by incarnation. */
+  readonly excluded: ReadonlySet<string>;
+  /** An earlier send may have run, or the caller has a part of the answer. */
+  readonly begun: boolean;
+};
+
 /** Finds places for one request. */
 export type Placer = {
-  /** A place not among `excluded`, or why there is none. */
-  place(excluded: ReadonlySet<string>): Promise<Placement | PlaceRefusal>;
+  /** A place at a replica that is not excluded, or why there is none. */
+  place(need: PlaceNeed): Promise<Placement | PlaceRefusal>;
   /** The last place was not used: what is held there is let go. */
   release(): void;
   /** The replica of the last place did not serve. */
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -14,6 +14,7 @@
 import type {
   PlaceFailure,
   Placement,
+  PlaceNeed,
   Placer,
   PlaceRefusal,
 } from "./placement.ts";
@@ -41,12 +42,10 @@
     this.#places = places;
   }
 
-  async place(
-    excluded: ReadonlySet<string>,
-  ): Promise<Placement | PlaceRefusal> {
+  async place(need: PlaceNeed): Promise<Placement | PlaceRefusal> {
     const { clock, replicas } = this.#context;
     const askedAt = clock.now();
-    const place = await this.#ask(excluded, askedAt);
+    const place = await this.#ask(need, askedAt);
     const waitMs = clock.now() - askedAt;
     if ("reason" in place && place.reason === "busy") {
       return busy(place);
@@ -54,13 +53,13 @@
     const planned = "decode" in place ? replicas.get(place.decode) : undefined;
     if (planned && replicas.open(planned)) return placement(planned, waitMs);
     this.release();
-    const own = this.#chooseAlone(excluded);
+    const own = this.#chooseAlone(need.excluded);
     if (!own) return { error: GatewayError.noReplica };
     return placement(own, waitMs);
   }
 
   async #ask(
-    excluded: ReadonlySet<string>,
+    { excluded, begun }: PlaceNeed,
     askedAt: Milliseconds,
   ): Promise<Place | NoPlace> {
     const { clock } = this.#context;
@@ -75,6 +74,7 @@
       giveUpAt: Math.min(limitAt, askedAt + PLANNER_MS),
       key: "",
       decideAt: limitAt,
+      begun,
       whole: true,
       excluded,
     });
--- a/test/gateway/planning/planner_rig.ts
+++ b/test/gateway/planning/planner_rig.ts
@@ -50,6 +50,7 @@
     patienceMs: 3000,
     key: "",
     decideMs: Infinity,
+    begun: false,
     whole: false,
     excluded: [],
     ...change,
