--- a/src/core/setups/customer.ts
+++ b/src/core/setups/customer.ts
@@ -1,5 +1,5 @@
 /** Customers: a template's name, their own parameters and their API keys. */
-import { z } from "zod";
+import * as z from "zod";
 import { type Template, valueFault } from "./template.ts";
 
 /** A customer as it is published. */
--- a/src/core/setups/split.ts
+++ b/src/core/setups/split.ts
@@ -1,5 +1,5 @@
 /** A service's split between prefill and decode, as operators set it. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Without a number the split follows the load. */
 export const SplitSchema = z.strictObject({
--- a/src/core/setups/template.ts
+++ b/src/core/setups/template.ts
@@ -1,5 +1,5 @@
 /** Templates: which parameters a customer may fill in, and their bounds. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** A number that a customer may choose within bounds. */
 const NumberParameter = z.strictObject({
--- a/src/gateway/observe/metrics.ts
+++ b/src/gateway/observe/metrics.ts
@@ -1,5 +1,7 @@
 /** Counters and latency histograms, as text for a metrics reader. */
-import hdr, { type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The package's entry file takes 25 ms of a process's start.
+import histograms from "hdr-histogram-js/dist/Int32Histogram.js";
 import type { Milliseconds } from "../../core/ids.ts";
 
 /** What is timed. */
@@ -17,6 +19,8 @@
 /** Histograms count microseconds. */
 const MICROS = 1000;
 const LONGEST_MICROS = 600_000_000;
+/** A value is told to within one in a hundred. */
+const SIGNIFICANT_DIGITS = 2;
 
 /** Counts and times of one process. */
 export class Metrics {
@@ -36,11 +40,8 @@
   /** Records a time. */
   time(timing: Timing, spentMs: Milliseconds): void {
     const known = this.#timings.get(timing);
-    const histogram = known ?? hdr.build({
-      highestTrackableValue: LONGEST_MICROS,
-      numberOfSignificantValueDigits: 2,
-      bitBucketSize: 32,
-    });
+    const histogram = known ??
+      new histograms.default(1, LONGEST_MICROS, SIGNIFICANT_DIGITS);
     if (!known) this.#timings.set(timing, histogram);
     const micros = Math.round(spentMs * MICROS);
     histogram.recordValue(Math.max(1, Math.min(LONGEST_MICROS, micros)));
--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -1,5 +1,5 @@
 /** Rows of the store by which hosts find each other. */
-import { z } from "zod";
+import * as z from "zod";
 import type { Milliseconds } from "../../core/ids.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { HostEntry, RowReading, Store } from "../port.ts";
--- a/src/gateway/peers/host_schema.ts
+++ b/src/gateway/peers/host_schema.ts
@@ -1,5 +1,5 @@
 /** The schema of a host's entry where hosts tell each other of it. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Reads a `HostEntry`. */
 export const HostEntrySchema = z.object({
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -2,7 +2,7 @@
  * What hosts tell each other when the store turns one of them away: the
  * newest configuration and listing of replicas, and the hosts they know.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { readJson } from "../../util/read_json.ts";
 import { RouteKind } from "../routing/model.ts";
 import { ReplicaEntrySchema } from "../replicas/schema.ts";
--- a/src/gateway/replicas/schema.ts
+++ b/src/gateway/replicas/schema.ts
@@ -1,5 +1,5 @@
 /** The schema of a replica's entry where hosts tell each other of it. */
-import { z } from "zod";
+import * as z from "zod";
 import { ReplicaStage } from "./model.ts";
 
 /** Reads a {@link ReplicaEntry}. */
--- a/src/gateway/stages/lease.ts
+++ b/src/gateway/stages/lease.ts
@@ -4,7 +4,7 @@
  * holder takes it only a whole guard time after the last one's right has
  * ended, by the store's own clock, so that two holders never take turns.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Milliseconds } from "../../core/ids.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { Clock } from "../clock.ts";
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -1,5 +1,5 @@
 /** What the reader of the store and its followers tell each other. */
-import { z } from "zod";
+import * as z from "zod";
 import { ReplicaEntrySchema } from "../replicas/schema.ts";
 import { HostEntrySchema } from "../peers/host_schema.ts";
 
--- a/src/programs/load/workload.ts
+++ b/src/programs/load/workload.ts
@@ -1,6 +1,6 @@
 /** A workload: streams of requests that arrive at random, with bursts. */
 import { xoroshiro128plus } from "pure-rand";
-import { z } from "zod";
+import * as z from "zod";
 import { draw } from "../../core/mod.ts";
 import { duration } from "../../settings/units.ts";
 
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -1,5 +1,5 @@
 /** Settings of a gateway; docs/SETTINGS.md has a line on each. */
-import { z } from "zod";
+import * as z from "zod";
 import { address, duration, name } from "./units.ts";
 
 const Host = z.strictObject({
--- a/src/settings/standin.ts
+++ b/src/settings/standin.ts
@@ -1,5 +1,5 @@
 /** Settings of the stand-ins. */
-import { z } from "zod";
+import * as z from "zod";
 import { DEFAULT_ENGINE } from "../standins/engine/mod.ts";
 import { address, duration, name } from "./units.ts";
 
--- a/src/settings/units.ts
+++ b/src/settings/units.ts
@@ -1,7 +1,7 @@
 /** Settings with a unit: durations, sizes and addresses. */
 import bytes from "bytes";
 import ms, { type StringValue } from "ms";
-import { z } from "zod";
+import * as z from "zod";
 import { parseAddress } from "../util/address.ts";
 
 /** A duration such as "250ms" or "3s", as milliseconds. */
--- a/src/shell/callers/parse.ts
+++ b/src/shell/callers/parse.ts
@@ -1,7 +1,7 @@
 /** Reads callers' requests: OpenAI's completions and chat, plain services. */
 import type { IncomingHttpHeaders } from "node:http";
 import ms, { type StringValue } from "ms";
-import { z } from "zod";
+import * as z from "zod";
 import type { CallerRequest, RequestId } from "../../core/mod.ts";
 import { sha256 } from "../../util/sha256.ts";
 import { Err, Ok, type Result } from "../../util/result.ts";
--- a/src/shell/callers/prompt.ts
+++ b/src/shell/callers/prompt.ts
@@ -1,6 +1,6 @@
 /** Measures a prompt: its tokens, and hashes of its leading blocks. */
 import murmurhash from "murmurhash";
-import { z } from "zod";
+import * as z from "zod";
 import { BLOCK_TOKENS } from "../../core/mod.ts";
 
 /** Characters taken for one token; engines report the true number later. */
--- a/src/shell/platform/client.ts
+++ b/src/shell/platform/client.ts
@@ -1,6 +1,6 @@
 /** The platform's side: its table and its host list over HTTP. */
 import PQueue from "p-queue";
-import { z } from "zod";
+import * as z from "zod";
 import type { Event, HostList, Order, TableChange } from "../../core/mod.ts";
 import { entryFromWire } from "../../util/list_entry.ts";
 import { callText } from "../upstreams/http.ts";
--- a/src/shell/upstreams/bodies.ts
+++ b/src/shell/upstreams/bodies.ts
@@ -1,5 +1,5 @@
 /** The bodies of calls to engines; docs/UPSTREAM.md is their description. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a prefill call's answer must hold. */
 export const PrefillAnswer = z.looseObject({
--- a/src/standins/engine/wire.ts
+++ b/src/standins/engine/wire.ts
@@ -1,7 +1,7 @@
 /** What goes over the wire between callers of the engine and its model. */
 import type { ServerResponse } from "node:http";
 import murmurhash from "murmurhash";
-import { z } from "zod";
+import * as z from "zod";
 import type { EngineSettings } from "../../settings/mod.ts";
 import {
   ChatMessage,
--- a/src/standins/platform/server.ts
+++ b/src/standins/platform/server.ts
@@ -1,5 +1,5 @@
 /** The platform stand-in as a process; docs/PLATFORM.md is its interface. */
-import { z } from "zod";
+import * as z from "zod";
 import {
   ListEntrySchema,
   type PlatformSettings,
--- a/test/settings/load_test.ts
+++ b/test/settings/load_test.ts
@@ -1,7 +1,7 @@
 /** Settings files: every fault is named. */
 import { test } from "node:test";
 import assert from "node:assert/strict";
-import { z } from "zod";
+import * as z from "zod";
 import {
   checkSettings,
   faultLine,
--- a/test/settings/reference_test.ts
+++ b/test/settings/reference_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
-import { z } from "zod";
+import * as z from "zod";
 import { GatewaySchema, RouterSchema } from "../../src/settings/mod.ts";
 
 /** What the page shows where a setting has to be given. */
