Fewer heartbeats on links, half an answer reserved, one trial call after failures

Cause: a host at rest takes 34 ms of a core a second, most of it lines on links to planners and readers (profile of nine idle hosts over the soak's stand-ins). Change: only the side that answers sends heartbeats often (290 ms); who waits for answers notices silence in 900 ms as before, the other side in 3.1 s; followers sleep until the reader's word would be stale. Cause: decode memory binds (0.91 to 0.98 given away while requests are refused), but a running answer holds half of its output on average; no request was ever preempted. Change: what never reached a replica costs no budget; a replica whose pause is over is tried with one call at a time.

--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage, request } from "node:http";
 import type { Writable } from "node:stream";
 import { parseAddress } from "../../util/address.ts";
+import type { Milliseconds } from "../../core/ids.ts";
 import type { Clock } from "../clock.ts";
 
 /** The links that a host serves, by their path on the peers' address. */
@@ -17,9 +18,23 @@
 /** Header with the asking host's name. */
 export const LINK_HOST_HEADER = "otterhill-host";
 const CONNECT_MS = 400;
-/** Without a line for so long, a link is dead. */
-const SILENT_MS = 900;
-const PING_MS = 250;
+/**
+ * How one end of a link keeps it alive: it sends a line at least every
+ * `pingMs`, and takes the link for dead after `silentMs` without one.
+ */
+type Heartbeat = {
+  readonly pingMs: Milliseconds;
+  readonly silentMs: Milliseconds;
+};
+/**
+ * Who opened a link waits for answers, so it must soon know that the other
+ * side is gone: three heartbeats within an objective of about a second. The
+ * side that answers has time: a place of a lost host is only memory that is
+ * free sooner or later. Heartbeats are most of what a host does at rest
+ * (docs/CAPACITY.md).
+ */
+const OPENED: Heartbeat = { pingMs: 1000, silentMs: 900 };
+const ACCEPTED: Heartbeat = { pingMs: 290, silentMs: 3100 };
 const PING_LINE = '{"type":"ping"}\n';
 /** A peer that does not read is cut off at this many waiting bytes. */
 const UNSENT_LIMIT = 1 << 20;
@@ -59,7 +74,7 @@
     agent: false,
   });
   sending.flushHeaders();
-  const end = makeEnd(sending, source.clock, events);
+  const end = makeEnd(sending, { clock: source.clock, beat: OPENED, events });
   const cancel = source.clock.after(CONNECT_MS, () => end.close());
   sending.on("response", (answer) => {
     cancel();
@@ -75,14 +90,20 @@
   answer: Writable,
   source: { readonly clock: Clock; readonly events: LinkEvents },
 ): Link {
-  const end = makeEnd(answer, source.clock, source.events);
+  const end = makeEnd(answer, { ...source, beat: ACCEPTED });
   end.read(incoming);
   return end;
 }
 
 type End = Link & { read(from: IncomingMessage): void };
 
-function makeEnd(out: Writable, clock: Clock, events: LinkEvents): End {
+type EndSource = {
+  readonly clock: Clock;
+  readonly beat: Heartbeat;
+  readonly events: LinkEvents;
+};
+
+function makeEnd(out: Writable, { clock, beat, events }: EndSource): End {
   let open = true;
   let cancelPing = () => {};
   let cancelSilence = () => {};
@@ -105,11 +126,11 @@
   const ping = () => {
     if (isQuiet) write(PING_LINE);
     isQuiet = true;
-    cancelPing = clock.after(PING_MS, ping);
+    cancelPing = clock.after(beat.pingMs, ping);
   };
   const heard = () => {
     cancelSilence();
-    cancelSilence = clock.after(SILENT_MS, close);
+    cancelSilence = clock.after(beat.silentMs, close);
   };
   out.on("error", close);
   out.on("close", close);
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -44,6 +44,8 @@
         context.replicas.get(incarnation)?.paused(context.clock.now()) ?? false,
       noteFailure: (incarnation, now) =>
         context.replicas.get(incarnation)?.noteFailure(now, false),
+      noteTry: (incarnation, now) =>
+        context.replicas.get(incarnation)?.noteTry(now),
       noteSuccess: (incarnation) =>
         context.replicas.get(incarnation)?.noteSuccess(),
       random: context.random,
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -43,8 +43,11 @@
 const FULL_MS = 60;
 /** A place is believed for so long without word of it. */
 const PLACE_LIFE_MS = 20_000;
-/** Places of a host that is out of touch are believed for so long. */
-const ORPHAN_LIFE_MS = 4000;
+/**
+ * Places of a host that is out of touch are believed for so long: about what
+ * is left of an answer that was under way (median life 2.8 s).
+ */
+const ORPHAN_LIFE_MS = 2000;
 
 /** What waits before an ask. */
 type Queue = { tokens: number; promptTokens: number };
@@ -243,7 +246,10 @@
       isPaused: (incarnation) => this.#view.isPaused(incarnation),
       isFull: (incarnation) => (this.#fullUntil.get(incarnation) ?? 0) > now,
     });
-    if (decode) return this.#grant(one, { decode }, now);
+    if (decode) {
+      this.#view.noteTry(decode.incarnation, now);
+      return this.#grant(one, { decode }, now);
+    }
     const retryAfterMs = PLAIN_RETRY_MS * (1 + this.#view.random());
     return { ...this.#refusal(one, "busy"), retryAfterMs };
   }
--- a/src/gateway/planning/view.ts
+++ b/src/gateway/planning/view.ts
@@ -13,6 +13,8 @@
   isPaused(incarnation: string): boolean;
   /** A host had no use of a replica that it was sent to. */
   noteFailure(incarnation: string, now: Milliseconds): void;
+  /** A host is sent to a replica. */
+  noteTry(incarnation: string, now: Milliseconds): void;
   /** A replica did what a host asked of it. */
   noteSuccess(incarnation: string): void;
   /** In [0, 1). */
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -5,6 +5,12 @@
 /** First pause after a failure; doubles with each further one. */
 const PAUSE_MS = 400;
 const LONGEST_PAUSE_MS = 5000;
+/**
+ * After its pause a replica is tried with one call at a time; the next goes
+ * when it has succeeded, or after this time. A connection that does not come
+ * about is known by then.
+ */
+const TRIAL_MS = 500;
 /** Failures in a row before a replica is passed over. */
 const FAILURES_TO_PAUSE = 2;
 
@@ -30,6 +36,12 @@
     return this.#failures;
   }
 
+  /** A call goes to it: after failures, others wait for how it goes. */
+  noteTry(now: Milliseconds): void {
+    if (this.#failures < FAILURES_TO_PAUSE) return;
+    this.#pausedUntil = Math.max(this.#pausedUntil, now + TRIAL_MS);
+  }
+
   /** A call was answered as it should be. */
   noteSuccess(): void {
     this.#failures = 0;
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -58,6 +58,12 @@
     this.#runs -= 1;
   }
 
+  /** The last send never reached its replica. */
+  didNotArrive(): void {
+    this.didNotRun();
+    this.#sends -= 1;
+  }
+
   /** The replica is not tried again for this request. */
   exclude(incarnation: string): void {
     this.#excluded.add(incarnation);
@@ -77,14 +83,17 @@
     return repeatable(this.#request.route);
   }
 
-  /** Takes another send, if the route, the time and the budget have one. */
-  takeRetry(reason: string): boolean {
+  /**
+   * Takes another send, if the route, the time and the budget have one. Where
+   * the last never arrived, the next is no repeat and costs no budget.
+   */
+  takeRetry(reason: string, arrived = true): boolean {
     const { clock, budget, events, metrics } = this.#context;
     const { facts, service, route } = this.#request;
     const request = facts.id;
     if (this.isLast || this.#sends >= MOST_SENDS || !this.inTime) return false;
     const hosts = this.#context.hostCount();
-    if (!budget.take(service, hosts, clock.now())) {
+    if (arrived && !budget.take(service, hosts, clock.now())) {
       metrics.count("retries_denied");
       events.note("retryDenied", { request, route: route.name, reason, hosts });
       return false;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -152,12 +152,14 @@
     const notRun = result.type === "notRun";
     const turnedAway = notRun && result.turnedAway;
     this.#placer.failed({ turnedAway });
-    if (notRun) this.#attempts.didNotRun();
+    const arrived = !notRun || result.arrived;
+    if (!arrived) this.#attempts.didNotArrive();
+    else if (notRun) this.#attempts.didNotRun();
     // What was lost with an export may well run at the same replica.
     const exportLost = turnedAway && placed.export !== undefined;
     if (!exportLost) this.#attempts.exclude(placed.replica.entry.incarnation);
     const allowed = notRun || this.#attempts.repeatable;
-    if (allowed && this.#attempts.takeRetry(result.reason)) return;
+    if (allowed && this.#attempts.takeRetry(result.reason, arrived)) return;
     const error = notRun
       ? GatewayError.refusedByReplicas
       : GatewayError.outcomeUnknown;
--- a/src/gateway/requests/memory.ts
+++ b/src/gateway/requests/memory.ts
@@ -12,9 +12,8 @@
   outputMargin: number,
 ): number {
   const { promptTokens, outputLimit, outputHint } = facts;
-  const guess = outputHint === undefined
-    ? outputLimit * LIMIT_SHARE
-    : Math.min(outputLimit, outputHint * outputMargin);
-  const tokens = Math.ceil(promptTokens + guess);
+  const guess = outputHint ?? outputLimit * LIMIT_SHARE;
+  const reserved = Math.min(outputLimit, guess * outputMargin);
+  const tokens = Math.ceil(promptTokens + reserved);
   return Math.max(1, Math.min(tokens, engine.cacheTokens));
 }
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -20,6 +20,8 @@
     readonly reason: string;
     /** The replica itself said so, and it is the one that was meant. */
     readonly turnedAway: boolean;
+    /** It reached the replica: the send counts against the retry budget. */
+    readonly arrived: boolean;
   }
   /** It may have run. */
   | { readonly type: "unknown"; readonly reason: string };
@@ -48,6 +50,7 @@
     mostConnections: connectionShare(context, request.service),
   });
   replica.calls += 1;
+  replica.noteTry(context.clock.now());
   const cancel = timeoutMs === undefined
     ? () => undefined
     : context.clock.after(timeoutMs, () => call.abort("No answer in time"));
@@ -75,7 +78,8 @@
   const now = context.clock.now();
   if (outcome.type === "notSent") {
     noteFailure(context, replica, { reason: outcome.reason, severe: true });
-    return { type: "notRun", reason: outcome.reason, turnedAway: false };
+    const { reason } = outcome;
+    return { type: "notRun", reason, turnedAway: false, arrived: false };
   }
   if (outcome.type === "broken") {
     const severe = outcome.reason === "No answer in time";
@@ -99,7 +103,8 @@
     message.resume();
     if (facts.misdirected) replica.noteFailure(now, true);
     const turnedAway = !facts.misdirected;
-    return { type: "notRun", reason: `Status ${status}`, turnedAway };
+    const reason = `Status ${status}`;
+    return { type: "notRun", reason, turnedAway, arrived: true };
   }
   if (PROMISES.has(status)) {
     message.resume();
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -13,8 +13,8 @@
 import { chooseReader } from "./reader_choice.ts";
 import { ReaderMessageSchema, type StateMessage } from "./state_messages.ts";
 
-/** How often the reader is chosen anew. */
-const LOOK_MS = 200;
+/** How often the reader is chosen anew; it is also when its link ends. */
+const LOOK_MS = 500;
 /** A reader is given so long to tell something fresh. */
 const STALE_MS = 1500;
 /** A reader that was of no use is not chosen for this time. */
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -29,8 +29,8 @@
 const FOLLOWER_SPREAD_MS = 400;
 /** Of configurations in quick succession a follower skips some. */
 const NEWER_PAUSE_MS = 300;
-/** How often the freshness of the reader's word is looked at. */
-const LOOK_MS = 250;
+/** Least pause before the freshness of the reader's word is looked at again. */
+const LOOK_MS = 50;
 
 /** What the loops need. */
 export type StoreLoopsSource = {
@@ -86,7 +86,7 @@
     while (!this.#stopped) {
       const startedAt = clock.now();
       if (synchronizer.isTold(startedAt)) {
-        await sleep(clock, LOOK_MS);
+        await this.#sleepWhileTold();
         continue;
       }
       const answered = await this.#readReplicas();
@@ -96,6 +96,13 @@
     }
   }
 
+  /** Sleeps until the reader's word would be stale if it said no more. */
+  async #sleepWhileTold(): Promise<void> {
+    const { context: { clock }, synchronizer } = this.#source;
+    const freshMs = synchronizer.freshForMs(clock.now());
+    await sleep(clock, Math.max(LOOK_MS, freshMs));
+  }
+
   async #readReplicas(): Promise<boolean> {
     const { context, store, synchronizer, follower } = this.#source;
     const askedAt = context.clock.now();
@@ -127,7 +134,7 @@
     while (!this.#stopped) {
       if (synchronizer.isTold(clock.now())) {
         revision = undefined;
-        await sleep(clock, LOOK_MS);
+        await this.#sleepWhileTold();
         continue;
       }
       const reading = await this.#readConfig(revision);
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -72,7 +72,13 @@
 
   /** The reader's word is fresh: this host need not read the store. */
   isTold(now: Milliseconds): boolean {
-    return this.#told !== undefined && now - this.#told.asOf < FRESH_MS;
+    return this.freshForMs(now) > 0;
+  }
+
+  /** How long the reader's word stays fresh if it says no more; at least 0. */
+  freshForMs(now: Milliseconds): Milliseconds {
+    if (this.#told === undefined) return 0;
+    return Math.max(0, this.#told.asOf + FRESH_MS - now);
   }
 
   /** The reader has had a newer configuration for a while. */
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -43,7 +43,12 @@
   retry_after_objectives: z.number().positive().default(2),
   stall: duration("1500ms"),
   first_event_patience: duration("3400ms"),
-  output_margin: z.number().min(0).max(10).default(1),
+  /**
+   * A running answer holds half of its output on average over its life, and
+   * many share a replica: more leaves memory idle, less makes replicas
+   * preempt (docs/DECISIONS.md, round 4).
+   */
+  output_margin: z.number().min(0).max(10).default(0.5),
   memory_share: z.number().min(0.1).max(1).default(0.96),
   far_charge: z.number().min(0).default(0.1),
 });
--- a/test/gateway/planning/planner_rig.ts
+++ b/test/gateway/planning/planner_rig.ts
@@ -30,6 +30,7 @@
     memoryOf: () => MEMORY,
     isPaused: () => false,
     noteFailure: () => undefined,
+    noteTry: () => undefined,
     noteSuccess: () => undefined,
     random: () => 0,
     farCharge: 0.1,
--- a/test/gateway/replicas/replica_table_test.ts
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -52,6 +52,20 @@
   assert.equal(replica.paused(401), false);
 });
 
+test("a replica that failed is tried with one call at a time", () => {
+  const replica = new Replica(entry("a"));
+  replica.noteTry(0);
+  assert.equal(replica.paused(1), false);
+  replica.noteFailure(0, true);
+  assert.equal(replica.paused(400), false);
+  replica.noteTry(400);
+  assert.equal(replica.paused(401), true);
+  assert.equal(replica.paused(900), false);
+  replica.noteTry(900);
+  replica.noteSuccess();
+  assert.equal(replica.paused(901), false);
+});
+
 test("replicas that a listing lacks are kept only where that is asked", () => {
   const table = new ReplicaTable();
   table.adopt({ revision: 1, entries: [entry("a"), entry("b", true)] });
--- a/test/gateway/requests/answers_test.ts
+++ b/test/gateway/requests/answers_test.ts
@@ -126,6 +126,19 @@
   });
 });
 
+test("what never reached a replica goes elsewhere without budget", async () => {
+  const route = { kind: RouteKind.unsafe, attempts: 1 };
+  const budget = { ratio: 0, extra: 0 };
+  const replicas = [{ answer: sound }, { answer: sound }];
+  await withRig({ route, budget, replicas }, async (rig) => {
+    // The least loaded replica is tried first: the first where all are equal.
+    rig.replicas[0]?.stop();
+    const seen = await rig.call();
+    assert.deepEqual([seen.status, seen.body], [200, "whole"]);
+    assert.equal(rig.replicas[1]?.requests.length, 1);
+  });
+});
+
 test("an unsafe request whose connection broke is not sent again", async () => {
   const reset: RawAnswer = (_request, socket) => socket.resetAndDestroy();
   const route = { kind: RouteKind.unsafe, attempts: 3 };
