A starting host loads one schema and asks its peers at once

The schemas of other programs took 9 ms of the start. Change: asked every 100 ms until routes are known; the gateway loads its own schema only. A test holds the pauses; it fails on the code before (400 ms).

--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -13,6 +13,8 @@
 /** Without word from the store for so long, peers are asked. */
 const STORE_SILENT_MS = 1300;
 const ASK_MS = 400;
+/** A host without a configuration can serve nothing: it asks more often. */
+const FIRST_ASK_MS = 100;
 const ASK_TIMEOUT_MS = 350;
 /** Times of this host's own row and of the list of hosts. */
 const ROW_MS = 20_000;
@@ -74,7 +76,8 @@
   const { clock, random } = context;
   const clients = new Map<string, JsonClient>();
   for (;;) {
-    await sleep(clock, ASK_MS);
+    const knowsRoutes = context.routes.config !== undefined;
+    await sleep(clock, knowsRoutes ? ASK_MS : FIRST_ASK_MS);
     const now = clock.now();
     const isSilent = synchronizer.storeAgeMs(now) >= STORE_SILENT_MS;
     if (!isSilent && !synchronizer.isBehind(now)) continue;
--- a/src/gateway/program.ts
+++ b/src/gateway/program.ts
@@ -6,12 +6,9 @@
   settingsOrExit,
 } from "../programs/common/command.ts";
 import { ExitCode } from "../programs/common/exit_code.ts";
-import {
-  faultLine,
-  GatewaySchema,
-  type GatewaySettings,
-  loadSettings,
-} from "../settings/mod.ts";
+// Not the folder's entry file: other programs' schemas take time at the start.
+import { GatewaySchema, type GatewaySettings } from "../settings/gateway.ts";
+import { faultLine, loadSettings } from "../settings/load.ts";
 import { onReload } from "./early_reload.ts";
 import { startGateway } from "./gateway.ts";
 import type { PlatformPort } from "./port.ts";
--- a/src/programs/common/command.ts
+++ b/src/programs/common/command.ts
@@ -2,7 +2,7 @@
 import { existsSync, readFileSync } from "node:fs";
 import { Command } from "commander";
 import type { z } from "zod";
-import { faultLine, loadSettings } from "../../settings/mod.ts";
+import { faultLine, loadSettings } from "../../settings/load.ts";
 import { ExitCode } from "./exit_code.ts";
 
 /** Makes a program's command with its version and its exit codes. */
--- /dev/null
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -0,0 +1,42 @@
+/** How soon a host that has just started asks its peers. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { GatewayContext } from "../../../src/gateway/context.ts";
+import type { Store } from "../../../src/gateway/mod.ts";
+import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
+import { startPeerLoops } from "../../../src/gateway/peers/peer_loop.ts";
+import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
+
+/** The pauses that the loops begin with, the store not answering. */
+function firstPauses(routes: RouteTable): number[] {
+  const pauses: number[] = [];
+  const after = (delayMs: number) => {
+    pauses.push(delayMs);
+    return () => undefined;
+  };
+  const never = () => new Promise<never>(() => undefined);
+  const self = { id: "a", address: "127.0.0.1:1", hall: "h" };
+  startPeerLoops({
+    context: {
+      clock: { now: () => 0, after },
+      routes,
+    } as unknown as GatewayContext,
+    self,
+    store: { readRows: never, writeRow: never } as unknown as Store,
+    directory: new HostDirectory(self, []),
+    synchronizer: {} as Synchronizer,
+  });
+  return pauses;
+}
+
+test("a host that knows no routes asks its peers within 100 ms", () => {
+  assert.ok(firstPauses(new RouteTable()).includes(100));
+});
+
+test("a host that knows its routes asks no more often than each 400 ms", () => {
+  const routes = new RouteTable();
+  const limits = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
+  routes.adopt({ version: 1, routes: [], services: [], limits });
+  assert.ok(firstPauses(routes).includes(400));
+});
