A Connection header can't take out headers that both ends need

Change: the dialect names the headers that go from end to end; they stay in requests and in answers. Test fails on the code before (found there by hand).

--- a/src/gateway/callers/reply.ts
+++ b/src/gateway/callers/reply.ts
@@ -2,12 +2,13 @@
 import type { ServerResponse } from "node:http";
 import { GATEWAY_ANSWERS, type GatewayError } from "../answers.ts";
 import { answerHeaders } from "../http/headers.ts";
+import type { Dialect } from "../port.ts";
 import type { Reply } from "../requests/request.ts";
 
 /** What a reply needs to know of its host. */
 export type ReplySource = {
   readonly response: ServerResponse;
-  readonly retryAfterHeader: string;
+  readonly dialect: Pick<Dialect, "endToEndHeaders" | "retryAfterHeader">;
   /** The caller should not use this connection again. */
   lastOnConnection(): boolean;
 };
@@ -35,11 +36,12 @@
   status: number,
   rawHeaders: readonly string[],
 ): void {
-  const { response } = source;
+  const { response, dialect } = source;
   if (response.headersSent || response.destroyed) return;
   response.sendDate = false;
   if (source.lastOnConnection()) response.shouldKeepAlive = false;
-  response.writeHead(status, answerHeaders(rawHeaders));
+  const headers = answerHeaders(rawHeaders, dialect.endToEndHeaders);
+  response.writeHead(status, headers);
   response.flushHeaders();
 }
 
@@ -55,7 +57,7 @@
   error: GatewayError,
   retryAfterSeconds?: number,
 ): void {
-  const { response, retryAfterHeader } = source;
+  const { response, dialect: { retryAfterHeader } } = source;
   if (response.headersSent || response.destroyed) return;
   const answer = GATEWAY_ANSWERS[error];
   const comeBack = retryAfterSeconds ?? answer.retryAfterSeconds;
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -86,7 +86,7 @@
     if (reading.type === "gone") return;
     const reply = createReply({
       response,
-      retryAfterHeader: dialect.retryAfterHeader,
+      dialect,
       lastOnConnection: () => stop.askedAt !== undefined,
     });
     if (reading.type === "tooLarge") {
@@ -128,7 +128,10 @@
       ...read,
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
-      rawHeaders: requestHeaders(incoming.rawHeaders),
+      rawHeaders: requestHeaders(
+        incoming.rawHeaders,
+        this.#context.dialect.endToEndHeaders,
+      ),
       facts,
       limitAt: read.receivedAt + holdMs,
     };
--- a/src/gateway/http/headers.ts
+++ b/src/gateway/http/headers.ts
@@ -27,9 +27,15 @@
   return kept;
 }
 
-/** Headers that go from end to end; the body's length is told anew. */
-export function requestHeaders(raw: readonly string[]): string[] {
-  const named = namedByConnection(raw);
+/**
+ * Headers that go from end to end; the body's length is told anew. Those in
+ * `endToEnd` stay even if the `Connection` header names them.
+ */
+export function requestHeaders(
+  raw: readonly string[],
+  endToEnd: ReadonlySet<string>,
+): string[] {
+  const named = namedByConnection(raw, endToEnd);
   return withoutHeaders(
     raw,
     (name) =>
@@ -39,8 +45,11 @@
 }
 
 /** Headers of an answer; its length stays unless it came in chunks. */
-export function answerHeaders(raw: readonly string[]): string[] {
-  const named = namedByConnection(raw);
+export function answerHeaders(
+  raw: readonly string[],
+  endToEnd: ReadonlySet<string>,
+): string[] {
+  const named = namedByConnection(raw, endToEnd);
   const chunked = raw.some((one, at) =>
     at % 2 === 0 && one.toLowerCase() === "transfer-encoding"
   );
@@ -52,12 +61,16 @@
   );
 }
 
-function namedByConnection(raw: readonly string[]): Set<string> {
+function namedByConnection(
+  raw: readonly string[],
+  endToEnd: ReadonlySet<string>,
+): Set<string> {
   const names = new Set<string>();
   for (let at = 0; at + 1 < raw.length; at += 2) {
     if (raw[at]?.toLowerCase() !== "connection") continue;
-    for (const name of (raw[at + 1] ?? "").split(",")) {
-      names.add(name.trim().toLowerCase());
+    for (const part of (raw[at + 1] ?? "").split(",")) {
+      const name = part.trim().toLowerCase();
+      if (!endToEnd.has(name)) names.add(name);
     }
   }
   return names;
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -122,6 +122,8 @@
   orderStage(order: StageOrder): OrderCall;
   /** How an order was taken. */
   readOrder(status: number): OrderOutcome;
+  /** Headers, in lower case, that a `Connection` header can't take out. */
+  readonly endToEndHeaders: ReadonlySet<string>;
   /** Header with the seconds after which a refused caller may come back. */
   readonly retryAfterHeader: string;
 };
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -51,6 +51,7 @@
     body: JSON.stringify(order),
   }),
   readOrder: () => "refused",
+  endToEndHeaders: new Set(["x-id", "x-seal"]),
   retryAfterHeader: "retry-after",
 };
 
--- a/test/gateway/requests/answers_test.ts
+++ b/test/gateway/requests/answers_test.ts
@@ -28,6 +28,21 @@
   });
 });
 
+test("a Connection header can't take out what both ends need", async () => {
+  const answer: RawAnswer = (request, socket) => {
+    const extra = ["X-Seal: s", "X-Hop: h", "Connection: X-Seal, X-Hop"];
+    socket.write(whole(request, "body", extra));
+  };
+  await withRig({ replicas: [{ answer }] }, async (rig) => {
+    const headers = { connection: "x-id, x-hop", "x-hop": "h" };
+    const seen = await rig.call({ headers });
+    assert.equal(seen.status, 200);
+    assert.equal(seen.headers["x-seal"], "s");
+    assert.equal(seen.headers["x-hop"], undefined);
+    assert.equal(rig.replicas[0]?.requests[0]?.headers.has("x-hop"), false);
+  });
+});
+
 test("a body without a length that is reset does not look complete", async () => {
   const cut: RawAnswer = (request, socket) => {
     const id = request.headers.get("x-id");
