The more urgent kind of a service goes before the less urgent

Cause: routes' priorities were read and used nowhere. Under load a planner served all kinds of a service alike, and a small less urgent request took memory that a large urgent one was waiting for.

Ruled out: reserving a share of replicas for urgent kinds (idle memory when none come); ranking within "on time" only (late urgent requests are then overtaken by newcomers, served less often).

Change: the queue is ordered by begun, priority, on time, due time; what gets free is kept for the most urgent that waits; a forecast counts only what goes before the request; engines are told the rank; plain services whose slots are all taken refuse the less urgent at once while more urgent ones come. A plain replica that cut an answer isn't sent the same request again.

--- a/src/gateway/planning/ask_queue.ts
+++ b/src/gateway/planning/ask_queue.ts
@@ -9,6 +9,7 @@
   readonly from: string;
   readonly ask: PlanAsk;
   readonly begun: boolean;
+  readonly priority: number;
   /** When its first event is due. */
   readonly dueAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
@@ -36,6 +37,7 @@
     this.#waiting.set(ask.id, {
       ...asked,
       begun: ask.begun,
+      priority: ask.priority,
       dueAt: now + ask.slackMs,
       giveUpAt: now + ask.patienceMs,
       decideAt: now + ask.decideMs,
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -4,8 +4,16 @@
 import type { Ledger } from "./ledger.ts";
 import type { PlanAsk } from "./messages.ts";
 import { least } from "./order.ts";
+import type { PromptMemory } from "./prompt_memory.ts";
 import type { PlannerView } from "./view.ts";
 
+/**
+ * Work that a prefill replica is given ahead, besides what its answers take
+ * on their way (the base of its prefill times): enough to keep it busy over a
+ * round trip, little enough that the order of the others stays open.
+ */
+const AHEAD_MS = 60;
+
 /** Share of its memory up to which a decode replica reads prompts. */
 const WHOLE_BELOW = 0.6;
 /** A request with less time left than this need not wait for a prefill. */
@@ -14,32 +22,92 @@
 /** What a prefill in another hall than its decode counts as. */
 const FAR_PREFILL_MS = 15;
 
+/** Where a request is answered, and where its prompt is read. */
+export type EnginePlaces = {
+  readonly decode: ReplicaEntry;
+  /** Absent: the decode replica reads the prompt. */
+  readonly prefill?: ReplicaEntry;
+};
+
+/** What may be chosen for one request. */
+export type EngineCandidates = {
+  readonly decodes: readonly ReplicaEntry[];
+  /** Sound ones only; may be empty. */
+  readonly prefills: readonly ReplicaEntry[];
+  /** False: no decode replica has room, so none is looked for. */
+  readonly mayFit: boolean;
+  /** Time until the first event is due. */
+  readonly slackMs: Milliseconds;
+};
+
+/** What a choice goes by. */
+export type EngineChoiceSource = {
+  readonly view: PlannerView;
+  readonly ledger: Ledger;
+  readonly prompts: PromptMemory;
+  /** Replicas that had no memory, and until when they get nothing. */
+  readonly fullUntil: ReadonlyMap<string, Milliseconds>;
+};
+
 /** Chooses by what the ledger says is given away. */
 export class EngineChoice {
   readonly #view: PlannerView;
   readonly #ledger: Ledger;
-  /** Replicas that had no memory, and until when they get nothing. */
+  readonly #prompts: PromptMemory;
   readonly #fullUntil: ReadonlyMap<string, Milliseconds>;
 
-  constructor(
-    view: PlannerView,
-    ledger: Ledger,
-    fullUntil: ReadonlyMap<string, Milliseconds>,
-  ) {
+  constructor({ view, ledger, prompts, fullUntil }: EngineChoiceSource) {
     this.#view = view;
     this.#ledger = ledger;
+    this.#prompts = prompts;
     this.#fullUntil = fullUntil;
   }
 
-  /** The decode replica with most memory left, rather in the asker's hall. */
+  /** The replicas for a request; undefined: it has to wait. */
+  placesFor(
+    ask: PlanAsk,
+    { decodes, prefills, mayFit, slackMs }: EngineCandidates,
+    now: Milliseconds,
+  ): EnginePlaces | undefined {
+    const keeper = this.#keeperOf(ask, decodes, now);
+    if (keeper) return { decode: keeper };
+    const decode = mayFit ? this.decodeFor(ask, decodes, now) : undefined;
+    if (!decode) return undefined;
+    if (ask.whole || prefills.length === 0) return { decode };
+    const readBy = this.#prompts.prefillOf(ask.key, now);
+    const reader = prefills.find((r) => r.incarnation === readBy);
+    if (reader) return { decode, prefill: reader };
+    const prefill = this.prefillFor(prefills, decode);
+    if (!this.#isBehind(prefill)) return { decode, prefill };
+    return this.readsWhole(ask, decode, slackMs) ? { decode } : undefined;
+  }
+
+  /** The decode replica that keeps the request's prompt and has room for it. */
+  #keeperOf(
+    ask: PlanAsk,
+    decodes: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): ReplicaEntry | undefined {
+    const kept = this.#prompts.decodeOf(ask.key, now);
+    const keeper = decodes.find(({ incarnation }) => incarnation === kept);
+    if (!keeper || this.#view.isPaused(keeper.incarnation)) return undefined;
+    return this.decodeFor(ask, [keeper], now);
+  }
+
+  /** The prefill replica has more before it than keeps it busy. */
+  #isBehind({ incarnation }: ReplicaEntry): boolean {
+    const base = Math.max(0, this.#ledger.lineOf(incarnation).base);
+    return this.#ledger.queueMs(incarnation) - base > AHEAD_MS;
+  }
+
+  /** Of `decodes` the one with most memory left, rather in the asker's hall. */
   decodeFor(
     ask: PlanAsk,
     decodes: readonly ReplicaEntry[],
     now: Milliseconds,
   ): ReplicaEntry | undefined {
     const memory = Math.max(1, this.#view.memoryOf(ask.service));
-    const sound = decodes.filter((r) => !this.#view.isPaused(r.incarnation));
-    return least(sound.length > 0 ? sound : decodes, (replica) => {
+    return least(decodes, (replica) => {
       const { incarnation, hall } = replica;
       const held = this.#ledger.memoryAt(incarnation);
       const full = (this.#fullUntil.get(incarnation) ?? 0) > now;
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -29,6 +29,8 @@
   tokens: z.number(),
   promptTokens: z.number(),
   hall: z.string(),
+  /** Rank of its route; 0 is the most urgent. */
+  priority: z.number(),
   /** Time until its first event is due; negative when it is late. */
   slackMs: z.number(),
   patienceMs: z.number(),
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -7,33 +7,32 @@
   readonly dueAt: Milliseconds;
   /** An earlier send may have run. */
   readonly begun: boolean;
+  /** Rank of its route; 0 is the most urgent. */
+  readonly priority: number;
 };
 
-/** The groups of a queue, in the order in which they are served. */
-const Group = { begun: 0, onTime: 1, late: 2 } as const;
-
 /**
- * Begun requests first, then those that can still be on time, then the others;
- * by due time within each.
+ * Begun requests first, then by priority; of one priority those that can still
+ * meet their deadline before those that can't, by due time within each.
  */
 export function inOrder<One extends Queued>(
   waits: readonly One[],
   now: Milliseconds,
   serviceMs: (one: One) => Milliseconds,
 ): One[] {
-  const keyed = waits.map((one) => {
-    const isLate = now + serviceMs(one) > one.dueAt;
-    return { one, group: groupOf(one, isLate) };
-  });
-  keyed.sort((a, b) => a.group - b.group || a.one.dueAt - b.one.dueAt);
+  const keyed = waits.map((one) => ({
+    one,
+    rank: one.begun ? -1 : one.priority,
+    isLate: !one.begun && now + serviceMs(one) > one.dueAt,
+  }));
+  keyed.sort((a, b) =>
+    a.rank - b.rank ||
+    Number(a.isLate) - Number(b.isLate) ||
+    a.one.dueAt - b.one.dueAt
+  );
   return keyed.map(({ one }) => one);
 }
 
-function groupOf(one: Queued, isLate: boolean): number {
-  if (one.begun) return Group.begun;
-  return isLate ? Group.late : Group.onTime;
-}
-
 /** The one with the least value; undefined where all are infinite. */
 export function least<One>(
   all: readonly One[],
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -28,6 +28,8 @@
   readonly service: string;
   readonly tokens: number;
   readonly promptTokens: number;
+  /** Rank of its route; 0 is the most urgent. */
+  readonly priority: number;
   readonly dueAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
   /** Names the prompt, to know a request that comes back. */
@@ -260,6 +262,7 @@
       tokens: wish.tokens,
       promptTokens: wish.promptTokens,
       hall: self.hall,
+      priority: wish.priority,
       slackMs: wish.dueAt - now,
       patienceMs: wish.giveUpAt - now,
       key: wish.key,
--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -12,6 +12,11 @@
   isPaused(incarnation: string): boolean;
   /** It turned a request away just now. */
   isFull(incarnation: string): boolean;
+  /**
+   * More urgent requests come too. A replica serves its queue in the order of
+   * arrival, so while all slots are taken the less urgent are not sent there.
+   */
+  readonly yieldsWhenFull: boolean;
 };
 
 /** The replica with the shortest queue for its slots, rather near. */
@@ -23,7 +28,9 @@
   const candidates = sound.length > 0 ? sound : replicas;
   return least(candidates, ({ incarnation, slots, hall }) => {
     if (query.isFull(incarnation)) return Infinity;
+    const taken = query.inFlight(incarnation);
+    if (query.yieldsWhenFull && taken >= slots) return Infinity;
     const far = hall === query.hall ? 0 : query.farCharge;
-    return query.inFlight(incarnation) / Math.max(1, slots) + far;
+    return taken / Math.max(1, slots) + far;
   });
 }
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -5,16 +5,17 @@
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
-import type { Line } from "../../core/util/line_fit.ts";
 import { Admission } from "./admission.ts";
 import { AskQueue, type Waiting } from "./ask_queue.ts";
-import { EngineChoice } from "./engine_choice.ts";
+import { EngineChoice, type EnginePlaces } from "./engine_choice.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { Ledger } from "./ledger.ts";
 import { choosePlain } from "./plain_choice.ts";
-import { readingMs, usualLine } from "./prefill_times.ts";
+import { PoolSnapshot } from "./pool_snapshot.ts";
+import { readingMs } from "./prefill_times.ts";
 import { PromptMemory } from "./prompt_memory.ts";
 import { stageLoad } from "./stage_load.ts";
+import { Urgency } from "./urgency.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
 import {
   PlaceStage,
@@ -26,12 +27,6 @@
   type PlanRefusal,
 } from "./messages.ts";
 
-/**
- * Work that a prefill replica is given ahead, besides what its answers take
- * on their way (the base of its prefill times): enough to keep it busy over a
- * round trip, little enough that the order of the others stays open.
- */
-const AHEAD_MS = 60;
 /**
  * Time from the end of a prefill to the caller's first event, with a margin:
  * under load every request is served near the last moment that it can be.
@@ -49,9 +44,6 @@
  */
 const ORPHAN_LIFE_MS = 2000;
 
-/** What waits before an ask. */
-type Queue = { tokens: number; promptTokens: number };
-
 /** The planner of the services that this host plans. */
 export class Planner {
   readonly #view: PlannerView;
@@ -59,13 +51,19 @@
   readonly #queue = new AskQueue();
   readonly #losses = new ExportLosses();
   readonly #prompts = new PromptMemory();
+  readonly #urgency = new Urgency();
   readonly #admission: Admission;
   readonly #choice: EngineChoice;
   readonly #fullUntil = new Map<string, Milliseconds>();
 
   constructor(view: PlannerView) {
     this.#view = view;
-    this.#choice = new EngineChoice(view, this.#ledger, this.#fullUntil);
+    this.#choice = new EngineChoice({
+      view,
+      ledger: this.#ledger,
+      prompts: this.#prompts,
+      fullUntil: this.#fullUntil,
+    });
     this.#admission = new Admission(view.random);
   }
 
@@ -85,6 +83,7 @@
   /** Queues an ask; `pass` answers it. */
   ask(from: string, ask: PlanAsk, now: Milliseconds): void {
     this.#ledger.remove(ask.id);
+    this.#urgency.note(ask.service, ask.priority, now);
     const decided = ask.begun || this.#admission.cameBack(ask.key, now);
     this.#queue.add({ from, ask, decided }, now);
   }
@@ -158,86 +157,77 @@
   pass(now: Milliseconds): PlannerAnswer[] {
     this.#ledger.expire(now);
     const answers: PlannerAnswer[] = [];
-    const queues = new Map<string, Queue>();
-    for (const one of this.#inOrder(now)) {
-      const { service } = one.ask;
-      const ahead = queues.get(service) ?? { tokens: 0, promptTokens: 0 };
-      queues.set(service, ahead);
-      const message = this.#answer(one, now) ?? this.#decide(one, ahead, now);
+    const pools = new Map<string, PoolSnapshot>();
+    const poolOf = (service: string) => {
+      const known = pools.get(service);
+      const pool = known ?? this.#snapshot(service, now);
+      if (!known) pools.set(service, pool);
+      return pool;
+    };
+    const serviceMs = ({ service, promptTokens }: PlanAsk) =>
+      poolOf(service).prefillMs(promptTokens) + FIRST_EVENT_MS;
+    for (const one of this.#queue.inOrder(now, serviceMs)) {
+      const pool = poolOf(one.ask.service);
+      const message = this.#answer(one, pool, now) ??
+        this.#decide(one, pool, now);
       if (!message) {
-        ahead.tokens += one.ask.tokens;
-        ahead.promptTokens += one.ask.promptTokens;
+        pool.noteWaiting(one.ask);
         continue;
       }
+      if (message.type === "grant") pool.noteGrant();
       this.#queue.remove(one.ask.id);
       answers.push({ to: one.from, message });
     }
     return answers;
   }
 
-  /** The queue as it is served. */
-  #inOrder(now: Milliseconds): Waiting[] {
-    const lines = new Map<string, Line>();
-    return this.#queue.inOrder(now, ({ service, promptTokens }) => {
-      const line = lines.get(service) ??
-        usualLine(this.#ledger, this.#prefillsOf(service));
-      lines.set(service, line);
-      return line.base + line.slope * promptTokens + FIRST_EVENT_MS;
+  #snapshot(service: string, now: Milliseconds): PoolSnapshot {
+    return new PoolSnapshot({
+      replicas: this.#view.replicasOf(service),
+      memory: this.#view.memoryOf(service),
+      ledger: this.#ledger,
+      isPaused: (incarnation) => this.#view.isPaused(incarnation),
+      isAvoided: (incarnation) => this.#losses.avoided(incarnation, now),
     });
   }
 
-  #answer(one: Waiting, now: Milliseconds): PlannerMessage | undefined {
-    const { service, excluded } = one.ask;
+  #answer(
+    one: Waiting,
+    pool: PoolSnapshot,
+    now: Milliseconds,
+  ): PlannerMessage | undefined {
+    const { excluded } = one.ask;
     if (now >= one.giveUpAt) return this.#refusal(one, "no-memory");
-    if (this.#view.memoryOf(service) === 0) return this.#plain(one, now);
-    const open = this.#view.replicasOf(service).filter((replica) =>
-      !excluded.includes(replica.incarnation)
-    );
-    const decodes = open.filter((r) => r.stage === ReplicaStage.decode);
-    if (decodes.length === 0) return this.#refusal(one, "no-replica");
-    const keeper = this.#keeperOf(one.ask, decodes, now);
-    if (keeper) return this.#grant(one, { decode: keeper }, now);
-    const decode = this.#choice.decodeFor(one.ask, decodes, now);
-    if (!decode) return undefined;
-    const prefills = open.filter((r) => r.stage === ReplicaStage.prefill);
-    const sound = prefills.filter((r) =>
-      !this.#view.isPaused(r.incarnation) &&
-      !this.#losses.avoided(r.incarnation, now)
-    );
-    if (one.ask.whole || sound.length === 0) {
-      return this.#grant(one, { decode }, now);
+    const allowed = <Some extends ReplicaEntry>(all: readonly Some[]) =>
+      excluded.length === 0
+        ? all
+        : all.filter((each) => !excluded.includes(each.incarnation));
+    if (pool.memory === 0) {
+      return this.#plain(one, allowed(pool.replicas), now);
     }
-    const readBy = this.#prompts.prefillOf(one.ask.key, now);
-    const reader = sound.find((r) => r.incarnation === readBy);
-    if (reader) return this.#grant(one, { decode, prefill: reader }, now);
-    const prefill = this.#choice.prefillFor(sound, decode);
-    const { incarnation } = prefill;
-    const base = Math.max(0, this.#ledger.lineOf(incarnation).base);
-    const ahead = this.#ledger.queueMs(incarnation) - base;
-    if (ahead > AHEAD_MS) {
-      const whole = this.#choice.readsWhole(one.ask, decode, one.dueAt - now);
-      return whole ? this.#grant(one, { decode }, now) : undefined;
-    }
-    return this.#grant(one, { decode, prefill }, now);
-  }
-
-  /** The decode replica that keeps the request's prompt and has room for it. */
-  #keeperOf(
-    ask: PlanAsk,
-    decodes: readonly ReplicaEntry[],
-    now: Milliseconds,
-  ): ReplicaEntry | undefined {
-    const kept = this.#prompts.decodeOf(ask.key, now);
-    const keeper = decodes.find(({ incarnation }) => incarnation === kept);
-    if (!keeper || this.#view.isPaused(keeper.incarnation)) return undefined;
-    return this.#choice.decodeFor(ask, [keeper], now);
+    const decodes = allowed(pool.decodes);
+    if (decodes.length === 0) return this.#refusal(one, "no-replica");
+    // What gets free goes to the more urgent that wait for it, however small
+    // the less urgent request is.
+    if (!one.begun && one.priority > pool.waitingPriority) return undefined;
+    const mayFit = excluded.length > 0 || pool.mayFit(one.ask.tokens);
+    const soundDecodes = allowed(pool.soundDecodes);
+    const places = this.#choice.placesFor(one.ask, {
+      decodes: soundDecodes.length > 0 ? soundDecodes : decodes,
+      prefills: allowed(pool.soundPrefills),
+      mayFit,
+      slackMs: one.dueAt - now,
+    }, now);
+    return places && this.#grant(one, places, now);
   }
 
   /** A plain service queues at its replicas; a full one is left out. */
-  #plain(one: Waiting, now: Milliseconds): PlannerMessage {
-    const { service, hall, excluded } = one.ask;
-    const open = this.#view.replicasOf(service)
-      .filter(({ incarnation }) => !excluded.includes(incarnation));
+  #plain(
+    one: Waiting,
+    open: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): PlannerMessage {
+    const { service, hall } = one.ask;
     if (open.length === 0) return this.#refusal(one, "no-replica");
     const decode = choosePlain(open, {
       hall,
@@ -245,6 +235,8 @@
       inFlight: (incarnation) => this.#ledger.memoryAt(incarnation),
       isPaused: (incarnation) => this.#view.isPaused(incarnation),
       isFull: (incarnation) => (this.#fullUntil.get(incarnation) ?? 0) > now,
+      yieldsWhenFull: !one.begun &&
+        this.#urgency.hasMoreUrgent(service, one.priority, now),
     });
     if (decode) {
       this.#view.noteTry(decode.incarnation, now);
@@ -257,21 +249,20 @@
   /** Refuses at once what will not be on time, so that it can come back. */
   #decide(
     one: Waiting,
-    ahead: Readonly<Queue>,
+    pool: PoolSnapshot,
     now: Milliseconds,
   ): PlannerMessage | undefined {
     if (one.decided || now < one.decideAt) return undefined;
     one.decided = true;
-    const { service, tokens, promptTokens, key } = one.ask;
-    const prefills = this.#prefillsOf(service);
-    const line = usualLine(this.#ledger, prefills);
+    const { tokens, promptTokens, key } = one.ask;
+    const { ahead, prefills } = pool;
     const waitMs = this.#admission.waitMs({
       tokens: tokens + ahead.tokens,
-      held: this.#heldOf(service),
-      memory: this.#view.memoryOf(service),
+      held: pool.decodes.map((r) => this.#ledger.memoryAt(r.incarnation)),
+      memory: pool.memory,
       prefillMs: readingMs(this.#ledger, prefills, ahead.promptTokens),
     });
-    const startMs = line.base + line.slope * promptTokens + FIRST_EVENT_MS;
+    const startMs = pool.prefillMs(promptTokens) + FIRST_EVENT_MS;
     if (now + waitMs + startMs <= one.dueAt) return undefined;
     const retryAfterMs = this.#admission.refuse(key, waitMs, now);
     return { ...this.#refusal(one, "busy"), retryAfterMs };
@@ -281,29 +272,15 @@
   #refusal(one: Waiting, reason: PlanRefusal["reason"]): PlanRefusal {
     const { id, service } = one.ask;
     const held = Math.round(this.loadOf(service).decode * 100) / 100;
-    const decodes = this.#heldOf(service).length;
+    const decodes = this.#view.replicasOf(service)
+      .filter(({ stage }) => stage === ReplicaStage.decode).length;
     const basis = { decodes, held, waiting: this.#queue.size };
     return { type: "refusal", id, reason, basis };
   }
 
-  #prefillsOf(service: string): ReplicaEntry[] {
-    return this.#view.replicasOf(service)
-      .filter((one) => one.stage === ReplicaStage.prefill);
-  }
-
-  /** Memory given away at each decode replica of the service. */
-  #heldOf(service: string): number[] {
-    return this.#view.replicasOf(service)
-      .filter((one) => one.stage === ReplicaStage.decode)
-      .map((one) => this.#ledger.memoryAt(one.incarnation));
-  }
-
   #grant(
     one: Waiting,
-    places: {
-      readonly decode: ReplicaEntry;
-      readonly prefill?: ReplicaEntry;
-    },
+    places: EnginePlaces,
     now: Milliseconds,
   ): PlanGrant {
     const { id, tokens, promptTokens, key } = one.ask;
--- /dev/null
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -0,0 +1,93 @@
+/**
+ * The replicas of one service as they are during one pass over the queue: what
+ * doesn't depend on the request is worked out once a pass, not once a request.
+ */
+import type { Milliseconds } from "../../core/ids.ts";
+import type { Line } from "../../core/util/line_fit.ts";
+import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
+import type { Ledger } from "./ledger.ts";
+import { usualLine } from "./prefill_times.ts";
+
+/** What a snapshot is made from. */
+export type PoolSource = {
+  /** Replicas of the service that take new work. */
+  readonly replicas: readonly ReplicaEntry[];
+  /** Memory of one decode replica, in tokens; 0 for a plain service. */
+  readonly memory: number;
+  readonly ledger: Ledger;
+  /** A replica that fails is given nothing. */
+  isPaused(incarnation: string): boolean;
+  /** A prefill replica whose finished prefills get lost. */
+  isAvoided(incarnation: string): boolean;
+};
+
+/** Replicas by stage, and the queue before the next request. */
+export class PoolSnapshot {
+  readonly replicas: readonly ReplicaEntry[];
+  readonly memory: number;
+  readonly decodes: readonly ReplicaEntry[];
+  /** Decode replicas that don't fail; all of them where all do. */
+  readonly soundDecodes: readonly ReplicaEntry[];
+  readonly prefills: readonly ReplicaEntry[];
+  /** Prefill replicas that neither fail nor lose what they read. */
+  readonly soundPrefills: readonly ReplicaEntry[];
+  /** Times of a prefill at the fastest prefill replica. */
+  readonly line: Line;
+  /** Requests that are served before the next one and still wait. */
+  readonly ahead = { tokens: 0, promptTokens: 0 };
+  /** The most urgent priority that waits. */
+  waitingPriority = Infinity;
+  readonly #ledger: Ledger;
+  #largestFree: number | undefined;
+
+  constructor(source: PoolSource) {
+    const { replicas, memory, ledger } = source;
+    this.replicas = replicas;
+    this.memory = memory;
+    this.#ledger = ledger;
+    this.decodes = replicas.filter((r) => r.stage === ReplicaStage.decode);
+    this.prefills = replicas.filter((r) => r.stage === ReplicaStage.prefill);
+    const sound = this.decodes.filter((r) => !source.isPaused(r.incarnation));
+    this.soundDecodes = sound.length > 0 ? sound : this.decodes;
+    this.soundPrefills = this.prefills.filter(({ incarnation }) =>
+      !source.isPaused(incarnation) && !source.isAvoided(incarnation)
+    );
+    this.line = usualLine(ledger, this.prefills);
+  }
+
+  /** Time from a grant to the end of a prefill, if the replica is idle. */
+  prefillMs(promptTokens: number): Milliseconds {
+    return this.line.base + this.line.slope * promptTokens;
+  }
+
+  /** Whether any sound decode replica has room, by the ledger alone. */
+  mayFit(tokens: number): boolean {
+    this.#largestFree ??= Math.max(
+      0,
+      ...this.soundDecodes.map((one) => this.#freeAt(one)),
+    );
+    return tokens <= this.#largestFree;
+  }
+
+  /** An idle replica takes any request, also one larger than its memory. */
+  #freeAt({ incarnation }: ReplicaEntry): number {
+    const held = this.#ledger.memoryAt(incarnation);
+    return held > 0 ? this.memory - held : Infinity;
+  }
+
+  /** A place was given: the room that was worked out holds no longer. */
+  noteGrant(): void {
+    this.#largestFree = undefined;
+  }
+
+  /** The request goes on waiting before those that come after it. */
+  noteWaiting(waits: {
+    readonly tokens: number;
+    readonly promptTokens: number;
+    readonly priority: number;
+  }): void {
+    this.ahead.tokens += waits.tokens;
+    this.ahead.promptTokens += waits.promptTokens;
+    this.waitingPriority = Math.min(this.waitingPriority, waits.priority);
+  }
+}
--- /dev/null
+++ b/src/gateway/planning/urgency.ts
@@ -0,0 +1,32 @@
+/** Which priorities a service's requests have had lately. */
+import type { Milliseconds } from "../../core/ids.ts";
+
+/**
+ * A priority counts as present for so long after its last request. At one
+ * request a second of the most urgent kind it is present all the time.
+ */
+const PRESENT_MS = 2000;
+
+/** The last request of each priority, by service. */
+export class Urgency {
+  readonly #lastAt = new Map<string, Map<number, Milliseconds>>();
+
+  /** A request of that priority came. */
+  note(service: string, priority: number, now: Milliseconds): void {
+    const known = this.#lastAt.get(service);
+    if (known) known.set(priority, now);
+    else this.#lastAt.set(service, new Map([[priority, now]]));
+  }
+
+  /** Whether more urgent requests of the service came lately. */
+  hasMoreUrgent(
+    service: string,
+    priority: number,
+    now: Milliseconds,
+  ): boolean {
+    for (const [other, at] of this.#lastAt.get(service) ?? []) {
+      if (other < priority && now - at <= PRESENT_MS) return true;
+    }
+    return false;
+  }
+}
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -40,6 +40,8 @@
   readonly mode: CallMode;
   /** The only start of the replica that may take it. */
   readonly incarnation: string;
+  /** Rank at a model engine's own queue; 0 is the most urgent. */
+  readonly priority?: number;
   /** Time left for the answer; absent when the caller named none. */
   readonly patienceMs?: Milliseconds;
   /** The finished prefill to go on from, and the address that keeps it. */
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -1,5 +1,6 @@
 /** What is certain of a request's sends so far, and whether one more may go. */
 import type { GatewayContext } from "../context.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
 import { repeatable } from "../routing/model.ts";
 import type { GatewayRequest } from "./request.ts";
 
@@ -70,11 +71,12 @@
   }
 
   /**
-   * The replica's answer was cut off. The first time it stays in use: it keeps
-   * the prompt, and often only the connection was lost.
+   * The replica's answer was cut off. A model engine stays in use the first
+   * time: it keeps the prompt, and often only the connection was lost.
    */
-  noteCut(incarnation: string): void {
-    if (this.#cut.has(incarnation)) this.exclude(incarnation);
+  noteCut({ incarnation, stage }: ReplicaEntry): void {
+    const keepsPrompt = stage !== undefined && !this.#cut.has(incarnation);
+    if (!keepsPrompt) this.exclude(incarnation);
     this.#cut.add(incarnation);
   }
 
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -106,6 +106,7 @@
       service,
       tokens: reservedTokens(facts, engine, context.tuning.outputMargin),
       promptTokens: facts.promptTokens,
+      priority: route.priority,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, waitsSince + patience) - SERVICE_MS,
       key: facts.promptKey ?? "",
@@ -188,6 +189,7 @@
       head: {
         mode: CallMode.whole,
         incarnation: replica.entry.incarnation,
+        priority: this.#source.request.route.priority,
         reservation: id,
         ...(made ? { export: { address, id: made.id } } : {}),
       },
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -236,7 +236,7 @@
   #takeCut(placed: Placement): void {
     const now = this.#context.clock.now();
     placed.replica.noteFailure(now, false);
-    this.#attempts.noteCut(placed.replica.entry.incarnation);
+    this.#attempts.noteCut(placed.replica.entry);
     const taken = this.#retryTaken ||
       (this.#attempts.repeatable &&
         this.#attempts.takeRetry("The answer was cut off"));
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -70,6 +70,7 @@
       service,
       tokens: 1,
       promptTokens: 0,
+      priority: route.priority,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, askedAt + PLANNER_MS),
       key: "",
--- a/test/gateway/planning/plain_choice_test.ts
+++ b/test/gateway/planning/plain_choice_test.ts
@@ -68,3 +68,20 @@
   const [none] = messages(planner, 2);
   assert.ok(none?.type === "refusal" && none.reason === "no-replica");
 });
+
+test("full plain replicas are kept for the most urgent that still come", () => {
+  const planner = new Planner(plainView());
+  for (let at = 0; at < 12; at++) {
+    planner.ask("h", plainAsk(`r${at}`, { priority: 2 }), 0);
+  }
+  assert.equal(grants(messages(planner, 0)).length, 12);
+  planner.ask("h", plainAsk("alone", { priority: 2 }), 1);
+  assert.deepEqual(grants(messages(planner, 1)), ["alone"]);
+  planner.ask("h", plainAsk("urgent", { priority: 1 }), 2);
+  planner.ask("h", plainAsk("other", { priority: 2 }), 2);
+  const [first, second] = messages(planner, 2);
+  assert.ok(first?.type === "grant" && first.id === "urgent");
+  assert.ok(second?.type === "refusal" && second.reason === "busy");
+  planner.ask("h", plainAsk("later", { priority: 2 }), 3000);
+  assert.deepEqual(grants(messages(planner, 3000)), ["later"]);
+});
--- a/test/gateway/planning/planner_rig.ts
+++ b/test/gateway/planning/planner_rig.ts
@@ -47,6 +47,7 @@
     tokens: 400,
     promptTokens: 100,
     hall: "h",
+    priority: 1,
     slackMs: 900,
     patienceMs: 3000,
     key: "",
--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -46,8 +46,12 @@
 });
 
 test("begun ones go first, then those in time, then the late, by due time", () => {
-  const waits = [500, 10, 300, 5].map((dueAt) => ({ dueAt, begun: false }));
-  const begun = { dueAt: 1, begun: true };
+  const waits = [500, 10, 300, 5].map((dueAt) => ({
+    dueAt,
+    begun: false,
+    priority: 0,
+  }));
+  const begun = { dueAt: 1, begun: true, priority: 0 };
   const order = inOrder([...waits, begun], 0, () => 100);
   assert.deepEqual(order.map((one) => one.dueAt), [1, 300, 500, 5, 10]);
 });
--- /dev/null
+++ b/test/gateway/planning/priority_test.ts
@@ -0,0 +1,50 @@
+/** Routes' priorities at the planner of a model service. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { inOrder } from "../../../src/gateway/planning/order.ts";
+import { Planner } from "../../../src/gateway/planning/planner.ts";
+import { ask, grants, messages, view } from "./planner_rig.ts";
+
+test("the more urgent go first, also when they are late", () => {
+  const one = (dueAt: number, priority: number, begun = false) => ({
+    dueAt,
+    priority,
+    begun,
+  });
+  const order = inOrder(
+    [one(200, 3), one(5, 1), one(300, 1), one(900, 3, true)],
+    0,
+    () => 100,
+  );
+  assert.deepEqual(order.map(({ dueAt }) => dueAt), [900, 300, 5, 200]);
+});
+
+test("a less urgent request takes no memory that a more urgent one waits for", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  planner.ask("h", ask("urgent", { priority: 1, tokens: 800 }), 1);
+  planner.ask("h", ask("small", { priority: 2, tokens: 100 }), 1);
+  assert.deepEqual(messages(planner, 1), []);
+  planner.progress({ type: "progress", id: "a", stage: "ended" }, 2);
+  assert.deepEqual(messages(planner, 2), []);
+  for (const id of ["b", "c"]) {
+    planner.progress({ type: "progress", id, stage: "ended" }, 3);
+  }
+  assert.deepEqual(grants(messages(planner, 3)), ["urgent", "small"]);
+});
+
+test("a less urgent queue doesn't have a more urgent request refused", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  const waits = { key: "k", slackMs: 3000 };
+  for (const id of ["e", "f", "g", "i"]) {
+    planner.ask("h", ask(id, { ...waits, priority: 2, tokens: 900 }), 1);
+  }
+  planner.ask("h", ask("urgent", { ...waits, priority: 1, decideMs: 0 }), 1);
+  assert.deepEqual(messages(planner, 2), []);
+  planner.ask("h", ask("last", { ...waits, priority: 2, decideMs: 0 }), 2);
+  const refused = messages(planner, 3);
+  assert.deepEqual(refused.map((one) => one.type), ["refusal"]);
+});
--- a/test/gateway/requests/answers_test.ts
+++ b/test/gateway/requests/answers_test.ts
@@ -97,6 +97,36 @@
   });
 });
 
+test("a plain replica that cut an answer isn't sent the request again", async () => {
+  const cut: RawAnswer = (request, socket) => {
+    socket.end(whole(request, "whole").slice(0, -2));
+  };
+  const route = { attempts: 4 };
+  const replicas = [{ answer: cut }, { answer: cut }];
+  await withRig({ route, replicas }, async (rig) => {
+    assert.equal((await rig.call()).status, 502);
+    const arrivals = rig.replicas.map((one) => one.requests.length);
+    assert.deepEqual(arrivals, [1, 1]);
+  });
+});
+
+test("an answer goes on when its replica is listed no more", async () => {
+  let finish = () => {};
+  const slow: RawAnswer = (request, socket) => {
+    const text = whole(request, "whole");
+    socket.write(text.slice(0, -2));
+    finish = () => socket.write(text.slice(-2));
+  };
+  await withRig({ replicas: [{ answer: slow }] }, async (rig) => {
+    const seen = rig.call();
+    await rig.arrived(1);
+    rig.context.replicas.adopt({ revision: 2, entries: [] });
+    rig.context.pool.forget("r0");
+    finish();
+    assert.equal((await seen).body, "whole");
+  });
+});
+
 test("a surplus answer is never taken for the next request's", async () => {
   const surplus: RawAnswer = (request, socket) => {
     if (request.number === 1) {
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -28,6 +28,20 @@
   }
 });
 
+test("a request's rank at an engine is the route's, not the caller's", () => {
+  const rankOf = (priority: number) => {
+    const head = { mode: CallMode.whole, incarnation: "i-1", priority };
+    const sent = dialect.callHeaders(["request-priority", "0"], head);
+    return sent[sent.indexOf("Request-Priority") + 1];
+  };
+  assert.deepEqual([rankOf(0), rankOf(3), rankOf(40)], ["0", "3", "9"]);
+  const plain = dialect.callHeaders(["request-priority", "0"], {
+    mode: CallMode.whole,
+    incarnation: "i-1",
+  });
+  assert.equal(plain.length, 2);
+});
+
 test("what a request's head lacks or garbles is read as absent", () => {
   assert.deepEqual(dialect.readRequest({}), {
     promptTokens: 0,
