One host of the fleet reads the store, each hall's relay follows it

Each hall had a reader of its own, every follower asked a store that was away about once a second with two loops, and a starting host listed again and again until its reader had told it something.

Ruled out: a feed in place of listings (its silence says nothing of a dead connection for as long as the store holds it); one reader without relays (195 links at one small host).

Change: one rendezvous order; the first of a hall follows the first of all. A word of the store is told on at once, with its age. A relay's limit of age is lower than its followers', so that one host and not forty reads anew. Followers ask a store that is away ever less often, with one loop. A link to a better reader stands before the old one is left.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -90,6 +90,7 @@
       context: this.#context,
       onConfig: (config) => this.#callers.applyLimits(config.limits),
       onChange: () => this.#states.tell(),
+      isRelay: () => this.#follower.isRelay,
     });
     const context = this.#context;
     const directory = this.#directory;
--- a/src/gateway/peers/directory.ts
+++ b/src/gateway/peers/directory.ts
@@ -60,6 +60,11 @@
     for (const id of ids) this.#drop(id);
   }
 
+  /** The host of that name, if it is known and not this one. */
+  get(id: HostId): HostEntry | undefined {
+    return this.#hosts.get(id)?.entry;
+  }
+
   /** All known hosts but this one; the same array while none changes. */
   entries(): readonly HostEntry[] {
     this.#entries ??= [...this.#hosts.values()].map((one) => one.entry);
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -1,6 +1,6 @@
 /**
- * Follows the host of this hall that reads the store, so that one host a hall
- * calls the store in place of all. A reader that falls silent, or that the
+ * Follows another host's word of the store, so that one host calls the store
+ * in place of all (see reader_choice). A reader that falls silent, or that the
  * store does not answer while it answers this host, is left for the next.
  */
 import type { HostId, Milliseconds } from "../../core/ids.ts";
@@ -19,6 +19,8 @@
 const STALE_MS = 1500;
 /** A reader that was of no use is not chosen for this time. */
 const SUSPECT_MS = 3000;
+/** A host to which no link came about is tried again after this time. */
+const UNREACHED_MS = 1000;
 
 /** What a follower is made from. */
 export type HallFollowerSource = {
@@ -32,13 +34,15 @@
   onState(message: StateMessage, reader: HostId): boolean;
 };
 
-/** The link to the reader of this hall. */
+/** The link to the host that this one follows. */
 export class HallFollower {
   readonly #source: HallFollowerSource;
   readonly #orders: HostOrders;
   readonly #suspects = new Map<HostId, Milliseconds>();
   #reader: HostId;
   #link: Link | undefined;
+  /** A link that is being opened: it takes the other's place once it stands. */
+  #next: { readonly reader: HostId; readonly link: Link } | undefined;
   #openedAt: Milliseconds = 0;
 
   constructor(source: HallFollowerSource) {
@@ -52,6 +56,14 @@
     return this.#reader;
   }
 
+  /** Whether this host relays between the reader of the fleet and its hall. */
+  get isRelay(): boolean {
+    const { self, directory } = this.#source;
+    if (this.#reader === self.id) return false;
+    const reader = directory.get(this.#reader);
+    return reader !== undefined && reader.hall !== self.hall;
+  }
+
   /** Chooses a reader again and again. */
   start(): void {
     this.#look();
@@ -81,12 +93,12 @@
     const isSuspect = (id: HostId) => now < (this.#suspects.get(id) ?? 0);
     const orders = this.#orders;
     const reader = chooseReader({ self, hosts, orders, isSuspect });
+    if (reader === (this.#next?.reader ?? this.#reader)) return;
+    this.#dropNext();
     if (reader === this.#reader) return;
-    this.#close();
-    this.#reader = reader;
-    context.events.note("readerChosen", { reader });
-    const host = hosts.find((one) => one.id === reader);
-    if (host) this.#link = this.#open(host);
+    const host = directory.get(reader);
+    if (host) this.#next = { reader, link: this.#open(host) };
+    else this.#close();
   }
 
   #open(host: HostEntry): Link {
@@ -97,20 +109,45 @@
       self: self.id,
       clock: context.clock,
     };
-    this.#openedAt = context.clock.now();
-    const isCurrent = () => this.#link === link;
     const link = openLink(target, {
+      ready: () => this.#change(link),
       line: (text) => {
-        if (isCurrent()) this.#take(text);
-      },
-      closed: () => {
-        if (isCurrent()) this.#leave("The link ended");
+        if (this.#link === link) this.#take(text);
       },
+      closed: () => this.#ended(link),
     });
-    link.send({ type: "follow", revision: context.replicas.revision });
     return link;
   }
 
+  /** The new link stands: the old one is left. */
+  #change(link: Link): void {
+    if (this.#next?.link !== link) return;
+    const { context } = this.#source;
+    const { reader } = this.#next;
+    this.#next = undefined;
+    this.#close();
+    this.#reader = reader;
+    this.#link = link;
+    this.#openedAt = context.clock.now();
+    context.events.note("readerChosen", { reader });
+    link.send({ type: "follow", revision: context.replicas.revision });
+  }
+
+  #ended(link: Link): void {
+    if (this.#link === link) return this.#leave("The link ended");
+    if (this.#next?.link !== link) return;
+    const until = this.#source.context.clock.now() + UNREACHED_MS;
+    this.#suspects.set(this.#next.reader, until);
+    this.#next = undefined;
+    this.#look();
+  }
+
+  #dropNext(): void {
+    const next = this.#next;
+    this.#next = undefined;
+    next?.link.close();
+  }
+
   #take(text: string): void {
     const message = readJson(ReaderMessageSchema, text);
     if (message?.type !== "state") return;
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -8,8 +8,11 @@
 import type { HostEntry } from "../port.ts";
 import { FollowerMessageSchema, type StateMessage } from "./state_messages.ts";
 
-/** Followers hear so often, also when nothing has changed. */
-const STATE_MS = 400;
+/**
+ * Followers that were told nothing for so long are told again: each new word
+ * of the store goes out at once, so this is for when there is none.
+ */
+const STATE_MS = 1000;
 
 /** What the server tells from. */
 export type StateServerSource = {
@@ -24,6 +27,7 @@
   readonly link: Link;
   /** Revision of its listing; undefined until it has told. */
   revision: number | undefined;
+  toldAt: Milliseconds;
   readonly hosts: Map<HostId, string>;
   /** The directory's entries that `hosts` was made from. */
   from: readonly HostEntry[] | undefined;
@@ -54,6 +58,7 @@
     const follower: Follower = {
       link,
       revision: undefined,
+      toldAt: -Infinity,
       hosts: new Map(),
       from: undefined,
     };
@@ -66,8 +71,12 @@
   }
 
   #repeat(): void {
-    this.#source.context.clock.after(STATE_MS, () => {
-      this.tell();
+    const { clock } = this.#source.context;
+    clock.after(STATE_MS, () => {
+      const dueAt = clock.now() - STATE_MS;
+      for (const follower of this.#followers) {
+        if (follower.toldAt <= dueAt) this.#send(follower);
+      }
       this.#repeat();
     });
   }
@@ -83,6 +92,7 @@
     if (follower.revision === undefined) return;
     const message = this.#messageFor(follower, follower.revision);
     if (message.listing) follower.revision = message.listing.revision;
+    follower.toldAt = this.#source.context.clock.now();
     follower.link.send(message);
   }
 
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -24,9 +24,17 @@
 
 /** Least pause between two calls of the same kind. */
 const LEAST_PAUSE_MS = 250;
-/** A host that is not its hall's reader asks a store that is away so often. */
+/**
+ * A host that follows another asks a store that is away ever less often: its
+ * reader asks each 250 ms and tells it of the return. Its own calls only find
+ * a store that turns the reader away and not this host.
+ */
 const FOLLOWER_PAUSE_MS = 900;
-const FOLLOWER_SPREAD_MS = 400;
+const LONGEST_FOLLOWER_PAUSE_MS = 3600;
+/** Part of a pause that is random, so that hosts don't call in step. */
+const PAUSE_SPREAD = 0.4;
+/** A follower lists for itself at times longer by this factor. */
+const FOLLOWER_LIST_FACTOR = 1.8;
 /** Of configurations in quick succession a follower skips some. */
 const NEWER_PAUSE_MS = 300;
 /** Least pause before the freshness of the reader's word is looked at again. */
@@ -49,8 +57,8 @@
   #readingConfig = false;
   /** When a follower last read a configuration that it had heard of. */
   #newerAt: Milliseconds = -Infinity;
-  /** The last listing did not come. */
-  #lost = false;
+  /** Listings in a row that did not come. */
+  #failures = 0;
 
   constructor(source: StoreLoopsSource) {
     this.#source = source;
@@ -82,7 +90,7 @@
   }
 
   async #followReplicas(): Promise<void> {
-    const { context: { clock }, synchronizer, times } = this.#source;
+    const { context: { clock }, synchronizer } = this.#source;
     while (!this.#stopped) {
       const startedAt = clock.now();
       if (synchronizer.isTold(startedAt)) {
@@ -90,7 +98,7 @@
         continue;
       }
       const answered = await this.#readReplicas();
-      const pause = answered ? times.listMs : this.#failedPauseMs();
+      const pause = answered ? this.#answeredPauseMs() : this.#failedPauseMs();
       const spent = clock.now() - startedAt;
       await sleep(clock, Math.max(LEAST_PAUSE_MS, pause - spent));
     }
@@ -114,22 +122,35 @@
       synchronizer.noteStore(answered, askedAt);
     }
     // A watch may hang on a dead connection: it is begun anew on return.
-    if (answered && this.#lost) this.#watch.abort();
-    this.#lost = !answered;
+    if (answered && this.#failures > 0) this.#watch.abort();
+    this.#failures = answered ? 0 : this.#failures + 1;
     if (answered && !synchronizer.isTold(context.clock.now())) {
       follower.leaveIfStale("The store answers this host, not its reader");
     }
     return answered;
   }
 
-  #failedPauseMs(): Milliseconds {
+  get #isFollower(): boolean {
     const { context, follower } = this.#source;
-    if (follower.reader === context.self.id) return LEAST_PAUSE_MS;
-    return FOLLOWER_PAUSE_MS + context.random() * FOLLOWER_SPREAD_MS;
+    return follower.reader !== context.self.id;
+  }
+
+  /** A follower whose reader has told nothing yet waits for it a little. */
+  #answeredPauseMs(): Milliseconds {
+    const { listMs } = this.#source.times;
+    return this.#isFollower ? listMs * FOLLOWER_LIST_FACTOR : listMs;
+  }
+
+  #failedPauseMs(): Milliseconds {
+    if (!this.#isFollower) return LEAST_PAUSE_MS;
+    const doublings = Math.min(8, Math.max(0, this.#failures - 1));
+    const pause = FOLLOWER_PAUSE_MS * 2 ** doublings;
+    const spread = 1 + this.#source.context.random() * PAUSE_SPREAD;
+    return Math.min(LONGEST_FOLLOWER_PAUSE_MS, pause) * spread;
   }
 
   async #followConfig(): Promise<void> {
-    const { context: { clock }, synchronizer } = this.#source;
+    const { context: { clock, routes }, synchronizer } = this.#source;
     let revision: number | undefined;
     while (!this.#stopped) {
       if (synchronizer.isTold(clock.now())) {
@@ -137,6 +158,11 @@
         await this.#sleepWhileTold();
         continue;
       }
+      // One loop is enough to find out when the store is back.
+      if (this.#failures > 0 && routes.config !== undefined) {
+        await sleep(clock, LEAST_PAUSE_MS);
+        continue;
+      }
       const reading = await this.#readConfig(revision);
       if (!reading) await sleep(clock, this.#failedPauseMs());
       revision = reading?.revision;
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -12,6 +12,12 @@
 
 /** A word of the store that is older than this has to be read anew. */
 const FRESH_MS = 1300;
+/**
+ * The relay of a hall reads anew sooner, so that its followers, who would all
+ * call the store at once, hear from it before their own limit. A listing each
+ * 700 ms is never that old while its reader is well.
+ */
+const RELAY_FRESH_MS = 1000;
 /**
  * After the store was away, entries of live replicas that it lost are back
  * within about two seconds: until then a missing replica is kept.
@@ -24,8 +30,10 @@
 export type SyncSource = {
   readonly context: GatewayContext;
   readonly onConfig: (config: RouteConfig) => void;
-  /** Routes or replicas have changed. */
+  /** Routes or replicas have changed, or there is a newer word of the store. */
   readonly onChange: () => void;
+  /** This host relays the word of the store to its hall. */
+  readonly isRelay: () => boolean;
 };
 
 /** What the reader of the hall has told. */
@@ -78,7 +86,8 @@
   /** How long the reader's word stays fresh if it says no more; at least 0. */
   freshForMs(now: Milliseconds): Milliseconds {
     if (this.#told === undefined) return 0;
-    return Math.max(0, this.#told.asOf + FRESH_MS - now);
+    const freshMs = this.#source.isRelay() ? RELAY_FRESH_MS : FRESH_MS;
+    return Math.max(0, this.#told.asOf + freshMs - now);
   }
 
   /** The reader has had a newer configuration for a while. */
@@ -126,7 +135,9 @@
     if (ageMs === undefined) return true;
     const isNewer = version > routes.version;
     const behindSince = isNewer ? this.#told?.behindSince ?? now : undefined;
+    const before = this.storeAgeMs(now);
     this.#told = { asOf: now - ageMs, version, behindSince };
+    if (ageMs < before) this.#source.onChange();
     return true;
   }
 
@@ -146,6 +157,7 @@
     }
     this.#lost = false;
     this.#readAt = askedAt;
+    this.#source.onChange();
   }
 
   #noteChange(change: ListingChange, revision: number, source: string): void {
