A request waits unless its caller would give up first; refusals name a forecast

Ruled out: no refusals at all (a request that waits to its end and is refused then has lost its time for nothing).

Change: a forecast at arrival and each 250 ms; what can begin before its caller gives up waits, late ones behind those that can be on time; the rest is refused at once with the time at which the forecast sees room, up to what callers heed, spread over half of the wait. Who came back goes before newcomers of its priority. When callers give a stream up follows from the route, in the adapter, in place of a setting. Gone: EARLY_SHARE, EARLY_MARGIN_MS, LEAST_RETRY_MS, LONGEST_RETRY_MS, FULL_SHARE, tuning.first_event_patience.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -19,8 +19,6 @@
   readonly retryAfterObjectives: number;
   /** A resumable stream without events for so long goes on elsewhere. */
   readonly stallMs: Milliseconds;
-  /** Streams whose first event comes later than this are given up on. */
-  readonly firstEventPatienceMs: Milliseconds;
   /** Output that is reserved, as a multiple of the caller's guess. */
   readonly outputMargin: number;
   /** Share of a replica's memory that is reserved at most. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -304,7 +304,6 @@
     prefillTimeoutMs: tuning.prefill_timeout,
     retryAfterObjectives: tuning.retry_after_objectives,
     stallMs: tuning.stall,
-    firstEventPatienceMs: tuning.first_event_patience,
     outputMargin: tuning.output_margin,
     memoryShare: tuning.memory_share,
     farCharge: tuning.far_charge,
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -16,6 +16,7 @@
   timeoutMs: z.number(),
   objectiveMs: z.number(),
   gapMs: z.number(),
+  silenceMs: z.number(),
   attempts: z.number(),
   priority: z.number(),
   targets: z.array(z.object({ service: z.string(), weight: z.number() })),
--- a/src/gateway/planning/admission.ts
+++ b/src/gateway/planning/admission.ts
@@ -1,7 +1,8 @@
 /**
- * Early refusals under load. A request that will be late is worth little and
- * takes the memory of one that could be on time; refused at once, it can come
- * back when the burst is over. One that has come back is never refused so.
+ * Forecasts when a pool can begin with a request, and refuses at once what it
+ * can't begin before the caller gives up. A request that would only be late
+ * waits: a late answer is worth more to its caller than none, and late requests
+ * are served after those that can be on time.
  */
 import type { Milliseconds } from "../../core/ids.ts";
 
@@ -9,16 +10,15 @@
 const FIRST_LIFE_MS = 4000;
 /** Part of the old mean that stays with each new life. */
 const LIFE_MEMORY = 0.95;
-/** Memory below this share in use: nothing is refused for want of it. */
-const FULL_SHARE = 0.6;
 /** Part of the free memory that can be used: requests don't fit exactly. */
 const FREE_USE = 0.8;
 /** A refused request is known again for so long. */
 const REMEMBER_MS = 12_000;
-/** Time to come back: the wait, at least this, and a random part. */
-const LEAST_RETRY_MS = 2000;
-const RETRY_SPREAD_MS = 2000;
-const LONGEST_RETRY_MS = 4500;
+/**
+ * Callers that are refused together are spread over this part of their wait:
+ * memory comes back evenly, and so should they.
+ */
+const RETRY_SPREAD = 0.5;
 
 /** The state of a pool when a request asks. */
 export type PoolState = {
@@ -32,7 +32,17 @@
   readonly prefillMs: Milliseconds;
 };
 
-/** Foresees waits and remembers whom it refused. */
+/** A request that is refused. */
+export type RefusedRequest = {
+  /** Names its prompt; may be empty. */
+  readonly key: string;
+  /** The forecast of its wait. */
+  readonly waitMs: Milliseconds;
+  /** Longest time to come back that its caller heeds. */
+  readonly longestRetryMs: Milliseconds;
+};
+
+/** Forecasts waits and remembers whom it refused. */
 export class Admission {
   readonly #random: () => number;
   readonly #refused = new Map<string, Milliseconds>();
@@ -56,7 +66,6 @@
   waitMs({ tokens, held, memory, prefillMs }: PoolState): Milliseconds {
     const total = held.reduce((sum, one) => sum + one, 0);
     const all = memory * held.length;
-    if (total < all * FULL_SHARE) return 0;
     const missing = tokens - Math.max(0, all - total) * FREE_USE;
     // Memory comes back evenly: what is held, over the life of a place.
     const memoryMs = Math.max(0, missing) * this.#lifeMs / Math.max(1, total);
@@ -64,13 +73,15 @@
   }
 
   /** Remembers a refusal; gives the time after which to come back. */
-  refuse(key: string, waitMs: Milliseconds, now: Milliseconds): Milliseconds {
+  refuse(
+    { key, waitMs, longestRetryMs }: RefusedRequest,
+    now: Milliseconds,
+  ): Milliseconds {
     for (const [known, until] of this.#refused) {
       if (until <= now) this.#refused.delete(known);
     }
     if (key !== "") this.#refused.set(key, now + REMEMBER_MS);
-    const least = Math.max(LEAST_RETRY_MS, waitMs);
-    const spread = this.#random() * RETRY_SPREAD_MS;
-    return Math.min(LONGEST_RETRY_MS, least + spread);
+    const spread = 1 + this.#random() * RETRY_SPREAD;
+    return Math.min(longestRetryMs, waitMs * spread);
   }
 }
--- a/src/gateway/planning/ask_queue.ts
+++ b/src/gateway/planning/ask_queue.ts
@@ -13,10 +13,10 @@
   /** When its first event is due. */
   readonly dueAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
-  /** Until then a refusal still counts as an early one. */
-  readonly decideAt: Milliseconds;
-  /** It was decided that it waits. */
-  decided: boolean;
+  /** It was refused a while ago and came back. */
+  readonly returned: boolean;
+  /** When its wait is forecast next. */
+  forecastAt: Milliseconds;
 };
 
 /** Requests by the id of their ask. */
@@ -30,7 +30,7 @@
 
   /** Enters an ask that came at `now`. */
   add(
-    asked: Pick<Waiting, "from" | "ask" | "decided">,
+    asked: Pick<Waiting, "from" | "ask" | "returned">,
     now: Milliseconds,
   ): void {
     const { ask } = asked;
@@ -40,7 +40,7 @@
       priority: ask.priority,
       dueAt: now + ask.slackMs,
       giveUpAt: now + ask.patienceMs,
-      decideAt: now + ask.decideMs,
+      forecastAt: now,
     });
   }
 
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -36,8 +36,8 @@
   patienceMs: z.number(),
   /** Names the prompt, to know a request that comes back; may be empty. */
   key: z.string(),
-  /** Within this time a refusal still counts as an early one. */
-  decideMs: z.number(),
+  /** Longest time to come back that its caller heeds. */
+  longestRetryMs: z.number(),
   /**
    * An earlier send of the request may have run, or its caller already has a
    * part of the answer: it goes before new requests and is never refused early.
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -9,11 +9,15 @@
   readonly begun: boolean;
   /** Rank of its route; 0 is the most urgent. */
   readonly priority: number;
+  /** It was refused a while ago and came back. */
+  readonly returned: boolean;
 };
 
 /**
- * Begun requests first, then by priority; of one priority those that can still
- * meet their deadline before those that can't, by due time within each.
+ * Begun requests first, then by priority. Of one priority those that came back
+ * when they were told to go first: they are few, and their callers don't come
+ * a third time. Then those that can still meet their deadline before those
+ * that can't, by due time within each.
  */
 export function inOrder<One extends Queued>(
   waits: readonly One[],
@@ -23,10 +27,12 @@
   const keyed = waits.map((one) => ({
     one,
     rank: one.begun ? -1 : one.priority,
+    isNew: !one.begun && !one.returned,
     isLate: !one.begun && now + serviceMs(one) > one.dueAt,
   }));
   keyed.sort((a, b) =>
     a.rank - b.rank ||
+    Number(a.isNew) - Number(b.isNew) ||
     Number(a.isLate) - Number(b.isLate) ||
     a.one.dueAt - b.one.dueAt
   );
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -34,8 +34,8 @@
   readonly giveUpAt: Milliseconds;
   /** Names the prompt, to know a request that comes back. */
   readonly key: string;
-  /** Until then a refusal still counts as an early one. */
-  readonly decideAt: Milliseconds;
+  /** Longest time to come back that its caller heeds. */
+  readonly longestRetryMs: Milliseconds;
   /** An earlier send may have run: the request goes before new ones. */
   readonly begun: boolean;
   /** The decode replica is to read the prompt itself. */
@@ -266,7 +266,7 @@
       slackMs: wish.dueAt - now,
       patienceMs: wish.giveUpAt - now,
       key: wish.key,
-      decideMs: wish.decideAt - now,
+      longestRetryMs: wish.longestRetryMs,
       begun: wish.begun,
       whole: wish.whole,
       excluded: [...wish.excluded],
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -32,6 +32,11 @@
  * under load every request is served near the last moment that it can be.
  */
 const FIRST_EVENT_MS = 150;
+/**
+ * A wait is forecast anew after this time: replicas come and go, and a forecast
+ * looks at each decode replica.
+ */
+const FORECAST_MS = 250;
 /** A caller of a plain service that is full comes back after this, or twice. */
 const PLAIN_RETRY_MS = 300;
 /** A replica that had no memory is not given any for this time. */
@@ -84,8 +89,8 @@
   ask(from: string, ask: PlanAsk, now: Milliseconds): void {
     this.#ledger.remove(ask.id);
     this.#urgency.note(ask.service, ask.priority, now);
-    const decided = ask.begun || this.#admission.cameBack(ask.key, now);
-    this.#queue.add({ from, ask, decided }, now);
+    const returned = this.#admission.cameBack(ask.key, now);
+    this.#queue.add({ from, ask, returned }, now);
   }
 
   /** Enters a place that was given elsewhere. */
@@ -169,7 +174,7 @@
     for (const one of this.#queue.inOrder(now, serviceMs)) {
       const pool = poolOf(one.ask.service);
       const message = this.#answer(one, pool, now) ??
-        this.#decide(one, pool, now);
+        this.#foresee(one, pool, now);
       if (!message) {
         pool.noteWaiting(one.ask);
         continue;
@@ -246,15 +251,15 @@
     return { ...this.#refusal(one, "busy"), retryAfterMs };
   }
 
-  /** Refuses at once what will not be on time, so that it can come back. */
-  #decide(
+  /** Refuses at once what can't begin before its caller gives up. */
+  #foresee(
     one: Waiting,
     pool: PoolSnapshot,
     now: Milliseconds,
   ): PlannerMessage | undefined {
-    if (one.decided || now < one.decideAt) return undefined;
-    one.decided = true;
-    const { tokens, promptTokens, key } = one.ask;
+    if (one.begun || one.returned || now < one.forecastAt) return undefined;
+    one.forecastAt = now + FORECAST_MS;
+    const { tokens, key, longestRetryMs } = one.ask;
     const { ahead, prefills } = pool;
     const waitMs = this.#admission.waitMs({
       tokens: tokens + ahead.tokens,
@@ -262,9 +267,11 @@
       memory: pool.memory,
       prefillMs: readingMs(this.#ledger, prefills, ahead.promptTokens),
     });
-    const startMs = pool.prefillMs(promptTokens) + FIRST_EVENT_MS;
-    if (now + waitMs + startMs <= one.dueAt) return undefined;
-    const retryAfterMs = this.#admission.refuse(key, waitMs, now);
+    if (now + waitMs <= one.giveUpAt) return undefined;
+    const retryAfterMs = this.#admission.refuse(
+      { key, waitMs, longestRetryMs },
+      now,
+    );
     return { ...this.#refusal(one, "busy"), retryAfterMs };
   }
 
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -13,6 +13,8 @@
   readonly id?: string;
   /** How long the caller will wait. */
   readonly patienceMs?: Milliseconds;
+  /** Longest time to come back that the caller heeds when it is refused. */
+  readonly longestRetryMs?: Milliseconds;
   /** 0 when the head names no prompt. */
   readonly promptTokens: number;
   /** Names the prompt: an attempt of the same request names the same. */
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -28,14 +28,15 @@
   takeReservation,
 } from "./reservations.ts";
 
-/** Time from a reservation to the first event, used for when to give up. */
-const SERVICE_MS = 400;
+/**
+ * Time from a grant to the caller's first event: a prefill of the longest
+ * prompts takes 0.3 s (docs/MEASUREMENTS.md), the rest is on the way.
+ */
+const SERVICE_MS = 600;
+/** Where the caller doesn't say how long it waits. */
+const USUAL_RETRY_MS = 4000;
 /** A reservation that ends sooner than this is not used. */
 const EXPIRY_MARGIN_MS = 100;
-/** A refusal within this share of the objective counts as an early one. */
-const EARLY_SHARE = 0.25;
-/** Time that an early refusal takes to its caller. */
-const EARLY_MARGIN_MS = 50;
 /** Pause before the planner is asked again when it named a closed replica. */
 const LISTING_PAUSE_MS = 100;
 
@@ -97,7 +98,6 @@
   async #find(need: PlaceNeed): Promise<PlannedPlace | PlaceRefusal> {
     const { context, request, places, engine } = this.#source;
     const { receivedAt, route, limitAt, service, facts } = request;
-    const patience = context.tuning.firstEventPatienceMs;
     // The caller of a started answer waits anew after each event.
     const waitsSince = need.begun ? context.clock.now() : receivedAt;
     const id = nextPlaceId(context);
@@ -108,9 +108,9 @@
       promptTokens: facts.promptTokens,
       priority: route.priority,
       dueAt: receivedAt + route.objectiveMs,
-      giveUpAt: Math.min(limitAt, waitsSince + patience) - SERVICE_MS,
+      giveUpAt: Math.min(limitAt, waitsSince + route.silenceMs) - SERVICE_MS,
       key: facts.promptKey ?? "",
-      decideAt: receivedAt + route.objectiveMs * EARLY_SHARE - EARLY_MARGIN_MS,
+      longestRetryMs: facts.longestRetryMs ?? USUAL_RETRY_MS,
       begun: need.begun,
       whole: this.#whole,
       excluded: need.excluded,
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -74,7 +74,7 @@
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, askedAt + PLANNER_MS),
       key: "",
-      decideAt: limitAt,
+      longestRetryMs: PLANNER_MS,
       begun,
       whole: true,
       excluded,
--- a/src/gateway/routing/model.ts
+++ b/src/gateway/routing/model.ts
@@ -28,6 +28,8 @@
   readonly objectiveMs: Milliseconds;
   /** Longest pause between events that is on time. */
   readonly gapMs: Milliseconds;
+  /** Callers give a stream up after so long without an event. */
+  readonly silenceMs: Milliseconds;
   /** Most replicas that one request may be sent to. */
   readonly attempts: number;
   /** 0 is the most urgent. */
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -42,7 +42,6 @@
   prefill_timeout: duration("1s"),
   retry_after_objectives: z.number().positive().default(2),
   stall: duration("1500ms"),
-  first_event_patience: duration("3400ms"),
   /**
    * A running answer holds half of its output on average over its life, and
    * many share a replica: more leaves memory idle, less makes replicas
--- /dev/null
+++ b/test/gateway/planning/admission_test.ts
@@ -0,0 +1,69 @@
+/** Who waits at the planner of a full pool, and who is refused at once. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ReplicaStage } from "../../../src/gateway/mod.ts";
+import { Planner } from "../../../src/gateway/planning/planner.ts";
+import { ask, grants, messages, replica, view } from "./planner_rig.ts";
+
+test("what can't begin before its caller gives up is refused at once", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  // 900 of 2,000 tokens come back within 900 / 1,600 of a life of 4 s.
+  const big = { key: "k", tokens: 900, patienceMs: 1000 };
+  planner.ask("h", ask("e", big), 0);
+  const [refusal] = messages(planner, 0);
+  assert.ok(refusal?.type === "refusal");
+  assert.equal(refusal.reason, "busy");
+  assert.equal(refusal.retryAfterMs, 1450);
+  const hurried = { ...big, longestRetryMs: 700 };
+  planner.ask("h", ask("f", { ...hurried, key: "l" }), 0);
+  const [sooner] = messages(planner, 0);
+  assert.ok(sooner?.type === "refusal" && sooner.retryAfterMs === 700);
+});
+
+test("what will only be late waits, and is served", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  planner.ask("h", ask("e", { tokens: 900, slackMs: 100 }), 0);
+  assert.deepEqual(messages(planner, 0), []);
+  assert.deepEqual(messages(planner, 1500), []);
+  for (const id of ["a", "b", "c", "d"]) {
+    planner.progress({ type: "progress", id, stage: "ended" }, 1600);
+  }
+  assert.deepEqual(grants(messages(planner, 1600)), ["e"]);
+});
+
+test("a request that comes back is not refused again, and goes first", () => {
+  const planner = new Planner(view());
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  const big = { key: "k", tokens: 900, patienceMs: 1000 };
+  planner.ask("h", ask("e", big), 0);
+  assert.equal(messages(planner, 0)[0]?.type, "refusal");
+  planner.ask("h", ask("new", { tokens: 900, patienceMs: 6000 }), 1400);
+  planner.ask("h", ask("f", big), 1450);
+  assert.deepEqual(messages(planner, 1450), []);
+  for (const id of ["a", "c"]) {
+    planner.progress({ type: "progress", id, stage: "ended" }, 1600);
+  }
+  assert.deepEqual(grants(messages(planner, 1600)), ["f"]);
+});
+
+test("replicas that go make what can't be served any more known at once", () => {
+  let replicas = [
+    replica("d1", ReplicaStage.decode),
+    replica("d2", ReplicaStage.decode),
+  ];
+  const planner = new Planner(view({ replicasOf: () => replicas }));
+  for (const id of ["a", "b", "c", "d"]) planner.ask("h", ask(id), 0);
+  assert.equal(grants(messages(planner, 0)).length, 4);
+  for (const id of ["e", "f", "g"]) planner.ask("h", ask(id), 1);
+  assert.deepEqual(messages(planner, 1), []);
+  replicas = replicas.slice(1);
+  const refused = messages(planner, 260).map((one) =>
+    one.type === "refusal" ? one.id : one.type
+  );
+  assert.deepEqual(refused, ["f", "g"]);
+});
--- a/test/gateway/routing/route_table_test.ts
+++ b/test/gateway/routing/route_table_test.ts
@@ -22,6 +22,7 @@
     timeoutMs: 1000,
     objectiveMs: 100,
     gapMs: 100,
+    silenceMs: 2000,
     attempts: 1,
     priority: 0,
     targets: [{ service: "s", weight: 1 }],
