A host writes a row for itself and its followers

Ruled out: longer rows alone (a dead host stays listed as long); gossip only (a fleet that starts with stale seeds finds nobody).

Change: a follower names itself on its link; the host that it follows writes one row for all of them, each 20 s and a second after a change. A starting host that finds others of its hall waits 2 s to be named before it writes.

Tests: host_rows_test (fail on the code before: no such rows); hall_link_test closes its server also when it fails (a failure hung the run for 10 minutes).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -136,6 +136,9 @@
       store,
       directory: this.#directory,
       synchronizer: this.#synchronizer,
+      followers: () => this.#states.hosts,
+      isNamedByReader: () =>
+        this.#follower.reader !== host.id && !this.#follower.isRelay,
     });
     void runStageLoop({
       context,
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -16,8 +16,12 @@
 /** A host without a configuration can serve nothing: it asks more often. */
 const FIRST_ASK_MS = 100;
 const ASK_TIMEOUT_MS = 350;
-/** Times of this host's own row and of the list of hosts. */
+/** Time after which a host writes its row again. */
 const ROW_MS = 20_000;
+/** A row is written so soon after the followers have changed. */
+const ROW_CHECK_MS = 1000;
+/** A starting host that knows others of its hall leaves its row to them. */
+const FIRST_ROW_MS = 2000;
 /** The reader of a hall looks for new hosts so often. */
 const LOOK_MS = 4000;
 /** At the start all hosts come up together: they look more often. */
@@ -32,6 +36,10 @@
   readonly store: Store;
   readonly directory: HostDirectory;
   readonly synchronizer: Synchronizer;
+  /** Hosts that follow this one. */
+  followers(): readonly HostEntry[];
+  /** The host that this one follows is of its hall and names it in its row. */
+  isNamedByReader(): boolean;
 };
 
 /** Runs the loops for as long as the process lives. */
@@ -41,20 +49,48 @@
   void askPeers(source);
 }
 
-/** Writes this host's row now and then. */
+/**
+ * Writes the row of this host and its followers now and then, and soon after a
+ * change. A host of whom another writes has no row to keep.
+ */
 async function keepRow(source: PeerLoopSource): Promise<void> {
-  const { context: { clock }, store, self, directory } = source;
+  const { context: { clock }, store, self } = source;
+  let written:
+    | { readonly at: Milliseconds; readonly names: string }
+    | undefined;
+  if (await findNeighbours(source)) await sleep(clock, FIRST_ROW_MS);
   for (;;) {
-    const hosts = await within(
-      clock,
-      STORE_TIMEOUT_MS,
-      (signal) => exchangeRows(store, self, signal),
-    );
-    if (hosts) directory.learn(hosts, clock.now());
-    await sleep(clock, hosts ? ROW_MS : ROW_FAILED_MS);
+    const hosts = [self, ...source.followers()];
+    const names = hosts.map((one) => one.id).sort().join();
+    const isDue = written === undefined || names !== written.names ||
+      clock.now() - written.at >= ROW_MS;
+    if (isDue && !source.isNamedByReader()) {
+      const row = { writer: self.id, hosts };
+      const read = await within(
+        clock,
+        STORE_TIMEOUT_MS,
+        (signal) => exchangeRows(store, row, signal),
+      );
+      if (read) source.directory.learn(read, clock.now());
+      written = read ? { at: clock.now(), names } : undefined;
+    }
+    await sleep(clock, written ? ROW_CHECK_MS : ROW_FAILED_MS);
   }
 }
 
+/** Reads the hosts; whether one of this hall is among them. */
+async function findNeighbours(source: PeerLoopSource): Promise<boolean> {
+  const { context: { clock }, store, self, directory } = source;
+  const hosts = await within(
+    clock,
+    STORE_TIMEOUT_MS,
+    (signal) => readHosts(store, signal),
+  );
+  if (!hosts) return false;
+  directory.learn(hosts, clock.now());
+  return hosts.some(({ id, hall }) => hall === self.hall && id !== self.id);
+}
+
 /** Looks for new hosts, unless the reader of the hall tells of them. */
 async function findHosts(source: PeerLoopSource): Promise<void> {
   const { context: { clock }, store, directory, synchronizer } = source;
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -130,7 +130,12 @@
     this.#link = link;
     this.#openedAt = context.clock.now();
     context.events.note("readerChosen", { reader });
-    link.send({ type: "follow", revision: context.replicas.revision });
+    this.#follow(context.replicas.revision);
+  }
+
+  #follow(revision: number): void {
+    const host = this.#source.self;
+    this.#link?.send({ type: "follow", revision, host });
   }
 
   #ended(link: Link): void {
@@ -152,7 +157,7 @@
     const message = readJson(ReaderMessageSchema, text);
     if (message?.type !== "state") return;
     if (this.#source.onState(message, this.#reader)) return;
-    this.#link?.send({ type: "follow", revision: -1 });
+    this.#follow(-1);
   }
 
   #close(): void {
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -7,6 +7,8 @@
   type: z.literal("follow"),
   /** The revision of the follower's listing; -1: it wants the whole. */
   revision: z.number(),
+  /** The follower itself, so that its reader can name it to others. */
+  host: HostEntrySchema,
 });
 
 const State = z.object({
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -27,6 +27,7 @@
   readonly link: Link;
   /** Revision of its listing; undefined until it has told. */
   revision: number | undefined;
+  host: HostEntry | undefined;
   toldAt: Milliseconds;
   readonly hosts: Map<HostId, string>;
   /** The directory's entries that `hosts` was made from. */
@@ -58,6 +59,7 @@
     const follower: Follower = {
       link,
       revision: undefined,
+      host: undefined,
       toldAt: -Infinity,
       hosts: new Map(),
       from: undefined,
@@ -65,6 +67,11 @@
     this.#followers.add(follower);
   }
 
+  /** The hosts that follow this one now. */
+  get hosts(): HostEntry[] {
+    return [...this.#followers].flatMap(({ host }) => host ? [host] : []);
+  }
+
   /** Something has changed: all followers are told now. */
   tell(): void {
     for (const follower of this.#followers) this.#send(follower);
@@ -85,6 +92,11 @@
     const message = readJson(FollowerMessageSchema, text);
     if (message?.type !== "follow") return;
     follower.revision = message.revision;
+    follower.host = message.host;
+    this.#source.directory.learn(
+      [message.host],
+      this.#source.context.clock.now(),
+    );
     this.#send(follower);
   }
 
@@ -117,7 +129,8 @@
     const entries = directory.entries();
     if (follower.from === entries) return {};
     follower.from = entries;
-    const now = [self, ...entries];
+    const now = [self, ...entries]
+      .filter((one) => one.id !== follower.host?.id);
     const hosts = now.filter((one) =>
       follower.hosts.get(one.id) !== one.address
     );
--- /dev/null
+++ b/test/gateway/peers/host_rows_test.ts
@@ -0,0 +1,136 @@
+/** Who writes rows by which hosts find each other, and whom they name. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { GatewayContext } from "../../../src/gateway/context.ts";
+import type {
+  HostEntry,
+  RowReading,
+  RowWrite,
+  Store,
+} from "../../../src/gateway/mod.ts";
+import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
+import { liveHosts } from "../../../src/gateway/peers/host_rows.ts";
+import { startPeerLoops } from "../../../src/gateway/peers/peer_loop.ts";
+import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
+
+function host(id: string, address = "127.0.0.1:1"): HostEntry {
+  return { id, address, hall: "h" };
+}
+
+function reading(
+  rows: readonly { hosts: readonly HostEntry[]; writtenMs: number }[],
+  nowMs: number,
+): RowReading {
+  return {
+    nowMs,
+    rows: rows.map((row, at) => ({
+      key: String(at),
+      value: JSON.stringify(row),
+      revision: at,
+    })),
+  };
+}
+
+test("hosts are those of rows that were written lately, as the newest has them", () => {
+  const moved = host("b", "127.0.0.1:2");
+  const rows = [
+    { hosts: [host("a"), moved], writtenMs: 50_000 },
+    { hosts: [host("b")], writtenMs: 40_000 },
+    { hosts: [host("gone")], writtenMs: 1000 },
+  ];
+  assert.deepEqual(liveHosts(reading(rows, 61_000)), [moved, host("a")]);
+});
+
+/** Lets one host live with a store, in virtual time. */
+function live(
+  known: readonly HostEntry[],
+  followers: (now: number) => readonly HostEntry[],
+  isNamedByReader: (now: number) => boolean,
+) {
+  const time = { now: 0 };
+  const timers: { at: number; work: () => void }[] = [];
+  const writes: { at: number; ids: string[] }[] = [];
+  const rows = known.length > 0 ? [{ hosts: known, writtenMs: 0 }] : [];
+  const self = host("self");
+  const store = {
+    readRows: () => Promise.resolve(reading(rows, time.now)),
+    writeRow: ({ value }: RowWrite) => {
+      const row = JSON.parse(value) as { hosts: HostEntry[] };
+      writes.push({ at: time.now, ids: row.hosts.map((one) => one.id) });
+      return Promise.resolve({ type: "written", revision: 1, nowMs: 0 });
+    },
+  } as unknown as Store;
+  startPeerLoops({
+    context: {
+      clock: {
+        now: () => time.now,
+        after: (delayMs: number, work: () => void) => {
+          const timer = { at: time.now + delayMs, work };
+          timers.push(timer);
+          return () => {
+            if (timers.includes(timer)) timers.splice(timers.indexOf(timer), 1);
+          };
+        },
+      },
+      random: () => 0,
+      routes: new RouteTable(),
+    } as unknown as GatewayContext,
+    self,
+    store,
+    directory: new HostDirectory(self, []),
+    synchronizer: {
+      isTold: () => true,
+      storeAgeMs: () => 0,
+      isBehind: () => false,
+    } as unknown as Synchronizer,
+    followers: () => followers(time.now),
+    isNamedByReader: () => isNamedByReader(time.now),
+  });
+  const run = async (untilMs: number) => {
+    for (; time.now < untilMs; time.now += 100) {
+      await new Promise((resolve) => setImmediate(resolve));
+      for (const due of timers.filter((one) => one.at <= time.now)) {
+        timers.splice(timers.indexOf(due), 1);
+        due.work();
+      }
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  };
+  return { run, writes };
+}
+
+test("a host alone writes its row at once and then now and then", async () => {
+  const { run, writes } = live([], () => [], () => false);
+  await run(45_000);
+  assert.equal(writes[0]?.at, 0);
+  assert.equal(writes.length, 3);
+});
+
+test("a host that its reader names writes no row", async () => {
+  const { run, writes } = live([host("reader")], () => [], (now) => now > 500);
+  await run(60_000);
+  assert.deepEqual(writes, []);
+});
+
+test("a row names the followers, soon after they have changed", async () => {
+  const followers = (now: number) => now < 5000 ? [] : [host("b"), host("c")];
+  const { run, writes } = live([], followers, () => false);
+  await run(8000);
+  assert.deepEqual(writes.map((one) => one.ids), [
+    ["self"],
+    ["self", "b", "c"],
+  ]);
+  assert.ok((writes[1]?.at ?? 0) <= 6200);
+});
+
+test("a host whose reader is gone writes its row itself", async () => {
+  const { run, writes } = live(
+    [host("reader")],
+    () => [],
+    (now) => now > 500 && now < 10_000,
+  );
+  await run(13_000);
+  assert.equal(writes.length, 1);
+  assert.ok((writes[0]?.at ?? 0) >= 10_000);
+});
--- a/test/gateway/peers/peer_loop_test.ts
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -26,6 +26,8 @@
     store: { readRows: never, writeRow: never } as unknown as Store,
     directory: new HostDirectory(self, []),
     synchronizer: {} as Synchronizer,
+    followers: () => [],
+    isNamedByReader: () => false,
   });
   return pauses;
 }
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -54,7 +54,7 @@
   while (!isSo()) await new Promise((resolve) => setTimeout(resolve, 5));
 }
 
-test("a follower takes what its reader tells, and leaves it when it is gone", async () => {
+test("a follower takes what its reader tells, and leaves it when it is gone", async (t) => {
   const { reader, follower } = names();
   const ages = { now: Infinity };
   const there = makeContext();
@@ -65,6 +65,10 @@
   await new Promise<void>((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve())
   );
+  t.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
   const bound = server.address();
   const port = typeof bound === "object" && bound ? bound.port : 0;
   const place: HostEntry = {
