The caller's hall first while its replicas have room

Replicas of all halls were chosen by free memory alone, but for a tenth.

Change: below half of their memory decode replicas count as equal and the hall decides; a prefill in another hall than its decode counts as 60 ms, for its cache moves at half the rate. createContext has a file of its own.

--- /dev/null
+++ b/src/gateway/create_context.ts
@@ -0,0 +1,65 @@
+/** What the parts of a gateway share, made from its settings. */
+import { monotonicNow, newIncarnation } from "../shell/clock.ts";
+import type { GatewaySettings } from "../settings/mod.ts";
+import { systemClock } from "./clock.ts";
+import type { GatewayContext, GatewayTuning } from "./context.ts";
+import { openEventLog } from "./observe/event_log.ts";
+import { LineWriter } from "./observe/line_writer.ts";
+import { Metrics } from "./observe/metrics.ts";
+import type { HostDirectory } from "./peers/directory.ts";
+import type { PlatformPort } from "./port.ts";
+import { ReplicaTable } from "./replicas/replica_table.ts";
+import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
+import { RouteTable } from "./routing/route_table.ts";
+import { UpstreamPool } from "./upstreams/pool.ts";
+
+/** Makes the shared state and ports of one gateway from its settings. */
+export function createContext(
+  settings: GatewaySettings,
+  port: PlatformPort,
+  directory: HostDirectory,
+): GatewayContext {
+  const { host, grace } = settings;
+  const clock = { ...systemClock, now: monotonicNow };
+  return {
+    self: { id: host.id, hall: host.hall, run: String(newIncarnation()) },
+    clock,
+    random: Math.random,
+    dialect: port.dialect,
+    routes: new RouteTable(),
+    replicas: new ReplicaTable(),
+    budget: new RetryBudget(budgetOf(settings)),
+    pool: new UpstreamPool(clock, settings.tuning.connect_timeout),
+    events: openEventLog({
+      program: "otterhill-gateway",
+      host: host.id,
+      level: settings.log.level,
+      clock,
+      writer: new LineWriter(),
+    }),
+    metrics: new Metrics(),
+    tuning: tuningOf(settings),
+    hostCount: () => directory.count,
+    stop: { graceMs: grace },
+  };
+}
+
+/** The retry budget of the fleet, as the settings have it. */
+export function budgetOf({ retries }: GatewaySettings): BudgetRule {
+  const { window, ratio, extra } = retries;
+  return { windowMs: window, ratio, extra };
+}
+
+/** Times and shares that the settings may change. */
+export function tuningOf(settings: GatewaySettings): GatewayTuning {
+  const { tuning } = settings;
+  return {
+    reserveTimeoutMs: tuning.reserve_timeout,
+    prefillTimeoutMs: tuning.prefill_timeout,
+    retryAfterObjectives: tuning.retry_after_objectives,
+    stallMs: tuning.stall,
+    outputMargin: tuning.output_margin,
+    memoryShare: tuning.memory_share,
+    farCharge: tuning.far_charge,
+  };
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,30 +1,23 @@
 /** Puts the parts of a gateway together and listens. */
 import { createServer, type Server } from "node:http";
-import { monotonicNow, newIncarnation } from "../shell/clock.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import { parseAddress } from "../util/address.ts";
 import { CallerServer } from "./callers/server.ts";
-import { sleep, systemClock } from "./clock.ts";
-import type { GatewayContext, GatewayTuning } from "./context.ts";
-import { openEventLog } from "./observe/event_log.ts";
-import { LineWriter } from "./observe/line_writer.ts";
-import { Metrics } from "./observe/metrics.ts";
+import { sleep } from "./clock.ts";
+import type { GatewayContext } from "./context.ts";
+import { budgetOf, createContext, tuningOf } from "./create_context.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { startPeerLoops } from "./peers/peer_loop.ts";
 import { createPeerServer } from "./peers/server.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
-import { ReplicaTable } from "./replicas/replica_table.ts";
 import { Places } from "./planning/places.ts";
 import { PlanService } from "./planning/plan_service.ts";
-import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
-import { RouteTable } from "./routing/route_table.ts";
 import { HallFollower } from "./state/hall_follower.ts";
 import type { StateMessage } from "./state/state_messages.ts";
 import { StateServer } from "./state/state_server.ts";
 import { StoreLoops } from "./state/store_loops.ts";
 import { Synchronizer } from "./state/synchronizer.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
-import { UpstreamPool } from "./upstreams/pool.ts";
 
 /** The balancer has surely left this long after the first refused check. */
 const LEAVE_MS = 3200;
@@ -264,51 +257,3 @@
     });
   }
 }
-
-function createContext(
-  settings: GatewaySettings,
-  port: PlatformPort,
-  directory: HostDirectory,
-): GatewayContext {
-  const { host, grace } = settings;
-  const clock = { ...systemClock, now: monotonicNow };
-  return {
-    self: { id: host.id, hall: host.hall, run: String(newIncarnation()) },
-    clock,
-    random: Math.random,
-    dialect: port.dialect,
-    routes: new RouteTable(),
-    replicas: new ReplicaTable(),
-    budget: new RetryBudget(budgetOf(settings)),
-    pool: new UpstreamPool(clock, settings.tuning.connect_timeout),
-    events: openEventLog({
-      program: "otterhill-gateway",
-      host: host.id,
-      level: settings.log.level,
-      clock,
-      writer: new LineWriter(),
-    }),
-    metrics: new Metrics(),
-    tuning: tuningOf(settings),
-    hostCount: () => directory.count,
-    stop: { graceMs: grace },
-  };
-}
-
-function budgetOf({ retries }: GatewaySettings): BudgetRule {
-  const { window, ratio, extra } = retries;
-  return { windowMs: window, ratio, extra };
-}
-
-function tuningOf(settings: GatewaySettings): GatewayTuning {
-  const { tuning } = settings;
-  return {
-    reserveTimeoutMs: tuning.reserve_timeout,
-    prefillTimeoutMs: tuning.prefill_timeout,
-    retryAfterObjectives: tuning.retry_after_objectives,
-    stallMs: tuning.stall,
-    outputMargin: tuning.output_margin,
-    memoryShare: tuning.memory_share,
-    farCharge: tuning.far_charge,
-  };
-}
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -19,8 +19,20 @@
 /** A request with less time left than this need not wait for a prefill. */
 const WHOLE_SLACK_MS = 700;
 
-/** What a prefill in another hall than its decode counts as. */
-const FAR_PREFILL_MS = 15;
+/**
+ * Decode replicas below this share of their memory in use are as good as each
+ * other (a step takes at most a tenth longer than at an idle one), so the hall
+ * decides: an answer that stays in its hall isn't lost when halls are cut off
+ * from each other, and its cache moves at twice the rate.
+ */
+const ROOMY_SHARE = 0.5;
+/** Among equals the emptier one; small beside the charge for another hall. */
+const TIE_WEIGHT = 0.02;
+/**
+ * What a prefill in another hall than its decode counts as: a KV cache takes
+ * twice as long to move there, and is lost when the halls are cut off.
+ */
+const FAR_PREFILL_MS = 60;
 
 /** Where a request is answered, and where its prompt is read. */
 export type EnginePlaces = {
@@ -113,7 +125,8 @@
       const full = (this.#fullUntil.get(incarnation) ?? 0) > now;
       if (full || (held > 0 && held + ask.tokens > memory)) return Infinity;
       const far = hall === ask.hall ? 0 : this.#view.farCharge;
-      return held / memory + far;
+      const taken = held / memory;
+      return Math.max(ROOMY_SHARE, taken) + far + taken * TIE_WEIGHT;
     });
   }
 
