Each gateway tells which settings and routes are in force on it

The log said that a reload happened, not to what, and the metrics said nothing.

Change: a settings version (a hash of what the file says of the fleet; the host's own name and addresses are left out, so that it is the same on all), in started, reloaded and reloadRefused, on the metrics address with its age and the reloads refused since; otterhillctl versions tells "192 of 195 on V; not: ...", ends with code 1 unless all answer and agree.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import type { GatewaySettings } from "../settings/mod.ts";
 import { parseAddress } from "../util/address.ts";
 import { CallerServer } from "./callers/server.ts";
-import { sleep } from "./clock.ts";
+import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
 import { budgetOf, createContext, tuningOf } from "./create_context.ts";
 import { HostDirectory } from "./peers/directory.ts";
@@ -15,6 +15,7 @@
 import { HallFollower } from "./state/hall_follower.ts";
 import type { StateMessage } from "./state/state_messages.ts";
 import { StateServer } from "./state/state_server.ts";
+import { SettingsState } from "./settings_state.ts";
 import { StoreLoops } from "./state/store_loops.ts";
 import { Synchronizer } from "./state/synchronizer.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
@@ -63,10 +64,12 @@
   readonly #directory: HostDirectory;
   readonly #peers: Server;
   readonly #servers: Server[] = [];
+  readonly #settingsState: SettingsState;
 
   constructor(settings: GatewaySettings, port: PlatformPort) {
     this.#settings = settings;
     const { host, listen } = settings;
+    this.#settingsState = new SettingsState(settings, systemClock.now());
     const address = host.peer_address ?? listen.peers;
     const self = { id: host.id, address, hall: host.hall };
     this.#self = self;
@@ -161,7 +164,10 @@
     if (listen.metrics !== undefined) {
       await this.#listenOn(this.#metricsServer(), listen.metrics);
     }
-    this.#context.events.note("started", { callers: listen.callers });
+    this.#context.events.note("started", {
+      callers: listen.callers,
+      settings: this.#settingsState.version,
+    });
     this.#tick();
   }
 
@@ -169,11 +175,16 @@
     this.#context.tuning = tuningOf(settings);
     this.#context.budget.change(budgetOf(settings));
     this.#context.stop.graceMs = settings.grace;
-    this.#context.events.note("reloaded", { cause });
+    const before = this.#settingsState.version;
+    this.#settingsState.loaded(settings, this.#context.clock.now());
+    const { version } = this.#settingsState;
+    this.#context.events.note("reloaded", { cause, settings: version, before });
   }
 
   noteFault(fault: string): void {
-    this.#context.events.note("reloadRefused", { fault });
+    this.#settingsState.refused();
+    const { version } = this.#settingsState;
+    this.#context.events.note("reloadRefused", { fault, settings: version });
   }
 
   async stop(): Promise<void> {
@@ -214,7 +225,8 @@
       request.resume();
       const { metrics, routes, replicas, clock } = this.#context;
       const age = this.#synchronizer.storeAgeMs(clock.now());
-      const page = metrics.page({
+      const gauges = {
+        ...this.#settingsState.gauges(clock.now()),
         requests_open: this.#callers.open,
         memory_waits: this.#plans.waiting,
         routes_version: routes.version,
@@ -222,7 +234,9 @@
         hosts_known: this.#directory.count,
         store_age_seconds: Number.isFinite(age) ? age / 1000 : -1,
         resident_bytes: process.memoryUsage.rss(),
-      });
+      };
+      const info = { settings: this.#settingsState.version };
+      const page = metrics.page(gauges, info);
       response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
       response.end(page);
     });
--- a/src/gateway/observe/metrics.ts
+++ b/src/gateway/observe/metrics.ts
@@ -47,9 +47,16 @@
     histogram.recordValue(Math.max(1, Math.min(LONGEST_MICROS, micros)));
   }
 
-  /** The page in the usual text exposition format. */
-  page(gauges: Readonly<Record<string, number>>): string {
+  /** The page in the usual text exposition format; `info` are versions. */
+  page(
+    gauges: Readonly<Record<string, number>>,
+    info: Readonly<Record<string, string>> = {},
+  ): string {
     const lines: string[] = [];
+    for (const [name, version] of Object.entries(info)) {
+      lines.push(`# TYPE otterhill_${name}_info gauge`);
+      lines.push(`otterhill_${name}_info{version="${version}"} 1`);
+    }
     for (const [name, value] of this.#counters) {
       lines.push(`# TYPE otterhill_${name}_total counter`);
       lines.push(`otterhill_${name}_total ${value}`);
--- a/src/programs/ctl/main.ts
+++ b/src/programs/ctl/main.ts
@@ -6,6 +6,7 @@
 import { addStatus } from "./status.ts";
 import { addStop } from "./stop.ts";
 import { addTemplate } from "./template.ts";
+import { addVersions } from "./versions.ts";
 
 const EXAMPLES = `
 Examples:
@@ -14,6 +15,7 @@
   otterhillctl --host 10.0.0.1:9001 --host 10.0.0.2:9001 status
   otterhillctl --host 10.0.0.1:9001 stop plan d-brest
   otterhillctl --host 10.0.0.1:9001 stop watch d-brest
+  otterhillctl versions 10.0.0.1:9464 10.0.0.2:9464
 
 The operator key is read from OTTERHILL_OPERATOR_KEY.
 Exit codes: 0 done, 1 could not be done, 2 faulty command line or settings,
@@ -37,6 +39,7 @@
 addStop(program);
 addSplit(program);
 addStatus(program);
+addVersions(program);
 await runProgram(async () => {
   await program.parseAsync();
 });
