A pass of the planner works out sums once; a benchmark of it

Cause: each forecast summed the memory of all decode replicas and the rates of all prefill replicas, and each waiting request filtered all replicas: waiting times replicas.

--- /dev/null
+++ b/bench/planner/main.ts
@@ -0,0 +1,96 @@
+/**
+ * npm run bench:planner: how long a pass of the planner over its queue takes
+ * when no waiting request can be placed, over replicas and waiting requests.
+ */
+import { ReplicaStage } from "../../src/gateway/mod.ts";
+import type { PlanAsk } from "../../src/gateway/planning/messages.ts";
+import { Planner } from "../../src/gateway/planning/planner.ts";
+import type { PlannerView } from "../../src/gateway/planning/view.ts";
+import { table } from "../policy/tables.ts";
+
+/** Memory of a decode replica, in tokens. */
+const MEMORY = 29_000;
+const PREFILL_SHARE = 0.22;
+const WARM_PASSES = 30;
+const PASSES = 100;
+const PASS_MS = 20;
+
+const rows: string[][] = [];
+for (const replicas of [90, 600]) {
+  for (const waiting of [0, 30, 100, 300]) {
+    const ms = medianPass(replicas, waiting);
+    rows.push([String(replicas), String(waiting), ms.toFixed(3)]);
+  }
+}
+console.log(table(["replicas", "waiting", "median pass, ms"], rows));
+
+/** The median time of a pass over a full pool. */
+function medianPass(replicas: number, waiting: number): number {
+  const planner = new Planner(viewOf(replicas));
+  fill(planner, replicas);
+  for (let at = 0; at < waiting; at++) {
+    planner.ask("host", ask(`w${at}`, MEMORY / 4), 0);
+  }
+  const times: number[] = [];
+  for (let count = 0; count < WARM_PASSES + PASSES; count++) {
+    const startedAt = performance.now();
+    planner.pass(count * PASS_MS);
+    if (count >= WARM_PASSES) times.push(performance.now() - startedAt);
+  }
+  if (planner.waiting !== waiting) throw new Error("The pool was not full");
+  return times.sort((a, b) => a - b)[PASSES / 2] ?? 0;
+}
+
+/** Gives all memory away. */
+function fill(planner: Planner, replicas: number): void {
+  const prefills = Math.ceil(replicas * PREFILL_SHARE);
+  for (let at = 0; at < replicas - prefills; at++) {
+    planner.ask("host", { ...ask(`f${at}`, MEMORY), whole: true }, 0);
+  }
+  planner.pass(0);
+}
+
+function viewOf(count: number): PlannerView {
+  const entries = Array.from({ length: count }, (_, at) => ({
+    incarnation: `i-${at}`,
+    service: "s",
+    address: `10.0.0.${at}:1`,
+    hall: `hall-${at % 5}`,
+    slots: 12,
+    leaving: false,
+    stage: at < count * PREFILL_SHARE
+      ? ReplicaStage.prefill
+      : ReplicaStage.decode,
+    coldMs: 0,
+  }));
+  return {
+    // A new array each time, as the replica table gives.
+    replicasOf: () => entries.filter((one) => !one.leaving),
+    memoryOf: () => MEMORY,
+    isPaused: () => false,
+    noteFailure: () => undefined,
+    noteTry: () => undefined,
+    noteSuccess: () => undefined,
+    random: () => 0,
+    farCharge: 0.1,
+  };
+}
+
+function ask(id: string, tokens: number): PlanAsk {
+  return {
+    type: "ask",
+    id,
+    service: "s",
+    tokens,
+    promptTokens: 3000,
+    hall: "hall-0",
+    priority: 1,
+    slackMs: 900,
+    patienceMs: 1e6,
+    longestRetryMs: 4000,
+    key: "",
+    begun: false,
+    whole: false,
+    excluded: [],
+  };
+}
--- a/src/gateway/planning/admission.ts
+++ b/src/gateway/planning/admission.ts
@@ -24,9 +24,9 @@
 export type PoolState = {
   /** Tokens of the request and of those before it. */
   readonly tokens: number;
-  /** Tokens given away at each decode replica. */
-  readonly held: readonly number[];
-  /** Memory of one decode replica, in tokens. */
+  /** Tokens given away at all decode replicas. */
+  readonly held: number;
+  /** Memory of all decode replicas, in tokens. */
   readonly memory: number;
   /** Time that the prefill replicas need for those before it. */
   readonly prefillMs: Milliseconds;
@@ -64,11 +64,9 @@
 
   /** Time until the pool can begin with the last of `tokens`. */
   waitMs({ tokens, held, memory, prefillMs }: PoolState): Milliseconds {
-    const total = held.reduce((sum, one) => sum + one, 0);
-    const all = memory * held.length;
-    const missing = tokens - Math.max(0, all - total) * FREE_USE;
+    const missing = tokens - Math.max(0, memory - held) * FREE_USE;
     // Memory comes back evenly: what is held, over the life of a place.
-    const memoryMs = Math.max(0, missing) * this.#lifeMs / Math.max(1, total);
+    const memoryMs = Math.max(0, missing) * this.#lifeMs / Math.max(1, held);
     return Math.max(memoryMs, prefillMs);
   }
 
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -12,7 +12,6 @@
 import { Ledger } from "./ledger.ts";
 import { choosePlain } from "./plain_choice.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
-import { readingMs } from "./prefill_times.ts";
 import { PromptMemory } from "./prompt_memory.ts";
 import { stageLoad } from "./stage_load.ts";
 import { Urgency } from "./urgency.ts";
@@ -260,12 +259,11 @@
     if (one.begun || one.returned || now < one.forecastAt) return undefined;
     one.forecastAt = now + FORECAST_MS;
     const { tokens, key, longestRetryMs } = one.ask;
-    const { ahead, prefills } = pool;
     const waitMs = this.#admission.waitMs({
-      tokens: tokens + ahead.tokens,
-      held: pool.decodes.map((r) => this.#ledger.memoryAt(r.incarnation)),
-      memory: pool.memory,
-      prefillMs: readingMs(this.#ledger, prefills, ahead.promptTokens),
+      tokens: tokens + pool.ahead.tokens,
+      held: pool.held,
+      memory: pool.memory * pool.decodes.length,
+      prefillMs: pool.readingMs,
     });
     if (now + waitMs <= one.giveUpAt) return undefined;
     const retryAfterMs = this.#admission.refuse(
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -6,7 +6,7 @@
 import type { Line } from "../../core/util/line_fit.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Ledger } from "./ledger.ts";
-import { usualLine } from "./prefill_times.ts";
+import { readingRate, usualLine } from "./prefill_times.ts";
 
 /** What a snapshot is made from. */
 export type PoolSource = {
@@ -38,7 +38,11 @@
   /** The most urgent priority that waits. */
   waitingPriority = Infinity;
   readonly #ledger: Ledger;
+  /** Prompt tokens that the prefill replicas read in a millisecond. */
+  readonly #readingRate: number;
   #largestFree: number | undefined;
+  #held: number | undefined;
+  #promptsGiven: number | undefined;
 
   constructor(source: PoolSource) {
     const { replicas, memory, ledger } = source;
@@ -53,6 +57,7 @@
       !source.isPaused(incarnation) && !source.isAvoided(incarnation)
     );
     this.line = usualLine(ledger, this.prefills);
+    this.#readingRate = readingRate(ledger, this.prefills);
   }
 
   /** Time from a grant to the end of a prefill, if the replica is idle. */
@@ -60,6 +65,26 @@
     return this.line.base + this.line.slope * promptTokens;
   }
 
+  /** Memory given away at all decode replicas, in tokens. */
+  get held(): number {
+    this.#held ??= this.decodes.reduce(
+      (sum, one) => sum + this.#ledger.memoryAt(one.incarnation),
+      0,
+    );
+    return this.#held;
+  }
+
+  /** Time until the prefill replicas have read all that goes before. */
+  get readingMs(): Milliseconds {
+    if (this.prefills.length === 0) return 0;
+    this.#promptsGiven ??= this.prefills.reduce(
+      (sum, one) => sum + this.#ledger.promptsAt(one.incarnation),
+      0,
+    );
+    const tokens = this.#promptsGiven + this.ahead.promptTokens;
+    return tokens / this.#readingRate;
+  }
+
   /** Whether any sound decode replica has room, by the ledger alone. */
   mayFit(tokens: number): boolean {
     this.#largestFree ??= Math.max(
@@ -75,9 +100,11 @@
     return held > 0 ? this.memory - held : Infinity;
   }
 
-  /** A place was given: the room that was worked out holds no longer. */
+  /** A place was given: the sums that were worked out hold no longer. */
   noteGrant(): void {
     this.#largestFree = undefined;
+    this.#held = undefined;
+    this.#promptsGiven = undefined;
   }
 
   /** The request goes on waiting before those that come after it. */
