Plain requests stay in their hall while the replica there has room

Change: below half of its slots a plain replica counts as free and the hall decides, as for decode replicas. Tests: plain_choice_test, planner_test (both fail on the code before).

--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -2,6 +2,15 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { least } from "./order.ts";
 
+/**
+ * Below this share of its slots a replica answers a request at once, so the
+ * hall decides: an answer that stays in its hall isn't lost when halls are cut
+ * off from each other.
+ */
+const ROOMY_SHARE = 0.5;
+/** Among equals the emptier one; small beside the charge for another hall. */
+const TIE_WEIGHT = 0.02;
+
 /** What a choice goes by. */
 export type PlainQuery = {
   readonly hall: string;
@@ -31,6 +40,7 @@
     const taken = query.inFlight(incarnation);
     if (query.yieldsWhenFull && taken >= slots) return Infinity;
     const far = hall === query.hall ? 0 : query.farCharge;
-    return taken / Math.max(1, slots) + far;
+    const share = taken / Math.max(1, slots);
+    return Math.max(ROOMY_SHARE, share) + far + share * TIE_WEIGHT;
   });
 }
--- a/test/gateway/planning/plain_choice_test.ts
+++ b/test/gateway/planning/plain_choice_test.ts
@@ -85,3 +85,15 @@
   planner.ask("h", plainAsk("later", { priority: 2 }), 3000);
   assert.deepEqual(grants(messages(planner, 3000)), ["later"]);
 });
+
+test("a plain request stays in its hall while the replica there has room", () => {
+  const planner = new Planner(plainView());
+  const chosen: string[] = [];
+  for (let at = 0; at < 4; at++) {
+    planner.ask("h", plainAsk(`r${at}`), 0);
+    for (const one of messages(planner, 0)) {
+      if (one.type === "grant") chosen.push(one.decode);
+    }
+  }
+  assert.deepEqual(chosen, ["near", "near", "near", "b"]);
+});
--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -248,3 +248,19 @@
   for (const id of ["x", "y", "z"]) planner.ask("h", ask(id, big), 10);
   assert.deepEqual(grants(messages(planner, 10)), ["x"]);
 });
+
+test("an answer stays in its caller's hall while a replica there has room", () => {
+  const near = { ...replica("near", ReplicaStage.decode), hall: "h" };
+  const far = { ...replica("far", ReplicaStage.decode), hall: "x" };
+  const planner = new Planner(view({ replicasOf: () => [far, near] }));
+  const chosen: string[] = [];
+  for (let at = 0; at < 8; at++) {
+    planner.ask("h", ask(`r${at}`, { tokens: 100 }), 0);
+    for (const one of messages(planner, 0)) {
+      if (one.type === "grant") chosen.push(one.decode);
+    }
+  }
+  const isNear = chosen.map((one) => one === "near");
+  assert.deepEqual(isNear.slice(0, 6), Array.from({ length: 6 }, () => true));
+  assert.ok(isNear.slice(6).includes(false), chosen.join(", "));
+});
