A failed call says why in the log

Cause: within() and the watch dropped the error of a call that failed, so the log of a lost store didn't say whether it was silent, refused or turned away.

Change: each gives its reason to callFailed (five lines a second at most).

--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -36,6 +36,7 @@
   stoodStill: warn("process", "The process stood still", BELIEFS_PER_SECOND),
   storeLost: warn("store", "The store does not answer", BELIEFS_PER_SECOND),
   storeBack: info("store", "The store answers again", BELIEFS_PER_SECOND),
+  callFailed: warn("store", "A call to the store or a peer failed", 5),
   readerChosen: info("store", "Another host reads the store", 20),
   readerLeft: warn("store", "The hall's reader is of no use", 20),
   peerState: info("peers", "A peer told newer state", BELIEFS_PER_SECOND),
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -66,9 +66,9 @@
       clock.now() - written.at >= ROW_MS;
     if (isDue && !source.isNamedByReader()) {
       const row = { writer: self.id, hosts };
-      const read = await within(
-        clock,
-        STORE_TIMEOUT_MS,
+      const read = await callStore(
+        source,
+        "row",
         (signal) => exchangeRows(store, row, signal),
       );
       if (read) source.directory.learn(read, clock.now());
@@ -78,12 +78,25 @@
   }
 }
 
+function callStore<Value>(
+  { context: { clock, events } }: PeerLoopSource,
+  call: string,
+  work: (signal: AbortSignal) => Promise<Value>,
+): Promise<Value | undefined> {
+  return within({
+    clock,
+    timeoutMs: STORE_TIMEOUT_MS,
+    work,
+    onFault: (reason) => events.note("callFailed", { call, reason }),
+  });
+}
+
 /** Reads the hosts; whether one of this hall is among them. */
 async function findNeighbours(source: PeerLoopSource): Promise<boolean> {
   const { context: { clock }, store, self, directory } = source;
-  const hosts = await within(
-    clock,
-    STORE_TIMEOUT_MS,
+  const hosts = await callStore(
+    source,
+    "hosts",
     (signal) => readHosts(store, signal),
   );
   if (!hosts) return false;
@@ -98,9 +111,9 @@
   for (;;) {
     await sleep(clock, pauses.shift() ?? LOOK_MS);
     if (synchronizer.isTold(clock.now())) continue;
-    const hosts = await within(
-      clock,
-      STORE_TIMEOUT_MS,
+    const hosts = await callStore(
+      source,
+      "hosts",
       (signal) => readHosts(store, signal),
     );
     if (hosts) directory.learn(hosts, clock.now());
@@ -137,11 +150,13 @@
     version: routes.version,
     revision: replicas.revision,
   });
-  const answer = await within(
+  const answer = await within({
     clock,
-    ASK_TIMEOUT_MS,
-    (signal) => client.call({ method: "GET", path }, signal),
-  );
+    timeoutMs: ASK_TIMEOUT_MS,
+    work: (signal) => client.call({ method: "GET", path }, signal),
+    onFault: (reason) =>
+      context.events.note("callFailed", { call: "peer", address, reason }),
+  });
   const state = answer && readPeerState(answer.body);
   if (state) takeState(source, state, address, clock.now());
 }
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -126,13 +126,14 @@
   service: Service,
   changes: readonly StageChange[],
 ): Promise<Try[]> {
-  const { context: { clock }, store, holder, guardMs } = source;
-  const lease = await within(
+  const { context: { clock, events }, store, holder, guardMs } = source;
+  const lease = await within({
     clock,
-    STORE_TIMEOUT_MS,
-    (signal) =>
+    timeoutMs: STORE_TIMEOUT_MS,
+    work: (signal) =>
       takeLease({ store, clock, holder, guardMs }, service.name, signal),
-  );
+    onFault: (reason) => events.note("callFailed", { call: "lease", reason }),
+  });
   if (!lease) return [FAILED_TRY];
   return await Promise.all(
     changes.map((change) => tryChange(source, { service, change, lease })),
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -189,19 +189,29 @@
     const cancel = clock.after(watchMs + timeoutMs, () => watch.abort());
     try {
       return await store.watchConfig(revision, watchMs, watch.signal);
-    } catch {
+    } catch (error) {
+      this.#noteFault("watch", String(error));
       return undefined;
     } finally {
       cancel();
     }
   }
 
+  #noteFault(call: string, reason: string): void {
+    this.#source.context.events.note("callFailed", { call, reason });
+  }
+
   async #call<Value>(
     work: (signal: AbortSignal) => Promise<Value>,
   ): Promise<Value | undefined> {
     const { context: { clock, metrics }, times } = this.#source;
     const startedAt = clock.now();
-    const value = await within(clock, times.timeoutMs, work);
+    const value = await within({
+      clock,
+      timeoutMs: times.timeoutMs,
+      work,
+      onFault: (reason) => this.#noteFault("read", reason),
+    });
     metrics.count(value === undefined ? "store_failures" : "store_calls");
     metrics.time(Timing.storeCall, clock.now() - startedAt);
     return value;
--- a/test/gateway/state/store_loops_test.ts
+++ b/test/gateway/state/store_loops_test.ts
@@ -68,6 +68,7 @@
       },
       random: () => 0,
       metrics: new Metrics(),
+      events: { note: () => undefined },
       routes,
     } as unknown as GatewayContext,
     store: {
