A reader is followed once it has told something fresh

Change: the new link takes the old one's place at its first fresh word; one that has none for 1.5 s is passed over. Of two words the newer holds.

Tests: hall_link_test (a reader with no word is not followed: fails on the code before).

--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -17,6 +17,8 @@
 const LOOK_MS = 500;
 /** A reader is given so long to tell something fresh. */
 const STALE_MS = 1500;
+/** A word of the store up to this age is fresh: a listing each 700 ms. */
+const FRESH_MS = 1000;
 /** A reader that was of no use is not chosen for this time. */
 const SUSPECT_MS = 3000;
 /** A host to which no link came about is tried again after this time. */
@@ -34,6 +36,13 @@
   onState(message: StateMessage, reader: HostId): boolean;
 };
 
+/** A link to a host that may become the reader. */
+type NextLink = {
+  readonly reader: HostId;
+  readonly link: Link;
+  readonly openedAt: Milliseconds;
+};
+
 /** The link to the host that this one follows. */
 export class HallFollower {
   readonly #source: HallFollowerSource;
@@ -41,8 +50,8 @@
   readonly #suspects = new Map<HostId, Milliseconds>();
   #reader: HostId;
   #link: Link | undefined;
-  /** A link that is being opened: it takes the other's place once it stands. */
-  #next: { readonly reader: HostId; readonly link: Link } | undefined;
+  /** Takes the other's place once it has told a fresh word of the store. */
+  #next: NextLink | undefined;
   #openedAt: Milliseconds = 0;
 
   constructor(source: HallFollowerSource) {
@@ -89,6 +98,7 @@
   #look(): void {
     const { self, directory, context } = this.#source;
     const now = context.clock.now();
+    this.#dropStaleNext(now);
     const hosts = directory.entries();
     const isSuspect = (id: HostId) => now < (this.#suspects.get(id) ?? 0);
     const orders = this.#orders;
@@ -97,8 +107,8 @@
     this.#dropNext();
     if (reader === this.#reader) return;
     const host = directory.get(reader);
-    if (host) this.#next = { reader, link: this.#open(host) };
-    else this.#close();
+    if (!host) return this.#close();
+    this.#next = { reader, link: this.#open(host), openedAt: now };
   }
 
   #open(host: HostEntry): Link {
@@ -110,32 +120,27 @@
       clock: context.clock,
     };
     const link = openLink(target, {
-      ready: () => this.#change(link),
-      line: (text) => {
-        if (this.#link === link) this.#take(text);
-      },
+      ready: () => this.#follow(link, context.replicas.revision),
+      line: (text) => this.#take(link, host.id, text),
       closed: () => this.#ended(link),
     });
     return link;
   }
 
-  /** The new link stands: the old one is left. */
-  #change(link: Link): void {
-    if (this.#next?.link !== link) return;
+  /** The new link tells a fresh word: the old one is left. */
+  #change(next: NextLink): void {
     const { context } = this.#source;
-    const { reader } = this.#next;
+    const { reader } = next;
     this.#next = undefined;
     this.#close();
     this.#reader = reader;
-    this.#link = link;
+    this.#link = next.link;
     this.#openedAt = context.clock.now();
     context.events.note("readerChosen", { reader });
-    this.#follow(context.replicas.revision);
   }
 
-  #follow(revision: number): void {
-    const host = this.#source.self;
-    this.#link?.send({ type: "follow", revision, host });
+  #follow(link: Link, revision: number): void {
+    link.send({ type: "follow", revision, host: this.#source.self });
   }
 
   #ended(link: Link): void {
@@ -147,17 +152,25 @@
     this.#look();
   }
 
+  /** A host that has nothing fresh to tell is passed over for a while. */
+  #dropStaleNext(now: Milliseconds): void {
+    if (!this.#next || now - this.#next.openedAt < STALE_MS) return;
+    this.#suspects.set(this.#next.reader, now + SUSPECT_MS);
+    this.#dropNext();
+  }
+
   #dropNext(): void {
     const next = this.#next;
     this.#next = undefined;
     next?.link.close();
   }
 
-  #take(text: string): void {
+  #take(link: Link, reader: HostId, text: string): void {
     const message = readJson(ReaderMessageSchema, text);
     if (message?.type !== "state") return;
-    if (this.#source.onState(message, this.#reader)) return;
-    this.#follow(-1);
+    const isFresh = message.ageMs !== undefined && message.ageMs <= FRESH_MS;
+    if (this.#next?.link === link && isFresh) this.#change(this.#next);
+    if (!this.#source.onState(message, reader)) this.#follow(link, -1);
   }
 
   #close(): void {
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -136,7 +136,8 @@
     const isNewer = version > routes.version;
     const behindSince = isNewer ? this.#told?.behindSince ?? now : undefined;
     const before = this.storeAgeMs(now);
-    this.#told = { asOf: now - ageMs, version, behindSince };
+    const asOf = Math.max(this.#told?.asOf ?? -Infinity, now - ageMs);
+    this.#told = { asOf, version, behindSince };
     if (ageMs < before) this.#source.onChange();
     return true;
   }
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -98,14 +98,16 @@
     },
   });
   link.start();
-  await until(() => link.reader === reader);
-  // A reader with no word of its own to tell does not tell its listing.
+  // A reader with no word of its own to tell does not tell its listing, and is
+  // not followed.
   await until(() => told.length > 0);
+  assert.equal(link.reader, follower);
   assert.equal(told[0]?.ageMs, undefined);
   assert.equal(told[0]?.listing, undefined);
   ages.now = 7;
   states.tell();
   await until(() => here.context.replicas.get("x") !== undefined);
+  assert.equal(link.reader, reader);
   assert.equal(told.at(-1)?.ageMs, 7);
   assert.deepEqual(told[0]?.hosts?.map((one) => one.id), [reader]);
   there.context.replicas.adopt({ revision: 2, entries: [replicaEntry("y")] });
