Few heartbeats on links at rest, fewer wakes of a host at rest

Change: a link pings each 290 ms only for a second after a line of its opener, else each second; an opener notices a silent peer in 0.9 s once it has sent something, at rest in 3.1 s. Loops that only look are run once a second or when the word of the store gets stale.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,7 +28,7 @@
 const LAST_LINES_MS = 50;
 /** A tick that comes so late means that the process stood still. */
 const STOOD_STILL_MS = 1000;
-const TICK_MS = 500;
+const TICK_MS = 1000;
 
 /** A gateway that serves. */
 export type RunningGateway = {
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -20,21 +20,32 @@
 const CONNECT_MS = 400;
 /**
  * How one end of a link keeps it alive: it sends a line at least every
- * `pingMs`, and takes the link for dead after `silentMs` without one.
+ * `pingMs`, and takes the link for dead after `silentMs` without one. While the
+ * link is busy the short times hold, else the long ones.
  */
 type Heartbeat = {
+  readonly busy: HeartbeatTimes;
+  readonly idle: HeartbeatTimes;
+};
+type HeartbeatTimes = {
   readonly pingMs: Milliseconds;
   readonly silentMs: Milliseconds;
 };
+const IDLE: HeartbeatTimes = { pingMs: 1000, silentMs: 3100 };
+/**
+ * Who opened a link waits for answers, so once it has sent something it must
+ * soon know that the other side is gone: three heartbeats within an objective
+ * of about a second. The side that answers has time: a place of a lost host is
+ * only memory that is free sooner or later. Heartbeats are most of what a host
+ * does at rest (docs/CAPACITY.md), so an idle link has few.
+ */
+const OPENED: Heartbeat = { busy: { ...IDLE, silentMs: 900 }, idle: IDLE };
+const ACCEPTED: Heartbeat = { busy: { ...IDLE, pingMs: 290 }, idle: IDLE };
 /**
- * Who opened a link waits for answers, so it must soon know that the other
- * side is gone: three heartbeats within an objective of about a second. The
- * side that answers has time: a place of a lost host is only memory that is
- * free sooner or later. Heartbeats are most of what a host does at rest
- * (docs/CAPACITY.md).
+ * A link is busy for so long after a line of its opener; longer than the opener
+ * needs to notice that nobody answers it.
  */
-const OPENED: Heartbeat = { pingMs: 1000, silentMs: 900 };
-const ACCEPTED: Heartbeat = { pingMs: 290, silentMs: 3100 };
+const BUSY_MS = 1000;
 const PING_LINE = '{"type":"ping"}\n';
 /** A peer that does not read is cut off at this many waiting bytes. */
 const UNSENT_LIMIT = 1 << 20;
@@ -103,15 +114,81 @@
   readonly events: LinkEvents;
 };
 
+/** The timers of one end: when it pings, and when it gives the link up. */
+class Keepalive {
+  readonly #clock: Clock;
+  readonly #beat: Heartbeat;
+  readonly #on: { ping(): void; silent(): void };
+  #busyUntil: Milliseconds = -Infinity;
+  #heardAt: Milliseconds | undefined;
+  #cancelPing = () => {};
+  #cancelSilence = () => {};
+
+  constructor(
+    { clock, beat }: Pick<EndSource, "clock" | "beat">,
+    on: { ping(): void; silent(): void },
+  ) {
+    this.#clock = clock;
+    this.#beat = beat;
+    this.#on = on;
+    this.#armPing();
+  }
+
+  get #times(): HeartbeatTimes {
+    const isBusy = this.#clock.now() < this.#busyUntil;
+    return isBusy ? this.#beat.busy : this.#beat.idle;
+  }
+
+  /** A line of the opener has gone or come. */
+  noteBusy(): void {
+    const wasBusy = this.#clock.now() < this.#busyUntil;
+    this.#busyUntil = this.#clock.now() + BUSY_MS;
+    if (wasBusy) return;
+    this.#armPing();
+    if (this.#heardAt !== undefined) this.#armSilence(this.#times.silentMs);
+  }
+
+  /** The other side has said something. */
+  noteHeard(): void {
+    this.#heardAt = this.#clock.now();
+    this.#armSilence(this.#times.silentMs);
+  }
+
+  stop(): void {
+    this.#cancelPing();
+    this.#cancelSilence();
+  }
+
+  #armPing(): void {
+    this.#cancelPing();
+    this.#cancelPing = this.#clock.after(this.#times.pingMs, () => {
+      this.#on.ping();
+      this.#armPing();
+    });
+  }
+
+  #armSilence(afterMs: Milliseconds): void {
+    this.#cancelSilence();
+    this.#cancelSilence = this.#clock.after(afterMs, () => this.#atSilence());
+  }
+
+  /** An end that became idle meanwhile waits for longer. */
+  #atSilence(): void {
+    const silentMs = this.#clock.now() - (this.#heardAt ?? -Infinity);
+    const leftMs = this.#times.silentMs - silentMs;
+    const gaveUpBusy = this.#clock.now() < this.#busyUntil;
+    if (gaveUpBusy || leftMs <= 0) return this.#on.silent();
+    this.#armSilence(leftMs);
+  }
+}
+
 function makeEnd(out: Writable, { clock, beat, events }: EndSource): End {
+  const isOpener = beat === OPENED;
   let open = true;
-  let cancelPing = () => {};
-  let cancelSilence = () => {};
   const close = () => {
     if (!open) return;
     open = false;
-    cancelPing();
-    cancelSilence();
+    keepalive.stop();
     out.destroy();
     events.closed();
   };
@@ -122,29 +199,32 @@
     if (out.writableLength > UNSENT_LIMIT) return close();
     out.write(line);
   };
-  // What is sent says as much as a ping: one goes only after silence.
-  const ping = () => {
-    if (isQuiet) write(PING_LINE);
-    isQuiet = true;
-    cancelPing = clock.after(beat.pingMs, ping);
-  };
-  const heard = () => {
-    cancelSilence();
-    cancelSilence = clock.after(beat.silentMs, close);
-  };
+  const keepalive = new Keepalive({ clock, beat }, {
+    // What is sent says as much as a ping: one goes only after silence.
+    ping: () => {
+      if (isQuiet) write(PING_LINE);
+      isQuiet = true;
+    },
+    silent: close,
+  });
   out.on("error", close);
   out.on("close", close);
-  ping();
+  write(PING_LINE);
   return {
-    send: (message) => write(`${JSON.stringify(message)}\n`),
+    send: (message) => {
+      if (isOpener) keepalive.noteBusy();
+      write(`${JSON.stringify(message)}\n`);
+    },
     close,
     read: (from) => {
-      heard();
+      keepalive.noteHeard();
       from.on("error", close);
       from.on("close", close);
       readLines(from, (line) => {
-        heard();
-        if (!line.startsWith('{"type":"ping"')) events.line(line);
+        const isPing = line.startsWith('{"type":"ping"');
+        if (!isPing && !isOpener) keepalive.noteBusy();
+        keepalive.noteHeard();
+        if (!isPing) events.line(line);
       });
     },
   };
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -74,7 +74,8 @@
       if (read) source.directory.learn(read, clock.now());
       written = read ? { at: clock.now(), names } : undefined;
     }
-    await sleep(clock, written ? ROW_CHECK_MS : ROW_FAILED_MS);
+    const isCalm = written !== undefined || source.isNamedByReader();
+    await sleep(clock, isCalm ? ROW_CHECK_MS : ROW_FAILED_MS);
   }
 }
 
@@ -126,7 +127,8 @@
   const clients = new Map<string, JsonClient>();
   for (;;) {
     const knowsRoutes = context.routes.config !== undefined;
-    await sleep(clock, knowsRoutes ? ASK_MS : FIRST_ASK_MS);
+    const freshMs = synchronizer.freshForMs(clock.now());
+    await sleep(clock, knowsRoutes ? Math.max(ASK_MS, freshMs) : FIRST_ASK_MS);
     const now = clock.now();
     const isSilent = synchronizer.storeAgeMs(now) >= STORE_SILENT_MS;
     if (!isSilent && !synchronizer.isBehind(now)) continue;
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -21,6 +21,8 @@
 import { type Lease, takeLease } from "./lease.ts";
 
 const LOOK_MS = 500;
+/** A host that plans no model service looks whether it does so often. */
+const IDLE_LOOK_MS = 1500;
 /** A change must have been wanted for so long, before the first traffic. */
 const FIRST_PATIENCE_MS = 1500;
 /** And later: replicas that crash or are cut off are mostly back by then. */
@@ -58,13 +60,16 @@
 export async function runStageLoop(source: StageLoopSource): Promise<void> {
   const { context } = source;
   const states = new Map<string, ServiceState>();
+  let plans = true;
   for (;;) {
-    await sleep(context.clock, LOOK_MS);
+    await sleep(context.clock, plans ? LOOK_MS : IDLE_LOOK_MS);
+    plans = false;
     if (context.stop.askedAt !== undefined) continue;
     if (source.storeAgeMs(context.clock.now()) > LISTING_AGE_MS) continue;
     for (const service of context.routes.config?.services ?? []) {
       if (!service.engine) continue;
       if (source.plannerOf(service.name) !== context.self.id) continue;
+      plans = true;
       const state = states.get(service.name) ??
         { patience: new ChangePatience(), load: new SmoothLoad() };
       states.set(service.name, state);
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -14,7 +14,7 @@
 import { ReaderMessageSchema, type StateMessage } from "./state_messages.ts";
 
 /** How often the reader is chosen anew; it is also when its link ends. */
-const LOOK_MS = 500;
+const LOOK_MS = 1000;
 /** A reader is given so long to tell something fresh. */
 const STALE_MS = 1500;
 /** A word of the store up to this age is fresh: a listing each 700 ms. */
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -81,6 +81,7 @@
     directory: new HostDirectory(self, []),
     synchronizer: {
       isTold: () => true,
+      freshForMs: () => 1300,
       storeAgeMs: () => 0,
       isBehind: () => false,
     } as unknown as Synchronizer,
