--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -32,8 +32,9 @@
  */
 const FIRST_EVENT_MS = 150;
 /**
- * A wait is forecast anew after this time: replicas come and go, and a forecast
- * looks at each decode replica.
+ * A wait is forecast anew after this time, for replicas come and go: often
+ * enough that what can't be served is known within a tenth of the time that
+ * callers wait for a first event (2 s at least).
  */
 const FORECAST_MS = 250;
 /** A caller of a plain service that is full comes back after this, or twice. */
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -33,7 +33,10 @@
  * prompts takes 0.3 s (docs/MEASUREMENTS.md), the rest is on the way.
  */
 const SERVICE_MS = 600;
-/** Where the caller doesn't say how long it waits. */
+/**
+ * Longest time to come back where the caller doesn't say how long it waits:
+ * about the life of a place, after which all memory was given anew.
+ */
 const USUAL_RETRY_MS = 4000;
 /** A reservation that ends sooner than this is not used. */
 const EXPIRY_MARGIN_MS = 100;
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -33,7 +33,10 @@
 const LONGEST_FOLLOWER_PAUSE_MS = 3600;
 /** Part of a pause that is random, so that hosts don't call in step. */
 const PAUSE_SPREAD = 0.4;
-/** A follower lists for itself at times longer by this factor. */
+/**
+ * A starting host that knows whom to follow lists each 1.3 s and not each 0.7 s
+ * until it is told: its reader's first word is a few hundred ms away.
+ */
 const FOLLOWER_LIST_FACTOR = 1.8;
 /** Of configurations in quick succession a follower skips some. */
 const NEWER_PAUSE_MS = 300;
