--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -7,6 +7,10 @@
 export const GatewayError = {
   noConfig: "no_config",
   noRoute: "no_route",
+  unknownKey: "unknown_key",
+  staleKeys: "stale_keys",
+  overQuota: "over_quota",
+  quotaUnknown: "quota_unknown",
   bodyTooLarge: "body_too_large",
   noReplica: "no_replica",
   noMemory: "no_memory",
@@ -27,6 +31,8 @@
   readonly message: string;
   /** When to come back; only where the request has not run and will not. */
   readonly retryAfterSeconds?: number;
+  /** How callers are to prove who they are (RFC 9110, 11.6.1). */
+  readonly challenge?: string;
 };
 
 /** The answer to each error. */
@@ -37,6 +43,26 @@
     retryAfterSeconds: 0.3,
   },
   no_route: { status: 404, message: "No route leads there" },
+  unknown_key: {
+    status: 401,
+    message: "The request carries no key that is in force; nothing ran",
+    challenge: "Bearer",
+  },
+  stale_keys: {
+    status: 503,
+    message: "This host can't tell which keys are in force; nothing ran",
+    retryAfterSeconds: 0.5,
+  },
+  over_quota: {
+    status: 429,
+    message: "The customer's quota is used up; nothing ran",
+    retryAfterSeconds: 1,
+  },
+  quota_unknown: {
+    status: 503,
+    message: "This host can't tell what is left of the quota; nothing ran",
+    retryAfterSeconds: 0.5,
+  },
   body_too_large: {
     status: 413,
     message: "The request body is larger than the limit in force",
--- a/src/gateway/callers/body.ts
+++ b/src/gateway/callers/body.ts
@@ -8,17 +8,28 @@
   /** The caller went away before its end. */
   | { readonly type: "gone" };
 
+/** How a body is read. */
+export type BodyRule = {
+  /** Most bytes. */
+  readonly limit: number;
+  /** False: the bytes are dropped as they come. */
+  readonly isKept: boolean;
+};
+
 /** Reads the body; stops at the limit. */
 export function readCallerBody(
   request: IncomingMessage,
-  limit: number,
+  { limit, isKept }: BodyRule,
 ): Promise<BodyReading> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let size = 0;
     request.on("data", (part: Buffer) => {
       size += part.length;
-      if (size <= limit) return void parts.push(part);
+      if (size <= limit) {
+        if (isKept) parts.push(part);
+        return;
+      }
       request.pause();
       resolve({ type: "tooLarge" });
     });
--- a/src/gateway/callers/reply.ts
+++ b/src/gateway/callers/reply.ts
@@ -67,6 +67,9 @@
     "Content-Type": "application/json",
     "Content-Length": String(Buffer.byteLength(body)),
     ...(comeBack === undefined ? {} : { [retryAfterHeader]: String(comeBack) }),
+    ...(answer.challenge === undefined
+      ? {}
+      : { "WWW-Authenticate": answer.challenge }),
   });
   response.end(body);
 }
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -9,7 +9,10 @@
 import { GatewayError } from "../answers.ts";
 import { type Clock, sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
-import { requestHeaders } from "../http/headers.ts";
+import { type AdmissionSource, admit } from "../customers/admission.ts";
+import type { Customer } from "../customers/model.ts";
+import { requestHeaders, withoutHeaders } from "../http/headers.ts";
+import type { RequestFacts } from "../port.ts";
 import type { Places } from "../planning/places.ts";
 import { Exchange } from "../requests/exchange.ts";
 import type { GatewayRequest, Reply } from "../requests/request.ts";
@@ -30,17 +33,37 @@
 const PLAIN_MS = 1000;
 const FINISH_CHECK_MS = 50;
 
+/** A request that may go on, by its head. */
+type TakenIntake = {
+  readonly type: "taken";
+  readonly route: Route;
+  readonly facts: RequestFacts;
+  readonly customer: Customer | undefined;
+};
+type Intake =
+  | TakenIntake
+  | { readonly type: "refused"; readonly error: GatewayError };
+
+/** What the callers' side is made from. */
+export type CallerServerSource = {
+  readonly context: GatewayContext;
+  readonly places: Places;
+  readonly admission: AdmissionSource;
+};
+
 /** The callers' side of a gateway. */
 export class CallerServer {
   readonly server: Server;
   readonly #context: GatewayContext;
   readonly #places: Places;
+  readonly #admission: AdmissionSource;
   readonly #open = new Set<Exchange>();
   #reading = 0;
 
-  constructor(context: GatewayContext, places: Places) {
+  constructor({ context, places, admission }: CallerServerSource) {
     this.#context = context;
     this.#places = places;
+    this.#admission = admission;
     this.server = createServer(
       { maxHeaderSize: HEAD_BYTES },
       (request, response) => void this.#serve(request, response),
@@ -79,9 +102,14 @@
     const { clock, routes, dialect, metrics, stop } = this.#context;
     const receivedAt = clock.now();
     metrics.count("requests");
+    const early = this.#intake(incoming);
     const limit = routes.config?.limits.bodyBytes ?? FIRST_BODY_BYTES;
     this.#reading += 1;
-    const reading = await readCallerBody(incoming, limit);
+    const reading = await readCallerBody(incoming, {
+      limit,
+      // Nothing is held for a caller who is refused by the head already.
+      isKept: early.type === "taken",
+    });
     this.#reading -= 1;
     if (reading.type === "gone") return;
     const reply = createReply({
@@ -94,49 +122,71 @@
       response.on("finish", () => incoming.destroy());
       return this.#refuse(reply, GatewayError.bodyTooLarge, incoming);
     }
+    // A body may take its time: keys may be taken away meanwhile.
+    const intake = early.type === "taken" ? this.#intake(incoming) : early;
+    if (intake.type === "refused") {
+      return this.#refuse(reply, intake.error, incoming);
+    }
+    const { body } = reading;
+    const request = this.#request(incoming, { intake, receivedAt, body });
+    this.#begin(request, reply, response);
+  }
+
+  /** What a request's head says of where it goes, and whether it may. */
+  #intake(incoming: IncomingMessage): Intake {
+    const { clock, routes, dialect } = this.#context;
     const host = incoming.headers.host ?? "";
-    const target = incoming.url ?? "/";
-    const route = routes.match(host, target);
+    const route = routes.match(host, incoming.url ?? "/");
     if (!route) {
       const known = routes.config !== undefined;
       const error = known ? GatewayError.noRoute : GatewayError.noConfig;
-      return this.#refuse(reply, error, incoming);
+      return { type: "refused", error };
     }
     if (!this.#timeLeftFor(route)) {
-      return this.#refuse(reply, GatewayError.stopping, incoming);
+      return { type: "refused", error: GatewayError.stopping };
     }
-    const service = pickTarget(route.targets, this.#context.random()) ?? "";
-    const request = this.#request(incoming, {
-      route,
-      service,
-      receivedAt,
-      body: reading.body,
-    });
-    this.#begin(request, reply, response);
+    const facts = dialect.readRequest(incoming.headers);
+    const { keyDigest } = facts;
+    const now = clock.now();
+    const admission = admit(this.#admission, { route, keyDigest }, now);
+    if (admission.type === "refused") return admission;
+    return { type: "taken", route, facts, customer: admission.customer };
   }
 
   #request(
     incoming: IncomingMessage,
-    read: Pick<GatewayRequest, "route" | "service" | "receivedAt" | "body">,
+    read: {
+      readonly intake: TakenIntake;
+      readonly receivedAt: Milliseconds;
+      readonly body: Buffer;
+    },
   ): GatewayRequest {
-    const facts = this.#context.dialect.readRequest(incoming.headers);
-    const holdMs = Math.min(
-      read.route.timeoutMs,
-      facts.patienceMs ?? Infinity,
-    );
+    const { random } = this.#context;
+    const { intake: { route, facts, customer }, receivedAt, body } = read;
+    const holdMs = Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
     return {
-      ...read,
+      route,
+      service: pickTarget(route.targets, random()) ?? "",
+      ...(customer ? { customer } : {}),
+      priority: customer?.priority ?? route.priority,
+      receivedAt,
+      body,
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
-      rawHeaders: requestHeaders(
-        incoming.rawHeaders,
-        this.#context.dialect.endToEndHeaders,
-      ),
+      rawHeaders: this.#headersToPass(incoming.rawHeaders),
       facts,
-      limitAt: read.receivedAt + holdMs,
+      limitAt: receivedAt + holdMs,
     };
   }
 
+  /** Keys are for this system alone. */
+  #headersToPass(raw: readonly string[]): string[] {
+    const { dialect, routes } = this.#context;
+    const passed = requestHeaders(raw, dialect.endToEndHeaders);
+    if (!routes.customers) return passed;
+    return withoutHeaders(passed, (name) => name === dialect.keyHeader);
+  }
+
   #begin(
     request: GatewayRequest,
     reply: Reply,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,22 +1,23 @@
 /** Puts the parts of a gateway together and listens. */
 import { createServer, type Server } from "node:http";
+import type { Milliseconds } from "../core/ids.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import { parseAddress } from "../util/address.ts";
 import { CallerServer } from "./callers/server.ts";
 import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
 import { budgetOf, createContext, tuningOf } from "./create_context.ts";
+import type { AdmissionSource } from "./customers/admission.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { startPeerLoops } from "./peers/peer_loop.ts";
 import { createPeerServer } from "./peers/server.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
 import { Places } from "./planning/places.ts";
 import { PlanService } from "./planning/plan_service.ts";
-import { HallFollower } from "./state/hall_follower.ts";
-import type { StateMessage } from "./state/state_messages.ts";
+import { HallFollower, type ReaderWord } from "./state/hall_follower.ts";
 import { StateServer } from "./state/state_server.ts";
 import { SettingsState } from "./settings_state.ts";
-import { StoreLoops } from "./state/store_loops.ts";
+import { StoreLoops, type StoreTimes } from "./state/store_loops.ts";
 import { Synchronizer } from "./state/synchronizer.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
 
@@ -50,6 +51,11 @@
   return gateway;
 }
 
+function storeTimesOf({ store }: GatewaySettings): StoreTimes {
+  const { list_interval, timeout, watch } = store;
+  return { listMs: list_interval, timeoutMs: timeout, watchMs: watch };
+}
+
 class Gateway implements RunningGateway {
   readonly #settings: GatewaySettings;
   readonly #self: HostEntry;
@@ -65,6 +71,8 @@
   readonly #peers: Server;
   readonly #servers: Server[] = [];
   readonly #settingsState: SettingsState;
+  /** Keys are not trusted on an older word; undefined: any word will do. */
+  #keyMaxAgeMs: Milliseconds | undefined;
 
   constructor(settings: GatewaySettings, port: PlatformPort) {
     this.#settings = settings;
@@ -81,7 +89,12 @@
       this.#plans,
       () => this.#directory.entries(),
     );
-    this.#callers = new CallerServer(this.#context, this.#places);
+    this.#keyMaxAgeMs = settings.customers.key_max_age;
+    this.#callers = new CallerServer({
+      context: this.#context,
+      places: this.#places,
+      admission: this.#admission(),
+    });
     this.#synchronizer = new Synchronizer({
       context: this.#context,
       onConfig: (config) => this.#callers.applyLimits(config.limits),
@@ -95,21 +108,18 @@
       self,
       directory,
       storeAgeMs: (now) => this.#synchronizer.tellableAgeMs(now),
+      configAgeMs: (now) => this.#synchronizer.configAgeMs(now),
     });
     this.#follower = new HallFollower({
       context,
       self,
       directory,
-      onState: (message, reader) => this.#takeState(message, reader),
+      onState: (word) => this.#takeState(word),
     });
     this.#storeLoops = new StoreLoops({
       context,
       store: port.store,
-      times: {
-        listMs: settings.store.list_interval,
-        timeoutMs: settings.store.timeout,
-        watchMs: settings.store.watch,
-      },
+      times: storeTimesOf(settings),
       synchronizer: this.#synchronizer,
       follower: this.#follower,
     });
@@ -119,10 +129,19 @@
       directory,
       plans: this.#plans,
       states: this.#states,
+      configAgeMs: (now) => this.#synchronizer.configAgeMs(now),
     });
     this.#startLoops(port);
   }
 
+  #admission(): AdmissionSource {
+    return {
+      routes: this.#context.routes,
+      configAgeMs: (now) => this.#synchronizer.configAgeMs(now),
+      maxConfigAgeMs: () => this.#keyMaxAgeMs ?? Infinity,
+    };
+  }
+
   #startLoops({ store }: PlatformPort): void {
     const { host, stages } = this.#settings;
     const context = this.#context;
@@ -175,6 +194,7 @@
     this.#context.tuning = tuningOf(settings);
     this.#context.budget.change(budgetOf(settings));
     this.#context.stop.graceMs = settings.grace;
+    this.#keyMaxAgeMs = settings.customers.key_max_age;
     const before = this.#settingsState.version;
     this.#settingsState.loaded(settings, this.#context.clock.now());
     const { version } = this.#settingsState;
@@ -203,13 +223,13 @@
   }
 
   /** Takes the word of the hall's reader. */
-  #takeState(message: StateMessage, reader: string): boolean {
+  #takeState(word: ReaderWord): boolean {
     const { clock, routes } = this.#context;
-    const { hosts, hostsGone, version } = message;
+    const { hosts, hostsGone, version } = word.message;
     this.#directory.refresh(clock.now());
     if (hosts) this.#directory.learn(hosts, clock.now());
     if (hostsGone) this.#directory.forget(hostsGone);
-    const follows = this.#synchronizer.takeState(message, reader);
+    const follows = this.#synchronizer.takeState(word);
     if (version > routes.version) void this.#storeLoops.readNewer();
     return follows;
   }
@@ -225,6 +245,7 @@
       request.resume();
       const { metrics, routes, replicas, clock } = this.#context;
       const age = this.#synchronizer.storeAgeMs(clock.now());
+      const configAge = this.#synchronizer.configAgeMs(clock.now());
       const gauges = {
         ...this.#settingsState.gauges(clock.now()),
         requests_open: this.#callers.open,
@@ -232,6 +253,7 @@
         routes_version: routes.version,
         replicas_revision: replicas.revision,
         hosts_known: this.#directory.count,
+        config_age_seconds: Number.isFinite(configAge) ? configAge / 1000 : -1,
         store_age_seconds: Number.isFinite(age) ? age / 1000 : -1,
         resident_bytes: process.memoryUsage.rss(),
       };
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -1,6 +1,7 @@
 /** The gateway: routes that requests pass through unchanged. */
 export * from "./port.ts";
 export * from "./routing/model.ts";
+export * from "./customers/model.ts";
 export * from "./replicas/model.ts";
 export { type RunningGateway, startGateway } from "./gateway.ts";
 export { withoutHeaders } from "./http/headers.ts";
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -148,6 +148,7 @@
 ): Promise<void> {
   const { context } = source;
   const { routes, replicas, clock } = context;
+  const askedAt = clock.now();
   const path = questionPath({
     version: routes.version,
     revision: replicas.revision,
@@ -160,7 +161,12 @@
       context.events.note("callFailed", { call: "peer", address, reason }),
   });
   const state = answer && readPeerState(answer.body);
-  if (state) takeState(source, state, address, clock.now());
+  if (!state) return;
+  takeState(source, state, address, clock.now());
+  const { version, configAgeMs } = state;
+  if (configAgeMs === undefined) return;
+  // The peer answered after it was asked, and its word is so much older.
+  source.synchronizer.noteNewest(version, askedAt - configAgeMs);
 }
 
 function takeState(
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -4,60 +4,28 @@
  */
 import * as z from "zod";
 import { readJson } from "../../util/read_json.ts";
-import { RouteKind } from "../routing/model.ts";
+import { RouteConfigSchema } from "../routing/schema.ts";
 import { ReplicaEntrySchema } from "../replicas/schema.ts";
 import { HostEntrySchema } from "./host_schema.ts";
 
-const Route = z.object({
-  name: z.string(),
-  host: z.string(),
-  pathPrefix: z.string(),
-  kind: z.enum(RouteKind),
-  timeoutMs: z.number(),
-  objectiveMs: z.number(),
-  gapMs: z.number(),
-  silenceMs: z.number(),
-  attempts: z.number(),
-  priority: z.number(),
-  targets: z.array(z.object({ service: z.string(), weight: z.number() })),
-  resumable: z.boolean(),
-});
-
-const Engine = z.object({
-  slots: z.number(),
-  cacheTokens: z.number(),
-  exportMs: z.number(),
-  reservationMs: z.number(),
-  tokensPerEvent: z.number(),
-  switchMs: z.number(),
-});
-
-const Config = z.object({
-  version: z.number(),
-  routes: z.array(Route),
-  services: z.array(z.object({
-    name: z.string(),
-    connectionLimit: z.number(),
-    engine: Engine.exactOptional(),
-  })),
-  limits: z.object({
-    bodyBytes: z.number(),
-    headerMs: z.number(),
-    idleMs: z.number(),
-  }),
-});
-
 const Listing = z.object({
   revision: z.number(),
-  entries: z.array(ReplicaEntrySchema),
+  entries: z.array(ReplicaEntrySchema).readonly(),
 });
 
 /** The schema of a peer's answer. */
 export const PeerStateSchema = z.object({
   /** Absent: no newer than the asker's. */
-  config: Config.exactOptional(),
+  config: RouteConfigSchema.exactOptional(),
   listing: Listing.exactOptional(),
-  hosts: z.array(HostEntrySchema),
+  hosts: z.array(HostEntrySchema).readonly(),
+  /** Version of the peer's configuration. */
+  version: z.number(),
+  /**
+   * No newer version was in the store so long before the peer answered;
+   * absent: the peer has no word of it.
+   */
+  configAgeMs: z.number().exactOptional(),
 });
 
 /** A peer's answer. */
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -1,5 +1,6 @@
 /** Tells peers the newest state that this host has. */
 import { createServer, type Server } from "node:http";
+import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
 import type { PlanService } from "../planning/plan_service.ts";
 import type { HostEntry } from "../port.ts";
@@ -19,6 +20,8 @@
   readonly directory: HostDirectory;
   readonly plans: PlanService;
   readonly states: StateServer;
+  /** Age of this host's word of the configuration; Infinity: it has none. */
+  configAgeMs(now: Milliseconds): Milliseconds;
 };
 
 /** Makes the peers' server; it does not listen yet. */
@@ -31,7 +34,11 @@
     if (request.url === LinkPath.state) return states.accept(request, response);
     request.resume();
     const question = readQuestion(request.url ?? "/");
-    const state = stateFor(context, question, [self, ...directory.entries()]);
+    const age = source.configAgeMs(context.clock.now());
+    const state: PeerState = {
+      ...stateFor(context, question, [self, ...directory.entries()]),
+      ...(Number.isFinite(age) ? { configAgeMs: Math.ceil(age) } : {}),
+    };
     const body = JSON.stringify(state);
     response.writeHead(200, { "Content-Type": "application/json" });
     response.end(body);
@@ -52,9 +59,10 @@
   const newer = replicas.revision > question.revision;
   const { revision } = replicas;
   const listing = newer ? { revision, entries: replicas.entries() } : undefined;
-  return structuredClone({
+  return {
     ...(config ? { config } : {}),
     ...(listing ? { listing } : {}),
     hosts,
-  }) as PeerState;
+    version: routes.version,
+  };
 }
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -25,6 +25,8 @@
   readonly outputHint?: number;
   /** The caller has the events up to this one. */
   readonly lastEventId?: string;
+  /** SHA-256, in hex, of the key that says for which customer it comes. */
+  readonly keyDigest?: string;
 };
 
 /** What a call to a replica does with the request. */
@@ -52,6 +54,8 @@
   readonly reservation?: string;
   /** Events up to this one are not wanted. */
   readonly lastEventId?: string;
+  /** The customer that the request comes from. */
+  readonly customer?: string;
 };
 
 /** What the head of a replica's answer says. */
@@ -128,6 +132,8 @@
   readOrder(status: number): OrderOutcome;
   /** Headers, in lower case, that a `Connection` header can't take out. */
   readonly endToEndHeaders: ReadonlySet<string>;
+  /** Header, in lower case, with a customer's key. */
+  readonly keyHeader: string;
   /** Header with the seconds after which a refused caller may come back. */
   readonly retryAfterHeader: string;
 };
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -109,7 +109,7 @@
       service,
       tokens: reservedTokens(facts, engine, context.tuning.outputMargin),
       promptTokens: facts.promptTokens,
-      priority: route.priority,
+      priority: request.priority,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, waitsSince + route.silenceMs) - SERVICE_MS,
       key: facts.promptKey ?? "",
@@ -192,7 +192,7 @@
       head: {
         mode: CallMode.whole,
         incarnation: replica.entry.incarnation,
-        priority: this.#source.request.route.priority,
+        priority: this.#source.request.priority,
         reservation: id,
         ...(made ? { export: { address, id: made.id } } : {}),
       },
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
+import { isStillHeld } from "../customers/admission.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import { Timing } from "../observe/metrics.ts";
 import type { Places } from "../planning/places.ts";
@@ -99,6 +100,10 @@
       this.#placer.release();
       return this.#giveUp(GatewayError.outOfTimeNotRun);
     }
+    if (!this.#isKeyInForce()) {
+      this.#placer.release();
+      return this.#giveUp(GatewayError.unknownKey);
+    }
     const result = await this.#send(placed);
     if (this.#ended) {
       if (result.type === "answer") result.answer.message.destroy();
@@ -109,6 +114,13 @@
     } else this.#takeFailure(placed, result);
   }
 
+  /** A key may be taken away while its request waits. */
+  #isKeyInForce(): boolean {
+    const { customer, facts: { keyDigest } } = this.#request;
+    if (customer === undefined || keyDigest === undefined) return true;
+    return isStillHeld(this.#context.routes, { customer, keyDigest });
+  }
+
   /** An earlier send may have run, or the caller has a part of the answer. */
   #begun(): boolean {
     const { lastEventId } = this.#request.facts;
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -63,14 +63,14 @@
     askedAt: Milliseconds,
   ): Promise<Place | NoPlace> {
     const { clock } = this.#context;
-    const { service, receivedAt, route, limitAt } = this.#request;
+    const { service, receivedAt, route, limitAt, priority } = this.#request;
     const id = nextPlaceId(this.#context);
     const wait = this.#places.find({
       id,
       service,
       tokens: 1,
       promptTokens: 0,
-      priority: route.priority,
+      priority,
       dueAt: receivedAt + route.objectiveMs,
       giveUpAt: Math.min(limitAt, askedAt + PLANNER_MS),
       key: "",
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -83,7 +83,7 @@
       head: {
         mode: CallMode.prefill,
         incarnation: replica.entry.incarnation,
-        priority: this.#request.route.priority,
+        priority: this.#request.priority,
         patienceMs: this.#request.limitAt - startedAt,
       },
       timeoutMs: tuning.prefillTimeoutMs,
--- a/src/gateway/requests/request.ts
+++ b/src/gateway/requests/request.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayError } from "../answers.ts";
 import type { RequestFacts } from "../port.ts";
+import type { Customer } from "../customers/model.ts";
 import type { Route } from "../routing/model.ts";
 
 /** A request that was read whole and has a route. */
@@ -14,6 +15,10 @@
   readonly body: Buffer;
   readonly route: Route;
   readonly service: string;
+  /** Absent where no key is asked for. */
+  readonly customer?: Customer;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   readonly receivedAt: Milliseconds;
   /** It is answered, or ended, by then. */
   readonly limitAt: Milliseconds;
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -18,9 +18,13 @@
 
   /** An event of the request. */
   note(name: EventName, fields: EventFields = {}): void {
-    const { facts, route } = this.#request;
-    const request = facts.id;
-    this.#context.events.note(name, { request, route: route.name, ...fields });
+    const { facts, route, customer } = this.#request;
+    this.#context.events.note(name, {
+      request: facts.id,
+      route: route.name,
+      customer: customer?.name,
+      ...fields,
+    });
   }
 
   /** It is sent to a replica, with what that was decided on. */
@@ -32,6 +36,7 @@
       replica: placed.replica.entry.incarnation,
       prefill: placed.export?.replica.entry.incarnation,
       tokens: placed.tokens,
+      priority: this.#request.priority,
       prompt: facts.promptTokens,
       wait_ms: placed.waitMs,
       prefill_ms: placed.prefillMs,
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -45,7 +45,10 @@
     incarnation: replica.entry.incarnation,
     method: request.method,
     path: request.target,
-    headers: context.dialect.callHeaders(request.rawHeaders, head),
+    headers: context.dialect.callHeaders(request.rawHeaders, {
+      ...head,
+      ...(request.customer ? { customer: request.customer.name } : {}),
+    }),
     body: request.body,
     mostConnections: connectionShare(context, request.service),
   });
--- a/src/gateway/routing/model.ts
+++ b/src/gateway/routing/model.ts
@@ -1,5 +1,6 @@
 /** Routes, services and limits that the operator puts in force. */
 import type { Milliseconds } from "../../core/ids.ts";
+import type { Customer } from "../customers/model.ts";
 
 /** What may be repeated of a route's requests. */
 export const RouteKind = {
@@ -37,6 +38,8 @@
   readonly targets: readonly Target[];
   /** A broken stream may go on at another replica. */
   readonly resumable: boolean;
+  /** Its requests need no customer's key. */
+  readonly anonymous: boolean;
 };
 
 /** What the model engines of a service can do. */
@@ -76,6 +79,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Absent: the deployment asks for no keys. */
+  readonly customers?: readonly Customer[];
 };
 
 /** Whether a request of the route may run more than once. */
--- a/src/gateway/routing/route_table.ts
+++ b/src/gateway/routing/route_table.ts
@@ -1,4 +1,5 @@
 /** The routes in force: versions only rise in the life of a process. */
+import { CustomerTable } from "../customers/customer_table.ts";
 import type { Route, RouteConfig, Service, Target } from "./model.ts";
 
 /** The newest configuration seen, with what is needed to look routes up. */
@@ -6,6 +7,7 @@
   #config: RouteConfig | undefined;
   #byHost = new Map<string, Route[]>();
   #services = new Map<string, Service>();
+  #customers: CustomerTable | undefined;
 
   /** The configuration in force; undefined before the first. */
   get config(): RouteConfig | undefined {
@@ -17,12 +19,18 @@
     return this.#config?.version ?? 0;
   }
 
+  /** The customers in force; undefined where no keys are asked for. */
+  get customers(): CustomerTable | undefined {
+    return this.#customers;
+  }
+
   /** Takes a configuration if it is newer; says whether it was taken. */
   adopt(config: RouteConfig): boolean {
     if (this.#config && config.version <= this.#config.version) return false;
     this.#config = config;
     this.#services = new Map(config.services.map((one) => [one.name, one]));
     this.#byHost = byHost(config.routes);
+    this.#customers = config.customers && new CustomerTable(config.customers);
     return true;
   }
 
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -9,6 +9,7 @@
 import type { HostDirectory } from "../peers/directory.ts";
 import { HostOrders } from "../peers/host_order.ts";
 import { type Link, LinkPath, openLink } from "../peers/link.ts";
+import { RemoteClock } from "../peers/remote_clock.ts";
 import type { HostEntry } from "../port.ts";
 import { chooseReader } from "./reader_choice.ts";
 import { ReaderMessageSchema, type StateMessage } from "./state_messages.ts";
@@ -24,22 +25,37 @@
 /** A host to which no link came about is tried again after this time. */
 const UNREACHED_MS = 1000;
 
+/**
+ * The reader's clock is read anew this often: with a drift of 500 ppm its
+ * moments are then known to within 15 ms.
+ */
+const CLOCK_SYNC_MS = 30_000;
+
+/** What a reader has told. */
+export type ReaderWord = {
+  readonly reader: HostId;
+  readonly message: StateMessage;
+  /** The moment of its word of the configuration, by this host's clock. */
+  readonly configAsOf: Milliseconds | undefined;
+};
+
 /** What a follower is made from. */
 export type HallFollowerSource = {
   readonly context: Pick<
     GatewayContext,
-    "clock" | "events" | "replicas"
+    "clock" | "events" | "replicas" | "routes"
   >;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
   /** Takes the reader's word; false: its listing does not follow on ours. */
-  onState(message: StateMessage, reader: HostId): boolean;
+  onState(word: ReaderWord): boolean;
 };
 
 /** A link to a host that may become the reader. */
 type NextLink = {
   readonly reader: HostId;
   readonly link: Link;
+  readonly clock: RemoteClock;
   readonly openedAt: Milliseconds;
 };
 
@@ -53,6 +69,7 @@
   /** Takes the other's place once it has told a fresh word of the store. */
   #next: NextLink | undefined;
   #openedAt: Milliseconds = 0;
+  #syncedAt: Milliseconds = 0;
 
   constructor(source: HallFollowerSource) {
     this.#source = source;
@@ -98,6 +115,7 @@
   #look(): void {
     const { self, directory, context } = this.#source;
     const now = context.clock.now();
+    this.#syncClock(now);
     this.#dropStaleNext(now);
     const hosts = directory.entries();
     const isSuspect = (id: HostId) => now < (this.#suspects.get(id) ?? 0);
@@ -108,10 +126,16 @@
     if (reader === this.#reader) return;
     const host = directory.get(reader);
     if (!host) return this.#close();
-    this.#next = { reader, link: this.#open(host), openedAt: now };
+    this.#next = { reader, ...this.#open(host), openedAt: now };
+  }
+
+  #syncClock(now: Milliseconds): void {
+    if (!this.#link || now - this.#syncedAt < CLOCK_SYNC_MS) return;
+    this.#syncedAt = now;
+    this.#link.send({ type: "sync", sentAt: now });
   }
 
-  #open(host: HostEntry): Link {
+  #open(host: HostEntry): Pick<NextLink, "link" | "clock"> {
     const { self, context } = this.#source;
     const target = {
       address: host.address,
@@ -119,12 +143,13 @@
       self: self.id,
       clock: context.clock,
     };
+    const clock = new RemoteClock();
     const link = openLink(target, {
       ready: () => this.#follow(link, context.replicas.revision),
-      line: (text) => this.#take(link, host.id, text),
+      line: (text) => this.#take(text, { link, clock, reader: host.id }),
       closed: () => this.#ended(link),
     });
-    return link;
+    return { link, clock };
   }
 
   /** The new link tells a fresh word: the old one is left. */
@@ -136,11 +161,19 @@
     this.#reader = reader;
     this.#link = next.link;
     this.#openedAt = context.clock.now();
+    this.#syncedAt = this.#openedAt;
     context.events.note("readerChosen", { reader });
   }
 
   #follow(link: Link, revision: number): void {
-    link.send({ type: "follow", revision, host: this.#source.self });
+    const { context: { clock, routes }, self } = this.#source;
+    link.send({
+      type: "follow",
+      revision,
+      version: routes.version,
+      sentAt: clock.now(),
+      host: self,
+    });
   }
 
   #ended(link: Link): void {
@@ -165,12 +198,19 @@
     next?.link.close();
   }
 
-  #take(link: Link, reader: HostId, text: string): void {
+  #take(text: string, from: Omit<NextLink, "openedAt">): void {
     const message = readJson(ReaderMessageSchema, text);
     if (message?.type !== "state") return;
+    const { link, reader } = from;
+    const now = this.#source.context.clock.now();
+    if (message.echo) from.clock.note(message.echo, now);
+    const configAsOf = message.configAsOf === undefined
+      ? undefined
+      : from.clock.toLocal(message.configAsOf, now);
     const isFresh = message.ageMs !== undefined && message.ageMs <= FRESH_MS;
     if (this.#next?.link === link && isFresh) this.#change(this.#next);
-    if (!this.#source.onState(message, reader)) this.#follow(link, -1);
+    const word = { reader, message, configAsOf };
+    if (!this.#source.onState(word)) this.#follow(link, -1);
   }
 
   #close(): void {
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -2,21 +2,42 @@
 import * as z from "zod";
 import { ReplicaEntrySchema } from "../replicas/schema.ts";
 import { HostEntrySchema } from "../peers/host_schema.ts";
+import { RouteConfigSchema } from "../routing/schema.ts";
 
 const Follow = z.object({
   type: z.literal("follow"),
   /** The revision of the follower's listing; -1: it wants the whole. */
   revision: z.number(),
+  /** Version of the follower's configuration. */
+  version: z.number(),
+  /** The follower's clock. */
+  sentAt: z.number(),
   /** The follower itself, so that its reader can name it to others. */
   host: HostEntrySchema,
 });
 
+/** Asks for an echo, by which the follower reads the reader's clock. */
+const Sync = z.object({
+  type: z.literal("sync"),
+  /** The follower's clock. */
+  sentAt: z.number(),
+});
+
 const State = z.object({
   type: z.literal("state"),
   /** How old the reader's word of the store is; absent: it has none. */
   ageMs: z.number().exactOptional(),
   /** Version of the configuration in force at the reader. */
   version: z.number(),
+  /** The configuration, where the follower has an older one. */
+  config: RouteConfigSchema.exactOptional(),
+  /**
+   * By the reader's clock: no newer configuration was in the store then.
+   * Absent: the reader has no word of it.
+   */
+  configAsOf: z.number().exactOptional(),
+  /** When the reader heard the follower's last `sentAt`. */
+  echo: z.object({ sentAt: z.number(), heardAt: z.number() }).exactOptional(),
   /** What changed in the listing since the last message. */
   listing: z.object({
     since: z.number(),
@@ -36,6 +57,7 @@
 /** From a follower to its reader. */
 export const FollowerMessageSchema = z.discriminatedUnion("type", [
   Follow,
+  Sync,
   Ping,
 ]);
 /** From a reader to a follower. */
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -4,6 +4,7 @@
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
+import type { ClockEcho } from "../peers/remote_clock.ts";
 import { acceptLink, type Link } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
 import { FollowerMessageSchema, type StateMessage } from "./state_messages.ts";
@@ -21,12 +22,18 @@
   readonly directory: HostDirectory;
   /** Age of this host's word of the store; Infinity: none to be told. */
   storeAgeMs(now: Milliseconds): Milliseconds;
+  /** Age of this host's word of the configuration; Infinity: it has none. */
+  configAgeMs(now: Milliseconds): Milliseconds;
 };
 
 type Follower = {
   readonly link: Link;
   /** Revision of its listing; undefined until it has told. */
   revision: number | undefined;
+  /** Version of its configuration. */
+  version: number;
+  /** Not yet sent. */
+  echo: ClockEcho | undefined;
   host: HostEntry | undefined;
   toldAt: Milliseconds;
   readonly hosts: Map<HostId, string>;
@@ -59,6 +66,8 @@
     const follower: Follower = {
       link,
       revision: undefined,
+      version: 0,
+      echo: undefined,
       host: undefined,
       toldAt: -Infinity,
       hosts: new Map(),
@@ -90,13 +99,14 @@
 
   #take(follower: Follower, text: string): void {
     const message = readJson(FollowerMessageSchema, text);
-    if (message?.type !== "follow") return;
+    if (!message || message.type === "ping") return;
+    const now = this.#source.context.clock.now();
+    follower.echo = { sentAt: message.sentAt, heardAt: now };
+    if (message.type === "sync") return;
     follower.revision = message.revision;
+    follower.version = message.version;
     follower.host = message.host;
-    this.#source.directory.learn(
-      [message.host],
-      this.#source.context.clock.now(),
-    );
+    this.#source.directory.learn([message.host], now);
     this.#send(follower);
   }
 
@@ -104,6 +114,8 @@
     if (follower.revision === undefined) return;
     const message = this.#messageFor(follower, follower.revision);
     if (message.listing) follower.revision = message.listing.revision;
+    follower.version = Math.max(follower.version, message.version);
+    follower.echo = undefined;
     follower.toldAt = this.#source.context.clock.now();
     follower.link.send(message);
   }
@@ -118,12 +130,28 @@
     return {
       type: "state",
       version: routes.version,
+      ...this.#configFor(follower),
+      ...(follower.echo ? { echo: follower.echo } : {}),
       ...(isFresh ? { ageMs: Math.round(age) } : {}),
       ...(listing ? { listing } : {}),
       ...this.#hostsFor(follower),
     };
   }
 
+  #configFor(
+    follower: Follower,
+  ): Pick<StateMessage, "config" | "configAsOf"> {
+    const { context: { routes, clock }, configAgeMs } = this.#source;
+    const now = clock.now();
+    const asOf = Math.floor(now - configAgeMs(now));
+    const isNewer = routes.version > follower.version;
+    const config = isNewer ? routes.config : undefined;
+    return {
+      ...(Number.isFinite(asOf) ? { configAsOf: asOf } : {}),
+      ...(config ? { config } : {}),
+    };
+  }
+
   #hostsFor(follower: Follower): Pick<StateMessage, "hosts" | "hostsGone"> {
     const { self, directory } = this.#source;
     const entries = directory.entries();
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -176,11 +176,15 @@
   async #readConfig(
     revision: number | undefined,
   ): Promise<ConfigReading | undefined> {
-    const { store, synchronizer } = this.#source;
+    const { context: { clock }, store, synchronizer } = this.#source;
+    const askedAt = clock.now();
     const reading = revision === undefined
       ? await this.#call((signal) => store.readConfig(signal))
       : await this.#watchConfig(revision);
     if (reading?.config) synchronizer.takeConfig(reading.config, "store");
+    if (reading?.revision !== undefined) {
+      synchronizer.noteNewest(reading.config?.version ?? 0, askedAt);
+    }
     return reading;
   }
 
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -3,12 +3,12 @@
  * here, told by the reader of the hall, or by peers. What was taken never
  * goes back.
  */
-import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
 import type { ReplicaListing } from "../replicas/model.ts";
 import type { ListingChange } from "../replicas/replica_table.ts";
 import type { RouteConfig } from "../routing/model.ts";
-import type { StateMessage } from "./state_messages.ts";
+import type { ReaderWord } from "./hall_follower.ts";
 
 /** A word of the store that is older than this has to be read anew. */
 const FRESH_MS = 1300;
@@ -51,6 +51,8 @@
   /** When the store was last asked with success; undefined before. */
   #readAt: Milliseconds | undefined;
   #told: Told | undefined;
+  /** No configuration newer than ours was in the store then. */
+  #configAsOf: Milliseconds = -Infinity;
   #lost = false;
   #settledAt: Milliseconds = 0;
 
@@ -65,6 +67,23 @@
     return asOf < 0 ? Infinity : now - asOf;
   }
 
+  /**
+   * Age of the newest word that no newer configuration than ours was in the
+   * store; Infinity before the first.
+   */
+  configAgeMs(now: Milliseconds): Milliseconds {
+    return now - this.#configAsOf;
+  }
+
+  /**
+   * The store had no newer version than this at `asOf`, by this host's clock:
+   * a moment that surely lies before the store was read.
+   */
+  noteNewest(version: number, asOf: Milliseconds): void {
+    if (version > this.#context.routes.version) return;
+    this.#configAsOf = Math.max(this.#configAsOf, asOf);
+  }
+
   /**
    * What followers may be told. While replicas that a listing lacks are kept,
    * nothing: a follower whom the store served all the time knows better.
@@ -123,9 +142,11 @@
   }
 
   /** Takes the word of the hall's reader; false: its listing has a gap. */
-  takeState(message: StateMessage, reader: HostId): boolean {
+  takeState({ message, reader, configAsOf }: ReaderWord): boolean {
     const { clock, replicas, routes } = this.#context;
     const now = clock.now();
+    if (message.config) this.takeConfig(message.config, reader);
+    if (configAsOf !== undefined) this.noteNewest(message.version, configAsOf);
     const { listing, ageMs, version } = message;
     const change = listing ? replicas.follow(listing) : undefined;
     if (change === "gap") return false;
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -1,6 +1,6 @@
 /** Settings of a gateway; docs/SETTINGS.md has a line on each. */
 import * as z from "zod";
-import { address, duration, name } from "./units.ts";
+import { address, duration, name, requiredDuration } from "./units.ts";
 
 const Host = z.strictObject({
   id: name(),
@@ -20,7 +20,7 @@
   address: address(),
   timeout: duration("700ms"),
   list_interval: duration("700ms"),
-  watch: duration("1500ms"),
+  watch: duration("1200ms"),
 });
 
 const Retries = z.strictObject({
@@ -52,6 +52,14 @@
   far_charge: z.number().min(0).default(0.1),
 });
 
+const Customers = z.strictObject({
+  /**
+   * Keys are not trusted on an older word of the configuration than this;
+   * absent: they are trusted however old it is.
+   */
+  key_max_age: requiredDuration().optional(),
+});
+
 const Log = z.strictObject({
   level: z.enum(["debug", "info", "warn", "error"]).default("info"),
 });
@@ -68,6 +76,7 @@
   retries: Retries.prefault({}),
   stages: Stages.prefault({}),
   tuning: Tuning.prefault({}),
+  customers: Customers.prefault({}),
   log: Log.prefault({}),
 });
 /** Checked settings of a gateway. */
--- a/src/settings/units.ts
+++ b/src/settings/units.ts
@@ -4,8 +4,13 @@
 import * as z from "zod";
 import { parseAddress } from "../util/address.ts";
 
-/** A duration such as "250ms" or "3s", as milliseconds. */
+/** A duration that has a usual value. */
 export function duration(usual: string) {
+  return requiredDuration().prefault(usual);
+}
+
+/** A duration such as "250ms" or "3s", as milliseconds. */
+export function requiredDuration() {
   return z.string().transform((text, context) => {
     const value = /[a-z]\s*$/i.test(text) ? ms(text as StringValue) : undefined;
     if (typeof value === "number" && value >= 0) return value;
@@ -13,7 +18,7 @@
       `expected a duration such as "250ms" or "3s", got "${text}"`;
     context.addIssue({ code: "custom", message });
     return z.NEVER;
-  }).prefault(usual);
+  });
 }
 
 /** A size such as "8MB" (powers of 1024), as bytes. */
--- /dev/null
+++ b/test/gateway/customers/keys_test.ts
@@ -0,0 +1,137 @@
+/** Who may send a request, and what replicas are told of it. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type Customer,
+  type RouteConfig,
+  RouteKind,
+} from "../../../src/gateway/mod.ts";
+import { type RawAnswer, whole } from "../raw_replica.ts";
+import { type Rig, withRig } from "../rig.ts";
+
+const ALPHA: Customer = { name: "alpha", keyDigests: ["digest of a-key"] };
+const BETA: Customer = { name: "beta", keyDigests: ["digest of b-key"] };
+const customers = [ALPHA, BETA];
+const answer: RawAnswer = (request, socket) => {
+  socket.write(whole(request, "ok"));
+};
+const replicas = [{ answer }];
+
+function arrivedAt(rig: Rig) {
+  return rig.replicas.flatMap((one) => one.requests);
+}
+
+/** Puts a configuration without one customer in force. */
+function takeAway(rig: Rig, name: string): void {
+  const config = rig.context.routes.config as RouteConfig;
+  rig.context.routes.adopt({
+    ...config,
+    version: config.version + 1,
+    customers: customers.filter((one) => one.name !== name),
+  });
+}
+
+test("a request without a key, or with one that nobody holds, does not run", async () => {
+  await withRig({ replicas, customers }, async (rig) => {
+    const sent: Record<string, string>[] = [{}, { "x-key": "unheard" }];
+    for (const headers of sent) {
+      const seen = await rig.call({ headers });
+      assert.equal(seen.status, 401);
+      assert.equal(seen.headers["www-authenticate"], "Bearer");
+      assert.match(seen.body, /unknown_key/);
+    }
+    assert.equal(arrivedAt(rig).length, 0);
+  });
+});
+
+test("a replica is told the customer, not the key, whatever the caller says", async () => {
+  await withRig({ replicas, customers }, async (rig) => {
+    const headers = {
+      "X-KEY": "a-key",
+      "x-customer": "beta",
+      "connection": "x-key, x-customer",
+    };
+    assert.equal((await rig.call({ headers })).status, 200);
+    const [request] = arrivedAt(rig);
+    assert.equal(request?.headers.get("x-customer"), "alpha");
+    assert.equal(request?.headers.get("x-key"), undefined);
+  });
+});
+
+test("an anonymous route needs no key, and passes none on", async () => {
+  const route = { anonymous: true };
+  await withRig({ route, replicas, customers }, async (rig) => {
+    const headers = { "x-key": "a-key", "x-customer": "beta" };
+    assert.equal((await rig.call({ headers })).status, 200);
+    const [request] = arrivedAt(rig);
+    assert.equal(request?.headers.get("x-customer"), undefined);
+    assert.equal(request?.headers.get("x-key"), undefined);
+  });
+});
+
+test("where no customers are, a header of that name belongs to the caller", async () => {
+  await withRig({ replicas }, async (rig) => {
+    const headers = { "x-key": "own" };
+    assert.equal((await rig.call({ headers })).status, 200);
+    assert.equal(arrivedAt(rig)[0]?.headers.get("x-key"), "own");
+  });
+});
+
+test("a key that was taken away is refused from then on", async () => {
+  await withRig({ replicas, customers }, async (rig) => {
+    const headers = { "x-key": "a-key" };
+    assert.equal((await rig.call({ id: "1", headers })).status, 200);
+    takeAway(rig, "alpha");
+    assert.equal((await rig.call({ id: "2", headers })).status, 401);
+    assert.equal(arrivedAt(rig).length, 1);
+  });
+});
+
+test("a request whose key is taken away between two sends is not sent again", async () => {
+  let rig: Rig | undefined;
+  const turnAway: RawAnswer = (request, socket) => {
+    if (rig) takeAway(rig, "alpha");
+    const lines = [`HTTP/1.1 503 Full`, "x-not-run: 1", "content-length: 0"];
+    lines.push(`x-id: ${request.headers.get("x-id")}`);
+    socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+  };
+  const source = {
+    route: { kind: RouteKind.unsafe, attempts: 2 },
+    replicas: [{ answer: turnAway }, { answer: turnAway }],
+    customers,
+  };
+  await withRig(source, async (started) => {
+    rig = started;
+    const seen = await started.call({ headers: { "x-key": "a-key" } });
+    assert.equal(seen.status, 401);
+    assert.equal(arrivedAt(started).length, 1);
+  });
+});
+
+test("a host with too old a word of the keys refuses, and says that nothing ran", async () => {
+  let ageMs = 20_000;
+  const configAgeMs = () => ageMs;
+  await withRig({ replicas, customers, configAgeMs }, async (rig) => {
+    const headers = { "x-key": "a-key" };
+    assert.equal((await rig.call({ id: "1", headers })).status, 200);
+    ageMs = 20_001;
+    const seen = await rig.call({ id: "2", headers });
+    assert.equal(seen.status, 503);
+    assert.ok(Number(seen.headers["retry-after"]) > 0);
+    // Nor can it tell that a key is a bad one.
+    const unheard = { "x-key": "unheard" };
+    assert.equal((await rig.call({ id: "3", headers: unheard })).status, 503);
+    assert.equal(arrivedAt(rig).length, 1);
+  });
+});
+
+test("a request goes by its customer's priority before its route's", async () => {
+  const urgent = { ...ALPHA, priority: 0 };
+  await withRig({ replicas, customers: [urgent, BETA] }, async (rig) => {
+    const headers = { "x-key": "a-key" };
+    assert.equal((await rig.call({ headers })).status, 200);
+    const placed = rig.events.find((one) => one.name === "placed");
+    assert.equal((placed?.fields as { priority?: number }).priority, 0);
+    assert.equal((placed?.fields as { customer?: string }).customer, "alpha");
+  });
+});
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -6,7 +6,8 @@
   withoutHeaders,
 } from "../../src/gateway/mod.ts";
 
-const OWN = /^x-(mode|incarnation|patience|export|reservation|not-run)$/;
+const OWN =
+  /^x-(mode|incarnation|patience|export|reservation|not-run|customer)$/;
 
 /** The tests' dialect. */
 export const testDialect: Dialect = {
@@ -14,9 +15,11 @@
     const tokens = String(headers["x-tokens"] ?? "").split(",");
     const id = headers["x-id"];
     const patience = headers["x-patience"];
+    const key = headers["x-key"];
     return {
       ...(typeof id === "string" ? { id } : {}),
       ...(patience === undefined ? {} : { patienceMs: Number(patience) }),
+      ...(typeof key === "string" ? { keyDigest: `digest of ${key}` } : {}),
       promptTokens: Number(tokens[0]) || 0,
       outputLimit: Number(tokens[1]) || 0,
     };
@@ -51,6 +54,7 @@
     body: JSON.stringify(order),
   }),
   readOrder: () => "refused",
+  keyHeader: "x-key",
   endToEndHeaders: new Set(["x-id", "x-seal"]),
   retryAfterHeader: "retry-after",
 };
@@ -58,6 +62,7 @@
 function ownHeaders(head: CallHead): string[] {
   const own = ["x-incarnation", head.incarnation];
   if (head.mode === CallMode.prefill) own.push("x-mode", "prefill");
+  if (head.customer) own.push("x-customer", head.customer);
   if (head.export) own.push("x-export", head.export.id);
   if (head.reservation) own.push("x-reservation", head.reservation);
   if (head.lastEventId) own.push("last-event-id", head.lastEventId);
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -26,6 +26,7 @@
   priority: 1,
   targets: [{ service: "s", weight: 1 }],
   resumable: false,
+  anonymous: false,
 };
 
 const REQUEST: GatewayRequest = {
@@ -36,6 +37,7 @@
   body: Buffer.alloc(0),
   route: ROUTE,
   service: "s",
+  priority: 1,
   receivedAt: 0,
   limitAt: 1000,
 };
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -4,6 +4,7 @@
 import { systemClock } from "../../src/gateway/clock.ts";
 import type { GatewayContext } from "../../src/gateway/context.ts";
 import {
+  type Customer,
   type ReplicaEntry,
   type ReplicaStage,
   type Route,
@@ -38,6 +39,9 @@
   readonly route?: Partial<Route>;
   readonly engine?: Service["engine"];
   readonly replicas: readonly RigReplica[];
+  readonly customers?: readonly Customer[];
+  /** Age of the host's word of the configuration; 0 unless it is given. */
+  readonly configAgeMs?: () => number;
   readonly budget?: { readonly ratio: number; readonly extra: number };
 };
 
@@ -97,6 +101,7 @@
   priority: 1,
   targets: [{ service: "service", weight: 1 }],
   resumable: false,
+  anonymous: false,
 };
 
 /** Starts replicas and a gateway before them. */
@@ -110,10 +115,15 @@
     revision: 1,
     entries: replicas.map((one, at) => entryOf(one, source, at)),
   });
-  const callers = new CallerServer(
+  const callers = new CallerServer({
     context,
-    new Places(context, new PlanService(context), () => []),
-  );
+    places: new Places(context, new PlanService(context), () => []),
+    admission: {
+      routes: context.routes,
+      configAgeMs: () => source.configAgeMs?.() ?? 0,
+      maxConfigAgeMs: () => AMPLE_MS,
+    },
+  });
   const port = await new Promise<number>((resolve) => {
     callers.server.listen(0, "127.0.0.1", () => {
       const bound = callers.server.address();
@@ -187,6 +197,7 @@
       connectionLimit: 100,
       ...(engine ? { engine } : {}),
     }],
+    ...(source.customers ? { customers: source.customers } : {}),
     limits: { bodyBytes: 1 << 20, headerMs: AMPLE_MS, idleMs: AMPLE_MS },
   });
   const rule = { windowMs: AMPLE_MS, ratio: 0, extra: 10 };
--- a/test/gateway/routing/route_table_test.ts
+++ b/test/gateway/routing/route_table_test.ts
@@ -27,6 +27,7 @@
     priority: 0,
     targets: [{ service: "s", weight: 1 }],
     resumable: false,
+    anonymous: false,
   };
 }
 
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -81,6 +81,7 @@
     self: place,
     directory: new HostDirectory(place, []),
     storeAgeMs: () => ages.now,
+    configAgeMs: () => Infinity,
   });
   const here = makeContext();
   const self = { id: follower, address: "127.0.0.1:1", hall: "h" };
@@ -91,7 +92,7 @@
     context: here.context,
     self,
     directory,
-    onState: (message) => {
+    onState: ({ message }) => {
       told.push(message);
       const { listing } = message;
       return !listing || here.context.replicas.follow(listing) !== "gap";
--- a/test/gateway/state/store_loops_test.ts
+++ b/test/gateway/state/store_loops_test.ts
@@ -29,6 +29,7 @@
     times: { listMs: 700, timeoutMs: 700, watchMs: 1500 },
     synchronizer: {
       takeConfig: ({ version }: { version: number }) => adopted.push(version),
+      noteNewest: () => undefined,
     } as unknown as Synchronizer,
     follower: {} as HallFollower,
   });
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -2,10 +2,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
-import type { ReplicaEntry } from "../../../src/gateway/mod.ts";
+import type { ReplicaEntry, RouteConfig } from "../../../src/gateway/mod.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { replicaEntry } from "../replica_entry.ts";
+import type { ReaderWord } from "../../../src/gateway/state/hall_follower.ts";
+import type { StateMessage } from "../../../src/gateway/state/state_messages.ts";
 import { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 
 const REPLICA = replicaEntry("a");
@@ -34,6 +36,11 @@
   return { time, replicas, synchronizer, read, told };
 }
 
+/** A reader's word that says nothing of the configuration's age. */
+function wordOf(message: StateMessage): ReaderWord {
+  return { reader: "reader", message, configAsOf: undefined };
+}
+
 test("a replica missing right after the store was away is kept a while", () => {
   const { time, replicas, synchronizer, read } = start();
   read(1, [REPLICA]);
@@ -62,7 +69,7 @@
   const { time, synchronizer } = start();
   time.now = 10_000;
   const word = { type: "state", version: 0 } as const;
-  synchronizer.takeState({ ...word, ageMs: 400 }, "reader");
+  synchronizer.takeState(wordOf({ ...word, ageMs: 400 }));
   assert.equal(synchronizer.storeAgeMs(10_000), 400);
   assert.equal(synchronizer.isTold(10_500), true);
   assert.equal(synchronizer.isTold(11_000), false);
@@ -72,7 +79,7 @@
   const { time, synchronizer } = start(true);
   time.now = 10_000;
   const word = { type: "state", version: 0, ageMs: 0 } as const;
-  synchronizer.takeState(word, "reader");
+  synchronizer.takeState(wordOf(word));
   assert.equal(synchronizer.isTold(10_999), true);
   assert.equal(synchronizer.isTold(11_000), false);
 });
@@ -81,18 +88,18 @@
   const { time, synchronizer, told } = start();
   time.now = 10_000;
   const word = { type: "state", version: 0 } as const;
-  synchronizer.takeState({ ...word, ageMs: 100 }, "reader");
+  synchronizer.takeState(wordOf({ ...word, ageMs: 100 }));
   time.now = 10_300;
-  synchronizer.takeState({ ...word, ageMs: 400 }, "reader");
+  synchronizer.takeState(wordOf({ ...word, ageMs: 400 }));
   time.now = 10_700;
-  synchronizer.takeState({ ...word, ageMs: 50 }, "reader");
+  synchronizer.takeState(wordOf({ ...word, ageMs: 50 }));
   assert.deepEqual(told, [10_000, 10_700]);
 });
 
 test("a reader that heard nothing of the store tells nothing fresh", () => {
   const { time, synchronizer } = start();
   time.now = 10_000;
-  synchronizer.takeState({ type: "state", version: 0 }, "reader");
+  synchronizer.takeState(wordOf({ type: "state", version: 0 }));
   assert.equal(synchronizer.isTold(10_000), false);
   assert.equal(synchronizer.storeAgeMs(10_000), Infinity);
 });
@@ -100,10 +107,10 @@
 test("a host that stays behind its reader's version asks peers", () => {
   const { time, synchronizer } = start();
   const word = { type: "state", version: 3, ageMs: 0 } as const;
-  synchronizer.takeState(word, "reader");
+  synchronizer.takeState(wordOf(word));
   assert.equal(synchronizer.isBehind(100), false);
   time.now = 250;
-  synchronizer.takeState(word, "reader");
+  synchronizer.takeState(wordOf(word));
   assert.equal(synchronizer.isBehind(400), true);
   const limits = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
   const config = { version: 3, routes: [], services: [], limits };
@@ -125,3 +132,33 @@
   read(3, []);
   assert.equal(synchronizer.tellableAgeMs(4200), 100);
 });
+
+const LIMITS = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
+
+function configOf(version: number): RouteConfig {
+  return { version, routes: [], services: [], limits: LIMITS };
+}
+
+test("the configuration is as old as the moment at which the store was asked", () => {
+  const { synchronizer } = start();
+  assert.equal(synchronizer.configAgeMs(100), Infinity);
+  synchronizer.takeConfig(configOf(1), "store");
+  synchronizer.noteNewest(1, 100);
+  assert.equal(synchronizer.configAgeMs(600), 500);
+  // A word that comes late says nothing newer.
+  synchronizer.noteNewest(1, 50);
+  assert.equal(synchronizer.configAgeMs(600), 500);
+});
+
+test("a version that is heard of and not held makes no word fresh", () => {
+  const { time, synchronizer } = start();
+  synchronizer.takeConfig(configOf(1), "store");
+  synchronizer.noteNewest(1, 100);
+  time.now = 1000;
+  const message = { type: "state", version: 2 } as const;
+  synchronizer.takeState({ reader: "reader", message, configAsOf: 990 });
+  assert.equal(synchronizer.configAgeMs(1000), 900);
+  const newer = { ...message, config: configOf(2) };
+  synchronizer.takeState({ reader: "reader", message: newer, configAsOf: 990 });
+  assert.equal(synchronizer.configAgeMs(1000), 10);
+});
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -5,7 +5,9 @@
 import "../fixed_seed.ts";
 import { dialect } from "../../platform/dialect.ts";
 import { SYSTEM_HEADERS } from "../../platform/names.ts";
-import { CallMode } from "../../src/gateway/mod.ts";
+import { configOf } from "../../platform/rows.ts";
+import { CallMode, QuotaUnit } from "../../src/gateway/mod.ts";
+import { sha256 } from "../../src/util/sha256.ts";
 
 /** Names of headers as a replica would get them, in lower case. */
 function namesSent(raw: readonly string[]): string[] {
@@ -63,3 +65,67 @@
     }),
   );
 });
+
+test("a key is read by its scheme, and only its digest is kept", () => {
+  const digest = dialect.readRequest({ authorization: "Bearer k1" }).keyDigest;
+  assert.equal(digest, sha256("k1"));
+  for (const text of ["bearer k1", "BEARER  k1 "]) {
+    assert.equal(
+      dialect.readRequest({ authorization: text }).keyDigest,
+      digest,
+    );
+  }
+  for (const text of ["k1", "Basic k1", "Bearer", "Bearer k1 k2"]) {
+    const facts = dialect.readRequest({ authorization: text });
+    assert.equal(facts.keyDigest, undefined);
+  }
+});
+
+test("a caller's word of its customer gives way to the gateway's", () => {
+  const raw = ["TENANT", "theirs", "Tenant", "again", "Other", "kept"];
+  const head = { mode: CallMode.whole, incarnation: "i-1" };
+  const sent = dialect.callHeaders(raw, { ...head, customer: "alpha" });
+  const told = sent.filter((_, at) => /^tenant$/i.test(sent[at - 1] ?? ""));
+  assert.deepEqual(told, ["alpha"]);
+  assert.ok(sent.includes("kept"));
+  assert.ok(!dialect.callHeaders(raw, head).includes("theirs"));
+});
+
+test("numbers of tokens that make no sense count as none", () => {
+  for (const text of ["-5,-3", "x,y", "NaN", "Infinity,1e999"]) {
+    const facts = dialect.readRequest({ "token-counts": text });
+    assert.deepEqual([facts.promptTokens, facts.outputLimit], [0, 0]);
+  }
+});
+
+test("customers come with digests in place of keys, and their quotas", () => {
+  const customers = [
+    {
+      Name: "alpha",
+      ApiKeys: ["k1", "k2"],
+      Priority: 2,
+      Unit: "token_metering",
+      UncachedTokens: 200,
+      RatePerS: 1000,
+      Burst: 3000,
+    },
+    { Name: "beta", ApiKeys: [], RatePerS: 0 },
+  ];
+  const value = JSON.stringify({ Version: 1, Tenants: customers });
+  const Value = Buffer.from(value).toString("base64");
+  const read = configOf({ PrivateKey: "config", Value, ver: 1 });
+  assert.deepEqual(read?.customers, [
+    {
+      name: "alpha",
+      keyDigests: [sha256("k1"), sha256("k2")],
+      priority: 2,
+      quota: {
+        unit: QuotaUnit.tokens,
+        perSecond: 1000,
+        burst: 3000,
+        plainUnits: 200,
+      },
+    },
+    { name: "beta", keyDigests: [] },
+  ]);
+});
