Quotas hold for the sum over all hosts: an owner for each customer, asked for each request

Ruled out: equal shares a host (a request of 6,000 tokens each 15 s), shares by demand (a host has a request of one customer each 7 s), a counter in the store.

Change: customers dealt to eight shards, the first host of a shard's order owns it and keeps a token bucket a customer, filled by the part of the fleet that names it. Units are taken at admission and given back when nothing ran. Each bound is a setting of the deployment.

--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -19,6 +19,11 @@
 import type { CallerLimits, Route } from "../routing/model.ts";
 import { pickTarget } from "../routing/route_table.ts";
 import { readCallerBody } from "./body.ts";
+import {
+  type QuotaHold,
+  type QuotaHoldSource,
+  takeQuotaHold,
+} from "./quota_hold.ts";
 import { createReply } from "./reply.ts";
 
 /** Largest head of a request; the configuration's limit is lower. */
@@ -49,6 +54,7 @@
   readonly context: GatewayContext;
   readonly places: Places;
   readonly admission: AdmissionSource;
+  readonly quotas: QuotaHoldSource["quotas"];
 };
 
 /** The callers' side of a gateway. */
@@ -57,13 +63,16 @@
   readonly #context: GatewayContext;
   readonly #places: Places;
   readonly #admission: AdmissionSource;
+  readonly #quotas: QuotaHoldSource["quotas"];
   readonly #open = new Set<Exchange>();
   #reading = 0;
 
-  constructor({ context, places, admission }: CallerServerSource) {
+  constructor(source: CallerServerSource) {
+    const { context, places, admission, quotas } = source;
     this.#context = context;
     this.#places = places;
     this.#admission = admission;
+    this.#quotas = quotas;
     this.server = createServer(
       { maxHeaderSize: HEAD_BYTES },
       (request, response) => void this.#serve(request, response),
@@ -129,7 +138,22 @@
     }
     const { body } = reading;
     const request = this.#request(incoming, { intake, receivedAt, body });
-    this.#begin(request, reply, response);
+    const hold = await this.#holdQuota(request);
+    if (hold.type === "refused") {
+      const { error, retryAfterMs } = hold;
+      return this.#refuse(reply, error, incoming, retryAfterMs);
+    }
+    if (response.destroyed) return hold.giveBack();
+    this.#begin(request, { reply, response, hold });
+  }
+
+  async #holdQuota(request: GatewayRequest): Promise<QuotaHold> {
+    const { clock, routes: { version } } = this.#context;
+    const quotas = this.#quotas;
+    this.#reading += 1;
+    const hold = await takeQuotaHold({ clock, quotas, version }, request);
+    this.#reading -= 1;
+    return hold;
   }
 
   /** What a request's head says of where it goes, and whether it may. */
@@ -189,15 +213,21 @@
 
   #begin(
     request: GatewayRequest,
-    reply: Reply,
-    response: ServerResponse,
+    { reply, response, hold }: {
+      readonly reply: Reply;
+      readonly response: ServerResponse;
+      readonly hold: Extract<QuotaHold, { type: "held" }>;
+    },
   ): void {
     const exchange = new Exchange({
       context: this.#context,
       places: this.#places,
       request,
       reply,
-      onEnd: () => this.#open.delete(exchange),
+      onEnd: (mayHaveRun) => {
+        this.#open.delete(exchange);
+        if (!mayHaveRun) hold.giveBack();
+      },
     });
     this.#open.add(exchange);
     response.on("close", () => {
@@ -220,14 +250,21 @@
     reply: Reply,
     error: GatewayError,
     incoming: IncomingMessage,
+    retryAfterMs?: Milliseconds,
   ): void {
-    const { events, metrics, routes, dialect } = this.#context;
+    const { events, metrics, routes, dialect, clock } = this.#context;
+    const { id, keyDigest = "" } = dialect.readRequest(incoming.headers);
+    const age = this.#admission.configAgeMs(clock.now());
     metrics.count(`ended_${error}`);
     events.note("refused", {
-      request: dialect.readRequest(incoming.headers).id,
+      request: id,
       error,
+      customer: routes.customers?.holderOf(keyDigest)?.name,
       routes: routes.version,
+      routes_age_ms: Number.isFinite(age) ? Math.round(age) : undefined,
+      retry_after: retryAfterMs && retryAfterMs / 1000,
     });
-    reply.fail(error);
+    const seconds = retryAfterMs && Math.ceil(retryAfterMs / 10) / 100;
+    reply.fail(error, seconds);
   }
 }
--- /dev/null
+++ b/src/gateway/customers/customers.ts
@@ -0,0 +1,69 @@
+/** What a gateway needs to serve customers, made from its settings. */
+import type { Milliseconds } from "../../core/ids.ts";
+import type { GatewaySettings } from "../../settings/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import { openLink } from "../peers/link.ts";
+import type { HostDirectory } from "../peers/directory.ts";
+import type { AdmissionSource } from "./admission.ts";
+import type { QuotaBounds } from "./quota/bounds.ts";
+import { QuotaMember } from "./quota/member.ts";
+import { QuotaOwner } from "./quota/owner.ts";
+
+/** What the customers' parts are made from. */
+export type CustomersSource = {
+  readonly context: GatewayContext;
+  readonly directory: HostDirectory;
+  readonly settings: GatewaySettings["customers"];
+  /** Age of this host's word of the configuration; Infinity: it has none. */
+  configAgeMs(now: Milliseconds): Milliseconds;
+};
+
+/** Keys and quotas at one gateway. */
+export class Customers {
+  readonly admission: AdmissionSource;
+  readonly owner: QuotaOwner;
+  readonly quotas: QuotaMember;
+  readonly #context: GatewayContext;
+  #settings: GatewaySettings["customers"];
+
+  constructor(source: CustomersSource) {
+    const { context, directory, settings, configAgeMs } = source;
+    this.#context = context;
+    this.#settings = settings;
+    this.admission = {
+      routes: context.routes,
+      configAgeMs,
+      maxConfigAgeMs: () => this.#settings.key_max_age ?? Infinity,
+    };
+    this.owner = new QuotaOwner({
+      clock: context.clock,
+      bounds: () => this.#bounds(),
+      knownHosts: () => directory.count,
+    });
+    this.quotas = new QuotaMember({
+      context,
+      own: this.owner,
+      hosts: () => directory.entries(),
+      openLink,
+    });
+  }
+
+  /** Puts changed settings in force. */
+  change(settings: GatewaySettings["customers"]): void {
+    this.#settings = settings;
+  }
+
+  /** Links to the owners of quotas stand before the first request needs them. */
+  link(): void {
+    if (this.#context.routes.customers) this.quotas.refresh();
+  }
+
+  #bounds(): QuotaBounds {
+    const { quota_window, quota_overshoot, quota_tolerance } = this.#settings;
+    return {
+      windowMs: quota_window,
+      overshoot: quota_overshoot,
+      tolerance: quota_tolerance,
+    };
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
 import { budgetOf, createContext, tuningOf } from "./create_context.ts";
-import type { AdmissionSource } from "./customers/admission.ts";
+import { Customers } from "./customers/customers.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { startPeerLoops } from "./peers/peer_loop.ts";
 import { createPeerServer } from "./peers/server.ts";
@@ -70,9 +70,8 @@
   readonly #directory: HostDirectory;
   readonly #peers: Server;
   readonly #servers: Server[] = [];
+  readonly #customers: Customers;
   readonly #settingsState: SettingsState;
-  /** Keys are not trusted on an older word; undefined: any word will do. */
-  #keyMaxAgeMs: Milliseconds | undefined;
 
   constructor(settings: GatewaySettings, port: PlatformPort) {
     this.#settings = settings;
@@ -80,35 +79,39 @@
     this.#settingsState = new SettingsState(settings, systemClock.now());
     const address = host.peer_address ?? listen.peers;
     const self = { id: host.id, address, hall: host.hall };
+    const directory = new HostDirectory(self, settings.seeds);
+    const context = createContext(settings, port, directory);
+    const configAgeMs = (now: Milliseconds) =>
+      this.#synchronizer.configAgeMs(now);
     this.#self = self;
-    this.#directory = new HostDirectory(self, settings.seeds);
-    this.#context = createContext(settings, port, this.#directory);
-    this.#plans = new PlanService(this.#context);
-    this.#places = new Places(
-      this.#context,
-      this.#plans,
-      () => this.#directory.entries(),
-    );
-    this.#keyMaxAgeMs = settings.customers.key_max_age;
+    this.#directory = directory;
+    this.#context = context;
+    this.#plans = new PlanService(context);
+    this.#places = new Places(context, this.#plans, () => directory.entries());
+    this.#customers = new Customers({
+      context,
+      directory,
+      settings: settings.customers,
+      configAgeMs,
+    });
     this.#callers = new CallerServer({
-      context: this.#context,
+      context,
       places: this.#places,
-      admission: this.#admission(),
+      admission: this.#customers.admission,
+      quotas: this.#customers.quotas,
     });
     this.#synchronizer = new Synchronizer({
-      context: this.#context,
+      context,
       onConfig: (config) => this.#callers.applyLimits(config.limits),
       onChange: () => this.#states.tell(),
       isRelay: () => this.#follower.isRelay,
     });
-    const context = this.#context;
-    const directory = this.#directory;
     this.#states = new StateServer({
       context,
       self,
       directory,
       storeAgeMs: (now) => this.#synchronizer.tellableAgeMs(now),
-      configAgeMs: (now) => this.#synchronizer.configAgeMs(now),
+      configAgeMs,
     });
     this.#follower = new HallFollower({
       context,
@@ -123,23 +126,20 @@
       synchronizer: this.#synchronizer,
       follower: this.#follower,
     });
-    this.#peers = createPeerServer({
-      context,
-      self,
-      directory,
-      plans: this.#plans,
-      states: this.#states,
-      configAgeMs: (now) => this.#synchronizer.configAgeMs(now),
-    });
+    this.#peers = this.#createPeers();
     this.#startLoops(port);
   }
 
-  #admission(): AdmissionSource {
-    return {
-      routes: this.#context.routes,
+  #createPeers(): Server {
+    return createPeerServer({
+      context: this.#context,
+      self: this.#self,
+      directory: this.#directory,
+      plans: this.#plans,
+      states: this.#states,
+      quotas: this.#customers.owner,
       configAgeMs: (now) => this.#synchronizer.configAgeMs(now),
-      maxConfigAgeMs: () => this.#keyMaxAgeMs ?? Infinity,
-    };
+    });
   }
 
   #startLoops({ store }: PlatformPort): void {
@@ -194,7 +194,7 @@
     this.#context.tuning = tuningOf(settings);
     this.#context.budget.change(budgetOf(settings));
     this.#context.stop.graceMs = settings.grace;
-    this.#keyMaxAgeMs = settings.customers.key_max_age;
+    this.#customers.change(settings.customers);
     const before = this.#settingsState.version;
     this.#settingsState.loaded(settings, this.#context.clock.now());
     const { version } = this.#settingsState;
@@ -249,6 +249,7 @@
       const gauges = {
         ...this.#settingsState.gauges(clock.now()),
         requests_open: this.#callers.open,
+        quota_customers: this.#customers.owner.size,
         memory_waits: this.#plans.waiting,
         routes_version: routes.version,
         replicas_revision: replicas.revision,
@@ -273,6 +274,7 @@
         events.note("stoodStill", { for_ms: Math.round(late) });
       }
       this.#linkPlanners();
+      this.#customers.link();
       this.#tick();
     });
   }
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -51,6 +51,7 @@
   ),
   plannerLost: warn("planning", "The planner is out of reach", 20),
   plannerChanged: info("planning", "Another host plans a service", 20),
+  quotaOwnerLost: warn("quotas", "An owner of quotas is out of reach", 20),
   placed: info("placement", "A request is sent", REQUESTS_PER_SECOND),
   prefillFailed: warn("prefill", "A prefill failed", FAILURES_PER_SECOND),
   retried: warn("retry", "A request is tried again", FAILURES_PER_SECOND),
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -11,6 +11,8 @@
   plan: "/plan",
   /** To the host that reads the store for its hall. */
   state: "/follow",
+  /** To an owner of customers' quotas. */
+  quota: "/quota",
 } as const;
 /** One of the values of {@link LinkPath}. */
 export type LinkPath = typeof LinkPath[keyof typeof LinkPath];
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server } from "node:http";
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
+import type { QuotaOwner } from "../customers/quota/owner.ts";
 import type { PlanService } from "../planning/plan_service.ts";
 import type { HostEntry } from "../port.ts";
 import type { StateServer } from "../state/state_server.ts";
@@ -20,6 +21,7 @@
   readonly directory: HostDirectory;
   readonly plans: PlanService;
   readonly states: StateServer;
+  readonly quotas: QuotaOwner;
   /** Age of this host's word of the configuration; Infinity: it has none. */
   configAgeMs(now: Milliseconds): Milliseconds;
 };
@@ -28,10 +30,11 @@
 export function createPeerServer(
   source: PeerServerSource,
 ): Server {
-  const { context, self, directory, plans, states } = source;
+  const { context, self, directory, plans, states, quotas } = source;
   const server = createServer((request, response) => {
     if (request.url === LinkPath.plan) return plans.accept(request, response);
     if (request.url === LinkPath.state) return states.accept(request, response);
+    if (request.url === LinkPath.quota) return quotas.accept(request, response);
     request.resume();
     const question = readQuestion(request.url ?? "/");
     const age = source.configAgeMs(context.clock.now());
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -32,7 +32,8 @@
   readonly places: Places;
   readonly request: GatewayRequest;
   readonly reply: Reply;
-  readonly onEnd: () => void;
+  /** Told whether the request may have run at a replica. */
+  readonly onEnd: (mayHaveRun: boolean) => void;
 };
 
 /** When to come back, and what a refusal was decided on. */
@@ -47,7 +48,7 @@
   readonly #request: GatewayRequest;
   readonly #reply: Reply;
   readonly #placer: Placer;
-  readonly #onEnd: () => void;
+  readonly #onEnd: (mayHaveRun: boolean) => void;
   readonly #attempts: Attempts;
   readonly #journal: RequestJournal;
   readonly #position: EventPosition = {};
@@ -307,6 +308,6 @@
     this.#cancelLimit();
     this.#sending?.abort("The request ended");
     this.#placer.end();
-    this.#onEnd();
+    this.#onEnd(this.#attempts.mayHaveRun);
   }
 }
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -58,6 +58,10 @@
    * absent: they are trusted however old it is.
    */
   key_max_age: requiredDuration().optional(),
+  /** Bounds on what all hosts together let through of a customer's quota. */
+  quota_window: duration("10s"),
+  quota_overshoot: z.number().min(0).default(0.1),
+  quota_tolerance: z.number().min(0).default(0),
 });
 
 const Log = z.strictObject({
--- a/test/gateway/customers/keys_test.ts
+++ b/test/gateway/customers/keys_test.ts
@@ -3,9 +3,12 @@
 import { test } from "node:test";
 import {
   type Customer,
+  QuotaUnit,
   type RouteConfig,
   RouteKind,
 } from "../../../src/gateway/mod.ts";
+import type { QuotaTake } from "../../../src/gateway/customers/quota/ledger.ts";
+import type { QuotaOutcome } from "../../../src/gateway/customers/quota/member.ts";
 import { type RawAnswer, whole } from "../raw_replica.ts";
 import { type Rig, withRig } from "../rig.ts";
 
@@ -135,3 +138,92 @@
     assert.equal((placed?.fields as { customer?: string }).customer, "alpha");
   });
 });
+
+/** A quota desk for tests: what it was told, and what it answers. */
+function desk(outcome: QuotaOutcome) {
+  const taken: QuotaTake[] = [];
+  const back: [string, number][] = [];
+  return {
+    taken,
+    back,
+    quotas: {
+      take: (take: QuotaTake) => {
+        taken.push(take);
+        return Promise.resolve(outcome);
+      },
+      giveBack: (customer: string, units: number) => {
+        back.push([customer, units]);
+      },
+    },
+  };
+}
+
+const METERED: Customer = {
+  ...ALPHA,
+  quota: {
+    unit: QuotaUnit.tokens,
+    perSecond: 1000,
+    burst: 3000,
+    plainUnits: 200,
+  },
+};
+
+test("a request takes the tokens that it names, or the usual number", async () => {
+  const { taken, back, quotas } = desk({ type: "granted", afterMs: 0 });
+  const source = { replicas, customers: [METERED], quotas };
+  await withRig(source, async (rig) => {
+    const headers = { "x-key": "a-key" };
+    const named = { ...headers, "x-tokens": "500,80" };
+    assert.equal((await rig.call({ id: "1", headers: named })).status, 200);
+    assert.equal((await rig.call({ id: "2", headers })).status, 200);
+  });
+  assert.deepEqual(taken.map((one) => one.units), [580, 200]);
+  assert.deepEqual(taken[0]?.rate, { perSecond: 1000, burst: 3000 });
+  assert.deepEqual(back, []);
+});
+
+test("a request over the quota does not run, and is told when to come back", async () => {
+  const { quotas } = desk({ type: "refused", retryAfterMs: 1234 });
+  const source = { replicas, customers: [METERED], quotas };
+  await withRig(source, async (rig) => {
+    const seen = await rig.call({ headers: { "x-key": "a-key" } });
+    assert.equal(seen.status, 429);
+    assert.equal(seen.headers["retry-after"], "1.24");
+    assert.equal(arrivedAt(rig).length, 0);
+  });
+});
+
+test("without word of the quota's owner nothing runs", async () => {
+  const { quotas } = desk({ type: "unknown" });
+  const source = { replicas, customers: [METERED], quotas };
+  await withRig(source, async (rig) => {
+    const seen = await rig.call({ headers: { "x-key": "a-key" } });
+    assert.equal(seen.status, 503);
+    assert.equal(arrivedAt(rig).length, 0);
+  });
+});
+
+test("a request that did not run gives its units back, one that ran does not", async () => {
+  const { back, quotas } = desk({ type: "granted", afterMs: 0 });
+  let turnAway = false;
+  const answerOrTurnAway: RawAnswer = (request, socket) => {
+    if (!turnAway) return void socket.write(whole(request, "ok"));
+    const lines = ["HTTP/1.1 503 Full", "x-not-run: 1", "content-length: 0"];
+    lines.push(`x-id: ${request.headers.get("x-id")}`);
+    socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+  };
+  const source = {
+    route: { kind: RouteKind.unsafe, attempts: 1 },
+    replicas: [{ answer: answerOrTurnAway }],
+    customers: [METERED],
+    quotas,
+  };
+  await withRig(source, async (rig) => {
+    const headers = { "x-key": "a-key" };
+    assert.equal((await rig.call({ id: "1", headers })).status, 200);
+    assert.deepEqual(back, []);
+    turnAway = true;
+    assert.equal((await rig.call({ id: "2", headers })).status, 503);
+    assert.deepEqual(back, [["alpha", 200]]);
+  });
+});
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -1,6 +1,9 @@
 /** A gateway's callers' side over raw replicas, with a caller for tests. */
 import { Agent, request } from "node:http";
-import { CallerServer } from "../../src/gateway/callers/server.ts";
+import {
+  CallerServer,
+  type CallerServerSource,
+} from "../../src/gateway/callers/server.ts";
 import { systemClock } from "../../src/gateway/clock.ts";
 import type { GatewayContext } from "../../src/gateway/context.ts";
 import {
@@ -42,6 +45,8 @@
   readonly customers?: readonly Customer[];
   /** Age of the host's word of the configuration; 0 unless it is given. */
   readonly configAgeMs?: () => number;
+  /** Grants all at once unless it is given. */
+  readonly quotas?: CallerServerSource["quotas"];
   readonly budget?: { readonly ratio: number; readonly extra: number };
 };
 
@@ -104,6 +109,11 @@
   anonymous: false,
 };
 
+const FREE_QUOTAS: CallerServerSource["quotas"] = {
+  take: () => Promise.resolve({ type: "granted", afterMs: 0 }),
+  giveBack: () => undefined,
+};
+
 /** Starts replicas and a gateway before them. */
 export async function startRig(source: RigSource): Promise<Rig> {
   const replicas = await Promise.all(
@@ -123,6 +133,7 @@
       configAgeMs: () => source.configAgeMs?.() ?? 0,
       maxConfigAgeMs: () => AMPLE_MS,
     },
+    quotas: source.quotas ?? FREE_QUOTAS,
   });
   const port = await new Promise<number>((resolve) => {
     callers.server.listen(0, "127.0.0.1", () => {
