Quotas go by what was taken in the last window, and a new owner is told what others gave

Change: the owner keeps the units of the last window in slots of 250 ms. A host that names another owner tells what it took; one whose process is younger than a window counts in part. No quarter of a window holds more than 45 of 100 of it.

--- a/src/gateway/callers/quota_hold.ts
+++ b/src/gateway/callers/quota_hold.ts
@@ -15,7 +15,7 @@
 /** What a hold is taken from. */
 export type QuotaHoldSource = {
   readonly clock: Clock;
-  readonly quotas: Pick<QuotaMember, "take" | "giveBack">;
+  readonly quotas: Pick<QuotaMember, "take">;
   /** Version of the configuration that has the quota. */
   readonly version: number;
 };
@@ -60,6 +60,6 @@
     }
     case "granted":
       if (outcome.afterMs > 0) await sleep(clock, outcome.afterMs);
-      return { type: "held", giveBack: () => quotas.giveBack(name, units) };
+      return { type: "held", giveBack: () => outcome.giveBack() };
   }
 }
--- a/src/gateway/customers/customers.ts
+++ b/src/gateway/customers/customers.ts
@@ -37,6 +37,7 @@
     };
     this.owner = new QuotaOwner({
       clock: context.clock,
+      run: context.self.run,
       bounds: () => this.#bounds(),
       knownHosts: () => directory.count,
     });
@@ -44,6 +45,7 @@
       context,
       own: this.owner,
       hosts: () => directory.entries(),
+      windowMs: () => this.#settings.quota_window,
       openLink,
     });
   }
--- a/src/gateway/customers/quota/bounds.ts
+++ b/src/gateway/customers/quota/bounds.ts
@@ -20,26 +20,17 @@
 };
 
 /**
- * Part of the overshoot that a bucket holds on top of its burst: requests reach
+ * Part of the overshoot and the tolerance that is given out: requests reach
  * their owner with delays of their own, and none below the limit is to be
- * refused for that. The other part is for owners that change.
+ * refused for that. The rest is for owners that change: when the fleet is split
+ * an owner notices after 3.1 s that a part of its members has left.
  */
-const HEADROOM_SHARE = 0.5;
-/**
- * A new owner begins with this part of the tolerance, since it knows nothing of
- * what its predecessor gave: so many changes of owner in one window stay within
- * the tolerance.
- */
-const FIRST_SHARE = 1 / 8;
+const SPARE_SHARE = 0.4;
 
-/** Most units that may be saved up for a burst. */
-export function capacityOf(rate: Rate, bounds: QuotaBounds): number {
+/** What all hosts together give out in one window, in the quota's units. */
+export function windowLimitOf(rate: Rate, bounds: QuotaBounds): number {
   const { perSecond, burst } = rate;
-  const inWindow = perSecond * bounds.windowMs / 1000 + burst;
-  return burst + HEADROOM_SHARE * bounds.overshoot * inWindow;
-}
-
-/** Units with which a new owner of the whole fleet begins. */
-export function firstLevelOf(bounds: QuotaBounds): number {
-  return FIRST_SHARE * bounds.tolerance;
+  const { windowMs, overshoot, tolerance } = bounds;
+  const inWindow = perSecond * windowMs / 1000 + burst;
+  return inWindow * (1 + overshoot * SPARE_SHARE) + tolerance * SPARE_SHARE;
 }
--- a/src/gateway/customers/quota/coverage.ts
+++ b/src/gateway/customers/quota/coverage.ts
@@ -1,47 +1,51 @@
 /** Which part of the fleet's hosts takes its quotas from this owner. */
 import type { HostId, Milliseconds } from "../../../core/ids.ts";
 
+/** The share is worked out anew after this time, in milliseconds. */
+const FRESH_MS = 100;
+
+type Member = {
+  /** When its process began. */
+  readonly startedAt: Milliseconds;
+};
+
 /**
  * The hosts that name this host as the owner of one shard. The owner gives out
- * only as much of each rate as its part of the fleet: when the fleet is split,
+ * only as much of each limit as its part of the fleet: when the fleet is split,
  * each side has its own owner, and together they give what one would.
+ *
+ * A member tells what it took in the last window. One that began within it has
+ * forgotten what its earlier process took, so it counts in part.
  */
 export class Coverage {
-  readonly #members = new Set<HostId>();
+  readonly #members = new Map<HostId, Member>();
   #share = 0;
-  #coveredMs: Milliseconds = 0;
-  #at: Milliseconds | undefined;
-
-  /** Whether any host names this one. */
-  get isEmpty(): boolean {
-    return this.#members.size === 0;
-  }
-
-  /** Part of the known hosts that are members, from 0 to 1. */
-  get share(): number {
-    return this.#share;
-  }
+  #at: Milliseconds = -Infinity;
 
-  /** Time as owner, each moment counted by the share of it. */
-  get coveredMs(): Milliseconds {
-    return this.#coveredMs;
+  /** A host names this one; its process has run for `upMs`. */
+  add(host: HostId, upMs: Milliseconds, now: Milliseconds): void {
+    this.#members.set(host, { startedAt: now - upMs });
+    this.#at = -Infinity;
   }
 
-  /** A host names this one, or names it no more. */
-  set(host: HostId, isMember: boolean): void {
-    if (isMember) this.#members.add(host);
-    else this.#members.delete(host);
+  /** A host names this one no more. */
+  remove(host: HostId): void {
+    this.#members.delete(host);
+    this.#at = -Infinity;
   }
 
-  /** Goes on to `now`; `knownHosts` are all hosts of the fleet. */
-  advance(knownHosts: number, now: Milliseconds): void {
-    this.#coveredMs += this.#share * (now - (this.#at ?? now));
+  /** Part of the known hosts that are members, from 0 to 1. */
+  shareAt(
+    now: Milliseconds,
+    fleet: { readonly hosts: number; readonly windowMs: Milliseconds },
+  ): number {
+    if (now - this.#at < FRESH_MS) return this.#share;
     this.#at = now;
-    this.#share = Math.min(1, this.#members.size / Math.max(1, knownHosts));
-  }
-
-  /** Forgets the time as owner. */
-  restart(): void {
-    this.#coveredMs = 0;
+    let sum = 0;
+    for (const { startedAt } of this.#members.values()) {
+      sum += Math.min(1, (now - startedAt) / fleet.windowMs);
+    }
+    this.#share = Math.min(1, sum / Math.max(1, fleet.hosts));
+    return this.#share;
   }
 }
--- a/src/gateway/customers/quota/ledger.ts
+++ b/src/gateway/customers/quota/ledger.ts
@@ -1,26 +1,39 @@
 /** What an owner has given out of its customers' quotas. */
 import type { HostId, Milliseconds } from "../../../core/ids.ts";
-import {
-  capacityOf,
-  firstLevelOf,
-  type QuotaBounds,
-  type Rate,
-} from "./bounds.ts";
-import { Bucket, type Taken, type Taking } from "./bucket.ts";
+import { type QuotaBounds, type Rate, windowLimitOf } from "./bounds.ts";
 import { Coverage } from "./coverage.ts";
+import type { QuotaMembership } from "./messages.ts";
 import { SHARD_COUNT, shardOf } from "./shards.ts";
+import { WindowLog } from "./window_log.ts";
 
-/** Full buckets are dropped this often: idle customers cost no memory. */
+/** Idle customers are forgotten this often: they cost no memory. */
 const SWEEP_MS = 10_000;
+/**
+ * In a quarter of the window no more than this part of its limit is given out.
+ * When most hosts are killed at once, what they took is forgotten: a customer
+ * that has just taken all of its window would have it again from the others.
+ */
+const BURST_SHARE = 0.45;
+const BURST_SPAN = 1 / 4;
+/** A refused caller comes back no sooner, in milliseconds. */
+const LEAST_RETRY_MS = 100;
 
 /** Units asked for. */
-export type QuotaTake = Taking & {
+export type QuotaTake = {
   readonly customer: string;
+  readonly units: number;
   readonly rate: Rate;
   /** The configuration that has this rate. */
   readonly version: number;
+  /** How long they may be waited for. */
+  readonly mostWaitMs: Milliseconds;
 };
 
+/** The units are taken, to be used after a wait, or they are not to be had. */
+export type Taken =
+  | { readonly type: "granted"; readonly afterMs: Milliseconds }
+  | { readonly type: "refused"; readonly retryAfterMs: Milliseconds };
+
 /** What a ledger is made from. */
 export type QuotaLedgerSource = {
   readonly bounds: () => QuotaBounds;
@@ -28,7 +41,7 @@
   readonly knownHosts: () => number;
 };
 
-type Account = { readonly bucket: Bucket; version: number };
+type Account = { readonly log: WindowLog; rate: Rate; version: number };
 
 type Shard = {
   readonly coverage: Coverage;
@@ -57,59 +70,90 @@
   /** A host takes the quotas of just these shards from this one. */
   setMember(
     host: HostId,
-    shards: readonly number[],
+    { shards, upMs, usage }: Omit<QuotaMembership, "type">,
     now: Milliseconds,
   ): void {
-    for (const [index, shard] of this.#shards.entries()) {
-      this.#advance(shard, now);
-      shard.coverage.set(host, shards.includes(index));
-      this.#advance(shard, now);
-      // Who owns it meanwhile gives out the whole rate.
-      if (!shard.coverage.isEmpty) continue;
-      shard.accounts.clear();
-      shard.coverage.restart();
+    for (const [index, { coverage }] of this.#shards.entries()) {
+      if (shards.includes(index)) coverage.add(host, upMs, now);
+      else coverage.remove(host);
+    }
+    for (const { customer, units, agoMs, rate, version } of usage) {
+      const { log } = this.#accountFor(customer, { rate, version });
+      log.add(units, now - agoMs);
     }
   }
 
-  /** Takes units of a customer's quota. */
+  /** A host is out of touch. */
+  lose(host: HostId, now: Milliseconds): void {
+    this.setMember(host, { shards: [], upMs: 0, usage: [] }, now);
+  }
+
+  /** Takes units of a customer's quota, ahead of time if the wait is short. */
   take(take: QuotaTake, now: Milliseconds): Taken {
-    const shard = this.#shardFor(take.customer, now);
     this.#sweep(now);
-    const account = this.#accountFor(shard, take);
-    return account.bucket.take(take, shard.coverage);
+    const { customer, units, mostWaitMs } = take;
+    const { log, rate } = this.#accountFor(customer, take);
+    const bounds = this.#source.bounds();
+    const share = this.#shareOf(this.#shardOf(customer).coverage, now);
+    const limit = windowLimitOf(rate, bounds) * share;
+    log.expire(now, bounds.windowMs);
+    const freeAt = Math.max(
+      log.roomAt(units, { limit, spanMs: bounds.windowMs, now }),
+      log.roomAt(units, {
+        limit: Math.max(units, limit * BURST_SHARE),
+        spanMs: bounds.windowMs * BURST_SPAN,
+        now,
+      }),
+    );
+    const afterMs: Milliseconds = freeAt - now;
+    if (afterMs > mostWaitMs) {
+      // Not even an empty window has room for it at this owner's share.
+      const most = Math.min(afterMs, bounds.windowMs);
+      return { type: "refused", retryAfterMs: Math.max(LEAST_RETRY_MS, most) };
+    }
+    log.add(units, freeAt);
+    return { type: "granted", afterMs };
   }
 
-  /** Units that were taken were not used. */
-  giveBack(customer: string, units: number, now: Milliseconds): void {
-    const shard = this.#shardFor(customer, now);
-    shard.accounts.get(customer)?.bucket.giveBack(units, shard.coverage);
+  /** Units that were taken so long ago were not used. */
+  giveBack(
+    given: {
+      readonly customer: string;
+      readonly units: number;
+      readonly agoMs: Milliseconds;
+    },
+    now: Milliseconds,
+  ): void {
+    const account = this.#shardOf(given.customer).accounts.get(given.customer);
+    account?.log.remove(given.units, now - given.agoMs);
   }
 
-  #shardFor(customer: string, now: Milliseconds): Shard {
+  #shardOf(customer: string): Shard {
     const shard = this.#shards[shardOf(customer)];
     if (!shard) throw new RangeError(`No shard for customer "${customer}"`);
-    this.#advance(shard, now);
     return shard;
   }
 
-  #advance({ coverage }: Shard, now: Milliseconds): void {
-    coverage.advance(this.#source.knownHosts(), now);
+  #shareOf(coverage: Coverage, now: Milliseconds): number {
+    const { windowMs } = this.#source.bounds();
+    const hosts = this.#source.knownHosts();
+    return coverage.shareAt(now, { hosts, windowMs });
   }
 
-  #accountFor({ accounts, coverage }: Shard, take: QuotaTake): Account {
-    const { customer, rate, version } = take;
-    const bounds = this.#source.bounds();
-    const capacity = capacityOf(rate, bounds);
+  /** The account, with the rate of the newest configuration heard of. */
+  #accountFor(
+    customer: string,
+    { rate, version }: Pick<QuotaTake, "rate" | "version">,
+  ): Account {
+    const { accounts } = this.#shardOf(customer);
     const known = accounts.get(customer);
     if (!known) {
-      const firstLevel = firstLevelOf(bounds) * coverage.share;
-      const bucket = new Bucket({ rate, capacity, firstLevel }, coverage);
-      const account = { bucket, version };
+      const account = { log: new WindowLog(), rate, version };
       accounts.set(customer, account);
       return account;
     }
     if (version > known.version) {
-      known.bucket.change(rate, capacity, coverage);
+      known.rate = rate;
       known.version = version;
     }
     return known;
@@ -118,11 +162,11 @@
   #sweep(now: Milliseconds): void {
     if (now - this.#sweptAt < SWEEP_MS) return;
     this.#sweptAt = now;
-    for (const shard of this.#shards) {
-      this.#advance(shard, now);
-      const { coverage, accounts } = shard;
-      for (const [customer, { bucket }] of accounts) {
-        if (bucket.isFull(coverage)) accounts.delete(customer);
+    const { windowMs } = this.#source.bounds();
+    for (const { accounts } of this.#shards) {
+      for (const [customer, { log }] of accounts) {
+        log.expire(now, windowMs);
+        if (log.sum <= 0) accounts.delete(customer);
       }
     }
   }
--- a/src/gateway/customers/quota/member.ts
+++ b/src/gateway/customers/quota/member.ts
@@ -13,8 +13,7 @@
   type LinkTarget,
 } from "../../peers/link.ts";
 import type { HostEntry } from "../../port.ts";
-import type { Taken } from "./bucket.ts";
-import type { QuotaTake } from "./ledger.ts";
+import type { QuotaTake, Taken } from "./ledger.ts";
 import {
   type MemberMessage,
   type OwnerMessage,
@@ -29,13 +28,25 @@
  * when its share of a tenth of a second is used up.
  */
 const ANSWER_MS = 250;
-/** An owner that was left is not tried again for this time, in milliseconds. */
-const SUSPECT_MS = 3000;
+/**
+ * An owner that was left is not tried again for this time, in milliseconds. A
+ * host alone has a small part of each limit, so a live owner is soon tried.
+ */
+const SUSPECT_MS = 800;
 /** A request that two owners did not answer is refused. */
 const MOST_OWNERS = 2;
 
 /** Units are had after a wait, refused, or nobody could tell. */
-export type QuotaOutcome = Taken | { readonly type: "unknown" };
+export type QuotaOutcome =
+  | Extract<Taken, { type: "refused" }>
+  | { readonly type: "unknown" }
+  | {
+    readonly type: "granted";
+    /** The request goes on after this time. */
+    readonly afterMs: Milliseconds;
+    /** The units were not used. */
+    giveBack(): void;
+  };
 
 /** What a member is made from. */
 export type QuotaMemberSource = {
@@ -43,6 +54,8 @@
   readonly own: QuotaOwner;
   /** The other hosts; the same array while none changes. */
   readonly hosts: () => readonly HostEntry[];
+  /** What was taken longer ago is of no interest. */
+  readonly windowMs: () => Milliseconds;
   /** Opens a link to an owner. */
   readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
 };
@@ -55,10 +68,18 @@
   resolve(outcome: QuotaOutcome): void;
 };
 
+/** Units taken in the last window. */
+type Use = {
+  readonly take: QuotaTake;
+  readonly at: Milliseconds;
+  /** The run of the owner that gave them. */
+  readonly run: string;
+};
+
 type OwnerLink = {
   readonly link: Link;
-  /** The other side has answered. */
-  ready: boolean;
+  /** The run of the owner; absent until it has answered. */
+  run: string | undefined;
   /** Shards last told to it, by their numbers. */
   told: string;
 };
@@ -71,12 +92,16 @@
   readonly #links = new Map<HostId, OwnerLink>();
   readonly #suspects = new Map<HostId, Milliseconds>();
   readonly #owners = new Map<number, HostId>();
+  readonly #startedAt: Milliseconds;
+  /** The oldest first. */
+  #uses: Use[] = [];
   #toldSelf = "";
   #count = 0;
 
   constructor(source: QuotaMemberSource) {
     this.#source = source;
     this.#orders = new HostOrders(source.context.self.id);
+    this.#startedAt = source.context.clock.now();
   }
 
   /** Chooses the owners anew: hosts come, go, and are trusted again. */
@@ -100,12 +125,6 @@
     });
   }
 
-  /** Units that were taken for a request that did not run. */
-  giveBack(customer: string, units: number): void {
-    const owner = this.#ownerOf(customer);
-    this.#send(owner, { type: "give-back", customer, units });
-  }
-
   #ownerOf(customer: string): HostId {
     const shard = shardOf(customer);
     const owner = this.#bestOwner(shard);
@@ -130,10 +149,10 @@
       if (now < (this.#suspects.get(id) ?? 0)) continue;
       const link = this.#links.get(id) ?? this.#open(id, hosts);
       if (!link) continue;
-      if (link.ready) return id;
+      if (link.run !== undefined) return id;
       const before = this.#owners.get(shard);
       const isStanding = before !== undefined && before !== id &&
-        (before === self.id || this.#links.get(before)?.ready === true);
+        (before === self.id || this.#links.get(before)?.run !== undefined);
       return isStanding ? before : id;
     }
     return self.id;
@@ -145,19 +164,18 @@
     if (address === undefined) return undefined;
     const target = { address, path: LinkPath.quota, self: self.id, clock };
     const link = openLink(target, {
-      ready: () => this.#stands(id),
       line: (text) => this.#takeLine(id, text),
       closed: () => this.#lost(id, link),
     });
-    const opened = { link, ready: false, told: "" };
+    const opened = { link, run: undefined, told: "" };
     this.#links.set(id, opened);
     return opened;
   }
 
-  #stands(id: HostId): void {
+  #stands(id: HostId, run: string): void {
     const known = this.#links.get(id);
     if (!known) return;
-    known.ready = true;
+    known.run = run;
     this.refresh();
     for (const [askedId, asked] of this.#asked) {
       if (asked.owner === id) this.#sendTake(askedId, asked);
@@ -170,7 +188,7 @@
     const { context: { clock, events } } = this.#source;
     this.#links.delete(id);
     this.#suspects.set(id, clock.now() + SUSPECT_MS);
-    if (known.ready) events.note("quotaOwnerLost", { owner: id });
+    if (known.run !== undefined) events.note("quotaOwnerLost", { owner: id });
     this.refresh();
     for (const [askedId, asked] of this.#asked) {
       if (asked.owner === id) this.#askNext(askedId, asked);
@@ -192,7 +210,9 @@
     const { self, clock } = this.#source.context;
     const { owner } = asked;
     const link = this.#links.get(owner);
-    if (owner === self.id || link?.ready) this.#sendTake(id, asked);
+    if (owner === self.id || link?.run !== undefined) {
+      this.#sendTake(id, asked);
+    }
     if (owner === self.id) return;
     asked.cancelTimer = clock.after(ANSWER_MS, () => {
       const late = this.#links.get(owner)?.link;
@@ -213,16 +233,32 @@
     const own = shardsOf(self.id);
     if (own.join() !== this.#toldSelf) {
       this.#toldSelf = own.join();
-      this.#send(self.id, { type: "member", shards: own });
+      this.#send(self.id, this.#membership(own, this.#source.own.run));
     }
     for (const [id, known] of this.#links) {
       const shards = shardsOf(id);
-      if (!known.ready || known.told === shards.join()) continue;
+      if (known.run === undefined || known.told === shards.join()) continue;
       known.told = shards.join();
-      this.#send(id, { type: "member", shards });
+      this.#send(id, this.#membership(shards, known.run));
     }
   }
 
+  /** Names the owner of these shards, and tells it what others gave of them. */
+  #membership(shards: readonly number[], run: string): MemberMessage {
+    const { context: { clock }, windowMs } = this.#source;
+    const now = clock.now();
+    this.#uses = this.#uses.filter((one) => one.at > now - windowMs());
+    const usage = this.#uses
+      .filter((one) => one.run !== run)
+      .filter(({ take }) => shards.includes(shardOf(take.customer)))
+      .map(({ take, at }) => {
+        const { customer, units, rate, version } = take;
+        return { customer, units, rate, version, agoMs: now - at };
+      });
+    const upMs: Milliseconds = now - this.#startedAt;
+    return { type: "member", shards, upMs, usage };
+  }
+
   #send(owner: HostId, message: MemberMessage): void {
     const { self } = this.#source.context;
     if (owner !== self.id) return this.#links.get(owner)?.link.send(message);
@@ -237,11 +273,36 @@
 
   #take(from: HostId, message: OwnerMessage): void {
     if (message.type === "ping") return;
-    const { id, ...taken } = message;
+    if (message.type === "hello") return this.#stands(from, message.run);
+    const { id } = message;
     const asked = this.#asked.get(id);
     if (!asked || asked.owner !== from) return;
     this.#asked.delete(id);
     asked.cancelTimer();
-    asked.resolve(taken);
+    if (message.type === "refused") return asked.resolve(message);
+    const { afterMs } = message;
+    const use = this.#noteUse(asked.take, from, afterMs);
+    const giveBack = () => this.#giveBack(use);
+    asked.resolve({ type: "granted", afterMs, giveBack });
+  }
+
+  #noteUse(take: QuotaTake, owner: HostId, afterMs: Milliseconds): Use {
+    const { context: { clock, self }, own, windowMs } = this.#source;
+    const run = owner === self.id ? own.run : this.#links.get(owner)?.run;
+    const now = clock.now();
+    const use = { take, at: now + afterMs, run: run ?? "" };
+    // Sends of a membership forget the rest; this bounds what a calm host has.
+    while ((this.#uses[0]?.at ?? now) < now - windowMs()) this.#uses.shift();
+    this.#uses.push(use);
+    return use;
+  }
+
+  #giveBack(use: Use): void {
+    const { customer, units } = use.take;
+    const at = this.#uses.indexOf(use);
+    if (at >= 0) this.#uses.splice(at, 1);
+    const agoMs: Milliseconds = this.#source.context.clock.now() - use.at;
+    const owner = this.#ownerOf(customer);
+    this.#send(owner, { type: "give-back", customer, units, agoMs });
   }
 }
--- a/src/gateway/customers/quota/owner.ts
+++ b/src/gateway/customers/quota/owner.ts
@@ -12,17 +12,24 @@
 } from "./messages.ts";
 
 /** What an owner is made from. */
-export type QuotaOwnerSource = QuotaLedgerSource & { readonly clock: Clock };
+export type QuotaOwnerSource = QuotaLedgerSource & {
+  readonly clock: Clock;
+  /** Names this run of the process. */
+  readonly run: string;
+};
 
 /** Carries messages between the ledger and its members. */
 export class QuotaOwner {
   readonly #clock: Clock;
+  /** Names this run of the process. */
+  readonly run: string;
   readonly #ledger: QuotaLedger;
   /** The newest link of each host. */
   readonly #links = new Map<HostId, Link>();
 
   constructor(source: QuotaOwnerSource) {
     this.#clock = source.clock;
+    this.run = source.run;
     this.#ledger = new QuotaLedger(source);
   }
 
@@ -36,12 +43,12 @@
     const now = this.#clock.now();
     switch (message.type) {
       case "member":
-        this.#ledger.setMember(from, message.shards, now);
+        this.#ledger.setMember(from, message, now);
         return undefined;
       case "take":
         return { id: message.id, ...this.#ledger.take(message, now) };
       case "give-back":
-        this.#ledger.giveBack(message.customer, message.units, now);
+        this.#ledger.giveBack(message, now);
         return undefined;
       case "ping":
         return undefined;
@@ -50,7 +57,7 @@
 
   /** A host is out of touch: it takes nothing from this owner any more. */
   lose(host: HostId): void {
-    this.#ledger.setMember(host, [], this.#clock.now());
+    this.#ledger.lose(host, this.#clock.now());
   }
 
   /** Serves a link that a host has opened. */
@@ -75,5 +82,6 @@
       },
     });
     this.#links.set(name, link);
+    link.send({ type: "hello", run: this.run } satisfies OwnerMessage);
   }
 }
--- a/test/gateway/customers/quota_fleet.ts
+++ b/test/gateway/customers/quota_fleet.ts
@@ -198,6 +198,7 @@
     };
     const owner = new QuotaOwner({
       clock,
+      run: `${id} ${this.#now}`,
       bounds: () => BOUNDS,
       knownHosts: () => this.#entries.length,
     });
@@ -210,6 +211,7 @@
       },
       own: owner,
       hosts: () => others,
+      windowMs: () => BOUNDS.windowMs,
       openLink: ({ address }, events) => this.#open(id, address, events),
     });
     return { owner, member };
@@ -259,6 +261,8 @@
       state = "open";
       to.links.add(link);
       events.ready?.();
+      const hello = { type: "hello", run: to.owner.run };
+      this.at(this.#now, () => events.line(JSON.stringify(hello)));
     });
     return {
       close: () => link.close(),
