A host that stood still reads what has come before it leaves an owner of quotas

Cause: at full size one host of 88 left two owners within 3 ms: its own timers ran before it read the answers that were there. It then had 1/88 of each limit for 0.8 s and refused requests below it.

Change: the owner is left 20 ms after the time is over, once what has come was read.

--- a/src/gateway/customers/quota/member.ts
+++ b/src/gateway/customers/quota/member.ts
@@ -28,6 +28,8 @@
  * when its share of a tenth of a second is used up.
  */
 const ANSWER_MS = 250;
+/** What has come while this host stood still is read within this time. */
+const READ_MS = 20;
 /**
  * An owner that was left is not tried again for this time, in milliseconds. A
  * host alone has a small part of each limit, so a live owner is soon tried.
@@ -214,9 +216,13 @@
       this.#sendTake(id, asked);
     }
     if (owner === self.id) return;
-    asked.cancelTimer = clock.after(ANSWER_MS, () => {
+    const close = () => {
       const late = this.#links.get(owner)?.link;
       if (this.#asked.get(id) === asked && late) late.close();
+    };
+    // If this host itself stood still, the answer may be there, unread.
+    asked.cancelTimer = clock.after(ANSWER_MS, () => {
+      asked.cancelTimer = clock.after(READ_MS, close);
     });
   }
 
