An owner of quotas is told once of what others gave

Cause, found by reading the change: each time that a host named an owner for other shards it told the same takes again, and the owner counted them twice: what is below the limit could be refused for a window. And a caller whose request is larger than this owner's part of the limit was told to come back after 8 s.

Change: each take knows which owners know of it; such a caller is told 1 s.

--- a/src/gateway/customers/quota/ledger.ts
+++ b/src/gateway/customers/quota/ledger.ts
@@ -17,6 +17,11 @@
 const BURST_SPAN = 1 / 4;
 /** A refused caller comes back no sooner, in milliseconds. */
 const LEAST_RETRY_MS = 100;
+/**
+ * Told where this owner's part of the limit is too small for the request: the
+ * fleet has changed, and within 1.3 s all its hosts name their owners anew.
+ */
+const ALONE_RETRY_MS = 1000;
 
 /** Units asked for. */
 export type QuotaTake = {
@@ -107,9 +112,8 @@
     );
     const afterMs: Milliseconds = freeAt - now;
     if (afterMs > mostWaitMs) {
-      // Not even an empty window has room for it at this owner's share.
-      const most = Math.min(afterMs, bounds.windowMs);
-      return { type: "refused", retryAfterMs: Math.max(LEAST_RETRY_MS, most) };
+      const known = Number.isFinite(afterMs) ? afterMs : ALONE_RETRY_MS;
+      return { type: "refused", retryAfterMs: Math.max(LEAST_RETRY_MS, known) };
     }
     log.add(units, freeAt);
     return { type: "granted", afterMs };
--- a/src/gateway/customers/quota/member.ts
+++ b/src/gateway/customers/quota/member.ts
@@ -76,8 +76,8 @@
 type Use = {
   readonly take: QuotaTake;
   readonly at: Milliseconds;
-  /** The run of the owner that gave them. */
-  readonly run: string;
+  /** Runs of owners that know of it: who gave it, and who was told. */
+  readonly knownTo: Set<string>;
 };
 
 type Suspect = { readonly until: Milliseconds; readonly hall: HallId };
@@ -278,13 +278,14 @@
     const { context: { clock }, windowMs } = this.#source;
     const now = clock.now();
     this.#uses = this.#uses.filter((one) => one.at > now - windowMs());
-    const usage = this.#uses
-      .filter((one) => one.run !== run)
-      .filter(({ take }) => shards.includes(shardOf(take.customer)))
-      .map(({ take, at }) => {
-        const { customer, units, rate, version } = take;
-        return { customer, units, rate, version, agoMs: now - at };
-      });
+    const news = this.#uses
+      .filter((one) => !one.knownTo.has(run))
+      .filter(({ take }) => shards.includes(shardOf(take.customer)));
+    for (const { knownTo } of news) knownTo.add(run);
+    const usage = news.map(({ take, at }) => {
+      const { customer, units, rate, version } = take;
+      return { customer, units, rate, version, agoMs: now - at };
+    });
     const upMs: Milliseconds = now - this.#startedAt;
     return { type: "member", shards, upMs, usage };
   }
@@ -320,7 +321,7 @@
     const { context: { clock, self }, own, windowMs } = this.#source;
     const run = owner === self.id ? own.run : this.#links.get(owner)?.run;
     const now = clock.now();
-    const use = { take, at: now + afterMs, run: run ?? "" };
+    const use = { take, at: now + afterMs, knownTo: new Set([run ?? ""]) };
     // Sends of a membership forget the rest; this bounds what a calm host has.
     while ((this.#uses[0]?.at ?? now) < now - windowMs()) this.#uses.shift();
     this.#uses.push(use);
