--- a/src/gateway/planning/ask_queue.ts
+++ b/src/gateway/planning/ask_queue.ts
@@ -49,14 +49,17 @@
     this.#waiting.delete(id);
   }
 
-  /** The host is out of touch: nobody waits for its answers. */
+  /** Drops the requests of a host that can't be reached any more. */
   removeHost(from: string): void {
     for (const [id, one] of this.#waiting) {
       if (one.from === from) this.#waiting.delete(id);
     }
   }
 
-  /** The queue as it is served; `serviceMs`: time until its first event. */
+  /**
+   * The requests in scheduling order; `serviceMs` estimates the time from a
+   * grant to the first event.
+   */
   inOrder(
     now: Milliseconds,
     serviceMs: (ask: PlanAsk) => Milliseconds,
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -25,7 +25,7 @@
  * from each other, and its cache moves at twice the rate.
  */
 const ROOMY_SHARE = 0.5;
-/** Among equals the emptier one; small beside the charge for another hall. */
+/** Breaks ties by load; small compared with the charge for another hall. */
 const TIE_WEIGHT = 0.02;
 /**
  * What a prefill in another hall than its decode counts as: a KV cache takes
--- a/src/gateway/planning/export_losses.ts
+++ b/src/gateway/planning/export_losses.ts
@@ -1,6 +1,7 @@
 /**
- * Prefill replicas whose finished prefills get lost before a decode replica
- * has them: the prompt is read for nothing, though each call went well.
+ * Prefill replicas whose finished prefills are lost before a decode replica has
+ * fetched them. Each call to such a replica succeeds, but the prefill is wasted,
+ * so failed calls alone don't reveal it.
  */
 import type { Milliseconds } from "../../core/ids.ts";
 
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -1,4 +1,4 @@
-/** Orders and choices among what a planner has before it. */
+/** The order of a planner's queue, and the choice of a minimum. */
 import type { Milliseconds } from "../../core/ids.ts";
 
 /** What the order of a queue is made from. */
@@ -14,10 +14,16 @@
 };
 
 /**
- * Begun requests first, then by priority. Of one priority those that came back
- * when they were told to go first: they are few, and their callers don't come
- * a third time. Then those that can still meet their deadline before those
- * that can't, by due time within each.
+ * Sorts waiting requests into the order in which they are scheduled:
+ *
+ * 1. Requests that may have run already, since their callers have a part of the
+ *    answer or a prompt was read for them.
+ * 2. By priority.
+ * 3. Within a priority, requests that were refused and came back: they are few,
+ *    and their callers don't retry again.
+ * 4. Requests that can still meet their deadline; those that can no longer meet
+ *    it are scheduled last.
+ * 5. By deadline.
  */
 export function inOrder<One extends Queued>(
   waits: readonly One[],
@@ -39,7 +45,7 @@
   return keyed.map(({ one }) => one);
 }
 
-/** The one with the least value; undefined where all are infinite. */
+/** The element with the least value; undefined if all are infinite. */
 export function least<One>(
   all: readonly One[],
   value: (one: One) => number,
--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -15,7 +15,7 @@
  * none away; at three a slot 52 (docs/DECISIONS.md).
  */
 const LONG_QUEUE = 3;
-/** Among equals the emptier one; small beside the charge for another hall. */
+/** Breaks ties by load; small compared with the charge for another hall. */
 const TIE_WEIGHT = 0.02;
 
 /** What a choice goes by. */
@@ -26,7 +26,7 @@
   /** Requests that the whole fleet has at a replica. */
   inFlight(incarnation: string): number;
   isPaused(incarnation: string): boolean;
-  /** It turned a request away just now. */
+  /** Whether the replica rejected a request a moment ago. */
   isFull(incarnation: string): boolean;
   /**
    * More urgent requests come too. A replica serves its queue in the order of
@@ -35,7 +35,7 @@
   readonly yieldsWhenFull: boolean;
 };
 
-/** The replica with the shortest queue for its slots, rather near. */
+/** The replica with the least load for its slots, preferably in this hall. */
 export function choosePlain(
   replicas: readonly ReplicaEntry[],
   query: PlainQuery,
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -15,7 +15,7 @@
   /** Memory of one decode replica, in tokens; 0 for a plain service. */
   readonly memory: number;
   readonly ledger: Ledger;
-  /** A replica that fails is given nothing. */
+  /** Whether the replica failed recently and gets no new work. */
   isPaused(incarnation: string): boolean;
   /** A prefill replica whose finished prefills get lost. */
   isAvoided(incarnation: string): boolean;
@@ -83,7 +83,7 @@
     return this.#promptsGiven + this.ahead.promptTokens;
   }
 
-  /** Whether any sound decode replica has room, by the ledger alone. */
+  /** Whether the ledger shows room for the request at any healthy decode replica. */
   mayFit(tokens: number): boolean {
     this.#largestFree ??= Math.max(
       0,
@@ -98,14 +98,14 @@
     return held > 0 ? this.memory - held : Infinity;
   }
 
-  /** A place was given: the sums that were worked out hold no longer. */
+  /** A place was granted: sums that were cached are invalid. */
   noteGrant(): void {
     this.#largestFree = undefined;
     this.#held = undefined;
     this.#promptsGiven = undefined;
   }
 
-  /** The request goes on waiting before those that come after it. */
+  /** The request stays in the queue, ahead of those that follow. */
   noteWaiting(waits: {
     readonly tokens: number;
     readonly promptTokens: number;
--- a/src/gateway/planning/urgency.ts
+++ b/src/gateway/planning/urgency.ts
@@ -1,9 +1,9 @@
-/** Which priorities a service's requests have had lately. */
+/** The priorities of the requests that a service received recently. */
 import type { Milliseconds } from "../../core/ids.ts";
 
 /**
- * A priority counts as present for so long after its last request. At one
- * request a second of the most urgent kind it is present all the time.
+ * A priority counts as present for this long after its last request: twice the
+ * interval of a kind of request that comes once a second.
  */
 const PRESENT_MS = 2000;
 
@@ -18,7 +18,7 @@
     else this.#lastAt.set(service, new Map([[priority, now]]));
   }
 
-  /** Whether more urgent requests of the service came lately. */
+  /** Whether the service received more urgent requests recently. */
   hasMoreUrgent(
     service: string,
     priority: number,
