The state of the fleet is one part with its network as arguments; a host logs a version it has heard of

Cause: no line of the log says when a host hears of a configuration that it does not hold, so the hypotheses on the late route can't be told apart; and the parts that spread the configuration could only be tested over real sockets. Change: event configHeard (version, held, source). FleetState holds what the gateway had wired itself; links and clients of peers are functions passed in. No change of logic.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,17 +9,16 @@
 import { budgetOf, createContext, tuningOf } from "./create_context.ts";
 import { Customers } from "./customers/customers.ts";
 import { HostDirectory } from "./peers/directory.ts";
-import { startPeerLoops } from "./peers/peer_loop.ts";
+import { openLink } from "./peers/link.ts";
 import { createPeerServer } from "./peers/server.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
 import { Places } from "./planning/places.ts";
 import { PlanService } from "./planning/plan_service.ts";
-import { HallFollower, type ReaderWord } from "./state/hall_follower.ts";
-import { StateServer } from "./state/state_server.ts";
 import { SettingsState } from "./settings_state.ts";
-import { StoreLoops, type StoreTimes } from "./state/store_loops.ts";
-import { Synchronizer } from "./state/synchronizer.ts";
+import { FleetState } from "./state/fleet_state.ts";
+import type { StoreTimes } from "./state/store_loops.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
+import { createJsonClient } from "./upstreams/json_client.ts";
 
 /** The balancer has surely left this long after the first refused check. */
 const LEAVE_MS = 3200;
@@ -63,10 +62,7 @@
   readonly #plans: PlanService;
   readonly #places: Places;
   readonly #callers: CallerServer;
-  readonly #synchronizer: Synchronizer;
-  readonly #follower: HallFollower;
-  readonly #states: StateServer;
-  readonly #storeLoops: StoreLoops;
+  readonly #state: FleetState;
   readonly #directory: HostDirectory;
   readonly #peers: Server;
   readonly #servers: Server[] = [];
@@ -81,8 +77,7 @@
     const self = { id: host.id, address, hall: host.hall };
     const directory = new HostDirectory(self, settings.seeds);
     const context = createContext(settings, port, directory);
-    const configAgeMs = (now: Milliseconds) =>
-      this.#synchronizer.configAgeMs(now);
+    const configAgeMs = (now: Milliseconds) => this.#state.configAgeMs(now);
     this.#self = self;
     this.#directory = directory;
     this.#context = context;
@@ -100,34 +95,18 @@
       admission: this.#customers.admission,
       quotas: this.#customers.quotas,
     });
-    this.#synchronizer = new Synchronizer({
-      context,
-      onConfig: (config) => this.#callers.applyLimits(config.limits),
-      onChange: () => this.#states.tell(),
-      isRelay: () => this.#follower.isRelay,
-    });
-    this.#states = new StateServer({
-      context,
-      self,
-      directory,
-      storeAgeMs: (now) => this.#synchronizer.tellableAgeMs(now),
-      configAgeMs,
-    });
-    this.#follower = new HallFollower({
+    this.#state = new FleetState({
       context,
       self,
       directory,
-      onState: (word) => this.#takeState(word),
-    });
-    this.#storeLoops = new StoreLoops({
-      context,
       store: port.store,
       times: storeTimesOf(settings),
-      synchronizer: this.#synchronizer,
-      follower: this.#follower,
+      openLink,
+      createClient: (address) => createJsonClient(address, context.clock),
+      onConfig: (config) => this.#callers.applyLimits(config.limits),
     });
     this.#peers = this.#createPeers();
-    this.#startLoops(port);
+    this.#startStages(port);
   }
 
   #createPeers(): Server {
@@ -136,32 +115,21 @@
       self: this.#self,
       directory: this.#directory,
       plans: this.#plans,
-      states: this.#states,
+      states: this.#state.server,
       quotas: this.#customers.owner,
-      configAgeMs: (now) => this.#synchronizer.configAgeMs(now),
+      configAgeMs: (now) => this.#state.configAgeMs(now),
     });
   }
 
-  #startLoops({ store }: PlatformPort): void {
+  #startStages({ store }: PlatformPort): void {
     const { host, stages } = this.#settings;
-    const context = this.#context;
-    startPeerLoops({
-      context,
-      self: this.#self,
-      store,
-      directory: this.#directory,
-      synchronizer: this.#synchronizer,
-      followers: () => this.#states.hosts,
-      isNamedByReader: () =>
-        this.#follower.reader !== host.id && !this.#follower.isRelay,
-    });
     void runStageLoop({
-      context,
+      context: this.#context,
       store,
       holder: host.id,
       guardMs: stages.guard,
       prefillShare: stages.prefill_share,
-      storeAgeMs: (now) => this.#synchronizer.storeAgeMs(now),
+      storeAgeMs: (now) => this.#state.storeAgeMs(now),
       plannerOf: (service) => this.#places.plannerOf(service),
       loadOf: (service) => this.#plans.loadOf(service),
       changing: this.#plans.changing,
@@ -170,8 +138,7 @@
 
   async listen(): Promise<void> {
     const { listen } = this.#settings;
-    this.#storeLoops.start();
-    this.#follower.start();
+    this.#state.start();
     const readiness = createServer((request, response) => {
       request.resume();
       response.writeHead(this.#ready() ? 200 : 503);
@@ -216,24 +183,12 @@
     await sleep(clock, LEAVE_MS);
     await this.#callers.finish(clock, lastAt);
     for (const server of this.#servers) server.close();
-    this.#storeLoops.stop();
+    this.#state.stop();
     pool.close();
     events.note("stopped", { open: this.#callers.open });
     await sleep(clock, LAST_LINES_MS);
   }
 
-  /** Takes the word of the hall's reader. */
-  #takeState(word: ReaderWord): boolean {
-    const { clock, routes } = this.#context;
-    const { hosts, hostsGone, version } = word.message;
-    this.#directory.refresh(clock.now());
-    if (hosts) this.#directory.learn(hosts, clock.now());
-    if (hostsGone) this.#directory.forget(hostsGone);
-    const follows = this.#synchronizer.takeState(word);
-    if (version > routes.version) void this.#storeLoops.readNewer();
-    return follows;
-  }
-
   #ready(): boolean {
     const { stop, routes, replicas } = this.#context;
     if (stop.askedAt !== undefined) return false;
@@ -244,8 +199,8 @@
     return createServer((request, response) => {
       request.resume();
       const { metrics, routes, replicas, clock } = this.#context;
-      const age = this.#synchronizer.storeAgeMs(clock.now());
-      const configAge = this.#synchronizer.configAgeMs(clock.now());
+      const age = this.#state.storeAgeMs(clock.now());
+      const configAge = this.#state.configAgeMs(clock.now());
       const gauges = {
         ...this.#settingsState.gauges(clock.now()),
         requests_open: this.#callers.open,
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -40,6 +40,7 @@
   readerChosen: info("store", "Another host reads the store", 20),
   readerLeft: warn("store", "The hall's reader is of no use", 20),
   peerState: info("peers", "A peer told newer state", BELIEFS_PER_SECOND),
+  configHeard: info("routes", "A newer configuration was heard of", 20),
   configAdopted: info("routes", "A configuration is in force", 20),
   replicaAdded: info("replicas", "A replica is listed", BELIEFS_PER_SECOND),
   replicaRemoved: info("replicas", "A replica is gone", BELIEFS_PER_SECOND),
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -3,7 +3,7 @@
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry, Store } from "../port.ts";
-import { createJsonClient, type JsonClient } from "../upstreams/json_client.ts";
+import type { JsonClient } from "../upstreams/json_client.ts";
 import type { Synchronizer } from "../state/synchronizer.ts";
 import { within } from "../state/within.ts";
 import type { HostDirectory } from "./directory.ts";
@@ -36,6 +36,8 @@
   readonly store: Store;
   readonly directory: HostDirectory;
   readonly synchronizer: Synchronizer;
+  /** Makes a client of a peer's address. */
+  readonly createClient: (address: string) => JsonClient;
   /** Hosts that follow this one. */
   followers(): readonly HostEntry[];
   /** The host that this one follows is of its hall and names it in its row. */
@@ -135,7 +137,7 @@
     const addresses = directory.addresses();
     const address = addresses[Math.floor(random() * addresses.length)];
     if (address === undefined) continue;
-    const client = clients.get(address) ?? createJsonClient(address, clock);
+    const client = clients.get(address) ?? source.createClient(address);
     clients.set(address, client);
     await askOne(source, client, address);
   }
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -30,19 +30,13 @@
 export function createPeerServer(
   source: PeerServerSource,
 ): Server {
-  const { context, self, directory, plans, states, quotas } = source;
+  const { plans, states, quotas } = source;
   const server = createServer((request, response) => {
     if (request.url === LinkPath.plan) return plans.accept(request, response);
     if (request.url === LinkPath.state) return states.accept(request, response);
     if (request.url === LinkPath.quota) return quotas.accept(request, response);
     request.resume();
-    const question = readQuestion(request.url ?? "/");
-    const age = source.configAgeMs(context.clock.now());
-    const state: PeerState = {
-      ...stateFor(context, question, [self, ...directory.entries()]),
-      ...(Number.isFinite(age) ? { configAgeMs: Math.ceil(age) } : {}),
-    };
-    const body = JSON.stringify(state);
+    const body = JSON.stringify(answerTo(source, request.url ?? "/"));
     response.writeHead(200, { "Content-Type": "application/json" });
     response.end(body);
   });
@@ -51,6 +45,23 @@
   return server;
 }
 
+/** The answer to a question by its path and query. */
+export function answerTo(
+  source: Pick<
+    PeerServerSource,
+    "context" | "self" | "directory" | "configAgeMs"
+  >,
+  target: string,
+): PeerState {
+  const { context, self, directory } = source;
+  const hosts = [self, ...directory.entries()];
+  const age = source.configAgeMs(context.clock.now());
+  return {
+    ...stateFor(context, readQuestion(target), hosts),
+    ...(Number.isFinite(age) ? { configAgeMs: Math.ceil(age) } : {}),
+  };
+}
+
 /** What the asker does not have yet. */
 export function stateFor(
   context: Pick<GatewayContext, "routes" | "replicas">,
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -8,7 +8,12 @@
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
 import { HostOrders } from "../peers/host_order.ts";
-import { type Link, LinkPath, openLink } from "../peers/link.ts";
+import {
+  type Link,
+  type LinkEvents,
+  LinkPath,
+  type LinkTarget,
+} from "../peers/link.ts";
 import { RemoteClock } from "../peers/remote_clock.ts";
 import type { HostEntry } from "../port.ts";
 import { chooseReader } from "./reader_choice.ts";
@@ -57,6 +62,8 @@
   >;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
+  /** Opens a link to a reader. */
+  readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
   /** Takes the reader's word; false: its listing does not follow on ours. */
   onState(word: ReaderWord): boolean;
 };
@@ -151,7 +158,7 @@
   }
 
   #open(host: HostEntry): Pick<NextLink, "link" | "clock"> {
-    const { self, context } = this.#source;
+    const { self, context, openLink } = this.#source;
     const target = {
       address: host.address,
       path: LinkPath.state,
@@ -159,7 +166,7 @@
       clock: context.clock,
     };
     const clock = new RemoteClock();
-    const link = openLink(target, {
+    const link: Link = openLink(target, {
       ready: () => this.#follow(link, context.replicas.revision),
       line: (text) => this.#take(text, { link, clock, reader: host.id }),
       closed: () => this.#ended(link),
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -5,7 +5,7 @@
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
 import type { ClockEcho } from "../peers/remote_clock.ts";
-import { acceptLink, type Link } from "../peers/link.ts";
+import { acceptLink, type Link, type LinkEvents } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
 import type { RouteConfig } from "../routing/model.ts";
 import { FollowerMessageSchema, type StateMessage } from "./state_messages.ts";
@@ -68,12 +68,14 @@
     answer.writeHead(200, { "Content-Type": "application/x-ndjson" });
     answer.flushHeaders();
     const { clock } = this.#source.context;
-    const link = acceptLink(incoming, answer, {
-      clock,
-      events: {
-        line: (text) => this.#take(follower, text),
-        closed: () => this.#followers.delete(follower),
-      },
+    this.join((events) => acceptLink(incoming, answer, { clock, events }));
+  }
+
+  /** Serves a follower over the link that `open` makes. */
+  join(open: (events: LinkEvents) => Link): void {
+    const link = open({
+      line: (text) => this.#take(follower, text),
+      closed: () => this.#followers.delete(follower),
     });
     const follower: Follower = {
       link,
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -51,6 +51,8 @@
   /** When the store was last asked with success; undefined before. */
   #readAt: Milliseconds | undefined;
   #told: Told | undefined;
+  /** Newest version that was heard of before it was held. */
+  #heardVersion = 0;
   /** No configuration newer than ours was in the store then. */
   #configAsOf: Milliseconds = -Infinity;
   #lost = false;
@@ -132,6 +134,14 @@
     return true;
   }
 
+  /** There is a newer version than ours, which is still to be had. */
+  #noteHeard(version: number, source: string): void {
+    if (version <= this.#heardVersion) return;
+    const { routes, events } = this.#context;
+    this.#heardVersion = version;
+    events.note("configHeard", { version, held: routes.version, source });
+  }
+
   /** Takes a listing from a peer, or from the store; false: it is older. */
   takeListing(listing: ReplicaListing, source: string): boolean {
     const now = this.#context.clock.now();
@@ -162,6 +172,7 @@
     }
     if (ageMs === undefined) return true;
     const isNewer = version > routes.version;
+    if (isNewer) this.#noteHeard(version, reader);
     const behindSince = isNewer ? this.#told?.behindSince ?? now : undefined;
     const before = this.storeAgeMs(now);
     const asOf = Math.max(this.#told?.asOf ?? -Infinity, now - ageMs);
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -78,6 +78,10 @@
     } as unknown as GatewayContext,
     self,
     store,
+    createClient: () => ({
+      call: () => Promise.reject(new Error("Nobody there")),
+      close: () => undefined,
+    }),
     directory: new HostDirectory(self, []),
     synchronizer: {
       isTold: () => true,
--- a/test/gateway/peers/peer_loop_test.ts
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -26,6 +26,7 @@
     store: { readRows: never, writeRow: never } as unknown as Store,
     directory: new HostDirectory(self, []),
     synchronizer: { freshForMs: () => 0 } as unknown as Synchronizer,
+    createClient: () => ({ call: never, close: () => undefined }),
     followers: () => [],
     isNamedByReader: () => false,
   });
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -7,6 +7,7 @@
 import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
+import { openLink } from "../../../src/gateway/peers/link.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { HallFollower } from "../../../src/gateway/state/hall_follower.ts";
@@ -92,6 +93,7 @@
     context: here.context,
     self,
     directory,
+    openLink,
     onState: ({ message }) => {
       told.push(message);
       const { listing } = message;
