--- a/test/gateway/state/state_server_test.ts
+++ b/test/gateway/state/state_server_test.ts
@@ -4,7 +4,6 @@
 import { test } from "node:test";
 import { type Clock, systemClock } from "../../../src/gateway/clock.ts";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
-import { type Route, RouteKind } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { LinkPath, openLink } from "../../../src/gateway/peers/link.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
@@ -12,6 +11,7 @@
 import type { StateMessage } from "../../../src/gateway/state/state_messages.ts";
 import { StateServer } from "../../../src/gateway/state/state_server.ts";
 import { listen } from "../../platform/store_standin.ts";
+import { routesOf } from "./routes_of.ts";
 
 /** Timers that go on for the life of a process do not keep this one. */
 const clock: Clock = {
@@ -23,24 +23,6 @@
 };
 const LIMITS = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
 
-function routesOf(count: number): Route[] {
-  return Array.from({ length: count }, (_, at) => ({
-    name: `route-${at}`,
-    host: "example",
-    pathPrefix: `/prefix-${at}/`,
-    kind: RouteKind.safe,
-    timeoutMs: 1,
-    objectiveMs: 1,
-    gapMs: 1,
-    silenceMs: 1,
-    attempts: 1,
-    priority: 1,
-    targets: [{ service: "service", weight: 1 }],
-    resumable: false,
-    anonymous: false,
-  }));
-}
-
 test("a small configuration is told, of a large one only its version", async (t) => {
   const routes = new RouteTable();
   const replicas = new ReplicaTable();
