News of a configuration goes to all hosts at once, and it alone starts the fetch

Cause: a host told its followers only of the version that it held. A relay that the store turns away so kept the news from followers whom the store would have served; its own way round, by peers, waited for a timer that goes by the freshness of the listing (up to 1 s, twice if it was behind for less than 300 ms by then) and drew one host at random, with 350 ms for an answer that may be 500 KB long. Change: state messages and peers' answers name the newest version heard of; ConfigCatchup fetches on the news: the store first, peers after 150 ms or at once when the store refuses, four a round, the teller among them if it holds the version; 1.5 s for an answer. Questions to peers while the store is silent no longer wait for each other, with the same time for answers (same cause).

--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -3,19 +3,19 @@
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry, Store } from "../port.ts";
-import type { JsonClient } from "../upstreams/json_client.ts";
 import type { Synchronizer } from "../state/synchronizer.ts";
 import { within } from "../state/within.ts";
 import type { HostDirectory } from "./directory.ts";
 import { exchangeRows, readHosts } from "./host_rows.ts";
-import { type PeerState, questionPath, readPeerState } from "./peer_state.ts";
+import { type PeerQuestions, PeerSubject } from "./peer_questions.ts";
 
 /** Without word from the store for so long, peers are asked. */
 const STORE_SILENT_MS = 1300;
 const ASK_MS = 400;
 /** A host without a configuration can serve nothing: it asks more often. */
 const FIRST_ASK_MS = 100;
-const ASK_TIMEOUT_MS = 350;
+/** Questions that may wait for their answers at a time. */
+const MOST_OPEN_QUESTIONS = 3;
 /** Time after which a host writes its row again. */
 const ROW_MS = 20_000;
 /** A row is written so soon after the followers have changed. */
@@ -36,8 +36,7 @@
   readonly store: Store;
   readonly directory: HostDirectory;
   readonly synchronizer: Synchronizer;
-  /** Makes a client of a peer's address. */
-  readonly createClient: (address: string) => JsonClient;
+  readonly questions: PeerQuestions;
   /** Hosts that follow this one. */
   followers(): readonly HostEntry[];
   /** The host that this one follows is of its hall and names it in its row. */
@@ -123,68 +122,24 @@
   }
 }
 
+/**
+ * While the store says nothing, a peer is asked each {@link ASK_MS}, also while
+ * an earlier one still owes its answer: it may be cut off, or its answer long.
+ */
 async function askPeers(source: PeerLoopSource): Promise<void> {
-  const { context, directory, synchronizer } = source;
+  const { context, directory, synchronizer, questions } = source;
   const { clock, random } = context;
-  const clients = new Map<string, JsonClient>();
+  let open = 0;
   for (;;) {
     const knowsRoutes = context.routes.config !== undefined;
     const freshMs = synchronizer.freshForMs(clock.now());
     await sleep(clock, knowsRoutes ? Math.max(ASK_MS, freshMs) : FIRST_ASK_MS);
-    const now = clock.now();
-    const isSilent = synchronizer.storeAgeMs(now) >= STORE_SILENT_MS;
-    if (!isSilent && !synchronizer.isBehind(now)) continue;
+    const isSilent = synchronizer.storeAgeMs(clock.now()) >= STORE_SILENT_MS;
+    if (!isSilent || open >= MOST_OPEN_QUESTIONS) continue;
     const addresses = directory.addresses();
     const address = addresses[Math.floor(random() * addresses.length)];
     if (address === undefined) continue;
-    const client = clients.get(address) ?? source.createClient(address);
-    clients.set(address, client);
-    await askOne(source, client, address);
+    open += 1;
+    void questions.ask(address, PeerSubject.state).then(() => open -= 1);
   }
 }
-
-async function askOne(
-  source: PeerLoopSource,
-  client: JsonClient,
-  address: string,
-): Promise<void> {
-  const { context } = source;
-  const { routes, replicas, clock } = context;
-  const askedAt = clock.now();
-  const path = questionPath({
-    version: routes.version,
-    revision: replicas.revision,
-  });
-  const answer = await within({
-    clock,
-    timeoutMs: ASK_TIMEOUT_MS,
-    work: (signal) => client.call({ method: "GET", path }, signal),
-    onFault: (reason) =>
-      context.events.note("callFailed", { call: "peer", address, reason }),
-  });
-  const state = answer && readPeerState(answer.body);
-  if (!state) return;
-  takeState(source, state, address, clock.now());
-  const { version, configAgeMs } = state;
-  if (configAgeMs === undefined) return;
-  // The peer answered after it was asked, and its word is so much older.
-  source.synchronizer.noteNewest(version, askedAt - configAgeMs);
-}
-
-function takeState(
-  source: PeerLoopSource,
-  state: PeerState,
-  address: string,
-  now: Milliseconds,
-): void {
-  const { context, directory, synchronizer } = source;
-  directory.learn(state.hosts, now);
-  if (!state.config && !state.listing) return;
-  context.events.note("peerState", {
-    peer: address,
-    version: state.config?.version,
-    revision: state.listing?.revision,
-  });
-  if (state.config) synchronizer.takeConfig(state.config, address);
-  if (state.listing) synchronizer.takeListing(state.listing, address);
-}
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -21,6 +21,8 @@
   hosts: z.array(HostEntrySchema).readonly(),
   /** Version of the peer's configuration. */
   version: z.number(),
+  /** The newest version that the peer has heard of; absent: its own. */
+  newest: z.number().exactOptional(),
   /**
    * No newer version was in the store so long before the peer answered;
    * absent: the peer has no word of it.
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -7,9 +7,11 @@
 import type { HostDirectory } from "../peers/directory.ts";
 import type { Link, LinkEvents, LinkTarget } from "../peers/link.ts";
 import { startPeerLoops } from "../peers/peer_loop.ts";
+import { PeerQuestions, PeerSubject } from "../peers/peer_questions.ts";
 import type { HostEntry, Store } from "../port.ts";
 import type { RouteConfig } from "../routing/model.ts";
 import type { JsonClient } from "../upstreams/json_client.ts";
+import { ConfigCatchup } from "./config_catchup.ts";
 import { HallFollower, type ReaderWord } from "./hall_follower.ts";
 import { StateServer } from "./state_server.ts";
 import { StoreLoops, type StoreTimes } from "./store_loops.ts";
@@ -38,6 +40,8 @@
   readonly #synchronizer: Synchronizer;
   readonly #follower: HallFollower;
   readonly #storeLoops: StoreLoops;
+  readonly #questions: PeerQuestions;
+  readonly #catchup: ConfigCatchup;
 
   constructor(source: FleetStateSource) {
     const { context, self, directory, store, times, openLink } = source;
@@ -45,6 +49,7 @@
     const synchronizer = new Synchronizer({
       context,
       onConfig: source.onConfig,
+      onNews: (news) => this.#catchup.heard(news),
       onChange: () => this.server.tell(),
       isRelay: () => this.#follower.isRelay,
     });
@@ -55,6 +60,7 @@
       directory,
       storeAgeMs: (now) => synchronizer.tellableAgeMs(now),
       configAgeMs: (now) => synchronizer.configAgeMs(now),
+      newestVersion: () => synchronizer.newestVersion,
     });
     this.#follower = new HallFollower({
       context,
@@ -70,11 +76,23 @@
       synchronizer,
       follower: this.#follower,
     });
+    this.#questions = new PeerQuestions({
+      context,
+      directory,
+      synchronizer,
+      createClient: source.createClient,
+    });
+    this.#catchup = new ConfigCatchup({
+      context,
+      directory,
+      readStore: () => this.#storeLoops.readConfig(),
+      askPeer: (address) => this.#questions.ask(address, PeerSubject.config),
+    });
   }
 
   /** Starts all loops. */
   start(): void {
-    const { context, self, directory, store, createClient } = this.#source;
+    const { context, self, directory, store } = this.#source;
     const follower = this.#follower;
     startPeerLoops({
       context,
@@ -82,7 +100,7 @@
       store,
       directory,
       synchronizer: this.#synchronizer,
-      createClient,
+      questions: this.#questions,
       followers: () => this.server.hosts,
       isNamedByReader: () => follower.reader !== self.id && !follower.isRelay,
     });
@@ -93,6 +111,7 @@
   /** The store is not called any more. */
   stop(): void {
     this.#storeLoops.stop();
+    this.#catchup.stop();
   }
 
   /** Age of the newest word of the store; Infinity before the first. */
@@ -108,15 +127,18 @@
     return this.#synchronizer.configAgeMs(now);
   }
 
+  /** The newest version of the configuration that this host has heard of. */
+  get newestVersion(): number {
+    return this.#synchronizer.newestVersion;
+  }
+
   /** Takes the word of the reader; false: its listing has a gap. */
   #takeState(word: ReaderWord): boolean {
-    const { context: { clock, routes }, directory } = this.#source;
-    const { hosts, hostsGone, version } = word.message;
+    const { context: { clock }, directory } = this.#source;
+    const { hosts, hostsGone } = word.message;
     directory.refresh(clock.now());
     if (hosts) directory.learn(hosts, clock.now());
     if (hostsGone) directory.forget(hostsGone);
-    const follows = this.#synchronizer.takeState(word);
-    if (version > routes.version) void this.#storeLoops.readNewer();
-    return follows;
+    return this.#synchronizer.takeState(word);
   }
 }
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -49,6 +49,8 @@
 /** What a reader has told. */
 export type ReaderWord = {
   readonly reader: HostId;
+  /** The reader's address. */
+  readonly address: string;
   readonly message: StateMessage;
   /** The moment of its word of the configuration, by this host's clock. */
   readonly configAsOf: Milliseconds | undefined;
@@ -71,6 +73,7 @@
 /** A link to a host that may become the reader. */
 type NextLink = {
   readonly reader: HostId;
+  readonly address: string;
   readonly link: Link;
   readonly clock: RemoteClock;
   readonly openedAt: Milliseconds;
@@ -148,7 +151,7 @@
     if (reader === this.#reader) return;
     const host = directory.get(reader);
     if (!host) return this.#close();
-    this.#next = { reader, ...this.#open(host), openedAt: now };
+    this.#next = { ...this.#open(host), openedAt: now };
   }
 
   #syncClock(now: Milliseconds): void {
@@ -157,7 +160,7 @@
     this.#link.send({ type: "sync", sentAt: now });
   }
 
-  #open(host: HostEntry): Pick<NextLink, "link" | "clock"> {
+  #open(host: HostEntry): Omit<NextLink, "openedAt"> {
     const { self, context, openLink } = this.#source;
     const target = {
       address: host.address,
@@ -166,12 +169,13 @@
       clock: context.clock,
     };
     const clock = new RemoteClock();
+    const named = { reader: host.id, address: host.address };
     const link: Link = openLink(target, {
       ready: () => this.#follow(link, context.replicas.revision),
-      line: (text) => this.#take(text, { link, clock, reader: host.id }),
+      line: (text) => this.#take(text, { link, clock, ...named }),
       closed: () => this.#ended(link),
     });
-    return { link, clock };
+    return { link, clock, ...named };
   }
 
   /** The new link tells a fresh word: the old one is left. */
@@ -223,7 +227,7 @@
   #take(text: string, from: Omit<NextLink, "openedAt">): void {
     const message = readJson(ReaderMessageSchema, text);
     if (message?.type !== "state") return;
-    const { link, reader } = from;
+    const { link, reader, address } = from;
     const now = this.#source.context.clock.now();
     if (message.echo) from.clock.note(message.echo, now);
     const configAsOf = message.configAsOf === undefined
@@ -231,7 +235,7 @@
       : from.clock.toLocal(message.configAsOf, now);
     const isFresh = message.ageMs !== undefined && message.ageMs <= FRESH_MS;
     if (this.#next?.link === link && isFresh) this.#change(this.#next);
-    const word = { reader, message, configAsOf };
+    const word = { reader, address, message, configAsOf };
     if (!this.#source.onState(word)) this.#follow(link, -1);
   }
 
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -29,6 +29,11 @@
   ageMs: z.number().exactOptional(),
   /** Version of the configuration in force at the reader. */
   version: z.number(),
+  /**
+   * The newest version that the reader has heard of, where it does not hold it
+   * itself: its followers may be able to get what it can't.
+   */
+  newest: z.number().exactOptional(),
   /** The configuration, where the follower has an older one. */
   config: RouteConfigSchema.exactOptional(),
   /**
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -18,7 +18,7 @@
 
 /**
  * A larger configuration isn't told: its followers hear of the version and read
- * it from the store themselves. This much for each of 30 followers takes a
+ * it themselves. This much for each of 30 followers takes a
  * reader's link of 10 Mbit/s 0.8 s; 1,844 routes took it longer than the 3 s in
  * which a configuration has to be in force.
  */
@@ -33,6 +33,8 @@
   storeAgeMs(now: Milliseconds): Milliseconds;
   /** Age of this host's word of the configuration; Infinity: it has none. */
   configAgeMs(now: Milliseconds): Milliseconds;
+  /** The newest version that this host has heard of. */
+  newestVersion(): number;
 };
 
 type Follower = {
@@ -154,14 +156,16 @@
 
   #configFor(
     follower: Follower,
-  ): Pick<StateMessage, "config" | "configAsOf"> {
+  ): Pick<StateMessage, "config" | "configAsOf" | "newest"> {
     const { context: { routes, clock }, configAgeMs } = this.#source;
     const now = clock.now();
+    const newest = this.#source.newestVersion();
     const asOf = Math.floor(now - configAgeMs(now));
     const isNewer = routes.version > follower.version;
     const config = isNewer ? routes.config : undefined;
     return {
       ...(Number.isFinite(asOf) ? { configAsOf: asOf } : {}),
+      ...(newest > routes.version ? { newest } : {}),
       ...(config && this.#isTellable(config) ? { config } : {}),
     };
   }
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the store: replicas are listed again and again, the configuration is
  * watched. A host that another of its hall reads for only looks whether that
- * one's word is still fresh, and reads a configuration that it hears of.
+ * one's word is still fresh.
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import { sleep } from "../clock.ts";
@@ -39,8 +39,6 @@
  * until it is told: its reader's first word is a few hundred ms away.
  */
 const FOLLOWER_LIST_FACTOR = 1.8;
-/** Of configurations in quick succession a follower skips some. */
-const NEWER_PAUSE_MS = 300;
 /** Least pause before the freshness of the reader's word is looked at again. */
 const LOOK_MS = 50;
 
@@ -70,9 +68,6 @@
   readonly #source: StoreLoopsSource;
   #stopped = false;
   #watch = new AbortController();
-  #readingConfig = false;
-  /** When a follower last read a configuration that it had heard of. */
-  #newerAt: Milliseconds = -Infinity;
   /** Listings in a row that did not come. */
   #failures = 0;
   /** The store's steady clock. */
@@ -98,17 +93,9 @@
     this.#watch.abort();
   }
 
-  /**
-   * Reads the configuration: there is a newer one. What is skipped here is
-   * read at the next word of the reader.
-   */
-  async readNewer(): Promise<void> {
-    const now = this.#source.context.clock.now();
-    if (this.#readingConfig || now - this.#newerAt < NEWER_PAUSE_MS) return;
-    this.#readingConfig = true;
-    this.#newerAt = now;
-    await this.#readConfig(undefined);
-    this.#readingConfig = false;
+  /** Reads the configuration now; whether the store answered. */
+  async readConfig(): Promise<boolean> {
+    return await this.#readConfig(undefined) !== undefined;
   }
 
   async #followReplicas(): Promise<void> {
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -8,6 +8,7 @@
 import type { ListingChanges, ReplicaListing } from "../replicas/model.ts";
 import type { ListingChange } from "../replicas/replica_table.ts";
 import type { RouteConfig } from "../routing/model.ts";
+import type { VersionNews } from "./config_catchup.ts";
 import type { ReaderWord } from "./hall_follower.ts";
 
 /** A word of the store that is older than this has to be read anew. */
@@ -23,13 +24,13 @@
  * within about two seconds: until then a missing replica is kept.
  */
 const SETTLE_MS = 2000;
-/** A newer configuration must have been heard of for so long to ask peers. */
-const BEHIND_MS = 300;
 
 /** What a synchronizer is made from. */
 export type SyncSource = {
   readonly context: GatewayContext;
   readonly onConfig: (config: RouteConfig) => void;
+  /** There is a version that this host does not hold. */
+  readonly onNews: (news: VersionNews) => void;
   /** Routes or replicas have changed, or there is a newer word of the store. */
   readonly onChange: () => void;
   /** This host relays the word of the store to its hall. */
@@ -39,9 +40,6 @@
 /** What the reader of the hall has told. */
 type Told = {
   readonly asOf: Milliseconds;
-  readonly version: number;
-  /** Since when a newer version than ours has been heard of. */
-  readonly behindSince: Milliseconds | undefined;
 };
 
 /** Takes state from wherever it comes, and knows how old it is. */
@@ -51,7 +49,7 @@
   /** When the store was last asked with success; undefined before. */
   #readAt: Milliseconds | undefined;
   #told: Told | undefined;
-  /** Newest version that was heard of before it was held. */
+  /** The newest version that was heard of before it was held. */
   #heardVersion = 0;
   /** No configuration newer than ours was in the store then. */
   #configAsOf: Milliseconds = -Infinity;
@@ -111,11 +109,9 @@
     return Math.max(0, this.#told.asOf + freshMs - now);
   }
 
-  /** The reader has had a newer configuration for a while. */
-  isBehind(now: Milliseconds): boolean {
-    const since = this.#told?.behindSince;
-    if (since === undefined || now - since < BEHIND_MS) return false;
-    return (this.#told?.version ?? 0) > this.#context.routes.version;
+  /** The newest version that this host has heard of. */
+  get newestVersion(): number {
+    return Math.max(this.#heardVersion, this.#context.routes.version);
   }
 
   /** Takes a configuration from the store or a peer. */
@@ -134,12 +130,20 @@
     return true;
   }
 
-  /** There is a newer version than ours, which is still to be had. */
-  #noteHeard(version: number, source: string): void {
-    if (version <= this.#heardVersion) return;
+  /**
+   * Somebody has heard of a version. What is news here is told on at once, also
+   * by a host that can't have the version itself.
+   */
+  noteHeard(news: VersionNews, source: string): void {
     const { routes, events } = this.#context;
-    this.#heardVersion = version;
+    const { version } = news;
+    if (version <= routes.version) return;
+    const isNews = version > this.#heardVersion;
+    this.#heardVersion = Math.max(this.#heardVersion, version);
+    this.#source.onNews(news);
+    if (!isNews) return;
     events.note("configHeard", { version, held: routes.version, source });
+    this.#source.onChange();
   }
 
   /** Takes a listing from a peer, or from the store; false: it is older. */
@@ -159,24 +163,23 @@
   }
 
   /** Takes the word of the hall's reader; false: its listing has a gap. */
-  takeState({ message, reader, configAsOf }: ReaderWord): boolean {
-    const { clock, replicas, routes } = this.#context;
+  takeState(word: ReaderWord): boolean {
+    const { message, reader, configAsOf } = word;
+    const { clock, replicas } = this.#context;
     const now = clock.now();
+    const { listing, ageMs } = message;
     if (message.config) this.takeConfig(message.config, reader);
     if (configAsOf !== undefined) this.noteNewest(message.version, configAsOf);
-    const { listing, ageMs, version } = message;
+    this.noteHeard(newsOf(word), reader);
     const change = listing ? replicas.follow(listing) : undefined;
     if (change === "gap") return false;
     if (listing && change && change !== "older") {
       this.#noteChange(change, listing.revision, reader);
     }
     if (ageMs === undefined) return true;
-    const isNewer = version > routes.version;
-    if (isNewer) this.#noteHeard(version, reader);
-    const behindSince = isNewer ? this.#told?.behindSince ?? now : undefined;
     const before = this.storeAgeMs(now);
     const asOf = Math.max(this.#told?.asOf ?? -Infinity, now - ageMs);
-    this.#told = { asOf, version, behindSince };
+    this.#told = { asOf };
     if (ageMs < before) this.#source.onChange();
     return true;
   }
@@ -221,6 +224,13 @@
   }
 }
 
+/** The newest version that a reader knows of, and whether it holds it. */
+function newsOf({ message, address }: ReaderWord): VersionNews {
+  const { version, newest } = message;
+  if (newest !== undefined && newest > version) return { version: newest };
+  return { version, holder: address };
+}
+
 /** An age for a log line; none before the first contact. */
 function ageField(age: Milliseconds): number | undefined {
   return Number.isFinite(age) ? Math.round(age) : undefined;
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -10,6 +10,7 @@
 } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { liveHosts } from "../../../src/gateway/peers/host_rows.ts";
+import type { PeerQuestions } from "../../../src/gateway/peers/peer_questions.ts";
 import { startPeerLoops } from "../../../src/gateway/peers/peer_loop.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
@@ -78,10 +79,7 @@
     } as unknown as GatewayContext,
     self,
     store,
-    createClient: () => ({
-      call: () => Promise.reject(new Error("Nobody there")),
-      close: () => undefined,
-    }),
+    questions: {} as PeerQuestions,
     directory: new HostDirectory(self, []),
     synchronizer: {
       isTold: () => true,
--- a/test/gateway/peers/peer_loop_test.ts
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -4,6 +4,7 @@
 import type { GatewayContext } from "../../../src/gateway/context.ts";
 import type { Store } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
+import type { PeerQuestions } from "../../../src/gateway/peers/peer_questions.ts";
 import { startPeerLoops } from "../../../src/gateway/peers/peer_loop.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
@@ -26,7 +27,7 @@
     store: { readRows: never, writeRow: never } as unknown as Store,
     directory: new HostDirectory(self, []),
     synchronizer: { freshForMs: () => 0 } as unknown as Synchronizer,
-    createClient: () => ({ call: never, close: () => undefined }),
+    questions: { ask: never } as unknown as PeerQuestions,
     followers: () => [],
     isNamedByReader: () => false,
   });
--- /dev/null
+++ b/test/gateway/state/config_catchup_test.ts
@@ -0,0 +1,133 @@
+/** A configuration that was heard of is fetched, from wherever it is to be had. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import { ConfigCatchup } from "../../../src/gateway/state/config_catchup.ts";
+import { TimeQueue } from "../../fake/queue.ts";
+
+type Rig = {
+  /** What the store does when it is read. */
+  readonly store: "answers" | "fails" | "says nothing";
+  /** Peers by address, and whether each has the version. */
+  readonly peers: ReadonlyMap<string, "has it" | "lacks it" | "says nothing">;
+};
+
+/** A catch-up over a store and peers, in virtual time. */
+function start({ store, peers }: Rig) {
+  const queue = new TimeQueue();
+  const time = { now: 0 };
+  const written = { version: 1 };
+  const routes = new RouteTable();
+  const log: string[] = [];
+  const adopted: { at: number; version: number }[] = [];
+  const adopt = () => {
+    const limits = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
+    const { version } = written;
+    if (!routes.adopt({ version, routes: [], services: [], limits })) return;
+    adopted.push({ at: time.now, version });
+  };
+  const after = (delayMs: number, run: () => void) => {
+    let isDue = true;
+    queue.push(time.now + delayMs, () => isDue && run());
+    return () => isDue = false;
+  };
+  const later = <Value>(delayMs: number, value: () => Value) =>
+    new Promise<Value>((resolve) => after(delayMs, () => resolve(value())));
+  const never = new Promise<never>(() => undefined);
+  const catchup = new ConfigCatchup({
+    context: { clock: { now: () => time.now, after }, random: () => 0, routes },
+    directory: { addresses: () => [...peers.keys()] },
+    readStore: () => {
+      log.push(`${time.now} store`);
+      if (store === "says nothing") return never;
+      return later(4, () => {
+        if (store === "answers") adopt();
+        return store === "answers";
+      });
+    },
+    askPeer: (address) => {
+      log.push(`${time.now} ${address}`);
+      if (peers.get(address) === "says nothing") return never;
+      return later(3, () => {
+        if (peers.get(address) === "has it") adopt();
+      });
+    },
+  });
+  const runTo = async (until: number) => {
+    while (queue.nextAt <= until) {
+      const item = queue.pop();
+      time.now = item?.at ?? time.now;
+      item?.run();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    time.now = until;
+  };
+  return { catchup, written, adopted, log, runTo };
+}
+
+test("of newer configurations in quick succession some are skipped, the newest never", async () => {
+  const { catchup, written, adopted, runTo } = start({
+    store: "answers",
+    peers: new Map(),
+  });
+  for (let at = 0; at <= 800; at += 100) {
+    await runTo(at);
+    written.version += 1;
+    catchup.heard({ version: written.version });
+  }
+  await runTo(1200);
+  assert.deepEqual(adopted.map((one) => one.version), [2, 5, 8, 10]);
+  assert.ok((adopted.at(-1)?.at ?? Infinity) <= 910);
+});
+
+test("while the store answers, no peer is asked", async () => {
+  const { catchup, written, adopted, log, runTo } = start({
+    store: "answers",
+    peers: new Map([["a", "has it"], ["b", "has it"]]),
+  });
+  written.version = 2;
+  catchup.heard({ version: 2, holder: "a" });
+  await runTo(5000);
+  assert.equal(adopted.length, 1);
+  assert.deepEqual(log, ["0 store"]);
+});
+
+test("peers are asked at once when the store turns this host away", async () => {
+  const { catchup, written, adopted, runTo } = start({
+    store: "fails",
+    peers: new Map([["a", "lacks it"], ["b", "lacks it"], ["c", "has it"]]),
+  });
+  written.version = 2;
+  catchup.heard({ version: 2, holder: "c" });
+  await runTo(5000);
+  assert.deepEqual(adopted, [{ at: 13, version: 2 }]);
+});
+
+test("peers and a store that say nothing hold nobody up for long", async () => {
+  const { catchup, written, adopted, runTo } = start({
+    store: "says nothing",
+    peers: new Map([["a", "says nothing"], ["b", "says nothing"], [
+      "c",
+      "has it",
+    ]]),
+  });
+  written.version = 2;
+  catchup.heard({ version: 2 });
+  await runTo(5000);
+  assert.deepEqual(adopted, [{ at: 753, version: 2 }]);
+});
+
+test("a version that nobody has is asked for ever less often, until it is stopped", async () => {
+  const { catchup, log, runTo } = start({
+    store: "fails",
+    peers: new Map([["a", "lacks it"]]),
+  });
+  catchup.heard({ version: 2 });
+  await runTo(10_000);
+  const reads = log.filter((one) => one.endsWith("store"));
+  assert.ok(reads.length >= 10 && reads.length <= 15, String(reads));
+  catchup.stop();
+  const before = log.length;
+  await runTo(20_000);
+  assert.equal(log.length, before);
+});
--- a/test/gateway/state/config_in_force_test.ts
+++ b/test/gateway/state/config_in_force_test.ts
@@ -18,9 +18,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { RouteConfig } from "../../../src/gateway/mod.ts";
-import { knownRed } from "../../known_red.ts";
-import { StateFleet, type Treatment } from "./state_fleet.ts";
+import type { Treatment } from "./fleet_store.ts";
 import { routesOf } from "./routes_of.ts";
+import { StateFleet } from "./state_fleet.ts";
 
 /** A version has to be in force so long after it was confirmed. */
 const IN_FORCE_MS = 2000;
@@ -40,28 +40,32 @@
   readonly hosts: number;
   readonly routes: number;
   readonly treatment: Treatment;
+  /** Hosts that the store turns away are asked for, too. */
+  readonly isAwayJudged?: boolean;
   /** Whom the store turns away. */
   isTurnedAway(role: string, at: number): boolean;
 };
 
-/** How late a version is in force at each host that the store serves. */
+/** How late a version is in force at each host that it is asked of. */
 async function latenessOf(play: Play): Promise<Map<string, number>> {
   const fleet = new StateFleet(play.hosts, play.seed);
-  fleet.publish(configOf(1, play.routes));
+  fleet.store.publish(configOf(1, play.routes));
   const startAt = SETTLED_MS + play.seed * 97;
   await fleet.runTo(startAt);
   const away = fleet.hosts.filter((host, at) =>
     play.isTurnedAway(fleet.roleOf(host), at)
   );
   assert.ok(away.length > 0 && away.length < play.hosts);
-  for (const { entry } of away) fleet.treat(entry.id, play.treatment);
+  for (const { entry } of away) fleet.store.treat(entry.id, play.treatment);
   await fleet.runTo(startAt + 500);
-  fleet.publish(configOf(2, play.routes));
+  fleet.store.publish(configOf(2, play.routes));
   const confirmedAt = fleet.now;
   await fleet.runTo(confirmedAt + 3 * IN_FORCE_MS);
-  const served = fleet.hosts.filter((host) => !away.includes(host));
+  const judged = fleet.hosts.filter((host) =>
+    play.isAwayJudged === true || !away.includes(host)
+  );
   return new Map(
-    served.map(({ entry, adoptedAt }) => [
+    judged.map(({ entry, adoptedAt }) => [
       entry.id,
       (adoptedAt.get(2) ?? Infinity) - confirmedAt,
     ]),
@@ -79,9 +83,7 @@
 
 const isRelay = (role: string) => role === "relay";
 
-const RED =
-  "a large configuration is in force in time behind a relay that the store turns away";
-test(RED, knownRed(RED), async () => {
+test("a large configuration is in force in time behind a relay that the store turns away", async () => {
   for (const treatment of ["reset", "silent"] as const) {
     await assertInTime({
       hosts: 8,
@@ -100,3 +102,43 @@
     isTurnedAway: isRelay,
   });
 });
+
+test("a large configuration is in force in time while the store turns the reader away", async () => {
+  for (const treatment of ["reset", "silent"] as const) {
+    await assertInTime({
+      hosts: 8,
+      routes: LARGE,
+      treatment,
+      isTurnedAway: (role) => role === "reader",
+    });
+  }
+});
+
+test("a large configuration is in force in time at hosts that the store turns away", async () => {
+  const fleet = { hosts: 8, routes: LARGE, isAwayJudged: true } as const;
+  for (const treatment of ["reset", "silent"] as const) {
+    await assertInTime({
+      ...fleet,
+      treatment,
+      isTurnedAway: (_role, at) => at % 3 === 0,
+    });
+    await assertInTime({
+      ...fleet,
+      treatment,
+      isTurnedAway: (role, at) => isRelay(role) || at % 4 === 0,
+    });
+  }
+});
+
+test("a large configuration is in force in time in a fleet of 88, a third turned away", async () => {
+  const lateness = await latenessOf({
+    seed: 1,
+    hosts: 88,
+    routes: LARGE,
+    treatment: "silent",
+    isAwayJudged: true,
+    isTurnedAway: (_role, at) => at % 3 === 0,
+  });
+  assert.equal(lateness.size, 88);
+  for (const ms of lateness.values()) assert.ok(ms <= IN_FORCE_MS, String(ms));
+});
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -4,12 +4,7 @@
  */
 import type { Clock } from "../../../src/gateway/clock.ts";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
-import type {
-  ConfigReading,
-  HostEntry,
-  RouteConfig,
-  Store,
-} from "../../../src/gateway/mod.ts";
+import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
@@ -21,15 +16,12 @@
 import { chooseReader } from "../../../src/gateway/state/reader_choice.ts";
 import type { JsonClient } from "../../../src/gateway/upstreams/json_client.ts";
 import { TimeQueue } from "../../fake/queue.ts";
+import { FleetStore } from "./fleet_store.ts";
 
 const WAY_MS = 1.5;
-const STORE_WAY_MS = 2;
 const TIMES = { listMs: 700, timeoutMs: 700, watchMs: 1200 };
 const HALLS = 3;
 
-/** How the store treats a host: it answers, resets its calls, or says nothing. */
-export type Treatment = "served" | "reset" | "silent";
-
 /** One host of the fleet. */
 export type FleetHost = {
   readonly entry: HostEntry;
@@ -41,9 +33,6 @@
   readonly adoptedAt: Map<number, number>;
 };
 
-/** A call that waits for a change, or for its time to be over. */
-type Watch = { wake(): void; fail(): void; readonly host: string };
-
 /** A small generator, so that a seed names the whole run. */
 function randomOf(seed: number): () => number {
   let state = seed >>> 0;
@@ -56,18 +45,17 @@
 /** Hosts in three halls, all of whom know each other. */
 export class StateFleet {
   readonly hosts: FleetHost[];
-  /** Calls to the store by kind. */
-  readonly calls = new Map<string, number>();
+  readonly store: FleetStore;
   readonly #queue = new TimeQueue();
   readonly #random: () => number;
-  readonly #treatments = new Map<string, Treatment>();
-  readonly #watches = new Set<Watch>();
   #now = 0;
-  #config: RouteConfig | undefined;
-  #revision = 1;
 
   constructor(size: number, seed: number) {
     this.#random = randomOf(seed);
+    this.store = new FleetStore({
+      now: () => this.#now,
+      after: (delayMs, run) => this.#at(this.#now + delayMs, run),
+    });
     const entries = Array.from({ length: size }, (_, at) => ({
       id: `h${at}`,
       address: `h${at}`,
@@ -83,20 +71,6 @@
     return this.#now;
   }
 
-  /** In force at the store from now on. */
-  publish(config: RouteConfig): void {
-    this.#revision += 1;
-    this.#config = config;
-    for (const watch of [...this.#watches]) watch.wake();
-  }
-
-  /** How the store treats a host from now on; held calls fail where it resets. */
-  treat(id: string, treatment: Treatment): void {
-    this.#treatments.set(id, treatment);
-    if (treatment !== "reset") return;
-    for (const watch of [...this.#watches]) if (watch.host === id) watch.fail();
-  }
-
   /** Hosts by their part: the reader of all, relays of halls, and others. */
   roleOf({ entry }: FleetHost): "reader" | "relay" | "follower" {
     const entries = this.hosts.map((one) => one.entry);
@@ -154,7 +128,7 @@
       context,
       self: entry,
       directory,
-      store: this.#storeFor(entry.id),
+      store: this.store.of(entry.id),
       times: TIMES,
       openLink: ({ address }, events) => this.#open(address, events),
       createClient: (address) => this.#clientOf(address),
@@ -202,116 +176,19 @@
           this.#at(this.#now + WAY_MS, () => {
             const { entry, context, directory, state } = this.#hostOf(address);
             const configAgeMs = (now: number) => state.configAgeMs(now);
-            const source = { context, self: entry, directory, configAgeMs };
+            const newestVersion = () => state.newestVersion;
+            const self = entry;
+            const source = {
+              context,
+              self,
+              directory,
+              configAgeMs,
+              newestVersion,
+            };
             const body = JSON.stringify(answerTo(source, path));
             this.#at(this.#now + WAY_MS, () => resolve({ status: 200, body }));
           });
         }),
     };
   }
-
-  #storeFor(host: string): Store {
-    const answer = <Value>(kind: string, value: () => Value) =>
-      this.#answer(host, kind, value);
-    const held = <Value>(
-      kind: string,
-      call: {
-        readonly revision: number;
-        readonly waitMs: number;
-        readonly value: () => Value;
-      },
-    ) => this.#hold(host, kind, call);
-    const nowMs = () => ({ nowMs: this.#now });
-    return {
-      readReplicas: () =>
-        answer("replicas", () => ({
-          revision: this.#revision,
-          entries: [],
-          ...nowMs(),
-        })),
-      watchReplicas: (since, waitMs) =>
-        held("replicas", {
-          revision: Infinity,
-          waitMs,
-          value: () => ({
-            since,
-            revision: Math.max(since, this.#revision),
-            changed: [],
-            gone: [],
-            ...nowMs(),
-          }),
-        }),
-      readConfig: () => answer("config", () => this.#reading(0)),
-      watchConfig: (revision, waitMs) =>
-        held("config watch", {
-          revision,
-          waitMs,
-          value: () => this.#reading(revision),
-        }),
-      readRows: () => answer("rows", () => ({ rows: [], ...nowMs() })),
-      writeRow: () =>
-        answer("row", () => ({ type: "written", revision: 1, ...nowMs() })),
-    };
-  }
-
-  #reading(since: number): ConfigReading {
-    const config = this.#revision > since ? this.#config : undefined;
-    return { revision: this.#revision, ...(config ? { config } : {}) };
-  }
-
-  #answer<Value>(
-    host: string,
-    kind: string,
-    value: () => Value,
-  ): Promise<Value> {
-    this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
-    return new Promise((resolve, reject) => {
-      this.#at(this.#now + STORE_WAY_MS, () => {
-        const treatment = this.#treatments.get(host) ?? "served";
-        if (treatment === "silent") return;
-        if (treatment === "reset") return reject(new Error("Reset"));
-        const read = value();
-        this.#at(this.#now + STORE_WAY_MS, () => resolve(read));
-      });
-    });
-  }
-
-  /** Answers when something newer than `revision` is there, or after a time. */
-  #hold<Value>(
-    host: string,
-    kind: string,
-    { revision, waitMs, value }: {
-      readonly revision: number;
-      readonly waitMs: number;
-      readonly value: () => Value;
-    },
-  ): Promise<Value> {
-    this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
-    return new Promise((resolve, reject) => {
-      let cancel = () => {};
-      const settle = (end: () => void) => {
-        this.#watches.delete(watch);
-        cancel();
-        this.#at(this.#now + STORE_WAY_MS, end);
-      };
-      const watch: Watch = {
-        host,
-        wake: () => {
-          if (this.#treatments.get(host) === "silent") return;
-          if (this.#revision > revision) settle(() => resolve(value()));
-        },
-        fail: () => settle(() => reject(new Error("Reset"))),
-      };
-      this.#at(this.#now + STORE_WAY_MS, () => {
-        const treatment = this.#treatments.get(host) ?? "served";
-        if (treatment === "reset") return watch.fail();
-        this.#watches.add(watch);
-        cancel = this.#at(this.#now + waitMs, () => {
-          if (this.#treatments.get(host) === "silent") return;
-          settle(() => resolve(value()));
-        });
-        watch.wake();
-      });
-    });
-  }
 }
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -6,6 +6,7 @@
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { replicaEntry } from "../replica_entry.ts";
+import type { VersionNews } from "../../../src/gateway/state/config_catchup.ts";
 import type { ReaderWord } from "../../../src/gateway/state/hall_follower.ts";
 import type { StateMessage } from "../../../src/gateway/state/state_messages.ts";
 import { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
@@ -15,6 +16,7 @@
 function start(isRelay = false) {
   const time = { now: 0 };
   const told: number[] = [];
+  const news: VersionNews[] = [];
   const replicas = new ReplicaTable();
   const context = {
     clock: { now: () => time.now },
@@ -27,18 +29,20 @@
     context,
     onConfig: () => undefined,
     onChange: () => told.push(time.now),
+    onNews: (one) => news.push(one),
     isRelay: () => isRelay,
   });
   const read = (revision: number, entries: readonly ReplicaEntry[]) => {
     const taken = synchronizer.takeListing({ revision, entries }, "store");
     synchronizer.noteStore(taken, time.now);
   };
-  return { time, replicas, synchronizer, read, told };
+  return { time, replicas, synchronizer, read, told, news };
 }
 
 /** A reader's word that says nothing of the configuration's age. */
 function wordOf(message: StateMessage): ReaderWord {
-  return { reader: "reader", message, configAsOf: undefined };
+  const configAsOf = undefined;
+  return { reader: "reader", address: "address", message, configAsOf };
 }
 
 test("a replica missing right after the store was away is kept a while", () => {
@@ -104,18 +108,26 @@
   assert.equal(synchronizer.storeAgeMs(10_000), Infinity);
 });
 
-test("a host that stays behind its reader's version asks peers", () => {
-  const { time, synchronizer } = start();
-  const word = { type: "state", version: 3, ageMs: 0 } as const;
+test("a version that is heard of is told on at once, and fetched until it is held", () => {
+  const { synchronizer, news, told } = start();
+  const word = { type: "state", version: 3 } as const;
+  synchronizer.takeState(wordOf(word));
+  assert.deepEqual(news, [{ version: 3, holder: "address" }]);
+  assert.equal(synchronizer.newestVersion, 3);
+  assert.equal(told.length, 1);
   synchronizer.takeState(wordOf(word));
-  assert.equal(synchronizer.isBehind(100), false);
-  time.now = 250;
+  assert.equal(news.length, 2);
+  assert.equal(told.length, 1);
+  synchronizer.takeConfig(configOf(3), "store");
   synchronizer.takeState(wordOf(word));
-  assert.equal(synchronizer.isBehind(400), true);
-  const limits = { bodyBytes: 1, headerMs: 1, idleMs: 1 };
-  const config = { version: 3, routes: [], services: [], limits };
-  synchronizer.takeConfig(config, "store");
-  assert.equal(synchronizer.isBehind(400), false);
+  assert.equal(news.length, 2);
+});
+
+test("a reader that heard of a version and lacks it is not named as its holder", () => {
+  const { synchronizer, news } = start();
+  synchronizer.takeState(wordOf({ type: "state", version: 3, newest: 5 }));
+  assert.deepEqual(news, [{ version: 5 }]);
+  assert.equal(synchronizer.newestVersion, 5);
 });
 
 test("a host that keeps missing replicas has nothing to tell its followers", () => {
@@ -156,9 +168,9 @@
   synchronizer.noteNewest(1, 100);
   time.now = 1000;
   const message = { type: "state", version: 2 } as const;
-  synchronizer.takeState({ reader: "reader", message, configAsOf: 990 });
+  synchronizer.takeState({ ...wordOf(message), configAsOf: 990 });
   assert.equal(synchronizer.configAgeMs(1000), 900);
   const newer = { ...message, config: configOf(2) };
-  synchronizer.takeState({ reader: "reader", message: newer, configAsOf: 990 });
+  synchronizer.takeState({ ...wordOf(newer), configAsOf: 990 });
   assert.equal(synchronizer.configAgeMs(1000), 10);
 });
