A host that waits for a newer configuration tells nobody that a route is not there

Change: the route table knows the newest version heard of. Where no route or no holder of a key is found and a newer configuration is on its way, the answer is 503, not run, with a time to come back: stale_routes, stale_keys. A request without any key gets 401 as before.

--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -7,6 +7,7 @@
 export const GatewayError = {
   noConfig: "no_config",
   noRoute: "no_route",
+  staleRoutes: "stale_routes",
   unknownKey: "unknown_key",
   staleKeys: "stale_keys",
   overQuota: "over_quota",
@@ -43,6 +44,11 @@
     retryAfterSeconds: 0.3,
   },
   no_route: { status: 404, message: "No route leads there" },
+  stale_routes: {
+    status: 503,
+    message: "A newer configuration is on its way to this host; nothing ran",
+    retryAfterSeconds: 0.3,
+  },
   unknown_key: {
     status: 401,
     message: "The request carries no key that is in force; nothing ran",
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -162,9 +162,7 @@
     const host = incoming.headers.host ?? "";
     const route = routes.match(host, incoming.url ?? "/");
     if (!route) {
-      const known = routes.config !== undefined;
-      const error = known ? GatewayError.noRoute : GatewayError.noConfig;
-      return { type: "refused", error };
+      return { type: "refused", error: this.#noRouteError() };
     }
     if (!this.#timeLeftFor(route)) {
       return { type: "refused", error: GatewayError.stopping };
@@ -177,6 +175,16 @@
     return { type: "taken", route, facts, customer: admission.customer };
   }
 
+  /**
+   * A 404 is final to its caller, so none is given by a host that knows of a
+   * newer configuration, which may have the route.
+   */
+  #noRouteError(): GatewayError {
+    const { routes } = this.#context;
+    if (routes.config === undefined) return GatewayError.noConfig;
+    return routes.isBehind ? GatewayError.staleRoutes : GatewayError.noRoute;
+  }
+
   #request(
     incoming: IncomingMessage,
     read: {
--- a/src/gateway/customers/admission.ts
+++ b/src/gateway/customers/admission.ts
@@ -7,7 +7,7 @@
 
 /** What admission goes by. */
 export type AdmissionSource = {
-  readonly routes: Pick<RouteTable, "customers">;
+  readonly routes: Pick<RouteTable, "customers" | "isBehind">;
   /**
    * Age of this host's word of the store on the configuration: the one in
    * force here was the newest so long ago. Infinity before the first word.
@@ -48,9 +48,10 @@
   const customer = keyDigest === undefined
     ? undefined
     : customers.holderOf(keyDigest);
-  return customer
-    ? { type: "admitted", customer }
-    : refused(GatewayError.unknownKey);
+  if (customer) return { type: "admitted", customer };
+  // The newer configuration that this host waits for may have the key.
+  const mayBeNew = keyDigest !== undefined && source.routes.isBehind;
+  return refused(mayBeNew ? GatewayError.staleKeys : GatewayError.unknownKey);
 }
 
 /**
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -118,7 +118,6 @@
       states: this.#state.server,
       quotas: this.#customers.owner,
       configAgeMs: (now) => this.#state.configAgeMs(now),
-      newestVersion: () => this.#state.newestVersion,
     });
   }
 
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -24,8 +24,6 @@
   readonly quotas: QuotaOwner;
   /** Age of this host's word of the configuration; Infinity: it has none. */
   configAgeMs(now: Milliseconds): Milliseconds;
-  /** The newest version that this host has heard of. */
-  newestVersion(): number;
 };
 
 /** Makes the peers' server; it does not listen yet. */
@@ -51,17 +49,17 @@
 export function answerTo(
   source: Pick<
     PeerServerSource,
-    "context" | "self" | "directory" | "configAgeMs" | "newestVersion"
+    "context" | "self" | "directory" | "configAgeMs"
   >,
   target: string,
 ): PeerState {
   const { context, self, directory } = source;
+  const { routes } = context;
   const hosts = [self, ...directory.entries()];
   const age = source.configAgeMs(context.clock.now());
-  const newest = source.newestVersion();
   return {
     ...stateFor(context, readQuestion(target), hosts),
-    ...(newest > context.routes.version ? { newest } : {}),
+    ...(routes.isBehind ? { newest: routes.newestVersion } : {}),
     ...(Number.isFinite(age) ? { configAgeMs: Math.ceil(age) } : {}),
   };
 }
--- a/src/gateway/routing/route_table.ts
+++ b/src/gateway/routing/route_table.ts
@@ -8,6 +8,7 @@
   #byHost = new Map<string, Route[]>();
   #services = new Map<string, Service>();
   #customers: CustomerTable | undefined;
+  #heardVersion = 0;
 
   /** The configuration in force; undefined before the first. */
   get config(): RouteConfig | undefined {
@@ -19,6 +20,23 @@
     return this.#config?.version ?? 0;
   }
 
+  /** The newest version that this host has heard of. */
+  get newestVersion(): number {
+    return Math.max(this.#heardVersion, this.version);
+  }
+
+  /** There is a newer configuration than the one in force here. */
+  get isBehind(): boolean {
+    return this.newestVersion > this.version;
+  }
+
+  /** There is such a version; says whether that is news. */
+  noteVersion(version: number): boolean {
+    const isNews = version > this.newestVersion;
+    this.#heardVersion = Math.max(this.#heardVersion, version);
+    return isNews;
+  }
+
   /** The customers in force; undefined where no keys are asked for. */
   get customers(): CustomerTable | undefined {
     return this.#customers;
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -60,7 +60,6 @@
       directory,
       storeAgeMs: (now) => synchronizer.tellableAgeMs(now),
       configAgeMs: (now) => synchronizer.configAgeMs(now),
-      newestVersion: () => synchronizer.newestVersion,
     });
     this.#follower = new HallFollower({
       context,
@@ -127,11 +126,6 @@
     return this.#synchronizer.configAgeMs(now);
   }
 
-  /** The newest version of the configuration that this host has heard of. */
-  get newestVersion(): number {
-    return this.#synchronizer.newestVersion;
-  }
-
   /** Takes the word of the reader; false: its listing has a gap. */
   #takeState(word: ReaderWord): boolean {
     const { context: { clock }, directory } = this.#source;
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -33,8 +33,6 @@
   storeAgeMs(now: Milliseconds): Milliseconds;
   /** Age of this host's word of the configuration; Infinity: it has none. */
   configAgeMs(now: Milliseconds): Milliseconds;
-  /** The newest version that this host has heard of. */
-  newestVersion(): number;
 };
 
 type Follower = {
@@ -159,13 +157,12 @@
   ): Pick<StateMessage, "config" | "configAsOf" | "newest"> {
     const { context: { routes, clock }, configAgeMs } = this.#source;
     const now = clock.now();
-    const newest = this.#source.newestVersion();
     const asOf = Math.floor(now - configAgeMs(now));
     const isNewer = routes.version > follower.version;
     const config = isNewer ? routes.config : undefined;
     return {
       ...(Number.isFinite(asOf) ? { configAsOf: asOf } : {}),
-      ...(newest > routes.version ? { newest } : {}),
+      ...(routes.isBehind ? { newest: routes.newestVersion } : {}),
       ...(config && this.#isTellable(config) ? { config } : {}),
     };
   }
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -49,8 +49,6 @@
   /** When the store was last asked with success; undefined before. */
   #readAt: Milliseconds | undefined;
   #told: Told | undefined;
-  /** The newest version that was heard of before it was held. */
-  #heardVersion = 0;
   /** No configuration newer than ours was in the store then. */
   #configAsOf: Milliseconds = -Infinity;
   #lost = false;
@@ -109,11 +107,6 @@
     return Math.max(0, this.#told.asOf + freshMs - now);
   }
 
-  /** The newest version that this host has heard of. */
-  get newestVersion(): number {
-    return Math.max(this.#heardVersion, this.#context.routes.version);
-  }
-
   /** Takes a configuration from the store or a peer. */
   takeConfig(config: RouteConfig, source: string): boolean {
     const { routes, events } = this.#context;
@@ -138,8 +131,7 @@
     const { routes, events } = this.#context;
     const { version } = news;
     if (version <= routes.version) return;
-    const isNews = version > this.#heardVersion;
-    this.#heardVersion = Math.max(this.#heardVersion, version);
+    const isNews = routes.noteVersion(version);
     this.#source.onNews(news);
     if (!isNews) return;
     events.note("configHeard", { version, held: routes.version, source });
--- a/test/gateway/callers/server_test.ts
+++ b/test/gateway/callers/server_test.ts
@@ -110,3 +110,27 @@
     await seen;
   });
 });
+
+test("a host that waits for a newer configuration tells nobody that a route is not there", async () => {
+  const answer: RawAnswer = (request, socket) => {
+    socket.write(whole(request, "ok"));
+  };
+  await withRig({ replicas: [{ answer }] }, async (rig) => {
+    const { routes } = rig.context;
+    assert.equal((await rig.call({ path: "/new/" })).status, 404);
+    routes.noteVersion(2);
+    const early = await rig.call({ path: "/new/" });
+    assert.equal(early.status, 503);
+    assert.equal(early.headers["retry-after"], "0.3");
+    assert.match(early.body, /stale_routes/);
+    assert.equal((await rig.call({ path: "/a/" })).status, 200);
+    const { config } = routes;
+    assert.ok(config);
+    const [route] = config.routes;
+    assert.ok(route);
+    const added = { ...route, name: "new", pathPrefix: "/new/" };
+    routes.adopt({ ...config, version: 2, routes: [route, added] });
+    assert.equal((await rig.call({ path: "/new/" })).status, 200);
+    assert.equal((await rig.call({ path: "/none/" })).status, 404);
+  });
+});
--- a/test/gateway/customers/keys_test.ts
+++ b/test/gateway/customers/keys_test.ts
@@ -128,6 +128,22 @@
   });
 });
 
+test("a host that waits for a newer configuration calls no key unknown", async () => {
+  await withRig({ replicas, customers }, async (rig) => {
+    rig.context.routes.noteVersion(2);
+    const unheard = await rig.call({ headers: { "x-key": "unheard" } });
+    assert.equal(unheard.status, 503);
+    assert.match(unheard.body, /stale_keys/);
+    assert.equal((await rig.call()).status, 401);
+    const known = await rig.call({ headers: { "x-key": "a-key" } });
+    assert.equal(known.status, 200);
+    takeAway(rig, "beta");
+    const still = await rig.call({ headers: { "x-key": "unheard" } });
+    assert.equal(still.status, 401);
+    assert.equal(arrivedAt(rig).length, 1);
+  });
+});
+
 test("a request goes by its customer's priority before its route's", async () => {
   const urgent = { ...ALPHA, priority: 0 };
   await withRig({ replicas, customers: [urgent, BETA] }, async (rig) => {
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -83,7 +83,6 @@
     directory: new HostDirectory(place, []),
     storeAgeMs: () => ages.now,
     configAgeMs: () => Infinity,
-    newestVersion: () => 0,
   });
   const here = makeContext();
   const self = { id: follower, address: "127.0.0.1:1", hall: "h" };
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -176,14 +176,12 @@
           this.#at(this.#now + WAY_MS, () => {
             const { entry, context, directory, state } = this.#hostOf(address);
             const configAgeMs = (now: number) => state.configAgeMs(now);
-            const newestVersion = () => state.newestVersion;
             const self = entry;
             const source = {
               context,
               self,
               directory,
               configAgeMs,
-              newestVersion,
             };
             const body = JSON.stringify(answerTo(source, path));
             this.#at(this.#now + WAY_MS, () => resolve({ status: 200, body }));
--- a/test/gateway/state/state_server_test.ts
+++ b/test/gateway/state/state_server_test.ts
@@ -34,7 +34,6 @@
     directory: new HostDirectory(self, []),
     storeAgeMs: () => 0,
     configAgeMs: () => 0,
-    newestVersion: () => 0,
   });
   const server = createServer((request, response) =>
     states.accept(request, response)
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -18,10 +18,11 @@
   const told: number[] = [];
   const news: VersionNews[] = [];
   const replicas = new ReplicaTable();
+  const routes = new RouteTable();
   const context = {
     clock: { now: () => time.now },
     replicas,
-    routes: new RouteTable(),
+    routes,
     events: { note: () => undefined },
     pool: { forget: () => undefined },
   } as unknown as GatewayContext;
@@ -36,7 +37,7 @@
     const taken = synchronizer.takeListing({ revision, entries }, "store");
     synchronizer.noteStore(taken, time.now);
   };
-  return { time, replicas, synchronizer, read, told, news };
+  return { time, replicas, routes, synchronizer, read, told, news };
 }
 
 /** A reader's word that says nothing of the configuration's age. */
@@ -109,11 +110,11 @@
 });
 
 test("a version that is heard of is told on at once, and fetched until it is held", () => {
-  const { synchronizer, news, told } = start();
+  const { synchronizer, routes, news, told } = start();
   const word = { type: "state", version: 3 } as const;
   synchronizer.takeState(wordOf(word));
   assert.deepEqual(news, [{ version: 3, holder: "address" }]);
-  assert.equal(synchronizer.newestVersion, 3);
+  assert.equal(routes.newestVersion, 3);
   assert.equal(told.length, 1);
   synchronizer.takeState(wordOf(word));
   assert.equal(news.length, 2);
@@ -124,10 +125,10 @@
 });
 
 test("a reader that heard of a version and lacks it is not named as its holder", () => {
-  const { synchronizer, news } = start();
+  const { synchronizer, routes, news } = start();
   synchronizer.takeState(wordOf({ type: "state", version: 3, newest: 5 }));
   assert.deepEqual(news, [{ version: 5 }]);
-  assert.equal(synchronizer.newestVersion, 5);
+  assert.equal(routes.newestVersion, 5);
 });
 
 test("a host that keeps missing replicas has nothing to tell its followers", () => {
