--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -113,9 +113,10 @@
   /**
    * Whether the request itself may arrive once more at a replica. The budget
    * counts arrivals, not decisions to try again: a prefill that was turned away
-   * makes what follows it a repeat. Charged so, replicas that turn 60 of 100
-   * requests away at twice the load stay within what is allowed, where 113 to
-   * 123 extra arrivals in 10 s had been 120 to 134 (measured on whole runs).
+   * makes what follows it a repeat. So the fleet keeps within its budget while
+   * replicas turn 60 of 100 requests away at twice the load; with prefills taken
+   * to be free it had up to 21 extra arrivals in 10 s more than the 113 that
+   * were allowed (whole runs, docs/incidents).
    */
   affordSend(reason: string): boolean {
     return this.#afford(1, reason);
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -37,6 +37,12 @@
 /** After the last caller: nothing runs any more by then. */
 const QUIET_MS = 3000;
 
+/** Its seed and logs are kept as those of any other violation. */
+const STUCK: Violation = {
+  rule: "ended",
+  detail: `The run did not end within ${LONGEST_MS} ms`,
+};
+
 /** Plays one schedule. */
 export async function runSoak(schedule: Schedule): Promise<Outcome> {
   const folder = mkdtempSync(join(tmpdir(), "otterhill-soak-"));
@@ -46,6 +52,10 @@
   const run = new Run(schedule, world, hosts);
   try {
     const evidence = await inTime(run.play());
+    if (evidence === undefined) {
+      const violations = [STUCK];
+      return { schedule, violations, requests: 0, served: 0, folder };
+    }
     const violations = findViolations(evidence);
     if (violations.length === 0) rmSync(folder, { recursive: true });
     const { seen } = evidence;
@@ -57,12 +67,10 @@
   }
 }
 
-function inTime<Value>(work: Promise<Value>): Promise<Value> {
+/** Resolves with nothing when the work takes too long. */
+function inTime<Value>(work: Promise<Value>): Promise<Value | undefined> {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(
-      () => reject(new Error("The run does not come to its end")),
-      LONGEST_MS,
-    );
+    const timer = setTimeout(() => resolve(undefined), LONGEST_MS);
     work.finally(() => clearTimeout(timer)).then(resolve, reject);
   });
 }
