Tests of fleets share one virtual time

Cause: the same queue, clock and loop stood in three tests of fleets. Change: test/fake/virtual_time.ts.

--- a/test/gateway/customers/quota_fleet.ts
+++ b/test/gateway/customers/quota_fleet.ts
@@ -6,10 +6,9 @@
 } from "../../../src/gateway/customers/quota/member.ts";
 import { QuotaOwner } from "../../../src/gateway/customers/quota/owner.ts";
 import type { MemberMessage } from "../../../src/gateway/customers/quota/messages.ts";
-import type { Clock } from "../../../src/gateway/clock.ts";
 import type { Link, LinkEvents } from "../../../src/gateway/peers/link.ts";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
-import { TimeQueue } from "../../fake/queue.ts";
+import { VirtualTime } from "../../fake/virtual_time.ts";
 
 const WAY_MS = 1.5;
 /** A link that can't be made is given up after this time. */
@@ -54,11 +53,10 @@
 export class QuotaFleet {
   readonly hosts: Host[] = [];
   readonly asked: Asked[] = [];
-  readonly #queue = new TimeQueue();
+  readonly #time = new VirtualTime();
   readonly #entries: HostEntry[] = [];
   /** Hosts with the same number reach each other. */
   readonly #sides = new Map<string, number>();
-  #now = 0;
   #cutAt = 0;
 
   constructor(size: number) {
@@ -71,25 +69,17 @@
   }
 
   get now(): number {
-    return this.#now;
+    return this.#time.now;
   }
 
   /** Does something at a time. */
   at(time: number, run: () => void): void {
-    this.#queue.push(time, run);
+    this.#time.at(time, run);
   }
 
   /** Goes on to a time. */
-  async runTo(time: number): Promise<void> {
-    while (this.#queue.nextAt <= time) {
-      const item = this.#queue.pop();
-      if (!item) break;
-      this.#now = item.at;
-      item.run();
-      // Lets promises that were resolved take their next steps.
-      for (let step = 0; step < 4; step++) await Promise.resolve();
-    }
-    this.#now = time;
+  runTo(time: number): Promise<void> {
+    return this.#time.runTo(time);
   }
 
   /** A request takes units at a host. */
@@ -125,7 +115,7 @@
       }).then((outcome) => {
         asked.outcome = outcome;
         if (outcome.type !== "granted") return;
-        asked.wentAt = this.#now + outcome.afterMs;
+        asked.wentAt = this.#time.now + outcome.afterMs;
       });
     });
     return asked;
@@ -133,14 +123,14 @@
 
   /** Cuts the hosts that `pick` names from the others. */
   cut(pick: (id: string, at: number) => boolean): void {
-    this.#cutAt = this.#now;
+    this.#cutAt = this.#time.now;
     for (const [at, { id }] of this.#entries.entries()) {
       this.#sides.set(id, pick(id, at) ? 1 : 0);
     }
     for (const host of this.hosts) {
       for (const link of host.links) {
         if (this.#reaches(link.from, link.to)) continue;
-        this.at(this.#now + SILENT_MS, () => {
+        this.at(this.#time.now + SILENT_MS, () => {
           if (!this.#reaches(link.from, link.to)) link.close();
         });
       }
@@ -158,7 +148,7 @@
     host.isUp = false;
     host.life += 1;
     for (const link of [...host.links]) link.close();
-    this.at(this.#now + downMs, () => {
+    this.at(this.#time.now + downMs, () => {
       Object.assign(host, this.#partsOf(host.id));
       host.isUp = true;
       this.#start(host);
@@ -190,17 +180,10 @@
   }
 
   #partsOf(id: string): Pick<Host, "owner" | "member"> {
-    const clock: Clock = {
-      now: () => this.#now,
-      after: (delayMs, work) => {
-        let isDue = true;
-        this.at(this.#now + delayMs, () => isDue && work());
-        return () => isDue = false;
-      },
-    };
+    const { clock } = this.#time;
     const owner = new QuotaOwner({
       clock,
-      run: `${id} ${this.#now}`,
+      run: `${id} ${this.#time.now}`,
       bounds: () => BOUNDS,
       knownHosts: () => this.#entries.length,
     });
@@ -224,9 +207,9 @@
     const refresh = () => {
       if (host.life !== life) return;
       host.member.refresh();
-      this.at(this.#now + REFRESH_MS, refresh);
+      this.at(this.#time.now + REFRESH_MS, refresh);
     };
-    this.at(this.#now, refresh);
+    this.at(this.#time.now, refresh);
   }
 
   #reaches(one: Host, other: Host): boolean {
@@ -253,7 +236,7 @@
         };
         // Over a cut the owner hears nothing of the end.
         const isCut = this.#sides.get(fromId) !== this.#sides.get(toId);
-        const silentAt = Math.max(this.#now, this.#cutAt + SILENT_MS);
+        const silentAt = Math.max(this.#time.now, this.#cutAt + SILENT_MS);
         if (wasOpen && isCut) this.at(silentAt, lose);
         else if (wasOpen) lose();
         events.closed();
@@ -261,26 +244,26 @@
     };
     from.links.add(link);
     const isThere = to.isUp;
-    this.at(this.#now + (isThere ? 2 * WAY_MS : WAY_MS), () => {
+    this.at(this.#time.now + (isThere ? 2 * WAY_MS : WAY_MS), () => {
       if (state === "closed") return;
       if (!isThere || to.life !== life) return link.close();
       if (!this.#reaches(from, to)) {
-        return this.at(this.#now + CONNECT_MS, () => link.close());
+        return this.at(this.#time.now + CONNECT_MS, () => link.close());
       }
       state = "open";
       to.links.add(link);
       events.ready?.();
       const hello = { type: "hello", run: to.owner.run };
-      this.at(this.#now, () => events.line(JSON.stringify(hello)));
+      this.at(this.#time.now, () => events.line(JSON.stringify(hello)));
     });
     return {
       close: () => link.close(),
       send: (message) => {
-        this.at(this.#now + WAY_MS, () => {
+        this.at(this.#time.now + WAY_MS, () => {
           if (state !== "open" || !this.#reaches(from, to)) return;
           const reply = to.owner.take(fromId, message as MemberMessage);
           if (!reply) return;
-          this.at(this.#now + WAY_MS, () => {
+          this.at(this.#time.now + WAY_MS, () => {
             if (state !== "open" || !this.#reaches(from, to)) return;
             events.line(JSON.stringify(reply));
           });
--- a/test/gateway/state/config_catchup_test.ts
+++ b/test/gateway/state/config_catchup_test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { ConfigCatchup } from "../../../src/gateway/state/config_catchup.ts";
-import { TimeQueue } from "../../fake/queue.ts";
+import { VirtualTime } from "../../fake/virtual_time.ts";
 
 type Rig = {
   /** What the store does when it is read. */
@@ -14,8 +14,7 @@
 
 /** A catch-up over a store and peers, in virtual time. */
 function start({ store, peers }: Rig) {
-  const queue = new TimeQueue();
-  const time = { now: 0 };
+  const time = new VirtualTime();
   const written = { version: 1 };
   const routes = new RouteTable();
   const log: string[] = [];
@@ -26,16 +25,14 @@
     if (!routes.adopt({ version, routes: [], services: [], limits })) return;
     adopted.push({ at: time.now, version });
   };
-  const after = (delayMs: number, run: () => void) => {
-    let isDue = true;
-    queue.push(time.now + delayMs, () => isDue && run());
-    return () => isDue = false;
-  };
+  const { clock } = time;
   const later = <Value>(delayMs: number, value: () => Value) =>
-    new Promise<Value>((resolve) => after(delayMs, () => resolve(value())));
+    new Promise<Value>((resolve) =>
+      clock.after(delayMs, () => resolve(value()))
+    );
   const never = new Promise<never>(() => undefined);
   const catchup = new ConfigCatchup({
-    context: { clock: { now: () => time.now, after }, random: () => 0, routes },
+    context: { clock, random: () => 0, routes },
     directory: { addresses: () => [...peers.keys()] },
     readStore: () => {
       log.push(`${time.now} store`);
@@ -53,15 +50,7 @@
       });
     },
   });
-  const runTo = async (until: number) => {
-    while (queue.nextAt <= until) {
-      const item = queue.pop();
-      time.now = item?.at ?? time.now;
-      item?.run();
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-    time.now = until;
-  };
+  const runTo = (until: number) => time.runTo(until);
   return { catchup, written, adopted, log, runTo };
 }
 
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -2,7 +2,6 @@
  * Hosts that spread the state of a store among themselves, in virtual time:
  * all of their own code runs, over a store and links that a test controls.
  */
-import type { Clock } from "../../../src/gateway/clock.ts";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
@@ -15,7 +14,7 @@
 import { FleetState } from "../../../src/gateway/state/fleet_state.ts";
 import { chooseReader } from "../../../src/gateway/state/reader_choice.ts";
 import type { JsonClient } from "../../../src/gateway/upstreams/json_client.ts";
-import { TimeQueue } from "../../fake/queue.ts";
+import { VirtualTime } from "../../fake/virtual_time.ts";
 import { FleetStore } from "./fleet_store.ts";
 
 const WAY_MS = 1.5;
@@ -46,16 +45,12 @@
 export class StateFleet {
   readonly hosts: FleetHost[];
   readonly store: FleetStore;
-  readonly #queue = new TimeQueue();
+  readonly #time = new VirtualTime();
   readonly #random: () => number;
-  #now = 0;
 
   constructor(size: number, seed: number) {
     this.#random = randomOf(seed);
-    this.store = new FleetStore({
-      now: () => this.#now,
-      after: (delayMs, run) => this.#at(this.#now + delayMs, run),
-    });
+    this.store = new FleetStore(this.#time.clock);
     const entries = Array.from({ length: size }, (_, at) => ({
       id: `h${at}`,
       address: `h${at}`,
@@ -63,12 +58,12 @@
     }));
     this.hosts = entries.map((entry) => this.#makeHost(entry, entries));
     for (const { state } of this.hosts) {
-      this.#at(this.#now + this.#random() * 100, () => state.start());
+      this.#time.clock.after(this.#random() * 100, () => state.start());
     }
   }
 
   get now(): number {
-    return this.#now;
+    return this.#time.now;
   }
 
   /** Hosts by their part: the reader of all, relays of halls, and others. */
@@ -86,30 +81,12 @@
   }
 
   /** Goes on to a time. */
-  async runTo(time: number): Promise<void> {
-    while (this.#queue.nextAt <= time) {
-      const item = this.#queue.pop();
-      if (!item) break;
-      this.#now = item.at;
-      item.run();
-      // Lets promises that were resolved take their next steps.
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-    this.#now = time;
-  }
-
-  #at(time: number, run: () => void): () => void {
-    let isDue = true;
-    this.#queue.push(time, () => isDue && run());
-    return () => isDue = false;
+  runTo(time: number): Promise<void> {
+    return this.#time.runTo(time);
   }
 
   #makeHost(entry: HostEntry, entries: readonly HostEntry[]): FleetHost {
-    const clock: Clock = {
-      now: () => this.#now,
-      after: (delayMs, work) =>
-        this.#at(this.#now + Math.max(0, delayMs), work),
-    };
+    const { clock } = this.#time;
     const routes = new RouteTable();
     const adoptedAt = new Map<number, number>();
     const context = {
@@ -132,7 +109,7 @@
       times: TIMES,
       openLink: ({ address }, events) => this.#open(address, events),
       createClient: (address) => this.#clientOf(address),
-      onConfig: ({ version }) => adoptedAt.set(version, this.#now),
+      onConfig: ({ version }) => adoptedAt.set(version, this.#time.now),
     });
     return { entry, routes, directory, context, state, adoptedAt };
   }
@@ -150,21 +127,21 @@
     const close = () => {
       if (!isOpen) return;
       isOpen = false;
-      this.#at(this.#now, () => fromEvents.closed());
-      this.#at(this.#now + WAY_MS, () => toEvents?.closed());
+      this.#time.clock.after(0, () => fromEvents.closed());
+      this.#time.clock.after(WAY_MS, () => toEvents?.closed());
     };
     const lineTo =
       (events: () => LinkEvents | undefined) => (message: object) => {
         const text = JSON.stringify(message);
-        this.#at(this.#now + WAY_MS, () => isOpen && events()?.line(text));
+        this.#time.clock.after(WAY_MS, () => isOpen && events()?.line(text));
       };
-    this.#at(this.#now + WAY_MS, () => {
+    this.#time.clock.after(WAY_MS, () => {
       to.state.server.join((events) => {
         toEvents = events;
         return { send: lineTo(() => fromEvents), close };
       });
     });
-    this.#at(this.#now + 2 * WAY_MS, () => isOpen && fromEvents.ready?.());
+    this.#time.clock.after(2 * WAY_MS, () => isOpen && fromEvents.ready?.());
     return { send: lineTo(() => toEvents), close };
   }
 
@@ -173,7 +150,7 @@
       close: () => undefined,
       call: ({ path }) =>
         new Promise((resolve) => {
-          this.#at(this.#now + WAY_MS, () => {
+          this.#time.clock.after(WAY_MS, () => {
             const { entry, context, directory, state } = this.#hostOf(address);
             const configAgeMs = (now: number) => state.configAgeMs(now);
             const self = entry;
@@ -184,7 +161,10 @@
               configAgeMs,
             };
             const body = JSON.stringify(answerTo(source, path));
-            this.#at(this.#now + WAY_MS, () => resolve({ status: 200, body }));
+            this.#time.clock.after(
+              WAY_MS,
+              () => resolve({ status: 200, body }),
+            );
           });
         }),
     };
