The test of arrivals answers as the other tests' replicas do

Cause: it wrote a whole answer by hand where raw_replica has one. Change: whole() in its place; assertions are the same. Shown: it passes, and fails (32 extra arrivals) where a prefill that is turned away isn't counted. The gateway's bundle is not touched.

--- a/test/gateway/retries/arrivals_test.ts
+++ b/test/gateway/retries/arrivals_test.ts
@@ -17,28 +17,22 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ReplicaStage } from "../../../src/gateway/mod.ts";
-import type { RawAnswer, RawRequest } from "../raw_replica.ts";
+import { type RawAnswer, type RawRequest, whole } from "../raw_replica.ts";
 import { ENGINE, type Rig, withRig } from "../rig.ts";
 
 const EXTRA = 5;
 const REQUESTS = 20;
 
-function send(status: string, body: string, headers = ""): RawAnswer {
-  return (request, socket) => {
-    const id = request.headers.get("x-id") ?? "";
-    socket.write(
-      `HTTP/1.1 ${status}\r\nx-id: ${id}\r\n${headers}` +
-        `Content-Length: ${body.length}\r\n\r\n${body}`,
-    );
-  };
-}
-
-const turnsAway = send("429 Too Many Requests", "", "x-not-run: 1\r\n");
-const reads = send("200 OK", '{"export":"e"}');
+const turnsAway: RawAnswer = (request, socket) => {
+  const answer = whole(request, "", ["x-not-run: 1"]);
+  socket.write(answer.replace("200 OK", "429 Too Many Requests"));
+};
+const reads: RawAnswer = (request, socket) => {
+  socket.write(whole(request, '{"export":"e"}'));
+};
 const decodes: RawAnswer = (request, socket) => {
   const isReserve = request.path === "/reserve";
-  const body = isReserve ? '{"reservation":"r"}' : "answer";
-  send("200 OK", body)(request, socket);
+  socket.write(whole(request, isReserve ? '{"reservation":"r"}' : "answer"));
 };
 
 const prefillReplica = (answer: RawAnswer) => ({
