Sight: the tries of one request are found over all hosts

Cause: the hosts' logs name a request by its caller's id, which differs at each try, and say of a broken answer neither at which replica nor how long after it was sent. So the incident's hypotheses can't be told apart: whether ten tries were one request, and whether a replica came anew where one had just ended.

The fingerprint is worked out when it is first asked for, so requests that end well cost nothing.

No decision reads it.

--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -11,6 +11,7 @@
 import type { GatewayContext } from "../context.ts";
 import { type AdmissionSource, admit } from "../customers/admission.ts";
 import type { Customer } from "../customers/model.ts";
+import { lazyFingerprint } from "../crashes/fingerprint.ts";
 import { requestHeaders, withoutHeaders } from "../http/headers.ts";
 import type { RequestFacts } from "../port.ts";
 import type { Places } from "../planning/places.ts";
@@ -196,6 +197,15 @@
     const { random } = this.#context;
     const { intake: { route, facts, customer }, receivedAt, body } = read;
     const holdMs = Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
+    const method = incoming.method ?? "GET";
+    const target = incoming.url ?? "/";
+    const fingerprint = lazyFingerprint({
+      method,
+      host: route.host,
+      target,
+      customer: customer?.name,
+      body,
+    });
     return {
       route,
       service: pickTarget(route.targets, random()) ?? "",
@@ -203,8 +213,9 @@
       priority: customer?.priority ?? route.priority,
       receivedAt,
       body,
-      method: incoming.method ?? "GET",
-      target: incoming.url ?? "/",
+      fingerprint,
+      method,
+      target,
       rawHeaders: this.#headersToPass(incoming.rawHeaders),
       facts,
       limitAt: receivedAt + holdMs,
--- a/src/gateway/requests/request.ts
+++ b/src/gateway/requests/request.ts
@@ -13,6 +13,8 @@
   readonly rawHeaders: readonly string[];
   readonly facts: RequestFacts;
   readonly body: Buffer;
+  /** The same for each try of the same request, at any host. */
+  readonly fingerprint: () => string;
   readonly route: Route;
   readonly service: string;
   /** Absent where no key is asked for. */
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -1,5 +1,6 @@
 /** What is logged and counted of one request. */
 import type { GatewayContext } from "../context.ts";
+import type { Milliseconds } from "../../core/ids.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import type { EventName } from "../observe/event_names.ts";
 import { Timing } from "../observe/metrics.ts";
@@ -10,6 +11,9 @@
 export class RequestJournal {
   readonly #context: GatewayContext;
   readonly #request: GatewayRequest;
+  #lastSend:
+    | { readonly replica: string; readonly at: Milliseconds }
+    | undefined;
 
   constructor(context: GatewayContext, request: GatewayRequest) {
     this.#context = context;
@@ -29,11 +33,13 @@
 
   /** It is sent to a replica, with what that was decided on. */
   placed(placed: Placement, sends: number): void {
-    const { metrics, replicas, routes } = this.#context;
+    const { metrics, replicas, routes, clock } = this.#context;
     const { facts } = this.#request;
+    const replica = placed.replica.entry.incarnation;
+    this.#lastSend = { replica, at: clock.now() };
     metrics.count("sends");
     this.note("placed", {
-      replica: placed.replica.entry.incarnation,
+      replica,
       prefill: placed.export?.replica.entry.incarnation,
       tokens: placed.tokens,
       priority: this.#request.priority,
@@ -63,7 +69,21 @@
     fields: EventFields & { readonly error: string },
   ): void {
     this.#context.metrics.count(`ended_${fields.error}`);
-    this.note(name, { ...fields, spent_ms: Math.round(this.#spentMs()) });
+    const spentMs = Math.round(this.#spentMs());
+    const cut = name === "refused" ? {} : this.#cutFields();
+    this.note(name, { ...fields, ...cut, spent_ms: spentMs });
+  }
+
+  /**
+   * Where and after which time the last send ended, and what was sent: by these
+   * the tries of one request are found over all hosts.
+   */
+  #cutFields(): EventFields {
+    const fingerprint = this.#request.fingerprint();
+    if (!this.#lastSend) return { fingerprint };
+    const { replica, at } = this.#lastSend;
+    const sentMs = Math.round(this.#context.clock.now() - at);
+    return { fingerprint, replica, sent_ms: sentMs };
   }
 
   #spentMs(): number {
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -200,9 +200,10 @@
 
   #noteChange(change: ListingChange, revision: number, source: string): void {
     const { events, pool } = this.#context;
-    for (const { incarnation, service, stage } of change.added) {
-      const fields = { replica: incarnation, service, stage, revision, source };
-      events.note("replicaAdded", fields);
+    for (const { incarnation, ...entry } of change.added) {
+      const { service, stage, address } = entry;
+      const fields = { replica: incarnation, service, stage, address };
+      events.note("replicaAdded", { ...fields, revision, source });
     }
     for (const { incarnation } of change.leaving) {
       events.note("replicaLeaving", { replica: incarnation, revision, source });
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -36,6 +36,7 @@
   rawHeaders: [],
   facts: { id: "r", promptTokens: 0, outputLimit: 0 },
   body: Buffer.alloc(0),
+  fingerprint: () => "",
   route: ROUTE,
   service: "s",
   priority: 1,
