--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -33,8 +33,13 @@
   readonly faults: ReplicaFault[];
   /** Finished prefills by "address/handle". */
   readonly exports: Map<string, { request: string; endsAtMs: number }>;
+  /** A request with {@link CRASHING_BODY} has begun to run at the replica. */
+  onCrash?(replica: string): void;
 };
 
+/** A request with this body crashes the replica that begins to run it. */
+export const CRASHING_BODY = "crashes its replica";
+
 /** A running replica. */
 export type ReplicaStandin = {
   readonly id: string;
@@ -60,6 +65,8 @@
 const EVENT_MS = 40;
 const PLAIN_MS = 30;
 const PREFILL_MS = 25;
+/** From the start of a crashing run to its replica's end. */
+const CRASH_MS = 20;
 const EXPORT_MS = 1500;
 
 type Engine = {
@@ -120,7 +127,7 @@
     return send(response, 200, { ...report, Sequence: 0 });
   }
   if (path === "/order") return send(response, 409, {});
-  return serve(engine, request, response);
+  return serve(engine, request, { body, response });
 }
 
 function takeHold(
@@ -138,7 +145,10 @@
 async function serve(
   engine: Engine,
   request: IncomingMessage,
-  response: ServerResponse,
+  { body, response }: {
+    readonly body: string;
+    readonly response: ServerResponse;
+  },
 ): Promise<void> {
   const { source } = engine;
   const { role, world } = source;
@@ -170,6 +180,10 @@
   note(true);
   engine.running += 1;
   response.on("close", () => engine.running -= 1);
+  if (body === CRASHING_BODY) {
+    await pause(CRASH_MS);
+    return world.onCrash?.(source.id);
+  }
   const seal = { "Attempt-Id": id, "Server-Seal": `${source.id}.${id}` };
   if (role === "plain") {
     await pause(PLAIN_MS);
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -42,6 +42,8 @@
   readonly name: string;
   /** Kinds that are sent, unless all are. */
   readonly kinds?: readonly CallKind[];
+  /** What is sent with all but safe requests. */
+  readonly body?: string;
   /** Ends after so many requests, none of them left early. */
   readonly most?: number;
   /** The host may get new connections: the balancer would choose it. */
@@ -70,6 +72,7 @@
 /** One caller: a request at a time over a kept connection. */
 export async function runCaller(source: CallerSource): Promise<void> {
   const { hosts, random, name, kinds = KINDS, most = Infinity } = source;
+  const { body = "body" } = source;
   let sent = 0;
   for (let round = 0; !source.isOver() && sent < most; round++) {
     const inside = hosts.filter((one) => source.isIn(one.name));
@@ -83,7 +86,7 @@
       const kind = kinds[draw(random, kinds.length)] ?? CallKind.safe;
       const id = `${name}-${round}-${count}`;
       const leaves = most === Infinity && draw(random, LEAVE_ONE_IN) === 0;
-      const seen = await callOnce({ agent, host, id, kind, leaves });
+      const seen = await callOnce({ agent, host, id, kind, body, leaves });
       source.saw(seen);
       await pause(PAUSE_MS);
       if (!seen.isComplete) break;
@@ -97,11 +100,13 @@
   readonly host: { readonly name: string; readonly address: string };
   readonly id: string;
   readonly kind: CallKind;
+  readonly body: string;
   readonly leaves: boolean;
 };
 
 function callOnce(attempt: Attempt): Promise<Seen> {
   const { agent, host, id, kind, leaves } = attempt;
+  const sent = kind === CallKind.safe ? undefined : attempt.body;
   const [ip, port] = host.address.split(":");
   const sentAtMs = performance.now();
   return new Promise((resolve) => {
@@ -150,7 +155,7 @@
         hasLeft,
       });
     });
-    sending.end(kind === CallKind.safe ? undefined : "body");
+    sending.end(sent);
   });
 }
 
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -41,6 +41,8 @@
   /** Replicas that were told to leave. */
   readonly left = new Set<string>();
   readonly store: StoreStandin;
+  /** Replicas that a request crashed, in order. */
+  readonly crashed: string[] = [];
   #version = 0;
   #count = 0;
 
@@ -122,6 +124,16 @@
     await this.addReplica(replica.standin.role, replica.hall);
   }
 
+  /** A request has crashed its replica. */
+  onCrash(id: string): void {
+    const replica = this.replicas.find((one) =>
+      one.standin.id === id && one.isReady
+    );
+    if (!replica) return;
+    this.crashed.push(id);
+    void this.crash(replica);
+  }
+
   /** A replica leaves as planned; another comes first. */
   async leave(replica: WorldReplica): Promise<void> {
     replica.isReady = false;
