--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -17,6 +17,7 @@
   noMemory: "no_memory",
   busy: "busy",
   refusedByReplicas: "refused_by_replicas",
+  crashesReplicas: "crashes_replicas",
   stopping: "stopping",
   outOfTimeNotRun: "out_of_time_not_run",
   outOfTime: "out_of_time",
@@ -93,6 +94,13 @@
     message: "The replicas turned the request away; nothing ran",
     retryAfterSeconds: 0.3,
   },
+  // Not a 4xx: the verdict is drawn from what was seen, and lapses.
+  crashes_replicas: {
+    status: 503,
+    message:
+      "Replicas crash under this request, so it is sent to none; nothing ran",
+    retryAfterSeconds: 300,
+  },
   stopping: {
     status: 503,
     message: "This host is stopping; use another; nothing ran",
@@ -112,3 +120,12 @@
     message: "The replica gave no whole answer; the request may have run",
   },
 };
+
+/** What may truthfully be told: no promise once a request may have run. */
+export function truthfulError(
+  error: GatewayError,
+  mayHaveRun: boolean,
+): GatewayError {
+  if (!mayHaveRun || error === GatewayError.outOfTime) return error;
+  return GatewayError.outcomeUnknown;
+}
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "./clock.ts";
 import type { EventLog } from "./observe/event_log.ts";
 import type { Metrics } from "./observe/metrics.ts";
+import type { CrashWatch } from "./crashes/crash_watch.ts";
 import type { Dialect } from "./port.ts";
 import type { ReplicaTable } from "./replicas/replica_table.ts";
 import type { RetryBudget } from "./retries/retry_budget.ts";
@@ -43,6 +44,7 @@
   readonly replicas: ReplicaTable;
   readonly budget: RetryBudget;
   readonly pool: UpstreamPool;
+  readonly crashes: CrashWatch;
   readonly events: EventLog;
   readonly metrics: Metrics;
   /** As the settings have it now. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -3,6 +3,8 @@
 import type { GatewaySettings } from "../settings/mod.ts";
 import { systemClock } from "./clock.ts";
 import type { GatewayContext, GatewayTuning } from "./context.ts";
+import { CrashWatch } from "./crashes/crash_watch.ts";
+import type { CrashRule } from "./crashes/model.ts";
 import { openEventLog } from "./observe/event_log.ts";
 import { LineWriter } from "./observe/line_writer.ts";
 import { Metrics } from "./observe/metrics.ts";
@@ -12,6 +14,7 @@
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
+import { probeAddress } from "./upstreams/probe.ts";
 
 /** Makes the shared state and ports of one gateway from its settings. */
 export function createContext(
@@ -21,6 +24,15 @@
 ): GatewayContext {
   const { host, grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
+  const timeoutMs = settings.tuning.connect_timeout;
+  const events = openEventLog({
+    program: "otterhill-gateway",
+    host: host.id,
+    level: settings.log.level,
+    clock,
+    writer: new LineWriter(),
+  });
+  const metrics = new Metrics();
   return {
     self: { id: host.id, hall: host.hall, run: String(newIncarnation()) },
     clock,
@@ -29,15 +41,16 @@
     routes: new RouteTable(),
     replicas: new ReplicaTable(),
     budget: new RetryBudget(budgetOf(settings), clock.now()),
-    pool: new UpstreamPool(clock, settings.tuning.connect_timeout),
-    events: openEventLog({
-      program: "otterhill-gateway",
-      host: host.id,
-      level: settings.log.level,
+    pool: new UpstreamPool(clock, timeoutMs),
+    crashes: new CrashWatch({
       clock,
-      writer: new LineWriter(),
+      events,
+      metrics,
+      rule: crashRuleOf(settings),
+      probe: (address) => probeAddress(address, { clock, timeoutMs }),
     }),
-    metrics: new Metrics(),
+    events,
+    metrics,
     tuning: tuningOf(settings),
     hostCount: () => directory.count,
     stop: { graceMs: grace },
@@ -50,6 +63,11 @@
   return { windowMs: window, ratio, extra };
 }
 
+/** Bounds on requests that crash their replicas. */
+export function crashRuleOf({ crashes }: GatewaySettings): CrashRule {
+  return { most: crashes.most, lifeMs: crashes.life };
+}
+
 /** Times and shares that the settings may change. */
 export function tuningOf(settings: GatewaySettings): GatewayTuning {
   const { tuning } = settings;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,12 @@
 import { CallerServer } from "./callers/server.ts";
 import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
-import { budgetOf, createContext, tuningOf } from "./create_context.ts";
+import {
+  budgetOf,
+  crashRuleOf,
+  createContext,
+  tuningOf,
+} from "./create_context.ts";
 import { Customers } from "./customers/customers.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
@@ -160,6 +165,7 @@
   reload(settings: GatewaySettings, cause: string): void {
     this.#context.tuning = tuningOf(settings);
     this.#context.budget.change(budgetOf(settings));
+    this.#context.crashes.change(crashRuleOf(settings));
     this.#context.stop.graceMs = settings.grace;
     this.#customers.change(settings.customers);
     const before = this.#settingsState.version;
@@ -198,7 +204,7 @@
   #metricsServer(): Server {
     return createServer((request, response) => {
       request.resume();
-      const { metrics, routes, replicas, clock } = this.#context;
+      const { metrics, routes, replicas, clock, crashes } = this.#context;
       const age = this.#state.storeAgeMs(clock.now());
       const configAge = this.#state.configAgeMs(clock.now());
       const gauges = {
@@ -209,6 +215,8 @@
         routes_version: routes.version,
         replicas_revision: replicas.revision,
         hosts_known: this.#directory.count,
+        crash_suspects: crashes.suspects,
+        crash_quarantined: crashes.quarantined,
         config_age_seconds: Number.isFinite(configAge) ? configAge / 1000 : -1,
         store_age_seconds: Number.isFinite(age) ? age / 1000 : -1,
         resident_bytes: process.memoryUsage.rss(),
--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -1,10 +1,18 @@
 /**
  * Rows of the store by which hosts find each other. A host writes a row for
  * itself and those that follow it, so that the calls for it don't grow with the
- * number of hosts.
+ * number of hosts. The row also has what its writer knows of requests that crash
+ * their replicas, for hosts that the store reaches and links don't.
  */
 import * as z from "zod";
+import type { Milliseconds } from "../../core/ids.ts";
 import { readJson } from "../../util/read_json.ts";
+import {
+  CrashesSchema,
+  decodeCrashes,
+  encodeCrashes,
+} from "../crashes/crash_messages.ts";
+import type { CrashNews } from "../crashes/model.ts";
 import type { HostEntry, RowReading, Store } from "../port.ts";
 import { HostEntrySchema } from "./host_schema.ts";
 
@@ -13,10 +21,12 @@
 const ROW_LIFE_MS = 60_000;
 
 const Row = z.object({
-  hosts: z.array(HostEntrySchema),
+  hosts: z.array(HostEntrySchema).readonly(),
   /** The store's clock when it was written. */
   writtenMs: z.number(),
+  crashes: CrashesSchema.exactOptional(),
 });
+type Row = z.output<typeof Row>;
 
 /** A row to be written. */
 export type HostRow = {
@@ -24,26 +34,54 @@
   readonly writer: string;
   /** The writer and those that follow it. */
   readonly hosts: readonly HostEntry[];
+  readonly crashes: CrashNews;
 };
 
-/** The hosts that were named lately. */
-export async function readHosts(
-  store: Store,
-  signal: AbortSignal,
-): Promise<HostEntry[]> {
-  return liveHosts(await store.readRows(TABLE, signal));
+/** What the rows say. */
+export type HostReading = {
+  /** The hosts that were named lately. */
+  readonly hosts: readonly HostEntry[];
+  /** What each writer knows of crashes. */
+  readonly crashes: readonly CrashNews[];
+};
+
+/** What is read and written, and the present by this host's clock. */
+export type HostRowCall = {
+  readonly store: Store;
+  readonly now: () => Milliseconds;
+  readonly signal: AbortSignal;
+};
+
+/** Reads the rows. */
+export async function readHosts(call: HostRowCall): Promise<HostReading> {
+  const { store, signal, now } = call;
+  return hostReading(await store.readRows(TABLE, signal), now());
 }
 
-/** Writes a row and gives the hosts that were named lately. */
+/** Writes a row and gives what the rows said before. */
 export async function exchangeRows(
-  store: Store,
-  { writer, hosts }: HostRow,
-  signal: AbortSignal,
-): Promise<HostEntry[]> {
+  call: HostRowCall,
+  { writer, hosts, crashes }: HostRow,
+): Promise<HostReading> {
+  const { store, signal, now } = call;
   const before = await store.readRows(TABLE, signal);
-  const value = JSON.stringify({ hosts, writtenMs: before.nowMs });
+  const hasCrashes = crashes.records.length > 0;
+  const value = JSON.stringify(
+    {
+      hosts,
+      writtenMs: before.nowMs,
+      ...(hasCrashes ? { crashes: encodeCrashes(crashes, now()) } : {}),
+    } satisfies Row,
+  );
   await store.writeRow({ table: TABLE, key: writer, value }, signal);
-  return liveHosts(before);
+  return hostReading(before, now());
+}
+
+function hostReading(reading: RowReading, now: Milliseconds): HostReading {
+  const crashes = liveRows(reading).flatMap(({ crashes, writtenMs }) =>
+    crashes ? [decodeCrashes(crashes, now, reading.nowMs - writtenMs)] : []
+  );
+  return { hosts: liveHosts(reading), crashes };
 }
 
 /**
@@ -51,14 +89,18 @@
  * rows name a host, as the newer one has it.
  */
 export function liveHosts(reading: RowReading): HostEntry[] {
-  const rows = reading.rows
-    .map((row) => readJson(Row, row.value))
-    .filter((row) => row !== undefined)
-    .filter((row) => reading.nowMs - row.writtenMs < ROW_LIFE_MS)
-    .sort((a, b) => a.writtenMs - b.writtenMs);
   const hosts = new Map<string, HostEntry>();
-  for (const row of rows) {
+  for (const row of liveRows(reading)) {
     for (const host of row.hosts) hosts.set(host.id, host);
   }
   return [...hosts.values()];
 }
+
+/** Rows that are not too old, the newest last. */
+function liveRows({ rows, nowMs }: RowReading): Row[] {
+  return rows
+    .map((row) => readJson(Row, row.value))
+    .filter((row) => row !== undefined)
+    .filter((row) => nowMs - row.writtenMs < ROW_LIFE_MS)
+    .sort((a, b) => a.writtenMs - b.writtenMs);
+}
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -6,7 +6,12 @@
 import type { Synchronizer } from "../state/synchronizer.ts";
 import { within } from "../state/within.ts";
 import type { HostDirectory } from "./directory.ts";
-import { exchangeRows, readHosts } from "./host_rows.ts";
+import {
+  exchangeRows,
+  type HostReading,
+  type HostRowCall,
+  readHosts,
+} from "./host_rows.ts";
 import { type PeerQuestions, PeerSubject } from "./peer_questions.ts";
 
 /** Without word from the store for so long, peers are asked. */
@@ -28,6 +33,8 @@
 const FIRST_LOOKS_MS = [1500, 3000];
 const ROW_FAILED_MS = 2000;
 const STORE_TIMEOUT_MS = 1500;
+/** From whom crashes come that rows tell of. */
+const ROWS = "rows";
 
 /** What the loops need. */
 export type PeerLoopSource = {
@@ -55,24 +62,28 @@
  * change. A host of whom another writes has no row to keep.
  */
 async function keepRow(source: PeerLoopSource): Promise<void> {
-  const { context: { clock }, store, self } = source;
+  const { context: { clock, crashes }, self } = source;
   let written:
     | { readonly at: Milliseconds; readonly names: string }
     | undefined;
   if (await findNeighbours(source)) await sleep(clock, FIRST_ROW_MS);
   for (;;) {
     const hosts = [self, ...source.followers()];
-    const names = hosts.map((one) => one.id).sort().join();
+    const worst = crashes.worst();
+    const crashed = worst.records.map((one) =>
+      `${one.fingerprint} ${one.incarnation}`
+    );
+    const names = [...hosts.map((one) => one.id), ...crashed].sort().join();
     const isDue = written === undefined || names !== written.names ||
       clock.now() - written.at >= ROW_MS;
     if (isDue && !source.isNamedByReader()) {
-      const row = { writer: self.id, hosts };
+      const row = { writer: self.id, hosts, crashes: worst };
       const read = await callStore(
         source,
         "row",
-        (signal) => exchangeRows(store, row, signal),
+        (call) => exchangeRows(call, row),
       );
-      if (read) source.directory.learnAll(read, clock.now());
+      if (read) takeReading(source, read);
       written = read ? { at: clock.now(), names } : undefined;
     }
     const isCalm = written !== undefined || source.isNamedByReader();
@@ -81,44 +92,47 @@
 }
 
 function callStore<Value>(
-  { context: { clock, events } }: PeerLoopSource,
+  { context: { clock, events }, store }: PeerLoopSource,
   call: string,
-  work: (signal: AbortSignal) => Promise<Value>,
+  work: (call: HostRowCall) => Promise<Value>,
 ): Promise<Value | undefined> {
+  const now = () => clock.now();
   return within({
     clock,
     timeoutMs: STORE_TIMEOUT_MS,
-    work,
+    work: (signal) => work({ store, now, signal }),
     onFault: (reason) => events.note("callFailed", { call, reason }),
   });
 }
 
+function takeReading(
+  { context: { clock, crashes }, directory }: PeerLoopSource,
+  reading: HostReading,
+): void {
+  directory.learnAll(reading.hosts, clock.now());
+  for (const one of reading.crashes) crashes.take(one, ROWS);
+}
+
 /** Reads the hosts; whether one of this hall is among them. */
 async function findNeighbours(source: PeerLoopSource): Promise<boolean> {
-  const { context: { clock }, store, self, directory } = source;
-  const hosts = await callStore(
-    source,
-    "hosts",
-    (signal) => readHosts(store, signal),
+  const { self } = source;
+  const read = await callStore(source, "hosts", readHosts);
+  if (!read) return false;
+  takeReading(source, read);
+  return read.hosts.some(({ id, hall }) =>
+    hall === self.hall && id !== self.id
   );
-  if (!hosts) return false;
-  directory.learnAll(hosts, clock.now());
-  return hosts.some(({ id, hall }) => hall === self.hall && id !== self.id);
 }
 
 /** Looks for new hosts, unless the reader of the hall tells of them. */
 async function findHosts(source: PeerLoopSource): Promise<void> {
-  const { context: { clock }, store, directory, synchronizer } = source;
+  const { context: { clock }, synchronizer } = source;
   const pauses = [...FIRST_LOOKS_MS];
   for (;;) {
     await sleep(clock, pauses.shift() ?? LOOK_MS);
     if (synchronizer.isTold(clock.now())) continue;
-    const hosts = await callStore(
-      source,
-      "hosts",
-      (signal) => readHosts(store, signal),
-    );
-    if (hosts) directory.learnAll(hosts, clock.now());
+    const read = await callStore(source, "hosts", readHosts);
+    if (read) takeReading(source, read);
   }
 }
 
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -44,6 +44,11 @@
     return this.#runs > 0;
   }
 
+  /** An earlier send may have run, or the caller has a part of the answer. */
+  get begun(): boolean {
+    return this.mayHaveRun || this.#request.facts.lastEventId !== undefined;
+  }
+
   /** The request's time is not over. */
   get inTime(): boolean {
     return this.#context.clock.now() < this.#request.limitAt;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -3,7 +3,8 @@
  * a request is sent on only while the earlier send is known not to have run,
  * or where the route says that it may run again.
  */
-import { GatewayError } from "../answers.ts";
+import type { Milliseconds } from "../../core/ids.ts";
+import { GatewayError, truthfulError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { isStillHeld } from "../customers/admission.ts";
 import type { EventFields } from "../observe/event_log.ts";
@@ -14,17 +15,17 @@
 import { EnginePlacement } from "./engine_placement.ts";
 import { PlainPlacement } from "./plain_placement.ts";
 import type { Placement, Placer, PlaceRefusal } from "./placement.ts";
-import {
-  type EventPosition,
-  relayBytes,
-  type Relayed,
-  relayEvents,
-  relayHeld,
-} from "./relay.ts";
+import { type EventPosition, relayAnswer, type Relayed } from "./relay.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal } from "./request_journal.ts";
 import type { Answer } from "../upstreams/call.ts";
-import { type Sending, sendRequest, type SendResult } from "./sender.ts";
+import {
+  hasOtherReplica,
+  noteBreak,
+  type Sending,
+  sendRequest,
+  type SendResult,
+} from "./sender.ts";
 
 /** What an exchange is made from. */
 export type ExchangeSource = {
@@ -92,12 +93,16 @@
   }
 
   async #round(): Promise<void> {
+    const { crashes } = this.#context;
+    await crashes.settled(this.#request.fingerprint, this.#attempts.sends);
+    if (this.#ended || this.#holdBack()) return;
     const placed = await this.#placer.place({
       excluded: this.#attempts.excluded,
-      begun: this.#begun(),
+      begun: this.#attempts.begun,
     });
     if (this.#ended) return;
     if ("error" in placed) return this.#refuse(placed);
+    if (this.#holdBack()) return;
     const obstacle = this.#obstacle();
     if (obstacle !== undefined) {
       this.#placer.release();
@@ -113,21 +118,29 @@
     } else this.#takeFailure(placed, result);
   }
 
+  /**
+   * Ends a request that is known, here or at another host, to crash its replicas.
+   * Asked before each send, so that neither a retry nor a stream that goes on nor
+   * one that has waited for its place crashes one more.
+   */
+  #holdBack(): boolean {
+    const { crashes, clock } = this.#context;
+    const quarantine = crashes.quarantineOf(this.#request.fingerprint);
+    if (!quarantine) return false;
+    this.#journal.heldBack(quarantine);
+    const leftMs = quarantine.until - clock.now();
+    const seconds = Math.max(1, Math.ceil(leftMs / 1000));
+    this.#giveUp(GatewayError.crashesReplicas, undefined, { seconds });
+    return true;
+  }
+
   /** Why a request that has a place may not be sent there. */
   #obstacle(): GatewayError | undefined {
     if (!this.#attempts.inTime) return GatewayError.outOfTimeNotRun;
     const { routes } = this.#context;
     if (!isStillHeld(routes, this.#request)) return GatewayError.unknownKey;
-    if (this.#attempts.affordSend("A prefill was turned away")) {
-      return undefined;
-    }
-    return GatewayError.refusedByReplicas;
-  }
-
-  /** An earlier send may have run, or the caller has a part of the answer. */
-  #begun(): boolean {
-    const { lastEventId } = this.#request.facts;
-    return this.#attempts.mayHaveRun || lastEventId !== undefined;
+    const isAfforded = this.#attempts.affordSend("A prefill was turned away");
+    return isAfforded ? undefined : GatewayError.refusedByReplicas;
   }
 
   async #send(placed: Placement): Promise<SendResult> {
@@ -136,7 +149,10 @@
     this.#attempts.begin();
     this.#journal.placed(placed, this.#attempts.sends);
     const patient = !this.#attempts.repeatable || this.#attempts.isLast ||
-      !this.#hasOther(placed);
+      !hasOtherReplica(this.#context, this.#request, {
+        entry: placed.replica.entry,
+        excluded: this.#attempts.excluded,
+      });
     const timeoutMs = route.objectiveMs * tuning.retryAfterObjectives;
     const lastEventId = this.#position.lastId;
     this.#sending = sendRequest(this.#context, this.#request, placed.replica, {
@@ -150,16 +166,6 @@
     return await this.#sending.result;
   }
 
-  /** Whether another replica could take the request in its stead. */
-  #hasOther(placed: Placement): boolean {
-    const { replicas } = this.#context;
-    const { stage, incarnation } = placed.replica.entry;
-    return replicas.openOf(this.#request.service).some(({ entry }) =>
-      entry.stage === stage && entry.incarnation !== incarnation &&
-      !this.#attempts.excluded.has(entry.incarnation)
-    );
-  }
-
   #takeFailure(
     placed: Placement,
     result: Exclude<SendResult, { type: "answer" }>,
@@ -193,12 +199,18 @@
     const startedAt = this.#context.clock.now();
     const relayed = await this.#relay(placed, answer, startedAt);
     if (relayed === "whole") this.#placer.used();
-    else this.#placer.failed({ turnedAway: false });
+    else this.#noteCut(placed);
     if (this.#ended) return;
     if (relayed === "whole") return this.#complete(status);
     this.#takeCut(placed);
   }
 
+  #noteCut(placed: Placement): void {
+    this.#placer.failed({ turnedAway: false });
+    const isByReplica = !this.#ended && !this.#retryTaken;
+    noteBreak(this.#context, this.#request, placed.replica, isByReplica);
+  }
+
   /** A replica's own failure may be tried elsewhere before it is told. */
   #retryAnswer(placed: Placement, answer: Answer): boolean {
     if (!this.#attempts.repeatable) return false;
@@ -210,37 +222,35 @@
     return true;
   }
 
-  async #relay(
+  #relay(
     placed: Placement,
     answer: Answer,
-    since: number,
+    since: Milliseconds,
   ): Promise<Relayed> {
     const { clock, metrics, tuning } = this.#context;
     const { route, receivedAt } = this.#request;
-    const head = () => {
-      if (this.#headSent) return;
-      this.#headSent = true;
-      this.#reply.head(
-        answer.message.statusCode ?? 502,
-        answer.message.rawHeaders,
-      );
-    };
-    if (route.kind !== RouteKind.streaming) {
-      const held = await relayHeld(answer, this.#reply, head);
-      metrics.time(Timing.firstByte, clock.now() - receivedAt);
-      return held.relayed;
-    }
-    head();
-    metrics.time(Timing.firstByte, since - receivedAt);
-    if (!route.resumable) return await relayBytes(answer, this.#reply);
-    return await relayEvents(answer, this.#reply, {
-      position: this.#position,
-      clock,
-      stallMs: tuning.stallMs,
-      moveOn: () => this.#moveOn(placed),
+    return relayAnswer(answer, this.#reply, {
+      route,
+      head: () => this.#sendHead(answer),
+      firstByte: () => {
+        const at = route.kind === RouteKind.streaming ? since : clock.now();
+        metrics.time(Timing.firstByte, at - receivedAt);
+      },
+      events: {
+        position: this.#position,
+        clock,
+        stallMs: tuning.stallMs,
+        moveOn: () => this.#moveOn(placed),
+      },
     });
   }
 
+  #sendHead({ message }: Answer): void {
+    if (this.#headSent) return;
+    this.#headSent = true;
+    this.#reply.head(message.statusCode ?? 502, message.rawHeaders);
+  }
+
   /** A stalled stream is left only when its replica fails other calls too. */
   #moveOn(placed: Placement): boolean {
     if (!placed.replica.paused(this.#context.clock.now())) return false;
@@ -264,6 +274,8 @@
   }
 
   #complete(status: number): void {
+    const { crashes } = this.#context;
+    if (status < 500) crashes.answered(this.#request.fingerprint);
     this.#journal.answered(status);
     this.#end();
   }
@@ -277,7 +289,7 @@
 
   #giveUp(error: GatewayError, reason?: string, more: GiveUp = {}): void {
     if (this.#ended) return;
-    const told = this.#told(error);
+    const told = truthfulError(error, this.#attempts.mayHaveRun);
     const retryAfter = told === error ? more.seconds : undefined;
     const ending = { error: told, reason, retry_after: retryAfter };
     if (this.#headSent) {
@@ -291,13 +303,6 @@
     this.#end();
   }
 
-  /** What may truthfully be told: no promise once it may have run. */
-  #told(error: GatewayError): GatewayError {
-    if (!this.#attempts.mayHaveRun) return error;
-    if (error === GatewayError.outOfTime) return error;
-    return GatewayError.outcomeUnknown;
-  }
-
   #atLimit(): void {
     const error = this.#attempts.mayHaveRun
       ? GatewayError.outOfTime
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -8,7 +8,12 @@
 import { Timing } from "../observe/metrics.ts";
 import type { GatewayRequest } from "./request.ts";
 import type { Attempts } from "./attempts.ts";
-import { type Sending, sendRequest, type SendResult } from "./sender.ts";
+import {
+  noteBreak,
+  type Sending,
+  sendRequest,
+  type SendResult,
+} from "./sender.ts";
 
 /** Longest body of a finished prefill's answer. */
 const BODY_LIMIT = 64 * 1024;
@@ -51,6 +56,8 @@
     for (let tries = 0; tries < MOST_TRIES; tries++) {
       const replica = tries === 0 ? planned : this.#choose(hall);
       if (!replica || this.#ended) return undefined;
+      const { crashes } = this.#context;
+      if (crashes.quarantineOf(this.#request.fingerprint)) return undefined;
       if (!this.#attempts.affordPrefill()) return undefined;
       const made = await this.#runAt(replica);
       if (made) return made;
@@ -94,6 +101,9 @@
     const body = result.type === "answer" && status === 200
       ? await readWhole(result.answer, BODY_LIMIT)
       : undefined;
+    if (status === 200 && body === undefined) {
+      noteBreak(this.#context, this.#request, replica, !this.#ended);
+    }
     const id = body === undefined ? undefined : dialect.readExport(body);
     if (id !== undefined) {
       metrics.time(Timing.prefill, clock.now() - startedAt);
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../clock.ts";
 import type { Milliseconds } from "../../core/ids.ts";
 import type { Answer } from "../upstreams/call.ts";
+import { type Route, RouteKind } from "../routing/model.ts";
 import { EventEdges } from "./event_edges.ts";
 import type { Reply } from "./request.ts";
 
@@ -11,8 +12,36 @@
 /** How far the passing on went. */
 export type Relayed = "whole" | "cut";
 
+/** How an answer is passed on. */
+export type AnswerRelay = {
+  readonly route: Route;
+  /** Sends the answer's head; called before the first byte goes. */
+  readonly head: () => void;
+  /** The caller has the first byte. */
+  readonly firstByte: () => void;
+  /** How the events of a stream are passed on that may go on elsewhere. */
+  readonly events: EventRelay;
+};
+
+/** Passes an answer on: held until it is whole, or as it comes. */
+export async function relayAnswer(
+  answer: Answer,
+  reply: Reply,
+  { route, head, firstByte, events }: AnswerRelay,
+): Promise<Relayed> {
+  if (route.kind !== RouteKind.streaming) {
+    const { relayed } = await relayHeld(answer, reply, head);
+    firstByte();
+    return relayed;
+  }
+  head();
+  firstByte();
+  if (!route.resumable) return await relayBytes(answer, reply);
+  return await relayEvents(answer, reply, events);
+}
+
 /** Passes the body on as it comes. */
-export function relayBytes(
+function relayBytes(
   answer: Answer,
   reply: Reply,
 ): Promise<Relayed> {
@@ -25,22 +54,25 @@
 /** How far the events of a stream have gone. */
 export type EventPosition = { lastId?: string };
 
+/** What the events of a stream are passed on by. */
+export type EventRelay = {
+  readonly position: EventPosition;
+  readonly clock: Clock;
+  readonly stallMs: Milliseconds;
+  /** Whether a silent stream is cut, to go on elsewhere. */
+  moveOn(): boolean;
+};
+
 /**
  * Passes whole events on, so that another replica's events can follow. Each
  * time that no byte came for `stallMs`, `moveOn` says whether the stream is
  * cut to go on elsewhere; a silent replica alone is no reason.
  */
-export function relayEvents(
+function relayEvents(
   answer: Answer,
   reply: Reply,
-  options: {
-    readonly position: EventPosition;
-    readonly clock: Clock;
-    readonly stallMs: Milliseconds;
-    moveOn(): boolean;
-  },
+  { position, clock, stallMs, moveOn }: EventRelay,
 ): Promise<Relayed> {
-  const { position, clock, stallMs, moveOn } = options;
   const edges = new EventEdges();
   let cancelStall = () => {};
   const watch = () => {
@@ -69,7 +101,7 @@
  * Holds a small answer until it is whole: when it is cut off, nothing of it
  * has gone to the caller yet. `head` is called before the first byte goes.
  */
-export function relayHeld(
+function relayHeld(
   answer: Answer,
   reply: Reply,
   head: () => void,
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -1,6 +1,7 @@
 /** What is logged and counted of one request. */
 import type { GatewayContext } from "../context.ts";
 import type { Milliseconds } from "../../core/ids.ts";
+import type { Quarantine } from "../crashes/model.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import type { EventName } from "../observe/event_names.ts";
 import { Timing } from "../observe/metrics.ts";
@@ -63,6 +64,12 @@
     this.note("answered", { status, spent_ms: Math.round(spentMs) });
   }
 
+  /** It is not sent, since replicas crash under it. */
+  heldBack({ incarnations }: Quarantine): void {
+    const fingerprint = this.#request.fingerprint();
+    this.note("heldBack", { fingerprint, replicas: incarnations.join() });
+  }
+
   /** It ended without a whole answer. */
   ended(
     name: "broken" | "failed" | "refused",
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
 import type { CallHead } from "../port.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Answer, Call } from "../upstreams/call.ts";
 import type { GatewayRequest } from "./request.ts";
@@ -64,6 +65,22 @@
   return { result, abort: (reason) => call.abort(reason) };
 }
 
+/** Whether another replica could take a request in the stead of `entry`. */
+export function hasOtherReplica(
+  { replicas }: GatewayContext,
+  { service }: GatewayRequest,
+  { entry, excluded }: {
+    readonly entry: ReplicaEntry;
+    readonly excluded: ReadonlySet<string>;
+  },
+): boolean {
+  const { stage, incarnation } = entry;
+  return replicas.openOf(service).some(({ entry: other }) =>
+    other.stage === stage && other.incarnation !== incarnation &&
+    !excluded.has(other.incarnation)
+  );
+}
+
 /** This host's part of a replica's connections. */
 function connectionShare(context: GatewayContext, service: string): number {
   const limit = context.routes.service(service)?.connectionLimit ?? 0;
@@ -82,11 +99,15 @@
   if (outcome.type === "notSent") {
     noteFailure(context, replica, { reason: outcome.reason, severe: true });
     const { reason } = outcome;
+    if (outcome.isRefused) context.crashes.refused(replica.entry);
     return { type: "notRun", reason, turnedAway: false, arrived: false };
   }
   if (outcome.type === "broken") {
     const severe = outcome.reason === "No answer in time";
     noteFailure(context, replica, { reason: outcome.reason, severe });
+    if (!outcome.isStale) {
+      noteBreak(context, request, replica, !outcome.isAborted);
+    }
     return { type: "unknown", reason: outcome.reason };
   }
   const { answer } = outcome;
@@ -118,6 +139,16 @@
   return { type: "answer", answer };
 }
 
+/** The request's answer ended early; `isByReplica`: not by this host. */
+export function noteBreak(
+  { crashes }: GatewayContext,
+  { fingerprint }: GatewayRequest,
+  { entry }: Replica,
+  isByReplica: boolean,
+): void {
+  crashes.sendBroke(entry, { fingerprint, isByReplica });
+}
+
 /** Successes name their request; a failure may come without a name. */
 function belongs(
   request: GatewayRequest,
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
+import { CrashSharing } from "../crashes/crash_sharing.ts";
 import type { HostDirectory } from "../peers/directory.ts";
 import type { Link, LinkEvents, LinkTarget } from "../peers/link.ts";
 import { startPeerLoops } from "../peers/peer_loop.ts";
@@ -54,10 +55,16 @@
       isRelay: () => this.#follower.isRelay,
     });
     this.#synchronizer = synchronizer;
+    const crashes = new CrashSharing({
+      clock: context.clock,
+      crashes: context.crashes,
+      links: () => [...this.server.links, ...this.#follower.links],
+    });
     this.server = new StateServer({
       context,
       self,
       directory,
+      crashes,
       storeAgeMs: (now) => synchronizer.tellableAgeMs(now),
       configAgeMs: (now) => synchronizer.configAgeMs(now),
     });
@@ -65,6 +72,7 @@
       context,
       self,
       directory,
+      crashes,
       openLink,
       onState: (word) => this.#takeState(word),
     });
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -6,6 +6,7 @@
 import type { HostId, Milliseconds } from "../../core/ids.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
+import type { CrashSharing } from "../crashes/crash_sharing.ts";
 import type { HostDirectory } from "../peers/directory.ts";
 import { HostOrders } from "../peers/host_order.ts";
 import {
@@ -64,6 +65,7 @@
   >;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
+  readonly crashes: Pick<CrashSharing, "greet" | "take">;
   /** Opens a link to a reader. */
   readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
   /** Takes the reader's word; false: its listing does not follow on ours. */
@@ -103,6 +105,11 @@
     return this.#reader;
   }
 
+  /** The links to the host that this one follows, and to the next one. */
+  get links(): Link[] {
+    return [this.#link, this.#next?.link].filter((one) => one !== undefined);
+  }
+
   /** Whether this host relays between the reader of the fleet and its hall. */
   get isRelay(): boolean {
     const { self, directory } = this.#source;
@@ -171,7 +178,10 @@
     const clock = new RemoteClock();
     const named = { reader: host.id, address: host.address };
     const link: Link = openLink(target, {
-      ready: () => this.#follow(link, context.replicas.revision),
+      ready: () => {
+        this.#follow(link, context.replicas.revision);
+        this.#source.crashes.greet(link);
+      },
       line: (text) => this.#take(text, { link, clock, ...named }),
       closed: () => this.#ended(link),
     });
@@ -226,8 +236,11 @@
 
   #take(text: string, from: Omit<NextLink, "openedAt">): void {
     const message = readJson(ReaderMessageSchema, text);
-    if (message?.type !== "state") return;
     const { link, reader, address } = from;
+    if (message?.type === "crashes") {
+      return this.#source.crashes.take(link, message);
+    }
+    if (message?.type !== "state") return;
     const now = this.#source.context.clock.now();
     if (message.echo) from.clock.note(message.echo, now);
     const configAsOf = message.configAsOf === undefined
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -1,5 +1,6 @@
 /** What the reader of the store and its followers tell each other. */
 import * as z from "zod";
+import { CrashesSchema } from "../crashes/crash_messages.ts";
 import { ReplicaEntrySchema } from "../replicas/schema.ts";
 import { HostEntrySchema } from "../peers/host_schema.ts";
 import { RouteConfigSchema } from "../routing/schema.ts";
@@ -63,9 +64,14 @@
 export const FollowerMessageSchema = z.discriminatedUnion("type", [
   Follow,
   Sync,
+  CrashesSchema,
   Ping,
 ]);
 /** From a reader to a follower. */
-export const ReaderMessageSchema = z.discriminatedUnion("type", [State, Ping]);
+export const ReaderMessageSchema = z.discriminatedUnion("type", [
+  State,
+  CrashesSchema,
+  Ping,
+]);
 /** From a reader: how it is, and what the follower lacks. */
 export type StateMessage = z.output<typeof State>;
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -3,6 +3,7 @@
 import type { HostId, Milliseconds } from "../../core/ids.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
+import type { CrashSharing } from "../crashes/crash_sharing.ts";
 import type { HostDirectory } from "../peers/directory.ts";
 import type { ClockEcho } from "../peers/remote_clock.ts";
 import { acceptLink, type Link, type LinkEvents } from "../peers/link.ts";
@@ -29,6 +30,7 @@
   readonly context: Pick<GatewayContext, "clock" | "routes" | "replicas">;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
+  readonly crashes: Pick<CrashSharing, "greet" | "take">;
   /** Age of this host's word of the store; Infinity: none to be told. */
   storeAgeMs(now: Milliseconds): Milliseconds;
   /** Age of this host's word of the configuration; Infinity: it has none. */
@@ -95,6 +97,12 @@
     return [...this.#followers].flatMap(({ host }) => host ? [host] : []);
   }
 
+  /** The links of those hosts. */
+  get links(): Link[] {
+    return [...this.#followers].filter(({ host }) => host !== undefined)
+      .map(({ link }) => link);
+  }
+
   /** Something has changed: all followers are told now. */
   tell(): void {
     for (const follower of this.#followers) this.#send(follower);
@@ -114,13 +122,16 @@
   #take(follower: Follower, text: string): void {
     const message = readJson(FollowerMessageSchema, text);
     if (!message || message.type === "ping") return;
-    const now = this.#source.context.clock.now();
+    const { context, crashes, directory } = this.#source;
+    if (message.type === "crashes") return crashes.take(follower.link, message);
+    const now = context.clock.now();
     follower.echo = { sentAt: message.sentAt, heardAt: now };
     if (message.type === "sync") return;
+    if (!follower.host) crashes.greet(follower.link);
     follower.revision = message.revision;
     follower.version = message.version;
     follower.host = message.host;
-    this.#source.directory.learn([message.host], now);
+    directory.learn([message.host], now);
     this.#send(follower);
   }
 
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -199,7 +199,7 @@
   }
 
   #noteChange(change: ListingChange, revision: number, source: string): void {
-    const { events, pool } = this.#context;
+    const { events, pool, crashes } = this.#context;
     for (const { incarnation, ...entry } of change.added) {
       const { service, stage, address } = entry;
       const fields = { replica: incarnation, service, stage, address };
@@ -208,9 +208,11 @@
     for (const { incarnation } of change.leaving) {
       events.note("replicaLeaving", { replica: incarnation, revision, source });
     }
-    for (const { incarnation } of change.removed) {
+    for (const entry of change.removed) {
+      const { incarnation } = entry;
       events.note("replicaRemoved", { replica: incarnation, revision, source });
       pool.forget(incarnation);
+      crashes.gone(entry);
     }
     const count = change.renewed.length + change.removed.length;
     if (count > 0) this.#source.onChange();
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -1,8 +1,21 @@
 /** One HTTP call to a replica, with what is certain about it. */
-import { type Agent, type IncomingMessage, request } from "node:http";
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
 import type { Milliseconds } from "../../core/ids.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
+import { isRefusal } from "./probe.ts";
+
+/**
+ * A call over a kept connection that ends so soon met a connection which the
+ * replica had closed already: its close was on its way. One way there and back
+ * is 2 ms within a region; what crashes a replica takes 20 ms and more.
+ */
+const STALE_MS = 10;
 
 /** What is sent. */
 export type CallSource = {
@@ -31,9 +44,21 @@
 export type CallOutcome =
   | { readonly type: "answer"; readonly answer: Answer }
   /** No byte of the request has left. */
-  | { readonly type: "notSent"; readonly reason: string }
+  | {
+    readonly type: "notSent";
+    readonly reason: string;
+    /** Nothing listens at the address. */
+    readonly isRefused: boolean;
+  }
   /** It was sent, at least in part, and no answer came. */
-  | { readonly type: "broken"; readonly reason: string };
+  | {
+    readonly type: "broken";
+    readonly reason: string;
+    /** This host ended it. */
+    readonly isAborted: boolean;
+    /** Its kept connection was surely closed before the request came. */
+    readonly isStale: boolean;
+  };
 
 /** A call under way. */
 export type Call = {
@@ -57,24 +82,22 @@
   });
   let connected = false;
   let failed = false;
+  let isAborted = false;
+  const startedAt = source.clock.now();
+  const broken = (reason: string) => {
+    const isSoon = source.clock.now() - startedAt < STALE_MS;
+    const isStale = isSoon && sending.reusedSocket;
+    return { type: "broken", reason, isAborted, isStale } as const;
+  };
   const cancelTimer = source.clock.after(source.connectTimeoutMs, () => {
     if (!connected) sending.destroy(new Error("No connection in time"));
   });
-  sending.on("socket", (socket) => {
-    const onEnd = () => {
-      // A reset that comes right behind the last bytes reads as an end; but
-      // a connection that was reset has no peer any more (getpeername(2)).
-      if (socket.remoteAddress === undefined) failed = true;
-    };
-    socket.prependListener("end", onEnd);
-    sending.once("close", () => socket.off("end", onEnd));
-    const onConnected = () => {
+  watchSocket(sending, {
+    onConnected: () => {
       connected = true;
       cancelTimer();
-    };
-    if (!socket.connecting) return onConnected();
-    socket.setNoDelay(true);
-    socket.once("connect", onConnected);
+    },
+    onReset: () => failed = true,
   });
   const outcome = new Promise<CallOutcome>((resolve) => {
     sending.on("response", (message) => {
@@ -86,22 +109,46 @@
     sending.on("error", (error) => {
       failed = true;
       cancelTimer();
-      const type = connected ? "broken" : "notSent";
-      resolve({ type, reason: error.message });
+      const reason = error.message;
+      if (connected) return resolve(broken(reason));
+      resolve({ type: "notSent", reason, isRefused: isRefusal(error) });
     });
     sending.on("close", () => {
       cancelTimer();
-      const type = connected ? "broken" : "notSent";
-      resolve({ type, reason: "The connection closed" });
+      const reason = "The connection closed";
+      if (connected) return resolve(broken(reason));
+      resolve({ type: "notSent", reason, isRefused: false });
     });
   });
   sending.end(source.body.length > 0 ? source.body : undefined);
   return {
     outcome,
-    abort: (reason) => sending.destroy(new Error(reason)),
+    abort: (reason) => {
+      isAborted = true;
+      sending.destroy(new Error(reason));
+    },
   };
 }
 
+/** Tells when a call's connection stands, and when it was reset. */
+function watchSocket(
+  sending: ClientRequest,
+  on: { onConnected(): void; onReset(): void },
+): void {
+  sending.on("socket", (socket) => {
+    const onEnd = () => {
+      // A reset that comes right behind the last bytes reads as an end; but
+      // a connection that was reset has no peer any more (getpeername(2)).
+      if (socket.remoteAddress === undefined) on.onReset();
+    };
+    socket.prependListener("end", onEnd);
+    sending.once("close", () => socket.off("end", onEnd));
+    if (!socket.connecting) return on.onConnected();
+    socket.setNoDelay(true);
+    socket.once("connect", () => on.onConnected());
+  });
+}
+
 /** Headers with the framing of a body that is held whole. */
 function framed(source: CallSource): string[] {
   const { headers, method, body } = source;
@@ -120,7 +167,7 @@
 function unreachable(address: string): Call {
   const reason = `No address: ${address}`;
   return {
-    outcome: Promise.resolve({ type: "notSent", reason }),
+    outcome: Promise.resolve({ type: "notSent", reason, isRefused: false }),
     abort: () => undefined,
   };
 }
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -29,6 +29,13 @@
   extra: z.number().min(0).default(10),
 });
 
+const Crashes = z.strictObject({
+  /** Replicas that may crash under a request before it is sent to none. */
+  most: z.number().int().min(2).default(3),
+  /** How long a crash is remembered, and so a request refused. */
+  life: duration("5m"),
+});
+
 const Stages = z.strictObject({
   /** Share of a service's model engines that read prompts. */
   prefill_share: z.number().min(0.05).max(0.95).default(0.22),
@@ -78,6 +85,7 @@
   /** Time from SIGTERM to the forced end. */
   grace: duration("8s"),
   retries: Retries.prefault({}),
+  crashes: Crashes.prefault({}),
   stages: Stages.prefault({}),
   tuning: Tuning.prefault({}),
   customers: Customers.prefault({}),
--- /dev/null
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -0,0 +1,129 @@
+/** When a break of an answer is a crash of its replica. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CrashWatch } from "../../../src/gateway/crashes/crash_watch.ts";
+import type { ProbeResult } from "../../../src/gateway/upstreams/probe.ts";
+import { VirtualTime } from "../../fake/virtual_time.ts";
+import { replicaEntry } from "../replica_entry.ts";
+
+const ENTRY = replicaEntry("a");
+const fingerprintOf = (name: string) => () => name;
+
+/** A watch in virtual time; probes take 2 ms. */
+function start(answer: () => ProbeResult) {
+  const time = new VirtualTime();
+  const probes: string[] = [];
+  const watch = new CrashWatch({
+    clock: time.clock,
+    events: { note: () => undefined },
+    metrics: { count: () => undefined },
+    rule: { most: 3, lifeMs: 60_000 },
+    probe: (address) => {
+      probes.push(address);
+      return new Promise((resolve) => {
+        time.clock.after(2, () => resolve(answer()));
+      });
+    },
+  });
+  const breaks = (name: string, isByReplica = true, entry = ENTRY) =>
+    watch.sendBroke(entry, { fingerprint: fingerprintOf(name), isByReplica });
+  const crashed = () =>
+    watch.all().records.map((one) => `${one.fingerprint} ${one.incarnation}`)
+      .sort();
+  return { time, probes, watch, breaks, crashed };
+}
+
+test("all whose answers broke where nothing listens any more ran at a crash", async () => {
+  const { time, probes, breaks, crashed } = start(() => "refused");
+  breaks("one");
+  breaks("two");
+  await time.runTo(10);
+  breaks("three");
+  assert.equal(probes.length, 1);
+  assert.deepEqual(crashed(), ["one a", "three a", "two a"]);
+});
+
+test("an answer that broke off at a replica which listens is no crash", async () => {
+  const { time, watch, breaks, crashed } = start(() => "listens");
+  breaks("one");
+  await time.runTo(10);
+  watch.refused(ENTRY);
+  assert.deepEqual(crashed(), []);
+});
+
+test("a replica that nobody answers from tells nothing", async () => {
+  const { time, breaks, crashed } = start(() => "silent");
+  breaks("one");
+  await time.runTo(500);
+  assert.deepEqual(crashed(), []);
+});
+
+test("a replica that goes from the listing soon after has crashed", async () => {
+  for (const result of ["silent", "listens"] as const) {
+    const { time, watch, breaks, crashed } = start(() => result);
+    breaks("long ago");
+    await time.runTo(10_000);
+    breaks("one");
+    breaks("nobody answered", false);
+    await time.runTo(13_000);
+    watch.gone(ENTRY);
+    assert.deepEqual(crashed(), ["nobody answered a", "one a"], result);
+  }
+});
+
+test("a replica that leaves as planned has not crashed", async () => {
+  const { time, probes, watch, breaks, crashed } = start(() => "refused");
+  const leaving = { ...ENTRY, leaving: true };
+  breaks("one", true, leaving);
+  await time.runTo(10);
+  watch.gone(leaving);
+  assert.deepEqual([probes.length, crashed()], [0, []]);
+});
+
+test("what another host tells of a replica holds for sends of this host", async () => {
+  const { time, watch, breaks, crashed } = start(() => "silent");
+  breaks("one");
+  await time.runTo(10);
+  const records = [{ fingerprint: "other", incarnation: "a", at: 8 }];
+  watch.take({ records, acquittals: [] }, "peer");
+  assert.deepEqual(crashed(), ["one a", "other a"]);
+});
+
+test("breaks while a probe is under way are looked into by the next", async () => {
+  let result: ProbeResult = "listens";
+  const { time, probes, breaks, crashed } = start(() => result);
+  breaks("one");
+  await time.runTo(1);
+  breaks("two");
+  await time.runTo(3);
+  result = "refused";
+  await time.runTo(10);
+  assert.equal(probes.length, 2);
+  assert.deepEqual(crashed(), ["two a"]);
+});
+
+test("a request waits for the verdict only where it may decide", async () => {
+  const { time, watch, breaks } = start(() => "refused");
+  const settled: string[] = [];
+  const wait = (name: string, sends: number) =>
+    void watch.settled(fingerprintOf(name), sends)
+      .then(() => settled.push(`${name} ${sends} at ${time.now}`));
+  breaks("one");
+  wait("one", 1);
+  wait("one", 2);
+  await time.runTo(1);
+  await time.runTo(10);
+  assert.deepEqual(settled, ["one 1 at 1", "one 2 at 2"]);
+});
+
+test("what is kept of breaks is bounded", () => {
+  const { watch, breaks, crashed } = start(() => "silent");
+  for (let at = 0; at < 1000; at++) breaks(`r${at}`);
+  for (let at = 0; at < 1000; at++) {
+    breaks("r", true, replicaEntry(`b${at}`));
+  }
+  watch.gone(replicaEntry("b0"));
+  assert.deepEqual(crashed(), []);
+  watch.gone(replicaEntry("b999"));
+  assert.deepEqual(crashed(), ["r b999"]);
+});
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -13,6 +13,7 @@
 import type { PeerQuestions } from "../../../src/gateway/peers/peer_questions.ts";
 import { startPeerLoops } from "../../../src/gateway/peers/peer_loop.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import { quietWatch } from "../crashes/quiet_watch.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 
 function host(id: string, address = "127.0.0.1:1"): HostEntry {
@@ -76,6 +77,7 @@
       },
       random: () => 0,
       routes: new RouteTable(),
+      crashes: quietWatch(),
     } as unknown as GatewayContext,
     self,
     store,
--- a/test/gateway/peers/peer_loop_test.ts
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -7,6 +7,7 @@
 import type { PeerQuestions } from "../../../src/gateway/peers/peer_questions.ts";
 import { startPeerLoops } from "../../../src/gateway/peers/peer_loop.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import { quietWatch } from "../crashes/quiet_watch.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 
 /** The pauses that the loops begin with, the store not answering. */
@@ -22,6 +23,7 @@
     context: {
       clock: { now: () => 0, after },
       routes,
+      crashes: quietWatch(),
     } as unknown as GatewayContext,
     self,
     store: { readRows: never, writeRow: never } as unknown as Store,
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -18,8 +18,10 @@
 import { ReplicaTable } from "../../src/gateway/replicas/replica_table.ts";
 import { Places } from "../../src/gateway/planning/places.ts";
 import { PlanService } from "../../src/gateway/planning/plan_service.ts";
+import { CrashWatch } from "../../src/gateway/crashes/crash_watch.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
+import { probeAddress } from "../../src/gateway/upstreams/probe.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
 import { testDialect } from "./dialect.ts";
 import {
@@ -216,6 +218,11 @@
     limits: { bodyBytes: 1 << 20, headerMs: AMPLE_MS, idleMs: AMPLE_MS },
   });
   const rule = { windowMs: AMPLE_MS, ratio: 0, extra: 10 };
+  const log = {
+    note: (name: string, fields?: object) =>
+      void events.push({ name, fields: fields ?? {} }),
+  };
+  const metrics = new Metrics();
   return {
     self: { id: "host", hall: "hall", run: "1" },
     clock: systemClock,
@@ -225,10 +232,16 @@
     replicas: new ReplicaTable(),
     budget: new RetryBudget({ ...rule, ...budget }, -AMPLE_MS),
     pool: new UpstreamPool(systemClock, AMPLE_MS),
-    events: {
-      note: (name, fields) => events.push({ name, fields: fields ?? {} }),
-    },
-    metrics: new Metrics(),
+    crashes: new CrashWatch({
+      clock: systemClock,
+      events: log,
+      metrics,
+      rule: { most: 3, lifeMs: AMPLE_MS },
+      probe: (address) =>
+        probeAddress(address, { clock: systemClock, timeoutMs: AMPLE_MS }),
+    }),
+    events: log,
+    metrics,
     tuning: {
       reserveTimeoutMs: AMPLE_MS,
       prefillTimeoutMs: AMPLE_MS,
--- a/test/gateway/state/fleet_store.ts
+++ b/test/gateway/state/fleet_store.ts
@@ -4,6 +4,7 @@
   ConfigReading,
   RouteConfig,
   Store,
+  StoreRow,
 } from "../../../src/gateway/mod.ts";
 
 const STORE_WAY_MS = 2;
@@ -14,13 +15,14 @@
 /** A call that waits for a change, or for its time to be over. */
 type Watch = { wake(): void; fail(): void; readonly host: string };
 
-/** A configuration and a listing without replicas. */
+/** A configuration, rows of hosts, and a listing without replicas. */
 export class FleetStore {
   /** Calls by kind. */
   readonly calls = new Map<string, number>();
   readonly #clock: Clock;
   readonly #treatments = new Map<string, Treatment>();
   readonly #watches = new Set<Watch>();
+  readonly #rows = new Map<string, StoreRow>();
   #config: RouteConfig | undefined;
   #revision = 1;
 
@@ -83,9 +85,13 @@
           waitMs,
           value: () => this.#reading(revision),
         }),
-      readRows: () => answer("rows", () => ({ rows: [], ...nowMs() })),
-      writeRow: () =>
-        answer("row", () => ({ type: "written", revision: 1, ...nowMs() })),
+      readRows: () =>
+        answer("rows", () => ({ rows: [...this.#rows.values()], ...nowMs() })),
+      writeRow: ({ key, value }) =>
+        answer("row", () => {
+          this.#rows.set(key, { key, value, revision: 1 });
+          return { type: "written", revision: 1, ...nowMs() };
+        }),
     };
   }
 
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -13,6 +13,7 @@
 import { HallFollower } from "../../../src/gateway/state/hall_follower.ts";
 import { chooseReader } from "../../../src/gateway/state/reader_choice.ts";
 import type { StateMessage } from "../../../src/gateway/state/state_messages.ts";
+import { quietSharing } from "../crashes/quiet_watch.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { StateServer } from "../../../src/gateway/state/state_server.ts";
 
@@ -81,6 +82,7 @@
     context: there.context,
     self: place,
     directory: new HostDirectory(place, []),
+    crashes: quietSharing(),
     storeAgeMs: () => ages.now,
     configAgeMs: () => Infinity,
   });
@@ -93,6 +95,7 @@
     context: here.context,
     self,
     directory,
+    crashes: quietSharing(),
     openLink,
     onState: ({ message }) => {
       told.push(message);
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -4,6 +4,7 @@
  */
 import type { GatewayContext } from "../../../src/gateway/context.ts";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
+import { CrashWatch } from "../../../src/gateway/crashes/crash_watch.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
@@ -14,12 +15,16 @@
 import { FleetState } from "../../../src/gateway/state/fleet_state.ts";
 import { chooseReader } from "../../../src/gateway/state/reader_choice.ts";
 import type { JsonClient } from "../../../src/gateway/upstreams/json_client.ts";
+import type { ProbeResult } from "../../../src/gateway/upstreams/probe.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
 import { FleetStore } from "./fleet_store.ts";
 
 const WAY_MS = 1.5;
 const TIMES = { listMs: 700, timeoutMs: 700, watchMs: 1200 };
+/** A host that is cut off notices that its links are dead after this time. */
+const SILENT_MS = 1000;
 const HALLS = 3;
+const CRASH_RULE = { most: 3, lifeMs: 60_000 };
 
 /** One host of the fleet. */
 export type FleetHost = {
@@ -32,6 +37,12 @@
   readonly adoptedAt: Map<number, number>;
 };
 
+type OpenLink = {
+  readonly from: string;
+  readonly to: string;
+  close(): void;
+};
+
 /** A small generator, so that a seed names the whole run. */
 function randomOf(seed: number): () => number {
   let state = seed >>> 0;
@@ -45,6 +56,10 @@
 export class StateFleet {
   readonly hosts: FleetHost[];
   readonly store: FleetStore;
+  /** What a probe of any replica shows. */
+  probe: () => Promise<ProbeResult> = () => Promise.resolve("refused");
+  #isCut: (from: FleetHost, to: FleetHost) => boolean = () => false;
+  readonly #open = new Set<OpenLink>();
   readonly #time = new VirtualTime();
   readonly #random: () => number;
 
@@ -80,6 +95,30 @@
     return hall === entry.hall ? "follower" : "relay";
   }
 
+  /** A host that knows all others starts now. */
+  add(): FleetHost {
+    const { entry } = this.hosts[this.hosts.length - 1] as FleetHost;
+    const id = `${entry.id}-next`;
+    const added = { ...entry, id, address: id };
+    const host = this.#makeHost(added, this.hosts.map((one) => one.entry));
+    this.hosts.push(host);
+    host.state.start();
+    return host;
+  }
+
+  /** Nothing goes between hosts that are cut from each other, from now on. */
+  cut(isCut: (from: FleetHost, to: FleetHost) => boolean): void {
+    this.#isCut = isCut;
+    for (const link of [...this.#open]) {
+      if (!this.#isCutBetween(link.from, link.to)) continue;
+      this.#time.clock.after(SILENT_MS, () => link.close());
+    }
+  }
+
+  #isCutBetween(from: string, to: string): boolean {
+    return this.#isCut(this.#hostOf(from), this.#hostOf(to));
+  }
+
   /** Goes on to a time. */
   runTo(time: number): Promise<void> {
     return this.#time.runTo(time);
@@ -89,14 +128,24 @@
     const { clock } = this.#time;
     const routes = new RouteTable();
     const adoptedAt = new Map<number, number>();
+    const events = { note: () => undefined };
+    const metrics = new Metrics();
+    const crashes = new CrashWatch({
+      clock,
+      events,
+      metrics,
+      rule: CRASH_RULE,
+      probe: () => this.probe(),
+    });
     const context = {
       self: { id: entry.id, hall: entry.hall, run: "1" },
       clock,
       random: this.#random,
       routes,
       replicas: new ReplicaTable(),
-      metrics: new Metrics(),
-      events: { note: () => undefined },
+      metrics,
+      events,
+      crashes,
       pool: { forget: () => undefined },
     } as unknown as GatewayContext;
     const directory = new HostDirectory(entry, []);
@@ -107,8 +156,9 @@
       directory,
       store: this.store.of(entry.id),
       times: TIMES,
-      openLink: ({ address }, events) => this.#open(address, events),
-      createClient: (address) => this.#clientOf(address),
+      openLink: ({ address }, events) =>
+        this.#openLink(entry.id, address, events),
+      createClient: (address) => this.#clientOf(entry.id, address),
       onConfig: ({ version }) => adoptedAt.set(version, this.#time.now),
     });
     return { entry, routes, directory, context, state, adoptedAt };
@@ -120,21 +170,31 @@
     return host;
   }
 
-  #open(address: string, fromEvents: LinkEvents): Link {
+  #openLink(from: string, address: string, fromEvents: LinkEvents): Link {
     const to = this.#hostOf(address);
+    const isCut = () => this.#isCutBetween(from, address);
     let toEvents: LinkEvents | undefined;
     let isOpen = true;
     const close = () => {
       if (!isOpen) return;
       isOpen = false;
+      this.#open.delete(link);
       this.#time.clock.after(0, () => fromEvents.closed());
       this.#time.clock.after(WAY_MS, () => toEvents?.closed());
     };
     const lineTo =
       (events: () => LinkEvents | undefined) => (message: object) => {
         const text = JSON.stringify(message);
-        this.#time.clock.after(WAY_MS, () => isOpen && events()?.line(text));
+        this.#time.clock.after(WAY_MS, () => {
+          if (isOpen && !isCut()) events()?.line(text);
+        });
       };
+    const link = { from, to: address, close };
+    this.#open.add(link);
+    if (isCut()) {
+      this.#time.clock.after(SILENT_MS, close);
+      return { send: () => undefined, close };
+    }
     this.#time.clock.after(WAY_MS, () => {
       to.state.server.join((events) => {
         toEvents = events;
@@ -145,11 +205,12 @@
     return { send: lineTo(() => toEvents), close };
   }
 
-  #clientOf(address: string): JsonClient {
+  #clientOf(from: string, address: string): JsonClient {
     return {
       close: () => undefined,
       call: ({ path }) =>
         new Promise((resolve) => {
+          if (this.#isCutBetween(from, address)) return;
           this.#time.clock.after(WAY_MS, () => {
             const { entry, context, directory, state } = this.#hostOf(address);
             const configAgeMs = (now: number) => state.configAgeMs(now);
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -5,6 +5,7 @@
 import type { ReplicaEntry, RouteConfig } from "../../../src/gateway/mod.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import { quietWatch } from "../crashes/quiet_watch.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import type { VersionNews } from "../../../src/gateway/state/config_catchup.ts";
 import type { ReaderWord } from "../../../src/gateway/state/hall_follower.ts";
@@ -25,6 +26,7 @@
     routes,
     events: { note: () => undefined },
     pool: { forget: () => undefined },
+    crashes: quietWatch(),
   } as unknown as GatewayContext;
   const synchronizer = new Synchronizer({
     context,
