A replica that starts again under its id is another; rows of other writers name none

Cause: the listing knew a replica by its row's key alone, so what was known of one start (that it left, its failures, its memory, crashes under a request) was held against the next, and two crashes of one id counted as one. A row's fields were decoded with silent defaults: no address, one slot, a leaving replica of no service.

Change: an incarnation is id and start, made in one place; the listing, its deltas and its history go by the id, all that hangs on a replica's life by the incarnation. The wire and links still carry the id, so hosts of the version before read the listing; a planner of this version names replicas with their start, which hosts of the version before don't know where rows carry one. An earlier start that is told late doesn't undo a later one. Rows are read by one schema each (replicas, pages); what doesn't parse names no replica and is logged once (rowUnreadable). A row that becomes unreadable counts as gone.

--- a/bench/planner/main.ts
+++ b/bench/planner/main.ts
@@ -52,6 +52,7 @@
 
 function viewOf(count: number): PlannerView {
   const entries = Array.from({ length: count }, (_, at) => ({
+    id: `i-${at}`,
     incarnation: `i-${at}`,
     service: "s",
     address: `10.0.0.${at}:1`,
--- a/bench/replicas/main.ts
+++ b/bench/replicas/main.ts
@@ -6,6 +6,7 @@
 
 function entriesOf(count: number): ReplicaEntry[] {
   return Array.from({ length: count }, (_, at) => ({
+    id: `i-${at}`,
     incarnation: `i-${at}`,
     service: `service-${at % 3}`,
     address: `10.0.${at >> 8}.${at & 255}:8080`,
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -45,6 +45,16 @@
   replicaAdded: info("replicas", "A replica is listed", BELIEFS_PER_SECOND),
   replicaRemoved: info("replicas", "A replica is gone", BELIEFS_PER_SECOND),
   replicaLeaving: info("replicas", "A replica is leaving", BELIEFS_PER_SECOND),
+  rowUnreadable: warn(
+    "replicas",
+    "A row of the listing names no replica",
+    5,
+  ),
+  replicaRestarted: info(
+    "replicas",
+    "A replica has started again under its id",
+    BELIEFS_PER_SECOND,
+  ),
   replicaPaused: warn(
     "replicas",
     "A replica failed and is passed over for a while",
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -5,7 +5,7 @@
 import * as z from "zod";
 import { readJson } from "../../util/read_json.ts";
 import { RouteConfigSchema } from "../routing/schema.ts";
-import { ReplicaEntrySchema } from "../replicas/schema.ts";
+import { encodeEntry, ReplicaEntrySchema } from "../replicas/schema.ts";
 import { HostEntrySchema } from "./host_schema.ts";
 
 const Listing = z.object({
@@ -32,6 +32,16 @@
 
 /** A peer's answer. */
 export type PeerState = z.output<typeof PeerStateSchema>;
+/** A peer's answer as it is sent. */
+export type PeerStateMessage = z.input<typeof PeerStateSchema>;
+
+/** An answer as the asker reads it. */
+export function encodePeerState(state: PeerState): PeerStateMessage {
+  const { listing, ...rest } = state;
+  if (!listing) return rest;
+  const entries = listing.entries.map(encodeEntry);
+  return { ...rest, listing: { ...listing, entries } };
+}
 
 /** What the asker has: only newer state is told. */
 export type PeerQuestion = {
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -9,8 +9,10 @@
 import type { HostDirectory } from "./directory.ts";
 import { LinkPath } from "./link.ts";
 import {
+  encodePeerState,
   type PeerQuestion,
   type PeerState,
+  type PeerStateMessage,
   readQuestion,
 } from "./peer_state.ts";
 
@@ -52,13 +54,13 @@
     "context" | "self" | "directory" | "configAgeMs"
   >,
   target: string,
-): PeerState {
+): PeerStateMessage {
   const { context, self, directory } = source;
   const { routes } = context;
   const hosts = [self, ...directory.entries()];
   const age = source.configAgeMs(context.clock.now());
   return {
-    ...stateFor(context, readQuestion(target), hosts),
+    ...encodePeerState(stateFor(context, readQuestion(target), hosts)),
     ...(routes.isBehind ? { newest: routes.newestVersion } : {}),
     ...(Number.isFinite(age) ? { configAgeMs: Math.ceil(age) } : {}),
   };
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -46,8 +46,8 @@
 /** What the gateway adds to a request that it sends on. */
 export type CallHead = {
   readonly mode: CallMode;
-  /** The only start of the replica that may take it. */
-  readonly incarnation: string;
+  /** The replica that may take it: another at its address does not. */
+  readonly replica: string;
   /** Rank at a model engine's own queue; 0 is the most urgent. */
   readonly priority?: number;
   /** Time left for the answer; absent when the caller named none. */
@@ -91,7 +91,8 @@
 
 /** A change of stage, under a lease. */
 export type StageOrder = {
-  readonly incarnation: string;
+  /** The replica's id. */
+  readonly replica: string;
   readonly stage: ReplicaStage;
   readonly holder: string;
   readonly fence: number;
@@ -150,8 +151,14 @@
   readonly hall: string;
 };
 
+/** A row that can't be read and names nothing. */
+export type RowFault = { readonly key: string; readonly reason: string };
+
 /** What the store told at a moment of its steady clock. */
-type Timed = { readonly nowMs: Milliseconds };
+type Timed = {
+  readonly nowMs: Milliseconds;
+  readonly faults?: readonly RowFault[];
+};
 /** A listing of replicas, with the store's clock. */
 export type TimedListing = ReplicaListing & Timed;
 /** Changes of the listing, with the store's clock. */
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -11,7 +11,11 @@
 
 /** One replica, from one start to its end. */
 export type ReplicaEntry = {
-  /** Names this start of the replica; another start has another. */
+  /** Names the replica; it may start again under it. */
+  readonly id: string;
+  /** Tells its starts apart, in the order of their numbers; not a clock. */
+  readonly born?: number;
+  /** Names this start of the replica; see {@link incarnationOf}. */
   readonly incarnation: string;
   readonly service: string;
   /** `IP:port`. */
@@ -25,6 +29,14 @@
   readonly coldMs: Milliseconds;
 };
 
+/**
+ * Names one start of a replica. What is known of a replica goes by it, so that
+ * nothing of an earlier start is taken for the later one's.
+ */
+export function incarnationOf(id: string, born: number | undefined): string {
+  return born === undefined ? id : `${id}@${born}`;
+}
+
 /** All replicas as of one moment of the store. */
 export type ReplicaListing = {
   /** Rises with every change in the store. */
@@ -38,7 +50,7 @@
   readonly since: number;
   readonly revision: number;
   readonly changed: readonly ReplicaEntry[];
-  /** Incarnations that are listed no more. */
+  /** Ids that are listed no more. */
   readonly gone: readonly string[];
 };
 
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -18,7 +18,7 @@
   readonly leaving: readonly ReplicaEntry[];
   /** Not listed, but kept: the store may only have lost their entries. */
   readonly kept: readonly ReplicaEntry[];
-  /** Incarnations that are new or whose entry is another. */
+  /** Ids of replicas that are new, started again, or whose entry is another. */
   readonly renewed: readonly string[];
 };
 
@@ -65,7 +65,8 @@
     if (listing.revision < this.#revision) return undefined;
     this.#revision = listing.revision;
     const before = this.#byIncarnation;
-    const entries = listing.entries.map((one) => this.#stillLeaving(one));
+    const entries = this.#newestStarts(listing.entries)
+      .map((one) => this.#stillLeaving(one));
     const change = compare(before, entries, keepMissing);
     this.#byIncarnation = new Map();
     for (const entry of [...entries, ...change.kept]) {
@@ -73,9 +74,10 @@
       this.#byIncarnation.set(entry.incarnation, renewed(known, entry));
     }
     this.#byService = groupByService(this.#byIncarnation.values());
+    const ids = new Set(this.entries().map((one) => one.id));
     this.#history.record(listing.revision, this.entries(), {
       changed: change.renewed,
-      gone: change.removed.map((one) => one.incarnation),
+      gone: change.removed.map((one) => one.id).filter((id) => !ids.has(id)),
     });
     return change;
   }
@@ -127,13 +129,23 @@
   #entriesAfter({ since, changed, gone }: ListingChanges): ReplicaEntry[] {
     const entries = new Map<string, ReplicaEntry>();
     if (since >= 0) {
-      for (const one of this.entries()) entries.set(one.incarnation, one);
+      for (const one of this.entries()) entries.set(one.id, one);
     }
-    for (const incarnation of gone) entries.delete(incarnation);
-    for (const one of changed) entries.set(one.incarnation, one);
+    for (const id of gone) entries.delete(id);
+    for (const one of changed) entries.set(one.id, one);
     return [...entries.values()];
   }
 
+  /** What comes late of an earlier start doesn't undo a later one. */
+  #newestStarts(entries: readonly ReplicaEntry[]): ReplicaEntry[] {
+    const known = new Map(this.entries().map((one) => [one.id, one]));
+    return entries.map((entry) => {
+      const before = known.get(entry.id);
+      const isOlder = (entry.born ?? 0) < (before?.born ?? 0);
+      return before && isOlder ? before : entry;
+    });
+  }
+
   #stillLeaving(entry: ReplicaEntry): ReplicaEntry {
     const { incarnation, leaving } = entry;
     if (leaving) this.#left.add(incarnation);
@@ -167,10 +179,12 @@
   keepMissing: boolean,
 ): ListingChange {
   const listed = new Set(entries.map((one) => one.incarnation));
+  const ids = new Set(entries.map((one) => one.id));
   const knownOf = (one: ReplicaEntry) => before.get(one.incarnation)?.entry;
   const missing = [...before.values()].map((one) => one.entry)
     .filter((one) => !listed.has(one.incarnation));
-  const isKept = (one: ReplicaEntry) => keepMissing && !one.leaving;
+  const isKept = (one: ReplicaEntry) =>
+    keepMissing && !one.leaving && !ids.has(one.id);
   return {
     added: entries.filter((one) => !knownOf(one)),
     leaving: entries.filter((one) =>
@@ -179,7 +193,7 @@
     removed: missing.filter((one) => !isKept(one)),
     kept: missing.filter(isKept),
     renewed: entries.filter((one) => !isSame(one, knownOf(one)))
-      .map((one) => one.incarnation),
+      .map((one) => one.id),
   };
 }
 
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -195,7 +195,7 @@
       ...(made ? { export: made } : {}),
       head: {
         mode: CallMode.whole,
-        incarnation: replica.entry.incarnation,
+        replica: replica.entry.id,
         priority: this.#source.request.priority,
         reservation: id,
         ...(made ? { export: { address, id: made.id } } : {}),
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -144,7 +144,6 @@
 }
 
 function placement(replica: Replica, waitMs: Milliseconds): Placement {
-  const { incarnation } = replica.entry;
-  const head = { mode: CallMode.whole, incarnation };
+  const head = { mode: CallMode.whole, replica: replica.entry.id };
   return { replica, tokens: 0, waitMs: Math.round(waitMs), head };
 }
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -87,7 +87,7 @@
     this.#sending = sendRequest(this.#context, this.#request, replica, {
       head: {
         mode: CallMode.prefill,
-        incarnation: replica.entry.incarnation,
+        replica: replica.entry.id,
         priority: this.#request.priority,
         patienceMs: this.#request.limitAt - startedAt,
       },
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -202,9 +202,8 @@
   right: { readonly lease: Lease; readonly ifOrders: number },
 ): Promise<OrderOutcome | undefined> {
   const { dialect, pool, metrics } = source.context;
-  const { incarnation } = change.replica;
   const call = dialect.orderStage({
-    incarnation,
+    replica: change.replica.id,
     stage: change.stage,
     holder: right.lease.holder,
     fence: right.lease.fence,
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -1,7 +1,7 @@
 /** What the reader of the store and its followers tell each other. */
 import * as z from "zod";
 import { CrashesSchema } from "../crashes/crash_messages.ts";
-import { ReplicaEntrySchema } from "../replicas/schema.ts";
+import { encodeEntry, ReplicaEntrySchema } from "../replicas/schema.ts";
 import { HostEntrySchema } from "../peers/host_schema.ts";
 import { RouteConfigSchema } from "../routing/schema.ts";
 
@@ -75,3 +75,11 @@
 ]);
 /** From a reader: how it is, and what the follower lacks. */
 export type StateMessage = z.output<typeof State>;
+
+/** A message as a follower reads it. */
+export function encodeState(message: StateMessage): z.input<typeof State> {
+  const { listing, ...rest } = message;
+  if (!listing) return rest;
+  const changed = listing.changed.map(encodeEntry);
+  return { ...rest, listing: { ...listing, changed } };
+}
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -9,7 +9,11 @@
 import { acceptLink, type Link, type LinkEvents } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
 import type { RouteConfig } from "../routing/model.ts";
-import { FollowerMessageSchema, type StateMessage } from "./state_messages.ts";
+import {
+  encodeState,
+  FollowerMessageSchema,
+  type StateMessage,
+} from "./state_messages.ts";
 
 /**
  * Followers that were told nothing for so long are told again: each new word
@@ -142,7 +146,7 @@
     follower.version = Math.max(follower.version, message.version);
     follower.echo = undefined;
     follower.toldAt = this.#source.context.clock.now();
-    follower.link.send(message);
+    follower.link.send(encodeState(message));
   }
 
   #messageFor(follower: Follower, revision: number): StateMessage {
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -10,6 +10,7 @@
 import { RemoteClock } from "../peers/remote_clock.ts";
 import type { ConfigReading, Store } from "../port.ts";
 import type { HallFollower } from "./hall_follower.ts";
+import { RowFaults } from "./row_faults.ts";
 import type { Synchronizer } from "./synchronizer.ts";
 import { within } from "./within.ts";
 
@@ -68,6 +69,7 @@
   readonly #source: StoreLoopsSource;
   #stopped = false;
   #watch = new AbortController();
+  readonly #faults: RowFaults;
   /** Listings in a row that did not come. */
   #failures = 0;
   /** The store's steady clock. */
@@ -79,6 +81,7 @@
 
   constructor(source: StoreLoopsSource) {
     this.#source = source;
+    this.#faults = new RowFaults(source.context.events);
   }
 
   /** Starts the loops. */
@@ -163,6 +166,7 @@
       this.#listTimeoutMs(),
     );
     if (!listing) return "lost";
+    this.#faults.note(listing.faults);
     const echo = { sentAt: askedAt, heardAt: listing.nowMs };
     this.#storeClock.note(echo, clock.now());
     this.#storeAsOf = askedAt;
@@ -193,6 +197,7 @@
     );
     if (changes === undefined) return "lost";
     if (changes === "forgotten") return this.#listReplicas();
+    this.#faults.note(changes.faults);
     const now = clock.now();
     this.#storeAsOf = this.#storeClock.toLocal(changes.nowMs, now) ??
       this.#storeAsOf;
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -200,10 +200,14 @@
 
   #noteChange(change: ListingChange, revision: number, source: string): void {
     const { events, pool, crashes } = this.#context;
-    for (const { incarnation, ...entry } of change.added) {
+    const gone = new Map(change.removed.map((one) => [one.id, one]));
+    for (const { incarnation, id, ...entry } of change.added) {
       const { service, stage, address } = entry;
       const fields = { replica: incarnation, service, stage, address };
       events.note("replicaAdded", { ...fields, revision, source });
+      const before = gone.get(id)?.incarnation;
+      if (before === undefined) continue;
+      events.note("replicaRestarted", { replica: incarnation, before });
     }
     for (const { incarnation } of change.leaving) {
       events.note("replicaLeaving", { replica: incarnation, revision, source });
--- a/test/gateway/planning/plain_choice_test.ts
+++ b/test/gateway/planning/plain_choice_test.ts
@@ -10,6 +10,7 @@
 /** Three replicas of a plain service, one in the asker's hall. */
 function plainView(change: Partial<PlannerView> = {}): PlannerView {
   const plain = (incarnation: string, hall: string): ReplicaEntry => ({
+    id: incarnation,
     incarnation,
     service: "s",
     address: "127.0.0.1:1",
--- a/test/gateway/replica_entry.ts
+++ b/test/gateway/replica_entry.ts
@@ -7,6 +7,7 @@
   change: Partial<ReplicaEntry> = {},
 ): ReplicaEntry {
   return {
+    id: incarnation,
     incarnation,
     service: "s",
     address: "127.0.0.1:1",
--- a/test/gateway/replicas/replica_table_test.ts
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -83,3 +83,47 @@
   table.adopt({ revision: 2, entries: [entry("a")] });
   assert.deepEqual(table.openOf("s"), []);
 });
+
+function started(born: number, leaving = false): ReplicaEntry {
+  return replicaEntry("a", { incarnation: `a@${born}`, born, leaving });
+}
+
+test("a replica that starts again under its id is another, and takes work", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [started(1)] });
+  table.get("a@1")?.noteFailure(0, true);
+  table.adopt({ revision: 2, entries: [started(1, true)] });
+  const change = table.adopt({ revision: 3, entries: [started(2)] });
+  assert.deepEqual(change?.added.map((one) => one.incarnation), ["a@2"]);
+  assert.deepEqual(change?.removed.map((one) => one.incarnation), ["a@1"]);
+  assert.equal(table.get("a@1"), undefined);
+  assert.equal(table.get("a@2")?.paused(1), false);
+  assert.equal(table.openOf("s").length, 1);
+});
+
+test("late news of an earlier start does not undo the later one", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [started(2)] });
+  table.adopt({ revision: 2, entries: [started(1, true)] });
+  assert.deepEqual(table.openOf("s").map((one) => one.entry.born), [2]);
+});
+
+test("while missing replicas are kept, one that started again is not kept twice", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [started(1)] });
+  const change = table.adopt({ revision: 2, entries: [started(2)] }, true);
+  assert.deepEqual(change?.kept, []);
+  assert.equal(table.size, 1);
+});
+
+test("a follower learns that a replica has started again", () => {
+  const reader = new ReplicaTable();
+  const follower = new ReplicaTable();
+  reader.adopt({ revision: 1, entries: [started(1)] });
+  follower.adopt({ revision: 1, entries: [started(1)] });
+  reader.adopt({ revision: 2, entries: [started(2)] });
+  const delta = reader.after(1);
+  assert.deepEqual(delta?.gone, []);
+  assert.ok(delta && follower.follow(delta) !== "gap");
+  assert.deepEqual(follower.entries(), reader.entries());
+});
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -72,6 +72,7 @@
   context.replicas.adopt({
     revision: 1,
     entries: [{
+      id: "a",
       incarnation: "a",
       service: "s",
       address: "127.0.0.1:1",
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -189,6 +189,7 @@
 ): ReplicaEntry {
   const stage = source.replicas[at]?.stage;
   return {
+    id: `r${at}`,
     incarnation: `r${at}`,
     service: "service",
     address: replica.address,
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -23,11 +23,20 @@
   readonly dead: readonly string[];
   /** Nothing but planned stops struck. */
   readonly isCalm: boolean;
+  /** Hosts that no fault struck, nor their paths. */
+  readonly unstruck: ReadonlySet<string>;
 };
 
 /** A promise that was broken. */
 export type Violation = { readonly rule: string; readonly detail: string };
 
+/** Names of the requests that crash their replicas begin so. */
+export const CRASHING_NAME = "crashing";
+const KNOWN_CRASHES = 3;
+const MOST_LATE = 3;
+/** Hosts know of a crash by then. */
+const TOLD_MS = 3000;
+
 type Check = (evidence: Evidence) => Violation[];
 
 const CHECKS: readonly Check[] = [
@@ -39,6 +48,7 @@
   checkExits,
   checkEnd,
   checkStops,
+  checkCrashes,
 ];
 
 /** Every promise that the run broke. */
@@ -140,6 +150,27 @@
   return [...found, { rule: "nothing runs for nobody", detail }];
 }
 
+/**
+ * A request that has crashed three replicas reaches three more at most, where
+ * hosts send it that had time to be told.
+ */
+function checkCrashes({ seen, arrivals, unstruck }: Evidence): Violation[] {
+  const hosts = new Map(
+    seen.filter((one) => one.id.startsWith(CRASHING_NAME))
+      .map((one) => [one.id, one.host]),
+  );
+  const runs = arrivals.filter((one) => one.ran && hosts.has(one.request))
+    .sort((a, b) => a.atMs - b.atMs);
+  const third = runs[KNOWN_CRASHES - 1];
+  if (!third) return [];
+  const late = runs.filter(({ request, atMs }) =>
+    atMs > third.atMs + TOLD_MS && unstruck.has(hosts.get(request) ?? "")
+  );
+  if (late.length <= MOST_LATE) return [];
+  const detail = `${late.length} replicas, ${runs.length} in all`;
+  return [{ rule: "what crashes replicas is sent to none", detail }];
+}
+
 /** A planned stop cuts no request that a replica was given. */
 function checkStops({ isCalm, seen, arrivals }: Evidence): Violation[] {
   if (!isCalm) return [];
--- a/test/soak/strike.ts
+++ b/test/soak/strike.ts
@@ -69,7 +69,11 @@
       return resetAll(replica.proxy);
     case FaultKind.replicaCrash:
     case FaultKind.replicaLeave:
+    case FaultKind.replicaRestart:
       return strikeReplica(world, replica, fault.kind);
+    case FaultKind.foreignRows:
+      world.writeForeignRows();
+      return NOTHING;
     case FaultKind.config:
       world.changeConfig();
       return NOTHING;
@@ -141,6 +145,7 @@
   kind: FaultKind,
 ): Promise<Undo> {
   if (kind === FaultKind.replicaCrash) await world.crash(replica);
+  else if (kind === FaultKind.replicaRestart) await world.restart(replica);
   else await world.leave(replica);
   return NOTHING;
 }
