Words of the store from before a suspension count no more

Cause: the steady clock is all that ages a belief, and it stands still while the machine is suspended. A follower that woke after 3 s took words that had waited in its link's buffer for told 3 s later than they were, into its own future; a key that was taken away just before its wake would have been served.

A step ahead costs a renewal; a suspension beside a step back of the same length isn't noticed (open).

Change: SuspensionWatch is asked before a key's word is used, before a line of a link is taken and around each call to the store or a peer. After a suspension there is no word of the store, remote clocks are read anew, the store is listed whole, and a lease that was taken before it orders nothing.

Left: requests under way keep the deadline that the steady clock gives them, quotas and the retry budget count their windows by it (which errs on the strict side).

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type { ReplicaTable } from "./replicas/replica_table.ts";
 import type { RetryBudget } from "./retries/retry_budget.ts";
 import type { RouteTable } from "./routing/route_table.ts";
+import type { SuspensionWatch } from "./suspension.ts";
 import type { UpstreamPool } from "./upstreams/pool.ts";
 
 /** Times and shares that the settings may change. */
@@ -37,6 +38,7 @@
     readonly run: string;
   };
   readonly clock: Clock;
+  readonly suspensions: SuspensionWatch;
   /** In [0, 1). */
   readonly random: () => number;
   readonly dialect: Dialect;
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -13,6 +13,7 @@
 import { ReplicaTable } from "./replicas/replica_table.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
+import { SuspensionWatch } from "./suspension.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 import { probeAddress } from "./upstreams/probe.ts";
 
@@ -36,6 +37,10 @@
   return {
     self: { id: host.id, hall: host.hall, run: String(newIncarnation()) },
     clock,
+    suspensions: new SuspensionWatch({
+      steadyNow: clock.now,
+      dayNow: Date.now,
+    }),
     random: Math.random,
     dialect: port.dialect,
     routes: new RouteTable(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -82,7 +82,10 @@
     const self = { id: host.id, address, hall: host.hall };
     const directory = new HostDirectory(self, settings.seeds);
     const context = createContext(settings, port, directory);
-    const configAgeMs = (now: Milliseconds) => this.#state.configAgeMs(now);
+    const configAgeMs = (now: Milliseconds) => {
+      context.suspensions.check();
+      return this.#state.configAgeMs(now);
+    };
     this.#self = self;
     this.#directory = directory;
     this.#context = context;
@@ -229,9 +232,10 @@
   }
 
   #tick(): void {
-    const { clock, events } = this.#context;
+    const { clock, events, suspensions } = this.#context;
     const before = clock.now();
     clock.after(TICK_MS, () => {
+      suspensions.check();
       const late = clock.now() - before - TICK_MS;
       if (late > STOOD_STILL_MS) {
         events.note("stoodStill", { for_ms: Math.round(late) });
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -34,6 +34,11 @@
   ),
   stopped: info("process", "The process has stopped", BELIEFS_PER_SECOND),
   stoodStill: warn("process", "The process stood still", BELIEFS_PER_SECOND),
+  suspended: warn(
+    "process",
+    "The machine slept or its time of day stepped: the store is read anew",
+    BELIEFS_PER_SECOND,
+  ),
   storeLost: warn("store", "The store does not answer", BELIEFS_PER_SECOND),
   storeBack: info("store", "The store answers again", BELIEFS_PER_SECOND),
   callFailed: warn("store", "A call to the store or a peer failed", 5),
--- a/src/gateway/peers/peer_questions.ts
+++ b/src/gateway/peers/peer_questions.ts
@@ -44,7 +44,8 @@
   /** Takes what a peer has; resolves when it has answered or will not. */
   async ask(address: string, subject: PeerSubject): Promise<void> {
     const { context, synchronizer } = this.#source;
-    const { clock, events, routes, replicas } = context;
+    const { clock, events, routes, replicas, suspensions } = context;
+    const suspended = suspensions.check();
     const askedAt = clock.now();
     const isConfig = subject === PeerSubject.config;
     const path = questionPath({
@@ -64,6 +65,7 @@
     this.#take(state, address, clock.now());
     const { version, configAgeMs } = state;
     if (configAgeMs === undefined) return;
+    if (suspensions.check() !== suspended) return;
     // The peer answered after it was asked, and its word is so much older.
     synchronizer.noteNewest(version, askedAt - configAgeMs);
   }
--- a/src/gateway/peers/remote_clock.ts
+++ b/src/gateway/peers/remote_clock.ts
@@ -35,6 +35,14 @@
     this.#least = { offsetMs, at: now };
   }
 
+  /**
+   * This host's clock stood still: it is less far ahead than it was, and what was
+   * heard of the other's clock before would make its moments seem too late.
+   */
+  forget(): void {
+    this.#least = undefined;
+  }
+
   /**
    * A moment of the other's clock by this host's, never later than it truly
    * was, earlier by the time that an echoed message took; undefined before the
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -131,7 +131,9 @@
   service: Service,
   changes: readonly StageChange[],
 ): Promise<Try[]> {
-  const { context: { clock, events }, store, holder, guardMs } = source;
+  const { context, store, holder, guardMs } = source;
+  const { clock, events, suspensions } = context;
+  const suspended = suspensions.check();
   const lease = await within({
     clock,
     timeoutMs: STORE_TIMEOUT_MS,
@@ -141,7 +143,9 @@
   });
   if (!lease) return [FAILED_TRY];
   return await Promise.all(
-    changes.map((change) => tryChange(source, { service, change, lease })),
+    changes.map((change) =>
+      tryChange(source, { service, change, lease, suspended })
+    ),
   );
 }
 
@@ -149,6 +153,8 @@
   readonly service: Service;
   readonly change: StageChange;
   readonly lease: Lease;
+  /** Suspensions of this host before it took the lease. */
+  readonly suspended: number;
 };
 
 /** The replica takes no new work while its change may be under way. */
@@ -167,7 +173,7 @@
 
 async function orderChange(
   source: StageLoopSource,
-  { service, change, lease }: Wanted,
+  { service, change, lease, suspended }: Wanted,
 ): Promise<Try> {
   const { context } = source;
   const { dialect, pool, clock } = context;
@@ -177,6 +183,8 @@
   if (!report || report.changing) return FAILED_TRY;
   if (report.stage === change.stage) return FAILED_TRY;
   if (clock.now() >= lease.until) return FAILED_TRY;
+  // By the time that passed while this host slept the lease may have ended.
+  if (context.suspensions.check() !== suspended) return FAILED_TRY;
   const outcome = await order(source, change, {
     lease,
     ifOrders: report.orders,
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -89,6 +89,7 @@
       synchronizer,
       createClient: source.createClient,
     });
+    context.suspensions.listen((forMs) => this.#wake(forMs));
     this.#catchup = new ConfigCatchup({
       context,
       directory,
@@ -97,6 +98,12 @@
     });
   }
 
+  #wake(forMs: Milliseconds): void {
+    this.#synchronizer.forgetAges(forMs);
+    this.#follower.forgetClocks();
+    this.#storeLoops.forgetClock();
+  }
+
   /** Starts all loops. */
   start(): void {
     const { context, self, directory, store } = this.#source;
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -61,7 +61,7 @@
 export type HallFollowerSource = {
   readonly context: Pick<
     GatewayContext,
-    "clock" | "events" | "replicas" | "routes"
+    "clock" | "suspensions" | "events" | "replicas" | "routes"
   >;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
@@ -86,6 +86,8 @@
   readonly #source: HallFollowerSource;
   readonly #orders: HostOrders;
   readonly #suspects = new Map<HostId, Milliseconds>();
+  /** Of the hosts to which links stand. */
+  readonly #clocks = new Set<RemoteClock>();
   #reader: HostId;
   #link: Link | undefined;
   /** Takes the other's place once it has told a fresh word of the store. */
@@ -110,6 +112,15 @@
     return [this.#link, this.#next?.link].filter((one) => one !== undefined);
   }
 
+  /** This host's clock stood still: its readers' clocks are read anew. */
+  forgetClocks(): void {
+    const { clock } = this.#source.context;
+    for (const one of this.#clocks) one.forget();
+    this.#syncedAt = -Infinity;
+    this.#syncClock(clock.now());
+    this.#next?.link.send({ type: "sync", sentAt: clock.now() });
+  }
+
   /** Whether this host relays between the reader of the fleet and its hall. */
   get isRelay(): boolean {
     const { self, directory } = this.#source;
@@ -176,6 +187,7 @@
       clock: context.clock,
     };
     const clock = new RemoteClock();
+    this.#clocks.add(clock);
     const named = { reader: host.id, address: host.address };
     const link: Link = openLink(target, {
       ready: () => {
@@ -183,7 +195,10 @@
         this.#source.crashes.greet(link);
       },
       line: (text) => this.#take(text, { link, clock, ...named }),
-      closed: () => this.#ended(link),
+      closed: () => {
+        this.#clocks.delete(clock);
+        this.#ended(link);
+      },
     });
     return { link, clock, ...named };
   }
@@ -236,6 +251,8 @@
 
   #take(text: string, from: Omit<NextLink, "openedAt">): void {
     const message = readJson(ReaderMessageSchema, text);
+    // What lay in a buffer while this host slept was told before its end.
+    this.#source.context.suspensions.check();
     const { link, reader, address } = from;
     if (message?.type === "crashes") {
       return this.#source.crashes.take(link, message);
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -96,6 +96,13 @@
     this.#watch.abort();
   }
 
+  /** This host's clock stood still: the store's is read anew with a listing. */
+  forgetClock(): void {
+    this.#storeClock.forget();
+    this.#isWhole = false;
+    this.#watch.abort();
+  }
+
   /** Reads the configuration now; whether the store answered. */
   async readConfig(): Promise<boolean> {
     return await this.#readConfig(undefined) !== undefined;
@@ -260,13 +267,16 @@
   }
 
   async #watchConfig(revision: number): Promise<ConfigReading | undefined> {
-    const { context: { clock }, store, times } = this.#source;
+    const { context, store, times } = this.#source;
+    const { clock, suspensions } = context;
     this.#watch = new AbortController();
     const watch = this.#watch;
     const { watchMs, timeoutMs } = times;
+    const suspended = suspensions.check();
     const cancel = clock.after(watchMs + timeoutMs, () => watch.abort());
     try {
-      return await store.watchConfig(revision, watchMs, watch.signal);
+      const read = await store.watchConfig(revision, watchMs, watch.signal);
+      return suspensions.check() === suspended ? read : undefined;
     } catch (error) {
       this.#noteFault("watch", String(error));
       return undefined;
@@ -283,8 +293,9 @@
     work: (signal: AbortSignal) => Promise<Value>,
     timeoutMs = this.#source.times.timeoutMs,
   ): Promise<Value | undefined> {
-    const { context: { clock, metrics } } = this.#source;
+    const { context: { clock, metrics, suspensions } } = this.#source;
     const startedAt = clock.now();
+    const suspended = suspensions.check();
     const value = await within({
       clock,
       timeoutMs,
@@ -293,6 +304,7 @@
     });
     metrics.count(value === undefined ? "store_failures" : "store_calls");
     metrics.time(Timing.storeCall, clock.now() - startedAt);
-    return value;
+    // What was answered before this host slept says nothing of the present.
+    return suspensions.check() === suspended ? value : undefined;
   }
 }
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -73,6 +73,17 @@
     return now - this.#configAsOf;
   }
 
+  /**
+   * The machine was suspended, so all words of the store are older than they
+   * seem: none of them counts as a word any more.
+   */
+  forgetAges(forMs: Milliseconds): void {
+    this.#context.events.note("suspended", { for_ms: Math.round(forMs) });
+    this.#readAt = undefined;
+    this.#told = undefined;
+    this.#configAsOf = -Infinity;
+  }
+
   /**
    * The store had no newer version than this at `asOf`, by this host's clock:
    * a moment that surely lies before the store was read.
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -15,6 +15,7 @@
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { quietWatch } from "../crashes/quiet_watch.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
+import { neverSuspended } from "../never_suspended.ts";
 
 function host(id: string, address = "127.0.0.1:1"): HostEntry {
   return { id, address, hall: "h" };
@@ -78,6 +79,7 @@
       random: () => 0,
       routes: new RouteTable(),
       crashes: quietWatch(),
+      suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     self,
     store,
--- a/test/gateway/peers/peer_loop_test.ts
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -9,6 +9,7 @@
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { quietWatch } from "../crashes/quiet_watch.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
+import { neverSuspended } from "../never_suspended.ts";
 
 /** The pauses that the loops begin with, the store not answering. */
 function firstPauses(routes: RouteTable): number[] {
@@ -24,6 +25,7 @@
       clock: { now: () => 0, after },
       routes,
       crashes: quietWatch(),
+      suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     self,
     store: { readRows: never, writeRow: never } as unknown as Store,
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -23,6 +23,7 @@
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
 import { probeAddress } from "../../src/gateway/upstreams/probe.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
+import { neverSuspended } from "./never_suspended.ts";
 import { testDialect } from "./dialect.ts";
 import {
   type RawAnswer,
@@ -227,6 +228,7 @@
   return {
     self: { id: "host", hall: "hall", run: "1" },
     clock: systemClock,
+    suspensions: neverSuspended(),
     random: () => 0,
     dialect: testDialect,
     routes,
--- a/test/gateway/stages/stage_loop_test.ts
+++ b/test/gateway/stages/stage_loop_test.ts
@@ -12,6 +12,7 @@
 import { runStageLoop } from "../../../src/gateway/stages/stage_loop.ts";
 import { ENGINE } from "../rig.ts";
 import { replicaEntry } from "../replica_entry.ts";
+import { neverSuspended } from "../never_suspended.ts";
 
 const SWITCH_MS = 6000;
 /** An order without an answer may be carried out so much later. */
@@ -90,6 +91,7 @@
     events: { note: () => undefined },
     metrics: new Metrics(),
     stop: { graceMs: 8000 },
+    suspensions: neverSuspended(),
   } as unknown as GatewayContext;
   const store = {
     readRows: () => Promise.resolve({ rows: [], nowMs: clock.now() }),
--- a/test/gateway/state/fleet_store.ts
+++ b/test/gateway/state/fleet_store.ts
@@ -20,6 +20,8 @@
   /** Calls by kind. */
   readonly calls = new Map<string, number>();
   readonly #clock: Clock;
+  /** The hosts' own. */
+  readonly #clocks = new Map<string, Clock>();
   readonly #treatments = new Map<string, Treatment>();
   readonly #watches = new Set<Watch>();
   readonly #rows = new Map<string, StoreRow>();
@@ -46,8 +48,9 @@
     }
   }
 
-  /** The store as a host calls it. */
-  of(host: string): Store {
+  /** The store as a host calls it, whose clock says when it can hear. */
+  of(host: string, clock: Clock = this.#clock): Store {
+    this.#clocks.set(host, clock);
     const answer = <Value>(kind: string, value: () => Value) =>
       this.#answer(host, kind, value);
     const held = <Value>(
@@ -95,6 +98,11 @@
     };
   }
 
+  #reach(host: string, end: () => void): void {
+    const clock = this.#clocks.get(host) ?? this.#clock;
+    clock.after(STORE_WAY_MS, end);
+  }
+
   #reading(since: number): ConfigReading {
     const config = this.#revision > since ? this.#config : undefined;
     return { revision: this.#revision, ...(config ? { config } : {}) };
@@ -112,7 +120,7 @@
         if (treatment === "silent") return;
         if (treatment === "reset") return reject(new Error("Reset"));
         const read = value();
-        this.#clock.after(STORE_WAY_MS, () => resolve(read));
+        this.#reach(host, () => resolve(read));
       });
     });
   }
@@ -133,7 +141,7 @@
       const settle = (end: () => void) => {
         this.#watches.delete(watch);
         cancel();
-        this.#clock.after(STORE_WAY_MS, end);
+        this.#reach(host, end);
       };
       const watch: Watch = {
         host,
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -16,6 +16,7 @@
 import { quietSharing } from "../crashes/quiet_watch.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { StateServer } from "../../../src/gateway/state/state_server.ts";
+import { neverSuspended } from "../never_suspended.ts";
 
 /** Timers that go on for the life of a process do not keep this one. */
 const clock: Clock = {
@@ -34,6 +35,7 @@
     routes: new RouteTable(),
     replicas: new ReplicaTable(),
     events: { note: (name: string) => events.push(name) },
+    suspensions: neverSuspended(),
   } as unknown as GatewayContext;
   return { context, events };
 }
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -6,6 +6,8 @@
 import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { CrashWatch } from "../../../src/gateway/crashes/crash_watch.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
+import type { Clock } from "../../../src/gateway/clock.ts";
+import { SuspensionWatch } from "../../../src/gateway/suspension.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
 import type { Link, LinkEvents } from "../../../src/gateway/peers/link.ts";
@@ -35,8 +37,12 @@
   readonly state: FleetState;
   /** When each version came into force. */
   readonly adoptedAt: Map<number, number>;
+  readonly sleep: Sleep;
 };
 
+/** When a host is suspended, and for how long it was in all. */
+type Sleep = { until: number; total: number };
+
 type OpenLink = {
   readonly from: string;
   readonly to: string;
@@ -115,6 +121,33 @@
     }
   }
 
+  /**
+   * A host's machine is suspended: it does nothing, its steady clock stands
+   * still, and what comes for it meanwhile is there when it wakes.
+   */
+  suspend({ sleep }: FleetHost, forMs: number): void {
+    sleep.until = this.now + forMs;
+    sleep.total += forMs;
+  }
+
+  /** The clock of a host: its timers fire when it is awake. */
+  #clockOf(sleep: Sleep): Clock {
+    const { clock } = this.#time;
+    return {
+      now: () => clock.now() - sleep.total,
+      after: (delayMs, work) => {
+        let cancel = () => {};
+        const fire = () => {
+          const leftMs = sleep.until - clock.now();
+          if (leftMs > 0) cancel = clock.after(leftMs, fire);
+          else work();
+        };
+        cancel = clock.after(delayMs, fire);
+        return () => cancel();
+      },
+    };
+  }
+
   #isCutBetween(from: string, to: string): boolean {
     return this.#isCut(this.#hostOf(from), this.#hostOf(to));
   }
@@ -125,7 +158,12 @@
   }
 
   #makeHost(entry: HostEntry, entries: readonly HostEntry[]): FleetHost {
-    const { clock } = this.#time;
+    const sleep = { until: 0, total: 0 };
+    const clock = this.#clockOf(sleep);
+    const suspensions = new SuspensionWatch({
+      steadyNow: clock.now,
+      dayNow: () => this.#time.now,
+    });
     const routes = new RouteTable();
     const adoptedAt = new Map<number, number>();
     const events = { note: () => undefined };
@@ -140,6 +178,7 @@
     const context = {
       self: { id: entry.id, hall: entry.hall, run: "1" },
       clock,
+      suspensions,
       random: this.#random,
       routes,
       replicas: new ReplicaTable(),
@@ -154,14 +193,14 @@
       context,
       self: entry,
       directory,
-      store: this.store.of(entry.id),
+      store: this.store.of(entry.id, clock),
       times: TIMES,
       openLink: ({ address }, events) =>
         this.#openLink(entry.id, address, events),
       createClient: (address) => this.#clientOf(entry.id, address),
       onConfig: ({ version }) => adoptedAt.set(version, this.#time.now),
     });
-    return { entry, routes, directory, context, state, adoptedAt };
+    return { entry, routes, directory, context, state, adoptedAt, sleep };
   }
 
   #hostOf(id: string): FleetHost {
@@ -183,9 +222,11 @@
       this.#time.clock.after(WAY_MS, () => toEvents?.closed());
     };
     const lineTo =
-      (events: () => LinkEvents | undefined) => (message: object) => {
+      (host: FleetHost, events: () => LinkEvents | undefined) =>
+      (message: object) => {
         const text = JSON.stringify(message);
-        this.#time.clock.after(WAY_MS, () => {
+        // By the receiver's clock: a line waits for it to wake.
+        this.#clockOf(host.sleep).after(WAY_MS, () => {
           if (isOpen && !isCut()) events()?.line(text);
         });
       };
@@ -198,11 +239,11 @@
     this.#time.clock.after(WAY_MS, () => {
       to.state.server.join((events) => {
         toEvents = events;
-        return { send: lineTo(() => fromEvents), close };
+        return { send: lineTo(this.#hostOf(from), () => fromEvents), close };
       });
     });
     this.#time.clock.after(2 * WAY_MS, () => isOpen && fromEvents.ready?.());
-    return { send: lineTo(() => toEvents), close };
+    return { send: lineTo(to, () => toEvents), close };
   }
 
   #clientOf(from: string, address: string): JsonClient {
--- a/test/gateway/state/store_loops_test.ts
+++ b/test/gateway/state/store_loops_test.ts
@@ -9,6 +9,7 @@
 import type { HallFollower } from "../../../src/gateway/state/hall_follower.ts";
 import { StoreLoops } from "../../../src/gateway/state/store_loops.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
+import { neverSuspended } from "../never_suspended.ts";
 
 /** When a host whose store is away calls it, over ten seconds. */
 async function callsWhileAway(reader: string): Promise<string[]> {
@@ -38,6 +39,7 @@
       events: { note: () => undefined },
       routes,
       replicas: new ReplicaTable(),
+      suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     store: {
       readReplicas: fail("list"),
@@ -104,6 +106,7 @@
       events: { note: () => undefined },
       routes: new RouteTable(),
       replicas: new ReplicaTable(),
+      suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     store: {
       readReplicas: (signal: AbortSignal) => {
