What a host tells of crashes fits a link and a row

Cause: found by reading. A full table of crashes was 1.6 MB as a message, more than a link may hold unsent, so that each new link would have been cut and opened again; a host's row had no bound, and the store takes 64 KB.

Change: eight crashes are kept of a request (the verdict needs five), 50 requests with the most crashes go into a row. Test: crash_table_test, with a full table.

--- a/src/gateway/crashes/crash_table.ts
+++ b/src/gateway/crashes/crash_table.ts
@@ -35,8 +35,11 @@
  * crash: 1,000 are those of fifty replicas with twenty requests each.
  */
 const MOST_REQUESTS = 1000;
-/** Crashes that are kept of one request. */
-const MOST_CRASHES = 16;
+/**
+ * Crashes that are kept of one request; more decide nothing. All that is kept is
+ * less than 800 KB as a message, so a link that may hold 1 MB takes it.
+ */
+const MOST_CRASHES = 8;
 
 type Suspect = {
   /** When each replica crashed under the request. */
@@ -97,12 +100,21 @@
     return this.#newsOf([...this.#suspects]);
   }
 
-  /** What is known of requests under which `least` replicas crashed. */
-  worst(least: number, now: Milliseconds): CrashNews {
+  /**
+   * What is known of requests under which `least` replicas crashed, of those with
+   * the most first; of `most` requests.
+   */
+  worst(
+    { least, most }: { readonly least: number; readonly most: number },
+    now: Milliseconds,
+  ): CrashNews {
     this.#forget(now);
     const entries = [...this.#suspects]
-      .filter(([, one]) => countedOf(one).length >= least);
-    return this.#newsOf(entries);
+      .map((one) => ({ one, count: countedOf(one[1]).length }))
+      .filter(({ count }) => count >= least)
+      .sort((a, b) => b.count - a.count)
+      .slice(0, most);
+    return this.#newsOf(entries.map(({ one }) => one));
   }
 
   #newsOf(entries: readonly (readonly [string, Suspect])[]): CrashNews {
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -23,6 +23,8 @@
  * listing is read each 700 ms: who broke longer ago did not break by its crash.
  */
 const GONE_WINDOW_MS = 6000;
+/** What a host's row has: 50 requests are at most 40 KB, of 64 KB a row. */
+const WORST = { least: 2, most: 50 };
 /** Replicas of which broken sends are kept, and sends of each. */
 const MOST_REPLICAS = 300;
 const MOST_BREAKS = 100;
@@ -186,7 +188,7 @@
 
   /** What is known of requests under which several replicas crashed. */
   worst(): CrashNews {
-    return this.#table.worst(2, this.#source.clock.now());
+    return this.#table.worst(WORST, this.#source.clock.now());
   }
 
   async #probe(entry: ReplicaEntry, watched: Watched): Promise<void> {
--- a/test/gateway/crashes/crash_table_test.ts
+++ b/test/gateway/crashes/crash_table_test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import * as fc from "fast-check";
 import { CrashTable } from "../../../src/gateway/crashes/crash_table.ts";
+import { encodeCrashes } from "../../../src/gateway/crashes/crash_messages.ts";
 import type {
   Acquittal,
   CrashNews,
@@ -135,7 +136,25 @@
   );
   table.take(news(many), 0);
   const all = table.all(0).records;
-  assert.ok(all.filter((one) => one.fingerprint === "guilty").length <= 16);
+  assert.ok(all.filter((one) => one.fingerprint === "guilty").length <= 8);
+});
+
+test("what is told of a full table fits a link and a row", () => {
+  const table = new CrashTable(RULE);
+  const incarnations = Array.from(
+    { length: 8 },
+    (_, at) => `i-${"0".repeat(10)}${at}@${1e12}`,
+  );
+  for (let at = 0; at < 1000; at++) {
+    const fingerprint = String(at).padStart(32, "0");
+    table.take(news(crashes(incarnations, fingerprint)), NOW);
+  }
+  const sizeOf = (told: CrashNews) =>
+    JSON.stringify(encodeCrashes(told, NOW)).length;
+  assert.ok(sizeOf(table.all(NOW)) < 1 << 20);
+  const worst = table.worst({ least: 2, most: 50 }, NOW);
+  assert.equal(worst.records.length, 400);
+  assert.ok(sizeOf(worst) < 48 * 1024);
 });
 
 const Fingerprint = fc.constantFrom("r", "s", "t", "u");
