--- /dev/null
+++ b/bench/crashes/main.ts
@@ -0,0 +1,50 @@
+/** What remembering crashes costs a host: `npm run bench:crashes`. */
+import { encodeCrashes } from "../../src/gateway/crashes/crash_messages.ts";
+import { CrashTable } from "../../src/gateway/crashes/crash_table.ts";
+import { fingerprintOf } from "../../src/gateway/crashes/fingerprint.ts";
+
+const ROUNDS = 200;
+const RULE = { most: 3, lifeMs: 300_000 };
+
+/** Milliseconds for each of `ROUNDS` rounds. */
+function measure(work: (round: number) => void): number {
+  const startedAt = performance.now();
+  for (let round = 0; round < ROUNDS; round++) work(round);
+  return (performance.now() - startedAt) / ROUNDS;
+}
+
+for (const bytes of [2_000, 64_000, 4_000_000]) {
+  const source = {
+    method: "POST",
+    host: "example",
+    target: "/path",
+    customer: "customer",
+    body: Buffer.alloc(bytes, "x"),
+  };
+  const ms = measure(() => fingerprintOf(source));
+  console.log(`${bytes} bytes of a body: ${ms.toFixed(3)} ms to name it`);
+}
+
+for (const requests of [20, 1000]) {
+  const table = new CrashTable(RULE);
+  const nameOf = (at: number) => String(at).padStart(32, "0");
+  const crash = (at: number, replica: string) => ({
+    fingerprint: nameOf(at),
+    incarnation: replica,
+    at: at * 100,
+  });
+  const records = Array.from(
+    { length: requests },
+    (_, at) => crash(at, `i-${at % 50}`),
+  );
+  table.take({ records, acquittals: [] }, 0);
+  const ms = measure((round) => {
+    const one = crash(round % requests, `j-${round}`);
+    table.take({ records: [one], acquittals: [] }, 0);
+  });
+  const size = JSON.stringify(encodeCrashes(table.all(0), 0)).length;
+  console.log(
+    `${requests} requests: ${ms.toFixed(3)} ms for one more crash, ` +
+      `${Math.round(size / 1000)} KB to tell all`,
+  );
+}
