--- a/test/gateway/crashes/crash_fleet_test.ts
+++ b/test/gateway/crashes/crash_fleet_test.ts
@@ -114,3 +114,17 @@
   await fleet.runTo(FORMED_MS + 8000 + ROWS_MS);
   assert.equal(holdBack(fleet.hosts, "guilty"), 9);
 });
+
+test("what all hosts knew outlives them in the store", async () => {
+  const fleet = new StateFleet(3, 9);
+  await fleet.runTo(FORMED_MS);
+  for (const replica of ["a", "b", "c"]) {
+    crash(fleet.hosts[0] as FleetHost, "guilty", replica);
+  }
+  await fleet.runTo(FORMED_MS + 2000);
+  // Nobody answers the host that starts then, as if all had been killed.
+  fleet.cut((from, to) => from !== to);
+  const added = fleet.add();
+  await fleet.runTo(FORMED_MS + 2500);
+  assert.equal(holdBack([added], "guilty"), 1);
+});
