--- a/src/gateway/crashes/crash_table.ts
+++ b/src/gateway/crashes/crash_table.ts
@@ -238,7 +238,10 @@
     .map(([incarnation]) => incarnation);
 }
 
-/** Another replica crashed together with it, and the request wasn't there. */
+/**
+ * Another replica crashed together with it, and the request wasn't there: then a
+ * cause in common (a rack, a release, an operator) has ended both.
+ */
 function hasOtherCause(
   incarnation: string,
   { crashes }: Suspect,
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -42,6 +42,7 @@
   hasListened: boolean;
 };
 
+/** What is remembered of one start of a replica. */
 type Watched = {
   breaks: Break[];
   /** Under way: whether the replica still listens. */
@@ -256,6 +257,7 @@
   }
 }
 
+/** The replica's side ended the send, and it was not seen to listen since. */
 function isUnseen({ isByReplica, hasListened }: Break): boolean {
   return isByReplica && !hasListened;
 }
