The soak's calls of one host and the end of its hosts are one piece each

Cause: the test of a crashing request wrote again what the soak's run had: one call to one host, and the end of processes and proxies. Both are in fleet.ts now and serve both. Tests only; no assertion changes, and the gateway's bundle is the same.

--- a/test/soak/crashing_request_test.ts
+++ b/test/soak/crashing_request_test.ts
@@ -15,11 +15,16 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
-import { xoroshiro128plus } from "pure-rand";
 import { CRASHING_BODY } from "../platform/replica_standin.ts";
 import { knownRed } from "../known_red.ts";
-import { CallKind, runCaller, type Seen } from "./callers.ts";
-import { type FleetHost, makeHosts, versionAt } from "./fleet.ts";
+import { CallKind, type Seen } from "./callers.ts";
+import {
+  callHost,
+  endHosts,
+  type FleetHost,
+  makeHosts,
+  versionAt,
+} from "./fleet.ts";
 import { pause } from "./strike.ts";
 import { World } from "./world.ts";
 
@@ -31,25 +36,12 @@
 const KNOWN_MS = 3000;
 const PAUSE_MS = 200;
 
-async function callOnce(
+function callOnce(
   host: FleetHost,
   call: { readonly kind: CallKind; readonly body?: string },
 ): Promise<Seen> {
-  const all: Seen[] = [];
-  await runCaller({
-    hosts: [{ name: host.process.name, address: host.callers }],
-    random: xoroshiro128plus(1),
-    name: `${call.kind}-${host.process.name}-${performance.now()}`,
-    kinds: [call.kind],
-    ...(call.body === undefined ? {} : { body: call.body }),
-    most: 1,
-    isIn: () => true,
-    isOver: () => false,
-    saw: (seen) => all.push(seen),
-  });
-  const [seen] = all;
-  if (!seen) throw new Error("The caller saw nothing");
-  return seen;
+  const id = `${call.kind}-${host.process.name}-${performance.now()}`;
+  return callHost(host, { ...call, id });
 }
 
 async function untilAllServe(hosts: readonly FleetHost[], world: World) {
@@ -92,11 +84,7 @@
     }
     assert.equal(world.crashed.length, before);
   } finally {
-    for (const { process, storePath, peerPath } of hosts) {
-      await process.kill();
-      storePath.stop();
-      peerPath.stop();
-    }
+    await endHosts(hosts);
     world.stop();
     rmSync(folder, { recursive: true });
   }
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -2,6 +2,8 @@
 import { once } from "node:events";
 import { request } from "node:http";
 import { createServer } from "node:net";
+import { xoroshiro128plus } from "pure-rand";
+import { type CallKind, runCaller, type Seen } from "./callers.ts";
 import { type FaultProxy, startProxy } from "./fault_proxy.ts";
 import { GatewayProcess } from "./gateway_process.ts";
 import { HALLS } from "./world.ts";
@@ -114,6 +116,42 @@
 `;
 }
 
+/** Ends the processes, also those that stand still, and their proxies. */
+export async function endHosts(hosts: readonly FleetHost[]): Promise<void> {
+  for (const { process, storePath, peerPath } of hosts) {
+    process.resume();
+    await process.kill();
+    storePath.stop();
+    peerPath.stop();
+  }
+}
+
+/** Sends one request to a host, as a caller who waits for its end. */
+export async function callHost(
+  { process, callers }: FleetHost,
+  call: {
+    readonly id: string;
+    readonly kind: CallKind;
+    readonly body?: string;
+  },
+): Promise<Seen> {
+  const all: Seen[] = [];
+  await runCaller({
+    hosts: [{ name: process.name, address: callers }],
+    random: xoroshiro128plus(1),
+    name: call.id,
+    kinds: [call.kind],
+    ...(call.body === undefined ? {} : { body: call.body }),
+    most: 1,
+    isIn: () => true,
+    isOver: () => false,
+    saw: (seen) => all.push(seen),
+  });
+  const [seen] = all;
+  if (!seen) throw new Error(`Nothing was seen of "${call.id}"`);
+  return seen;
+}
+
 /** The balancer's check of one host. */
 export async function checkReadiness(host: FleetHost): Promise<void> {
   const answer = await ask(host.readiness, "/readiness");
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -11,7 +11,9 @@
   type Violation,
 } from "./checks.ts";
 import {
+  callHost,
   checkReadiness,
+  endHosts,
   type FleetHost,
   isIn,
   makeHosts,
@@ -133,12 +135,7 @@
   async end(): Promise<void> {
     this.#isOver = true;
     this.#hasEnded = true;
-    for (const { process, storePath, peerPath } of this.#hosts) {
-      process.resume();
-      await process.kill();
-      storePath.stop();
-      peerPath.stop();
-    }
+    await endHosts(this.#hosts);
     this.#world.stop();
   }
 
@@ -248,21 +245,10 @@
     for (const kind of Object.values(CallKind)) {
       const { name } = host.process;
       const at = `${Math.round(performance.now())}-${round}`;
-      let isServed = false;
-      await runCaller({
-        hosts: [{ name, address: host.callers }],
-        random: xoroshiro128plus(1),
-        name: `probe-${name}-${kind}-${at}`,
-        kinds: [kind],
-        most: 1,
-        isIn: () => true,
-        isOver: () => false,
-        saw: (seen) => {
-          this.#seen.push(seen);
-          isServed = seen.status === 200 && seen.isComplete;
-        },
-      });
-      if (!isServed) return false;
+      const id = `probe-${name}-${kind}-${at}`;
+      const seen = await callHost(host, { id, kind });
+      this.#seen.push(seen);
+      if (seen.status !== 200 || !seen.isComplete) return false;
     }
     return true;
   }
