--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -5,7 +5,11 @@
 export * from "./replicas/model.ts";
 export { type RunningGateway, startGateway } from "./gateway.ts";
 export { withoutHeaders } from "./http/headers.ts";
-export { createJsonClient, type JsonClient } from "./upstreams/json_client.ts";
+export {
+  createJsonClient,
+  type JsonAnswer,
+  type JsonClient,
+} from "./upstreams/json_client.ts";
 export { parseAddress } from "../util/address.ts";
 export { systemClock } from "./clock.ts";
 export { runGateway } from "./program.ts";
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -41,6 +41,11 @@
   ),
   storeLost: warn("store", "The store does not answer", BELIEFS_PER_SECOND),
   storeBack: info("store", "The store answers again", BELIEFS_PER_SECOND),
+  listingOlder: warn(
+    "store",
+    "A listing of the store is older than the one held, and is dropped",
+    2,
+  ),
   callFailed: warn("store", "A call to the store or a peer failed", 5),
   readerChosen: info("store", "Another host reads the store", 20),
   readerLeft: warn("store", "The hall's reader is of no use", 20),
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -157,6 +157,11 @@
 /** What the store told at a moment of its steady clock. */
 type Timed = {
   readonly nowMs: Milliseconds;
+  /**
+   * How often the store came back from an older copy of itself; undefined: it
+   * doesn't say.
+   */
+  readonly era?: number;
   readonly faults?: readonly RowFault[];
 };
 /** A listing of replicas, with the store's clock. */
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -8,7 +8,7 @@
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
 import { RemoteClock } from "../peers/remote_clock.ts";
-import type { ConfigReading, Store } from "../port.ts";
+import type { ConfigReading, Store, TimedListing } from "../port.ts";
 import type { HallFollower } from "./hall_follower.ts";
 import { RowFaults } from "./row_faults.ts";
 import type { Synchronizer } from "./synchronizer.ts";
@@ -178,7 +178,16 @@
     this.#storeClock.note(echo, clock.now());
     this.#storeAsOf = askedAt;
     // What is older than what is known here says nothing of the present.
-    return synchronizer.takeListing(listing, "store") ? "taken" : "older";
+    if (synchronizer.takeListing(listing, "store")) return "taken";
+    this.#noteOlder(listing);
+    return "older";
+  }
+
+  #noteOlder({ revision, nowMs, era }: TimedListing): void {
+    const { replicas, events } = this.#source.context;
+    const held = replicas.revision;
+    const fields = { revision, held, era, store_ms: Math.round(nowMs) };
+    events.note("listingOlder", fields);
   }
 
   /** A long listing comes in several answers, each with the time of a call. */
--- a/src/gateway/upstreams/json_client.ts
+++ b/src/gateway/upstreams/json_client.ts
@@ -1,11 +1,16 @@
 /** Small JSON calls to one address over kept connections. */
-import { Agent } from "node:http";
+import { Agent, type IncomingHttpHeaders } from "node:http";
 import type { SmallCall } from "../port.ts";
 import type { Clock } from "../clock.ts";
 import { readWhole, startCall } from "./call.ts";
 
 /** An answer read whole. */
-export type JsonAnswer = { readonly status: number; readonly body: string };
+export type JsonAnswer = {
+  readonly status: number;
+  readonly body: string;
+  /** Absent where no transport brought it. */
+  readonly headers?: IncomingHttpHeaders;
+};
 
 /** A client of one address. */
 export type JsonClient = {
@@ -54,7 +59,8 @@
     if (outcome.type !== "answer") throw new Error(outcome.reason);
     const body = await readWhole(outcome.answer, BODY_LIMIT);
     if (body === undefined) throw new Error("The answer was cut off");
-    return { status: outcome.answer.message.statusCode ?? 0, body };
+    const { statusCode = 0, headers } = outcome.answer.message;
+    return { status: statusCode, body, headers };
   } finally {
     signal.removeEventListener("abort", abort);
   }
