Tests that fail: what a store confirms after it came back from an older copy

The stand-ins of the store, in virtual time and over HTTP, can come back from a copy; the one over HTTP tells its era and answers 410 to a place that it doesn't have.

--- a/test/gateway/state/fleet_store.ts
+++ b/test/gateway/state/fleet_store.ts
@@ -2,6 +2,8 @@
 import type { Clock } from "../../../src/gateway/clock.ts";
 import type {
   ConfigReading,
+  ListingChanges,
+  ReplicaEntry,
   RouteConfig,
   Store,
   StoreRow,
@@ -15,7 +17,22 @@
 /** A call that waits for a change, or for its time to be over. */
 type Watch = { wake(): void; fail(): void; readonly host: string };
 
-/** A configuration, rows of hosts, and a listing without replicas. */
+/** A replica's row, or that it is gone, and when that was written. */
+type ReplicaRow = {
+  readonly entry?: ReplicaEntry;
+  readonly revision: number;
+};
+
+/** All that the store keeps; its revision rises with each write. */
+export type StoreCopy = {
+  readonly revision: number;
+  readonly config: RouteConfig | undefined;
+  readonly configRevision: number;
+  readonly replicas: ReadonlyMap<string, ReplicaRow>;
+  readonly rows: ReadonlyMap<string, StoreRow>;
+};
+
+/** A configuration, rows of hosts, and a listing of replicas. */
 export class FleetStore {
   /** Calls by kind. */
   readonly calls = new Map<string, number>();
@@ -24,9 +41,12 @@
   readonly #clocks = new Map<string, Clock>();
   readonly #treatments = new Map<string, Treatment>();
   readonly #watches = new Set<Watch>();
-  readonly #rows = new Map<string, StoreRow>();
+  #rows = new Map<string, StoreRow>();
+  #replicas = new Map<string, ReplicaRow>();
   #config: RouteConfig | undefined;
+  #configRevision = 1;
   #revision = 1;
+  #era = 1;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -36,6 +56,51 @@
   publish(config: RouteConfig): void {
     this.#revision += 1;
     this.#config = config;
+    this.#configRevision = this.#revision;
+    this.#wake();
+  }
+
+  /** A replica writes its row. */
+  list(entry: ReplicaEntry): void {
+    this.#revision += 1;
+    this.#replicas.set(entry.id, { entry, revision: this.#revision });
+    this.#wake();
+  }
+
+  /** A replica's row goes. */
+  unlist(id: string): void {
+    this.#revision += 1;
+    this.#replicas.set(id, { revision: this.#revision });
+    this.#wake();
+  }
+
+  /** Some write that concerns none of the rows here: the counter rises. */
+  pass(writes: number): void {
+    this.#revision += writes;
+  }
+
+  /** What the store keeps now. */
+  copy(): StoreCopy {
+    return {
+      revision: this.#revision,
+      config: this.#config,
+      configRevision: this.#configRevision,
+      replicas: new Map(this.#replicas),
+      rows: new Map(this.#rows),
+    };
+  }
+
+  /** The store comes back from an older copy: what came since is gone. */
+  restore(copy: StoreCopy): void {
+    this.#era += 1;
+    this.#revision = copy.revision;
+    this.#config = copy.config;
+    this.#configRevision = copy.configRevision;
+    this.#replicas = new Map(copy.replicas);
+    this.#rows = new Map(copy.rows);
+  }
+
+  #wake(): void {
     for (const watch of [...this.#watches]) watch.wake();
   }
 
@@ -56,55 +121,78 @@
     const held = <Value>(
       kind: string,
       call: {
-        readonly revision: number;
         readonly waitMs: number;
+        readonly isDue: () => boolean;
         readonly value: () => Value;
       },
     ) => this.#hold(host, kind, call);
-    const nowMs = () => ({ nowMs: this.#clock.now() });
+    const times = () => ({ nowMs: this.#clock.now(), era: this.#era });
     return {
       readReplicas: () =>
         answer("replicas", () => ({
           revision: this.#revision,
-          entries: [],
-          ...nowMs(),
+          entries: this.#entriesSince(0),
+          ...times(),
         })),
       watchReplicas: (since, waitMs) =>
         held("replicas", {
-          revision: Infinity,
           waitMs,
-          value: () => ({
-            since,
-            revision: Math.max(since, this.#revision),
-            changed: [],
-            gone: [],
-            ...nowMs(),
-          }),
+          isDue: () => this.#lacks(since) || this.#hasListedSince(since),
+          value: () =>
+            this.#lacks(since)
+              ? undefined
+              : { ...this.#changesSince(since), ...times() },
         }),
       readConfig: () => answer("config", () => this.#reading(0)),
-      watchConfig: (revision, waitMs) =>
+      watchConfig: (since, waitMs) =>
         held("config watch", {
-          revision,
           waitMs,
-          value: () => this.#reading(revision),
+          isDue: () => this.#lacks(since) || this.#configRevision > since,
+          value: () => this.#lacks(since) ? {} : this.#reading(since),
         }),
       readRows: () =>
-        answer("rows", () => ({ rows: [...this.#rows.values()], ...nowMs() })),
+        answer("rows", () => ({ rows: [...this.#rows.values()], ...times() })),
       writeRow: ({ key, value }) =>
         answer("row", () => {
-          this.#rows.set(key, { key, value, revision: 1 });
-          return { type: "written", revision: 1, ...nowMs() };
+          this.#revision += 1;
+          const revision = this.#revision;
+          this.#rows.set(key, { key, value, revision });
+          return { type: "written", revision, ...times() };
         }),
     };
   }
 
+  /** The store doesn't have such a revision. */
+  #lacks(revision: number): boolean {
+    return revision > this.#revision;
+  }
+
+  #hasListedSince(revision: number): boolean {
+    const rows = [...this.#replicas.values()];
+    return rows.some((row) => row.revision > revision);
+  }
+
+  #entriesSince(revision: number): ReplicaEntry[] {
+    return [...this.#replicas.values()]
+      .filter((row) => row.revision > revision)
+      .flatMap(({ entry }) => entry ? [entry] : []);
+  }
+
+  #changesSince(since: number): ListingChanges {
+    const gone = [...this.#replicas]
+      .filter(([, row]) => row.revision > since && !row.entry)
+      .map(([id]) => id);
+    const changed = this.#entriesSince(since);
+    return { since, revision: this.#revision, changed, gone };
+  }
+
   #reach(host: string, end: () => void): void {
     const clock = this.#clocks.get(host) ?? this.#clock;
     clock.after(STORE_WAY_MS, end);
   }
 
   #reading(since: number): ConfigReading {
-    const config = this.#revision > since ? this.#config : undefined;
+    const config = this.#configRevision > since ? this.#config : undefined;
     return { revision: this.#revision, ...(config ? { config } : {}) };
   }
 
@@ -125,13 +213,13 @@
     });
   }
 
-  /** Answers when something newer than `revision` is there, or after a time. */
+  /** Answers when there is something to tell, or after a time. */
   #hold<Value>(
     host: string,
     kind: string,
-    { revision, waitMs, value }: {
-      readonly revision: number;
+    { waitMs, isDue, value }: {
       readonly waitMs: number;
+      readonly isDue: () => boolean;
       readonly value: () => Value;
     },
   ): Promise<Value> {
@@ -147,7 +235,7 @@
         host,
         wake: () => {
           if (this.#treatments.get(host) === "silent") return;
-          if (this.#revision > revision) settle(() => resolve(value()));
+          if (isDue()) settle(() => resolve(value()));
         },
         fail: () => settle(() => reject(new Error("Reset"))),
       };
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -40,14 +40,26 @@
   remove(table: string, key: string): void;
   /** The store forgets its history: feeds get 410 once. */
   loseHistory(): void;
+  /** What the store keeps now. */
+  copy(): StoreCopy;
+  /** The store comes back from an older copy of itself. */
+  restore(copy: StoreCopy): void;
   stop(): void;
 };
 
+/** All rows, and the counter that rises with each write. */
+export type StoreCopy = {
+  readonly rows: ReadonlyMap<string, KeptRow>;
+  readonly ver: number;
+};
+
 type State = {
-  readonly rows: Map<string, KeptRow>;
+  rows: Map<string, KeptRow>;
   readonly watchers: Set<() => void>;
   ver: number;
   lostBefore: number;
+  /** Rises each time the store comes back from an older copy. */
+  era: number;
 };
 
 /** Starts a store on a free port. */
@@ -57,8 +69,10 @@
     watchers: new Set(),
     ver: 0,
     lostBefore: 0,
+    era: 1,
   };
   const server = createServer((request, response) => {
+    response.setHeader("Store-Era", state.era);
     if (store.mode === StoreMode.silent) return;
     if (store.mode === StoreMode.down) return send(response, 503, {});
     const answer = () => {
@@ -82,6 +96,14 @@
       state.lostBefore = state.ver + 1;
       wake(state);
     },
+    copy: () => ({ rows: new Map(state.rows), ver: state.ver }),
+    restore: ({ rows, ver }) => {
+      state.rows = new Map(rows);
+      state.ver = ver;
+      state.lostBefore = 0;
+      state.era += 1;
+      wake(state);
+    },
     stop: () => {
       server.closeAllConnections();
       server.close();
@@ -146,7 +168,8 @@
   const after = Number(url.searchParams.get("after"));
   const waitMs = Number(url.searchParams.get("WaitMs") ?? 0);
   const look = (isOver: boolean) => {
-    if (after < state.lostBefore) return done(410, {});
+    const isUnknown = after < state.lostBefore || after > state.ver;
+    if (isUnknown) return done(410, {});
     const rows = [...state.rows.values()];
     const changed = rows.some((row) => row.table === table && row.ver > after);
     if (changed || isOver) done(200, page(state, table, after));
@@ -159,6 +182,8 @@
   };
   const done = (status: number, body: object) => {
     forget();
+    // The store may have come back while the call was held.
+    response.setHeader("Store-Era", state.era);
     send(response, status, body);
   };
   state.watchers.add(watcher);
--- a/test/platform/store_test.ts
+++ b/test/platform/store_test.ts
@@ -7,6 +7,7 @@
   type Store,
   systemClock,
 } from "../../src/gateway/mod.ts";
+import { knownRed } from "../known_red.ts";
 import { startStore, type StoreStandin } from "./store_standin.ts";
 
 const SIGNAL = new AbortController().signal;
@@ -75,3 +76,27 @@
   standin.put("op", "config", "no object" as unknown as object);
   await assert.rejects(store.watchConfig(revision, 10, SIGNAL), /Unreadable/);
 });
+
+const ANOTHER =
+  "a watch from before the store came back from a copy is told that its history is gone";
+
+test(ANOTHER, knownRed(ANOTHER), async (t) => {
+  const { standin, store } = await start(t);
+  standin.put("servers", "a", REPLICA);
+  standin.put("op", "config", { Version: 1 });
+  const copy = standin.copy();
+  standin.put("servers", "b", REPLICA);
+  const listing = await store.readReplicas(SIGNAL);
+  const { revision = 0 } = await store.readConfig(SIGNAL);
+  standin.restore(copy);
+  const watches = () =>
+    Promise.all([
+      store.watchReplicas(listing.revision, 0, SIGNAL),
+      store.watchConfig(revision, 0, SIGNAL),
+    ]);
+  assert.deepEqual(await watches(), [undefined, {}]);
+  // The counter passes the old place: what lies below it would not be told.
+  standin.put("op", "config", { Version: 2 });
+  for (const key of ["c", "d", "e"]) standin.put("servers", key, REPLICA);
+  assert.deepEqual(await watches(), [undefined, {}]);
+});
