--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type { ReplicaTable } from "./replicas/replica_table.ts";
 import type { RetryBudget } from "./retries/retry_budget.ts";
 import type { RouteTable } from "./routing/route_table.ts";
+import type { StoreEras } from "./state/store_eras.ts";
 import type { SuspensionWatch } from "./suspension.ts";
 import type { UpstreamPool } from "./upstreams/pool.ts";
 
@@ -39,6 +40,7 @@
   };
   readonly clock: Clock;
   readonly suspensions: SuspensionWatch;
+  readonly eras: StoreEras;
   /** In [0, 1). */
   readonly random: () => number;
   readonly dialect: Dialect;
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -13,6 +13,7 @@
 import { ReplicaTable } from "./replicas/replica_table.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
+import { StoreEras } from "./state/store_eras.ts";
 import { SuspensionWatch } from "./suspension.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 import { probeAddress } from "./upstreams/probe.ts";
@@ -41,6 +42,7 @@
       steadyNow: clock.now,
       dayNow: Date.now,
     }),
+    eras: new StoreEras(events),
     random: Math.random,
     dialect: port.dialect,
     routes: new RouteTable(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import type { HostEntry, PlatformPort } from "./port.ts";
 import { Places } from "./planning/places.ts";
 import { PlanService } from "./planning/plan_service.ts";
+import { revisionOf } from "./position.ts";
 import { SettingsState } from "./settings_state.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { StoreTimes } from "./state/store_loops.ts";
@@ -207,7 +208,7 @@
   #metricsServer(): Server {
     return createServer((request, response) => {
       request.resume();
-      const { metrics, routes, replicas, clock, crashes } = this.#context;
+      const { metrics, routes, replicas, clock, crashes, eras } = this.#context;
       const age = this.#state.storeAgeMs(clock.now());
       const configAge = this.#state.configAgeMs(clock.now());
       const gauges = {
@@ -216,7 +217,8 @@
         quota_customers: this.#customers.owner.size,
         memory_waits: this.#plans.waiting,
         routes_version: routes.version,
-        replicas_revision: replicas.revision,
+        replicas_revision: revisionOf(replicas.revision),
+        store_era: eras.era,
         hosts_known: this.#directory.count,
         crash_suspects: crashes.suspects,
         crash_quarantined: crashes.quarantined,
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -1,5 +1,6 @@
 /** The gateway: routes that requests pass through unchanged. */
 export * from "./port.ts";
+export type { StorePlace } from "./position.ts";
 export * from "./routing/model.ts";
 export * from "./customers/model.ts";
 export * from "./replicas/model.ts";
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -41,6 +41,11 @@
   ),
   storeLost: warn("store", "The store does not answer", BELIEFS_PER_SECOND),
   storeBack: info("store", "The store answers again", BELIEFS_PER_SECOND),
+  storeRestored: warn(
+    "store",
+    "The store came back from an older copy: what it says is taken anew",
+    BELIEFS_PER_SECOND,
+  ),
   listingOlder: warn(
     "store",
     "A listing of the store is older than the one held, and is dropped",
--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -24,6 +24,11 @@
   hosts: z.array(HostEntrySchema).readonly(),
   /** The store's clock when it was written. */
   writtenMs: z.number(),
+  /**
+   * The store's era when it was written, if its writer had known that one for
+   * long enough; absent: the store told none, or it had just come back.
+   */
+  era: z.number().exactOptional(),
   crashes: CrashesSchema.exactOptional(),
 });
 type Row = z.output<typeof Row>;
@@ -35,6 +40,8 @@
   /** The writer and those that follow it. */
   readonly hosts: readonly HostEntry[];
   readonly crashes: CrashNews;
+  /** The store's era, if the writer has known it for long enough. */
+  readonly era?: number | undefined;
 };
 
 /** What the rows say. */
@@ -43,6 +50,11 @@
   readonly hosts: readonly HostEntry[];
   /** What each writer knows of crashes. */
   readonly crashes: readonly CrashNews[];
+  /**
+   * An era that somebody has known for long enough: a writer, or all, where
+   * nobody has written yet.
+   */
+  readonly settledEra: number | undefined;
 };
 
 /** What is read and written, and the present by this host's clock. */
@@ -61,7 +73,7 @@
 /** Writes a row and gives what the rows said before. */
 export async function exchangeRows(
   call: HostRowCall,
-  { writer, hosts, crashes }: HostRow,
+  { writer, hosts, crashes, era }: HostRow,
 ): Promise<HostReading> {
   const { store, signal, now } = call;
   const before = await store.readRows(TABLE, signal);
@@ -70,6 +82,7 @@
     {
       hosts,
       writtenMs: before.nowMs,
+      ...(era === undefined ? {} : { era }),
       ...(hasCrashes ? { crashes: encodeCrashes(crashes, now()) } : {}),
     } satisfies Row,
   );
@@ -78,10 +91,25 @@
 }
 
 function hostReading(reading: RowReading, now: Milliseconds): HostReading {
-  const crashes = liveRows(reading).flatMap(({ crashes, writtenMs }) =>
-    crashes ? [decodeCrashes(crashes, now, reading.nowMs - writtenMs)] : []
+  const rows = liveRows(reading);
+  const crashes = rows.flatMap((row) =>
+    row.crashes
+      ? [decodeCrashes(row.crashes, now, Math.max(0, ageOf(row, reading)))]
+      : []
   );
-  return { hosts: liveHosts(reading), crashes };
+  return {
+    hosts: liveHosts(reading),
+    crashes,
+    settledEra: settledEra(rows, reading),
+  };
+}
+
+function settledEra(
+  rows: readonly Row[],
+  { era }: RowReading,
+): number | undefined {
+  const isSettled = rows.length === 0 || rows.some((one) => one.era === era);
+  return isSettled ? era : undefined;
 }
 
 /**
@@ -97,10 +125,18 @@
 }
 
 /** Rows that are not too old, the newest last. */
-function liveRows({ rows, nowMs }: RowReading): Row[] {
-  return rows
+function liveRows(reading: RowReading): Row[] {
+  return reading.rows
     .map((row) => readJson(Row, row.value))
     .filter((row) => row !== undefined)
-    .filter((row) => nowMs - row.writtenMs < ROW_LIFE_MS)
+    .filter((row) => Math.abs(ageOf(row, reading)) < ROW_LIFE_MS)
     .sort((a, b) => a.writtenMs - b.writtenMs);
 }
+
+/**
+ * How long ago a row was written. Negative where the store's clock went back with
+ * its rows: then the row is of an earlier era.
+ */
+function ageOf(row: Row, { nowMs }: RowReading): Milliseconds {
+  return nowMs - row.writtenMs;
+}
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -3,6 +3,7 @@
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry, Store } from "../port.ts";
+import { positionOf } from "../position.ts";
 import type { Synchronizer } from "../state/synchronizer.ts";
 import { within } from "../state/within.ts";
 import type { HostDirectory } from "./directory.ts";
@@ -62,7 +63,7 @@
  * change. A host of whom another writes has no row to keep.
  */
 async function keepRow(source: PeerLoopSource): Promise<void> {
-  const { context: { clock, crashes }, self } = source;
+  const { context: { clock, crashes, eras }, self } = source;
   let written:
     | { readonly at: Milliseconds; readonly names: string }
     | undefined;
@@ -73,11 +74,16 @@
     const crashed = worst.records.map((one) =>
       `${one.fingerprint} ${one.incarnation}`
     );
-    const names = [...hosts.map((one) => one.id), ...crashed].sort().join();
+    // What the store lost of this row is written again once the era is settled.
+    const era = eras.isSettled(clock.now()) && eras.era > 0
+      ? eras.era
+      : undefined;
+    const names = [...hosts.map((one) => one.id), ...crashed, `era ${era}`]
+      .sort().join();
     const isDue = written === undefined || names !== written.names ||
       clock.now() - written.at >= ROW_MS;
     if (isDue && !source.isNamedByReader()) {
-      const row = { writer: self.id, hosts, crashes: worst };
+      const row = { writer: self.id, hosts, crashes: worst, era };
       const read = await callStore(
         source,
         "row",
@@ -106,9 +112,13 @@
 }
 
 function takeReading(
-  { context: { clock, crashes }, directory }: PeerLoopSource,
+  { context: { clock, crashes, eras }, directory }: PeerLoopSource,
   reading: HostReading,
 ): void {
+  const { settledEra } = reading;
+  if (settledEra !== undefined) {
+    eras.hear(positionOf(settledEra, 0), clock.now(), { isSettled: true });
+  }
   directory.learnAll(reading.hosts, clock.now());
   for (const one of reading.crashes) crashes.take(one, ROWS);
 }
--- a/src/gateway/peers/peer_questions.ts
+++ b/src/gateway/peers/peer_questions.ts
@@ -1,6 +1,7 @@
 /** Asks peers for the state that they have and this host lacks. */
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
+import { revisionOf } from "../position.ts";
 import type { Synchronizer } from "../state/synchronizer.ts";
 import { within } from "../state/within.ts";
 import type { JsonClient } from "../upstreams/json_client.ts";
@@ -88,7 +89,7 @@
     context.events.note("peerState", {
       peer: address,
       version: state.config?.version,
-      revision: state.listing?.revision,
+      revision: state.listing && revisionOf(state.listing.revision),
     });
     if (state.config) synchronizer.takeConfig(state.config, address);
     if (state.listing) synchronizer.takeListing(state.listing, address);
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -5,11 +5,8 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../core/ids.ts";
 import type { RouteConfig } from "./routing/model.ts";
-import type {
-  ListingChanges,
-  ReplicaListing,
-  ReplicaStage,
-} from "./replicas/model.ts";
+import type { StorePlace } from "./position.ts";
+import type { ReplicaEntry, ReplicaStage } from "./replicas/model.ts";
 
 /** What a request's head says of it. */
 export type RequestFacts = {
@@ -154,38 +151,41 @@
 /** A row that can't be read and names nothing. */
 export type RowFault = { readonly key: string; readonly reason: string };
 
-/** What the store told at a moment of its steady clock. */
-type Timed = {
+/** What the store told of replicas, as of a place of its history. */
+type ReplicaReading = StorePlace & {
+  /** The store's steady clock. */
   readonly nowMs: Milliseconds;
-  /**
-   * How often the store came back from an older copy of itself; undefined: it
-   * doesn't say.
-   */
-  readonly era?: number;
   readonly faults?: readonly RowFault[];
 };
-/** A listing of replicas, with the store's clock. */
-export type TimedListing = ReplicaListing & Timed;
-/** Changes of the listing, with the store's clock. */
-export type TimedChanges = ListingChanges & Timed;
+/** All replicas. */
+export type StoreListing = ReplicaReading & {
+  readonly entries: readonly ReplicaEntry[];
+};
+/** What changed in the listing after a place. */
+export type StoreChanges = ReplicaReading & {
+  readonly changed: readonly ReplicaEntry[];
+  /** Ids that are listed no more. */
+  readonly gone: readonly string[];
+};
 
 /** The platform's store; each call rejects when no good answer comes. */
 export type Store = {
-  readReplicas(signal: AbortSignal): Promise<TimedListing>;
+  readReplicas(signal: AbortSignal): Promise<StoreListing>;
   /**
-   * Resolves with what changed in the listing after `revision`, at the latest
-   * after `waitMs`; undefined: the store has forgotten what changed.
+   * Resolves with what changed in the listing after `from`, at the latest after
+   * `waitMs`; undefined: the store can't tell, since it has forgotten that place
+   * or its history is another one by now.
    */
   watchReplicas(
-    revision: number,
+    from: StorePlace,
     waitMs: Milliseconds,
     signal: AbortSignal,
-  ): Promise<TimedChanges | undefined>;
+  ): Promise<StoreChanges | undefined>;
   /** The configuration, undefined while there is none. */
   readConfig(signal: AbortSignal): Promise<ConfigReading>;
-  /** Resolves when the configuration may have changed after `revision`. */
+  /** Resolves when the configuration may have changed after `from`. */
   watchConfig(
-    revision: number,
+    from: StorePlace,
     waitMs: Milliseconds,
     signal: AbortSignal,
   ): Promise<ConfigReading>;
@@ -208,6 +208,8 @@
   readonly rows: readonly StoreRow[];
   /** The store's steady clock. */
   readonly nowMs: Milliseconds;
+  /** As in {@link StorePlace}. */
+  readonly era?: number;
 };
 
 /** A row to be written. */
@@ -225,6 +227,8 @@
     readonly type: "written";
     readonly revision: number;
     readonly nowMs: Milliseconds;
+    /** As in {@link StorePlace}. */
+    readonly era?: number;
   }
   /** The row had another revision; nothing was written. */
   | { readonly type: "conflict" };
@@ -232,7 +236,7 @@
 /** What the store says of the configuration. */
 export type ConfigReading = {
   /** Where to watch on from; undefined: history is lost, read it whole. */
-  readonly revision?: number;
+  readonly place?: StorePlace;
   /** Absent when it has not changed, or there is none. */
   readonly config?: RouteConfig;
 };
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -1,5 +1,6 @@
 /** Replicas of services as the platform lists them. */
 import type { Milliseconds } from "../../core/ids.ts";
+import type { Position } from "../position.ts";
 
 /** What a model engine does for the system. */
 export const ReplicaStage = {
@@ -37,18 +38,17 @@
   return born === undefined ? id : `${id}@${born}`;
 }
 
-/** All replicas as of one moment of the store. */
+/** All replicas as of one place in the store's history. */
 export type ReplicaListing = {
-  /** Rises with every change in the store. */
-  readonly revision: number;
+  readonly revision: Position;
   readonly entries: readonly ReplicaEntry[];
 };
 
-/** What the store changed in the listing after a revision. */
+/** What the store changed in the listing after a place. */
 export type ListingChanges = {
-  /** The revision that they follow on. */
-  readonly since: number;
-  readonly revision: number;
+  /** The place that they follow on. */
+  readonly since: Position;
+  readonly revision: Position;
   readonly changed: readonly ReplicaEntry[];
   /** Ids that are listed no more. */
   readonly gone: readonly string[];
@@ -57,7 +57,7 @@
 /** What a host lacks of another's listing. */
 export type ListingDelta = ListingChanges & {
   /** -1: `changed` is the whole listing. */
-  readonly since: number;
+  readonly since: Position;
   /** Replicas listed at `revision`. */
   readonly size: number;
 };
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -1,4 +1,5 @@
 /** The replicas that this host knows; listings never go back. */
+import { eraOf, type Position } from "../position.ts";
 import { ListingHistory } from "./listing_history.ts";
 import type {
   ListingChanges,
@@ -8,9 +9,20 @@
 } from "./model.ts";
 import { Replica } from "./replica.ts";
 
-/** Replicas that have left are remembered up to this number. */
+/** Replicas that have left, or are gone, are remembered up to this number. */
 const MOST_LEFT = 10_000;
 
+/** What a listing may have wrong, since the store was away until just now. */
+export type ListingDoubt = {
+  /** It may lack live replicas: those that aren't leaving are kept. */
+  readonly keepMissing?: boolean;
+  /**
+   * It may be of an older copy: what went in an earlier era is left out. A
+   * replica whose entry went serves on for a while, and is to get no new work.
+   */
+  readonly leaveOutGone?: boolean;
+};
+
 /** What a listing changed. */
 export type ListingChange = {
   readonly added: readonly ReplicaEntry[];
@@ -32,15 +44,17 @@
 
 /** Replicas by incarnation and by service. */
 export class ReplicaTable {
-  #revision = -1;
+  #revision: Position = -1;
   #byIncarnation = new Map<string, Replica>();
   #byService = new Map<string, Replica[]>();
   readonly #history = new ListingHistory();
   /** Incarnations that were leaving: they stay so, whatever comes later. */
   readonly #left = new Set<string>();
+  /** Incarnations that were listed once, and where they no longer were. */
+  readonly #goneAt = new Map<string, Position>();
 
-  /** The store's revision of the newest listing; -1 before the first. */
-  get revision(): number {
+  /** The place of the newest listing; -1 before the first. */
+  get revision(): Position {
     return this.#revision;
   }
 
@@ -54,20 +68,19 @@
     return [...this.#byIncarnation.values()].map((one) => one.entry);
   }
 
-  /**
-   * Takes a listing unless a newer one was taken. With `keepMissing`, replicas
-   * that it lacks stay, unless they were leaving.
-   */
+  /** Takes a listing unless a newer one was taken. */
   adopt(
     listing: ReplicaListing,
-    keepMissing = false,
+    { keepMissing = false, leaveOutGone = false }: ListingDoubt = {},
   ): ListingChange | undefined {
     if (listing.revision < this.#revision) return undefined;
     this.#revision = listing.revision;
     const before = this.#byIncarnation;
     const entries = this.#newestStarts(listing.entries)
-      .map((one) => this.#stillLeaving(one));
+      .map((one) => this.#stillLeaving(one))
+      .filter((one) => !leaveOutGone || !this.#wentEarlier(one));
     const change = compare(before, entries, keepMissing);
+    this.#noteGone(change);
     this.#byIncarnation = new Map();
     for (const entry of [...entries, ...change.kept]) {
       const known = before.get(entry.incarnation);
@@ -136,6 +149,20 @@
     return [...entries.values()];
   }
 
+  /** It went in an earlier era than the one of this listing. */
+  #wentEarlier({ incarnation }: ReplicaEntry): boolean {
+    const goneAt = this.#goneAt.get(incarnation);
+    return goneAt !== undefined && eraOf(goneAt) < eraOf(this.#revision);
+  }
+
+  #noteGone({ added, removed }: ListingChange): void {
+    for (const { incarnation } of added) this.#goneAt.delete(incarnation);
+    for (const { incarnation } of removed) {
+      this.#goneAt.set(incarnation, this.#revision);
+      if (this.#goneAt.size > MOST_LEFT) forgetFirst(this.#goneAt);
+    }
+  }
+
   /** What comes late of an earlier start doesn't undo a later one. */
   #newestStarts(entries: readonly ReplicaEntry[]): ReplicaEntry[] {
     const known = new Map(this.entries().map((one) => [one.id, one]));
@@ -207,8 +234,10 @@
   return known;
 }
 
-function forgetFirst(names: Set<string>): void {
-  for (const name of names) {
+function forgetFirst(
+  names: Pick<Set<string>, "keys" | "delete">,
+): void {
+  for (const name of names.keys()) {
     names.delete(name);
     return;
   }
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -5,6 +5,7 @@
 import type { EventFields } from "../observe/event_log.ts";
 import type { EventName } from "../observe/event_names.ts";
 import { Timing } from "../observe/metrics.ts";
+import { revisionOf } from "../position.ts";
 import type { Placement } from "./placement.ts";
 import type { GatewayRequest } from "./request.ts";
 
@@ -50,7 +51,7 @@
       output_limit: facts.outputLimit,
       output_hint: facts.outputHint,
       send: sends,
-      listing: replicas.revision,
+      listing: revisionOf(replicas.revision),
       routes: routes.version,
     });
   }
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -132,13 +132,13 @@
   changes: readonly StageChange[],
 ): Promise<Try[]> {
   const { context, store, holder, guardMs } = source;
-  const { clock, events, suspensions } = context;
+  const { clock, events, suspensions, eras } = context;
   const suspended = suspensions.check();
   const lease = await within({
     clock,
     timeoutMs: STORE_TIMEOUT_MS,
     work: (signal) =>
-      takeLease({ store, clock, holder, guardMs }, service.name, signal),
+      takeLease({ store, clock, holder, guardMs, eras }, service.name, signal),
     onFault: (reason) => events.note("callFailed", { call: "lease", reason }),
   });
   if (!lease) return [FAILED_TRY];
@@ -183,6 +183,8 @@
   if (!report || report.changing) return FAILED_TRY;
   if (report.stage === change.stage) return FAILED_TRY;
   if (clock.now() >= lease.until) return FAILED_TRY;
+  // The store came back from a copy that may lack it: another may take it, too.
+  if (context.eras.era !== lease.era) return FAILED_TRY;
   // By the time that passed while this host slept the lease may have ended.
   if (context.suspensions.check() !== suspended) return FAILED_TRY;
   const outcome = await order(source, change, {
--- a/src/gateway/state/config_catchup.ts
+++ b/src/gateway/state/config_catchup.ts
@@ -97,7 +97,7 @@
     this.#fetchedAt = clock.now();
     let pauseMs = ROUND_PAUSE_MS;
     while (this.#isBehind && !this.#isStopped) {
-      if (await this.#round()) break;
+      await this.#round();
       if (!this.#isBehind) break;
       await sleep(clock, pauseMs);
       pauseMs = Math.min(
@@ -109,23 +109,18 @@
   }
 
   /**
-   * Asks the store and some peers; true: the store has answered, so what it
-   * told is the newest there is.
+   * Asks the store and some peers, also where the store has answered: one that
+   * came back from an older copy may lack a version that peers hold.
    */
-  async #round(): Promise<boolean> {
+  async #round(): Promise<void> {
     const { clock } = this.#source.context;
-    const wanted = this.#news.version;
-    let hasAnswered = false;
-    const store = this.#source.readStore().then((answered) => {
-      hasAnswered = answered && this.#news.version === wanted;
-    });
+    const store = this.#source.readStore();
     await Promise.race([store, sleep(clock, STORE_HEAD_START_MS)]);
     for (const address of this.#peersInTurn()) {
-      if (hasAnswered || !this.#isBehind) return hasAnswered;
+      if (!this.#isBehind) return;
       const asked = this.#source.askPeer(address);
       await Promise.race([asked, sleep(clock, NEXT_PEER_MS)]);
     }
-    return hasAnswered;
   }
 
   /** Peers at random, and among the first one that surely holds it. */
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -26,6 +26,13 @@
 
 const State = z.object({
   type: z.literal("state"),
+  /**
+   * The newest era of the store that the reader knows; absent: the store told
+   * none, or the reader is of a version that knows of none.
+   */
+  era: z.number().exactOptional(),
+  /** The era began so lately that the store may lack what is written again. */
+  isSettling: z.literal(true).exactOptional(),
   /** How old the reader's word of the store is; absent: it has none. */
   ageMs: z.number().exactOptional(),
   /** Version of the configuration in force at the reader. */
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -31,7 +31,10 @@
 
 /** What the server tells from. */
 export type StateServerSource = {
-  readonly context: Pick<GatewayContext, "clock" | "routes" | "replicas">;
+  readonly context: Pick<
+    GatewayContext,
+    "clock" | "routes" | "replicas" | "eras"
+  >;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
   readonly crashes: Pick<CrashSharing, "greet" | "take">;
@@ -151,7 +154,7 @@
 
   #messageFor(follower: Follower, revision: number): StateMessage {
     const { context, storeAgeMs } = this.#source;
-    const { routes, replicas, clock } = context;
+    const { routes, replicas, clock, eras } = context;
     const age = storeAgeMs(clock.now());
     const isFresh = Number.isFinite(age);
     const isNewer = revision !== replicas.revision;
@@ -160,6 +163,8 @@
       type: "state",
       version: routes.version,
       ...this.#configFor(follower),
+      ...(eras.era > 0 ? { era: eras.era } : {}),
+      ...(eras.isSettled(clock.now()) ? {} : { isSettling: true as const }),
       ...(follower.echo ? { echo: follower.echo } : {}),
       ...(isFresh ? { ageMs: Math.round(age) } : {}),
       ...(listing ? { listing } : {}),
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -6,13 +6,19 @@
 import type { Milliseconds } from "../../core/ids.ts";
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
-import { Timing } from "../observe/metrics.ts";
 import { RemoteClock } from "../peers/remote_clock.ts";
-import type { ConfigReading, Store, TimedListing } from "../port.ts";
+import {
+  eraOf,
+  type Position,
+  revisionOf,
+  type StorePlace,
+} from "../position.ts";
+import type { Store } from "../port.ts";
+import { ConfigReader } from "./config_reader.ts";
 import type { HallFollower } from "./hall_follower.ts";
 import { RowFaults } from "./row_faults.ts";
+import { StoreCalls } from "./store_calls.ts";
 import type { Synchronizer } from "./synchronizer.ts";
-import { within } from "./within.ts";
 
 /** Times of the loops. */
 export type StoreTimes = {
@@ -55,6 +61,9 @@
 /** How a reading of the listing went. */
 type Reading = "taken" | "older" | "lost";
 
+/** The store's steady clock and its place in one answer. */
+type TimedPlace = StorePlace & { readonly nowMs: Milliseconds };
+
 /** What the loops need. */
 export type StoreLoopsSource = {
   readonly context: GatewayContext;
@@ -68,7 +77,8 @@
 export class StoreLoops {
   readonly #source: StoreLoopsSource;
   #stopped = false;
-  #watch = new AbortController();
+  readonly #calls: StoreCalls;
+  readonly #config: ConfigReader;
   readonly #faults: RowFaults;
   /** Listings in a row that did not come. */
   #failures = 0;
@@ -80,8 +90,20 @@
   #isWhole = false;
 
   constructor(source: StoreLoopsSource) {
+    const { context, store, synchronizer, times } = source;
     this.#source = source;
-    this.#faults = new RowFaults(source.context.events);
+    this.#faults = new RowFaults(context.events);
+    this.#calls = new StoreCalls(context);
+    this.#config = new ConfigReader({
+      context,
+      store,
+      calls: this.#calls,
+      synchronizer,
+      timeoutMs: times.timeoutMs,
+      watchMs: times.watchMs,
+    });
+    // The clock of a store that came back need not go on where it was.
+    context.eras.listen(() => this.forgetClock());
   }
 
   /** Starts the loops. */
@@ -93,19 +115,19 @@
   /** Ends the loops. */
   stop(): void {
     this.#stopped = true;
-    this.#watch.abort();
+    this.#config.endWatch();
   }
 
   /** This host's clock stood still: the store's is read anew with a listing. */
   forgetClock(): void {
     this.#storeClock.forget();
     this.#isWhole = false;
-    this.#watch.abort();
+    this.#config.endWatch();
   }
 
   /** Reads the configuration now; whether the store answered. */
   async readConfig(): Promise<boolean> {
-    return await this.#readConfig(undefined) !== undefined;
+    return await this.#config.read() !== undefined;
   }
 
   async #followReplicas(): Promise<void> {
@@ -157,7 +179,7 @@
     const isSettled = !synchronizer.keepsMissing(context.clock.now());
     this.#isWhole = answered && isSettled && !this.#isFollower;
     // A watch may hang on a dead connection: it is begun anew on return.
-    if (answered && this.#failures > 0) this.#watch.abort();
+    if (answered && this.#failures > 0) this.#config.endWatch();
     this.#failures = answered ? 0 : this.#failures + 1;
     if (answered && !synchronizer.isTold(context.clock.now())) {
       follower.leaveIfStale("The store answers this host, not its reader");
@@ -166,28 +188,37 @@
   }
 
   async #listReplicas(): Promise<Reading> {
-    const { context: { clock }, store, synchronizer } = this.#source;
+    const { context: { clock, eras }, store, synchronizer } = this.#source;
     const askedAt = clock.now();
-    const listing = await this.#call(
+    const start = eras.start();
+    const listing = await this.#calls.read(
       (signal) => store.readReplicas(signal),
       this.#listTimeoutMs(),
     );
     if (!listing) return "lost";
     this.#faults.note(listing.faults);
+    const { entries } = listing;
+    const revision = eras.place(listing, start);
+    // What is older than what is known here says nothing of the present.
+    if (!synchronizer.takeListing({ revision, entries }, "store")) {
+      this.#noteOlder(listing, revision);
+      return "older";
+    }
     const echo = { sentAt: askedAt, heardAt: listing.nowMs };
     this.#storeClock.note(echo, clock.now());
     this.#storeAsOf = askedAt;
-    // What is older than what is known here says nothing of the present.
-    if (synchronizer.takeListing(listing, "store")) return "taken";
-    this.#noteOlder(listing);
-    return "older";
+    return "taken";
   }
 
-  #noteOlder({ revision, nowMs, era }: TimedListing): void {
+  #noteOlder({ revision, nowMs }: TimedPlace, position: Position): void {
     const { replicas, events } = this.#source.context;
-    const held = replicas.revision;
-    const fields = { revision, held, era, store_ms: Math.round(nowMs) };
-    events.note("listingOlder", fields);
+    events.note("listingOlder", {
+      revision,
+      era: eraOf(position),
+      held: revisionOf(replicas.revision),
+      held_era: eraOf(replicas.revision),
+      store_ms: Math.round(nowMs),
+    });
   }
 
   /** A long listing comes in several answers, each with the time of a call. */
@@ -202,22 +233,30 @@
    * megabyte, longer than the call may take on a link of 10 Mbit/s.
    */
   async #watchReplicas(): Promise<Reading> {
-    const { context: { clock, replicas }, store, synchronizer, times } =
+    const { context: { clock, replicas, eras }, store, synchronizer, times } =
       this.#source;
     const { listMs, timeoutMs } = times;
-    const changes = await this.#call(
+    const start = eras.start();
+    const since = replicas.revision;
+    const from = eras.storePlace(since);
+    const read = await this.#calls.read(
       async (signal) =>
-        await store.watchReplicas(replicas.revision, listMs, signal) ??
-          "forgotten",
+        await store.watchReplicas(from, listMs, signal) ?? "forgotten",
       listMs + timeoutMs,
     );
-    if (changes === undefined) return "lost";
-    if (changes === "forgotten") return this.#listReplicas();
-    this.#faults.note(changes.faults);
+    if (read === undefined) return "lost";
+    if (read === "forgotten") return this.#listReplicas();
+    this.#faults.note(read.faults);
+    const { changed, gone } = read;
+    const revision = eras.place(read, start);
+    if (eraOf(revision) !== eraOf(since)) return this.#listReplicas();
+    if (!synchronizer.takeChanges({ since, revision, changed, gone })) {
+      return "older";
+    }
     const now = clock.now();
-    this.#storeAsOf = this.#storeClock.toLocal(changes.nowMs, now) ??
+    this.#storeAsOf = this.#storeClock.toLocal(read.nowMs, now) ??
       this.#storeAsOf;
-    return synchronizer.takeChanges(changes) ? "taken" : "older";
+    return "taken";
   }
 
   get #isFollower(): boolean {
@@ -241,10 +280,10 @@
 
   async #followConfig(): Promise<void> {
     const { context: { clock, routes }, synchronizer } = this.#source;
-    let revision: number | undefined;
+    let place: StorePlace | undefined;
     while (!this.#stopped) {
       if (synchronizer.isTold(clock.now())) {
-        revision = undefined;
+        place = undefined;
         await this.#sleepWhileTold();
         continue;
       }
@@ -253,67 +292,9 @@
         await sleep(clock, LEAST_PAUSE_MS);
         continue;
       }
-      const reading = await this.#readConfig(revision);
+      const reading = await this.#config.read(place);
       if (!reading) await sleep(clock, this.#failedPauseMs());
-      revision = reading?.revision;
+      place = reading?.place;
     }
   }
-
-  /** Reads the configuration, or watches for the next from `revision` on. */
-  async #readConfig(
-    revision: number | undefined,
-  ): Promise<ConfigReading | undefined> {
-    const { context: { clock }, store, synchronizer } = this.#source;
-    const askedAt = clock.now();
-    const reading = revision === undefined
-      ? await this.#call((signal) => store.readConfig(signal))
-      : await this.#watchConfig(revision);
-    if (reading?.config) synchronizer.takeConfig(reading.config, "store");
-    if (reading?.revision !== undefined) {
-      synchronizer.noteNewest(reading.config?.version ?? 0, askedAt);
-    }
-    return reading;
-  }
-
-  async #watchConfig(revision: number): Promise<ConfigReading | undefined> {
-    const { context, store, times } = this.#source;
-    const { clock, suspensions } = context;
-    this.#watch = new AbortController();
-    const watch = this.#watch;
-    const { watchMs, timeoutMs } = times;
-    const suspended = suspensions.check();
-    const cancel = clock.after(watchMs + timeoutMs, () => watch.abort());
-    try {
-      const read = await store.watchConfig(revision, watchMs, watch.signal);
-      return suspensions.check() === suspended ? read : undefined;
-    } catch (error) {
-      this.#noteFault("watch", String(error));
-      return undefined;
-    } finally {
-      cancel();
-    }
-  }
-
-  #noteFault(call: string, reason: string): void {
-    this.#source.context.events.note("callFailed", { call, reason });
-  }
-
-  async #call<Value>(
-    work: (signal: AbortSignal) => Promise<Value>,
-    timeoutMs = this.#source.times.timeoutMs,
-  ): Promise<Value | undefined> {
-    const { context: { clock, metrics, suspensions } } = this.#source;
-    const startedAt = clock.now();
-    const suspended = suspensions.check();
-    const value = await within({
-      clock,
-      timeoutMs,
-      work,
-      onFault: (reason) => this.#noteFault("read", reason),
-    });
-    metrics.count(value === undefined ? "store_failures" : "store_calls");
-    metrics.time(Timing.storeCall, clock.now() - startedAt);
-    // What was answered before this host slept says nothing of the present.
-    return suspensions.check() === suspended ? value : undefined;
-  }
 }
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -5,11 +5,13 @@
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
+import { eraOf, type Position, positionOf, revisionOf } from "../position.ts";
 import type { ListingChanges, ReplicaListing } from "../replicas/model.ts";
 import type { ListingChange } from "../replicas/replica_table.ts";
 import type { RouteConfig } from "../routing/model.ts";
 import type { VersionNews } from "./config_catchup.ts";
 import type { ReaderWord } from "./hall_follower.ts";
+import { SETTLE_MS } from "./store_eras.ts";
 
 /** A word of the store that is older than this has to be read anew. */
 const FRESH_MS = 1300;
@@ -19,12 +21,6 @@
  * 700 ms is never that old while its reader is well.
  */
 const RELAY_FRESH_MS = 1000;
-/**
- * After the store was away, entries of live replicas that it lost are back
- * within about two seconds: until then a missing replica is kept.
- */
-const SETTLE_MS = 2000;
-
 /** What a synchronizer is made from. */
 export type SyncSource = {
   readonly context: GatewayContext;
@@ -94,15 +90,23 @@
   }
 
   /**
-   * What followers may be told. While replicas that a listing lacks are kept,
-   * nothing: a follower whom the store served all the time knows better.
+   * What followers may be told. After the store was away, nothing for a while: a
+   * follower whom it served all the time knows better. Nor by a host that has
+   * only seen the store as it came back from a copy. One that has known it before
+   * tells on: its followers need not list the replicas all at once.
    */
   tellableAgeMs(now: Milliseconds): Milliseconds {
-    return this.keepsMissing(now) ? Infinity : this.storeAgeMs(now);
+    const isSilent = this.#wasAway(now) ||
+      this.#context.eras.isUnproven(now);
+    return isSilent ? Infinity : this.storeAgeMs(now);
   }
 
   /** The store was away until just now: it may lack live replicas. */
   keepsMissing(now: Milliseconds): boolean {
+    return this.#wasAway(now) || !this.#context.eras.isSettled(now);
+  }
+
+  #wasAway(now: Milliseconds): boolean {
     return this.#lost || now < this.#settledAt;
   }
 
@@ -151,16 +155,24 @@
 
   /** Takes a listing from a peer, or from the store; false: it is older. */
   takeListing(listing: ReplicaListing, source: string): boolean {
-    const now = this.#context.clock.now();
-    const keepMissing = this.keepsMissing(now);
-    const change = this.#context.replicas.adopt(listing, keepMissing);
+    const { clock, eras, replicas } = this.#context;
+    const now = clock.now();
+    eras.hear(listing.revision, now);
+    if (eraOf(listing.revision) < eras.era) return false;
+    const change = replicas.adopt(listing, {
+      keepMissing: this.keepsMissing(now),
+      leaveOutGone: !eras.isSettled(now),
+    });
     if (change) this.#noteChange(change, listing.revision, source);
     return change !== undefined;
   }
 
   /** Takes changes of the listing that the store told; false: older ones. */
   takeChanges(changes: ListingChanges): boolean {
-    const change = this.#context.replicas.change(changes);
+    const { clock, eras, replicas } = this.#context;
+    eras.hear(changes.revision, clock.now());
+    if (eraOf(changes.revision) < eras.era) return false;
+    const change = replicas.change(changes);
     if (change) this.#noteChange(change, changes.revision, "store");
     return change !== undefined;
   }
@@ -168,12 +180,18 @@
   /** Takes the word of the hall's reader; false: its listing has a gap. */
   takeState(word: ReaderWord): boolean {
     const { message, reader, configAsOf } = word;
-    const { clock, replicas } = this.#context;
+    const { clock, replicas, eras } = this.#context;
     const now = clock.now();
-    const { listing, ageMs } = message;
+    const { listing, ageMs, era } = message;
     if (message.config) this.takeConfig(message.config, reader);
     if (configAsOf !== undefined) this.noteNewest(message.version, configAsOf);
     this.noteHeard(newsOf(word), reader);
+    if (era !== undefined) {
+      const isSettled = ageMs !== undefined && message.isSettling !== true;
+      eras.hear(positionOf(era, 0), now, { isSettled });
+    }
+    // A word of an earlier era is no word of the store as it is now.
+    if ((era ?? 0) < eras.era) return true;
     const change = listing ? replicas.follow(listing) : undefined;
     if (change === "gap") return false;
     if (listing && change && change !== "older") {
@@ -209,8 +227,13 @@
     this.#source.onChange();
   }
 
-  #noteChange(change: ListingChange, revision: number, source: string): void {
+  #noteChange(
+    change: ListingChange,
+    position: Position,
+    source: string,
+  ): void {
     const { events, pool, crashes } = this.#context;
+    const revision = revisionOf(position);
     const gone = new Map(change.removed.map((one) => [one.id, one]));
     for (const { incarnation, id, ...entry } of change.added) {
       const { service, stage, address } = entry;
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -16,6 +16,7 @@
 import { quietWatch } from "../crashes/quiet_watch.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 import { neverSuspended } from "../never_suspended.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 function host(id: string, address = "127.0.0.1:1"): HostEntry {
   return { id, address, hall: "h" };
@@ -79,6 +80,7 @@
       random: () => 0,
       routes: new RouteTable(),
       crashes: quietWatch(),
+      eras: quietEras(),
       suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     self,
--- a/test/gateway/peers/peer_loop_test.ts
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -10,6 +10,7 @@
 import { quietWatch } from "../crashes/quiet_watch.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 import { neverSuspended } from "../never_suspended.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 /** The pauses that the loops begin with, the store not answering. */
 function firstPauses(routes: RouteTable): number[] {
@@ -25,6 +26,7 @@
       clock: { now: () => 0, after },
       routes,
       crashes: quietWatch(),
+      eras: quietEras(),
       suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     self,
--- a/test/gateway/replicas/replica_table_test.ts
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -69,7 +69,9 @@
 test("replicas that a listing lacks are kept only where that is asked", () => {
   const table = new ReplicaTable();
   table.adopt({ revision: 1, entries: [entry("a"), entry("b", true)] });
-  const change = table.adopt({ revision: 2, entries: [] }, true);
+  const change = table.adopt({ revision: 2, entries: [] }, {
+    keepMissing: true,
+  });
   assert.deepEqual(change?.kept.map((one) => one.incarnation), ["a"]);
   assert.deepEqual(change?.removed.map((one) => one.incarnation), ["b"]);
   assert.equal(table.openOf("s").length, 1);
@@ -111,7 +113,9 @@
 test("while missing replicas are kept, one that started again is not kept twice", () => {
   const table = new ReplicaTable();
   table.adopt({ revision: 1, entries: [started(1)] });
-  const change = table.adopt({ revision: 2, entries: [started(2)] }, true);
+  const change = table.adopt({ revision: 2, entries: [started(2)] }, {
+    keepMissing: true,
+  });
   assert.deepEqual(change?.kept, []);
   assert.equal(table.size, 1);
 });
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -30,6 +30,7 @@
   type RawReplica,
   startRawReplica,
 } from "./raw_replica.ts";
+import { quietEras } from "./quiet_eras.ts";
 
 /** A long time: nothing in these tests may depend on its length. */
 const AMPLE_MS = 20_000;
@@ -229,6 +230,7 @@
     self: { id: "host", hall: "hall", run: "1" },
     clock: systemClock,
     suspensions: neverSuspended(),
+    eras: quietEras(),
     random: () => 0,
     dialect: testDialect,
     routes,
--- a/test/gateway/stages/stage_loop_test.ts
+++ b/test/gateway/stages/stage_loop_test.ts
@@ -13,6 +13,7 @@
 import { ENGINE } from "../rig.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { neverSuspended } from "../never_suspended.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 const SWITCH_MS = 6000;
 /** An order without an answer may be carried out so much later. */
@@ -91,6 +92,7 @@
     events: { note: () => undefined },
     metrics: new Metrics(),
     stop: { graceMs: 8000 },
+    eras: quietEras(),
     suspensions: neverSuspended(),
   } as unknown as GatewayContext;
   const store = {
--- a/test/gateway/stages/stages_test.ts
+++ b/test/gateway/stages/stages_test.ts
@@ -14,6 +14,7 @@
 } from "../../../src/gateway/stages/balance.ts";
 import { isFree, takeLease } from "../../../src/gateway/stages/lease.ts";
 import { replicaEntry } from "../replica_entry.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 function replica(
   incarnation: string,
@@ -143,8 +144,9 @@
   const store = fakeStore(state);
   const signal = new AbortController().signal;
   const clock = clockAt(state);
+  const eras = quietEras();
   const take = (holder: string) =>
-    takeLease({ store, clock, holder, guardMs: 3000 }, "s", signal);
+    takeLease({ store, clock, holder, guardMs: 3000, eras }, "s", signal);
   const first = await take("a");
   assert.ok(first);
   assert.equal(await take("b"), undefined);
@@ -161,9 +163,10 @@
   const store = fakeStore(state);
   const signal = new AbortController().signal;
   const clock = clockAt(state);
+  const eras = quietEras();
   const both = await Promise.all(
     ["a", "b"].map((holder) =>
-      takeLease({ store, clock, holder, guardMs: 3000 }, "s", signal)
+      takeLease({ store, clock, holder, guardMs: 3000, eras }, "s", signal)
     ),
   );
   assert.equal(both.filter((one) => one !== undefined).length, 1);
@@ -171,5 +174,7 @@
 
 test("a row that nobody can read gives way", () => {
   const row = { key: "s", value: "?", revision: 3 };
-  assert.equal(isFree(row, { holder: "a", guardMs: 1, nowMs: 0 }), true);
+  const era = { era: 0, eraAgeMs: Infinity };
+  const asker = { holder: "a", guardMs: 1, nowMs: 0, ...era };
+  assert.equal(isFree(row, asker), true);
 });
--- a/test/gateway/state/fleet_store.ts
+++ b/test/gateway/state/fleet_store.ts
@@ -2,10 +2,10 @@
 import type { Clock } from "../../../src/gateway/clock.ts";
 import type {
   ConfigReading,
-  ListingChanges,
   ReplicaEntry,
   RouteConfig,
   Store,
+  StorePlace,
   StoreRow,
 } from "../../../src/gateway/mod.ts";
 
@@ -47,9 +47,17 @@
   #configRevision = 1;
   #revision = 1;
   #era = 1;
+  /** The store names its era in each answer. */
+  readonly #tellsEra: boolean;
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, tellsEra = true) {
     this.#clock = clock;
+    this.#tellsEra = tellsEra;
+  }
+
+  get #place(): StorePlace {
+    const revision = this.#revision;
+    return this.#tellsEra ? { revision, era: this.#era } : { revision };
   }
 
   /** In force from now on. */
@@ -126,45 +134,45 @@
         readonly value: () => Value;
       },
     ) => this.#hold(host, kind, call);
-    const times = () => ({ nowMs: this.#clock.now(), era: this.#era });
+    const timed = () => ({ nowMs: this.#clock.now(), ...this.#place });
     return {
       readReplicas: () =>
         answer("replicas", () => ({
-          revision: this.#revision,
           entries: this.#entriesSince(0),
-          ...times(),
+          ...timed(),
         })),
-      watchReplicas: (since, waitMs) =>
+      watchReplicas: (from, waitMs) =>
         held("replicas", {
           waitMs,
-          isDue: () => this.#lacks(since) || this.#hasListedSince(since),
+          isDue: () => this.#lacks(from) || this.#hasListedSince(from.revision),
           value: () =>
-            this.#lacks(since)
+            this.#lacks(from)
               ? undefined
-              : { ...this.#changesSince(since), ...times() },
+              : { ...this.#changesSince(from.revision), ...timed() },
         }),
       readConfig: () => answer("config", () => this.#reading(0)),
-      watchConfig: (since, waitMs) =>
+      watchConfig: (from, waitMs) =>
         held("config watch", {
           waitMs,
-          isDue: () => this.#lacks(since) || this.#configRevision > since,
-          value: () => this.#lacks(since) ? {} : this.#reading(since),
+          isDue: () =>
+            this.#lacks(from) || this.#configRevision > from.revision,
+          value: () => this.#lacks(from) ? {} : this.#reading(from.revision),
         }),
       readRows: () =>
-        answer("rows", () => ({ rows: [...this.#rows.values()], ...times() })),
+        answer("rows", () => ({ rows: [...this.#rows.values()], ...timed() })),
       writeRow: ({ key, value }) =>
         answer("row", () => {
           this.#revision += 1;
-          const revision = this.#revision;
-          this.#rows.set(key, { key, value, revision });
-          return { type: "written", revision, ...times() };
+          this.#rows.set(key, { key, value, revision: this.#revision });
+          return { type: "written", ...timed() };
         }),
     };
   }
 
-  /** The store doesn't have such a revision. */
-  #lacks(revision: number): boolean {
-    return revision > this.#revision;
+  /** The store doesn't have such a place. */
+  #lacks({ revision, era }: StorePlace): boolean {
+    const isOfEra = !this.#tellsEra || era === this.#era;
+    return !isOfEra || revision > this.#revision;
   }
 
   #hasListedSince(revision: number): boolean {
@@ -178,12 +186,13 @@
       .flatMap(({ entry }) => entry ? [entry] : []);
   }
 
-  #changesSince(since: number): ListingChanges {
+  #changesSince(
+    since: number,
+  ): { changed: ReplicaEntry[]; gone: string[] } {
     const gone = [...this.#replicas]
       .filter(([, row]) => row.revision > since && !row.entry)
       .map(([id]) => id);
-    const changed = this.#entriesSince(since);
-    return { since, revision: this.#revision, changed, gone };
+    return { changed: this.#entriesSince(since), gone };
   }
 
   #reach(host: string, end: () => void): void {
@@ -193,7 +202,7 @@
 
   #reading(since: number): ConfigReading {
     const config = this.#configRevision > since ? this.#config : undefined;
-    return { revision: this.#revision, ...(config ? { config } : {}) };
+    return { place: this.#place, ...(config ? { config } : {}) };
   }
 
   #answer<Value>(
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -17,6 +17,7 @@
 import { replicaEntry } from "../replica_entry.ts";
 import { StateServer } from "../../../src/gateway/state/state_server.ts";
 import { neverSuspended } from "../never_suspended.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 /** Timers that go on for the life of a process do not keep this one. */
 const clock: Clock = {
@@ -35,6 +36,7 @@
     routes: new RouteTable(),
     replicas: new ReplicaTable(),
     events: { note: (name: string) => events.push(name) },
+    eras: quietEras(),
     suspensions: neverSuspended(),
   } as unknown as GatewayContext;
   return { context, events };
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -20,6 +20,7 @@
 import type { ProbeResult } from "../../../src/gateway/upstreams/probe.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
 import { FleetStore } from "./fleet_store.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 const WAY_MS = 1.5;
 const TIMES = { listMs: 700, timeoutMs: 700, watchMs: 1200 };
@@ -179,6 +180,7 @@
       self: { id: entry.id, hall: entry.hall, run: "1" },
       clock,
       suspensions,
+      eras: quietEras(),
       random: this.#random,
       routes,
       replicas: new ReplicaTable(),
--- a/test/gateway/state/state_server_test.ts
+++ b/test/gateway/state/state_server_test.ts
@@ -13,6 +13,7 @@
 import { quietSharing } from "../crashes/quiet_watch.ts";
 import { listen } from "../../platform/store_standin.ts";
 import { routesOf } from "./routes_of.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 /** Timers that go on for the life of a process do not keep this one. */
 const clock: Clock = {
@@ -28,7 +29,13 @@
   const routes = new RouteTable();
   const replicas = new ReplicaTable();
   const self = { id: "reader", address: "127.0.0.1:1", hall: "h" };
-  const context = { clock, routes, replicas } as unknown as GatewayContext;
+  const eras = quietEras();
+  const context = {
+    clock,
+    routes,
+    replicas,
+    eras,
+  } as unknown as GatewayContext;
   const states = new StateServer({
     context,
     self,
--- a/test/gateway/state/store_loops_test.ts
+++ b/test/gateway/state/store_loops_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
-import type { Store } from "../../../src/gateway/mod.ts";
+import type { Store, StorePlace } from "../../../src/gateway/mod.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
@@ -10,6 +10,7 @@
 import { StoreLoops } from "../../../src/gateway/state/store_loops.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 import { neverSuspended } from "../never_suspended.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 /** When a host whose store is away calls it, over ten seconds. */
 async function callsWhileAway(reader: string): Promise<string[]> {
@@ -39,6 +40,7 @@
       events: { note: () => undefined },
       routes,
       replicas: new ReplicaTable(),
+      eras: quietEras(),
       suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     store: {
@@ -106,6 +108,7 @@
       events: { note: () => undefined },
       routes: new RouteTable(),
       replicas: new ReplicaTable(),
+      eras: quietEras(),
       suspensions: neverSuspended(),
     } as unknown as GatewayContext,
     store: {
@@ -117,10 +120,10 @@
           after(listTakesMs, () => resolve(listing));
         });
       },
-      watchReplicas: (revision: number, waitMs: number) => {
+      watchReplicas: ({ revision }: StorePlace, waitMs: number) => {
         calls.watches += 1;
         return new Promise((resolve) => {
-          const changes = { since: revision, revision, changed: [], gone: [] };
+          const changes = { revision, changed: [], gone: [] };
           after(waitMs, () => resolve({ ...changes, nowMs: time.now }));
         });
       },
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -11,6 +11,7 @@
 import type { ReaderWord } from "../../../src/gateway/state/hall_follower.ts";
 import type { StateMessage } from "../../../src/gateway/state/state_messages.ts";
 import { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
+import { quietEras } from "../quiet_eras.ts";
 
 const REPLICA = replicaEntry("a");
 
@@ -21,6 +22,7 @@
   const replicas = new ReplicaTable();
   const routes = new RouteTable();
   const context = {
+    eras: quietEras(),
     clock: { now: () => time.now },
     replicas,
     routes,
--- a/test/platform/store_test.ts
+++ b/test/platform/store_test.ts
@@ -45,8 +45,9 @@
   standin.put("servers", "c", REPLICA);
   standin.remove("servers", "b");
   standin.put("servers", "c", { ...REPLICA, Address: "127.0.0.1:2" });
-  const changes = await store.watchReplicas(listing.revision, 0, SIGNAL);
-  assert.equal(changes?.since, listing.revision);
+  const changes = await store.watchReplicas(listing, 0, SIGNAL);
+  assert.ok((changes?.revision ?? 0) > listing.revision);
+  assert.equal(changes?.era, listing.era);
   assert.deepEqual(changes?.gone, ["b"]);
   const seen = changes?.changed.map((one) => [
     one.incarnation,
@@ -62,19 +63,20 @@
 test("a watch over a lost history says so, and one without changes is empty", async (t) => {
   const { standin, store } = await start(t);
   standin.put("servers", "a", REPLICA);
-  const { revision } = await store.readReplicas(SIGNAL);
-  const nothing = await store.watchReplicas(revision, 10, SIGNAL);
+  const listing = await store.readReplicas(SIGNAL);
+  const nothing = await store.watchReplicas(listing, 10, SIGNAL);
   assert.deepEqual([nothing?.changed, nothing?.gone], [[], []]);
   standin.loseHistory();
-  assert.equal(await store.watchReplicas(revision, 10, SIGNAL), undefined);
+  assert.equal(await store.watchReplicas(listing, 10, SIGNAL), undefined);
 });
 
 test("a configuration that can't be read is an error, not a fresh word", async (t) => {
   const { standin, store } = await start(t);
   standin.put("op", "config", { Version: 1 });
-  const { revision = 0 } = await store.readConfig(SIGNAL);
+  const { place } = await store.readConfig(SIGNAL);
+  assert.ok(place);
   standin.put("op", "config", "no object" as unknown as object);
-  await assert.rejects(store.watchConfig(revision, 10, SIGNAL), /Unreadable/);
+  await assert.rejects(store.watchConfig(place, 10, SIGNAL), /Unreadable/);
 });
 
 const ANOTHER =
@@ -87,12 +89,13 @@
   const copy = standin.copy();
   standin.put("servers", "b", REPLICA);
   const listing = await store.readReplicas(SIGNAL);
-  const { revision = 0 } = await store.readConfig(SIGNAL);
+  const { place } = await store.readConfig(SIGNAL);
+  assert.ok(place);
   standin.restore(copy);
   const watches = () =>
     Promise.all([
-      store.watchReplicas(listing.revision, 0, SIGNAL),
-      store.watchConfig(revision, 0, SIGNAL),
+      store.watchReplicas(listing, 0, SIGNAL),
+      store.watchConfig(place, 0, SIGNAL),
     ]);
   assert.deepEqual(await watches(), [undefined, {}]);
   // The counter passes the old place: what lies below it would not be told.
