The soak's store comes back from older copies, with and without being away; a late answer names no era

What the operator and replicas wrote is written again 1.2 s later. In the eras: an answer of an earlier era that comes late doesn't set the era that is asked for.

--- a/src/gateway/state/store_eras.ts
+++ b/src/gateway/state/store_eras.ts
@@ -75,7 +75,8 @@
    */
   place({ revision, era }: StorePlace, { newest }: CallStart): Position {
     const known = eraOf(newest);
-    this.#told = era;
+    // A late answer of an earlier era names none that can be asked for now.
+    if (known === this.era) this.#told = era;
     if (era !== undefined && era >= known) return positionOf(era, revision);
     const isBack = revision < revisionOf(newest);
     return positionOf(isBack ? known + 1 : known, revision);
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -28,6 +28,8 @@
   config: "configuration",
   replicaRestart: "replica restarts under its id",
   foreignRows: "another writer's rows",
+  storeRestored: "store comes back from an older copy",
+  storeRestoredAway: "store down, comes back from an older copy",
 } as const;
 /** One of the values of {@link FaultKind}. */
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
@@ -61,11 +63,17 @@
   FaultKind.replicaRestart,
   FaultKind.foreignRows,
 ];
+const RESTORE_KINDS: readonly FaultKind[] = [
+  FaultKind.storeRestored,
+  FaultKind.storeRestoredAway,
+];
 const FIRST_KINDS = Object.values(FaultKind)
-  .filter((one) => !LATER_KINDS.includes(one));
+  .filter((one) => ![...LATER_KINDS, ...RESTORE_KINDS].includes(one));
 const LATER_FAULTS = 4;
+const RESTORES = 4;
 /** Keeps the later draws apart from the callers'. */
 const LATER_SEED = 1_000_003;
+const RESTORE_SEED = 2_000_003;
 const CRASHING_ONE_IN = 2;
 const CALM_KINDS: readonly FaultKind[] = [
   FaultKind.stop,
@@ -102,7 +110,18 @@
     count: draw(random, LATER_FAULTS),
   });
   const hasCrashing = draw(random, CRASHING_ONE_IN) === 0;
-  return { ...first, hasCrashing, faults: [...first.faults, ...faults] };
+  const restores = restoresOf(source);
+  return {
+    ...first,
+    hasCrashing,
+    faults: [...first.faults, ...faults, ...restores],
+  };
+}
+
+function restoresOf(source: ScheduleSource): Fault[] {
+  const random = xoroshiro128plus(source.seed + RESTORE_SEED);
+  const count = draw(random, RESTORES);
+  return drawFaults(random, source, { kinds: RESTORE_KINDS, count });
 }
 
 function firstScheduleOf({ seed, spanMs }: ScheduleSource): Schedule {
--- a/test/soak/strike.ts
+++ b/test/soak/strike.ts
@@ -16,6 +16,8 @@
 const STORE_SLOW_MS = 500;
 /** Entries that lapsed are back so long after the store is. */
 const RETURN_MS = 1200;
+/** A store that comes back from a copy is away for so long before. */
+const AWAY_MS = 700;
 /** A process that ended starts again after this time. */
 const RESTART_MS = 400;
 
@@ -77,6 +79,10 @@
     case FaultKind.config:
       world.changeConfig();
       return NOTHING;
+    case FaultKind.storeRestored:
+      return restoreStore(world, { isAway: false });
+    case FaultKind.storeRestoredAway:
+      return restoreStore(world, { isAway: true });
   }
 }
 
@@ -139,6 +145,25 @@
   }
 }
 
+/** What the store keeps now it comes back with when the fault is over. */
+function restoreStore(
+  world: World,
+  { isAway }: { readonly isAway: boolean },
+): Undo {
+  const { store } = world;
+  const copy = store.copy();
+  return async () => {
+    if (isAway) {
+      store.mode = StoreMode.down;
+      await pause(AWAY_MS);
+      store.mode = StoreMode.up;
+    }
+    store.restore(copy);
+    await pause(RETURN_MS);
+    world.writeAgain();
+  };
+}
+
 async function strikeReplica(
   world: World,
   replica: WorldReplica,
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -134,6 +134,16 @@
     }
   }
 
+  /** What the operator and the replicas wrote, after the store has lost it. */
+  writeAgain(): void {
+    this.store.put("op", "config", configOf(this.#version));
+    const ready = new Set(this.ready().map((one) => one.standin.id));
+    for (const one of this.ready()) this.list(one);
+    for (const { standin: { id } } of this.replicas) {
+      if (!ready.has(id)) this.store.remove("servers", id);
+    }
+  }
+
   /** Entries of live replicas go, as they do while a store is away. */
   lapse(): void {
     for (const { standin } of this.ready()) {
