An answer behind what was known begins an era whether or not the store names a new one; the soak's store loses many writes

Change: a store that is away comes back 1,000 writes lower. Read anew: a store that went back and named the same era would have left hosts as deaf as before.

--- a/src/gateway/state/store_eras.ts
+++ b/src/gateway/state/store_eras.ts
@@ -69,15 +69,16 @@
 
   /**
    * The place of an answer, by what was known when its call began. A store that
-   * tells no era gives itself away: answers are linearizable, so one whose
-   * revision is lower than what was known before the call is of the next era. The
-   * same holds for one whose era is behind the eras that hosts have counted so.
+   * names no new era gives itself away: answers are linearizable, so one whose
+   * revision is lower than what was known before the call is of the next era.
+   * Dropped as older, such answers would leave a host deaf until the counter has
+   * passed the old place.
    */
   place({ revision, era }: StorePlace, { newest }: CallStart): Position {
     const known = eraOf(newest);
     // A late answer of an earlier era names none that can be asked for now.
     if (known === this.era) this.#told = era;
-    if (era !== undefined && era >= known) return positionOf(era, revision);
+    if (era !== undefined && era > known) return positionOf(era, revision);
     const isBack = revision < revisionOf(newest);
     return positionOf(isBack ? known + 1 : known, revision);
   }
--- a/test/gateway/state/store_eras_test.ts
+++ b/test/gateway/state/store_eras_test.ts
@@ -85,6 +85,17 @@
   assert.equal(eras.place({ revision: 31 }, eras.start()), positionOf(1, 31));
 });
 
+test("a lower revision is of the next era also where the store names the same one", () => {
+  const { eras } = start();
+  eras.hear(positionOf(3, 30), 0);
+  const place = eras.place({ revision: 12, era: 3 }, eras.start());
+  assert.equal(place, positionOf(4, 12));
+  eras.hear(place, 10);
+  const next = eras.place({ revision: 14, era: 3 }, eras.start());
+  assert.equal(next, positionOf(4, 14));
+  assert.deepEqual(eras.storePlace(next), { revision: 14, era: 3 });
+});
+
 test("a host that counted too many eras still takes what the store says", () => {
   const { eras } = start();
   eras.hear(positionOf(5, 0), 0);
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -40,6 +40,8 @@
   remove(table: string, key: string): void;
   /** The store forgets its history: feeds get 410 once. */
   loseHistory(): void;
+  /** Writes of others, of rows that concern nobody here: the counter rises. */
+  pass(writes: number): void;
   /** What the store keeps now. */
   copy(): StoreCopy;
   /** The store comes back from an older copy of itself. */
@@ -96,6 +98,7 @@
       state.lostBefore = state.ver + 1;
       wake(state);
     },
+    pass: (writes) => void (state.ver += writes),
     copy: () => ({ rows: new Map(state.rows), ver: state.ver }),
     restore: ({ rows, ver }) => {
       state.rows = new Map(rows);
--- a/test/soak/strike.ts
+++ b/test/soak/strike.ts
@@ -16,6 +16,8 @@
 const STORE_SLOW_MS = 500;
 /** Entries that lapsed are back so long after the store is. */
 const RETURN_MS = 1200;
+/** More than the writes of a whole run. */
+const LOST_WRITES = 1000;
 /** A store that comes back from a copy is away for so long before. */
 const AWAY_MS = 700;
 /** A process that ended starts again after this time. */
@@ -152,6 +154,8 @@
 ): Undo {
   const { store } = world;
   const copy = store.copy();
+  // Without them the counter soon passes the old place.
+  if (isAway) store.pass(LOST_WRITES);
   return async () => {
     if (isAway) {
       store.mode = StoreMode.down;
