--- a/test/soak/strike.ts
+++ b/test/soak/strike.ts
@@ -165,6 +165,8 @@
     store.restore(copy);
     await pause(RETURN_MS);
     world.writeAgain();
+    // Hosts that went deaf would hear of none: all must come to this version.
+    world.changeConfig();
   };
 }
 
