--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -12,7 +12,7 @@
 /** Replicas that have left, or are gone, are remembered up to this number. */
 const MOST_LEFT = 10_000;
 
-/** What a listing may have wrong, since the store was away until just now. */
+/** What may be wrong with a listing of a store that has just come back. */
 export type ListingDoubt = {
   /** It may lack live replicas: those that aren't leaving are kept. */
   readonly keepMissing?: boolean;
@@ -52,7 +52,7 @@
   readonly #left = new Set<string>();
   /** Incarnations that were listed once, and where they no longer were. */
   readonly #goneAt = new Map<string, Position>();
-  /** It has replicas that the listing lacks, or lacks some that it has. */
+  /** The table has replicas that the listing lacks, or the other way round. */
   #isDoubtful = false;
 
   /** The place of the newest listing; -1 before the first. */
--- a/src/gateway/state/store_eras.ts
+++ b/src/gateway/state/store_eras.ts
@@ -1,8 +1,10 @@
 /**
- * The eras of the store: from one return from an older copy to the next. What was
- * learnt in an earlier era stays a belief; it is no bound on what the next one
- * says. For a while after its return the store lacks what is still being written
- * again, and has what had already gone: what it says then settles nothing.
+ * The eras of the store: an era begins whenever the store comes back from an older
+ * copy of itself. Its revisions go back with it, so what was read in an earlier era
+ * is kept as a belief but never makes an answer of a later one look old.
+ *
+ * For a while after its return the store lacks what is still being written again
+ * and has what had already gone. Until then the era is not settled.
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import type { EventLog } from "../observe/event_log.ts";
@@ -119,7 +121,7 @@
     return Math.max(0, this.#settledAt - now);
   }
 
-  /** What the store says now, it says with all that was to be written again. */
+  /** By now all that the store had lost is surely written again. */
   isSettled(now: Milliseconds): boolean {
     return now >= this.#settledAt;
   }
