A table of hosts with rows that look dead is not taken for a first start

Cause: found at the last reading: whether somebody had written was asked of the rows that are live by the store's clock. In an era whose clock began anew the copy's rows look dead, and a host that starts would take the era for settled. Change: any row counts. The test fails before. Where the store names no era nothing is different.

--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -97,21 +97,15 @@
       ? [decodeCrashes(row.crashes, now, Math.max(0, ageOf(row, reading)))]
       : []
   );
+  const isFirst = reading.rows.length === 0;
+  const isSettled = isFirst || rows.some((one) => one.era === reading.era);
   return {
     hosts: liveHosts(reading),
     crashes,
-    settledEra: settledEra(rows, reading),
+    settledEra: isSettled ? reading.era : undefined,
   };
 }
 
-function settledEra(
-  rows: readonly Row[],
-  { era }: RowReading,
-): number | undefined {
-  const isSettled = rows.length === 0 || rows.some((one) => one.era === era);
-  return isSettled ? era : undefined;
-}
-
 /**
  * The hosts of rows that are not too old by the store's own clock; where two
  * rows name a host, as the newer one has it.
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -164,6 +164,9 @@
   assert.equal(await settledEra([]), 2);
   assert.equal(await settledEra([{ writtenMs: 9000, era: 1 }]), undefined);
   assert.equal(await settledEra([{ writtenMs: 9000 }]), undefined);
+  // By a clock that began anew a copy's rows look dead: somebody was there.
+  const longAgo = [{ writtenMs: 500_000, era: 1 }];
+  assert.equal(await settledEra(longAgo), undefined);
   const rows = [{ writtenMs: 9000, era: 1 }, { writtenMs: 9500, era: 2 }];
   assert.equal(await settledEra(rows), 2);
 });
