Sight: a limit that a replica names on its requests leaves a line and a metric

Logs couldn't tell what an answer said of its replica. Answers' heads are now read for the limit, a table keeps what was heard, and limitNamed, limitEnded, limitUnreadable and replicas_limited tell it. Nothing is decided by it.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from "./observe/event_log.ts";
 import type { Metrics } from "./observe/metrics.ts";
 import type { CrashWatch } from "./crashes/crash_watch.ts";
+import type { ReplicaLimits } from "./limits/replica_limits.ts";
 import type { Dialect } from "./port.ts";
 import type { ReplicaTable } from "./replicas/replica_table.ts";
 import type { RetryBudget } from "./retries/retry_budget.ts";
@@ -49,6 +50,7 @@
   readonly budget: RetryBudget;
   readonly pool: UpstreamPool;
   readonly crashes: CrashWatch;
+  readonly limits: ReplicaLimits;
   readonly events: EventLog;
   readonly metrics: Metrics;
   /** As the settings have it now. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -5,6 +5,7 @@
 import type { GatewayContext, GatewayTuning } from "./context.ts";
 import { CrashWatch } from "./crashes/crash_watch.ts";
 import type { CrashRule } from "./crashes/model.ts";
+import { ReplicaLimits } from "./limits/replica_limits.ts";
 import { openEventLog } from "./observe/event_log.ts";
 import { LineWriter } from "./observe/line_writer.ts";
 import { Metrics } from "./observe/metrics.ts";
@@ -56,6 +57,7 @@
       rule: crashRuleOf(settings),
       probe: (address) => probeAddress(address, { clock, timeoutMs }),
     }),
+    limits: new ReplicaLimits({ clock, events }),
     events,
     metrics,
     tuning: tuningOf(settings),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -208,7 +208,8 @@
   #metricsServer(): Server {
     return createServer((request, response) => {
       request.resume();
-      const { metrics, routes, replicas, clock, crashes, eras } = this.#context;
+      const { metrics, routes, replicas, clock, crashes, eras, limits } =
+        this.#context;
       const age = this.#state.storeAgeMs(clock.now());
       const configAge = this.#state.configAgeMs(clock.now());
       const gauges = {
@@ -222,6 +223,7 @@
         hosts_known: this.#directory.count,
         crash_suspects: crashes.suspects,
         crash_quarantined: crashes.quarantined,
+        replicas_limited: limits.limited,
         config_age_seconds: Number.isFinite(configAge) ? configAge / 1000 : -1,
         store_age_seconds: Number.isFinite(age) ? age / 1000 : -1,
         resident_bytes: process.memoryUsage.rss(),
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -90,6 +90,13 @@
     "A request may be sent to replicas again",
     BELIEFS_PER_SECOND,
   ),
+  limitNamed: warn("limits", "A replica limits the rate of its requests", 5),
+  limitEnded: info("limits", "A replica limits its requests no more", 5),
+  limitUnreadable: warn(
+    "limits",
+    "A replica's limit is no number; what was known of it stays",
+    1,
+  ),
   plannerLost: warn("planning", "The planner is out of reach", 20),
   plannerChanged: info("planning", "Another host plans a service", 20),
   quotaOwnerLost: warn("quotas", "An owner of quotas is out of reach", 20),
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../core/ids.ts";
+import type { LimitHeader } from "./limits/model.ts";
 import type { RouteConfig } from "./routing/model.ts";
 import type { StorePlace } from "./position.ts";
 import type { ReplicaEntry, ReplicaStage } from "./replicas/model.ts";
@@ -67,6 +68,8 @@
   readonly notRun: boolean;
   /** Another replica has the address. */
   readonly misdirected: boolean;
+  /** Whether the replica limits the rate of its requests. */
+  readonly limit: LimitHeader;
 };
 
 /** A call without a caller's request behind it. */
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -54,11 +54,13 @@
     mostConnections: connectionShare(context, request.service),
   });
   replica.calls += 1;
-  replica.noteTry(context.clock.now());
+  const sentAt = context.clock.now();
+  replica.noteTry(sentAt);
   const cancel = timeoutMs === undefined
     ? () => undefined
     : context.clock.after(timeoutMs, () => call.abort("No answer in time"));
-  const result = resultOf(context, request, replica, call).finally(() => {
+  const sent = { call, sentAt };
+  const result = resultOf(context, request, replica, sent).finally(() => {
     cancel();
     replica.calls -= 1;
   });
@@ -92,7 +94,7 @@
   context: GatewayContext,
   request: GatewayRequest,
   replica: Replica,
-  call: Call,
+  { call, sentAt }: { readonly call: Call; readonly sentAt: Milliseconds },
 ): Promise<SendResult> {
   const outcome = await call.outcome;
   const now = context.clock.now();
@@ -123,6 +125,9 @@
     });
     return { type: "unknown", reason: "An answer to another request" };
   }
+  if (!facts.misdirected) {
+    context.limits.hear(replica.entry, facts.limit, sentAt);
+  }
   if (facts.notRun) {
     message.resume();
     if (facts.misdirected) replica.noteFailure(now, true);
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -3,6 +3,7 @@
   type CallHead,
   CallMode,
   type Dialect,
+  type LimitHeader,
   withoutHeaders,
 } from "../../src/gateway/mod.ts";
 
@@ -34,6 +35,7 @@
       ...(typeof id === "string" ? { id } : {}),
       notRun: status === 421 || headers["x-not-run"] !== undefined,
       misdirected: status === 421,
+      limit: limitOf(headers["x-limit"]),
     };
   },
   readExport: (body) => field(body, "export"),
@@ -59,6 +61,13 @@
   retryAfterHeader: "retry-after",
 };
 
+function limitOf(value: string | string[] | undefined): LimitHeader {
+  if (value === undefined) return { type: "none" };
+  const perSecond = Number(value);
+  if (Number.isFinite(perSecond)) return { type: "limit", perSecond };
+  return { type: "unreadable", text: String(value) };
+}
+
 function ownHeaders(head: CallHead): string[] {
   const own = ["x-incarnation", head.replica];
   if (head.mode === CallMode.prefill) own.push("x-mode", "prefill");
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -18,6 +18,7 @@
 import { ReplicaTable } from "../../src/gateway/replicas/replica_table.ts";
 import { Places } from "../../src/gateway/planning/places.ts";
 import { PlanService } from "../../src/gateway/planning/plan_service.ts";
+import { ReplicaLimits } from "../../src/gateway/limits/replica_limits.ts";
 import { CrashWatch } from "../../src/gateway/crashes/crash_watch.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
@@ -245,6 +246,7 @@
       probe: (address) =>
         probeAddress(address, { clock: systemClock, timeoutMs: AMPLE_MS }),
     }),
+    limits: new ReplicaLimits({ clock: systemClock, events: log }),
     events: log,
     metrics,
     tuning: {
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -56,6 +56,21 @@
   });
 });
 
+test("a replica's limit is a decimal number, or it is unreadable", () => {
+  const limitOf = (text?: string) =>
+    dialect.readAnswer(200, text === undefined ? {} : { "server-limit": text })
+      .limit;
+  assert.deepEqual(limitOf(), { type: "none" });
+  for (const perSecond of [0, 0.3, 1.4, 250]) {
+    assert.deepEqual(limitOf(String(perSecond)), { type: "limit", perSecond });
+  }
+  const huge = "9".repeat(400);
+  const no = ["1,4", "1.4, 2", "abc", "", "-1", "NaN", "1e999", "1.", huge];
+  for (const text of no) {
+    assert.deepEqual(limitOf(text), { type: "unreadable", text });
+  }
+});
+
 test("no answer of a replica's calls makes the adapter throw", () => {
   fc.assert(
     fc.property(fc.oneof(fc.string(), fc.json()), (body) => {
