--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -47,6 +47,8 @@
   readonly address: string;
   /** Requests that run now. */
   running(): number;
+  /** What its answers say of the rate that it takes; undefined: nothing. */
+  limit: string | undefined;
   /** Ends it as a crash does: all connections are reset. */
   crash(): void;
 };
@@ -74,13 +76,20 @@
   readonly holds: Map<string, number>;
   running: number;
   count: number;
+  limit: string | undefined;
 };
 
 /** Starts a replica on a free port. */
 export async function startReplica(
   source: ReplicaSource,
 ): Promise<ReplicaStandin> {
-  const engine: Engine = { source, holds: new Map(), running: 0, count: 0 };
+  const engine: Engine = {
+    source,
+    holds: new Map(),
+    running: 0,
+    count: 0,
+    limit: undefined,
+  };
   const server = createServer((request, response) => {
     response.on("error", () => undefined);
     void answer(engine, request, response).catch(() => response.destroy());
@@ -97,6 +106,12 @@
     role: source.role,
     address,
     running: () => engine.running,
+    get limit() {
+      return engine.limit;
+    },
+    set limit(text) {
+      engine.limit = text;
+    },
     crash: () => {
       server.close();
       for (const socket of sockets) socket.resetAndDestroy();
@@ -152,6 +167,9 @@
 ): Promise<void> {
   const { source } = engine;
   const { role, world } = source;
+  if (engine.limit !== undefined) {
+    response.setHeader("Server-Limit", engine.limit);
+  }
   const header = (name: string) => String(request.headers[name] ?? "");
   const id = header("attempt-id");
   if (header("expected-instance") !== source.id) {
