What hosts share out of an account is a module of its own, its rule an argument

The ledger of customers' quotas is to count other things too. No change of behaviour: the window and the units of an owner come from a function, for quotas as before.

--- a/src/gateway/callers/quota_hold.ts
+++ b/src/gateway/callers/quota_hold.ts
@@ -3,7 +3,7 @@
 import { GatewayError } from "../answers.ts";
 import { type Clock, sleep } from "../clock.ts";
 import { quotaUnits } from "../customers/model.ts";
-import type { QuotaMember } from "../customers/quota/member.ts";
+import type { QuotaMember } from "../quota/member.ts";
 import type { GatewayRequest } from "../requests/request.ts";
 
 /**
--- a/src/gateway/customers/customers.ts
+++ b/src/gateway/customers/customers.ts
@@ -2,12 +2,12 @@
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewaySettings } from "../../settings/gateway.ts";
 import type { GatewayContext } from "../context.ts";
-import { openLink } from "../peers/link.ts";
+import { LinkPath, openLink } from "../peers/link.ts";
 import type { HostDirectory } from "../peers/directory.ts";
 import type { AdmissionSource } from "./admission.ts";
-import type { QuotaBounds } from "./quota/bounds.ts";
-import { QuotaMember } from "./quota/member.ts";
-import { QuotaOwner } from "./quota/owner.ts";
+import { type QuotaBounds, quotaRule } from "../quota/bounds.ts";
+import { QuotaMember } from "../quota/member.ts";
+import { QuotaOwner } from "../quota/owner.ts";
 
 /** What the customers' parts are made from. */
 export type CustomersSource = {
@@ -38,14 +38,17 @@
     this.owner = new QuotaOwner({
       clock: context.clock,
       run: context.self.run,
-      bounds: () => this.#bounds(),
+      allowance: quotaRule(() => this.#bounds()),
+      memoryMs: () => this.#settings.quota_window,
       knownHosts: () => directory.count,
     });
     this.quotas = new QuotaMember({
       context,
       own: this.owner,
       hosts: () => directory.entries(),
-      windowMs: () => this.#settings.quota_window,
+      memoryMs: () => this.#settings.quota_window,
+      path: LinkPath.quota,
+      noteLost: (owner) => context.events.note("quotaOwnerLost", { owner }),
       openLink,
     });
   }
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from "node:http";
 import type { Milliseconds } from "../../core/ids.ts";
 import type { GatewayContext } from "../context.ts";
-import type { QuotaOwner } from "../customers/quota/owner.ts";
+import type { QuotaOwner } from "../quota/owner.ts";
 import type { PlanService } from "../planning/plan_service.ts";
 import type { HostEntry } from "../port.ts";
 import type { StateServer } from "../state/state_server.ts";
--- a/src/gateway/customers/quota/bounds.ts
+++ b/src/gateway/quota/bounds.ts
@@ -1,5 +1,5 @@
-/** How far the sum over all hosts may pass a customer's quota. */
-import type { Milliseconds } from "../../../core/ids.ts";
+/** What all hosts together may take of an account. */
+import type { Milliseconds } from "../../core/ids.ts";
 
 /**
  * In any window, all hosts together let through no more than
@@ -34,3 +34,28 @@
   const inWindow = perSecond * windowMs / 1000 + burst;
   return inWindow * (1 + overshoot * SPARE_SHARE) + tolerance * SPARE_SHARE;
 }
+
+/** What an owner gives out of an account. */
+export type Allowance = {
+  /** In any span of `windowMs`. */
+  readonly units: number;
+  readonly windowMs: Milliseconds;
+};
+
+/**
+ * The allowance of an owner that is named by `share` of the hosts, from 0 to 1.
+ * The allowances of all owners of an account add up to no more than one with
+ * the whole.
+ */
+export type AllowanceRule = (
+  account: { readonly name: string; readonly rate: Rate },
+  share: number,
+) => Allowance;
+
+/** Customers' quotas: the bounds' window, and the owner's part of the units. */
+export function quotaRule(bounds: () => QuotaBounds): AllowanceRule {
+  return ({ rate }, share) => ({
+    units: windowLimitOf(rate, bounds()) * share,
+    windowMs: bounds().windowMs,
+  });
+}
--- a/src/gateway/customers/quota/ledger.ts
+++ b/src/gateway/quota/ledger.ts
@@ -1,6 +1,6 @@
-/** What an owner has given out of its customers' quotas. */
-import type { HostId, Milliseconds } from "../../../core/ids.ts";
-import { type QuotaBounds, type Rate, windowLimitOf } from "./bounds.ts";
+/** What an owner has given out of the accounts that it owns. */
+import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { AllowanceRule, Rate } from "./bounds.ts";
 import { Coverage } from "./coverage.ts";
 import type { QuotaMembership } from "./messages.ts";
 import { SHARD_COUNT, shardOf } from "./shards.ts";
@@ -41,12 +41,23 @@
 
 /** What a ledger is made from. */
 export type QuotaLedgerSource = {
-  readonly bounds: () => QuotaBounds;
+  readonly allowance: AllowanceRule;
+  /**
+   * What was taken longer ago is not told to a new owner; a host that has run
+   * for less may have forgotten what its earlier process took.
+   */
+  readonly memoryMs: () => Milliseconds;
   /** Hosts of the fleet, this one included. */
   readonly knownHosts: () => number;
 };
 
-type Account = { readonly log: WindowLog; rate: Rate; version: number };
+type Account = {
+  readonly log: WindowLog;
+  rate: Rate;
+  version: number;
+  /** Of the last allowance. */
+  windowMs: Milliseconds;
+};
 
 type Shard = {
   readonly coverage: Coverage;
@@ -97,16 +108,19 @@
   take(take: QuotaTake, now: Milliseconds): Taken {
     this.#sweep(now);
     const { customer, units, mostWaitMs } = take;
-    const { log, rate } = this.#accountFor(customer, take);
-    const bounds = this.#source.bounds();
+    const known = this.#accountFor(customer, take);
+    const { log, rate } = known;
     const share = this.#shareOf(this.#shardOf(customer).coverage, now);
-    const limit = windowLimitOf(rate, bounds) * share;
-    log.expire(now, bounds.windowMs);
+    const named = { name: customer, rate };
+    const allowance = this.#source.allowance(named, share);
+    const { windowMs } = allowance;
+    known.windowMs = windowMs;
+    log.expire(now, windowMs);
     const freeAt = Math.max(
-      log.roomAt(units, { limit, spanMs: bounds.windowMs, now }),
+      log.roomAt(units, { limit: allowance.units, spanMs: windowMs, now }),
       log.roomAt(units, {
-        limit: Math.max(units, limit * BURST_SHARE),
-        spanMs: bounds.windowMs * BURST_SPAN,
+        limit: Math.max(units, allowance.units * BURST_SHARE),
+        spanMs: windowMs * BURST_SPAN,
         now,
       }),
     );
@@ -139,8 +153,8 @@
   }
 
   #shareOf(coverage: Coverage, now: Milliseconds): number {
-    const { windowMs } = this.#source.bounds();
     const hosts = this.#source.knownHosts();
+    const windowMs = this.#source.memoryMs();
     return coverage.shareAt(now, { hosts, windowMs });
   }
 
@@ -152,11 +166,12 @@
     const { accounts } = this.#shardOf(customer);
     const known = accounts.get(customer);
     if (!known) {
-      const account = { log: new WindowLog(), rate, version };
+      const windowMs = this.#source.memoryMs();
+      const account = { log: new WindowLog(), rate, version, windowMs };
       accounts.set(customer, account);
       return account;
     }
-    if (version > known.version) {
+    if (version >= known.version) {
       known.rate = rate;
       known.version = version;
     }
@@ -166,9 +181,8 @@
   #sweep(now: Milliseconds): void {
     if (now - this.#sweptAt < SWEEP_MS) return;
     this.#sweptAt = now;
-    const { windowMs } = this.#source.bounds();
     for (const { accounts } of this.#shards) {
-      for (const [customer, { log }] of accounts) {
+      for (const [customer, { log, windowMs }] of accounts) {
         log.expire(now, windowMs);
         if (log.sum <= 0) accounts.delete(customer);
       }
--- a/src/gateway/customers/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -2,17 +2,12 @@
  * Takes the quotas of this host's requests from their owners. The owner of a
  * shard is the first host in the shard's rendezvous order that answers.
  */
-import type { HallId, HostId, Milliseconds } from "../../../core/ids.ts";
-import { readJson } from "../../../util/read_json.ts";
-import type { GatewayContext } from "../../context.ts";
-import { HostOrders } from "../../peers/host_order.ts";
-import {
-  type Link,
-  type LinkEvents,
-  LinkPath,
-  type LinkTarget,
-} from "../../peers/link.ts";
-import type { HostEntry } from "../../port.ts";
+import type { HallId, HostId, Milliseconds } from "../../core/ids.ts";
+import { readJson } from "../../util/read_json.ts";
+import type { GatewayContext } from "../context.ts";
+import { HostOrders } from "../peers/host_order.ts";
+import type { Link, LinkEvents, LinkPath, LinkTarget } from "../peers/link.ts";
+import type { HostEntry } from "../port.ts";
 import type { QuotaTake, Taken } from "./ledger.ts";
 import {
   type MemberMessage,
@@ -54,12 +49,16 @@
 
 /** What a member is made from. */
 export type QuotaMemberSource = {
-  readonly context: Pick<GatewayContext, "self" | "clock" | "events">;
+  readonly context: Pick<GatewayContext, "self" | "clock">;
   readonly own: QuotaOwner;
   /** The other hosts; the same array while none changes. */
   readonly hosts: () => readonly HostEntry[];
-  /** What was taken longer ago is of no interest. */
-  readonly windowMs: () => Milliseconds;
+  /** What was taken longer ago is not told to a new owner. */
+  readonly memoryMs: () => Milliseconds;
+  /** The owners' links. */
+  readonly path: LinkPath;
+  /** An owner is out of reach. */
+  readonly noteLost: (owner: HostId) => void;
   /** Opens a link to an owner. */
   readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
 };
@@ -181,10 +180,10 @@
   }
 
   #open({ id, address, hall }: HostEntry): OwnerLink {
-    const { context: { clock, self }, openLink } = this.#source;
+    const { context: { clock, self }, openLink, path } = this.#source;
     const target = {
       address,
-      path: LinkPath.quota,
+      path,
       self: self.id,
       clock,
       isWatchful: true,
@@ -211,10 +210,10 @@
   #lost({ id, hall }: Pick<HostEntry, "id" | "hall">, link: Link): void {
     const known = this.#links.get(id);
     if (known?.link !== link) return;
-    const { context: { clock, events } } = this.#source;
+    const { context: { clock }, noteLost } = this.#source;
     this.#links.delete(id);
     this.#suspects.set(id, { until: clock.now() + SUSPECT_MS, hall });
-    if (known.run !== undefined) events.note("quotaOwnerLost", { owner: id });
+    if (known.run !== undefined) noteLost(id);
     this.refresh();
     for (const [askedId, asked] of this.#asked) {
       if (asked.owner === id) this.#askNext(askedId, asked);
@@ -275,9 +274,9 @@
 
   /** Names the owner of these shards, and tells it what others gave of them. */
   #membership(shards: readonly number[], run: string): MemberMessage {
-    const { context: { clock }, windowMs } = this.#source;
+    const { context: { clock }, memoryMs } = this.#source;
     const now = clock.now();
-    this.#uses = this.#uses.filter((one) => one.at > now - windowMs());
+    this.#uses = this.#uses.filter((one) => one.at > now - memoryMs());
     const news = this.#uses
       .filter((one) => !one.knownTo.has(run))
       .filter(({ take }) => shards.includes(shardOf(take.customer)));
@@ -318,12 +317,12 @@
   }
 
   #noteUse(take: QuotaTake, owner: HostId, afterMs: Milliseconds): Use {
-    const { context: { clock, self }, own, windowMs } = this.#source;
+    const { context: { clock, self }, own, memoryMs } = this.#source;
     const run = owner === self.id ? own.run : this.#links.get(owner)?.run;
     const now = clock.now();
     const use = { take, at: now + afterMs, knownTo: new Set([run ?? ""]) };
     // Sends of a membership forget the rest; this bounds what a calm host has.
-    while ((this.#uses[0]?.at ?? now) < now - windowMs()) this.#uses.shift();
+    while ((this.#uses[0]?.at ?? now) < now - memoryMs()) this.#uses.shift();
     this.#uses.push(use);
     return use;
   }
--- a/src/gateway/customers/quota/owner.ts
+++ b/src/gateway/quota/owner.ts
@@ -1,9 +1,9 @@
 /** This host as an owner of quotas, for itself and the hosts that link to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { HostId } from "../../../core/ids.ts";
-import { readJson } from "../../../util/read_json.ts";
-import type { Clock } from "../../clock.ts";
-import { acceptLink, type Link, LINK_HOST_HEADER } from "../../peers/link.ts";
+import type { HostId } from "../../core/ids.ts";
+import { readJson } from "../../util/read_json.ts";
+import type { Clock } from "../clock.ts";
+import { acceptLink, type Link, LINK_HOST_HEADER } from "../peers/link.ts";
 import { QuotaLedger, type QuotaLedgerSource } from "./ledger.ts";
 import {
   type MemberMessage,
--- a/test/gateway/customers/keys_test.ts
+++ b/test/gateway/customers/keys_test.ts
@@ -7,8 +7,8 @@
   type RouteConfig,
   RouteKind,
 } from "../../../src/gateway/mod.ts";
-import type { QuotaTake } from "../../../src/gateway/customers/quota/ledger.ts";
-import type { QuotaOutcome } from "../../../src/gateway/customers/quota/member.ts";
+import type { QuotaTake } from "../../../src/gateway/quota/ledger.ts";
+import type { QuotaOutcome } from "../../../src/gateway/quota/member.ts";
 import { type RawAnswer, whole } from "../raw_replica.ts";
 import { type Rig, withRig } from "../rig.ts";
 
--- a/test/gateway/customers/quota_fleet.ts
+++ b/test/gateway/quota/quota_fleet.ts
@@ -1,12 +1,19 @@
 /** Hosts that share quotas over links that a test can cut, in virtual time. */
-import type { QuotaBounds } from "../../../src/gateway/customers/quota/bounds.ts";
+import {
+  type QuotaBounds,
+  quotaRule,
+} from "../../../src/gateway/quota/bounds.ts";
 import {
   QuotaMember,
   type QuotaOutcome,
-} from "../../../src/gateway/customers/quota/member.ts";
-import { QuotaOwner } from "../../../src/gateway/customers/quota/owner.ts";
-import type { MemberMessage } from "../../../src/gateway/customers/quota/messages.ts";
-import type { Link, LinkEvents } from "../../../src/gateway/peers/link.ts";
+} from "../../../src/gateway/quota/member.ts";
+import { QuotaOwner } from "../../../src/gateway/quota/owner.ts";
+import type { MemberMessage } from "../../../src/gateway/quota/messages.ts";
+import {
+  type Link,
+  type LinkEvents,
+  LinkPath,
+} from "../../../src/gateway/peers/link.ts";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
 
@@ -184,7 +191,8 @@
     const owner = new QuotaOwner({
       clock,
       run: `${id} ${this.#time.now}`,
-      bounds: () => BOUNDS,
+      allowance: quotaRule(() => BOUNDS),
+      memoryMs: () => BOUNDS.windowMs,
       knownHosts: () => this.#entries.length,
     });
     const others = this.#entries.filter((one) => one.id !== id);
@@ -192,11 +200,12 @@
       context: {
         self: { id, hall: `hall-${Number(id.slice(1)) % 3}`, run: "1" },
         clock,
-        events: { note: () => undefined },
       },
       own: owner,
       hosts: () => others,
-      windowMs: () => BOUNDS.windowMs,
+      memoryMs: () => BOUNDS.windowMs,
+      path: LinkPath.quota,
+      noteLost: () => undefined,
       openLink: ({ address }, events) => this.#open(id, address, events),
     });
     return { owner, member };
--- a/test/gateway/customers/quota_member_test.ts
+++ b/test/gateway/quota/quota_member_test.ts
@@ -2,9 +2,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { systemClock } from "../../../src/gateway/clock.ts";
-import { QuotaMember } from "../../../src/gateway/customers/quota/member.ts";
-import { QuotaOwner } from "../../../src/gateway/customers/quota/owner.ts";
-import type { LinkEvents } from "../../../src/gateway/peers/link.ts";
+import { quotaRule } from "../../../src/gateway/quota/bounds.ts";
+import { QuotaMember } from "../../../src/gateway/quota/member.ts";
+import { QuotaOwner } from "../../../src/gateway/quota/owner.ts";
+import { type LinkEvents, LinkPath } from "../../../src/gateway/peers/link.ts";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { BOUNDS } from "./quota_fleet.ts";
 
@@ -17,18 +18,20 @@
   const own = new QuotaOwner({
     clock: systemClock,
     run: "own",
-    bounds: () => BOUNDS,
+    allowance: quotaRule(() => BOUNDS),
+    memoryMs: () => BOUNDS.windowMs,
     knownHosts: () => 1,
   });
   const member = new QuotaMember({
     context: {
       self: { id: "self", hall: "h", run: "own" },
       clock: { ...systemClock, now: () => 20_000 },
-      events: { note: () => undefined },
     },
     own,
     hosts: () => hosts,
-    windowMs: () => BOUNDS.windowMs,
+    memoryMs: () => BOUNDS.windowMs,
+    path: LinkPath.quota,
+    noteLost: () => undefined,
     openLink: ({ address }, events) => {
       const told: Told[] = [];
       links.set(address, { events, told });
--- a/test/gateway/customers/quota_test.ts
+++ b/test/gateway/quota/quota_test.ts
@@ -3,12 +3,9 @@
 import { test } from "node:test";
 import * as fc from "fast-check";
 import "../../fixed_seed.ts";
-import { windowLimitOf } from "../../../src/gateway/customers/quota/bounds.ts";
+import { windowLimitOf } from "../../../src/gateway/quota/bounds.ts";
 import { rendezvous } from "../../../src/core/util/rendezvous.ts";
-import {
-  orderKeyOf,
-  shardOf,
-} from "../../../src/gateway/customers/quota/shards.ts";
+import { orderKeyOf, shardOf } from "../../../src/gateway/quota/shards.ts";
 import { BOUNDS, QuotaFleet } from "./quota_fleet.ts";
 
 const CUSTOMER = "alpha";
