--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -164,6 +164,11 @@
     return this.#isCut(this.#hostOf(from), this.#hostOf(to));
   }
 
+  /** Does something at a time. */
+  at(time: number, run: () => void): void {
+    this.#time.at(time, run);
+  }
+
   /** Goes on to a time. */
   runTo(time: number): Promise<void> {
     return this.#time.runTo(time);
