--- a/src/gateway/planning/limit_pace.ts
+++ b/src/gateway/planning/limit_pace.ts
@@ -5,6 +5,8 @@
  */
 import type { Milliseconds } from "../../core/ids.ts";
 import { forgetOldest } from "../../util/forget_oldest.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import type { PlanProgress } from "./messages.ts";
 import { LEAST_PER_SECOND } from "../limits/allowance.ts";
 
 /**
@@ -16,6 +18,11 @@
 const CATCH_UP = 2;
 /** Requests that may go at once: an owner lets two through in a second at 1.4. */
 const AT_ONCE = 2;
+/**
+ * A host may hear of a limit before the planner does. Its refusal holds for so
+ * long then, or the planner would name the replica again at once.
+ */
+const UNHEARD_MS = 500;
 /** Replicas whose pace is kept. */
 const MOST_REPLICAS = 3000;
 
@@ -24,6 +31,8 @@
   takenAt: Milliseconds;
   /** Its limit has no room until then. */
   fullUntil: Milliseconds;
+  /** When a host was last refused. */
+  refusedAt: Milliseconds;
 };
 
 /** The pace of limited replicas, by incarnation. */
@@ -39,7 +48,11 @@
   waitMs(incarnation: string, now: Milliseconds): Milliseconds {
     const perSecond = this.#limitOf(incarnation);
     const pace = this.#paces.get(incarnation);
-    if (perSecond === undefined || !pace) return 0;
+    if (!pace) return 0;
+    if (perSecond === undefined) {
+      const until = Math.min(pace.fullUntil, pace.refusedAt + UNHEARD_MS);
+      return Math.max(0, until - now);
+    }
     const aheadMs = (AT_ONCE - 1) * intervalMs(perSecond);
     const at = Math.max(pace.takenAt - aheadMs, pace.fullUntil);
     return Math.max(0, at - now);
@@ -50,6 +63,19 @@
     return this.waitMs(incarnation, now) === 0;
   }
 
+  /** Time until one of the replicas may be given a request; 0: now. */
+  soonestMs(
+    replicas: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): Milliseconds {
+    let soonest = Infinity;
+    for (const { incarnation } of replicas) {
+      soonest = Math.min(soonest, this.waitMs(incarnation, now));
+      if (soonest === 0) return 0;
+    }
+    return soonest;
+  }
+
   /** The replica is given a request. */
   noteGrant(incarnation: string, now: Milliseconds): void {
     const perSecond = this.#limitOf(incarnation);
@@ -58,20 +84,22 @@
     pace.takenAt = Math.max(pace.takenAt, now) + intervalMs(perSecond);
   }
 
-  /** Its limit had no room, and has some after `retryAfterMs`. */
+  /** A host was refused; where that was for the limit it says for how long. */
   noteRefusal(
     incarnation: string,
-    retryAfterMs: Milliseconds,
+    { retryAfterMs }: Pick<PlanProgress, "retryAfterMs">,
     now: Milliseconds,
   ): void {
+    if (retryAfterMs === undefined) return;
     const pace = this.#paceOf(incarnation);
+    pace.refusedAt = now;
     pace.fullUntil = Math.max(pace.fullUntil, now + retryAfterMs);
   }
 
   #paceOf(incarnation: string): Pace {
     const known = this.#paces.get(incarnation);
     if (known) return known;
-    const pace = { takenAt: 0, fullUntil: 0 };
+    const pace = { takenAt: 0, fullUntil: 0, refusedAt: 0 };
     this.#paces.set(incarnation, pace);
     forgetOldest(this.#paces, MOST_REPLICAS);
     return pace;
--- a/src/gateway/planning/plain_places.ts
+++ b/src/gateway/planning/plain_places.ts
@@ -73,7 +73,7 @@
     const retryAfterMs = isLimited
       ? share.comeBackMs({
         perSecond,
-        soonestMs: this.#soonestMs(open, now),
+        soonestMs: pace.soonestMs(open, now),
         longestRetryMs,
       }, now)
       : RETRY_MS * (1 + view.random());
@@ -110,16 +110,6 @@
     return Math.max(LEAST_PER_SECOND, sum);
   }
 
-  #soonestMs(
-    open: readonly ReplicaEntry[],
-    now: Milliseconds,
-  ): Milliseconds {
-    const { pace } = this.#source;
-    return Math.min(
-      ...open.map(({ incarnation }) => pace.waitMs(incarnation, now)),
-    );
-  }
-
   #shareOf(service: string): RateShare {
     const known = this.#shares.get(service);
     if (known) return known;
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -122,7 +122,7 @@
       }
       case PlaceStage.prefillLimited: {
         const readBy = this.#ledger.prefilled(id, undefined)?.readBy;
-        if (readBy !== undefined) this.#limited(readBy, word, now);
+        if (readBy !== undefined) this.#pace.noteRefusal(readBy, word, now);
         return;
       }
       case PlaceStage.prefillFailed: {
@@ -135,15 +135,6 @@
     }
   }
 
-  #limited(
-    incarnation: string,
-    { retryAfterMs }: PlanProgress,
-    now: Milliseconds,
-  ): void {
-    if (retryAfterMs === undefined) return;
-    this.#pace.noteRefusal(incarnation, retryAfterMs, now);
-  }
-
   #takeBack(word: PlanProgress, now: Milliseconds): void {
     const { id, stage } = word;
     this.#queue.remove(id);
@@ -164,7 +155,9 @@
     if (stage === PlaceStage.refused && word.retryAfterMs === undefined) {
       this.#fullUntil.set(decode, now + FULL_MS);
     }
-    if (stage === PlaceStage.refused) this.#limited(decode, word, now);
+    if (stage === PlaceStage.refused) {
+      this.#pace.noteRefusal(decode, word, now);
+    }
     if (stage === PlaceStage.failed) this.#view.noteFailure(decode, now);
   }
 
@@ -233,12 +226,18 @@
     if (!one.begun && one.priority > pool.waitingPriority) return undefined;
     const mayFit = excluded.length > 0 || pool.mayFit(one.ask.tokens);
     const soundDecodes = allowed(pool.soundDecodes);
+    const candidates = soundDecodes.length > 0 ? soundDecodes : decodes;
+    const limitedMs = this.#pace.soonestMs(candidates, now);
+    if (now + limitedMs > one.giveUpAt) {
+      const refusal = this.#refusal(one, "busy", true);
+      return { ...refusal, retryAfterMs: limitedMs };
+    }
     const prefills = allowed(pool.soundPrefills);
     const readers = prefills.filter((r) =>
       this.#pace.hasRoom(r.incarnation, now)
     );
     const places = this.#choice.placesFor(one.ask, {
-      decodes: soundDecodes.length > 0 ? soundDecodes : decodes,
+      decodes: candidates,
       prefills: readers,
       mayReadLater: readers.length < prefills.length,
       mayFit,
