--- a/src/gateway/limits/allowance.ts
+++ b/src/gateway/limits/allowance.ts
@@ -10,9 +10,9 @@
 const WINDOW_S = 4;
 /**
  * A replica that names less, or 0, is asked this often all the same: only its
- * answers tell that its limit is over. One request in 10 s.
+ * answers tell that its limit is over, so that is known after 5 s at the latest.
  */
-export const LEAST_PER_SECOND = 0.1;
+export const LEAST_PER_SECOND = 0.2;
 /** How long permits are remembered, to tell a new owner: a window and more. */
 export const PERMITS_MEMORY_MS: Milliseconds = 5000;
 /**
--- a/test/gateway/limits/allowance_test.ts
+++ b/test/gateway/limits/allowance_test.ts
@@ -3,7 +3,10 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import "../../fixed_seed.ts";
-import { limitAllowance } from "../../../src/gateway/limits/allowance.ts";
+import {
+  LEAST_PER_SECOND,
+  limitAllowance,
+} from "../../../src/gateway/limits/allowance.ts";
 import { mostAllowed } from "../../platform/rate_windows.ts";
 
 const SPAN_MS = 4000;
@@ -20,7 +23,7 @@
     const { units, windowMs } = limitAllowance(perSecond, part);
     assert.ok(units >= 1 && Number.isInteger(units));
     const rate = units / windowMs * 1000;
-    const meant = Math.max(0.1, perSecond) * part;
+    const meant = Math.max(LEAST_PER_SECOND, perSecond) * part;
     assert.ok(Math.abs(rate - meant) <= meant * 1e-9);
   }));
 });
@@ -37,7 +40,7 @@
       const { units, windowMs } = limitAllowance(perSecond, size / hosts);
       return sum + (windowMs >= SPAN_MS ? units : units * SPAN_MS / windowMs);
     }, 0);
-    assert.ok(most <= mostAllowed(Math.max(0.1, perSecond)));
+    assert.ok(most <= mostAllowed(Math.max(LEAST_PER_SECOND, perSecond)));
   }));
 });
 
--- a/test/gateway/requests/limits_test.ts
+++ b/test/gateway/requests/limits_test.ts
@@ -13,7 +13,7 @@
 
 /** The retry budget never ends a test. */
 const BUDGET = { ratio: 0, extra: 1000 };
-/** The least that a limit comes to: one request in 10 s. */
+/** Comes to one request in 5 s. */
 const NONE_LEFT = "0";
 
 function named(limit: string): RawAnswer {
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -5,6 +5,8 @@
   STREAM_EVENTS,
 } from "../platform/replica_standin.ts";
 import { CallKind, type Seen } from "./callers.ts";
+import { LIMIT_SPAN_MS, mostAllowed } from "../platform/rate_windows.ts";
+import type { LimitSpan } from "./world.ts";
 import type { Exit } from "./gateway_process.ts";
 
 /** All that one run has left behind. */
@@ -23,6 +25,8 @@
   readonly dead: readonly string[];
   /** Nothing but planned stops struck. */
   readonly isCalm: boolean;
+  /** What replicas said of the rate that they take. */
+  readonly limits: readonly LimitSpan[];
   /** Hosts that no fault struck, nor their paths. */
   readonly unstruck: ReadonlySet<string>;
 };
@@ -34,7 +38,9 @@
 export const CRASHING_NAME = "crashing";
 const KNOWN_CRASHES = 3;
 const MOST_LATE = 3;
-/** Hosts know of a crash by then. */
+/** An answer was passed on so long after its request came, and 0.5 s more. */
+const PASSED_ON_MS = 700;
+/** Hosts know of a crash, or a limit, by then. */
 const TOLD_MS = 3000;
 
 type Check = (evidence: Evidence) => Violation[];
@@ -49,6 +55,7 @@
   checkEnd,
   checkStops,
   checkCrashes,
+  checkLimits,
 ];
 
 /** Every promise that the run broke. */
@@ -171,6 +178,46 @@
   return [{ rule: "what crashes replicas is sent to none", detail }];
 }
 
+/**
+ * From 3 s after a replica named its limit on, it gets no more within 4 s than
+ * half as much again and five, of all hosts together that had passed on such an
+ * answer and that nothing had struck.
+ */
+function checkLimits({ seen, arrivals, limits, unstruck }: Evidence) {
+  const hosts = new Map(seen.map((one) => [one.id, one.host]));
+  const hostOf = (one: ReplicaArrival) => hosts.get(one.request) ?? "";
+  const judged = arrivals.filter((one) => unstruck.has(hostOf(one)));
+  const found: Violation[] = [];
+  for (const { replica, text, fromMs, toMs } of limits) {
+    const perSecond = Number(text);
+    if (Number.isNaN(perSecond)) continue;
+    const during = judged.filter((one) =>
+      one.replica === replica && one.atMs >= fromMs && one.atMs < toMs
+    );
+    const toldAt = new Map<string, number>();
+    for (const one of during) {
+      const host = hostOf(one);
+      const atMs = Math.min(one.atMs, toldAt.get(host) ?? Infinity);
+      toldAt.set(host, atMs);
+    }
+    const times = during
+      .filter((one) =>
+        one.atMs >= (toldAt.get(hostOf(one)) ?? Infinity) + PASSED_ON_MS
+      )
+      .map((one) => one.atMs);
+    for (const atMs of times.filter((one) => one >= fromMs + TOLD_MS)) {
+      const span = times.filter((one) =>
+        one <= atMs && one >= atMs - LIMIT_SPAN_MS
+      );
+      if (span.length <= mostAllowed(perSecond)) continue;
+      const detail = `${replica} at ${text}: ${span.length} requests`;
+      found.push({ rule: "limits of replicas hold", detail });
+      break;
+    }
+  }
+  return found;
+}
+
 /** A planned stop cuts no request that a replica was given. */
 function checkStops({ isCalm, seen, arrivals }: Evidence): Violation[] {
   if (!isCalm) return [];
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -140,11 +140,12 @@
   }
 
   #evidence(dead: readonly string[], knownAtMs: number): Evidence {
-    const { arrivals, faults, left } = this.#world;
+    const { arrivals, faults, left, limits } = this.#world;
     return {
       seen: this.#seen,
       arrivals,
       faults,
+      limits,
       exits: this.#hosts.flatMap(({ process }) =>
         process.exits.map((exit) => ({ ...exit, host: process.name }))
       ),
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -30,6 +30,9 @@
   foreignRows: "another writer's rows",
   storeRestored: "store comes back from an older copy",
   storeRestoredAway: "store down, comes back from an older copy",
+  replicaLimit: "replica limits its requests",
+  serviceLimit: "all replicas of a stage limit their requests",
+  hallLimit: "all replicas of a hall limit their requests",
 } as const;
 /** One of the values of {@link FaultKind}. */
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
@@ -67,13 +70,22 @@
   FaultKind.storeRestored,
   FaultKind.storeRestoredAway,
 ];
-const FIRST_KINDS = Object.values(FaultKind)
-  .filter((one) => ![...LATER_KINDS, ...RESTORE_KINDS].includes(one));
+const LIMIT_KINDS: readonly FaultKind[] = [
+  FaultKind.replicaLimit,
+  FaultKind.replicaLimit,
+  FaultKind.serviceLimit,
+  FaultKind.hallLimit,
+];
+const FIRST_KINDS = Object.values(FaultKind).filter((one) =>
+  ![...LATER_KINDS, ...RESTORE_KINDS, ...LIMIT_KINDS].includes(one)
+);
 const LATER_FAULTS = 4;
 const RESTORES = 4;
+const LIMITS = 6;
 /** Keeps the later draws apart from the callers'. */
 const LATER_SEED = 1_000_003;
 const RESTORE_SEED = 2_000_003;
+const LIMIT_SEED = 3_000_017;
 const CRASHING_ONE_IN = 2;
 const CALM_KINDS: readonly FaultKind[] = [
   FaultKind.stop,
@@ -89,6 +101,8 @@
 const MORE_FAULTS = 9;
 const LEAST_MS = 300;
 const MORE_MS = 3700;
+/** A limit is judged from 3 s after it was named. */
+const MORE_LIMIT_MS = 9000;
 const CALLERS_A_HOST = 3;
 
 /** What a schedule is drawn from. */
@@ -111,10 +125,11 @@
   });
   const hasCrashing = draw(random, CRASHING_ONE_IN) === 0;
   const restores = restoresOf(source);
+  const limits = limitsOf(source);
   return {
     ...first,
     hasCrashing,
-    faults: [...first.faults, ...faults, ...restores],
+    faults: [...first.faults, ...faults, ...restores, ...limits],
   };
 }
 
@@ -124,6 +139,13 @@
   return drawFaults(random, source, { kinds: RESTORE_KINDS, count });
 }
 
+function limitsOf(source: ScheduleSource): Fault[] {
+  const random = xoroshiro128plus(source.seed + LIMIT_SEED);
+  const count = draw(random, LIMITS);
+  return drawFaults(random, source, { kinds: LIMIT_KINDS, count })
+    .map((one) => ({ ...one, forMs: LEAST_MS + draw(random, MORE_LIMIT_MS) }));
+}
+
 function firstScheduleOf({ seed, spanMs }: ScheduleSource): Schedule {
   const random = xoroshiro128plus(seed);
   const isCalm = draw(random, CALM_ONE_IN) === 0;
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -8,10 +8,16 @@
 const SPAN_MS = 5000;
 const FAILED_ONCE = REGRESSIONS.slice(-1).map((one) => one.seed);
 
-/** The store comes back from a copy twice, and once without being away. */
+/** The store comes back from a copy twice, one of them without being away. */
 const RESTORED = 6;
 
-for (const seed of [1, 2, RESTORED, ...FAILED_ONCE]) {
+/**
+ * Replicas name limits of 0.3 and 6.5 a second, one by one and a whole stage;
+ * with nothing that holds hosts to them three replicas get too much.
+ */
+const LIMITED = 9;
+
+for (const seed of [1, 2, RESTORED, LIMITED, ...FAILED_ONCE]) {
   test(`no promise is broken under the faults of seed ${seed}`, async () => {
     const isFirstKindsOnly = FAILED_ONCE.includes(seed);
     const schedule = scheduleOf({ seed, spanMs: SPAN_MS, isFirstKindsOnly });
--- a/test/soak/strike.ts
+++ b/test/soak/strike.ts
@@ -20,6 +20,8 @@
 const LOST_WRITES = 1000;
 /** A store that comes back from a copy is away for so long before. */
 const AWAY_MS = 700;
+/** What limited replicas say: rates, nothing at all, and no numbers. */
+const LIMITS = ["1.4", "0.3", "3", "10", "0", "1,4", "abc", "6.5"];
 /** A process that ended starts again after this time. */
 const RESTART_MS = 400;
 
@@ -81,6 +83,20 @@
     case FaultKind.config:
       world.changeConfig();
       return NOTHING;
+    case FaultKind.replicaLimit:
+      return limit(world, [replica], fault);
+    case FaultKind.serviceLimit:
+      return limit(
+        world,
+        ready.filter((one) => one.standin.role === replica.standin.role),
+        fault,
+      );
+    case FaultKind.hallLimit:
+      return limit(
+        world,
+        ready.filter((one) => one.hall === replica.hall),
+        fault,
+      );
     case FaultKind.storeRestored:
       return restoreStore(world, { isAway: false });
     case FaultKind.storeRestoredAway:
@@ -181,6 +197,18 @@
   return NOTHING;
 }
 
+function limit(
+  world: World,
+  replicas: readonly WorldReplica[],
+  { target }: Fault,
+): Undo {
+  const text = LIMITS[target % LIMITS.length] ?? "1";
+  const undos = replicas.map((one) => world.limit(one, text));
+  return () => {
+    for (const undo of undos) undo();
+  };
+}
+
 function silence(proxy: FaultProxy, way: Silence): Undo {
   proxy.silence = way;
   return () => proxy.heal();
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -20,6 +20,15 @@
   isReady: boolean;
 };
 
+/** A time in which a replica named one limit. */
+export type LimitSpan = {
+  readonly replica: string;
+  /** As its answers said it; it may be no number. */
+  readonly text: string;
+  readonly fromMs: number;
+  toMs: number;
+};
+
 /** Halls of the soak's hosts and replicas. */
 export const HALLS = ["north", "south"] as const;
 const ROLES: readonly ReplicaRole[] = [
@@ -45,6 +54,8 @@
   /** Replicas that were told to leave. */
   readonly left = new Set<string>();
   readonly store: StoreStandin;
+  /** What replicas said of the rate that they take. */
+  readonly limits: LimitSpan[] = [];
   /** Replicas that a request crashed, in order. */
   readonly crashed: string[] = [];
   #version = 0;
@@ -151,6 +162,27 @@
     }
   }
 
+  /** A replica names a limit; the result ends it, unless another came since. */
+  limit({ standin }: WorldReplica, text: string): () => void {
+    this.#endLimit(standin.id);
+    standin.limit = text;
+    const fromMs = performance.now();
+    const span = { replica: standin.id, text, fromMs, toMs: Infinity };
+    this.limits.push(span);
+    return () => {
+      if (span.toMs !== Infinity) return;
+      standin.limit = undefined;
+      this.#endLimit(standin.id);
+    };
+  }
+
+  #endLimit(id: string): void {
+    const open = this.limits.find((one) =>
+      one.replica === id && one.toMs === Infinity
+    );
+    if (open) open.toMs = performance.now();
+  }
+
   /** Replicas that are listed as ready. */
   ready(): WorldReplica[] {
     return this.replicas.filter((one) => one.isReady);
@@ -159,6 +191,7 @@
   /** A replica crashes; another takes its stead. */
   async crash(replica: WorldReplica): Promise<void> {
     replica.isReady = false;
+    this.#endLimit(replica.standin.id);
     replica.standin.crash();
     replica.proxy.stop();
     this.store.remove("servers", replica.standin.id);
@@ -181,6 +214,7 @@
   async restart(replica: WorldReplica): Promise<void> {
     const { standin: { id, role }, hall, born } = replica;
     replica.isReady = false;
+    this.#endLimit(id);
     replica.standin.crash();
     replica.proxy.stop();
     await new Promise((resolve) => setTimeout(resolve, RESTART_MS));
