The configuration, reports and answers of replicas are read by schemas

A field of another type was taken for its usual value without a word: a route with TimeoutMs "30" got 30 s, a report without a count of orders none.

--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -5,7 +5,7 @@
 import "../fixed_seed.ts";
 import { dialect } from "../../platform/dialect.ts";
 import { SYSTEM_HEADERS } from "../../platform/names.ts";
-import { configOf } from "../../platform/rows.ts";
+import { readConfigRow } from "../../platform/config_row.ts";
 import { CallMode, QuotaUnit } from "../../src/gateway/mod.ts";
 import { sha256 } from "../../src/util/sha256.ts";
 
@@ -71,6 +71,28 @@
   }
 });
 
+test("an answer that lacks a field, or has another type there, says nothing", () => {
+  const whole = { Stage: "decode", Utilization: false, Sequence: 2 };
+  const report = { stage: "decode", orders: 2, changing: false };
+  assert.deepEqual(dialect.readReport(JSON.stringify(whole)), report);
+  const wrong = [
+    { ...whole, Stage: "both" },
+    { ...whole, Sequence: "2" },
+    { ...whole, Sequence: -1 },
+    { ...whole, Utilization: 0 },
+    { Stage: "decode" },
+    [whole],
+  ];
+  for (const one of wrong) {
+    assert.equal(dialect.readReport(JSON.stringify(one)), undefined);
+  }
+  for (const one of [{}, { PrefillHandle: 7, Retention: "" }, "x", null]) {
+    const body = JSON.stringify(one);
+    assert.equal(dialect.readExport(body), undefined);
+    assert.equal(dialect.readReservation(body), undefined);
+  }
+});
+
 test("no answer of a replica's calls makes the adapter throw", () => {
   fc.assert(
     fc.property(fc.oneof(fc.string(), fc.json()), (body) => {
@@ -128,8 +150,9 @@
   ];
   const value = JSON.stringify({ Version: 1, Tenants: customers });
   const Value = Buffer.from(value).toString("base64");
-  const read = configOf({ PrivateKey: "config", Value, ver: 1 });
-  assert.deepEqual(read?.customers, [
+  const read = readConfigRow({ PrivateKey: "config", Value, ver: 1 });
+  assert.ok(read.type === "config");
+  assert.deepEqual(read.config.customers, [
     {
       name: "alpha",
       keyDigests: [sha256("k1"), sha256("k2")],
