--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -61,7 +61,10 @@
       ...(request.customer ? { customer: request.customer.name } : {}),
     }),
     body: request.body,
-    mostConnections: connectionShare(context, request.service),
+    mostConnections: connectionShare(
+      context.routes.service(request.service)?.connectionLimit ?? 0,
+      context.hostCount(),
+    ),
   });
   replica.calls += 1;
   const sentAt = context.clock.now();
@@ -93,11 +96,14 @@
   );
 }
 
-/** This host's part of a replica's connections. */
-function connectionShare(context: GatewayContext, service: string): number {
-  const limit = context.routes.service(service)?.connectionLimit ?? 0;
-  const share = limit * CONNECTION_SHARE / Math.max(1, context.hostCount());
-  return Math.max(4, Math.floor(share));
+/**
+ * A host's part of the connections that a replica takes of all hosts together;
+ * one at least, or it could send nothing. The parts add up to no more than the
+ * limit while there are no more hosts than connections.
+ */
+export function connectionShare(limit: number, hosts: number): number {
+  const share = limit * CONNECTION_SHARE / Math.max(1, hosts);
+  return Math.max(1, Math.floor(share));
 }
 
 async function resultOf(
