That a replica leaves is known at every host at once, also right after the store's return

What callers saw: for up to 2.2 s after a store came back from a copy their requests still went to replicas that had said at that moment that they leave. Cause: for as long as a listing may lack live replicas a reader tells its followers none, and with it nothing of who leaves. Ruled out: that the reader doesn't know (it does within a listing's interval), that the store's watch is late (the configuration came in 305 ms).

--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -196,6 +196,24 @@
     return known ? entry : { ...entry, leaving: true };
   }
 
+  /**
+   * Replicas leave, as others know by the store; gives those that this table did
+   * not know of. It holds whatever this table's listing is worth, and leaves the
+   * listing as it is: the store's own word of it comes as any other change.
+   */
+  noteLeaving(incarnations: readonly string[]): string[] {
+    const news = incarnations.filter((one) => !this.#left.has(one));
+    for (const one of news) this.#left.add(one);
+    forgetOldest(this.#left, MOST_LEFT);
+    return news;
+  }
+
+  /** Listed replicas that leave. */
+  leaving(): string[] {
+    return this.entries().map((one) => one.incarnation)
+      .filter((one) => this.#left.has(one));
+  }
+
   /** The replica of that incarnation, while it is listed. */
   get(incarnation: string): Replica | undefined {
     return this.#byIncarnation.get(incarnation);
@@ -205,13 +223,17 @@
   open(replica: Replica): boolean {
     const { incarnation } = replica.entry;
     const known = this.#byIncarnation.get(incarnation) === replica;
-    return known && !replica.entry.leaving;
+    return known && !this.#isLeaving(replica);
   }
 
   /** Replicas of a service that may take new work. */
   openOf(service: string): Replica[] {
     const all = this.#byService.get(service) ?? [];
-    return all.filter((one) => !one.entry.leaving);
+    return all.filter((one) => !this.#isLeaving(one));
+  }
+
+  #isLeaving({ entry }: Replica): boolean {
+    return entry.leaving || this.#left.has(entry.incarnation);
   }
 }
 
--- a/src/gateway/state/fleet_news.ts
+++ b/src/gateway/state/fleet_news.ts
@@ -1,4 +1,5 @@
 /** What hosts tell each other of replicas besides the store's listing. */
+import * as z from "zod";
 import type { Clock } from "../clock.ts";
 import {
   type CrashesMessage,
@@ -16,13 +17,28 @@
 } from "../limits/limit_messages.ts";
 import type { LimitRecord } from "../limits/model.ts";
 import type { ReplicaLimits } from "../limits/replica_limits.ts";
+import type { EventLog } from "../observe/event_log.ts";
 import type { Link } from "../peers/link.ts";
 import { NewsSharing } from "../peers/news_sharing.ts";
+import type { ReplicaTable } from "../replicas/replica_table.ts";
+
+/** Replicas that leave; a replica never stays once it said so. */
+const LeavingSchema = z.object({
+  type: z.literal("leaving"),
+  incarnations: z.array(z.string()).readonly(),
+});
 
 /** A message of news. */
-export type NewsMessage = CrashesMessage | LimitsMessage;
+export type NewsMessage =
+  | CrashesMessage
+  | LimitsMessage
+  | z.output<typeof LeavingSchema>;
 /** Reads the messages of news. */
-export const NEWS_SCHEMAS = [CrashesSchema, LimitsSchema] as const;
+export const NEWS_SCHEMAS = [
+  CrashesSchema,
+  LimitsSchema,
+  LeavingSchema,
+] as const;
 
 /** Tells and takes news over links. */
 export type News = {
@@ -36,7 +52,8 @@
 export function isNews(
   message: { readonly type: string },
 ): message is NewsMessage {
-  return message.type === "crashes" || message.type === "limits";
+  const { type } = message;
+  return type === "crashes" || type === "limits" || type === "leaving";
 }
 
 /** What news is told of, and over what. */
@@ -44,6 +61,8 @@
   readonly clock: Clock;
   readonly crashes: CrashWatch;
   readonly limits: ReplicaLimits;
+  readonly replicas: ReplicaTable;
+  readonly events: EventLog;
   /** The links that stand. */
   readonly links: () => readonly Link[];
 };
@@ -53,6 +72,7 @@
   readonly #source: FleetNewsSource;
   readonly #crashes: NewsSharing<CrashNews>;
   readonly #limits: NewsSharing<readonly LimitRecord[]>;
+  readonly #leaving: NewsSharing<readonly string[]>;
 
   constructor(source: FleetNewsSource) {
     const { clock, crashes, limits, links } = source;
@@ -78,6 +98,14 @@
       encode: (news) =>
         news.length > 0 ? encodeLimits(news, clock.now()) : undefined,
     });
+    this.#leaving = new NewsSharing<readonly string[]>({
+      clock,
+      links,
+      all: () => source.replicas.leaving(),
+      merge: (several) => several.flat(),
+      encode: (incarnations) =>
+        incarnations.length > 0 ? { type: "leaving", incarnations } : undefined,
+    });
     crashes.listen((news, from) => this.#crashes.share(news, from));
     limits.listen((news, from) => this.#limits.share(news, from));
   }
@@ -85,6 +113,16 @@
   greet(link: Link): void {
     this.#crashes.greet(link);
     this.#limits.greet(link);
+    this.#leaving.greet(link);
+  }
+
+  /**
+   * The store says that replicas leave. That goes to all hosts at once, also
+   * while a listing isn't told since it may lack live replicas: within 300 ms of
+   * the store's word, where it took up to 2.2 s after the store's return.
+   */
+  noteLeaving(incarnations: readonly string[]): void {
+    if (incarnations.length > 0) this.#leaving.share(incarnations, undefined);
   }
 
   take(link: Link, message: NewsMessage): void {
@@ -95,7 +133,19 @@
         return crashes.take(decodeCrashes(message, now), link);
       case "limits":
         return limits.take(decodeLimits(message, now), link);
+      case "leaving":
+        return this.#takeLeaving(message.incarnations, link);
+    }
+  }
+
+  #takeLeaving(incarnations: readonly string[], link: Link): void {
+    const { replicas, events } = this.#source;
+    const news = replicas.noteLeaving(incarnations);
+    if (news.length === 0) return;
+    for (const replica of news) {
+      events.note("replicaLeaving", { replica, source: "link" });
     }
+    this.#leaving.share(news, link);
   }
 }
 
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -29,6 +29,8 @@
   readonly onNews: (news: VersionNews) => void;
   /** Routes or replicas have changed, or there is a newer word of the store. */
   readonly onChange: () => void;
+  /** Replicas leave, as a listing says that this host has just taken. */
+  readonly onLeaving: (incarnations: readonly string[]) => void;
   /** This host relays the word of the store to its hall. */
   readonly isRelay: () => boolean;
 };
@@ -252,6 +254,9 @@
       pool.forget(incarnation);
       crashes.gone(entry);
     }
+    const leaving = [...change.leaving, ...change.added]
+      .filter((one) => one.leaving);
+    this.#source.onLeaving(leaving.map((one) => one.incarnation));
     const count = change.renewed.length + change.removed.length;
     if (count > 0) this.#source.onChange();
   }
--- a/test/gateway/state/leaving_after_restore_test.ts
+++ b/test/gateway/state/leaving_after_restore_test.ts
@@ -31,6 +31,8 @@
   readonly awayMs: number;
   /** After the return. */
   readonly leavesAfterMs: number;
+  /** The store comes back once more, before the replica leaves. */
+  readonly isTwice?: boolean;
 };
 
 function isOpen(host: FleetHost, id: string): boolean {
@@ -53,6 +55,7 @@
   store.pass(20);
   for (const { entry } of hosts) store.treat(entry.id, "served");
   await fleet.runTo(fleet.now + play.leavesAfterMs);
+  if (play.isTwice) store.restore(copy);
   store.list({ ...replicaEntry("a"), leaving: true });
   return fleet;
 }
@@ -76,3 +79,33 @@
     }
   }
 });
+
+test("it gets none either when the store comes back twice", async () => {
+  for (let seed = 0; seed < 8; seed++) {
+    const play = {
+      size: 9,
+      seed,
+      awayMs: 5,
+      leavesAfterMs: 900,
+      isTwice: true,
+    };
+    const fleet = await restored(play);
+    await fleet.runTo(fleet.now + KNOWN_MS);
+    const late = fleet.hosts.filter((host) => isOpen(host, "a"));
+    assert.equal(late.length, 0, `${late.length} hosts late, seed ${seed}`);
+  }
+});
+
+test("a host that links anew hears of replicas that leave", async () => {
+  const fleet = await restored({
+    size: 9,
+    seed: 3,
+    awayMs: 5,
+    leavesAfterMs: 100,
+  });
+  await fleet.runTo(fleet.now + KNOWN_MS);
+  const added = fleet.add();
+  await fleet.runTo(fleet.now + 3000);
+  assert.ok(!isOpen(added, "a"));
+  assert.ok(isOpen(added, "b"));
+});
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -36,6 +36,7 @@
     onConfig: () => undefined,
     onChange: () => told.push(time.now),
     onNews: (one) => news.push(one),
+    onLeaving: () => undefined,
     isRelay: () => isRelay,
   });
   const read = (revision: number, entries: readonly ReplicaEntry[]) => {
