News between hosts goes at once and is gathered only after that; lone refusals are spread

The first word of a limit took 20 ms a link, and a replica that names another limit in each answer 50 messages a second over each link: now none and 10 a second. What one host alone refuses no longer comes back in the same moment.

--- a/src/gateway/peers/news_sharing.ts
+++ b/src/gateway/peers/news_sharing.ts
@@ -3,18 +3,19 @@
  * passes on what they tell. The links of the state of the fleet are a tree over
  * all hosts that reach each other; what is news goes over each of them once.
  */
+import type { Milliseconds } from "../../core/ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Link } from "./link.ts";
 
-/**
- * News is gathered for so long: whatever happens to many replicas at once, a
- * host sends 50 messages a second over each link, not one for each replica.
- */
-const GATHER_MS = 20;
-
 /** What is shared, and over which links. */
 export type SharedNews<News> = {
   readonly clock: Clock;
+  /**
+   * Least time between two messages over a link. The first piece of news goes
+   * at once; what comes within this time after it is gathered, so whatever
+   * happens to many replicas costs a link no more messages.
+   */
+  readonly gatherMs: Milliseconds;
   /** The links that stand. */
   readonly links: () => readonly Link[];
   /** All that is known here. */
@@ -29,6 +30,7 @@
 export class NewsSharing<News> {
   readonly #source: SharedNews<News>;
   #pending: { readonly news: News; readonly from: unknown }[] = [];
+  #flushedAt: Milliseconds = -Infinity;
 
   constructor(source: SharedNews<News>) {
     this.#source = source;
@@ -43,10 +45,13 @@
   share(news: News, from: unknown): void {
     this.#pending.push({ news, from });
     if (this.#pending.length > 1) return;
-    this.#source.clock.after(GATHER_MS, () => this.#flush());
+    const { clock, gatherMs } = this.#source;
+    const waitMs = this.#flushedAt + gatherMs - clock.now();
+    clock.after(Math.max(0, waitMs), () => this.#flush());
   }
 
   #flush(): void {
+    this.#flushedAt = this.#source.clock.now();
     const pending = this.#pending;
     this.#pending = [];
     for (const link of this.#source.links()) {
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -27,6 +27,9 @@
 /** Longest time to come back where the caller doesn't say how long it waits. */
 const USUAL_RETRY_MS = 4000;
 
+/** Callers that this host alone refuses come back over this part of the time. */
+const RETRY_SPREAD = 0.33;
+
 /** Places one request. */
 export class PlainPlacement implements Placer {
   readonly #context: GatewayContext;
@@ -57,7 +60,9 @@
       const replica = await this.#choose({ ...need, excluded });
       if (this.#ended) return { error: GatewayError.noReplica };
       if (!replica && Number.isFinite(soonestMs)) {
-        return { error: GatewayError.limited, retryAfterMs: soonestMs };
+        const spread = 1 + this.#context.random() * RETRY_SPREAD;
+        const retryAfterMs = soonestMs * spread;
+        return { error: GatewayError.limited, retryAfterMs };
       }
       if (!replica) return { error: GatewayError.noReplica };
       if ("error" in replica) return replica;
--- a/src/gateway/state/fleet_news.ts
+++ b/src/gateway/state/fleet_news.ts
@@ -22,6 +22,14 @@
 import { NewsSharing } from "../peers/news_sharing.ts";
 import type { ReplicaTable } from "../replicas/replica_table.ts";
 
+/** At most 50 messages a second over a link when replicas crash by the dozen. */
+const GATHER_MS = 20;
+/**
+ * A replica may name another limit in each answer: ten messages of some 100
+ * bytes a second are 1 KB/s a link, and 30 KB/s at a relay with 30 followers.
+ */
+const LIMIT_GATHER_MS = 100;
+
 /** Replicas that leave; a replica never stays once it said so. */
 const LeavingSchema = z.object({
   type: z.literal("leaving"),
@@ -79,6 +87,7 @@
     this.#source = source;
     this.#crashes = new NewsSharing({
       clock,
+      gatherMs: GATHER_MS,
       links,
       all: () => crashes.all(),
       merge: (several) => ({
@@ -92,6 +101,7 @@
     });
     this.#limits = new NewsSharing({
       clock,
+      gatherMs: LIMIT_GATHER_MS,
       links,
       all: () => limits.all(),
       merge: (several) => newestOf(several.flat()),
@@ -100,6 +110,7 @@
     });
     this.#leaving = new NewsSharing<readonly string[]>({
       clock,
+      gatherMs: GATHER_MS,
       links,
       all: () => source.replicas.leaving(),
       merge: (several) => several.flat(),
