--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -201,6 +201,7 @@
       ledger: this.#ledger,
       isPaused: (incarnation) => this.#view.isPaused(incarnation),
       limitOf: (incarnation) => this.#view.limitOf(incarnation),
+      hasRoom: (incarnation) => this.#pace.hasRoom(incarnation, now),
       isAvoided: (incarnation) => this.#losses.avoided(incarnation, now),
     });
   }
@@ -232,14 +233,10 @@
       const refusal = this.#refusal(one, "busy", true);
       return { ...refusal, retryAfterMs: limitedMs };
     }
-    const prefills = allowed(pool.soundPrefills);
-    const readers = prefills.filter((r) =>
-      this.#pace.hasRoom(r.incarnation, now)
-    );
     const places = this.#choice.placesFor(one.ask, {
       decodes: candidates,
-      prefills: readers,
-      mayReadLater: readers.length < prefills.length,
+      prefills: allowed(pool.readers),
+      mayReadLater: pool.readers.length < pool.soundPrefills.length,
       mayFit,
       slackMs: one.dueAt - now,
     }, now);
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -19,6 +19,8 @@
   isPaused(incarnation: string): boolean;
   /** Requests a second that a replica takes; undefined: any number. */
   limitOf(incarnation: string): number | undefined;
+  /** Whether the replica's limit has room for a request now. */
+  hasRoom(incarnation: string): boolean;
   /** A prefill replica whose finished prefills get lost. */
   isAvoided(incarnation: string): boolean;
 };
@@ -40,6 +42,8 @@
   /** The most urgent priority that waits. */
   waitingPriority = Infinity;
   readonly #ledger: Ledger;
+  readonly #hasRoom: PoolSource["hasRoom"];
+  #readers: readonly ReplicaEntry[] | undefined;
   /** Prompt tokens that the prefill replicas read in a millisecond. */
   readonly readingRate: number;
   /**
@@ -61,6 +65,7 @@
     this.replicas = replicas;
     this.memory = memory;
     this.#ledger = ledger;
+    this.#hasRoom = (incarnation) => source.hasRoom(incarnation);
     this.decodes = replicas.filter((r) => r.stage === ReplicaStage.decode);
     this.prefills = replicas.filter((r) => r.stage === ReplicaStage.prefill);
     const sound = this.decodes.filter((r) => !source.isPaused(r.incarnation));
@@ -83,6 +88,13 @@
     return this.line.base + this.line.slope * promptTokens;
   }
 
+  /** Sound prefill replicas whose limits have room. */
+  get readers(): readonly ReplicaEntry[] {
+    this.#readers ??= this.soundPrefills
+      .filter((one) => this.#hasRoom(one.incarnation));
+    return this.#readers;
+  }
+
   /** Memory of the decode replicas that are waited for, in tokens. */
   get awaitedMemory(): number {
     return this.memory * this.#awaited.length;
@@ -123,6 +135,7 @@
 
   /** A place was granted: sums that were cached are invalid. */
   noteGrant(): void {
+    this.#readers = undefined;
     this.#largestFree = undefined;
     this.#held = undefined;
     this.#promptsGiven = undefined;
