--- a/test/gateway/state/leaving_after_restore_test.ts
+++ b/test/gateway/state/leaving_after_restore_test.ts
@@ -109,3 +109,32 @@
   assert.ok(!isOpen(added, "a"));
   assert.ok(isOpen(added, "b"));
 });
+
+/**
+ * A follower notices after a second that its reader is silent, and reads itself
+ * or follows another that does.
+ */
+const REREAD_MS = 2000;
+
+test("it gets none from hosts whose reader is cut off right then, nor from a hall that is", async () => {
+  for (let seed = 0; seed < 8; seed++) {
+    for (const size of [9, 30]) {
+      for (const isHall of [true, false]) {
+        const play = { size, seed, awayMs: 5, leavesAfterMs: 300 };
+        const fleet = await restored(play);
+        const isOut = (host: FleetHost) =>
+          isHall
+            ? host.entry.hall === "hall-1"
+            : fleet.roleOf(host) === "reader";
+        const out = new Set(fleet.hosts.filter(isOut));
+        fleet.cut((one, other) => out.has(one) !== out.has(other));
+        await fleet.runTo(fleet.now + KNOWN_MS + REREAD_MS);
+        const late = fleet.hosts.filter((host) => isOpen(host, "a"));
+        const told = `${late.length} late, ${
+          JSON.stringify({ isHall, ...play })
+        }`;
+        assert.equal(late.length, 0, told);
+      }
+    }
+  }
+});
--- a/test/soak/strike.ts
+++ b/test/soak/strike.ts
@@ -98,9 +98,9 @@
         fault,
       );
     case FaultKind.storeRestored:
-      return restoreStore(world, { isAway: false });
+      return restoreStore(world, fault, { isAway: false });
     case FaultKind.storeRestoredAway:
-      return restoreStore(world, { isAway: true });
+      return restoreStore(world, fault, { isAway: true });
   }
 }
 
@@ -163,9 +163,13 @@
   }
 }
 
-/** What the store keeps now it comes back with when the fault is over. */
+/**
+ * What the store keeps now it comes back with when the fault is over. At that
+ * moment a replica says that it leaves.
+ */
 function restoreStore(
   world: World,
+  fault: Fault,
   { isAway }: { readonly isAway: boolean },
 ): Undo {
   const { store } = world;
@@ -179,6 +183,8 @@
       store.mode = StoreMode.up;
     }
     store.restore(copy);
+    const [leaver] = world.ready().slice(fault.target % world.ready().length);
+    if (leaver) await world.leave(leaver);
     await pause(RETURN_MS);
     world.writeAgain();
     // Hosts that went deaf would hear of none: all must come to this version.
