--- a/src/gateway/quota/ledger.ts
+++ b/src/gateway/quota/ledger.ts
@@ -25,6 +25,7 @@
 
 /** Units asked for. */
 export type QuotaTake = {
+  /** Names the account: a customer, or a replica by its incarnation. */
   readonly customer: string;
   readonly units: number;
   readonly rate: Rate;
--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -1,6 +1,7 @@
 /**
- * Takes the quotas of this host's requests from their owners. The owner of a
- * shard is the first host in the shard's rendezvous order that answers.
+ * Takes what this host's requests use of an account that all hosts share, a
+ * customer's quota or a replica's limit, from its owner. The owner of a shard is
+ * the first host in the shard's rendezvous order that answers.
  */
 import type { HallId, HostId, Milliseconds } from "../../core/ids.ts";
 import { readJson } from "../../util/read_json.ts";
--- a/src/gateway/quota/shards.ts
+++ b/src/gateway/quota/shards.ts
@@ -1,4 +1,4 @@
-/** Customers are dealt to shards, and each shard to one owner among the hosts. */
+/** Accounts are dealt to shards, and each shard to one owner among the hosts. */
 import murmurhash from "murmurhash";
 
 /**
--- a/src/gateway/quota/window_log.ts
+++ b/src/gateway/quota/window_log.ts
@@ -1,4 +1,4 @@
-/** What a customer took in the last window. */
+/** What was taken of an account in the last window. */
 import type { Milliseconds } from "../../core/ids.ts";
 
 /**
