Sight: that a replica leaves, or asks for a pause, leaves a line and a metric

Logs couldn't tell what an answer said of its replica. Heads of answers are now read for Server-Leaving and, with 503, for Retry-After; leavingHeard, backoffAsked and backoffUnreadable tell it, replicas_backing_off counts them. Nothing is decided by it.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch } from "./crashes/crash_watch.ts";
 import type { ReplicaLimits } from "./limits/replica_limits.ts";
 import type { Dialect } from "./port.ts";
+import type { ReplicaGate } from "./replicas/replica_gate.ts";
 import type { ReplicaTable } from "./replicas/replica_table.ts";
 import type { RetryBudget } from "./retries/retry_budget.ts";
 import type { RouteTable } from "./routing/route_table.ts";
@@ -51,6 +52,7 @@
   readonly pool: UpstreamPool;
   readonly crashes: CrashWatch;
   readonly limits: ReplicaLimits;
+  readonly gate: ReplicaGate;
   readonly events: EventLog;
   readonly metrics: Metrics;
   /** As the settings have it now. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -12,6 +12,7 @@
 import type { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
 import type { PlatformPort } from "./port.ts";
+import { ReplicaGate } from "./replicas/replica_gate.ts";
 import { ReplicaTable } from "./replicas/replica_table.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
@@ -40,6 +41,16 @@
   const replicas = new ReplicaTable();
   const run = String(newIncarnation());
   const self = { id: host.id, hall: host.hall, run };
+  const limits = new ReplicaLimits({
+    self,
+    clock,
+    events,
+    metrics,
+    replicaOf: (incarnation) => replicas.get(incarnation),
+    hosts: () => directory.entries(),
+    hostCount: () => directory.count,
+    openLink,
+  });
   return {
     self,
     clock,
@@ -61,16 +72,8 @@
       rule: crashRuleOf(settings),
       probe: (address) => probeAddress(address, { clock, timeoutMs }),
     }),
-    limits: new ReplicaLimits({
-      self,
-      clock,
-      events,
-      metrics,
-      replicaOf: (incarnation) => replicas.get(incarnation),
-      hosts: () => directory.entries(),
-      hostCount: () => directory.count,
-      openLink,
-    }),
+    limits,
+    gate: new ReplicaGate({ clock, events, limits }),
     events,
     metrics,
     tuning: tuningOf(settings),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -209,7 +209,7 @@
   #metricsServer(): Server {
     return createServer((request, response) => {
       request.resume();
-      const { metrics, routes, replicas, clock, crashes, eras, limits } =
+      const { metrics, routes, replicas, clock, crashes, eras, limits, gate } =
         this.#context;
       const age = this.#state.storeAgeMs(clock.now());
       const configAge = this.#state.configAgeMs(clock.now());
@@ -225,6 +225,7 @@
         crash_suspects: crashes.suspects,
         crash_quarantined: crashes.quarantined,
         replicas_limited: limits.limited,
+        replicas_backing_off: gate.backingOff,
         config_age_seconds: Number.isFinite(configAge) ? configAge / 1000 : -1,
         store_age_seconds: Number.isFinite(age) ? age / 1000 : -1,
         resident_bytes: process.memoryUsage.rss(),
--- a/src/gateway/limits/replica_limits.ts
+++ b/src/gateway/limits/replica_limits.ts
@@ -18,7 +18,6 @@
 import type { QuotaTake } from "../quota/ledger.ts";
 import { QuotaMember, type QuotaOutcome } from "../quota/member.ts";
 import { QuotaOwner } from "../quota/owner.ts";
-import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Replica } from "../replicas/replica.ts";
 import {
   LEAST_PER_SECOND,
@@ -135,7 +134,7 @@
 
   /** An answer of the replica came, to a request that was sent at `sentAt`. */
   hear(
-    { incarnation }: ReplicaEntry,
+    incarnation: string,
     header: LimitHeader,
     sentAt: Milliseconds,
   ): void {
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -4,6 +4,7 @@
 export * from "./routing/model.ts";
 export * from "./customers/model.ts";
 export * from "./replicas/model.ts";
+export * from "./replicas/notice.ts";
 export * from "./limits/model.ts";
 export { type RunningGateway, startGateway } from "./gateway.ts";
 export { withoutHeaders } from "./http/headers.ts";
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -60,6 +60,17 @@
   replicaAdded: info("replicas", "A replica is listed", BELIEFS_PER_SECOND),
   replicaRemoved: info("replicas", "A replica is gone", BELIEFS_PER_SECOND),
   replicaLeaving: info("replicas", "A replica is leaving", BELIEFS_PER_SECOND),
+  leavingHeard: info("replicas", "A replica's answer says that it leaves", 20),
+  backoffAsked: info(
+    "replicas",
+    "A replica asks this host to send it nothing for a while",
+    BELIEFS_PER_SECOND,
+  ),
+  backoffUnreadable: warn(
+    "replicas",
+    "A replica asks for a pause of no readable length",
+    1,
+  ),
   rowUnreadable: warn(
     "replicas",
     "A row of the listing names no replica",
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -4,10 +4,10 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../core/ids.ts";
-import type { LimitHeader } from "./limits/model.ts";
 import type { RouteConfig } from "./routing/model.ts";
 import type { StorePlace } from "./position.ts";
 import type { ReplicaEntry, ReplicaStage } from "./replicas/model.ts";
+import type { ReplicaNotice } from "./replicas/notice.ts";
 
 /** What a request's head says of it. */
 export type RequestFacts = {
@@ -61,15 +61,13 @@
 };
 
 /** What the head of a replica's answer says. */
-export type AnswerFacts = {
+export type AnswerFacts = ReplicaNotice & {
   /** The request that it belongs to. */
   readonly id?: string;
   /** The replica says that the request did not run. */
   readonly notRun: boolean;
   /** Another replica has the address. */
   readonly misdirected: boolean;
-  /** Whether the replica limits the rate of its requests. */
-  readonly limit: LimitHeader;
 };
 
 /** A call without a caller's request behind it. */
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -142,7 +142,8 @@
     return { type: "unknown", reason: "An answer to another request" };
   }
   if (!facts.misdirected) {
-    context.limits.hear(replica.entry, facts.limit, sentAt);
+    const answered = { sentAt, request: request.facts.id };
+    context.gate.hear(replica.entry, facts, answered);
   }
   if (facts.notRun) {
     message.resume();
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -1,5 +1,6 @@
 /** A dialect for tests, in names that no platform uses. */
 import {
+  type BackoffHeader,
   type CallHead,
   CallMode,
   type Dialect,
@@ -35,6 +36,8 @@
       ...(typeof id === "string" ? { id } : {}),
       notRun: status === 421 || headers["x-not-run"] !== undefined,
       misdirected: status === 421,
+      leaving: headers["x-leaving"] !== undefined,
+      backoff: backoffOf(headers["x-backoff"]),
       limit: limitOf(headers["x-limit"]),
     };
   },
@@ -61,6 +64,14 @@
   retryAfterHeader: "retry-after",
 };
 
+/** Milliseconds. */
+function backoffOf(value: string | string[] | undefined): BackoffHeader {
+  if (value === undefined) return { type: "none" };
+  const forMs = Number(value);
+  if (Number.isFinite(forMs)) return { type: "backoff", forMs };
+  return { type: "unreadable", text: String(value) };
+}
+
 function limitOf(value: string | string[] | undefined): LimitHeader {
   if (value === undefined) return { type: "none" };
   const perSecond = Number(value);
--- a/test/gateway/limits/limit_fleet.ts
+++ b/test/gateway/limits/limit_fleet.ts
@@ -137,6 +137,7 @@
   async #send(host: FleetHost): Promise<void> {
     const { limits, clock } = host.context;
     const replica = this.#replicaOf(host);
+    const { incarnation } = replica.entry;
     const outcome = await limits.permit(replica);
     if (outcome.type === "refused") {
       const { retryAfterMs } = outcome;
@@ -153,7 +154,7 @@
         : { type: "limit", perSecond };
       const isLost = this.#random() < LATE_SHARE;
       const wayMs = isLost ? this.#random() * LATE_MS : WAY_MS;
-      clock.after(wayMs, () => limits.hear(replica.entry, header, sentAt));
+      clock.after(wayMs, () => limits.hear(incarnation, header, sentAt));
     });
   }
 }
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -15,6 +15,7 @@
   type Service,
 } from "../../src/gateway/mod.ts";
 import { Metrics } from "../../src/gateway/observe/metrics.ts";
+import { ReplicaGate } from "../../src/gateway/replicas/replica_gate.ts";
 import { ReplicaTable } from "../../src/gateway/replicas/replica_table.ts";
 import { Places } from "../../src/gateway/planning/places.ts";
 import { PlanService } from "../../src/gateway/planning/plan_service.ts";
@@ -228,6 +229,11 @@
   };
   const metrics = new Metrics();
   const replicas = new ReplicaTable();
+  const limits = loneLimits({
+    events: log,
+    metrics,
+    replicaOf: (incarnation) => replicas.get(incarnation),
+  });
   return {
     self: { id: "host", hall: "hall", run: "1" },
     clock: systemClock,
@@ -247,11 +253,8 @@
       probe: (address) =>
         probeAddress(address, { clock: systemClock, timeoutMs: AMPLE_MS }),
     }),
-    limits: loneLimits({
-      events: log,
-      metrics,
-      replicaOf: (incarnation) => replicas.get(incarnation),
-    }),
+    limits,
+    gate: new ReplicaGate({ clock: systemClock, events: log, limits }),
     events: log,
     metrics,
     tuning: {
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -18,6 +18,7 @@
   type LinkTarget,
 } from "../../../src/gateway/peers/link.ts";
 import { answerTo } from "../../../src/gateway/peers/server.ts";
+import { ReplicaGate } from "../../../src/gateway/replicas/replica_gate.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { FleetState } from "../../../src/gateway/state/fleet_state.ts";
@@ -220,6 +221,7 @@
       events,
       crashes,
       limits,
+      gate: new ReplicaGate({ clock, events, limits }),
       pool: { forget: () => undefined },
     } as unknown as GatewayContext;
     const state = new FleetState({
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -71,6 +71,52 @@
   }
 });
 
+test("an answer says by a 1 that its replica leaves", () => {
+  const leavingOf = (status: number, text?: string) =>
+    dialect.readAnswer(
+      status,
+      text === undefined ? {} : {
+        "server-leaving": text,
+      },
+    ).leaving;
+  assert.equal(leavingOf(200), false);
+  for (const status of [200, 404, 500, 503]) {
+    assert.equal(leavingOf(status, "1"), true);
+  }
+  // Node joins two headers of one name.
+  assert.equal(leavingOf(200, "1, 1"), true);
+  for (const text of ["", "0", "2", "no", "11"]) {
+    assert.equal(leavingOf(200, text), false, text);
+  }
+});
+
+test("a replica that turns a request away may ask for a time without any", () => {
+  const backoffOf = (status: number, text?: string) =>
+    dialect.readAnswer(
+      status,
+      text === undefined ? {} : {
+        "retry-after": text,
+      },
+    ).backoff;
+  assert.deepEqual(backoffOf(503), { type: "none" });
+  for (const seconds of [0, 0.3, 3, 86_400]) {
+    const forMs = seconds * 1000;
+    assert.deepEqual(backoffOf(503, String(seconds)), {
+      type: "backoff",
+      forMs,
+    });
+  }
+  const date = "Thu, 03 Dec 2026 07:28:00 GMT";
+  const huge = "9".repeat(400);
+  for (const text of ["-3", "abc", "", "NaN", "1e999", "1,2", date, huge]) {
+    assert.deepEqual(backoffOf(503, text), { type: "unreadable", text });
+  }
+  // There it is the caller that is told.
+  for (const status of [200, 404, 429, 500]) {
+    assert.deepEqual(backoffOf(status, "3"), { type: "none" });
+  }
+});
+
 test("an answer that lacks a field, or has another type there, says nothing", () => {
   const whole = { Stage: "decode", Utilization: false, Sequence: 2 };
   const report = { stage: "decode", orders: 2, changing: false };
