Tests that fail: replicas that leave, or ask for a pause, before four hosts

Host processes with the adapter before stand-ins that say Server-Leaving, or turn all away with Retry-After: a plain replica, one that decodes, one that reads prompts, and all replicas of a service. The fleet of the tests of limits is shared.

--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -22,6 +22,10 @@
   readonly ran: boolean;
   /** The first event or byte that it was to make. */
   readonly fromEvent: number;
+  /** Its answer said that the replica leaves. */
+  readonly saidLeaving: boolean;
+  /** It was turned away and asked to send nothing for so many seconds. */
+  readonly backoff?: string;
 };
 
 /** Something that a replica must never see. */
@@ -49,6 +53,10 @@
   running(): number;
   /** What its answers say of the rate that it takes; undefined: nothing. */
   limit: string | undefined;
+  /** All its answers say that it leaves. */
+  leaving: boolean;
+  /** It turns all away, and asks for so many seconds without any request. */
+  backoff: string | undefined;
   /** Ends it as a crash does: all connections are reset. */
   crash(): void;
 };
@@ -77,6 +85,8 @@
   running: number;
   count: number;
   limit: string | undefined;
+  leaving: boolean;
+  backoff: string | undefined;
 };
 
 /** Starts a replica on a free port. */
@@ -89,6 +99,8 @@
     running: 0,
     count: 0,
     limit: undefined,
+    leaving: false,
+    backoff: undefined,
   };
   const server = createServer((request, response) => {
     response.on("error", () => undefined);
@@ -112,6 +124,18 @@
     set limit(text) {
       engine.limit = text;
     },
+    get leaving() {
+      return engine.leaving;
+    },
+    set leaving(leaves) {
+      engine.leaving = leaves;
+    },
+    get backoff() {
+      return engine.backoff;
+    },
+    set backoff(text) {
+      engine.backoff = text;
+    },
     crash: () => {
       server.close();
       for (const socket of sockets) socket.resetAndDestroy();
@@ -126,6 +150,7 @@
 ): Promise<void> {
   const body = await textOf(request);
   const path = request.url ?? "";
+  if (engine.leaving) response.setHeader("Server-Leaving", "1");
   if (path === "/hold-take") return takeHold(engine, body, response);
   if (path.startsWith("/hold-drop/")) {
     engine.holds.delete(path.slice("/hold-drop/".length));
@@ -150,6 +175,10 @@
   body: string,
   response: ServerResponse,
 ): void {
+  if (engine.backoff !== undefined) {
+    response.setHeader("Retry-After", engine.backoff);
+    return send(response, 503, {});
+  }
   const { ttl_ms: lifeMs } = JSON.parse(body) as { ttl_ms: number };
   engine.count += 1;
   const id = `m${engine.count}`;
@@ -177,6 +206,7 @@
   }
   const isPrefill = header("serving-stage") === "prefill";
   const fromEvent = Number(header("last-event-id") || -1) + 1;
+  const { leaving: saidLeaving, backoff } = engine;
   const note = (ran: boolean) =>
     world.arrivals.push({
       request: id,
@@ -184,11 +214,18 @@
       atMs: performance.now(),
       ran,
       fromEvent,
+      saidLeaving,
+      ...(backoff === undefined ? {} : { backoff }),
     });
   if (isPrefill !== (role === "prefill")) {
     note(false);
     return notRun(response, 421, id);
   }
+  if (backoff !== undefined) {
+    note(false);
+    response.setHeader("Retry-After", backoff);
+    return notRun(response, 503, id);
+  }
   if (isPrefill) return await prefill(engine, id, response, note);
   const from = header("kv-source");
   if (from !== "" && !takeExport(world, from, id)) {
--- a/test/soak/server_limit_test.ts
+++ b/test/soak/server_limit_test.ts
@@ -13,36 +13,18 @@
  * host that had the word, all placed by one planner.
  */
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { test } from "node:test";
-import { xoroshiro128plus } from "pure-rand";
-import { draw } from "../../src/core/util/chance.ts";
 import { knownRed } from "../known_red.ts";
 import {
   LIMIT_SPAN_MS,
   mostAllowed,
   mostWithin,
 } from "../platform/rate_windows.ts";
-import { CallKind, type Seen } from "./callers.ts";
-import {
-  callHost,
-  endHosts,
-  type FleetHost,
-  gaugeAt,
-  makeHosts,
-  versionAt,
-} from "./fleet.ts";
-import { pause } from "./strike.ts";
-import { World } from "./world.ts";
+import { CallKind } from "./callers.ts";
+import { gaugeAt } from "./fleet.ts";
+import { callFor, oneOfEachRole, type Stage, withFleet } from "./stage.ts";
 
-const HOSTS = 4;
 const PER_SECOND = 1.4;
-/** Callers of each host that send one request after the other. */
-const CALLERS = 5;
-const CALL_PAUSE_MS = 20;
-const MORE_PAUSE_MS = 200;
 /** All hosts have the word so long after a replica named its limit. */
 const TOLD_MS = 1000;
 /** For so long the replica has its limit. */
@@ -51,60 +33,10 @@
 const SETTLED_MS = 4500;
 const WARM_MS = 1500;
 const ALL_KINDS = [CallKind.safe, CallKind.stream, CallKind.resumable];
-const LOOK_MS = 200;
 
 /** By the clock of the test. */
 type Span = { readonly from: number; readonly to: number };
 
-type Stage = {
-  readonly world: World;
-  readonly hosts: readonly FleetHost[];
-};
-
-/** Runs a fleet for the time of `work`. */
-async function withFleet(work: (stage: Stage) => Promise<void>): Promise<void> {
-  const folder = mkdtempSync(join(tmpdir(), "otterhill-limit-"));
-  const world = await World.start();
-  const storeAddress = world.store.address;
-  const hosts = await makeHosts(HOSTS, { folder, storeAddress });
-  try {
-    for (const { process } of hosts) process.start();
-    for (const host of hosts) {
-      while (await versionAt(host) !== world.version) await pause(LOOK_MS);
-    }
-    await work({ world, hosts });
-  } finally {
-    await endHosts(hosts);
-    world.stop();
-    rmSync(folder, { recursive: true });
-  }
-}
-
-/** Callers send to all hosts for a time; gives what they saw. */
-async function callFor(
-  { hosts }: Stage,
-  { kinds, forMs }: {
-    readonly kinds: readonly CallKind[];
-    readonly forMs: number;
-  },
-): Promise<Seen[]> {
-  const endsAt = performance.now() + forMs;
-  const seen: Seen[] = [];
-  const calls = hosts.flatMap((host) =>
-    Array.from({ length: CALLERS }, async (_, caller) => {
-      const random = xoroshiro128plus(caller);
-      for (let at = 0; performance.now() < endsAt; at++) {
-        const kind = kinds[(at + caller) % kinds.length] ?? CallKind.safe;
-        const id = `${kind}-${host.process.name}-${caller}-${at}-${endsAt}`;
-        seen.push(await callHost(host, { id, kind }));
-        await pause(CALL_PAUSE_MS + draw(random, MORE_PAUSE_MS));
-      }
-    })
-  );
-  await Promise.all(calls);
-  return seen;
-}
-
 function arrivalsAt(
   { world }: Stage,
   replica: string,
@@ -133,12 +65,8 @@
 const ONE = "a replica that limits its requests gets no more of all hosts";
 test(ONE, knownRed(ONE), async () => {
   await withFleet(async (stage) => {
-    const roles = ["plain", "decode", "prefill"] as const;
-    const limited = roles.map((role) => {
-      const all = stage.world.ready().map((one) => one.standin);
-      return all.find((one) => one.role === role);
-    }).filter((one) => one !== undefined);
-    assert.equal(limited.length, roles.length);
+    const limited = oneOfEachRole(stage);
+    assert.equal(limited.length, 3);
     await callFor(stage, { kinds: ALL_KINDS, forMs: WARM_MS });
     for (const standin of limited) standin.limit = String(PER_SECOND);
     const from = performance.now() + TOLD_MS;
