The soak's replicas say in answers that they leave, and ask for pauses; its hosts are held to both

Counted at the replica by the host that sent, for each start of a replica; hosts whose process ended or stood still are left out, and replicas whose answers were held up.

--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -17,6 +17,8 @@
 export type ReplicaArrival = {
   readonly request: string;
   readonly replica: string;
+  /** Tells the starts of all replicas apart. */
+  readonly start: number;
   readonly atMs: number;
   /** It began to run; a prefill does not count as a run. */
   readonly ran: boolean;
@@ -44,6 +46,14 @@
 /** A request with this body crashes the replica that begins to run it. */
 export const CRASHING_BODY = "crashes its replica";
 
+/** How a replica turns requests away. */
+export type Backoff = {
+  /** The seconds without any request that it asks for; it may be no number. */
+  readonly text: string;
+  /** It takes every other one. */
+  readonly isPartial?: boolean;
+};
+
 /** A running replica. */
 export type ReplicaStandin = {
   readonly id: string;
@@ -55,8 +65,8 @@
   limit: string | undefined;
   /** All its answers say that it leaves. */
   leaving: boolean;
-  /** It turns all away, and asks for so many seconds without any request. */
-  backoff: string | undefined;
+  /** It turns requests away; undefined: it doesn't. */
+  backoff: Backoff | undefined;
   /** Ends it as a crash does: all connections are reset. */
   crash(): void;
 };
@@ -86,14 +96,19 @@
   count: number;
   limit: string | undefined;
   leaving: boolean;
-  backoff: string | undefined;
+  backoff: Backoff | undefined;
+  readonly start: number;
 };
 
+let starts = 0;
+
 /** Starts a replica on a free port. */
 export async function startReplica(
   source: ReplicaSource,
 ): Promise<ReplicaStandin> {
+  starts += 1;
   const engine: Engine = {
+    start: starts,
     source,
     holds: new Map(),
     running: 0,
@@ -175,8 +190,9 @@
   body: string,
   response: ServerResponse,
 ): void {
-  if (engine.backoff !== undefined) {
-    response.setHeader("Retry-After", engine.backoff);
+  const backoff = backoffOf(engine);
+  if (backoff !== undefined) {
+    response.setHeader("Retry-After", backoff);
     return send(response, 503, {});
   }
   const { ttl_ms: lifeMs } = JSON.parse(body) as { ttl_ms: number };
@@ -206,11 +222,13 @@
   }
   const isPrefill = header("serving-stage") === "prefill";
   const fromEvent = Number(header("last-event-id") || -1) + 1;
-  const { leaving: saidLeaving, backoff } = engine;
+  const { leaving: saidLeaving, start } = engine;
+  const backoff = backoffOf(engine);
   const note = (ran: boolean) =>
     world.arrivals.push({
       request: id,
       replica: source.id,
+      start,
       atMs: performance.now(),
       ran,
       fromEvent,
@@ -248,6 +266,14 @@
   await stream(response, { id, fromEvent, seal });
 }
 
+/** What is asked of the request that comes now, if it is turned away. */
+function backoffOf(engine: Engine): string | undefined {
+  if (!engine.backoff) return undefined;
+  const { text, isPartial = false } = engine.backoff;
+  engine.count += 1;
+  return isPartial && engine.count % 2 === 0 ? undefined : text;
+}
+
 async function prefill(
   engine: Engine,
   id: string,
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -6,6 +6,8 @@
 } from "../platform/replica_standin.ts";
 import { CallKind, type Seen } from "./callers.ts";
 import { LIMIT_SPAN_MS, mostAllowed } from "../platform/rate_windows.ts";
+import { brokenPauses, sentAfterLeaving } from "./notices.ts";
+import { sentBy } from "./sent.ts";
 import type { LimitSpan } from "./world.ts";
 import type { Exit } from "./gateway_process.ts";
 
@@ -29,6 +31,10 @@
   readonly limits: readonly LimitSpan[];
   /** Hosts that no fault struck, nor their paths. */
   readonly unstruck: ReadonlySet<string>;
+  /** Replicas whose answers did not reach hosts for a time. */
+  readonly unheard: ReadonlySet<string>;
+  /** Hosts whose process ran all the time. */
+  readonly steady: ReadonlySet<string>;
 };
 
 /** A promise that was broken. */
@@ -56,6 +62,7 @@
   checkStops,
   checkCrashes,
   checkLimits,
+  checkNotices,
 ];
 
 /** Every promise that the run broke. */
@@ -218,6 +225,23 @@
   return found;
 }
 
+/**
+ * A replica that said it leaves, or asked a host for a pause, is sent nothing by
+ * the hosts that it told.
+ */
+function checkNotices(evidence: Evidence): Violation[] {
+  const { arrivals, seen, steady, unstruck, unheard } = evidence;
+  const sent = sentBy(arrivals, seen).filter((one) =>
+    !unheard.has(one.replica)
+  );
+  const late = sentAfterLeaving(sent.filter((one) => steady.has(one.host)));
+  const pauses = brokenPauses(sent.filter((one) => unstruck.has(one.host)));
+  return [
+    ...late.map((detail) => ({ rule: "leaving is heard in answers", detail })),
+    ...pauses.map((detail) => ({ rule: "pauses are kept", detail })),
+  ];
+}
+
 /** A planned stop cuts no request that a replica was given. */
 function checkStops({ isCalm, seen, arrivals }: Evidence): Violation[] {
   if (!isCalm) return [];
--- a/test/soak/leaving_answer_test.ts
+++ b/test/soak/leaving_answer_test.ts
@@ -18,7 +18,8 @@
 import { StoreMode } from "../platform/store_standin.ts";
 import { CallKind } from "./callers.ts";
 import { sentAfterLeaving } from "./notices.ts";
-import { callFor, oneOfEachRole, sentBy, withFleet } from "./stage.ts";
+import { sentBy } from "./sent.ts";
+import { callFor, oneOfEachRole, withFleet } from "./stage.ts";
 
 const WARM_MS = 1000;
 const LEAVING_MS = 6000;
@@ -37,7 +38,7 @@
     for (const standin of leaving) standin.leaving = true;
     const from = performance.now();
     const seen = await callFor(stage, { kinds: ALL_KINDS, forMs: LEAVING_MS });
-    const sent = sentBy(stage, seen);
+    const sent = sentBy(stage.world.arrivals, seen);
     assert.deepEqual(sentAfterLeaving(sent), []);
     // One host tells the others.
     const gone = new Set(leaving.map((one) => one.id));
@@ -59,7 +60,7 @@
     await callFor(stage, { kinds, forMs: WARM_MS });
     for (const { standin } of plain) standin.leaving = true;
     const seen = await callFor(stage, { kinds, forMs: LEAVING_MS });
-    assert.deepEqual(sentAfterLeaving(sentBy(stage, seen)), []);
+    assert.deepEqual(sentAfterLeaving(sentBy(stage.world.arrivals, seen)), []);
     const other = seen.filter((one) => ![200, 503].includes(one.status));
     assert.deepEqual(other, []);
     assert.ok(seen.some((one) => one.status === 503));
--- a/test/soak/notices.ts
+++ b/test/soak/notices.ts
@@ -1,5 +1,5 @@
 /** What hosts sent to replicas that had told them not to; pure. */
-import type { Sent } from "./stage.ts";
+import type { Sent } from "./sent.ts";
 
 /** Requests that callers send later than this go elsewhere. */
 const DRAIN_MS = 2000;
@@ -7,6 +7,8 @@
 const PASSED_ON_MS = 500;
 /** What is under way when a replica asks for a pause has come by then. */
 const UNDER_WAY_MS = 500;
+/** What asks for a pause is a plain decimal number of seconds. */
+const DECIMAL = /^\d+(\.\d+)?$/;
 /** Requests that may come during a pause. */
 const MOST_IN_PAUSE = 2;
 
@@ -26,8 +28,8 @@
 export function brokenPauses(sent: readonly Sent[]): string[] {
   return groups(sent).flatMap((group) =>
     group.flatMap(({ host, replica, atMs, backoff }) => {
+      if (backoff === undefined || !DECIMAL.test(backoff)) return [];
       const seconds = Number(backoff);
-      if (backoff === undefined || !(seconds > 0)) return [];
       const count = group.filter((one) =>
         one.atMs > atMs + UNDER_WAY_MS && one.atMs < atMs + seconds * 1000
       ).length;
@@ -39,11 +41,11 @@
   );
 }
 
-/** By host and replica, in the order in which they came. */
+/** By host and start of a replica, in the order in which they came. */
 function groups(sent: readonly Sent[]): Sent[][] {
   const all = new Map<string, Sent[]>();
   for (const one of [...sent].sort((a, b) => a.atMs - b.atMs)) {
-    const key = `${one.host} ${one.replica}`;
+    const key = `${one.host} ${one.start}`;
     const group = all.get(key);
     if (group) group.push(one);
     else all.set(key, [one]);
--- a/test/soak/replica_backoff_test.ts
+++ b/test/soak/replica_backoff_test.ts
@@ -17,7 +17,8 @@
 import { knownRed } from "../known_red.ts";
 import { CallKind } from "./callers.ts";
 import { brokenPauses } from "./notices.ts";
-import { callFor, oneOfEachRole, sentBy, withFleet } from "./stage.ts";
+import { sentBy } from "./sent.ts";
+import { callFor, oneOfEachRole, withFleet } from "./stage.ts";
 
 const WARM_MS = 1000;
 /** A younger host has no part of the retry budget's allowance. */
@@ -32,16 +33,18 @@
     const busy = oneOfEachRole(stage);
     assert.equal(busy.length, 3);
     await callFor(stage, { kinds: ALL_KINDS, forMs: BUDGET_MS });
-    for (const standin of busy) standin.backoff = PAUSE_S;
+    for (const standin of busy) standin.backoff = { text: PAUSE_S };
     const seen = await callFor(stage, { kinds: ALL_KINDS, forMs: BUSY_MS });
-    assert.deepEqual(brokenPauses(sentBy(stage, seen)), []);
+    assert.deepEqual(brokenPauses(sentBy(stage.world.arrivals, seen)), []);
     // The others have room for all.
     assert.deepEqual(seen.filter((one) => one.status !== 200), []);
     for (const standin of busy) standin.backoff = undefined;
     const forMs = Number(PAUSE_S) * 1000 + WARM_MS;
     const later = await callFor(stage, { kinds: ALL_KINDS, forMs });
     for (const { id } of busy) {
-      const used = sentBy(stage, later).some((one) => one.replica === id);
+      const used = sentBy(stage.world.arrivals, later).some((one) =>
+        one.replica === id
+      );
       assert.ok(used, `${id} is used again`);
     }
   });
@@ -54,9 +57,9 @@
       .filter(({ standin }) => standin.role === "plain");
     const kinds = [CallKind.safe];
     await callFor(stage, { kinds, forMs: WARM_MS });
-    for (const { standin } of plain) standin.backoff = PAUSE_S;
+    for (const { standin } of plain) standin.backoff = { text: PAUSE_S };
     const seen = await callFor(stage, { kinds, forMs: BUSY_MS });
-    assert.deepEqual(brokenPauses(sentBy(stage, seen)), []);
+    assert.deepEqual(brokenPauses(sentBy(stage.world.arrivals, seen)), []);
     const other = seen.filter((one) => ![200, 503].includes(one.status));
     assert.deepEqual(other, []);
     for (const { standin } of plain) standin.backoff = undefined;
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -47,11 +47,15 @@
 
 /** The pause of a caller whose request crashes its replicas. */
 const CRASHING_PAUSE_MS = 500;
-/** Faults that strike a host or its paths. */
-const HOST_FAULTS: readonly FaultKind[] = [
+/** Faults that strike a host's process. */
+const PROCESS_FAULTS: readonly FaultKind[] = [
   FaultKind.kill,
   FaultKind.stop,
   FaultKind.pause,
+];
+/** Faults that strike a host or its paths. */
+const HOST_FAULTS: readonly FaultKind[] = [
+  ...PROCESS_FAULTS,
   FaultKind.storePathSilent,
   FaultKind.storePathOneWay,
   FaultKind.storePathReset,
@@ -140,12 +144,13 @@
   }
 
   #evidence(dead: readonly string[], knownAtMs: number): Evidence {
-    const { arrivals, faults, left, limits } = this.#world;
+    const { arrivals, faults, left, limits, unheard } = this.#world;
     return {
       seen: this.#seen,
       arrivals,
       faults,
       limits,
+      unheard,
       exits: this.#hosts.flatMap(({ process }) =>
         process.exits.map((exit) => ({ ...exit, host: process.name }))
       ),
@@ -154,14 +159,15 @@
       running: this.#world.running(),
       dead,
       isCalm: this.#schedule.isCalm,
-      unstruck: this.#unstruck(),
+      unstruck: this.#hostsWithout(HOST_FAULTS),
+      steady: this.#hostsWithout(PROCESS_FAULTS),
     };
   }
 
-  #unstruck(): ReadonlySet<string> {
+  #hostsWithout(kinds: readonly FaultKind[]): ReadonlySet<string> {
     const { faults } = this.#schedule;
     const struck = new Set(
-      faults.filter((one) => HOST_FAULTS.includes(one.kind))
+      faults.filter((one) => kinds.includes(one.kind))
         .map((one) => one.target % this.#hosts.length),
     );
     const names = this.#hosts.map((one) => one.process.name);
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -33,6 +33,10 @@
   replicaLimit: "replica limits its requests",
   serviceLimit: "all replicas of a stage limit their requests",
   hallLimit: "all replicas of a hall limit their requests",
+  replicaLeaveTold: "replica says in answers alone that it leaves",
+  replicaBackoff: "replica asks for a pause",
+  serviceBackoff: "all replicas of a stage ask for a pause",
+  hallBackoff: "all replicas of a hall ask for a pause",
 } as const;
 /** One of the values of {@link FaultKind}. */
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
@@ -76,16 +80,27 @@
   FaultKind.serviceLimit,
   FaultKind.hallLimit,
 ];
+const NOTICE_KINDS: readonly FaultKind[] = [
+  FaultKind.replicaLeaveTold,
+  FaultKind.replicaLeaveTold,
+  FaultKind.replicaBackoff,
+  FaultKind.replicaBackoff,
+  FaultKind.serviceBackoff,
+  FaultKind.hallBackoff,
+];
 const FIRST_KINDS = Object.values(FaultKind).filter((one) =>
-  ![...LATER_KINDS, ...RESTORE_KINDS, ...LIMIT_KINDS].includes(one)
+  ![...LATER_KINDS, ...RESTORE_KINDS, ...LIMIT_KINDS, ...NOTICE_KINDS]
+    .includes(one)
 );
 const LATER_FAULTS = 4;
 const RESTORES = 4;
 const LIMITS = 6;
+const NOTICES = 8;
 /** Keeps the later draws apart from the callers'. */
 const LATER_SEED = 1_000_003;
 const RESTORE_SEED = 2_000_003;
 const LIMIT_SEED = 3_000_017;
+const NOTICE_SEED = 4_000_037;
 const CRASHING_ONE_IN = 2;
 const CALM_KINDS: readonly FaultKind[] = [
   FaultKind.stop,
@@ -126,10 +141,11 @@
   const hasCrashing = draw(random, CRASHING_ONE_IN) === 0;
   const restores = restoresOf(source);
   const limits = limitsOf(source);
+  const notices = noticesOf(source);
   return {
     ...first,
     hasCrashing,
-    faults: [...first.faults, ...faults, ...restores, ...limits],
+    faults: [...first.faults, ...faults, ...restores, ...limits, ...notices],
   };
 }
 
@@ -146,6 +162,12 @@
     .map((one) => ({ ...one, forMs: LEAST_MS + draw(random, MORE_LIMIT_MS) }));
 }
 
+function noticesOf(source: ScheduleSource): Fault[] {
+  const random = xoroshiro128plus(source.seed + NOTICE_SEED);
+  const count = draw(random, NOTICES);
+  return drawFaults(random, source, { kinds: NOTICE_KINDS, count });
+}
+
 function firstScheduleOf({ seed, spanMs }: ScheduleSource): Schedule {
   const random = xoroshiro128plus(seed);
   const isCalm = draw(random, CALM_ONE_IN) === 0;
--- a/test/soak/stage.ts
+++ b/test/soak/stage.ts
@@ -82,28 +82,3 @@
     all.filter((one) => one.role === role).slice(0, 1)
   );
 }
-
-/** A request at a replica, with the host that sent it there. */
-export type Sent = {
-  readonly host: string;
-  readonly replica: string;
-  /** When it came to the replica. */
-  readonly atMs: number;
-  /** When its caller sent it. */
-  readonly calledAtMs: number;
-  readonly saidLeaving: boolean;
-  readonly backoff?: string;
-};
-
-/** What came to replicas from hosts. */
-export function sentBy(
-  { world }: Pick<Stage, "world">,
-  seen: readonly Seen[],
-): Sent[] {
-  const calls = new Map(seen.map((one) => [one.id, one]));
-  return world.arrivals.flatMap(({ request, ...arrival }) => {
-    const call = calls.get(request);
-    if (!call) return [];
-    return [{ ...arrival, host: call.host, calledAtMs: call.sentAtMs }];
-  });
-}
--- a/test/soak/strike.ts
+++ b/test/soak/strike.ts
@@ -22,6 +22,10 @@
 const AWAY_MS = 700;
 /** What limited replicas say: rates, nothing at all, and no numbers. */
 const LIMITS = ["1.4", "0.3", "3", "10", "0", "1,4", "abc", "6.5"];
+/** What replicas ask for: seconds, nothing at all, and no numbers. */
+const PAUSES = ["2.5", "1", "4", "0.3", "0", "-3", "abc", "", "1e999", "2"];
+/** In one of so many cases a replica takes every other request. */
+const PARTIAL_ONE_IN = 3;
 /** A process that ended starts again after this time. */
 const RESTART_MS = 400;
 
@@ -68,11 +72,9 @@
     case FaultKind.peerPathReset:
       return resetAll(host.peerPath);
     case FaultKind.replicaPathSilent:
-      return silence(replica.proxy, Silence.toCaller);
     case FaultKind.replicaPathSlow:
-      return slow(replica.proxy);
     case FaultKind.replicaPathReset:
-      return resetAll(replica.proxy);
+      return strikePath(world, replica, fault.kind);
     case FaultKind.replicaCrash:
     case FaultKind.replicaLeave:
     case FaultKind.replicaRestart:
@@ -97,6 +99,17 @@
         ready.filter((one) => one.hall === replica.hall),
         fault,
       );
+    case FaultKind.replicaLeaveTold:
+      return world.leaveByAnswer(replica);
+    case FaultKind.replicaBackoff:
+      return backOff([replica], fault);
+    case FaultKind.serviceBackoff:
+      return backOff(
+        ready.filter((one) => one.standin.role === replica.standin.role),
+        fault,
+      );
+    case FaultKind.hallBackoff:
+      return backOff(ready.filter((one) => one.hall === replica.hall), fault);
     case FaultKind.storeRestored:
       return restoreStore(world, fault, { isAway: false });
     case FaultKind.storeRestoredAway:
@@ -192,6 +205,22 @@
   };
 }
 
+function strikePath(
+  world: World,
+  { standin, proxy }: WorldReplica,
+  kind: FaultKind,
+): Undo {
+  world.unheard.add(standin.id);
+  switch (kind) {
+    case FaultKind.replicaPathSilent:
+      return silence(proxy, Silence.toCaller);
+    case FaultKind.replicaPathSlow:
+      return slow(proxy);
+    default:
+      return resetAll(proxy);
+  }
+}
+
 async function strikeReplica(
   world: World,
   replica: WorldReplica,
@@ -215,6 +244,19 @@
   };
 }
 
+function backOff(replicas: readonly WorldReplica[], { target }: Fault): Undo {
+  const backoff = {
+    text: PAUSES[target % PAUSES.length] ?? "1",
+    isPartial: target % PARTIAL_ONE_IN === 0,
+  };
+  for (const { standin } of replicas) standin.backoff = backoff;
+  return () => {
+    for (const { standin } of replicas) {
+      if (standin.backoff === backoff) standin.backoff = undefined;
+    }
+  };
+}
+
 function silence(proxy: FaultProxy, way: Silence): Undo {
   proxy.silence = way;
   return () => proxy.heal();
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -54,6 +54,8 @@
   /** Replicas that were told to leave. */
   readonly left = new Set<string>();
   readonly store: StoreStandin;
+  /** Replicas whose answers did not reach hosts for a time. */
+  readonly unheard = new Set<string>();
   /** What replicas said of the rate that they take. */
   readonly limits: LimitSpan[] = [];
   /** Replicas that a request crashed, in order. */
@@ -232,6 +234,24 @@
     setTimeout(() => this.store.remove("servers", id), LEAVE_MS);
   }
 
+  /**
+   * A replica says in its answers that it leaves, while its entry says nothing;
+   * another comes first. The result goes on as with any that leaves.
+   */
+  async leaveByAnswer(replica: WorldReplica): Promise<() => void> {
+    const { role, id } = replica.standin;
+    await this.addReplica(role, replica.hall);
+    replica.standin.leaving = true;
+    return () => {
+      // It may have crashed, or started again.
+      if (!replica.isReady) return;
+      replica.isReady = false;
+      this.list(replica);
+      this.left.add(id);
+      setTimeout(() => this.store.remove("servers", id), LEAVE_MS);
+    };
+  }
+
   /** Requests that run at replicas now. */
   running(): number {
     return this.replicas.reduce((sum, one) => sum + one.standin.running(), 0);
