--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -35,7 +35,7 @@
 
   /** It is sent to a replica, with what that was decided on. */
   placed(placed: Placement, sends: number): void {
-    const { metrics, replicas, routes, clock } = this.#context;
+    const { metrics, replicas, routes, clock, gate } = this.#context;
     const { facts } = this.#request;
     const replica = placed.replica.entry.incarnation;
     this.#lastSend = { replica, at: clock.now() };
@@ -51,6 +51,7 @@
       output_limit: facts.outputLimit,
       output_hint: facts.outputHint,
       send: sends,
+      backing_off: gate.backingOff || undefined,
       listing: revisionOf(replicas.revision),
       routes: routes.version,
     });
