--- a/eslint.config.js
+++ b/eslint.config.js
@@ -41,6 +41,17 @@
       }],
     },
   },
+  {
+    files: ["src/gateway/**", "src/util/units.ts", "platform/**"],
+    rules: {
+      "no-restricted-imports": ["error", {
+        patterns: [{
+          regex: "/core/",
+          message: "The gateway has no tie to the core of the demo's router.",
+        }],
+      }],
+    },
+  },
   {
     files: ["test/**", "bench/**"],
     rules: { "max-lines-per-function": "off" },
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,5 +1,6 @@
 /** What the shell tells the core: one tagged union. */
-import type { AttemptId, HostId, RequestId, UpstreamId } from "./ids.ts";
+import type { AttemptId, RequestId } from "./request_ids.ts";
+import type { HostId, UpstreamId } from "../util/ids.ts";
 import type { HostList, PeerMessage } from "../messages/peer.ts";
 
 /** A caller's request, already parsed and measured by the shell. */
--- a/src/core/handle.ts
+++ b/src/core/handle.ts
@@ -1,6 +1,7 @@
 /** Gives each event to the part that it concerns. */
 import type { Event } from "./events.ts";
-import type { HostId, Milliseconds } from "./ids.ts";
+import type { HostId } from "../util/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 import type { PeerMessage } from "../messages/peer.ts";
 import { takeGrant, takeQueued, takeRefusal } from "./systems/asking.ts";
 import { closeCall } from "./systems/calls.ts";
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -1,7 +1,9 @@
 /** The deciding core: pure, synchronous, without I/O, clock or chance. */
 export * from "./errors.ts";
 export * from "./events.ts";
-export * from "./ids.ts";
+export * from "./request_ids.ts";
+export * from "../util/ids.ts";
+export * from "../util/units.ts";
 export * from "./options.ts";
 export * from "./orders.ts";
 export * from "./policies/mod.ts";
@@ -15,8 +17,8 @@
 export { Role } from "./tables/upstreams.ts";
 export type { Setup } from "./tables/settings.ts";
 export { BLOCK_TOKENS } from "./systems/upstreams.ts";
-export { draw } from "./util/chance.ts";
-export { rendezvous } from "./util/rendezvous.ts";
+export { draw } from "../util/chance.ts";
+export { rendezvous } from "../util/rendezvous.ts";
 export {
   type Envelope,
   Envelope as EnvelopeCodec,
--- a/src/core/options.ts
+++ b/src/core/options.ts
@@ -1,5 +1,5 @@
 /** The core's tuning: every number has its unit, its default and its reason. */
-import type { Milliseconds } from "./ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 
 /** Mechanisms that a test can turn off to show that their proof then fails. */
 export const Mechanism = {
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -1,6 +1,7 @@
 /** What the core tells the shell to do: one tagged union. */
 import type { ErrorKind, Ran } from "./errors.ts";
-import type { AttemptId, HostId, RequestId, UpstreamId } from "./ids.ts";
+import type { AttemptId, RequestId } from "./request_ids.ts";
+import type { HostId, UpstreamId } from "../util/ids.ts";
 import type { PeerMessage } from "../messages/peer.ts";
 
 /** One conditional change in a table write. */
--- a/src/core/policies/policy.ts
+++ b/src/core/policies/policy.ts
@@ -1,5 +1,6 @@
 /** What a policy is given and what it chooses. */
-import type { HallId, Milliseconds } from "../ids.ts";
+import type { HallId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Upstream } from "../tables/upstreams.ts";
 
 /** One upstream as seen for one query. */
--- a/src/core/policies/predicted_cost.ts
+++ b/src/core/policies/predicted_cost.ts
@@ -2,7 +2,7 @@
  * Our policy: one cost in one unit, the predicted time to the first token,
  * with a charge for the cache space that a cold prefill takes from others.
  */
-import type { Milliseconds } from "../ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import {
   type Candidate,
   type Choice,
--- a/src/core/setups/setup.ts
+++ b/src/core/setups/setup.ts
@@ -1,5 +1,5 @@
 /** Works out a customer's setup from its template and its parameters. */
-import type { CustomerId } from "../ids.ts";
+import type { CustomerId } from "../../util/ids.ts";
 import type { Settings, Setup } from "../tables/settings.ts";
 import { type Customer, CustomerSchema } from "./customer.ts";
 import { type Template, TemplateSchema } from "./template.ts";
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -3,7 +3,8 @@
  * same events at the same times give the same orders.
  */
 import type { Event } from "./events.ts";
-import type { HostId, Milliseconds } from "./ids.ts";
+import type { HostId } from "../util/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 import type { PeerMessage } from "../messages/peer.ts";
 import type { Order } from "./orders.ts";
 import { handleEvent } from "./handle.ts";
--- a/src/core/systems/ask_order.ts
+++ b/src/core/systems/ask_order.ts
@@ -1,5 +1,5 @@
 /** The order of asks that wait at a planner. */
-import type { RequestId } from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
 import type { Ask, PoolUse } from "../tables/plans.ts";
 import { holdingOf } from "./ledger.ts";
 
--- a/src/core/systems/asking.ts
+++ b/src/core/systems/asking.ts
@@ -1,12 +1,8 @@
 /** Asks planners for places, and takes their answers. */
 import { ErrorKind } from "../errors.ts";
-import type {
-  HostId,
-  Milliseconds,
-  PoolId,
-  RequestId,
-  UpstreamId,
-} from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { HostId, PoolId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { PlanGrant, PlanRefusal } from "../../messages/peer.ts";
 import { Stage } from "../tables/plans.ts";
 import { Phase, type Request } from "../tables/requests.ts";
--- a/src/core/systems/calls.ts
+++ b/src/core/systems/calls.ts
@@ -1,5 +1,5 @@
 /** Calls of the platform's table that wait for their answers. */
-import type { Milliseconds } from "../ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { TableCall } from "../tables/claims.ts";
 import type { World } from "../world.ts";
 
--- a/src/core/systems/claims.ts
+++ b/src/core/systems/claims.ts
@@ -3,7 +3,7 @@
  * platform's table before dispatch. A claim never passes to another request.
  */
 import { ErrorKind, Ran } from "../errors.ts";
-import type { Milliseconds } from "../ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { Mechanism } from "../options.ts";
 import type { TableRow } from "../events.ts";
 import type { TableChange } from "../orders.ts";
--- a/src/core/systems/delivery.ts
+++ b/src/core/systems/delivery.ts
@@ -1,7 +1,7 @@
 /** Passes answers on: each to its own request, each token once. */
 import { ErrorKind } from "../errors.ts";
 import type { Chunk, PlainAnswer } from "../events.ts";
-import type { Milliseconds } from "../ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { Stage } from "../tables/plans.ts";
 import { Phase, type Request } from "../tables/requests.ts";
 import { count, order, type World } from "../world.ts";
--- a/src/core/systems/dispatch.ts
+++ b/src/core/systems/dispatch.ts
@@ -1,6 +1,7 @@
 /** Sends requests that have their places to upstreams. */
 import { Ran } from "../errors.ts";
-import type { AttemptId, Milliseconds } from "../ids.ts";
+import type { AttemptId } from "../request_ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { PlanGrant } from "../../messages/peer.ts";
 import { Stage } from "../tables/plans.ts";
 import { Phase, type Request } from "../tables/requests.ts";
--- a/src/core/systems/host_list.ts
+++ b/src/core/systems/host_list.ts
@@ -1,9 +1,9 @@
 /** The platform's list of hosts and upstreams, also passed on by peers. */
-import type { Milliseconds } from "../ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { HostList, ListEntry } from "../../messages/peer.ts";
 import { Role, type Upstream } from "../tables/upstreams.ts";
-import { emptyFit } from "../util/line_fit.ts";
-import { jitter } from "../util/chance.ts";
+import { emptyFit } from "../../util/line_fit.ts";
+import { jitter } from "../../util/chance.ts";
 import { order, type World } from "../world.ts";
 import { dividePools } from "./pools.ts";
 
--- a/src/core/systems/intake.ts
+++ b/src/core/systems/intake.ts
@@ -1,7 +1,8 @@
 /** Takes callers' requests: checks them against the settings in force. */
 import { ANSWERS, ErrorKind, Ran } from "../errors.ts";
 import type { CallerRequest } from "../events.ts";
-import type { Milliseconds, RequestId } from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { setupOf } from "../setups/setup.ts";
 import { Phase, type Request } from "../tables/requests.ts";
 import type { Setup } from "../tables/settings.ts";
--- a/src/core/systems/keepers.ts
+++ b/src/core/systems/keepers.ts
@@ -1,7 +1,8 @@
 /** The hosts that keep a caller's key for its owner, and what they say. */
-import type { HostId, Milliseconds } from "../ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { KeyEnd, KeyPut } from "../../messages/peer.ts";
-import { rendezvous } from "../util/rendezvous.ts";
+import { rendezvous } from "../../util/rendezvous.ts";
 import type { World } from "../world.ts";
 import { tell } from "./peers.ts";
 
--- a/src/core/systems/lease.ts
+++ b/src/core/systems/lease.ts
@@ -3,7 +3,8 @@
  * row that another wrote is taken only after it has stood unchanged for the
  * whole term by this host's own clock.
  */
-import type { Milliseconds, ServiceId } from "../ids.ts";
+import type { ServiceId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { TableRow } from "../events.ts";
 import type { TableCall } from "../tables/claims.ts";
 import { type Lease, LeasePhase } from "../tables/turns.ts";
--- a/src/core/systems/ledger.ts
+++ b/src/core/systems/ledger.ts
@@ -1,11 +1,7 @@
 /** The planner's ledger: places granted, and what they come to. */
-import type {
-  CustomerId,
-  Milliseconds,
-  PoolId,
-  RequestId,
-  UpstreamId,
-} from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { CustomerId, PoolId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import {
   type Grant,
   type Holding,
--- a/src/core/systems/line.ts
+++ b/src/core/systems/line.ts
@@ -1,5 +1,6 @@
 /** Work that an upstream does one after the other, as its planner sees it. */
-import type { Milliseconds, RequestId } from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Line } from "../tables/plans.ts";
 
 /** A line without work. */
--- a/src/core/systems/membership.ts
+++ b/src/core/systems/membership.ts
@@ -1,9 +1,10 @@
 /** Who is live: a gossip of heartbeat counters within the region. */
-import type { HostId, Milliseconds, PoolId } from "../ids.ts";
+import type { HostId, PoolId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Gossip, Heartbeat } from "../../messages/peer.ts";
 import type { Host } from "../tables/hosts.ts";
-import { draw, jitter } from "../util/chance.ts";
-import { rendezvous } from "../util/rendezvous.ts";
+import { draw, jitter } from "../../util/chance.ts";
+import { rendezvous } from "../../util/rendezvous.ts";
 import { log, type World } from "../world.ts";
 import { tell } from "./peers.ts";
 import { passSettings, pullSettings } from "./settings.ts";
--- a/src/core/systems/peers.ts
+++ b/src/core/systems/peers.ts
@@ -1,5 +1,5 @@
 /** Sending messages to peers, this host included. */
-import type { HostId } from "../ids.ts";
+import type { HostId } from "../../util/ids.ts";
 import type { PeerMessage } from "../../messages/peer.ts";
 import { order, type World } from "../world.ts";
 
--- a/src/core/systems/placement.ts
+++ b/src/core/systems/placement.ts
@@ -3,7 +3,9 @@
  * them, and refuses at once what can't be served in time.
  */
 import { ErrorKind } from "../errors.ts";
-import type { HostId, Milliseconds, PoolId, RequestId } from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { HostId, PoolId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { PlanAsk, PlanKeep, PlanProgress } from "../../messages/peer.ts";
 import {
   type Candidate,
--- a/src/core/systems/pool.ts
+++ b/src/core/systems/pool.ts
@@ -1,5 +1,6 @@
 /** What a policy sees of a pool's upstreams during one pass. */
-import type { Milliseconds, PoolId, UpstreamId } from "../ids.ts";
+import type { PoolId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { PlanAsk } from "../../messages/peer.ts";
 import type { Candidate, Choice, Pool } from "../policies/mod.ts";
 import { Role, type Upstream } from "../tables/upstreams.ts";
--- a/src/core/systems/pools.ts
+++ b/src/core/systems/pools.ts
@@ -3,10 +3,10 @@
  * service with many upstreams is divided into several pools, so that its
  * planning is spread over several hosts.
  */
-import type { PoolId, ServiceId } from "../ids.ts";
+import type { PoolId, ServiceId } from "../../util/ids.ts";
 import type { Request } from "../tables/requests.ts";
 import type { Upstream } from "../tables/upstreams.ts";
-import { rendezvous } from "../util/rendezvous.ts";
+import { rendezvous } from "../../util/rendezvous.ts";
 import type { World } from "../world.ts";
 
 /** Divides the upstreams of this region into pools, alike on every host. */
--- a/src/core/systems/registry.ts
+++ b/src/core/systems/registry.ts
@@ -5,7 +5,9 @@
  * more. docs/design/answered-once.md tells what holds when.
  */
 import { ErrorKind } from "../errors.ts";
-import type { HostId, Milliseconds, RequestId } from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { Mechanism } from "../options.ts";
 import type { KeyVerdict } from "../../messages/peer.ts";
 import type { Registration } from "../tables/keys.ts";
--- a/src/core/systems/release.ts
+++ b/src/core/systems/release.ts
@@ -1,5 +1,7 @@
 /** Cancels what an upstream holds for nobody, until it confirms. */
-import type { AttemptId, Milliseconds, UpstreamId } from "../ids.ts";
+import type { AttemptId } from "../request_ids.ts";
+import type { UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { Mechanism } from "../options.ts";
 import { count, enabled, order, type World } from "../world.ts";
 
--- a/src/core/systems/requests.ts
+++ b/src/core/systems/requests.ts
@@ -1,8 +1,10 @@
 /** What all parts do with a request: give it an attempt, and end it. */
 import type { ErrorKind } from "../errors.ts";
 import { ANSWERS, Ran } from "../errors.ts";
-import type { AttemptId, Milliseconds, UpstreamId } from "../ids.ts";
-import { attemptId } from "../ids.ts";
+import type { AttemptId } from "../request_ids.ts";
+import type { UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
+import { attemptId } from "../request_ids.ts";
 import { Mechanism } from "../options.ts";
 import type { Attempt, Phase, Request } from "../tables/requests.ts";
 import { Stage } from "../tables/plans.ts";
--- a/src/core/systems/retry.ts
+++ b/src/core/systems/retry.ts
@@ -4,7 +4,8 @@
  */
 import { ErrorKind, Ran } from "../errors.ts";
 import { type Event, Failure } from "../events.ts";
-import type { Milliseconds, UpstreamId } from "../ids.ts";
+import type { UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { type Attempt, Phase, type Request } from "../tables/requests.ts";
 import { count, log, order, type World } from "../world.ts";
 import {
--- a/src/core/systems/settings.ts
+++ b/src/core/systems/settings.ts
@@ -2,7 +2,8 @@
  * Keeps settings in force: reads new rows from the platform, adopts higher
  * versions only, and passes rows on to peers that are behind.
  */
-import type { HostId, Milliseconds } from "../ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { Mechanism } from "../options.ts";
 import type { TableRow } from "../events.ts";
 import type { SettingsRows } from "../../messages/peer.ts";
@@ -11,7 +12,7 @@
 import { SplitSchema } from "../setups/split.ts";
 import { TemplateSchema } from "../setups/template.ts";
 import type { Settings, SettingsRow } from "../tables/settings.ts";
-import { jitter } from "../util/chance.ts";
+import { jitter } from "../../util/chance.ts";
 import { count, enabled, log, order, type World } from "../world.ts";
 import { openCall } from "./calls.ts";
 import { tell } from "./peers.ts";
--- a/src/core/systems/split.ts
+++ b/src/core/systems/split.ts
@@ -2,7 +2,8 @@
  * The split of a service's upstreams between prefill and decode: as operators
  * set it, or by how busy both sides are, with hysteresis.
  */
-import type { Milliseconds, ServiceId } from "../ids.ts";
+import type { ServiceId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { DEFAULT_SETUP, RowKey } from "../setups/setup.ts";
 import { SplitSchema } from "../setups/split.ts";
 import { type Pressure, TurnPhase } from "../tables/turns.ts";
--- a/src/core/systems/sweep.ts
+++ b/src/core/systems/sweep.ts
@@ -2,8 +2,10 @@
  * Finds what upstreams hold for nobody. An upstream's planner lists what it
  * holds, asks the owners, and cancels what has no owner any more.
  */
-import type { AttemptId, HostId, Milliseconds, UpstreamId } from "../ids.ts";
-import { type Owner, ownerOf } from "../ids.ts";
+import type { AttemptId } from "../request_ids.ts";
+import type { HostId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
+import { type Owner, ownerOf } from "../request_ids.ts";
 import { Mechanism } from "../options.ts";
 import type { SweepAsk } from "../../messages/peer.ts";
 import { count, enabled, log, order, type World } from "../world.ts";
--- a/src/core/systems/turns.ts
+++ b/src/core/systems/turns.ts
@@ -1,5 +1,6 @@
 /** Carries out changes of role: drained, under a lease, with its fence. */
-import type { Milliseconds, UpstreamId } from "../ids.ts";
+import type { UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { type Turn, TurnPhase } from "../tables/turns.ts";
 import type { Upstream } from "../tables/upstreams.ts";
 import { Mechanism } from "../options.ts";
--- a/src/core/systems/upstreams.ts
+++ b/src/core/systems/upstreams.ts
@@ -1,6 +1,7 @@
 /** Reads upstreams' reports and cache events, and judges what may get work. */
 import type { Event, LoadReport } from "../events.ts";
-import type { Milliseconds, UpstreamId } from "../ids.ts";
+import type { UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { Mechanism } from "../options.ts";
 import { Role, type Upstream } from "../tables/upstreams.ts";
 import {
@@ -8,7 +9,7 @@
   emptyFit,
   fittedLine,
   type Line,
-} from "../util/line_fit.ts";
+} from "../../util/line_fit.ts";
 import { count, enabled, log, order, type World } from "../world.ts";
 import { plannerOf } from "./membership.ts";
 
--- a/src/core/tables/claims.ts
+++ b/src/core/tables/claims.ts
@@ -1,5 +1,6 @@
 /** Claims of requests that may not be repeated, and calls of the platform. */
-import type { Milliseconds, RequestId } from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** How far a claim is. */
 export const ClaimState = {
--- a/src/core/tables/hosts.ts
+++ b/src/core/tables/hosts.ts
@@ -1,5 +1,6 @@
 /** Entry hosts, as the platform's list and the heartbeats show them. */
-import type { HallId, HostId, Milliseconds, RegionId } from "../ids.ts";
+import type { HallId, HostId, RegionId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** One entry host of the fleet. */
 export type Host = {
--- a/src/core/tables/keys.ts
+++ b/src/core/tables/keys.ts
@@ -1,5 +1,7 @@
 /** Callers' request keys: this host's registrations and what it keeps. */
-import type { HostId, Milliseconds, RequestId } from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** A key kept for an owner; lost with this host. */
 export type KeyRecord = {
--- a/src/core/tables/plans.ts
+++ b/src/core/tables/plans.ts
@@ -1,12 +1,7 @@
 /** A planner's queue and its ledger of granted places. */
-import type {
-  CustomerId,
-  HostId,
-  Milliseconds,
-  PoolId,
-  RequestId,
-  UpstreamId,
-} from "../ids.ts";
+import type { RequestId } from "../request_ids.ts";
+import type { CustomerId, HostId, PoolId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { PlanAsk } from "../../messages/peer.ts";
 
 /** An ask that waits at its planner. */
--- a/src/core/tables/requests.ts
+++ b/src/core/tables/requests.ts
@@ -1,14 +1,8 @@
 /** Requests that this host owns, and their current attempts. */
 import type { CallerRequest, Chunk, PlainAnswer } from "../events.ts";
-import type {
-  AttemptId,
-  CustomerId,
-  HostId,
-  Milliseconds,
-  PoolId,
-  RequestId,
-  UpstreamId,
-} from "../ids.ts";
+import type { AttemptId, RequestId } from "../request_ids.ts";
+import type { CustomerId, HostId, PoolId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Ran } from "../errors.ts";
 import type { PlanGrant } from "../../messages/peer.ts";
 import type { Setup } from "./settings.ts";
--- a/src/core/tables/settings.ts
+++ b/src/core/tables/settings.ts
@@ -1,5 +1,6 @@
 /** Versioned settings rows and each customer's setup as they give it. */
-import type { CustomerId, Milliseconds, UpstreamId } from "../ids.ts";
+import type { CustomerId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** What a customer's template and parameters come to. */
 export type Setup = {
--- a/src/core/tables/turns.ts
+++ b/src/core/tables/turns.ts
@@ -1,5 +1,6 @@
 /** Changes of an upstream's role, and the leases under which they are ordered. */
-import type { Milliseconds, ServiceId, UpstreamId } from "../ids.ts";
+import type { ServiceId, UpstreamId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Role } from "./upstreams.ts";
 
 /** How far a change of role is. */
--- a/src/core/tables/upstreams.ts
+++ b/src/core/tables/upstreams.ts
@@ -1,14 +1,14 @@
 /** Upstreams: what the host list, their reports and their events say. */
 import type { LoadReport } from "../events.ts";
-import type { LineFit } from "../util/line_fit.ts";
+import type { LineFit } from "../../util/line_fit.ts";
 import type {
   HallId,
-  Milliseconds,
   PoolId,
   RegionId,
   ServiceId,
   UpstreamId,
-} from "../ids.ts";
+} from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** What an upstream does. */
 export const Role = {
--- a/src/core/world.ts
+++ b/src/core/world.ts
@@ -1,16 +1,15 @@
 /** The tables of one entry host. */
 import { type RandomGenerator, xoroshiro128plus } from "pure-rand";
+import type { AttemptId, RequestId } from "./request_ids.ts";
 import type {
-  AttemptId,
   HallId,
   HostId,
-  Milliseconds,
   PoolId,
   RegionId,
-  RequestId,
   ServiceId,
   UpstreamId,
-} from "./ids.ts";
+} from "../util/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 import type { LogLine, Order } from "./orders.ts";
 import { DEFAULT_OPTIONS, type Mechanism, type Options } from "./options.ts";
 import type { HostList } from "../messages/peer.ts";
--- a/src/gateway/callers/quota_hold.ts
+++ b/src/gateway/callers/quota_hold.ts
@@ -1,5 +1,5 @@
 /** Takes what a request costs of its customer's quota. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import { type Clock, sleep } from "../clock.ts";
 import { quotaUnits } from "../customers/model.ts";
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import { type Clock, sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
--- a/src/gateway/clock.ts
+++ b/src/gateway/clock.ts
@@ -1,5 +1,5 @@
 /** Time as the gateway's parts get it; tests give a virtual one. */
-import type { Milliseconds } from "../core/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 
 /** A monotonic clock with timers. */
 export type Clock = {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,5 +1,6 @@
 /** What the parts of the gateway share. */
-import type { HallId, HostId, Milliseconds } from "../core/ids.ts";
+import type { HallId, HostId } from "../util/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 import type { Clock } from "./clock.ts";
 import type { EventLog } from "./observe/event_log.ts";
 import type { Metrics } from "./observe/metrics.ts";
--- a/src/gateway/crashes/crash_messages.ts
+++ b/src/gateway/crashes/crash_messages.ts
@@ -1,6 +1,6 @@
 /** How hosts tell each other of crashes: over links, and in rows of the store. */
 import * as z from "zod";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { CrashNews } from "./model.ts";
 
 const Crash = z.object({
--- a/src/gateway/crashes/crash_table.ts
+++ b/src/gateway/crashes/crash_table.ts
@@ -10,7 +10,7 @@
  * same moment have a cause in common, which a request is not that ran at one of
  * them only. One that is answered whole is acquitted of all that came before.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type {
   Acquittal,
   CrashNews,
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -4,7 +4,7 @@
  * replica has crashed if nothing listens at its address right after the break,
  * if it goes from the listing without having left, or if another host says so.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Metrics } from "../observe/metrics.ts";
--- a/src/gateway/crashes/model.ts
+++ b/src/gateway/crashes/model.ts
@@ -1,5 +1,5 @@
 /** What is known of requests under which replicas crashed. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** A request that ran at a replica when that replica crashed. */
 export type CrashRecord = {
--- a/src/gateway/customers/admission.ts
+++ b/src/gateway/customers/admission.ts
@@ -1,5 +1,5 @@
 /** Whether the customer behind a request may send it. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import type { Route } from "../routing/model.ts";
 import type { RouteTable } from "../routing/route_table.ts";
--- a/src/gateway/customers/customers.ts
+++ b/src/gateway/customers/customers.ts
@@ -1,5 +1,5 @@
 /** What a gateway needs to serve customers, made from its settings. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewaySettings } from "../../settings/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import { LinkPath, openLink } from "../peers/link.ts";
@@ -43,7 +43,8 @@
       knownHosts: () => directory.count,
     });
     this.quotas = new QuotaMember({
-      context,
+      self: context.self,
+      clock: context.clock,
       own: this.owner,
       hosts: () => directory.entries(),
       memoryMs: () => this.#settings.quota_window,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** Puts the parts of a gateway together and listens. */
 import { createServer, type Server } from "node:http";
-import type { Milliseconds } from "../core/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import { parseAddress } from "../util/address.ts";
 import { CallerServer } from "./callers/server.ts";
--- a/src/gateway/limits/allowance.ts
+++ b/src/gateway/limits/allowance.ts
@@ -1,5 +1,5 @@
 /** What an owner gives out of a replica's limit; pure. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Allowance } from "../quota/bounds.ts";
 
 /**
--- a/src/gateway/limits/limit_messages.ts
+++ b/src/gateway/limits/limit_messages.ts
@@ -1,6 +1,6 @@
 /** How hosts tell each other of limits, over links. */
 import * as z from "zod";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { LimitRecord } from "./model.ts";
 
 const Limit = z.object({
--- a/src/gateway/limits/limit_table.ts
+++ b/src/gateway/limits/limit_table.ts
@@ -4,7 +4,7 @@
  * a limit begins or falls at once, and rises or ends only by an answer that
  * was surely made after it was named.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { forgetOldest } from "../../util/forget_oldest.ts";
 import type { LimitHeader, LimitRecord } from "./model.ts";
 
--- a/src/gateway/limits/model.ts
+++ b/src/gateway/limits/model.ts
@@ -1,5 +1,5 @@
 /** Limits that replicas name on the rate of requests they take. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** What the head of an answer says of its replica's limit. */
 export type LimitHeader =
--- a/src/gateway/limits/replica_limits.ts
+++ b/src/gateway/limits/replica_limits.ts
@@ -4,7 +4,8 @@
  * hosts gives it and counts for all of them. It is asked by every way that
  * leads to a replica, so that none of them needs to know of limits.
  */
-import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Metrics } from "../observe/metrics.ts";
@@ -102,7 +103,8 @@
       knownHosts: hostCount,
     });
     this.#member = new QuotaMember({
-      context: { self, clock },
+      self,
+      clock,
       own: this.owner,
       hosts,
       memoryMs: () => PERMITS_MEMORY_MS,
--- a/src/gateway/observe/event_log.ts
+++ b/src/gateway/observe/event_log.ts
@@ -1,6 +1,6 @@
 /** Structured log of the gateway's events, bounded in volume. */
 import bunyan from "bunyan";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import { EVENT_KINDS, type EventKind, type EventName } from "./event_names.ts";
 import type { LineWriter } from "./line_writer.ts";
--- a/src/gateway/observe/metrics.ts
+++ b/src/gateway/observe/metrics.ts
@@ -2,7 +2,7 @@
 import type { Histogram } from "hdr-histogram-js";
 // The package's entry file takes 25 ms of a process's start.
 import histograms from "hdr-histogram-js/dist/Int32Histogram.js";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** What is timed. */
 export const Timing = {
--- a/src/gateway/peers/directory.ts
+++ b/src/gateway/peers/directory.ts
@@ -1,5 +1,6 @@
 /** The fleet's hosts as far as this one knows: from the store and by word. */
-import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { HostEntry } from "../port.ts";
 
 /**
--- a/src/gateway/peers/host_order.ts
+++ b/src/gateway/peers/host_order.ts
@@ -1,6 +1,6 @@
 /** Rendezvous orders of hosts, made anew only when the hosts change. */
-import type { HostId } from "../../core/ids.ts";
-import { rendezvous } from "../../core/util/rendezvous.ts";
+import type { HostId } from "../../util/ids.ts";
+import { rendezvous } from "../../util/rendezvous.ts";
 import type { HostEntry } from "../port.ts";
 
 type Order = {
--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -5,7 +5,7 @@
  * their replicas, for hosts that the store reaches and links don't.
  */
 import * as z from "zod";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import {
   CrashesSchema,
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -2,7 +2,7 @@
 import { type IncomingMessage, request } from "node:http";
 import type { Writable } from "node:stream";
 import { parseAddress } from "../../util/address.ts";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 
 /** The links that a host serves, by their path on the peers' address. */
--- a/src/gateway/peers/news_sharing.ts
+++ b/src/gateway/peers/news_sharing.ts
@@ -3,7 +3,7 @@
  * passes on what they tell. The links of the state of the fleet are a tree over
  * all hosts that reach each other; what is news goes over each of them once.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { Link } from "./link.ts";
 
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -1,5 +1,5 @@
 /** Asks peers for state while the store does not answer this host. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry, Store } from "../port.ts";
--- a/src/gateway/peers/peer_questions.ts
+++ b/src/gateway/peers/peer_questions.ts
@@ -1,5 +1,5 @@
 /** Asks peers for the state that they have and this host lacks. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import { revisionOf } from "../position.ts";
 import type { Synchronizer } from "../state/synchronizer.ts";
--- a/src/gateway/peers/remote_clock.ts
+++ b/src/gateway/peers/remote_clock.ts
@@ -1,5 +1,5 @@
 /** Moments that another host tells, in terms of this host's clock. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /**
  * Two monotonic clocks are taken to drift apart by this much at most, as a
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -1,6 +1,6 @@
 /** Tells peers the newest state that this host has. */
 import { createServer, type Server } from "node:http";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { QuotaOwner } from "../quota/owner.ts";
 import type { PlanService } from "../planning/plan_service.ts";
--- a/src/gateway/planning/admission.ts
+++ b/src/gateway/planning/admission.ts
@@ -5,7 +5,7 @@
  * later go before it, so in a pool that is offered more than it can hold it
  * would wait in vain.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { LEAST_PER_SECOND } from "../limits/allowance.ts";
 import { RecentSum } from "./recent_sum.ts";
 
--- a/src/gateway/planning/ask_queue.ts
+++ b/src/gateway/planning/ask_queue.ts
@@ -1,5 +1,5 @@
 /** The requests that wait for a place at a planner. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { PlanAsk } from "./messages.ts";
 import { inOrder } from "./order.ts";
 
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -1,5 +1,5 @@
 /** Which replicas of a model engine read and answer a request. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Ledger } from "./ledger.ts";
 import type { PlanAsk } from "./messages.ts";
--- a/src/gateway/planning/export_losses.ts
+++ b/src/gateway/planning/export_losses.ts
@@ -3,7 +3,7 @@
  * fetched them. Each call to such a replica succeeds, but the prefill is wasted,
  * so failed calls alone don't reveal it.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** Losses in a row before a replica is avoided. */
 const LOSSES_TO_AVOID = 2;
--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -1,5 +1,5 @@
 /** Forecasts of waits at the pools of all services, and who was refused. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { Admission } from "./admission.ts";
 import type { Waiting } from "./ask_queue.ts";
 import type { PlanAsk } from "./messages.ts";
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -1,12 +1,12 @@
 /** What a planner has given away of each replica. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import {
   addSample,
   emptyFit,
   fittedLine,
   type Line,
   type LineFit,
-} from "../../core/util/line_fit.ts";
+} from "../../util/line_fit.ts";
 
 /**
  * Prefills as they may be before any was timed: two points, so that a few
--- a/src/gateway/planning/limit_pace.ts
+++ b/src/gateway/planning/limit_pace.ts
@@ -3,7 +3,7 @@
  * pace only guides: the owner of the limit counts for all hosts, and what it
  * refuses sets the pace here.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { forgetOldest } from "../../util/forget_oldest.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { PlanProgress } from "./messages.ts";
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -1,5 +1,5 @@
 /** The order of a planner's queue, and the choice of a minimum. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** What the order of a queue is made from. */
 export type Queued = {
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -3,7 +3,7 @@
  * the service's rendezvous order to which a link stands; a host that reaches
  * no other plans for itself.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry } from "../port.ts";
--- a/src/gateway/planning/plain_places.ts
+++ b/src/gateway/planning/plain_places.ts
@@ -1,5 +1,5 @@
 /** Places at the replicas of plain services, which queue requests themselves. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { LEAST_PER_SECOND } from "../limits/allowance.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Waiting } from "./ask_queue.ts";
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -1,6 +1,6 @@
 /** This host's planner, for itself and for the hosts that link to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -3,7 +3,7 @@
  * what was given away. The ledger only guides: the replica's own reservation
  * decides, so a planner may start empty and two may plan at once without harm.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { AskQueue, type Waiting } from "./ask_queue.ts";
 import { EngineChoice, type EnginePlaces } from "./engine_choice.ts";
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -2,8 +2,8 @@
  * The replicas of one service as they are during one pass over the queue: what
  * doesn't depend on the request is worked out once a pass, not once a request.
  */
-import type { Milliseconds } from "../../core/ids.ts";
-import type { Line } from "../../core/util/line_fit.ts";
+import type { Milliseconds } from "../../util/units.ts";
+import type { Line } from "../../util/line_fit.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Ledger } from "./ledger.ts";
 import { readingRate, usualLine } from "./prefill_times.ts";
--- a/src/gateway/planning/prefill_times.ts
+++ b/src/gateway/planning/prefill_times.ts
@@ -1,5 +1,5 @@
 /** How long prefills take, over the prefill replicas of a service. */
-import type { Line } from "../../core/util/line_fit.ts";
+import type { Line } from "../../util/line_fit.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Ledger } from "./ledger.ts";
 import { least } from "./order.ts";
--- a/src/gateway/planning/prompt_memory.ts
+++ b/src/gateway/planning/prompt_memory.ts
@@ -2,7 +2,7 @@
  * Where prompts were read lately. A replica keeps what it has read until it
  * needs the memory, so a request that comes back is cheapest served there.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /**
  * A decode replica is believed to keep a prompt for so long after it was read:
--- a/src/gateway/planning/rate_share.ts
+++ b/src/gateway/planning/rate_share.ts
@@ -2,7 +2,7 @@
  * Shares the rate of a service whose replicas all limit their requests: the
  * urgent go first, and those that are refused come back one after the other.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { RecentSum } from "./recent_sum.ts";
 
 /** Rates are those of about this time. */
--- a/src/gateway/planning/recent_sum.ts
+++ b/src/gateway/planning/recent_sum.ts
@@ -1,5 +1,5 @@
 /** How much arrived lately: a sum in which each amount fades with time. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** A decaying sum. */
 export class RecentSum {
--- a/src/gateway/planning/urgency.ts
+++ b/src/gateway/planning/urgency.ts
@@ -1,5 +1,5 @@
 /** The priorities of the requests that a service received recently. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /**
  * A priority counts as present for this long after its last request: twice the
--- a/src/gateway/planning/view.ts
+++ b/src/gateway/planning/view.ts
@@ -1,5 +1,5 @@
 /** What a planner sees, and what it tells. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { PlannerMessage } from "./messages.ts";
 
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -3,7 +3,7 @@
  * between these words and the platform's; it decides nothing.
  */
 import type { IncomingHttpHeaders } from "node:http";
-import type { Milliseconds } from "../core/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 import type { RouteConfig } from "./routing/model.ts";
 import type { StorePlace } from "./position.ts";
 import type { ReplicaEntry, ReplicaStage } from "./replicas/model.ts";
--- a/src/gateway/quota/bounds.ts
+++ b/src/gateway/quota/bounds.ts
@@ -1,5 +1,5 @@
 /** What all hosts together may take of an account. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /**
  * In any window, all hosts together let through no more than
--- a/src/gateway/quota/coverage.ts
+++ b/src/gateway/quota/coverage.ts
@@ -1,5 +1,6 @@
 /** Which part of the fleet's hosts takes its quotas from this owner. */
-import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** The share is worked out anew after this time, in milliseconds. */
 const FRESH_MS = 100;
--- a/src/gateway/quota/ledger.ts
+++ b/src/gateway/quota/ledger.ts
@@ -1,5 +1,6 @@
 /** What an owner has given out of the accounts that it owns. */
-import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { AllowanceRule, Rate } from "./bounds.ts";
 import { Coverage } from "./coverage.ts";
 import type { QuotaMembership } from "./messages.ts";
--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -3,9 +3,10 @@
  * customer's quota or a replica's limit, from its owner. The owner of a shard is
  * the first host in the shard's rendezvous order that answers.
  */
-import type { HallId, HostId, Milliseconds } from "../../core/ids.ts";
+import type { HallId, HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
-import type { GatewayContext } from "../context.ts";
+import type { Clock } from "../clock.ts";
 import { HostOrders } from "../peers/host_order.ts";
 import type { Link, LinkEvents, LinkPath, LinkTarget } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
@@ -17,6 +18,7 @@
 } from "./messages.ts";
 import type { QuotaOwner } from "./owner.ts";
 import { orderKeyOf, SHARD_COUNT, shardOf } from "./shards.ts";
+import { Suspects } from "./suspects.ts";
 import { type Use, Uses } from "./uses.ts";
 
 /**
@@ -27,15 +29,8 @@
 const ANSWER_MS = 250;
 /** What has come while this host stood still is read within this time. */
 const READ_MS = 20;
-/**
- * An owner that was left is not tried again for this time, in milliseconds. A
- * host alone has a small part of each limit, so a live owner is soon tried.
- */
-const SUSPECT_MS = 800;
 /** A request that three owners did not answer is refused. */
 const MOST_OWNERS = 3;
-/** A hall in which so many hosts don't answer is most likely cut off. */
-const SUSPECTS_OF_CUT = 2;
 
 /** Makes a host tell its shards again: no list of them reads so. */
 const UNTOLD = "-";
@@ -53,7 +48,8 @@
 
 /** What a member is made from. */
 export type QuotaMemberSource = {
-  readonly context: Pick<GatewayContext, "self" | "clock">;
+  readonly self: { readonly id: HostId; readonly hall: HallId };
+  readonly clock: Clock;
   readonly own: QuotaOwner;
   /** The other hosts; the same array while none changes. */
   readonly hosts: () => readonly HostEntry[];
@@ -75,8 +71,6 @@
   resolve(outcome: QuotaOutcome): void;
 };
 
-type Suspect = { readonly until: Milliseconds; readonly hall: HallId };
-
 type OwnerLink = {
   readonly link: Link;
   /** The run of the owner; absent until it has answered. */
@@ -91,7 +85,7 @@
   readonly #orders: HostOrders;
   readonly #asked = new Map<string, Asked>();
   readonly #links = new Map<HostId, OwnerLink>();
-  readonly #suspects = new Map<HostId, Suspect>();
+  readonly #suspects: Suspects;
   readonly #owners = new Map<number, HostId>();
   readonly #startedAt: Milliseconds;
   readonly #uses = new Uses();
@@ -100,8 +94,9 @@
 
   constructor(source: QuotaMemberSource) {
     this.#source = source;
-    this.#orders = new HostOrders(source.context.self.id);
-    this.#startedAt = source.context.clock.now();
+    this.#orders = new HostOrders(source.self.id);
+    this.#suspects = new Suspects(source.self.hall);
+    this.#startedAt = source.clock.now();
   }
 
   /** Chooses the owners anew: hosts come, go, and are trusted again. */
@@ -161,9 +156,9 @@
    * rather than go to a host that nobody else asks.
    */
   #bestOwner(shard: number): HostId {
-    const { context: { self, clock }, hosts: hostsOf } = this.#source;
+    const { self, clock, hosts: hostsOf } = this.#source;
     const hosts = hostsOf();
-    const cutHalls = this.#cutHalls(clock.now());
+    const cutHalls = this.#suspects.cutHalls(clock.now());
     for (const id of this.#orders.of(orderKeyOf(shard), hosts)) {
       if (id === self.id) return id;
       if (this.#suspects.has(id)) continue;
@@ -179,23 +174,8 @@
     return self.id;
   }
 
-  /**
-   * Halls that seem to be cut off from this one. Their hosts are passed over
-   * together: each would cost the requests that wait some 400 ms.
-   */
-  #cutHalls(now: Milliseconds): ReadonlySet<HallId> {
-    const counts = new Map<HallId, number>();
-    for (const [id, { until, hall }] of this.#suspects) {
-      if (until <= now) this.#suspects.delete(id);
-      else counts.set(hall, (counts.get(hall) ?? 0) + 1);
-    }
-    counts.delete(this.#source.context.self.hall);
-    const isCut = ([, count]: [HallId, number]) => count >= SUSPECTS_OF_CUT;
-    return new Set([...counts].filter(isCut).map(([hall]) => hall));
-  }
-
   #open({ id, address, hall }: HostEntry): OwnerLink {
-    const { context: { clock, self }, openLink, path } = this.#source;
+    const { clock, self, openLink, path } = this.#source;
     const target = {
       address,
       path,
@@ -225,9 +205,9 @@
   #lost({ id, hall }: Pick<HostEntry, "id" | "hall">, link: Link): void {
     const known = this.#links.get(id);
     if (known?.link !== link) return;
-    const { context: { clock }, noteLost } = this.#source;
+    const { clock, noteLost } = this.#source;
     this.#links.delete(id);
-    this.#suspects.set(id, { until: clock.now() + SUSPECT_MS, hall });
+    this.#suspects.add(id, hall, clock.now());
     if (known.run !== undefined) noteLost(id);
     this.refresh();
     for (const [askedId, asked] of this.#asked) {
@@ -250,7 +230,7 @@
   }
 
   #ask(id: string, asked: Asked): void {
-    const { self, clock } = this.#source.context;
+    const { self, clock } = this.#source;
     const { owner } = asked;
     const link = this.#links.get(owner);
     if (owner === self.id || link?.run !== undefined) {
@@ -273,7 +253,7 @@
 
   /** Tells each owner the shards that this host takes from it. */
   #tellShards(): void {
-    const { self } = this.#source.context;
+    const { self } = this.#source;
     const shardsOf = (owner: HostId) =>
       [...this.#owners].filter(([, one]) => one === owner)
         .map(([shard]) => shard);
@@ -292,7 +272,7 @@
 
   /** Names the owner of these shards, and tells it what others gave of them. */
   #membership(shards: readonly number[], run: string): MemberMessage {
-    const { context: { clock }, memoryMs } = this.#source;
+    const { clock, memoryMs } = this.#source;
     const now = clock.now();
     const oldest = now - memoryMs();
     const usage = this.#uses.newsFor({ run, shards }, { oldest, now });
@@ -301,7 +281,7 @@
   }
 
   #send(owner: HostId, message: MemberMessage): void {
-    const { self } = this.#source.context;
+    const { self } = this.#source;
     if (owner !== self.id) return this.#links.get(owner)?.link.send(message);
     const answer = this.#source.own.take(self.id, message);
     if (answer) this.#take(self.id, answer);
@@ -328,7 +308,7 @@
   }
 
   #noteUse(take: QuotaTake, owner: HostId, afterMs: Milliseconds): Use {
-    const { context: { clock, self }, own, memoryMs } = this.#source;
+    const { clock, self, own, memoryMs } = this.#source;
     const run = owner === self.id ? own.run : this.#links.get(owner)?.run;
     const now = clock.now();
     const use = { take, at: now + afterMs, knownTo: new Set([run ?? ""]) };
@@ -339,7 +319,7 @@
   #giveBack(use: Use): void {
     const { customer, units } = use.take;
     this.#uses.remove(use);
-    const agoMs: Milliseconds = this.#source.context.clock.now() - use.at;
+    const agoMs: Milliseconds = this.#source.clock.now() - use.at;
     const owner = this.#ownerOf(customer);
     this.#send(owner, { type: "give-back", customer, units, agoMs });
   }
--- a/src/gateway/quota/owner.ts
+++ b/src/gateway/quota/owner.ts
@@ -1,6 +1,6 @@
 /** This host as an owner of quotas, for itself and the hosts that link to it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { HostId } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { Clock } from "../clock.ts";
 import {
--- a/src/gateway/quota/uses.ts
+++ b/src/gateway/quota/uses.ts
@@ -1,5 +1,5 @@
 /** What a host took of late, to tell owners that don't know of it. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { QuotaTake } from "./ledger.ts";
 import type { QuotaUsage } from "./messages.ts";
 import { shardOf } from "./shards.ts";
--- a/src/gateway/quota/window_log.ts
+++ b/src/gateway/quota/window_log.ts
@@ -1,5 +1,5 @@
 /** What was taken of an account in the last window. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /**
  * Times are kept to this much: a window has 32 slots of a deployment's 8 s, and
--- a/src/gateway/replicas/backoffs.ts
+++ b/src/gateway/replicas/backoffs.ts
@@ -4,7 +4,7 @@
  * success that was under way when a replica asked doesn't. Afterwards one
  * request tries the replica while others, if they can, go elsewhere.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { forgetOldest } from "../../util/forget_oldest.ts";
 
 /** A faulty header takes a replica out for no longer than this. */
--- a/src/gateway/replicas/choice.ts
+++ b/src/gateway/replicas/choice.ts
@@ -1,5 +1,5 @@
 /** Which replica serves a call; pure, with chance as an argument. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Replica } from "./replica.ts";
 
 /** What a choice goes by. */
--- a/src/gateway/replicas/create_replica_state.ts
+++ b/src/gateway/replicas/create_replica_state.ts
@@ -1,5 +1,5 @@
 /** What one host knows of replicas, put together. */
-import type { HostId } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
 import type { Clock } from "../clock.ts";
 import { ReplicaLimits } from "../limits/replica_limits.ts";
 import type { EventLog } from "../observe/event_log.ts";
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -1,5 +1,5 @@
 /** Replicas of services as the platform lists them. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Position } from "../position.ts";
 
 /** What a model engine does for the system. */
--- a/src/gateway/replicas/notice.ts
+++ b/src/gateway/replicas/notice.ts
@@ -1,5 +1,5 @@
 /** What the head of an answer says of the replica that made it. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { LimitHeader } from "../limits/model.ts";
 
 /** Whether an answer asks this host to send its replica nothing for a time. */
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -1,5 +1,5 @@
 /** What this host knows of one replica beyond its entry. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "./model.ts";
 
 /** First pause after a failure; doubles with each further one. */
--- a/src/gateway/replicas/replica_gate.ts
+++ b/src/gateway/replicas/replica_gate.ts
@@ -4,7 +4,7 @@
  * one function that sends asks here at the moment of the send: a request may
  * have waited since its replica was chosen.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { PermitOutcome, ReplicaLimits } from "../limits/replica_limits.ts";
 import type { EventLog } from "../observe/event_log.ts";
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -2,7 +2,7 @@
  * Places for requests of model engines: memory at a decode replica first,
  * then the prefill, so that no prompt is read without room for its answer.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { sleep } from "../clock.ts";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -3,7 +3,7 @@
  * a request is sent on only while the earlier send is known not to have run,
  * or where the route says that it may run again.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { isStillHeld } from "../customers/admission.ts";
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -1,5 +1,5 @@
 /** Where one send of a request goes. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayError } from "../answers.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
 import type { EventFields } from "../observe/event_log.ts";
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -3,7 +3,7 @@
  * fleet has at each replica; when it does not answer in time, this host
  * chooses by its own calls.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -1,5 +1,5 @@
 /** Reads a request's prompt at a prefill replica. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
 import { CallMode } from "../port.ts";
--- a/src/gateway/requests/refusals.ts
+++ b/src/gateway/requests/refusals.ts
@@ -1,5 +1,5 @@
 /** What is told where replicas take no request for a time. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import type { NoPlace } from "../planning/places.ts";
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -1,6 +1,6 @@
 /** Passes a replica's answer on to the caller. */
 import type { Clock } from "../clock.ts";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Answer } from "../upstreams/call.ts";
 import { type Route, RouteKind } from "../routing/model.ts";
 import { EventEdges } from "./event_edges.ts";
--- a/src/gateway/requests/request.ts
+++ b/src/gateway/requests/request.ts
@@ -1,5 +1,5 @@
 /** A caller's request as the gateway holds it, and the way to its caller. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayError } from "../answers.ts";
 import type { RequestFacts } from "../port.ts";
 import type { Customer } from "../customers/model.ts";
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -1,6 +1,6 @@
 /** What is logged and counted of one request. */
 import type { GatewayContext } from "../context.ts";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Quarantine } from "../crashes/model.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import type { EventName } from "../observe/event_names.ts";
--- a/src/gateway/requests/reservations.ts
+++ b/src/gateway/requests/reservations.ts
@@ -1,5 +1,5 @@
 /** Memory reserved at decode replicas: the replica's own answer decides. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { Replica } from "../replicas/replica.ts";
 import { callEngine } from "../upstreams/engine_call.ts";
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -1,5 +1,5 @@
 /** Sends a request to a replica and says what is certain afterwards. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { CallHead } from "../port.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
--- a/src/gateway/retries/retry_budget.ts
+++ b/src/gateway/retries/retry_budget.ts
@@ -8,7 +8,7 @@
  * one, of which it knows nothing, may have used it up. What it may send again
  * until then is the ratio of its own requests.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /** The fleet's budget, from the settings. */
 export type BudgetRule = {
--- a/src/gateway/routing/model.ts
+++ b/src/gateway/routing/model.ts
@@ -1,5 +1,5 @@
 /** Routes, services and limits that the operator puts in force. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Customer } from "../customers/model.ts";
 
 /** What may be repeated of a route's requests. */
--- a/src/gateway/settings_state.ts
+++ b/src/gateway/settings_state.ts
@@ -2,7 +2,7 @@
  * Which settings are in force. Their version is the same on all hosts whose
  * files say the same of the fleet: what belongs to one host is left out.
  */
-import type { Milliseconds } from "../core/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 import type { GatewaySettings } from "../settings/gateway.ts";
 import { sha256 } from "../util/sha256.ts";
 
--- a/src/gateway/stages/balance.ts
+++ b/src/gateway/stages/balance.ts
@@ -1,5 +1,5 @@
 /** Which replica should change its stage; pure. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { StageLoad } from "../planning/view.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 
--- a/src/gateway/stages/lease.ts
+++ b/src/gateway/stages/lease.ts
@@ -9,7 +9,7 @@
  * until a lease could have ended that the copy lacks, none is taken.
  */
 import * as z from "zod";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { Clock } from "../clock.ts";
 import type { Store, StoreRow } from "../port.ts";
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -4,7 +4,7 @@
  * the replica how it is, and orders the change once. It plans nothing for the
  * replica until the listing shows the change.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import { OrderOutcome, type Store } from "../port.ts";
--- a/src/gateway/state/config_catchup.ts
+++ b/src/gateway/state/config_catchup.ts
@@ -9,7 +9,7 @@
  * is in force everywhere within 0.17 s, where followers that waited for their
  * relay needed up to 6 s.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
--- a/src/gateway/state/config_reader.ts
+++ b/src/gateway/state/config_reader.ts
@@ -1,5 +1,5 @@
 /** Reads the store's configuration, and says how fresh the one in force is. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import { eraOf, type Position, type StorePlace } from "../position.ts";
 import type { ConfigReading, Store } from "../port.ts";
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -2,7 +2,7 @@
  * What this host knows of the store: it reads the store itself, follows a host
  * that does, or asks peers, and tells what it knows to those that follow it.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
 import type { Link, LinkEvents, LinkTarget } from "../peers/link.ts";
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -3,7 +3,8 @@
  * in place of all (see reader_choice). A reader that falls silent, or that the
  * store does not answer while it answers this host, is left for the next.
  */
-import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
--- a/src/gateway/state/reader_choice.ts
+++ b/src/gateway/state/reader_choice.ts
@@ -1,5 +1,5 @@
 /** From which host another has its word of the store; pure. */
-import type { HostId } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
 import type { HostOrders } from "../peers/host_order.ts";
 import type { HostEntry } from "../port.ts";
 
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -1,6 +1,7 @@
 /** Tells followers what this host knows of the store, as soon as it changes. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { HostId, Milliseconds } from "../../core/ids.ts";
+import type { HostId } from "../../util/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
--- a/src/gateway/state/store_calls.ts
+++ b/src/gateway/state/store_calls.ts
@@ -2,7 +2,7 @@
  * Calls to the store: limited in time, counted, and dropped where the machine was
  * suspended meanwhile.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
 import { within } from "./within.ts";
--- a/src/gateway/state/store_eras.ts
+++ b/src/gateway/state/store_eras.ts
@@ -6,7 +6,7 @@
  * For a while after its return the store lacks what is still being written again
  * and has what had already gone. Until then the era is not settled.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import {
   eraOf,
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -3,7 +3,7 @@
  * watched. A host that another of its hall reads for only looks whether that
  * one's word is still fresh.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import { RemoteClock } from "../peers/remote_clock.ts";
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -3,7 +3,7 @@
  * here, told by the reader of the hall, or by peers. What was taken never
  * goes back.
  */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import { eraOf, type Position, positionOf, revisionOf } from "../position.ts";
 import type { ListingChanges, ReplicaListing } from "../replicas/model.ts";
--- a/src/gateway/state/within.ts
+++ b/src/gateway/state/within.ts
@@ -1,5 +1,5 @@
 /** A time limit for calls. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 
 /** A call and its limits. */
--- a/src/gateway/suspension.ts
+++ b/src/gateway/suspension.ts
@@ -6,7 +6,7 @@
  * of some hundred milliseconds, where trusting them could serve a key that was
  * taken away meanwhile.
  */
-import type { Milliseconds } from "../core/ids.ts";
+import type { Milliseconds } from "../util/units.ts";
 
 /**
  * A lead of the time of day over the steady clock that grows by more than this
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -5,7 +5,7 @@
   type IncomingMessage,
   request,
 } from "node:http";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
 import { isRefusal } from "./probe.ts";
--- a/src/gateway/upstreams/engine_call.ts
+++ b/src/gateway/upstreams/engine_call.ts
@@ -1,5 +1,5 @@
 /** Calls of a host's own to a replica: memory, reports and orders. */
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { SmallCall } from "../port.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
--- a/src/gateway/upstreams/kept_agent.ts
+++ b/src/gateway/upstreams/kept_agent.ts
@@ -1,7 +1,7 @@
 /** Connections to replicas that are used again, with a margin at their end. */
 import { Agent, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 
 /**
  * A replica may close an idle connection at the time that it told; a request
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -1,6 +1,6 @@
 /** Connections to replicas: those for requests and those for small calls. */
 import type { Agent } from "node:http";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { SmallCall } from "../port.ts";
 import { type Call, readWhole, startCall } from "./call.ts";
--- a/src/gateway/upstreams/probe.ts
+++ b/src/gateway/upstreams/probe.ts
@@ -1,6 +1,6 @@
 /** Looks whether something listens at an address. */
 import { connect } from "node:net";
-import type { Milliseconds } from "../../core/ids.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
 
--- a/test/gateway/limits/limit_fleet_test.ts
+++ b/test/gateway/limits/limit_fleet_test.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type RandomGenerator, xoroshiro128plus } from "pure-rand";
-import { draw } from "../../../src/core/util/chance.ts";
+import { draw } from "../../../src/util/chance.ts";
 import { type LimitAt, LimitFleet } from "./limit_fleet.ts";
 
 const FORMED_MS = 10_000;
--- a/test/gateway/peers/directory_test.ts
+++ b/test/gateway/peers/directory_test.ts
@@ -1,7 +1,7 @@
 /** The directory of hosts and the orders that follow from it. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { rendezvous } from "../../../src/core/util/rendezvous.ts";
+import { rendezvous } from "../../../src/util/rendezvous.ts";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
 import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
--- a/test/gateway/quota/quota_fleet.ts
+++ b/test/gateway/quota/quota_fleet.ts
@@ -197,10 +197,8 @@
     });
     const others = this.#entries.filter((one) => one.id !== id);
     const member = new QuotaMember({
-      context: {
-        self: { id, hall: `hall-${Number(id.slice(1)) % 3}`, run: "1" },
-        clock,
-      },
+      self: { id, hall: `hall-${Number(id.slice(1)) % 3}` },
+      clock,
       own: owner,
       hosts: () => others,
       memoryMs: () => BOUNDS.windowMs,
--- a/test/gateway/quota/quota_member_test.ts
+++ b/test/gateway/quota/quota_member_test.ts
@@ -23,10 +23,8 @@
     knownHosts: () => 1,
   });
   const member = new QuotaMember({
-    context: {
-      self: { id: "self", hall: "h", run: "own" },
-      clock: { ...systemClock, now: () => 20_000 },
-    },
+    self: { id: "self", hall: "h" },
+    clock: { ...systemClock, now: () => 20_000 },
     own,
     hosts: () => hosts,
     memoryMs: () => BOUNDS.windowMs,
--- a/test/gateway/quota/quota_test.ts
+++ b/test/gateway/quota/quota_test.ts
@@ -4,7 +4,7 @@
 import * as fc from "fast-check";
 import "../../fixed_seed.ts";
 import { windowLimitOf } from "../../../src/gateway/quota/bounds.ts";
-import { rendezvous } from "../../../src/core/util/rendezvous.ts";
+import { rendezvous } from "../../../src/util/rendezvous.ts";
 import { orderKeyOf, shardOf } from "../../../src/gateway/quota/shards.ts";
 import { BOUNDS, QuotaFleet } from "./quota_fleet.ts";
 
--- a/test/gateway/stages/lease_test.ts
+++ b/test/gateway/stages/lease_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { xoroshiro128plus } from "pure-rand";
-import { draw } from "../../../src/core/util/chance.ts";
+import { draw } from "../../../src/util/chance.ts";
 import type { Store, StoreRow } from "../../../src/gateway/port.ts";
 import { type Lease, takeLease } from "../../../src/gateway/stages/lease.ts";
 import type { StoreEras } from "../../../src/gateway/state/store_eras.ts";
--- a/test/gateway/state/store_restored_fleet_test.ts
+++ b/test/gateway/state/store_restored_fleet_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { xoroshiro128plus } from "pure-rand";
-import { draw } from "../../../src/core/util/chance.ts";
+import { draw } from "../../../src/util/chance.ts";
 import type { RouteConfig } from "../../../src/gateway/mod.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { routesOf } from "./routes_of.ts";
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -1,7 +1,7 @@
 /** Callers that send without end, and what they saw. */
 import { Agent, type IncomingMessage, request } from "node:http";
 import { type RandomGenerator } from "pure-rand";
-import { draw } from "../../src/core/util/chance.ts";
+import { draw } from "../../src/util/chance.ts";
 
 /** What kind of route a request takes. */
 export const CallKind = {
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -1,6 +1,6 @@
 /** Which faults strike when, drawn from a seed; pure. */
 import { type RandomGenerator, xoroshiro128plus } from "pure-rand";
-import { draw } from "../../src/core/util/chance.ts";
+import { draw } from "../../src/util/chance.ts";
 
 /** What can strike. */
 export const FaultKind = {
--- a/test/soak/stage.ts
+++ b/test/soak/stage.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { xoroshiro128plus } from "pure-rand";
-import { draw } from "../../src/core/util/chance.ts";
+import { draw } from "../../src/util/chance.ts";
 import type { ReplicaStandin } from "../platform/replica_standin.ts";
 import { CallKind, type Seen } from "./callers.ts";
 import {
