Comments say what values protect, not how they came about; names of the planner's calls

enqueue, restore, report for ask, keep, progress; PlacementRequest for PlaceWish, pending for asked; idle for rest. One way to tell a planner of a place for five. Requests of model services aren't counted among those of plain ones any more (nothing used that count).

--- a/bench/planner/main.ts
+++ b/bench/planner/main.ts
@@ -29,7 +29,7 @@
   const planner = new Planner(viewOf(replicas));
   fill(planner, replicas);
   for (let at = 0; at < waiting; at++) {
-    planner.ask("host", ask(`w${at}`, MEMORY / 4), 0);
+    planner.enqueue("host", ask(`w${at}`, MEMORY / 4), 0);
   }
   const times: number[] = [];
   for (let count = 0; count < WARM_PASSES + PASSES; count++) {
@@ -45,7 +45,7 @@
 function fill(planner: Planner, replicas: number): void {
   const prefills = Math.ceil(replicas * PREFILL_SHARE);
   for (let at = 0; at < replicas - prefills; at++) {
-    planner.ask("host", { ...ask(`f${at}`, MEMORY), whole: true }, 0);
+    planner.enqueue("host", { ...ask(`f${at}`, MEMORY), whole: true }, 0);
   }
   planner.pass(0);
 }
--- a/src/gateway/crashes/crash_table.ts
+++ b/src/gateway/crashes/crash_table.ts
@@ -26,8 +26,8 @@
  */
 const MORE_IN_COMPANY = 2;
 /**
- * Replicas that crash within this time of each other crash together: a host sees
- * those of one cause within 3 ms, and tells them apart from others' to a few ms.
+ * Replicas that crash within this time of each other crash together: hosts see
+ * those of one cause in a few milliseconds.
  */
 const TOGETHER_MS = 50;
 /**
--- a/src/gateway/customers/admission.ts
+++ b/src/gateway/customers/admission.ts
@@ -9,8 +9,8 @@
 export type AdmissionSource = {
   readonly routes: Pick<RouteTable, "customers" | "isBehind">;
   /**
-   * Age of this host's word of the store on the configuration: the one in
-   * force here was the newest so long ago. Infinity before the first word.
+   * Age of what this host knows of the store on the configuration: the one in
+   * force here was the newest so long ago. Infinity before the first.
    */
   configAgeMs(now: Milliseconds): Milliseconds;
   /**
--- a/src/gateway/customers/customers.ts
+++ b/src/gateway/customers/customers.ts
@@ -14,7 +14,7 @@
   readonly context: GatewayContext;
   readonly directory: HostDirectory;
   readonly settings: GatewaySettings["customers"];
-  /** Age of this host's word of the configuration; Infinity: it has none. */
+  /** Age of what this host knows of the configuration; Infinity: it has none. */
   configAgeMs(now: Milliseconds): Milliseconds;
 };
 
--- a/src/gateway/limits/allowance.ts
+++ b/src/gateway/limits/allowance.ts
@@ -30,10 +30,9 @@
 
 /**
  * The requests that an owner named by `share` of the hosts lets through: in the
- * long run exactly its part of the rate. At a limit of 1.4 all hosts together
- * send at most 6 in any 4.29 s. Below one request in a window it is the window
- * that grows, so that hosts that are cut off from most others still use the
- * replica: one in nine of them every 6.4 s.
+ * long run exactly its part of the rate. Below one request in a window it is the
+ * window that grows, so that hosts that are cut off from most others still use
+ * the replica.
  */
 export function limitAllowance(perSecond: number, share: number): Allowance {
   const rate = Math.max(LEAST_PER_SECOND, perSecond) * share;
--- a/src/gateway/limits/limit_table.ts
+++ b/src/gateway/limits/limit_table.ts
@@ -17,7 +17,7 @@
 /** Replicas of which a limit, or its end, is remembered: five times 600. */
 const MOST_REPLICAS = 3000;
 
-/** One answer's word on its replica's limit. */
+/** What one answer says of its replica's limit. */
 export type LimitAnswer = {
   readonly incarnation: string;
   readonly header: LimitHeader;
@@ -44,7 +44,7 @@
     return this.#records.get(incarnation)?.perSecond;
   }
 
-  /** Takes an answer's word; gives what it changed. */
+  /** Takes what an answer says; gives what it changed. */
   hear(answer: LimitAnswer, now: Milliseconds): LimitRecord | undefined {
     const { incarnation, header, sentAt } = answer;
     if (header.type === "unreadable") return undefined;
--- a/src/gateway/limits/replica_limits.ts
+++ b/src/gateway/limits/replica_limits.ts
@@ -172,7 +172,7 @@
     const now = this.#source.clock.now();
     if (this.limited > 0) this.#limitedAt = now;
     if (now - this.#limitedAt < REST_MS) this.#member.refresh();
-    else this.#member.rest();
+    else this.#member.idle();
   }
 
   /** Leave to send one request to the replica now. */
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -15,7 +15,7 @@
 } from "./host_rows.ts";
 import { type PeerQuestions, PeerSubject } from "./peer_questions.ts";
 
-/** Without word from the store for so long, peers are asked. */
+/** Without an answer of the store for so long, peers are asked. */
 const STORE_SILENT_MS = 1300;
 const ASK_MS = 400;
 /** A host without a configuration can serve nothing: it asks more often. */
--- a/src/gateway/peers/peer_questions.ts
+++ b/src/gateway/peers/peer_questions.ts
@@ -9,8 +9,8 @@
 import { type PeerState, questionPath, readPeerState } from "./peer_state.ts";
 
 /**
- * Longest wait for a peer's answer. A configuration of 1,844 routes or a listing
- * of 1,000 replicas is some 500 KB: 0.4 s of a link of 10 Mbit/s for one asker.
+ * Longest wait for a peer's answer, which may be a large configuration or the
+ * listing of a large fleet over a slow link.
  */
 const ANSWER_TIMEOUT_MS = 1500;
 
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -25,7 +25,7 @@
   newest: z.number().exactOptional(),
   /**
    * No newer version was in the store so long before the peer answered;
-   * absent: the peer has no word of it.
+   * absent: the peer knows nothing of it.
    */
   configAgeMs: z.number().exactOptional(),
 });
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -26,7 +26,7 @@
   readonly quotas: QuotaOwner;
   /** Of the limits that replicas name. */
   readonly limits: QuotaOwner;
-  /** Age of this host's word of the configuration; Infinity: it has none. */
+  /** Age of what this host knows of the configuration; Infinity: it has none. */
   configAgeMs(now: Milliseconds): Milliseconds;
 };
 
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -21,8 +21,9 @@
 
 /**
  * Decode replicas below this share of their memory in use are taken to be as
- * good as each other, so the hall decides; half is a choice, not measured: an answer that stays in its hall isn't lost when halls are cut off
- * from each other, and its cache moves at twice the rate.
+ * good as each other, so the hall decides: an answer that stays in its hall isn't
+ * lost when halls are cut off from each other, and its cache moves at twice the
+ * rate.
  */
 const ROOMY_SHARE = 0.5;
 /** Breaks ties by load; small compared with the charge for another hall. */
--- a/src/gateway/planning/places.ts
+++ b/src/gateway/planning/places.ts
@@ -14,6 +14,7 @@
   PlaceStage,
   type PlannerMessage,
   PlannerMessageSchema,
+  type PlanProgress,
   type PlanRefusal,
   type RefusalBasis,
 } from "./messages.ts";
@@ -23,7 +24,7 @@
 const SUSPECT_MS = 800;
 
 /** A request that wants a place. */
-export type PlaceWish = {
+export type PlacementRequest = {
   readonly id: string;
   readonly service: string;
   readonly tokens: number;
@@ -55,12 +56,14 @@
   readonly basis?: RefusalBasis;
 };
 
-type Asked = {
-  readonly wish: PlaceWish;
+type Pending = {
+  readonly request: PlacementRequest;
   planner: string;
   resolve(result: Place | NoPlace): void;
 };
 
+type ReportFields = Pick<PlanProgress, "spentMs" | "retryAfterMs">;
+
 type Held = {
   readonly service: string;
   readonly decode: string;
@@ -75,12 +78,12 @@
   ready: boolean;
 };
 
-/** This host's asks and places. */
+/** This host's placement requests and places. */
 export class Places {
   readonly #context: GatewayContext;
   readonly #own: PlanService;
   readonly #hosts: () => readonly HostEntry[];
-  readonly #asked = new Map<string, Asked>();
+  readonly #pending = new Map<string, Pending>();
   readonly #held = new Map<string, Held>();
   readonly #links = new Map<string, PlannerLink>();
   readonly #suspects = new Map<string, Milliseconds>();
@@ -104,32 +107,26 @@
   }
 
   /** Waits for a place; `cancel` ends the wait. */
-  find(wish: PlaceWish): {
+  find(request: PlacementRequest): {
     readonly result: Promise<Place | NoPlace>;
     cancel(): void;
   } {
-    const planner = this.plannerOf(wish.service);
+    const planner = this.plannerOf(request.service);
     const result = new Promise<Place | NoPlace>((resolve) => {
-      this.#asked.set(wish.id, { wish, planner, resolve });
+      this.#pending.set(request.id, { request, planner, resolve });
     });
-    this.#ask(planner, wish);
-    return { result, cancel: () => this.#cancel(wish.id) };
+    this.#ask(planner, request);
+    return { result, cancel: () => this.#cancel(request.id) };
   }
 
   /** The request's prompt was read at the planned replica in `spentMs`. */
   prefilled(id: string, spentMs: Milliseconds): void {
-    const held = this.#held.get(id);
-    if (!held) return;
-    const stage = PlaceStage.prefilled;
-    this.#send(held.planner, { type: "progress", id, stage, spentMs });
+    this.#report(id, PlaceStage.prefilled, { spentMs });
   }
 
   /** The planned replica did not read the prompt. */
   prefillFailed(id: string): void {
-    const held = this.#held.get(id);
-    if (!held) return;
-    const stage = PlaceStage.prefillFailed;
-    this.#send(held.planner, { type: "progress", id, stage });
+    this.#report(id, PlaceStage.prefillFailed);
   }
 
   /** The decode replica could not have the finished prefill. */
@@ -147,15 +144,13 @@
    * room before `retryAfterMs`.
    */
   refused(id: string, retryAfterMs?: Milliseconds): void {
-    this.#giveBack(id, PlaceStage.refused, retryAfterMs);
+    const more = retryAfterMs === undefined ? {} : { retryAfterMs };
+    this.#giveBack(id, PlaceStage.refused, more);
   }
 
   /** The limit of the planned prefill replica has no room before then. */
   prefillLimited(id: string, retryAfterMs: Milliseconds): void {
-    const held = this.#held.get(id);
-    if (!held) return;
-    const stage = PlaceStage.prefillLimited;
-    this.#send(held.planner, { type: "progress", id, stage, retryAfterMs });
+    this.#report(id, PlaceStage.prefillLimited, { retryAfterMs });
   }
 
   /** The request's whole answer came; the place is free again. */
@@ -240,52 +235,52 @@
     this.#suspects.set(host, clock.now() + SUSPECT_MS);
     if (wasReady) events.note("plannerLost", { planner: host });
     for (const service of this.#planners.keys()) this.plannerOf(service);
-    for (const asked of this.#asked.values()) {
+    for (const asked of this.#pending.values()) {
       if (asked.planner !== host) continue;
-      asked.planner = this.plannerOf(asked.wish.service);
-      this.#ask(asked.planner, asked.wish);
+      asked.planner = this.plannerOf(asked.request.service);
+      this.#ask(asked.planner, asked.request);
     }
   }
 
   #cancel(id: string): void {
-    const asked = this.#asked.get(id);
+    const asked = this.#pending.get(id);
     if (!asked) return;
-    this.#asked.delete(id);
+    this.#pending.delete(id);
     const stage = PlaceStage.ended;
     this.#send(asked.planner, { type: "progress", id, stage });
     asked.resolve({ reason: "cancelled" });
   }
 
-  #giveBack(
-    id: string,
-    stage: PlaceStage,
-    retryAfterMs?: Milliseconds,
-  ): void {
+  #giveBack(id: string, stage: PlaceStage, more: ReportFields = {}): void {
+    this.#report(id, stage, more);
+    this.#held.delete(id);
+  }
+
+  /** Tells the planner of a place how far its request is. */
+  #report(id: string, stage: PlaceStage, more: ReportFields = {}): void {
     const held = this.#held.get(id);
     if (!held) return;
-    this.#held.delete(id);
-    const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
-    this.#send(held.planner, { type: "progress", id, stage, ...retry });
+    this.#send(held.planner, { type: "progress", id, stage, ...more });
   }
 
-  #ask(planner: string, wish: PlaceWish): void {
+  #ask(planner: string, request: PlacementRequest): void {
     const { clock, self } = this.#context;
     const now = clock.now();
     this.#send(planner, {
       type: "ask",
-      id: wish.id,
-      service: wish.service,
-      tokens: wish.tokens,
-      promptTokens: wish.promptTokens,
+      id: request.id,
+      service: request.service,
+      tokens: request.tokens,
+      promptTokens: request.promptTokens,
       hall: self.hall,
-      priority: wish.priority,
-      slackMs: wish.dueAt - now,
-      patienceMs: wish.giveUpAt - now,
-      key: wish.key,
-      longestRetryMs: wish.longestRetryMs,
-      begun: wish.begun,
-      whole: wish.whole,
-      excluded: [...wish.excluded],
+      priority: request.priority,
+      slackMs: request.dueAt - now,
+      patienceMs: request.giveUpAt - now,
+      key: request.key,
+      longestRetryMs: request.longestRetryMs,
+      begun: request.begun,
+      whole: request.whole,
+      excluded: [...request.excluded],
     });
   }
 
@@ -303,14 +298,14 @@
   #take(from: string, message: PlannerMessage): void {
     if (message.type === "ping") return;
     const { id } = message;
-    const asked = this.#asked.get(id);
+    const asked = this.#pending.get(id);
     if (!asked || asked.planner !== from) return;
-    this.#asked.delete(id);
+    this.#pending.delete(id);
     if (message.type === "refusal") {
       return asked.resolve(noPlace(from, message));
     }
     const { decode, prefill } = message;
-    const { service, tokens } = asked.wish;
+    const { service, tokens } = asked.request;
     const held = { service, decode, tokens, planner: from };
     this.#held.set(id, held);
     this.#rehomeOne(id, held, this.plannerOf(service));
--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -10,9 +10,8 @@
 const ROOMY_SHARE = 0.5;
 /**
  * Requests a slot, running and queued, at which a replica's queue is long: a
- * request then waits about as long as two others run. With refusals at one a
- * slot 1,466 of 17,158 tries of a busy day got a 503, though the replicas turned
- * none away; at three a slot 52 (docs/DECISIONS.md).
+ * request then waits about as long as two others run. With a lower one callers
+ * are refused whom the replicas would serve.
  */
 const LONG_QUEUE = 3;
 /** Breaks ties by load; small compared with the charge for another hall. */
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -79,13 +79,13 @@
     const now = this.#context.clock.now();
     switch (message.type) {
       case "ask":
-        this.#planner.ask(from, message, now);
+        this.#planner.enqueue(from, message, now);
         break;
       case "keep":
-        this.#planner.keep(from, message, now);
+        this.#planner.restore(from, message, now);
         break;
       case "progress":
-        this.#planner.progress(message, now);
+        this.#planner.report(message, now);
         break;
       case "ping":
         return;
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -29,11 +29,11 @@
 
 /** A replica that had no memory is not given any for this time. */
 const FULL_MS = 60;
-/** A place is believed for so long without word of it. */
+/** A place is believed for so long without a report on it. */
 const PLACE_LIFE_MS = 20_000;
 /**
- * Places of a host that is out of touch are believed for so long: about what
- * is left of an answer that was under way (median life 2.8 s).
+ * Places of a host that is out of touch are believed for so long, since answers
+ * that were under way hold their memory until they end.
  */
 const ORPHAN_LIFE_MS = 2000;
 
@@ -82,16 +82,16 @@
     });
   }
 
-  /** Queues an ask; `pass` answers it. */
-  ask(from: string, ask: PlanAsk, now: Milliseconds): void {
+  /** Queues a placement request; `pass` answers it. */
+  enqueue(from: string, ask: PlanAsk, now: Milliseconds): void {
     this.#ledger.remove(ask.id);
-    this.#plain.noteAsk(ask, now);
+    if (this.#view.memoryOf(ask.service) === 0) this.#plain.noteAsk(ask, now);
     const returned = this.#forecasts.noteAsk(ask, now);
     this.#queue.add({ from, ask, returned }, now);
   }
 
   /** Enters a place that was given elsewhere. */
-  keep(from: string, keep: PlanKeep, now: Milliseconds): void {
+  restore(from: string, keep: PlanKeep, now: Milliseconds): void {
     this.#ledger.add({
       id: keep.id,
       service: undefined,
@@ -108,9 +108,9 @@
     });
   }
 
-  /** Takes word of a placed request. */
-  progress(word: PlanProgress, now: Milliseconds): void {
-    const { id, stage, spentMs } = word;
+  /** Takes a host's report on a placed request. */
+  report(report: PlanProgress, now: Milliseconds): void {
+    const { id, stage, spentMs } = report;
     switch (stage) {
       case PlaceStage.prefilled: {
         const entry = this.#ledger.prefilled(id, spentMs);
@@ -122,7 +122,7 @@
       }
       case PlaceStage.prefillLimited: {
         const readBy = this.#ledger.prefilled(id, undefined)?.readBy;
-        if (readBy !== undefined) this.#pace.noteRefusal(readBy, word, now);
+        if (readBy !== undefined) this.#pace.noteRefusal(readBy, report, now);
         return;
       }
       case PlaceStage.prefillFailed: {
@@ -131,12 +131,12 @@
         return;
       }
       default:
-        this.#takeBack(word, now);
+        this.#takeBack(report, now);
     }
   }
 
-  #takeBack(word: PlanProgress, now: Milliseconds): void {
-    const { id, stage } = word;
+  #takeBack(report: PlanProgress, now: Milliseconds): void {
+    const { id, stage, retryAfterMs } = report;
     this.#queue.remove(id);
     const entry = this.#ledger.remove(id);
     if (!entry) return;
@@ -152,11 +152,10 @@
       this.#view.noteSuccess(decode);
       if (readBy !== undefined) this.#losses.noteKept(readBy);
     }
-    if (stage === PlaceStage.refused && word.retryAfterMs === undefined) {
-      this.#fullUntil.set(decode, now + FULL_MS);
-    }
     if (stage === PlaceStage.refused) {
-      this.#pace.noteRefusal(decode, word, now);
+      const isFull = retryAfterMs === undefined;
+      if (isFull) this.#fullUntil.set(decode, now + FULL_MS);
+      else this.#pace.noteRefusal(decode, report, now);
     }
     if (stage === PlaceStage.failed) this.#view.noteFailure(decode, now);
   }
--- a/src/gateway/planning/prompt_memory.ts
+++ b/src/gateway/planning/prompt_memory.ts
@@ -6,8 +6,7 @@
 
 /**
  * A decode replica is believed to keep a prompt for so long after it was read:
- * about the longest answer (8.4 s at the 99th percentile,
- * docs/DECISIONS.md).
+ * about the time of the longest answers.
  */
 const DECODE_KEEPS_MS = 9000;
 /** A prefill replica reads a memory full of prompts in little over a second. */
--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -130,7 +130,7 @@
   }
 
   /** Nobody is asked for a while: the links to owners are closed. */
-  rest(): void {
+  idle(): void {
     this.#owners.clear();
     this.#toldSelf = UNTOLD;
     for (const [id, { link }] of this.#links) {
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -14,10 +14,7 @@
 /** Failures in a row before a replica is passed over. */
 const FAILURES_TO_PAUSE = 2;
 
-/**
- * Sends that are remembered: a host of a large fleet has some twelve a second
- * for all replicas, one of a small site fifty; they are asked for over 5 s.
- */
+/** Bounds what is remembered of a replica that takes many requests. */
 const MOST_SENDS = 256;
 
 /** One replica with this host's own use of it. */
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -141,8 +141,8 @@
 
   /**
    * Each write to the store makes a new revision, most of them heartbeats: of a
-   * delta without changes only the revision counts. With 3,000 replicas that
-   * saves a host 13 ms at each revision (npm run bench:replicas).
+   * delta without changes only the revision counts, which spares a host making
+   * and comparing lists of all replicas.
    */
   #changesNothing(delta: ListingDelta): boolean {
     const { since, changed, gone, size } = delta;
@@ -201,7 +201,7 @@
   /**
    * Replicas leave, as others know; gives those that this table did
    * not know of. It holds whatever this table's listing is worth, and leaves the
-   * listing as it is: the store's own word of it comes as any other change.
+   * listing as it is: what the store says of it comes as any other change.
    */
   noteLeaving(incarnations: readonly string[]): string[] {
     const news = incarnations.filter((one) => !this.#left.has(one));
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -118,10 +118,8 @@
   /**
    * Whether the request itself may arrive once more at a replica. The budget
    * counts arrivals, not decisions to try again: a prefill that was turned away
-   * makes what follows it a repeat. So the fleet keeps within its budget while
-   * replicas turn 60 of 100 requests away at twice the load; with prefills taken
-   * to be free it had up to 21 extra arrivals in 10 s more than the 113 that
-   * were allowed (whole runs, docs/incidents).
+   * makes what follows it a repeat. So the fleet keeps within its budget also
+   * while replicas turn most requests away.
    */
   affordSend(reason: string): boolean {
     return this.#afford(1, reason);
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -32,10 +32,7 @@
   takeReservation,
 } from "./reservations.ts";
 
-/**
- * Time from a grant to the caller's first event: of 257 prefills of a calm day
- * 95 in 100 took up to 490 ms (docs/DECISIONS.md), the rest is on the way.
- */
+/** Time from a grant to the caller's first event: the prefill and the way. */
 const SERVICE_MS = 600;
 /**
  * Longest time to come back where the caller doesn't say how long it waits:
--- a/src/gateway/state/config_catchup.ts
+++ b/src/gateway/state/config_catchup.ts
@@ -4,10 +4,8 @@
  *
  * The news of a version goes to all hosts at once, also through hosts that
  * can't have the version themselves, and it alone starts the fetch. So whom a
- * host follows decides how soon it hears, never how long the fetch takes: in a
- * simulated fleet of 8 whose relays the store turns away, a large configuration
- * is in force everywhere within 0.17 s, where followers that waited for their
- * relay needed up to 6 s.
+ * host follows decides how soon it hears, never how long the fetch takes, also
+ * where the store turns the relay of a hall away.
  */
 import type { Milliseconds } from "../../util/units.ts";
 import { sleep } from "../clock.ts";
--- a/src/gateway/state/fleet_news.ts
+++ b/src/gateway/state/fleet_news.ts
@@ -21,12 +21,9 @@
 import { NewsSharing } from "../peers/news_sharing.ts";
 import type { LeavingReplicas } from "../replicas/leaving_replicas.ts";
 
-/** At most 50 messages a second over a link when replicas crash by the dozen. */
+/** Bounds the messages over a link when replicas crash or leave by the dozen. */
 const GATHER_MS = 20;
-/**
- * A replica may name another limit in each answer: ten messages of some 100
- * bytes a second are 1 KB/s a link, and 30 KB/s at a relay with 30 followers.
- */
+/** A replica may name another limit in each answer: this bounds what a relay tells. */
 const LIMIT_GATHER_MS = 100;
 
 /** Replicas that leave; a replica never stays once it said so. */
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -131,20 +131,20 @@
     this.#catchup.stop();
   }
 
-  /** Age of the newest word of the store; Infinity before the first. */
+  /** Age of the newest answer of the store; Infinity before the first. */
   storeAgeMs(now: Milliseconds): Milliseconds {
     return this.#synchronizer.storeAgeMs(now);
   }
 
   /**
-   * Age of the newest word that no newer configuration than ours was in the
+   * Age of the newest answer that no newer configuration than ours was in the
    * store; Infinity before the first.
    */
   configAgeMs(now: Milliseconds): Milliseconds {
     return this.#synchronizer.configAgeMs(now);
   }
 
-  /** Takes the word of the reader; false: its listing has a gap. */
+  /** Takes the report of the reader; false: its listing has a gap. */
   #takeState(word: ReaderWord): boolean {
     const { context: { clock }, directory } = this.#source;
     const { hosts, hostsGone } = word.message;
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -42,9 +42,9 @@
 
 /**
  * A starting host lists the replicas itself, so that its reader tells it only
- * what has changed since. A whole listing of 1,000 replicas for each of 30
- * followers at once would keep a reader's link of 10 Mbit/s busy for 4 s. A host
- * that has none by then follows without.
+ * what has changed since. A whole listing for each of many followers at once
+ * would keep a reader's link busy for seconds. A host that has none by then
+ * follows without.
  */
 const ALONE_MS = 2000;
 
@@ -69,7 +69,7 @@
   readonly news: News;
   /** Opens a link to a reader. */
   readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
-  /** Takes the reader's word; false: its listing does not follow on ours. */
+  /** Takes the reader's report; false: its listing does not follow on ours. */
   onState(word: ReaderWord): boolean;
 };
 
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -33,7 +33,7 @@
   era: z.number().exactOptional(),
   /** The era began so lately that the store may lack what is written again. */
   isSettling: z.literal(true).exactOptional(),
-  /** How old the reader's word of the store is; absent: it has none. */
+  /** How old the reader's report of the store is; absent: it has none. */
   ageMs: z.number().exactOptional(),
   /** Version of the configuration in force at the reader. */
   version: z.number(),
@@ -46,7 +46,7 @@
   config: RouteConfigSchema.exactOptional(),
   /**
    * By the reader's clock: no newer configuration was in the store then.
-   * Absent: the reader has no word of it.
+   * Absent: the reader knows nothing of it.
    */
   configAsOf: z.number().exactOptional(),
   /** When the reader heard the follower's last `sentAt`. */
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -17,16 +17,15 @@
 } from "./state_messages.ts";
 
 /**
- * Followers that were told nothing for so long are told again: each new word
- * of the store goes out at once, so this is for when there is none.
+ * Followers that were told nothing for so long are told again: what the store
+ * says anew goes out at once, so this is for when it says nothing.
  */
 const STATE_MS = 1000;
 
 /**
  * A larger configuration isn't told: its followers hear of the version and read
- * it themselves. This much for each of 30 followers takes a
- * reader's link of 10 Mbit/s 0.8 s; 1,844 routes took it longer than the 3 s in
- * which a configuration has to be in force.
+ * it themselves. For each of a reader's followers at once it would keep the
+ * reader's link busy for longer than a configuration may take to be in force.
  */
 const MOST_CONFIG_BYTES = 32 * 1024;
 
@@ -39,9 +38,9 @@
   readonly self: HostEntry;
   readonly directory: HostDirectory;
   readonly news: News;
-  /** Age of this host's word of the store; Infinity: none to be told. */
+  /** Age of what this host knows of the store; Infinity: none to be told. */
   storeAgeMs(now: Milliseconds): Milliseconds;
-  /** Age of this host's word of the configuration; Infinity: it has none. */
+  /** Age of what this host knows of the configuration; Infinity: it has none. */
   configAgeMs(now: Milliseconds): Milliseconds;
 };
 
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -57,14 +57,14 @@
     this.#source = source;
   }
 
-  /** Age of the newest word of the store; Infinity before the first. */
+  /** Age of the newest answer of the store; Infinity before the first. */
   storeAgeMs(now: Milliseconds): Milliseconds {
     const asOf = Math.max(this.#readAt ?? -1, this.#told?.asOf ?? -1);
     return asOf < 0 ? Infinity : now - asOf;
   }
 
   /**
-   * Age of the newest word that no newer configuration than ours was in the
+   * Age of the newest answer that no newer configuration than ours was in the
    * store; Infinity before the first.
    */
   configAgeMs(now: Milliseconds): Milliseconds {
@@ -112,12 +112,12 @@
     return this.#lost || now < this.#settledAt;
   }
 
-  /** The reader's word is fresh: this host need not read the store. */
+  /** The reader's report is fresh: this host need not read the store. */
   isTold(now: Milliseconds): boolean {
     return this.freshForMs(now) > 0;
   }
 
-  /** How long the reader's word stays fresh if it says no more; at least 0. */
+  /** How long the reader's report stays fresh if it says no more; at least 0. */
   freshForMs(now: Milliseconds): Milliseconds {
     if (this.#told === undefined) return 0;
     const freshMs = this.#source.isRelay() ? RELAY_FRESH_MS : FRESH_MS;
@@ -179,7 +179,7 @@
     return change !== undefined;
   }
 
-  /** Takes the word of the hall's reader; false: its listing has a gap. */
+  /** Takes the report of the hall's reader; false: its listing has a gap. */
   takeState(word: ReaderWord): boolean {
     const { message, reader, configAsOf } = word;
     const { clock, replicas, eras } = this.#context;
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -52,7 +52,7 @@
   /**
    * A running answer holds half of its output on average over its life, and
    * many share a replica: more leaves memory idle, less makes replicas
-   * preempt (docs/DECISIONS.md, round 5).
+   * preempt.
    */
   output_margin: z.number().min(0).max(10).default(0.5),
   memory_share: z.number().min(0.1).max(1).default(0.96),
--- a/test/gateway/planning/admission_test.ts
+++ b/test/gateway/planning/admission_test.ts
@@ -10,14 +10,14 @@
   fill(planner);
   // 900 of 2,000 tokens come back within 900 / 1,600 of a life of 4 s.
   const big = { key: "k", tokens: 900, patienceMs: 1000 };
-  planner.ask("h", ask("e", big), 0);
+  planner.enqueue("h", ask("e", big), 0);
   const [refusal] = messages(planner, 0);
   assert.ok(refusal?.type === "refusal");
   assert.equal(refusal.reason, "busy");
   // It would be late, and 900 of 2,000 tokens a life arrive to overtake it.
   assert.equal(Math.round(refusal.retryAfterMs ?? 0), Math.round(1450 / 0.55));
   const hurried = { ...big, longestRetryMs: 700 };
-  planner.ask("h", ask("f", { ...hurried, key: "l" }), 0);
+  planner.enqueue("h", ask("f", { ...hurried, key: "l" }), 0);
   const [sooner] = messages(planner, 0);
   assert.ok(sooner?.type === "refusal" && sooner.retryAfterMs === 700);
 });
@@ -25,7 +25,7 @@
 test("what will only be late waits, and is served", () => {
   const planner = new Planner(view());
   fill(planner);
-  planner.ask(
+  planner.enqueue(
     "h",
     ask("e", { tokens: 900, slackMs: 100, patienceMs: 6000 }),
     0,
@@ -33,7 +33,7 @@
   assert.deepEqual(messages(planner, 0), []);
   assert.deepEqual(messages(planner, 1500), []);
   for (const id of ["a", "b", "c", "d"]) {
-    planner.progress({ type: "progress", id, stage: "ended" }, 1600);
+    planner.report({ type: "progress", id, stage: "ended" }, 1600);
   }
   assert.deepEqual(grants(messages(planner, 1600)), ["e"]);
 });
@@ -42,17 +42,17 @@
   const planner = new Planner(view());
   fill(planner);
   const big = { key: "k", tokens: 900, patienceMs: 1000 };
-  planner.ask("h", ask("e", big), 0);
+  planner.enqueue("h", ask("e", big), 0);
   assert.equal(messages(planner, 0)[0]?.type, "refusal");
-  planner.ask(
+  planner.enqueue(
     "h",
     ask("new", { tokens: 900, slackMs: 60_000, patienceMs: 60_000 }),
     1400,
   );
-  planner.ask("h", ask("f", big), 1450);
+  planner.enqueue("h", ask("f", big), 1450);
   assert.deepEqual(messages(planner, 1450), []);
   for (const id of ["a", "c"]) {
-    planner.progress({ type: "progress", id, stage: "ended" }, 1600);
+    planner.report({ type: "progress", id, stage: "ended" }, 1600);
   }
   assert.deepEqual(grants(messages(planner, 1600)), ["f"]);
 });
@@ -65,7 +65,7 @@
   const planner = new Planner(view({ replicasOf: () => replicas }));
   fill(planner);
   for (const id of ["e", "f", "g"]) {
-    planner.ask("h", ask(id, { slackMs: 2500 }), 1);
+    planner.enqueue("h", ask(id, { slackMs: 2500 }), 1);
   }
   assert.deepEqual(messages(planner, 1), []);
   replicas = replicas.slice(1);
--- a/test/gateway/planning/limits_test.ts
+++ b/test/gateway/planning/limits_test.ts
@@ -54,13 +54,13 @@
   for (let at = 0; at * everyMs < spanMs; at++) {
     const now = at * everyMs;
     const asked = plainAsk(`r${at}`, { priority: priorityOf(at) });
-    planner.ask("h", asked, now);
+    planner.enqueue("h", asked, now);
     for (const one of messages(planner, now)) {
       if (isRefused(one)) refused.push(now + (one.retryAfterMs ?? 0));
       if (one.type !== "grant") continue;
       granted.push(asked);
       const stage = PlaceStage.answered;
-      planner.progress({ type: "progress", id: one.id, stage }, now);
+      planner.report({ type: "progress", id: one.id, stage }, now);
     }
   }
   return { granted, refused };
@@ -68,7 +68,7 @@
 
 test("a limited replica gets its pace, the others the rest", () => {
   const planner = new Planner(plainView({ a: 1 }));
-  for (let at = 0; at < 12; at++) planner.ask("h", plainAsk(`r${at}`), 0);
+  for (let at = 0; at < 12; at++) planner.enqueue("h", plainAsk(`r${at}`), 0);
   const given = decodesOf(messages(planner, 0));
   assert.equal(given.length, 12);
   assert.equal(given.filter((one) => one === "a").length, 2);
@@ -76,7 +76,7 @@
 
 test("what an owner refused keeps the replica closed until it has room", () => {
   const planner = new Planner(plainView({ a: 1, b: 1, c: 1 }));
-  planner.ask("h", plainAsk("first"), 0);
+  planner.enqueue("h", plainAsk("first"), 0);
   const [first] = decodesOf(messages(planner, 0));
   const refused = {
     type: "progress" as const,
@@ -84,11 +84,11 @@
     stage: PlaceStage.refused,
     retryAfterMs: 700,
   };
-  planner.progress(refused, 10);
-  for (let at = 0; at < 9; at++) planner.ask("h", plainAsk(`r${at}`), 20);
+  planner.report(refused, 10);
+  for (let at = 0; at < 9; at++) planner.enqueue("h", plainAsk(`r${at}`), 20);
   const second = messages(planner, 20);
   assert.ok(!decodesOf(second).includes(first ?? ""));
-  planner.ask("h", plainAsk("late"), 720);
+  planner.enqueue("h", plainAsk("late"), 720);
   assert.equal(decodesOf(messages(planner, 720)).length, 1);
 });
 
@@ -108,7 +108,7 @@
 
 test("a refusal says that it is for the limits", () => {
   const planner = new Planner(plainView({ a: 0, b: 0, c: 0 }));
-  for (let at = 0; at < 7; at++) planner.ask("h", plainAsk(`r${at}`), 0);
+  for (let at = 0; at < 7; at++) planner.enqueue("h", plainAsk(`r${at}`), 0);
   const refused = messages(planner, 0).filter(isRefused);
   assert.equal(refused.length, 1);
   const [one] = refused;
@@ -175,7 +175,7 @@
 test("a limited decode replica takes its pace, and no request waits for more", () => {
   const planner = new Planner(engineView({ d1: 0.5 }));
   for (let at = 0; at < 6; at++) {
-    planner.ask("h", ask(`r${at}`, { tokens: 100, promptTokens: 1 }), 0);
+    planner.enqueue("h", ask(`r${at}`, { tokens: 100, promptTokens: 1 }), 0);
   }
   const given = decodesOf(messages(planner, 0));
   assert.equal(given.filter((one) => one === "d1").length, 2);
@@ -185,7 +185,7 @@
 test("where all decode replicas are limited, what can't begin in time is refused at once", () => {
   const planner = new Planner(engineView({ d1: 0.2, d2: 0.2 }));
   for (let at = 0; at < 12; at++) {
-    planner.ask("h", ask(`r${at}`, { tokens: 10, promptTokens: 1 }), 0);
+    planner.enqueue("h", ask(`r${at}`, { tokens: 10, promptTokens: 1 }), 0);
   }
   const answers = messages(planner, 0);
   const refused = answers.filter(isRefused);
@@ -200,7 +200,7 @@
   const failures: string[] = [];
   const planner = new Planner(engineView({ p1: 0.2 }, failures));
   for (const id of ["a", "b", "c"]) {
-    planner.ask("h", ask(id, { tokens: 10, promptTokens: 1 }), 0);
+    planner.enqueue("h", ask(id, { tokens: 10, promptTokens: 1 }), 0);
   }
   const [a, b, ...more] = messages(planner, 0);
   assert.deepEqual([a, b].map((one) => one?.type === "grant" && one.prefill), [
@@ -210,7 +210,7 @@
   assert.equal(more.length, 0);
   const stage = PlaceStage.prefillLimited;
   const word = { type: "progress" as const, id: "b", stage };
-  planner.progress({ ...word, retryAfterMs: 9000 }, 10);
+  planner.report({ ...word, retryAfterMs: 9000 }, 10);
   const [c] = messages(planner, 300);
   assert.ok(c?.type === "grant" && c.prefill === undefined);
   assert.deepEqual(failures, []);
@@ -220,7 +220,7 @@
   const planner = new Planner(engineView({ d1: 1, d2: 1 }));
   const before = planner.loadOf("s", 0);
   for (let at = 0; at < 4; at++) {
-    planner.ask("h", ask(`r${at}`, { tokens: 1, promptTokens: 1 }), 0);
+    planner.enqueue("h", ask(`r${at}`, { tokens: 1, promptTokens: 1 }), 0);
   }
   messages(planner, 0);
   assert.ok(before.decode < 0.1);
@@ -230,14 +230,14 @@
 test("a stream that could only go on later than its caller waits ends at once", () => {
   const planner = new Planner(engineView({ d1: 0.2 }));
   const begun = { begun: true, excluded: ["d2"], tokens: 10 };
-  planner.ask("h", ask("first", begun), 0);
+  planner.enqueue("h", ask("first", begun), 0);
   assert.deepEqual(decodesOf(messages(planner, 0)), ["d1"]);
   const stage = PlaceStage.refused;
   const word = { type: "progress" as const, id: "first", stage };
-  planner.progress({ ...word, retryAfterMs: 5000 }, 10);
-  planner.ask("h", ask("again", { ...begun, patienceMs: 6000 }), 20);
+  planner.report({ ...word, retryAfterMs: 5000 }, 10);
+  planner.enqueue("h", ask("again", { ...begun, patienceMs: 6000 }), 20);
   assert.deepEqual(messages(planner, 20), []);
-  planner.ask("h", ask("short", { ...begun, patienceMs: 3000 }), 20);
+  planner.enqueue("h", ask("short", { ...begun, patienceMs: 3000 }), 20);
   const [refused] = messages(planner, 20);
   assert.ok(isRefused(refused) && refused.id === "short");
 });
--- a/test/gateway/planning/overload_test.ts
+++ b/test/gateway/planning/overload_test.ts
@@ -61,7 +61,7 @@
     const slackMs = caller.firstAt + SLACK_MS - time.now;
     const times = { slackMs, patienceMs: PATIENCE_MS };
     const { key } = caller;
-    planner.ask("h", ask(id, { key, tokens: TOKENS, ...times }), time.now);
+    planner.enqueue("h", ask(id, { key, tokens: TOKENS, ...times }), time.now);
   };
   const all: Caller[] = [];
   for (; time.now < untilMs; time.now += STEP_MS) {
@@ -85,7 +85,7 @@
     for (const end of ends.filter((one) => one.at <= now)) {
       ends.splice(ends.indexOf(end), 1);
       const stage = "answered" as const;
-      planner.progress({ type: "progress", id: end.id, stage }, now);
+      planner.report({ type: "progress", id: end.id, stage }, now);
     }
     for (const message of messages(planner, now)) {
       if (message.type === "ping") continue;
--- a/test/gateway/planning/planner_rig.ts
+++ b/test/gateway/planning/planner_rig.ts
@@ -74,6 +74,6 @@
 export function fill(planner: Planner): void {
   ["a", "b", "c", "d"].forEach((id, at) => {
     const decode = at % 2 === 0 ? "d1" : "d2";
-    planner.keep("h", { type: "keep", id, decode, tokens: 400 }, 0);
+    planner.restore("h", { type: "keep", id, decode, tokens: 400 }, 0);
   });
 }
--- a/test/gateway/planning/priority_test.ts
+++ b/test/gateway/planning/priority_test.ts
@@ -23,13 +23,13 @@
 test("a less urgent request takes no memory that a more urgent one waits for", () => {
   const planner = new Planner(view());
   fill(planner);
-  planner.ask("h", ask("urgent", { priority: 1, tokens: 800 }), 1);
-  planner.ask("h", ask("small", { priority: 2, tokens: 100 }), 1);
+  planner.enqueue("h", ask("urgent", { priority: 1, tokens: 800 }), 1);
+  planner.enqueue("h", ask("small", { priority: 2, tokens: 100 }), 1);
   assert.deepEqual(messages(planner, 1), []);
-  planner.progress({ type: "progress", id: "a", stage: "ended" }, 2);
+  planner.report({ type: "progress", id: "a", stage: "ended" }, 2);
   assert.deepEqual(messages(planner, 2), []);
   for (const id of ["b", "c"]) {
-    planner.progress({ type: "progress", id, stage: "ended" }, 3);
+    planner.report({ type: "progress", id, stage: "ended" }, 3);
   }
   assert.deepEqual(grants(messages(planner, 3)), ["urgent", "small"]);
 });
@@ -38,11 +38,11 @@
   const planner = new Planner(view());
   fill(planner);
   const patient = { patienceMs: 6000, slackMs: 6000, priority: 2, tokens: 900 };
-  for (const id of ["e", "f"]) planner.ask("h", ask(id, patient), 1);
+  for (const id of ["e", "f"]) planner.enqueue("h", ask(id, patient), 1);
   const hurried = { key: "k", patienceMs: 1000 };
-  planner.ask("h", ask("urgent", { ...hurried, priority: 1 }), 1);
+  planner.enqueue("h", ask("urgent", { ...hurried, priority: 1 }), 1);
   assert.deepEqual(messages(planner, 2), []);
-  planner.ask("h", ask("last", { ...hurried, priority: 2 }), 2);
+  planner.enqueue("h", ask("last", { ...hurried, priority: 2 }), 2);
   const refused = messages(planner, 3);
   assert.deepEqual(refused.map((one) => one.type), ["refusal"]);
 });
--- a/test/gateway/planning/shapes_test.ts
+++ b/test/gateway/planning/shapes_test.ts
@@ -62,13 +62,13 @@
           const sizes = { tokens, promptTokens: one.prompt };
           const times = { patienceMs: PATIENCE_MS };
           const wish = { ...sizes, ...times, key: `k${key}`, begun };
-          planner.ask("h", ask(id, wish), now);
+          planner.enqueue("h", ask(id, wish), now);
         });
         for (const [id, { until }] of held) {
           if (until > now) continue;
           held.delete(id);
           const stage = "answered" as const;
-          planner.progress({ type: "progress", id, stage }, now);
+          planner.report({ type: "progress", id, stage }, now);
         }
         for (const message of messages(planner, now)) {
           if (message.type === "ping") continue;
@@ -77,7 +77,7 @@
           const { id, decode } = message;
           held.set(id, { decode, tokens, until: now + one.lifeMs });
           const stage = "prefilled" as const;
-          planner.progress({ type: "progress", id, stage, spentMs: 1 }, now);
+          planner.report({ type: "progress", id, stage, spentMs: 1 }, now);
         }
         for (const [id, until] of waiting) {
           assert.ok(now < until + STEP_MS, `${id} waits at ${now}`);
