--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -118,6 +118,9 @@
 const MORE_MS = 3700;
 /** A limit is judged from 3 s after it was named. */
 const MORE_LIMIT_MS = 9000;
+/** That a replica leaves is judged from 2.5 s after it said so. */
+const LEAST_LEAVE_MS = 3000;
+const MORE_LEAVE_MS = 4000;
 const CALLERS_A_HOST = 3;
 
 /** What a schedule is drawn from. */
@@ -165,7 +168,12 @@
 function noticesOf(source: ScheduleSource): Fault[] {
   const random = xoroshiro128plus(source.seed + NOTICE_SEED);
   const count = draw(random, NOTICES);
-  return drawFaults(random, source, { kinds: NOTICE_KINDS, count });
+  const faults = drawFaults(random, source, { kinds: NOTICE_KINDS, count });
+  return faults.map((one) =>
+    one.kind === FaultKind.replicaLeaveTold
+      ? { ...one, forMs: LEAST_LEAVE_MS + draw(random, MORE_LEAVE_MS) }
+      : one
+  );
 }
 
 function firstScheduleOf({ seed, spanMs }: ScheduleSource): Schedule {
