A stream that has begun waits for the end of a pause; a trial's end is waited for as a pause's is

Where all decode replicas pause a request is refused at once; one whose caller has a part of the answer was broken off too, though its time reached past the pause. It waits now. A replica that asked for a pause isn't shut out for the rest of a request any more: the gate keeps it out for as long as it asked. And a request that waits for a place while a replica is tried asks anew when the trial is over; else it left that replica out for all its time. What a planner is asked for, and which placer a request has, are modules of their own.

--- a/src/gateway/replicas/backoffs.ts
+++ b/src/gateway/replicas/backoffs.ts
@@ -62,9 +62,15 @@
     return Math.max(0, (this.#backoffs.get(incarnation)?.until ?? 0) - now);
   }
 
-  /** The replica was sent a request after its backoff, and hasn't answered. */
-  isTried(incarnation: string, now: Milliseconds): boolean {
-    return now < (this.#backoffs.get(incarnation)?.trialUntil ?? -Infinity);
+  /**
+   * The replica was sent a request after its backoff and hasn't answered: time
+   * for which others go elsewhere; 0: they needn't.
+   */
+  trialMs(incarnation: string, now: Milliseconds): Milliseconds {
+    return Math.max(
+      0,
+      (this.#backoffs.get(incarnation)?.trialUntil ?? 0) - now,
+    );
   }
 
   /** A request goes to the replica. */
--- a/src/gateway/replicas/replica_gate.ts
+++ b/src/gateway/replicas/replica_gate.ts
@@ -47,7 +47,7 @@
     readonly type: "some";
     /** Incarnations not to be chosen: those given, and what backs off. */
     readonly excluded: ReadonlySet<string>;
-    /** One of them may be used again after this time; Infinity: none. */
+    /** One that is left out may be used after this time; Infinity: none. */
     readonly nextMs: Milliseconds;
   }
   /** All that are left asked for a pause. */
@@ -116,8 +116,9 @@
     if (!answering.some(isUsable) && Number.isFinite(nextMs)) {
       return { type: "none", retryAfterMs: nextMs };
     }
-    this.#leaveOutTried(open, closed);
-    return { type: "some", excluded: closed, nextMs };
+    const trialMs = this.#leaveOutTried(open, closed);
+    const soonestMs = Math.min(nextMs, trialMs);
+    return { type: "some", excluded: closed, nextMs: soonestMs };
   }
 
   /** Time until one of the replicas that asked for a pause may be used. */
@@ -129,18 +130,27 @@
     return Math.min(Infinity, ...lefts);
   }
 
-  /** A replica that is tried is left out where another of its stage is not. */
-  #leaveOutTried(open: readonly Replica[], closed: Set<string>): void {
+  /**
+   * A replica that is tried is left out where another of its stage is not.
+   * Gives the time until the first of these trials is over.
+   */
+  #leaveOutTried(
+    open: readonly Replica[],
+    closed: Set<string>,
+  ): Milliseconds {
     const now = this.#source.clock.now();
-    const isTried = ({ entry }: Replica) =>
-      this.#backoffs.isTried(entry.incarnation, now);
+    const trialMs = ({ entry }: Replica) =>
+      this.#backoffs.trialMs(entry.incarnation, now);
     const usable = open.filter(({ entry }) => !closed.has(entry.incarnation));
-    const sound = usable.filter((one) => !isTried(one));
-    for (const one of usable.filter(isTried)) {
+    const sound = usable.filter((one) => trialMs(one) === 0);
+    let soonestMs = Infinity;
+    for (const one of usable.filter((other) => trialMs(other) > 0)) {
       const { stage, incarnation } = one.entry;
-      const hasOther = sound.some((other) => other.entry.stage === stage);
-      if (hasOther) closed.add(incarnation);
+      if (!sound.some((other) => other.entry.stage === stage)) continue;
+      closed.add(incarnation);
+      soonestMs = Math.min(soonestMs, trialMs(one));
     }
+    return soonestMs;
   }
 
   /** A request goes to the replica. */
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -13,6 +13,7 @@
 import type { Replica } from "../replicas/replica.ts";
 import type { Engine } from "../routing/model.ts";
 import type { Attempts } from "./attempts.ts";
+import { placeGiveUpAt, placementRequestOf } from "./engine_request.ts";
 import { availableFor } from "./availability.ts";
 import { backoffRefusal, noteLimit, plannerRefusal } from "./refusals.ts";
 import { reservedTokens } from "./memory.ts";
@@ -32,13 +33,6 @@
   takeReservation,
 } from "./reservations.ts";
 
-/** Time from a grant to the caller's first event: the prefill and the way. */
-const SERVICE_MS = 600;
-/**
- * Longest time to come back where the caller doesn't say how long it waits:
- * about the life of a place, after which all memory was given anew.
- */
-const USUAL_RETRY_MS = 4000;
 /** A reservation that ends sooner than this is not used. */
 const EXPIRY_MARGIN_MS = 100;
 /** Pause before the planner is asked again when it named an unknown replica. */
@@ -115,7 +109,15 @@
       const available = availableFor(context, this.#source.request, closed);
       if (available.type === "none") {
         const { retryAfterMs } = available;
-        return backoffRefusal(context, this.#source.request, retryAfterMs);
+        const isLate = context.clock.now() + retryAfterMs >=
+          placeGiveUpAt(this.#source, need);
+        // A caller that has a part of its answer is better served by waiting.
+        if (!need.begun || isLate) {
+          return backoffRefusal(context, this.#source.request, retryAfterMs);
+        }
+        await sleep(context.clock, retryAfterMs);
+        if (this.#ended) return { error: GatewayError.noMemory };
+        continue;
       }
       const { excluded, nextMs } = available;
       const place = await this.#ask({ ...need, excluded }, nextMs);
@@ -141,25 +143,10 @@
     need: PlaceNeed,
     nextMs: Milliseconds,
   ): Promise<Place | NoPlace | "reopened"> {
-    const { context, request, places, engine } = this.#source;
-    const { receivedAt, route, limitAt, service, facts } = request;
-    // The caller of a started answer waits anew after each event.
-    const waitsSince = need.begun ? context.clock.now() : receivedAt;
+    const { context, places } = this.#source;
     const id = nextPlaceId(context);
-    const wait = places.find({
-      id,
-      service,
-      tokens: reservedTokens(facts, engine, context.tuning.outputMargin),
-      promptTokens: facts.promptTokens,
-      priority: request.priority,
-      dueAt: receivedAt + route.objectiveMs,
-      giveUpAt: Math.min(limitAt, waitsSince + route.silenceMs) - SERVICE_MS,
-      key: facts.promptKey ?? "",
-      longestRetryMs: facts.longestRetryMs ?? USUAL_RETRY_MS,
-      begun: need.begun,
-      whole: this.#whole,
-      excluded: need.excluded,
-    });
+    const tried = { id, whole: this.#whole };
+    const wait = places.find(placementRequestOf(this.#source, need, tried));
     this.#cancelWait = wait.cancel;
     let isReopened = false;
     const reopen = () => {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -12,9 +12,8 @@
 import { RouteKind } from "../routing/model.ts";
 import { Attempts } from "./attempts.ts";
 import { closedRefusal } from "./availability.ts";
+import { createPlacer } from "./create_placer.ts";
 import { Ending, type GiveUp, refusalOf } from "./ending.ts";
-import { EnginePlacement } from "./engine_placement.ts";
-import { PlainPlacement } from "./plain_placement.ts";
 import type { Placement, Placer } from "./placement.ts";
 import { type EventPosition, relayAnswer, type Relayed } from "./relay.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
@@ -67,10 +66,7 @@
     const journal = new RequestJournal(context, request);
     this.#journal = journal;
     this.#ending = new Ending({ reply: source.reply, attempts, journal });
-    const engine = context.routes.service(request.service)?.engine;
-    this.#placer = engine
-      ? new EnginePlacement({ context, request, places, engine, attempts })
-      : new PlainPlacement(context, request, places);
+    this.#placer = createPlacer({ context, request, places, attempts });
     const left = request.limitAt - context.clock.now();
     this.#cancelLimit = context.clock.after(left, () => this.#atLimit());
   }
@@ -193,7 +189,9 @@
     else if (notRun) this.#attempts.didNotRun();
     // What was lost with an export may well run at the same replica.
     const exportLost = turnedAway && !isBackoff && placed.export !== undefined;
-    if (!exportLost) this.#attempts.exclude(placed.replica.entry.incarnation);
+    // The gate keeps it out for as long as it asked for.
+    const mayTakeIt = exportLost || isBackoff;
+    if (!mayTakeIt) this.#attempts.exclude(placed.replica.entry.incarnation);
     const allowed = notRun || this.#attempts.repeatable;
     if (allowed && this.#attempts.takeRetry(result.reason)) return;
     const error = notRun
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -160,7 +160,9 @@
     if (facts.misdirected) replica.noteFailure(now, true);
     const turnedAway = !facts.misdirected;
     const reason = `Status ${status}`;
-    const isBackoff = turnedAway && facts.backoff.type === "backoff";
+    const { backoff } = facts;
+    const isBackoff = turnedAway && backoff.type === "backoff" &&
+      backoff.forMs > 0;
     return { type: "notRun", reason, turnedAway, arrived: true, isBackoff };
   }
   if (PROMISES.has(status)) {
--- a/test/gateway/replicas/backoffs_test.ts
+++ b/test/gateway/replicas/backoffs_test.ts
@@ -38,14 +38,14 @@
 test("after a pause one request tries the replica, until it has taken one", () => {
   const backoffs = calm();
   backoffs.ask("a", 1000, 0);
-  assert.equal(backoffs.isTried("a", 1000), false);
+  assert.equal(backoffs.trialMs("a", 1000), 0);
   backoffs.noteSend("a", 1000);
-  assert.equal(backoffs.isTried("a", 1001), true);
+  assert.equal(backoffs.trialMs("a", 1001), 499);
   // It never answered.
-  assert.equal(backoffs.isTried("a", 1500), false);
+  assert.equal(backoffs.trialMs("a", 1500), 0);
   backoffs.noteSend("a", 1500);
   backoffs.noteTaken("a", 1500);
-  assert.equal(backoffs.isTried("a", 1501), false);
+  assert.equal(backoffs.trialMs("a", 1501), 0);
   assert.equal(backoffs.size, 0);
 });
 
