A late answer to another request ends no limit; who may have run is told no time to come back

Heads of answers that belong to another request are heard since it, for what they say of their replica; one without a limit ended a limit that was named after it was made. And a request that may have run got the end of the pauses with its 502, which promises nothing. What a host that links anew is told of leaving replicas is bounded to those listed and 200 more.

--- a/src/gateway/replicas/replica_gate.ts
+++ b/src/gateway/replicas/replica_gate.ts
@@ -160,7 +160,7 @@
 
   /** The replica answered a request. */
   hear(
-    { incarnation }: ReplicaEntry,
+    incarnation: string,
     notice: ReplicaNotice,
     answered: AnsweredCall,
   ): void {
@@ -172,7 +172,10 @@
     this.hearCall(incarnation, notice, answered);
   }
 
-  /** The replica answered a call of the host's own, which no limit counts. */
+  /**
+   * The replica answered a call of the host's own, which no limit counts, or
+   * gave an answer that belongs to no request that is known.
+   */
   hearCall(
     incarnation: string,
     { leaving, backoff }: Omit<ReplicaNotice, "limit">,
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -12,8 +12,8 @@
 
 /** Replicas that have left, or are gone, are remembered up to this number. */
 const MOST_LEFT = 10_000;
-/** Those that left last are told to a host that may know nothing. */
-const MOST_TOLD = 1000;
+/** Those that left last are told to others also when they are listed no more. */
+const MOST_UNLISTED = 200;
 
 /** What may be wrong with a listing of a store that has just come back. */
 export type ListingDoubt = {
@@ -211,11 +211,15 @@
   }
 
   /**
-   * Replicas that leave, those that said so last; also such as are listed no
-   * more, since an older listing may bring them back elsewhere.
+   * Replicas that leave, also such as went lately, since an older listing may
+   * bring them back elsewhere.
    */
   leaving(): string[] {
-    return [...this.#left].slice(-MOST_TOLD);
+    const left = [...this.#left];
+    const lately = new Set(left.slice(-MOST_UNLISTED));
+    return left.filter((one) =>
+      lately.has(one) || this.#byIncarnation.has(one)
+    );
   }
 
   /** The replica of that incarnation, while it is listed. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -194,13 +194,12 @@
     if (!mayTakeIt) this.#attempts.exclude(placed.replica.entry.incarnation);
     const allowed = notRun || this.#attempts.repeatable;
     if (allowed && this.#attempts.takeRetry(result.reason)) return;
-    const error = notRun
-      ? GatewayError.refusedByReplicas
-      : GatewayError.outcomeUnknown;
+    const { reason } = result;
+    if (!notRun) return this.#giveUp(GatewayError.outcomeUnknown, { reason });
     // Where all replicas asked for a pause it makes no sense to come sooner.
     const refusal = closedRefusal(this.#context, this.#request);
     const { seconds } = refusal ? refusalOf(refusal) : {};
-    this.#giveUp(error, { reason: result.reason, seconds });
+    this.#giveUp(GatewayError.refusedByReplicas, { reason, seconds });
   }
 
   async #takeAnswer(placed: Placement, answer: Answer): Promise<void> {
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -141,12 +141,15 @@
   const now = context.clock.now();
   const status = message.statusCode ?? 0;
   const facts = context.dialect.readAnswer(status, message.headers);
+  const isOwn = belongs(request, status, facts.id);
   if (!facts.misdirected) {
-    // Also an answer that comes late for another request tells of its replica.
+    const { incarnation } = replica.entry;
     const answered = { sentAt, request: request.facts.id };
-    context.gate.hear(replica.entry, facts, answered);
+    if (isOwn) context.gate.hear(incarnation, facts, answered);
+    // It tells of its replica too, but nobody knows when it was made.
+    else context.gate.hearCall(incarnation, facts, answered);
   }
-  if (!belongs(request, status, facts.id)) {
+  if (!isOwn) {
     call.abort("An answer to another request");
     context.events.note("crossed", {
       request: request.facts.id,
--- a/test/gateway/replicas/leaving_fleet_test.ts
+++ b/test/gateway/replicas/leaving_fleet_test.ts
@@ -31,8 +31,8 @@
   return fleet;
 }
 
-function hear(host: FleetHost | undefined, entry = replicaEntry("a")): void {
-  host?.context.gate.hear(entry, NOTICE, { sentAt: 0, request: "r" });
+function hear(host: FleetHost | undefined): void {
+  host?.context.gate.hear("a", NOTICE, { sentAt: 0, request: "r" });
 }
 
 for (const size of [3, 9, 88]) {
--- a/test/gateway/requests/backoff_test.ts
+++ b/test/gateway/requests/backoff_test.ts
@@ -37,6 +37,15 @@
   });
 });
 
+test("who may have run is told no time to come back", async () => {
+  const replicas = [{ answer: turnsAway(LONG_MS, []) }];
+  await withRig({ route: { kind: "unsafe" }, replicas }, async (rig) => {
+    const { status, headers } = await rig.call({ method: "POST" });
+    assert.equal(status, 502);
+    assert.equal(headers["retry-after"], undefined);
+  });
+});
+
 test("a service whose replicas all ask for a pause refuses at once, with its end", async () => {
   const replicas = [{ answer: turnsAway(9000) }, { answer: turnsAway(7000) }];
   const route = { kind: "unsafe", attempts: 4 } as const;
--- a/test/gateway/requests/limits_test.ts
+++ b/test/gateway/requests/limits_test.ts
@@ -158,3 +158,16 @@
     assert.equal(limited?.paused(rig.context.clock.now()), false);
   });
 });
+
+test("an answer that belongs to another request ends no limit", async () => {
+  const answer: RawAnswer = (request, socket) => {
+    if (request.number === 1) return named("50")(request, socket);
+    const head = whole(request, "x").replace(/x-id: .*\r\n/, "x-id: other\r\n");
+    socket.write(head);
+  };
+  const route = { kind: "unsafe" } as const;
+  await withRig({ route, replicas: [{ answer }] }, async (rig) => {
+    assert.deepEqual(await statuses(rig, 2), [200, 502]);
+    assert.equal(rig.context.limits.limited, 1);
+  });
+});
