The test of a late answer lets the owner of the limit be up for a minute first

As committed it failed on the repaired code too: an owner that has just started gives little, so its second request was refused. It passes now, and fails with all answers heard for limits.

--- a/test/gateway/requests/limits_test.ts
+++ b/test/gateway/requests/limits_test.ts
@@ -166,7 +166,11 @@
     socket.write(head);
   };
   const route = { kind: "unsafe" } as const;
-  await withRig({ route, replicas: [{ answer }] }, async (rig) => {
+  let time = 0;
+  const now = () => time;
+  await withRig({ route, replicas: [{ answer }], now }, async (rig) => {
+    // An owner that has just started gives little.
+    time += 60_000;
     assert.deepEqual(await statuses(rig, 2), [200, 502]);
     assert.equal(rig.context.limits.limited, 1);
   });
