--- a/test/gateway/requests/backoff_engine_test.ts
+++ b/test/gateway/requests/backoff_engine_test.ts
@@ -19,7 +19,7 @@
   sound,
   statuses,
   turnsAway,
-} from "./backoff_rig.ts";
+} from "./notice_rig.ts";
 
 const STREAM = { "x-tokens": "10,10" };
 
--- a/test/gateway/requests/backoff_test.ts
+++ b/test/gateway/requests/backoff_test.ts
@@ -11,7 +11,7 @@
   sound,
   statuses,
   turnsAway,
-} from "./backoff_rig.ts";
+} from "./notice_rig.ts";
 
 test("a plain service uses the replica beside one that asks for a pause", async () => {
   const replicas = [{ answer: turnsAway(LONG_MS) }, { answer: sound }];
--- a/test/gateway/requests/leaving_test.ts
+++ b/test/gateway/requests/leaving_test.ts
@@ -3,55 +3,23 @@
 import { test } from "node:test";
 import { ReplicaStage } from "../../../src/gateway/mod.ts";
 import { connectionShare } from "../../../src/gateway/requests/sender.ts";
+import { chunk, chunkedHead, type RawAnswer, whole } from "../raw_replica.ts";
+import { ENGINE, withRig } from "../rig.ts";
 import {
-  chunk,
-  chunkedHead,
-  type RawAnswer,
-  type RawRequest,
-  whole,
-} from "../raw_replica.ts";
-import { ENGINE, type Rig, withRig } from "../rig.ts";
+  BUDGET,
+  engine,
+  isOwnCall,
+  requestsAt,
+  sound,
+  statuses,
+} from "./notice_rig.ts";
 
-/** The retry budget never ends a test. */
-const BUDGET = { ratio: 0, extra: 1000 };
 const LEAVING = ["x-leaving: 1"];
 
-const isOwnCall = ({ path }: RawRequest) => /^.(reserve|export)/.test(path);
-
-/** Answers calls of the host's own, and requests with `answer`. */
-function engine(answer: RawAnswer): RawAnswer {
-  return (request, socket) => {
-    if (!isOwnCall(request)) return answer(request, socket);
-    socket.write(whole(request, '{"reservation":"r"}'));
-  };
-}
-
-const sound: RawAnswer = engine((request, socket) => {
-  socket.write(whole(request, "answer"));
-});
 const leaves: RawAnswer = engine((request, socket) => {
   socket.write(whole(request, "answer", LEAVING));
 });
 
-/** Requests of callers that came to a replica. */
-function requestsAt({ replicas }: Rig, at: number): number {
-  const all = replicas[at]?.requests ?? [];
-  return all.filter((one) => !isOwnCall(one)).length;
-}
-
-async function statuses(
-  rig: Rig,
-  count: number,
-  headers: Readonly<Record<string, string>> = {},
-): Promise<number[]> {
-  const seen: number[] = [];
-  for (let at = 0; at < count; at++) {
-    const call = { id: `r${at}`, method: "POST", headers };
-    seen.push((await rig.call(call)).status);
-  }
-  return seen;
-}
-
 test("a plain service uses the replica beside one that leaves", async () => {
   const replicas = [{ answer: leaves }, { answer: sound }];
   await withRig({ route: { kind: "unsafe" }, replicas }, async (rig) => {
--- a/test/gateway/requests/backoff_rig.ts
+++ b/test/gateway/requests/notice_rig.ts
@@ -1,4 +1,4 @@
-/** Replicas that turn requests away and ask for a pause. */
+/** Replicas that say something of themselves, and what came to them. */
 import assert from "node:assert/strict";
 import { type RawAnswer, type RawRequest, whole } from "../raw_replica.ts";
 import type { Rig } from "../rig.ts";
