--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -55,6 +55,8 @@
   replica: Replica,
   { head, permit, timeoutMs }: SendOptions,
 ): Sending {
+  // The request may have waited since its replica was chosen: only what is known
+  // now keeps new work from one that leaves, or that wants nothing from this host.
   const obstacle = context.gate.obstacle(replica);
   if (obstacle) {
     permit.giveBack();
@@ -77,6 +79,7 @@
       context.routes.service(request.service)?.connectionLimit ?? 0,
       context.hostCount(),
     ),
+    // It may wait for a connection, too.
     mayGo: () => context.gate.obstacle(replica) === undefined,
   });
   replica.calls += 1;
