Planner: decisions and progress in modules of their own, interfaces of the parts for hard load

Cause: five parts change what a planner decides, and all of it stood in planner.ts. Change: decisions about a model request, progress reports and assignments are modules; types for rates, bookings, shares, memory over time and demand, each with an implementation that does nothing; a setting for each under [scheduling], off by default; plan requests carry the customer, the expected output and the objective.

--- a/bench/planner/main.ts
+++ b/bench/planner/main.ts
@@ -81,6 +81,16 @@
     noteSuccess: () => undefined,
     random: () => 0,
     remoteHallPenalty: 0.1,
+    scheduling: {
+      replicaRates: false,
+      measuredSplit: false,
+      arrivalDecisions: false,
+      bookedReturns: false,
+      customerShares: false,
+    },
+    events: { note: () => undefined },
+    metrics: { count: () => undefined },
+    weightOf: () => 1,
   };
 }
 
@@ -91,6 +101,9 @@
     service: "s",
     tokens,
     promptTokens: 3000,
+    outputTokens: tokens,
+    customer: "",
+    objectiveMs: 900,
     hall: "hall-0",
     priority: 1,
     slackMs: 1e6,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -16,6 +16,20 @@
 import type { SuspensionWatch } from "./suspension.ts";
 import type { UpstreamPool } from "./upstreams/pool.ts";
 
+/** The optional decisions under load that are switched on. */
+export type Scheduling = {
+  /** Prefer fast replicas, and eject replicas that are slow or fail. */
+  readonly replicaRates: boolean;
+  /** Adapt the share of prefill replicas to the demand and their rates. */
+  readonly measuredSplit: boolean;
+  /** Decide at its arrival whether a request can be served. */
+  readonly arrivalDecisions: boolean;
+  /** Reserve a later place for a request that is refused. */
+  readonly bookedReturns: boolean;
+  /** Share an overloaded service fairly among its customers. */
+  readonly customerShares: boolean;
+};
+
 /** Parameters that a reload of the settings can change. */
 export type GatewayTuning = {
   /** Timeout of a memory reservation at a replica. */
@@ -37,6 +51,7 @@
   readonly memoryShare: number;
   /** Cost of choosing a replica in another hall, as a share of its memory. */
   readonly remoteHallPenalty: number;
+  readonly scheduling: Scheduling;
 };
 
 /** Shared state and dependencies of one gateway. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -94,7 +94,7 @@
 
 /** The reloadable parameters of the request path. */
 export function tuningOf(settings: GatewaySettings): GatewayTuning {
-  const { tuning } = settings;
+  const { tuning, scheduling } = settings;
   return {
     reserveTimeoutMs: tuning.reserve_timeout,
     prefillTimeoutMs: tuning.prefill_timeout,
@@ -103,5 +103,12 @@
     outputMargin: tuning.output_margin,
     memoryShare: tuning.memory_share,
     remoteHallPenalty: tuning.far_charge,
+    scheduling: {
+      replicaRates: scheduling.replica_rates,
+      measuredSplit: scheduling.measured_split,
+      arrivalDecisions: scheduling.arrival_decisions,
+      bookedReturns: scheduling.booked_returns,
+      customerShares: scheduling.customer_shares,
+    },
   };
 }
--- /dev/null
+++ b/src/gateway/planning/assignment.ts
@@ -0,0 +1,93 @@
+/** Assignments as the requesting host knows them. */
+import type { Milliseconds } from "../../util/units.ts";
+import type {
+  PlanHandover,
+  PlanProgress,
+  PlanRefusal,
+  RefusalBasis,
+} from "./messages.ts";
+
+/** Parameters of an assignment request. */
+export type PlacementRequest = {
+  readonly id: string;
+  readonly service: string;
+  readonly tokens: number;
+  readonly promptTokens: number;
+  /** Tokens that it is expected to generate; 0 for a plain request. */
+  readonly outputTokens: number;
+  /** The customer that sent it; empty without customers. */
+  readonly customer: string;
+  /** Time within which its first event is on time. */
+  readonly objectiveMs: Milliseconds;
+  /** Rank of its route; 0 is the most urgent. */
+  readonly priority: number;
+  readonly dueAt: Milliseconds;
+  readonly abandonAt: Milliseconds;
+  /** Identifies the prompt, to recognize a retry. */
+  readonly key: string;
+  /** Longest retry delay that its caller accepts. */
+  readonly longestRetryMs: Milliseconds;
+  /** An earlier attempt may have run: the request goes before new ones. */
+  readonly mayHaveRun: boolean;
+  /** The decode replica has to do a local prefill. */
+  readonly localPrefill: boolean;
+  readonly excluded: ReadonlySet<string>;
+};
+
+/** The assigned replicas, by incarnation. */
+export type Assignment = { readonly decode: string; readonly prefill?: string };
+
+/** Why there is no assignment. */
+export type AssignmentRefusal = {
+  readonly reason: "no-replica" | "no-memory" | "busy" | "cancelled";
+  readonly retryAfterMs?: Milliseconds;
+  /** The planner that refused, and the state on which it decided. */
+  readonly planner?: string;
+  readonly basis?: RefusalBasis;
+};
+
+/** Details of a progress report. */
+export type ProgressDetails = Omit<PlanProgress, "type" | "id" | "stage">;
+
+/** An assignment that this host uses. */
+export type ActiveAssignment = {
+  readonly request: PlacementRequest;
+  readonly decode: string;
+  /** Events received so far, and the time since the first one. */
+  events: number;
+  runMs: Milliseconds;
+  /** The planner whose ledger records it. */
+  planner: string;
+};
+
+/** Hands an assignment over to another planner. */
+export function handoverOf(
+  id: string,
+  { request, decode, events, runMs }: ActiveAssignment,
+): PlanHandover {
+  const { service, tokens, promptTokens, outputTokens, priority, customer } =
+    request;
+  return {
+    type: "keep",
+    id,
+    service,
+    decode,
+    tokens,
+    promptTokens,
+    outputTokens,
+    priority,
+    customer,
+    events,
+    runMs,
+  };
+}
+
+/** Converts a planner's refusal. */
+export function toAssignmentRefusal(
+  planner: string,
+  refusal: PlanRefusal,
+): AssignmentRefusal {
+  const { reason, retryAfterMs, basis } = refusal;
+  const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
+  return { reason, planner, basis, ...retry };
+}
--- /dev/null
+++ b/src/gateway/planning/engine_decision.ts
@@ -0,0 +1,98 @@
+/**
+ * Decides about one queued request of a model service: to assign replicas, to
+ * let it wait, or to refuse it.
+ */
+import type { Milliseconds } from "../../util/units.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import type { EngineChoice } from "./engine_choice.ts";
+import type { Forecasts } from "./forecasts.ts";
+import { type Outcome, WAIT } from "./outcome.ts";
+import type { PoolSnapshot } from "./pool_snapshot.ts";
+import type { RequestPacer } from "./request_pacer.ts";
+import type { QueuedRequest } from "./request_queue.ts";
+
+/** Options of {@link EngineDecision}. */
+export type EngineDecisionOptions = {
+  readonly choice: EngineChoice;
+  readonly forecasts: Forecasts;
+  readonly pacer: RequestPacer;
+};
+
+/** Decides about requests of model services. */
+export class EngineDecision {
+  readonly #choice: EngineChoice;
+  readonly #forecasts: Forecasts;
+  readonly #pacer: RequestPacer;
+
+  constructor({ choice, forecasts, pacer }: EngineDecisionOptions) {
+    this.#choice = choice;
+    this.#forecasts = forecasts;
+    this.#pacer = pacer;
+  }
+
+  /** Decides about the next request in scheduling order. */
+  decide(
+    queued: QueuedRequest,
+    pool: PoolSnapshot,
+    now: Milliseconds,
+  ): Outcome {
+    const outcome = this.#assign(queued, pool, now);
+    if (outcome.type !== "wait") return outcome;
+    return this.#refuseEarly(queued, pool, now);
+  }
+
+  #assign(
+    queued: QueuedRequest,
+    pool: PoolSnapshot,
+    now: Milliseconds,
+  ): Outcome {
+    const { excluded } = queued.request;
+    const allowed = (entries: readonly ReplicaEntry[]) =>
+      excluded.length === 0
+        ? entries
+        : entries.filter((entry) => !excluded.includes(entry.incarnation));
+    const decodes = allowed(pool.decodes);
+    if (decodes.length === 0) return { type: "refuse", reason: "no-replica" };
+    // Memory that is released goes to more urgent requests that wait for it,
+    // even if a less urgent request would fit already.
+    if (!queued.mayHaveRun && queued.priority > pool.mostUrgentWaiting) {
+      return WAIT;
+    }
+    const mayFit = excluded.length > 0 || pool.mayFit(queued.request.tokens);
+    const healthyDecodes = allowed(pool.healthyDecodes);
+    const candidates = healthyDecodes.length > 0 ? healthyDecodes : decodes;
+    const limitedMs = this.#pacer.minWaitMs(candidates, now);
+    if (now + limitedMs > queued.abandonAt) {
+      return {
+        type: "refuse",
+        reason: "busy",
+        retryAfterMs: limitedMs,
+        isLimited: true,
+      };
+    }
+    const chosen = this.#choice.assignmentFor(queued.request, {
+      decodes: candidates,
+      prefills: allowed(pool.availablePrefills),
+      mayPrefillLater: allowed(pool.availablePrefills).length <
+        allowed(pool.healthyPrefills).length,
+      mayFit,
+      slackMs: queued.dueAt - now,
+    }, now);
+    if (!chosen) return WAIT;
+    this.#pacer.noteGrant(chosen.decode.incarnation, now);
+    if (chosen.prefill) this.#pacer.noteGrant(chosen.prefill.incarnation, now);
+    return { type: "assign", ...chosen };
+  }
+
+  /** Refuses a request that can't start before its caller times out. */
+  #refuseEarly(
+    queued: QueuedRequest,
+    pool: PoolSnapshot,
+    now: Milliseconds,
+  ): Outcome {
+    const retryAfterMs = this.#forecasts.retryAfterMs(queued, pool, now);
+    if (retryAfterMs === undefined) return WAIT;
+    const isLimited = Number.isFinite(pool.startRate);
+    return { type: "refuse", reason: "busy", retryAfterMs, isLimited };
+  }
+}
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -32,6 +32,12 @@
   /** The replica that prefills, or has prefilled, its prompt. */
   readonly prefilledBy: string | undefined;
   readonly promptTokens: number;
+  /** Tokens that it is expected to generate. */
+  readonly outputTokens: number;
+  /** Rank of its route; 0 is the most urgent. */
+  readonly priority: number;
+  /** The customer that sent it; empty without customers. */
+  readonly customer: string;
   /** Identifies the prompt; may be empty. */
   readonly key: string;
   /** Prompt tokens pending at the prefill replica when it was granted. */
@@ -69,6 +75,11 @@
     return computeLine(this.#fitOf(replica)) ?? { base: 0, slope: 1 };
   }
 
+  /** The assignment of a request. */
+  get(id: string): LedgerEntry | undefined {
+    return this.#entries.get(id);
+  }
+
   /** Adds an assignment, replacing an earlier one of the same request. */
   add(entry: LedgerEntry): void {
     this.remove(entry.id);
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -13,6 +13,10 @@
   exportLost: "export-lost",
   /** The limit of the prefill replica had no room for it. */
   prefillLimited: "prefill-limited",
+  /** The first event, or the complete response of a plain request, began. */
+  started: "started",
+  /** Events received so far. */
+  running: "running",
   /** The decode replica had no memory for it, or its limit had no room. */
   refused: "refused",
   /** The decode replica did not accept it for another reason. */
@@ -33,6 +37,12 @@
   /** Memory that it needs at a decode replica. */
   tokens: z.number(),
   promptTokens: z.number(),
+  /** Tokens that it is expected to generate; 0 for a plain request. */
+  outputTokens: z.number(),
+  /** The customer that sent it; empty without customers. */
+  customer: z.string(),
+  /** Time within which its first event is on time. */
+  objectiveMs: z.number(),
   hall: z.string(),
   /** Rank of its route; 0 is the most urgent. */
   priority: z.number(),
@@ -57,8 +67,16 @@
 const PlanHandoverSchema = z.object({
   type: z.literal("keep"),
   id: z.string(),
+  service: z.string(),
   decode: z.string(),
   tokens: z.number(),
+  promptTokens: z.number(),
+  outputTokens: z.number(),
+  priority: z.number(),
+  customer: z.string(),
+  /** Events received so far, and the time since the first one. */
+  events: z.number(),
+  runMs: z.number(),
 });
 
 const PlanProgressSchema = z.object({
@@ -69,6 +87,12 @@
   spentMs: z.number().exactOptional(),
   /** Time until a limit that had no room has some. */
   retryAfterMs: z.number().exactOptional(),
+  /** Time from the send to the decode replica to the first event. */
+  firstEventMs: z.number().exactOptional(),
+  /** Events received so far. */
+  events: z.number().exactOptional(),
+  /** Time from the first event to the last one received. */
+  runMs: z.number().exactOptional(),
 });
 
 const PlanGrantSchema = z.object({
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -11,6 +11,8 @@
   readonly priority: number;
   /** It was refused recently and has been retried. */
   readonly isRetry: boolean;
+  /** Position within its customer's share; the smaller is served first. */
+  readonly startTag: number;
 };
 
 /**
@@ -23,7 +25,8 @@
  *    callers don't retry again.
  * 4. Requests that can still meet their deadline; those that can no longer meet
  *    it are scheduled last.
- * 5. By deadline.
+ * 5. By the shares of their customers.
+ * 6. By deadline.
  */
 export function schedulingOrder<Request extends SchedulingKey>(
   requests: readonly Request[],
@@ -40,6 +43,7 @@
     a.rank - b.rank ||
     Number(a.isNew) - Number(b.isNew) ||
     Number(a.isLate) - Number(b.isLate) ||
+    a.request.startTag - b.request.startTag ||
     a.request.dueAt - b.request.dueAt
   );
   return keyed.map(({ request }) => request);
--- a/src/gateway/planning/plain_assigner.ts
+++ b/src/gateway/planning/plain_assigner.ts
@@ -9,6 +9,7 @@
 import type { Ledger } from "./ledger.ts";
 import type { RequestPacer } from "./request_pacer.ts";
 import type { PlanRequest } from "./messages.ts";
+import type { Outcome } from "./outcome.ts";
 import { choosePlainReplica } from "./plain_choice.ts";
 import { RateShare } from "./rate_share.ts";
 import { RecentPriorities } from "./recent_priorities.ts";
@@ -28,16 +29,6 @@
   isFull(incarnation: string, now: Milliseconds): boolean;
 };
 
-/** A replica, or the delay after which to retry. */
-export type PlainAssignment =
-  | { readonly type: "replica"; readonly replica: ReplicaEntry }
-  | {
-    readonly type: "full";
-    readonly retryAfterMs: Milliseconds;
-    /** All replicas limit their requests. */
-    readonly isLimited: boolean;
-  };
-
 /** Selects replicas of plain services. */
 export class PlainAssigner {
   readonly #options: PlainAssignerOptions;
@@ -62,7 +53,7 @@
     queued: QueuedRequest,
     replicas: readonly ReplicaEntry[],
     now: Milliseconds,
-  ): PlainAssignment {
+  ): Outcome {
     const { view, pacer } = this.#options;
     const { request: { service, longestRetryMs }, priority } = queued;
     const share = this.#shareOf(service);
@@ -76,7 +67,7 @@
       view.noteTrial(incarnation, now);
       pacer.noteGrant(incarnation, now);
       share.noteGrant(priority, now);
-      return { type: "replica", replica };
+      return { type: "assign", decode: replica };
     }
     const retryAfterMs = isLimited
       ? share.retryAfterMs({
@@ -85,7 +76,7 @@
         longestRetryMs,
       }, now)
       : MIN_RETRY_MS * (1 + view.random());
-    return { type: "full", retryAfterMs, isLimited };
+    return { type: "refuse", reason: "busy", retryAfterMs, isLimited };
   }
 
   /** The replica with the least load; full replicas are left out. */
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -52,6 +52,13 @@
         context.replicas.get(incarnation)?.noteSuccess(),
       random: context.random,
       remoteHallPenalty: context.tuning.remoteHallPenalty,
+      // Read anew each time, since a reload of the settings replaces it.
+      get scheduling() {
+        return context.tuning.scheduling;
+      },
+      events: context.events,
+      metrics: context.metrics,
+      weightOf: () => 1,
     });
   }
 
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -7,6 +7,12 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { type QueuedRequest, RequestQueue } from "./request_queue.ts";
+import { type Bookings, NO_BOOKINGS } from "./bookings.ts";
+import {
+  type CustomerShares,
+  NO_SHARES,
+  sharedRequest,
+} from "./customer_shares.ts";
 import { type EngineAssignment, EngineChoice } from "./engine_choice.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { firstEventMs, Forecasts } from "./forecasts.ts";
@@ -22,11 +28,14 @@
   AssignmentStage,
   type PlanGrant,
   type PlanHandover,
-  type PlannerMessage,
   type PlanProgress,
   type PlanRefusal,
   type PlanRequest,
 } from "./messages.ts";
+import { EngineDecision } from "./engine_decision.ts";
+import type { Outcome } from "./outcome.ts";
+import { Progress } from "./progress.ts";
+import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
 
 /** How long a replica that had no memory is given no requests. */
 const FULL_BACKOFF_MS = 60;
@@ -38,6 +47,15 @@
  */
 const ORPHAN_TTL_MS = 2000;
 
+/** Stages after which an assignment, or the wait for one, is over. */
+const ENDING_STAGES: ReadonlySet<AssignmentStage> = new Set([
+  AssignmentStage.exportLost,
+  AssignmentStage.refused,
+  AssignmentStage.failed,
+  AssignmentStage.answered,
+  AssignmentStage.ended,
+]);
+
 /** The planner of the services that this host plans. */
 export class Planner {
   readonly #view: PlannerView;
@@ -46,7 +64,11 @@
   readonly #losses = new ExportLosses();
   readonly #promptLocations = new PromptLocations();
   readonly #forecasts: Forecasts;
-  readonly #engineChoice: EngineChoice;
+  readonly #rates: ReplicaRates = EQUAL_RATES;
+  readonly #bookings: Bookings = NO_BOOKINGS;
+  readonly #shares: CustomerShares = NO_SHARES;
+  readonly #progress: Progress;
+  readonly #engineDecision: EngineDecision;
   readonly #plainAssigner: PlainAssigner;
   readonly #pacer: RequestPacer;
   readonly #fullUntil = new Map<string, Milliseconds>();
@@ -60,13 +82,25 @@
       (this.#fullUntil.get(incarnation) ?? 0) > now ||
       !pacer.hasRoom(incarnation, now);
     const ledger = this.#ledger;
-    this.#engineChoice = new EngineChoice({
+    const promptLocations = this.#promptLocations;
+    const forecasts = this.#forecasts;
+    this.#engineDecision = new EngineDecision({
+      choice: new EngineChoice({ view, ledger, promptLocations, isFull }),
+      forecasts,
+      pacer,
+    });
+    this.#plainAssigner = new PlainAssigner({ view, ledger, pacer, isFull });
+    this.#progress = new Progress({
       view,
       ledger,
-      promptLocations: this.#promptLocations,
-      isFull,
+      losses: this.#losses,
+      promptLocations,
+      forecasts,
+      pacer,
+      rates: this.#rates,
+      noteFull: (incarnation, now) =>
+        this.#fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
     });
-    this.#plainAssigner = new PlainAssigner({ view, ledger, pacer, isFull });
   }
 
   /** Requests that wait for an assignment. */
@@ -89,21 +123,29 @@
     if (this.#view.memoryOf(request.service) === 0) {
       this.#plainAssigner.noteRequest(request, now);
     }
-    const isRetry = this.#forecasts.noteRequest(request, now);
-    this.#queue.add({ host, request, isRetry }, now);
+    const claim = this.#bookings.claim(request, now);
+    const isRetry = this.#forecasts.noteRequest(request, now) ||
+      claim.type === "claimed";
+    const startTag = this.#shares.startTagOf(sharedRequest(request), now);
+    this.#queue.add({ host, request, isRetry, claim, startTag }, now);
   }
 
   /** Adds an assignment that another planner granted. */
   restore(host: string, handover: PlanHandover, now: Milliseconds): void {
+    const { id, service, decode, tokens, promptTokens } = handover;
+    const { outputTokens, priority, customer } = handover;
     this.#ledger.add({
-      id: handover.id,
-      service: undefined,
+      id,
+      service,
+      decode,
+      tokens,
+      promptTokens,
+      outputTokens,
+      priority,
+      customer,
       host,
-      decode: handover.decode,
-      tokens: handover.tokens,
       prefill: undefined,
       prefilledBy: undefined,
-      promptTokens: 0,
       key: "",
       tokensAhead: 0,
       grantedAt: now,
@@ -113,54 +155,8 @@
 
   /** Handles a host's progress report. */
   report(report: PlanProgress, now: Milliseconds): void {
-    const { id, stage, spentMs } = report;
-    switch (stage) {
-      case AssignmentStage.prefilled: {
-        const entry = this.#ledger.endPrefill(id, spentMs);
-        if (entry?.prefilledBy === undefined) return;
-        const { key, decode, prefilledBy } = entry;
-        this.#promptLocations.note(key, { decode, prefill: prefilledBy }, now);
-        this.#view.noteSuccess(prefilledBy);
-        return;
-      }
-      case AssignmentStage.prefillLimited: {
-        const replica = this.#ledger.endPrefill(id, undefined)?.prefilledBy;
-        if (replica !== undefined) this.#pacer.noteFull(replica, report, now);
-        return;
-      }
-      case AssignmentStage.prefillFailed: {
-        const replica = this.#ledger.endPrefill(id, undefined)?.prefilledBy;
-        if (replica !== undefined) this.#view.noteFailure(replica, now);
-        return;
-      }
-      default:
-        this.#release(report, now);
-    }
-  }
-
-  #release(report: PlanProgress, now: Milliseconds): void {
-    const { id, stage, retryAfterMs } = report;
-    this.#queue.remove(id);
-    const entry = this.#ledger.remove(id);
-    if (!entry) return;
-    const { decode, prefilledBy } = entry;
-    if (prefilledBy !== undefined && stage === AssignmentStage.exportLost) {
-      this.#losses.noteLost(prefilledBy, now);
-      this.#promptLocations.forget(entry.key);
-    }
-    if (stage === AssignmentStage.answered) {
-      if (entry.service !== undefined) {
-        this.#forecasts.noteEnd(entry.service, now - entry.grantedAt);
-      }
-      this.#view.noteSuccess(decode);
-      if (prefilledBy !== undefined) this.#losses.noteUsed(prefilledBy);
-    }
-    if (stage === AssignmentStage.refused) {
-      const isFull = retryAfterMs === undefined;
-      if (isFull) this.#fullUntil.set(decode, now + FULL_BACKOFF_MS);
-      else this.#pacer.noteFull(decode, report, now);
-    }
-    if (stage === AssignmentStage.failed) this.#view.noteFailure(decode, now);
+    if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
+    this.#progress.report(report, now);
   }
 
   /** Handles the loss of a host's link. */
@@ -184,8 +180,7 @@
       firstEventMs(poolOf(request.service), request);
     for (const queued of this.#queue.inOrder(now, serviceMs)) {
       const pool = poolOf(queued.request.service);
-      const message = this.#decide(queued, pool, now) ??
-        this.#refuseEarly(queued, pool, now);
+      const message = this.#answer(queued, pool, now);
       if (!message) {
         pool.noteWaiting(queued.request);
         continue;
@@ -209,90 +204,67 @@
     });
   }
 
-  #decide(
+  /** The answer to a request; undefined while it waits. */
+  #answer(
     queued: QueuedRequest,
     pool: PoolSnapshot,
     now: Milliseconds,
-  ): PlannerMessage | undefined {
-    const { excluded } = queued.request;
-    if (now >= queued.abandonAt) return this.#refusal(queued, "no-memory");
-    const allowed = <Entry extends ReplicaEntry>(entries: readonly Entry[]) =>
-      excluded.length === 0
-        ? entries
-        : entries.filter((entry) => !excluded.includes(entry.incarnation));
-    if (pool.memory === 0) {
-      return this.#assignPlain(queued, allowed(pool.replicas), now);
+  ): PlanGrant | PlanRefusal | undefined {
+    const outcome = this.#decide(queued, pool, now);
+    switch (outcome.type) {
+      case "wait":
+        return undefined;
+      case "assign":
+        return this.#grant(queued, outcome, now);
+      case "refuse":
+        return this.#refusal(queued, outcome);
     }
-    const decodes = allowed(pool.decodes);
-    if (decodes.length === 0) return this.#refusal(queued, "no-replica");
-    // Memory that is released goes to more urgent requests that wait for it,
-    // even if a less urgent request would fit already.
-    if (!queued.mayHaveRun && queued.priority > pool.mostUrgentWaiting) {
-      return undefined;
-    }
-    const mayFit = excluded.length > 0 || pool.mayFit(queued.request.tokens);
-    const healthyDecodes = allowed(pool.healthyDecodes);
-    const candidates = healthyDecodes.length > 0 ? healthyDecodes : decodes;
-    const limitedMs = this.#pacer.minWaitMs(candidates, now);
-    if (now + limitedMs > queued.abandonAt) {
-      const refusal = this.#refusal(queued, "busy", true);
-      return { ...refusal, retryAfterMs: limitedMs };
-    }
-    const chosen = this.#engineChoice.assignmentFor(queued.request, {
-      decodes: candidates,
-      prefills: allowed(pool.availablePrefills),
-      mayPrefillLater: allowed(pool.availablePrefills).length <
-        allowed(pool.healthyPrefills).length,
-      mayFit,
-      slackMs: queued.dueAt - now,
-    }, now);
-    if (!chosen) return undefined;
-    this.#pacer.noteGrant(chosen.decode.incarnation, now);
-    if (chosen.prefill) this.#pacer.noteGrant(chosen.prefill.incarnation, now);
-    return this.#grant(queued, chosen, now);
   }
 
-  /** Assigns at once or refuses: plain services queue at their replicas. */
-  #assignPlain(
+  #decide(
     queued: QueuedRequest,
-    replicas: readonly ReplicaEntry[],
+    pool: PoolSnapshot,
     now: Milliseconds,
-  ): PlannerMessage {
-    if (replicas.length === 0) return this.#refusal(queued, "no-replica");
-    const assignment = this.#plainAssigner.assign(queued, replicas, now);
-    if (assignment.type === "replica") {
-      return this.#grant(queued, { decode: assignment.replica }, now);
+  ): Outcome {
+    if (queued.claim.type === "early") {
+      const { retryAfterMs } = queued.claim;
+      return { type: "refuse", reason: "busy", retryAfterMs };
     }
-    const { retryAfterMs, isLimited } = assignment;
-    return { ...this.#refusal(queued, "busy", isLimited), retryAfterMs };
+    if (now >= queued.abandonAt) return { type: "refuse", reason: "no-memory" };
+    return pool.memory === 0
+      ? this.#assignPlain(queued, pool.replicas, now)
+      : this.#engineDecision.decide(queued, pool, now);
   }
 
-  /** Refuses a request that can't start before its caller times out. */
-  #refuseEarly(
+  /** Assigns at once or refuses: plain services queue at their replicas. */
+  #assignPlain(
     queued: QueuedRequest,
-    pool: PoolSnapshot,
+    replicas: readonly ReplicaEntry[],
     now: Milliseconds,
-  ): PlannerMessage | undefined {
-    const retryAfterMs = this.#forecasts.retryAfterMs(queued, pool, now);
-    if (retryAfterMs === undefined) return undefined;
-    const isLimited = Number.isFinite(pool.startRate);
-    return { ...this.#refusal(queued, "busy", isLimited), retryAfterMs };
+  ): Outcome {
+    const { excluded } = queued.request;
+    const allowed = replicas.filter((entry) =>
+      !excluded.includes(entry.incarnation)
+    );
+    if (allowed.length === 0) return { type: "refuse", reason: "no-replica" };
+    return this.#plainAssigner.assign(queued, allowed, now);
   }
 
   /** Builds a refusal with the state on which it was decided. */
   #refusal(
     queued: QueuedRequest,
-    reason: PlanRefusal["reason"],
-    isLimited = false,
+    outcome: Extract<Outcome, { type: "refuse" }>,
   ): PlanRefusal {
     const { id, service } = queued.request;
+    const { reason, retryAfterMs, isLimited = false } = outcome;
     const basis = refusalBasis(this.#ledger, {
       replicas: this.#view.replicasOf(service),
       memory: this.#view.memoryOf(service),
       waiting: this.#queue.size,
       isLimited,
     });
-    return { type: "refusal", id, reason, basis };
+    const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
+    return { type: "refusal", id, reason, ...retry, basis };
   }
 
   #grant(
@@ -300,7 +272,9 @@
     assignment: EngineAssignment,
     now: Milliseconds,
   ): PlanGrant {
+    this.#shares.noteGrant(sharedRequest(queued.request), now);
     const { id, service, tokens, promptTokens, key } = queued.request;
+    const { outputTokens, priority, customer } = queued.request;
     const decode = assignment.decode.incarnation;
     const prefill = assignment.prefill?.incarnation;
     this.#ledger.add({
@@ -312,6 +286,9 @@
       prefill,
       prefilledBy: prefill,
       promptTokens,
+      outputTokens,
+      priority,
+      customer,
       key,
       tokensAhead: prefill === undefined ? 0 : this.#ledger.backlogAt(prefill),
       grantedAt: now,
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -9,69 +9,32 @@
 import type { HostEntry } from "../port.ts";
 import { HostOrders } from "../peers/host_order.ts";
 import { type Link, LinkPath, openLink } from "../peers/link.ts";
+import {
+  type ActiveAssignment,
+  type Assignment,
+  type AssignmentRefusal,
+  handoverOf,
+  type PlacementRequest,
+  type ProgressDetails,
+  toAssignmentRefusal,
+} from "./assignment.ts";
 import {
   AssignmentStage,
   type HostMessage,
   type PlannerMessage,
   PlannerMessageSchema,
-  type PlanProgress,
-  type PlanRefusal,
-  type RefusalBasis,
 } from "./messages.ts";
 import type { PlanService } from "./plan_service.ts";
 
 /** Delay before a link that closed is opened again. */
 const LINK_RETRY_DELAY_MS = 800;
 
-/** Parameters of an assignment request. */
-export type PlacementRequest = {
-  readonly id: string;
-  readonly service: string;
-  readonly tokens: number;
-  readonly promptTokens: number;
-  /** Rank of its route; 0 is the most urgent. */
-  readonly priority: number;
-  readonly dueAt: Milliseconds;
-  readonly abandonAt: Milliseconds;
-  /** Identifies the prompt, to recognize a retry. */
-  readonly key: string;
-  /** Longest retry delay that its caller accepts. */
-  readonly longestRetryMs: Milliseconds;
-  /** An earlier attempt may have run: the request goes before new ones. */
-  readonly mayHaveRun: boolean;
-  /** The decode replica has to do a local prefill. */
-  readonly localPrefill: boolean;
-  readonly excluded: ReadonlySet<string>;
-};
-
-/** The assigned replicas, by incarnation. */
-export type Assignment = { readonly decode: string; readonly prefill?: string };
-
-/** Why there is no assignment. */
-export type AssignmentRefusal = {
-  readonly reason: "no-replica" | "no-memory" | "busy" | "cancelled";
-  readonly retryAfterMs?: Milliseconds;
-  /** The planner that refused, and the state on which it decided. */
-  readonly planner?: string;
-  readonly basis?: RefusalBasis;
-};
-
 type PendingRequest = {
   readonly request: PlacementRequest;
   planner: string;
   resolve(result: Assignment | AssignmentRefusal): void;
 };
 
-type ProgressDetails = Pick<PlanProgress, "spentMs" | "retryAfterMs">;
-
-type ActiveAssignment = {
-  readonly service: string;
-  readonly decode: string;
-  readonly tokens: number;
-  /** The planner whose ledger records it. */
-  planner: string;
-};
-
 type PlannerLink = {
   readonly link: Link;
   /** The other side has responded. */
@@ -156,6 +119,20 @@
     this.#report(id, AssignmentStage.prefillLimited, { retryAfterMs });
   }
 
+  /** Reports the first event, `firstEventMs` after the send. */
+  started(id: string, firstEventMs: Milliseconds): void {
+    this.#report(id, AssignmentStage.started, { firstEventMs });
+  }
+
+  /** Reports the events received so far, over `runMs` since the first one. */
+  running(id: string, run: { events: number; runMs: Milliseconds }): void {
+    const assignment = this.#active.get(id);
+    if (!assignment) return;
+    assignment.events = run.events;
+    assignment.runMs = run.runMs;
+    this.#report(id, AssignmentStage.running, run);
+  }
+
   /** Reports the complete response and releases the assignment. */
   answered(id: string): void {
     this.#release(id, AssignmentStage.answered);
@@ -218,7 +195,7 @@
   /** Moves the assignments of a service to the ledger of its new planner. */
   #handOverAll(service: string, planner: string): void {
     for (const [id, assignment] of this.#active) {
-      if (assignment.service === service) {
+      if (assignment.request.service === service) {
         this.#handOver(id, assignment, planner);
       }
     }
@@ -228,8 +205,7 @@
     if (assignment.planner === planner) return;
     const stage = AssignmentStage.ended;
     this.#send(assignment.planner, { type: "progress", id, stage });
-    const { decode, tokens } = assignment;
-    this.#send(planner, { type: "keep", id, decode, tokens });
+    this.#send(planner, handoverOf(id, assignment));
     assignment.planner = planner;
   }
 
@@ -285,6 +261,9 @@
       service: request.service,
       tokens: request.tokens,
       promptTokens: request.promptTokens,
+      outputTokens: request.outputTokens,
+      customer: request.customer,
+      objectiveMs: request.objectiveMs,
       hall: self.hall,
       priority: request.priority,
       slackMs: request.dueAt - now,
@@ -318,19 +297,10 @@
       return pending.resolve(toAssignmentRefusal(from, message));
     }
     const { decode, prefill } = message;
-    const { service, tokens } = pending.request;
-    const assignment = { service, decode, tokens, planner: from };
+    const { request } = pending;
+    const assignment = { request, decode, events: 0, runMs: 0, planner: from };
     this.#active.set(id, assignment);
-    this.#handOver(id, assignment, this.plannerOf(service));
+    this.#handOver(id, assignment, this.plannerOf(request.service));
     pending.resolve(prefill === undefined ? { decode } : { decode, prefill });
   }
 }
-
-function toAssignmentRefusal(
-  planner: string,
-  refusal: PlanRefusal,
-): AssignmentRefusal {
-  const { reason, retryAfterMs, basis } = refusal;
-  const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
-  return { reason, planner, basis, ...retry };
-}
--- /dev/null
+++ b/src/gateway/planning/replica_rates.ts
@@ -0,0 +1,59 @@
+/**
+ * How fast each replica of a service works, estimated from hosts' progress
+ * reports. A planner prefers replicas that end a request sooner, and gives less
+ * work to a replica that is much slower than its pool.
+ */
+import type { Milliseconds } from "../../util/units.ts";
+import type { LedgerEntry } from "./ledger.ts";
+import type { PlanProgress } from "./messages.ts";
+
+/** Estimates of one planner, by incarnation. */
+export type ReplicaRates = {
+  /**
+   * Speed compared with the median of its pool: 2 does the same work in half
+   * the time; 1 if unknown. Prefills and decodes both count, so that a replica
+   * whose stage changes keeps its estimate.
+   */
+  speedOf(incarnation: string): number;
+  /** Expected time from the first event to the end of a run. */
+  runMs(incarnation: string, outputTokens: number): Milliseconds;
+  /** Expected time from the send to the decode replica to its first event. */
+  firstEventMs(incarnation: string): Milliseconds;
+  /** Expected service time of a plain request in a free slot. */
+  callMs(incarnation: string): Milliseconds;
+  /** Whether the replica gets no work, since it fails or is far too slow. */
+  isEjected(incarnation: string, now: Milliseconds): boolean;
+  /** Records the duration of a prefill. */
+  notePrefill(
+    entry: LedgerEntry,
+    spentMs: Milliseconds,
+    now: Milliseconds,
+  ): void;
+  /** Records the first event of a run, or how far it has come. */
+  noteProgress(
+    entry: LedgerEntry,
+    report: PlanProgress,
+    now: Milliseconds,
+  ): void;
+  /** Records how an assignment ended. */
+  noteEnd(entry: LedgerEntry, report: PlanProgress, now: Milliseconds): void;
+};
+
+/** Time from one event of a run to the next, until it is known. */
+const INITIAL_EVENT_MS = 25;
+/** Time from a send to a decode replica to the first event, until known. */
+const INITIAL_FIRST_EVENT_MS = 100;
+/** Service time of a plain request, until one is known. */
+const INITIAL_CALL_MS = 50;
+
+/** Takes all replicas for equal. */
+export const EQUAL_RATES: ReplicaRates = {
+  speedOf: () => 1,
+  runMs: (_, outputTokens) => outputTokens * INITIAL_EVENT_MS,
+  firstEventMs: () => INITIAL_FIRST_EVENT_MS,
+  callMs: () => INITIAL_CALL_MS,
+  isEjected: () => false,
+  notePrefill: () => undefined,
+  noteProgress: () => undefined,
+  noteEnd: () => undefined,
+};
--- a/src/gateway/planning/request_queue.ts
+++ b/src/gateway/planning/request_queue.ts
@@ -1,5 +1,6 @@
 /** Requests that wait for an assignment at a planner. */
 import type { Milliseconds } from "../../util/units.ts";
+import type { Claim } from "./bookings.ts";
 import type { PlanRequest } from "./messages.ts";
 import { schedulingOrder } from "./order.ts";
 
@@ -15,6 +16,10 @@
   readonly abandonAt: Milliseconds;
   /** Whether it was refused recently and has been retried. */
   readonly isRetry: boolean;
+  /** What was booked for it when it was refused before. */
+  readonly claim: Claim;
+  /** Position within its customer's share; the smaller is served first. */
+  readonly startTag: number;
   /** When its wait is forecast next. */
   nextForecastAt: Milliseconds;
 };
@@ -30,7 +35,10 @@
 
   /** Adds a request received at `now`. */
   add(
-    queued: Pick<QueuedRequest, "host" | "request" | "isRetry">,
+    queued: Pick<
+      QueuedRequest,
+      "host" | "request" | "isRetry" | "claim" | "startTag"
+    >,
     now: Milliseconds,
   ): void {
     const { request } = queued;
--- a/src/gateway/planning/view.ts
+++ b/src/gateway/planning/view.ts
@@ -1,5 +1,8 @@
 /** The planner's interface to the fleet, and its results. */
 import type { Milliseconds } from "../../util/units.ts";
+import type { Scheduling } from "../context.ts";
+import type { EventLog } from "../observe/event_log.ts";
+import type { Metrics } from "../observe/metrics.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { PlannerMessage } from "./messages.ts";
 
@@ -26,6 +29,12 @@
   random(): number;
   /** Cost of a replica in another hall, as a share of a replica's memory. */
   readonly remoteHallPenalty: number;
+  /** The optional decisions that are switched on. */
+  readonly scheduling: Scheduling;
+  readonly events: Pick<EventLog, "note">;
+  readonly metrics: Pick<Metrics, "count">;
+  /** A customer's weight in the shares of a service; 1 without weights. */
+  weightOf(customer: string): number;
 };
 
 /** Utilization of a service's stages: shares of replicas and of memory. */
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -9,11 +9,8 @@
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
-import type {
-  Assignment,
-  AssignmentRefusal,
-  PlannerClient,
-} from "../planning/planner_client.ts";
+import type { Assignment, AssignmentRefusal } from "../planning/assignment.ts";
+import type { PlannerClient } from "../planning/planner_client.ts";
 import { CallMode } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Engine } from "../routing/model.ts";
--- a/src/gateway/requests/engine_request.ts
+++ b/src/gateway/requests/engine_request.ts
@@ -1,9 +1,9 @@
 /** Builds the requests that are sent to a planner of model engines. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
-import type { PlacementRequest } from "../planning/planner_client.ts";
+import type { PlacementRequest } from "../planning/assignment.ts";
 import type { Engine } from "../routing/model.ts";
-import { memoryTokens } from "./memory.ts";
+import { expectedOutput, memoryTokens } from "./memory.ts";
 import type { PlacementConstraints } from "./placement.ts";
 import type { GatewayRequest } from "./request.ts";
 
@@ -34,6 +34,9 @@
     service,
     tokens: memoryTokens(facts, engine, context.tuning.outputMargin),
     promptTokens: facts.promptTokens,
+    outputTokens: expectedOutput(facts),
+    customer: request.customer?.name ?? "",
+    objectiveMs: route.objectiveMs,
     priority,
     dueAt: receivedAt + route.objectiveMs,
     abandonAt: placementDeadline({ context, request }, constraints),
--- a/src/gateway/requests/memory.ts
+++ b/src/gateway/requests/memory.ts
@@ -11,9 +11,15 @@
   engine: Engine,
   outputMargin: number,
 ): number {
-  const { promptTokens, outputLimit, estimatedOutput } = facts;
-  const expected = estimatedOutput ?? outputLimit * DEFAULT_OUTPUT_SHARE;
-  const reserved = Math.min(outputLimit, expected * outputMargin);
+  const { promptTokens, outputLimit } = facts;
+  const reserved = Math.min(outputLimit, expectedOutput(facts) * outputMargin);
   const tokens = Math.ceil(promptTokens + reserved);
   return Math.max(1, Math.min(tokens, engine.cacheTokens));
 }
+
+/** Tokens that the request is expected to generate. */
+export function expectedOutput(
+  { outputLimit, estimatedOutput }: RequestMetadata,
+): number {
+  return estimatedOutput ?? outputLimit * DEFAULT_OUTPUT_SHARE;
+}
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -7,11 +7,8 @@
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
-import type {
-  Assignment,
-  AssignmentRefusal,
-  PlannerClient,
-} from "../planning/planner_client.ts";
+import type { Assignment, AssignmentRefusal } from "../planning/assignment.ts";
+import type { PlannerClient } from "../planning/planner_client.ts";
 import { CallMode } from "../port.ts";
 import { chooseReplica } from "../replicas/choice.ts";
 import type { Replica } from "../replicas/replica.ts";
@@ -141,6 +138,9 @@
       service,
       tokens: 1,
       promptTokens: 0,
+      outputTokens: 0,
+      customer: this.#request.customer?.name ?? "",
+      objectiveMs: route.objectiveMs,
       priority,
       dueAt: receivedAt + route.objectiveMs,
       abandonAt: Math.min(deadline, requestedAt + PLANNER_TIMEOUT_MS),
--- a/src/gateway/requests/refusals.ts
+++ b/src/gateway/requests/refusals.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
-import type { AssignmentRefusal } from "../planning/planner_client.ts";
+import type { AssignmentRefusal } from "../planning/assignment.ts";
 import type { PlacementRefusal } from "./placement.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { GatewayRequest } from "./request.ts";
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -59,6 +59,20 @@
   far_charge: z.number().min(0).default(0.1),
 });
 
+/** Decisions under load; each is off unless it is switched on. */
+const Scheduling = z.strictObject({
+  /** Prefer fast replicas, and eject replicas that are slow or fail. */
+  replica_rates: z.boolean().default(false),
+  /** Adapt the share of prefill replicas to the demand and their rates. */
+  measured_split: z.boolean().default(false),
+  /** Decide at its arrival whether a request can be served. */
+  arrival_decisions: z.boolean().default(false),
+  /** Reserve a later place for a request that is refused. */
+  booked_returns: z.boolean().default(false),
+  /** Share an overloaded service fairly among its customers. */
+  customer_shares: z.boolean().default(false),
+});
+
 const Customers = z.strictObject({
   /**
    * Maximum age of the configuration by which API keys are accepted; absent for
@@ -91,6 +105,7 @@
   crashes: Crashes.prefault({}),
   stages: Stages.prefault({}),
   tuning: Tuning.prefault({}),
+  scheduling: Scheduling.prefault({}),
   customers: Customers.prefault({}),
   log: Log.prefault({}),
 });
--- /dev/null
+++ b/test/gateway/no_scheduling.ts
@@ -0,0 +1,11 @@
+/** Settings with all optional decisions switched off. */
+import type { Scheduling } from "../../src/gateway/context.ts";
+
+/** All optional decisions switched off. */
+export const NO_SCHEDULING: Scheduling = {
+  replicaRates: false,
+  measuredSplit: false,
+  arrivalDecisions: false,
+  bookedReturns: false,
+  customerShares: false,
+};
--- a/test/gateway/planning/planner_rig.ts
+++ b/test/gateway/planning/planner_rig.ts
@@ -1,11 +1,13 @@
 /** Fixtures for tests of the planner. */
 import { type ReplicaEntry, ReplicaStage } from "../../../src/gateway/mod.ts";
 import type {
+  PlanHandover,
   PlannerMessage,
   PlanRequest,
 } from "../../../src/gateway/planning/messages.ts";
 import type { Planner } from "../../../src/gateway/planning/planner.ts";
 import type { PlannerView } from "../../../src/gateway/planning/view.ts";
+import { NO_SCHEDULING } from "../no_scheduling.ts";
 import { replicaEntry } from "../replica_entry.ts";
 
 /** Memory of a decode replica, in tokens. */
@@ -35,6 +37,10 @@
     noteSuccess: () => undefined,
     random: () => 0,
     remoteHallPenalty: 0.1,
+    scheduling: NO_SCHEDULING,
+    events: { note: () => undefined },
+    metrics: { count: () => undefined },
+    weightOf: () => 1,
     ...overrides,
   };
 }
@@ -50,6 +56,9 @@
     service: "s",
     tokens: 400,
     promptTokens: 100,
+    outputTokens: 300,
+    customer: "",
+    objectiveMs: 900,
     hall: "h",
     priority: 1,
     slackMs: 900,
@@ -75,6 +84,27 @@
   return planner.pass(now).map((answer) => answer.message);
 }
 
+/** An assignment of 400 tokens at "d1" that another planner granted. */
+export function handover(
+  id: string,
+  overrides: Partial<PlanHandover> = {},
+): PlanHandover {
+  return {
+    type: "keep",
+    id,
+    service: "s",
+    decode: "d1",
+    tokens: 400,
+    promptTokens: 100,
+    outputTokens: 300,
+    priority: 1,
+    customer: "",
+    events: 0,
+    runMs: 0,
+    ...overrides,
+  };
+}
+
 /**
  * Restores assignments "a" to "d", which use 1,600 of the 2,000 tokens of
  * `view`.
@@ -82,6 +112,6 @@
 export function fill(planner: Planner): void {
   ["a", "b", "c", "d"].forEach((id, index) => {
     const decode = index % 2 === 0 ? "d1" : "d2";
-    planner.restore("h", { type: "keep", id, decode, tokens: 400 }, 0);
+    planner.restore("h", handover(id, { decode }), 0);
   });
 }
--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -67,8 +67,15 @@
     mayHaveRun: false,
     priority: 0,
     isRetry: false,
+    startTag: 0,
   }));
-  const resumed = { dueAt: 1, mayHaveRun: true, priority: 0, isRetry: false };
+  const resumed = {
+    dueAt: 1,
+    mayHaveRun: true,
+    priority: 0,
+    isRetry: false,
+    startTag: 0,
+  };
   const order = schedulingOrder([...newRequests, resumed], 0, () => 100);
   assert.deepEqual(order.map((request) => request.dueAt), [1, 300, 500, 5, 10]);
 });
--- a/test/gateway/planning/priority_test.ts
+++ b/test/gateway/planning/priority_test.ts
@@ -17,6 +17,7 @@
     priority,
     mayHaveRun,
     isRetry: false,
+    startTag: 0,
   });
   const order = schedulingOrder(
     [request(200, 3), request(5, 1), request(300, 1), request(900, 3, true)],
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -27,6 +27,7 @@
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
 import { probeAddress } from "../../src/gateway/upstreams/probe.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
+import { TEST_TIMEOUT_MS, TEST_TUNING } from "./test_tuning.ts";
 import { neverSuspended } from "./never_suspended.ts";
 import { testDialect } from "./dialect.ts";
 import {
@@ -36,9 +37,6 @@
 } from "./raw_replica.ts";
 import { emptyStoreEras } from "./empty_store_eras.ts";
 
-/** For timeouts that must not expire during a test. */
-const TEST_TIMEOUT_MS = 20_000;
-
 /** A replica of a rig. */
 export type RigReplica = {
   readonly answer: RawAnswer;
@@ -271,15 +269,7 @@
     ...singleHostGate({ clock, events: log, replicas, limits }),
     events: log,
     metrics,
-    tuning: {
-      reserveTimeoutMs: TEST_TIMEOUT_MS,
-      prefillTimeoutMs: TEST_TIMEOUT_MS,
-      retryAfterObjectives: 1,
-      stallTimeoutMs: TEST_TIMEOUT_MS,
-      outputMargin: 1,
-      memoryShare: 1,
-      remoteHallPenalty: 0.1,
-    },
+    tuning: TEST_TUNING,
     hostCount: () => 1,
     stop: { graceMs: TEST_TIMEOUT_MS },
   };
