--- a/test/gateway/planning/planner_test.ts
+++ b/test/gateway/planning/planner_test.ts
@@ -62,20 +62,11 @@
 });
 
 test("orders requests that may have run first, then those on time, then late ones, by deadline", () => {
-  const newRequests = [500, 10, 300, 5].map((dueAt) => ({
-    dueAt,
-    mayHaveRun: false,
-    priority: 0,
-    isRetry: false,
-    startTag: 0,
-  }));
-  const resumed = {
-    dueAt: 1,
-    mayHaveRun: true,
-    priority: 0,
-    isRetry: false,
-    startTag: 0,
-  };
+  const common = { priority: 0, isRetry: false, startTag: 0 };
+  const newRequests = [500, 10, 300, 5].map((dueAt) => (
+    { ...common, dueAt, mayHaveRun: false }
+  ));
+  const resumed = { ...common, dueAt: 1, mayHaveRun: true };
   const order = schedulingOrder([...newRequests, resumed], 0, () => 100);
   assert.deepEqual(order.map((request) => request.dueAt), [1, 300, 500, 5, 10]);
 });
