Hosts report the progress of runs

The planner learns of an assignment only its end, so it can't tell a fast replica from a slow or silent one. With scheduling.replica_rates on, a host reports the first event of a stream, its events and time at most once a second, and both at the end; of a plain call its duration. Events are counted by the empty lines in the forwarded bytes. Runs that their caller holds up report no times. A complete response with a status of 500 or more is reported as failed.

--- a/src/gateway/planning/assignment.ts
+++ b/src/gateway/planning/assignment.ts
@@ -31,6 +31,8 @@
   readonly mayHaveRun: boolean;
   /** The decode replica has to do a local prefill. */
   readonly localPrefill: boolean;
+  /** Its route allows it to run more than once. */
+  readonly repeatable: boolean;
   readonly excluded: ReadonlySet<string>;
 };
 
@@ -46,6 +48,9 @@
   readonly basis?: RefusalBasis;
 };
 
+/** The events of a complete response, and how long it took. */
+export type RunSummary = Pick<ProgressDetails, "events" | "runMs">;
+
 /** Details of a progress report. */
 export type ProgressDetails = Omit<PlanProgress, "type" | "id" | "stage">;
 
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -61,6 +61,8 @@
   begun: z.boolean(),
   /** The decode replica has to do a local prefill. */
   whole: z.boolean(),
+  /** It may run more than once. */
+  repeatable: z.literal(true).exactOptional(),
   excluded: z.array(z.string()),
 });
 
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -16,6 +16,7 @@
   handoverOf,
   type PlacementRequest,
   type ProgressDetails,
+  type RunSummary,
   toAssignmentRefusal,
 } from "./assignment.ts";
 import {
@@ -133,9 +134,12 @@
     this.#report(id, AssignmentStage.running, run);
   }
 
-  /** Reports the complete response and releases the assignment. */
-  answered(id: string): void {
-    this.#release(id, AssignmentStage.answered);
+  /**
+   * Reports the complete response and its duration, if it was measured, and
+   * releases the assignment.
+   */
+  answered(id: string, run: RunSummary = {}): void {
+    this.#release(id, AssignmentStage.answered, run);
   }
 
   /** Releases the assignment. */
@@ -273,6 +277,7 @@
       begun: request.mayHaveRun,
       whole: request.localPrefill,
       excluded: [...request.excluded],
+      ...(request.repeatable ? { repeatable: true as const } : {}),
     });
   }
 
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -9,7 +9,11 @@
 import type { GatewayContext } from "../context.ts";
 import { Timing } from "../observe/metrics.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
-import type { Assignment, AssignmentRefusal } from "../planning/assignment.ts";
+import type {
+  Assignment,
+  AssignmentRefusal,
+  RunSummary,
+} from "../planning/assignment.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { CallMode } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
@@ -73,6 +77,10 @@
     this.#prefills = new PrefillRunner(context, request, attempts);
   }
 
+  get assignmentId(): string | undefined {
+    return this.#assignmentId;
+  }
+
   async place(
     constraints: PlacementConstraints,
   ): Promise<Placement | PlacementRefusal> {
@@ -304,10 +312,10 @@
     this.#export = undefined;
   }
 
-  completed(): void {
+  completed(run: RunSummary = {}): void {
     const id = this.#assignmentId;
     this.#assignmentId = undefined;
-    if (id !== undefined) this.#options.planner.answered(id);
+    if (id !== undefined) this.#options.planner.answered(id, run);
   }
 
   end(): void {
--- a/src/gateway/requests/engine_request.ts
+++ b/src/gateway/requests/engine_request.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { PlacementRequest } from "../planning/assignment.ts";
-import type { Engine } from "../routing/model.ts";
+import { type Engine, isRepeatable } from "../routing/model.ts";
 import { expectedOutput, memoryTokens } from "./memory.ts";
 import type { PlacementConstraints } from "./placement.ts";
 import type { GatewayRequest } from "./request.ts";
@@ -44,6 +44,7 @@
     longestRetryMs: facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS,
     mayHaveRun: constraints.mayHaveRun,
     localPrefill,
+    repeatable: isRepeatable(route),
     excluded: constraints.excluded,
   };
 }
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -18,6 +18,7 @@
 import { type EventPosition, relayAnswer, type RelayOutcome } from "./relay.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal } from "./request_journal.ts";
+import { RunMeter } from "./run_meter.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
 import type { Answer } from "../upstreams/call.ts";
 import {
@@ -45,6 +46,7 @@
   readonly #reply: Reply;
   readonly #writer: ReplyWriter;
   readonly #placer: Placer;
+  readonly #meter: RunMeter;
   readonly #onEnd: (mayHaveRun: boolean) => void;
   readonly #attempts: Attempts;
   readonly #journal: RequestJournal;
@@ -66,7 +68,9 @@
     const journal = new RequestJournal(context, request);
     this.#journal = journal;
     this.#writer = new ReplyWriter({ reply: options.reply, attempts, journal });
-    this.#placer = createPlacer({ context, request, planner, attempts });
+    const placer = createPlacer({ context, request, planner, attempts });
+    this.#meter = new RunMeter({ context, request, planner, placer });
+    this.#placer = placer;
     const leftMs = request.deadline - context.clock.now();
     this.#cancelTimeout = context.clock.after(leftMs, () => this.#onTimeout());
   }
@@ -156,6 +160,7 @@
     const { clock, tuning } = this.#context;
     const { route, deadline } = this.#request;
     this.#attempts.noteSent();
+    this.#meter.noteSent();
     this.#journal.placed(placed, this.#attempts.sends);
     const mayWaitLonger = !this.#attempts.repeatable || this.#attempts.isLast ||
       !hasOtherReplica(this.#context, this.#request, {
@@ -215,7 +220,7 @@
     }
     const startedAt = this.#context.clock.now();
     const outcome = await this.#relay(placed, answer, startedAt);
-    if (outcome === "complete") this.#placer.completed();
+    if (outcome === "complete") this.#meter.complete(status);
     else this.#noteInterrupted(placed);
     if (this.#ended) return;
     if (outcome === "complete") return this.#complete(status);
@@ -234,7 +239,7 @@
     const reason = `Status ${answer.message.statusCode}`;
     if (!this.#attempts.acquireRetry(reason)) return false;
     answer.message.resume();
-    this.#placer.completed();
+    this.#meter.complete(answer.message.statusCode ?? 0);
     this.#attempts.exclude(placed.replica.entry.incarnation);
     return true;
   }
@@ -246,15 +251,15 @@
   ): Promise<RelayOutcome> {
     const { clock, metrics, tuning } = this.#context;
     const { route, receivedAt } = this.#request;
-    const { message } = answer;
-    const status = message.statusCode ?? 502;
+    const { statusCode: status = 502, rawHeaders } = answer.message;
     return relayAnswer(answer, this.#reply, {
       route,
-      writeHead: () => this.#writer.writeHead(status, message.rawHeaders),
+      writeHead: () => this.#writer.writeHead(status, rawHeaders),
       onFirstByte: () => {
         const at = route.kind === RouteKind.streaming ? startedAt : clock.now();
         metrics.time(Timing.firstByte, at - receivedAt);
       },
+      observer: this.#meter.observer(),
       events: {
         position: this.#position,
         clock,
@@ -272,8 +277,7 @@
   }
 
   #handleInterrupted(placed: Placement): void {
-    const now = this.#context.clock.now();
-    placed.replica.noteFailure(now, false);
+    placed.replica.noteFailure(this.#context.clock.now(), false);
     this.#attempts.noteInterrupted(placed.replica.entry);
     const hasRetry = this.#retryAcquired ||
       (this.#attempts.repeatable &&
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -4,6 +4,7 @@
 import type { SendPermit } from "../limits/replica_limits.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import type { CallMetadata } from "../port.ts";
+import type { RunSummary } from "../planning/assignment.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Export } from "./prefill.ts";
 
@@ -58,8 +59,10 @@
   failed(failure: PlacementFailure): void;
   /** Records that the replica consumed the reservation and the export. */
   consumed(): void;
+  /** Identifies the current assignment to its planner. */
+  readonly assignmentId: string | undefined;
   /** Reports that the replica has finished the request. */
-  completed(): void;
+  completed(run?: RunSummary): void;
   /** Cancels all waits and releases all resources when the request ends. */
   end(): void;
 };
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -7,11 +7,16 @@
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
-import type { Assignment, AssignmentRefusal } from "../planning/assignment.ts";
+import type {
+  Assignment,
+  AssignmentRefusal,
+  RunSummary,
+} from "../planning/assignment.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { CallMode } from "../port.ts";
 import { chooseReplica } from "../replicas/choice.ts";
 import type { Replica } from "../replicas/replica.ts";
+import { isRepeatable } from "../routing/model.ts";
 import { usableReplicas } from "./availability.ts";
 import {
   backoffRefusal,
@@ -54,6 +59,10 @@
     this.#planner = planner;
   }
 
+  get assignmentId(): string | undefined {
+    return this.#assignmentId;
+  }
+
   async place(
     constraints: PlacementConstraints,
   ): Promise<Placement | PlacementRefusal> {
@@ -148,6 +157,7 @@
       longestRetryMs: facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS,
       mayHaveRun,
       localPrefill: true,
+      repeatable: isRepeatable(route),
       excluded,
     });
     this.#cancelWait = wait.cancel;
@@ -191,9 +201,9 @@
 
   consumed(): void {}
 
-  completed(): void {
+  completed(run: RunSummary = {}): void {
     const id = this.#clearAssignmentId();
-    if (id !== undefined) this.#planner.answered(id);
+    if (id !== undefined) this.#planner.answered(id, run);
   }
 
   end(): void {
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -5,6 +5,7 @@
 import { type Route, RouteKind } from "../routing/model.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { Reply } from "./request.ts";
+import type { RelayObserver } from "./run_progress.ts";
 
 /** Responses up to this size are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
@@ -19,6 +20,8 @@
   readonly writeHead: () => void;
   /** Called when the first byte has been sent to the caller. */
   readonly onFirstByte: () => void;
+  /** Observes the body of a stream; undefined: nothing does. */
+  readonly observer: RelayObserver | undefined;
   /** Used for streams that another replica can resume. */
   readonly events: EventRelayOptions;
 };
@@ -29,19 +32,26 @@
 export async function relayAnswer(
   answer: Answer,
   reply: Reply,
-  { route, writeHead, onFirstByte, events }: AnswerRelayOptions,
+  { route, writeHead, onFirstByte, observer, events }: AnswerRelayOptions,
 ): Promise<RelayOutcome> {
   if (route.kind !== RouteKind.streaming) {
     const { relayed } = await relayBuffered(answer, reply, writeHead);
     onFirstByte();
     return relayed;
   }
+  if (observer) observe(answer, observer);
   writeHead();
   onFirstByte();
   if (!route.resumable) return await relayBytes(answer, reply);
   return await relayEvents(answer, reply, events);
 }
 
+function observe({ message }: Answer, observer: RelayObserver): void {
+  message.on("data", (bytes: Buffer) => observer.data(bytes));
+  // Only the relay pauses a response, while its caller has unread data.
+  message.on("pause", () => observer.heldUp());
+}
+
 /** Forwards the body as it arrives. */
 function relayBytes(
   answer: Answer,
