Place requests by measured speeds and eject replicas by comparison

Placement saw reserved memory alone, so a replica that needs 0.45 of the time of the others got no more requests than they, and one that is slow, failing or silent stayed in use until its host paused it. The planner now measures one speed a replica from prefills, runs and calls, relative to the median of its pool, and places requests where they are expected to end first. Replicas whose last samples take three times the median, that fail a quarter of their requests or stop answering while others do, are ejected, at most a third of a stage; they return after two good trials. With the setting off, choices are as before.

--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -153,6 +153,16 @@
     "Another host became the planner of a service",
     20,
   ),
+  replicaEjected: warn(
+    "planning",
+    "A replica does far worse than its pool and gets no more work for a while",
+    STATE_CHANGES_PER_SECOND,
+  ),
+  replicaReturned: info(
+    "planning",
+    "An ejected replica did well in its trials and gets work again",
+    STATE_CHANGES_PER_SECOND,
+  ),
   quotaOwnerLost: warn("quotas", "An owner of quotas is unreachable", 20),
   heldBack: warn(
     "crashes",
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -5,6 +5,8 @@
 import type { PlanRequest } from "./messages.ts";
 import { minBy } from "./order.ts";
 import type { PromptLocations } from "./prompt_locations.ts";
+import { ratedCandidates, ratedRequest } from "./rated_candidates.ts";
+import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
 import type { PlannerView } from "./view.ts";
 
 /**
@@ -46,6 +48,8 @@
 
 /** Candidates for one request. */
 export type EngineCandidates = {
+  /** The host that sent the request. */
+  readonly host: string;
   readonly decodes: readonly ReplicaEntry[];
   /** Only healthy replicas whose limits have room; may be empty. */
   readonly prefills: readonly ReplicaEntry[];
@@ -65,37 +69,52 @@
   readonly view: PlannerView;
   readonly ledger: Ledger;
   readonly promptLocations: PromptLocations;
+  /** Speeds of the replicas; a reload of the settings replaces them. */
+  rates(): ReplicaRates;
   /** The replica had no memory recently, or its limit has no room. */
   isFull(incarnation: string, now: Milliseconds): boolean;
 };
 
-/** Selects replicas by the reservations in the planner's ledger. */
+/** Selects replicas by their reservations and their speeds. */
 export class EngineChoice {
   readonly #view: PlannerView;
   readonly #ledger: Ledger;
   readonly #promptLocations: PromptLocations;
+  readonly #rates: EngineChoiceOptions["rates"];
   readonly #isFull: EngineChoiceOptions["isFull"];
 
   constructor(
-    { view, ledger, promptLocations, isFull }: EngineChoiceOptions,
+    { view, ledger, promptLocations, rates, isFull }: EngineChoiceOptions,
   ) {
     this.#view = view;
     this.#ledger = ledger;
     this.#promptLocations = promptLocations;
+    this.#rates = rates;
     this.#isFull = isFull;
   }
 
   /** Selects replicas for a request; undefined: it has to wait. */
   assignmentFor(
     request: PlanRequest,
-    { decodes, prefills, mayPrefillLater, mayFit, slackMs }: EngineCandidates,
+    candidates: EngineCandidates,
     now: Milliseconds,
   ): EngineAssignment | undefined {
+    const { mayPrefillLater, mayFit, slackMs } = candidates;
+    const rated = ratedRequest(candidates.host, request);
+    const rates = this.#rates();
+    const decodes = ratedCandidates(rates, candidates.decodes, {
+      request: rated,
+      hasRoom: (replica) => this.#hasRoom(request, replica, now),
+    }, now);
     const cached = this.#cachedDecodeFor(request, decodes, now);
     if (cached) return { decode: cached };
     const decode = mayFit ? this.decodeFor(request, decodes, now) : undefined;
     if (!decode) return undefined;
     if (request.whole) return { decode };
+    const prefills = ratedCandidates(rates, candidates.prefills, {
+      request: rated,
+      hasRoom: (replica) => !this.#hasBacklog(replica),
+    }, now);
     if (prefills.length === 0) {
       const isLocal = !mayPrefillLater ||
         this.prefillsLocally(request, decode, slackMs);
@@ -106,7 +125,7 @@
       replica.incarnation === prefilledBy
     );
     if (prefillReplica) return { decode, prefill: prefillReplica };
-    const prefill = this.prefillFor(prefills, decode);
+    const prefill = this.prefillFor(prefills, decode, request.promptTokens);
     if (!this.#hasBacklog(prefill)) return { decode, prefill };
     return this.prefillsLocally(request, decode, slackMs)
       ? { decode }
@@ -137,8 +156,9 @@
   }
 
   /**
-   * The decode replica with the most free memory, preferably in the requester's
-   * hall.
+   * The decode replica with room for the request where it is expected to end
+   * first, preferably in the requester's hall. A replica whose memory is full
+   * costs as much as one that needs twice the time.
    */
   decodeFor(
     request: PlanRequest,
@@ -146,20 +166,35 @@
     now: Milliseconds,
   ): ReplicaEntry | undefined {
     const memory = Math.max(1, this.#view.memoryOf(request.service));
+    const rates = this.#rates();
+    const runMs = ({ incarnation }: ReplicaEntry) =>
+      Math.max(1, rates.runMs(incarnation, request.outputTokens));
+    const usualRunMs = meanOf(decodes.map(runMs));
     return minBy(decodes, (replica) => {
       const { incarnation, hall } = replica;
+      if (!this.#hasRoom(request, replica, now)) return Infinity;
       const reserved = this.#ledger.reservedTokensAt(incarnation);
-      const isFull = this.#isFull(incarnation, now);
-      if (isFull || (reserved > 0 && reserved + request.tokens > memory)) {
-        return Infinity;
-      }
       const penalty = hall === request.hall ? 0 : this.#view.remoteHallPenalty;
       const utilization = reserved / memory;
-      return Math.max(LOW_UTILIZATION, utilization) + penalty +
+      const load = Math.max(LOW_UTILIZATION, utilization) +
         utilization * TIE_BREAK_WEIGHT;
+      return rates.firstEventMs(incarnation) + penalty * usualRunMs +
+        runMs(replica) * (1 - LOW_UTILIZATION + load);
     });
   }
 
+  /** An idle replica accepts any request, even one larger than its memory. */
+  #hasRoom(
+    { service, tokens }: PlanRequest,
+    { incarnation }: ReplicaEntry,
+    now: Milliseconds,
+  ): boolean {
+    if (this.#isFull(incarnation, now)) return false;
+    const reserved = this.#ledger.reservedTokensAt(incarnation);
+    const memory = Math.max(1, this.#view.memoryOf(service));
+    return reserved === 0 || reserved + tokens <= memory;
+  }
+
   /**
    * Whether the decode replica does the prefill locally: only when the prefill
    * replicas have a backlog and it has few other requests, because a prefill
@@ -178,19 +213,30 @@
   }
 
   /**
-   * The prefill replica that is free first, preferably in the decode replica's
-   * hall.
+   * The prefill replica that is expected to finish the prompt first, preferably
+   * in the decode replica's hall.
    */
   prefillFor(
     prefills: readonly ReplicaEntry[],
     decode: ReplicaEntry,
+    promptTokens: number,
   ): ReplicaEntry {
+    const isRated = this.#rates() !== EQUAL_RATES;
+    const free = isRated
+      ? prefills.filter((replica) => !this.#hasBacklog(replica))
+      : [];
     const cost = (replica: ReplicaEntry) => {
-      const penalty = replica.hall === decode.hall
-        ? 0
-        : REMOTE_PREFILL_PENALTY_MS;
-      return this.#ledger.backlogMs(replica.incarnation) + penalty;
+      const { incarnation, hall } = replica;
+      const penalty = hall === decode.hall ? 0 : REMOTE_PREFILL_PENALTY_MS;
+      const { base, slope } = this.#ledger.prefillLineOf(incarnation);
+      const ownMs = isRated ? base + slope * promptTokens : 0;
+      return this.#ledger.backlogMs(incarnation) + ownMs + penalty;
     };
-    return minBy(prefills, cost) ?? decode;
+    return minBy(free.length > 0 ? free : prefills, cost) ?? decode;
   }
 }
+
+function meanOf(values: readonly number[]): number {
+  const sum = values.reduce((total, value) => total + value, 0);
+  return sum / Math.max(1, values.length);
+}
--- a/src/gateway/planning/engine_decision.ts
+++ b/src/gateway/planning/engine_decision.ts
@@ -71,6 +71,7 @@
       };
     }
     const chosen = this.#choice.assignmentFor(queued.request, {
+      host: queued.host,
       decodes: candidates,
       prefills: allowed(pool.availablePrefills),
       mayPrefillLater: allowed(pool.availablePrefills).length <
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -25,6 +25,8 @@
   readonly service: string | undefined;
   /** The host that it was granted to. */
   readonly host: string;
+  /** The data hall of that host; absent when another planner granted it. */
+  readonly hall?: string;
   readonly decode: string;
   readonly tokens: number;
   /** Replica of the prefill in progress; cleared when the prefill ends. */
--- /dev/null
+++ b/src/gateway/planning/measured_rates.ts
@@ -0,0 +1,307 @@
+/**
+ * Measures the speeds of replicas by hosts' progress reports, and ejects those
+ * that do far worse than their pool. The load that it answers: uneven replicas
+ * that are fast, slow, failing or silent for seconds, in pools of few replicas.
+ */
+import { evictOldest } from "../../util/evict_oldest.ts";
+import type { Milliseconds } from "../../util/units.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import { Ejection, EjectionReason, Standing } from "./ejection.ts";
+import { silenceCause, slownessCause } from "./ejection_rules.ts";
+import type { Ledger, LedgerEntry } from "./ledger.ts";
+import { AssignmentStage, type PlanProgress } from "./messages.ts";
+import { RecentOutcomes } from "./recent_outcomes.ts";
+import {
+  INITIAL_CALL_MS,
+  INITIAL_FIRST_EVENT_MS,
+  type RatedRequest,
+  type ReplicaRates,
+} from "./replica_rates.ts";
+import { RunWatch } from "./run_watch.ts";
+import { ServiceRates } from "./service_rates.ts";
+import { type SpeedSample, Work } from "./speed_model.ts";
+import type { PlannerView } from "./view.ts";
+
+/** Interval at which the replicas of a service are compared. */
+const COMPARE_INTERVAL_MS = 200;
+/** A run is overdue after this multiple of the expected time. */
+const OVERDUE_FACTOR = 5;
+const MIN_OVERDUE_MS = 1500;
+/** Longest interval between two reports of a run that proceeds. */
+const REPORT_INTERVAL_MS = 1000;
+const MAX_REPLICAS = 3000;
+
+/** What the rates read of the planner. */
+export type MeasuredRatesOptions = {
+  readonly view: Pick<PlannerView, "replicasOf" | "events" | "metrics">;
+  readonly ledger: Pick<Ledger, "get" | "reservedTokensAt">;
+};
+
+/** Rates measured by one planner. */
+export class MeasuredRates implements ReplicaRates {
+  readonly #view: MeasuredRatesOptions["view"];
+  readonly #ledger: MeasuredRatesOptions["ledger"];
+  readonly #services = new Map<string, ServiceRates>();
+  /** The replicas of all services, by incarnation. */
+  readonly #replicas = new Map<string, ReplicaEntry>();
+  readonly #watch = new RunWatch();
+  readonly #outcomes = new RecentOutcomes();
+  readonly #ejection: Ejection;
+  /** The latest time of which a caller told. */
+  #now: Milliseconds = 0;
+
+  constructor({ view, ledger }: MeasuredRatesOptions) {
+    this.#view = view;
+    this.#ledger = ledger;
+    this.#ejection = new Ejection(view);
+  }
+
+  speedOf(incarnation: string): number {
+    const rates = this.#ratesOf(incarnation);
+    if (!rates) return 1;
+    return Math.exp(-rates.speeds.steadySlowness(incarnation, this.#now));
+  }
+
+  runMs(incarnation: string, outputTokens: number): Milliseconds {
+    const rates = this.#ratesOf(incarnation) ?? new ServiceRates();
+    return rates.runMs(incarnation, outputTokens, this.#now);
+  }
+
+  firstEventMs(incarnation: string): Milliseconds {
+    return this.#ratesOf(incarnation)?.firstEvents.unitMs(
+      Work.firstEvent,
+      incarnation,
+      this.#now,
+    ) ?? INITIAL_FIRST_EVENT_MS;
+  }
+
+  callMs(incarnation: string): Milliseconds {
+    return this.#ratesOf(incarnation)?.speeds.unitMs(
+      Work.call,
+      incarnation,
+      this.#now,
+    ) ?? INITIAL_CALL_MS;
+  }
+
+  isEjected(incarnation: string, now: Milliseconds): boolean {
+    this.#advance(now);
+    return this.#ejection.reasonOf(incarnation) !== undefined;
+  }
+
+  standing(
+    { incarnation, service }: ReplicaEntry,
+    request: RatedRequest,
+    now: Milliseconds,
+  ): Standing {
+    this.#compare(service, now);
+    const { repeatable } = request;
+    const standing = this.#ejection.standing(incarnation, repeatable, now);
+    if (standing !== Standing.open) return standing;
+    return this.#outcomes.isAvoidedBy(request, incarnation, now)
+      ? Standing.closed
+      : Standing.open;
+  }
+
+  noteGrant(entry: LedgerEntry, now: Milliseconds): void {
+    this.#advance(now);
+    const { id, decode, prefill } = entry;
+    this.#ejection.beginTrial(decode, id, now);
+    if (prefill !== undefined) this.#ejection.beginTrial(prefill, id, now);
+    this.#watch.begin(entry, now + this.#grantTimeoutMs(entry));
+  }
+
+  notePrefill(
+    entry: LedgerEntry,
+    spentMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    const { id, decode, prefilledBy, promptTokens, tokensAhead } = entry;
+    this.#advance(now);
+    this.#watch.endPrefill(entry, now + this.#firstEventTimeoutMs(decode));
+    if (prefilledBy === undefined) return;
+    this.#noteOutcome(entry, prefilledBy, true, now);
+    const rates = this.#serviceOf(entry);
+    const sample = rates?.prefillSample(spentMs, promptTokens + tokensAhead);
+    if (sample) rates?.speeds.add(prefilledBy, sample, now);
+    const isGood = rates?.isGood(sample, now) ?? true;
+    this.#endTrial(prefilledBy, id, isGood, now);
+  }
+
+  notePrefillFailed(entry: LedgerEntry, now: Milliseconds): void {
+    const { id, decode, prefilledBy } = entry;
+    this.#advance(now);
+    this.#watch.endPrefill(entry, now + this.#grantTimeoutMs(entry));
+    this.#ejection.cancelTrial(decode, id);
+    if (prefilledBy === undefined) return;
+    this.#noteOutcome(entry, prefilledBy, false, now);
+    this.#endTrial(prefilledBy, id, false, now);
+  }
+
+  noteProgress(
+    entry: LedgerEntry,
+    report: PlanProgress,
+    now: Milliseconds,
+  ): void {
+    this.#advance(now);
+    const { id, decode } = entry;
+    this.#noteFirstEvent(entry, report, now);
+    const sample = this.#addRunPart(entry, report, now);
+    const isSilent = this.#ejection.reasonOf(decode) === EjectionReason.silent;
+    if (!sample && !isSilent) return;
+    const isGood = this.#serviceOf(entry)?.isGood(sample, now) ?? true;
+    this.#endTrial(decode, id, isGood, now);
+  }
+
+  noteEnd(entry: LedgerEntry, report: PlanProgress, now: Milliseconds): void {
+    this.#advance(now);
+    const { id, decode, prefilledBy } = entry;
+    if (prefilledBy !== undefined) this.#ejection.cancelTrial(prefilledBy, id);
+    const isAnswered = report.stage === AssignmentStage.answered;
+    const isFailed = report.stage === AssignmentStage.failed;
+    const sample = isAnswered
+      ? this.#addRunPart(entry, report, now) ??
+        this.#addCall(entry, report, now)
+      : undefined;
+    this.#watch.end(id);
+    if (isAnswered || isFailed) {
+      this.#noteOutcome(entry, decode, isAnswered, now);
+      const isGood = isAnswered &&
+        (this.#serviceOf(entry)?.isGood(sample, now) ?? true);
+      this.#endTrial(decode, id, isGood, now);
+    } else this.#ejection.cancelTrial(decode, id);
+  }
+
+  #noteFirstEvent(
+    { decode, prefilledBy, service }: LedgerEntry,
+    { firstEventMs }: PlanProgress,
+    now: Milliseconds,
+  ): void {
+    // A local prefill is a part of the time to the first event.
+    if (firstEventMs === undefined || prefilledBy === undefined) return;
+    const work = Work.firstEvent;
+    const sample = { work, unitMs: firstEventMs, weight: 1 };
+    this.#serviceOf({ service })?.firstEvents.add(decode, sample, now);
+  }
+
+  #addRunPart(
+    entry: LedgerEntry,
+    report: PlanProgress,
+    now: Milliseconds,
+  ): SpeedSample | undefined {
+    const overdueAt = now + REPORT_INTERVAL_MS + MIN_OVERDUE_MS;
+    const part = this.#watch.note(entry, report, overdueAt);
+    const rates = this.#serviceOf(entry);
+    if (!rates || !part) return undefined;
+    if (report.stage === AssignmentStage.answered) {
+      rates.noteEvents(report.events ?? 0, entry.outputTokens);
+    }
+    const sample = rates.decodeSample(part);
+    rates.speeds.add(entry.decode, sample, now);
+    return sample;
+  }
+
+  #addCall(
+    entry: LedgerEntry,
+    { runMs }: PlanProgress,
+    now: Milliseconds,
+  ): SpeedSample | undefined {
+    const rates = this.#serviceOf(entry);
+    const isPlain = entry.promptTokens === 0 && entry.outputTokens === 0;
+    if (!rates || !isPlain || runMs === undefined) return undefined;
+    const slots = Math.max(1, this.#replicas.get(entry.decode)?.slots ?? 1);
+    const running = this.#ledger.reservedTokensAt(entry.decode) + 1;
+    // A full replica queues requests, which is not slowness.
+    const unitMs = runMs / Math.max(1, running / slots);
+    const sample = { work: Work.call, unitMs, weight: 1 };
+    rates.speeds.add(entry.decode, sample, now);
+    return sample;
+  }
+
+  #noteOutcome(
+    { host, hall }: LedgerEntry,
+    incarnation: string,
+    isGood: boolean,
+    now: Milliseconds,
+  ): void {
+    this.#outcomes.note(incarnation, { host, hall, isGood, at: now });
+    if (isGood || this.#ejection.reasonOf(incarnation) !== undefined) return;
+    const replica = this.#replicas.get(incarnation);
+    if (!replica) return;
+    const pool = this.#view.replicasOf(replica.service);
+    const ids = pool.map((peer) => peer.incarnation);
+    const figures = this.#outcomes.failing(incarnation, ids, now);
+    const reason = EjectionReason.failing;
+    if (figures) this.#ejection.eject(replica, pool, { reason, figures }, now);
+  }
+
+  #endTrial(
+    incarnation: string,
+    id: string,
+    isGood: boolean,
+    now: Milliseconds,
+  ): void {
+    if (!this.#ejection.endTrial(incarnation, id, isGood, now)) return;
+    this.#outcomes.forget(incarnation);
+    this.#ratesOf(incarnation)?.speeds.forgetRecent(incarnation);
+  }
+
+  /** Compares the replicas of a service, and ejects those that do worse. */
+  #compare(service: string, now: Milliseconds): void {
+    this.#advance(now);
+    const rates = this.#serviceOf({ service });
+    if (!rates || now - rates.comparedAt < COMPARE_INTERVAL_MS) return;
+    rates.comparedAt = now;
+    const pool = this.#view.replicasOf(service);
+    for (const replica of pool) {
+      this.#replicas.delete(replica.incarnation);
+      this.#replicas.set(replica.incarnation, replica);
+    }
+    evictOldest(this.#replicas, MAX_REPLICAS);
+    const isOpen = (id: string) => this.#ledger.get(id) !== undefined;
+    const runs = this.#watch.openRuns(service, isOpen, now);
+    const ofService = [...runs.values()];
+    for (const replica of pool) {
+      const { incarnation } = replica;
+      const open = runs.get(incarnation);
+      const cause = slownessCause(rates.speeds, incarnation, now) ??
+        (open && silenceCause(open, ofService));
+      if (cause) this.#ejection.eject(replica, pool, cause, now);
+    }
+  }
+
+  /** Time from a grant to the first report. */
+  #grantTimeoutMs({ decode, promptTokens, tokensAhead }: LedgerEntry) {
+    const prefillMs = this.#ratesOf(decode)?.prefillMs(
+      decode,
+      promptTokens + tokensAhead,
+      this.#now,
+    ) ?? 0;
+    const callMs = promptTokens === 0 ? this.callMs(decode) : 0;
+    return this.#firstEventTimeoutMs(decode) +
+      OVERDUE_FACTOR * (prefillMs + callMs);
+  }
+
+  #firstEventTimeoutMs(decode: string): Milliseconds {
+    return Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * this.firstEventMs(decode));
+  }
+
+  #ratesOf(incarnation: string): ServiceRates | undefined {
+    const replica = this.#replicas.get(incarnation);
+    return replica && this.#services.get(replica.service);
+  }
+
+  #serviceOf(
+    { service }: { readonly service: string | undefined },
+  ): ServiceRates | undefined {
+    if (service === undefined) return undefined;
+    const known = this.#services.get(service);
+    if (known) return known;
+    const rates = new ServiceRates();
+    this.#services.set(service, rates);
+    return rates;
+  }
+
+  #advance(now: Milliseconds): void {
+    this.#now = Math.max(this.#now, now);
+  }
+}
--- a/src/gateway/planning/plain_assigner.ts
+++ b/src/gateway/planning/plain_assigner.ts
@@ -11,6 +11,8 @@
 import type { PlanRequest } from "./messages.ts";
 import type { Outcome } from "./outcome.ts";
 import { choosePlainReplica } from "./plain_choice.ts";
+import { ratedCandidates, ratedRequest } from "./rated_candidates.ts";
+import type { ReplicaRates } from "./replica_rates.ts";
 import { RateShare } from "./rate_share.ts";
 import { RecentPriorities } from "./recent_priorities.ts";
 import type { PlannerView } from "./view.ts";
@@ -25,6 +27,8 @@
   readonly view: PlannerView;
   readonly ledger: Ledger;
   readonly pacer: RequestPacer;
+  /** Speeds of the replicas; a reload of the settings replaces them. */
+  rates(): ReplicaRates;
   /** The replica rejected a request recently, or its limit has no room. */
   isFull(incarnation: string, now: Milliseconds): boolean;
 };
@@ -79,7 +83,7 @@
     return { type: "refuse", reason: "busy", retryAfterMs, isLimited };
   }
 
-  /** The replica with the least load; full replicas are left out. */
+  /** The replica that is free first; full replicas are left out. */
   #choose(
     queued: QueuedRequest,
     replicas: readonly ReplicaEntry[],
@@ -87,8 +91,15 @@
   ): ReplicaEntry | undefined {
     const { view, ledger, isFull } = this.#options;
     const { service, hall } = queued.request;
-    return choosePlainReplica(replicas, {
+    const rates = this.#options.rates();
+    const request = ratedRequest(queued.host, queued.request);
+    const hasRoom = ({ incarnation }: ReplicaEntry) =>
+      !isFull(incarnation, now);
+    const query = { request, hasRoom };
+    const candidates = ratedCandidates(rates, replicas, query, now);
+    return choosePlainReplica(candidates, {
       hall,
+      callMs: (incarnation) => rates.callMs(incarnation),
       remoteHallPenalty: view.remoteHallPenalty,
       inFlight: (incarnation) => ledger.reservedTokensAt(incarnation),
       isPaused: (incarnation) => view.isPaused(incarnation),
--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -1,4 +1,5 @@
 /** Selects the replica of a plain service for a request. */
+import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { minBy } from "./order.ts";
 
@@ -23,6 +24,8 @@
   readonly remoteHallPenalty: number;
   /** Requests that all hosts together have at a replica. */
   inFlight(incarnation: string): number;
+  /** Expected time of a request in a free slot. */
+  callMs(incarnation: string): Milliseconds;
   isPaused(incarnation: string): boolean;
   /** Whether the replica rejected a request recently. */
   isFull(incarnation: string): boolean;
@@ -33,7 +36,10 @@
   readonly avoidsLongQueues: boolean;
 };
 
-/** The replica with the least load per slot, preferably in this hall. */
+/**
+ * The replica where a request is expected to end first, preferably in this
+ * hall: the one with the least load per slot, if all are equally fast.
+ */
 export function choosePlainReplica(
   replicas: readonly ReplicaEntry[],
   query: PlainQuery,
@@ -42,6 +48,10 @@
     !query.isPaused(replica.incarnation)
   );
   const candidates = healthy.length > 0 ? healthy : replicas;
+  const usualMs = candidates.reduce(
+    (sum, { incarnation }) => sum + query.callMs(incarnation),
+    0,
+  ) / Math.max(1, candidates.length);
   return minBy(candidates, ({ incarnation, slots, hall }) => {
     if (query.isFull(incarnation)) return Infinity;
     const inFlight = query.inFlight(incarnation);
@@ -50,7 +60,8 @@
     }
     const penalty = hall === query.hall ? 0 : query.remoteHallPenalty;
     const utilization = inFlight / Math.max(1, slots);
-    return Math.max(LOW_UTILIZATION, utilization) + penalty +
+    const load = Math.max(LOW_UTILIZATION, utilization) +
       utilization * TIE_BREAK_WEIGHT;
+    return load * query.callMs(incarnation) + penalty * usualMs;
   });
 }
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -16,7 +16,7 @@
 import { type EngineAssignment, EngineChoice } from "./engine_choice.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { firstEventMs, Forecasts } from "./forecasts.ts";
-import { Ledger } from "./ledger.ts";
+import { Ledger, type LedgerEntry } from "./ledger.ts";
 import { RequestPacer } from "./request_pacer.ts";
 import { PlainAssigner } from "./plain_assigner.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
@@ -35,6 +35,7 @@
 import { EngineDecision } from "./engine_decision.ts";
 import type { Outcome } from "./outcome.ts";
 import { Progress } from "./progress.ts";
+import { MeasuredRates } from "./measured_rates.ts";
 import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
 
 /** How long a replica that had no memory is given no requests. */
@@ -64,7 +65,7 @@
   readonly #losses = new ExportLosses();
   readonly #promptLocations = new PromptLocations();
   readonly #forecasts: Forecasts;
-  readonly #rates: ReplicaRates = EQUAL_RATES;
+  readonly #measuredRates: MeasuredRates;
   readonly #bookings: Bookings = NO_BOOKINGS;
   readonly #shares: CustomerShares = NO_SHARES;
   readonly #progress: Progress;
@@ -84,12 +85,26 @@
     const ledger = this.#ledger;
     const promptLocations = this.#promptLocations;
     const forecasts = this.#forecasts;
+    this.#measuredRates = new MeasuredRates({ view, ledger });
+    const rates = () => this.#rates;
     this.#engineDecision = new EngineDecision({
-      choice: new EngineChoice({ view, ledger, promptLocations, isFull }),
+      choice: new EngineChoice({
+        view,
+        ledger,
+        promptLocations,
+        rates,
+        isFull,
+      }),
       forecasts,
       pacer,
     });
-    this.#plainAssigner = new PlainAssigner({ view, ledger, pacer, isFull });
+    this.#plainAssigner = new PlainAssigner({
+      view,
+      ledger,
+      pacer,
+      rates,
+      isFull,
+    });
     this.#progress = new Progress({
       view,
       ledger,
@@ -97,12 +112,18 @@
       promptLocations,
       forecasts,
       pacer,
-      rates: this.#rates,
+      rates,
       noteFull: (incarnation, now) =>
         this.#fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
     });
   }
 
+  /** Speeds of the replicas; all equal if they are not measured. */
+  get #rates(): ReplicaRates {
+    const { replicaRates } = this.#view.scheduling;
+    return replicaRates ? this.#measuredRates : EQUAL_RATES;
+  }
+
   /** Requests that wait for an assignment. */
   get waiting(): number {
     return this.#queue.size;
@@ -277,10 +298,11 @@
     const { outputTokens, priority, customer } = queued.request;
     const decode = assignment.decode.incarnation;
     const prefill = assignment.prefill?.incarnation;
-    this.#ledger.add({
+    const entry: LedgerEntry = {
       id,
       service,
       host: queued.host,
+      hall: queued.request.hall,
       decode,
       tokens,
       prefill,
@@ -293,7 +315,9 @@
       tokensAhead: prefill === undefined ? 0 : this.#ledger.backlogAt(prefill),
       grantedAt: now,
       expiresAt: now + ASSIGNMENT_TTL_MS,
-    });
+    };
+    this.#ledger.add(entry);
+    this.#rates.noteGrant(entry, now);
     if (prefill === undefined) this.#promptLocations.note(key, { decode }, now);
     const base = { type: "grant" as const, id, decode };
     return prefill === undefined ? base : { ...base, prefill };
--- a/src/gateway/planning/progress.ts
+++ b/src/gateway/planning/progress.ts
@@ -17,7 +17,8 @@
   readonly promptLocations: PromptLocations;
   readonly forecasts: Forecasts;
   readonly pacer: RequestPacer;
-  readonly rates: ReplicaRates;
+  /** Speeds of the replicas; a reload of the settings replaces them. */
+  rates(): ReplicaRates;
   /** Called for a decode replica that had no memory. */
   noteFull(incarnation: string, now: Milliseconds): void;
 };
@@ -46,14 +47,16 @@
         return;
       }
       case AssignmentStage.prefillFailed: {
-        const replica = ledger.endPrefill(id, undefined)?.prefilledBy;
-        if (replica !== undefined) view.noteFailure(replica, now);
+        const entry = ledger.endPrefill(id, undefined);
+        if (entry?.prefilledBy === undefined) return;
+        view.noteFailure(entry.prefilledBy, now);
+        this.#state.rates().notePrefillFailed(entry, now);
         return;
       }
       case AssignmentStage.started:
       case AssignmentStage.running: {
         const entry = ledger.get(id);
-        if (entry) this.#state.rates.noteProgress(entry, report, now);
+        if (entry) this.#state.rates().noteProgress(entry, report, now);
         return;
       }
       default: {
@@ -73,14 +76,14 @@
     const { promptLocations, view, rates } = this.#state;
     promptLocations.note(key, { decode, prefill: prefilledBy }, now);
     view.noteSuccess(prefilledBy);
-    if (spentMs !== undefined) rates.notePrefill(entry, spentMs, now);
+    if (spentMs !== undefined) rates().notePrefill(entry, spentMs, now);
   }
 
   #noteEnd(entry: LedgerEntry, report: PlanProgress, now: Milliseconds): void {
     const { losses, promptLocations, forecasts, view, rates } = this.#state;
     const { decode, prefilledBy, service } = entry;
     const { stage, retryAfterMs } = report;
-    rates.noteEnd(entry, report, now);
+    rates().noteEnd(entry, report, now);
     switch (stage) {
       case AssignmentStage.exportLost:
         if (prefilledBy === undefined) return;
--- /dev/null
+++ b/src/gateway/planning/rated_candidates.ts
@@ -0,0 +1,49 @@
+/** Leaves out the replicas that a request must not be given. */
+import type { Milliseconds } from "../../util/units.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import { Standing } from "./ejection.ts";
+import {
+  EQUAL_RATES,
+  type RatedRequest,
+  type ReplicaRates,
+} from "./replica_rates.ts";
+
+/** Options of {@link ratedCandidates}. */
+export type CandidateQuery = {
+  readonly request: RatedRequest;
+  /** Whether the replica could be given the request at once. */
+  hasRoom(replica: ReplicaEntry): boolean;
+};
+
+/**
+ * The replicas that may be given the request. A replica that is due for a trial
+ * gets it, because its estimates would not select it. If every replica is
+ * closed to the request, all of them may be given it.
+ */
+export function ratedCandidates(
+  rates: ReplicaRates,
+  replicas: readonly ReplicaEntry[],
+  { request, hasRoom }: CandidateQuery,
+  now: Milliseconds,
+): readonly ReplicaEntry[] {
+  if (rates === EQUAL_RATES) return replicas;
+  const open: ReplicaEntry[] = [];
+  for (const replica of replicas) {
+    const standing = rates.standing(replica, request, now);
+    if (standing === Standing.trial && hasRoom(replica)) return [replica];
+    if (standing === Standing.open) open.push(replica);
+  }
+  return open.length > 0 ? open : replicas;
+}
+
+/** What the rates need to know of a request. */
+export function ratedRequest(
+  host: string,
+  { hall, repeatable, begun }: {
+    readonly hall: string;
+    readonly repeatable?: true;
+    readonly begun: boolean;
+  },
+): RatedRequest {
+  return { host, hall, repeatable: repeatable === true && !begun };
+}
--- /dev/null
+++ b/src/gateway/planning/recent_outcomes.ts
@@ -0,0 +1,128 @@
+/**
+ * Outcomes of the recent requests at each replica. The load that it answers:
+ * replicas that fail a part of their requests, and hosts or data halls that
+ * can't reach a replica which serves the others.
+ */
+import { evictOldest } from "../../util/evict_oldest.ts";
+import type { Milliseconds } from "../../util/units.ts";
+
+/** How a request at a replica ended. */
+export type RequestOutcome = {
+  readonly host: string;
+  /** The host's data hall; undefined if the planner doesn't know it. */
+  readonly hall: string | undefined;
+  readonly isGood: boolean;
+  readonly at: Milliseconds;
+};
+
+/** Failures of a replica's recent requests. */
+export type FailureFigures = {
+  readonly failures: number;
+  readonly requests: number;
+};
+
+/** The host that sends a request. */
+export type Sender = { readonly host: string; readonly hall: string };
+
+/** Outcomes that are kept of one replica, and for how long. */
+const MAX_OUTCOMES = 20;
+const MAX_AGE_MS = 10_000;
+const MAX_REPLICAS = 3000;
+/** A replica fails if it has this many failures and this share of them. */
+const MIN_FAILURES = 3;
+const MIN_FAILURE_SHARE = 0.25;
+/** How many times more failures it has than the rest of its pool. */
+const MIN_RATIO_TO_POOL = 3;
+/** Failures after which one host, or one hall, avoids a replica. */
+const HOST_FAILURES = 2;
+const HALL_FAILURES = 3;
+/** How long it avoids the replica after the last failure. */
+const AVOID_MS = 2000;
+
+/** Recent outcomes by incarnation. */
+export class RecentOutcomes {
+  readonly #outcomes = new Map<string, RequestOutcome[]>();
+
+  /** Records how a request ended. */
+  note(incarnation: string, outcome: RequestOutcome): void {
+    const outcomes = this.#outcomes.get(incarnation) ?? [];
+    this.#outcomes.set(incarnation, outcomes);
+    outcomes.push(outcome);
+    if (outcomes.length > MAX_OUTCOMES) outcomes.shift();
+    evictOldest(this.#outcomes, MAX_REPLICAS);
+  }
+
+  /** Forgets the outcomes of a replica. */
+  forget(incarnation: string): void {
+    this.#outcomes.delete(incarnation);
+  }
+
+  /**
+   * The figures of a replica that fails for several hosts, and more than the
+   * others of its pool; undefined: it doesn't.
+   */
+  failing(
+    incarnation: string,
+    pool: readonly string[],
+    now: Milliseconds,
+  ): FailureFigures | undefined {
+    const outcomes = this.#recent(incarnation, now);
+    const failed = outcomes.filter((outcome) => !outcome.isGood);
+    const share = failed.length / Math.max(1, outcomes.length);
+    if (failed.length < MIN_FAILURES || share < MIN_FAILURE_SHARE) {
+      return undefined;
+    }
+    if (isSeenByFew(outcomes, failed)) return undefined;
+    const others = pool.filter((other) => other !== incarnation)
+      .flatMap((other) => this.#recent(other, now));
+    const othersFailed = others.filter((outcome) => !outcome.isGood).length;
+    const othersShare = othersFailed / Math.max(1, others.length);
+    if (share < MIN_RATIO_TO_POOL * othersShare) return undefined;
+    return { failures: failed.length, requests: outcomes.length };
+  }
+
+  /**
+   * Whether requests of this host avoid the replica, because its last requests
+   * there, or those of its hall, failed while others succeed.
+   */
+  isAvoidedBy(
+    { host, hall }: Sender,
+    incarnation: string,
+    now: Milliseconds,
+  ): boolean {
+    const outcomes = this.#recent(incarnation, now);
+    if (outcomes.every((outcome) => outcome.isGood)) return false;
+    const ofHost = outcomes.filter((outcome) => outcome.host === host);
+    if (endsWithFailures(ofHost, HOST_FAILURES, now)) return true;
+    const ofHall = outcomes.filter((outcome) => outcome.hall === hall);
+    return outcomes.some((other) => other.isGood && other.hall !== hall) &&
+      endsWithFailures(ofHall, HALL_FAILURES, now);
+  }
+
+  #recent(incarnation: string, now: Milliseconds): readonly RequestOutcome[] {
+    const outcomes = this.#outcomes.get(incarnation) ?? [];
+    return outcomes.filter(({ at }) => now - at < MAX_AGE_MS);
+  }
+}
+
+/** Whether all failures are those of one host or hall that others don't have. */
+function isSeenByFew(
+  outcomes: readonly RequestOutcome[],
+  failed: readonly RequestOutcome[],
+): boolean {
+  const isShared = (origin: (outcome: RequestOutcome) => string | undefined) =>
+    new Set(failed.map(origin)).size > 1 ||
+    new Set(outcomes.map(origin)).size === 1;
+  return !isShared(({ host }) => host) || !isShared(({ hall }) => hall);
+}
+
+function endsWithFailures(
+  outcomes: readonly RequestOutcome[],
+  count: number,
+  now: Milliseconds,
+): boolean {
+  const last = outcomes.slice(-count);
+  const latest = last.at(-1);
+  return last.length === count && latest !== undefined &&
+    now - latest.at < AVOID_MS && last.every((outcome) => !outcome.isGood);
+}
--- a/src/gateway/planning/replica_rates.ts
+++ b/src/gateway/planning/replica_rates.ts
@@ -4,9 +4,20 @@
  * work to a replica that is much slower than its pool.
  */
 import type { Milliseconds } from "../../util/units.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import { Standing } from "./ejection.ts";
 import type { LedgerEntry } from "./ledger.ts";
 import type { PlanProgress } from "./messages.ts";
 
+/** The request that a replica is considered for. */
+export type RatedRequest = {
+  /** The host that sent it, and its data hall. */
+  readonly host: string;
+  readonly hall: string;
+  /** It may run more than once. */
+  readonly repeatable: boolean;
+};
+
 /** Estimates of one planner, by incarnation. */
 export type ReplicaRates = {
   /**
@@ -23,6 +34,16 @@
   callMs(incarnation: string): Milliseconds;
   /** Whether the replica gets no work, since it fails or is far too slow. */
   isEjected(incarnation: string, now: Milliseconds): boolean;
+  /** What the replica may be given of a request. */
+  standing(
+    replica: ReplicaEntry,
+    request: RatedRequest,
+    now: Milliseconds,
+  ): Standing;
+  /** Records that a request was assigned. */
+  noteGrant(entry: LedgerEntry, now: Milliseconds): void;
+  /** Records that the assigned prefill replica failed a prefill. */
+  notePrefillFailed(entry: LedgerEntry, now: Milliseconds): void;
   /** Records the duration of a prefill. */
   notePrefill(
     entry: LedgerEntry,
@@ -40,11 +61,11 @@
 };
 
 /** Time from one event of a run to the next, until it is known. */
-const INITIAL_EVENT_MS = 25;
+export const INITIAL_EVENT_MS = 25;
 /** Time from a send to a decode replica to the first event, until known. */
-const INITIAL_FIRST_EVENT_MS = 100;
+export const INITIAL_FIRST_EVENT_MS = 100;
 /** Service time of a plain request, until one is known. */
-const INITIAL_CALL_MS = 50;
+export const INITIAL_CALL_MS = 50;
 
 /** Takes all replicas for equal. */
 export const EQUAL_RATES: ReplicaRates = {
@@ -53,6 +74,9 @@
   firstEventMs: () => INITIAL_FIRST_EVENT_MS,
   callMs: () => INITIAL_CALL_MS,
   isEjected: () => false,
+  standing: () => Standing.open,
+  noteGrant: () => undefined,
+  notePrefillFailed: () => undefined,
   notePrefill: () => undefined,
   noteProgress: () => undefined,
   noteEnd: () => undefined,
--- /dev/null
+++ b/src/gateway/planning/speed_model.ts
@@ -0,0 +1,239 @@
+/**
+ * Estimates how slow each replica of a service is, relative to its pool, from
+ * the durations of its work. The load that it answers: replicas that differ in
+ * speed by a factor of two, or become several times slower for some seconds,
+ * while the duration of each run varies by more than that.
+ */
+import type { Milliseconds } from "../../util/units.ts";
+import { DecayingSum } from "./decaying_sum.ts";
+
+/** Kinds of work; their durations are compared only within a kind. */
+export const Work = {
+  /** One event of a stream. */
+  decode: "decode",
+  /** The prefill of one prompt token. */
+  prefill: "prefill",
+  /** One plain request. */
+  call: "call",
+  /** The time to the first event of a run. */
+  firstEvent: "first-event",
+} as const;
+/** One of the values of {@link Work}. */
+export type Work = typeof Work[keyof typeof Work];
+
+/** A measured duration. */
+export type SpeedSample = {
+  readonly work: Work;
+  /** Duration of one unit of the work. */
+  readonly unitMs: Milliseconds;
+  /** At most 1; less for a sample over little work. */
+  readonly weight: number;
+};
+
+/** Decay of the samples of the recent and of the steady estimate. */
+const RECENT_DECAY_MS = 3000;
+const STEADY_DECAY_MS = 60_000;
+/** Weight of the assumption that a replica is as fast as before, or as others. */
+const PRIOR_WEIGHT = 2;
+/** Samples of a kind of work before replicas are compared by it. */
+const REFERENCE_MIN_WEIGHT = 6;
+const REFERENCE_MAX_WEIGHT = 300;
+/** Limit of one sample's deviation, as a logarithm. */
+const MAX_DEVIATION = Math.log(8);
+/** Replicas with less weight are forgotten. */
+const MIN_WEIGHT = 0.02;
+/**
+ * The latest samples of a replica: how many are kept, how many are needed, over
+ * which time, and for how long they are valid. Runs that end at the same moment
+ * have been slowed by the same thing.
+ */
+const LATEST_SAMPLES = 5;
+const LATEST_MIN_SAMPLES = 3;
+const LATEST_MIN_SPAN_MS = 400;
+const LATEST_MAX_AGE_MS = 4000;
+/** Interval at which the medians are computed. */
+const MEDIAN_INTERVAL_MS = 100;
+
+/** A mean whose samples decay with time. */
+class DecayingMean {
+  readonly #sum = new DecayingSum();
+  readonly #weights = new DecayingSum();
+  readonly #decayMs: Milliseconds;
+
+  constructor(decayMs: Milliseconds) {
+    this.#decayMs = decayMs;
+  }
+
+  add(value: number, weight: number, now: Milliseconds): void {
+    this.#sum.add(value * weight, now, this.#decayMs);
+    this.#weights.add(weight, now, this.#decayMs);
+  }
+
+  weight(now: Milliseconds): number {
+    return this.#weights.at(now, this.#decayMs);
+  }
+
+  /** The mean of the samples and of `prior` with its weight. */
+  shrunk(prior: number, now: Milliseconds): number {
+    const sum = this.#sum.at(now, this.#decayMs) + prior * PRIOR_WEIGHT;
+    return sum / (this.weight(now) + PRIOR_WEIGHT);
+  }
+}
+
+type LatestSample = { readonly at: Milliseconds; readonly deviation: number };
+type ReplicaSlowness = {
+  recent: DecayingMean;
+  readonly steady: DecayingMean;
+  latest: LatestSample[];
+};
+type Reference = { mean: number; weight: number };
+type Medians = {
+  readonly at: Milliseconds;
+  readonly steady: number;
+  readonly recent: number;
+};
+
+/** Slowness of the replicas of one service; all values are logarithms. */
+export class SpeedModel {
+  readonly #replicas = new Map<string, ReplicaSlowness>();
+  readonly #references = new Map<Work, Reference>();
+  #medians: Medians = { at: -Infinity, steady: 0, recent: 0 };
+
+  /** Adds a measured duration of a replica's work. */
+  add(incarnation: string, sample: SpeedSample, now: Milliseconds): void {
+    const { work, unitMs, weight } = sample;
+    if (!(unitMs > 0) || !(weight > 0)) return;
+    const value = Math.log(unitMs);
+    const reference = this.#references.get(work) ?? { mean: 0, weight: 0 };
+    this.#references.set(work, reference);
+    if (reference.weight < REFERENCE_MIN_WEIGHT) {
+      return updateReference(reference, value, weight);
+    }
+    const replica = this.#replicaOf(incarnation);
+    const deviation = clamp(value - reference.mean, MAX_DEVIATION);
+    replica.recent.add(deviation, weight, now);
+    replica.steady.add(deviation, weight, now);
+    replica.latest.push({ at: now, deviation });
+    if (replica.latest.length > LATEST_SAMPLES) replica.latest.shift();
+    const explained = this.#steady(replica, now);
+    updateReference(reference, value - explained, weight);
+  }
+
+  /** Slowness over about a minute, compared with the median replica. */
+  steadySlowness(incarnation: string, now: Milliseconds): number {
+    const replica = this.#replicas.get(incarnation);
+    if (!replica) return 0;
+    return this.#steady(replica, now) - this.#mediansAt(now).steady;
+  }
+
+  /**
+   * Median of the latest samples, compared with the median replica; undefined
+   * if they are too few.
+   */
+  latestSlowness(incarnation: string, now: Milliseconds): number | undefined {
+    const all = this.#replicas.get(incarnation)?.latest ?? [];
+    const latest = all.filter(({ at }) => now - at < LATEST_MAX_AGE_MS);
+    const first = latest[0]?.at ?? now;
+    const last = latest.at(-1)?.at ?? now;
+    if (latest.length < LATEST_MIN_SAMPLES) return undefined;
+    if (last - first < LATEST_MIN_SPAN_MS) return undefined;
+    const median = medianOf(latest.map(({ deviation }) => deviation)) ?? 0;
+    return median - this.#mediansAt(now).recent;
+  }
+
+  /** Duration of one unit at a replica; undefined before enough samples. */
+  unitMs(
+    work: Work,
+    incarnation: string,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    const reference = this.#references.get(work);
+    if (!reference || reference.weight < REFERENCE_MIN_WEIGHT) return undefined;
+    const replica = this.#replicas.get(incarnation);
+    const slowness = replica
+      ? this.#recent(replica, now)
+      : this.#mediansAt(now).recent;
+    return Math.exp(reference.mean + slowness);
+  }
+
+  /** Slowness of one sample, compared with the median replica. */
+  deviation({ work, unitMs }: SpeedSample, now: Milliseconds): number {
+    const reference = this.#references.get(work);
+    if (!reference || reference.weight < REFERENCE_MIN_WEIGHT) return 0;
+    return Math.log(unitMs) - reference.mean - this.#mediansAt(now).recent;
+  }
+
+  /** Forgets the recent samples of a replica. */
+  forgetRecent(incarnation: string): void {
+    const replica = this.#replicas.get(incarnation);
+    if (!replica) return;
+    replica.recent = new DecayingMean(RECENT_DECAY_MS);
+    replica.latest = [];
+  }
+
+  #replicaOf(incarnation: string): ReplicaSlowness {
+    const known = this.#replicas.get(incarnation);
+    if (known) return known;
+    const replica = {
+      recent: new DecayingMean(RECENT_DECAY_MS),
+      steady: new DecayingMean(STEADY_DECAY_MS),
+      latest: [],
+    };
+    this.#replicas.set(incarnation, replica);
+    return replica;
+  }
+
+  #steady({ steady }: ReplicaSlowness, now: Milliseconds): number {
+    return steady.shrunk(this.#mediansAt(now).steady, now);
+  }
+
+  /** Without recent samples, it has changed as the median replica has. */
+  #recent(replica: ReplicaSlowness, now: Milliseconds): number {
+    const medians = this.#mediansAt(now);
+    const change = medians.recent - medians.steady;
+    return replica.recent.shrunk(this.#steady(replica, now) + change, now);
+  }
+
+  #mediansAt(now: Milliseconds): Medians {
+    if (now - this.#medians.at < MEDIAN_INTERVAL_MS) return this.#medians;
+    const before = this.#medians;
+    const steady: number[] = [];
+    const recent: number[] = [];
+    for (const [incarnation, replica] of this.#replicas) {
+      if (replica.steady.weight(now) < MIN_WEIGHT) {
+        this.#replicas.delete(incarnation);
+        continue;
+      }
+      const slowness = replica.steady.shrunk(before.steady, now);
+      steady.push(slowness);
+      if (replica.recent.weight(now) < MIN_WEIGHT) continue;
+      recent.push(replica.recent.shrunk(slowness, now));
+    }
+    const medianSteady = medianOf(steady) ?? 0;
+    this.#medians = {
+      at: now,
+      steady: medianSteady,
+      recent: medianOf(recent) ?? medianSteady,
+    };
+    return this.#medians;
+  }
+}
+
+function updateReference(
+  reference: Reference,
+  value: number,
+  weight: number,
+): void {
+  reference.weight = Math.min(REFERENCE_MAX_WEIGHT, reference.weight + weight);
+  reference.mean += (value - reference.mean) * weight / reference.weight;
+}
+
+function clamp(value: number, limit: number): number {
+  return Math.max(-limit, Math.min(limit, value));
+}
+
+/** The median; of an even number, the smaller of the two in the middle. */
+function medianOf(values: readonly number[]): number | undefined {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)];
+}
