Planner: decide at its arrival whether a request can be served

Waits were forecast from the mean lifetime of assignments and again every 250 ms, so requests of an overloaded pool were refused after 0.3 to 3 s, and retries waited until their callers timed out.

With scheduling.arrival_decisions, the queue is simulated at an arrival on the expected memory use of each replica, with run times learned from the runs that have ended. What can't be served in time is refused in the pass in which it arrives; what was admitted keeps its place. Large requests and less urgent routes have an assured share. Off, nothing changes.

--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -153,6 +153,11 @@
     "Another host became the planner of a service",
     20,
   ),
+  admissionRevoked: warn(
+    "planning",
+    "An admitted request can't be served since replicas were lost",
+    20,
+  ),
   quotaOwnerLost: warn("quotas", "An owner of quotas is unreachable", 20),
   heldBack: warn(
     "crashes",
--- a/src/gateway/planning/admission.ts
+++ b/src/gateway/planning/admission.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { MIN_PER_SECOND } from "../limits/allowance.ts";
 import { DecayingSum } from "./decaying_sum.ts";
+import type { PlanRequest } from "./messages.ts";
 
 /** Assumed lifetime of an assignment until one has ended. */
 const INITIAL_LIFETIME_MS = 4000;
@@ -25,24 +26,28 @@
  */
 const RETRY_JITTER = 0.33;
 
+/** What a pool can serve; full capacity is a load of 1. */
+export type PoolCapacity = {
+  /** Memory of all decode replicas, in tokens. */
+  readonly memory: number;
+  /** Prompt tokens processed per millisecond; 0 without any prefill replica. */
+  readonly prefillRate: number;
+  /**
+   * Requests per second that the decode replicas accept; Infinity: no limit.
+   */
+  readonly startRate: number;
+};
+
 /** State of a pool when a request arrives. */
-export type PoolState = {
+export type PoolState = PoolCapacity & {
   /** Tokens of the request and of those ahead of it. */
   readonly tokens: number;
   /** Number of requests up to and including this one. */
   readonly requests: number;
-  /**
-   * Requests per second that the decode replicas accept; Infinity: no limit.
-   */
-  readonly startRate: number;
   /** Tokens reserved at all decode replicas. */
   readonly reserved: number;
-  /** Memory of all decode replicas, in tokens. */
-  readonly memory: number;
   /** Prompt tokens that the prefill replicas have to process before it. */
   readonly promptTokens: number;
-  /** Prompt tokens that they process per millisecond; 0 without any replica. */
-  readonly prefillRate: number;
 };
 
 /** When a pool can start a request. */
@@ -69,6 +74,7 @@
   readonly #refusedUntil = new Map<string, Milliseconds>();
   /** Tokens that arrived within about one assignment lifetime. */
   readonly #offeredTokens = new DecayingSum();
+  readonly #offeredTokensByPriority = new Map<number, DecayingSum>();
   readonly #offeredPromptTokens = new DecayingSum();
   readonly #offeredRequests = new DecayingSum();
   #meanLifetimeMs: Milliseconds = INITIAL_LIFETIME_MS;
@@ -79,9 +85,14 @@
 
   /** Counts a request that arrived; a retry counts again. */
   noteArrival(
-    request: { readonly tokens: number; readonly promptTokens: number },
+    request: Pick<PlanRequest, "tokens" | "promptTokens" | "priority">,
     now: Milliseconds,
   ): void {
+    const byPriority = this.#offeredTokensByPriority;
+    const known = byPriority.get(request.priority);
+    const offered = known ?? new DecayingSum();
+    if (!known) byPriority.set(request.priority, offered);
+    offered.add(request.tokens, now, this.#meanLifetimeMs);
     this.#offeredTokens.add(request.tokens, now, this.#meanLifetimeMs);
     this.#offeredPromptTokens.add(
       request.promptTokens,
@@ -115,28 +126,58 @@
     const startMs = Number.isFinite(startRate)
       ? (requests - 1) * 1000 / Math.max(MIN_PER_SECOND, startRate)
       : 0;
-    // Load offered to the memory and to the prefill replicas; 1 is full
-    // capacity.
-    const lifetimeMs = this.#meanLifetimeMs;
-    const memoryLoad = this.#offeredTokens.at(now, lifetimeMs) /
-      Math.max(1, memory);
-    const prefillLoad = prefillRate > 0
-      ? this.#offeredPromptTokens.at(now, lifetimeMs) /
-        (prefillRate * lifetimeMs)
-      : 0;
-    const startLoad = this.#offeredRequests.at(now, lifetimeMs) /
-      (startRate * lifetimeMs) *
-      1000;
+    const load = this.#loadOf(pool, now);
     return {
       waitMs: Math.max(memoryMs, prefillMs, startMs),
       lateWaitMs: Math.max(
-        waitWhenOvertaken(memoryMs, memoryLoad),
-        waitWhenOvertaken(prefillMs, prefillLoad),
-        waitWhenOvertaken(startMs, startLoad),
+        waitWhenOvertaken(memoryMs, load.memory),
+        waitWhenOvertaken(prefillMs, load.prefill),
+        waitWhenOvertaken(startMs, load.start),
       ),
     };
   }
 
+  /** A wait prolonged by later requests that are scheduled first. */
+  lateWaitMs(
+    waitMs: Milliseconds,
+    pool: PoolCapacity,
+    now: Milliseconds,
+  ): Milliseconds {
+    const { memory, prefill, start } = this.#loadOf(pool, now);
+    return waitWhenOvertaken(waitMs, Math.max(memory, prefill, start));
+  }
+
+  /** A wait prolonged by later requests that are more urgent. */
+  urgentWaitMs(
+    waitMs: Milliseconds,
+    { memory, priority }: { memory: number; priority: number },
+    now: Milliseconds,
+  ): Milliseconds {
+    let tokens = 0;
+    for (const [other, offered] of this.#offeredTokensByPriority) {
+      if (other < priority) tokens += offered.at(now, this.#meanLifetimeMs);
+    }
+    return waitWhenOvertaken(waitMs, tokens / Math.max(1, memory));
+  }
+
+  /** Offered load of the memory, the prefill replicas and the limits. */
+  #loadOf(
+    { memory, prefillRate, startRate }: PoolCapacity,
+    now: Milliseconds,
+  ): { memory: number; prefill: number; start: number } {
+    const lifetimeMs = this.#meanLifetimeMs;
+    return {
+      memory: this.#offeredTokens.at(now, lifetimeMs) / Math.max(1, memory),
+      prefill: prefillRate > 0
+        ? this.#offeredPromptTokens.at(now, lifetimeMs) /
+          (prefillRate * lifetimeMs)
+        : 0,
+      start: this.#offeredRequests.at(now, lifetimeMs) /
+        (startRate * lifetimeMs) *
+        1000,
+    };
+  }
+
   /** Records a refusal; returns the delay after which to retry. */
   refuse(
     { key, waitMs, longestRetryMs }: RefusedRequest,
--- /dev/null
+++ b/src/gateway/planning/arrival_decision.ts
@@ -0,0 +1,179 @@
+/**
+ * Decides once, at its arrival, whether a request that can't be assigned at once
+ * is served. It is admitted if its first event is expected in time, or if it is
+ * late but the pool has spare capacity to serve it before its caller gives up.
+ * Everything else is refused at once, so that no caller of an overloaded pool
+ * waits in vain. What was admitted is refused only if replicas were lost since.
+ */
+import type { Milliseconds } from "../../util/units.ts";
+import type { Admission } from "./admission.ts";
+import type { ArrivalForecast } from "./arrival_forecast.ts";
+import type { ServiceForecast } from "./memory_profile.ts";
+import type { PoolSnapshot } from "./pool_snapshot.ts";
+import type { QueuedRequest } from "./request_queue.ts";
+import type { ServedShares } from "./served_shares.ts";
+import type { PlannerView } from "./view.ts";
+
+/** Share of its objective within which a request is refused at once. */
+const PROMPT_REFUSAL_SHARE = 0.125;
+
+/** Options of {@link ArrivalDecision}. */
+export type ArrivalDecisionOptions = {
+  readonly view: Pick<PlannerView, "events" | "metrics">;
+  readonly forecast: Pick<ArrivalForecast, "forecast">;
+  readonly shares: Pick<
+    ServedShares,
+    "isPriorityOwed" | "isSizeOwed" | "noteGrant"
+  >;
+};
+
+/** The pool of a request and the load that is offered to it. */
+export type OfferedPool = {
+  readonly pool: PoolSnapshot;
+  readonly admission: Pick<Admission, "lateWaitMs" | "urgentWaitMs">;
+};
+
+/** How long a request waits, and how it is admitted if that is in time. */
+type Wait = {
+  readonly waitMs: Milliseconds;
+  readonly isOnTime: boolean;
+  /** Its priority is owed service, so it goes before more urgent ones. */
+  readonly isPromoted: boolean;
+  /** Its priority or its size is owed service. */
+  readonly isOwed: boolean;
+};
+
+const NEVER: ServiceForecast = { startsAt: Infinity, firstEventAt: Infinity };
+
+/** Decode replicas of a service and how often some of them were lost. */
+type Capacity = { decodes: number; losses: number };
+
+/** Decides about the requests that wait at one planner. */
+export class ArrivalDecision {
+  readonly #options: ArrivalDecisionOptions;
+  readonly #capacities = new Map<string, Capacity>();
+
+  constructor(options: ArrivalDecisionOptions) {
+    this.#options = options;
+  }
+
+  /** The wait of a request that is refused; undefined: it is admitted. */
+  refusedWaitMs(
+    queued: QueuedRequest,
+    offered: OfferedPool,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    const { service } = queued.request;
+    const losses = this.#lossesOf(service, offered.pool);
+    if (queued.mayHaveRun || queued.admission?.losses === losses) {
+      return undefined;
+    }
+    queued.forecast = this.#options.forecast.forecast(
+      queued,
+      offered.pool,
+      now,
+    );
+    const wait = this.#waitOf(queued, offered, now);
+    if (now + wait.waitMs >= queued.abandonAt) {
+      this.#noteRefusal(queued, now);
+      return wait.waitMs;
+    }
+    const { metrics } = this.#options.view;
+    if (!queued.admission) {
+      metrics.count(wait.isOnTime ? "admitted_on_time" : "admitted_late");
+    }
+    const { isOnTime, isPromoted, isOwed } = wait;
+    const startsBy = isOnTime || isOwed ? now : now + wait.waitMs;
+    queued.admission = { isOnTime, isPromoted, startsBy, losses };
+    if (isOwed) this.#noteOwed(queued, now);
+    return undefined;
+  }
+
+  /** Compares the assignment of a request with its forecast. */
+  noteGrant(queued: QueuedRequest, now: Milliseconds): void {
+    this.#noteServed(queued, now);
+    const { admission, forecast } = queued;
+    if (!admission || !forecast) return;
+    const startsBy = Math.max(admission.startsBy, forecast.startsAt);
+    const kind = admission.isOnTime ? "on_time" : "late";
+    const outcome = now <= startsBy ? "kept" : "missed";
+    this.#options.view.metrics.count(`forecasts_${kind}_${outcome}`);
+  }
+
+  /** How long a request waits, and as what it is admitted. */
+  #waitOf(
+    queued: QueuedRequest,
+    { pool, admission }: OfferedPool,
+    now: Milliseconds,
+  ): Wait {
+    const { request, dueAt } = queued;
+    const { startsAt, firstEventAt } = queued.forecast ?? NEVER;
+    const waitMs = startsAt - now;
+    const { forecastMemory: memory, prefillRate, startRate } = pool;
+    const { priority } = request;
+    const { shares } = this.#options;
+    const isPromoted = shares.isPriorityOwed(request, now);
+    const urgentWaitMs = isPromoted
+      ? waitMs
+      : admission.urgentWaitMs(waitMs, { memory, priority }, now);
+    if (firstEventAt - waitMs + urgentWaitMs <= dueAt) {
+      const isOwed = isPromoted;
+      return { waitMs: urgentWaitMs, isOnTime: true, isPromoted, isOwed };
+    }
+    if (isPromoted || shares.isSizeOwed(request, now)) {
+      const isOwed = true;
+      return { waitMs: urgentWaitMs, isOnTime: false, isPromoted, isOwed };
+    }
+    const lateWaitMs = queued.isRetry || hasWaited(queued, now)
+      ? urgentWaitMs
+      : admission.lateWaitMs(waitMs, { memory, prefillRate, startRate }, now);
+    const isOwed = false;
+    return { waitMs: lateWaitMs, isOnTime: false, isPromoted, isOwed };
+  }
+
+  /** Counts a request as served already, so that no others are owed as well. */
+  #noteOwed(queued: QueuedRequest, now: Milliseconds): void {
+    this.#noteServed(queued, now);
+    queued.passedOverAt ??= now;
+  }
+
+  /** Counts a request once towards the shares of its groups. */
+  #noteServed(queued: QueuedRequest, now: Milliseconds): void {
+    if (queued.isCounted) return;
+    queued.isCounted = true;
+    this.#options.shares.noteGrant(queued.request, now);
+  }
+
+  #noteRefusal(
+    { request, admission, forecast = NEVER }: QueuedRequest,
+    now: Milliseconds,
+  ): void {
+    const { events, metrics } = this.#options.view;
+    metrics.count(admission ? "admissions_revoked" : "refused_at_arrival");
+    if (!admission) return;
+    const { service, priority } = request;
+    const forecastMs = Number.isFinite(forecast.firstEventAt)
+      ? Math.round(forecast.firstEventAt - now)
+      : undefined;
+    events.note("admissionRevoked", { service, priority, forecastMs });
+  }
+
+  /** How often the service has lost decode replicas. */
+  #lossesOf(service: string, pool: PoolSnapshot): number {
+    const decodes = pool.decodes.length;
+    const known = this.#capacities.get(service) ?? { decodes, losses: 0 };
+    if (decodes < known.decodes) known.losses += 1;
+    known.decodes = decodes;
+    this.#capacities.set(service, known);
+    return known.losses;
+  }
+}
+
+/** Whether it is too late to refuse a request at once. */
+function hasWaited(
+  { request, dueAt }: QueuedRequest,
+  now: Milliseconds,
+): boolean {
+  const waitedMs = now - (dueAt - request.objectiveMs);
+  return waitedMs > request.objectiveMs * PROMPT_REFUSAL_SHARE;
+}
--- a/src/gateway/planning/engine_decision.ts
+++ b/src/gateway/planning/engine_decision.ts
@@ -10,12 +10,15 @@
 import type { PoolSnapshot } from "./pool_snapshot.ts";
 import type { RequestPacer } from "./request_pacer.ts";
 import type { QueuedRequest } from "./request_queue.ts";
+import { MemorySetAside } from "./memory_set_aside.ts";
+import type { PlannerView } from "./view.ts";
 
 /** Options of {@link EngineDecision}. */
 export type EngineDecisionOptions = {
   readonly choice: EngineChoice;
   readonly forecasts: Forecasts;
   readonly pacer: RequestPacer;
+  readonly view: Pick<PlannerView, "scheduling">;
 };
 
 /** Decides about requests of model services. */
@@ -23,11 +26,17 @@
   readonly #choice: EngineChoice;
   readonly #forecasts: Forecasts;
   readonly #pacer: RequestPacer;
+  readonly #view: EngineDecisionOptions["view"];
+  readonly #setAside: MemorySetAside;
 
-  constructor({ choice, forecasts, pacer }: EngineDecisionOptions) {
+  constructor({ choice, forecasts, pacer, view }: EngineDecisionOptions) {
     this.#choice = choice;
     this.#forecasts = forecasts;
     this.#pacer = pacer;
+    this.#view = view;
+    this.#setAside = new MemorySetAside((queued, pool, now) =>
+      forecasts.arrival.firstReplica(queued, pool, now)
+    );
   }
 
   /** Decides about the next request in scheduling order. */
@@ -36,7 +45,12 @@
     pool: PoolSnapshot,
     now: Milliseconds,
   ): Outcome {
+    const isOwed = queued.admission !== undefined ||
+      this.#forecasts.isPriorityOwed(queued.request, now);
+    // What was owed has been given to a request that is scheduled before it.
+    if (queued.isPromoted && !isOwed && !queued.mayHaveRun) return WAIT;
     const outcome = this.#assign(queued, pool, now);
+    if (outcome.type === "assign") this.#forecasts.noteGrant(queued, now);
     if (outcome.type !== "wait") return outcome;
     return this.#refuseEarly(queued, pool, now);
   }
@@ -55,12 +69,15 @@
     if (decodes.length === 0) return { type: "refuse", reason: "no-replica" };
     // Memory that is released goes to more urgent requests that wait for it,
     // even if a less urgent request would fit already.
-    if (!queued.mayHaveRun && queued.priority > pool.mostUrgentWaiting) {
-      return WAIT;
-    }
+    const isLessUrgent = queued.priority > pool.mostUrgentWaiting;
+    if (isLessUrgent && !queued.mayHaveRun && !queued.isPromoted) return WAIT;
     const mayFit = excluded.length > 0 || pool.mayFit(queued.request.tokens);
     const healthyDecodes = allowed(pool.healthyDecodes);
-    const candidates = healthyDecodes.length > 0 ? healthyDecodes : decodes;
+    const usable = healthyDecodes.length > 0 ? healthyDecodes : decodes;
+    const { arrivalDecisions } = this.#view.scheduling;
+    const candidates = arrivalDecisions
+      ? this.#setAside.allowed(pool, usable)
+      : usable;
     const limitedMs = this.#pacer.minWaitMs(candidates, now);
     if (now + limitedMs > queued.abandonAt) {
       return {
@@ -78,7 +95,15 @@
       mayFit,
       slackMs: queued.dueAt - now,
     }, now);
-    if (!chosen) return WAIT;
+    if (!chosen) {
+      if (
+        arrivalDecisions && !this.#choice.decodeFor(queued.request, usable, now)
+      ) {
+        this.#setAside.noteWaiting(queued, pool, now);
+      }
+      return WAIT;
+    }
+    this.#setAside.noteGrant(pool, now);
     this.#pacer.noteGrant(chosen.decode.incarnation, now);
     if (chosen.prefill) this.#pacer.noteGrant(chosen.prefill.incarnation, now);
     return { type: "assign", ...chosen };
--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -1,9 +1,17 @@
 /** Forecasts the waits at the pools of all services, and tracks refusals. */
 import type { Milliseconds } from "../../util/units.ts";
 import { Admission } from "./admission.ts";
-import type { QueuedRequest } from "./request_queue.ts";
+import { ArrivalDecision } from "./arrival_decision.ts";
+import { ArrivalForecast } from "./arrival_forecast.ts";
+import type { Ledger, LedgerEntry } from "./ledger.ts";
 import type { PlanRequest } from "./messages.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
+import { expectedStart, kindOf } from "./pool_timeline.ts";
+import type { ReplicaRates } from "./replica_rates.ts";
+import type { QueuedRequest } from "./request_queue.ts";
+import { RunLengths } from "./run_lengths.ts";
+import { ServedShares } from "./served_shares.ts";
+import type { PlannerView } from "./view.ts";
 
 /**
  * Interval at which a wait is forecast again, because replicas may have been
@@ -21,25 +29,74 @@
   return pool.prefillMs(promptTokens) + FIRST_EVENT_MS;
 }
 
+/** Options of {@link Forecasts}. */
+export type ForecastsOptions = {
+  readonly view: Pick<
+    PlannerView,
+    "random" | "scheduling" | "events" | "metrics"
+  >;
+  readonly ledger: Ledger;
+  readonly rates: ReplicaRates;
+};
+
 /** The forecasts of one planner. */
 export class Forecasts {
-  readonly #random: () => number;
+  readonly #options: ForecastsOptions;
   readonly #admissions = new Map<string, Admission>();
+  readonly #lengths = new RunLengths();
+  readonly #shares = new ServedShares();
+  readonly #arrivals: ArrivalDecision;
+  /** When a request is served that arrives at a full pool. */
+  readonly arrival: ArrivalForecast;
+
+  constructor(options: ForecastsOptions) {
+    this.#options = options;
+    const { view, ledger, rates } = options;
+    this.arrival = new ArrivalForecast({
+      ledger,
+      rates,
+      lengths: this.#lengths,
+      firstEventMs: FIRST_EVENT_MS,
+    });
+    this.#arrivals = new ArrivalDecision({
+      view,
+      forecast: this.arrival,
+      shares: this.#shares,
+    });
+  }
 
-  constructor(random: () => number) {
-    this.#random = random;
+  get #isOn(): boolean {
+    return this.#options.view.scheduling.arrivalDecisions;
   }
 
   /** Counts a request; returns whether it was refused recently. */
   noteRequest(request: PlanRequest, now: Milliseconds): boolean {
     const admission = this.#admissionOf(request.service);
     admission.noteArrival(request, now);
-    return admission.wasRefused(request.key, now);
+    const isRetry = admission.wasRefused(request.key, now);
+    if (this.#isOn && !isRetry) this.#shares.noteRequest(request, now);
+    return isRetry;
+  }
+
+  /** Whether the priority of a request is owed service. */
+  isPriorityOwed(request: PlanRequest, now: Milliseconds): boolean {
+    return this.#isOn && this.#shares.isPriorityOwed(request, now);
+  }
+
+  /** Records the assignment of a request that has waited. */
+  noteGrant(queued: QueuedRequest, now: Milliseconds): void {
+    if (!this.#isOn) return;
+    this.#arrivals.noteGrant(queued, now);
   }
 
-  /** Records the lifetime of an assignment of the service that has ended. */
-  noteEnd(service: string, lifetimeMs: Milliseconds): void {
-    this.#admissionOf(service).noteEnd(lifetimeMs);
+  /** Records an assignment of the service that has ended with its response. */
+  noteEnd(service: string, entry: LedgerEntry, now: Milliseconds): void {
+    this.#admissionOf(service).noteEnd(now - entry.grantedAt);
+    if (!this.#isOn) return;
+    const { ledger, rates } = this.#options;
+    const startedAt = expectedStart({ ledger, rates, now }, entry);
+    const expectedMs = rates.runMs(entry.decode, entry.outputTokens);
+    this.#lengths.note(kindOf(entry), expectedMs, now - startedAt);
   }
 
   /**
@@ -50,15 +107,28 @@
     queued: QueuedRequest,
     pool: PoolSnapshot,
     now: Milliseconds,
+  ): Milliseconds | undefined {
+    const { service, key, longestRetryMs } = queued.request;
+    const admission = this.#admissionOf(service);
+    const waitMs = this.#isOn
+      ? this.#arrivals.refusedWaitMs(queued, { pool, admission }, now)
+      : this.#refusedWaitMs(queued, { pool, admission }, now);
+    if (waitMs === undefined) return undefined;
+    return admission.refuse({ key, waitMs, longestRetryMs }, now);
+  }
+
+  /** The forecast wait of a request that is refused. */
+  #refusedWaitMs(
+    queued: QueuedRequest,
+    { pool, admission }: { pool: PoolSnapshot; admission: Admission },
+    now: Milliseconds,
   ): Milliseconds | undefined {
     if (queued.mayHaveRun || queued.isRetry || now < queued.nextForecastAt) {
       return undefined;
     }
     queued.nextForecastAt = now + FORECAST_INTERVAL_MS;
-    const { service, tokens, key, longestRetryMs } = queued.request;
-    const admission = this.#admissionOf(service);
     const { waitMs, lateWaitMs } = admission.forecast({
-      tokens: tokens + pool.ahead.tokens,
+      tokens: queued.request.tokens + pool.ahead.tokens,
       reserved: pool.forecastReserved,
       memory: pool.forecastMemory,
       requests: 1 + pool.ahead.requests,
@@ -69,15 +139,14 @@
     const isOnTime =
       now + waitMs + firstEventMs(pool, queued.request) <= queued.dueAt;
     const expectedMs = isOnTime ? waitMs : lateWaitMs;
-    if (now + expectedMs <= queued.abandonAt) return undefined;
-    return admission.refuse({ key, waitMs: expectedMs, longestRetryMs }, now);
+    return now + expectedMs <= queued.abandonAt ? undefined : expectedMs;
   }
 
   /** The admission of a service; assignment lifetimes differ by service. */
   #admissionOf(service: string): Admission {
     const known = this.#admissions.get(service);
     if (known) return known;
-    const admission = new Admission(this.#random);
+    const admission = new Admission(this.#options.view.random);
     this.#admissions.set(service, admission);
     return admission;
   }
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -43,8 +43,14 @@
   /** Prompt tokens pending at the prefill replica when it was granted. */
   readonly tokensAhead: number;
   readonly grantedAt: Milliseconds;
+  /** When its prefill ended, if it is known to have. */
+  prefilledAt?: Milliseconds;
+  /** When its first event came, if it is known to have. */
+  startedAt?: Milliseconds;
   /** When the assignment expires if it is not released before. */
   expiresAt: Milliseconds;
+  /** Number of the assignment, set when it is added. */
+  readonly sequence?: number;
 };
 
 /** Assignments by request, with sums by replica. */
@@ -53,6 +59,7 @@
   readonly #reservedTokens = new Map<string, number>();
   readonly #pendingPromptTokens = new Map<string, number>();
   readonly #fits = new Map<string, LineFit>();
+  #added = 0;
 
   /** Memory reserved at a decode replica, in tokens. */
   reservedTokensAt(replica: string): number {
@@ -80,10 +87,16 @@
     return this.#entries.get(id);
   }
 
+  /** All assignments. */
+  entries(): Iterable<LedgerEntry> {
+    return this.#entries.values();
+  }
+
   /** Adds an assignment, replacing an earlier one of the same request. */
   add(entry: LedgerEntry): void {
     this.remove(entry.id);
-    this.#entries.set(entry.id, entry);
+    this.#added += 1;
+    this.#entries.set(entry.id, { ...entry, sequence: this.#added });
     addTo(this.#reservedTokens, entry.decode, entry.tokens);
     if (entry.prefill === undefined) return;
     addTo(this.#pendingPromptTokens, entry.prefill, entry.promptTokens);
@@ -96,11 +109,13 @@
   endPrefill(
     id: string,
     spentMs: Milliseconds | undefined,
+    now: Milliseconds,
   ): LedgerEntry | undefined {
     const entry = this.#entries.get(id);
     const replica = entry?.prefill;
     if (!entry || replica === undefined) return undefined;
     entry.prefill = undefined;
+    entry.prefilledAt = now;
     addTo(this.#pendingPromptTokens, replica, -entry.promptTokens);
     // Queueing behind other prefills would distort the sample.
     if (spentMs === undefined || entry.tokensAhead > 0) return entry;
@@ -109,6 +124,12 @@
     return entry;
   }
 
+  /** Records how long a request has been running. */
+  noteRunning(id: string, runMs: Milliseconds, now: Milliseconds): void {
+    const entry = this.#entries.get(id);
+    if (entry) entry.startedAt ??= now - runMs;
+  }
+
   #fitOf(replica: string): LineFit {
     const known = this.#fits.get(replica);
     if (known) return known;
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -113,6 +113,8 @@
   waiting: z.number(),
   /** All replicas limit their requests, and no limit has room. */
   isLimited: z.literal(true).exactOptional(),
+  /** Forecast time to the first event; absent if never, or if not forecast. */
+  forecastMs: z.number().exactOptional(),
 });
 /** State of the pool on which a refusal was decided. */
 export type RefusalBasis = z.output<typeof RefusalBasisSchema>;
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -13,6 +13,10 @@
   readonly isRetry: boolean;
   /** Position within its customer's share; the smaller is served first. */
   readonly startTag: number;
+  /** Until when an admitted request lets others go first once it is late. */
+  readonly admission?: { readonly startsBy: Milliseconds };
+  /** It goes before more urgent requests. */
+  readonly isPromoted?: boolean;
 };
 
 /**
@@ -20,11 +24,12 @@
  *
  * 1. Requests that may have run already: the caller has received a part of the
  *    response, or the prompt was prefilled.
- * 2. By priority.
- * 3. Within a priority, retries of refused requests: they are few, and their
- *    callers don't retry again.
+ * 2. By priority, except for those that are promoted.
+ * 3. Within a priority, retries of refused requests, since they are few and
+ *    their callers don't retry again, and requests that have been admitted.
  * 4. Requests that can still meet their deadline; those that can no longer meet
- *    it are scheduled last.
+ *    it are scheduled last, unless they were admitted and their time to start
+ *    has come.
  * 5. By the shares of their customers.
  * 6. By deadline.
  */
@@ -35,9 +40,11 @@
 ): Request[] {
   const keyed = requests.map((request) => ({
     request,
-    rank: request.mayHaveRun ? -1 : request.priority,
-    isNew: !request.mayHaveRun && !request.isRetry,
-    isLate: !request.mayHaveRun && now + serviceMs(request) > request.dueAt,
+    rank: rankOf(request),
+    isNew: !request.mayHaveRun && !request.isRetry && !request.admission,
+    isLate: !request.mayHaveRun &&
+      now + serviceMs(request) > request.dueAt &&
+      now < (request.admission?.startsBy ?? Infinity),
   }));
   keyed.sort((a, b) =>
     a.rank - b.rank ||
@@ -49,6 +56,11 @@
   return keyed.map(({ request }) => request);
 }
 
+function rankOf({ mayHaveRun, isPromoted, priority }: SchedulingKey): number {
+  if (mayHaveRun) return -2;
+  return isPromoted ? -1 : priority;
+}
+
 /** The element with the smallest value; undefined if all are infinite. */
 export function minBy<Element>(
   elements: readonly Element[],
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -77,7 +77,11 @@
     this.#view = view;
     const pacer = new RequestPacer((incarnation) => view.limitOf(incarnation));
     this.#pacer = pacer;
-    this.#forecasts = new Forecasts(view.random);
+    this.#forecasts = new Forecasts({
+      view,
+      ledger: this.#ledger,
+      rates: this.#rates,
+    });
     const isFull = (incarnation: string, now: Milliseconds) =>
       (this.#fullUntil.get(incarnation) ?? 0) > now ||
       !pacer.hasRoom(incarnation, now);
@@ -88,6 +92,7 @@
       choice: new EngineChoice({ view, ledger, promptLocations, isFull }),
       forecasts,
       pacer,
+      view,
     });
     this.#plainAssigner = new PlainAssigner({ view, ledger, pacer, isFull });
     this.#progress = new Progress({
@@ -178,11 +183,13 @@
     };
     const serviceMs = (request: PlanRequest) =>
       firstEventMs(poolOf(request.service), request);
-    for (const queued of this.#queue.inOrder(now, serviceMs)) {
+    const isOwed = (request: PlanRequest) =>
+      this.#forecasts.isPriorityOwed(request, now);
+    for (const queued of this.#queue.inOrder({ serviceMs, isOwed }, now)) {
       const pool = poolOf(queued.request.service);
       const message = this.#answer(queued, pool, now);
       if (!message) {
-        pool.noteWaiting(queued.request);
+        pool.noteWaiting(queued);
         continue;
       }
       if (message.type === "grant") pool.noteGrant();
@@ -217,7 +224,7 @@
       case "assign":
         return this.#grant(queued, outcome, now);
       case "refuse":
-        return this.#refusal(queued, outcome);
+        return this.#refusal(queued, outcome, now);
     }
   }
 
@@ -254,6 +261,7 @@
   #refusal(
     queued: QueuedRequest,
     outcome: Extract<Outcome, { type: "refuse" }>,
+    now: Milliseconds,
   ): PlanRefusal {
     const { id, service } = queued.request;
     const { reason, retryAfterMs, isLimited = false } = outcome;
@@ -262,6 +270,7 @@
       memory: this.#view.memoryOf(service),
       waiting: this.#queue.size,
       isLimited,
+      forecastMs: queued.forecast && queued.forecast.firstEventAt - now,
     });
     const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
     return { type: "refusal", id, reason, ...retry, basis };
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -7,6 +7,7 @@
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Ledger } from "./ledger.ts";
 import { fastestLine, totalPrefillRate } from "./prefill_times.ts";
+import type { QueuedRequest } from "./request_queue.ts";
 
 /** Options of {@link PoolSnapshot}. */
 export type PoolSnapshotOptions = {
@@ -39,6 +40,10 @@
   readonly prefillLine: Line;
   /** Requests that are scheduled before the next one and still wait. */
   readonly ahead = { requests: 0, tokens: 0, promptTokens: 0 };
+  /** The requests ahead, in scheduling order. */
+  readonly waiting: QueuedRequest[] = [];
+  /** Number of grants during the pass. */
+  grants = 0;
   /** The most urgent priority among the waiting requests. */
   mostUrgentWaiting = Infinity;
   readonly #ledger: Ledger;
@@ -152,6 +157,7 @@
 
   /** Invalidates the cached sums after a grant. */
   noteGrant(): void {
+    this.grants += 1;
     this.#availablePrefills = undefined;
     this.#largestFree = undefined;
     this.#forecastReserved = undefined;
@@ -159,14 +165,12 @@
   }
 
   /** Counts a request that stays in the queue, ahead of those that follow. */
-  noteWaiting(request: {
-    readonly tokens: number;
-    readonly promptTokens: number;
-    readonly priority: number;
-  }): void {
+  noteWaiting(queued: QueuedRequest): void {
+    const { tokens, promptTokens, priority } = queued.request;
+    this.waiting.push(queued);
     this.ahead.requests += 1;
-    this.ahead.tokens += request.tokens;
-    this.ahead.promptTokens += request.promptTokens;
-    this.mostUrgentWaiting = Math.min(this.mostUrgentWaiting, request.priority);
+    this.ahead.tokens += tokens;
+    this.ahead.promptTokens += promptTokens;
+    this.mostUrgentWaiting = Math.min(this.mostUrgentWaiting, priority);
   }
 }
--- a/src/gateway/planning/progress.ts
+++ b/src/gateway/planning/progress.ts
@@ -36,22 +36,23 @@
     const { ledger, pacer, view } = this.#state;
     switch (stage) {
       case AssignmentStage.prefilled: {
-        const entry = ledger.endPrefill(id, spentMs);
+        const entry = ledger.endPrefill(id, spentMs, now);
         if (entry) this.#notePrefilled(entry, report, now);
         return;
       }
       case AssignmentStage.prefillLimited: {
-        const replica = ledger.endPrefill(id, undefined)?.prefilledBy;
+        const replica = ledger.endPrefill(id, undefined, now)?.prefilledBy;
         if (replica !== undefined) pacer.noteFull(replica, report, now);
         return;
       }
       case AssignmentStage.prefillFailed: {
-        const replica = ledger.endPrefill(id, undefined)?.prefilledBy;
+        const replica = ledger.endPrefill(id, undefined, now)?.prefilledBy;
         if (replica !== undefined) view.noteFailure(replica, now);
         return;
       }
       case AssignmentStage.started:
       case AssignmentStage.running: {
+        ledger.noteRunning(id, report.runMs ?? 0, now);
         const entry = ledger.get(id);
         if (entry) this.#state.rates.noteProgress(entry, report, now);
         return;
@@ -88,9 +89,7 @@
         promptLocations.forget(entry.key);
         return;
       case AssignmentStage.answered:
-        if (service !== undefined) {
-          forecasts.noteEnd(service, now - entry.grantedAt);
-        }
+        if (service !== undefined) forecasts.noteEnd(service, entry, now);
         view.noteSuccess(decode);
         if (prefilledBy !== undefined) losses.noteUsed(prefilledBy);
         return;
--- a/src/gateway/planning/request_queue.ts
+++ b/src/gateway/planning/request_queue.ts
@@ -1,6 +1,7 @@
 /** Requests that wait for an assignment at a planner. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { Claim } from "./bookings.ts";
+import type { ServiceForecast } from "./memory_profile.ts";
 import type { PlanRequest } from "./messages.ts";
 import { schedulingOrder } from "./order.ts";
 
@@ -22,6 +23,33 @@
   readonly startTag: number;
   /** When its wait is forecast next. */
   nextForecastAt: Milliseconds;
+  /** The forecast by which it was last decided about. */
+  forecast?: ServiceForecast;
+  /** Absent until it has been admitted. */
+  admission?: QueueAdmission;
+  /** Since when later requests are assigned while it waits for memory. */
+  passedOverAt?: Milliseconds;
+  /** The replica that is set aside for it. */
+  setAside?: string;
+  /** Whether it counts as served towards the shares of its groups. */
+  isCounted?: boolean;
+  /**
+   * It goes before more urgent requests: its priority is owed service, or it was
+   * admitted and its caller is about to time out.
+   */
+  isPromoted?: boolean;
+};
+
+/** The decision to serve a request that can't be assigned at once. */
+export type QueueAdmission = {
+  /** Whether its first event is expected in time. */
+  readonly isOnTime: boolean;
+  /** Whether it goes before more urgent requests. */
+  readonly isPromoted: boolean;
+  /** Until when later requests that can be on time may go before it. */
+  readonly startsBy: Milliseconds;
+  /** The losses of replicas that the service had when it was admitted. */
+  readonly losses: number;
 };
 
 /** Waiting requests by id. */
@@ -63,15 +91,24 @@
     }
   }
 
-  /**
-   * The requests in scheduling order; `serviceMs` estimates the time from a
-   * grant to the first event.
-   */
+  /** The requests in scheduling order. */
   inOrder(
+    { serviceMs, isOwed }: {
+      /** Estimates the time from a grant to the first event. */
+      serviceMs(request: PlanRequest): Milliseconds;
+      /** Whether the priority of a request is owed service. */
+      isOwed(request: PlanRequest): boolean;
+    },
     now: Milliseconds,
-    serviceMs: (request: PlanRequest) => Milliseconds,
   ): QueuedRequest[] {
     const all = [...this.#requests.values()];
+    for (const queued of all) {
+      const { admission, request } = queued;
+      queued.isPromoted = admission
+        ? admission.isPromoted ||
+          now + serviceMs(request) + request.objectiveMs > queued.abandonAt
+        : isOwed(request);
+    }
     return schedulingOrder(all, now, ({ request }) => serviceMs(request));
   }
 }
--- /dev/null
+++ b/test/gateway/planning/memory_timeline_test.ts
@@ -0,0 +1,62 @@
+/** Memory of a decode replica over time: none of it is given twice. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import "../../fixed_seed.ts";
+import { MemoryTimeline } from "../../../src/gateway/planning/memory_timeline.ts";
+
+const MEMORY = 100;
+const SLOTS = 4;
+
+const run = fc.record({
+  tokens: fc.integer({ min: 1, max: 100 }),
+  from: fc.integer({ min: 0, max: 20 }),
+  durationMs: fc.integer({ min: 1, max: 20 }),
+});
+
+test("places runs at the earliest time at which memory and a slot are free", () => {
+  fc.assert(fc.property(fc.array(run, { maxLength: 12 }), (runs) => {
+    const timeline = new MemoryTimeline({ memory: MEMORY, slots: SLOTS }, []);
+    const placed: { start: number; end: number; tokens: number }[] = [];
+    const fitsAt = (start: number, tokens: number, durationMs: number) => {
+      for (let at = start; at < start + durationMs; at++) {
+        const held = placed.filter((use) => use.start <= at && at < use.end);
+        const sum = held.reduce((total, use) => total + use.tokens, 0);
+        if (sum + tokens > MEMORY || held.length >= SLOTS) return false;
+      }
+      return true;
+    };
+    for (const { tokens, from, durationMs } of runs) {
+      let expected = from;
+      while (!fitsAt(expected, tokens, durationMs)) expected++;
+      const start = timeline.earliestFit({ tokens, durationMs }, from);
+      assert.equal(start, expected);
+      placed.push({ start, end: start + durationMs, tokens });
+      timeline.add({
+        from: start,
+        until: start + durationMs,
+        tokensFrom: tokens,
+        tokensUntil: tokens,
+      });
+    }
+  }));
+});
+
+test("keeps memory free for what running requests are going to generate", () => {
+  const growing = { from: 0, until: 100, tokensFrom: 20, tokensUntil: 80 };
+  const timeline = new MemoryTimeline({ memory: MEMORY, slots: SLOTS }, [
+    growing,
+  ]);
+  const fit = (durationMs: number) =>
+    timeline.earliestFit({ tokens: 40, durationMs }, 0);
+  assert.equal(fit(40), 0);
+  assert.equal(fit(80), 100);
+});
+
+test("an idle replica accepts a request that is larger than its memory", () => {
+  const timeline = new MemoryTimeline({ memory: MEMORY, slots: SLOTS }, [
+    { from: 0, until: 50, tokensFrom: 10, tokensUntil: 10 },
+  ]);
+  const large = { tokens: MEMORY + 1, durationMs: 10 };
+  assert.equal(timeline.earliestFit(large, 0), 50);
+});
