--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -163,6 +163,11 @@
     "An ejected replica did well in its trials and gets work again",
     STATE_CHANGES_PER_SECOND,
   ),
+  admissionRevoked: warn(
+    "planning",
+    "An admitted request can't be served since replicas were lost",
+    20,
+  ),
   quotaOwnerLost: warn("quotas", "An owner of quotas is unreachable", 20),
   heldBack: warn(
     "crashes",
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -13,14 +13,11 @@
   NO_SHARES,
   sharedRequest,
 } from "./customer_shares.ts";
-import { type EngineAssignment, EngineChoice } from "./engine_choice.ts";
-import { ExportLosses } from "./export_losses.ts";
-import { firstEventMs, Forecasts } from "./forecasts.ts";
-import { Ledger, type LedgerEntry } from "./ledger.ts";
-import { RequestPacer } from "./request_pacer.ts";
-import { PlainAssigner } from "./plain_assigner.ts";
+import type { EngineAssignment } from "./engine_choice.ts";
+import { firstEventMs } from "./forecasts.ts";
+import type { LedgerEntry } from "./ledger.ts";
+import { createPlannerParts, type PlannerParts } from "./planner_parts.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
-import { PromptLocations } from "./prompt_locations.ts";
 import { refusalBasis } from "./refusal_basis.ts";
 import { stageLoad } from "./stage_load.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
@@ -32,14 +29,8 @@
   type PlanRefusal,
   type PlanRequest,
 } from "./messages.ts";
-import { EngineDecision } from "./engine_decision.ts";
 import type { Outcome } from "./outcome.ts";
-import { Progress } from "./progress.ts";
-import { MeasuredRates } from "./measured_rates.ts";
-import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
 
-/** How long a replica that had no memory is given no requests. */
-const FULL_BACKOFF_MS = 60;
 /** TTL of an assignment whose host reports nothing. */
 const ASSIGNMENT_TTL_MS = 20_000;
 /**
@@ -60,68 +51,14 @@
 /** The planner of the services that this host plans. */
 export class Planner {
   readonly #view: PlannerView;
-  readonly #ledger = new Ledger();
+  readonly #parts: PlannerParts;
   readonly #queue = new RequestQueue();
-  readonly #losses = new ExportLosses();
-  readonly #promptLocations = new PromptLocations();
-  readonly #forecasts: Forecasts;
-  readonly #measuredRates: MeasuredRates;
   readonly #bookings: Bookings = NO_BOOKINGS;
   readonly #shares: CustomerShares = NO_SHARES;
-  readonly #progress: Progress;
-  readonly #engineDecision: EngineDecision;
-  readonly #plainAssigner: PlainAssigner;
-  readonly #pacer: RequestPacer;
-  readonly #fullUntil = new Map<string, Milliseconds>();
 
   constructor(view: PlannerView) {
     this.#view = view;
-    const pacer = new RequestPacer((incarnation) => view.limitOf(incarnation));
-    this.#pacer = pacer;
-    this.#forecasts = new Forecasts(view.random);
-    const isFull = (incarnation: string, now: Milliseconds) =>
-      (this.#fullUntil.get(incarnation) ?? 0) > now ||
-      !pacer.hasRoom(incarnation, now);
-    const ledger = this.#ledger;
-    const promptLocations = this.#promptLocations;
-    const forecasts = this.#forecasts;
-    this.#measuredRates = new MeasuredRates({ view, ledger });
-    const rates = () => this.#rates;
-    this.#engineDecision = new EngineDecision({
-      choice: new EngineChoice({
-        view,
-        ledger,
-        promptLocations,
-        rates,
-        isFull,
-      }),
-      forecasts,
-      pacer,
-    });
-    this.#plainAssigner = new PlainAssigner({
-      view,
-      ledger,
-      pacer,
-      rates,
-      isFull,
-    });
-    this.#progress = new Progress({
-      view,
-      ledger,
-      losses: this.#losses,
-      promptLocations,
-      forecasts,
-      pacer,
-      rates,
-      noteFull: (incarnation, now) =>
-        this.#fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
-    });
-  }
-
-  /** Speeds of the replicas; all equal if they are not measured. */
-  get #rates(): ReplicaRates {
-    const { replicaRates } = this.#view.scheduling;
-    return replicaRates ? this.#measuredRates : EQUAL_RATES;
+    this.#parts = createPlannerParts(view);
   }
 
   /** Requests that wait for an assignment. */
@@ -131,21 +68,21 @@
 
   /** Utilization of the two stages of a service, from 0 to 1. */
   loadOf(service: string, now: Milliseconds): StageLoad {
-    return stageLoad(this.#ledger, {
+    return stageLoad(this.#parts.ledger, {
       replicas: this.#view.replicasOf(service),
       memory: this.#view.memoryOf(service),
-      hasRoom: (incarnation) => this.#pacer.hasRoom(incarnation, now),
+      hasRoom: (incarnation) => this.#parts.pacer.hasRoom(incarnation, now),
     });
   }
 
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
-    this.#ledger.remove(request.id);
+    this.#parts.ledger.remove(request.id);
     if (this.#view.memoryOf(request.service) === 0) {
-      this.#plainAssigner.noteRequest(request, now);
+      this.#parts.plainAssigner.noteRequest(request, now);
     }
     const claim = this.#bookings.claim(request, now);
-    const isRetry = this.#forecasts.noteRequest(request, now) ||
+    const isRetry = this.#parts.forecasts.noteRequest(request, now) ||
       claim.type === "claimed";
     const startTag = this.#shares.startTagOf(sharedRequest(request), now);
     this.#queue.add({ host, request, isRetry, claim, startTag }, now);
@@ -155,7 +92,7 @@
   restore(host: string, handover: PlanHandover, now: Milliseconds): void {
     const { id, service, decode, tokens, promptTokens } = handover;
     const { outputTokens, priority, customer } = handover;
-    this.#ledger.add({
+    this.#parts.ledger.add({
       id,
       service,
       decode,
@@ -177,18 +114,18 @@
   /** Handles a host's progress report. */
   report(report: PlanProgress, now: Milliseconds): void {
     if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
-    this.#progress.report(report, now);
+    this.#parts.progress.report(report, now);
   }
 
   /** Handles the loss of a host's link. */
   noteHostLost(host: string, now: Milliseconds): void {
-    this.#ledger.limitHostExpiry(host, now + ORPHAN_TTL_MS);
+    this.#parts.ledger.limitHostExpiry(host, now + ORPHAN_TTL_MS);
     this.#queue.removeHost(host);
   }
 
   /** Processes the queue once; returns the responses to send. */
   pass(now: Milliseconds): PlannerAnswer[] {
-    this.#ledger.expire(now);
+    this.#parts.ledger.expire(now);
     const answers: PlannerAnswer[] = [];
     const pools = new Map<string, PoolSnapshot>();
     const poolOf = (service: string) => {
@@ -199,11 +136,13 @@
     };
     const serviceMs = (request: PlanRequest) =>
       firstEventMs(poolOf(request.service), request);
-    for (const queued of this.#queue.inOrder(now, serviceMs)) {
+    const isOwed = (request: PlanRequest) =>
+      this.#parts.forecasts.isPriorityOwed(request, now);
+    for (const queued of this.#queue.inOrder({ serviceMs, isOwed }, now)) {
       const pool = poolOf(queued.request.service);
       const message = this.#answer(queued, pool, now);
       if (!message) {
-        pool.noteWaiting(queued.request);
+        pool.noteWaiting(queued);
         continue;
       }
       if (message.type === "grant") pool.noteGrant();
@@ -217,11 +156,12 @@
     return new PoolSnapshot({
       replicas: this.#view.replicasOf(service),
       memory: this.#view.memoryOf(service),
-      ledger: this.#ledger,
+      ledger: this.#parts.ledger,
       isPaused: (incarnation) => this.#view.isPaused(incarnation),
       limitOf: (incarnation) => this.#view.limitOf(incarnation),
-      hasRoom: (incarnation) => this.#pacer.hasRoom(incarnation, now),
-      isAvoided: (incarnation) => this.#losses.isAvoided(incarnation, now),
+      hasRoom: (incarnation) => this.#parts.pacer.hasRoom(incarnation, now),
+      isAvoided: (incarnation) =>
+        this.#parts.losses.isAvoided(incarnation, now),
     });
   }
 
@@ -238,7 +178,7 @@
       case "assign":
         return this.#grant(queued, outcome, now);
       case "refuse":
-        return this.#refusal(queued, outcome);
+        return this.#refusal(queued, outcome, now);
     }
   }
 
@@ -254,7 +194,7 @@
     if (now >= queued.abandonAt) return { type: "refuse", reason: "no-memory" };
     return pool.memory === 0
       ? this.#assignPlain(queued, pool.replicas, now)
-      : this.#engineDecision.decide(queued, pool, now);
+      : this.#parts.engineDecision.decide(queued, pool, now);
   }
 
   /** Assigns at once or refuses: plain services queue at their replicas. */
@@ -268,21 +208,23 @@
       !excluded.includes(entry.incarnation)
     );
     if (allowed.length === 0) return { type: "refuse", reason: "no-replica" };
-    return this.#plainAssigner.assign(queued, allowed, now);
+    return this.#parts.plainAssigner.assign(queued, allowed, now);
   }
 
   /** Builds a refusal with the state on which it was decided. */
   #refusal(
     queued: QueuedRequest,
     outcome: Extract<Outcome, { type: "refuse" }>,
+    now: Milliseconds,
   ): PlanRefusal {
     const { id, service } = queued.request;
     const { reason, retryAfterMs, isLimited = false } = outcome;
-    const basis = refusalBasis(this.#ledger, {
+    const basis = refusalBasis(this.#parts.ledger, {
       replicas: this.#view.replicasOf(service),
       memory: this.#view.memoryOf(service),
       waiting: this.#queue.size,
       isLimited,
+      forecastMs: queued.forecast && queued.forecast.firstEventAt - now,
     });
     const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
     return { type: "refusal", id, reason, ...retry, basis };
@@ -312,13 +254,17 @@
       priority,
       customer,
       key,
-      tokensAhead: prefill === undefined ? 0 : this.#ledger.backlogAt(prefill),
+      tokensAhead: prefill === undefined
+        ? 0
+        : this.#parts.ledger.backlogAt(prefill),
       grantedAt: now,
       expiresAt: now + ASSIGNMENT_TTL_MS,
     };
-    this.#ledger.add(entry);
-    this.#rates.noteGrant(entry, now);
-    if (prefill === undefined) this.#promptLocations.note(key, { decode }, now);
+    this.#parts.ledger.add(entry);
+    this.#parts.rates().noteGrant(entry, now);
+    if (prefill === undefined) {
+      this.#parts.promptLocations.note(key, { decode }, now);
+    }
     const base = { type: "grant" as const, id, decode };
     return prefill === undefined ? base : { ...base, prefill };
   }
--- /dev/null
+++ b/src/gateway/planning/planner_parts.ts
@@ -0,0 +1,65 @@
+/** Creates the parts of a planner, which share its view and its ledger. */
+import type { Milliseconds } from "../../util/units.ts";
+import { EngineChoice } from "./engine_choice.ts";
+import { EngineDecision } from "./engine_decision.ts";
+import { ExportLosses } from "./export_losses.ts";
+import { Forecasts } from "./forecasts.ts";
+import { Ledger } from "./ledger.ts";
+import { MeasuredRates } from "./measured_rates.ts";
+import { PlainAssigner } from "./plain_assigner.ts";
+import { Progress } from "./progress.ts";
+import { PromptLocations } from "./prompt_locations.ts";
+import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
+import { RequestPacer } from "./request_pacer.ts";
+import type { PlannerView } from "./view.ts";
+
+/** How long a replica that had no memory is given no requests. */
+const FULL_BACKOFF_MS = 60;
+
+/** The state and the decisions of one planner. */
+export type PlannerParts = {
+  readonly ledger: Ledger;
+  readonly losses: ExportLosses;
+  readonly promptLocations: PromptLocations;
+  readonly forecasts: Forecasts;
+  readonly pacer: RequestPacer;
+  readonly engineDecision: EngineDecision;
+  readonly plainAssigner: PlainAssigner;
+  readonly progress: Progress;
+  /** Speeds of the replicas; a reload of the settings replaces them. */
+  rates(): ReplicaRates;
+};
+
+/** Creates the parts of a planner. */
+export function createPlannerParts(view: PlannerView): PlannerParts {
+  const ledger = new Ledger();
+  const losses = new ExportLosses();
+  const promptLocations = new PromptLocations();
+  const pacer = new RequestPacer((incarnation) => view.limitOf(incarnation));
+  const fullUntil = new Map<string, Milliseconds>();
+  const isFull = (incarnation: string, now: Milliseconds) =>
+    (fullUntil.get(incarnation) ?? 0) > now ||
+    !pacer.hasRoom(incarnation, now);
+  const measured = new MeasuredRates({ view, ledger });
+  const rates = () => view.scheduling.replicaRates ? measured : EQUAL_RATES;
+  const forecasts = new Forecasts({ view, ledger, rates });
+  const shared = { view, ledger, pacer, rates, isFull, promptLocations };
+  const choice = new EngineChoice(shared);
+  return {
+    ledger,
+    losses,
+    promptLocations,
+    forecasts,
+    pacer,
+    engineDecision: new EngineDecision({ choice, forecasts, pacer, view }),
+    plainAssigner: new PlainAssigner(shared),
+    progress: new Progress({
+      ...shared,
+      losses,
+      forecasts,
+      noteFull: (incarnation, now) =>
+        fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
+    }),
+    rates,
+  };
+}
--- a/test/gateway/planning/rated_placement_test.ts
+++ b/test/gateway/planning/rated_placement_test.ts
@@ -137,7 +137,7 @@
   for (let index = 0; index < 60; index++) {
     for (const [replica, ms] of [["slow", 300], ["fast", 130]] as const) {
       ledger.add(prefilling("1", replica));
-      ledger.endPrefill("1", ms);
+      ledger.endPrefill("1", ms, 0);
     }
   }
   ledger.add(prefilling("2", "busy"));
--- a/test/gateway/planning/rates_rig.ts
+++ b/test/gateway/planning/rates_rig.ts
@@ -110,7 +110,7 @@
   if (rates.standing(replica, request, now) === Standing.closed) return false;
   const entry = grant(rig, run);
   if (prefill) {
-    ledger.endPrefill(entry.id, prefill.spentMs);
+    ledger.endPrefill(entry.id, prefill.spentMs, now);
     rates.notePrefill(entry, prefill.spentMs, now);
   }
   ledger.remove(entry.id);
