Stages: the split follows measured demand and the replicas' speeds

With scheduling.measured_split the planner measures prompt tokens a second and memory kept, and each replica's prefill rate; the stage loop orders the changes whose gain has outweighed their cost. Off, or before the first traffic: as before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,8 @@
 import { SettingsState } from "./settings_state.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { StoreTimes } from "./state/store_loops.ts";
+import type { SplitDecision } from "./stages/measured_balance.ts";
+import { splitGauges } from "./stages/split_report.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
 
@@ -77,6 +79,7 @@
   readonly #servers: Server[] = [];
   readonly #customers: Customers;
   readonly #settingsState: SettingsState;
+  readonly #splits = new Map<string, SplitDecision>();
 
   constructor(settings: GatewaySettings, port: PlatformPort) {
     this.#settings = settings;
@@ -149,6 +152,8 @@
       storeAgeMs: (now) => this.#fleetState.storeAgeMs(now),
       plannerOf: (service) => this.#plannerClient.plannerOf(service),
       loadOf: (service) => this.#planService.loadOf(service),
+      meter: this.#planService.stageMeter,
+      splits: this.#splits,
       changing: this.#planService.changing,
     });
   }
@@ -222,6 +227,7 @@
       const configAgeMs = this.#fleetState.configAgeMs(clock.now());
       const gauges = {
         ...this.#settingsState.gauges(clock.now()),
+        ...splitGauges([...this.#splits.values()]),
         requests_open: this.#callerServer.openRequestCount,
         quota_customers: this.#customers.owner.size,
         memory_waits: this.#planService.waiting,
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -191,6 +191,11 @@
     "A response to another request was received and dropped",
     FAILURES_PER_SECOND,
   ),
+  splitWanted: info(
+    "stages",
+    "The measured demand calls for a change of stage",
+    20,
+  ),
   stageOrdered: info("stages", "A change of stage was ordered", 20),
 } as const;
 
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -11,6 +11,7 @@
   type PlannerMessage,
 } from "./messages.ts";
 import { Planner } from "./planner.ts";
+import type { StageMeter } from "../stages/demand.ts";
 import type { StageLoad } from "./view.ts";
 
 /** Interval of passes over the queue when no message arrives. */
@@ -77,6 +78,16 @@
     return this.#planner.loadOf(service, this.#context.clock.now());
   }
 
+  /** Measures demand and capacities, if stages are balanced by them. */
+  get stageMeter(): StageMeter {
+    const { clock } = this.#context;
+    return {
+      isEnabled: () => this.#context.tuning.scheduling.measuredSplit,
+      measure: (service, replicas) =>
+        this.#planner.measureStages(service, replicas, clock.now()),
+    };
+  }
+
   /** Registers the function that sends the planner's messages to a host. */
   attach(host: string, send: (message: PlannerMessage) => void): void {
     this.#hosts.set(host, send);
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -23,6 +23,7 @@
 import { PromptLocations } from "./prompt_locations.ts";
 import { refusalBasis } from "./refusal_basis.ts";
 import { stageLoad } from "./stage_load.ts";
+import type { StageMeasurement } from "../stages/demand.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
 import {
   AssignmentStage,
@@ -32,6 +33,7 @@
   type PlanRefusal,
   type PlanRequest,
 } from "./messages.ts";
+import { DemandMeter } from "./demand_meter.ts";
 import { EngineDecision } from "./engine_decision.ts";
 import type { Outcome } from "./outcome.ts";
 import { Progress } from "./progress.ts";
@@ -67,6 +69,7 @@
   readonly #rates: ReplicaRates = EQUAL_RATES;
   readonly #bookings: Bookings = NO_BOOKINGS;
   readonly #shares: CustomerShares = NO_SHARES;
+  readonly #demand = new DemandMeter(this.#ledger, this.#rates);
   readonly #progress: Progress;
   readonly #engineDecision: EngineDecision;
   readonly #plainAssigner: PlainAssigner;
@@ -117,6 +120,16 @@
     });
   }
 
+  /** Demand and capacities of a service; undefined until they are known. */
+  measureStages(
+    name: string,
+    replicas: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): StageMeasurement | undefined {
+    const memory = this.#view.memoryOf(name);
+    return this.#demand.measure({ name, replicas, memory }, now);
+  }
+
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
     this.#ledger.remove(request.id);
@@ -126,6 +139,13 @@
     const claim = this.#bookings.claim(request, now);
     const isRetry = this.#forecasts.noteRequest(request, now) ||
       claim.type === "claimed";
+    const isMeasured = this.#view.scheduling.measuredSplit &&
+      this.#view.memoryOf(request.service) > 0;
+    if (isMeasured && !isRetry) {
+      const isCached =
+        this.#promptLocations.decodeOf(request.key, now) !== undefined;
+      this.#demand.noteRequest(request, isCached, now);
+    }
     const startTag = this.#shares.startTagOf(sharedRequest(request), now);
     this.#queue.add({ host, request, isRetry, claim, startTag }, now);
   }
@@ -156,6 +176,10 @@
   /** Handles a host's progress report. */
   report(report: PlanProgress, now: Milliseconds): void {
     if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
+    const entry = this.#ledger.get(report.id);
+    if (entry && report.stage === AssignmentStage.answered) {
+      this.#demand.noteEnd(entry, now);
+    }
     this.#progress.report(report, now);
   }
 
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -1,5 +1,6 @@
 /**
- * Maintains each service's share of prefill replicas. When a change has been
+ * Maintains each service's share of prefill replicas, or the split that its
+ * measured demand calls for. When a change has been
  * desired for some time, the host that plans the service acquires the lease,
  * requests the replica's report and orders the change once. The replica gets no
  * new work while the change may be in progress.
@@ -19,7 +20,10 @@
   SmoothedLoad,
   type StageChange,
 } from "./balance.ts";
+import type { StageMeter } from "./demand.ts";
 import { acquireLease, type Lease } from "./lease.ts";
+import { MeasuredBalance, type SplitDecision } from "./measured_balance.ts";
+import { splitFields } from "./split_report.ts";
 
 const CHECK_INTERVAL_MS = 500;
 /** Interval at a host that plans no model service. */
@@ -55,6 +59,9 @@
   /** The host that plans a service, according to this host. */
   plannerOf(service: string): string;
   loadOf(service: string): StageLoad;
+  readonly meter: StageMeter;
+  /** The latest decision about each service that this host plans. */
+  readonly splits: Map<string, SplitDecision>;
   /** Replicas whose change may be in progress; they get no new work. */
   readonly changing: Map<string, ReplicaStage>;
 };
@@ -74,10 +81,12 @@
     if (options.storeAgeMs(context.clock.now()) > MAX_LISTING_AGE_MS) continue;
     for (const service of context.routes.config?.services ?? []) {
       if (!service.engine) continue;
-      if (options.plannerOf(service.name) !== context.self.id) continue;
+      if (options.plannerOf(service.name) !== context.self.id) {
+        options.splits.delete(service.name);
+        continue;
+      }
       isPlanner = true;
-      const state = states.get(service.name) ??
-        { debounce: new ChangeDebounce(), load: new SmoothedLoad() };
+      const state = states.get(service.name) ?? createState();
       states.set(service.name, state);
       await checkService(options, service, state);
     }
@@ -88,8 +97,17 @@
 type ServiceState = {
   readonly debounce: ChangeDebounce;
   readonly load: SmoothedLoad;
+  readonly balance: MeasuredBalance;
 };
 
+function createState(): ServiceState {
+  return {
+    debounce: new ChangeDebounce(),
+    load: new SmoothedLoad(),
+    balance: new MeasuredBalance(),
+  };
+}
+
 async function checkService(
   options: StageLoopOptions,
   service: Service,
@@ -101,6 +119,11 @@
   state.load.add(options.loadOf(service.name));
   const { load } = state.load;
   const entries = openEntriesOf(options, service);
+  if (load && options.meter.isEnabled()) {
+    await checkMeasured(options, { service, entries, balance: state.balance });
+    return;
+  }
+  options.splits.delete(service.name);
   const changes = desiredChanges(entries, prefillShare, load);
   const debounceMs = load ? DEBOUNCE_MS : INITIAL_DEBOUNCE_MS;
   const now = clock.now();
@@ -113,6 +136,40 @@
   debounce.suspendUntil(clock.now() + (load ? longestMs : FAILED_RETRY_MS));
 }
 
+/** Orders the changes that measured demand and capacities call for. */
+async function checkMeasured(
+  options: StageLoopOptions,
+  { service, entries, balance }: {
+    readonly service: Service;
+    readonly entries: readonly ReplicaEntry[];
+    readonly balance: MeasuredBalance;
+  },
+): Promise<void> {
+  const { clock, events } = options.context;
+  const { name } = service;
+  const decision = balance.decide({
+    replicas: entries,
+    measurement: options.meter.measure(name, entries),
+    switchMs: service.engine?.switchMs ?? 0,
+  }, clock.now());
+  if (!decision) {
+    options.splits.delete(name);
+    return;
+  }
+  options.splits.set(name, decision);
+  if (decision.changes.length === 0) return;
+  for (const { replica: { incarnation }, stage } of decision.changes) {
+    const change = { service: name, replica: incarnation, stage };
+    events.note("splitWanted", { ...change, ...splitFields(decision) });
+  }
+  const attempts = await orderChanges(options, service, decision.changes);
+  const delayMs = Math.max(...attempts.map((attempt) => attempt.delayMs));
+  const until = clock.now() + delayMs;
+  if (attempts.some((attempt) => attempt.isPending)) {
+    balance.suspendUntil(until);
+  } else balance.retryAt(until);
+}
+
 /** Open replicas; those with a pending change have their new stage. */
 function openEntriesOf(
   { context, changing }: StageLoopOptions,
--- /dev/null
+++ b/src/gateway/stages/wanted_split.ts
@@ -0,0 +1,148 @@
+/**
+ * Finds the changes of stage that a service needs, by its demand and by what
+ * each replica can do. The load that it answers: replicas of unequal speed, and
+ * demand that moves between prompts and answers. Slow replicas prefill where
+ * that leaves more speed for decode.
+ */
+import { ReplicaStage } from "../replicas/model.ts";
+import type { StageChange } from "./balance.ts";
+import { hallsWithBothStages, keepsStages } from "./hall_stages.ts";
+import {
+  applyChanges,
+  capacityAfter,
+  capacityOf,
+  otherStage,
+  type SplitMember,
+} from "./split_members.ts";
+import type { SplitValue } from "./split_value.ts";
+
+/** One step towards a better split: a change, or a swap of replicas. */
+export type SplitStep = {
+  readonly changes: readonly StageChange[];
+  /** The value of the split after this step and those before it. */
+  readonly value: number;
+};
+
+/** Least gain in value by each change of a step, as a share. */
+const MIN_GAIN = 0.01;
+/** Steps whose gains differ by less are equal. */
+const GAIN_TOLERANCE = 0.005;
+/** Most replicas of one stage that a step changes. */
+const MAX_OF_STAGE = 2;
+
+/**
+ * The best steps one after the other, at most `maxSteps`, until none has a
+ * sufficient gain.
+ */
+export function wantedSteps(
+  members: readonly SplitMember[],
+  value: SplitValue,
+  maxSteps: number,
+): SplitStep[] {
+  const steps: SplitStep[] = [];
+  let split = members;
+  while (steps.length < maxSteps) {
+    const step = bestStep(split, value);
+    if (!step) return steps;
+    steps.push(step);
+    split = applyChanges(split, step.changes);
+  }
+  return steps;
+}
+
+function bestStep(
+  split: readonly SplitMember[],
+  value: SplitValue,
+): SplitStep | undefined {
+  const capacity = capacityOf(split);
+  const before = value.ofPresent(capacity);
+  const fastest = split
+    .filter((member) => member.stage === ReplicaStage.prefill)
+    .sort((a, b) => rateOf(b) - rateOf(a))
+    .slice(0, MAX_OF_STAGE + 1);
+  let best: Candidate | undefined;
+  for (const changed of candidates(split)) {
+    const after = value.of(capacityAfter(capacity, fastest, changed));
+    const gain = after / before - 1 - MIN_GAIN * changed.length;
+    if (gain < 0 || (best && gain < best.gain - GAIN_TOLERANCE)) continue;
+    const changes = changed.map(({ replica, stage }) => ({
+      replica,
+      stage: otherStage(stage),
+    }));
+    const wanted = applyChanges(split, changes);
+    if (!keepsStages(split, wanted)) continue;
+    const balance = hallsWithBothStages(wanted);
+    const candidate = { changes, value: after, gain, balance };
+    if (!best || isBetter(candidate, best)) best = candidate;
+  }
+  return best && { changes: best.changes, value: best.value };
+}
+
+/** A step with its gain beyond the least one, and the halls with both stages. */
+type Candidate = SplitStep & {
+  readonly gain: number;
+  readonly balance: number;
+};
+
+function isBetter(candidate: Candidate, best: Candidate): boolean {
+  if (candidate.gain > best.gain + GAIN_TOLERANCE) return true;
+  if (candidate.balance !== best.balance) {
+    return candidate.balance > best.balance;
+  }
+  return candidate.gain > best.gain;
+}
+
+/** Sets of replicas that may change their stage together. */
+function candidates(split: readonly SplitMember[]): SplitMember[][] {
+  const prefills = extremes(split, ReplicaStage.prefill);
+  const decodes = extremes(split, ReplicaStage.decode);
+  const prefillPairs = pairs(bySpeed(split, ReplicaStage.prefill));
+  const decodePairs = pairs(bySpeed(split, ReplicaStage.decode));
+  return [
+    ...[...prefills, ...decodes].map((member) => [member]),
+    ...prefills.flatMap((prefill) => [
+      ...decodes.map((decode) => [prefill, decode]),
+      ...decodePairs.map((pair) => [prefill, ...pair]),
+    ]),
+    ...decodes.flatMap((decode) =>
+      prefillPairs.map((pair) => [...pair, decode])
+    ),
+  ];
+}
+
+function rateOf({ capacity }: SplitMember): number {
+  return capacity.promptTokensPerSecond;
+}
+
+/** The replicas of a stage, the slowest first. */
+function bySpeed(
+  split: readonly SplitMember[],
+  stage: ReplicaStage,
+): SplitMember[] {
+  return split.filter((member) => member.stage === stage)
+    .sort((a, b) => a.capacity.speed - b.capacity.speed);
+}
+
+/** The two slowest, the two fastest, and the slowest with the fastest. */
+function pairs(sorted: readonly SplitMember[]): SplitMember[][] {
+  if (sorted.length < 2) return [];
+  const ends = [...sorted.slice(0, 1), ...sorted.slice(-1)];
+  if (sorted.length === 2) return [ends];
+  return [sorted.slice(0, 2), sorted.slice(-2), ends];
+}
+
+/** The slowest and the fastest replica of a stage in each hall. */
+function extremes(
+  split: readonly SplitMember[],
+  stage: ReplicaStage,
+): SplitMember[] {
+  const halls = new Map<string, { slow: SplitMember; fast: SplitMember }>();
+  for (const member of bySpeed(split, stage)) {
+    const known = halls.get(member.replica.hall);
+    if (known) known.fast = member;
+    else halls.set(member.replica.hall, { slow: member, fast: member });
+  }
+  return [...halls.values()].flatMap(({ slow, fast }) =>
+    slow === fast ? [slow] : [slow, fast]
+  );
+}
--- a/test/gateway/stages/stage_loop_test.ts
+++ b/test/gateway/stages/stage_loop_test.ts
@@ -16,46 +16,18 @@
 import { replicaEntry } from "../replica_entry.ts";
 import { neverSuspended } from "../never_suspended.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
+import { steppedTime } from "./stepped_time.ts";
 
 const SWITCH_MS = 6000;
 /** How late a replica may carry out an order that it did not answer. */
 const MAX_ORDER_DELAY_MS = 12_000;
-const STEP_MS = 100;
-
-type Timer = { readonly at: number; readonly work: () => void };
-
-/** A clock that advances in steps and lets promises settle in between. */
-function makeTime() {
-  const timers = new Set<Timer>();
-  const time = { now: 0 };
-  const clock = {
-    now: () => time.now,
-    after: (delayMs: number, work: () => void) => {
-      const timer = { at: time.now + delayMs, work };
-      timers.add(timer);
-      return () => void timers.delete(timer);
-    },
-  };
-  const advance = async (forMs: number) => {
-    for (const end = time.now + forMs; time.now < end;) {
-      time.now += STEP_MS;
-      for (const timer of [...timers]) {
-        if (timer.at > time.now || !timers.delete(timer)) continue;
-        timer.work();
-      }
-      for (let turn = 0; turn < 30; turn++) await Promise.resolve();
-    }
-  };
-  return { clock, advance };
-}
-
 function engine(incarnation: string, stage: ReplicaStage): ReplicaEntry {
   return replicaEntry(incarnation, { stage });
 }
 
 /** Starts the loop with six prefill replicas where two are desired. */
 function start(orderStatus: number | undefined) {
-  const { clock, advance } = makeTime();
+  const { clock, advance } = steppedTime();
   const orders: string[] = [];
   const changing = new Map<string, ReplicaStage>();
   const replicas = new ReplicaTable();
@@ -120,6 +92,8 @@
     storeAgeMs: () => 0,
     plannerOf: () => "host",
     loadOf: () => ({ prefill: 0, decode: 0 }),
+    meter: { isEnabled: () => false, measure: () => undefined },
+    splits: new Map(),
     changing,
   });
   return { advance, orders, changing };
