--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -20,6 +20,7 @@
 import { PoolSnapshot } from "./pool_snapshot.ts";
 import { refusalBasis } from "./refusal_basis.ts";
 import { stageLoad } from "./stage_load.ts";
+import type { StageMeasurement } from "../stages/demand.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
 import {
   AssignmentStage,
@@ -75,6 +76,16 @@
     });
   }
 
+  /** Demand and capacities of a service; undefined until they are known. */
+  measureStages(
+    name: string,
+    replicas: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): StageMeasurement | undefined {
+    const memory = this.#view.memoryOf(name);
+    return this.#parts.demand.measure({ name, replicas, memory }, now);
+  }
+
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
     this.#parts.ledger.remove(request.id);
@@ -84,6 +95,13 @@
     const claim = this.#bookings.claim(request, now);
     const isRetry = this.#parts.forecasts.noteRequest(request, now) ||
       claim.type === "claimed";
+    const isMeasured = this.#view.scheduling.measuredSplit &&
+      this.#view.memoryOf(request.service) > 0;
+    if (isMeasured && !isRetry) {
+      const isCached =
+        this.#parts.promptLocations.decodeOf(request.key, now) !== undefined;
+      this.#parts.demand.noteRequest(request, isCached, now);
+    }
     const startTag = this.#shares.startTagOf(sharedRequest(request), now);
     this.#queue.add({ host, request, isRetry, claim, startTag }, now);
   }
@@ -114,6 +132,10 @@
   /** Handles a host's progress report. */
   report(report: PlanProgress, now: Milliseconds): void {
     if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
+    const entry = this.#parts.ledger.get(report.id);
+    if (entry && report.stage === AssignmentStage.answered) {
+      this.#parts.demand.noteEnd(entry, now);
+    }
     this.#parts.progress.report(report, now);
   }
 
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -1,5 +1,6 @@
 /** Creates the parts of a planner, which share its view and its ledger. */
 import type { Milliseconds } from "../../util/units.ts";
+import { DemandMeter } from "./demand_meter.ts";
 import { EngineChoice } from "./engine_choice.ts";
 import { EngineDecision } from "./engine_decision.ts";
 import { ExportLosses } from "./export_losses.ts";
@@ -26,6 +27,7 @@
   readonly engineDecision: EngineDecision;
   readonly plainAssigner: PlainAssigner;
   readonly progress: Progress;
+  readonly demand: DemandMeter;
   /** Speeds of the replicas; a reload of the settings replaces them. */
   rates(): ReplicaRates;
 };
@@ -60,6 +62,7 @@
       noteFull: (incarnation, now) =>
         fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
     }),
+    demand: new DemandMeter(ledger, rates),
     rates,
   };
 }
