Shares among customers at the planner of a service

Cause: a planner's queue knew no customer, and plain replicas queue in order of arrival, so a customer with several times its usual load delayed and displaced the others.

Change: what customers use at the same time (memory, calls in flight) is divided max-min fairly by weight. Requests beyond their share rank after the others of their priority at model pools, and wait or are refused at plain services while all slots are taken.

--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -153,6 +153,16 @@
     "Another host became the planner of a service",
     20,
   ),
+  customerHeld: info(
+    "planning",
+    "A customer is held to its share of an overloaded service",
+    5,
+  ),
+  customerReleased: info(
+    "planning",
+    "A customer is no longer held to its share of a service",
+    5,
+  ),
   quotaOwnerLost: warn("quotas", "An owner of quotas is unreachable", 20),
   heldBack: warn(
     "crashes",
--- a/src/gateway/planning/customer_shares.ts
+++ b/src/gateway/planning/customer_shares.ts
@@ -4,42 +4,63 @@
  * others, and a customer that was idle is not owed the past.
  */
 import type { Milliseconds } from "../../util/units.ts";
+import type { CustomerRates } from "./customer_activity.ts";
 import type { PlanRequest } from "./messages.ts";
+import type { QueuedRequest } from "./request_queue.ts";
 
-/** A request as the shares see it. */
-export type SharedRequest = {
-  readonly service: string;
-  /** Rank of its route; 0 is the most urgent. */
-  readonly priority: number;
-  /** Empty for requests without a customer, which share one part. */
-  readonly customer: string;
-  /** What it uses of the service: memory or slots over time. */
-  readonly cost: number;
-};
+/** The fields of a request that its share depends on. */
+export type SharedRequest = Pick<
+  PlanRequest,
+  "service" | "priority" | "customer" | "tokens"
+>;
+
+/** The fields of a queued request that the shares read and set. */
+export type RankedRequest =
+  & Pick<
+    QueuedRequest,
+    "dueAt" | "mayHaveRun" | "priority" | "startTag" | "nextForecastAt"
+  >
+  & { readonly request: SharedRequest };
 
-/** The fields of a queued request that its share depends on. */
-export function sharedRequest(
-  { service, priority, customer, tokens }: PlanRequest,
-): SharedRequest {
-  return { service, priority, customer, cost: tokens };
-}
+/** The replicas of a plain service that accept new work. */
+export type PlainPool = {
+  /** Requests that they run at once. */
+  readonly slots: number;
+  /** Requests that all hosts have there, running and queued. */
+  readonly inFlight: number;
+};
 
 /** Shares of the services of one planner. */
 export type CustomerShares = {
+  /** Counts a request that arrived. */
+  noteRequest(request: SharedRequest, now: Milliseconds): void;
+  /** Counts a request that is granted an assignment. */
+  noteGrant(request: SharedRequest, now: Milliseconds): void;
+  /** Records that a waiting request was not granted an assignment. */
+  noteNotServed(queued: RankedRequest, now: Milliseconds): void;
   /**
-   * Position of a request among those of its service and priority: the smaller
-   * is served first. 0 for all while there is at most one customer.
+   * Ranks the waiting requests of model services: sets `startTag`, and a
+   * `priority` between two routes' for requests beyond their customer's share.
    */
-  startTagOf(request: SharedRequest, now: Milliseconds): number;
-  /** Charges a request to its customer when it is granted. */
-  noteGrant(request: SharedRequest, now: Milliseconds): void;
-  /** Whether the customer has received more than its share lately. */
-  isOverShare(request: SharedRequest, now: Milliseconds): boolean;
-};
-
-/** Distinguishes no customers. */
-export const NO_SHARES: CustomerShares = {
-  startTagOf: () => 0,
-  noteGrant: () => undefined,
-  isOverShare: () => false,
+  rank(
+    waiting: Iterable<RankedRequest>,
+    memoryOf: (service: string) => number,
+    now: Milliseconds,
+  ): void;
+  /**
+   * Whether a request to a plain service is within its customer's share, or the
+   * service has a free slot.
+   */
+  hasPlainRoom(
+    request: SharedRequest,
+    pool: PlainPool,
+    now: Milliseconds,
+  ): boolean;
+  /** Refuses a request beyond its customer's share; returns when to retry. */
+  refusePlain(
+    request: SharedRequest & Pick<PlanRequest, "longestRetryMs">,
+    now: Milliseconds,
+  ): Milliseconds;
+  /** The rates of the most active customers. */
+  mostActive(count: number, now: Milliseconds): CustomerRates[];
 };
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -1,5 +1,6 @@
 /** Records what a planner has assigned to each replica. */
 import type { Milliseconds } from "../../util/units.ts";
+import { CustomerUse } from "./customer_use.ts";
 import {
   addSample,
   computeLine,
@@ -53,6 +54,8 @@
   readonly #reservedTokens = new Map<string, number>();
   readonly #pendingPromptTokens = new Map<string, number>();
   readonly #fits = new Map<string, LineFit>();
+  /** What the assignments of each customer reserve. */
+  readonly customers = new CustomerUse();
 
   /** Memory reserved at a decode replica, in tokens. */
   reservedTokensAt(replica: string): number {
@@ -84,6 +87,7 @@
   add(entry: LedgerEntry): void {
     this.remove(entry.id);
     this.#entries.set(entry.id, entry);
+    this.customers.add(entry);
     addTo(this.#reservedTokens, entry.decode, entry.tokens);
     if (entry.prefill === undefined) return;
     addTo(this.#pendingPromptTokens, entry.prefill, entry.promptTokens);
@@ -125,6 +129,7 @@
     const entry = this.#entries.get(id);
     if (!entry) return undefined;
     this.#entries.delete(id);
+    this.customers.remove(entry);
     addTo(this.#reservedTokens, entry.decode, -entry.tokens);
     if (entry.prefill !== undefined) {
       addTo(this.#pendingPromptTokens, entry.prefill, -entry.promptTokens);
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -10,6 +10,7 @@
   HostMessageSchema,
   type PlannerMessage,
 } from "./messages.ts";
+import type { CustomerRates } from "./customer_activity.ts";
 import { Planner } from "./planner.ts";
 import type { StageLoad } from "./view.ts";
 
@@ -58,7 +59,7 @@
       },
       events: context.events,
       metrics: context.metrics,
-      weightOf: () => 1,
+      weightOf: (customer) => context.routes.customers?.weightOf(customer) ?? 1,
     });
   }
 
@@ -77,6 +78,11 @@
     return this.#planner.loadOf(service, this.#context.clock.now());
   }
 
+  /** The rates of the customers with the most requests at this planner. */
+  mostActiveCustomers(count: number): CustomerRates[] {
+    return this.#planner.mostActiveCustomers(count, this.#context.clock.now());
+  }
+
   /** Registers the function that sends the planner's messages to a host. */
   attach(host: string, send: (message: PlannerMessage) => void): void {
     this.#hosts.set(host, send);
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -8,17 +8,16 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { type QueuedRequest, RequestQueue } from "./request_queue.ts";
 import { type Bookings, NO_BOOKINGS } from "./bookings.ts";
-import {
-  type CustomerShares,
-  NO_SHARES,
-  sharedRequest,
-} from "./customer_shares.ts";
+import type { CustomerRates } from "./customer_activity.ts";
+import type { CustomerShares } from "./customer_shares.ts";
 import { type EngineAssignment, EngineChoice } from "./engine_choice.ts";
+import { FairShares } from "./fair_shares.ts";
 import { ExportLosses } from "./export_losses.ts";
 import { firstEventMs, Forecasts } from "./forecasts.ts";
 import { Ledger } from "./ledger.ts";
 import { RequestPacer } from "./request_pacer.ts";
 import { PlainAssigner } from "./plain_assigner.ts";
+import { PlainHold } from "./plain_hold.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
 import { PromptLocations } from "./prompt_locations.ts";
 import { refusalBasis } from "./refusal_basis.ts";
@@ -66,10 +65,11 @@
   readonly #forecasts: Forecasts;
   readonly #rates: ReplicaRates = EQUAL_RATES;
   readonly #bookings: Bookings = NO_BOOKINGS;
-  readonly #shares: CustomerShares = NO_SHARES;
+  readonly #shares: CustomerShares;
   readonly #progress: Progress;
   readonly #engineDecision: EngineDecision;
   readonly #plainAssigner: PlainAssigner;
+  readonly #plainHold: PlainHold;
   readonly #pacer: RequestPacer;
   readonly #fullUntil = new Map<string, Milliseconds>();
 
@@ -78,6 +78,12 @@
     const pacer = new RequestPacer((incarnation) => view.limitOf(incarnation));
     this.#pacer = pacer;
     this.#forecasts = new Forecasts(view.random);
+    this.#shares = new FairShares({ view, ledger: this.#ledger });
+    this.#plainHold = new PlainHold({
+      view,
+      ledger: this.#ledger,
+      shares: this.#shares,
+    });
     const isFull = (incarnation: string, now: Milliseconds) =>
       (this.#fullUntil.get(incarnation) ?? 0) > now ||
       !pacer.hasRoom(incarnation, now);
@@ -117,6 +123,11 @@
     });
   }
 
+  /** The rates of the customers with the most requests. */
+  mostActiveCustomers(count: number, now: Milliseconds): CustomerRates[] {
+    return this.#shares.mostActive(count, now);
+  }
+
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
     this.#ledger.remove(request.id);
@@ -126,8 +137,8 @@
     const claim = this.#bookings.claim(request, now);
     const isRetry = this.#forecasts.noteRequest(request, now) ||
       claim.type === "claimed";
-    const startTag = this.#shares.startTagOf(sharedRequest(request), now);
-    this.#queue.add({ host, request, isRetry, claim, startTag }, now);
+    this.#shares.noteRequest(request, now);
+    this.#queue.add({ host, request, isRetry, claim }, now);
   }
 
   /** Adds an assignment that another planner granted. */
@@ -176,13 +187,16 @@
       if (!known) pools.set(service, pool);
       return pool;
     };
+    const memoryOf = (service: string) => poolOf(service).decodeMemory;
+    this.#shares.rank(this.#queue.all(), memoryOf, now);
     const serviceMs = (request: PlanRequest) =>
       firstEventMs(poolOf(request.service), request);
     for (const queued of this.#queue.inOrder(now, serviceMs)) {
       const pool = poolOf(queued.request.service);
       const message = this.#answer(queued, pool, now);
+      if (message?.type !== "grant") this.#shares.noteNotServed(queued, now);
       if (!message) {
-        pool.noteWaiting(queued.request);
+        pool.noteWaiting(queued.request, queued.priority);
         continue;
       }
       if (message.type === "grant") pool.noteGrant();
@@ -236,7 +250,7 @@
       : this.#engineDecision.decide(queued, pool, now);
   }
 
-  /** Assigns at once or refuses: plain services queue at their replicas. */
+  /** Plain services queue at their replicas; a request waits only for its share. */
   #assignPlain(
     queued: QueuedRequest,
     replicas: readonly ReplicaEntry[],
@@ -247,7 +261,8 @@
       !excluded.includes(entry.incarnation)
     );
     if (allowed.length === 0) return { type: "refuse", reason: "no-replica" };
-    return this.#plainAssigner.assign(queued, allowed, now);
+    return this.#plainHold.decide(queued, allowed, now) ??
+      this.#plainAssigner.assign(queued, allowed, now);
   }
 
   /** Builds a refusal with the state on which it was decided. */
@@ -272,7 +287,7 @@
     assignment: EngineAssignment,
     now: Milliseconds,
   ): PlanGrant {
-    this.#shares.noteGrant(sharedRequest(queued.request), now);
+    this.#shares.noteGrant(queued.request, now);
     const { id, service, tokens, promptTokens, key } = queued.request;
     const { outputTokens, priority, customer } = queued.request;
     const decode = assignment.decode.incarnation;
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -106,6 +106,11 @@
     return this.#availablePrefills;
   }
 
+  /** Memory of all decode replicas, in tokens. */
+  get decodeMemory(): number {
+    return this.memory * this.decodes.length;
+  }
+
   /** Memory of the decode replicas for which waits are forecast, in tokens. */
   get forecastMemory(): number {
     return this.memory * this.#forecastDecodes.length;
@@ -159,14 +164,13 @@
   }
 
   /** Counts a request that stays in the queue, ahead of those that follow. */
-  noteWaiting(request: {
-    readonly tokens: number;
-    readonly promptTokens: number;
-    readonly priority: number;
-  }): void {
+  noteWaiting(
+    request: { readonly tokens: number; readonly promptTokens: number },
+    priority: number,
+  ): void {
     this.ahead.requests += 1;
     this.ahead.tokens += request.tokens;
     this.ahead.promptTokens += request.promptTokens;
-    this.mostUrgentWaiting = Math.min(this.mostUrgentWaiting, request.priority);
+    this.mostUrgentWaiting = Math.min(this.mostUrgentWaiting, priority);
   }
 }
--- a/src/gateway/planning/request_queue.ts
+++ b/src/gateway/planning/request_queue.ts
@@ -10,7 +10,11 @@
   readonly host: string;
   readonly request: PlanRequest;
   readonly mayHaveRun: boolean;
-  readonly priority: number;
+  /**
+   * Rank of its route; 0 is the most urgent. Between two routes' while it is
+   * beyond its customer's share.
+   */
+  priority: number;
   /** When its first event is due. */
   readonly dueAt: Milliseconds;
   readonly abandonAt: Milliseconds;
@@ -19,7 +23,7 @@
   /** What was booked for it when it was refused before. */
   readonly claim: Claim;
   /** Position within its customer's share; the smaller is served first. */
-  readonly startTag: number;
+  startTag: number;
   /** When its wait is forecast next. */
   nextForecastAt: Milliseconds;
 };
@@ -37,7 +41,7 @@
   add(
     queued: Pick<
       QueuedRequest,
-      "host" | "request" | "isRetry" | "claim" | "startTag"
+      "host" | "request" | "isRetry" | "claim"
     >,
     now: Milliseconds,
   ): void {
@@ -48,10 +52,16 @@
       priority: request.priority,
       dueAt: now + request.slackMs,
       abandonAt: now + request.patienceMs,
+      startTag: 0,
       nextForecastAt: now,
     });
   }
 
+  /** All requests, in order of arrival. */
+  all(): Iterable<QueuedRequest> {
+    return this.#requests.values();
+  }
+
   remove(id: string): void {
     this.#requests.delete(id);
   }
