Metrics of the most active customers, and otterhillctl customer usage

Operators could not see what a customer asks of a service, what it gets, and whether it is held to its share. The planner's metrics page has these values for the 20 most active customers; the command collects one customer's values over hosts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,10 @@
   retryBudgetRuleOf,
   tuningOf,
 } from "./create_context.ts";
+import {
+  customerGauges,
+  MAX_CUSTOMER_METRICS,
+} from "./customers/customer_metrics.ts";
 import { Customers } from "./customers/customers.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
@@ -240,7 +244,8 @@
         resident_bytes: process.memoryUsage.rss(),
       };
       const info = { settings: this.#settingsState.version };
-      const page = metrics.render(gauges, info);
+      const rates = this.#planService.mostActiveCustomers(MAX_CUSTOMER_METRICS);
+      const page = metrics.render(gauges, info, customerGauges(rates));
       response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
       response.end(page);
     });
--- a/src/gateway/observe/metrics.ts
+++ b/src/gateway/observe/metrics.ts
@@ -21,6 +21,15 @@
 const MAX_MICROS = 600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 
+/** A gauge with one value for each set of labels. */
+export type LabelledGauge = {
+  readonly name: string;
+  readonly values: readonly {
+    readonly labels: Readonly<Record<string, string>>;
+    readonly value: number;
+  }[];
+};
+
 /** Metrics of one process. */
 export class Metrics {
   readonly #counters = new Map<string, number>();
@@ -50,6 +59,7 @@
   render(
     gauges: Readonly<Record<string, number>>,
     info: Readonly<Record<string, string>> = {},
+    labelled: readonly LabelledGauge[] = [],
   ): string {
     const lines: string[] = [];
     for (const [name, version] of Object.entries(info)) {
@@ -64,6 +74,13 @@
       lines.push(`# TYPE otterhill_${name} gauge`);
       lines.push(`otterhill_${name} ${value}`);
     }
+    for (const { name, values } of labelled) {
+      if (values.length === 0) continue;
+      lines.push(`# TYPE otterhill_${name} gauge`);
+      for (const { labels, value } of values) {
+        lines.push(`otterhill_${name}{${formatLabels(labels)}} ${value}`);
+      }
+    }
     for (const [timing, histogram] of this.#timings) {
       lines.push(...summaryLines(`otterhill_${timing}_seconds`, histogram));
     }
@@ -71,6 +88,13 @@
   }
 }
 
+/** Labels with quotes, backslashes and newlines escaped. */
+function formatLabels(labels: Readonly<Record<string, string>>): string {
+  return Object.entries(labels)
+    .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
+    .join(",");
+}
+
 function summaryLines(name: string, histogram: Histogram): string[] {
   const seconds = (micros: number) => micros / MICROS_PER_MS / 1000;
   const total = histogram.mean * histogram.totalCount;
--- a/src/gateway/planning/customer_activity.ts
+++ b/src/gateway/planning/customer_activity.ts
@@ -49,9 +49,12 @@
 /** Rates of one customer at one service, in requests per second. */
 export type CustomerRates = {
   readonly service: string;
+  readonly priority: number;
   readonly customer: string;
   readonly asked: number;
   readonly granted: number;
+  /** Mean tokens of memory, or calls in flight. */
+  readonly meanUse: number;
   readonly isHeld: boolean;
 };
 
@@ -168,7 +171,9 @@
   mostActive(count: number, now: Milliseconds): CustomerRates[] {
     const rates = this.#all().map((activity) => ({
       service: activity.service,
+      priority: activity.priority,
       customer: activity.customer,
+      meanUse: activity.meanUse,
       asked: activity.asked.at(now, RATE_WINDOW_MS) * 1000 / RATE_WINDOW_MS,
       granted: activity.granted.at(now, RATE_WINDOW_MS) * 1000 /
         RATE_WINDOW_MS,
--- a/src/programs/ctl/customer.ts
+++ b/src/programs/ctl/customer.ts
@@ -11,6 +11,7 @@
   publishAndReport,
   reportFaults,
 } from "./context.ts";
+import { showUsage } from "./customer_usage.ts";
 import { showHistory, showRows } from "./rows.ts";
 
 type SetFlags = {
@@ -45,6 +46,17 @@
     .action((name: string | undefined, _: unknown, command: Command) =>
       showRows(createContext(command), RowKey.customer, name)
     );
+  customer.command("usage <name> <metrics...>")
+    .description(
+      "show what a customer asks of services and gets, by the metrics " +
+        "addresses of gateways (IP:port)",
+    )
+    .action((
+      name: string,
+      addresses: string[],
+      _: unknown,
+      command: Command,
+    ) => showUsage(createContext(command), name, addresses));
   customer.command("history <name>")
     .description("show the changes of a customer")
     .action((name: string, _: unknown, command: Command) =>
