--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -168,6 +168,16 @@
     "An admitted request can't be served since replicas were lost",
     20,
   ),
+  customerHeld: info(
+    "planning",
+    "A customer is held to its share of an overloaded service",
+    5,
+  ),
+  customerReleased: info(
+    "planning",
+    "A customer is no longer held to its share of a service",
+    5,
+  ),
   quotaOwnerLost: warn("quotas", "An owner of quotas is unreachable", 20),
   heldBack: warn(
     "crashes",
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -8,11 +8,7 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { type QueuedRequest, RequestQueue } from "./request_queue.ts";
 import { type Bookings, NO_BOOKINGS } from "./bookings.ts";
-import {
-  type CustomerShares,
-  NO_SHARES,
-  sharedRequest,
-} from "./customer_shares.ts";
+import type { CustomerRates } from "./customer_activity.ts";
 import type { EngineAssignment } from "./engine_choice.ts";
 import { firstEventMs } from "./forecasts.ts";
 import type { LedgerEntry } from "./ledger.ts";
@@ -55,7 +51,6 @@
   readonly #parts: PlannerParts;
   readonly #queue = new RequestQueue();
   readonly #bookings: Bookings = NO_BOOKINGS;
-  readonly #shares: CustomerShares = NO_SHARES;
 
   constructor(view: PlannerView) {
     this.#view = view;
@@ -86,6 +81,11 @@
     return this.#parts.demand.measure({ name, replicas, memory }, now);
   }
 
+  /** The rates of the customers with the most requests. */
+  mostActiveCustomers(count: number, now: Milliseconds): CustomerRates[] {
+    return this.#parts.shares.mostActive(count, now);
+  }
+
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
     this.#parts.ledger.remove(request.id);
@@ -102,8 +102,8 @@
         this.#parts.promptLocations.decodeOf(request.key, now) !== undefined;
       this.#parts.demand.noteRequest(request, isCached, now);
     }
-    const startTag = this.#shares.startTagOf(sharedRequest(request), now);
-    this.#queue.add({ host, request, isRetry, claim, startTag }, now);
+    this.#parts.shares.noteRequest(request, now);
+    this.#queue.add({ host, request, isRetry, claim }, now);
   }
 
   /** Adds an assignment that another planner granted. */
@@ -156,6 +156,8 @@
       if (!known) pools.set(service, pool);
       return pool;
     };
+    const memoryOf = (service: string) => poolOf(service).decodeMemory;
+    this.#parts.shares.rank(this.#queue.all(), memoryOf, now);
     const serviceMs = (request: PlanRequest) =>
       firstEventMs(poolOf(request.service), request);
     const isOwed = (request: PlanRequest) =>
@@ -163,6 +165,9 @@
     for (const queued of this.#queue.inOrder({ serviceMs, isOwed }, now)) {
       const pool = poolOf(queued.request.service);
       const message = this.#answer(queued, pool, now);
+      if (message?.type !== "grant") {
+        this.#parts.shares.noteNotServed(queued, now);
+      }
       if (!message) {
         pool.noteWaiting(queued);
         continue;
@@ -219,7 +224,7 @@
       : this.#parts.engineDecision.decide(queued, pool, now);
   }
 
-  /** Assigns at once or refuses: plain services queue at their replicas. */
+  /** Plain services queue at their replicas; a request waits only for its share. */
   #assignPlain(
     queued: QueuedRequest,
     replicas: readonly ReplicaEntry[],
@@ -230,7 +235,8 @@
       !excluded.includes(entry.incarnation)
     );
     if (allowed.length === 0) return { type: "refuse", reason: "no-replica" };
-    return this.#parts.plainAssigner.assign(queued, allowed, now);
+    return this.#parts.plainHold.decide(queued, allowed, now) ??
+      this.#parts.plainAssigner.assign(queued, allowed, now);
   }
 
   /** Builds a refusal with the state on which it was decided. */
@@ -257,7 +263,7 @@
     assignment: EngineAssignment,
     now: Milliseconds,
   ): PlanGrant {
-    this.#shares.noteGrant(sharedRequest(queued.request), now);
+    this.#parts.shares.noteGrant(queued.request, now);
     const { id, service, tokens, promptTokens, key } = queued.request;
     const { outputTokens, priority, customer } = queued.request;
     const decode = assignment.decode.incarnation;
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -1,13 +1,16 @@
 /** Creates the parts of a planner, which share its view and its ledger. */
 import type { Milliseconds } from "../../util/units.ts";
+import type { CustomerShares } from "./customer_shares.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { EngineChoice } from "./engine_choice.ts";
 import { EngineDecision } from "./engine_decision.ts";
 import { ExportLosses } from "./export_losses.ts";
+import { FairShares } from "./fair_shares.ts";
 import { Forecasts } from "./forecasts.ts";
 import { Ledger } from "./ledger.ts";
 import { MeasuredRates } from "./measured_rates.ts";
 import { PlainAssigner } from "./plain_assigner.ts";
+import { PlainHold } from "./plain_hold.ts";
 import { Progress } from "./progress.ts";
 import { PromptLocations } from "./prompt_locations.ts";
 import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
@@ -28,6 +31,8 @@
   readonly plainAssigner: PlainAssigner;
   readonly progress: Progress;
   readonly demand: DemandMeter;
+  readonly shares: CustomerShares;
+  readonly plainHold: PlainHold;
   /** Speeds of the replicas; a reload of the settings replaces them. */
   rates(): ReplicaRates;
 };
@@ -46,6 +51,7 @@
   const rates = () => view.scheduling.replicaRates ? measured : EQUAL_RATES;
   const forecasts = new Forecasts({ view, ledger, rates });
   const shared = { view, ledger, pacer, rates, isFull, promptLocations };
+  const shares = new FairShares({ view, ledger });
   const choice = new EngineChoice(shared);
   return {
     ledger,
@@ -62,6 +68,8 @@
       noteFull: (incarnation, now) =>
         fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
     }),
+    shares,
+    plainHold: new PlainHold({ view, ledger, shares }),
     demand: new DemandMeter(ledger, rates),
     rates,
   };
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -111,6 +111,11 @@
     return this.#availablePrefills;
   }
 
+  /** Memory of all decode replicas, in tokens. */
+  get decodeMemory(): number {
+    return this.memory * this.decodes.length;
+  }
+
   /** Memory of the decode replicas for which waits are forecast, in tokens. */
   get forecastMemory(): number {
     return this.memory * this.#forecastDecodes.length;
@@ -166,7 +171,7 @@
 
   /** Counts a request that stays in the queue, ahead of those that follow. */
   noteWaiting(queued: QueuedRequest): void {
-    const { tokens, promptTokens, priority } = queued.request;
+    const { request: { tokens, promptTokens }, priority } = queued;
     this.waiting.push(queued);
     this.ahead.requests += 1;
     this.ahead.tokens += tokens;
