Replica rates: metrics a replica, explain for replicas, cheaper choice

The planner of a service shows the speed and the ejection of each replica, and otterhillctl explain prints the events of a replica's state. A trial that is slower than the pool's median is good if that is usual for the replica; requests that have begun are no trials.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -240,7 +240,7 @@
         resident_bytes: process.memoryUsage.rss(),
       };
       const info = { settings: this.#settingsState.version };
-      const page = metrics.render(gauges, info);
+      const page = metrics.render(gauges, info, this.#planService.gauges());
       response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
       response.end(page);
     });
--- a/src/gateway/observe/metrics.ts
+++ b/src/gateway/observe/metrics.ts
@@ -15,6 +15,18 @@
 /** One of the values of {@link Timing}. */
 export type Timing = typeof Timing[keyof typeof Timing];
 
+/** One gauge of a family. */
+export type LabelledGauge = {
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: number;
+};
+
+/** Gauges with one name and different labels. */
+export type GaugeFamily = {
+  readonly name: string;
+  readonly gauges: readonly LabelledGauge[];
+};
+
 const PERCENTILES = [50, 95, 99];
 /** Histograms record microseconds. */
 const MICROS_PER_MS = 1000;
@@ -46,10 +58,14 @@
     histogram.recordValue(Math.max(1, Math.min(MAX_MICROS, micros)));
   }
 
-  /** Renders all metrics; `info` maps names to versions. */
+  /**
+   * Renders all metrics; `info` maps names to versions. The gauges of a family
+   * differ in their labels.
+   */
   render(
     gauges: Readonly<Record<string, number>>,
     info: Readonly<Record<string, string>> = {},
+    families: readonly GaugeFamily[] = [],
   ): string {
     const lines: string[] = [];
     for (const [name, version] of Object.entries(info)) {
@@ -64,6 +80,13 @@
       lines.push(`# TYPE otterhill_${name} gauge`);
       lines.push(`otterhill_${name} ${value}`);
     }
+    for (const { name, gauges: labelled } of families) {
+      if (labelled.length === 0) continue;
+      lines.push(`# TYPE otterhill_${name} gauge`);
+      for (const { labels, value } of labelled) {
+        lines.push(`otterhill_${name}{${labelText(labels)}} ${value}`);
+      }
+    }
     for (const [timing, histogram] of this.#timings) {
       lines.push(...summaryLines(`otterhill_${timing}_seconds`, histogram));
     }
@@ -71,6 +94,12 @@
   }
 }
 
+function labelText(labels: LabelledGauge["labels"]): string {
+  return Object.entries(labels)
+    .map(([label, value]) => `${label}="${value.replace(/["\\\n]/g, "_")}"`)
+    .join(",");
+}
+
 function summaryLines(name: string, histogram: Histogram): string[] {
   const seconds = (micros: number) => micros / MICROS_PER_MS / 1000;
   const total = histogram.mean * histogram.totalCount;
--- a/src/gateway/planning/ejection.ts
+++ b/src/gateway/planning/ejection.ts
@@ -40,6 +40,8 @@
 const MAX_PAUSE_MS = 8000;
 /** A trial without a result after this time has failed. */
 const TRIAL_TIMEOUT_MS = 4000;
+/** Delay before the next trial if one ended without a result. */
+const NEXT_TRIAL_DELAY_MS = 200;
 /** How long a trial waits for a request that may run twice. */
 const REPEATABLE_WAIT_MS = 1500;
 /** Consecutive good trials that end an ejection. */
@@ -156,15 +158,12 @@
     this.#view.metrics.count("replica_trials");
   }
 
-  /** Whether the request is the replica's trial. */
-  isTrial(incarnation: string, id: string): boolean {
-    return this.#records.get(incarnation)?.trial?.id === id;
-  }
-
   /** Ends a trial without a result, so that another one may begin. */
-  cancelTrial(incarnation: string, id: string): void {
+  cancelTrial(incarnation: string, id: string, now: Milliseconds): void {
     const record = this.#records.get(incarnation);
-    if (record?.trial?.id === id) record.trial = undefined;
+    if (record?.trial?.id !== id) return;
+    record.trial = undefined;
+    record.trialAt = now + NEXT_TRIAL_DELAY_MS;
   }
 
   /** Ends a trial; returns whether it ended the ejection. */
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -100,13 +100,15 @@
     now: Milliseconds,
   ): EngineAssignment | undefined {
     const { mayPrefillLater, mayFit, slackMs } = candidates;
+    const cachedAt = this.#promptLocations.decodeOf(request.key, now);
+    if (!mayFit && cachedAt === undefined) return undefined;
     const rated = ratedRequest(candidates.host, request);
     const rates = this.#rates();
     const decodes = ratedCandidates(rates, candidates.decodes, {
       request: rated,
       hasRoom: (replica) => this.#hasRoom(request, replica, now),
     }, now);
-    const cached = this.#cachedDecodeFor(request, decodes, now);
+    const cached = this.#cachedDecodeFor(request, decodes, cachedAt, now);
     if (cached) return { decode: cached };
     const decode = mayFit ? this.decodeFor(request, decodes, now) : undefined;
     if (!decode) return undefined;
@@ -138,9 +140,9 @@
   #cachedDecodeFor(
     request: PlanRequest,
     decodes: readonly ReplicaEntry[],
+    cachedAt: string | undefined,
     now: Milliseconds,
   ): ReplicaEntry | undefined {
-    const cachedAt = this.#promptLocations.decodeOf(request.key, now);
     const cached = decodes.find(({ incarnation }) => incarnation === cachedAt);
     if (!cached || this.#view.isPaused(cached.incarnation)) return undefined;
     return this.decodeFor(request, [cached], now);
@@ -167,9 +169,11 @@
   ): ReplicaEntry | undefined {
     const memory = Math.max(1, this.#view.memoryOf(request.service));
     const rates = this.#rates();
-    const runMs = ({ incarnation }: ReplicaEntry) =>
-      Math.max(1, rates.runMs(incarnation, request.outputTokens));
-    const usualRunMs = meanOf(decodes.map(runMs));
+    const runMs = new Map(decodes.map(({ incarnation }) => [
+      incarnation,
+      Math.max(1, rates.runMs(incarnation, request.outputTokens)),
+    ]));
+    const usualRunMs = meanOf([...runMs.values()]);
     return minBy(decodes, (replica) => {
       const { incarnation, hall } = replica;
       if (!this.#hasRoom(request, replica, now)) return Infinity;
@@ -179,7 +183,7 @@
       const load = Math.max(LOW_UTILIZATION, utilization) +
         utilization * TIE_BREAK_WEIGHT;
       return rates.firstEventMs(incarnation) + penalty * usualRunMs +
-        runMs(replica) * (1 - LOW_UTILIZATION + load);
+        (runMs.get(incarnation) ?? 1) * (1 - LOW_UTILIZATION + load);
     });
   }
 
--- a/src/gateway/planning/measured_rates.ts
+++ b/src/gateway/planning/measured_rates.ts
@@ -3,20 +3,15 @@
  * that do far worse than their pool. The load that it answers: uneven replicas
  * that are fast, slow, failing or silent for seconds, in pools of few replicas.
  */
-import { evictOldest } from "../../util/evict_oldest.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { Ejection, EjectionReason, Standing } from "./ejection.ts";
 import { silenceCause, slownessCause } from "./ejection_rules.ts";
+import { KnownReplicas } from "./known_replicas.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
 import { AssignmentStage, type PlanProgress } from "./messages.ts";
 import { RecentOutcomes } from "./recent_outcomes.ts";
-import {
-  INITIAL_CALL_MS,
-  INITIAL_FIRST_EVENT_MS,
-  type RatedRequest,
-  type ReplicaRates,
-} from "./replica_rates.ts";
+import type { RatedRequest, ReplicaRates } from "./replica_rates.ts";
 import { RunWatch } from "./run_watch.ts";
 import { ServiceRates } from "./service_rates.ts";
 import { type SpeedSample, Work } from "./speed_model.ts";
@@ -29,7 +24,8 @@
 const MIN_OVERDUE_MS = 1500;
 /** Longest interval between two reports of a run that proceeds. */
 const REPORT_INTERVAL_MS = 1000;
-const MAX_REPLICAS = 3000;
+/** Services without requests for this long are left out of the metrics. */
+const MAX_REPORT_AGE_MS = 10_000;
 
 /** What the rates read of the planner. */
 export type MeasuredRatesOptions = {
@@ -42,8 +38,7 @@
   readonly #view: MeasuredRatesOptions["view"];
   readonly #ledger: MeasuredRatesOptions["ledger"];
   readonly #services = new Map<string, ServiceRates>();
-  /** The replicas of all services, by incarnation. */
-  readonly #replicas = new Map<string, ReplicaEntry>();
+  readonly #replicas = new KnownReplicas();
   readonly #watch = new RunWatch();
   readonly #outcomes = new RecentOutcomes();
   readonly #ejection: Ejection;
@@ -56,6 +51,13 @@
     this.#ejection = new Ejection(view);
   }
 
+  /** The replicas of the services that were compared lately. */
+  replicasAt(now: Milliseconds): readonly ReplicaEntry[] {
+    return this.#replicas.entries().filter(({ service }) =>
+      now - (this.#services.get(service)?.comparedAt ?? 0) < MAX_REPORT_AGE_MS
+    );
+  }
+
   speedOf(incarnation: string): number {
     const rates = this.#ratesOf(incarnation);
     if (!rates) return 1;
@@ -63,24 +65,15 @@
   }
 
   runMs(incarnation: string, outputTokens: number): Milliseconds {
-    const rates = this.#ratesOf(incarnation) ?? new ServiceRates();
-    return rates.runMs(incarnation, outputTokens, this.#now);
+    return outputTokens * this.#replicas.timesOf(incarnation).tokenMs;
   }
 
   firstEventMs(incarnation: string): Milliseconds {
-    return this.#ratesOf(incarnation)?.firstEvents.unitMs(
-      Work.firstEvent,
-      incarnation,
-      this.#now,
-    ) ?? INITIAL_FIRST_EVENT_MS;
+    return this.#replicas.timesOf(incarnation).firstEventMs;
   }
 
   callMs(incarnation: string): Milliseconds {
-    return this.#ratesOf(incarnation)?.speeds.unitMs(
-      Work.call,
-      incarnation,
-      this.#now,
-    ) ?? INITIAL_CALL_MS;
+    return this.#replicas.timesOf(incarnation).callMs;
   }
 
   isEjected(incarnation: string, now: Milliseconds): boolean {
@@ -88,14 +81,19 @@
     return this.#ejection.reasonOf(incarnation) !== undefined;
   }
 
+  suspects(service: string, now: Milliseconds): ReadonlySet<string> {
+    return this.#compare(service, now).suspects;
+  }
+
   standing(
     { incarnation, service }: ReplicaEntry,
     request: RatedRequest,
     now: Milliseconds,
   ): Standing {
     this.#compare(service, now);
-    const { repeatable } = request;
+    const { repeatable, begun } = request;
     const standing = this.#ejection.standing(incarnation, repeatable, now);
+    if (standing === Standing.trial && begun) return Standing.closed;
     if (standing !== Standing.open) return standing;
     return this.#outcomes.isAvoidedBy(request, incarnation, now)
       ? Standing.closed
@@ -123,7 +121,7 @@
     const rates = this.#serviceOf(entry);
     const sample = rates?.prefillSample(spentMs, promptTokens + tokensAhead);
     if (sample) rates?.speeds.add(prefilledBy, sample, now);
-    const isGood = rates?.isGood(sample, now) ?? true;
+    const isGood = rates?.isGood(prefilledBy, sample, now) ?? true;
     this.#endTrial(prefilledBy, id, isGood, now);
   }
 
@@ -131,7 +129,7 @@
     const { id, decode, prefilledBy } = entry;
     this.#advance(now);
     this.#watch.endPrefill(entry, now + this.#grantTimeoutMs(entry));
-    this.#ejection.cancelTrial(decode, id);
+    this.#ejection.cancelTrial(decode, id, now);
     if (prefilledBy === undefined) return;
     this.#noteOutcome(entry, prefilledBy, false, now);
     this.#endTrial(prefilledBy, id, false, now);
@@ -148,14 +146,16 @@
     const sample = this.#addRunPart(entry, report, now);
     const isSilent = this.#ejection.reasonOf(decode) === EjectionReason.silent;
     if (!sample && !isSilent) return;
-    const isGood = this.#serviceOf(entry)?.isGood(sample, now) ?? true;
+    const isGood = this.#serviceOf(entry)?.isGood(decode, sample, now) ?? true;
     this.#endTrial(decode, id, isGood, now);
   }
 
   noteEnd(entry: LedgerEntry, report: PlanProgress, now: Milliseconds): void {
     this.#advance(now);
     const { id, decode, prefilledBy } = entry;
-    if (prefilledBy !== undefined) this.#ejection.cancelTrial(prefilledBy, id);
+    if (prefilledBy !== undefined) {
+      this.#ejection.cancelTrial(prefilledBy, id, now);
+    }
     const isAnswered = report.stage === AssignmentStage.answered;
     const isFailed = report.stage === AssignmentStage.failed;
     const sample = isAnswered
@@ -166,9 +166,9 @@
     if (isAnswered || isFailed) {
       this.#noteOutcome(entry, decode, isAnswered, now);
       const isGood = isAnswered &&
-        (this.#serviceOf(entry)?.isGood(sample, now) ?? true);
+        (this.#serviceOf(entry)?.isGood(decode, sample, now) ?? true);
       this.#endTrial(decode, id, isGood, now);
-    } else this.#ejection.cancelTrial(decode, id);
+    } else this.#ejection.cancelTrial(decode, id, now);
   }
 
   #noteFirstEvent(
@@ -208,11 +208,9 @@
     const rates = this.#serviceOf(entry);
     const isPlain = entry.promptTokens === 0 && entry.outputTokens === 0;
     if (!rates || !isPlain || runMs === undefined) return undefined;
-    const slots = Math.max(1, this.#replicas.get(entry.decode)?.slots ?? 1);
+    const slots = this.#replicas.get(entry.decode)?.slots ?? 1;
     const running = this.#ledger.reservedTokensAt(entry.decode) + 1;
-    // A full replica queues requests, which is not slowness.
-    const unitMs = runMs / Math.max(1, running / slots);
-    const sample = { work: Work.call, unitMs, weight: 1 };
+    const sample = rates.callSample(runMs, running / Math.max(1, slots));
     rates.speeds.add(entry.decode, sample, now);
     return sample;
   }
@@ -224,6 +222,7 @@
     now: Milliseconds,
   ): void {
     this.#outcomes.note(incarnation, { host, hall, isGood, at: now });
+    if (!isGood) this.#ratesOf(incarnation)?.suspects.add(incarnation);
     if (isGood || this.#ejection.reasonOf(incarnation) !== undefined) return;
     const replica = this.#replicas.get(incarnation);
     if (!replica) return;
@@ -246,17 +245,13 @@
   }
 
   /** Compares the replicas of a service, and ejects those that do worse. */
-  #compare(service: string, now: Milliseconds): void {
+  #compare(service: string, now: Milliseconds): ServiceRates {
     this.#advance(now);
-    const rates = this.#serviceOf({ service });
-    if (!rates || now - rates.comparedAt < COMPARE_INTERVAL_MS) return;
+    const rates = this.#ratesOfService(service);
+    if (now - rates.comparedAt < COMPARE_INTERVAL_MS) return rates;
     rates.comparedAt = now;
     const pool = this.#view.replicasOf(service);
-    for (const replica of pool) {
-      this.#replicas.delete(replica.incarnation);
-      this.#replicas.set(replica.incarnation, replica);
-    }
-    evictOldest(this.#replicas, MAX_REPLICAS);
+    this.#replicas.note(pool, rates, now);
     const isOpen = (id: string) => this.#ledger.get(id) !== undefined;
     const runs = this.#watch.openRuns(service, isOpen, now);
     const ofService = [...runs.values()];
@@ -266,7 +261,15 @@
       const cause = slownessCause(rates.speeds, incarnation, now) ??
         (open && silenceCause(open, ofService));
       if (cause) this.#ejection.eject(replica, pool, cause, now);
+      if (this.#isSuspect(incarnation, now)) rates.suspects.add(incarnation);
+      else rates.suspects.delete(incarnation);
     }
+    return rates;
+  }
+
+  #isSuspect(incarnation: string, now: Milliseconds): boolean {
+    return this.#ejection.reasonOf(incarnation) !== undefined ||
+      this.#outcomes.hasFailed(incarnation, now);
   }
 
   /** Time from a grant to the first report. */
@@ -293,7 +296,10 @@
   #serviceOf(
     { service }: { readonly service: string | undefined },
   ): ServiceRates | undefined {
-    if (service === undefined) return undefined;
+    return service === undefined ? undefined : this.#ratesOfService(service);
+  }
+
+  #ratesOfService(service: string): ServiceRates {
     const known = this.#services.get(service);
     if (known) return known;
     const rates = new ServiceRates();
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
+import type { GaugeFamily } from "../observe/metrics.ts";
 import type { ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import { acceptLink, type Link, LINK_HOST_HEADER } from "../peers/link.ts";
 import {
@@ -10,6 +11,7 @@
   HostMessageSchema,
   type PlannerMessage,
 } from "./messages.ts";
+import { rateGauges } from "./rate_gauges.ts";
 import { Planner } from "./planner.ts";
 import type { StageLoad } from "./view.ts";
 
@@ -72,6 +74,12 @@
     return this.#planner.waiting;
   }
 
+  /** Metrics of the replicas that this host plans. */
+  gauges(): GaugeFamily[] {
+    const { measuredRates } = this.#planner;
+    return rateGauges(measuredRates, this.#context.clock.now());
+  }
+
   /** Utilization of the two stages of a service. */
   loadOf(service: string): StageLoad {
     return this.#planner.loadOf(service, this.#context.clock.now());
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -65,7 +65,8 @@
   readonly #losses = new ExportLosses();
   readonly #promptLocations = new PromptLocations();
   readonly #forecasts: Forecasts;
-  readonly #measuredRates: MeasuredRates;
+  /** Speeds and ejections of the replicas, if they are measured. */
+  readonly measuredRates: MeasuredRates;
   readonly #bookings: Bookings = NO_BOOKINGS;
   readonly #shares: CustomerShares = NO_SHARES;
   readonly #progress: Progress;
@@ -85,7 +86,7 @@
     const ledger = this.#ledger;
     const promptLocations = this.#promptLocations;
     const forecasts = this.#forecasts;
-    this.#measuredRates = new MeasuredRates({ view, ledger });
+    this.measuredRates = new MeasuredRates({ view, ledger });
     const rates = () => this.#rates;
     this.#engineDecision = new EngineDecision({
       choice: new EngineChoice({
@@ -121,7 +122,7 @@
   /** Speeds of the replicas; all equal if they are not measured. */
   get #rates(): ReplicaRates {
     const { replicaRates } = this.#view.scheduling;
-    return replicaRates ? this.#measuredRates : EQUAL_RATES;
+    return replicaRates ? this.measuredRates : EQUAL_RATES;
   }
 
   /** Requests that wait for an assignment. */
--- a/src/gateway/planning/rated_candidates.ts
+++ b/src/gateway/planning/rated_candidates.ts
@@ -2,11 +2,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { Standing } from "./ejection.ts";
-import {
-  EQUAL_RATES,
-  type RatedRequest,
-  type ReplicaRates,
-} from "./replica_rates.ts";
+import type { RatedRequest, ReplicaRates } from "./replica_rates.ts";
 
 /** Options of {@link ratedCandidates}. */
 export type CandidateQuery = {
@@ -26,9 +22,16 @@
   { request, hasRoom }: CandidateQuery,
   now: Milliseconds,
 ): readonly ReplicaEntry[] {
-  if (rates === EQUAL_RATES) return replicas;
+  const [first] = replicas;
+  if (!first) return replicas;
+  const suspects = rates.suspects(first.service, now);
+  if (suspects.size === 0) return replicas;
   const open: ReplicaEntry[] = [];
   for (const replica of replicas) {
+    if (!suspects.has(replica.incarnation)) {
+      open.push(replica);
+      continue;
+    }
     const standing = rates.standing(replica, request, now);
     if (standing === Standing.trial && hasRoom(replica)) return [replica];
     if (standing === Standing.open) open.push(replica);
@@ -45,5 +48,5 @@
     readonly begun: boolean;
   },
 ): RatedRequest {
-  return { host, hall, repeatable: repeatable === true && !begun };
+  return { host, hall, repeatable: repeatable === true, begun };
 }
--- a/src/gateway/planning/recent_outcomes.ts
+++ b/src/gateway/planning/recent_outcomes.ts
@@ -42,6 +42,8 @@
 /** Recent outcomes by incarnation. */
 export class RecentOutcomes {
   readonly #outcomes = new Map<string, RequestOutcome[]>();
+  /** When each replica failed last. */
+  readonly #failedAt = new Map<string, Milliseconds>();
 
   /** Records how a request ended. */
   note(incarnation: string, outcome: RequestOutcome): void {
@@ -50,11 +52,15 @@
     outcomes.push(outcome);
     if (outcomes.length > MAX_OUTCOMES) outcomes.shift();
     evictOldest(this.#outcomes, MAX_REPLICAS);
+    if (outcome.isGood) return;
+    this.#failedAt.set(incarnation, outcome.at);
+    evictOldest(this.#failedAt, MAX_REPLICAS);
   }
 
   /** Forgets the outcomes of a replica. */
   forget(incarnation: string): void {
     this.#outcomes.delete(incarnation);
+    this.#failedAt.delete(incarnation);
   }
 
   /**
@@ -81,6 +87,12 @@
     return { failures: failed.length, requests: outcomes.length };
   }
 
+  /** Whether a request failed there within the time that it is avoided. */
+  hasFailed(incarnation: string, now: Milliseconds): boolean {
+    const failedAt = this.#failedAt.get(incarnation);
+    return failedAt !== undefined && now - failedAt < AVOID_MS;
+  }
+
   /**
    * Whether requests of this host avoid the replica, because its last requests
    * there, or those of its hall, failed while others succeed.
@@ -90,13 +102,13 @@
     incarnation: string,
     now: Milliseconds,
   ): boolean {
+    if (!this.hasFailed(incarnation, now)) return false;
     const outcomes = this.#recent(incarnation, now);
-    if (outcomes.every((outcome) => outcome.isGood)) return false;
     const ofHost = outcomes.filter((outcome) => outcome.host === host);
-    if (endsWithFailures(ofHost, HOST_FAILURES, now)) return true;
+    if (endsWithFailures(ofHost, HOST_FAILURES)) return true;
     const ofHall = outcomes.filter((outcome) => outcome.hall === hall);
     return outcomes.some((other) => other.isGood && other.hall !== hall) &&
-      endsWithFailures(ofHall, HALL_FAILURES, now);
+      endsWithFailures(ofHall, HALL_FAILURES);
   }
 
   #recent(incarnation: string, now: Milliseconds): readonly RequestOutcome[] {
@@ -119,10 +131,7 @@
 function endsWithFailures(
   outcomes: readonly RequestOutcome[],
   count: number,
-  now: Milliseconds,
 ): boolean {
   const last = outcomes.slice(-count);
-  const latest = last.at(-1);
-  return last.length === count && latest !== undefined &&
-    now - latest.at < AVOID_MS && last.every((outcome) => !outcome.isGood);
+  return last.length === count && last.every((outcome) => !outcome.isGood);
 }
--- a/src/gateway/planning/replica_rates.ts
+++ b/src/gateway/planning/replica_rates.ts
@@ -16,6 +16,8 @@
   readonly hall: string;
   /** It may run more than once. */
   readonly repeatable: boolean;
+  /** An earlier attempt failed, or its caller has a part of the response. */
+  readonly begun: boolean;
 };
 
 /** Estimates of one planner, by incarnation. */
@@ -34,6 +36,8 @@
   callMs(incarnation: string): Milliseconds;
   /** Whether the replica gets no work, since it fails or is far too slow. */
   isEjected(incarnation: string, now: Milliseconds): boolean;
+  /** Replicas of a service whose standing may not be open. */
+  suspects(service: string, now: Milliseconds): ReadonlySet<string>;
   /** What the replica may be given of a request. */
   standing(
     replica: ReplicaEntry,
@@ -67,6 +71,8 @@
 /** Service time of a plain request, until one is known. */
 export const INITIAL_CALL_MS = 50;
 
+const NO_SUSPECTS: ReadonlySet<string> = new Set();
+
 /** Takes all replicas for equal. */
 export const EQUAL_RATES: ReplicaRates = {
   speedOf: () => 1,
@@ -74,6 +80,7 @@
   firstEventMs: () => INITIAL_FIRST_EVENT_MS,
   callMs: () => INITIAL_CALL_MS,
   isEjected: () => false,
+  suspects: () => NO_SUSPECTS,
   standing: () => Standing.open,
   noteGrant: () => undefined,
   notePrefillFailed: () => undefined,
--- a/src/gateway/planning/service_rates.ts
+++ b/src/gateway/planning/service_rates.ts
@@ -1,6 +1,10 @@
 /** Measured durations of the work at the replicas of one service. */
 import type { Milliseconds } from "../../util/units.ts";
-import { INITIAL_EVENT_MS } from "./replica_rates.ts";
+import {
+  INITIAL_CALL_MS,
+  INITIAL_EVENT_MS,
+  INITIAL_FIRST_EVENT_MS,
+} from "./replica_rates.ts";
 import type { RunPart } from "./run_watch.ts";
 import { SpeedModel, type SpeedSample, Work } from "./speed_model.ts";
 
@@ -15,6 +19,23 @@
 /** Tokens of answered runs before the events for each token are known. */
 const MIN_TOKENS = 100;
 
+/** Expected times at one replica. */
+export type ReplicaTimes = {
+  /** From one output token to the next. */
+  readonly tokenMs: Milliseconds;
+  /** From the send to a decode replica to its first event. */
+  readonly firstEventMs: Milliseconds;
+  /** Of a plain request in a free slot. */
+  readonly callMs: Milliseconds;
+};
+
+/** Times that are assumed until some are measured. */
+export const INITIAL_TIMES: ReplicaTimes = {
+  tokenMs: INITIAL_EVENT_MS,
+  firstEventMs: INITIAL_FIRST_EVENT_MS,
+  callMs: INITIAL_CALL_MS,
+};
+
 /** Speeds of the replicas of one service. */
 export class ServiceRates {
   /** Times of decodes, prefills and calls, which have one speed a replica. */
@@ -23,6 +44,8 @@
   readonly firstEvents = new SpeedModel();
   /** When its replicas were last compared. */
   comparedAt: Milliseconds = -Infinity;
+  /** Replicas that are ejected or failed lately. */
+  readonly suspects = new Set<string>();
   #events = 0;
   #tokens = 0;
 
@@ -33,17 +56,20 @@
     this.#tokens = this.#tokens * EVENTS_DECAY + outputTokens;
   }
 
-  /** Expected time from the first event to the end of a run. */
-  runMs(
-    incarnation: string,
-    outputTokens: number,
-    now: Milliseconds,
-  ): Milliseconds {
-    const eventMs = this.speeds.unitMs(Work.decode, incarnation, now);
-    if (eventMs === undefined || this.#tokens < MIN_TOKENS) {
-      return outputTokens * INITIAL_EVENT_MS;
-    }
-    return outputTokens * eventMs * this.#events / this.#tokens;
+  /** Expected times at a replica. */
+  timesOf(incarnation: string, now: Milliseconds): ReplicaTimes {
+    const { speeds, firstEvents } = this;
+    const eventMs = speeds.unitMs(Work.decode, incarnation, now);
+    const isKnown = eventMs !== undefined && this.#tokens >= MIN_TOKENS;
+    return {
+      tokenMs: isKnown
+        ? eventMs * this.#events / this.#tokens
+        : INITIAL_TIMES.tokenMs,
+      firstEventMs: firstEvents.unitMs(Work.firstEvent, incarnation, now) ??
+        INITIAL_TIMES.firstEventMs,
+      callMs: speeds.unitMs(Work.call, incarnation, now) ??
+        INITIAL_TIMES.callMs,
+    };
   }
 
   /** Expected time of a prefill; undefined before enough samples. */
@@ -57,10 +83,19 @@
     return tokenMs * (promptTokens + PREFILL_BASE_TOKENS);
   }
 
-  /** Whether the work took no longer than usual; true without a sample. */
-  isGood(sample: SpeedSample | undefined, now: Milliseconds): boolean {
+  /**
+   * Whether the work took no longer than is usual for the pool, or for the
+   * replica if that is slower; true without a sample.
+   */
+  isGood(
+    incarnation: string,
+    sample: SpeedSample | undefined,
+    now: Milliseconds,
+  ): boolean {
     if (!sample) return true;
-    return this.speeds.deviation(sample, now) < USUAL_SLOWNESS;
+    const usual = this.speeds.steadySlowness(incarnation, now);
+    return this.speeds.deviation(sample, now) - Math.max(0, usual) <
+      USUAL_SLOWNESS;
   }
 
   /** The sample of a part of a run. */
@@ -69,6 +104,12 @@
     return { work: Work.decode, unitMs: ms / events, weight };
   }
 
+  /** The sample of a plain call; a full replica queues requests. */
+  callSample(runMs: Milliseconds, requestsPerSlot: number): SpeedSample {
+    const unitMs = runMs / Math.max(1, requestsPerSlot);
+    return { work: Work.call, unitMs, weight: 1 };
+  }
+
   /** The sample of a prefill after which `promptTokens` were processed. */
   prefillSample(spentMs: Milliseconds, promptTokens: number): SpeedSample {
     const unitMs = spentMs / (promptTokens + PREFILL_BASE_TOKENS);
--- a/src/gateway/planning/speed_model.ts
+++ b/src/gateway/planning/speed_model.ts
@@ -85,6 +85,8 @@
   recent: DecayingMean;
   readonly steady: DecayingMean;
   latest: LatestSample[];
+  /** The recent estimate when the medians were last computed. */
+  current: number;
 };
 type Reference = { mean: number; weight: number };
 type Medians = {
@@ -149,10 +151,8 @@
   ): Milliseconds | undefined {
     const reference = this.#references.get(work);
     if (!reference || reference.weight < REFERENCE_MIN_WEIGHT) return undefined;
-    const replica = this.#replicas.get(incarnation);
-    const slowness = replica
-      ? this.#recent(replica, now)
-      : this.#mediansAt(now).recent;
+    const medians = this.#mediansAt(now);
+    const slowness = this.#replicas.get(incarnation)?.current ?? medians.recent;
     return Math.exp(reference.mean + slowness);
   }
 
@@ -178,6 +178,7 @@
       recent: new DecayingMean(RECENT_DECAY_MS),
       steady: new DecayingMean(STEADY_DECAY_MS),
       latest: [],
+      current: this.#medians.recent,
     };
     this.#replicas.set(incarnation, replica);
     return replica;
@@ -187,16 +188,11 @@
     return steady.shrunk(this.#mediansAt(now).steady, now);
   }
 
-  /** Without recent samples, it has changed as the median replica has. */
-  #recent(replica: ReplicaSlowness, now: Milliseconds): number {
-    const medians = this.#mediansAt(now);
-    const change = medians.recent - medians.steady;
-    return replica.recent.shrunk(this.#steady(replica, now) + change, now);
-  }
-
   #mediansAt(now: Milliseconds): Medians {
     if (now - this.#medians.at < MEDIAN_INTERVAL_MS) return this.#medians;
     const before = this.#medians;
+    // Without recent samples, a replica has changed as the median one has.
+    const change = before.recent - before.steady;
     const steady: number[] = [];
     const recent: number[] = [];
     for (const [incarnation, replica] of this.#replicas) {
@@ -205,9 +201,10 @@
         continue;
       }
       const slowness = replica.steady.shrunk(before.steady, now);
+      replica.current = replica.recent.shrunk(slowness + change, now);
       steady.push(slowness);
       if (replica.recent.weight(now) < MIN_WEIGHT) continue;
-      recent.push(replica.recent.shrunk(slowness, now));
+      recent.push(replica.current);
     }
     const medianSteady = medianOf(steady) ?? 0;
     this.#medians = {
--- a/src/programs/ctl/request_log.ts
+++ b/src/programs/ctl/request_log.ts
@@ -25,23 +25,29 @@
 ]);
 
 /**
- * Returns the log lines whose `request` field is the given id, sorted by time.
- * Skips all other lines, including lines that aren't JSON.
+ * Returns the log lines of a request, or those about the state of a replica, by
+ * its id, sorted by time. Skips all other lines, including lines that aren't
+ * JSON.
  */
 export function findRequestLines(
   lines: Iterable<string>,
-  request: string,
+  id: string,
 ): RequestLogLine[] {
   const found: RequestLogLine[] = [];
   for (const line of lines) {
-    if (!line.includes(request)) continue;
+    if (!line.includes(id)) continue;
     const record = parseLogLine(line);
-    if (record?.["request"] !== request) continue;
+    if (!record || !isAbout(record, id)) continue;
     found.push(toRequestLogLine(record));
   }
   return found.sort((a, b) => a.time < b.time ? -1 : a.time > b.time ? 1 : 0);
 }
 
+function isAbout(record: Record<string, unknown>, id: string): boolean {
+  const { request, replica } = record;
+  return request === undefined ? replica === id : request === id;
+}
+
 /** Parses a JSON log line; ignores a prefix added by a log collector. */
 function parseLogLine(line: string): Record<string, unknown> | undefined {
   const start = line.indexOf("{");
--- a/src/programs/ctl/status.ts
+++ b/src/programs/ctl/status.ts
@@ -17,8 +17,8 @@
     });
   program.command("explain <request> [logs...]")
     .description(
-      "show why a request was placed, moved or refused: from the given hosts, " +
-        "from log files, or from standard input",
+      "show why a request was placed, moved or refused, or why a replica gets " +
+        "no work: from the given hosts, from log files, or from standard input",
     )
     .action(
       async (
--- a/test/gateway/observe/observe_test.ts
+++ b/test/gateway/observe/observe_test.ts
@@ -78,6 +78,23 @@
   assert.deepEqual(named.sort(), Object.keys(EVENT_KINDS).sort());
 });
 
+test("the gauges of a family are told apart by their labels", () => {
+  const gauges = [
+    { labels: { replica: "a", stage: "decode" }, value: 2 },
+    { labels: { replica: 'b"\n', stage: "" }, value: 0.5 },
+  ];
+  const families = [{ name: "speed", gauges }, { name: "none", gauges: [] }];
+  assert.equal(
+    new Metrics().render({}, {}, families),
+    [
+      "# TYPE otterhill_speed gauge",
+      'otterhill_speed{replica="a",stage="decode"} 2',
+      'otterhill_speed{replica="b__",stage=""} 0.5',
+      "",
+    ].join("\n"),
+  );
+});
+
 test("the metrics page has a sample line for each metric", () => {
   const metrics = new Metrics();
   metrics.count("requests", 3);
--- a/test/gateway/planning/ejection_test.ts
+++ b/test/gateway/planning/ejection_test.ts
@@ -5,6 +5,8 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
+import "../../fixed_seed.ts";
 import { Standing } from "../../../src/gateway/planning/ejection.ts";
 import {
   EVENTS,
@@ -19,6 +21,13 @@
 
 const USUAL_MS = 2000;
 
+const REQUEST = {
+  host: "other",
+  hall: "hall0",
+  repeatable: true,
+  begun: false,
+};
+
 /** Number of runs that a replica was given while `playAll` drove the pool. */
 function countRuns(
   rig: RatesRig,
@@ -87,7 +96,7 @@
   const standing = (hall: string) =>
     rig.rates.standing(
       replica,
-      { host: "other", hall, repeatable: true },
+      { ...REQUEST, hall },
       6000,
     );
   assert.equal(standing("hall1"), Standing.closed);
@@ -122,6 +131,46 @@
   });
 }
 
+test("whatever the replicas do, most of a pool is never ejected", () => {
+  const behaviours = fc.array(
+    fc.constantFrom("usual", "fast", "slow", "failing", "half failing"),
+    { minLength: 1, maxLength: 12 },
+  );
+  fc.assert(fc.property(behaviours, fc.nat(5), (kinds, turn) => {
+    const rig = ratesRig(kinds.length);
+    playAll(rig, { from: 0, until: 6000 }, (index, now) => {
+      // The behaviours move on to other replicas every two seconds.
+      const shift = turn * Math.floor(now / 2000);
+      const kind = kinds[(index + shift) % kinds.length];
+      const isFailed = kind === "failing" ||
+        (kind === "half failing" && now % 600 === 0);
+      const runMs = kind === "slow" ? 9000 : kind === "fast" ? 900 : USUAL_MS;
+      return { runMs: isFailed ? undefined : runMs };
+    });
+    const ejected = rig.ejected(6000).length;
+    const most = Math.max(1, Math.floor(kinds.length / 3));
+    assert.ok(ejected <= most && ejected < kinds.length);
+    const open = rig.pool.some((replica) =>
+      rig.rates.standing(replica, REQUEST, 20_000) === Standing.open
+    );
+    assert.ok(open);
+  }));
+});
+
+test("a request that has begun is no trial", () => {
+  const rig = ratesRig(6);
+  playAll(rig, { from: 0, until: 1500 }, (index, now) => ({
+    host: `host${now / 300}`,
+    runMs: index === 0 ? undefined : USUAL_MS,
+  }));
+  const [replica] = rig.pool;
+  assert.ok(replica);
+  const standing = (begun: boolean) =>
+    rig.rates.standing(replica, { ...REQUEST, begun }, 9000);
+  assert.equal(standing(true), Standing.closed);
+  assert.equal(standing(false), Standing.trial);
+});
+
 test("a replica that stops answering is ejected while others answer", () => {
   const rig = ratesRig(6);
   playAll(rig, { from: 0, until: 3000 }, () => ({}));
@@ -160,7 +209,7 @@
   const standing = (repeatable: boolean, now: number) =>
     rig.rates.standing(
       replica,
-      { host: "host0", hall: "hall0", repeatable },
+      { ...REQUEST, repeatable },
       now,
     );
   assert.equal(rig.rates.isEjected("r0", 3000), true);
@@ -187,9 +236,8 @@
   }));
   const [replica] = rig.pool;
   assert.ok(replica);
-  const request = { host: "h", hall: "hall0", repeatable: true };
   grant(rig, { replica, now: 9000 });
-  const standing = (now: number) => rig.rates.standing(replica, request, now);
+  const standing = (now: number) => rig.rates.standing(replica, REQUEST, now);
   assert.equal(standing(12_000), Standing.closed);
   assert.equal(standing(13_500), Standing.closed);
   assert.equal(standing(25_000), Standing.trial);
--- a/test/gateway/planning/measured_rates_test.ts
+++ b/test/gateway/planning/measured_rates_test.ts
@@ -93,7 +93,7 @@
   rig.pool[0] = replicaEntry("r0@2", { id: "r0", stage: "decode" });
   rig.rates.standing(
     rig.pool[0],
-    { host: "h", hall: "h", repeatable: true },
+    { host: "h", hall: "h", repeatable: true, begun: false },
     6200,
   );
   assert.ok(rig.rates.speedOf("r0") < 0.7);
--- a/test/gateway/planning/rates_rig.ts
+++ b/test/gateway/planning/rates_rig.ts
@@ -106,7 +106,7 @@
 export function play(rig: RatesRig, run: Run): boolean {
   const { rates, ledger } = rig;
   const { replica, now, runMs, prefill, host = "host", hall = "hall0" } = run;
-  const request = { host, hall, repeatable: true };
+  const request = { host, hall, repeatable: true, begun: false };
   if (rates.standing(replica, request, now) === Standing.closed) return false;
   const entry = grant(rig, run);
   if (prefill) {
--- a/test/programs/request_log_test.ts
+++ b/test/programs/request_log_test.ts
@@ -29,6 +29,19 @@
   assert.equal(first, "2026-12-02T10:00:01Z  h1  placement: sent  reason=r");
 });
 
+test("of a replica the lines about its state are found", () => {
+  const about = (fields: object) =>
+    JSON.stringify({ host: "h1", event: "e", replica: "r1", ...fields });
+  const lines = [
+    about({ time: "2", msg: "planning: ejected", reason: "slow" }),
+    about({ time: "1", msg: "fleet: added" }),
+    about({ time: "3", msg: "placement: sent", request: "1" }),
+    about({ time: "4", msg: "fleet: added", replica: "r12" }),
+  ];
+  const sentences = findRequestLines(lines, "r1").map((line) => line.sentence);
+  assert.deepEqual(sentences, ["fleet: added", "planning: ejected"]);
+});
+
 test("returns no lines for an unknown request id", () => {
   assert.deepEqual(findRequestLines([line("t", "1", "m")], "2"), []);
 });
