--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,10 +12,6 @@
   retryBudgetRuleOf,
   tuningOf,
 } from "./create_context.ts";
-import {
-  customerGauges,
-  MAX_CUSTOMER_METRICS,
-} from "./customers/customer_metrics.ts";
 import { Customers } from "./customers/customers.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
@@ -250,8 +246,8 @@
         resident_bytes: process.memoryUsage.rss(),
       };
       const info = { settings: this.#settingsState.version };
-      const rates = this.#planService.mostActiveCustomers(MAX_CUSTOMER_METRICS);
-      const page = metrics.render(gauges, info, customerGauges(rates));
+      const labelled = this.#planService.gauges();
+      const page = metrics.render(gauges, info, labelled);
       response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
       response.end(page);
     });
--- a/src/gateway/observe/metrics.ts
+++ b/src/gateway/observe/metrics.ts
@@ -55,7 +55,10 @@
     histogram.recordValue(Math.max(1, Math.min(MAX_MICROS, micros)));
   }
 
-  /** Renders all metrics; `info` maps names to versions. */
+  /**
+   * Renders all metrics; `info` maps names to versions. The gauges of a family
+   * differ in their labels.
+   */
   render(
     gauges: Readonly<Record<string, number>>,
     info: Readonly<Record<string, string>> = {},
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
+import type { LabelledGauge } from "../observe/metrics.ts";
 import type { ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import { acceptLink, type Link, LINK_HOST_HEADER } from "../peers/link.ts";
 import {
@@ -10,7 +11,11 @@
   HostMessageSchema,
   type PlannerMessage,
 } from "./messages.ts";
-import type { CustomerRates } from "./customer_activity.ts";
+import {
+  customerGauges,
+  MAX_CUSTOMER_METRICS,
+} from "../customers/customer_metrics.ts";
+import { rateGauges } from "./rate_gauges.ts";
 import { Planner } from "./planner.ts";
 import type { StageMeter } from "../stages/demand.ts";
 import type { StageLoad } from "./view.ts";
@@ -74,6 +79,19 @@
     return this.#planner.waiting;
   }
 
+  /** Metrics of the replicas and the customers of the planned services. */
+  gauges(): LabelledGauge[] {
+    const now = this.#context.clock.now();
+    const customers = this.#planner.mostActiveCustomers(
+      MAX_CUSTOMER_METRICS,
+      now,
+    );
+    return [
+      ...rateGauges(this.#planner.measuredRates, now),
+      ...customerGauges(customers),
+    ];
+  }
+
   /** Utilization of the two stages of a service. */
   loadOf(service: string): StageLoad {
     return this.#planner.loadOf(service, this.#context.clock.now());
@@ -89,11 +107,6 @@
     };
   }
 
-  /** The rates of the customers with the most requests at this planner. */
-  mostActiveCustomers(count: number): CustomerRates[] {
-    return this.#planner.mostActiveCustomers(count, this.#context.clock.now());
-  }
-
   /** Registers the function that sends the planner's messages to a host. */
   attach(host: string, send: (message: PlannerMessage) => void): void {
     this.#hosts.set(host, send);
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -11,6 +11,7 @@
 import type { CustomerRates } from "./customer_activity.ts";
 import type { EngineAssignment } from "./engine_choice.ts";
 import { firstEventMs } from "./forecasts.ts";
+import type { MeasuredRates } from "./measured_rates.ts";
 import type { LedgerEntry } from "./ledger.ts";
 import { createPlannerParts, type PlannerParts } from "./planner_parts.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
@@ -57,6 +58,11 @@
     this.#parts = createPlannerParts(view);
   }
 
+  /** Speeds and ejections of the replicas, if they are measured. */
+  get measuredRates(): MeasuredRates {
+    return this.#parts.measuredRates;
+  }
+
   /** Requests that wait for an assignment. */
   get waiting(): number {
     return this.#queue.size;
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -31,6 +31,7 @@
   readonly plainAssigner: PlainAssigner;
   readonly progress: Progress;
   readonly demand: DemandMeter;
+  readonly measuredRates: MeasuredRates;
   readonly shares: CustomerShares;
   readonly plainHold: PlainHold;
   /** Speeds of the replicas; a reload of the settings replaces them. */
@@ -47,8 +48,9 @@
   const isFull = (incarnation: string, now: Milliseconds) =>
     (fullUntil.get(incarnation) ?? 0) > now ||
     !pacer.hasRoom(incarnation, now);
-  const measured = new MeasuredRates({ view, ledger });
-  const rates = () => view.scheduling.replicaRates ? measured : EQUAL_RATES;
+  const measuredRates = new MeasuredRates({ view, ledger });
+  const rates = () =>
+    view.scheduling.replicaRates ? measuredRates : EQUAL_RATES;
   const forecasts = new Forecasts({ view, ledger, rates });
   const shared = { view, ledger, pacer, rates, isFull, promptLocations };
   const shares = new FairShares({ view, ledger });
@@ -68,6 +70,7 @@
       noteFull: (incarnation, now) =>
         fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
     }),
+    measuredRates,
     shares,
     plainHold: new PlainHold({ view, ledger, shares }),
     demand: new DemandMeter(ledger, rates),
