Stages: prefill rates as ratios, single changes beside swaps, lost replicas

A plan of single changes is now weighed beside one with swaps, since a swap with a higher gain hid a change that paid. A replica that is lost counts as present for 8 s (crash, restart); while a whole hall is missing nothing is ordered.

--- a/src/gateway/planning/demand_meter.ts
+++ b/src/gateway/planning/demand_meter.ts
@@ -11,8 +11,13 @@
   StageMeasurement,
 } from "../stages/demand.ts";
 import { DecayingSum } from "./decaying_sum.ts";
-import type { Ledger, LedgerEntry } from "./ledger.ts";
-import type { PlanRequest } from "./messages.ts";
+import type { LedgerEntry } from "./ledger.ts";
+import {
+  AssignmentStage,
+  type PlanProgress,
+  type PlanRequest,
+} from "./messages.ts";
+import { PrefillRates } from "./prefill_rates.ts";
 import type { ReplicaRates } from "./replica_rates.ts";
 
 /** Time constant of the measured demand. */
@@ -43,11 +48,10 @@
 /** Demand on the services of a planner, and capacities of their replicas. */
 export class DemandMeter {
   readonly #services = new Map<string, ServiceSums>();
-  readonly #ledger: Ledger;
+  readonly #prefillRates = new PrefillRates();
   readonly #rates: ReplicaRates;
 
-  constructor(ledger: Ledger, rates: ReplicaRates) {
-    this.#ledger = ledger;
+  constructor(rates: ReplicaRates) {
     this.#rates = rates;
   }
 
@@ -69,8 +73,21 @@
     add(sums.promptTokens, request.promptTokens);
   }
 
-  /** Records how long an assignment kept its memory. */
-  noteEnd(entry: LedgerEntry, now: Milliseconds): void {
+  /** Records the durations that a host reports about an assignment. */
+  noteReport(
+    entry: LedgerEntry,
+    { stage, spentMs }: PlanProgress,
+    now: Milliseconds,
+  ): void {
+    if (stage === AssignmentStage.answered) this.#noteEnd(entry, now);
+    if (stage !== AssignmentStage.prefilled || spentMs === undefined) return;
+    const { prefill: incarnation, promptTokens: tokens } = entry;
+    // Queueing behind other prefills would distort the rate.
+    if (incarnation === undefined || entry.tokensAhead > 0) return;
+    this.#prefillRates.note({ incarnation, tokens, spentMs }, now);
+  }
+
+  #noteEnd(entry: LedgerEntry, now: Milliseconds): void {
     const sums = entry.service === undefined
       ? undefined
       : this.#services.get(entry.service);
@@ -95,19 +112,19 @@
     const sums = this.#services.get(service.name);
     const demand = sums && demandOf(sums, now);
     if (!demand) return undefined;
-    const capacities = this.#capacitiesOf(service.replicas);
+    const capacities = this.#capacitiesOf(service.replicas, now);
     return capacities && { demand, memory: service.memory, capacities };
   }
 
   /** Undefined until a replica's prefills were measured. */
   #capacitiesOf(
     replicas: readonly ReplicaEntry[],
+    now: Milliseconds,
   ): ReplicaCapacity[] | undefined {
     const measured = new Map<string, number>();
     for (const { incarnation } of replicas) {
-      if (!this.#ledger.hasPrefillTime(incarnation)) continue;
-      const { slope } = this.#ledger.prefillLineOf(incarnation);
-      measured.set(incarnation, 1000 / slope);
+      const rate = this.#prefillRates.rateOf(incarnation, now);
+      if (rate !== undefined) measured.set(incarnation, rate);
     }
     if (measured.size === 0) return undefined;
     const speeds = this.#speedsOf(replicas, measured);
@@ -190,5 +207,7 @@
 
 function median(values: readonly number[]): number {
   const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor(sorted.length / 2)] ?? 1;
+  const upper = sorted[Math.floor(sorted.length / 2)] ?? 1;
+  const lower = sorted[Math.floor((sorted.length - 1) / 2)] ?? upper;
+  return (lower + upper) / 2;
 }
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -75,13 +75,6 @@
     return computeLine(this.#fitOf(replica)) ?? { base: 0, slope: 1 };
   }
 
-  /** Whether a prefill of the replica was measured. */
-  hasPrefillTime(replica: string): boolean {
-    const fit = this.#fits.get(replica);
-    return fit !== undefined &&
-      fit.weight > PRIOR_WEIGHT * PRIOR_SAMPLES.length;
-  }
-
   /** The assignment of a request. */
   get(id: string): LedgerEntry | undefined {
     return this.#entries.get(id);
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -69,7 +69,7 @@
   readonly #rates: ReplicaRates = EQUAL_RATES;
   readonly #bookings: Bookings = NO_BOOKINGS;
   readonly #shares: CustomerShares = NO_SHARES;
-  readonly #demand = new DemandMeter(this.#ledger, this.#rates);
+  readonly #demand = new DemandMeter(this.#rates);
   readonly #progress: Progress;
   readonly #engineDecision: EngineDecision;
   readonly #plainAssigner: PlainAssigner;
@@ -177,8 +177,8 @@
   report(report: PlanProgress, now: Milliseconds): void {
     if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
     const entry = this.#ledger.get(report.id);
-    if (entry && report.stage === AssignmentStage.answered) {
-      this.#demand.noteEnd(entry, now);
+    if (entry && this.#view.scheduling.measuredSplit) {
+      this.#demand.noteReport(entry, report, now);
     }
     this.#progress.report(report, now);
   }
--- a/src/gateway/stages/measured_balance.ts
+++ b/src/gateway/stages/measured_balance.ts
@@ -8,6 +8,7 @@
 import type { StageChange } from "./balance.ts";
 import { ChangeEvidence } from "./change_evidence.ts";
 import type { StageDemand, StageMeasurement } from "./demand.ts";
+import { isHallLost, LostReplicas } from "./lost_replicas.ts";
 import { type SplitDemand, SplitValue } from "./split_value.ts";
 import {
   applyChanges,
@@ -26,18 +27,12 @@
  * service, since demand that turns back requires another change.
  */
 const REVERSAL_SHARE = 0.5;
-/**
- * Time without orders after replicas were lost: those that crashed or were
- * unreachable have usually recovered by then.
- */
-const LOSS_HOLD_MS = 8000;
-
 /** The state of one service that a decision is based on. */
 export type MeasuredService = {
   /** Replicas of the service; those that change have their new stage. */
   readonly replicas: readonly ReplicaEntry[];
-  /** Undefined until demand and capacities are known. */
-  readonly measurement: StageMeasurement | undefined;
+  /** Undefined until demand and capacities of these replicas are known. */
+  measure(replicas: readonly ReplicaEntry[]): StageMeasurement | undefined;
   /** Duration of a change of stage. */
   readonly switchMs: Milliseconds;
 };
@@ -67,7 +62,7 @@
 /** Balances the stages of one service. */
 export class MeasuredBalance {
   readonly #evidence = new ChangeEvidence();
-  #known = new Set<string>();
+  readonly #lost = new LostReplicas();
   #heldUntil: Milliseconds = 0;
 
   /** Updates the evidence; undefined while nothing is measured. */
@@ -75,11 +70,16 @@
     service: MeasuredService,
     now: Milliseconds,
   ): SplitDecision | undefined {
-    this.#holdAfterLoss(service.replicas, now);
-    const { measurement } = service;
+    const { replicas } = service;
+    const lost = this.#lost.update(replicas, now);
+    if (isHallLost(replicas, lost)) {
+      this.#evidence.reset();
+      return undefined;
+    }
+    const measurement = service.measure([...replicas, ...lost]);
     if (!measurement) return undefined;
     const { demand, memory, capacities } = measurement;
-    const members = membersOf(service.replicas, capacities);
+    const members = membersOf(replicas, capacities, lost);
     const prefillMs = demand.meanPromptTokens * 1000 / medianRate(members);
     const value = new SplitValue({ ...demand, memory, prefillMs });
     const plan = bestPlan(members, value, {
@@ -121,13 +121,6 @@
     this.retryAt(until);
     this.#evidence.reset();
   }
-
-  #holdAfterLoss(replicas: readonly ReplicaEntry[], now: Milliseconds): void {
-    const present = new Set(replicas.map((replica) => replica.incarnation));
-    const isLoss = [...this.#known].some((known) => !present.has(known));
-    this.#known = present;
-    if (isLoss) this.suspendUntil(now + LOSS_HOLD_MS);
-  }
 }
 
 type PlanDemand = SplitDemand & { readonly switchMs: Milliseconds };
@@ -140,14 +133,17 @@
 ): Plan | undefined {
   const before = value.ofPresent(capacityOf(members));
   const maxSteps = maxChanges(members) + EXTRA_STEPS;
-  const changes: StageChange[] = [];
   let best: Plan | undefined;
-  for (const step of wantedSteps(members, value, maxSteps)) {
-    changes.push(...step.changes);
-    const gain = step.value / before - 1;
-    const cost = costOf(members, value, { changes, demand });
-    if (best && best.gain / best.cost >= gain / cost) continue;
-    best = { changes: [...changes], gain, cost };
+  for (const isSwapAllowed of [false, true]) {
+    const changes: StageChange[] = [];
+    const limits = { steps: maxSteps, isSwapAllowed };
+    for (const step of wantedSteps(members, value, limits)) {
+      changes.push(...step.changes);
+      const gain = step.value / before - 1;
+      const cost = costOf(members, value, { changes, demand });
+      if (best && best.gain / best.cost >= gain / cost) continue;
+      best = { changes: [...changes], gain, cost };
+    }
   }
   return best;
 }
--- a/src/gateway/stages/split_members.ts
+++ b/src/gateway/stages/split_members.ts
@@ -9,20 +9,25 @@
   readonly replica: ReplicaEntry;
   readonly stage: ReplicaStage;
   readonly capacity: ReplicaCapacity;
+  /** Whether its stage can be changed now. */
+  readonly canChange: boolean;
 };
 
-/** Replicas of a service that have a stage. */
+/** Replicas of a service that have a stage; the lost ones can't change it. */
 export function membersOf(
   replicas: readonly ReplicaEntry[],
   capacities: readonly ReplicaCapacity[],
+  lost: readonly ReplicaEntry[] = [],
 ): SplitMember[] {
   const byIncarnation = new Map(
     capacities.map((capacity) => [capacity.incarnation, capacity]),
   );
-  return replicas.flatMap((replica) => {
+  return [...replicas, ...lost].flatMap((replica) => {
     const capacity = byIncarnation.get(replica.incarnation);
     const { stage, leaving } = replica;
-    return capacity && stage && !leaving ? [{ replica, stage, capacity }] : [];
+    if (!capacity || !stage || leaving) return [];
+    const canChange = !lost.includes(replica);
+    return [{ replica, stage, capacity, canChange }];
   });
 }
 
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -149,7 +149,7 @@
   const { name } = service;
   const decision = balance.decide({
     replicas: entries,
-    measurement: options.meter.measure(name, entries),
+    measure: (replicas) => options.meter.measure(name, replicas),
     switchMs: service.engine?.switchMs ?? 0,
   }, clock.now());
   if (!decision) {
--- a/src/gateway/stages/wanted_split.ts
+++ b/src/gateway/stages/wanted_split.ts
@@ -30,19 +30,28 @@
 /** Most replicas of one stage that a step changes. */
 const MAX_OF_STAGE = 2;
 
+/** Bounds of {@link wantedSteps}. */
+export type StepLimits = {
+  readonly steps: number;
+  /** Whether a step may swap replicas. */
+  readonly isSwapAllowed: boolean;
+};
+
 /**
- * The best steps one after the other, at most `maxSteps`, until none has a
- * sufficient gain.
+ * The best steps one after the other, until none has a sufficient gain.
  */
 export function wantedSteps(
   members: readonly SplitMember[],
   value: SplitValue,
-  maxSteps: number,
+  limits: StepLimits,
 ): SplitStep[] {
   const steps: SplitStep[] = [];
   let split = members;
-  while (steps.length < maxSteps) {
-    const step = bestStep(split, value);
+  while (steps.length < limits.steps) {
+    const candidates = limits.isSwapAllowed
+      ? [...singles(split), ...swaps(split)]
+      : singles(split);
+    const step = bestStep(split, value, candidates);
     if (!step) return steps;
     steps.push(step);
     split = applyChanges(split, step.changes);
@@ -53,6 +62,7 @@
 function bestStep(
   split: readonly SplitMember[],
   value: SplitValue,
+  candidates: readonly (readonly SplitMember[])[],
 ): SplitStep | undefined {
   const capacity = capacityOf(split);
   const before = value.ofPresent(capacity);
@@ -61,7 +71,7 @@
     .sort((a, b) => rateOf(b) - rateOf(a))
     .slice(0, MAX_OF_STAGE + 1);
   let best: Candidate | undefined;
-  for (const changed of candidates(split)) {
+  for (const changed of candidates) {
     const after = value.of(capacityAfter(capacity, fastest, changed));
     const gain = after / before - 1 - MIN_GAIN * changed.length;
     if (gain < 0 || (best && gain < best.gain - GAIN_TOLERANCE)) continue;
@@ -92,14 +102,21 @@
   return candidate.gain > best.gain;
 }
 
-/** Sets of replicas that may change their stage together. */
-function candidates(split: readonly SplitMember[]): SplitMember[][] {
+/** Replicas that may change their stage alone. */
+function singles(split: readonly SplitMember[]): SplitMember[][] {
+  return [
+    ...extremes(split, ReplicaStage.prefill),
+    ...extremes(split, ReplicaStage.decode),
+  ].map((member) => [member]);
+}
+
+/** Replicas of both stages that may change together: two or three. */
+function swaps(split: readonly SplitMember[]): SplitMember[][] {
   const prefills = extremes(split, ReplicaStage.prefill);
   const decodes = extremes(split, ReplicaStage.decode);
   const prefillPairs = pairs(bySpeed(split, ReplicaStage.prefill));
   const decodePairs = pairs(bySpeed(split, ReplicaStage.decode));
   return [
-    ...[...prefills, ...decodes].map((member) => [member]),
     ...prefills.flatMap((prefill) => [
       ...decodes.map((decode) => [prefill, decode]),
       ...decodePairs.map((pair) => [prefill, ...pair]),
@@ -114,12 +131,12 @@
   return capacity.promptTokensPerSecond;
 }
 
-/** The replicas of a stage, the slowest first. */
+/** The replicas of a stage that can change it, the slowest first. */
 function bySpeed(
   split: readonly SplitMember[],
   stage: ReplicaStage,
 ): SplitMember[] {
-  return split.filter((member) => member.stage === stage)
+  return split.filter((member) => member.canChange && member.stage === stage)
     .sort((a, b) => a.capacity.speed - b.capacity.speed);
 }
 
--- a/test/gateway/planning/demand_meter_test.ts
+++ b/test/gateway/planning/demand_meter_test.ts
@@ -4,7 +4,6 @@
 import { ReplicaStage } from "../../../src/gateway/mod.ts";
 import { AssignmentStage } from "../../../src/gateway/planning/messages.ts";
 import { DemandMeter } from "../../../src/gateway/planning/demand_meter.ts";
-import { Ledger } from "../../../src/gateway/planning/ledger.ts";
 import { EQUAL_RATES } from "../../../src/gateway/planning/replica_rates.ts";
 import { Planner } from "../../../src/gateway/planning/planner.ts";
 import { NO_SCHEDULING } from "../no_scheduling.ts";
@@ -19,8 +18,7 @@
 ];
 const RUN_MS = 400;
 const INTERVAL_MS = 100;
-/** Enough for the measured prefill times to outweigh the assumed ones. */
-const REQUESTS = 160;
+const REQUESTS = 60;
 
 type Options = {
   readonly forMs: number;
@@ -76,8 +74,8 @@
 });
 
 test("prompts that are cached at a decode replica need no prefill replica", () => {
-  const requestOf = () => ({ key: "k" });
-  const demand = measured({ forMs: 12_000, requestOf })?.demand;
+  const requestOf = (count: number) => count < 20 ? {} : { key: "k" };
+  const demand = measured({ forMs: 24_000, requestOf })?.demand;
   assert.ok(demand && demand.promptTokensPerSecond < 300);
   assert.ok(demand.memoryTokens > 300);
 });
@@ -107,16 +105,16 @@
 });
 
 test("replicas that have prefilled count by their own times, the others as typical", () => {
-  const ledger = new Ledger();
-  const meter = new DemandMeter(ledger, EQUAL_RATES);
+  const meter = new DemandMeter(EQUAL_RATES);
   const service = { name: "s", replicas: REPLICAS, memory: MEMORY };
   for (let count = 0; count < REQUESTS; count++) {
     const prefill = count % 2 === 0 ? "p1" : "p2";
     const promptTokens = 1000 * (1 + count % 5);
     const spentMs = promptTokens / (prefill === "p1" ? 100 : 50);
     const request = planRequest(`r${count}`);
-    meter.noteRequest(request, false, count * INTERVAL_MS);
-    ledger.add({
+    const now = count * INTERVAL_MS;
+    meter.noteRequest(request, false, now);
+    const entry = {
       ...request,
       host: "h",
       decode: "d1",
@@ -124,13 +122,15 @@
       prefilledBy: prefill,
       promptTokens,
       tokensAhead: 0,
-      grantedAt: count * INTERVAL_MS,
+      grantedAt: now,
       expiresAt: Infinity,
-    });
-    ledger.endPrefill(request.id, spentMs);
-    const done = ledger.remove(request.id);
-    assert.ok(done);
-    meter.noteEnd(done, count * INTERVAL_MS + RUN_MS);
+    };
+    const { id } = request;
+    const type = "progress";
+    const prefilled = { type, id, stage: "prefilled", spentMs } as const;
+    meter.noteReport(entry, prefilled, now);
+    const answered = { type, id, stage: "answered" } as const;
+    meter.noteReport(entry, answered, now + RUN_MS);
   }
   const capacities = meter.measure(service, REQUESTS * INTERVAL_MS)?.capacities;
   const [d1, d2, p1, p2] = capacities ?? [];
--- a/test/gateway/stages/measured_split_test.ts
+++ b/test/gateway/stages/measured_split_test.ts
@@ -39,6 +39,8 @@
 }
 type Demand = ReturnType<typeof demandOf>;
 
+const LIMITS = { steps: 20, isSwapAllowed: true };
+
 function fastPrefills(specs: readonly Spec[]): number {
   return specs.filter(([, stage, speed]) => stage === "prefill" && speed > 1)
     .length;
@@ -197,7 +199,7 @@
       const demand = demandOf(prefill, decode);
       const value = valueOf(pool, demand);
       const members = membersOf(replicasOf(pool), capacitiesOf(pool));
-      const steps = wantedSteps(members, value, 20);
+      const steps = wantedSteps(members, value, LIMITS);
       assert.ok(steps.length < 20);
       const after = steps.reduce(
         (split, step) => applyChanges(split, step.changes),
@@ -205,7 +207,7 @@
       );
       const { prefills, decodes } = capacityOf(after);
       assert.ok(prefills > 0 && decodes > 0);
-      assert.deepEqual(wantedSteps(after, value, 1), []);
+      assert.deepEqual(wantedSteps(after, value, LIMITS), []);
       const reached = value.of(capacityOf(after));
       assert.ok(reached >= value.of(capacityOf(members)));
     }),
@@ -217,7 +219,7 @@
 function shareOfBest(pool: readonly Spec[], demand: Demand): number {
   const value = valueOf(pool, demand);
   const members = membersOf(replicasOf(pool), capacitiesOf(pool));
-  const reached = wantedSteps(members, value, 20).at(-1)?.value ??
+  const reached = wantedSteps(members, value, LIMITS).at(-1)?.value ??
     value.of(capacityOf(members));
   let best = 0;
   for (let mask = 1; mask < 2 ** pool.length - 1; mask++) {
@@ -270,20 +272,54 @@
   );
 });
 
-test("after a loss of replicas nothing is ordered for 8 s", () => {
+/** A pool in which one prefill replica more than needed is about to change. */
+function poolBeforeOrder(): Pool {
   const pool = new Pool(
-    mixedPool(8, (at) => at < 2 ? "prefill" : "decode", 1),
+    mixedPool(9, (at) => at < 2 ? "prefill" : "decode", 1),
   );
-  const demand = demandOf(0.6, 8);
-  pool.run(3000, () => demand);
+  pool.run(2000, () => demandOf(0.6, 9));
+  assert.deepEqual(pool.orders, []);
+  return pool;
+}
+
+test("while a hall is cut off nothing is ordered, and evidence starts anew", () => {
+  const pool = poolBeforeOrder();
+  for (const at of [2, 5, 8]) pool.missing.add(`r${at}`);
+  pool.run(5000, () => demandOf(0.6, 9));
   assert.deepEqual(pool.orders, []);
-  pool.specs = pool.specs.filter(([hall]) => hall !== "h2");
-  pool.run(8000, () => demand);
+  pool.missing.clear();
+  pool.run(2000, () => demandOf(0.6, 9));
   assert.deepEqual(pool.orders, []);
+  pool.run(20_000, () => demandOf(0.6, 9));
+  assert.equal(pool.orders.length, 1);
+});
+
+test("a replica that crashed and returns within 8 s is not replaced", () => {
+  const pool = new Pool(
+    mixedPool(9, (at) => at < 2 ? "prefill" : "decode", 1),
+  );
+  const demand = demandOf(1.4, 5);
+  pool.run(20_000, () => demand);
+  pool.missing.add("r1");
+  pool.run(7000, () => demand);
+  pool.missing.clear();
+  pool.run(20_000, () => demand);
+  assert.deepEqual(pool.orders, []);
+});
+
+test("a prefill replica that does not return is replaced", () => {
+  const pool = new Pool(
+    mixedPool(9, (at) => at < 2 ? "prefill" : "decode", 1),
+  );
+  const demand = demandOf(1.4, 5);
+  pool.run(20_000, () => demand);
+  pool.missing.add("r1");
+  pool.run(60_000, () => demand);
+  assert.deepEqual(pool.orders.map(({ stage }) => stage), ["prefill"]);
 });
 
 test("without measurements nothing is decided", () => {
   const pool = new Pool(mixedPool(8, fastPrefill));
-  pool.decide(undefined);
+  pool.decide(() => undefined);
   assert.equal(pool.decision, undefined);
 });
--- a/test/gateway/stages/split_rig.ts
+++ b/test/gateway/stages/split_rig.ts
@@ -88,6 +88,8 @@
   readonly orders: PoolOrder[] = [];
   readonly balance = new MeasuredBalance();
   decision: SplitDecision | undefined;
+  /** Incarnations that are not listed. */
+  readonly missing = new Set<string>();
 
   constructor(specs: readonly Spec[]) {
     this.specs = [...specs];
@@ -101,21 +103,36 @@
   run(forMs: number, demandAt: (now: number) => StageDemand): void {
     for (const end = this.now + forMs; this.now < end;) {
       this.now += STEP_MS;
-      this.decide({
-        demand: demandAt(this.now),
+      const demand = demandAt(this.now);
+      this.decide((replicas) => ({
+        demand,
         memory: MEMORY,
-        capacities: capacitiesOf(this.specs),
-      });
+        capacities: replicas.map(({ incarnation }) => {
+          const speed = this.specs[Number(incarnation.slice(1))]?.[2] ?? 1;
+          return {
+            incarnation,
+            speed,
+            promptTokensPerSecond: RATE * speed,
+          };
+        }),
+      }));
     }
   }
 
-  decide(measurement: StageMeasurement | undefined): void {
-    const replicas = replicasOf(this.specs);
-    const service = { replicas, measurement, switchMs: SWITCH_MS };
+  decide(
+    measure: (
+      replicas: readonly ReplicaEntry[],
+    ) => StageMeasurement | undefined,
+  ): void {
+    const all = replicasOf(this.specs);
+    const replicas = all.filter(({ incarnation }) =>
+      !this.missing.has(incarnation)
+    );
+    const service = { replicas, measure, switchMs: SWITCH_MS };
     this.decision = this.balance.decide(service, this.now);
     const changes = this.decision?.changes ?? [];
     for (const { replica, stage } of changes) {
-      const at = replicas.indexOf(replica);
+      const at = all.indexOf(replica);
       this.specs = this.specs.with(at, [
         replica.hall,
         stage,
