--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -139,8 +139,8 @@
   report(report: PlanProgress, now: Milliseconds): void {
     if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
     const entry = this.#parts.ledger.get(report.id);
-    if (entry && report.stage === AssignmentStage.answered) {
-      this.#parts.demand.noteEnd(entry, now);
+    if (entry && this.#view.scheduling.measuredSplit) {
+      this.#parts.demand.noteReport(entry, report, now);
     }
     this.#parts.progress.report(report, now);
   }
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -73,7 +73,7 @@
     measuredRates,
     shares,
     plainHold: new PlainHold({ view, ledger, shares }),
-    demand: new DemandMeter(ledger, rates),
+    demand: new DemandMeter(rates),
     rates,
   };
 }
