--- a/src/gateway/planning/engine_decision.ts
+++ b/src/gateway/planning/engine_decision.ts
@@ -78,7 +78,7 @@
     const candidates = arrivalDecisions
       ? this.#setAside.allowed(pool, usable)
       : usable;
-    const limitedMs = this.#pacer.minWaitMs(candidates, now);
+    const limitedMs = this.#pacer.minWaitMs(usable, now);
     if (now + limitedMs > queued.abandonAt) {
       return {
         type: "refuse",
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -138,7 +138,7 @@
   /** Adds an assignment that another planner granted. */
   restore(host: string, handover: PlanHandover, now: Milliseconds): void {
     const { id, service, decode, tokens, promptTokens } = handover;
-    const { outputTokens, priority, customer } = handover;
+    const { outputTokens, priority, customer, runMs } = handover;
     this.#ledger.add({
       id,
       service,
@@ -154,6 +154,7 @@
       key: "",
       tokensAhead: 0,
       grantedAt: now,
+      startedAt: now - runMs,
       expiresAt: now + ASSIGNMENT_TTL_MS,
     });
   }
