--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -115,7 +115,7 @@
   /** Adds an assignment that another planner granted. */
   restore(host: string, handover: PlanHandover, now: Milliseconds): void {
     const { id, service, decode, tokens, promptTokens } = handover;
-    const { outputTokens, priority, customer } = handover;
+    const { outputTokens, priority, customer, runMs } = handover;
     this.#parts.ledger.add({
       id,
       service,
@@ -131,6 +131,7 @@
       key: "",
       tokensAhead: 0,
       grantedAt: now,
+      startedAt: now - runMs,
       expiresAt: now + ASSIGNMENT_TTL_MS,
     });
   }
