Planner: booked returns for refused requests, forecasts of plain calls

A refused caller was told a guess with jitter: at pools up to the longest delay that it accepts, at plain services 0.3 to 0.6 s to all. The planner now books a place for it along time, recognizes its return by key and deadline at whatever host, and serves it before new requests of its priority. Behind scheduling.booked_returns.

--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -147,6 +147,11 @@
     "A replica's rate limit is reached",
     REQUESTS_PER_SECOND,
   ),
+  returnRefused: warn(
+    "planning",
+    "A caller that retried at its booked time was refused again",
+    STATE_CHANGES_PER_SECOND,
+  ),
   plannerLost: warn("planning", "The planner is unreachable", 20),
   plannerChanged: info(
     "planning",
--- a/src/gateway/planning/admission.ts
+++ b/src/gateway/planning/admission.ts
@@ -137,6 +137,21 @@
     };
   }
 
+  /**
+   * Tokens of requests like this one that a busy pool can start per
+   * millisecond.
+   */
+  startableTokensPerMs(
+    request: { readonly tokens: number; readonly promptTokens: number },
+    { reserved, prefillRate, startRate }: PoolState,
+  ): number {
+    const { tokens, promptTokens } = request;
+    const memoryMs = tokens * this.#meanLifetimeMs / Math.max(1, reserved);
+    const prefillMs = prefillRate > 0 ? promptTokens / prefillRate : 0;
+    const startMs = 1000 / Math.max(MIN_PER_SECOND, startRate);
+    return tokens / Math.max(memoryMs, prefillMs, startMs);
+  }
+
   /** Records a refusal; returns the delay after which to retry. */
   refuse(
     { key, waitMs, longestRetryMs }: RefusedRequest,
--- a/src/gateway/planning/assignment.ts
+++ b/src/gateway/planning/assignment.ts
@@ -27,6 +27,8 @@
   readonly key: string;
   /** Longest retry delay that its caller accepts. */
   readonly longestRetryMs: Milliseconds;
+  /** When its caller stops waiting; absent if that is unknown. */
+  readonly deadlineAt?: Milliseconds;
   /** An earlier attempt may have run: the request goes before new ones. */
   readonly mayHaveRun: boolean;
   /** The decode replica has to do a local prefill. */
--- a/src/gateway/planning/bookings.ts
+++ b/src/gateway/planning/bookings.ts
@@ -12,12 +12,26 @@
   readonly service: string;
   /** Rank of its route; 0 is the most urgent. */
   readonly priority: number;
-  /** What it uses of the service: tokens of memory, or time in a slot. */
+  /** What it uses of the service: tokens of memory, or calls. */
   readonly cost: number;
+  /** Cost per millisecond that the service gets free when it is busy. */
+  readonly costPerMs: number;
   /** When the service can serve it at the earliest, apart from bookings. */
   readonly earliestAt: Milliseconds;
   /** The latest time at which its caller can be told to retry. */
   readonly latestAt: Milliseconds;
+  /** When its caller stops waiting; Infinity if that is unknown. */
+  readonly deadlineAt: Milliseconds;
+};
+
+/** The fields of a request by which its booking is found. */
+export type ReturningRequest = {
+  readonly key: string;
+  readonly service: string;
+  /** Time until its caller stops waiting; absent if that is unknown. */
+  readonly deadlineMs?: Milliseconds;
+  /** It may have run already, so it is never turned away. */
+  readonly begun?: boolean;
 };
 
 /** What is known of a request that arrives. */
@@ -25,28 +39,41 @@
   /** It has no booking. */
   | { readonly type: "none" }
   /** It claims its place: it goes before new requests of its priority. */
-  | { readonly type: "claimed" }
+  | { readonly type: "claimed"; readonly beginsAt: Milliseconds }
   /** It retries too early; its place begins after `retryAfterMs`. */
   | { readonly type: "early"; readonly retryAfterMs: Milliseconds }
   /** Its place has been released; it goes first among new requests. */
   | { readonly type: "lapsed" };
 
+/** A request that is refused, perhaps although it had a place. */
+export type RefusedReturn = {
+  readonly claim: Claim;
+  readonly request: Pick<ReturningRequest, "service"> & { readonly id: string };
+};
+
 /** The bookings of one planner. */
 export type Bookings = {
+  /** Whether places are booked. */
+  readonly isEnabled: boolean;
   /** Books a place; returns when it begins, or undefined without one in time. */
   book(request: BookingRequest, now: Milliseconds): Milliseconds | undefined;
   /** Finds the booking of a request that arrives, and claims its place. */
-  claim(
-    request: Pick<BookingRequest, "key" | "service">,
+  claim(request: ReturningRequest, now: Milliseconds): Claim;
+  /** Records that a request was refused, with the delay after which to retry. */
+  noteRefusal(
+    refused: RefusedReturn,
+    retryAfterMs: Milliseconds | undefined,
     now: Milliseconds,
-  ): Claim;
+  ): void;
   /** Cost of the unclaimed places of a service that begin before `until`. */
   costUntil(service: string, until: Milliseconds, now: Milliseconds): number;
 };
 
 /** Books no places. */
 export const NO_BOOKINGS: Bookings = {
+  isEnabled: false,
   book: () => undefined,
   claim: () => ({ type: "none" }),
+  noteRefusal: () => undefined,
   costUntil: () => 0,
 };
--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -1,6 +1,7 @@
 /** Forecasts the waits at the pools of all services, and tracks refusals. */
 import type { Milliseconds } from "../../util/units.ts";
-import { Admission } from "./admission.ts";
+import { Admission, type Forecast, type PoolState } from "./admission.ts";
+import { type BookingRequest, type Bookings, NO_BOOKINGS } from "./bookings.ts";
 import type { QueuedRequest } from "./request_queue.ts";
 import type { PlanRequest } from "./messages.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
@@ -10,6 +11,11 @@
  * added or removed.
  */
 const FORECAST_INTERVAL_MS = 250;
+/**
+ * The same as a share of the objective: a caller that is told early to retry
+ * loses little time.
+ */
+const FORECAST_SHARE = 0.1;
 /** Time from the end of a prefill to the first event, with a margin. */
 const FIRST_EVENT_MS = 150;
 
@@ -24,10 +30,12 @@
 /** The forecasts of one planner. */
 export class Forecasts {
   readonly #random: () => number;
+  readonly #bookings: Bookings;
   readonly #admissions = new Map<string, Admission>();
 
-  constructor(random: () => number) {
+  constructor(random: () => number, bookings: Bookings = NO_BOOKINGS) {
     this.#random = random;
+    this.#bookings = bookings;
   }
 
   /** Counts a request; returns whether it was refused recently. */
@@ -51,26 +59,73 @@
     pool: PoolSnapshot,
     now: Milliseconds,
   ): Milliseconds | undefined {
-    if (queued.mayHaveRun || queued.isRetry || now < queued.nextForecastAt) {
-      return undefined;
-    }
-    queued.nextForecastAt = now + FORECAST_INTERVAL_MS;
-    const { service, tokens, key, longestRetryMs } = queued.request;
+    const waitsAnyway = queued.mayHaveRun ||
+      (queued.isRetry && !this.#bookings.isEnabled);
+    if (waitsAnyway || now < queued.nextForecastAt) return undefined;
+    const { service, tokens, key, longestRetryMs, objectiveMs } =
+      queued.request;
+    queued.nextForecastAt = now +
+      (this.#bookings.isEnabled
+        ? Math.min(FORECAST_INTERVAL_MS, objectiveMs * FORECAST_SHARE)
+        : FORECAST_INTERVAL_MS);
     const admission = this.#admissionOf(service);
-    const { waitMs, lateWaitMs } = admission.forecast({
-      tokens: tokens + pool.ahead.tokens,
-      reserved: pool.forecastReserved,
-      memory: pool.forecastMemory,
-      requests: 1 + pool.ahead.requests,
-      startRate: pool.startRate,
-      promptTokens: pool.pendingPromptTokens,
-      prefillRate: pool.prefillRate,
-    }, now);
+    const state = poolState(tokens, pool);
+    const unbooked = admission.forecast(state, now);
+    const { waitMs, lateWaitMs } = this.#withBooked(
+      queued,
+      { state, forecast: unbooked },
+      now,
+    );
     const isOnTime =
       now + waitMs + firstEventMs(pool, queued.request) <= queued.dueAt;
-    const expectedMs = isOnTime ? waitMs : lateWaitMs;
+    const isOvertaken = !isOnTime && !queued.isRetry;
+    const expectedMs = isOvertaken ? lateWaitMs : waitMs;
     if (now + expectedMs <= queued.abandonAt) return undefined;
-    return admission.refuse({ key, waitMs: expectedMs, longestRetryMs }, now);
+    const beginsAt = this.#book(queued, pool, {
+      earliestAt: now + unbooked.waitMs,
+      costPerMs: admission.startableTokensPerMs(queued.request, state),
+    }, now);
+    return beginsAt === undefined
+      ? admission.refuse({ key, waitMs: expectedMs, longestRetryMs }, now)
+      : beginsAt - now;
+  }
+
+  /** Adds the booked places that begin before a request can start. */
+  #withBooked(
+    { request: { service }, isRetry }: QueuedRequest,
+    { state, forecast }: {
+      readonly state: PoolState;
+      readonly forecast: Forecast;
+    },
+    now: Milliseconds,
+  ): Forecast {
+    if (isRetry) return forecast;
+    const until = now + forecast.waitMs;
+    const booked = this.#bookings.costUntil(service, until, now);
+    if (booked === 0) return forecast;
+    const tokens = state.tokens + booked;
+    return this.#admissionOf(service).forecast({ ...state, tokens }, now);
+  }
+
+  #book(
+    { request, priority, abandonAt, deadlineAt }: QueuedRequest,
+    pool: PoolSnapshot,
+    free: Pick<BookingRequest, "earliestAt" | "costPerMs">,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    const { key, service, tokens, longestRetryMs } = request;
+    return this.#bookings.book({
+      ...free,
+      key,
+      service,
+      priority,
+      cost: tokens,
+      latestAt: Math.min(
+        now + longestRetryMs,
+        abandonAt - firstEventMs(pool, request),
+      ),
+      deadlineAt,
+    }, now);
   }
 
   /** The admission of a service; assignment lifetimes differ by service. */
@@ -82,3 +137,15 @@
     return admission;
   }
 }
+
+function poolState(tokens: number, pool: PoolSnapshot): PoolState {
+  return {
+    tokens: tokens + pool.ahead.tokens,
+    reserved: pool.forecastReserved,
+    memory: pool.forecastMemory,
+    requests: 1 + pool.ahead.requests,
+    startRate: pool.startRate,
+    promptTokens: pool.pendingPromptTokens,
+    prefillRate: pool.prefillRate,
+  };
+}
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -54,6 +54,8 @@
   key: z.string(),
   /** Longest retry delay that its caller accepts. */
   longestRetryMs: z.number(),
+  /** Time until its caller stops waiting; absent if that is unknown. */
+  deadlineMs: z.number().exactOptional(),
   /**
    * An earlier attempt may have run, or the caller has received a part of the
    * response: the request is scheduled before new ones and never refused early.
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -7,7 +7,8 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { type QueuedRequest, RequestQueue } from "./request_queue.ts";
-import { type Bookings, NO_BOOKINGS } from "./bookings.ts";
+import { BookedReturns } from "./booked_returns.ts";
+import type { Bookings } from "./bookings.ts";
 import {
   type CustomerShares,
   NO_SHARES,
@@ -65,7 +66,7 @@
   readonly #promptLocations = new PromptLocations();
   readonly #forecasts: Forecasts;
   readonly #rates: ReplicaRates = EQUAL_RATES;
-  readonly #bookings: Bookings = NO_BOOKINGS;
+  readonly #bookings: Bookings;
   readonly #shares: CustomerShares = NO_SHARES;
   readonly #progress: Progress;
   readonly #engineDecision: EngineDecision;
@@ -77,7 +78,13 @@
     this.#view = view;
     const pacer = new RequestPacer((incarnation) => view.limitOf(incarnation));
     this.#pacer = pacer;
-    this.#forecasts = new Forecasts(view.random);
+    this.#bookings = new BookedReturns({
+      isEnabled: () => view.scheduling.bookedReturns,
+      kindOf: (service) => view.memoryOf(service) === 0 ? "plain" : "pool",
+      metrics: view.metrics,
+      events: view.events,
+    });
+    this.#forecasts = new Forecasts(view.random, this.#bookings);
     const isFull = (incarnation: string, now: Milliseconds) =>
       (this.#fullUntil.get(incarnation) ?? 0) > now ||
       !pacer.hasRoom(incarnation, now);
@@ -89,7 +96,13 @@
       forecasts,
       pacer,
     });
-    this.#plainAssigner = new PlainAssigner({ view, ledger, pacer, isFull });
+    this.#plainAssigner = new PlainAssigner({
+      view,
+      ledger,
+      pacer,
+      bookings: this.#bookings,
+      isFull,
+    });
     this.#progress = new Progress({
       view,
       ledger,
@@ -120,16 +133,19 @@
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
     this.#ledger.remove(request.id);
-    if (this.#view.memoryOf(request.service) === 0) {
-      this.#plainAssigner.noteRequest(request, now);
-    }
     const claim = this.#bookings.claim(request, now);
-    const isRetry = this.#forecasts.noteRequest(request, now) ||
-      claim.type === "claimed";
+    const isRetry = claim.type !== "early" && this.#noteRequest(request, now) ||
+      claim.type === "claimed" || claim.type === "lapsed";
     const startTag = this.#shares.startTagOf(sharedRequest(request), now);
     this.#queue.add({ host, request, isRetry, claim, startTag }, now);
   }
 
+  /** Counts a request; returns whether it was refused recently. */
+  #noteRequest(request: PlanRequest, now: Milliseconds): boolean {
+    this.#plainAssigner.noteRequest(request, now);
+    return this.#forecasts.noteRequest(request, now);
+  }
+
   /** Adds an assignment that another planner granted. */
   restore(host: string, handover: PlanHandover, now: Milliseconds): void {
     const { id, service, decode, tokens, promptTokens } = handover;
@@ -156,6 +172,7 @@
   /** Handles a host's progress report. */
   report(report: PlanProgress, now: Milliseconds): void {
     if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
+    this.#plainAssigner.noteProgress(report, now);
     this.#progress.report(report, now);
   }
 
@@ -217,7 +234,7 @@
       case "assign":
         return this.#grant(queued, outcome, now);
       case "refuse":
-        return this.#refusal(queued, outcome);
+        return this.#refusal(queued, outcome, now);
     }
   }
 
@@ -254,9 +271,11 @@
   #refusal(
     queued: QueuedRequest,
     outcome: Extract<Outcome, { type: "refuse" }>,
+    now: Milliseconds,
   ): PlanRefusal {
     const { id, service } = queued.request;
     const { reason, retryAfterMs, isLimited = false } = outcome;
+    this.#bookings.noteRefusal(queued, retryAfterMs, now);
     const basis = refusalBasis(this.#ledger, {
       replicas: this.#view.replicasOf(service),
       memory: this.#view.memoryOf(service),
@@ -290,11 +309,15 @@
       priority,
       customer,
       key,
-      tokensAhead: prefill === undefined ? 0 : this.#ledger.backlogAt(prefill),
+      tokensAhead: prefill === undefined
+        ? this.#ledger.reservedTokensAt(decode)
+        : this.#ledger.backlogAt(prefill),
       grantedAt: now,
       expiresAt: now + ASSIGNMENT_TTL_MS,
     });
-    if (prefill === undefined) this.#promptLocations.note(key, { decode }, now);
+    if (prefill === undefined && this.#view.memoryOf(service) > 0) {
+      this.#promptLocations.note(key, { decode }, now);
+    }
     const base = { type: "grant" as const, id, decode };
     return prefill === undefined ? base : { ...base, prefill };
   }
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -270,6 +270,9 @@
       patienceMs: request.abandonAt - now,
       key: request.key,
       longestRetryMs: request.longestRetryMs,
+      ...(request.deadlineAt === undefined
+        ? {}
+        : { deadlineMs: request.deadlineAt - now }),
       begun: request.mayHaveRun,
       whole: request.localPrefill,
       excluded: [...request.excluded],
--- a/src/gateway/planning/request_queue.ts
+++ b/src/gateway/planning/request_queue.ts
@@ -14,6 +14,8 @@
   /** When its first event is due. */
   readonly dueAt: Milliseconds;
   readonly abandonAt: Milliseconds;
+  /** When its caller stops waiting; Infinity if that is unknown. */
+  readonly deadlineAt: Milliseconds;
   /** Whether it was refused recently and has been retried. */
   readonly isRetry: boolean;
   /** What was booked for it when it was refused before. */
@@ -48,6 +50,7 @@
       priority: request.priority,
       dueAt: now + request.slackMs,
       abandonAt: now + request.patienceMs,
+      deadlineAt: now + (request.deadlineMs ?? Infinity),
       nextForecastAt: now,
     });
   }
--- a/src/gateway/requests/engine_request.ts
+++ b/src/gateway/requests/engine_request.ts
@@ -42,12 +42,21 @@
     abandonAt: placementDeadline({ context, request }, constraints),
     key: facts.promptKey ?? "",
     longestRetryMs: facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS,
+    ...callerDeadline(request),
     mayHaveRun: constraints.mayHaveRun,
     localPrefill,
     excluded: constraints.excluded,
   };
 }
 
+/** When the caller stops waiting, as it states itself. */
+export function callerDeadline(
+  { receivedAt, facts }: Pick<GatewayRequest, "receivedAt" | "facts">,
+): Pick<PlacementRequest, "deadlineAt"> {
+  const { timeoutMs } = facts;
+  return timeoutMs === undefined ? {} : { deadlineAt: receivedAt + timeoutMs };
+}
+
 /** The time after which an assignment is of no use. */
 export function placementDeadline(
   { context, request }: Omit<EngineRequestOptions, "engine">,
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -20,6 +20,7 @@
   spreadRetryAfterMs,
 } from "./refusals.ts";
 import { nextAssignmentId } from "./assignment_ids.ts";
+import { callerDeadline } from "./engine_request.ts";
 import type {
   Placement,
   PlacementConstraints,
@@ -30,6 +31,8 @@
 import type { GatewayRequest } from "./request.ts";
 
 const PLANNER_TIMEOUT_MS = 80;
+/** Retries of requests with larger bodies are not recognized. */
+const MAX_KEY_BYTES = 64 * 1024;
 /** Longest retry delay for callers that do not state one. */
 const DEFAULT_MAX_RETRY_MS = 4000;
 
@@ -144,8 +147,9 @@
       priority,
       dueAt: receivedAt + route.objectiveMs,
       abandonAt: Math.min(deadline, requestedAt + PLANNER_TIMEOUT_MS),
-      key: "",
+      key: this.#retryKey(),
       longestRetryMs: facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS,
+      ...callerDeadline(this.#request),
       mayHaveRun,
       localPrefill: true,
       excluded,
@@ -158,6 +162,13 @@
     return assignment;
   }
 
+  /** Identifies the request over all attempts of its caller. */
+  #retryKey(): string {
+    const { body, fingerprint } = this.#request;
+    const isNeeded = this.#context.tuning.scheduling.bookedReturns;
+    return isNeeded && body.length <= MAX_KEY_BYTES ? fingerprint() : "";
+  }
+
   #chooseLocally(excluded: ReadonlySet<string>): Replica | undefined {
     const { replicas, clock, random, self, tuning } = this.#context;
     const open = replicas.openReplicasOf(this.#request.service);
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -1,6 +1,7 @@
 /** The messages that placers exchange with a planner. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { NO_SCHEDULING } from "../no_scheduling.ts";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
 import { type Route, RouteKind } from "../../../src/gateway/mod.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
@@ -76,7 +77,11 @@
     replicas,
     routes: new RouteTable(),
     ...singleHostGate({ replicas }),
-    tuning: { outputMargin: 1, remoteHallPenalty: 0 },
+    tuning: {
+      outputMargin: 1,
+      remoteHallPenalty: 0,
+      scheduling: NO_SCHEDULING,
+    },
   } as unknown as GatewayContext;
   context.replicas.adopt({
     revision: 1,
