--- a/src/gateway/planning/admission.ts
+++ b/src/gateway/planning/admission.ts
@@ -45,6 +45,12 @@
   readonly prefillRate: number;
 };
 
+/** The state of a pool on which the rate of its starts depends. */
+export type BusyPool = Pick<
+  PoolState,
+  "reserved" | "prefillRate" | "startRate"
+>;
+
 /** When a pool can start a request. */
 export type Forecast = {
   /** Wait if no later request is scheduled before it. */
@@ -97,6 +103,21 @@
       lifetimeMs * (1 - LIFETIME_DECAY);
   }
 
+  /**
+   * Tokens of requests like this one that a busy pool can start per
+   * millisecond.
+   */
+  startableTokensPerMs(
+    request: { readonly tokens: number; readonly promptTokens: number },
+    { reserved, prefillRate, startRate }: BusyPool,
+  ): number {
+    const { tokens, promptTokens } = request;
+    const memoryMs = tokens * this.#meanLifetimeMs / Math.max(1, reserved);
+    const prefillMs = prefillRate > 0 ? promptTokens / prefillRate : 0;
+    const startMs = 1000 / Math.max(MIN_PER_SECOND, startRate);
+    return tokens / Math.max(memoryMs, prefillMs, startMs);
+  }
+
   /** Whether a request with this key was refused recently. */
   wasRefused(key: string, now: Milliseconds): boolean {
     return now < (this.#refusedUntil.get(key) ?? 0);
@@ -137,21 +158,6 @@
     };
   }
 
-  /**
-   * Tokens of requests like this one that a busy pool can start per
-   * millisecond.
-   */
-  startableTokensPerMs(
-    request: { readonly tokens: number; readonly promptTokens: number },
-    { reserved, prefillRate, startRate }: PoolState,
-  ): number {
-    const { tokens, promptTokens } = request;
-    const memoryMs = tokens * this.#meanLifetimeMs / Math.max(1, reserved);
-    const prefillMs = prefillRate > 0 ? promptTokens / prefillRate : 0;
-    const startMs = 1000 / Math.max(MIN_PER_SECOND, startRate);
-    return tokens / Math.max(memoryMs, prefillMs, startMs);
-  }
-
   /** Records a refusal; returns the delay after which to retry. */
   refuse(
     { key, waitMs, longestRetryMs }: RefusedRequest,
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -40,10 +40,7 @@
   readonly customer: string;
   /** Identifies the prompt; may be empty. */
   readonly key: string;
-  /**
-   * What its replica had when it was granted: prompt tokens pending at the
-   * prefill replica, or, without one, tokens reserved at the decode replica.
-   */
+  /** Prompt tokens pending at the prefill replica when it was granted. */
   readonly tokensAhead: number;
   readonly grantedAt: Milliseconds;
   /** When the assignment expires if it is not released before. */
--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -1,5 +1,4 @@
 /** Selects the replica of a plain service for a request. */
-import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { minBy } from "./order.ts";
 
@@ -32,25 +31,9 @@
    * requests arrive too and a replica serves its queue in order of arrival.
    */
   readonly avoidsLongQueues: boolean;
-  /** Absent: all replicas are taken for equally fast. */
-  readonly times?: CallTimes | undefined;
 };
 
-/** Service times of replicas. */
-export type CallTimes = {
-  /** Service time of a call in a free slot. */
-  callMs(incarnation: string): Milliseconds;
-  /**
-   * Replicas that take no longer than this are equally good: any of them meets
-   * the objective of the call.
-   */
-  readonly easyMs: Milliseconds;
-};
-
-/**
- * The replica with the least load per slot, or the one that ends a call first
- * if service times are known; preferably in this hall.
- */
+/** The replica with the least load per slot, preferably in this hall. */
 export function choosePlainReplica(
   replicas: readonly ReplicaEntry[],
   query: PlainQuery,
@@ -67,11 +50,7 @@
     }
     const penalty = hall === query.hall ? 0 : query.remoteHallPenalty;
     const utilization = inFlight / Math.max(1, slots);
-    const load = Math.max(LOW_UTILIZATION, utilization) + penalty +
+    return Math.max(LOW_UTILIZATION, utilization) + penalty +
       utilization * TIE_BREAK_WEIGHT;
-    if (!query.times) return load;
-    const { easyMs } = query.times;
-    const callMs = query.times.callMs(incarnation);
-    return Math.max(easyMs, callMs) + callMs * load;
   });
 }
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -142,7 +142,9 @@
 
   /** Counts a request; returns whether it was refused recently. */
   #noteRequest(request: PlanRequest, now: Milliseconds): boolean {
-    this.#plainAssigner.noteRequest(request, now);
+    if (this.#view.memoryOf(request.service) === 0) {
+      this.#plainAssigner.noteRequest(request, now);
+    }
     return this.#forecasts.noteRequest(request, now);
   }
 
@@ -309,9 +311,7 @@
       priority,
       customer,
       key,
-      tokensAhead: prefill === undefined
-        ? this.#ledger.reservedTokensAt(decode)
-        : this.#ledger.backlogAt(prefill),
+      tokensAhead: prefill === undefined ? 0 : this.#ledger.backlogAt(prefill),
       grantedAt: now,
       expiresAt: now + ASSIGNMENT_TTL_MS,
     });
