--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -1,9 +1,10 @@
 /** Forecasts the waits at the pools of all services, and tracks refusals. */
 import type { Milliseconds } from "../../util/units.ts";
-import { Admission } from "./admission.ts";
+import { Admission, type Forecast, type PoolState } from "./admission.ts";
 import { ArrivalDecision } from "./arrival_decision.ts";
 import { ArrivalForecast } from "./arrival_forecast.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
+import type { BookingRequest, Bookings } from "./bookings.ts";
 import type { PlanRequest } from "./messages.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
 import { expectedStart, kindOf } from "./pool_timeline.ts";
@@ -18,6 +19,11 @@
  * added or removed.
  */
 const FORECAST_INTERVAL_MS = 250;
+/**
+ * The same as a share of the objective: a caller that is told early to retry
+ * loses little time.
+ */
+const FORECAST_SHARE = 0.1;
 /** Time from the end of a prefill to the first event, with a margin. */
 const FIRST_EVENT_MS = 150;
 
@@ -38,6 +44,7 @@
   readonly ledger: Ledger;
   /** Speeds of the replicas; a reload of the settings replaces them. */
   rates(): ReplicaRates;
+  readonly bookings: Bookings;
 };
 
 /** The forecasts of one planner. */
@@ -112,38 +119,89 @@
   ): Milliseconds | undefined {
     const { service, key, longestRetryMs } = queued.request;
     const admission = this.#admissionOf(service);
-    const waitMs = this.#isOn
+    const state = poolState(queued.request.tokens, pool);
+    const refused = this.#isOn
       ? this.#arrivals.refusedWaitMs(queued, { pool, admission }, now)
-      : this.#refusedWaitMs(queued, { pool, admission }, now);
-    if (waitMs === undefined) return undefined;
-    return admission.refuse({ key, waitMs, longestRetryMs }, now);
+      : this.#refusedWaitMs(queued, pool, now);
+    if (refused === undefined) return undefined;
+    const earliestAt = this.#isOn
+      ? queued.forecast?.startsAt ?? Infinity
+      : now + admission.forecast(state, now).waitMs;
+    const beginsAt = this.#book(queued, pool, {
+      earliestAt,
+      costPerMs: admission.startableTokensPerMs(queued.request, state),
+    }, now);
+    return beginsAt === undefined
+      ? admission.refuse({ key, waitMs: refused, longestRetryMs }, now)
+      : beginsAt - now;
   }
 
   /** The forecast wait of a request that is refused. */
   #refusedWaitMs(
     queued: QueuedRequest,
-    { pool, admission }: { pool: PoolSnapshot; admission: Admission },
+    pool: PoolSnapshot,
     now: Milliseconds,
   ): Milliseconds | undefined {
-    if (queued.mayHaveRun || queued.isRetry || now < queued.nextForecastAt) {
-      return undefined;
-    }
-    queued.nextForecastAt = now + FORECAST_INTERVAL_MS;
-    const { waitMs, lateWaitMs } = admission.forecast({
-      tokens: queued.request.tokens + pool.ahead.tokens,
-      reserved: pool.forecastReserved,
-      memory: pool.forecastMemory,
-      requests: 1 + pool.ahead.requests,
-      startRate: pool.startRate,
-      promptTokens: pool.pendingPromptTokens,
-      prefillRate: pool.prefillRate,
-    }, now);
+    const { isEnabled } = this.#options.bookings;
+    const waitsAnyway = queued.mayHaveRun || (queued.isRetry && !isEnabled);
+    if (waitsAnyway || now < queued.nextForecastAt) return undefined;
+    const { service, tokens, objectiveMs } = queued.request;
+    queued.nextForecastAt = now +
+      (isEnabled
+        ? Math.min(FORECAST_INTERVAL_MS, objectiveMs * FORECAST_SHARE)
+        : FORECAST_INTERVAL_MS);
+    const state = poolState(tokens, pool);
+    const forecast = this.#admissionOf(service).forecast(state, now);
+    const { waitMs, lateWaitMs } = this.#withBooked(
+      queued,
+      { state, forecast },
+      now,
+    );
     const isOnTime =
       now + waitMs + firstEventMs(pool, queued.request) <= queued.dueAt;
-    const expectedMs = isOnTime ? waitMs : lateWaitMs;
+    const isOvertaken = !isOnTime && !queued.isRetry;
+    const expectedMs = isOvertaken ? lateWaitMs : waitMs;
     return now + expectedMs <= queued.abandonAt ? undefined : expectedMs;
   }
 
+  /** Adds the booked places that begin before a request can start. */
+  #withBooked(
+    { request: { service }, isRetry }: QueuedRequest,
+    { state, forecast }: {
+      readonly state: PoolState;
+      readonly forecast: Forecast;
+    },
+    now: Milliseconds,
+  ): Forecast {
+    if (isRetry) return forecast;
+    const until = now + forecast.waitMs;
+    const booked = this.#options.bookings.costUntil(service, until, now);
+    if (booked === 0) return forecast;
+    const tokens = state.tokens + booked;
+    return this.#admissionOf(service).forecast({ ...state, tokens }, now);
+  }
+
+  #book(
+    { request, priority, abandonAt, deadlineAt }: QueuedRequest,
+    pool: PoolSnapshot,
+    free: Pick<BookingRequest, "earliestAt" | "costPerMs">,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    const { key, service, tokens, longestRetryMs } = request;
+    return this.#options.bookings.book({
+      ...free,
+      key,
+      service,
+      priority,
+      cost: tokens,
+      latestAt: Math.min(
+        now + longestRetryMs,
+        abandonAt - firstEventMs(pool, request),
+      ),
+      deadlineAt,
+    }, now);
+  }
+
   /** The admission of a service; assignment lifetimes differ by service. */
   #admissionOf(service: string): Admission {
     const known = this.#admissions.get(service);
@@ -153,3 +211,15 @@
     return admission;
   }
 }
+
+function poolState(tokens: number, pool: PoolSnapshot): PoolState {
+  return {
+    tokens: tokens + pool.ahead.tokens,
+    reserved: pool.forecastReserved,
+    memory: pool.forecastMemory,
+    requests: 1 + pool.ahead.requests,
+    startRate: pool.startRate,
+    promptTokens: pool.pendingPromptTokens,
+    prefillRate: pool.prefillRate,
+  };
+}
--- a/src/gateway/planning/plain_assigner.ts
+++ b/src/gateway/planning/plain_assigner.ts
@@ -5,14 +5,16 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { MIN_PER_SECOND } from "../limits/allowance.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import type { Bookings } from "./bookings.ts";
 import type { QueuedRequest } from "./request_queue.ts";
 import type { Ledger } from "./ledger.ts";
 import type { RequestPacer } from "./request_pacer.ts";
-import type { PlanRequest } from "./messages.ts";
+import type { PlanProgress, PlanRequest } from "./messages.ts";
 import type { Outcome } from "./outcome.ts";
 import { choosePlainReplica } from "./plain_choice.ts";
 import { ratedCandidates, ratedRequest } from "./rated_candidates.ts";
 import type { ReplicaRates } from "./replica_rates.ts";
+import { PlainReturns } from "./plain_returns.ts";
 import { RateShare } from "./rate_share.ts";
 import { RecentPriorities } from "./recent_priorities.ts";
 import type { PlannerView } from "./view.ts";
@@ -29,6 +31,7 @@
   readonly pacer: RequestPacer;
   /** Speeds of the replicas; a reload of the settings replaces them. */
   rates(): ReplicaRates;
+  readonly bookings: Bookings;
   /** The replica rejected a request recently, or its limit has no room. */
   isFull(incarnation: string, now: Milliseconds): boolean;
 };
@@ -38,15 +41,24 @@
   readonly #options: PlainAssignerOptions;
   readonly #priorities = new RecentPriorities();
   readonly #shares = new Map<string, RateShare>();
+  readonly #returns: PlainReturns;
 
   constructor(options: PlainAssignerOptions) {
     this.#options = options;
+    this.#returns = new PlainReturns(options);
   }
 
   /** Counts a request for an assignment. */
-  noteRequest({ service, priority }: PlanRequest, now: Milliseconds): void {
+  noteRequest(request: PlanRequest, now: Milliseconds): void {
+    const { service, priority } = request;
     this.#priorities.note(service, priority, now);
     this.#shareOf(service).noteRequest(priority, now);
+    this.#returns.noteRequest(request, now);
+  }
+
+  /** Handles a host's progress report, before the ledger does. */
+  noteProgress(report: PlanProgress, now: Milliseconds): void {
+    this.#returns.noteProgress(report, now);
   }
 
   /**
@@ -66,20 +78,23 @@
     const mayGrant = !isLimited || queued.mayHaveRun ||
       share.mayGrant(priority, perSecond, now);
     const replica = mayGrant ? this.#choose(queued, replicas, now) : undefined;
-    if (replica) {
+    if (replica && this.#returns.admits(queued, { replica, replicas }, now)) {
       const { incarnation } = replica;
+      this.#returns.noteGrant(queued.request, replica);
       view.noteTrial(incarnation, now);
       pacer.noteGrant(incarnation, now);
       share.noteGrant(priority, now);
       return { type: "assign", decode: replica };
     }
-    const retryAfterMs = isLimited
-      ? share.retryAfterMs({
-        perSecond,
-        minWaitMs: pacer.minWaitMs(replicas, now),
-        longestRetryMs,
-      }, now)
-      : MIN_RETRY_MS * (1 + view.random());
+    const offered = { replicas, perSecond };
+    const retryAfterMs = this.#returns.bookedMs(queued, offered, now) ??
+      (isLimited
+        ? share.retryAfterMs({
+          perSecond,
+          minWaitMs: pacer.minWaitMs(replicas, now),
+          longestRetryMs,
+        }, now)
+        : MIN_RETRY_MS * (1 + view.random()));
     return { type: "refuse", reason: "busy", retryAfterMs, isLimited };
   }
 
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -7,7 +7,6 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { type QueuedRequest, RequestQueue } from "./request_queue.ts";
-import { type Bookings, NO_BOOKINGS } from "./bookings.ts";
 import type { CustomerRates } from "./customer_activity.ts";
 import type { EngineAssignment } from "./engine_choice.ts";
 import { firstEventMs } from "./forecasts.ts";
@@ -51,7 +50,6 @@
   readonly #view: PlannerView;
   readonly #parts: PlannerParts;
   readonly #queue = new RequestQueue();
-  readonly #bookings: Bookings = NO_BOOKINGS;
 
   constructor(view: PlannerView) {
     this.#view = view;
@@ -95,21 +93,29 @@
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
     this.#parts.ledger.remove(request.id);
+    const claim = this.#parts.bookings.claim(request, now);
+    const isRetry = claim.type !== "early" && this.#noteRequest(request, now) ||
+      claim.type === "claimed" || claim.type === "lapsed";
+    this.#noteDemand(request, isRetry, now);
+    this.#parts.shares.noteRequest(request, now);
+    this.#queue.add({ host, request, isRetry, claim }, now);
+  }
+
+  /** Counts a request; returns whether it was refused recently. */
+  #noteRequest(request: PlanRequest, now: Milliseconds): boolean {
     if (this.#view.memoryOf(request.service) === 0) {
       this.#parts.plainAssigner.noteRequest(request, now);
     }
-    const claim = this.#bookings.claim(request, now);
-    const isRetry = this.#parts.forecasts.noteRequest(request, now) ||
-      claim.type === "claimed";
+    return this.#parts.forecasts.noteRequest(request, now);
+  }
+
+  #noteDemand(request: PlanRequest, isRetry: boolean, now: Milliseconds): void {
     const isMeasured = this.#view.scheduling.measuredSplit &&
       this.#view.memoryOf(request.service) > 0;
-    if (isMeasured && !isRetry) {
-      const isCached =
-        this.#parts.promptLocations.decodeOf(request.key, now) !== undefined;
-      this.#parts.demand.noteRequest(request, isCached, now);
-    }
-    this.#parts.shares.noteRequest(request, now);
-    this.#queue.add({ host, request, isRetry, claim }, now);
+    if (!isMeasured || isRetry) return;
+    const isCached =
+      this.#parts.promptLocations.decodeOf(request.key, now) !== undefined;
+    this.#parts.demand.noteRequest(request, isCached, now);
   }
 
   /** Adds an assignment that another planner granted. */
@@ -139,6 +145,7 @@
   /** Handles a host's progress report. */
   report(report: PlanProgress, now: Milliseconds): void {
     if (ENDING_STAGES.has(report.stage)) this.#queue.remove(report.id);
+    this.#parts.plainAssigner.noteProgress(report, now);
     const entry = this.#parts.ledger.get(report.id);
     if (entry && this.#view.scheduling.measuredSplit) {
       this.#parts.demand.noteReport(entry, report, now);
@@ -254,6 +261,7 @@
   ): PlanRefusal {
     const { id, service } = queued.request;
     const { reason, retryAfterMs, isLimited = false } = outcome;
+    this.#parts.bookings.noteRefusal(queued, retryAfterMs, now);
     const basis = refusalBasis(this.#parts.ledger, {
       replicas: this.#view.replicasOf(service),
       memory: this.#view.memoryOf(service),
@@ -297,7 +305,7 @@
     };
     this.#parts.ledger.add(entry);
     this.#parts.rates().noteGrant(entry, now);
-    if (prefill === undefined) {
+    if (prefill === undefined && this.#view.memoryOf(service) > 0) {
       this.#parts.promptLocations.note(key, { decode }, now);
     }
     const base = { type: "grant" as const, id, decode };
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -1,5 +1,7 @@
 /** Creates the parts of a planner, which share its view and its ledger. */
 import type { Milliseconds } from "../../util/units.ts";
+import { BookedReturns } from "./booked_returns.ts";
+import type { Bookings } from "./bookings.ts";
 import type { CustomerShares } from "./customer_shares.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { EngineChoice } from "./engine_choice.ts";
@@ -31,6 +33,7 @@
   readonly plainAssigner: PlainAssigner;
   readonly progress: Progress;
   readonly demand: DemandMeter;
+  readonly bookings: Bookings;
   readonly measuredRates: MeasuredRates;
   readonly shares: CustomerShares;
   readonly plainHold: PlainHold;
@@ -51,8 +54,22 @@
   const measuredRates = new MeasuredRates({ view, ledger });
   const rates = () =>
     view.scheduling.replicaRates ? measuredRates : EQUAL_RATES;
-  const forecasts = new Forecasts({ view, ledger, rates });
-  const shared = { view, ledger, pacer, rates, isFull, promptLocations };
+  const bookings = new BookedReturns({
+    isEnabled: () => view.scheduling.bookedReturns,
+    kindOf: (service) => view.memoryOf(service) === 0 ? "plain" : "pool",
+    metrics: view.metrics,
+    events: view.events,
+  });
+  const forecasts = new Forecasts({ view, ledger, rates, bookings });
+  const shared = {
+    view,
+    ledger,
+    pacer,
+    rates,
+    isFull,
+    promptLocations,
+    bookings,
+  };
   const shares = new FairShares({ view, ledger });
   const choice = new EngineChoice(shared);
   return {
@@ -70,6 +87,7 @@
       noteFull: (incarnation, now) =>
         fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
     }),
+    bookings,
     measuredRates,
     shares,
     plainHold: new PlainHold({ view, ledger, shares }),
--- a/src/gateway/requests/engine_request.ts
+++ b/src/gateway/requests/engine_request.ts
@@ -42,6 +42,7 @@
     abandonAt: placementDeadline({ context, request }, constraints),
     key: facts.promptKey ?? "",
     longestRetryMs: facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS,
+    ...callerDeadline(request),
     mayHaveRun: constraints.mayHaveRun,
     localPrefill,
     repeatable: isRepeatable(route),
@@ -49,6 +50,14 @@
   };
 }
 
+/** When the caller stops waiting, as it states itself. */
+export function callerDeadline(
+  { receivedAt, facts }: Pick<GatewayRequest, "receivedAt" | "facts">,
+): Pick<PlacementRequest, "deadlineAt"> {
+  const { timeoutMs } = facts;
+  return timeoutMs === undefined ? {} : { deadlineAt: receivedAt + timeoutMs };
+}
+
 /** The time after which an assignment is of no use. */
 export function placementDeadline(
   { context, request }: Omit<EngineRequestOptions, "engine">,
