Booked returns: times that callers still accept when the refusal arrives

A caller compares the delay with the time that it has left then, so places at the very end of its longest delay came too late.

--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -5,6 +5,7 @@
 import type { QueuedRequest } from "./request_queue.ts";
 import type { PlanRequest } from "./messages.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
+import { latestReturnAt } from "./return_window.ts";
 
 /**
  * Interval at which a wait is forecast again, because replicas may have been
@@ -108,12 +109,13 @@
   }
 
   #book(
-    { request, priority, abandonAt, deadlineAt }: QueuedRequest,
+    queued: QueuedRequest,
     pool: PoolSnapshot,
     free: Pick<BookingRequest, "earliestAt" | "costPerMs">,
     now: Milliseconds,
   ): Milliseconds | undefined {
-    const { key, service, tokens, longestRetryMs } = request;
+    const { request, priority, abandonAt, deadlineAt } = queued;
+    const { key, service, tokens } = request;
     return this.#bookings.book({
       ...free,
       key,
@@ -121,7 +123,7 @@
       priority,
       cost: tokens,
       latestAt: Math.min(
-        now + longestRetryMs,
+        latestReturnAt(queued, now),
         abandonAt - firstEventMs(pool, request),
       ),
       deadlineAt,
--- a/src/gateway/planning/plain_returns.ts
+++ b/src/gateway/planning/plain_returns.ts
@@ -15,6 +15,7 @@
 } from "./messages.ts";
 import { admitsCall, RESPONSE_MS } from "./plain_admission.ts";
 import { PlainForecast } from "./plain_forecast.ts";
+import { latestReturnAt } from "./return_window.ts";
 import type { QueuedRequest } from "./request_queue.ts";
 import type { RequestPacer } from "./request_pacer.ts";
 
@@ -125,7 +126,7 @@
     const { bookings, pacer } = this.#options;
     if (!bookings.isEnabled || queued.mayHaveRun) return undefined;
     const { request, priority, deadlineAt } = queued;
-    const { key, service, longestRetryMs } = request;
+    const { key, service } = request;
     const waitsMs = replicas.map((replica) => this.#forecast.waitMs(replica));
     const callsMs = replicas.map(({ incarnation }) =>
       this.#forecast.callMs(incarnation)
@@ -143,7 +144,7 @@
       ),
       earliestAt: now + Math.max(Math.min(...waitsMs), minWaitMs),
       latestAt: Math.min(
-        now + longestRetryMs,
+        latestReturnAt(queued, now),
         latestEndAt - Math.max(...callsMs),
       ),
       deadlineAt,
