--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -13,6 +13,7 @@
 import { RunLengths } from "./run_lengths.ts";
 import { ServedShares } from "./served_shares.ts";
 import type { PlannerView } from "./view.ts";
+import { latestReturnAt } from "./return_window.ts";
 
 /**
  * Interval at which a wait is forecast again, because replicas may have been
@@ -182,12 +183,13 @@
   }
 
   #book(
-    { request, priority, abandonAt, deadlineAt }: QueuedRequest,
+    queued: QueuedRequest,
     pool: PoolSnapshot,
     free: Pick<BookingRequest, "earliestAt" | "costPerMs">,
     now: Milliseconds,
   ): Milliseconds | undefined {
-    const { key, service, tokens, longestRetryMs } = request;
+    const { request, priority, abandonAt, deadlineAt } = queued;
+    const { key, service, tokens } = request;
     return this.#options.bookings.book({
       ...free,
       key,
@@ -195,7 +197,7 @@
       priority,
       cost: tokens,
       latestAt: Math.min(
-        now + longestRetryMs,
+        latestReturnAt(queued, now),
         abandonAt - firstEventMs(pool, request),
       ),
       deadlineAt,
