Ejection: a replica that is only slow serves what no other has room for

A slow replica was closed like a failing one, which takes a quarter of a small pool's memory away in a burst although its callers would be served. It counts as a spare now, and a plain replica has room while a slot is free.

--- a/src/gateway/planning/ejection.ts
+++ b/src/gateway/planning/ejection.ts
@@ -27,6 +27,8 @@
   open: "open",
   /** One request, as a trial. */
   trial: "trial",
+  /** A request for which no other replica has room. */
+  spare: "spare",
   /** Nothing. */
   closed: "closed",
 } as const;
@@ -141,12 +143,16 @@
   ): Standing {
     const record = this.#records.get(incarnation);
     if (!record || record.endedAt !== undefined) return Standing.open;
+    // A slow replica still serves its callers, a failing or silent one doesn't.
+    const resting = record.reason === EjectionReason.slow
+      ? Standing.spare
+      : Standing.closed;
     if (record.trial) {
-      if (now < record.trial.until) return Standing.closed;
+      if (now < record.trial.until) return resting;
       failTrial(record, now);
     }
     const waitMs = repeatable ? 0 : REPEATABLE_WAIT_MS;
-    return now < record.trialAt + waitMs ? Standing.closed : Standing.trial;
+    return now < record.trialAt + waitMs ? resting : Standing.trial;
   }
 
   /** Records that a request is assigned: at an ejected replica, a trial. */
--- a/src/gateway/planning/measured_rates.ts
+++ b/src/gateway/planning/measured_rates.ts
@@ -94,10 +94,10 @@
     const { repeatable, begun } = request;
     const standing = this.#ejection.standing(incarnation, repeatable, now);
     if (standing === Standing.trial && begun) return Standing.closed;
-    if (standing !== Standing.open) return standing;
-    return this.#outcomes.isAvoidedBy(request, incarnation, now)
+    const mayServe = standing === Standing.open || standing === Standing.spare;
+    return mayServe && this.#outcomes.isAvoidedBy(request, incarnation, now)
       ? Standing.closed
-      : Standing.open;
+      : standing;
   }
 
   noteGrant(entry: LedgerEntry, now: Milliseconds): void {
--- a/src/gateway/planning/plain_assigner.ts
+++ b/src/gateway/planning/plain_assigner.ts
@@ -108,8 +108,8 @@
     const { service, hall } = queued.request;
     const rates = this.#options.rates();
     const request = ratedRequest(queued.host, queued.request);
-    const hasRoom = ({ incarnation }: ReplicaEntry) =>
-      !isFull(incarnation, now);
+    const hasRoom = ({ incarnation, slots }: ReplicaEntry) =>
+      !isFull(incarnation, now) && ledger.reservedTokensAt(incarnation) < slots;
     const query = { request, hasRoom };
     const candidates = ratedCandidates(rates, replicas, query, now);
     return choosePlainReplica(candidates, {
--- a/src/gateway/planning/rated_candidates.ts
+++ b/src/gateway/planning/rated_candidates.ts
@@ -13,8 +13,9 @@
 
 /**
  * The replicas that may be given the request. A replica that is due for a trial
- * gets it, because its estimates would not select it. If every replica is
- * closed to the request, all of them may be given it.
+ * gets it, because its estimates would not select it. Replicas that are ejected
+ * for being slow are spared as long as another one has room. If every replica
+ * is closed to the request, all of them may be given it.
  */
 export function ratedCandidates(
   rates: ReplicaRates,
@@ -27,6 +28,7 @@
   const suspects = rates.suspects(first.service, now);
   if (suspects.size === 0) return replicas;
   const open: ReplicaEntry[] = [];
+  const spare: ReplicaEntry[] = [];
   for (const replica of replicas) {
     if (!suspects.has(replica.incarnation)) {
       open.push(replica);
@@ -35,8 +37,10 @@
     const standing = rates.standing(replica, request, now);
     if (standing === Standing.trial && hasRoom(replica)) return [replica];
     if (standing === Standing.open) open.push(replica);
+    if (standing === Standing.spare) spare.push(replica);
   }
-  return open.length > 0 ? open : replicas;
+  const usable = open.some(hasRoom) ? open : [...open, ...spare];
+  return usable.length > 0 ? usable : replicas;
 }
 
 /** What the rates need to know of a request. */
--- a/test/gateway/planning/ejection_test.ts
+++ b/test/gateway/planning/ejection_test.ts
@@ -8,6 +8,7 @@
 import fc from "fast-check";
 import "../../fixed_seed.ts";
 import { Standing } from "../../../src/gateway/planning/ejection.ts";
+import { ratedCandidates } from "../../../src/gateway/planning/rated_candidates.ts";
 import {
   EVENTS,
   grant,
@@ -242,3 +243,18 @@
   assert.equal(standing(13_500), Standing.closed);
   assert.equal(standing(25_000), Standing.trial);
 });
+
+test("a replica that is ejected as slow serves what no other replica has room for", () => {
+  const rig = ratesRig(6);
+  playAll(rig, { from: 0, until: 9000 }, (index, now) => ({
+    runMs: index === 2 && now >= 6000 ? 5 * USUAL_MS : USUAL_MS,
+  }));
+  assert.deepEqual(rig.ejected(9000), ["r2"]);
+  const usable = (hasRoom: (incarnation: string) => boolean) =>
+    ratedCandidates(rig.rates, rig.pool, {
+      request: REQUEST,
+      hasRoom: ({ incarnation }) => hasRoom(incarnation),
+    }, 9000).map(({ incarnation }) => incarnation);
+  assert.ok(!usable(() => true).includes("r2"));
+  assert.ok(usable((incarnation) => incarnation === "r2").includes("r2"));
+});
--- a/test/gateway/planning/rates_rig.ts
+++ b/test/gateway/planning/rates_rig.ts
@@ -102,12 +102,16 @@
   return { type: "progress", id: entry.id, stage, ...details };
 }
 
-/** Plays an assignment to its end, unless the replica is closed to it. */
+/**
+ * Plays an assignment to its end, unless the replica is closed to it. The other
+ * replicas have room, so a replica is never needed as a spare.
+ */
 export function play(rig: RatesRig, run: Run): boolean {
   const { rates, ledger } = rig;
   const { replica, now, runMs, prefill, host = "host", hall = "hall0" } = run;
   const request = { host, hall, repeatable: true, begun: false };
-  if (rates.standing(replica, request, now) === Standing.closed) return false;
+  const standing = rates.standing(replica, request, now);
+  if (standing === Standing.closed || standing === Standing.spare) return false;
   const entry = grant(rig, run);
   if (prefill) {
     ledger.endPrefill(entry.id, prefill.spentMs, now);
