Replica rates: fewer ejections and detours by chance

A replica that failed returns after five good trials. Runs that their caller holds up no longer count as overdue.

--- a/src/gateway/planning/ejection.ts
+++ b/src/gateway/planning/ejection.ts
@@ -44,14 +44,17 @@
 const NEXT_TRIAL_DELAY_MS = 200;
 /** How long a trial waits for a request that may run twice. */
 const REPEATABLE_WAIT_MS = 1500;
-/** Consecutive good trials that end an ejection. */
-const TRIALS_TO_RETURN = 2;
+/**
+ * Consecutive good trials that end an ejection. A replica that fails a part of
+ * its requests passes a few by chance.
+ */
+const TRIALS_TO_RETURN = { slow: 2, failing: 5, silent: 2 } as const;
 /** A replica that is ejected again within this time gets a longer pause. */
 const REPEATED_WITHIN_MS = 30_000;
 /** Maximum number of recorded ejections. */
 const MAX_RECORDS = 1000;
 
-type Record = {
+type EjectionRecord = {
   readonly service: string;
   readonly reason: EjectionReason;
   readonly since: Milliseconds;
@@ -73,7 +76,7 @@
 
 /** The ejected replicas of one planner, by incarnation. */
 export class Ejection {
-  readonly #records = new Map<string, Record>();
+  readonly #records = new Map<string, EjectionRecord>();
   readonly #view: Pick<PlannerView, "events" | "metrics">;
 
   constructor(view: Pick<PlannerView, "events" | "metrics">) {
@@ -133,10 +136,13 @@
     return true;
   }
 
-  /** What a replica may be given; `repeatable`: the request may run twice. */
+  /** What a replica may be given of a request; one that has begun is no trial. */
   standing(
     incarnation: string,
-    repeatable: boolean,
+    { repeatable, begun }: {
+      readonly repeatable: boolean;
+      readonly begun: boolean;
+    },
     now: Milliseconds,
   ): Standing {
     const record = this.#records.get(incarnation);
@@ -145,6 +151,7 @@
       if (now < record.trial.until) return Standing.closed;
       failTrial(record, now);
     }
+    if (begun) return Standing.closed;
     const waitMs = repeatable ? 0 : REPEATABLE_WAIT_MS;
     return now < record.trialAt + waitMs ? Standing.closed : Standing.trial;
   }
@@ -181,7 +188,7 @@
     }
     record.trial = undefined;
     record.goodTrials += 1;
-    if (record.goodTrials < TRIALS_TO_RETURN) return false;
+    if (record.goodTrials < TRIALS_TO_RETURN[record.reason]) return false;
     record.endedAt = now;
     this.#view.metrics.count("replicas_returned");
     this.#view.events.note("replicaReturned", {
@@ -195,7 +202,7 @@
   }
 }
 
-function failTrial(record: Record, now: Milliseconds): void {
+function failTrial(record: EjectionRecord, now: Milliseconds): void {
   record.trial = undefined;
   record.goodTrials = 0;
   record.level += 1;
--- a/src/gateway/planning/ejection_rules.ts
+++ b/src/gateway/planning/ejection_rules.ts
@@ -8,8 +8,12 @@
 import type { OpenRuns } from "./run_watch.ts";
 import type { SpeedModel } from "./speed_model.ts";
 
-/** Slowness, as a logarithm, at which a replica is ejected. */
+/**
+ * Slowness, as a logarithm, at which a replica is ejected, in addition to what
+ * is usual for it: a replica that is always slower is given less by its speed.
+ */
 const EJECT_SLOWNESS = Math.log(3);
+const MAX_USUAL_SLOWNESS = Math.log(2.5);
 /** Overdue runs, and their share, at which a replica counts as silent. */
 const SILENT_MIN_RUNS = 3;
 const SILENT_MIN_SHARE = 0.5;
@@ -24,6 +28,9 @@
 ): EjectionCause | undefined {
   const slowness = speeds.latestSlowness(incarnation, now);
   if (slowness === undefined || slowness < EJECT_SLOWNESS) return undefined;
+  const steady = speeds.steadySlowness(incarnation, now);
+  const usual = Math.max(0, Math.min(MAX_USUAL_SLOWNESS, steady));
+  if (slowness < EJECT_SLOWNESS + usual) return undefined;
   const figures = { times_slower: Number(Math.exp(slowness).toFixed(2)) };
   return { reason: EjectionReason.slow, figures };
 }
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -7,6 +7,7 @@
 import type { PromptLocations } from "./prompt_locations.ts";
 import { ratedCandidates, ratedRequest } from "./rated_candidates.ts";
 import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
+import { meanOf, significantRatio } from "./time_ratio.ts";
 import type { PlannerView } from "./view.ts";
 
 /**
@@ -169,11 +170,9 @@
   ): ReplicaEntry | undefined {
     const memory = Math.max(1, this.#view.memoryOf(request.service));
     const rates = this.#rates();
-    const runMs = new Map(decodes.map(({ incarnation }) => [
-      incarnation,
-      Math.max(1, rates.runMs(incarnation, request.outputTokens)),
-    ]));
-    const usualRunMs = meanOf([...runMs.values()]);
+    const runMs = ({ incarnation }: ReplicaEntry) =>
+      rates.runMs(incarnation, request.outputTokens);
+    const usualMs = meanOf(decodes.map(runMs));
     return minBy(decodes, (replica) => {
       const { incarnation, hall } = replica;
       if (!this.#hasRoom(request, replica, now)) return Infinity;
@@ -182,8 +181,10 @@
       const utilization = reserved / memory;
       const load = Math.max(LOW_UTILIZATION, utilization) +
         utilization * TIE_BREAK_WEIGHT;
-      return rates.firstEventMs(incarnation) + penalty * usualRunMs +
-        (runMs.get(incarnation) ?? 1) * (1 - LOW_UTILIZATION + load);
+      const startMs = rates.firstEventMs(incarnation);
+      return startMs / Math.max(1, usualMs) + penalty +
+        significantRatio(runMs(replica), usualMs) *
+          (1 - LOW_UTILIZATION + load);
     });
   }
 
@@ -239,8 +240,3 @@
     return minBy(free.length > 0 ? free : prefills, cost) ?? decode;
   }
 }
-
-function meanOf(values: readonly number[]): number {
-  const sum = values.reduce((total, value) => total + value, 0);
-  return sum / Math.max(1, values.length);
-}
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -15,7 +15,7 @@
   prefillLimited: "prefill-limited",
   /** The first event, or the complete response of a plain request, began. */
   started: "started",
-  /** Events received so far. */
+  /** Events received so far; without events, its caller holds it up. */
   running: "running",
   /** The decode replica had no memory for it, or its limit had no room. */
   refused: "refused",
--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { minBy } from "./order.ts";
+import { meanOf, significantRatio } from "./time_ratio.ts";
 
 /**
  * Below this share of its slots in use a replica responds at once, so the hall
@@ -48,10 +49,9 @@
     !query.isPaused(replica.incarnation)
   );
   const candidates = healthy.length > 0 ? healthy : replicas;
-  const usualMs = candidates.reduce(
-    (sum, { incarnation }) => sum + query.callMs(incarnation),
-    0,
-  ) / Math.max(1, candidates.length);
+  const usualMs = meanOf(
+    candidates.map(({ incarnation }) => query.callMs(incarnation)),
+  );
   return minBy(candidates, ({ incarnation, slots, hall }) => {
     if (query.isFull(incarnation)) return Infinity;
     const inFlight = query.inFlight(incarnation);
@@ -62,6 +62,7 @@
     const utilization = inFlight / Math.max(1, slots);
     const load = Math.max(LOW_UTILIZATION, utilization) +
       utilization * TIE_BREAK_WEIGHT;
-    return load * query.callMs(incarnation) + penalty * usualMs;
+    const ratio = significantRatio(query.callMs(incarnation), usualMs);
+    return load * ratio + penalty;
   });
 }
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -134,6 +134,11 @@
     this.#report(id, AssignmentStage.running, run);
   }
 
+  /** Reports that the caller holds the response up: no more times follow. */
+  heldUp(id: string): void {
+    this.#report(id, AssignmentStage.running);
+  }
+
   /**
    * Reports the complete response and its duration, if it was measured, and
    * releases the assignment.
--- a/src/gateway/planning/recent_outcomes.ts
+++ b/src/gateway/planning/recent_outcomes.ts
@@ -33,6 +33,10 @@
 const MIN_FAILURE_SHARE = 0.25;
 /** How many times more failures it has than the rest of its pool. */
 const MIN_RATIO_TO_POOL = 3;
+/** Requests, of which one failed, that are assumed before any is known. */
+const PRIOR_REQUESTS = 10;
+/** Requests that may fail by chance, as a multiple of what is expected. */
+const CHANCE_FACTOR = 3;
 /** Failures after which one host, or one hall, avoids a replica. */
 const HOST_FAILURES = 2;
 const HALL_FAILURES = 3;
@@ -82,8 +86,13 @@
     const others = pool.filter((other) => other !== incarnation)
       .flatMap((other) => this.#recent(other, now));
     const othersFailed = others.filter((outcome) => !outcome.isGood).length;
-    const othersShare = othersFailed / Math.max(1, others.length);
-    if (share < MIN_RATIO_TO_POOL * othersShare) return undefined;
+    const expectedShare = (othersFailed + 1) /
+      (others.length + PRIOR_REQUESTS);
+    const isPoolFailing = others.length > 0 &&
+      share < MIN_RATIO_TO_POOL * othersFailed / others.length;
+    if (isPoolFailing) return undefined;
+    const byChance = CHANCE_FACTOR * expectedShare * outcomes.length;
+    if (failed.length < MIN_FAILURES + byChance) return undefined;
     return { failures: failed.length, requests: outcomes.length };
   }
 
--- a/src/gateway/requests/run_meter.ts
+++ b/src/gateway/requests/run_meter.ts
@@ -46,6 +46,7 @@
       sentAt: this.#sentAt,
       started: (firstEventMs) => planner.started(id, firstEventMs),
       running: (run) => planner.running(id, run),
+      heldUp: () => planner.heldUp(id),
     });
     return this.#progress;
   }
--- a/src/gateway/requests/run_progress.ts
+++ b/src/gateway/requests/run_progress.ts
@@ -63,6 +63,8 @@
   started(firstEventMs: Milliseconds): void;
   /** Reports the events so far, and the time since the first one. */
   running(run: Required<RunSummary>): void;
+  /** Reports that nothing more will be reported before the end. */
+  heldUp(): void;
 };
 
 /**
@@ -88,6 +90,7 @@
     const before = this.#counter.events;
     this.#counter.push(bytes);
     if (this.#counter.events === before) return;
+    if (this.#isHeldUp) return;
     const { clock, sentAt, started, running } = this.#options;
     const now = clock.now();
     this.#lastAt = now;
@@ -97,7 +100,7 @@
       this.#reportedAt = now;
       return started(now - sentAt);
     }
-    if (this.#isHeldUp || now - this.#reportedAt < REPORT_INTERVAL_MS) return;
+    if (now - this.#reportedAt < REPORT_INTERVAL_MS) return;
     this.#reportedAt = now;
     running({
       events: this.#counter.events - this.#firstEvents,
@@ -106,7 +109,9 @@
   }
 
   heldUp(): void {
+    if (this.#isHeldUp) return;
     this.#isHeldUp = true;
+    this.#options.heldUp();
   }
 
   /** The events and the duration of the complete run; empty if unknown. */
--- a/test/gateway/planning/measured_rates_test.ts
+++ b/test/gateway/planning/measured_rates_test.ts
@@ -150,6 +150,20 @@
   isNear(rig.rates.callMs("r0"), 50);
 });
 
+test("a replica that looks slow and gets no work is soon taken for usual", () => {
+  const rig = ratesRig(3);
+  const isIdle = (index: number, now: number) => index === 0 && now >= 3600;
+  for (const [from, until] of [[0, 3600], [3600, 24_000]] as const) {
+    playAll(rig, { from, until }, (index, now) => ({
+      replica: rig.pool[isIdle(index, now) ? 1 : index] ?? replicaEntry("r"),
+      runMs: index === 0 && now >= 2400 && now < 3600 ? 8000 : 2000,
+    }));
+    const ratio = rig.rates.runMs("r0", EVENTS) / rig.rates.runMs("r1", EVENTS);
+    if (until === 3600) assert.ok(ratio > 1.25, String(ratio));
+    else isNear(ratio, 1, 0.1);
+  }
+});
+
 test("a pool of one is never slow", () => {
   const rig = ratesRig(1);
   playAll(rig, { from: 0, until: 3000 }, () => ({}));
--- a/test/gateway/planning/rated_placement_test.ts
+++ b/test/gateway/planning/rated_placement_test.ts
@@ -90,6 +90,15 @@
   assert.equal(chosen(replicas, { remoteHallPenalty: 2 }), "slow");
 });
 
+test("among about equally fast replicas the caller's hall decides", () => {
+  const rates: ReplicaRates = {
+    ...EQUAL_RATES,
+    runMs: (incarnation) => incarnation === "a" ? RUN_MS : 1.2 * RUN_MS,
+  };
+  const replicas = new Map([[decode("a", "other"), 0], [decode("b"), 0]]);
+  assert.equal(chosen(replicas, { rates }), "b");
+});
+
 test("a fast plain replica gets more requests than a slow one", () => {
   const counts = new Map([["fast", 0], ["slow", 0]]);
   const replicas = [...counts.keys()].map((incarnation) =>
