Quotas: places to retry at

Cause: every refused request was told when the next units leave the window, and new requests took them before it came back: the same requests were refused again and again, a large one for as long as small ones came.

Change: the owner reads each request's time to retry from its window's record, spreads the times, and sets units aside for them: a quarter of what becomes available. The window's count decides as before.

--- a/src/gateway/callers/quota_acquisition.ts
+++ b/src/gateway/callers/quota_acquisition.ts
@@ -11,6 +11,8 @@
  * would leave too little time for the response.
  */
 const MAX_WAIT_SHARE = 1 / 4;
+/** Longest retry delay for callers that do not state one. */
+const DEFAULT_MAX_RETRY_MS = 4000;
 
 /** Options of {@link acquireQuota}. */
 export type QuotaAcquisitionOptions = {
@@ -18,6 +20,8 @@
   readonly quotas: Pick<QuotaMember, "acquire">;
   /** Version of the configuration that defines the quota. */
   readonly version: number;
+  /** Whether refused requests get places to retry at. */
+  readonly hasPlaces: boolean;
 };
 
 /** Outcome of acquiring units. */
@@ -37,19 +41,22 @@
 
 /** Acquires the units of a request and waits until they are available. */
 export async function acquireQuota(
-  { clock, quotas, version }: QuotaAcquisitionOptions,
-  { customer, facts, route }: GatewayRequest,
+  { clock, quotas, version, hasPlaces }: QuotaAcquisitionOptions,
+  { customer, facts, route, fingerprint }: GatewayRequest,
 ): Promise<QuotaAcquisition> {
   if (!customer?.quota) return NO_QUOTA;
   const { name, quota } = customer;
   const { perSecond, burst } = quota;
   const units = quotaUnits(quota, facts);
+  const longestMs = facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS;
+  const retry = hasPlaces ? { retry: { key: fingerprint(), longestMs } } : {};
   const outcome = await quotas.acquire({
     customer: name,
     units,
     rate: { perSecond, burst },
     version,
     mostWaitMs: route.objectiveMs * MAX_WAIT_SHARE,
+    ...retry,
   });
   switch (outcome.type) {
     case "unknown":
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -157,10 +157,14 @@
   }
 
   async #acquireQuota(request: GatewayRequest): Promise<QuotaAcquisition> {
-    const { clock, routes: { version } } = this.#context;
+    const { clock, routes: { version }, tuning } = this.#context;
     const quotas = this.#quotas;
+    const hasPlaces = tuning.scheduling.customerShares;
     this.#pendingCount += 1;
-    const quota = await acquireQuota({ clock, quotas, version }, request);
+    const quota = await acquireQuota(
+      { clock, quotas, version, hasPlaces },
+      request,
+    );
     this.#pendingCount -= 1;
     return quota;
   }
--- a/src/gateway/quota/ledger.ts
+++ b/src/gateway/quota/ledger.ts
@@ -3,9 +3,10 @@
  */
 import type { HostId } from "../../util/ids.ts";
 import type { Milliseconds } from "../../util/units.ts";
-import type { AllowanceRule, Rate } from "./bounds.ts";
+import type { Allowance, AllowanceRule, Rate } from "./bounds.ts";
 import { Coverage } from "./coverage.ts";
 import type { QuotaMembership } from "./messages.ts";
+import { ReturnPlaces } from "./return_places.ts";
 import { SHARD_COUNT, shardOf } from "./shards.ts";
 import { WindowLog } from "./window_log.ts";
 
@@ -38,6 +39,13 @@
   readonly version: number;
   /** Longest time that the request may wait for its units. */
   readonly mostWaitMs: Milliseconds;
+  /** Absent: the request gets no place to retry at when it is refused. */
+  readonly retry?: {
+    /** Equal for every attempt of the same request. */
+    readonly key: string;
+    /** Longest retry delay that the caller accepts. */
+    readonly longestMs: Milliseconds;
+  };
 };
 
 /** An owner's decision: units granted for use after a wait, or a refusal. */
@@ -59,6 +67,7 @@
 
 type Account = {
   readonly log: WindowLog;
+  readonly places: ReturnPlaces;
   rate: Rate;
   version: number;
   /** Window of the last allowance. */
@@ -115,32 +124,39 @@
   /** Grants units, in advance if they are available within `mostWaitMs`. */
   acquire(request: QuotaRequest, now: Milliseconds): QuotaDecision {
     this.#sweep(now);
-    const { customer, units, mostWaitMs } = request;
+    const { customer, units, mostWaitMs, retry } = request;
     const account = this.#accountFor(customer, request);
-    const { log, rate } = account;
+    const { log, rate, places } = account;
     const share = this.#shareOf(this.#shardOf(customer).coverage, now);
     const rated = { name: customer, rate };
     const allowance = this.#options.allowance(rated, share);
     const { windowMs } = allowance;
     account.windowMs = windowMs;
     log.expire(now, windowMs);
-    const availableAt = Math.max(
-      log.availableAt(units, { limit: allowance.units, spanMs: windowMs, now }),
-      log.availableAt(units, {
-        limit: Math.max(units, allowance.units * BURST_SHARE),
-        spanMs: windowMs * BURST_SPAN_SHARE,
-        now,
-      }),
-    );
-    const afterMs: Milliseconds = availableAt - now;
-    if (afterMs > mostWaitMs) {
-      const retryMs = Number.isFinite(afterMs)
-        ? afterMs
-        : OWNER_CHANGE_RETRY_MS;
-      return { type: "refused", retryAfterMs: Math.max(MIN_RETRY_MS, retryMs) };
+    const hasPlace = retry !== undefined && places.claim(retry.key, now);
+    const setAside = hasPlace ? 0 : places.unitsAt(now);
+    const afterMs = waitFor(log, units + setAside, allowance, now);
+    if (afterMs <= mostWaitMs) {
+      log.add(units, now + afterMs);
+      return { type: "granted", afterMs };
     }
-    log.add(units, availableAt);
-    return { type: "granted", afterMs };
+    const waitMsFor = (needed: number) => waitFor(log, needed, allowance, now);
+    const waitMs = setAside > 0 ? waitMsFor(units) : afterMs;
+    const retryAfterMs = !Number.isFinite(waitMs)
+      ? OWNER_CHANGE_RETRY_MS
+      : retry
+      ? places.retryAfterMs({
+        key: retry.key,
+        units,
+        waitMsFor,
+        longestRetryMs: retry.longestMs,
+        perSecond: allowance.units * 1000 / windowMs,
+      }, now)
+      : waitMs;
+    return {
+      type: "refused",
+      retryAfterMs: Math.max(MIN_RETRY_MS, retryAfterMs),
+    };
   }
 
   /** Releases units that were acquired `agoMs` ago and not used. */
@@ -179,7 +195,9 @@
     const known = accounts.get(customer);
     if (!known) {
       const windowMs = this.#options.retentionMs();
-      const account = { log: new WindowLog(), rate, version, windowMs };
+      const places = new ReturnPlaces();
+      const log = new WindowLog();
+      const account = { log, places, rate, version, windowMs };
       accounts.set(customer, account);
       return account;
     }
@@ -201,3 +219,21 @@
     }
   }
 }
+
+/** Time until units can be granted; Infinity if there is none. */
+function waitFor(
+  log: WindowLog,
+  units: number,
+  { units: limit, windowMs }: Allowance,
+  now: Milliseconds,
+): Milliseconds {
+  const availableAt = Math.max(
+    log.availableAt(units, { limit, spanMs: windowMs, now }),
+    log.availableAt(units, {
+      limit: Math.max(units, limit * BURST_SHARE),
+      spanMs: windowMs * BURST_SPAN_SHARE,
+      now,
+    }),
+  );
+  return availableAt - now;
+}
--- a/src/gateway/quota/messages.ts
+++ b/src/gateway/quota/messages.ts
@@ -36,6 +36,13 @@
   version: z.number(),
   /** Longest time that the request may wait for its units. */
   mostWaitMs: z.number(),
+  /** Absent: the request gets no place to retry at when it is refused. */
+  retry: z.object({
+    /** Equal for every attempt of the same request. */
+    key: z.string(),
+    /** Longest retry delay that the caller accepts. */
+    longestMs: z.number(),
+  }).exactOptional(),
 });
 
 const Release = z.object({
