Quotas: units set aside only for a retry that was refused at its time

Change: refused requests are told times in turn, without units set aside; one that comes back at its time and is refused again gets a time before which its units are.

--- a/src/gateway/quota/ledger.ts
+++ b/src/gateway/quota/ledger.ts
@@ -133,8 +133,8 @@
     const { windowMs } = allowance;
     account.windowMs = windowMs;
     log.expire(now, windowMs);
-    const hasPlace = retry !== undefined && places.claim(retry.key, now);
-    const setAside = hasPlace ? 0 : places.unitsAt(now);
+    const hadPlace = retry !== undefined && places.claim(retry.key, now);
+    const setAside = hadPlace ? 0 : places.unitsAt(now);
     const afterMs = waitFor(log, units + setAside, allowance, now);
     if (afterMs <= mostWaitMs) {
       log.add(units, now + afterMs);
@@ -147,6 +147,7 @@
       : retry
       ? places.retryAfterMs({
         key: retry.key,
+        hadPlace,
         units,
         waitMsFor,
         longestRetryMs: retry.longestMs,
--- a/src/gateway/quota/return_places.ts
+++ b/src/gateway/quota/return_places.ts
@@ -1,8 +1,9 @@
 /**
- * Tells refused requests of one account when to retry, and sets units aside for
- * them at that time. Otherwise, requests that arrive in between take each unit
- * that becomes available, and the same requests are refused again and again,
- * large ones more than small ones.
+ * Tells refused requests of one account when to retry: at the time at which
+ * enough units become available for each of them. Requests that arrive in
+ * between may take those units; one that is refused once more at its time gets
+ * a place for which units are set aside. Otherwise a large request would be
+ * refused for as long as small ones arrive.
  */
 import type { Milliseconds } from "../../util/units.ts";
 
@@ -44,7 +45,7 @@
   readonly key: string;
   readonly units: number;
   readonly at: Milliseconds;
-  /** When its units begin to be set aside. */
+  /** When its units begin to be set aside; Infinity: they are not. */
   readonly collectFrom: Milliseconds;
 };
 
@@ -58,6 +59,8 @@
    * if never.
    */
   waitMsFor(units: number): Milliseconds;
+  /** It came back at the time it was told, and is refused nevertheless. */
+  readonly hadPlace: boolean;
   /** Longest retry delay that its caller accepts. */
   readonly longestRetryMs: Milliseconds;
   /** Units that the account may grant per second; positive. */
@@ -117,8 +120,9 @@
     const mayBook = at <= now + longestRetryMs * horizon &&
       this.#places.length < MAX_PLACES;
     if (!mayBook) return this.#spread(longestRetryMs);
-    const collectFrom = at - MIN_COLLECT_MS -
+    const collectMs = MIN_COLLECT_MS +
       units * 1000 / perSecond * COLLECT_FACTOR;
+    const collectFrom = refused.hadPlace ? at - collectMs : Infinity;
     this.#places.push({ key, units, at, collectFrom });
     return at - now;
   }
