Customer shares: compute the level of a pool at most each 5 ms

Cause: each pass copied the use of all customers and computed the level for it, though it hardly changes between passes.

--- a/src/gateway/planning/fair_shares.ts
+++ b/src/gateway/planning/fair_shares.ts
@@ -25,6 +25,8 @@
 const PLAIN_CALLS_PER_SLOT = 1.2;
 /** What a customer may use for a moment, as a multiple of its share. */
 const BURST_FACTOR = 4;
+/** How long a computed level is used. */
+const LEVEL_TTL_MS = 5;
 /** Added to the priority of requests beyond their customer's share. */
 const BEYOND_SHARE = 0.5;
 
@@ -43,7 +45,7 @@
   readonly #ledger: FairSharesOptions["ledger"];
   readonly #activity: CustomerActivity;
 
-  /** The last level of each service and priority, for one pass. */
+  /** The last level of each service and priority. */
   readonly #levels = new Map<string, { at: Milliseconds; level: number }>();
 
   constructor({ view, ledger }: FairSharesOptions) {
@@ -103,9 +105,12 @@
     const use = this.#ledger.customers.of(service, priority);
     this.#activity.sample(service, priority, use, now);
     if (inFlight < slots) return true;
-    const capacity = slots * PLAIN_CALLS_PER_SLOT -
-      this.#ledger.customers.moreUrgentThan(priority, service);
-    const level = this.#levelOf(request, use, capacity, now);
+    const others = use.size - (use.has(customer) ? 1 : 0);
+    const isAlone = others === 0 &&
+      !this.#ledger.customers.hasMoreUrgentOf(request);
+    if (isAlone) return true;
+    const capacity = slots * PLAIN_CALLS_PER_SLOT;
+    const level = this.#levelOf(request, { capacity, demand: () => use }, now);
     const ownUse = use.get(customer) ?? 0;
     return !this.#isBeyond(request, ownUse, level, now);
   }
@@ -128,22 +133,20 @@
     return this.#view.scheduling.customerShares;
   }
 
-  /** The fair share of a customer with weight 1. */
+  /** The fair share of a customer with weight 1, of what is left to it. */
   #levelOf(
-    request: SharedRequest,
-    demand: ReadonlyMap<string, number>,
-    capacity: number,
+    { service, priority }: SharedRequest,
+    shared: {
+      readonly capacity: number;
+      demand(): ReadonlyMap<string, number>;
+    },
     now: Milliseconds,
   ): number {
-    const { service, priority } = request;
-    const isAlone = demand.size <= 1 &&
-      !this.#ledger.customers.hasMoreUrgentOf(request);
-    if (isAlone) return Infinity;
     const key = `${priority} ${service}`;
     const known = this.#levels.get(key);
-    if (known?.at === now) return known.level;
+    if (known && now - known.at < LEVEL_TTL_MS) return known.level;
     const demands: WeightedDemand[] = [];
-    for (const [customer, amount] of demand) {
+    for (const [customer, amount] of shared.demand()) {
       const mean = this.#activity.meanDemand(
         { service, priority, customer },
         now,
@@ -151,7 +154,8 @@
       const weight = this.#view.weightOf(customer);
       demands.push({ weight, amount: Math.max(amount, mean) });
     }
-    const level = fairLevel(demands, capacity);
+    const moreUrgent = this.#ledger.customers.moreUrgentThan(priority, service);
+    const level = fairLevel(demands, shared.capacity - moreUrgent);
     this.#levels.set(key, { at: now, level });
     return level;
   }
@@ -182,29 +186,47 @@
     const [first] = pool;
     if (!first) return;
     const { service, priority } = first.request;
-    const { customers } = this.#ledger;
-    const used = new Map(customers.of(service, priority));
-    const demand = new Map(used);
-    for (const { request: { customer, tokens } } of pool) {
-      demand.set(customer, (demand.get(customer) ?? 0) + tokens);
-    }
-    this.#activity.sample(service, priority, demand, now);
-    if (demand.size <= 1) return pool.forEach(resetRank);
+    const use = this.#ledger.customers.of(service, priority);
+    const { customer: one } = first.request;
+    const isOnlyOne = use.size <= (use.has(one) ? 1 : 0) &&
+      pool.every(({ request: { customer } }) => customer === one);
+    if (isOnlyOne) return pool.forEach(resetRank);
     const memory = memoryOf(service);
-    const capacity = memory - customers.moreUrgentThan(priority, service);
     // Plain requests are checked against the calls in flight instead.
     const level = memory === 0
       ? Infinity
-      : this.#levelOf(first.request, demand, capacity, now);
+      : this.#modelLevel(pool, { first, use, memory }, now);
+    const ahead = new Map<string, number>();
     for (const queued of [...pool].sort((a, b) => a.dueAt - b.dueAt)) {
       const { customer, tokens } = queued.request;
-      const before = used.get(customer) ?? 0;
-      used.set(customer, before + tokens);
+      const before = ahead.get(customer) ?? use.get(customer) ?? 0;
+      ahead.set(customer, before + tokens);
       queued.startTag = before / this.#view.weightOf(customer);
       setRank(queued, this.#isBeyond(queued.request, before, level, now), now);
     }
   }
 
+  #modelLevel(
+    pool: readonly RankedRequest[],
+    { first, use, memory }: {
+      readonly first: RankedRequest;
+      readonly use: ReadonlyMap<string, number>;
+      readonly memory: number;
+    },
+    now: Milliseconds,
+  ): number {
+    const { service, priority } = first.request;
+    const demand = () => {
+      const sums = new Map(use);
+      for (const { request: { customer, tokens } } of pool) {
+        sums.set(customer, (sums.get(customer) ?? 0) + tokens);
+      }
+      this.#activity.sample(service, priority, sums, now);
+      return sums;
+    };
+    return this.#levelOf(first.request, { capacity: memory, demand }, now);
+  }
+
   #noteHeld({ service, customer, priority }: Activity): void {
     const view = this.#view;
     const use = this.#ledger.customers.of(service, priority);
