Planner: cheaper simulations of the queue

Run lengths are found without building keys, a replica that has room for a smaller request only later isn't looked at again, and long queues at large pools are simulated at most each 50 ms.

--- a/src/gateway/planning/arrival_decision.ts
+++ b/src/gateway/planning/arrival_decision.ts
@@ -17,6 +17,14 @@
 /** Share of its objective within which a request is refused at once. */
 const PROMPT_REFUSAL_SHARE = 0.125;
 
+/**
+ * Long queues at large pools are simulated less often: the simulations of a
+ * service look up about as many places in a millisecond, on average.
+ */
+const WORK_PER_MS = 100;
+/** Keeps refusals within an eighth of common objectives. */
+const MAX_DECISION_DELAY_MS = 50;
+
 /** Options of {@link ArrivalDecision}. */
 export type ArrivalDecisionOptions = {
   readonly view: Pick<PlannerView, "events" | "metrics">;
@@ -45,13 +53,21 @@
 
 const NEVER: ServiceForecast = { startsAt: Infinity, firstEventAt: Infinity };
 
-/** Decode replicas of a service and how often some of them were lost. */
-type Capacity = { decodes: number; losses: number };
+/** State of a service between passes. */
+type ServiceState = {
+  decodes: number;
+  /** How often decode replicas were lost. */
+  losses: number;
+  /** The pass that forecast last. */
+  pool: PoolSnapshot;
+  /** When another pass may forecast. */
+  nextAt: Milliseconds;
+};
 
 /** Decides about the requests that wait at one planner. */
 export class ArrivalDecision {
   readonly #options: ArrivalDecisionOptions;
-  readonly #capacities = new Map<string, Capacity>();
+  readonly #states = new Map<string, ServiceState>();
 
   constructor(options: ArrivalDecisionOptions) {
     this.#options = options;
@@ -63,11 +79,12 @@
     offered: OfferedPool,
     now: Milliseconds,
   ): Milliseconds | undefined {
-    const { service } = queued.request;
-    const losses = this.#lossesOf(service, offered.pool);
+    const state = this.#stateOf(queued.request.service, offered.pool);
+    const { losses } = state;
     if (queued.mayHaveRun || queued.admission?.losses === losses) {
       return undefined;
     }
+    if (!isDue(state, offered.pool, now)) return undefined;
     queued.forecast = this.#options.forecast.forecast(
       queued,
       offered.pool,
@@ -158,17 +175,31 @@
     events.note("admissionRevoked", { service, priority, forecastMs });
   }
 
-  /** How often the service has lost decode replicas. */
-  #lossesOf(service: string, pool: PoolSnapshot): number {
+  #stateOf(service: string, pool: PoolSnapshot): ServiceState {
     const decodes = pool.decodes.length;
-    const known = this.#capacities.get(service) ?? { decodes, losses: 0 };
-    if (decodes < known.decodes) known.losses += 1;
-    known.decodes = decodes;
-    this.#capacities.set(service, known);
-    return known.losses;
+    const known = this.#states.get(service);
+    const state = known ?? { decodes, losses: 0, pool, nextAt: 0 };
+    if (!known) this.#states.set(service, state);
+    if (decodes < state.decodes) state.losses += 1;
+    state.decodes = decodes;
+    return state;
   }
 }
 
+/** Whether a pass may forecast: it is the current one, or the next is due. */
+function isDue(
+  state: ServiceState,
+  pool: PoolSnapshot,
+  now: Milliseconds,
+): boolean {
+  if (state.pool === pool && now < state.nextAt) return true;
+  if (now < state.nextAt) return false;
+  const work = pool.waiting.length * pool.decodes.length;
+  state.pool = pool;
+  state.nextAt = now + Math.min(MAX_DECISION_DELAY_MS, work / WORK_PER_MS);
+  return true;
+}
+
 /** Whether it is too late to refuse a request at once. */
 function hasWaited(
   { request, dueAt }: QueuedRequest,
--- a/src/gateway/planning/pool_timeline.ts
+++ b/src/gateway/planning/pool_timeline.ts
@@ -57,6 +57,14 @@
 export class PoolTimeline {
   readonly #options: PoolTimelineOptions;
   readonly #timelines: ReadonlyMap<string, MemoryTimeline>;
+  /**
+   * When a replica had room for a request of some size. As places are given
+   * out, it has room for one at least as large not before.
+   */
+  readonly #earliest = new Map<
+    string,
+    { readonly tokens: number; readonly at: Milliseconds }
+  >();
   /** When each prefill replica has processed what it was given. */
   readonly #prefillFreeAt = new Map<string, Milliseconds>();
 
@@ -100,13 +108,7 @@
       : now;
     const from = Math.max(now, prefillFreeAt - PREFILL_BACKLOG_MS);
     const prefillMs = pool.prefillMs(promptTokens);
-    let best: { decode: ReplicaEntry; at: Milliseconds } | undefined;
-    for (const decode of pool.healthyDecodes) {
-      if (excluded.includes(decode.incarnation)) continue;
-      const at = this.#fitAt(decode, request, from);
-      if (at < (best?.at ?? Infinity)) best = { decode, at };
-      if (at <= from) break;
-    }
+    const best = this.#firstFit(request, from);
     if (!best) return undefined;
     const prefilledAt = Math.max(best.at, prefillFreeAt) + prefillMs;
     const startsAt = best.at;
@@ -139,16 +141,33 @@
     );
   }
 
-  #fitAt(
-    decode: ReplicaEntry,
+  /** The replica that has room first, and when. */
+  #firstFit(
     request: SimulatedRequest,
     from: Milliseconds,
-  ): Milliseconds {
-    const { tokens, promptTokens } = request;
-    const durationMs = this.#options.pool.prefillMs(promptTokens) +
-      this.#decodeMs(decode, request);
-    return this.#timelines.get(decode.incarnation)
-      ?.earliestFit({ tokens, durationMs }, from) ?? Infinity;
+  ): { decode: ReplicaEntry; at: Milliseconds } | undefined {
+    const { tokens, promptTokens, excluded } = request;
+    const { pool } = this.#options;
+    const [first] = pool.healthyDecodes;
+    if (!first) return undefined;
+    const durationMs = pool.prefillMs(promptTokens) +
+      this.#decodeMs(first, request);
+    let best: { decode: ReplicaEntry; at: Milliseconds } | undefined;
+    for (const decode of pool.healthyDecodes) {
+      const { incarnation } = decode;
+      if (excluded.length > 0 && excluded.includes(incarnation)) continue;
+      const earliest = this.#earliest.get(incarnation);
+      const bestAt = best?.at ?? Infinity;
+      if (earliest && earliest.tokens <= tokens && earliest.at >= bestAt) {
+        continue;
+      }
+      const at = this.#timelines.get(incarnation)
+        ?.earliestFit({ tokens, durationMs }, from) ?? Infinity;
+      this.#earliest.set(incarnation, { tokens, at });
+      if (at < bestAt) best = { decode, at };
+      if (at <= from) break;
+    }
+    return best;
   }
 
   /** Expected time from the end of a prefill to the end of a run. */
--- a/src/gateway/planning/run_lengths.ts
+++ b/src/gateway/planning/run_lengths.ts
@@ -56,9 +56,15 @@
   readonly below: number[];
 };
 
+/** Durations of the runs of one service, by priority. */
+type ServiceLengths = {
+  readonly all: Lengths;
+  readonly byPriority: Map<number, Lengths>;
+};
+
 /** Durations of the runs of one planner. */
 export class RunLengths {
-  readonly #byKind = new Map<string, Lengths>();
+  readonly #services = new Map<string, ServiceLengths>();
 
   /** Records a run that has ended. */
   note(
@@ -67,8 +73,13 @@
     actualMs: Milliseconds,
   ): void {
     const ratio = Math.max(1, actualMs) / Math.max(1, nominalMs);
-    addRun(this.#lengthsOf(service), ratio);
-    addRun(this.#lengthsOf(`${service}/${priority}`), ratio);
+    const known = this.#services.get(service);
+    const lengths = known ?? { all: priorLengths(), byPriority: new Map() };
+    if (!known) this.#services.set(service, lengths);
+    const ofPriority = lengths.byPriority.get(priority) ?? priorLengths();
+    lengths.byPriority.set(priority, ofPriority);
+    addRun(lengths.all, ratio);
+    addRun(ofPriority, ratio);
   }
 
   /** How much longer a run is going to take. */
@@ -76,24 +87,15 @@
     { service, priority }: RunKind,
     { nominalMs, elapsedMs, rank }: RunInProgress,
   ): Milliseconds {
-    const known = this.#byKind.get(`${service}/${priority}`);
-    const lengths = known && known.runs >= MIN_RUNS
-      ? known
-      : this.#byKind.get(service);
+    const ofService = this.#services.get(service);
+    const known = ofService?.byPriority.get(priority);
+    const lengths = known && known.runs >= MIN_RUNS ? known : ofService?.all;
     const typicalMs = lengths
       ? Math.max(1, nominalMs * Math.exp(lengths.logScale))
       : INITIAL_RUN_MS;
     const ratio = Math.max(0, elapsedMs) / typicalMs;
     return typicalMs * remainingRatio(lengths ?? PRIOR, ratio, rank);
   }
-
-  #lengthsOf(key: string): Lengths {
-    const known = this.#byKind.get(key);
-    if (known) return known;
-    const lengths = priorLengths();
-    this.#byKind.set(key, lengths);
-    return lengths;
-  }
 }
 
 function addRun(lengths: Lengths, ratio: number): void {
