--- a/src/gateway/stages/measured_balance.ts
+++ b/src/gateway/stages/measured_balance.ts
@@ -98,7 +98,7 @@
         now,
       );
     }
-    const isDue = plan && now >= this.#heldUntil &&
+    const isDue = plan && lost.length === 0 && now >= this.#heldUntil &&
       this.#evidence.isSufficient;
     return {
       changes: isDue ? firstChanges(members, value, plan.changes) : [],
--- a/test/gateway/stages/measured_split_test.ts
+++ b/test/gateway/stages/measured_split_test.ts
@@ -189,6 +189,16 @@
   assert.equal(pool.orders.length, 1);
 });
 
+test("while a replica may return nothing is ordered, and evidence stays", () => {
+  const pool = poolBeforeOrder();
+  pool.missing.add("r8");
+  pool.run(7000, () => demandOf(0.6, 9));
+  assert.deepEqual(pool.orders, []);
+  pool.missing.clear();
+  pool.run(500, () => demandOf(0.6, 9));
+  assert.equal(pool.orders.length, 1);
+});
+
 test("a replica that crashed and returns within 8 s is not replaced", () => {
   const pool = new Pool(
     mixedPool(9, (at) => at < 2 ? "prefill" : "decode", 1),
