Plain services: a host without a planner's answer keeps the last ratios

Cause: when its planner doesn't answer, a host chooses the replica of a plain request itself, whoever sent it: a customer that was held to its share got through there.

Requests without a customer and those that may have run pass as before.

--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -18,6 +18,7 @@
   type ProgressDetails,
   toAssignmentRefusal,
 } from "./assignment.ts";
+import { LastRatios } from "./last_ratios.ts";
 import {
   AssignmentStage,
   type HostMessage,
@@ -53,6 +54,8 @@
   /** The planner used last, by service. */
   readonly #planners = new Map<string, string>();
   readonly #orders: HostOrders;
+  /** What planners granted of the requests of customers. */
+  readonly ratios = new LastRatios();
 
   constructor(
     context: GatewayContext,
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -8,6 +8,7 @@
 import type { GatewayContext } from "../context.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
 import type { Assignment, AssignmentRefusal } from "../planning/assignment.ts";
+import type { ServiceCustomer } from "../planning/last_ratios.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { CallMode } from "../port.ts";
 import { chooseReplica } from "../replicas/choice.ts";
@@ -33,6 +34,9 @@
 /** Longest retry delay for callers that do not state one. */
 const DEFAULT_MAX_RETRY_MS = 4000;
 
+/** Retry delay of requests that the last ratios refuse. */
+const UNPLANNED_RETRY_MS = 500;
+
 /** Places one request at a plain service. */
 export class PlainPlacement implements Placer {
   readonly #context: GatewayContext;
@@ -107,6 +111,7 @@
   ): Promise<Replica | PlacementRefusal | undefined> {
     const { clock, replicas, gate } = this.#context;
     const assignment = await this.#requestAssignment(constraints, clock.now());
+    this.#noteDecision(assignment);
     if ("reason" in assignment && assignment.reason === "busy") {
       return plannerRefusal(assignment);
     }
@@ -115,9 +120,41 @@
       : undefined;
     if (planned && !gate.obstacle(planned)) return planned;
     this.release();
+    const isUnplanned = "reason" in assignment &&
+      assignment.reason === "cancelled";
+    if (isUnplanned && !constraints.mayHaveRun && !this.#isWithinRatio()) {
+      const retryAfterMs = spreadRetryAfterMs(
+        this.#context,
+        this.#request,
+        UNPLANNED_RETRY_MS,
+      );
+      return { error: GatewayError.busy, retryAfterMs };
+    }
     return this.#chooseLocally(constraints.excluded);
   }
 
+  /** Records what part of a customer's requests the planner grants. */
+  #noteDecision(assignment: Assignment | AssignmentRefusal): void {
+    const { clock, tuning } = this.#context;
+    const isGranted = "decode" in assignment;
+    if (!tuning.scheduling.customerShares || !this.#request.customer) return;
+    if (!isGranted && assignment.reason !== "busy") return;
+    this.#planner.ratios.note(this.#customer, isGranted, clock.now());
+  }
+
+  /** Whether the planner's last decisions about the customer let it pass. */
+  #isWithinRatio(): boolean {
+    const { clock, random, tuning } = this.#context;
+    if (!tuning.scheduling.customerShares) return true;
+    const ratio = this.#planner.ratios.ratioOf(this.#customer, clock.now());
+    return ratio === 1 || random() < ratio;
+  }
+
+  get #customer(): ServiceCustomer {
+    const { service, customer } = this.#request;
+    return { service, customer: customer?.name ?? "" };
+  }
+
   /** Reports a replica at its rate limit, which the planner then avoids. */
   #noteLimit(replica: Replica, retryAfterMs: Milliseconds): void {
     noteLimit(this.#context, this.#request, { replica, retryAfterMs });
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -13,6 +13,7 @@
 import { EnginePlacement } from "../../../src/gateway/requests/engine_placement.ts";
 import { PlainPlacement } from "../../../src/gateway/requests/plain_placement.ts";
 import type { GatewayRequest } from "../../../src/gateway/requests/request.ts";
+import { NO_SCHEDULING } from "../no_scheduling.ts";
 import { testDialect } from "../dialect.ts";
 import { singleHostLimits } from "../limits/single_host_limits.ts";
 import { singleHostGate } from "../replicas/single_host_gate.ts";
@@ -76,7 +77,11 @@
     replicas,
     routes: new RouteTable(),
     ...singleHostGate({ replicas }),
-    tuning: { outputMargin: 1, remoteHallPenalty: 0 },
+    tuning: {
+      outputMargin: 1,
+      remoteHallPenalty: 0,
+      scheduling: { ...NO_SCHEDULING, customerShares: true },
+    },
   } as unknown as GatewayContext;
   context.replicas.adopt({
     revision: 1,
@@ -139,6 +144,33 @@
   assert.deepEqual(typesOf(rig.messages), ["ask", "ended"]);
 });
 
+test("a host whose planner doesn't respond grants a customer what the planner granted last", async () => {
+  let isSilent = false;
+  const rig = start((message) => {
+    const { type, id } = message as { type: string; id: string };
+    if (type !== "ask" || isSilent) return;
+    const basis = { decodes: 0, held: 0, waiting: 1 };
+    rig.reply({ type: "refusal", id, reason: "busy", retryAfterMs: 9, basis });
+  });
+  const place = (name: string, mayHaveRun = false) => {
+    const customer = { name, keyDigests: [] };
+    const request = { ...REQUEST, customer };
+    const placer = new PlainPlacement(rig.context, request, rig.planner);
+    return placer.place({ excluded: new Set(), mayHaveRun });
+  };
+  Object.assign(rig.context, { random: () => 0.5 });
+  assert.ok("error" in await place("hot"));
+  isSilent = true;
+  const unplanned = [place("hot"), place("other"), place("hot", true)];
+  for (const timer of rig.timers.splice(0)) timer();
+  const placed = await Promise.all(unplanned);
+  assert.deepEqual(placed.map((result) => "error" in result), [
+    true,
+    false,
+    false,
+  ]);
+});
+
 test("a request that ends while its reservation is refused sends no further request", async () => {
   const rig = start((message) => {
     const { type, id } = message as { type: string; id: string };
