--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -19,6 +19,7 @@
   type RunSummary,
   toAssignmentRefusal,
 } from "./assignment.ts";
+import { LastRatios } from "./last_ratios.ts";
 import {
   AssignmentStage,
   type HostMessage,
@@ -54,6 +55,8 @@
   /** The planner used last, by service. */
   readonly #planners = new Map<string, string>();
   readonly #orders: HostOrders;
+  /** What planners granted of the requests of customers. */
+  readonly ratios = new LastRatios();
 
   constructor(
     context: GatewayContext,
