Planner: late requests don't hold up those that can be on time

Retries that were late were admitted if they had any place, and admitted requests that turned out late kept theirs: in a burst, all requests were served late. A late retry is decided like any late request, and an admitted one that is late goes last until its caller is about to time out.

--- a/src/gateway/planning/arrival_decision.ts
+++ b/src/gateway/planning/arrival_decision.ts
@@ -100,7 +100,7 @@
       metrics.count(wait.isOnTime ? "admitted_on_time" : "admitted_late");
     }
     const { isOnTime, isPromoted, isOwed } = wait;
-    const startsBy = isOnTime || isOwed ? now : now + wait.waitMs;
+    const startsBy = isOwed ? now : isOnTime ? Infinity : now + wait.waitMs;
     queued.admission = { isOnTime, isPromoted, startsBy, losses };
     if (isOwed) this.#noteOwed(queued, now);
     return undefined;
@@ -111,7 +111,9 @@
     this.#noteServed(queued, now);
     const { admission, forecast } = queued;
     if (!admission || !forecast) return;
-    const startsBy = Math.max(admission.startsBy, forecast.startsAt);
+    const startsBy = admission.isOnTime
+      ? forecast.startsAt
+      : Math.max(admission.startsBy, forecast.startsAt);
     const kind = admission.isOnTime ? "on_time" : "late";
     const outcome = now <= startsBy ? "kept" : "missed";
     this.#options.view.metrics.count(`forecasts_${kind}_${outcome}`);
@@ -141,7 +143,7 @@
       const isOwed = true;
       return { waitMs: urgentWaitMs, isOnTime: false, isPromoted, isOwed };
     }
-    const lateWaitMs = queued.isRetry || hasWaited(queued, now)
+    const lateWaitMs = hasWaited(queued, now)
       ? urgentWaitMs
       : admission.lateWaitMs(waitMs, { memory, prefillRate, startRate }, now);
     const isOwed = false;
