Booked returns don't take the place of requests that can be on time

Change: a place begins as late as if all requests that arrive meanwhile went first, at most in the last third of the delay that the caller accepts.

--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -4,7 +4,7 @@
 import { ArrivalDecision } from "./arrival_decision.ts";
 import { ArrivalForecast } from "./arrival_forecast.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
-import type { BookingRequest, Bookings } from "./bookings.ts";
+import type { Bookings } from "./bookings.ts";
 import type { PlanRequest } from "./messages.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
 import { expectedStart, kindOf } from "./pool_timeline.ts";
@@ -25,6 +25,8 @@
  * loses little time.
  */
 const FORECAST_SHARE = 0.1;
+/** Share of the accepted delay from which places are given in an overload. */
+const LATEST_START_SHARE = 0.67;
 /** Time from the end of a prefill to the first event, with a margin. */
 const FIRST_EVENT_MS = 150;
 
@@ -125,11 +127,11 @@
       ? this.#arrivals.refusedWaitMs(queued, { pool, admission }, now)
       : this.#refusedWaitMs(queued, pool, now);
     if (refused === undefined) return undefined;
-    const earliestAt = this.#isOn
-      ? queued.forecast?.startsAt ?? Infinity
-      : now + admission.forecast(state, now).waitMs;
+    const waitMs = this.#isOn
+      ? (queued.forecast?.startsAt ?? Infinity) - now
+      : admission.forecast(state, now).waitMs;
     const beginsAt = this.#book(queued, pool, {
-      earliestAt,
+      lateWaitMs: admission.lateWaitMs(waitMs, state, now),
       costPerMs: admission.startableTokensPerMs(queued.request, state),
     }, now);
     return beginsAt === undefined
@@ -182,24 +184,35 @@
     return this.#admissionOf(service).forecast({ ...state, tokens }, now);
   }
 
+  /**
+   * Books a place for a request. Its return is late already, so the place is as
+   * late as if all requests that arrive in the meantime went first, but at most
+   * in the last part of the time that the caller accepts.
+   */
   #book(
     queued: QueuedRequest,
     pool: PoolSnapshot,
-    free: Pick<BookingRequest, "earliestAt" | "costPerMs">,
+    { lateWaitMs, costPerMs }: {
+      readonly lateWaitMs: Milliseconds;
+      readonly costPerMs: number;
+    },
     now: Milliseconds,
   ): Milliseconds | undefined {
     const { request, priority, abandonAt, deadlineAt } = queued;
     const { key, service, tokens } = request;
+    const latestAt = Math.min(
+      latestReturnAt(queued, now),
+      abandonAt - firstEventMs(pool, request),
+    );
+    const longestWaitMs = Math.max(0, latestAt - now) * LATEST_START_SHARE;
     return this.#options.bookings.book({
-      ...free,
       key,
       service,
       priority,
       cost: tokens,
-      latestAt: Math.min(
-        latestReturnAt(queued, now),
-        abandonAt - firstEventMs(pool, request),
-      ),
+      costPerMs,
+      earliestAt: now + Math.min(lateWaitMs, longestWaitMs),
+      latestAt,
       deadlineAt,
     }, now);
   }
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -1,7 +1,6 @@
 /** The messages that placers exchange with a planner. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { NO_SCHEDULING } from "../no_scheduling.ts";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
 import { type Route, RouteKind } from "../../../src/gateway/mod.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
