Bound the bytes that a host holds for its callers

Cause: request bodies had no bound but the limit of each, and an answer that its caller doesn't read had no time limit. Change: one budget of bytes for the process (memory.process), bodies refused with 503 beyond it, 408 for bodies that don't arrive within the route's time-out, answers broken off after memory.unread_timeout; both settings are off by default. The wait for a caller's socket no longer leaves a listener behind each time.

--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -12,6 +12,8 @@
   overQuota: "over_quota",
   quotaUnknown: "quota_unknown",
   bodyTooLarge: "body_too_large",
+  bodyTooSlow: "body_too_slow",
+  hostFull: "host_full",
   noReplica: "no_replica",
   noMemory: "no_memory",
   busy: "busy",
@@ -76,6 +78,16 @@
     status: 413,
     message: "The request body is larger than the limit in force",
   },
+  // Not sent to any replica, so a 408 is true.
+  body_too_slow: {
+    status: 408,
+    message: "The request body did not arrive in time; nothing ran",
+  },
+  host_full: {
+    status: 503,
+    message: "This host has no memory for the request; nothing ran",
+    retryAfterSeconds: 0.5,
+  },
   no_replica: {
     status: 503,
     message: "No replica of the service can be reached; nothing ran",
--- a/src/gateway/callers/body.ts
+++ b/src/gateway/callers/body.ts
@@ -1,10 +1,25 @@
-/** Reads the body of a caller's request, up to a size limit. */
+/** Reads the body of a caller's request, within bounds of size and time. */
 import type { IncomingMessage } from "node:http";
+import type { Milliseconds } from "../../util/units.ts";
+import type { Clock } from "../clock.ts";
+import { type ByteBudget, HeldFor } from "../memory/byte_budget.ts";
+
+/** A complete body. */
+export type WholeBody = {
+  readonly type: "whole";
+  readonly body: Buffer;
+  /** Releases the memory that the host holds for the body. */
+  release(): void;
+};
 
 /** Outcome of reading a body. */
 export type BodyReadResult =
-  | { readonly type: "whole"; readonly body: Buffer }
+  | WholeBody
   | { readonly type: "tooLarge" }
+  /** The body didn't arrive in time. */
+  | { readonly type: "tooSlow" }
+  /** This host has no memory for the body. */
+  | { readonly type: "overBudget" }
   /** The caller disconnected before the end of the body. */
   | { readonly type: "gone" };
 
@@ -13,29 +28,68 @@
   readonly maxBytes: number;
   /** False: the bytes are read and discarded. */
   readonly isRetained: boolean;
+  /** Bytes are counted as they arrive: a declared length costs no memory. */
+  readonly budget: ByteBudget;
+  readonly isMostUrgent: boolean;
+  readonly clock: Pick<Clock, "after">;
+  readonly timeoutMs: Milliseconds;
 };
 
-/** Reads the body; pauses the request once the body exceeds `maxBytes`. */
+/** Reads the body; pauses the request when the body exceeds a bound. */
 export function readCallerBody(
   request: IncomingMessage,
-  { maxBytes, isRetained }: BodyReadOptions,
+  options: BodyReadOptions,
 ): Promise<BodyReadResult> {
+  const { maxBytes, isRetained, budget, isMostUrgent } = options;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
-    request.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maxBytes) {
-        if (isRetained) chunks.push(chunk);
-        return;
+    let held = 0;
+    let isDone = false;
+    const release = () => {
+      budget.release(HeldFor.bodies, held);
+      held = 0;
+    };
+    const finish = (result: BodyReadResult) => {
+      if (isDone) return;
+      isDone = true;
+      cancelTimeout();
+      if (result.type !== "whole") {
+        chunks.length = 0;
+        release();
       }
+      resolve(result);
+    };
+    const stop = (type: "tooLarge" | "tooSlow" | "overBudget") => {
       request.pause();
-      resolve({ type: "tooLarge" });
+      finish({ type });
+    };
+    const cancelTimeout = options.clock.after(
+      options.timeoutMs,
+      () => stop("tooSlow"),
+    );
+    request.on("data", (chunk: Buffer) => {
+      if (isDone) return;
+      size += chunk.length;
+      if (size > maxBytes) return stop("tooLarge");
+      if (!isRetained) return;
+      const isHeld = budget.tryHold(HeldFor.bodies, chunk.length, {
+        isMostUrgent,
+      });
+      if (!isHeld) return stop("overBudget");
+      held += chunk.length;
+      chunks.push(chunk);
     });
     request.on("end", () => {
-      resolve({ type: "whole", body: Buffer.concat(chunks) });
+      finish({ type: "whole", body: joined(chunks), release });
     });
-    request.on("error", () => resolve({ type: "gone" }));
-    request.on("close", () => resolve({ type: "gone" }));
+    request.on("error", () => finish({ type: "gone" }));
+    request.on("close", () => finish({ type: "gone" }));
   });
 }
+
+/** Joins chunks without copying a single one. */
+function joined(chunks: readonly Buffer[]): Buffer {
+  const [first] = chunks;
+  return chunks.length === 1 && first ? first : Buffer.concat(chunks);
+}
--- a/src/gateway/callers/reply.ts
+++ b/src/gateway/callers/reply.ts
@@ -48,8 +48,13 @@
 /** Resolves when the write buffer has drained or the connection has closed. */
 function waitForDrain(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
-    response.once("drain", resolve);
-    response.once("close", resolve);
+    const finish = () => {
+      response.off("drain", finish);
+      response.off("close", finish);
+      resolve();
+    };
+    response.on("drain", finish);
+    response.on("close", finish);
   });
 }
 
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -41,6 +41,15 @@
 /** As {@link MIN_STREAM_TIME_LEFT_MS}, for requests to plain services. */
 const MIN_PLAIN_TIME_LEFT_MS = 1000;
 const CLOSE_CHECK_INTERVAL_MS = 50;
+/** Longest time for which the body of a refused request is discarded. */
+const MAX_DISCARD_MS = 10_000;
+
+/** Errors for bodies that were not read to their end. */
+const UNREAD_BODY_ERRORS = {
+  tooLarge: GatewayError.bodyTooLarge,
+  tooSlow: GatewayError.bodyTooSlow,
+  overBudget: GatewayError.hostFull,
+} as const;
 
 /** A request that its headers allow to proceed. */
 type AcceptedHeaders = {
@@ -114,7 +123,7 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, routes, dialect, metrics, stop } = this.#context;
+    const { clock, routes, dialect, metrics, stop, heldBytes } = this.#context;
     const receivedAt = clock.now();
     metrics.count("requests");
     const firstCheck = this.#checkHeaders(incoming);
@@ -125,6 +134,13 @@
       maxBytes,
       // The body of a request that its headers already refuse is discarded.
       isRetained: firstCheck.type === "taken",
+      budget: heldBytes,
+      isMostUrgent: firstCheck.type === "taken" &&
+        firstCheck.route.priority === 0,
+      clock,
+      timeoutMs: firstCheck.type === "taken"
+        ? firstCheck.route.timeoutMs
+        : MAX_DISCARD_MS,
     });
     this.#pendingCount -= 1;
     if (reading.type === "gone") return;
@@ -133,11 +149,13 @@
       dialect,
       shouldCloseConnection: () => stop.requestedAt !== undefined,
     });
-    if (reading.type === "tooLarge") {
+    if (reading.type !== "whole") {
       response.shouldKeepAlive = false;
       response.on("finish", () => incoming.destroy());
-      return this.#refuse(reply, GatewayError.bodyTooLarge, incoming);
+      return this.#refuse(reply, UNREAD_BODY_ERRORS[reading.type], incoming);
     }
+    response.on("close", () => reading.release());
+    if (response.destroyed) reading.release();
     // Checks again: a key may have been revoked while the body was read.
     const check = firstCheck.type === "taken"
       ? this.#checkHeaders(incoming)
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "./observe/event_log.ts";
 import type { Metrics } from "./observe/metrics.ts";
 import type { CrashWatch } from "./crashes/crash_watch.ts";
+import type { ByteBudget } from "./memory/byte_budget.ts";
 import type { ReplicaLimits } from "./limits/replica_limits.ts";
 import type { Dialect } from "./port.ts";
 import type { DrainingReplicas } from "./replicas/draining_replicas.ts";
@@ -52,6 +53,8 @@
   /** Cost of choosing a replica in another hall, as a share of its memory. */
   readonly remoteHallPenalty: number;
   readonly scheduling: Scheduling;
+  /** How long a caller may leave an answer unread; Infinity: for ever. */
+  readonly unreadTimeoutMs: Milliseconds;
 };
 
 /** Shared state and dependencies of one gateway. */
@@ -71,6 +74,8 @@
   readonly routes: RouteTable;
   readonly replicas: ReplicaTable;
   readonly retryBudget: RetryBudget;
+  /** Bytes that this host holds for its callers. */
+  readonly heldBytes: ByteBudget;
   readonly pool: UpstreamPool;
   readonly crashes: CrashWatch;
   readonly limits: ReplicaLimits;
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -1,11 +1,12 @@
 /** Creates the shared state of a gateway from its settings. */
 import { monotonicNow, newIncarnation } from "../shell/clock.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
-import { systemClock } from "./clock.ts";
+import { type Clock, systemClock } from "./clock.ts";
 import type { GatewayContext, GatewayTuning } from "./context.ts";
 import { CrashWatch } from "./crashes/crash_watch.ts";
 import type { CrashRule } from "./crashes/model.ts";
-import { openEventLog } from "./observe/event_log.ts";
+import { ByteBudget, callerBytesOf } from "./memory/byte_budget.ts";
+import { type EventLog, openEventLog } from "./observe/event_log.ts";
 import { LineWriter } from "./observe/line_writer.ts";
 import { Metrics } from "./observe/metrics.ts";
 import type { HostDirectory } from "./peers/directory.ts";
@@ -28,13 +29,7 @@
   const { host, grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   const timeoutMs = settings.tuning.connect_timeout;
-  const events = openEventLog({
-    program: "otterhill-gateway",
-    host: host.id,
-    level: settings.log.level,
-    clock,
-    writer: new LineWriter(),
-  });
+  const events = eventLogOf(settings, clock);
   const metrics = new Metrics();
   const run = String(newIncarnation());
   const self = { id: host.id, hall: host.hall, run };
@@ -61,6 +56,7 @@
     routes: new RouteTable(),
     replicas,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
+    heldBytes: new ByteBudget(callerBytesOf(settings.memory.process)),
     pool: new UpstreamPool(clock, timeoutMs),
     crashes: new CrashWatch({
       clock,
@@ -81,6 +77,16 @@
   };
 }
 
+function eventLogOf({ host, log }: GatewaySettings, clock: Clock): EventLog {
+  return openEventLog({
+    program: "otterhill-gateway",
+    host: host.id,
+    level: log.level,
+    clock,
+    writer: new LineWriter(),
+  });
+}
+
 /** The fleet's retry budget as configured. */
 export function retryBudgetRuleOf({ retries }: GatewaySettings): BudgetRule {
   const { window, ratio, extra } = retries;
@@ -103,6 +109,7 @@
     outputMargin: tuning.output_margin,
     memoryShare: tuning.memory_share,
     remoteHallPenalty: tuning.far_charge,
+    unreadTimeoutMs: settings.memory.unread_timeout ?? Infinity,
     scheduling: {
       replicaRates: scheduling.replica_rates,
       measuredSplit: scheduling.measured_split,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
   tuningOf,
 } from "./create_context.ts";
 import { Customers } from "./customers/customers.ts";
+import { callerBytesOf, HeldFor } from "./memory/byte_budget.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
 import { createPeerServer } from "./peers/server.ts";
@@ -178,6 +179,7 @@
     this.#context.tuning = tuningOf(settings);
     this.#context.retryBudget.setRule(retryBudgetRuleOf(settings));
     this.#context.crashes.setRule(crashRuleOf(settings));
+    this.#context.heldBytes.setCapacity(callerBytesOf(settings.memory.process));
     this.#context.stop.graceMs = settings.grace;
     this.#customers.applySettings(settings.customers);
     const before = this.#settingsState.version;
@@ -218,10 +220,13 @@
       request.resume();
       const { metrics, routes, replicas, clock, crashes, eras, limits, gate } =
         this.#context;
+      const { heldBytes } = this.#context;
       const storeAgeMs = this.#fleetState.storeAgeMs(clock.now());
       const configAgeMs = this.#fleetState.configAgeMs(clock.now());
       const gauges = {
         ...this.#settingsState.gauges(clock.now()),
+        held_bytes_bodies: heldBytes.heldFor(HeldFor.bodies),
+        held_bytes_answers: heldBytes.heldFor(HeldFor.answers),
         requests_open: this.#callerServer.openRequestCount,
         quota_customers: this.#customers.owner.size,
         memory_waits: this.#planService.waiting,
--- /dev/null
+++ b/src/gateway/memory/byte_budget.ts
@@ -0,0 +1,79 @@
+/**
+ * Bounds the bytes that a host holds for its callers: request bodies, and
+ * answers that callers have not read yet. Without a bound, callers who send or
+ * read slowly would use up the memory of the process.
+ */
+
+/** What bytes are held for. */
+export const HeldFor = {
+  /** Request bodies, until the request has ended. */
+  bodies: "bodies",
+  /** Parts of answers that callers have not read. */
+  answers: "answers",
+} as const;
+/** One of the values of {@link HeldFor}. */
+export type HeldFor = typeof HeldFor[keyof typeof HeldFor];
+
+/**
+ * Share of the budget that is open to requests that are not the most urgent, so
+ * that these still find room when others have filled it.
+ */
+const LESS_URGENT_SHARE = 0.8;
+
+/** The bytes that one process may hold. */
+export class ByteBudget {
+  #capacity: number;
+  readonly #held = new Map<HeldFor, number>();
+
+  /** `capacity` is in bytes; Infinity: no bound. */
+  constructor(capacity: number) {
+    this.#capacity = capacity;
+  }
+
+  /** Replaces the bound; what is held already stays held. */
+  setCapacity(capacity: number): void {
+    this.#capacity = capacity;
+  }
+
+  /** Bytes held for one use. */
+  heldFor(use: HeldFor): number {
+    return this.#held.get(use) ?? 0;
+  }
+
+  /** Holds bytes if the budget has room for them. */
+  tryHold(
+    use: HeldFor,
+    bytes: number,
+    { isMostUrgent }: { readonly isMostUrgent: boolean },
+  ): boolean {
+    const share = isMostUrgent ? 1 : LESS_URGENT_SHARE;
+    if (this.#total + bytes > this.#capacity * share) return false;
+    this.#held.set(use, this.heldFor(use) + bytes);
+    return true;
+  }
+
+  /** Releases bytes that were held. */
+  release(use: HeldFor, bytes: number): void {
+    this.#held.set(use, Math.max(0, this.heldFor(use) - bytes));
+  }
+
+  get #total(): number {
+    return this.heldFor(HeldFor.bodies) + this.heldFor(HeldFor.answers);
+  }
+}
+
+/** Memory of a process that serves no request, in bytes. */
+const BASE_BYTES = 80 << 20;
+/**
+ * Share of the remaining memory that is given to callers' bytes: each byte is
+ * held about twice, here and in the buffers of sockets.
+ */
+const CALLERS_SHARE = 0.5;
+/** One body of the usual limit always fits. */
+const MIN_CAPACITY = 4 << 20;
+
+/** The bytes that a process may hold for callers, by its memory limit. */
+export function callerBytesOf(processBytes: number | undefined): number {
+  if (processBytes === undefined) return Infinity;
+  return Math.max(MIN_CAPACITY, (processBytes - BASE_BYTES) * CALLERS_SHARE);
+}
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -7,15 +7,14 @@
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { isKeyStillValid } from "../customers/admission.ts";
-import { Timing } from "../observe/metrics.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
-import { RouteKind } from "../routing/model.ts";
 import { Attempts } from "./attempts.ts";
 import { refusalWhenAllBackOff } from "./availability.ts";
 import { createPlacer } from "./create_placer.ts";
 import { type Failure, failureOf, ReplyWriter } from "./reply_writer.ts";
 import type { Placement, Placer } from "./placement.ts";
-import { type EventPosition, relayAnswer, type RelayOutcome } from "./relay.ts";
+import type { EventPosition, RelayOutcome } from "./relay.ts";
+import { relayToCaller } from "./relay_to_caller.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal } from "./request_journal.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
@@ -216,8 +215,10 @@
     const startedAt = this.#context.clock.now();
     const outcome = await this.#relay(placed, answer, startedAt);
     if (outcome === "complete") this.#placer.completed();
+    else if (outcome === "unread") this.#placer.release();
     else this.#noteInterrupted(placed);
     if (this.#ended) return;
+    if (outcome === "unread") return this.#endUnread();
     if (outcome === "complete") return this.#complete(status);
     this.#handleInterrupted(placed);
   }
@@ -244,23 +245,13 @@
     answer: Answer,
     startedAt: Milliseconds,
   ): Promise<RelayOutcome> {
-    const { clock, metrics, tuning } = this.#context;
-    const { route, receivedAt } = this.#request;
-    const { message } = answer;
-    const status = message.statusCode ?? 502;
-    return relayAnswer(answer, this.#reply, {
-      route,
-      writeHead: () => this.#writer.writeHead(status, message.rawHeaders),
-      onFirstByte: () => {
-        const at = route.kind === RouteKind.streaming ? startedAt : clock.now();
-        metrics.time(Timing.firstByte, at - receivedAt);
-      },
-      events: {
-        position: this.#position,
-        clock,
-        stallMs: tuning.stallTimeoutMs,
-        abandonStalled: () => this.#abandonStalled(placed),
-      },
+    return relayToCaller(this.#context, this.#request, {
+      answer,
+      startedAt,
+      reply: this.#reply,
+      writer: this.#writer,
+      position: this.#position,
+      abandonStalled: () => this.#abandonStalled(placed),
     });
   }
 
@@ -289,6 +280,13 @@
     this.#fail(GatewayError.outcomeUnknown, { reason });
   }
 
+  /** Ends a response that its caller does not read. */
+  #endUnread(): void {
+    this.#context.metrics.count("answers_unread");
+    const reason = "The caller did not read the answer";
+    this.#fail(GatewayError.outcomeUnknown, { reason });
+  }
+
   #complete(status: number): void {
     const { crashes } = this.#context;
     if (status < 500) crashes.noteAnswered(this.#request.fingerprint);
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -1,6 +1,10 @@
 /** Forwards a replica's response to the caller. */
 import type { Clock } from "../clock.ts";
 import type { Milliseconds } from "../../util/units.ts";
+import {
+  PacedWriter,
+  type PacedWriterOptions,
+} from "../memory/paced_writer.ts";
 import type { Answer } from "../upstreams/call.ts";
 import { type Route, RouteKind } from "../routing/model.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -9,8 +13,12 @@
 /** Responses up to this size are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
-/** Whether the response was forwarded to its end. */
-export type RelayOutcome = "complete" | "interrupted";
+/** How the forwarding of a response ended. */
+export type RelayOutcome =
+  | "complete"
+  | "interrupted"
+  /** The caller did not read the response. */
+  | "unread";
 
 /** Options of {@link relayAnswer}. */
 export type AnswerRelayOptions = {
@@ -21,35 +29,44 @@
   readonly onFirstByte: () => void;
   /** Used for streams that another replica can resume. */
   readonly events: EventRelayOptions;
+  /** How parts of the response are written to a caller who reads slowly. */
+  readonly pace: RelayPace;
 };
 
+/** Bounds on what is held for a caller who reads slowly. */
+export type RelayPace = Omit<
+  PacedWriterOptions,
+  "reply" | "source" | "onUnread"
+>;
+
 /**
  * Forwards a response: a stream as it arrives, others buffered up to a limit.
  */
 export async function relayAnswer(
   answer: Answer,
   reply: Reply,
-  { route, writeHead, onFirstByte, events }: AnswerRelayOptions,
+  { route, writeHead, onFirstByte, events, pace }: AnswerRelayOptions,
 ): Promise<RelayOutcome> {
+  const paced = pacedReply(answer, reply, pace);
   if (route.kind !== RouteKind.streaming) {
-    const { relayed } = await relayBuffered(answer, reply, writeHead);
+    const { relayed } = await relayBuffered(answer, paced, writeHead);
     onFirstByte();
     return relayed;
   }
   writeHead();
   onFirstByte();
-  if (!route.resumable) return await relayBytes(answer, reply);
-  return await relayEvents(answer, reply, events);
+  if (!route.resumable) return await relayBytes(answer, paced);
+  return await relayEvents(answer, paced, events);
 }
 
 /** Forwards the body as it arrives. */
 function relayBytes(
   answer: Answer,
-  reply: Reply,
+  paced: PacedReply,
 ): Promise<RelayOutcome> {
-  return relay(answer, {
-    data: (bytes) => forward(answer, reply, bytes),
-    complete: () => reply.end(),
+  return relay(answer, paced, {
+    data: (bytes) => paced.write(bytes),
+    complete: () => paced.reply.end(),
   });
 }
 
@@ -72,7 +89,7 @@
  */
 function relayEvents(
   answer: Answer,
-  reply: Reply,
+  paced: PacedReply,
   { position, clock, stallMs, abandonStalled }: EventRelayOptions,
 ): Promise<RelayOutcome> {
   const splitter = new EventSplitter();
@@ -85,16 +102,16 @@
     });
   };
   restartStallTimer();
-  return relay(answer, {
+  return relay(answer, paced, {
     data: (bytes) => {
       restartStallTimer();
       const complete = splitter.push(bytes);
       if (complete.lastId !== undefined) position.lastId = complete.lastId;
-      if (complete.bytes.length > 0) forward(answer, reply, complete.bytes);
+      if (complete.bytes.length > 0) paced.write(complete.bytes);
     },
     complete: () => {
-      if (splitter.remainder.length > 0) reply.write(splitter.remainder);
-      reply.end();
+      if (splitter.remainder.length > 0) paced.reply.write(splitter.remainder);
+      paced.reply.end();
     },
   }).finally(() => cancelStallTimer());
 }
@@ -105,7 +122,7 @@
  */
 function relayBuffered(
   answer: Answer,
-  reply: Reply,
+  paced: PacedReply,
   writeHead: () => void,
 ): Promise<{ readonly relayed: RelayOutcome; readonly started: boolean }> {
   const buffered: Buffer[] = [];
@@ -114,39 +131,72 @@
   const start = () => {
     started = true;
     writeHead();
-    for (const bytes of buffered.splice(0)) forward(answer, reply, bytes);
+    for (const bytes of buffered.splice(0)) paced.write(bytes);
   };
-  return relay(answer, {
+  return relay(answer, paced, {
     data: (bytes) => {
-      if (started) return forward(answer, reply, bytes);
+      if (started) return paced.write(bytes);
       buffered.push(bytes);
       size += bytes.length;
       if (size > MAX_BUFFERED_BYTES) start();
     },
     complete: () => {
       if (!started) start();
-      reply.end();
+      paced.reply.end();
     },
   }).then((relayed) => ({ relayed, started }));
 }
 
+/** A reply that is written at the pace of its caller. */
+type PacedReply = {
+  readonly reply: Reply;
+  write(bytes: Buffer): void;
+  /** Whether the caller did not read the response. */
+  isUnread(): boolean;
+  end(): void;
+};
+
+function pacedReply(
+  { message }: Answer,
+  reply: Reply,
+  pace: RelayPace,
+): PacedReply {
+  let isUnread = false;
+  const writer = new PacedWriter({
+    ...pace,
+    reply,
+    source: message,
+    onUnread: () => {
+      isUnread = true;
+      // The replica may have sent everything although the caller reads nothing.
+      if (message.complete) reply.abort();
+      message.destroy();
+    },
+  });
+  return {
+    reply,
+    write: (bytes) => writer.write(bytes),
+    isUnread: () => isUnread,
+    end: () => writer.end(),
+  };
+}
+
 function relay(
   answer: Answer,
+  paced: PacedReply,
   on: { data(bytes: Buffer): void; complete(): void },
 ): Promise<RelayOutcome> {
   return new Promise((resolve) => {
     const { message } = answer;
     message.on("data", (bytes: Buffer) => on.data(bytes));
     message.on("close", () => {
-      if (!answer.intact()) return resolve("interrupted");
+      if (paced.isUnread()) return resolve("unread");
+      if (!answer.intact()) {
+        paced.end();
+        return resolve("interrupted");
+      }
       on.complete();
       resolve("complete");
     });
   });
 }
-
-function forward(answer: Answer, reply: Reply, bytes: Buffer): void {
-  if (reply.write(bytes)) return;
-  answer.message.pause();
-  void reply.drained().then(() => answer.message.resume());
-}
--- /dev/null
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -0,0 +1,52 @@
+/** Forwards a replica's response by the parameters of its request. */
+import type { Milliseconds } from "../../util/units.ts";
+import type { GatewayContext } from "../context.ts";
+import { Timing } from "../observe/metrics.ts";
+import { RouteKind } from "../routing/model.ts";
+import type { Answer } from "../upstreams/call.ts";
+import { type EventPosition, relayAnswer, type RelayOutcome } from "./relay.ts";
+import type { ReplyWriter } from "./reply_writer.ts";
+import type { GatewayRequest, Reply } from "./request.ts";
+
+/** A response and the caller that it is forwarded to. */
+export type CallerRelay = {
+  readonly answer: Answer;
+  /** When the headers of the response were received. */
+  readonly startedAt: Milliseconds;
+  readonly reply: Reply;
+  readonly writer: ReplyWriter;
+  readonly position: EventPosition;
+  /** Whether to abort a stalled stream, to resume it at another replica. */
+  abandonStalled(): boolean;
+};
+
+/** Forwards a response to the caller of a request. */
+export function relayToCaller(
+  { clock, metrics, tuning, heldBytes }: GatewayContext,
+  { route, receivedAt, priority }: GatewayRequest,
+  relay: CallerRelay,
+): Promise<RelayOutcome> {
+  const { answer, startedAt, reply, writer, position } = relay;
+  const { message } = answer;
+  const status = message.statusCode ?? 502;
+  return relayAnswer(answer, reply, {
+    route,
+    writeHead: () => writer.writeHead(status, message.rawHeaders),
+    onFirstByte: () => {
+      const at = route.kind === RouteKind.streaming ? startedAt : clock.now();
+      metrics.time(Timing.firstByte, at - receivedAt);
+    },
+    events: {
+      position,
+      clock,
+      stallMs: tuning.stallTimeoutMs,
+      abandonStalled: () => relay.abandonStalled(),
+    },
+    pace: {
+      clock,
+      budget: heldBytes,
+      isMostUrgent: priority === 0,
+      unreadTimeoutMs: tuning.unreadTimeoutMs,
+    },
+  });
+}
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -1,6 +1,12 @@
 /** Settings schema of a gateway; docs/SETTINGS.md describes each key. */
 import * as z from "zod";
-import { address, duration, name, requiredDuration } from "./units.ts";
+import {
+  address,
+  duration,
+  name,
+  requiredDuration,
+  requiredSize,
+} from "./units.ts";
 
 const Host = z.strictObject({
   id: name(),
@@ -73,6 +79,13 @@
   customer_shares: z.boolean().default(false),
 });
 
+const Memory = z.strictObject({
+  /** Memory of the process, by which callers' bytes are bounded. */
+  process: requiredSize().optional(),
+  /** Ends an answer that its caller leaves unread for longer. */
+  unread_timeout: requiredDuration().optional(),
+});
+
 const Customers = z.strictObject({
   /**
    * Maximum age of the configuration by which API keys are accepted; absent for
@@ -105,6 +118,7 @@
   crashes: Crashes.prefault({}),
   stages: Stages.prefault({}),
   tuning: Tuning.prefault({}),
+  memory: Memory.prefault({}),
   scheduling: Scheduling.prefault({}),
   customers: Customers.prefault({}),
   log: Log.prefault({}),
--- a/src/settings/units.ts
+++ b/src/settings/units.ts
@@ -23,13 +23,18 @@
 
 /** A size such as "8MB" (powers of 1024), as bytes, with a default. */
 export function size(defaultValue: string) {
+  return requiredSize().prefault(defaultValue);
+}
+
+/** A size such as "8MB" (powers of 1024), as bytes. */
+export function requiredSize() {
   return z.string().transform((text, context) => {
     const value = /[a-z]\s*$/i.test(text) ? bytes.parse(text) : null;
     if (value !== null && value > 0) return value;
     const message = `expected a size such as "512KB" or "8MB", got "${text}"`;
     context.addIssue({ code: "custom", message });
     return z.NEVER;
-  }).prefault(defaultValue);
+  });
 }
 
 /** An address of the form `IP:port`. */
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -23,6 +23,7 @@
 import { singleHostGate } from "./replicas/single_host_gate.ts";
 import { singleHostLimits } from "./limits/single_host_limits.ts";
 import { CrashWatch } from "../../src/gateway/crashes/crash_watch.ts";
+import { ByteBudget } from "../../src/gateway/memory/byte_budget.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
 import { probeAddress } from "../../src/gateway/upstreams/probe.ts";
@@ -254,6 +255,7 @@
     dialect: testDialect,
     routes,
     replicas,
+    heldBytes: new ByteBudget(Infinity),
     retryBudget: new RetryBudget({ ...rule, ...budget }, -TEST_TIMEOUT_MS),
     pool: new UpstreamPool(clock, TEST_TIMEOUT_MS),
     crashes: new CrashWatch({
--- a/test/gateway/test_tuning.ts
+++ b/test/gateway/test_tuning.ts
@@ -14,5 +14,6 @@
   outputMargin: 1,
   memoryShare: 1,
   remoteHallPenalty: 0.1,
+  unreadTimeoutMs: TEST_TIMEOUT_MS,
   scheduling: NO_SCHEDULING,
 };
