Soak: uneven and slow replicas, scarce memory, unfinished bodies, a killed planner

Two of three runs switch all decisions under load on. Drawn from a generator of its own, so earlier faults of a seed stay.

--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -8,6 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { popExport } from "./replica_exports.ts";
 import { listen, send, textOf } from "./store_standin.ts";
 
 /** The role of a replica. */
@@ -67,6 +68,8 @@
   draining: boolean;
   /** How it rejects requests; undefined if it accepts them. */
   backoff: Backoff | undefined;
+  /** Factor on the duration of its work. */
+  slowdown: number;
   /** Simulates a crash: resets all connections. */
   crash(): void;
 };
@@ -98,6 +101,7 @@
   limit: string | undefined;
   draining: boolean;
   backoff: Backoff | undefined;
+  slowdown: number;
   readonly start: number;
 };
 
@@ -117,6 +121,7 @@
     limit: undefined,
     draining: false,
     backoff: undefined,
+    slowdown: 1,
   };
   const server = createServer((request, response) => {
     response.on("error", () => undefined);
@@ -152,6 +157,12 @@
     set backoff(backoff) {
       engine.backoff = backoff;
     },
+    get slowdown() {
+      return engine.slowdown;
+    },
+    set slowdown(factor) {
+      engine.slowdown = factor;
+    },
     crash: () => {
       server.close();
       for (const socket of sockets) socket.resetAndDestroy();
@@ -260,11 +271,11 @@
   }
   const seal = { "Attempt-Id": id, "Server-Seal": `${options.id}.${id}` };
   if (role === "plain") {
-    await sleep(PLAIN_DURATION_MS);
+    await sleep(PLAIN_DURATION_MS * engine.slowdown);
     response.writeHead(200, seal);
     return void response.end(`body of ${id}`);
   }
-  await stream(response, { id, fromEvent, seal });
+  await stream(engine, response, { id, fromEvent, seal });
 }
 
 /**
@@ -285,7 +296,7 @@
 ): Promise<void> {
   note(false);
   const { world, publicAddress } = engine.options;
-  await sleep(PREFILL_DURATION_MS);
+  await sleep(PREFILL_DURATION_MS * engine.slowdown);
   engine.sequence += 1;
   const handle = `h${engine.sequence}`;
   const expiresAt = performance.now() + EXPORT_TTL_MS;
@@ -294,19 +305,8 @@
   send(response, 200, { PrefillHandle: handle, Tokens: 1, Version: 1 });
 }
 
-/**
- * Removes the export of a finished prefill; false if it is missing or expired.
- */
-function popExport(world: ReplicaWorld, from: string, id: string): boolean {
-  const found = world.exports.get(from);
-  world.exports.delete(from);
-  if (!found || found.expiresAt < performance.now()) return false;
-  if (found.request === id) return true;
-  world.faults.push({ what: "It used another request's prefill", request: id });
-  return false;
-}
-
 async function stream(
+  engine: Engine,
   response: ServerResponse,
   run: {
     readonly id: string;
@@ -317,7 +317,7 @@
   const type = { "Content-Type": "text/event-stream" };
   response.writeHead(200, { ...run.seal, ...type });
   for (let event = run.fromEvent; event < STREAM_EVENTS; event++) {
-    await sleep(EVENT_INTERVAL_MS);
+    await sleep(EVENT_INTERVAL_MS * engine.slowdown);
     if (response.destroyed) return;
     const last = event === STREAM_EVENTS - 1 ? " last" : "";
     response.write(`id: ${event}\ndata: ${run.id}${last}\n\n`);
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -11,7 +11,8 @@
 import { LIMIT_WINDOW_MS, maxAllowed } from "../platform/rate_windows.ts";
 import { findBackoffViolations, findSendsAfterDrainNotice } from "./notices.ts";
 import { findForwardedRequests } from "./forwarded_requests.ts";
-import { type LimitInterval, ROUTE_TIMEOUT_MS } from "./world.ts";
+import type { LimitInterval } from "./world.ts";
+import { ROUTE_TIMEOUT_MS } from "./world_config.ts";
 import type { Exit } from "./gateway_process.ts";
 
 /** Everything that was recorded in one run. */
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -6,7 +6,9 @@
 import { type CallKind, type CallResult, runCaller } from "./callers.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
 import { GatewayProcess } from "./gateway_process.ts";
-import { HALLS } from "./world.ts";
+import { rendezvous } from "../../src/util/rendezvous.ts";
+import { type Fault, FaultKind } from "./schedule.ts";
+import { HALLS, SERVICES } from "./world.ts";
 
 /** A gateway process, its addresses and its proxies. */
 export type FleetHost = {
@@ -29,7 +31,12 @@
 /** Creates hosts without starting their processes. */
 export async function createHosts(
   count: number,
-  options: { readonly folder: string; readonly storeAddress: string },
+  options: {
+    readonly folder: string;
+    readonly storeAddress: string;
+    /** Switches on all optional decisions under load. */
+    readonly isScheduled?: boolean;
+  },
 ): Promise<FleetHost[]> {
   const endpoints = await Promise.all(
     Array.from({ length: count }, () => createEndpoints(options.storeAddress)),
@@ -38,7 +45,8 @@
   return endpoints.map((hostEndpoints, at) => {
     const name = `host-${at + 1}`;
     const hall = HALLS[at % HALLS.length] ?? HALLS[0];
-    const settings = settingsText(hostEndpoints, { name, hall, seeds });
+    const settings = settingsText(hostEndpoints, { name, hall, seeds }) +
+      (options.isScheduled ? SCHEDULING_SETTINGS : "");
     const process = new GatewayProcess({
       name,
       folder: options.folder,
@@ -89,6 +97,34 @@
   }
 }
 
+/** Switches on all optional decisions under load. */
+const SCHEDULING_SETTINGS = `
+[memory]
+process = "96MB"
+unread_timeout = "1s"
+[scheduling]
+replica_rates = true
+measured_split = true
+arrival_decisions = true
+booked_returns = true
+customer_shares = true
+`;
+
+/** The host that a fault affects. */
+export function targetHost(
+  hosts: readonly FleetHost[],
+  { kind, target }: Fault,
+): FleetHost {
+  const names = hosts.map((host) => host.process.name);
+  const service = SERVICES[target % SERVICES.length] ?? SERVICES[0];
+  const [planner] = rendezvous(service, names);
+  const host = kind === FaultKind.plannerKill
+    ? hosts.find(({ process }) => process.name === planner)
+    : hosts[target % hosts.length];
+  if (!host) throw new Error("The fleet has no hosts");
+  return host;
+}
+
 function settingsText(
   endpoints: HostEndpoints,
   host: {
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -1,5 +1,6 @@
 /** Injects a fault and undoes it after its duration. */
-import type { FleetHost } from "./fleet.ts";
+import { type FleetHost, targetHost } from "./fleet.ts";
+import { BACKOFF_TEXTS, LIMIT_TEXTS } from "./fault_values.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import { BlockedDirection, type FaultProxy } from "./fault_proxy.ts";
 import { type Fault, FaultKind } from "./schedule.ts";
@@ -23,27 +24,11 @@
 const LOST_WRITES = 1000;
 /** How long a store is unavailable before it is restored from a copy. */
 const OUTAGE_MS = 700;
-/** Limits that replicas report: rates, zero and invalid numbers. */
-const LIMIT_TEXTS = ["1.4", "0.3", "3", "10", "0", "1,4", "abc", "6.5"];
-/**
- * Backoffs that replicas require: seconds, zero, an empty text and invalid
- * numbers.
- */
-const BACKOFF_TEXTS = [
-  "2.5",
-  "1",
-  "4",
-  "0.3",
-  "0",
-  "-3",
-  "abc",
-  "",
-  "1e999",
-  "2",
-];
 /** In one of this many backoffs a replica accepts every other request. */
 const PARTIAL_ONE_IN = 3;
 const RESTART_DELAY_MS = 400;
+/** A stream of a slow replica still ends within the time-out of its route. */
+const REPLICA_SLOWDOWN = 3;
 
 /** Injects a fault and resolves when it has ended. */
 export async function injectFault(
@@ -61,10 +46,10 @@
 
 function startFault(targets: FaultTargets, fault: Fault): Undo | Promise<Undo> {
   const { world, hosts } = targets;
-  const host = hosts[fault.target % hosts.length];
+  const host = targetHost(hosts, fault);
   const ready = world.readyReplicas();
   const replica = ready[fault.target % ready.length];
-  if (!host || !replica) return NO_UNDO;
+  if (!replica) return NO_UNDO;
   switch (fault.kind) {
     case FaultKind.kill:
     case FaultKind.stop:
@@ -122,6 +107,10 @@
       );
     case FaultKind.replicaDrainByResponse:
       return world.drainByResponse(replica);
+    case FaultKind.replicaSlow:
+      return slowDown(replica);
+    case FaultKind.plannerKill:
+      return killPlanner(hosts, fault);
     case FaultKind.replicaBackoff:
       return requireBackoff([replica], fault);
     case FaultKind.serviceBackoff:
@@ -289,6 +278,19 @@
   };
 }
 
+function slowDown({ standin }: WorldReplica): Undo {
+  const usual = standin.slowdown;
+  standin.slowdown = usual * REPLICA_SLOWDOWN;
+  return () => {
+    standin.slowdown = usual;
+  };
+}
+
+function killPlanner(hosts: readonly FleetHost[], fault: Fault): Undo {
+  const { process } = targetHost(hosts, fault);
+  return restartAfter(process, process.kill());
+}
+
 function block(proxy: FaultProxy, direction: BlockedDirection): Undo {
   proxy.blocked = direction;
   return () => proxy.clearFaults();
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -21,8 +21,10 @@
   isInRotation,
   readRoutesVersion,
   stopHosts,
+  targetHost,
 } from "./fleet.ts";
 import { FaultKind, type Schedule } from "./schedule.ts";
+import { sendUnfinishedBodies } from "./unfinished_bodies.ts";
 import { injectFault, sleep } from "./inject_fault.ts";
 import { CRASHING_BODY } from "../platform/replica_standin.ts";
 import { World } from "./world.ts";
@@ -59,6 +61,7 @@
   FaultKind.kill,
   FaultKind.stop,
   FaultKind.pause,
+  FaultKind.plannerKill,
 ];
 /** Faults of a host's process or its network paths. */
 const HOST_FAULTS: readonly FaultKind[] = [
@@ -80,9 +83,14 @@
 /** Runs one schedule. */
 export async function runSoak(schedule: Schedule): Promise<Outcome> {
   const folder = mkdtempSync(join(tmpdir(), "otterhill-soak-"));
-  const world = await World.start();
+  const { load } = schedule;
+  const world = await World.start(load);
   const storeAddress = world.store.address;
-  const hosts = await createHosts(schedule.hosts, { folder, storeAddress });
+  const hosts = await createHosts(schedule.hosts, {
+    folder,
+    storeAddress,
+    isScheduled: load.isScheduled,
+  });
   const run = new Run(schedule, world, hosts);
   try {
     const observations = await withTimeout(run.play());
@@ -131,6 +139,10 @@
     for (const host of this.#hosts) this.#monitor(host);
     const notStarted = await this.#findUnrecoveredHosts();
     const callers = this.#startCallers();
+    const bodies = sendUnfinishedBodies(
+      this.#hosts.map((host) => host.callers),
+      this.#schedule.load.unfinishedBodies,
+    );
     const targets = { world: this.#world, hosts: this.#hosts };
     await Promise.all(this.#schedule.faults.map(async (fault) => {
       await sleep(fault.atMs);
@@ -142,6 +154,7 @@
       Math.max(0, drainDeadlineMs + READINESS_INTERVAL_MS - performance.now()),
     );
     this.#isStopped = true;
+    bodies.close();
     await Promise.all(callers);
     await sleep(SETTLE_MS);
     return this.#observations([...notStarted, ...unrecovered], drainDeadlineMs);
@@ -188,10 +201,10 @@
     const { faults } = this.#schedule;
     const affected = new Set(
       faults.filter((fault) => kinds.includes(fault.kind))
-        .map((fault) => fault.target % this.#hosts.length),
+        .map((fault) => targetHost(this.#hosts, fault).process.name),
     );
     const names = this.#hosts.map((host) => host.process.name);
-    return new Set(names.filter((_, at) => !affected.has(at)));
+    return new Set(names.filter((name) => !affected.has(name)));
   }
 
   #startCallers(): Promise<void>[] {
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -37,6 +37,8 @@
   replicaBackoff: "replica asks for a pause",
   serviceBackoff: "all replicas of a stage ask for a pause",
   hallBackoff: "all replicas of a hall ask for a pause",
+  replicaSlow: "replica turns slow",
+  plannerKill: "planner of a service is killed",
 } as const;
 /** One of the values of {@link FaultKind}. */
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
@@ -59,9 +61,27 @@
   readonly isPlannedOnly: boolean;
   /** One caller sends requests that crash their replicas. */
   readonly hasCrashingCaller: boolean;
+  /** What the hosts and callers are set up for. */
+  readonly load: Load;
   readonly faults: readonly Fault[];
 };
 
+/** The load of a run. */
+export type Load = {
+  /** The optional decisions under load are switched on at all hosts. */
+  readonly isScheduled: boolean;
+  /** Replicas of one stage differ in speed, and memory is scarce. */
+  readonly isUneven: boolean;
+  /** Connections that send a part of a body and then nothing. */
+  readonly unfinishedBodies: number;
+};
+
+const LIGHT_LOAD: Load = {
+  isScheduled: false,
+  isUneven: false,
+  unfinishedBodies: 0,
+};
+
 /**
  * Kinds that were added later are drawn from generators of their own, so that
  * the regression seeds still produce the same first faults.
@@ -88,20 +108,35 @@
   FaultKind.serviceBackoff,
   FaultKind.hallBackoff,
 ];
+const LOAD_KINDS: readonly FaultKind[] = [
+  FaultKind.replicaSlow,
+  FaultKind.replicaSlow,
+  FaultKind.plannerKill,
+];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) =>
-  ![...LATER_KINDS, ...RESTORE_KINDS, ...LIMIT_KINDS, ...NOTICE_KINDS]
-    .includes(kind)
+  ![
+    ...LATER_KINDS,
+    ...RESTORE_KINDS,
+    ...LIMIT_KINDS,
+    ...NOTICE_KINDS,
+    ...LOAD_KINDS,
+  ].includes(kind)
 );
 /** Each `..._RANGE` is the exclusive upper bound of a draw from 0. */
 const LATER_FAULT_RANGE = 4;
 const RESTORE_RANGE = 4;
 const LIMIT_RANGE = 6;
 const NOTICE_RANGE = 8;
+const LOAD_RANGE = 5;
+const UNFINISHED_BODY_RANGE = 20;
 /** Offsets that separate these generators from those of the callers. */
 const LATER_SEED = 1_000_003;
 const RESTORE_SEED = 2_000_003;
 const LIMIT_SEED = 3_000_017;
 const NOTICE_SEED = 4_000_037;
+const LOAD_SEED = 5_000_011;
+/** One run in this many keeps today's decisions under load switched off. */
+const UNSCHEDULED_ONE_IN = 3;
 const CRASHING_ONE_IN = 2;
 const PLANNED_KINDS: readonly FaultKind[] = [
   FaultKind.stop,
@@ -148,11 +183,34 @@
   const restores = drawRestores(options);
   const limits = drawLimits(options);
   const notices = drawNotices(options);
+  const { load, faults: loadFaults } = drawLoad(options);
   return {
     ...first,
     hasCrashingCaller,
-    faults: [...first.faults, ...faults, ...restores, ...limits, ...notices],
+    load,
+    faults: [
+      ...first.faults,
+      ...faults,
+      ...restores,
+      ...limits,
+      ...notices,
+      ...loadFaults,
+    ],
+  };
+}
+
+function drawLoad(
+  options: ScheduleOptions,
+): Pick<Schedule, "load" | "faults"> {
+  const random = xoroshiro128plus(options.seed + LOAD_SEED);
+  const load = {
+    isScheduled: randomInt(random, UNSCHEDULED_ONE_IN) !== 0,
+    isUneven: randomInt(random, 2) === 0,
+    unfinishedBodies: randomInt(random, UNFINISHED_BODY_RANGE),
   };
+  const count = randomInt(random, LOAD_RANGE);
+  const faults = drawFaults(random, options, { kinds: LOAD_KINDS, count });
+  return { load, faults };
 }
 
 function drawRestores(options: ScheduleOptions): Fault[] {
@@ -201,6 +259,7 @@
     callers,
     isPlannedOnly,
     hasCrashingCaller: false,
+    load: LIGHT_LOAD,
     faults,
   };
 }
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -21,7 +21,8 @@
 
 /**
  * Single replicas and a whole stage require backoffs, and one replica reports
- * draining.
+ * draining. All decisions under load are switched on, replicas differ in speed,
+ * memory is scarce, and the planner of a service is killed.
  */
 const NOTICE_SEED = 14;
 
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -6,8 +6,8 @@
   startReplica,
 } from "../platform/replica_standin.ts";
 import { startStore, type StoreStandin } from "../platform/store_standin.ts";
-import { CallKind } from "./callers.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
+import { configOf, EVEN_LOAD, type WorldLoad } from "./world_config.ts";
 
 /** A replica and its fault proxy. */
 export type WorldReplica = {
@@ -29,8 +29,12 @@
   toMs: number;
 };
 
+/** Services of the soak. */
+export const SERVICES = ["plain", "engine"] as const;
 /** Halls of the soak's hosts and replicas. */
 export const HALLS = ["north", "south"] as const;
+/** Factor on the work of the slow replicas of an uneven world. */
+const UNEVEN_SLOWDOWN = 2;
 const ROLES: readonly ReplicaRole[] = [
   "plain",
   "plain",
@@ -40,8 +44,6 @@
   "decode",
   "decode",
 ];
-/** The timeout of all routes. */
-export const ROUTE_TIMEOUT_MS = 4000;
 /** The downtime of a replica that restarts under the same id. */
 const RESTART_DELAY_MS = 900;
 /** The time after which the entry of a draining replica is removed. */
@@ -62,17 +64,19 @@
   readonly limits: LimitInterval[] = [];
   /** Replicas that a request crashed, in order. */
   readonly crashed: string[] = [];
+  readonly #load: WorldLoad;
   #version = 0;
   #replicaCount = 0;
   #isStopped = false;
 
-  private constructor(store: StoreStandin) {
+  private constructor(store: StoreStandin, load: WorldLoad) {
     this.store = store;
+    this.#load = load;
   }
 
   /** Starts the store and the replicas. */
-  static async start(): Promise<World> {
-    const world = new World(await startStore());
+  static async start(load: WorldLoad = EVEN_LOAD): Promise<World> {
+    const world = new World(await startStore(), load);
     world.changeConfig();
     for (const [at, role] of ROLES.entries()) {
       await world.addReplica(role, HALLS[at % HALLS.length] ?? HALLS[0]);
@@ -88,7 +92,7 @@
   /** Writes the next version of the configuration. */
   changeConfig(): void {
     this.#version += 1 + this.#version % 2;
-    this.store.put("op", "config", configOf(this.#version));
+    this.store.put("op", "config", configOf(this.#version, this.#load));
   }
 
   /** Starts a replica and writes its entry. */
@@ -116,6 +120,9 @@
       world: this,
       publicAddress: () => address,
     });
+    if (this.#load.isUneven && this.replicas.length % 2 === 0) {
+      standin.slowdown = UNEVEN_SLOWDOWN;
+    }
     const proxy = await startFaultProxy(standin.address);
     address = proxy.address;
     const replica = { standin, proxy, hall, incarnation, isReady: true };
@@ -160,7 +167,7 @@
    * lost them.
    */
   rewriteRows(): void {
-    this.store.put("op", "config", configOf(this.#version));
+    this.store.put("op", "config", configOf(this.#version, this.#load));
     const ready = new Set(
       this.readyReplicas().map((replica) => replica.standin.id),
     );
@@ -288,48 +295,3 @@
     this.store.stop();
   }
 }
-
-function configOf(version: number): object {
-  const routes = Object.values(CallKind).map((kind) => ({
-    Name: kind,
-    Host: "example",
-    PathPrefix: `/${kind}/`,
-    Kind: kind === CallKind.resumable ? CallKind.stream : kind,
-    TimeoutMs: ROUTE_TIMEOUT_MS,
-    TargetLatencyMs: 900,
-    GapTargetMs: 300,
-    Priority: 1,
-    MaxAttempts: 2,
-    Resumable: kind === CallKind.resumable,
-    Service: isStream(kind) ? "engine" : "plain",
-  })).map((route) =>
-    isStream(route.Kind) ? { ...route, Kind: "streaming" } : route
-  );
-  const service = { HealthPath: "/health", ConnectionLimit: 200 };
-  const engine = {
-    Slots: 64,
-    KvCacheTokens: 100_000,
-    HandleRetentionS: 1.5,
-    HoldMs: 2000,
-    Stride: 1,
-    StageSwitchS: 6,
-  };
-  return {
-    Version: version,
-    Routes: routes,
-    Services: [
-      { Name: "plain", ...service },
-      { Name: "engine", ...service, InferenceEngine: engine },
-    ],
-    Limits: {
-      MaxHeaderBytes: 16_384,
-      MaxBodyBytes: 65_536,
-      HeaderTimeoutMs: 3000,
-      IdleTimeoutMs: 15_000,
-    },
-  };
-}
-
-function isStream(kind: string): boolean {
-  return kind === CallKind.stream || kind === CallKind.resumable;
-}
