--- a/src/gateway/planning/ejection.ts
+++ b/src/gateway/planning/ejection.ts
@@ -166,7 +166,12 @@
   }
 
   /** Ends a trial without a result, so that another one may begin. */
-  cancelTrial(incarnation: string, id: string, now: Milliseconds): void {
+  cancelTrial(
+    incarnation: string | undefined,
+    id: string,
+    now: Milliseconds,
+  ): void {
+    if (incarnation === undefined) return;
     const record = this.#records.get(incarnation);
     if (record?.trial?.id !== id) return;
     record.trial = undefined;
--- a/src/gateway/planning/run_watch.ts
+++ b/src/gateway/planning/run_watch.ts
@@ -8,7 +8,7 @@
 import type { LedgerEntry } from "./ledger.ts";
 import type { PlanProgress } from "./messages.ts";
 
-/** Maximum number of runs that are followed. */
+/** Maximum number of runs of a service that are followed. */
 const MAX_RUNS = 20_000;
 
 type Run = {
@@ -34,7 +34,7 @@
   readonly overdueHosts: Set<string>;
 };
 
-/** Runs in progress, by assignment. */
+/** Runs of one service in progress, by assignment. */
 export class RunWatch {
   readonly #runs = new Map<string, Run>();
 
@@ -72,7 +72,7 @@
     const run = this.#runs.get(entry.id);
     if (!run) return undefined;
     run.replica = entry.decode;
-    run.overdueAt = Math.max(run.overdueAt, overdueAt);
+    run.overdueAt = overdueAt;
     if (events === undefined || runMs === undefined) return undefined;
     const part = { events: events - run.events, ms: runMs - run.runMs };
     if (part.events <= 0 || part.ms <= 0) return undefined;
@@ -86,12 +86,8 @@
     this.#runs.delete(id);
   }
 
-  /**
-   * The runs of a service in progress, by replica; drops those that `isOpen`
-   * denies.
-   */
+  /** The runs in progress, by replica; drops those that `isOpen` denies. */
   openRuns(
-    service: string,
     isOpen: (id: string) => boolean,
     now: Milliseconds,
   ): Map<string, OpenRuns> {
@@ -101,7 +97,6 @@
         this.#runs.delete(id);
         continue;
       }
-      if (entry.service !== service) continue;
       const runs = byReplica.get(replica) ?? {
         open: 0,
         hosts: new Set<string>(),
--- a/src/gateway/planning/service_rates.ts
+++ b/src/gateway/planning/service_rates.ts
@@ -5,7 +5,7 @@
   INITIAL_EVENT_MS,
   INITIAL_FIRST_EVENT_MS,
 } from "./replica_rates.ts";
-import type { RunPart } from "./run_watch.ts";
+import { type RunPart, RunWatch } from "./run_watch.ts";
 import { SpeedModel, type SpeedSample, Work } from "./speed_model.ts";
 
 /** Events of a sample that counts fully. */
@@ -42,6 +42,8 @@
   readonly speeds = new SpeedModel();
   /** Times to the first event, which depend on the network as well. */
   readonly firstEvents = new SpeedModel();
+  /** Its runs in progress. */
+  readonly runs = new RunWatch();
   /** When its replicas were last compared. */
   comparedAt: Milliseconds = -Infinity;
   /** Replicas that are ejected or failed lately. */
@@ -56,6 +58,16 @@
     this.#tokens = this.#tokens * EVENTS_DECAY + outputTokens;
   }
 
+  /** Records the time from a send to the first event. */
+  noteFirstEvent(
+    incarnation: string,
+    unitMs: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    const sample = { work: Work.firstEvent, unitMs, weight: 1 };
+    this.firstEvents.add(incarnation, sample, now);
+  }
+
   /** Expected times at a replica. */
   timesOf(incarnation: string, now: Milliseconds): ReplicaTimes {
     const { speeds, firstEvents } = this;
--- a/test/gateway/planning/planner_rates_test.ts
+++ b/test/gateway/planning/planner_rates_test.ts
@@ -12,7 +12,7 @@
 import type { PlannerView } from "../../../src/gateway/planning/view.ts";
 import { NO_SCHEDULING } from "../no_scheduling.ts";
 import { replicaEntry } from "../replica_entry.ts";
-import { messages, planRequest, view } from "./planner_rig.ts";
+import { handover, messages, planRequest, view } from "./planner_rig.ts";
 
 const HALLS = ["a", "b", "c"];
 const POOL = [
@@ -65,6 +65,41 @@
   }));
 });
 
+test("reports about runs of another planner change nothing", () => {
+  const subject = planner(true);
+  const { measuredRates } = subject;
+  for (let index = 0; index < 50; index++) {
+    const id = `unknown${index}`;
+    const run = { events: 70, runMs: 90_000 };
+    const stages = ["started", "running", "answered", "failed"] as const;
+    for (const stage of stages) {
+      subject.report({ type: "progress", id, stage, ...run }, index);
+    }
+  }
+  for (const { incarnation } of POOL) {
+    assert.equal(measuredRates.speedOf(incarnation), 1);
+    assert.equal(measuredRates.isEjected(incarnation, 100), false);
+  }
+});
+
+test("an assignment of an earlier planner is measured by its next reports", () => {
+  const subject = planner(true);
+  const { measuredRates } = subject;
+  for (let index = 0; index < 40; index++) {
+    const now = index * 100;
+    const decode = index % 2 === 0 ? "d0" : "d1";
+    const id = String(index);
+    subject.restore("host", handover(id, { decode, events: 20 }), now);
+    const runMs = decode === "d0" ? 1500 : 3000;
+    const stage = "answered" as const;
+    subject.report({ type: "progress", id, stage, events: 70, runMs }, now);
+  }
+  subject.enqueue("host", planRequest("new"), 4000);
+  messages(subject, 4000);
+  const ratio = measuredRates.speedOf("d0") / measuredRates.speedOf("d1");
+  assert.ok(ratio > 1.5 && ratio < 2.5, String(ratio));
+});
+
 test("an ejected replica gets no request until its trial is due", () => {
   const events: string[] = [];
   const subject = planner(true, {
