Booked returns: a bounded part of the room for those who come back

In a long overload the returns took all of the room: whoever was refused went before new requests, these became late and were refused in turn. Now 0.3 of the room is booked (0.5 before), and retries without a place go before new requests only up to one in 20 of the requests of a pool.

--- a/src/gateway/planning/booked_returns.ts
+++ b/src/gateway/planning/booked_returns.ts
@@ -21,7 +21,7 @@
  * Share of a service that is booked at most. The rest is left to new requests,
  * which can still meet their objectives.
  */
-const BOOKED_SHARE = 0.5;
+const BOOKED_SHARE = 0.3;
 /** Part of it that less urgent requests leave to more urgent ones. */
 const URGENT_SHARE = 0.5;
 /** How long before its time a place may be claimed. */
--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -5,6 +5,7 @@
 import type { QueuedRequest } from "./request_queue.ts";
 import type { PlanRequest } from "./messages.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
+import { ReturnShare } from "./return_share.ts";
 import { latestReturnAt } from "./return_window.ts";
 
 /**
@@ -33,6 +34,7 @@
   readonly #random: () => number;
   readonly #bookings: Bookings;
   readonly #admissions = new Map<string, Admission>();
+  readonly #returnShare = new ReturnShare();
 
   constructor(random: () => number, bookings: Bookings = NO_BOOKINGS) {
     this.#random = random;
@@ -43,7 +45,9 @@
   noteRequest(request: PlanRequest, now: Milliseconds): boolean {
     const admission = this.#admissionOf(request.service);
     admission.noteArrival(request, now);
-    return admission.wasRefused(request.key, now);
+    const wasRefused = admission.wasRefused(request.key, now);
+    if (!this.#bookings.isEnabled) return wasRefused;
+    return this.#returnShare.mayFavour(request.service, wasRefused, now);
   }
 
   /** Records the lifetime of an assignment of the service that has ended. */
