--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -10,6 +10,7 @@
 import { expectedStart, kindOf } from "./pool_timeline.ts";
 import type { ReplicaRates } from "./replica_rates.ts";
 import type { QueuedRequest } from "./request_queue.ts";
+import { ReturnShare } from "./return_share.ts";
 import { RunLengths } from "./run_lengths.ts";
 import { ServedShares } from "./served_shares.ts";
 import type { PlannerView } from "./view.ts";
@@ -56,6 +57,7 @@
   readonly #admissions = new Map<string, Admission>();
   readonly #lengths = new RunLengths();
   readonly #shares = new ServedShares();
+  readonly #returnShare = new ReturnShare();
   readonly #arrivals: ArrivalDecision;
   /** When a request is served that arrives at a full pool. */
   readonly arrival: ArrivalForecast;
@@ -84,9 +86,11 @@
   noteRequest(request: PlanRequest, now: Milliseconds): boolean {
     const admission = this.#admissionOf(request.service);
     admission.noteArrival(request, now);
-    const isRetry = admission.wasRefused(request.key, now);
-    if (this.#isOn && !isRetry) this.#shares.noteRequest(request, now);
-    return isRetry;
+    const wasRefused = admission.wasRefused(request.key, now);
+    if (this.#isOn && !wasRefused) this.#shares.noteRequest(request, now);
+    return this.#options.bookings.isEnabled
+      ? this.#returnShare.mayFavour(request.service, wasRefused, now)
+      : wasRefused;
   }
 
   /** Whether the priority of a request is owed service. */
