Stages: bounded cost of the search in large services, least gain by a replica's share

In services of more than 100 engines no single change gains 1%, so none was ever wanted: the least gain is now a quarter of a replica's share, at most 1%.

--- a/src/gateway/stages/measured_balance.ts
+++ b/src/gateway/stages/measured_balance.ts
@@ -20,8 +20,10 @@
 
 /** Share of a service's engines that may change at once. */
 const MAX_CHANGING_SHARE = 0.125;
+/** Most engines of a service that change at once. */
+const MAX_CHANGES = 8;
 /** Steps that are looked ahead, in addition to the changes allowed at once. */
-const EXTRA_STEPS = 4;
+const EXTRA_STEPS = 2;
 /**
  * Part of a replica's share that a change costs besides its time out of
  * service, since demand that turns back requires another change.
@@ -136,11 +138,12 @@
   let best: Plan | undefined;
   for (const isSwapAllowed of [false, true]) {
     const changes: StageChange[] = [];
+    let cost = 0;
     const limits = { steps: maxSteps, isSwapAllowed };
     for (const step of wantedSteps(members, value, limits)) {
       changes.push(...step.changes);
       const gain = step.value / before - 1;
-      const cost = costOf(members, value, { changes, demand });
+      cost += costOf(members, value, { changes: step.changes, demand });
       if (best && best.gain / best.cost >= gain / cost) continue;
       best = { changes: [...changes], gain, cost };
     }
@@ -188,7 +191,8 @@
 }
 
 function maxChanges(members: readonly SplitMember[]): number {
-  return Math.max(1, Math.floor(members.length * MAX_CHANGING_SHARE));
+  const share = Math.floor(members.length * MAX_CHANGING_SHARE);
+  return Math.min(MAX_CHANGES, Math.max(1, share));
 }
 
 function without(
--- a/src/gateway/stages/wanted_split.ts
+++ b/src/gateway/stages/wanted_split.ts
@@ -6,7 +6,12 @@
  */
 import { ReplicaStage } from "../replicas/model.ts";
 import type { StageChange } from "./balance.ts";
-import { hallsWithBothStages, keepsStages } from "./hall_stages.ts";
+import {
+  hallStagesAfter,
+  hallStagesOf,
+  hallsWithBothStages,
+  keepsStages,
+} from "./hall_stages.ts";
 import {
   applyChanges,
   capacityAfter,
@@ -23,10 +28,14 @@
   readonly value: number;
 };
 
-/** Least gain in value by each change of a step, as a share. */
-const MIN_GAIN = 0.01;
-/** Steps whose gains differ by less are equal. */
-const GAIN_TOLERANCE = 0.005;
+/**
+ * Least gain in value by each change of a step, as a share: a part of one
+ * replica's share of the service, at most `MAX_MIN_GAIN`.
+ */
+const MIN_GAIN_OF_REPLICA = 0.25;
+const MAX_MIN_GAIN = 0.01;
+/** Steps whose gains differ by less than this part of the least are equal. */
+const TOLERANCE_OF_MIN_GAIN = 0.5;
 /** Most replicas of one stage that a step changes. */
 const MAX_OF_STAGE = 2;
 
@@ -48,9 +57,13 @@
   const steps: SplitStep[] = [];
   let split = members;
   while (steps.length < limits.steps) {
+    const sorted = {
+      prefills: bySpeed(split, ReplicaStage.prefill),
+      decodes: bySpeed(split, ReplicaStage.decode),
+    };
     const candidates = limits.isSwapAllowed
-      ? [...singles(split), ...swaps(split)]
-      : singles(split);
+      ? [...singles(sorted), ...swaps(sorted)]
+      : singles(sorted);
     const step = bestStep(split, value, candidates);
     if (!step) return steps;
     steps.push(step);
@@ -70,52 +83,70 @@
     .filter((member) => member.stage === ReplicaStage.prefill)
     .sort((a, b) => rateOf(b) - rateOf(a))
     .slice(0, MAX_OF_STAGE + 1);
+  const halls = hallStagesOf(split);
+  const minGain = Math.min(MAX_MIN_GAIN, MIN_GAIN_OF_REPLICA / split.length);
+  const tolerance = minGain * TOLERANCE_OF_MIN_GAIN;
   let best: Candidate | undefined;
   for (const changed of candidates) {
     const after = value.of(capacityAfter(capacity, fastest, changed));
-    const gain = after / before - 1 - MIN_GAIN * changed.length;
-    if (gain < 0 || (best && gain < best.gain - GAIN_TOLERANCE)) continue;
-    const changes = changed.map(({ replica, stage }) => ({
-      replica,
-      stage: otherStage(stage),
-    }));
-    const wanted = applyChanges(split, changes);
-    if (!keepsStages(split, wanted)) continue;
-    const balance = hallsWithBothStages(wanted);
-    const candidate = { changes, value: after, gain, balance };
-    if (!best || isBetter(candidate, best)) best = candidate;
+    const gain = after / before - 1 - minGain * changed.length;
+    if (gain < 0 || (best && gain < best.gain - tolerance)) continue;
+    const hallsAfter = hallStagesAfter(halls, changed);
+    if (!keepsStages(halls, hallsAfter)) continue;
+    const balance = hallsWithBothStages(hallsAfter);
+    const candidate = { changed, value: after, gain, balance };
+    if (!best || isBetter(candidate, best, tolerance)) best = candidate;
   }
-  return best && { changes: best.changes, value: best.value };
+  if (!best) return undefined;
+  const changes = best.changed.map(({ replica, stage }) => ({
+    replica,
+    stage: otherStage(stage),
+  }));
+  return { changes, value: best.value };
 }
 
-/** A step with its gain beyond the least one, and the halls with both stages. */
-type Candidate = SplitStep & {
+type Candidate = {
+  /** Replicas that get the other stage. */
+  readonly changed: readonly SplitMember[];
+  /** The value of the split after it. */
+  readonly value: number;
+  /** Share by which the value rises, beyond the least gain. */
   readonly gain: number;
+  /** Halls with both stages after it. */
   readonly balance: number;
 };
 
-function isBetter(candidate: Candidate, best: Candidate): boolean {
-  if (candidate.gain > best.gain + GAIN_TOLERANCE) return true;
+function isBetter(
+  candidate: Candidate,
+  best: Candidate,
+  tolerance: number,
+): boolean {
+  if (candidate.gain > best.gain + tolerance) return true;
   if (candidate.balance !== best.balance) {
     return candidate.balance > best.balance;
   }
   return candidate.gain > best.gain;
 }
 
+/** The replicas of both stages, the slowest first. */
+type SortedSplit = {
+  readonly prefills: readonly SplitMember[];
+  readonly decodes: readonly SplitMember[];
+};
+
 /** Replicas that may change their stage alone. */
-function singles(split: readonly SplitMember[]): SplitMember[][] {
-  return [
-    ...extremes(split, ReplicaStage.prefill),
-    ...extremes(split, ReplicaStage.decode),
-  ].map((member) => [member]);
+function singles({ prefills, decodes }: SortedSplit): SplitMember[][] {
+  return [...extremes(prefills), ...extremes(decodes)].map((
+    member,
+  ) => [member]);
 }
 
 /** Replicas of both stages that may change together: two or three. */
-function swaps(split: readonly SplitMember[]): SplitMember[][] {
-  const prefills = extremes(split, ReplicaStage.prefill);
-  const decodes = extremes(split, ReplicaStage.decode);
-  const prefillPairs = pairs(bySpeed(split, ReplicaStage.prefill));
-  const decodePairs = pairs(bySpeed(split, ReplicaStage.decode));
+function swaps(sorted: SortedSplit): SplitMember[][] {
+  const prefills = extremes(sorted.prefills);
+  const decodes = extremes(sorted.decodes);
+  const prefillPairs = pairs(sorted.prefills);
+  const decodePairs = pairs(sorted.decodes);
   return [
     ...prefills.flatMap((prefill) => [
       ...decodes.map((decode) => [prefill, decode]),
@@ -148,13 +179,10 @@
   return [sorted.slice(0, 2), sorted.slice(-2), ends];
 }
 
-/** The slowest and the fastest replica of a stage in each hall. */
-function extremes(
-  split: readonly SplitMember[],
-  stage: ReplicaStage,
-): SplitMember[] {
+/** The slowest and the fastest replica in each hall. */
+function extremes(sorted: readonly SplitMember[]): SplitMember[] {
   const halls = new Map<string, { slow: SplitMember; fast: SplitMember }>();
-  for (const member of bySpeed(split, stage)) {
+  for (const member of sorted) {
     const known = halls.get(member.replica.hall);
     if (known) known.fast = member;
     else halls.set(member.replica.hall, { slow: member, fast: member });
