--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -225,6 +225,8 @@
         requests_open: this.#callerServer.openRequestCount,
         quota_customers: this.#customers.owner.size,
         memory_waits: this.#planService.waiting,
+        memory_tokens_running: this.#planService.memoryByUse.running,
+        memory_tokens_reserved: this.#planService.memoryByUse.reserved,
         routes_version: routes.version,
         replicas_revision: revisionOf(replicas.revision),
         store_era: eras.era,
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -87,6 +87,17 @@
     return this.#entries.get(id);
   }
 
+  /** Memory of runs that have started, and of those that have not, in tokens. */
+  memoryByUse(): { readonly running: number; readonly reserved: number } {
+    let running = 0;
+    let reserved = 0;
+    for (const { tokens, startedAt, prefilledAt } of this.#entries.values()) {
+      if ((startedAt ?? prefilledAt) !== undefined) running += tokens;
+      else reserved += tokens;
+    }
+    return { running, reserved };
+  }
+
   /** All assignments. */
   entries(): Iterable<LedgerEntry> {
     return this.#entries.values();
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -72,6 +72,11 @@
     return this.#planner.waiting;
   }
 
+  /** Memory assigned by this planner, in tokens. */
+  get memoryByUse(): { readonly running: number; readonly reserved: number } {
+    return this.#planner.memoryByUse;
+  }
+
   /** Utilization of the two stages of a service. */
   loadOf(service: string): StageLoad {
     return this.#planner.loadOf(service, this.#context.clock.now());
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -113,6 +113,11 @@
     return this.#queue.size;
   }
 
+  /** Memory assigned by this planner, in tokens. */
+  get memoryByUse(): { readonly running: number; readonly reserved: number } {
+    return this.#ledger.memoryByUse();
+  }
+
   /** Utilization of the two stages of a service, from 0 to 1. */
   loadOf(service: string, now: Milliseconds): StageLoad {
     return stageLoad(this.#ledger, {
--- a/test/gateway/planning/arrival_load_test.ts
+++ b/test/gateway/planning/arrival_load_test.ts
@@ -82,6 +82,20 @@
   assert.ok(late <= 0.05, `late ${late}`);
 });
 
+test("callers that retry: late retries don't hold up requests that can be on time", () => {
+  const all = play({
+    arrivals: arrivalsAt(() => CAPACITY * 1.6, () => EQUAL),
+    replicas: () => pool(DECODES),
+    untilMs: 14_000,
+    hasRetries: true,
+  });
+  assertPromptRefusals(all);
+  const { late, onTime } = summarize(all);
+  assert.ok(late <= 0.02, `late ${late}`);
+  // Of 2.2 attempts for each request that the pool can serve.
+  assert.ok(onTime >= 0.4, `on time ${onTime}`);
+});
+
 test("a trickle after a burst: serves all of it", () => {
   const all = play({
     arrivals: arrivalsAt(
--- a/test/gateway/planning/arrival_rig.ts
+++ b/test/gateway/planning/arrival_rig.ts
@@ -30,10 +30,15 @@
   arrivals(now: number, stepMs: number): readonly LoadRequest[];
   replicas(now: number): readonly ReplicaEntry[];
   readonly untilMs: number;
+  /** Whether each caller that is refused retries once, when it is told to. */
+  readonly hasRetries?: boolean;
 };
 
 /** What became of a request. */
 export type Served = LoadRequest & {
+  /** The same for the retry of a request. */
+  readonly key: string;
+  readonly isRetry: boolean;
   readonly arrivedAt: number;
   grantedAt?: number;
   firstEventAt?: number;
@@ -82,6 +87,7 @@
   const scheduling = { ...NO_SCHEDULING, arrivalDecisions: true };
   const planner = new Planner(view({ replicasOf: () => replicas, scheduling }));
   const all = new Map<string, Served>();
+  const retries: { at: number; refused: Served }[] = [];
   const due: { at: number; id: string; stage: AssignmentStage }[] = [];
   for (let now = 0; now < load.untilMs; now += STEP_MS) {
     replicas = load.replicas(now);
@@ -89,11 +95,17 @@
       planner.report({ type: "progress", id, stage }, now);
     }
     due.splice(0, due.length, ...due.filter(({ at }) => at > now));
-    for (const request of load.arrivals(now, STEP_MS)) {
+    const send = (request: LoadRequest, key?: string) => {
       const id = `r${all.size}`;
-      all.set(id, { ...request, arrivedAt: now });
-      planner.enqueue("h", planRequestOf(id, request), now);
+      const isRetry = key !== undefined;
+      all.set(id, { ...request, key: key ?? id, isRetry, arrivedAt: now });
+      planner.enqueue("h", planRequestOf(id, request, key ?? id), now);
+    };
+    for (const request of load.arrivals(now, STEP_MS)) send(request);
+    for (const { refused } of retries.filter(({ at }) => at <= now)) {
+      send(refused, refused.key);
     }
+    retries.splice(0, retries.length, ...retries.filter(({ at }) => at > now));
     for (const message of messages(planner, now)) {
       if (message.type === "ping") continue;
       const served = all.get(message.id);
@@ -101,6 +113,11 @@
       if (message.type === "refusal") {
         served.refusedAt = now;
         served.retryAfterMs = message.retryAfterMs;
+        if (!load.hasRetries || served.isRetry) continue;
+        retries.push({
+          at: now + (message.retryAfterMs ?? 0),
+          refused: served,
+        });
         continue;
       }
       const firstEventAt = now + PREFILL_MS + FIRST_EVENT_MS;
@@ -121,8 +138,10 @@
 function planRequestOf(
   id: string,
   { tokens, outputTokens, priority = 1 }: LoadRequest,
+  key: string,
 ): PlanRequest {
   return planRequest(id, {
+    key,
     tokens,
     outputTokens,
     priority,
