--- a/test/gateway/memory/slow_callers_test.ts
+++ b/test/gateway/memory/slow_callers_test.ts
@@ -8,89 +8,97 @@
 import { HeldFor } from "../../../src/gateway/memory/byte_budget.ts";
 import { PacedWriter } from "../../../src/gateway/memory/paced_writer.ts";
 import { ByteBudget } from "../../../src/gateway/memory/byte_budget.ts";
-import { completeResponse } from "../raw_replica.ts";
-import { type Rig, startRig } from "../rig.ts";
+import { RouteKind } from "../../../src/gateway/mod.ts";
+import { completeResponse, type RawRequest } from "../raw_replica.ts";
+import { type Rig, withRig } from "../rig.ts";
 
 const MEGABYTE = 1 << 20;
 /** Below the body limit of the rig. */
 const BODY_BYTES = 900_000;
 const SLOW_CALLERS = 40;
 
-/** Opens a connection that sends all of a body but its last byte. */
-function sendUnfinishedBody(rig: Rig): Promise<Socket> {
+/** A caller that sends all of a body but its last byte. */
+type SlowSender = {
+  readonly socket: Socket;
+  /** What it receives until the connection closes. */
+  readonly answer: Promise<string>;
+};
+
+function sendUnfinishedBody(rig: Rig): SlowSender {
   const { hostname, port } = new URL(`http://${rig.address}`);
   const socket = connect(Number(port), hostname);
+  const answer = new Promise<string>((resolve) => {
+    let text = "";
+    socket.on("data", (bytes) => text += bytes.toString());
+    socket.on("close", () => resolve(text));
+  });
   socket.on("error", () => undefined);
   socket.write(
     `POST /a/b HTTP/1.1\r\nHost: example\r\nx-id: s\r\n` +
       `Content-Length: ${BODY_BYTES}\r\n\r\n`,
   );
-  return new Promise((resolve) => {
-    socket.write(Buffer.alloc(BODY_BYTES - 1), () => resolve(socket));
-  });
+  socket.write(Buffer.alloc(BODY_BYTES - 1));
+  return { socket, answer };
 }
 
 test("bodies that never end hold no more than the bound, and others are served", async () => {
-  const rig = await startRig({
+  const options = {
     replicas: [{
-      answer: (request, socket) => socket.write(completeResponse(request, "x")),
+      answer: (request: RawRequest, socket: Socket) =>
+        void socket.write(completeResponse(request, "x")),
     }],
     route: { priority: 1 },
+  };
+  await withRig(options, async (rig) => {
+    const bound = 8 * MEGABYTE;
+    rig.context.heldBytes.setCapacity(bound);
+    const senders = Array.from(
+      { length: SLOW_CALLERS },
+      () => sendUnfinishedBody(rig),
+    );
+    const refused: string[] = [];
+    for (const { answer } of senders) {
+      void answer.then((text) => refused.push(text));
+    }
+    // All but those whose bodies fit are refused.
+    while (refused.length < SLOW_CALLERS - Math.floor(bound / BODY_BYTES)) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    assert.ok(rig.context.heldBytes.heldFor(HeldFor.bodies) <= bound);
+    assert.ok(refused.every((answer) => answer.startsWith("HTTP/1.1 503 ")));
+    assert.ok(refused.every((answer) => /retry-after/i.test(answer)));
+    assert.equal((await rig.call({ id: "1" })).status, 200);
+    for (const { socket } of senders) socket.destroy();
   });
-  const bound = 8 * MEGABYTE;
-  rig.context.heldBytes.setCapacity(bound);
-  const sockets = await Promise.all(
-    Array.from({ length: SLOW_CALLERS }, () => sendUnfinishedBody(rig)),
-  );
-  const answers = await Promise.all(sockets.map(readAnswer));
-  assert.ok(rig.context.heldBytes.heldFor(HeldFor.bodies) <= bound);
-  const refused = answers.filter((answer) => answer.includes(" 503 "));
-  assert.ok(refused.length >= SLOW_CALLERS - bound / BODY_BYTES);
-  assert.ok(refused.every((answer) => /retry-after/i.test(answer)));
-  assert.equal((await rig.call({ id: "1" })).status, 200);
-  for (const socket of sockets) socket.destroy();
-  rig.stop();
 });
 
-/** What a connection receives before it closes or stays silent. */
-function readAnswer(socket: Socket): Promise<string> {
-  return new Promise((resolve) => {
-    let text = "";
-    const timer = setTimeout(() => resolve(text), 300);
-    socket.on("data", (bytes) => text += bytes.toString());
-    socket.on("close", () => {
-      clearTimeout(timer);
-      resolve(text);
-    });
-  });
-}
-
 test("a body that does not arrive in time gets a 408", async () => {
-  const rig = await startRig({
+  const options = {
     replicas: [{ answer: () => undefined }],
     route: { timeoutMs: 100 },
+  };
+  await withRig(options, async (rig) => {
+    assert.match(await sendUnfinishedBody(rig).answer, /^HTTP\/1.1 408 /);
+    assert.equal(rig.context.heldBytes.heldFor(HeldFor.bodies), 0);
+    assert.equal(rig.replicas[0]?.requests.length, 0);
   });
-  const socket = await sendUnfinishedBody(rig);
-  const answer = await readAnswer(socket);
-  assert.match(answer, /^HTTP\/1.1 408 /);
-  assert.equal(rig.context.heldBytes.heldFor(HeldFor.bodies), 0);
-  assert.equal(rig.replicas[0]?.requests.length, 0);
-  rig.stop();
 });
 
 test("memory of a body is released when its request has ended", async () => {
-  const rig = await startRig({
+  const options = {
     replicas: [{
-      answer: (request, socket) => socket.write(completeResponse(request, "x")),
+      answer: (request: RawRequest, socket: Socket) =>
+        void socket.write(completeResponse(request, "x")),
     }],
+  };
+  await withRig(options, async (rig) => {
+    rig.context.heldBytes.setCapacity(MEGABYTE);
+    for (const id of ["1", "2", "3"]) {
+      const body = "b".repeat(700_000);
+      const result = await rig.call({ id, method: "POST", body });
+      assert.equal(result.status, 200);
+    }
   });
-  rig.context.heldBytes.setCapacity(MEGABYTE);
-  for (const id of ["1", "2", "3"]) {
-    const body = "b".repeat(700_000);
-    const result = await rig.call({ id, method: "POST", body });
-    assert.equal(result.status, 200);
-  }
-  rig.stop();
 });
 
 /** A writer whose caller reads only when `drain` is called. */
@@ -150,11 +158,11 @@
 });
 
 test("a stream that its caller does not read is broken off, not completed", async () => {
-  const gone: boolean[] = [];
-  const rig = await startRig({
+  let isReplicaFree = false;
+  const options = {
     replicas: [{
-      answer: (request, socket) => {
-        socket.on("close", () => gone.push(true));
+      answer: (request: RawRequest, socket: Socket) => {
+        socket.on("close", () => isReplicaFree = true);
         socket.write(
           `HTTP/1.1 200 OK\r\nx-id: ${request.headers.get("x-id")}\r\n` +
             `content-length: ${64 * MEGABYTE}\r\n\r\n`,
@@ -162,22 +170,23 @@
         socket.write(Buffer.alloc(32 * MEGABYTE));
       },
     }],
-    route: { kind: "streaming" },
+    route: { kind: RouteKind.streaming },
+  };
+  await withRig(options, async (rig) => {
+    rig.context.tuning = { ...rig.context.tuning, unreadTimeoutMs: 50 };
+    const { hostname, port } = new URL(`http://${rig.address}`);
+    const socket = connect(Number(port), hostname);
+    socket.on("error", () => undefined);
+    socket.pause();
+    socket.write("GET /a/b HTTP/1.1\r\nHost: example\r\nx-id: 1\r\n\r\n");
+    const closed = new Promise((resolve) => socket.on("close", resolve));
+    while (!isReplicaFree) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    socket.resume();
+    await closed;
+    const broken = rig.events.filter(({ name }) => name === "broken");
+    assert.equal(broken.length, 1);
+    assert.equal(rig.context.metrics.counterValue("answers_unread"), 1);
   });
-  rig.context.tuning = { ...rig.context.tuning, unreadTimeoutMs: 50 };
-  const { hostname, port } = new URL(`http://${rig.address}`);
-  const socket = connect(Number(port), hostname);
-  socket.on("error", () => undefined);
-  socket.pause();
-  socket.write("GET /a/b HTTP/1.1\r\nHost: example\r\nx-id: 1\r\n\r\n");
-  const closed = new Promise((resolve) => socket.on("close", resolve));
-  while (gone.length === 0) {
-    await new Promise((resolve) => setTimeout(resolve, 10));
-  }
-  socket.resume();
-  await closed;
-  const broken = rig.events.filter(({ name }) => name === "broken");
-  assert.equal(broken.length, 1);
-  assert.equal(rig.context.metrics.counterValue("answers_unread"), 1);
-  rig.stop();
 });
