--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -68,7 +68,7 @@
 
   /** Memory assigned by this planner, in tokens. */
   get memoryByUse(): { readonly running: number; readonly reserved: number } {
-    return this.#ledger.memoryByUse();
+    return this.#parts.ledger.memoryByUse();
   }
 
   /** Utilization of the two stages of a service, from 0 to 1. */
