Review of the held bytes, and early returns while there is room

Held bytes: memory of a pipelined body is released when its connection closes; a small host takes a body of the usual limit on any route; chunks count with their overhead; a stream held up by its caller is not stalled; an answer that is cut after its last part is not logged as whole; urgency as everywhere else. Bookings: a caller who comes early was refused although less than half of the pool was in use.

--- a/src/gateway/callers/body.ts
+++ b/src/gateway/callers/body.ts
@@ -4,6 +4,9 @@
 import type { Clock } from "../clock.ts";
 import { type ByteBudget, HeldFor } from "../memory/byte_budget.ts";
 
+/** Memory of a chunk besides its bytes; callers may send single bytes. */
+const CHUNK_OVERHEAD_BYTES = 200;
+
 /** A complete body. */
 export type WholeBody = {
   readonly type: "whole";
@@ -73,11 +76,10 @@
       size += chunk.length;
       if (size > maxBytes) return stop("tooLarge");
       if (!isRetained) return;
-      const isHeld = budget.tryHold(HeldFor.bodies, chunk.length, {
-        isMostUrgent,
-      });
+      const bytes = chunk.length + CHUNK_OVERHEAD_BYTES;
+      const isHeld = budget.tryHold(HeldFor.bodies, bytes, { isMostUrgent });
       if (!isHeld) return stop("overBudget");
-      held += chunk.length;
+      held += bytes;
       chunks.push(chunk);
     });
     request.on("end", () => {
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -28,6 +28,7 @@
   type QuotaAcquisition,
   type QuotaAcquisitionOptions,
 } from "./quota_acquisition.ts";
+import { onceClosed } from "./once_closed.ts";
 import { createReply } from "./reply.ts";
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -45,7 +46,7 @@
 const MAX_DISCARD_MS = 10_000;
 
 /** Errors for bodies that were not read to their end. */
-const UNREAD_BODY_ERRORS = {
+const INCOMPLETE_BODY_ERRORS = {
   tooLarge: GatewayError.bodyTooLarge,
   tooSlow: GatewayError.bodyTooSlow,
   overBudget: GatewayError.hostFull,
@@ -63,6 +64,13 @@
   | AcceptedHeaders
   | { readonly type: "refused"; readonly error: GatewayError };
 
+/** Rank of a request; 0 is the most urgent. */
+function priorityOf(
+  { route, customer }: Pick<AcceptedHeaders, "route" | "customer">,
+): number {
+  return customer?.priority ?? route.priority;
+}
+
 /** Options of {@link CallerServer}. */
 export type CallerServerOptions = {
   readonly context: GatewayContext;
@@ -136,7 +144,7 @@
       isRetained: firstCheck.type === "taken",
       budget: heldBytes,
       isMostUrgent: firstCheck.type === "taken" &&
-        firstCheck.route.priority === 0,
+        priorityOf(firstCheck) === 0,
       clock,
       timeoutMs: firstCheck.type === "taken"
         ? firstCheck.route.timeoutMs
@@ -152,10 +160,12 @@
     if (reading.type !== "whole") {
       response.shouldKeepAlive = false;
       response.on("finish", () => incoming.destroy());
-      return this.#refuse(reply, UNREAD_BODY_ERRORS[reading.type], incoming);
+      const error = firstCheck.type === "refused"
+        ? firstCheck.error
+        : INCOMPLETE_BODY_ERRORS[reading.type];
+      return this.#refuse(reply, error, incoming);
     }
-    response.on("close", () => reading.release());
-    if (response.destroyed) reading.release();
+    onceClosed(incoming, response, () => reading.release());
     // Checks again: a key may have been revoked while the body was read.
     const check = firstCheck.type === "taken"
       ? this.#checkHeaders(incoming)
@@ -171,7 +181,7 @@
       return this.#refuse(reply, error, incoming, retryAfterMs);
     }
     if (response.destroyed) return quota.release();
-    this.#startExchange(request, { reply, response, quota });
+    this.#startExchange(request, { reply, incoming, response, quota });
   }
 
   async #acquireQuota(request: GatewayRequest): Promise<QuotaAcquisition> {
@@ -240,7 +250,7 @@
       route,
       service: pickTarget(route.targets, random()) ?? "",
       ...(customer ? { customer } : {}),
-      priority: customer?.priority ?? route.priority,
+      priority: priorityOf({ route, customer }),
       receivedAt,
       body,
       fingerprint,
@@ -262,7 +272,8 @@
 
   #startExchange(
     request: GatewayRequest,
-    { reply, response, quota }: {
+    { reply, incoming, response, quota }: {
+      readonly incoming: IncomingMessage;
       readonly reply: Reply;
       readonly response: ServerResponse;
       readonly quota: Extract<QuotaAcquisition, { type: "held" }>;
@@ -279,7 +290,7 @@
       },
     });
     this.#exchanges.add(exchange);
-    response.on("close", () => {
+    onceClosed(incoming, response, () => {
       if (!response.writableFinished) exchange.callerDisconnected();
     });
     void exchange.run();
--- a/src/gateway/memory/byte_budget.ts
+++ b/src/gateway/memory/byte_budget.ts
@@ -69,8 +69,8 @@
  * held about twice, here and in the buffers of sockets.
  */
 const CALLERS_SHARE = 0.5;
-/** One body of the usual limit always fits. */
-const MIN_CAPACITY = 4 << 20;
+/** A body of the usual limit always fits, also one that is not urgent. */
+const MIN_CAPACITY = (4 << 20) / LESS_URGENT_SHARE;
 
 /** The bytes that a process may hold for callers, by its memory limit. */
 export function callerBytesOf(processBytes: number | undefined): number {
--- a/src/gateway/planning/bookings.ts
+++ b/src/gateway/planning/bookings.ts
@@ -68,12 +68,3 @@
   /** Cost of the unclaimed places of a service that begin before `until`. */
   costUntil(service: string, until: Milliseconds, now: Milliseconds): number;
 };
-
-/** Books no places. */
-export const NO_BOOKINGS: Bookings = {
-  isEnabled: false,
-  book: () => undefined,
-  claim: () => ({ type: "none" }),
-  noteRefusal: () => undefined,
-  costUntil: () => 0,
-};
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -30,6 +30,15 @@
 export type AssignmentStage =
   typeof AssignmentStage[keyof typeof AssignmentStage];
 
+/** Stages after which an assignment, or the wait for one, is over. */
+export const ENDING_STAGES: ReadonlySet<AssignmentStage> = new Set([
+  AssignmentStage.exportLost,
+  AssignmentStage.refused,
+  AssignmentStage.failed,
+  AssignmentStage.answered,
+  AssignmentStage.ended,
+]);
+
 const PlanRequestSchema = z.object({
   type: z.literal("ask"),
   id: z.string(),
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { type QueuedRequest, RequestQueue } from "./request_queue.ts";
+import type { Claim } from "./bookings.ts";
 import type { CustomerRates } from "./customer_activity.ts";
 import type { EngineAssignment } from "./engine_choice.ts";
 import { firstEventMs } from "./forecasts.ts";
@@ -14,12 +15,13 @@
 import type { LedgerEntry } from "./ledger.ts";
 import { createPlannerParts, type PlannerParts } from "./planner_parts.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
+import { isLightlyUsed } from "./pool_use.ts";
 import { refusalBasis } from "./refusal_basis.ts";
 import { stageLoad } from "./stage_load.ts";
 import type { StageMeasurement } from "../stages/demand.ts";
 import type { PlannerAnswer, PlannerView, StageLoad } from "./view.ts";
 import {
-  AssignmentStage,
+  ENDING_STAGES,
   type PlanGrant,
   type PlanHandover,
   type PlanProgress,
@@ -36,15 +38,6 @@
  */
 const ORPHAN_TTL_MS = 2000;
 
-/** Stages after which an assignment, or the wait for one, is over. */
-const ENDING_STAGES: ReadonlySet<AssignmentStage> = new Set([
-  AssignmentStage.exportLost,
-  AssignmentStage.refused,
-  AssignmentStage.failed,
-  AssignmentStage.answered,
-  AssignmentStage.ended,
-]);
-
 /** The planner of the services that this host plans. */
 export class Planner {
   readonly #view: PlannerView;
@@ -98,14 +91,26 @@
   /** Queues a request; `pass` responds to it. */
   enqueue(host: string, request: PlanRequest, now: Milliseconds): void {
     this.#parts.ledger.remove(request.id);
-    const claim = this.#parts.bookings.claim(request, now);
+    const claim = this.#claim(request, now);
     const isRetry = claim.type !== "early" && this.#noteRequest(request, now) ||
       claim.type === "claimed" || claim.type === "lapsed";
-    this.#noteDemand(request, isRetry, now);
+    if (claim.type !== "early") this.#noteDemand(request, isRetry, now);
     this.#parts.shares.noteRequest(request, now);
     this.#queue.add({ host, request, isRetry, claim }, now);
   }
 
+  /** The claim of a request; there is no need to wait while there is room. */
+  #claim(request: PlanRequest, now: Milliseconds): Claim {
+    const claim = this.#parts.bookings.claim(request, now);
+    if (claim.type !== "early") return claim;
+    const { service } = request;
+    const isIdle = isLightlyUsed(this.#parts.ledger, {
+      replicas: this.#view.replicasOf(service),
+      memory: this.#view.memoryOf(service),
+    });
+    return isIdle ? { type: "lapsed" } : claim;
+  }
+
   /** Counts a request; returns whether it was refused recently. */
   #noteRequest(request: PlanRequest, now: Milliseconds): boolean {
     if (this.#view.memoryOf(request.service) === 0) {
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -112,6 +112,9 @@
     });
   };
   restartStallTimer();
+  // A response that its caller holds up is not stalled.
+  answer.message.on("pause", () => cancelStallTimer());
+  answer.message.on("resume", restartStallTimer);
   return relay(answer, paced, {
     data: (bytes) => {
       restartStallTimer();
@@ -206,7 +209,7 @@
         return resolve("interrupted");
       }
       on.complete();
-      resolve("complete");
+      resolve(paced.isUnread() ? "unread" : "complete");
     });
   });
 }
--- a/test/gateway/memory/slow_callers_test.ts
+++ b/test/gateway/memory/slow_callers_test.ts
@@ -3,8 +3,11 @@
  * host, or keep replicas busy with answers that nobody reads.
  */
 import assert from "node:assert/strict";
+import type { IncomingMessage } from "node:http";
 import { connect, type Socket } from "node:net";
+import { PassThrough } from "node:stream";
 import { test } from "node:test";
+import { readCallerBody } from "../../../src/gateway/callers/body.ts";
 import { HeldFor } from "../../../src/gateway/memory/byte_budget.ts";
 import { PacedWriter } from "../../../src/gateway/memory/paced_writer.ts";
 import { ByteBudget } from "../../../src/gateway/memory/byte_budget.ts";
@@ -101,6 +104,42 @@
   });
 });
 
+test("memory of a pipelined body is released when the caller leaves", async () => {
+  const options = { replicas: [{ answer: () => undefined }] };
+  await withRig(options, async (rig) => {
+    const { hostname, port } = new URL(`http://${rig.address}`);
+    const socket = connect(Number(port), hostname);
+    socket.on("error", () => undefined);
+    for (const id of ["1", "2"]) {
+      socket.write(
+        `POST /a/b HTTP/1.1\r\nHost: example\r\nx-id: ${id}\r\n` +
+          "Content-Length: 4\r\n\r\nbody",
+      );
+    }
+    await rig.waitForRequests(1);
+    socket.destroy();
+    while (rig.context.heldBytes.heldFor(HeldFor.bodies) > 0) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+  });
+});
+
+test("single bytes of a body count with the memory that each of them takes", async () => {
+  const request = new PassThrough() as unknown as IncomingMessage;
+  const reading = readCallerBody(request, {
+    maxBytes: MEGABYTE,
+    isRetained: true,
+    budget: new ByteBudget(10_000),
+    isMostUrgent: true,
+    clock: { after: () => () => undefined },
+    timeoutMs: 1000,
+  });
+  for (let count = 0; count < 200; count++) {
+    request.emit("data", Buffer.from("b"));
+  }
+  assert.equal((await reading).type, "overBudget");
+});
+
 /** A writer whose caller reads only when `drain` is called. */
 function stalledWriter(budgetBytes: number) {
   const log: string[] = [];
