Soak: ample memory again before hosts are checked to serve

Their probes, single requests without a retry, were refused by a pool for three requests a replica that the run's own callers kept full. The check and its bound are unchanged; the configuration has ample memory after the faults.

--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -148,6 +148,7 @@
       await sleep(fault.atMs);
       await injectFault(targets, fault);
     }));
+    this.#world.endScarcity();
     const drainDeadlineMs = performance.now() + PROPAGATION_MS;
     const unrecovered = await this.#findUnrecoveredHosts();
     await sleep(
