Ejection: a replica that fails a part of its requests is a spare too

It gets no work while another has a free slot or memory, as before, and what nobody else has room for.

--- a/src/gateway/planning/ejection.ts
+++ b/src/gateway/planning/ejection.ts
@@ -149,10 +149,11 @@
   ): Standing {
     const record = this.#records.get(incarnation);
     if (!record || record.endedAt !== undefined) return Standing.open;
-    // A slow replica still serves its callers, a failing or silent one doesn't.
-    const resting = record.reason === EjectionReason.slow
-      ? Standing.spare
-      : Standing.closed;
+    // A slow replica still serves its callers, and one that fails a part of its
+    // requests serves the others; a silent one serves nobody.
+    const resting = record.reason === EjectionReason.silent
+      ? Standing.closed
+      : Standing.spare;
     if (record.trial) {
       if (now < record.trial.until) return resting;
       failTrial(record, now);
