Placement in proportion to speed; soak replicas that start after the end are stopped

Change: replicas are used in proportion to their speeds, at model pools and plain services; with equal speeds as before. Its effect at full size is not yet measured. Soak: a replica whose start ended after the run kept its server open, so the test's process never ended (seen twice).

--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -159,9 +159,10 @@
   }
 
   /**
-   * The decode replica with room for the request where it is expected to end
-   * first, preferably in the requester's hall. A replica whose memory is full
-   * costs as much as one that needs twice the time.
+   * The decode replica with room for the request whose memory is used least for
+   * its speed, preferably in the requester's hall. In proportion to its speed,
+   * because a replica that got all requests would slow them all down, and its
+   * loss would break them all.
    */
   decodeFor(
     request: PlanRequest,
@@ -178,13 +179,10 @@
       if (!this.#hasRoom(request, replica, now)) return Infinity;
       const reserved = this.#ledger.reservedTokensAt(incarnation);
       const penalty = hall === request.hall ? 0 : this.#view.remoteHallPenalty;
-      const utilization = reserved / memory;
-      const load = Math.max(LOW_UTILIZATION, utilization) +
-        utilization * TIE_BREAK_WEIGHT;
-      const startMs = rates.firstEventMs(incarnation);
-      return startMs / Math.max(1, usualMs) + penalty +
-        significantRatio(runMs(replica), usualMs) *
-          (1 - LOW_UTILIZATION + load);
+      const load = reserved / memory *
+        significantRatio(runMs(replica), usualMs);
+      return Math.max(LOW_UTILIZATION, load) + penalty +
+        load * TIE_BREAK_WEIGHT;
     });
   }
 
--- a/src/gateway/planning/plain_choice.ts
+++ b/src/gateway/planning/plain_choice.ts
@@ -38,8 +38,8 @@
 };
 
 /**
- * The replica where a request is expected to end first, preferably in this
- * hall: the one with the least load per slot, if all are equally fast.
+ * The replica with the least load per slot for its speed, preferably in this
+ * hall.
  */
 export function choosePlainReplica(
   replicas: readonly ReplicaEntry[],
@@ -59,10 +59,8 @@
       return Infinity;
     }
     const penalty = hall === query.hall ? 0 : query.remoteHallPenalty;
-    const utilization = inFlight / Math.max(1, slots);
-    const load = Math.max(LOW_UTILIZATION, utilization) +
-      utilization * TIE_BREAK_WEIGHT;
-    const ratio = significantRatio(query.callMs(incarnation), usualMs);
-    return load * ratio + penalty;
+    const load = inFlight / Math.max(1, slots) *
+      significantRatio(query.callMs(incarnation), usualMs);
+    return Math.max(LOW_UTILIZATION, load) + penalty + load * TIE_BREAK_WEIGHT;
   });
 }
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -130,10 +130,15 @@
       world: this,
       publicAddress: () => address,
     });
+    if (this.#isStopped) return standin.crash();
     if (this.#load.isUneven && this.replicas.length % 2 === 0) {
       standin.slowdown = UNEVEN_SLOWDOWN;
     }
     const proxy = await startFaultProxy(standin.address);
+    if (this.#isStopped) {
+      proxy.stop();
+      return standin.crash();
+    }
     address = proxy.address;
     const replica = { standin, proxy, hall, incarnation, isReady: true };
     this.replicas.push(replica);
