--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -22,8 +22,8 @@
  */
 const FORECAST_INTERVAL_MS = 250;
 /**
- * The same as a share of the objective: a caller that is told early to retry
- * loses little time.
+ * Upper bound of that interval with booked returns, as a share of the
+ * objective: the sooner a request is refused, the sooner its caller can retry.
  */
 const FORECAST_SHARE = 0.1;
 /** Share of the accepted delay from which places are given in an overload. */
@@ -126,11 +126,23 @@
   ): Milliseconds | undefined {
     const { service, key, longestRetryMs } = queued.request;
     const admission = this.#admissionOf(service);
-    const state = poolState(queued.request.tokens, pool);
-    const refused = this.#isOn
+    const refusedMs = this.#isOn
       ? this.#arrivals.refusedWaitMs(queued, { pool, admission }, now)
       : this.#refusedWaitMs(queued, pool, now);
-    if (refused === undefined) return undefined;
+    if (refusedMs === undefined) return undefined;
+    return this.#bookedMs(queued, pool, now) ??
+      admission.refuse({ key, waitMs: refusedMs, longestRetryMs }, now);
+  }
+
+  /** The time until the place booked for a request; undefined without one. */
+  #bookedMs(
+    queued: QueuedRequest,
+    pool: PoolSnapshot,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    if (!this.#options.bookings.isEnabled) return undefined;
+    const admission = this.#admissionOf(queued.request.service);
+    const state = poolState(queued.request.tokens, pool);
     const waitMs = this.#isOn
       ? (queued.forecast?.startsAt ?? Infinity) - now
       : admission.forecast(state, now).waitMs;
@@ -138,9 +150,7 @@
       lateWaitMs: admission.lateWaitMs(waitMs, state, now),
       costPerMs: admission.startableTokensPerMs(queued.request, state),
     }, now);
-    return beginsAt === undefined
-      ? admission.refuse({ key, waitMs: refused, longestRetryMs }, now)
-      : beginsAt - now;
+    return beginsAt === undefined ? undefined : beginsAt - now;
   }
 
   /** The forecast wait of a request that is refused. */
--- a/src/gateway/planning/rated_candidates.ts
+++ b/src/gateway/planning/rated_candidates.ts
@@ -14,8 +14,8 @@
 /**
  * The replicas that may be given the request. A replica that is due for a trial
  * gets it, because its estimates would not select it. Replicas that are ejected
- * for being slow or failing are spared as long as another one has room. If every replica
- * is closed to the request, all of them may be given it.
+ * for being slow or failing are left out as long as another one has room. If
+ * every replica is closed to the request, all of them may be given it.
  */
 export function ratedCandidates(
   rates: ReplicaRates,
--- a/src/gateway/planning/replica_rates.ts
+++ b/src/gateway/planning/replica_rates.ts
@@ -34,7 +34,10 @@
   firstEventMs(incarnation: string): Milliseconds;
   /** Expected service time of a plain request in a free slot. */
   callMs(incarnation: string): Milliseconds;
-  /** Whether the replica gets no work, since it fails or is far too slow. */
+  /**
+   * Whether the replica gets little or no work, since it fails, is silent or is
+   * far too slow.
+   */
   isEjected(incarnation: string, now: Milliseconds): boolean;
   /** Replicas of a service whose standing may not be open. */
   suspects(service: string, now: Milliseconds): ReadonlySet<string>;
--- a/src/gateway/planning/stage_load.ts
+++ b/src/gateway/planning/stage_load.ts
@@ -1,6 +1,7 @@
 /** Computes the utilization of a service's stages from the planner's ledger. */
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Ledger } from "./ledger.ts";
+import { meanOf } from "./time_ratio.ts";
 import type { StageLoad } from "./view.ts";
 
 /** The utilization of both stages, from 0 to 1. */
@@ -23,12 +24,12 @@
     replica.stage === ReplicaStage.decode
   );
   return {
-    prefill: mean(
+    prefill: meanOf(
       prefills.map(({ incarnation }) =>
         ledger.backlogAt(incarnation) > 0 || !hasRoom(incarnation) ? 1 : 0
       ),
     ),
-    decode: mean(
+    decode: meanOf(
       decodes.map(({ incarnation }) =>
         hasRoom(incarnation)
           ? Math.min(1, ledger.reservedTokensAt(incarnation) / memory)
@@ -37,9 +38,3 @@
     ),
   };
 }
-
-/** The mean; 0 if there are no values. */
-function mean(values: readonly number[]): number {
-  if (values.length === 0) return 0;
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
