--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -17,6 +17,7 @@
 import { RouteTable } from "./routing/route_table.ts";
 import { StoreEras } from "./state/store_eras.ts";
 import { SuspensionWatch } from "./suspension.ts";
+import type { Connect } from "./upstreams/connect.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 import { probeAddress } from "./upstreams/probe.ts";
 
@@ -24,7 +25,10 @@
 export function createContext(
   settings: GatewaySettings,
   port: PlatformPort,
-  directory: HostDirectory,
+  { directory, connect }: {
+    readonly directory: HostDirectory;
+    readonly connect: Connect;
+  },
 ): GatewayContext {
   const { host, grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
@@ -57,14 +61,14 @@
     replicas,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
     heldBytes: new ByteBudget(callerBytesOf(settings.memory.process)),
-    pool: new UpstreamPool(clock, timeoutMs),
+    pool: new UpstreamPool(clock, timeoutMs, connect),
     crashes: new CrashWatch({
       clock,
       events,
       metrics,
       rule: crashRuleOf(settings),
       isDraining: (entry) => replicas.isDraining(entry),
-      probe: (address) => probeAddress(address, { clock, timeoutMs }),
+      probe: (address) => probeAddress(address, { clock, timeoutMs, connect }),
     }),
     limits,
     draining,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { openLink } from "./peers/link.ts";
 import { createPeerServer } from "./peers/server.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
+import { pausedReplicasGauge } from "./replicas/paused_gauge.ts";
 import { PlannerClient } from "./planning/planner_client.ts";
 import { PlanService } from "./planning/plan_service.ts";
 import { revisionOf } from "./position.ts";
@@ -27,6 +28,7 @@
 import type { SplitDecision } from "./stages/measured_balance.ts";
 import { splitGauges } from "./stages/split_report.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
+import { type Connect, tcpConnect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
 
 /**
@@ -52,12 +54,15 @@
   noteFault(fault: string): void;
 };
 
-/** Starts a gateway on a platform. */
+/**
+ * Starts a gateway on a platform; `connect` opens its connections to replicas.
+ */
 export async function startGateway(
   settings: GatewaySettings,
   port: PlatformPort,
+  { connect = tcpConnect }: { readonly connect?: Connect | undefined } = {},
 ): Promise<RunningGateway> {
-  const gateway = new Gateway(settings, port);
+  const gateway = new Gateway(settings, port, connect);
   await gateway.listen();
   return gateway;
 }
@@ -82,14 +87,18 @@
   readonly #settingsState: SettingsState;
   readonly #splits = new Map<string, SplitDecision>();
 
-  constructor(settings: GatewaySettings, port: PlatformPort) {
+  constructor(
+    settings: GatewaySettings,
+    port: PlatformPort,
+    connect: Connect,
+  ) {
     this.#settings = settings;
     const { host, listen } = settings;
     this.#settingsState = new SettingsState(settings, systemClock.now());
     const address = host.peer_address ?? listen.peers;
     const self = { id: host.id, address, hall: host.hall };
     const directory = new HostDirectory(self, settings.seeds);
-    const context = createContext(settings, port, directory);
+    const context = createContext(settings, port, { directory, connect });
     const configAgeMs = (now: Milliseconds) => {
       context.suspensions.check();
       return this.#fleetState.configAgeMs(now);
@@ -253,7 +262,10 @@
         resident_bytes: process.memoryUsage.rss(),
       };
       const info = { settings: this.#settingsState.version };
-      const labelled = this.#planService.gauges();
+      const labelled = [
+        ...this.#planService.gauges(),
+        pausedReplicasGauge(replicas, clock.now()),
+      ];
       const page = metrics.render(gauges, info, labelled);
       response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
       response.end(page);
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -8,6 +8,7 @@
 export * from "./limits/model.ts";
 export { type RunningGateway, startGateway } from "./gateway.ts";
 export { withoutHeaders } from "./http/headers.ts";
+export { type Connect, tcpConnect } from "./upstreams/connect.ts";
 export {
   createJsonClient,
   type JsonAnswer,
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -1,12 +1,14 @@
 /** This host's planner, for its own requests and those of linked hosts. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "../../util/units.ts";
+import { evictOldest } from "../../util/evict_oldest.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { LabelledGauge } from "../observe/metrics.ts";
 import type { ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import { acceptLink, type Link, LINK_HOST_HEADER } from "../peers/link.ts";
 import {
+  AssignmentStage,
   type HostMessage,
   HostMessageSchema,
   type PlannerMessage,
@@ -24,6 +26,8 @@
 const PASS_INTERVAL_MS = 20;
 /** Above this queue length, one pass handles several messages. */
 const LONG_QUEUE = 16;
+/** Bounds the gauge of reported failures. */
+const MAX_REPORTING_HOSTS = 50;
 const LONG_QUEUE_PASS_DELAY_MS = 3;
 
 /** Carries messages between the planner and the hosts. */
@@ -31,6 +35,8 @@
   readonly #context: GatewayContext;
   readonly #planner: Planner;
   readonly #hosts = new Map<string, (message: PlannerMessage) => void>();
+  /** Reports, by host, that a replica did not serve a request. */
+  readonly #failuresByHost = new Map<string, number>();
   #isPassScheduled = false;
   /**
    * Replicas that were ordered to change stage, with their new stage: they get
@@ -89,6 +95,7 @@
     return [
       ...rateGauges(this.#planner.measuredRates, now),
       ...customerGauges(customers),
+      reportedFailuresGauge(this.#failuresByHost),
     ];
   }
 
@@ -128,6 +135,7 @@
         this.#planner.restore(from, message, now);
         break;
       case "progress":
+        if (message.stage === AssignmentStage.failed) this.#noteFailure(from);
         this.#planner.report(message, now);
         break;
       case "ping":
@@ -137,6 +145,13 @@
     this.#schedulePass(isLong ? LONG_QUEUE_PASS_DELAY_MS : 0);
   }
 
+  #noteFailure(host: string): void {
+    const before = this.#failuresByHost.get(host) ?? 0;
+    this.#failuresByHost.delete(host);
+    this.#failuresByHost.set(host, before + 1);
+    evictOldest(this.#failuresByHost, MAX_REPORTING_HOSTS);
+  }
+
   /** Serves a link that another host has opened. */
   accept(incoming: IncomingMessage, response: ServerResponse): void {
     const host = String(incoming.headers[LINK_HOST_HEADER] ?? "");
@@ -184,3 +199,19 @@
     if (this.#planner.waiting > 0) this.#schedulePass(PASS_INTERVAL_MS);
   }
 }
+
+/**
+ * Tells failures that all hosts report from those of a host that has lost its
+ * path to the replicas.
+ */
+function reportedFailuresGauge(
+  failuresByHost: ReadonlyMap<string, number>,
+): LabelledGauge {
+  return {
+    name: "planner_failures_reported",
+    values: [...failuresByHost].map(([host, value]) => ({
+      labels: { host },
+      value,
+    })),
+  };
+}
--- a/src/gateway/program.ts
+++ b/src/gateway/program.ts
@@ -12,6 +12,7 @@
 import { onReload } from "./early_reload.ts";
 import { startGateway } from "./gateway.ts";
 import type { PlatformPort } from "./port.ts";
+import type { Connect } from "./upstreams/connect.ts";
 
 /** Interval at which the settings file is checked for changes. */
 const SETTINGS_POLL_INTERVAL_MS = 2000;
@@ -30,6 +31,8 @@
 export type GatewayProgram = {
   /** Creates the platform port. */
   connect(settings: GatewaySettings): PlatformPort;
+  /** Opens connections to replicas; over TCP by default. */
+  readonly connectReplica?: Connect | undefined;
   /** Settings file to use if the command line names none. */
   readonly defaultSettings: string | undefined;
 };
@@ -60,7 +63,9 @@
 
 async function serve(file: string, program: GatewayProgram): Promise<void> {
   const settings = settingsOrExit(file, GatewaySchema);
-  const gateway = await startGateway(settings, program.connect(settings));
+  const gateway = await startGateway(settings, program.connect(settings), {
+    connect: program.connectReplica,
+  });
   const reload = (cause: string) => {
     const loaded = loadSettings(file, GatewaySchema);
     if (loaded.ok) gateway.reload(loaded.val, cause);
--- a/src/gateway/upstreams/keep_alive_agent.ts
+++ b/src/gateway/upstreams/keep_alive_agent.ts
@@ -1,7 +1,8 @@
 /** Persistent connections that are closed before the replica closes them. */
-import { Agent, type IncomingMessage } from "node:http";
-import type { Socket } from "node:net";
+import { Agent, type ClientRequestArgs, type IncomingMessage } from "node:http";
+import type { Socket, TcpNetConnectOpts } from "node:net";
 import type { Milliseconds } from "../../util/units.ts";
+import type { Connect } from "./connect.ts";
 
 /**
  * An idle connection is closed this long before the timeout that the replica
@@ -19,13 +20,20 @@
 
 /** An agent whose idle timeout is shorter than that of the replica. */
 export class KeepAliveAgent extends Agent {
-  constructor(maxConnections: number) {
+  readonly #connect: Connect;
+
+  constructor(maxConnections: number, connect: Connect) {
     super({
       keepAlive: true,
       maxSockets: maxConnections,
       maxFreeSockets: maxConnections,
       scheduling: "lifo",
     });
+    this.#connect = connect;
+  }
+
+  override createConnection(options: ClientRequestArgs): Socket {
+    return this.#connect(options as TcpNetConnectOpts);
   }
 
   /** Called by Node when a response has ended; false closes the connection. */
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../clock.ts";
 import type { JsonCall } from "../port.ts";
 import { type Call, readBody, startCall } from "./call.ts";
+import { type Connect, tcpConnect } from "./connect.ts";
 import type { JsonAnswer } from "./json_client.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
 
@@ -23,12 +24,18 @@
 export class UpstreamPool {
   readonly #clock: Clock;
   readonly #connectTimeoutMs: Milliseconds;
+  readonly #connect: Connect;
   readonly #requestAgents = new Map<string, Agent>();
   readonly #controlAgents = new Map<string, Agent>();
 
-  constructor(clock: Clock, connectTimeoutMs: Milliseconds) {
+  constructor(
+    clock: Clock,
+    connectTimeoutMs: Milliseconds,
+    connect: Connect = tcpConnect,
+  ) {
     this.#clock = clock;
     this.#connectTimeoutMs = connectTimeoutMs;
+    this.#connect = connect;
   }
 
   /** Sends a request unchanged to a replica. */
@@ -46,7 +53,7 @@
     const { incarnation, maxConnections } = options;
     return startCall({
       ...options,
-      agent: agentOf(this.#requestAgents, incarnation, maxConnections),
+      agent: this.#agentOf(this.#requestAgents, incarnation, maxConnections),
       clock: this.#clock,
       connectTimeoutMs: this.#connectTimeoutMs,
     });
@@ -70,7 +77,7 @@
         ...(controlCall.headers ?? []),
       ],
       body: Buffer.from(controlCall.body ?? ""),
-      agent: agentOf(
+      agent: this.#agentOf(
         this.#controlAgents,
         entry.incarnation,
         MAX_CONTROL_CONNECTIONS,
@@ -111,16 +118,16 @@
     for (const agent of this.#requestAgents.values()) agent.destroy();
     for (const agent of this.#controlAgents.values()) agent.destroy();
   }
-}
 
-function agentOf(
-  agents: Map<string, Agent>,
-  incarnation: string,
-  maxSockets: number,
-): Agent {
-  const existing = agents.get(incarnation);
-  if (existing) return existing;
-  const agent = new KeepAliveAgent(maxSockets);
-  agents.set(incarnation, agent);
-  return agent;
+  #agentOf(
+    agents: Map<string, Agent>,
+    incarnation: string,
+    maxSockets: number,
+  ): Agent {
+    const existing = agents.get(incarnation);
+    if (existing) return existing;
+    const agent = new KeepAliveAgent(maxSockets, this.#connect);
+    agents.set(incarnation, agent);
+    return agent;
+  }
 }
--- a/src/gateway/upstreams/probe.ts
+++ b/src/gateway/upstreams/probe.ts
@@ -1,8 +1,8 @@
 /** Probes whether a process listens at an address. */
-import { connect } from "node:net";
 import type { Milliseconds } from "../../util/units.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
+import { type Connect, tcpConnect } from "./connect.ts";
 
 /** Result of a connection attempt. */
 export type ProbeResult =
@@ -15,9 +15,10 @@
 /** Opens a connection, sends nothing and closes it. */
 export function probeAddress(
   address: string,
-  { clock, timeoutMs }: {
+  { clock, timeoutMs, connect = tcpConnect }: {
     readonly clock: Clock;
     readonly timeoutMs: Milliseconds;
+    readonly connect?: Connect;
   },
 ): Promise<ProbeResult> {
   const target = parseAddress(address);
