--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { createWriteStream, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { PathCut } from "./replica_path.ts";
 
 /** Running child processes, which are killed when this process exits. */
 const running = new Set<ChildProcess>();
@@ -32,6 +33,7 @@
   readonly #settingsFile: string;
   readonly #logFile: string;
   #child: ChildProcess | undefined;
+  #cut: PathCut = PathCut.none;
   #isStopRequested = false;
   #isPaused = false;
   #hasLogged = false;
@@ -60,14 +62,15 @@
     this.#startCount += 1;
     this.#isStopRequested = false;
     this.#hasLogged = false;
-    const child = spawn(process.execPath, ["dist/platform/main.js"], {
+    const child = spawn(process.execPath, ["dist/test/soak/gateway_main.js"], {
       env: { ...process.env, OTTERHILL_CONFIG: this.#settingsFile },
-      stdio: ["ignore", "pipe", "pipe"],
+      stdio: ["ignore", "pipe", "pipe", "ipc"],
     });
     const log = createWriteStream(this.#logFile, { flags: "a" });
-    child.stdout.once("data", () => this.#hasLogged = true);
-    child.stdout.pipe(log, { end: false });
-    child.stderr.pipe(log, { end: false });
+    child.stdout?.once("data", () => this.#hasLogged = true);
+    child.stdout?.pipe(log, { end: false });
+    child.stderr?.pipe(log, { end: false });
+    if (this.#cut !== PathCut.none) child.send(this.#cut);
     this.#child = child;
     running.add(child);
     child.on("exit", (code, signal) => {
@@ -113,6 +116,12 @@
     this.#isPaused = this.#child?.kill("SIGSTOP") ?? false;
   }
 
+  /** Cuts the path to all replicas, or heals it; outlasts a restart. */
+  cutReplicas(cut: PathCut): void {
+    this.#cut = cut;
+    if (this.#child?.connected) this.#child.send(cut);
+  }
+
   /** Resumes the process with SIGCONT. */
   resume(): void {
     this.#child?.kill("SIGCONT");
