--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -9,6 +9,7 @@
 import type { ReplicaLimits } from "./limits/replica_limits.ts";
 import type { Dialect } from "./port.ts";
 import type { DrainingReplicas } from "./replicas/draining_replicas.ts";
+import type { ReplicaPaths } from "./paths/create_paths.ts";
 import type { ReplicaGate } from "./replicas/replica_gate.ts";
 import type { ReplicaTable } from "./replicas/replica_table.ts";
 import type { RetryBudget } from "./retries/retry_budget.ts";
@@ -77,6 +78,7 @@
   /** Bytes that this host holds for its callers. */
   readonly heldBytes: ByteBudget;
   readonly pool: UpstreamPool;
+  readonly paths: ReplicaPaths;
   readonly crashes: CrashWatch;
   readonly limits: ReplicaLimits;
   readonly draining: DrainingReplicas;
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -70,8 +70,8 @@
   readonly rule: CrashRule;
   /** Whether a replica is draining, so that its end is planned. */
   readonly isDraining: (entry: ReplicaEntry) => boolean;
-  /** Checks whether a process listens at an address. */
-  readonly probe: (address: string) => Promise<ProbeResult>;
+  /** Checks whether the replica listens, over any path. */
+  readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
 };
 
 /**
@@ -212,7 +212,7 @@
     const { clock, probe, metrics } = this.#options;
     for (;;) {
       const startedAt = clock.now();
-      const result = await probe(entry.address);
+      const result = await probe(entry);
       metrics.count(`crash_probes_${result}`);
       if (result === "refused") this.noteRefused(entry);
       if (result !== "listens") break;
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -11,6 +11,7 @@
 import { Metrics } from "./observe/metrics.ts";
 import type { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
+import { createPaths } from "./paths/create_paths.ts";
 import type { PlatformPort } from "./port.ts";
 import { createReplicaState } from "./replicas/create_replica_state.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
@@ -19,7 +20,6 @@
 import { SuspensionWatch } from "./suspension.ts";
 import type { Connect } from "./upstreams/connect.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
-import { probeAddress } from "./upstreams/probe.ts";
 
 /** Creates the shared state and dependencies of one gateway. */
 export function createContext(
@@ -32,7 +32,6 @@
 ): GatewayContext {
   const { host, grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
-  const timeoutMs = settings.tuning.connect_timeout;
   const events = eventLogOf(settings, clock);
   const metrics = new Metrics();
   const run = String(newIncarnation());
@@ -47,40 +46,62 @@
     directory,
     openLink,
   });
+  const paths = createPaths({
+    clock,
+    self,
+    peers: () => directory.entries(),
+    replicas: () => replicas.entries(),
+    events,
+    metrics,
+    connect,
+    connectTimeoutMs: settings.tuning.connect_timeout,
+  });
+  const shared = { clock, events, metrics, replicas, paths };
   return {
+    ...shared,
     self,
-    clock,
-    suspensions: new SuspensionWatch({
-      monotonicNow: clock.now,
-      wallClockNow: Date.now,
-    }),
+    suspensions: createSuspensionWatch(clock),
     eras: new StoreEras(events),
     random,
     dialect: port.dialect,
     routes: new RouteTable(),
-    replicas,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
     heldBytes: new ByteBudget(callerBytesOf(settings.memory.process)),
-    pool: new UpstreamPool(clock, timeoutMs, connect),
-    crashes: new CrashWatch({
-      clock,
-      events,
-      metrics,
-      rule: crashRuleOf(settings),
-      isDraining: (entry) => replicas.isDraining(entry),
-      probe: (address) => probeAddress(address, { clock, timeoutMs, connect }),
-    }),
+    pool: new UpstreamPool(clock, paths),
+    crashes: createCrashWatch(settings, shared),
     limits,
     draining,
     gate,
-    events,
-    metrics,
     tuning: tuningOf(settings),
     hostCount: () => directory.count,
     stop: { graceMs: grace },
   };
 }
 
+function createCrashWatch(
+  settings: GatewaySettings,
+  { clock, events, metrics, replicas, paths }: Pick<
+    GatewayContext,
+    "clock" | "events" | "metrics" | "replicas" | "paths"
+  >,
+): CrashWatch {
+  return new CrashWatch({
+    clock,
+    events,
+    metrics,
+    rule: crashRuleOf(settings),
+    isDraining: (entry) => replicas.isDraining(entry),
+    probe: (entry) => paths.monitor.probe(entry),
+  });
+}
+
+function createSuspensionWatch(clock: Clock): SuspensionWatch {
+  return new SuspensionWatch({
+    monotonicNow: clock.now,
+    wallClockNow: Date.now,
+  });
+}
+
 function eventLogOf({ host, log }: GatewaySettings, clock: Clock): EventLog {
   return openEventLog({
     program: "otterhill-gateway",
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,20 +13,20 @@
   tuningOf,
 } from "./create_context.ts";
 import { Customers } from "./customers/customers.ts";
-import { callerBytesOf, HeldFor } from "./memory/byte_budget.ts";
+import { callerBytesOf } from "./memory/byte_budget.ts";
+import { renderMetrics } from "./metrics_page.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
 import { createPeerServer } from "./peers/server.ts";
+import { createTunnelServer } from "./paths/create_tunnel_server.ts";
+import type { TunnelServer } from "./paths/tunnel_server.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
-import { pausedReplicasGauge } from "./replicas/paused_gauge.ts";
 import { PlannerClient } from "./planning/planner_client.ts";
 import { PlanService } from "./planning/plan_service.ts";
-import { revisionOf } from "./position.ts";
 import { SettingsState } from "./settings_state.ts";
 import { FleetState } from "./state/fleet_state.ts";
 import type { StoreTimes } from "./state/store_loops.ts";
 import type { SplitDecision } from "./stages/measured_balance.ts";
-import { splitGauges } from "./stages/split_report.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
 import { type Connect, tcpConnect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
@@ -43,6 +43,8 @@
 /** A tick that is later than this is logged as a stall of the process. */
 const STALL_THRESHOLD_MS = 1000;
 const TICK_INTERVAL_MS = 1000;
+/** Interval at which a stopping host checks whether it carries tunnels. */
+const TUNNEL_POLL_INTERVAL_MS = 50;
 
 /** A gateway that serves callers. */
 export type RunningGateway = {
@@ -84,6 +86,7 @@
   readonly #peerServer: Server;
   readonly #servers: Server[] = [];
   readonly #customers: Customers;
+  readonly #tunnels: TunnelServer;
   readonly #settingsState: SettingsState;
   readonly #splits = new Map<string, SplitDecision>();
 
@@ -124,6 +127,7 @@
       admission: this.#customers.admission,
       quotas: this.#customers.quotas,
     });
+    this.#tunnels = createTunnelServer(context);
     this.#fleetState = new FleetState({
       context,
       self,
@@ -147,6 +151,7 @@
       states: this.#fleetState.server,
       quotas: this.#customers.owner,
       limits: this.#context.limits.owner,
+      tunnels: this.#tunnels,
       configAgeMs: (now) => this.#fleetState.configAgeMs(now),
     });
   }
@@ -216,7 +221,11 @@
     const deadline = requestedAt + stop.graceMs - EXIT_MARGIN_MS;
     await sleep(clock, BALANCER_REMOVAL_MS);
     await this.#callerServer.drain(clock, deadline);
+    while (this.#tunnels.size > 0 && clock.now() < deadline) {
+      await sleep(clock, TUNNEL_POLL_INTERVAL_MS);
+    }
     for (const server of this.#servers) server.close();
+    this.#tunnels.close();
     this.#fleetState.stop();
     pool.close();
     events.note("stopped", { open: this.#callerServer.openRequestCount });
@@ -232,41 +241,15 @@
   #createMetricsServer(): Server {
     return createServer((request, response) => {
       request.resume();
-      const { metrics, routes, replicas, clock, crashes, eras, limits, gate } =
-        this.#context;
-      const { heldBytes } = this.#context;
-      const storeAgeMs = this.#fleetState.storeAgeMs(clock.now());
-      const configAgeMs = this.#fleetState.configAgeMs(clock.now());
-      const gauges = {
-        ...this.#settingsState.gauges(clock.now()),
-        ...splitGauges([...this.#splits.values()]),
-        held_bytes_bodies: heldBytes.heldFor(HeldFor.bodies),
-        held_bytes_answers: heldBytes.heldFor(HeldFor.answers),
-        requests_open: this.#callerServer.openRequestCount,
-        quota_customers: this.#customers.owner.size,
-        memory_waits: this.#planService.waiting,
-        memory_tokens_running: this.#planService.memoryByUse.running,
-        memory_tokens_reserved: this.#planService.memoryByUse.reserved,
-        routes_version: routes.version,
-        replicas_revision: revisionOf(replicas.revision),
-        store_era: eras.era,
-        hosts_known: this.#directory.count,
-        crash_suspects: crashes.suspects,
-        crash_quarantined: crashes.quarantined,
-        replicas_limited: limits.limited,
-        replicas_backing_off: gate.backingOff,
-        config_age_seconds: Number.isFinite(configAgeMs)
-          ? configAgeMs / 1000
-          : -1,
-        store_age_seconds: Number.isFinite(storeAgeMs) ? storeAgeMs / 1000 : -1,
-        resident_bytes: process.memoryUsage.rss(),
-      };
-      const info = { settings: this.#settingsState.version };
-      const labelled = [
-        ...this.#planService.gauges(),
-        pausedReplicasGauge(replicas, clock.now()),
-      ];
-      const page = metrics.render(gauges, info, labelled);
+      const page = renderMetrics(this.#context, {
+        settingsState: this.#settingsState,
+        splits: [...this.#splits.values()],
+        openRequests: this.#callerServer.openRequestCount,
+        quotaCustomers: this.#customers.owner.size,
+        planService: this.#planService,
+        fleetState: this.#fleetState,
+        tunnels: this.#tunnels,
+      });
       response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
       response.end(page);
     });
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -110,6 +110,26 @@
     "A replica restarted under the same id",
     STATE_CHANGES_PER_SECOND,
   ),
+  pathLost: warn(
+    "paths",
+    "This host does not reach a replica that another host reaches",
+    STATE_CHANGES_PER_SECOND,
+  ),
+  replicaUnreachable: warn(
+    "paths",
+    "Neither this host nor another one that was asked reaches a replica",
+    STATE_CHANGES_PER_SECOND,
+  ),
+  pathHealed: info(
+    "paths",
+    "This host reaches the replica itself again",
+    STATE_CHANGES_PER_SECOND,
+  ),
+  tunnelServed: info(
+    "paths",
+    "A connection of another host to a replica goes through this host",
+    STATE_CHANGES_PER_SECOND,
+  ),
   replicaPaused: warn(
     "replicas",
     "A replica failed and is not used until its pause ends",
--- /dev/null
+++ b/src/gateway/paths/tunnel_agent.ts
@@ -0,0 +1,74 @@
+/** Persistent connections to one replica through peers. */
+import type { ClientRequestArgs } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import type { Milliseconds } from "../../util/units.ts";
+import type { Clock } from "../clock.ts";
+import { tcpConnect } from "../upstreams/connect.ts";
+import { KeepAliveAgent } from "../upstreams/keep_alive_agent.ts";
+import type { TunnelOutcome } from "./tunnel_client.ts";
+
+/**
+ * A tunnel is not reused when it is older than this, so that a peer that stops
+ * soon carries none, and a host whose path has healed soon uses its own.
+ */
+const MAX_AGE_MS = 2000;
+
+/** `code` of the error when peers do not reach the replica either. */
+export const UNREACHABLE_CODE = "EHOSTUNREACH";
+/** `code` of the error when no peer gave an answer. */
+export const NO_PEER_CODE = "ENETUNREACH";
+
+const FAILURE_CODES = {
+  refused: "ECONNREFUSED",
+  unreachable: UNREACHABLE_CODE,
+  unavailable: NO_PEER_CODE,
+} as const;
+
+/** Options of {@link TunnelAgent}. */
+export type TunnelAgentOptions = {
+  readonly maxConnections: number;
+  readonly clock: Clock;
+  readonly open: () => Promise<TunnelOutcome>;
+};
+
+/** An agent whose connections are tunnels. */
+export class TunnelAgent extends KeepAliveAgent {
+  readonly #options: TunnelAgentOptions;
+  readonly #openedAt = new WeakMap<Socket, Milliseconds>();
+
+  constructor(options: TunnelAgentOptions) {
+    super(options.maxConnections, tcpConnect);
+    this.#options = options;
+  }
+
+  override createConnection(
+    _options: ClientRequestArgs,
+    callback?: (error: Error | null, socket: Duplex) => void,
+  ): Duplex | undefined {
+    const { open, clock } = this.#options;
+    void open().then((outcome) => {
+      if (outcome.type !== "open") {
+        const error = tunnelError(outcome.type);
+        // Node reads no socket when there is an error.
+        return callback?.(error, undefined as unknown as Duplex);
+      }
+      this.#openedAt.set(outcome.socket, clock.now());
+      callback?.(null, outcome.socket);
+    });
+    return undefined;
+  }
+
+  override keepSocketAlive(socket: Socket): boolean {
+    const ageMs = this.#options.clock.now() -
+      (this.#openedAt.get(socket) ?? -Infinity);
+    if (ageMs >= MAX_AGE_MS || !super.keepSocketAlive(socket)) return false;
+    socket.setTimeout(MAX_AGE_MS - ageMs);
+    return true;
+  }
+}
+
+function tunnelError(type: keyof typeof FAILURE_CODES): Error {
+  const error = new Error(`No tunnel to the replica: ${type}`);
+  return Object.assign(error, { code: FAILURE_CODES[type] });
+}
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -1,9 +1,11 @@
 /** Serves state requests and links of peers. */
 import { createServer, type Server } from "node:http";
+import type { Socket } from "node:net";
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { QuotaOwner } from "../quota/owner.ts";
 import type { PlanService } from "../planning/plan_service.ts";
+import type { TunnelServer } from "../paths/tunnel_server.ts";
 import type { HostEntry } from "../port.ts";
 import type { StateServer } from "../state/state_server.ts";
 import type { HostDirectory } from "./directory.ts";
@@ -26,6 +28,7 @@
   readonly quotas: QuotaOwner;
   /** Owner of the limits that replicas report. */
   readonly limits: QuotaOwner;
+  readonly tunnels: TunnelServer;
   /**
    * Time since the store is known to have had no newer configuration; Infinity
    * if this is not known.
@@ -37,7 +40,7 @@
 export function createPeerServer(
   options: PeerServerOptions,
 ): Server {
-  const { plans, states, quotas, limits } = options;
+  const { plans, states, quotas, limits, tunnels } = options;
   const server = createServer((request, response) => {
     if (request.url === LinkPath.plan) return plans.accept(request, response);
     if (request.url === LinkPath.state) return states.accept(request, response);
@@ -48,6 +51,9 @@
     response.writeHead(200, { "Content-Type": "application/json" });
     response.end(body);
   });
+  server.on("connect", (request, socket: Socket) => {
+    tunnels.accept(request, socket);
+  });
   // The request of a link has no end, so it must not time out.
   server.requestTimeout = 0;
   return server;
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -15,13 +15,13 @@
   RunSummary,
 } from "../planning/assignment.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
-import { CallMode } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Engine } from "../routing/model.ts";
 import type { Attempts } from "./attempts.ts";
 import { placementDeadline, placementRequestOf } from "./engine_request.ts";
-import { usableReplicas } from "./availability.ts";
-import { backoffRefusal, noteLimit, plannerRefusal } from "./refusals.ts";
+import { buildEnginePlacement } from "./build_placement.ts";
+import { usableReplicas, watchAvailability } from "./availability.ts";
+import { noteLimit, plannerRefusal, unavailableRefusal } from "./refusals.ts";
 import { memoryTokens } from "./memory.ts";
 import type {
   Placement,
@@ -101,7 +101,13 @@
       const prefillMs = await this.#prefill(reservation, assignment.prefill);
       const isLate = clock.now() > reservation.expiresAt - EXPIRY_MARGIN_MS;
       if (!isLate) {
-        return this.#buildPlacement(reservation, permit, { waitMs, prefillMs });
+        return buildEnginePlacement(reservation, {
+          permit,
+          waitMs,
+          prefillMs,
+          exported: this.#export,
+          priority: this.#options.request.priority,
+        });
       }
       this.release();
     }
@@ -119,17 +125,17 @@
   async #findAssignment(
     constraints: PlacementConstraints,
   ): Promise<ReplicaChoice | PlacementRefusal> {
-    const { context } = this.#options;
+    const { context, request } = this.#options;
     const closed = new Set(constraints.excluded);
     for (;;) {
-      const available = usableReplicas(context, this.#options.request, closed);
+      const available = usableReplicas(context, request, closed);
       if (available.type === "none") {
         const { retryAfterMs } = available;
         const isLate = context.clock.now() + retryAfterMs >=
           placementDeadline(this.#options, constraints);
         // Waiting is better than failing a response that has started.
         if (!constraints.mayHaveRun || isLate) {
-          return backoffRefusal(context, this.#options.request, retryAfterMs);
+          return unavailableRefusal(context, request, available);
         }
         await sleep(context.clock, retryAfterMs);
         if (this.#ended) return { error: GatewayError.noMemory };
@@ -180,8 +186,14 @@
     const cancelTimer = Number.isFinite(nextAvailableMs)
       ? context.clock.after(nextAvailableMs, reopen)
       : () => undefined;
+    const cancelCheck = watchAvailability(
+      this.#options,
+      constraints.excluded,
+      reopen,
+    );
     const assignment = await wait.result;
     cancelTimer();
+    cancelCheck();
     if (!("reason" in assignment)) this.#assignmentId = id;
     else if (isReopened && assignment.reason === "cancelled") return "reopened";
     return assignment;
@@ -213,7 +225,9 @@
     if (typeof reservation === "string") {
       this.#releasePermit();
       if (reservation === "noResponse") {
-        this.failed({ rejected: false, isBackoff: false });
+        const { monitor } = context.paths;
+        const isLocal = monitor.isLost(replica.entry.incarnation);
+        this.failed({ rejected: false, isBackoff: false, isLocal });
       } else this.#refuseAssignment();
       return undefined;
     }
@@ -241,15 +255,20 @@
     return spentMs;
   }
 
-  #endAssignment(): void {
+  /** Clears the id of the assignment and returns it. */
+  #takeAssignmentId(): string | undefined {
     const id = this.#assignmentId;
     this.#assignmentId = undefined;
+    return id;
+  }
+
+  #endAssignment(): void {
+    const id = this.#takeAssignmentId();
     if (id !== undefined) this.#options.planner.ended(id);
   }
 
   #refuseAssignment(retryAfterMs?: Milliseconds): void {
-    const id = this.#assignmentId;
-    this.#assignmentId = undefined;
+    const id = this.#takeAssignmentId();
     if (id !== undefined) this.#options.planner.refused(id, retryAfterMs);
   }
 
@@ -258,31 +277,6 @@
     this.#permit = undefined;
   }
 
-  #buildPlacement(
-    reservation: Reservation,
-    permit: SendPermit,
-    times: { readonly waitMs: Milliseconds; readonly prefillMs: Milliseconds },
-  ): Placement {
-    const { replica, id, tokens } = reservation;
-    const exported = this.#export;
-    const address = exported?.replica.entry.address ?? "";
-    return {
-      replica,
-      permit,
-      tokens,
-      waitMs: Math.round(times.waitMs),
-      prefillMs: Math.round(times.prefillMs),
-      ...(exported ? { export: exported } : {}),
-      headers: {
-        mode: CallMode.whole,
-        replica: replica.entry.id,
-        priority: this.#options.request.priority,
-        reservation: id,
-        ...(exported ? { export: { address, id: exported.id } } : {}),
-      },
-    };
-  }
-
   release(): void {
     const { context } = this.#options;
     if (this.#reservation) dropReservation(context, this.#reservation);
@@ -294,14 +288,14 @@
 
   failed(failure: PlacementFailure): void {
     const { planner } = this.#options;
-    const { rejected, isBackoff } = failure;
+    const { rejected, isBackoff, isLocal } = failure;
     const exportLost = rejected && !isBackoff && this.#export !== undefined;
-    const id = this.#assignmentId;
-    this.#assignmentId = undefined;
+    const id = this.#takeAssignmentId();
     if (exportLost) this.#localPrefill = true;
     if (id !== undefined) {
       if (exportLost) planner.exportLost(id);
       else if (isBackoff) planner.refused(id);
+      else if (isLocal) planner.ended(id);
       else planner.failed(id);
     }
     this.release();
@@ -313,8 +307,7 @@
   }
 
   completed(run: RunSummary = {}): void {
-    const id = this.#assignmentId;
-    this.#assignmentId = undefined;
+    const id = this.#takeAssignmentId();
     if (id !== undefined) this.#options.planner.answered(id, run);
   }
 
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -3,7 +3,6 @@
  * is sent again only if the previous send is known not to have run, or if the
  * route allows it to run more than once.
  */
-import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import { isKeyStillValid } from "../customers/admission.ts";
@@ -22,6 +21,7 @@
 import type { Answer } from "../upstreams/call.ts";
 import {
   hasOtherReplica,
+  isPathLost,
   noteInterruption,
   type Sending,
   sendRequest,
@@ -167,6 +167,7 @@
         excluded: this.#attempts.excluded,
       });
     const timeoutMs = route.objectiveMs * tuning.retryAfterObjectives;
+    const isRepeatable = this.#attempts.repeatable && !this.#attempts.isLast;
     const lastEventId = this.#position.lastId;
     this.#sending = sendRequest(this.#context, this.#request, placed.replica, {
       headers: {
@@ -175,6 +176,7 @@
         ...(lastEventId === undefined ? {} : { lastEventId }),
       },
       permit: placed.permit,
+      isRepeatable,
       ...(mayWaitLonger ? {} : { timeoutMs }),
     });
     return await this.#sending.result;
@@ -187,18 +189,19 @@
     const notRun = result.type === "notRun";
     const rejected = notRun && result.rejected;
     const isBackoff = notRun && result.isBackoff;
-    this.#placer.failed({ rejected, isBackoff });
+    const { isLocal, reason } = result;
+    this.#placer.failed({ rejected, isBackoff, isLocal });
     const arrived = !notRun || result.arrived;
     if (!arrived) this.#attempts.noteNotArrived();
     else if (notRun) this.#attempts.noteNotRun();
     // If only the export was lost, the same replica can still run the request.
     const exportLost = rejected && !isBackoff && placed.export !== undefined;
-    // The gate excludes a replica that backs off until the backoff ends.
-    const mayAccept = exportLost || isBackoff;
+    // The gate excludes a replica that backs off until the backoff ends. If
+    // only this host's path failed, a peer can still reach the replica.
+    const mayAccept = exportLost || isBackoff || (!notRun && isLocal);
     if (!mayAccept) this.#attempts.exclude(placed.replica.entry.incarnation);
     const allowed = notRun || this.#attempts.repeatable;
-    if (allowed && this.#attempts.acquireRetry(result.reason)) return;
-    const { reason } = result;
+    if (allowed && this.#attempts.acquireRetry(reason)) return;
     if (!notRun) return this.#fail(GatewayError.outcomeUnknown, { reason });
     // If all replicas back off, the caller should not retry before one reopens.
     const refusal = refusalWhenAllBackOff(this.#context, this.#request);
@@ -217,8 +220,7 @@
       const reason = `Status ${status}`;
       return this.#fail(GatewayError.outcomeUnknown, { reason });
     }
-    const startedAt = this.#context.clock.now();
-    const outcome = await this.#relay(placed, answer, startedAt);
+    const outcome = await this.#relay(placed, answer);
     if (outcome === "complete") this.#meter.complete(status);
     else if (outcome === "unread") this.#placer.release();
     else this.#noteInterrupted(placed);
@@ -229,7 +231,8 @@
   }
 
   #noteInterrupted(placed: Placement): void {
-    this.#placer.failed({ rejected: false, isBackoff: false });
+    const isLocal = isPathLost(this.#context, placed.replica);
+    this.#placer.failed({ rejected: false, isBackoff: false, isLocal });
     const isByReplica = !this.#ended && !this.#retryAcquired;
     noteInterruption(this.#context, this.#request, placed.replica, isByReplica);
   }
@@ -248,11 +251,10 @@
   #relay(
     placed: Placement,
     answer: Answer,
-    startedAt: Milliseconds,
   ): Promise<RelayOutcome> {
     return relayToCaller(this.#context, this.#request, {
       answer,
-      startedAt,
+      startedAt: this.#context.clock.now(),
       reply: this.#reply,
       writer: this.#writer,
       position: this.#position,
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -37,6 +37,10 @@
   readonly rejected: boolean;
   /** The replica requested a backoff, which hides other causes. */
   readonly isBackoff: boolean;
+  /**
+   * This host's own network path failed, which says nothing about the replica.
+   */
+  readonly isLocal: boolean;
 };
 
 /** How earlier sends of a request restrict its placement. */
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -14,16 +14,16 @@
 } from "../planning/assignment.ts";
 import type { ServiceCustomer } from "../planning/last_ratios.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
-import { CallMode } from "../port.ts";
 import { chooseReplica } from "../replicas/choice.ts";
 import type { Replica } from "../replicas/replica.ts";
 import { isRepeatable } from "../routing/model.ts";
+import { buildPlainPlacement } from "./build_placement.ts";
 import { usableReplicas } from "./availability.ts";
 import {
-  backoffRefusal,
   noteLimit,
   plannerRefusal,
   spreadRetryAfterMs,
+  unavailableRefusal,
 } from "./refusals.ts";
 import { nextAssignmentId } from "./assignment_ids.ts";
 import { callerDeadline } from "./engine_request.ts";
@@ -80,8 +80,7 @@
     for (;;) {
       const available = usableReplicas(this.#context, this.#request, tried);
       if (available.type === "none") {
-        const { retryAfterMs } = available;
-        return backoffRefusal(this.#context, this.#request, retryAfterMs);
+        return unavailableRefusal(this.#context, this.#request, available);
       }
       const { excluded } = available;
       const replica = await this.#chooseReplica({ ...constraints, excluded });
@@ -105,7 +104,8 @@
         const { permit } = outcome;
         this.#permit = permit;
         if (!this.#ended) {
-          return placement(replica, permit, clock.now() - requestedAt);
+          const waitMs = clock.now() - requestedAt;
+          return buildPlainPlacement(replica, { permit, waitMs });
         }
         this.release();
         return { error: GatewayError.noReplica };
@@ -240,10 +240,11 @@
     if (id !== undefined) this.#planner.ended(id);
   }
 
-  failed({ rejected }: PlacementFailure): void {
+  failed({ rejected, isLocal }: PlacementFailure): void {
     const id = this.#clearAssignmentId();
     if (id === undefined) return;
-    if (rejected) this.#planner.refused(id);
+    if (isLocal) this.#planner.ended(id);
+    else if (rejected) this.#planner.refused(id);
     else this.#planner.failed(id);
   }
 
@@ -267,12 +268,3 @@
     return id;
   }
 }
-
-function placement(
-  replica: Replica,
-  permit: SendPermit,
-  waitMs: Milliseconds,
-): Placement {
-  const headers = { mode: CallMode.whole, replica: replica.entry.id };
-  return { replica, permit, tokens: 0, waitMs: Math.round(waitMs), headers };
-}
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -140,6 +140,7 @@
       },
       permit,
       timeoutMs: tuning.prefillTimeoutMs,
+      isRepeatable: true,
     });
     const result = await this.#sending.result;
     if (result.type === "closed") {
@@ -165,9 +166,9 @@
     }
     if (result.type === "answer") result.answer.message.resume();
     if (this.#ended) return undefined;
-    if (result.type === "notRun" && result.isBackoff) {
-      this.#noteSkipped(replica, 0);
-    }
+    const isBackoff = result.type === "notRun" && result.isBackoff;
+    const isLocal = result.type !== "answer" && result.isLocal;
+    if (isBackoff || isLocal) this.#noteSkipped(replica, 0);
     events.note("prefillFailed", {
       request: this.#request.facts.id,
       replica: replica.entry.incarnation,
--- a/src/gateway/requests/refusals.ts
+++ b/src/gateway/requests/refusals.ts
@@ -48,13 +48,20 @@
   return minRetryAfterMs + spreadMs * (rank + random()) / (MAX_RANK + 1);
 }
 
-/** Refuses a request whose remaining replicas all back off. */
-export function backoffRefusal(
+/**
+ * Refuses a request whose remaining replicas all back off, or that no host
+ * reaches.
+ */
+export function unavailableRefusal(
   context: Pick<GatewayContext, "random">,
   request: Pick<GatewayRequest, "priority">,
-  minRetryAfterMs: Milliseconds,
+  { retryAfterMs: minRetryAfterMs, isUnreachable }: {
+    readonly retryAfterMs: Milliseconds;
+    readonly isUnreachable: boolean;
+  },
 ): PlacementRefusal {
   const retryAfterMs = spreadRetryAfterMs(context, request, minRetryAfterMs);
+  if (isUnreachable) return { error: GatewayError.noReplica, retryAfterMs };
   const basis = { backoff_ms: Math.round(minRetryAfterMs) };
   return { error: GatewayError.backingOff, retryAfterMs, basis };
 }
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -35,13 +35,15 @@
 
   /** Logs a send to a replica and what the placement was based on. */
   placed(placed: Placement, sends: number): void {
-    const { metrics, replicas, routes, clock, gate } = this.#context;
+    const { metrics, replicas, routes, clock, gate, paths } = this.#context;
     const { facts } = this.#request;
     const replica = placed.replica.entry.incarnation;
+    const isTunnelled = paths.monitor.isLost(replica);
     this.#lastSend = { replica, at: clock.now() };
     metrics.count("sends");
     this.note("placed", {
       replica,
+      peer: isTunnelled ? paths.dialer.peerOf(replica) : undefined,
       prefill: placed.export?.replica.entry.incarnation,
       tokens: placed.tokens,
       priority: this.#request.priority,
--- a/src/gateway/requests/run_meter.ts
+++ b/src/gateway/requests/run_meter.ts
@@ -56,7 +56,8 @@
     const { placer, request, context } = this.#options;
     if (!this.#isOn) return placer.completed();
     if (status >= 500) {
-      return placer.failed({ rejected: false, isBackoff: false });
+      const failure = { rejected: false, isBackoff: false, isLocal: false };
+      return placer.failed(failure);
     }
     const isStream = request.route.kind === RouteKind.streaming;
     const runMs = context.clock.now() - this.#sentAt;
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -30,9 +30,16 @@
     readonly arrived: boolean;
     /** The replica requested a backoff, which is not a failure. */
     readonly isBackoff: boolean;
+    /** As in {@link PlacementFailure}. */
+    readonly isLocal: boolean;
   }
   /** The request may have run. */
-  | { readonly type: "unknown"; readonly reason: string }
+  | {
+    readonly type: "unknown";
+    readonly reason: string;
+    /** As in {@link PlacementFailure}. */
+    readonly isLocal: boolean;
+  }
   /** Not sent: the replica is closed to this host at present. */
   | { readonly type: "closed"; readonly obstacle: Obstacle };
 
@@ -49,6 +56,8 @@
   readonly permit: SendPermit;
   /** Aborts the call if no response headers arrive within this time. */
   readonly timeoutMs?: Milliseconds;
+  /** Whether the call is aborted if the path to the replica is lost. */
+  readonly isRepeatable: boolean;
 };
 
 /** Sends a request or its prefill; all sends to replicas use this function. */
@@ -56,7 +65,7 @@
   context: GatewayContext,
   request: GatewayRequest,
   replica: Replica,
-  { headers, permit, timeoutMs }: SendOptions,
+  { headers, permit, timeoutMs, isRepeatable }: SendOptions,
 ): Sending {
   // The request may have waited since its replica was chosen, and the replica
   // may have started to drain or to back off in the meantime.
@@ -69,8 +78,8 @@
   permit.use();
   context.gate.noteSend(replica.entry);
   const call = context.pool.send({
-    address: replica.entry.address,
-    incarnation: replica.entry.incarnation,
+    entry: replica.entry,
+    isRepeatable,
     method: request.method,
     path: request.target,
     headers: context.dialect.callHeaders(request.rawHeaders, {
@@ -99,6 +108,14 @@
   return { result, abort: (reason) => call.abort(reason) };
 }
 
+/** Whether only this host does not reach the replica. */
+export function isPathLost(
+  { paths }: Pick<GatewayContext, "paths">,
+  { entry }: Replica,
+): boolean {
+  return paths.monitor.isLost(entry.incarnation);
+}
+
 /** Whether another replica could serve the request instead of `entry`. */
 export function hasOtherReplica(
   { replicas, gate }: GatewayContext,
@@ -135,12 +152,7 @@
   const outcome = await call.outcome;
   if (outcome.type === "notSent") return notSent(context, replica, outcome);
   if (outcome.type === "broken") {
-    const severe = outcome.reason === "No answer in time";
-    noteFailure(context, replica, { reason: outcome.reason, severe });
-    if (!outcome.isStale) {
-      noteInterruption(context, request, replica, !outcome.isAborted);
-    }
-    return { type: "unknown", reason: outcome.reason };
+    return brokenResult(context, request, replica, outcome);
   }
   const { answer } = outcome;
   const { message } = answer;
@@ -162,7 +174,8 @@
       replica: replica.entry.incarnation,
       answer_to: facts.id,
     });
-    return { type: "unknown", reason: "An answer to another request" };
+    const reason = "An answer to another request";
+    return { type: "unknown", reason, isLocal: false };
   }
   if (facts.notRun) {
     message.resume();
@@ -172,23 +185,48 @@
     const { backoff } = facts;
     const isBackoff = rejected && backoff.type === "backoff" &&
       backoff.forMs > 0;
-    return { type: "notRun", reason, rejected, arrived: true, isBackoff };
+    return {
+      type: "notRun",
+      reason,
+      rejected,
+      arrived: true,
+      isBackoff,
+      isLocal: false,
+    };
   }
   if (NOT_RUN_STATUSES.has(status)) {
     message.resume();
-    return { type: "unknown", reason: `Status ${status}` };
+    return { type: "unknown", reason: `Status ${status}`, isLocal: false };
   }
   if (status >= 500) replica.noteFailure(now, false);
   else replica.noteSuccess();
   return { type: "answer", answer };
 }
 
+/** Handles a call that was sent, but not answered. */
+function brokenResult(
+  context: GatewayContext,
+  request: GatewayRequest,
+  replica: Replica,
+  outcome: Extract<CallOutcome, { type: "broken" }>,
+): SendResult {
+  const { reason, isAborted, isStale } = outcome;
+  const isLocal = isAborted && isPathLost(context, replica);
+  const severe = reason === "No answer in time";
+  if (!isLocal) noteFailure(context, replica, { reason, severe });
+  if (!isLocal && !isStale) {
+    noteInterruption(context, request, replica, !isAborted);
+  }
+  return { type: "unknown", reason, isLocal };
+}
+
 /** Handles a call of which no byte reached the replica. */
 function notSent(
   context: GatewayContext,
   replica: Replica,
-  { reason, isRefused, isWithheld }: Extract<CallOutcome, { type: "notSent" }>,
+  outcome: Extract<CallOutcome, { type: "notSent" }>,
 ): SendResult {
+  const { reason, isRefused, isWithheld, isLocal = false } = outcome;
   if (isWithheld) {
     const obstacle = context.gate.obstacle(replica) ?? { type: "leaving" };
     return { type: "closed", obstacle };
@@ -201,6 +239,7 @@
     rejected: false,
     arrived: false,
     isBackoff: false,
+    isLocal,
   };
 }
 
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -253,6 +253,7 @@
   const entry = change.replica;
   const replica = context.replicas.get(entry.incarnation);
   if (!replica || context.gate.obstacle(replica)) return FAILED_ATTEMPT;
+  if (context.paths.monitor.isLost(entry.incarnation)) return FAILED_ATTEMPT;
   const answer = await callEngine(context, entry, {
     call: dialect.report,
     timeoutMs: CALL_TIMEOUT_MS,
@@ -300,6 +301,11 @@
   });
   metrics.count("stage_orders");
   const timeoutMs = CALL_TIMEOUT_MS;
-  const answer = await callEngine(context, change.replica, { call, timeoutMs });
+  // Replicas tell the holders of leases apart by their addresses.
+  const answer = await callEngine(context, change.replica, {
+    call,
+    timeoutMs,
+    isDirectOnly: true,
+  });
   return answer && dialect.readOrder(answer.status);
 }
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -61,6 +61,13 @@
     readonly isRefused: boolean;
     /** The check before sending did not allow it. */
     readonly isWithheld: boolean;
+    /** The code of the error, as in Node.js. */
+    readonly code?: string | undefined;
+    /**
+     * Only this host failed to connect, and no other host was asked, so it says
+     * nothing about the replica.
+     */
+    readonly isLocal?: boolean;
   }
   /** The request was sent, at least in part, but no response was received. */
   | {
@@ -82,7 +89,7 @@
 /** Starts a call. */
 export function startCall(options: CallOptions): Call {
   const target = parseAddress(options.address);
-  if (!target) return failInvalidAddress(options.address);
+  if (!target) return failedCall(`Invalid address: ${options.address}`);
   const clientRequest = openRequest(options, target);
   let isConnected = false;
   let hasFailed = false;
@@ -94,11 +101,11 @@
     const isStale = isEarly && clientRequest.reusedSocket;
     return { type: "broken", reason, isAborted, isStale } as const;
   };
-  const notSent = (reason: string, isRefused: boolean) =>
-    ({ type: "notSent", reason, isRefused, isWithheld }) as const;
-  const cancelTimer = options.clock.after(options.connectTimeoutMs, () => {
-    if (!isConnected) clientRequest.destroy(new Error("Connection timed out"));
-  });
+  const cancelTimer = limitConnectTime(
+    options,
+    clientRequest,
+    () => isConnected,
+  );
   watchSocket(clientRequest, {
     onConnected: () => {
       cancelTimer();
@@ -119,12 +126,14 @@
       hasFailed = true;
       cancelTimer();
       const reason = error.message;
-      resolve(isConnected ? broken(reason) : notSent(reason, isRefusal(error)));
+      resolve(
+        isConnected ? broken(reason) : notSent(reason, { isWithheld, error }),
+      );
     });
     clientRequest.on("close", () => {
       cancelTimer();
       const reason = "Connection closed before a response";
-      resolve(isConnected ? broken(reason) : notSent(reason, false));
+      resolve(isConnected ? broken(reason) : notSent(reason, { isWithheld }));
     });
   });
   clientRequest.end(options.body.length > 0 ? options.body : undefined);
@@ -167,6 +176,40 @@
   });
 }
 
+function notSent(
+  reason: string,
+  { isWithheld, error }: {
+    readonly isWithheld: boolean;
+    readonly error?: Error;
+  },
+): CallOutcome {
+  const isRefused = error !== undefined && isRefusal(error);
+  const code = error && codeOf(error);
+  return { type: "notSent", reason, isRefused, isWithheld, code };
+}
+
+function codeOf(error: Error): string | undefined {
+  return "code" in error && typeof error.code === "string"
+    ? error.code
+    : undefined;
+}
+
+/** Ends a call that is not connected in time. */
+function limitConnectTime(
+  { clock, connectTimeoutMs }: CallOptions,
+  clientRequest: ClientRequest,
+  isConnected: () => boolean,
+): () => void {
+  return clock.after(connectTimeoutMs, () => {
+    // After a stall of this process the connection may be established, but not
+    // yet handled.
+    setImmediate(() => {
+      if (isConnected()) return;
+      clientRequest.destroy(new Error("Connection timed out"));
+    });
+  });
+}
+
 /** Adds `Host`, if it is missing, and the `Content-Length` of the body. */
 function withFraming(options: CallOptions): string[] {
   const { headers, method, body } = options;
@@ -185,8 +228,8 @@
   );
 }
 
-function failInvalidAddress(address: string): Call {
-  const reason = `Invalid address: ${address}`;
+/** A call that is not sent for the given reason. */
+export function failedCall(reason: string): Call {
   return {
     outcome: Promise.resolve({
       type: "notSent",
--- a/src/gateway/upstreams/engine_call.ts
+++ b/src/gateway/upstreams/engine_call.ts
@@ -2,11 +2,10 @@
  * Control calls from this host to a model engine: reservations, exports,
  * reports and stage orders.
  */
-import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
-import type { JsonCall } from "../port.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { JsonAnswer } from "./json_client.ts";
+import type { ControlCallOptions } from "./pool.ts";
 
 /**
  * Calls a replica and passes what the headers of its response report about it
@@ -18,13 +17,10 @@
     "pool" | "dialect" | "clock" | "gate"
   >,
   entry: ReplicaEntry,
-  { call, timeoutMs }: {
-    readonly call: JsonCall & { readonly headers?: readonly string[] };
-    readonly timeoutMs: Milliseconds;
-  },
+  options: ControlCallOptions,
 ): Promise<JsonAnswer | undefined> {
   const sentAt = clock.now();
-  const answer = await pool.sendControlCall(entry, call, timeoutMs);
+  const answer = await pool.sendControlCall(entry, options);
   if (!answer) return undefined;
   const notice = dialect.readAnswer(answer.status, answer.headers ?? {});
   if (!notice.misdirected) {
--- a/src/gateway/upstreams/keep_alive_agent.ts
+++ b/src/gateway/upstreams/keep_alive_agent.ts
@@ -1,6 +1,7 @@
 /** Persistent connections that are closed before the replica closes them. */
 import { Agent, type ClientRequestArgs, type IncomingMessage } from "node:http";
 import type { Socket, TcpNetConnectOpts } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Connect } from "./connect.ts";
 
@@ -32,7 +33,7 @@
     this.#connect = connect;
   }
 
-  override createConnection(options: ClientRequestArgs): Socket {
+  override createConnection(options: ClientRequestArgs): Duplex | undefined {
     return this.#connect(options as TcpNetConnectOpts);
   }
 
@@ -60,3 +61,10 @@
   if (seconds === undefined) return DEFAULT_IDLE_MS;
   return Number(seconds) * 1000 - CLOSE_MARGIN_MS;
 }
+
+/** Closes the idle connections of an agent. */
+export function closeIdle(agent: Agent | undefined): void {
+  for (const sockets of Object.values(agent?.freeSockets ?? {})) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -1,95 +1,157 @@
 /**
  * Pools of connections to replicas: for callers' requests, and for control
- * calls, which the gateway itself makes.
+ * calls, which the gateway itself makes. A call that can't be sent over this
+ * host's own path is sent through a peer.
  */
-import type { Agent } from "node:http";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
+import type { ReplicaPaths } from "../paths/create_paths.ts";
+import {
+  type HttpCall,
+  onceConnected,
+  startRoutedCall,
+} from "../paths/routed_call.ts";
+import { NO_PEER_CODE, TunnelAgent } from "../paths/tunnel_agent.ts";
 import type { JsonCall } from "../port.ts";
-import { type Call, readBody, startCall } from "./call.ts";
-import { type Connect, tcpConnect } from "./connect.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import {
+  type Call,
+  type CallOutcome,
+  failedCall,
+  readBody,
+  startCall,
+} from "./call.ts";
 import type { JsonAnswer } from "./json_client.ts";
-import { KeepAliveAgent } from "./keep_alive_agent.ts";
+import { closeIdle, KeepAliveAgent } from "./keep_alive_agent.ts";
 
 const MAX_CONTROL_BODY_BYTES = 1 << 20;
 const JSON_HEADERS = ["Content-Type", "application/json"];
 /** Maximum number of connections for control calls to one replica. */
 const MAX_CONTROL_CONNECTIONS = 3;
+/** Silence after which the path of a request is checked. */
+const REQUEST_SILENCE_MS = 200;
+/** The same for control calls, which need no work at the replica. */
+const CONTROL_SILENCE_MS = 80;
+
+/** Reason of calls that were aborted because they can't be answered. */
+export const PATH_LOST_REASON = "The path to the replica was lost";
 
 /**
  * HTTP agents by incarnation of a replica. Requests and control calls never
  * share a connection: the response to a control call names no request, so a
  * surplus response to a request could be mistaken for it.
  */
+type AgentSet = {
+  readonly direct: Map<string, KeepAliveAgent>;
+  readonly tunnelled: Map<string, TunnelAgent>;
+};
+
+/** A call in progress over this host's own path. */
+type DirectCall = {
+  readonly entry: ReplicaEntry;
+  readonly call: Call;
+  /** It may be sent again if its path is lost. */
+  readonly isRepeatable: boolean;
+};
+
+/** Who waits for a call, and how. */
+type CallContext = {
+  readonly entry: ReplicaEntry;
+  readonly agents: AgentSet;
+  readonly maxConnections: number;
+  readonly silenceMs: Milliseconds;
+  readonly isRepeatable: boolean;
+  /** It must not be sent through a peer. */
+  readonly isDirectOnly: boolean;
+};
+
+/** Options of {@link UpstreamPool.sendControlCall}. */
+export type ControlCallOptions = {
+  readonly call: JsonCall & { readonly headers?: readonly string[] };
+  readonly timeoutMs: Milliseconds;
+  /** The replica must see this host's own address. */
+  readonly isDirectOnly?: boolean | undefined;
+};
+
+/** The connections of a gateway to all replicas. */
 export class UpstreamPool {
   readonly #clock: Clock;
-  readonly #connectTimeoutMs: Milliseconds;
-  readonly #connect: Connect;
-  readonly #requestAgents = new Map<string, Agent>();
-  readonly #controlAgents = new Map<string, Agent>();
+  readonly #paths: ReplicaPaths;
+  readonly #requestAgents = createAgentSet();
+  readonly #controlAgents = createAgentSet();
+  readonly #directCalls = new Set<DirectCall>();
+  /** Replicas to which this host has had a connection of its own. */
+  readonly #connected = new Map<string, ReplicaEntry>();
 
-  constructor(
-    clock: Clock,
-    connectTimeoutMs: Milliseconds,
-    connect: Connect = tcpConnect,
-  ) {
+  constructor(clock: Clock, paths: ReplicaPaths) {
     this.#clock = clock;
-    this.#connectTimeoutMs = connectTimeoutMs;
-    this.#connect = connect;
+    this.#paths = paths;
+    paths.monitor.listen({
+      lost: (entry) => this.#onPathLost(entry),
+      unreachable: (entry) => this.#onUnreachable(entry),
+    });
   }
 
   /** Sends a request unchanged to a replica. */
-  send(options: {
-    readonly address: string;
-    readonly incarnation: string;
-    readonly method: string;
-    readonly path: string;
-    readonly headers: readonly string[];
-    readonly body: Buffer;
-    readonly maxConnections: number;
-    /** As in {@link CallOptions}. */
-    readonly maySend: () => boolean;
-  }): Call {
-    const { incarnation, maxConnections } = options;
-    return startCall({
-      ...options,
-      agent: this.#agentOf(this.#requestAgents, incarnation, maxConnections),
-      clock: this.#clock,
-      connectTimeoutMs: this.#connectTimeoutMs,
+  send(
+    options: HttpCall & {
+      readonly entry: ReplicaEntry;
+      readonly maxConnections: number;
+      readonly isRepeatable: boolean;
+    },
+  ): Call {
+    const { entry, maxConnections, isRepeatable, ...call } = options;
+    return this.#start(call, {
+      entry,
+      agents: this.#requestAgents,
+      maxConnections,
+      silenceMs: REQUEST_SILENCE_MS,
+      isRepeatable,
+      isDirectOnly: false,
     });
   }
 
   /**
    * Makes a control call; undefined if no complete response arrives within
-   * `timeoutMs`.
+   * `timeoutMs`. If the path is lost meanwhile, the call is made once more.
    */
   async sendControlCall(
-    entry: { readonly address: string; readonly incarnation: string },
-    controlCall: JsonCall & { readonly headers?: readonly string[] },
-    timeoutMs: Milliseconds,
+    entry: ReplicaEntry,
+    options: ControlCallOptions,
+  ): Promise<JsonAnswer | undefined> {
+    const { monitor } = this.#paths;
+    const wasLost = monitor.isLost(entry.incarnation);
+    const answer = await this.#controlCall(entry, options);
+    const mayRepeat = answer === undefined && !options.isDirectOnly &&
+      !wasLost && monitor.isLost(entry.incarnation);
+    return mayRepeat ? await this.#controlCall(entry, options) : answer;
+  }
+
+  async #controlCall(
+    entry: ReplicaEntry,
+    { call, timeoutMs, isDirectOnly = false }: ControlCallOptions,
   ): Promise<JsonAnswer | undefined> {
-    const call = startCall({
-      address: entry.address,
-      method: controlCall.method,
-      path: controlCall.path,
+    const httpCall = this.#start({
+      method: call.method,
+      path: call.path,
       headers: [
-        ...(controlCall.body === undefined ? [] : JSON_HEADERS),
-        ...(controlCall.headers ?? []),
+        ...(call.body === undefined ? [] : JSON_HEADERS),
+        ...(call.headers ?? []),
       ],
-      body: Buffer.from(controlCall.body ?? ""),
-      agent: this.#agentOf(
-        this.#controlAgents,
-        entry.incarnation,
-        MAX_CONTROL_CONNECTIONS,
-      ),
-      clock: this.#clock,
-      connectTimeoutMs: Math.min(timeoutMs, this.#connectTimeoutMs),
+      body: Buffer.from(call.body ?? ""),
+    }, {
+      entry,
+      agents: this.#controlAgents,
+      maxConnections: MAX_CONTROL_CONNECTIONS,
+      silenceMs: CONTROL_SILENCE_MS,
+      isRepeatable: !isDirectOnly,
+      isDirectOnly,
     });
     const cancel = this.#clock.after(
       timeoutMs,
-      () => call.abort("Call timed out"),
+      () => httpCall.abort("Call timed out"),
     );
-    const outcome = await call.outcome;
+    const outcome = await httpCall.outcome;
     const body = outcome.type === "answer"
       ? await readBody(outcome.answer, MAX_CONTROL_BODY_BYTES)
       : undefined;
@@ -99,35 +161,158 @@
     return { status: statusCode, body, headers };
   }
 
+  #start(call: HttpCall, context: CallContext): Call {
+    const { dialer, monitor, directTimeoutMs, connectTimeoutMs } = this.#paths;
+    const { entry, isDirectOnly } = context;
+    if (isDirectOnly || !dialer.hasPeers) {
+      return this.#startDirect(call, context, connectTimeoutMs);
+    }
+    monitor.retry(entry.incarnation);
+    if (monitor.isUnreachable(entry.incarnation)) {
+      return failedCall("No host reaches the replica");
+    }
+    const direct = () => this.#startDirect(call, context, directTimeoutMs);
+    const tunnelled = () => this.#startTunnelled(call, context);
+    if (!monitor.isLost(entry.incarnation)) {
+      const onConnected = () => monitor.noteLost(entry, "notConnected");
+      const fallback = () =>
+        this.#startTunnelled(onceConnected(call, onConnected), context);
+      return startRoutedCall(
+        [direct, fallback],
+        ([, outcome]) => this.#notSent(entry, outcome),
+      );
+    }
+    return startRoutedCall(
+      [tunnelled, direct],
+      ([outcome]) => this.#notSent(entry, outcome),
+    );
+  }
+
+  #startDirect(
+    call: HttpCall,
+    { entry, agents, maxConnections, silenceMs, isRepeatable }: CallContext,
+    connectTimeoutMs: Milliseconds,
+  ): Call {
+    const { monitor, connect } = this.#paths;
+    const { incarnation, address } = entry;
+    const agent = agents.direct.get(incarnation) ??
+      new KeepAliveAgent(maxConnections, connect);
+    agents.direct.set(incarnation, agent);
+    this.#connected.set(incarnation, entry);
+    const sentAt = this.#clock.now();
+    const started = startCall({
+      ...call,
+      address,
+      agent,
+      clock: this.#clock,
+      connectTimeoutMs,
+    });
+    const directCall = { entry, call: started, isRepeatable };
+    this.#directCalls.add(directCall);
+    const endWatch = monitor.watch(entry, { sentAt, silenceMs });
+    const outcome = started.outcome.then((result) => {
+      endWatch();
+      this.#directCalls.delete(directCall);
+      if (result.type === "answer") monitor.noteReceived(this.#clock.now());
+      return result;
+    });
+    return { outcome, abort: started.abort };
+  }
+
+  #startTunnelled(
+    call: HttpCall,
+    { entry, agents, maxConnections }: CallContext,
+  ): Call {
+    const { dialer, tunnelTimeoutMs, connectTimeoutMs } = this.#paths;
+    const { incarnation, address } = entry;
+    const agent = agents.tunnelled.get(incarnation) ?? new TunnelAgent({
+      maxConnections,
+      clock: this.#clock,
+      open: () => dialer.open(entry, tunnelTimeoutMs),
+    });
+    agents.tunnelled.set(incarnation, agent);
+    return startCall({
+      ...call,
+      address,
+      agent,
+      clock: this.#clock,
+      connectTimeoutMs,
+    });
+  }
+
+  /** Handles a call that was sent over neither path; `outcome` is a peer's. */
+  #notSent(
+    entry: ReplicaEntry,
+    outcome: CallOutcome | undefined,
+  ): CallOutcome {
+    const { monitor } = this.#paths;
+    monitor.noteUnreachable(entry);
+    if (outcome?.type !== "notSent") return notSentOutcome();
+    return { ...outcome, isLocal: outcome.code === NO_PEER_CODE };
+  }
+
+  /** Stops using the connections over a path that is lost. */
+  #onPathLost(lost: ReplicaEntry): void {
+    const { incarnation } = lost;
+    for (const { entry, call, isRepeatable } of this.#directCalls) {
+      if (!isRepeatable || entry.incarnation !== incarnation) continue;
+      call.abort(PATH_LOST_REASON);
+    }
+    this.#onUnreachable(lost);
+  }
+
+  /** Closes connections that are silent, and checks the paths of the others. */
+  #onUnreachable({ incarnation }: ReplicaEntry): void {
+    for (const { direct } of [this.#requestAgents, this.#controlAgents]) {
+      closeIdle(direct.get(incarnation));
+    }
+    // They are probably lost as well, and their next calls need not wait.
+    this.#paths.monitor.checkAll([...this.#connected.values()]);
+  }
+
   /**
    * Drops the agents of a removed replica and closes their idle connections.
    */
   removeReplica(incarnation: string): void {
-    this.#controlAgents.get(incarnation)?.destroy();
-    this.#controlAgents.delete(incarnation);
+    const { monitor, dialer } = this.#paths;
+    monitor.removeReplica(incarnation);
+    dialer.removeReplica(incarnation);
+    this.#connected.delete(incarnation);
+    for (const agents of Object.values(this.#controlAgents)) {
+      agents.get(incarnation)?.destroy();
+      agents.delete(incarnation);
+    }
     // Requests in progress keep their connections until they end.
-    const idleSockets = this.#requestAgents.get(incarnation)?.freeSockets ?? {};
-    this.#requestAgents.delete(incarnation);
-    for (const sockets of Object.values(idleSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
+    for (const agents of Object.values(this.#requestAgents)) {
+      closeIdle(agents.get(incarnation));
+      agents.delete(incarnation);
     }
   }
 
   /** Closes all connections. */
   close(): void {
-    for (const agent of this.#requestAgents.values()) agent.destroy();
-    for (const agent of this.#controlAgents.values()) agent.destroy();
+    for (
+      const { direct, tunnelled } of [
+        this.#requestAgents,
+        this.#controlAgents,
+      ]
+    ) {
+      for (const agent of direct.values()) agent.destroy();
+      for (const agent of tunnelled.values()) agent.destroy();
+    }
   }
+}
 
-  #agentOf(
-    agents: Map<string, Agent>,
-    incarnation: string,
-    maxSockets: number,
-  ): Agent {
-    const existing = agents.get(incarnation);
-    if (existing) return existing;
-    const agent = new KeepAliveAgent(maxSockets, this.#connect);
-    agents.set(incarnation, agent);
-    return agent;
-  }
+function createAgentSet(): AgentSet {
+  return { direct: new Map(), tunnelled: new Map() };
+}
+
+function notSentOutcome(): CallOutcome {
+  return {
+    type: "notSent",
+    reason: "No host reaches the replica",
+    isRefused: false,
+    isWithheld: false,
+    isLocal: false,
+  };
 }
--- a/test/gateway/crashes/crash_watch_test.ts
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -19,7 +19,7 @@
     metrics: { count: () => undefined },
     rule: { crashThreshold: 3, ttlMs: 60_000 },
     isDraining: (entry) => entry.leaving,
-    probe: (address) => {
+    probe: ({ address }) => {
       probes.push(address);
       return new Promise((resolve) => {
         time.clock.after(2, () => resolve(probeResult()));
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -18,6 +18,7 @@
 import { singleHostLimits } from "../limits/single_host_limits.ts";
 import { singleHostGate } from "../replicas/single_host_gate.ts";
 import { ENGINE } from "../rig.ts";
+import { singleHostPaths } from "../paths/single_host_paths.ts";
 
 const ROUTE: Route = {
   name: "route",
@@ -77,6 +78,7 @@
     replicas,
     routes: new RouteTable(),
     ...singleHostGate({ replicas }),
+    paths: singleHostPaths({ now: () => 0, after: () => () => undefined }),
     tuning: {
       outputMargin: 1,
       remoteHallPenalty: 0,
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -26,7 +26,7 @@
 import { ByteBudget } from "../../src/gateway/memory/byte_budget.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
-import { probeAddress } from "../../src/gateway/upstreams/probe.ts";
+import { singleHostPaths } from "./paths/single_host_paths.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
 import { TEST_TIMEOUT_MS, TEST_TUNING } from "./test_tuning.ts";
 import { neverSuspended } from "./never_suspended.ts";
@@ -240,6 +240,7 @@
   const metrics = new Metrics();
   const replicas = new ReplicaTable();
   const clock = { ...systemClock, now: options.now ?? systemClock.now };
+  const paths = singleHostPaths(clock);
   const limits = singleHostLimits({
     clock,
     events: log,
@@ -257,15 +258,15 @@
     replicas,
     heldBytes: new ByteBudget(Infinity),
     retryBudget: new RetryBudget({ ...rule, ...budget }, -TEST_TIMEOUT_MS),
-    pool: new UpstreamPool(clock, TEST_TIMEOUT_MS),
+    pool: new UpstreamPool(clock, paths),
+    paths,
     crashes: new CrashWatch({
       clock,
       events: log,
       metrics,
       rule: { crashThreshold: 3, ttlMs: TEST_TIMEOUT_MS },
       isDraining: (entry) => replicas.isDraining(entry),
-      probe: (address) =>
-        probeAddress(address, { clock, timeoutMs: TEST_TIMEOUT_MS }),
+      probe: (entry) => paths.monitor.probe(entry),
     }),
     limits,
     ...singleHostGate({ clock, events: log, replicas, limits }),
--- a/test/gateway/stages/measured_loop_test.ts
+++ b/test/gateway/stages/measured_loop_test.ts
@@ -32,6 +32,7 @@
   replicasOf,
   SWITCH_MS,
 } from "./split_rig.ts";
+import { singleHostPaths } from "../paths/single_host_paths.ts";
 
 /** How late a replica may carry out an order that it did not answer. */
 const MAX_ORDER_DELAY_MS = 12_000;
@@ -56,6 +57,7 @@
     clock,
     replicas,
     ...singleHostGate({ replicas }),
+    paths: singleHostPaths(clock),
     routes: { config: { services: [{ name: "s", engine }] } },
     dialect: {
       report: { method: "GET", path: "/report" },
@@ -71,7 +73,7 @@
     pool: {
       sendControlCall: (
         { incarnation }: ReplicaEntry,
-        { path }: { path: string },
+        { call: { path } }: { call: { path: string } },
       ) => {
         if (path === "/order") orders.push(incarnation);
         const status = path === "/order" ? orderStatus : 200;
--- a/test/gateway/stages/stage_loop_test.ts
+++ b/test/gateway/stages/stage_loop_test.ts
@@ -17,6 +17,7 @@
 import { neverSuspended } from "../never_suspended.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
 import { steppedTime } from "./stepped_time.ts";
+import { singleHostPaths } from "../paths/single_host_paths.ts";
 
 const SWITCH_MS = 6000;
 /** How late a replica may carry out an order that it did not answer. */
@@ -41,6 +42,7 @@
     clock,
     replicas,
     ...singleHostGate({ replicas }),
+    paths: singleHostPaths(clock),
     routes: {
       config: {
         services: [{
@@ -64,7 +66,7 @@
     pool: {
       sendControlCall: (
         { incarnation }: ReplicaEntry,
-        { path }: { path: string },
+        { call: { path } }: { call: { path: string } },
       ) => {
         if (path === "/order") orders.push(incarnation);
         const status = path === "/order" ? orderStatus : 200;
--- a/test/soak/replica_path.ts
+++ b/test/soak/replica_path.ts
@@ -23,7 +23,7 @@
 
   /** Opens a connection as the path allows at present. */
   readonly connect: Connect = (options) => {
-    if (this.#cut === PathCut.hang) return this.#track(new Socket());
+    if (this.#cut === PathCut.hang) return this.#track(connectingSocket());
     if (this.#cut !== PathCut.none) return refusedSocket();
     return this.#track(connect(options));
   };
@@ -58,8 +58,17 @@
   }
 }
 
-function refusedSocket(): Socket {
+/** A socket whose connection is not established. */
+function connectingSocket(): Socket {
   const socket = new Socket();
+  Object.defineProperty(socket, "connecting", {
+    get: () => !socket.destroyed,
+  });
+  return socket;
+}
+
+function refusedSocket(): Socket {
+  const socket = connectingSocket();
   setImmediate(() => socket.destroy(networkError("REFUSED")));
   return socket;
 }
