Soak: hosts that lose the path to all replicas, and replicas that are silent for a second

Five kinds of cuts (a host or the hosts of a hall; silent, reset, or only new connections refused) and a silent replica, drawn from a generator of their own so that the other faults of each seed stay.

--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -11,6 +11,7 @@
 import { LIMIT_WINDOW_MS, maxAllowed } from "../platform/rate_windows.ts";
 import { findBackoffViolations, findSendsAfterDrainNotice } from "./notices.ts";
 import { findForwardedRequests } from "./forwarded_requests.ts";
+import { findUnservedCuts, type PathCutInterval } from "./path_faults.ts";
 import type { LimitInterval } from "./world.ts";
 import { ROUTE_TIMEOUT_MS } from "./world_config.ts";
 import type { Exit } from "./gateway_process.ts";
@@ -37,6 +38,7 @@
   readonly unaffectedHosts: ReadonlySet<string>;
   /** Replicas whose responses did not reach hosts for some time. */
   readonly disruptedReplicas: ReadonlySet<string>;
+  readonly pathCuts: readonly PathCutInterval[];
   /** Hosts whose process was never stopped or suspended. */
   readonly uninterruptedHosts: ReadonlySet<string>;
 };
@@ -70,6 +72,7 @@
   checkCrashes,
   checkLimits,
   checkReplicaNotices,
+  checkPathCuts,
 ];
 
 /** Returns all violations of a run. */
@@ -315,3 +318,14 @@
     detail: `${call.id} at ${call.host}, status ${call.status}`,
   }));
 }
+
+/** Hosts without a path to any replica serve their callers through others. */
+function checkPathCuts(
+  { calls, pathCuts, unaffectedHosts }: Observations,
+): Violation[] {
+  const atUnaffected = calls.filter(({ host }) => unaffectedHosts.has(host));
+  return findUnservedCuts(atUnaffected, pathCuts).map((detail) => ({
+    rule: "hosts without a path to replicas serve callers",
+    detail,
+  }));
+}
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -2,7 +2,8 @@
 import { type FleetHost, targetHost } from "./fleet.ts";
 import { BACKOFF_TEXTS, LIMIT_TEXTS } from "./fault_values.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
-import { BlockedDirection, type FaultProxy } from "./fault_proxy.ts";
+import { BlockedDirection } from "./fault_proxy.ts";
+import { block, cutPaths, resetAll, silence, slow } from "./path_faults.ts";
 import { type Fault, FaultKind } from "./schedule.ts";
 import { StoreMode } from "../platform/store_standin.ts";
 import type { World, WorldReplica } from "./world.ts";
@@ -13,7 +14,6 @@
   readonly hosts: readonly FleetHost[];
 };
 
-const SLOW_MS = 150;
 const STORE_SLOW_MS = 500;
 /**
  * The delay after which replicas write their entries to a store that is
@@ -111,6 +111,14 @@
       return slowDown(replica);
     case FaultKind.plannerKill:
       return killPlanner(hosts, fault);
+    case FaultKind.replicaSilent:
+      return silence(world, replica);
+    case FaultKind.hostPathsHang:
+    case FaultKind.hostPathsReset:
+    case FaultKind.hostPathsRefuse:
+    case FaultKind.hallPathsHang:
+    case FaultKind.hallPathsReset:
+      return cutPaths(hosts, fault);
     case FaultKind.replicaBackoff:
       return requireBackoff([replica], fault);
     case FaultKind.serviceBackoff:
@@ -291,21 +299,6 @@
   return restartAfter(process, process.kill());
 }
 
-function block(proxy: FaultProxy, direction: BlockedDirection): Undo {
-  proxy.blocked = direction;
-  return () => proxy.clearFaults();
-}
-
-function slow(proxy: FaultProxy): Undo {
-  proxy.delayMs = SLOW_MS;
-  return () => proxy.clearFaults();
-}
-
-function resetAll(proxy: FaultProxy): Undo {
-  proxy.reset(() => true);
-  return NO_UNDO;
-}
-
 export function sleep(forMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, forMs));
 }
--- /dev/null
+++ b/test/soak/path_faults.ts
@@ -0,0 +1,136 @@
+/** Faults of network paths, and what those to the replicas may cost. */
+import type { CallResult } from "./callers.ts";
+import { type FleetHost, targetHost } from "./fleet.ts";
+import type { BlockedDirection, FaultProxy } from "./fault_proxy.ts";
+import { PathCut } from "./replica_path.ts";
+import {
+  type Fault,
+  FaultKind,
+  PATH_CUT_KINDS,
+  SILENT_MS,
+} from "./schedule.ts";
+import { HALLS, type World, type WorldReplica } from "./world.ts";
+
+/** The time from the begin of a cut on after which callers are served. */
+const CUT_DETECTION_MS = 3000;
+/** Failed requests that a cut may cost in any case. */
+const MAX_NOT_SERVED = 10;
+const SLOW_MS = 150;
+
+/** A time in which hosts had no path to any replica. */
+export type PathCutInterval = {
+  readonly hosts: ReadonlySet<string>;
+  readonly fromMs: number;
+  readonly toMs: number;
+};
+
+/** Drops the bytes of one or both directions. */
+export function block(
+  proxy: FaultProxy,
+  direction: BlockedDirection,
+): () => void {
+  proxy.blocked = direction;
+  return () => proxy.clearFaults();
+}
+
+/** Delays all bytes. */
+export function slow(proxy: FaultProxy): () => void {
+  proxy.delayMs = SLOW_MS;
+  return () => proxy.clearFaults();
+}
+
+/** Resets all open connections. */
+export function resetAll(proxy: FaultProxy): () => void {
+  proxy.reset(() => true);
+  return () => undefined;
+}
+
+/** The hosts whose paths to the replicas a fault cuts. */
+function hostsWithCutPaths(
+  hosts: readonly FleetHost[],
+  fault: Fault,
+): readonly FleetHost[] {
+  const { kind, target } = fault;
+  const isHall = kind === FaultKind.hallPathsHang ||
+    kind === FaultKind.hallPathsReset;
+  if (!isHall) return [targetHost(hosts, fault)];
+  const hall = target % HALLS.length;
+  return hosts.filter((_, at) => at % HALLS.length === hall);
+}
+
+/** Delays what the replica sends and receives; nothing is lost. */
+export function silence(
+  world: World,
+  { standin, proxy }: WorldReplica,
+): () => void {
+  world.disruptedReplicas.add(standin.id);
+  proxy.delayMs = SILENT_MS;
+  return () => {
+    proxy.delayMs = 0;
+  };
+}
+
+const CUT_OF_KIND: Readonly<Partial<Record<FaultKind, PathCut>>> = {
+  [FaultKind.hostPathsHang]: PathCut.hang,
+  [FaultKind.hostPathsReset]: PathCut.reset,
+  [FaultKind.hostPathsRefuse]: PathCut.refuse,
+  [FaultKind.hallPathsHang]: PathCut.hang,
+  [FaultKind.hallPathsReset]: PathCut.reset,
+};
+
+/** Cuts the paths that the fault names; the result heals them. */
+export function cutPaths(
+  hosts: readonly FleetHost[],
+  fault: Fault,
+): () => void {
+  const cut = CUT_OF_KIND[fault.kind] ?? PathCut.hang;
+  const cutHosts = hostsWithCutPaths(hosts, fault);
+  for (const { process } of cutHosts) process.cutReplicas(cut);
+  return () => {
+    for (const { process } of cutHosts) process.cutReplicas(PathCut.none);
+  };
+}
+
+/** When which hosts had no path, for faults of a run that began at a time. */
+export function pathCutIntervals(
+  hosts: readonly FleetHost[],
+  faults: readonly Fault[],
+  startedAtMs: number,
+): PathCutInterval[] {
+  return faults
+    .filter((fault) => PATH_CUT_KINDS.includes(fault.kind))
+    .map((fault) => ({
+      hosts: new Set(
+        hostsWithCutPaths(hosts, fault).map(({ process }) => process.name),
+      ),
+      fromMs: startedAtMs + fault.atMs,
+      toMs: startedAtMs + fault.atMs + fault.durationMs,
+    }));
+}
+
+/**
+ * Cuts after which the callers of the cut hosts were served less than two
+ * thirds as often as those of other hosts, as texts.
+ */
+export function findUnservedCuts(
+  calls: readonly CallResult[],
+  pathCuts: readonly PathCutInterval[],
+): string[] {
+  const shareOf = (results: readonly CallResult[]) =>
+    results.filter(({ status }) => status === 200).length / results.length;
+  return pathCuts.flatMap(({ hosts, fromMs, toMs }) => {
+    const during = calls.filter((call) =>
+      !call.isAborted && call.sentAtMs >= fromMs + CUT_DETECTION_MS &&
+      call.endedAtMs < toMs
+    );
+    const atCut = during.filter((call) => hosts.has(call.host));
+    const atOthers = during.filter((call) =>
+      pathCuts.every((cut) => !cut.hosts.has(call.host))
+    );
+    const notServed = atCut.filter(({ status }) => status !== 200).length;
+    const isFew = notServed <= MAX_NOT_SERVED + atCut.length / 50;
+    if (isFew || atOthers.length === 0) return [];
+    if (shareOf(atCut) >= shareOf(atOthers) * 2 / 3) return [];
+    return [`${notServed} of ${atCut.length} failed`];
+  });
+}
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -23,6 +23,7 @@
   stopHosts,
   targetHost,
 } from "./fleet.ts";
+import { pathCutIntervals } from "./path_faults.ts";
 import { FaultKind, type Schedule } from "./schedule.ts";
 import { sendUnfinishedBodies } from "./unfinished_bodies.ts";
 import { injectFault, sleep } from "./inject_fault.ts";
@@ -143,6 +144,7 @@
       this.#hosts.map((host) => host.callers),
       this.#schedule.load.unfinishedBodies,
     );
+    const startedAtMs = performance.now();
     const targets = { world: this.#world, hosts: this.#hosts };
     await Promise.all(this.#schedule.faults.map(async (fault) => {
       await sleep(fault.atMs);
@@ -158,7 +160,10 @@
     bodies.close();
     await Promise.all(callers);
     await sleep(SETTLE_MS);
-    return this.#observations([...notStarted, ...unrecovered], drainDeadlineMs);
+    return this.#observations([...notStarted, ...unrecovered], {
+      drainDeadlineMs,
+      startedAtMs,
+    });
   }
 
   async end(): Promise<void> {
@@ -170,7 +175,10 @@
 
   #observations(
     unrecoveredHosts: readonly string[],
-    drainDeadlineMs: number,
+    { drainDeadlineMs, startedAtMs }: {
+      readonly drainDeadlineMs: number;
+      readonly startedAtMs: number;
+    },
   ): Observations {
     const {
       arrivals,
@@ -194,6 +202,11 @@
       unrecoveredHosts,
       isPlannedOnly: this.#schedule.isPlannedOnly,
       unaffectedHosts: this.#hostsWithoutFaults(HOST_FAULTS),
+      pathCuts: pathCutIntervals(
+        this.#hosts,
+        this.#schedule.faults,
+        startedAtMs,
+      ),
       uninterruptedHosts: this.#hostsWithoutFaults(PROCESS_FAULTS),
     };
   }
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -39,6 +39,12 @@
   hallBackoff: "all replicas of a hall ask for a pause",
   replicaSlow: "replica turns slow",
   plannerKill: "planner of a service is killed",
+  replicaSilent: "replica silent for a second",
+  hostPathsHang: "paths of a host to all replicas silent",
+  hostPathsReset: "paths of a host to all replicas reset",
+  hostPathsRefuse: "paths of a host to all replicas refuse new connections",
+  hallPathsHang: "paths of a hall's hosts to all replicas silent",
+  hallPathsReset: "paths of a hall's hosts to all replicas reset",
 } as const;
 /** One of the values of {@link FaultKind}. */
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
@@ -113,6 +119,18 @@
   FaultKind.replicaSlow,
   FaultKind.plannerKill,
 ];
+/** Cuts between hosts and all replicas, and a replica that falls silent. */
+export const PATH_CUT_KINDS: readonly FaultKind[] = [
+  FaultKind.hostPathsHang,
+  FaultKind.hostPathsReset,
+  FaultKind.hostPathsRefuse,
+  FaultKind.hallPathsHang,
+  FaultKind.hallPathsReset,
+];
+const PATH_KINDS: readonly FaultKind[] = [
+  ...PATH_CUT_KINDS,
+  FaultKind.replicaSilent,
+];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) =>
   ![
     ...LATER_KINDS,
@@ -120,6 +138,7 @@
     ...LIMIT_KINDS,
     ...NOTICE_KINDS,
     ...LOAD_KINDS,
+    ...PATH_KINDS,
   ].includes(kind)
 );
 /** Each `..._RANGE` is the exclusive upper bound of a draw from 0. */
@@ -128,6 +147,7 @@
 const LIMIT_RANGE = 6;
 const NOTICE_RANGE = 8;
 const LOAD_RANGE = 5;
+const PATH_RANGE = 4;
 const UNFINISHED_BODY_RANGE = 20;
 /** Offsets that separate these generators from those of the callers. */
 const LATER_SEED = 1_000_003;
@@ -135,6 +155,7 @@
 const LIMIT_SEED = 3_000_017;
 const NOTICE_SEED = 4_000_037;
 const LOAD_SEED = 5_000_011;
+const PATH_SEED = 6_000_011;
 /** One run in this many keeps today's decisions under load switched off. */
 const UNSCHEDULED_ONE_IN = 3;
 const CRASHING_ONE_IN = 2;
@@ -159,6 +180,11 @@
 /** Draining is checked from 2.5 s after the report on. */
 const MIN_DRAIN_MS = 3000;
 const DRAIN_RANGE_MS = 4000;
+/** How long a sound replica may be silent. */
+export const SILENT_MS = 1000;
+/** What callers get is checked from 3 s after the begin of a cut on. */
+const MIN_CUT_MS = 4000;
+const CUT_RANGE_MS = 5000;
 const CALLERS_PER_HOST = 3;
 
 /** Options of {@link createSchedule}. */
@@ -195,6 +221,7 @@
       ...limits,
       ...notices,
       ...loadFaults,
+      ...drawPathFaults(options),
     ],
   };
 }
@@ -213,6 +240,17 @@
   return { load, faults };
 }
 
+function drawPathFaults(options: ScheduleOptions): Fault[] {
+  const random = xoroshiro128plus(options.seed + PATH_SEED);
+  const count = randomInt(random, PATH_RANGE);
+  const faults = drawFaults(random, options, { kinds: PATH_KINDS, count });
+  return faults.map((fault) =>
+    fault.kind === FaultKind.replicaSilent
+      ? { ...fault, durationMs: SILENT_MS }
+      : { ...fault, durationMs: MIN_CUT_MS + randomInt(random, CUT_RANGE_MS) }
+  );
+}
+
 function drawRestores(options: ScheduleOptions): Fault[] {
   const random = xoroshiro128plus(options.seed + RESTORE_SEED);
   const count = randomInt(random, RESTORE_RANGE);
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -26,6 +26,12 @@
  */
 const NOTICE_SEED = 14;
 
+/**
+ * The paths of a hall's hosts to all replicas are cut, some silent and some
+ * reset, and a replica is silent for a second.
+ */
+const PATH_SEED = 13;
+
 for (
   const seed of [
     1,
@@ -33,6 +39,7 @@
     RESTORE_SEED,
     LIMIT_SEED,
     NOTICE_SEED,
+    PATH_SEED,
     ...REGRESSION_SEEDS,
   ]
 ) {
