A call that is aborted while it waits for a connection ends at once

Node reports the end of a request only once it has a socket: an aborted call that was queued behind busy connections kept its caller waiting until one of them was free.

--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -21,6 +21,8 @@
  */
 const STALE_CONNECTION_MS = 10;
 
+const CLOSED = "Connection closed before a response";
+
 /** Options of {@link startCall}. */
 export type CallOptions = {
   readonly address: string;
@@ -101,11 +103,15 @@
     const isStale = isEarly && clientRequest.reusedSocket;
     return { type: "broken", reason, isAborted, isStale } as const;
   };
-  const cancelTimer = limitConnectTime(
-    options,
-    clientRequest,
-    () => isConnected,
-  );
+  let settle: (outcome: CallOutcome) => void = () => undefined;
+  const end = (reason: string) => {
+    clientRequest.destroy(new Error(reason));
+    // While a request waits for a connection, Node does not report its end.
+    if (!isConnected) settle(notSent(reason, { isWithheld }));
+  };
+  const cancelTimer = limitConnectTime(options, () => {
+    if (!isConnected) end("Connection timed out");
+  });
   watchSocket(clientRequest, {
     onConnected: () => {
       cancelTimer();
@@ -116,6 +122,7 @@
     onReset: () => hasFailed = true,
   });
   const outcome = new Promise<CallOutcome>((resolve) => {
+    settle = resolve;
     clientRequest.on("response", (message) => {
       // Prevents an uncaught error; the reader of the body checks `intact`.
       message.on("error", () => undefined);
@@ -125,15 +132,13 @@
     clientRequest.on("error", (error) => {
       hasFailed = true;
       cancelTimer();
-      const reason = error.message;
-      resolve(
-        isConnected ? broken(reason) : notSent(reason, { isWithheld, error }),
-      );
+      const { message } = error;
+      if (isConnected) resolve(broken(message));
+      else resolve(notSent(message, { isWithheld, error }));
     });
     clientRequest.on("close", () => {
       cancelTimer();
-      const reason = "Connection closed before a response";
-      resolve(isConnected ? broken(reason) : notSent(reason, { isWithheld }));
+      resolve(isConnected ? broken(CLOSED) : notSent(CLOSED, { isWithheld }));
     });
   });
   clientRequest.end(options.body.length > 0 ? options.body : undefined);
@@ -141,7 +146,8 @@
     outcome,
     abort: (reason) => {
       isAborted = true;
-      clientRequest.destroy(new Error(reason));
+      cancelTimer();
+      end(reason);
     },
   };
 }
@@ -194,20 +200,14 @@
     : undefined;
 }
 
-/** Ends a call that is not connected in time. */
+/** Calls `onTimeout` when the time for the connection is over. */
 function limitConnectTime(
   { clock, connectTimeoutMs }: CallOptions,
-  clientRequest: ClientRequest,
-  isConnected: () => boolean,
+  onTimeout: () => void,
 ): () => void {
-  return clock.after(connectTimeoutMs, () => {
-    // After a stall of this process the connection may be established, but not
-    // yet handled.
-    setImmediate(() => {
-      if (isConnected()) return;
-      clientRequest.destroy(new Error("Connection timed out"));
-    });
-  });
+  // After a stall of this process the connection may be established, but not
+  // yet handled.
+  return clock.after(connectTimeoutMs, () => setImmediate(onTimeout));
 }
 
 /** Adds `Host`, if it is missing, and the `Content-Length` of the body. */
--- a/test/gateway/upstreams/call_test.ts
+++ b/test/gateway/upstreams/call_test.ts
@@ -105,3 +105,32 @@
     }
   });
 }
+
+test("a call that is aborted while it waits for a connection ends at once", async () => {
+  const replica = await startRawReplica(() => undefined);
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const call = () =>
+    startCall({
+      address: replica.address,
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: Buffer.alloc(0),
+      agent,
+      clock: { now: () => 0, after: () => () => undefined },
+      connectTimeoutMs: 1000,
+    });
+  try {
+    // The replica answers nothing, so the first call keeps the connection.
+    const first = call();
+    const second = call();
+    second.abort("No longer needed");
+    const outcome = await second.outcome;
+    assert.equal(outcome.type, "notSent");
+    first.abort("The test ended");
+    await first.outcome;
+  } finally {
+    agent.destroy();
+    replica.stop();
+  }
+});
--- a/test/soak/replica_path.ts
+++ b/test/soak/replica_path.ts
@@ -60,11 +60,8 @@
 
 /** A socket whose connection is not established. */
 function connectingSocket(): Socket {
-  const socket = new Socket();
-  Object.defineProperty(socket, "connecting", {
-    get: () => !socket.destroyed,
-  });
-  return socket;
+  // As for a socket of `connect`; destroying the socket clears it.
+  return Object.assign(new Socket(), { connecting: true });
 }
 
 function refusedSocket(): Socket {
