A replica that is no longer listed has crashed only if it no longer runs

A replica that is cut off from the store leaves the listing and goes on serving.

Before the crash is recorded the replica is asked for its health, which names the replica that answers, so that another one at the same address does not count. Asked only if a request broke there. The existing tests of removed replicas hold with a replica that does not answer; the new one fails before.

--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -2,8 +2,8 @@
  * Detects crashes of replicas and the requests that ran there. A truncated
  * response alone isn't a crash, since connections also break for other reasons.
  * A replica has crashed if its address refuses connections right afterwards, if
- * it is removed from the listing without draining, or if another host reports
- * it.
+ * it is removed from the listing without draining and no longer runs, or if
+ * another host reports it.
  */
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
@@ -72,6 +72,8 @@
   readonly isDraining: (entry: ReplicaEntry) => boolean;
   /** Checks whether the replica listens, over any path. */
   readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
+  /** Whether this incarnation still runs, although it is not listed. */
+  readonly isAlive: (entry: ReplicaEntry) => Promise<boolean>;
 };
 
 /**
@@ -175,10 +177,22 @@
     this.#noteCrash(entry.incarnation, "refused");
   }
 
-  /** Records that the replica was removed from the listing. */
-  noteRemoved(entry: ReplicaEntry): void {
+  /**
+   * Records that the replica was removed from the listing. It may have lost its
+   * connection to the store only, so it is asked whether it still runs.
+   */
+  async noteRemoved(entry: ReplicaEntry): Promise<void> {
+    const { clock, isDraining, isAlive } = this.#options;
     const { incarnation } = entry;
-    if (!this.#options.isDraining(entry)) this.#noteCrash(incarnation, "gone");
+    const watched = this.#watched.get(incarnation);
+    const removedAt = clock.now();
+    const isSuspect = !isDraining(entry) &&
+      watched?.brokenSends.some((send) =>
+        mayHaveRunAtCrash(send, "gone", removedAt)
+      );
+    if (isSuspect && !await isAlive(entry)) {
+      this.#noteCrash(incarnation, "gone", removedAt);
+    }
     this.#watched.delete(incarnation);
   }
 
@@ -226,10 +240,13 @@
   }
 
   /** Records the requests that ran at a replica that has crashed. */
-  #noteCrash(incarnation: string, sign: CrashSign): void {
+  #noteCrash(
+    incarnation: string,
+    sign: CrashSign,
+    now = this.#options.clock.now(),
+  ): void {
     const watched = this.#watched.get(incarnation);
     if (!watched) return;
-    const now = this.#options.clock.now();
     watched.crashedAt = now;
     const ran = watched.brokenSends.filter((send) =>
       mayHaveRunAtCrash(send, sign, now)
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -13,6 +13,7 @@
 import { openLink } from "./peers/link.ts";
 import { createPaths } from "./paths/create_paths.ts";
 import type { PlatformPort } from "./port.ts";
+import { isReplicaAlive } from "./replicas/health_check.ts";
 import { createReplicaState } from "./replicas/create_replica_state.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
@@ -30,17 +31,15 @@
     readonly connect: Connect;
   },
 ): GatewayContext {
-  const { host, grace } = settings;
+  const { grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   const events = eventLogOf(settings, clock);
   const metrics = new Metrics();
-  const run = String(newIncarnation());
-  const self = { id: host.id, hall: host.hall, run };
-  const random = Math.random;
+  const self = { ...hostOf(settings), run: String(newIncarnation()) };
   const { replicas, limits, draining, gate } = createReplicaState({
     self,
     clock,
-    random,
+    random: Math.random,
     events,
     metrics,
     directory,
@@ -56,18 +55,24 @@
     connect,
     connectTimeoutMs: settings.tuning.connect_timeout,
   });
-  const shared = { clock, events, metrics, replicas, paths };
+  const shared = {
+    clock,
+    events,
+    metrics,
+    replicas,
+    paths,
+    pool: new UpstreamPool(clock, paths),
+    dialect: port.dialect,
+    routes: new RouteTable(),
+  };
   return {
     ...shared,
     self,
     suspensions: createSuspensionWatch(clock),
     eras: new StoreEras(events),
-    random,
-    dialect: port.dialect,
-    routes: new RouteTable(),
+    random: Math.random,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
     heldBytes: new ByteBudget(callerBytesOf(settings.memory.process)),
-    pool: new UpstreamPool(clock, paths),
     crashes: createCrashWatch(settings, shared),
     limits,
     draining,
@@ -78,11 +83,22 @@
   };
 }
 
+function hostOf({ host: { id, hall } }: GatewaySettings) {
+  return { id, hall };
+}
+
 function createCrashWatch(
   settings: GatewaySettings,
-  { clock, events, metrics, replicas, paths }: Pick<
+  { clock, events, metrics, replicas, paths, pool, dialect, routes }: Pick<
     GatewayContext,
-    "clock" | "events" | "metrics" | "replicas" | "paths"
+    | "clock"
+    | "events"
+    | "metrics"
+    | "replicas"
+    | "paths"
+    | "pool"
+    | "dialect"
+    | "routes"
   >,
 ): CrashWatch {
   return new CrashWatch({
@@ -92,6 +108,7 @@
     rule: crashRuleOf(settings),
     isDraining: (entry) => replicas.isDraining(entry),
     probe: (entry) => paths.monitor.probe(entry),
+    isAlive: (entry) => isReplicaAlive({ pool, dialect, routes }, entry),
   });
 }
 
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -128,6 +128,8 @@
   readReservation(body: string): string | undefined;
   dropReservation(id: string): JsonCall;
   dropExport(id: string): JsonCall;
+  /** Reads the replica's id from the response to a health check. */
+  readHealth(headers: IncomingHttpHeaders): string | undefined;
   /** Requests the status of a model engine. */
   readonly report: JsonCall;
   readReport(body: string): EngineReport | undefined;
--- /dev/null
+++ b/src/gateway/replicas/health_check.ts
@@ -0,0 +1,29 @@
+/** Asks a replica that is no longer listed whether it still runs. */
+import type { Milliseconds } from "../../util/units.ts";
+import type { GatewayContext } from "../context.ts";
+import type { ReplicaEntry } from "./model.ts";
+
+/** A health check waits for a free slot, as a request does. */
+const TIMEOUT_MS: Milliseconds = 1000;
+
+/**
+ * Whether this incarnation responds to a health check. The response names the
+ * replica, since its address may have been given to another one.
+ */
+export async function isReplicaAlive(
+  { pool, dialect, routes }: Pick<
+    GatewayContext,
+    "pool" | "dialect" | "routes"
+  >,
+  entry: ReplicaEntry,
+): Promise<boolean> {
+  const path = routes.service(entry.service)?.healthPath;
+  if (path === undefined) return false;
+  const answer = await pool.sendControlCall(entry, {
+    call: { method: "GET", path },
+    timeoutMs: TIMEOUT_MS,
+  });
+  pool.removeReplica(entry.incarnation);
+  return answer !== undefined &&
+    dialect.readHealth(answer.headers ?? {}) === entry.id;
+}
--- a/src/gateway/routing/model.ts
+++ b/src/gateway/routing/model.ts
@@ -62,6 +62,8 @@
   readonly name: string;
   /** Connections that one replica accepts from all callers together. */
   readonly connectionLimit: number;
+  /** Path of its replicas' health checks; absent if they have none. */
+  readonly healthPath?: string;
   /** Absent for a service that runs no model. */
   readonly engine?: Engine;
 };
--- a/src/gateway/routing/schema.ts
+++ b/src/gateway/routing/schema.ts
@@ -48,6 +48,7 @@
   services: z.array(z.object({
     name: z.string(),
     connectionLimit: z.number(),
+    healthPath: z.string().exactOptional(),
     engine: Engine.exactOptional(),
   })).readonly(),
   limits: z.object({
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -265,7 +265,7 @@
       const { incarnation } = entry;
       events.note("replicaRemoved", { replica: incarnation, revision, source });
       pool.removeReplica(incarnation);
-      crashes.noteRemoved(entry);
+      void crashes.noteRemoved(entry);
     }
     const draining = [...change.draining, ...change.added]
       .filter((entry) => entry.leaving);
--- a/test/gateway/crashes/crash_watch_test.ts
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -10,7 +10,7 @@
 const fingerprintOf = (name: string) => () => name;
 
 /** Creates a watch in virtual time; probes take 2 ms. */
-function start(probeResult: () => ProbeResult) {
+function start(probeResult: () => ProbeResult, isAlive = false) {
   const time = new VirtualTime();
   const probes: string[] = [];
   const watch = new CrashWatch({
@@ -25,6 +25,7 @@
         time.clock.after(2, () => resolve(probeResult()));
       });
     },
+    isAlive: () => Promise.resolve(isAlive),
   });
   const breaks = (name: string, endedByReplica = true, entry = ENTRY) =>
     watch.noteBrokenSend(entry, {
@@ -71,17 +72,25 @@
     breaks("one");
     breaks("timed out", false);
     await time.runTo(13_000);
-    watch.noteRemoved(ENTRY);
+    await watch.noteRemoved(ENTRY);
     assert.deepEqual(crashed(), ["one a", "timed out a"], result);
   }
 });
 
+test("a replica that still runs when it is removed from the listing has not crashed", async () => {
+  const { watch, breaks, crashed } = start(() => "listens", true);
+  breaks("one");
+  breaks("timed out", false);
+  await watch.noteRemoved(ENTRY);
+  assert.deepEqual(crashed(), []);
+});
+
 test("a draining replica that ends has not crashed", async () => {
   const { time, probes, watch, breaks, crashed } = start(() => "refused");
   const draining = { ...ENTRY, leaving: true };
   breaks("one", true, draining);
   await time.runTo(10);
-  watch.noteRemoved(draining);
+  await watch.noteRemoved(draining);
   assert.deepEqual([probes.length, crashed()], [0, []]);
 });
 
@@ -121,14 +130,14 @@
   assert.deepEqual(settled, ["one 1 at 1", "one 2 at 2"]);
 });
 
-test("the number of stored broken sends is bounded", () => {
+test("the number of stored broken sends is bounded", async () => {
   const { watch, breaks, crashed } = start(() => "silent");
   for (let at = 0; at < 1000; at++) breaks(`r${at}`);
   for (let at = 0; at < 1000; at++) {
     breaks("r", true, replicaEntry(`b${at}`));
   }
-  watch.noteRemoved(replicaEntry("b0"));
+  await watch.noteRemoved(replicaEntry("b0"));
   assert.deepEqual(crashed(), []);
-  watch.noteRemoved(replicaEntry("b999"));
+  await watch.noteRemoved(replicaEntry("b999"));
   assert.deepEqual(crashed(), ["r b999"]);
 });
--- a/test/gateway/crashes/empty_crash_watch.ts
+++ b/test/gateway/crashes/empty_crash_watch.ts
@@ -17,5 +17,6 @@
     rule: { crashThreshold: 3, ttlMs: 60_000 },
     isDraining: () => false,
     probe: () => Promise.resolve("listens"),
+    isAlive: () => Promise.resolve(false),
   });
 }
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -47,6 +47,10 @@
     body: JSON.stringify({ tokens, lifeMs: ttlMs }),
   }),
   readReservation: (body) => stringField(body, "reservation"),
+  readHealth: (headers) => {
+    const id = headers["x-health-id"];
+    return typeof id === "string" ? id : undefined;
+  },
   dropReservation: (id) => ({ method: "DELETE", path: `/reserve/${id}` }),
   dropExport: (id) => ({ method: "DELETE", path: `/export/${id}` }),
   report: { method: "GET", path: "/report" },
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -267,6 +267,7 @@
       rule: { crashThreshold: 3, ttlMs: TEST_TIMEOUT_MS },
       isDraining: (entry) => replicas.isDraining(entry),
       probe: (entry) => paths.monitor.probe(entry),
+      isAlive: () => Promise.resolve(false),
     }),
     limits,
     ...singleHostGate({ clock, events: log, replicas, limits }),
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -207,6 +207,7 @@
       rule: CRASH_RULE,
       isDraining: (entry) => replicaState.replicas.isDraining(entry),
       probe: () => this.probe(),
+      isAlive: () => Promise.resolve(false),
     });
     const context = {
       self,
