--- /dev/null
+++ b/test/gateway/paths/tunnel_test.ts
@@ -0,0 +1,182 @@
+/** Connections to replicas through a peer: who may open them, how they end. */
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type Server as HttpServer } from "node:http";
+import {
+  type AddressInfo,
+  createServer as createTcpServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { test } from "node:test";
+import { systemClock } from "../../../src/gateway/clock.ts";
+import {
+  openTunnel,
+  type TunnelOutcome,
+} from "../../../src/gateway/paths/tunnel_client.ts";
+import { TunnelServer } from "../../../src/gateway/paths/tunnel_server.ts";
+import { tcpConnect } from "../../../src/gateway/upstreams/connect.ts";
+import { replicaEntry } from "../replica_entry.ts";
+import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
+
+/** Starts a server on a free port and returns its address. */
+async function listen(server: Server | HttpServer): Promise<string> {
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+type Peer = {
+  readonly address: string;
+  readonly tunnels: TunnelServer;
+  stop(): void;
+};
+
+/** Starts a peer that lists one replica. */
+async function startPeer(
+  replica: string,
+  own: { readonly isLost?: boolean; readonly isConfirmed?: boolean } = {},
+): Promise<Peer> {
+  const { isLost = false, isConfirmed = true } = own;
+  const entry = { ...replicaEntry("a"), address: replica };
+  const tunnels = new TunnelServer({
+    clock: systemClock,
+    events: { note: () => undefined },
+    metrics: { count: () => undefined },
+    connect: tcpConnect,
+    connectTimeoutMs: TEST_TIMEOUT_MS,
+    replicaAt: (address) => address === replica ? entry : undefined,
+    monitor: {
+      isLost: () => isLost,
+      confirmRefusal: () => Promise.resolve(isConfirmed),
+    },
+    isStopping: () => false,
+  });
+  const server = createServer();
+  server.on("connect", (request, socket: Socket) => {
+    tunnels.accept(request, socket);
+  });
+  return {
+    address: await listen(server),
+    tunnels,
+    stop: () => {
+      tunnels.close();
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+function open(peer: string, replica: string): Promise<TunnelOutcome> {
+  const options = { clock: systemClock, timeoutMs: TEST_TIMEOUT_MS };
+  return openTunnel({ self: "host", peer, replica }, options).outcome;
+}
+
+/** Opens a tunnel to a replica that handles its connection with `work`. */
+async function withTunnel(
+  work: (socket: Socket) => void,
+  check: (tunnel: Socket, peer: Peer, replica: Socket) => Promise<void>,
+): Promise<void> {
+  const server = createTcpServer(work);
+  const address = await listen(server);
+  const peer = await startPeer(address);
+  const connected = once(server, "connection");
+  const outcome = await open(peer.address, address);
+  const [replica] = await connected as [Socket];
+  replica.on("error", () => undefined);
+  try {
+    assert.equal(outcome.type, "open");
+    if (outcome.type !== "open") return;
+    outcome.socket.on("error", () => undefined);
+    await check(outcome.socket, peer, replica);
+    outcome.socket.destroy();
+  } finally {
+    peer.stop();
+    replica.destroy();
+    server.close();
+  }
+}
+
+test("a tunnel carries bytes both ways and the end of a response", async () => {
+  await withTunnel((socket) => {
+    socket.on("data", (bytes) => socket.end(`re: ${String(bytes)}`));
+  }, async (tunnel) => {
+    let received = "";
+    tunnel.on("data", (bytes) => received += String(bytes));
+    tunnel.write("hello");
+    await once(tunnel, "end");
+    assert.equal(received, "re: hello");
+    assert.notEqual(tunnel.remoteAddress, undefined);
+  });
+});
+
+test("a connection that the replica resets does not look like a complete one", async () => {
+  await withTunnel(() => undefined, async (tunnel, _peer, replica) => {
+    const ended = new Promise<string>((resolve) => {
+      tunnel.on("error", () => resolve("reset"));
+      tunnel.on(
+        "end",
+        () => resolve(tunnel.remoteAddress === undefined ? "reset" : "end"),
+      );
+      tunnel.resume();
+    });
+    replica.resetAndDestroy();
+    assert.equal(await ended, "reset");
+  });
+});
+
+test("a tunnel that its host closes closes the connection to the replica", async () => {
+  await withTunnel(
+    (socket) => socket.resume(),
+    async (tunnel, peer, replica) => {
+      const closed = once(replica, "close");
+      tunnel.destroy();
+      await closed;
+      while (peer.tunnels.size > 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    },
+  );
+});
+
+test("a peer connects to listed replicas that it reaches, and to nothing else", async () => {
+  const server = createTcpServer((socket) => socket.destroy());
+  const address = await listen(server);
+  const peers = [
+    await startPeer("127.0.0.1:1"),
+    await startPeer(address, { isLost: true }),
+  ];
+  const outcomes = await Promise.all(
+    peers.map((peer) => open(peer.address, address)),
+  );
+  for (const peer of peers) peer.stop();
+  server.close();
+  const types = outcomes.map((outcome) => outcome.type);
+  assert.deepEqual(types, ["unavailable", "unreachable"]);
+});
+
+test("a peer reports a refused connection only if it reaches other replicas", async () => {
+  const server = createTcpServer();
+  const address = await listen(server);
+  server.close();
+  await once(server, "close");
+  const peers = [
+    await startPeer(address, { isConfirmed: true }),
+    await startPeer(address, { isConfirmed: false }),
+  ];
+  const outcomes = await Promise.all(
+    peers.map((peer) => open(peer.address, address)),
+  );
+  for (const peer of peers) peer.stop();
+  const types = outcomes.map((outcome) => outcome.type);
+  assert.deepEqual(types, ["refused", "unreachable"]);
+});
+
+test("a peer of an earlier version, which serves no tunnels, is unavailable", async () => {
+  const server = createServer((_request, response) => response.end());
+  const address = await listen(server);
+  const outcome = await open(address, "127.0.0.1:1");
+  server.closeAllConnections();
+  server.close();
+  assert.equal(outcome.type, "unavailable");
+});
