Peers are asked about few replicas of a hall at a time

Answers about a hall are used for a second once two in a row were equal, four questions are open at a time, and one lost path has at most the 24 replicas in use last checked. The new test: 40 replicas, at most 8 questions.

--- a/src/gateway/paths/path_monitor.ts
+++ b/src/gateway/paths/path_monitor.ts
@@ -4,6 +4,7 @@
  * last is told from the others by a second opinion: this host can't connect to
  * it, but a peer can.
  */
+import PQueue from "p-queue";
 import { evictOldest } from "../../util/evict_oldest.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
@@ -11,6 +12,7 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Connect } from "../upstreams/connect.ts";
 import { probeAddress, type ProbeResult } from "../upstreams/probe.ts";
+import { HallVerdicts } from "./hall_verdicts.ts";
 import type { TunnelDialer } from "./tunnel_dialer.ts";
 
 /**
@@ -25,6 +27,10 @@
 const RETRY_INTERVAL_MS = 1000;
 /** Minimum time between two checks of all paths that are in use. */
 const CHECK_ALL_INTERVAL_MS = 1000;
+/** Maximum number of replicas about which peers are asked at the same time. */
+const MAX_QUESTIONS = 4;
+/** Maximum number of paths that are checked because another one was lost. */
+const MAX_CHECKED_AT_ONCE = 24;
 /** Number of other replicas that are tried after a refused connection. */
 const MAX_CONFIRMATIONS = 2;
 /** Maximum number of replicas of which state is stored. */
@@ -77,6 +83,9 @@
   /** When the path was last found intact, by incarnation. */
   readonly #intactAt = new Map<string, Milliseconds>();
   readonly #checking = new Set<string>();
+  readonly #verdicts = new HallVerdicts();
+  /** Few at a time, so that later ones can use the answers to earlier ones. */
+  readonly #questions = new PQueue({ concurrency: MAX_QUESTIONS });
   readonly #listeners: PathListener[] = [];
   #lastReceivedAt = -Infinity;
   #checkedAllAt = -Infinity;
@@ -207,12 +216,17 @@
     this.#checking.delete(incarnation);
   }
 
-  /** Checks the paths to all given replicas, at most once per interval. */
+  /**
+   * Checks the paths to the last of the given replicas, at most once per
+   * interval.
+   */
   checkAll(entries: readonly ReplicaEntry[]): void {
     const now = this.#options.clock.now();
     if (now - this.#checkedAllAt < CHECK_ALL_INTERVAL_MS) return;
     this.#checkedAllAt = now;
-    for (const entry of entries) void this.check(entry, "checked");
+    for (const entry of entries.slice(-MAX_CHECKED_AT_ONCE)) {
+      void this.check(entry, "checked");
+    }
   }
 
   /**
@@ -304,11 +318,24 @@
     });
   }
 
+  /**
+   * Asks peers whether they reach the replica, unless they gave the same answer
+   * about others of its hall a moment ago: where a whole hall is cut off, its
+   * hosts would ask each other about each replica.
+   */
   async #isReachedByPeer(entry: ReplicaEntry): Promise<boolean> {
-    const { dialer, tunnelTimeoutMs } = this.#options;
+    const answer = await this.#questions.add(() => this.#askPeers(entry));
+    return answer ?? false;
+  }
+
+  async #askPeers(entry: ReplicaEntry): Promise<boolean> {
+    const { dialer, tunnelTimeoutMs, clock } = this.#options;
+    const known = this.#verdicts.latest(entry.hall, clock.now());
+    if (known !== undefined) return known;
     const outcome = await dialer.open(entry, tunnelTimeoutMs);
-    if (outcome.type !== "open") return false;
-    outcome.socket.destroy();
-    return true;
+    const isReached = outcome.type === "open";
+    if (outcome.type === "open") outcome.socket.destroy();
+    this.#verdicts.note(entry.hall, isReached, clock.now());
+    return isReached;
   }
 }
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -198,6 +198,8 @@
     const agent = agents.direct.get(incarnation) ??
       new KeepAliveAgent(maxConnections, connect);
     agents.direct.set(incarnation, agent);
+    // The replicas in use last are at the end.
+    this.#connected.delete(incarnation);
     this.#connected.set(incarnation, entry);
     const sentAt = this.#clock.now();
     const started = startCall({
--- a/test/gateway/paths/path_monitor_test.ts
+++ b/test/gateway/paths/path_monitor_test.ts
@@ -111,6 +111,16 @@
   assert.deepEqual(events, ["pathLost", "pathHealed"]);
 });
 
+test("peers are asked about few replicas of a hall that is cut off", async () => {
+  const { monitor, asked, runTo } = start(() => "silent", () => "unreachable");
+  const entries = Array.from({ length: 40 }, (_, at) => replicaEntry(`r${at}`));
+  for (const entry of entries) void monitor.check(entry, "checked");
+  await runTo(200);
+  const found = entries.filter(({ id }) => monitor.isUnreachable(id));
+  assert.equal(found.length, entries.length);
+  assert.ok(asked.count <= 8, `${asked.count} replicas`);
+});
+
 test("a refused connection says nothing if all replicas refuse this host", async () => {
   for (
     const [other, isConfirmed] of [["connects", true], [
