--- a/test/gateway/upstreams/call_test.ts
+++ b/test/gateway/upstreams/call_test.ts
@@ -3,10 +3,33 @@
 import { Agent } from "node:http";
 import { test } from "node:test";
 import {
+  type Call,
   type CallOutcome,
   startCall,
 } from "../../../src/gateway/upstreams/call.ts";
-import { completeResponse, startRawReplica } from "../raw_replica.ts";
+import {
+  completeResponse,
+  type RawReplica,
+  startRawReplica,
+} from "../raw_replica.ts";
+
+/** Starts a call without timers. */
+function getFrom(
+  replica: RawReplica,
+  agent: Agent,
+  now: () => number,
+): Call {
+  return startCall({
+    address: replica.address,
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: Buffer.alloc(0),
+    agent,
+    clock: { now, after: () => () => undefined },
+    connectTimeoutMs: 1000,
+  });
+}
 
 /**
  * Outcome of a call that follows an answered one. The replica closes the
@@ -27,17 +50,7 @@
     socket.destroy();
   });
   const agent = new Agent({ keepAlive, maxSockets: 1 });
-  const call = () =>
-    startCall({
-      address: replica.address,
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: Buffer.alloc(0),
-      agent,
-      clock: { now: () => now, after: () => () => undefined },
-      connectTimeoutMs: 1000,
-    });
+  const call = () => getFrom(replica, agent, () => now);
   try {
     const first = await call().outcome;
     assert.equal(first.type, "answer");
@@ -109,17 +122,7 @@
 test("a call that is aborted while it waits for a connection ends at once", async () => {
   const replica = await startRawReplica(() => undefined);
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  const call = () =>
-    startCall({
-      address: replica.address,
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: Buffer.alloc(0),
-      agent,
-      clock: { now: () => 0, after: () => () => undefined },
-      connectTimeoutMs: 1000,
-    });
+  const call = () => getFrom(replica, agent, () => 0);
   try {
     // The replica answers nothing, so the first call keeps the connection.
     const first = call();
