--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -31,11 +31,11 @@
     readonly connect: Connect;
   },
 ): GatewayContext {
-  const { grace } = settings;
+  const { grace, host: { id, hall } } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   const events = eventLogOf(settings, clock);
   const metrics = new Metrics();
-  const self = { ...hostOf(settings), run: String(newIncarnation()) };
+  const self = { id, hall, run: String(newIncarnation()) };
   const { replicas, limits, draining, gate } = createReplicaState({
     self,
     clock,
@@ -83,10 +83,6 @@
   };
 }
 
-function hostOf({ host: { id, hall } }: GatewaySettings) {
-  return { id, hall };
-}
-
 function createCrashWatch(
   settings: GatewaySettings,
   { clock, events, metrics, replicas, paths, pool, dialect, routes }: Pick<
--- a/src/gateway/paths/lost_paths_gauge.ts
+++ b/src/gateway/paths/lost_paths_gauge.ts
@@ -1,4 +1,5 @@
 /** Metric of the replicas that this host does not reach itself. */
+import { hallGauge } from "../observe/hall_gauge.ts";
 import type { LabelledGauge } from "../observe/metrics.ts";
 import type { PathMonitor } from "./path_monitor.ts";
 
@@ -6,10 +7,5 @@
 export function lostPathsGauge(
   { lost }: Pick<PathMonitor, "lost">,
 ): LabelledGauge {
-  const byHall = new Map<string, number>();
-  for (const { hall } of lost) byHall.set(hall, (byHall.get(hall) ?? 0) + 1);
-  return {
-    name: "paths_lost",
-    values: [...byHall].map(([hall, value]) => ({ labels: { hall }, value })),
-  };
+  return hallGauge("paths_lost", lost.map(({ hall }) => ({ hall, value: 1 })));
 }
--- a/src/gateway/paths/path_monitor.ts
+++ b/src/gateway/paths/path_monitor.ts
@@ -1,8 +1,7 @@
 /**
  * Tracks which replicas this host reaches over its own network path. A replica
- * that does not respond may be down, slow or cut off from this host only. The
- * last is told from the others by a second opinion: this host can't connect to
- * it, but a peer can.
+ * that does not respond may be down, slow or cut off from this host only. Its
+ * path counts as lost only if this host can't connect to it and a peer can.
  */
 import PQueue from "p-queue";
 import { evictOldest } from "../../util/evict_oldest.ts";
@@ -51,7 +50,7 @@
   readonly entry: ReplicaEntry;
   readonly since: Milliseconds;
   /** A peer reaches the replica; otherwise the replica itself may be down. */
-  isReachedByPeer: boolean;
+  readonly isReachedByPeer: boolean;
   retryAt: Milliseconds;
   isRetrying: boolean;
 };
@@ -172,9 +171,8 @@
   }
 
   /**
-   * Checks a path over which `isWaiting` waits for a response since `sentAt`,
-   * from `silenceMs` on for as long as it waits. Returns a function that ends
-   * the checks.
+   * Checks the path of a call without a response, from `silenceMs` after
+   * `sentAt` on, until the returned function is called.
    */
   watch(
     entry: ReplicaEntry,
--- a/src/gateway/paths/routed_call.ts
+++ b/src/gateway/paths/routed_call.ts
@@ -8,35 +8,36 @@
 >;
 
 /**
- * Starts a call. If it could not be sent over the first path, the next one is
- * used; `select` returns the outcome if it could be sent over none.
+ * Starts a call over the first path and, if it could not be sent, over the
+ * second one. If it could be sent over neither, `select` returns the outcome.
  */
 export function startRoutedCall(
-  paths: readonly (() => Call)[],
-  select: (outcomes: readonly CallOutcome[]) => CallOutcome,
+  [first, second]: readonly [() => Call, () => Call],
+  select: (first: CallOutcome, second: CallOutcome) => CallOutcome,
 ): Call {
-  let current: Call | undefined;
+  let current = first();
   let isAborted = false;
   const run = async () => {
-    const outcomes: CallOutcome[] = [];
-    for (const start of paths) {
-      current = start();
-      const outcome = await current.outcome;
-      const isSent = outcome.type !== "notSent";
-      if (isSent || outcome.isWithheld || isAborted) return outcome;
-      outcomes.push(outcome);
-    }
-    return select(outcomes);
+    const outcome = await current.outcome;
+    if (isFinal(outcome) || isAborted) return outcome;
+    current = second();
+    const other = await current.outcome;
+    return isFinal(other) || isAborted ? other : select(outcome, other);
   };
   return {
     outcome: run(),
     abort: (reason) => {
       isAborted = true;
-      current?.abort(reason);
+      current.abort(reason);
     },
   };
 }
 
+/** Whether the call was sent, or must not be sent over another path either. */
+function isFinal(outcome: CallOutcome): boolean {
+  return outcome.type !== "notSent" || outcome.isWithheld;
+}
+
 /** The call, with `onConnected` called before it is sent. */
 export function onceConnected(
   call: HttpCall,
--- a/src/gateway/paths/tunnel_agent.ts
+++ b/src/gateway/paths/tunnel_agent.ts
@@ -14,14 +14,12 @@
  */
 const MAX_AGE_MS = 2000;
 
-/** `code` of the error when peers do not reach the replica either. */
-export const UNREACHABLE_CODE = "EHOSTUNREACH";
 /** `code` of the error when no peer gave an answer. */
 export const NO_PEER_CODE = "ENETUNREACH";
 
 const FAILURE_CODES = {
   refused: "ECONNREFUSED",
-  unreachable: UNREACHABLE_CODE,
+  unreachable: "EHOSTUNREACH",
   unavailable: NO_PEER_CODE,
 } as const;
 
--- a/src/gateway/replicas/paused_gauge.ts
+++ b/src/gateway/replicas/paused_gauge.ts
@@ -1,5 +1,6 @@
 /** Metric of the replicas that this host does not use after failures. */
 import type { Milliseconds } from "../../util/units.ts";
+import { hallGauge } from "../observe/hall_gauge.ts";
 import type { LabelledGauge } from "../observe/metrics.ts";
 import type { ReplicaTable } from "./replica_table.ts";
 
@@ -8,13 +9,9 @@
   replicas: Pick<ReplicaTable, "entries" | "get">,
   now: Milliseconds,
 ): LabelledGauge {
-  const byHall = new Map<string, number>();
-  for (const { hall, incarnation } of replicas.entries()) {
+  const items = replicas.entries().map(({ hall, incarnation }) => {
     const isPaused = replicas.get(incarnation)?.isPaused(now) ?? false;
-    byHall.set(hall, (byHall.get(hall) ?? 0) + (isPaused ? 1 : 0));
-  }
-  return {
-    name: "replicas_paused",
-    values: [...byHall].map(([hall, value]) => ({ labels: { hall }, value })),
-  };
+    return { hall, value: isPaused ? 1 : 0 };
+  });
+  return hallGauge("replicas_paused", items);
 }
--- a/src/gateway/requests/availability.ts
+++ b/src/gateway/requests/availability.ts
@@ -68,7 +68,7 @@
 }
 
 /** Returns a refusal if no replica of the request's service is available. */
-export function refusalWhenAllBackOff(
+export function refusalWhenNoneAvailable(
   context: AvailabilityContext & Pick<GatewayContext, "random">,
   request: GatewayRequest,
 ): PlacementRefusal | undefined {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -8,7 +8,7 @@
 import { isKeyStillValid } from "../customers/admission.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { Attempts } from "./attempts.ts";
-import { refusalWhenAllBackOff } from "./availability.ts";
+import { refusalWhenNoneAvailable } from "./availability.ts";
 import { createPlacer } from "./create_placer.ts";
 import { type Failure, failureOf, ReplyWriter } from "./reply_writer.ts";
 import type { Placement, Placer } from "./placement.ts";
@@ -204,7 +204,7 @@
     if (allowed && this.#attempts.acquireRetry(reason)) return;
     if (!notRun) return this.#fail(GatewayError.outcomeUnknown, { reason });
     // If all replicas back off, the caller should not retry before one reopens.
-    const refusal = refusalWhenAllBackOff(this.#context, this.#request);
+    const refusal = refusalWhenNoneAvailable(this.#context, this.#request);
     const { retryAfterSeconds } = refusal ? failureOf(refusal) : {};
     this.#fail(GatewayError.refusedByReplicas, { reason, retryAfterSeconds });
   }
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -33,14 +33,10 @@
 /** The same for control calls, which need no work at the replica. */
 const CONTROL_SILENCE_MS = 80;
 
-/** Reason of calls that were aborted because they can't be answered. */
-export const PATH_LOST_REASON = "The path to the replica was lost";
+/** Reason of calls that are aborted so that they can be sent again. */
+const PATH_LOST_REASON = "The path to the replica was lost";
 
-/**
- * HTTP agents by incarnation of a replica. Requests and control calls never
- * share a connection: the response to a control call names no request, so a
- * surplus response to a request could be mistaken for it.
- */
+/** HTTP agents by incarnation of a replica, for each kind of path. */
 type AgentSet = {
   readonly direct: Map<string, KeepAliveAgent>;
   readonly tunnelled: Map<string, TunnelAgent>;
@@ -54,7 +50,7 @@
   readonly isRepeatable: boolean;
 };
 
-/** Who waits for a call, and how. */
+/** How a call uses the connections of its replica. */
 type CallContext = {
   readonly entry: ReplicaEntry;
   readonly agents: AgentSet;
@@ -77,6 +73,11 @@
 export class UpstreamPool {
   readonly #clock: Clock;
   readonly #paths: ReplicaPaths;
+  /**
+   * Requests and control calls never share a connection: the response to a
+   * control call names no request, so a surplus response to a request could be
+   * mistaken for it.
+   */
   readonly #requestAgents = createAgentSet();
   readonly #controlAgents = createAgentSet();
   readonly #directCalls = new Set<DirectCall>();
@@ -179,12 +180,12 @@
         this.#startTunnelled(onceConnected(call, onConnected), context);
       return startRoutedCall(
         [direct, fallback],
-        ([, outcome]) => this.#notSent(entry, outcome),
+        (_, outcome) => this.#notSent(entry, outcome),
       );
     }
     return startRoutedCall(
       [tunnelled, direct],
-      ([outcome]) => this.#notSent(entry, outcome),
+      (outcome) => this.#notSent(entry, outcome),
     );
   }
 
@@ -245,10 +246,10 @@
   /** Handles a call that was sent over neither path; `outcome` is a peer's. */
   #notSent(
     entry: ReplicaEntry,
-    outcome: CallOutcome | undefined,
+    outcome: CallOutcome,
   ): CallOutcome {
     const { monitor } = this.#paths;
-    if (outcome?.type !== "notSent") return notSentOutcome();
+    if (outcome.type !== "notSent") return outcome;
     const isLocal = outcome.code === NO_PEER_CODE;
     if (!isLocal) monitor.noteUnreachable(entry);
     return { ...outcome, isLocal };
@@ -309,13 +310,3 @@
 function createAgentSet(): AgentSet {
   return { direct: new Map(), tunnelled: new Map() };
 }
-
-function notSentOutcome(): CallOutcome {
-  return {
-    type: "notSent",
-    reason: "No host reaches the replica",
-    isRefused: false,
-    isWithheld: false,
-    isLocal: false,
-  };
-}
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -157,7 +157,6 @@
   for (const { process, storeProxy, peerProxy } of hosts) {
     process.resume();
     await process.kill();
-    process.release();
     storeProxy.stop();
     peerProxy.stop();
   }
--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -33,7 +33,6 @@
   readonly #settingsFile: string;
   readonly #logFile: string;
   #child: ChildProcess | undefined;
-  readonly #started: ChildProcess[] = [];
   #cut: PathCut = PathCut.none;
   #isStopRequested = false;
   #isPaused = false;
@@ -73,7 +72,6 @@
     child.stderr?.pipe(log, { end: false });
     if (this.#cut !== PathCut.none) child.send(this.#cut);
     this.#child = child;
-    this.#started.push(child);
     running.add(child);
     child.on("exit", (code, signal) => {
       this.exits.push({ code, signal, isRequested: this.#isStopRequested });
@@ -88,19 +86,6 @@
     return this.#end("SIGKILL");
   }
 
-  /**
-   * Closes the pipes of ended processes, which may stay open and would keep the
-   * test's own process alive.
-   */
-  release(): void {
-    for (const child of this.#started) {
-      child.stdout?.destroy();
-      child.stderr?.destroy();
-      if (child.connected) child.disconnect();
-      child.unref();
-    }
-  }
-
   /** Sends SIGTERM and resolves when the process has exited. */
   stop(): Promise<void> {
     return this.#end("SIGTERM");
