--- a/src/standins/plain/server.ts
+++ b/src/standins/plain/server.ts
@@ -69,7 +69,8 @@
   });
 }
 
-function scheduleAdvance(
+/** Answers the calls of a plain service when they end. */
+export function scheduleAdvance(
   service: PlainService,
   responses: Map<string, ServerResponse>,
 ): void {
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -1,4 +1,5 @@
 /** A dialect for tests; no platform uses its header names. */
+import * as z from "zod";
 import {
   type BackoffHeader,
   type CallMetadata,
@@ -7,6 +8,7 @@
   type LimitHeader,
   withoutHeaders,
 } from "../../src/gateway/mod.ts";
+import { readJson } from "../../src/util/read_json.ts";
 
 const GATEWAY_HEADERS =
   /^x-(mode|incarnation|patience|export|reservation|not-run|customer)$/;
@@ -17,16 +19,20 @@
     const id = headers["x-id"];
     const timeoutMs = headers["x-patience"];
     const key = headers["x-key"];
+    const lastEventId = headers["last-event-id"];
     return {
       ...(typeof id === "string" ? { id } : {}),
       ...(timeoutMs === undefined ? {} : { timeoutMs: Number(timeoutMs) }),
       ...(typeof key === "string" ? { keyDigest: `digest of ${key}` } : {}),
+      ...(typeof lastEventId === "string" ? { lastEventId } : {}),
       promptTokens: Number(tokens[0]) || 0,
       outputLimit: Number(tokens[1]) || 0,
     };
   },
   callHeaders: (raw, head) => [
-    ...withoutHeaders(raw, (name) => GATEWAY_HEADERS.test(name)),
+    ...withoutHeaders(raw, (name) =>
+      GATEWAY_HEADERS.test(name) ||
+      (name === "last-event-id" && head.lastEventId !== undefined)),
     ...gatewayHeaders(head),
   ],
   readAnswer: (status, headers) => {
@@ -93,6 +99,7 @@
 }
 
 function stringField(body: string, name: string): string | undefined {
-  const value = (JSON.parse(body) as Record<string, unknown>)[name];
+  const fields = readJson(z.record(z.string(), z.unknown()), body);
+  const value = fields?.[name];
   return typeof value === "string" ? value : undefined;
 }
--- a/test/gateway/raw_replica.ts
+++ b/test/gateway/raw_replica.ts
@@ -1,5 +1,6 @@
 /** A replica for tests, whose raw response bytes the test writes. */
 import { createServer, type Server, type Socket } from "node:net";
+import { LOOPBACK } from "../loopback.ts";
 
 /** A request that a raw replica received. */
 export type RawRequest = {
@@ -41,7 +42,7 @@
   });
   const port = await listen(server);
   return {
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK}:${port}`,
     requests,
     connections: () => opened,
     stop: () => {
@@ -51,9 +52,10 @@
   };
 }
 
-function listen(server: Server): Promise<number> {
+/** Listens on a free port of this process's address; resolves with the port. */
+export function listen(server: Server): Promise<number> {
   return new Promise((resolve) => {
-    server.listen(0, "127.0.0.1", () => {
+    server.listen(0, LOOPBACK, () => {
       const bound = server.address();
       resolve(typeof bound === "object" && bound ? bound.port : 0);
     });
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -32,11 +32,13 @@
 import { neverSuspended } from "./never_suspended.ts";
 import { testDialect } from "./dialect.ts";
 import {
+  listen,
   type RawAnswer,
   type RawReplica,
   startRawReplica,
 } from "./raw_replica.ts";
 import { emptyStoreEras } from "./empty_store_eras.ts";
+import { LOOPBACK } from "../loopback.ts";
 
 /** A replica of a rig. */
 export type RigReplica = {
@@ -148,18 +150,13 @@
     },
     quotas: options.quotas ?? UNLIMITED_QUOTAS,
   });
-  const port = await new Promise<number>((resolve) => {
-    callers.server.listen(0, "127.0.0.1", () => {
-      const bound = callers.server.address();
-      resolve(typeof bound === "object" && bound ? bound.port : 0);
-    });
-  });
+  const port = await listen(callers.server);
   const agent = new Agent({ keepAlive: true });
   return {
     context,
     replicas,
     events,
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK}:${port}`,
     call: (callOptions = {}) => call(port, agent, callOptions),
     waitForRequests: async (count) => {
       const receivedCount = () =>
@@ -197,7 +194,7 @@
   options: RigOptions,
   index: number,
 ): ReplicaEntry {
-  const stage = options.replicas[index]?.stage;
+  const { stage } = options.replicas[index] ?? {};
   return {
     id: `r${index}`,
     incarnation: `r${index}`,
@@ -247,6 +244,7 @@
     metrics,
     replicaOf: (incarnation) => replicas.get(incarnation),
   });
+  const recorded = { clock, events: log, metrics, replicas };
   return {
     self: { id: "host", hall: "hall", run: "1" },
     clock,
@@ -261,9 +259,7 @@
     pool: new UpstreamPool(clock, paths),
     paths,
     crashes: new CrashWatch({
-      clock,
-      events: log,
-      metrics,
+      ...recorded,
       rule: { crashThreshold: 3, ttlMs: TEST_TIMEOUT_MS },
       isDraining: (entry) => replicas.isDraining(entry),
       probe: (entry) => paths.monitor.probe(entry),
@@ -287,7 +283,7 @@
   const { id = "1", path = "/a/b", method = "GET", body = "" } = options;
   return new Promise((resolve, reject) => {
     const clientRequest = request({
-      host: "127.0.0.1",
+      host: LOOPBACK,
       port,
       path,
       method,
--- a/test/platform/gateway_process_test.ts
+++ b/test/platform/gateway_process_test.ts
@@ -4,10 +4,10 @@
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { Agent, request } from "node:http";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { freeAddress } from "../free_address.ts";
 import { config, engineConfig } from "./configs.ts";
 import { type PlatformStandin, startPlatformStandin } from "./standin.ts";
 
@@ -29,16 +29,6 @@
 
 type CallResult = { readonly status: number; readonly body: string };
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const bound = server.address();
-  const port = typeof bound === "object" && bound ? bound.port : 0;
-  server.close();
-  return port;
-}
-
 async function start(): Promise<RunningGateway> {
   const standin = await startPlatformStandin();
   standin.put("op", "config", config(1, "/a/"));
@@ -52,10 +42,12 @@
     ColdRemainingMs: 0,
     Sequence: 1,
   });
-  const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
-  const [callers, readiness, peers, metrics] = ports.map((port) =>
-    `127.0.0.1:${port}`
-  );
+  const [callers, readiness, peers, metrics] = await Promise.all([
+    freeAddress(),
+    freeAddress(),
+    freeAddress(),
+    freeAddress(),
+  ]);
   const folder = mkdtempSync(join(tmpdir(), "otterhill-"));
   const settings = join(folder, "gateway.toml");
   writeFileSync(
--- a/test/platform/replica_exports.ts
+++ b/test/platform/replica_exports.ts
@@ -1,5 +1,5 @@
 /** Exports of finished prefills that decode replicas fetch. */
-import type { ReplicaWorld } from "./replica_standin.ts";
+import type { ReplicaWorld } from "./replica_world.ts";
 
 /**
  * Removes the export of a finished prefill; false if it is missing or expired.
--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -8,42 +8,21 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { resetSocket } from "../../src/util/reset_socket.ts";
 import { popExport } from "./replica_exports.ts";
 import { listen, send, textOf } from "./store_standin.ts";
+import type { ReplicaWorld } from "./replica_world.ts";
+import {
+  ConnectionEnd,
+  Framing,
+  type ResponseShape,
+  writeResponse,
+} from "./response_standin.ts";
+import { streamTexts } from "./stream_standin.ts";
 
 /** The role of a replica. */
 export type ReplicaRole = "plain" | "prefill" | "decode";
 
-/** A request that a replica received. */
-export type ReplicaArrival = {
-  readonly request: string;
-  readonly replica: string;
-  /** Distinguishes the starts of all replicas. */
-  readonly start: number;
-  readonly atMs: number;
-  /** Whether it started to run; a prefill doesn't count as a run. */
-  readonly ran: boolean;
-  /** The first event to send. */
-  readonly fromEvent: number;
-  /** Whether its response marked the replica as draining. */
-  readonly reportedDraining: boolean;
-  /** The `Retry-After` header with which it was rejected, if it was. */
-  readonly backoff?: string;
-};
-
-/** A violation that a replica detected. */
-export type ReplicaFault = { readonly what: string; readonly request: string };
-
-/** State shared by all replicas of a test. */
-export type ReplicaWorld = {
-  readonly arrivals: ReplicaArrival[];
-  readonly faults: ReplicaFault[];
-  /** Exports of finished prefills by "address/handle". */
-  readonly exports: Map<string, { request: string; expiresAt: number }>;
-  /** Called when a request with {@link CRASHING_BODY} crashes a replica. */
-  onCrash?(replica: string): void;
-};
-
 /** A request with this body crashes the replica that runs it. */
 export const CRASHING_BODY = "crashes its replica";
 
@@ -55,13 +34,8 @@
   readonly isPartial?: boolean;
 };
 
-/** A running replica. */
-export type ReplicaStandin = {
-  readonly id: string;
-  readonly role: ReplicaRole;
-  readonly address: string;
-  /** The number of running requests. */
-  running(): number;
+/** What a test may change of a running replica. */
+export type ReplicaSettings = {
   /** The rate limit header of its responses; undefined for none. */
   limit: string | undefined;
   /** Whether all its responses mark it as draining. */
@@ -70,6 +44,18 @@
   backoff: Backoff | undefined;
   /** Factor on the duration of its work. */
   slowdown: number;
+  /** Decides how it sends the response to a request. */
+  shapeResponse(request: string): ResponseShape;
+};
+
+/** A running replica. */
+export type ReplicaStandin = ReplicaSettings & {
+  readonly id: string;
+  readonly role: ReplicaRole;
+  readonly softwareVersion: string;
+  readonly address: string;
+  /** The number of running requests. */
+  running(): number;
   /** Simulates a crash: resets all connections. */
   crash(): void;
 };
@@ -78,13 +64,13 @@
 export type ReplicaOptions = {
   readonly id: string;
   readonly role: ReplicaRole;
+  /** Written into each event of its streams. */
+  readonly softwareVersion: string;
   readonly world: ReplicaWorld;
   /** The address for other hosts; part of the keys of its exports. */
   publicAddress(): string;
 };
 
-/** Number of events of a complete stream. */
-export const STREAM_EVENTS = 20;
 /** Time between two events of a stream. */
 const EVENT_INTERVAL_MS = 40;
 const PLAIN_DURATION_MS = 30;
@@ -95,13 +81,11 @@
 
 type Engine = {
   readonly options: ReplicaOptions;
+  readonly settings: ReplicaSettings;
   readonly reservations: Map<string, number>;
   running: number;
   sequence: number;
-  limit: string | undefined;
-  draining: boolean;
-  backoff: Backoff | undefined;
-  slowdown: number;
+  hasCrashed: boolean;
   readonly start: number;
 };
 
@@ -111,17 +95,22 @@
 export async function startReplica(
   options: ReplicaOptions,
 ): Promise<ReplicaStandin> {
+  const settings: ReplicaSettings = {
+    limit: undefined,
+    draining: false,
+    backoff: undefined,
+    slowdown: 1,
+    shapeResponse: () => ({ framing: Framing.chunks }),
+  };
   starts += 1;
   const engine: Engine = {
     start: starts,
     options,
+    settings,
     reservations: new Map(),
     running: 0,
     sequence: 0,
-    limit: undefined,
-    draining: false,
-    backoff: undefined,
-    slowdown: 1,
+    hasCrashed: false,
   };
   const server = createServer((request, response) => {
     response.on("error", () => undefined);
@@ -133,41 +122,19 @@
     socket.on("error", () => undefined);
     socket.on("close", () => sockets.delete(socket));
   });
-  const address = await listen(server);
-  return {
-    id: options.id,
-    role: options.role,
-    address,
+  const { id, role, softwareVersion } = options;
+  return Object.assign(settings, {
+    id,
+    role,
+    softwareVersion,
+    address: await listen(server),
     running: () => engine.running,
-    get limit() {
-      return engine.limit;
-    },
-    set limit(text) {
-      engine.limit = text;
-    },
-    get draining() {
-      return engine.draining;
-    },
-    set draining(isDraining) {
-      engine.draining = isDraining;
-    },
-    get backoff() {
-      return engine.backoff;
-    },
-    set backoff(backoff) {
-      engine.backoff = backoff;
-    },
-    get slowdown() {
-      return engine.slowdown;
-    },
-    set slowdown(factor) {
-      engine.slowdown = factor;
-    },
     crash: () => {
+      engine.hasCrashed = true;
       server.close();
-      for (const socket of sockets) socket.resetAndDestroy();
+      for (const socket of sockets) resetSocket(socket);
     },
-  };
+  });
 }
 
 async function handle(
@@ -177,7 +144,7 @@
 ): Promise<void> {
   const body = await textOf(request);
   const path = request.url ?? "";
-  if (engine.draining) response.setHeader("Server-Leaving", "1");
+  if (engine.settings.draining) response.setHeader("Server-Leaving", "1");
   if (path === "/hold-take") return reserve(engine, body, response);
   if (path.startsWith("/hold-drop/")) {
     engine.reservations.delete(path.slice("/hold-drop/".length));
@@ -222,10 +189,10 @@
     readonly response: ServerResponse;
   },
 ): Promise<void> {
-  const { options } = engine;
+  const { options, settings } = engine;
   const { role, world } = options;
-  if (engine.limit !== undefined) {
-    response.setHeader("Server-Limit", engine.limit);
+  if (settings.limit !== undefined) {
+    response.setHeader("Server-Limit", settings.limit);
   }
   const header = (name: string) => String(request.headers[name] ?? "");
   const id = header("attempt-id");
@@ -234,7 +201,8 @@
   }
   const isPrefill = header("serving-stage") === "prefill";
   const fromEvent = Number(header("last-event-id") || -1) + 1;
-  const { draining: reportedDraining, start } = engine;
+  const { start } = engine;
+  const { draining: reportedDraining } = settings;
   const backoff = nextBackoff(engine);
   const note = (ran: boolean) =>
     world.arrivals.push({
@@ -269,21 +237,64 @@
     await sleep(CRASH_DELAY_MS);
     return world.onCrash?.(options.id);
   }
-  const seal = { "Attempt-Id": id, "Server-Seal": `${options.id}.${id}` };
+  const headers = { "Attempt-Id": id, "Server-Seal": `${options.id}.${id}` };
   if (role === "plain") {
-    await sleep(PLAIN_DURATION_MS * engine.slowdown);
-    response.writeHead(200, seal);
-    return void response.end(`body of ${id}`);
+    return await respond(engine, response, {
+      id,
+      headers,
+      pieces: [`body of ${id}`],
+      intervalMs: PLAIN_DURATION_MS,
+    });
   }
-  await stream(engine, response, { id, fromEvent, seal });
+  const { softwareVersion } = options;
+  const first = { index: fromEvent, request: id, softwareVersion };
+  await respond(engine, response, {
+    id,
+    headers: { ...headers, "Content-Type": "text/event-stream" },
+    pieces: streamTexts(first),
+    intervalMs: EVENT_INTERVAL_MS,
+  });
+}
+
+/** Sends a response with status 200 in the shape that is set. */
+async function respond(
+  engine: Engine,
+  response: ServerResponse,
+  { id, headers, pieces, intervalMs = 0 }: {
+    readonly id: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly pieces: readonly string[];
+    /** Time before each piece. */
+    readonly intervalMs?: number;
+  },
+): Promise<void> {
+  const { settings, options: { id: replica, role, world } } = engine;
+  const shape = settings.shapeResponse(id);
+  const { framing, cut } = shape;
+  const wait = () => sleep(intervalMs * settings.slowdown);
+  const written = await writeResponse(response, {
+    headers,
+    pieces,
+    shape,
+    wait,
+  });
+  const { state, sent } = written;
+  // Callers don't get the response to a prefill.
+  if (state === "whole" || role === "prefill") return;
+  // A crashed replica's proxy ends the connection in order.
+  const crashEnd = engine.hasCrashed ? ConnectionEnd.fin : undefined;
+  const end = state === "cut" ? cut?.end : crashEnd;
+  if (!end) return;
+  world.onCut?.({ request: id, replica, framing, end, sent });
 }
 
 /**
  * The `Retry-After` header for the next request; undefined if it is accepted.
  */
 function nextBackoff(engine: Engine): string | undefined {
-  if (!engine.backoff) return undefined;
-  const { text, isPartial = false } = engine.backoff;
+  const { backoff } = engine.settings;
+  if (!backoff) return undefined;
+  const { text, isPartial = false } = backoff;
   engine.sequence += 1;
   return isPartial && engine.sequence % 2 === 0 ? undefined : text;
 }
@@ -296,33 +307,17 @@
 ): Promise<void> {
   note(false);
   const { world, publicAddress } = engine.options;
-  await sleep(PREFILL_DURATION_MS * engine.slowdown);
+  await sleep(PREFILL_DURATION_MS * engine.settings.slowdown);
   engine.sequence += 1;
   const handle = `h${engine.sequence}`;
   const expiresAt = performance.now() + EXPORT_TTL_MS;
   world.exports.set(`${publicAddress()}/${handle}`, { request: id, expiresAt });
-  response.setHeader("Attempt-Id", id);
-  send(response, 200, { PrefillHandle: handle, Tokens: 1, Version: 1 });
-}
-
-async function stream(
-  engine: Engine,
-  response: ServerResponse,
-  run: {
-    readonly id: string;
-    readonly fromEvent: number;
-    readonly seal: Record<string, string>;
-  },
-): Promise<void> {
-  const type = { "Content-Type": "text/event-stream" };
-  response.writeHead(200, { ...run.seal, ...type });
-  for (let event = run.fromEvent; event < STREAM_EVENTS; event++) {
-    await sleep(EVENT_INTERVAL_MS * engine.slowdown);
-    if (response.destroyed) return;
-    const last = event === STREAM_EVENTS - 1 ? " last" : "";
-    response.write(`id: ${event}\ndata: ${run.id}${last}\n\n`);
-  }
-  response.end();
+  const result = { PrefillHandle: handle, Tokens: 1, Version: 1 };
+  await respond(engine, response, {
+    id,
+    headers: { "Attempt-Id": id, "Content-Type": "application/json" },
+    pieces: [JSON.stringify(result)],
+  });
 }
 
 function notRun(response: ServerResponse, status: number, id: string): void {
--- /dev/null
+++ b/test/soak/call.ts
@@ -0,0 +1,166 @@
+/** One request of a caller. */
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
+import { Framing } from "../platform/response_standin.ts";
+import { isAtEventEnd } from "../platform/stream_standin.ts";
+
+/** The route that a request uses. */
+export const CallKind = {
+  safe: "safe",
+  unsafe: "unsafe",
+  /** A stream that runs at most once. */
+  stream: "stream",
+  /** A stream that another replica may resume. */
+  resumable: "resumable",
+} as const;
+/** One of the values of {@link CallKind}. */
+export type CallKind = typeof CallKind[keyof typeof CallKind];
+
+/** The result of one request at its caller. */
+export type CallResult = {
+  readonly id: string;
+  readonly kind: CallKind;
+  readonly host: string;
+  readonly sentAtMs: number;
+  readonly endedAtMs: number;
+  /** 0 if no response headers arrived. */
+  readonly status: number;
+  readonly seal: string;
+  readonly body: string;
+  readonly framing: Framing;
+  /**
+   * The response looks whole to the caller: as its framing says, or it ended in
+   * order with its connection and, for a stream, with an event.
+   */
+  readonly isComplete: boolean;
+  /** The caller closed the connection before the response ended. */
+  readonly isAborted: boolean;
+  /** Absent for a new request. */
+  readonly resumption?: Resumption;
+};
+
+/** How a caller resumes a stream that broke. */
+export type Resumption = {
+  /** The attempt that brought the first event of the stream. */
+  readonly firstAttempt: string;
+  /** The last event that arrived completely. */
+  readonly lastEvent: number;
+};
+
+const REQUEST_TIMEOUT_MS = 5000;
+const ABORT_AFTER_MS = 300;
+
+/** Options of {@link callOnce}. */
+export type CallOptions = {
+  readonly agent: Agent;
+  readonly host: { readonly name: string; readonly address: string };
+  readonly id: string;
+  readonly kind: CallKind;
+  /** The body unless the request is safe. */
+  readonly body: string;
+  /** Closes the connection after 0.3 s. */
+  readonly abortsEarly: boolean;
+  readonly resumption?: Resumption;
+};
+
+/** Sends one request; never rejects. */
+export function callOnce(options: CallOptions): Promise<CallResult> {
+  const { agent, host, id, kind, abortsEarly, resumption } = options;
+  const requestBody = kind === CallKind.safe ? undefined : options.body;
+  const [ip, port] = host.address.split(":");
+  const sentAtMs = performance.now();
+  return new Promise((resolve) => {
+    let response: IncomingMessage | undefined;
+    let body = "";
+    let isAborted = false;
+    let isReset = false;
+    const outgoing = request({
+      host: ip,
+      port,
+      agent,
+      method: kind === CallKind.safe ? "GET" : "POST",
+      path: `/${kind}/x`,
+      headers: {
+        host: "example",
+        "attempt-id": id,
+        "token-counts": "100,20",
+        "prompt-prefix": `${id}:100`,
+        "deadline-remaining-ms": String(REQUEST_TIMEOUT_MS),
+        ...(resumption && resumptionHeaders(resumption)),
+      },
+    });
+    const abortAfter = (afterMs: number) =>
+      setTimeout(() => {
+        isAborted = true;
+        outgoing.destroy();
+      }, afterMs);
+    const timers = [abortAfter(REQUEST_TIMEOUT_MS)];
+    if (abortsEarly) timers.push(abortAfter(ABORT_AFTER_MS));
+    outgoing.on("error", () => isReset = true);
+    onConnectionReset(outgoing, () => isReset = true);
+    outgoing.on("response", (message) => {
+      response = message;
+      message.on("error", () => undefined);
+      message.on("data", (bytes: Buffer) => body += bytes.toString());
+    });
+    outgoing.on("close", () => {
+      for (const timer of timers) clearTimeout(timer);
+      const framing = framingOf(response);
+      const isWhole = framing !== Framing.none ||
+        !isReset && (!isStream(kind) || isAtEventEnd(body));
+      resolve({
+        id,
+        kind,
+        host: host.name,
+        sentAtMs,
+        endedAtMs: performance.now(),
+        status: response?.statusCode ?? 0,
+        seal: String(response?.headers["server-seal"] ?? ""),
+        body,
+        framing,
+        isComplete: isWhole && (response?.complete ?? false),
+        isAborted,
+        ...(resumption && { resumption }),
+      });
+    });
+    outgoing.end(requestBody);
+  });
+}
+
+/** Whether requests of this kind are answered with streams. */
+export function isStream(kind: CallKind): boolean {
+  return kind === CallKind.stream || kind === CallKind.resumable;
+}
+
+function framingOf(response: IncomingMessage | undefined): Framing {
+  const headers = response?.headers ?? {};
+  if (headers["transfer-encoding"] !== undefined) return Framing.chunks;
+  return headers["content-length"] === undefined
+    ? Framing.none
+    : Framing.length;
+}
+
+/**
+ * Calls `onReset` when the connection of a request is reset. A reset right after
+ * the last bytes is reported as an end, but a reset connection has no peer
+ * address any more (getpeername(2)).
+ */
+function onConnectionReset(outgoing: ClientRequest, onReset: () => void): void {
+  outgoing.on("socket", (socket) => {
+    const onEnd = () => {
+      if (socket.remoteAddress === undefined) onReset();
+    };
+    socket.prependListener("end", onEnd);
+    outgoing.once("close", () => socket.off("end", onEnd));
+  });
+}
+
+function resumptionHeaders(
+  { firstAttempt, lastEvent }: Resumption,
+): Record<string, string> {
+  return { "last-event-id": String(lastEvent), "resumes": firstAttempt };
+}
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -1,43 +1,17 @@
 /** Callers that send requests in a loop and record the results. */
-import { Agent, type IncomingMessage, request } from "node:http";
+import { Agent } from "node:http";
 import { type RandomGenerator } from "pure-rand";
 import { randomInt } from "../../src/util/random.ts";
+import { CallKind, callOnce, type CallResult } from "./call.ts";
+import { findResumption } from "./resumptions.ts";
+import { sleep } from "./sleep.ts";
 
-/** The route that a request uses. */
-export const CallKind = {
-  safe: "safe",
-  unsafe: "unsafe",
-  /** A stream that runs at most once. */
-  stream: "stream",
-  /** A stream that another replica may resume. */
-  resumable: "resumable",
-} as const;
-/** One of the values of {@link CallKind}. */
-export type CallKind = typeof CallKind[keyof typeof CallKind];
-
-/** The result of one request at its caller. */
-export type CallResult = {
-  readonly id: string;
-  readonly kind: CallKind;
-  readonly host: string;
-  readonly sentAtMs: number;
-  readonly endedAtMs: number;
-  /** 0 if no response headers arrived. */
-  readonly status: number;
-  readonly seal: string;
-  readonly body: string;
-  /** The HTTP message was received completely. */
-  readonly isComplete: boolean;
-  /** The caller closed the connection before the response ended. */
-  readonly isAborted: boolean;
-};
+/** A host as its callers know it. */
+export type CallerHost = { readonly name: string; readonly address: string };
 
 /** Options of {@link runCaller}. */
 export type CallerOptions = {
-  readonly hosts: readonly {
-    readonly name: string;
-    readonly address: string;
-  }[];
+  readonly hosts: readonly CallerHost[];
   readonly random: RandomGenerator;
   readonly name: string;
   /** Kinds of requests to send; all by default. */
@@ -46,6 +20,8 @@
   readonly body?: string;
   /** The pause between two requests. */
   readonly pauseMs?: number;
+  /** Resumes broken streams at other hosts, if the route allows it. */
+  readonly isResuming?: boolean;
   /** Stops after this many requests and aborts none of them early. */
   readonly maxRequests?: number;
   /** Whether the load balancer sends new connections to the host. */
@@ -62,11 +38,11 @@
   CallKind.stream,
   CallKind.resumable,
 ];
-const REQUEST_TIMEOUT_MS = 5000;
 /** One request in this many is aborted early. */
 const ABORT_ONE_IN = 15;
-const ABORT_AFTER_MS = 300;
 const REQUESTS_PER_CONNECTION = 20;
+/** Attempts of a caller to resume a stream. */
+const MAX_RESUMPTIONS = 3;
 const PAUSE_MS = 30;
 
 /**
@@ -79,9 +55,7 @@
   const { body = "body", pauseMs = PAUSE_MS } = options;
   let sent = 0;
   for (let round = 0; !options.isStopped() && sent < maxRequests; round++) {
-    const inRotation = hosts.filter((host) => options.isInRotation(host.name));
-    const candidates = inRotation.length > 0 ? inRotation : hosts;
-    const host = candidates[randomInt(random, candidates.length)];
+    const host = chooseHost(options, hosts);
     if (!host) return;
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     for (let count = 0; count < REQUESTS_PER_CONNECTION; count++) {
@@ -100,6 +74,7 @@
         abortsEarly,
       });
       options.onResult(result);
+      if (options.isResuming) await resumeElsewhere(options, result);
       await sleep(pauseMs);
       if (!result.isComplete) break;
     }
@@ -107,70 +82,47 @@
   }
 }
 
-type Attempt = {
-  readonly agent: Agent;
-  readonly host: { readonly name: string; readonly address: string };
-  readonly id: string;
-  readonly kind: CallKind;
-  readonly body: string;
-  readonly abortsEarly: boolean;
-};
-
-function callOnce(attempt: Attempt): Promise<CallResult> {
-  const { agent, host, id, kind, abortsEarly } = attempt;
-  const requestBody = kind === CallKind.safe ? undefined : attempt.body;
-  const [ip, port] = host.address.split(":");
-  const sentAtMs = performance.now();
-  return new Promise((resolve) => {
-    let response: IncomingMessage | undefined;
-    let body = "";
-    let isAborted = false;
-    const outgoing = request({
-      host: ip,
-      port,
+/**
+ * Resumes a stream at hosts that have not had it yet, until it ends, the caller
+ * gives up or no host is left.
+ */
+async function resumeElsewhere(
+  options: CallerOptions,
+  broken: CallResult,
+): Promise<void> {
+  const { body = "body", pauseMs = PAUSE_MS } = options;
+  const triedHosts = new Set<string>();
+  let previous = broken;
+  for (let count = 1; count <= MAX_RESUMPTIONS; count++) {
+    const resumption = findResumption(previous);
+    if (!resumption) return;
+    triedHosts.add(previous.host);
+    await sleep(pauseMs);
+    const others = options.hosts.filter(({ name }) => !triedHosts.has(name));
+    const host = chooseHost(options, others);
+    if (!host) return;
+    const agent = new Agent();
+    previous = await callOnce({
       agent,
-      method: kind === CallKind.safe ? "GET" : "POST",
-      path: `/${kind}/x`,
-      headers: {
-        host: "example",
-        "attempt-id": id,
-        "token-counts": "100,20",
-        "prompt-prefix": `${id}:100`,
-        "deadline-remaining-ms": String(REQUEST_TIMEOUT_MS),
-      },
+      host,
+      id: `${broken.id}-r${count}`,
+      kind: broken.kind,
+      body,
+      abortsEarly: false,
+      resumption,
     });
-    const abortAfter = (afterMs: number) =>
-      setTimeout(() => {
-        isAborted = true;
-        outgoing.destroy();
-      }, afterMs);
-    const timers = [abortAfter(REQUEST_TIMEOUT_MS)];
-    if (abortsEarly) timers.push(abortAfter(ABORT_AFTER_MS));
-    outgoing.on("error", () => undefined);
-    outgoing.on("response", (message) => {
-      response = message;
-      message.on("error", () => undefined);
-      message.on("data", (bytes: Buffer) => body += bytes.toString());
-    });
-    outgoing.on("close", () => {
-      for (const timer of timers) clearTimeout(timer);
-      resolve({
-        id,
-        kind,
-        host: host.name,
-        sentAtMs,
-        endedAtMs: performance.now(),
-        status: response?.statusCode ?? 0,
-        seal: String(response?.headers["server-seal"] ?? ""),
-        body,
-        isComplete: response?.complete ?? false,
-        isAborted,
-      });
-    });
-    outgoing.end(requestBody);
-  });
+    agent.destroy();
+    options.onResult(previous);
+  }
 }
 
-function sleep(forMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, forMs));
+/** Chooses a host that is in rotation, or any one if none is. */
+function chooseHost(
+  { random, isInRotation }: CallerOptions,
+  hosts: readonly CallerHost[],
+): CallerHost | undefined {
+  const inRotation = hosts.filter(({ name }) => isInRotation(name));
+  const candidates = inRotation.length > 0 ? inRotation : hosts;
+  if (candidates.length === 0) return undefined;
+  return candidates[randomInt(random, candidates.length)];
 }
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -2,17 +2,21 @@
  * Checks the results at callers and replicas against the gateway's guarantees;
  * pure functions.
  */
-import {
-  type ReplicaArrival,
-  type ReplicaFault,
-  STREAM_EVENTS,
-} from "../platform/replica_standin.ts";
-import { CallKind, type CallResult } from "./callers.ts";
+import type {
+  ReplicaArrival,
+  ReplicaFault,
+} from "../platform/replica_world.ts";
+import type { CutResponse } from "../platform/response_standin.ts";
+import { CallKind, type CallResult } from "./call.ts";
+import type { HostFaultInterval } from "./host_faults.ts";
+import { findUnresumedStreams, type ServingSample } from "./resumed_streams.ts";
+import { findMixedStreams } from "./resumptions.ts";
+import { isOwnAndComplete, isUnnoticedCut } from "./whole_responses.ts";
 import { LIMIT_WINDOW_MS, maxAllowed } from "../platform/rate_windows.ts";
 import { findBackoffViolations, findSendsAfterDrainNotice } from "./notices.ts";
 import { findForwardedRequests } from "./forwarded_requests.ts";
 import { findUnservedCuts, type PathCutInterval } from "./path_faults.ts";
-import type { LimitInterval } from "./world.ts";
+import type { LimitInterval } from "./replica_limits.ts";
 import { ROUTE_TIMEOUT_MS } from "./world_config.ts";
 import type { Exit } from "./gateway_process.ts";
 
@@ -21,6 +25,8 @@
   readonly calls: readonly CallResult[];
   readonly arrivals: readonly ReplicaArrival[];
   readonly faults: readonly ReplicaFault[];
+  /** Responses that replicas cut. */
+  readonly cuts: readonly CutResponse[];
   readonly exits: readonly (Exit & { readonly host: string })[];
   /** Route versions that each start of each host reported, in order. */
   readonly versions: ReadonlyMap<string, readonly number[]>;
@@ -41,6 +47,8 @@
   readonly pathCuts: readonly PathCutInterval[];
   /** Hosts whose process was never stopped or suspended. */
   readonly uninterruptedHosts: ReadonlySet<string>;
+  readonly hostFaults: readonly HostFaultInterval[];
+  readonly servingSamples: readonly ServingSample[];
 };
 
 /** A violated guarantee. */
@@ -73,6 +81,8 @@
   checkLimits,
   checkReplicaNotices,
   checkPathCuts,
+  checkSoftwareVersions,
+  checkResumptions,
 ];
 
 /** Returns all violations of a run. */
@@ -80,16 +90,22 @@
   return CHECKS.flatMap((check) => check(observations));
 }
 
-/** A successful response is complete and belongs to the caller's request. */
-function checkResponses({ calls, faults }: Observations): Violation[] {
+/**
+ * A successful response that looks complete to its caller is the whole one and
+ * belongs to the caller's request.
+ */
+function checkResponses({ calls, cuts, faults }: Observations): Violation[] {
   const successes = calls.filter((call) =>
     call.status === 200 && call.isComplete
   );
-  const wrong = successes.filter((call) => !isOwnAndComplete(call));
+  const wrong = successes.filter((call) =>
+    !isOwnAndComplete(call) && !isUnnoticedCut(call, cuts)
+  );
   return [
     ...wrong.map((call) => ({
       rule: "responses are complete and match the request",
-      detail: `${call.id} at ${call.host}: ${JSON.stringify(call.body)}`,
+      detail: `${call.id} at ${call.host}, framing ${call.framing}: ` +
+        JSON.stringify(call.body),
     })),
     ...faults.map((fault) => ({
       rule: "prefills are used by their own request",
@@ -98,22 +114,6 @@
   ];
 }
 
-function isOwnAndComplete(call: CallResult): boolean {
-  if (!call.seal.endsWith(`.${call.id}`)) return false;
-  const isStream = call.kind === CallKind.stream ||
-    call.kind === CallKind.resumable;
-  return call.body ===
-    (isStream ? completeStream(call.id) : `body of ${call.id}`);
-}
-
-function completeStream(id: string): string {
-  const events = Array.from({ length: STREAM_EVENTS }, (_, event) => {
-    const last = event === STREAM_EVENTS - 1 ? " last" : "";
-    return `id: ${event}\ndata: ${id}${last}\n\n`;
-  });
-  return events.join("");
-}
-
 /** A request that must not be repeated runs at most once. */
 function checkAtMostOnce({ calls, arrivals }: Observations): Violation[] {
   const runs = new Map<string, number>();
@@ -329,3 +329,19 @@
     detail,
   }));
 }
+
+/** A stream holds events of one software version, over all attempts. */
+function checkSoftwareVersions({ calls }: Observations): Violation[] {
+  return findMixedStreams(calls).map((detail) => ({
+    rule: "streams go on at the software version that began them",
+    detail,
+  }));
+}
+
+/** Streams go on half as often as new ones begin, at least. */
+function checkResumptions(observations: Observations): Violation[] {
+  return findUnresumedStreams(observations).map((detail) => ({
+    rule: "resumed streams go on",
+    detail,
+  }));
+}
--- a/test/soak/crashing_request_test.ts
+++ b/test/soak/crashing_request_test.ts
@@ -9,7 +9,7 @@
 import { test } from "node:test";
 import { CRASHING_BODY } from "../platform/replica_standin.ts";
 import { knownRed } from "../known_red.ts";
-import { CallKind, type CallResult } from "./callers.ts";
+import { CallKind, type CallResult } from "./call.ts";
 import {
   callHost,
   createHosts,
@@ -17,7 +17,7 @@
   readRoutesVersion,
   stopHosts,
 } from "./fleet.ts";
-import { sleep } from "./inject_fault.ts";
+import { sleep } from "./sleep.ts";
 import { World } from "./world.ts";
 
 const HOSTS = 4;
--- a/test/soak/fault_proxy.ts
+++ b/test/soak/fault_proxy.ts
@@ -1,6 +1,8 @@
 /** A loopback TCP proxy that injects network faults. */
 import { connect, createServer, type Socket } from "node:net";
 import { parseAddress } from "../../src/util/address.ts";
+import { resetSocket } from "../../src/util/reset_socket.ts";
+import { LOOPBACK } from "../loopback.ts";
 
 /** The direction in which bytes are dropped. */
 export const BlockedDirection = {
@@ -37,7 +39,7 @@
   const pairs = new Set<SocketPair>();
   const sockets = new Set<Socket>();
   const server = createServer((caller) => {
-    if (proxy.refusesConnections) return void caller.resetAndDestroy();
+    if (proxy.refusesConnections) return void resetSocket(caller);
     const upstream = connect({
       host: targetAddress?.host,
       port: targetAddress?.port ?? 0,
@@ -50,13 +52,19 @@
       caller,
       upstream,
       proxy,
-      () => isBlocked(BlockedDirection.toTarget),
+      {
+        isBlocked: () => isBlocked(BlockedDirection.toTarget),
+        onReset: () => resetPair(pair),
+      },
     );
     forwardBytes(
       upstream,
       caller,
       proxy,
-      () => isBlocked(BlockedDirection.toCaller),
+      {
+        isBlocked: () => isBlocked(BlockedDirection.toCaller),
+        onReset: () => resetPair(pair),
+      },
     );
     for (const socket of [caller, upstream]) {
       sockets.add(socket);
@@ -69,13 +77,13 @@
     }
   });
   const port = await new Promise<number>((resolve) => {
-    server.listen(0, "127.0.0.1", () => {
+    server.listen(0, LOOPBACK, () => {
       const bound = server.address();
       resolve(typeof bound === "object" && bound ? bound.port : 0);
     });
   });
   const proxy: FaultProxy = {
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK}:${port}`,
     blocked: BlockedDirection.none,
     delayMs: 0,
     refusesConnections: false,
@@ -101,7 +109,7 @@
   for (const socket of [caller, target]) {
     // Node resets a socket that still connects only once it is connected.
     if (socket.connecting) socket.destroy();
-    else if (!socket.destroyed) socket.resetAndDestroy();
+    else if (!socket.destroyed) resetSocket(socket);
   }
 }
 
@@ -110,7 +118,10 @@
   from: Socket,
   to: Socket,
   proxy: FaultProxy,
-  isBlocked: () => boolean,
+  { isBlocked, onReset }: {
+    isBlocked(): boolean;
+    onReset(): void;
+  },
 ): void {
   let last: Promise<void> = Promise.resolve();
   const enqueue = (work: () => void) => {
@@ -123,6 +134,8 @@
     });
   });
   from.on("end", () => {
+    // After a reset the address of the other end is unknown (getpeername(2)).
+    if (from.remoteAddress === undefined) return onReset();
     enqueue(() => {
       if (!isBlocked() && to.writable) to.end();
     });
--- a/test/soak/fault_proxy_test.ts
+++ b/test/soak/fault_proxy_test.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
+import { LOOPBACK } from "../loopback.ts";
 import {
   BlockedDirection,
   type FaultProxy,
@@ -16,12 +17,12 @@
     socket.on("error", () => undefined);
     socket.pipe(socket);
   });
-  echo.listen(0, "127.0.0.1");
+  echo.listen(0, LOOPBACK);
   await once(echo, "listening");
   const bound = echo.address();
   const port = typeof bound === "object" && bound ? bound.port : 0;
-  const proxy = await startFaultProxy(`127.0.0.1:${port}`);
-  const caller = connect(Number(proxy.address.split(":")[1]), "127.0.0.1");
+  const proxy = await startFaultProxy(`${LOOPBACK}:${port}`);
+  const caller = connect(Number(proxy.address.split(":")[1]), LOOPBACK);
   caller.on("error", () => undefined);
   try {
     await work(proxy, caller);
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -1,14 +1,14 @@
 /** The gateways of a soak, with fault proxies on their network paths. */
-import { once } from "node:events";
 import { request } from "node:http";
-import { createServer } from "node:net";
 import { xoroshiro128plus } from "pure-rand";
-import { type CallKind, type CallResult, runCaller } from "./callers.ts";
+import { type CallKind, type CallResult } from "./call.ts";
+import { runCaller } from "./callers.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
 import { GatewayProcess } from "./gateway_process.ts";
 import { rendezvous } from "../../src/util/rendezvous.ts";
-import { type Fault, FaultKind } from "./schedule.ts";
+import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { HALLS, SERVICES } from "./world.ts";
+import { freeAddress } from "../free_address.ts";
 
 /** A gateway process, its addresses and its proxies. */
 export type FleetHost = {
@@ -61,42 +61,22 @@
 };
 
 async function createEndpoints(storeAddress: string): Promise<HostEndpoints> {
-  const ports = await Promise.all([0, 1, 2, 3].map(() => freePort()));
-  const at = (index: number) => `127.0.0.1:${ports[index]}`;
+  const [callers, readiness, metrics, peers] = await Promise.all([
+    freeAddress(),
+    freeAddress(),
+    freeAddress(),
+    freeAddress(),
+  ]);
   return {
-    callers: at(0),
-    readiness: at(1),
-    metrics: at(2),
-    peers: at(3),
+    callers,
+    readiness,
+    metrics,
+    peers,
     storeProxy: await startFaultProxy(storeAddress),
-    peerProxy: await startFaultProxy(at(3)),
+    peerProxy: await startFaultProxy(peers),
   };
 }
 
-/**
- * The ports lie below the ephemeral range, so that no connection occupies the
- * port of a process while it restarts.
- */
-const FIRST_PORT = 12_000;
-const PORT_COUNT = 18_000;
-let nextPort = FIRST_PORT + process.pid * 64 % PORT_COUNT;
-
-async function freePort(): Promise<number> {
-  for (;;) {
-    nextPort = FIRST_PORT + (nextPort + 1 - FIRST_PORT) % PORT_COUNT;
-    const port = nextPort;
-    const server = createServer();
-    const isFree = await new Promise<boolean>((resolve) => {
-      server.once("error", () => resolve(false));
-      server.listen(port, "127.0.0.1", () => resolve(true));
-    });
-    if (!isFree) continue;
-    server.close();
-    await once(server, "close");
-    return port;
-  }
-}
-
 /** Switches on all optional decisions under load. */
 const SCHEDULING_SETTINGS = `
 [memory]
--- a/test/soak/forwarded_requests.ts
+++ b/test/soak/forwarded_requests.ts
@@ -1,6 +1,6 @@
 /** Joins results of callers with arrivals at replicas; pure functions. */
-import type { ReplicaArrival } from "../platform/replica_standin.ts";
-import type { CallResult } from "./callers.ts";
+import type { ReplicaArrival } from "../platform/replica_world.ts";
+import type { CallResult } from "./call.ts";
 
 /** A request that arrived at a replica, with the host that forwarded it. */
 export type ForwardedRequest = {
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -4,8 +4,10 @@
 import type { GatewayProcess } from "./gateway_process.ts";
 import { BlockedDirection } from "./fault_proxy.ts";
 import { block, cutPaths, resetAll, silence, slow } from "./path_faults.ts";
-import { type Fault, FaultKind } from "./schedule.ts";
+import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { StoreMode } from "../platform/store_standin.ts";
+import { changeVersion, release } from "./releases.ts";
+import { sleep } from "./sleep.ts";
 import type { World, WorldReplica } from "./world.ts";
 
 /** The targets of faults. */
@@ -133,6 +135,17 @@
         ready.filter((candidate) => candidate.hall === replica.hall),
         fault,
       );
+    case FaultKind.replicaCutsResponses:
+      return world.shapes.cutResponses([replica.standin.id]);
+    case FaultKind.serviceCutsResponses:
+      return world.shapes.cutResponses(
+        ready.filter(({ standin }) => standin.role === replica.standin.role)
+          .map(({ standin }) => standin.id),
+      );
+    case FaultKind.release:
+      return release(world, fault.target);
+    case FaultKind.replicaChangesVersion:
+      return changeVersion(world, fault.target).then(() => NO_UNDO);
     case FaultKind.storeRestored:
       return restoreStore(world, fault, { hasOutage: false });
     case FaultKind.storeRestoredAfterOutage:
@@ -264,7 +277,9 @@
   { target }: Fault,
 ): Undo {
   const text = LIMIT_TEXTS[target % LIMIT_TEXTS.length] ?? "1";
-  const undos = replicas.map((replica) => world.limit(replica, text));
+  const undos = replicas.map(({ standin }) =>
+    world.limits.start(standin, text)
+  );
   return () => {
     for (const undo of undos) undo();
   };
@@ -298,7 +313,3 @@
   const { process } = targetHost(hosts, fault);
   return restartAfter(process, process.kill());
 }
-
-export function sleep(forMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, forMs));
-}
--- a/test/soak/path_faults.ts
+++ b/test/soak/path_faults.ts
@@ -1,14 +1,10 @@
 /** Faults of network paths, and what those to the replicas may cost. */
-import type { CallResult } from "./callers.ts";
+import type { CallResult } from "./call.ts";
 import { type FleetHost, targetHost } from "./fleet.ts";
 import type { BlockedDirection, FaultProxy } from "./fault_proxy.ts";
 import { PathCut } from "./replica_path.ts";
-import {
-  type Fault,
-  FaultKind,
-  PATH_CUT_KINDS,
-  SILENT_MS,
-} from "./schedule.ts";
+import { type Fault, FaultKind } from "./fault_kinds.ts";
+import { PATH_CUT_KINDS, SILENT_MS } from "./schedule.ts";
 import { HALLS, type World, type WorldReplica } from "./world.ts";
 
 /** The time from the begin of a cut on after which callers are served. */
@@ -46,7 +42,7 @@
 }
 
 /** The hosts whose paths to the replicas a fault cuts. */
-function hostsWithCutPaths(
+export function hostsWithCutPaths(
   hosts: readonly FleetHost[],
   fault: Fault,
 ): readonly FleetHost[] {
--- a/test/soak/replica_backoff_test.ts
+++ b/test/soak/replica_backoff_test.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { knownRed } from "../known_red.ts";
-import { CallKind } from "./callers.ts";
+import { CallKind } from "./call.ts";
 import { findBackoffViolations } from "./notices.ts";
 import { findForwardedRequests } from "./forwarded_requests.ts";
 import { oneOfEachRole, runCallers, withFleet } from "./test_fleet.ts";
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -5,14 +5,8 @@
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { xoroshiro128plus } from "pure-rand";
-import { CallKind, type CallResult, runCaller } from "./callers.ts";
-import {
-  CRASHING_PREFIX,
-  findViolations,
-  type Observations,
-  type Violation,
-} from "./checks.ts";
+import { CallKind, type CallResult } from "./call.ts";
+import { findViolations, type Observations, type Violation } from "./checks.ts";
 import {
   callHost,
   checkReadiness,
@@ -21,13 +15,23 @@
   isInRotation,
   readRoutesVersion,
   stopHosts,
-  targetHost,
 } from "./fleet.ts";
 import { pathCutIntervals } from "./path_faults.ts";
-import { FaultKind, type Schedule } from "./schedule.ts";
+import type { Fault, FaultKind } from "./fault_kinds.ts";
+import {
+  HOST_FAULTS,
+  hostFaultIntervals,
+  hostsWithoutFaults,
+  type PlayedFault,
+  PROCESS_FAULTS,
+} from "./host_faults.ts";
+import type { Schedule } from "./schedule.ts";
 import { sendUnfinishedBodies } from "./unfinished_bodies.ts";
-import { injectFault, sleep } from "./inject_fault.ts";
-import { CRASHING_BODY } from "../platform/replica_standin.ts";
+import { injectFault } from "./inject_fault.ts";
+import { servingVersions } from "./releases.ts";
+import { sleep } from "./sleep.ts";
+import { startCallers } from "./soak_callers.ts";
+import type { ServingSample } from "./resumed_streams.ts";
 import { World } from "./world.ts";
 
 /** The outcome of a run. */
@@ -44,6 +48,7 @@
 
 const READINESS_INTERVAL_MS = 500;
 const VERSION_INTERVAL_MS = 300;
+const SAMPLE_INTERVAL_MS = 100;
 /** The time within which all hosts must serve again. */
 const RECOVERY_TIMEOUT_MS = 25_000;
 const RUN_TIMEOUT_MS = 120_000;
@@ -55,26 +60,6 @@
 /** The time after the last caller within which all requests end. */
 const SETTLE_MS = 3000;
 
-/** The pause between requests that crash their replicas. */
-const CRASHING_PAUSE_MS = 500;
-/** Faults of a host's process. */
-const PROCESS_FAULTS: readonly FaultKind[] = [
-  FaultKind.kill,
-  FaultKind.stop,
-  FaultKind.pause,
-  FaultKind.plannerKill,
-];
-/** Faults of a host's process or its network paths. */
-const HOST_FAULTS: readonly FaultKind[] = [
-  ...PROCESS_FAULTS,
-  FaultKind.storePathBlocked,
-  FaultKind.storePathBlockedOneWay,
-  FaultKind.storePathReset,
-  FaultKind.peerPathBlocked,
-  FaultKind.peerPathSlow,
-  FaultKind.peerPathReset,
-];
-
 /** Reported as a violation so that the seed and the logs are kept. */
 const RUN_TIMED_OUT: Violation = {
   rule: "ended",
@@ -126,6 +111,8 @@
   readonly #hosts: readonly FleetHost[];
   readonly #calls: CallResult[] = [];
   readonly #versions = new Map<string, number[]>();
+  readonly #playedFaults: PlayedFault[] = [];
+  readonly #servingSamples: ServingSample[] = [];
   #isStopped = false;
   #hasEnded = false;
 
@@ -139,17 +126,20 @@
     for (const { process } of this.#hosts) process.start();
     for (const host of this.#hosts) this.#monitor(host);
     const notStarted = await this.#findUnrecoveredHosts();
-    const callers = this.#startCallers();
+    const callers = startCallers(this.#schedule, {
+      hosts: this.#hosts,
+      isStopped: () => this.#isStopped,
+      onResult: (result) => this.#calls.push(result),
+    });
     const bodies = sendUnfinishedBodies(
       this.#hosts.map((host) => host.callers),
       this.#schedule.load.unfinishedBodies,
     );
     const startedAtMs = performance.now();
-    const targets = { world: this.#world, hosts: this.#hosts };
-    await Promise.all(this.#schedule.faults.map(async (fault) => {
-      await sleep(fault.atMs);
-      await injectFault(targets, fault);
-    }));
+    void this.#sampleVersions();
+    await Promise.all(
+      this.#schedule.faults.map((fault) => this.#inject(fault)),
+    );
     this.#world.endScarcity();
     const drainDeadlineMs = performance.now() + PROPAGATION_MS;
     const unrecovered = await this.#findUnrecoveredHosts();
@@ -166,6 +156,21 @@
     });
   }
 
+  async #inject(fault: Fault): Promise<void> {
+    await sleep(fault.atMs);
+    const fromMs = performance.now();
+    await injectFault({ world: this.#world, hosts: this.#hosts }, fault);
+    this.#playedFaults.push({ fault, fromMs, toMs: performance.now() });
+  }
+
+  async #sampleVersions(): Promise<void> {
+    while (!this.#isStopped) {
+      const versions = servingVersions(this.#world);
+      this.#servingSamples.push({ atMs: performance.now(), versions });
+      await sleep(SAMPLE_INTERVAL_MS);
+    }
+  }
+
   async end(): Promise<void> {
     this.#isStopped = true;
     this.#hasEnded = true;
@@ -183,6 +188,7 @@
     const {
       arrivals,
       faults,
+      cuts,
       drained,
       limits,
       disruptedReplicas,
@@ -191,7 +197,8 @@
       calls: this.#calls,
       arrivals,
       faults,
-      limits,
+      cuts,
+      limits: limits.intervals,
       disruptedReplicas,
       exits: this.#hosts.flatMap(({ process }) =>
         process.exits.map((exit) => ({ ...exit, host: process.name }))
@@ -201,60 +208,21 @@
       runningRequests: this.#world.runningRequests(),
       unrecoveredHosts,
       isPlannedOnly: this.#schedule.isPlannedOnly,
-      unaffectedHosts: this.#hostsWithoutFaults(HOST_FAULTS),
+      unaffectedHosts: this.#hostsWithout(HOST_FAULTS),
       pathCuts: pathCutIntervals(
         this.#hosts,
         this.#schedule.faults,
         startedAtMs,
       ),
-      uninterruptedHosts: this.#hostsWithoutFaults(PROCESS_FAULTS),
+      uninterruptedHosts: this.#hostsWithout(PROCESS_FAULTS),
+      hostFaults: hostFaultIntervals(this.#hosts, this.#playedFaults),
+      servingSamples: this.#servingSamples,
     };
   }
 
-  #hostsWithoutFaults(kinds: readonly FaultKind[]): ReadonlySet<string> {
+  #hostsWithout(kinds: readonly FaultKind[]): ReadonlySet<string> {
     const { faults } = this.#schedule;
-    const affected = new Set(
-      faults.filter((fault) => kinds.includes(fault.kind))
-        .map((fault) => targetHost(this.#hosts, fault).process.name),
-    );
-    const names = this.#hosts.map((host) => host.process.name);
-    return new Set(names.filter((name) => !affected.has(name)));
-  }
-
-  #startCallers(): Promise<void>[] {
-    const { seed, callers, hasCrashingCaller } = this.#schedule;
-    const byName = new Map(
-      this.#hosts.map((host) => [host.process.name, host]),
-    );
-    const hosts = this.#hosts.map(({ process, callers: address }) => ({
-      name: process.name,
-      address,
-    }));
-    const shared = {
-      hosts,
-      isInRotation: (name: string) => {
-        const host = byName.get(name);
-        return host !== undefined && isInRotation(host);
-      },
-      isStopped: () => this.#isStopped,
-      onResult: (result: CallResult) => this.#calls.push(result),
-    };
-    const started = Array.from({ length: callers }, (_, at) =>
-      runCaller({
-        ...shared,
-        random: xoroshiro128plus(seed * 1000 + at),
-        name: `s${seed}c${at}`,
-      }));
-    if (!hasCrashingCaller) return started;
-    const crashing = runCaller({
-      ...shared,
-      random: xoroshiro128plus(seed * 1000 + callers),
-      name: `${CRASHING_PREFIX}-s${seed}`,
-      kinds: [seed % 2 === 0 ? CallKind.stream : CallKind.resumable],
-      body: CRASHING_BODY,
-      pauseMs: CRASHING_PAUSE_MS,
-    });
-    return [...started, crashing];
+    return hostsWithoutFaults(this.#hosts, { faults, kinds });
   }
 
   /**
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -1,62 +1,14 @@
 /** Draws the faults of a soak run from a seed; pure functions. */
-import { type RandomGenerator, xoroshiro128plus } from "pure-rand";
+import { xoroshiro128plus } from "pure-rand";
 import { randomInt } from "../../src/util/random.ts";
-
-/** Kinds of faults; the values appear in the soak's output. */
-export const FaultKind = {
-  kill: "kill",
-  stop: "stop",
-  pause: "pause",
-  reload: "reload",
-  storeDown: "store down",
-  storeSilent: "store silent",
-  storeSlow: "store slow",
-  storeLosesResponses: "store loses answers",
-  storeLosesHistory: "store forgets history",
-  storeEntriesExpire: "store down, entries lapse",
-  storePathBlocked: "path to the store silent",
-  storePathBlockedOneWay: "path to the store silent one way",
-  storePathReset: "path to the store reset",
-  peerPathBlocked: "path to a peer silent",
-  peerPathSlow: "path to a peer slow",
-  peerPathReset: "path to a peer reset",
-  replicaPathBlockedOneWay: "path to a replica silent one way",
-  replicaPathSlow: "path to a replica slow",
-  replicaPathReset: "path to a replica reset",
-  replicaCrash: "replica crash",
-  replicaDrain: "replica leaves",
-  config: "configuration",
-  replicaRestart: "replica restarts under its id",
-  foreignRows: "another writer's rows",
-  storeRestored: "store comes back from an older copy",
-  storeRestoredAfterOutage: "store down, comes back from an older copy",
-  replicaLimit: "replica limits its requests",
-  serviceLimit: "all replicas of a stage limit their requests",
-  hallLimit: "all replicas of a hall limit their requests",
-  replicaDrainByResponse: "replica says in answers alone that it leaves",
-  replicaBackoff: "replica asks for a pause",
-  serviceBackoff: "all replicas of a stage ask for a pause",
-  hallBackoff: "all replicas of a hall ask for a pause",
-  replicaSlow: "replica turns slow",
-  plannerKill: "planner of a service is killed",
-  replicaSilent: "replica silent for a second",
-  hostPathsHang: "paths of a host to all replicas silent",
-  hostPathsReset: "paths of a host to all replicas reset",
-  hostPathsRefuse: "paths of a host to all replicas refuse new connections",
-  hallPathsHang: "paths of a hall's hosts to all replicas silent",
-  hallPathsReset: "paths of a hall's hosts to all replicas reset",
-} as const;
-/** One of the values of {@link FaultKind}. */
-export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
-
-/** One fault of a run. */
-export type Fault = {
-  readonly kind: FaultKind;
-  readonly atMs: number;
-  readonly durationMs: number;
-  /** Selects the target: the index modulo the number of candidates. */
-  readonly target: number;
-};
+import {
+  drawFaults,
+  MIN_DURATION_MS,
+  type ScheduleOptions,
+} from "./draw_faults.ts";
+import { type Fault, FaultKind } from "./fault_kinds.ts";
+import { NO_RELEASES, RELEASE_KINDS } from "./draw_releases.ts";
+import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
 /** The setup and the faults of a soak run. */
 export type Schedule = {
@@ -65,6 +17,8 @@
   readonly callers: number;
   /** The faults are planned stops, reloads and configuration changes only. */
   readonly isPlannedOnly: boolean;
+  /** Callers that send resumable streams and resume those that break. */
+  readonly resumingCallers: number;
   /** One caller sends requests that crash their replicas. */
   readonly hasCrashingCaller: boolean;
   /** What the hosts and callers are set up for. */
@@ -80,12 +34,14 @@
   readonly isUneven: boolean;
   /** Connections that send a part of a body and then nothing. */
   readonly unfinishedBodies: number;
+  readonly framing: FramingLoad;
 };
 
 const LIGHT_LOAD: Load = {
   isScheduled: false,
   isUneven: false,
   unfinishedBodies: 0,
+  framing: CHUNKED_LOAD,
 };
 
 /**
@@ -131,6 +87,11 @@
   ...PATH_CUT_KINDS,
   FaultKind.replicaSilent,
 ];
+const CUT_RESPONSE_KINDS: readonly FaultKind[] = [
+  FaultKind.replicaCutsResponses,
+  FaultKind.replicaCutsResponses,
+  FaultKind.serviceCutsResponses,
+];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) =>
   ![
     ...LATER_KINDS,
@@ -139,6 +100,8 @@
     ...NOTICE_KINDS,
     ...LOAD_KINDS,
     ...PATH_KINDS,
+    ...CUT_RESPONSE_KINDS,
+    ...RELEASE_KINDS,
   ].includes(kind)
 );
 /** Each `..._RANGE` is the exclusive upper bound of a draw from 0. */
@@ -171,8 +134,6 @@
 const HOST_RANGE = 5;
 const MIN_FAULTS = 6;
 const FAULT_RANGE = 9;
-const MIN_DURATION_MS = 300;
-const DURATION_RANGE_MS = 3700;
 /**
  * Longer than other faults: limits are checked from 3 s after the report on.
  */
@@ -187,15 +148,6 @@
 const CUT_RANGE_MS = 5000;
 const CALLERS_PER_HOST = 3;
 
-/** Options of {@link createSchedule}. */
-export type ScheduleOptions = {
-  readonly seed: number;
-  /** Faults start within this time. */
-  readonly windowMs: number;
-  /** Leaves out the kinds that were added later; for regression seeds. */
-  readonly isFirstKindsOnly?: boolean;
-};
-
 /** Draws the schedule of a seed. */
 export function createSchedule(options: ScheduleOptions): Schedule {
   const first = drawFirstSchedule(options);
@@ -234,6 +186,7 @@
     isScheduled: randomInt(random, UNSCHEDULED_ONE_IN) !== 0,
     isUneven: randomInt(random, 2) === 0,
     unfinishedBodies: randomInt(random, UNFINISHED_BODY_RANGE),
+    framing: CHUNKED_LOAD,
   };
   const count = randomInt(random, LOAD_RANGE);
   const faults = drawFaults(random, options, { kinds: LOAD_KINDS, count });
@@ -296,25 +249,9 @@
     hosts,
     callers,
     isPlannedOnly,
+    resumingCallers: NO_RELEASES.resumingCallers,
     hasCrashingCaller: false,
     load: LIGHT_LOAD,
     faults,
   };
 }
-
-function drawFaults(
-  random: RandomGenerator,
-  { windowMs }: { readonly windowMs: number },
-  { kinds, count }: {
-    readonly kinds: readonly FaultKind[];
-    readonly count: number;
-  },
-): Fault[] {
-  const faults = Array.from({ length: count }, () => ({
-    kind: kinds[randomInt(random, kinds.length)] ?? FaultKind.config,
-    atMs: randomInt(random, windowMs),
-    durationMs: MIN_DURATION_MS + randomInt(random, DURATION_RANGE_MS),
-    target: randomInt(random, 1000),
-  }));
-  return faults.sort((a, b) => a.atMs - b.atMs);
-}
--- a/test/soak/server_limit_test.ts
+++ b/test/soak/server_limit_test.ts
@@ -10,7 +10,7 @@
   maxAllowed,
   maxWithin,
 } from "../platform/rate_windows.ts";
-import { CallKind } from "./callers.ts";
+import { CallKind } from "./call.ts";
 import { readGauge } from "./fleet.ts";
 import {
   oneOfEachRole,
--- /dev/null
+++ b/test/soak/soak_callers.ts
@@ -0,0 +1,65 @@
+/** The callers of a soak run. */
+import { xoroshiro128plus } from "pure-rand";
+import { CRASHING_BODY } from "../platform/replica_standin.ts";
+import { CallKind, type CallResult } from "./call.ts";
+import { runCaller } from "./callers.ts";
+import { CRASHING_PREFIX } from "./checks.ts";
+import { type FleetHost, isInRotation } from "./fleet.ts";
+import type { Schedule } from "./schedule.ts";
+
+/** Options of {@link startCallers}. */
+export type SoakCallerOptions = {
+  readonly hosts: readonly FleetHost[];
+  isStopped(): boolean;
+  onResult(result: CallResult): void;
+};
+
+/** Separates the generators of resuming callers from those of the others. */
+const RESUMING_SEED = 500;
+/** The pause between requests that crash their replicas. */
+const CRASHING_PAUSE_MS = 500;
+
+/** Starts the callers of a schedule; each resolves after it was stopped. */
+export function startCallers(
+  { seed, callers, resumingCallers, hasCrashingCaller }: Schedule,
+  { hosts: fleet, isStopped, onResult }: SoakCallerOptions,
+): Promise<void>[] {
+  const byName = new Map(fleet.map((host) => [host.process.name, host]));
+  const hosts = fleet.map(({ process, callers: address }) => ({
+    name: process.name,
+    address,
+  }));
+  const isHostInRotation = (name: string) => {
+    const host = byName.get(name);
+    return host !== undefined && isInRotation(host);
+  };
+  const shared = { hosts, isInRotation: isHostInRotation, isStopped, onResult };
+  const started = Array.from({ length: callers }, (_, at) =>
+    runCaller({
+      ...shared,
+      random: xoroshiro128plus(seed * 1000 + at),
+      name: `s${seed}c${at}`,
+    }));
+  const resuming = Array.from(
+    { length: resumingCallers },
+    (_, at) =>
+      runCaller({
+        ...shared,
+        random: xoroshiro128plus(seed * 1000 + RESUMING_SEED + at),
+        name: `s${seed}r${at}`,
+        kinds: [CallKind.resumable],
+        isResuming: true,
+      }),
+  );
+  started.push(...resuming);
+  if (!hasCrashingCaller) return started;
+  const crashing = runCaller({
+    ...shared,
+    random: xoroshiro128plus(seed * 1000 + callers),
+    name: `${CRASHING_PREFIX}-s${seed}`,
+    kinds: [seed % 2 === 0 ? CallKind.stream : CallKind.resumable],
+    body: CRASHING_BODY,
+    pauseMs: CRASHING_PAUSE_MS,
+  });
+  return [...started, crashing];
+}
--- a/test/soak/test_fleet.ts
+++ b/test/soak/test_fleet.ts
@@ -8,15 +8,16 @@
 import { xoroshiro128plus } from "pure-rand";
 import { randomInt } from "../../src/util/random.ts";
 import type { ReplicaStandin } from "../platform/replica_standin.ts";
-import { CallKind, type CallResult } from "./callers.ts";
+import { CallKind, type CallResult } from "./call.ts";
 import {
   callHost,
+  checkReadiness,
   createHosts,
   type FleetHost,
   readRoutesVersion,
   stopHosts,
 } from "./fleet.ts";
-import { sleep } from "./inject_fault.ts";
+import { sleep } from "./sleep.ts";
 import { World } from "./world.ts";
 
 const HOSTS = 4;
@@ -31,26 +32,42 @@
   readonly hosts: readonly FleetHost[];
 };
 
-/** Starts a fleet, runs `work` and stops the fleet. */
+/** Starts a fleet, runs `work` and stops the fleet; keeps its logs on failure. */
 export async function withFleet(
   work: (fleet: TestFleet) => Promise<void>,
+  { hosts: hostCount = HOSTS }: { readonly hosts?: number } = {},
 ): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), "otterhill-fleet-"));
   const world = await World.start();
   const storeAddress = world.store.address;
-  const hosts = await createHosts(HOSTS, { folder, storeAddress });
+  const hosts = await createHosts(hostCount, { folder, storeAddress });
+  let hasPassed = false;
   try {
     for (const { process } of hosts) process.start();
-    for (const host of hosts) {
-      while (await readRoutesVersion(host) !== world.version) {
-        await sleep(POLL_INTERVAL_MS);
-      }
-    }
+    for (const host of hosts) await waitUntilServing(host, world.version);
     await work({ world, hosts });
+    hasPassed = true;
   } finally {
     await stopHosts(hosts);
     world.stop();
-    rmSync(folder, { recursive: true });
+    if (hasPassed) rmSync(folder, { recursive: true });
+    else console.error(`Logs of the hosts: ${folder}`);
+  }
+}
+
+/**
+ * Resolves when a host uses this version of the routes and is ready, as the load
+ * balancer waits for it.
+ */
+export async function waitUntilServing(
+  host: FleetHost,
+  version: number,
+): Promise<void> {
+  for (;;) {
+    await checkReadiness(host);
+    const isReady = host.failedChecks === 0;
+    if (isReady && await readRoutesVersion(host) === version) return;
+    await sleep(POLL_INTERVAL_MS);
   }
 }
 
--- a/test/soak/unreachable_replicas_test.ts
+++ b/test/soak/unreachable_replicas_test.ts
@@ -5,9 +5,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { knownRed } from "../known_red.ts";
-import { CallKind, type CallResult } from "./callers.ts";
+import { CallKind, type CallResult } from "./call.ts";
 import { readGauge } from "./fleet.ts";
-import { sleep } from "./inject_fault.ts";
+import { sleep } from "./sleep.ts";
 import { PathCut } from "./replica_path.ts";
 import { runCallers, type TestFleet, withFleet } from "./test_fleet.ts";
 import { ROUTE_TIMEOUT_MS } from "./world_config.ts";
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -2,11 +2,17 @@
 import {
   type ReplicaRole,
   type ReplicaStandin,
-  type ReplicaWorld,
   startReplica,
 } from "../platform/replica_standin.ts";
+import type { ReplicaWorld } from "../platform/replica_world.ts";
 import { startStore, type StoreStandin } from "../platform/store_standin.ts";
+import {
+  ConnectionEnd,
+  type CutResponse,
+} from "../platform/response_standin.ts";
+import { ResponseShapes } from "./response_shapes.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
+import { ReplicaLimits } from "./replica_limits.ts";
 import { configOf, EVEN_LOAD, type WorldLoad } from "./world_config.ts";
 
 /** A replica and its fault proxy. */
@@ -14,27 +20,26 @@
   readonly standin: ReplicaStandin;
   readonly proxy: FaultProxy;
   readonly hall: string;
+  readonly softwareVersion: string;
   /** The number of starts under the same id. */
   readonly incarnation: number;
   /** Whether the store lists the replica as ready. */
   isReady: boolean;
 };
 
-/** A period in which a replica reported a limit. */
-export type LimitInterval = {
-  readonly replica: string;
-  /** As sent in responses; may not be a number. */
-  readonly text: string;
-  readonly fromMs: number;
-  toMs: number;
-};
+/** Which software a new replica runs. */
+export type ReplicaSoftware = { readonly softwareVersion?: string };
 
 /** Services of the soak. */
 export const SERVICES = ["plain", "engine"] as const;
 /** Halls of the soak's hosts and replicas. */
 export const HALLS = ["north", "south"] as const;
+/** The software version of replicas for which no other one is given. */
+export const FIRST_SOFTWARE_VERSION = "v1";
 /** Factor on the work of the slow replicas of an uneven world. */
 const UNEVEN_SLOWDOWN = 2;
+/** The roles of a model engine. */
+const ENGINE_ROLES: readonly ReplicaRole[] = ["prefill", "decode"];
 const ROLES: readonly ReplicaRole[] = [
   "plain",
   "plain",
@@ -60,8 +65,12 @@
   readonly store: StoreStandin;
   /** Replicas whose responses did not reach hosts for some time. */
   readonly disruptedReplicas = new Set<string>();
+  /** Responses that replicas cut. */
+  readonly cuts: CutResponse[] = [];
+  /** How replicas send their responses. */
+  readonly shapes: ResponseShapes;
   /** Rate limits that replicas reported. */
-  readonly limits: LimitInterval[] = [];
+  readonly limits = new ReplicaLimits();
   /** Replicas that a request crashed, in order. */
   readonly crashed: string[] = [];
   #load: WorldLoad;
@@ -72,6 +81,7 @@
   private constructor(store: StoreStandin, load: WorldLoad) {
     this.store = store;
     this.#load = load;
+    this.shapes = new ResponseShapes(load.framing);
   }
 
   /** Starts the store and the replicas. */
@@ -105,21 +115,36 @@
     this.changeConfig();
   }
 
+  /** Starts one replica of each role of an engine in each hall. */
+  async addEngine(softwareVersion: string): Promise<void> {
+    for (const hall of HALLS) {
+      for (const role of ENGINE_ROLES) {
+        await this.addReplica(role, hall, { softwareVersion });
+      }
+    }
+  }
+
   /** Starts a replica and writes its entry. */
-  async addReplica(role: ReplicaRole, hall: string): Promise<void> {
+  async addReplica(
+    role: ReplicaRole,
+    hall: string,
+    { softwareVersion = FIRST_SOFTWARE_VERSION }: ReplicaSoftware = {},
+  ): Promise<void> {
     this.#replicaCount += 1;
     await this.#start(`i-${this.#replicaCount}`, {
       role,
       hall,
+      softwareVersion,
       incarnation: 1,
     });
   }
 
   async #start(
     id: string,
-    { role, hall, incarnation }: {
+    { role, hall, softwareVersion, incarnation }: {
       readonly role: ReplicaRole;
       readonly hall: string;
+      readonly softwareVersion: string;
       readonly incarnation: number;
     },
   ): Promise<void> {
@@ -127,10 +152,12 @@
     const standin = await startReplica({
       id,
       role,
+      softwareVersion,
       world: this,
       publicAddress: () => address,
     });
     if (this.#isStopped) return standin.crash();
+    standin.shapeResponse = () => this.shapes.next(id);
     if (this.#load.isUneven && this.replicas.length % 2 === 0) {
       standin.slowdown = UNEVEN_SLOWDOWN;
     }
@@ -140,20 +167,29 @@
       return standin.crash();
     }
     address = proxy.address;
-    const replica = { standin, proxy, hall, incarnation, isReady: true };
+    const replica = {
+      standin,
+      proxy,
+      hall,
+      softwareVersion,
+      incarnation,
+      isReady: true,
+    };
     this.replicas.push(replica);
     this.putEntry(replica);
   }
 
   /** Writes a replica's entry. */
   putEntry(
-    { standin, proxy, hall, incarnation, isReady }: WorldReplica,
+    { standin, proxy, hall, softwareVersion, incarnation, isReady }:
+      WorldReplica,
   ): void {
     const { id, role } = standin;
     this.store.put("servers", id, {
       Service: role === "plain" ? "plain" : "engine",
       Address: proxy.address,
       Zone: hall,
+      Version: softwareVersion,
       Slots: 64,
       State: isReady ? "ready" : "draining",
       ...(role === "plain" ? {} : { Stage: role }),
@@ -202,43 +238,27 @@
     }
   }
 
-  /**
-   * Sets a replica's limit; the result ends it unless another one has replaced
-   * it.
-   */
-  limit({ standin }: WorldReplica, text: string): () => void {
-    this.#endLimit(standin.id);
-    standin.limit = text;
-    const fromMs = performance.now();
-    const interval = { replica: standin.id, text, fromMs, toMs: Infinity };
-    this.limits.push(interval);
-    return () => {
-      if (interval.toMs !== Infinity) return;
-      standin.limit = undefined;
-      this.#endLimit(standin.id);
-    };
-  }
-
-  #endLimit(id: string): void {
-    const current = this.limits.find((limit) =>
-      limit.replica === id && limit.toMs === Infinity
-    );
-    if (current) current.toMs = performance.now();
-  }
-
   /** Replicas that the store lists as ready. */
   readyReplicas(): WorldReplica[] {
     return this.replicas.filter((replica) => replica.isReady);
   }
 
-  /** Crashes a replica and starts another one. */
+  /** Records a response that a replica cut. */
+  onCut(cut: CutResponse): void {
+    this.cuts.push(cut);
+    if (cut.end === ConnectionEnd.reset) {
+      this.disruptedReplicas.add(cut.replica);
+    }
+  }
+
+  /** Crashes a replica and starts another one of its version. */
   async crash(replica: WorldReplica): Promise<void> {
     replica.isReady = false;
-    this.#endLimit(replica.standin.id);
+    this.limits.end(replica.standin.id);
     replica.standin.crash();
     replica.proxy.stop();
     this.store.remove("servers", replica.standin.id);
-    await this.addReplica(replica.standin.role, replica.hall);
+    await this.addReplica(replica.standin.role, replica.hall, replica);
   }
 
   /** Handles the crash of a replica by a request. */
@@ -253,25 +273,39 @@
     void (restarts ? this.restart(replica) : this.crash(replica));
   }
 
-  /** Crashes a replica and restarts it under the same id. */
-  async restart(replica: WorldReplica): Promise<void> {
-    const { standin: { id, role }, hall, incarnation } = replica;
+  /**
+   * Crashes a replica and restarts it under the same id, at its version unless
+   * another one is given.
+   */
+  async restart(
+    replica: WorldReplica,
+    { softwareVersion = replica.softwareVersion }: ReplicaSoftware = {},
+  ): Promise<void> {
+    const { standin: { id, role }, hall } = replica;
+    const incarnation = replica.incarnation + 1;
     replica.isReady = false;
-    this.#endLimit(id);
+    this.limits.end(id);
     replica.standin.crash();
     replica.proxy.stop();
     await new Promise((resolve) => setTimeout(resolve, RESTART_DELAY_MS));
     if (this.#isStopped) return;
-    await this.#start(id, { role, hall, incarnation: incarnation + 1 });
+    await this.#start(id, { role, hall, softwareVersion, incarnation });
   }
 
-  /** Starts a new replica, then drains the given one as planned. */
+  /** Starts a new replica of the same version, then drains the given one. */
   async drain(replica: WorldReplica): Promise<void> {
     replica.isReady = false;
-    await this.addReplica(replica.standin.role, replica.hall);
+    const { standin: { role }, hall } = replica;
+    await this.addReplica(role, hall, replica);
+    this.retire(replica);
+  }
+
+  /** Drains a replica as planned. */
+  retire(replica: WorldReplica): void {
+    replica.isReady = false;
     this.putEntry(replica);
-    this.drained.add(replica.standin.id);
     const { id } = replica.standin;
+    this.drained.add(id);
     setTimeout(() => this.store.remove("servers", id), REMOVAL_DELAY_MS);
   }
 
@@ -280,16 +314,11 @@
    * it is draining, while its entry is ready. The result updates the entry.
    */
   async drainByResponse(replica: WorldReplica): Promise<() => void> {
-    const { role, id } = replica.standin;
-    await this.addReplica(role, replica.hall);
+    await this.addReplica(replica.standin.role, replica.hall, replica);
     replica.standin.draining = true;
     return () => {
       // The replica may have crashed or restarted.
-      if (!replica.isReady) return;
-      replica.isReady = false;
-      this.putEntry(replica);
-      this.drained.add(id);
-      setTimeout(() => this.store.remove("servers", id), REMOVAL_DELAY_MS);
+      if (replica.isReady) this.retire(replica);
     };
   }
 
--- a/test/soak/world_config.ts
+++ b/test/soak/world_config.ts
@@ -1,5 +1,6 @@
 /** The configuration that the operator of a soak publishes. */
-import { CallKind } from "./callers.ts";
+import { CallKind } from "./call.ts";
+import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
 /** The timeout of all routes. */
 export const ROUTE_TIMEOUT_MS = 4000;
@@ -8,10 +9,11 @@
 export type WorldLoad = {
   /** Every other replica is slow, and memory is scarce. */
   readonly isUneven: boolean;
+  readonly framing: FramingLoad;
 };
 
 /** Equal replicas with ample memory. */
-export const EVEN_LOAD: WorldLoad = { isUneven: false };
+export const EVEN_LOAD: WorldLoad = { isUneven: false, framing: CHUNKED_LOAD };
 const AMPLE_MEMORY_TOKENS = 100_000;
 /** Memory for three requests at a replica. */
 const SCARCE_MEMORY_TOKENS = 400;
