--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -96,12 +96,15 @@
     connect: Connect,
   ) {
     this.#settings = settings;
-    const { host, listen } = settings;
     this.#settingsState = new SettingsState(settings, systemClock.now());
+    const { host, listen } = settings;
     const address = host.peer_address ?? listen.peers;
     const self = { id: host.id, address, hall: host.hall };
     const directory = new HostDirectory(self, settings.seeds);
-    const context = createContext(settings, port, { directory, connect });
+    const context = createContext(settings, port, {
+      directory,
+      connect,
+    });
     const configAgeMs = (now: Milliseconds) => {
       context.suspensions.check();
       return this.#fleetState.configAgeMs(now);
--- a/src/gateway/paths/routed_call.ts
+++ b/src/gateway/paths/routed_call.ts
@@ -1,5 +1,10 @@
 /** Tries a call over one path and then over another. */
-import type { Call, CallOptions, CallOutcome } from "../upstreams/call.ts";
+import {
+  type Call,
+  type CallOptions,
+  type CallOutcome,
+  NotSentCause,
+} from "../upstreams/call.ts";
 
 /** What is sent, whichever connection is used. */
 export type HttpCall = Omit<
@@ -35,7 +40,9 @@
 
 /** Whether the call was sent, or must not be sent over another path either. */
 function isFinal(outcome: CallOutcome): boolean {
-  return outcome.type !== "notSent" || outcome.isWithheld;
+  return outcome.type !== "notSent" ||
+    outcome.cause === NotSentCause.withheld ||
+    outcome.cause === NotSentCause.invalid;
 }
 
 /** The call, with `onConnected` called before it is sent. */
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -1,8 +1,10 @@
 /** Tracks the sends of one request and decides whether another is allowed. */
 import type { GatewayContext } from "../context.ts";
+import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { isRepeatable } from "../routing/model.ts";
 import type { GatewayRequest } from "./request.ts";
+import { hasOtherReplica } from "./sender.ts";
 
 /** Maximum sends of one request, including those that did not run. */
 const MAX_SENDS = 4;
@@ -101,6 +103,19 @@
     this.#interrupted.add(incarnation);
   }
 
+  /**
+   * Time after which another replica is tried if this one has not responded;
+   * undefined: none may be, or there is no other one.
+   */
+  answerTimeoutMs(entry: ReplicaEntry): Milliseconds | undefined {
+    if (!this.repeatable || this.isLast) return undefined;
+    const excluded = this.#excluded;
+    const other = { entry, excluded };
+    if (!hasOtherReplica(this.#context, this.#request, other)) return undefined;
+    const { objectiveMs } = this.#request.route;
+    return objectiveMs * this.#context.tuning.retryAfterObjectives;
+  }
+
   /** Whether the route allows a retry after a send that may have run. */
   get repeatable(): boolean {
     return isRepeatable(this.#request.route);
--- a/src/gateway/requests/availability.ts
+++ b/src/gateway/requests/availability.ts
@@ -1,10 +1,11 @@
 /** Selects the replicas that this host may use for a request. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
-import { ReplicaStage } from "../replicas/model.ts";
+import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Availability } from "../replicas/replica_gate.ts";
-import type { PlacementRefusal } from "./placement.ts";
-import { unavailableRefusal } from "./refusals.ts";
+import { placementDeadline } from "./engine_request.ts";
+import type { PlacementConstraints, PlacementRefusal } from "./placement.ts";
+import { type Unavailability, unavailableRefusal } from "./refusals.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** Interval at which a waiting request checks that a replica is available. */
@@ -12,46 +13,52 @@
 /** Delay before a request whose replicas no host reaches is tried again. */
 const UNREACHABLE_RETRY_MS: Milliseconds = 1000;
 
-/** Which replicas may serve a request; none: why, and when to try again. */
+/** Which replicas may serve a request, or why none may. */
 export type RequestAvailability =
   | Exclude<Availability, { type: "none" }>
-  | {
-    readonly type: "none";
-    readonly retryAfterMs: Milliseconds;
-    /** No host reaches the replicas; otherwise they back off. */
-    readonly isUnreachable: boolean;
-  };
+  | ({ readonly type: "none" } & Unavailability);
 
+type ReplicaConstraints = Pick<PlacementConstraints, "excluded">;
 type AvailabilityContext = Pick<
   GatewayContext,
   "gate" | "routes" | "replicas" | "paths"
 >;
 
-/** Replicas that may serve the request, except those in `excluded`. */
+/** Replicas that may serve the request under the constraints. */
 export function usableReplicas(
   context: AvailabilityContext,
-  { service }: GatewayRequest,
-  excluded: ReadonlySet<string>,
+  { service }: Pick<GatewayRequest, "service">,
+  { excluded }: ReplicaConstraints,
 ): RequestAvailability {
   const { gate, routes } = context;
   const hasStages = routes.service(service)?.engine !== undefined;
   const stage = hasStages ? ReplicaStage.decode : undefined;
   const unreachable = unreachableReplicas(context, service);
-  if (unreachable.length === 0) {
-    const available = gate.available({ service, stage, excluded });
-    if (available.type === "some") return available;
-    return { ...available, isUnreachable: false };
-  }
-  const closed = new Set([...excluded, ...unreachable]);
-  const answering = context.replicas.openReplicasOf(service)
-    .filter(({ entry }) => entry.stage === stage);
-  if (answering.every(({ entry }) => closed.has(entry.incarnation))) {
+  const closed = unreachable.length === 0
+    ? excluded
+    : new Set([...excluded, ...unreachable]);
+  const answering = unreachable.length > 0
+    ? context.replicas.openReplicasOf(service).map(({ entry }) => entry)
+      .filter((entry) => entry.stage === stage)
+    : undefined;
+  if (answering && areAllIn(closed, answering)) {
     const retryAfterMs = UNREACHABLE_RETRY_MS;
-    return { type: "none", retryAfterMs, isUnreachable: true };
+    return { type: "none", reason: "unreachable", retryAfterMs };
   }
-  const available = gate.available({ service, stage, excluded: closed });
+  const available = gate.available({
+    service,
+    stage,
+    excluded: closed,
+  });
   if (available.type === "some") return available;
-  return { ...available, isUnreachable: false };
+  return { ...available, reason: "backoff" };
+}
+
+function areAllIn(
+  incarnations: ReadonlySet<string>,
+  entries: readonly ReplicaEntry[],
+): boolean {
+  return entries.every(({ incarnation }) => incarnations.has(incarnation));
 }
 
 function unreachableReplicas(
@@ -67,12 +74,32 @@
   return unreachable;
 }
 
-/** Returns a refusal if no replica of the request's service is available. */
+/**
+ * How long to wait for a replica to become available; undefined: refuse the
+ * request. Waiting is better than failing a response that has started.
+ */
+export function availabilityWaitMs(
+  { context, request, constraints }: {
+    readonly context: GatewayContext;
+    readonly request: GatewayRequest;
+    readonly constraints: PlacementConstraints;
+  },
+  unavailability: Unavailability,
+): Milliseconds | undefined {
+  if (!constraints.mayHaveRun) return undefined;
+  const { retryAfterMs } = unavailability;
+  const deadline = placementDeadline({ context, request }, constraints);
+  const isLate = context.clock.now() + retryAfterMs >= deadline;
+  return isLate ? undefined : retryAfterMs;
+}
+
+/** Returns a refusal if no replica is available. */
 export function refusalWhenNoneAvailable(
   context: AvailabilityContext & Pick<GatewayContext, "random">,
   request: GatewayRequest,
 ): PlacementRefusal | undefined {
-  const available = usableReplicas(context, request, new Set());
+  const constraints = { excluded: new Set<string>() };
+  const available = usableReplicas(context, request, constraints);
   if (available.type === "some") return undefined;
   return unavailableRefusal(context, request, available);
 }
@@ -86,13 +113,13 @@
     readonly context: AvailabilityContext & Pick<GatewayContext, "clock">;
     readonly request: GatewayRequest;
   },
-  excluded: ReadonlySet<string>,
+  constraints: ReplicaConstraints,
   onNone: () => void,
 ): () => void {
   let cancel = () => {};
   const schedule = () => {
     cancel = context.clock.after(AVAILABILITY_INTERVAL_MS, () => {
-      const { type } = usableReplicas(context, request, excluded);
+      const { type } = usableReplicas(context, request, constraints);
       if (type === "none") onNone();
       else schedule();
     });
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -5,7 +5,6 @@
  */
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
-import { isKeyStillValid } from "../customers/admission.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { Attempts } from "./attempts.ts";
 import { refusalWhenNoneAvailable } from "./availability.ts";
@@ -19,14 +18,9 @@
 import { RunMeter } from "./run_meter.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
 import type { Answer } from "../upstreams/call.ts";
-import {
-  hasOtherReplica,
-  isPathLost,
-  noteInterruption,
-  type Sending,
-  sendRequest,
-  type SendResult,
-} from "./sender.ts";
+import { type OutcomeReport, reportOutcome } from "./report_outcome.ts";
+import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
+import type { Sending, SendResult } from "./sender.ts";
 
 /** Options of {@link Exchange}. */
 export type ExchangeOptions = {
@@ -46,8 +40,10 @@
   readonly #writer: ReplyWriter;
   readonly #placer: Placer;
   readonly #meter: RunMeter;
+  readonly #outcomeReport: OutcomeReport;
   readonly #onEnd: (mayHaveRun: boolean) => void;
   readonly #attempts: Attempts;
+  readonly #state: RequestState;
   readonly #journal: RequestJournal;
   readonly #position: EventPosition = {};
   readonly #cancelTimeout: () => void;
@@ -62,13 +58,15 @@
     this.#request = request;
     this.#reply = options.reply;
     this.#onEnd = options.onEnd;
-    const attempts = new Attempts(context, request);
-    this.#attempts = attempts;
-    const journal = new RequestJournal(context, request);
-    this.#journal = journal;
+    const attempts = this.#attempts = new Attempts(context, request);
+    const position = this.#position;
+    this.#state = { context, request, attempts, position };
+    const journal = this.#journal = new RequestJournal(context, request);
     this.#writer = new ReplyWriter({ reply: options.reply, attempts, journal });
     const placer = createPlacer({ context, request, planner, attempts });
-    this.#meter = new RunMeter({ context, request, planner, placer });
+    const meter = new RunMeter({ context, request, planner, placer });
+    this.#meter = meter;
+    this.#outcomeReport = { context, request, placer, meter };
     this.#placer = placer;
     const leftMs = request.deadline - context.clock.now();
     this.#cancelTimeout = context.clock.after(leftMs, () => this.#onTimeout());
@@ -76,6 +74,15 @@
 
   /** Serves the request; resolves when it has ended. */
   async run(): Promise<void> {
+    try {
+      await this.#serve();
+    } catch (error) {
+      // Node.js accepts neither all status codes nor all header values.
+      this.#failUnknown(error instanceof Error ? error.message : String(error));
+    }
+  }
+
+  async #serve(): Promise<void> {
     const { retryBudget, clock } = this.#context;
     retryBudget.noteRequest(this.#request.service, clock.now());
     while (!this.#ended) await this.#attempt();
@@ -89,6 +96,11 @@
     this.#end();
   }
 
+  /** Ends the request because this host ends. */
+  hostStops(): void {
+    this.#fail(GatewayError.stopping, { reason: "The host stops" });
+  }
+
   async #attempt(): Promise<void> {
     const { crashes } = this.#context;
     await crashes.awaitProbes(this.#request.fingerprint, this.#attempts.sends);
@@ -102,7 +114,7 @@
       return this.#fail(placed.error, failureOf(placed));
     }
     if (this.#rejectQuarantined()) return;
-    const obstacle = this.#sendObstacle();
+    const obstacle = sendObstacle(this.#state);
     if (obstacle !== undefined) {
       this.#placer.release();
       return this.#fail(obstacle, {});
@@ -116,17 +128,17 @@
       case "answer":
         return await this.#handleAnswer(placed, result.answer);
       case "closed":
-        return this.#handleClosed(placed, result.obstacle);
+        this.#attempts.noteNotArrived();
+        return this.#passOver(placed, result.obstacle.type);
       default:
         return this.#handleFailure(placed, result);
     }
   }
 
-  /** Handles a replica that closed to this host after the placement. */
-  #handleClosed({ replica }: Placement, { type }: Obstacle): void {
-    this.#attempts.noteNotArrived();
+  /** Gives a placement back that must not be used; the next attempt follows. */
+  #passOver({ replica }: Placement, reason: Obstacle["type"]): void {
     this.#placer.release();
-    const fields = { replica: replica.entry.incarnation, reason: type };
+    const fields = { replica: replica.entry.incarnation, reason };
     this.#journal.note("passedOver", fields);
   }
 
@@ -146,39 +158,12 @@
     return true;
   }
 
-  /** Returns why a placed request must not be sent; undefined: it may be. */
-  #sendObstacle(): GatewayError | undefined {
-    if (!this.#attempts.hasTimeLeft) return GatewayError.outOfTimeNotRun;
-    const { routes } = this.#context;
-    if (!isKeyStillValid(routes, this.#request)) return GatewayError.unknownKey;
-    const isCharged = this.#attempts.chargeSend("A prefill was turned away");
-    return isCharged ? undefined : GatewayError.refusedByReplicas;
-  }
-
   async #send(placed: Placement): Promise<SendResult> {
-    const { clock, tuning } = this.#context;
-    const { route, deadline } = this.#request;
     this.#attempts.noteSent();
     this.#meter.noteSent();
-    this.#journal.placed(placed, this.#attempts.sends);
-    const mayWaitLonger = !this.#attempts.repeatable || this.#attempts.isLast ||
-      !hasOtherReplica(this.#context, this.#request, {
-        entry: placed.replica.entry,
-        excluded: this.#attempts.excluded,
-      });
-    const timeoutMs = route.objectiveMs * tuning.retryAfterObjectives;
-    const isRepeatable = this.#attempts.repeatable && !this.#attempts.isLast;
-    const lastEventId = this.#position.lastId;
-    this.#sending = sendRequest(this.#context, this.#request, placed.replica, {
-      headers: {
-        ...placed.headers,
-        timeLeftMs: deadline - clock.now(),
-        ...(lastEventId === undefined ? {} : { lastEventId }),
-      },
-      permit: placed.permit,
-      isRepeatable,
-      ...(mayWaitLonger ? {} : { timeoutMs }),
-    });
+    const { sends } = this.#attempts;
+    this.#journal.placed(placed, { sends });
+    this.#sending = sendPlaced(this.#state, placed);
     return await this.#sending.result;
   }
 
@@ -202,7 +187,7 @@
     if (!mayAccept) this.#attempts.exclude(placed.replica.entry.incarnation);
     const allowed = notRun || this.#attempts.repeatable;
     if (allowed && this.#attempts.acquireRetry(reason)) return;
-    if (!notRun) return this.#fail(GatewayError.outcomeUnknown, { reason });
+    if (!notRun) return this.#failUnknown(reason);
     // If all replicas back off, the caller should not retry before one reopens.
     const refusal = refusalWhenNoneAvailable(this.#context, this.#request);
     const { retryAfterSeconds } = refusal ? failureOf(refusal) : {};
@@ -217,24 +202,17 @@
     if (failed && this.#retryAnswer(placed, answer)) return;
     if (failed && headersSent) {
       answer.message.destroy();
-      const reason = `Status ${status}`;
-      return this.#fail(GatewayError.outcomeUnknown, { reason });
+      return this.#failUnknown(`Status ${status}`);
     }
     const outcome = await this.#relay(placed, answer);
-    if (outcome === "complete") this.#meter.complete(status);
-    else if (outcome === "unread") this.#placer.release();
-    else this.#noteInterrupted(placed);
+    const isByReplica = !this.#ended && !this.#retryAcquired;
+    const result = { placed, status, outcome, isByReplica };
+    reportOutcome(this.#outcomeReport, result);
     if (this.#ended) return;
     if (outcome === "unread") return this.#endUnread();
-    if (outcome === "complete") return this.#complete(status);
-    this.#handleInterrupted(placed);
-  }
-
-  #noteInterrupted(placed: Placement): void {
-    const isLocal = isPathLost(this.#context, placed.replica);
-    this.#placer.failed({ rejected: false, isBackoff: false, isLocal });
-    const isByReplica = !this.#ended && !this.#retryAcquired;
-    noteInterruption(this.#context, this.#request, placed.replica, isByReplica);
+    if (outcome === "interrupted") return this.#handleInterrupted(placed);
+    this.#journal.answered(status);
+    this.#end();
   }
 
   /** Retries a failed response at another replica instead of forwarding it. */
@@ -248,10 +226,7 @@
     return true;
   }
 
-  #relay(
-    placed: Placement,
-    answer: Answer,
-  ): Promise<RelayOutcome> {
+  #relay(placed: Placement, answer: Answer): Promise<RelayOutcome> {
     return relayToCaller(this.#context, this.#request, {
       answer,
       startedAt: this.#context.clock.now(),
@@ -263,9 +238,16 @@
     });
   }
 
+  /** Only a stream can go on behind what its caller has received. */
+  get #mayContinue(): boolean {
+    if (!this.#writer.headersSent) return true;
+    return this.#request.route.resumable;
+  }
+
   /** Abandons a stalled stream only if its replica also fails other calls. */
   #abandonStalled(placed: Placement): boolean {
-    if (!placed.replica.isPaused(this.#context.clock.now())) return false;
+    const isPaused = placed.replica.isPaused(this.#context.clock.now());
+    if (!isPaused || !this.#mayContinue) return false;
     this.#retryAcquired = this.#attempts.acquireRetry("The stream stalled");
     return this.#retryAcquired;
   }
@@ -273,32 +255,24 @@
   #handleInterrupted(placed: Placement): void {
     placed.replica.noteFailure(this.#context.clock.now(), false);
     this.#attempts.noteInterrupted(placed.replica.entry);
+    const reason = "The answer was cut off";
     const hasRetry = this.#retryAcquired ||
-      (this.#attempts.repeatable &&
-        this.#attempts.acquireRetry("The answer was cut off"));
+      (this.#mayContinue && this.#attempts.repeatable &&
+        this.#attempts.acquireRetry(reason));
     this.#retryAcquired = false;
-    if (hasRetry) {
-      if (this.#writer.headersSent) {
-        this.#journal.note("resumed", { ...this.#position });
-      }
-      return;
-    }
-    const reason = "The answer was cut off";
-    this.#fail(GatewayError.outcomeUnknown, { reason });
+    if (!hasRetry) return this.#failUnknown(reason);
+    if (!this.#writer.headersSent) return;
+    this.#journal.resumed(this.#position);
   }
 
-  /** Ends a response that its caller does not read. */
+  /** Ends a response that its caller does not receive, or not to its end. */
   #endUnread(): void {
     this.#context.metrics.count("answers_unread");
-    const reason = "The caller did not read the answer";
-    this.#fail(GatewayError.outcomeUnknown, { reason });
+    this.#failUnknown("The caller did not read the answer");
   }
 
-  #complete(status: number): void {
-    const { crashes } = this.#context;
-    if (status < 500) crashes.noteAnswered(this.#request.fingerprint);
-    this.#journal.answered(status);
-    this.#end();
+  #failUnknown(reason: string): void {
+    this.#fail(GatewayError.outcomeUnknown, { reason });
   }
 
   #fail(error: GatewayError, details: Failure): void {
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -78,7 +78,10 @@
     const tried = new Set(constraints.excluded);
     let minRetryAfterMs = Infinity;
     for (;;) {
-      const available = usableReplicas(this.#context, this.#request, tried);
+      const available = usableReplicas(this.#context, this.#request, {
+        ...constraints,
+        excluded: tried,
+      });
       if (available.type === "none") {
         return unavailableRefusal(this.#context, this.#request, available);
       }
@@ -142,7 +145,7 @@
       );
       return { error: GatewayError.busy, retryAfterMs };
     }
-    return this.#chooseLocally(constraints.excluded);
+    return this.#chooseLocally(constraints);
   }
 
   /** Records what part of a customer's requests the planner grants. */
@@ -216,7 +219,9 @@
     return isNeeded && body.length <= MAX_KEY_BYTES ? fingerprint() : "";
   }
 
-  #chooseLocally(excluded: ReadonlySet<string>): Replica | undefined {
+  #chooseLocally(
+    { excluded }: PlacementConstraints,
+  ): Replica | undefined {
     const { replicas, clock, random, self, tuning } = this.#context;
     const open = replicas.openReplicasOf(this.#request.service);
     const query = {
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -154,10 +154,10 @@
     const body = result.type === "answer" && status === 200
       ? await readBody(result.answer, MAX_BODY_BYTES)
       : undefined;
+    const id = body === undefined ? undefined : dialect.readExport(body);
     if (status === 200 && body === undefined) {
       noteInterruption(this.#context, this.#request, replica, !this.#ended);
     }
-    const id = body === undefined ? undefined : dialect.readExport(body);
     if (id !== undefined) {
       metrics.time(Timing.prefill, clock.now() - startedAt);
       if (!this.#ended) return { replica, id };
--- a/src/gateway/requests/refusals.ts
+++ b/src/gateway/requests/refusals.ts
@@ -8,7 +8,9 @@
 import type { GatewayRequest } from "./request.ts";
 
 /** Converts a planner's refusal. */
-export function plannerRefusal(refusal: AssignmentRefusal): PlacementRefusal {
+export function plannerRefusal(
+  refusal: AssignmentRefusal,
+): PlacementRefusal {
   const { reason, retryAfterMs, planner, basis } = refusal;
   const fields = { planner, ...basis };
   switch (reason) {
@@ -48,20 +50,23 @@
   return minRetryAfterMs + spreadMs * (rank + random()) / (MAX_RANK + 1);
 }
 
-/**
- * Refuses a request whose remaining replicas all back off, or that no host
- * reaches.
- */
+/** Why no replica may serve a request, and when to try again. */
+export type Unavailability = {
+  readonly reason: "backoff" | "unreachable";
+  readonly retryAfterMs: Milliseconds;
+};
+
+/** Refuses a request that none of its remaining replicas may serve. */
 export function unavailableRefusal(
   context: Pick<GatewayContext, "random">,
   request: Pick<GatewayRequest, "priority">,
-  { retryAfterMs: minRetryAfterMs, isUnreachable }: {
-    readonly retryAfterMs: Milliseconds;
-    readonly isUnreachable: boolean;
-  },
+  unavailability: Unavailability,
 ): PlacementRefusal {
+  const { reason, retryAfterMs: minRetryAfterMs } = unavailability;
   const retryAfterMs = spreadRetryAfterMs(context, request, minRetryAfterMs);
-  if (isUnreachable) return { error: GatewayError.noReplica, retryAfterMs };
+  if (reason === "unreachable") {
+    return { error: GatewayError.noReplica, retryAfterMs };
+  }
   const basis = { backoff_ms: Math.round(minRetryAfterMs) };
   return { error: GatewayError.backingOff, retryAfterMs, basis };
 }
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -6,10 +6,12 @@
   type PacedWriterOptions,
 } from "../memory/paced_writer.ts";
 import type { Answer } from "../upstreams/call.ts";
-import { type Route, RouteKind } from "../routing/model.ts";
+import type { Route } from "../routing/model.ts";
+import type { EventScanner } from "./event_scanner.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { Reply } from "./request.ts";
 import type { RelayObserver } from "./run_progress.ts";
+import { StallTimer } from "./stall_timer.ts";
 
 /** Responses up to this size are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
@@ -24,6 +26,8 @@
 /** Options of {@link relayAnswer}. */
 export type AnswerRelayOptions = {
   readonly route: Route;
+  /** Scans the events of a stream; undefined: the route is not streaming. */
+  readonly scanner: EventScanner | undefined;
   /** Sends the response headers; called before the first byte of the body. */
   readonly writeHead: () => void;
   /** Called when the first byte has been sent to the caller. */
@@ -48,23 +52,42 @@
 export async function relayAnswer(
   answer: Answer,
   reply: Reply,
-  { route, writeHead, onFirstByte, observer, events, pace }: AnswerRelayOptions,
+  options: AnswerRelayOptions,
 ): Promise<RelayOutcome> {
+  // It was cut off, and what was received of it is gone.
+  if (answer.message.closed) return "interrupted";
+  const { route, scanner, writeHead, onFirstByte, observer, pace } = options;
   const paced = pacedReply(answer, reply, pace);
-  if (route.kind !== RouteKind.streaming) {
-    const { relayed } = await relayBuffered(answer, paced, writeHead);
+  if (!scanner) {
+    const outcome = await relayBuffered(answer, paced, writeHead);
     onFirstByte();
-    return relayed;
+    return outcome;
   }
-  if (observer) observe(answer, observer);
-  writeHead();
-  onFirstByte();
-  if (!route.resumable) return await relayBytes(answer, paced);
-  return await relayEvents(answer, paced, events);
+  if (observer) observe(answer, scanner, observer);
+  const output = { paced, scanner };
+  const begin = () => {
+    writeHead();
+    onFirstByte();
+  };
+  if (route.resumable) {
+    return await relayEvents(answer, output, { ...options.events, begin });
+  }
+  begin();
+  return await relayBytes(answer, paced);
 }
 
-function observe({ message }: Answer, observer: RelayObserver): void {
-  message.on("data", (bytes: Buffer) => observer.data(bytes));
+/** A stream and the response to its caller. */
+type StreamOutput = {
+  readonly paced: PacedReply;
+  readonly scanner: EventScanner;
+};
+
+function observe(
+  { message }: Answer,
+  scanner: EventScanner,
+  observer: RelayObserver,
+): void {
+  message.on("data", () => observer.received(scanner.events));
   // Only the relay pauses a response, while its caller has unread data.
   message.on("pause", () => observer.heldUp());
 }
@@ -80,8 +103,13 @@
   });
 }
 
-/** The last event of a stream that was forwarded. */
-export type EventPosition = { lastId?: string };
+/** What was forwarded of a stream. */
+export type EventPosition = {
+  /** Id of the last event. */
+  lastId?: string;
+  /** Whether the caller has received any of it. */
+  hasForwarded?: boolean;
+};
 
 /** Options for forwarding a resumable stream. */
 export type EventRelayOptions = {
@@ -97,36 +125,45 @@
  * Whenever no byte arrives for `stallMs`, `abandonStalled` decides whether to
  * abort the stream.
  */
-function relayEvents(
+async function relayEvents(
   answer: Answer,
-  paced: PacedReply,
-  { position, clock, stallMs, abandonStalled }: EventRelayOptions,
+  output: StreamOutput,
+  { position, clock, stallMs, abandonStalled, begin }:
+    & EventRelayOptions
+    & { readonly begin: () => void },
 ): Promise<RelayOutcome> {
+  const { paced, scanner } = output;
   const splitter = new EventSplitter();
-  let cancelStallTimer = () => {};
-  const restartStallTimer = () => {
-    cancelStallTimer();
-    cancelStallTimer = clock.after(stallMs, () => {
-      if (!abandonStalled()) return restartStallTimer();
-      answer.message.destroy();
-    });
-  };
-  restartStallTimer();
+  const { message } = answer;
+  const stallTimer = new StallTimer({
+    clock,
+    stallMs,
+    onStalled: () => {
+      if (!abandonStalled()) return;
+      stallTimer.end();
+      message.destroy();
+    },
+  });
+  stallTimer.restart();
   // A response that its caller holds up is not stalled.
-  answer.message.on("pause", () => cancelStallTimer());
-  answer.message.on("resume", restartStallTimer);
-  return relay(answer, paced, {
+  message.on("pause", () => stallTimer.pause());
+  message.on("resume", () => stallTimer.restart());
+  message.on("close", () => stallTimer.end());
+  begin();
+  return await relay(answer, paced, {
     data: (bytes) => {
-      restartStallTimer();
-      const complete = splitter.push(bytes);
+      stallTimer.restart();
+      const complete = splitter.push(bytes, scanner.endInPart);
+      if (!complete) return;
       if (complete.lastId !== undefined) position.lastId = complete.lastId;
-      if (complete.bytes.length > 0) paced.write(complete.bytes);
+      position.hasForwarded = true;
+      paced.write(complete.bytes);
     },
     complete: () => {
       if (splitter.remainder.length > 0) paced.reply.write(splitter.remainder);
       paced.reply.end();
     },
-  }).finally(() => cancelStallTimer());
+  });
 }
 
 /**
@@ -137,7 +174,7 @@
   answer: Answer,
   paced: PacedReply,
   writeHead: () => void,
-): Promise<{ readonly relayed: RelayOutcome; readonly started: boolean }> {
+): Promise<RelayOutcome> {
   const buffered: Buffer[] = [];
   let size = 0;
   let started = false;
@@ -157,7 +194,7 @@
       if (!started) start();
       paced.reply.end();
     },
-  }).then((relayed) => ({ relayed, started }));
+  });
 }
 
 /** A reply that is written at the pace of its caller. */
@@ -194,21 +231,27 @@
   };
 }
 
+/** What one kind of relay does with a response. */
+type Forwarding = {
+  data(bytes: Buffer): void;
+  complete(): void;
+};
+
 function relay(
   answer: Answer,
   paced: PacedReply,
-  on: { data(bytes: Buffer): void; complete(): void },
+  forwarding: Forwarding,
 ): Promise<RelayOutcome> {
   return new Promise((resolve) => {
     const { message } = answer;
-    message.on("data", (bytes: Buffer) => on.data(bytes));
+    message.on("data", (bytes: Buffer) => forwarding.data(bytes));
     message.on("close", () => {
       if (paced.isUnread()) return resolve("unread");
       if (!answer.intact()) {
         paced.end();
         return resolve("interrupted");
       }
-      on.complete();
+      forwarding.complete();
       resolve(paced.isUnread() ? "unread" : "complete");
     });
   });
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -7,6 +7,7 @@
 import { type EventPosition, relayAnswer, type RelayOutcome } from "./relay.ts";
 import type { RelayObserver } from "./run_progress.ts";
 import type { ReplyWriter } from "./reply_writer.ts";
+import { scanEvents } from "./scan_events.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 
 /** A response and the caller that it is forwarded to. */
@@ -30,13 +31,15 @@
   relay: CallerRelay,
 ): Promise<RelayOutcome> {
   const { answer, startedAt, reply, writer, position, observer } = relay;
-  const { message } = answer;
-  const status = message.statusCode ?? 502;
+  const isStream = route.kind === RouteKind.streaming;
+  const scanner = isStream ? scanEvents(answer) : undefined;
+  const { statusCode: status = 502, rawHeaders } = answer.message;
   return relayAnswer(answer, reply, {
     route,
-    writeHead: () => writer.writeHead(status, message.rawHeaders),
+    scanner,
+    writeHead: () => writer.writeHead(status, rawHeaders),
     onFirstByte: () => {
-      const at = route.kind === RouteKind.streaming ? startedAt : clock.now();
+      const at = isStream ? startedAt : clock.now();
       metrics.time(Timing.firstByte, at - receivedAt);
     },
     observer,
--- a/src/gateway/requests/reply_writer.ts
+++ b/src/gateway/requests/reply_writer.ts
@@ -36,9 +36,9 @@
 
   /** Forwards the headers of a replica's response; later calls do nothing. */
   writeHead(status: number, rawHeaders: readonly string[]): void {
-    if (this.#headersSent) return;
-    this.#headersSent = true;
+    if (this.headersSent) return;
     this.#options.reply.writeHead(status, rawHeaders);
+    this.#headersSent = true;
   }
 
   /**
@@ -52,8 +52,12 @@
     const { reply, attempts, journal } = this.#options;
     const sent = errorForCaller(error, attempts.mayHaveRun);
     const retryAfterSent = sent === error ? retryAfterSeconds : undefined;
-    const fields = { error: sent, reason, retry_after: retryAfterSent };
-    if (this.#headersSent) {
+    const fields = {
+      error: sent,
+      reason: reason ?? (sent === error ? undefined : error),
+      retry_after: retryAfterSent,
+    };
+    if (this.headersSent) {
       journal.ended("broken", fields);
       reply.abort();
     } else {
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -7,8 +7,15 @@
 import { Timing } from "../observe/metrics.ts";
 import { revisionOf } from "../position.ts";
 import type { Placement } from "./placement.ts";
+import type { EventPosition } from "./relay.ts";
 import type { GatewayRequest } from "./request.ts";
 
+/** A send, as it is logged. */
+export type JournalledSend = {
+  /** Number of sends of the request, including this one. */
+  readonly sends: number;
+};
+
 /** Writes the log events and the metrics of one request. */
 export class RequestJournal {
   readonly #context: GatewayContext;
@@ -34,10 +41,10 @@
   }
 
   /** Logs a send to a replica and what the placement was based on. */
-  placed(placed: Placement, sends: number): void {
+  placed(placed: Placement, { sends }: JournalledSend): void {
     const { metrics, replicas, routes, clock, gate, paths } = this.#context;
     const { facts } = this.#request;
-    const replica = placed.replica.entry.incarnation;
+    const { incarnation: replica } = placed.replica.entry;
     const isTunnelled = paths.monitor.isLost(replica);
     this.#lastSend = { replica, at: clock.now() };
     metrics.count("sends");
@@ -59,7 +66,12 @@
     });
   }
 
-  /** Logs that the complete response was forwarded. */
+  /** Logs that an interrupted stream goes on at another replica. */
+  resumed({ lastId }: EventPosition): void {
+    this.note("resumed", { lastId });
+  }
+
+  /** Logs that a response was forwarded up to its end. */
   answered(status: number): void {
     const { metrics } = this.#context;
     const spentMs = this.#spentMs();
--- a/src/gateway/requests/run_progress.ts
+++ b/src/gateway/requests/run_progress.ts
@@ -3,53 +3,16 @@
 import type { Clock } from "../clock.ts";
 import type { RunSummary } from "../planning/assignment.ts";
 
-const NEWLINE = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
 /** Shortest interval between two reports of one run. */
 const REPORT_INTERVAL_MS = 1000;
 
-/** Counts the server-sent events in a stream of any part sizes. */
-export class EventCounter {
-  #events = 0;
-  /** Bytes of the current line before this part, without a final CR. */
-  #lineBytes = 0;
-  /** The current event has a line. */
-  #hasLine = false;
-
-  /** Complete events so far. */
-  get events(): number {
-    return this.#events;
-  }
-
-  /** Counts the events that the bytes complete. */
-  push(bytes: Buffer): void {
-    let start = 0;
-    for (;;) {
-      const end = bytes.indexOf(NEWLINE, start);
-      if (end < 0) break;
-      this.#endLine(this.#lineBytes + textLength(bytes, start, end));
-      start = end + 1;
-    }
-    this.#lineBytes += textLength(bytes, start, bytes.length);
-  }
-
-  #endLine(length: number): void {
-    this.#lineBytes = 0;
-    if (length === 0 && this.#hasLine) this.#events += 1;
-    this.#hasLine = length > 0;
-  }
-}
-
-/** Length of a part of a line without a final CR. */
-function textLength(bytes: Buffer, start: number, end: number): number {
-  const hasReturn = end > start && bytes[end - 1] === CARRIAGE_RETURN;
-  return end - start - (hasReturn ? 1 : 0);
-}
-
 /** Observes a response that is forwarded. */
 export type RelayObserver = {
-  /** Called with the bytes that were received, before they are forwarded. */
-  data(bytes: Buffer): void;
+  /**
+   * Called when a part was received, before it is forwarded, with the number of
+   * complete events so far.
+   */
+  received(events: number): void;
   /** Called when the caller reads more slowly than the replica sends. */
   heldUp(): void;
 };
@@ -74,7 +37,7 @@
  */
 export class RunProgress implements RelayObserver {
   readonly #options: RunProgressOptions;
-  readonly #counter = new EventCounter();
+  #events = 0;
   #firstAt: Milliseconds | undefined;
   /** Events received with the first one. */
   #firstEvents = 0;
@@ -86,24 +49,23 @@
     this.#options = options;
   }
 
-  data(bytes: Buffer): void {
-    const before = this.#counter.events;
-    this.#counter.push(bytes);
-    if (this.#counter.events === before) return;
+  received(events: number): void {
+    if (events === this.#events) return;
+    this.#events = events;
     if (this.#isHeldUp) return;
     const { clock, sentAt, started, running } = this.#options;
     const now = clock.now();
     this.#lastAt = now;
     if (this.#firstAt === undefined) {
       this.#firstAt = now;
-      this.#firstEvents = this.#counter.events;
+      this.#firstEvents = events;
       this.#reportedAt = now;
       return started(now - sentAt);
     }
     if (now - this.#reportedAt < REPORT_INTERVAL_MS) return;
     this.#reportedAt = now;
     running({
-      events: this.#counter.events - this.#firstEvents,
+      events: events - this.#firstEvents,
       runMs: now - this.#firstAt,
     });
   }
@@ -118,7 +80,7 @@
   get summary(): RunSummary {
     if (this.#firstAt === undefined || this.#isHeldUp) return {};
     return {
-      events: this.#counter.events - this.#firstEvents,
+      events: this.#events - this.#firstEvents,
       runMs: this.#lastAt - this.#firstAt,
     };
   }
--- /dev/null
+++ b/src/gateway/requests/send_placed.ts
@@ -0,0 +1,48 @@
+/** Sends a request to the replica at which it has been placed. */
+import { GatewayError } from "../answers.ts";
+import type { GatewayContext } from "../context.ts";
+import { isKeyStillValid } from "../customers/admission.ts";
+import type { Attempts } from "./attempts.ts";
+import type { Placement } from "./placement.ts";
+import type { EventPosition } from "./relay.ts";
+import type { GatewayRequest } from "./request.ts";
+import { type Sending, sendRequest } from "./sender.ts";
+
+/** The state of a request that is sent. */
+export type RequestState = {
+  readonly context: GatewayContext;
+  readonly request: GatewayRequest;
+  readonly attempts: Attempts;
+  readonly position: EventPosition;
+};
+
+/** Returns why a placed request must not be sent; undefined: it may be. */
+export function sendObstacle(
+  { context, request, attempts }: RequestState,
+): GatewayError | undefined {
+  if (!attempts.hasTimeLeft) return GatewayError.outOfTimeNotRun;
+  const { routes } = context;
+  if (!isKeyStillValid(routes, request)) return GatewayError.unknownKey;
+  const isCharged = attempts.chargeSend("A prefill was turned away");
+  return isCharged ? undefined : GatewayError.refusedByReplicas;
+}
+
+/** Sends a request that the attempts have counted already. */
+export function sendPlaced(
+  { context, request, attempts, position }: RequestState,
+  placed: Placement,
+): Sending {
+  const { lastId: lastEventId } = position;
+  const { entry } = placed.replica;
+  const timeoutMs = attempts.answerTimeoutMs(entry);
+  return sendRequest(context, request, placed.replica, {
+    headers: {
+      ...placed.headers,
+      timeLeftMs: request.deadline - context.clock.now(),
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+    },
+    permit: placed.permit,
+    isRepeatable: attempts.repeatable && !attempts.isLast,
+    ...(timeoutMs === undefined ? {} : { timeoutMs }),
+  });
+}
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -6,9 +6,17 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
-import type { Answer, Call, CallOutcome } from "../upstreams/call.ts";
+import {
+  type Answer,
+  type Call,
+  type CallOutcome,
+  NotSentCause,
+} from "../upstreams/call.ts";
 import type { GatewayRequest } from "./request.ts";
 
+/** Node.js accepts lower status codes in a response, but does not send them. */
+const MIN_STATUS = 100;
+
 /**
  * Statuses that usually mean that the request did not run. Unless the replica
  * states so explicitly, the outcome is treated as unknown.
@@ -108,14 +116,6 @@
   return { result, abort: (reason) => call.abort(reason) };
 }
 
-/** Whether only this host does not reach the replica. */
-export function isPathLost(
-  { paths }: Pick<GatewayContext, "paths">,
-  { entry }: Replica,
-): boolean {
-  return paths.monitor.isLost(entry.incarnation);
-}
-
 /** Whether another replica could serve the request instead of `entry`. */
 export function hasOtherReplica(
   { replicas, gate }: GatewayContext,
@@ -211,7 +211,8 @@
   outcome: Extract<CallOutcome, { type: "broken" }>,
 ): SendResult {
   const { reason, isAborted, isStale } = outcome;
-  const isLocal = isAborted && isPathLost(context, replica);
+  const { incarnation } = replica.entry;
+  const isLocal = isAborted && context.paths.monitor.isLost(incarnation);
   const severe = reason === "No answer in time";
   if (!isLocal) noteFailure(context, replica, { reason, severe });
   if (!isLocal && !isStale) {
@@ -226,13 +227,17 @@
   replica: Replica,
   outcome: Extract<CallOutcome, { type: "notSent" }>,
 ): SendResult {
-  const { reason, isRefused, isWithheld, isLocal = false } = outcome;
-  if (isWithheld) {
+  const { reason, cause, isLocal = false } = outcome;
+  if (cause === NotSentCause.withheld) {
     const obstacle = context.gate.obstacle(replica) ?? { type: "leaving" };
     return { type: "closed", obstacle };
   }
-  noteFailure(context, replica, { reason, severe: true });
-  if (isRefused) context.crashes.noteRefused(replica.entry);
+  if (cause !== NotSentCause.invalid) {
+    noteFailure(context, replica, { reason, severe: true });
+  }
+  if (cause === NotSentCause.refused) {
+    context.crashes.noteRefused(replica.entry);
+  }
   return {
     type: "notRun",
     reason,
@@ -256,12 +261,16 @@
   crashes.noteBrokenSend(entry, { fingerprint, endedByReplica });
 }
 
-/** Whether a response belongs to the request; errors may lack the id. */
+/**
+ * Whether a response belongs to the request; errors may lack the id. One with
+ * an invalid status belongs to none.
+ */
 function isAnswerTo(
   request: GatewayRequest,
   status: number,
   id: string | undefined,
 ): boolean {
+  if (status < MIN_STATUS) return false;
   if (id === undefined) return status >= 400;
   return id === request.facts.id;
 }
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -52,6 +52,20 @@
   intact(): boolean;
 };
 
+/** Why a call was not sent. */
+export const NotSentCause = {
+  /** No connection could be used. */
+  notConnected: "notConnected",
+  /** The connection was refused: nothing listens at the address. */
+  refused: "refused",
+  /** The check before sending did not allow it. */
+  withheld: "withheld",
+  /** No replica could be sent this request. */
+  invalid: "invalid",
+} as const;
+/** One of the values of {@link NotSentCause}. */
+export type NotSentCause = typeof NotSentCause[keyof typeof NotSentCause];
+
 /** Outcome of a call up to the headers of its response. */
 export type CallOutcome =
   | { readonly type: "answer"; readonly answer: Answer }
@@ -59,10 +73,7 @@
   | {
     readonly type: "notSent";
     readonly reason: string;
-    /** The connection was refused: nothing listens at the address. */
-    readonly isRefused: boolean;
-    /** The check before sending did not allow it. */
-    readonly isWithheld: boolean;
+    readonly cause: NotSentCause;
     /** The code of the error, as in Node.js. */
     readonly code?: string | undefined;
     /**
@@ -93,6 +104,7 @@
   const target = parseAddress(options.address);
   if (!target) return failedCall(`Invalid address: ${options.address}`);
   const clientRequest = openRequest(options, target);
+  if (!clientRequest) return invalidCall();
   let isConnected = false;
   let hasFailed = false;
   let isAborted = false;
@@ -124,10 +136,8 @@
   const outcome = new Promise<CallOutcome>((resolve) => {
     settle = resolve;
     clientRequest.on("response", (message) => {
-      // Prevents an uncaught error; the reader of the body checks `intact`.
-      message.on("error", () => undefined);
-      const intact = () => message.complete && !hasFailed;
-      resolve({ type: "answer", answer: { message, intact } });
+      const answer = answerOf(message, () => hasFailed);
+      resolve({ type: "answer", answer });
     });
     clientRequest.on("error", (error) => {
       hasFailed = true;
@@ -152,13 +162,35 @@
   };
 }
 
+function answerOf(message: IncomingMessage, hasFailed: () => boolean): Answer {
+  // Prevents an uncaught error; the reader of the body checks `intact`.
+  message.on("error", () => undefined);
+  return { message, intact: () => message.complete && !hasFailed() };
+}
+
+/**
+ * Undefined: Node.js accepts neither headers nor a path with control characters,
+ * as those may have that come from the body of an earlier response.
+ */
 function openRequest(
   options: CallOptions,
   { host, port }: { readonly host: string; readonly port: number },
-): ClientRequest {
+): ClientRequest | undefined {
   const { method, path, agent } = options;
   const headers = withFraming(options) as unknown as Record<string, string>;
-  return request({ host, port, method, path, headers, agent, setHost: false });
+  try {
+    return request({
+      host,
+      port,
+      method,
+      path,
+      headers,
+      agent,
+      setHost: false,
+    });
+  } catch {
+    return undefined;
+  }
 }
 
 /**
@@ -189,9 +221,14 @@
     readonly error?: Error;
   },
 ): CallOutcome {
-  const isRefused = error !== undefined && isRefusal(error);
   const code = error && codeOf(error);
-  return { type: "notSent", reason, isRefused, isWithheld, code };
+  const cause = isWithheld ? NotSentCause.withheld : causeOf(error);
+  return { type: "notSent", reason, cause, code };
+}
+
+function causeOf(error: Error | undefined): NotSentCause {
+  const isRefused = error !== undefined && isRefusal(error);
+  return isRefused ? NotSentCause.refused : NotSentCause.notConnected;
 }
 
 function codeOf(error: Error): string | undefined {
@@ -229,18 +266,21 @@
 }
 
 /** A call that is not sent for the given reason. */
-export function failedCall(reason: string): Call {
+export function failedCall(
+  reason: string,
+  cause: NotSentCause = NotSentCause.notConnected,
+): Call {
   return {
-    outcome: Promise.resolve({
-      type: "notSent",
-      reason,
-      isRefused: false,
-      isWithheld: false,
-    }),
+    outcome: Promise.resolve({ type: "notSent", reason, cause }),
     abort: () => undefined,
   };
 }
 
+/** A call that can't be sent to any replica. */
+function invalidCall(): Call {
+  return failedCall("Invalid header or path", NotSentCause.invalid);
+}
+
 /**
  * Reads the complete body of a response; undefined if it was cut off or is
  * longer than `maxBytes`.
--- a/test/gateway/requests/caller_disconnected_test.ts
+++ b/test/gateway/requests/caller_disconnected_test.ts
@@ -200,6 +200,9 @@
     await settle();
     socket.destroy();
     await isClosed;
-    assert.equal(rig.replicas[0]?.requests.length, 1);
+    const received = rig.replicas[0]?.requests.map((
+      { method, path, headers },
+    ) => `${method} ${path} ${headers.get("x-id")}`);
+    assert.deepEqual(received, ["GET /a/b 1"]);
   });
 });
--- /dev/null
+++ b/test/gateway/requests/relay_rig.ts
@@ -0,0 +1,189 @@
+/**
+ * Forwards the response of a streaming route in memory, without sockets: the
+ * relay, the log record and the measurement of the run.
+ */
+import { EventEmitter } from "node:events";
+import type { IncomingMessage } from "node:http";
+import { type Clock, systemClock } from "../../../src/gateway/clock.ts";
+import type { GatewayContext } from "../../../src/gateway/context.ts";
+import { ByteBudget } from "../../../src/gateway/memory/byte_budget.ts";
+import { Metrics } from "../../../src/gateway/observe/metrics.ts";
+import type { PlannerClient } from "../../../src/gateway/planning/planner_client.ts";
+import type { Attempts } from "../../../src/gateway/requests/attempts.ts";
+import type { Placer } from "../../../src/gateway/requests/placement.ts";
+import type {
+  EventPosition,
+  RelayOutcome,
+} from "../../../src/gateway/requests/relay.ts";
+import { relayToCaller } from "../../../src/gateway/requests/relay_to_caller.ts";
+import { ReplyWriter } from "../../../src/gateway/requests/reply_writer.ts";
+import type {
+  GatewayRequest,
+  Reply,
+} from "../../../src/gateway/requests/request.ts";
+import { RequestJournal } from "../../../src/gateway/requests/request_journal.ts";
+import { RunMeter } from "../../../src/gateway/requests/run_meter.ts";
+import { RouteKind } from "../../../src/gateway/routing/model.ts";
+import type { Answer } from "../../../src/gateway/upstreams/call.ts";
+import { TEST_TUNING } from "../test_tuning.ts";
+
+/** Options of {@link relayStream}. */
+export type StreamRelayOptions = {
+  readonly resumable: boolean;
+  readonly replicaRates: boolean;
+  /** Of the response; a stream of events by default. */
+  readonly headers?: Readonly<Record<string, string>>;
+  /** The system clock by default. */
+  readonly clock?: Clock;
+  readonly abandonStalled?: () => boolean;
+  /** Called when the head is written to the caller. */
+  readonly onHead?: () => void;
+};
+
+/** A response that is being forwarded. */
+export type OpenRelay = {
+  /** Emits the parts and the end of the response. */
+  readonly message: EventEmitter;
+  /** The parts that have been written to the caller. */
+  readonly written: readonly Buffer[];
+  /** Reports to the planner so far, in order. */
+  readonly reports: readonly string[];
+  /** Resolves when the response has ended. */
+  readonly relayed: Promise<RelayedStream>;
+};
+
+/** What a response left behind. */
+export type RelayedStream = {
+  readonly outcome: RelayOutcome;
+  /** The parts that were written to the caller. */
+  readonly written: readonly Buffer[];
+  readonly position: EventPosition;
+  /** The fields of the request's record in the log. */
+  readonly logged: Readonly<Record<string, unknown>>;
+  /** Reports to the planner, in order. */
+  readonly reports: readonly string[];
+};
+
+const EVENT_STREAM = { "content-type": "text/event-stream" };
+const METRICS = new Metrics();
+
+/** Forwards the parts of a response to a caller who reads at once. */
+export function relayStream(
+  parts: readonly Buffer[],
+  options: StreamRelayOptions,
+): Promise<RelayedStream> {
+  const { message, relayed } = openRelay(options);
+  for (const part of parts) message.emit("data", part);
+  message.emit("close");
+  return relayed;
+}
+
+/** Begins to forward a response to a caller who reads at once. */
+export function openRelay(options: StreamRelayOptions): OpenRelay {
+  const { abandonStalled = () => false } = options;
+  const written: Buffer[] = [];
+  const reports: string[] = [];
+  const position: EventPosition = {};
+  let logged: Readonly<Record<string, unknown>> = {};
+  const context = contextOf(options, (fields) => logged = fields);
+  const request = requestOf(options, context);
+  const reply = replyOf(written, options);
+  const journal = new RequestJournal(context, request);
+  const attempts = {} as Attempts;
+  const writer = new ReplyWriter({ reply, attempts, journal });
+  const meter = meterOf(context, request, reports);
+  const message = createMessage(options);
+  const answer = answerOf(message);
+  meter.noteSent();
+  const outcome = relayToCaller(context, request, {
+    answer,
+    startedAt: context.clock.now(),
+    reply,
+    writer,
+    position,
+    observer: meter.observer(),
+    abandonStalled,
+  });
+  const relayed = outcome.then((outcome) => {
+    journal.answered(200);
+    return { outcome, written, position, logged, reports };
+  });
+  return { message, written, reports, relayed };
+}
+
+function createMessage({ headers = EVENT_STREAM }: StreamRelayOptions) {
+  return Object.assign(new EventEmitter(), {
+    statusCode: 200,
+    headers,
+    rawHeaders: Object.entries(headers).flat(),
+    complete: true,
+    pause: () => undefined,
+    resume: () => undefined,
+    destroy: () => undefined,
+  });
+}
+
+function answerOf(message: EventEmitter): Answer {
+  return { message: message as IncomingMessage, intact: () => true };
+}
+
+function replyOf(written: Buffer[], { onHead }: StreamRelayOptions): Reply {
+  return {
+    writeHead: () => onHead?.(),
+    write: (part) => {
+      written.push(part);
+      return true;
+    },
+    drained: () => Promise.resolve(),
+    end: () => undefined,
+    fail: () => undefined,
+    abort: () => undefined,
+  };
+}
+
+function meterOf(
+  context: GatewayContext,
+  request: GatewayRequest,
+  reports: string[],
+): RunMeter {
+  const planner: Partial<PlannerClient> = {
+    started: () => void reports.push("started"),
+    running: (_id, { events }) => void reports.push(`running ${events}`),
+    heldUp: () => void reports.push("heldUp"),
+  };
+  const placer: Partial<Placer> = { assignmentId: "1" };
+  return new RunMeter({
+    context,
+    request,
+    planner: planner as PlannerClient,
+    placer: placer as Placer,
+  });
+}
+
+function requestOf(
+  { resumable }: StreamRelayOptions,
+  { clock }: GatewayContext,
+): GatewayRequest {
+  const request = {
+    route: { name: "route", kind: RouteKind.streaming, resumable },
+    facts: {},
+    receivedAt: clock.now(),
+  };
+  return request as GatewayRequest;
+}
+
+function contextOf(
+  options: StreamRelayOptions,
+  onNote: (fields: Readonly<Record<string, unknown>>) => void,
+): GatewayContext {
+  const { replicaRates, clock = systemClock } = options;
+  const scheduling = { ...TEST_TUNING.scheduling, replicaRates };
+  const context: Partial<GatewayContext> = {
+    clock,
+    events: { note: (_name, fields = {}) => onNote(fields) },
+    metrics: METRICS,
+    heldBytes: new ByteBudget(Infinity),
+    tuning: { ...TEST_TUNING, scheduling },
+  };
+  return context as GatewayContext;
+}
--- a/test/gateway/requests/run_progress_test.ts
+++ b/test/gateway/requests/run_progress_test.ts
@@ -6,10 +6,8 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import "../../fixed_seed.ts";
-import {
-  EventCounter,
-  RunProgress,
-} from "../../../src/gateway/requests/run_progress.ts";
+import { EventScanner } from "../../../src/gateway/requests/event_scanner.ts";
+import { RunProgress } from "../../../src/gateway/requests/run_progress.ts";
 
 const STREAM = [
   "id: 1\ndata: a\n\n",
@@ -24,7 +22,7 @@
   fc.assert(fc.property(cuts, (positions) => {
     const all = Buffer.from(STREAM);
     const offsets = [0, ...positions.sort((a, b) => a - b), all.length];
-    const counter = new EventCounter();
+    const counter = new EventScanner();
     for (let at = 1; at < offsets.length; at++) {
       counter.push(all.subarray(offsets[at - 1], offsets[at]));
     }
@@ -45,7 +43,7 @@
   });
   for (let event = 0; event < events; event++) {
     if (event >= heldUpAt) progress.heldUp();
-    progress.data(Buffer.from("data: x\n\n"));
+    progress.received(event + 1);
     now += eventMs;
   }
   return { reports, summary: progress.summary };
--- a/test/gateway/upstreams/call_test.ts
+++ b/test/gateway/upstreams/call_test.ts
@@ -5,6 +5,7 @@
 import {
   type Call,
   type CallOutcome,
+  NotSentCause,
   startCall,
 } from "../../../src/gateway/upstreams/call.ts";
 import {
@@ -110,7 +111,9 @@
       const firstOutcome = await first;
       if (firstOutcome.type === "answer") firstOutcome.answer.message.resume();
       const outcome = await second;
-      assert.ok(outcome.type === "notSent" && outcome.isWithheld);
+      assert.ok(
+        outcome.type === "notSent" && outcome.cause === NotSentCause.withheld,
+      );
       assert.equal(replica.requests.length, 1);
     } finally {
       agent.destroy();
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -64,6 +64,11 @@
   });
 });
 
+test("an empty last event id resumes nothing", () => {
+  const empty = dialect.readRequest({ "last-event-id": "" });
+  assert.deepEqual(empty, { promptTokens: 0, outputLimit: 0 });
+});
+
 test("a replica's limit that is no decimal number is unreadable", () => {
   const limitOf = (text?: string) =>
     dialect.readAnswer(200, text === undefined ? {} : { "server-limit": text })
