--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -5,62 +5,21 @@
  * it is removed from the listing without draining and no longer runs, or if
  * another host reports it.
  */
-import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Metrics } from "../observe/metrics.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
-import { evictOldest } from "../../util/evict_oldest.ts";
 import type { ProbeResult } from "../upstreams/probe.ts";
+import {
+  type BrokenSendDetails,
+  BrokenSends,
+  type CrashSign,
+} from "./broken_sends.ts";
 import { CrashTable } from "./crash_table.ts";
 import type { CrashRule, CrashUpdate, Quarantine } from "./model.ts";
 
-/**
- * A refused connection explains only sends that broke within this time before
- * it. It covers a probe and its repetition for sends that broke meanwhile.
- */
-const REFUSED_WINDOW_MS = 1000;
-/**
- * A removal from the listing explains only sends that broke within this time
- * before it. It covers three missed heartbeats and the next read of the
- * listing.
- */
-const REMOVED_WINDOW_MS = 6000;
 /** Bounds what a host writes into its row, which is limited to 64 KB. */
 const WORST_BOUNDS = { minCount: 2, limit: 50 };
-/**
- * Maximum number of replicas with stored broken sends, and of sends of each.
- */
-const MAX_REPLICAS = 300;
-const MAX_BROKEN_SENDS = 100;
-
-/** How a crash was detected. */
-type CrashSign = "refused" | "gone" | "told";
-
-/** A send that ended without a complete response. */
-type BrokenSend = {
-  readonly fingerprint: string;
-  readonly at: Milliseconds;
-  /** Whether the replica's side ended it; otherwise this host timed out. */
-  readonly endedByReplica: boolean;
-  /** Whether a later probe found the replica listening. */
-  hasListened: boolean;
-};
-
-/** The state of one incarnation of a replica. */
-type WatchedReplica = {
-  brokenSends: BrokenSend[];
-  /** The probe in flight, which checks whether the replica still listens. */
-  probing: Promise<void> | undefined;
-  /** When the crash was detected. */
-  crashedAt: Milliseconds | undefined;
-};
-
-/** How a send ended without a complete response. */
-export type BrokenSendDetails = {
-  readonly fingerprint: () => string;
-  readonly endedByReplica: boolean;
-};
 
 /** Options of {@link CrashWatch}. */
 export type CrashWatchOptions = {
@@ -86,7 +45,9 @@
 export class CrashWatch {
   readonly #options: CrashWatchOptions;
   readonly #table: CrashTable;
-  readonly #watched = new Map<string, WatchedReplica>();
+  readonly #brokenSends = new BrokenSends();
+  /** The probes in flight, by incarnation. */
+  readonly #probing = new Map<string, Promise<void>>();
   readonly #listeners: CrashListener[] = [];
   #rule: CrashRule;
 
@@ -132,44 +93,34 @@
     const mayDecide = sends >= this.#rule.crashThreshold - 1 ||
       (this.#table.size > 0 && this.#table.has(fingerprint()));
     if (!mayDecide) return;
-    const key = fingerprint();
-    const probes = [...this.#watched.values()]
-      .filter(({ brokenSends }) =>
-        brokenSends.some((send) => send.fingerprint === key)
-      )
-      .map((watched) => watched.probing);
+    const probes = this.#brokenSends.replicasOf(fingerprint())
+      .map((incarnation) => this.#probing.get(incarnation));
     await Promise.all(probes);
   }
 
   /** Clears the request: a replica returned a complete response. */
   noteAnswered(fingerprint: () => string): void {
-    if (this.#table.size === 0 || !this.#table.has(fingerprint())) return;
+    if (!this.#isRecorded(fingerprint)) return;
     const at = this.#options.clock.now();
     const clearances = [{ fingerprint: fingerprint(), at }];
     this.merge({ records: [], clearances }, undefined);
   }
 
+  #isRecorded(fingerprint: () => string): boolean {
+    return this.#table.size > 0 && this.#table.has(fingerprint());
+  }
+
   /** Records that a send to the replica ended without a complete response. */
-  noteBrokenSend(
-    entry: ReplicaEntry,
-    { fingerprint, endedByReplica }: BrokenSendDetails,
-  ): void {
+  noteBrokenSend(entry: ReplicaEntry, details: BrokenSendDetails): void {
     if (this.#options.isDraining(entry)) return;
     const now = this.#options.clock.now();
-    const watched = this.#watchedOf(entry.incarnation);
-    removeBefore(watched, now - REMOVED_WINDOW_MS);
-    if (watched.brokenSends.length >= MAX_BROKEN_SENDS) return;
-    watched.brokenSends.push({
-      fingerprint: fingerprint(),
-      at: now,
-      endedByReplica,
-      hasListened: false,
-    });
-    const sinceCrash = now - (watched.crashedAt ?? -Infinity);
-    if (sinceCrash <= REFUSED_WINDOW_MS) {
-      return this.#noteCrash(entry.incarnation, "told");
+    const { incarnation } = entry;
+    if (!this.#brokenSends.add(incarnation, { ...details, now })) return;
+    if (this.#brokenSends.hasJustCrashed(incarnation, now)) {
+      return this.#noteCrash(incarnation, "told");
     }
-    if (endedByReplica) watched.probing ??= this.#probe(entry, watched);
+    if (!details.endedByReplica || this.#probing.has(incarnation)) return;
+    this.#probing.set(incarnation, this.#probe(entry));
   }
 
   /** Records that the replica's address refused a connection. */
@@ -185,16 +136,13 @@
   async noteRemoved(entry: ReplicaEntry): Promise<void> {
     const { clock, isDraining, isAlive } = this.#options;
     const { incarnation } = entry;
-    const watched = this.#watched.get(incarnation);
     const removedAt = clock.now();
     const isSuspect = !isDraining(entry) &&
-      watched?.brokenSends.some((send) =>
-        mayHaveRunAtCrash(send, "gone", removedAt)
-      );
+      this.#brokenSends.mayHaveCrashed(incarnation, removedAt);
     if (isSuspect && !await isAlive(entry)) {
       this.#noteCrash(incarnation, "gone", removedAt);
     }
-    this.#watched.delete(incarnation);
+    this.#brokenSends.removeReplica(incarnation);
   }
 
   /**
@@ -223,21 +171,19 @@
     return this.#table.worst(WORST_BOUNDS, this.#options.clock.now());
   }
 
-  async #probe(entry: ReplicaEntry, watched: WatchedReplica): Promise<void> {
+  /** Probes the replica until no broken send is unexplained. */
+  async #probe(entry: ReplicaEntry): Promise<void> {
     const { clock, probe, metrics } = this.#options;
+    const { incarnation } = entry;
     for (;;) {
       const startedAt = clock.now();
       const result = await probe(entry);
       metrics.count(`crash_probes_${result}`);
       if (result === "refused") this.noteRefused(entry);
       if (result !== "listens") break;
-      for (const send of watched.brokenSends) {
-        if (send.at <= startedAt) send.hasListened = true;
-      }
-      const isPending = watched.brokenSends.some((send) => isUnexplained(send));
-      if (!isPending) break;
+      if (!this.#brokenSends.noteListening(incarnation, startedAt)) break;
     }
-    watched.probing = undefined;
+    this.#probing.delete(incarnation);
   }
 
   /** Records the requests that ran at a replica that has crashed. */
@@ -246,19 +192,8 @@
     sign: CrashSign,
     now = this.#options.clock.now(),
   ): void {
-    const watched = this.#watched.get(incarnation);
-    if (!watched) return;
-    watched.crashedAt = now;
-    const ran = watched.brokenSends.filter((send) =>
-      mayHaveRunAtCrash(send, sign, now)
-    );
-    if (ran.length === 0) return;
-    watched.brokenSends = [];
-    const records = ran.map(({ fingerprint, at }) => ({
-      fingerprint,
-      incarnation,
-      at,
-    }));
+    const records = this.#brokenSends.takeCrashed(incarnation, { sign, now });
+    if (records.length === 0) return;
     this.#options.metrics.count("replica_crashes");
     this.#options.events.note("replicaCrashed", {
       replica: incarnation,
@@ -270,19 +205,6 @@
     this.merge({ records, clearances: [] }, undefined);
   }
 
-  #watchedOf(incarnation: string): WatchedReplica {
-    const known = this.#watched.get(incarnation);
-    if (known) return known;
-    evictOldest(this.#watched, MAX_REPLICAS - 1);
-    const watched = {
-      brokenSends: [],
-      probing: undefined,
-      crashedAt: undefined,
-    };
-    this.#watched.set(incarnation, watched);
-    return watched;
-  }
-
   #noteChange(before: ReadonlyMap<string, Quarantine>): void {
     const { events } = this.#options;
     const { quarantines } = this.#table;
@@ -297,26 +219,3 @@
     }
   }
 }
-
-/**
- * Whether the replica's side ended the send and no probe found it listening.
- */
-function isUnexplained(
-  { endedByReplica, hasListened }: BrokenSend,
-): boolean {
-  return endedByReplica && !hasListened;
-}
-
-/** Whether the send may have broken by the detected crash. */
-function mayHaveRunAtCrash(
-  send: BrokenSend,
-  sign: CrashSign,
-  now: Milliseconds,
-): boolean {
-  if (sign === "gone") return now - send.at <= REMOVED_WINDOW_MS;
-  return isUnexplained(send) && now - send.at <= REFUSED_WINDOW_MS;
-}
-
-function removeBefore(watched: WatchedReplica, oldest: Milliseconds): void {
-  watched.brokenSends = watched.brokenSends.filter((send) => send.at > oldest);
-}
