--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -22,15 +22,20 @@
 import type { Connect } from "./upstreams/connect.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 
+/** What connects a host to the others. */
+export type FleetConnections = {
+  readonly directory: HostDirectory;
+  /** Opens connections to replicas. */
+  readonly connect: Connect;
+};
+
 /** Creates the shared state and dependencies of one gateway. */
 export function createContext(
   settings: GatewaySettings,
   port: PlatformPort,
-  { directory, connect }: {
-    readonly directory: HostDirectory;
-    readonly connect: Connect;
-  },
+  fleet: FleetConnections,
 ): GatewayContext {
+  const { directory, connect } = fleet;
   const { grace, host: { id, hall } } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   const events = eventLogOf(settings, clock);
@@ -104,7 +109,7 @@
     rule: crashRuleOf(settings),
     isDraining: (entry) => replicas.isDraining(entry),
     probe: (entry) => paths.monitor.probe(entry),
-    isAlive: (entry) => isReplicaAlive({ pool, dialect, routes }, entry),
+    isAlive: (entry) => isReplicaAlive({ pool, dialect, routes, paths }, entry),
   });
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { renderMetrics } from "./metrics_page.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
+import { PeerConnections } from "./peers/peer_connections.ts";
 import { createPeerServer } from "./peers/server.ts";
 import { createTunnelServer } from "./paths/create_tunnel_server.ts";
 import type { TunnelServer } from "./paths/tunnel_server.ts";
@@ -83,6 +84,9 @@
   readonly #callerServer: CallerServer;
   readonly #fleetState: FleetState;
   readonly #directory: HostDirectory;
+  readonly #connections = new PeerConnections((address) =>
+    createJsonClient(address, systemClock)
+  );
   readonly #peerServer: Server;
   readonly #servers: Server[] = [];
   readonly #customers: Customers;
@@ -138,7 +142,7 @@
       store: port.store,
       times: storeTimesOf(settings),
       openLink,
-      createClient: (address) => createJsonClient(address, context.clock),
+      connections: this.#connections,
       onConfig: (config) => this.#callerServer.applyLimits(config.limits),
     });
     this.#peerServer = this.#createPeerServer();
@@ -231,6 +235,7 @@
     this.#tunnels.close();
     this.#fleetState.stop();
     pool.close();
+    this.#connections.close();
     events.note("stopped", { open: this.#callerServer.openRequestCount });
     await sleep(clock, LOG_FLUSH_MS);
   }
@@ -270,6 +275,7 @@
       this.#openPlannerLinks();
       this.#customers.openQuotaLinks();
       this.#context.limits.maintainLinks();
+      this.#connections.retain(this.#directory.addresses());
       this.#scheduleTick();
     });
   }
--- a/src/gateway/peers/peer_client.ts
+++ b/src/gateway/peers/peer_client.ts
@@ -4,8 +4,8 @@
 import { revisionOf } from "../position.ts";
 import type { Synchronizer } from "../state/synchronizer.ts";
 import { withTimeout } from "../state/with_timeout.ts";
-import type { JsonClient } from "../upstreams/json_client.ts";
 import type { HostDirectory } from "./directory.ts";
+import type { PeerConnections } from "./peer_connections.ts";
 import {
   type PeerState,
   readPeerState,
@@ -33,14 +33,14 @@
   readonly context: GatewayContext;
   readonly directory: HostDirectory;
   readonly synchronizer: Synchronizer;
-  /** Creates an HTTP client for a peer's address. */
-  readonly createClient: (address: string) => JsonClient;
+  readonly connections: Pick<PeerConnections, "call">;
 };
 
-/** Requests state from peers, with one HTTP client for each address. */
+/** Requests state from peers. */
 export class PeerClient {
   readonly #options: PeerClientOptions;
-  readonly #clients = new Map<string, JsonClient>();
+  /** False after changes that didn't match this host's listing. */
+  #takesChanges = true;
 
   constructor(options: PeerClientOptions) {
     this.#options = options;
@@ -50,7 +50,7 @@
    * Requests a peer's state and applies it; never rejects on a failed request.
    */
   async request(address: string, subject: PeerSubject): Promise<void> {
-    const { context, synchronizer } = this.#options;
+    const { context, synchronizer, connections } = this.#options;
     const { clock, events, routes, replicas, suspensions } = context;
     const suspensionsBefore = suspensions.check();
     const requestedAt = clock.now();
@@ -58,12 +58,15 @@
     const path = stateRequestPath({
       version: routes.version,
       revision: isConfig ? Number.MAX_SAFE_INTEGER : replicas.revision,
+      base: this.#takesChanges && replicas.deltaBase >= 0
+        ? replicas.deltaBase
+        : undefined,
     });
-    const client = this.#clientOf(address);
     const response = await withTimeout({
       clock,
       timeoutMs: RESPONSE_TIMEOUT_MS,
-      work: (signal) => client.call({ method: "GET", path }, signal),
+      work: (signal) =>
+        connections.call(address, { method: "GET", path, signal }),
       onFault: (reason) =>
         events.note("callFailed", { call: "peer", address, reason }),
     });
@@ -77,27 +80,23 @@
     synchronizer.noteNewest(version, requestedAt - configAgeMs);
   }
 
-  #clientOf(address: string): JsonClient {
-    const existing = this.#clients.get(address);
-    if (existing) return existing;
-    const client = this.#options.createClient(address);
-    this.#clients.set(address, client);
-    return client;
-  }
-
   #apply(state: PeerState, address: string, now: Milliseconds): void {
     const { context, directory, synchronizer } = this.#options;
     directory.add(state.hosts, now);
     if (state.newest !== undefined) {
       synchronizer.noteVersion({ version: state.newest }, address);
     }
-    if (!state.config && !state.listing) return;
+    const { changes } = state;
+    const listing = state.listing ??
+      (changes && context.replicas.listingAfter(changes));
+    if (listing || changes) this.#takesChanges = listing !== undefined;
+    if (!state.config && !listing) return;
     context.events.note("peerState", {
       peer: address,
       version: state.config?.version,
-      revision: state.listing && revisionOf(state.listing.revision),
+      revision: listing && revisionOf(listing.revision),
     });
     if (state.config) synchronizer.applyConfig(state.config, address);
-    if (state.listing) synchronizer.applyListing(state.listing, address);
+    if (listing) synchronizer.applyListing(listing, address);
   }
 }
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -6,12 +6,21 @@
 import * as z from "zod";
 import { readJson } from "../../util/read_json.ts";
 import { RouteConfigSchema } from "../routing/schema.ts";
-import { encodeEntry, ReplicaEntrySchema } from "../replicas/schema.ts";
+import type { ReplicaListing } from "../replicas/model.ts";
+import {
+  encodeDelta,
+  encodeEntry,
+  ListingDeltaSchema,
+  ReplicaEntrySchema,
+} from "../replicas/schema.ts";
 import { HostEntrySchema } from "./host_schema.ts";
 
 const Listing = z.object({
   revision: z.number(),
   entries: z.array(ReplicaEntrySchema).readonly(),
+  /** Absent: peers of an earlier version don't know it of their listing. */
+  isExact: z.boolean().exactOptional(),
+  retained: z.array(z.string()).readonly().exactOptional(),
 });
 
 /** The schema of a peer's response. */
@@ -19,6 +28,8 @@
   /** Absent if the peer's is no newer than the requester's. */
   config: RouteConfigSchema.exactOptional(),
   listing: Listing.exactOptional(),
+  /** The changes of the listing since the position that was requested. */
+  changes: ListingDeltaSchema.exactOptional(),
   hosts: z.array(HostEntrySchema).readonly(),
   /** Version of the peer's configuration. */
   version: z.number(),
@@ -32,26 +43,43 @@
 });
 
 /** A peer's response. */
-export type PeerState = z.output<typeof PeerStateSchema>;
+export type PeerState =
+  & Omit<z.output<typeof PeerStateSchema>, "listing">
+  & { readonly listing?: ReplicaListing };
 /** A peer's response in its encoded form. */
 export type PeerStateMessage = z.input<typeof PeerStateSchema>;
 
 export function encodePeerState(state: PeerState): PeerStateMessage {
-  const { listing, ...rest } = state;
-  if (!listing) return rest;
-  const entries = listing.entries.map(encodeEntry);
-  return { ...rest, listing: { ...listing, entries } };
+  const { listing, changes, ...rest } = state;
+  return {
+    ...rest,
+    ...(listing ? { listing: encodeListing(listing) } : {}),
+    ...(changes ? { changes: encodeDelta(changes) } : {}),
+  };
+}
+
+function encodeListing(
+  { entries, isInexact = false, ...rest }: ReplicaListing,
+): PeerStateMessage["listing"] {
+  return { ...rest, entries: entries.map(encodeEntry), isExact: !isInexact };
 }
 
 /** A request for state that is newer than the requester's. */
 export type PeerStateRequest = {
   readonly version: number;
   readonly revision: number;
+  /**
+   * The position from which the requester can apply changes; absent: none, or
+   * it runs a version that only reads full listings.
+   */
+  readonly base?: number | undefined;
 };
 
 /** The path and query of a request. */
 export function stateRequestPath(request: PeerStateRequest): string {
-  return `/state?routes=${request.version}&replicas=${request.revision}`;
+  const { version, revision, base } = request;
+  const changes = base === undefined ? "" : `&base=${base}`;
+  return `/state?routes=${version}&replicas=${revision}${changes}`;
 }
 
 /** Parses the path and query of a request. */
@@ -60,10 +88,16 @@
   return {
     version: Number(query.get("routes") ?? 0) || 0,
     revision: Number(query.get("replicas") ?? -1),
+    ...(query.has("base") ? { base: Number(query.get("base")) } : {}),
   };
 }
 
 /** Parses a response; undefined if it is malformed. */
 export function readPeerState(body: string): PeerState | undefined {
-  return readJson(PeerStateSchema, body);
+  const state = readJson(PeerStateSchema, body);
+  if (!state) return undefined;
+  const { listing, ...rest } = state;
+  if (!listing) return rest;
+  const { isExact = false, ...others } = listing;
+  return { ...rest, listing: { ...others, isInexact: !isExact } };
 }
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -7,9 +7,11 @@
 import type { PlanService } from "../planning/plan_service.ts";
 import type { TunnelServer } from "../paths/tunnel_server.ts";
 import type { HostEntry } from "../port.ts";
+import type { ReplicaTable } from "../replicas/replica_table.ts";
 import type { StateServer } from "../state/state_server.ts";
 import type { HostDirectory } from "./directory.ts";
 import { LinkPath } from "./link.ts";
+import { ListingPacer } from "./listing_pacer.ts";
 import {
   encodePeerState,
   parseStateRequest,
@@ -41,13 +43,17 @@
   options: PeerServerOptions,
 ): Server {
   const { plans, states, quotas, limits, tunnels } = options;
+  const listings = new ListingPacer();
   const server = createServer((request, response) => {
     if (request.url === LinkPath.plan) return plans.accept(request, response);
     if (request.url === LinkPath.state) return states.accept(request, response);
     if (request.url === LinkPath.quota) return quotas.accept(request, response);
     if (request.url === LinkPath.limit) return limits.accept(request, response);
     request.resume();
-    const body = JSON.stringify(peerStateResponse(options, request.url ?? "/"));
+    const target = request.url ?? "/";
+    const body = JSON.stringify(
+      peerStateResponse({ ...options, listings }, target),
+    );
     response.writeHead(200, { "Content-Type": "application/json" });
     response.end(body);
   });
@@ -61,18 +67,27 @@
 
 /** The response to a state request with this path and query. */
 export function peerStateResponse(
-  options: Pick<
-    PeerServerOptions,
-    "context" | "self" | "directory" | "configAgeMs"
-  >,
+  options:
+    & Pick<
+      PeerServerOptions,
+      "context" | "self" | "directory" | "configAgeMs"
+    >
+    & { readonly listings: ListingPacer },
   target: string,
 ): PeerStateMessage {
-  const { context, self, directory } = options;
-  const { routes } = context;
+  const { context, self, directory, listings } = options;
+  const { routes, clock } = context;
+  const now = clock.now();
   const hosts = [self, ...directory.entries()];
-  const age = options.configAgeMs(context.clock.now());
+  const age = options.configAgeMs(now);
+  const { listing, ...state } = newerState(
+    context,
+    parseStateRequest(target),
+    hosts,
+  );
+  const isSent = listing && listings.take(listing.entries.length, now);
   return {
-    ...encodePeerState(newerState(context, parseStateRequest(target), hosts)),
+    ...encodePeerState(isSent ? { ...state, listing } : state),
     ...(routes.isBehind ? { newest: routes.newestVersion } : {}),
     ...(Number.isFinite(age) ? { configAgeMs: Math.ceil(age) } : {}),
   };
@@ -87,14 +102,20 @@
   const { routes, replicas } = context;
   const config = routes.version > request.version ? routes.config : undefined;
   const isNewer = replicas.revision > request.revision;
-  const { revision } = replicas;
-  const listing = isNewer
-    ? { revision, entries: replicas.entries() }
-    : undefined;
   return {
     ...(config ? { config } : {}),
-    ...(listing ? { listing } : {}),
+    ...(isNewer ? newerListing(replicas, request) : {}),
     hosts,
     version: routes.version,
   };
 }
+
+/** The changes since the requester's listing if they are known, or all of it. */
+function newerListing(
+  replicas: ReplicaTable,
+  { base }: PeerStateRequest,
+): Pick<PeerState, "listing" | "changes"> {
+  const changes = base === undefined ? undefined : replicas.deltaSince(base);
+  if (changes && changes.since >= 0) return { changes };
+  return { listing: replicas.listing() };
+}
--- a/src/gateway/replicas/health_check.ts
+++ b/src/gateway/replicas/health_check.ts
@@ -7,13 +7,14 @@
 const TIMEOUT_MS: Milliseconds = 1000;
 
 /**
- * Whether this incarnation responds to a health check. The response names the
- * replica, since its address may have been given to another one.
+ * Whether this incarnation responds to a health check, or is too busy to. The
+ * response names the replica, since its address may have been given to another
+ * one.
  */
 export async function isReplicaAlive(
-  { pool, dialect, routes }: Pick<
+  { pool, dialect, routes, paths }: Pick<
     GatewayContext,
-    "pool" | "dialect" | "routes"
+    "pool" | "dialect" | "routes" | "paths"
   >,
   entry: ReplicaEntry,
 ): Promise<boolean> {
@@ -24,6 +25,7 @@
     timeoutMs: TIMEOUT_MS,
   });
   pool.removeReplica(entry.incarnation);
-  return answer !== undefined &&
-    dialect.readHealth(answer.headers ?? {}) === entry.id;
+  if (answer) return dialect.readHealth(answer.headers ?? {}) === entry.id;
+  // A busy replica may not respond in time, but its address still listens.
+  return await paths.monitor.probe(entry) === "listens";
 }
--- a/src/gateway/replicas/listing_history.ts
+++ b/src/gateway/replicas/listing_history.ts
@@ -1,45 +1,46 @@
 /** Changes of the replica listing, from which deltas for followers are made. */
+import type { Position } from "../position.ts";
 import type { ListingDelta, ReplicaEntry } from "./model.ts";
 
-/** Maximum number of removed replicas that are stored. */
-const MAX_REMOVED = 1000;
+/** Maximum number of changes that are stored. */
+const MAX_CHANGES = 10_000;
 
-/** The revisions at which replicas last changed. */
+/** The listing at the newest recorded revision. */
+type CurrentListing = {
+  readonly size: number;
+  entries(): readonly ReplicaEntry[];
+  getById(id: string): { readonly entry: ReplicaEntry } | undefined;
+};
+
+/** A replica that was added, changed or removed. */
+type RecordedChange = { readonly id: string; readonly revision: Position };
+
+/** Records at which revisions replicas changed. */
 export class ListingHistory {
+  readonly #current: CurrentListing;
   /** Followers before this revision need the full listing. */
-  #oldestBase = -1;
-  #revision = -1;
-  #entries: readonly ReplicaEntry[] = [];
-  readonly #changedAt = new Map<string, number>();
-  readonly #removedAt = new Map<string, number>();
+  #oldestBase: Position = -1;
+  #revision: Position = -1;
+  /** Oldest first. */
+  readonly #changes: RecordedChange[] = [];
+
+  constructor(current: CurrentListing) {
+    this.#current = current;
+  }
 
-  /** Records the changes that led to `revision`. */
-  record(
-    revision: number,
-    entries: readonly ReplicaEntry[],
-    change: {
-      /** Ids of replicas that are new, changed or restarted. */
-      readonly changed: readonly string[];
-      /** Ids that are no longer listed. */
-      readonly removed: readonly string[];
-    },
-  ): void {
+  /**
+   * Records the ids of replicas that were added, changed or removed at a
+   * revision.
+   */
+  record(revision: Position, ids: Iterable<string>): void {
     if (this.#revision < 0) this.#oldestBase = revision;
+    else for (const id of ids) this.#changes.push({ id, revision });
     this.#revision = revision;
-    this.#entries = entries;
-    for (const id of change.changed) {
-      this.#removedAt.delete(id);
-      this.#changedAt.set(id, revision);
-    }
-    for (const id of change.removed) {
-      this.#changedAt.delete(id);
-      this.#removedAt.set(id, revision);
-    }
     this.#evictOldest();
   }
 
   /** Advances to a revision without changes. */
-  advance(revision: number): void {
+  advance(revision: Position): void {
     this.#revision = revision;
   }
 
@@ -47,26 +48,40 @@
    * The changes since `revision`; undefined before the first record and when
    * `revision` is newer than the table.
    */
-  deltaSince(revision: number): ListingDelta | undefined {
+  deltaSince(revision: Position): ListingDelta | undefined {
     if (this.#revision < 0 || revision > this.#revision) return undefined;
-    const isFull = revision < this.#oldestBase;
-    const since = isFull ? -1 : revision;
-    const isNew = (at: number | undefined) => at !== undefined && at > since;
-    const changed = this.#entries.filter(({ id }) =>
-      isFull || isNew(this.#changedAt.get(id))
-    );
-    const gone = isFull
-      ? []
-      : [...this.#removedAt].filter(([, at]) => isNew(at)).map(([id]) => id);
-    const size = this.#entries.length;
-    return { since, revision: this.#revision, changed, gone, size };
+    const { size } = this.#current;
+    if (revision < this.#oldestBase) {
+      const changed = this.#current.entries();
+      return { since: -1, revision: this.#revision, changed, gone: [], size };
+    }
+    const changed: ReplicaEntry[] = [];
+    const gone: string[] = [];
+    for (const id of this.#idsSince(revision)) {
+      const replica = this.#current.getById(id);
+      if (replica) changed.push(replica.entry);
+      else gone.push(id);
+    }
+    return { since: revision, revision: this.#revision, changed, gone, size };
   }
 
-  #evictOldest(): void {
-    for (const [id, at] of this.#removedAt) {
-      if (this.#removedAt.size <= MAX_REMOVED) return;
-      this.#removedAt.delete(id);
-      this.#oldestBase = Math.max(this.#oldestBase, at);
+  #idsSince(revision: Position): Set<string> {
+    const ids = new Set<string>();
+    for (let at = this.#changes.length - 1; at >= 0; at--) {
+      const change = this.#changes[at];
+      if (!change || change.revision <= revision) break;
+      ids.add(change.id);
     }
+    return ids;
+  }
+
+  /** Removes half of the changes at once, so that removals are rare. */
+  #evictOldest(): void {
+    if (this.#changes.length <= MAX_CHANGES) return;
+    const evicted = this.#changes.splice(
+      0,
+      this.#changes.length - MAX_CHANGES / 2,
+    );
+    this.#oldestBase = evicted.at(-1)?.revision ?? this.#oldestBase;
   }
 }
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -1,6 +1,7 @@
 /** Replicas of services, as listed by the platform. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { Position } from "../position.ts";
+import type { ListingDigests } from "./listing_digest.ts";
 
 /** The pool of a model engine. */
 export const ReplicaStage = {
@@ -39,10 +40,25 @@
   return born === undefined ? id : `${id}@${born}`;
 }
 
+/** Whether two entries are equal; the order of their keys doesn't matter. */
+export function isSameEntry(a: ReplicaEntry, b: ReplicaEntry): boolean {
+  return a.id === b.id && a.born === b.born &&
+    a.incarnation === b.incarnation && a.service === b.service &&
+    a.address === b.address && a.hall === b.hall && a.slots === b.slots &&
+    a.leaving === b.leaving && a.stage === b.stage && a.coldMs === b.coldMs;
+}
+
 /** All replicas as of one position in the store's history. */
 export type ReplicaListing = {
   readonly revision: Position;
   readonly entries: readonly ReplicaEntry[];
+  /**
+   * Whether the entries may differ from the store's at this position, since
+   * another host retained or excluded some.
+   */
+  readonly isInexact?: boolean;
+  /** Incarnations among the entries that the sender retained. */
+  readonly retained?: readonly string[];
 };
 
 /** Changes of the store's listing after a position. */
@@ -61,4 +77,18 @@
   readonly since: Position;
   /** Number of replicas listed at `revision`. */
   readonly size: number;
+  /**
+   * If present, `changed` is the listing in these buckets, and the listings
+   * don't differ in the others; see listing_digest.
+   */
+  readonly buckets?: readonly number[];
+  /** The state of the receiver's table that was compared. */
+  readonly comparedState?: number;
+};
+
+/** A table that another host compares with its own. */
+export type ListingComparison = {
+  readonly digests: ListingDigests;
+  /** Names this state of the table. */
+  readonly state: number;
 };
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -1,14 +1,22 @@
 /** The table of replicas; older listings never replace newer ones. */
 import { evictOldest } from "../../util/evict_oldest.ts";
 import { eraOf, type Position } from "../position.ts";
+import {
+  diffListing,
+  type ListingChange,
+  NO_CHANGE,
+} from "./listing_change.ts";
+import { bucketOf, differingBuckets, digestsOf } from "./listing_digest.ts";
 import { ListingHistory } from "./listing_history.ts";
 import type {
   ListingChanges,
+  ListingComparison,
   ListingDelta,
   ReplicaEntry,
   ReplicaListing,
 } from "./model.ts";
-import { Replica } from "./replica.ts";
+import type { Replica } from "./replica.ts";
+import { ReplicaIndex } from "./replica_index.ts";
 
 /** Maximum number of draining, and of removed, incarnations that are stored. */
 const MAX_STORED = 10_000;
@@ -28,103 +36,149 @@
   readonly excludeRemoved?: boolean;
 };
 
-/** What a listing changed in the table. */
-export type ListingChange = {
-  readonly added: readonly ReplicaEntry[];
-  readonly removed: readonly ReplicaEntry[];
-  readonly draining: readonly ReplicaEntry[];
-  /** Not listed, but retained, since the store may have lost their entries. */
-  readonly retained: readonly ReplicaEntry[];
-  /** Ids of replicas that are new, restarted, or whose entry has changed. */
-  readonly changedIds: readonly string[];
-};
-
-const NO_CHANGE: ListingChange = {
-  added: [],
-  removed: [],
-  draining: [],
-  retained: [],
-  changedIds: [],
-};
-
-/** Replicas, indexed by incarnation and by service. */
+/** The listed replicas, and what is known of them apart from the listing. */
 export class ReplicaTable {
   #revision: Position = -1;
-  #byIncarnation = new Map<string, Replica>();
-  #byService = new Map<string, Replica[]>();
-  readonly #history = new ListingHistory();
+  readonly #index = new ReplicaIndex();
+  readonly #history = new ListingHistory(this.#index);
   /**
    * Incarnations that were reported as draining; later listings don't undo it.
    */
   readonly #draining = new Set<string>();
+  /** Those whose entries don't say so yet. */
+  readonly #drainingUnlisted = new Set<string>();
   /**
    * Incarnations that are no longer listed, with the position of the removal.
    */
   readonly #removedAt = new Map<string, Position>();
-  /**
-   * Whether replicas were retained that the listing lacks, or listed ones excluded.
-   */
-  #differsFromListing = false;
+  /** False: replicas were retained that the listing lacks, or listed ones excluded. */
+  #isExact = true;
+  /** Incarnations that were retained by this host or those it heard of. */
+  #retained: ReadonlySet<string> = new Set();
+
+  /** Increases with each change of an entry. */
+  #changeCount = 0;
+  /** Digests of the entries after so many changes. */
+  #digests: ListingComparison | undefined;
 
   /** Position of the newest listing; -1 before the first. */
   get revision(): Position {
     return this.#revision;
   }
 
+  /**
+   * Whether the table is the store's listing at its position. Only then is it a
+   * base for changes, or may followers apply it as the store's.
+   */
+  get isExact(): boolean {
+    return this.#isExact;
+  }
+
   /**
    * The position from which deltas can be applied; -1 when a full listing is
    * needed, since the table differs from the listing at its position.
    */
   get deltaBase(): Position {
-    return this.#differsFromListing ? -1 : this.#revision;
+    return this.isExact ? this.#revision : -1;
   }
 
   /** Number of replicas in the table. */
   get size(): number {
-    return this.#byIncarnation.size;
+    return this.#index.size;
+  }
+
+  /** The full listing that this table stands for, for another host. */
+  listing(): ReplicaListing {
+    return {
+      revision: this.#revision,
+      entries: this.entries(),
+      ...(this.isExact
+        ? {}
+        : { isInexact: true, retained: [...this.#retained] }),
+    };
   }
 
   /** The entries of all replicas in the table. */
   entries(): ReplicaEntry[] {
-    return [...this.#byIncarnation.values()].map((replica) => replica.entry);
+    return this.#index.entries();
   }
 
-  /** Adopts a full listing; returns undefined if it is older than the table. */
+  /**
+   * Adopts a full listing; returns undefined if it is older than the table, or
+   * is less exact at the same position.
+   */
   adopt(
     listing: ReplicaListing,
     { retainMissing = false, excludeRemoved = false }: AdoptOptions = {},
   ): ListingChange | undefined {
     if (listing.revision < this.#revision) return undefined;
+    const isSame = listing.revision === this.#revision;
+    if (isSame && listing.isInexact && this.isExact) return undefined;
     this.#revision = listing.revision;
-    const before = this.#byIncarnation;
-    const listed = this.#withoutOlderStarts(listing.entries)
-      .map((entry) => this.#withDraining(entry));
+    const retainedBySender = new Set(listing.retained);
+    const listed = listing.entries.map((entry) => this.#withKnown(entry))
+      // This host knows that the store has removed it.
+      .filter(({ incarnation }) =>
+        !retainedBySender.has(incarnation) || !this.#removedAt.has(incarnation)
+      );
     const entries = excludeRemoved
       ? listed.filter((entry) => !this.#wasRemovedInEarlierEra(entry))
       : listed;
-    const change = diffListing(before, entries, retainMissing);
-    this.#differsFromListing = change.retained.length > 0 ||
-      entries.length < listed.length;
-    this.#noteRemoved(change);
-    this.#byIncarnation = new Map();
-    for (const entry of [...entries, ...change.retained]) {
-      const known = before.get(entry.incarnation);
-      this.#byIncarnation.set(entry.incarnation, createOrUpdate(known, entry));
-    }
-    this.#byService = groupByService(this.#byIncarnation.values());
-    const ids = new Set(this.entries().map((entry) => entry.id));
-    this.#history.record(listing.revision, this.entries(), {
-      changed: change.changedIds,
-      removed: change.removed.map((entry) => entry.id).filter((id) =>
-        !ids.has(id)
-      ),
-    });
+    const { byIncarnation } = this.#index;
+    const change = diffListing(byIncarnation, entries, retainMissing);
+    this.#isExact = listing.isInexact !== true &&
+      change.retained.length === 0 && entries.length === listed.length;
+    this.#retained = new Set([
+      ...retainedBySender,
+      ...change.retained.map((entry) => entry.incarnation),
+    ]);
+    this.#apply(change);
     return change;
   }
 
-  /** Returns the changes since `revision`; see {@link ListingHistory}. */
+  #apply(change: ListingChange): void {
+    this.#changeCount += 1;
+    this.#noteRemoved(change);
+    for (const { id } of change.removed) this.#index.delete(id);
+    for (const entry of change.changed) this.#index.put(entry);
+    this.#drainingUnlisted.clear();
+    const ids = [...change.changed, ...change.removed].map(({ id }) => id);
+    this.#history.record(this.#revision, ids);
+  }
+
+  /**
+   * Returns the changes since `revision`, or undefined while the table is not
+   * exact; see {@link ListingHistory}.
+   */
   deltaSince(revision: number): ListingDelta | undefined {
-    return this.#history.deltaSince(revision);
+    return this.isExact ? this.#history.deltaSince(revision) : undefined;
+  }
+
+  /** The digests of the table, for another host to compare with its own. */
+  compare(): ListingComparison {
+    if (this.#digests?.state !== this.#changeCount) {
+      const digests = digestsOf(this.entries());
+      this.#digests = { digests, state: this.#changeCount };
+    }
+    return this.#digests;
+  }
+
+  /**
+   * Returns what another host's table lacks by its digests, or undefined while
+   * this table is not exact.
+   */
+  deltaTo({ digests, state }: ListingComparison): ListingDelta | undefined {
+    if (!this.isExact || this.#revision < 0) return undefined;
+    const buckets = differingBuckets(digests, this.compare().digests);
+    return {
+      since: -1,
+      revision: this.#revision,
+      changed: this.entries().filter(({ id }) => buckets.has(bucketOf(id))),
+      gone: [],
+      size: this.size,
+      buckets: [...buckets],
+      comparedState: state,
+    };
   }
 
   /**
@@ -134,45 +188,96 @@
   applyDelta(delta: ListingDelta): ListingChange | "older" | "gap" {
     if (delta.revision < this.#revision) return "older";
     if (delta.since > this.deltaBase) return "gap";
-    if (this.#isEmptyDelta(delta)) return this.#advanceTo(delta.revision);
-    const entries = this.#entriesAfter(delta);
-    if (entries.length !== delta.size) return "gap";
-    return this.adopt({ revision: delta.revision, entries }) ?? "older";
+    if (delta.buckets) return this.#applyBuckets(delta, delta.buckets);
+    if (this.#sizeAfter(delta) !== delta.size) return "gap";
+    if (delta.since >= 0) return this.#applyListed(delta);
+    const { revision, changed: entries } = delta;
+    return this.adopt({ revision, entries }) ?? "older";
   }
 
-  /** Applies changes of the store; returns undefined if they are older. */
+  /**
+   * Applies changes of the store; returns undefined if they are older, or if the
+   * table is no base for them, since it is not exact.
+   */
   applyChanges(changes: ListingChanges): ListingChange | undefined {
-    const { revision, changed, gone } = changes;
-    if (revision < this.#revision) return undefined;
-    const isEmpty = changed.length === 0 && gone.length === 0;
-    if (isEmpty) return this.#advanceTo(revision);
-    return this.adopt({ revision, entries: this.#entriesAfter(changes) });
+    if (changes.revision < this.#revision || !this.isExact) return undefined;
+    return this.#applyListed(changes);
   }
 
   /**
-   * Whether a delta only advances the revision. Most writes to the store are
-   * heartbeats, so this avoids comparing the full listing for each of them.
+   * Applies changes of the listing at this table's position. Compares only the
+   * replicas that they name, since each change reaches all hosts.
    */
-  #isEmptyDelta(delta: ListingDelta): boolean {
-    const { since, changed, gone, size } = delta;
-    if (since < 0 || changed.length > 0 || gone.length > 0) return false;
-    return size === this.#byIncarnation.size;
+  #applyListed({ revision, changed, gone }: ListingChanges): ListingChange {
+    this.#revision = revision;
+    // Most writes to the store are heartbeats.
+    if (changed.length === 0 && gone.length === 0) {
+      this.#history.advance(revision);
+      return NO_CHANGE;
+    }
+    const entries = new Map(changed.map((entry) => [entry.id, entry]));
+    const ids = new Set([...gone, ...entries.keys()]);
+    for (const { entry } of this.#findReplicas(this.#drainingUnlisted)) {
+      if (!ids.has(entry.id)) entries.set(entry.id, entry);
+      ids.add(entry.id);
+    }
+    const before = new Map([...ids].flatMap((id) => {
+      const replica = this.#index.getById(id);
+      return replica ? [[replica.entry.incarnation, replica] as const] : [];
+    }));
+    const listed = [...entries.values()].map((entry) => this.#withKnown(entry));
+    const change = diffListing(before, listed, false);
+    this.#apply(change);
+    return change;
   }
 
-  #advanceTo(revision: number): ListingChange {
-    this.#revision = revision;
-    this.#history.advance(revision);
-    return NO_CHANGE;
+  #findReplicas(incarnations: Iterable<string>): Replica[] {
+    return [...incarnations].flatMap((incarnation) =>
+      this.#index.get(incarnation) ?? []
+    );
   }
 
-  #entriesAfter({ since, changed, gone }: ListingChanges): ReplicaEntry[] {
-    const entries = new Map<string, ReplicaEntry>();
-    if (since >= 0) {
-      for (const entry of this.entries()) entries.set(entry.id, entry);
+  #applyBuckets(
+    delta: ListingDelta,
+    buckets: readonly number[],
+  ): ListingChange | "gap" {
+    const { revision, changed, size, comparedState } = delta;
+    const replaced = new Set(buckets);
+    const listed = new Set(changed.map((entry) => entry.id));
+    const gone = this.entries().map((entry) => entry.id)
+      .filter((id) => replaced.has(bucketOf(id)) && !listed.has(id));
+    const changes = { since: this.#revision, revision, changed, gone };
+    const isCurrent = comparedState === this.#changeCount;
+    if (!isCurrent || this.#sizeAfter({ ...changes, size }) !== size) {
+      return "gap";
     }
+    this.#isExact = true;
+    return this.#applyListed(changes);
+  }
+
+  /**
+   * The full listing after a delta; undefined if the table is no base for it.
+   */
+  listingAfter(delta: ListingDelta): ReplicaListing | undefined {
+    const { since, revision, changed, gone, size } = delta;
+    if (since > this.deltaBase || this.#sizeAfter(delta) !== size) {
+      return undefined;
+    }
+    const known = since < 0 ? [] : this.entries();
+    const entries = new Map(known.map((entry) => [entry.id, entry]));
     for (const id of gone) entries.delete(id);
     for (const entry of changed) entries.set(entry.id, entry);
-    return [...entries.values()];
+    return { revision, entries: [...entries.values()] };
+  }
+
+  /** Number of replicas after a delta is applied. */
+  #sizeAfter({ since, changed, gone }: ListingDelta): number {
+    const ids = new Set(changed.map((entry) => entry.id));
+    if (since < 0) return ids.size;
+    const isListed = (id: string) => this.#index.getById(id) !== undefined;
+    const added = [...ids].filter((id) => !isListed(id));
+    const removed = gone.filter((id) => isListed(id) && !ids.has(id));
+    return this.size + added.length - removed.length;
   }
 
   /**
@@ -191,17 +296,14 @@
     }
   }
 
-  /** Replaces entries of earlier starts by the known ones of later starts. */
-  #withoutOlderStarts(entries: readonly ReplicaEntry[]): ReplicaEntry[] {
-    const known = new Map(this.entries().map((entry) => [entry.id, entry]));
-    return entries.map((entry) => {
-      const before = known.get(entry.id);
-      const isOlder = (entry.born ?? 0) < (before?.born ?? 0);
-      return before && isOlder ? before : entry;
-    });
-  }
-
-  #withDraining(entry: ReplicaEntry): ReplicaEntry {
+  /**
+   * The entry with what is known of its replica: entries of earlier starts are
+   * replaced by that of the latest one, and draining is not undone.
+   */
+  #withKnown(listed: ReplicaEntry): ReplicaEntry {
+    const known = this.#index.getById(listed.id)?.entry;
+    const isOlder = (listed.born ?? 0) < (known?.born ?? 0);
+    const entry = known && isOlder ? known : listed;
     const { incarnation, leaving } = entry;
     if (leaving) this.#draining.add(incarnation);
     evictOldest(this.#draining, MAX_STORED);
@@ -217,8 +319,12 @@
     const added = incarnations.filter((incarnation) =>
       !this.#draining.has(incarnation)
     );
-    for (const incarnation of added) this.#draining.add(incarnation);
+    for (const incarnation of added) {
+      this.#draining.add(incarnation);
+      this.#drainingUnlisted.add(incarnation);
+    }
     evictOldest(this.#draining, MAX_STORED);
+    evictOldest(this.#drainingUnlisted, MAX_STORED);
     return added;
   }
 
@@ -230,25 +336,25 @@
     const draining = [...this.#draining];
     const recent = new Set(draining.slice(-MAX_UNLISTED_DRAINING));
     return draining.filter((incarnation) =>
-      recent.has(incarnation) || this.#byIncarnation.has(incarnation)
+      recent.has(incarnation) || this.#index.get(incarnation) !== undefined
     );
   }
 
   /** The replica with the given incarnation, while it is in the table. */
   get(incarnation: string): Replica | undefined {
-    return this.#byIncarnation.get(incarnation);
+    return this.#index.get(incarnation);
   }
 
   /** Whether the replica accepts new requests. */
   isOpen(replica: Replica): boolean {
     const { incarnation } = replica.entry;
-    const isListed = this.#byIncarnation.get(incarnation) === replica;
+    const isListed = this.#index.get(incarnation) === replica;
     return isListed && !this.isDraining(replica.entry);
   }
 
   /** Replicas of a service that accept new requests. */
   openReplicasOf(service: string): Replica[] {
-    const all = this.#byService.get(service) ?? [];
+    const all = this.#index.ofService(service);
     return all.filter((replica) => !this.isDraining(replica.entry));
   }
 
@@ -257,53 +363,3 @@
     return leaving || this.#draining.has(incarnation);
   }
 }
-
-function diffListing(
-  before: ReadonlyMap<string, Replica>,
-  entries: readonly ReplicaEntry[],
-  retainMissing: boolean,
-): ListingChange {
-  const listed = new Set(entries.map((entry) => entry.incarnation));
-  const ids = new Set(entries.map((entry) => entry.id));
-  const knownOf = (entry: ReplicaEntry) => before.get(entry.incarnation)?.entry;
-  const missing = [...before.values()].map((replica) => replica.entry)
-    .filter((entry) => !listed.has(entry.incarnation));
-  const isKept = (entry: ReplicaEntry) =>
-    retainMissing && !entry.leaving && !ids.has(entry.id);
-  return {
-    added: entries.filter((entry) => !knownOf(entry)),
-    draining: entries.filter((entry) =>
-      entry.leaving && knownOf(entry)?.leaving === false
-    ),
-    removed: missing.filter((entry) => !isKept(entry)),
-    retained: missing.filter(isKept),
-    changedIds: entries.filter((entry) => !isSameEntry(entry, knownOf(entry)))
-      .map((entry) => entry.id),
-  };
-}
-
-function isSameEntry(
-  entry: ReplicaEntry,
-  other: ReplicaEntry | undefined,
-): boolean {
-  return other !== undefined && JSON.stringify(entry) === JSON.stringify(other);
-}
-
-function createOrUpdate(
-  known: Replica | undefined,
-  entry: ReplicaEntry,
-): Replica {
-  if (!known) return new Replica(entry);
-  known.entry = entry;
-  return known;
-}
-
-function groupByService(replicas: Iterable<Replica>): Map<string, Replica[]> {
-  const groups = new Map<string, Replica[]>();
-  for (const replica of replicas) {
-    const group = groups.get(replica.entry.service);
-    if (group) group.push(replica);
-    else groups.set(replica.entry.service, [replica]);
-  }
-  return groups;
-}
--- a/src/gateway/replicas/schema.ts
+++ b/src/gateway/replicas/schema.ts
@@ -1,6 +1,11 @@
 /** Encoding of replica entries in messages between hosts. */
 import * as z from "zod";
-import { incarnationOf, type ReplicaEntry, ReplicaStage } from "./model.ts";
+import {
+  incarnationOf,
+  type ListingDelta,
+  type ReplicaEntry,
+  ReplicaStage,
+} from "./model.ts";
 
 const EntryMessage = z.object({
   /** The id: hosts without support for restarts expect it under this key. */
@@ -30,3 +35,27 @@
 export function encodeEntry({ id, ...entry }: ReplicaEntry): EntryMessage {
   return { ...entry, incarnation: id };
 }
+
+/** Decodes a {@link ListingDelta}. */
+export const ListingDeltaSchema = z.object({
+  since: z.number(),
+  revision: z.number(),
+  changed: z.array(ReplicaEntrySchema).readonly(),
+  gone: z.array(z.string()).readonly(),
+  size: z.number(),
+  buckets: z.array(z.number()).readonly().exactOptional(),
+  comparedState: z.number().exactOptional(),
+});
+
+/** Decodes a {@link ListingComparison}. */
+export const ListingComparisonSchema = z.object({
+  digests: z.array(z.number()).readonly(),
+  state: z.number(),
+});
+
+/** Encodes a delta for other hosts. */
+export function encodeDelta(
+  delta: ListingDelta,
+): z.input<typeof ListingDeltaSchema> {
+  return { ...delta, changed: delta.changed.map(encodeEntry) };
+}
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -9,9 +9,9 @@
 import type { Link, LinkEvents, LinkTarget } from "../peers/link.ts";
 import { startPeerLoops } from "../peers/peer_loop.ts";
 import { PeerClient, PeerSubject } from "../peers/peer_client.ts";
+import type { PeerConnections } from "../peers/peer_connections.ts";
 import type { HostEntry, Store } from "../port.ts";
 import type { RouteConfig } from "../routing/model.ts";
-import type { JsonClient } from "../upstreams/json_client.ts";
 import { ConfigCatchup } from "./config_catchup.ts";
 import { FleetUpdates } from "./fleet_updates.ts";
 import { HallFollower, type ReaderReport } from "./hall_follower.ts";
@@ -28,8 +28,7 @@
   readonly times: StoreTimes;
   /** Opens a link to a reader. */
   readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
-  /** Creates a client for a peer's address. */
-  readonly createClient: (address: string) => JsonClient;
+  readonly connections: Pick<PeerConnections, "call">;
   /** Called when a configuration has come into force. */
   readonly onConfig: (config: RouteConfig) => void;
 };
@@ -44,6 +43,7 @@
   readonly #storeLoops: StoreLoops;
   readonly #peerClient: PeerClient;
   readonly #catchup: ConfigCatchup;
+  #isBroadcastScheduled = false;
 
   constructor(options: FleetStateOptions) {
     const { context, self, directory, store, times, openLink } = options;
@@ -53,7 +53,7 @@
       onConfig: options.onConfig,
       onVersionAnnounced: (announcement) =>
         this.#catchup.noteVersion(announcement),
-      onChange: () => this.server.broadcast(),
+      onChange: () => this.#scheduleBroadcast(),
       onDraining: (incarnations) =>
         context.draining.announceListed(incarnations),
       isRelay: () => this.#follower.isRelay,
@@ -88,12 +88,13 @@
       times,
       synchronizer,
       follower: this.#follower,
+      fleetSize: () => directory.count,
     });
     this.#peerClient = new PeerClient({
       context,
       directory,
       synchronizer,
-      createClient: options.createClient,
+      connections: options.connections,
     });
     context.suspensions.addListener((forMs) => this.#handleSuspension(forMs));
     this.#catchup = new ConfigCatchup({
@@ -105,6 +106,16 @@
     });
   }
 
+  /** Sends the state once if several parts of it change together. */
+  #scheduleBroadcast(): void {
+    if (this.#isBroadcastScheduled) return;
+    this.#isBroadcastScheduled = true;
+    this.#options.context.clock.after(0, () => {
+      this.#isBroadcastScheduled = false;
+      this.server.broadcast();
+    });
+  }
+
   #handleSuspension(forMs: Milliseconds): void {
     this.#synchronizer.resetAges(forMs);
     this.#follower.resetClocks();
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -18,6 +18,7 @@
 } from "../peers/link.ts";
 import { RemoteClock } from "../peers/remote_clock.ts";
 import type { HostEntry } from "../port.ts";
+import type { Position } from "../position.ts";
 import { isUpdate, type UpdateExchange } from "./fleet_updates.ts";
 import { chooseReader } from "./reader_choice.ts";
 import { ReaderMessageSchema, type StateMessage } from "./state_messages.ts";
@@ -117,6 +118,22 @@
     return this.#reader;
   }
 
+  /**
+   * Whether other hosts are known and would follow this one: it comes first in
+   * its hall.
+   */
+  get isFirstChoice(): boolean {
+    const { self, directory } = this.#options;
+    const hosts = directory.entries();
+    const reader = this.#chooseReader(hosts, () => false);
+    return hosts.length > 0 && directory.get(reader)?.hall !== self.hall;
+  }
+
+  /** Whether a link to another reader is open that has not reported yet. */
+  get isChangingReader(): boolean {
+    return this.#candidate !== undefined;
+  }
+
   /** The links to the reader and to the candidate. */
   get links(): Link[] {
     return [this.#link, this.#candidate?.link].filter((link) =>
@@ -179,14 +196,15 @@
   }
 
   #updateReader(): void {
-    const { self, directory, context } = this.#options;
+    const { directory, context } = this.#options;
     const now = context.clock.now();
     this.#syncClock(now);
     this.#dropStaleCandidate(now);
     const hosts = directory.entries();
-    const isSuspect = (id: HostId) => now < (this.#suspects.get(id) ?? 0);
-    const orders = this.#orders;
-    const reader = chooseReader({ self, hosts, orders, isSuspect });
+    const reader = this.#chooseReader(
+      hosts,
+      (id) => now < (this.#suspects.get(id) ?? 0),
+    );
     if (reader === (this.#candidate?.reader ?? this.#reader)) return;
     this.#dropCandidate();
     if (reader === this.#reader) return;
@@ -195,6 +213,14 @@
     this.#candidate = { ...this.#open(host), openedAt: now };
   }
 
+  #chooseReader(
+    hosts: readonly HostEntry[],
+    isSuspect: (host: HostId) => boolean,
+  ): HostId {
+    const { self } = this.#options;
+    return chooseReader({ self, hosts, orders: this.#orders, isSuspect });
+  }
+
   #syncClock(now: Milliseconds): void {
     if (!this.#link || now - this.#syncedAt < CLOCK_SYNC_INTERVAL_MS) return;
     this.#syncedAt = now;
@@ -214,7 +240,8 @@
     const identity = { reader: host.id, address: host.address };
     const link: Link = openLink(target, {
       ready: () => {
-        this.#follow(link, context.replicas.deltaBase);
+        const revision = context.replicas.deltaBase;
+        this.#follow(link, { revision, isCompared: true });
         this.#options.updates.sendAll(link);
       },
       line: (text) => this.#receive(text, { link, clock, ...identity }),
@@ -239,11 +266,24 @@
     context.events.note("readerChosen", { reader });
   }
 
-  #follow(link: Link, revision: number): void {
-    const { context: { clock, routes }, self } = this.#options;
+  /**
+   * Requests the state after a position; -1: all of the listing, or with
+   * `isCompared` what differs from this host's.
+   */
+  #follow(
+    link: Link,
+    { revision, isCompared }: {
+      readonly revision: Position;
+      readonly isCompared: boolean;
+    },
+  ): void {
+    const { context: { clock, routes, replicas }, self } = this.#options;
     link.send({
       type: "follow",
       revision,
+      ...(isCompared && replicas.size > 0
+        ? { comparison: replicas.compare() }
+        : {}),
       version: routes.version,
       sentAt: clock.now(),
       host: self,
@@ -293,7 +333,10 @@
       this.#switchTo(this.#candidate);
     }
     const report = { reader, address, message, configAsOf };
-    if (!this.#options.onReport(report)) this.#follow(link, -1);
+    if (this.#options.onReport(report)) return;
+    // The listing doesn't match the table.
+    const wasCompared = message.listing?.buckets !== undefined;
+    this.#follow(link, { revision: -1, isCompared: !wasCompared });
   }
 
   #close(): void {
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -1,6 +1,10 @@
 /** Messages between a reader and its followers. */
 import * as z from "zod";
-import { encodeEntry, ReplicaEntrySchema } from "../replicas/schema.ts";
+import {
+  encodeDelta,
+  ListingComparisonSchema,
+  ListingDeltaSchema,
+} from "../replicas/schema.ts";
 import { HostEntrySchema } from "../peers/host_schema.ts";
 import { RouteConfigSchema } from "../routing/schema.ts";
 import { UPDATE_SCHEMAS } from "./fleet_updates.ts";
@@ -9,6 +13,8 @@
   type: z.literal("follow"),
   /** The revision of the follower's listing; -1: it needs the full listing. */
   revision: z.number(),
+  /** The follower's listing, for a reader without changes since `revision`. */
+  comparison: ListingComparisonSchema.exactOptional(),
   /** Version of the follower's configuration. */
   version: z.number(),
   /** The follower's clock. */
@@ -52,13 +58,7 @@
   /** When the reader received the follower's last `sentAt`. */
   echo: z.object({ sentAt: z.number(), heardAt: z.number() }).exactOptional(),
   /** Changes of the listing since the last message. */
-  listing: z.object({
-    since: z.number(),
-    revision: z.number(),
-    changed: z.array(ReplicaEntrySchema).readonly(),
-    gone: z.array(z.string()).readonly(),
-    size: z.number(),
-  }).exactOptional(),
+  listing: ListingDeltaSchema.exactOptional(),
   /** Hosts that were not yet sent to the follower. */
   hosts: z.array(HostEntrySchema).readonly().exactOptional(),
   /** Hosts that have expired. */
@@ -87,6 +87,5 @@
 export function encodeState(message: StateMessage): z.input<typeof State> {
   const { listing, ...rest } = message;
   if (!listing) return rest;
-  const changed = listing.changed.map(encodeEntry);
-  return { ...rest, listing: { ...listing, changed } };
+  return { ...rest, listing: encodeDelta(listing) };
 }
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -8,6 +8,7 @@
 import type { ClockEcho } from "../peers/remote_clock.ts";
 import { acceptLink, type Link, type LinkEvents } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
+import type { ListingComparison, ListingDelta } from "../replicas/model.ts";
 import type { RouteConfig } from "../routing/model.ts";
 import { isUpdate, type UpdateExchange } from "./fleet_updates.ts";
 import {
@@ -51,14 +52,16 @@
   readonly link: Link;
   /** Revision of its listing; undefined before its first message. */
   revision: number | undefined;
+  /** Its listing when it sent that revision. */
+  comparison: ListingComparison | undefined;
   /** Version of its configuration. */
   version: number;
   /** Clock echo to include in the next message. */
   echo: ClockEcho | undefined;
   host: HostEntry | undefined;
   lastSentAt: Milliseconds;
-  /** Addresses of the hosts that were sent to it. */
-  readonly sentHosts: Map<HostId, string>;
+  /** The hosts that were sent to it. */
+  readonly sentHosts: Map<HostId, HostEntry>;
   /** The directory's entries as of the last message. */
   sentEntries: readonly HostEntry[] | undefined;
 };
@@ -93,6 +96,7 @@
     const follower: Follower = {
       link,
       revision: undefined,
+      comparison: undefined,
       version: 0,
       echo: undefined,
       host: undefined,
@@ -140,6 +144,7 @@
     if (message.type === "sync") return;
     if (!follower.host) updates.sendAll(follower.link);
     follower.revision = message.revision;
+    follower.comparison = message.comparison;
     follower.version = message.version;
     follower.host = message.host;
     directory.add([message.host], now);
@@ -149,7 +154,10 @@
   #send(follower: Follower): void {
     if (follower.revision === undefined) return;
     const message = this.#messageFor(follower, follower.revision);
-    if (message.listing) follower.revision = message.listing.revision;
+    if (message.listing) {
+      follower.revision = message.listing.revision;
+      follower.comparison = undefined;
+    }
     follower.version = Math.max(follower.version, message.version);
     follower.echo = undefined;
     follower.lastSentAt = this.#options.context.clock.now();
@@ -167,7 +175,7 @@
     // withheld. The age is still reported, so that followers don't all list the
     // replicas.
     const listing = isFresh && isNewer && isSettled
-      ? replicas.deltaSince(revision)
+      ? this.#deltaFor(follower, revision)
       : undefined;
     return {
       type: "state",
@@ -182,6 +190,21 @@
     };
   }
 
+  /**
+   * The changes since the follower's listing, or what differs from it; all of
+   * the listing only if the follower has none. Many followers that started
+   * before this host have listings from before its first one.
+   */
+  #deltaFor(
+    { comparison }: Follower,
+    revision: number,
+  ): ListingDelta | undefined {
+    const { replicas } = this.#options.context;
+    const delta = replicas.deltaSince(revision);
+    const isFull = delta !== undefined && delta.since < 0;
+    return isFull && comparison ? replicas.deltaTo(comparison) : delta;
+  }
+
   #configFor(
     follower: Follower,
   ): Pick<StateMessage, "config" | "configAsOf" | "newest"> {
@@ -214,14 +237,15 @@
     follower.sentEntries = entries;
     const current = [self, ...entries]
       .filter((host) => host.id !== follower.host?.id);
-    const hosts = current.filter((host) =>
-      follower.sentHosts.get(host.id) !== host.address
-    );
+    const hosts = current.filter((host) => {
+      const sent = follower.sentHosts.get(host.id);
+      return sent?.address !== host.address || sent.hall !== host.hall;
+    });
     const live = new Set(current.map((host) => host.id));
     const hostsGone = [...follower.sentHosts.keys()].filter((id) =>
       !live.has(id)
     );
-    for (const host of hosts) follower.sentHosts.set(host.id, host.address);
+    for (const host of hosts) follower.sentHosts.set(host.id, host);
     for (const id of hostsGone) follower.sentHosts.delete(id);
     return {
       ...(hosts.length > 0 ? { hosts } : {}),
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -12,8 +12,9 @@
   revisionOf,
   type StorePosition,
 } from "../position.ts";
-import type { Store } from "../port.ts";
+import type { Store, StoreChanges } from "../port.ts";
 import { ConfigReader } from "./config_reader.ts";
+import { awaitFirstListing } from "./first_listing.ts";
 import type { HallFollower } from "./hall_follower.ts";
 import { RowFaults } from "./row_faults.ts";
 import { StoreCalls } from "./store_calls.ts";
@@ -29,6 +30,8 @@
   readonly watchMs: Milliseconds;
 };
 
+/** The store responds at once, with the changes that there are. */
+const CATCH_UP_WAIT_MS = 1;
 /** Minimum interval between two calls of the same kind. */
 const MIN_CALL_INTERVAL_MS = 250;
 /**
@@ -73,6 +76,8 @@
   readonly times: StoreTimes;
   readonly synchronizer: Synchronizer;
   readonly follower: HallFollower;
+  /** Number of known hosts, including this one. */
+  readonly fleetSize: () => number;
 };
 
 /** Reads the store for as long as the process runs. */
@@ -136,7 +141,10 @@
   }
 
   async #followReplicas(): Promise<void> {
-    const { context: { clock }, synchronizer } = this.#options;
+    const { context, synchronizer, follower, fleetSize } = this.#options;
+    const { clock } = context;
+    const isStopped = () => this.#isStopped;
+    await awaitFirstListing({ context, follower, fleetSize, isStopped });
     while (!this.#isStopped) {
       const startedAt = clock.now();
       if (synchronizer.hasFreshReport(startedAt)) {
@@ -174,8 +182,8 @@
     const { clock, eras } = this.#options.context;
     const unsettledMs = eras.unsettledForMs(clock.now());
     // Lists as soon as the era is settled, since followers wait for that
-    // listing.
-    return unsettledMs > 0 ? Math.min(leftMs, unsettledMs) : leftMs;
+    // listing. Timers drop fractions, and an earlier listing would be inexact.
+    return unsettledMs > 0 ? Math.min(leftMs, Math.ceil(unsettledMs)) : leftMs;
   }
 
   /**
@@ -183,24 +191,61 @@
    */
   async #readReplicas(): Promise<boolean> {
     const { context, synchronizer, follower } = this.#options;
-    const outcome = this.#hasFullListing
-      ? await this.#watchReplicas()
-      : await this.#listReplicas();
+    const outcome = await this.#readOnce();
     const answered = outcome === "applied";
     if (outcome !== "older") {
       synchronizer.noteStoreRead(answered, this.#storeAsOf);
     }
     const isSettled = !synchronizer.retainsMissing(context.clock.now());
-    this.#hasFullListing = answered && isSettled && !this.#isFollower;
+    // The store may have settled after the listing was applied, so that the
+    // table still has replicas that the store lacks.
+    const isBase = isSettled && context.replicas.isExact;
+    this.#hasFullListing = answered && isBase && !this.#isFollower;
     // The watch may hang on a dead connection and is restarted.
     if (answered && this.#failures > 0) this.#config.endWatch();
     this.#failures = answered ? 0 : this.#failures + 1;
-    if (answered && !synchronizer.hasFreshReport(context.clock.now())) {
+    // A reader that the store has just served again reports no age yet.
+    const lacksReport = !synchronizer.hasFreshReport(context.clock.now());
+    if (answered && isSettled && lacksReport) {
       follower.leaveIfStale("The store answers this host, not its reader");
     }
     return answered;
   }
 
+  async #readOnce(): Promise<ReadOutcome> {
+    if (this.#hasFullListing) return await this.#watchReplicas();
+    if (this.#canCatchUp) return await this.#catchUp();
+    return await this.#listReplicas();
+  }
+
+  /**
+   * Whether the changes since the last report suffice. All followers of a
+   * reader that is lost read the store at the same time, and together would
+   * exceed its limit of calls with full listings.
+   */
+  get #canCatchUp(): boolean {
+    const { replicas } = this.#options.context;
+    return replicas.revision >= 0 && replicas.isExact;
+  }
+
+  /**
+   * Reads the changes since the last report or listing, without waiting. After
+   * an outage or a restore, replicas may have to be retained or excluded, which
+   * takes a listing.
+   */
+  async #catchUp(): Promise<ReadOutcome> {
+    const { context: { clock, eras }, synchronizer } = this.#options;
+    const requestedAt = clock.now();
+    const read = await this.#readChanges(CATCH_UP_WAIT_MS, {
+      isUsable: ({ changed, gone }) =>
+        (gone.length === 0 || !synchronizer.retainsMissing(clock.now())) &&
+        (changed.length === 0 || eras.isSettled(clock.now())),
+    });
+    if (typeof read === "string") return read;
+    this.#noteStoreTime(requestedAt, read.nowMs);
+    return "applied";
+  }
+
   async #listReplicas(): Promise<ReadOutcome> {
     const { context: { clock, eras }, store, synchronizer } = this.#options;
     const requestedAt = clock.now();
@@ -218,12 +263,17 @@
       this.#noteOlder(listing, revision);
       return "older";
     }
-    const echo = { sentAt: requestedAt, heardAt: listing.nowMs };
-    this.#storeClock.note(echo, clock.now());
-    this.#storeAsOf = requestedAt;
+    this.#noteStoreTime(requestedAt, listing.nowMs);
     return "applied";
   }
 
+  /** Records when a read began, and the store's clock in its response. */
+  #noteStoreTime(requestedAt: Milliseconds, heardAt: Milliseconds): void {
+    const echo = { sentAt: requestedAt, heardAt };
+    this.#storeClock.note(echo, this.#options.context.clock.now());
+    this.#storeAsOf = requestedAt;
+  }
+
   #noteOlder({ revision, nowMs }: TimedPosition, position: Position): void {
     const { replicas, events } = this.#options.context;
     events.note("listingOlder", {
@@ -249,30 +299,42 @@
    * than the call's timeout on a slow link.
    */
   async #watchReplicas(): Promise<ReadOutcome> {
-    const { context: { clock, replicas, eras }, store, synchronizer, times } =
+    const { context: { clock }, times } = this.#options;
+    const read = await this.#readChanges(times.listMs);
+    if (typeof read === "string") return read;
+    this.#storeAsOf = this.#storeClock.toLocal(read.nowMs, clock.now()) ??
+      this.#storeAsOf;
+    return "applied";
+  }
+
+  /**
+   * Reads and applies the changes since the table's position; lists the
+   * replicas if the store no longer has them, or they aren't usable.
+   */
+  async #readChanges(
+    waitMs: Milliseconds,
+    { isUsable }: {
+      readonly isUsable: (changes: StoreChanges) => boolean;
+    } = { isUsable: () => true },
+  ): Promise<TimedPosition | ReadOutcome> {
+    const { context: { replicas, eras }, store, synchronizer, times } =
       this.#options;
-    const { listMs, timeoutMs } = times;
     const start = eras.beginCall();
     const since = replicas.revision;
     const from = eras.toStorePosition(since);
     const read = await this.#calls.read(
       async (signal) =>
-        await store.watchReplicas(from, listMs, signal) ?? "historyLost",
-      listMs + timeoutMs,
+        await store.watchReplicas(from, waitMs, signal) ?? "historyLost",
+      waitMs + times.timeoutMs,
     );
     if (read === undefined) return "failed";
-    if (read === "historyLost") return this.#listReplicas();
+    if (read === "historyLost" || !isUsable(read)) return this.#listReplicas();
     this.#faults.note(read.faults);
     const { changed, gone } = read;
     const revision = eras.resolvePosition(read, start);
     if (eraOf(revision) !== eraOf(since)) return this.#listReplicas();
-    if (!synchronizer.applyChanges({ since, revision, changed, gone })) {
-      return "older";
-    }
-    const now = clock.now();
-    this.#storeAsOf = this.#storeClock.toLocal(read.nowMs, now) ??
-      this.#storeAsOf;
-    return "applied";
+    const changes = { since, revision, changed, gone };
+    return synchronizer.applyChanges(changes) ? read : "older";
   }
 
   get #isFollower(): boolean {
@@ -287,10 +349,12 @@
   }
 
   #failureBackoffMs(): Milliseconds {
-    if (!this.#isFollower) return MIN_CALL_INTERVAL_MS;
+    const { context, follower } = this.#options;
+    const isReader = !this.#isFollower && !follower.isChangingReader;
+    if (isReader) return MIN_CALL_INTERVAL_MS;
     const doublings = Math.min(8, Math.max(0, this.#failures - 1));
     const backoffMs = FOLLOWER_BACKOFF_MS * 2 ** doublings;
-    const spread = 1 + this.#options.context.random() * BACKOFF_JITTER;
+    const spread = 1 + context.random() * BACKOFF_JITTER;
     return Math.min(MAX_FOLLOWER_BACKOFF_MS, backoffMs) * spread;
   }
 
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -7,7 +7,7 @@
 import type { GatewayContext } from "../context.ts";
 import { eraOf, type Position, positionOf, revisionOf } from "../position.ts";
 import type { ListingChanges, ReplicaListing } from "../replicas/model.ts";
-import type { ListingChange } from "../replicas/replica_table.ts";
+import type { ListingChange } from "../replicas/listing_change.ts";
 import type { RouteConfig } from "../routing/model.ts";
 import type { VersionAnnouncement } from "./config_catchup.ts";
 import type { ReaderReport } from "./hall_follower.ts";
@@ -97,13 +97,14 @@
   /**
    * Age of the state to report to followers; Infinity: report none. A host
    * whose store calls failed until recently reports none, since followers that
-   * the store served have better state. Nor does a host that may only have seen
+   * the store served have better state, unless its own reader confirms it. Nor does a host that may only have seen
    * the store after a restore. A host that observed an earlier era continues to
    * report, so that its followers don't all list the replicas at once.
    */
   reportableAgeMs(now: Milliseconds): Milliseconds {
-    const isWithheld = this.#wasUnavailable(now) ||
-      this.#context.eras.isUnverified(now);
+    const isUnconfirmed = this.#wasUnavailable(now) &&
+      !this.hasFreshReport(now);
+    const isWithheld = isUnconfirmed || this.#context.eras.isUnverified(now);
     return isWithheld ? Infinity : this.storeAgeMs(now);
   }
 
@@ -177,7 +178,8 @@
     if (eraOf(listing.revision) < eras.era) return false;
     const change = replicas.adopt(listing, {
       retainMissing: this.retainsMissing(now),
-      excludeRemoved: !eras.isSettled(now),
+      // After an outage, too: nobody could write again what a restore has lost.
+      excludeRemoved: this.retainsMissing(now),
     });
     if (change) this.#noteChange(change, listing.revision, source);
     return change !== undefined;
@@ -271,7 +273,7 @@
     const draining = [...change.draining, ...change.added]
       .filter((entry) => entry.leaving);
     this.#options.onDraining(draining.map((entry) => entry.incarnation));
-    const count = change.changedIds.length + change.removed.length;
+    const count = change.changed.length + change.removed.length;
     if (count > 0) this.#options.onChange();
   }
 }
--- a/test/gateway/peers/link_test.ts
+++ b/test/gateway/peers/link_test.ts
@@ -9,6 +9,7 @@
   LinkPath,
   openLink,
 } from "../../../src/gateway/peers/link.ts";
+import { LOOPBACK } from "../../loopback.ts";
 
 /** A clock that moves only when the test advances it. */
 function manualClock(): Clock & {
@@ -56,13 +57,13 @@
     });
   });
   const port = await new Promise<number>((resolve) => {
-    server.listen(0, "127.0.0.1", () => {
+    server.listen(0, LOOPBACK, () => {
       const bound = server.address();
       resolve(typeof bound === "object" && bound ? bound.port : 0);
     });
   });
   const target = {
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK}:${port}`,
     path: LinkPath.plan,
     self: "a",
     clock: clocks.opener,
--- a/test/gateway/replicas/replica_table_test.ts
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -163,6 +163,31 @@
   assert.equal(table.get("b"), undefined);
 });
 
+test("an inexact table is no base for changes and sends none", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: 1, entries: [entry("a"), entry("b")] });
+  table.adopt({ revision: 2, entries: [entry("a")] }, { retainMissing: true });
+  assert.equal(table.isExact, false);
+  assert.equal(table.deltaSince(1), undefined);
+  const changes = { since: 2, revision: 3, changed: [], gone: [] };
+  assert.equal(table.applyChanges(changes), undefined);
+  table.adopt({ revision: 2, entries: [entry("a")] });
+  assert.equal(table.isExact, true);
+  assert.deepEqual(table.deltaSince(1)?.gone, ["b"]);
+});
+
+test("an inexact listing replaces an older one, but no exact one of its position", () => {
+  const table = new ReplicaTable();
+  const entries = [entry("a"), entry("b")];
+  table.adopt({ revision: 2, entries: [entry("a")] });
+  const isInexact = true;
+  assert.equal(table.adopt({ revision: 2, entries, isInexact }), undefined);
+  assert.equal(table.size, 1);
+  assert.ok(table.adopt({ revision: 3, entries, isInexact }));
+  assert.equal(table.size, 2);
+  assert.equal(table.deltaBase, -1);
+});
+
 test("with excludeRemoved, a replica removed in an earlier era is excluded", () => {
   const table = new ReplicaTable();
   table.adopt({ revision: positionOf(1, 5), entries: [entry("a")] });
--- a/test/gateway/state/fleet_store.ts
+++ b/test/gateway/state/fleet_store.ts
@@ -40,6 +40,22 @@
   readonly rows: ReadonlyMap<string, StoreRow>;
 };
 
+/** What limits the store's responses. */
+export type FleetStoreLimits = {
+  /** Calls of all hosts in a second; further ones are rejected. */
+  readonly callsPerSecond: number;
+  /** Replicas in one response. */
+  readonly pageRows: number;
+  /** Time for which a response with a full page occupies the store's link. */
+  readonly pageMs: number;
+};
+
+const UNLIMITED: FleetStoreLimits = {
+  callsPerSecond: Infinity,
+  pageRows: Infinity,
+  pageMs: 0,
+};
+
 /** A configuration, rows of hosts, and a listing of replicas. */
 export class FleetStore {
   /** Number of calls by kind. */
@@ -57,10 +73,18 @@
   #era = 1;
   /** Whether each response names the era. */
   readonly #reportsEra: boolean;
+  readonly #limits: FleetStoreLimits;
+  /** Times of the calls of the last second. */
+  #recentCalls: number[] = [];
+  /** When the link has sent all responses. */
+  #linkFreeAt = 0;
+  /** Calls beyond the limit. */
+  rejected = 0;
 
-  constructor(clock: Clock, reportsEra = true) {
+  constructor(clock: Clock, reportsEra = true, limits = UNLIMITED) {
     this.#clock = clock;
     this.#reportsEra = reportsEra;
+    this.#limits = limits;
   }
 
   get #position(): StorePosition {
@@ -148,11 +172,16 @@
     ) => untilAborted(signal, this.#longPoll(host, kind, call));
     const timed = () => ({ nowMs: this.#clock.now(), ...this.#position });
     return {
-      readReplicas: (signal) =>
-        respond("replicas", signal, () => ({
-          entries: this.#entriesSince(0),
-          ...timed(),
-        })),
+      readReplicas: async (signal) => {
+        const { pageRows, pageMs } = this.#limits;
+        const pages = Math.max(1, Math.ceil(this.#replicas.size / pageRows));
+        const first = await respond("replicas", signal, timed);
+        for (let page = 1; page < pages; page++) {
+          await this.#transfer(pageMs);
+          await respond("replicas", signal, timed);
+        }
+        return { entries: this.#entriesSince(0), ...first };
+      },
       watchReplicas: (from, waitMs, signal) =>
         longPoll("replicas", signal, {
           waitMs,
@@ -213,6 +242,28 @@
     return { changed: this.#entriesSince(since), gone };
   }
 
+  /** Waits until the link has sent a response. */
+  #transfer(durationMs: number): Promise<void> {
+    const now = this.#clock.now();
+    this.#linkFreeAt = Math.max(now, this.#linkFreeAt) + durationMs;
+    return this.#wait(this.#linkFreeAt - now);
+  }
+
+  #wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => this.#clock.after(durationMs, resolve));
+  }
+
+  /** Counts a call; whether it is within the limit. */
+  #takeCall(kind: string): boolean {
+    this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
+    const now = this.#clock.now();
+    this.#recentCalls = this.#recentCalls.filter((at) => at > now - 1000);
+    const isWithin = this.#recentCalls.length < this.#limits.callsPerSecond;
+    if (isWithin) this.#recentCalls.push(now);
+    else this.rejected += 1;
+    return isWithin;
+  }
+
   #deliver(host: string, end: () => void): void {
     const clock = this.#clocks.get(host) ?? this.#clock;
     clock.after(STORE_LATENCY_MS, end);
@@ -228,9 +279,10 @@
     kind: string,
     value: () => Value,
   ): Promise<Value> {
-    this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
+    const isWithinLimit = this.#takeCall(kind);
     return new Promise((resolve, reject) => {
       this.#clock.after(STORE_LATENCY_MS, () => {
+        if (!isWithinLimit) return reject(new Error("Too many calls"));
         const treatment = this.#treatments.get(host) ?? "served";
         if (treatment === "silent") return;
         if (treatment === "reset") return reject(new Error("Reset"));
@@ -250,7 +302,7 @@
       readonly value: () => Value;
     },
   ): Promise<Value> {
-    this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
+    const isWithinLimit = this.#takeCall(kind);
     return new Promise((resolve, reject) => {
       let cancel = () => {};
       const settle = (end: () => void) => {
@@ -268,7 +320,7 @@
       };
       this.#clock.after(STORE_LATENCY_MS, () => {
         const treatment = this.#treatments.get(host) ?? "served";
-        if (treatment === "reset") return watch.fail();
+        if (treatment === "reset" || !isWithinLimit) return watch.fail();
         this.#watches.add(watch);
         cancel = this.#clock.after(waitMs, () => {
           if (this.#treatments.get(host) === "silent") return;
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -21,6 +21,7 @@
 import { StateServer } from "../../../src/gateway/state/state_server.ts";
 import { neverSuspended } from "../never_suspended.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
+import { LOOPBACK } from "../../loopback.ts";
 
 /** A clock whose timers do not keep the process alive. */
 const clock: Clock = {
@@ -75,7 +76,7 @@
     stateServer.accept(request, response)
   );
   await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve())
+    server.listen(0, LOOPBACK, () => resolve())
   );
   t.after(() => {
     server.closeAllConnections();
@@ -85,7 +86,7 @@
   const port = typeof bound === "object" && bound ? bound.port : 0;
   const readerEntry: HostEntry = {
     id: reader,
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK}:${port}`,
     hall: "h",
   };
   const stateServer = new StateServer({
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -9,80 +9,73 @@
 import type { Clock } from "../../../src/gateway/clock.ts";
 import { SuspensionWatch } from "../../../src/gateway/suspension.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
-import { HostOrders } from "../../../src/gateway/peers/host_order.ts";
 import {
   type Link,
   type LinkEvents,
   LinkPath,
   type LinkTarget,
 } from "../../../src/gateway/peers/link.ts";
+import { ListingPacer } from "../../../src/gateway/peers/listing_pacer.ts";
+import type { PeerCall } from "../../../src/gateway/peers/peer_connections.ts";
 import { peerStateResponse } from "../../../src/gateway/peers/server.ts";
 import { createReplicaState } from "../../../src/gateway/replicas/create_replica_state.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { FleetState } from "../../../src/gateway/state/fleet_state.ts";
-import { chooseReader } from "../../../src/gateway/state/reader_choice.ts";
-import type { JsonClient } from "../../../src/gateway/upstreams/json_client.ts";
+import type { JsonAnswer } from "../../../src/gateway/upstreams/json_client.ts";
 import type { ProbeResult } from "../../../src/gateway/upstreams/probe.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
+import {
+  createRandom,
+  type FleetHost,
+  type FleetRole,
+  roleIn,
+  type StateFleetOptions,
+  type Suspension,
+} from "./fleet_host.ts";
 import { FleetStore } from "./fleet_store.ts";
+import { FleetTraffic } from "./fleet_traffic.ts";
 import { untilAborted } from "./until_aborted.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
 
+export type { FleetHost };
+
 const LINK_LATENCY_MS = 1.5;
 const TIMES = { listMs: 700, timeoutMs: 700, watchMs: 1200 };
 /** Time until the links between partitioned hosts close. */
 const LINK_TIMEOUT_MS = 1000;
 const HALLS = 3;
+/** Hosts in the settings of each host. */
+const SEEDS = 3;
 const CRASH_RULE = { crashThreshold: 3, ttlMs: 60_000 };
 
-/** One host of the fleet. */
-export type FleetHost = {
-  readonly entry: HostEntry;
-  readonly routes: RouteTable;
-  readonly directory: HostDirectory;
-  readonly context: GatewayContext;
-  readonly state: FleetState;
-  /** When each configuration version came into force. */
-  readonly adoptedAt: Map<number, number>;
-  readonly suspension: Suspension;
-};
-
-/** When a host's suspension ends, and the total time that it was suspended. */
-type Suspension = { until: number; totalMs: number };
-
 type OpenLink = {
   readonly from: string;
   readonly to: string;
   close(): void;
 };
 
-/** A seeded random number generator, which makes runs reproducible. */
-function createRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 /** Hosts in three halls, all of which know each other. */
 export class StateFleet {
   readonly hosts: FleetHost[];
   readonly store: FleetStore;
+  /** What the hosts have sent to each other. */
+  readonly traffic = new FleetTraffic();
   /** Result of probing any replica. */
   probe: () => Promise<ProbeResult> = () => Promise.resolve("refused");
   #isCut: (from: FleetHost, to: FleetHost) => boolean = () => false;
   readonly #openLinks = new Set<OpenLink>();
   readonly #time = new VirtualTime();
   readonly #random: () => number;
+  readonly #knowsAll: boolean;
 
   constructor(
     size: number,
     seed: number,
-    { reportsEra = true }: { readonly reportsEra?: boolean } = {},
+    { reportsEra = true, limits, knowsAll = true }: StateFleetOptions = {},
   ) {
+    this.#knowsAll = knowsAll;
     this.#random = createRandom(seed);
-    this.store = new FleetStore(this.#time.clock, reportsEra);
+    this.store = new FleetStore(this.#time.clock, reportsEra, limits);
     const entries = Array.from({ length: size }, (_, at) => ({
       id: `h${at}`,
       address: `h${at}`,
@@ -98,18 +91,9 @@
     return this.#time.now;
   }
 
-  /** The role of a host: reader of the fleet, relay of a hall, or follower. */
-  roleOf({ entry }: FleetHost): "reader" | "relay" | "follower" {
-    const entries = this.hosts.map((host) => host.entry);
-    const reader = chooseReader({
-      self: entry,
-      hosts: entries.filter((other) => other.id !== entry.id),
-      orders: new HostOrders(entry.id),
-      isSuspect: () => false,
-    });
-    if (reader === entry.id) return "reader";
-    const hall = entries.find((other) => other.id === reader)?.hall;
-    return hall === entry.hall ? "follower" : "relay";
+  /** The role of a host. */
+  roleOf({ entry }: FleetHost): FleetRole {
+    return roleIn(this.hosts.map((host) => host.entry), entry);
   }
 
   /** Starts another host, which knows all others. */
@@ -187,8 +171,12 @@
     const events = { note: () => undefined };
     const metrics = new Metrics();
     const self = { id: entry.id, hall: entry.hall, run: `run of ${entry.id}` };
-    const directory = new HostDirectory(entry, []);
-    directory.add(entries, 0);
+    const seeds = this.#knowsAll ? [] : entries.slice(0, SEEDS);
+    const directory = new HostDirectory(
+      entry,
+      seeds.map(({ address }) => address),
+    );
+    if (this.#knowsAll) directory.add(entries, 0);
     const openLink = (target: LinkTarget, linkEvents: LinkEvents) =>
       this.#openLink(entry.id, target, linkEvents);
     const replicaState = createReplicaState({
@@ -229,7 +217,9 @@
       store: this.store.of(entry.id, clock),
       times: TIMES,
       openLink,
-      createClient: (address) => this.#clientOf(entry.id, address),
+      connections: {
+        call: (address, call) => this.#callPeer(entry.id, address, call),
+      },
       onConfig: ({ version }) => adoptedAt.set(version, this.#time.now),
     });
     return {
@@ -240,6 +230,7 @@
       state,
       adoptedAt,
       suspension,
+      listings: new ListingPacer(),
     };
   }
 
@@ -265,15 +256,19 @@
       this.#time.clock.after(0, () => fromEvents.closed());
       this.#time.clock.after(LINK_LATENCY_MS, () => toEvents?.closed());
     };
-    const lineTo =
-      (host: FleetHost, events: () => LinkEvents | undefined) =>
-      (message: object) => {
-        const text = JSON.stringify(message);
-        // By the receiver's clock: a line to a suspended host is delayed.
-        this.#clockOf(host.suspension).after(LINK_LATENCY_MS, () => {
-          if (isOpen && !isCut()) events()?.line(text);
-        });
-      };
+    const lineTo = (
+      sender: string,
+      host: FleetHost,
+      events: () => LinkEvents | undefined,
+    ) =>
+    (message: object) => {
+      const text = JSON.stringify(message);
+      this.traffic.note({ from: sender, to: host.entry.id, text });
+      // By the receiver's clock: a line to a suspended host is delayed.
+      this.#clockOf(host.suspension).after(LINK_LATENCY_MS, () => {
+        if (isOpen && !isCut()) events()?.line(text);
+      });
+    };
     const link = { from, to: address, close };
     this.#openLinks.add(link);
     if (isCut()) {
@@ -283,7 +278,10 @@
     this.#time.clock.after(LINK_LATENCY_MS, () => {
       const open = (events: LinkEvents) => {
         toEvents = events;
-        return { send: lineTo(this.#hostOf(from), () => fromEvents), close };
+        return {
+          send: lineTo(address, this.#hostOf(from), () => fromEvents),
+          close,
+        };
       };
       if (path === LinkPath.limit) to.context.limits.owner.join(from, open);
       else to.state.server.join(open);
@@ -292,32 +290,31 @@
       2 * LINK_LATENCY_MS,
       () => isOpen && fromEvents.ready?.(),
     );
-    return { send: lineTo(to, () => toEvents), close };
+    return { send: lineTo(from, to, () => toEvents), close };
   }
 
-  #clientOf(from: string, address: string): JsonClient {
-    return {
-      close: () => undefined,
-      call: ({ path }, signal) =>
-        untilAborted(
-          signal,
-          new Promise((resolve) => {
-            if (this.#isCutBetween(from, address)) return;
-            this.#time.clock.after(LINK_LATENCY_MS, () => {
-              const { entry, context, directory, state } = this.#hostOf(
-                address,
-              );
-              const configAgeMs = (now: number) => state.configAgeMs(now);
-              const self = entry;
-              const options = { context, self, directory, configAgeMs };
-              const body = JSON.stringify(peerStateResponse(options, path));
-              this.#time.clock.after(
-                LINK_LATENCY_MS,
-                () => resolve({ status: 200, body }),
-              );
-            });
-          }),
-        ),
-    };
+  #callPeer(
+    from: string,
+    address: string,
+    { path, signal }: PeerCall,
+  ): Promise<JsonAnswer> {
+    const answer = new Promise<JsonAnswer>((resolve) => {
+      if (this.#isCutBetween(from, address)) return;
+      this.#time.clock.after(LINK_LATENCY_MS, () => {
+        const { entry: self, context, directory, state } = this.#hostOf(
+          address,
+        );
+        const configAgeMs = (now: number) => state.configAgeMs(now);
+        const { listings } = this.#hostOf(address);
+        const options = { context, self, directory, configAgeMs, listings };
+        const body = JSON.stringify(peerStateResponse(options, path));
+        this.traffic.note({ from: address, to: from, text: body });
+        this.#time.clock.after(
+          LINK_LATENCY_MS,
+          () => resolve({ status: 200, body }),
+        );
+      });
+    });
+    return untilAborted(signal, answer);
   }
 }
--- a/test/gateway/state/store_loops_test.ts
+++ b/test/gateway/state/store_loops_test.ts
@@ -55,6 +55,7 @@
       hasFreshReport: () => false,
       noteStoreRead: () => undefined,
     } as unknown as Synchronizer,
+    fleetSize: () => 1,
     follower: { reader } as HallFollower,
   });
   loops.start();
@@ -147,6 +148,7 @@
         if (!answered) read.push("lost");
       },
     } as unknown as Synchronizer,
+    fleetSize: () => 1,
     follower: {
       reader: "self",
       leaveIfStale: () => undefined,
