--- a/bench/planner/main.ts
+++ b/bench/planner/main.ts
@@ -1,19 +1,31 @@
 /**
  * npm run bench:planner: the time of a planner pass when no queued request can
- * be placed, by numbers of replicas and of queued requests.
+ * be placed, by numbers of replicas and of queued requests, and the cost of a
+ * planner while a pool is asked for twice its memory.
  */
-import { ReplicaStage } from "../../src/gateway/mod.ts";
-import type { PlanRequest } from "../../src/gateway/planning/messages.ts";
 import { Planner } from "../../src/gateway/planning/planner.ts";
-import type { PlannerView } from "../../src/gateway/planning/view.ts";
-import { table } from "../policy/tables.ts";
+import { percent, table } from "../policy/tables.ts";
+import { measureOverload, type Overload } from "./overload.ts";
+import {
+  MEMORY,
+  planRequest,
+  PREFILL_SHARE,
+  replicasOf,
+  viewOf,
+} from "./rig.ts";
 
-/** The memory of a decode replica in tokens. */
-const MEMORY = 29_000;
-const PREFILL_SHARE = 0.22;
 const WARM_UP_PASSES = 30;
 const PASSES = 100;
 const PASS_INTERVAL_MS = 20;
+const SEED = 11;
+
+/** Pools that are asked for twice their memory, with 100 and 200 waiting. */
+const OVERLOADS = [
+  { decodes: 25, requestsPerSecond: 120, objectiveMs: 2300 },
+  { decodes: 25, requestsPerSecond: 120, objectiveMs: 4000 },
+  { decodes: 50, requestsPerSecond: 240, objectiveMs: 1300 },
+  { decodes: 50, requestsPerSecond: 240, objectiveMs: 2300 },
+];
 
 const rows: string[][] = [];
 for (const replicas of [90, 600]) {
@@ -24,9 +36,59 @@
 }
 console.log(table(["replicas", "waiting", "median pass, ms"], rows));
 
+const overloadRows: string[][] = [];
+for (const load of OVERLOADS) {
+  for (const passesAtMessages of [true, false]) {
+    for (const arrivalDecisions of [false, true]) {
+      overloadRows.push(
+        overloadRow({
+          ...load,
+          passesAtMessages,
+          arrivalDecisions,
+          seed: SEED,
+        }),
+      );
+    }
+  }
+}
+console.log(table([
+  "decode replicas",
+  "requests/s",
+  "passes at",
+  "arrival decisions",
+  "passes/s",
+  "waiting",
+  "ms a pass",
+  "core",
+  "on time",
+  "late",
+  "refused",
+  "longest wait of a refused, ms",
+  "median and longest of those refused at arrival, ms",
+], overloadRows));
+
+function overloadRow(load: Overload): string[] {
+  const result = measureOverload(load);
+  return [
+    String(load.decodes),
+    String(load.requestsPerSecond),
+    load.passesAtMessages ? "messages" : "20 ms",
+    load.arrivalDecisions ? "on" : "off",
+    result.passesPerSecond.toFixed(0),
+    result.waiting.toFixed(0),
+    result.msPerPass.toFixed(3),
+    percent(result.core),
+    percent(result.onTime),
+    percent(result.late),
+    percent(result.refused),
+    result.longestRefusalMs.toFixed(0),
+    `${result.arrivalRefusalMs.median}, ${result.arrivalRefusalMs.longest}`,
+  ];
+}
+
 /** Returns the median time of a pass over a pool without free memory. */
 function medianPass(replicas: number, waiting: number): number {
-  const planner = new Planner(viewOf(replicas));
+  const planner = new Planner(viewOf(replicasOf(replicas)));
   fillPool(planner, replicas);
   for (let at = 0; at < waiting; at++) {
     planner.enqueue("host", planRequest(`w${at}`, MEMORY / 4), 0);
@@ -55,63 +117,3 @@
   }
   planner.pass(0);
 }
-
-function viewOf(count: number): PlannerView {
-  const entries = Array.from({ length: count }, (_, at) => ({
-    id: `i-${at}`,
-    incarnation: `i-${at}`,
-    service: "s",
-    address: `10.0.0.${at}:1`,
-    hall: `hall-${at % 5}`,
-    slots: 12,
-    leaving: false,
-    stage: at < count * PREFILL_SHARE
-      ? ReplicaStage.prefill
-      : ReplicaStage.decode,
-    coldMs: 0,
-  }));
-  return {
-    // Returns a new array on each call, as the replica table does.
-    replicasOf: () => entries.filter((entry) => !entry.leaving),
-    memoryOf: () => MEMORY,
-    isPaused: () => false,
-    limitOf: () => undefined,
-    noteFailure: () => undefined,
-    noteTrial: () => undefined,
-    noteSuccess: () => undefined,
-    random: () => 0,
-    remoteHallPenalty: 0.1,
-    scheduling: {
-      replicaRates: false,
-      measuredSplit: false,
-      arrivalDecisions: false,
-      bookedReturns: false,
-      customerShares: false,
-    },
-    events: { note: () => undefined },
-    metrics: { count: () => undefined },
-    weightOf: () => 1,
-  };
-}
-
-function planRequest(id: string, tokens: number): PlanRequest {
-  return {
-    type: "ask",
-    id,
-    service: "s",
-    tokens,
-    promptTokens: 3000,
-    outputTokens: tokens,
-    customer: "",
-    objectiveMs: 900,
-    hall: "hall-0",
-    priority: 1,
-    slackMs: 1e6,
-    patienceMs: 1e6,
-    longestRetryMs: 4000,
-    key: "",
-    begun: false,
-    whole: false,
-    excluded: [],
-  };
-}
--- a/src/gateway/planning/admission.ts
+++ b/src/gateway/planning/admission.ts
@@ -77,6 +77,7 @@
 /** Forecasts waits and records which requests were refused. */
 export class Admission {
   readonly #random: () => number;
+  /** By key, in ascending order of the times. */
   readonly #refusedUntil = new Map<string, Milliseconds>();
   /** Tokens that arrived within about one assignment lifetime. */
   readonly #offeredTokens = new DecayingSum();
@@ -205,9 +206,13 @@
     now: Milliseconds,
   ): Milliseconds {
     for (const [refusedKey, until] of this.#refusedUntil) {
-      if (until <= now) this.#refusedUntil.delete(refusedKey);
+      if (until > now) break;
+      this.#refusedUntil.delete(refusedKey);
+    }
+    if (key !== "") {
+      this.#refusedUntil.delete(key);
+      this.#refusedUntil.set(key, now + REFUSAL_TTL_MS);
     }
-    if (key !== "") this.#refusedUntil.set(key, now + REFUSAL_TTL_MS);
     const jitter = 1 - this.#random() * RETRY_JITTER;
     return Math.min(longestRetryMs, waitMs) * jitter;
   }
--- a/src/gateway/planning/arrival_decision.ts
+++ b/src/gateway/planning/arrival_decision.ts
@@ -18,8 +18,8 @@
 const PROMPT_REFUSAL_SHARE = 0.125;
 
 /**
- * Long queues at large pools are simulated less often: the simulations of a
- * service look up about as many places in a millisecond, on average.
+ * After much work for a service, its next decisions wait until as much time has
+ * passed as the work is worth.
  */
 const WORK_PER_MS = 100;
 /** Keeps refusals within an eighth of common objectives. */
@@ -28,7 +28,7 @@
 /** Options of {@link ArrivalDecision}. */
 export type ArrivalDecisionOptions = {
   readonly view: Pick<PlannerView, "events" | "metrics">;
-  readonly forecast: Pick<ArrivalForecast, "forecast">;
+  readonly forecast: Pick<ArrivalForecast, "forecast" | "workOf">;
   readonly shares: Pick<
     ServedShares,
     "isPriorityOwed" | "isSizeOwed" | "noteGrant"
@@ -58,10 +58,11 @@
   decodes: number;
   /** How often decode replicas were lost. */
   losses: number;
-  /** The pass that forecast last. */
-  pool: PoolSnapshot;
-  /** When another pass may forecast. */
-  nextAt: Milliseconds;
+  /** The pass that forecast last, and when; absent before the first. */
+  pool?: PoolSnapshot;
+  forecastAt: Milliseconds;
+  /** Work for the service before that pass. */
+  workBefore: number;
 };
 
 /** Decides about the requests that wait at one planner. */
@@ -79,12 +80,14 @@
     offered: OfferedPool,
     now: Milliseconds,
   ): Milliseconds | undefined {
-    const state = this.#stateOf(queued.request.service, offered.pool);
+    const { service } = queued.request;
+    const state = this.#stateOf(service, offered.pool);
     const { losses } = state;
     if (queued.mayHaveRun || queued.admission?.losses === losses) {
       return undefined;
     }
-    if (!isDue(state, offered.pool, now)) return undefined;
+    const work = this.#options.forecast.workOf(service);
+    if (!isDue(state, { pool: offered.pool, work }, now)) return undefined;
     queued.forecast = this.#options.forecast.forecast(
       queued,
       offered.pool,
@@ -180,7 +183,8 @@
   #stateOf(service: string, pool: PoolSnapshot): ServiceState {
     const decodes = pool.decodes.length;
     const known = this.#states.get(service);
-    const state = known ?? { decodes, losses: 0, pool, nextAt: 0 };
+    const state: ServiceState = known ??
+      { decodes, losses: 0, forecastAt: 0, workBefore: 0 };
     if (!known) this.#states.set(service, state);
     if (decodes < state.decodes) state.losses += 1;
     state.decodes = decodes;
@@ -188,17 +192,19 @@
   }
 }
 
-/** Whether a pass may forecast: it is the current one, or the next is due. */
+/** Whether a pass may forecast: it does so already, or the next one is due. */
 function isDue(
   state: ServiceState,
-  pool: PoolSnapshot,
+  { pool, work }: { readonly pool: PoolSnapshot; readonly work: number },
   now: Milliseconds,
 ): boolean {
-  if (state.pool === pool && now < state.nextAt) return true;
-  if (now < state.nextAt) return false;
-  const work = pool.waiting.length * pool.decodes.length;
+  if (state.pool === pool) return true;
+  const paidMs = (work - state.workBefore) / WORK_PER_MS;
+  const delayMs = Math.min(MAX_DECISION_DELAY_MS, paidMs);
+  if (state.pool && now < state.forecastAt + delayMs) return false;
   state.pool = pool;
-  state.nextAt = now + Math.min(MAX_DECISION_DELAY_MS, work / WORK_PER_MS);
+  state.forecastAt = now;
+  state.workBefore = work;
   return true;
 }
 
--- a/src/gateway/planning/arrival_forecast.ts
+++ b/src/gateway/planning/arrival_forecast.ts
@@ -12,13 +12,24 @@
 import { type Place, PoolTimeline } from "./pool_timeline.ts";
 import type { ReplicaRates } from "./replica_rates.ts";
 import type { QueuedRequest } from "./request_queue.ts";
+import { QueueSimulation } from "./queue_simulation.ts";
 import type { RunLengths } from "./run_lengths.ts";
 
 /** Bounds the work of one pass; a request behind so many is not served soon. */
 const MAX_SIMULATED = 200;
+/**
+ * A simulation is kept until as much time has passed as its work is worth, so
+ * that small queues are simulated anew in each pass.
+ */
+const WORK_PER_MS = 10;
+/** Longest time for which a simulation is kept. */
+const MAX_AGE_MS = 50;
 
 const NEVER: ServiceForecast = { startsAt: Infinity, firstEventAt: Infinity };
 
+/** What a forecast depends on of a waiting request. */
+export type SimulatedQueued = Pick<QueuedRequest, "request" | "hasLeft">;
+
 /** Options of {@link ArrivalForecast}. */
 export type ArrivalForecastOptions = {
   readonly ledger: Ledger;
@@ -29,19 +40,20 @@
   readonly firstEventMs: Milliseconds;
 };
 
-/** The simulation of a pool during one pass. */
-type Simulation = {
-  readonly timeline: PoolTimeline;
-  /** Grants of the pass that the timeline contains. */
-  readonly grants: number;
-  /** Number of waiting requests that have been given a place. */
-  placed: number;
+/** The simulation of a service, kept between passes. */
+type KeptSimulation = {
+  readonly simulation: QueueSimulation;
+  readonly builtAt: Milliseconds;
+  /** Work of the simulations before it. */
+  readonly workBefore: number;
+  /** The latest pass; its replicas are those of the simulation. */
+  pool: PoolSnapshot;
 };
 
 /** Forecasts for the requests of one planner. */
 export class ArrivalForecast {
   readonly #options: ArrivalForecastOptions;
-  readonly #simulations = new WeakMap<PoolSnapshot, Simulation>();
+  readonly #simulations = new Map<string, KeptSimulation>();
 
   constructor(options: ArrivalForecastOptions) {
     this.#options = options;
@@ -49,12 +61,11 @@
 
   /** When a request is served behind those that wait ahead of it. */
   forecast(
-    queued: Pick<QueuedRequest, "request">,
+    queued: SimulatedQueued,
     pool: PoolSnapshot,
     now: Milliseconds,
   ): ServiceForecast {
-    if (pool.waiting.length > MAX_SIMULATED) return NEVER;
-    const place = this.#placeOf(queued, this.#timelineOf(pool, now));
+    const place = this.#placeOf(queued, pool, now);
     if (!place) return NEVER;
     const { startsAt, firstEventAt } = place;
     // Replicas with limits accept the requests ahead at a steady rate.
@@ -69,41 +80,82 @@
 
   /** The decode replica that has room first, behind those that wait ahead. */
   firstReplica(
-    queued: Pick<QueuedRequest, "request">,
+    queued: SimulatedQueued,
     pool: PoolSnapshot,
     now: Milliseconds,
   ): ReplicaEntry | undefined {
-    return this.#placeOf(queued, this.#timelineOf(pool, now))?.decode;
+    return this.#placeOf(queued, pool, now)?.decode;
+  }
+
+  /** Records that a request has been assigned. */
+  noteGrant(queued: SimulatedQueued, now: Milliseconds): void {
+    const known = this.#simulations.get(queued.request.service);
+    // One that is outdated is built anew before it is used again.
+    if (!known || isOutdated(known, now)) return;
+    known.simulation.noteGrant(queued);
+  }
+
+  /** Work done for a service; see {@link PoolTimeline.work}. */
+  workOf(service: string): number {
+    const known = this.#simulations.get(service);
+    return known ? known.workBefore + known.simulation.work : 0;
   }
 
   #placeOf(
-    { request }: Pick<QueuedRequest, "request">,
-    timeline: PoolTimeline,
+    queued: SimulatedQueued,
+    pool: PoolSnapshot,
+    now: Milliseconds,
   ): Place | undefined {
-    return timeline.placeFor(request);
+    if (pool.waiting.length > MAX_SIMULATED) return undefined;
+    return this.#simulationOf(queued.request.service, pool, now)
+      .placeOf(queued, pool.waiting, now);
   }
 
-  /** The timeline with all requests in it that wait ahead of the next. */
-  #timelineOf(pool: PoolSnapshot, now: Milliseconds): PoolTimeline {
-    const known = this.#simulations.get(pool);
-    const isCurrent = known?.grants === pool.grants;
-    const simulation = known && isCurrent ? known : {
-      timeline: new PoolTimeline({
-        ...this.#options,
-        rates: this.#options.rates(),
-        pool,
-        now,
-      }),
-      grants: pool.grants,
-      placed: 0,
-    };
-    this.#simulations.set(pool, simulation);
-    const { timeline } = simulation;
-    for (; simulation.placed < pool.waiting.length; simulation.placed++) {
-      const ahead = pool.waiting[simulation.placed];
-      const place = ahead && this.#placeOf(ahead, timeline);
-      if (place) timeline.take(place, ahead.request.promptTokens);
+  #simulationOf(
+    service: string,
+    pool: PoolSnapshot,
+    now: Milliseconds,
+  ): QueueSimulation {
+    const known = this.#simulations.get(service);
+    if (known?.pool === pool) return known.simulation;
+    if (
+      known && !isOutdated(known, now) && hasSameReplicas(known.pool, pool)
+    ) {
+      known.pool = pool;
+      return known.simulation;
     }
-    return timeline;
+    const { ledger } = this.#options;
+    const rates = this.#options.rates();
+    const timeline = new PoolTimeline({ ...this.#options, rates, pool, now });
+    const simulation = new QueueSimulation({ timeline, ledger });
+    const workBefore = this.workOf(service);
+    const kept = { simulation, builtAt: now, workBefore, pool };
+    this.#simulations.set(service, kept);
+    return simulation;
   }
 }
+
+/** Whether the runs have changed so much that they are simulated anew. */
+function isOutdated(
+  { simulation, builtAt }: KeptSimulation,
+  now: Milliseconds,
+): boolean {
+  const paidMs = simulation.work / WORK_PER_MS;
+  return now - builtAt >= Math.min(MAX_AGE_MS, paidMs);
+}
+
+function hasSameReplicas(one: PoolSnapshot, other: PoolSnapshot): boolean {
+  return one.memory === other.memory &&
+    areSame(one.healthyDecodes, other.healthyDecodes) &&
+    areSame(one.healthyPrefills, other.healthyPrefills);
+}
+
+function areSame(
+  one: readonly ReplicaEntry[],
+  other: readonly ReplicaEntry[],
+): boolean {
+  return one.length === other.length &&
+    one.every(({ incarnation }, index) =>
+      incarnation === other[index]?.incarnation
+    );
+}
--- a/src/gateway/planning/assignment.ts
+++ b/src/gateway/planning/assignment.ts
@@ -4,6 +4,7 @@
   PlanHandover,
   PlanProgress,
   PlanRefusal,
+  PlanRequest,
   RefusalBasis,
 } from "./messages.ts";
 
@@ -98,3 +99,34 @@
   const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
   return { reason, planner, basis, ...retry };
 }
+
+/** The message that requests an assignment for a host in `hall`. */
+export function planRequestOf(
+  request: PlacementRequest,
+  hall: string,
+  now: Milliseconds,
+): PlanRequest {
+  return {
+    type: "ask",
+    id: request.id,
+    service: request.service,
+    tokens: request.tokens,
+    promptTokens: request.promptTokens,
+    outputTokens: request.outputTokens,
+    customer: request.customer,
+    objectiveMs: request.objectiveMs,
+    hall,
+    priority: request.priority,
+    slackMs: request.dueAt - now,
+    patienceMs: request.abandonAt - now,
+    key: request.key,
+    longestRetryMs: request.longestRetryMs,
+    ...(request.deadlineAt === undefined
+      ? {}
+      : { deadlineMs: request.deadlineAt - now }),
+    begun: request.mayHaveRun,
+    whole: request.localPrefill,
+    excluded: [...request.excluded],
+    ...(request.repeatable ? { repeatable: true as const } : {}),
+  };
+}
--- a/src/gateway/planning/engine_choice.ts
+++ b/src/gateway/planning/engine_choice.ts
@@ -65,6 +65,13 @@
   readonly slackMs: Milliseconds;
 };
 
+/** What a request needs of the memory of a decode replica, in tokens. */
+type MemoryNeed = {
+  readonly tokens: number;
+  /** All memory of a replica. */
+  readonly memory: number;
+};
+
 /** Options of {@link EngineChoice}. */
 export type EngineChoiceOptions = {
   readonly view: PlannerView;
@@ -105,9 +112,10 @@
     if (!mayFit && cachedAt === undefined) return undefined;
     const rated = ratedRequest(candidates.host, request);
     const rates = this.#rates();
+    const need = this.#needOf(request);
     const decodes = ratedCandidates(rates, candidates.decodes, {
       request: rated,
-      hasRoom: (replica) => this.#hasRoom(request, replica, now),
+      hasRoom: (replica) => this.#hasRoom(replica, need, now),
     }, now);
     const cached = this.#cachedDecodeFor(request, decodes, cachedAt, now);
     if (cached) return { decode: cached };
@@ -135,6 +143,11 @@
       : undefined;
   }
 
+  /** Whether a decode replica probably has the prompt cached. */
+  isCached({ key }: PlanRequest, now: Milliseconds): boolean {
+    return this.#promptLocations.decodeOf(key, now) !== undefined;
+  }
+
   /**
    * The decode replica that has the prompt cached and has room for the request.
    */
@@ -169,33 +182,46 @@
     decodes: readonly ReplicaEntry[],
     now: Milliseconds,
   ): ReplicaEntry | undefined {
-    const memory = Math.max(1, this.#view.memoryOf(request.service));
+    const need = this.#needOf(request);
     const rates = this.#rates();
     const runMs = ({ incarnation }: ReplicaEntry) =>
       rates.runMs(incarnation, request.outputTokens);
     const usualMs = meanOf(decodes.map(runMs));
     return minBy(decodes, (replica) => {
       const { incarnation, hall } = replica;
-      if (!this.#hasRoom(request, replica, now)) return Infinity;
+      if (!this.#hasRoom(replica, need, now)) return Infinity;
       const reserved = this.#ledger.reservedTokensAt(incarnation);
       const penalty = hall === request.hall ? 0 : this.#view.remoteHallPenalty;
-      const load = reserved / memory *
+      const load = reserved / need.memory *
         significantRatio(runMs(replica), usualMs);
       return Math.max(LOW_UTILIZATION, load) + penalty +
         load * TIE_BREAK_WEIGHT;
     });
   }
 
+  /** Whether any of the replicas has room for a request. */
+  hasRoom(
+    request: PlanRequest,
+    decodes: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): boolean {
+    const need = this.#needOf(request);
+    return decodes.some((replica) => this.#hasRoom(replica, need, now));
+  }
+
+  #needOf({ service, tokens }: PlanRequest): MemoryNeed {
+    return { tokens, memory: Math.max(1, this.#view.memoryOf(service)) };
+  }
+
   /** An idle replica accepts any request, even one larger than its memory. */
   #hasRoom(
-    { service, tokens }: PlanRequest,
     { incarnation }: ReplicaEntry,
+    { tokens, memory }: MemoryNeed,
     now: Milliseconds,
   ): boolean {
-    if (this.#isFull(incarnation, now)) return false;
     const reserved = this.#ledger.reservedTokensAt(incarnation);
-    const memory = Math.max(1, this.#view.memoryOf(service));
-    return reserved === 0 || reserved + tokens <= memory;
+    const hasMemory = reserved === 0 || reserved + tokens <= memory;
+    return hasMemory && !this.#isFull(incarnation, now);
   }
 
   /**
--- a/src/gateway/planning/engine_decision.ts
+++ b/src/gateway/planning/engine_decision.ts
@@ -4,9 +4,10 @@
  */
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
-import type { EngineChoice } from "./engine_choice.ts";
+import type { EngineAssignment, EngineChoice } from "./engine_choice.ts";
 import type { Forecasts } from "./forecasts.ts";
 import { type Outcome, WAIT } from "./outcome.ts";
+import type { PlanRequest } from "./messages.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
 import type { RequestPacer } from "./request_pacer.ts";
 import type { QueuedRequest } from "./request_queue.ts";
@@ -21,6 +22,12 @@
   readonly view: Pick<PlannerView, "scheduling">;
 };
 
+/** The decode replicas that a request may use. */
+type Candidates = {
+  readonly pool: PoolSnapshot;
+  readonly decodes: readonly ReplicaEntry[];
+};
+
 /** Decides about requests of model services. */
 export class EngineDecision {
   readonly #choice: EngineChoice;
@@ -60,24 +67,20 @@
     pool: PoolSnapshot,
     now: Milliseconds,
   ): Outcome {
-    const { excluded } = queued.request;
-    const allowed = (entries: readonly ReplicaEntry[]) =>
-      excluded.length === 0
-        ? entries
-        : entries.filter((entry) => !excluded.includes(entry.incarnation));
-    const decodes = allowed(pool.decodes);
+    const { request } = queued;
+    const decodes = allowedDecodes(request, pool.decodes);
     if (decodes.length === 0) return { type: "refuse", reason: "no-replica" };
     // Memory that is released goes to more urgent requests that wait for it,
     // even if a less urgent request would fit already.
     const isLessUrgent = queued.priority > pool.mostUrgentWaiting;
     if (isLessUrgent && !queued.mayHaveRun && !queued.isPromoted) return WAIT;
-    const mayFit = excluded.length > 0 || pool.mayFit(queued.request.tokens);
-    const healthyDecodes = allowed(pool.healthyDecodes);
+    const healthyDecodes = allowedDecodes(request, pool.healthyDecodes);
     const usable = healthyDecodes.length > 0 ? healthyDecodes : decodes;
     const { arrivalDecisions } = this.#view.scheduling;
     const candidates = arrivalDecisions
       ? this.#setAside.allowed(pool, usable)
       : usable;
+    const mayFit = pool.mayFit(request.tokens, candidates);
     const limitedMs = this.#pacer.minWaitMs(usable, now);
     if (now + limitedMs > queued.abandonAt) {
       return {
@@ -87,21 +90,14 @@
         isLimited: true,
       };
     }
-    const chosen = this.#choice.assignmentFor(queued.request, {
-      host: queued.host,
-      decodes: candidates,
-      prefills: allowed(pool.availablePrefills),
-      mayPrefillLater: allowed(pool.availablePrefills).length <
-        allowed(pool.healthyPrefills).length,
-      mayFit,
-      slackMs: queued.dueAt - now,
-    }, now);
+    const mayBeAssigned = mayFit || this.#choice.isCached(request, now);
+    const chosen = mayBeAssigned
+      ? this.#choose(queued, { pool, decodes: candidates, mayFit }, now)
+      : undefined;
     if (!chosen) {
-      if (
-        arrivalDecisions && !this.#choice.decodeFor(queued.request, usable, now)
-      ) {
-        this.#setAside.noteWaiting(queued, pool, now);
-      }
+      const mayNoteWaiting = arrivalDecisions &&
+        !this.#hasRoom(queued, { pool, decodes: usable }, now);
+      if (mayNoteWaiting) this.#setAside.noteWaiting(queued, pool, now);
       return WAIT;
     }
     this.#setAside.noteGrant(pool, now);
@@ -110,6 +106,34 @@
     return { type: "assign", ...chosen };
   }
 
+  /** Selects the replicas of a request; undefined: it has to wait. */
+  #choose(
+    queued: QueuedRequest,
+    { pool, decodes, mayFit }: Candidates & { readonly mayFit: boolean },
+    now: Milliseconds,
+  ): EngineAssignment | undefined {
+    const { request, host } = queued;
+    const prefills = allowed(request, pool.availablePrefills);
+    return this.#choice.assignmentFor(request, {
+      host,
+      decodes,
+      prefills,
+      mayPrefillLater: prefills.length <
+        allowed(request, pool.healthyPrefills).length,
+      mayFit,
+      slackMs: queued.dueAt - now,
+    }, now);
+  }
+
+  #hasRoom(
+    { request }: QueuedRequest,
+    { pool, decodes }: Candidates,
+    now: Milliseconds,
+  ): boolean {
+    return pool.mayFit(request.tokens, decodes) &&
+      this.#choice.hasRoom(request, decodes, now);
+  }
+
   /** Refuses a request that can't start before its caller times out. */
   #refuseEarly(
     queued: QueuedRequest,
@@ -122,3 +146,20 @@
     return { type: "refuse", reason: "busy", retryAfterMs, isLimited };
   }
 }
+
+/** The replicas that a request doesn't exclude. */
+function allowed(
+  { excluded }: PlanRequest,
+  entries: readonly ReplicaEntry[],
+): readonly ReplicaEntry[] {
+  if (excluded.length === 0) return entries;
+  return entries.filter(({ incarnation }) => !excluded.includes(incarnation));
+}
+
+/** The decode replicas that may serve a request. */
+function allowedDecodes(
+  request: PlanRequest,
+  entries: readonly ReplicaEntry[],
+): readonly ReplicaEntry[] {
+  return allowed(request, entries);
+}
--- a/src/gateway/planning/forecasts.ts
+++ b/src/gateway/planning/forecasts.ts
@@ -60,7 +60,8 @@
 export class Forecasts {
   readonly #options: ForecastsOptions;
   readonly #admissions = new Map<string, Admission>();
-  readonly #lengths = new RunLengths();
+  /** Durations of the runs that have ended. */
+  readonly lengths = new RunLengths();
   readonly #shares = new ServedShares();
   readonly #returnShare = new ReturnShare();
   readonly #arrivals: ArrivalDecision;
@@ -73,7 +74,7 @@
     this.arrival = new ArrivalForecast({
       ledger,
       rates,
-      lengths: this.#lengths,
+      lengths: this.lengths,
       firstEventMs: FIRST_EVENT_MS,
     });
     this.#arrivals = new ArrivalDecision({
@@ -107,6 +108,7 @@
   noteGrant(queued: QueuedRequest, now: Milliseconds): void {
     if (!this.#isOn) return;
     this.#arrivals.noteGrant(queued, now);
+    this.arrival.noteGrant(queued, now);
   }
 
   /** Records an assignment of the service that has ended with its response. */
@@ -117,7 +119,7 @@
     const rates = this.#options.rates();
     const startedAt = expectedStart({ ledger, rates, now }, entry);
     const expectedMs = rates.runMs(entry.decode, entry.outputTokens);
-    this.#lengths.note(kindOf(entry), expectedMs, now - startedAt);
+    this.lengths.note(kindOf(entry), expectedMs, now - startedAt);
   }
 
   /**
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -16,9 +16,23 @@
 const PRIOR_SAMPLES = [{ x: 500, y: 75 }, { x: 6000, y: 290 }];
 /** Number of times that each prior sample is added. */
 const PRIOR_WEIGHT = 3;
+/** The weight of a fit without measured samples. */
+const MIN_FIT_WEIGHT = PRIOR_WEIGHT * PRIOR_SAMPLES.length;
 /** Weight of the previous samples in the fit of prefill times. */
 const FIT_DECAY = 0.95;
 
+/** Maximum weight of the prefill times of another planner. */
+const MAX_ADOPTED_WEIGHT = 12;
+
+/** Prefill times of a replica, as one planner tells them to the next. */
+export type PrefillTimes = {
+  /** Times of a short and of a long prompt, see {@link PRIOR_SAMPLES}. */
+  readonly shortMs: Milliseconds;
+  readonly longMs: Milliseconds;
+  /** Weight of the samples. */
+  readonly weight: number;
+};
+
 /** One granted assignment. */
 export type LedgerEntry = {
   readonly id: string;
@@ -47,9 +61,9 @@
   readonly tokensAhead: number;
   readonly grantedAt: Milliseconds;
   /** When its prefill ended, if it is known to have. */
-  prefilledAt?: Milliseconds;
+  prefilledAt?: Milliseconds | undefined;
   /** When its first event came, if it is known to have. */
-  startedAt?: Milliseconds;
+  startedAt?: Milliseconds | undefined;
   /** When the assignment expires if it is not released before. */
   expiresAt: Milliseconds;
   /** Number of the assignment, set when it is added. */
@@ -63,6 +77,8 @@
   readonly #pendingPromptTokens = new Map<string, number>();
   readonly #fits = new Map<string, LineFit>();
   #added = 0;
+  /** No assignment expires earlier. */
+  #nextExpiryAt: Milliseconds = Infinity;
   /** What the assignments of each customer reserve. */
   readonly customers = new CustomerUse();
 
@@ -112,7 +128,13 @@
   add(entry: LedgerEntry): void {
     this.remove(entry.id);
     this.#added += 1;
-    this.#entries.set(entry.id, { ...entry, sequence: this.#added });
+    this.#entries.set(entry.id, {
+      prefilledAt: undefined,
+      startedAt: undefined,
+      ...entry,
+      sequence: this.#added,
+    });
+    this.#nextExpiryAt = Math.min(this.#nextExpiryAt, entry.expiresAt);
     this.customers.add(entry);
     addTo(this.#reservedTokens, entry.decode, entry.tokens);
     if (entry.prefill === undefined) return;
@@ -147,13 +169,37 @@
     if (entry) entry.startedAt ??= now - runMs;
   }
 
+  /** The measured prefill times; undefined before a sample. */
+  prefillTimesOf(replica: string): PrefillTimes | undefined {
+    const fit = this.#fits.get(replica);
+    const line = fit && computeLine(fit);
+    if (!line || fit.weight <= MIN_FIT_WEIGHT) return undefined;
+    const [shortMs = 0, longMs = 0] = PRIOR_SAMPLES.map(({ x }) =>
+      Math.max(0, line.base + line.slope * x)
+    );
+    return { shortMs, longMs, weight: fit.weight };
+  }
+
+  /** Replaces the prefill times by those of another planner. */
+  adoptPrefillTimes(
+    replica: string,
+    { shortMs, longMs, weight }: PrefillTimes,
+  ): void {
+    const times = [shortMs, longMs];
+    const samples = PRIOR_SAMPLES.map(({ x }, index) => ({
+      x,
+      y: times[index] ?? 0,
+    }));
+    this.#fits.set(
+      replica,
+      fitOf(samples, Math.min(MAX_ADOPTED_WEIGHT, weight)),
+    );
+  }
+
   #fitOf(replica: string): LineFit {
     const known = this.#fits.get(replica);
     if (known) return known;
-    const fit = createLineFit();
-    for (let count = 0; count < PRIOR_WEIGHT; count++) {
-      for (const sample of PRIOR_SAMPLES) addSample(fit, sample, 1);
-    }
+    const fit = fitOf(PRIOR_SAMPLES, MIN_FIT_WEIGHT);
     this.#fits.set(replica, fit);
     return fit;
   }
@@ -178,16 +224,37 @@
         entry.expiresAt = Math.min(entry.expiresAt, expiresAt);
       }
     }
+    this.#nextExpiryAt = Math.min(this.#nextExpiryAt, expiresAt);
   }
 
   /** Removes the assignments that have expired. */
   expire(now: Milliseconds): void {
-    for (const entry of this.#entries.values()) {
-      if (now >= entry.expiresAt) this.remove(entry.id);
+    if (now < this.#nextExpiryAt) return;
+    this.#nextExpiryAt = Infinity;
+    for (const { id, expiresAt } of this.#entries.values()) {
+      if (now >= expiresAt) this.remove(id);
+      else this.#nextExpiryAt = Math.min(this.#nextExpiryAt, expiresAt);
     }
   }
 }
 
+/** A fit of samples that together have the weight. */
+function fitOf(
+  samples: readonly { readonly x: number; readonly y: number }[],
+  weight: number,
+): LineFit {
+  const fit = createLineFit();
+  for (const sample of samples) addSample(fit, sample, 1);
+  const factor = weight / fit.weight;
+  return {
+    weight,
+    x: fit.x * factor,
+    y: fit.y * factor,
+    xx: fit.xx * factor,
+    xy: fit.xy * factor,
+  };
+}
+
 function addTo(
   sums: Map<string, number>,
   replica: string,
--- a/src/gateway/planning/memory_set_aside.ts
+++ b/src/gateway/planning/memory_set_aside.ts
@@ -26,11 +26,19 @@
   readonly waiting: QueuedRequest[];
   /** The replicas that are set aside for some of them. */
   readonly setAside: Set<string>;
+  /** The replicas of an array that were not among the first set aside. */
+  allowed?: {
+    readonly of: readonly ReplicaEntry[];
+    readonly setAside: number;
+    readonly replicas: readonly ReplicaEntry[];
+  };
 };
 
 /** Replicas that are set aside during one pass over a service's queue. */
 export class MemorySetAside {
   readonly #states = new WeakMap<PoolSnapshot, PassState>();
+  /** The pool that was asked about last, since most passes have only one. */
+  #latest: { pool: PoolSnapshot; state: PassState } | undefined;
   readonly #firstReplica: FirstReplica;
 
   constructor(firstReplica: FirstReplica) {
@@ -42,9 +50,17 @@
     pool: PoolSnapshot,
     decodes: readonly ReplicaEntry[],
   ): readonly ReplicaEntry[] {
-    const taken = this.#stateOf(pool).setAside;
-    if (taken.size === 0) return decodes;
-    return decodes.filter(({ incarnation }) => !taken.has(incarnation));
+    const state = this.#stateOf(pool);
+    const { setAside, allowed } = state;
+    if (setAside.size === 0) return decodes;
+    const isCurrent = allowed?.of === decodes &&
+      allowed.setAside === setAside.size;
+    if (isCurrent) return allowed.replicas;
+    const replicas = decodes.filter(({ incarnation }) =>
+      !setAside.has(incarnation)
+    );
+    state.allowed = { of: decodes, setAside: setAside.size, replicas };
+    return replicas;
   }
 
   /** Records that a request has to wait for memory. */
@@ -78,10 +94,12 @@
   }
 
   #stateOf(pool: PoolSnapshot): PassState {
+    if (this.#latest?.pool === pool) return this.#latest.state;
     const known = this.#states.get(pool);
-    if (known) return known;
-    const state = { waiting: [], setAside: new Set<string>() };
-    this.#states.set(pool, state);
+    const state: PassState = known ??
+      { waiting: [], setAside: new Set<string>() };
+    if (!known) this.#states.set(pool, state);
+    this.#latest = { pool, state };
     return state;
   }
 }
--- a/src/gateway/planning/memory_timeline.ts
+++ b/src/gateway/planning/memory_timeline.ts
@@ -8,11 +8,10 @@
 /** Steps by which the memory of a growing run rises. */
 const GROWTH_STEPS = 4;
 
-/** What a decode replica holds from a time on, until the next level begins. */
-type Level = {
-  readonly at: Milliseconds;
+/** What a run needs: memory and how long. */
+export type MemoryNeed = {
   readonly tokens: number;
-  readonly runs: number;
+  readonly durationMs: Milliseconds;
 };
 
 /** What a decode replica can hold. */
@@ -23,25 +22,70 @@
   readonly slots: number;
 };
 
-/** Memory and slots of one decode replica that are in use over time. */
+/**
+ * Memory and slots of one decode replica that are in use over time. Levels and
+ * openings are kept in arrays of numbers, since a planner under load builds and
+ * searches thousands of timelines a second.
+ */
 export class MemoryTimeline {
   readonly #capacity: ReplicaCapacity;
-  /** In ascending order; nothing is held before the first. */
-  readonly #levels: Level[];
+  /**
+   * From when on each level is held, until the next begins. In ascending order;
+   * nothing is held before the first.
+   */
+  readonly #levelAt: Milliseconds[] = [];
+  /** The tokens and the runs of each level. */
+  readonly #tokens: number[] = [];
+  readonly #runs: number[] = [];
+  /**
+   * From these times on, `#openingTokens` are free for `#openingMs`, for the
+   * first time.
+   */
+  readonly #openingAt: Milliseconds[] = [];
+  readonly #openingTokens: number[] = [];
+  #openingMs: Milliseconds = 0;
+  /** Whether the openings are those of the levels. */
+  #hasOpenings = false;
 
   constructor(capacity: ReplicaCapacity, uses: readonly MemoryUse[]) {
     this.#capacity = capacity;
-    this.#levels = levelsOf(uses.flatMap(changesOf));
+    for (const use of uses) this.add(use);
   }
 
   /** Tokens held at a time. */
   tokensAt(at: Milliseconds): number {
-    return this.#levels[this.#indexAt(at)]?.tokens ?? 0;
+    return this.#tokens[this.#indexAt(at)] ?? 0;
   }
 
   /** Adds a run. */
   add(use: MemoryUse): void {
-    for (const change of changesOf(use)) this.#apply(change);
+    this.#apply(use, 1);
+  }
+
+  /** Removes a run that was added. */
+  remove(use: MemoryUse): void {
+    this.#apply(use, -1);
+  }
+
+  /**
+   * A time that is not later than the `earliestFit` of any run of as many tokens
+   * that takes at least as long. Much cheaper, as long as the duration stays the
+   * same and no run is added.
+   */
+  earliestOpening(
+    { tokens, durationMs }: MemoryNeed,
+    from: Milliseconds,
+  ): Milliseconds {
+    if (!this.#hasOpenings || this.#openingMs !== durationMs) {
+      this.#findOpenings(durationMs);
+    }
+    if (from < (this.#levelAt[0] ?? Infinity)) return from;
+    const openings = this.#openingTokens;
+    for (let index = 0; index < openings.length; index++) {
+      if ((openings[index] ?? 0) < tokens) continue;
+      return Math.max(from, this.#openingAt[index] ?? Infinity);
+    }
+    return Infinity;
   }
 
   /**
@@ -50,83 +94,126 @@
    * its memory.
    */
   earliestFit(
-    { tokens, durationMs }: {
-      readonly tokens: number;
-      readonly durationMs: Milliseconds;
-    },
+    { tokens, durationMs }: MemoryNeed,
     from: Milliseconds,
   ): Milliseconds {
-    const { memory, slots } = this.#capacity;
-    const free = memory - tokens;
+    const levelAt = this.#levelAt;
     let start = from;
     const first = Math.max(0, this.#indexAt(from));
-    for (let index = first; index < this.#levels.length; index++) {
-      const level = this.#levels[index];
-      if (!level || level.at >= start + durationMs) break;
-      const fits = level.runs === 0 ||
-        (level.tokens <= free && level.runs < slots);
-      if (!fits) start = this.#levels[index + 1]?.at ?? Infinity;
+    for (let index = first; index < levelAt.length; index++) {
+      if ((levelAt[index] ?? Infinity) >= start + durationMs) break;
+      const fits = tokens <= this.#freeIn(index);
+      if (!fits) start = levelAt[index + 1] ?? Infinity;
     }
     return start;
   }
 
+  /** Tokens of the largest request that a level leaves room for. */
+  #freeIn(index: number): number {
+    const { memory, slots } = this.#capacity;
+    const runs = this.#runs[index] ?? 0;
+    if (runs === 0) return Infinity;
+    return runs < slots ? memory - (this.#tokens[index] ?? 0) : -Infinity;
+  }
+
+  /** Finds the times from which more memory is free than from any before. */
+  #findOpenings(durationMs: Milliseconds): void {
+    const levelAt = this.#levelAt;
+    this.#openingAt.length = 0;
+    this.#openingTokens.length = 0;
+    this.#openingMs = durationMs;
+    this.#hasOpenings = true;
+    let largest = -Infinity;
+    for (let index = 0; index < levelAt.length; index++) {
+      if (largest === Infinity) return;
+      // No more is free for longer than at first.
+      if (this.#freeIn(index) <= largest) continue;
+      const at = levelAt[index] ?? Infinity;
+      const tokens = this.#freeFrom(index, at + durationMs, largest);
+      if (tokens <= largest) continue;
+      this.#openingAt.push(at);
+      this.#openingTokens.push(tokens);
+      largest = tokens;
+    }
+  }
+
+  /**
+   * Tokens that stay free from the begin of a level until a time; stops early
+   * at no more than `least`.
+   */
+  #freeFrom(first: number, until: Milliseconds, least: number): number {
+    const levelAt = this.#levelAt;
+    let free = this.#freeIn(first);
+    for (let index = first + 1; index < levelAt.length; index++) {
+      if (free <= least || (levelAt[index] ?? Infinity) >= until) break;
+      free = Math.min(free, this.#freeIn(index));
+    }
+    return free;
+  }
+
   /** Index of the level that holds at a time; -1 before the first. */
   #indexAt(at: Milliseconds): number {
+    const levelAt = this.#levelAt;
     let low = 0;
-    let high = this.#levels.length;
+    let high = levelAt.length;
     while (low < high) {
       const middle = (low + high) >> 1;
-      if ((this.#levels[middle]?.at ?? Infinity) <= at) low = middle + 1;
+      if ((levelAt[middle] ?? Infinity) <= at) low = middle + 1;
       else high = middle;
     }
     return low - 1;
   }
 
-  #apply({ at, tokens, runs }: Level): void {
-    let index = this.#indexAt(at);
-    const current = this.#levels[index];
-    if (current?.at !== at) {
-      index += 1;
-      const held = { tokens: current?.tokens ?? 0, runs: current?.runs ?? 0 };
-      this.#levels.splice(index, 0, { at, ...held });
+  /** Adds a run, or removes it with a sign of -1. */
+  #apply(use: MemoryUse, sign: 1 | -1): void {
+    const { from, until, tokensFrom, tokensUntil } = use;
+    this.#hasOpenings = false;
+    const first = this.#levelFrom(from);
+    const growth = tokensUntil - tokensFrom;
+    if (growth !== 0) {
+      for (let step = 0; step < GROWTH_STEPS; step++) {
+        this.#levelFrom(from + (until - from) * step / GROWTH_STEPS);
+      }
     }
-    for (; index < this.#levels.length; index++) {
-      const level = this.#levels[index];
-      if (!level) return;
-      this.#levels[index] = {
-        at: level.at,
-        tokens: level.tokens + tokens,
-        runs: level.runs + runs,
-      };
+    const end = this.#levelFrom(until);
+    for (let index = first; index < end; index++) {
+      const at = this.#levelAt[index] ?? from;
+      const tokens = growth === 0 ? tokensFrom : grownTokens(use, at);
+      this.#tokens[index] = (this.#tokens[index] ?? 0) + sign * tokens;
+      this.#runs[index] = (this.#runs[index] ?? 0) + sign;
     }
   }
+
+  /** Index of the level that begins at a time; begins one if there is none. */
+  #levelFrom(at: Milliseconds): number {
+    const before = this.#indexAt(at);
+    if (this.#levelAt[before] === at) return before;
+    const index = before + 1;
+    insert(this.#levelAt, index, at);
+    insert(this.#tokens, index, this.#tokens[before] ?? 0);
+    insert(this.#runs, index, this.#runs[before] ?? 0);
+    return index;
+  }
 }
 
-/** The changes of a replica's level by one run. */
-function changesOf(use: MemoryUse): Level[] {
-  const { from, until, tokensFrom, tokensUntil } = use;
-  const start = { at: from, tokens: tokensFrom, runs: 1 };
-  const end = { at: until, tokens: -tokensUntil, runs: -1 };
-  const growth = tokensUntil - tokensFrom;
-  if (growth === 0) return [start, end];
-  const steps = Array.from({ length: GROWTH_STEPS }, (_, index) => ({
-    at: from + (until - from) * index / GROWTH_STEPS,
-    tokens: growth / GROWTH_STEPS,
-    runs: 0,
-  }));
-  return [start, ...steps, end];
+/** Tokens of a growing run, which grows in steps. */
+function grownTokens(
+  { from, until, tokensFrom, tokensUntil }: MemoryUse,
+  at: Milliseconds,
+): number {
+  let tokens = tokensFrom;
+  for (let step = 0; step < GROWTH_STEPS; step++) {
+    if (at < from + (until - from) * step / GROWTH_STEPS) break;
+    tokens += (tokensUntil - tokensFrom) / GROWTH_STEPS;
+  }
+  return tokens;
 }
 
-function levelsOf(changes: Level[]): Level[] {
-  changes.sort((a, b) => a.at - b.at);
-  const levels: Level[] = [];
-  let tokens = 0;
-  let runs = 0;
-  for (const change of changes) {
-    tokens += change.tokens;
-    runs += change.runs;
-    if (levels.at(-1)?.at === change.at) levels.pop();
-    levels.push({ at: change.at, tokens, runs });
+/** Inserts a number without the array that `splice` allocates. */
+function insert(numbers: number[], index: number, value: number): void {
+  numbers.push(value);
+  for (let at = numbers.length - 1; at > index; at--) {
+    numbers[at] = numbers[at - 1] ?? value;
   }
-  return levels;
+  numbers[index] = value;
 }
--- a/src/gateway/planning/order.ts
+++ b/src/gateway/planning/order.ts
@@ -14,9 +14,21 @@
   /** Position within its customer's share; the smaller is served first. */
   readonly startTag: number;
   /** Until when an admitted request lets others go first once it is late. */
-  readonly admission?: { readonly startsBy: Milliseconds };
+  readonly admission?: { readonly startsBy: Milliseconds } | undefined;
   /** It goes before more urgent requests. */
-  readonly isPromoted?: boolean;
+  readonly isPromoted?: boolean | undefined;
+};
+
+/** The position of a request in the queue, kept from one pass to the next. */
+export type QueuePosition<Request extends SchedulingKey = SchedulingKey> = {
+  readonly request: Request;
+  /** Number of its arrival, which decides if all else is equal. */
+  readonly sequence: number;
+  /** Estimated time from a grant to the first event. */
+  serviceMs: Milliseconds;
+  rank: number;
+  /** Its rank among the requests of the same `rank`. */
+  group: number;
 };
 
 /**
@@ -38,22 +50,56 @@
   now: Milliseconds,
   serviceMs: (request: Request) => Milliseconds,
 ): Request[] {
-  const keyed = requests.map((request) => ({
-    request,
-    rank: rankOf(request),
-    isNew: !request.mayHaveRun && !request.isRetry && !request.admission,
-    isLate: !request.mayHaveRun &&
-      now + serviceMs(request) > request.dueAt &&
-      now < (request.admission?.startsBy ?? Infinity),
-  }));
-  keyed.sort((a, b) =>
-    a.rank - b.rank ||
-    Number(a.isNew) - Number(b.isNew) ||
-    Number(a.isLate) - Number(b.isLate) ||
+  const positions = requests.map((request, sequence) => {
+    const position = createPosition(request, sequence);
+    position.serviceMs = serviceMs(request);
+    return position;
+  });
+  sortPositions(positions, now);
+  return positions.map(({ request }) => request);
+}
+
+/** The position of a request that arrives, for {@link sortPositions}. */
+export function createPosition<Request extends SchedulingKey>(
+  request: Request,
+  sequence: number,
+): QueuePosition<Request> {
+  return { request, sequence, serviceMs: 0, rank: 0, group: 0 };
+}
+
+/** Sorts in place into scheduling order; cheap if almost nothing has changed. */
+export function sortPositions(
+  positions: QueuePosition[],
+  now: Milliseconds,
+): void {
+  for (const position of positions) {
+    const { request, serviceMs } = position;
+    const isNew = !request.mayHaveRun && !request.isRetry && !request.admission;
+    const isLate = !request.mayHaveRun &&
+      now + serviceMs > request.dueAt &&
+      now < (request.admission?.startsBy ?? Infinity);
+    position.rank = rankOf(request);
+    position.group = (isNew ? 2 : 0) + (isLate ? 1 : 0);
+  }
+  // From one pass to the next, the order seldom changes.
+  if (!isSorted(positions)) positions.sort(comparePositions);
+}
+
+function isSorted(positions: readonly QueuePosition[]): boolean {
+  let previous: QueuePosition | undefined;
+  for (const position of positions) {
+    if (previous && comparePositions(previous, position) > 0) return false;
+    previous = position;
+  }
+  return true;
+}
+
+function comparePositions(a: QueuePosition, b: QueuePosition): number {
+  return a.rank - b.rank ||
+    a.group - b.group ||
     a.request.startTag - b.request.startTag ||
-    a.request.dueAt - b.request.dueAt
-  );
-  return keyed.map(({ request }) => request);
+    a.request.dueAt - b.request.dueAt ||
+    a.sequence - b.sequence;
 }
 
 function rankOf({ mayHaveRun, isPromoted, priority }: SchedulingKey): number {
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -1,6 +1,5 @@
 /** This host's planner, for its own requests and those of linked hosts. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Milliseconds } from "../../util/units.ts";
 import { evictOldest } from "../../util/evict_oldest.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
@@ -17,18 +16,14 @@
   customerGauges,
   MAX_CUSTOMER_METRICS,
 } from "../customers/customer_metrics.ts";
+import { PassSchedule } from "./pass_schedule.ts";
 import { rateGauges } from "./rate_gauges.ts";
 import { Planner } from "./planner.ts";
 import type { StageMeter } from "../stages/demand.ts";
-import type { StageLoad } from "./view.ts";
+import type { PlannerView, StageLoad } from "./view.ts";
 
-/** Interval of passes over the queue when no message arrives. */
-const PASS_INTERVAL_MS = 20;
-/** Above this queue length, one pass handles several messages. */
-const LONG_QUEUE = 16;
 /** Bounds the gauge of reported failures. */
 const MAX_REPORTING_HOSTS = 50;
-const LONG_QUEUE_PASS_DELAY_MS = 3;
 
 /** Carries messages between the planner and the hosts. */
 export class PlanService {
@@ -37,7 +32,7 @@
   readonly #hosts = new Map<string, (message: PlannerMessage) => void>();
   /** Reports, by host, that a replica did not serve a request. */
   readonly #failuresByHost = new Map<string, number>();
-  #isPassScheduled = false;
+  readonly #passes: PassSchedule;
   /**
    * Replicas that were ordered to change stage, with their new stage: they get
    * no work until they are listed with it.
@@ -46,7 +41,12 @@
 
   constructor(context: GatewayContext) {
     this.#context = context;
-    this.#planner = new Planner({
+    this.#passes = new PassSchedule({
+      clock: context.clock,
+      pass: () => this.#pass(),
+      waiting: () => this.#planner.waiting,
+    });
+    const view: PlannerView = {
       replicasOf: (service) =>
         context.replicas.openReplicasOf(service).map((replica) => replica.entry)
           .filter((entry) => !this.#isChanging(entry)),
@@ -72,7 +72,8 @@
       events: context.events,
       metrics: context.metrics,
       weightOf: (customer) => context.routes.customers?.weightOf(customer) ?? 1,
-    });
+    };
+    this.#planner = new Planner(view);
   }
 
   #isChanging({ incarnation, stage }: ReplicaEntry): boolean {
@@ -141,8 +142,7 @@
       case "ping":
         return;
     }
-    const isLong = this.#planner.waiting > LONG_QUEUE;
-    this.#schedulePass(isLong ? LONG_QUEUE_PASS_DELAY_MS : 0);
+    this.#passes.noteMessage(message);
   }
 
   #noteFailure(host: string): void {
@@ -179,24 +179,12 @@
     if (message) this.handle(from, message);
   }
 
-  #schedulePass(delayMs: Milliseconds): void {
-    if (this.#isPassScheduled) return;
-    this.#isPassScheduled = true;
-    const run = () => {
-      this.#isPassScheduled = false;
-      this.#pass();
-    };
-    if (delayMs === 0) queueMicrotask(run);
-    else this.#context.clock.after(delayMs, run);
-  }
-
   #pass(): void {
     for (
       const { to, message } of this.#planner.pass(this.#context.clock.now())
     ) {
       this.#hosts.get(to)?.(message);
     }
-    if (this.#planner.waiting > 0) this.#schedulePass(PASS_INTERVAL_MS);
   }
 }
 
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -15,6 +15,7 @@
   type AssignmentRefusal,
   handoverOf,
   type PlacementRequest,
+  planRequestOf,
   type ProgressDetails,
   type RunSummary,
   toAssignmentRefusal,
@@ -267,29 +268,7 @@
   #sendRequest(planner: string, request: PlacementRequest): void {
     const { clock, self } = this.#context;
     const now = clock.now();
-    this.#send(planner, {
-      type: "ask",
-      id: request.id,
-      service: request.service,
-      tokens: request.tokens,
-      promptTokens: request.promptTokens,
-      outputTokens: request.outputTokens,
-      customer: request.customer,
-      objectiveMs: request.objectiveMs,
-      hall: self.hall,
-      priority: request.priority,
-      slackMs: request.dueAt - now,
-      patienceMs: request.abandonAt - now,
-      key: request.key,
-      longestRetryMs: request.longestRetryMs,
-      ...(request.deadlineAt === undefined
-        ? {}
-        : { deadlineMs: request.deadlineAt - now }),
-      begun: request.mayHaveRun,
-      whole: request.localPrefill,
-      excluded: [...request.excluded],
-      ...(request.repeatable ? { repeatable: true as const } : {}),
-    });
+    this.#send(planner, planRequestOf(request, self.hall, now));
   }
 
   #send(planner: string, message: HostMessage): void {
--- a/src/gateway/planning/pool_snapshot.ts
+++ b/src/gateway/planning/pool_snapshot.ts
@@ -62,7 +62,8 @@
    * limit.
    */
   readonly #forecastDecodes: readonly ReplicaEntry[];
-  #largestFree: number | undefined;
+  /** Largest free memory of a replica, by arrays of replicas. */
+  readonly #largestFree = new Map<readonly ReplicaEntry[], number>();
   #forecastReserved: number | undefined;
   #assignedPromptTokens: number | undefined;
 
@@ -143,15 +144,15 @@
   }
 
   /**
-   * Whether any healthy decode replica has room for the request, according to
-   * the ledger.
+   * Whether any of the decode replicas has room for a request, according to the
+   * ledger. Cheap if asked about the same array again.
    */
-  mayFit(tokens: number): boolean {
-    this.#largestFree ??= Math.max(
-      0,
-      ...this.healthyDecodes.map((replica) => this.#freeAt(replica)),
-    );
-    return tokens <= this.#largestFree;
+  mayFit(tokens: number, decodes: readonly ReplicaEntry[]): boolean {
+    const known = this.#largestFree.get(decodes);
+    const largest = known ??
+      Math.max(0, ...decodes.map((replica) => this.#freeAt(replica)));
+    if (known === undefined) this.#largestFree.set(decodes, largest);
+    return tokens <= largest;
   }
 
   /** An idle replica accepts any request, even one larger than its memory. */
@@ -164,7 +165,7 @@
   noteGrant(): void {
     this.grants += 1;
     this.#availablePrefills = undefined;
-    this.#largestFree = undefined;
+    this.#largestFree.clear();
     this.#forecastReserved = undefined;
     this.#assignedPromptTokens = undefined;
   }
--- a/src/gateway/planning/pool_timeline.ts
+++ b/src/gateway/planning/pool_timeline.ts
@@ -8,8 +8,7 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
 import type { MemoryUse, ServiceForecast } from "./memory_profile.ts";
-import { MemoryTimeline } from "./memory_timeline.ts";
-import { minBy } from "./order.ts";
+import { type MemoryNeed, MemoryTimeline } from "./memory_timeline.ts";
 import type { PoolSnapshot } from "./pool_snapshot.ts";
 import type { ReplicaRates } from "./replica_rates.ts";
 import type { RunKind, RunLengths } from "./run_lengths.ts";
@@ -39,6 +38,19 @@
   readonly use: MemoryUse;
 };
 
+/** A place that has been taken. */
+export type TakenPlace = {
+  readonly place: Place;
+  /** When its prefill replica was free before. */
+  readonly prefillFreeAt: Milliseconds;
+};
+
+/** When the decode replica at an index has room. */
+type Fit = {
+  readonly index: number;
+  readonly at: Milliseconds;
+};
+
 /** Options of {@link PoolTimeline}. */
 export type PoolTimelineOptions = {
   readonly pool: Pick<
@@ -56,17 +68,19 @@
 /** The replicas of one service over the next seconds. */
 export class PoolTimeline {
   readonly #options: PoolTimelineOptions;
-  readonly #timelines: ReadonlyMap<string, MemoryTimeline>;
+  /** The memory of each decode replica, in the order of the pool. */
+  readonly #memories: readonly MemoryTimeline[];
+  readonly #memoryOf = new Map<ReplicaEntry, MemoryTimeline>();
+  /** When each decode replica may have room for the request at hand. */
+  readonly #openings: Float64Array;
+  /** Not longer than any simulated run. */
+  #shortestMs: Milliseconds = Infinity;
+  #work = 0;
   /**
-   * When a replica had room for a request of some size. As places are given
-   * out, it has room for one at least as large not before.
+   * When each prefill replica, in the order of the pool, has processed what it
+   * was given.
    */
-  readonly #earliest = new Map<
-    string,
-    { readonly tokens: number; readonly at: Milliseconds }
-  >();
-  /** When each prefill replica has processed what it was given. */
-  readonly #prefillFreeAt = new Map<string, Milliseconds>();
+  readonly #prefillFreeAt: Float64Array;
 
   constructor(options: PoolTimelineOptions) {
     this.#options = options;
@@ -76,98 +90,168 @@
       uses.set(incarnation, []);
     }
     for (const entry of ledger.entries()) {
-      uses.get(entry.decode)?.push(this.#useOf(entry));
+      uses.get(entry.decode)?.push(this.#useOf(entry, now));
     }
-    this.#timelines = new Map(
-      pool.healthyDecodes.map(({ incarnation, slots }) => {
-        const held = uses.get(incarnation) ?? [];
-        const capacity = { memory: pool.memory, slots };
-        return [incarnation, new MemoryTimeline(capacity, held)];
-      }),
+    this.#memories = pool.healthyDecodes.map((decode) => {
+      const held = uses.get(decode.incarnation) ?? [];
+      const capacity = { memory: pool.memory, slots: decode.slots };
+      const memory = new MemoryTimeline(capacity, held);
+      this.#memoryOf.set(decode, memory);
+      return memory;
+    });
+    this.#openings = new Float64Array(this.#memories.length);
+    this.#prefillFreeAt = Float64Array.from(
+      pool.healthyPrefills,
+      ({ incarnation }) => now + ledger.backlogMs(incarnation),
     );
-    for (const { incarnation } of pool.healthyPrefills) {
-      this.#prefillFreeAt.set(
-        incarnation,
-        now + ledger.backlogMs(incarnation),
-      );
-    }
   }
 
-  /** The place in which a request is served first; undefined without any. */
-  placeFor(request: SimulatedRequest): Place | undefined {
-    const { pool, now, firstEventMs } = this.#options;
-    const { excluded, promptTokens } = request;
-    const prefill = minBy(
-      pool.healthyPrefills.filter((replica) =>
-        !excluded.includes(replica.incarnation)
-      ),
-      ({ incarnation }) => this.#prefillFreeAt.get(incarnation) ?? now,
-    );
-    const prefillFreeAt = prefill
-      ? this.#prefillFreeAt.get(prefill.incarnation) ?? now
-      : now;
+  /**
+   * Work done so far: runs added and removed, and searches of a replica for room.
+   */
+  get work(): number {
+    return this.#work;
+  }
+
+  /**
+   * The place in which a request is served first, from `now` on; undefined
+   * without any.
+   */
+  placeFor(request: SimulatedRequest, now: Milliseconds): Place | undefined {
+    const { pool, firstEventMs } = this.#options;
+    const { tokens, promptTokens } = request;
+    const prefillIndex = this.#firstPrefill(request);
+    const prefillFreeAt = this.#prefillFreeAt[prefillIndex] ?? now;
     const from = Math.max(now, prefillFreeAt - PREFILL_BACKLOG_MS);
-    const prefillMs = pool.prefillMs(promptTokens);
     const best = this.#firstFit(request, from);
-    if (!best) return undefined;
-    const prefilledAt = Math.max(best.at, prefillFreeAt) + prefillMs;
+    const decode = best && pool.healthyDecodes[best.index];
+    if (!decode) return undefined;
     const startsAt = best.at;
-    const { tokens } = request;
+    const prefilledAt = Math.max(startsAt, prefillFreeAt) +
+      pool.prefillMs(promptTokens);
     return {
       startsAt,
       firstEventAt: prefilledAt + firstEventMs,
-      decode: best.decode,
-      prefill,
+      decode,
+      prefill: pool.healthyPrefills[prefillIndex],
       use: {
         from: startsAt,
-        until: prefilledAt + this.#decodeMs(best.decode, request),
+        until: prefilledAt + this.#decodeMs(decode, request),
         tokensFrom: tokens,
         tokensUntil: tokens,
       },
     };
   }
 
+  /** The place of an assigned run; undefined if its replica is unknown. */
+  placeOfRun(entry: LedgerEntry, now: Milliseconds): Place | undefined {
+    const { pool, ledger, rates } = this.#options;
+    const decode = pool.healthyDecodes.find(({ incarnation }) =>
+      incarnation === entry.decode
+    );
+    if (!decode) return undefined;
+    const use = this.#useOf(entry, now);
+    const firstEventAt = expectedStart({ ledger, rates, now }, entry);
+    return { startsAt: now, firstEventAt, decode, prefill: undefined, use };
+  }
+
   /** Takes a place, so that no later request is given it. */
-  take({ decode, prefill, use }: Place, promptTokens: number): void {
-    this.#timelines.get(decode.incarnation)?.add(use);
+  take(place: Place, promptTokens: number): TakenPlace {
+    const { decode, prefill, use } = place;
+    this.#work += 1;
+    this.#memoryOf.get(decode)?.add(use);
+    if (!prefill) return { place, prefillFreeAt: 0 };
+    const { ledger, now, pool } = this.#options;
+    const index = pool.healthyPrefills.indexOf(prefill);
+    const prefillFreeAt = this.#prefillFreeAt[index] ?? now;
+    const { slope } = ledger.prefillLineOf(prefill.incarnation);
+    this.#prefillFreeAt[index] = Math.max(prefillFreeAt, use.from) +
+      slope * promptTokens;
+    return { place, prefillFreeAt };
+  }
+
+  /** Gives back the place that was taken last of those not given back. */
+  release({ place, prefillFreeAt }: TakenPlace): void {
+    const { decode, prefill, use } = place;
+    this.#work += 1;
+    this.#memoryOf.get(decode)?.remove(use);
     if (!prefill) return;
-    const { ledger, now } = this.#options;
-    const { incarnation } = prefill;
-    const freeAt = this.#prefillFreeAt.get(incarnation) ?? now;
-    const workMs = ledger.prefillLineOf(incarnation).slope * promptTokens;
-    this.#prefillFreeAt.set(
-      incarnation,
-      Math.max(freeAt, use.from) + workMs,
-    );
+    const index = this.#options.pool.healthyPrefills.indexOf(prefill);
+    this.#prefillFreeAt[index] = prefillFreeAt;
   }
 
-  /** The replica that has room first, and when. */
+  /** Index of the prefill replica that is free first; -1 without any. */
+  #firstPrefill({ excluded }: SimulatedRequest): number {
+    const { healthyPrefills } = this.#options.pool;
+    let first = -1;
+    let earliest = Infinity;
+    for (let index = 0; index < healthyPrefills.length; index++) {
+      const at = this.#prefillFreeAt[index] ?? Infinity;
+      if (at >= earliest) continue;
+      if (excluded.includes(healthyPrefills[index]?.incarnation ?? "")) {
+        continue;
+      }
+      earliest = at;
+      first = index;
+    }
+    return first;
+  }
+
+  /**
+   * The replica that has room first, and when; the first of several. Replicas
+   * that can't have room before the best one so far aren't searched.
+   */
   #firstFit(
     request: SimulatedRequest,
     from: Milliseconds,
-  ): { decode: ReplicaEntry; at: Milliseconds } | undefined {
-    const { tokens, promptTokens, excluded } = request;
+  ): Fit | undefined {
+    const need = this.#needOf(request);
+    const openings = this.#findOpenings(request, need, from);
+    const first = indexOfMin(openings);
+    if (first === undefined) return undefined;
+    let best: Fit = { index: first, at: this.#fitAt(first, need, from) };
+    for (let index = 0; index < openings.length; index++) {
+      const at = openings[index] ?? Infinity;
+      if (index === first || !isBefore(index, at, best)) continue;
+      const fitsAt = this.#fitAt(index, need, from);
+      if (isBefore(index, fitsAt, best)) best = { index, at: fitsAt };
+    }
+    return best.at < Infinity ? best : undefined;
+  }
+
+  #needOf(request: SimulatedRequest): MemoryNeed {
     const { pool } = this.#options;
     const [first] = pool.healthyDecodes;
-    if (!first) return undefined;
-    const durationMs = pool.prefillMs(promptTokens) +
-      this.#decodeMs(first, request);
-    let best: { decode: ReplicaEntry; at: Milliseconds } | undefined;
-    for (const decode of pool.healthyDecodes) {
-      const { incarnation } = decode;
-      if (excluded.length > 0 && excluded.includes(incarnation)) continue;
-      const earliest = this.#earliest.get(incarnation);
-      const bestAt = best?.at ?? Infinity;
-      if (earliest && earliest.tokens <= tokens && earliest.at >= bestAt) {
-        continue;
-      }
-      const at = this.#timelines.get(incarnation)
-        ?.earliestFit({ tokens, durationMs }, from) ?? Infinity;
-      this.#earliest.set(incarnation, { tokens, at });
-      if (at < bestAt) best = { decode, at };
-      if (at <= from) break;
+    const decodeMs = first ? this.#decodeMs(first, request) : 0;
+    const durationMs = pool.prefillMs(request.promptTokens) + decodeMs;
+    // Halved, since the openings of all replicas depend on it.
+    if (durationMs < this.#shortestMs) this.#shortestMs = durationMs / 2;
+    return { tokens: request.tokens, durationMs };
+  }
+
+  /** When each replica may have room for a request; Infinity: it may not run. */
+  #findOpenings(
+    { excluded }: SimulatedRequest,
+    { tokens }: MemoryNeed,
+    from: Milliseconds,
+  ): Float64Array {
+    const need = { tokens, durationMs: this.#shortestMs };
+    const isRestricted = excluded.length > 0;
+    const decodes = this.#options.pool.healthyDecodes;
+    for (let index = 0; index < decodes.length; index++) {
+      const decode = decodes[index];
+      const mayRun = !isRestricted || decode &&
+          !excluded.includes(decode.incarnation);
+      this.#openings[index] = mayRun
+        ? this.#memories[index]?.earliestOpening(need, from) ?? Infinity
+        : Infinity;
     }
-    return best;
+    return this.#openings;
+  }
+
+  #fitAt(index: number, need: MemoryNeed, from: Milliseconds): Milliseconds {
+    this.#work += 1;
+    return this.#memories[index]?.earliestFit(need, from) ?? Infinity;
   }
 
   /** Expected time from the end of a prefill to the end of a run. */
@@ -185,9 +269,10 @@
   }
 
   /** The memory that an assigned run holds until its expected end. */
-  #useOf(entry: LedgerEntry): MemoryUse {
-    const { now, lengths, rates } = this.#options;
-    const startsAt = expectedStart(this.#options, entry);
+  #useOf(entry: LedgerEntry, now: Milliseconds): MemoryUse {
+    const { ledger, lengths, rates } = this.#options;
+    this.#work += 1;
+    const startsAt = expectedStart({ ledger, rates, now }, entry);
     const remainingMs = lengths.remainingMs(kindOf(entry), {
       nominalMs: rates.runMs(entry.decode, entry.outputTokens),
       elapsedMs: now - startsAt,
@@ -202,6 +287,24 @@
   }
 }
 
+/** Whether a replica has room earlier, or as early with a smaller index. */
+function isBefore(index: number, at: Milliseconds, other: Fit): boolean {
+  return at < other.at || (at === other.at && index < other.index);
+}
+
+/** The index of the first smallest time; undefined if all are infinite. */
+function indexOfMin(times: Float64Array): number | undefined {
+  let first: number | undefined;
+  let earliest = Infinity;
+  for (let index = 0; index < times.length; index++) {
+    const at = times[index] ?? Infinity;
+    if (at >= earliest) continue;
+    earliest = at;
+    first = index;
+  }
+  return first;
+}
+
 /** The kind of an assigned run. */
 export function kindOf({ service = "", priority }: LedgerEntry): RunKind {
   return { service, priority };
--- a/src/gateway/planning/request_queue.ts
+++ b/src/gateway/planning/request_queue.ts
@@ -3,7 +3,7 @@
 import type { Claim } from "./bookings.ts";
 import type { ServiceForecast } from "./memory_profile.ts";
 import type { PlanRequest } from "./messages.ts";
-import { schedulingOrder } from "./order.ts";
+import { createPosition, type QueuePosition, sortPositions } from "./order.ts";
 
 /** A request that waits. */
 export type QueuedRequest = {
@@ -30,20 +30,22 @@
   /** When its wait is forecast next. */
   nextForecastAt: Milliseconds;
   /** The forecast by which it was last decided about. */
-  forecast?: ServiceForecast;
+  forecast?: ServiceForecast | undefined;
   /** Absent until it has been admitted. */
-  admission?: QueueAdmission;
+  admission?: QueueAdmission | undefined;
   /** Since when later requests are assigned while it waits for memory. */
-  passedOverAt?: Milliseconds;
+  passedOverAt?: Milliseconds | undefined;
   /** The replica that is set aside for it. */
-  setAside?: string;
+  setAside?: string | undefined;
   /** Whether it counts as served towards the shares of its groups. */
-  isCounted?: boolean;
+  isCounted?: boolean | undefined;
   /**
    * It goes before more urgent requests: its priority is owed service, or it was
    * admitted and its caller is about to time out.
    */
-  isPromoted?: boolean;
+  isPromoted?: boolean | undefined;
+  /** It no longer waits: it was answered, or its host is gone. */
+  hasLeft?: boolean | undefined;
 };
 
 /** The decision to serve a request that can't be assigned at once. */
@@ -61,6 +63,10 @@
 /** Waiting requests by id. */
 export class RequestQueue {
   readonly #requests = new Map<string, QueuedRequest>();
+  /** In the scheduling order of the last pass; new ones are at the end. */
+  #positions: QueuePosition<QueuedRequest>[] = [];
+  /** Number of requests that have arrived. */
+  #arrived = 0;
 
   /** Number of waiting requests. */
   get size(): number {
@@ -69,23 +75,38 @@
 
   /** Adds a request received at `now`. */
   add(
-    queued: Pick<
+    { host, request, isRetry, claim }: Pick<
       QueuedRequest,
       "host" | "request" | "isRetry" | "claim"
     >,
     now: Milliseconds,
   ): void {
-    const { request } = queued;
-    this.#requests.set(request.id, {
-      ...queued,
+    const replaced = this.#requests.get(request.id);
+    if (replaced) replaced.hasLeft = true;
+    // All fields from the begin: objects with different fields are slow to read.
+    const added: QueuedRequest = {
+      host,
+      request,
       mayHaveRun: request.begun,
       priority: request.priority,
       dueAt: now + request.slackMs,
       abandonAt: now + request.patienceMs,
-      startTag: 0,
       deadlineAt: now + (request.deadlineMs ?? Infinity),
+      isRetry,
+      claim,
+      startTag: 0,
       nextForecastAt: now,
-    });
+      forecast: undefined,
+      admission: undefined,
+      passedOverAt: undefined,
+      setAside: undefined,
+      isCounted: false,
+      isPromoted: false,
+      hasLeft: false,
+    };
+    this.#requests.set(request.id, added);
+    this.#arrived += 1;
+    this.#positions.push(createPosition(added, this.#arrived));
   }
 
   /** All requests, in order of arrival. */
@@ -93,14 +114,17 @@
     return this.#requests.values();
   }
 
+  /** Removes a request that waits no longer. */
   remove(id: string): void {
+    const queued = this.#requests.get(id);
+    if (queued) queued.hasLeft = true;
     this.#requests.delete(id);
   }
 
   /** Drops the requests of a host whose link was lost. */
   removeHost(host: string): void {
     for (const [id, queued] of this.#requests) {
-      if (queued.host === host) this.#requests.delete(id);
+      if (queued.host === host) this.remove(id);
     }
   }
 
@@ -114,14 +138,17 @@
     },
     now: Milliseconds,
   ): QueuedRequest[] {
-    const all = [...this.#requests.values()];
-    for (const queued of all) {
+    this.#positions = this.#positions.filter(({ request }) => !request.hasLeft);
+    for (const position of this.#positions) {
+      const queued = position.request;
       const { admission, request } = queued;
+      position.serviceMs = serviceMs(request);
       queued.isPromoted = admission
         ? admission.isPromoted ||
-          now + serviceMs(request) + request.objectiveMs > queued.abandonAt
+          now + position.serviceMs + request.objectiveMs > queued.abandonAt
         : isOwed(request);
     }
-    return schedulingOrder(all, now, ({ request }) => serviceMs(request));
+    sortPositions(this.#positions, now);
+    return this.#positions.map(({ request }) => request);
   }
 }
--- a/test/gateway/planning/memory_timeline_test.ts
+++ b/test/gateway/planning/memory_timeline_test.ts
@@ -60,3 +60,48 @@
   const large = { tokens: MEMORY + 1, durationMs: 10 };
   assert.equal(timeline.earliestFit(large, 0), 50);
 });
+
+const use = fc.record({
+  from: fc.integer({ min: 0, max: 20 }),
+  durationMs: fc.integer({ min: 0, max: 24 }),
+  tokensFrom: fc.integer({ min: 1, max: 60 }),
+  growth: fc.constantFrom(0, 0, 8, 40),
+}).map(({ from, durationMs, tokensFrom, growth }) => ({
+  from,
+  until: from + durationMs,
+  tokensFrom,
+  tokensUntil: tokensFrom + growth,
+}));
+
+test("runs that were removed leave nothing behind", () => {
+  const uses = fc.array(use, { maxLength: 8 });
+  fc.assert(fc.property(uses, uses, run, (kept, removed, query) => {
+    const capacity = { memory: MEMORY, slots: SLOTS };
+    const timeline = new MemoryTimeline(capacity, removed);
+    for (const one of kept) timeline.add(one);
+    for (const one of removed) timeline.remove(one);
+    const anew = new MemoryTimeline(capacity, kept);
+    for (let at = 0; at < 50; at++) {
+      assert.equal(timeline.tokensAt(at), anew.tokensAt(at));
+    }
+    const { from } = query;
+    assert.equal(
+      timeline.earliestFit(query, from),
+      anew.earliestFit(query, from),
+    );
+  }));
+});
+
+test("an opening is not later than any fit of as many tokens for as long", () => {
+  const uses = fc.array(use, { maxLength: 10 });
+  const longerMs = fc.nat({ max: 10 });
+  fc.assert(fc.property(uses, run, longerMs, (held, query, moreMs) => {
+    const capacity = { memory: MEMORY, slots: SLOTS };
+    const timeline = new MemoryTimeline(capacity, held);
+    const { from, durationMs } = query;
+    const longer = { ...query, durationMs: durationMs + moreMs };
+    const opening = timeline.earliestOpening(query, from);
+    assert.ok(opening >= from);
+    assert.ok(opening <= timeline.earliestFit(longer, from));
+  }));
+});
