Decode memory is filled by what replicas report to use

Outputs that are longer than callers expect hold memory for longer, so a pool that stays full preempts requests, while one that is full for a moment does not; no margin serves both.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -26,6 +26,8 @@
   readonly measuredSplit: boolean;
   /** Decide at its arrival whether a request can be served. */
   readonly arrivalDecisions: boolean;
+  /** Fill decode memory by what replicas report to use of reservations. */
+  readonly measuredMemory: boolean;
   /** Reserve a later place for a request that is refused. */
   readonly bookedReturns: boolean;
   /** Share an overloaded service fairly among its customers. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -157,6 +157,7 @@
       replicaRates: scheduling.replica_rates,
       measuredSplit: scheduling.measured_split,
       arrivalDecisions: scheduling.arrival_decisions,
+      measuredMemory: scheduling.measured_memory,
       bookedReturns: scheduling.booked_returns,
       customerShares: scheduling.customer_shares,
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -147,6 +147,9 @@
     });
     this.#peerServer = this.#createPeerServer();
     this.#startStageLoop(port);
+    this.#planService.startMemoryReports((service) =>
+      this.#plannerClient.plannerOf(service)
+    );
   }
 
   #createPeerServer(): Server {
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -1,6 +1,7 @@
 /** Records what a planner has assigned to each replica. */
 import type { Milliseconds } from "../../util/units.ts";
 import { CustomerUse } from "./customer_use.ts";
+import type { Reservations } from "./memory_reports.ts";
 import {
   addSample,
   computeLine,
@@ -119,6 +120,18 @@
     return { running, reserved };
   }
 
+  /** What is reserved at each decode replica for requests of a service. */
+  reservationsOf(service: string): Reservations[] {
+    const decodes = new Set<string>();
+    for (const { service: name, decode } of this.#entries.values()) {
+      if (name === service) decodes.add(decode);
+    }
+    return [...decodes].map((incarnation) => ({
+      incarnation,
+      tokens: this.reservedTokensAt(incarnation),
+    }));
+  }
+
   /** All assignments. */
   entries(): Iterable<LedgerEntry> {
     return this.#entries.values();
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -16,6 +16,8 @@
   customerGauges,
   MAX_CUSTOMER_METRICS,
 } from "../customers/customer_metrics.ts";
+import { runMemoryReports } from "./memory_reports.ts";
+import { MemoryPressure } from "./memory_pressure.ts";
 import { PassSchedule } from "./pass_schedule.ts";
 import { rateGauges } from "./rate_gauges.ts";
 import { Planner } from "./planner.ts";
@@ -32,6 +34,7 @@
   readonly #hosts = new Map<string, (message: PlannerMessage) => void>();
   /** Reports, by host, that a replica did not serve a request. */
   readonly #failuresByHost = new Map<string, number>();
+  readonly #memoryPressure = new MemoryPressure();
   readonly #passes: PassSchedule;
   /**
    * Replicas that were ordered to change stage, with their new stage: they get
@@ -50,9 +53,7 @@
       replicasOf: (service) =>
         context.replicas.openReplicasOf(service).map((replica) => replica.entry)
           .filter((entry) => !this.#isChanging(entry)),
-      memoryOf: (service) =>
-        (context.routes.service(service)?.engine?.cacheTokens ?? 0) *
-        context.tuning.memoryShare,
+      memoryOf: (service) => this.#memoryOf(service),
       isPaused: (incarnation) =>
         context.replicas.get(incarnation)?.isPaused(context.clock.now()) ??
           false,
@@ -76,6 +77,40 @@
     this.#planner = new Planner(view);
   }
 
+  /** Memory that reservations may fill at a decode replica, in tokens. */
+  #memoryOf(service: string): number {
+    const { tuning } = this.#context;
+    const memory = this.#capacityOf(service) * tuning.memoryShare;
+    return tuning.scheduling.measuredMemory
+      ? memory * this.#memoryPressure.factor(service)
+      : memory;
+  }
+
+  /** Memory of a decode replica, in tokens; 0 for a plain service. */
+  #capacityOf(service: string): number {
+    return this.#context.routes.service(service)?.engine?.cacheTokens ?? 0;
+  }
+
+  /** Requests reports of the memory of the services that this host plans. */
+  startMemoryReports(plannerOf: (service: string) => string): void {
+    const context = this.#context;
+    const isPlanned = (service: string) =>
+      plannerOf(service) === context.self.id;
+    void runMemoryReports({
+      context,
+      isEnabled: () => context.tuning.scheduling.measuredMemory,
+      services: () =>
+        (context.routes.config?.services ?? [])
+          .filter(({ name, engine }) => engine && isPlanned(name))
+          .map(({ name }) => name),
+      capacityOf: (service) => this.#capacityOf(service),
+      reservationsOf: (service) =>
+        this.#planner.assigned.reservationsOf(service),
+      onReports: (service, usedShares) =>
+        this.#memoryPressure.note(service, usedShares),
+    });
+  }
+
   #isChanging({ incarnation, stage }: ReplicaEntry): boolean {
     const desired = this.changing.get(incarnation);
     return desired !== undefined && stage !== desired;
@@ -97,12 +132,13 @@
       ...rateGauges(this.#planner.measuredRates, now),
       ...customerGauges(customers),
       reportedFailuresGauge(this.#failuresByHost),
+      this.#memoryPressure.gauge(),
     ];
   }
 
   /** Memory assigned by this planner, in tokens. */
   get memoryByUse(): { readonly running: number; readonly reserved: number } {
-    return this.#planner.memoryByUse;
+    return this.#planner.assigned.memoryByUse();
   }
 
   /** Utilization of the two stages of a service. */
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -12,7 +12,7 @@
 import type { EngineAssignment } from "./engine_choice.ts";
 import { firstEventMs } from "./forecasts.ts";
 import type { MeasuredRates } from "./measured_rates.ts";
-import type { LedgerEntry } from "./ledger.ts";
+import type { Ledger, LedgerEntry } from "./ledger.ts";
 import { createPlannerParts, type PlannerParts } from "./planner_parts.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
 import { isLightlyUsed } from "./pool_use.ts";
@@ -59,9 +59,9 @@
     return this.#queue.size;
   }
 
-  /** Memory assigned by this planner, in tokens. */
-  get memoryByUse(): { readonly running: number; readonly reserved: number } {
-    return this.#parts.ledger.memoryByUse();
+  /** What this planner has assigned. */
+  get assigned(): Pick<Ledger, "memoryByUse" | "reservationsOf"> {
+    return this.#parts.ledger;
   }
 
   /** Utilization of the two stages of a service, from 0 to 1. */
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -87,6 +87,11 @@
   readonly orderCount: number;
   /** An order is in progress. */
   readonly isChanging: boolean;
+  /**
+   * Tokens of memory in use that can't be evicted, as of some hundred
+   * milliseconds ago; absent if it doesn't report them.
+   */
+  readonly usedTokens?: number;
 };
 
 /** An order to change stage, issued under a lease. */
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -13,6 +13,7 @@
 import type { Service } from "../routing/model.ts";
 import { withTimeout } from "../state/with_timeout.ts";
 import { callEngine } from "../upstreams/engine_call.ts";
+import { requestReport } from "../upstreams/engine_report.ts";
 import type { StageLoad } from "../planning/view.ts";
 import {
   ChangeDebounce,
@@ -249,16 +250,9 @@
   { service, change, lease, suspensionCount }: PlannedOrder,
 ): Promise<OrderAttempt> {
   const { context } = options;
-  const { dialect, clock } = context;
-  const entry = change.replica;
-  const replica = context.replicas.get(entry.incarnation);
-  if (!replica || context.gate.obstacle(replica)) return FAILED_ATTEMPT;
-  if (context.paths.monitor.isLost(entry.incarnation)) return FAILED_ATTEMPT;
-  const answer = await callEngine(context, entry, {
-    call: dialect.report,
-    timeoutMs: CALL_TIMEOUT_MS,
-  });
-  const report = answer && dialect.readReport(answer.body);
+  const { clock } = context;
+  const { incarnation } = change.replica;
+  const report = await requestReport(context, incarnation, CALL_TIMEOUT_MS);
   if (!report || report.isChanging) return FAILED_ATTEMPT;
   if (report.stage === change.stage) return FAILED_ATTEMPT;
   if (clock.now() >= lease.until) return FAILED_ATTEMPT;
@@ -272,7 +266,7 @@
   });
   context.events.note("stageOrdered", {
     service: service.name,
-    replica: entry.incarnation,
+    replica: incarnation,
     stage: change.stage,
     fence: lease.fence,
     outcome: outcome ?? "unknown",
--- /dev/null
+++ b/src/gateway/upstreams/engine_report.ts
@@ -0,0 +1,23 @@
+/** Requests the status of a model engine's replica. */
+import type { Milliseconds } from "../../util/units.ts";
+import type { GatewayContext } from "../context.ts";
+import type { EngineReport } from "../port.ts";
+import { callEngine } from "./engine_call.ts";
+
+/**
+ * Requests the report of a replica. Undefined if this host may not call it or
+ * has no path to it, or if no valid report arrives within `timeoutMs`.
+ */
+export async function requestReport(
+  context: GatewayContext,
+  incarnation: string,
+  timeoutMs: Milliseconds,
+): Promise<EngineReport | undefined> {
+  const { dialect, gate, paths, replicas } = context;
+  const replica = replicas.get(incarnation);
+  if (!replica || gate.obstacle(replica)) return undefined;
+  if (paths.monitor.isLost(incarnation)) return undefined;
+  const call = dialect.report;
+  const answer = await callEngine(context, replica.entry, { call, timeoutMs });
+  return answer && dialect.readReport(answer.body);
+}
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -73,6 +73,8 @@
   measured_split: z.boolean().default(false),
   /** Decide at its arrival whether a request can be served. */
   arrival_decisions: z.boolean().default(false),
+  /** Fill decode memory by what replicas report to use of reservations. */
+  measured_memory: z.boolean().default(false),
   /** Reserve a later place for a request that is refused. */
   booked_returns: z.boolean().default(false),
   /** Share an overloaded service fairly among its customers. */
--- a/test/gateway/no_scheduling.ts
+++ b/test/gateway/no_scheduling.ts
@@ -6,6 +6,7 @@
   replicaRates: false,
   measuredSplit: false,
   arrivalDecisions: false,
+  measuredMemory: false,
   bookedReturns: false,
   customerShares: false,
 };
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -144,6 +144,11 @@
   const valid = { Stage: "decode", Utilization: false, Sequence: 2 };
   const report = { stage: "decode", orderCount: 2, isChanging: false };
   assert.deepEqual(dialect.readReport(JSON.stringify(valid)), report);
+  const withMemory = JSON.stringify({ ...valid, KvCacheUsed: 5000 });
+  assert.deepEqual(dialect.readReport(withMemory), {
+    ...report,
+    usedTokens: 5000,
+  });
   const invalid = [
     { ...valid, Stage: "both" },
     { ...valid, Sequence: "2" },
