--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -22,6 +22,8 @@
 export type Scheduling = {
   /** Prefer fast replicas, and eject replicas that are slow or fail. */
   readonly replicaRates: boolean;
+  /** Pass on what a planner has measured of replicas to the next one. */
+  readonly rateHandover: boolean;
   /** Adapt the share of prefill replicas to the demand and their rates. */
   readonly measuredSplit: boolean;
   /** Decide at its arrival whether a request can be served. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -155,6 +155,7 @@
     unreadTimeoutMs: settings.memory.unread_timeout ?? Infinity,
     scheduling: {
       replicaRates: scheduling.replica_rates,
+      rateHandover: scheduling.rate_handover,
       measuredSplit: scheduling.measured_split,
       arrivalDecisions: scheduling.arrival_decisions,
       measuredMemory: scheduling.measured_memory,
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -178,6 +178,11 @@
     "Another host became the planner of a service",
     20,
   ),
+  ratesHandedOver: info(
+    "planning",
+    "This host adopted what another planner has measured of a service",
+    STATE_CHANGES_PER_SECOND,
+  ),
   replicaEjected: warn(
     "planning",
     "A replica does far worse than its pool and gets no more work for a while",
--- a/src/gateway/planning/demand_meter.ts
+++ b/src/gateway/planning/demand_meter.ts
@@ -48,7 +48,8 @@
 /** Demand on the services of a planner, and capacities of their replicas. */
 export class DemandMeter {
   readonly #services = new Map<string, ServiceSums>();
-  readonly #prefillRates = new PrefillRates();
+  /** Measured prefill rates of the replicas. */
+  readonly prefillRates = new PrefillRates();
   /** Speeds of the replicas; a reload of the settings replaces them. */
   readonly #rates: () => ReplicaRates;
 
@@ -85,7 +86,7 @@
     const { prefill: incarnation, promptTokens: tokens } = entry;
     // Queueing behind other prefills would distort the rate.
     if (incarnation === undefined || entry.tokensAhead > 0) return;
-    this.#prefillRates.note({ incarnation, tokens, spentMs }, now);
+    this.prefillRates.note({ incarnation, tokens, spentMs }, now);
   }
 
   #noteEnd(entry: LedgerEntry, now: Milliseconds): void {
@@ -124,7 +125,7 @@
   ): ReplicaCapacity[] | undefined {
     const measured = new Map<string, number>();
     for (const { incarnation } of replicas) {
-      const rate = this.#prefillRates.rateOf(incarnation, now);
+      const rate = this.prefillRates.rateOf(incarnation, now);
       if (rate !== undefined) measured.set(incarnation, rate);
     }
     if (measured.size === 0) return undefined;
--- a/src/gateway/planning/ejection.ts
+++ b/src/gateway/planning/ejection.ts
@@ -76,6 +76,15 @@
   readonly figures: EventFields;
 };
 
+/** An ejection as one planner tells it to the next. */
+export type EjectionSummary = {
+  readonly reason: EjectionReason;
+  /** Doublings of the pause. */
+  readonly level: number;
+  /** Time until the next trial may begin. */
+  readonly trialInMs: Milliseconds;
+};
+
 /** The ejected replicas of one planner, by incarnation. */
 export class Ejection {
   readonly #records = new Map<string, EjectionRecord>();
@@ -138,6 +147,38 @@
     return true;
   }
 
+  /** The ejection of a replica, if it is ejected. */
+  summaryOf(
+    incarnation: string,
+    now: Milliseconds,
+  ): EjectionSummary | undefined {
+    const record = this.#records.get(incarnation);
+    if (!record || record.endedAt !== undefined) return undefined;
+    const { reason, level, trialAt } = record;
+    // A trial is overdue only if this planner gets no requests any more.
+    if (now - trialAt > MAX_PAUSE_MS) return undefined;
+    return { reason, level, trialInMs: Math.max(0, trialAt - now) };
+  }
+
+  /** Adopts an ejection, unless one has ended here recently. */
+  adopt(
+    replica: ReplicaEntry,
+    pool: readonly ReplicaEntry[],
+    { reason, level, trialInMs }: EjectionSummary,
+    now: Milliseconds,
+  ): boolean {
+    const { incarnation } = replica;
+    const { endedAt = -Infinity } = this.#records.get(incarnation) ?? {};
+    if (now - endedAt < REPEATED_WITHIN_MS) return false;
+    const cause = { reason, figures: { handed_over: true } };
+    if (!this.eject(replica, pool, cause, now)) return false;
+    const record = this.#records.get(incarnation);
+    if (!record) return false;
+    record.level = level;
+    record.trialAt = now + Math.min(MAX_PAUSE_MS, trialInMs);
+    return true;
+  }
+
   /** What a replica may be given of a request; one that has begun is no trial. */
   standing(
     incarnation: string,
--- a/src/gateway/planning/measured_rates.ts
+++ b/src/gateway/planning/measured_rates.ts
@@ -5,14 +5,15 @@
  */
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
-import { Ejection, EjectionReason, Standing } from "./ejection.ts";
+import { type Ejection, EjectionReason, Standing } from "./ejection.ts";
 import { silenceCause, slownessCause } from "./ejection_rules.ts";
-import { KnownReplicas } from "./known_replicas.ts";
+import type { KnownReplicas } from "./known_replicas.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
 import { AssignmentStage, type PlanProgress } from "./messages.ts";
-import { RecentOutcomes } from "./recent_outcomes.ts";
+import { RateState } from "./rate_state.ts";
+import type { RecentOutcomes } from "./recent_outcomes.ts";
 import type { RatedRequest, ReplicaRates } from "./replica_rates.ts";
-import { ServiceRates } from "./service_rates.ts";
+import type { ServiceRates } from "./service_rates.ts";
 import type { SpeedSample } from "./speed_model.ts";
 import type { PlannerView } from "./view.ts";
 
@@ -36,23 +37,27 @@
 export class MeasuredRates implements ReplicaRates {
   readonly #view: MeasuredRatesOptions["view"];
   readonly #ledger: MeasuredRatesOptions["ledger"];
-  readonly #services = new Map<string, ServiceRates>();
-  readonly #replicas = new KnownReplicas();
-  readonly #outcomes = new RecentOutcomes();
+  readonly #replicas: KnownReplicas;
+  readonly #outcomes: RecentOutcomes;
   readonly #ejection: Ejection;
+  /** What the reports have shown so far. */
+  readonly state: RateState;
   /** The latest time of which a caller told. */
   #now: Milliseconds = 0;
 
   constructor({ view, ledger }: MeasuredRatesOptions) {
     this.#view = view;
     this.#ledger = ledger;
-    this.#ejection = new Ejection(view);
+    this.state = new RateState(view);
+    this.#replicas = this.state.replicas;
+    this.#outcomes = this.state.outcomes;
+    this.#ejection = this.state.ejection;
   }
 
   /** The replicas of the services that were compared lately. */
   replicasAt(now: Milliseconds): readonly ReplicaEntry[] {
     return this.#replicas.entries().filter(({ service }) =>
-      now - (this.#services.get(service)?.comparedAt ?? 0) < MAX_REPORT_AGE_MS
+      now - (this.state.find(service)?.comparedAt ?? 0) < MAX_REPORT_AGE_MS
     );
   }
 
@@ -298,17 +303,13 @@
 
   #ratesOf(incarnation: string): ServiceRates | undefined {
     const replica = this.#replicas.get(incarnation);
-    return replica && this.#services.get(replica.service);
+    return replica && this.state.find(replica.service);
   }
 
   #serviceOf(
     { service = "" }: { readonly service: string | undefined },
   ): ServiceRates {
-    const known = this.#services.get(service);
-    if (known) return known;
-    const rates = new ServiceRates();
-    this.#services.set(service, rates);
-    return rates;
+    return this.state.of(service);
   }
 
   #advance(now: Milliseconds): void {
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -141,6 +141,17 @@
   basis: RefusalBasisSchema,
 });
 
+const RatesMessageSchema = z.object({
+  type: z.literal("rates"),
+  service: z.string(),
+  /** Time since the planner made the summary. */
+  ageMs: z.number(),
+  /** See `rate_summary.ts`; only the planner that adopts it parses it. */
+  summary: z.unknown(),
+});
+/** What a planner has measured of the replicas of a service. */
+export type RatesMessage = z.output<typeof RatesMessageSchema>;
+
 const PingSchema = z.object({ type: z.literal("ping") });
 
 /** From a host to its planner. */
@@ -148,6 +159,7 @@
   PlanRequestSchema,
   PlanHandoverSchema,
   PlanProgressSchema,
+  RatesMessageSchema,
   PingSchema,
 ]);
 /** From a host to its planner. */
@@ -159,14 +171,21 @@
 /** Reports the progress of an assigned request. */
 export type PlanProgress = z.output<typeof PlanProgressSchema>;
 
-/** From a planner to a host. */
+/** An answer of a planner to a host, or a ping. */
 export const PlannerMessageSchema = z.discriminatedUnion("type", [
   PlanGrantSchema,
   PlanRefusalSchema,
   PingSchema,
 ]);
-/** From a planner to a host. */
+/** An answer of a planner to a host, or a ping. */
 export type PlannerMessage = z.output<typeof PlannerMessageSchema>;
+/** From a planner to a host. */
+export const PlannerLineSchema = z.discriminatedUnion("type", [
+  ...PlannerMessageSchema.options,
+  RatesMessageSchema,
+]);
+/** From a planner to a host. */
+export type PlannerLine = z.output<typeof PlannerLineSchema>;
 /** Grants an assignment. */
 export type PlanGrant = z.output<typeof PlanGrantSchema>;
 /** Refuses an assignment. */
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -10,7 +10,8 @@
   AssignmentStage,
   type HostMessage,
   HostMessageSchema,
-  type PlannerMessage,
+  type PlannerLine,
+  type RatesMessage,
 } from "./messages.ts";
 import {
   customerGauges,
@@ -21,6 +22,9 @@
 import { PassSchedule } from "./pass_schedule.ts";
 import { rateGauges } from "./rate_gauges.ts";
 import { Planner } from "./planner.ts";
+import { createPlannerParts } from "./planner_parts.ts";
+import type { RateHandover } from "./rate_handover.ts";
+import { SummaryKeepers } from "./summary_keepers.ts";
 import type { StageMeter } from "../stages/demand.ts";
 import type { PlannerView, StageLoad } from "./view.ts";
 
@@ -31,7 +35,9 @@
 export class PlanService {
   readonly #context: GatewayContext;
   readonly #planner: Planner;
-  readonly #hosts = new Map<string, (message: PlannerMessage) => void>();
+  readonly #rateHandover: RateHandover;
+  readonly #keepers = new SummaryKeepers();
+  readonly #hosts = new Map<string, (message: PlannerLine) => void>();
   /** Reports, by host, that a replica did not serve a request. */
   readonly #failuresByHost = new Map<string, number>();
   readonly #memoryPressure = new MemoryPressure();
@@ -74,7 +80,9 @@
       metrics: context.metrics,
       weightOf: (customer) => context.routes.customers?.weightOf(customer) ?? 1,
     };
-    this.#planner = new Planner(view);
+    const parts = createPlannerParts(view);
+    this.#planner = new Planner(view, parts);
+    this.#rateHandover = parts.rateHandover;
   }
 
   /** Memory that reservations may fill at a decode replica, in tokens. */
@@ -157,7 +165,7 @@
   }
 
   /** Registers the function that sends the planner's messages to a host. */
-  attach(host: string, send: (message: PlannerMessage) => void): void {
+  attach(host: string, send: (message: PlannerLine) => void): void {
     this.#hosts.set(host, send);
   }
 
@@ -167,6 +175,7 @@
     switch (message.type) {
       case "ask":
         this.#planner.enqueue(from, message, now);
+        if (from !== this.#context.self.id) this.#sendSummary(from, message);
         break;
       case "keep":
         this.#planner.restore(from, message, now);
@@ -175,12 +184,39 @@
         if (message.stage === AssignmentStage.failed) this.#noteFailure(from);
         this.#planner.report(message, now);
         break;
+      case "rates":
+        return this.#rateHandover.receive({ ...message, from }, now);
       case "ping":
         return;
     }
     this.#passes.noteMessage(message);
   }
 
+  /** This planner's estimates of a service; undefined if it has none. */
+  summaryOf(service: string): RatesMessage | undefined {
+    const now = this.#context.clock.now();
+    const summary = this.#rateHandover.summaryOf(service, now);
+    return summary && { type: "rates", service, ageMs: 0, summary };
+  }
+
+  /** Sends a summary to the hosts that are due to get one. */
+  #sendSummary(
+    host: string,
+    { service, hall }: { readonly service: string; readonly hall: string },
+  ): void {
+    if (!this.#rateHandover.isEnabled) return;
+    const now = this.#context.clock.now();
+    this.#keepers.noteRequest(service, { host, hall }, now);
+    const keepers = this.#keepers.due(service, now);
+    if (keepers.length === 0) return;
+    const message = this.summaryOf(service);
+    const bytes = message ? JSON.stringify(message).length : 0;
+    this.#keepers.noteSent(service, bytes * keepers.length, now);
+    if (!message) return;
+    this.#context.metrics.count("rate_summary_bytes", bytes * keepers.length);
+    for (const keeper of keepers) this.#hosts.get(keeper)?.(message);
+  }
+
   #noteFailure(host: string): void {
     const before = this.#failuresByHost.get(host) ?? 0;
     this.#failuresByHost.delete(host);
@@ -194,7 +230,7 @@
     response.writeHead(200, { "Content-Type": "application/x-ndjson" });
     response.flushHeaders();
     const { clock } = this.#context;
-    const reply = (message: PlannerMessage) => link.send(message);
+    const reply = (message: PlannerLine) => link.send(message);
     const link: Link = acceptLink(incoming, response, {
       clock,
       events: {
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -44,9 +44,9 @@
   readonly #parts: PlannerParts;
   readonly #queue = new RequestQueue();
 
-  constructor(view: PlannerView) {
+  constructor(view: PlannerView, parts = createPlannerParts(view)) {
     this.#view = view;
-    this.#parts = createPlannerParts(view);
+    this.#parts = parts;
   }
 
   /** Speeds and ejections of the replicas, if they are measured. */
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -20,12 +20,14 @@
   type RunSummary,
   toAssignmentRefusal,
 } from "./assignment.ts";
+import { KeptSummaries } from "./kept_summaries.ts";
 import { LastRatios } from "./last_ratios.ts";
 import {
   AssignmentStage,
   type HostMessage,
-  type PlannerMessage,
-  PlannerMessageSchema,
+  type PlannerLine,
+  PlannerLineSchema,
+  type RatesMessage,
 } from "./messages.ts";
 import type { PlanService } from "./plan_service.ts";
 
@@ -56,6 +58,7 @@
   /** The planner used last, by service. */
   readonly #planners = new Map<string, string>();
   readonly #orders: HostOrders;
+  readonly #summaries = new KeptSummaries();
   /** What planners granted of the requests of customers. */
   readonly ratios = new LastRatios();
 
@@ -166,6 +169,7 @@
     this.#planners.set(service, planner);
     if (before !== undefined && before !== planner) {
       this.#context.events.note("plannerChanged", { service, planner, before });
+      this.#handOverRates(service, { planner, before });
       this.#handOverAll(service, planner);
     }
     return planner;
@@ -205,6 +209,19 @@
     this.#links.set(host.id, { link, isReady: false });
   }
 
+  /** Sends the estimates of the earlier planner to the new one. */
+  #handOverRates(
+    service: string,
+    { planner, before }: { readonly planner: string; readonly before: string },
+  ): void {
+    const { clock, self } = this.#context;
+    const own = before === self.id
+      ? this.#localPlanner.summaryOf(service)
+      : undefined;
+    const message = own ?? this.#summaries.get(service, clock.now());
+    if (message) this.#send(planner, message);
+  }
+
   /** Moves the assignments of a service to the ledger of its new planner. */
   #handOverAll(service: string, planner: string): void {
     for (const [id, assignment] of this.#active) {
@@ -278,12 +295,18 @@
   }
 
   #receiveLine(from: string, text: string): void {
-    const message = readJson(PlannerMessageSchema, text);
+    const message = readJson(PlannerLineSchema, text);
     if (message) this.#receive(from, message);
   }
 
-  #receive(from: string, message: PlannerMessage): void {
+  #keepSummary(from: string, message: RatesMessage): void {
+    if (this.#planners.get(message.service) !== from) return;
+    this.#summaries.keep(message, this.#context.clock.now());
+  }
+
+  #receive(from: string, message: PlannerLine): void {
     if (message.type === "ping") return;
+    if (message.type === "rates") return this.#keepSummary(from, message);
     const { id } = message;
     const pending = this.#pending.get(id);
     if (!pending || pending.planner !== from) return;
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -15,6 +15,7 @@
 import { PlainHold } from "./plain_hold.ts";
 import { Progress } from "./progress.ts";
 import { PromptLocations } from "./prompt_locations.ts";
+import { RateHandover } from "./rate_handover.ts";
 import { EQUAL_RATES, type ReplicaRates } from "./replica_rates.ts";
 import { RequestPacer } from "./request_pacer.ts";
 import type { PlannerView } from "./view.ts";
@@ -37,6 +38,7 @@
   readonly measuredRates: MeasuredRates;
   readonly shares: CustomerShares;
   readonly plainHold: PlainHold;
+  readonly rateHandover: RateHandover;
   /** Speeds of the replicas; a reload of the settings replaces them. */
   rates(): ReplicaRates;
 };
@@ -54,12 +56,7 @@
   const measuredRates = new MeasuredRates({ view, ledger });
   const rates = () =>
     view.scheduling.replicaRates ? measuredRates : EQUAL_RATES;
-  const bookings = new BookedReturns({
-    isEnabled: () => view.scheduling.bookedReturns,
-    kindOf: (service) => view.memoryOf(service) === 0 ? "plain" : "pool",
-    metrics: view.metrics,
-    events: view.events,
-  });
+  const bookings = createBookings(view);
   const forecasts = new Forecasts({ view, ledger, rates, bookings });
   const shared = {
     view,
@@ -72,6 +69,7 @@
   };
   const shares = new FairShares({ view, ledger });
   const choice = new EngineChoice(shared);
+  const demand = new DemandMeter(rates);
   return {
     ledger,
     losses,
@@ -91,7 +89,23 @@
     measuredRates,
     shares,
     plainHold: new PlainHold({ view, ledger, shares }),
-    demand: new DemandMeter(rates),
+    demand,
+    rateHandover: new RateHandover({
+      view,
+      ledger,
+      state: measuredRates.state,
+      prefillRates: demand.prefillRates,
+      lengths: forecasts.lengths,
+    }),
     rates,
   };
 }
+
+function createBookings(view: PlannerView): Bookings {
+  return new BookedReturns({
+    isEnabled: () => view.scheduling.bookedReturns,
+    kindOf: (service) => view.memoryOf(service) === 0 ? "plain" : "pool",
+    metrics: view.metrics,
+    events: view.events,
+  });
+}
--- a/src/gateway/planning/prefill_rates.ts
+++ b/src/gateway/planning/prefill_rates.ts
@@ -20,6 +20,9 @@
   lastAt: Milliseconds;
 };
 
+/** Prefill time for which the rate of another planner counts. */
+const ADOPTED_SPENT_MS = 500;
+
 /** Measured rates by incarnation. */
 export class PrefillRates {
   readonly #replicas = new Map<string, ReplicaSums>();
@@ -52,6 +55,15 @@
     return spentMs > 0 && tokens > 0 ? tokens * 1000 / spentMs : undefined;
   }
 
+  /** Replaces a rate by that of another planner. */
+  adopt(incarnation: string, tokensPerS: number, now: Milliseconds): void {
+    const sums = this.#create(incarnation, now);
+    sums.prefills = MIN_PREFILLS;
+    const tokens = tokensPerS * ADOPTED_SPENT_MS / 1000;
+    sums.tokens.add(tokens, now, RATE_DECAY_MS);
+    sums.spentMs.add(ADOPTED_SPENT_MS, now, RATE_DECAY_MS);
+  }
+
   /** Also drops the rates of replicas that are gone or no longer prefill. */
   #create(incarnation: string, now: Milliseconds): ReplicaSums {
     for (const [known, { lastAt }] of this.#replicas) {
--- a/src/gateway/planning/recent_outcomes.ts
+++ b/src/gateway/planning/recent_outcomes.ts
@@ -96,6 +96,11 @@
     return { failures: failed.length, requests: outcomes.length };
   }
 
+  /** Whether a recent request has succeeded there. */
+  hasServed(incarnation: string, now: Milliseconds): boolean {
+    return this.#recent(incarnation, now).some(({ isGood }) => isGood);
+  }
+
   /** Whether a request failed there within the time that it is avoided. */
   hasFailed(incarnation: string, now: Milliseconds): boolean {
     const failedAt = this.#failedAt.get(incarnation);
--- a/src/gateway/planning/run_lengths.ts
+++ b/src/gateway/planning/run_lengths.ts
@@ -27,6 +27,8 @@
 const INITIAL_RUN_MS = 3000;
 /** Runs after which a kind is no longer compared with the whole service. */
 const MIN_RUNS = 10;
+/** Quantiles in a summary. */
+const SUMMARY_QUANTILES = 10;
 /** The typical ratio follows about as many runs. */
 const SCALE_RUNS = 50;
 
@@ -45,6 +47,17 @@
   readonly rank: number;
 };
 
+/** Durations of the runs of one kind, as one planner tells them to the next. */
+export type RunLengthSummary = {
+  /** Absent: the runs of all priorities. */
+  readonly priority?: number;
+  readonly runs: number;
+  /** Logarithm of the typical ratio of actual to nominal time. */
+  readonly logScale: number;
+  /** Quantiles of the ratios of actual to typical time, evenly spaced. */
+  readonly ratios: readonly number[];
+};
+
 /** Durations of the runs of one kind. */
 type Lengths = {
   runs: number;
@@ -73,15 +86,51 @@
     actualMs: Milliseconds,
   ): void {
     const ratio = Math.max(1, actualMs) / Math.max(1, nominalMs);
-    const known = this.#services.get(service);
-    const lengths = known ?? { all: priorLengths(), byPriority: new Map() };
-    if (!known) this.#services.set(service, lengths);
+    const lengths = this.#serviceOf(service);
     const ofPriority = lengths.byPriority.get(priority) ?? priorLengths();
     lengths.byPriority.set(priority, ofPriority);
     addRun(lengths.all, ratio);
     addRun(ofPriority, ratio);
   }
 
+  /** The durations of a service, of kinds with enough runs. */
+  summarize(service: string): RunLengthSummary[] {
+    const known = this.#services.get(service);
+    if (!known) return [];
+    const kinds: [number | undefined, Lengths][] = [
+      [undefined, known.all],
+      ...known.byPriority,
+    ];
+    return kinds.filter(([, { runs }]) => runs >= MIN_RUNS)
+      .map(([priority, lengths]) => ({
+        ...(priority === undefined ? {} : { priority }),
+        runs: lengths.runs,
+        logScale: lengths.logScale,
+        ratios: quantilesOf(lengths),
+      }));
+  }
+
+  /** Adopts durations of another planner, as far as there are fewer runs. */
+  adopt(service: string, summaries: readonly RunLengthSummary[]): void {
+    for (const summary of summaries) {
+      const { all, byPriority } = this.#serviceOf(service);
+      const { priority } = summary;
+      const lengths = priority === undefined
+        ? all
+        : byPriority.get(priority) ?? priorLengths();
+      if (priority !== undefined) byPriority.set(priority, lengths);
+      adoptRuns(lengths, summary);
+    }
+  }
+
+  #serviceOf(service: string): ServiceLengths {
+    const known = this.#services.get(service);
+    if (known) return known;
+    const lengths = { all: priorLengths(), byPriority: new Map() };
+    this.#services.set(service, lengths);
+    return lengths;
+  }
+
   /** How much longer a run is going to take. */
   remainingMs(
     { service, priority }: RunKind,
@@ -103,11 +152,36 @@
   lengths.runs += 1;
   const share = 1 / Math.min(lengths.runs, SCALE_RUNS);
   lengths.logScale += (Math.log(ratio) - lengths.logScale) * share;
-  for (const [bin, weight] of bins.entries()) bins[bin] = weight * DECAY;
+  for (let bin = 0; bin < bins.length; bin++) {
+    bins[bin] = (bins[bin] ?? 0) * DECAY;
+  }
   addWeight(bins, ratio / Math.exp(lengths.logScale), 1);
   sumBelow(lengths);
 }
 
+/** Counts the runs of a summary as a few runs, less those that are known. */
+function adoptRuns(
+  lengths: Lengths,
+  { runs, logScale, ratios }: RunLengthSummary,
+): void {
+  const missing = Math.min(MIN_RUNS, runs) - lengths.runs;
+  if (missing <= 0 || ratios.length === 0) return;
+  lengths.runs += missing;
+  lengths.logScale += (logScale - lengths.logScale) * missing / lengths.runs;
+  for (const ratio of ratios) {
+    addWeight(lengths.bins, ratio, missing / ratios.length);
+  }
+  sumBelow(lengths);
+}
+
+function quantilesOf(lengths: Lengths): number[] {
+  const total = lengths.below[BIN_COUNT] ?? 0;
+  return Array.from(
+    { length: SUMMARY_QUANTILES },
+    (_, index) => ratioAt(lengths, total * (index + 0.5) / SUMMARY_QUANTILES),
+  );
+}
+
 function addWeight(bins: number[], ratio: number, weight: number): void {
   const bin = Math.max(0, Math.min(BIN_COUNT - 1, binOf(ratio)));
   bins[bin] = (bins[bin] ?? 0) + weight;
@@ -115,9 +189,9 @@
 
 function sumBelow({ bins, below }: Lengths): void {
   let sum = 0;
-  for (const [bin, weight] of bins.entries()) {
+  for (let bin = 0; bin < bins.length; bin++) {
     below[bin] = sum;
-    sum += weight;
+    sum += bins[bin] ?? 0;
   }
   below[BIN_COUNT] = sum;
 }
--- a/src/gateway/planning/service_rates.ts
+++ b/src/gateway/planning/service_rates.ts
@@ -58,6 +58,18 @@
     this.#tokens = this.#tokens * EVENTS_DECAY + outputTokens;
   }
 
+  /** Events of a run for each expected token; undefined until known. */
+  get eventsPerToken(): number | undefined {
+    return this.#tokens < MIN_TOKENS ? undefined : this.#events / this.#tokens;
+  }
+
+  /** Adopts the events for each token, unless they are known. */
+  adoptEventsPerToken(eventsPerToken: number): void {
+    if (this.#tokens >= MIN_TOKENS) return;
+    this.#tokens = MIN_TOKENS;
+    this.#events = MIN_TOKENS * eventsPerToken;
+  }
+
   /** Records the time from a send to the first event. */
   noteFirstEvent(
     incarnation: string,
@@ -72,11 +84,10 @@
   timesOf(incarnation: string, now: Milliseconds): ReplicaTimes {
     const { speeds, firstEvents } = this;
     const eventMs = speeds.unitMs(Work.decode, incarnation, now);
-    const isKnown = eventMs !== undefined && this.#tokens >= MIN_TOKENS;
+    const { eventsPerToken } = this;
+    const isKnown = eventMs !== undefined && eventsPerToken !== undefined;
     return {
-      tokenMs: isKnown
-        ? eventMs * this.#events / this.#tokens
-        : INITIAL_TIMES.tokenMs,
+      tokenMs: isKnown ? eventMs * eventsPerToken : INITIAL_TIMES.tokenMs,
       firstEventMs: firstEvents.unitMs(Work.firstEvent, incarnation, now) ??
         INITIAL_TIMES.firstEventMs,
       callMs: speeds.unitMs(Work.call, incarnation, now) ??
--- a/src/gateway/planning/speed_model.ts
+++ b/src/gateway/planning/speed_model.ts
@@ -5,7 +5,7 @@
  * while the duration of each run varies by more than that.
  */
 import type { Milliseconds } from "../../util/units.ts";
-import { DecayingSum } from "./decaying_sum.ts";
+import { DecayingMean } from "./decaying_mean.ts";
 
 /** Kinds of work; their durations are compared only within a kind. */
 export const Work = {
@@ -30,6 +30,25 @@
   readonly weight: number;
 };
 
+/**
+ * How slow a replica is, as logarithms relative to the median replica, and the
+ * weights of the samples.
+ */
+export type SlownessEstimate = {
+  readonly steady: number;
+  readonly steadyWeight: number;
+  readonly recent: number;
+  readonly recentWeight: number;
+};
+
+/** Estimates of a model, to be adopted by another one. */
+export type SpeedSummary = {
+  /** Duration of one unit at the median replica, by kind of work. */
+  readonly unitMs: ReadonlyMap<Work, Milliseconds>;
+  /** By incarnation. */
+  readonly replicas: ReadonlyMap<string, SlownessEstimate>;
+};
+
 /** Decay of the samples of the recent and of the steady estimate. */
 const RECENT_DECAY_MS = 3000;
 const STEADY_DECAY_MS = 30_000;
@@ -38,11 +57,11 @@
  * one that looks slow is tried again.
  */
 const IDLE_DECAY_MS = 10_000;
-/** Weight of the assumption that a replica is as fast as before, or as others. */
-const PRIOR_WEIGHT = 4;
 /** Samples of a kind of work before replicas are compared by it. */
 const REFERENCE_MIN_WEIGHT = 6;
 const REFERENCE_MAX_WEIGHT = 300;
+/** Samples of a replica before its estimate is passed on. */
+const SUMMARY_MIN_WEIGHT = 4;
 /** Limit of one sample's deviation, as a logarithm. */
 const MAX_DEVIATION = Math.log(8);
 /** Replicas with less weight are forgotten. */
@@ -59,37 +78,13 @@
 /** Interval at which the medians are computed. */
 const MEDIAN_INTERVAL_MS = 100;
 
-/** A mean whose samples decay with time. */
-class DecayingMean {
-  readonly #sum = new DecayingSum();
-  readonly #weights = new DecayingSum();
-  readonly #decayMs: Milliseconds;
-
-  constructor(decayMs: Milliseconds) {
-    this.#decayMs = decayMs;
-  }
-
-  add(value: number, weight: number, now: Milliseconds): void {
-    this.#sum.add(value * weight, now, this.#decayMs);
-    this.#weights.add(weight, now, this.#decayMs);
-  }
-
-  weight(now: Milliseconds): number {
-    return this.#weights.at(now, this.#decayMs);
-  }
-
-  /** The mean of the samples and of `prior` with its weight. */
-  shrunk(prior: number, now: Milliseconds): number {
-    const sum = this.#sum.at(now, this.#decayMs) + prior * PRIOR_WEIGHT;
-    return sum / (this.weight(now) + PRIOR_WEIGHT);
-  }
-}
-
 type SampleGroup = { readonly at: Milliseconds; sum: number; weight: number };
 type ReplicaSlowness = {
   recent: DecayingMean;
   readonly steady: DecayingMean;
   latest: SampleGroup[];
+  /** When an estimate of another model was adopted. */
+  adoptedAt?: Milliseconds;
   /** The recent estimate when the medians were last computed. */
   current: number;
 };
@@ -164,6 +159,63 @@
     return Math.log(unitMs) - reference.mean - this.#mediansAt(now).recent;
   }
 
+  /** The estimates that rest on enough samples. */
+  summarize(now: Milliseconds): SpeedSummary {
+    const medians = this.#mediansAt(now);
+    const unitMs = new Map<Work, Milliseconds>();
+    for (const [work, { mean, weight }] of this.#references) {
+      if (weight < REFERENCE_MIN_WEIGHT) continue;
+      unitMs.set(work, Math.exp(mean + medians.recent));
+    }
+    const replicas = new Map<string, SlownessEstimate>();
+    for (const [incarnation, { steady, recent }] of this.#replicas) {
+      const steadyWeight = steady.weight(now);
+      if (steadyWeight < SUMMARY_MIN_WEIGHT) continue;
+      replicas.set(incarnation, {
+        steady: steady.mean(now) - medians.steady,
+        steadyWeight,
+        recent: recent.mean(now) - medians.recent,
+        recentWeight: recent.weight(now),
+      });
+    }
+    return { unitMs, replicas };
+  }
+
+  /**
+   * Adopts estimates of another model as far as this one has fewer samples;
+   * returns the incarnations of which it adopted one.
+   */
+  adopt(
+    { unitMs, replicas }: SpeedSummary,
+    ageMs: Milliseconds,
+    now: Milliseconds,
+  ): string[] {
+    const { steady, recent } = this.#mediansAt(now);
+    for (const [work, duration] of unitMs) {
+      const weight = this.#references.get(work)?.weight ?? 0;
+      if (weight >= REFERENCE_MIN_WEIGHT) continue;
+      const mean = Math.log(duration) - recent;
+      this.#references.set(work, { mean, weight: REFERENCE_MIN_WEIGHT });
+    }
+    const adopted: string[] = [];
+    for (const [incarnation, estimate] of replicas) {
+      const replica = this.#replicaOf(incarnation);
+      const { steadyWeight, recentWeight } = estimate;
+      const isAdopted = replica.steady.adopt({
+        value: steady + estimate.steady,
+        weight: steadyWeight,
+        ageMs,
+      }, now);
+      if (!isAdopted) continue;
+      adopted.push(incarnation);
+      replica.adoptedAt = now;
+      const value = recent + estimate.recent;
+      replica.recent.adopt({ value, weight: recentWeight, ageMs }, now);
+    }
+    if (adopted.length > 0) this.#medians = { ...this.#medians, at: -Infinity };
+    return adopted;
+  }
+
   /** Forgets the recent samples of a replica. */
   forgetRecent(incarnation: string): void {
     const replica = this.#replicas.get(incarnation);
@@ -202,7 +254,8 @@
         continue;
       }
       const slowness = replica.steady.shrunk(before.steady, now);
-      const idleMs = now - (replica.latest.at(-1)?.at ?? now);
+      const { latest, adoptedAt = now } = replica;
+      const idleMs = now - (latest.at(-1)?.at ?? adoptedAt);
       const kept = Math.exp(-idleMs / IDLE_DECAY_MS);
       const expected = before.steady + (slowness - before.steady) * kept;
       replica.current = replica.recent.shrunk(expected + change, now);
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -69,6 +69,8 @@
 const Scheduling = z.strictObject({
   /** Prefer fast replicas, and eject replicas that are slow or fail. */
   replica_rates: z.boolean().default(false),
+  /** Pass on what a planner has measured of replicas to the next one. */
+  rate_handover: z.boolean().default(true),
   /** Adapt the share of prefill replicas to the demand and their rates. */
   measured_split: z.boolean().default(false),
   /** Decide at its arrival whether a request can be served. */
--- a/test/gateway/no_scheduling.ts
+++ b/test/gateway/no_scheduling.ts
@@ -4,6 +4,7 @@
 /** All optional decisions switched off. */
 export const NO_SCHEDULING: Scheduling = {
   replicaRates: false,
+  rateHandover: false,
   measuredSplit: false,
   arrivalDecisions: false,
   measuredMemory: false,
