Planners and readers are chosen by the capacity of hosts

Hosts differ tenfold in processor time and links, and a rendezvous order that treats them alike gives two of three services to the small ones. Hosts state their cores, share and link; planners and readers of the store follow a weighted rendezvous order. With equal capacities the order is the one without weights. Owners of quotas keep the order without weights (docs/design/hard_load.md). Settings: host.cpu_cores, host.cpu_share, host.link_mbps.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -67,6 +67,8 @@
   readonly self: {
     readonly id: HostId;
     readonly hall: HallId;
+    /** See `HostEntry.capacity`. */
+    readonly capacity?: number;
     /** Identifies this run of the process. */
     readonly run: string;
   };
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -12,7 +12,7 @@
 import type { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
 import { createPaths } from "./paths/create_paths.ts";
-import type { PlatformPort } from "./port.ts";
+import type { HostEntry, PlatformPort } from "./port.ts";
 import { isReplicaAlive } from "./replicas/health_check.ts";
 import { createReplicaState } from "./replicas/create_replica_state.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
@@ -22,8 +22,9 @@
 import type { Connect } from "./upstreams/connect.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 
-/** What connects a host to the others. */
+/** This host among the others, and what connects it. */
 export type FleetConnections = {
+  readonly self: HostEntry;
   readonly directory: HostDirectory;
   /** Opens connections to replicas. */
   readonly connect: Connect;
@@ -36,11 +37,11 @@
   fleet: FleetConnections,
 ): GatewayContext {
   const { directory, connect } = fleet;
-  const { grace, host: { id, hall } } = settings;
+  const { grace } = settings;
   const clock = { ...systemClock, now: monotonicNow };
   const events = eventLogOf(settings, clock);
   const metrics = new Metrics();
-  const self = { id, hall, run: String(newIncarnation()) };
+  const self = { ...fleet.self, run: String(newIncarnation()) };
   const { replicas, limits, draining, gate } = createReplicaState({
     self,
     clock,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import { createPeerServer } from "./peers/server.ts";
 import { createTunnelServer } from "./paths/create_tunnel_server.ts";
 import type { TunnelServer } from "./paths/tunnel_server.ts";
+import { hostEntryOf } from "./host_entry.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
 import { PlannerClient } from "./planning/planner_client.ts";
 import { PlanService } from "./planning/plan_service.ts";
@@ -101,11 +102,10 @@
   ) {
     this.#settings = settings;
     this.#settingsState = new SettingsState(settings, systemClock.now());
-    const { host, listen } = settings;
-    const address = host.peer_address ?? listen.peers;
-    const self = { id: host.id, address, hall: host.hall };
+    const self = hostEntryOf(settings);
     const directory = new HostDirectory(self, settings.seeds);
     const context = createContext(settings, port, {
+      self,
       directory,
       connect,
     });
--- a/src/gateway/peers/directory.ts
+++ b/src/gateway/peers/directory.ts
@@ -50,8 +50,7 @@
 
   #addEntry(entry: HostEntry, now: Milliseconds): void {
     const known = this.#hosts.get(entry.id);
-    const { address, hall } = known?.entry ?? {};
-    if (known && address === entry.address && hall === entry.hall) {
+    if (known && isSameHost(known.entry, entry)) {
       known.seenAt = now;
       return;
     }
@@ -90,3 +89,9 @@
     return [...new Set([...known, ...this.#seeds])];
   }
 }
+
+/** Whether two entries of a host say the same. */
+export function isSameHost(host: HostEntry, other: HostEntry): boolean {
+  return host.address === other.address && host.hall === other.hall &&
+    host.capacity === other.capacity;
+}
--- a/src/gateway/peers/host_schema.ts
+++ b/src/gateway/peers/host_schema.ts
@@ -6,4 +6,5 @@
   id: z.string(),
   address: z.string(),
   hall: z.string(),
+  capacity: z.number().positive().exactOptional(),
 });
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -7,7 +7,7 @@
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry } from "../port.ts";
-import { HostOrders } from "../peers/host_order.ts";
+import { capacityWeight, HostOrders } from "../peers/host_order.ts";
 import { type Link, LinkPath, openLink } from "../peers/link.ts";
 import {
   type ActiveAssignment,
@@ -70,7 +70,7 @@
     this.#context = context;
     this.#localPlanner = localPlanner;
     this.#hosts = hosts;
-    this.#orders = new HostOrders(context.self.id);
+    this.#orders = new HostOrders(context.self, capacityWeight);
     localPlanner.attach(
       context.self.id,
       (message) => this.#receive(context.self.id, message),
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -156,6 +156,11 @@
   /** Address for peers. */
   readonly address: string;
   readonly hall: string;
+  /**
+   * Processor time in cores, or what its network link allows for if that is
+   * less; absent if the host's settings don't state it.
+   */
+  readonly capacity?: number;
 };
 
 /** A row that can't be parsed. */
--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -96,7 +96,7 @@
 
   constructor(options: QuotaMemberOptions) {
     this.#options = options;
-    this.#orders = new HostOrders(options.self.id);
+    this.#orders = new HostOrders(options.self);
     this.#suspects = new Suspects(options.self.hall);
     this.#startedAt = options.clock.now();
   }
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -9,7 +9,7 @@
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostDirectory } from "../peers/directory.ts";
-import { HostOrders } from "../peers/host_order.ts";
+import { capacityWeight, HostOrders } from "../peers/host_order.ts";
 import {
   type Link,
   type LinkEvents,
@@ -107,7 +107,7 @@
 
   constructor(options: HallFollowerOptions) {
     this.#options = options;
-    this.#orders = new HostOrders(options.self.id);
+    this.#orders = new HostOrders(options.self, capacityWeight);
     this.#reader = options.self.id;
   }
 
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
-import type { HostDirectory } from "../peers/directory.ts";
+import { type HostDirectory, isSameHost } from "../peers/directory.ts";
 import type { ClockEcho } from "../peers/remote_clock.ts";
 import { acceptLink, type Link, type LinkEvents } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
@@ -239,7 +239,7 @@
       .filter((host) => host.id !== follower.host?.id);
     const hosts = current.filter((host) => {
       const sent = follower.sentHosts.get(host.id);
-      return sent?.address !== host.address || sent.hall !== host.hall;
+      return sent === undefined || !isSameHost(sent, host);
     });
     const live = new Set(current.map((host) => host.id));
     const hostsGone = [...follower.sentHosts.keys()].filter((id) =>
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -13,6 +13,15 @@
   hall: name(),
   /** The address for peers, if it differs from `listen.peers`. */
   peer_address: address().optional(),
+  /**
+   * Cores of the host, or the factor by which its core is faster; absent: the
+   * host counts as one core.
+   */
+  cpu_cores: z.number().positive().optional(),
+  /** Share of these cores that the process may use. */
+  cpu_share: z.number().positive().max(1).default(1),
+  /** Bandwidth of the host's network link; absent: it limits nothing. */
+  link_mbps: z.number().positive().optional(),
 });
 
 const Listen = z.strictObject({
--- a/test/gateway/peers/directory_test.ts
+++ b/test/gateway/peers/directory_test.ts
@@ -37,7 +37,7 @@
 
 test("orders match rendezvous hashing, also after hosts change", () => {
   const directory = new HostDirectory(host("self"), []);
-  const orders = new HostOrders("self");
+  const orders = new HostOrders({ id: "self" });
   for (const id of ["a", "bb", "ccc", "dddd"]) {
     directory.add([host(id)], 0);
     const hosts = directory.entries();
--- a/test/gateway/state/fleet_host.ts
+++ b/test/gateway/state/fleet_host.ts
@@ -55,7 +55,7 @@
   const reader = chooseReader({
     self,
     hosts: entries.filter((other) => other.id !== self.id),
-    orders: new HostOrders(self.id),
+    orders: new HostOrders(self),
     isSuspect: () => false,
   });
   if (reader === self.id) return "reader";
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -54,7 +54,7 @@
   const reader = chooseReader({
     self: first,
     hosts: [second],
-    orders: new HostOrders(first.id),
+    orders: new HostOrders(first),
     isSuspect: () => false,
   });
   return { reader, follower: reader === "a" ? "b" : "a" };
--- a/test/gateway/state/reader_choice_test.ts
+++ b/test/gateway/state/reader_choice_test.ts
@@ -16,7 +16,7 @@
   return chooseReader({
     self,
     hosts,
-    orders: new HostOrders(self.id),
+    orders: new HostOrders(self),
     isSuspect: (id) => suspects.includes(id),
   });
 }
