Quotas: what nobody reports counts as used, and which requests go first

A new owner took what no host had reported for unused: two owners in turn let a customer use 1.10 to 1.45 of what a window allows. It assumes for a window that it was used (quota_faults_test).

Requests of a customer over its quota were served in the order of arrival, so urgent ones were refused as often as the others and large ones more often. A less urgent request leaves room for the urgent ones that are expected, and room is kept for large ones. Settings: scheduling.quota_priorities, scheduling.quota_large_requests, both off (request_order_test, docs/design/customers.md).

--- a/bench/limits/main.ts
+++ b/bench/limits/main.ts
@@ -42,7 +42,7 @@
 );
 
 const ledger = new QuotaLedger({
-  allowance: ({ rate }, share) => limitAllowance(rate.perSecond, share),
+  allowance: ({ rate }, { share }) => limitAllowance(rate.perSecond, share),
   retentionMs: () => 5000,
   knownHosts: () => HOSTS,
 });
--- a/src/gateway/callers/quota_acquisition.ts
+++ b/src/gateway/callers/quota_acquisition.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
 import { type Clock, sleep } from "../clock.ts";
+import type { Scheduling } from "../context.ts";
 import { quotaUnits } from "../customers/model.ts";
 import type { QuotaMember } from "../quota/member.ts";
 import type { GatewayRequest } from "../requests/request.ts";
@@ -20,8 +21,11 @@
   readonly quotas: Pick<QuotaMember, "acquire">;
   /** Version of the configuration that defines the quota. */
   readonly version: number;
-  /** Whether refused requests get places to retry at. */
-  readonly hasPlaces: boolean;
+  /**
+   * Whether refused requests get places to retry at, and urgent requests go
+   * first within a quota.
+   */
+  readonly scheduling: Pick<Scheduling, "customerShares" | "quotaPriorities">;
 };
 
 /** Outcome of acquiring units. */
@@ -41,7 +45,7 @@
 
 /** Acquires the units of a request and waits until they are available. */
 export async function acquireQuota(
-  { clock, quotas, version, hasPlaces }: QuotaAcquisitionOptions,
+  { clock, quotas, version, scheduling }: QuotaAcquisitionOptions,
   { customer, facts, route, fingerprint }: GatewayRequest,
 ): Promise<QuotaAcquisition> {
   if (!customer?.quota) return NO_QUOTA;
@@ -49,13 +53,17 @@
   const { perSecond, burst } = quota;
   const units = quotaUnits(quota, facts);
   const longestMs = facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS;
-  const retry = hasPlaces ? { retry: { key: fingerprint(), longestMs } } : {};
+  const retry = scheduling.customerShares
+    ? { retry: { key: fingerprint(), longestMs } }
+    : {};
   const outcome = await quotas.acquire({
     customer: name,
     units,
     rate: { perSecond, burst },
     version,
     mostWaitMs: route.objectiveMs * MAX_WAIT_SHARE,
+    // The customer's own priority is the same for all its requests.
+    ...(scheduling.quotaPriorities ? { priority: route.priority } : {}),
     ...retry,
   });
   switch (outcome.type) {
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -185,12 +185,12 @@
   }
 
   async #acquireQuota(request: GatewayRequest): Promise<QuotaAcquisition> {
-    const { clock, routes: { version }, tuning } = this.#context;
+    const { clock, routes: { version }, tuning: { scheduling } } =
+      this.#context;
     const quotas = this.#quotas;
-    const hasPlaces = tuning.scheduling.customerShares;
     this.#pendingCount += 1;
     const quota = await acquireQuota(
-      { clock, quotas, version, hasPlaces },
+      { clock, quotas, version, scheduling },
       request,
     );
     this.#pendingCount -= 1;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -34,6 +34,10 @@
   readonly bookedReturns: boolean;
   /** Share an overloaded service fairly among its customers. */
   readonly customerShares: boolean;
+  /** Let urgent requests go first within a customer's quota. */
+  readonly quotaPriorities: boolean;
+  /** Keep room for large requests within a customer's quota. */
+  readonly quotaLargeRequests: boolean;
 };
 
 /** Parameters that a reload of the settings can change. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -162,6 +162,8 @@
       measuredMemory: scheduling.measured_memory,
       bookedReturns: scheduling.booked_returns,
       customerShares: scheduling.customer_shares,
+      quotaPriorities: scheduling.quota_priorities,
+      quotaLargeRequests: scheduling.quota_large_requests,
     },
   };
 }
--- a/src/gateway/customers/customers.ts
+++ b/src/gateway/customers/customers.ts
@@ -10,6 +10,7 @@
 import { type QuotaBounds, quotaRule } from "../quota/bounds.ts";
 import { QuotaMember } from "../quota/member.ts";
 import { QuotaOwner } from "../quota/owner.ts";
+import { QuotaHolds } from "./quota_holds.ts";
 
 /** Options of {@link Customers}. */
 export type CustomersOptions = {
@@ -29,12 +30,14 @@
   readonly owner: QuotaOwner;
   readonly quotas: QuotaMember;
   readonly #context: GatewayContext;
+  readonly #holds: QuotaHolds;
   #settings: GatewaySettings["customers"];
 
   constructor(options: CustomersOptions) {
     const { context, directory, settings, configAgeMs } = options;
     this.#context = context;
     this.#settings = settings;
+    this.#holds = new QuotaHolds(context);
     this.admission = {
       routes: context.routes,
       configAgeMs,
@@ -46,6 +49,11 @@
       allowance: quotaRule(() => this.#bounds()),
       retentionMs: () => this.#settings.quota_window,
       knownHosts: () => directory.count,
+      order: () => ({
+        priorities: context.tuning.scheduling.quotaPriorities,
+        largeRequests: context.tuning.scheduling.quotaLargeRequests,
+      }),
+      noteHold: (hold) => this.#holds.note(hold, context.clock.now()),
     });
     this.quotas = new QuotaMember({
       self: context.self,
@@ -64,8 +72,12 @@
     this.#settings = settings;
   }
 
-  /** Opens the links to quota owners before the first request needs them. */
-  openQuotaLinks(): void {
+  /**
+   * Opens the links to quota owners before the first request needs them, and
+   * reports changes; call periodically.
+   */
+  maintain(): void {
+    this.#holds.expire(this.#context.clock.now());
     if (this.#context.routes.customers) this.quotas.refresh();
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -276,7 +276,7 @@
         events.note("stoodStill", { for_ms: Math.round(delayMs) });
       }
       this.#openPlannerLinks();
-      this.#customers.openQuotaLinks();
+      this.#customers.maintain();
       this.#context.limits.maintainLinks();
       this.#connections.retain(this.#directory.addresses());
       this.#scheduleTick();
--- a/src/gateway/limits/replica_limits.ts
+++ b/src/gateway/limits/replica_limits.ts
@@ -99,7 +99,7 @@
     this.owner = new QuotaOwner({
       clock,
       run: self.run,
-      allowance: ({ name, rate }, share) =>
+      allowance: ({ name, rate }, { share }) =>
         limitAllowance(this.limitOf(name) ?? rate.perSecond, share),
       retentionMs: () => PERMIT_RETENTION_MS,
       knownHosts: hostCount,
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -209,6 +209,16 @@
     5,
   ),
   quotaOwnerLost: warn("quotas", "An owner of quotas is unreachable", 20),
+  quotaHeld: info(
+    "quotas",
+    "Requests of a customer are refused to leave its quota to others of it",
+    5,
+  ),
+  quotaReleased: info(
+    "quotas",
+    "Requests of a customer no longer leave its quota to others of it",
+    5,
+  ),
   heldBack: warn(
     "crashes",
     "A quarantined request was not sent",
--- a/src/gateway/quota/acquisition_log.ts
+++ b/src/gateway/quota/acquisition_log.ts
@@ -3,7 +3,7 @@
  */
 import type { Milliseconds } from "../../util/units.ts";
 import type { QuotaRequest } from "./ledger.ts";
-import type { QuotaUsage } from "./messages.ts";
+import type { QuotaRelease, QuotaUsage } from "./messages.ts";
 import { shardOf } from "./shards.ts";
 
 /** Units that this host has acquired. */
@@ -11,6 +11,8 @@
   readonly request: QuotaRequest;
   /** When the units may be used. */
   readonly at: Milliseconds;
+  /** As in the grant. */
+  readonly isProvisional?: boolean;
   /** Runs of the owners that granted it or received a report of it. */
   readonly knownTo: Set<string>;
 };
@@ -40,10 +42,14 @@
     );
   }
 
-  /** Removes an acquisition whose units were not used. */
-  remove(acquisition: Acquisition): void {
+  /** Removes an acquisition that was not used; returns the message of that. */
+  release(acquisition: Acquisition, now: Milliseconds): QuotaRelease {
     const index = this.#acquisitions.indexOf(acquisition);
     if (index >= 0) this.#acquisitions.splice(index, 1);
+    const { request, at } = acquisition;
+    const { customer, units } = request;
+    const priority = priorityOf(request);
+    return { type: "give-back", customer, units, agoMs: now - at, ...priority };
   }
 
   /**
@@ -62,9 +68,20 @@
       .filter((acquisition) => !acquisition.knownTo.has(run))
       .filter(({ request }) => shards.includes(shardOf(request.customer)));
     for (const { knownTo } of unreported) knownTo.add(run);
-    return unreported.map(({ request, at }) => {
+    return unreported.map(({ request, at, isProvisional = false }) => {
       const { customer, units, rate, version } = request;
-      return { customer, units, rate, version, agoMs: span.now - at };
+      const agoMs = span.now - at;
+      return {
+        ...{ customer, units, rate, version, agoMs },
+        ...(isProvisional ? { isProvisional } : {}),
+        ...priorityOf(request),
+      };
     });
   }
 }
+
+function priorityOf(
+  { priority }: QuotaRequest,
+): Pick<QuotaRequest, "priority"> {
+  return priority === undefined ? {} : { priority };
+}
--- a/src/gateway/quota/coverage.ts
+++ b/src/gateway/quota/coverage.ts
@@ -23,10 +23,13 @@
 export class Coverage {
   readonly #members = new Map<HostId, Member>();
   #share = 0;
+  /** When the first of the present members joined. */
+  #since: Milliseconds = Infinity;
   #computedAt: Milliseconds = -Infinity;
 
   /** Adds a host whose process has run for `upMs`. */
   add(host: HostId, upMs: Milliseconds, now: Milliseconds): void {
+    if (this.#members.size === 0) this.#since = now;
     this.#members.set(host, { startedAt: now - upMs });
     this.#computedAt = -Infinity;
   }
@@ -36,6 +39,11 @@
     this.#computedAt = -Infinity;
   }
 
+  /** Time for which there have been members without interruption. */
+  ownedMs(now: Milliseconds): Milliseconds {
+    return this.#members.size > 0 ? now - this.#since : 0;
+  }
+
   /** Share of the known hosts that are members, from 0 to 1. */
   shareAt(
     now: Milliseconds,
--- a/src/gateway/quota/ledger.ts
+++ b/src/gateway/quota/ledger.ts
@@ -6,20 +6,22 @@
 import type { Allowance, AllowanceRule, Rate } from "./bounds.ts";
 import { Coverage } from "./coverage.ts";
 import type { QuotaMembership } from "./messages.ts";
-import { ReturnPlaces } from "./return_places.ts";
+import { type ClaimedPlace, ReturnPlaces } from "./return_places.ts";
+import {
+  type HoldCause,
+  needOf,
+  type OrderRules,
+  prioritizedUnits,
+  RequestOrder,
+  type Requirement,
+  unorderedRequirement,
+} from "./request_order.ts";
 import { SHARD_COUNT, shardOf } from "./shards.ts";
+import { waitFor } from "./window_wait.ts";
 import { WindowLog } from "./window_log.ts";
 
 /** Interval at which idle accounts are removed. */
 const SWEEP_INTERVAL_MS = 10_000;
-/**
- * At most this share of the window's limit is granted within
- * {@link BURST_SPAN_SHARE} of the window. When most hosts are killed at once,
- * their records are lost; without this cap, a customer that has just used its
- * full limit could get it once more from the remaining hosts.
- */
-const BURST_SHARE = 0.45;
-const BURST_SPAN_SHARE = 1 / 4;
 /** Lower bound of `retryAfterMs`. */
 const MIN_RETRY_MS = 100;
 /**
@@ -39,6 +41,8 @@
   readonly version: number;
   /** Longest time that the request may wait for its units. */
   readonly mostWaitMs: Milliseconds;
+  /** Among the account's requests; 0, the default, is the most urgent. */
+  readonly priority?: number;
   /** Absent: the request gets no place to retry at when it is refused. */
   readonly retry?: {
     /** Equal for every attempt of the same request. */
@@ -50,7 +54,11 @@
 
 /** An owner's decision: units granted for use after a wait, or a refusal. */
 export type QuotaDecision =
-  | { readonly type: "granted"; readonly afterMs: Milliseconds }
+  | {
+    readonly type: "granted";
+    readonly afterMs: Milliseconds;
+    readonly isProvisional?: boolean;
+  }
   | { readonly type: "refused"; readonly retryAfterMs: Milliseconds };
 
 /** Options of {@link QuotaLedger}. */
@@ -63,11 +71,27 @@
   readonly retentionMs: () => Milliseconds;
   /** Number of hosts in the fleet, including this one. */
   readonly knownHosts: () => number;
+  /** Which requests go first; absent: those that arrive first. */
+  readonly order?: () => OrderRules;
+  /** Called for each request that is refused for the sake of others. */
+  readonly noteHold?: (hold: QuotaHold) => void;
+};
+
+/** A refusal of a request for which there were enough units. */
+export type QuotaHold = {
+  readonly customer: string;
+  readonly units: number;
+  readonly priority: number;
+  readonly cause: HoldCause;
 };
 
 type Account = {
   readonly log: WindowLog;
+  /** The part of `log` that other owners granted, not provisionally. */
+  readonly reported: WindowLog;
   readonly places: ReturnPlaces;
+  /** Absent while requests are granted as they arrive. */
+  order?: RequestOrder;
   rate: Rate;
   version: number;
   /** Window of the last allowance. */
@@ -79,6 +103,17 @@
   readonly accounts: Map<string, Account>;
 };
 
+type RefusedRequest = {
+  readonly request: QuotaRequest;
+  readonly account: Account;
+  readonly allowance: Allowance;
+  readonly required: Requirement;
+  readonly place: ClaimedPlace | undefined;
+  readonly setAside: number;
+  /** Time until its own units are available; Infinity if never. */
+  readonly aloneMs: Milliseconds;
+};
+
 /** The accounts that this host owns, without network access or timers. */
 export class QuotaLedger {
   readonly #options: QuotaLedgerOptions;
@@ -110,9 +145,14 @@
       if (shards.includes(index)) coverage.add(host, upMs, now);
       else coverage.remove(host);
     }
-    for (const { customer, units, agoMs, rate, version } of usage) {
-      const { log } = this.#accountFor(customer, { rate, version });
-      log.add(units, now - agoMs);
+    for (const used of usage) {
+      const account = this.#accountFor(used.customer, used);
+      account.log.add(used.units, now - used.agoMs);
+      if (!used.isProvisional) {
+        account.reported.add(used.units, now - used.agoMs);
+      }
+      this.#orderOf(account)
+        ?.noteReported(prioritizedUnits(used), now - used.agoMs);
     }
   }
 
@@ -124,40 +164,90 @@
   /** Grants units, in advance if they are available within `mostWaitMs`. */
   acquire(request: QuotaRequest, now: Milliseconds): QuotaDecision {
     this.#sweep(now);
-    const { customer, units, mostWaitMs, retry } = request;
+    const { customer, mostWaitMs, retry } = request;
+    const ordered = prioritizedUnits(request);
+    const { units } = ordered;
     const account = this.#accountFor(customer, request);
     const { log, rate, places } = account;
-    const share = this.#shareOf(this.#shardOf(customer).coverage, now);
-    const rated = { name: customer, rate };
-    const allowance = this.#options.allowance(rated, share);
-    const { windowMs } = allowance;
-    account.windowMs = windowMs;
-    log.expire(now, windowMs);
-    const hadPlace = retry !== undefined && places.claim(retry.key, now);
-    const setAside = hadPlace ? 0 : places.unitsAt(now);
-    const afterMs = waitFor(log, units + setAside, allowance, now);
+    const allowance = this.#allowanceOf({ name: customer, rate }, account, now);
+    account.windowMs = allowance.windowMs;
+    log.expire(now, allowance.windowMs);
+    const order = this.#orderOf(account);
+    const state = { log, allowance };
+    const required = order?.ask(ordered, state, now) ??
+      unorderedRequirement(units);
+    const place = retry && places.claim(retry.key, now);
+    const setAside = place ? 0 : places.unitsAt(now);
+    const afterMs = waitFor(
+      log,
+      needOf({ units, required, setAside, place }),
+      allowance,
+      now,
+    );
     if (afterMs <= mostWaitMs) {
       log.add(units, now + afterMs);
-      return { type: "granted", afterMs };
+      order?.noteGranted(ordered, now + afterMs);
+      const { isProvisional = false } = allowance;
+      const granted = { type: "granted", afterMs } as const;
+      return isProvisional ? { ...granted, isProvisional } : granted;
     }
-    const waitMsFor = (needed: number) => waitFor(log, needed, allowance, now);
-    const waitMs = setAside > 0 ? waitMsFor(units) : afterMs;
-    const retryAfterMs = !Number.isFinite(waitMs)
-      ? OWNER_CHANGE_RETRY_MS
-      : retry
+    const aloneMs = order || setAside > 0
+      ? waitFor(log, { units }, allowance, now)
+      : afterMs;
+    const decided = { required, place, setAside, aloneMs };
+    const refused = { request, account, allowance, ...decided };
+    this.#noteHold(refused, now);
+    const retryAfterMs = this.#retryAfterMs(refused, now);
+    order?.noteRefused(ordered, { allowance, retryAfterMs }, now);
+    return { type: "refused", retryAfterMs };
+  }
+
+  /** Tells the listener if there were enough units for the request itself. */
+  #noteHold(refused: RefusedRequest, now: Milliseconds): void {
+    const { request, account, allowance, required, setAside } = refused;
+    const { noteHold } = this.#options;
+    if (!noteHold || !account.order) return;
+    const units = request.units + setAside;
+    const afterMs = waitFor(account.log, { units }, allowance, now);
+    if (afterMs > request.mostWaitMs) return;
+    const { customer } = request;
+    const cause = required.causeIn(allowance.windowMs);
+    noteHold({ customer, ...prioritizedUnits(request), cause });
+  }
+
+  #retryAfterMs(refused: RefusedRequest, now: Milliseconds): Milliseconds {
+    const { request, account, allowance, required, place, aloneMs } = refused;
+    if (!Number.isFinite(aloneMs)) return OWNER_CHANGE_RETRY_MS;
+    const { units, retry } = request;
+    const { log, places, order } = account;
+    const waitMsFor = (needed: number) =>
+      waitFor(
+        log,
+        {
+          units: Math.max(needed / required.share, required.roomUnits),
+          keptUnits: required.keptUnits,
+        },
+        allowance,
+        now,
+      );
+    const { windowMs } = allowance;
+    const perSecond = allowance.units * 1000 / windowMs * required.share;
+    const retryAfterMs = retry
       ? places.retryAfterMs({
         key: retry.key,
-        hadPlace,
+        hadPlace: place !== undefined,
         units,
         waitMsFor,
         longestRetryMs: retry.longestMs,
-        perSecond: allowance.units * 1000 / windowMs,
+        perSecond,
       }, now)
-      : waitMs;
-    return {
-      type: "refused",
-      retryAfterMs: Math.max(MIN_RETRY_MS, retryAfterMs),
-    };
+      : order
+      ? Math.max(
+        order.collectMs(prioritizedUnits(request), allowance, now),
+        Math.min(waitMsFor(units), Math.max(windowMs, aloneMs)),
+      )
+      : aloneMs;
+    return Math.max(MIN_RETRY_MS, retryAfterMs);
   }
 
   /** Releases units that were acquired `agoMs` ago and not used. */
@@ -166,13 +256,14 @@
       readonly customer: string;
       readonly units: number;
       readonly agoMs: Milliseconds;
+      readonly priority?: number;
     },
     now: Milliseconds,
   ): void {
-    const account = this.#shardOf(released.customer).accounts.get(
-      released.customer,
-    );
-    account?.log.remove(released.units, now - released.agoMs);
+    const { customer, units, agoMs } = released;
+    const account = this.#shardOf(customer).accounts.get(customer);
+    account?.log.remove(units, now - agoMs);
+    account?.order?.release(prioritizedUnits(released), now - agoMs);
   }
 
   #shardOf(customer: string): Shard {
@@ -181,10 +272,20 @@
     return shard;
   }
 
-  #shareOf(coverage: Coverage, now: Milliseconds): number {
+  #allowanceOf(
+    rated: { readonly name: string; readonly rate: Rate },
+    { reported }: Account,
+    now: Milliseconds,
+  ): Allowance {
+    const { coverage } = this.#shardOf(rated.name);
     const hosts = this.#options.knownHosts();
     const windowMs = this.#options.retentionMs();
-    return coverage.shareAt(now, { hosts, windowMs });
+    reported.expire(now, windowMs);
+    return this.#options.allowance(rated, {
+      share: coverage.shareAt(now, { hosts, windowMs }),
+      ownedMs: coverage.ownedMs(now),
+      reportedUnits: reported.sum,
+    });
   }
 
   /** The account, with the rate of the newest configuration observed. */
@@ -198,7 +299,8 @@
       const windowMs = this.#options.retentionMs();
       const places = new ReturnPlaces();
       const log = new WindowLog();
-      const account = { log, places, rate, version, windowMs };
+      const reported = new WindowLog();
+      const account = { log, reported, places, rate, version, windowMs };
       accounts.set(customer, account);
       return account;
     }
@@ -209,6 +311,17 @@
     return known;
   }
 
+  /** The order of an account's requests; absent if it is switched off. */
+  #orderOf(account: Account): RequestOrder | undefined {
+    const rules = this.#options.order;
+    const { priorities = false, largeRequests = false } = rules?.() ?? {};
+    if (!rules || !(priorities || largeRequests)) {
+      delete account.order;
+      return undefined;
+    }
+    return account.order ??= new RequestOrder(rules);
+  }
+
   #sweep(now: Milliseconds): void {
     if (now - this.#sweptAt < SWEEP_INTERVAL_MS) return;
     this.#sweptAt = now;
@@ -220,21 +333,3 @@
     }
   }
 }
-
-/** Time until units can be granted; Infinity if there is none. */
-function waitFor(
-  log: WindowLog,
-  units: number,
-  { units: limit, windowMs }: Allowance,
-  now: Milliseconds,
-): Milliseconds {
-  const availableAt = Math.max(
-    log.availableAt(units, { limit, spanMs: windowMs, now }),
-    log.availableAt(units, {
-      limit: Math.max(units, limit * BURST_SHARE),
-      spanMs: windowMs * BURST_SPAN_SHARE,
-      now,
-    }),
-  );
-  return availableAt - now;
-}
--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -313,30 +313,30 @@
     this.#pending.delete(id);
     pending.cancelTimer();
     if (message.type === "refused") return pending.resolve(message);
-    const { afterMs } = message;
-    const acquired = this.#noteAcquisition(pending.request, from, afterMs);
+    const { afterMs, isProvisional = false } = message;
+    const acquired = this.#noteAcquisition(from, {
+      request: pending.request,
+      at: this.#options.clock.now() + afterMs,
+      ...(isProvisional ? { isProvisional } : {}),
+    });
     const releaseUnits = () => this.#release(acquired);
     pending.resolve({ type: "granted", afterMs, release: releaseUnits });
   }
 
   #noteAcquisition(
-    request: QuotaRequest,
     from: HostId,
-    afterMs: Milliseconds,
+    acquired: Omit<Acquisition, "knownTo">,
   ): Acquisition {
     const { clock, self, localOwner, retentionMs } = this.#options;
     const run = from === self.id ? localOwner.run : this.#links.get(from)?.run;
-    const now = clock.now();
-    const entry = { request, at: now + afterMs, knownTo: new Set([run ?? ""]) };
-    this.#acquisitions.add(entry, now - retentionMs());
+    const entry = { ...acquired, knownTo: new Set([run ?? ""]) };
+    this.#acquisitions.add(entry, clock.now() - retentionMs());
     return entry;
   }
 
   #release(acquired: Acquisition): void {
-    const { customer, units } = acquired.request;
-    this.#acquisitions.remove(acquired);
-    const agoMs: Milliseconds = this.#options.clock.now() - acquired.at;
-    const owner = this.#ownerOf(customer);
-    this.#send(owner, { type: "give-back", customer, units, agoMs });
+    const now = this.#options.clock.now();
+    const release = this.#acquisitions.release(acquired, now);
+    this.#send(this.#ownerOf(release.customer), release);
   }
 }
--- a/src/gateway/quota/messages.ts
+++ b/src/gateway/quota/messages.ts
@@ -14,6 +14,10 @@
   rate: Rate,
   /** Version of the configuration that defines the rate. */
   version: z.number(),
+  /** As in the grant. */
+  isProvisional: z.boolean().exactOptional(),
+  /** As in a request for units. */
+  priority: z.number().exactOptional(),
 });
 
 const Member = z.object({
@@ -36,6 +40,8 @@
   version: z.number(),
   /** Longest time that the request may wait for its units. */
   mostWaitMs: z.number(),
+  /** Among the account's requests; 0, the default, is the most urgent. */
+  priority: z.number().exactOptional(),
   /** Absent: the request gets no place to retry at when it is refused. */
   retry: z.object({
     /** Equal for every attempt of the same request. */
@@ -51,6 +57,8 @@
   units: z.number().min(0),
   /** Time since they were acquired. */
   agoMs: z.number(),
+  /** As in the request for the units. */
+  priority: z.number().exactOptional(),
 });
 
 /** The first message that an owner sends on a link. */
@@ -68,6 +76,11 @@
   id: z.string(),
   /** Delay before the units may be used. */
   afterMs: z.number(),
+  /**
+   * Whether the owner may not know all units that earlier owners granted; false
+   * by default. The next owner doesn't take these for units granted before.
+   */
+  isProvisional: z.boolean().exactOptional(),
 });
 
 const Refused = z.object({
@@ -90,6 +103,8 @@
 export type MemberMessage = z.output<typeof MemberMessageSchema>;
 /** The report of a host that has chosen this owner. */
 export type QuotaMembership = z.output<typeof Member>;
+/** Units that a host acquired and did not use. */
+export type QuotaRelease = z.output<typeof Release>;
 /** Units that a host acquired from another owner. */
 export type QuotaUsage = z.output<typeof Usage>;
 
--- a/src/gateway/quota/return_places.ts
+++ b/src/gateway/quota/return_places.ts
@@ -49,6 +49,12 @@
   readonly collectFrom: Milliseconds;
 };
 
+/** The place at which a request retries. */
+export type ClaimedPlace = {
+  /** Whether its units were set aside. */
+  readonly isSetAside: boolean;
+};
+
 /** A request that is refused. */
 export type RefusedUnits = {
   /** Equal for every attempt of the same request. */
@@ -76,8 +82,8 @@
   /** Share of the recent places that were claimed. */
   #claimedShare = 1;
 
-  /** Takes the place of a request that retries; false if it has none. */
-  claim(key: string, now: Milliseconds): boolean {
+  /** Takes the place of a request that retries, if it has one. */
+  claim(key: string, now: Milliseconds): ClaimedPlace | undefined {
     const kept = this.#places.filter(({ at }) => now < at + KEEP_MS);
     for (let lapsed = this.#places.length - kept.length; lapsed > 0; lapsed--) {
       this.#claimedShare *= CLAIMED_DECAY;
@@ -86,10 +92,11 @@
     const index = kept.findIndex((place) =>
       place.key === key && place.at - EARLY_MS <= now
     );
-    if (index < 0) return false;
+    const place = kept[index];
+    if (!place) return undefined;
     kept.splice(index, 1);
     this.#claimedShare = 1 - (1 - this.#claimedShare) * CLAIMED_DECAY;
-    return true;
+    return { isSetAside: place.collectFrom <= now };
   }
 
   /** Units that are set aside at present. */
--- a/src/gateway/quota/window_log.ts
+++ b/src/gateway/quota/window_log.ts
@@ -70,6 +70,30 @@
     return Infinity;
   }
 
+  /**
+   * Units that must be available now, so that `perMs` more can be added at any
+   * time within `spanMs` as the recorded ones leave the span.
+   */
+  shortfall(
+    perMs: number,
+    { spanMs, now }: {
+      readonly spanMs: Milliseconds;
+      readonly now: Milliseconds;
+    },
+  ): number {
+    const slots = [...this.#slots]
+      .filter(([slot]) => this.#endOf(slot) + spanMs > now)
+      .sort(([a], [b]) => a - b);
+    let left = 0;
+    let most = 0;
+    for (const [slot, acquired] of slots) {
+      const leavesInMs = Math.min(spanMs, this.#endOf(slot) + spanMs - now);
+      most = Math.max(most, perMs * leavesInMs - left);
+      left += acquired;
+    }
+    return Math.max(most, perMs * spanMs - left);
+  }
+
   #endOf(slot: number): Milliseconds {
     return (slot + 1) * SLOT_MS;
   }
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -90,6 +90,10 @@
   booked_returns: z.boolean().default(false),
   /** Share an overloaded service fairly among its customers. */
   customer_shares: z.boolean().default(false),
+  /** Let urgent requests go first within a customer's quota. */
+  quota_priorities: z.boolean().default(false),
+  /** Keep room for large requests within a customer's quota. */
+  quota_large_requests: z.boolean().default(false),
 });
 
 const Memory = z.strictObject({
--- a/test/gateway/no_scheduling.ts
+++ b/test/gateway/no_scheduling.ts
@@ -10,4 +10,6 @@
   measuredMemory: false,
   bookedReturns: false,
   customerShares: false,
+  quotaPriorities: false,
+  quotaLargeRequests: false,
 };
--- a/test/gateway/quota/quota_fleet.ts
+++ b/test/gateway/quota/quota_fleet.ts
@@ -11,20 +11,23 @@
   type QuotaOutcome,
 } from "../../../src/gateway/quota/member.ts";
 import { QuotaOwner } from "../../../src/gateway/quota/owner.ts";
-import type { MemberMessage } from "../../../src/gateway/quota/messages.ts";
 import {
   type Link,
   type LinkEvents,
   LinkPath,
 } from "../../../src/gateway/peers/link.ts";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
+import type { OrderRules } from "../../../src/gateway/quota/request_order.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
+import {
+  type FakeLink,
+  type Host,
+  LINK_TIMEOUT_MS,
+  openFakeLink,
+} from "./fleet_link.ts";
+import { mostInWindow } from "./most_in_window.ts";
+import { clockOf, whenRunning } from "./suspension.ts";
 
-const LINK_DELAY_MS = 1.5;
-/** Time after which an attempt to open a link fails. */
-const CONNECT_TIMEOUT_MS = 400;
-/** Time after which both ends close a link on which nothing arrives. */
-const LINK_TIMEOUT_MS = 1300;
 const REFRESH_INTERVAL_MS = 1000;
 
 export const BOUNDS: QuotaBounds = {
@@ -33,22 +36,6 @@
   tolerance: 140_000,
 };
 
-type Host = {
-  readonly id: string;
-  owner: QuotaOwner;
-  member: QuotaMember;
-  /** Number of restarts; links to an earlier generation are closed. */
-  generation: number;
-  isUp: boolean;
-  readonly links: Set<FakeLink>;
-};
-
-type FakeLink = {
-  readonly from: Host;
-  readonly to: Host;
-  close(): void;
-};
-
 /** A request for units, and its outcome. */
 export type FleetRequest = {
   readonly at: number;
@@ -68,8 +55,20 @@
   /** Side of the partition by host; hosts on the same side reach each other. */
   readonly #sides = new Map<string, number>();
   #cutAt = 0;
+  readonly #order: OrderRules | undefined;
+
+  readonly #bounds: QuotaBounds;
 
-  constructor(size: number) {
+  /** By default requests are granted in the order of arrival. */
+  constructor(
+    size: number,
+    { order, bounds = BOUNDS }: {
+      readonly order?: OrderRules;
+      readonly bounds?: QuotaBounds;
+    } = {},
+  ) {
+    this.#order = order;
+    this.#bounds = bounds;
     for (let index = 0; index < size; index++) {
       const id = `h${index}`;
       this.#entries.push({ id, address: id, hall: `hall-${index % 3}` });
@@ -102,9 +101,10 @@
       readonly perSecond: number;
       readonly version?: number;
       readonly mostWaitMs?: number;
+      readonly priority?: number;
     },
   ): FleetRequest {
-    const { customer, units, perSecond } = options;
+    const { customer, units, perSecond, priority } = options;
     const request: FleetRequest = {
       at,
       customer,
@@ -113,21 +113,23 @@
       startedAt: undefined,
     };
     this.requests.push(request);
-    this.at(at, () => {
-      const host = this.hosts[options.host % this.hosts.length];
-      if (!host?.isUp) return;
+    const host = this.#hostOf(`h${options.host % this.hosts.length}`);
+    const send = () => {
+      if (!host.isUp) return;
       void host.member.acquire({
         customer,
         units,
         rate: { perSecond, burst: perSecond },
         version: options.version ?? 1,
         mostWaitMs: options.mostWaitMs ?? 225,
+        ...(priority === undefined ? {} : { priority }),
       }).then((outcome) => {
         request.outcome = outcome;
         if (outcome.type !== "granted") return;
         request.startedAt = this.#time.now + outcome.afterMs;
       });
-    });
+    };
+    this.at(at, () => whenRunning(this.#time, host, send));
     return request;
   }
 
@@ -166,43 +168,48 @@
     });
   }
 
+  /** Suspends a host: its peers close their links to it by timeout. */
+  freeze(id: string, forMs: number): void {
+    const host = this.#hostOf(id);
+    const until = this.#time.now + forMs;
+    host.frozenUntil = Math.max(host.frozenUntil, until);
+    for (const link of host.links) {
+      this.at(this.#time.now + LINK_TIMEOUT_MS, () => {
+        if (host.frozenUntil > this.#time.now) link.close();
+      });
+    }
+  }
+
   /** Maximum number of units used within one window. */
   maxInWindow(customer: string): number {
-    const started = this.requests
-      .filter((request) =>
-        request.customer === customer && request.startedAt !== undefined
-      )
-      .sort((a, b) => (a.startedAt ?? 0) - (b.startedAt ?? 0));
-    let max = 0;
-    let sum = 0;
-    let first = 0;
-    for (const request of started) {
-      sum += request.units;
-      while (
-        (started[first]?.startedAt ?? 0) <
-          (request.startedAt ?? 0) - BOUNDS.windowMs
-      ) {
-        sum -= started[first]?.units ?? 0;
-        first += 1;
-      }
-      max = Math.max(max, sum);
-    }
-    return max;
+    const started = this.requests.flatMap(
+      ({ customer: one, units, startedAt: at }) =>
+        one === customer && at !== undefined ? [{ at, units }] : [],
+    );
+    return mostInWindow(started, this.#bounds.windowMs);
   }
 
   #newHost(id: string): Host {
-    const base = { id, generation: 0, isUp: true, links: new Set<FakeLink>() };
+    const base = {
+      id,
+      generation: 0,
+      isUp: true,
+      frozenUntil: 0,
+      links: new Set<FakeLink>(),
+    };
     return Object.assign(base, this.#partsOf(id));
   }
 
   #partsOf(id: string): Pick<Host, "owner" | "member"> {
-    const { clock } = this.#time;
+    const clock = clockOf(this.#time, () => this.#hostOf(id));
+    const order = this.#order;
     const owner = new QuotaOwner({
       clock,
       run: `${id} ${this.#time.now}`,
-      allowance: quotaRule(() => BOUNDS),
-      retentionMs: () => BOUNDS.windowMs,
+      allowance: quotaRule(() => this.#bounds),
+      retentionMs: () => this.#bounds.windowMs,
       knownHosts: () => this.#entries.length,
+      ...(order ? { order: () => order } : {}),
     });
     const others = this.#entries.filter((entry) => entry.id !== id);
     const member = new QuotaMember({
@@ -210,7 +217,7 @@
       clock,
       localOwner: owner,
       hosts: () => others,
-      retentionMs: () => BOUNDS.windowMs,
+      retentionMs: () => this.#bounds.windowMs,
       path: LinkPath.quota,
       noteLost: () => undefined,
       openLink: ({ address }, events) => this.#open(id, address, events),
@@ -222,7 +229,7 @@
     const { generation } = host;
     const refresh = () => {
       if (host.generation !== generation) return;
-      host.member.refresh();
+      whenRunning(this.#time, host, () => host.member.refresh());
       this.at(this.#time.now + REFRESH_INTERVAL_MS, refresh);
     };
     this.at(this.#time.now, refresh);
@@ -234,69 +241,13 @@
   }
 
   #open(fromId: string, toId: string, events: LinkEvents): Link {
-    const from = this.#hostOf(fromId);
-    const to = this.#hostOf(toId);
-    let state: "opening" | "open" | "closed" = "opening";
-    const { generation } = to;
-    const link: FakeLink = {
-      from,
-      to,
-      close: () => {
-        if (state === "closed") return;
-        const wasOpen = state === "open";
-        state = "closed";
-        from.links.delete(link);
-        to.links.delete(link);
-        const removeMember = () => {
-          if (to.isUp && to.generation === generation) {
-            to.owner.removeMember(fromId);
-          }
-        };
-        // Across a partition the owner detects the closed link by timeout only.
-        const isCut = this.#sides.get(fromId) !== this.#sides.get(toId);
-        const timeoutAt = Math.max(
-          this.#time.now,
-          this.#cutAt + LINK_TIMEOUT_MS,
-        );
-        if (wasOpen && isCut) this.at(timeoutAt, removeMember);
-        else if (wasOpen) removeMember();
-        events.closed();
-      },
-    };
-    from.links.add(link);
-    const wasUp = to.isUp;
-    this.at(
-      this.#time.now + (wasUp ? 2 * LINK_DELAY_MS : LINK_DELAY_MS),
-      () => {
-        if (state === "closed") return;
-        if (!wasUp || to.generation !== generation) return link.close();
-        if (!this.#reaches(from, to)) {
-          return this.at(
-            this.#time.now + CONNECT_TIMEOUT_MS,
-            () => link.close(),
-          );
-        }
-        state = "open";
-        to.links.add(link);
-        events.ready?.();
-        const hello = { type: "hello", run: to.owner.run };
-        this.at(this.#time.now, () => events.line(JSON.stringify(hello)));
-      },
-    );
-    return {
-      close: () => link.close(),
-      send: (message) => {
-        this.at(this.#time.now + LINK_DELAY_MS, () => {
-          if (state !== "open" || !this.#reaches(from, to)) return;
-          const reply = to.owner.handle(fromId, message as MemberMessage);
-          if (!reply) return;
-          this.at(this.#time.now + LINK_DELAY_MS, () => {
-            if (state !== "open" || !this.#reaches(from, to)) return;
-            events.line(JSON.stringify(reply));
-          });
-        });
-      },
-    };
+    const ends = { from: this.#hostOf(fromId), to: this.#hostOf(toId) };
+    return openFakeLink(ends, events, {
+      time: this.#time,
+      reaches: (from, to) => this.#reaches(from, to),
+      isCut: () => this.#sides.get(fromId) !== this.#sides.get(toId),
+      cutAt: () => this.#cutAt,
+    });
   }
 
   #hostOf(id: string): Host {
