Callers: bounds on connections, pipelined requests and heads

A connection is not read while 16 requests or 128 KB of heads wait on it, heads count against the memory of the process, and connections are bounded by the descriptors. Pipelined requests start one after the other, none behind a response that closes its connection. Connections that the host ends are read on until their caller has ended them; a caller that ends its side is served. Settings: callers.*; tests in test/gateway/callers.

--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -13,7 +13,11 @@
   quotaUnknown: "quota_unknown",
   bodyTooLarge: "body_too_large",
   bodyTooSlow: "body_too_slow",
+  headTooLarge: "head_too_large",
+  headTooSlow: "head_too_slow",
+  malformed: "malformed",
   hostFull: "host_full",
+  tooManyConnections: "too_many_connections",
   noReplica: "no_replica",
   noMemory: "no_memory",
   busy: "busy",
@@ -83,11 +87,28 @@
     status: 408,
     message: "The request body did not arrive in time; nothing ran",
   },
+  head_too_large: {
+    status: 431,
+    message: "The request's headers are larger than the limit in force",
+  },
+  head_too_slow: {
+    status: 408,
+    message: "The request's headers did not arrive in time; nothing ran",
+  },
+  malformed: {
+    status: 400,
+    message: "The request can't be parsed; nothing ran",
+  },
   host_full: {
     status: 503,
     message: "This host has no memory for the request; nothing ran",
     retryAfterSeconds: 0.5,
   },
+  too_many_connections: {
+    status: 503,
+    message: "This host has too many connections; nothing ran",
+    retryAfterSeconds: 0.5,
+  },
   no_replica: {
     status: 503,
     message: "No replica of the service can be reached; nothing ran",
--- /dev/null
+++ b/src/gateway/callers/caller_connections.ts
@@ -0,0 +1,98 @@
+/** The connections of callers and the requests that are received on them. */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { GatewayError } from "../answers.ts";
+import type { GatewayContext } from "../context.ts";
+import { ConnectionLimit } from "./connection_limit.ts";
+import { lingerOnClose } from "./lingering_close.ts";
+import { Pipeline, type PipelineBounds, type Turn } from "./pipeline.ts";
+import { rawResponse } from "./raw_response.ts";
+import { UnreadableRequests } from "./unreadable_requests.ts";
+
+/** What {@link CallerConnections} uses of a gateway's context. */
+export type ConnectionsContext = Pick<
+  GatewayContext,
+  "clock" | "dialect" | "events" | "metrics" | "heldBytes" | "tuning"
+>;
+
+/** The connections of one server. */
+export class CallerConnections {
+  readonly #context: ConnectionsContext;
+  readonly #limit = new ConnectionLimit<Socket>();
+  readonly #pipelines = new WeakMap<Socket, Pipeline>();
+  readonly #unreadable: UnreadableRequests;
+
+  constructor(context: ConnectionsContext, server: Server) {
+    this.#context = context;
+    this.#unreadable = new UnreadableRequests(
+      context,
+      () => server.headersTimeout,
+    );
+    server.on("connection", (socket: Socket) => this.#opened(socket));
+    server.on("clientError", (error: Error, stream) => {
+      const socket = stream as Socket;
+      this.#unreadable.failed(socket, this.#pipelineOf(socket), error);
+    });
+  }
+
+  /** Number of connections that are open. */
+  get size(): number {
+    return this.#limit.size;
+  }
+
+  /** Adds a request on its arrival; resolves when its turn has come. */
+  add(incoming: IncomingMessage, response: ServerResponse): Promise<Turn> {
+    const { socket } = incoming;
+    this.#unreadable.received(socket);
+    this.#limit.busy(socket);
+    return this.#pipelineOf(socket).add(incoming, response);
+  }
+
+  #opened(socket: Socket): void {
+    const { metrics, events, tuning, dialect, clock } = this.#context;
+    const opened = this.#limit.opened(socket, tuning.maxConnections);
+    if (opened.type === "refused") {
+      metrics.count("connections_refused");
+      events.note("connectionRefused", { open: this.size });
+      const error = GatewayError.tooManyConnections;
+      socket.end(rawResponse(error, dialect.retryAfterHeader));
+      return socket.destroySoon();
+    }
+    lingerOnClose(socket, clock);
+    socket.on("close", () => this.#limit.closed(socket));
+    if (opened.type !== "acceptedFor") return;
+    metrics.count("connections_evicted");
+    events.note("connectionEvicted", { open: this.size });
+    opened.idle.destroy();
+  }
+
+  #pipelineOf(socket: Socket): Pipeline {
+    const existing = this.#pipelines.get(socket);
+    if (existing) return existing;
+    const { heldBytes, metrics, events } = this.#context;
+    const pipeline = new Pipeline({
+      socket,
+      budget: heldBytes,
+      bounds: () => this.#bounds,
+      onFull: () => {
+        metrics.count("pipelines_full");
+        events.note("pipelineFull");
+      },
+      onIdle: () => {
+        this.#limit.idle(socket);
+        this.#unreadable.idle(socket);
+      },
+    });
+    this.#pipelines.set(socket, pipeline);
+    return pipeline;
+  }
+
+  get #bounds(): PipelineBounds {
+    const { maxPipelinedRequests, maxPipelinedHeadBytes } =
+      this.#context.tuning;
+    return {
+      requests: maxPipelinedRequests,
+      headBytes: maxPipelinedHeadBytes,
+    };
+  }
+}
--- /dev/null
+++ b/src/gateway/callers/create_request.ts
@@ -0,0 +1,73 @@
+/** Creates the request that is sent to replicas from an accepted one. */
+import type { IncomingMessage } from "node:http";
+import type { Milliseconds } from "../../util/units.ts";
+import type { GatewayContext } from "../context.ts";
+import { lazyFingerprint } from "../crashes/fingerprint.ts";
+import type { Customer } from "../customers/model.ts";
+import { requestHeaders, withoutHeaders } from "../http/headers.ts";
+import type { RequestMetadata } from "../port.ts";
+import type { GatewayRequest } from "../requests/request.ts";
+import type { Route } from "../routing/model.ts";
+import { pickTarget } from "../routing/route_table.ts";
+
+/** A request that its headers allow to proceed. */
+export type AcceptedHeaders = {
+  readonly type: "taken";
+  readonly route: Route;
+  readonly facts: RequestMetadata;
+  readonly customer: Customer | undefined;
+};
+
+/** Rank of a request; 0 is the most urgent. */
+export function priorityOf(
+  { route, customer }: Pick<AcceptedHeaders, "route" | "customer">,
+): number {
+  return customer?.priority ?? route.priority;
+}
+
+/** Creates a request from its parts. */
+export function createRequest(
+  context: Pick<GatewayContext, "dialect" | "routes" | "random">,
+  incoming: IncomingMessage,
+  parts: {
+    readonly check: AcceptedHeaders;
+    readonly receivedAt: Milliseconds;
+    readonly body: Buffer;
+  },
+): GatewayRequest {
+  const { check: { route, facts, customer }, receivedAt, body } = parts;
+  const timeoutMs = Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity);
+  const method = incoming.method ?? "GET";
+  const target = incoming.url ?? "/";
+  const fingerprint = lazyFingerprint({
+    method,
+    host: route.host,
+    target,
+    customer: customer?.name,
+    body,
+  });
+  return {
+    route,
+    service: pickTarget(route.targets, context.random()) ?? "",
+    ...(customer ? { customer } : {}),
+    priority: priorityOf({ route, customer }),
+    receivedAt,
+    body,
+    fingerprint,
+    method,
+    target,
+    rawHeaders: forwardedHeaders(context, incoming.rawHeaders),
+    facts,
+    deadline: receivedAt + timeoutMs,
+  };
+}
+
+/** Removes customer keys, which replicas must not receive. */
+function forwardedHeaders(
+  { dialect, routes }: Pick<GatewayContext, "dialect" | "routes">,
+  raw: readonly string[],
+): string[] {
+  const forwarded = requestHeaders(raw, dialect.endToEndHeaders);
+  if (!routes.customers) return forwarded;
+  return withoutHeaders(forwarded, (name) => name === dialect.keyHeader);
+}
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -10,28 +10,36 @@
 } from "node:http";
 import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
-import { type Clock, sleep } from "../clock.ts";
+import type { Clock } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import { type AdmissionOptions, admit } from "../customers/admission.ts";
-import type { Customer } from "../customers/model.ts";
-import { lazyFingerprint } from "../crashes/fingerprint.ts";
-import { requestHeaders, withoutHeaders } from "../http/headers.ts";
-import type { RequestMetadata } from "../port.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { Exchange } from "../requests/exchange.ts";
 import type { GatewayRequest, Reply } from "../requests/request.ts";
 import type { CallerLimits, Route } from "../routing/model.ts";
-import { pickTarget } from "../routing/route_table.ts";
-import { readCallerBody } from "./body.ts";
+import { type BodyReadResult, readCallerBody } from "./body.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import {
   acquireQuota,
   type QuotaAcquisition,
   type QuotaAcquisitionOptions,
 } from "./quota_acquisition.ts";
+import {
+  type AcceptedHeaders,
+  createRequest,
+  priorityOf,
+} from "./create_request.ts";
+import { serveHalfClosed, watchHalfClosed } from "./half_closed.ts";
 import { onceClosed } from "./once_closed.ts";
+import { drainServer } from "./drain_server.ts";
+import { OpenReplies } from "./open_replies.ts";
+import { Turn } from "./pipeline.ts";
 import { createReply } from "./reply.ts";
 
-const MAX_HEADER_BYTES = 64 * 1024;
+/** Limit on request heads until a configuration has named one. */
+const DEFAULT_HEAD_LIMIT_BYTES = 64 << 10;
+/** Interval at which connections are checked for late heads. */
+const HEAD_CHECK_INTERVAL_MS = 1000;
 /** Body limit that applies until a configuration has been received. */
 const DEFAULT_BODY_LIMIT_BYTES = 4 << 20;
 /**
@@ -41,7 +49,6 @@
 const MIN_STREAM_TIME_LEFT_MS = 5300;
 /** As {@link MIN_STREAM_TIME_LEFT_MS}, for requests to plain services. */
 const MIN_PLAIN_TIME_LEFT_MS = 1000;
-const CLOSE_CHECK_INTERVAL_MS = 50;
 /** Longest time for which the body of a refused request is discarded. */
 const MAX_DISCARD_MS = 10_000;
 
@@ -52,25 +59,11 @@
   overBudget: GatewayError.hostFull,
 } as const;
 
-/** A request that its headers allow to proceed. */
-type AcceptedHeaders = {
-  readonly type: "taken";
-  readonly route: Route;
-  readonly facts: RequestMetadata;
-  readonly customer: Customer | undefined;
-};
 /** Result of checking the headers of a request. */
 type HeaderCheck =
   | AcceptedHeaders
   | { readonly type: "refused"; readonly error: GatewayError };
 
-/** Rank of a request; 0 is the most urgent. */
-function priorityOf(
-  { route, customer }: Pick<AcceptedHeaders, "route" | "customer">,
-): number {
-  return customer?.priority ?? route.priority;
-}
-
 /** Options of {@link CallerServer}. */
 export type CallerServerOptions = {
   readonly context: GatewayContext;
@@ -87,7 +80,9 @@
   readonly #admission: AdmissionOptions;
   readonly #quotas: QuotaAcquisitionOptions["quotas"];
   readonly #exchanges = new Set<Exchange>();
-  /** Requests that are being read or wait for quota units. */
+  readonly #connections: CallerConnections;
+  readonly #replies = new OpenReplies();
+  /** Requests that are being read, or wait for their turn or quota units. */
   #pendingCount = 0;
 
   constructor(options: CallerServerOptions) {
@@ -97,10 +92,18 @@
     this.#admission = admission;
     this.#quotas = quotas;
     this.server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES },
+      {
+        maxHeaderSize: DEFAULT_HEAD_LIMIT_BYTES,
+        connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
+        // Checked below: Node's own answer would close the connection while
+        // requests behind it start.
+        requireHostHeader: false,
+      },
       (request, response) => void this.#serve(request, response),
     );
     this.server.requestTimeout = 0;
+    serveHalfClosed(this.server);
+    this.#connections = new CallerConnections(context, this.server);
   }
 
   /** Number of requests in progress. */
@@ -108,65 +111,59 @@
     return this.#exchanges.size + this.#pendingCount;
   }
 
-  /** Applies the limits of a new configuration. */
+  /** Number of open connections of callers. */
+  get connectionCount(): number {
+    return this.#connections.size;
+  }
+
+  /**
+   * Applies the limits of a new configuration. Open connections keep the limit
+   * on heads that they began with.
+   */
   applyLimits(limits: CallerLimits): void {
+    const { headBytes: maxHeaderSize = DEFAULT_HEAD_LIMIT_BYTES } = limits;
+    // Node reads the option when a connection opens.
+    Object.assign(this.server, { maxHeaderSize });
     this.server.keepAliveTimeout = limits.idleMs;
     this.server.headersTimeout = limits.headerMs;
   }
 
   /**
    * Stops accepting connections, closes idle ones, and waits until `deadline`
-   * for the others to close. Requests that arrive on them are still served.
+   * for the others to close. Requests that arrive on them are still served. What
+   * has not been sent by then is aborted: the connections of a process that
+   * exits end in order, as if they were complete.
    */
   async drain(clock: Clock, deadline: Milliseconds): Promise<void> {
-    let isClosed = false;
-    this.server.close(() => isClosed = true);
-    while (!isClosed && clock.now() < deadline) {
-      this.server.closeIdleConnections();
-      await sleep(clock, CLOSE_CHECK_INTERVAL_MS);
-    }
+    await drainServer(this.server, this.#replies, { clock, deadline });
+    for (const exchange of this.#exchanges) exchange.hostStops();
   }
 
   async #serve(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, routes, dialect, metrics, stop, heldBytes } = this.#context;
+    const { clock, metrics } = this.#context;
     const receivedAt = clock.now();
     metrics.count("requests");
+    const turn = await this.#awaitTurn(incoming, response);
+    if (turn === Turn.closed) return;
     const firstCheck = this.#checkHeaders(incoming);
-    const maxBytes = routes.config?.limits.bodyBytes ??
-      DEFAULT_BODY_LIMIT_BYTES;
-    this.#pendingCount += 1;
-    const reading = await readCallerBody(incoming, {
-      maxBytes,
-      // The body of a request that its headers already refuse is discarded.
-      isRetained: firstCheck.type === "taken",
-      budget: heldBytes,
-      isMostUrgent: firstCheck.type === "taken" &&
-        priorityOf(firstCheck) === 0,
-      clock,
-      timeoutMs: firstCheck.type === "taken"
-        ? firstCheck.route.timeoutMs
-        : MAX_DISCARD_MS,
-    });
-    this.#pendingCount -= 1;
+    const reading = await this.#readBody(incoming, firstCheck, turn);
     if (reading.type === "gone") return;
-    const reply = createReply({
-      response,
-      dialect,
-      shouldCloseConnection: () => stop.requestedAt !== undefined,
-    });
+    const reply = this.#createReply(incoming, response);
     if (reading.type !== "whole") {
       response.shouldKeepAlive = false;
-      response.on("finish", () => incoming.destroy());
+      // The rest is discarded until the connection closes.
+      response.on("finish", () => incoming.resume());
       const error = firstCheck.type === "refused"
         ? firstCheck.error
         : INCOMPLETE_BODY_ERRORS[reading.type];
       return this.#refuse(reply, error, incoming);
     }
     onceClosed(incoming, response, () => reading.release());
-    // Checks again: a key may have been revoked while the body was read.
+    watchHalfClosed({ clock, incoming, response });
+    // Checks again: a key may have been revoked meanwhile.
     const check = firstCheck.type === "taken"
       ? this.#checkHeaders(incoming)
       : firstCheck;
@@ -174,7 +171,11 @@
       return this.#refuse(reply, check.error, incoming);
     }
     const { body } = reading;
-    const request = this.#createRequest(incoming, { check, receivedAt, body });
+    const request = createRequest(this.#context, incoming, {
+      check,
+      receivedAt,
+      body,
+    });
     const quota = await this.#acquireQuota(request);
     if (quota.type === "refused") {
       const { error, retryAfterMs } = quota;
@@ -184,6 +185,57 @@
     this.#startExchange(request, { reply, incoming, response, quota });
   }
 
+  #createReply(incoming: IncomingMessage, response: ServerResponse): Reply {
+    const { dialect, stop } = this.#context;
+    const reply = createReply({
+      response,
+      dialect,
+      shouldCloseConnection: () => stop.requestedAt !== undefined,
+    });
+    this.#replies.add(reply, { incoming, response });
+    return reply;
+  }
+
+  /** Waits for the responses before this one. */
+  async #awaitTurn(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Turn> {
+    const { dialect, events } = this.#context;
+    this.#pendingCount += 1;
+    const turn = await this.#connections.add(incoming, response);
+    this.#pendingCount -= 1;
+    if (turn === Turn.closed) {
+      const { id } = dialect.readRequest(incoming.headers);
+      events.note("notStarted", { request: id });
+    }
+    return turn;
+  }
+
+  async #readBody(
+    incoming: IncomingMessage,
+    check: HeaderCheck,
+    turn: Turn,
+  ): Promise<BodyReadResult> {
+    const { clock, routes, heldBytes } = this.#context;
+    if (turn === Turn.overBudget) return { type: "overBudget" };
+    const isTaken = check.type === "taken";
+    const { bodyBytes = DEFAULT_BODY_LIMIT_BYTES } = routes.config?.limits ??
+      {};
+    this.#pendingCount += 1;
+    const reading = await readCallerBody(incoming, {
+      maxBytes: bodyBytes,
+      // The body of a request that its headers already refuse is discarded.
+      isRetained: isTaken,
+      budget: heldBytes,
+      isMostUrgent: isTaken && priorityOf(check) === 0,
+      clock,
+      timeoutMs: isTaken ? check.route.timeoutMs : MAX_DISCARD_MS,
+    });
+    this.#pendingCount -= 1;
+    return reading;
+  }
+
   async #acquireQuota(request: GatewayRequest): Promise<QuotaAcquisition> {
     const { clock, routes: { version }, tuning: { scheduling } } =
       this.#context;
@@ -200,11 +252,12 @@
   /** Finds the route and the customer of a request, or why it is refused. */
   #checkHeaders(incoming: IncomingMessage): HeaderCheck {
     const { clock, routes, dialect } = this.#context;
-    const host = incoming.headers.host ?? "";
-    const route = routes.match(host, incoming.url ?? "/");
-    if (!route) {
-      return { type: "refused", error: this.#noRouteError() };
+    const { headers: { host }, httpVersion } = incoming;
+    if (host === undefined && httpVersion === "1.1") {
+      return { type: "refused", error: GatewayError.malformed };
     }
+    const route = routes.match(host ?? "", incoming.url ?? "/");
+    if (!route) return { type: "refused", error: this.#noRouteError() };
     if (!this.#hasTimeFor(route)) {
       return { type: "refused", error: GatewayError.stopping };
     }
@@ -226,50 +279,6 @@
     return routes.isBehind ? GatewayError.staleRoutes : GatewayError.noRoute;
   }
 
-  #createRequest(
-    incoming: IncomingMessage,
-    parts: {
-      readonly check: AcceptedHeaders;
-      readonly receivedAt: Milliseconds;
-      readonly body: Buffer;
-    },
-  ): GatewayRequest {
-    const { random } = this.#context;
-    const { check: { route, facts, customer }, receivedAt, body } = parts;
-    const timeoutMs = Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity);
-    const method = incoming.method ?? "GET";
-    const target = incoming.url ?? "/";
-    const fingerprint = lazyFingerprint({
-      method,
-      host: route.host,
-      target,
-      customer: customer?.name,
-      body,
-    });
-    return {
-      route,
-      service: pickTarget(route.targets, random()) ?? "",
-      ...(customer ? { customer } : {}),
-      priority: priorityOf({ route, customer }),
-      receivedAt,
-      body,
-      fingerprint,
-      method,
-      target,
-      rawHeaders: this.#forwardedHeaders(incoming.rawHeaders),
-      facts,
-      deadline: receivedAt + timeoutMs,
-    };
-  }
-
-  /** Removes customer keys, which replicas must not receive. */
-  #forwardedHeaders(raw: readonly string[]): string[] {
-    const { dialect, routes } = this.#context;
-    const forwarded = requestHeaders(raw, dialect.endToEndHeaders);
-    if (!routes.customers) return forwarded;
-    return withoutHeaders(forwarded, (name) => name === dialect.keyHeader);
-  }
-
   #startExchange(
     request: GatewayRequest,
     { reply, incoming, response, quota }: {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -64,6 +64,12 @@
   readonly scheduling: Scheduling;
   /** How long a caller may leave an answer unread; Infinity: for ever. */
   readonly unreadTimeoutMs: Milliseconds;
+  /** Connections of callers that may be open; Infinity: any number. */
+  readonly maxConnections: number;
+  /** Pipelined requests that may wait on one connection. */
+  readonly maxPipelinedRequests: number;
+  /** Bytes of the heads of requests that may wait on one connection. */
+  readonly maxPipelinedHeadBytes: number;
 };
 
 /** Shared state and dependencies of one gateway. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -1,6 +1,8 @@
 /** Creates the shared state of a gateway from its settings. */
 import { monotonicNow, newIncarnation } from "../shell/clock.ts";
+import { descriptorLimit } from "../shell/descriptor_limit.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
+import { callerConnectionsOf } from "./callers/connection_limit.ts";
 import { type Clock, systemClock } from "./clock.ts";
 import type { GatewayContext, GatewayTuning } from "./context.ts";
 import { CrashWatch } from "./crashes/crash_watch.ts";
@@ -144,7 +146,7 @@
 
 /** The reloadable parameters of the request path. */
 export function tuningOf(settings: GatewaySettings): GatewayTuning {
-  const { tuning, scheduling } = settings;
+  const { tuning, scheduling, callers } = settings;
   return {
     reserveTimeoutMs: tuning.reserve_timeout,
     prefillTimeoutMs: tuning.prefill_timeout,
@@ -154,6 +156,10 @@
     memoryShare: tuning.memory_share,
     remoteHallPenalty: tuning.far_charge,
     unreadTimeoutMs: settings.memory.unread_timeout ?? Infinity,
+    maxConnections: callers.connections ??
+      callerConnectionsOf(descriptorLimit()),
+    maxPipelinedRequests: callers.pipelined_requests,
+    maxPipelinedHeadBytes: callers.pipelined_heads,
     scheduling: {
       replicaRates: scheduling.replica_rates,
       rateHandover: scheduling.rate_handover,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -256,6 +256,7 @@
         settingsState: this.#settingsState,
         splits: [...this.#splits.values()],
         openRequests: this.#callerServer.openRequestCount,
+        callerConnections: this.#callerServer.connectionCount,
         quotaCustomers: this.#customers.owner.size,
         planService: this.#planService,
         fleetState: this.#fleetState,
--- a/src/gateway/http/headers.ts
+++ b/src/gateway/http/headers.ts
@@ -1,4 +1,5 @@
-/** Filters raw headers, which are lists of alternating names and values. */
+/** Reads raw headers, which are lists of alternating names and values. */
+import type { IncomingMessage } from "node:http";
 
 /** Hop-by-hop headers (RFC 9110, 7.6.1) and those of message framing. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -68,6 +69,18 @@
   );
 }
 
+/** Bytes around the name and the value of a header: a colon, a space, CRLF. */
+const HEADER_FRAMING_BYTES = 4;
+
+/** Size of a request head in bytes, without its method and version. */
+export function headBytes(
+  { url = "", rawHeaders }: Pick<IncomingMessage, "url" | "rawHeaders">,
+): number {
+  let bytes = url.length + HEADER_FRAMING_BYTES * rawHeaders.length / 2;
+  for (const text of rawHeaders) bytes += text.length;
+  return bytes;
+}
+
 /** Lower-case names listed in the `Connection` header, except `endToEnd`. */
 function namesInConnection(
   raw: readonly string[],
--- a/src/gateway/memory/byte_budget.ts
+++ b/src/gateway/memory/byte_budget.ts
@@ -1,7 +1,7 @@
 /**
- * Bounds the bytes that a host holds for its callers: request bodies, and
- * answers that callers have not read yet. Without a bound, callers who send or
- * read slowly would use up the memory of the process.
+ * Bounds the bytes that a host holds for its callers: request heads and bodies,
+ * and answers that callers have not read yet. Without a bound, callers who send
+ * or read slowly would use up the memory of the process.
  */
 
 /** What bytes are held for. */
@@ -10,6 +10,8 @@
   bodies: "bodies",
   /** Parts of answers that callers have not read. */
   answers: "answers",
+  /** Request heads, until the request has ended. */
+  heads: "heads",
 } as const;
 /** One of the values of {@link HeldFor}. */
 export type HeldFor = typeof HeldFor[keyof typeof HeldFor];
@@ -20,10 +22,18 @@
  */
 const LESS_URGENT_SHARE = 0.8;
 
+/**
+ * Share of the budget for heads of requests that are not the most urgent. Unlike
+ * bodies, heads are objects of the JavaScript heap, whose limit is below the
+ * memory of the process.
+ */
+const HEADS_SHARE = 0.25;
+
 /** The bytes that one process may hold. */
 export class ByteBudget {
   #capacity: number;
   readonly #held = new Map<HeldFor, number>();
+  #total = 0;
 
   /** `capacity` is in bytes; Infinity: no bound. */
   constructor(capacity: number) {
@@ -48,17 +58,19 @@
   ): boolean {
     const share = isMostUrgent ? 1 : LESS_URGENT_SHARE;
     if (this.#total + bytes > this.#capacity * share) return false;
+    const isHead = use === HeldFor.heads && !isMostUrgent;
+    const headsAfter = this.heldFor(HeldFor.heads) + bytes;
+    if (isHead && headsAfter > this.#capacity * HEADS_SHARE) return false;
     this.#held.set(use, this.heldFor(use) + bytes);
+    this.#total += bytes;
     return true;
   }
 
   /** Releases bytes that were held. */
   release(use: HeldFor, bytes: number): void {
-    this.#held.set(use, Math.max(0, this.heldFor(use) - bytes));
-  }
-
-  get #total(): number {
-    return this.heldFor(HeldFor.bodies) + this.heldFor(HeldFor.answers);
+    const released = Math.min(bytes, this.heldFor(use));
+    this.#held.set(use, this.heldFor(use) - released);
+    this.#total -= released;
   }
 }
 
--- a/src/gateway/metrics_page.ts
+++ b/src/gateway/metrics_page.ts
@@ -16,6 +16,7 @@
   readonly settingsState: SettingsState;
   readonly splits: readonly SplitDecision[];
   readonly openRequests: number;
+  readonly callerConnections: number;
   readonly quotaCustomers: number;
   readonly planService: PlanService;
   readonly fleetState: Pick<FleetState, "storeAgeMs" | "configAgeMs">;
@@ -49,8 +50,10 @@
     ...settingsState.gauges(now),
     ...splitGauges(parts.splits),
     held_bytes_bodies: heldBytes.heldFor(HeldFor.bodies),
+    held_bytes_heads: heldBytes.heldFor(HeldFor.heads),
     held_bytes_answers: heldBytes.heldFor(HeldFor.answers),
     requests_open: parts.openRequests,
+    caller_connections: parts.callerConnections,
     quota_customers: parts.quotaCustomers,
     memory_waits: planService.waiting,
     memory_tokens_running: planService.memoryByUse.running,
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -251,6 +251,31 @@
   failed: warn("requests", "A request failed", FAILURES_PER_SECOND),
   broken: warn("requests", "A response was cut off", FAILURES_PER_SECOND),
   callerGone: info("requests", "The caller disconnected", REQUESTS_PER_SECOND),
+  notStarted: info(
+    "requests",
+    "A pipelined request was not started, since its connection closed",
+    REQUESTS_PER_SECOND,
+  ),
+  pipelineFull: info(
+    "requests",
+    "The bound on the pipelined requests of a connection was reached",
+    5,
+  ),
+  connectionRefused: warn(
+    "callers",
+    "A connection was refused, since the host has too many",
+    5,
+  ),
+  connectionEvicted: info(
+    "callers",
+    "An idle connection was closed for a new one",
+    5,
+  ),
+  unreadable: warn(
+    "requests",
+    "A request could not be read",
+    FAILURES_PER_SECOND,
+  ),
   crossed: warn(
     "requests",
     "A response to another request was received and dropped",
--- a/src/gateway/routing/model.ts
+++ b/src/gateway/routing/model.ts
@@ -71,6 +71,8 @@
 /** Limits on the requests and connections of callers. */
 export type CallerLimits = {
   readonly bodyBytes: number;
+  /** Absent: the usual limit of a host. */
+  readonly headBytes?: number;
   readonly headerMs: Milliseconds;
   readonly idleMs: Milliseconds;
 };
--- a/src/gateway/routing/schema.ts
+++ b/src/gateway/routing/schema.ts
@@ -53,6 +53,7 @@
   })).readonly(),
   limits: z.object({
     bodyBytes: z.number(),
+    headBytes: z.number().exactOptional(),
     headerMs: z.number(),
     idleMs: z.number(),
   }),
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -6,6 +6,7 @@
   name,
   requiredDuration,
   requiredSize,
+  size,
 } from "./units.ts";
 
 const Host = z.strictObject({
@@ -103,6 +104,16 @@
   unread_timeout: requiredDuration().optional(),
 });
 
+/** Bounds on what the connections of callers make the host hold. */
+const Callers = z.strictObject({
+  /** Open connections; absent: derived from the limit on descriptors. */
+  connections: z.number().int().min(1).optional(),
+  /** Pipelined requests that wait; no more are read until some have started. */
+  pipelined_requests: z.number().int().min(1).default(16),
+  /** Bytes of the heads of the requests that wait. */
+  pipelined_heads: size("128KB"),
+});
+
 const Customers = z.strictObject({
   /**
    * Maximum age of the configuration by which API keys are accepted; absent for
@@ -136,6 +147,7 @@
   stages: Stages.prefault({}),
   tuning: Tuning.prefault({}),
   memory: Memory.prefault({}),
+  callers: Callers.prefault({}),
   scheduling: Scheduling.prefault({}),
   customers: Customers.prefault({}),
   log: Log.prefault({}),
--- /dev/null
+++ b/test/gateway/callers/drain_test.ts
@@ -0,0 +1,115 @@
+/**
+ * A stopping host and callers who read slowly. Guards against responses that are
+ * logged as answered and cut off when the host closes its idle connections.
+ */
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { test } from "node:test";
+import { RouteKind } from "../../../src/gateway/mod.ts";
+import { completeResponse, type RawAnswer } from "../raw_replica.ts";
+import { type Rig, withRig } from "../rig.ts";
+import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
+
+const ROUTE = { kind: RouteKind.unsafe, attempts: 1 };
+/** Below the size up to which a response is buffered until it is complete. */
+const BODY = "a".repeat(200_000);
+/** Enough to fill the buffers of a connection over loopback. */
+const REQUESTS = 100;
+const REQUEST = "GET /a/b HTTP/1.1\r\nHost: example\r\nx-id: 1\r\n\r\n";
+/** Lets a stopping host check its connections more than once. */
+const SEVERAL_CHECKS_MS = 200;
+
+const framed: RawAnswer = (request, socket) => {
+  socket.write(completeResponse(request, BODY));
+};
+
+/** Opens a connection whose caller doesn't read yet. */
+function connectTo({ address }: Rig): Socket {
+  const [host = "", port] = address.split(":");
+  const caller = connect(Number(port), host);
+  caller.pause();
+  caller.on("error", () => undefined);
+  return caller;
+}
+
+/** Resolves when a response has ended and some of its bytes are unsent. */
+async function fillConnection(rig: Rig): Promise<Socket> {
+  const connected = once(rig.callers.server, "connection");
+  const caller = connectTo(rig);
+  caller.write(REQUEST.repeat(REQUESTS));
+  const [accepted] = await connected as [Socket];
+  while (!isUnsent(rig, accepted)) await nextTurn();
+  return caller;
+}
+
+function isUnsent(rig: Rig, accepted: Socket): boolean {
+  const answered = rig.events.filter(({ name }) => name === "answered").length;
+  const [replica] = rig.replicas;
+  return answered === replica?.requests.length && accepted.writableLength > 0;
+}
+
+type Received = { readonly text: string; readonly isReset: boolean };
+
+function received(caller: Socket): Promise<Received> {
+  return new Promise((resolve) => {
+    let text = "";
+    let isReset = false;
+    caller.on("data", (bytes) => text += bytes.toString("latin1"));
+    caller.on("error", () => isReset = true);
+    caller.on("end", () => isReset ||= caller.remoteAddress === undefined);
+    caller.on("close", () => resolve({ text, isReset }));
+    caller.resume();
+  });
+}
+
+/** How the requests that were not answered ended. */
+function endingsIn({ events }: Rig): unknown[] {
+  return events
+    .filter(({ name }) => ["broken", "failed", "refused"].includes(name))
+    .map(({ name, fields }) => [name, "error" in fields && fields.error]);
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+async function sleep(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Number of complete bodies, and of bytes behind the last one. */
+function bodiesIn(text: string): { complete: number; rest: number } {
+  const bodies = text.split(/HTTP\/1.1 200 OK(?:\r\n[^\r\n]+)+\r\n\r\n/);
+  const complete = bodies.filter((body) => body === BODY).length;
+  return { complete, rest: (bodies.at(-1)?.length ?? 0) % BODY.length };
+}
+
+test("a stopping host sends the last bytes of responses that have ended", async () => {
+  const options = { route: ROUTE, replicas: [{ answer: framed }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const caller = await fillConnection(rig);
+    stop.requestedAt = clock.now() - TEST_TIMEOUT_MS / 2;
+    const deadline = clock.now() + TEST_TIMEOUT_MS;
+    const drained = rig.callers.drain(clock, deadline);
+    await sleep(SEVERAL_CHECKS_MS);
+    const { text } = await received(caller);
+    await drained;
+    const answered = rig.events.filter(({ name }) => name === "answered");
+    assert.deepEqual(bodiesIn(text), { complete: answered.length, rest: 0 });
+  });
+});
+
+test("a stopping host answers what still runs when its time is over", async () => {
+  const answer: RawAnswer = () => undefined;
+  const options = { route: ROUTE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const { clock } = rig.context;
+    const response = rig.call();
+    await rig.waitForRequests(1);
+    await rig.callers.drain(clock, clock.now());
+    assert.equal((await response).status, 502);
+    assert.deepEqual(endingsIn(rig), [["failed", "outcome_unknown"]]);
+  });
+});
--- a/test/gateway/customers/keys_test.ts
+++ b/test/gateway/customers/keys_test.ts
@@ -203,6 +203,23 @@
   assert.deepEqual(released, []);
 });
 
+test("an owner is told the priority of the route if urgent requests go first", async () => {
+  for (const quotaPriorities of [false, true]) {
+    const { requested, quotas } = fakeOwner(undefined);
+    const customer = { ...METERED, priority: 0 };
+    const route = { priority: 3 };
+    const options = { route, replicas, customers: [customer], quotas };
+    await withRig(options, async (rig) => {
+      const { tuning } = rig.context;
+      const scheduling = { ...tuning.scheduling, quotaPriorities };
+      rig.context.tuning = { ...tuning, scheduling };
+      await rig.call({ headers: { "x-key": "a-key" } });
+    });
+    const priorities = requested.map(({ priority }) => priority);
+    assert.deepEqual(priorities, [quotaPriorities ? 3 : undefined]);
+  }
+});
+
 test("a request over the quota is refused with a Retry-After header", async () => {
   const { quotas } = fakeOwner({ type: "refused", retryAfterMs: 1234 });
   const options = { replicas, customers: [METERED], quotas };
--- a/test/gateway/memory/byte_budget_test.ts
+++ b/test/gateway/memory/byte_budget_test.ts
@@ -26,9 +26,17 @@
   assert.equal(budget.tryHold(HeldFor.bodies, 20, URGENT), true);
 });
 
+test("heads that wait leave three quarters to others", () => {
+  const budget = new ByteBudget(100);
+  assert.equal(budget.tryHold(HeldFor.heads, 26, ROUTINE), false);
+  assert.equal(budget.tryHold(HeldFor.heads, 25, ROUTINE), true);
+  assert.equal(budget.tryHold(HeldFor.heads, 1, ROUTINE), false);
+  assert.equal(budget.tryHold(HeldFor.heads, 1, URGENT), true);
+});
+
 test("never holds more than its capacity, whatever is held and released", () => {
   const step = fc.record({
-    use: fc.constantFrom(HeldFor.bodies, HeldFor.answers),
+    use: fc.constantFrom(HeldFor.bodies, HeldFor.answers, HeldFor.heads),
     bytes: fc.integer({ min: 0, max: 60 }),
     isMostUrgent: fc.boolean(),
     isRelease: fc.boolean(),
@@ -40,7 +48,7 @@
         if (isRelease) budget.release(use, bytes);
         else budget.tryHold(use, bytes, { isMostUrgent });
         const held = budget.heldFor(HeldFor.bodies) +
-          budget.heldFor(HeldFor.answers);
+          budget.heldFor(HeldFor.answers) + budget.heldFor(HeldFor.heads);
         assert.ok(held >= 0 && held <= 100);
       }
     }),
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -76,6 +76,8 @@
   readonly replicas: readonly RawReplica[];
   readonly events: { readonly name: string; readonly fields: object }[];
   readonly address: string;
+  /** The server that the callers are connected to. */
+  readonly callers: CallerServer;
   /** Sends a request; rejects if no response headers are received. */
   call(options?: CallOptions): Promise<CallResult>;
   /** Resolves once the replicas have received `count` requests. */
@@ -157,6 +159,7 @@
     replicas,
     events,
     address: `${LOOPBACK}:${port}`,
+    callers,
     call: (callOptions = {}) => call(port, agent, callOptions),
     waitForRequests: async (count) => {
       const receivedCount = () =>
--- a/test/gateway/test_tuning.ts
+++ b/test/gateway/test_tuning.ts
@@ -15,5 +15,8 @@
   memoryShare: 1,
   remoteHallPenalty: 0.1,
   unreadTimeoutMs: TEST_TIMEOUT_MS,
+  maxConnections: Infinity,
+  maxPipelinedRequests: 16,
+  maxPipelinedHeadBytes: 128 << 10,
   scheduling: NO_SCHEDULING,
 };
--- a/test/platform/config_row_test.ts
+++ b/test/platform/config_row_test.ts
@@ -18,6 +18,7 @@
   const plain = read(config(3, "/a/"));
   assert.ok(plain.type === "config");
   assert.equal(plain.config.version, 3);
+  assert.equal(plain.config.limits.headBytes, 16_384);
   assert.deepEqual(plain.config.routes[0]?.targets, [
     { service: "plain", weight: 1 },
   ]);
