Truncated responses without framing don't reach callers framed as complete

Cause: a response without length and chunks ends with its connection, and every orderly end of a connection was taken for the end of the response.

The body of a response is complete, truncated or unconfirmed (upstreams/framing.ts). An unconfirmed stream that ends inside an event, or without one, is truncated: it goes on elsewhere where its route allows it, or is cut off. One that ends behind an event has its replica probed, and the peer on the way to it. Streams go to callers in chunks whatever their framing; plain responses without framing leave without framing, and a response that is not framed is aborted with a reset. An unconfirmed response clears a request of crashes only if its replica still listens. Tunnels that a host closes itself end with a reset. `answered` and `broken` name the framing, the bytes and the events.

--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -16,6 +16,7 @@
   type CrashSign,
 } from "./broken_sends.ts";
 import { CrashTable } from "./crash_table.ts";
+import { EndConfirmation } from "./end_confirmation.ts";
 import type { CrashRule, CrashUpdate, Quarantine } from "./model.ts";
 
 /** Bounds what a host writes into its row, which is limited to 64 KB. */
@@ -31,6 +32,8 @@
   readonly isDraining: (entry: ReplicaEntry) => boolean;
   /** Checks whether the replica listens, over any path. */
   readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
+  /** Whether the peer at this address responds now. */
+  readonly isPeerResponding: (address: string) => Promise<boolean>;
   /** Whether this incarnation still runs, although it is not listed. */
   readonly isAlive: (entry: ReplicaEntry) => Promise<boolean>;
 };
@@ -43,6 +46,8 @@
 
 /** Detects crashes, and decides which requests are quarantined. */
 export class CrashWatch {
+  /** Checks replicas whose streams ended without a confirmation. */
+  readonly ends: EndConfirmation;
   readonly #options: CrashWatchOptions;
   readonly #table: CrashTable;
   readonly #brokenSends = new BrokenSends();
@@ -53,6 +58,7 @@
 
   constructor(options: CrashWatchOptions) {
     this.#options = options;
+    this.ends = new EndConfirmation(options);
     this.#rule = options.rule;
     this.#table = new CrashTable(options.rule);
   }
@@ -106,6 +112,19 @@
     this.merge({ records: [], clearances }, undefined);
   }
 
+  /**
+   * Clears the request if its replica still runs after a response whose end
+   * its framing does not confirm: otherwise a crash may have cut it. If the end
+   * was just confirmed by a probe, that one counts.
+   */
+  async noteUnconfirmed(
+    entry: ReplicaEntry,
+    fingerprint: () => string,
+  ): Promise<void> {
+    if (!this.#isRecorded(fingerprint)) return;
+    if (await this.ends.confirmOnce(entry)) this.noteAnswered(fingerprint);
+  }
+
   #isRecorded(fingerprint: () => string): boolean {
     return this.#table.size > 0 && this.#table.has(fingerprint());
   }
--- /dev/null
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -0,0 +1,92 @@
+/**
+ * Checks replicas whose streams ended without a confirmation by their framing.
+ * The operating system closes the connections of a crashed process in order, so
+ * such an end may be that of the process.
+ */
+import { nextTick } from "node:process";
+import type { Milliseconds } from "../../util/units.ts";
+import type { Clock } from "../clock.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import type { ProbeResult } from "../upstreams/probe.ts";
+
+/**
+ * Delay of a probe. Streams of one replica that end meanwhile share it, and a
+ * process that is ending has closed its listening socket by then.
+ */
+const PROBE_DELAY_MS: Milliseconds = 20;
+
+/** Options of {@link EndConfirmation}. */
+export type EndConfirmationOptions = {
+  readonly clock: Clock;
+  /** Checks whether the replica listens, over any path. */
+  readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
+  /** Whether a replica is draining; it may have closed its address already. */
+  readonly isDraining: (entry: ReplicaEntry) => boolean;
+  /** Whether the peer at this address responds now. */
+  readonly isPeerResponding: (address: string) => Promise<boolean>;
+};
+
+/** Probes replicas, at most once per delay each. */
+export class EndConfirmation {
+  readonly #options: EndConfirmationOptions;
+  /** Probes that have not started, by incarnation. */
+  readonly #scheduled = new Map<string, Promise<ProbeResult>>();
+  /** Replicas whose confirmation is being handled, by incarnation. */
+  readonly #confirmed = new Set<string>();
+
+  constructor(options: EndConfirmationOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Whether the replica runs, so that a stream of it has ended. One that can't
+   * be reached confirms nothing. If the connection to `remoteAddress` went
+   * through a peer, that has to run as well.
+   */
+  async confirm(
+    entry: ReplicaEntry,
+    remoteAddress = entry.address,
+  ): Promise<boolean> {
+    const isConfirmed = await this.#isRunning(entry) &&
+      (remoteAddress === entry.address ||
+        await this.#options.isPeerResponding(remoteAddress));
+    if (isConfirmed) this.#noteConfirmed(entry);
+    return isConfirmed;
+  }
+
+  /**
+   * Like {@link confirm}, but without another probe in a continuation of the
+   * confirmation of the same end.
+   */
+  async confirmOnce(entry: ReplicaEntry): Promise<boolean> {
+    return this.#confirmed.has(entry.incarnation) || await this.confirm(entry);
+  }
+
+  /**
+   * A confirmation is valid until its continuations have run: the replica may
+   * crash afterwards and cut other responses. Node.js runs the callback once no
+   * promise is left to continue.
+   */
+  #noteConfirmed({ incarnation }: ReplicaEntry): void {
+    this.#confirmed.add(incarnation);
+    nextTick(() => this.#confirmed.delete(incarnation));
+  }
+
+  async #isRunning(entry: ReplicaEntry): Promise<boolean> {
+    if (this.#options.isDraining(entry)) return true;
+    const { incarnation } = entry;
+    const probe = this.#scheduled.get(incarnation) ?? this.#schedule(entry);
+    this.#scheduled.set(incarnation, probe);
+    return await probe === "listens";
+  }
+
+  #schedule(entry: ReplicaEntry): Promise<ProbeResult> {
+    const { clock, probe } = this.#options;
+    return new Promise((resolve) => {
+      clock.after(PROBE_DELAY_MS, () => {
+        this.#scheduled.delete(entry.incarnation);
+        resolve(probe(entry));
+      });
+    });
+  }
+}
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -12,7 +12,9 @@
 import { LineWriter } from "./observe/line_writer.ts";
 import { Metrics } from "./observe/metrics.ts";
 import type { HostDirectory } from "./peers/directory.ts";
+import { isPeerResponding } from "./peers/is_peer_responding.ts";
 import { openLink } from "./peers/link.ts";
+import type { PeerConnections } from "./peers/peer_connections.ts";
 import { createPaths } from "./paths/create_paths.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
 import { isReplicaAlive } from "./replicas/health_check.ts";
@@ -28,6 +30,7 @@
 export type FleetConnections = {
   readonly self: HostEntry;
   readonly directory: HostDirectory;
+  readonly connections: Pick<PeerConnections, "call">;
   /** Opens connections to replicas. */
   readonly connect: Connect;
 };
@@ -81,7 +84,7 @@
     random: Math.random,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
     heldBytes: new ByteBudget(callerBytesOf(settings.memory.process)),
-    crashes: createCrashWatch(settings, shared),
+    crashes: createCrashWatch(settings, fleet, shared),
     limits,
     draining,
     gate,
@@ -93,6 +96,7 @@
 
 function createCrashWatch(
   settings: GatewaySettings,
+  { connections }: FleetConnections,
   { clock, events, metrics, replicas, paths, pool, dialect, routes }: Pick<
     GatewayContext,
     | "clock"
@@ -112,6 +116,8 @@
     rule: crashRuleOf(settings),
     isDraining: (entry) => replicas.isDraining(entry),
     probe: (entry) => paths.monitor.probe(entry),
+    isPeerResponding: (address) =>
+      isPeerResponding(address, { clock, connections }),
     isAlive: (entry) => isReplicaAlive({ pool, dialect, routes, paths }, entry),
   });
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -107,6 +107,7 @@
     const context = createContext(settings, port, {
       self,
       directory,
+      connections: this.#connections,
       connect,
     });
     const configAgeMs = (now: Milliseconds) => {
--- a/src/gateway/paths/tunnel_agent.ts
+++ b/src/gateway/paths/tunnel_agent.ts
@@ -30,10 +30,17 @@
   readonly open: () => Promise<TunnelOutcome>;
 };
 
+/** A tunnel that has been opened. */
+type OpenTunnel = {
+  readonly openedAt: Milliseconds;
+  /** Address of the peer. */
+  readonly peer: string;
+};
+
 /** An agent whose connections are tunnels. */
 export class TunnelAgent extends KeepAliveAgent {
   readonly #options: TunnelAgentOptions;
-  readonly #openedAt = new WeakMap<Socket, Milliseconds>();
+  readonly #tunnels = new WeakMap<Socket, OpenTunnel>();
 
   constructor(options: TunnelAgentOptions) {
     super(options.maxConnections, tcpConnect);
@@ -51,15 +58,21 @@
         // Node reads no socket when there is an error.
         return callback?.(error, undefined as unknown as Duplex);
       }
-      this.#openedAt.set(outcome.socket, clock.now());
-      callback?.(null, outcome.socket);
+      const { socket, peer } = outcome;
+      this.#tunnels.set(socket, { openedAt: clock.now(), peer });
+      callback?.(null, socket);
     });
     return undefined;
   }
 
+  /** Returns the address of the peer that a tunnel goes through. */
+  peerOf(socket: Socket): string | undefined {
+    return this.#tunnels.get(socket)?.peer;
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     const ageMs = this.#options.clock.now() -
-      (this.#openedAt.get(socket) ?? -Infinity);
+      (this.#tunnels.get(socket)?.openedAt ?? -Infinity);
     if (ageMs >= MAX_AGE_MS || !super.keepSocketAlive(socket)) return false;
     socket.setTimeout(MAX_AGE_MS - ageMs);
     return true;
--- a/src/gateway/paths/tunnel_client.ts
+++ b/src/gateway/paths/tunnel_client.ts
@@ -19,7 +19,12 @@
 
 /** The result of an attempt to open a tunnel. */
 export type TunnelOutcome =
-  | { readonly type: "open"; readonly socket: Socket }
+  | {
+    readonly type: "open";
+    readonly socket: Socket;
+    /** Address of the peer. */
+    readonly peer: string;
+  }
   /** Nothing listens at the replica's address, according to the peer. */
   | { readonly type: "refused" }
   /** The peer does not reach the replica. */
@@ -66,7 +71,7 @@
       cancelTimer();
       if (response.statusCode === TunnelStatus.open) {
         socket.setNoDelay(true);
-        return resolve({ type: "open", socket });
+        return resolve({ type: "open", socket, peer });
       }
       socket.destroy();
       resolve({ type: failureOf(response.statusCode) });
--- a/src/gateway/paths/tunnel_server.ts
+++ b/src/gateway/paths/tunnel_server.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { parseAddress } from "../../util/address.ts";
+import { resetSocket } from "../../util/reset_socket.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../observe/event_log.ts";
@@ -92,7 +93,7 @@
     });
     upstream.on("error", (error) => {
       cancelTimer();
-      if (isConnected) return void socket.resetAndDestroy();
+      if (isConnected) return void resetSocket(socket);
       if (isRefusal(error)) void this.#rejectRefused(socket, replica);
       else reject(socket, TunnelStatus.unreachable);
     });
@@ -110,9 +111,12 @@
     events.note("tunnelServed", { replica: incarnation, host });
   }
 
-  /** Closes all tunnels. */
+  /**
+   * Closes all tunnels with a reset: an orderly end would look like the end of
+   * a response.
+   */
   close(): void {
-    for (const socket of this.#open) socket.destroy();
+    for (const socket of this.#open) resetSocket(socket);
   }
 }
 
@@ -126,7 +130,7 @@
   for (const end of [socket, upstream]) {
     end.setNoDelay(true);
     end.setKeepAlive(true, KEEP_ALIVE_MS);
-    end.setTimeout(IDLE_TIMEOUT_MS, () => end.destroy());
+    end.setTimeout(IDLE_TIMEOUT_MS, () => resetSocket(end));
   }
   socket.pipe(upstream, { end: false });
   // A peer that half-closes its connection reads no response.
@@ -134,12 +138,12 @@
   upstream.on("end", () => {
     // After a reset the address of the other end is unknown (getpeername(2)).
     // The host must not take a reset for the end of a response.
-    if (upstream.remoteAddress === undefined) socket.resetAndDestroy();
+    if (upstream.remoteAddress === undefined) resetSocket(socket);
     else socket.end();
   });
   upstream.on("close", (hadError) => {
-    if (hadError) socket.resetAndDestroy();
-    else if (!upstream.readableEnded) socket.resetAndDestroy();
+    if (hadError) resetSocket(socket);
+    else if (!upstream.readableEnded) resetSocket(socket);
   });
   upstream.pipe(socket, { end: false });
 }
--- a/src/gateway/replicas/replica_gate.ts
+++ b/src/gateway/replicas/replica_gate.ts
@@ -106,7 +106,9 @@
   /**
    * Returns which replicas of a service this host may use for a request now.
    */
-  available({ service, stage, excluded }: ReplicaRequirements): Availability {
+  available(
+    { service, stage, excluded }: ReplicaRequirements,
+  ): Availability {
     if (this.#backoffs.size === 0) {
       return { type: "some", excluded, nextAvailableMs: Infinity };
     }
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -11,7 +11,8 @@
 import { createPlacer } from "./create_placer.ts";
 import { type Failure, failureOf, ReplyWriter } from "./reply_writer.ts";
 import type { Placement, Placer } from "./placement.ts";
-import type { EventPosition, RelayOutcome } from "./relay.ts";
+import type { EventPosition } from "./relay.ts";
+import type { RelayOutcome } from "./relay_outcome.ts";
 import { relayToCaller } from "./relay_to_caller.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal } from "./request_journal.ts";
@@ -211,7 +212,7 @@
     if (this.#ended) return;
     if (outcome === "unread") return this.#endUnread();
     if (outcome === "interrupted") return this.#handleInterrupted(placed);
-    this.#journal.answered(status);
+    this.#journal.answered(status, outcome);
     this.#end();
   }
 
@@ -232,7 +233,9 @@
       startedAt: this.#context.clock.now(),
       reply: this.#reply,
       writer: this.#writer,
+      journal: this.#journal,
       position: this.#position,
+      entry: placed.replica.entry,
       abandonStalled: () => this.#abandonStalled(placed),
       observer: this.#meter.observer(),
     });
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -8,6 +8,7 @@
 import type { Replica } from "../replicas/replica.ts";
 import { readBody } from "../upstreams/call.ts";
 import { callEngine } from "../upstreams/engine_call.ts";
+import { Framing } from "../upstreams/framing.ts";
 import { Timing } from "../observe/metrics.ts";
 import { noteLimit } from "./refusals.ts";
 import type { GatewayRequest } from "./request.ts";
@@ -155,7 +156,10 @@
       ? await readBody(result.answer, MAX_BODY_BYTES)
       : undefined;
     const id = body === undefined ? undefined : dialect.readExport(body);
-    if (status === 200 && body === undefined) {
+    // Without framing, a part of an export looks complete.
+    const isCut = body === undefined ||
+      (id === undefined && isUnframed(result));
+    if (status === 200 && isCut) {
       noteInterruption(this.#context, this.#request, replica, !this.#ended);
     }
     if (id !== undefined) {
@@ -192,3 +196,8 @@
     void callEngine(this.#context, exported.replica.entry, { call, timeoutMs });
   }
 }
+
+function isUnframed(result: SendResult): boolean {
+  return result.type === "answer" &&
+    result.answer.framing === Framing.connection;
+}
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -7,8 +7,15 @@
 } from "../memory/paced_writer.ts";
 import type { Answer } from "../upstreams/call.ts";
 import type { Route } from "../routing/model.ts";
+import { eventStreamOf } from "./event_stream.ts";
 import type { EventScanner } from "./event_scanner.ts";
 import { EventSplitter } from "./event_splitter.ts";
+import {
+  plainOutcome,
+  type ReceivedOutcome,
+  type RelayOutcome,
+  streamOutcome,
+} from "./relay_outcome.ts";
 import type { Reply } from "./request.ts";
 import type { RelayObserver } from "./run_progress.ts";
 import { StallTimer } from "./stall_timer.ts";
@@ -16,13 +23,6 @@
 /** Responses up to this size are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
-/** How the forwarding of a response ended. */
-export type RelayOutcome =
-  | "complete"
-  | "interrupted"
-  /** The caller did not read the response. */
-  | "unread";
-
 /** Options of {@link relayAnswer}. */
 export type AnswerRelayOptions = {
   readonly route: Route;
@@ -30,6 +30,11 @@
   readonly scanner: EventScanner | undefined;
   /** Sends the response headers; called before the first byte of the body. */
   readonly writeHead: () => void;
+  /**
+   * Whether a stream whose framing does not confirm its end has ended; called
+   * if its last event is complete.
+   */
+  readonly confirmEnd: () => Promise<boolean>;
   /** Called when the first byte has been sent to the caller. */
   readonly onFirstByte: () => void;
   /** Observes the body of a stream; undefined: nothing does. */
@@ -64,7 +69,8 @@
     return outcome;
   }
   if (observer) observe(answer, scanner, observer);
-  const output = { paced, scanner };
+  const { confirmEnd } = options;
+  const output = { paced, scanner, confirmEnd };
   const begin = () => {
     writeHead();
     onFirstByte();
@@ -73,13 +79,14 @@
     return await relayEvents(answer, output, { ...options.events, begin });
   }
   begin();
-  return await relayBytes(answer, paced);
+  return await relayBytes(answer, output);
 }
 
 /** A stream and the response to its caller. */
 type StreamOutput = {
   readonly paced: PacedReply;
   readonly scanner: EventScanner;
+  readonly confirmEnd: () => Promise<boolean>;
 };
 
 function observe(
@@ -95,10 +102,16 @@
 /** Forwards the body as it arrives. */
 function relayBytes(
   answer: Answer,
-  paced: PacedReply,
+  output: StreamOutput,
 ): Promise<RelayOutcome> {
+  const { paced, scanner, confirmEnd } = output;
+  const events = eventStreamOf(answer);
   return relay(answer, paced, {
     data: (bytes) => paced.write(bytes),
+    outcome: () => {
+      const hasEvents = scanner.events > 0;
+      return streamOutcome(answer, { events, scanner, hasEvents, confirmEnd });
+    },
     complete: () => paced.reply.end(),
   });
 }
@@ -132,8 +145,9 @@
     & EventRelayOptions
     & { readonly begin: () => void },
 ): Promise<RelayOutcome> {
-  const { paced, scanner } = output;
+  const { paced, scanner, confirmEnd } = output;
   const splitter = new EventSplitter();
+  const events = eventStreamOf(answer);
   const { message } = answer;
   const stallTimer = new StallTimer({
     clock,
@@ -159,6 +173,10 @@
       position.hasForwarded = true;
       paced.write(complete.bytes);
     },
+    outcome: () => {
+      const hasEvents = position.hasForwarded ?? false;
+      return streamOutcome(answer, { events, scanner, hasEvents, confirmEnd });
+    },
     complete: () => {
       if (splitter.remainder.length > 0) paced.reply.write(splitter.remainder);
       paced.reply.end();
@@ -190,6 +208,7 @@
       size += bytes.length;
       if (size > MAX_BUFFERED_BYTES) start();
     },
+    outcome: () => Promise.resolve(plainOutcome(answer)),
     complete: () => {
       if (!started) start();
       paced.reply.end();
@@ -234,25 +253,28 @@
 /** What one kind of relay does with a response. */
 type Forwarding = {
   data(bytes: Buffer): void;
+  /** The outcome of a response that has ended. */
+  outcome(): Promise<ReceivedOutcome>;
   complete(): void;
 };
 
 function relay(
-  answer: Answer,
+  { message }: Answer,
   paced: PacedReply,
   forwarding: Forwarding,
 ): Promise<RelayOutcome> {
-  return new Promise((resolve) => {
-    const { message } = answer;
+  return new Promise((resolve, reject) => {
     message.on("data", (bytes: Buffer) => forwarding.data(bytes));
-    message.on("close", () => {
+    const end = async () => {
       if (paced.isUnread()) return resolve("unread");
-      if (!answer.intact()) {
+      const outcome = await forwarding.outcome();
+      if (outcome === "interrupted") {
         paced.end();
-        return resolve("interrupted");
+        return resolve(outcome);
       }
       forwarding.complete();
-      resolve(paced.isUnread() ? "unread" : "complete");
-    });
+      resolve(paced.isUnread() ? "unread" : outcome);
+    };
+    message.on("close", () => void end().catch(reject));
   });
 }
--- a/src/gateway/requests/reply_writer.ts
+++ b/src/gateway/requests/reply_writer.ts
@@ -3,7 +3,7 @@
 import type { EventFields } from "../observe/event_log.ts";
 import type { Attempts } from "./attempts.ts";
 import type { PlacementRefusal } from "./placement.ts";
-import type { Reply } from "./request.ts";
+import type { Reply, ResponseHead } from "./request.ts";
 import type { RequestJournal } from "./request_journal.ts";
 
 /** Details of a failed request, for the caller and for the log. */
@@ -35,9 +35,9 @@
   }
 
   /** Forwards the headers of a replica's response; later calls do nothing. */
-  writeHead(status: number, rawHeaders: readonly string[]): void {
+  writeHead(head: ResponseHead): void {
     if (this.headersSent) return;
-    this.#options.reply.writeHead(status, rawHeaders);
+    this.#options.reply.writeHead(head);
     this.#headersSent = true;
   }
 
--- a/src/gateway/requests/report_outcome.ts
+++ b/src/gateway/requests/report_outcome.ts
@@ -1,7 +1,7 @@
 /** Reports how a response ended to the planner and to the crash watch. */
 import type { GatewayContext } from "../context.ts";
 import type { Placement, Placer } from "./placement.ts";
-import type { RelayOutcome } from "./relay.ts";
+import type { RelayOutcome } from "./relay_outcome.ts";
 import type { GatewayRequest } from "./request.ts";
 import type { RunMeter } from "./run_meter.ts";
 import { noteInterruption } from "./sender.ts";
@@ -36,6 +36,12 @@
     case "complete":
       if (status < FIRST_FAILURE_STATUS) crashes.noteAnswered(fingerprint);
       return meter.complete(status);
+    case "unconfirmed":
+      if (status < FIRST_FAILURE_STATUS) {
+        void crashes.noteUnconfirmed(replica.entry, fingerprint);
+      }
+      // It was answered, but its duration may be that of a part.
+      return placer.completed();
     case "unread":
       return placer.release();
     case "interrupted": {
--- a/src/gateway/requests/request.ts
+++ b/src/gateway/requests/request.ts
@@ -4,6 +4,7 @@
 import type { RequestMetadata } from "../port.ts";
 import type { Customer } from "../customers/model.ts";
 import type { Route } from "../routing/model.ts";
+import type { Framing } from "../upstreams/framing.ts";
 
 /** A request with its complete body and its route. */
 export type GatewayRequest = {
@@ -26,10 +27,22 @@
   readonly deadline: Milliseconds;
 };
 
+/** The head of a replica's response. */
+export type ResponseHead = {
+  readonly status: number;
+  /** Alternating names and values. */
+  readonly rawHeaders: readonly string[];
+  readonly framing: Framing;
+};
+
 /** Writes the response to the caller. */
 export type Reply = {
-  /** Forwards the status and the headers of a replica's response. */
-  writeHead(status: number, rawHeaders: readonly string[]): void;
+  /**
+   * Forwards the status and the headers of a replica's response. A body without
+   * framing is forwarded without framing: any framing would state that its end
+   * is known.
+   */
+  writeHead(head: ResponseHead): void;
   /** Returns false if `drained` should be awaited before writing more. */
   write(bytes: Buffer): boolean;
   drained(): Promise<void>;
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -6,6 +6,10 @@
 import type { EventName } from "../observe/event_names.ts";
 import { Timing } from "../observe/metrics.ts";
 import { revisionOf } from "../position.ts";
+import type { Answer } from "../upstreams/call.ts";
+import { Framing } from "../upstreams/framing.ts";
+import { BodyRecord } from "./body_record.ts";
+import type { EventScanner } from "./event_scanner.ts";
 import type { Placement } from "./placement.ts";
 import type { EventPosition } from "./relay.ts";
 import type { GatewayRequest } from "./request.ts";
@@ -23,6 +27,8 @@
   #lastSend:
     | { readonly replica: string; readonly at: Milliseconds }
     | undefined;
+  /** The last response that was forwarded, at least in part. */
+  #body: BodyRecord | undefined;
 
   constructor(context: GatewayContext, request: GatewayRequest) {
     this.#context = context;
@@ -66,18 +72,32 @@
     });
   }
 
+  /** Records a response whose forwarding begins. */
+  received(answer: Answer, scanner: EventScanner | undefined): void {
+    this.#body = new BodyRecord(answer, scanner);
+    if (answer.framing !== Framing.connection) return;
+    this.#context.metrics.count("answers_unframed");
+  }
+
   /** Logs that an interrupted stream goes on at another replica. */
   resumed({ lastId }: EventPosition): void {
     this.note("resumed", { lastId });
   }
 
   /** Logs that a response was forwarded up to its end. */
-  answered(status: number): void {
+  answered(status: number, outcome: "complete" | "unconfirmed"): void {
     const { metrics } = this.#context;
+    const isUnconfirmed = outcome === "unconfirmed";
+    if (isUnconfirmed) metrics.count("answers_unconfirmed");
     const spentMs = this.#spentMs();
     metrics.time(Timing.whole, spentMs);
     metrics.count(status < 400 ? "answers_good" : "answers_failed");
-    this.note("answered", { status, spent_ms: Math.round(spentMs) });
+    this.note("answered", {
+      status,
+      unconfirmed: isUnconfirmed || undefined,
+      ...this.#body?.fields(),
+      spent_ms: Math.round(spentMs),
+    });
   }
 
   /** Logs that the request is not sent because it crashes replicas. */
@@ -94,7 +114,8 @@
     this.#context.metrics.count(`ended_${fields.error}`);
     const spentMs = Math.round(this.#spentMs());
     const lastSend = name === "refused" ? {} : this.#lastSendFields();
-    this.note(name, { ...fields, ...lastSend, spent_ms: spentMs });
+    const body = name === "refused" ? {} : this.#body?.fields();
+    this.note(name, { ...fields, ...body, ...lastSend, spent_ms: spentMs });
   }
 
   /**
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -8,9 +8,11 @@
   type IncomingMessage,
   request,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Milliseconds } from "../../util/units.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
+import { BodyEnding, Framing, framingOf } from "./framing.ts";
 import { isRefusal } from "./probe.ts";
 
 /**
@@ -39,17 +41,18 @@
    * returns false, nothing is sent. Without it, the request is always sent.
    */
   readonly maySend?: () => boolean;
+  /** Returns the other end of a connection; by default, it is `address`. */
+  readonly remoteAddressOf?: (socket: Socket) => string;
 };
 
 /** A response whose headers have been received. */
 export type Answer = {
   readonly message: IncomingMessage;
-  /**
-   * Whether the body was received completely; valid once the message is closed.
-   * Node's `complete` is also true for a body without a length whose connection
-   * was reset.
-   */
-  intact(): boolean;
+  readonly framing: Framing;
+  /** The other end of the connection: the replica, or a peer on the way to it. */
+  readonly remoteAddress: string;
+  /** How the body ended; valid once the message is closed. */
+  ending(): BodyEnding;
 };
 
 /** Why a call was not sent. */
@@ -136,7 +139,7 @@
   const outcome = new Promise<CallOutcome>((resolve) => {
     settle = resolve;
     clientRequest.on("response", (message) => {
-      const answer = answerOf(message, () => hasFailed);
+      const answer = answerOf(message, options, () => hasFailed);
       resolve({ type: "answer", answer });
     });
     clientRequest.on("error", (error) => {
@@ -162,10 +165,24 @@
   };
 }
 
-function answerOf(message: IncomingMessage, hasFailed: () => boolean): Answer {
-  // Prevents an uncaught error; the reader of the body checks `intact`.
+function answerOf(
+  message: IncomingMessage,
+  { method, address, remoteAddressOf }: CallOptions,
+  hasFailed: () => boolean,
+): Answer {
+  // Prevents an uncaught error; the reader of the body checks its ending.
   message.on("error", () => undefined);
-  return { message, intact: () => message.complete && !hasFailed() };
+  const framing = framingOf(message, method);
+  const ending = () => {
+    // Node's `complete` is also true for a body without framing whose
+    // connection was reset.
+    if (!message.complete || hasFailed()) return BodyEnding.truncated;
+    return framing === Framing.connection
+      ? BodyEnding.unconfirmed
+      : BodyEnding.complete;
+  };
+  const remoteAddress = remoteAddressOf?.(message.socket) ?? address;
+  return { message, framing, remoteAddress, ending };
 }
 
 /**
@@ -203,7 +220,8 @@
   clientRequest.on("socket", (socket) => {
     const onEnd = () => {
       // A reset right after the last bytes is reported as an end, but a reset
-      // connection has no peer address any more (getpeername(2)).
+      // connection has no peer address any more (getpeername(2)). Nothing may
+      // read it before, since Node.js keeps it from then on.
       if (socket.remoteAddress === undefined) on.onReset();
     };
     socket.prependListener("end", onEnd);
@@ -282,8 +300,9 @@
 }
 
 /**
- * Reads the complete body of a response; undefined if it was cut off or is
- * longer than `maxBytes`.
+ * Reads the body of a response; undefined if it was cut off or is longer than
+ * `maxBytes`. Its reader has to parse it as a JSON object, which a truncated
+ * body without framing is not.
  */
 export function readBody(
   answer: Answer,
@@ -299,8 +318,9 @@
       else message.destroy();
     });
     message.on("close", () => {
-      const isComplete = answer.intact() && length <= maxBytes;
-      resolve(isComplete ? Buffer.concat(chunks).toString("utf8") : undefined);
+      const isCutOff = answer.ending() === BodyEnding.truncated;
+      const isRead = !isCutOff && length <= maxBytes;
+      resolve(isRead ? Buffer.concat(chunks).toString("utf8") : undefined);
     });
   });
 }
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -240,6 +240,7 @@
       agent,
       clock: this.#clock,
       connectTimeoutMs,
+      remoteAddressOf: (socket) => agent.peerOf(socket) ?? address,
     });
   }
 
--- a/test/gateway/callers/drain_test.ts
+++ b/test/gateway/callers/drain_test.ts
@@ -24,6 +24,17 @@
   socket.write(completeResponse(request, BODY));
 };
 
+/** Never ends, without framing. */
+const endless: RawAnswer = (request, socket) => {
+  const id = request.headers.get("x-id");
+  socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n`);
+  const writeAll = () => {
+    while (!socket.destroyed && socket.write(BODY));
+  };
+  socket.on("drain", writeAll);
+  writeAll();
+};
+
 /** Opens a connection whose caller doesn't read yet. */
 function connectTo({ address }: Rig): Socket {
   const [host = "", port] = address.split(":");
@@ -101,6 +112,23 @@
   });
 });
 
+test("what a stopping host can't send of a response is reset if it has no framing", async () => {
+  const options = { route: ROUTE, replicas: [{ answer: endless }] };
+  await withRig(options, async (rig) => {
+    const { clock } = rig.context;
+    const connected = once(rig.callers.server, "connection");
+    const caller = connectTo(rig);
+    caller.write(REQUEST);
+    const [accepted] = await connected as [Socket];
+    while (accepted.writableLength === 0) await nextTurn();
+    await rig.callers.drain(clock, clock.now() + SEVERAL_CHECKS_MS);
+    assert.ok(accepted.destroyed);
+    const { isReset } = await received(caller);
+    assert.ok(isReset, "The end of the response is an orderly one");
+    assert.deepEqual(endingsIn(rig), [["broken", "outcome_unknown"]]);
+  });
+});
+
 test("a stopping host answers what still runs when its time is over", async () => {
   const answer: RawAnswer = () => undefined;
   const options = { route: ROUTE, replicas: [{ answer }] };
--- a/test/gateway/callers/half_closed_test.ts
+++ b/test/gateway/callers/half_closed_test.ts
@@ -78,6 +78,18 @@
   });
 }
 
+test("a stream that is cut ends with a reset for a half-closed caller without chunks", async () => {
+  const cut: RawAnswer = (request, socket) => {
+    socket.write(chunkedHeaders(request) + chunk(EVENT));
+    setTimeout(() => socket.end(), NOTICED_MS);
+  };
+  const options = { route: STREAMING, replicas: [{ answer: cut }] };
+  await withRig(options, async (rig) => {
+    const { isReset } = await received(await sendAndEnd(rig, "1.0"));
+    assert.ok(isReset);
+  });
+});
+
 /** Resolves when the replica's connection has closed. */
 function watchClose(answer: RawAnswer): {
   readonly answer: RawAnswer;
--- a/test/gateway/callers/pipelined_requests_test.ts
+++ b/test/gateway/callers/pipelined_requests_test.ts
@@ -57,6 +57,27 @@
   };
 }
 
+test("a request behind a plain response without framing is not started", async () => {
+  const answer = firstWith((request, socket) => {
+    const id = request.headers.get("x-id");
+    socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nall`);
+    setTimeout(() => socket.end(), AFTER_READ_MS);
+  });
+  const options = { route: UNSAFE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const text = await received(
+      sendAll(rig, [get("1"), get("2"), get("3")]),
+    );
+    assert.ok(text.endsWith("\r\n\r\nall"), text);
+    assert.deepEqual(receivedIds(rig), ["1"]);
+    const dropped = rig.events.filter(({ name }) => name === "notStarted");
+    assert.deepEqual(
+      dropped.map(({ fields }) => fields),
+      [{ request: "2" }, { request: "3" }],
+    );
+  });
+});
+
 test("a request behind a response that is cut off is not started", async () => {
   const answer = firstWith((request, socket) => {
     socket.write(chunkedHeaders(request) + chunk("part"));
--- a/test/gateway/crashes/crash_watch_test.ts
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -25,6 +25,7 @@
         time.clock.after(2, () => resolve(probeResult()));
       });
     },
+    isPeerResponding: () => Promise.resolve(false),
     isAlive: () => Promise.resolve(isAlive),
   });
   const breaks = (name: string, endedByReplica = true, entry = ENTRY) =>
@@ -141,3 +142,71 @@
   await watch.noteRemoved(replicaEntry("b999"));
   assert.deepEqual(crashed(), ["r b999"]);
 });
+
+test("an unconfirmed response clears its request only if the replica still listens", async () => {
+  const crashedOther = replicaEntry("other");
+  for (const result of ["listens", "refused", "silent"] as const) {
+    let probeResult: ProbeResult = "refused";
+    const { time, watch, breaks } = start(() => probeResult);
+    breaks("one", true, crashedOther);
+    await time.runTo(10);
+    probeResult = result;
+    void watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+    await time.runTo(100);
+    assert.equal(watch.all().clearances.length, result === "listens" ? 1 : 0);
+  }
+});
+
+test("an unconfirmed response of a request without crashes costs no probe", async () => {
+  const { time, watch, probes } = start(() => "listens");
+  await watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+  await time.runTo(100);
+  assert.equal(probes.length, 0);
+});
+
+/** A watch that has seen request "one" crash another replica. */
+async function startAfterCrash() {
+  const state: { result: ProbeResult } = { result: "refused" };
+  const { breaks, ...watched } = start(() => state.result);
+  breaks("one", true, replicaEntry("other"));
+  await watched.time.runTo(10);
+  state.result = "listens";
+  watched.probes.length = 0;
+  return Object.assign(state, watched);
+}
+
+test("a request whose end was just confirmed is cleared without another probe", async () => {
+  const rig = await startAfterCrash();
+  const { time, watch, probes } = rig;
+  const reported = watch.ends.confirm(ENTRY)
+    .then(() => watch.noteUnconfirmed(ENTRY, fingerprintOf("one")));
+  await time.runTo(100);
+  await reported;
+  assert.equal(probes.length, 1);
+  assert.equal(watch.all().clearances.length, 1);
+});
+
+test("an earlier confirmation says nothing about a response that ends after it", async () => {
+  const rig = await startAfterCrash();
+  const { time, watch, probes } = rig;
+  const confirmed = watch.ends.confirm(ENTRY);
+  await time.runTo(32);
+  assert.equal(await confirmed, true);
+  rig.result = "refused";
+  void watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+  await time.runTo(100);
+  assert.equal(probes.length, 2);
+  assert.equal(watch.all().clearances.length, 0);
+});
+
+test("a confirmation of one replica says nothing about another", async () => {
+  const rig = await startAfterCrash();
+  const { time, watch, probes } = rig;
+  void watch.ends.confirm(replicaEntry("b")).then(() => {
+    rig.result = "refused";
+    return watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+  });
+  await time.runTo(100);
+  assert.equal(probes.length, 2);
+  assert.equal(watch.all().clearances.length, 0);
+});
--- a/test/gateway/crashes/empty_crash_watch.ts
+++ b/test/gateway/crashes/empty_crash_watch.ts
@@ -17,6 +17,7 @@
     rule: { crashThreshold: 3, ttlMs: 60_000 },
     isDraining: () => false,
     probe: () => Promise.resolve("listens"),
+    isPeerResponding: () => Promise.resolve(false),
     isAlive: () => Promise.resolve(false),
   });
 }
--- /dev/null
+++ b/test/gateway/crashes/end_confirmation_test.ts
@@ -0,0 +1,109 @@
+/** Guards against ends of streams that a replica which is gone confirms. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  EndConfirmation,
+  type EndConfirmationOptions,
+} from "../../../src/gateway/crashes/end_confirmation.ts";
+import { systemClock } from "../../../src/gateway/clock.ts";
+import { isPeerResponding } from "../../../src/gateway/peers/is_peer_responding.ts";
+import { PeerConnections } from "../../../src/gateway/peers/peer_connections.ts";
+import { createJsonClient } from "../../../src/gateway/upstreams/json_client.ts";
+import { startRawReplica } from "../raw_replica.ts";
+import { replicaEntry } from "../replica_entry.ts";
+
+const ENTRY = replicaEntry("a");
+
+const notAsked = () => Promise.reject(new Error("unexpected question"));
+
+/** Confirms several ends at once. */
+async function confirm(
+  options: Omit<EndConfirmationOptions, "clock" | "isPeerResponding">,
+  { ends = 1, remoteAddress, isPeerResponding = notAsked }: {
+    readonly ends?: number;
+    readonly remoteAddress?: string;
+    readonly isPeerResponding?: EndConfirmationOptions["isPeerResponding"];
+  } = {},
+): Promise<boolean[]> {
+  const timers: (() => void)[] = [];
+  const clock = {
+    now: () => 0,
+    after: (_ms: number, work: () => void) => {
+      timers.push(work);
+      return () => undefined;
+    },
+  };
+  const confirmation = new EndConfirmation({
+    ...options,
+    clock,
+    isPeerResponding,
+  });
+  const results = Array.from(
+    { length: ends },
+    () => confirmation.confirm(ENTRY, remoteAddress),
+  );
+  for (const work of timers) work();
+  return await Promise.all(results);
+}
+
+test("only a replica that listens confirms the end of its stream", async () => {
+  const isDraining = () => false;
+  for (const result of ["listens", "refused", "silent"] as const) {
+    const probe = () => Promise.resolve(result);
+    const confirmed = await confirm({ probe, isDraining });
+    assert.deepEqual(confirmed, [result === "listens"]);
+  }
+});
+
+test("a draining replica, which may have closed its address, is not probed", async () => {
+  const probe = () => Promise.reject(new Error("unexpected probe"));
+  const confirmed = await confirm({ probe, isDraining: () => true });
+  assert.deepEqual(confirmed, [true]);
+});
+
+test("streams of one replica that end together share a probe", async () => {
+  let probes = 0;
+  const probe = () => {
+    probes += 1;
+    return Promise.resolve("listens" as const);
+  };
+  await confirm({ probe, isDraining: () => false }, { ends: 3 });
+  assert.equal(probes, 1);
+});
+
+test("a stream that came through a peer has ended only if the peer runs, too", async () => {
+  for (const isResponding of [true, false]) {
+    const confirmed = await confirm({
+      probe: () => Promise.resolve("listens"),
+      isDraining: () => false,
+    }, {
+      remoteAddress: "peer",
+      isPeerResponding: () => Promise.resolve(isResponding),
+    });
+    assert.deepEqual(confirmed, [isResponding]);
+  }
+});
+
+test("a peer's address that accepts connections without a response confirms nothing", async () => {
+  for (const isResponding of [true, false]) {
+    const peer = await startRawReplica((_request, socket) => {
+      if (isResponding) socket.write("HTTP/1.1 204 No Content\r\n\r\n");
+      else socket.resetAndDestroy();
+    });
+    const clock = systemClock;
+    const connections = new PeerConnections((address) =>
+      createJsonClient(address, clock)
+    );
+    const confirmation = new EndConfirmation({
+      clock,
+      probe: () => Promise.resolve("listens"),
+      isDraining: () => false,
+      isPeerResponding: (address) =>
+        isPeerResponding(address, { clock, connections }),
+    });
+    const isConfirmed = await confirmation.confirm(ENTRY, peer.address);
+    connections.close();
+    peer.stop();
+    assert.equal(isConfirmed, isResponding);
+  }
+});
--- a/test/gateway/requests/answers_test.ts
+++ b/test/gateway/requests/answers_test.ts
@@ -75,6 +75,19 @@
   });
 });
 
+test("a reset right after the last bytes is recognized when the headers came before", async () => {
+  const interrupts: RawAnswer = (request, socket) => {
+    const id = request.headers.get("x-id");
+    socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n`);
+    const reset = () => socket.resetAndDestroy();
+    setTimeout(() => socket.write("part", reset), AFTER_READ_MS);
+  };
+  const route = { kind: RouteKind.unsafe, attempts: 1 };
+  await withRig({ route, replicas: [{ answer: interrupts }] }, async (rig) => {
+    assert.equal((await rig.call()).status, 502);
+  });
+});
+
 test("a body without a length is complete when the connection ends", async () => {
   const answer: RawAnswer = (request, socket) => {
     const id = request.headers.get("x-id");
@@ -228,3 +241,19 @@
     assert.equal(headers?.get("x-incarnation"), "r0");
   });
 });
+
+test("a plain response that was sent in part is not followed by a second one", async () => {
+  // More than the gateway buffers, so that its beginning is sent at once.
+  const part = "x".repeat(300 * 1024);
+  const interrupts: RawAnswer = (request, socket) => {
+    socket.write(chunkedHeaders(request) + chunk(part));
+    setTimeout(() => socket.end(), AFTER_READ_MS);
+  };
+  const replicas = [{ answer: interrupts }, { answer: healthy }];
+  await withRig({ replicas }, async (rig) => {
+    const response = await rig.call();
+    assert.equal(response.complete, false);
+    assert.equal(response.body, part);
+    assert.equal(rig.replicas[1]?.requests.length, 0);
+  });
+});
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -195,6 +195,7 @@
       rule: CRASH_RULE,
       isDraining: (entry) => replicaState.replicas.isDraining(entry),
       probe: () => this.probe(),
+      isPeerResponding: () => Promise.resolve(false),
       isAlive: () => Promise.resolve(false),
     });
     const context = {
