Software versions of replicas and resumed attempts are read and logged

The logs could not tell whether a stream went on at another software version within one answer or over its caller's attempts. Entries of replicas carry the version, and `placed` names it, the event after which a stream goes on and the attempt that the caller resumes.

--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -27,6 +27,11 @@
   readonly estimatedOutput?: number;
   /** Id of the last event that the caller has received. */
   readonly lastEventId?: string;
+  /**
+   * Id of the attempt that brought the first event of the stream that the
+   * caller resumes.
+   */
+  readonly resumes?: string;
   /** SHA-256, in hex, of the customer's key. */
   readonly keyDigest?: string;
 };
--- a/src/gateway/replicas/listing_digest.ts
+++ b/src/gateway/replicas/listing_digest.ts
@@ -38,7 +38,7 @@
 
 function textOf(entry: ReplicaEntry): string {
   const { id, born, service, address, hall, slots, leaving } = entry;
-  const { stage, coldMs } = entry;
+  const { stage, coldMs, softwareVersion } = entry;
   return [
     id,
     born,
@@ -49,5 +49,6 @@
     leaving,
     stage,
     coldMs,
+    softwareVersion,
   ].join("\n");
 }
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -29,6 +29,8 @@
   readonly stage?: ReplicaStage;
   /** Duration of the slow warm-up after its start. */
   readonly coldMs: Milliseconds;
+  /** Version of its software, not of its model's weights; absent: unknown. */
+  readonly softwareVersion?: string;
 };
 
 /**
@@ -45,7 +47,8 @@
   return a.id === b.id && a.born === b.born &&
     a.incarnation === b.incarnation && a.service === b.service &&
     a.address === b.address && a.hall === b.hall && a.slots === b.slots &&
-    a.leaving === b.leaving && a.stage === b.stage && a.coldMs === b.coldMs;
+    a.leaving === b.leaving && a.stage === b.stage && a.coldMs === b.coldMs &&
+    a.softwareVersion === b.softwareVersion;
 }
 
 /** All replicas as of one position in the store's history. */
--- a/src/gateway/replicas/schema.ts
+++ b/src/gateway/replicas/schema.ts
@@ -18,6 +18,7 @@
   leaving: z.boolean(),
   stage: z.enum(ReplicaStage).exactOptional(),
   coldMs: z.number(),
+  softwareVersion: z.string().exactOptional(),
 });
 /** A replica's entry on the wire. */
 export type EntryMessage = z.output<typeof EntryMessage>;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -163,7 +163,7 @@
     this.#attempts.noteSent();
     this.#meter.noteSent();
     const { sends } = this.#attempts;
-    this.#journal.placed(placed, { sends });
+    this.#journal.placed(placed, { sends, position: this.#position });
     this.#sending = sendPlaced(this.#state, placed);
     return await this.#sending.result;
   }
@@ -265,7 +265,7 @@
     this.#retryAcquired = false;
     if (!hasRetry) return this.#failUnknown(reason);
     if (!this.#writer.headersSent) return;
-    this.#journal.resumed(this.#position);
+    this.#journal.resumed(placed, this.#position);
   }
 
   /** Ends a response that its caller does not receive, or not to its end. */
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -18,6 +18,8 @@
 export type JournalledSend = {
   /** Number of sends of the request, including this one. */
   readonly sends: number;
+  /** What this host has forwarded of the stream. */
+  readonly position: EventPosition;
 };
 
 /** Writes the log events and the metrics of one request. */
@@ -47,15 +49,17 @@
   }
 
   /** Logs a send to a replica and what the placement was based on. */
-  placed(placed: Placement, { sends }: JournalledSend): void {
+  placed(placed: Placement, { sends, position }: JournalledSend): void {
     const { metrics, replicas, routes, clock, gate, paths } = this.#context;
     const { facts } = this.#request;
-    const { incarnation: replica } = placed.replica.entry;
+    const { incarnation: replica, softwareVersion } = placed.replica.entry;
+    const isResumed = facts.lastEventId !== undefined;
     const isTunnelled = paths.monitor.isLost(replica);
     this.#lastSend = { replica, at: clock.now() };
     metrics.count("sends");
     this.note("placed", {
       replica,
+      software_version: softwareVersion,
       peer: isTunnelled ? paths.dialer.peerOf(replica) : undefined,
       prefill: placed.export?.replica.entry.incarnation,
       tokens: placed.tokens,
@@ -66,6 +70,8 @@
       output_limit: facts.outputLimit,
       output_hint: facts.estimatedOutput,
       send: sends,
+      resumes: isResumed ? facts.resumes : undefined,
+      after: position.lastId ?? facts.lastEventId,
       backing_off: gate.backingOff || undefined,
       listing: revisionOf(replicas.revision),
       routes: routes.version,
@@ -80,8 +86,8 @@
   }
 
   /** Logs that an interrupted stream goes on at another replica. */
-  resumed({ lastId }: EventPosition): void {
-    this.note("resumed", { lastId });
+  resumed({ replica: { entry } }: Placement, { lastId }: EventPosition): void {
+    this.note("resumed", { lastId, software_version: entry.softwareVersion });
   }
 
   /** Logs that a response was forwarded up to its end. */
--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -20,11 +20,13 @@
     const timeoutMs = headers["x-patience"];
     const key = headers["x-key"];
     const lastEventId = headers["last-event-id"];
+    const resumes = headers["x-resumes"];
     return {
       ...(typeof id === "string" ? { id } : {}),
       ...(timeoutMs === undefined ? {} : { timeoutMs: Number(timeoutMs) }),
       ...(typeof key === "string" ? { keyDigest: `digest of ${key}` } : {}),
       ...(typeof lastEventId === "string" ? { lastEventId } : {}),
+      ...(typeof resumes === "string" ? { resumes } : {}),
       promptTokens: Number(tokens[0]) || 0,
       outputLimit: Number(tokens[1]) || 0,
     };
--- a/test/gateway/replicas/listing_history_test.ts
+++ b/test/gateway/replicas/listing_history_test.ts
@@ -82,7 +82,7 @@
 // Guards against a host that sends all of a listing that it has received again.
 test("entries that another host has sent are the same as the store's", () => {
   const table = new ReplicaTable();
-  const full = { born: 3, stage: "decode" } as const;
+  const full = { born: 3, stage: "decode", softwareVersion: "1" } as const;
   const entries = [
     replicaEntry("a"),
     replicaEntry("b", { ...full, incarnation: "b@3" }),
@@ -100,7 +100,7 @@
 
 test("each field of an entry counts as a change", () => {
   const table = new ReplicaTable();
-  const before = replicaEntry("a", { stage: "decode" });
+  const before = replicaEntry("a", { stage: "decode", softwareVersion: "1" });
   const changes: Partial<ReplicaEntry>[] = [
     { service: "s2" },
     { address: "127.0.0.1:2" },
@@ -109,6 +109,7 @@
     { leaving: true },
     { stage: "prefill" },
     { coldMs: 1 },
+    { softwareVersion: "2" },
   ];
   let revision = 0;
   for (const change of [{}, ...changes]) {
--- a/test/gateway/replicas/schema_test.ts
+++ b/test/gateway/replicas/schema_test.ts
@@ -9,7 +9,8 @@
 
 test("a decoded entry equals the encoded one, its incarnation included", () => {
   const restarted = replicaEntry("a", { incarnation: "a@7", born: 7 });
-  for (const entry of [replicaEntry("a"), restarted]) {
+  const versioned = replicaEntry("a", { softwareVersion: "v1" });
+  for (const entry of [replicaEntry("a"), restarted, versioned]) {
     const text = JSON.stringify(encodeEntry(entry));
     assert.deepEqual(ReplicaEntrySchema.parse(JSON.parse(text)), entry);
   }
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -44,6 +44,7 @@
 export type RigReplica = {
   readonly answer: RawAnswer;
   readonly stage?: ReplicaStage;
+  readonly softwareVersion?: string;
 };
 
 /** Options of {@link startRig}. */
@@ -197,7 +198,7 @@
   options: RigOptions,
   index: number,
 ): ReplicaEntry {
-  const { stage } = options.replicas[index] ?? {};
+  const { stage, softwareVersion } = options.replicas[index] ?? {};
   return {
     id: `r${index}`,
     incarnation: `r${index}`,
@@ -208,6 +209,7 @@
     leaving: false,
     ...(stage === undefined ? {} : { stage }),
     coldMs: 0,
+    ...(softwareVersion === undefined ? {} : { softwareVersion }),
   };
 }
 
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -64,11 +64,32 @@
   });
 });
 
+test("a resumed stream is named by the attempt of its first event", () => {
+  const headers = { "last-event-id": "7", resumes: "a-1" };
+  const { lastEventId, resumes } = dialect.readRequest(headers);
+  assert.deepEqual([lastEventId, resumes], ["7", "a-1"]);
+  assert.equal(
+    dialect.readRequest({ "last-event-id": "7" }).resumes,
+    undefined,
+  );
+});
+
 test("an empty last event id resumes nothing", () => {
-  const empty = dialect.readRequest({ "last-event-id": "" });
+  const empty = dialect.readRequest({ "last-event-id": "", resumes: "" });
   assert.deepEqual(empty, { promptTokens: 0, outputLimit: 0 });
 });
 
+test("a replica is told which stream is resumed", () => {
+  const raw = ["Resumes", "a-1", "Last-Event-Id", "7"];
+  const head = { mode: CallMode.whole, replica: "i-1" };
+  const sent = dialect.callHeaders(raw, { ...head, lastEventId: "9" });
+  const valuesOf = (name: string) =>
+    sent.filter((_, at) => sent[at - 1]?.toLowerCase() === name);
+  assert.deepEqual(valuesOf("resumes"), ["a-1"]);
+  assert.deepEqual(valuesOf("last-event-id"), ["9"]);
+  assert.ok(dialect.endToEndHeaders.has("resumes"));
+});
+
 test("a replica's limit that is no decimal number is unreadable", () => {
   const limitOf = (text?: string) =>
     dialect.readAnswer(200, text === undefined ? {} : { "server-limit": text })
--- a/test/platform/names_test.ts
+++ b/test/platform/names_test.ts
@@ -11,7 +11,8 @@
 const NAMES: readonly string[] = [
   ...new Set([
     ...Object.values(Header).filter((name) => name !== Header.retryAfter)
-      .filter((name) => name !== Header.lastEventId),
+      .filter((name) => name !== Header.lastEventId)
+      .filter((name) => name !== Header.resumes),
     ...SYSTEM_HEADERS,
     "rows-tx",
     "rows-get",
@@ -28,9 +29,18 @@
   ]),
 ];
 
+/**
+ * The name of this header is a common word, so only its uses as a header count:
+ * as the key of a lookup, and as a string in the case of the platform.
+ */
+const RESUMES_HEADER = /\[["'`]resumes["'`]\]|["'`]Resumes["'`]/;
+
 function findNames(text: string): string[] {
   const lower = text.toLowerCase();
-  return NAMES.filter((name) => lower.includes(name.toLowerCase()));
+  return [
+    ...NAMES.filter((name) => lower.includes(name.toLowerCase())),
+    ...(RESUMES_HEADER.test(text) ? [Header.resumes] : []),
+  ];
 }
 
 function sourceFiles(folder: string): string[] {
@@ -57,4 +67,8 @@
 
 test("names are found regardless of case", () => {
   assert.deepEqual(findNames('headers["KV-Source"]'), ["kv-source"]);
+  for (const text of ["headers['resumes']", 'set("Resumes", id)']) {
+    assert.deepEqual(findNames(text), ["resumes"]);
+  }
+  assert.deepEqual(findNames("it resumes the stream"), []);
 });
--- a/test/platform/replica_row_test.ts
+++ b/test/platform/replica_row_test.ts
@@ -68,6 +68,31 @@
   }
 });
 
+test("a row's version is that of the replica's software", () => {
+  const versionOf = (row: object) => {
+    const { entries, faults } = replicasOf([
+      encodeRow("a", JSON.stringify(row)),
+    ]);
+    assert.deepEqual(faults, []);
+    const [entry] = entries;
+    assert.ok(entry);
+    return "softwareVersion" in entry ? entry.softwareVersion : "absent";
+  };
+  const weights = { "Weight-Versions": ["w1"] };
+  assert.equal(versionOf({ ...VALID_ROW, ...weights }), "v1");
+  assert.equal(versionOf({ ...VALID_ROW, Version: undefined }), "absent");
+});
+
+test("a version that is not a string is absent and no fault", () => {
+  for (const Version of [7, null, true, ["v1"], { v: 1 }]) {
+    const row = encodeRow("a", JSON.stringify({ ...VALID_ROW, Version }));
+    const { entries, faults } = replicasOf([row]);
+    assert.deepEqual(faults, []);
+    assert.equal(entries.length, 1);
+    assert.ok(entries[0] && !("softwareVersion" in entries[0]));
+  }
+});
+
 test("a fault names the field but not its value", () => {
   const reason = faultOf({ ...VALID_ROW, Slots: "a caller's secret" }) ?? "";
   assert.match(reason, /^Slots/);
