--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -25,6 +25,8 @@
   backingOff: "backing_off",
   refusedByReplicas: "refused_by_replicas",
   crashesReplicas: "crashes_replicas",
+  streamVersionUnknown: "stream_version_unknown",
+  streamVersionGone: "stream_version_gone",
   stopping: "stopping",
   outOfTimeNotRun: "out_of_time_not_run",
   outOfTime: "out_of_time",
@@ -148,6 +150,18 @@
       "Replicas crash under this request, so it is sent to none; nothing ran",
     retryAfterSeconds: 300,
   },
+  // No host learns the version later, so a retry at once doesn't help.
+  stream_version_unknown: {
+    status: 503,
+    message:
+      "The software version that began the stream is unknown, and another can't resume it; nothing ran",
+  },
+  stream_version_gone: {
+    status: 503,
+    message:
+      "No replica of the software version that began the stream takes it; nothing ran",
+    retryAfterSeconds: 0.5,
+  },
   stopping: {
     status: 503,
     message: "This host is stopping; use another; nothing ran",
--- a/src/gateway/callers/create_request.ts
+++ b/src/gateway/callers/create_request.ts
@@ -8,7 +8,7 @@
 import type { RequestMetadata } from "../port.ts";
 import type { GatewayRequest } from "../requests/request.ts";
 import type { Route } from "../routing/model.ts";
-import { pickTarget } from "../routing/route_table.ts";
+import { pickTarget, targetChance } from "../routing/route_table.ts";
 
 /** A request that its headers allow to proceed. */
 export type AcceptedHeaders = {
@@ -36,6 +36,7 @@
   },
 ): GatewayRequest {
   const { check: { route, facts, customer }, receivedAt, body } = parts;
+  const chance = targetChance(route, facts, context.random);
   const timeoutMs = Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity);
   const method = incoming.method ?? "GET";
   const target = incoming.url ?? "/";
@@ -48,7 +49,7 @@
   });
   return {
     route,
-    service: pickTarget(route.targets, context.random()) ?? "",
+    service: pickTarget(route.targets, chance) ?? "",
     ...(customer ? { customer } : {}),
     priority: priorityOf({ route, customer }),
     receivedAt,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -14,6 +14,7 @@
 import type { ReplicaTable } from "./replicas/replica_table.ts";
 import type { RetryBudget } from "./retries/retry_budget.ts";
 import type { RouteTable } from "./routing/route_table.ts";
+import type { StreamVersions } from "./streams/stream_versions.ts";
 import type { StoreEras } from "./state/store_eras.ts";
 import type { SuspensionWatch } from "./suspension.ts";
 import type { UpstreamPool } from "./upstreams/pool.ts";
@@ -99,6 +100,8 @@
   readonly limits: ReplicaLimits;
   readonly draining: DrainingReplicas;
   readonly gate: ReplicaGate;
+  /** The software versions that began the streams of resumable routes. */
+  readonly streams: StreamVersions;
   readonly events: EventLog;
   readonly metrics: Metrics;
   /** Replaced when the settings are reloaded. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -2,6 +2,7 @@
 import { monotonicNow, newIncarnation } from "../shell/clock.ts";
 import { descriptorLimit } from "../shell/descriptor_limit.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
+import type { Milliseconds } from "../util/units.ts";
 import { callerConnectionsOf } from "./callers/connection_limit.ts";
 import { type Clock, systemClock } from "./clock.ts";
 import type { GatewayContext, GatewayTuning } from "./context.ts";
@@ -22,8 +23,11 @@
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
 import { StoreEras } from "./state/store_eras.ts";
+import { ResumeWindows } from "./streams/resume_windows.ts";
+import { StreamVersions } from "./streams/stream_versions.ts";
 import { SuspensionWatch } from "./suspension.ts";
 import type { Connect } from "./upstreams/connect.ts";
+import { createJsonClient } from "./upstreams/json_client.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 
 /** This host among the others, and what connects it. */
@@ -33,6 +37,8 @@
   readonly connections: Pick<PeerConnections, "call">;
   /** Opens connections to replicas. */
   readonly connect: Connect;
+  /** Age of the newest listing that this host knows. */
+  readonly listingAgeMs: () => Milliseconds;
 };
 
 /** Creates the shared state and dependencies of one gateway. */
@@ -88,6 +94,7 @@
     limits,
     draining,
     gate,
+    streams: createStreamVersions(fleet, { ...shared, self }),
     tuning: tuningOf(settings),
     hostCount: () => directory.count,
     stop: { graceMs: grace },
@@ -122,6 +129,27 @@
   });
 }
 
+function createStreamVersions(
+  { self: entry, directory, listingAgeMs }: FleetConnections,
+  { self, clock, events, metrics, replicas, routes }: Pick<
+    GatewayContext,
+    "self" | "clock" | "events" | "metrics" | "replicas" | "routes"
+  >,
+): StreamVersions {
+  const windows = new ResumeWindows(routes);
+  return new StreamVersions({
+    self: { ...entry, run: self.run },
+    clock,
+    events,
+    metrics,
+    replicas,
+    hosts: () => directory.entries(),
+    resumableForMs: (service) => windows.of(service),
+    listingAgeMs,
+    createClient: (address) => createJsonClient(address, clock),
+  });
+}
+
 function createSuspensionWatch(clock: Clock): SuspensionWatch {
   return new SuspensionWatch({
     monotonicNow: clock.now,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,6 +109,7 @@
       directory,
       connections: this.#connections,
       connect,
+      listingAgeMs: () => this.#fleetState.storeAgeMs(systemClock.now()),
     });
     const configAgeMs = (now: Milliseconds) => {
       context.suspensions.check();
@@ -225,7 +226,7 @@
   }
 
   async stop(): Promise<void> {
-    const { clock, events, stop, pool } = this.#context;
+    const { clock, events, stop, pool, streams } = this.#context;
     const requestedAt = clock.now();
     stop.requestedAt = requestedAt;
     events.note("stopping", { open: this.#callerServer.openRequestCount });
@@ -239,6 +240,7 @@
     this.#tunnels.close();
     this.#fleetState.stop();
     pool.close();
+    streams.close();
     this.#connections.close();
     events.note("stopped", { open: this.#callerServer.openRequestCount });
     await sleep(clock, LOG_FLUSH_MS);
@@ -280,6 +282,7 @@
       this.#openPlannerLinks();
       this.#customers.maintain();
       this.#context.limits.maintainLinks();
+      this.#context.streams.maintain();
       this.#connections.retain(this.#directory.addresses());
       this.#scheduleTick();
     });
--- a/src/gateway/metrics_page.ts
+++ b/src/gateway/metrics_page.ts
@@ -43,7 +43,8 @@
   context: GatewayContext,
   parts: MeasuredParts,
 ): Record<string, number> {
-  const { heldBytes, routes, replicas, eras, crashes, limits, gate } = context;
+  const { heldBytes, routes, replicas, eras, crashes, limits, gate, streams } =
+    context;
   const { settingsState, planService, fleetState } = parts;
   const now = context.clock.now();
   return {
@@ -67,6 +68,7 @@
     crash_quarantined: crashes.quarantined,
     replicas_limited: limits.limited,
     replicas_backing_off: gate.backingOff,
+    stream_records: streams.size,
     config_age_seconds: secondsOf(fleetState.configAgeMs(now)),
     store_age_seconds: secondsOf(fleetState.storeAgeMs(now)),
     resident_bytes: process.memoryUsage.rss(),
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -241,6 +241,11 @@
     "The retry budget is exhausted",
     FAILURES_PER_SECOND,
   ),
+  streamVersionUnknown: warn(
+    "streams",
+    "Nobody knows the software version that began a resumed stream",
+    FAILURES_PER_SECOND,
+  ),
   resumed: warn(
     "retry",
     "A stream is resumed at another replica",
--- a/src/gateway/peers/is_peer_responding.ts
+++ b/src/gateway/peers/is_peer_responding.ts
@@ -2,17 +2,15 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import { withTimeout } from "../state/with_timeout.ts";
+import { KEEPER_PATH } from "../streams/keeper_messages.ts";
 import type { PeerConnections } from "./peer_connections.ts";
-import { stateRequestPath } from "./peer_state.ts";
 
 const TIMEOUT_MS: Milliseconds = 300;
-/** A state request to which no host has anything newer. */
+/** A question that any host answers in a few bytes. */
 const QUESTION = {
-  method: "GET",
-  path: stateRequestPath({
-    version: Number.MAX_SAFE_INTEGER,
-    revision: Number.MAX_SAFE_INTEGER,
-  }),
+  method: "POST",
+  path: KEEPER_PATH,
+  body: JSON.stringify({ type: "ask", service: "", id: "-" }),
 } as const;
 
 /**
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -9,6 +9,7 @@
 import type { HostEntry } from "../port.ts";
 import type { ReplicaTable } from "../replicas/replica_table.ts";
 import type { StateServer } from "../state/state_server.ts";
+import { KEEPER_PATH } from "../streams/keeper_messages.ts";
 import type { HostDirectory } from "./directory.ts";
 import { LinkPath } from "./link.ts";
 import { ListingPacer } from "./listing_pacer.ts";
@@ -20,6 +21,12 @@
   type PeerStateRequest,
 } from "./peer_state.ts";
 
+/**
+ * In a large fleet a host sends records of streams to the same peer every few
+ * seconds only, and opening a connection costs more than the call.
+ */
+const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
+
 /** Options of the peers' server. */
 export type PeerServerOptions = {
   readonly context: GatewayContext;
@@ -49,6 +56,9 @@
     if (request.url === LinkPath.state) return states.accept(request, response);
     if (request.url === LinkPath.quota) return quotas.accept(request, response);
     if (request.url === LinkPath.limit) return limits.accept(request, response);
+    if (request.method === "POST" && request.url === KEEPER_PATH) {
+      return options.context.streams.server.accept(request, response);
+    }
     request.resume();
     const target = request.url ?? "/";
     const body = JSON.stringify(
@@ -62,6 +72,7 @@
   });
   // The request of a link has no end, so it must not time out.
   server.requestTimeout = 0;
+  server.keepAliveTimeout = IDLE_CONNECTION_TIMEOUT_MS;
   return server;
 }
 
--- a/src/gateway/planning/assignment.ts
+++ b/src/gateway/planning/assignment.ts
@@ -1,5 +1,6 @@
 /** Assignments as the requesting host knows them. */
 import type { Milliseconds } from "../../util/units.ts";
+import type { RequiredVersion } from "../replicas/required_version.ts";
 import type {
   PlanHandover,
   PlanProgress,
@@ -37,6 +38,8 @@
   /** Its route allows it to run more than once. */
   readonly repeatable: boolean;
   readonly excluded: ReadonlySet<string>;
+  /** The decode replica must have this version; absent: any will do. */
+  readonly boundTo?: RequiredVersion | undefined;
 };
 
 /** The assigned replicas, by incarnation. */
@@ -128,5 +131,15 @@
     whole: request.localPrefill,
     excluded: [...request.excluded],
     ...(request.repeatable ? { repeatable: true as const } : {}),
+    ...boundToOf(request),
   };
 }
+
+/** The version that a request is bound to, for its planner. */
+function boundToOf(
+  { boundTo }: PlacementRequest,
+): Pick<PlanRequest, "boundTo"> {
+  if (!boundTo) return {};
+  const { softwareVersion } = boundTo;
+  return { boundTo: softwareVersion === undefined ? {} : { softwareVersion } };
+}
--- a/src/gateway/planning/engine_decision.ts
+++ b/src/gateway/planning/engine_decision.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import { hasRequiredVersion } from "../replicas/required_version.ts";
 import type { EngineAssignment, EngineChoice } from "./engine_choice.ts";
 import type { Forecasts } from "./forecasts.ts";
 import { type Outcome, WAIT } from "./outcome.ts";
@@ -156,10 +157,16 @@
   return entries.filter(({ incarnation }) => !excluded.includes(incarnation));
 }
 
-/** The decode replicas that may serve a request. */
+/**
+ * The decode replicas that may serve a request. Only these write its stream, so
+ * any version of a prefill replica will do.
+ */
 function allowedDecodes(
   request: PlanRequest,
   entries: readonly ReplicaEntry[],
 ): readonly ReplicaEntry[] {
-  return allowed(request, entries);
+  const { boundTo } = request;
+  const open = allowed(request, entries);
+  if (boundTo === undefined) return open;
+  return open.filter((entry) => hasRequiredVersion(entry, boundTo));
 }
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -75,6 +75,12 @@
   /** It may run more than once. */
   repeatable: z.literal(true).exactOptional(),
   excluded: z.array(z.string()),
+  /**
+   * A stream that goes on only at decode replicas of this software version;
+   * without one: at those whose version is not known.
+   */
+  boundTo: z.object({ softwareVersion: z.string().exactOptional() })
+    .exactOptional(),
 });
 
 const PlanHandoverSchema = z.object({
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -6,6 +6,7 @@
  */
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import { hasRequiredVersion } from "../replicas/required_version.ts";
 import { type QueuedRequest, RequestQueue } from "./request_queue.ts";
 import type { Claim } from "./bookings.ts";
 import type { CustomerRates } from "./customer_activity.ts";
@@ -254,9 +255,10 @@
     replicas: readonly ReplicaEntry[],
     now: Milliseconds,
   ): Outcome {
-    const { excluded } = queued.request;
+    const { excluded, boundTo } = queued.request;
     const allowed = replicas.filter((entry) =>
-      !excluded.includes(entry.incarnation)
+      !excluded.includes(entry.incarnation) &&
+      hasRequiredVersion(entry, boundTo)
     );
     if (allowed.length === 0) return { type: "refuse", reason: "no-replica" };
     return this.#parts.plainHold.decide(queued, allowed, now) ??
--- a/src/gateway/planning/pool_timeline.ts
+++ b/src/gateway/planning/pool_timeline.ts
@@ -6,6 +6,10 @@
  */
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import {
+  hasRequiredVersion,
+  type RequiredVersion,
+} from "../replicas/required_version.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
 import type { MemoryUse, ServiceForecast } from "./memory_profile.ts";
 import { type MemoryNeed, MemoryTimeline } from "./memory_timeline.ts";
@@ -28,6 +32,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly excluded: readonly string[];
+  /** The version that its decode replica must have; absent: any will do. */
+  readonly boundTo?: RequiredVersion;
 };
 
 /** A place in time for one request. */
@@ -231,17 +237,18 @@
 
   /** When each replica may have room for a request; Infinity: it may not run. */
   #findOpenings(
-    { excluded }: SimulatedRequest,
+    { excluded, boundTo }: SimulatedRequest,
     { tokens }: MemoryNeed,
     from: Milliseconds,
   ): Float64Array {
     const need = { tokens, durationMs: this.#shortestMs };
-    const isRestricted = excluded.length > 0;
+    const isRestricted = excluded.length > 0 || boundTo !== undefined;
     const decodes = this.#options.pool.healthyDecodes;
     for (let index = 0; index < decodes.length; index++) {
       const decode = decodes[index];
       const mayRun = !isRestricted || decode &&
-          !excluded.includes(decode.incarnation);
+          !excluded.includes(decode.incarnation) &&
+          hasRequiredVersion(decode, boundTo);
       this.#openings[index] = mayRun
         ? this.#memories[index]?.earliestOpening(need, from) ?? Infinity
         : Infinity;
--- a/src/gateway/replicas/replica_gate.ts
+++ b/src/gateway/replicas/replica_gate.ts
@@ -12,6 +12,10 @@
 import type { ReplicaEntry, ReplicaStage } from "./model.ts";
 import type { ReplicaNotice } from "./notice.ts";
 import type { Replica } from "./replica.ts";
+import {
+  hasRequiredVersion,
+  type RequiredVersion,
+} from "./required_version.ts";
 import type { ReplicaTable } from "./replica_table.ts";
 
 /** Maximum number of characters logged of an unreadable header. */
@@ -63,6 +67,8 @@
   readonly stage?: ReplicaStage | undefined;
   /** Incarnations that must not be tried again. */
   readonly excluded: ReadonlySet<string>;
+  /** The version of the replicas that answer it; absent: any will do. */
+  readonly requiredVersion?: RequiredVersion | undefined;
 };
 
 /** The call to which a response belongs. */
@@ -107,12 +113,15 @@
    * Returns which replicas of a service this host may use for a request now.
    */
   available(
-    { service, stage, excluded }: ReplicaRequirements,
+    { service, stage, excluded, requiredVersion }: ReplicaRequirements,
   ): Availability {
     if (this.#backoffs.size === 0) {
       return { type: "some", excluded, nextAvailableMs: Infinity };
     }
-    const open = this.#options.replicas.openReplicasOf(service);
+    const isEligible = ({ entry }: Replica) =>
+      entry.stage !== stage || hasRequiredVersion(entry, requiredVersion);
+    const open = this.#options.replicas.openReplicasOf(service)
+      .filter(isEligible);
     const answering = open.filter((replica) => replica.entry.stage === stage);
     const closed = new Set(excluded);
     for (const replica of open) {
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -2,6 +2,7 @@
 import type { GatewayContext } from "../context.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import type { RequiredVersion } from "../replicas/required_version.ts";
 import { isRepeatable } from "../routing/model.ts";
 import type { GatewayRequest } from "./request.ts";
 import { hasOtherReplica } from "./sender.ts";
@@ -107,10 +108,13 @@
    * Time after which another replica is tried if this one has not responded;
    * undefined: none may be, or there is no other one.
    */
-  answerTimeoutMs(entry: ReplicaEntry): Milliseconds | undefined {
+  answerTimeoutMs(
+    entry: ReplicaEntry,
+    requiredVersion: RequiredVersion | undefined,
+  ): Milliseconds | undefined {
     if (!this.repeatable || this.isLast) return undefined;
     const excluded = this.#excluded;
-    const other = { entry, excluded };
+    const other = { entry, excluded, requiredVersion };
     if (!hasOtherReplica(this.#context, this.#request, other)) return undefined;
     const { objectiveMs } = this.#request.route;
     return objectiveMs * this.#context.tuning.retryAfterObjectives;
--- a/src/gateway/requests/availability.ts
+++ b/src/gateway/requests/availability.ts
@@ -3,6 +3,10 @@
 import type { GatewayContext } from "../context.ts";
 import { type ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import type { Availability } from "../replicas/replica_gate.ts";
+import {
+  hasRequiredVersion,
+  type RequiredVersion,
+} from "../replicas/required_version.ts";
 import { placementDeadline } from "./engine_request.ts";
 import type { PlacementConstraints, PlacementRefusal } from "./placement.ts";
 import { type Unavailability, unavailableRefusal } from "./refusals.ts";
@@ -18,7 +22,10 @@
   | Exclude<Availability, { type: "none" }>
   | ({ readonly type: "none" } & Unavailability);
 
-type ReplicaConstraints = Pick<PlacementConstraints, "excluded">;
+type ReplicaConstraints = Pick<
+  PlacementConstraints,
+  "excluded" | "requiredVersion"
+>;
 type AvailabilityContext = Pick<
   GatewayContext,
   "gate" | "routes" | "replicas" | "paths"
@@ -28,7 +35,7 @@
 export function usableReplicas(
   context: AvailabilityContext,
   { service }: Pick<GatewayRequest, "service">,
-  { excluded }: ReplicaConstraints,
+  { excluded, requiredVersion }: ReplicaConstraints,
 ): RequestAvailability {
   const { gate, routes } = context;
   const hasStages = routes.service(service)?.engine !== undefined;
@@ -37,10 +44,15 @@
   const closed = unreachable.length === 0
     ? excluded
     : new Set([...excluded, ...unreachable]);
-  const answering = unreachable.length > 0
+  const answering = requiredVersion || unreachable.length > 0
     ? context.replicas.openReplicasOf(service).map(({ entry }) => entry)
-      .filter((entry) => entry.stage === stage)
+      .filter((entry) =>
+        entry.stage === stage && hasRequiredVersion(entry, requiredVersion)
+      )
     : undefined;
+  if (requiredVersion && answering && areAllIn(excluded, answering)) {
+    return { type: "none", reason: "versionGone" };
+  }
   if (answering && areAllIn(closed, answering)) {
     const retryAfterMs = UNREACHABLE_RETRY_MS;
     return { type: "none", reason: "unreachable", retryAfterMs };
@@ -49,6 +61,7 @@
     service,
     stage,
     excluded: closed,
+    requiredVersion,
   });
   if (available.type === "some") return available;
   return { ...available, reason: "backoff" };
@@ -76,7 +89,8 @@
 
 /**
  * How long to wait for a replica to become available; undefined: refuse the
- * request. Waiting is better than failing a response that has started.
+ * request. Waiting is better than failing a response that has started, unless
+ * its caller can resume it sooner than a replica comes back.
  */
 export function availabilityWaitMs(
   { context, request, constraints }: {
@@ -86,19 +100,37 @@
   },
   unavailability: Unavailability,
 ): Milliseconds | undefined {
-  if (!constraints.mayHaveRun) return undefined;
+  const { reason } = unavailability;
+  if (!constraints.mayHaveRun || reason === "versionGone") return undefined;
+  if (reason === "unreachable" && constraints.requiredVersion) return undefined;
   const { retryAfterMs } = unavailability;
   const deadline = placementDeadline({ context, request }, constraints);
   const isLate = context.clock.now() + retryAfterMs >= deadline;
   return isLate ? undefined : retryAfterMs;
 }
 
-/** Returns a refusal if no replica is available. */
+/** Replicas of the request's service that lack the required version. */
+export function otherVersions(
+  { replicas }: Pick<GatewayContext, "replicas">,
+  { service }: Pick<GatewayRequest, "service">,
+  requiredVersion: RequiredVersion | undefined,
+): string[] {
+  if (!requiredVersion) return [];
+  return replicas.openReplicasOf(service).map(({ entry }) => entry)
+    .filter(({ stage }) => stage !== ReplicaStage.prefill)
+    .filter((entry) => !hasRequiredVersion(entry, requiredVersion))
+    .map(({ incarnation }) => incarnation);
+}
+
+/** Returns a refusal if no replica of the required version is available. */
 export function refusalWhenNoneAvailable(
   context: AvailabilityContext & Pick<GatewayContext, "random">,
-  request: GatewayRequest,
+  { request, requiredVersion }: {
+    readonly request: GatewayRequest;
+    readonly requiredVersion: RequiredVersion | undefined;
+  },
 ): PlacementRefusal | undefined {
-  const constraints = { excluded: new Set<string>() };
+  const constraints = { excluded: new Set<string>(), requiredVersion };
   const available = usableReplicas(context, request, constraints);
   if (available.type === "some") return undefined;
   return unavailableRefusal(context, request, available);
--- a/src/gateway/requests/engine_assignment.ts
+++ b/src/gateway/requests/engine_assignment.ts
@@ -10,6 +10,7 @@
 import { placementRequestOf } from "./engine_request.ts";
 import {
   availabilityWaitMs,
+  otherVersions,
   usableReplicas,
   watchAvailability,
 } from "./availability.ts";
@@ -58,6 +59,7 @@
     constraints: PlacementConstraints,
   ): Promise<ReplicaChoice | PlacementRefusal> {
     const { context, request } = this.#options;
+    const { requiredVersion } = constraints;
     const closed = new Set(constraints.excluded);
     for (;;) {
       const open = { ...constraints, excluded: closed };
@@ -81,9 +83,9 @@
       );
       if (assignment === "reopened") continue;
       if ("reason" in assignment) {
-        return plannerRefusal(assignment);
+        return plannerRefusal(assignment, constraints);
       }
-      const choice = usableChoice(context, assignment);
+      const choice = usableChoice(context, assignment, constraints);
       if (choice) return choice;
       this.end();
       // Either the planner does not know yet that the replica is closed to this
@@ -92,6 +94,10 @@
       if (isListed) closed.add(assignment.decode);
       else await sleep(context.clock, LISTING_RETRY_MS);
       if (this.#ended) return { error: GatewayError.noMemory };
+      // A planner of an older build doesn't read the version in a request.
+      for (const other of otherVersions(context, request, requiredVersion)) {
+        closed.add(other);
+      }
     }
   }
 
--- a/src/gateway/requests/engine_request.ts
+++ b/src/gateway/requests/engine_request.ts
@@ -47,6 +47,7 @@
     localPrefill,
     repeatable: isRepeatable(route),
     excluded: constraints.excluded,
+    boundTo: constraints.requiredVersion,
   };
 }
 
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -17,12 +17,18 @@
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal } from "./request_journal.ts";
 import { RunMeter } from "./run_meter.ts";
+import { StreamBinding } from "./stream_binding.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
 import type { Answer } from "../upstreams/call.ts";
 import { type OutcomeReport, reportOutcome } from "./report_outcome.ts";
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
 import type { Sending, SendResult } from "./sender.ts";
 
+const UNFORWARDED_REASONS = {
+  unread: "The caller did not read the answer",
+  withheld: "Other hosts have a record of another version",
+} as const;
+
 /** Options of {@link Exchange}. */
 export type ExchangeOptions = {
   readonly context: GatewayContext;
@@ -47,6 +53,7 @@
   readonly #state: RequestState;
   readonly #journal: RequestJournal;
   readonly #position: EventPosition = {};
+  readonly #binding: StreamBinding;
   readonly #cancelTimeout: () => void;
   #sending: Sending | undefined;
   /** The next retry has already been charged to the retry budget. */
@@ -59,9 +66,10 @@
     this.#request = request;
     this.#reply = options.reply;
     this.#onEnd = options.onEnd;
+    const binding = this.#binding = new StreamBinding(context, request);
     const attempts = this.#attempts = new Attempts(context, request);
     const position = this.#position;
-    this.#state = { context, request, attempts, position };
+    this.#state = { context, request, attempts, binding, position };
     const journal = this.#journal = new RequestJournal(context, request);
     this.#writer = new ReplyWriter({ reply: options.reply, attempts, journal });
     const placer = createPlacer({ context, request, planner, attempts });
@@ -86,6 +94,8 @@
   async #serve(): Promise<void> {
     const { retryBudget, clock } = this.#context;
     retryBudget.noteRequest(this.#request.service, clock.now());
+    const isKnown = await this.#binding.resolve();
+    if (!isKnown) this.#fail(GatewayError.streamVersionUnknown, {});
     while (!this.#ended) await this.#attempt();
   }
 
@@ -109,6 +119,7 @@
     const placed = await this.#placer.place({
       excluded: this.#attempts.excluded,
       mayHaveRun: this.#attempts.mayHaveRunAnywhere,
+      requiredVersion: this.#binding.requiredVersion,
     });
     if (this.#ended) return;
     if ("error" in placed) {
@@ -120,6 +131,9 @@
       this.#placer.release();
       return this.#fail(obstacle, {});
     }
+    if (!this.#binding.allows(placed.replica.entry)) {
+      return this.#passOver(placed, "version");
+    }
     const result = await this.#send(placed);
     if (this.#ended) {
       if (result.type === "answer") result.answer.message.destroy();
@@ -137,7 +151,10 @@
   }
 
   /** Gives a placement back that must not be used; the next attempt follows. */
-  #passOver({ replica }: Placement, reason: Obstacle["type"]): void {
+  #passOver(
+    { replica }: Placement,
+    reason: Obstacle["type"] | "version",
+  ): void {
     this.#placer.release();
     const fields = { replica: replica.entry.incarnation, reason };
     this.#journal.note("passedOver", fields);
@@ -161,6 +178,7 @@
 
   async #send(placed: Placement): Promise<SendResult> {
     this.#attempts.noteSent();
+    this.#binding.noteSend(placed.replica.entry);
     this.#meter.noteSent();
     const { sends } = this.#attempts;
     this.#journal.placed(placed, { sends, position: this.#position });
@@ -190,7 +208,10 @@
     if (allowed && this.#attempts.acquireRetry(reason)) return;
     if (!notRun) return this.#failUnknown(reason);
     // If all replicas back off, the caller should not retry before one reopens.
-    const refusal = refusalWhenNoneAvailable(this.#context, this.#request);
+    const refusal = refusalWhenNoneAvailable(this.#context, {
+      request: this.#request,
+      requiredVersion: this.#binding.requiredVersion,
+    });
     const { retryAfterSeconds } = refusal ? failureOf(refusal) : {};
     this.#fail(GatewayError.refusedByReplicas, { reason, retryAfterSeconds });
   }
@@ -206,11 +227,14 @@
       return this.#failUnknown(`Status ${status}`);
     }
     const outcome = await this.#relay(placed, answer);
+    if (this.#position.hasForwarded) this.#binding.noteForwarded();
     const isByReplica = !this.#ended && !this.#retryAcquired;
     const result = { placed, status, outcome, isByReplica };
     reportOutcome(this.#outcomeReport, result);
     if (this.#ended) return;
-    if (outcome === "unread") return this.#endUnread();
+    if (outcome === "unread" || outcome === "withheld") {
+      return this.#endUnforwarded(outcome);
+    }
     if (outcome === "interrupted") return this.#handleInterrupted(placed);
     this.#journal.answered(status, outcome);
     this.#end();
@@ -236,6 +260,7 @@
       journal: this.#journal,
       position: this.#position,
       entry: placed.replica.entry,
+      mayForward: this.#binding.mayBegin.then((may) => may && !this.#ended),
       abandonStalled: () => this.#abandonStalled(placed),
       observer: this.#meter.observer(),
     });
@@ -244,7 +269,7 @@
   /** Only a stream can go on behind what its caller has received. */
   get #mayContinue(): boolean {
     if (!this.#writer.headersSent) return true;
-    return this.#request.route.resumable;
+    return this.#request.route.resumable && !this.#position.endsWithoutId;
   }
 
   /** Abandons a stalled stream only if its replica also fails other calls. */
@@ -269,9 +294,9 @@
   }
 
   /** Ends a response that its caller does not receive, or not to its end. */
-  #endUnread(): void {
-    this.#context.metrics.count("answers_unread");
-    this.#failUnknown("The caller did not read the answer");
+  #endUnforwarded(outcome: keyof typeof UNFORWARDED_REASONS): void {
+    if (outcome === "unread") this.#context.metrics.count("answers_unread");
+    this.#failUnknown(UNFORWARDED_REASONS[outcome]);
   }
 
   #failUnknown(reason: string): void {
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -5,6 +5,7 @@
 import type { EventFields } from "../observe/event_log.ts";
 import type { CallMetadata } from "../port.ts";
 import type { RunSummary } from "../planning/assignment.ts";
+import type { RequiredVersion } from "../replicas/required_version.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Export } from "./prefill.ts";
 
@@ -49,6 +50,11 @@
   readonly excluded: ReadonlySet<string>;
   /** An earlier send may have run, or the caller has part of the response. */
   readonly mayHaveRun: boolean;
+  /**
+   * The software version of the replica that writes the response; absent: any
+   * will do.
+   */
+  readonly requiredVersion?: RequiredVersion | undefined;
 };
 
 /** Places one request, once for each send. */
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -16,6 +16,7 @@
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { chooseReplica } from "../replicas/choice.ts";
 import type { Replica } from "../replicas/replica.ts";
+import { hasRequiredVersion } from "../replicas/required_version.ts";
 import { isRepeatable } from "../routing/model.ts";
 import { buildPlainPlacement } from "./build_placement.ts";
 import { usableReplicas } from "./availability.ts";
@@ -128,12 +129,15 @@
     const assignment = await this.#requestAssignment(constraints, clock.now());
     this.#noteDecision(assignment);
     if ("reason" in assignment && assignment.reason === "busy") {
-      return plannerRefusal(assignment);
+      return plannerRefusal(assignment, constraints);
     }
     const planned = "decode" in assignment
       ? replicas.get(assignment.decode)
       : undefined;
-    if (planned && !gate.obstacle(planned)) return planned;
+    const { requiredVersion } = constraints;
+    const isUsable = planned && !gate.obstacle(planned) &&
+      hasRequiredVersion(planned.entry, requiredVersion);
+    if (isUsable) return planned;
     this.release();
     const isUnplanned = "reason" in assignment &&
       assignment.reason === "cancelled";
@@ -178,7 +182,7 @@
   }
 
   async #requestAssignment(
-    { excluded, mayHaveRun }: PlacementConstraints,
+    { excluded, mayHaveRun, requiredVersion }: PlacementConstraints,
     requestedAt: Milliseconds,
   ): Promise<Assignment | AssignmentRefusal> {
     const { clock } = this.#context;
@@ -203,6 +207,7 @@
       localPrefill: true,
       repeatable: isRepeatable(route),
       excluded,
+      boundTo: requiredVersion,
     });
     this.#cancelWait = wait.cancel;
     const cancelTimer = clock.after(PLANNER_TIMEOUT_MS, wait.cancel);
@@ -220,10 +225,11 @@
   }
 
   #chooseLocally(
-    { excluded }: PlacementConstraints,
+    { excluded, requiredVersion }: PlacementConstraints,
   ): Replica | undefined {
     const { replicas, clock, random, self, tuning } = this.#context;
-    const open = replicas.openReplicasOf(this.#request.service);
+    const open = replicas.openReplicasOf(this.#request.service)
+      .filter(({ entry }) => hasRequiredVersion(entry, requiredVersion));
     const query = {
       hall: self.hall,
       remoteHallPenalty: tuning.remoteHallPenalty,
--- a/src/gateway/requests/refusals.ts
+++ b/src/gateway/requests/refusals.ts
@@ -3,19 +3,24 @@
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
 import type { AssignmentRefusal } from "../planning/assignment.ts";
-import type { PlacementRefusal } from "./placement.ts";
+import type { PlacementConstraints, PlacementRefusal } from "./placement.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** Converts a planner's refusal. */
 export function plannerRefusal(
   refusal: AssignmentRefusal,
+  { requiredVersion }: Pick<PlacementConstraints, "requiredVersion">,
 ): PlacementRefusal {
   const { reason, retryAfterMs, planner, basis } = refusal;
   const fields = { planner, ...basis };
   switch (reason) {
-    case "no-replica":
-      return { error: GatewayError.noReplica, basis: fields };
+    case "no-replica": {
+      const error = requiredVersion
+        ? GatewayError.streamVersionGone
+        : GatewayError.noReplica;
+      return { error, basis: fields };
+    }
     case "busy":
       return {
         error: basis?.isLimited ? GatewayError.limited : GatewayError.busy,
@@ -51,10 +56,13 @@
 }
 
 /** Why no replica may serve a request, and when to try again. */
-export type Unavailability = {
-  readonly reason: "backoff" | "unreachable";
-  readonly retryAfterMs: Milliseconds;
-};
+export type Unavailability =
+  | {
+    readonly reason: "backoff" | "unreachable";
+    readonly retryAfterMs: Milliseconds;
+  }
+  /** No replica of the software version that began the stream is left. */
+  | { readonly reason: "versionGone" };
 
 /** Refuses a request that none of its remaining replicas may serve. */
 export function unavailableRefusal(
@@ -62,6 +70,9 @@
   request: Pick<GatewayRequest, "priority">,
   unavailability: Unavailability,
 ): PlacementRefusal {
+  if (unavailability.reason === "versionGone") {
+    return { error: GatewayError.streamVersionGone };
+  }
   const { reason, retryAfterMs: minRetryAfterMs } = unavailability;
   const retryAfterMs = spreadRetryAfterMs(context, request, minRetryAfterMs);
   if (reason === "unreachable") {
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -10,9 +10,11 @@
 import { eventStreamOf } from "./event_stream.ts";
 import type { EventScanner } from "./event_scanner.ts";
 import { EventSplitter } from "./event_splitter.ts";
+import { HeldEvents } from "./held_events.ts";
 import {
+  type OutcomeForCaller,
+  outcomeForCaller,
   plainOutcome,
-  type ReceivedOutcome,
   type RelayOutcome,
   streamOutcome,
 } from "./relay_outcome.ts";
@@ -122,6 +124,11 @@
   lastId?: string;
   /** Whether the caller has received any of it. */
   hasForwarded?: boolean;
+  /**
+   * Whether events without an id stand behind the last id. A replica that resumes
+   * the stream there would send them again.
+   */
+  endsWithoutId?: boolean;
 };
 
 /** Options for forwarding a resumable stream. */
@@ -129,6 +136,8 @@
   readonly position: EventPosition;
   readonly clock: Clock;
   readonly stallMs: Milliseconds;
+  /** False: the caller must not receive the stream. */
+  readonly mayForward: Promise<boolean>;
   /** Whether to abort a stalled stream, to resume it at another replica. */
   abandonStalled(): boolean;
 };
@@ -141,7 +150,7 @@
 async function relayEvents(
   answer: Answer,
   output: StreamOutput,
-  { position, clock, stallMs, abandonStalled, begin }:
+  { position, clock, stallMs, abandonStalled, mayForward, begin }:
     & EventRelayOptions
     & { readonly begin: () => void },
 ): Promise<RelayOutcome> {
@@ -163,25 +172,40 @@
   message.on("pause", () => stallTimer.pause());
   message.on("resume", () => stallTimer.restart());
   message.on("close", () => stallTimer.end());
-  begin();
-  return await relay(answer, paced, {
+  const held = new HeldEvents({
+    mayForward,
+    source: message,
+    onOpen: begin,
+    forward: ({ bytes, lastId, endsWithoutId }) => {
+      if (lastId !== undefined) position.lastId = lastId;
+      if (lastId !== undefined || endsWithoutId) {
+        position.endsWithoutId = endsWithoutId;
+      }
+      position.hasForwarded = true;
+      paced.write(bytes);
+    },
+  });
+  let hasEvents = position.hasForwarded ?? false;
+  const forwarded = relay(answer, paced, {
     data: (bytes) => {
       stallTimer.restart();
       const complete = splitter.push(bytes, scanner.endInPart);
       if (!complete) return;
-      if (complete.lastId !== undefined) position.lastId = complete.lastId;
-      position.hasForwarded = true;
-      paced.write(complete.bytes);
+      hasEvents = true;
+      held.push(complete);
     },
-    outcome: () => {
-      const hasEvents = position.hasForwarded ?? false;
-      return streamOutcome(answer, { events, scanner, hasEvents, confirmEnd });
+    outcome: async () => {
+      const stream = { events, scanner, hasEvents, confirmEnd };
+      return outcomeForCaller(await streamOutcome(answer, stream), held);
     },
     complete: () => {
       if (splitter.remainder.length > 0) paced.reply.write(splitter.remainder);
       paced.reply.end();
     },
   });
+  // Rejects at once if the head can't be written.
+  await Promise.race([held.opened, forwarded]);
+  return await forwarded;
 }
 
 /**
@@ -254,7 +278,7 @@
 type Forwarding = {
   data(bytes: Buffer): void;
   /** The outcome of a response that has ended. */
-  outcome(): Promise<ReceivedOutcome>;
+  outcome(): Promise<OutcomeForCaller>;
   complete(): void;
 };
 
@@ -268,7 +292,7 @@
     const end = async () => {
       if (paced.isUnread()) return resolve("unread");
       const outcome = await forwarding.outcome();
-      if (outcome === "interrupted") {
+      if (outcome === "interrupted" || outcome === "withheld") {
         paced.end();
         return resolve(outcome);
       }
--- a/src/gateway/requests/relay_outcome.ts
+++ b/src/gateway/requests/relay_outcome.ts
@@ -3,6 +3,7 @@
 import { BodyEnding } from "../upstreams/framing.ts";
 import type { EventScanner } from "./event_scanner.ts";
 import { EventStream } from "./event_stream.ts";
+import type { HeldEvents } from "./held_events.ts";
 
 /** How the forwarding of a response ended. */
 export type RelayOutcome =
@@ -10,11 +11,16 @@
   /** Forwarded up to its end, which its framing does not confirm. */
   | "unconfirmed"
   | "interrupted"
+  /** Nothing was forwarded, since the caller must not receive it. */
+  | "withheld"
   /** The caller did not read the response. */
   | "unread";
 
+/** The outcome of a response, whether or not its caller may receive it. */
+export type ReceivedOutcome = Exclude<RelayOutcome, "unread" | "withheld">;
+
 /** The outcome of a response for a caller who reads. */
-export type ReceivedOutcome = Exclude<RelayOutcome, "unread">;
+export type OutcomeForCaller = Exclude<RelayOutcome, "unread">;
 
 /** A stream that has ended. */
 export type EndedStream = {
@@ -49,3 +55,15 @@
   if (scanner.isInsideEvent || !hasEvents) return "interrupted";
   return await confirmEnd() ? "unconfirmed" : "interrupted";
 }
+
+/** The outcome of a stream whose events are held back. */
+export async function outcomeForCaller(
+  received: ReceivedOutcome,
+  held: HeldEvents,
+): Promise<OutcomeForCaller> {
+  if (received !== "interrupted" || held.isWithheld) {
+    return await held.opened ? received : "withheld";
+  }
+  held.drop();
+  return received;
+}
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -29,6 +29,8 @@
   readonly observer: RelayObserver | undefined;
   /** The replica that sends the response. */
   readonly entry: ReplicaEntry;
+  /** As in {@link EventRelayOptions}. */
+  readonly mayForward: Promise<boolean>;
   /** Whether to abort a stalled stream, to resume it at another replica. */
   abandonStalled(): boolean;
 };
@@ -58,6 +60,7 @@
       position,
       clock,
       stallMs: tuning.stallTimeoutMs,
+      mayForward: relay.mayForward,
       abandonStalled: () => relay.abandonStalled(),
     },
     pace: {
--- a/src/gateway/requests/report_outcome.ts
+++ b/src/gateway/requests/report_outcome.ts
@@ -42,6 +42,7 @@
       }
       // It was answered, but its duration may be that of a part.
       return placer.completed();
+    case "withheld":
     case "unread":
       return placer.release();
     case "interrupted": {
--- a/src/gateway/requests/send_placed.ts
+++ b/src/gateway/requests/send_placed.ts
@@ -7,12 +7,14 @@
 import type { EventPosition } from "./relay.ts";
 import type { GatewayRequest } from "./request.ts";
 import { type Sending, sendRequest } from "./sender.ts";
+import type { StreamBinding } from "./stream_binding.ts";
 
 /** The state of a request that is sent. */
 export type RequestState = {
   readonly context: GatewayContext;
   readonly request: GatewayRequest;
   readonly attempts: Attempts;
+  readonly binding: StreamBinding;
   readonly position: EventPosition;
 };
 
@@ -29,12 +31,13 @@
 
 /** Sends a request that the attempts have counted already. */
 export function sendPlaced(
-  { context, request, attempts, position }: RequestState,
+  { context, request, attempts, binding, position }: RequestState,
   placed: Placement,
 ): Sending {
   const { lastId: lastEventId } = position;
+  const { requiredVersion } = binding;
   const { entry } = placed.replica;
-  const timeoutMs = attempts.answerTimeoutMs(entry);
+  const timeoutMs = attempts.answerTimeoutMs(entry, requiredVersion);
   return sendRequest(context, request, placed.replica, {
     headers: {
       ...placed.headers,
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -5,6 +5,10 @@
 import type { SendPermit } from "../limits/replica_limits.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Replica } from "../replicas/replica.ts";
+import {
+  hasRequiredVersion,
+  type RequiredVersion,
+} from "../replicas/required_version.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
 import {
   type Answer,
@@ -120,15 +124,17 @@
 export function hasOtherReplica(
   { replicas, gate }: GatewayContext,
   { service }: GatewayRequest,
-  { entry, excluded }: {
+  { entry, excluded, requiredVersion }: {
     readonly entry: ReplicaEntry;
     readonly excluded: ReadonlySet<string>;
+    readonly requiredVersion?: RequiredVersion | undefined;
   },
 ): boolean {
   const { stage, incarnation } = entry;
   return replicas.openReplicasOf(service).some((replica) => {
     const { entry: other } = replica;
     return other.stage === stage && other.incarnation !== incarnation &&
+      hasRequiredVersion(other, requiredVersion) &&
       !excluded.has(other.incarnation) && !gate.obstacle(replica);
   });
 }
--- /dev/null
+++ b/src/gateway/requests/stream_binding.ts
@@ -0,0 +1,106 @@
+/**
+ * Binds a resumable stream to the software version that began it: replicas of
+ * another version can't continue it, and accept it all the same.
+ */
+import type { Milliseconds } from "../../util/units.ts";
+import type { GatewayContext } from "../context.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
+import {
+  hasRequiredVersion,
+  type RequiredVersion,
+} from "../replicas/required_version.ts";
+import { isRepeatable, RouteKind } from "../routing/model.ts";
+import type { StreamVersions } from "../streams/stream_versions.ts";
+import type { StreamKey } from "../streams/model.ts";
+import type { GatewayRequest } from "./request.ts";
+
+/** How long after the deadline of a request its caller may resume its stream. */
+const RETURN_MARGIN_MS: Milliseconds = 30_000;
+
+/** Records which software version began a stream, and finds it again. */
+export type StreamVersionSource = Pick<StreamVersions, "note" | "resolve">;
+
+/** What a {@link StreamBinding} depends on. */
+export type BindingContext = Pick<GatewayContext, "clock"> & {
+  readonly streams: StreamVersionSource;
+};
+
+/** The version to which the stream of one request is bound. */
+export class StreamBinding {
+  readonly #context: BindingContext;
+  readonly #request: GatewayRequest;
+  /** The version of the replica that the request was sent to last. */
+  #sentTo: RequiredVersion | undefined;
+  #requiredVersion: RequiredVersion | undefined;
+  #mayBegin: Promise<boolean> = Promise.resolve(true);
+
+  constructor(
+    context: BindingContext,
+    request: GatewayRequest,
+  ) {
+    this.#context = context;
+    this.#request = request;
+  }
+
+  /** The version that all further sends require; undefined: any will do. */
+  get requiredVersion(): RequiredVersion | undefined {
+    return this.#requiredVersion;
+  }
+
+  /** Whether the request may be sent to the replica. */
+  allows(entry: ReplicaEntry): boolean {
+    return hasRequiredVersion(entry, this.#requiredVersion);
+  }
+
+  /**
+   * Binds a stream that the caller resumes; called before the first placement.
+   * Returns false if the version that began it is unknown.
+   */
+  async resolve(): Promise<boolean> {
+    const { facts } = this.#request;
+    if (!this.#isResumable || facts.lastEventId === undefined) return true;
+    const key = this.#keyOf(facts.resumes);
+    const version = await this.#context.streams.resolve(key);
+    if (version.type === "unknown") return false;
+    this.#requiredVersion = { softwareVersion: version.softwareVersion };
+    return true;
+  }
+
+  /** Records a send, so that any host can resume the stream it may begin. */
+  noteSend({ softwareVersion }: ReplicaEntry): void {
+    this.#sentTo = { softwareVersion };
+    const { facts, deadline } = this.#request;
+    const isResumed = facts.lastEventId !== undefined;
+    const id = isResumed ? facts.resumes ?? facts.id : facts.id;
+    if (!this.#isResumable || id === undefined) return;
+    const { clock, streams } = this.#context;
+    const ttlMs = Math.max(0, deadline - clock.now()) + RETURN_MARGIN_MS;
+    this.#mayBegin = streams.note(this.#keyOf(id), softwareVersion, ttlMs);
+  }
+
+  /**
+   * Resolves when the last send is recorded at another host. A stream that its
+   * caller received earlier could not be resumed if this host ended. False: other
+   * hosts would resume it at another version, so its caller must not receive it.
+   */
+  get mayBegin(): Promise<boolean> {
+    return this.#mayBegin;
+  }
+
+  /** Clients choose the ids, so those of different customers are kept apart. */
+  #keyOf(id: string | undefined): StreamKey {
+    const { service, customer } = this.#request;
+    if (id === undefined) return { service, id: "" };
+    return { service, id: customer ? `${customer.name} ${id}` : id };
+  }
+
+  /** Binds the stream to the replica whose first bytes were forwarded. */
+  noteForwarded(): void {
+    this.#requiredVersion ??= this.#sentTo;
+  }
+
+  get #isResumable(): boolean {
+    const { route } = this.#request;
+    return route.kind === RouteKind.streaming && isRepeatable(route);
+  }
+}
--- a/src/gateway/routing/route_table.ts
+++ b/src/gateway/routing/route_table.ts
@@ -1,5 +1,7 @@
 /** The active configuration. Its version never decreases during a process. */
+import murmurhash from "murmurhash";
 import { CustomerTable } from "../customers/customer_table.ts";
+import type { RequestMetadata } from "../port.ts";
 import type { Route, RouteConfig, Service, Target } from "./model.ts";
 
 /**
@@ -97,6 +99,23 @@
   return queryAt < 0 ? target : target.slice(0, queryAt);
 }
 
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * The chance by which the service of a request is picked. All attempts at one
+ * resumable stream get the same one, at any host: another service can't
+ * continue it.
+ */
+export function targetChance(
+  { resumable }: Route,
+  { id, lastEventId, resumes }: RequestMetadata,
+  random: () => number,
+): number {
+  const stream = lastEventId === undefined ? id : resumes ?? id;
+  if (!resumable || stream === undefined) return random();
+  return murmurhash.v3(stream) / HASH_RANGE;
+}
+
 /** Picks the service for a request by weight; `chance` is in [0, 1). */
 export function pickTarget(
   targets: readonly Target[],
--- a/test/gateway/requests/availability_test.ts
+++ b/test/gateway/requests/availability_test.ts
@@ -13,7 +13,9 @@
 } as GatewayRequest;
 
 const started = { excluded: new Set<string>(), mayHaveRun: true };
+const bound = { ...started, requiredVersion: { softwareVersion: "v1" } };
 const backoff = { reason: "backoff", retryAfterMs: 1000 } as const;
+const unreachable = { reason: "unreachable", retryAfterMs: 1000 } as const;
 
 test("a started response waits for a replica, a new request does not", () => {
   const waitMs = (constraints: typeof started) =>
@@ -21,3 +23,15 @@
   assert.equal(waitMs(started), 1000);
   assert.equal(waitMs({ ...started, mayHaveRun: false }), undefined);
 });
+
+test("a bound stream is broken off when no host reaches its version", () => {
+  const options = { context, request, constraints: bound };
+  assert.equal(availabilityWaitMs(options, unreachable), undefined);
+  assert.equal(
+    availabilityWaitMs(options, { reason: "versionGone" }),
+    undefined,
+  );
+  assert.equal(availabilityWaitMs(options, backoff), 1000);
+  const unbound = { context, request, constraints: started };
+  assert.equal(availabilityWaitMs(unbound, unreachable), 1000);
+});
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -2,7 +2,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { GatewayContext } from "../../../src/gateway/context.ts";
-import { type Route, RouteKind } from "../../../src/gateway/mod.ts";
+import {
+  ReplicaStage,
+  type Route,
+  RouteKind,
+} from "../../../src/gateway/mod.ts";
 import { Metrics } from "../../../src/gateway/observe/metrics.ts";
 import { HostMessageSchema } from "../../../src/gateway/planning/messages.ts";
 import { PlannerClient } from "../../../src/gateway/planning/planner_client.ts";
@@ -117,6 +121,21 @@
   };
 }
 
+/** Lists a replica of another version besides "a", which has none. */
+function addVersion(
+  { context }: ReturnType<typeof start>,
+  stage?: ReplicaStage,
+): void {
+  const entries = context.replicas.entries().map((entry) =>
+    stage === undefined ? entry : { ...entry, stage }
+  );
+  const other = { id: "b", incarnation: "b", softwareVersion: "v2" };
+  context.replicas.adopt({
+    revision: 2,
+    entries: entries.flatMap((entry) => [entry, { ...entry, ...other }]),
+  });
+}
+
 const typesOf = (messages: readonly object[]) =>
   messages.map((message) => {
     const { type, stage } = message as { type: string; stage?: string };
@@ -191,3 +210,91 @@
   assert.equal(requests.length, 1);
   assert.notEqual(typesOf(rig.messages).at(-1), "ask");
 });
+
+test("a request that ends while its assignment is not usable sends no further request", async () => {
+  for (const decode of ["unlisted", "a"]) {
+    const rig = start((message) => {
+      const { type, id } = message as { type: string; id: string };
+      if (type === "ask") rig.reply({ type: "grant", id, decode });
+    });
+    addVersion(rig);
+    const { context, planner } = rig;
+    const attempts = new Attempts(context, REQUEST);
+    const options = { context, planner, request: REQUEST, engine: ENGINE };
+    const placer = new EnginePlacement({ ...options, attempts });
+    const placing = placer.place({
+      excluded: new Set(),
+      mayHaveRun: false,
+      requiredVersion: { softwareVersion: "v2" },
+    });
+    placer.end();
+    await new Promise((resolve) => setImmediate(resolve));
+    for (const timer of rig.timers.splice(0)) timer();
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.deepEqual(typesOf(rig.messages), ["ask", "ended"]);
+    assert.ok("error" in await placing);
+  }
+});
+
+test("a stream that an older planner assigns to another version asks again without it", async () => {
+  const asked: object[] = [];
+  const rig = start((message) => {
+    const { type, id, excluded, boundTo } = message as {
+      type: string;
+      id: string;
+      excluded: string[];
+      boundTo: object;
+    };
+    if (type !== "ask") return;
+    asked.push({ excluded, boundTo });
+    // Reads the exclusions, but not the version.
+    const decode = excluded.includes("a") ? "b" : "a";
+    rig.reply({ type: "grant", id, decode });
+  });
+  addVersion(rig, ReplicaStage.decode);
+  const { context, planner } = rig;
+  context.routes.adopt({
+    version: 1,
+    routes: [],
+    services: [{ name: "s", connectionLimit: 1, engine: ENGINE }],
+    limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 },
+  });
+  Object.assign(context.dialect, { readReservation: () => "reservation" });
+  const call = () => Promise.resolve({ status: 200, body: "" });
+  Object.assign(context.pool, { sendControlCall: call });
+  const attempts = new Attempts(context, REQUEST);
+  const options = { context, planner, request: REQUEST, engine: ENGINE };
+  const placer = new EnginePlacement({ ...options, attempts });
+  const placed = await placer.place({
+    excluded: new Set(),
+    mayHaveRun: true,
+    requiredVersion: { softwareVersion: "v2" },
+  });
+  assert.ok("replica" in placed && placed.replica.entry.incarnation === "b");
+  const boundTo = { softwareVersion: "v2" };
+  assert.deepEqual(asked, [
+    { excluded: [], boundTo },
+    { excluded: ["a"], boundTo },
+  ]);
+  assert.deepEqual(typesOf(rig.messages), ["ask", "ended", "ask"]);
+});
+
+test("a plain stream is never placed at another version", async () => {
+  for (const isSilent of [false, true]) {
+    const rig = start((message) => {
+      const { type, id } = message as { type: string; id: string };
+      if (isSilent || type !== "ask") return;
+      rig.reply({ type: "grant", id, decode: "a" });
+    });
+    addVersion(rig);
+    const placer = new PlainPlacement(rig.context, REQUEST, rig.planner);
+    const placing = placer.place({
+      excluded: new Set(),
+      mayHaveRun: true,
+      requiredVersion: { softwareVersion: "v2" },
+    });
+    for (const timer of rig.timers.splice(0)) timer();
+    const placed = await placing;
+    assert.ok("replica" in placed && placed.replica.entry.incarnation === "b");
+  }
+});
--- a/test/gateway/requests/relay_rig.ts
+++ b/test/gateway/requests/relay_rig.ts
@@ -43,6 +43,7 @@
   /** Called when the head is written to the caller. */
   readonly onHead?: () => void;
   /** True by default. */
+  readonly mayForward?: Promise<boolean>;
 };
 
 /** A response that is being forwarded. */
@@ -110,6 +111,7 @@
     observer: meter.observer(),
     entry: {} as ReplicaEntry,
     abandonStalled,
+    mayForward: options.mayForward ?? Promise.resolve(true),
   });
   const relayed = outcome.then((outcome) => {
     journal.answered(200, "complete");
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -26,6 +26,7 @@
 import { ByteBudget } from "../../src/gateway/memory/byte_budget.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
+import { singleHostStreams } from "./streams/single_host_streams.ts";
 import { singleHostPaths } from "./paths/single_host_paths.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
 import { TEST_TIMEOUT_MS, TEST_TUNING } from "./test_tuning.ts";
@@ -58,6 +59,8 @@
   /** Grants every request at once by default. */
   readonly quotas?: CallerServerOptions["quotas"];
   readonly budget?: { readonly ratio: number; readonly extra: number };
+  /** Replaces the record of the versions that began streams. */
+  readonly streams?: Partial<GatewayContext["streams"]>;
   /** Replaces the time of the host's clock; its timers stay real. */
   readonly now?: () => number;
 };
@@ -273,6 +276,7 @@
     }),
     limits,
     ...singleHostGate({ clock, events: log, replicas, limits }),
+    streams: Object.assign(singleHostStreams(recorded), options.streams),
     events: log,
     metrics,
     tuning: TEST_TUNING,
--- a/test/gateway/routing/route_table_test.ts
+++ b/test/gateway/routing/route_table_test.ts
@@ -11,6 +11,7 @@
 import {
   pickTarget,
   RouteTable,
+  targetChance,
 } from "../../../src/gateway/routing/route_table.ts";
 
 function route(host: string, pathPrefix: string): Route {
@@ -72,3 +73,16 @@
   assert.equal(pickTarget(targets, 0.999999), "b");
   assert.equal(pickTarget([], 0.5), undefined);
 });
+
+test("all attempts at a resumable stream get the same service", () => {
+  const draw = (chance: number) => () => chance;
+  const metadata = { promptTokens: 0, outputLimit: 0 };
+  const begun = { ...metadata, id: "first" };
+  const resumed = { ...metadata, id: "2", lastEventId: "4", resumes: "first" };
+  const other = route("h", "/");
+  const resumable = { ...other, resumable: true };
+  const chance = targetChance(resumable, begun, draw(0.1));
+  assert.ok(chance >= 0 && chance < 1);
+  assert.equal(targetChance(resumable, resumed, draw(0.9)), chance);
+  assert.equal(targetChance(other, begun, draw(0.9)), 0.9);
+});
--- /dev/null
+++ b/test/gateway/streams/resolve_version_test.ts
@@ -0,0 +1,189 @@
+/** A stream's version is found or unknown, but never guessed among several. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { HostEntry } from "../../../src/gateway/mod.ts";
+import type { KeeperAnswer } from "../../../src/gateway/streams/keeper_client.ts";
+import type { AskResponse } from "../../../src/gateway/streams/keeper_messages.ts";
+import type { StreamRecord } from "../../../src/gateway/streams/model.ts";
+import {
+  type ResolutionQuery,
+  resolveVersion,
+} from "../../../src/gateway/streams/resolve_version.ts";
+import type { VersionState } from "../../../src/gateway/streams/version_history.ts";
+
+const HOSTS: HostEntry[] = [0, 1, 2, 3, 4, 5].map((at) => ({
+  id: `h${at}`,
+  address: `a${at}`,
+  hall: `hall-${at % 3}`,
+}));
+const SELF = { id: "self", address: "a", hall: "hall-0" };
+const SINGLE: VersionState = {
+  type: "single",
+  softwareVersion: "v1",
+  isCovered: true,
+};
+const MIXED: VersionState = { type: "mixed", forMs: 60_000 };
+const NONE: AskResponse = { type: "unknown", versions: [] };
+
+function known(
+  softwareVersion: string | undefined,
+  { origin = "h9@1", order = 1 } = {},
+): AskResponse {
+  const version = softwareVersion === undefined ? {} : { softwareVersion };
+  return { type: "known", ...version, origin, order };
+}
+
+function versions(
+  ...listed: (string | null)[]
+): Extract<AskResponse, { type: "unknown" }> {
+  return { type: "unknown", versions: listed };
+}
+
+/** Responses of the hosts in order; null: none. */
+function resolve(
+  responses: readonly (AskResponse | null)[],
+  change: Partial<ResolutionQuery> = {},
+) {
+  const answers: KeeperAnswer[] = HOSTS.flatMap((host, at) => {
+    const response = responses[at];
+    return response ? [{ host, response }] : [];
+  });
+  return resolveVersion({
+    self: SELF,
+    origin: "self@1",
+    record: undefined,
+    stateOf: () => MIXED,
+    isListingFresh: true,
+    asked: HOSTS,
+    ask: () => Promise.resolve(answers),
+    ...change,
+  });
+}
+
+function recordOf(origin: string, softwareVersion = "v1"): StreamRecord {
+  const stream = { service: "s", id: "a" };
+  return { stream, softwareVersion, origin, order: 1, expiresAt: 1 };
+}
+
+const asksNobody: ResolutionQuery["ask"] = () => {
+  throw new Error("unexpected question");
+};
+
+test("a host asks nobody for a stream that it sent itself", async () => {
+  const own = { record: recordOf("self@1"), ask: asksNobody };
+  const { binding, source } = await resolve([], own);
+  assert.deepEqual(binding, { type: "bound", softwareVersion: "v1" });
+  assert.equal(source, "own");
+});
+
+test("a host that lists one version still asks for another one", async () => {
+  const single = { stateOf: () => SINGLE };
+  const alone = await resolve([versions("v1"), NONE], single);
+  assert.deepEqual(alone.binding, { type: "bound", softwareVersion: "v1" });
+  assert.equal(alone.source, "inferred");
+  const other = await resolve([versions("v1", "v2")], single);
+  assert.equal(other.binding.type, "unknown");
+  const { binding } = await resolve([NONE, known("v2")], single);
+  assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
+});
+
+test("the version before a transition is inferred only if all hosts list it", async () => {
+  const before = { softwareVersion: "v1" };
+  const stateOf = (): VersionState => ({ type: "mixed", forMs: 10, before });
+  const typeOf = async (...responses: AskResponse[]) =>
+    (await resolve(responses, { stateOf })).binding.type;
+  assert.equal(await typeOf(versions("v1", "v2")), "bound");
+  assert.equal(await typeOf(versions("v1", "v2"), versions("v2")), "unknown");
+});
+
+test("a stream of a mixed service is bound as its keepers say", async () => {
+  const { binding, source } = await resolve([NONE, known("v2"), null]);
+  assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
+  assert.equal(source, "kept");
+  const none = await resolve([known(undefined)]);
+  assert.deepEqual(none.binding, { type: "bound", softwareVersion: undefined });
+});
+
+test("of the records of one origin the latest counts", async () => {
+  const stale = known("v1", { order: 4 });
+  const latest = known("v2", { order: 5 });
+  for (const responses of [[stale, latest], [latest, stale]]) {
+    const { binding } = await resolve(responses);
+    assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
+  }
+});
+
+test("a kept record of this host is compared with others", async () => {
+  const record = recordOf("h9@1");
+  const { binding } = await resolve([known("v2", { order: 5 })], { record });
+  assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
+  const alone = await resolve([], { record });
+  assert.deepEqual(alone.binding, { type: "bound", softwareVersion: "v1" });
+});
+
+test("records of several origins that contradict each other bind to none", async () => {
+  const other = known("v2", { origin: "h8@1" });
+  assert.equal((await resolve([known("v1"), other])).binding.type, "unknown");
+  const agreeing = await resolve([known("v2"), other]);
+  assert.equal(agreeing.binding.type, "bound");
+});
+
+test("a stream of a mixed service that nobody knows is unknown", async () => {
+  for (const responses of [[], [NONE, NONE], [versions("v1", "v2")]]) {
+    assert.equal((await resolve(responses)).binding.type, "unknown");
+  }
+});
+
+test("just after a transition, an unknown stream is of the version before", async () => {
+  const before = { softwareVersion: "v1" };
+  const at = (forMs: number) =>
+    resolve([NONE], { stateOf: () => ({ type: "mixed", forMs, before }) });
+  assert.deepEqual((await at(4999)).binding, {
+    type: "bound",
+    softwareVersion: "v1",
+  });
+  assert.equal((await at(5000)).binding.type, "unknown");
+});
+
+test("a transition is over once any host has seen both versions for long", async () => {
+  const before = { softwareVersion: "v1" };
+  const stateOf = (): VersionState => ({ type: "mixed", forMs: 10, before });
+  const typeOf = async (mixedForMs: number) => {
+    const longer: AskResponse = { ...versions("v1", "v2"), mixedForMs };
+    return (await resolve([NONE, longer], { stateOf })).binding.type;
+  };
+  assert.equal(await typeOf(4000), "bound");
+  assert.equal(await typeOf(6000), "unknown");
+});
+
+test("a host that has just started asks before it infers", async () => {
+  const stateOf = (): VersionState => ({ ...SINGLE, isCovered: false });
+  const typeOf = async (responses: readonly (AskResponse | null)[]) =>
+    (await resolve(responses, { stateOf })).binding.type;
+  assert.equal(await typeOf([versions("v1")]), "bound");
+  assert.equal(await typeOf([versions("v1", "v0")]), "unknown");
+  assert.equal(await typeOf([versions("v0")]), "unknown");
+  assert.equal(await typeOf([versions(null)]), "unknown");
+  assert.equal(await typeOf([]), "bound");
+});
+
+test("a host with an old listing infers only when all halls respond", async () => {
+  const change = { stateOf: () => SINGLE, isListingFresh: false };
+  const typeOf = async (responses: readonly (AskResponse | null)[]) =>
+    (await resolve(responses, change)).binding.type;
+  const one = versions("v1");
+  assert.equal(await typeOf([]), "unknown");
+  assert.equal(await typeOf([one, null, null, one, null, null]), "unknown");
+  assert.equal(await typeOf([null, one, null, null, null, null]), "unknown");
+  assert.equal(await typeOf([null, one, null, null, null, one]), "bound");
+  assert.equal(await typeOf([null, one, null, null, null, NONE]), "bound");
+  assert.equal(
+    await typeOf([null, one, null, null, null, versions("v2")]),
+    "unknown",
+  );
+});
+
+test("without replicas nothing is inferred", async () => {
+  const none = { stateOf: (): VersionState => ({ type: "none" }) };
+  assert.equal((await resolve([versions("v1")], none)).binding.type, "unknown");
+});
--- /dev/null
+++ b/test/gateway/streams/stream_fleet.ts
@@ -0,0 +1,198 @@
+/**
+ * A fleet of hosts that keep records of streams, in virtual time. Calls between
+ * hosts take a network latency and fail between partitioned hosts.
+ */
+import type { HostEntry } from "../../../src/gateway/mod.ts";
+import { Metrics } from "../../../src/gateway/observe/metrics.ts";
+import type { ReplicaEntry } from "../../../src/gateway/replicas/model.ts";
+import type {
+  StreamKey,
+  VersionBinding,
+} from "../../../src/gateway/streams/model.ts";
+import { StreamVersions } from "../../../src/gateway/streams/stream_versions.ts";
+import type { JsonClient } from "../../../src/gateway/upstreams/json_client.ts";
+import { VirtualTime } from "../../fake/virtual_time.ts";
+import { replicaEntry } from "../replica_entry.ts";
+import { untilAborted } from "../state/until_aborted.ts";
+
+const LATENCY_MS = 1;
+const MAINTAIN_INTERVAL_MS = 1000;
+export const SERVICE = "service";
+/** Time for which clients of the tests may resume a stream. */
+export const STREAM_TTL_MS = 120_000;
+/** Longer than any window in which versions count. */
+export const COVERED_MS = 130_000;
+
+/** One host of the fleet. */
+export type StreamHost = {
+  readonly entry: HostEntry;
+  streams: StreamVersions;
+  metrics: Metrics;
+  readonly events: string[];
+  /** The other hosts, as this host knows them. */
+  known: readonly HostEntry[];
+  /** The replicas, as this host knows them. */
+  entries: readonly ReplicaEntry[];
+  listingAgeMs: number;
+  isAlive: boolean;
+  /** Its build has no records: it responds to any call with its state. */
+  isOldBuild: boolean;
+  runs: number;
+};
+
+/** Replicas of the service, one of each version. */
+export function listing(
+  ...versions: readonly (string | undefined)[]
+): ReplicaEntry[] {
+  return versions.map((version, index) =>
+    replicaEntry(`r${index}`, {
+      service: SERVICE,
+      ...(version === undefined ? {} : { softwareVersion: version }),
+    })
+  );
+}
+
+/** A stream of the service. */
+export function stream(id: string): StreamKey {
+  return { service: SERVICE, id };
+}
+
+/** Hosts in halls, all of which know each other. */
+export class StreamFleet {
+  readonly hosts: StreamHost[] = [];
+  /** Messages that hosts have sent. */
+  readonly messages: { readonly from: string; readonly body: string }[] = [];
+  isCut: (from: StreamHost, to: StreamHost) => boolean = () => false;
+  readonly #time = new VirtualTime();
+
+  constructor(size: number, halls = 3) {
+    const entries = Array.from({ length: size }, (_, at) => ({
+      id: `h${at}`,
+      address: `h${at}`,
+      hall: `hall-${at % halls}`,
+    }));
+    for (const entry of entries) {
+      this.#add(entry, entries.filter((other) => other !== entry));
+    }
+  }
+
+  get now(): number {
+    return this.#time.now;
+  }
+
+  /** Advances the virtual time. */
+  run(forMs: number): Promise<void> {
+    return this.#time.runTo(this.now + forMs);
+  }
+
+  /** The host at an index. */
+  host(at: number): StreamHost {
+    const host = this.hosts[at];
+    if (!host) throw new Error(`No host ${at}`);
+    return host;
+  }
+
+  /** From now on all hosts list these versions. */
+  list(...versions: readonly (string | undefined)[]): void {
+    for (const host of this.hosts) host.entries = listing(...versions);
+  }
+
+  /** Runs until a service with these versions is known for long everywhere. */
+  async settle(...versions: readonly (string | undefined)[]): Promise<void> {
+    this.list(...versions);
+    await this.run(COVERED_MS);
+    this.messages.length = 0;
+  }
+
+  /** Restarts a host, which loses its state. */
+  restart(host: StreamHost): void {
+    host.runs += 1;
+    host.metrics = new Metrics();
+    host.streams = this.#createStreams(host);
+    host.isAlive = true;
+  }
+
+  /** Adds a host that all others know. */
+  add(hall: string): StreamHost {
+    const id = `h${this.hosts.length}`;
+    const entry = { id, address: id, hall };
+    const others = this.hosts.map((host) => host.entry);
+    for (const host of this.hosts) host.known = [...host.known, entry];
+    return this.#add(entry, others);
+  }
+
+  /** Takes up a stream at a host, and runs until it is resolved. */
+  async resolve(host: StreamHost, key: StreamKey): Promise<VersionBinding> {
+    let binding: VersionBinding | undefined;
+    void host.streams.resolve(key).then((result) => binding = result);
+    await this.run(0);
+    await new Promise((resolve) => setImmediate(resolve));
+    for (let waitedMs = 0; !binding && waitedMs < 300; waitedMs += 5) {
+      await this.run(5);
+    }
+    if (!binding) throw new Error("The stream was not resolved in 300 ms");
+    return binding;
+  }
+
+  #add(entry: HostEntry, known: readonly HostEntry[]): StreamHost {
+    const host = {
+      entry,
+      known,
+      metrics: new Metrics(),
+      events: [],
+      entries: [],
+      listingAgeMs: 0,
+      isAlive: true,
+      isOldBuild: false,
+      runs: 0,
+    } as unknown as StreamHost;
+    host.streams = this.#createStreams(host);
+    this.hosts.push(host);
+    const maintain = () => {
+      if (host.isAlive) host.streams.maintain();
+      this.#time.clock.after(MAINTAIN_INTERVAL_MS, maintain);
+    };
+    maintain();
+    return host;
+  }
+
+  #createStreams(host: StreamHost): StreamVersions {
+    return new StreamVersions({
+      self: { ...host.entry, run: String(host.runs) },
+      clock: this.#time.clock,
+      events: { note: (name) => void host.events.push(name) },
+      metrics: host.metrics,
+      replicas: { entries: () => [...host.entries] },
+      hosts: () => host.known,
+      resumableForMs: () => STREAM_TTL_MS,
+      listingAgeMs: () => host.listingAgeMs,
+      createClient: (address) => this.#clientOf(host, address),
+    });
+  }
+
+  #clientOf(from: StreamHost, address: string): JsonClient {
+    return {
+      close: () => undefined,
+      call: ({ body = "" }, signal) =>
+        untilAborted(
+          signal,
+          new Promise((resolve) => {
+            if (!from.isAlive) return;
+            this.messages.push({ from: from.entry.id, body });
+            const to = this.hosts.find((host) => host.entry.id === address);
+            const isLost = () => !to?.isAlive || this.isCut(from, to);
+            if (isLost()) return;
+            this.#time.clock.after(LATENCY_MS, () => {
+              if (!to || isLost()) return;
+              const response = to.isOldBuild
+                ? { status: 200, body: '{"hosts":[],"version":1}' }
+                : to.streams.server.respond(body);
+              this.#time.clock.after(LATENCY_MS, () => {
+                resolve({ body: "", ...response });
+              });
+            });
+          }),
+        ),
+    };
+  }
+}
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -8,7 +8,7 @@
   type ScheduleOptions,
 } from "./draw_faults.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
-import { NO_RELEASES, RELEASE_KINDS } from "./draw_releases.ts";
+import { drawReleases, NO_RELEASES, RELEASE_KINDS } from "./draw_releases.ts";
 import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
 /** The setup and the faults of a soak run. */
@@ -168,8 +168,10 @@
   const notices = drawNotices(options);
   const { load, faults: loadFaults } = drawLoad(options);
   const { framing, faults: responseFaults } = drawResponses(options);
+  const releases = drawReleases(options, first.hosts);
   return {
     ...first,
+    resumingCallers: releases.resumingCallers,
     hasCrashingCaller,
     load: { ...load, framing },
     faults: [
@@ -181,6 +183,7 @@
       ...loadFaults,
       ...drawPathFaults(options),
       ...responseFaults,
+      ...releases.faults,
     ],
   };
 }
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -39,6 +39,12 @@
  */
 const CUT_RESPONSE_SEED = 38;
 
+/**
+ * A release replaces the engine's replicas and is taken back, replicas restart
+ * at other versions, and a third of the hosts is killed at once.
+ */
+const RELEASE_SEED = 106;
+
 for (
   const seed of [
     1,
@@ -48,6 +54,7 @@
     NOTICE_SEED,
     PATH_SEED,
     CUT_RESPONSE_SEED,
+    RELEASE_SEED,
     ...REGRESSION_SEEDS,
   ]
 ) {
