otterhillctl why: what failed in a time window and what changed

`explain` needs the id of a request. `why` summarizes the logs of any number of hosts: requests that were refused, failed or cut off, by error and route, each with the changes of state that can cause it (docs/OPERATIONS.md).

--- a/src/programs/ctl/main.ts
+++ b/src/programs/ctl/main.ts
@@ -7,6 +7,7 @@
 import { addStopCommands } from "./stop.ts";
 import { addTemplateCommands } from "./template.ts";
 import { addVersionsCommand } from "./versions.ts";
+import { addWhyCommand } from "./why.ts";
 
 const EXAMPLES = `
 Examples:
@@ -16,6 +17,7 @@
   otterhillctl --host 10.0.0.1:9001 stop plan d-brest
   otterhillctl --host 10.0.0.1:9001 stop watch d-brest
   otterhillctl versions 10.0.0.1:9464 10.0.0.2:9464
+  otterhillctl why --from 2026-01-01T10:00 --to 2026-01-01T10:05 gateway-*.log
 
 The operator key is read from OTTERHILL_OPERATOR_KEY.
 Exit codes: 0 done, 1 could not be done, 2 faulty command line or settings,
@@ -40,6 +42,7 @@
 addSplitCommands(program);
 addStatusCommands(program);
 addVersionsCommand(program);
+addWhyCommand(program);
 await runProgram(async () => {
   await program.parseAsync();
 });
--- a/src/programs/ctl/request_log.ts
+++ b/src/programs/ctl/request_log.ts
@@ -49,7 +49,9 @@
 }
 
 /** Parses a JSON log line; ignores a prefix added by a log collector. */
-function parseLogLine(line: string): Record<string, unknown> | undefined {
+export function parseLogLine(
+  line: string,
+): Record<string, unknown> | undefined {
   const start = line.indexOf("{");
   if (start < 0) return undefined;
   try {
--- a/src/programs/ctl/status.ts
+++ b/src/programs/ctl/status.ts
@@ -1,11 +1,10 @@
 /** otterhillctl status and explain: the fleet's state and a request's log. */
-import { createReadStream } from "node:fs";
-import { createInterface } from "node:readline";
 import type { Command } from "commander";
 import type { ExplainLine, Status } from "../../messages/control.ts";
 import { callControl } from "../../shell/mod.ts";
 import { ExitCode } from "../common/exit_code.ts";
 import { type CommandContext, createContext } from "./context.ts";
+import { readLogs } from "./read_logs.ts";
 import { findRequestLines, formatRequestLines } from "./request_log.ts";
 import { formatTable } from "./table.ts";
 
@@ -42,13 +41,8 @@
   files: readonly string[],
 ): Promise<void> {
   const lines: string[] = [];
-  const inputs = files.length > 0
-    ? files.map((file) => createReadStream(file))
-    : [process.stdin];
-  for (const input of inputs) {
-    for await (const line of createInterface({ input })) {
-      if (line.includes(request)) lines.push(line);
-    }
+  for await (const line of readLogs(files)) {
+    if (line.includes(request)) lines.push(line);
   }
   const found = findRequestLines(lines, request);
   if (found.length === 0) process.exitCode = ExitCode.failure;
