--- a/src/programs/load/main.ts
+++ b/src/programs/load/main.ts
@@ -25,7 +25,9 @@
 await runProgram(async () => {
   const flags = command.opts<Flags>();
   const workload = settingsOrExit(flags.workload, WorkloadSchema);
-  const summary = summarise(await runLoad(workload, command.args));
+  const summary = summarise(
+    await runLoad(workload, { targets: () => command.args }),
+  );
   const text = flags.json ? JSON.stringify(summary) : formatSummary(summary);
   console.log(text);
 });
--- a/src/programs/load/send.ts
+++ b/src/programs/load/send.ts
@@ -20,36 +20,55 @@
 /** Timeout for the connection, and between two reads of a stream. */
 const IDLE_TIMEOUT_MS = 30_000;
 
+/** How to send a request. */
+export type SendOptions = {
+  /** Address of an entry host. */
+  readonly target: string;
+  /** When the request is due, by the clock of `performance.now`. */
+  readonly scheduledAt: number;
+  /** Headers beside the customer's key. */
+  readonly headers: Readonly<Record<string, string>>;
+};
+
 /** Sends a request to an entry host. */
 export async function send(
   arrival: Arrival,
-  target: string,
-  scheduledAt: number,
+  options: SendOptions,
 ): Promise<Outcome> {
+  const { target } = options;
   try {
     return arrival.stream.plain
-      ? await sendPlain(arrival, target, scheduledAt)
-      : await sendStream(arrival, target, scheduledAt);
+      ? await sendPlain(arrival, options)
+      : await sendStream(arrival, options);
   } catch (error) {
-    const reason = error instanceof HttpFailure ? "connection" : String(error);
+    const reason = isConnectionFailure(error) ? "connection" : String(error);
     return { arrival, target, tokens: 0, error: reason, good: false };
   }
 }
 
-function authorizationHeaders(arrival: Arrival): Record<string, string> {
-  return { authorization: `Bearer ${arrival.stream.key}` };
+function isConnectionFailure(error: unknown): boolean {
+  if (error instanceof HttpFailure) return true;
+  return error instanceof Error && "code" in error &&
+    error.code === "ECONNRESET";
+}
+
+function requestHeaders(
+  { stream }: Arrival,
+  { headers }: SendOptions,
+): Record<string, string> {
+  return { ...headers, authorization: `Bearer ${stream.key}` };
 }
 
 async function sendPlain(
   arrival: Arrival,
-  target: string,
-  scheduledAt: number,
+  options: SendOptions,
 ): Promise<Outcome> {
+  const { target, scheduledAt } = options;
   const response = await openCall({
     address: target,
     method: "POST",
     path: `/plain/${arrival.stream.service}/`,
-    headers: authorizationHeaders(arrival),
+    headers: requestHeaders(arrival, options),
     body: JSON.stringify({ text: arrival.prompt }),
     connectTimeoutMs: IDLE_TIMEOUT_MS,
   });
@@ -62,15 +81,15 @@
 
 async function sendStream(
   arrival: Arrival,
-  target: string,
-  scheduledAt: number,
+  options: SendOptions,
 ): Promise<Outcome> {
+  const { target, scheduledAt } = options;
   const { stream, prompt, outputTokens } = arrival;
   const response = await openCall({
     address: target,
     method: "POST",
     path: "/v1/completions",
-    headers: authorizationHeaders(arrival),
+    headers: requestHeaders(arrival, options),
     body: JSON.stringify({
       model: stream.service,
       prompt,
--- a/src/programs/load/workload.ts
+++ b/src/programs/load/workload.ts
@@ -46,7 +46,7 @@
 };
 
 /** Must match the router's estimate of characters per token. */
-const CHARACTERS_PER_TOKEN = 4;
+export const CHARACTERS_PER_TOKEN = 4;
 
 /** Generates all arrivals of a workload, sorted by time. */
 export function generateArrivals(workload: Workload): Arrival[] {
