Stream versions test: callers don't run in step

All 48 callers began at one moment with streams of equal length, so the moment of a kill decided how many streams had begun: in runs with the kills 50, 100, 150 and 200 ms later, the first round had 3, 3, 3 and 10 resumptions; at the usual moment 14, with streams of 830 of 850 to 970 ms.

Callers begin one after the other over the length of a stream, and up to two rounds are added until the sample suffices. The assertions and the bound are unchanged.

--- a/test/soak/stream_versions_test.ts
+++ b/test/soak/stream_versions_test.ts
@@ -37,6 +37,10 @@
 /** The time after which a host that was started again is in touch. */
 const REJOIN_MS = 3000;
 const CALLERS_PER_HOST = 8;
+/** The time over which callers begin, about that of one stream. */
+const CALLERS_START_MS = 1000;
+/** Rounds of kills that may be added to get {@link MIN_RESUMPTIONS}. */
+const MAX_ADDED_ROUNDS = 2;
 
 /** Starts an engine of the next version with as many replicas. */
 async function addNextVersion({ world }: TestFleet): Promise<void> {
@@ -121,7 +125,11 @@
 
 type Kill = { readonly host: string; readonly atMs: number };
 
-/** Kills hosts round by round, while callers resume their streams. */
+/**
+ * Kills hosts round by round, while callers resume their streams. Callers begin
+ * one after the other: in step, all of their streams could be between two events
+ * or before the first one when the hosts are killed.
+ */
 class KillRun {
   readonly results: CallResult[] = [];
   readonly kills: Kill[] = [];
@@ -139,9 +147,10 @@
     // The streams that run were begun while there was one version.
     await addNextVersion(this.#fleet);
     await sleep(RELEASE_MS);
-    for (const hosts of rounds) {
-      await Promise.all(hosts.map((host) => this.#killAndRestart(host)));
-      await sleep(REJOIN_MS);
+    for (const hosts of rounds) await this.#playRound(hosts);
+    for (const hosts of rounds.slice(0, MAX_ADDED_ROUNDS)) {
+      if (this.#hasEnoughResumptions()) break;
+      await this.#playRound(hosts);
     }
     this.#isStopped = true;
     await Promise.all(callers);
@@ -153,8 +162,9 @@
       address,
     }));
     const count = hosts.length * CALLERS_PER_HOST;
-    return Array.from({ length: count }, (_, at) =>
-      runCaller({
+    return Array.from({ length: count }, async (_, at) => {
+      await sleep(at * CALLERS_START_MS / count);
+      await runCaller({
         hosts,
         random: xoroshiro128plus(at),
         name: `caller-${at}`,
@@ -163,7 +173,20 @@
         isInRotation: (name) => !this.#unavailable.has(name),
         isStopped: () => this.#isStopped,
         onResult: (result) => this.results.push(result),
-      }));
+      });
+    });
+  }
+
+  async #playRound(hosts: readonly FleetHost[]): Promise<void> {
+    await Promise.all(hosts.map((host) => this.#killAndRestart(host)));
+    await sleep(REJOIN_MS);
+  }
+
+  #hasEnoughResumptions(): boolean {
+    const resumed = this.attemptsAtSoundHosts().filter((attempt) =>
+      attempt.resumption
+    );
+    return resumed.length >= MIN_RESUMPTIONS;
   }
 
   async #killAndRestart(host: FleetHost): Promise<void> {
