Caller server: the check of a request's headers is a module of its own

callers/server.ts both served connections and decided from headers whether a request may start; the decision is in check_headers.ts now. No behaviour changes; tests of callers/ and customers/ pass unchanged.

--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -12,11 +12,11 @@
 import { GatewayError } from "../answers.ts";
 import type { Clock } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
-import { type AdmissionOptions, admit } from "../customers/admission.ts";
+import type { AdmissionOptions } from "../customers/admission.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { Exchange } from "../requests/exchange.ts";
 import type { GatewayRequest, Reply } from "../requests/request.ts";
-import type { CallerLimits, Route } from "../routing/model.ts";
+import type { CallerLimits } from "../routing/model.ts";
 import { type BodyReadResult, readCallerBody } from "./body.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import {
@@ -24,11 +24,8 @@
   type QuotaAcquisition,
   type QuotaAcquisitionOptions,
 } from "./quota_acquisition.ts";
-import {
-  type AcceptedHeaders,
-  createRequest,
-  priorityOf,
-} from "./create_request.ts";
+import { checkHeaders, type HeaderCheck } from "./check_headers.ts";
+import { createRequest, priorityOf } from "./create_request.ts";
 import { serveHalfClosed, watchHalfClosed } from "./half_closed.ts";
 import { onceClosed } from "./once_closed.ts";
 import { drainServer } from "./drain_server.ts";
@@ -42,13 +39,6 @@
 const HEAD_CHECK_INTERVAL_MS = 1000;
 /** Body limit that applies until a configuration has been received. */
 const DEFAULT_BODY_LIMIT_BYTES = 4 << 20;
-/**
- * While this host stops, it refuses requests to model engines when less of its
- * grace period is left than the longest streams take.
- */
-const MIN_STREAM_TIME_LEFT_MS = 5300;
-/** As {@link MIN_STREAM_TIME_LEFT_MS}, for requests to plain services. */
-const MIN_PLAIN_TIME_LEFT_MS = 1000;
 /** Longest time for which the body of a refused request is discarded. */
 const MAX_DISCARD_MS = 10_000;
 
@@ -59,11 +49,6 @@
   overBudget: GatewayError.hostFull,
 } as const;
 
-/** Result of checking the headers of a request. */
-type HeaderCheck =
-  | AcceptedHeaders
-  | { readonly type: "refused"; readonly error: GatewayError };
-
 /** Options of {@link CallerServer}. */
 export type CallerServerOptions = {
   readonly context: GatewayContext;
@@ -148,7 +133,8 @@
     metrics.count("requests");
     const turn = await this.#awaitTurn(incoming, response);
     if (turn === Turn.closed) return;
-    const firstCheck = this.#checkHeaders(incoming);
+    const check = () => checkHeaders(this.#context, this.#admission, incoming);
+    const firstCheck = check();
     const reading = await this.#readBody(incoming, firstCheck, turn);
     if (reading.type === "gone") return;
     const reply = this.#createReply(incoming, response);
@@ -164,15 +150,13 @@
     onceClosed(incoming, response, () => reading.release());
     watchHalfClosed({ clock, incoming, response });
     // Checks again: a key may have been revoked meanwhile.
-    const check = firstCheck.type === "taken"
-      ? this.#checkHeaders(incoming)
-      : firstCheck;
-    if (check.type === "refused") {
-      return this.#refuse(reply, check.error, incoming);
+    const lastCheck = firstCheck.type === "taken" ? check() : firstCheck;
+    if (lastCheck.type === "refused") {
+      return this.#refuse(reply, lastCheck.error, incoming);
     }
     const { body } = reading;
     const request = createRequest(this.#context, incoming, {
-      check,
+      check: lastCheck,
       receivedAt,
       body,
     });
@@ -249,36 +233,6 @@
     return quota;
   }
 
-  /** Finds the route and the customer of a request, or why it is refused. */
-  #checkHeaders(incoming: IncomingMessage): HeaderCheck {
-    const { clock, routes, dialect } = this.#context;
-    const { headers: { host }, httpVersion } = incoming;
-    if (host === undefined && httpVersion === "1.1") {
-      return { type: "refused", error: GatewayError.malformed };
-    }
-    const route = routes.match(host ?? "", incoming.url ?? "/");
-    if (!route) return { type: "refused", error: this.#noRouteError() };
-    if (!this.#hasTimeFor(route)) {
-      return { type: "refused", error: GatewayError.stopping };
-    }
-    const facts = dialect.readRequest(incoming.headers);
-    const { keyDigest } = facts;
-    const now = clock.now();
-    const admission = admit(this.#admission, { route, keyDigest }, now);
-    if (admission.type === "refused") return admission;
-    return { type: "taken", route, facts, customer: admission.customer };
-  }
-
-  /**
-   * Callers don't retry a 404, so a host that waits for a newer configuration,
-   * which may contain the route, responds with a retryable error instead.
-   */
-  #noRouteError(): GatewayError {
-    const { routes } = this.#context;
-    if (routes.config === undefined) return GatewayError.noConfig;
-    return routes.isBehind ? GatewayError.staleRoutes : GatewayError.noRoute;
-  }
-
   #startExchange(
     request: GatewayRequest,
     { reply, incoming, response, quota }: {
@@ -305,17 +259,6 @@
     void exchange.run();
   }
 
-  #hasTimeFor(route: Route): boolean {
-    const { stop, clock, routes } = this.#context;
-    if (stop.requestedAt === undefined) return true;
-    const timeLeftMs = stop.requestedAt + stop.graceMs - clock.now();
-    const hasEngineTarget = route.targets.some((target) =>
-      routes.service(target.service)?.engine !== undefined
-    );
-    return timeLeftMs >
-      (hasEngineTarget ? MIN_STREAM_TIME_LEFT_MS : MIN_PLAIN_TIME_LEFT_MS);
-  }
-
   #refuse(
     reply: Reply,
     error: GatewayError,
