Links between hosts: lines have a bound, and one that arrives is a sign of life

A peer that sends a line without end filled the memory of its host: the text was kept, and split again with each chunk. A line of more than 8 Mi characters closes the link now, and only the new chunk is searched.

A line that took longer than the heartbeat's timeout to arrive closed its link, which was opened again and began it anew: only whole lines counted as received. Chunks count now.

Both by tests in link_test that failed before (the link stayed open after 64 MiB; it was closed 4 s into a line that was still arriving).

--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -3,6 +3,7 @@
 import type { Writable } from "node:stream";
 import { parseAddress } from "../../util/address.ts";
 import type { Milliseconds } from "../../util/units.ts";
+import { LineSplitter } from "../../util/line_splitter.ts";
 import type { Clock } from "../clock.ts";
 
 /** Paths, on a host's peer address, of the links that it accepts. */
@@ -76,7 +77,10 @@
  * exceed the busy timeout of the opener.
  */
 const BUSY_PERIOD_MS = 1000;
-const PING_LINE = '{"type":"ping"}\n';
+const PING_START = '{"type":"ping"';
+const PING_LINE = `${PING_START}}\n`;
+/** The link is closed on a longer line; a listing of a large fleet fits. */
+const MAX_LINE_CHARS = 8 << 20;
 /** The link is closed if more than this is buffered for a slow reader. */
 const MAX_UNSENT_BYTES = 1 << 20;
 
@@ -277,22 +281,19 @@
       keepalive.noteReceived();
       from.on("error", close);
       from.on("close", close);
-      readLines(from, (line) => {
-        const isPing = line.startsWith('{"type":"ping"');
-        if (!isPing && !isOpener) keepalive.noteBusy();
+      const splitter = new LineSplitter(MAX_LINE_CHARS);
+      from.setEncoding("utf8");
+      from.on("data", (chunk: string) => {
+        // A long line may take longer than the timeout to arrive.
         keepalive.noteReceived();
-        if (!isPing) events.line(line);
+        const lines = splitter.push(chunk);
+        if (!lines) return close();
+        for (const line of lines) {
+          if (line.startsWith(PING_START)) continue;
+          if (!isOpener) keepalive.noteBusy();
+          events.line(line);
+        }
       });
     },
   };
 }
-
-function readLines(from: IncomingMessage, work: (line: string) => void): void {
-  let rest = "";
-  from.setEncoding("utf8");
-  from.on("data", (text: string) => {
-    const lines = (rest + text).split("\n");
-    rest = lines.pop() ?? "";
-    for (const line of lines) if (line !== "") work(line);
-  });
-}
--- a/test/gateway/peers/link_test.ts
+++ b/test/gateway/peers/link_test.ts
@@ -1,6 +1,7 @@
 /** Tests the heartbeats, timeouts and messages of links between hosts. */
 import assert from "node:assert/strict";
 import { createServer, type Server } from "node:http";
+import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import type { Clock } from "../../../src/gateway/clock.ts";
 import {
@@ -10,6 +11,7 @@
   openLink,
 } from "../../../src/gateway/peers/link.ts";
 import { LOOPBACK } from "../../loopback.ts";
+import { until } from "../raw_connection.ts";
 
 /** A clock that moves only when the test advances it. */
 function manualClock(): Clock & {
@@ -156,3 +158,64 @@
   assert.deepEqual(link.lines, ['{"type":"request"}', '{"type":"grant"}']);
   link.end();
 });
+
+/** A link that the test accepts, and a raw connection that sends to it. */
+async function startRawLink() {
+  const clock = manualClock();
+  const closed: string[] = [];
+  const lines: string[] = [];
+  let receivedChars = 0;
+  const server = createServer((request, response) => {
+    server.close();
+    acceptLink(request, response, {
+      clock,
+      events: {
+        line: (text) => lines.push(text),
+        closed: () => closed.push("acceptor"),
+      },
+    });
+    request.on("data", (text: string) => receivedChars += text.length);
+  });
+  const socket = await new Promise<Socket>((resolve) => {
+    server.listen(0, LOOPBACK, () => {
+      const bound = server.address();
+      assert.ok(typeof bound === "object" && bound);
+      resolve(connect(bound.port, LOOPBACK));
+    });
+  });
+  socket.on("error", () => undefined);
+  socket.on("data", () => undefined);
+  socket.write("POST /plan HTTP/1.1\r\nHost: a\r\n");
+  socket.write("Transfer-Encoding: chunked\r\n\r\n");
+  const send = (text: string) =>
+    socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+  return { clock, closed, lines, socket, send, received: () => receivedChars };
+}
+
+test("a link whose peer sends a line without end is closed", async () => {
+  const { socket, send, closed } = await startRawLink();
+  const text = "a".repeat(1 << 20);
+  for (let sent = 0; sent < 64 && !socket.destroyed; sent++) {
+    send(text);
+    await new Promise((go) => setImmediate(go));
+  }
+  await until(() => closed.length > 0 || socket.writableLength === 0);
+  assert.deepEqual(closed, ["acceptor"]);
+  socket.destroy();
+});
+
+test("a line that takes longer than the timeout to arrive keeps its link open", async () => {
+  const { clock, closed, lines, socket, send, received } = await startRawLink();
+  for (let sent = 1; sent <= 5; sent++) {
+    send("a");
+    await until(() => received() === sent || closed.length > 0);
+    clock.advance(2000);
+  }
+  assert.deepEqual(closed, []);
+  send("\n");
+  await until(() => lines.length > 0);
+  assert.deepEqual(lines, ["aaaaa"]);
+  clock.advance(3100);
+  assert.deepEqual(closed, ["acceptor"]);
+  socket.destroy();
+});
