Unreachable replicas are tried again once another one is reached

Cause: a host that was cut from all replicas asked its peers. Under load (58) the sound peers did not answer within 300 ms, the other cut host said that it reached none either, and all replicas counted as unreachable. Failed paths are tried only while their replica is in use. 0.8 s later a peer was found to reach the decode replicas, but the plain ones had no request for another 1.6 s, and the next three were rejected at once (`no_replica`) by the verdict of 2.4 s before; 72 ms later both replicas were found through a peer.

Test first: two tests in `path_monitor_test` failed on the code before: the second replica stayed unreachable although its peer (its own path) reached the first one again.

--- a/src/gateway/paths/path_monitor.ts
+++ b/src/gateway/paths/path_monitor.ts
@@ -93,6 +93,7 @@
     const peer = dialer.peerOf(incarnation);
     events.note("pathLost", { replica: incarnation, hall, cause, peer });
     for (const listener of this.#listeners) listener.lost(entry);
+    this.#retryUnreachable();
   }
 
   /** Records that neither this host nor a peer reaches the replica. */
@@ -189,6 +190,17 @@
     if (path) void this.#retry(path);
   }
 
+  /**
+   * Tries all unreachable replicas again, used or not, since another replica
+   * was reached: the verdicts of the same peers may be out of date, and would
+   * reject the next requests.
+   */
+  #retryUnreachable(): void {
+    for (const path of this.#table.startUnreachableRetries()) {
+      void this.#retry(path);
+    }
+  }
+
   async #retry(path: FailedPath): Promise<void> {
     const { clock } = this.#options;
     const { entry } = path;
@@ -216,5 +228,6 @@
     this.#table.noteHealed(path, now);
     const lostMs = Math.round(now - since);
     events.note("pathHealed", { replica: incarnation, hall, lost_ms: lostMs });
+    this.#retryUnreachable();
   }
 }
--- a/src/gateway/paths/path_table.ts
+++ b/src/gateway/paths/path_table.ts
@@ -174,6 +174,20 @@
     return path;
   }
 
+  /**
+   * Starts to try unreachable replicas again whose paths are not being tried;
+   * the last ones that failed, since one of them may be in use.
+   */
+  startUnreachableRetries(): readonly FailedPath[] {
+    const paths = [...this.#failed.values()]
+      .filter(({ isReachedByPeer, isRetrying }) =>
+        !isReachedByPeer && !isRetrying
+      )
+      .slice(-MAX_CHECKED_AT_ONCE);
+    for (const path of paths) path.isRetrying = true;
+    return paths;
+  }
+
   /** Ends a retry; false: the path's state has changed meanwhile. */
   endRetry(path: FailedPath, now: Milliseconds): boolean {
     path.isRetrying = false;
--- a/test/gateway/paths/path_monitor_test.ts
+++ b/test/gateway/paths/path_monitor_test.ts
@@ -111,6 +111,36 @@
   assert.deepEqual(events, ["pathLost", "pathHealed"]);
 });
 
+test("once a peer reaches one replica, other unreachable ones are tried too", async () => {
+  let outcome: TunnelOutcome["type"] = "unreachable";
+  const { monitor, runTo } = start(() => "silent", () => outcome);
+  for (const entry of [ENTRY, OTHER]) void monitor.check(entry, "checked");
+  await runTo(200);
+  assert.equal(monitor.isUnreachable("a"), true);
+  assert.equal(monitor.isUnreachable("b"), true);
+  outcome = "open";
+  await runTo(1000);
+  // No request needs the other replica meanwhile.
+  monitor.retry("a");
+  await runTo(1500);
+  assert.equal(monitor.isLost("a"), true);
+  assert.equal(monitor.isLost("b"), true);
+});
+
+test("once a path has healed, other unreachable replicas are tried too", async () => {
+  let reach: Reach = "silent";
+  const { monitor, runTo } = start(() => reach, () => "unreachable");
+  for (const entry of [ENTRY, OTHER]) void monitor.check(entry, "checked");
+  await runTo(200);
+  assert.equal(monitor.isUnreachable("b"), true);
+  reach = "connects";
+  await runTo(1000);
+  monitor.retry("a");
+  await runTo(1500);
+  assert.equal(monitor.isUnreachable("a"), false);
+  assert.equal(monitor.isUnreachable("b"), false);
+});
+
 test("peers are asked about few replicas of a hall that is cut off", async () => {
   const { monitor, asked, runTo } = start(() => "silent", () => "unreachable");
   const entries = Array.from({ length: 40 }, (_, at) => replicaEntry(`r${at}`));
