A host that has just started infers no version from silence

Change: a host that has not seen the listings of the whole window infers the one version that it knows only if another host has responded. Without an answer the stream is unknown and the client rejected, as in a mixed service. The only host of a fleet has nobody to ask and infers as before.

Test first: `resolve_version_test` failed with "bound" where "unknown" is needed. The last assertion of "a host that has just started asks before it infers" said that silence binds, which is this fault; it is replaced by its opposite and by the case of a single host.

Not covered: all keepers silent while another host answers that has just started as well and has missed the same version.

--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -120,6 +120,9 @@
   if (!query.isListingFresh && !isEachHallHeard(query, answers)) {
     return undefined;
   }
+  // A version may have ended just before this host started.
+  const isUnheard = answers.length === 0 && query.asked.length > 0;
+  if (!state.isCovered && isUnheard) return undefined;
   const others = answers.flatMap(({ response }) =>
     response.type === "unknown" ? response.versions : []
   );
--- a/test/gateway/streams/resolve_version_test.ts
+++ b/test/gateway/streams/resolve_version_test.ts
@@ -164,6 +164,15 @@
   assert.equal(await typeOf([versions("v1", "v0")]), "unknown");
   assert.equal(await typeOf([versions("v0")]), "unknown");
   assert.equal(await typeOf([versions(null)]), "unknown");
+});
+
+test("a host that has just started infers nothing while no other host responds", async () => {
+  const stateOf = (): VersionState => ({ ...SINGLE, isCovered: false });
+  const typeOf = async (asked: readonly HostEntry[]) =>
+    (await resolve([], { stateOf, asked })).binding.type;
+  assert.equal(await typeOf(HOSTS), "unknown");
+  assert.equal(await typeOf(HOSTS.slice(0, 1)), "unknown");
+  // The only host of a fleet has nobody to ask.
   assert.equal(await typeOf([]), "bound");
 });
 
