The soak counts a cut of paths from when it was injected

Cause: the check of cut hosts took the planned times of the cuts, from the moment at which the callers had been started. Faults are injected by timers of the harness, which are late when it is held up, so the 3 s for the detection of a cut began before the cut.

Change: the times at which a cut was begun and healed, as for other faults of hosts. The time for the detection and the shares stay as they were.

--- a/test/soak/path_faults.ts
+++ b/test/soak/path_faults.ts
@@ -2,6 +2,7 @@
 import type { CallResult } from "./call.ts";
 import { type FleetHost, targetHost } from "./fleet.ts";
 import type { BlockedDirection, FaultProxy } from "./fault_proxy.ts";
+import type { PlayedFault } from "./host_faults.ts";
 import { PathCut } from "./replica_path.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { PATH_CUT_KINDS, SILENT_MS } from "./schedule.ts";
@@ -87,20 +88,19 @@
   };
 }
 
-/** When which hosts had no path, for faults of a run that began at a time. */
+/** When which hosts had no path. */
 export function pathCutIntervals(
   hosts: readonly FleetHost[],
-  faults: readonly Fault[],
-  startedAtMs: number,
+  played: readonly PlayedFault[],
 ): PathCutInterval[] {
-  return faults
-    .filter((fault) => PATH_CUT_KINDS.includes(fault.kind))
-    .map((fault) => ({
+  return played
+    .filter(({ fault }) => PATH_CUT_KINDS.includes(fault.kind))
+    .map(({ fault, fromMs, toMs }) => ({
       hosts: new Set(
         hostsWithCutPaths(hosts, fault).map(({ process }) => process.name),
       ),
-      fromMs: startedAtMs + fault.atMs,
-      toMs: startedAtMs + fault.atMs + fault.durationMs,
+      fromMs,
+      toMs,
     }));
 }
 
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -145,7 +145,6 @@
       this.#hosts.map((host) => host.callers),
       this.#schedule.load.unfinishedBodies,
     );
-    const startedAtMs = performance.now();
     void this.#sampleVersions();
     await Promise.all(
       this.#schedule.faults.map((fault) => this.#inject(fault)),
@@ -160,10 +159,10 @@
     bodies.close();
     await Promise.all(callers);
     await sleep(SETTLE_MS);
-    return this.#observations([...notStarted, ...unrecovered], {
+    return this.#observations(
+      [...notStarted, ...unrecovered],
       drainDeadlineMs,
-      startedAtMs,
-    });
+    );
   }
 
   async #inject(fault: Fault): Promise<void> {
@@ -190,10 +189,7 @@
 
   #observations(
     unrecoveredHosts: readonly string[],
-    { drainDeadlineMs, startedAtMs }: {
-      readonly drainDeadlineMs: number;
-      readonly startedAtMs: number;
-    },
+    drainDeadlineMs: number,
   ): Observations {
     const {
       arrivals,
@@ -219,11 +215,7 @@
       unrecoveredHosts,
       isPlannedOnly: this.#schedule.isPlannedOnly,
       unaffectedHosts: this.#hostsWithout(HOST_FAULTS),
-      pathCuts: pathCutIntervals(
-        this.#hosts,
-        this.#schedule.faults,
-        startedAtMs,
-      ),
+      pathCuts: pathCutIntervals(this.#hosts, this.#playedFaults),
       uninterruptedHosts: this.#hostsWithout(PROCESS_FAULTS),
       hostFaults: hostFaultIntervals(this.#hosts, this.#playedFaults),
       servingSamples: this.#servingSamples,
