Fleets of tests: waits for states, staggered callers

Cause: `runCallers` starts 20 callers at one moment with equal seeds at each host, so the requests of a test come in steps, and what a test sees depends on the moment between two of them. The wait for a host to serve has no end.

Change: each caller starts after a delay of its own and sends one request at least; `runCallersUntil` runs callers until a condition on their results holds, `waitUntil` waits for a state, both for a minute at most and then with a message; `reportsAtAll` and `reportedGauge` read gauges again when a host does not respond in time; `areServedAtAll` looks at the last ten requests of each host. A fleet counts as started when all hosts know each other. A failed test prints the delays of its own event loop.

--- a/test/soak/test_fleet.ts
+++ b/test/soak/test_fleet.ts
@@ -2,6 +2,7 @@
  * Runs a fleet of host processes with stand-ins for store and replicas, and
  * callers at all hosts.
  */
+import assert from "node:assert/strict";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -14,17 +15,25 @@
   checkReadiness,
   createHosts,
   type FleetHost,
+  readGauge,
   readRoutesVersion,
   stopHosts,
 } from "./fleet.ts";
 import { sleep } from "./sleep.ts";
+import { StallMeter } from "./stall_meter.ts";
 import { World } from "./world.ts";
 
+/** The age from which on a host has its share of the fleet's retry budget. */
+export const BUDGET_AGE_MS = 10_500;
 const HOSTS = 4;
 const CALLERS_PER_HOST = 5;
 const MIN_PAUSE_MS = 20;
 const PAUSE_RANGE_MS = 200;
 const POLL_INTERVAL_MS = 200;
+/** Requests in a row that show that a host serves; two of each caller. */
+const SERVED_IN_A_ROW = 2 * CALLERS_PER_HOST;
+/** Upper bound of each wait for a state of the fleet. */
+const STATE_TIMEOUT_MS = 60_000;
 
 /** Host processes and the stand-ins around them. */
 export type TestFleet = {
@@ -49,17 +58,27 @@
     storeAddress,
     isScheduled,
   });
+  const stalls = new StallMeter();
   let hasPassed = false;
   try {
     for (const { process } of hosts) process.start();
     for (const host of hosts) await waitUntilServing(host, world.version);
-    await work({ world, hosts });
+    const fleet = { world, hosts };
+    await waitUntil(
+      () => reportsAtAll(fleet, "hosts_known", hostCount),
+      "all hosts know each other",
+    );
+    await work(fleet);
     hasPassed = true;
   } finally {
+    const delays = stalls.end();
     await stopHosts(hosts);
     world.stop();
     if (hasPassed) rmSync(folder, { recursive: true });
-    else console.error(`Logs of the hosts: ${folder}`);
+    else {
+      console.error(`Logs of the hosts: ${folder}`);
+      console.error(`Delays of the test's event loop: ${delays}`);
+    }
   }
 }
 
@@ -71,17 +90,68 @@
   host: FleetHost,
   version: number,
 ): Promise<void> {
-  for (;;) {
+  await waitUntil(async () => {
     await checkReadiness(host);
     const isReady = host.failedChecks === 0;
-    if (isReady && await readRoutesVersion(host) === version) return;
+    return isReady && await readRoutesVersion(host) === version;
+  }, `${host.process.name} serves`);
+}
+
+/** Resolves when a condition holds, and fails if it doesn't in time. */
+export async function waitUntil(
+  condition: () => Promise<boolean>,
+  what: string,
+): Promise<void> {
+  const deadline = performance.now() + STATE_TIMEOUT_MS;
+  while (!await condition()) {
+    assert.ok(performance.now() < deadline, `Not in time: ${what}`);
     await sleep(POLL_INTERVAL_MS);
   }
 }
 
+/** Whether all hosts report this value of a gauge. */
+export async function reportsAtAll(
+  { hosts }: TestFleet,
+  gauge: string,
+  value: number,
+): Promise<boolean> {
+  const values = await Promise.all(hosts.map((host) => readGauge(host, gauge)));
+  return values.every((reported) => reported === value);
+}
+
+/** Reads a gauge of a host, again if the host does not respond in time. */
+export async function reportedGauge(
+  host: FleetHost,
+  name: string,
+): Promise<number | undefined> {
+  let value: number | undefined;
+  await waitUntil(async () => {
+    value = await readGauge(host, name);
+    return value !== undefined;
+  }, `${host.process.name} reports ${name}`);
+  return value;
+}
+
+/** Whether the last requests at each host got whole responses. */
+export function areServedAtAll(
+  { hosts }: TestFleet,
+  results: readonly CallResult[],
+): boolean {
+  return hosts.every(({ process: { name } }) => {
+    const last = results.filter(({ host }) => host === name)
+      .slice(-SERVED_IN_A_ROW);
+    return last.length === SERVED_IN_A_ROW && last.every(isServed);
+  });
+}
+
+/** Whether the caller got a whole response. */
+export function isServed({ status, isComplete }: CallResult): boolean {
+  return status === 200 && isComplete;
+}
+
 /** Runs callers at all hosts for `forMs` and returns their results. */
 export async function runCallers(
-  { hosts }: TestFleet,
+  fleet: TestFleet,
   { kinds, forMs }: {
     readonly kinds: readonly CallKind[];
     readonly forMs: number;
@@ -89,19 +159,69 @@
 ): Promise<CallResult[]> {
   const deadline = performance.now() + forMs;
   const results: CallResult[] = [];
-  const calls = hosts.flatMap((host) =>
-    Array.from({ length: CALLERS_PER_HOST }, async (_, caller) => {
-      const random = xoroshiro128plus(caller);
-      for (let at = 0; performance.now() < deadline; at++) {
-        const kind = kinds[(at + caller) % kinds.length] ?? CallKind.safe;
-        const id = `${kind}-${host.process.name}-${caller}-${at}-${deadline}`;
-        results.push(await callHost(host, { id, kind }));
+  await Promise.all(
+    startCallers(fleet, {
+      kinds,
+      isStopped: () => performance.now() >= deadline,
+      onResult: (result) => results.push(result),
+    }),
+  );
+  return results;
+}
+
+/**
+ * Runs callers at all hosts until a condition on their results so far holds,
+ * fails if it doesn't in time, and returns the results.
+ */
+export async function runCallersUntil(
+  fleet: TestFleet,
+  { kinds, condition, what }: {
+    readonly kinds: readonly CallKind[];
+    condition(results: readonly CallResult[]): boolean | Promise<boolean>;
+    readonly what: string;
+  },
+): Promise<CallResult[]> {
+  const results: CallResult[] = [];
+  let isStopped = false;
+  const callers = startCallers(fleet, {
+    kinds,
+    isStopped: () => isStopped,
+    onResult: (result) => results.push(result),
+  });
+  try {
+    await waitUntil(async () => await condition(results), what);
+  } finally {
+    isStopped = true;
+    await Promise.all(callers);
+  }
+  return results;
+}
+
+/**
+ * Starts callers at all hosts, each after a delay of its own, so that they
+ * don't send their requests in step. Each sends one request at least.
+ */
+function startCallers(
+  { hosts }: TestFleet,
+  { kinds, isStopped, onResult }: {
+    readonly kinds: readonly CallKind[];
+    isStopped(): boolean;
+    onResult(result: CallResult): void;
+  },
+): Promise<void>[] {
+  const startedAt = performance.now();
+  return hosts.flatMap((host, hostAt) =>
+    Array.from({ length: CALLERS_PER_HOST }, async (_, at) => {
+      const random = xoroshiro128plus(hostAt * CALLERS_PER_HOST + at);
+      await sleep(randomInt(random, PAUSE_RANGE_MS));
+      for (let count = 0; count === 0 || !isStopped(); count++) {
+        const kind = kinds[(count + at) % kinds.length] ?? CallKind.safe;
+        const id = `${kind}-${host.process.name}-${at}-${count}-${startedAt}`;
+        onResult(await callHost(host, { id, kind }));
         await sleep(MIN_PAUSE_MS + randomInt(random, PAUSE_RANGE_MS));
       }
     })
   );
-  await Promise.all(calls);
-  return results;
 }
 
 /** Returns one plain, one decode and one prefill replica. */
