Unframed responses' test: as many cuts as the verdict needs

It began with hosts of an age at which they have no share of the fleet's retry budget, so that up to the seventh request of a host no cut stream of it may go on.

Change: callers run until enough responses have been cut, 3 s at least. The resumable streams begin once the hosts have their share of the budget. The least number of cuts and the share that goes on are as they were.

--- a/test/soak/unframed_responses_test.ts
+++ b/test/soak/unframed_responses_test.ts
@@ -13,11 +13,17 @@
 } from "../platform/response_standin.ts";
 import { EVENT_END } from "../platform/stream_standin.ts";
 import { CallKind, type CallResult } from "./call.ts";
-import { runCallers, type TestFleet, withFleet } from "./test_fleet.ts";
+import {
+  BUDGET_AGE_MS,
+  runCallers,
+  runCallersUntil,
+  type TestFleet,
+  withFleet,
+} from "./test_fleet.ts";
+import { sleep } from "./sleep.ts";
 import { isOwnAndComplete, isUnnoticedCut } from "./whole_responses.ts";
 
 const RUN_MS = 3000;
-const RESUMED_RUN_MS = 8000;
 /** So few that the retry budget allows the retries of all of them. */
 const REQUESTS_PER_CUT = 10;
 /** Responses that must have been cut for a verdict. */
@@ -66,6 +72,20 @@
   }
 }
 
+/** Runs callers for a time, and on until enough responses have been cut. */
+function runUntilCut(
+  fleet: TestFleet,
+  kinds: readonly CallKind[],
+): Promise<CallResult[]> {
+  const endsAt = performance.now() + RUN_MS;
+  return runCallersUntil(fleet, {
+    kinds,
+    condition: () =>
+      performance.now() >= endsAt && fleet.world.cuts.length >= MIN_CUTS,
+    what: `${MIN_CUTS} responses are cut`,
+  });
+}
+
 /** Asserts that no response looks whole that isn't. */
 function assertNoneVouchedFor(
   { world }: TestFleet,
@@ -94,8 +114,7 @@
   await withFleet(async (fleet) => {
     const cut = cutInsideEvents();
     shapeResponses(fleet, () => ({ ...UNFRAMED, cut }));
-    const kinds = [CallKind.stream];
-    const results = await runCallers(fleet, { kinds, forMs: RUN_MS });
+    const results = await runUntilCut(fleet, [CallKind.stream]);
     assertNoneVouchedFor(fleet, results);
   });
 });
@@ -104,6 +123,7 @@
   "a resumable stream without framing that is cut inside an event goes on elsewhere";
 test(RESUMABLE_CUT, knownRed(RESUMABLE_CUT), async () => {
   await withFleet(async (fleet) => {
+    await sleep(BUDGET_AGE_MS);
     const cut = cutInsideEvents();
     const seenRequests = new Set<string>();
     const cutRequests = new Set<string>();
@@ -114,8 +134,7 @@
       cutRequests.add(request);
       return { ...UNFRAMED, cut };
     });
-    const kinds = [CallKind.resumable];
-    const results = await runCallers(fleet, { kinds, forMs: RESUMED_RUN_MS });
+    const results = await runUntilCut(fleet, [CallKind.resumable]);
     assertNoneVouchedFor(fleet, results);
     // Other replicas have capacity for all of them.
     const wentOn = results.filter((result) =>
@@ -132,8 +151,7 @@
   await withFleet(async (fleet) => {
     const cut = cutBetweenEvents();
     shapeResponses(fleet, () => ({ ...UNFRAMED, cut }));
-    const kinds = Object.values(CallKind);
-    const results = await runCallers(fleet, { kinds, forMs: RUN_MS });
+    const results = await runUntilCut(fleet, Object.values(CallKind));
     assertNoneVouchedFor(fleet, results);
   });
 });
