Crashing request's test: waits until all hosts have it quarantined

Cause: the reports of crashes had a fixed 3 s to reach all hosts, and the crashed replicas as long to come back. Hosts counted as serving without being ready. The logs were deleted when the test failed.

Change: the test waits until each host reports one quarantined request and has served a stream. It uses the fleet of the other tests, which keeps its logs.

--- a/test/soak/crashing_request_test.ts
+++ b/test/soak/crashing_request_test.ts
@@ -3,30 +3,25 @@
  * caller retries at hosts that do not share their crash reports.
  */
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { test } from "node:test";
 import { CRASHING_BODY } from "../platform/replica_standin.ts";
 import { knownRed } from "../known_red.ts";
 import { CallKind, type CallResult } from "./call.ts";
-import {
-  callHost,
-  createHosts,
-  type FleetHost,
-  readRoutesVersion,
-  stopHosts,
-} from "./fleet.ts";
+import { callHost, type FleetHost } from "./fleet.ts";
 import { sleep } from "./sleep.ts";
-import { World } from "./world.ts";
+import {
+  isServed,
+  reportsAtAll,
+  type TestFleet,
+  waitUntil,
+  withFleet,
+} from "./test_fleet.ts";
 
-const HOSTS = 4;
 /** Crashes after which hosts refuse the request. */
 const CRASH_THRESHOLD = 3;
 const LATER_ATTEMPTS = 5;
-/** The time within which all hosts receive the crash reports. */
-const PROPAGATION_MS = 3000;
-const POLL_INTERVAL_MS = 200;
+const CALL_INTERVAL_MS = 200;
+const CRASHING = { kind: CallKind.stream, body: CRASHING_BODY };
 
 function callOnce(
   host: FleetHost,
@@ -36,49 +31,42 @@
   return callHost(host, { ...call, id });
 }
 
-async function waitUntilAllServe(hosts: readonly FleetHost[], world: World) {
+/** Resolves when each host has served a stream. */
+async function waitUntilAllServe({ hosts }: TestFleet): Promise<void> {
   for (const host of hosts) {
-    while (await readRoutesVersion(host) !== world.version) {
-      await sleep(POLL_INTERVAL_MS);
-    }
-    while (true) {
-      const result = await callOnce(host, { kind: CallKind.stream });
-      if (result.status === 200 && result.isComplete) break;
-      await sleep(POLL_INTERVAL_MS);
-    }
+    await waitUntil(
+      async () => isServed(await callOnce(host, { kind: CallKind.stream })),
+      `${host.process.name} serves streams`,
+    );
   }
 }
 
 const NAME = "no host forwards a request that has crashed three replicas";
 test(NAME, knownRed(NAME), async () => {
-  const folder = mkdtempSync(join(tmpdir(), "otterhill-crashing-"));
-  const world = await World.start();
-  const storeAddress = world.store.address;
-  const hosts = await createHosts(HOSTS, { folder, storeAddress });
-  const hostAt = (at: number): FleetHost => {
-    const host = hosts[at % HOSTS];
-    if (!host) throw new Error(`No host ${at}`);
-    return host;
-  };
-  const crashing = { kind: CallKind.stream, body: CRASHING_BODY };
-  try {
-    for (const { process } of hosts) process.start();
-    await waitUntilAllServe(hosts, world);
+  await withFleet(async (fleet) => {
+    const { world, hosts } = fleet;
+    const hostAt = (at: number): FleetHost => {
+      const host = hosts[at % hosts.length];
+      if (!host) throw new Error(`No host ${at}`);
+      return host;
+    };
+    await waitUntilAllServe(fleet);
     for (let at = 0; world.crashed.length < CRASH_THRESHOLD; at++) {
-      await callOnce(hostAt(at), crashing);
-      await sleep(POLL_INTERVAL_MS);
+      await callOnce(hostAt(at), CRASHING);
+      await sleep(CALL_INTERVAL_MS);
     }
-    await sleep(PROPAGATION_MS);
+    await waitUntil(
+      () => reportsAtAll(fleet, "crash_quarantined", 1),
+      "all hosts have the request quarantined",
+    );
+    // The crashed replicas have successors.
+    await waitUntilAllServe(fleet);
     const crashesBefore = world.crashed.length;
     for (let at = 0; at < LATER_ATTEMPTS; at++) {
-      const result = await callOnce(hostAt(at), crashing);
+      const result = await callOnce(hostAt(at), CRASHING);
       const other = await callOnce(hostAt(at), { kind: CallKind.stream });
       assert.deepEqual([result.status, other.status], [503, 200]);
     }
     assert.equal(world.crashed.length, crashesBefore);
-  } finally {
-    await stopHosts(hosts);
-    world.stop();
-    rmSync(folder, { recursive: true });
-  }
+  });
 });
