Gateway's process test: listens for the exit before the signal

Cause: the test waited for the event of the exit only after the last response had been read. A process that has ended by then sends no second one, and the test run has no time-out. By reading; no run showed it.

Change: the listener is there before SIGTERM is sent.

--- a/test/platform/gateway_process_test.ts
+++ b/test/platform/gateway_process_test.ts
@@ -247,13 +247,14 @@
     standin.holdResponses = true;
     const slow = call(callers, "/a/1");
     await waitUntil(() => standin.requests.some(({ path }) => path === "/a/1"));
+    const exited = once(running.process, "exit") as Promise<[number | null]>;
     running.process.kill("SIGTERM");
     await waitUntil(async () => !(await isReady(running)));
     standin.holdResponses = false;
     assert.equal((await call(callers, "/a/2", { agent })).status, 200);
     standin.releaseResponses();
     assert.equal((await slow).status, 200);
-    const [code] = await once(running.process, "exit") as [number | null];
+    const [code] = await exited;
     assert.equal(code, 0);
     agent.destroy();
   });
