A replica that restarted under its id has ended, whatever its id responds

The health check of a removed replica is answered by whoever has its id. After a restart that is the next start, so the earlier one counted as running and the requests that broke there were not counted as crashed under.

The new test failed: a replica listed at a later start was found alive. Now a later start in the listing, before or after the check, decides.

--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -125,7 +125,8 @@
     probe: (entry) => paths.monitor.probe(entry),
     isPeerResponding: (address) =>
       isPeerResponding(address, { clock, connections }),
-    isAlive: (entry) => isReplicaAlive({ pool, dialect, routes, paths }, entry),
+    isAlive: (entry) =>
+      isReplicaAlive({ pool, dialect, routes, paths, replicas }, entry),
   });
 }
 
--- a/src/gateway/replicas/health_check.ts
+++ b/src/gateway/replicas/health_check.ts
@@ -6,16 +6,35 @@
 /** A health check waits for a free slot, as a request does. */
 const TIMEOUT_MS: Milliseconds = 1000;
 
+type HealthContext = Pick<
+  GatewayContext,
+  "pool" | "dialect" | "routes" | "paths" | "replicas"
+>;
+
 /**
  * Whether this incarnation responds to a health check, or is too busy to. The
  * response names the replica, since its address may have been given to another
- * one.
+ * one. It names no incarnation: once a later one is listed, this one has ended.
  */
 export async function isReplicaAlive(
-  { pool, dialect, routes, paths }: Pick<
-    GatewayContext,
-    "pool" | "dialect" | "routes" | "paths"
-  >,
+  context: HealthContext,
+  entry: ReplicaEntry,
+): Promise<boolean> {
+  if (isRestarted(context, entry)) return false;
+  return await isListening(context, entry) && !isRestarted(context, entry);
+}
+
+function isRestarted(
+  { replicas }: Pick<HealthContext, "replicas">,
+  { id, incarnation }: ReplicaEntry,
+): boolean {
+  return replicas.entries().some((other) =>
+    other.id === id && other.incarnation !== incarnation
+  );
+}
+
+async function isListening(
+  { pool, dialect, routes, paths }: HealthContext,
   entry: ReplicaEntry,
 ): Promise<boolean> {
   const path = routes.service(entry.service)?.healthPath;
--- a/test/gateway/replicas/health_check_test.ts
+++ b/test/gateway/replicas/health_check_test.ts
@@ -24,9 +24,9 @@
       }],
       limits: { bodyBytes: 1, headerMs: TIMEOUT_MS, idleMs: TIMEOUT_MS },
     });
-    before(rig);
     const entry = context.replicas.get("r0")?.entry;
     assert.ok(entry);
+    before(rig);
     result = await isReplicaAlive(context, entry);
   });
   return result;
@@ -44,6 +44,15 @@
   assert.equal(await isAlive(answersAs("r1")), false);
 });
 
+test("a replica that is listed at a later start has ended, although its id responds", async () => {
+  const restart = ({ context: { replicas } }: Rig) => {
+    const entries = replicas.entries()
+      .map((entry) => ({ ...entry, born: 2, incarnation: "r0@2" }));
+    replicas.adopt({ revision: replicas.revision + 1, entries });
+  };
+  assert.equal(await isAlive(answersAs("r0"), restart), false);
+});
+
 test("a replica whose address refuses connections has ended", async () => {
   const stop = (rig: Rig) => rig.replicas[0]?.stop();
   assert.equal(await isAlive(answersAs("r0"), stop), false);
