Reservations and exports of an earlier start are not dropped at the next one

A call carries only the replica's id, and ids of reservations and exports are unique within one start: after a restart, dropping one of before may end what the new start has reserved for another request.

Now nothing is sent to a replica that is listed at another start.

--- a/src/gateway/replicas/health_check.ts
+++ b/src/gateway/replicas/health_check.ts
@@ -1,6 +1,7 @@
 /** Asks a replica that is no longer listed whether it still runs. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
+import { isRestarted } from "./is_restarted.ts";
 import type { ReplicaEntry } from "./model.ts";
 
 /** A health check waits for a free slot, as a request does. */
@@ -20,17 +21,9 @@
   context: HealthContext,
   entry: ReplicaEntry,
 ): Promise<boolean> {
-  if (isRestarted(context, entry)) return false;
-  return await isListening(context, entry) && !isRestarted(context, entry);
-}
-
-function isRestarted(
-  { replicas }: Pick<HealthContext, "replicas">,
-  { id, incarnation }: ReplicaEntry,
-): boolean {
-  return replicas.entries().some((other) =>
-    other.id === id && other.incarnation !== incarnation
-  );
+  const { replicas } = context;
+  if (isRestarted(replicas, entry)) return false;
+  return await isListening(context, entry) && !isRestarted(replicas, entry);
 }
 
 async function isListening(
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -5,6 +5,7 @@
 import { CallMode } from "../port.ts";
 import { chooseReplica } from "../replicas/choice.ts";
 import { ReplicaStage } from "../replicas/model.ts";
+import { isRestarted } from "../replicas/is_restarted.ts";
 import type { Replica } from "../replicas/replica.ts";
 import { readBody } from "../upstreams/call.ts";
 import { callEngine } from "../upstreams/engine_call.ts";
@@ -188,9 +189,13 @@
     if (hasArrived) this.#attempts.notePrefill(wasRejected);
   }
 
-  /** Drops an export at its replica that no decode replica will use. */
+  /**
+   * Drops an export at its replica that no decode replica will use, unless the
+   * replica was restarted, see {@link dropReservation}.
+   */
   dropExport(exported: Export): void {
-    const { dialect, tuning } = this.#context;
+    const { dialect, tuning, replicas } = this.#context;
+    if (isRestarted(replicas, exported.replica.entry)) return;
     const call = dialect.dropExport(exported.id);
     const timeoutMs = tuning.reserveTimeoutMs;
     void callEngine(this.#context, exported.replica.entry, { call, timeoutMs });
--- a/src/gateway/requests/reservations.ts
+++ b/src/gateway/requests/reservations.ts
@@ -1,6 +1,7 @@
 /** Reserves and releases memory at decode replicas. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
+import { isRestarted } from "../replicas/is_restarted.ts";
 import type { Replica } from "../replicas/replica.ts";
 import { callEngine } from "../upstreams/engine_call.ts";
 
@@ -41,12 +42,16 @@
   return { replica, id, tokens: memory.tokens, expiresAt };
 }
 
-/** Releases memory that no request will use. */
+/**
+ * Releases memory that no request will use. Nothing is left of it after a
+ * restart, where the id may be that of another reservation.
+ */
 export function dropReservation(
   context: GatewayContext,
   reservation: Reservation,
 ): void {
-  const { dialect, tuning } = context;
+  const { dialect, tuning, replicas } = context;
+  if (isRestarted(replicas, reservation.replica.entry)) return;
   const call = dialect.dropReservation(reservation.id);
   const timeoutMs = tuning.reserveTimeoutMs;
   void callEngine(context, reservation.replica.entry, { call, timeoutMs });
--- a/test/gateway/requests/restarted_replica_test.ts
+++ b/test/gateway/requests/restarted_replica_test.ts
@@ -16,10 +16,16 @@
 const isHostCall = ({ path }: RawRequest) => /^.(reserve|export)/.test(path);
 const STREAM = { "x-tokens": "10,10" };
 
-/** Lists the first replica with a new incarnation. */
-function restart({ context: { replicas } }: Rig, born: number): void {
+/** Lists replicas, the first one unless named, with a new incarnation. */
+function restart(
+  { context: { replicas } }: Rig,
+  born: number,
+  ids: readonly string[] = ["r0"],
+): void {
   const restarted = (entry: ReplicaEntry) =>
-    entry.id === "r0" ? { ...entry, born, incarnation: `r0@${born}` } : entry;
+    ids.includes(entry.id)
+      ? { ...entry, born, incarnation: `${entry.id}@${born}` }
+      : entry;
   const entries = replicas.entries().map(restarted);
   replicas.adopt({ revision: replicas.revision + 1, entries });
 }
@@ -82,9 +88,57 @@
     assert.equal(sent?.length, 1);
     const used = sent?.[0]?.headers.get("x-reservation") ?? "";
     assert.match(used, /^m[2-9]/);
+    // Ids are unique within an incarnation only.
+    const dropped = rig.replicas[0]?.requests.filter(({ method }) =>
+      method === "DELETE"
+    ).map(({ path }) => path);
+    assert.deepEqual(dropped, []);
   });
 });
 
+test("an unused export at the old incarnation is not dropped at the new one", async () => {
+  let restartNow: () => void = () => undefined;
+  const decodes: RawAnswer = (request, socket) => {
+    const body = `{"reservation":"m${request.number}"}`;
+    socket.write(
+      completeResponse(request, isHostCall(request) ? body : "answer"),
+    );
+  };
+  const prefills: RawAnswer = (request, socket) => {
+    if (!isHostCall(request)) restartNow();
+    socket.write(completeResponse(request, '{"export":"e"}'));
+  };
+  const cases = [
+    { ids: ["r0"], expected: ["/export/e"] },
+    { ids: ["r0", "r1"], expected: [] },
+  ];
+  for (const { ids, expected } of cases) {
+    await withRig({
+      engine: ENGINE,
+      route: { kind: "streaming" },
+      replicas: [
+        { answer: decodes, stage: ReplicaStage.decode },
+        { answer: prefills, stage: ReplicaStage.prefill },
+      ],
+    }, async (rig) => {
+      restartNow = () => {
+        restart(rig, 2, ids);
+        restartNow = () => undefined;
+      };
+      const response = await rig.call({
+        id: "r",
+        method: "POST",
+        headers: STREAM,
+      });
+      assert.equal(response.status, 200);
+      const paths = rig.replicas[1]?.requests.filter(({ method }) =>
+        method === "DELETE"
+      ).map(({ path }) => path);
+      assert.deepEqual(paths, expected);
+    });
+  }
+});
+
 test("draining or backoff of the old incarnation does not close the new one", async () => {
   const answer: RawAnswer = (request, socket) => {
     if (request.number > 1) {
