A stage order goes only to the start of a replica that has reported

The order's condition is the count of orders in the report. The count begins anew with each start, so the order could be carried out by another start than the one reported on. A report that names its start is used for that one only, and a replica whose incarnation is no longer listed after its report gets no order.

--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -87,6 +87,8 @@
 
 /** Status of a model engine. */
 export type EngineReport = {
+  /** Start of the replica, see `ReplicaEntry`; absent if it isn't reported. */
+  readonly born?: number;
   readonly stage: ReplicaStage;
   /** Number of orders that it has accepted. */
   readonly orderCount: number;
--- a/src/gateway/stages/stage_loop.ts
+++ b/src/gateway/stages/stage_loop.ts
@@ -255,6 +255,8 @@
   const report = await requestReport(context, incarnation, CALL_TIMEOUT_MS);
   if (!report || report.isChanging) return FAILED_ATTEMPT;
   if (report.stage === change.stage) return FAILED_ATTEMPT;
+  // It may have restarted, so that the report says nothing about its orders.
+  if (!context.replicas.get(incarnation)) return FAILED_ATTEMPT;
   if (clock.now() >= lease.until) return FAILED_ATTEMPT;
   // The store was restored from a copy that may lack the lease.
   if (context.eras.era !== lease.era) return FAILED_ATTEMPT;
--- a/src/gateway/upstreams/engine_report.ts
+++ b/src/gateway/upstreams/engine_report.ts
@@ -2,11 +2,13 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import type { EngineReport } from "../port.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
 import { callEngine } from "./engine_call.ts";
 
 /**
  * Requests the report of a replica. Undefined if this host may not call it or
- * has no path to it, or if no valid report arrives within `timeoutMs`.
+ * has no path to it, or if no valid report of this incarnation arrives within
+ * `timeoutMs`.
  */
 export async function requestReport(
   context: GatewayContext,
@@ -18,6 +20,14 @@
   if (!replica || gate.obstacle(replica)) return undefined;
   if (paths.monitor.isLost(incarnation)) return undefined;
   const call = dialect.report;
-  const answer = await callEngine(context, replica.entry, { call, timeoutMs });
-  return answer && dialect.readReport(answer.body);
+  const { entry } = replica;
+  const answer = await callEngine(context, entry, { call, timeoutMs });
+  const report = answer && dialect.readReport(answer.body);
+  return report && isOfStart(report, entry) ? report : undefined;
+}
+
+/** Whether a report may be of this start of the replica. */
+function isOfStart({ born }: EngineReport, entry: ReplicaEntry): boolean {
+  const isUnknown = born === undefined || entry.born === undefined;
+  return isUnknown || born === entry.born;
 }
--- a/test/gateway/stages/stage_loop_test.ts
+++ b/test/gateway/stages/stage_loop_test.ts
@@ -27,14 +27,20 @@
 }
 
 /** Starts the loop with six prefill replicas where two are desired. */
-function start(orderStatus: number | undefined) {
+function start(
+  orderStatus: number | undefined,
+  { onReport = () => undefined, reportedBorn }: {
+    readonly onReport?: (replicas: ReplicaTable) => void;
+    readonly reportedBorn?: number;
+  } = {},
+) {
   const { clock, advance } = steppedTime();
   const orders: string[] = [];
   const changing = new Map<string, ReplicaStage>();
   const replicas = new ReplicaTable();
   const entries = ["a", "b", "c", "d", "e", "f"].map((incarnation) =>
     engine(incarnation, ReplicaStage.prefill)
-  );
+  ).map((entry) => ({ ...entry, born: 1 }));
   replicas.adopt({ revision: 1, entries });
   const report = { method: "GET" as const, path: "/report" };
   const context = {
@@ -58,6 +64,7 @@
         stage: "prefill",
         orderCount: 0,
         isChanging: false,
+        ...(reportedBorn === undefined ? {} : { born: reportedBorn }),
       }),
       orderStage: () => ({ method: "POST", path: "/order", headers: [] }),
       readOrder: () => "taken",
@@ -69,6 +76,7 @@
         { call: { path } }: { call: { path: string } },
       ) => {
         if (path === "/order") orders.push(incarnation);
+        else onReport(replicas);
         const status = path === "/order" ? orderStatus : 200;
         const answer = status === undefined ? undefined : { status, body: "" };
         return Promise.resolve(answer);
@@ -116,3 +124,30 @@
   assert.deepEqual([...changing.keys()].sort(), [...orders].sort());
   assert.equal(orders.length, 4);
 });
+
+test("a replica that restarts after its report gets no order", async () => {
+  const { advance, orders, changing } = start(202, {
+    onReport: (replicas) => {
+      const entries = replicas.entries().map((entry) => ({
+        ...entry,
+        born: 2,
+        incarnation: `${entry.id}@2`,
+      }));
+      replicas.adopt({ revision: 2, entries });
+    },
+  });
+  await advance(3000);
+  assert.deepEqual(orders, []);
+  assert.equal(changing.size, 0);
+});
+
+test("the report of another start of a replica leads to no order", async () => {
+  assert.equal(await ordersWith(1), 4);
+  assert.equal(await ordersWith(2), 0);
+});
+
+async function ordersWith(reportedBorn: number): Promise<number> {
+  const { advance, orders } = start(202, { reportedBorn });
+  await advance(3000);
+  return orders.length;
+}
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -170,7 +170,14 @@
     ...report,
     usedTokens: 5000,
   });
+  const withStart = JSON.stringify({ ...valid, born: 1700000000000 });
+  assert.deepEqual(dialect.readReport(withStart), {
+    ...report,
+    born: 1700000000000,
+  });
   const invalid = [
+    { ...valid, born: "1" },
+    { ...valid, born: 1.5 },
     { ...valid, Stage: "both" },
     { ...valid, Sequence: "2" },
     { ...valid, Sequence: -1 },
