Paths to replicas that are no longer listed are not recorded

A check that was under way when its replica was removed, or a call that still hung there, recorded the path as failed afterwards. Nothing tries such a path again: the host took itself to have failed paths for good, and the gauge counted the replica as lost.

The new test failed: hasFailed stayed true, with pathLost or replicaUnreachable logged for the removed replica. Calls that still run there are aborted as before.

--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -67,6 +67,7 @@
     self,
     peers: () => directory.entries(),
     replicas: () => replicas.entries(),
+    isListed: (incarnation) => replicas.get(incarnation) !== undefined,
     events,
     metrics,
     connect,
--- a/src/gateway/paths/create_paths.ts
+++ b/src/gateway/paths/create_paths.ts
@@ -23,6 +23,7 @@
   readonly peers: () => readonly HostEntry[];
   /** All listed replicas. */
   readonly replicas: () => readonly ReplicaEntry[];
+  readonly isListed: (incarnation: string) => boolean;
   readonly events: EventLog;
   readonly metrics: Pick<Metrics, "count">;
   readonly connect: Connect;
@@ -44,16 +45,13 @@
 
 /** Creates the state of one gateway. */
 export function createPaths(options: PathsOptions): ReplicaPaths {
-  const { connectTimeoutMs, connect, clock, events, replicas } = options;
+  const { connectTimeoutMs, connect } = options;
   const directTimeoutMs = connectTimeoutMs * DIRECT_SHARE;
   const tunnelTimeoutMs = connectTimeoutMs - directTimeoutMs;
   const dialer = new TunnelDialer(options);
   const monitor = new PathMonitor({
-    clock,
-    events,
-    connect,
+    ...options,
     dialer,
-    replicas,
     connectTimeoutMs: directTimeoutMs,
     tunnelTimeoutMs,
   });
--- a/src/gateway/paths/path_monitor.ts
+++ b/src/gateway/paths/path_monitor.ts
@@ -27,6 +27,7 @@
   readonly dialer: TunnelDialer;
   /** All listed replicas. */
   readonly replicas: () => readonly ReplicaEntry[];
+  readonly isListed: (incarnation: string) => boolean;
 };
 
 /** Callbacks of a monitor. */
@@ -84,14 +85,24 @@
     this.#table.removeReplica(incarnation);
   }
 
+  /**
+   * Whether the replica is listed. Paths to others aren't recorded, since
+   * nothing would try them again; calls that still run there can be aborted.
+   */
+  isListed({ incarnation }: ReplicaEntry): boolean {
+    return this.#options.isListed(incarnation);
+  }
+
   /** Records that a peer reaches the replica and this host does not. */
   noteLost(entry: ReplicaEntry, cause: PathLossCause): void {
     const { clock, events, dialer } = this.#options;
     const { incarnation, hall } = entry;
-    const failure = { isReachedByPeer: true, now: clock.now() };
-    if (!this.#table.noteFailed(entry, failure)) return;
-    const peer = dialer.peerOf(incarnation);
-    events.note("pathLost", { replica: incarnation, hall, cause, peer });
+    if (this.isListed(entry)) {
+      const failure = { isReachedByPeer: true, now: clock.now() };
+      if (!this.#table.noteFailed(entry, failure)) return;
+      const peer = dialer.peerOf(incarnation);
+      events.note("pathLost", { replica: incarnation, hall, cause, peer });
+    }
     for (const listener of this.#listeners) listener.lost(entry);
     this.#retryUnreachable();
   }
@@ -100,9 +111,11 @@
   noteUnreachable(entry: ReplicaEntry): void {
     const { clock, events } = this.#options;
     const { incarnation, hall } = entry;
-    const failure = { isReachedByPeer: false, now: clock.now() };
-    if (!this.#table.noteFailed(entry, failure)) return;
-    events.note("replicaUnreachable", { replica: incarnation, hall });
+    if (this.isListed(entry)) {
+      const failure = { isReachedByPeer: false, now: clock.now() };
+      if (!this.#table.noteFailed(entry, failure)) return;
+      events.note("replicaUnreachable", { replica: incarnation, hall });
+    }
     for (const listener of this.#listeners) listener.unreachable(entry);
   }
 
--- a/test/gateway/paths/path_monitor_test.ts
+++ b/test/gateway/paths/path_monitor_test.ts
@@ -38,6 +38,7 @@
   const time = new VirtualTime();
   const events: string[] = [];
   const asked = { count: 0 };
+  const removed = new Set<string>();
   const dialer = {
     hasPeers: true,
     peerOf: () => "peer",
@@ -55,6 +56,7 @@
     connect: connectWith(own),
     dialer,
     replicas: () => [ENTRY, OTHER],
+    isListed: (incarnation) => !removed.has(incarnation),
     connectTimeoutMs: 100,
     tunnelTimeoutMs: 300,
   });
@@ -66,7 +68,11 @@
       await new Promise((resolve) => setImmediate(resolve));
     }
   };
-  return { time, events, asked, monitor, runTo };
+  const remove = (incarnation: string) => {
+    removed.add(incarnation);
+    monitor.removeReplica(incarnation);
+  };
+  return { time, events, asked, monitor, remove, runTo };
 }
 
 test("a silent path is lost if only a peer connects to the replica", async () => {
@@ -141,6 +147,22 @@
   assert.equal(monitor.isUnreachable("b"), false);
 });
 
+test("the path to a replica that was removed during its check is not recorded", async () => {
+  for (const verdict of ["open", "unreachable"] as const) {
+    const { monitor, remove, runTo, events } = start(
+      () => "silent",
+      () => verdict,
+    );
+    monitor.watch(ENTRY, { sentAt: 0, silenceMs: SILENCE_MS });
+    await runTo(SILENCE_MS + 10);
+    remove("a");
+    await runTo(3000);
+    assert.equal(monitor.hasFailed, false, verdict);
+    assert.deepEqual(monitor.lost, []);
+    assert.deepEqual(events, []);
+  }
+});
+
 test("peers are asked about few replicas of a hall that is cut off", async () => {
   const { monitor, asked, runTo } = start(() => "silent", () => "unreachable");
   const entries = Array.from({ length: 40 }, (_, at) => replicaEntry(`r${at}`));
--- a/test/gateway/paths/single_host_paths.ts
+++ b/test/gateway/paths/single_host_paths.ts
@@ -14,6 +14,7 @@
     self: { id: "host", hall: "hall" },
     peers: () => [],
     replicas: () => [],
+    isListed: () => true,
     events: { note: () => undefined },
     metrics: { count: () => undefined },
     connect: tcpConnect,
--- a/test/gateway/paths/tunnel_test.ts
+++ b/test/gateway/paths/tunnel_test.ts
@@ -208,6 +208,7 @@
     self: { id: "host", hall: "h" },
     peers: () => [{ id: "peer", address: peer.address, hall: "h" }],
     replicas: () => [],
+    isListed: () => true,
     events: { note: () => undefined },
     metrics: { count: () => undefined },
     connect: tcpConnect,
