The gateway's clock counts a sleep of the machine where one is confirmed

The steady clock stops while the machine sleeps. State of the store, keys and leases were discarded after one, but deadlines, reservations, kept summaries, backoffs, pauses, retry windows, stream records, paths and limits were used for longer by the time slept, and timers fired late by it. A forward step of the time of day looks the same, so that it could not move them.

os.uptime() counts sleep and doesn't step. It is used once it has run in step with the steady clock for a minute, since a container may show the clock of another machine: a sleep that both it and the time of day tell is added to the gateway's clock, and timers due in it fire at the next check. One that only os.uptime() tells, beside a step back of the time of day, discards state.

--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -1,5 +1,5 @@
 /** Creates the shared state of a gateway from its settings. */
-import { monotonicNow, newIncarnation } from "../shell/clock.ts";
+import { bootNow, monotonicNow, newIncarnation } from "../shell/clock.ts";
 import { descriptorLimit } from "../shell/descriptor_limit.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import type { Milliseconds } from "../util/units.ts";
@@ -12,6 +12,7 @@
 import { type EventLog, openEventLog } from "./observe/event_log.ts";
 import { LineWriter } from "./observe/line_writer.ts";
 import { Metrics } from "./observe/metrics.ts";
+import { createElapsedClock } from "./elapsed_clock.ts";
 import type { HostDirectory } from "./peers/directory.ts";
 import { isPeerResponding } from "./peers/is_peer_responding.ts";
 import { openLink } from "./peers/link.ts";
@@ -49,8 +50,9 @@
 ): GatewayContext {
   const { directory, connect } = fleet;
   const { grace } = settings;
-  const clock = { ...systemClock, now: monotonicNow };
+  const { clock, suspensions } = createClocks();
   const events = eventLogOf(settings, clock);
+  logSleeps(suspensions, events);
   const metrics = new Metrics();
   const self = { ...fleet.self, run: String(newIncarnation()) };
   const { replicas, limits, draining, gate } = createReplicaState({
@@ -86,7 +88,7 @@
   return {
     ...shared,
     self,
-    suspensions: createSuspensionWatch(clock),
+    suspensions,
     eras: new StoreEras(events),
     random: Math.random,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
@@ -152,10 +154,20 @@
   });
 }
 
-function createSuspensionWatch(clock: Clock): SuspensionWatch {
-  return new SuspensionWatch({
-    monotonicNow: clock.now,
+function createClocks(): Pick<GatewayContext, "clock" | "suspensions"> {
+  const suspensions = new SuspensionWatch({
+    monotonicNow,
     wallClockNow: Date.now,
+    bootNow,
+  });
+  const monotonic = { ...systemClock, now: monotonicNow };
+  return { clock: createElapsedClock(monotonic, suspensions), suspensions };
+}
+
+function logSleeps(suspensions: SuspensionWatch, events: EventLog): void {
+  suspensions.addListener((forMs, isConfirmed) => {
+    if (!isConfirmed) return;
+    events.note("sleepCounted", { for_ms: Math.round(forMs) });
   });
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,7 +109,7 @@
       directory,
       connections: this.#connections,
       connect,
-      listingAgeMs: () => this.#fleetState.storeAgeMs(systemClock.now()),
+      listingAgeMs: () => this.#fleetState.storeAgeMs(context.clock.now()),
     });
     const configAgeMs = (now: Milliseconds) => {
       context.suspensions.check();
@@ -273,10 +273,12 @@
   #scheduleTick(): void {
     const { clock, events, suspensions } = this.#context;
     const scheduledAt = clock.now();
+    const suspensionsBefore = suspensions.check();
     clock.after(TICK_INTERVAL_MS, () => {
-      suspensions.check();
+      suspensions.checkAll();
+      const isSuspension = suspensions.check() !== suspensionsBefore;
       const delayMs = clock.now() - scheduledAt - TICK_INTERVAL_MS;
-      if (delayMs > STALL_THRESHOLD_MS) {
+      if (delayMs > STALL_THRESHOLD_MS && !isSuspension) {
         events.note("stoodStill", { for_ms: Math.round(delayMs) });
       }
       this.#openPlannerLinks();
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -49,6 +49,7 @@
     "The machine was suspended or its wall clock stepped; reading the store again",
     STATE_CHANGES_PER_SECOND,
   ),
+  sleepCounted: warn("process", "The machine slept; deadlines count it", 20),
   storeLost: warn(
     "store",
     "The store does not respond",
