--- a/test/platform/replica_row_test.ts
+++ b/test/platform/replica_row_test.ts
@@ -99,6 +99,43 @@
   assert.doesNotMatch(reason, /secret/);
 });
 
+test("a row under a key that no header can carry is a fault", () => {
+  for (const key of ["", "a b", "a\nb", "é", "a\u0000"]) {
+    const { entries, faults } = replicasOf([
+      encodeRow(key, JSON.stringify(VALID_ROW)),
+    ]);
+    assert.deepEqual(entries, []);
+    assert.deepEqual(faults, [{ key, reason: "key: unusable" }]);
+  }
+});
+
+test("of 3,000 replicas the ones with a broken row are lost and no others", () => {
+  const field = fc.constantFrom(...Object.keys(VALID_ROW), "born");
+  const broken = fc.oneof(
+    fc.tuple(field, fc.anything()).map(([name, value]) =>
+      JSON.stringify({ ...VALID_ROW, [name]: value })
+    ),
+    fc.json(),
+    fc.string(),
+  );
+  const count = 3000;
+  const texts = fc.array(broken, { minLength: count / 10, maxLength: 300 });
+  fc.assert(
+    fc.property(texts, (values) => {
+      const rows = Array.from({ length: count }, (_, at) => {
+        const text = at % 10 === 0 ? values[at / 10] : undefined;
+        return encodeRow(`r${at}`, text ?? JSON.stringify(VALID_ROW));
+      });
+      const { entries, faults } = replicasOf(rows);
+      assert.equal(entries.length + faults.length, count);
+      const listed = new Set(entries.map(({ id }) => id));
+      const lost = rows.filter(({ PrivateKey }) => !listed.has(PrivateKey));
+      assert.ok(lost.every(({ PrivateKey }) => PrivateKey.endsWith("0")));
+    }),
+    { numRuns: 10 },
+  );
+});
+
 test("an invalid row doesn't affect valid ones", () => {
   const field = fc.constantFrom(...Object.keys(VALID_ROW), "born", "other");
   const value = fc.oneof(fc.anything(), fc.string(), fc.integer());
