Deltas of a listing are checked by a digest

Cause: a delta was applied if the number of replicas agreed. A follower that saw a replica replaced before a restore, which its suspended reader did not see, took the reader's delta over both eras and listed other replicas at the same position.

Change: the first delta on a link, one a second after it and each that leads to another era carry a digest of the sender's listing. The index keeps it with each changed entry. A delta that leads elsewhere is a gap, so the follower compares by buckets. A digest that changed is sent at an unchanged position, too. Peers' changes carry one. Deltas without a digest are checked by their size, as before. Draining is left out of the digest, since it spreads apart from the listing.

--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -127,6 +127,8 @@
   { base }: PeerStateRequest,
 ): Pick<PeerState, "listing" | "changes"> {
   const changes = base === undefined ? undefined : replicas.deltaSince(base);
-  if (changes && changes.since >= 0) return { changes };
+  if (changes && changes.since >= 0) {
+    return { changes: { ...changes, digest: replicas.digest } };
+  }
   return { listing: replicas.listing() };
 }
--- a/src/gateway/replicas/listing_digest.ts
+++ b/src/gateway/replicas/listing_digest.ts
@@ -11,6 +11,19 @@
 /** One digest for each bucket of a listing. */
 export type ListingDigests = readonly number[];
 
+/**
+ * The digest of an entry, from which that of a whole listing is made. Leaves out
+ * whether the replica is draining, which hosts learn apart from the listing.
+ */
+export function digestOf(entry: ReplicaEntry): number {
+  return murmurhash.v3(textOf({ ...entry, leaving: false }));
+}
+
+/** A listing's digest with an entry added, or removed if it was included. */
+export function toggleDigest(listing: number, entry: number): number {
+  return (listing ^ entry) >>> 0;
+}
+
 /** The bucket of a replica. */
 export function bucketOf(id: string): number {
   return murmurhash.v3(id) % BUCKETS;
@@ -22,7 +35,7 @@
   for (const entry of entries) {
     const bucket = bucketOf(entry.id);
     const before = digests[bucket] ?? 0;
-    digests[bucket] = (before ^ murmurhash.v3(textOf(entry))) >>> 0;
+    digests[bucket] = toggleDigest(before, murmurhash.v3(textOf(entry)));
   }
   return digests;
 }
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -80,6 +80,11 @@
   readonly since: Position;
   /** Number of replicas listed at `revision`. */
   readonly size: number;
+  /**
+   * Digest of the listing at `revision`; see listing_digest. Absent: checked by
+   * its size only.
+   */
+  readonly digest?: number;
   /**
    * If present, `changed` is the listing in these buckets, and the listings
    * don't differ in the others; see listing_digest.
--- a/src/gateway/replicas/replica_index.ts
+++ b/src/gateway/replicas/replica_index.ts
@@ -1,4 +1,5 @@
 /** Finds replicas by id, by incarnation and by service. */
+import { digestOf, toggleDigest } from "./listing_digest.ts";
 import type { ReplicaEntry } from "./model.ts";
 import { Replica } from "./replica.ts";
 
@@ -7,11 +8,24 @@
   readonly #byId = new Map<string, Replica>();
   readonly #byIncarnation = new Map<string, Replica>();
   readonly #byService = new Map<string, Replica[]>();
+  /** Digests of the entries, by id. */
+  readonly #digests = new Map<string, number>();
+  #digest = 0;
 
   get size(): number {
     return this.#byId.size;
   }
 
+  /** Digest of all entries; doesn't depend on their order. */
+  get digest(): number {
+    return this.#digest;
+  }
+
+  /** Digest of the entry under an id, if there is one. */
+  digestById(id: string): number | undefined {
+    return this.#digests.get(id);
+  }
+
   /** The entries of all replicas. */
   entries(): ReplicaEntry[] {
     return [...this.#byId.values()].map((replica) => replica.entry);
@@ -44,6 +58,9 @@
     this.delete(entry.id);
     const replica = known ?? new Replica(entry);
     replica.entry = entry;
+    const digest = digestOf(entry);
+    this.#digests.set(entry.id, digest);
+    this.#digest = toggleDigest(this.#digest, digest);
     this.#byId.set(entry.id, replica);
     this.#byIncarnation.set(entry.incarnation, replica);
     const group = this.#byService.get(entry.service);
@@ -55,6 +72,8 @@
     const replica = this.#byId.get(id);
     if (!replica) return;
     const { incarnation, service } = replica.entry;
+    this.#digest = toggleDigest(this.#digest, this.#digests.get(id) ?? 0);
+    this.#digests.delete(id);
     this.#byId.delete(id);
     this.#byIncarnation.delete(incarnation);
     const group = this.#byService.get(service) ?? [];
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -6,6 +6,7 @@
   type ListingChange,
   NO_CHANGE,
 } from "./listing_change.ts";
+import { leadsToSender } from "./listing_check.ts";
 import { bucketOf, differingBuckets, digestsOf } from "./listing_digest.ts";
 import { ListingHistory } from "./listing_history.ts";
 import type {
@@ -87,6 +88,11 @@
     return this.#index.size;
   }
 
+  /** Digest of the entries; see listing_digest. */
+  get digest(): number {
+    return this.#index.digest;
+  }
+
   /** The full listing that this table stands for, for another host. */
   listing(): ReplicaListing {
     return {
@@ -189,7 +195,7 @@
     if (delta.revision < this.#revision) return "older";
     if (delta.since > this.deltaBase) return "gap";
     if (delta.buckets) return this.#applyBuckets(delta, delta.buckets);
-    if (this.#sizeAfter(delta) !== delta.size) return "gap";
+    if (!leadsToSender(this.#index, delta)) return "gap";
     if (delta.since >= 0) return this.#applyListed(delta);
     const { revision, changed: entries } = delta;
     return this.adopt({ revision, entries }) ?? "older";
@@ -241,14 +247,14 @@
     delta: ListingDelta,
     buckets: readonly number[],
   ): ListingChange | "gap" {
-    const { revision, changed, size, comparedState } = delta;
+    const { revision, changed, comparedState } = delta;
     const replaced = new Set(buckets);
     const listed = new Set(changed.map((entry) => entry.id));
     const gone = this.entries().map((entry) => entry.id)
       .filter((id) => replaced.has(bucketOf(id)) && !listed.has(id));
     const changes = { since: this.#revision, revision, changed, gone };
     const isCurrent = comparedState === this.#changeCount;
-    if (!isCurrent || this.#sizeAfter({ ...changes, size }) !== size) {
+    if (!isCurrent || !leadsToSender(this.#index, { ...delta, gone })) {
       return "gap";
     }
     this.#isExact = true;
@@ -259,8 +265,8 @@
    * The full listing after a delta; undefined if the table is no base for it.
    */
   listingAfter(delta: ListingDelta): ReplicaListing | undefined {
-    const { since, revision, changed, gone, size } = delta;
-    if (since > this.deltaBase || this.#sizeAfter(delta) !== size) {
+    const { since, revision, changed, gone } = delta;
+    if (since > this.deltaBase || !leadsToSender(this.#index, delta)) {
       return undefined;
     }
     const known = since < 0 ? [] : this.entries();
@@ -270,16 +276,6 @@
     return { revision, entries: [...entries.values()] };
   }
 
-  /** Number of replicas after a delta is applied. */
-  #sizeAfter({ since, changed, gone }: ListingDelta): number {
-    const ids = new Set(changed.map((entry) => entry.id));
-    if (since < 0) return ids.size;
-    const isListed = (id: string) => this.#index.getById(id) !== undefined;
-    const added = [...ids].filter((id) => !isListed(id));
-    const removed = gone.filter((id) => isListed(id) && !ids.has(id));
-    return this.size + added.length - removed.length;
-  }
-
   /**
    * Whether the entry was removed in an earlier era than that of the listing.
    */
--- a/src/gateway/replicas/schema.ts
+++ b/src/gateway/replicas/schema.ts
@@ -44,6 +44,7 @@
   changed: z.array(ReplicaEntrySchema).readonly(),
   gone: z.array(z.string()).readonly(),
   size: z.number(),
+  digest: z.number().exactOptional(),
   buckets: z.array(z.number()).readonly().exactOptional(),
   comparedState: z.number().exactOptional(),
 });
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -8,6 +8,7 @@
 import type { ClockEcho } from "../peers/remote_clock.ts";
 import { acceptLink, type Link, type LinkEvents } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
+import { eraOf } from "../position.ts";
 import type { ListingComparison, ListingDelta } from "../replicas/model.ts";
 import type { RouteConfig } from "../routing/model.ts";
 import { isUpdate, type UpdateExchange } from "./fleet_updates.ts";
@@ -23,6 +24,9 @@
  */
 const RESEND_INTERVAL_MS = 1000;
 
+/** Interval at which a follower whose listing changes is sent its digest. */
+const DIGEST_INTERVAL_MS = RESEND_INTERVAL_MS;
+
 /**
  * Followers fetch a larger configuration themselves after its version is
  * announced. Sending it to all followers at once would saturate the host's
@@ -48,10 +52,14 @@
   configAgeMs(now: Milliseconds): Milliseconds;
 };
 
+type SentDigest = { readonly value: number; readonly at: Milliseconds };
+
 type Follower = {
   readonly link: Link;
   /** Revision of its listing; undefined before its first message. */
   revision: number | undefined;
+  /** The digest that was last sent to it, and when; undefined: none yet. */
+  digest: SentDigest | undefined;
   /** Its listing when it sent that revision. */
   comparison: ListingComparison | undefined;
   /** Version of its configuration. */
@@ -96,6 +104,7 @@
     const follower: Follower = {
       link,
       revision: undefined,
+      digest: undefined,
       comparison: undefined,
       version: 0,
       echo: undefined,
@@ -154,28 +163,30 @@
   #send(follower: Follower): void {
     if (follower.revision === undefined) return;
     const message = this.#messageFor(follower, follower.revision);
+    const now = this.#options.context.clock.now();
     if (message.listing) {
+      const { digest } = message.listing;
+      if (digest !== undefined) follower.digest = { value: digest, at: now };
       follower.revision = message.listing.revision;
       follower.comparison = undefined;
     }
     follower.version = Math.max(follower.version, message.version);
     follower.echo = undefined;
-    follower.lastSentAt = this.#options.context.clock.now();
+    follower.lastSentAt = now;
     follower.link.send(encodeState(message));
   }
 
   #messageFor(follower: Follower, revision: number): StateMessage {
     const { context, storeAgeMs } = this.#options;
-    const { routes, replicas, clock, eras } = context;
+    const { routes, clock, eras } = context;
     const age = storeAgeMs(clock.now());
     const isFresh = Number.isFinite(age);
-    const isNewer = revision !== replicas.revision;
     const isSettled = eras.isSettled(clock.now());
     // A listing of an unsettled era may come from an older backup and is
     // withheld. The age is still reported, so that followers don't all list the
     // replicas.
-    const listing = isFresh && isNewer && isSettled
-      ? this.#deltaFor(follower, revision)
+    const listing = isFresh && isSettled
+      ? this.#checkedDeltaFor(follower, revision)
       : undefined;
     return {
       type: "state",
@@ -190,6 +201,26 @@
     };
   }
 
+  /**
+   * What the follower lacks; undefined if nothing. Has a digest if the last one
+   * was sent some time ago, or if the follower's listing is of another era.
+   */
+  #checkedDeltaFor(
+    follower: Follower,
+    revision: number,
+  ): ListingDelta | undefined {
+    const { replicas, clock } = this.#options.context;
+    const { value, at = -Infinity } = follower.digest ?? {};
+    const isDue = clock.now() - at >= DIGEST_INTERVAL_MS;
+    const isUnchecked = isDue && value !== replicas.digest;
+    if (revision === replicas.revision && !isUnchecked) return undefined;
+    const delta = this.#deltaFor(follower, revision);
+    if (!delta) return undefined;
+    const isOfOtherEra = eraOf(delta.since) !== eraOf(delta.revision);
+    const hasDigest = isDue || isOfOtherEra;
+    return hasDigest ? { ...delta, digest: replicas.digest } : delta;
+  }
+
   /**
    * The changes since the follower's listing, or what differs from it; all of
    * the listing only if the follower has none. Many followers that started
