Earlier starts of replicas replace later ones that a restore lost

Cause: an entry of an earlier start never replaced that of a later one. A start that a restore lost and nobody wrote again stayed in use for good at the hosts that had seen it.

Change: within an era an earlier start is a late write and is ignored, as before. In a later era the later start is kept while the listing is in doubt (the table is inexact until then, and names it as retained), and given up with the first listing without doubts, or with a delta of the later era. A comparison by buckets takes the sender's starts. What was removed is remembered in a module of its own.

--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -16,10 +16,11 @@
   ReplicaEntry,
   ReplicaListing,
 } from "./model.ts";
+import { RemovedReplicas } from "./removed_replicas.ts";
 import type { Replica } from "./replica.ts";
 import { ReplicaIndex } from "./replica_index.ts";
 
-/** Maximum number of draining, and of removed, incarnations that are stored. */
+/** Maximum number of draining incarnations that are stored. */
 const MAX_STORED = 10_000;
 /** Maximum number of draining incarnations reported although not listed. */
 const MAX_UNLISTED_DRAINING = 200;
@@ -48,10 +49,7 @@
   readonly #draining = new Set<string>();
   /** Those whose entries don't say so yet. */
   readonly #drainingUnlisted = new Set<string>();
-  /**
-   * Incarnations that are no longer listed, with the position of the removal.
-   */
-  readonly #removedAt = new Map<string, Position>();
+  readonly #removed = new RemovedReplicas();
   /** False: replicas were retained that the listing lacks, or listed ones excluded. */
   #isExact = true;
   /** Incarnations that were retained by this host or those it heard of. */
@@ -120,23 +118,31 @@
     if (listing.revision < this.#revision) return undefined;
     const isSame = listing.revision === this.#revision;
     if (isSame && listing.isInexact && this.isExact) return undefined;
+    const hasDoubts = retainMissing || excludeRemoved;
+    const unlisted = this.#unlistedStarts(listing);
+    const replaced = new Set(hasDoubts ? [] : unlisted.map(({ id }) => id));
+    const keptStarts = hasDoubts ? unlisted : [];
     this.#revision = listing.revision;
     const retainedBySender = new Set(listing.retained);
-    const listed = listing.entries.map((entry) => this.#withKnown(entry))
+    const listed = listing.entries
+      .map((entry) => this.#withKnown(entry, replaced.has(entry.id)))
       // This host knows that the store has removed it.
       .filter(({ incarnation }) =>
-        !retainedBySender.has(incarnation) || !this.#removedAt.has(incarnation)
+        !retainedBySender.has(incarnation) || !this.#removed.has(incarnation)
       );
     const entries = excludeRemoved
-      ? listed.filter((entry) => !this.#wasRemovedInEarlierEra(entry))
+      ? listed.filter(({ incarnation }) =>
+        !this.#removed.hasFromEarlierEra(incarnation, this.#revision)
+      )
       : listed;
     const { byIncarnation } = this.#index;
     const change = diffListing(byIncarnation, entries, retainMissing);
+    const retained = [...change.retained, ...keptStarts];
     this.#isExact = listing.isInexact !== true &&
-      change.retained.length === 0 && entries.length === listed.length;
+      retained.length === 0 && entries.length === listed.length;
     this.#retained = new Set([
       ...retainedBySender,
-      ...change.retained.map((entry) => entry.incarnation),
+      ...retained.map((entry) => entry.incarnation),
     ]);
     this.#apply(change);
     return change;
@@ -144,7 +150,7 @@
 
   #apply(change: ListingChange): void {
     this.#changeCount += 1;
-    this.#noteRemoved(change);
+    this.#removed.note(change, this.#revision);
     for (const { id } of change.removed) this.#index.delete(id);
     for (const entry of change.changed) this.#index.put(entry);
     this.#drainingUnlisted.clear();
@@ -196,7 +202,10 @@
     if (delta.since > this.deltaBase) return "gap";
     if (delta.buckets) return this.#applyBuckets(delta, delta.buckets);
     if (!leadsToSender(this.#index, delta)) return "gap";
-    if (delta.since >= 0) return this.#applyListed(delta);
+    if (delta.since >= 0) {
+      const isOfLaterEra = eraOf(delta.revision) > eraOf(this.#revision);
+      return this.#applyListed(delta, isOfLaterEra);
+    }
     const { revision, changed: entries } = delta;
     return this.adopt({ revision, entries }) ?? "older";
   }
@@ -214,7 +223,10 @@
    * Applies changes of the listing at this table's position. Compares only the
    * replicas that they name, since each change reaches all hosts.
    */
-  #applyListed({ revision, changed, gone }: ListingChanges): ListingChange {
+  #applyListed(
+    { revision, changed, gone }: ListingChanges,
+    replacesStarts = false,
+  ): ListingChange {
     this.#revision = revision;
     // Most writes to the store are heartbeats.
     if (changed.length === 0 && gone.length === 0) {
@@ -231,7 +243,9 @@
       const replica = this.#index.getById(id);
       return replica ? [[replica.entry.incarnation, replica] as const] : [];
     }));
-    const listed = [...entries.values()].map((entry) => this.#withKnown(entry));
+    const listed = [...entries.values()].map((entry) =>
+      this.#withKnown(entry, replacesStarts)
+    );
     const change = diffListing(before, listed, false);
     this.#apply(change);
     return change;
@@ -258,7 +272,8 @@
       return "gap";
     }
     this.#isExact = true;
-    return this.#applyListed(changes);
+    this.#retained = new Set();
+    return this.#applyListed(changes, true);
   }
 
   /**
@@ -276,30 +291,14 @@
     return { revision, entries: [...entries.values()] };
   }
 
-  /**
-   * Whether the entry was removed in an earlier era than that of the listing.
-   */
-  #wasRemovedInEarlierEra({ incarnation }: ReplicaEntry): boolean {
-    const removedAt = this.#removedAt.get(incarnation);
-    return removedAt !== undefined && eraOf(removedAt) < eraOf(this.#revision);
-  }
-
-  #noteRemoved({ added, removed }: ListingChange): void {
-    for (const { incarnation } of added) this.#removedAt.delete(incarnation);
-    for (const { incarnation } of removed) {
-      this.#removedAt.set(incarnation, this.#revision);
-      evictOldest(this.#removedAt, MAX_STORED);
-    }
-  }
-
   /**
    * The entry with what is known of its replica: entries of earlier starts are
-   * replaced by that of the latest one, and draining is not undone.
+   * replaced by that of the latest one, unless `replacesStart`, and draining is
+   * not undone.
    */
-  #withKnown(listed: ReplicaEntry): ReplicaEntry {
-    const known = this.#index.getById(listed.id)?.entry;
-    const isOlder = (listed.born ?? 0) < (known?.born ?? 0);
-    const entry = known && isOlder ? known : listed;
+  #withKnown(listed: ReplicaEntry, replacesStart: boolean): ReplicaEntry {
+    const later = replacesStart ? undefined : this.#laterStartOf(listed);
+    const entry = later ?? listed;
     const { incarnation, leaving } = entry;
     if (leaving) this.#draining.add(incarnation);
     evictOldest(this.#draining, MAX_STORED);
@@ -307,6 +306,24 @@
     return isUnchanged ? entry : { ...entry, leaving: true };
   }
 
+  /** The entry of a later start of the replica. */
+  #laterStartOf({ id, born = 0 }: ReplicaEntry): ReplicaEntry | undefined {
+    const known = this.#index.getById(id)?.entry;
+    return known && born < (known.born ?? 0) ? known : undefined;
+  }
+
+  /**
+   * Later starts than the listed ones that the store has lost: they are of an
+   * earlier era. Within an era, an entry of an earlier start is a late write.
+   */
+  #unlistedStarts({ revision, entries }: ReplicaListing): ReplicaEntry[] {
+    const isOfLaterEra = eraOf(revision) > eraOf(this.#revision);
+    return entries.flatMap((entry) => this.#laterStartOf(entry) ?? [])
+      .filter(({ incarnation }) =>
+        isOfLaterEra || this.#retained.has(incarnation)
+      );
+  }
+
   /**
    * Records draining replicas; returns those not recorded before. The entries
    * change when the next listing is adopted.
--- a/test/gateway/replicas/replica_table_test.ts
+++ b/test/gateway/replicas/replica_table_test.ts
@@ -204,3 +204,57 @@
   });
   assert.ok(table.get("a"));
 });
+
+// Guards against hosts that use a start of a replica which the store has lost,
+// while others use the earlier start that it lists again.
+test("an earlier start replaces a later one of an earlier era once the store is settled", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: positionOf(1, 5), entries: [startedEntry(1)] });
+  table.adopt({ revision: positionOf(1, 6), entries: [startedEntry(2)] });
+  const restored = { revision: positionOf(2, 5), entries: [startedEntry(1)] };
+  table.adopt(restored, { retainMissing: true });
+  assert.ok(table.get("a@2"));
+  assert.equal(table.isExact, false);
+  assert.deepEqual(table.listing().retained, ["a@2"]);
+  table.adopt({ ...restored, revision: positionOf(2, 6) });
+  assert.equal(table.get("a@2"), undefined);
+  assert.ok(table.get("a@1"));
+  assert.equal(table.isExact, true);
+});
+
+test("a later start of an earlier era is listed if the restored store lists it", () => {
+  const table = new ReplicaTable();
+  table.adopt({ revision: positionOf(1, 6), entries: [startedEntry(2)] });
+  const restored = { revision: positionOf(2, 5), entries: [startedEntry(1)] };
+  table.adopt(restored, { retainMissing: true });
+  const entries = [startedEntry(2)];
+  table.adopt({ revision: positionOf(2, 6), entries }, { retainMissing: true });
+  assert.equal(table.isExact, true);
+  // A late entry of the same era, as above.
+  table.adopt({ ...restored, revision: positionOf(2, 7) });
+  assert.ok(table.get("a@2"));
+});
+
+test("a delta of a later era replaces a later start", () => {
+  const reader = new ReplicaTable();
+  const follower = new ReplicaTable();
+  const first = { revision: positionOf(1, 5), entries: [startedEntry(1)] };
+  reader.adopt(first);
+  follower.adopt(first);
+  follower.adopt({ revision: positionOf(1, 6), entries: [startedEntry(2)] });
+  const entries = [startedEntry(1, true)];
+  reader.adopt({ revision: positionOf(2, 5), entries });
+  const delta = reader.deltaSince(positionOf(1, 5));
+  assert.ok(delta && typeof follower.applyDelta(delta) === "object");
+  assert.deepEqual(follower.entries(), entries);
+});
+
+test("a comparison leads to the sender's start of a replica", () => {
+  const reader = new ReplicaTable();
+  const follower = new ReplicaTable();
+  follower.adopt({ revision: 5, entries: [startedEntry(2)] });
+  reader.adopt({ revision: 6, entries: [startedEntry(1)] });
+  const delta = reader.deltaTo(follower.compare());
+  assert.ok(delta && typeof follower.applyDelta(delta) === "object");
+  assert.deepEqual(follower.entries(), reader.entries());
+});
