A late response of a full read no longer ages the configuration

Cause: the version that the store is known to have was that of the response which came last. A full read beside a watch may come after it with an older version, or none; the watch reports only newer ones, so the host took its configuration for one that the store lacks from then on.

Change: only responses at or after the newest position read in the era count.

--- a/src/gateway/state/config_reader.ts
+++ b/src/gateway/state/config_reader.ts
@@ -23,13 +23,16 @@
 export class ConfigReader {
   readonly #options: ConfigReaderOptions;
   #watch = new AbortController();
-  /** Version last read from the store; 0: none in this era. */
+  /** The store's version at the newest position read; 0: none in this era. */
   #storeVersion = 0;
+  /** Position of the newest response; -1: none in this era. */
+  #position: Position = -1;
 
   constructor(options: ConfigReaderOptions) {
     this.#options = options;
     options.context.eras.listen(() => {
       this.#storeVersion = 0;
+      this.#position = -1;
       this.endWatch();
     });
   }
@@ -57,8 +60,12 @@
     const position = eras.resolvePosition(reading.position, start);
     eras.observe(position, clock.now());
     if (this.#isOfAnotherEra(position, { start, from })) return {};
-    if (reading.config) this.#storeVersion = reading.config.version;
-    else if (from === undefined) this.#storeVersion = 0;
+    // Of two calls at the same time the earlier response may arrive last.
+    if (position >= this.#position) {
+      this.#position = position;
+      if (reading.config) this.#storeVersion = reading.config.version;
+      else if (from === undefined) this.#storeVersion = 0;
+    }
     this.#noteNewest(requestedAt);
     return reading;
   }
