Stages: all desired changes in one pass over the replicas

Cause: desiredChanges searched all replicas anew for each change: three filters, a sort and an indexOf. A starting host has no links yet and takes itself for the planner of every service, so each start paid for it; the planner paid each 500 ms until the split was reached.

Change: the candidates are queued by hall once; a change takes the next one of the largest hall.

--- a/src/gateway/stages/balance.ts
+++ b/src/gateway/stages/balance.ts
@@ -24,27 +24,7 @@
   share: number,
   load: StageLoad | undefined,
 ): StageChange | undefined {
-  const staged = replicas.filter((replica) =>
-    !replica.leaving && replica.stage
-  );
-  const prefills = staged.filter((replica) =>
-    replica.stage === ReplicaStage.prefill
-  );
-  const decodes = staged.filter((replica) =>
-    replica.stage === ReplicaStage.decode
-  );
-  const surplus = prefills.length - staged.length * share;
-  if (surplus > SHARE_TOLERANCE && prefills.length > 1) {
-    if (load && load.decode < BUSY_LOAD) return undefined;
-    const replica = fromLargestHall(prefills);
-    return replica && { replica, stage: ReplicaStage.decode };
-  }
-  if (surplus < -SHARE_TOLERANCE && decodes.length > 1) {
-    if (load && load.prefill < BUSY_LOAD) return undefined;
-    const replica = fromLargestHall(decodes);
-    return replica && { replica, stage: ReplicaStage.prefill };
-  }
-  return undefined;
+  return changesTowards(replicas, { share, load, maxChanges: 1 })[0];
 }
 
 /** Share of a service's engines that may change at once under traffic. */
@@ -62,14 +42,39 @@
   const maxChanges = load
     ? Math.max(1, Math.floor(replicas.length * MAX_CHANGING_SHARE))
     : replicas.length;
-  const after = [...replicas];
+  return changesTowards(replicas, { share, load, maxChanges });
+}
+
+function changesTowards(
+  replicas: readonly ReplicaEntry[],
+  { share, load, maxChanges }: {
+    readonly share: number;
+    readonly load: StageLoad | undefined;
+    readonly maxChanges: number;
+  },
+): StageChange[] {
+  const staged = replicas.filter((replica) =>
+    !replica.leaving && replica.stage
+  );
+  const prefills = staged.filter((replica) =>
+    replica.stage === ReplicaStage.prefill
+  );
+  const surplus = prefills.length - staged.length * share;
+  const stage = surplus > 0 ? ReplicaStage.decode : ReplicaStage.prefill;
+  if (load && load[stage] < BUSY_LOAD) return [];
+  const candidates = surplus > 0
+    ? prefills
+    : staged.filter((replica) => replica.stage === ReplicaStage.decode);
+  const excess = Math.abs(surplus);
+  const halls = new HallQueues(candidates);
   const changes: StageChange[] = [];
-  while (changes.length < maxChanges) {
-    const change = desiredChange(after, share, load);
-    if (!change) return changes;
-    changes.push(change);
-    const at = after.indexOf(change.replica);
-    after[at] = { ...change.replica, stage: change.stage };
+  while (
+    changes.length < maxChanges && candidates.length - changes.length > 1 &&
+    excess - changes.length > SHARE_TOLERANCE
+  ) {
+    const replica = halls.takeFromLargest();
+    if (!replica) break;
+    changes.push({ replica, stage });
   }
   return changes;
 }
@@ -102,15 +107,44 @@
   }
 }
 
-function fromLargestHall(
-  replicas: readonly ReplicaEntry[],
-): ReplicaEntry | undefined {
-  const sizes = new Map<string, number>();
-  for (const { hall } of replicas) sizes.set(hall, (sizes.get(hall) ?? 0) + 1);
-  return [...replicas].sort((a, b) =>
-    (sizes.get(b.hall) ?? 0) - (sizes.get(a.hall) ?? 0) ||
-    (a.incarnation < b.incarnation ? -1 : 1)
-  )[0];
+/** Replicas of one stage by hall, which are taken from the largest hall. */
+class HallQueues {
+  /** Sorted by incarnation, the next one last. */
+  readonly #halls: readonly ReplicaEntry[][];
+
+  constructor(replicas: readonly ReplicaEntry[]) {
+    const halls = new Map<string, ReplicaEntry[]>();
+    for (const replica of replicas) {
+      const queue = halls.get(replica.hall);
+      if (queue) queue.push(replica);
+      else halls.set(replica.hall, [replica]);
+    }
+    this.#halls = [...halls.values()];
+    for (const queue of this.#halls) {
+      queue.sort((a, b) => a.incarnation < b.incarnation ? 1 : -1);
+    }
+  }
+
+  takeFromLargest(): ReplicaEntry | undefined {
+    const [first, ...others] = this.#halls;
+    if (!first) return undefined;
+    const largest = others.reduce(
+      (best, queue) => precedes(queue, best) ? queue : best,
+      first,
+    );
+    return largest.pop();
+  }
+}
+
+/** Whether a replica of the first queue is taken before those of the second. */
+function precedes(
+  queue: readonly ReplicaEntry[],
+  other: readonly ReplicaEntry[],
+): boolean {
+  if (queue.length !== other.length) return queue.length > other.length;
+  const [next, otherNext] = [queue.at(-1), other.at(-1)];
+  return next !== undefined && otherNext !== undefined &&
+    next.incarnation < otherNext.incarnation;
 }
 
 /** Delays a change until it has been desired for some time. */
--- a/test/gateway/stages/stages_test.ts
+++ b/test/gateway/stages/stages_test.ts
@@ -86,6 +86,48 @@
   assert.deepEqual(desiredChanges([], 0.2, undefined), []);
 });
 
+test("all changes are those that repeated single changes would make", () => {
+  const members = fc.array(
+    fc.record({ isPrefill: fc.boolean(), hall: fc.nat(3) }),
+    { maxLength: 40 },
+  );
+  const shares = fc.double({ min: 0.05, max: 0.95, noNaN: true });
+  fc.assert(fc.property(members, shares, (stages, share) => {
+    const replicas = stages.map(({ isPrefill, hall }, at) =>
+      replica(`r${at}`, isPrefill ? "prefill" : "decode", `h${hall}`)
+    );
+    const after = [...replicas];
+    const single: string[] = [];
+    for (;;) {
+      const change = desiredChange(after, share, undefined);
+      if (!change || single.length === replicas.length) break;
+      single.push(change.replica.incarnation);
+      const at = after.indexOf(change.replica);
+      after[at] = { ...change.replica, stage: change.stage };
+    }
+    const all = desiredChanges(replicas, share, undefined);
+    assert.deepEqual(all.map((change) => change.replica.incarnation), single);
+  }));
+});
+
+// Guards against a pass over all replicas for each change: a starting host takes
+// itself for the planner of all services until it has links to others.
+test("hundreds of changes of 2,250 replicas read each replica a few times", () => {
+  let reads = 0;
+  const replicas = Array.from({ length: 2250 }, (_, at) => {
+    const stage: ReplicaStage = at % 3 === 0 ? "prefill" : "decode";
+    return new Proxy(replica(`r${at}`, stage, `h${at % 3}`), {
+      get: (entry, field) => {
+        if (field === "stage") reads += 1;
+        return Reflect.get(entry, field);
+      },
+    });
+  });
+  const changes = desiredChanges(replicas, 0.5, undefined);
+  assert.equal(changes.length, 375);
+  assert.ok(reads <= 4 * replicas.length, `${reads} reads`);
+});
+
 test("the load is smoothed from the first traffic on", () => {
   const smoothed = new SmoothedLoad();
   smoothed.add({ prefill: 0, decode: 0 });
