Planners: a host links to a few candidates, not to all that precede it

Cause: a host opened a link to each host that precedes it in a service's order until one was open. At a start none is, so the first call opened links to half of the fleet, for each service, and kept them: at 330 hosts up to 329 links a host, each with a ping a second from both ends.

Change: PlannerCandidates chooses the first two hosts of the order and the first of each hall; lost ones among them are tried again but don't count, three a hall at most. PlannerLinks (out of PlannerClient) opens links to them and closes those to hosts that are no longer candidates.

The tests (330 hosts, virtual time) failed with 329 links of one host, and 219 after a hall was cut off; now 8 a service at most, and all hosts agree on the next planner after the loss of two hosts and of a hall.

--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -1,14 +1,18 @@
 /**
  * Requests assignments from the planner of a service. The planner is the first
- * host in the service's rendezvous order that is this host or has an open link
- * to it.
+ * candidate in the service's rendezvous order that is this host or has an open
+ * link to it.
  */
 import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { GatewayContext } from "../context.ts";
 import type { HostEntry } from "../port.ts";
-import { capacityWeight, HostOrders } from "../peers/host_order.ts";
-import { type Link, LinkPath, openLink } from "../peers/link.ts";
+import {
+  type Link,
+  type LinkEvents,
+  type LinkTarget,
+  openLink,
+} from "../peers/link.ts";
 import {
   type ActiveAssignment,
   type Assignment,
@@ -30,9 +34,7 @@
   type RatesMessage,
 } from "./messages.ts";
 import type { PlanService } from "./plan_service.ts";
-
-/** Delay before a link that closed is opened again. */
-const LINK_RETRY_DELAY_MS = 800;
+import { PlannerLinks } from "./planner_links.ts";
 
 type PendingRequest = {
   readonly request: PlacementRequest;
@@ -40,24 +42,21 @@
   resolve(result: Assignment | AssignmentRefusal): void;
 };
 
-type PlannerLink = {
-  readonly link: Link;
-  /** The other side has responded. */
-  isReady: boolean;
+/** Options of {@link PlannerClient} that have defaults. */
+export type PlannerClientOptions = {
+  /** Opens a link to a planner. */
+  readonly open?: (target: LinkTarget, events: LinkEvents) => Link;
 };
 
 /** Requests assignments for this host's requests and reports their progress. */
 export class PlannerClient {
   readonly #context: GatewayContext;
   readonly #localPlanner: PlanService;
-  readonly #hosts: () => readonly HostEntry[];
   readonly #pending = new Map<string, PendingRequest>();
   readonly #active = new Map<string, ActiveAssignment>();
-  readonly #links = new Map<string, PlannerLink>();
-  readonly #retryLinkAt = new Map<string, Milliseconds>();
+  readonly #links: PlannerLinks;
   /** The planner used last, by service. */
   readonly #planners = new Map<string, string>();
-  readonly #orders: HostOrders;
   readonly #summaries = new KeptSummaries();
   /** What planners granted of the requests of customers. */
   readonly ratios = new LastRatios();
@@ -66,11 +65,18 @@
     context: GatewayContext,
     localPlanner: PlanService,
     hosts: () => readonly HostEntry[],
+    { open = openLink }: PlannerClientOptions = {},
   ) {
     this.#context = context;
     this.#localPlanner = localPlanner;
-    this.#hosts = hosts;
-    this.#orders = new HostOrders(context.self, capacityWeight);
+    this.#links = new PlannerLinks({
+      context,
+      hosts,
+      open,
+      onLine: (from, text) => this.#receiveLine(from, text),
+      onClosed: (host, { wasReady }) => this.#linkClosed(host, wasReady),
+      inUse: () => this.#plannersInUse(),
+    });
     localPlanner.attach(
       context.self.id,
       (message) => this.#receive(context.self.id, message),
@@ -159,12 +165,9 @@
     this.#release(id, AssignmentStage.ended);
   }
 
-  /**
-   * The current planner of a service. Links to hosts that precede it in the
-   * order are opened in the background; no request waits for them.
-   */
+  /** The current planner of a service; no request waits for a link. */
   plannerOf(service: string): string {
-    const planner = this.#bestPlanner(service);
+    const planner = this.#links.choose(service);
     const before = this.#planners.get(service);
     this.#planners.set(service, planner);
     if (before !== undefined && before !== planner) {
@@ -175,38 +178,9 @@
     return planner;
   }
 
-  #bestPlanner(service: string): string {
-    const now = this.#context.clock.now();
-    const { self } = this.#context;
-    const hosts = this.#hosts();
-    for (const id of this.#orders.of(service, hosts)) {
-      if (id === self.id) return id;
-      const plannerLink = this.#links.get(id);
-      if (plannerLink?.isReady) return id;
-      const host = hosts.find((entry) => entry.id === id);
-      const mustWait = (this.#retryLinkAt.get(id) ?? 0) > now;
-      if (host && !plannerLink && !mustWait) this.#openLink(host);
-    }
-    return self.id;
-  }
-
-  #openLink(host: HostEntry): void {
-    const { clock, self } = this.#context;
-    const target = {
-      address: host.address,
-      path: LinkPath.plan,
-      self: self.id,
-      clock,
-    };
-    const link = openLink(target, {
-      ready: () => {
-        const plannerLink = this.#links.get(host.id);
-        if (plannerLink) plannerLink.isReady = true;
-      },
-      line: (text) => this.#receiveLine(host.id, text),
-      closed: () => this.#linkClosed(host.id),
-    });
-    this.#links.set(host.id, { link, isReady: false });
+  #plannersInUse(): string[] {
+    return [...this.#pending.values(), ...this.#active.values()]
+      .map(({ planner }) => planner);
   }
 
   /** Sends the estimates of the earlier planner to the new one. */
@@ -239,11 +213,8 @@
     assignment.planner = planner;
   }
 
-  #linkClosed(host: string): void {
-    const { clock, events } = this.#context;
-    const wasReady = this.#links.get(host)?.isReady ?? false;
-    this.#links.delete(host);
-    this.#retryLinkAt.set(host, clock.now() + LINK_RETRY_DELAY_MS);
+  #linkClosed(host: string, wasReady: boolean): void {
+    const { events } = this.#context;
     if (wasReady) events.note("plannerLost", { planner: host });
     for (const service of this.#planners.keys()) this.plannerOf(service);
     for (const pending of this.#pending.values()) {
@@ -291,7 +262,7 @@
   #send(planner: string, message: HostMessage): void {
     const { self } = this.#context;
     if (planner === self.id) return this.#localPlanner.handle(self.id, message);
-    this.#links.get(planner)?.link.send(message);
+    this.#links.send(planner, message);
   }
 
   #receiveLine(from: string, text: string): void {
