--- a/bench/slow_callers/main.ts
+++ b/test/soak/measure_slow_callers.ts
@@ -2,15 +2,11 @@
  * What 1,000 slow callers of one host cost it: its memory, and how many requests
  * of other callers it serves without and with them.
  */
-import { CallKind, type CallResult } from "../../test/soak/call.ts";
-import { type FleetHost, readGauge } from "../../test/soak/fleet.ts";
-import { sleep } from "../../test/soak/sleep.ts";
-import {
-  runCallers,
-  type TestFleet,
-  withFleet,
-} from "../../test/soak/test_fleet.ts";
-import { isOwnAndComplete } from "../../test/soak/whole_responses.ts";
+import { CallKind, type CallResult } from "./call.ts";
+import { type FleetHost, readGauge } from "./fleet.ts";
+import { sleep } from "./sleep.ts";
+import { runCallers, type TestFleet, withFleet } from "./test_fleet.ts";
+import { isOwnAndComplete } from "./whole_responses.ts";
 import { openSlowCallers } from "./slow_callers.ts";
 
 const SLOW_CALLERS = 1000;
