Hosts get a configuration that a restore lost from those that have it

Cause: versions went from a reader to its followers only. A follower with a newer one, which the store has lost and nobody writes again, kept it to itself.

Change: a host that learns from a follower of a version that it has not heard of fetches it, as it does for announced ones. Followers name theirs when they follow (as before) and, while linked, in a "sync" if a report names none as new. Hosts of the version before ignore that field.

--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -51,8 +51,7 @@
     const synchronizer = new Synchronizer({
       context,
       onConfig: options.onConfig,
-      onVersionAnnounced: (announcement) =>
-        this.#catchup.noteVersion(announcement),
+      onVersionAnnounced: (version) => this.#catchup.noteVersion(version),
       onChange: () => this.#scheduleBroadcast(),
       onDraining: (incarnations) =>
         context.draining.announceListed(incarnations),
@@ -73,6 +72,7 @@
       updates,
       storeAgeMs: (now) => synchronizer.reportableAgeMs(now),
       configAgeMs: (now) => synchronizer.configAgeMs(now),
+      onNewerVersion: (found, by) => synchronizer.noteVersion(found, by),
     });
     this.#follower = new HallFollower({
       context,
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -333,12 +333,21 @@
       this.#switchTo(this.#candidate);
     }
     const report = { reader, address, message, configAsOf };
-    if (this.#options.onReport(report)) return;
+    const isContinued = this.#options.onReport(report);
+    this.#announceVersion(link, message);
+    if (isContinued) return;
     // The listing doesn't match the table.
     const wasCompared = message.listing?.buckets !== undefined;
     this.#follow(link, { revision: -1, isCompared: !wasCompared });
   }
 
+  /** Tells the reader this host's version if it has not heard of it. */
+  #announceVersion(link: Link, { version, newest }: StateMessage): void {
+    const { routes, clock } = this.#options.context;
+    if (routes.version <= Math.max(version, newest ?? 0)) return;
+    link.send({ type: "sync", sentAt: clock.now(), version: routes.version });
+  }
+
   #close(): void {
     const link = this.#link;
     this.#link = undefined;
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -28,6 +28,8 @@
   type: z.literal("sync"),
   /** The follower's clock. */
   sentAt: z.number(),
+  /** Version of the follower's configuration if the reader named none as new. */
+  version: z.number().exactOptional(),
 });
 
 const State = z.object({
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -11,6 +11,7 @@
 import { eraOf } from "../position.ts";
 import type { ListingComparison, ListingDelta } from "../replicas/model.ts";
 import type { RouteConfig } from "../routing/model.ts";
+import type { VersionAnnouncement } from "./config_catchup.ts";
 import { isUpdate, type UpdateExchange } from "./fleet_updates.ts";
 import {
   encodeState,
@@ -50,6 +51,8 @@
    * Infinity: never.
    */
   configAgeMs(now: Milliseconds): Milliseconds;
+  /** Called when a follower has a version that was not announced here. */
+  onNewerVersion(announcement: VersionAnnouncement, follower: HostId): void;
 };
 
 type SentDigest = { readonly value: number; readonly at: Milliseconds };
@@ -150,7 +153,9 @@
     if (isUpdate(message)) return updates.receive(follower.link, message);
     const now = context.clock.now();
     follower.echo = { sentAt: message.sentAt, heardAt: now };
-    if (message.type === "sync") return;
+    if (message.type === "sync") {
+      return this.#noteVersion(message.version ?? 0, follower.host);
+    }
     if (!follower.host) updates.sendAll(follower.link);
     follower.revision = message.revision;
     follower.comparison = message.comparison;
@@ -158,6 +163,17 @@
     follower.host = message.host;
     directory.add([message.host], now);
     this.#send(follower);
+    this.#noteVersion(message.version, message.host);
+  }
+
+  /**
+   * Reports a follower's newer version: a restore may have lost it, so that the
+   * store never sends it to this host.
+   */
+  #noteVersion(version: number, host: HostEntry | undefined): void {
+    const { context: { routes }, onNewerVersion } = this.#options;
+    if (!host || version <= routes.newestVersion) return;
+    onNewerVersion({ version, holder: host.address }, host.id);
   }
 
   #send(follower: Follower): void {
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -96,6 +96,7 @@
     updates: noopUpdateExchange(),
     storeAgeMs: () => ages.now,
     configAgeMs: () => Infinity,
+    onNewerVersion: () => undefined,
   });
   const followerSide = makeContext();
   const self = { id: follower, address: "127.0.0.1:1", hall: "h" };
--- a/test/gateway/state/state_server_test.ts
+++ b/test/gateway/state/state_server_test.ts
@@ -43,6 +43,7 @@
     updates: noopUpdateExchange(),
     storeAgeMs: () => 0,
     configAgeMs: () => 0,
+    onNewerVersion: () => undefined,
   });
   const server = createServer((request, response) =>
     stateServer.accept(request, response)
