Nothing is stored of connections to a replica that isn't listed

A call to a removed replica, such as one that drops a reservation, stored a connection pool and the replica among those connected last. Nothing removed them: they piled up with each replaced replica, and paths to replicas that had ended were checked in place of live ones.

--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -198,10 +198,13 @@
     const { incarnation, address } = entry;
     const agent = agents.direct.get(incarnation) ??
       new KeepAliveAgent(maxConnections, connect);
-    agents.direct.set(incarnation, agent);
-    // The replicas in use last are at the end.
-    this.#connected.delete(incarnation);
-    this.#connected.set(incarnation, entry);
+    // Nothing would remove what is stored for a replica that isn't listed.
+    if (monitor.isListed(entry)) {
+      agents.direct.set(incarnation, agent);
+      // The replicas in use last are at the end.
+      this.#connected.delete(incarnation);
+      this.#connected.set(incarnation, entry);
+    }
     const sentAt = this.#clock.now();
     const started = startCall({
       ...call,
@@ -226,14 +229,14 @@
     call: HttpCall,
     { entry, agents, maxConnections }: CallContext,
   ): Call {
-    const { dialer, tunnelTimeoutMs, connectTimeoutMs } = this.#paths;
+    const { dialer, monitor, tunnelTimeoutMs, connectTimeoutMs } = this.#paths;
     const { incarnation, address } = entry;
     const agent = agents.tunnelled.get(incarnation) ?? new TunnelAgent({
       maxConnections,
       clock: this.#clock,
       open: () => dialer.open(entry, tunnelTimeoutMs),
     });
-    agents.tunnelled.set(incarnation, agent);
+    if (monitor.isListed(entry)) agents.tunnelled.set(incarnation, agent);
     return startCall({
       ...call,
       address,
