A configuration whose times overflow is a fault

Seconds are converted to milliseconds and the silence timeout is a multiple of others, so a huge value became Infinity. A timer of that length fires at once.

--- a/test/platform/config_row_test.ts
+++ b/test/platform/config_row_test.ts
@@ -89,3 +89,56 @@
     assert.ok(["config", "fault"].includes(read(text).type));
   }));
 });
+
+type Path = readonly (string | number)[];
+
+/** The paths to all fields of a value. */
+function pathsOf(value: unknown, path: Path = []): Path[] {
+  if (typeof value !== "object" || value === null) return [path];
+  const inner = Object.entries(value)
+    .flatMap(([name, field]) => pathsOf(field, [...path, name]));
+  return [path, ...inner];
+}
+
+/** A copy with another value at a path. */
+function replaceAt(value: unknown, path: Path, change: unknown): unknown {
+  const [name, ...rest] = path;
+  if (name === undefined) return change;
+  const copy = Array.isArray(value) ? [...value] : { ...value as object };
+  const fields = copy as Record<string | number, unknown>;
+  fields[name] = replaceAt(fields[name], rest, change);
+  return copy;
+}
+
+/** All numbers within a value. */
+function numbersOf(value: unknown): number[] {
+  if (typeof value === "number") return [value];
+  if (typeof value !== "object" || value === null) return [];
+  return Object.values(value).flatMap(numbersOf);
+}
+
+test("a configuration with a broken field is a fault, or all that is read is in range", () => {
+  const tenant = { Name: "a", ApiKeys: ["k"], RatePerS: 5, Burst: 2 };
+  const valid = { ...engineConfig(4), Tenants: [tenant] };
+  const changes = fc.record({
+    path: fc.constantFrom(...pathsOf(valid)),
+    change: fc.oneof(
+      fc.anything(),
+      fc.constantFrom(1.7e308, -1.7e308, 1e300, -1, 0, 0.5, "", "1", [], {}),
+    ),
+  });
+  const property = fc.property(changes, ({ path, change }) => {
+    const result = read(replaceAt(valid, path, change) ?? null);
+    if (result.type === "fault") return;
+    const { version, routes, ...others } = result.config;
+    assert.ok(Number.isFinite(version));
+    for (const { priority, ...route } of routes) {
+      assert.ok(Number.isFinite(priority));
+      assert.ok(numbersOf(route).every((value) => value >= 0));
+    }
+    const numbers = [...numbersOf(routes), ...numbersOf(others)];
+    assert.ok(numbers.every(Number.isFinite), path.join("."));
+    assert.ok(numbersOf(others).every((value) => value >= 0));
+  });
+  fc.assert(property, { numRuns: 3000 });
+});
