Replica rows: most are accepted by a quick check before the schema

Change: a type guard accepts the rows that the schema returns unchanged; all others go through the schema, which also names the fault. A property compares the two (it did not compile before).

--- a/test/platform/replica_row_test.ts
+++ b/test/platform/replica_row_test.ts
@@ -3,7 +3,11 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import "../fixed_seed.ts";
-import { replicasOf } from "../../platform/replica_row.ts";
+import {
+  isReplicaRow,
+  ReplicaRow,
+  replicasOf,
+} from "../../platform/replica_row.ts";
 
 const VALID_ROW = {
   Service: "s",
@@ -156,3 +160,53 @@
     }
   }));
 });
+
+test("the quick check accepts a row only if the schema returns the same fields", () => {
+  const values = fc.oneof(
+    fc.constantFrom<unknown>(
+      undefined,
+      null,
+      "",
+      "x",
+      "ready",
+      "draining",
+      "prefill",
+      "10.0.0.1:80",
+      "[::1]:80",
+      "x".repeat(201),
+      0,
+      -1,
+      1.5,
+      2 ** 60,
+      true,
+      [],
+      {},
+    ),
+    fc.integer(),
+    fc.string(),
+  );
+  const fields = Object.keys({ ...VALID_ROW, born: 1, Other: 1 });
+  const changes = fc.dictionary(fc.constantFrom(...fields), values, {
+    maxKeys: 2,
+  });
+  let accepted = 0;
+  fc.assert(
+    fc.property(changes, (change) => {
+      // As rows are read: without fields that are undefined.
+      const row: unknown = JSON.parse(
+        JSON.stringify({ ...VALID_ROW, born: 1, ...change }),
+      );
+      if (!isReplicaRow(row)) return;
+      accepted += 1;
+      const read = ReplicaRow.safeParse(row);
+      assert.ok(read.success);
+      for (const [field, value] of Object.entries(read.data)) {
+        assert.equal(value, Reflect.get(row, field));
+      }
+    }),
+    { numRuns: 2000 },
+  );
+  assert.ok(accepted > 100, `${accepted} rows`);
+  for (const value of [null, 1, "x", []]) assert.ok(!isReplicaRow(value));
+  assert.ok(isReplicaRow(VALID_ROW));
+});
