Metrics: messages and bytes of the links between hosts by path and type

Change: families of counters with labels, at most 200 a family; links count both directions. Tests: both ends count a message with its bytes; a family stays bounded (neither compiled before).

--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -62,7 +62,7 @@
     events,
     metrics,
     directory,
-    openLink,
+    openLink: (target, events) => openLink({ ...target, metrics }, events),
   });
   const paths = createPaths({
     clock,
--- a/src/gateway/customers/customers.ts
+++ b/src/gateway/customers/customers.ts
@@ -45,6 +45,7 @@
     };
     this.owner = new QuotaOwner({
       clock: context.clock,
+      metrics: context.metrics,
       run: context.self.run,
       allowance: quotaRule(() => this.#bounds()),
       retentionMs: () => this.#settings.quota_window,
@@ -63,7 +64,8 @@
       retentionMs: () => this.#settings.quota_window,
       path: LinkPath.quota,
       noteLost: (owner) => context.events.note("quotaOwnerLost", { owner }),
-      openLink,
+      openLink: (target, events) =>
+        openLink({ ...target, metrics: context.metrics }, events),
     });
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -143,7 +143,8 @@
       directory,
       store: port.store,
       times: storeTimesOf(settings),
-      openLink,
+      openLink: (target, events) =>
+        openLink({ ...target, metrics: context.metrics }, events),
       connections: this.#connections,
       onConfig: (config) => this.#callerServer.applyLimits(config.limits),
     });
--- a/src/gateway/limits/replica_limits.ts
+++ b/src/gateway/limits/replica_limits.ts
@@ -72,7 +72,7 @@
   };
   readonly clock: Clock;
   readonly events: EventLog;
-  readonly metrics: Pick<Metrics, "count">;
+  readonly metrics: Pick<Metrics, "count" | "countLabelled">;
   /** The replica with the given incarnation, while it is listed. */
   readonly replicaOf: (incarnation: string) => Replica | undefined;
   /** The other hosts; the same array as long as none changes. */
@@ -94,10 +94,12 @@
   #lastLimitedAt: Milliseconds = -Infinity;
 
   constructor(options: ReplicaLimitsOptions) {
-    const { self, clock, events, hosts, hostCount, openLink } = options;
+    const { self, clock, events, hosts, hostCount, openLink, metrics } =
+      options;
     this.#options = options;
     this.owner = new QuotaOwner({
       clock,
+      metrics,
       run: self.run,
       allowance: ({ name, rate }, { share }) =>
         limitAllowance(this.limitOf(name) ?? rate.perSecond, share),
--- a/src/gateway/observe/metrics.ts
+++ b/src/gateway/observe/metrics.ts
@@ -30,9 +30,17 @@
   }[];
 };
 
+/** Labels of one counter of a family. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** Maximum number of counters of one family. */
+const MAX_FAMILY_SIZE = 200;
+
 /** Metrics of one process. */
 export class Metrics {
   readonly #counters = new Map<string, number>();
+  /** Counters by formatted labels, by name of their family. */
+  readonly #families = new Map<string, Map<string, number>>();
   readonly #timings = new Map<Timing, Histogram>();
 
   /** Adds to a counter. */
@@ -40,6 +48,16 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + by);
   }
 
+  /** Adds to the counter of a family that has these labels. */
+  countLabelled(name: string, labels: Labels, by: number): void {
+    const family = this.#families.get(name) ?? new Map<string, number>();
+    this.#families.set(name, family);
+    const key = formatLabels(labels);
+    const value = family.get(key);
+    if (value === undefined && family.size >= MAX_FAMILY_SIZE) return;
+    family.set(key, (value ?? 0) + by);
+  }
+
   /** The value of a counter. */
   counterValue(name: string): number {
     return this.#counters.get(name) ?? 0;
@@ -73,6 +91,12 @@
       lines.push(`# TYPE otterhill_${name}_total counter`);
       lines.push(`otterhill_${name}_total ${value}`);
     }
+    for (const [name, family] of this.#families) {
+      lines.push(`# TYPE otterhill_${name}_total counter`);
+      for (const [labels, value] of family) {
+        lines.push(`otterhill_${name}_total{${labels}} ${value}`);
+      }
+    }
     for (const [name, value] of Object.entries(gauges)) {
       lines.push(`# TYPE otterhill_${name} gauge`);
       lines.push(`otterhill_${name} ${value}`);
@@ -92,7 +116,7 @@
 }
 
 /** Labels with quotes, backslashes and newlines escaped. */
-function formatLabels(labels: Readonly<Record<string, string>>): string {
+function formatLabels(labels: Labels): string {
   return Object.entries(labels)
     .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
     .join(",");
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -5,6 +5,8 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { LineSplitter } from "../../util/line_splitter.ts";
 import type { Clock } from "../clock.ts";
+import { LinkDirection, LinkTraffic } from "./link_traffic.ts";
+import type { Metrics } from "../observe/metrics.ts";
 
 /** Paths, on a host's peer address, of the links that it accepts. */
 export const LinkPath = {
@@ -108,6 +110,8 @@
   readonly clock: Clock;
   /** Uses short heartbeat times when idle, too; must be set at both ends. */
   readonly isCloselyMonitored?: boolean;
+  /** Counts what passes. */
+  readonly metrics?: Pick<Metrics, "countLabelled"> | undefined;
 };
 
 /** Opens a link to a host; `closed` is also called if that fails. */
@@ -129,6 +133,7 @@
       : OPENER_HEARTBEAT,
     isOpener: true,
     events,
+    traffic: new LinkTraffic(target.path, target.metrics),
   });
   const cancel = target.clock.after(CONNECT_TIMEOUT_MS, () => end.close());
   outgoing.on("response", (response) => {
@@ -143,7 +148,7 @@
 export function acceptLink(
   incoming: IncomingMessage,
   response: Writable,
-  options: Pick<LinkTarget, "clock" | "isCloselyMonitored"> & {
+  options: Pick<LinkTarget, "clock" | "isCloselyMonitored" | "metrics"> & {
     readonly events: LinkEvents;
   },
 ): Link {
@@ -154,6 +159,7 @@
     ...options,
     heartbeat,
     isOpener: false,
+    traffic: new LinkTraffic(incoming.url ?? "", options.metrics),
   });
   end.read(incoming);
   return end;
@@ -166,6 +172,7 @@
   readonly heartbeat: HeartbeatPolicy;
   readonly isOpener: boolean;
   readonly events: LinkEvents;
+  readonly traffic: LinkTraffic;
 };
 
 /** The timers of one end of a link: for pings, and for closing the link. */
@@ -243,7 +250,7 @@
 
 function createLinkEnd(
   out: Writable,
-  { clock, heartbeat, isOpener, events }: LinkEndOptions,
+  { clock, heartbeat, isOpener, events, traffic }: LinkEndOptions,
 ): LinkEnd {
   let open = true;
   const close = () => {
@@ -258,6 +265,7 @@
     if (!open) return;
     isPingDue = false;
     if (out.writableLength > MAX_UNSENT_BYTES) return close();
+    traffic.note(LinkDirection.sent, line);
     out.write(line);
   };
   const keepalive = new Keepalive({ clock, heartbeat }, {
@@ -289,6 +297,7 @@
         const lines = splitter.push(chunk);
         if (!lines) return close();
         for (const line of lines) {
+          traffic.note(LinkDirection.received, `${line}\n`);
           if (line.startsWith(PING_START)) continue;
           if (!isOpener) keepalive.noteBusy();
           events.line(line);
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -229,10 +229,11 @@
     const host = String(incoming.headers[LINK_HOST_HEADER] ?? "");
     response.writeHead(200, { "Content-Type": "application/x-ndjson" });
     response.flushHeaders();
-    const { clock } = this.#context;
+    const { clock, metrics } = this.#context;
     const reply = (message: PlannerLine) => link.send(message);
     const link: Link = acceptLink(incoming, response, {
       clock,
+      metrics,
       events: {
         line: (text) => this.#handleLine(host, text),
         closed: () => {
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -72,7 +72,8 @@
     this.#links = new PlannerLinks({
       context,
       hosts,
-      open,
+      open: (target, events) =>
+        open({ ...target, metrics: context.metrics }, events),
       onLine: (from, text) => this.#receiveLine(from, text),
       onClosed: (host, { wasReady }) => this.#linkClosed(host, wasReady),
       inUse: () => this.#plannersInUse(),
--- a/src/gateway/quota/owner.ts
+++ b/src/gateway/quota/owner.ts
@@ -5,6 +5,7 @@
 import type { HostId } from "../../util/ids.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { Clock } from "../clock.ts";
+import type { Metrics } from "../observe/metrics.ts";
 import {
   acceptLink,
   type Link,
@@ -23,11 +24,14 @@
   readonly clock: Clock;
   /** Identifies this run of the process. */
   readonly run: string;
+  /** Counts what passes on the links. */
+  readonly metrics?: Pick<Metrics, "countLabelled">;
 };
 
 /** Passes messages between the ledger and its members. */
 export class QuotaOwner {
   readonly #clock: Clock;
+  readonly #metrics: Pick<Metrics, "countLabelled"> | undefined;
   /** Identifies this run of the process. */
   readonly run: string;
   readonly #ledger: QuotaLedger;
@@ -36,6 +40,7 @@
 
   constructor(options: QuotaOwnerOptions) {
     this.#clock = options.clock;
+    this.#metrics = options.metrics;
     this.run = options.run;
     this.#ledger = new QuotaLedger(options);
   }
@@ -73,11 +78,13 @@
     response.writeHead(200, { "Content-Type": "application/x-ndjson" });
     response.flushHeaders();
     const clock = this.#clock;
+    const metrics = this.#metrics;
     this.join(
       name,
       (events) =>
         acceptLink(incoming, response, {
           clock,
+          metrics,
           isCloselyMonitored: true,
           events,
         }),
--- a/src/gateway/replicas/create_replica_state.ts
+++ b/src/gateway/replicas/create_replica_state.ts
@@ -21,7 +21,7 @@
   /** Returns numbers in [0, 1). */
   readonly random: () => number;
   readonly events: EventLog;
-  readonly metrics: Pick<Metrics, "count">;
+  readonly metrics: Pick<Metrics, "count" | "countLabelled">;
   readonly directory: Pick<HostDirectory, "entries" | "count">;
   readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
 };
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -39,7 +39,7 @@
 export type StateServerOptions = {
   readonly context: Pick<
     GatewayContext,
-    "clock" | "routes" | "replicas" | "eras"
+    "clock" | "routes" | "replicas" | "eras" | "metrics"
   >;
   readonly self: HostEntry;
   readonly directory: HostDirectory;
@@ -94,8 +94,10 @@
   accept(request: IncomingMessage, response: ServerResponse): void {
     response.writeHead(200, { "Content-Type": "application/x-ndjson" });
     response.flushHeaders();
-    const { clock } = this.#options.context;
-    this.join((events) => acceptLink(request, response, { clock, events }));
+    const { clock, metrics } = this.#options.context;
+    this.join((events) =>
+      acceptLink(request, response, { clock, metrics, events })
+    );
   }
 
   /** Serves a follower over the link that `open` creates. */
--- a/test/gateway/limits/single_host_limits.ts
+++ b/test/gateway/limits/single_host_limits.ts
@@ -13,7 +13,7 @@
     self: { id: "host", hall: "hall", run: "1" },
     clock: systemClock,
     events: { note: () => undefined },
-    metrics: { count: () => undefined },
+    metrics: { count: () => undefined, countLabelled: () => undefined },
     replicaOf: () => undefined,
     hosts: () => [],
     hostCount: () => 1,
--- a/test/gateway/observe/observe_test.ts
+++ b/test/gateway/observe/observe_test.ts
@@ -95,6 +95,16 @@
   );
 });
 
+test("a family of counters is bounded, whatever labels peers cause", () => {
+  const metrics = new Metrics();
+  for (let at = 0; at < 1000; at++) {
+    metrics.countLabelled("seen", { type: `t${at % 500}` }, 2);
+  }
+  const lines = metrics.render({}).trim().split("\n");
+  assert.equal(lines.length, 1 + 200);
+  assert.ok(lines.includes('otterhill_seen_total{type="t0"} 4'));
+});
+
 test("the metrics page has a sample line for each metric", () => {
   const metrics = new Metrics();
   metrics.count("requests", 3);
--- a/test/gateway/peers/link_test.ts
+++ b/test/gateway/peers/link_test.ts
@@ -4,6 +4,7 @@
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import type { Clock } from "../../../src/gateway/clock.ts";
+import { Metrics } from "../../../src/gateway/observe/metrics.ts";
 import {
   acceptLink,
   type Link,
@@ -46,12 +47,14 @@
   const clocks = { opener: manualClock(), acceptor: manualClock() };
   const closed: string[] = [];
   const lines: string[] = [];
+  const metrics = { opener: new Metrics(), acceptor: new Metrics() };
   let accepted: Link | undefined;
   const server: Server = createServer((request, response) => {
     response.writeHead(200);
     response.flushHeaders();
     accepted = acceptLink(request, response, {
       clock: clocks.acceptor,
+      metrics: metrics.acceptor,
       events: {
         line: (text) => lines.push(text),
         closed: () => closed.push("acceptor"),
@@ -69,6 +72,7 @@
     path: LinkPath.plan,
     self: "a",
     clock: clocks.opener,
+    metrics: metrics.opener,
   };
   const opened = await new Promise<Link>((resolve) => {
     const link = openLink(target, {
@@ -84,7 +88,7 @@
     server.close();
   };
   const reply = (message: object) => accepted?.send(message);
-  return { clocks, closed, lines, opened, reply, end };
+  return { clocks, closed, lines, metrics, opened, reply, end };
 }
 
 test("an opener that has sent a message closes the link if nothing arrives for 900 ms", async () => {
@@ -219,3 +223,30 @@
   assert.deepEqual(closed, ["acceptor"]);
   socket.destroy();
 });
+
+// Which messages load a host in a large fleet shows on no other page.
+test("both ends count the messages and bytes of a link by path and type", async () => {
+  const link = await startLink();
+  const message = { type: "request", text: "é" };
+  link.opened.send(message);
+  while (link.lines.length === 0) {
+    await new Promise((done) => setImmediate(done));
+  }
+  const bytes = Buffer.byteLength(JSON.stringify(message));
+  const labels = '{path="/plan",type="request"}';
+  const sent = link.metrics.opener.render({});
+  assert.ok(sent.includes(`otterhill_link_messages_sent_total${labels} 1\n`));
+  assert.ok(
+    sent.includes(`otterhill_link_bytes_sent_total${labels} ${bytes + 1}\n`),
+  );
+  const received = link.metrics.acceptor.render({});
+  assert.ok(
+    received.includes(`otterhill_link_messages_received_total${labels} 1\n`),
+  );
+  assert.ok(
+    received.includes(
+      `otterhill_link_bytes_received_total${labels} ${bytes + 1}\n`,
+    ),
+  );
+  link.end();
+});
