The silence of the peer that reached a replica last leaves it undecided

Cause: a host without a path to a replica asks several peers for a tunnel. At the time-out of 300 ms one "I don't reach it either" decided that nobody does, while the peer through which the host had reached the replica had not answered yet. So a replica whose path was lost counted as unreachable, its requests were rejected. Traced in `unreachable_replicas_test` ("a host whose nearest peers reach no replica either is served by the last one") on, with all processes stopped for a third of the time: i-1 and i-2 became unreachable at host-4 0.45 s one after the other, a request got `no_replica`, and 0.35 s later host-1 served a tunnel to i-1 again.

Change: while the peer that opened the last tunnel to the replica does not answer, the outcome is "unavailable", which leaves the path as it was. Silent peers that have not reached the replica before decide nothing, as before.

Test first: `tunnel_dialer_test` failed with "unreachable".

--- a/src/gateway/paths/tunnel_dialer.ts
+++ b/src/gateway/paths/tunnel_dialer.ts
@@ -60,7 +60,8 @@
   /**
    * Opens a tunnel. Peers are asked one after the other, each a little later,
    * and the first tunnel is used. A refusal counts only if no peer contradicts
-   * it: a peer's own path may be the reason.
+   * it: a peer's own path may be the reason. So none counts while the peer that
+   * reached the replica last does not answer.
    */
   open(
     replica: ReplicaEntry,
@@ -70,8 +71,9 @@
     const peers = this.#choosePeers(replica);
     return new Promise((resolve) => {
       const attempts: TunnelAttempt[] = [];
+      const last = this.peerOf(replica.incarnation);
+      const pending = new Set<HostId>();
       let failure: TunnelOutcome = { type: "unavailable" };
-      let pending = 0;
       let isSettled = false;
       let cancelStagger = () => {};
       const finish = (outcome: TunnelOutcome) => {
@@ -81,15 +83,18 @@
         for (const attempt of attempts) attempt.cancel();
         resolve(outcome);
       };
-      const cancelTimeout = clock.after(timeoutMs, () => finish(failure));
+      const cancelTimeout = clock.after(timeoutMs, () => {
+        const isUndecided = last !== undefined && pending.has(last);
+        finish(isUndecided ? { type: "unavailable" } : failure);
+      });
       const handle = (peer: HostEntry, outcome: TunnelOutcome) => {
-        pending -= 1;
+        pending.delete(peer.id);
         if (isSettled) return closeTunnel(outcome);
         this.#noteOutcome(peer, replica, outcome);
         if (outcome.type === "open") return finish(outcome);
         if (outcome.type !== "unavailable") failure = outcome;
         if (attempts.length < peers.length) startNext();
-        else if (pending === 0) finish(failure);
+        else if (pending.size === 0) finish(failure);
       };
       const startNext = () => {
         cancelStagger();
@@ -97,7 +102,7 @@
         if (!peer) return;
         const attempt = this.#start(peer, replica, timeoutMs);
         attempts.push(attempt);
-        pending += 1;
+        pending.add(peer.id);
         cancelStagger = clock.after(PEER_STAGGER_MS, startNext);
         void attempt.outcome.then((outcome) => handle(peer, outcome));
       };
