Followers determine the clock of a host that was suspended anew

Cause: while a host is suspended its clock stands, so the offset that followers use is too low by that time. They determine it each 30 s, and took their configuration for older until then unless they had left the host.

Change: a host that was suspended says so in its next message to each follower, which requests an echo at once.

--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -119,6 +119,7 @@
   #handleSuspension(forMs: Milliseconds): void {
     this.#synchronizer.resetAges(forMs);
     this.#follower.resetClocks();
+    this.server.noteSuspension();
     this.#storeLoops.resetClock();
   }
 
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -324,6 +324,7 @@
     if (message.type !== "state") return;
     const now = this.#options.context.clock.now();
     if (message.echo) sender.clock.note(message.echo, now);
+    if (message.isResumed) link.send({ type: "sync", sentAt: now });
     const configAsOf = message.configAsOf === undefined
       ? undefined
       : sender.clock.toLocal(message.configAsOf, now);
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -57,6 +57,11 @@
    * absent: unknown.
    */
   configAsOf: z.number().exactOptional(),
+  /**
+   * The reader was suspended since its last message: offsets to its clock are
+   * too low.
+   */
+  isResumed: z.literal(true).exactOptional(),
   /** When the reader received the follower's last `sentAt`. */
   echo: z.object({ sentAt: z.number(), heardAt: z.number() }).exactOptional(),
   /** Changes of the listing since the last message. */
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -69,6 +69,8 @@
   version: number;
   /** Clock echo to include in the next message. */
   echo: ClockEcho | undefined;
+  /** This host was suspended since the last message. */
+  isResumed: boolean;
   host: HostEntry | undefined;
   lastSentAt: Milliseconds;
   /** The hosts that were sent to it. */
@@ -113,6 +115,7 @@
       comparison: undefined,
       version: 0,
       echo: undefined,
+      isResumed: false,
       host: undefined,
       lastSentAt: -Infinity,
       sentHosts: new Map(),
@@ -132,6 +135,11 @@
       .map(({ link }) => link);
   }
 
+  /** Records that this host was suspended, for the next message to each. */
+  noteSuspension(): void {
+    for (const follower of this.#followers) follower.isResumed = true;
+  }
+
   /** Sends the state to all followers. */
   broadcast(): void {
     for (const follower of this.#followers) this.#send(follower);
@@ -190,6 +198,7 @@
     }
     follower.version = Math.max(follower.version, message.version);
     follower.echo = undefined;
+    follower.isResumed = false;
     follower.lastSentAt = now;
     follower.link.send(encodeState(message));
   }
@@ -212,6 +221,7 @@
       ...this.#configFor(follower),
       ...(eras.era > 0 ? { era: eras.era } : {}),
       ...(isSettled ? {} : { isSettling: true as const }),
+      ...(follower.isResumed ? { isResumed: true as const } : {}),
       ...(follower.echo ? { echo: follower.echo } : {}),
       ...(isFresh ? { ageMs: Math.round(age) } : {}),
       ...(listing ? { listing } : {}),
--- a/test/gateway/state/suspension_test.ts
+++ b/test/gateway/state/suspension_test.ts
@@ -95,3 +95,43 @@
     });
   }
 }
+
+/** The highest age of the configuration at any host in the next time. */
+async function highestAgeMs(fleet: StateFleet, forMs: number): Promise<number> {
+  let highest = 0;
+  for (const end = fleet.now + forMs; fleet.now < end;) {
+    await fleet.runTo(fleet.now + 100);
+    for (const { state, context } of fleet.hosts) {
+      context.suspensions.check();
+      highest = Math.max(highest, state.configAgeMs(context.clock.now()));
+    }
+  }
+  return highest;
+}
+
+/** Suspensions during which followers stay with the suspended host. */
+const KEPT_SUSPENSIONS = [
+  { role: "relay", durationMs: 900, treatment: "served" },
+  { role: "reader", durationMs: 3000, treatment: "reset" },
+] as const;
+
+// Guards against offsets of a suspended host's clock that stay in use.
+for (const { role, durationMs, treatment } of KEPT_SUSPENSIONS) {
+  test(`followers of a ${role} suspended for ${durationMs} ms soon know the age of their configuration again`, async () => {
+    for (let seed = 1; seed <= 8; seed++) {
+      const fleet = new StateFleet(9, seed);
+      const { store, hosts } = fleet;
+      store.publish(configOf(1));
+      await fleet.runTo(STARTUP_MS + seed * 137);
+      const usualMs = await highestAgeMs(fleet, 10_000);
+      const host = hostWithRole(fleet, role);
+      fleet.suspend(host, durationMs);
+      for (const { entry } of hosts) {
+        if (entry !== host.entry) store.setTreatment(entry.id, treatment);
+      }
+      await fleet.runTo(fleet.now + durationMs + MAX_AGE_MS);
+      const ageMs = await highestAgeMs(fleet, 10_000);
+      assert.ok(ageMs <= usualMs + 200, `seed ${seed}: ${usualMs}, ${ageMs}`);
+    }
+  });
+}
