Deltas of readers of the version before are unverified

Cause: a host of the version before doesn't say whether its listing is the store's. What it sent was a base for the store's changes once it was gone, so that a replica that it had retained stayed in use until the number of replicas changed.

Change: a link on which no digest came marks its deltas as unverified. They are applied and passed on as such; a host that reads the store for others lists first if its table is unverified, and hosts that only catch up read changes as before, so a lost reader costs one listing more. Peers' listings from such a table are inexact, and so are changes of peers without a digest. Draining incarnations are remembered in a module of their own; nothing changes there.

--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -127,7 +127,7 @@
   { base }: PeerStateRequest,
 ): Pick<PeerState, "listing" | "changes"> {
   const changes = base === undefined ? undefined : replicas.deltaSince(base);
-  if (changes && changes.since >= 0) {
+  if (changes && changes.since >= 0 && replicas.isVerified) {
     return { changes: { ...changes, digest: replicas.digest } };
   }
   return { listing: replicas.listing() };
--- a/src/gateway/replicas/model.ts
+++ b/src/gateway/replicas/model.ts
@@ -85,6 +85,11 @@
    * its size only.
    */
   readonly digest?: number;
+  /**
+   * The sender can't tell that its listing is the store's, since a host of an
+   * earlier version sent it.
+   */
+  readonly isUnverified?: true;
   /**
    * If present, `changed` is the listing in these buckets, and the listings
    * don't differ in the others; see listing_digest.
--- a/src/gateway/replicas/replica_table.ts
+++ b/src/gateway/replicas/replica_table.ts
@@ -1,6 +1,6 @@
 /** The table of replicas; older listings never replace newer ones. */
-import { evictOldest } from "../../util/evict_oldest.ts";
 import { eraOf, type Position } from "../position.ts";
+import { DrainingIncarnations } from "./draining_incarnations.ts";
 import {
   diffListing,
   type ListingChange,
@@ -20,11 +20,6 @@
 import type { Replica } from "./replica.ts";
 import { ReplicaIndex } from "./replica_index.ts";
 
-/** Maximum number of draining incarnations that are stored. */
-const MAX_STORED = 10_000;
-/** Maximum number of draining incarnations reported although not listed. */
-const MAX_UNLISTED_DRAINING = 200;
-
 /** How to adopt a listing of a store that has just recovered. */
 export type AdoptOptions = {
   /**
@@ -43,15 +38,12 @@
   #revision: Position = -1;
   readonly #index = new ReplicaIndex();
   readonly #history = new ListingHistory(this.#index);
-  /**
-   * Incarnations that were reported as draining; later listings don't undo it.
-   */
-  readonly #draining = new Set<string>();
-  /** Those whose entries don't say so yet. */
-  readonly #drainingUnlisted = new Set<string>();
+  readonly #draining = new DrainingIncarnations();
   readonly #removed = new RemovedReplicas();
   /** False: replicas were retained that the listing lacks, or listed ones excluded. */
   #isExact = true;
+  /** False: a delta was applied whose sender may have retained replicas. */
+  #isVerified = true;
   /** Incarnations that were retained by this host or those it heard of. */
   #retained: ReadonlySet<string> = new Set();
 
@@ -73,6 +65,14 @@
     return this.#isExact;
   }
 
+  /**
+   * Whether the table is exact and known to be so. If not known, it is a base for
+   * deltas of other hosts, but not for reading the store on behalf of others.
+   */
+  get isVerified(): boolean {
+    return this.#isExact && this.#isVerified;
+  }
+
   /**
    * The position from which deltas can be applied; -1 when a full listing is
    * needed, since the table differs from the listing at its position.
@@ -96,7 +96,7 @@
     return {
       revision: this.#revision,
       entries: this.entries(),
-      ...(this.isExact
+      ...(this.isVerified
         ? {}
         : { isInexact: true, retained: [...this.#retained] }),
     };
@@ -138,6 +138,7 @@
     const { byIncarnation } = this.#index;
     const change = diffListing(byIncarnation, entries, retainMissing);
     const retained = [...change.retained, ...keptStarts];
+    this.#isVerified = true;
     this.#isExact = listing.isInexact !== true &&
       retained.length === 0 && entries.length === listed.length;
     this.#retained = new Set([
@@ -153,7 +154,7 @@
     this.#removed.note(change, this.#revision);
     for (const { id } of change.removed) this.#index.delete(id);
     for (const entry of change.changed) this.#index.put(entry);
-    this.#drainingUnlisted.clear();
+    this.#draining.clearUnmarked();
     const ids = [...change.changed, ...change.removed].map(({ id }) => id);
     this.#history.record(this.#revision, ids);
   }
@@ -200,6 +201,14 @@
   applyDelta(delta: ListingDelta): ListingChange | "older" | "gap" {
     if (delta.revision < this.#revision) return "older";
     if (delta.since > this.deltaBase) return "gap";
+    const change = this.#applyByKind(delta);
+    if (change === "gap" || change === "older") return change;
+    if (delta.isUnverified) this.#isVerified = false;
+    else if (delta.digest !== undefined) this.#isVerified = true;
+    return change;
+  }
+
+  #applyByKind(delta: ListingDelta): ListingChange | "older" | "gap" {
     if (delta.buckets) return this.#applyBuckets(delta, delta.buckets);
     if (!leadsToSender(this.#index, delta)) return "gap";
     if (delta.since >= 0) {
@@ -235,7 +244,7 @@
     }
     const entries = new Map(changed.map((entry) => [entry.id, entry]));
     const ids = new Set([...gone, ...entries.keys()]);
-    for (const { entry } of this.#findReplicas(this.#drainingUnlisted)) {
+    for (const { entry } of this.#findReplicas(this.#draining.unmarked)) {
       if (!ids.has(entry.id)) entries.set(entry.id, entry);
       ids.add(entry.id);
     }
@@ -278,6 +287,7 @@
 
   /**
    * The full listing after a delta; undefined if the table is no base for it.
+   * Inexact without a digest: peers of an earlier version send none.
    */
   listingAfter(delta: ListingDelta): ReplicaListing | undefined {
     const { since, revision, changed, gone } = delta;
@@ -288,7 +298,11 @@
     const entries = new Map(known.map((entry) => [entry.id, entry]));
     for (const id of gone) entries.delete(id);
     for (const entry of changed) entries.set(entry.id, entry);
-    return { revision, entries: [...entries.values()] };
+    return {
+      revision,
+      entries: [...entries.values()],
+      ...(delta.digest === undefined ? { isInexact: true } : {}),
+    };
   }
 
   /**
@@ -300,8 +314,7 @@
     const later = replacesStart ? undefined : this.#laterStartOf(listed);
     const entry = later ?? listed;
     const { incarnation, leaving } = entry;
-    if (leaving) this.#draining.add(incarnation);
-    evictOldest(this.#draining, MAX_STORED);
+    if (leaving) this.#draining.noteListed(incarnation);
     const isUnchanged = leaving || !this.#draining.has(incarnation);
     return isUnchanged ? entry : { ...entry, leaving: true };
   }
@@ -329,16 +342,7 @@
    * change when the next listing is adopted.
    */
   noteDraining(incarnations: readonly string[]): string[] {
-    const added = incarnations.filter((incarnation) =>
-      !this.#draining.has(incarnation)
-    );
-    for (const incarnation of added) {
-      this.#draining.add(incarnation);
-      this.#drainingUnlisted.add(incarnation);
-    }
-    evictOldest(this.#draining, MAX_STORED);
-    evictOldest(this.#drainingUnlisted, MAX_STORED);
-    return added;
+    return this.#draining.note(incarnations);
   }
 
   /**
@@ -346,10 +350,8 @@
    * are no longer listed, since another host may adopt an older listing.
    */
   draining(): string[] {
-    const draining = [...this.#draining];
-    const recent = new Set(draining.slice(-MAX_UNLISTED_DRAINING));
-    return draining.filter((incarnation) =>
-      recent.has(incarnation) || this.#index.get(incarnation) !== undefined
+    return this.#draining.toReport((incarnation) =>
+      this.#index.get(incarnation) !== undefined
     );
   }
 
--- a/src/gateway/replicas/schema.ts
+++ b/src/gateway/replicas/schema.ts
@@ -45,6 +45,7 @@
   gone: z.array(z.string()).readonly(),
   size: z.number(),
   digest: z.number().exactOptional(),
+  isUnverified: z.literal(true).exactOptional(),
   buckets: z.array(z.number()).readonly().exactOptional(),
   comparedState: z.number().exactOptional(),
 });
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -20,6 +20,7 @@
 import type { HostEntry } from "../port.ts";
 import type { Position } from "../position.ts";
 import { isUpdate, type UpdateExchange } from "./fleet_updates.ts";
+import { ListingSource } from "./listing_source.ts";
 import { chooseReader } from "./reader_choice.ts";
 import { ReaderMessageSchema, type StateMessage } from "./state_messages.ts";
 
@@ -87,6 +88,7 @@
   readonly address: string;
   readonly link: Link;
   readonly clock: RemoteClock;
+  readonly source: ListingSource;
   readonly openedAt: Milliseconds;
 };
 
@@ -237,20 +239,21 @@
     };
     const clock = new RemoteClock();
     this.#clocks.add(clock);
-    const identity = { reader: host.id, address: host.address };
+    const source = new ListingSource();
+    const sender = { reader: host.id, address: host.address, clock, source };
     const link: Link = openLink(target, {
       ready: () => {
         const revision = context.replicas.deltaBase;
         this.#follow(link, { revision, isCompared: true });
         this.#options.updates.sendAll(link);
       },
-      line: (text) => this.#receive(text, { link, clock, ...identity }),
+      line: (text) => this.#receive(text, { link, ...sender }),
       closed: () => {
         this.#clocks.delete(clock);
         this.#handleLinkEnd(link);
       },
     });
-    return { link, clock, ...identity };
+    return { link, ...sender };
   }
 
   /** Makes the candidate the reader and closes the link to the previous one. */
@@ -333,7 +336,13 @@
     if (this.#candidate?.link === link && isFresh) {
       this.#switchTo(this.#candidate);
     }
-    const report = { reader, address, message, configAsOf };
+    const listing = message.listing && sender.source.mark(message.listing);
+    const report = {
+      reader,
+      address,
+      message: { ...message, ...(listing ? { listing } : {}) },
+      configAsOf,
+    };
     const isContinued = this.#options.onReport(report);
     this.#announceVersion(link, message);
     if (isContinued) return;
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -244,6 +244,7 @@
     if (revision === replicas.revision && !isUnchecked) return undefined;
     const delta = this.#deltaFor(follower, revision);
     if (!delta) return undefined;
+    if (!replicas.isVerified) return { ...delta, isUnverified: true };
     const isOfOtherEra = eraOf(delta.since) !== eraOf(delta.revision);
     const hasDigest = isDue || isOfOtherEra;
     return hasDigest ? { ...delta, digest: replicas.digest } : delta;
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -199,7 +199,7 @@
     const isSettled = !synchronizer.retainsMissing(context.clock.now());
     // The store may have settled after the listing was applied, so that the
     // table still has replicas that the store lacks.
-    const isBase = isSettled && context.replicas.isExact;
+    const isBase = isSettled && context.replicas.isVerified;
     this.#hasFullListing = answered && isBase && !this.#isFollower;
     // The watch may hang on a dead connection and is restarted.
     if (answered && this.#failures > 0) this.#config.endWatch();
@@ -225,7 +225,8 @@
    */
   get #canCatchUp(): boolean {
     const { replicas } = this.#options.context;
-    return replicas.revision >= 0 && replicas.isExact;
+    const isBase = replicas.isVerified || !this.#isReader;
+    return replicas.revision >= 0 && replicas.isExact && isBase;
   }
 
   /**
@@ -342,6 +343,11 @@
     return follower.reader !== context.self.id;
   }
 
+  /** Whether this host follows no other, and is not about to. */
+  get #isReader(): boolean {
+    return !this.#isFollower && !this.#options.follower.isChangingReader;
+  }
+
   /** A follower lists less often, since a report of its reader is likely. */
   #listDelayMs(): Milliseconds {
     const { listMs } = this.#options.times;
@@ -349,12 +355,10 @@
   }
 
   #failureBackoffMs(): Milliseconds {
-    const { context, follower } = this.#options;
-    const isReader = !this.#isFollower && !follower.isChangingReader;
-    if (isReader) return MIN_CALL_INTERVAL_MS;
+    if (this.#isReader) return MIN_CALL_INTERVAL_MS;
     const doublings = Math.min(8, Math.max(0, this.#failures - 1));
     const backoffMs = FOLLOWER_BACKOFF_MS * 2 ** doublings;
-    const spread = 1 + context.random() * BACKOFF_JITTER;
+    const spread = 1 + this.#options.context.random() * BACKOFF_JITTER;
     return Math.min(MAX_FOLLOWER_BACKOFF_MS, backoffMs) * spread;
   }
 
--- a/test/gateway/state/fleet_host.ts
+++ b/test/gateway/state/fleet_host.ts
@@ -62,3 +62,12 @@
   const hall = entries.find((other) => other.id === reader)?.hall;
   return hall === self.hall ? "follower" : "relay";
 }
+
+/** Encodes a message, as a host without digests if it is of an earlier version. */
+export function encodeLine(message: object, isEarlier: boolean): string {
+  if (!isEarlier) return JSON.stringify(message);
+  return JSON.stringify(
+    message,
+    (key, value) => key === "digest" ? undefined : value as unknown,
+  );
+}
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -26,6 +26,7 @@
 import { VirtualTime } from "../../fake/virtual_time.ts";
 import {
   createRandom,
+  encodeLine,
   type FleetHost,
   type FleetRole,
   roleIn,
@@ -62,6 +63,8 @@
   readonly traffic = new FleetTraffic();
   /** Result of probing any replica. */
   probe: () => Promise<ProbeResult> = () => Promise.resolve("refused");
+  /** Whether a host sends no digests, as one of an earlier version. */
+  sendsNoDigests: (host: string) => boolean = () => false;
   #isCut: (from: FleetHost, to: FleetHost) => boolean = () => false;
   readonly #openLinks = new Set<OpenLink>();
   readonly #time = new VirtualTime();
@@ -263,7 +266,7 @@
       events: () => LinkEvents | undefined,
     ) =>
     (message: object) => {
-      const text = JSON.stringify(message);
+      const text = encodeLine(message, this.sendsNoDigests(sender));
       this.traffic.note({ from: sender, to: host.entry.id, text });
       // By the receiver's clock: a line to a suspended host is delayed.
       this.#clockOf(host.suspension).after(LINK_LATENCY_MS, () => {
@@ -302,11 +305,9 @@
     const answer = new Promise<JsonAnswer>((resolve) => {
       if (this.#isCutBetween(from, address)) return;
       this.#time.clock.after(LINK_LATENCY_MS, () => {
-        const { entry: self, context, directory, state } = this.#hostOf(
-          address,
-        );
+        const host = this.#hostOf(address);
+        const { entry: self, context, directory, state, listings } = host;
         const configAgeMs = (now: number) => state.configAgeMs(now);
-        const { listings } = this.#hostOf(address);
         const options = { context, self, directory, configAgeMs, listings };
         const body = JSON.stringify(peerStateResponse(options, path));
         this.traffic.note({ from: address, to: from, text: body });
