A planner forgets the memory pressure of services that it no longer plans

Cause: nothing removed the share of memory that a planner fills once another host plans the service. It stayed in the gauge, and was applied when the service came back.

Change: each round of memory reports starts with the services that it is for, and all others are forgotten; while reports are off that is all of them.

--- a/src/gateway/planning/memory_pressure.ts
+++ b/src/gateway/planning/memory_pressure.ts
@@ -42,6 +42,16 @@
     else this.#factors.set(service, factor);
   }
 
+  /** Forgets all services but these. */
+  retain(services: readonly string[]): void {
+    const retained = new Set(services);
+    for (const values of [this.#factors, this.#fullRounds]) {
+      for (const service of values.keys()) {
+        if (!retained.has(service)) values.delete(service);
+      }
+    }
+  }
+
   /** The factors below 1, as a gauge by service. */
   gauge(): LabelledGauge {
     const values = [...this.#factors].map(([service, value]) => ({
--- a/src/gateway/planning/memory_reports.ts
+++ b/src/gateway/planning/memory_reports.ts
@@ -29,6 +29,8 @@
   /** Memory of one decode replica of the service, in tokens. */
   capacityOf(service: string): number;
   reservationsOf(service: string): readonly Reservations[];
+  /** Called before each round with the services of that round. */
+  onRound(services: readonly string[]): void;
   /** Called in each round with the shares of memory that are in use. */
   onReports(service: string, usedShares: readonly number[]): void;
 };
@@ -40,10 +42,10 @@
   const { context } = options;
   for (;;) {
     await sleep(context.clock, ROUND_INTERVAL_MS);
-    if (!options.isEnabled() || context.stop.requestedAt !== undefined) {
-      continue;
-    }
-    for (const service of options.services()) {
+    if (context.stop.requestedAt !== undefined) continue;
+    const services = options.isEnabled() ? options.services() : [];
+    options.onRound(services);
+    for (const service of services) {
       options.onReports(service, await requestShares(options, service));
     }
   }
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -114,6 +114,7 @@
       capacityOf: (service) => this.#capacityOf(service),
       reservationsOf: (service) =>
         this.#planner.assigned.reservationsOf(service),
+      onRound: (services) => this.#memoryPressure.retain(services),
       onReports: (service, usedShares) =>
         this.#memoryPressure.note(service, usedShares),
     });
--- a/test/gateway/planning/memory_reports_test.ts
+++ b/test/gateway/planning/memory_reports_test.ts
@@ -46,6 +46,7 @@
         incarnation,
         tokens: reserved,
       })),
+    onRound: () => undefined,
     onReports: (_service, usedShares) => rounds.push(usedShares),
   });
   await time.runTo(3500);
