Soak: machines that sleep, reports with their start, a row without a usable id

The soak stopped processes with SIGSTOP, over which the steady clock goes on. A sleeping machine blocks its process and holds performance.now; the time of day goes on. The stand-in's report names its start, and another writer's rows hold a valid one under a key that no header can carry. A message to a process that was killed and has not exited yet ended the run with EPIPE.

--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -66,6 +66,8 @@
   readonly role: ReplicaRole;
   /** Written into each event of its streams. */
   readonly softwareVersion: string;
+  /** Its start, as in its entry. */
+  readonly born: number;
   readonly world: ReplicaWorld;
   /** The address for other hosts; part of the keys of its exports. */
   publicAddress(): string;
@@ -122,11 +124,8 @@
     socket.on("error", () => undefined);
     socket.on("close", () => sockets.delete(socket));
   });
-  const { id, role, softwareVersion } = options;
   return Object.assign(settings, {
-    id,
-    role,
-    softwareVersion,
+    ...options,
     address: await listen(server),
     running: () => engine.running,
     crash: () => {
@@ -157,8 +156,9 @@
     return send(response, 200, {});
   }
   if (path === "/report") {
-    const report = { Stage: engine.options.role, Utilization: false };
-    return send(response, 200, { ...report, Sequence: 0 });
+    const { role: Stage, born } = engine.options;
+    const report = { Stage, born, Utilization: false, Sequence: 0 };
+    return send(response, 200, report);
   }
   if (path === "/order") return send(response, 409, {});
   return serve(engine, request, { body, response });
--- a/test/soak/fault_kinds.ts
+++ b/test/soak/fault_kinds.ts
@@ -46,6 +46,7 @@
   replicaCutsResponses: "replica cuts its answers",
   serviceCutsResponses: "all replicas of a stage cut their answers",
   release: "a release replaces all replicas of a service and is taken back",
+  machineSleep: "machine sleeps",
   replicaChangesVersion: "replica restarts under its id at another version",
 } as const;
 /** One of the values of {@link FaultKind}. */
--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { createWriteStream, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import type { HostMessage } from "./machine_sleep.ts";
 import { PathCut } from "./replica_path.ts";
 
 /** Running child processes, which are killed when this process exits. */
@@ -75,8 +76,8 @@
     child.stdout?.once("data", () => this.#hasLogged = true);
     child.stdout?.pipe(log, { end: false });
     child.stderr?.pipe(log, { end: false });
-    if (this.#cut !== PathCut.none) child.send(this.#cut);
     this.#child = child;
+    if (this.#cut !== PathCut.none) this.#send(cutMessage(this.#cut));
     running.add(child);
     child.on("exit", (code, signal) => {
       this.exits.push({ code, signal, isRequested: this.#isStopRequested });
@@ -124,7 +125,17 @@
   /** Cuts the path to all replicas, or heals it; outlasts a restart. */
   cutReplicas(cut: PathCut): void {
     this.#cut = cut;
-    if (this.#child?.connected) this.#child.send(cut);
+    this.#send(cutMessage(cut));
+  }
+
+  /** Lets the machine of the process sleep. */
+  sleep(forMs: number): void {
+    this.#send({ type: "sleep", forMs });
+  }
+
+  #send(message: HostMessage): void {
+    // The process may have been killed and its end not noticed yet.
+    if (this.#child?.connected) this.#child.send(message, () => undefined);
   }
 
   /** Resumes the process with SIGCONT. */
@@ -133,3 +144,7 @@
     this.#isPaused = false;
   }
 }
+
+function cutMessage(cut: PathCut): HostMessage {
+  return { type: "cutPaths", cut };
+}
--- a/test/soak/host_faults.ts
+++ b/test/soak/host_faults.ts
@@ -23,6 +23,7 @@
   FaultKind.kill,
   FaultKind.stop,
   FaultKind.pause,
+  FaultKind.machineSleep,
   FaultKind.plannerKill,
 ];
 /** Faults of a host's process or its network paths. */
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -58,6 +58,9 @@
     case FaultKind.pause:
     case FaultKind.reload:
       return injectProcessFault(host, fault.kind);
+    case FaultKind.machineSleep:
+      host.process.sleep(fault.durationMs);
+      return NO_UNDO;
     case FaultKind.storeDown:
     case FaultKind.storeSilent:
     case FaultKind.storeSlow:
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -93,6 +93,7 @@
   FaultKind.replicaCutsResponses,
   FaultKind.serviceCutsResponses,
 ];
+const SLEEP_KINDS: readonly FaultKind[] = [FaultKind.machineSleep];
 /** Shares of responses that end with their connection, in percent. */
 const UNFRAMED_PERCENTS = [0, 10, 50, 100];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) =>
@@ -104,6 +105,7 @@
     ...LOAD_KINDS,
     ...PATH_KINDS,
     ...CUT_RESPONSE_KINDS,
+    ...SLEEP_KINDS,
     ...RELEASE_KINDS,
   ].includes(kind)
 );
@@ -115,6 +117,7 @@
 const LOAD_RANGE = 5;
 const PATH_RANGE = 4;
 const CUT_RESPONSE_RANGE = 4;
+const SLEEP_RANGE = 3;
 const UNFINISHED_BODY_RANGE = 20;
 /** Offsets that separate these generators from those of the callers. */
 const LATER_SEED = 1_000_003;
@@ -124,6 +127,7 @@
 const LOAD_SEED = 5_000_011;
 const PATH_SEED = 6_000_011;
 const RESPONSE_SEED = 7_000_003;
+const SLEEP_SEED = 9_000_011;
 /** One run in this many keeps today's decisions under load switched off. */
 const UNSCHEDULED_ONE_IN = 3;
 const CRASHING_ONE_IN = 2;
@@ -183,6 +187,7 @@
       ...loadFaults,
       ...drawPathFaults(options),
       ...responseFaults,
+      ...drawSleeps(options),
       ...releases.faults,
     ],
   };
@@ -229,6 +234,12 @@
   return { framing, faults };
 }
 
+function drawSleeps(options: ScheduleOptions): Fault[] {
+  const random = mixedGenerator(options.seed + SLEEP_SEED);
+  const count = randomInt(random, SLEEP_RANGE);
+  return drawFaults(random, options, { kinds: SLEEP_KINDS, count });
+}
+
 function drawRestores(options: ScheduleOptions): Fault[] {
   const random = xoroshiro128plus(options.seed + RESTORE_SEED);
   const count = randomInt(random, RESTORE_RANGE);
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -11,7 +11,11 @@
   regression.seed
 );
 
-/** The store is restored from a copy twice, once without an outage. */
+/**
+ * The store is restored from a copy twice, once without an outage. Machines
+ * sleep for 1.9 and 2.7 s, and replicas restart under their ids beside rows of
+ * another writer.
+ */
 const RESTORE_SEED = 6;
 
 /**
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -153,6 +153,7 @@
       id,
       role,
       softwareVersion,
+      born: incarnation,
       world: this,
       publicAddress: () => address,
     });
@@ -211,6 +212,13 @@
     for (const [at, row] of rows.entries()) {
       this.store.put("servers", `foreign-${at}`, row);
     }
+    const valid = { Slots: 64, ColdRemainingMs: 0, Zone: "north" };
+    this.store.put("servers", "no\nid", {
+      ...valid,
+      Service: "plain",
+      State: "ready",
+      Address: address,
+    });
   }
 
   /**
