--- a/test/gateway/requests/restarted_replica_test.ts
+++ b/test/gateway/requests/restarted_replica_test.ts
@@ -155,3 +155,34 @@
     assert.equal((await rig.call({ id: "third" })).status, 200);
   });
 });
+
+test("a limit and the connections of the old incarnation are not those of the new one", async () => {
+  const answer: RawAnswer = (request, socket) => {
+    const limits = request.number === 1 ? ["x-limit: 0.01"] : [];
+    socket.write(completeResponse(request, "answer", limits));
+  };
+  await withRig({ replicas: [{ answer }] }, async (rig) => {
+    assert.equal((await rig.call({ id: "first" })).status, 200);
+    assert.equal((await rig.call({ id: "second" })).status, 503);
+    restart(rig, 2);
+    assert.equal((await rig.call({ id: "third" })).status, 200);
+    assert.equal(rig.replicas[0]?.connections(), 2);
+  });
+});
+
+test("a request that broke at the old incarnation is sent to the new one", async () => {
+  let currentRig: Rig | undefined;
+  const answer: RawAnswer = (request, socket) => {
+    if (request.number > 1) {
+      return void socket.write(completeResponse(request, "answer"));
+    }
+    if (currentRig) restart(currentRig, 2);
+    socket.destroy();
+  };
+  const route = { kind: "safe", attempts: 2 } as const;
+  await withRig({ replicas: [{ answer }], route }, async (rig) => {
+    currentRig = rig;
+    assert.equal((await rig.call({ id: "first" })).status, 200);
+    assert.equal(rig.replicas[0]?.requests.length, 2);
+  });
+});
