--- a/src/gateway/limits/replica_limits.ts
+++ b/src/gateway/limits/replica_limits.ts
@@ -16,7 +16,8 @@
 } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
 import type { QuotaRequest } from "../quota/ledger.ts";
-import { QuotaMember, type QuotaOutcome } from "../quota/member.ts";
+import { QuotaMember } from "../quota/member.ts";
+import type { QuotaOutcome } from "../quota/member_options.ts";
 import { QuotaOwner } from "../quota/owner.ts";
 import type { Replica } from "../replicas/replica.ts";
 import {
--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -3,22 +3,20 @@
  * customer's quota or a replica's limit. The owner of a shard is the first
  * reachable host in the shard's rendezvous order.
  */
-import type { HallId, HostId } from "../../util/ids.ts";
+import type { HostId } from "../../util/ids.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
-import type { Clock } from "../clock.ts";
-import { HostOrders } from "../peers/host_order.ts";
-import type { Link, LinkEvents, LinkPath, LinkTarget } from "../peers/link.ts";
+import type { Link } from "../peers/link.ts";
 import type { HostEntry } from "../port.ts";
-import type { QuotaDecision, QuotaRequest } from "./ledger.ts";
+import type { QuotaRequest } from "./ledger.ts";
 import {
   type MemberMessage,
   type OwnerMessage,
   OwnerMessageSchema,
 } from "./messages.ts";
-import type { QuotaOwner } from "./owner.ts";
-import { orderKeyOf, SHARD_COUNT, shardOf } from "./shards.ts";
-import { Suspects } from "./suspects.ts";
+import type { QuotaMemberOptions, QuotaOutcome } from "./member_options.ts";
+import { ShardOrder } from "./shard_order.ts";
+import { SHARD_COUNT, shardOf } from "./shards.ts";
 import { type Acquisition, AcquisitionLog } from "./acquisition_log.ts";
 
 /**
@@ -34,35 +32,6 @@
 
 /** Differs from every list of shards, so that the shards are reported again. */
 const NOT_REPORTED = "-";
-/** Outcome of a request for units; unknown if no owner responded. */
-export type QuotaOutcome =
-  | Extract<QuotaDecision, { type: "refused" }>
-  | { readonly type: "unknown" }
-  | {
-    readonly type: "granted";
-    /** Delay before the units may be used. */
-    readonly afterMs: Milliseconds;
-    /** Returns units that were not used. */
-    release(): void;
-  };
-
-/** Options of {@link QuotaMember}. */
-export type QuotaMemberOptions = {
-  readonly self: { readonly id: HostId; readonly hall: HallId };
-  readonly clock: Clock;
-  /** The owner in this process. */
-  readonly localOwner: QuotaOwner;
-  /** The other hosts; the same array as long as none changes. */
-  readonly hosts: () => readonly HostEntry[];
-  /** Time for which acquisitions are retained, to report them to new owners. */
-  readonly retentionMs: () => Milliseconds;
-  /** Path of the links to owners. */
-  readonly path: LinkPath;
-  /** Called when the link to a connected owner has closed. */
-  readonly noteLost: (owner: HostId) => void;
-  /** Opens a link to an owner. */
-  readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
-};
 
 type PendingRequest = {
   readonly request: QuotaRequest;
@@ -83,10 +52,9 @@
 /** Requests units from owners, and chooses the owner of each shard. */
 export class QuotaMember {
   readonly #options: QuotaMemberOptions;
-  readonly #orders: HostOrders;
+  readonly #order: ShardOrder;
   readonly #pending = new Map<string, PendingRequest>();
   readonly #links = new Map<HostId, OwnerLink>();
-  readonly #suspects: Suspects;
   readonly #ownersByShard = new Map<number, HostId>();
   readonly #startedAt: Milliseconds;
   readonly #acquisitions = new AcquisitionLog();
@@ -96,8 +64,7 @@
 
   constructor(options: QuotaMemberOptions) {
     this.#options = options;
-    this.#orders = new HostOrders(options.self);
-    this.#suspects = new Suspects(options.self.hall);
+    this.#order = new ShardOrder(options);
     this.#startedAt = options.clock.now();
   }
 
@@ -162,34 +129,27 @@
    * chosen.
    */
   #chooseOwner(shard: number): HostId {
-    const { self, clock, hosts: hostsOf } = this.#options;
-    const hosts = hostsOf();
-    const unreachable = this.#suspects.unreachableHalls(clock.now());
-    for (const id of this.#orders.of(orderKeyOf(shard), hosts)) {
-      if (id === self.id) return id;
-      if (this.#suspects.has(id)) continue;
-      const host = hosts.find((entry) => entry.id === id);
-      if (!host || unreachable.has(host.hall)) continue;
-      const link = this.#links.get(id) ?? this.#open(host);
-      if (link.run !== undefined) return id;
-      const previous = this.#ownersByShard.get(shard);
-      const isConnected = previous !== undefined && previous !== id &&
-        (previous === self.id || this.#links.get(previous)?.run !== undefined);
-      return isConnected ? previous : id;
-    }
-    return self.id;
+    const { self } = this.#options;
+    const id = this.#order.first(shard);
+    if (id === self.id) return id;
+    const link = this.#linkTo(id);
+    if (!link || link.run !== undefined) return id;
+    const previous = this.#ownersByShard.get(shard);
+    const isConnected = previous !== undefined && previous !== id &&
+      (previous === self.id || this.#links.get(previous)?.run !== undefined);
+    return isConnected ? previous : id;
+  }
+
+  /** The link to a host, opened if there is none. */
+  #linkTo(id: HostId): OwnerLink | undefined {
+    const host = this.#options.hosts().find((entry) => entry.id === id);
+    return this.#links.get(id) ?? (host && this.#open(host));
   }
 
   #open({ id, address, hall }: HostEntry): OwnerLink {
     const { clock, self, openLink, path } = this.#options;
-    const target = {
-      address,
-      path,
-      self: self.id,
-      clock,
-      isCloselyMonitored: true,
-    };
-    const link = openLink(target, {
+    const identity = { self: self.id, clock, isCloselyMonitored: true };
+    const link = openLink({ address, path, ...identity }, {
       line: (text) => this.#receiveLine(id, text),
       closed: () => this.#noteDisconnected({ id, hall }, link),
     });
@@ -214,10 +174,9 @@
   ): void {
     const closed = this.#links.get(id);
     if (closed?.link !== link) return;
-    const { clock, noteLost } = this.#options;
     this.#links.delete(id);
-    this.#suspects.add(id, hall, clock.now());
-    if (closed.run !== undefined) noteLost(id);
+    this.#order.suspect({ id, hall });
+    if (closed.run !== undefined) this.#options.noteLost(id);
     this.refresh();
     for (const [requestId, pending] of this.#pending) {
       if (pending.owner === id) this.#tryNextOwner(requestId, pending);
@@ -242,10 +201,9 @@
     const { self, clock } = this.#options;
     const { owner } = pending;
     const link = this.#links.get(owner);
-    if (owner === self.id || link?.run !== undefined) {
-      this.#sendRequest(id, pending);
-    }
-    if (owner === self.id) return;
+    const send = () => this.#sendRequest(id, pending);
+    if (owner === self.id) return send();
+    if (link?.run !== undefined) send();
     const close = () => {
       const late = this.#links.get(owner)?.link;
       if (this.#pending.get(id) === pending && late) late.close();
@@ -260,22 +218,23 @@
     this.#send(owner, { type: "take", id, ...request });
   }
 
+  /** The shards for which this host has chosen an owner. */
+  #shardsOf(owner: HostId): number[] {
+    return [...this.#ownersByShard].filter(([, id]) => id === owner)
+      .map(([shard]) => shard);
+  }
+
   /** Sends each owner the shards for which this host requests units from it. */
   #reportShards(): void {
     const { self } = this.#options;
-    const shardsOf = (owner: HostId) =>
-      [...this.#ownersByShard].filter(([, id]) => id === owner)
-        .map(([shard]) => shard);
-    const local = shardsOf(self.id);
+    const local = this.#shardsOf(self.id);
     if (local.join() !== this.#reportedToSelf) {
       this.#reportedToSelf = local.join();
-      this.#send(
-        self.id,
-        this.#membership(local, this.#options.localOwner.run),
-      );
+      const { run } = this.#options.localOwner;
+      this.#send(self.id, this.#membership(local, run));
     }
     for (const [id, link] of this.#links) {
-      const shards = shardsOf(id);
+      const shards = this.#shardsOf(id);
       if (link.run === undefined || link.reported === shards.join()) continue;
       link.reported = shards.join();
       this.#send(id, this.#membership(shards, link.run));
@@ -284,9 +243,8 @@
 
   /** The report of these shards, with what other owners granted from them. */
   #membership(shards: readonly number[], run: string): MemberMessage {
-    const { clock, retentionMs } = this.#options;
-    const now = clock.now();
-    const oldest = now - retentionMs();
+    const now = this.#options.clock.now();
+    const oldest = now - this.#options.retentionMs();
     const usage = this.#acquisitions.reportTo({ run, shards }, { oldest, now });
     const upMs: Milliseconds = now - this.#startedAt;
     return { type: "member", shards, upMs, usage };
--- a/test/gateway/customers/keys_test.ts
+++ b/test/gateway/customers/keys_test.ts
@@ -8,7 +8,7 @@
   RouteKind,
 } from "../../../src/gateway/mod.ts";
 import type { QuotaRequest } from "../../../src/gateway/quota/ledger.ts";
-import type { QuotaOutcome } from "../../../src/gateway/quota/member.ts";
+import type { QuotaOutcome } from "../../../src/gateway/quota/member_options.ts";
 import { completeResponse, type RawAnswer } from "../raw_replica.ts";
 import { type Rig, withRig } from "../rig.ts";
 
--- a/test/gateway/quota/quota_fleet.ts
+++ b/test/gateway/quota/quota_fleet.ts
@@ -6,10 +6,8 @@
   type QuotaBounds,
   quotaRule,
 } from "../../../src/gateway/quota/bounds.ts";
-import {
-  QuotaMember,
-  type QuotaOutcome,
-} from "../../../src/gateway/quota/member.ts";
+import { QuotaMember } from "../../../src/gateway/quota/member.ts";
+import type { QuotaOutcome } from "../../../src/gateway/quota/member_options.ts";
 import { QuotaOwner } from "../../../src/gateway/quota/owner.ts";
 import {
   type Link,
