Quotas: what the owner's own host acquired is copied to the next owner

Each host reports what it acquired to the owner that it chooses next; the owner's host did so too, but not when it was killed or suspended with its owner. With most requests of a customer at that host, one kill was enough to grant them again, since the new owner's assumption is bounded to eight times a host's part.

Each acquisition from a host's own account is sent to the first other host of the shard's order, which keeps it like one of its own; releases follow. The same holds for the limits that replicas name.

--- a/src/gateway/customers/customers.ts
+++ b/src/gateway/customers/customers.ts
@@ -47,6 +47,7 @@
       clock: context.clock,
       metrics: context.metrics,
       run: context.self.run,
+      keepBackup: (backup) => this.quotas.keepBackup(backup),
       allowance: quotaRule(() => this.#bounds()),
       retentionMs: () => this.#settings.quota_window,
       knownHosts: () => directory.count,
--- a/src/gateway/limits/replica_limits.ts
+++ b/src/gateway/limits/replica_limits.ts
@@ -102,6 +102,7 @@
       clock,
       metrics,
       run: self.run,
+      keepBackup: (backup) => this.#member.keepBackup(backup),
       allowance: ({ name, rate }, { share }) =>
         limitAllowance(this.limitOf(name) ?? rate.perSecond, share),
       retentionMs: () => PERMIT_RETENTION_MS,
--- a/src/gateway/quota/acquisition_log.ts
+++ b/src/gateway/quota/acquisition_log.ts
@@ -37,9 +37,36 @@
       at,
       knownTo: new Set<string>(),
     }));
-    this.#acquisitions = [...this.#acquisitions, ...unreported].sort((a, b) =>
-      a.at - b.at
-    );
+    this.#insert(unreported);
+  }
+
+  /** Adds copies of what another owner's host acquired. */
+  addBackup(
+    usage: readonly QuotaUsage[],
+    { runs, now }: {
+      /** Runs of the owners that have it on record. */
+      readonly runs: readonly string[];
+      readonly now: Milliseconds;
+    },
+  ): void {
+    const copies = usage.map(({ agoMs, isProvisional = false, ...used }) => ({
+      request: { ...used, mostWaitMs: 0 },
+      at: now - agoMs,
+      ...(isProvisional ? { isProvisional } : {}),
+      knownTo: new Set(runs),
+    }));
+    this.#insert(copies);
+  }
+
+  #insert(acquisitions: readonly Acquisition[]): void {
+    const newest = this.#acquisitions.at(-1)?.at ?? -Infinity;
+    const [first, ...others] = acquisitions;
+    if (first && others.length === 0 && first.at >= newest) {
+      this.#acquisitions.push(first);
+      return;
+    }
+    this.#acquisitions = [...this.#acquisitions, ...acquisitions]
+      .sort((a, b) => a.at - b.at);
   }
 
   /** Removes an acquisition that was not used; returns the message of that. */
@@ -52,6 +79,13 @@
     return { type: "give-back", customer, units, agoMs: now - at, ...priority };
   }
 
+  /** Whether anything was acquired from accounts of the shard since `oldest`. */
+  hasAny(shard: number, oldest: Milliseconds): boolean {
+    return this.#acquisitions.some(({ at, request }) =>
+      at > oldest && shardOf(request.customer) === shard
+    );
+  }
+
   /**
    * Returns what is not yet reported to an owner's run, and marks it as
    * reported.
@@ -68,18 +102,23 @@
       .filter((acquisition) => !acquisition.knownTo.has(run))
       .filter(({ request }) => shards.includes(shardOf(request.customer)));
     for (const { knownTo } of unreported) knownTo.add(run);
-    return unreported.map(({ request, at, isProvisional = false }) => {
-      const { customer, units, rate, version } = request;
-      const agoMs = span.now - at;
-      return {
-        ...{ customer, units, rate, version, agoMs },
-        ...(isProvisional ? { isProvisional } : {}),
-        ...priorityOf(request),
-      };
-    });
+    return unreported.map((acquisition) => usageOf(acquisition, span.now));
   }
 }
 
+/** The report of an acquisition. */
+export function usageOf(
+  { request, at, isProvisional = false }: Acquisition,
+  now: Milliseconds,
+): QuotaUsage {
+  const { customer, units, rate, version } = request;
+  return {
+    ...{ customer, units, rate, version, agoMs: now - at },
+    ...(isProvisional ? { isProvisional } : {}),
+    ...priorityOf(request),
+  };
+}
+
 function priorityOf(
   { priority }: QuotaRequest,
 ): Pick<QuotaRequest, "priority"> {
--- a/src/gateway/quota/ledger.ts
+++ b/src/gateway/quota/ledger.ts
@@ -5,7 +5,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { Allowance, AllowanceRule, Rate } from "./bounds.ts";
 import { Coverage } from "./coverage.ts";
-import type { QuotaMembership } from "./messages.ts";
+import type { QuotaMembership, QuotaUsage } from "./messages.ts";
 import { type ClaimedPlace, ReturnPlaces } from "./return_places.ts";
 import {
   type HoldCause,
@@ -145,6 +145,11 @@
       if (shards.includes(index)) coverage.add(host, upMs, now);
       else coverage.remove(host);
     }
+    this.noteUsage(usage, now);
+  }
+
+  /** Records what hosts acquired from other owners. */
+  noteUsage(usage: readonly QuotaUsage[], now: Milliseconds): void {
     for (const used of usage) {
       const account = this.#accountFor(used.customer, used);
       account.log.add(used.units, now - used.agoMs);
--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -13,8 +13,10 @@
   type MemberMessage,
   type OwnerMessage,
   OwnerMessageSchema,
+  type QuotaBackup,
 } from "./messages.ts";
 import type { QuotaMemberOptions, QuotaOutcome } from "./member_options.ts";
+import { Backups, type Standby } from "./backups.ts";
 import { ShardOrder } from "./shard_order.ts";
 import { SHARD_COUNT, shardOf } from "./shards.ts";
 import { type Acquisition, AcquisitionLog } from "./acquisition_log.ts";
@@ -58,6 +60,7 @@
   readonly #ownersByShard = new Map<number, HostId>();
   readonly #startedAt: Milliseconds;
   readonly #acquisitions = new AcquisitionLog();
+  readonly #backups: Backups;
   /** Numbers of the shards last reported to the owner in this process. */
   #reportedToSelf = "";
   #requestCount = 0;
@@ -66,6 +69,9 @@
     this.#options = options;
     this.#order = new ShardOrder(options);
     this.#startedAt = options.clock.now();
+    const acquisitions = this.#acquisitions;
+    const standbyOf = (shard: number) => this.#standbyOf(shard);
+    this.#backups = new Backups({ ...options, acquisitions, standbyOf });
   }
 
   /**
@@ -77,6 +83,14 @@
       this.#ownersByShard.set(shard, this.#chooseOwner(shard));
     }
     this.#reportShards();
+    this.#backups.sendAll(this.#shardsOf(this.#options.self.id));
+  }
+
+  /** Keeps a copy of what another owner's host acquired. */
+  keepBackup({ run, usage }: QuotaBackup): void {
+    const { clock, localOwner } = this.#options;
+    const runs = [run, localOwner.run];
+    this.#acquisitions.addBackup(usage, { runs, now: clock.now() });
   }
 
   /** Acquires units for a request. */
@@ -140,6 +154,15 @@
     return isConnected ? previous : id;
   }
 
+  /** The host that would own a shard of this host next. */
+  #standbyOf(shard: number): Standby | undefined {
+    const id = this.#order.firstOther(shard);
+    const opened = id === undefined ? undefined : this.#linkTo(id);
+    if (!opened) return undefined;
+    const { run, link } = opened;
+    return { run, send: (message) => link.send(message) };
+  }
+
   /** The link to a host, opened if there is none. */
   #linkTo(id: HostId): OwnerLink | undefined {
     const host = this.#options.hosts().find((entry) => entry.id === id);
@@ -289,12 +312,17 @@
     const run = from === self.id ? localOwner.run : this.#links.get(from)?.run;
     const entry = { ...acquired, knownTo: new Set([run ?? ""]) };
     this.#acquisitions.add(entry, clock.now() - retentionMs());
+    if (from === self.id) this.#backups.send(entry);
     return entry;
   }
 
   #release(acquired: Acquisition): void {
     const now = this.#options.clock.now();
     const release = this.#acquisitions.release(acquired, now);
-    this.#send(this.#ownerOf(release.customer), release);
+    const owner = this.#ownerOf(release.customer);
+    this.#send(owner, release);
+    if (owner === this.#options.self.id) {
+      this.#backups.release(acquired, release);
+    }
   }
 }
--- a/src/gateway/quota/messages.ts
+++ b/src/gateway/quota/messages.ts
@@ -30,6 +30,17 @@
   usage: z.array(Usage).readonly(),
 });
 
+/**
+ * What the owner's own host acquired: it would be lost with the owner, so the
+ * next host in the owner's order keeps a copy.
+ */
+const Backup = z.object({
+  type: z.literal("backup"),
+  /** Identifies the run of the process in which the owner has it on record. */
+  run: z.string(),
+  usage: z.array(Usage).readonly(),
+});
+
 const Acquire = z.object({
   type: z.literal("take"),
   id: z.string(),
@@ -95,6 +106,7 @@
 /** Schema of the messages from a host to an owner. */
 export const MemberMessageSchema = z.discriminatedUnion("type", [
   Member,
+  Backup,
   Acquire,
   Release,
   Ping,
@@ -103,6 +115,8 @@
 export type MemberMessage = z.output<typeof MemberMessageSchema>;
 /** The report of a host that has chosen this owner. */
 export type QuotaMembership = z.output<typeof Member>;
+/** A copy of what an owner's own host acquired. */
+export type QuotaBackup = z.output<typeof Backup>;
 /** Units that a host acquired and did not use. */
 export type QuotaRelease = z.output<typeof Release>;
 /** Units that a host acquired from another owner. */
--- a/src/gateway/quota/owner.ts
+++ b/src/gateway/quota/owner.ts
@@ -17,6 +17,7 @@
   type MemberMessage,
   MemberMessageSchema,
   type OwnerMessage,
+  type QuotaBackup,
 } from "./messages.ts";
 
 /** Options of {@link QuotaOwner}. */
@@ -26,6 +27,8 @@
   readonly run: string;
   /** Counts what passes on the links. */
   readonly metrics?: Pick<Metrics, "countLabelled">;
+  /** Keeps a copy of what another owner's host acquired. */
+  readonly keepBackup: (backup: QuotaBackup) => void;
 };
 
 /** Passes messages between the ledger and its members. */
@@ -35,6 +38,7 @@
   /** Identifies this run of the process. */
   readonly run: string;
   readonly #ledger: QuotaLedger;
+  readonly #keepBackup: (backup: QuotaBackup) => void;
   /** The newest link of each host. */
   readonly #links = new Map<HostId, Link>();
 
@@ -42,6 +46,7 @@
     this.#clock = options.clock;
     this.#metrics = options.metrics;
     this.run = options.run;
+    this.#keepBackup = options.keepBackup;
     this.#ledger = new QuotaLedger(options);
   }
 
@@ -57,6 +62,10 @@
       case "member":
         this.#ledger.setMember(from, message, now);
         return undefined;
+      case "backup":
+        this.#ledger.noteUsage(message.usage, now);
+        this.#keepBackup(message);
+        return undefined;
       case "take":
         return { id: message.id, ...this.#ledger.acquire(message, now) };
       case "give-back":
--- a/test/gateway/quota/quota_faults_test.ts
+++ b/test/gateway/quota/quota_faults_test.ts
@@ -173,3 +173,25 @@
   );
   assert.ok(fleet.maxInWindow(CUSTOMER) <= maxUnitsInWindow(RATE));
 });
+
+testFleet(
+  "what the owner's own host acquired is not granted again when the owner fails",
+  async (newFleet) => {
+    for (const perSecond of [127_000, 400_000]) {
+      for (const downMs of [500, 20_000]) {
+        const fleet = newFleet(12);
+        const [owner = ""] = ownersOf(fleet);
+        const host = Number(owner.slice(1));
+        const step = { customer: CUSTOMER, perSecond, units: perSecond / 20 };
+        for (let at = START_MS; at < START_MS + 16_000; at += 17) {
+          const isLater = at > START_MS + 6000;
+          fleet.request(at, { ...step, host: isLater ? at : host });
+        }
+        fleet.at(START_MS + 6000, () => fleet.kill(owner, downMs));
+        await fleet.runTo(START_MS + 17_000);
+        const most = fleet.maxInWindow(CUSTOMER) / maxUnitsInWindow(perSecond);
+        assert.ok(most <= 1, `${most} at ${perSecond} units a second`);
+      }
+    }
+  },
+);
--- a/test/gateway/quota/quota_fleet.ts
+++ b/test/gateway/quota/quota_fleet.ts
@@ -204,6 +204,7 @@
     const owner = new QuotaOwner({
       clock,
       run: `${id} ${this.#time.now}`,
+      keepBackup: (backup) => member.keepBackup(backup),
       allowance: quotaRule(() => this.#bounds),
       retentionMs: () => this.#bounds.windowMs,
       knownHosts: () => this.#entries.length,
--- a/test/gateway/quota/quota_member_test.ts
+++ b/test/gateway/quota/quota_member_test.ts
@@ -18,6 +18,7 @@
   const localOwner = new QuotaOwner({
     clock: systemClock,
     run: "own",
+    keepBackup: () => undefined,
     allowance: quotaRule(() => BOUNDS),
     retentionMs: () => BOUNDS.windowMs,
     knownHosts: () => 1,
