Quotas: an owner that was suspended reads before it grants

An owner that wakes still counts the members that have left it, and the grants in its window have expired: requests of its own callers that had waited got what its successor had granted. After 1.3 s without running, which is when the links of its members close, decisions for its own requests wait 20 ms, so that the closed links are read first.

--- a/src/gateway/quota/member.ts
+++ b/src/gateway/quota/member.ts
@@ -17,6 +17,7 @@
 } from "./messages.ts";
 import type { QuotaMemberOptions, QuotaOutcome } from "./member_options.ts";
 import { Backups, type Standby } from "./backups.ts";
+import { PauseGuard } from "./pause_guard.ts";
 import { ShardOrder } from "./shard_order.ts";
 import { SHARD_COUNT, shardOf } from "./shards.ts";
 import { type Acquisition, AcquisitionLog } from "./acquisition_log.ts";
@@ -61,6 +62,7 @@
   readonly #startedAt: Milliseconds;
   readonly #acquisitions = new AcquisitionLog();
   readonly #backups: Backups;
+  readonly #pauses: PauseGuard;
   /** Numbers of the shards last reported to the owner in this process. */
   #reportedToSelf = "";
   #requestCount = 0;
@@ -69,6 +71,7 @@
     this.#options = options;
     this.#order = new ShardOrder(options);
     this.#startedAt = options.clock.now();
+    this.#pauses = new PauseGuard(options.clock);
     const acquisitions = this.#acquisitions;
     const standbyOf = (shard: number) => this.#standbyOf(shard);
     this.#backups = new Backups({ ...options, acquisitions, standbyOf });
@@ -79,6 +82,7 @@
    * leave the fleet, and suspects expire.
    */
   refresh(): void {
+    this.#pauses.noteRunning();
     for (let shard = 0; shard < SHARD_COUNT; shard++) {
       this.#ownersByShard.set(shard, this.#chooseOwner(shard));
     }
@@ -225,7 +229,10 @@
     const { owner } = pending;
     const link = this.#links.get(owner);
     const send = () => this.#sendRequest(id, pending);
-    if (owner === self.id) return send();
+    if (owner === self.id) {
+      pending.cancelTimer = this.#pauses.run(send);
+      return;
+    }
     if (link?.run !== undefined) send();
     const close = () => {
       const late = this.#links.get(owner)?.link;
--- a/test/gateway/quota/quota_faults_test.ts
+++ b/test/gateway/quota/quota_faults_test.ts
@@ -18,9 +18,9 @@
 const Faults = fc.array(
   fc.record({
     at: fc.integer({ min: 0, max: 15_000 }),
-    kind: fc.constantFrom("kill", "kill-most", "cut", "heal"),
+    kind: fc.constantFrom("kill", "kill-most", "cut", "heal", "freeze"),
     which: fc.integer({ min: 0, max: 11 }),
-    forMs: fc.integer({ min: 300, max: 4000 }),
+    forMs: fc.oneof(fc.integer({ min: 300, max: 4000 }), fc.constant(20_000)),
   }),
   { maxLength: 6 },
 );
@@ -40,6 +40,7 @@
     fleet.at(START_MS + at, () => {
       const victim = owners[which % 4] ?? "";
       if (kind === "kill") fleet.kill(victim, forMs);
+      else if (kind === "freeze") fleet.freeze(victim, forMs);
       else if (kind === "heal") fleet.heal();
       else if (kind === "kill-most") killMostHosts(fleet, which, forMs);
       else fleet.cut((_id, index) => index <= which);
@@ -48,7 +49,7 @@
 }
 
 testFleet(
-  "all hosts together stay within the limit under any kills and partitions",
+  "all hosts together stay within the limit under any kills, partitions and suspensions",
   async (newFleet) => {
     const world = fc.record({
       faults: Faults,
@@ -195,3 +196,27 @@
     }
   },
 );
+
+testFleet(
+  "an owner that was suspended does not grant what its successor granted",
+  async (newFleet) => {
+    for (const perSecond of [127_000, 400_000]) {
+      for (const forMs of [500, 3000, 20_000]) {
+        const fleet = newFleet(12);
+        const owners = ownersOf(fleet).map((id) => Number(id.slice(1)));
+        const step = { customer: CUSTOMER, perSecond, units: perSecond / 20 };
+        const endsAt = START_MS + 2200 + forMs + 9000;
+        for (let at = START_MS, count = 0; at < endsAt; at += 8, count++) {
+          fleet.request(at, { ...step, host: owners[count % 2] ?? 0 });
+        }
+        fleet.at(
+          START_MS + 2200,
+          () => fleet.freeze(`h${owners[0] ?? 0}`, forMs),
+        );
+        await fleet.runTo(endsAt + 1000);
+        const most = fleet.maxInWindow(CUSTOMER) / maxUnitsInWindow(perSecond);
+        assert.ok(most <= 1, `${most} after ${forMs} ms`);
+      }
+    }
+  },
+);
