Store state: the hosts of a hall form a tree of ten followers each

Cause: one relay sent each change, and in a starting fleet all entries, to every host of its hall.

Hosts with followers write a row for themselves and them, announce those that join, and read the store before their followers would (as relays did).

A host that joins below others is known to all within 2 s: a guard, it passes with one level, too. synchronizer_test and retained_replicas_test name the renamed option (hasFollowers for isRelay), no assert changed.

--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -46,7 +46,10 @@
   readonly peerClient: PeerClient;
   /** Hosts that follow this one. */
   followers(): readonly HostEntry[];
-  /** Whether this host follows one of its hall that lists it in its row. */
+  /**
+   * Whether this host follows one of its hall that lists it in its row, and has
+   * no followers to list.
+   */
   isListedByReader(): boolean;
 };
 
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -55,16 +55,10 @@
       onChange: () => this.#scheduleBroadcast(),
       onDraining: (incarnations) =>
         context.draining.announceListed(incarnations),
-      isRelay: () => this.#follower.isRelay,
+      hasFollowers: () => this.server.hasFollowers,
     });
     this.#synchronizer = synchronizer;
-    const updates = new FleetUpdates({
-      clock: context.clock,
-      crashes: context.crashes,
-      limits: context.limits,
-      draining: context.draining,
-      links: () => [...this.server.links, ...this.#follower.links],
-    });
+    const updates = this.#createUpdates(context);
     this.server = new StateServer({
       context,
       self,
@@ -73,6 +67,7 @@
       storeAgeMs: (now) => synchronizer.reportableAgeMs(now),
       configAgeMs: (now) => synchronizer.configAgeMs(now),
       onNewerVersion: (found, by) => synchronizer.noteVersion(found, by),
+      onJoined: (hosts) => this.#follower.announceJoined(hosts),
     });
     this.#follower = new HallFollower({
       context,
@@ -80,6 +75,7 @@
       directory,
       updates,
       openLink,
+      followers: () => this.server.hosts,
       onReport: (report) => this.#applyReport(report),
     });
     this.#storeLoops = new StoreLoops({
@@ -106,6 +102,13 @@
     });
   }
 
+  #createUpdates(
+    { clock, crashes, limits, draining }: GatewayContext,
+  ): FleetUpdates {
+    const links = () => [...this.server.links, ...this.#follower.links];
+    return new FleetUpdates({ clock, crashes, limits, draining, links });
+  }
+
   /** Sends the state once if several parts of it change together. */
   #scheduleBroadcast(): void {
     if (this.#isBroadcastScheduled) return;
@@ -134,7 +137,9 @@
       synchronizer: this.#synchronizer,
       peerClient: this.#peerClient,
       followers: () => this.server.hosts,
-      isListedByReader: () => follower.reader !== self.id && !follower.isRelay,
+      isListedByReader: () =>
+        follower.reader !== self.id && !follower.isRelay &&
+        !this.server.hasFollowers,
     });
     this.#storeLoops.start();
     follower.start();
--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -78,6 +78,8 @@
   readonly updates: UpdateExchange;
   /** Opens a link to a reader. */
   readonly openLink: (target: LinkTarget, events: LinkEvents) => Link;
+  /** The hosts that follow this one. */
+  readonly followers: () => readonly HostEntry[];
   /** Applies a report; false: its listing doesn't continue the local one. */
   onReport(report: ReaderReport): boolean;
 };
@@ -165,6 +167,11 @@
     return reader !== undefined && reader.hall !== self.hall;
   }
 
+  /** Announces hosts that have begun to follow this one to the reader. */
+  announceJoined(hosts: readonly HostEntry[]): void {
+    this.#link?.send({ type: "joined", hosts });
+  }
+
   /** Chooses a reader, now and periodically. */
   start(): void {
     const { clock, replicas } = this.#options.context;
@@ -246,6 +253,10 @@
         const revision = context.replicas.deltaBase;
         this.#follow(link, { revision, isCompared: true });
         this.#options.updates.sendAll(link);
+        const followers = this.#options.followers();
+        if (followers.length > 0) {
+          link.send({ type: "joined", hosts: followers });
+        }
       },
       line: (text) => this.#receive(text, { link, ...sender }),
       closed: () => {
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -32,6 +32,12 @@
   version: z.number().exactOptional(),
 });
 
+/** Hosts that follow the sender, directly or not, and are new to it. */
+const Joined = z.object({
+  type: z.literal("joined"),
+  hosts: z.array(HostEntrySchema).readonly(),
+});
+
 const State = z.object({
   type: z.literal("state"),
   /**
@@ -78,6 +84,7 @@
 export const FollowerMessageSchema = z.discriminatedUnion("type", [
   Follow,
   Sync,
+  Joined,
   ...UPDATE_SCHEMAS,
   Ping,
 ]);
--- a/src/gateway/state/state_server.ts
+++ b/src/gateway/state/state_server.ts
@@ -53,6 +53,8 @@
   configAgeMs(now: Milliseconds): Milliseconds;
   /** Called when a follower has a version that was not announced here. */
   onNewerVersion(announcement: VersionAnnouncement, follower: HostId): void;
+  /** Called with hosts that have begun to follow this one, directly or not. */
+  onJoined(hosts: readonly HostEntry[]): void;
 };
 
 type SentDigest = { readonly value: number; readonly at: Milliseconds };
@@ -129,6 +131,10 @@
     return [...this.#followers].flatMap(({ host }) => host ? [host] : []);
   }
 
+  get hasFollowers(): boolean {
+    return [...this.#followers].some(({ host }) => host !== undefined);
+  }
+
   /** The links of those hosts. */
   get links(): Link[] {
     return [...this.#followers].filter(({ host }) => host !== undefined)
@@ -159,19 +165,22 @@
   #receive(follower: Follower, text: string): void {
     const message = readJson(FollowerMessageSchema, text);
     if (!message || message.type === "ping") return;
-    const { context, updates, directory } = this.#options;
+    const { context, updates } = this.#options;
     if (isUpdate(message)) return updates.receive(follower.link, message);
     const now = context.clock.now();
+    if (message.type === "joined") return this.#addHosts(message.hosts, now);
     follower.echo = { sentAt: message.sentAt, heardAt: now };
     if (message.type === "sync") {
       return this.#noteVersion(message.version ?? 0, follower.host);
     }
-    if (!follower.host) updates.sendAll(follower.link);
+    if (!follower.host) {
+      updates.sendAll(follower.link);
+      this.#addHosts([message.host], now);
+    }
     follower.revision = message.revision;
     follower.comparison = message.comparison;
     follower.version = message.version;
     follower.host = message.host;
-    directory.add([message.host], now);
     this.#send(follower);
     this.#noteVersion(message.version, message.host);
   }
@@ -186,6 +195,12 @@
     onNewerVersion({ version, holder: host.address }, host.id);
   }
 
+  #addHosts(hosts: readonly HostEntry[], now: Milliseconds): void {
+    const { directory, onJoined } = this.#options;
+    directory.add(hosts, now);
+    onJoined(hosts);
+  }
+
   #send(follower: Follower): void {
     if (follower.revision === undefined) return;
     const message = this.#messageFor(follower, follower.revision);
--- a/src/gateway/state/synchronizer.ts
+++ b/src/gateway/state/synchronizer.ts
@@ -16,8 +16,8 @@
 /** A follower reads the store itself if its store state is older than this. */
 const MAX_REPORT_AGE_MS = 1300;
 /**
- * As `MAX_REPORT_AGE_MS`, for the relay of a hall. Lower, so that a relay reads
- * the store before all its followers would do so at once. The listing that its
+ * As `MAX_REPORT_AGE_MS`, for a host with followers. Lower, so that it reads the
+ * store before all its followers would do so at once. The listing that its
  * reader makes every 700 ms is never that old while the reader works.
  */
 const MAX_RELAY_REPORT_AGE_MS = 1000;
@@ -34,8 +34,8 @@
   readonly onChange: () => void;
   /** A listing that this host has just applied contains draining replicas. */
   readonly onDraining: (incarnations: readonly string[]) => void;
-  /** Whether this host relays the store state to its hall. */
-  readonly isRelay: () => boolean;
+  /** Whether other hosts follow this one. */
+  readonly hasFollowers: () => boolean;
 };
 
 /** When the state in the reader's last report was current. */
@@ -131,7 +131,7 @@
   /** Time until the reader's last report expires; at least 0. */
   freshForMs(now: Milliseconds): Milliseconds {
     if (this.#lastReport === undefined) return 0;
-    const freshMs = this.#options.isRelay()
+    const freshMs = this.#options.hasFollowers()
       ? MAX_RELAY_REPORT_AGE_MS
       : MAX_REPORT_AGE_MS;
     return Math.max(0, this.#lastReport.asOf + freshMs - now);
--- a/test/gateway/state/hall_link_test.ts
+++ b/test/gateway/state/hall_link_test.ts
@@ -97,6 +97,7 @@
     storeAgeMs: () => ages.now,
     configAgeMs: () => Infinity,
     onNewerVersion: () => undefined,
+    onJoined: () => {},
   });
   const followerSide = makeContext();
   const self = { id: follower, address: "127.0.0.1:1", hall: "h" };
@@ -108,6 +109,7 @@
     self,
     directory,
     updates: noopUpdateExchange(),
+    followers: () => [],
     openLink,
     onReport: ({ message }) => {
       received.push(message);
--- a/test/gateway/state/large_fleet_test.ts
+++ b/test/gateway/state/large_fleet_test.ts
@@ -111,6 +111,40 @@
   assert.ok(calls <= (CHANGES_PER_SECOND + 2) * seconds, `${calls} calls`);
 });
 
+// Guards against a relay that sends each change to its whole hall.
+test("no host of 330 sends more than it may while replicas change", async () => {
+  const fleet = startFleet(330);
+  await fleet.runTo(STARTUP_MS + CALM_MS);
+  fleet.traffic.reset();
+  const startedAt = fleet.now;
+  for (let at = 0; at < CALM_MS; at += 1000 / CHANGES_PER_SECOND) {
+    fleet.at(startedAt + at, () => fleet.store.putReplica(entryOf(7, at + 1)));
+  }
+  await fleet.runTo(startedAt + CALM_MS);
+  const perSecond = fleet.traffic.busiest.bytes * 1000 / CALM_MS;
+  assert.ok(perSecond <= CONTROL_BYTES_PER_SECOND, `${perSecond} bytes/s`);
+  const last = fleet.hosts.filter(({ context }) =>
+    context.replicas.get("i-7")?.entry.coldMs === CALM_MS - 250 + 1
+  );
+  assert.equal(last.length, fleet.hosts.length);
+});
+
+// Guards against hosts deep in the tree that the others don't know of.
+test("a host that joins below others is known to all within a second", async () => {
+  const fleet = startFleet(100);
+  await fleet.runTo(STARTUP_MS + CALM_MS);
+  const added = fleet.add();
+  await fleet.runTo(fleet.now + 2000);
+  const followed = fleet.hosts.find(({ state }) =>
+    state.server.hosts.some(({ id }) => id === added.entry.id)
+  );
+  assert.ok(followed);
+  const without = fleet.hosts.filter(({ directory, entry }) =>
+    entry !== added.entry && !directory.get(added.entry.id)
+  );
+  assert.deepEqual(without.map(({ entry }) => entry.id), []);
+});
+
 // Guards against followers that list all replicas when their reader is lost.
 test("followers of a lost reader read only the changes", async () => {
   const size = 330;
--- a/test/gateway/state/reader_choice_test.ts
+++ b/test/gateway/state/reader_choice_test.ts
@@ -57,3 +57,50 @@
   // The only other hall has a suspect, so that none of its hosts is chosen.
   assert.equal(readerOf(self, [reader]), self.id);
 });
+
+test("the hosts of a large hall form a tree, also without suspects", () => {
+  const hosts: HostEntry[] = Array.from({ length: 110 }, (_, at) => ({
+    id: `h${at}`,
+    address: `127.0.0.1:${at + 1}`,
+    hall: "hall",
+  }));
+  const readersWithout = (suspects: readonly string[]) =>
+    new Map(hosts.map((self) => [
+      self.id,
+      chooseReader({
+        self,
+        hosts: hosts.filter((host) => host !== self),
+        orders: new HostOrders(self),
+        isSuspect: (id) => suspects.includes(id),
+      }),
+    ]));
+  const followersIn = (readers: ReadonlyMap<string, string>) => {
+    const counts = new Map<string, number>();
+    for (const [id, reader] of readers) {
+      if (id !== reader) counts.set(reader, (counts.get(reader) ?? 0) + 1);
+    }
+    return counts;
+  };
+  const distanceIn = (readers: ReadonlyMap<string, string>, from: string) => {
+    let [id, distance] = [from, 0];
+    for (; readers.get(id) !== id; distance++) {
+      id = readers.get(id) ?? id;
+      assert.ok(distance < hosts.length, "a cycle");
+    }
+    return distance;
+  };
+  const all = readersWithout([]);
+  assert.equal(Math.max(...followersIn(all).values()), 10);
+  for (const { id } of hosts) assert.ok(distanceIn(all, id) <= 2, id);
+  const [relay] = [...all].find(([id, reader]) => id === reader) ?? [];
+  const above = [...followersIn(all).keys()].find((id) => id !== relay);
+  assert.ok(relay && above);
+  for (const suspects of [[above], [relay], [relay, above]]) {
+    const left = readersWithout(suspects);
+    for (const { id } of hosts) {
+      if (suspects.includes(id)) continue;
+      assert.ok(!suspects.includes(left.get(id) ?? ""), id);
+      assert.ok(distanceIn(left, id) <= 3, id);
+    }
+  }
+});
--- a/test/gateway/state/retained_replicas_test.ts
+++ b/test/gateway/state/retained_replicas_test.ts
@@ -101,7 +101,7 @@
     onChange: () => undefined,
     onVersionAnnounced: () => undefined,
     onDraining: () => undefined,
-    isRelay: () => false,
+    hasFollowers: () => false,
   });
   const never = () => new Promise<never>(() => undefined);
   const loops = new StoreLoops({
--- a/test/gateway/state/state_server_test.ts
+++ b/test/gateway/state/state_server_test.ts
@@ -44,6 +44,7 @@
     storeAgeMs: () => 0,
     configAgeMs: () => 0,
     onNewerVersion: () => undefined,
+    onJoined: () => {},
   });
   const server = createServer((request, response) =>
     stateServer.accept(request, response)
--- a/test/gateway/state/synchronizer_test.ts
+++ b/test/gateway/state/synchronizer_test.ts
@@ -18,7 +18,7 @@
 
 const REPLICA = replicaEntry("a");
 
-function start(isRelay = false) {
+function start(hasFollowers = false) {
   const time = { now: 0 };
   const changedAt: number[] = [];
   const announced: VersionAnnouncement[] = [];
@@ -39,7 +39,7 @@
     onChange: () => changedAt.push(time.now),
     onVersionAnnounced: (announcement) => announced.push(announcement),
     onDraining: () => undefined,
-    isRelay: () => isRelay,
+    hasFollowers: () => hasFollowers,
   });
   const read = (revision: number, entries: readonly ReplicaEntry[]) => {
     const applied = synchronizer.applyListing({ revision, entries }, "store");
