A test bounds what a stalled owner costs of a replica's limit

Two rows of docs/FINDINGS.md on `server_limit_test` suspected that a stalled host loses the ownership of a limit, and the replica gets less until the next one has taken over.

--- a/test/gateway/limits/limit_fleet_test.ts
+++ b/test/gateway/limits/limit_fleet_test.ts
@@ -37,6 +37,27 @@
   }
 }
 
+test("a limit is used although a host stalls again and again, the owner too", async () => {
+  const perSecond = 1.4;
+  const size = 4;
+  for (let stalling = 0; stalling < size; stalling++) {
+    const fleet = new LimitFleet(size, 1, from(NAMED_MS, perSecond));
+    await fleet.fleet.runTo(FORMED_MS);
+    fleet.load(30, END_MS);
+    const [host] = fleet.fleet.hosts.slice(stalling);
+    assert.ok(host);
+    for (let at = 18_000; at < END_MS; at += 3000) {
+      fleet.at(at, () => fleet.fleet.suspend(host, 400));
+    }
+    await fleet.fleet.runTo(END_MS);
+    assert.deepEqual(fleet.violations(NAMED_MS), []);
+    const settled = 20_000;
+    const limit = perSecond * (END_MS - settled) / 1000;
+    const used = fleet.countIn(settled, END_MS);
+    assert.ok(used > limit * 0.7, `${stalling}: ${used} requests of ${limit}`);
+  }
+});
+
 test("hosts follow a limit that falls, rises and ends", async () => {
   const limitAt: LimitAt = (at) => {
     if (at < NAMED_MS || at >= 60_000) return undefined;
