--- a/src/gateway/state/hall_follower.ts
+++ b/src/gateway/state/hall_follower.ts
@@ -18,8 +18,8 @@
 } from "../peers/link.ts";
 import { RemoteClock } from "../peers/remote_clock.ts";
 import type { HostEntry } from "../port.ts";
-import type { Position } from "../position.ts";
 import { isUpdate, type UpdateExchange } from "./fleet_updates.ts";
+import { followRequest, versionAnnouncement } from "./follower_messages.ts";
 import { ListingSource } from "./listing_source.ts";
 import { chooseReader } from "./reader_choice.ts";
 import { ReaderMessageSchema, type StateMessage } from "./state_messages.ts";
@@ -251,7 +251,8 @@
     const link: Link = openLink(target, {
       ready: () => {
         const revision = context.replicas.deltaBase;
-        this.#follow(link, { revision, isCompared: true });
+        const request = { host: self, revision, isCompared: true };
+        link.send(followRequest(context, request));
         this.#options.updates.sendAll(link);
         const followers = this.#options.followers();
         if (followers.length > 0) {
@@ -280,30 +281,6 @@
     context.events.note("readerChosen", { reader });
   }
 
-  /**
-   * Requests the state after a position; -1: all of the listing, or with
-   * `isCompared` what differs from this host's.
-   */
-  #follow(
-    link: Link,
-    { revision, isCompared }: {
-      readonly revision: Position;
-      readonly isCompared: boolean;
-    },
-  ): void {
-    const { context: { clock, routes, replicas }, self } = this.#options;
-    link.send({
-      type: "follow",
-      revision,
-      ...(isCompared && replicas.size > 0
-        ? { comparison: replicas.compare() }
-        : {}),
-      version: routes.version,
-      sentAt: clock.now(),
-      host: self,
-    });
-  }
-
   #handleLinkEnd(link: Link): void {
     if (this.#link === link) return this.#leave("The link ended");
     if (this.#candidate?.link !== link) return;
@@ -330,13 +307,14 @@
 
   #receive(text: string, sender: Omit<CandidateLink, "openedAt">): void {
     const message = readJson(ReaderMessageSchema, text);
+    const { context, self, updates, onReport } = this.#options;
     // Detects a suspension first: the message may have been buffered during it.
-    this.#options.context.suspensions.check();
+    context.suspensions.check();
     const { link, reader, address } = sender;
     if (!message) return;
-    if (isUpdate(message)) return this.#options.updates.receive(link, message);
+    if (isUpdate(message)) return updates.receive(link, message);
     if (message.type !== "state") return;
-    const now = this.#options.context.clock.now();
+    const now = context.clock.now();
     if (message.echo) sender.clock.note(message.echo, now);
     if (message.isResumed) link.send({ type: "sync", sentAt: now });
     const configAsOf = message.configAsOf === undefined
@@ -354,19 +332,14 @@
       message: { ...message, ...(listing ? { listing } : {}) },
       configAsOf,
     };
-    const isContinued = this.#options.onReport(report);
-    this.#announceVersion(link, message);
+    const isContinued = onReport(report);
+    const announcement = versionAnnouncement(context, message);
+    if (announcement) link.send(announcement);
     if (isContinued) return;
     // The listing doesn't match the table.
     const wasCompared = message.listing?.buckets !== undefined;
-    this.#follow(link, { revision: -1, isCompared: !wasCompared });
-  }
-
-  /** Tells the reader this host's version if it has not heard of it. */
-  #announceVersion(link: Link, { version, newest }: StateMessage): void {
-    const { routes, clock } = this.#options.context;
-    if (routes.version <= Math.max(version, newest ?? 0)) return;
-    link.send({ type: "sync", sentAt: clock.now(), version: routes.version });
+    const request = { host: self, revision: -1, isCompared: !wasCompared };
+    link.send(followRequest(context, request));
   }
 
   #close(): void {
--- a/test/gateway/state/config_reader_test.ts
+++ b/test/gateway/state/config_reader_test.ts
@@ -44,7 +44,7 @@
     onChange: () => undefined,
     onVersionAnnounced: () => undefined,
     onDraining: () => undefined,
-    isRelay: () => false,
+    hasFollowers: () => false,
   });
   const reader = new ConfigReader({
     context,
