Keys: a request whose key was revoked gets no reservation and no prefill

Keys were looked up again only before the send to the decode replica. A request whose key was taken away while it waited for memory, for a permit or for its reservation reserved memory, and its prefill was sent to a prefill replica with the customer's name, before it was refused.

The key is looked up after the assignment and before each prefill. The planner isn't told that the prefill replica failed.

--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -5,6 +5,7 @@
  */
 import type { Milliseconds } from "../../util/units.ts";
 import { GatewayError } from "../answers.ts";
+import { isKeyStillValid } from "../customers/admission.ts";
 import { Timing } from "../observe/metrics.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
 import type { RunSummary } from "../planning/assignment.ts";
@@ -60,12 +61,17 @@
   async place(
     constraints: PlacementConstraints,
   ): Promise<Placement | PlacementRefusal> {
-    const { clock, metrics } = this.#options.context;
+    const { context, request } = this.#options;
+    const { clock, metrics } = context;
     const startedAt = clock.now();
     for (;;) {
       const assignment = await this.#assignment.find(constraints);
       if ("error" in assignment) return assignment;
       if (this.#ended) return this.#releaseEnded();
+      if (!isKeyStillValid(context.routes, request)) {
+        this.release();
+        return { error: GatewayError.unknownKey };
+      }
       const permit = await this.#acquirePermit(assignment.replica);
       if (this.#ended) return this.#releaseEnded();
       if (!permit) continue;
@@ -82,7 +88,7 @@
           waitMs,
           prefillMs,
           exported: this.#export,
-          priority: this.#options.request.priority,
+          priority: request.priority,
         });
       }
       this.release();
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -1,6 +1,7 @@
 /** Runs the prefill of a request at a prefill replica. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
+import { isKeyStillValid } from "../customers/admission.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
 import { CallMode } from "../port.ts";
 import { chooseReplica } from "../replicas/choice.ts";
@@ -90,8 +91,12 @@
         this.#noteSkipped(replica, outcome.retryAfterMs);
         continue;
       }
-      if (this.#ended) {
+      if (
+        this.#ended || !isKeyStillValid(this.#context.routes, this.#request)
+      ) {
         outcome.permit.release();
+        // The planner must not take this for a failure of the replica.
+        this.#noteSkipped(replica, 0);
         return undefined;
       }
       const exported = await this.#runAt(replica, outcome.permit);
