--- a/src/gateway/observe/event_log.ts
+++ b/src/gateway/observe/event_log.ts
@@ -2,7 +2,8 @@
 import bunyan from "bunyan";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
-import { EVENT_KINDS, type EventKind, type EventName } from "./event_names.ts";
+import type { EventKind } from "./event_kind.ts";
+import { EVENT_KINDS, type EventName } from "./event_names.ts";
 import type { LineWriter } from "./line_writer.ts";
 
 /** Fields of a log record. */
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -3,15 +3,7 @@
  * event; a test compares the two lists.
  */
 
-/** Message, level and rate limit of one kind of event. */
-export type EventKind = {
-  /** Prefix of the message. */
-  readonly part: string;
-  readonly sentence: string;
-  readonly level: "info" | "warn";
-  /** Maximum lines per second; a later line counts the suppressed ones. */
-  readonly perSecond: number;
-};
+import { info, warn } from "./event_kind.ts";
 
 const REQUESTS_PER_SECOND = 40;
 const FAILURES_PER_SECOND = 60;
@@ -297,11 +289,3 @@
 
 /** The name of an event. */
 export type EventName = keyof typeof EVENT_KINDS;
-
-function info(part: string, sentence: string, perSecond: number): EventKind {
-  return { part, sentence, level: "info", perSecond };
-}
-
-function warn(part: string, sentence: string, perSecond: number): EventKind {
-  return { part, sentence, level: "warn", perSecond };
-}
