Plain services: error responses of a route told from those of a replica

Cause: an error response (500) of a plain replica was retried and counted as a failure of its replica whatever it came from. Where a route fails at all replicas, each call ran twice, and replicas that serve their other routes were paused.

Change: the planner counts error responses by route and replica (planning/error_origins.ts: no network, time as an argument). A replica that fails more than its peers would with its routes is ejected by the rule that exists; the errors of a route that fails at its peers blame nobody. Retries are counted: below one success in four they stop, except for errors of a failing replica, and a trial every few seconds shows when they help again. The grant tells the host. Setting scheduling.error_origins, off by default; events errorRetriesStopped and errorRetriesResumed; four counters.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -39,6 +39,8 @@
   readonly quotaPriorities: boolean;
   /** Keep room for large requests within a customer's quota. */
   readonly quotaLargeRequests: boolean;
+  /** Tell error responses of a replica from those of a route. */
+  readonly errorOrigins: boolean;
 };
 
 /** Parameters that a reload of the settings can change. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -218,6 +218,7 @@
       customerShares: scheduling.customer_shares,
       quotaPriorities: scheduling.quota_priorities,
       quotaLargeRequests: scheduling.quota_large_requests,
+      errorOrigins: scheduling.error_origins,
     },
   };
 }
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -229,6 +229,16 @@
   ),
   prefillFailed: warn("prefill", "A prefill failed", FAILURES_PER_SECOND),
   retried: warn("retry", "A request is retried", FAILURES_PER_SECOND),
+  errorRetriesStopped: warn(
+    "retry",
+    "Error responses of a route are no longer retried: retries of them fail",
+    STATE_CHANGES_PER_SECOND,
+  ),
+  errorRetriesResumed: info(
+    "retry",
+    "Error responses of a route are retried again",
+    STATE_CHANGES_PER_SECOND,
+  ),
   retryDenied: warn(
     "retry",
     "The retry budget is exhausted",
--- a/src/gateway/planning/assignment.ts
+++ b/src/gateway/planning/assignment.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { RequiredVersion } from "../replicas/required_version.ts";
 import type {
+  PlanGrant,
   PlanHandover,
   PlanProgress,
   PlanRefusal,
@@ -37,13 +38,22 @@
   readonly localPrefill: boolean;
   /** Its route allows it to run more than once. */
   readonly repeatable: boolean;
+  /** The name of its route, if the planner counts by route. */
+  readonly route?: string | undefined;
+  /** The attempt before ended with an error response. */
+  readonly afterError?: boolean;
   readonly excluded: ReadonlySet<string>;
   /** The decode replica must have this version; absent: any will do. */
   readonly boundTo?: RequiredVersion | undefined;
 };
 
 /** The assigned replicas, by incarnation. */
-export type Assignment = { readonly decode: string; readonly prefill?: string };
+export type Assignment =
+  & { readonly decode: string; readonly prefill?: string }
+  & PlainAdvice;
+
+/** What a planner knows of a plain call that it grants. */
+export type PlainAdvice = Pick<PlanGrant, "finalErrors">;
 
 /** Why there is no assignment. */
 export type AssignmentRefusal = {
@@ -93,6 +103,17 @@
   };
 }
 
+/** Converts a planner's grant. */
+export function toAssignment(
+  { decode, prefill, finalErrors }: PlanGrant,
+): Assignment {
+  return {
+    decode,
+    ...(prefill === undefined ? {} : { prefill }),
+    ...(finalErrors ? { finalErrors } : {}),
+  };
+}
+
 /** Converts a planner's refusal. */
 export function toAssignmentRefusal(
   planner: string,
@@ -131,6 +152,8 @@
     whole: request.localPrefill,
     excluded: [...request.excluded],
     ...(request.repeatable ? { repeatable: true as const } : {}),
+    ...(request.route === undefined ? {} : { route: request.route }),
+    ...(request.afterError ? { afterError: true as const } : {}),
     ...boundToOf(request),
   };
 }
--- a/src/gateway/planning/ledger.ts
+++ b/src/gateway/planning/ledger.ts
@@ -58,6 +58,10 @@
   readonly customer: string;
   /** Identifies the prompt; may be empty. */
   readonly key: string;
+  /** The name of its route, at a plain service. */
+  readonly route?: string;
+  /** It retries a request that ended with an error response elsewhere. */
+  readonly retriedFrom?: readonly string[];
   /** Prompt tokens pending at the prefill replica when it was granted. */
   readonly tokensAhead: number;
   readonly grantedAt: Milliseconds;
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -74,6 +74,10 @@
   whole: z.boolean(),
   /** It may run more than once. */
   repeatable: z.literal(true).exactOptional(),
+  /** The name of its route, at a plain service. */
+  route: z.string().exactOptional(),
+  /** The attempt before ended with an error response. */
+  afterError: z.literal(true).exactOptional(),
   excluded: z.array(z.string()),
   /**
    * A stream that goes on only at decode replicas of this software version;
@@ -112,6 +116,8 @@
   events: z.number().exactOptional(),
   /** Time from the first event to the last one received. */
   runMs: z.number().exactOptional(),
+  /** The replica responded with an error status, with stage "failed". */
+  isError: z.literal(true).exactOptional(),
 });
 
 const PlanGrantSchema = z.object({
@@ -120,6 +126,8 @@
   decode: z.string(),
   /** Absent: the decode replica does a local prefill. */
   prefill: z.string().exactOptional(),
+  /** An error response of a plain replica is passed on without a retry. */
+  finalErrors: z.literal(true).exactOptional(),
 });
 
 /** State of the pool on which a refusal was decided. */
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -13,7 +13,8 @@
 import type { EngineAssignment } from "./engine_choice.ts";
 import { firstEventMs } from "./forecasts.ts";
 import type { MeasuredRates } from "./measured_rates.ts";
-import type { Ledger, LedgerEntry } from "./ledger.ts";
+import { ASSIGNMENT_TTL_MS, grantedEntry } from "./granted_entry.ts";
+import type { Ledger } from "./ledger.ts";
 import { createPlannerParts, type PlannerParts } from "./planner_parts.ts";
 import { PoolSnapshot } from "./pool_snapshot.ts";
 import { isLightlyUsed } from "./pool_use.ts";
@@ -31,8 +32,6 @@
 } from "./messages.ts";
 import type { Outcome } from "./outcome.ts";
 
-/** TTL of an assignment whose host reports nothing. */
-const ASSIGNMENT_TTL_MS = 20_000;
 /**
  * TTL of the assignments of an unreachable host: responses in progress use
  * their memory until they end.
@@ -291,36 +290,21 @@
     now: Milliseconds,
   ): PlanGrant {
     this.#parts.shares.noteGrant(queued.request, now);
-    const { id, service, tokens, promptTokens, key } = queued.request;
-    const { outputTokens, priority, customer } = queued.request;
-    const decode = assignment.decode.incarnation;
-    const prefill = assignment.prefill?.incarnation;
-    const entry: LedgerEntry = {
-      id,
-      service,
-      host: queued.host,
-      hall: queued.request.hall,
-      decode,
-      tokens,
-      prefill,
-      prefilledBy: prefill,
-      promptTokens,
-      outputTokens,
-      priority,
-      customer,
-      key,
-      tokensAhead: prefill === undefined
-        ? 0
-        : this.#parts.ledger.backlogAt(prefill),
-      grantedAt: now,
-      expiresAt: now + ASSIGNMENT_TTL_MS,
-    };
-    this.#parts.ledger.add(entry);
+    const { id, service, key } = queued.request;
+    const { ledger } = this.#parts;
+    const entry = grantedEntry(ledger, queued, assignment, now);
+    const { decode, prefill } = entry;
+    ledger.add(entry);
     this.#parts.rates().noteGrant(entry, now);
     if (prefill === undefined && this.#view.memoryOf(service) > 0) {
       this.#parts.promptLocations.note(key, { decode }, now);
     }
-    const base = { type: "grant" as const, id, decode };
+    const advice = this.#parts.plainAdvisor.adviceOn(
+      queued.request,
+      decode,
+      now,
+    );
+    const base = { type: "grant" as const, id, decode, ...advice };
     return prefill === undefined ? base : { ...base, prefill };
   }
 }
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -22,6 +22,7 @@
   planRequestOf,
   type ProgressDetails,
   type RunSummary,
+  toAssignment,
   toAssignmentRefusal,
 } from "./assignment.ts";
 import { KeptSummaries } from "./kept_summaries.ts";
@@ -113,8 +114,8 @@
   }
 
   /** Reports that the decode replica did not accept the request. */
-  failed(id: string): void {
-    this.#release(id, AssignmentStage.failed);
+  failed(id: string, details: Pick<ProgressDetails, "isError"> = {}): void {
+    this.#release(id, AssignmentStage.failed, details);
   }
 
   /**
@@ -286,11 +287,11 @@
     if (message.type === "refusal") {
       return pending.resolve(toAssignmentRefusal(from, message));
     }
-    const { decode, prefill } = message;
+    const { decode } = message;
     const { request } = pending;
     const assignment = { request, decode, events: 0, runMs: 0, planner: from };
     this.#active.set(id, assignment);
     this.#handOver(id, assignment, this.plannerOf(request.service));
-    pending.resolve(prefill === undefined ? { decode } : { decode, prefill });
+    pending.resolve(toAssignment(message));
   }
 }
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -11,6 +11,7 @@
 import { Forecasts } from "./forecasts.ts";
 import { Ledger } from "./ledger.ts";
 import { MeasuredRates } from "./measured_rates.ts";
+import { PlainAdvisor } from "./plain_advice.ts";
 import { PlainAssigner } from "./plain_assigner.ts";
 import { PlainHold } from "./plain_hold.ts";
 import { Progress } from "./progress.ts";
@@ -32,6 +33,7 @@
   readonly pacer: RequestPacer;
   readonly engineDecision: EngineDecision;
   readonly plainAssigner: PlainAssigner;
+  readonly plainAdvisor: PlainAdvisor;
   readonly progress: Progress;
   readonly demand: DemandMeter;
   readonly bookings: Bookings;
@@ -70,6 +72,7 @@
   const shares = new FairShares({ view, ledger });
   const choice = new EngineChoice(shared);
   const demand = new DemandMeter(rates);
+  const plainAdvisor = new PlainAdvisor(view);
   return {
     ledger,
     losses,
@@ -78,10 +81,12 @@
     pacer,
     engineDecision: new EngineDecision({ choice, forecasts, pacer, view }),
     plainAssigner: new PlainAssigner(shared),
+    plainAdvisor,
     progress: new Progress({
       ...shared,
       losses,
       forecasts,
+      plainAdvisor,
       noteFull: (incarnation, now) =>
         fullUntil.set(incarnation, now + FULL_BACKOFF_MS),
     }),
--- a/src/gateway/planning/progress.ts
+++ b/src/gateway/planning/progress.ts
@@ -1,9 +1,11 @@
 /** Applies hosts' progress reports to the state of a planner. */
 import type { Milliseconds } from "../../util/units.ts";
+import { ErrorOrigin } from "./error_origins.ts";
 import type { ExportLosses } from "./export_losses.ts";
 import type { Forecasts } from "./forecasts.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
 import { AssignmentStage, type PlanProgress } from "./messages.ts";
+import type { PlainAdvisor } from "./plain_advice.ts";
 import type { PromptLocations } from "./prompt_locations.ts";
 import type { ReplicaRates } from "./replica_rates.ts";
 import type { RequestPacer } from "./request_pacer.ts";
@@ -17,6 +19,7 @@
   readonly promptLocations: PromptLocations;
   readonly forecasts: Forecasts;
   readonly pacer: RequestPacer;
+  readonly plainAdvisor: PlainAdvisor;
   /** Speeds of the replicas; a reload of the settings replaces them. */
   rates(): ReplicaRates;
   /** Called for a decode replica that had no memory. */
@@ -84,6 +87,12 @@
     const { losses, promptLocations, forecasts, view, rates } = this.#state;
     const { decode, prefilledBy, service } = entry;
     const { stage, retryAfterMs } = report;
+    const origin = this.#state.plainAdvisor.noteEnd(entry, report, now);
+    if (origin === ErrorOrigin.route) {
+      // Says nothing about the replica.
+      const ended = { ...report, stage: AssignmentStage.ended };
+      return rates().noteEnd(entry, ended, now);
+    }
     rates().noteEnd(entry, report, now);
     switch (stage) {
       case AssignmentStage.exportLost:
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -4,6 +4,7 @@
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { RequiredVersion } from "../replicas/required_version.ts";
 import { isRepeatable } from "../routing/model.ts";
+import type { Placement } from "./placement.ts";
 import type { GatewayRequest } from "./request.ts";
 import { hasOtherReplica } from "./sender.ts";
 
@@ -26,6 +27,7 @@
   #isPrefillAccepted = false;
   /** Sends that may have run. */
   #possibleRuns = 0;
+  #isAfterError = false;
 
   constructor(context: GatewayContext, request: GatewayRequest) {
     this.#context = context;
@@ -63,8 +65,14 @@
     return this.#possibleRuns >= this.#request.route.attempts;
   }
 
+  /** Whether the last send ended with an error response. */
+  get isAfterError(): boolean {
+    return this.#isAfterError;
+  }
+
   /** Counts a send before it starts. */
   noteSent(): void {
+    this.#isAfterError = false;
     this.#sends += 1;
     this.#possibleRuns += 1;
     this.#arrivals += 1;
@@ -143,6 +151,25 @@
     return true;
   }
 
+  /**
+   * Acquires a retry at another replica instead of passing on an error
+   * response, unless the planner knows that it would not help.
+   */
+  acquireErrorRetry(
+    { replica, advice }: Pick<Placement, "replica" | "advice">,
+    status: number,
+  ): boolean {
+    if (!this.repeatable) return false;
+    if (advice?.finalErrors) {
+      this.#context.metrics.count("error_retries_spared");
+      return false;
+    }
+    if (!this.acquireRetry(`Status ${status}`)) return false;
+    this.exclude(replica.entry.incarnation);
+    this.#isAfterError = true;
+    return true;
+  }
+
   /**
    * Charges the budget for sending the request itself; false if the budget is
    * exhausted. The budget counts arrivals at replicas rather than retry
--- a/src/gateway/requests/build_placement.ts
+++ b/src/gateway/requests/build_placement.ts
@@ -1,6 +1,7 @@
 /** Builds placements from the resources that were acquired for them. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
+import type { PlainAdvice } from "../planning/assignment.ts";
 import { CallMode } from "../port.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Placement } from "./placement.ts";
@@ -10,13 +11,21 @@
 /** The placement of a request at a plain service. */
 export function buildPlainPlacement(
   replica: Replica,
-  { permit, waitMs }: {
+  { permit, waitMs, advice }: {
     readonly permit: SendPermit;
     readonly waitMs: Milliseconds;
+    readonly advice: PlainAdvice;
   },
 ): Placement {
   const headers = { mode: CallMode.whole, replica: replica.entry.id };
-  return { replica, permit, tokens: 0, waitMs: Math.round(waitMs), headers };
+  return {
+    replica,
+    permit,
+    tokens: 0,
+    waitMs: Math.round(waitMs),
+    headers,
+    advice,
+  };
 }
 
 /** What {@link buildEnginePlacement} needs besides the reservation. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -119,6 +119,7 @@
     const placed = await this.#placer.place({
       excluded: this.#attempts.excluded,
       mayHaveRun: this.#attempts.mayHaveRunAnywhere,
+      afterError: this.#attempts.isAfterError,
       requiredVersion: this.#binding.requiredVersion,
     });
     if (this.#ended) return;
@@ -221,7 +222,10 @@
     const status = answer.message.statusCode ?? 0;
     const { headersSent } = this.#writer;
     const failed = status >= 500 || (headersSent && status !== 200);
-    if (failed && this.#retryAnswer(placed, answer)) return;
+    if (failed && this.#attempts.acquireErrorRetry(placed, status)) {
+      answer.message.resume();
+      return this.#meter.complete(status);
+    }
     if (failed && headersSent) {
       answer.message.destroy();
       return this.#failUnknown(`Status ${status}`);
@@ -240,17 +244,6 @@
     this.#end();
   }
 
-  /** Retries a failed response at another replica instead of forwarding it. */
-  #retryAnswer(placed: Placement, answer: Answer): boolean {
-    if (!this.#attempts.repeatable) return false;
-    const reason = `Status ${answer.message.statusCode}`;
-    if (!this.#attempts.acquireRetry(reason)) return false;
-    answer.message.resume();
-    this.#meter.complete(answer.message.statusCode ?? 0);
-    this.#attempts.exclude(placed.replica.entry.incarnation);
-    return true;
-  }
-
   #relay(placed: Placement, answer: Answer): Promise<RelayOutcome> {
     return relayToCaller(this.#context, this.#request, {
       answer,
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -4,7 +4,7 @@
 import type { SendPermit } from "../limits/replica_limits.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import type { CallMetadata } from "../port.ts";
-import type { RunSummary } from "../planning/assignment.ts";
+import type { PlainAdvice, RunSummary } from "../planning/assignment.ts";
 import type { RequiredVersion } from "../replicas/required_version.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Export } from "./prefill.ts";
@@ -22,6 +22,8 @@
   /** Time that the prefill took. */
   readonly prefillMs?: Milliseconds;
   readonly headers: CallMetadata;
+  /** What the planner knows of a plain call; empty without its answer. */
+  readonly advice?: PlainAdvice;
 };
 
 /** Why a request could not be placed, and when to retry if that is known. */
@@ -42,6 +44,8 @@
    * This host's own network path failed, which says nothing about the replica.
    */
   readonly isLocal: boolean;
+  /** The replica responded with an error status. */
+  readonly isError?: true;
 };
 
 /** How earlier sends of a request restrict its placement. */
@@ -50,6 +54,8 @@
   readonly excluded: ReadonlySet<string>;
   /** An earlier send may have run, or the caller has part of the response. */
   readonly mayHaveRun: boolean;
+  /** The last send ended with an error response. */
+  readonly afterError?: boolean;
   /**
    * The software version of the replica that writes the response; absent: any
    * will do.
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -10,6 +10,7 @@
 import type {
   Assignment,
   AssignmentRefusal,
+  PlainAdvice,
   RunSummary,
 } from "../planning/assignment.ts";
 import type { ServiceCustomer } from "../planning/last_ratios.ts";
@@ -17,7 +18,7 @@
 import { chooseReplica } from "../replicas/choice.ts";
 import type { Replica } from "../replicas/replica.ts";
 import { hasRequiredVersion } from "../replicas/required_version.ts";
-import { isRepeatable } from "../routing/model.ts";
+import { isRepeatable, type Route } from "../routing/model.ts";
 import { buildPlainPlacement } from "./build_placement.ts";
 import { usableReplicas } from "./availability.ts";
 import {
@@ -55,6 +56,8 @@
   /** Identifies the current assignment to its planner. */
   #assignmentId: string | undefined;
   #permit: SendPermit | undefined;
+  /** What the planner told with the current assignment. */
+  #advice: PlainAdvice = {};
   #ended = false;
 
   constructor(
@@ -109,7 +112,8 @@
         this.#permit = permit;
         if (!this.#ended) {
           const waitMs = clock.now() - requestedAt;
-          return buildPlainPlacement(replica, { permit, waitMs });
+          const advice = this.#advice;
+          return buildPlainPlacement(replica, { permit, waitMs, advice });
         }
         this.release();
         return { error: GatewayError.noReplica };
@@ -137,6 +141,7 @@
     const { requiredVersion } = constraints;
     const isUsable = planned && !gate.obstacle(planned) &&
       hasRequiredVersion(planned.entry, requiredVersion);
+    this.#advice = isUsable && "decode" in assignment ? assignment : {};
     if (isUsable) return planned;
     this.release();
     const isUnplanned = "reason" in assignment &&
@@ -182,7 +187,7 @@
   }
 
   async #requestAssignment(
-    { excluded, mayHaveRun, requiredVersion }: PlacementConstraints,
+    { excluded, mayHaveRun, afterError, requiredVersion }: PlacementConstraints,
     requestedAt: Milliseconds,
   ): Promise<Assignment | AssignmentRefusal> {
     const { clock } = this.#context;
@@ -206,6 +211,8 @@
       mayHaveRun,
       localPrefill: true,
       repeatable: isRepeatable(route),
+      ...this.#countedBy(route),
+      afterError: afterError === true,
       excluded,
       boundTo: requiredVersion,
     });
@@ -217,6 +224,12 @@
     return assignment;
   }
 
+  /** The route by which the planner counts calls, if it does. */
+  #countedBy({ name }: Route): { readonly route?: string } {
+    const { replicaRates, errorOrigins } = this.#context.tuning.scheduling;
+    return replicaRates && errorOrigins ? { route: name } : {};
+  }
+
   /** Identifies the request over all attempts of its caller. */
   #retryKey(): string {
     const { body, fingerprint } = this.#request;
@@ -251,12 +264,12 @@
     if (id !== undefined) this.#planner.ended(id);
   }
 
-  failed({ rejected, isLocal }: PlacementFailure): void {
+  failed({ rejected, isLocal, isError }: PlacementFailure): void {
     const id = this.#clearAssignmentId();
     if (id === undefined) return;
     if (isLocal) this.#planner.ended(id);
     else if (rejected) this.#planner.refused(id);
-    else this.#planner.failed(id);
+    else this.#planner.failed(id, isError ? { isError } : {});
   }
 
   consumed(): void {}
--- a/src/gateway/requests/run_meter.ts
+++ b/src/gateway/requests/run_meter.ts
@@ -3,10 +3,18 @@
 import type { GatewayContext } from "../context.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { RouteKind } from "../routing/model.ts";
-import type { Placer } from "./placement.ts";
+import type { PlacementFailure, Placer } from "./placement.ts";
 import type { GatewayRequest } from "./request.ts";
 import { type RelayObserver, RunProgress } from "./run_progress.ts";
 
+/** A response with an error status. */
+const ERROR_RESPONSE: PlacementFailure = {
+  rejected: false,
+  isBackoff: false,
+  isLocal: false,
+  isError: true,
+};
+
 /** Options of {@link RunMeter}. */
 export type RunMeterOptions = {
   readonly context: GatewayContext;
@@ -56,8 +64,7 @@
     const { placer, request, context } = this.#options;
     if (!this.#isOn) return placer.completed();
     if (status >= 500) {
-      const failure = { rejected: false, isBackoff: false, isLocal: false };
-      return placer.failed(failure);
+      return placer.failed(ERROR_RESPONSE);
     }
     const isStream = request.route.kind === RouteKind.streaming;
     const runMs = context.clock.now() - this.#sentAt;
--- a/src/gateway/requests/send_placed.ts
+++ b/src/gateway/requests/send_placed.ts
@@ -46,6 +46,7 @@
     },
     permit: placed.permit,
     isRepeatable: attempts.repeatable && !attempts.isLast,
+    ignoresErrors: placed.advice?.finalErrors === true,
     ...(timeoutMs === undefined ? {} : { timeoutMs }),
   });
 }
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -70,6 +70,8 @@
   readonly timeoutMs?: Milliseconds;
   /** Whether the call is aborted if the path to the replica is lost. */
   readonly isRepeatable: boolean;
+  /** An error response says nothing about the replica. */
+  readonly ignoresErrors?: boolean;
 };
 
 /** Sends a request or its prefill; all sends to replicas use this function. */
@@ -77,7 +79,7 @@
   context: GatewayContext,
   request: GatewayRequest,
   replica: Replica,
-  { headers, permit, timeoutMs, isRepeatable }: SendOptions,
+  { headers, permit, timeoutMs, isRepeatable, ignoresErrors }: SendOptions,
 ): Sending {
   // The request may have waited since its replica was chosen, and the replica
   // may have started to drain or to back off in the meantime.
@@ -112,7 +114,7 @@
   const cancelTimeout = timeoutMs === undefined
     ? () => undefined
     : context.clock.after(timeoutMs, () => call.abort("No answer in time"));
-  const sent = { call, sentAt };
+  const sent = { call, sentAt, ignoresErrors };
   const result = resultOf(context, request, replica, sent).finally(() => {
     cancelTimeout();
     replica.activeCalls -= 1;
@@ -149,11 +151,18 @@
   return Math.max(1, Math.floor(share));
 }
 
+/** A call that was started. */
+type Sent = {
+  readonly call: Call;
+  readonly sentAt: Milliseconds;
+  readonly ignoresErrors: boolean | undefined;
+};
+
 async function resultOf(
   context: GatewayContext,
   request: GatewayRequest,
   replica: Replica,
-  { call, sentAt }: { readonly call: Call; readonly sentAt: Milliseconds },
+  { call, sentAt, ignoresErrors }: Sent,
 ): Promise<SendResult> {
   const outcome = await call.outcome;
   if (outcome.type === "notSent") return notSent(context, replica, outcome);
@@ -204,8 +213,8 @@
     message.resume();
     return { type: "unknown", reason: `Status ${status}`, isLocal: false };
   }
-  if (status >= 500) replica.noteFailure(now, false);
-  else replica.noteSuccess();
+  if (status < 500) replica.noteSuccess();
+  else if (!ignoresErrors) replica.noteFailure(now, false);
   return { type: "answer", answer };
 }
 
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -95,6 +95,8 @@
   quota_priorities: z.boolean().default(false),
   /** Keep room for large requests within a customer's quota. */
   quota_large_requests: z.boolean().default(false),
+  /** Tell error responses of a replica from those of a route. */
+  error_origins: z.boolean().default(false),
 });
 
 const Memory = z.strictObject({
--- a/test/gateway/no_scheduling.ts
+++ b/test/gateway/no_scheduling.ts
@@ -12,4 +12,5 @@
   customerShares: false,
   quotaPriorities: false,
   quotaLargeRequests: false,
+  errorOrigins: false,
 };
--- a/test/gateway/planning/bound_streams_test.ts
+++ b/test/gateway/planning/bound_streams_test.ts
@@ -30,6 +30,7 @@
   customerShares: true,
   quotaPriorities: true,
   quotaLargeRequests: true,
+  errorOrigins: true,
 };
 
 function decodeReplica(id: string, softwareVersion?: string): ReplicaEntry {
--- /dev/null
+++ b/test/gateway/planning/plain_service_rig.ts
@@ -0,0 +1,251 @@
+/**
+ * Calls of a plain service in virtual time: the planner, replicas that queue
+ * calls, and hosts that retry.
+ */
+import { xoroshiro128plus } from "pure-rand";
+import { RetryBudget } from "../../../src/gateway/retries/retry_budget.ts";
+import type { Scheduling } from "../../../src/gateway/context.ts";
+import { Planner } from "../../../src/gateway/planning/planner.ts";
+import type { PlanGrant } from "../../../src/gateway/planning/messages.ts";
+import { randomInt } from "../../../src/util/random.ts";
+import { NO_SCHEDULING } from "../no_scheduling.ts";
+import { replicaEntry } from "../replica_entry.ts";
+import { messages, planRequest, view } from "./planner_rig.ts";
+
+const SLOTS = 6;
+const HOSTS = 20;
+const ATTEMPTS = 2;
+const MAX_RANDOM = 1 << 24;
+
+/** A call of a caller, and what became of it. */
+export type SimulatedCall = {
+  readonly index: number;
+  readonly route: string;
+  readonly repeatable: boolean;
+  readonly at: number;
+  /** Time that it takes in a slot of a replica of usual speed. */
+  readonly workMs: number;
+  /** In [0, 1); the same for all attempts. */
+  readonly luck: number;
+  sends: number;
+  endedAt?: number;
+  isError?: boolean;
+};
+
+/** A load on a plain service. */
+export type PlainLoad = {
+  readonly replicas: number;
+  readonly seconds: number;
+  readonly perSecond: number;
+  readonly scheduling: Partial<Scheduling>;
+  readonly routes: readonly {
+    readonly name: string;
+    readonly repeatable: boolean;
+  }[];
+  readonly budget: { readonly ratio: number; readonly extra: number };
+  /** Time in a slot of a replica of usual speed. */
+  workMs(random: () => number): number;
+  /** How many times slower a replica is; 1 by default. */
+  slowness?(replica: number, now: number): number;
+  /** Whether an attempt of the call gets an error response there. */
+  fails?(call: SimulatedCall, replica: number, now: number): boolean;
+};
+
+/** What {@link serveLoad} saw. */
+export type ServedLoad = {
+  readonly calls: readonly SimulatedCall[];
+  readonly events: readonly string[];
+  readonly counts: ReadonlyMap<string, number>;
+  /** Failures that would pause replicas. */
+  readonly failuresNoted: number;
+  /** Sends to each replica. */
+  readonly sendsTo: readonly number[];
+};
+
+type Attempt = {
+  readonly id: string;
+  readonly call: SimulatedCall;
+  readonly replica: number;
+  readonly grant: PlanGrant;
+  readonly sentAt: number;
+  endsAt: number;
+};
+
+/** Serves a load by the planner's assignments; the same for the same seed. */
+export function serveLoad(load: PlainLoad, seed = 1): ServedLoad {
+  return new Simulation(load, seed).run();
+}
+
+class Simulation {
+  readonly #load: PlainLoad;
+  readonly #random: () => number;
+  readonly #planner: Planner;
+  readonly #budget: RetryBudget;
+  readonly #calls: SimulatedCall[] = [];
+  readonly #events: string[] = [];
+  readonly #counts = new Map<string, number>();
+  readonly #pending = new Map<string, SimulatedCall>();
+  readonly #running: Attempt[] = [];
+  readonly #queues: Attempt[][];
+  readonly #busy: number[];
+  readonly #sendsTo: number[];
+  #failuresNoted = 0;
+
+  constructor(load: PlainLoad, seed: number) {
+    this.#load = load;
+    const generator = xoroshiro128plus(seed);
+    this.#random = () => randomInt(generator, MAX_RANDOM) / MAX_RANDOM;
+    const numbers = Array.from({ length: load.replicas }, () => 0);
+    const entries = numbers.map((_, index) =>
+      replicaEntry(String(index), { slots: SLOTS, hall: `hall${index % 3}` })
+    );
+    this.#queues = numbers.map(() => []);
+    this.#busy = [...numbers];
+    this.#sendsTo = [...numbers];
+    this.#budget = new RetryBudget(
+      { windowMs: 10_000, ...load.budget },
+      -10_000,
+    );
+    this.#planner = new Planner(view({
+      replicasOf: () => entries,
+      memoryOf: () => 0,
+      random: this.#random,
+      scheduling: { ...NO_SCHEDULING, ...load.scheduling },
+      noteFailure: () => void (this.#failuresNoted += 1),
+      events: { note: (name) => void this.#events.push(name) },
+      metrics: {
+        count: (name) =>
+          void this.#counts.set(name, (this.#counts.get(name) ?? 0) + 1),
+      },
+    }));
+  }
+
+  run(): ServedLoad {
+    const { seconds, perSecond } = this.#load;
+    for (let now = 0; now < (seconds + 2) * 1000; now++) {
+      if (now < seconds * 1000 && this.#random() < perSecond / 1000) {
+        this.#arrive(now);
+      }
+      for (const message of messages(this.#planner, now)) {
+        if (message.type === "ping") continue;
+        const call = this.#pending.get(message.id);
+        this.#pending.delete(message.id);
+        if (!call) continue;
+        if (message.type === "grant") this.#send(call, message, now);
+        else this.#end(call, true, now);
+      }
+      this.#finish(now);
+    }
+    return {
+      calls: this.#calls,
+      events: this.#events,
+      counts: this.#counts,
+      failuresNoted: this.#failuresNoted,
+      sendsTo: this.#sendsTo,
+    };
+  }
+
+  #arrive(now: number): void {
+    const { routes, workMs } = this.#load;
+    const index = this.#calls.length;
+    const route = routes[Math.floor(this.#random() * routes.length)];
+    if (!route) return;
+    const call: SimulatedCall = {
+      index,
+      route: route.name,
+      repeatable: route.repeatable,
+      at: now,
+      workMs: workMs(this.#random),
+      luck: this.#random(),
+      sends: 0,
+    };
+    this.#calls.push(call);
+    this.#budget.noteRequest("s", now);
+    this.#request(call, [], now);
+  }
+
+  #request(
+    call: SimulatedCall,
+    failedAt: readonly string[],
+    now: number,
+  ): void {
+    const id = `${call.index}/${call.sends}`;
+    const isRetry = failedAt.length > 0;
+    const request = planRequest(id, {
+      tokens: 1,
+      promptTokens: 0,
+      outputTokens: 0,
+      hall: `hall${call.index % 3}`,
+      begun: isRetry,
+      excluded: [...failedAt],
+      route: call.route,
+      ...(call.repeatable ? { repeatable: true as const } : {}),
+      ...(isRetry ? { afterError: true as const } : {}),
+    });
+    this.#pending.set(id, call);
+    this.#planner.enqueue(`host${call.index % HOSTS}`, request, now);
+  }
+
+  #send(call: SimulatedCall, grant: PlanGrant, now: number): void {
+    const replica = Number(grant.decode);
+    call.sends += 1;
+    this.#sendsTo[replica] = (this.#sendsTo[replica] ?? 0) + 1;
+    const { id } = grant;
+    const attempt = { id, call, replica, grant, sentAt: now, endsAt: 0 };
+    this.#queues[replica]?.push(attempt);
+    this.#start(replica, now);
+  }
+
+  #start(replica: number, now: number): void {
+    const queue = this.#queues[replica] ?? [];
+    while ((this.#busy[replica] ?? 0) < SLOTS) {
+      const attempt = queue.shift();
+      if (!attempt) return;
+      const slowness = this.#load.slowness?.(replica, now) ?? 1;
+      attempt.endsAt = now + Math.max(1, attempt.call.workMs * slowness);
+      this.#busy[replica] = (this.#busy[replica] ?? 0) + 1;
+      this.#running.push(attempt);
+    }
+  }
+
+  #finish(now: number): void {
+    for (const attempt of [...this.#running]) {
+      if (attempt.endsAt > now) continue;
+      this.#running.splice(this.#running.indexOf(attempt), 1);
+      this.#busy[attempt.replica] = (this.#busy[attempt.replica] ?? 0) - 1;
+      this.#start(attempt.replica, now);
+      this.#answer(attempt, now);
+    }
+  }
+
+  #answer({ id, call, replica, grant, sentAt }: Attempt, now: number): void {
+    const isError = this.#load.fails?.(call, replica, now) === true;
+    const runMs = now - sentAt;
+    this.#planner.report(
+      isError
+        ? { type: "progress", id, stage: "failed", isError }
+        : { type: "progress", id, stage: "answered", runMs },
+      now,
+    );
+    const isRetried = isError && call.repeatable && !grant.finalErrors &&
+      call.sends < ATTEMPTS && this.#budget.acquire("s", 1, now);
+    if (isRetried) this.#request(call, [String(replica)], now);
+    else this.#end(call, isError, now);
+  }
+
+  #end(call: SimulatedCall, isError: boolean, now: number): void {
+    call.endedAt = now;
+    call.isError = isError;
+  }
+}
+
+/** The share of the calls that got no error within a time. */
+export function shareServed(
+  calls: readonly SimulatedCall[],
+  withinMs: number,
+): number {
+  const served = calls.filter(({ at, endedAt, isError }) =>
+    isError === false && endedAt !== undefined && endedAt - at <= withinMs
+  );
+  return served.length / calls.length;
+}
