Plain services: a safe call that is late gets a second attempt

Cause: a safe call whose replica stalls waited for two objectives before another replica was tried, and took up a slot of the stalled one until then.

Change: the planner measures the durations of each route's calls (planning/call_times.ts) and names in the grant the time within which 95% of them end. A host that has no response by then asks for a second assignment; the first response that is no error is used, the other send aborted (requests/attempt_race.ts, second_attempt.ts). Only safe routes; within the route's attempts and half of the retry budget; the planner refuses while half of the slots are in use or a replica limits its requests. A quarantined request gets none. An overtaken call counts as a slow one at its replica; after two in a row the replica is spared, after eight it is ejected as silent. Setting scheduling.second_attempts, off by default; event secondAttempt; three counters.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -41,6 +41,8 @@
   readonly quotaLargeRequests: boolean;
   /** Tell error responses of a replica from those of a route. */
   readonly errorOrigins: boolean;
+  /** Send safe calls that are late to a second replica. */
+  readonly secondAttempts: boolean;
 };
 
 /** Parameters that a reload of the settings can change. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -219,6 +219,7 @@
       quotaPriorities: scheduling.quota_priorities,
       quotaLargeRequests: scheduling.quota_large_requests,
       errorOrigins: scheduling.error_origins,
+      secondAttempts: scheduling.second_attempts,
     },
   };
 }
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -239,6 +239,11 @@
     "Error responses of a route are retried again",
     STATE_CHANGES_PER_SECOND,
   ),
+  secondAttempt: info(
+    "retry",
+    "A late request is sent to a second replica",
+    REQUESTS_PER_SECOND,
+  ),
   retryDenied: warn(
     "retry",
     "The retry budget is exhausted",
--- a/src/gateway/planning/assignment.ts
+++ b/src/gateway/planning/assignment.ts
@@ -42,6 +42,8 @@
   readonly route?: string | undefined;
   /** The attempt before ended with an error response. */
   readonly afterError?: boolean;
+  /** Another attempt is in progress. */
+  readonly isSecond?: boolean;
   readonly excluded: ReadonlySet<string>;
   /** The decode replica must have this version; absent: any will do. */
   readonly boundTo?: RequiredVersion | undefined;
@@ -53,7 +55,7 @@
   & PlainAdvice;
 
 /** What a planner knows of a plain call that it grants. */
-export type PlainAdvice = Pick<PlanGrant, "finalErrors">;
+export type PlainAdvice = Pick<PlanGrant, "finalErrors" | "secondAfterMs">;
 
 /** Why there is no assignment. */
 export type AssignmentRefusal = {
@@ -105,12 +107,13 @@
 
 /** Converts a planner's grant. */
 export function toAssignment(
-  { decode, prefill, finalErrors }: PlanGrant,
+  { decode, prefill, finalErrors, secondAfterMs }: PlanGrant,
 ): Assignment {
   return {
     decode,
     ...(prefill === undefined ? {} : { prefill }),
     ...(finalErrors ? { finalErrors } : {}),
+    ...(secondAfterMs === undefined ? {} : { secondAfterMs }),
   };
 }
 
@@ -154,6 +157,7 @@
     ...(request.repeatable ? { repeatable: true as const } : {}),
     ...(request.route === undefined ? {} : { route: request.route }),
     ...(request.afterError ? { afterError: true as const } : {}),
+    ...(request.isSecond ? { second: true as const } : {}),
     ...boundToOf(request),
   };
 }
--- a/src/gateway/planning/ejection_rules.ts
+++ b/src/gateway/planning/ejection_rules.ts
@@ -19,6 +19,8 @@
 const SILENT_MIN_SHARE = 0.5;
 /** No ejection when this share of all other runs is overdue as well. */
 const SILENT_MAX_OTHERS = 0.25;
+/** Calls in a row that another attempt overtook, as at a silent replica. */
+const SILENT_OVERTAKEN = 8;
 
 /** The cause to eject a replica that is far slower than its pool. */
 export function slownessCause(
@@ -53,3 +55,9 @@
   if (othersOverdue > SILENT_MAX_OTHERS * othersOpen) return undefined;
   return { reason: EjectionReason.silent, figures: { overdue, open } };
 }
+
+/** The cause to eject a replica whose last calls were all overtaken. */
+export function overtakenCause(inRow: number): EjectionCause | undefined {
+  if (inRow < SILENT_OVERTAKEN) return undefined;
+  return { reason: EjectionReason.silent, figures: { overtaken: inRow } };
+}
--- a/src/gateway/planning/measured_rates.ts
+++ b/src/gateway/planning/measured_rates.ts
@@ -10,20 +10,23 @@
 import type { KnownReplicas } from "./known_replicas.ts";
 import type { Ledger, LedgerEntry } from "./ledger.ts";
 import { AssignmentStage, type PlanProgress } from "./messages.ts";
+import {
+  firstEventTimeoutMs,
+  grantTimeoutMs,
+  REPORT_TIMEOUT_MS,
+} from "./overdue_times.ts";
 import { RateState } from "./rate_state.ts";
 import type { RecentOutcomes } from "./recent_outcomes.ts";
 import type { RatedRequest, ReplicaRates } from "./replica_rates.ts";
+import { ReplicaTrials } from "./replica_trials.ts";
 import type { ServiceRates } from "./service_rates.ts";
 import type { SpeedSample } from "./speed_model.ts";
 import type { PlannerView } from "./view.ts";
 
 /** Interval at which the replicas of a service are compared. */
 const COMPARE_INTERVAL_MS = 200;
-/** A run is overdue after this multiple of the expected time. */
-const OVERDUE_FACTOR = 5;
-const MIN_OVERDUE_MS = 1500;
-/** Longest interval between two reports of a run that proceeds. */
-const REPORT_INTERVAL_MS = 1000;
+/** An aborted call is expected to have taken as long again as it ran. */
+const OVERTAKEN_FACTOR = 2;
 /** Services without requests for this long are left out of the metrics. */
 const MAX_REPORT_AGE_MS = 10_000;
 
@@ -40,6 +43,7 @@
   readonly #replicas: KnownReplicas;
   readonly #outcomes: RecentOutcomes;
   readonly #ejection: Ejection;
+  readonly #trials: ReplicaTrials;
   /** What the reports have shown so far. */
   readonly state: RateState;
   /** The latest time of which a caller told. */
@@ -52,6 +56,7 @@
     this.#replicas = this.state.replicas;
     this.#outcomes = this.state.outcomes;
     this.#ejection = this.state.ejection;
+    this.#trials = new ReplicaTrials(view, this.state);
   }
 
   /** The replicas of the services that were compared lately. */
@@ -94,7 +99,11 @@
     now: Milliseconds,
   ): Standing {
     this.#compare(service, now);
-    const standing = this.#ejection.standing(incarnation, request, now);
+    const ejected = this.#ejection.standing(incarnation, request, now);
+    const isStalled = this.#outcomes.isStalled(incarnation, now);
+    const standing = ejected === Standing.open && isStalled
+      ? Standing.spare
+      : ejected;
     const mayServe = standing === Standing.open || standing === Standing.spare;
     return mayServe && this.#outcomes.isAvoidedBy(request, incarnation, now)
       ? Standing.closed
@@ -118,13 +127,14 @@
     const { id, decode, prefilledBy, promptTokens, tokensAhead } = entry;
     this.#advance(now);
     const rates = this.#serviceOf(entry);
-    rates.runs.endPrefill(entry, now + this.#firstEventTimeoutMs(decode));
+    const timeoutMs = firstEventTimeoutMs(this.firstEventMs(decode));
+    rates.runs.endPrefill(entry, now + timeoutMs);
     if (prefilledBy === undefined) return;
-    this.#noteOutcome(entry, prefilledBy, true, now);
+    this.#trials.noteOutcome(entry, prefilledBy, true, now);
     const sample = rates.prefillSample(spentMs, promptTokens + tokensAhead);
     rates.speeds.add(prefilledBy, sample, now);
-    const isGood = this.#isGoodWork(prefilledBy, sample, now);
-    this.#endTrial(prefilledBy, id, isGood, now);
+    const isGood = this.#trials.isGoodWork(prefilledBy, sample, now);
+    this.#trials.end(prefilledBy, id, isGood, now);
   }
 
   notePrefillFailed(entry: LedgerEntry, now: Milliseconds): void {
@@ -134,8 +144,8 @@
     runs.endPrefill(entry, now + this.#grantTimeoutMs(entry));
     this.#ejection.cancelTrial(decode, id, now);
     if (prefilledBy === undefined) return;
-    this.#noteOutcome(entry, prefilledBy, false, now);
-    this.#endTrial(prefilledBy, id, false, now);
+    this.#trials.noteOutcome(entry, prefilledBy, false, now);
+    this.#trials.end(prefilledBy, id, false, now);
   }
 
   noteProgress(
@@ -153,8 +163,8 @@
     const sample = this.#addRunPart(entry, report, now);
     const isSilent = this.#ejection.reasonOf(decode) === EjectionReason.silent;
     if (!sample && !isSilent) return;
-    const isGood = this.#isGoodWork(decode, sample, now);
-    this.#endTrial(decode, id, isGood, now);
+    const isGood = this.#trials.isGoodWork(decode, sample, now);
+    this.#trials.end(decode, id, isGood, now);
   }
 
   noteEnd(entry: LedgerEntry, report: PlanProgress, now: Milliseconds): void {
@@ -169,12 +179,30 @@
       : undefined;
     this.#serviceOf(entry).runs.end(id);
     if (isAnswered || isFailed) {
-      this.#noteOutcome(entry, decode, isAnswered, now);
-      const isGood = isAnswered && this.#isGoodWork(decode, sample, now);
-      this.#endTrial(decode, id, isGood, now);
+      this.#trials.noteOutcome(entry, decode, isAnswered, now);
+      const isGood = isAnswered && this.#trials.isGoodWork(decode, sample, now);
+      this.#trials.end(decode, id, isGood, now);
+    } else if (report.runMs !== undefined) {
+      this.#noteOvertaken(entry, report, now);
     } else this.#ejection.cancelTrial(decode, id, now);
   }
 
+  /**
+   * Records a plain call that another attempt overtook. Its replica may not
+   * respond at all: then it is overtaken several times in a row.
+   */
+  #noteOvertaken(
+    entry: LedgerEntry,
+    report: PlanProgress,
+    now: Milliseconds,
+  ): void {
+    const { id, decode } = entry;
+    const runMs = OVERTAKEN_FACTOR * (report.runMs ?? 0);
+    this.#addCall(entry, { ...report, runMs }, now);
+    this.#trials.end(decode, id, false, now);
+    this.#trials.noteOvertaken(decode, now);
+  }
+
   #noteFirstEvent(
     { decode, prefilledBy, service }: LedgerEntry,
     { firstEventMs }: PlanProgress,
@@ -190,7 +218,7 @@
     report: PlanProgress,
     now: Milliseconds,
   ): SpeedSample | undefined {
-    const overdueAt = now + REPORT_INTERVAL_MS + MIN_OVERDUE_MS;
+    const overdueAt = now + REPORT_TIMEOUT_MS;
     const rates = this.#serviceOf(entry);
     const part = rates.runs.note(entry, report, overdueAt);
     if (!part) return undefined;
@@ -217,46 +245,6 @@
     return sample;
   }
 
-  #noteOutcome(
-    { host, hall }: LedgerEntry,
-    incarnation: string,
-    isGood: boolean,
-    now: Milliseconds,
-  ): void {
-    this.#outcomes.note(incarnation, { host, hall, isGood, at: now });
-    if (!isGood) this.#ratesOf(incarnation)?.suspects.add(incarnation);
-    if (isGood || this.#ejection.reasonOf(incarnation) !== undefined) return;
-    const replica = this.#replicas.get(incarnation);
-    if (!replica) return;
-    const pool = this.#view.replicasOf(replica.service);
-    const ids = pool.map((peer) => peer.incarnation);
-    const figures = this.#outcomes.failing(incarnation, ids, now);
-    const reason = EjectionReason.failing;
-    if (figures) this.#ejection.eject(replica, pool, { reason, figures }, now);
-  }
-
-  /** Of a replica that was ejected for another reason the time is no matter. */
-  #isGoodWork(
-    incarnation: string,
-    sample: SpeedSample | undefined,
-    now: Milliseconds,
-  ): boolean {
-    const reason = this.#ejection.reasonOf(incarnation);
-    return reason !== EjectionReason.slow ||
-      this.#ratesOf(incarnation)?.isGood(incarnation, sample, now) !== false;
-  }
-
-  #endTrial(
-    incarnation: string,
-    id: string,
-    isGood: boolean,
-    now: Milliseconds,
-  ): void {
-    if (!this.#ejection.endTrial(incarnation, id, isGood, now)) return;
-    this.#outcomes.forget(incarnation);
-    this.#ratesOf(incarnation)?.speeds.forgetRecent(incarnation);
-  }
-
   /** Compares the replicas of a service, and ejects those that do worse. */
   #compare(service: string, now: Milliseconds): ServiceRates {
     this.#advance(now);
@@ -282,7 +270,8 @@
 
   #isSuspect(incarnation: string, now: Milliseconds): boolean {
     return this.#ejection.reasonOf(incarnation) !== undefined ||
-      this.#outcomes.hasFailed(incarnation, now);
+      this.#outcomes.hasFailed(incarnation, now) ||
+      this.#outcomes.isStalled(incarnation, now);
   }
 
   /** Time from a grant to the first report. */
@@ -293,12 +282,8 @@
       this.#now,
     ) ?? 0;
     const callMs = promptTokens === 0 ? this.callMs(decode) : 0;
-    return this.#firstEventTimeoutMs(decode) +
-      OVERDUE_FACTOR * (prefillMs + callMs);
-  }
-
-  #firstEventTimeoutMs(decode: string): Milliseconds {
-    return Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * this.firstEventMs(decode));
+    const firstEventMs = this.firstEventMs(decode);
+    return grantTimeoutMs({ firstEventMs, workMs: prefillMs + callMs });
   }
 
   #ratesOf(incarnation: string): ServiceRates | undefined {
--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -78,6 +78,8 @@
   route: z.string().exactOptional(),
   /** The attempt before ended with an error response. */
   afterError: z.literal(true).exactOptional(),
+  /** Another attempt is in progress; refused while the service is busy. */
+  second: z.literal(true).exactOptional(),
   excluded: z.array(z.string()),
   /**
    * A stream that goes on only at decode replicas of this software version;
@@ -114,7 +116,11 @@
   firstEventMs: z.number().exactOptional(),
   /** Events received so far. */
   events: z.number().exactOptional(),
-  /** Time from the first event to the last one received. */
+  /**
+   * Time from the first event to the last one received; of a plain call: its
+   * duration, or with stage "ended" how long it ran until another attempt was
+   * answered.
+   */
   runMs: z.number().exactOptional(),
   /** The replica responded with an error status, with stage "failed". */
   isError: z.literal(true).exactOptional(),
@@ -128,6 +134,8 @@
   prefill: z.string().exactOptional(),
   /** An error response of a plain replica is passed on without a retry. */
   finalErrors: z.literal(true).exactOptional(),
+  /** Time from the send after which a second attempt may be requested. */
+  secondAfterMs: z.number().exactOptional(),
 });
 
 /** State of the pool on which a refusal was decided. */
--- a/src/gateway/planning/plain_advice.ts
+++ b/src/gateway/planning/plain_advice.ts
@@ -3,13 +3,15 @@
  * retry of a call helps.
  */
 import type { Milliseconds } from "../../util/units.ts";
+import type { ReplicaEntry } from "../replicas/model.ts";
 import type { PlainAdvice } from "./assignment.ts";
+import { CallTimes } from "./call_times.ts";
 import {
   type ErrorOrigin,
   ErrorOrigins,
   type RoutedCall,
 } from "./error_origins.ts";
-import type { LedgerEntry } from "./ledger.ts";
+import type { Ledger, LedgerEntry } from "./ledger.ts";
 import {
   AssignmentStage,
   type PlanProgress,
@@ -20,40 +22,96 @@
 /** What {@link PlainAdvisor} reads of the planner. */
 export type PlainAdvisorView = Pick<
   PlannerView,
-  "scheduling" | "events" | "metrics"
+  "scheduling" | "events" | "metrics" | "replicasOf" | "limitOf"
 >;
 
+/**
+ * Share of a service's slots in use from which it gets no second attempts: its
+ * calls are late because they queue, and more of them queue longer.
+ */
+const BUSY_SHARE = 0.5;
+
 /** Advice of one planner. */
 export class PlainAdvisor {
   readonly #view: PlainAdvisorView;
+  readonly #ledger: Pick<Ledger, "reservedTokensAt">;
   readonly #errors = new ErrorOrigins();
+  readonly #times = new CallTimes();
 
-  constructor(view: PlainAdvisorView) {
+  constructor(
+    view: PlainAdvisorView,
+    ledger: Pick<Ledger, "reservedTokensAt">,
+  ) {
     this.#view = view;
+    this.#ledger = ledger;
   }
 
   /** What a host is told of a call that is assigned to a replica. */
   adviceOn(
-    { service, route, repeatable }: PlanRequest,
+    { service, route, repeatable, begun }: PlanRequest,
     incarnation: string,
     now: Milliseconds,
   ): PlainAdvice {
-    if (route === undefined || !repeatable || !this.#countsErrors) return {};
+    if (route === undefined || !repeatable) return {};
     const call = { service, route, incarnation };
-    const isUseful = this.#errors.isRetryUseful(call, now);
-    return isUseful ? {} : { finalErrors: true };
+    const isFinal = this.#countsErrors &&
+      !this.#errors.isRetryUseful(call, now);
+    const secondAfterMs = this.#hasSecondAttempts && !begun
+      ? this.#secondAfterMs(call, now)
+      : undefined;
+    return {
+      ...(isFinal ? { finalErrors: true } : {}),
+      ...(secondAfterMs === undefined ? {} : { secondAfterMs }),
+    };
+  }
+
+  /** The replicas that a second attempt may be sent to now. */
+  replicasForSecond(
+    { service }: PlanRequest,
+    replicas: readonly ReplicaEntry[],
+  ): readonly ReplicaEntry[] {
+    if (!this.#hasSecondAttempts || this.#isBusy(service)) return [];
+    return replicas.filter(({ incarnation, slots }) =>
+      this.#ledger.reservedTokensAt(incarnation) < slots
+    );
+  }
+
+  #secondAfterMs(
+    { service, route }: RoutedCall,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    const lateMs = this.#times.lateMs({ service, route }, now);
+    return lateMs === undefined || this.#isBusy(service) ? undefined : lateMs;
+  }
+
+  /** Whether the slots of a service, or its limits, may be needed by others. */
+  #isBusy(service: string): boolean {
+    const replicas = this.#view.replicasOf(service);
+    const limited = replicas.some(({ incarnation }) =>
+      this.#view.limitOf(incarnation) !== undefined
+    );
+    let slots = 0;
+    let inUse = 0;
+    for (const replica of replicas) {
+      slots += replica.slots;
+      inUse += this.#ledger.reservedTokensAt(replica.incarnation);
+    }
+    return limited || inUse >= BUSY_SHARE * slots;
   }
 
   /** Counts how a call ended; returns the origin of an error response. */
   noteEnd(
     entry: LedgerEntry,
-    { stage, isError }: PlanProgress,
+    { stage, isError, runMs }: PlanProgress,
     now: Milliseconds,
   ): ErrorOrigin | undefined {
     const { service, route, decode: incarnation } = entry;
+    if (service === undefined || route === undefined) return undefined;
+    if (runMs !== undefined && this.#hasSecondAttempts) {
+      this.#times.note({ service, route }, runMs, now);
+    }
     const isAnswered = stage === AssignmentStage.answered;
     if (!this.#countsErrors || !isAnswered && !isError) return undefined;
-    if (service === undefined || route === undefined) return undefined;
     const call = { service, route, incarnation };
     this.#errors.note(call, !isAnswered, now);
     this.#noteRetry(call, entry, !isAnswered, now);
@@ -83,6 +141,11 @@
     this.#view.events.note(name, { service, route, retries, succeeded });
   }
 
+  get #hasSecondAttempts(): boolean {
+    const { replicaRates, secondAttempts } = this.#view.scheduling;
+    return replicaRates && secondAttempts;
+  }
+
   get #countsErrors(): boolean {
     const { replicaRates, errorOrigins } = this.#view.scheduling;
     return replicaRates && errorOrigins;
--- a/src/gateway/planning/planner.ts
+++ b/src/gateway/planning/planner.ts
@@ -254,11 +254,14 @@
     replicas: readonly ReplicaEntry[],
     now: Milliseconds,
   ): Outcome {
-    const { excluded, boundTo } = queued.request;
-    const allowed = replicas.filter((entry) =>
+    const { excluded, boundTo, second } = queued.request;
+    const accepting = replicas.filter((entry) =>
       !excluded.includes(entry.incarnation) &&
       hasRequiredVersion(entry, boundTo)
     );
+    const allowed = second
+      ? this.#parts.plainAdvisor.replicasForSecond(queued.request, accepting)
+      : accepting;
     if (allowed.length === 0) return { type: "refuse", reason: "no-replica" };
     return this.#parts.plainHold.decide(queued, allowed, now) ??
       this.#parts.plainAssigner.assign(queued, allowed, now);
--- a/src/gateway/planning/planner_client.ts
+++ b/src/gateway/planning/planner_client.ts
@@ -162,9 +162,9 @@
     this.#release(id, AssignmentStage.answered, run);
   }
 
-  /** Releases the assignment. */
-  ended(id: string): void {
-    this.#release(id, AssignmentStage.ended);
+  /** Releases the assignment; `run` is that of an overtaken plain call. */
+  ended(id: string, run: Pick<RunSummary, "runMs"> = {}): void {
+    this.#release(id, AssignmentStage.ended, run);
   }
 
   /** The current planner of a service; no request waits for a link. */
--- a/src/gateway/planning/planner_parts.ts
+++ b/src/gateway/planning/planner_parts.ts
@@ -72,7 +72,7 @@
   const shares = new FairShares({ view, ledger });
   const choice = new EngineChoice(shared);
   const demand = new DemandMeter(rates);
-  const plainAdvisor = new PlainAdvisor(view);
+  const plainAdvisor = new PlainAdvisor(view, ledger);
   return {
     ledger,
     losses,
--- a/src/gateway/planning/recent_outcomes.ts
+++ b/src/gateway/planning/recent_outcomes.ts
@@ -43,14 +43,39 @@
 /** How long it avoids the replica after the last failure. */
 const AVOID_MS = 2000;
 
+/** Overtaken calls in a row after which a replica stalls, and for how long. */
+const STALLED_CALLS = 2;
+const STALLED_MS = 1000;
+
+type OvertakenCalls = { readonly inRow: number; readonly at: Milliseconds };
+
 /** Recent outcomes by incarnation. */
 export class RecentOutcomes {
   readonly #outcomes = new Map<string, RequestOutcome[]>();
   /** When each replica failed last. */
   readonly #failedAt = new Map<string, Milliseconds>();
 
+  /** Calls that another attempt overtook, since the last outcome. */
+  readonly #overtaken = new Map<string, OvertakenCalls>();
+
+  /** Records a call that another attempt overtook; returns how many in a row. */
+  noteOvertaken(incarnation: string, now: Milliseconds): number {
+    const inRow = (this.#overtaken.get(incarnation)?.inRow ?? 0) + 1;
+    this.#overtaken.set(incarnation, { inRow, at: now });
+    evictOldest(this.#overtaken, MAX_REPLICAS);
+    return inRow;
+  }
+
+  /** Whether the last calls there were overtaken, and none was answered since. */
+  isStalled(incarnation: string, now: Milliseconds): boolean {
+    const overtaken = this.#overtaken.get(incarnation);
+    return overtaken !== undefined && overtaken.inRow >= STALLED_CALLS &&
+      now - overtaken.at < STALLED_MS;
+  }
+
   /** Records how a request ended. */
   note(incarnation: string, outcome: RequestOutcome): void {
+    this.#overtaken.delete(incarnation);
     const outcomes = this.#outcomes.get(incarnation) ?? [];
     this.#outcomes.set(incarnation, outcomes);
     outcomes.push(outcome);
@@ -65,6 +90,7 @@
   forget(incarnation: string): void {
     this.#outcomes.delete(incarnation);
     this.#failedAt.delete(incarnation);
+    this.#overtaken.delete(incarnation);
   }
 
   /**
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -10,6 +10,8 @@
 
 /** Maximum sends of one request, including those that did not run. */
 const MAX_SENDS = 4;
+/** Share of the retry budget that second sends use; failures need the rest. */
+const SECOND_SENDS_SHARE = 0.5;
 
 /** Counts the sends of one request and charges them to the retry budget. */
 export class Attempts {
@@ -170,6 +172,23 @@
     return true;
   }
 
+  /** Acquires a second send beside one that is in progress. */
+  acquireSecond(): boolean {
+    const { clock, retryBudget, metrics, hostCount } = this.#context;
+    if (this.isLast || this.#sends >= MAX_SENDS || !this.hasTimeLeft) {
+      return false;
+    }
+    if (this.#charged >= this.#arrivals) return true;
+    const { service } = this.#request;
+    const share = SECOND_SENDS_SHARE;
+    if (!retryBudget.acquire(service, hostCount(), clock.now(), share)) {
+      metrics.count("second_attempts_denied");
+      return false;
+    }
+    this.#charged += 1;
+    return true;
+  }
+
   /**
    * Charges the budget for sending the request itself; false if the budget is
    * exhausted. The budget counts arrivals at replicas rather than retry
--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -196,6 +196,11 @@
     if (id !== undefined) this.#options.planner.answered(id, run);
   }
 
+  /** Model engines get no second attempts. */
+  overtaken(): void {
+    this.release();
+  }
+
   end(): void {
     this.#ended = true;
     this.#assignment.cancel();
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -8,21 +8,27 @@
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { Attempts } from "./attempts.ts";
 import { refusalWhenNoneAvailable } from "./availability.ts";
-import { createPlacer } from "./create_placer.ts";
+import { type FailedSend, noteFailedSend } from "./failed_send.ts";
+import {
+  createLane,
+  type Lane,
+  raceAttempts,
+  secondAfterMs,
+  type SecondAttemptOptions,
+} from "./second_attempt.ts";
 import { type Failure, failureOf, ReplyWriter } from "./reply_writer.ts";
-import type { Placement, Placer } from "./placement.ts";
+import type { Placement } from "./placement.ts";
 import type { EventPosition } from "./relay.ts";
 import type { RelayOutcome } from "./relay_outcome.ts";
 import { relayToCaller } from "./relay_to_caller.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal } from "./request_journal.ts";
-import { RunMeter } from "./run_meter.ts";
 import { StreamBinding } from "./stream_binding.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
 import type { Answer } from "../upstreams/call.ts";
-import { type OutcomeReport, reportOutcome } from "./report_outcome.ts";
+import { reportOutcome } from "./report_outcome.ts";
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
-import type { Sending, SendResult } from "./sender.ts";
+import { AbortReason, type Sending, type SendResult } from "./sender.ts";
 
 const UNFORWARDED_REASONS = {
   unread: "The caller did not read the answer",
@@ -39,15 +45,21 @@
   readonly onEnd: (mayHaveRun: boolean) => void;
 };
 
+/** The placement that a request was sent to, and what came of it. */
+type SendOutcome = {
+  readonly placed: Placement;
+  readonly result: SendResult;
+};
+
 /** Serves one request. */
 export class Exchange {
   readonly #context: GatewayContext;
   readonly #request: GatewayRequest;
   readonly #reply: Reply;
   readonly #writer: ReplyWriter;
-  readonly #placer: Placer;
-  readonly #meter: RunMeter;
-  readonly #outcomeReport: OutcomeReport;
+  readonly #race: SecondAttemptOptions;
+  /** The parts of the attempt that is in progress, or will be. */
+  #lane: Lane;
   readonly #onEnd: (mayHaveRun: boolean) => void;
   readonly #attempts: Attempts;
   readonly #state: RequestState;
@@ -55,7 +67,7 @@
   readonly #position: EventPosition = {};
   readonly #binding: StreamBinding;
   readonly #cancelTimeout: () => void;
-  #sending: Sending | undefined;
+  #sending: Pick<Sending, "abort"> | undefined;
   /** The next retry has already been charged to the retry budget. */
   #retryAcquired = false;
   #ended = false;
@@ -72,11 +84,8 @@
     this.#state = { context, request, attempts, binding, position };
     const journal = this.#journal = new RequestJournal(context, request);
     this.#writer = new ReplyWriter({ reply: options.reply, attempts, journal });
-    const placer = createPlacer({ context, request, planner, attempts });
-    const meter = new RunMeter({ context, request, planner, placer });
-    this.#meter = meter;
-    this.#outcomeReport = { context, request, placer, meter };
-    this.#placer = placer;
+    this.#lane = createLane(this.#state, planner);
+    this.#race = { state: this.#state, planner, journal };
     const leftMs = request.deadline - context.clock.now();
     this.#cancelTimeout = context.clock.after(leftMs, () => this.#onTimeout());
   }
@@ -116,26 +125,26 @@
     const { crashes } = this.#context;
     await crashes.awaitProbes(this.#request.fingerprint, this.#attempts.sends);
     if (this.#ended || this.#rejectQuarantined()) return;
-    const placed = await this.#placer.place({
+    const placement = await this.#lane.placer.place({
       excluded: this.#attempts.excluded,
       mayHaveRun: this.#attempts.mayHaveRunAnywhere,
       afterError: this.#attempts.isAfterError,
       requiredVersion: this.#binding.requiredVersion,
     });
     if (this.#ended) return;
-    if ("error" in placed) {
-      return this.#fail(placed.error, failureOf(placed));
+    if ("error" in placement) {
+      return this.#fail(placement.error, failureOf(placement));
     }
     if (this.#rejectQuarantined()) return;
     const obstacle = sendObstacle(this.#state);
     if (obstacle !== undefined) {
-      this.#placer.release();
+      this.#lane.placer.release();
       return this.#fail(obstacle, {});
     }
-    if (!this.#binding.allows(placed.replica.entry)) {
-      return this.#passOver(placed, "version");
+    if (!this.#binding.allows(placement.replica.entry)) {
+      return this.#passOver(placement, "version");
     }
-    const result = await this.#send(placed);
+    const { placed, result } = await this.#send(placement);
     if (this.#ended) {
       if (result.type === "answer") result.answer.message.destroy();
       return;
@@ -156,7 +165,7 @@
     { replica }: Placement,
     reason: Obstacle["type"] | "version",
   ): void {
-    this.#placer.release();
+    this.#lane.placer.release();
     const fields = { replica: replica.entry.incarnation, reason };
     this.#journal.note("passedOver", fields);
   }
@@ -177,34 +186,31 @@
     return true;
   }
 
-  async #send(placed: Placement): Promise<SendResult> {
+  async #send(placed: Placement): Promise<SendOutcome> {
     this.#attempts.noteSent();
     this.#binding.noteSend(placed.replica.entry);
-    this.#meter.noteSent();
+    this.#lane.meter.noteSent();
     const { sends } = this.#attempts;
     this.#journal.placed(placed, { sends, position: this.#position });
-    this.#sending = sendPlaced(this.#state, placed);
-    return await this.#sending.result;
+    const sending = this.#sending = sendPlaced(this.#state, placed);
+    const afterMs = secondAfterMs(this.#state, placed);
+    if (afterMs === undefined) return { placed, result: await sending.result };
+    const first = { ...this.#lane, placed, sending };
+    const race = raceAttempts(this.#race, first, afterMs);
+    this.#sending = race;
+    const { attempt, result } = await race.outcome;
+    this.#sending = attempt.sending;
+    this.#lane = attempt;
+    return { placed: attempt.placed, result };
   }
 
   #handleFailure(
     placed: Placement,
-    result: Extract<SendResult, { type: "notRun" | "unknown" }>,
+    result: FailedSend,
   ): void {
+    const { reason } = result;
     const notRun = result.type === "notRun";
-    const rejected = notRun && result.rejected;
-    const isBackoff = notRun && result.isBackoff;
-    const { isLocal, reason } = result;
-    this.#placer.failed({ rejected, isBackoff, isLocal });
-    const arrived = !notRun || result.arrived;
-    if (!arrived) this.#attempts.noteNotArrived();
-    else if (notRun) this.#attempts.noteNotRun();
-    // If only the export was lost, the same replica can still run the request.
-    const exportLost = rejected && !isBackoff && placed.export !== undefined;
-    // The gate excludes a replica that backs off until the backoff ends. If
-    // only this host's path failed, a peer can still reach the replica.
-    const mayAccept = exportLost || isBackoff || (!notRun && isLocal);
-    if (!mayAccept) this.#attempts.exclude(placed.replica.entry.incarnation);
+    noteFailedSend(this.#attempts, { ...this.#lane, placed }, result);
     const allowed = notRun || this.#attempts.repeatable;
     if (allowed && this.#attempts.acquireRetry(reason)) return;
     if (!notRun) return this.#failUnknown(reason);
@@ -218,13 +224,13 @@
   }
 
   async #handleAnswer(placed: Placement, answer: Answer): Promise<void> {
-    this.#placer.consumed();
+    this.#lane.placer.consumed();
     const status = answer.message.statusCode ?? 0;
     const { headersSent } = this.#writer;
     const failed = status >= 500 || (headersSent && status !== 200);
     if (failed && this.#attempts.acquireErrorRetry(placed, status)) {
       answer.message.resume();
-      return this.#meter.complete(status);
+      return this.#lane.meter.complete(status);
     }
     if (failed && headersSent) {
       answer.message.destroy();
@@ -234,7 +240,7 @@
     if (this.#position.hasForwarded) this.#binding.noteForwarded();
     const isByReplica = !this.#ended && !this.#retryAcquired;
     const result = { placed, status, outcome, isByReplica };
-    reportOutcome(this.#outcomeReport, result);
+    reportOutcome({ ...this.#state, ...this.#lane }, result);
     if (this.#ended) return;
     if (outcome === "unread" || outcome === "withheld") {
       return this.#endUnforwarded(outcome);
@@ -255,7 +261,7 @@
       entry: placed.replica.entry,
       mayForward: this.#binding.mayBegin.then((may) => may && !this.#ended),
       abandonStalled: () => this.#abandonStalled(placed),
-      observer: this.#meter.observer(),
+      observer: this.#lane.meter.observer(),
     });
   }
 
@@ -312,8 +318,8 @@
   #end(): void {
     this.#ended = true;
     this.#cancelTimeout();
-    this.#sending?.abort("The request ended");
-    this.#placer.end();
+    this.#sending?.abort(AbortReason.requestEnded);
+    this.#lane.placer.end();
     this.#onEnd(this.#attempts.mayHaveRun);
   }
 }
--- a/src/gateway/requests/placement.ts
+++ b/src/gateway/requests/placement.ts
@@ -56,6 +56,11 @@
   readonly mayHaveRun: boolean;
   /** The last send ended with an error response. */
   readonly afterError?: boolean;
+  /**
+   * Another send is in progress: the planner alone decides whether and where
+   * there is a second one.
+   */
+  readonly isSecond?: boolean;
   /**
    * The software version of the replica that writes the response; absent: any
    * will do.
@@ -79,6 +84,11 @@
   readonly assignmentId: string | undefined;
   /** Reports that the replica has finished the request. */
   completed(run?: RunSummary): void;
+  /**
+   * Reports that another attempt was answered first, `runMs` after the send of
+   * this one.
+   */
+  overtaken(runMs: Milliseconds): void;
   /** Cancels all waits and releases all resources when the request ends. */
   end(): void;
 };
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -141,6 +141,10 @@
     const { requiredVersion } = constraints;
     const isUsable = planned && !gate.obstacle(planned) &&
       hasRequiredVersion(planned.entry, requiredVersion);
+    if (!isUsable && constraints.isSecond) {
+      this.release();
+      return { error: GatewayError.noReplica };
+    }
     this.#advice = isUsable && "decode" in assignment ? assignment : {};
     if (isUsable) return planned;
     this.release();
@@ -187,7 +191,8 @@
   }
 
   async #requestAssignment(
-    { excluded, mayHaveRun, afterError, requiredVersion }: PlacementConstraints,
+    { excluded, mayHaveRun, requiredVersion, afterError, isSecond }:
+      PlacementConstraints,
     requestedAt: Milliseconds,
   ): Promise<Assignment | AssignmentRefusal> {
     const { clock } = this.#context;
@@ -213,6 +218,7 @@
       repeatable: isRepeatable(route),
       ...this.#countedBy(route),
       afterError: afterError === true,
+      isSecond: isSecond === true,
       excluded,
       boundTo: requiredVersion,
     });
@@ -226,8 +232,10 @@
 
   /** The route by which the planner counts calls, if it does. */
   #countedBy({ name }: Route): { readonly route?: string } {
-    const { replicaRates, errorOrigins } = this.#context.tuning.scheduling;
-    return replicaRates && errorOrigins ? { route: name } : {};
+    const { replicaRates, errorOrigins, secondAttempts } =
+      this.#context.tuning.scheduling;
+    const isCounted = replicaRates && (errorOrigins || secondAttempts);
+    return isCounted ? { route: name } : {};
   }
 
   /** Identifies the request over all attempts of its caller. */
@@ -279,6 +287,13 @@
     if (id !== undefined) this.#planner.answered(id, run);
   }
 
+  overtaken(runMs: Milliseconds): void {
+    this.#permit?.release();
+    this.#permit = undefined;
+    const id = this.#clearAssignmentId();
+    if (id !== undefined) this.#planner.ended(id, { runMs });
+  }
+
   end(): void {
     this.#ended = true;
     this.#cancelWait();
--- a/src/gateway/requests/run_meter.ts
+++ b/src/gateway/requests/run_meter.ts
@@ -59,6 +59,12 @@
     return this.#progress;
   }
 
+  /** Reports that another attempt was answered first. */
+  overtaken(): void {
+    const { placer, context } = this.#options;
+    placer.overtaken(context.clock.now() - this.#sentAt);
+  }
+
   /** Reports the complete response of the replica. */
   complete(status: number): void {
     const { placer, request, context } = this.#options;
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -26,6 +26,12 @@
  * states so explicitly, the outcome is treated as unknown.
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Reasons for which this host aborts a call without a failure. */
+export const AbortReason = {
+  requestEnded: "The request ended",
+  overtaken: "Another attempt was faster",
+} as const;
+const NO_FAILURES: ReadonlySet<string> = new Set(Object.values(AbortReason));
 /** Share of a replica's connection limit that the fleet uses. */
 const CONNECTION_SHARE = 0.8;
 
@@ -295,7 +301,7 @@
   replica: Replica,
   failure: { readonly reason: string; readonly severe: boolean },
 ): void {
-  if (failure.reason === "The request ended") return;
+  if (NO_FAILURES.has(failure.reason)) return;
   const now = context.clock.now();
   const wasPaused = replica.isPaused(now);
   replica.noteFailure(now, failure.severe);
--- a/src/gateway/retries/retry_budget.ts
+++ b/src/gateway/retries/retry_budget.ts
@@ -43,14 +43,22 @@
     this.#usageOf(service, now).requests.push(now);
   }
 
-  /** Acquires one retry; false if the budget is exhausted. */
-  acquire(service: string, hosts: number, now: Milliseconds): boolean {
+  /**
+   * Acquires one retry; false if `part` of the budget, or all of it, is
+   * exhausted.
+   */
+  acquire(
+    service: string,
+    hosts: number,
+    now: Milliseconds,
+    part = 1,
+  ): boolean {
     const usage = this.#usageOf(service, now);
     const { extra, ratio, windowMs } = this.#rule;
     const isNewProcess = now - this.#startedAt < windowMs;
     const share = isNewProcess ? 0 : extra * USABLE_SHARE / Math.max(1, hosts);
     const limit = share + ratio * USABLE_SHARE * usage.requests.length;
-    if (usage.retries.length + 1 > limit) return false;
+    if (usage.retries.length + 1 > limit * part) return false;
     usage.retries.push(now);
     return true;
   }
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -97,6 +97,8 @@
   quota_large_requests: z.boolean().default(false),
   /** Tell error responses of a replica from those of a route. */
   error_origins: z.boolean().default(false),
+  /** Send safe calls that are late to a second replica. */
+  second_attempts: z.boolean().default(false),
 });
 
 const Memory = z.strictObject({
--- a/test/gateway/no_scheduling.ts
+++ b/test/gateway/no_scheduling.ts
@@ -13,4 +13,5 @@
   quotaPriorities: false,
   quotaLargeRequests: false,
   errorOrigins: false,
+  secondAttempts: false,
 };
--- a/test/gateway/planning/bound_streams_test.ts
+++ b/test/gateway/planning/bound_streams_test.ts
@@ -31,6 +31,7 @@
   quotaPriorities: true,
   quotaLargeRequests: true,
   errorOrigins: true,
+  secondAttempts: true,
 };
 
 function decodeReplica(id: string, softwareVersion?: string): ReplicaEntry {
--- a/test/gateway/planning/plain_service_rig.ts
+++ b/test/gateway/planning/plain_service_rig.ts
@@ -86,6 +86,7 @@
   readonly #counts = new Map<string, number>();
   readonly #pending = new Map<string, SimulatedCall>();
   readonly #running: Attempt[] = [];
+  readonly #seconds: { readonly attempt: Attempt; readonly at: number }[] = [];
   readonly #queues: Attempt[][];
   readonly #busy: number[];
   readonly #sendsTo: number[];
@@ -131,9 +132,16 @@
         const call = this.#pending.get(message.id);
         this.#pending.delete(message.id);
         if (!call) continue;
+        if (call.endedAt !== undefined) {
+          // The first attempt was answered in the meantime.
+          const { id } = message;
+          this.#planner.report({ type: "progress", id, stage: "ended" }, now);
+          continue;
+        }
         if (message.type === "grant") this.#send(call, message, now);
-        else this.#end(call, true, now);
+        else if (!this.#isRunning(call)) this.#end(call, true, now);
       }
+      this.#startSeconds(now);
       this.#finish(now);
     }
     return {
@@ -166,21 +174,23 @@
 
   #request(
     call: SimulatedCall,
-    failedAt: readonly string[],
+    excluded: readonly string[],
     now: number,
+    isSecond = false,
   ): void {
     const id = `${call.index}/${call.sends}`;
-    const isRetry = failedAt.length > 0;
+    const isRetry = excluded.length > 0;
     const request = planRequest(id, {
       tokens: 1,
       promptTokens: 0,
       outputTokens: 0,
       hall: `hall${call.index % 3}`,
       begun: isRetry,
-      excluded: [...failedAt],
+      excluded: [...excluded],
       route: call.route,
       ...(call.repeatable ? { repeatable: true as const } : {}),
-      ...(isRetry ? { afterError: true as const } : {}),
+      ...(isRetry && !isSecond ? { afterError: true as const } : {}),
+      ...(isSecond ? { second: true as const } : {}),
     });
     this.#pending.set(id, call);
     this.#planner.enqueue(`host${call.index % HOSTS}`, request, now);
@@ -190,10 +200,53 @@
     const replica = Number(grant.decode);
     call.sends += 1;
     this.#sendsTo[replica] = (this.#sendsTo[replica] ?? 0) + 1;
-    const { id } = grant;
+    const { id, secondAfterMs } = grant;
     const attempt = { id, call, replica, grant, sentAt: now, endsAt: 0 };
     this.#queues[replica]?.push(attempt);
     this.#start(replica, now);
+    if (secondAfterMs === undefined || !call.repeatable) return;
+    this.#seconds.push({ attempt, at: now + secondAfterMs });
+  }
+
+  /** Requests second attempts of the calls that are late. */
+  #startSeconds(now: number): void {
+    const due = this.#seconds.filter(({ at }) => at <= now);
+    for (const second of due) {
+      this.#seconds.splice(this.#seconds.indexOf(second), 1);
+      const { call, replica } = second.attempt;
+      const mayStart = this.#attemptsOf(call).includes(second.attempt) &&
+        call.sends < ATTEMPTS && this.#budget.acquire("s", 1, now, 0.5);
+      if (mayStart) this.#request(call, [String(replica)], now, true);
+    }
+  }
+
+  #attemptsOf(call: SimulatedCall): Attempt[] {
+    return [...this.#running, ...this.#queues.flat()]
+      .filter((attempt) => attempt.call === call);
+  }
+
+  #isRunning(call: SimulatedCall): boolean {
+    return this.#attemptsOf(call).length > 0;
+  }
+
+  /** Aborts an attempt; the replica notices that. */
+  #abort(attempt: Attempt, now: number): void {
+    const { id, replica, sentAt } = attempt;
+    const queue = this.#queues[replica] ?? [];
+    if (queue.includes(attempt)) queue.splice(queue.indexOf(attempt), 1);
+    else this.#release(attempt, now);
+    const runMs = now - sentAt;
+    this.#planner.report(
+      { type: "progress", id, stage: "ended", runMs },
+      now,
+    );
+  }
+
+  #release(attempt: Attempt, now: number): void {
+    const { replica } = attempt;
+    this.#running.splice(this.#running.indexOf(attempt), 1);
+    this.#busy[replica] = (this.#busy[replica] ?? 0) - 1;
+    this.#start(replica, now);
   }
 
   #start(replica: number, now: number): void {
@@ -210,10 +263,9 @@
 
   #finish(now: number): void {
     for (const attempt of [...this.#running]) {
-      if (attempt.endsAt > now) continue;
-      this.#running.splice(this.#running.indexOf(attempt), 1);
-      this.#busy[attempt.replica] = (this.#busy[attempt.replica] ?? 0) - 1;
-      this.#start(attempt.replica, now);
+      // An attempt that was answered earlier may have ended it.
+      if (attempt.endsAt > now || !this.#running.includes(attempt)) continue;
+      this.#release(attempt, now);
       this.#answer(attempt, now);
     }
   }
@@ -227,6 +279,9 @@
         : { type: "progress", id, stage: "answered", runMs },
       now,
     );
+    const others = call.sends > 1 ? this.#attemptsOf(call) : [];
+    if (isError && others.length > 0) return;
+    for (const other of others) this.#abort(other, now);
     const isRetried = isError && call.repeatable && !grant.finalErrors &&
       call.sends < ATTEMPTS && this.#budget.acquire("s", 1, now);
     if (isRetried) this.#request(call, [String(replica)], now);
@@ -239,6 +294,16 @@
   }
 }
 
+/** The time within which a share of the calls were served. */
+export function servedWithinMs(
+  calls: readonly SimulatedCall[],
+  share: number,
+): number {
+  const times = calls.map(({ at, endedAt = Infinity }) => endedAt - at)
+    .sort((a, b) => a - b);
+  return times[Math.ceil(share * times.length) - 1] ?? Infinity;
+}
+
 /** The share of the calls that got no error within a time. */
 export function shareServed(
   calls: readonly SimulatedCall[],
