Plain services: calls that run once avoid replicas that just broke calls

Cause: a call that must not run twice is lost when its replica resets it. A replica that resets a part of its calls was given new ones until it was paused or ejected.

Change: the planner remembers for two seconds where a call broke off (not error responses) and gives calls that run once to other replicas with a free slot, unless the calls in progress would fill three quarters of these. Setting scheduling.avoid_broken, off by default. The loads of the planner's tests moved to plain_load.ts.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -43,6 +43,8 @@
   readonly errorOrigins: boolean;
   /** Send safe calls that are late to a second replica. */
   readonly secondAttempts: boolean;
+  /** Keep calls that run once from replicas at which a call just broke. */
+  readonly avoidBroken: boolean;
 };
 
 /** Parameters that a reload of the settings can change. */
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -220,6 +220,7 @@
       quotaLargeRequests: scheduling.quota_large_requests,
       errorOrigins: scheduling.error_origins,
       secondAttempts: scheduling.second_attempts,
+      avoidBroken: scheduling.avoid_broken,
     },
   };
 }
--- a/src/gateway/planning/measured_rates.ts
+++ b/src/gateway/planning/measured_rates.ts
@@ -110,6 +110,10 @@
       : standing;
   }
 
+  hasBroken(incarnation: string, now: Milliseconds): boolean {
+    return this.#outcomes.hasBroken(incarnation, now);
+  }
+
   noteGrant(entry: LedgerEntry, now: Milliseconds): void {
     this.#advance(now);
     const { id, decode, prefill } = entry;
@@ -173,6 +177,7 @@
     this.#ejection.cancelTrial(prefilledBy, id, now);
     const isAnswered = report.stage === AssignmentStage.answered;
     const isFailed = report.stage === AssignmentStage.failed;
+    if (isFailed && !report.isError) this.#outcomes.noteBroken(decode, now);
     const sample = isAnswered
       ? this.#addRunPart(entry, report, now) ??
         this.#addCall(entry, report, now)
--- a/src/gateway/planning/plain_advice.ts
+++ b/src/gateway/planning/plain_advice.ts
@@ -17,6 +17,7 @@
   type PlanProgress,
   type PlanRequest,
 } from "./messages.ts";
+import { slotShareInUse } from "./slot_share.ts";
 import type { PlannerView } from "./view.ts";
 
 /** What {@link PlainAdvisor} reads of the planner. */
@@ -90,13 +91,7 @@
     const limited = replicas.some(({ incarnation }) =>
       this.#view.limitOf(incarnation) !== undefined
     );
-    let slots = 0;
-    let inUse = 0;
-    for (const replica of replicas) {
-      slots += replica.slots;
-      inUse += this.#ledger.reservedTokensAt(replica.incarnation);
-    }
-    return limited || inUse >= BUSY_SHARE * slots;
+    return limited || slotShareInUse(this.#ledger, replicas) >= BUSY_SHARE;
   }
 
   /** Counts how a call ended; returns the origin of an error response. */
--- a/src/gateway/planning/plain_assigner.ts
+++ b/src/gateway/planning/plain_assigner.ts
@@ -12,6 +12,7 @@
 import type { PlanProgress, PlanRequest } from "./messages.ts";
 import type { Outcome } from "./outcome.ts";
 import { choosePlainReplica } from "./plain_choice.ts";
+import { slotShareInUse } from "./slot_share.ts";
 import { ratedCandidates, ratedRequest } from "./rated_candidates.ts";
 import type { ReplicaRates } from "./replica_rates.ts";
 import { PlainReturns } from "./plain_returns.ts";
@@ -24,6 +25,12 @@
  */
 const MIN_RETRY_MS = 300;
 
+/**
+ * Calls in progress, per slot of the replicas at which none broke lately, from
+ * which the others aren't avoided: calls that wait are late.
+ */
+const NEARLY_FULL_SHARE = 0.75;
+
 /** Options of {@link PlainAssigner}. */
 export type PlainAssignerOptions = {
   readonly view: PlannerView;
@@ -111,7 +118,12 @@
     const hasRoom = ({ incarnation, slots }: ReplicaEntry) =>
       !isFull(incarnation, now) && ledger.reservedTokensAt(incarnation) < slots;
     const query = { request, hasRoom };
-    const candidates = ratedCandidates(rates, replicas, query, now);
+    const rated = ratedCandidates(rates, replicas, query, now);
+    const isSteady = (replica: ReplicaEntry) =>
+      hasRoom(replica) && !rates.hasBroken(replica.incarnation, now);
+    const candidates = this.#avoidsBroken(queued, replicas, now)
+      ? steadyOf(rated, isSteady)
+      : rated;
     return choosePlainReplica(candidates, {
       hall,
       callMs: (incarnation) => rates.callMs(incarnation),
@@ -124,6 +136,26 @@
     });
   }
 
+  /**
+   * Whether a call must not break, and the replicas at which none broke lately
+   * could serve all calls of the service.
+   */
+  #avoidsBroken(
+    { request }: QueuedRequest,
+    replicas: readonly ReplicaEntry[],
+    now: Milliseconds,
+  ): boolean {
+    const { view, ledger } = this.#options;
+    if (!view.scheduling.avoidBroken || request.repeatable) return false;
+    const rates = this.#options.rates();
+    const steady = replicas.filter(({ incarnation }) =>
+      !rates.hasBroken(incarnation, now)
+    );
+    if (steady.length === replicas.length) return false;
+    const load = slotShareInUse(ledger, replicas) * slotsOf(replicas);
+    return load < NEARLY_FULL_SHARE * slotsOf(steady);
+  }
+
   /**
    * Requests per second that all replicas accept; undefined: one has no limit.
    */
@@ -145,3 +177,16 @@
     return share;
   }
 }
+
+/** The replicas that pass a test, or all if none does. */
+function steadyOf(
+  replicas: readonly ReplicaEntry[],
+  isSteady: (replica: ReplicaEntry) => boolean,
+): readonly ReplicaEntry[] {
+  const steady = replicas.filter(isSteady);
+  return steady.length > 0 ? steady : replicas;
+}
+
+function slotsOf(replicas: readonly ReplicaEntry[]): number {
+  return replicas.reduce((sum, { slots }) => sum + slots, 0);
+}
--- a/src/gateway/planning/recent_outcomes.ts
+++ b/src/gateway/planning/recent_outcomes.ts
@@ -55,6 +55,8 @@
   /** When each replica failed last. */
   readonly #failedAt = new Map<string, Milliseconds>();
 
+  /** When a request broke off last at each replica. */
+  readonly #brokenAt = new Map<string, Milliseconds>();
   /** Calls that another attempt overtook, since the last outcome. */
   readonly #overtaken = new Map<string, OvertakenCalls>();
 
@@ -86,6 +88,18 @@
     evictOldest(this.#failedAt, MAX_REPLICAS);
   }
 
+  /** Records a request that broke off without a response. */
+  noteBroken(incarnation: string, now: Milliseconds): void {
+    this.#brokenAt.set(incarnation, now);
+    evictOldest(this.#brokenAt, MAX_REPLICAS);
+  }
+
+  /** Whether a request broke off there within the time that it is avoided. */
+  hasBroken(incarnation: string, now: Milliseconds): boolean {
+    const brokenAt = this.#brokenAt.get(incarnation);
+    return brokenAt !== undefined && now - brokenAt < AVOID_MS;
+  }
+
   /** Forgets the outcomes of a replica. */
   forget(incarnation: string): void {
     this.#outcomes.delete(incarnation);
--- a/src/gateway/planning/replica_rates.ts
+++ b/src/gateway/planning/replica_rates.ts
@@ -47,6 +47,8 @@
     request: RatedRequest,
     now: Milliseconds,
   ): Standing;
+  /** Whether a request to the replica broke off lately. */
+  hasBroken(incarnation: string, now: Milliseconds): boolean;
   /** Records that a request was assigned. */
   noteGrant(entry: LedgerEntry, now: Milliseconds): void;
   /** Records that the assigned prefill replica failed a prefill. */
@@ -85,6 +87,7 @@
   isEjected: () => false,
   suspects: () => NO_SUSPECTS,
   standing: () => Standing.open,
+  hasBroken: () => false,
   noteGrant: () => undefined,
   notePrefillFailed: () => undefined,
   notePrefill: () => undefined,
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -99,6 +99,8 @@
   error_origins: z.boolean().default(false),
   /** Send safe calls that are late to a second replica. */
   second_attempts: z.boolean().default(false),
+  /** Keep calls that run once from replicas at which a call just broke. */
+  avoid_broken: z.boolean().default(false),
 });
 
 const Memory = z.strictObject({
--- a/test/gateway/no_scheduling.ts
+++ b/test/gateway/no_scheduling.ts
@@ -14,4 +14,5 @@
   quotaLargeRequests: false,
   errorOrigins: false,
   secondAttempts: false,
+  avoidBroken: false,
 };
--- a/test/gateway/planning/bound_streams_test.ts
+++ b/test/gateway/planning/bound_streams_test.ts
@@ -32,6 +32,7 @@
   quotaLargeRequests: true,
   errorOrigins: true,
   secondAttempts: true,
+  avoidBroken: true,
 };
 
 function decodeReplica(id: string, softwareVersion?: string): ReplicaEntry {
--- a/test/gateway/planning/error_origins_test.ts
+++ b/test/gateway/planning/error_origins_test.ts
@@ -6,10 +6,10 @@
 import { test } from "node:test";
 import {
   type PlainLoad,
-  serveLoad,
   shareServed,
   type SimulatedCall,
-} from "./plain_service_rig.ts";
+} from "./plain_load.ts";
+import { serveLoad } from "./plain_service_rig.ts";
 import {
   ErrorOrigin,
   ErrorOrigins,
--- a/test/gateway/planning/plain_service_rig.ts
+++ b/test/gateway/planning/plain_service_rig.ts
@@ -3,13 +3,14 @@
  * calls, and hosts that retry.
  */
 import { xoroshiro128plus } from "pure-rand";
+import { Replica } from "../../../src/gateway/replicas/replica.ts";
 import { RetryBudget } from "../../../src/gateway/retries/retry_budget.ts";
-import type { Scheduling } from "../../../src/gateway/context.ts";
 import { Planner } from "../../../src/gateway/planning/planner.ts";
 import type { PlanGrant } from "../../../src/gateway/planning/messages.ts";
 import { randomInt } from "../../../src/util/random.ts";
 import { NO_SCHEDULING } from "../no_scheduling.ts";
 import { replicaEntry } from "../replica_entry.ts";
+import type { PlainLoad, SimulatedCall } from "./plain_load.ts";
 import { messages, planRequest, view } from "./planner_rig.ts";
 
 const SLOTS = 6;
@@ -17,40 +18,6 @@
 const ATTEMPTS = 2;
 const MAX_RANDOM = 1 << 24;
 
-/** A call of a caller, and what became of it. */
-export type SimulatedCall = {
-  readonly index: number;
-  readonly route: string;
-  readonly repeatable: boolean;
-  readonly at: number;
-  /** Time that it takes in a slot of a replica of usual speed. */
-  readonly workMs: number;
-  /** In [0, 1); the same for all attempts. */
-  readonly luck: number;
-  sends: number;
-  endedAt?: number;
-  isError?: boolean;
-};
-
-/** A load on a plain service. */
-export type PlainLoad = {
-  readonly replicas: number;
-  readonly seconds: number;
-  readonly perSecond: number;
-  readonly scheduling: Partial<Scheduling>;
-  readonly routes: readonly {
-    readonly name: string;
-    readonly repeatable: boolean;
-  }[];
-  readonly budget: { readonly ratio: number; readonly extra: number };
-  /** Time in a slot of a replica of usual speed. */
-  workMs(random: () => number): number;
-  /** How many times slower a replica is; 1 by default. */
-  slowness?(replica: number, now: number): number;
-  /** Whether an attempt of the call gets an error response there. */
-  fails?(call: SimulatedCall, replica: number, now: number): boolean;
-};
-
 /** What {@link serveLoad} saw. */
 export type ServedLoad = {
   readonly calls: readonly SimulatedCall[];
@@ -91,6 +58,7 @@
   readonly #busy: number[];
   readonly #sendsTo: number[];
   #failuresNoted = 0;
+  #now = 0;
 
   constructor(load: PlainLoad, seed: number) {
     this.#load = load;
@@ -100,6 +68,9 @@
     const entries = numbers.map((_, index) =>
       replicaEntry(String(index), { slots: SLOTS, hall: `hall${index % 3}` })
     );
+    const states = entries.map((entry) => new Replica(entry));
+    const stateOf = (incarnation: string) =>
+      load.pauses ? states[Number(incarnation)] : undefined;
     this.#queues = numbers.map(() => []);
     this.#busy = [...numbers];
     this.#sendsTo = [...numbers];
@@ -112,7 +83,14 @@
       memoryOf: () => 0,
       random: this.#random,
       scheduling: { ...NO_SCHEDULING, ...load.scheduling },
-      noteFailure: () => void (this.#failuresNoted += 1),
+      isPaused: (incarnation) =>
+        stateOf(incarnation)?.isPaused(this.#now) ?? false,
+      noteTrial: (incarnation, now) => stateOf(incarnation)?.noteTrial(now),
+      noteSuccess: (incarnation) => stateOf(incarnation)?.noteSuccess(),
+      noteFailure: (incarnation, now) => {
+        this.#failuresNoted += 1;
+        stateOf(incarnation)?.noteFailure(now, false);
+      },
       events: { note: (name) => void this.#events.push(name) },
       metrics: {
         count: (name) =>
@@ -124,6 +102,7 @@
   run(): ServedLoad {
     const { seconds, perSecond } = this.#load;
     for (let now = 0; now < (seconds + 2) * 1000; now++) {
+      this.#now = now;
       if (now < seconds * 1000 && this.#random() < perSecond / 1000) {
         this.#arrive(now);
       }
@@ -271,11 +250,18 @@
   }
 
   #answer({ id, call, replica, grant, sentAt }: Attempt, now: number): void {
-    const isError = this.#load.fails?.(call, replica, now) === true;
+    const isBroken = this.#load.breaks?.(call, replica, now) === true;
+    const isError = isBroken ||
+      this.#load.fails?.(call, replica, now) === true;
     const runMs = now - sentAt;
     this.#planner.report(
       isError
-        ? { type: "progress", id, stage: "failed", isError }
+        ? {
+          type: "progress",
+          id,
+          stage: "failed",
+          ...(isBroken ? {} : { isError }),
+        }
         : { type: "progress", id, stage: "answered", runMs },
       now,
     );
@@ -293,24 +279,3 @@
     call.isError = isError;
   }
 }
-
-/** The time within which a share of the calls were served. */
-export function servedWithinMs(
-  calls: readonly SimulatedCall[],
-  share: number,
-): number {
-  const times = calls.map(({ at, endedAt = Infinity }) => endedAt - at)
-    .sort((a, b) => a - b);
-  return times[Math.ceil(share * times.length) - 1] ?? Infinity;
-}
-
-/** The share of the calls that got no error within a time. */
-export function shareServed(
-  calls: readonly SimulatedCall[],
-  withinMs: number,
-): number {
-  const served = calls.filter(({ at, endedAt, isError }) =>
-    isError === false && endedAt !== undefined && endedAt - at <= withinMs
-  );
-  return served.length / calls.length;
-}
--- a/test/gateway/planning/second_attempts_test.ts
+++ b/test/gateway/planning/second_attempts_test.ts
@@ -11,10 +11,10 @@
 import { messages, planRequest, view } from "./planner_rig.ts";
 import {
   type PlainLoad,
-  serveLoad,
   shareServed,
   type SimulatedCall,
-} from "./plain_service_rig.ts";
+} from "./plain_load.ts";
+import { serveLoad } from "./plain_service_rig.ts";
 
 const OBJECTIVE_MS = 200;
 const SEEDS = [1, 2, 3, 4, 5, 6];
