Fleets of tests: a host serves once it serves each kind of request

Cause: "all hosts serve again" held when the last ten requests of each host were served, whatever their kinds.

Change: the last five of each kind that the callers send.

--- a/test/soak/test_fleet.ts
+++ b/test/soak/test_fleet.ts
@@ -30,8 +30,8 @@
 const MIN_PAUSE_MS = 20;
 const PAUSE_RANGE_MS = 200;
 const POLL_INTERVAL_MS = 200;
-/** Requests in a row that show that a host serves; two of each caller. */
-const SERVED_IN_A_ROW = 2 * CALLERS_PER_HOST;
+/** Requests of a kind in a row that show that a host serves it. */
+const SERVED_IN_A_ROW = CALLERS_PER_HOST;
 /** Upper bound of each wait for a state of the fleet. */
 const STATE_TIMEOUT_MS = 60_000;
 
@@ -132,16 +132,24 @@
   return value;
 }
 
-/** Whether the last requests at each host got whole responses. */
+/**
+ * Whether the last requests of each kind that the callers send got whole
+ * responses at each host.
+ */
 export function areServedAtAll(
   { hosts }: TestFleet,
   results: readonly CallResult[],
 ): boolean {
-  return hosts.every(({ process: { name } }) => {
-    const last = results.filter(({ host }) => host === name)
-      .slice(-SERVED_IN_A_ROW);
-    return last.length === SERVED_IN_A_ROW && last.every(isServed);
-  });
+  const kinds = [...new Set(results.map(({ kind }) => kind))];
+  return kinds.length > 0 &&
+    hosts.every(({ process: { name } }) =>
+      kinds.every((kind) => {
+        const last = results
+          .filter((result) => result.host === name && result.kind === kind)
+          .slice(-SERVED_IN_A_ROW);
+        return last.length === SERVED_IN_A_ROW && last.every(isServed);
+      })
+    );
 }
 
 /** Whether the caller got a whole response. */
