--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -7,55 +7,55 @@
 
 const REQUESTS_PER_SECOND = 40;
 const FAILURES_PER_SECOND = 60;
-const STATE_CHANGES_PER_SECOND = 20;
+const CHANGES_PER_SECOND = 20;
 
 export const EVENT_KINDS = {
   started: info(
     "process",
     "The process is serving callers",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   reloaded: info(
     "process",
     "The settings were reloaded",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   reloadRefused: warn(
     "process",
     "The changed settings are invalid; the previous ones stay in force",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   stopping: info(
     "process",
     "The process is stopping and finishes its open requests",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
-  stopped: info("process", "The process has stopped", STATE_CHANGES_PER_SECOND),
+  stopped: info("process", "The process has stopped", CHANGES_PER_SECOND),
   stoodStill: warn(
     "process",
     "The process was stalled",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   suspended: warn(
     "process",
     "The machine was suspended or its wall clock stepped; reading the store again",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   sleepCounted: warn("process", "The machine slept; deadlines count it", 20),
   storeLost: warn(
     "store",
     "The store does not respond",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   storeBack: info(
     "store",
     "The store responds again",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   storeRestored: warn(
     "store",
     "The store was restored from a backup; its state is adopted again",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   listingOlder: warn(
     "store",
@@ -65,28 +65,28 @@
   callFailed: warn("store", "A call to the store or a peer failed", 5),
   readerChosen: info("store", "Another host was chosen to read the store", 20),
   readerLeft: warn("store", "The data hall's reader can't be used", 20),
-  peerState: info("peers", "A peer sent newer state", STATE_CHANGES_PER_SECOND),
+  peerState: info("peers", "A peer sent newer state", CHANGES_PER_SECOND),
   configHeard: info("routes", "A newer configuration was announced", 20),
   configAdopted: info("routes", "A configuration was adopted", 20),
   replicaAdded: info(
     "replicas",
     "A replica was added to the listing",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   replicaRemoved: info(
     "replicas",
     "A replica was removed from the listing",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   replicaLeaving: info(
     "replicas",
     "A replica is draining",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   backoffAsked: info(
     "replicas",
     "A replica requested a backoff from this host",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   backoffUnreadable: warn(
     "replicas",
@@ -101,47 +101,47 @@
   replicaRestarted: info(
     "replicas",
     "A replica restarted under the same id",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   pathLost: warn(
     "paths",
     "This host does not reach a replica that another host reaches",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   replicaUnreachable: warn(
     "paths",
     "Neither this host nor another one that was asked reaches a replica",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   pathHealed: info(
     "paths",
     "This host reaches the replica itself again",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   tunnelServed: info(
     "paths",
     "A connection of another host to a replica goes through this host",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   replicaPaused: warn(
     "replicas",
     "A replica failed and is not used until its pause ends",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   replicaCrashed: warn(
     "crashes",
     "A replica crashed under requests of this host",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   quarantined: warn(
     "crashes",
     "A request crashes its replicas and was quarantined",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   quarantineLifted: info(
     "crashes",
     "A request was released from quarantine",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   limitNamed: warn("limits", "A replica announced a rate limit", 5),
   limitEnded: info("limits", "A replica no longer has a rate limit", 5),
@@ -163,7 +163,7 @@
   returnRefused: warn(
     "planning",
     "A caller that retried at its booked time was refused again",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   plannerLost: warn("planning", "The planner is unreachable", 20),
   plannerChanged: info(
@@ -174,17 +174,17 @@
   ratesHandedOver: info(
     "planning",
     "This host adopted what another planner has measured of a service",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   replicaEjected: warn(
     "planning",
     "A replica does far worse than its pool and gets no more work for a while",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   replicaReturned: info(
     "planning",
     "An ejected replica did well in its trials and gets work again",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   admissionRevoked: warn(
     "planning",
@@ -232,12 +232,12 @@
   errorRetriesStopped: warn(
     "retry",
     "Error responses of a route are no longer retried: retries of them fail",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   errorRetriesResumed: info(
     "retry",
     "Error responses of a route are retried again",
-    STATE_CHANGES_PER_SECOND,
+    CHANGES_PER_SECOND,
   ),
   secondAttempt: info(
     "retry",
