--- a/src/gateway/observe/event_kind.ts
+++ b/src/gateway/observe/event_kind.ts
@@ -10,6 +10,13 @@
   readonly perSecond: number;
 };
 
+/** Rate limit of events of single requests, in lines per second. */
+export const REQUESTS_PER_SECOND = 40;
+/** As {@link REQUESTS_PER_SECOND}, of requests that fail. */
+export const FAILURES_PER_SECOND = 60;
+/** As {@link REQUESTS_PER_SECOND}, of changes of state. */
+export const CHANGES_PER_SECOND = 20;
+
 /** An event that is logged with level "info". */
 export function info(
   part: string,
