A stream sent to another version begins once all of its keepers know that

By the hosts' logs it was sent to v2, lost the path to its replica before the first event, was sent to v1, broke off after 16 events, and was resumed at v2 by another host.

Cause: the later record counted as kept once one of three keepers had it. A keeper that missed it had the earlier one, and bound the stream to it where the others took over 20 ms longer to respond.

A keeper that is down makes such a stream fail with outcome_unknown.

--- a/src/gateway/streams/record_sender.ts
+++ b/src/gateway/streams/record_sender.ts
@@ -53,7 +53,9 @@
 
   /**
    * Sends a record to the keepers of its stream. Resolves to whether one of them
-   * has it: true when the first of them has, false when all have failed.
+   * has it: true when the first of them has, false when all have failed. Of a
+   * record that contradicts an earlier one: to whether all of them have it, since
+   * one that missed it could bind the stream to the earlier version.
    */
   async send(record: StreamRecord): Promise<boolean> {
     const isKept = await this.#sendToKeepers(record);
@@ -72,17 +74,19 @@
     });
   }
 
-  /** Resolves to whether a keeper has the record, as soon as that is known. */
+  /** Resolves to the result of {@link send} as soon as it is known. */
   #sendToKeepers(record: StreamRecord): Promise<boolean> {
     const { keepers, spares } = this.#options.chooseKeepers(record.stream);
-    // Shared, so that each keeper that fails is replaced by another spare.
-    const left = [...spares];
+    const needsAll = record.isContradicted === true;
+    // Shared, so that each keeper that fails is replaced by another spare. The
+    // earlier record of a keeper that fails is not replaced by a spare's.
+    const left = needsAll ? [] : [...spares];
     return new Promise((resolve) => {
       let waiting = keepers.length;
       if (waiting === 0) return resolve(false);
       const onResult = (isKept: boolean) => {
         waiting -= 1;
-        if (isKept || waiting === 0) resolve(isKept);
+        if (isKept !== needsAll || waiting === 0) resolve(isKept);
       };
       for (const host of keepers) {
         this.#post(host, { record, spares: left, isSpare: false, onResult });
