--- a/src/gateway/planning/planner_candidates.ts
+++ b/src/gateway/planning/planner_candidates.ts
@@ -13,8 +13,8 @@
 
 /** The first hosts of the order, whatever their halls. */
 const FIRST_HOSTS = 2;
-/** A hall with as many lost hosts counts as unreachable. */
-const MAX_LOST_PER_HALL = 3;
+/** Lost hosts of a hall that are tried again at once. */
+const MAX_RETRIES_PER_HALL = 2;
 
 /** The candidates of a service as long as nothing changes. */
 type Choice = {
@@ -85,7 +85,7 @@
   #choose(order: readonly HostId[], now: Milliseconds): Choice {
     const candidates: HostEntry[] = [];
     const halls = new Set<string>();
-    const lostByHall = new Map<string, number>();
+    const retriesByHall = new Map<string, number>();
     let counted = 0;
     let until = Infinity;
     for (const id of order) {
@@ -93,16 +93,22 @@
       const host = this.#byId.get(id);
       if (!host) continue;
       const { hall } = host;
-      const lost = lostByHall.get(hall) ?? 0;
-      const isWanted = counted < FIRST_HOSTS || !halls.has(hall);
-      if (!isWanted || lost >= MAX_LOST_PER_HALL) continue;
+      if (counted >= FIRST_HOSTS && halls.has(hall)) continue;
       const retryAt = this.#retryAt.get(id);
       if (retryAt === undefined) {
         counted += 1;
         halls.add(hall);
-      } else lostByHall.set(hall, lost + 1);
-      if (retryAt === undefined || retryAt <= now) candidates.push(host);
-      else until = Math.min(until, retryAt);
+        candidates.push(host);
+        continue;
+      }
+      if (retryAt > now) {
+        until = Math.min(until, retryAt);
+        continue;
+      }
+      const retries = retriesByHall.get(hall) ?? 0;
+      if (retries >= MAX_RETRIES_PER_HALL) continue;
+      retriesByHall.set(hall, retries + 1);
+      candidates.push(host);
     }
     return { order, candidates, until };
   }
--- a/test/gateway/planning/planner_links_test.ts
+++ b/test/gateway/planning/planner_links_test.ts
@@ -42,11 +42,11 @@
   readonly #time = new VirtualTime();
   #isCut: (from: HostEntry, to: HostEntry) => boolean = () => false;
 
-  constructor(size: number) {
+  constructor(size: number, halls = HALLS) {
     this.entries = Array.from({ length: size }, (_, at) => ({
       id: `h${at}`,
       address: `h${at}`,
-      hall: `hall-${at % HALLS}`,
+      hall: `hall-${at % halls}`,
     }));
     for (const [at, entry] of this.entries.entries()) {
       const client = this.#createClient(entry);
@@ -186,3 +186,24 @@
   await fleet.run(3000);
   assertFewLinks(fleet);
 });
+
+// Guards against hosts that take a hall for unreachable since its first hosts
+// are lost, and then plan for themselves.
+for (const lostCount of [3, 6]) {
+  test(`all hosts of a hall agree on a planner when its first ${lostCount} are lost`, async () => {
+    const fleet = new PlannedFleet(12, 1);
+    await fleet.run(1000);
+    for (const service of SERVICES) {
+      const order = orderOf(service, fleet);
+      const lost = new Set(order.slice(0, lostCount));
+      const isLost = ({ id }: HostEntry) => lost.has(id);
+      fleet.cut((from, to) => isLost(from) || isLost(to));
+      await fleet.run(4000);
+      const planners = fleet.plannersOf(service, (entry) => !isLost(entry));
+      assert.deepEqual([...planners], [order[lostCount]]);
+      fleet.cut(() => false);
+      await fleet.run(3000);
+      assert.deepEqual([...fleet.plannersOf(service)], [order[0]]);
+    }
+  });
+}
