--- a/src/gateway/planning/plain_advice.ts
+++ b/src/gateway/planning/plain_advice.ts
@@ -47,7 +47,7 @@
     this.#ledger = ledger;
   }
 
-  /** What a host is told of a call that is assigned to a replica. */
+  /** The advice for a call that is assigned to a replica. */
   adviceOn(
     { service, route, repeatable, begun }: PlanRequest,
     incarnation: string,
--- a/src/gateway/requests/attempt_race.ts
+++ b/src/gateway/requests/attempt_race.ts
@@ -10,7 +10,7 @@
 
 const FIRST_ERROR_STATUS = 500;
 
-/** One send of a request, and the parts that are told how it ended. */
+/** One send of a request, and the parts to which its end is reported. */
 export type Attempt = {
   readonly placed: Placement;
   readonly placer: Placer;
