Logs tell which parts of prompts ran at a crash, and which were served elsewhere

The adapter parses all parts of a prompt but the last. A request has fingerprints of them beside its own, by service and part. `placed` names them, so that with `answered` and `broken` of the same request it is known which parts run well; `replicaCrashed` counts them over the requests that ran there. No decision uses them yet.

--- a/src/gateway/callers/create_request.ts
+++ b/src/gateway/callers/create_request.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
-import { lazyFingerprint } from "../crashes/fingerprint.ts";
+import { lazyFingerprints } from "../crashes/fingerprint.ts";
 import type { Customer } from "../customers/model.ts";
 import { requestHeaders, withoutHeaders } from "../http/headers.ts";
 import type { RequestMetadata } from "../port.ts";
@@ -40,21 +40,19 @@
   const timeoutMs = Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity);
   const method = incoming.method ?? "GET";
   const target = incoming.url ?? "/";
-  const fingerprint = lazyFingerprint({
-    method,
-    host: route.host,
-    target,
-    customer: customer?.name,
-    body,
-  });
+  const service = pickTarget(route.targets, chance) ?? "";
+  const fingerprints = lazyFingerprints(
+    { method, host: route.host, target, customer: customer?.name, body },
+    { service, parts: facts.promptParts ?? [] },
+  );
   return {
     route,
-    service: pickTarget(route.targets, chance) ?? "",
+    service,
     ...(customer ? { customer } : {}),
     priority: priorityOf({ route, customer }),
     receivedAt,
     body,
-    fingerprint,
+    fingerprints,
     method,
     target,
     rawHeaders: forwardedHeaders(context, incoming.rawHeaders),
--- a/src/gateway/callers/quota_acquisition.ts
+++ b/src/gateway/callers/quota_acquisition.ts
@@ -46,7 +46,7 @@
 /** Acquires the units of a request and waits until they are available. */
 export async function acquireQuota(
   { clock, quotas, version, scheduling }: QuotaAcquisitionOptions,
-  { customer, facts, route, fingerprint }: GatewayRequest,
+  { customer, facts, route, fingerprints }: GatewayRequest,
 ): Promise<QuotaAcquisition> {
   if (!customer?.quota) return NO_QUOTA;
   const { name, quota } = customer;
@@ -54,7 +54,7 @@
   const units = quotaUnits(quota, facts);
   const longestMs = facts.maxRetryAfterMs ?? DEFAULT_MAX_RETRY_MS;
   const retry = scheduling.customerShares
-    ? { retry: { key: fingerprint(), longestMs } }
+    ? { retry: { key: fingerprints.request(), longestMs } }
     : {};
   const outcome = await quotas.acquire({
     customer: name,
--- a/src/gateway/crashes/broken_sends.ts
+++ b/src/gateway/crashes/broken_sends.ts
@@ -4,7 +4,7 @@
  */
 import { evictOldest } from "../../util/evict_oldest.ts";
 import type { Milliseconds } from "../../util/units.ts";
-import type { CrashRecord } from "./model.ts";
+import type { Fingerprints } from "./fingerprint.ts";
 
 /**
  * A refused connection explains only sends that broke within this time before
@@ -28,15 +28,22 @@
 
 /** How a send ended without a complete response. */
 export type BrokenSendDetails = {
-  readonly fingerprint: () => string;
+  readonly fingerprints: Fingerprints;
   /** Whether the replica's side ended it; otherwise this host timed out. */
   readonly endedByReplica: boolean;
 };
 
-/** A send that ended without a complete response. */
-type BrokenSend = {
+/** A send that may have broken by a crash. */
+export type CrashedSend = {
+  /** Of the request. */
   readonly fingerprint: string;
+  /** The fingerprints of the shared parts of its prompt. */
+  readonly parts: readonly string[];
   readonly at: Milliseconds;
+};
+
+/** A send that ended without a complete response. */
+type BrokenSend = CrashedSend & {
   readonly endedByReplica: boolean;
   /** Whether a later probe found the replica listening. */
   hasListened: boolean;
@@ -56,7 +63,7 @@
   /** Records a send that broke at `now`; false: there is no room for it. */
   add(
     incarnation: string,
-    { fingerprint, endedByReplica, now }: BrokenSendDetails & {
+    { fingerprints, endedByReplica, now }: BrokenSendDetails & {
       readonly now: Milliseconds;
     },
   ): boolean {
@@ -64,7 +71,8 @@
     removeBefore(watched, now - REMOVED_WINDOW_MS);
     if (watched.brokenSends.length >= MAX_BROKEN_SENDS) return false;
     watched.brokenSends.push({
-      fingerprint: fingerprint(),
+      fingerprint: fingerprints.request(),
+      parts: fingerprints.parts(),
       at: now,
       endedByReplica,
       hasListened: false,
@@ -112,7 +120,7 @@
   takeCrashed(
     incarnation: string,
     { sign, now }: { readonly sign: CrashSign; readonly now: Milliseconds },
-  ): readonly CrashRecord[] {
+  ): readonly CrashedSend[] {
     const watched = this.#watched.get(incarnation);
     if (!watched) return [];
     watched.crashedAt = now;
@@ -120,7 +128,7 @@
       mayHaveRunAtCrash(send, sign, now)
     );
     if (ran.length > 0) watched.brokenSends = [];
-    return ran.map(({ fingerprint, at }) => ({ fingerprint, incarnation, at }));
+    return ran;
   }
 
   /** Forgets a replica that is no longer listed. */
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -13,12 +13,15 @@
 import {
   type BrokenSendDetails,
   BrokenSends,
+  type CrashedSend,
   type CrashSign,
 } from "./broken_sends.ts";
 import { CrashTable } from "./crash_table.ts";
 import { EndConfirmation } from "./end_confirmation.ts";
+import { type Fingerprints, shortFingerprint } from "./fingerprint.ts";
 import type { CrashRule, CrashUpdate, Quarantine } from "./model.ts";
 
+const MAX_LOGGED_PARTS = 8;
 /** Bounds what a host writes into its row, which is limited to 64 KB. */
 const WORST_BOUNDS = { minCount: 2, limit: 50 };
 
@@ -85,9 +88,9 @@
   }
 
   /** Returns the request's quarantine, if it is in force. */
-  quarantineOf(fingerprint: () => string): Quarantine | undefined {
+  quarantineOf({ request }: Fingerprints): Quarantine | undefined {
     if (this.#table.quarantines.size === 0) return undefined;
-    return this.#table.quarantineOf(fingerprint(), this.#options.clock.now());
+    return this.#table.quarantineOf(request(), this.#options.clock.now());
   }
 
   /**
@@ -95,20 +98,20 @@
    * results may decide whether it is sent again after `sends` sends. That takes
    * one round trip, or the connect timeout if nothing responds.
    */
-  async awaitProbes(fingerprint: () => string, sends: number): Promise<void> {
+  async awaitProbes({ request }: Fingerprints, sends: number): Promise<void> {
     const mayDecide = sends >= this.#rule.crashThreshold - 1 ||
-      (this.#table.size > 0 && this.#table.has(fingerprint()));
+      (this.#table.size > 0 && this.#table.has(request()));
     if (!mayDecide) return;
-    const probes = this.#brokenSends.replicasOf(fingerprint())
+    const probes = this.#brokenSends.replicasOf(request())
       .map((incarnation) => this.#probing.get(incarnation));
     await Promise.all(probes);
   }
 
   /** Clears the request: a replica returned a complete response. */
-  noteAnswered(fingerprint: () => string): void {
-    if (!this.#isRecorded(fingerprint)) return;
+  noteAnswered(fingerprints: Fingerprints): void {
+    if (!this.#isRecorded(fingerprints)) return;
     const at = this.#options.clock.now();
-    const clearances = [{ fingerprint: fingerprint(), at }];
+    const clearances = [{ fingerprint: fingerprints.request(), at }];
     this.merge({ records: [], clearances }, undefined);
   }
 
@@ -119,14 +122,14 @@
    */
   async noteUnconfirmed(
     entry: ReplicaEntry,
-    fingerprint: () => string,
+    fingerprints: Fingerprints,
   ): Promise<void> {
-    if (!this.#isRecorded(fingerprint)) return;
-    if (await this.ends.confirmOnce(entry)) this.noteAnswered(fingerprint);
+    if (!this.#isRecorded(fingerprints)) return;
+    if (await this.ends.confirmOnce(entry)) this.noteAnswered(fingerprints);
   }
 
-  #isRecorded(fingerprint: () => string): boolean {
-    return this.#table.size > 0 && this.#table.has(fingerprint());
+  #isRecorded({ request }: Fingerprints): boolean {
+    return this.#table.size > 0 && this.#table.has(request());
   }
 
   /** Records that a send to the replica ended without a complete response. */
@@ -211,16 +214,21 @@
     sign: CrashSign,
     now = this.#options.clock.now(),
   ): void {
-    const records = this.#brokenSends.takeCrashed(incarnation, { sign, now });
-    if (records.length === 0) return;
+    const sends = this.#brokenSends.takeCrashed(incarnation, { sign, now });
+    if (sends.length === 0) return;
     this.#options.metrics.count("replica_crashes");
     this.#options.events.note("replicaCrashed", {
       replica: incarnation,
       sign,
-      requests: records.length,
-      fingerprints: records.slice(0, 4).map((record) => record.fingerprint)
-        .join(),
+      requests: sends.length,
+      fingerprints: sends.slice(0, 4).map((send) => send.fingerprint).join(),
+      parts: countedParts(sends),
     });
+    const records = sends.map(({ fingerprint, at }) => ({
+      fingerprint,
+      incarnation,
+      at,
+    }));
     this.merge({ records, clearances: [] }, undefined);
   }
 
@@ -238,3 +246,16 @@
     }
   }
 }
+
+/** The parts of prompts that most of the sends had, with the number of sends. */
+function countedParts(sends: readonly CrashedSend[]): string | undefined {
+  const counts = new Map<string, number>();
+  for (const part of sends.flatMap(({ parts }) => parts)) {
+    counts.set(part, (counts.get(part) ?? 0) + 1);
+  }
+  if (counts.size === 0) return undefined;
+  return [...counts].sort(([, a], [, b]) => b - a)
+    .slice(0, MAX_LOGGED_PARTS)
+    .map(([part, count]) => `${shortFingerprint(part)}:${count}`)
+    .join();
+}
--- a/src/gateway/crashes/fingerprint.ts
+++ b/src/gateway/crashes/fingerprint.ts
@@ -1,5 +1,9 @@
-/** Fingerprints of requests, by which retries of a request are recognized. */
+/**
+ * Fingerprints of requests, by which retries of a request are recognized, and
+ * of the parts of prompts that requests share.
+ */
 import { createHash } from "node:crypto";
+import { sha256 } from "../../util/sha256.ts";
 
 /** Hex digits of a fingerprint: 128 bits, to make collisions negligible. */
 const DIGITS = 32;
@@ -25,11 +29,49 @@
     .slice(0, DIGITS);
 }
 
+const LOGGED_DIGITS = 8;
+/** Shared parts of a prompt that are fingerprinted; a header may list many. */
+const MAX_PARTS = 64;
+
+/** What a request has in common with its retries and with other requests. */
+export type Fingerprints = {
+  /** Of the request: equal for every attempt of it, at any host. */
+  readonly request: () => string;
+  /** Of the parts of its prompt that other requests may share, in order. */
+  readonly parts: () => readonly string[];
+};
+
+/** Fingerprints a part of a prompt; services may use the same ids of parts. */
+export function partFingerprintOf(service: string, part: string): string {
+  return sha256(JSON.stringify([service, part])).slice(0, DIGITS);
+}
+
 /**
- * Computes a fingerprint on first use: hashing a body of 4 MB takes
+ * Computes fingerprints on first use: hashing a body of 4 MB takes
  * milliseconds, and the fingerprints of most requests are never needed.
  */
-export function lazyFingerprint(input: FingerprintInput): () => string {
-  let known: string | undefined;
-  return () => known ??= fingerprintOf(input);
+export function lazyFingerprints(
+  input: FingerprintInput,
+  { service, parts }: {
+    readonly service: string;
+    readonly parts: readonly string[];
+  },
+): Fingerprints {
+  return {
+    request: once(() => fingerprintOf(input)),
+    parts: once(() =>
+      [...new Set(parts.slice(0, MAX_PARTS))]
+        .map((part) => partFingerprintOf(service, part))
+    ),
+  };
+}
+
+/** A fingerprint as it is logged where there are several in a line. */
+export function shortFingerprint(fingerprint: string): string {
+  return fingerprint.slice(0, LOGGED_DIGITS);
+}
+
+function once<Value>(compute: () => Value): () => Value {
+  let known: Value | undefined;
+  return () => known ??= compute();
 }
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -21,6 +21,11 @@
   readonly promptTokens: number;
   /** Identifies the prompt; the same for all attempts of a request. */
   readonly promptKey?: string;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order; the
+   * last part of a prompt is its own.
+   */
+  readonly promptParts?: readonly string[];
   /** Maximum number of tokens to generate. */
   readonly outputLimit: number;
   /** The caller's estimate of the tokens to generate. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { GatewayError } from "../answers.ts";
 import type { GatewayContext } from "../context.ts";
+import { retryAfterQuarantine } from "../crashes/retry_after.ts";
 import type { PlannerClient } from "../planning/planner_client.ts";
 import { Attempts } from "./attempts.ts";
 import { refusalWhenNoneAvailable } from "./availability.ts";
@@ -122,8 +123,8 @@
   }
 
   async #attempt(): Promise<void> {
-    const { crashes } = this.#context;
-    await crashes.awaitProbes(this.#request.fingerprint, this.#attempts.sends);
+    const { context: { crashes }, request, attempts } = this.#state;
+    await crashes.awaitProbes(request.fingerprints, attempts.sends);
     if (this.#ended || this.#rejectQuarantined()) return;
     const placement = await this.#lane.placer.place({
       excluded: this.#attempts.excluded,
@@ -177,12 +178,11 @@
    */
   #rejectQuarantined(): boolean {
     const { crashes, clock } = this.#context;
-    const quarantine = crashes.quarantineOf(this.#request.fingerprint);
+    const quarantine = crashes.quarantineOf(this.#request.fingerprints);
     if (!quarantine) return false;
     this.#journal.quarantined(quarantine);
-    const leftMs = quarantine.until - clock.now();
-    const retryAfterSeconds = Math.max(1, Math.ceil(leftMs / 1000));
-    this.#fail(GatewayError.crashesReplicas, { retryAfterSeconds });
+    const details = retryAfterQuarantine(quarantine, clock.now());
+    this.#fail(GatewayError.crashesReplicas, details);
     return true;
   }
 
--- a/src/gateway/requests/plain_placement.ts
+++ b/src/gateway/requests/plain_placement.ts
@@ -240,9 +240,11 @@
 
   /** Identifies the request over all attempts of its caller. */
   #retryKey(): string {
-    const { body, fingerprint } = this.#request;
+    const { body, fingerprints } = this.#request;
     const isNeeded = this.#context.tuning.scheduling.bookedReturns;
-    return isNeeded && body.length <= MAX_KEY_BYTES ? fingerprint() : "";
+    return isNeeded && body.length <= MAX_KEY_BYTES
+      ? fingerprints.request()
+      : "";
   }
 
   #chooseLocally(
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -78,7 +78,9 @@
       const replica = tries === 0 ? planned : this.#chooseReplica(hall);
       if (!replica || this.#ended) return undefined;
       const { crashes } = this.#context;
-      if (crashes.quarantineOf(this.#request.fingerprint)) return undefined;
+      if (crashes.quarantineOf(this.#request.fingerprints)) {
+        return undefined;
+      }
       if (!this.#attempts.chargePrefill()) return undefined;
       const outcome = await this.#context.gate.permit(replica);
       if (outcome.type === "closed") {
--- a/src/gateway/requests/report_outcome.ts
+++ b/src/gateway/requests/report_outcome.ts
@@ -31,14 +31,14 @@
   { placed: { replica }, status, outcome, isByReplica }: PlacementOutcome,
 ): void {
   const { crashes } = context;
-  const { fingerprint } = request;
+  const { fingerprints } = request;
   switch (outcome) {
     case "complete":
-      if (status < FIRST_FAILURE_STATUS) crashes.noteAnswered(fingerprint);
+      if (status < FIRST_FAILURE_STATUS) crashes.noteAnswered(fingerprints);
       return meter.complete(status);
     case "unconfirmed":
       if (status < FIRST_FAILURE_STATUS) {
-        void crashes.noteUnconfirmed(replica.entry, fingerprint);
+        void crashes.noteUnconfirmed(replica.entry, fingerprints);
       }
       // It was answered, but its duration may be that of a part.
       return placer.completed();
--- a/src/gateway/requests/request.ts
+++ b/src/gateway/requests/request.ts
@@ -1,6 +1,7 @@
 /** A caller's request, and the reply to the caller. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayError } from "../answers.ts";
+import type { Fingerprints } from "../crashes/fingerprint.ts";
 import type { RequestMetadata } from "../port.ts";
 import type { Customer } from "../customers/model.ts";
 import type { Route } from "../routing/model.ts";
@@ -14,8 +15,7 @@
   readonly rawHeaders: readonly string[];
   readonly facts: RequestMetadata;
   readonly body: Buffer;
-  /** Equal for every attempt of the same request, at any host. */
-  readonly fingerprint: () => string;
+  readonly fingerprints: Fingerprints;
   readonly route: Route;
   readonly service: string;
   /** Absent on routes that require no key. */
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -1,6 +1,7 @@
 /** Log events and metrics of one request. */
 import type { GatewayContext } from "../context.ts";
 import type { Milliseconds } from "../../util/units.ts";
+import { shortFingerprint } from "../crashes/fingerprint.ts";
 import type { Quarantine } from "../crashes/model.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import type { EventName } from "../observe/event_names.ts";
@@ -14,6 +15,8 @@
 import type { EventPosition } from "./relay.ts";
 import type { GatewayRequest } from "./request.ts";
 
+const MAX_LOGGED_PARTS = 8;
+
 /** A send, as it is logged. */
 export type JournalledSend = {
   /** Number of sends of the request, including this one. */
@@ -65,6 +68,7 @@
       tokens: placed.tokens,
       priority: this.#request.priority,
       prompt: facts.promptTokens,
+      parts: partsOf(this.#request),
       wait_ms: placed.waitMs,
       prefill_ms: placed.prefillMs,
       output_limit: facts.outputLimit,
@@ -108,7 +112,7 @@
 
   /** Logs that the request is not sent because it crashes replicas. */
   quarantined({ incarnations }: Quarantine): void {
-    const fingerprint = this.#request.fingerprint();
+    const fingerprint = this.#request.fingerprints.request();
     this.note("heldBack", { fingerprint, replicas: incarnations.join() });
   }
 
@@ -129,7 +133,7 @@
    * the attempts of one request can be found in the logs of all hosts.
    */
   #lastSendFields(): EventFields {
-    const fingerprint = this.#request.fingerprint();
+    const fingerprint = this.#request.fingerprints.request();
     if (!this.#lastSend) return { fingerprint };
     const { replica, at } = this.#lastSend;
     const sentMs = Math.round(this.#context.clock.now() - at);
@@ -140,3 +144,9 @@
     return this.#context.clock.now() - this.#request.receivedAt;
   }
 }
+
+/** The parts of the request's prompt that other requests may share. */
+function partsOf({ fingerprints }: GatewayRequest): string | undefined {
+  const parts = fingerprints.parts().slice(0, MAX_LOGGED_PARTS);
+  return parts.length === 0 ? undefined : parts.map(shortFingerprint).join();
+}
--- a/src/gateway/requests/second_attempt.ts
+++ b/src/gateway/requests/second_attempt.ts
@@ -85,7 +85,7 @@
   const { context, request, attempts, binding, position } = state;
   const { crashes, metrics, events } = context;
   const isQuarantined = () =>
-    crashes.quarantineOf(request.fingerprint) !== undefined;
+    crashes.quarantineOf(request.fingerprints) !== undefined;
   if (isQuarantined() || !attempts.acquireSecond()) return undefined;
   const { placer, meter } = lane;
   const { requiredVersion } = binding;
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -275,11 +275,11 @@
  */
 export function noteInterruption(
   { crashes }: GatewayContext,
-  { fingerprint }: GatewayRequest,
+  { fingerprints }: GatewayRequest,
   { entry }: Replica,
   endedByReplica: boolean,
 ): void {
-  crashes.noteBrokenSend(entry, { fingerprint, endedByReplica });
+  crashes.noteBrokenSend(entry, { fingerprints, endedByReplica });
 }
 
 /**
--- a/test/gateway/crashes/broken_sends_test.ts
+++ b/test/gateway/crashes/broken_sends_test.ts
@@ -2,13 +2,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { BrokenSends } from "../../../src/gateway/crashes/broken_sends.ts";
+import { namedFingerprints } from "./named_fingerprints.ts";
 
 /** Records sends of replica "a" by the time at which they broke. */
 function sendsAt(times: readonly number[], endedByReplica = true): BrokenSends {
   const sends = new BrokenSends();
   for (const now of times) {
-    const fingerprint = () => `at ${now}`;
-    assert.ok(sends.add("a", { fingerprint, endedByReplica, now }));
+    const fingerprints = namedFingerprints(`at ${now}`);
+    assert.ok(sends.add("a", { fingerprints, endedByReplica, now }));
   }
   return sends;
 }
@@ -66,7 +67,8 @@
 
 test("a request is not hashed for a send that there is no room for", () => {
   const sends = sendsAt(Array.from({ length: 100 }, () => 0));
-  const fingerprint = () => assert.fail("hashed");
-  const send = { fingerprint, endedByReplica: true, now: 0 };
+  const fail = () => assert.fail("hashed");
+  const fingerprints = { request: fail, parts: fail };
+  const send = { fingerprints, endedByReplica: true, now: 0 };
   assert.equal(sends.add("a", send), false);
 });
--- a/test/gateway/crashes/crash_fleet_test.ts
+++ b/test/gateway/crashes/crash_fleet_test.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { namedFingerprints } from "./named_fingerprints.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { type FleetHost, StateFleet } from "../state/state_fleet.ts";
 
@@ -19,7 +20,7 @@
 /** A host detects that a replica crashed while it ran the request. */
 function crash(host: FleetHost, fingerprint: string, replica: string): void {
   host.context.crashes.noteBrokenSend(replicaEntry(replica), {
-    fingerprint: () => fingerprint,
+    fingerprints: namedFingerprints(fingerprint),
     endedByReplica: true,
   });
 }
@@ -29,7 +30,7 @@
   fingerprint: string,
 ): number {
   return hosts.filter(({ context }) =>
-    context.crashes.quarantineOf(() => fingerprint) !== undefined
+    context.crashes.quarantineOf(namedFingerprints(fingerprint)) !== undefined
   ).length;
 }
 
@@ -66,7 +67,7 @@
   const [first, second] = fleet.hosts as [FleetHost, FleetHost];
   for (const replica of ["a", "b"]) crash(first, "concurrent", replica);
   await fleet.runTo(FORMED_MS + PROPAGATED_MS);
-  second.context.crashes.noteAnswered(() => "concurrent");
+  second.context.crashes.noteAnswered(namedFingerprints("concurrent"));
   await fleet.runTo(FORMED_MS + 2 * PROPAGATED_MS);
   crash(first, "concurrent", "c");
   await fleet.runTo(FORMED_MS + 3 * PROPAGATED_MS);
--- a/test/gateway/crashes/crash_watch_test.ts
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -2,20 +2,22 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { CrashWatch } from "../../../src/gateway/crashes/crash_watch.ts";
+import type { EventFields } from "../../../src/gateway/observe/event_log.ts";
 import type { ProbeResult } from "../../../src/gateway/upstreams/probe.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
+import { namedFingerprints } from "./named_fingerprints.ts";
 import { replicaEntry } from "../replica_entry.ts";
 
 const ENTRY = replicaEntry("a");
-const fingerprintOf = (name: string) => () => name;
 
 /** Creates a watch in virtual time; probes take 2 ms. */
 function start(probeResult: () => ProbeResult, isAlive = false) {
   const time = new VirtualTime();
   const probes: string[] = [];
+  const lines: { readonly name: string; readonly fields: EventFields }[] = [];
   const watch = new CrashWatch({
     clock: time.clock,
-    events: { note: () => undefined },
+    events: { note: (name, fields = {}) => lines.push({ name, fields }) },
     metrics: { count: () => undefined },
     rule: { crashThreshold: 3, ttlMs: 60_000 },
     isDraining: (entry) => entry.leaving,
@@ -30,14 +32,16 @@
   });
   const breaks = (name: string, endedByReplica = true, entry = ENTRY) =>
     watch.noteBrokenSend(entry, {
-      fingerprint: fingerprintOf(name),
+      fingerprints: namedFingerprints(name),
       endedByReplica,
     });
   const crashed = () =>
     watch.all().records
       .map((record) => `${record.fingerprint} ${record.incarnation}`)
       .sort();
-  return { time, probes, watch, breaks, crashed };
+  const logged = (event: string) =>
+    lines.filter(({ name }) => name === event).map(({ fields }) => fields);
+  return { time, probes, watch, breaks, crashed, logged };
 }
 
 test("requests whose responses broke at a replica that no longer listens ran at its crash", async () => {
@@ -50,6 +54,20 @@
   assert.deepEqual(crashed(), ["one a", "three a", "two a"]);
 });
 
+test("a crash is logged with the parts of the prompts that ran there", async () => {
+  const { time, watch, logged } = start(() => "refused");
+  const breaks = (name: string, parts: readonly string[]) =>
+    watch.noteBrokenSend(ENTRY, {
+      fingerprints: namedFingerprints(name, parts),
+      endedByReplica: true,
+    });
+  breaks("one", ["common", "a"]);
+  breaks("two", ["common", "b"]);
+  await time.runTo(10);
+  const { parts } = logged("replicaCrashed")[0] ?? {};
+  assert.equal(parts, "common:2,a:1,b:1");
+});
+
 test("a truncated response of a replica that still listens is no crash", async () => {
   const { time, watch, breaks, crashed } = start(() => "listens");
   breaks("one");
@@ -121,7 +139,7 @@
   const { time, watch, breaks } = start(() => "refused");
   const settled: string[] = [];
   const wait = (name: string, sends: number) =>
-    void watch.awaitProbes(fingerprintOf(name), sends)
+    void watch.awaitProbes(namedFingerprints(name), sends)
       .then(() => settled.push(`${name} ${sends} at ${time.now}`));
   breaks("one");
   wait("one", 1);
@@ -151,7 +169,7 @@
     breaks("one", true, crashedOther);
     await time.runTo(10);
     probeResult = result;
-    void watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+    void watch.noteUnconfirmed(ENTRY, namedFingerprints("one"));
     await time.runTo(100);
     assert.equal(watch.all().clearances.length, result === "listens" ? 1 : 0);
   }
@@ -159,7 +177,7 @@
 
 test("an unconfirmed response of a request without crashes costs no probe", async () => {
   const { time, watch, probes } = start(() => "listens");
-  await watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+  await watch.noteUnconfirmed(ENTRY, namedFingerprints("one"));
   await time.runTo(100);
   assert.equal(probes.length, 0);
 });
@@ -179,7 +197,7 @@
   const rig = await startAfterCrash();
   const { time, watch, probes } = rig;
   const reported = watch.ends.confirm(ENTRY)
-    .then(() => watch.noteUnconfirmed(ENTRY, fingerprintOf("one")));
+    .then(() => watch.noteUnconfirmed(ENTRY, namedFingerprints("one")));
   await time.runTo(100);
   await reported;
   assert.equal(probes.length, 1);
@@ -193,7 +211,7 @@
   await time.runTo(32);
   assert.equal(await confirmed, true);
   rig.result = "refused";
-  void watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+  void watch.noteUnconfirmed(ENTRY, namedFingerprints("one"));
   await time.runTo(100);
   assert.equal(probes.length, 2);
   assert.equal(watch.all().clearances.length, 0);
@@ -204,7 +222,7 @@
   const { time, watch, probes } = rig;
   void watch.ends.confirm(replicaEntry("b")).then(() => {
     rig.result = "refused";
-    return watch.noteUnconfirmed(ENTRY, fingerprintOf("one"));
+    return watch.noteUnconfirmed(ENTRY, namedFingerprints("one"));
   });
   await time.runTo(100);
   assert.equal(probes.length, 2);
--- a/test/gateway/crashes/fingerprint_test.ts
+++ b/test/gateway/crashes/fingerprint_test.ts
@@ -4,6 +4,7 @@
 import {
   type FingerprintInput,
   fingerprintOf,
+  lazyFingerprints,
 } from "../../../src/gateway/crashes/fingerprint.ts";
 import { completeResponse } from "../raw_replica.ts";
 import { withRig } from "../rig.ts";
@@ -31,6 +32,21 @@
   assert.equal(all.size, others.length + 1);
 });
 
+test("a part of a prompt has the same fingerprint in all requests of a service", () => {
+  const partsOf = (service: string, ...parts: string[]) =>
+    lazyFingerprints(REQUEST, { service, parts }).parts();
+  const [first, second] = partsOf("a", "p", "q");
+  assert.notEqual(first, second);
+  assert.deepEqual(partsOf("a", "q", "p", "q"), [second, first]);
+  assert.notEqual(partsOf("b", "p")[0], first);
+});
+
+test("the number of fingerprinted parts is bounded", () => {
+  const parts = Array.from({ length: 5000 }, (_, at) => `p${at}`);
+  const { length } = lazyFingerprints(REQUEST, { service: "a", parts }).parts();
+  assert.equal(length, 64);
+});
+
 test("retries with truncated responses are logged with the same fingerprint", async () => {
   await withRig({
     route: { kind: "unsafe" },
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -13,6 +13,7 @@
 import type { PlanService } from "../../../src/gateway/planning/plan_service.ts";
 import { ReplicaTable } from "../../../src/gateway/replicas/replica_table.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
+import { namedFingerprints } from "../crashes/named_fingerprints.ts";
 import { Attempts } from "../../../src/gateway/requests/attempts.ts";
 import { EnginePlacement } from "../../../src/gateway/requests/engine_placement.ts";
 import { PlainPlacement } from "../../../src/gateway/requests/plain_placement.ts";
@@ -46,7 +47,7 @@
   rawHeaders: [],
   facts: { id: "r", promptTokens: 0, outputLimit: 0 },
   body: Buffer.alloc(0),
-  fingerprint: () => "",
+  fingerprints: namedFingerprints(""),
   route: ROUTE,
   service: "s",
   priority: 1,
--- a/test/platform/dialect_test.ts
+++ b/test/platform/dialect_test.ts
@@ -62,6 +62,17 @@
   });
 });
 
+test("all parts of a prompt but the last may be shared with other requests", () => {
+  const partsOf = (prompt: string) =>
+    dialect.readRequest({ "prompt-prefix": prompt }).promptParts;
+  assert.deepEqual(partsOf("5c1e:800,91bd:410, e440:250"), ["5c1e", "91bd"]);
+  for (const alone of ["", "5c1e:800", "5c1e"]) {
+    assert.deepEqual(partsOf(alone), []);
+  }
+  assert.deepEqual(partsOf(":5,,5c1e,x"), ["5c1e"]);
+  assert.equal(dialect.readRequest({}).promptParts, undefined);
+});
+
 test("a resumed stream is named by the attempt of its first event", () => {
   const headers = { "last-event-id": "7", resumes: "a-1" };
   const { lastEventId, resumes } = dialect.readRequest(headers);
