--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -25,6 +25,11 @@
 
 /** A request with this body crashes the replica that runs it. */
 export const CRASHING_BODY = "crashes its replica";
+/**
+ * A request with this part in its prompt, other than as the last one, crashes
+ * the decode replica that begins to write its response.
+ */
+export const CRASHING_PART = "bad0c0de";
 
 /** How a replica rejects requests. */
 export type Backoff = {
@@ -164,6 +169,11 @@
   return serve(engine, request, { body, response });
 }
 
+/** The ids of all parts of a prompt but the last. */
+function sharedPartsOf(prompt: string): string[] {
+  return prompt.split(",").slice(0, -1).map((part) => part.split(":")[0] ?? "");
+}
+
 function reserve(
   engine: Engine,
   body: string,
@@ -233,7 +243,9 @@
   note(true);
   engine.running += 1;
   response.on("close", () => engine.running -= 1);
-  if (body === CRASHING_BODY) {
+  const hasCrashingPart = role === "decode" &&
+    sharedPartsOf(header("prompt-prefix")).includes(CRASHING_PART);
+  if (body === CRASHING_BODY || hasCrashingPart) {
     await sleep(CRASH_DELAY_MS);
     return world.onCrash?.(options.id);
   }
--- a/test/platform/replica_world.ts
+++ b/test/platform/replica_world.ts
@@ -27,7 +27,7 @@
   readonly faults: ReplicaFault[];
   /** Exports of finished prefills by "address/handle". */
   readonly exports: Map<string, { request: string; expiresAt: number }>;
-  /** Called when a request with `CRASHING_BODY` crashes a replica. */
+  /** Called when a request crashes a replica. */
   onCrash?(replica: string): void;
   /** Called when a replica has cut a response, or crashed meanwhile. */
   onCut?(response: CutResponse): void;
--- a/test/soak/call.ts
+++ b/test/soak/call.ts
@@ -65,11 +65,14 @@
   /** Closes the connection after 0.3 s. */
   readonly abortsEarly: boolean;
   readonly resumption?: Resumption;
+  /** Ids of the parts of its prompt before its own, which is the last one. */
+  readonly promptParts?: readonly string[];
 };
 
 /** Sends one request; never rejects. */
 export function callOnce(options: CallOptions): Promise<CallResult> {
   const { agent, host, id, kind, abortsEarly, resumption } = options;
+  const { promptParts = [] } = options;
   const requestBody = kind === CallKind.safe ? undefined : options.body;
   const [ip, port] = host.address.split(":");
   const sentAtMs = performance.now();
@@ -88,7 +91,8 @@
         host: "example",
         "attempt-id": id,
         "token-counts": "100,20",
-        "prompt-prefix": `${id}:100`,
+        "prompt-prefix": [...promptParts, id].map((part) => `${part}:100`)
+          .join(),
         "deadline-remaining-ms": String(REQUEST_TIMEOUT_MS),
         ...(resumption && resumptionHeaders(resumption)),
       },
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -18,6 +18,8 @@
   readonly kinds?: readonly CallKind[];
   /** The body of all but safe requests. */
   readonly body?: string;
+  /** As in {@link CallOptions}. */
+  readonly promptParts?: readonly string[];
   /** The pause between two requests. */
   readonly pauseMs?: number;
   /** Resumes broken streams at other hosts, if the route allows it. */
@@ -52,7 +54,7 @@
 export async function runCaller(options: CallerOptions): Promise<void> {
   const { hosts, random, name, kinds = KINDS, maxRequests = Infinity } =
     options;
-  const { body = "body", pauseMs = PAUSE_MS } = options;
+  const { body = "body", promptParts = [], pauseMs = PAUSE_MS } = options;
   let sent = 0;
   for (let round = 0; !options.isStopped() && sent < maxRequests; round++) {
     const host = chooseHost(options, hosts);
@@ -72,6 +74,7 @@
         kind,
         body,
         abortsEarly,
+        promptParts,
       });
       options.onResult(result);
       if (options.isResuming) await resumeElsewhere(options, result);
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -149,6 +149,7 @@
     readonly id: string;
     readonly kind: CallKind;
     readonly body?: string;
+    readonly promptParts?: readonly string[];
   },
 ): Promise<CallResult> {
   const results: CallResult[] = [];
@@ -158,6 +159,7 @@
     name: call.id,
     kinds: [call.kind],
     ...(call.body === undefined ? {} : { body: call.body }),
+    ...(call.promptParts && { promptParts: call.promptParts }),
     maxRequests: 1,
     isInRotation: () => true,
     isStopped: () => false,
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -73,6 +73,8 @@
   readonly limits = new ReplicaLimits();
   /** Replicas that a request crashed, in order. */
   readonly crashed: string[] = [];
+  /** When they crashed. */
+  readonly crashTimes: number[] = [];
   #load: WorldLoad;
   #version = 0;
   #replicaCount = 0;
@@ -276,6 +278,7 @@
     );
     if (!replica) return;
     this.crashed.push(id);
+    this.crashTimes.push(performance.now());
     // Alternates between a new replica and a restart under the same id.
     const restarts = this.crashed.length % 2 === 0;
     void (restarts ? this.restart(replica) : this.crash(replica));
