A request that is served all the time isn't quarantined for crashes beside it

Cause: the table counted crashes with a fingerprint, not how often it runs without one. Requests that callers repeat alike share a fingerprint and are present wherever a replica crashes. Three crashes of other causes without a complete response between them were a verdict, and since nothing of it was sent any more, nothing could clear it for five minutes. Class: evidence without its base rate.

Hosts count their recent complete responses by fingerprint (4,096 at most; bodies over 64 KB only once a crash is recorded), and report them when a fingerprint becomes a suspect.

Ruled out: a shorter life of all quarantines, which would let a request that was never served crash three more replicas each time.

--- a/bench/crashes/main.ts
+++ b/bench/crashes/main.ts
@@ -1,6 +1,7 @@
 /** npm run bench:crashes: the cost of the crash table of a host. */
 import { encodeCrashes } from "../../src/gateway/crashes/crash_messages.ts";
 import { CrashTable } from "../../src/gateway/crashes/crash_table.ts";
+import { SuspectKind } from "../../src/gateway/crashes/model.ts";
 import { fingerprintOf } from "../../src/gateway/crashes/fingerprint.ts";
 
 const ROUNDS = 200;
@@ -31,6 +32,7 @@
   const table = new CrashTable(LIMITS);
   const nameOf = (at: number) => String(at).padStart(32, "0");
   const crash = (at: number, replica: string) => ({
+    kind: SuspectKind.request,
     fingerprint: nameOf(at),
     incarnation: replica,
     at: at * 100,
--- a/src/gateway/crashes/broken_sends.ts
+++ b/src/gateway/crashes/broken_sends.ts
@@ -37,6 +37,8 @@
 export type CrashedSend = {
   /** Of the request. */
   readonly fingerprint: string;
+  /** The fingerprint of its service. */
+  readonly service: string;
   /** The fingerprints of the shared parts of its prompt. */
   readonly parts: readonly string[];
   readonly at: Milliseconds;
@@ -72,6 +74,7 @@
     if (watched.brokenSends.length >= MAX_BROKEN_SENDS) return false;
     watched.brokenSends.push({
       fingerprint: fingerprints.request(),
+      service: fingerprints.service(),
       parts: fingerprints.parts(),
       at: now,
       endedByReplica,
--- a/src/gateway/crashes/crash_messages.ts
+++ b/src/gateway/crashes/crash_messages.ts
@@ -3,7 +3,12 @@
  */
 import * as z from "zod";
 import type { Milliseconds } from "../../util/units.ts";
-import type { CrashUpdate } from "./model.ts";
+import {
+  type Clearance,
+  type CrashRecord,
+  type CrashUpdate,
+  SuspectKind,
+} from "./model.ts";
 
 const CrashMessage = z.object({
   fingerprint: z.string(),
@@ -11,17 +16,25 @@
   /** Age of the crash; a duration, since hosts' clocks are not synchronized. */
   agoMs: z.number(),
 });
+type CrashMessage = z.output<typeof CrashMessage>;
 
 const AnsweredMessage = z.object({
   fingerprint: z.string(),
   agoMs: z.number(),
+  /** Absent from hosts of earlier versions. */
+  host: z.string().exactOptional(),
+  responses: z.number().exactOptional(),
 });
+type AnsweredMessage = z.output<typeof AnsweredMessage>;
 
 /** Schema of {@link CrashesMessage}. */
 export const CrashesSchema = z.object({
   type: z.literal("crashes"),
+  /** Requests that ran at crashed replicas. */
   crashes: z.array(CrashMessage).readonly(),
-  /** Requests that got a complete response after a crash. */
+  /** Services of crashed replicas; apart, as earlier versions don't know them. */
+  services: z.array(CrashMessage).readonly().exactOptional(),
+  /** Suspects that got complete responses. */
   answered: z.array(AnsweredMessage).readonly(),
 });
 /** Crashes and clearances of a host. */
@@ -32,16 +45,17 @@
   { records, clearances }: CrashUpdate,
   now: Milliseconds,
 ): CrashesMessage {
-  const agoMs = (at: Milliseconds) => Math.max(0, Math.round(now - at));
+  const ofKind = (kind: SuspectKind) =>
+    records.filter((record) => record.kind === kind)
+      .map((record) => encodeRecord(record, now));
+  const services = ofKind(SuspectKind.service);
   return {
     type: "crashes",
-    crashes: records.map(({ at, ...record }) => ({
-      ...record,
-      agoMs: agoMs(at),
-    })),
-    answered: clearances.map(({ at, fingerprint }) => ({
-      fingerprint,
-      agoMs: agoMs(at),
+    crashes: ofKind(SuspectKind.request),
+    ...(services.length > 0 ? { services } : {}),
+    answered: clearances.map(({ at, ...clearance }) => ({
+      ...clearance,
+      agoMs: agoOf(at, now),
     })),
   };
 }
@@ -50,19 +64,50 @@
  * Decodes a message that was made `ageMs` ago, with times by this host's clock.
  */
 export function decodeCrashes(
-  { crashes, answered }: CrashesMessage,
+  { crashes, services = [], answered }: CrashesMessage,
   now: Milliseconds,
   ageMs: Milliseconds = 0,
 ): CrashUpdate {
-  const at = (agoMs: Milliseconds) => now - ageMs - Math.max(0, agoMs);
+  const madeAt = now - ageMs;
   return {
-    records: crashes.map(({ agoMs, ...crash }) => ({
-      ...crash,
-      at: at(agoMs),
-    })),
-    clearances: answered.map(({ agoMs, ...clearance }) => ({
-      ...clearance,
-      at: at(agoMs),
-    })),
+    records: [
+      ...crashes.map((crash) =>
+        decodeRecord(SuspectKind.request, crash, madeAt)
+      ),
+      ...services.map((crash) =>
+        decodeRecord(SuspectKind.service, crash, madeAt)
+      ),
+    ],
+    clearances: answered.map((message) => decodeClearance(message, madeAt)),
   };
 }
+
+function encodeRecord(
+  { fingerprint, incarnation, at }: CrashRecord,
+  now: Milliseconds,
+): CrashMessage {
+  return { fingerprint, incarnation, agoMs: agoOf(at, now) };
+}
+
+function decodeRecord(
+  kind: SuspectKind,
+  { agoMs, ...crash }: CrashMessage,
+  madeAt: Milliseconds,
+): CrashRecord {
+  return { kind, ...crash, at: timeOf(agoMs, madeAt) };
+}
+
+function decodeClearance(
+  { fingerprint, agoMs, host = "", responses = 1 }: AnsweredMessage,
+  madeAt: Milliseconds,
+): Clearance {
+  return { fingerprint, at: timeOf(agoMs, madeAt), host, responses };
+}
+
+function agoOf(at: Milliseconds, now: Milliseconds): Milliseconds {
+  return Math.max(0, Math.round(now - at));
+}
+
+function timeOf(agoMs: Milliseconds, madeAt: Milliseconds): Milliseconds {
+  return madeAt - Math.max(0, agoMs);
+}
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -19,7 +19,15 @@
 import { CrashTable } from "./crash_table.ts";
 import { EndConfirmation } from "./end_confirmation.ts";
 import { type Fingerprints, shortFingerprint } from "./fingerprint.ts";
-import type { CrashRule, CrashUpdate, Quarantine } from "./model.ts";
+import {
+  type Clearance,
+  type CrashRecord,
+  type CrashRule,
+  type CrashUpdate,
+  type Quarantine,
+  SuspectKind,
+} from "./model.ts";
+import { RecentResponses } from "./recent_responses.ts";
 
 const MAX_LOGGED_PARTS = 8;
 /** Bounds what a host writes into its row, which is limited to 64 KB. */
@@ -30,6 +38,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly metrics: Pick<Metrics, "count">;
+  /** The id of this host. */
+  readonly host: string;
   readonly rule: CrashRule;
   /** Whether a replica is draining, so that its end is planned. */
   readonly isDraining: (entry: ReplicaEntry) => boolean;
@@ -54,6 +64,7 @@
   readonly #options: CrashWatchOptions;
   readonly #table: CrashTable;
   readonly #brokenSends = new BrokenSends();
+  readonly #responses: RecentResponses;
   /** The probes in flight, by incarnation. */
   readonly #probing = new Map<string, Promise<void>>();
   readonly #listeners: CrashListener[] = [];
@@ -62,6 +73,7 @@
   constructor(options: CrashWatchOptions) {
     this.#options = options;
     this.ends = new EndConfirmation(options);
+    this.#responses = new RecentResponses(options.host);
     this.#rule = options.rule;
     this.#table = new CrashTable(options.rule);
   }
@@ -107,11 +119,19 @@
     await Promise.all(probes);
   }
 
-  /** Clears the request: a replica returned a complete response. */
+  /**
+   * Clears the request: a replica returned a complete response. Counted also if
+   * no crash is recorded, since it may run at a replica that crashes later.
+   */
   noteAnswered(fingerprints: Fingerprints): void {
-    if (!this.#isRecorded(fingerprints)) return;
+    const isCounted = !fingerprints.isCostly || this.#isRecorded(fingerprints);
     const at = this.#options.clock.now();
-    const clearances = [{ fingerprint: fingerprints.request(), at }];
+    if (isCounted) this.#responses.note(fingerprints.request(), at);
+    if (this.#table.size === 0) return;
+    const clearances = [
+      ...(isCounted ? this.#clearancesOf([fingerprints.request()]) : []),
+      this.#responses.serviceClearance(fingerprints.service(), at),
+    ];
     this.merge({ records: [], clearances }, undefined);
   }
 
@@ -124,8 +144,11 @@
     entry: ReplicaEntry,
     fingerprints: Fingerprints,
   ): Promise<void> {
-    if (!this.#isRecorded(fingerprints)) return;
-    if (await this.ends.confirmOnce(entry)) this.noteAnswered(fingerprints);
+    // A response without a recorded crash is not worth a probe.
+    const isConfirmed = this.#isRecorded(fingerprints)
+      ? await this.ends.confirmOnce(entry)
+      : this.ends.isConfirmed(entry);
+    if (isConfirmed) this.noteAnswered(fingerprints);
   }
 
   #isRecorded({ request }: Fingerprints): boolean {
@@ -176,6 +199,7 @@
     if (changes.records.length + changes.clearances.length === 0) return;
     this.#noteChange(before);
     for (const listener of this.#listeners) listener(changes, from);
+    this.#reportResponses(changes);
     if (from === undefined) return;
     const crashed = new Set(
       changes.records.map((record) => record.incarnation),
@@ -193,6 +217,24 @@
     return this.#table.worst(WORST_BOUNDS, this.#options.clock.now());
   }
 
+  /** Reports this host's responses of requests that have become suspects. */
+  #reportResponses({ records }: CrashUpdate): void {
+    const fingerprints = new Set(records.map((record) => record.fingerprint));
+    const accepted = [...fingerprints].filter((fingerprint) =>
+      this.#table.acceptsResponses(fingerprint)
+    );
+    const clearances = this.#clearancesOf(accepted);
+    if (clearances.length > 0) {
+      this.merge({ records: [], clearances }, undefined);
+    }
+  }
+
+  /** What this host has seen of the suspects' recent responses. */
+  #clearancesOf(fingerprints: readonly string[]): Clearance[] {
+    const since = this.#options.clock.now() - this.#rule.ttlMs;
+    return this.#responses.clearancesOf(fingerprints, since);
+  }
+
   /** Probes the replica until no broken send is unexplained. */
   async #probe(entry: ReplicaEntry): Promise<void> {
     const { clock, probe, metrics } = this.#options;
@@ -224,21 +266,17 @@
       fingerprints: sends.slice(0, 4).map((send) => send.fingerprint).join(),
       parts: countedParts(sends),
     });
-    const records = sends.map(({ fingerprint, at }) => ({
-      fingerprint,
-      incarnation,
-      at,
-    }));
+    const records = sends.flatMap((send) => recordsOf(send, incarnation));
     this.merge({ records, clearances: [] }, undefined);
   }
 
   #noteChange(before: ReadonlyMap<string, Quarantine>): void {
     const { events } = this.#options;
     const { quarantines } = this.#table;
-    for (const [fingerprint, { incarnations }] of quarantines) {
+    for (const [fingerprint, { incarnations, responses }] of quarantines) {
       if (before.has(fingerprint)) continue;
       const replicas = incarnations.join();
-      events.note("quarantined", { fingerprint, replicas });
+      events.note("quarantined", { fingerprint, replicas, responses });
     }
     for (const fingerprint of before.keys()) {
       if (quarantines.has(fingerprint)) continue;
@@ -247,6 +285,17 @@
   }
 }
 
+/** What ran at the replica by a send that its crash has broken. */
+function recordsOf(
+  { fingerprint, service, at }: CrashedSend,
+  incarnation: string,
+): CrashRecord[] {
+  return [
+    { kind: SuspectKind.request, fingerprint, incarnation, at },
+    { kind: SuspectKind.service, fingerprint: service, incarnation, at },
+  ];
+}
+
 /** The parts of prompts that most of the sends had, with the number of sends. */
 function countedParts(sends: readonly CrashedSend[]): string | undefined {
   const counts = new Map<string, number>();
--- a/src/gateway/crashes/end_confirmation.ts
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -59,7 +59,12 @@
    * confirmation of the same end.
    */
   async confirmOnce(entry: ReplicaEntry): Promise<boolean> {
-    return this.#confirmed.has(entry.incarnation) || await this.confirm(entry);
+    return this.isConfirmed(entry) || await this.confirm(entry);
+  }
+
+  /** Whether this is a continuation of a confirmation. */
+  isConfirmed({ incarnation }: ReplicaEntry): boolean {
+    return this.#confirmed.has(incarnation);
   }
 
   /**
--- a/src/gateway/crashes/fingerprint.ts
+++ b/src/gateway/crashes/fingerprint.ts
@@ -30,6 +30,8 @@
 }
 
 const LOGGED_DIGITS = 8;
+/** Hashing a body up to this size takes less than 0.1 ms. */
+const MAX_CHEAP_BYTES = 64 * 1024;
 /** Shared parts of a prompt that are fingerprinted; a header may list many. */
 const MAX_PARTS = 64;
 
@@ -37,13 +39,17 @@
 export type Fingerprints = {
   /** Of the request: equal for every attempt of it, at any host. */
   readonly request: () => string;
+  /** Whether the body is so large that hashing it takes long. */
+  readonly isCostly: boolean;
+  /** Of its service. */
+  readonly service: () => string;
   /** Of the parts of its prompt that other requests may share, in order. */
   readonly parts: () => readonly string[];
 };
 
 /** Fingerprints a part of a prompt; services may use the same ids of parts. */
 export function partFingerprintOf(service: string, part: string): string {
-  return sha256(JSON.stringify([service, part])).slice(0, DIGITS);
+  return shortHash(JSON.stringify([service, part]));
 }
 
 /**
@@ -59,6 +65,8 @@
 ): Fingerprints {
   return {
     request: once(() => fingerprintOf(input)),
+    isCostly: input.body.length > MAX_CHEAP_BYTES,
+    service: once(() => shortHash(JSON.stringify([service]))),
     parts: once(() =>
       [...new Set(parts.slice(0, MAX_PARTS))]
         .map((part) => partFingerprintOf(service, part))
@@ -71,6 +79,10 @@
   return fingerprint.slice(0, LOGGED_DIGITS);
 }
 
+function shortHash(text: string): string {
+  return sha256(text).slice(0, DIGITS);
+}
+
 function once<Value>(compute: () => Value): () => Value {
   let known: Value | undefined;
   return () => known ??= compute();
--- a/src/gateway/crashes/model.ts
+++ b/src/gateway/crashes/model.ts
@@ -1,9 +1,21 @@
-/** Records of requests that ran at crashed replicas. */
+/** Records of what ran at crashed replicas. */
 import type { Milliseconds } from "../../util/units.ts";
 
-/** A request that ran at a replica when the replica crashed. */
+/** What a fingerprint in a crash record identifies. */
+export const SuspectKind = {
+  request: "request",
+  /**
+   * All requests of a service. Never quarantined: its crashes and responses tell
+   * whether other requests are served while one isn't.
+   */
+  service: "service",
+} as const;
+/** One of the values of {@link SuspectKind}. */
+export type SuspectKind = typeof SuspectKind[keyof typeof SuspectKind];
+
+/** A suspect that ran at a replica when the replica crashed. */
 export type CrashRecord = {
-  /** Identifies the request over all retries. */
+  readonly kind: SuspectKind;
   readonly fingerprint: string;
   /** The incarnation of the replica that crashed. */
   readonly incarnation: string;
@@ -11,11 +23,15 @@
   readonly at: Milliseconds;
 };
 
-/** A request that got a complete response: its earlier crashes don't count. */
+/** A complete response: earlier crashes of the suspect don't count. */
 export type Clearance = {
   readonly fingerprint: string;
-  /** By this host's clock. */
+  /** Of the last response, by this host's clock. */
   readonly at: Milliseconds;
+  /** The host that forwarded the responses. */
+  readonly host: string;
+  /** Number of complete responses that this host has forwarded recently. */
+  readonly responses: number;
 };
 
 /** Records and clearances that one host reports to another. */
@@ -28,6 +44,8 @@
 export type Quarantine = {
   /** The replicas that crashed while they ran the request. */
   readonly incarnations: readonly string[];
+  /** Number of recent complete responses, at all hosts together. */
+  readonly responses: number;
   readonly until: Milliseconds;
 };
 
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -106,7 +106,7 @@
 
 function createCrashWatch(
   settings: GatewaySettings,
-  { connections }: FleetConnections,
+  { connections, self }: FleetConnections,
   { clock, events, metrics, replicas, paths, pool, dialect, routes }: Pick<
     GatewayContext,
     | "clock"
@@ -123,6 +123,7 @@
     clock,
     events,
     metrics,
+    host: self.id,
     rule: crashRuleOf(settings),
     isDraining: (entry) => replicas.isDraining(entry),
     probe: (entry) => paths.monitor.probe(entry),
--- a/test/gateway/crashes/empty_crash_watch.ts
+++ b/test/gateway/crashes/empty_crash_watch.ts
@@ -14,6 +14,7 @@
     clock: systemClock,
     events: { note: () => undefined },
     metrics: { count: () => undefined },
+    host: "host",
     rule: { crashThreshold: 3, ttlMs: 60_000 },
     isDraining: () => false,
     probe: () => Promise.resolve("listens"),
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -268,6 +268,7 @@
     paths,
     crashes: new CrashWatch({
       ...recorded,
+      host: "host",
       rule: { crashThreshold: 3, ttlMs: TEST_TIMEOUT_MS },
       isDraining: (entry) => replicas.isDraining(entry),
       probe: (entry) => paths.monitor.probe(entry),
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -195,6 +195,7 @@
       clock,
       events,
       metrics,
+      host: entry.id,
       rule: CRASH_RULE,
       isDraining: (entry) => replicaState.replicas.isDraining(entry),
       probe: () => this.probe(),
--- a/test/soak/crashing_part_test.ts
+++ b/test/soak/crashing_part_test.ts
@@ -5,7 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CRASHING_PART } from "../platform/replica_standin.ts";
+import { CRASHING_PART } from "../platform/crashing_requests.ts";
 import { knownRed } from "../known_red.ts";
 import { CallKind, type CallResult } from "./call.ts";
 import { callHost, type FleetHost } from "./fleet.ts";
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -1,6 +1,6 @@
 /** The callers of a soak run. */
 import { xoroshiro128plus } from "pure-rand";
-import { CRASHING_BODY } from "../platform/replica_standin.ts";
+import { CRASHING_BODY } from "../platform/crashing_requests.ts";
 import { CallKind, type CallResult } from "./call.ts";
 import { runCaller } from "./callers.ts";
 import { CRASHING_PREFIX } from "./checks.ts";
