Parts of prompts that crash replicas are quarantined

Cause: a crash was counted against whole requests only, by a hash over all of each. What different requests have in common had no name anywhere, so each of them was the first to crash a replica. Class: evidence kept under a key that is narrower than the cause.

A crash is now recorded for each shared part of the prompts that ran there, too (all but the last; by service and part), with the request and how long it had run. A part is quarantined when three different requests crashed replicas with it, none of them complete in between, if that is unlikely by chance: a run that has only begun is rarely hit by a crash of another cause, one that lasts often is (Fisher's method over the runs, at the rate at which replicas crash without the part). Of parts that crash together the one furthest back is taken; the first part of prompts, and what was served more often than it crashed replicas, only if others are served behind five crashes while it never is. It may run again after a minute, and after twice as long each time a replica crashes again. Refused requests get 503 with `prompt_crashes_replicas`; `heldBack` leads to the part.

--- a/bench/crashes/main.ts
+++ b/bench/crashes/main.ts
@@ -36,6 +36,7 @@
     fingerprint: nameOf(at),
     incarnation: replica,
     at: at * 100,
+    ranMs: 1000,
   });
   const records = Array.from(
     { length: requests },
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -25,6 +25,7 @@
   backingOff: "backing_off",
   refusedByReplicas: "refused_by_replicas",
   crashesReplicas: "crashes_replicas",
+  promptCrashesReplicas: "prompt_crashes_replicas",
   streamVersionUnknown: "stream_version_unknown",
   streamVersionGone: "stream_version_gone",
   stopping: "stopping",
@@ -150,6 +151,12 @@
       "Replicas crash under this request, so it is sent to none; nothing ran",
     retryAfterSeconds: 300,
   },
+  prompt_crashes_replicas: {
+    status: 503,
+    message:
+      "Replicas crash under a part of this request's prompt, so it is sent to none; nothing ran",
+    retryAfterSeconds: 300,
+  },
   // No host learns the version later, so a retry at once doesn't help.
   stream_version_unknown: {
     status: 503,
--- a/src/gateway/crashes/broken_sends.ts
+++ b/src/gateway/crashes/broken_sends.ts
@@ -29,6 +29,7 @@
 /** How a send ended without a complete response. */
 export type BrokenSendDetails = {
   readonly fingerprints: Fingerprints;
+  readonly sentAt: Milliseconds;
   /** Whether the replica's side ended it; otherwise this host timed out. */
   readonly endedByReplica: boolean;
 };
@@ -42,6 +43,10 @@
   /** The fingerprints of the shared parts of its prompt. */
   readonly parts: readonly string[];
   readonly at: Milliseconds;
+  /** Time since it was sent. */
+  readonly ranMs: Milliseconds;
+  /** Number of replicas of the same service and stage. */
+  readonly replicas: number;
 };
 
 /** A send that ended without a complete response. */
@@ -65,9 +70,12 @@
   /** Records a send that broke at `now`; false: there is no room for it. */
   add(
     incarnation: string,
-    { fingerprints, endedByReplica, now }: BrokenSendDetails & {
-      readonly now: Milliseconds;
-    },
+    { fingerprints, sentAt, endedByReplica, replicas, now }:
+      & BrokenSendDetails
+      & {
+        readonly replicas: number;
+        readonly now: Milliseconds;
+      },
   ): boolean {
     const watched = this.#watchedOf(incarnation);
     removeBefore(watched, now - REMOVED_WINDOW_MS);
@@ -77,6 +85,8 @@
       service: fingerprints.service(),
       parts: fingerprints.parts(),
       at: now,
+      ranMs: now - sentAt,
+      replicas,
       endedByReplica,
       hasListened: false,
     });
--- a/src/gateway/crashes/crash_messages.ts
+++ b/src/gateway/crashes/crash_messages.ts
@@ -10,14 +10,34 @@
   SuspectKind,
 } from "./model.ts";
 
+/**
+ * Maximum number of records, and of clearances, in a message. It keeps a message
+ * below a link's limit of 1 MB.
+ */
+const MAX_ENTRIES_PER_MESSAGE = 2000;
+
 const CrashMessage = z.object({
   fingerprint: z.string(),
   incarnation: z.string(),
   /** Age of the crash; a duration, since hosts' clocks are not synchronized. */
   agoMs: z.number(),
+  /** As in {@link CrashRecord}; absent from hosts of earlier versions. */
+  ranMs: z.number().exactOptional(),
 });
 type CrashMessage = z.output<typeof CrashMessage>;
 
+const PartMessage = CrashMessage.extend({
+  /** As in {@link CrashedPrompt}. */
+  request: z.string(),
+  depth: z.number(),
+});
+type PartMessage = z.output<typeof PartMessage>;
+
+const ServiceMessage = CrashMessage.extend({
+  /** As in {@link CrashRecord}. */
+  replicas: z.number().exactOptional(),
+});
+
 const AnsweredMessage = z.object({
   fingerprint: z.string(),
   agoMs: z.number(),
@@ -32,14 +52,32 @@
   type: z.literal("crashes"),
   /** Requests that ran at crashed replicas. */
   crashes: z.array(CrashMessage).readonly(),
-  /** Services of crashed replicas; apart, as earlier versions don't know them. */
-  services: z.array(CrashMessage).readonly().exactOptional(),
+  /** Parts of their prompts; apart, as earlier versions don't know them. */
+  parts: z.array(PartMessage).readonly().exactOptional(),
+  /** Services of crashed replicas. */
+  services: z.array(ServiceMessage).readonly().exactOptional(),
   /** Suspects that got complete responses. */
   answered: z.array(AnsweredMessage).readonly(),
 });
 /** Crashes and clearances of a host. */
 export type CrashesMessage = z.output<typeof CrashesSchema>;
 
+/** Splits an update into parts that fit a message each; none if it is empty. */
+export function splitUpdate(
+  { records, clearances }: CrashUpdate,
+): CrashUpdate[] {
+  const length = Math.max(records.length, clearances.length);
+  const count = Math.ceil(length / MAX_ENTRIES_PER_MESSAGE);
+  return Array.from({ length: count }, (_, at) => {
+    const from = at * MAX_ENTRIES_PER_MESSAGE;
+    const to = from + MAX_ENTRIES_PER_MESSAGE;
+    return {
+      records: records.slice(from, to),
+      clearances: clearances.slice(from, to),
+    };
+  });
+}
+
 /** Encodes an update, with ages instead of times. */
 export function encodeCrashes(
   { records, clearances }: CrashUpdate,
@@ -48,10 +86,12 @@
   const ofKind = (kind: SuspectKind) =>
     records.filter((record) => record.kind === kind)
       .map((record) => encodeRecord(record, now));
+  const parts = records.flatMap((record) => encodePart(record, now));
   const services = ofKind(SuspectKind.service);
   return {
     type: "crashes",
     crashes: ofKind(SuspectKind.request),
+    ...(parts.length > 0 ? { parts } : {}),
     ...(services.length > 0 ? { services } : {}),
     answered: clearances.map(({ at, ...clearance }) => ({
       ...clearance,
@@ -64,7 +104,7 @@
  * Decodes a message that was made `ageMs` ago, with times by this host's clock.
  */
 export function decodeCrashes(
-  { crashes, services = [], answered }: CrashesMessage,
+  { crashes, parts = [], services = [], answered }: CrashesMessage,
   now: Milliseconds,
   ageMs: Milliseconds = 0,
 ): CrashUpdate {
@@ -74,6 +114,7 @@
       ...crashes.map((crash) =>
         decodeRecord(SuspectKind.request, crash, madeAt)
       ),
+      ...parts.map((part) => decodePart(part, madeAt)),
       ...services.map((crash) =>
         decodeRecord(SuspectKind.service, crash, madeAt)
       ),
@@ -83,18 +124,37 @@
 }
 
 function encodeRecord(
-  { fingerprint, incarnation, at }: CrashRecord,
+  { fingerprint, incarnation, at, ranMs, replicas }: CrashRecord,
   now: Milliseconds,
-): CrashMessage {
-  return { fingerprint, incarnation, agoMs: agoOf(at, now) };
+): z.output<typeof ServiceMessage> {
+  return {
+    fingerprint,
+    incarnation,
+    agoMs: agoOf(at, now),
+    ranMs: Math.round(ranMs),
+    ...(replicas !== undefined && { replicas }),
+  };
+}
+
+function encodePart(record: CrashRecord, now: Milliseconds): PartMessage[] {
+  const { prompt } = record;
+  return prompt ? [{ ...encodeRecord(record, now), ...prompt }] : [];
+}
+
+function decodePart(
+  { request, depth, ...crash }: PartMessage,
+  madeAt: Milliseconds,
+): CrashRecord {
+  const record = decodeRecord(SuspectKind.part, crash, madeAt);
+  return { ...record, prompt: { request, depth } };
 }
 
 function decodeRecord(
   kind: SuspectKind,
-  { agoMs, ...crash }: CrashMessage,
+  { agoMs, ranMs = 0, ...crash }: CrashMessage,
   madeAt: Milliseconds,
 ): CrashRecord {
-  return { kind, ...crash, at: timeOf(agoMs, madeAt) };
+  return { kind, ...crash, ranMs, at: timeOf(agoMs, madeAt) };
 }
 
 function decodeClearance(
--- a/src/gateway/crashes/crash_table.ts
+++ b/src/gateway/crashes/crash_table.ts
@@ -3,6 +3,7 @@
  * and idempotent, so that all hosts reach the same quarantines.
  */
 import type { Milliseconds } from "../../util/units.ts";
+import { isNearQuarantine } from "./candidate.ts";
 import { findQuarantines } from "./find_quarantines.ts";
 import {
   type Clearance,
@@ -30,14 +31,22 @@
  */
 const MAX_SUSPECTS: Readonly<Record<SuspectKind, number>> = {
   request: 1000,
+  part: 300,
   service: 50,
 };
 
+/** Maximum number of crashes of a suspect that are written into a row. */
+const MAX_ROW_CRASHES = 8;
+
 /** Suspects and the replicas that crashed while running them. */
 export class CrashTable {
   #rule: CrashRule;
   readonly #suspects = new Map<string, Suspect>();
-  readonly #sizes: Record<SuspectKind, number> = { request: 0, service: 0 };
+  readonly #sizes: Record<SuspectKind, number> = {
+    request: 0,
+    part: 0,
+    service: 0,
+  };
   #quarantines: ReadonlyMap<string, Quarantine> = new Map();
   /** No suspect expires before this time. */
   #expiresAt: Milliseconds = Infinity;
@@ -68,6 +77,12 @@
     return this.#suspects.has(fingerprint);
   }
 
+  /** Whether one more crash may quarantine what has the fingerprint. */
+  isNearQuarantine(fingerprint: string): boolean {
+    const suspect = this.#suspects.get(fingerprint);
+    return suspect !== undefined && isNearQuarantine(suspect, this.#rule);
+  }
+
   /** Whether more responses of a suspect may change the result. */
   acceptsResponses(fingerprint: string): boolean {
     const suspect = this.#suspects.get(fingerprint);
@@ -98,8 +113,8 @@
   }
 
   /**
-   * Records and clearances of at most `limit` requests, those with the most
-   * crashes first, and with at least `minCount` of them.
+   * Records and clearances of at most `limit` requests and parts, those with the
+   * most crashes first, and with at least `minCount` of them.
    */
   worst(
     { minCount, limit }: { readonly minCount: number; readonly limit: number },
@@ -112,7 +127,8 @@
       .filter(({ count }) => count >= minCount)
       .sort((a, b) => b.count - a.count)
       .slice(0, limit);
-    return updateOf(entries.map(({ entry }) => entry));
+    const { records, clearances } = updateOf(entries.map(({ entry }) => entry));
+    return { records: newestOfEach(records), clearances };
   }
 
   #add(record: CrashRecord, now: Milliseconds): boolean {
@@ -184,15 +200,25 @@
   };
 }
 
+/** The newest records of each suspect, so that a row has room for all. */
+function newestOfEach(records: readonly CrashRecord[]): CrashRecord[] {
+  const counts = new Map<string, number>();
+  return [...records].sort((a, b) => b.at - a.at).filter(({ fingerprint }) => {
+    const count = (counts.get(fingerprint) ?? 0) + 1;
+    counts.set(fingerprint, count);
+    return count <= MAX_ROW_CRASHES;
+  });
+}
+
 function recordsOf(
   fingerprint: string,
   { kind, crashes }: Suspect,
 ): CrashRecord[] {
-  return [...crashes].map(([incarnation, at]) => ({
+  return [...crashes].map(([incarnation, crash]) => ({
     kind,
     fingerprint,
     incarnation,
-    at,
+    ...crash,
   }));
 }
 
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -31,7 +31,7 @@
 
 const MAX_LOGGED_PARTS = 8;
 /** Bounds what a host writes into its row, which is limited to 64 KB. */
-const WORST_BOUNDS = { minCount: 2, limit: 50 };
+const WORST_BOUNDS = { minCount: 2, limit: 30 };
 
 /** Options of {@link CrashWatch}. */
 export type CrashWatchOptions = {
@@ -43,6 +43,8 @@
   readonly rule: CrashRule;
   /** Whether a replica is draining, so that its end is planned. */
   readonly isDraining: (entry: ReplicaEntry) => boolean;
+  /** Number of listed replicas of the same service and stage. */
+  readonly countReplicas: (entry: ReplicaEntry) => number;
   /** Checks whether the replica listens, over any path. */
   readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
   /** Whether the peer at this address responds now. */
@@ -99,10 +101,18 @@
     this.#listeners.push(listener);
   }
 
-  /** Returns the request's quarantine, if it is in force. */
-  quarantineOf({ request }: Fingerprints): Quarantine | undefined {
+  /**
+   * Returns the quarantine of the request or of a part of its prompt, if one is
+   * in force.
+   */
+  quarantineOf({ request, parts }: Fingerprints): Quarantine | undefined {
     if (this.#table.quarantines.size === 0) return undefined;
-    return this.#table.quarantineOf(request(), this.#options.clock.now());
+    const now = this.#options.clock.now();
+    for (const fingerprint of [request(), ...parts()]) {
+      const quarantine = this.#table.quarantineOf(fingerprint, now);
+      if (quarantine) return quarantine;
+    }
+    return undefined;
   }
 
   /**
@@ -110,9 +120,13 @@
    * results may decide whether it is sent again after `sends` sends. That takes
    * one round trip, or the connect timeout if nothing responds.
    */
-  async awaitProbes({ request }: Fingerprints, sends: number): Promise<void> {
+  async awaitProbes(
+    { request, parts }: Fingerprints,
+    sends: number,
+  ): Promise<void> {
     const mayDecide = sends >= this.#rule.crashThreshold - 1 ||
-      (this.#table.size > 0 && this.#table.has(request()));
+      (this.#table.size > 0 && (this.#table.has(request()) ||
+        parts().some((part) => this.#table.isNearQuarantine(part))));
     if (!mayDecide) return;
     const probes = this.#brokenSends.replicasOf(request())
       .map((incarnation) => this.#probing.get(incarnation));
@@ -120,18 +134,25 @@
   }
 
   /**
-   * Clears the request: a replica returned a complete response. Counted also if
-   * no crash is recorded, since it may run at a replica that crashes later.
+   * Clears the request: a replica returned a complete response. A successful one
+   * clears the parts of its prompt, too; the replica may return an error before
+   * it begins to use them. Counted also if no crash is recorded, since the
+   * request may run at a replica that crashes later.
    */
-  noteAnswered(fingerprints: Fingerprints): void {
-    const isCounted = !fingerprints.isCostly || this.#isRecorded(fingerprints);
+  noteAnswered(fingerprints: Fingerprints, isSuccess = true): void {
+    const { isCostly, request, parts, service } = fingerprints;
+    const isCounted = !isCostly || this.#isRecorded(fingerprints);
+    const answered = [
+      ...(isCounted ? [request()] : []),
+      ...(isSuccess ? parts() : []),
+    ];
     const at = this.#options.clock.now();
-    if (isCounted) this.#responses.note(fingerprints.request(), at);
+    for (const fingerprint of answered) this.#responses.note(fingerprint, at);
     if (this.#table.size === 0) return;
-    const clearances = [
-      ...(isCounted ? this.#clearancesOf([fingerprints.request()]) : []),
-      this.#responses.serviceClearance(fingerprints.service(), at),
-    ];
+    const clearances = this.#clearancesOf(answered);
+    if (isSuccess) {
+      clearances.push(this.#responses.serviceClearance(service(), at));
+    }
     this.merge({ records: [], clearances }, undefined);
   }
 
@@ -160,7 +181,9 @@
     if (this.#options.isDraining(entry)) return;
     const now = this.#options.clock.now();
     const { incarnation } = entry;
-    if (!this.#brokenSends.add(incarnation, { ...details, now })) return;
+    const replicas = this.#options.countReplicas(entry);
+    const send = { ...details, replicas, now };
+    if (!this.#brokenSends.add(incarnation, send)) return;
     if (this.#brokenSends.hasJustCrashed(incarnation, now)) {
       return this.#noteCrash(incarnation, "told");
     }
@@ -273,10 +296,11 @@
   #noteChange(before: ReadonlyMap<string, Quarantine>): void {
     const { events } = this.#options;
     const { quarantines } = this.#table;
-    for (const [fingerprint, { incarnations, responses }] of quarantines) {
+    for (const { fingerprint, ...quarantine } of quarantines.values()) {
       if (before.has(fingerprint)) continue;
+      const { kind, incarnations, responses } = quarantine;
       const replicas = incarnations.join();
-      events.note("quarantined", { fingerprint, replicas, responses });
+      events.note("quarantined", { kind, fingerprint, replicas, responses });
     }
     for (const fingerprint of before.keys()) {
       if (quarantines.has(fingerprint)) continue;
@@ -287,12 +311,20 @@
 
 /** What ran at the replica by a send that its crash has broken. */
 function recordsOf(
-  { fingerprint, service, at }: CrashedSend,
+  { fingerprint, service, parts, at, ranMs, replicas }: CrashedSend,
   incarnation: string,
 ): CrashRecord[] {
+  const crash = { incarnation, at, ranMs };
+  const request = shortFingerprint(fingerprint);
   return [
-    { kind: SuspectKind.request, fingerprint, incarnation, at },
-    { kind: SuspectKind.service, fingerprint: service, incarnation, at },
+    { ...crash, kind: SuspectKind.request, fingerprint },
+    ...parts.map((part, depth) => ({
+      ...crash,
+      kind: SuspectKind.part,
+      fingerprint: part,
+      prompt: { request, depth },
+    })),
+    { ...crash, kind: SuspectKind.service, fingerprint: service, replicas },
   ];
 }
 
--- a/src/gateway/crashes/find_quarantines.ts
+++ b/src/gateway/crashes/find_quarantines.ts
@@ -1,58 +1,36 @@
 /**
- * Finds the requests that crash replicas, from the crashes and the complete
- * responses of all suspects. Hosts with the same records reach the same result.
+ * Finds the requests and the parts of prompts that crash replicas, from the
+ * crashes and the complete responses of all suspects. Hosts with the same
+ * records reach the same result.
  *
- * All requests that ran at a replica share its crash. The request with the most
- * crashes is quarantined first, and its crashes no longer count for the others.
- * Replicas that crash simultaneously are assumed to have a common cause, so
- * their crashes don't count for requests that ran at only some of them. A
- * complete response clears a request of its earlier crashes.
+ * All that ran at a replica shares its crash. The suspect with the most crashes
+ * is quarantined first, and its crashes no longer count for the others. Replicas
+ * that crash simultaneously are assumed to have a common cause, so their crashes
+ * don't count for what ran at only some of them. A complete response clears a
+ * suspect of its earlier crashes.
  */
 import type { Milliseconds } from "../../util/units.ts";
-import { type CrashRule, type Quarantine, SuspectKind } from "./model.ts";
 import {
-  countedCrashes,
-  lastCrashAt,
-  responsesOf,
-  type Suspect,
-} from "./suspect.ts";
+  type Candidate,
+  compareCandidates,
+  EXTRA_CRASHES,
+  findCandidates,
+  isPart,
+  isServedOften,
+  isUnlikelyByChance,
+  type Suspects,
+  withoutCrashes,
+} from "./candidate.ts";
+import type { CrashRule, Quarantine } from "./model.ts";
+import { depthOf, lastCrashAt, responsesOf } from "./suspect.ts";
 
 /**
- * Additional crashes before a request is quarantined that ran together with
- * another one each time, or that was served more often than it crashed a
- * replica. In the first case either may be the cause, and a retry of only one
- * of them may show which.
- */
-const EXTRA_CRASHES = 2;
-/**
- * Replicas that crash within this time of each other crash simultaneously. Hosts
- * see crashes with one cause within a few milliseconds.
- */
-const SIMULTANEOUS_MS = 50;
-/**
- * Crashes of its service behind which other requests were served, before a
- * request is quarantined that had been served more often than it crashed a
- * replica.
- */
-const MIN_SERVED_CRASHES = 3;
-/**
- * Duration of the quarantine of a request that had been served. It doubles with
- * each further crash: the request may run again afterwards, in case it was not
- * the cause, and one that is costs one replica each time.
+ * Duration of the quarantine of a part, and of a request that had been served.
+ * It doubles with each further crash: the suspect may run again afterwards, in
+ * case it was not the cause, and one that is costs one replica each time.
  */
 const PROBATION_MS: Milliseconds = 60_000;
 
-/** The suspects by fingerprint. */
-export type Suspects = ReadonlyMap<string, Suspect>;
-
-/** A request with the crashes that count for it. */
-type Candidate = {
-  readonly fingerprint: string;
-  readonly suspect: Suspect;
-  /** Incarnations of replicas whose crashes no quarantine explains. */
-  readonly crashes: readonly string[];
-};
-
 /** Returns the quarantines by fingerprint. */
 export function findQuarantines(
   suspects: Suspects,
@@ -63,148 +41,76 @@
   const undecided: Candidate[] = [];
   let remaining = findCandidates(suspects, rule);
   for (;;) {
-    const worst = worstOf(remaining, crashThreshold);
-    if (!worst) return quarantines;
-    remaining = remaining.filter((candidate) => candidate !== worst);
-    const isAmbiguous = [...remaining, ...undecided].some((other) =>
-      worst.crashes.every((incarnation) => other.crashes.includes(incarnation))
+    const [worst, ...others] = remaining;
+    if (!worst || worst.evidence < crashThreshold) return quarantines;
+    remaining = others;
+    const rivals = [...remaining, ...undecided].filter((other) =>
+      other.evidence >= crashThreshold && mayBeTheCause(other, worst)
     );
-    const needed = isAmbiguous
+    const needed = rivals.length > 0
       ? crashThreshold + EXTRA_CRASHES
       : crashThreshold;
-    if (worst.crashes.length < needed) {
+    if (worst.evidence < needed || !isUnlikelyByChance(worst)) {
       undecided.push(worst);
       continue;
     }
-    quarantines.set(worst.fingerprint, quarantineOf(worst, rule));
-    remaining = remaining.map((candidate) => withoutCrashes(candidate, worst));
+    const cause = narrowestOf(worst, rivals);
+    quarantines.set(cause.fingerprint, quarantineOf(cause, rule));
+    if (cause !== worst) remaining.push(worst);
+    remaining = remaining.filter((candidate) => candidate !== cause)
+      .map((candidate) => withoutCrashes(candidate, cause))
+      .sort(compareCandidates);
   }
 }
 
-/** The requests that may be quarantined, and the crashes that count. */
-function findCandidates(suspects: Suspects, rule: CrashRule): Candidate[] {
-  const { crashThreshold } = rule;
-  const found = [...suspects].filter(([, { kind, crashes }]) =>
-    kind !== SuspectKind.service && crashes.size >= crashThreshold
-  );
-  if (found.length === 0) return [];
-  const times = crashTimes(suspects);
-  return found.map(([fingerprint, suspect]) => {
-    const crashes = countedCrashes(suspect)
-      .filter((crashed) => !hasCommonCause(crashed, suspect, times));
-    return { fingerprint, suspect, crashes };
-  }).filter((candidate) => !isProtected(candidate, suspects, rule));
-}
-
 /**
- * Whether the request was served more often than replicas crashed under it, so
- * that it probably ran beside the cause. It is protected until other requests
- * have been served again after several crashes while it never was.
+ * Whether the other suspect may have caused the crashes of the worst one, too.
+ * Between parts one crash may be missing: the first part of prompts also runs
+ * without the one that crashes replicas.
  */
-function isProtected(
-  { suspect, crashes }: Candidate,
-  suspects: Suspects,
-  { crashThreshold }: CrashRule,
-): boolean {
-  if (!isServedOften(suspect)) return false;
-  if (crashes.length < crashThreshold + EXTRA_CRASHES) return true;
-  return countServedCrashes(crashes, suspects) < MIN_SERVED_CRASHES;
-}
-
-function isServedOften(suspect: Suspect): boolean {
-  return responsesOf(suspect) > suspect.crashes.size;
+function mayBeTheCause(other: Candidate, worst: Candidate): boolean {
+  const maxMissing = isPart(other) && isPart(worst) ? 1 : 0;
+  const missing = worst.crashes.filter((incarnation) =>
+    !other.crashes.includes(incarnation)
+  );
+  return missing.length <= maxMissing;
 }
 
 /**
- * Number of crashes of the service, from the first of the given ones on, behind
- * each of which a request of the service was served.
+ * Of parts that may be the cause, the one that the fewest requests have: each
+ * part of a prompt is shared by at most as many requests as the parts before.
  */
-function countServedCrashes(
-  crashes: readonly string[],
-  suspects: Suspects,
-): number {
-  const service = [...suspects.values()].find((suspect) =>
-    suspect.kind === SuspectKind.service &&
-    crashes.some((incarnation) => suspect.crashes.has(incarnation))
-  );
-  if (!service) return 0;
-  const known = crashes.map((incarnation) =>
-    service.crashes.get(incarnation) ?? Infinity
-  );
-  const from = Math.min(...known);
-  const times = [...service.crashes.values()].filter((at) => at >= from)
-    .sort((a, b) => a - b);
-  return times.filter((at, index) => {
-    const next = times[index + 1] ?? Infinity;
-    return service.responseTimes.some((time) => time > at && time <= next);
-  }).length;
+function narrowestOf(
+  worst: Candidate,
+  rivals: readonly Candidate[],
+): Candidate {
+  if (!isPart(worst)) return worst;
+  let narrowest = worst;
+  for (const rival of rivals.filter(isPart)) {
+    const isNarrower = depthOf(rival.suspect) > depthOf(narrowest.suspect);
+    if (isNarrower) narrowest = rival;
+  }
+  return narrowest;
 }
 
-function quarantineOf(
-  { suspect, crashes }: Candidate,
-  { crashThreshold, ttlMs }: CrashRule,
-): Quarantine {
-  const further = crashes.length - crashThreshold - EXTRA_CRASHES;
-  const durationMs = isServedOften(suspect)
-    ? Math.min(ttlMs, PROBATION_MS * 2 ** further)
-    : ttlMs;
+function quarantineOf(candidate: Candidate, rule: CrashRule): Quarantine {
+  const { fingerprint, suspect, crashes } = candidate;
   return {
+    kind: suspect.kind,
+    fingerprint,
     incarnations: crashes,
     responses: responsesOf(suspect),
-    until: lastCrashAt(suspect) + durationMs,
+    until: lastCrashAt(suspect) + durationOf(candidate, rule),
   };
 }
 
-function withoutCrashes(candidate: Candidate, cause: Candidate): Candidate {
-  const crashes = candidate.crashes.filter((incarnation) =>
-    !cause.crashes.includes(incarnation)
-  );
-  return { ...candidate, crashes };
-}
-
-/** The earliest recorded time of each replica's crash. */
-function crashTimes(suspects: Suspects): Map<string, Milliseconds> {
-  const times = new Map<string, Milliseconds>();
-  for (const { crashes } of suspects.values()) {
-    for (const [incarnation, at] of crashes) {
-      times.set(incarnation, Math.min(at, times.get(incarnation) ?? at));
-    }
-  }
-  return times;
-}
-
-/**
- * Whether another replica crashed simultaneously that didn't run the request.
- * Then both are assumed to have a common cause, such as a rack or a release.
- */
-function hasCommonCause(
-  incarnation: string,
-  { crashes }: Suspect,
-  times: ReadonlyMap<string, Milliseconds>,
-): boolean {
-  const at = times.get(incarnation) ?? 0;
-  for (const [other, otherAt] of times) {
-    if (crashes.has(other)) continue;
-    if (Math.abs(at - otherAt) <= SIMULTANEOUS_MS) return true;
-  }
-  return false;
-}
-
-/**
- * The request with the most crashes; ties are broken the same way at all hosts.
- */
-function worstOf(
-  candidates: readonly Candidate[],
-  minCrashes: number,
-): Candidate | undefined {
-  let worst: Candidate | undefined;
-  for (const candidate of candidates) {
-    const { fingerprint, crashes: { length } } = candidate;
-    if (length < minCrashes) continue;
-    const worstLength = worst?.crashes.length ?? 0;
-    const isWorse = length > worstLength ||
-      (length === worstLength && fingerprint < (worst?.fingerprint ?? ""));
-    if (isWorse) worst = candidate;
-  }
-  return worst;
+function durationOf(
+  candidate: Candidate,
+  { crashThreshold, ttlMs }: CrashRule,
+): Milliseconds {
+  const isServed = isServedOften(candidate.suspect);
+  if (!isServed && !isPart(candidate)) return ttlMs;
+  const needed = isServed ? crashThreshold + EXTRA_CRASHES : crashThreshold;
+  const further = candidate.evidence - needed;
+  return Math.min(ttlMs, PROBATION_MS * 2 ** further);
 }
--- a/src/gateway/crashes/model.ts
+++ b/src/gateway/crashes/model.ts
@@ -4,6 +4,8 @@
 /** What a fingerprint in a crash record identifies. */
 export const SuspectKind = {
   request: "request",
+  /** A part of prompts that requests of a service share. */
+  part: "part",
   /**
    * All requests of a service. Never quarantined: its crashes and responses tell
    * whether other requests are served while one isn't.
@@ -21,6 +23,23 @@
   readonly incarnation: string;
   /** By this host's clock. */
   readonly at: Milliseconds;
+  /** Time since the suspect was sent to the replica; the longest of several. */
+  readonly ranMs: Milliseconds;
+  /** Only for a part. */
+  readonly prompt?: CrashedPrompt;
+  /** Only for a service: how many replicas it has of the one's stage. */
+  readonly replicas?: number;
+};
+
+/** The prompt by which a part ran at a crashed replica. */
+export type CrashedPrompt = {
+  /**
+   * The request, by the first digits of its fingerprint: one request is evidence
+   * against its parts once, however many replicas crash under it.
+   */
+  readonly request: string;
+  /** Number of parts before this one. */
+  readonly depth: number;
 };
 
 /** A complete response: earlier crashes of the suspect don't count. */
@@ -42,6 +61,9 @@
 
 /** Why a request is not sent to any replica. */
 export type Quarantine = {
+  /** Whether the request itself is quarantined, or a part of its prompt. */
+  readonly kind: SuspectKind;
+  readonly fingerprint: string;
   /** The replicas that crashed while they ran the request. */
   readonly incarnations: readonly string[];
   /** Number of recent complete responses, at all hosts together. */
@@ -51,7 +73,7 @@
 
 /** Settings of the quarantine. */
 export type CrashRule = {
-  /** Number of crashes after which a request is quarantined. */
+  /** Number of crashes after which a request or a part is quarantined. */
   readonly crashThreshold: number;
   /** TTL of crash records, and thus of a quarantine. */
   readonly ttlMs: Milliseconds;
--- a/src/gateway/crashes/suspect.ts
+++ b/src/gateway/crashes/suspect.ts
@@ -1,12 +1,23 @@
 /** The crashes and the complete responses of one suspect. */
 import type { Milliseconds } from "../../util/units.ts";
-import type { Clearance, CrashRecord, SuspectKind } from "./model.ts";
+import type {
+  Clearance,
+  CrashedPrompt,
+  CrashRecord,
+  SuspectKind,
+} from "./model.ts";
 
+/** Maximum number of crashes that are stored of a service. */
+export const MAX_SERVICE_CRASHES = 64;
 /**
- * Maximum number of crashes that are stored of a suspect; more don't change the
- * result. It keeps a message with the full table below a link's limit of 1 MB.
+ * Maximum number of crashes that are stored of a suspect. Of a service they are
+ * counted, of others more don't change the result.
  */
-const MAX_CRASHES = 8;
+const MAX_CRASHES: Readonly<Record<SuspectKind, number>> = {
+  request: 8,
+  part: 24,
+  service: MAX_SERVICE_CRASHES,
+};
 /**
  * Maximum number of hosts whose responses are stored. With so many, there have
  * been more responses than crashes are stored.
@@ -17,11 +28,20 @@
 /** Maximum number of times of responses that are stored. */
 const MAX_RESPONSE_TIMES = 16;
 
+/** A crash of a replica that ran a suspect. */
+export type SuspectCrash = {
+  readonly at: Milliseconds;
+  /** As in {@link CrashRecord}. */
+  readonly ranMs: Milliseconds;
+  readonly prompt?: CrashedPrompt;
+  readonly replicas?: number;
+};
+
 /** A suspect with recorded crashes. */
 export type Suspect = {
   readonly kind: SuspectKind;
-  /** When each replica crashed, by incarnation. */
-  readonly crashes: Map<string, Milliseconds>;
+  /** By the incarnation of the replica that crashed. */
+  readonly crashes: Map<string, SuspectCrash>;
   /** The number of recent complete responses, by host. */
   readonly responses: Map<string, number>;
   /** When complete responses ended that cleared crashes, the last one last. */
@@ -32,19 +52,52 @@
   return { kind, crashes: new Map(), responses: new Map(), responseTimes: [] };
 }
 
-/** Adds a crash; false if it is known, or older than all that are stored. */
+/**
+ * Adds a crash; false if that changes nothing. Several hosts may report the same
+ * crash, of different runs of the suspect.
+ */
 export function addCrash(
-  { crashes }: Suspect,
-  { incarnation, at }: CrashRecord,
+  { kind, crashes }: Suspect,
+  record: CrashRecord,
 ): boolean {
-  if (crashes.has(incarnation)) return false;
-  crashes.set(incarnation, at);
-  if (crashes.size <= MAX_CRASHES) return true;
+  const { incarnation, at, ranMs, prompt, replicas } = record;
+  const known = crashes.get(incarnation);
+  if (known) return addRun(crashes, incarnation, record);
+  crashes.set(incarnation, {
+    at,
+    ranMs,
+    ...(prompt && { prompt }),
+    ...(replicas !== undefined && { replicas }),
+  });
+  if (crashes.size <= MAX_CRASHES[kind]) return true;
   const oldest = oldestCrash(crashes);
   crashes.delete(oldest);
   return oldest !== incarnation;
 }
 
+/**
+ * Adds another run at a replica that crashed. The longest run counts, and the
+ * first in the order of the requests, so that all hosts store the same.
+ */
+function addRun(
+  crashes: Map<string, SuspectCrash>,
+  incarnation: string,
+  { ranMs, prompt }: CrashRecord,
+): boolean {
+  const known = crashes.get(incarnation);
+  if (!known) return false;
+  const isLonger = ranMs > known.ranMs;
+  const isFirst = prompt !== undefined &&
+    prompt.request < (known.prompt?.request ?? "");
+  if (!isLonger && !isFirst) return false;
+  crashes.set(incarnation, {
+    ...known,
+    ...(isLonger && { ranMs }),
+    ...(isFirst && { prompt }),
+  });
+  return true;
+}
+
 /** Adds complete responses; false if that changes no result. */
 export function addResponses(
   suspect: Suspect,
@@ -55,8 +108,7 @@
   if (isNewest) addResponseTime(suspect, at);
   const hasCleared = countedCrashes(suspect).length < before;
   const known = suspect.responses.get(host) ?? 0;
-  const hasMore = responses > known &&
-    responsesOf(suspect) < MAX_RESPONSES &&
+  const hasMore = responses > known && acceptsResponses(suspect) &&
     (known > 0 || suspect.responses.size < MAX_HOSTS);
   if (hasMore) suspect.responses.set(host, responses);
   return hasCleared || hasMore;
@@ -70,7 +122,7 @@
 /** The replicas that crashed since the last complete response. */
 export function countedCrashes(suspect: Suspect): string[] {
   const answeredAt = lastResponseAt(suspect);
-  return [...suspect.crashes].filter(([, at]) => at > answeredAt)
+  return [...suspect.crashes].filter(([, { at }]) => at > answeredAt)
     .map(([incarnation]) => incarnation);
 }
 
@@ -81,8 +133,14 @@
   return sum;
 }
 
+/** Number of parts before this one; the largest, where prompts differ. */
+export function depthOf({ crashes }: Suspect): number {
+  const depths = [...crashes.values()].map(({ prompt }) => prompt?.depth ?? 0);
+  return Math.max(0, ...depths);
+}
+
 export function lastCrashAt({ crashes }: Suspect): Milliseconds {
-  return Math.max(...crashes.values());
+  return Math.max(...[...crashes.values()].map(({ at }) => at));
 }
 
 export function lastResponseAt({ responseTimes }: Suspect): Milliseconds {
@@ -95,13 +153,14 @@
 }
 
 /** Ties are broken the same way at all hosts. */
-function oldestCrash(crashes: ReadonlyMap<string, Milliseconds>): string {
-  let oldest: readonly [string, Milliseconds] = ["", Infinity];
-  for (const crash of crashes) {
-    const [incarnation, at] = crash;
-    const isOlder = at < oldest[1] ||
-      (at === oldest[1] && incarnation < oldest[0]);
-    if (isOlder) oldest = crash;
+function oldestCrash(crashes: ReadonlyMap<string, SuspectCrash>): string {
+  let oldest = "";
+  let oldestAt = Infinity;
+  for (const [incarnation, { at }] of crashes) {
+    const isOlder = at < oldestAt || (at === oldestAt && incarnation < oldest);
+    if (!isOlder) continue;
+    oldest = incarnation;
+    oldestAt = at;
   }
-  return oldest[0];
+  return oldest;
 }
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -126,6 +126,10 @@
     host: self.id,
     rule: crashRuleOf(settings),
     isDraining: (entry) => replicas.isDraining(entry),
+    countReplicas: ({ service, stage }) =>
+      replicas.entries().filter((other) =>
+        other.service === service && other.stage === stage
+      ).length,
     probe: (entry) => paths.monitor.probe(entry),
     isPeerResponding: (address) =>
       isPeerResponding(address, { clock, connections }),
--- a/src/gateway/peers/update_broadcaster.ts
+++ b/src/gateway/peers/update_broadcaster.ts
@@ -22,8 +22,8 @@
   readonly all: () => Update;
   /** Merges updates, which are ordered with the newest last. */
   readonly merge: (updates: readonly Update[]) => Update;
-  /** The message for other hosts; undefined if the update is empty. */
-  readonly encode: (update: Update) => object | undefined;
+  /** The messages for other hosts; none if the update is empty. */
+  readonly encode: (update: Update) => readonly object[];
 };
 
 /** Broadcasts one kind of update over all links. */
@@ -64,7 +64,6 @@
   }
 
   #send(link: Link, update: Update): void {
-    const message = this.#options.encode(update);
-    if (message) link.send(message);
+    for (const message of this.#options.encode(update)) link.send(message);
   }
 }
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -168,7 +168,10 @@
     const isCut = body === undefined ||
       (id === undefined && isUnframed(result));
     if (status === 200 && isCut) {
-      noteInterruption(this.#context, this.#request, replica, !this.#ended);
+      noteInterruption(this.#context, this.#request, replica, {
+        sentAt: startedAt,
+        endedByReplica: !this.#ended,
+      });
     }
     if (id !== undefined) {
       metrics.time(Timing.prefill, clock.now() - startedAt);
--- a/src/gateway/requests/report_outcome.ts
+++ b/src/gateway/requests/report_outcome.ts
@@ -6,6 +6,7 @@
 import type { RunMeter } from "./run_meter.ts";
 import { noteInterruption } from "./sender.ts";
 
+const FIRST_ERROR_STATUS = 400;
 const FIRST_FAILURE_STATUS = 500;
 
 /** The request, and the parts that use the outcome of its responses. */
@@ -34,7 +35,9 @@
   const { fingerprints } = request;
   switch (outcome) {
     case "complete":
-      if (status < FIRST_FAILURE_STATUS) crashes.noteAnswered(fingerprints);
+      if (status < FIRST_FAILURE_STATUS) {
+        crashes.noteAnswered(fingerprints, status < FIRST_ERROR_STATUS);
+      }
       return meter.complete(status);
     case "unconfirmed":
       if (status < FIRST_FAILURE_STATUS) {
@@ -49,7 +52,10 @@
       const { incarnation } = replica.entry;
       const isLocal = context.paths.monitor.isLost(incarnation);
       placer.failed({ rejected: false, isBackoff: false, isLocal });
-      return noteInterruption(context, request, replica, isByReplica);
+      return noteInterruption(context, request, replica, {
+        sentAt: meter.sentAt,
+        endedByReplica: isByReplica,
+      });
     }
   }
 }
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -111,9 +111,9 @@
   }
 
   /** Logs that the request is not sent because it crashes replicas. */
-  quarantined({ incarnations }: Quarantine): void {
-    const fingerprint = this.#request.fingerprints.request();
-    this.note("heldBack", { fingerprint, replicas: incarnations.join() });
+  quarantined({ kind, fingerprint, incarnations }: Quarantine): void {
+    const replicas = incarnations.join();
+    this.note("heldBack", { kind, fingerprint, replicas });
   }
 
   /** Logs that the request ended without a complete response. */
--- a/src/gateway/requests/run_meter.ts
+++ b/src/gateway/requests/run_meter.ts
@@ -38,6 +38,11 @@
     return this.#options.context.tuning.scheduling.replicaRates;
   }
 
+  /** When the request was last sent. */
+  get sentAt(): Milliseconds {
+    return this.#sentAt;
+  }
+
   /** Records that the request is sent to a replica. */
   noteSent(): void {
     this.#sentAt = this.#options.context.clock.now();
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from "../context.ts";
 import type { CallMetadata } from "../port.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
+import type { BrokenSendDetails } from "../crashes/broken_sends.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Replica } from "../replicas/replica.ts";
 import {
@@ -173,7 +174,7 @@
   const outcome = await call.outcome;
   if (outcome.type === "notSent") return notSent(context, replica, outcome);
   if (outcome.type === "broken") {
-    return brokenResult(context, request, replica, outcome);
+    return brokenResult(context, request, replica, { ...outcome, sentAt });
   }
   const { answer } = outcome;
   const { message } = answer;
@@ -229,15 +230,16 @@
   context: GatewayContext,
   request: GatewayRequest,
   replica: Replica,
-  outcome: Extract<CallOutcome, { type: "broken" }>,
+  outcome: Extract<CallOutcome, { type: "broken" }> & Pick<Sent, "sentAt">,
 ): SendResult {
-  const { reason, isAborted, isStale } = outcome;
+  const { reason, isAborted, isStale, sentAt } = outcome;
   const { incarnation } = replica.entry;
   const isLocal = isAborted && context.paths.monitor.isLost(incarnation);
   const severe = reason === "No answer in time";
   if (!isLocal) noteFailure(context, replica, { reason, severe });
   if (!isLocal && !isStale) {
-    noteInterruption(context, request, replica, !isAborted);
+    const endedByReplica = !isAborted;
+    noteInterruption(context, request, replica, { sentAt, endedByReplica });
   }
   return { type: "unknown", reason, isLocal };
 }
@@ -277,9 +279,9 @@
   { crashes }: GatewayContext,
   { fingerprints }: GatewayRequest,
   { entry }: Replica,
-  endedByReplica: boolean,
+  send: Pick<BrokenSendDetails, "sentAt" | "endedByReplica">,
 ): void {
-  crashes.noteBrokenSend(entry, { fingerprints, endedByReplica });
+  crashes.noteBrokenSend(entry, { fingerprints, ...send });
 }
 
 /**
--- a/src/gateway/state/fleet_updates.ts
+++ b/src/gateway/state/fleet_updates.ts
@@ -9,6 +9,7 @@
   CrashesSchema,
   decodeCrashes,
   encodeCrashes,
+  splitUpdate,
 } from "../crashes/crash_messages.ts";
 import type { CrashWatch } from "../crashes/crash_watch.ts";
 import type { CrashUpdate } from "../crashes/model.ts";
@@ -93,9 +94,7 @@
         clearances: batch.flatMap((update) => update.clearances),
       }),
       encode: (update) =>
-        update.records.length + update.clearances.length > 0
-          ? encodeCrashes(update, clock.now())
-          : undefined,
+        splitUpdate(update).map((part) => encodeCrashes(part, clock.now())),
     });
     this.#limits = new UpdateBroadcaster({
       clock,
@@ -104,7 +103,7 @@
       all: () => limits.all(),
       merge: (batch) => latestByReplica(batch.flat()),
       encode: (records) =>
-        records.length > 0 ? encodeLimits(records, clock.now()) : undefined,
+        records.length > 0 ? [encodeLimits(records, clock.now())] : [],
     });
     this.#draining = new UpdateBroadcaster<readonly string[]>({
       clock,
@@ -113,7 +112,7 @@
       all: () => draining.all(),
       merge: (batch) => batch.flat(),
       encode: (incarnations) =>
-        incarnations.length > 0 ? { type: "leaving", incarnations } : undefined,
+        incarnations.length > 0 ? [{ type: "leaving", incarnations }] : [],
     });
     crashes.listen((update, from) => this.#crashes.broadcast(update, from));
     limits.listen((records, from) => this.#limits.broadcast(records, from));
--- a/test/gateway/crashes/crash_watch_test.ts
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -32,12 +32,14 @@
         time.clock.after(2, () => resolve(probeResult()));
       });
     },
+    countReplicas: () => 2,
     isPeerResponding: () => Promise.resolve(false),
     isAlive: () => Promise.resolve(isAlive),
   });
   const breaks = (name: string, endedByReplica = true, entry = ENTRY) =>
     watch.noteBrokenSend(entry, {
       fingerprints: namedFingerprints(name),
+      sentAt: time.now,
       endedByReplica,
     });
   const crashed = () =>
@@ -69,6 +71,7 @@
   const breaks = (name: string, parts: readonly string[]) =>
     watch.noteBrokenSend(ENTRY, {
       fingerprints: namedFingerprints(name, parts),
+      sentAt: time.now,
       endedByReplica: true,
     });
   breaks("one", ["common", "a"]);
@@ -132,6 +135,7 @@
     fingerprint: "other",
     incarnation: "a",
     at: 8,
+    ranMs: 1,
   }];
   watch.merge({ records, clearances: [] }, "peer");
   assert.deepEqual(crashed(), ["one a", "other a"]);
--- a/test/gateway/crashes/empty_crash_watch.ts
+++ b/test/gateway/crashes/empty_crash_watch.ts
@@ -18,6 +18,7 @@
     rule: { crashThreshold: 3, ttlMs: 60_000 },
     isDraining: () => false,
     probe: () => Promise.resolve("listens"),
+    countReplicas: () => 2,
     isPeerResponding: () => Promise.resolve(false),
     isAlive: () => Promise.resolve(false),
   });
--- a/test/gateway/crashes/innocent_requests_test.ts
+++ b/test/gateway/crashes/innocent_requests_test.ts
@@ -14,6 +14,7 @@
   hostAt,
   type PromptRequest,
 } from "./crash_reports.ts";
+import { namedFingerprints } from "./named_fingerprints.ts";
 
 const CRASH_INTERVAL_MS = 1300;
 /** Equal requests of many callers, such as polls. */
@@ -44,3 +45,44 @@
   }
   assert.equal(countRefusing(fleet, POLL), 0);
 });
+
+test("one request is evidence against the parts of its prompt once, however many replicas crash under it", async () => {
+  const fleet = new StateFleet(3, 15);
+  await fleet.runTo(FORMED_MS);
+  const parts = ["first", "middle"];
+  for (const request of ["a crashing", "b crashing"]) {
+    for (let at = 0; at < 3; at++) {
+      crash(hostAt(fleet, at), { request, parts }, `${request} ${at}`);
+      await fleet.runTo(fleet.now + CRASH_INTERVAL_MS);
+    }
+  }
+  assert.equal(countRefusing(fleet, { request: "later", parts }), 0);
+  assert.equal(countRefusing(fleet, { request: "b crashing", parts }), 3);
+});
+
+test("a part whose requests run for seconds while replicas crash for other causes is not refused", async () => {
+  const fleet = new StateFleet(3, 16);
+  await fleet.runTo(FORMED_MS);
+  for (let at = 0; at < 8; at++) {
+    const isOurs = at % 2 === 0;
+    const parts = ["first", isOurs ? "middle" : `other ${at}`];
+    const request = { request: `${at} request`, parts, ranMs: 2000 };
+    crash(hostAt(fleet, at), request, `replica ${at}`);
+    await fleet.runTo(fleet.now + CRASH_INTERVAL_MS);
+  }
+  const request = { request: "later", parts: ["first", "middle"] };
+  assert.equal(countRefusing(fleet, request), 0);
+});
+
+test("a response with an error does not clear the parts of a prompt", async () => {
+  const fleet = new StateFleet(3, 17);
+  await fleet.runTo(FORMED_MS);
+  const parts = ["first", "crashing"];
+  const { crashes } = hostAt(fleet, 0).context;
+  for (let at = 0; at < 5; at++) {
+    crash(hostAt(fleet, at), { request: `${at} crashing`, parts }, `r ${at}`);
+    crashes.noteAnswered(namedFingerprints(`${at} error`, parts), false);
+    await fleet.runTo(fleet.now + CRASH_INTERVAL_MS);
+  }
+  assert.equal(countRefusing(fleet, { request: "later", parts }), 3);
+});
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -272,6 +272,7 @@
       rule: { crashThreshold: 3, ttlMs: TEST_TIMEOUT_MS },
       isDraining: (entry) => replicas.isDraining(entry),
       probe: (entry) => paths.monitor.probe(entry),
+      countReplicas: () => 2,
       isPeerResponding: () => Promise.resolve(false),
       isAlive: () => Promise.resolve(false),
     }),
