A request that was served a few times doesn't hide what crashes replicas beside it

Cause: the quarantine of served requests of this session compared their responses with all their crashes. Now the responses are compared with the crashes up to the last response: what has been served lately and never failed before is protected, however many crashes follow at once, until others are served without it.

The added test was red before (none of three hosts refused the request that crashes replicas).

--- a/src/gateway/crashes/candidate.ts
+++ b/src/gateway/crashes/candidate.ts
@@ -16,7 +16,7 @@
 
 /**
  * Additional crashes before a suspect is quarantined that ran together with
- * another one each time, or that was served more often than it crashed a
+ * another one each time, or that had been served more often than it crashed a
  * replica. In the first case either may be the cause, and a run of only one of
  * them may show which.
  */
@@ -103,8 +103,13 @@
   return suspect.kind === SuspectKind.part;
 }
 
+/**
+ * Whether the suspect was served more often than it crashed replicas, up to its
+ * last response.
+ */
 export function isServedOften(suspect: Suspect): boolean {
-  return responsesOf(suspect) > suspect.crashes.size;
+  const { length } = countedCrashes(suspect);
+  return responsesOf(suspect) > suspect.crashes.size - length;
 }
 
 function countEvidence(suspect: Suspect, crashes: readonly string[]): number {
--- a/test/gateway/crashes/innocent_requests_test.ts
+++ b/test/gateway/crashes/innocent_requests_test.ts
@@ -86,3 +86,17 @@
   }
   assert.equal(countRefusing(fleet, { request: "later", parts }), 3);
 });
+
+test("a request that was served a few times doesn't hide one that crashes replicas beside it", async () => {
+  const fleet = new StateFleet(3, 18);
+  await fleet.runTo(FORMED_MS);
+  for (let at = 0; at < 3; at++) answer(hostAt(fleet, at), POLL);
+  const crashing = { request: "crashing", parts: [] };
+  for (let at = 0; at < 6; at++) {
+    crash(hostAt(fleet, at), POLL, `replica ${at}`);
+    if (at % 2 === 0) crash(hostAt(fleet, at), crashing, `replica ${at}`);
+    await fleet.runTo(fleet.now + CRASH_INTERVAL_MS);
+  }
+  assert.equal(countRefusing(fleet, POLL), 0);
+  assert.equal(countRefusing(fleet, crashing), 3);
+});
