--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -26,6 +26,10 @@
   readonly isResuming?: boolean;
   /** Stops after this many requests and aborts none of them early. */
   readonly maxRequests?: number;
+  /** The host that most new connections go to, if there is one. */
+  hotHost?(): string | undefined;
+  /** Whether each of its requests has a body of its own. */
+  readonly hasOwnBodies?: boolean;
   /** Whether the load balancer sends new connections to the host. */
   isInRotation(host: string): boolean;
   isStopped(): boolean;
@@ -43,6 +47,10 @@
 /** One request in this many is aborted early. */
 const ABORT_ONE_IN = 15;
 const REQUESTS_PER_CONNECTION = 20;
+/** While most new connections go to one host, callers open more of them. */
+const REQUESTS_PER_HOT_CONNECTION = 2;
+/** All but one in this many new connections go to the hot host. */
+const ELSEWHERE_ONE_IN = 20;
 /** Attempts of a caller to resume a stream. */
 const MAX_RESUMPTIONS = 3;
 const PAUSE_MS = 30;
@@ -60,7 +68,10 @@
     const host = chooseHost(options, hosts);
     if (!host) return;
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    for (let count = 0; count < REQUESTS_PER_CONNECTION; count++) {
+    const limit = options.hotHost?.() === undefined
+      ? REQUESTS_PER_CONNECTION
+      : REQUESTS_PER_HOT_CONNECTION;
+    for (let count = 0; count < limit; count++) {
       if (options.isStopped() || sent >= maxRequests) break;
       sent += 1;
       const kind = kinds[randomInt(random, kinds.length)] ?? CallKind.safe;
@@ -72,7 +83,7 @@
         host,
         id,
         kind,
-        body,
+        body: options.hasOwnBodies ? id : body,
         abortsEarly,
         promptParts,
       });
@@ -119,13 +130,18 @@
   }
 }
 
-/** Chooses a host that is in rotation, or any one if none is. */
+/**
+ * Chooses a host that is in rotation, or any one if none is; mostly the hot one
+ * if there is one.
+ */
 function chooseHost(
-  { random, isInRotation }: CallerOptions,
+  { random, isInRotation, hotHost }: CallerOptions,
   hosts: readonly CallerHost[],
 ): CallerHost | undefined {
   const inRotation = hosts.filter(({ name }) => isInRotation(name));
   const candidates = inRotation.length > 0 ? inRotation : hosts;
   if (candidates.length === 0) return undefined;
+  const hot = candidates.find(({ name }) => name === hotHost?.());
+  if (hot && randomInt(random, ELSEWHERE_ONE_IN) !== 0) return hot;
   return candidates[randomInt(random, candidates.length)];
 }
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -8,6 +8,7 @@
 } from "../platform/replica_world.ts";
 import type { CutResponse } from "../platform/response_standin.ts";
 import { CallKind, type CallResult } from "./call.ts";
+import { checkCrashingParts } from "./crashing_parts.ts";
 import type { HostFaultInterval } from "./host_faults.ts";
 import { findUnresumedStreams, type ServingSample } from "./resumed_streams.ts";
 import { findMixedStreams } from "./resumptions.ts";
@@ -78,6 +79,7 @@
   checkRecovery,
   checkPlannedStops,
   checkCrashes,
+  checkCrashingParts,
   checkLimits,
   checkReplicaNotices,
   checkPathCuts,
--- a/test/soak/fault_kinds.ts
+++ b/test/soak/fault_kinds.ts
@@ -47,6 +47,7 @@
   serviceCutsResponses: "all replicas of a stage cut their answers",
   release: "a release replaces all replicas of a service and is taken back",
   machineSleep: "machine sleeps",
+  hotHost: "most new connections go to one host",
   replicaChangesVersion: "replica restarts under its id at another version",
 } as const;
 /** One of the values of {@link FaultKind}. */
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -3,7 +3,14 @@
 import { BACKOFF_TEXTS, LIMIT_TEXTS } from "./fault_values.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import { BlockedDirection } from "./fault_proxy.ts";
-import { block, cutPaths, resetAll, silence, slow } from "./path_faults.ts";
+import {
+  block,
+  cutPaths,
+  injectPathFault,
+  resetAll,
+  silence,
+  slow,
+} from "./path_faults.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { StoreMode } from "../platform/store_standin.ts";
 import { changeVersion, release } from "./releases.ts";
@@ -58,6 +65,8 @@
     case FaultKind.pause:
     case FaultKind.reload:
       return injectProcessFault(host, fault.kind);
+    case FaultKind.hotHost:
+      return world.balance.concentrate(host.process.name);
     case FaultKind.machineSleep:
       host.process.sleep(fault.durationMs);
       return NO_UNDO;
@@ -247,22 +256,6 @@
   };
 }
 
-function injectPathFault(
-  world: World,
-  { standin, proxy }: WorldReplica,
-  kind: FaultKind,
-): Undo {
-  world.disruptedReplicas.add(standin.id);
-  switch (kind) {
-    case FaultKind.replicaPathBlockedOneWay:
-      return block(proxy, BlockedDirection.toCaller);
-    case FaultKind.replicaPathSlow:
-      return slow(proxy);
-    default:
-      return resetAll(proxy);
-  }
-}
-
 async function injectReplicaFault(
   world: World,
   replica: WorldReplica,
--- a/test/soak/path_faults.ts
+++ b/test/soak/path_faults.ts
@@ -1,7 +1,7 @@
 /** Faults of network paths, and what those to the replicas may cost. */
 import type { CallResult } from "./call.ts";
 import { type FleetHost, targetHost } from "./fleet.ts";
-import type { BlockedDirection, FaultProxy } from "./fault_proxy.ts";
+import { BlockedDirection, type FaultProxy } from "./fault_proxy.ts";
 import type { PlayedFault } from "./host_faults.ts";
 import { PathCut } from "./replica_path.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
@@ -42,6 +42,23 @@
   return () => undefined;
 }
 
+/** Disrupts the path from all hosts to a replica. */
+export function injectPathFault(
+  world: World,
+  { standin, proxy }: WorldReplica,
+  kind: FaultKind,
+): () => void {
+  world.disruptedReplicas.add(standin.id);
+  switch (kind) {
+    case FaultKind.replicaPathBlockedOneWay:
+      return block(proxy, BlockedDirection.toCaller);
+    case FaultKind.replicaPathSlow:
+      return slow(proxy);
+    default:
+      return resetAll(proxy);
+  }
+}
+
 /** The hosts whose paths to the replicas a fault cuts. */
 export function hostsWithCutPaths(
   hosts: readonly FleetHost[],
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -138,6 +138,7 @@
     const notStarted = await this.#findUnrecoveredHosts();
     const callers = startCallers(this.#schedule, {
       hosts: this.#hosts,
+      hotHost: () => this.#world.balance.hotHost,
       isStopped: () => this.#isStopped,
       onResult: (result) => this.#calls.push(result),
     });
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -8,6 +8,7 @@
   type ScheduleOptions,
 } from "./draw_faults.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
+import { CROWD_KINDS, drawCrowds, NO_CROWDS } from "./draw_crowds.ts";
 import { drawReleases, NO_RELEASES, RELEASE_KINDS } from "./draw_releases.ts";
 import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
@@ -22,6 +23,8 @@
   readonly resumingCallers: number;
   /** One caller sends requests that crash their replicas. */
   readonly hasCrashingCaller: boolean;
+  /** One caller sends requests with a part that crashes replicas. */
+  readonly hasPartCaller: boolean;
   /** What the hosts and callers are set up for. */
   readonly load: Load;
   readonly faults: readonly Fault[];
@@ -107,6 +110,7 @@
     ...CUT_RESPONSE_KINDS,
     ...SLEEP_KINDS,
     ...RELEASE_KINDS,
+    ...CROWD_KINDS,
   ].includes(kind)
 );
 /** Each `..._RANGE` is the exclusive upper bound of a draw from 0. */
@@ -173,10 +177,12 @@
   const { load, faults: loadFaults } = drawLoad(options);
   const { framing, faults: responseFaults } = drawResponses(options);
   const releases = drawReleases(options, first.hosts);
+  const crowds = drawCrowds(options);
   return {
     ...first,
     resumingCallers: releases.resumingCallers,
     hasCrashingCaller,
+    hasPartCaller: crowds.hasPartCaller,
     load: { ...load, framing },
     faults: [
       ...first.faults,
@@ -189,6 +195,7 @@
       ...responseFaults,
       ...drawSleeps(options),
       ...releases.faults,
+      ...crowds.faults,
     ],
   };
 }
@@ -288,6 +295,7 @@
     isPlannedOnly,
     resumingCallers: NO_RELEASES.resumingCallers,
     hasCrashingCaller: false,
+    hasPartCaller: NO_CROWDS.hasPartCaller,
     load: LIGHT_LOAD,
     faults,
   };
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -10,6 +10,7 @@
   ConnectionEnd,
   type CutResponse,
 } from "../platform/response_standin.ts";
+import { ConnectionBalance } from "./connection_balance.ts";
 import { ResponseShapes } from "./response_shapes.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
 import { ReplicaLimits } from "./replica_limits.ts";
@@ -73,6 +74,8 @@
   readonly limits = new ReplicaLimits();
   /** Replicas that a request crashed, in order. */
   readonly crashed: string[] = [];
+  /** Where callers open new connections. */
+  readonly balance = new ConnectionBalance();
   /** When they crashed. */
   readonly crashTimes: number[] = [];
   #load: WorldLoad;
