Rows stay below their limit when many hosts have served the suspects

Found by reading: a row takes 64 KB, and up to 16 clearances of each of its 30 suspects came on top of their records. A row holds those of the three hosts with the most responses now. part_records_test writes the worst row; it was red with 16 clearances each.

The log texts of quarantines name parts, too.

--- a/src/gateway/crashes/crash_table.ts
+++ b/src/gateway/crashes/crash_table.ts
@@ -35,8 +35,12 @@
   service: 50,
 };
 
-/** Maximum number of crashes of a suspect that are written into a row. */
+/**
+ * Maximum number of crashes of a suspect that are written into a row, and of
+ * hosts that served it.
+ */
 const MAX_ROW_CRASHES = 8;
+const MAX_ROW_HOSTS = 3;
 
 /** Suspects and the replicas that crashed while running them. */
 export class CrashTable {
@@ -128,7 +132,12 @@
       .sort((a, b) => b.count - a.count)
       .slice(0, limit);
     const { records, clearances } = updateOf(entries.map(({ entry }) => entry));
-    return { records: newestOfEach(records), clearances };
+    const newest = [...records].sort((a, b) => b.at - a.at);
+    const most = [...clearances].sort((a, b) => b.responses - a.responses);
+    return {
+      records: firstOfEach(newest, MAX_ROW_CRASHES),
+      clearances: firstOfEach(most, MAX_ROW_HOSTS),
+    };
   }
 
   #add(record: CrashRecord, now: Milliseconds): boolean {
@@ -200,13 +209,16 @@
   };
 }
 
-/** The newest records of each suspect, so that a row has room for all. */
-function newestOfEach(records: readonly CrashRecord[]): CrashRecord[] {
+/** The first entries of each suspect. */
+function firstOfEach<Entry extends { readonly fingerprint: string }>(
+  entries: readonly Entry[],
+  limit: number,
+): Entry[] {
   const counts = new Map<string, number>();
-  return [...records].sort((a, b) => b.at - a.at).filter(({ fingerprint }) => {
+  return entries.filter(({ fingerprint }) => {
     const count = (counts.get(fingerprint) ?? 0) + 1;
     counts.set(fingerprint, count);
-    return count <= MAX_ROW_CRASHES;
+    return count <= limit;
   });
 }
 
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -137,12 +137,12 @@
   ),
   quarantined: warn(
     "crashes",
-    "A request crashes its replicas and was quarantined",
+    "Replicas crash under a request or a part of prompts; it was quarantined",
     CHANGES_PER_SECOND,
   ),
   quarantineLifted: info(
     "crashes",
-    "A request was released from quarantine",
+    "A request or a part of prompts was released from quarantine",
     CHANGES_PER_SECOND,
   ),
   limitNamed: warn("limits", "A replica announced a rate limit", 5),
--- a/test/gateway/crashes/part_records_test.ts
+++ b/test/gateway/crashes/part_records_test.ts
@@ -79,7 +79,13 @@
       fingerprint: fingerprint.replace("0", "p"),
       prompt: { request: String(index).padStart(8, "0"), depth: 10 },
     }));
-    table.merge({ records: [...records, ...parts], clearances: [] }, NOW);
+    const clearances = Array.from({ length: 16 }, (_, host) => ({
+      fingerprint: fingerprint.replace("0", "p"),
+      at: -1,
+      host: `frontend-quimper-hall-${host}`,
+      responses: 1,
+    }));
+    table.merge({ records: [...records, ...parts], clearances }, NOW);
   }
   const { records } = table.all(NOW);
   const messages = splitUpdate(table.all(NOW))
