Soak: resumptions are judged only where one of them should have gone on

The check is unchanged where half the rate of new streams makes one resumption or more. A test on both sides of that bound.

--- a/test/soak/resumptions.ts
+++ b/test/soak/resumptions.ts
@@ -69,7 +69,10 @@
   if (resumed.length < MIN_RESUMPTIONS || begun.length === 0) return [];
   const shareOf = (calls: readonly CallResult[]) =>
     calls.filter(hasEvents).length / calls.length;
-  if (shareOf(resumed) >= shareOf(begun) / 2) return [];
+  const minShare = shareOf(begun) / 2;
+  // Where hardly a new stream begins, none of a few resumptions may go on.
+  if (minShare * resumed.length < 1) return [];
+  if (shareOf(resumed) >= minShare) return [];
   const wentOn = resumed.filter(hasEvents).length;
   const began = begun.filter(hasEvents).length;
   return [
--- a/test/soak/resumptions_test.ts
+++ b/test/soak/resumptions_test.ts
@@ -6,6 +6,7 @@
 import { CallKind, type CallResult } from "./call.ts";
 import { findUnresumedStreams } from "./resumed_streams.ts";
 import {
+  findLostStreams,
   findMixedStreams,
   findResumption,
   MIN_RESUMPTIONS,
@@ -116,6 +117,20 @@
   assert.equal(findUnresumedStreams(few).length, 0);
 });
 
+test("resumptions are judged only if one of them should have gone on", () => {
+  const begun = (share: number) =>
+    Array.from(
+      { length: 100 },
+      (_, at) => attempt({ id: `new-${at}`, events: at < share ? 1 : 0 }),
+    );
+  const lost = Array.from(
+    { length: 20 },
+    (_, at) => attempt({ id: `r${at}`, events: 0 }),
+  );
+  assert.equal(findLostStreams(lost, begun(10)).length, 1);
+  assert.equal(findLostStreams(lost, begun(9)).length, 0);
+});
+
 test("resumptions don't count without their version or after a host's fault", () => {
   const lost = resumedStreams(0);
   const versions = new Set(["v2"]);
