--- a/src/gateway/crashes/candidate.ts
+++ b/src/gateway/crashes/candidate.ts
@@ -20,7 +20,7 @@
  * replica. In the first case either may be the cause, and a run of only one of
  * them may show which.
  */
-export const EXTRA_CRASHES = 2;
+const EXTRA_CRASHES = 2;
 /**
  * Replicas that crash within this time of each other crash simultaneously. Hosts
  * see crashes with one cause within a few milliseconds.
@@ -39,7 +39,6 @@
  * crashed. Many suspects are judged while replicas crash for other causes.
  */
 const MAX_CHANCE = 1e-3;
-
 /** Maximum number of candidates that are compared with each other. */
 const MAX_CANDIDATES = 64;
 
@@ -69,11 +68,14 @@
   );
   if (found.length === 0) return [];
   const times = crashTimes(suspects);
+  const services = [...suspects.values()].filter(({ kind }) =>
+    kind === SuspectKind.service
+  );
   return found.map(([fingerprint, suspect]) => {
     const crashes = countedCrashes(suspect)
       .filter((crashed) => !hasCommonCause(crashed, suspect, times));
     const evidence = countEvidence(suspect, crashes);
-    const service = findService(suspects.values(), crashes);
+    const service = findService(services, crashes);
     return { fingerprint, suspect, crashes, evidence, service };
   }).filter((candidate) => !isProtected(candidate, rule))
     .sort(compareCandidates)
@@ -99,6 +101,12 @@
   return { ...candidate, crashes, evidence };
 }
 
+/** The threshold for suspects that need more crashes, see {@link EXTRA_CRASHES}. */
+export function raisedThreshold({ crashThreshold }: CrashRule): number {
+  return crashThreshold + EXTRA_CRASHES;
+}
+
+/** Whether the candidate is a part of prompts. */
 export function isPart({ suspect }: Candidate): boolean {
   return suspect.kind === SuspectKind.part;
 }
@@ -132,7 +140,7 @@
 }
 
 /**
- * The probability of runs that are all hit at least so early as these, by
+ * The probability that all runs are hit as early as these or earlier, by
  * Fisher's method: the logarithm of a product of independent uniform variables
  * has a gamma distribution.
  */
@@ -185,12 +193,11 @@
  * again after several crashes while it never was.
  */
 function isProtected(
-  candidate: Candidate,
-  { crashThreshold }: CrashRule,
+  { suspect, crashes, evidence, service }: Candidate,
+  rule: CrashRule,
 ): boolean {
-  const { suspect, crashes, evidence, service } = candidate;
   if (!isServedOften(suspect) && !isFirstPart(suspect)) return false;
-  if (evidence < crashThreshold + EXTRA_CRASHES) return true;
+  if (evidence < raisedThreshold(rule)) return true;
   if (!service) return true;
   return countServedCrashes(service, crashes) < MIN_SERVED_CRASHES;
 }
--- a/src/gateway/crashes/crash_table.ts
+++ b/src/gateway/crashes/crash_table.ts
@@ -64,7 +64,7 @@
     return this.#sizes.request;
   }
 
-  /** The quarantined requests, by fingerprint. */
+  /** The quarantines of requests and parts, by fingerprint. */
   get quarantines(): ReadonlyMap<string, Quarantine> {
     return this.#quarantines;
   }
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -13,23 +13,15 @@
 import {
   type BrokenSendDetails,
   BrokenSends,
-  type CrashedSend,
   type CrashSign,
 } from "./broken_sends.ts";
+import { countParts, crashRecordsOf } from "./crash_records.ts";
 import { CrashTable } from "./crash_table.ts";
 import { EndConfirmation } from "./end_confirmation.ts";
-import { type Fingerprints, shortFingerprint } from "./fingerprint.ts";
-import {
-  type Clearance,
-  type CrashRecord,
-  type CrashRule,
-  type CrashUpdate,
-  type Quarantine,
-  SuspectKind,
-} from "./model.ts";
+import type { Fingerprints } from "./fingerprint.ts";
+import type { Clearance, CrashRule, CrashUpdate, Quarantine } from "./model.ts";
 import { RecentResponses } from "./recent_responses.ts";
 
-const MAX_LOGGED_PARTS = 8;
 /** Bounds what a host writes into its row, which is limited to 64 KB. */
 const WORST_BOUNDS = { minCount: 2, limit: 30 };
 
@@ -59,7 +51,7 @@
  */
 export type CrashListener = (update: CrashUpdate, from: unknown) => void;
 
-/** Detects crashes, and decides which requests are quarantined. */
+/** Detects crashes, and tells which requests are quarantined. */
 export class CrashWatch {
   /** Checks replicas whose streams ended without a confirmation. */
   readonly ends: EndConfirmation;
@@ -85,7 +77,7 @@
     return this.#table.size;
   }
 
-  /** Number of quarantined requests. */
+  /** Number of quarantined requests and parts of prompts. */
   get quarantined(): number {
     return this.#table.quarantines.size;
   }
@@ -235,12 +227,12 @@
     return this.#table.all(this.#options.clock.now());
   }
 
-  /** Records and clearances of the requests with the most crashes. */
+  /** Records and clearances of the requests and parts with the most crashes. */
   worst(): CrashUpdate {
     return this.#table.worst(WORST_BOUNDS, this.#options.clock.now());
   }
 
-  /** Reports this host's responses of requests that have become suspects. */
+  /** Reports this host's responses of what has become a suspect. */
   #reportResponses({ records }: CrashUpdate): void {
     const fingerprints = new Set(records.map((record) => record.fingerprint));
     const accepted = [...fingerprints].filter((fingerprint) =>
@@ -287,9 +279,9 @@
       sign,
       requests: sends.length,
       fingerprints: sends.slice(0, 4).map((send) => send.fingerprint).join(),
-      parts: countedParts(sends),
+      parts: countParts(sends),
     });
-    const records = sends.flatMap((send) => recordsOf(send, incarnation));
+    const records = crashRecordsOf(sends, incarnation);
     this.merge({ records, clearances: [] }, undefined);
   }
 
@@ -308,35 +300,3 @@
     }
   }
 }
-
-/** What ran at the replica by a send that its crash has broken. */
-function recordsOf(
-  { fingerprint, service, parts, at, ranMs, replicas }: CrashedSend,
-  incarnation: string,
-): CrashRecord[] {
-  const crash = { incarnation, at, ranMs };
-  const request = shortFingerprint(fingerprint);
-  return [
-    { ...crash, kind: SuspectKind.request, fingerprint },
-    ...parts.map((part, depth) => ({
-      ...crash,
-      kind: SuspectKind.part,
-      fingerprint: part,
-      prompt: { request, depth },
-    })),
-    { ...crash, kind: SuspectKind.service, fingerprint: service, replicas },
-  ];
-}
-
-/** The parts of prompts that most of the sends had, with the number of sends. */
-function countedParts(sends: readonly CrashedSend[]): string | undefined {
-  const counts = new Map<string, number>();
-  for (const part of sends.flatMap(({ parts }) => parts)) {
-    counts.set(part, (counts.get(part) ?? 0) + 1);
-  }
-  if (counts.size === 0) return undefined;
-  return [...counts].sort(([, a], [, b]) => b - a)
-    .slice(0, MAX_LOGGED_PARTS)
-    .map(([part, count]) => `${shortFingerprint(part)}:${count}`)
-    .join();
-}
--- a/src/gateway/crashes/find_quarantines.ts
+++ b/src/gateway/crashes/find_quarantines.ts
@@ -13,11 +13,11 @@
 import {
   type Candidate,
   compareCandidates,
-  EXTRA_CRASHES,
   findCandidates,
   isPart,
   isServedOften,
   isUnlikelyByChance,
+  raisedThreshold,
   type Suspects,
   withoutCrashes,
 } from "./candidate.ts";
@@ -47,9 +47,7 @@
     const rivals = [...remaining, ...undecided].filter((other) =>
       other.evidence >= crashThreshold && mayBeTheCause(other, worst)
     );
-    const needed = rivals.length > 0
-      ? crashThreshold + EXTRA_CRASHES
-      : crashThreshold;
+    const needed = rivals.length > 0 ? raisedThreshold(rule) : crashThreshold;
     if (worst.evidence < needed || !isUnlikelyByChance(worst)) {
       undecided.push(worst);
       continue;
@@ -106,11 +104,12 @@
 
 function durationOf(
   candidate: Candidate,
-  { crashThreshold, ttlMs }: CrashRule,
+  rule: CrashRule,
 ): Milliseconds {
+  const { crashThreshold, ttlMs } = rule;
   const isServed = isServedOften(candidate.suspect);
   if (!isServed && !isPart(candidate)) return ttlMs;
-  const needed = isServed ? crashThreshold + EXTRA_CRASHES : crashThreshold;
+  const needed = isServed ? raisedThreshold(rule) : crashThreshold;
   const further = candidate.evidence - needed;
   return Math.min(ttlMs, PROBATION_MS * 2 ** further);
 }
--- a/src/gateway/crashes/fingerprint.ts
+++ b/src/gateway/crashes/fingerprint.ts
@@ -7,6 +7,13 @@
 
 /** Hex digits of a fingerprint: 128 bits, to make collisions negligible. */
 const DIGITS = 32;
+const LOGGED_DIGITS = 8;
+/** Maximum number of parts of prompts that a log line names. */
+export const MAX_LOGGED_PARTS = 8;
+/** Maximum size of a body that is hashed for each complete response. */
+const MAX_CHEAP_BYTES = 64 * 1024;
+/** Shared parts of a prompt that are fingerprinted; a header may list many. */
+const MAX_PARTS = 64;
 
 /**
  * The parts of a request that make it the same request; ids differ per retry.
@@ -21,6 +28,7 @@
   readonly body: Buffer;
 };
 
+/** Fingerprints a request. */
 export function fingerprintOf(input: FingerprintInput): string {
   const { method, host, target, customer = "", body } = input;
   // Encoded as JSON, so that different parts never yield the same text.
@@ -29,17 +37,11 @@
     .slice(0, DIGITS);
 }
 
-const LOGGED_DIGITS = 8;
-/** Hashing a body up to this size takes less than 0.1 ms. */
-const MAX_CHEAP_BYTES = 64 * 1024;
-/** Shared parts of a prompt that are fingerprinted; a header may list many. */
-const MAX_PARTS = 64;
-
 /** What a request has in common with its retries and with other requests. */
 export type Fingerprints = {
   /** Of the request: equal for every attempt of it, at any host. */
   readonly request: () => string;
-  /** Whether the body is so large that hashing it takes long. */
+  /** Whether the body is too large to be hashed for each complete response. */
   readonly isCostly: boolean;
   /** Of its service. */
   readonly service: () => string;
@@ -54,7 +56,7 @@
 
 /**
  * Computes fingerprints on first use: hashing a body of 4 MB takes
- * milliseconds, and the fingerprints of most requests are never needed.
+ * milliseconds, and a request that is refused before it is sent needs none.
  */
 export function lazyFingerprints(
   input: FingerprintInput,
--- a/src/gateway/crashes/model.ts
+++ b/src/gateway/crashes/model.ts
@@ -27,7 +27,7 @@
   readonly ranMs: Milliseconds;
   /** Only for a part. */
   readonly prompt?: CrashedPrompt;
-  /** Only for a service: how many replicas it has of the one's stage. */
+  /** Only for a service: its number of replicas of the crashed one's stage. */
   readonly replicas?: number;
 };
 
@@ -49,7 +49,7 @@
   readonly at: Milliseconds;
   /** The host that forwarded the responses. */
   readonly host: string;
-  /** Number of complete responses that this host has forwarded recently. */
+  /** Number of complete responses that this host has counted. */
   readonly responses: number;
 };
 
@@ -64,9 +64,9 @@
   /** Whether the request itself is quarantined, or a part of its prompt. */
   readonly kind: SuspectKind;
   readonly fingerprint: string;
-  /** The replicas that crashed while they ran the request. */
+  /** The replicas that crashed while they ran it. */
   readonly incarnations: readonly string[];
-  /** Number of recent complete responses, at all hosts together. */
+  /** Number of complete responses that hosts have counted, at all together. */
   readonly responses: number;
   readonly until: Milliseconds;
 };
--- a/src/gateway/crashes/service_crashes.ts
+++ b/src/gateway/crashes/service_crashes.ts
@@ -1,6 +1,5 @@
 /** How often the replicas of a service crash, and whether it serves in between. */
 import type { Milliseconds } from "../../util/units.ts";
-import { SuspectKind } from "./model.ts";
 import {
   MAX_SERVICE_CRASHES,
   type Suspect,
@@ -12,17 +11,14 @@
 /** Shortest time over which a rate is worked out. */
 const MIN_RATE_WINDOW_MS: Milliseconds = 1000;
 
-/** The service whose replicas crashed. */
+/** The one of the services whose replicas crashed. */
 export function findService(
-  suspects: Iterable<Suspect>,
+  services: readonly Suspect[],
   incarnations: readonly string[],
 ): Suspect | undefined {
-  for (const suspect of suspects) {
-    if (suspect.kind !== SuspectKind.service) continue;
-    const isOf = incarnations.some((one) => suspect.crashes.has(one));
-    if (isOf) return suspect;
-  }
-  return undefined;
+  return services.find(({ crashes }) =>
+    incarnations.some((incarnation) => crashes.has(incarnation))
+  );
 }
 
 /**
--- a/src/gateway/crashes/suspect.ts
+++ b/src/gateway/crashes/suspect.ts
@@ -48,6 +48,7 @@
   readonly responseTimes: Milliseconds[];
 };
 
+/** Creates a suspect without crashes and responses. */
 export function createSuspect(kind: SuspectKind): Suspect {
   return { kind, crashes: new Map(), responses: new Map(), responseTimes: [] };
 }
@@ -62,7 +63,11 @@
 ): boolean {
   const { incarnation, at, ranMs, prompt, replicas } = record;
   const known = crashes.get(incarnation);
-  if (known) return addRun(crashes, incarnation, record);
+  if (known) {
+    const merged = withRun(known, record);
+    crashes.set(incarnation, merged);
+    return merged !== known;
+  }
   crashes.set(incarnation, {
     at,
     ranMs,
@@ -76,26 +81,22 @@
 }
 
 /**
- * Adds another run at a replica that crashed. The longest run counts, and the
- * first in the order of the requests, so that all hosts store the same.
+ * The crash with another run of the suspect there. The longest run counts, and
+ * the first in the order of the requests, so that all hosts store the same.
  */
-function addRun(
-  crashes: Map<string, SuspectCrash>,
-  incarnation: string,
+function withRun(
+  known: SuspectCrash,
   { ranMs, prompt }: CrashRecord,
-): boolean {
-  const known = crashes.get(incarnation);
-  if (!known) return false;
+): SuspectCrash {
   const isLonger = ranMs > known.ranMs;
   const isFirst = prompt !== undefined &&
     prompt.request < (known.prompt?.request ?? "");
-  if (!isLonger && !isFirst) return false;
-  crashes.set(incarnation, {
+  if (!isLonger && !isFirst) return known;
+  return {
     ...known,
     ...(isLonger && { ranMs }),
     ...(isFirst && { prompt }),
-  });
-  return true;
+  };
 }
 
 /** Adds complete responses; false if that changes no result. */
@@ -139,10 +140,12 @@
   return Math.max(0, ...depths);
 }
 
+/** When the last of its replicas crashed. */
 export function lastCrashAt({ crashes }: Suspect): Milliseconds {
   return Math.max(...[...crashes.values()].map(({ at }) => at));
 }
 
+/** When its last complete response ended; -Infinity if it had none. */
 export function lastResponseAt({ responseTimes }: Suspect): Milliseconds {
   return responseTimes.at(-1) ?? -Infinity;
 }
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -1,7 +1,7 @@
 /** Log events and metrics of one request. */
 import type { GatewayContext } from "../context.ts";
 import type { Milliseconds } from "../../util/units.ts";
-import { shortFingerprint } from "../crashes/fingerprint.ts";
+import { MAX_LOGGED_PARTS, shortFingerprint } from "../crashes/fingerprint.ts";
 import type { Quarantine } from "../crashes/model.ts";
 import type { EventFields } from "../observe/event_log.ts";
 import type { EventName } from "../observe/event_names.ts";
@@ -15,8 +15,6 @@
 import type { EventPosition } from "./relay.ts";
 import type { GatewayRequest } from "./request.ts";
 
-const MAX_LOGGED_PARTS = 8;
-
 /** A send, as it is logged. */
 export type JournalledSend = {
   /** Number of sends of the request, including this one. */
--- a/test/gateway/crashes/crash_fleet_test.ts
+++ b/test/gateway/crashes/crash_fleet_test.ts
@@ -4,13 +4,14 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import {
+  countRefusing,
+  crash as reportCrash,
+  FORMED_MS,
+} from "./crash_reports.ts";
 import { namedFingerprints } from "./named_fingerprints.ts";
-import { replicaEntry } from "../replica_entry.ts";
 import { type FleetHost, StateFleet } from "../state/state_fleet.ts";
 
-/** Time from the send of a request to the crash of its replica. */
-const RAN_MS = 100;
-const FORMED_MS = 10_000;
 /**
  * Maximum time for an update to reach all hosts: a probe, batching and three
  * hops.
@@ -20,22 +21,15 @@
 const ROWS_MS = 7000;
 
 /** A host detects that a replica crashed while it ran the request. */
-function crash(host: FleetHost, fingerprint: string, replica: string): void {
-  const { clock, crashes } = host.context;
-  crashes.noteBrokenSend(replicaEntry(replica), {
-    sentAt: clock.now() - RAN_MS,
-    fingerprints: namedFingerprints(fingerprint),
-    endedByReplica: true,
-  });
+function crash(host: FleetHost, request: string, replica: string): void {
+  reportCrash(host, { request, parts: [] }, replica);
 }
 
 function countQuarantined(
   hosts: readonly FleetHost[],
-  fingerprint: string,
+  request: string,
 ): number {
-  return hosts.filter(({ context }) =>
-    context.crashes.quarantineOf(namedFingerprints(fingerprint)) !== undefined
-  ).length;
+  return countRefusing({ hosts }, { request, parts: [] });
 }
 
 for (const size of [1, 3, 9, 30]) {
--- a/test/gateway/crashes/crash_reports.ts
+++ b/test/gateway/crashes/crash_reports.ts
@@ -36,7 +36,7 @@
 
 /** The number of hosts that refuse the request. */
 export function countRefusing(
-  { hosts }: StateFleet,
+  { hosts }: { readonly hosts: readonly FleetHost[] },
   { request, parts }: PromptRequest,
 ): number {
   const fingerprints = namedFingerprints(request, parts);
