--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -199,6 +199,16 @@
   return match ? Number(match[1]) : undefined;
 }
 
+/** Reads the lines of a host's metrics page that match. */
+export async function readMetric(
+  host: FleetHost,
+  pattern: RegExp,
+): Promise<string[]> {
+  const response = await get(host.metrics, "/metrics");
+  const lines = (response?.body ?? "").split("\n");
+  return lines.filter((line) => !line.startsWith("#") && pattern.test(line));
+}
+
 function get(
   address: string,
   path: string,
--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -57,6 +57,13 @@
     return this.#child !== undefined && !this.#isPaused;
   }
 
+  /** The process id. */
+  get pid(): number {
+    const pid = this.#child?.pid;
+    if (pid === undefined) throw new Error(`${this.name} does not run`);
+    return pid;
+  }
+
   /** The lines that the process and its predecessors have logged so far. */
   get logLines(): string[] {
     return readFileSync(this.#logFile, "utf8").split("\n");
