Logs and metrics tell how far a host's event loop is behind

New: loopLate, loop_ms and start_ms of requests, otterhill_loop_delay_seconds and otterhill_loop_busy_seconds. Nothing decides by them yet.

--- a/src/gateway/callers/create_request.ts
+++ b/src/gateway/callers/create_request.ts
@@ -32,10 +32,12 @@
   parts: {
     readonly check: AcceptedHeaders;
     readonly receivedAt: Milliseconds;
+    readonly loopDelayMs: Milliseconds;
     readonly body: Buffer;
   },
 ): GatewayRequest {
-  const { check: { route, facts, customer }, receivedAt, body } = parts;
+  const { check: { route, facts, customer }, receivedAt, loopDelayMs, body } =
+    parts;
   const chance = targetChance(route, facts, context.random);
   const timeoutMs = Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity);
   const method = incoming.method ?? "GET";
@@ -51,6 +53,7 @@
     ...(customer ? { customer } : {}),
     priority: priorityOf({ route, customer }),
     receivedAt,
+    loopDelayMs,
     body,
     fingerprints,
     method,
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -128,8 +128,9 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, metrics } = this.#context;
+    const { clock, metrics, iterations } = this.#context;
     const receivedAt = clock.now();
+    const loopDelayMs = iterations.currentMs;
     metrics.count("requests");
     const turn = await this.#awaitTurn(incoming, response);
     if (turn === Turn.closed) return;
@@ -158,6 +159,7 @@
     const request = createRequest(this.#context, incoming, {
       check: lastCheck,
       receivedAt,
+      loopDelayMs,
       body,
     });
     const quota = await this.#acquireQuota(request);
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "./observe/event_log.ts";
 import type { Metrics } from "./observe/metrics.ts";
 import type { CrashWatch } from "./crashes/crash_watch.ts";
+import type { IterationMeter } from "./load/iteration_meter.ts";
 import type { ByteBudget } from "./memory/byte_budget.ts";
 import type { ReplicaLimits } from "./limits/replica_limits.ts";
 import type { Dialect } from "./port.ts";
@@ -91,6 +92,8 @@
   };
   readonly clock: Clock;
   readonly suspensions: SuspensionWatch;
+  /** Tells how far the event loop of this host is behind. */
+  readonly iterations: IterationMeter;
   readonly eras: StoreEras;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -1,5 +1,10 @@
 /** Creates the shared state of a gateway from its settings. */
-import { bootNow, monotonicNow, newIncarnation } from "../shell/clock.ts";
+import {
+  bootNow,
+  loopIdleMs,
+  monotonicNow,
+  newIncarnation,
+} from "../shell/clock.ts";
 import { descriptorLimit } from "../shell/descriptor_limit.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
 import type { Milliseconds } from "../util/units.ts";
@@ -8,6 +13,7 @@
 import type { GatewayContext, GatewayTuning } from "./context.ts";
 import { CrashWatch } from "./crashes/crash_watch.ts";
 import type { CrashRule } from "./crashes/model.ts";
+import { IterationMeter, type LoopTimes } from "./load/iteration_meter.ts";
 import { ByteBudget, callerBytesOf } from "./memory/byte_budget.ts";
 import { type EventLog, openEventLog } from "./observe/event_log.ts";
 import { LineWriter } from "./observe/line_writer.ts";
@@ -31,6 +37,8 @@
 import { createJsonClient } from "./upstreams/json_client.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
 
+const LOOP_TIMES: LoopTimes = { now: monotonicNow, idleMs: loopIdleMs };
+
 /** This host among the others, and what connects it. */
 export type FleetConnections = {
   readonly self: HostEntry;
@@ -49,7 +57,6 @@
   fleet: FleetConnections,
 ): GatewayContext {
   const { directory, connect } = fleet;
-  const { grace } = settings;
   const { clock, suspensions } = createClocks();
   const events = eventLogOf(settings, clock);
   logSleeps(suspensions, events);
@@ -89,6 +96,7 @@
     ...shared,
     self,
     suspensions,
+    iterations: new IterationMeter(LOOP_TIMES),
     eras: new StoreEras(events),
     random: Math.random,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
@@ -100,7 +108,7 @@
     streams: createStreamVersions(fleet, { ...shared, self }),
     tuning: tuningOf(settings),
     hostCount: () => directory.count,
-    stop: { graceMs: grace },
+    stop: { graceMs: settings.grace },
   };
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { Customers } from "./customers/customers.ts";
 import { callerBytesOf } from "./memory/byte_budget.ts";
 import { renderMetrics } from "./metrics_page.ts";
+import { meterIterations } from "./load/meter_iterations.ts";
 import { HostDirectory } from "./peers/directory.ts";
 import { openLink } from "./peers/link.ts";
 import { PeerConnections } from "./peers/peer_connections.ts";
@@ -94,6 +95,7 @@
   readonly #tunnels: TunnelServer;
   readonly #settingsState: SettingsState;
   readonly #splits = new Map<string, SplitDecision>();
+  #unwatchIterations = () => {};
 
   constructor(
     settings: GatewaySettings,
@@ -204,6 +206,7 @@
       callers: listen.callers,
       settings: this.#settingsState.version,
     });
+    this.#unwatchIterations = meterIterations(this.#context);
     this.#scheduleTick();
   }
 
@@ -243,6 +246,7 @@
     pool.close();
     streams.close();
     this.#connections.close();
+    this.#unwatchIterations();
     events.note("stopped", { open: this.#callerServer.openRequestCount });
     await sleep(clock, LOG_FLUSH_MS);
   }
--- /dev/null
+++ b/src/gateway/load/iteration_meter.ts
@@ -0,0 +1,77 @@
+/**
+ * Measures the iterations of the event loop. What is handled late in a long
+ * iteration has waited since its start, and timers wait until its end.
+ */
+import type { Milliseconds } from "../../util/units.ts";
+
+/** What is read of an event loop. */
+export type LoopTimes = {
+  now(): Milliseconds;
+  /** Total time for which the loop has waited for events. */
+  idleMs(): Milliseconds;
+};
+
+/** Measures iterations; {@link watchIterations} reports their ends. */
+export class IterationMeter {
+  readonly #loop: LoopTimes;
+  #endedAt: Milliseconds;
+  #idleMs: Milliseconds;
+  #longestMs: Milliseconds = 0;
+  #busyMs: Milliseconds = 0;
+
+  constructor(loop: LoopTimes) {
+    this.#loop = loop;
+    this.#endedAt = loop.now();
+    this.#idleMs = loop.idleMs();
+  }
+
+  /**
+   * For how long the current iteration has been busy. A request that is read now
+   * arrived before it began, so it has waited for this time at least.
+   */
+  get currentMs(): Milliseconds {
+    const idleMs = this.#loop.idleMs() - this.#idleMs;
+    return Math.max(0, this.#loop.now() - this.#endedAt - idleMs);
+  }
+
+  /** Total time for which the loop has been busy. */
+  get busyMs(): Milliseconds {
+    return this.#busyMs;
+  }
+
+  /** Ends an iteration; returns for how long it was busy. */
+  end(): Milliseconds {
+    const lastedMs = this.currentMs;
+    this.#endedAt = this.#loop.now();
+    this.#idleMs = this.#loop.idleMs();
+    this.#busyMs += lastedMs;
+    this.#longestMs = Math.max(this.#longestMs, lastedMs);
+    return lastedMs;
+  }
+
+  /** The longest iteration since the last call. */
+  takeLongestMs(): Milliseconds {
+    const longestMs = Math.max(this.#longestMs, this.currentMs);
+    this.#longestMs = 0;
+    return longestMs;
+  }
+}
+
+/**
+ * Calls `onEnd` at the end of each iteration, before the loop waits for events.
+ * It doesn't keep the loop from waiting, nor the process from exiting.
+ */
+export function watchIterations(onEnd: () => void): () => void {
+  let isWatching = true;
+  const schedule = () => {
+    setImmediate(() => {
+      if (!isWatching) return;
+      onEnd();
+      schedule();
+    }).unref();
+  };
+  schedule();
+  return () => {
+    isWatching = false;
+  };
+}
--- a/src/gateway/metrics_page.ts
+++ b/src/gateway/metrics_page.ts
@@ -45,6 +45,7 @@
 ): Record<string, number> {
   const { heldBytes, routes, replicas, eras, crashes, limits, gate, streams } =
     context;
+  const { iterations } = context;
   const { settingsState, planService, fleetState } = parts;
   const now = context.clock.now();
   return {
@@ -71,6 +72,8 @@
     stream_records: streams.size,
     config_age_seconds: secondsOf(fleetState.configAgeMs(now)),
     store_age_seconds: secondsOf(fleetState.storeAgeMs(now)),
+    loop_delay_seconds: iterations.takeLongestMs() / 1000,
+    loop_busy_seconds: iterations.busyMs / 1000,
     resident_bytes: process.memoryUsage.rss(),
   };
 }
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -11,6 +11,9 @@
 } from "./event_kind.ts";
 import { REQUEST_EVENTS } from "./request_events.ts";
 
+/** A host without processor time has one after the other. */
+const LATE_ITERATIONS_PER_SECOND = 2;
+
 export const EVENT_KINDS = {
   started: info(
     "process",
@@ -38,6 +41,11 @@
     "The process was stalled",
     CHANGES_PER_SECOND,
   ),
+  loopLate: warn(
+    "process",
+    "The event loop was busy for long, so requests and timers waited",
+    LATE_ITERATIONS_PER_SECOND,
+  ),
   suspended: warn(
     "process",
     "The machine was suspended or its wall clock stepped; reading the store again",
--- a/src/gateway/requests/request.ts
+++ b/src/gateway/requests/request.ts
@@ -23,6 +23,8 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly receivedAt: Milliseconds;
+  /** By how much the event loop was late when the request was read. */
+  readonly loopDelayMs: Milliseconds;
   /** The gateway ends the request at this time if no response is complete. */
   readonly deadline: Milliseconds;
 };
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -15,6 +15,9 @@
 import type { EventPosition } from "./relay.ts";
 import type { GatewayRequest } from "./request.ts";
 
+/** Shorter delays before the placement are left out of the log. */
+const MIN_SHOWN_DELAY_MS = 20;
+
 /** A send, as it is logged. */
 export type JournalledSend = {
   /** Number of sends of the request, including this one. */
@@ -27,6 +30,8 @@
 export class RequestJournal {
   readonly #context: GatewayContext;
   readonly #request: GatewayRequest;
+  /** Time from the arrival until all that precedes the placement is done. */
+  readonly #startMs: Milliseconds;
   #lastSend:
     | { readonly replica: string; readonly at: Milliseconds }
     | undefined;
@@ -36,6 +41,7 @@
   constructor(context: GatewayContext, request: GatewayRequest) {
     this.#context = context;
     this.#request = request;
+    this.#startMs = context.clock.now() - request.receivedAt;
   }
 
   /** Logs an event with the fields that all events of the request share. */
@@ -105,6 +111,7 @@
       unconfirmed: isUnconfirmed || undefined,
       ...this.#body?.fields(),
       spent_ms: Math.round(spentMs),
+      ...this.#delayFields(),
     });
   }
 
@@ -123,7 +130,13 @@
     const spentMs = Math.round(this.#spentMs());
     const lastSend = name === "refused" ? {} : this.#lastSendFields();
     const body = name === "refused" ? {} : this.#body?.fields();
-    this.note(name, { ...fields, ...body, ...lastSend, spent_ms: spentMs });
+    this.note(name, {
+      ...fields,
+      ...body,
+      ...lastSend,
+      spent_ms: spentMs,
+      ...this.#delayFields(),
+    });
   }
 
   /**
@@ -138,6 +151,15 @@
     return { fingerprint, replica, sent_ms: sentMs };
   }
 
+  #delayFields(): EventFields {
+    const shown = (ms: Milliseconds) =>
+      ms < MIN_SHOWN_DELAY_MS ? undefined : Math.round(ms);
+    return {
+      loop_ms: shown(this.#request.loopDelayMs),
+      start_ms: shown(this.#startMs),
+    };
+  }
+
   #spentMs(): number {
     return this.#context.clock.now() - this.#request.receivedAt;
   }
--- a/src/shell/clock.ts
+++ b/src/shell/clock.ts
@@ -1,5 +1,6 @@
 /** Reads the clocks of the process and its machine. */
 import { uptime } from "node:os";
+import { performance } from "node:perf_hooks";
 
 /** Returns the monotonic time in milliseconds. */
 export function monotonicNow(): number {
@@ -18,6 +19,14 @@
   }
 }
 
+/**
+ * Returns for how long the event loop has waited for events since the process
+ * started, in milliseconds.
+ */
+export function loopIdleMs(): number {
+  return performance.nodeTiming.idleTime;
+}
+
 /** Returns a number that increases with each start of a host's process. */
 export function newIncarnation(): number {
   return Date.now();
--- a/test/gateway/requests/placements_test.ts
+++ b/test/gateway/requests/placements_test.ts
@@ -52,6 +52,7 @@
   service: "s",
   priority: 1,
   receivedAt: 0,
+  loopDelayMs: 0,
   deadline: 1000,
 };
 
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -13,7 +13,6 @@
   type ReplicaEntry,
   type ReplicaStage,
   type Route,
-  RouteKind,
   type Service,
 } from "../../src/gateway/mod.ts";
 import { Metrics } from "../../src/gateway/observe/metrics.ts";
@@ -23,6 +22,7 @@
 import { singleHostGate } from "./replicas/single_host_gate.ts";
 import { singleHostLimits } from "./limits/single_host_limits.ts";
 import { CrashWatch } from "../../src/gateway/crashes/crash_watch.ts";
+import { idleLoop } from "./load/idle_loop.ts";
 import { ByteBudget } from "../../src/gateway/memory/byte_budget.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
@@ -30,6 +30,7 @@
 import { singleHostPaths } from "./paths/single_host_paths.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
 import { TEST_TIMEOUT_MS, TEST_TUNING } from "./test_tuning.ts";
+import { TEST_ROUTE } from "./test_route.ts";
 import { neverSuspended } from "./never_suspended.ts";
 import { testDialect } from "./dialect.ts";
 import {
@@ -110,22 +111,6 @@
   switchMs: TEST_TIMEOUT_MS,
 };
 
-const ROUTE: Route = {
-  name: "route",
-  host: "example",
-  pathPrefix: "/a/",
-  kind: RouteKind.safe,
-  timeoutMs: TEST_TIMEOUT_MS,
-  objectiveMs: TEST_TIMEOUT_MS,
-  gapMs: TEST_TIMEOUT_MS,
-  silenceMs: TEST_TIMEOUT_MS,
-  attempts: 2,
-  priority: 1,
-  targets: [{ service: "service", weight: 1 }],
-  resumable: false,
-  anonymous: false,
-};
-
 const UNLIMITED_QUOTAS: CallerServerOptions["quotas"] = {
   acquire: () =>
     Promise.resolve({
@@ -224,7 +209,7 @@
   const { engine, budget } = options;
   routes.adopt({
     version: 1,
-    routes: [{ ...ROUTE, ...options.route }],
+    routes: [{ ...TEST_ROUTE, ...options.route }],
     services: [{
       name: "service",
       connectionLimit: 100,
@@ -263,6 +248,7 @@
     routes,
     replicas,
     heldBytes: new ByteBudget(Infinity),
+    iterations: idleLoop(),
     retryBudget: new RetryBudget({ ...rule, ...budget }, -TEST_TIMEOUT_MS),
     pool: new UpstreamPool(clock, paths),
     paths,
