--- a/src/gateway/metrics_page.ts
+++ b/src/gateway/metrics_page.ts
@@ -43,9 +43,8 @@
   context: GatewayContext,
   parts: MeasuredParts,
 ): Record<string, number> {
-  const { heldBytes, routes, replicas, eras, crashes, limits, gate, streams } =
-    context;
-  const { iterations } = context;
+  const { heldBytes, routes, replicas, eras, crashes, limits, gate } = context;
+  const { streams, iterations } = context;
   const { settingsState, planService, fleetState } = parts;
   const now = context.clock.now();
   return {
