Processor limit of tests: a thread that ends doesn't count as time that was used again

A thread that ended while its time was read made the time of the whole process 0, so what it had used before was charged again and the process stood still for seconds.

--- a/test/soak/processor_limit_worker.ts
+++ b/test/soak/processor_limit_worker.ts
@@ -23,18 +23,39 @@
 /** Processor time of all threads of a process; 0 if it has ended. */
 function usedMs(pid: number): number {
   const folder = `/proc/${pid}/task`;
+  const nanoseconds = threadsIn(folder).map((thread) =>
+    usedByThread(`${folder}/${thread}/schedstat`)
+  );
+  return nanoseconds.reduce((sum, used) => sum + used, 0) /
+    NANOSECONDS_PER_MS;
+}
+
+/** The threads of a process; none if it has ended. */
+function threadsIn(folder: string): string[] {
   try {
-    const nanoseconds = readdirSync(folder).map((thread) => {
-      const text = readFileSync(`${folder}/${thread}/schedstat`, "utf8");
-      return Number(text.split(" ")[0]);
-    });
-    return nanoseconds.reduce((sum, used) => sum + used, 0) /
-      NANOSECONDS_PER_MS;
+    return readdirSync(folder);
+  } catch {
+    return [];
+  }
+}
+
+/** Processor time of a thread in nanoseconds; 0 if it has ended. */
+function usedByThread(file: string): number {
+  try {
+    return Number(readFileSync(file, "utf8").split(" ")[0]);
   } catch {
     return 0;
   }
 }
 
+/** What a process has used and not been allowed yet. */
+function spentMsOf(process: Limited): number {
+  const used = usedMs(process.pid);
+  // The time of a thread that has ended is no longer counted.
+  process.usedBeforeMs = Math.min(process.usedBeforeMs, used);
+  return used - process.usedBeforeMs;
+}
+
 function signal({ pid }: LimitedProcess, name: "SIGSTOP" | "SIGCONT"): void {
   try {
     process.kill(pid, name);
@@ -47,7 +68,7 @@
   for (const process of limited) {
     // What was used beyond the share counts in the next period.
     const allowedMs = process.share * PERIOD_MS;
-    const spentMs = usedMs(process.pid) - process.usedBeforeMs;
+    const spentMs = spentMsOf(process);
     process.usedBeforeMs += Math.min(spentMs, allowedMs);
     if (!process.isStopped || spentMs >= 2 * allowedMs) continue;
     process.isStopped = false;
@@ -58,7 +79,7 @@
 function stopSpent(): void {
   for (const process of limited) {
     if (process.isStopped) continue;
-    const spentMs = usedMs(process.pid) - process.usedBeforeMs;
+    const spentMs = spentMsOf(process);
     if (spentMs < process.share * PERIOD_MS) continue;
     process.isStopped = true;
     signal(process, "SIGSTOP");
