--- a/src/gateway/load/accept_queue.ts
+++ b/src/gateway/load/accept_queue.ts
@@ -3,12 +3,12 @@
  * accepts one connection in each iteration; the others wait in a queue of the
  * operating system, for seconds if the host lacks processor time, and nothing
  * tells a process how long. An iteration that accepts none shows that this queue
- * is empty. While it has been longer than the allowed time ago, connections are
- * closed unread, at little cost, so that their callers turn to other hosts.
+ * is empty. If it has not been empty for too long, connections are closed unread
+ * until it is, at little cost, so that their callers turn to other hosts.
  */
 import type { Milliseconds } from "../../util/units.ts";
 
-/** A queue that was empty until now may last for this long, as in a burst. */
+/** Connections may wait without a gap for this long, as in a burst. */
 const BURST_MS: Milliseconds = 500;
 /**
  * The same soon after connections were closed, when more arrive than are served.
--- a/src/gateway/load/follow_iterations.ts
+++ b/src/gateway/load/follow_iterations.ts
@@ -4,7 +4,7 @@
 import { watchIterations } from "./iteration_meter.ts";
 
 /** An iteration that is busy for longer is logged. */
-const LONG_ITERATION_MS: Milliseconds = 250;
+const LOGGED_ITERATION_MS: Milliseconds = 250;
 
 /**
  * Starts following them; `onEnd` is called at the end of each. Returns a function
@@ -20,7 +20,7 @@
   return watchIterations(() => {
     const busyMs = iterations.end();
     onEnd(clock.now(), busyMs);
-    if (busyMs < LONG_ITERATION_MS) return;
+    if (busyMs < LOGGED_ITERATION_MS) return;
     events.note("loopLate", { for_ms: Math.round(busyMs) });
   });
 }
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -2,9 +2,10 @@
 import { request } from "node:http";
 import { xoroshiro128plus } from "pure-rand";
 import { type CallKind, type CallResult } from "./call.ts";
-import { runCaller } from "./callers.ts";
+import { type CallerHost, runCaller } from "./callers.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
 import { GatewayProcess } from "./gateway_process.ts";
+import { ProcessorLimit } from "./processor_limit.ts";
 import { rendezvous } from "../../src/util/rendezvous.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { HALLS, SERVICES } from "./world.ts";
@@ -170,6 +171,24 @@
   return result;
 }
 
+/** The hosts as their callers know them. */
+export function callerHosts(hosts: readonly FleetHost[]): CallerHost[] {
+  return hosts.map(({ process: { name }, callers: address }) => ({
+    name,
+    address,
+  }));
+}
+
+/** Limits the processor time of all hosts to a share of a core each. */
+export function limitHosts(
+  hosts: readonly FleetHost[],
+  share: number,
+): ProcessorLimit {
+  return new ProcessorLimit(
+    hosts.map(({ process: { pid } }) => ({ pid, share })),
+  );
+}
+
 /** Runs the load balancer's readiness check of one host. */
 export async function checkReadiness(host: FleetHost): Promise<void> {
   const response = await get(host.readiness, "/readiness");
--- a/test/soak/measure_hot_host.ts
+++ b/test/soak/measure_hot_host.ts
@@ -6,13 +6,17 @@
 import { Option } from "commander";
 import { makeCommand } from "../../src/programs/common/command.ts";
 import type { CallResult } from "./call.ts";
-import { type FleetHost, readMetric } from "./fleet.ts";
+import {
+  callerHosts,
+  type FleetHost,
+  limitHosts,
+  readMetric,
+} from "./fleet.ts";
 import {
   isClosedUnread,
   type OpenCall,
   runOpenCallers,
 } from "./open_callers.ts";
-import { ProcessorLimit } from "./processor_limit.ts";
 import { isServed, withFleet } from "./test_fleet.ts";
 import { ROUTE_TIMEOUT_MS } from "./world_config.ts";
 
@@ -99,13 +103,8 @@
 }
 
 await withFleet(async ({ hosts: fleet }) => {
-  const limit = new ProcessorLimit(
-    fleet.map(({ process: { pid } }) => ({ pid, share: flags.share })),
-  );
-  const hosts = fleet.map(({ process, callers }) => ({
-    name: process.name,
-    address: callers,
-  }));
+  const limit = limitHosts(fleet, flags.share);
+  const hosts = callerHosts(fleet);
   const hot = fleet[flags.hot]?.process.name ?? "";
   const phase = async (name: string, isHot: boolean) => {
     const calls = await runOpenCallers({
--- a/test/soak/open_callers.ts
+++ b/test/soak/open_callers.ts
@@ -62,6 +62,7 @@
   at: number,
 ): Promise<OpenCall> {
   const random = xoroshiro128plus(seed * 1_000_003 + at);
+  // Neighbouring seeds draw similar first values.
   randomInt(random, 2);
   const kind = KINDS[randomInt(random, KINDS.length)] ?? CallKind.safe;
   const sentAtMs = performance.now();
--- a/test/soak/overloaded_host_test.ts
+++ b/test/soak/overloaded_host_test.ts
@@ -12,7 +12,7 @@
   runOpenCallers,
 } from "./open_callers.ts";
 import { findHeldRequests } from "./held_requests.ts";
-import { ProcessorLimit } from "./processor_limit.ts";
+import { callerHosts, limitHosts } from "./fleet.ts";
 import { isServed, type TestFleet, withFleet } from "./test_fleet.ts";
 
 /** Processor time of a host, in cores. */
@@ -49,13 +49,8 @@
 };
 
 async function playCrowd({ hosts: fleet }: TestFleet): Promise<Tries> {
-  const limit = new ProcessorLimit(
-    fleet.map(({ process: { pid } }) => ({ pid, share: HOST_SHARE })),
-  );
-  const hosts = fleet.map(({ process, callers }) => ({
-    name: process.name,
-    address: callers,
-  }));
+  const limit = limitHosts(fleet, HOST_SHARE);
+  const hosts = callerHosts(fleet);
   const hot = hosts[0]?.name ?? "";
   const shared = { hosts, seed: 1, requestsPerSecond: REQUESTS_PER_SECOND };
   const before = await runOpenCallers({ ...shared, forMs: BEFORE_MS });
@@ -79,13 +74,8 @@
 async function playKeptConnections(
   { hosts: fleet }: TestFleet,
 ): Promise<readonly CallResult[]> {
-  const limit = new ProcessorLimit(
-    fleet.map(({ process: { pid } }) => ({ pid, share: HOST_SHARE })),
-  );
-  const hosts = fleet.map(({ process, callers }) => ({
-    name: process.name,
-    address: callers,
-  }));
+  const limit = limitHosts(fleet, HOST_SHARE);
+  const hosts = callerHosts(fleet);
   const [first] = hosts;
   if (!first) throw new Error("The fleet has no hosts");
   const startedAt = performance.now();
