--- a/src/gateway/load/accept_queue.ts
+++ b/src/gateway/load/accept_queue.ts
@@ -7,6 +7,7 @@
  * until it is, at little cost, so that their callers turn to other hosts.
  */
 import type { Milliseconds } from "../../util/units.ts";
+import { IterationSpan } from "./iteration_span.ts";
 
 /** Connections may wait without a gap for this long, as in a burst. */
 const BURST_MS: Milliseconds = 500;
@@ -22,9 +23,7 @@
 /** Decides which of the connections that wait are served. */
 export class AcceptQueue {
   /** Time since the queue was empty. */
-  #filledMs: Milliseconds = 0;
-  /** The longest iteration in this time. */
-  #longestMs: Milliseconds = 0;
+  readonly #filled = new IterationSpan();
   #hasAccepted = false;
   #isShedding = false;
   #shedAt: Milliseconds = -Infinity;
@@ -48,22 +47,16 @@
     this.#iterationEndedAt = now;
     const isEmpty = !this.#hasAccepted;
     this.#hasAccepted = false;
-    if (isEmpty) return this.#noteEmpty();
-    this.#filledMs += lastedMs;
-    this.#longestMs = Math.max(this.#longestMs, lastedMs);
+    if (isEmpty) {
+      this.#filled.clear();
+      this.#isShedding = false;
+      return false;
+    }
+    this.#filled.add(lastedMs);
     const isRecent = now - this.#shedAt < RECENT_MS;
     const allowedMs = isRecent ? OVERLOAD_MS : BURST_MS;
-    // The longest iteration may be a pause of the process. What arrived in it is
-    // worked off afterwards, and doesn't show that more arrives than is served.
-    if (this.#filledMs - this.#longestMs > allowedMs) this.#isShedding = true;
+    if (this.#filled.lengthMs > allowedMs) this.#isShedding = true;
     if (this.#isShedding) this.#shedAt = now;
     return this.#isShedding;
   }
-
-  #noteEmpty(): false {
-    this.#filledMs = 0;
-    this.#longestMs = 0;
-    this.#isShedding = false;
-    return false;
-  }
 }
--- a/src/gateway/load/late_loop.ts
+++ b/src/gateway/load/late_loop.ts
@@ -4,6 +4,7 @@
  * them the times of all requests and the delays of all timers.
  */
 import type { Milliseconds } from "../../util/units.ts";
+import { IterationSpan } from "./iteration_span.ts";
 
 /**
  * A shorter iteration shows that the loop has caught up. Longer than the time
@@ -16,33 +17,24 @@
 /** Follows the iterations of an event loop. */
 export class LateLoop {
   /** Time since the last short iteration. */
-  #lateMs: Milliseconds = 0;
-  /** The longest iteration since then. */
-  #longestMs: Milliseconds = 0;
+  readonly #late = new IterationSpan();
 
   /**
    * Whether iterations have begun to stay long. Callers that are served then had
    * better send their next request to another host.
    */
   get isBehind(): boolean {
-    return this.#lateMs > this.#longestMs;
+    return this.#late.lengthMs > 0;
   }
 
   /** Whether the loop can't finish in time what it reads. */
   get isLate(): boolean {
-    // The longest iteration may be a pause of the process, after which the loop
-    // catches up.
-    return this.#lateMs - this.#longestMs > LATE_AFTER_MS;
+    return this.#late.lengthMs > LATE_AFTER_MS;
   }
 
   /** Notes the end of an iteration, and for how long it was busy. */
   iterationEnded(busyMs: Milliseconds): void {
-    if (busyMs < LONG_ITERATION_MS) {
-      this.#lateMs = 0;
-      this.#longestMs = 0;
-      return;
-    }
-    this.#lateMs += busyMs;
-    this.#longestMs = Math.max(this.#longestMs, busyMs);
+    if (busyMs < LONG_ITERATION_MS) return this.#late.clear();
+    this.#late.add(busyMs);
   }
 }
