--- a/src/gateway/load/iteration_meter.ts
+++ b/src/gateway/load/iteration_meter.ts
@@ -30,8 +30,7 @@
    * arrived before it began, so it has waited for this time at least.
    */
   get currentMs(): Milliseconds {
-    const idleMs = this.#loop.idleMs() - this.#idleMs;
-    return Math.max(0, this.#loop.now() - this.#endedAt - idleMs);
+    return this.#busySinceEnd(this.#loop.now(), this.#loop.idleMs());
   }
 
   /** Total time for which the loop has been busy. */
@@ -41,14 +40,20 @@
 
   /** Ends an iteration; returns for how long it was busy. */
   end(): Milliseconds {
-    const lastedMs = this.currentMs;
-    this.#endedAt = this.#loop.now();
-    this.#idleMs = this.#loop.idleMs();
+    const now = this.#loop.now();
+    const idleMs = this.#loop.idleMs();
+    const lastedMs = this.#busySinceEnd(now, idleMs);
+    this.#endedAt = now;
+    this.#idleMs = idleMs;
     this.#busyMs += lastedMs;
     this.#longestMs = Math.max(this.#longestMs, lastedMs);
     return lastedMs;
   }
 
+  #busySinceEnd(now: Milliseconds, idleMs: Milliseconds): Milliseconds {
+    return Math.max(0, now - this.#endedAt - (idleMs - this.#idleMs));
+  }
+
   /** The longest iteration since the last call. */
   takeLongestMs(): Milliseconds {
     const longestMs = Math.max(this.#longestMs, this.currentMs);
--- a/test/soak/hot_host_test.ts
+++ b/test/soak/hot_host_test.ts
@@ -7,6 +7,7 @@
 import { xoroshiro128plus } from "pure-rand";
 import type { CallResult } from "./call.ts";
 import { runCaller } from "./callers.ts";
+import { callerHosts } from "./fleet.ts";
 import { sleep } from "./sleep.ts";
 import {
   BUDGET_AGE_MS,
@@ -29,10 +30,7 @@
   results: CallResult[],
   isStopped: () => boolean,
 ): Promise<void>[] {
-  const hosts = fleet.map(({ process, callers }) => ({
-    name: process.name,
-    address: callers,
-  }));
+  const hosts = callerHosts(fleet);
   return Array.from({ length: CALLERS }, (_, at) =>
     runCaller({
       hosts,
--- a/test/soak/processor_limit_worker.ts
+++ b/test/soak/processor_limit_worker.ts
@@ -13,9 +13,9 @@
 };
 
 const limited: Limited[] = (workerData as readonly LimitedProcess[]).map(
-  (process) => ({
-    ...process,
-    usedBeforeMs: usedMs(process.pid),
+  (target) => ({
+    ...target,
+    usedBeforeMs: usedMs(target.pid),
     isStopped: false,
   }),
 );
@@ -49,11 +49,11 @@
 }
 
 /** What a process has used and not been allowed yet. */
-function spentMsOf(process: Limited): number {
-  const used = usedMs(process.pid);
+function spentMsOf(target: Limited): number {
+  const used = usedMs(target.pid);
   // The time of a thread that has ended is no longer counted.
-  process.usedBeforeMs = Math.min(process.usedBeforeMs, used);
-  return used - process.usedBeforeMs;
+  target.usedBeforeMs = Math.min(target.usedBeforeMs, used);
+  return used - target.usedBeforeMs;
 }
 
 function signal({ pid }: LimitedProcess, name: "SIGSTOP" | "SIGCONT"): void {
@@ -65,24 +65,24 @@
 }
 
 function startPeriod(): void {
-  for (const process of limited) {
+  for (const target of limited) {
     // What was used beyond the share counts in the next period.
-    const allowedMs = process.share * PERIOD_MS;
-    const spentMs = spentMsOf(process);
-    process.usedBeforeMs += Math.min(spentMs, allowedMs);
-    if (!process.isStopped || spentMs >= 2 * allowedMs) continue;
-    process.isStopped = false;
-    signal(process, "SIGCONT");
+    const allowedMs = target.share * PERIOD_MS;
+    const spentMs = spentMsOf(target);
+    target.usedBeforeMs += Math.min(spentMs, allowedMs);
+    if (!target.isStopped || spentMs >= 2 * allowedMs) continue;
+    target.isStopped = false;
+    signal(target, "SIGCONT");
   }
 }
 
 function stopSpent(): void {
-  for (const process of limited) {
-    if (process.isStopped) continue;
-    const spentMs = spentMsOf(process);
-    if (spentMs < process.share * PERIOD_MS) continue;
-    process.isStopped = true;
-    signal(process, "SIGSTOP");
+  for (const target of limited) {
+    if (target.isStopped) continue;
+    const spentMs = spentMsOf(target);
+    if (spentMs < target.share * PERIOD_MS) continue;
+    target.isStopped = true;
+    signal(target, "SIGSTOP");
   }
 }
 
@@ -91,6 +91,6 @@
 parentPort?.once("message", () => {
   clearInterval(periods);
   clearInterval(polls);
-  for (const process of limited) signal(process, "SIGCONT");
+  for (const target of limited) signal(target, "SIGCONT");
   parentPort?.close();
 });
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -5,7 +5,7 @@
 import { runCaller } from "./callers.ts";
 import { CRASHING_PREFIX } from "./checks.ts";
 import { CRASHING_PART_PREFIX } from "./crashing_parts.ts";
-import { type FleetHost, isInRotation } from "./fleet.ts";
+import { callerHosts, type FleetHost, isInRotation } from "./fleet.ts";
 import type { Schedule } from "./schedule.ts";
 
 /** Options of {@link startCallers}. */
@@ -32,10 +32,7 @@
   { hosts: fleet, hotHost, isStopped, onResult }: SoakCallerOptions,
 ): Promise<void>[] {
   const byName = new Map(fleet.map((host) => [host.process.name, host]));
-  const hosts = fleet.map(({ process, callers: address }) => ({
-    name: process.name,
-    address,
-  }));
+  const hosts = callerHosts(fleet);
   const isHostInRotation = (name: string) => {
     const host = byName.get(name);
     return host !== undefined && isInRotation(host);
