Review case 1: a request runs twice after a refusal that comes twice

Shown by review/1/run.sh: a decode replica refuses a request whose handle is gone and sends that refusal a second time, late. The gateway sends the request again over the same connection and takes the copy for the answer to it.

The stand-ins also end with their script now, however it ends.

--- a/review/lib/gateways.js
+++ b/review/lib/gateways.js
@@ -116,7 +116,10 @@
     child.stdout.pipe(this.#log, { end: false });
     child.stderr.pipe(this.#log, { end: false });
     this.#child = child;
+    const end = () => child.kill("SIGKILL");
+    process.on("exit", end);
     child.on("exit", (code, signal) => {
+      process.off("exit", end);
       if (this.#child !== child) return;
       this.#child = undefined;
       this.#exit = `it exited with ${code ?? signal}`;
--- a/review/lib/plain.js
+++ b/review/lib/plain.js
@@ -24,6 +24,7 @@
   async start() {
     const { record, onRun } = this.#options;
     this.#child = fork(PROGRAM, [this.id]);
+    process.on("exit", () => this.stop());
     const [{ address }] = await once(this.#child, "message");
     this.address = address;
     this.#child.on("message", ({ type, id }) => {
