Logs tell from what the software version of a resumed stream was found

Ruled out: a record of the wrong version at a keeper (source kept), a stale own record (own), a listing of both versions (state mixed).

--- a/src/gateway/observe/request_events.ts
+++ b/src/gateway/observe/request_events.ts
@@ -53,6 +53,11 @@
     "Nobody knows the software version that began a resumed stream",
     FAILURES_PER_SECOND,
   ),
+  streamVersionFound: info(
+    "streams",
+    "The software version that began a resumed stream was found",
+    REQUESTS_PER_SECOND,
+  ),
   resumed: warn(
     "retry",
     "A stream is resumed at another replica",
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -170,12 +170,19 @@
         }),
     });
     metrics.count(`stream_versions_${source}`);
-    if (binding.type === "unknown") {
-      events.note("streamVersionUnknown", {
-        service: stream.service,
-        stream: stream.id.slice(0, MAX_LOGGED_CHARS),
-        answered,
-      });
+    const state = this.#history.stateOf(stream.service, clock.now());
+    const fields = {
+      service: stream.service,
+      stream: stream.id.slice(0, MAX_LOGGED_CHARS),
+      answered,
+      state: state.type,
+      is_covered: state.type === "single" && state.isCovered,
+    };
+    if (binding.type === "unknown") events.note("streamVersionUnknown", fields);
+    else {
+      const { softwareVersion } = binding;
+      const found = { ...fields, source, software_version: softwareVersion };
+      events.note("streamVersionFound", found);
     }
     return binding;
   }
