A version is inferred only by hosts that know what came before their start

Cause: hosts that had just started took each other's responses for knowledge of the time before (inferVersion counted any response), and a host without known peers asked nobody. Evidence: 34 of 34 resumptions were inferred, is_covered false, two responses of hosts in the same state; no record was involved.

Change: host rows in the store report the versions that their writer knows; a host reads them at its start and carries them on in its own row. A response to a question says whether its host knows the whole window, and without such a host nothing is inferred.

Why it works: a version is in a row a second after it is first listed and stays there while its streams can be resumed, whatever becomes of the hosts. A service that always had one version is still inferred right after a start of all hosts.

The rig's host of stream_log_test is told that its fleet has no past.

--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -2,7 +2,8 @@
  * Rows of the store through which hosts discover each other. A host writes one
  * row for itself and its followers, so that the number of calls does not grow
  * with the number of hosts. The row also has the writer's records of requests
- * that crash replicas, for hosts that can reach the store but have no link.
+ * that crash replicas, for hosts that can reach the store but have no link, and
+ * the software versions that it knows, for hosts that start later.
  */
 import * as z from "zod";
 import type { Milliseconds } from "../../util/units.ts";
@@ -14,6 +15,12 @@
 } from "../crashes/crash_messages.ts";
 import type { CrashUpdate } from "../crashes/model.ts";
 import type { HostEntry, RowReading, Store } from "../port.ts";
+import {
+  encodeReport,
+  joinReports,
+  type VersionReport,
+  VersionReportSchema,
+} from "../streams/version_report.ts";
 import { HostEntrySchema } from "./host_schema.ts";
 
 const TABLE = "otterhill-hosts";
@@ -30,6 +37,7 @@
    */
   era: z.number().exactOptional(),
   crashes: CrashesSchema.exactOptional(),
+  versions: VersionReportSchema.exactOptional(),
 });
 type Row = z.output<typeof Row>;
 
@@ -39,6 +47,7 @@
   /** The writer and its followers. */
   readonly hosts: readonly HostEntry[];
   readonly crashes: CrashUpdate;
+  readonly versions: VersionReport;
   /** The store's era, if it is settled at the writer. */
   readonly era?: number | undefined;
 };
@@ -49,6 +58,7 @@
   readonly hosts: readonly HostEntry[];
   /** Crash records of each writer. */
   readonly crashes: readonly CrashUpdate[];
+  readonly versions: VersionReport;
   /**
    * The store's era, if it is settled at some writer or there are no rows yet.
    */
@@ -68,13 +78,19 @@
   return hostReading(await store.readRows(TABLE, signal), now());
 }
 
-/** Reads all rows, then writes one; returns what was read. */
+/**
+ * Reads all rows, then writes the one that `createRow` returns after it has
+ * received what was read. It replaces the row that this host wrote before it
+ * restarted, so it has to contain what is still needed of that.
+ */
 export async function exchangeRows(
   call: HostRowCall,
-  { writer, hosts, crashes, era }: HostRow,
-): Promise<HostReading> {
+  createRow: (reading: HostReading) => HostRow,
+): Promise<void> {
   const { store, signal, now } = call;
   const before = await store.readRows(TABLE, signal);
+  const row = createRow(hostReading(before, now()));
+  const { writer, hosts, crashes, versions, era } = row;
   const hasCrashes = crashes.records.length > 0;
   const value = JSON.stringify(
     {
@@ -82,10 +98,10 @@
       writtenMs: before.nowMs,
       ...(era === undefined ? {} : { era }),
       ...(hasCrashes ? { crashes: encodeCrashes(crashes, now()) } : {}),
+      versions: encodeReport(versions),
     } satisfies Row,
   );
   await store.writeRow({ table: TABLE, key: writer, value }, signal);
-  return hostReading(before, now());
 }
 
 function hostReading(reading: RowReading, now: Milliseconds): HostReading {
@@ -100,6 +116,7 @@
   return {
     hosts: liveHosts(reading),
     crashes,
+    versions: joinReports(reading, ROW_TTL_MS),
     settledEra: isSettled ? reading.era : undefined,
   };
 }
--- a/src/gateway/peers/peer_loop.ts
+++ b/src/gateway/peers/peer_loop.ts
@@ -7,9 +7,11 @@
 import type { Synchronizer } from "../state/synchronizer.ts";
 import { withTimeout } from "../state/with_timeout.ts";
 import type { HostDirectory } from "./directory.ts";
+import { contentOf } from "../streams/version_report.ts";
 import {
   exchangeRows,
   type HostReading,
+  type HostRow,
   type HostRowCall,
   readHosts,
 } from "./host_rows.ts";
@@ -65,7 +67,7 @@
  * unless the reader lists this host in its own row.
  */
 async function maintainRow(options: PeerLoopOptions): Promise<void> {
-  const { context: { clock, crashes, eras }, self } = options;
+  const { context: { clock, crashes, eras, streams }, self } = options;
   let written:
     | { readonly at: Milliseconds; readonly content: string }
     | undefined;
@@ -80,19 +82,28 @@
     const era = eras.isSettled(clock.now()) && eras.era > 0
       ? eras.era
       : undefined;
-    const content = [...hosts.map((host) => host.id), ...crashed, `era ${era}`]
-      .sort().join();
+    const createContent = () =>
+      [
+        ...hosts.map((host) => host.id),
+        ...crashed,
+        `era ${era}`,
+        contentOf(streams.report()),
+      ].sort().join();
+    let content = createContent();
     const isDue = written === undefined || content !== written.content ||
       clock.now() - written.at >= ROW_INTERVAL_MS;
     if (isDue && !options.isListedByReader()) {
-      const row = { writer: self.id, hosts, crashes: worst, era };
-      const reading = await callStore(
-        options,
-        "row",
-        (call) => exchangeRows(call, row),
-      );
-      if (reading) applyReading(options, reading);
-      written = reading ? { at: clock.now(), content } : undefined;
+      const createRow = (reading: HostReading): HostRow => {
+        applyReading(options, reading);
+        content = createContent();
+        const versions = streams.report();
+        return { writer: self.id, hosts, crashes: worst, versions, era };
+      };
+      const isWritten = await callStore(options, "row", async (call) => {
+        await exchangeRows(call, createRow);
+        return true;
+      });
+      written = isWritten ? { at: clock.now(), content } : undefined;
     }
     const isUpToDate = written !== undefined || options.isListedByReader();
     await sleep(clock, isUpToDate ? ROW_CHECK_INTERVAL_MS : ROW_RETRY_DELAY_MS);
@@ -114,7 +125,7 @@
 }
 
 function applyReading(
-  { context: { clock, crashes, eras }, directory }: PeerLoopOptions,
+  { context: { clock, crashes, eras, streams }, directory }: PeerLoopOptions,
   reading: HostReading,
 ): void {
   const { settledEra } = reading;
@@ -122,6 +133,7 @@
     eras.observe(positionOf(settledEra, 0), clock.now(), { isSettled: true });
   }
   directory.addFromStore(reading.hosts, clock.now());
+  streams.learn(reading.versions);
   for (const update of reading.crashes) {
     crashes.merge(update, CRASHES_FROM_ROWS);
   }
@@ -138,13 +150,17 @@
   );
 }
 
-/** Reads the hosts periodically, unless the reader of the hall reports them. */
+/**
+ * Reads the hosts periodically, unless the reader of the hall reports them. What
+ * the rows tell of software versions no other host reports.
+ */
 async function discoverHosts(options: PeerLoopOptions): Promise<void> {
-  const { context: { clock }, synchronizer } = options;
+  const { context: { clock, streams }, synchronizer } = options;
   const delays = [...STARTUP_DISCOVERY_DELAYS_MS];
   for (;;) {
     await sleep(clock, delays.shift() ?? DISCOVERY_INTERVAL_MS);
-    if (synchronizer.hasFreshReport(clock.now())) continue;
+    const isReported = synchronizer.hasFreshReport(clock.now());
+    if (isReported && streams.isCovered) continue;
     const reading = await callStore(options, "hosts", readHosts);
     if (reading) applyReading(options, reading);
   }
--- a/src/gateway/streams/keeper_messages.ts
+++ b/src/gateway/streams/keeper_messages.ts
@@ -62,6 +62,11 @@
     versions: z.array(Name.nullable()).readonly(),
     /** How long this host has known several; absent: it doesn't. */
     mixedForMs: z.number().min(0).exactOptional(),
+    /**
+     * Whether these are all versions of the time in which streams may be
+     * resumed. Absent: a build that doesn't tell.
+     */
+    isCovered: z.boolean().exactOptional(),
   }),
 ]);
 /** What a host knows of a stream, or of its service's versions. */
@@ -103,10 +108,12 @@
 export function encodeVersions(
   versions: readonly SoftwareVersion[],
   state: VersionState,
+  isCovered: boolean,
 ): AskResponse {
   return {
     type: "unknown",
     versions: versions.map((version) => version ?? null),
+    isCovered,
     ...(state.type === "mixed" ? { mixedForMs: Math.round(state.forMs) } : {}),
   };
 }
--- a/src/gateway/streams/keeper_server.ts
+++ b/src/gateway/streams/keeper_server.ts
@@ -30,6 +30,8 @@
 export type KeeperServerOptions = {
   readonly table: VersionTable;
   readonly history: VersionHistory;
+  /** False: other hosts may list versions that this one doesn't. */
+  readonly isListingFresh: () => boolean;
   readonly now: () => Milliseconds;
 };
 
@@ -76,14 +78,14 @@
   }
 
   #recordOf(stream: Extract<KeeperRequest, { type: "ask" }>): string {
-    const { table, history } = this.#options;
+    const { table, history, isListingFresh } = this.#options;
     const now = this.#options.now();
     const { service } = stream;
     const record = table.get(stream, now);
     const versions = history.versionsOf(service, now);
-    const response = record
-      ? encodeKnown(record)
-      : encodeVersions(versions, history.stateOf(service, now));
-    return JSON.stringify(response);
+    if (record) return JSON.stringify(encodeKnown(record));
+    const isCovered = isListingFresh() && history.isCovered(service, now);
+    const state = history.stateOf(service, now);
+    return JSON.stringify(encodeVersions(versions, state, isCovered));
   }
 }
--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -120,9 +120,10 @@
   if (!query.isListingFresh && !isEachHallHeard(query, answers)) {
     return undefined;
   }
-  // A version may have ended just before this host started.
-  const isUnheard = answers.length === 0 && query.asked.length > 0;
-  if (!state.isCovered && isUnheard) return undefined;
+  // A version may have ended just before this host started. Hosts that have
+  // just started, too, can't rule that out.
+  const isCovered = state.isCovered || answers.some(isFromCoveredHost);
+  if (!isCovered) return undefined;
   const others = answers.flatMap(({ response }) =>
     response.type === "unknown" ? response.versions : []
   );
@@ -132,6 +133,13 @@
   ]);
 }
 
+/** Whether a host knows all versions of the time in which streams are resumed. */
+function isFromCoveredHost({ response }: KeeperAnswer): boolean {
+  if (response.type === "known") return false;
+  // A host of a build that doesn't tell has mostly run for long.
+  return response.isCovered ?? response.versions.length > 0;
+}
+
 function mixedForMs({ response }: KeeperAnswer): Milliseconds {
   return response.type === "unknown" ? response.mixedForMs ?? 0 : 0;
 }
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -24,6 +24,7 @@
 import { RecordSender } from "./record_sender.ts";
 import { resolveVersion } from "./resolve_version.ts";
 import { VersionHistory } from "./version_history.ts";
+import type { VersionReport } from "./version_report.ts";
 import { VersionTable } from "./version_table.ts";
 
 export type { StreamKey, VersionBinding } from "./model.ts";
@@ -104,6 +105,7 @@
     this.server = new KeeperServer({
       table: this.#table,
       history: this.#history,
+      isListingFresh: () => this.#isListingFresh,
       now: clock.now,
     });
   }
@@ -151,6 +153,21 @@
     return this.#sendInTime(record);
   }
 
+  /** The versions that this host knows, for hosts that start later. */
+  report(): VersionReport {
+    return this.#history.report(this.#options.clock.now());
+  }
+
+  /** Adds what other hosts have reported before this host started. */
+  learn(report: VersionReport): void {
+    this.#history.learn(report, this.#options.clock.now());
+  }
+
+  /** Whether this host knows all versions of streams that can be resumed. */
+  get isCovered(): boolean {
+    return this.#history.isAllCovered(this.#options.clock.now());
+  }
+
   /** Finds the version that began a stream; never rejects. */
   async resolve(stream: StreamKey): Promise<VersionBinding> {
     const { clock, metrics, events } = this.#options;
--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -20,6 +20,7 @@
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 import { neverSuspended } from "../never_suspended.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
+import { singleHostStreams } from "../streams/single_host_streams.ts";
 
 function host(id: string, address = "127.0.0.1:1"): HostEntry {
   return { id, address, hall: "h" };
@@ -83,6 +84,7 @@
       random: () => 0,
       routes: new RouteTable(),
       crashes: emptyCrashWatch(),
+      streams: singleHostStreams(),
       eras: emptyStoreEras(),
       suspensions: neverSuspended(),
     } as unknown as GatewayContext,
--- a/test/gateway/peers/peer_loop_test.ts
+++ b/test/gateway/peers/peer_loop_test.ts
@@ -11,6 +11,7 @@
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 import { neverSuspended } from "../never_suspended.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
+import { singleHostStreams } from "../streams/single_host_streams.ts";
 
 /** The first delays of the loops while the store does not respond. */
 function firstDelays(routes: RouteTable): number[] {
@@ -26,6 +27,7 @@
       clock: { now: () => 0, after },
       routes,
       crashes: emptyCrashWatch(),
+      streams: singleHostStreams(),
       eras: emptyStoreEras(),
       suspensions: neverSuspended(),
     } as unknown as GatewayContext,
--- a/test/gateway/requests/stream_log_test.ts
+++ b/test/gateway/requests/stream_log_test.ts
@@ -35,6 +35,7 @@
     { answer: rest, softwareVersion: "v1" },
   ];
   await withRig({ route: ROUTE, replicas }, async (rig) => {
+    rig.context.streams.learn({ isCovered: true, versions: [] });
     const headers = { "last-event-id": "4", "x-resumes": "first" };
     await rig.call({ headers });
     const sent = { software_version: "v1", resumes: "first" };
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -37,6 +37,7 @@
 import { FleetTraffic } from "./fleet_traffic.ts";
 import { untilAborted } from "./until_aborted.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
+import { singleHostStreams } from "../streams/single_host_streams.ts";
 
 export type { FleetHost };
 
@@ -208,6 +209,7 @@
       metrics,
       events,
       crashes,
+      streams: singleHostStreams({ clock, replicas: replicaState.replicas }),
       ...replicaState,
       pool: { removeReplica: () => undefined },
     } as unknown as GatewayContext;
--- a/test/gateway/streams/keeper_call_test.ts
+++ b/test/gateway/streams/keeper_call_test.ts
@@ -50,8 +50,13 @@
 function createKeeper() {
   const table = new VersionTable();
   const history = new VersionHistory();
-  const options = { table, history, now: systemClock.now };
-  return { table, server: new KeeperServer(options) };
+  const server = new KeeperServer({
+    table,
+    history,
+    isListingFresh: () => true,
+    now: systemClock.now,
+  });
+  return { table, server };
 }
 
 test("a keeper that was sent a record responds with it", async () => {
--- a/test/gateway/streams/keeper_server_test.ts
+++ b/test/gateway/streams/keeper_server_test.ts
@@ -15,11 +15,18 @@
 function createServer() {
   const table = new VersionTable();
   const history = new VersionHistory();
-  const server = new KeeperServer({ table, history, now: () => 0 });
+  let isListingFresh = true;
+  const server = new KeeperServer({
+    table,
+    history,
+    isListingFresh: () => isListingFresh,
+    now: () => 0,
+  });
+  const setListingFresh = (isFresh: boolean) => isListingFresh = isFresh;
   const post = (message: unknown) => server.respond(JSON.stringify(message));
   const ask = (id: string, service = SERVICE) =>
     JSON.parse(post({ type: "ask", service, id }).body ?? "{}") as object;
-  return { table, history, server, post, ask };
+  return { table, history, server, setListingFresh, post, ask };
 }
 
 function keep(...records: readonly object[]) {
@@ -37,14 +44,30 @@
 test("without a record the versions of the service are told", () => {
   const { history, ask } = createServer();
   history.observe(listing(undefined), 0);
-  assert.deepEqual(ask("a"), { type: "unknown", versions: [null] });
+  const unknown = { type: "unknown", isCovered: false };
+  assert.deepEqual(ask("a"), { ...unknown, versions: [null] });
   history.observe(listing(undefined, "v1"), -30);
   const versions = [null, "v1"];
-  assert.deepEqual(ask("a"), { type: "unknown", versions, mixedForMs: 30 });
-  assert.deepEqual(ask("a", "other"), { type: "unknown", versions: [] });
+  assert.deepEqual(ask("a"), { ...unknown, versions, mixedForMs: 30 });
+  assert.deepEqual(ask("a", "other"), { ...unknown, versions: [] });
   assert.deepEqual([...history.services], [SERVICE]);
 });
 
+// Guards against a host that has just started and is taken for one that knows
+// which versions served before.
+test("a host says that its versions are all only if it knows the past and the present", () => {
+  const { history, ask, setListingFresh } = createServer();
+  const isCovered = () => (ask("a") as { isCovered: boolean }).isCovered;
+  history.observe(listing("v1"), 0);
+  assert.equal(isCovered(), false);
+  history.learn({ isCovered: false, versions: [] }, 0);
+  assert.equal(isCovered(), false);
+  history.learn({ isCovered: true, versions: [] }, 0);
+  assert.equal(isCovered(), true);
+  setListingFresh(false);
+  assert.equal(isCovered(), false);
+});
+
 test("malformed messages are rejected and nothing is stored", () => {
   const { table, post, server } = createServer();
   const long = "x".repeat(201);
--- a/test/gateway/streams/resolve_version_test.ts
+++ b/test/gateway/streams/resolve_version_test.ts
@@ -172,8 +172,21 @@
     (await resolve([], { stateOf, asked })).binding.type;
   assert.equal(await typeOf(HOSTS), "unknown");
   assert.equal(await typeOf(HOSTS.slice(0, 1)), "unknown");
-  // The only host of a fleet has nobody to ask.
-  assert.equal(await typeOf([]), "bound");
+  // Before the hosts are listed there is nobody to ask.
+  assert.equal(await typeOf([]), "unknown");
+});
+
+// Guards against streams that go on at another version after all hosts ended.
+test("hosts that have all just started infer nothing from each other", async () => {
+  const stateOf = (): VersionState => ({ ...SINGLE, isCovered: false });
+  const young = { ...versions("v1"), isCovered: false };
+  const old = { ...versions("v1"), isCovered: true };
+  const typeOf = async (...responses: AskResponse[]) =>
+    (await resolve(responses, { stateOf })).binding.type;
+  assert.equal(await typeOf(young, young), "unknown");
+  assert.equal(await typeOf(young, old), "bound");
+  const other = { ...versions("v0"), isCovered: false };
+  assert.equal(await typeOf(other, old), "unknown");
 });
 
 test("a host with an old listing infers only when all halls respond", async () => {
--- a/test/gateway/streams/stream_fleet.ts
+++ b/test/gateway/streams/stream_fleet.ts
@@ -10,13 +10,22 @@
   VersionBinding,
 } from "../../../src/gateway/streams/model.ts";
 import { StreamVersions } from "../../../src/gateway/streams/stream_versions.ts";
+import { contentOf } from "../../../src/gateway/streams/version_report.ts";
+import {
+  exchangeRows,
+  type HostRowCall,
+  readHosts,
+} from "../../../src/gateway/peers/host_rows.ts";
 import type { JsonClient } from "../../../src/gateway/upstreams/json_client.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { untilAborted } from "../state/until_aborted.ts";
+import { RowStore } from "./row_store.ts";
 
 const LATENCY_MS = 1;
 const MAINTAIN_INTERVAL_MS = 1000;
+/** Interval at which an unchanged row is written again. */
+const REPORT_INTERVAL_MS = 20_000;
 export const SERVICE = "service";
 /** Time for which clients of the tests may resume a stream. */
 export const STREAM_TTL_MS = 120_000;
@@ -38,6 +47,8 @@
   /** Its build has no records: it responds to any call with its state. */
   isOldBuild: boolean;
   runs: number;
+  /** The content of the row that it has written in this run. */
+  reported: { readonly content: string; readonly at: number } | undefined;
 };
 
 /** Replicas of the service, one of each version. */
@@ -64,6 +75,8 @@
   readonly messages: { readonly from: string; readonly body: string }[] = [];
   isCut: (from: StreamHost, to: StreamHost) => boolean = () => false;
   readonly #time = new VirtualTime();
+  /** The store that outlasts the hosts. */
+  readonly store = new RowStore(this.#time.clock);
 
   constructor(size: number, halls = 3) {
     const entries = Array.from({ length: size }, (_, at) => ({
@@ -107,9 +120,18 @@
   /** Restarts a host, which loses its state. */
   restart(host: StreamHost): void {
     host.runs += 1;
+    host.reported = undefined;
     host.metrics = new Metrics();
     host.streams = this.#createStreams(host);
     host.isAlive = true;
+    void this.#readReports(host);
+  }
+
+  /** Ends all hosts at once; they start again after `downMs`. */
+  async restartAll(downMs: number): Promise<void> {
+    for (const host of this.hosts) host.isAlive = false;
+    await this.run(downMs);
+    for (const host of this.hosts) this.restart(host);
   }
 
   /** Adds a host that all others know. */
@@ -122,15 +144,19 @@
   }
 
   /** Takes up a stream at a host, and runs until it is resolved. */
-  async resolve(host: StreamHost, key: StreamKey): Promise<VersionBinding> {
+  async resolve(
+    host: StreamHost,
+    key: StreamKey,
+    withinMs = 300,
+  ): Promise<VersionBinding> {
     let binding: VersionBinding | undefined;
     void host.streams.resolve(key).then((result) => binding = result);
     await this.run(0);
     await new Promise((resolve) => setImmediate(resolve));
-    for (let waitedMs = 0; !binding && waitedMs < 300; waitedMs += 5) {
+    for (let waitedMs = 0; !binding && waitedMs < withinMs; waitedMs += 5) {
       await this.run(5);
     }
-    if (!binding) throw new Error("The stream was not resolved in 300 ms");
+    if (!binding) throw new Error(`Not resolved within ${withinMs} ms`);
     return binding;
   }
 
@@ -148,14 +174,52 @@
     } as unknown as StreamHost;
     host.streams = this.#createStreams(host);
     this.hosts.push(host);
+    void this.#readReports(host);
     const maintain = () => {
-      if (host.isAlive) host.streams.maintain();
+      if (host.isAlive) {
+        host.streams.maintain();
+        void this.#writeReport(host);
+      }
       this.#time.clock.after(MAINTAIN_INTERVAL_MS, maintain);
     };
     maintain();
     return host;
   }
 
+  #rowCall(): HostRowCall {
+    return {
+      store: this.store.client as HostRowCall["store"],
+      now: () => this.now,
+      signal: AbortSignal.any([]),
+    };
+  }
+
+  /** Reads what hosts have reported, as a host does when it starts. */
+  async #readReports(host: StreamHost): Promise<void> {
+    const { versions } = await readHosts(this.#rowCall());
+    host.streams.learn(versions);
+  }
+
+  /** Writes the row of a host when its content has changed, or is old. */
+  async #writeReport(host: StreamHost): Promise<void> {
+    const { streams, entry } = host;
+    const content = contentOf(streams.report());
+    const { reported } = host;
+    const isDue = reported?.content !== content ||
+      this.now - reported.at >= REPORT_INTERVAL_MS;
+    if (!isDue) return;
+    host.reported = { content, at: this.now };
+    await exchangeRows(this.#rowCall(), (reading) => {
+      streams.learn(reading.versions);
+      return {
+        writer: entry.id,
+        hosts: [entry],
+        crashes: { origin: entry.id, records: [] } as never,
+        versions: streams.report(),
+      };
+    });
+  }
+
   #createStreams(host: StreamHost): StreamVersions {
     return new StreamVersions({
       self: { ...host.entry, run: String(host.runs) },
