Streams of a mixed service outlast all hosts in the store

What callers saw: two software versions serve side by side, all hosts are killed and start again; each stream that is taken up is rejected with stream_version_unknown, while new ones begin.

Cause: which version began a stream was known in the memory of hosts only, and with several versions nothing can be inferred.

Change: while a service has several versions, streams that have begun are sent in batches to one host, which writes them to the store twice a second at most, in rows of 200; rows are removed once they have expired. A host that finds no record and can't infer reads them. A stream is written only after its caller has the first event, when its version can't change any more.

Why it works: the store is the only thing that outlasts all hosts, and is read only where the stream would be rejected otherwise.

Ruled out: a row a host (calls grow with the hosts: 150 a second at 76), and asking replicas (a replica drops the run with its connection).

--- a/deploy/standins/store.ts
+++ b/deploy/standins/store.ts
@@ -207,18 +207,22 @@
   body: string,
   response: ServerResponse,
 ): void {
-  const { put: rows, IfRev } = JSON.parse(body) as {
+  const { put: rows, IfRev, Remove } = JSON.parse(body) as {
     put: StoredRow[];
     IfRev: StoredRow[];
+    Remove: StoredRow[];
   };
   const stale = IfRev.some((row) => {
     const stored = state.rows.get(`${row.table}/${row.PrivateKey}`);
-    return (stored?.ver ?? 0) !== row.ver;
+    return (stored?.gone ? 0 : stored?.ver ?? 0) !== row.ver;
   });
   if (stale) return send(response, 412, { Rows: [] });
   for (const { table, PrivateKey, Value } of rows) {
     write(state, { table, PrivateKey, ...(Value ? { Value } : {}) });
   }
+  for (const { table, PrivateKey } of Remove) {
+    write(state, { table, PrivateKey, gone: true });
+  }
   if (store.mode === StoreMode.responseLost) return;
   send(response, 200, { ver: state.ver, now_ms: performance.now() });
 }
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -24,7 +24,7 @@
 import { openLink } from "./peers/link.ts";
 import type { PeerConnections } from "./peers/peer_connections.ts";
 import { createPaths } from "./paths/create_paths.ts";
-import type { HostEntry, PlatformPort } from "./port.ts";
+import type { HostEntry, PlatformPort, Store } from "./port.ts";
 import { isReplicaAlive } from "./replicas/health_check.ts";
 import { createReplicaState } from "./replicas/create_replica_state.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
@@ -105,7 +105,7 @@
     limits,
     draining,
     gate,
-    streams: createStreamVersions(fleet, { ...shared, self }),
+    streams: createStreamVersions(fleet, port.store, { ...shared, self }),
     tuning: tuningOf(settings),
     hostCount: () => directory.count,
     stop: { graceMs: settings.grace },
@@ -148,6 +148,7 @@
 
 function createStreamVersions(
   { self: entry, directory, listingAgeMs }: FleetConnections,
+  store: Store,
   { self, clock, events, metrics, replicas, routes }: Pick<
     GatewayContext,
     "self" | "clock" | "events" | "metrics" | "replicas" | "routes"
@@ -164,6 +165,7 @@
     resumableForMs: (service) => windows.of(service),
     listingAgeMs,
     createClient: (address) => createJsonClient(address, clock),
+    store,
   });
 }
 
--- a/src/gateway/port.ts
+++ b/src/gateway/port.ts
@@ -225,6 +225,8 @@
   readRows(table: string, signal: AbortSignal): Promise<RowReading>;
   /** Writes a row; rejects if it is unknown whether the write was applied. */
   writeRow(write: RowWrite, signal: AbortSignal): Promise<RowWriteResult>;
+  /** Removes a row; rejects as {@link writeRow}. */
+  removeRow(removal: RowRemoval, signal: AbortSignal): Promise<RowWriteResult>;
 };
 
 /** A row that the gateway itself maintains. */
@@ -253,6 +255,9 @@
   readonly ifRevision?: number;
 };
 
+/** The removal of one row, under a precondition as in {@link RowWrite}. */
+export type RowRemoval = Pick<RowWrite, "table" | "key" | "ifRevision">;
+
 /** Result of a write. */
 export type RowWriteResult =
   | {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -236,7 +236,6 @@
       return this.#failUnknown(`Status ${status}`);
     }
     const outcome = await this.#relay(placed, answer);
-    if (this.#position.hasForwarded) this.#binding.noteForwarded();
     const isByReplica = !this.#ended && !this.#retryAcquired;
     const result = { placed, status, outcome, isByReplica };
     reportOutcome({ ...this.#state, ...this.#lane }, result);
@@ -260,6 +259,7 @@
       entry: placed.replica.entry,
       mayForward: this.#binding.mayBegin.then((may) => may && !this.#ended),
       abandonStalled: () => this.#abandonStalled(placed),
+      onFirstEvent: () => this.#binding.noteForwarded(),
       observer: this.#lane.meter.observer(),
     });
   }
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -140,6 +140,8 @@
   readonly mayForward: Promise<boolean>;
   /** Whether to abort a stalled stream, to resume it at another replica. */
   abandonStalled(): boolean;
+  /** Called before the first event of a stream is sent to the caller. */
+  onFirstEvent(): void;
 };
 
 /**
@@ -150,7 +152,7 @@
 async function relayEvents(
   answer: Answer,
   output: StreamOutput,
-  { position, clock, stallMs, abandonStalled, mayForward, begin }:
+  { position, clock, stallMs, abandonStalled, mayForward, begin, onFirstEvent }:
     & EventRelayOptions
     & { readonly begin: () => void },
 ): Promise<RelayOutcome> {
@@ -181,6 +183,7 @@
       if (lastId !== undefined || endsWithoutId) {
         position.endsWithoutId = endsWithoutId;
       }
+      if (!position.hasForwarded) onFirstEvent();
       position.hasForwarded = true;
       paced.write(bytes);
     },
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -33,6 +33,8 @@
   readonly mayForward: Promise<boolean>;
   /** Whether to abort a stalled stream, to resume it at another replica. */
   abandonStalled(): boolean;
+  /** As in {@link EventRelayOptions}. */
+  onFirstEvent(): void;
 };
 
 /** Forwards a response to the caller of a request. */
@@ -62,6 +64,7 @@
       stallMs: tuning.stallTimeoutMs,
       mayForward: relay.mayForward,
       abandonStalled: () => relay.abandonStalled(),
+      onFirstEvent: () => relay.onFirstEvent(),
     },
     pace: {
       clock,
--- a/src/gateway/requests/stream_binding.ts
+++ b/src/gateway/requests/stream_binding.ts
@@ -18,7 +18,10 @@
 const RETURN_MARGIN_MS: Milliseconds = 30_000;
 
 /** Records which software version began a stream, and finds it again. */
-export type StreamVersionSource = Pick<StreamVersions, "note" | "resolve">;
+export type StreamVersionSource = Pick<
+  StreamVersions,
+  "note" | "noteBegun" | "resolve"
+>;
 
 /** What a {@link StreamBinding} depends on. */
 export type BindingContext = Pick<GatewayContext, "clock"> & {
@@ -32,6 +35,8 @@
   /** The version of the replica that the request was sent to last. */
   #sentTo: RequiredVersion | undefined;
   #requiredVersion: RequiredVersion | undefined;
+  /** The stream as it was recorded at its last send; undefined: it was not. */
+  #recorded: StreamKey | undefined;
   #mayBegin: Promise<boolean> = Promise.resolve(true);
 
   constructor(
@@ -75,7 +80,8 @@
     if (!this.#isResumable || id === undefined) return;
     const { clock, streams } = this.#context;
     const ttlMs = Math.max(0, deadline - clock.now()) + RETURN_MARGIN_MS;
-    this.#mayBegin = streams.note(this.#keyOf(id), softwareVersion, ttlMs);
+    const key = this.#recorded = this.#keyOf(id);
+    this.#mayBegin = streams.note(key, softwareVersion, ttlMs);
   }
 
   /**
@@ -94,9 +100,10 @@
     return { service, id: customer ? `${customer.name} ${id}` : id };
   }
 
-  /** Binds the stream to the replica whose first bytes were forwarded. */
+  /** Binds the stream to the replica whose first event is being forwarded. */
   noteForwarded(): void {
     this.#requiredVersion ??= this.#sentTo;
+    if (this.#recorded) this.#context.streams.noteBegun(this.#recorded);
   }
 
   get #isResumable(): boolean {
--- a/src/gateway/streams/keeper_client.ts
+++ b/src/gateway/streams/keeper_client.ts
@@ -12,9 +12,10 @@
   encodeRecords,
   KEEPER_PATH,
   type KeeperRequest,
+  type RecordBatch,
 } from "./keeper_messages.ts";
 import { KEPT_STATUS } from "./keeper_server.ts";
-import type { StreamKey, StreamRecord } from "./model.ts";
+import type { StreamKey } from "./model.ts";
 
 /** Timeout of a call. A caller waits for it when its stream is taken up. */
 const CALL_TIMEOUT_MS = 250;
@@ -49,16 +50,9 @@
   }
 
   /** Sends records of one origin to a keeper; false: it may not have them. */
-  async send(
-    { address }: HostEntry,
-    origin: string,
-    records: readonly StreamRecord[],
-  ): Promise<boolean> {
+  async send({ address }: HostEntry, batch: RecordBatch): Promise<boolean> {
     const now = this.#options.clock.now();
-    const answer = await this.#call(
-      address,
-      encodeRecords(origin, records, now),
-    );
+    const answer = await this.#call(address, encodeRecords(batch, now));
     return answer?.status === KEPT_STATUS;
   }
 
--- a/src/gateway/streams/keeper_messages.ts
+++ b/src/gateway/streams/keeper_messages.ts
@@ -34,6 +34,8 @@
   /** The run of the host that made the records. */
   origin: Name,
   records: z.array(RecordMessage).max(MAX_BATCH_RECORDS).readonly(),
+  /** The records are to be written to the store, too. */
+  isArchived: z.boolean().exactOptional(),
 });
 const AskRequest = z.object({
   type: z.literal("ask"),
@@ -72,15 +74,23 @@
 /** What a host knows of a stream, or of its service's versions. */
 export type AskResponse = z.output<typeof AskResponseSchema>;
 
+/** Records of one origin. */
+export type RecordBatch = {
+  readonly origin: string;
+  readonly records: readonly StreamRecord[];
+  /** Whether the host that receives them writes them to the store, too. */
+  readonly isArchived?: boolean;
+};
+
 /** Encodes records of one origin. */
 export function encodeRecords(
-  origin: string,
-  records: readonly StreamRecord[],
+  { origin, records, isArchived = false }: RecordBatch,
   now: Milliseconds,
 ): KeeperRequest {
   return {
     type: "keep",
     origin,
+    ...(isArchived ? { isArchived } : {}),
     records: records.map(({ stream, softwareVersion, order, expiresAt }) => ({
       ...stream,
       ...(softwareVersion === undefined ? {} : { softwareVersion }),
--- a/src/gateway/streams/keeper_server.ts
+++ b/src/gateway/streams/keeper_server.ts
@@ -9,6 +9,7 @@
   type KeeperRequest,
   KeeperRequestSchema,
 } from "./keeper_messages.ts";
+import type { StreamRecord } from "./model.ts";
 import type { VersionHistory } from "./version_history.ts";
 import type { VersionTable } from "./version_table.ts";
 
@@ -30,6 +31,8 @@
 export type KeeperServerOptions = {
   readonly table: VersionTable;
   readonly history: VersionHistory;
+  /** Writes records to the store. */
+  readonly archive: (records: readonly StreamRecord[]) => void;
   /** False: other hosts may list versions that this one doesn't. */
   readonly isListingFresh: () => boolean;
   readonly now: () => Milliseconds;
@@ -71,9 +74,10 @@
       return { status: 200, body: this.#recordOf(request) };
     }
     const now = this.#options.now();
-    for (const record of decodeRecords(request, now)) {
-      this.#options.table.set(record, now);
-    }
+    const { table, archive } = this.#options;
+    const records = decodeRecords(request, now);
+    for (const record of records) table.set(record, now);
+    if (request.isArchived === true) archive(records);
     return { status: KEPT_STATUS };
   }
 
--- a/src/gateway/streams/keepers.ts
+++ b/src/gateway/streams/keepers.ts
@@ -17,6 +17,8 @@
 /** Number of hosts that are asked for a record, and how many of one hall. */
 const ASKED = 6;
 const ASKED_PER_HALL = 2;
+/** Number of hosts that may write the streams of a service to the store. */
+const WRITERS = 3;
 /**
  * Number of rankings. Streams share one, since ranking all hosts of a large
  * fleet for each stream costs more than sending its record.
@@ -66,17 +68,30 @@
    * none of them changes.
    */
   of(stream: StreamKey, hosts: readonly HostEntry[]): KeeperChoice {
-    if (hosts !== this.#hosts) {
-      this.#hosts = hosts;
-      this.#fleet = createFleet(this.#self, hosts);
-      this.#choices.clear();
-    }
+    this.#update(hosts);
     const ranking = rankingOf(stream);
     const choice = this.#choices.get(ranking) ??
       chooseKeepers(ranking, this.#fleet);
     this.#choices.set(ranking, choice);
     return choice;
   }
+
+  /**
+   * The hosts that write the streams of a service to the store, best first;
+   * this one may be among them.
+   */
+  writersOf(service: string, hosts: readonly HostEntry[]): HostEntry[] {
+    this.#update(hosts);
+    const ranked = rankHosts(rankingOf({ service, id: "" }), this.#fleet);
+    return takeSpread(ranked, { count: WRITERS, perHall: 1 });
+  }
+
+  #update(hosts: readonly HostEntry[]): void {
+    if (hosts === this.#hosts) return;
+    this.#hosts = hosts;
+    this.#fleet = createFleet(this.#self, hosts);
+    this.#choices.clear();
+  }
 }
 
 /**
@@ -85,10 +100,10 @@
  */
 export function chooseKeepers(
   ranking: number,
-  { self, byId, candidates }: RankedFleet,
+  fleet: RankedFleet,
 ): KeeperChoice {
-  const ranked = rendezvousBySeed(ranking, candidates)
-    .flatMap((id) => byId.get(id) ?? []);
+  const { self } = fleet;
+  const ranked = rankHosts(ranking, fleet);
   const others = ranked.filter((host) => host !== self);
   const keepers = takeSpread(others, { count: KEEPERS, perHall: 1 });
   // All hosts ask the same ones, whether or not they rank among them.
@@ -98,6 +113,14 @@
   return { keepers, spares, asked };
 }
 
+function rankHosts(
+  ranking: number,
+  { byId, candidates }: RankedFleet,
+): HostEntry[] {
+  return rendezvousBySeed(ranking, candidates)
+    .flatMap((id) => byId.get(id) ?? []);
+}
+
 /** Number of the ranking by which a stream's hosts are chosen. */
 function rankingOf({ service, id }: StreamKey): number {
   return murmurhash.v3(`${service}\n${id}`) % RANKINGS;
--- a/src/gateway/streams/model.ts
+++ b/src/gateway/streams/model.ts
@@ -26,6 +26,11 @@
    * a record of that. Only known at the origin.
    */
   readonly isContradicted?: boolean;
+  /**
+   * Its caller has received the first event, so its version won't change. Only
+   * known at the origin.
+   */
+  readonly hasBegun?: boolean;
   /** By the clock of the host that stores the record. */
   readonly expiresAt: Milliseconds;
 };
--- a/src/gateway/streams/record_sender.ts
+++ b/src/gateway/streams/record_sender.ts
@@ -123,7 +123,7 @@
     const records = batch.map(({ record }) => record)
       .filter((record) => this.#isCurrent(record, now));
     const isKept = records.length === 0 ||
-      await client.send(host, origin, records);
+      await client.send(host, { origin, records });
     metrics.count("stream_records_sent", isKept ? records.length : 0);
     for (const outgoing of batch) {
       if (isKept) outgoing.onResult(true);
--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -20,6 +20,8 @@
   kept: "kept",
   /** It may have begun at one version only. */
   inferred: "inferred",
+  /** A row of the store had it. */
+  archived: "archived",
   unknown: "unknown",
 } as const;
 /** One of the values of {@link VersionSource}. */
@@ -48,6 +50,8 @@
   readonly ask: (
     hosts: readonly HostEntry[],
   ) => Promise<readonly KeeperAnswer[]>;
+  /** Finds the version in the store. */
+  readonly findArchived: () => Promise<VersionChoice | undefined>;
 };
 
 /**
@@ -71,8 +75,12 @@
       : unknown(answered);
   }
   const inferred = inferVersion(query, answers);
-  return inferred
-    ? bound(inferred.softwareVersion, { source: "inferred", answered })
+  if (inferred) {
+    return bound(inferred.softwareVersion, { source: "inferred", answered });
+  }
+  const archived = await query.findArchived();
+  return archived
+    ? bound(archived.softwareVersion, { source: "archived", answered })
     : unknown(answered);
 }
 
@@ -156,7 +164,8 @@
   return asked.every(({ hall }) => hall === self.hall || heard.has(hall));
 }
 
-type VersionChoice = { readonly softwareVersion: SoftwareVersion };
+/** The version that is taken for a stream's. */
+export type VersionChoice = { readonly softwareVersion: SoftwareVersion };
 
 /** The only version among these; undefined if they are several. */
 function onlyOf(
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -10,6 +10,7 @@
 import type { HostEntry } from "../port.ts";
 import type { ReplicaTable } from "../replicas/replica_table.ts";
 import type { JsonClient } from "../upstreams/json_client.ts";
+import type { ArchiveStore } from "./archive_writer.ts";
 import { KeeperClient } from "./keeper_client.ts";
 import { KeeperServer } from "./keeper_server.ts";
 import { KeeperChooser } from "./keepers.ts";
@@ -23,6 +24,7 @@
 } from "./model.ts";
 import { RecordSender } from "./record_sender.ts";
 import { resolveVersion } from "./resolve_version.ts";
+import { StreamArchive } from "./stream_archive.ts";
 import { VersionHistory } from "./version_history.ts";
 import type { VersionReport } from "./version_report.ts";
 import { VersionTable } from "./version_table.ts";
@@ -70,6 +72,8 @@
   readonly listingAgeMs: () => Milliseconds;
   /** Creates an HTTP client for a peer's address. */
   readonly createClient: (address: string) => JsonClient;
+  /** Where streams are recorded that have to outlast all hosts. */
+  readonly store: ArchiveStore;
 };
 
 /** The versions of streams, as far as this host or its keepers know them. */
@@ -83,6 +87,7 @@
   readonly #chooser: KeeperChooser;
   readonly #client: KeeperClient;
   readonly #sender: RecordSender;
+  readonly #archive: StreamArchive;
   /** Services whose records are sent to keepers. */
   readonly #sharedServices = new Set<string>();
   #observedAt: Milliseconds = -Infinity;
@@ -102,9 +107,16 @@
       chooseKeepers: (stream) => this.#chooser.of(stream, hosts()),
       isReplaced: (record) => this.#table.isReplaced(record),
     });
+    this.#archive = new StreamArchive({
+      ...options,
+      origin: this.#origin,
+      client: this.#client,
+      chooseWriters: (service) => this.#chooser.writersOf(service, hosts()),
+    });
     this.server = new KeeperServer({
       table: this.#table,
       history: this.#history,
+      archive: (records) => this.#archive.write(records),
       isListingFresh: () => this.#isListingFresh,
       now: clock.now,
     });
@@ -144,6 +156,7 @@
       origin: this.#origin,
       order: this.#order,
       isContradicted: this.#isContradicted(stream, softwareVersion),
+      hasBegun: this.#table.get(stream, now)?.hasBegun === true,
       expiresAt: now + boundedTtlMs,
     };
     // Before the record is set, so that it is not sent with the backlog, too.
@@ -153,6 +166,19 @@
     return this.#sendInTime(record);
   }
 
+  /**
+   * Records that the caller of a stream has received its first event, after
+   * which its version doesn't change.
+   */
+  noteBegun(stream: StreamKey): void {
+    const now = this.#options.clock.now();
+    const record = this.#table.get(stream, now);
+    if (record?.origin !== this.#origin || record.hasBegun) return;
+    const begun = { ...record, hasBegun: true };
+    this.#table.set(begun, now);
+    this.#archive.record(begun);
+  }
+
   /** The versions that this host knows, for hosts that start later. */
   report(): VersionReport {
     return this.#history.report(this.#options.clock.now());
@@ -185,6 +211,7 @@
           stream: isRecordable(stream) ? stream : { ...stream, id: NO_STREAM },
           isKnown: record !== undefined,
         }),
+      findArchived: () => this.#archive.find(stream),
     });
     metrics.count(`stream_versions_${source}`);
     const state = this.#history.stateOf(stream.service, clock.now());
@@ -208,6 +235,7 @@
   maintain(): void {
     const { clock, hosts } = this.#options;
     this.#observe(clock.now());
+    this.#archive.maintain();
     this.#client.retain(hosts());
   }
 
@@ -226,9 +254,23 @@
     this.#history.observe(this.#options.replicas.entries(), now);
     for (const service of this.#history.services) {
       this.#updateShared(service, now);
+      this.#updateArchived(service, now);
     }
   }
 
+  /** Starts or stops recording the streams of a service in the store. */
+  #updateArchived(service: string, now: Milliseconds): void {
+    const origin = this.#origin;
+    const isMixed = this.#history.stateOf(service, now).type === "mixed";
+    this.#archive.setRecorded(
+      service,
+      isMixed,
+      () =>
+        this.#table.recordsOf({ service, origin }, now)
+          .filter(({ hasBegun }) => hasBegun),
+    );
+  }
+
   /** Starts or stops sending the records of a service to keepers. */
   #updateShared(service: string, now: Milliseconds): void {
     const state = this.#history.stateOf(service, now);
--- a/test/gateway/requests/relay_rig.ts
+++ b/test/gateway/requests/relay_rig.ts
@@ -111,6 +111,7 @@
     observer: meter.observer(),
     entry: {} as ReplicaEntry,
     abandonStalled,
+    onFirstEvent: () => undefined,
     mayForward: options.mayForward ?? Promise.resolve(true),
   });
   const relayed = outcome.then((outcome) => {
--- a/test/gateway/requests/stream_rig.ts
+++ b/test/gateway/requests/stream_rig.ts
@@ -82,6 +82,7 @@
 /** A source that resolves all streams to `binding` and records its calls. */
 export function streamSource(binding: VersionBinding) {
   const notes: Note[] = [];
+  const begun: StreamKey[] = [];
   const resolved: StreamKey[] = [];
   const source: StreamVersionSource = {
     note: (stream, softwareVersion, ttlMs) => {
@@ -92,12 +93,13 @@
       });
       return Promise.resolve(true);
     },
+    noteBegun: (stream) => void begun.push(stream),
     resolve: (stream) => {
       resolved.push(stream);
       return Promise.resolve(binding);
     },
   };
-  return { source, notes, resolved };
+  return { source, notes, begun, resolved };
 }
 
 /** The binding to a version. */
--- a/test/gateway/stages/stages_test.ts
+++ b/test/gateway/stages/stages_test.ts
@@ -168,6 +168,7 @@
     readReplicas: never,
     watchReplicas: never,
     readConfig: never,
+    removeRow: never,
     watchConfig: never,
     readRows: () =>
       Promise.resolve({ rows: [...rows.values()], nowMs: state.now }),
--- a/test/gateway/state/fleet_store.ts
+++ b/test/gateway/state/fleet_store.ts
@@ -11,6 +11,7 @@
   StoreRow,
 } from "../../../src/gateway/mod.ts";
 
+import { rowsOfTable } from "./rows_of_table.ts";
 import { untilAborted } from "./until_aborted.ts";
 
 const STORE_LATENCY_MS = 2;
@@ -201,18 +202,18 @@
           value: () =>
             this.#lacksPosition(from) ? {} : this.#reading(from.revision),
         }),
-      readRows: (_table, signal) =>
-        respond(
-          "rows",
-          signal,
-          () => ({ rows: [...this.#rows.values()], ...timed() }),
-        ),
-      writeRow: ({ key, value }, signal) =>
+      readRows: (table, signal) =>
+        respond("rows", signal, () => ({
+          rows: rowsOfTable(this.#rows, table),
+          ...timed(),
+        })),
+      writeRow: ({ table, key, value }, signal) =>
         respond("row", signal, () => {
-          this.#revision += 1;
-          this.#rows.set(key, { key, value, revision: this.#revision });
+          const revision = this.#revision += 1;
+          this.#rows.set(`${table}/${key}`, { key, value, revision });
           return { type: "written", ...timed() };
         }),
+      removeRow: () => Promise.reject(new Error("Not used")),
     };
   }
 
--- a/test/gateway/streams/keeper_call_test.ts
+++ b/test/gateway/streams/keeper_call_test.ts
@@ -21,6 +21,7 @@
   order: 1,
   expiresAt: systemClock.now() + 60_000,
 };
+const BATCH = { origin: "h@1", records: [RECORD] };
 
 const QUESTION = { stream: RECORD.stream, isKnown: false };
 
@@ -53,6 +54,7 @@
   const server = new KeeperServer({
     table,
     history,
+    archive: () => undefined,
     isListingFresh: () => true,
     now: systemClock.now,
   });
@@ -64,7 +66,7 @@
   const accept: RequestListener = (request, response) =>
     server.accept(request, response);
   await withServer(accept, async (host, client) => {
-    assert.equal(await client.send(host, "h@1", [RECORD]), true);
+    assert.equal(await client.send(host, BATCH), true);
     const [answer] = await client.ask([host], QUESTION);
     assert.deepEqual(answer?.response, {
       type: "known",
@@ -81,7 +83,7 @@
     response.end('{"hosts":[],"version":1}');
   };
   await withServer(state, async (host, client) => {
-    assert.equal(await client.send(host, "h@1", [RECORD]), false);
+    assert.equal(await client.send(host, BATCH), false);
     assert.deepEqual(await client.ask([host], QUESTION), []);
   });
 });
--- a/test/gateway/streams/keeper_server_test.ts
+++ b/test/gateway/streams/keeper_server_test.ts
@@ -15,10 +15,13 @@
 function createServer() {
   const table = new VersionTable();
   const history = new VersionHistory();
+  const archived: string[] = [];
   let isListingFresh = true;
   const server = new KeeperServer({
     table,
     history,
+    archive: (records) =>
+      void archived.push(...records.map(({ stream }) => stream.id)),
     isListingFresh: () => isListingFresh,
     now: () => 0,
   });
@@ -26,7 +29,7 @@
   const post = (message: unknown) => server.respond(JSON.stringify(message));
   const ask = (id: string, service = SERVICE) =>
     JSON.parse(post({ type: "ask", service, id }).body ?? "{}") as object;
-  return { table, history, server, setListingFresh, post, ask };
+  return { table, history, server, archived, setListingFresh, post, ask };
 }
 
 function keep(...records: readonly object[]) {
@@ -68,6 +71,14 @@
   assert.equal(isCovered(), false);
 });
 
+test("records are passed on to the store only where their sender asks for it", () => {
+  const { archived, post } = createServer();
+  post(keep(RECORD));
+  assert.deepEqual(archived, []);
+  post({ ...keep(RECORD), isArchived: true });
+  assert.deepEqual(archived, ["a"]);
+});
+
 test("malformed messages are rejected and nothing is stored", () => {
   const { table, post, server } = createServer();
   const long = "x".repeat(201);
--- a/test/gateway/streams/resolve_version_test.ts
+++ b/test/gateway/streams/resolve_version_test.ts
@@ -56,6 +56,7 @@
     isListingFresh: true,
     asked: HOSTS,
     ask: () => Promise.resolve(answers),
+    findArchived: () => Promise.resolve(undefined),
     ...change,
   });
 }
@@ -189,6 +190,18 @@
   assert.equal(await typeOf(other, old), "unknown");
 });
 
+test("a stream that no host knows is bound as the store says", async () => {
+  const archived = { softwareVersion: "v2" };
+  const findArchived = () => Promise.resolve(archived);
+  const found = await resolve([NONE], { findArchived });
+  assert.deepEqual(found.binding, { type: "bound", softwareVersion: "v2" });
+  assert.equal(found.source, "archived");
+  // Records that contradict each other are not overruled.
+  const contradicted = [known("v1"), known("v2", { origin: "h8@1" })];
+  const unknown = await resolve(contradicted, { findArchived });
+  assert.equal(unknown.binding.type, "unknown");
+});
+
 test("a host with an old listing infers only when all halls respond", async () => {
   const change = { stateOf: () => SINGLE, isListingFresh: false };
   const typeOf = async (responses: readonly (AskResponse | null)[]) =>
--- a/test/gateway/streams/row_store.ts
+++ b/test/gateway/streams/row_store.ts
@@ -1,10 +1,7 @@
 /** The rows of a store in virtual time, with conditional writes. */
 import type { Clock } from "../../../src/gateway/clock.ts";
-import type {
-  RowWriteResult,
-  Store,
-  StoreRow,
-} from "../../../src/gateway/mod.ts";
+import type { RowWriteResult, StoreRow } from "../../../src/gateway/mod.ts";
+import type { ArchiveStore } from "../../../src/gateway/streams/archive_writer.ts";
 import { untilAborted } from "../state/until_aborted.ts";
 
 const RESPONSE_MS = 2;
@@ -36,7 +33,7 @@
   }
 
   /** The store as a host sees it. */
-  readonly client: Pick<Store, "readRows" | "writeRow"> = {
+  readonly client: ArchiveStore = {
     readRows: (table, signal) => {
       return this.#respond(signal, () => ({
         rows: this.rowsOf(table),
@@ -50,6 +47,11 @@
         rows.set(key, { key, value, revision: this.#revision });
       });
     },
+    removeRow: ({ table, key, ifRevision }, signal) => {
+      return this.#change(signal, { table, key, ifRevision }, (rows) => {
+        rows.delete(key);
+      });
+    },
   };
 
   #tableOf(table: string): Map<string, StoreRow> {
--- a/test/gateway/streams/single_host_streams.ts
+++ b/test/gateway/streams/single_host_streams.ts
@@ -21,6 +21,12 @@
     createClient: () => {
       throw new Error("unexpected call: the fleet has a single host");
     },
+    store: {
+      readRows: () => Promise.resolve({ rows: [], nowMs: 0 }),
+      writeRow: () =>
+        Promise.resolve({ type: "written", revision: 1, nowMs: 0 }),
+      removeRow: () => Promise.resolve({ type: "conflict" }),
+    },
     ...options,
   });
 }
--- a/test/gateway/streams/stream_fleet.ts
+++ b/test/gateway/streams/stream_fleet.ts
@@ -231,6 +231,7 @@
       resumableForMs: () => STREAM_TTL_MS,
       listingAgeMs: () => host.listingAgeMs,
       createClient: (address) => this.#clientOf(host, address),
+      store: this.store.client,
     });
   }
 
--- a/test/soak/restarted_fleet_test.ts
+++ b/test/soak/restarted_fleet_test.ts
@@ -140,6 +140,24 @@
   });
 });
 
+const SIDE_BY_SIDE =
+  "streams of two versions side by side go on after all hosts were killed";
+test(SIDE_BY_SIDE, knownRed(SIDE_BY_SIDE), async () => {
+  await withFleet(async (fleet) => {
+    await addNextVersion(fleet);
+    const streams = await beginStreams(fleet);
+    await sleep(RUNNING_MS);
+    await restart(fleet.hosts, fleet.world.version);
+    const { broken, resumed } = await resume(fleet, streams);
+    assert.ok(resumed.length >= MIN_RESUMPTIONS, `${resumed.length}`);
+    assert.deepEqual(findMixedStreams([...broken, ...resumed]), []);
+    const wentOn = resumed.filter(hasEvents).length;
+    const ratio = `${wentOn} of ${resumed.length}`;
+    // All hosts and all replicas serve, so that each new stream begins.
+    assert.ok(wentOn >= resumed.length / 2, ratio);
+  });
+});
+
 const ONE_VERSION =
   "streams of the only version go on after all hosts were killed";
 test(ONE_VERSION, knownRed(ONE_VERSION), async () => {
