No connection carries the same request to a replica twice

Cause: a refusal (the export is gone) that a faulty replica sends twice. The request goes to the same replica again, over the connection that has just become idle; the late copy has its id and is taken for its answer, "has not run", while the replica works on it.

Change: the agents keep connections apart by the number of earlier sends of the same request to the replica.

Why it works: an id tells responses apart on a connection only if it comes there once; now it does, by construction, for prefills, runs and retries, direct and through other hosts. Closing the connection after each refusal would have cost a new one for each.

Test: repeated_responses_test, red before: request-1 ran twice.

--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -17,6 +17,7 @@
   type CallOutcome,
   NotSentCause,
 } from "../upstreams/call.ts";
+import { countSend } from "./replica_sends.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** Node.js accepts lower status codes in a response, but does not send them. */
@@ -100,6 +101,7 @@
   context.gate.noteSend(replica.entry);
   const call = context.pool.send({
     entry: replica.entry,
+    earlierSends: countSend(request, replica.entry.incarnation),
     isRepeatable,
     method: request.method,
     path: request.target,
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -7,12 +7,14 @@
   type ClientRequest,
   type IncomingMessage,
   request,
+  type RequestOptions,
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Milliseconds } from "../../util/units.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
 import { BodyEnding, Framing, framingOf } from "./framing.ts";
+import type { PooledRequestOptions } from "./keep_alive_agent.ts";
 import { isRefusal } from "./probe.ts";
 
 /**
@@ -34,6 +36,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly agent: Agent;
+  /** As in {@link PooledRequestOptions}. */
+  readonly earlierSends?: number;
   readonly clock: Clock;
   readonly connectTimeoutMs: Milliseconds;
   /**
@@ -51,6 +55,11 @@
   readonly framing: Framing;
   /** The other end of the connection: the replica, or a peer on the way to it. */
   readonly remoteAddress: string;
+  /**
+   * The connection has carried another request, whose response may have come
+   * twice.
+   */
+  readonly isReused: boolean;
   /** How the body ended; valid once the message is closed. */
   ending(): BodyEnding;
 };
@@ -139,7 +148,10 @@
   const outcome = new Promise<CallOutcome>((resolve) => {
     settle = resolve;
     clientRequest.on("response", (message) => {
-      const answer = answerOf(message, options, () => hasFailed);
+      const answer = answerOf(message, options, {
+        isReused: clientRequest.reusedSocket,
+        hasFailed: () => hasFailed,
+      });
       resolve({ type: "answer", answer });
     });
     clientRequest.on("error", (error) => {
@@ -168,7 +180,10 @@
 function answerOf(
   message: IncomingMessage,
   { method, address, remoteAddressOf }: CallOptions,
-  hasFailed: () => boolean,
+  { isReused, hasFailed }: {
+    readonly isReused: boolean;
+    readonly hasFailed: () => boolean;
+  },
 ): Answer {
   // Prevents an uncaught error; the reader of the body checks its ending.
   message.on("error", () => undefined);
@@ -182,7 +197,7 @@
       : BodyEnding.complete;
   };
   const remoteAddress = remoteAddressOf?.(message.socket) ?? address;
-  return { message, framing, remoteAddress, ending };
+  return { message, framing, remoteAddress, isReused, ending };
 }
 
 /**
@@ -193,18 +208,20 @@
   options: CallOptions,
   { host, port }: { readonly host: string; readonly port: number },
 ): ClientRequest | undefined {
-  const { method, path, agent } = options;
+  const { method, path, agent, earlierSends = 0 } = options;
   const headers = withFraming(options) as unknown as Record<string, string>;
+  const pooled: RequestOptions & PooledRequestOptions = {
+    host,
+    port,
+    method,
+    path,
+    headers,
+    agent,
+    setHost: false,
+    earlierSends,
+  };
   try {
-    return request({
-      host,
-      port,
-      method,
-      path,
-      headers,
-      agent,
-      setHost: false,
-    });
+    return request(pooled);
   } catch {
     return undefined;
   }
--- a/src/gateway/upstreams/keep_alive_agent.ts
+++ b/src/gateway/upstreams/keep_alive_agent.ts
@@ -19,6 +19,17 @@
   _httpMessage?: { res?: IncomingMessage };
 };
 
+/** Options of a request that a {@link KeepAliveAgent} sends. */
+export type PooledRequestOptions = {
+  /**
+   * Number of earlier sends of the same request to this replica. Sends with
+   * different numbers never share a connection: a replica may respond twice, and
+   * on one connection the late copy of an earlier response would have the same
+   * id as the response that is awaited.
+   */
+  readonly earlierSends?: number;
+};
+
 /** An agent whose idle timeout is shorter than that of the replica. */
 export class KeepAliveAgent extends Agent {
   readonly #connect: Connect;
@@ -33,6 +44,13 @@
     this.#connect = connect;
   }
 
+  override getName(
+    options?: Parameters<Agent["getName"]>[0] & PooledRequestOptions,
+  ): string {
+    const earlierSends = options?.earlierSends ?? 0;
+    return `${super.getName(options)}:${earlierSends}`;
+  }
+
   override createConnection(options: ClientRequestArgs): Duplex | undefined {
     return this.#connect(options as TcpNetConnectOpts);
   }
--- a/test/gateway/requests/relay_rig.ts
+++ b/test/gateway/requests/relay_rig.ts
@@ -142,6 +142,7 @@
     message: message as IncomingMessage,
     framing: isUnframed ? Framing.connection : Framing.chunked,
     remoteAddress: "127.0.0.1:1",
+    isReused: false,
     ending: () => ending,
   };
 }
--- /dev/null
+++ b/test/gateway/requests/repeated_responses_test.ts
@@ -0,0 +1,90 @@
+/**
+ * Guards against a second copy of a response that is taken for the response to
+ * a later request: a request ran at two replicas.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ReplicaStage, RouteKind } from "../../../src/gateway/mod.ts";
+import {
+  chunk,
+  chunkedHeaders,
+  completeResponse,
+  type RawAnswer,
+  type RawRequest,
+} from "../raw_replica.ts";
+import { ENGINE, type Rig, withRig } from "../rig.ts";
+import { answersEngineCalls, isHostCall } from "./notice_rig.ts";
+
+/** The delay of a copy, which arrives while the next request runs. */
+const COPY_MS = 40;
+const RUN_MS = 150;
+const BUDGET = { ratio: 0, extra: 1000 };
+
+function refusal(id: string | undefined): string {
+  return [
+    "HTTP/1.1 503 Service Unavailable",
+    "x-not-run: 1",
+    ...(id === undefined ? [] : [`x-id: ${id}`]),
+    "content-length: 0",
+    "",
+    "",
+  ].join("\r\n");
+}
+
+const streams: RawAnswer = (request, socket) => {
+  setTimeout(
+    () =>
+      socket.write(chunkedHeaders(request) + chunk("id: 1\n\n") + chunk("")),
+    RUN_MS,
+  );
+};
+
+/** Refuses requests with an export, twice, and runs the others. */
+const refusesExports: RawAnswer = answersEngineCalls((request, socket) => {
+  if (!request.headers.has("x-export")) return streams(request, socket);
+  const text = refusal(request.headers.get("x-id"));
+  socket.write(text);
+  setTimeout(() => socket.write(text), COPY_MS);
+});
+
+const prefills: RawAnswer = answersEngineCalls((request, socket) => {
+  socket.write(completeResponse(request, '{"export":"e"}'));
+});
+
+/** Whether a replica worked on a request. */
+const isRun = (request: RawRequest) =>
+  !isHostCall(request) && !request.headers.has("x-export");
+
+/** Number of runs of each request at all decode replicas. */
+function countRuns({ replicas }: Rig): Map<string, number> {
+  const runs = new Map<string, number>();
+  for (const { requests } of replicas.slice(1)) {
+    for (const request of requests.filter(isRun)) {
+      const id = request.headers.get("x-id") ?? "";
+      runs.set(id, (runs.get(id) ?? 0) + 1);
+    }
+  }
+  return runs;
+}
+
+test("the second copy of a refusal is not taken for the response to the next send of its request", async () => {
+  const decode = { answer: refusesExports, stage: ReplicaStage.decode };
+  await withRig({
+    engine: ENGINE,
+    budget: BUDGET,
+    route: { kind: RouteKind.streaming, attempts: 1 },
+    replicas: [
+      { answer: prefills, stage: ReplicaStage.prefill },
+      decode,
+      decode,
+    ],
+  }, async (rig) => {
+    for (let count = 1; count <= 5; count++) {
+      const id = `request-${count}`;
+      const headers = { "x-tokens": "10,10" };
+      const { status } = await rig.call({ id, headers });
+      assert.equal(status, 200);
+      assert.equal(countRuns(rig).get(id), 1, id);
+    }
+  });
+});
