An error without an id proves nothing on a connection that carried another request

The second copy of an error without an id, late, counted as the answer to the next request on its connection: a 503 with the not-run header made the gateway send a request that was at work to a second replica.

Cause: errors without an id were accepted wherever they arrived. They are accepted now on a connection that has carried no other request, where they can only belong to this one; elsewhere the outcome is unknown.

Test: repeated_responses_test, red before (503 in place of 502).

--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -183,7 +183,7 @@
   const now = context.clock.now();
   const status = message.statusCode ?? 0;
   const facts = context.dialect.readAnswer(status, message.headers);
-  const isMatching = isAnswerTo(request, status, facts.id);
+  const isMatching = isAnswerTo(request, status, { ...facts, ...answer });
   if (!facts.misdirected) {
     const { incarnation } = replica.entry;
     const answered = { sentAt, request: request.facts.id };
@@ -287,16 +287,20 @@
 }
 
 /**
- * Whether a response belongs to the request; errors may lack the id. One with
- * an invalid status belongs to none.
+ * Whether a response belongs to the request. Errors may lack the id; on a
+ * connection that has carried another request, such an error may be the second
+ * copy of that one's response. One with an invalid status belongs to none.
  */
 function isAnswerTo(
   request: GatewayRequest,
   status: number,
-  id: string | undefined,
+  { id, isReused }: {
+    readonly id?: string;
+    readonly isReused: boolean;
+  },
 ): boolean {
   if (status < MIN_STATUS) return false;
-  if (id === undefined) return status >= 400;
+  if (id === undefined) return status >= 400 && !isReused;
   return id === request.facts.id;
 }
 
--- a/test/gateway/requests/repeated_responses_test.ts
+++ b/test/gateway/requests/repeated_responses_test.ts
@@ -88,3 +88,35 @@
     }
   });
 });
+
+test("a refusal without an id is proof of nothing on a connection that carried another request", async () => {
+  // The first request is answered, and refused by what comes later.
+  const answersTwice: RawAnswer = (request, socket) => {
+    if (request.number > 1) return;
+    socket.write(completeResponse(request, "first"));
+    setTimeout(() => socket.write(refusal(undefined)), COPY_MS);
+  };
+  const healthy: RawAnswer = (request, socket) => {
+    socket.write(completeResponse(request, "other"));
+  };
+  await withRig({
+    budget: BUDGET,
+    route: { kind: RouteKind.unsafe, attempts: 2 },
+    replicas: [{ answer: answersTwice }],
+  }, async (rig) => {
+    assert.equal((await rig.call({ id: "1" })).status, 200);
+    assert.equal((await rig.call({ id: "2" })).status, 502);
+  });
+  // On a new connection it can only belong to the request.
+  const refuses: RawAnswer = (_, socket) =>
+    void socket.write(refusal(undefined));
+  await withRig({
+    budget: BUDGET,
+    route: { kind: RouteKind.unsafe, attempts: 2 },
+    replicas: [{ answer: refuses }, { answer: healthy }],
+  }, async (rig) => {
+    for (let count = 1; count <= 4; count++) {
+      assert.equal((await rig.call({ id: `${count}` })).status, 200);
+    }
+  });
+});
