What replicas send without end is read up to a bound

Cause: empty lines and informational responses before a head, bodies that are discarded, and an event of a resumable stream were read, and the event held, as long as bytes came.

Why it works: these are all places where a response is read without being passed on; buffered and control responses had bounds already, and Node.js bounds heads, chunk extensions and trailers (tested).

--- a/src/gateway/requests/event_splitter.ts
+++ b/src/gateway/requests/event_splitter.ts
@@ -21,6 +21,12 @@
 export class EventSplitter {
   /** Parts of the incomplete event at the end. */
   #buffered: Buffer[] = [];
+  #bufferedBytes = 0;
+
+  /** Number of bytes of the incomplete event at the end. */
+  get remainingBytes(): number {
+    return this.#bufferedBytes;
+  }
 
   /** Bytes of the incomplete event at the end. */
   get remainder(): Buffer {
@@ -37,6 +43,7 @@
   ): CompleteEvents | undefined {
     if (endInPart === undefined) {
       this.#buffered.push(part);
+      this.#bufferedBytes += part.length;
       return undefined;
     }
     const end = part.subarray(0, endInPart);
@@ -44,6 +51,7 @@
       ? end
       : Buffer.concat([...this.#buffered, end]);
     this.#buffered = endInPart < part.length ? [part.subarray(endInPart)] : [];
+    this.#bufferedBytes = part.length - endInPart;
     const idAt = lastIdAt(bytes);
     const lastId = idAt < 0 ? undefined : idOf(bytes, idAt);
     return { bytes, lastId, endsWithoutId: hasDataBehind(bytes, idAt) };
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -27,6 +27,7 @@
 import { StreamBinding } from "./stream_binding.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
 import type { Answer } from "../upstreams/call.ts";
+import { discardBody } from "../upstreams/discard_body.ts";
 import { reportOutcome } from "./report_outcome.ts";
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
 import { AbortReason, type Sending, type SendResult } from "./sender.ts";
@@ -228,7 +229,7 @@
     const { headersSent } = this.#writer;
     const failed = status >= 500 || (headersSent && status !== 200);
     if (failed && this.#attempts.acquireErrorRetry(placed, status)) {
-      answer.message.resume();
+      discardBody(answer, this.#context.clock);
       return this.#lane.meter.complete(status);
     }
     if (failed && headersSent) {
--- a/src/gateway/requests/failed_send.ts
+++ b/src/gateway/requests/failed_send.ts
@@ -1,4 +1,6 @@
 /** Records a send to a replica that brought no response. */
+import type { Clock } from "../clock.ts";
+import { discardBody } from "../upstreams/discard_body.ts";
 import type { Attempt, RaceOutcome } from "./attempt_race.ts";
 import type { Attempts } from "./attempts.ts";
 import type { LaneAttempt } from "./second_attempt.ts";
@@ -31,13 +33,13 @@
 
 /** Records an attempt that failed while another one of the request goes on. */
 export function noteFailedAttempt(
-  attempts: Attempts,
+  { attempts, clock }: { readonly attempts: Attempts; readonly clock: Clock },
   { attempt: { placed, placer, meter }, result }: RaceOutcome<LaneAttempt>,
 ): void {
   switch (result.type) {
     case "answer": {
       const { message } = result.answer;
-      message.resume();
+      discardBody(result.answer, clock);
       meter.complete(message.statusCode ?? 0);
       return attempts.exclude(placed.replica.entry.incarnation);
     }
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -9,6 +9,7 @@
 import { isRestarted } from "../replicas/is_restarted.ts";
 import type { Replica } from "../replicas/replica.ts";
 import { readBody } from "../upstreams/call.ts";
+import { discardBody } from "../upstreams/discard_body.ts";
 import { callEngine } from "../upstreams/engine_call.ts";
 import { Framing } from "../upstreams/framing.ts";
 import { Timing } from "../observe/metrics.ts";
@@ -179,7 +180,7 @@
       this.dropExport({ replica, id });
       return undefined;
     }
-    if (result.type === "answer") result.answer.message.resume();
+    if (result.type === "answer") discardBody(result.answer, clock);
     if (this.#ended) return undefined;
     const isBackoff = result.type === "notRun" && result.isBackoff;
     const isLocal = result.type !== "answer" && result.isLocal;
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -24,6 +24,11 @@
 
 /** Responses up to this size are buffered until they are complete. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
+/**
+ * A stream whose event is larger is broken off: a replica in trouble may send
+ * bytes without end, and an event is held until it is complete.
+ */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** Options of {@link relayAnswer}. */
 export type AnswerRelayOptions = {
@@ -193,6 +198,7 @@
     data: (bytes) => {
       stallTimer.restart();
       const complete = splitter.push(bytes, scanner.endInPart);
+      if (splitter.remainingBytes > MAX_EVENT_BYTES) message.destroy();
       if (!complete) return;
       hasEvents = true;
       held.push(complete);
--- a/src/gateway/requests/second_attempt.ts
+++ b/src/gateway/requests/second_attempt.ts
@@ -58,7 +58,8 @@
     first,
     secondAfterMs: afterMs,
     startSecond: () => startSecond(options, first.placed),
-    onFailed: (outcome) => noteFailedAttempt(attempts, outcome),
+    onFailed: (outcome) =>
+      noteFailedAttempt({ attempts, clock: context.clock }, outcome),
   });
   void race.outcome.then(({ attempt }) => {
     if (attempt !== first) context.metrics.count("second_attempts_won");
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -18,6 +18,7 @@
   NotSentCause,
 } from "../upstreams/call.ts";
 import { countSend } from "./replica_sends.ts";
+import { discardBody } from "../upstreams/discard_body.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** Node.js accepts lower status codes in a response, but does not send them. */
@@ -202,7 +203,7 @@
     return { type: "unknown", reason, isLocal: false };
   }
   if (facts.notRun) {
-    message.resume();
+    discardBody(answer, context.clock);
     if (facts.misdirected) replica.noteFailure(now, true);
     const rejected = !facts.misdirected;
     const reason = `Status ${status}`;
@@ -219,7 +220,7 @@
     };
   }
   if (NOT_RUN_STATUSES.has(status)) {
-    message.resume();
+    discardBody(answer, context.clock);
     return { type: "unknown", reason: `Status ${status}`, isLocal: false };
   }
   if (status < 500) replica.noteSuccess();
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -25,6 +25,12 @@
  */
 const STALE_CONNECTION_MS = 10;
 
+/**
+ * Bytes up to the end of a response's head, with all informational responses
+ * before it. Node.js bounds the head alone.
+ */
+const MAX_HEAD_BYTES = 64 * 1024;
+
 const CLOSED = "Connection closed before a response";
 
 /** Options of {@link startCall}. */
@@ -123,8 +129,8 @@
   let isWithheld = false;
   const startedAt = options.clock.now();
   const broken = (reason: string) => {
-    const isEarly = options.clock.now() - startedAt < STALE_CONNECTION_MS;
-    const isStale = isEarly && clientRequest.reusedSocket;
+    const isStale = clientRequest.reusedSocket &&
+      options.clock.now() - startedAt < STALE_CONNECTION_MS;
     return { type: "broken", reason, isAborted, isStale } as const;
   };
   let settle: (outcome: CallOutcome) => void = () => undefined;
@@ -148,18 +154,15 @@
   const outcome = new Promise<CallOutcome>((resolve) => {
     settle = resolve;
     clientRequest.on("response", (message) => {
-      const answer = answerOf(message, options, {
-        isReused: clientRequest.reusedSocket,
-        hasFailed: () => hasFailed,
-      });
-      resolve({ type: "answer", answer });
+      const isReused = clientRequest.reusedSocket;
+      const connection = { isReused, hasFailed: () => hasFailed };
+      resolve(answered(message, options, connection));
     });
     clientRequest.on("error", (error) => {
       hasFailed = true;
       cancelTimer();
-      const { message } = error;
-      if (isConnected) resolve(broken(message));
-      else resolve(notSent(message, { isWithheld, error }));
+      if (isConnected) resolve(broken(error.message));
+      else resolve(notSent(error.message, { isWithheld, error }));
     });
     clientRequest.on("close", () => {
       cancelTimer();
@@ -177,14 +180,14 @@
   };
 }
 
-function answerOf(
+function answered(
   message: IncomingMessage,
   { method, address, remoteAddressOf }: CallOptions,
   { isReused, hasFailed }: {
     readonly isReused: boolean;
     readonly hasFailed: () => boolean;
   },
-): Answer {
+): CallOutcome {
   // Prevents an uncaught error; the reader of the body checks its ending.
   message.on("error", () => undefined);
   const framing = framingOf(message, method);
@@ -197,7 +200,8 @@
       : BodyEnding.complete;
   };
   const remoteAddress = remoteAddressOf?.(message.socket) ?? address;
-  return { message, framing, remoteAddress, isReused, ending };
+  const answer = { message, framing, remoteAddress, isReused, ending };
+  return { type: "answer", answer };
 }
 
 /**
@@ -221,7 +225,9 @@
     earlierSends,
   };
   try {
-    return request(pooled);
+    const clientRequest = request(pooled);
+    limitHead(clientRequest);
+    return clientRequest;
   } catch {
     return undefined;
   }
@@ -249,6 +255,26 @@
   });
 }
 
+/** Closes the connection when too many bytes arrive that are no response. */
+function limitHead(clientRequest: ClientRequest): void {
+  let length = 0;
+  let hasResponse = false;
+  const count = (chunk: Buffer) => {
+    length += chunk.length;
+    if (hasResponse || length <= MAX_HEAD_BYTES) return;
+    clientRequest.destroy(new Error("Response head too long"));
+  };
+  clientRequest.on("socket", (socket) => {
+    const stop = () => {
+      hasResponse = true;
+      socket.off("data", count);
+    };
+    socket.on("data", count);
+    clientRequest.once("response", stop);
+    clientRequest.once("close", stop);
+  });
+}
+
 function notSent(
   reason: string,
   { isWithheld, error }: {
