Tests of repeated responses send their copies while the request runs

The copies came a fixed time after the first response; on a busy machine the next request came later than that and the tests didn't show the fault (one failed beside the other tests of requests: the copy had arrived on the idle connection, where it is dropped). They are sent when the next request arrives now, so the verdict depends on no time.

--- a/test/gateway/requests/repeated_responses_test.ts
+++ b/test/gateway/requests/repeated_responses_test.ts
@@ -3,6 +3,7 @@
  * a later request: a request ran at two replicas.
  */
 import assert from "node:assert/strict";
+import type { Socket } from "node:net";
 import { test } from "node:test";
 import { ReplicaStage, RouteKind } from "../../../src/gateway/mod.ts";
 import {
@@ -15,8 +16,6 @@
 import { ENGINE, type Rig, withRig } from "../rig.ts";
 import { answersEngineCalls, isHostCall } from "./notice_rig.ts";
 
-/** The delay of a copy, which arrives while the next request runs. */
-const COPY_MS = 40;
 const RUN_MS = 150;
 const BUDGET = { ratio: 0, extra: 1000 };
 
@@ -39,13 +38,22 @@
   );
 };
 
-/** Refuses requests with an export, twice, and runs the others. */
-const refusesExports: RawAnswer = answersEngineCalls((request, socket) => {
-  if (!request.headers.has("x-export")) return streams(request, socket);
-  const text = refusal(request.headers.get("x-id"));
-  socket.write(text);
-  setTimeout(() => socket.write(text), COPY_MS);
-});
+/**
+ * Refuses requests with an export and runs the others. While it runs one that it
+ * has refused, it sends the refusal again.
+ */
+function refusesExports(): RawAnswer {
+  const refused = new Map<string, Socket>();
+  return answersEngineCalls((request, socket) => {
+    const id = request.headers.get("x-id") ?? "";
+    if (request.headers.has("x-export")) {
+      refused.set(id, socket);
+      return void socket.write(refusal(id));
+    }
+    refused.get(id)?.write(refusal(id));
+    streams(request, socket);
+  });
+}
 
 const prefills: RawAnswer = answersEngineCalls((request, socket) => {
   socket.write(completeResponse(request, '{"export":"e"}'));
@@ -68,15 +76,18 @@
 }
 
 test("the second copy of a refusal is not taken for the response to the next send of its request", async () => {
-  const decode = { answer: refusesExports, stage: ReplicaStage.decode };
+  const decode = () => ({
+    answer: refusesExports(),
+    stage: ReplicaStage.decode,
+  });
   await withRig({
     engine: ENGINE,
     budget: BUDGET,
     route: { kind: RouteKind.streaming, attempts: 1 },
     replicas: [
       { answer: prefills, stage: ReplicaStage.prefill },
-      decode,
-      decode,
+      decode(),
+      decode(),
     ],
   }, async (rig) => {
     for (let count = 1; count <= 5; count++) {
@@ -90,11 +101,12 @@
 });
 
 test("a refusal without an id is proof of nothing on a connection that carried another request", async () => {
-  // The first request is answered, and refused by what comes later.
+  // What comes after the second request may belong to the first one.
   const answersTwice: RawAnswer = (request, socket) => {
-    if (request.number > 1) return;
-    socket.write(completeResponse(request, "first"));
-    setTimeout(() => socket.write(refusal(undefined)), COPY_MS);
+    const text = request.number === 1
+      ? completeResponse(request, "first")
+      : refusal(undefined);
+    socket.write(text);
   };
   const healthy: RawAnswer = (request, socket) => {
     socket.write(completeResponse(request, "other"));
