--- a/src/gateway/streams/archive_writer.ts
+++ b/src/gateway/streams/archive_writer.ts
@@ -109,8 +109,10 @@
     const { clock } = this.#options;
     const now = clock.now();
     for (const archive of this.#services.values()) {
-      const { row } = archive;
-      if (row.streams.size > 0 && lastExpiryOf(row.streams) <= now) {
+      const { row, isScheduled } = archive;
+      // A write may be in progress.
+      if (isScheduled || row.streams.size === 0) continue;
+      if (lastExpiryOf(row.streams) <= now) {
         this.#closeRow(archive, row.revision);
       }
     }
@@ -126,7 +128,7 @@
     const archive = {
       service,
       waiting: new Map(),
-      row: this.#createRow(service),
+      row: this.#createRow(),
       isScheduled: false,
       nextWriteAt: 0,
     };
@@ -134,9 +136,10 @@
     return archive;
   }
 
-  #createRow(service: string): OpenRow {
+  /** Keys have a limited length, and names of services may not. */
+  #createRow(): OpenRow {
     this.#rowCount += 1;
-    const key = `${service}/${this.#options.origin}/${this.#rowCount}`;
+    const key = `${this.#options.origin}/${this.#rowCount}`;
     return { key, revision: 0, streams: new Map() };
   }
 
@@ -199,7 +202,7 @@
     const { key, streams } = archive.row;
     const expiresAt = lastExpiryOf(streams);
     if (revision !== 0) this.#fullRows.push({ key, revision, expiresAt });
-    archive.row = this.#createRow(archive.service);
+    archive.row = this.#createRow();
   }
 
   /**
