Hosts of a young fleet send the records of their streams to keepers again

What callers saw: in a fleet younger than a minute, a second version appears and hosts are killed right then; streams that clients take up are rejected.

A host that had read the reports of earlier hosts counted as one that knows the window, and so sent no records while the service had one version. But the version before a transition is inferred only by hosts that have seen the window themselves, so nothing covered the moment until the records were sent after all. Evidence: the hosts' logs, 15 streams unknown in a mixed service with one to three responses, none of them found.

Change: records are sent unless the host has seen the window itself, as before.

Test: restarted_fleet_test, red before (unknown in place of v1).

--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -274,8 +274,10 @@
   /** Starts or stops sending the records of a service to keepers. */
   #updateShared(service: string, now: Milliseconds): void {
     const state = this.#history.stateOf(service, now);
-    const isSingle = state.type === "single" && state.isCovered &&
-      this.#isListingFresh;
+    // A host that has not seen the window itself can't infer the version before
+    // a transition, so others need the records of its streams by then.
+    const isSingle = state.type === "single" && this.#isListingFresh &&
+      this.#history.hasSeenWindow(service, now);
     if (isSingle || state.type === "none") {
       this.#sharedServices.delete(service);
       return;
--- a/src/gateway/streams/version_history.ts
+++ b/src/gateway/streams/version_history.ts
@@ -107,7 +107,7 @@
     if (this.#isPastKnown) return true;
     if (this.#startedAt === undefined) return false;
     const services = [...this.#services.keys()];
-    return services.every((service) => this.#hasSeenWindow(service, now));
+    return services.every((service) => this.hasSeenWindow(service, now));
   }
 
   /**
@@ -115,7 +115,7 @@
    * listings itself, or others have reported what came before.
    */
   isCovered(service: string, now: Milliseconds): boolean {
-    return this.#isPastKnown || this.#hasSeenWindow(service, now);
+    return this.#isPastKnown || this.hasSeenWindow(service, now);
   }
 
   /**
@@ -197,13 +197,13 @@
     const history = this.#historyOf(service);
     history.mixedSince = now;
     // What others report may lack the last moments before they ended.
-    if (known.length === 1 && this.#hasSeenWindow(service, now)) {
+    if (known.length === 1 && this.hasSeenWindow(service, now)) {
       history.before = { softwareVersion: known[0] };
     } else delete history.before;
   }
 
   /** Whether this host has seen the listings of the whole window. */
-  #hasSeenWindow(service: string, now: Milliseconds): boolean {
+  hasSeenWindow(service: string, now: Milliseconds): boolean {
     const observedMs = now - (this.#startedAt ?? now);
     return observedMs >= this.#windowOf(service);
   }
--- a/test/gateway/streams/restarted_fleet_test.ts
+++ b/test/gateway/streams/restarted_fleet_test.ts
@@ -104,6 +104,22 @@
   }
 });
 
+// Guards against streams that nobody knows when a host ends just as a second
+// version appears, and the fleet is younger than the window.
+test("streams of a young fleet are known when their host ends as a second version appears", async () => {
+  const fleet = new StreamFleet(9);
+  fleet.list("v1");
+  await fleet.run(5000);
+  const origin = fleet.host(0);
+  void origin.streams.note(stream("a"), "v1", STREAM_TTL_MS);
+  await fleet.run(ARCHIVED_MS);
+  origin.isAlive = false;
+  fleet.list("v1", "v2");
+  await fleet.run(ARCHIVED_MS);
+  const binding = await fleet.resolve(fleet.host(5), stream("a"));
+  assert.deepEqual(binding, bound("v1"));
+});
+
 test("streams of versions side by side are known after all hosts ended", async () => {
   for (const [size, halls] of [[1, 1], [3, 3], [9, 3], [30, 5]]) {
     const fleet = await mixedFleet(size, halls);
