Logs tell whose response a replica's rejection was

Needed to tell the hypotheses of the incident apart: the connection of a rejection or of a response that was dropped, how many calls that connection had carried, and whether the response named the request. New event `rejected`, more fields in `crossed`, and otterhill_responses_crossed_total.

What a connection has carried is recorded where each call gets its connection (carried_calls.ts); no decision uses it yet. Opening a request and the rule on whose a response is are modules of their own now, otherwise unchanged.

--- a/src/gateway/observe/request_events.ts
+++ b/src/gateway/observe/request_events.ts
@@ -98,6 +98,11 @@
     "A request could not be read",
     FAILURES_PER_SECOND,
   ),
+  rejected: info(
+    "requests",
+    "A replica rejected a request without running it",
+    FAILURES_PER_SECOND,
+  ),
   crossed: warn(
     "requests",
     "A response to another request was received and dropped",
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -1,8 +1,9 @@
 /** Sends a request to a replica and reports whether it may have run. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
-import type { CallMetadata } from "../port.ts";
+import type { AnswerMetadata, CallMetadata } from "../port.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
+import type { EventFields } from "../observe/event_log.ts";
 import type { BrokenSendDetails } from "../crashes/broken_sends.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Replica } from "../replicas/replica.ts";
@@ -19,11 +20,9 @@
 } from "../upstreams/call.ts";
 import { countSend } from "./replica_sends.ts";
 import { discardBody } from "../upstreams/discard_body.ts";
+import { isOwnResponse } from "../upstreams/own_response.ts";
 import type { GatewayRequest } from "./request.ts";
 
-/** Node.js accepts lower status codes in a response, but does not send them. */
-const MIN_STATUS = 100;
-
 /**
  * Statuses that usually mean that the request did not run. Unless the replica
  * states so explicitly, the outcome is treated as unknown.
@@ -106,6 +105,7 @@
     isRepeatable,
     method: request.method,
     path: request.target,
+    id: request.facts.id,
     headers: context.dialect.callHeaders(request.rawHeaders, {
       ...headers,
       ...(request.customer ? { customer: request.customer.name } : {}),
@@ -184,7 +184,8 @@
   const now = context.clock.now();
   const status = message.statusCode ?? 0;
   const facts = context.dialect.readAnswer(status, message.headers);
-  const isMatching = isAnswerTo(request, status, { ...facts, ...answer });
+  const origin = { status, ...facts, isReused: answer.isReused };
+  const isMatching = isOwnResponse(request.facts.id, origin);
   if (!facts.misdirected) {
     const { incarnation } = replica.entry;
     const answered = { sentAt, request: request.facts.id };
@@ -194,9 +195,9 @@
   }
   if (!isMatching) {
     call.abort("An answer to another request");
+    context.metrics.count("responses_crossed");
     context.events.note("crossed", {
-      request: request.facts.id,
-      replica: replica.entry.incarnation,
+      ...responseFields(request, replica, answer),
       answer_to: facts.id,
     });
     const reason = "An answer to another request";
@@ -204,20 +205,12 @@
   }
   if (facts.notRun) {
     discardBody(answer, context.clock);
+    context.events.note("rejected", {
+      ...responseFields(request, replica, answer),
+      names_request: facts.id !== undefined,
+    });
     if (facts.misdirected) replica.noteFailure(now, true);
-    const rejected = !facts.misdirected;
-    const reason = `Status ${status}`;
-    const { backoff } = facts;
-    const isBackoff = rejected && backoff.type === "backoff" &&
-      backoff.forMs > 0;
-    return {
-      type: "notRun",
-      reason,
-      rejected,
-      arrived: true,
-      isBackoff,
-      isLocal: false,
-    };
+    return rejectedResult(status, facts);
   }
   if (NOT_RUN_STATUSES.has(status)) {
     discardBody(answer, context.clock);
@@ -228,6 +221,38 @@
   return { type: "answer", answer };
 }
 
+/** The replica responded that the request did not run. */
+function rejectedResult(
+  status: number,
+  { misdirected, backoff }: AnswerMetadata,
+): SendResult {
+  const rejected = !misdirected;
+  const isBackoff = rejected && backoff.type === "backoff" && backoff.forMs > 0;
+  return {
+    type: "notRun",
+    reason: `Status ${status}`,
+    rejected,
+    arrived: true,
+    isBackoff,
+    isLocal: false,
+  };
+}
+
+/** What tells whose response it is: its connection, and what that carried. */
+function responseFields(
+  { facts }: GatewayRequest,
+  { entry }: Replica,
+  { message, carried }: Answer,
+): EventFields {
+  return {
+    request: facts.id,
+    replica: entry.incarnation,
+    status: message.statusCode,
+    connection: carried.connection,
+    carried: carried.count,
+  };
+}
+
 /** Handles a call that was sent, but not answered. */
 function brokenResult(
   context: GatewayContext,
@@ -287,24 +312,6 @@
   crashes.noteBrokenSend(entry, { fingerprints, ...send });
 }
 
-/**
- * Whether a response belongs to the request. Errors may lack the id; on a
- * connection that has carried another request, such an error may be the second
- * copy of that one's response. One with an invalid status belongs to none.
- */
-function isAnswerTo(
-  request: GatewayRequest,
-  status: number,
-  { id, isReused }: {
-    readonly id?: string;
-    readonly isReused: boolean;
-  },
-): boolean {
-  if (status < MIN_STATUS) return false;
-  if (id === undefined) return status >= 400 && !isReused;
-  return id === request.facts.id;
-}
-
 function noteFailure(
   context: GatewayContext,
   replica: Replica,
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -2,19 +2,18 @@
  * One HTTP call to an upstream replica. The outcome states whether the request
  * may have run.
  */
-import {
-  type Agent,
-  type ClientRequest,
-  type IncomingMessage,
-  request,
-  type RequestOptions,
-} from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { Milliseconds } from "../../util/units.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
+import type { CarriedCalls } from "./carried_calls.ts";
 import { BodyEnding, Framing, framingOf } from "./framing.ts";
-import type { PooledRequestOptions } from "./keep_alive_agent.ts";
+import {
+  type OpenRequest,
+  openRequest,
+  type ReplicaRequest,
+} from "./open_request.ts";
 import { isRefusal } from "./probe.ts";
 
 /**
@@ -25,25 +24,10 @@
  */
 const STALE_CONNECTION_MS = 10;
 
-/**
- * Bytes up to the end of a response's head, with all informational responses
- * before it. Node.js bounds the head alone.
- */
-const MAX_HEAD_BYTES = 64 * 1024;
-
 const CLOSED = "Connection closed before a response";
 
 /** Options of {@link startCall}. */
-export type CallOptions = {
-  readonly address: string;
-  readonly method: string;
-  readonly path: string;
-  /** Alternating names and values. */
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-  readonly agent: Agent;
-  /** As in {@link PooledRequestOptions}. */
-  readonly earlierSends?: number;
+export type CallOptions = ReplicaRequest & {
   readonly clock: Clock;
   readonly connectTimeoutMs: Milliseconds;
   /**
@@ -66,6 +50,8 @@
    * twice.
    */
   readonly isReused: boolean;
+  /** What the connection had carried before. */
+  readonly carried: CarriedCalls;
   /** How the body ended; valid once the message is closed. */
   ending(): BodyEnding;
 };
@@ -121,8 +107,9 @@
 export function startCall(options: CallOptions): Call {
   const target = parseAddress(options.address);
   if (!target) return failedCall(`Invalid address: ${options.address}`);
-  const clientRequest = openRequest(options, target);
-  if (!clientRequest) return invalidCall();
+  const opened = openRequest(options, target);
+  if (!opened) return invalidCall();
+  const { clientRequest } = opened;
   let isConnected = false;
   let hasFailed = false;
   let isAborted = false;
@@ -154,9 +141,8 @@
   const outcome = new Promise<CallOutcome>((resolve) => {
     settle = resolve;
     clientRequest.on("response", (message) => {
-      const isReused = clientRequest.reusedSocket;
-      const connection = { isReused, hasFailed: () => hasFailed };
-      resolve(answered(message, options, connection));
+      const response = { opened, hasFailed: () => hasFailed };
+      resolve(answered(message, options, response));
     });
     clientRequest.on("error", (error) => {
       hasFailed = true;
@@ -183,8 +169,8 @@
 function answered(
   message: IncomingMessage,
   { method, address, remoteAddressOf }: CallOptions,
-  { isReused, hasFailed }: {
-    readonly isReused: boolean;
+  { opened, hasFailed }: {
+    readonly opened: OpenRequest;
     readonly hasFailed: () => boolean;
   },
 ): CallOutcome {
@@ -200,37 +186,15 @@
       : BodyEnding.complete;
   };
   const remoteAddress = remoteAddressOf?.(message.socket) ?? address;
-  const answer = { message, framing, remoteAddress, isReused, ending };
-  return { type: "answer", answer };
-}
-
-/**
- * Undefined: Node.js accepts neither headers nor a path with control characters,
- * as those may have that come from the body of an earlier response.
- */
-function openRequest(
-  options: CallOptions,
-  { host, port }: { readonly host: string; readonly port: number },
-): ClientRequest | undefined {
-  const { method, path, agent, earlierSends = 0 } = options;
-  const headers = withFraming(options) as unknown as Record<string, string>;
-  const pooled: RequestOptions & PooledRequestOptions = {
-    host,
-    port,
-    method,
-    path,
-    headers,
-    agent,
-    setHost: false,
-    earlierSends,
+  const answer = {
+    message,
+    framing,
+    remoteAddress,
+    isReused: opened.clientRequest.reusedSocket,
+    carried: opened.carried(),
+    ending,
   };
-  try {
-    const clientRequest = request(pooled);
-    limitHead(clientRequest);
-    return clientRequest;
-  } catch {
-    return undefined;
-  }
+  return { type: "answer", answer };
 }
 
 /**
@@ -255,26 +219,6 @@
   });
 }
 
-/** Closes the connection when too many bytes arrive that are no response. */
-function limitHead(clientRequest: ClientRequest): void {
-  let length = 0;
-  let hasResponse = false;
-  const count = (chunk: Buffer) => {
-    length += chunk.length;
-    if (hasResponse || length <= MAX_HEAD_BYTES) return;
-    clientRequest.destroy(new Error("Response head too long"));
-  };
-  clientRequest.on("socket", (socket) => {
-    const stop = () => {
-      hasResponse = true;
-      socket.off("data", count);
-    };
-    socket.on("data", count);
-    clientRequest.once("response", stop);
-    clientRequest.once("close", stop);
-  });
-}
-
 function notSent(
   reason: string,
   { isWithheld, error }: {
@@ -308,24 +252,6 @@
   return clock.after(connectTimeoutMs, () => setImmediate(onTimeout));
 }
 
-/** Adds `Host`, if it is missing, and the `Content-Length` of the body. */
-function withFraming(options: CallOptions): string[] {
-  const { headers, method, body } = options;
-  const withHost = hasHeader(headers, "host")
-    ? [...headers]
-    : ["Host", options.address, ...headers];
-  const omitsLength = body.length === 0 &&
-    (method === "GET" || method === "HEAD");
-  if (omitsLength) return withHost;
-  return [...withHost, "Content-Length", String(body.length)];
-}
-
-function hasHeader(headers: readonly string[], name: string): boolean {
-  return headers.some((text, index) =>
-    index % 2 === 0 && text.toLowerCase() === name
-  );
-}
-
 /** A call that is not sent for the given reason. */
 export function failedCall(
   reason: string,
--- /dev/null
+++ b/src/gateway/upstreams/open_request.ts
@@ -0,0 +1,117 @@
+/** Opens the HTTP request of a call. */
+import {
+  type Agent,
+  type ClientRequest,
+  request,
+  type RequestOptions,
+} from "node:http";
+import { type CarriedCalls, noteCarriedCall } from "./carried_calls.ts";
+import type { PooledRequestOptions } from "./keep_alive_agent.ts";
+
+/**
+ * Bytes up to the end of a response's head, with all informational responses
+ * before it. Node.js bounds the head alone.
+ */
+const MAX_HEAD_BYTES = 64 * 1024;
+
+/** A request to a replica. */
+export type ReplicaRequest = {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  /** Alternating names and values. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** Id that the response repeats; absent for calls that have none. */
+  readonly id?: string | undefined;
+  readonly agent: Agent;
+  /** As in {@link PooledRequestOptions}. */
+  readonly earlierSends?: number;
+};
+
+/** A request that has been opened. */
+export type OpenRequest = {
+  readonly clientRequest: ClientRequest;
+  /** What its connection had carried; valid once it has a connection. */
+  carried(): CarriedCalls;
+};
+
+/**
+ * Opens a request, which waits for a connection of its agent. Undefined: Node.js
+ * accepts neither headers nor a path with control characters, as those may have
+ * that come from the body of an earlier response.
+ */
+export function openRequest(
+  options: ReplicaRequest,
+  { host, port }: { readonly host: string; readonly port: number },
+): OpenRequest | undefined {
+  const { method, path, agent, earlierSends = 0 } = options;
+  const headers = withFraming(options) as unknown as Record<string, string>;
+  const pooled: RequestOptions & PooledRequestOptions = {
+    host,
+    port,
+    method,
+    path,
+    headers,
+    agent,
+    setHost: false,
+    earlierSends,
+  };
+  try {
+    const clientRequest = request(pooled);
+    limitHead(clientRequest);
+    return { clientRequest, carried: recordConnection(clientRequest, options) };
+  } catch {
+    return undefined;
+  }
+}
+
+/** Records the call on its connection once it has one. */
+function recordConnection(
+  clientRequest: ClientRequest,
+  { id }: ReplicaRequest,
+): () => CarriedCalls {
+  let carried: CarriedCalls = { connection: 0, count: 0, hasSameId: false };
+  clientRequest.once("socket", (socket) => {
+    carried = noteCarriedCall(socket, id);
+  });
+  return () => carried;
+}
+
+/** Closes the connection when too many bytes arrive that are no response. */
+function limitHead(clientRequest: ClientRequest): void {
+  let length = 0;
+  let hasResponse = false;
+  const count = (chunk: Buffer) => {
+    length += chunk.length;
+    if (hasResponse || length <= MAX_HEAD_BYTES) return;
+    clientRequest.destroy(new Error("Response head too long"));
+  };
+  clientRequest.on("socket", (socket) => {
+    const stop = () => {
+      hasResponse = true;
+      socket.off("data", count);
+    };
+    socket.on("data", count);
+    clientRequest.once("response", stop);
+    clientRequest.once("close", stop);
+  });
+}
+
+/** Adds `Host`, if it is missing, and the `Content-Length` of the body. */
+function withFraming(options: ReplicaRequest): string[] {
+  const { headers, method, body } = options;
+  const withHost = hasHeader(headers, "host")
+    ? [...headers]
+    : ["Host", options.address, ...headers];
+  const omitsLength = body.length === 0 &&
+    (method === "GET" || method === "HEAD");
+  if (omitsLength) return withHost;
+  return [...withHost, "Content-Length", String(body.length)];
+}
+
+function hasHeader(headers: readonly string[], name: string): boolean {
+  return headers.some((text, index) =>
+    index % 2 === 0 && text.toLowerCase() === name
+  );
+}
--- a/test/gateway/requests/relay_rig.ts
+++ b/test/gateway/requests/relay_rig.ts
@@ -143,6 +143,7 @@
     framing: isUnframed ? Framing.connection : Framing.chunked,
     remoteAddress: "127.0.0.1:1",
     isReused: false,
+    carried: { connection: 1, count: 0, hasSameId: false },
     ending: () => ending,
   };
 }
