Failing tests: surplus responses taken for those of queued requests and control calls

On this commit, one host with a connection to each of two replicas, 12 unsafe requests at once: 3 got 503 for requests that ran, 3 a 404 that wasn't theirs; a request with the id of an earlier one gets that one's response; 6 of 12 control calls get the response of an earlier call, direct and through a peer.

The peer of the tunnel tests and the pool of the pool tests are set up in one place, which these tests use too.

--- a/test/gateway/paths/tunnel_test.ts
+++ b/test/gateway/paths/tunnel_test.ts
@@ -1,75 +1,19 @@
 /** Connections to replicas through a peer: who may open them, how they end. */
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { createServer, type Server as HttpServer } from "node:http";
-import {
-  type AddressInfo,
-  createServer as createTcpServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { createServer } from "node:http";
+import { createServer as createTcpServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { systemClock } from "../../../src/gateway/clock.ts";
-import { createPaths } from "../../../src/gateway/paths/create_paths.ts";
 import {
   openTunnel,
   type TunnelOutcome,
 } from "../../../src/gateway/paths/tunnel_client.ts";
-import { TunnelServer } from "../../../src/gateway/paths/tunnel_server.ts";
-import { tcpConnect } from "../../../src/gateway/upstreams/connect.ts";
-import { UpstreamPool } from "../../../src/gateway/upstreams/pool.ts";
 import { completeResponse, startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
-import { LOOPBACK } from "../../loopback.ts";
-
-/** Starts a server on a free port and returns its address. */
-async function listen(server: Server | HttpServer): Promise<string> {
-  server.listen(0, LOOPBACK);
-  await once(server, "listening");
-  return `${LOOPBACK}:${(server.address() as AddressInfo).port}`;
-}
-
-type Peer = {
-  readonly address: string;
-  readonly tunnels: TunnelServer;
-  stop(): void;
-};
-
-/** Starts a peer that lists one replica. */
-async function startPeer(
-  replica: string,
-  own: { readonly isLost?: boolean; readonly isConfirmed?: boolean } = {},
-): Promise<Peer> {
-  const { isLost = false, isConfirmed = true } = own;
-  const entry = { ...replicaEntry("a"), address: replica };
-  const tunnels = new TunnelServer({
-    clock: systemClock,
-    events: { note: () => undefined },
-    metrics: { count: () => undefined },
-    connect: tcpConnect,
-    connectTimeoutMs: TEST_TIMEOUT_MS,
-    replicaAt: (address) => address === replica ? entry : undefined,
-    monitor: {
-      isLost: () => isLost,
-      confirmRefusal: () => Promise.resolve(isConfirmed),
-    },
-    isStopping: () => false,
-  });
-  const server = createServer();
-  server.on("connect", (request, socket: Socket) => {
-    tunnels.accept(request, socket);
-  });
-  return {
-    address: await listen(server),
-    tunnels,
-    stop: () => {
-      tunnels.close();
-      server.closeAllConnections();
-      server.close();
-    },
-  };
-}
+import { startPool } from "../upstreams/pool_rig.ts";
+import { listen, startPeer, type TestPeer } from "./test_peer.ts";
 
 function open(peer: string, replica: string): Promise<TunnelOutcome> {
   const options = { clock: systemClock, timeoutMs: TEST_TIMEOUT_MS };
@@ -79,7 +23,7 @@
 /** Opens a tunnel to a replica that handles its connection with `work`. */
 async function withTunnel(
   work: (socket: Socket) => void,
-  check: (tunnel: Socket, peer: Peer, replica: Socket) => Promise<void>,
+  check: (tunnel: Socket, peer: TestPeer, replica: Socket) => Promise<void>,
 ): Promise<void> {
   const server = createTcpServer(work);
   const address = await listen(server);
@@ -203,18 +147,7 @@
     socket.write(completeResponse(request, ""));
   });
   const peer = await startPeer(replica.address);
-  const paths = createPaths({
-    clock: systemClock,
-    self: { id: "host", hall: "h" },
-    peers: () => [{ id: "peer", address: peer.address, hall: "h" }],
-    replicas: () => [],
-    isListed: () => true,
-    events: { note: () => undefined },
-    metrics: { count: () => undefined },
-    connect: tcpConnect,
-    connectTimeoutMs: TEST_TIMEOUT_MS,
-  });
-  const pool = new UpstreamPool(systemClock, paths);
+  const { pool, paths } = startPool({ peer: peer.address });
   const entry = { ...replicaEntry("a"), address: replica.address };
   const remoteAddress = async () => {
     const outcome = await pool.send({
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -53,6 +53,8 @@
 export type RigOptions = {
   readonly route?: Partial<Route>;
   readonly engine?: Service["engine"];
+  /** Connections that each replica accepts from all hosts; 100 by default. */
+  readonly connectionLimit?: number;
   readonly replicas: readonly RigReplica[];
   readonly customers?: readonly Customer[];
   /** Age of the host's configuration; 0 by default. */
@@ -206,13 +208,13 @@
   events: { name: string; fields: object }[],
 ): GatewayContext {
   const routes = new RouteTable();
-  const { engine, budget } = options;
+  const { engine, budget, connectionLimit = 100 } = options;
   routes.adopt({
     version: 1,
     routes: [{ ...TEST_ROUTE, ...options.route }],
     services: [{
       name: "service",
-      connectionLimit: 100,
+      connectionLimit,
       ...(engine ? { engine } : {}),
     }],
     ...(options.customers ? { customers: options.customers } : {}),
--- /dev/null
+++ b/test/gateway/upstreams/pool_rig.ts
@@ -0,0 +1,44 @@
+/** A host's connections to replicas, for tests. */
+import { systemClock } from "../../../src/gateway/clock.ts";
+import {
+  createPaths,
+  type ReplicaPaths,
+} from "../../../src/gateway/paths/create_paths.ts";
+import { tcpConnect } from "../../../src/gateway/upstreams/connect.ts";
+import { UpstreamPool } from "../../../src/gateway/upstreams/pool.ts";
+import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
+
+/** Options of {@link startPool}. */
+export type PoolRigOptions = {
+  /** Address of the only other host; without it there is none. */
+  readonly peer?: string;
+  /** Whether replicas are listed; they are by default. */
+  readonly isListed?: boolean;
+};
+
+/** A pool and the paths that it uses. */
+export type PoolRig = {
+  readonly pool: UpstreamPool;
+  readonly paths: ReplicaPaths;
+};
+
+/** Creates the pool of a host. */
+export function startPool(
+  { peer, isListed = true }: PoolRigOptions = {},
+): PoolRig {
+  const peers = peer === undefined
+    ? []
+    : [{ id: "peer", address: peer, hall: "h" }];
+  const paths = createPaths({
+    clock: systemClock,
+    self: { id: "host", hall: "h" },
+    peers: () => peers,
+    replicas: () => [],
+    isListed: () => isListed,
+    events: { note: () => undefined },
+    metrics: { count: () => undefined },
+    connect: tcpConnect,
+    connectTimeoutMs: TEST_TIMEOUT_MS,
+  });
+  return { pool: new UpstreamPool(systemClock, paths), paths };
+}
--- a/test/gateway/upstreams/pool_test.ts
+++ b/test/gateway/upstreams/pool_test.ts
@@ -1,31 +1,17 @@
 /** Connections to replicas that are no longer listed. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { systemClock } from "../../../src/gateway/clock.ts";
-import { createPaths } from "../../../src/gateway/paths/create_paths.ts";
-import { tcpConnect } from "../../../src/gateway/upstreams/connect.ts";
-import { UpstreamPool } from "../../../src/gateway/upstreams/pool.ts";
 import { completeResponse, startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
+import { startPool } from "./pool_rig.ts";
 
 /** Makes two calls in a row; returns the number of connections. */
 async function connectionsOf(isListed: boolean): Promise<number> {
   const replica = await startRawReplica((request, socket) => {
     socket.write(completeResponse(request, "{}"));
   });
-  const paths = createPaths({
-    clock: systemClock,
-    self: { id: "host", hall: "h" },
-    peers: () => [],
-    replicas: () => [],
-    isListed: () => isListed,
-    events: { note: () => undefined },
-    metrics: { count: () => undefined },
-    connect: tcpConnect,
-    connectTimeoutMs: TEST_TIMEOUT_MS,
-  });
-  const pool = new UpstreamPool(systemClock, paths);
+  const { pool } = startPool({ isListed });
   const entry = replicaEntry("a", { address: replica.address });
   try {
     for (let calls = 0; calls < 2; calls++) {
