A connection's own record tells whose response arrives on it

What callers saw: 503 for requests that ran (REFUSED), or the same request at two replicas (TWICE), and 404s of other requests, where requests wait for a connection.

Cause: an error without an id proves nothing on a connection that carried another request, and the host asked Node.js about that. ClientRequest.reusedSocket stays false when the agent hands a connection from a request that has just ended to one in its queue, so the rule was off exactly when replicas are full and connections short.

An id proves nothing either on a connection that has carried it before, so a caller that uses one id for two requests doesn't get the first one's response.

Why it works: a surplus response can only stand in the place of a later call on its connection, and every call is recorded before its bytes are written.

--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -184,7 +184,7 @@
   const now = context.clock.now();
   const status = message.statusCode ?? 0;
   const facts = context.dialect.readAnswer(status, message.headers);
-  const origin = { status, ...facts, isReused: answer.isReused };
+  const origin = { status, ...facts, carried: answer.carried };
   const isMatching = isOwnResponse(request.facts.id, origin);
   if (!facts.misdirected) {
     const { incarnation } = replica.entry;
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -45,11 +45,6 @@
   readonly framing: Framing;
   /** The other end of the connection: the replica, or a peer on the way to it. */
   readonly remoteAddress: string;
-  /**
-   * The connection has carried another request, whose response may have come
-   * twice.
-   */
-  readonly isReused: boolean;
   /** What the connection had carried before. */
   readonly carried: CarriedCalls;
   /** How the body ended; valid once the message is closed. */
@@ -190,7 +185,6 @@
     message,
     framing,
     remoteAddress,
-    isReused: opened.clientRequest.reusedSocket,
     carried: opened.carried(),
     ending,
   };
--- a/test/gateway/requests/relay_rig.ts
+++ b/test/gateway/requests/relay_rig.ts
@@ -142,7 +142,6 @@
     message: message as IncomingMessage,
     framing: isUnframed ? Framing.connection : Framing.chunked,
     remoteAddress: "127.0.0.1:1",
-    isReused: false,
     carried: { connection: 1, count: 0, hasSameId: false },
     ending: () => ending,
   };
