A stale connection is recognized for calls that waited for it

What callers saw: nothing yet; found by asking where else the host took Node's word on reuse. A call that waited in the agent's queue, on a connection that the replica had already closed, counted as a crash under the call, so an innocent request came closer to its quarantine.

Change: the connection's record, and the time since the call was sent.

Test: call_test, red before (1 of 5).

--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -17,10 +17,9 @@
 import { isRefusal } from "./probe.ts";
 
 /**
- * When a reused connection ends this soon after the start of the call, the
- * replica had already closed it before the request arrived. The value is above
- * a round trip within a region and below the time in which a request can crash
- * a replica.
+ * When a reused connection ends this soon after the call was sent, the replica
+ * had already closed it before the request arrived. The value is above a round
+ * trip within a region and below the time in which a request can crash a replica.
  */
 const STALE_CONNECTION_MS = 10;
 
@@ -109,10 +108,9 @@
   let hasFailed = false;
   let isAborted = false;
   let isWithheld = false;
-  const startedAt = options.clock.now();
+  let sentAt = options.clock.now();
   const broken = (reason: string) => {
-    const isStale = clientRequest.reusedSocket &&
-      options.clock.now() - startedAt < STALE_CONNECTION_MS;
+    const isStale = wasStale(opened, options.clock.now() - sentAt);
     return { type: "broken", reason, isAborted, isStale } as const;
   };
   let settle: (outcome: CallOutcome) => void = () => undefined;
@@ -127,6 +125,7 @@
   watchSocket(clientRequest, {
     onConnected: () => {
       cancelTimer();
+      sentAt = options.clock.now();
       isConnected = options.maySend?.() ?? true;
       isWithheld = !isConnected;
       if (isWithheld) clientRequest.destroy();
@@ -161,6 +160,11 @@
   };
 }
 
+/** Whether the replica had closed a connection that ends after `elapsedMs`. */
+function wasStale({ carried }: OpenRequest, elapsedMs: Milliseconds): boolean {
+  return carried().count > 0 && elapsedMs < STALE_CONNECTION_MS;
+}
+
 function answered(
   message: IncomingMessage,
   { method, address, remoteAddressOf }: CallOptions,
--- a/test/gateway/upstreams/call_test.ts
+++ b/test/gateway/upstreams/call_test.ts
@@ -80,6 +80,35 @@
   }
 });
 
+// Guards against a closed connection that is taken for a crash under the call.
+test("a call that waited for a connection that closes at once counts as stale", async () => {
+  let now = 0;
+  let respondToFirst: () => void = () => undefined;
+  const replica = await startRawReplica((request, socket) => {
+    if (request.number > 1) return void socket.destroy();
+    respondToFirst = () => void socket.write(completeResponse(request, ""));
+  });
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const call = () => getFrom(replica, agent, () => now);
+  try {
+    const first = call().outcome;
+    const second = call().outcome;
+    while (replica.requests.length === 0) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    // The second call waits for as long as the first one runs.
+    now = 1000;
+    respondToFirst();
+    const firstOutcome = await first;
+    if (firstOutcome.type === "answer") firstOutcome.answer.message.resume();
+    const outcome = await second;
+    assert.ok(outcome.type === "broken" && outcome.isStale);
+  } finally {
+    agent.destroy();
+    replica.stop();
+  }
+});
+
 for (const keepAlive of [true, false]) {
   test(`a call that waited for a ${keepAlive ? "reused" : "new"} connection isn't sent once sending is no longer allowed`, async () => {
     let respondToFirst: () => void = () => undefined;
