The response to a control call is told from a surplus one to an earlier call

A replica that sends a response twice gave one reservation to two requests, an old report for a new one, or the outcome of another order.

Three connections a replica are shared by all of them.

Change: reports, orders and health checks have a connection of their own. A reservation may share one, since its success contains an id that is new: one that an earlier response of the connection contained is a copy, and the call is made again on a connection of its own; after any other response (a refusal) the connection is closed, so that all earlier ids are known. Nothing depends on the response to a release, so these share connections too: their responses contain no id, and close the connection when a reservation receives one. Reports are asked over this host's own path only, so that a connection that is late to open says nothing about that path.

Why not a connection for each reservation: one more round trip before each prefill, and where packets are lost or replicas reset new connections, a reservation without a response counts as a failure of its replica.

--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -209,7 +209,11 @@
     if (isRestarted(replicas, exported.replica.entry)) return;
     const call = dialect.dropExport(exported.id);
     const timeoutMs = tuning.reserveTimeoutMs;
-    void callEngine(this.#context, exported.replica.entry, { call, timeoutMs });
+    void callEngine(this.#context, exported.replica.entry, {
+      call,
+      timeoutMs,
+      check: { type: "none" },
+    });
   }
 }
 
--- a/src/gateway/requests/reservations.ts
+++ b/src/gateway/requests/reservations.ts
@@ -4,6 +4,7 @@
 import { isRestarted } from "../replicas/is_restarted.ts";
 import type { Replica } from "../replicas/replica.ts";
 import { callEngine } from "../upstreams/engine_call.ts";
+import type { JsonAnswer } from "../upstreams/json_client.ts";
 
 /** Requested lifetime of a reservation, unless the engine's limit is lower. */
 const RESERVATION_TTL_MS = 2000;
@@ -31,10 +32,14 @@
   const call = dialect.reserve(memory.tokens, ttlMs);
   const timeoutMs = tuning.reserveTimeoutMs;
   context.gate.noteSend(replica.entry);
-  const answer = await callEngine(context, replica.entry, { call, timeoutMs });
-  const id = answer?.status === 200
-    ? dialect.readReservation(answer.body)
-    : undefined;
+  const idOf = ({ status, body }: JsonAnswer) =>
+    status === 200 ? dialect.readReservation(body) : undefined;
+  const answer = await callEngine(context, replica.entry, {
+    call,
+    timeoutMs,
+    check: { type: "newId", idOf },
+  });
+  const id = answer && idOf(answer);
   metrics.count(id === undefined ? "reservations_refused" : "reservations");
   if (!answer) replica.noteFailure(clock.now(), true);
   if (id === undefined) return answer ? "refused" : "noResponse";
@@ -54,5 +59,9 @@
   if (isRestarted(replicas, reservation.replica.entry)) return;
   const call = dialect.dropReservation(reservation.id);
   const timeoutMs = tuning.reserveTimeoutMs;
-  void callEngine(context, reservation.replica.entry, { call, timeoutMs });
+  void callEngine(context, reservation.replica.entry, {
+    call,
+    timeoutMs,
+    check: { type: "none" },
+  });
 }
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -281,25 +281,32 @@
 /**
  * Reads the body of a response; undefined if it was cut off or is longer than
  * `maxBytes`. Its reader has to parse it as a JSON object, which a truncated
- * body without framing is not.
+ * body without framing is not. `mayReuse` gets the body before its connection
+ * carries another call; if it returns false, the connection is closed.
  */
 export function readBody(
   answer: Answer,
   maxBytes: number,
+  mayReuse: (body: string) => boolean = () => true,
 ): Promise<string | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
     const { message } = answer;
+    const { socket } = message;
+    const text = () => Buffer.concat(chunks).toString("utf8");
     message.on("data", (chunk: Buffer) => {
       length += chunk.length;
       if (length <= maxBytes) chunks.push(chunk);
       else message.destroy();
     });
+    message.on("end", () => {
+      if (!mayReuse(text())) socket.destroy();
+    });
     message.on("close", () => {
       const isCutOff = answer.ending() === BodyEnding.truncated;
       const isRead = !isCutOff && length <= maxBytes;
-      resolve(isRead ? Buffer.concat(chunks).toString("utf8") : undefined);
+      resolve(isRead ? text() : undefined);
     });
   });
 }
--- a/src/gateway/upstreams/carried_calls.ts
+++ b/src/gateway/upstreams/carried_calls.ts
@@ -45,6 +45,17 @@
   return { connection, count, hasSameId };
 }
 
+/**
+ * Records the id that a response contains; returns whether no earlier response
+ * on the connection contained it.
+ */
+export function noteResponseId(socket: Socket, id: string): boolean {
+  const ids = RECORDS.get(socket)?.ids;
+  const isNew = ids !== undefined && !ids.has(id);
+  if (isNew) addId(ids, id);
+  return isNew;
+}
+
 function createRecord(): ConnectionRecord {
   connections += 1;
   return { number: connections, count: 0, ids: new Set() };
--- a/src/gateway/upstreams/engine_call.ts
+++ b/src/gateway/upstreams/engine_call.ts
@@ -12,15 +12,23 @@
  * to the gate; undefined if no complete response arrives within `timeoutMs`.
  */
 export async function callEngine(
-  { pool, dialect, clock, gate }: Pick<
+  { pool, dialect, clock, gate, events, metrics }: Pick<
     GatewayContext,
-    "pool" | "dialect" | "clock" | "gate"
+    "pool" | "dialect" | "clock" | "gate" | "events" | "metrics"
   >,
   entry: ReplicaEntry,
-  options: ControlCallOptions,
+  options: Omit<ControlCallOptions, "onSurplus">,
 ): Promise<JsonAnswer | undefined> {
   const sentAt = clock.now();
-  const answer = await pool.sendControlCall(entry, options);
+  const onSurplus = () => {
+    metrics.count("responses_crossed");
+    const { method, path } = options.call;
+    events.note("crossed", {
+      replica: entry.incarnation,
+      call: `${method} ${path}`,
+    });
+  };
+  const answer = await pool.sendControlCall(entry, { ...options, onSurplus });
   if (!answer) return undefined;
   const notice = dialect.readAnswer(answer.status, answer.headers ?? {});
   if (!notice.misdirected) {
--- a/src/gateway/upstreams/engine_report.ts
+++ b/src/gateway/upstreams/engine_report.ts
@@ -21,7 +21,10 @@
   if (paths.monitor.isLost(incarnation)) return undefined;
   const call = dialect.report;
   const { entry } = replica;
-  const answer = await callEngine(context, entry, { call, timeoutMs });
+  // A report is worth no detour, and says nothing about this host's path.
+  const isDirectOnly = true;
+  const options = { call, timeoutMs, isDirectOnly };
+  const answer = await callEngine(context, entry, options);
   const report = answer && dialect.readReport(answer.body);
   return report && isOfStart(report, entry) ? report : undefined;
 }
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -15,19 +15,17 @@
 import { NO_PEER_CODE, TunnelAgent } from "../paths/tunnel_agent.ts";
 import type { JsonCall } from "../port.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import { type Call, type CallOutcome, failedCall, startCall } from "./call.ts";
 import {
-  type Call,
-  type CallOutcome,
-  failedCall,
-  readBody,
-  startCall,
-} from "./call.ts";
+  type ControlOutcome,
+  readControlResponse,
+  type ResponseCheck,
+} from "./control_response.ts";
 import type { JsonAnswer } from "./json_client.ts";
 import { type AgentSet, createAgentSet } from "./agent_set.ts";
 import { closeIdle, ReplicaAgent } from "./replica_agent.ts";
 
 const JSON_HEADERS = ["Content-Type", "application/json"];
-const MAX_CONTROL_BODY_BYTES = 1 << 20;
 /** Maximum number of connections for control calls to one replica. */
 const MAX_CONTROL_CONNECTIONS = 3;
 /** Silence after which the path of a request is checked. */
@@ -63,6 +61,10 @@
   readonly timeoutMs: Milliseconds;
   /** The replica must see this host's own address. */
   readonly isDirectOnly?: boolean | undefined;
+  /** By default, the call has a connection of its own. */
+  readonly check?: ResponseCheck | undefined;
+  /** Called for each response that belongs to an earlier call. */
+  readonly onSurplus?: (() => void) | undefined;
 };
 
 /** The connections of a gateway to all replicas. */
@@ -77,7 +79,9 @@
   readonly #requestAgents = createAgentSet(true);
   /** For requests whose id a shared connection may have carried. */
   readonly #resendAgents = createAgentSet(false);
-  readonly #controlAgents = createAgentSet(true);
+  /** For control calls with a check that allows shared connections. */
+  readonly #sharedControlAgents = createAgentSet(true);
+  readonly #controlAgents = createAgentSet(false);
   readonly #directCalls = new Set<DirectCall>();
   /** Replicas to which this host has had a connection of its own. */
   readonly #connected = new Map<string, ReplicaEntry>();
@@ -122,7 +126,8 @@
 
   /**
    * Makes a control call; undefined if no complete response arrives within
-   * `timeoutMs`. If the path is lost meanwhile, the call is made once more.
+   * `timeoutMs`. If the path is lost meanwhile, the call is made once more; if
+   * the response belongs to an earlier call, on a connection of its own.
    */
   async sendControlCall(
     entry: ReplicaEntry,
@@ -130,16 +135,24 @@
   ): Promise<JsonAnswer | undefined> {
     const { monitor } = this.#paths;
     const wasLost = monitor.isLost(entry.incarnation);
-    const answer = await this.#controlCall(entry, options);
-    const mayRepeat = answer === undefined && !options.isDirectOnly &&
-      !wasLost && monitor.isLost(entry.incarnation);
-    return mayRepeat ? await this.#controlCall(entry, options) : answer;
+    const first = await this.#controlCall(entry, options);
+    if (first.type === "answer") return first.answer;
+    const isSurplus = first.type === "surplus";
+    const isPathLost = !options.isDirectOnly && !wasLost &&
+      monitor.isLost(entry.incarnation);
+    if (!isSurplus && !isPathLost) return undefined;
+    const check = isSurplus ? undefined : options.check;
+    const second = await this.#controlCall(entry, { ...options, check });
+    return second.type === "answer" ? second.answer : undefined;
   }
 
   async #controlCall(
     entry: ReplicaEntry,
-    { call, timeoutMs, isDirectOnly = false }: ControlCallOptions,
-  ): Promise<JsonAnswer | undefined> {
+    options: ControlCallOptions,
+  ): Promise<ControlOutcome> {
+    const { call, timeoutMs, isDirectOnly = false } = options;
+    const { check = { type: "ownConnection" } } = options;
+    const isShared = check.type !== "ownConnection";
     const httpCall = this.#start({
       method: call.method,
       path: call.path,
@@ -150,7 +163,7 @@
       body: Buffer.from(call.body ?? ""),
     }, {
       entry,
-      agents: this.#controlAgents,
+      agents: isShared ? this.#sharedControlAgents : this.#controlAgents,
       maxConnections: MAX_CONTROL_CONNECTIONS,
       silenceMs: CONTROL_SILENCE_MS,
       isRepeatable: !isDirectOnly,
@@ -160,14 +173,13 @@
       timeoutMs,
       () => httpCall.abort("Call timed out"),
     );
-    const outcome = await httpCall.outcome;
-    const body = outcome.type === "answer"
-      ? await readBody(outcome.answer, MAX_CONTROL_BODY_BYTES)
-      : undefined;
+    const sent = await httpCall.outcome;
+    const outcome: ControlOutcome = sent.type === "answer"
+      ? await readControlResponse(sent.answer, check)
+      : { type: "noAnswer" };
     cancel();
-    if (outcome.type !== "answer" || body === undefined) return undefined;
-    const { statusCode = 0, headers } = outcome.answer.message;
-    return { status: statusCode, body, headers };
+    if (outcome.type === "surplus") options.onSurplus?.();
+    return outcome;
   }
 
   #start(call: HttpCall, context: CallContext): Call {
@@ -321,6 +333,7 @@
     return [
       this.#requestAgents,
       this.#resendAgents,
+      this.#sharedControlAgents,
       this.#controlAgents,
     ];
   }
--- a/test/gateway/upstreams/carried_calls_test.ts
+++ b/test/gateway/upstreams/carried_calls_test.ts
@@ -2,7 +2,10 @@
 import assert from "node:assert/strict";
 import { Socket } from "node:net";
 import { test } from "node:test";
-import { noteCarriedCall } from "../../../src/gateway/upstreams/carried_calls.ts";
+import {
+  noteCarriedCall,
+  noteResponseId,
+} from "../../../src/gateway/upstreams/carried_calls.ts";
 
 test("a connection's calls are counted, and a repeated id is recognized", () => {
   const socket = new Socket();
@@ -36,3 +39,11 @@
   assert.equal(noteCarriedCall(socket, `${calls - 1}`).hasSameId, true);
   assert.equal(noteCarriedCall(socket, "0").hasSameId, false);
 });
+
+test("an id in a response is new once on its connection", () => {
+  const socket = new Socket();
+  noteCarriedCall(socket, undefined);
+  assert.equal(noteResponseId(socket, "a"), true);
+  assert.equal(noteResponseId(socket, "a"), false);
+  assert.equal(noteResponseId(socket, "b"), true);
+});
--- a/test/gateway/upstreams/control_calls_test.ts
+++ b/test/gateway/upstreams/control_calls_test.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { test } from "node:test";
-import { knownRed } from "../../known_red.ts";
+import type { ResponseCheck } from "../../../src/gateway/upstreams/control_response.ts";
 import { startPeer } from "../paths/test_peer.ts";
 import {
   completeResponse,
@@ -38,7 +38,12 @@
  * Makes control calls, each caller one after the other; returns the paths whose
  * response was wrong.
  */
-async function wrongResponses(isDirect: boolean): Promise<string[]> {
+async function wrongResponses(
+  { isDirect, check }: {
+    readonly isDirect: boolean;
+    readonly check?: ResponseCheck;
+  },
+): Promise<string[]> {
   const replica = await startRawReplica(answersTwice());
   const peer = await startPeer(replica.address);
   const { pool, paths } = startPool({ peer: peer.address });
@@ -48,6 +53,7 @@
     const answer = await pool.sendControlCall(entry, {
       call: { method: "GET", path },
       timeoutMs: TEST_TIMEOUT_MS,
+      check,
     });
     return answer?.body === path;
   };
@@ -68,12 +74,54 @@
   }
 }
 
-const DIRECT = "control calls each get their own response";
-test(DIRECT, knownRed(DIRECT), async () => {
-  assert.deepEqual(await wrongResponses(true), []);
-});
+/** Each response contains the path of its call, which no other has. */
+const PATH_AS_ID: ResponseCheck = { type: "newId", idOf: ({ body }) => body };
+
+for (const isDirect of [true, false]) {
+  const path = isDirect ? "" : " through a peer";
+
+  test(`control calls${path} each get their own response`, async () => {
+    assert.deepEqual(await wrongResponses({ isDirect }), []);
+  });
+
+  test(`control calls${path} that share connections each get their own response`, async () => {
+    const options = { isDirect, check: PATH_AS_ID };
+    assert.deepEqual(await wrongResponses(options), []);
+  });
+}
 
-const TUNNELLED = "control calls through a peer each get their own response";
-test(TUNNELLED, knownRed(TUNNELLED), async () => {
-  assert.deepEqual(await wrongResponses(false), []);
+/** Makes two calls in a row; returns the number of connections. */
+async function connectionsOf(
+  status: string,
+  check: ResponseCheck,
+): Promise<number> {
+  const replica = await startRawReplica((request, socket) => {
+    const text = completeResponse(request, request.path);
+    socket.write(text.replace("200 OK", status));
+  });
+  const { pool } = startPool();
+  const entry = replicaEntry("a", { address: replica.address });
+  try {
+    for (const path of ["/first", "/second"]) {
+      const answer = await pool.sendControlCall(entry, {
+        call: { method: "GET", path },
+        timeoutMs: TEST_TIMEOUT_MS,
+        check,
+      });
+      assert.equal(answer?.body, path);
+    }
+    return replica.connections();
+  } finally {
+    pool.close();
+    replica.stop();
+  }
+}
+
+test("a connection on which a call's id could not be read carries no further call", async () => {
+  const check: ResponseCheck = {
+    type: "newId",
+    idOf: ({ status, body }) => status === 200 ? body : undefined,
+  };
+  assert.equal(await connectionsOf("200 OK", check), 1);
+  assert.equal(await connectionsOf("503 Full", check), 2);
 });
--- a/test/gateway/upstreams/pool_test.ts
+++ b/test/gateway/upstreams/pool_test.ts
@@ -18,6 +18,7 @@
       const answer = await pool.sendControlCall(entry, {
         call: { method: "GET", path: "/" },
         timeoutMs: TEST_TIMEOUT_MS,
+        check: { type: "none" },
       });
       assert.equal(answer?.status, 200);
     }
