A host's connections to a replica follow its share when it learns of more hosts

What callers saw: nothing yet; found by asking what a replica's ConnectionLimit sees. A host that opened its first connections while it knew few others kept the share of a small fleet: 648 of 810 connections for the first host of 81.

Cause: the agent took its bound when it was created.

Change: each call sets the bound; connections beyond it close once their calls end (all of them, if they end in the same turn).

Test: pool_test, red before (4 connections left of 4 where 1 is allowed).

--- a/src/gateway/observe/request_events.ts
+++ b/src/gateway/observe/request_events.ts
@@ -105,7 +105,7 @@
   ),
   crossed: warn(
     "requests",
-    "A response to another request was received and dropped",
+    "A response to another call was received and dropped",
     FAILURES_PER_SECOND,
   ),
 } as const;
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -219,6 +219,7 @@
     const { keepAlive } = agents;
     const agent = agents.direct.get(incarnation) ??
       new ReplicaAgent({ maxConnections, keepAlive }, connect);
+    agent.limitConnections(maxConnections);
     // Nothing would remove what is stored for a replica that isn't listed.
     if (monitor.isListed(entry)) {
       agents.direct.set(incarnation, agent);
@@ -258,6 +259,7 @@
       clock: this.#clock,
       open: () => dialer.open(entry, tunnelTimeoutMs),
     });
+    agent.limitConnections(maxConnections);
     if (monitor.isListed(entry)) agents.tunnelled.set(incarnation, agent);
     return startCall({
       ...call,
--- a/src/gateway/upstreams/replica_agent.ts
+++ b/src/gateway/upstreams/replica_agent.ts
@@ -43,6 +43,12 @@
     this.#connect = connect;
   }
 
+  /** Sets a new limit; connections beyond it close once their calls have ended. */
+  limitConnections(maxConnections: number): void {
+    this.maxSockets = maxConnections;
+    this.maxFreeSockets = maxConnections;
+  }
+
   override createConnection(options: ClientRequestArgs): Duplex | undefined {
     return this.#connect(options as TcpNetConnectOpts);
   }
--- a/test/gateway/raw_replica.ts
+++ b/test/gateway/raw_replica.ts
@@ -21,6 +21,8 @@
   readonly requests: RawRequest[];
   /** Number of connections that were opened to it. */
   connections(): number;
+  /** Number of connections that are open. */
+  openConnections(): number;
   stop(): void;
 };
 
@@ -45,6 +47,7 @@
     address: `${LOOPBACK}:${port}`,
     requests,
     connections: () => opened,
+    openConnections: () => sockets.size,
     stop: () => {
       server.close();
       for (const socket of sockets) socket.destroy();
--- a/test/gateway/upstreams/pool_test.ts
+++ b/test/gateway/upstreams/pool_test.ts
@@ -33,3 +33,48 @@
   assert.equal(await connectionsOf(true), 1);
   assert.equal(await connectionsOf(false), 2);
 });
+
+// Guards against a host that keeps the share of a young fleet, in which it knew
+// few hosts, so that replicas got more connections than they accept.
+test("a lower limit of connections closes those beyond it once their calls end", async () => {
+  const replica = await startRawReplica((request, socket) => {
+    socket.write(completeResponse(request, ""));
+  });
+  const { pool } = startPool();
+  const entry = replicaEntry("a", { address: replica.address });
+  let calls = 0;
+  const send = async (maxConnections: number) => {
+    const id = `${calls++}`;
+    const { outcome } = pool.send({
+      entry,
+      method: "GET",
+      path: "/",
+      headers: ["x-id", id],
+      id,
+      body: Buffer.alloc(0),
+      maxConnections,
+      isRepeatable: false,
+      isResend: false,
+    });
+    const sent = await outcome;
+    assert.ok(sent.type === "answer");
+    const { message } = sent.answer;
+    message.resume();
+    await new Promise((resolve) => message.on("close", resolve));
+  };
+  const sendAll = (maxConnections: number) =>
+    Promise.all([1, 2, 3, 4].map(() => send(maxConnections)));
+  try {
+    await sendAll(4);
+    assert.equal(replica.connections(), 4);
+    await sendAll(1);
+    while (replica.openConnections() > 1) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    await sendAll(1);
+    assert.equal(replica.openConnections(), 1);
+  } finally {
+    pool.close();
+    replica.stop();
+  }
+});
