--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -42,6 +42,8 @@
   backoff: Backoff | undefined;
   /** Factor on the duration of its work. */
   slowdown: number;
+  /** Returns bytes that it sends when a call arrives, before its response. */
+  surplusBytes(request: IncomingMessage): string;
   /** Decides how it sends the response to a request. */
   shapeResponse(request: string): ResponseShape;
 };
@@ -100,6 +102,7 @@
     draining: false,
     backoff: undefined,
     slowdown: 1,
+    surplusBytes: () => "",
     shapeResponse: () => ({ framing: Framing.chunks }),
   };
   starts += 1;
@@ -114,6 +117,7 @@
   };
   const server = createServer((request, response) => {
     response.on("error", () => undefined);
+    request.socket.write(settings.surplusBytes(request));
     void handle(engine, request, response).catch(() => response.destroy());
   });
   const sockets = new Set<Socket>();
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -114,7 +114,9 @@
 }
 
 /** A request that must not be repeated runs at most once. */
-function checkAtMostOnce({ calls, arrivals }: Observations): Violation[] {
+export function checkAtMostOnce(
+  { calls, arrivals }: Pick<Observations, "calls" | "arrivals">,
+): Violation[] {
   const runs = new Map<string, number>();
   for (const { request, ran } of arrivals) {
     if (ran) runs.set(request, (runs.get(request) ?? 0) + 1);
@@ -126,7 +128,9 @@
 }
 
 /** A refused request has not run and never runs later. */
-function checkRefusals({ calls, arrivals }: Observations): Violation[] {
+export function checkRefusals(
+  { calls, arrivals }: Pick<Observations, "calls" | "arrivals">,
+): Violation[] {
   const ran = new Set(
     arrivals.filter((arrival) => arrival.ran).map((arrival) => arrival.request),
   );
--- a/test/soak/test_fleet.ts
+++ b/test/soak/test_fleet.ts
@@ -22,6 +22,7 @@
 import { sleep } from "./sleep.ts";
 import { StallMeter } from "./stall_meter.ts";
 import { World } from "./world.ts";
+import { EVEN_LOAD } from "./world_config.ts";
 
 /** The age from which on a host has its share of the fleet's retry budget. */
 export const BUDGET_AGE_MS = 10_500;
@@ -44,14 +45,19 @@
 /** Starts a fleet, runs `work` and stops the fleet; keeps its logs on failure. */
 export async function withFleet(
   work: (fleet: TestFleet) => Promise<void>,
-  { hosts: hostCount = HOSTS, isScheduled = false }: {
+  { hosts: hostCount = HOSTS, isScheduled = false, connectionLimit }: {
     readonly hosts?: number;
+    /** Connections that each replica accepts from all hosts. */
+    readonly connectionLimit?: number;
     /** Switches on all optional decisions under load, and bounds on memory. */
     readonly isScheduled?: boolean;
   } = {},
 ): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), "otterhill-fleet-"));
-  const world = await World.start();
+  const world = await World.start({
+    ...EVEN_LOAD,
+    ...(connectionLimit === undefined ? {} : { connectionLimit }),
+  });
   const storeAddress = world.store.address;
   const hosts = await createHosts(hostCount, {
     folder,
--- a/test/soak/world_config.ts
+++ b/test/soak/world_config.ts
@@ -10,6 +10,8 @@
   /** Every other replica is slow, and memory is scarce. */
   readonly isUneven: boolean;
   readonly framing: FramingLoad;
+  /** Connections that each replica accepts from all hosts; 200 by default. */
+  readonly connectionLimit?: number;
 };
 
 /** Equal replicas with ample memory. */
@@ -19,7 +21,10 @@
 const SCARCE_MEMORY_TOKENS = 400;
 
 /** A version of the configuration. */
-export function configOf(version: number, { isUneven }: WorldLoad): object {
+export function configOf(
+  version: number,
+  { isUneven, connectionLimit = 200 }: WorldLoad,
+): object {
   const routes = Object.values(CallKind).map((kind) => ({
     Name: kind,
     Host: "example",
@@ -35,7 +40,7 @@
   })).map((route) =>
     isStream(route.Kind) ? { ...route, Kind: "streaming" } : route
   );
-  const service = { HealthPath: "/health", ConnectionLimit: 200 };
+  const service = { HealthPath: "/health", ConnectionLimit: connectionLimit };
   const engine = {
     Slots: 64,
     KvCacheTokens: isUneven ? SCARCE_MEMORY_TOKENS : AMPLE_MEMORY_TOKENS,
