Bodies are put together once where nothing decides on their connection

Reading again: readBody made the text of each body twice, for the store's listings too. Names of what a newcomer would stumble over: recordSend beside the gate's noteSend, and the agents' flag.

--- a/src/gateway/requests/replica_sends.ts
+++ b/src/gateway/requests/replica_sends.ts
@@ -5,7 +5,7 @@
 const SENDS = new WeakMap<GatewayRequest, Set<string>>();
 
 /** Records a send; returns whether the request was sent there before. */
-export function noteSend(
+export function recordSend(
   request: GatewayRequest,
   incarnation: string,
 ): boolean {
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -18,7 +18,7 @@
   type CallOutcome,
   NotSentCause,
 } from "../upstreams/call.ts";
-import { noteSend } from "./replica_sends.ts";
+import { recordSend } from "./replica_sends.ts";
 import { discardBody } from "../upstreams/discard_body.ts";
 import { isOwnResponse } from "../upstreams/own_response.ts";
 import type { GatewayRequest } from "./request.ts";
@@ -101,7 +101,7 @@
   context.gate.noteSend(replica.entry);
   const call = context.pool.send({
     entry: replica.entry,
-    isResend: noteSend(request, replica.entry.incarnation),
+    isResend: recordSend(request, replica.entry.incarnation),
     isRepeatable,
     method: request.method,
     path: request.target,
--- a/src/gateway/upstreams/agent_set.ts
+++ b/src/gateway/upstreams/agent_set.ts
@@ -11,6 +11,8 @@
 };
 
 /** Creates a set without agents. */
-export function createAgentSet(keepAlive: boolean): AgentSet {
+export function createAgentSet(
+  { keepAlive }: Pick<AgentSet, "keepAlive">,
+): AgentSet {
   return { keepAlive, direct: new Map(), tunnelled: new Map() };
 }
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -287,7 +287,7 @@
 export function readBody(
   answer: Answer,
   maxBytes: number,
-  mayReuse: (body: string) => boolean = () => true,
+  mayReuse?: (body: string) => boolean,
 ): Promise<string | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -301,7 +301,7 @@
       else message.destroy();
     });
     message.on("end", () => {
-      if (!mayReuse(text())) socket.destroy();
+      if (mayReuse?.(text()) === false) socket.destroy();
     });
     message.on("close", () => {
       const isCutOff = answer.ending() === BodyEnding.truncated;
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -76,12 +76,12 @@
    * control call names no request, so a surplus response to a request could be
    * mistaken for it.
    */
-  readonly #requestAgents = createAgentSet(true);
+  readonly #requestAgents = createAgentSet({ keepAlive: true });
   /** For requests whose id a shared connection may have carried. */
-  readonly #resendAgents = createAgentSet(false);
+  readonly #resendAgents = createAgentSet({ keepAlive: false });
   /** For control calls with a check that allows shared connections. */
-  readonly #sharedControlAgents = createAgentSet(true);
-  readonly #controlAgents = createAgentSet(false);
+  readonly #sharedControlAgents = createAgentSet({ keepAlive: true });
+  readonly #controlAgents = createAgentSet({ keepAlive: false });
   readonly #directCalls = new Set<DirectCall>();
   /** Replicas to which this host has had a connection of its own. */
   readonly #connected = new Map<string, ReplicaEntry>();
