Test of refusals without an id: each comes on a new connection

Traced: the second half says that the refusal comes on a new connection, but its replica kept the connection, and a call that came 50 ms after the one before went over it again and got 502, as it should (a script with pauses of 50 ms to 1.5 s between the calls: 502 for two or three of six, on as well). The replica closes the connection behind its refusal now, so that the check is of what it says, at any pace: 200 for all six at each pause. The assertions are unchanged.

--- a/test/gateway/requests/repeated_responses_test.ts
+++ b/test/gateway/requests/repeated_responses_test.ts
@@ -120,8 +120,7 @@
     assert.equal((await rig.call({ id: "2" })).status, 502);
   });
   // On a new connection it can only belong to the request.
-  const refuses: RawAnswer = (_, socket) =>
-    void socket.write(refusal(undefined));
+  const refuses: RawAnswer = (_, socket) => void socket.end(refusal(undefined));
   await withRig({
     budget: BUDGET,
     route: { kind: RouteKind.unsafe, attempts: 2 },
