--- a/src/gateway/upstreams/control_response.ts
+++ b/src/gateway/upstreams/control_response.ts
@@ -1,6 +1,6 @@
 /**
  * Reads the responses to control calls. They name no call, so a surplus response
- * to an earlier call is told from them in other ways.
+ * to an earlier call is recognized in other ways.
  */
 import { type Answer, readBody } from "./call.ts";
 import { noteResponseId } from "./carried_calls.ts";
@@ -9,7 +9,7 @@
 
 const MAX_BODY_BYTES = 1 << 20;
 
-/** How the response to a control call is told from one to an earlier call. */
+/** How the response to a control call is distinguished from an earlier one. */
 export type ResponseCheck =
   /** The call has a connection of its own. */
   | { readonly type: "ownConnection" }
