--- a/src/gateway/upstreams/own_response.ts
+++ b/src/gateway/upstreams/own_response.ts
@@ -1,5 +1,4 @@
 /** Decides whether a response belongs to the call that waits for one. */
-
 import type { CarriedCalls } from "./carried_calls.ts";
 
 /** Node.js accepts lower status codes in a response, but does not send them. */
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -15,6 +15,7 @@
 import { NO_PEER_CODE, TunnelAgent } from "../paths/tunnel_agent.ts";
 import type { JsonCall } from "../port.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import { type AgentSet, createAgentSet } from "./agent_set.ts";
 import { type Call, type CallOutcome, failedCall, startCall } from "./call.ts";
 import {
   type ControlOutcome,
@@ -22,7 +23,6 @@
   type ResponseCheck,
 } from "./control_response.ts";
 import type { JsonAnswer } from "./json_client.ts";
-import { type AgentSet, createAgentSet } from "./agent_set.ts";
 import { closeIdle, ReplicaAgent } from "./replica_agent.ts";
 
 const JSON_HEADERS = ["Content-Type", "application/json"];
