--- a/src/gateway/crashes/end_confirmation.ts
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -6,6 +6,7 @@
 import { nextTick } from "node:process";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
+import type { EventLog } from "../observe/event_log.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { ProbeResult } from "../upstreams/probe.ts";
 
@@ -18,6 +19,7 @@
 /** Options of {@link EndConfirmation}. */
 export type EndConfirmationOptions = {
   readonly clock: Clock;
+  readonly events: EventLog;
   /** Checks whether the replica listens, over any path. */
   readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
   /** Whether a replica is draining; it may have closed its address already. */
@@ -47,11 +49,22 @@
     entry: ReplicaEntry,
     remoteAddress = entry.address,
   ): Promise<boolean> {
-    const isConfirmed = await this.#isRunning(entry) &&
-      (remoteAddress === entry.address ||
-        await this.#options.isPeerResponding(remoteAddress));
-    if (isConfirmed) this.#noteConfirmed(entry);
-    return isConfirmed;
+    const { events, isPeerResponding } = this.#options;
+    const peer = remoteAddress === entry.address ? undefined : remoteAddress;
+    const probe = await this.#probe(entry);
+    const isRunning = probe === "listens";
+    if (isRunning && (!peer || await isPeerResponding(peer))) {
+      this.#noteConfirmed(entry);
+      return true;
+    }
+    events.note("endUnconfirmed", {
+      replica: entry.incarnation,
+      address: entry.address,
+      probe,
+      // The peer is asked only if the replica listens.
+      peer,
+    });
+    return false;
   }
 
   /**
@@ -77,12 +90,12 @@
     nextTick(() => this.#confirmed.delete(incarnation));
   }
 
-  async #isRunning(entry: ReplicaEntry): Promise<boolean> {
-    if (this.#options.isDraining(entry)) return true;
+  #probe(entry: ReplicaEntry): Promise<ProbeResult> {
+    if (this.#options.isDraining(entry)) return Promise.resolve("listens");
     const { incarnation } = entry;
     const probe = this.#scheduled.get(incarnation) ?? this.#schedule(entry);
     this.#scheduled.set(incarnation, probe);
-    return await probe === "listens";
+    return probe;
   }
 
   #schedule(entry: ReplicaEntry): Promise<ProbeResult> {
--- a/src/gateway/observe/request_events.ts
+++ b/src/gateway/observe/request_events.ts
@@ -67,6 +67,11 @@
   refused: warn("requests", "A request was refused", FAILURES_PER_SECOND),
   failed: warn("requests", "A request failed", FAILURES_PER_SECOND),
   broken: warn("requests", "A response was cut off", FAILURES_PER_SECOND),
+  endUnconfirmed: warn(
+    "requests",
+    "A response without framing ended, and its replica or the peer on the way does not respond",
+    FAILURES_PER_SECOND,
+  ),
   callerGone: info("requests", "The caller disconnected", REQUESTS_PER_SECOND),
   notStarted: info(
     "requests",
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -46,7 +46,8 @@
   const { answer, startedAt, reply, writer, position, observer } = relay;
   const isStream = route.kind === RouteKind.streaming;
   const scanner = isStream ? scanEvents(answer) : undefined;
-  relay.journal.received(answer, scanner);
+  const { address: replicaAddress } = relay.entry;
+  relay.journal.received(answer, { scanner, replicaAddress });
   const head = headOf(answer, route);
   return relayAnswer(answer, reply, {
     route,
--- a/test/gateway/crashes/end_confirmation_test.ts
+++ b/test/gateway/crashes/end_confirmation_test.ts
@@ -14,11 +14,16 @@
 
 const ENTRY = replicaEntry("a");
 
+const NO_LOG = { note: () => undefined };
+
 const notAsked = () => Promise.reject(new Error("unexpected question"));
 
 /** Confirms several ends at once. */
 async function confirm(
-  options: Omit<EndConfirmationOptions, "clock" | "isPeerResponding">,
+  options: Omit<
+    EndConfirmationOptions,
+    "clock" | "events" | "isPeerResponding"
+  >,
   { ends = 1, remoteAddress, isPeerResponding = notAsked }: {
     readonly ends?: number;
     readonly remoteAddress?: string;
@@ -36,6 +41,7 @@
   const confirmation = new EndConfirmation({
     ...options,
     clock,
+    events: NO_LOG,
     isPeerResponding,
   });
   const results = Array.from(
@@ -96,6 +102,7 @@
     );
     const confirmation = new EndConfirmation({
       clock,
+      events: NO_LOG,
       probe: () => Promise.resolve("listens"),
       isDraining: () => false,
       isPeerResponding: (address) =>
