A response whose process ends early never looks whole

Cause: the operating system ends the connections of a process that was killed in order. Plain responses without length and chunks took such an end for theirs, and were forwarded without framing, so that the end of the host itself looked like one, too. Streams had been mended before, but for those of draining replicas.

One rule for all responses (receivedOutcome): complete if the framing says so, or if the replica, and the peer that the response came through, run on after the orderly end. A draining replica is no exception. Toward callers every response is framed: buffered ones get a length, others chunks. A safe request whose response can't be confirmed is retried, an unsafe one gets 502; a part that has been sent is aborted.

Tests that stated the old rule are replaced: a plain response without confirmation was expected to arrive unframed and is now expected not to arrive; a compressed stream is expected framed; the soak accepts no unframed response at all; what holds for unframed responses to callers is now tested with HTTP/1.0.

--- a/src/gateway/callers/reply.ts
+++ b/src/gateway/callers/reply.ts
@@ -29,6 +29,7 @@
     end: () => {
       response.end();
     },
+    hasEnded: () => response.writableEnded || response.destroyed,
     fail: (error, retryAfterSeconds) =>
       sendError(options, error, retryAfterSeconds),
     abort: () => {
--- a/src/gateway/crashes/end_confirmation.ts
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -1,7 +1,8 @@
 /**
- * Checks replicas whose streams ended without a confirmation by their framing.
+ * Checks replicas whose responses ended without a confirmation by their framing.
  * The operating system closes the connections of a crashed process in order, so
- * such an end may be that of the process.
+ * such an end may be that of the process. Draining replicas are no exception: one
+ * that has closed its address may have been about to end its responses, too.
  */
 import { nextTick } from "node:process";
 import type { Milliseconds } from "../../util/units.ts";
@@ -11,7 +12,7 @@
 import type { ProbeResult } from "../upstreams/probe.ts";
 
 /**
- * Delay of a probe. Streams of one replica that end meanwhile share it, and a
+ * Delay of a probe. Responses of one replica that end meanwhile share it, and a
  * process that is ending has closed its listening socket by then.
  */
 const PROBE_DELAY_MS: Milliseconds = 20;
@@ -22,8 +23,6 @@
   readonly events: EventLog;
   /** Checks whether the replica listens, over any path. */
   readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
-  /** Whether a replica is draining; it may have closed its address already. */
-  readonly isDraining: (entry: ReplicaEntry) => boolean;
   /** Whether the peer at this address responds now. */
   readonly isPeerResponding: (address: string) => Promise<boolean>;
 };
@@ -41,7 +40,7 @@
   }
 
   /**
-   * Whether the replica runs, so that a stream of it has ended. One that can't
+   * Whether the replica runs, so that a response of it has ended. One that can't
    * be reached confirms nothing. If the connection to `remoteAddress` went
    * through a peer, that has to run as well.
    */
@@ -91,7 +90,6 @@
   }
 
   #probe(entry: ReplicaEntry): Promise<ProbeResult> {
-    if (this.#options.isDraining(entry)) return Promise.resolve("listens");
     const { incarnation } = entry;
     const probe = this.#scheduled.get(incarnation) ?? this.#schedule(entry);
     this.#scheduled.set(incarnation, probe);
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -14,9 +14,8 @@
 import {
   type OutcomeForCaller,
   outcomeForCaller,
-  plainOutcome,
+  receivedOutcome,
   type RelayOutcome,
-  streamOutcome,
 } from "./relay_outcome.ts";
 import type { Reply } from "./request.ts";
 import type { RelayObserver } from "./run_progress.ts";
@@ -35,11 +34,14 @@
   readonly route: Route;
   /** Scans the events of a stream; undefined: the route is not streaming. */
   readonly scanner: EventScanner | undefined;
-  /** Sends the response headers; called before the first byte of the body. */
-  readonly writeHead: () => void;
   /**
-   * Whether a stream whose framing does not confirm its end has ended; called
-   * if its last event is complete.
+   * Sends the response headers; called before the first byte of the body.
+   * `bodyBytes` is the length of the body if it is known.
+   */
+  readonly writeHead: (bodyBytes?: number) => void;
+  /**
+   * Whether the processes run on that a response came through whose framing does
+   * not confirm its end.
    */
   readonly confirmEnd: () => Promise<boolean>;
   /** Called when the first byte has been sent to the caller. */
@@ -69,14 +71,15 @@
   // It was cut off, and what was received of it is gone.
   if (answer.message.closed) return "interrupted";
   const { route, scanner, writeHead, onFirstByte, observer, pace } = options;
+  const { confirmEnd } = options;
   const paced = pacedReply(answer, reply, pace);
   if (!scanner) {
-    const outcome = await relayBuffered(answer, paced, writeHead);
+    const output = { paced, writeHead, confirmEnd };
+    const outcome = await relayBuffered(answer, output);
     onFirstByte();
     return outcome;
   }
   if (observer) observe(answer, scanner, observer);
-  const { confirmEnd } = options;
   const output = { paced, scanner, confirmEnd };
   const begin = () => {
     writeHead();
@@ -116,8 +119,8 @@
   return relay(answer, paced, {
     data: (bytes) => paced.write(bytes),
     outcome: () => {
-      const hasEvents = scanner.events > 0;
-      return streamOutcome(answer, { events, scanner, hasEvents, confirmEnd });
+      const stream = { events, scanner, hasEvents: scanner.events > 0 };
+      return receivedOutcome(answer, { stream, confirmEnd });
     },
     complete: () => paced.reply.end(),
   });
@@ -204,8 +207,8 @@
       held.push(complete);
     },
     outcome: async () => {
-      const stream = { events, scanner, hasEvents, confirmEnd };
-      return outcomeForCaller(await streamOutcome(answer, stream), held);
+      const ended = { stream: { events, scanner, hasEvents }, confirmEnd };
+      return outcomeForCaller(await receivedOutcome(answer, ended), held);
     },
     complete: () => {
       if (splitter.remainder.length > 0) paced.reply.write(splitter.remainder);
@@ -217,21 +220,25 @@
   return await forwarded;
 }
 
+/** A response that is buffered, and the response to its caller. */
+type BufferedOutput =
+  & Pick<AnswerRelayOptions, "writeHead" | "confirmEnd">
+  & { readonly paced: PacedReply };
+
 /**
  * Buffers a small response until it is complete, so that nothing has been sent
  * to the caller if the response is interrupted.
  */
 function relayBuffered(
   answer: Answer,
-  paced: PacedReply,
-  writeHead: () => void,
+  { paced, writeHead, confirmEnd }: BufferedOutput,
 ): Promise<RelayOutcome> {
   const buffered: Buffer[] = [];
   let size = 0;
   let started = false;
-  const start = () => {
+  const start = (bodyBytes?: number) => {
     started = true;
-    writeHead();
+    writeHead(bodyBytes);
     for (const bytes of buffered.splice(0)) paced.write(bytes);
   };
   return relay(answer, paced, {
@@ -241,9 +248,9 @@
       size += bytes.length;
       if (size > MAX_BUFFERED_BYTES) start();
     },
-    outcome: () => Promise.resolve(plainOutcome(answer)),
+    outcome: () => receivedOutcome(answer, { confirmEnd }),
     complete: () => {
-      if (!started) start();
+      if (!started) start(size);
       paced.reply.end();
     },
   });
@@ -301,7 +308,9 @@
     const end = async () => {
       if (paced.isUnread()) return resolve("unread");
       const outcome = await forwarding.outcome();
-      if (outcome === "interrupted" || outcome === "withheld") {
+      const isCut = outcome === "interrupted" || outcome === "withheld";
+      // The request's time may have ended meanwhile.
+      if (isCut || paced.reply.hasEnded()) {
         paced.end();
         return resolve(outcome);
       }
--- a/src/gateway/requests/relay_outcome.ts
+++ b/src/gateway/requests/relay_outcome.ts
@@ -8,7 +8,10 @@
 /** How the forwarding of a response ended. */
 export type RelayOutcome =
   | "complete"
-  /** Forwarded up to its end, which its framing does not confirm. */
+  /**
+   * Forwarded up to its end, which its framing does not confirm, but the
+   * processes do that it came through: they run on.
+   */
   | "unconfirmed"
   | "interrupted"
   /** Nothing was forwarded, since the caller must not receive it. */
@@ -22,38 +25,49 @@
 /** The outcome of a response for a caller who reads. */
 export type OutcomeForCaller = Exclude<RelayOutcome, "unread">;
 
-/** A stream that has ended. */
+/** The events of a stream that has ended. */
 export type EndedStream = {
   readonly events: EventStream;
   readonly scanner: EventScanner;
   /** Whether events of it have been received, perhaps in earlier responses. */
   readonly hasEvents: boolean;
+};
+
+/** Options of {@link receivedOutcome}. */
+export type ReceivedOutcomeOptions = {
+  /** Undefined: the route is not streaming. */
+  readonly stream?: EndedStream;
   /** As in {@link AnswerRelayOptions}. */
   readonly confirmEnd: () => Promise<boolean>;
 };
 
-/** The outcome of a response on a route that is not streaming. */
-export function plainOutcome(
+/**
+ * The outcome of a response. It is complete if its framing says so, or if all
+ * processes that it came through run on after its orderly end: the operating
+ * system ends the connections of a process that was killed in order, too.
+ */
+export async function receivedOutcome(
   answer: Pick<Answer, "ending">,
-): ReceivedOutcome {
+  { stream, confirmEnd }: ReceivedOutcomeOptions,
+): Promise<ReceivedOutcome> {
   const ending = answer.ending();
-  return ending === BodyEnding.truncated ? "interrupted" : ending;
+  if (ending === BodyEnding.truncated) return "interrupted";
+  if (stream && isCutStream(stream, ending)) return "interrupted";
+  if (ending === BodyEnding.complete) return "complete";
+  return await confirmEnd() ? "unconfirmed" : "interrupted";
 }
 
-/** The outcome of a response on a streaming route. */
-export async function streamOutcome(
-  answer: Pick<Answer, "ending">,
-  { events, scanner, hasEvents, confirmEnd }: EndedStream,
-): Promise<ReceivedOutcome> {
-  const outcome = plainOutcome(answer);
-  if (outcome === "interrupted" || events === EventStream.no) return outcome;
-  if (outcome === "complete") {
-    // An intermediary may have framed a stream that was cut off.
-    const isCut = events === EventStream.declared && scanner.isInsideEvent;
-    return isCut ? "interrupted" : "complete";
+/** Whether the events of a stream tell that it was cut off. */
+function isCutStream(
+  { events, scanner, hasEvents }: EndedStream,
+  ending: BodyEnding,
+): boolean {
+  if (events === EventStream.no) return false;
+  if (ending === BodyEnding.unconfirmed) {
+    return scanner.isInsideEvent || !hasEvents;
   }
-  if (scanner.isInsideEvent || !hasEvents) return "interrupted";
-  return await confirmEnd() ? "unconfirmed" : "interrupted";
+  // An intermediary may have framed a stream that was cut off.
+  return events === EventStream.declared && scanner.isInsideEvent;
 }
 
 /** The outcome of a stream whose events are held back. */
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -16,6 +16,12 @@
 import { scanEvents } from "./scan_events.ts";
 import type { GatewayRequest, Reply, ResponseHead } from "./request.ts";
 
+/** Headers that tell the framing of a body. */
+const FRAMING: ReadonlySet<string> = new Set([
+  "content-length",
+  "transfer-encoding",
+]);
+
 /** A response and the caller that it is forwarded to. */
 export type CallerRelay = {
   readonly answer: Answer;
@@ -48,11 +54,11 @@
   const scanner = isStream ? scanEvents(answer) : undefined;
   const { address: replicaAddress } = relay.entry;
   relay.journal.received(answer, { scanner, replicaAddress });
-  const head = headOf(answer, route);
   return relayAnswer(answer, reply, {
     route,
     scanner,
-    writeHead: () => writer.writeHead(head),
+    writeHead: (bodyBytes) =>
+      writer.writeHead(headOf(answer, route, bodyBytes)),
     confirmEnd: () => crashes.ends.confirm(relay.entry, answer.remoteAddress),
     onFirstByte: () => {
       const at = isStream ? startedAt : clock.now();
@@ -77,19 +83,27 @@
 }
 
 /**
- * The head of a response for the caller. A stream of events is forwarded in
- * chunks if it has no framing, since an orderly end of this host's connection
- * would look like its end, or if another replica may continue it, perhaps with
- * another length.
+ * The head of a response for the caller. It is framed whatever the framing of the
+ * replica's response: an orderly end of this host's connection, as if this
+ * process is killed, must not look like the end of the body.
  */
-function headOf(answer: Answer, { kind, resumable }: Route): ResponseHead {
+function headOf(
+  answer: Answer,
+  route: Route,
+  bodyBytes: number | undefined,
+): ResponseHead {
   const { message, framing } = answer;
   const { statusCode: status = 502, rawHeaders } = message;
-  const isStream = kind === RouteKind.streaming &&
+  // Another replica may continue it, perhaps with another length.
+  const mayContinue = route.kind === RouteKind.streaming && route.resumable &&
     eventStreamOf(answer) !== EventStream.no;
-  const isChunked = isStream && (framing === Framing.connection || resumable);
-  if (!isChunked) return { status, rawHeaders, framing };
-  const isLength = (name: string) => name === "content-length";
-  const headers = withoutHeaders(rawHeaders, isLength);
-  return { status, rawHeaders: headers, framing: Framing.chunked };
+  if (framing === Framing.length && !mayContinue) {
+    return { status, rawHeaders, framing };
+  }
+  const headers = withoutHeaders(rawHeaders, (name) => FRAMING.has(name));
+  if (bodyBytes === undefined) {
+    return { status, rawHeaders: headers, framing: Framing.chunked };
+  }
+  headers.push("Content-Length", String(bodyBytes));
+  return { status, rawHeaders: headers, framing: Framing.length };
 }
--- a/src/gateway/requests/request.ts
+++ b/src/gateway/requests/request.ts
@@ -40,15 +40,16 @@
 /** Writes the response to the caller. */
 export type Reply = {
   /**
-   * Forwards the status and the headers of a replica's response. A body without
-   * framing is forwarded without framing: any framing would state that its end
-   * is known.
+   * Sends the status and the headers of a response. The body is sent without
+   * framing only to callers who know no chunks and if its length is unknown.
    */
   writeHead(head: ResponseHead): void;
   /** Returns false if `drained` should be awaited before writing more. */
   write(bytes: Buffer): boolean;
   drained(): Promise<void>;
   end(): void;
+  /** Whether the response has been ended or aborted. */
+  hasEnded(): boolean;
   /** Sends an error response of the gateway. */
   fail(error: GatewayError, retryAfterSeconds?: number): void;
   /** Aborts a started response so that the caller can tell it is incomplete. */
--- a/test/fuzz/check_connection.ts
+++ b/test/fuzz/check_connection.ts
@@ -35,7 +35,6 @@
 function expectedCount({ requests }: ConnectionPlan): number {
   const closing = requests.findIndex((request) =>
     request.type === "malformed" ||
-    request.behavior === ReplicaBehavior.unframed ||
     request.behavior === ReplicaBehavior.cutOff
   );
   return closing < 0 ? requests.length : closing;
--- a/test/gateway/callers/drain_test.ts
+++ b/test/gateway/callers/drain_test.ts
@@ -16,6 +16,8 @@
 const BODY = "a".repeat(200_000);
 /** Enough to fill the buffers of a connection over loopback. */
 const REQUESTS = 100;
+/** From a caller that knows no chunks. */
+const OLD_REQUEST = "GET /a/b HTTP/1.0\r\nHost: example\r\nx-id: 1\r\n\r\n";
 const REQUEST = "GET /a/b HTTP/1.1\r\nHost: example\r\nx-id: 1\r\n\r\n";
 /** Lets a stopping host check its connections more than once. */
 const SEVERAL_CHECKS_MS = 200;
@@ -118,7 +120,7 @@
     const { clock } = rig.context;
     const connected = once(rig.callers.server, "connection");
     const caller = connectTo(rig);
-    caller.write(REQUEST);
+    caller.write(OLD_REQUEST);
     const [accepted] = await connected as [Socket];
     while (accepted.writableLength === 0) await nextTurn();
     await rig.callers.drain(clock, clock.now() + SEVERAL_CHECKS_MS);
--- a/test/gateway/callers/pipelined_requests_test.ts
+++ b/test/gateway/callers/pipelined_requests_test.ts
@@ -13,6 +13,7 @@
   completeResponse,
   type RawAnswer,
 } from "../raw_replica.ts";
+import { statusesIn } from "../raw_connection.ts";
 import { type Rig, withRig } from "../rig.ts";
 
 /** Lets the gateway read the written bytes before the connection ends. */
@@ -57,18 +58,41 @@
   };
 }
 
-test("a request behind a plain response without framing is not started", async () => {
-  const answer = firstWith((request, socket) => {
+/** Answers the first request with an unframed body, others completely. */
+function unframedFirst(body: string): RawAnswer {
+  return firstWith((request, socket) => {
     const id = request.headers.get("x-id");
-    socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nall`);
+    socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n${body}`);
     setTimeout(() => socket.end(), AFTER_READ_MS);
   });
-  const options = { route: UNSAFE, replicas: [{ answer }] };
+}
+
+test("requests behind a plain response without framing are answered", async () => {
+  const options = {
+    route: UNSAFE,
+    replicas: [{ answer: unframedFirst("all") }],
+  };
+  await withRig(options, async (rig) => {
+    const requests = [get("1"), get("2"), get("3", "Connection: close")];
+    const text = await received(sendAll(rig, requests));
+    assert.deepEqual(statusesIn(text), ["200", "200", "200"]);
+    assert.deepEqual(receivedIds(rig), ["1", "2", "3"]);
+  });
+});
+
+test("a request behind a plain response without framing is not started", async () => {
+  // Too large to get a length, for a caller that knows no chunks.
+  const body = "x".repeat(300 * 1024);
+  const options = {
+    route: UNSAFE,
+    replicas: [{ answer: unframedFirst(body) }],
+  };
   await withRig(options, async (rig) => {
-    const text = await received(
-      sendAll(rig, [get("1"), get("2"), get("3")]),
+    const requests = ["1", "2", "3"].map((id) =>
+      get(id, "Connection: keep-alive").replace("HTTP/1.1", "HTTP/1.0")
     );
-    assert.ok(text.endsWith("\r\n\r\nall"), text);
+    const text = await received(sendAll(rig, requests));
+    assert.ok(text.endsWith(`\r\n\r\n${body}`), text.slice(0, 200));
     assert.deepEqual(receivedIds(rig), ["1"]);
     const dropped = rig.events.filter(({ name }) => name === "notStarted");
     assert.deepEqual(
--- a/test/gateway/crashes/end_confirmation_test.ts
+++ b/test/gateway/crashes/end_confirmation_test.ts
@@ -53,27 +53,20 @@
 }
 
 test("only a replica that listens confirms the end of its stream", async () => {
-  const isDraining = () => false;
   for (const result of ["listens", "refused", "silent"] as const) {
     const probe = () => Promise.resolve(result);
-    const confirmed = await confirm({ probe, isDraining });
+    const confirmed = await confirm({ probe });
     assert.deepEqual(confirmed, [result === "listens"]);
   }
 });
 
-test("a draining replica, which may have closed its address, is not probed", async () => {
-  const probe = () => Promise.reject(new Error("unexpected probe"));
-  const confirmed = await confirm({ probe, isDraining: () => true });
-  assert.deepEqual(confirmed, [true]);
-});
-
 test("streams of one replica that end together share a probe", async () => {
   let probes = 0;
   const probe = () => {
     probes += 1;
     return Promise.resolve("listens" as const);
   };
-  await confirm({ probe, isDraining: () => false }, { ends: 3 });
+  await confirm({ probe }, { ends: 3 });
   assert.equal(probes, 1);
 });
 
@@ -81,7 +74,6 @@
   for (const isResponding of [true, false]) {
     const confirmed = await confirm({
       probe: () => Promise.resolve("listens"),
-      isDraining: () => false,
     }, {
       remoteAddress: "peer",
       isPeerResponding: () => Promise.resolve(isResponding),
@@ -104,7 +96,6 @@
       clock,
       events: NO_LOG,
       probe: () => Promise.resolve("listens"),
-      isDraining: () => false,
       isPeerResponding: (address) =>
         isPeerResponding(address, { clock, connections }),
     });
--- a/test/gateway/requests/ended_processes_test.ts
+++ b/test/gateway/requests/ended_processes_test.ts
@@ -97,31 +97,41 @@
 
 /** The listing says that all replicas drain. */
 function drainAll({ context: { replicas } }: Rig): void {
-  const drained = (entry: ReplicaEntry) => ({ ...entry, leaving: true });
-  const entries = replicas.entries().map(drained);
+  const entries = replicas.entries()
+    .map((entry: ReplicaEntry) => ({ ...entry, leaving: true }));
   replicas.adopt({ revision: 2, entries });
 }
 
-const DRAINING_CUT =
-  "a stream that ends with its draining replica behind an event is broken off";
-test(DRAINING_CUT, knownRed(DRAINING_CUT), async () => {
-  const type = "text/event-stream";
-  const kind = RouteKind.streaming;
-  let rig: Rig | undefined;
+/** Calls a host whose replica drains and ends an unframed stream. */
+async function callDraining(end: (rig: Rig) => void): Promise<SeenResponse> {
   const answer: RawAnswer = (request, socket) => {
-    socket.write(unframedHead(request, type) + EVENT);
+    socket.write(unframedHead(request, "text/event-stream") + EVENT);
     setTimeout(() => {
-      assert.ok(rig);
       drainAll(rig);
-      rig.replicas[0]?.stop();
+      end(rig);
+      socket.end();
     }, AFTER_READ_MS);
   };
-  const options = { route: { kind, attempts: 1 }, replicas: [{ answer }] };
-  await withRig(options, async (running) => {
-    rig = running;
-    const response = await callRaw(running.address);
-    assert.equal(response.ending, SeenEnding.truncated);
-  });
+  const route = { kind: RouteKind.streaming, attempts: 1 };
+  const rig = await startRig({ route, replicas: [{ answer }] });
+  try {
+    return await callRaw(rig.address);
+  } finally {
+    rig.stop();
+  }
+}
+
+const DRAINING_CUT =
+  "a stream that ends with its draining replica behind an event is broken off";
+test(DRAINING_CUT, knownRed(DRAINING_CUT), async () => {
+  const response = await callDraining(({ replicas }) => replicas[0]?.stop());
+  assert.equal(response.ending, SeenEnding.truncated);
+});
+
+test("a stream that ends while its draining replica listens is complete", async () => {
+  const response = await callDraining(() => undefined);
+  assert.equal(response.ending, SeenEnding.complete);
+  assert.equal(response.body, EVENT);
 });
 
 /** Sends a whole body without framing; the replica goes on running. */
--- a/test/gateway/requests/relay_rig.ts
+++ b/test/gateway/requests/relay_rig.ts
@@ -156,6 +156,7 @@
     },
     drained: () => Promise.resolve(),
     end: () => undefined,
+    hasEnded: () => false,
     fail: () => undefined,
     abort: () => undefined,
   };
--- a/test/gateway/requests/relay_streams_test.ts
+++ b/test/gateway/requests/relay_streams_test.ts
@@ -55,10 +55,9 @@
   if (ending === BodyEnding.complete) {
     return kind === "declared" && isInsideEvent ? "interrupted" : "complete";
   }
-  if (kind === "no") return "unconfirmed";
-  if (isInsideEvent) return "interrupted";
   const hasEvents = resumable ? complete.length > 0 : events > 0;
-  return hasEvents && isConfirmed ? "unconfirmed" : "interrupted";
+  const isCut = kind !== "no" && (isInsideEvent || !hasEvents);
+  return isConfirmed && !isCut ? "unconfirmed" : "interrupted";
 }
 
 test("the caller, the log and the planner get the same events of a stream", async () => {
--- a/test/gateway/requests/unframed_responses_test.ts
+++ b/test/gateway/requests/unframed_responses_test.ts
@@ -98,15 +98,16 @@
   });
 });
 
-test("a plain response whose end nothing confirms is not framed as complete", async () => {
+test("a plain response whose end nothing confirms does not reach its caller", async () => {
   const text = '{"a": [1,';
   const route = { kind: RouteKind.unsafe, attempts: 1 };
   const options = { route, replicas: [{ answer: unframed(text) }] };
   await withRig(options, async (rig) => {
+    rig.context.paths.monitor.probe = () => Promise.resolve("silent");
     const response = await callRaw(rig.address);
-    assert.equal(response.status, 200);
-    assert.equal(response.body, text);
-    assert.equal(response.ending, SeenEnding.connection);
+    assert.equal(response.status, 502);
+    assert.ok(!response.body.includes(text));
+    assert.ok(rig.events.some(({ name }) => name === "endUnconfirmed"));
   });
 });
 
@@ -228,7 +229,7 @@
     await withRig({ route, replicas: [{ answer }] }, async (rig) => {
       const response = await callRaw(rig.address);
       assert.equal(response.body, compressed);
-      assert.equal(response.ending, SeenEnding.connection);
+      assert.equal(response.ending, SeenEnding.complete);
     });
   }
 });
--- a/test/soak/unframed_responses_test.ts
+++ b/test/soak/unframed_responses_test.ts
@@ -86,8 +86,11 @@
   });
 }
 
-/** Asserts that no response looks whole that isn't. */
-function assertNoneVouchedFor(
+/**
+ * Asserts that no response looks whole that isn't, and that all are framed: the
+ * end of a host would look like the end of those that aren't.
+ */
+function assertNoneLooksWhole(
   { world }: TestFleet,
   results: readonly CallResult[],
 ): void {
@@ -96,6 +99,10 @@
     !isOwnAndComplete(result) && !isUnnoticedCut(result, world.cuts)
   );
   const [first] = wrong;
+  const unframed = results.filter(({ status, framing }) =>
+    status === 200 && framing === Framing.none
+  );
+  assert.equal(unframed.length, 0, `${unframed.length} are not framed`);
   assert.ok(world.cuts.length >= MIN_CUTS, `${world.cuts.length} cuts`);
   assert.equal(
     wrong.length,
@@ -115,7 +122,7 @@
     const cut = cutInsideEvents();
     shapeResponses(fleet, () => ({ ...UNFRAMED, cut }));
     const results = await runUntilCut(fleet, [CallKind.stream]);
-    assertNoneVouchedFor(fleet, results);
+    assertNoneLooksWhole(fleet, results);
   });
 });
 
@@ -135,7 +142,7 @@
       return { ...UNFRAMED, cut };
     });
     const results = await runUntilCut(fleet, [CallKind.resumable]);
-    assertNoneVouchedFor(fleet, results);
+    assertNoneLooksWhole(fleet, results);
     // Other replicas have capacity for all of them.
     const wentOn = results.filter((result) =>
       cutRequests.has(result.id) && isOwnAndComplete(result)
@@ -146,13 +153,13 @@
 });
 
 const EVENT_END_CUT =
-  "a cut plain response without framing reaches its caller without framing";
+  "a response without framing reaches its caller framed, also if it was cut";
 test(EVENT_END_CUT, knownRed(EVENT_END_CUT), async () => {
   await withFleet(async (fleet) => {
     const cut = cutBetweenEvents();
     shapeResponses(fleet, () => ({ ...UNFRAMED, cut }));
     const results = await runUntilCut(fleet, Object.values(CallKind));
-    assertNoneVouchedFor(fleet, results);
+    assertNoneLooksWhole(fleet, results);
   });
 });
 
--- a/test/soak/whole_responses.ts
+++ b/test/soak/whole_responses.ts
@@ -19,15 +19,15 @@
 
 /**
  * Whether a replica that still runs cut its unframed response where no receiver
- * can tell: a stream behind an event, or a plain body, which must reach its
- * caller unframed as well.
+ * can tell: a stream behind an event, or a plain body. Also such a response must
+ * reach its caller framed: without framing, the end of its host would cut it
+ * unnoticed, too.
  */
 export function isUnnoticedCut(
   call: CallResult,
   cuts: readonly CutResponse[],
 ): boolean {
-  const isVouchedFor = call.framing !== Framing.none && !isStream(call.kind);
-  if (isVouchedFor) return false;
+  if (call.framing === Framing.none) return false;
   if (!call.seal.endsWith(`.${call.id}`)) return false;
   if (!(wholeBody(call) ?? "").startsWith(call.body)) return false;
   return cuts.some(({ request, framing, end, sent }) =>
