Fuzz of callers: short timers run, since the end of a response may be probed

The rig had switched all timers off, so that a stall ends no connection; the 20 ms before a probe never ended, and each unframed response hung. Timeouts stay off.

--- a/test/fuzz/fuzz_callers.ts
+++ b/test/fuzz/fuzz_callers.ts
@@ -1,5 +1,6 @@
 /** Plays planned connections of callers against a host of their own. */
 import fc from "fast-check";
+import { systemClock } from "../../src/gateway/clock.ts";
 import { HeldFor } from "../../src/gateway/memory/byte_budget.ts";
 import { RouteKind } from "../../src/gateway/mod.ts";
 import {
@@ -30,6 +31,8 @@
 /** More digits than a plan has mutations. */
 export const ID_DIGITS = 6;
 const CAPACITY_BYTES = 8 << 20;
+/** Below all timeouts of a host, above the delay of a probe. */
+const MAX_DELAY_MS = 50;
 
 const answer: RawAnswer = (request, socket) => {
   const { headers } = request;
@@ -54,6 +57,15 @@
   }
 };
 
+/**
+ * Runs only short timers, which delay work: a stall of this process must not end
+ * connections.
+ */
+function withoutTimeouts(ms: number, work: () => void): () => void {
+  if (ms <= MAX_DELAY_MS) return systemClock.after(ms, work);
+  return () => undefined;
+}
+
 /** The faults of one set of connections; none if all went as they have to. */
 export async function fuzzCallers(
   plans: readonly ConnectionPlan[],
@@ -61,8 +73,7 @@
   const faults: string[] = [];
   const route = { kind: RouteKind.unsafe, attempts: 1 };
   await withRig({ route, replicas: [{ answer }] }, async (rig) => {
-    // A stall of this process must not end connections.
-    Object.assign(rig.context.clock, { after: () => () => undefined });
+    Object.assign(rig.context.clock, { after: withoutTimeouts });
     rig.context.heldBytes.setCapacity(CAPACITY_BYTES);
     // Mutations can't turn the id of one plan into that of another.
     const idOf = (plan: number, index: number) =>
