A space in the name of a header ends its connection

On Node.js 20.19.0 (llhttp 8.1.2) the parser accepts spaces in names, so 'Host : example' came as a header 'host ', its request was refused as one without Host, and those behind it were run. The host now treats it as Node's newer parsers do: a 400 in its turn, nothing behind it is read.

--- a/src/gateway/callers/caller_connections.ts
+++ b/src/gateway/callers/caller_connections.ts
@@ -4,11 +4,12 @@
 import { GatewayError } from "../answers.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
+import { hasInvalidName } from "../http/headers.ts";
 import { AcceptQueue } from "../load/accept_queue.ts";
 import { LateLoop } from "../load/late_loop.ts";
 import { ConnectionLimit } from "./connection_limit.ts";
 import { lingerOnClose } from "./lingering_close.ts";
-import { Pipeline, type PipelineBounds, type Turn } from "./pipeline.ts";
+import { Pipeline, type PipelineBounds, Turn } from "./pipeline.ts";
 import { rawResponse } from "./raw_response.ts";
 import { UnreadableRequests } from "./unreadable_requests.ts";
 
@@ -17,6 +18,10 @@
  * are open. One that is closed unread costs little that way.
  */
 const SHEDDING_LIMIT = 1;
+/** The error of a parser that rejects invalid names of headers. */
+const INVALID_NAME = Object.assign(new Error("Invalid header name"), {
+  code: "HPE_INVALID_HEADER_TOKEN",
+});
 
 /** What {@link CallerConnections} uses of a gateway's context. */
 export type ConnectionsContext = Pick<
@@ -58,9 +63,15 @@
   /** Adds a request on its arrival; resolves when its turn has come. */
   add(incoming: IncomingMessage, response: ServerResponse): Promise<Turn> {
     const { socket } = incoming;
+    const pipeline = this.#pipelineOf(socket);
     this.#unreadable.received(socket);
     this.#limit.busy(socket);
-    return this.#pipelineOf(socket).add(incoming, response);
+    if (!hasInvalidName(incoming.rawHeaders)) {
+      return pipeline.add(incoming, response);
+    }
+    incoming.resume();
+    this.#unreadable.failed(socket, pipeline, INVALID_NAME);
+    return Promise.resolve(Turn.closed);
   }
 
   /** Whether callers had better leave this host once they are served. */
--- a/src/gateway/http/headers.ts
+++ b/src/gateway/http/headers.ts
@@ -69,6 +69,14 @@
   );
 }
 
+/**
+ * Whether a name contains a space, which Node.js 20 accepts. Before the colon
+ * it hides a header from some receivers (RFC 9112, 5.1).
+ */
+export function hasInvalidName(raw: readonly string[]): boolean {
+  return raw.some((text, index) => index % 2 === 0 && text.includes(" "));
+}
+
 /** Bytes around the name and the value of a header: a colon, a space, CRLF. */
 const HEADER_FRAMING_BYTES = 4;
 
--- a/test/gateway/callers/unreadable_requests_test.ts
+++ b/test/gateway/callers/unreadable_requests_test.ts
@@ -31,6 +31,21 @@
   });
 });
 
+test("a space before the colon of a header ends the connection", async () => {
+  const { answer, release } = keepFirst();
+  await withRig({ route: UNSAFE, replicas: [{ answer }] }, async (rig) => {
+    const connection = openConnection(rig.address);
+    const malformed = rawGet("2", "X-Any : value");
+    connection.socket.write(rawGet("1") + malformed + rawGet("3"));
+    await rig.waitForRequests(1);
+    await callOften(rig);
+    release();
+    const text = await connection.closed;
+    assert.deepEqual(statusesIn(text), ["200", "400"]);
+    assert.equal(rig.replicas[0]?.requests.length, 1);
+  });
+});
+
 test("a malformed body ends its own request", async () => {
   const { answer, release } = keepFirst();
   await withRig({ route: UNSAFE, replicas: [{ answer }] }, async (rig) => {
