Test: streams of a version that leaves while all hosts are down

The users' report of joined streams (rejoined.toml): all hosts are killed while a second version comes and the first one leaves, and callers try again from the first moment on.

--- a/test/soak/restarted_fleet_test.ts
+++ b/test/soak/restarted_fleet_test.ts
@@ -29,6 +29,11 @@
 const RUNNING_MS = 1300;
 const RELEASED_MS = 300;
 const DOWNTIME_MS = 1000;
+/** From the listing of a version to the end of all hosts. */
+const JUST_LISTED_MS = 1500;
+/** How long a caller goes on trying, which covers the start of the hosts. */
+const RETRIES_MS = 6000;
+const RETRY_INTERVAL_MS = 250;
 
 type Stream = { readonly id: string; readonly result: Promise<CallResult> };
 
@@ -91,6 +96,25 @@
   return { broken, resumed: resumed.flat() };
 }
 
+/** Takes one stream up at host after host until it goes on or time is over. */
+async function resumeEarly(
+  fleet: TestFleet,
+  { id, result }: Stream,
+  at: number,
+): Promise<CallResult[]> {
+  const attempts = [await result];
+  const endsAt = performance.now() + RETRIES_MS;
+  for (let count = 1; performance.now() < endsAt; count++) {
+    const last = attempts.at(-1);
+    const resumption = last && findResumption(last);
+    if (!resumption) break;
+    const options = { id: `${id}-${count}`, resumption };
+    attempts.push(await attempt(hostAt(fleet, at + count), options));
+    await sleep(RETRY_INTERVAL_MS);
+  }
+  return attempts;
+}
+
 /** Starts replicas of a second version beside those of the first. */
 async function addNextVersion({ world }: TestFleet): Promise<void> {
   await world.addEngine(NEXT_SOFTWARE_VERSION);
@@ -123,6 +147,27 @@
   });
 });
 
+const JUST_RELEASED =
+  "streams of a version that leaves while all hosts are down don't go on at the one that had just come";
+test(JUST_RELEASED, knownRed(JUST_RELEASED), async () => {
+  await withFleet(async (fleet) => {
+    const { world, hosts } = fleet;
+    for (const { standin } of world.replicas) standin.slowdown = SLOWDOWN;
+    const streams = await beginStreams(fleet);
+    const all = streams.map((stream, at) => resumeEarly(fleet, stream, at));
+    await world.addEngine(NEXT_SOFTWARE_VERSION);
+    await sleep(JUST_LISTED_MS);
+    await Promise.all(hosts.map(({ process }) => process.kill()));
+    await unlistFirstVersion(fleet);
+    await sleep(DOWNTIME_MS);
+    for (const { process } of hosts) process.start();
+    const attempts = (await Promise.all(all)).flat();
+    const resumed = attempts.filter(({ resumption }) => resumption);
+    assert.ok(resumed.length >= MIN_RESUMPTIONS, `${resumed.length}`);
+    assert.deepEqual(findMixedStreams(attempts), []);
+  });
+});
+
 const ONE_BY_ONE =
   "streams of a version that left the listing don't go on at another while hosts are killed one after the other";
 test(ONE_BY_ONE, knownRed(ONE_BY_ONE), async () => {
