A silent replica is probed again before an unrepeatable response is given up

One probe of 100 ms decided whether an unframed response had ended. A sound replica whose queue of new connections is full, or whose opening packet was lost, doesn't answer it, and a whole unsafe response would have become a 502. It is probed for 1.5 s now; requests that may go to another replica don't wait. end_confirmation_test.

--- a/src/gateway/crashes/end_confirmation.ts
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -16,6 +16,11 @@
  * process that is ending has closed its listening socket by then.
  */
 const PROBE_DELAY_MS: Milliseconds = 20;
+/**
+ * How long a silent replica is probed again. One whose queue of new connections
+ * is full, or whose packets are lost, may be silent for a second and run.
+ */
+const SILENCE_MS: Milliseconds = 1500;
 
 /** Options of {@link EndConfirmation}. */
 export type EndConfirmationOptions = {
@@ -27,6 +32,13 @@
   readonly isPeerResponding: (address: string) => Promise<boolean>;
 };
 
+/** Options of {@link EndConfirmation.confirm}. */
+export type ConfirmOptions = {
+  /** The other end of the connection; by default, the replica's address. */
+  readonly remoteAddress?: string;
+  readonly waits?: boolean;
+};
+
 /** Probes replicas, at most once per delay each. */
 export class EndConfirmation {
   readonly #options: EndConfirmationOptions;
@@ -42,15 +54,20 @@
   /**
    * Whether the replica runs, so that a response of it has ended. One that can't
    * be reached confirms nothing. If the connection to `remoteAddress` went
-   * through a peer, that has to run as well.
+   * through a peer, that has to run as well. `waits`: a silent replica is probed
+   * for a while, since the request can't be sent to another one.
    */
   async confirm(
     entry: ReplicaEntry,
-    remoteAddress = entry.address,
+    { remoteAddress = entry.address, waits = false }: ConfirmOptions = {},
   ): Promise<boolean> {
-    const { events, isPeerResponding } = this.#options;
+    const { clock, events, isPeerResponding } = this.#options;
     const peer = remoteAddress === entry.address ? undefined : remoteAddress;
-    const probe = await this.#probe(entry);
+    const deadline = clock.now() + (waits ? SILENCE_MS : 0);
+    let probe = await this.#probe(entry);
+    while (probe === "silent" && clock.now() < deadline) {
+      probe = await this.#probe(entry);
+    }
     const isRunning = probe === "listens";
     if (isRunning && (!peer || await isPeerResponding(peer))) {
       this.#noteConfirmed(entry);
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -59,7 +59,11 @@
     scanner,
     writeHead: (bodyBytes) =>
       writer.writeHead(headOf(answer, route, bodyBytes)),
-    confirmEnd: () => crashes.ends.confirm(relay.entry, answer.remoteAddress),
+    confirmEnd: () =>
+      crashes.ends.confirm(relay.entry, {
+        remoteAddress: answer.remoteAddress,
+        waits: route.kind !== RouteKind.safe && !route.resumable,
+      }),
     onFirstByte: () => {
       const at = isStream ? startedAt : clock.now();
       metrics.time(Timing.firstByte, at - receivedAt);
--- a/test/gateway/crashes/end_confirmation_test.ts
+++ b/test/gateway/crashes/end_confirmation_test.ts
@@ -5,7 +5,7 @@
   EndConfirmation,
   type EndConfirmationOptions,
 } from "../../../src/gateway/crashes/end_confirmation.ts";
-import { systemClock } from "../../../src/gateway/clock.ts";
+import { type Clock, systemClock } from "../../../src/gateway/clock.ts";
 import { isPeerResponding } from "../../../src/gateway/peers/is_peer_responding.ts";
 import { PeerConnections } from "../../../src/gateway/peers/peer_connections.ts";
 import { createJsonClient } from "../../../src/gateway/upstreams/json_client.ts";
@@ -18,6 +18,19 @@
 
 const notAsked = () => Promise.reject(new Error("unexpected question"));
 
+/** A clock on which time passes with its timers. */
+function steppedClock(): Clock {
+  let now = 0;
+  return {
+    now: () => now,
+    after: (ms, work) => {
+      now += ms;
+      setImmediate(work);
+      return () => undefined;
+    },
+  };
+}
+
 /** Confirms several ends at once. */
 async function confirm(
   options: Omit<
@@ -46,7 +59,7 @@
   });
   const results = Array.from(
     { length: ends },
-    () => confirmation.confirm(ENTRY, remoteAddress),
+    () => confirmation.confirm(ENTRY, remoteAddress ? { remoteAddress } : {}),
   );
   for (const work of timers) work();
   return await Promise.all(results);
@@ -60,6 +73,31 @@
   }
 });
 
+test("a silent replica is probed again for a request that can't be repeated", async () => {
+  for (const waits of [true, false]) {
+    const results = ["silent", "silent", "listens"] as const;
+    let probes = 0;
+    const confirmation = new EndConfirmation({
+      clock: steppedClock(),
+      events: NO_LOG,
+      probe: () => Promise.resolve(results[probes++] ?? "listens"),
+      isPeerResponding: notAsked,
+    });
+    assert.equal(await confirmation.confirm(ENTRY, { waits }), waits);
+    assert.equal(probes, waits ? 3 : 1);
+  }
+});
+
+test("a replica that stays silent confirms nothing", async () => {
+  const confirmation = new EndConfirmation({
+    clock: steppedClock(),
+    events: NO_LOG,
+    probe: () => Promise.resolve("silent"),
+    isPeerResponding: notAsked,
+  });
+  assert.equal(await confirmation.confirm(ENTRY, { waits: true }), false);
+});
+
 test("streams of one replica that end together share a probe", async () => {
   let probes = 0;
   const probe = () => {
@@ -99,7 +137,9 @@
       isPeerResponding: (address) =>
         isPeerResponding(address, { clock, connections }),
     });
-    const isConfirmed = await confirmation.confirm(ENTRY, peer.address);
+    const isConfirmed = await confirmation.confirm(ENTRY, {
+      remoteAddress: peer.address,
+    });
     connections.close();
     peer.stop();
     assert.equal(isConfirmed, isResponding);
