Reservations that time out get longer timeouts instead of a storm of calls

Where all calls take longer than the timeout, the repeats keep it so.

Each reservation without a response doubles the timeout of the next one of its request, twice at most.

--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -37,6 +37,14 @@
 /** Options of {@link EnginePlacement}. */
 export type EnginePlacementOptions = EngineAssignmentOptions;
 
+/**
+ * Each reservation without a response doubles the timeout of the next one, up to
+ * this often. Where hosts and replicas are short of processor time, every call is
+ * slow; with a fixed timeout all would time out, be repeated at once, and keep
+ * them busy.
+ */
+const MAX_DOUBLINGS = 2;
+
 /** Places one request at a model engine. */
 export class EnginePlacement implements Placer {
   readonly #options: EnginePlacementOptions;
@@ -46,6 +54,8 @@
   #reservation: Reservation | undefined;
   #export: Export | undefined;
   #permit: SendPermit | undefined;
+  /** Reservations in a row to which no replica responded. */
+  #unanswered = 0;
 
   constructor(options: EnginePlacementOptions) {
     this.#options = options;
@@ -120,13 +130,18 @@
 
   async #reserve(replica: Replica): Promise<Reservation | undefined> {
     const { context, request, engine } = this.#options;
+    const { outputMargin, reserveTimeoutMs } = context.tuning;
+    const doublings = Math.min(MAX_DOUBLINGS, this.#unanswered);
     const reservation = await acquireReservation(context, replica, {
-      tokens: memoryTokens(request.facts, engine, context.tuning.outputMargin),
+      tokens: memoryTokens(request.facts, engine, outputMargin),
       maxMs: engine.reservationMs,
+      timeoutMs: reserveTimeoutMs * 2 ** doublings,
     });
+    const isUnanswered = reservation === "noResponse";
+    this.#unanswered = isUnanswered ? this.#unanswered + 1 : 0;
     if (typeof reservation === "string") {
       this.#releasePermit();
-      if (reservation === "noResponse") {
+      if (isUnanswered) {
         const { monitor } = context.paths;
         const isLocal = monitor.isLost(replica.entry.incarnation);
         this.failed({ rejected: false, isBackoff: false, isLocal });
--- a/src/gateway/requests/reservations.ts
+++ b/src/gateway/requests/reservations.ts
@@ -24,13 +24,16 @@
 export async function acquireReservation(
   context: GatewayContext,
   replica: Replica,
-  memory: { readonly tokens: number; readonly maxMs: Milliseconds },
+  { timeoutMs, ...memory }: {
+    readonly tokens: number;
+    readonly maxMs: Milliseconds;
+    readonly timeoutMs: Milliseconds;
+  },
 ): Promise<Reservation | ReservationFailure> {
-  const { clock, dialect, tuning, metrics } = context;
+  const { clock, dialect, metrics } = context;
   const ttlMs = Math.min(RESERVATION_TTL_MS, memory.maxMs);
   const requestedAt = clock.now();
   const call = dialect.reserve(memory.tokens, ttlMs);
-  const timeoutMs = tuning.reserveTimeoutMs;
   context.gate.noteSend(replica.entry);
   const idOf = ({ status, body }: JsonAnswer) =>
     status === 200 ? dialect.readReservation(body) : undefined;
