A host with an earlier record of a stream waits for the hosts with the later one

Its own record no longer shortens the wait: 20 ms from the first other host that knows the stream, 250 ms if none does.

replaced_records_test failed (bound to v1) with 60 ms between hosts, and passes.

--- a/src/gateway/streams/keeper_client.ts
+++ b/src/gateway/streams/keeper_client.ts
@@ -58,14 +58,12 @@
 
   /**
    * Asks hosts for a stream. Resolves when all have responded, or shortly after
-   * the first one that knows the stream; `isKnown`: this host does.
+   * the first one that knows the stream. A record that this host keeps itself
+   * shortens nothing: it may be an earlier one than that of slower hosts.
    */
   ask(
     hosts: readonly HostEntry[],
-    { stream, isKnown }: {
-      readonly stream: StreamKey;
-      readonly isKnown: boolean;
-    },
+    stream: StreamKey,
   ): Promise<readonly KeeperAnswer[]> {
     return new Promise((resolve) => {
       const answers: KeeperAnswer[] = [];
@@ -79,7 +77,6 @@
         cancel ??= this.#options.clock.after(SETTLE_MS, finish);
       };
       if (waiting === 0) return finish();
-      if (isKnown) settle();
       for (const host of hosts) {
         void this.#askOne(host, stream).then((response) => {
           if (response) answers.push({ host, response });
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -207,10 +207,10 @@
       isListingFresh: this.#isListingFresh,
       asked: this.#chooser.of(stream, this.#options.hosts()).asked,
       ask: (hosts) =>
-        this.#client.ask(hosts, {
-          stream: isRecordable(stream) ? stream : { ...stream, id: NO_STREAM },
-          isKnown: record !== undefined,
-        }),
+        this.#client.ask(
+          hosts,
+          isRecordable(stream) ? stream : { ...stream, id: NO_STREAM },
+        ),
       findArchived: () => this.#archive.find(stream),
     });
     metrics.count(`stream_versions_${source}`);
--- a/test/gateway/streams/keeper_call_test.ts
+++ b/test/gateway/streams/keeper_call_test.ts
@@ -23,8 +23,6 @@
 };
 const BATCH = { origin: "h@1", records: [RECORD] };
 
-const QUESTION = { stream: RECORD.stream, isKnown: false };
-
 async function withServer(
   listener: RequestListener,
   work: (host: HostEntry, client: KeeperClient) => Promise<void>,
@@ -67,7 +65,7 @@
     server.accept(request, response);
   await withServer(accept, async (host, client) => {
     assert.equal(await client.send(host, BATCH), true);
-    const [answer] = await client.ask([host], QUESTION);
+    const [answer] = await client.ask([host], RECORD.stream);
     assert.deepEqual(answer?.response, {
       type: "known",
       softwareVersion: "v1",
@@ -84,7 +82,7 @@
   };
   await withServer(state, async (host, client) => {
     assert.equal(await client.send(host, BATCH), false);
-    assert.deepEqual(await client.ask([host], QUESTION), []);
+    assert.deepEqual(await client.ask([host], RECORD.stream), []);
   });
 });
 
--- a/test/gateway/streams/replaced_records_test.ts
+++ b/test/gateway/streams/replaced_records_test.ts
@@ -14,6 +14,8 @@
 
 /** Longest time after which a host decides whether a stream begins. */
 const LONGEST_WAIT_MS = 250;
+/** The latency between hosts that are short of processor time. */
+const SLOW_LATENCY_MS = 60;
 
 /** Lets calls that wait for each other pass. */
 async function runInSteps(fleet: StreamFleet, forMs: number): Promise<void> {
@@ -69,3 +71,30 @@
     assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
   }
 });
+
+test("a spare with the earlier record waits for slow keepers with the later one", async () => {
+  const { hosts } = await mixedFleet();
+  let spares = 0;
+  for (const at of hosts.keys()) {
+    if (at === 0) continue;
+    const fleet = await mixedFleet();
+    const [origin, slow] = [fleet.host(0), fleet.host(at)];
+    fleet.isCut = (from, to) => from === origin && to === slow;
+    void origin.streams.note(stream("a"), "v1", STREAM_TTL_MS);
+    await runInSteps(fleet, 2 * LONGEST_WAIT_MS);
+    fleet.isCut = () => false;
+    let mayBegin: boolean | undefined;
+    void origin.streams.note(stream("a"), "v2", STREAM_TTL_MS)
+      .then((result) => mayBegin = result);
+    await runInSteps(fleet, LONGEST_WAIT_MS + 1);
+    if (!mayBegin) continue;
+    origin.isAlive = false;
+    fleet.latencyMs = SLOW_LATENCY_MS;
+    for (const taker of fleet.hosts.slice(1)) {
+      const binding = await fleet.resolve(taker, stream("a"));
+      assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
+      spares += 1;
+    }
+  }
+  assert.ok(spares >= hosts.length, `${spares}`);
+});
--- a/test/gateway/streams/stream_fleet.ts
+++ b/test/gateway/streams/stream_fleet.ts
@@ -74,6 +74,8 @@
   /** Messages that hosts have sent. */
   readonly messages: { readonly from: string; readonly body: string }[] = [];
   isCut: (from: StreamHost, to: StreamHost) => boolean = () => false;
+  /** How long a message takes from host to host. */
+  latencyMs = LATENCY_MS;
   readonly #time = new VirtualTime();
   /** The store that outlasts the hosts. */
   readonly store = new RowStore(this.#time.clock);
@@ -247,12 +249,12 @@
             const to = this.hosts.find((host) => host.entry.id === address);
             const isLost = () => !to?.isAlive || this.isCut(from, to);
             if (isLost()) return;
-            this.#time.clock.after(LATENCY_MS, () => {
+            this.#time.clock.after(this.latencyMs, () => {
               if (!to || isLost()) return;
               const response = to.isOldBuild
                 ? { status: 200, body: '{"hosts":[],"version":1}' }
                 : to.streams.server.respond(body);
-              this.#time.clock.after(LATENCY_MS, () => {
+              this.#time.clock.after(this.latencyMs, () => {
                 resolve({ body: "", ...response });
               });
             });
