--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -17,7 +17,7 @@
 import type { GatewayRequest, Reply, ResponseHead } from "./request.ts";
 
 /** Headers that tell the framing of a body. */
-const FRAMING: ReadonlySet<string> = new Set([
+const FRAMING_HEADERS: ReadonlySet<string> = new Set([
   "content-length",
   "transfer-encoding",
 ]);
@@ -88,7 +88,7 @@
 
 /**
  * The head of a response for the caller. It is framed whatever the framing of the
- * replica's response: an orderly end of this host's connection, as if this
+ * replica's response: an orderly end of this host's connection, as when this
  * process is killed, must not look like the end of the body.
  */
 function headOf(
@@ -104,7 +104,10 @@
   if (framing === Framing.length && !mayContinue) {
     return { status, rawHeaders, framing };
   }
-  const headers = withoutHeaders(rawHeaders, (name) => FRAMING.has(name));
+  const headers = withoutHeaders(
+    rawHeaders,
+    (name) => FRAMING_HEADERS.has(name),
+  );
   if (bodyBytes === undefined) {
     return { status, rawHeaders: headers, framing: Framing.chunked };
   }
