--- a/test/gateway/requests/ended_processes_test.ts
+++ b/test/gateway/requests/ended_processes_test.ts
@@ -1,5 +1,5 @@
 /**
- * Responses whose replica, peer or host ends before they do. Guards against
+ * Responses whose replica or host ends before they do. Guards against
  * parts of responses that look whole: the operating system closes the
  * connections of a process that was killed in order.
  */
