--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -53,7 +53,7 @@
 
 /** Detects crashes, and tells which requests are quarantined. */
 export class CrashWatch {
-  /** Checks replicas whose streams ended without a confirmation. */
+  /** Checks replicas whose responses ended without a confirmation. */
   readonly ends: EndConfirmation;
   readonly #options: CrashWatchOptions;
   readonly #table: CrashTable;
--- a/src/gateway/crashes/end_confirmation.ts
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -36,6 +36,10 @@
 export type ConfirmOptions = {
   /** The other end of the connection; by default, the replica's address. */
   readonly remoteAddress?: string;
+  /**
+   * Whether a silent replica is probed for a while; for requests that can't be
+   * sent to another one.
+   */
   readonly waits?: boolean;
 };
 
@@ -54,8 +58,7 @@
   /**
    * Whether the replica runs, so that a response of it has ended. One that can't
    * be reached confirms nothing. If the connection to `remoteAddress` went
-   * through a peer, that has to run as well. `waits`: a silent replica is probed
-   * for a while, since the request can't be sent to another one.
+   * through a peer, that has to run as well.
    */
   async confirm(
     entry: ReplicaEntry,
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -40,8 +40,8 @@
    */
   readonly writeHead: (bodyBytes?: number) => void;
   /**
-   * Whether the processes run on that a response came through whose framing does
-   * not confirm its end.
+   * Whether the replica, and the peer on the way if there is one, still run.
+   * Called for a response whose framing does not confirm its end.
    */
   readonly confirmEnd: () => Promise<boolean>;
   /** Called when the first byte has been sent to the caller. */
--- a/src/gateway/requests/relay_outcome.ts
+++ b/src/gateway/requests/relay_outcome.ts
@@ -9,8 +9,8 @@
 export type RelayOutcome =
   | "complete"
   /**
-   * Forwarded up to its end, which its framing does not confirm, but the
-   * processes do that it came through: they run on.
+   * Forwarded up to its end. Its framing does not confirm that end, but the
+   * replica, and the peer on the way if there is one, ran on behind it.
    */
   | "unconfirmed"
   | "interrupted"
--- a/test/gateway/callers/unreadable_requests_test.ts
+++ b/test/gateway/callers/unreadable_requests_test.ts
@@ -31,12 +31,12 @@
   });
 });
 
-test("a space before the colon of a header ends the connection", async () => {
+/** Asserts that only the request before a malformed one is served. */
+async function assertEndsConnection(malformed: string): Promise<void> {
   const { answer, release } = keepFirst();
   await withRig({ route: UNSAFE, replicas: [{ answer }] }, async (rig) => {
     const connection = openConnection(rig.address);
-    const malformed = rawGet("2", "X-Any : value");
-    connection.socket.write(rawGet("1") + malformed + rawGet("3"));
+    connection.socket.write(rawGet("1") + malformed);
     await rig.waitForRequests(1);
     await callOften(rig);
     release();
@@ -44,22 +44,15 @@
     assert.deepEqual(statusesIn(text), ["200", "400"]);
     assert.equal(rig.replicas[0]?.requests.length, 1);
   });
+}
+
+test("a space before the colon of a header ends the connection", async () => {
+  await assertEndsConnection(rawGet("2", "X-Any : value") + rawGet("3"));
 });
 
 test("a malformed body ends its own request", async () => {
-  const { answer, release } = keepFirst();
-  await withRig({ route: UNSAFE, replicas: [{ answer }] }, async (rig) => {
-    const connection = openConnection(rig.address);
-    const malformed = rawGet("2", "Transfer-Encoding: chunked") +
-      "nonsense\r\n";
-    connection.socket.write(rawGet("1") + malformed);
-    await rig.waitForRequests(1);
-    await callOften(rig);
-    release();
-    const text = await connection.closed;
-    assert.deepEqual(statusesIn(text), ["200", "400"]);
-    assert.equal(rig.replicas[0]?.requests.length, 1);
-  });
+  const chunked = rawGet("2", "Transfer-Encoding: chunked");
+  await assertEndsConnection(`${chunked}nonsense\r\n`);
 });
 
 test("a slow head does not end the response before it", async () => {
