Logs tell the first and the last event of a stream's response

The log couldn't tell an event that is missing or repeated where a stream goes on at another replica: it named the event after which a replica was asked to go on, not the one with which it did, nor where the caller was left. Now `answered`, `failed` and `broken` name the id of the first event of the last replica's response and of the last event that was forwarded.

--- a/src/gateway/requests/body_record.ts
+++ b/src/gateway/requests/body_record.ts
@@ -2,6 +2,10 @@
 import type { EventFields } from "../observe/event_log.ts";
 import type { Answer } from "../upstreams/call.ts";
 import type { EventScanner } from "./event_scanner.ts";
+import { firstIdOf } from "./event_splitter.ts";
+
+/** Maximum number of characters logged of an event's id. */
+export const MAX_ID_CHARS = 40;
 
 /** The body of one response. */
 export class BodyRecord {
@@ -9,6 +13,7 @@
   readonly #scanner: EventScanner | undefined;
   readonly #replicaAddress: string;
   #bytes = 0;
+  #firstId: string | undefined;
 
   /** `scanner` scans the events of a stream. */
   constructor(
@@ -22,13 +27,14 @@
     this.#scanner = scanner;
     this.#replicaAddress = replicaAddress;
     answer.message.on("data", (bytes: Buffer) => {
+      if (scanner && this.#bytes === 0) this.#firstId = firstIdOf(bytes);
       this.#bytes += bytes.length;
     });
   }
 
   /**
    * The framing, the size and the peer that it came through, if any; for a stream
-   * its events, too.
+   * its events and the id of the first one, too.
    */
   fields(): EventFields {
     const { framing, remoteAddress } = this.#answer;
@@ -40,6 +46,7 @@
     return {
       ...fields,
       events: this.#scanner.events,
+      first_id: this.#firstId?.slice(0, MAX_ID_CHARS),
       inside_event: this.#scanner.isInsideEvent || undefined,
     };
   }
--- a/src/gateway/requests/event_splitter.ts
+++ b/src/gateway/requests/event_splitter.ts
@@ -58,6 +58,16 @@
   }
 }
 
+/**
+ * Returns the id of the first event whose `id` field begins in this part;
+ * undefined if there is none.
+ */
+export function firstIdOf(part: Buffer): string | undefined {
+  let at = part.indexOf(ID_FIELD);
+  while (at >= 0 && !isLineStart(part, at)) at = part.indexOf(ID_FIELD, at + 1);
+  return at < 0 ? undefined : idOf(part, at);
+}
+
 /** Returns the offset of the last `id` field; negative if there is none. */
 function lastIdAt(bytes: Buffer): number {
   let at = bytes.lastIndexOf(ID_FIELD);
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -9,7 +9,7 @@
 import { revisionOf } from "../position.ts";
 import type { Answer } from "../upstreams/call.ts";
 import { Framing } from "../upstreams/framing.ts";
-import { BodyRecord } from "./body_record.ts";
+import { BodyRecord, MAX_ID_CHARS } from "./body_record.ts";
 import type { EventScanner } from "./event_scanner.ts";
 import type { Placement } from "./placement.ts";
 import type { EventPosition } from "./relay.ts";
@@ -37,6 +37,7 @@
     | undefined;
   /** The last response that was forwarded, at least in part. */
   #body: BodyRecord | undefined;
+  #position: EventPosition = {};
 
   constructor(context: GatewayContext, request: GatewayRequest) {
     this.#context = context;
@@ -63,6 +64,7 @@
     const isResumed = facts.lastEventId !== undefined;
     const isTunnelled = paths.monitor.isLost(replica);
     this.#lastSend = { replica, at: clock.now() };
+    this.#position = position;
     metrics.count("sends");
     this.note("placed", {
       replica,
@@ -115,7 +117,7 @@
     this.note("answered", {
       status,
       unconfirmed: isUnconfirmed || undefined,
-      ...this.#body?.fields(),
+      ...this.#bodyFields(),
       spent_ms: Math.round(spentMs),
       ...this.#delayFields(),
     });
@@ -135,7 +137,7 @@
     this.#context.metrics.count(`ended_${fields.error}`);
     const spentMs = Math.round(this.#spentMs());
     const lastSend = name === "refused" ? {} : this.#lastSendFields();
-    const body = name === "refused" ? {} : this.#body?.fields();
+    const body = name === "refused" ? {} : this.#bodyFields();
     this.note(name, {
       ...fields,
       ...body,
@@ -157,6 +159,15 @@
     return { fingerprint, replica, sent_ms: sentMs };
   }
 
+  /** The last response, and the last event that was forwarded of any. */
+  #bodyFields(): EventFields {
+    const { lastId } = this.#position;
+    return {
+      ...this.#body?.fields(),
+      last_id: lastId?.slice(0, MAX_ID_CHARS),
+    };
+  }
+
   #delayFields(): EventFields {
     const shown = (ms: Milliseconds) =>
       ms < MIN_SHOWN_DELAY_MS ? undefined : Math.round(ms);
--- a/test/gateway/requests/stream_log_test.ts
+++ b/test/gateway/requests/stream_log_test.ts
@@ -65,3 +65,16 @@
     }]);
   });
 });
+
+test("the log of a response names the first event of its last replica and the last one that was forwarded", async () => {
+  const replicas = [{ answer: interrupted }, { answer: rest }];
+  await withRig({ route: ROUTE, replicas }, async (rig) => {
+    await rig.call({});
+    const resumed = rig.events.find(({ name }) => name === "resumed")?.fields;
+    const answered = rig.events.find(({ name }) => name === "answered")?.fields;
+    assert.equal((resumed as Record<string, unknown>)["lastId"], "5");
+    const { first_id, last_id, events } = answered as Record<string, unknown>;
+    const expected = { first_id: "6", last_id: "6", events: 1 };
+    assert.deepEqual({ first_id, last_id, events }, expected);
+  });
+});
