A host that hears nobody asks the store before it infers a stream's version

Callers saw streams that had begun at replicas of a version which had just joined go on at the version before it, at a host that had stood still or was cut off from the others meanwhile (ORDER).

Cause: without a record, the version was inferred from what this host lists and from what those that responded know. While the second version had just come into view, no response at all was needed; while one version was listed, none was needed either if the listing seemed up to date, and that age is the time at which a report was processed, not the time of which it tells. A host that hears nobody took the silence of the others for their consent.

Now the fleet has to be heard: one host responds, half of those asked respond or refuse connections, and no hall is silent. Otherwise the listing is read from the store, and the streams that began in the store; the version before a second one isn't inferred at all, and a record that the host keeps itself counts only if the store has no other one. While several versions count, the store is asked before the version of the time before is inferred.

Tests replaced: resolve_version_test let one response of six decide right after a transition, and exempted the host's own hall; both were the fault. They demand a response of each hall now, and that fewer decide nothing. The host of stream_transition_test that is cut off is cut off from the store as well, as its old listing said. In StreamFleet a process that has ended refuses connections, as a system does.

--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -48,6 +48,8 @@
   readonly connect: Connect;
   /** Age of the newest listing that this host knows. */
   readonly listingAgeMs: () => Milliseconds;
+  /** As in {@link StreamVersionsOptions}. */
+  readonly confirmListing: () => Promise<boolean>;
 };
 
 /** Creates the shared state and dependencies of one gateway. */
@@ -147,7 +149,7 @@
 }
 
 function createStreamVersions(
-  { self: entry, directory, listingAgeMs }: FleetConnections,
+  { self: entry, directory, listingAgeMs, confirmListing }: FleetConnections,
   store: Store,
   { self, clock, events, metrics, replicas, routes }: Pick<
     GatewayContext,
@@ -164,6 +166,7 @@
     hosts: () => directory.entries(),
     resumableForMs: (service) => windows.of(service),
     listingAgeMs,
+    confirmListing,
     createClient: (address) => createJsonClient(address, clock),
     store,
   });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -112,6 +112,7 @@
       connections: this.#connections,
       connect,
       listingAgeMs: () => this.#fleetState.storeAgeMs(context.clock.now()),
+      confirmListing: () => this.#fleetState.confirmListing(),
     });
     const configAgeMs = (now: Milliseconds) => {
       context.suspensions.check();
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -164,6 +164,11 @@
     return this.#synchronizer.configAgeMs(now);
   }
 
+  /** As {@link StoreLoops.confirmListing}. */
+  confirmListing(): Promise<boolean> {
+    return this.#storeLoops.confirmListing();
+  }
+
   /** Applies a report of the reader; false: its listing has a gap. */
   #applyReport(report: ReaderReport): boolean {
     const { context: { clock }, directory } = this.#options;
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -17,7 +17,9 @@
 import { awaitFirstListing } from "./first_listing.ts";
 import type { HallFollower } from "./hall_follower.ts";
 import { RowFaults } from "./row_faults.ts";
+import { SharedRead } from "./shared_read.ts";
 import { StoreCalls } from "./store_calls.ts";
+import { followerBackoffMs, listTimeoutMs } from "./store_times.ts";
 import type { Synchronizer } from "./synchronizer.ts";
 
 /** Intervals and timeouts of the loops. */
@@ -34,16 +36,6 @@
 const CATCH_UP_WAIT_MS = 1;
 /** Minimum interval between two calls of the same kind. */
 const MIN_CALL_INTERVAL_MS = 250;
-/**
- * Initial and maximum backoff of a follower while the store is unavailable. The
- * reader retries faster and reports when the store is available again, so that
- * a follower's calls only matter while the store rejects the reader but not
- * this host.
- */
-const FOLLOWER_BACKOFF_MS = 900;
-const MAX_FOLLOWER_BACKOFF_MS = 3600;
-/** Random share of a backoff, which keeps hosts from calling in lockstep. */
-const BACKOFF_JITTER = 0.4;
 /**
  * Factor on the listing interval of a follower that has no fresh report, such
  * as a starting host that waits for the first one.
@@ -54,15 +46,6 @@
  */
 const MIN_CHECK_INTERVAL_MS = 50;
 
-/** Replicas per response of the store. */
-const REPLICAS_PER_RESPONSE = 500;
-/**
- * Replicas that the timeout of the first listing allows for. On a link of
- * 7 Mbit/s, listing 1,000 takes over half a second, and all hosts of a fleet that
- * starts list them at the same time.
- */
-const FIRST_LIST_SIZE = 2000;
-
 /** Outcome of reading the listing. */
 type ReadOutcome = "applied" | "older" | "failed";
 
@@ -97,6 +80,7 @@
    * Whether the table has the full listing, so that reading changes suffices.
    */
   #hasFullListing = false;
+  readonly #confirmation: SharedRead<boolean>;
 
   constructor(options: StoreLoopsOptions) {
     const { context, store, synchronizer, times } = options;
@@ -111,6 +95,7 @@
       timeoutMs: times.timeoutMs,
       watchMs: times.watchMs,
     });
+    this.#confirmation = new SharedRead(() => this.#confirm());
     // The clock of a restored store may be a different one.
     context.eras.listen(() => this.resetClock());
   }
@@ -140,6 +125,21 @@
     return await this.#config.read() !== undefined;
   }
 
+  /**
+   * Reads the listing now, whatever the reader reports: a report may have been
+   * buffered for long. Resolves to whether the listing is as recent as the call.
+   */
+  confirmListing(): Promise<boolean> {
+    return this.#confirmation.get(this.#options.context.clock.now());
+  }
+
+  async #confirm(): Promise<boolean> {
+    const outcome =
+      await (this.#canCatchUp ? this.#catchUp() : this.#listReplicas());
+    // "older": another message has brought a later listing meanwhile.
+    return outcome !== "failed";
+  }
+
   async #followReplicas(): Promise<void> {
     const { context, synchronizer, follower, fleetSize } = this.#options;
     const { clock } = context;
@@ -248,12 +248,13 @@
   }
 
   async #listReplicas(): Promise<ReadOutcome> {
-    const { context: { clock, eras }, store, synchronizer } = this.#options;
+    const { context: { clock, eras, replicas }, store, synchronizer, times } =
+      this.#options;
     const requestedAt = clock.now();
     const start = eras.beginCall();
     const listing = await this.#calls.read(
       (signal) => store.readReplicas(signal),
-      this.#listTimeoutMs(),
+      listTimeoutMs(replicas, times.timeoutMs),
     );
     if (!listing) return "failed";
     this.#faults.note(listing.faults);
@@ -286,15 +287,6 @@
     });
   }
 
-  /**
-   * A long listing takes several responses, each with the timeout of a call.
-   */
-  #listTimeoutMs(): Milliseconds {
-    const { context: { replicas }, times } = this.#options;
-    const size = replicas.revision < 0 ? FIRST_LIST_SIZE : replicas.size;
-    return times.timeoutMs * Math.ceil((size + 1) / REPLICAS_PER_RESPONSE);
-  }
-
   /**
    * Reads only the changes: a full listing of a large fleet may take longer
    * than the call's timeout on a slow link.
@@ -356,10 +348,7 @@
 
   #failureBackoffMs(): Milliseconds {
     if (this.#isReader) return MIN_CALL_INTERVAL_MS;
-    const doublings = Math.min(8, Math.max(0, this.#failures - 1));
-    const backoffMs = FOLLOWER_BACKOFF_MS * 2 ** doublings;
-    const spread = 1 + this.#options.context.random() * BACKOFF_JITTER;
-    return Math.min(MAX_FOLLOWER_BACKOFF_MS, backoffMs) * spread;
+    return followerBackoffMs(this.#failures, this.#options.context.random);
   }
 
   async #followConfig(): Promise<void> {
--- a/src/gateway/state/with_timeout.ts
+++ b/src/gateway/state/with_timeout.ts
@@ -8,7 +8,7 @@
   readonly timeoutMs: Milliseconds;
   work(signal: AbortSignal): Promise<Value>;
   /** Receives the reason of a failure: the call's error, or the timeout. */
-  onFault(reason: string): void;
+  onFault(reason: string, isTimeout: boolean): void;
 };
 
 /** Runs a call with a timeout; undefined if it fails or times out. */
@@ -21,8 +21,9 @@
   try {
     return await call.work(controller.signal);
   } catch (error) {
-    const isLate = controller.signal.aborted;
-    call.onFault(isLate ? `No answer in ${timeoutMs} ms` : reasonOf(error));
+    const isTimeout = controller.signal.aborted;
+    const reason = isTimeout ? `No answer in ${timeoutMs} ms` : reasonOf(error);
+    call.onFault(reason, isTimeout);
     return undefined;
   } finally {
     cancel();
--- a/src/gateway/streams/archive_reader.ts
+++ b/src/gateway/streams/archive_reader.ts
@@ -1,19 +1,14 @@
 /** Finds in the store which software version began a stream. */
-import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import type { RowReading, Store } from "../port.ts";
+import { SharedRead } from "../state/shared_read.ts";
 import { withTimeout } from "../state/with_timeout.ts";
 import { ARCHIVE_TABLE, decodeArchiveRow, digestOf } from "./archive_rows.ts";
 import type { SoftwareVersion, StreamKey } from "./model.ts";
 
 /** Timeout of a read. A caller waits for it when its stream is taken up. */
 const READ_TIMEOUT_MS = 500;
-/**
- * Time for which what was read is used for further streams: many are taken up
- * at once after hosts have ended.
- */
-const MAX_READING_AGE_MS = 250;
 
 /** Options of {@link ArchiveReader}. */
 export type ArchiveReaderOptions = {
@@ -28,23 +23,18 @@
 /** Reads the rows that hosts have written. */
 export class ArchiveReader {
   readonly #options: ArchiveReaderOptions;
-  #readAt: Milliseconds = -Infinity;
-  #index: Promise<VersionIndex | undefined> = Promise.resolve(undefined);
+  readonly #index: SharedRead<VersionIndex | undefined>;
 
   constructor(options: ArchiveReaderOptions) {
     this.#options = options;
+    this.#index = new SharedRead(() => this.#read());
   }
 
   /** The version of a stream; undefined if none or several are stored. */
   async find(
     stream: StreamKey,
   ): Promise<{ readonly softwareVersion: SoftwareVersion } | undefined> {
-    const now = this.#options.clock.now();
-    if (now - this.#readAt > MAX_READING_AGE_MS) {
-      this.#readAt = now;
-      this.#index = this.#read();
-    }
-    const index = await this.#index;
+    const index = await this.#index.get(this.#options.clock.now());
     const versions = index?.get(indexKeyOf(stream.service, digestOf(stream)));
     if (versions?.size !== 1) return undefined;
     const [softwareVersion] = versions;
--- a/src/gateway/streams/keeper_client.ts
+++ b/src/gateway/streams/keeper_client.ts
@@ -31,6 +31,20 @@
   readonly response: AskResponse;
 };
 
+/** What hosts have responded to a question. */
+export type KeeperPoll = {
+  readonly answers: readonly KeeperAnswer[];
+  /** Hosts that can't be connected to, as one whose process has ended. */
+  readonly ended: readonly HostEntry[];
+};
+
+/** What became of a question to one host. */
+type AskOutcome =
+  | AskResponse
+  | { readonly type: "ended" }
+  /** It hasn't responded in time, or not to this question. */
+  | { readonly type: "silent" };
+
 /** Options of {@link KeeperClient}. */
 export type KeeperClientOptions = {
   readonly clock: Clock;
@@ -64,25 +78,29 @@
   ask(
     hosts: readonly HostEntry[],
     stream: StreamKey,
-  ): Promise<readonly KeeperAnswer[]> {
+  ): Promise<KeeperPoll> {
     return new Promise((resolve) => {
       const answers: KeeperAnswer[] = [];
+      const ended: HostEntry[] = [];
       let waiting = hosts.length;
       let cancel: (() => void) | undefined;
       const finish = () => {
         cancel?.();
-        resolve([...answers]);
+        resolve({ answers: [...answers], ended: [...ended] });
       };
       const settle = () => {
         cancel ??= this.#options.clock.after(SETTLE_MS, finish);
       };
       if (waiting === 0) return finish();
       for (const host of hosts) {
-        void this.#askOne(host, stream).then((response) => {
-          if (response) answers.push({ host, response });
+        void this.#askOne(host, stream).then((outcome) => {
           waiting -= 1;
+          if (outcome.type === "ended") ended.push(host);
+          else if (outcome.type !== "silent") {
+            answers.push({ host, response: outcome });
+          }
           if (waiting === 0) return finish();
-          if (response?.type === "known") settle();
+          if (outcome.type === "known") settle();
         });
       }
     });
@@ -101,15 +119,25 @@
   async #askOne(
     { address }: HostEntry,
     { service, id }: StreamKey,
-  ): Promise<AskResponse | undefined> {
-    const answer = await this.#call(address, { type: "ask", service, id });
-    if (answer?.status !== 200) return undefined;
-    return readJson(AskResponseSchema, answer.body);
+  ): Promise<AskOutcome> {
+    let isConnected = true;
+    const answer = await this.#call(
+      address,
+      { type: "ask", service, id },
+      { onBroken: () => isConnected = false },
+    );
+    if (!isConnected) return { type: "ended" };
+    if (answer?.status !== 200) return { type: "silent" };
+    return readJson(AskResponseSchema, answer.body) ?? { type: "silent" };
   }
 
   #call(
     address: string,
     message: KeeperRequest,
+    { onBroken = () => {} }: {
+      /** The connection can't be opened, or has ended. */
+      readonly onBroken?: () => void;
+    } = {},
   ): Promise<JsonAnswer | undefined> {
     const { clock, events } = this.#options;
     const call = {
@@ -121,8 +149,10 @@
       clock,
       timeoutMs: CALL_TIMEOUT_MS,
       work: (signal) => this.#connections.call(address, { ...call, signal }),
-      onFault: (reason) =>
-        events.note("callFailed", { call: "streams", address, reason }),
+      onFault: (reason, isTimeout) => {
+        events.note("callFailed", { call: "streams", address, reason });
+        if (!isTimeout) onBroken();
+      },
     });
   }
 }
--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -1,7 +1,7 @@
 /** Decides at which version a resumed stream may go on. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { HostEntry } from "../port.ts";
-import type { KeeperAnswer } from "./keeper_client.ts";
+import type { KeeperAnswer, KeeperPoll } from "./keeper_client.ts";
 import type { SoftwareVersion, StreamRecord, VersionBinding } from "./model.ts";
 import type { VersionState } from "./version_history.ts";
 
@@ -33,55 +33,71 @@
   readonly source: VersionSource;
   /** Number of hosts that have responded. */
   readonly answered: number;
+  /** Whether these would know of a stream that any host began. */
+  readonly isHeard: boolean;
 };
 
 /** Input of {@link resolveVersion}. */
 export type ResolutionQuery = {
-  readonly self: HostEntry;
   /** The run of this host, as in its records. */
   readonly origin: string;
   /** This host's record of the stream, its own or a kept one. */
   readonly record: StreamRecord | undefined;
   readonly stateOf: () => VersionState;
-  /** False: other hosts may know versions that this one doesn't. */
-  readonly isListingFresh: boolean;
   /** The hosts to ask. */
   readonly asked: readonly HostEntry[];
-  readonly ask: (
-    hosts: readonly HostEntry[],
-  ) => Promise<readonly KeeperAnswer[]>;
+  readonly ask: (hosts: readonly HostEntry[]) => Promise<KeeperPoll>;
+  /**
+   * Reads the listing from the store; resolves to whether the store has
+   * responded.
+   */
+  readonly confirmListing: () => Promise<boolean>;
   /** Finds the version in the store. */
   readonly findArchived: () => Promise<VersionChoice | undefined>;
 };
 
 /**
  * Finds the version of a stream. Other hosts are asked unless this one sent it:
- * they may list a version that has not reached this host yet.
+ * they may list a version that has not reached this host yet. Their silence is
+ * no answer, since this host may be the one that is cut off: the store is read
+ * then before anything is inferred.
  */
 export async function resolveVersion(
   query: ResolutionQuery,
 ): Promise<Resolution> {
   const { record, origin } = query;
   if (record?.origin === origin) {
-    return bound(record.softwareVersion, { source: "own", answered: 0 });
+    return bound(record, { source: "own", answered: 0, isHeard: false });
   }
-  const answers = await query.ask(query.asked);
-  const answered = answers.length;
-  const records = [...answers.flatMap(recordOf), ...(record ? [record] : [])];
-  if (records.length > 0) {
-    const agreed = agreedVersion(records);
-    return agreed
-      ? bound(agreed.softwareVersion, { source: "kept", answered })
-      : unknown(answered);
-  }
-  const inferred = inferVersion(query, answers);
-  if (inferred) {
-    return bound(inferred.softwareVersion, { source: "inferred", answered });
+  const poll = await query.ask(query.asked);
+  const { answers } = poll;
+  const isHeard = isFleetHeard(query.asked, poll);
+  const about = { answered: answers.length, isHeard };
+  const unknown: Resolution = {
+    binding: { type: "unknown" },
+    source: "unknown",
+    ...about,
+  };
+  const found = (choice: VersionChoice, source: VersionSource) =>
+    bound(choice, { source, ...about });
+  const told = answers.flatMap(recordOf);
+  // Others may have a later record than a host that hears nobody.
+  if (told.length > 0 || record && isHeard) {
+    const agreed = agreedVersion([...told, ...(record ? [record] : [])]);
+    return agreed ? found(agreed, "kept") : unknown;
   }
+  const isListed = isHeard || await query.confirmListing();
+  const infer = () =>
+    isListed ? inferVersion(query, { answers, isHeard }) : undefined;
+  // While several versions count, the store may know the stream.
+  const isMixed = query.stateOf().type === "mixed";
+  const only = isHeard && !isMixed ? infer() : undefined;
+  if (only) return found(only, "inferred");
   const archived = await query.findArchived();
-  return archived
-    ? bound(archived.softwareVersion, { source: "archived", answered })
-    : unknown(answered);
+  if (archived) return found(archived, "archived");
+  if (record) return found(record, "kept");
+  const inferred = infer();
+  return inferred ? found(inferred, "inferred") : unknown;
 }
 
 type KnownVersion = Pick<StreamRecord, "softwareVersion" | "origin" | "order">;
@@ -109,24 +125,16 @@
 
 /** The version of a stream without a record, if it can only be one. */
 function inferVersion(
-  query: ResolutionQuery,
-  answers: readonly KeeperAnswer[],
+  { stateOf }: Pick<ResolutionQuery, "stateOf">,
+  { answers, isHeard }: {
+    readonly answers: readonly KeeperAnswer[];
+    readonly isHeard: boolean;
+  },
 ): VersionChoice | undefined {
-  const state = query.stateOf();
+  const state = stateOf();
   if (state.type === "none") return undefined;
   if (state.type === "mixed") {
-    // This host may have been cut off while the others were mixed for long.
-    const ages = [state.forMs, ...answers.map(mixedForMs)];
-    const { before } = state;
-    if (!before || Math.max(...ages) >= TRANSITION_MS) return undefined;
-    const isKnownToAll = answers.every(({ response }) =>
-      response.type === "known" || response.versions.length === 0 ||
-      response.versions.includes(before.softwareVersion ?? null)
-    );
-    return isKnownToAll ? before : undefined;
-  }
-  if (!query.isListingFresh && !isEachHallHeard(query, answers)) {
-    return undefined;
+    return isHeard ? inferBefore(state, answers) : undefined;
   }
   // A version may have ended just before this host started. Hosts that have
   // just started, too, can't rule that out.
@@ -141,6 +149,21 @@
   ]);
 }
 
+/** The version before a second one joined, if no stream can be of that yet. */
+function inferBefore(
+  { forMs, before }: Extract<VersionState, { type: "mixed" }>,
+  answers: readonly KeeperAnswer[],
+): VersionChoice | undefined {
+  // This host may have been cut off while the others were mixed for long.
+  const ages = [forMs, ...answers.map(mixedForMs)];
+  if (!before || Math.max(...ages) >= TRANSITION_MS) return undefined;
+  const isKnownToAll = answers.every(({ response }) =>
+    response.type === "known" || response.versions.length === 0 ||
+    response.versions.includes(before.softwareVersion ?? null)
+  );
+  return isKnownToAll ? before : undefined;
+}
+
 /** Whether a host knows all versions of the time in which streams are resumed. */
 function isFromCoveredHost({ response }: KeeperAnswer): boolean {
   if (response.type === "known") return false;
@@ -153,15 +176,22 @@
 }
 
 /**
- * Whether all other halls have responded. One that hasn't may have replicas of
- * a version that has never been listed on this side.
+ * Whether the hosts that responded would know of a stream that any host began.
+ * One host at least responds, half of those asked do or have ended, and no hall
+ * is silent: it may be cut off together with the keepers of a stream. A host
+ * that has ended begins no more streams, and sent the records of its last ones
+ * to other halls, too.
  */
-function isEachHallHeard(
-  { self, asked }: ResolutionQuery,
-  answers: readonly KeeperAnswer[],
+function isFleetHeard(
+  asked: readonly HostEntry[],
+  { answers, ended }: KeeperPoll,
 ): boolean {
-  const heard = new Set(answers.map(({ host }) => host.hall));
-  return asked.every(({ hall }) => hall === self.hall || heard.has(hall));
+  if (asked.length === 0) return true;
+  if (answers.length === 0) return false;
+  const heardHalls = new Set(answers.map(({ host }) => host.hall));
+  const isAccounted = 2 * (answers.length + ended.length) >= asked.length;
+  return isAccounted &&
+    asked.every((host) => heardHalls.has(host.hall) || ended.includes(host));
 }
 
 /** The version that is taken for a stream's. */
@@ -177,12 +207,8 @@
 }
 
 function bound(
-  softwareVersion: SoftwareVersion,
-  { source, answered }: Pick<Resolution, "source" | "answered">,
+  { softwareVersion }: VersionChoice,
+  about: Omit<Resolution, "binding">,
 ): Resolution {
-  return { binding: { type: "bound", softwareVersion }, source, answered };
-}
-
-function unknown(answered: number): Resolution {
-  return { binding: { type: "unknown" }, source: "unknown", answered };
+  return { binding: { type: "bound", softwareVersion }, ...about };
 }
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -70,6 +70,11 @@
   readonly resumableForMs: (service: string) => Milliseconds;
   /** Age of the newest listing that this host knows. */
   readonly listingAgeMs: () => Milliseconds;
+  /**
+   * Reads the listing from the store; resolves to whether the store has
+   * responded. Calls at about the same time may share a read.
+   */
+  readonly confirmListing: () => Promise<boolean>;
   /** Creates an HTTP client for a peer's address. */
   readonly createClient: (address: string) => JsonClient;
   /** Where streams are recorded that have to outlast all hosts. */
@@ -199,18 +204,17 @@
     const { clock, metrics, events } = this.#options;
     this.#observe(clock.now());
     const record = this.#table.get(stream, clock.now());
-    const { binding, source, answered } = await resolveVersion({
-      self: this.#options.self,
+    const { binding, source, answered, isHeard } = await resolveVersion({
       origin: this.#origin,
       record,
       stateOf: () => this.#history.stateOf(stream.service, clock.now()),
-      isListingFresh: this.#isListingFresh,
       asked: this.#chooser.of(stream, this.#options.hosts()).asked,
       ask: (hosts) =>
         this.#client.ask(
           hosts,
           isRecordable(stream) ? stream : { ...stream, id: NO_STREAM },
         ),
+      confirmListing: () => this.#confirmListing(),
       findArchived: () => this.#archive.find(stream),
     });
     metrics.count(`stream_versions_${source}`);
@@ -219,6 +223,7 @@
       service: stream.service,
       stream: stream.id.slice(0, MAX_LOGGED_CHARS),
       answered,
+      is_heard: isHeard,
       state: state.type,
       is_covered: state.type === "single" && state.isCovered,
     };
@@ -244,6 +249,12 @@
     this.#client.close();
   }
 
+  async #confirmListing(): Promise<boolean> {
+    const hasResponded = await this.#options.confirmListing();
+    this.#observe(this.#options.clock.now());
+    return hasResponded;
+  }
+
   /** False: other hosts may list versions that this one doesn't. */
   get #isListingFresh(): boolean {
     return this.#options.listingAgeMs() <= MAX_LISTING_AGE_MS;
--- a/test/gateway/streams/keeper_call_test.ts
+++ b/test/gateway/streams/keeper_call_test.ts
@@ -65,7 +65,7 @@
     server.accept(request, response);
   await withServer(accept, async (host, client) => {
     assert.equal(await client.send(host, BATCH), true);
-    const [answer] = await client.ask([host], RECORD.stream);
+    const { answers: [answer] } = await client.ask([host], RECORD.stream);
     assert.deepEqual(answer?.response, {
       type: "known",
       softwareVersion: "v1",
@@ -82,7 +82,10 @@
   };
   await withServer(state, async (host, client) => {
     assert.equal(await client.send(host, BATCH), false);
-    assert.deepEqual(await client.ask([host], RECORD.stream), []);
+    assert.deepEqual(await client.ask([host], RECORD.stream), {
+      answers: [],
+      ended: [],
+    });
   });
 });
 
--- a/test/gateway/streams/out_of_step_host_test.ts
+++ b/test/gateway/streams/out_of_step_host_test.ts
@@ -42,7 +42,7 @@
   const lone = fleet.host(size - 1);
   const others = fleet.hosts.filter((host) => host !== lone);
   fleet.isCut = (from, to) => (from === lone) !== (to === lone);
-  for (const host of others) host.entries = listing("v1", "v2");
+  fleet.listAt(others, ["v1", "v2"]);
   return { fleet, lone, others };
 }
 
@@ -100,3 +100,24 @@
     assert.equal(type, "unknown", id);
   }
 });
+
+test("a host that hears nobody goes on with streams of the only version", async () => {
+  const fleet = new StreamFleet(9);
+  await fleet.settle("v1");
+  const lone = fleet.host(8);
+  fleet.isCut = (from, to) => (from === lone) !== (to === lone);
+  const binding = await fleet.resolve(lone, stream("a"), RESOLVED_MS);
+  assert.deepEqual(binding, bound("v1"));
+});
+
+test("streams of a host that ends as a version joins go on though its hall has no other host", async () => {
+  const fleet = new StreamFleet(3);
+  await fleet.settle("v1");
+  const [first, second] = fleet.hosts;
+  void first?.streams.note(stream("a"), "v1", STREAM_TTL_MS);
+  assert.ok(first && second);
+  first.isAlive = false;
+  fleet.listAt([second, fleet.host(2)], ["v1", "v2"]);
+  const binding = await fleet.resolve(second, stream("a"), RESOLVED_MS);
+  assert.deepEqual(binding, bound("v1"));
+});
--- a/test/gateway/streams/resolve_version_test.ts
+++ b/test/gateway/streams/resolve_version_test.ts
@@ -16,7 +16,6 @@
   address: `a${at}`,
   hall: `hall-${at % 3}`,
 }));
-const SELF = { id: "self", address: "a", hall: "hall-0" };
 const SINGLE: VersionState = {
   type: "single",
   softwareVersion: "v1",
@@ -49,13 +48,12 @@
     return response ? [{ host, response }] : [];
   });
   return resolveVersion({
-    self: SELF,
     origin: "self@1",
     record: undefined,
     stateOf: () => MIXED,
-    isListingFresh: true,
     asked: HOSTS,
-    ask: () => Promise.resolve(answers),
+    ask: () => Promise.resolve({ answers, ended: [] }),
+    confirmListing: () => Promise.resolve(true),
     findArchived: () => Promise.resolve(undefined),
     ...change,
   });
@@ -93,8 +91,9 @@
   const stateOf = (): VersionState => ({ type: "mixed", forMs: 10, before });
   const typeOf = async (...responses: AskResponse[]) =>
     (await resolve(responses, { stateOf })).binding.type;
-  assert.equal(await typeOf(versions("v1", "v2")), "bound");
-  assert.equal(await typeOf(versions("v1", "v2"), versions("v2")), "unknown");
+  const both = versions("v1", "v2");
+  assert.equal(await typeOf(both, both, both), "bound");
+  assert.equal(await typeOf(both, versions("v2"), both), "unknown");
 });
 
 test("a stream of a mixed service is bound as its keepers say", async () => {
@@ -138,7 +137,9 @@
 test("just after a transition, an unknown stream is of the version before", async () => {
   const before = { softwareVersion: "v1" };
   const at = (forMs: number) =>
-    resolve([NONE], { stateOf: () => ({ type: "mixed", forMs, before }) });
+    resolve([NONE, NONE, NONE], {
+      stateOf: () => ({ type: "mixed", forMs, before }),
+    });
   assert.deepEqual((await at(4999)).binding, {
     type: "bound",
     softwareVersion: "v1",
@@ -151,7 +152,7 @@
   const stateOf = (): VersionState => ({ type: "mixed", forMs: 10, before });
   const typeOf = async (mixedForMs: number) => {
     const longer: AskResponse = { ...versions("v1", "v2"), mixedForMs };
-    return (await resolve([NONE, longer], { stateOf })).binding.type;
+    return (await resolve([NONE, longer, NONE], { stateOf })).binding.type;
   };
   assert.equal(await typeOf(4000), "bound");
   assert.equal(await typeOf(6000), "unknown");
@@ -202,22 +203,66 @@
   assert.equal(unknown.binding.type, "unknown");
 });
 
-test("a host with an old listing infers only when all halls respond", async () => {
-  const change = { stateOf: () => SINGLE, isListingFresh: false };
+test("a host that can't confirm its listing infers only when all halls respond", async () => {
+  const change = {
+    stateOf: () => SINGLE,
+    confirmListing: () => Promise.resolve(false),
+  };
   const typeOf = async (responses: readonly (AskResponse | null)[]) =>
     (await resolve(responses, change)).binding.type;
   const one = versions("v1");
   assert.equal(await typeOf([]), "unknown");
   assert.equal(await typeOf([one, null, null, one, null, null]), "unknown");
   assert.equal(await typeOf([null, one, null, null, null, null]), "unknown");
-  assert.equal(await typeOf([null, one, null, null, null, one]), "bound");
-  assert.equal(await typeOf([null, one, null, null, null, NONE]), "bound");
+  assert.equal(await typeOf([null, one, null, null, one, one]), "unknown");
+  assert.equal(await typeOf([one, one, null, null, null, one]), "bound");
+  assert.equal(await typeOf([one, one, null, null, null, NONE]), "bound");
   assert.equal(
-    await typeOf([null, one, null, null, null, versions("v2")]),
+    await typeOf([one, one, null, null, null, versions("v2")]),
     "unknown",
   );
 });
 
+// Guards against the silence of hosts that is taken for their consent.
+test("a host that hears nobody doesn't infer the version before a transition", async () => {
+  const before = { softwareVersion: "v1" };
+  const stateOf = (): VersionState => ({ type: "mixed", forMs: 10, before });
+  const both = versions("v1", "v2");
+  for (
+    const responses of [[], [both], [both, both], [both, null, null, both]]
+  ) {
+    assert.equal(
+      (await resolve(responses, { stateOf })).binding.type,
+      "unknown",
+    );
+  }
+});
+
+test("hosts that have ended are not waited for, but one host has to respond", async () => {
+  const before = { softwareVersion: "v1" };
+  const both = versions("v1", "v2");
+  const typeOf = async (respondingHosts: number) => {
+    const answers = HOSTS.slice(0, respondingHosts)
+      .map((host) => ({ host, response: both }));
+    const ended = HOSTS.slice(respondingHosts);
+    const { binding } = await resolve([], {
+      stateOf: () => ({ type: "mixed", forMs: 10, before }),
+      ask: () => Promise.resolve({ answers, ended }),
+    });
+    return binding.type;
+  };
+  assert.equal(await typeOf(1), "bound");
+  assert.equal(await typeOf(0), "unknown");
+});
+
+test("a host that hears nobody prefers what the store says to a record that it keeps", async () => {
+  const record = recordOf("h9@1");
+  const findArchived = () => Promise.resolve({ softwareVersion: "v2" });
+  const { binding, source } = await resolve([], { record, findArchived });
+  assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
+  assert.equal(source, "archived");
+});
+
 test("without replicas nothing is inferred", async () => {
   const none = { stateOf: (): VersionState => ({ type: "none" }) };
   assert.equal((await resolve([versions("v1")], none)).binding.type, "unknown");
--- a/test/gateway/streams/single_host_streams.ts
+++ b/test/gateway/streams/single_host_streams.ts
@@ -18,6 +18,7 @@
     hosts: () => [],
     resumableForMs: () => 0,
     listingAgeMs: () => 0,
+    confirmListing: () => Promise.resolve(true),
     createClient: () => {
       throw new Error("unexpected call: the fleet has a single host");
     },
--- a/test/gateway/streams/stream_fleet.ts
+++ b/test/gateway/streams/stream_fleet.ts
@@ -44,6 +44,8 @@
   entries: readonly ReplicaEntry[];
   listingAgeMs: number;
   isAlive: boolean;
+  /** Its machine is gone, too: nothing refuses connections to it. */
+  isSilent: boolean;
   /** Its build has no records: it responds to any call with its state. */
   isOldBuild: boolean;
   runs: number;
@@ -77,6 +79,8 @@
   /** How long a message takes from host to host. */
   latencyMs = LATENCY_MS;
   readonly #time = new VirtualTime();
+  /** The replicas in the store. */
+  #listed: readonly ReplicaEntry[] = [];
   /** The store that outlasts the hosts. */
   readonly store = new RowStore(this.#time.clock);
 
@@ -107,9 +111,19 @@
     return host;
   }
 
-  /** From now on all hosts list these versions. */
+  /** From now on the store and all hosts list these versions. */
   list(...versions: readonly (string | undefined)[]): void {
-    for (const host of this.hosts) host.entries = listing(...versions);
+    this.#listed = listing(...versions);
+    for (const host of this.hosts) host.entries = this.#listed;
+  }
+
+  /** From now on the store and these hosts list these versions. */
+  listAt(
+    hosts: readonly StreamHost[],
+    versions: readonly (string | undefined)[],
+  ): void {
+    this.#listed = listing(...versions);
+    for (const host of hosts) host.entries = this.#listed;
   }
 
   /** Runs until a service with these versions is known for long everywhere. */
@@ -171,6 +185,7 @@
       entries: [],
       listingAgeMs: 0,
       isAlive: true,
+      isSilent: false,
       isOldBuild: false,
       runs: 0,
     } as unknown as StreamHost;
@@ -232,25 +247,35 @@
       hosts: () => host.known,
       resumableForMs: () => STREAM_TTL_MS,
       listingAgeMs: () => host.listingAgeMs,
+      confirmListing: () => this.#confirmListing(host),
       createClient: (address) => this.#clientOf(host, address),
       store: this.store.client,
     });
   }
 
+  #confirmListing(host: StreamHost): Promise<boolean> {
+    if (this.store.mode === "silent") return Promise.resolve(false);
+    host.entries = this.#listed;
+    return Promise.resolve(true);
+  }
+
   #clientOf(from: StreamHost, address: string): JsonClient {
     return {
       close: () => undefined,
       call: ({ body = "" }, signal) =>
         untilAborted(
           signal,
-          new Promise((resolve) => {
+          new Promise((resolve, reject) => {
             if (!from.isAlive) return;
             this.messages.push({ from: from.entry.id, body });
             const to = this.hosts.find((host) => host.entry.id === address);
-            const isLost = () => !to?.isAlive || this.isCut(from, to);
-            if (isLost()) return;
+            if (!to || this.isCut(from, to)) return;
+            // The system of a process that has ended refuses connections.
+            const refuse = () => reject(new Error("connect ECONNREFUSED"));
+            const isLost = () => !to.isAlive || this.isCut(from, to);
             this.#time.clock.after(this.latencyMs, () => {
-              if (!to || isLost()) return;
+              if (!to.isAlive && !to.isSilent) return refuse();
+              if (isLost()) return;
               const response = to.isOldBuild
                 ? { status: 200, body: '{"hosts":[],"version":1}' }
                 : to.streams.server.respond(body);
--- a/test/gateway/streams/stream_transition_test.ts
+++ b/test/gateway/streams/stream_transition_test.ts
@@ -55,8 +55,10 @@
   await fleet.settle("v1");
   const lone = fleet.host(8);
   fleet.isCut = (from, to) => (from === lone) !== (to === lone);
+  // So it is from the store.
+  fleet.store.mode = "silent";
   lone.listingAgeMs = 5000;
-  assert.equal((await fleet.resolve(lone, stream("a"))).type, "unknown");
+  assert.equal((await fleet.resolve(lone, stream("a"), 1000)).type, "unknown");
   lone.streams.note(stream("own"), "v1", STREAM_TTL_MS);
   assert.deepEqual(await fleet.resolve(lone, stream("own")), bound("v1"));
 });
