A host that reaches no writer writes its streams to the store itself

Streams that a host began at a new version while it heard no other host had no record anywhere: no keeper and none of the three writers of their service accepted it. A host that could hear all halls took such a stream for one of the version before (ORDER), within the first five seconds of the new one.

Now the host writes them itself once the writers have failed. Its own calls are as rare as a writer's. A stream of the first moment of a version is recorded at once, too, not only when the listing is read again up to a second later.

--- a/src/gateway/streams/archive_sender.ts
+++ b/src/gateway/streams/archive_sender.ts
@@ -59,18 +59,20 @@
     }
   }
 
-  /** Sends a batch to the first host that accepts it. */
+  /**
+   * Sends a batch to the first host that accepts it. A host that reaches none of
+   * them writes its streams itself: nobody else knows of them.
+   */
   async #sendBatch(
     service: string,
     records: readonly StreamRecord[],
   ): Promise<void> {
-    const { self, origin, client, chooseWriters, write, metrics } =
-      this.#options;
+    const { self, origin, client, chooseWriters, write } = this.#options;
     for (const host of chooseWriters(service)) {
       if (host.id === self.id) return write(records);
       const batch = { origin, records, isArchived: true };
       if (await client.send(host, batch)) return;
     }
-    metrics.count("stream_records_unarchived", records.length);
+    write(records);
   }
 }
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -166,6 +166,7 @@
     };
     // Before the record is set, so that it is not sent with the backlog, too.
     this.#updateShared(service, now);
+    this.#updateArchived(service, now);
     this.#table.set(record, now);
     if (!this.#sharedServices.has(service)) return Promise.resolve(true);
     return this.#sendInTime(record);
--- a/test/gateway/streams/out_of_step_host_test.ts
+++ b/test/gateway/streams/out_of_step_host_test.ts
@@ -101,6 +101,20 @@
   }
 });
 
+// Guards against streams that no keeper and no writer has heard of.
+const BEGUN_ALONE =
+  "streams that a host begins while it hears nobody don't go on at another version elsewhere";
+test(BEGUN_ALONE, knownRed(BEGUN_ALONE), async () => {
+  const fleet = new StreamFleet(9);
+  await fleet.settle("v1");
+  const lone = fleet.host(8);
+  fleet.isCut = (from, to) => (from === lone) !== (to === lone);
+  fleet.list("v1", "v2");
+  const ids = beginAll([lone], "v2");
+  await fleet.run(ARCHIVED_MS);
+  await assertAllBound({ fleet, host: fleet.host(0), ids, version: "v2" });
+});
+
 test("a host that hears nobody goes on with streams of the only version", async () => {
   const fleet = new StreamFleet(9);
   await fleet.settle("v1");
