--- a/deploy/standins/store.ts
+++ b/deploy/standins/store.ts
@@ -36,6 +36,8 @@
   delayMs: number;
   /** Writes a row, as the operator or a replica would. */
   put(table: string, key: string, value: object): void;
+  /** Writes a row with any value, JSON or not. */
+  putBytes(table: string, key: string, value: Uint8Array): void;
   /** Deletes a row. */
   remove(table: string, key: string): void;
   /** Drops the change history: feeds that start before now get 410. */
@@ -89,9 +91,11 @@
     address: await listen(server, ip),
     mode: StoreMode.up,
     delayMs: 0,
-    put: (table, key, value) => {
-      const text = Buffer.from(JSON.stringify(value)).toString("base64");
-      write(state, { table, PrivateKey: key, Value: text });
+    put: (table, key, value) =>
+      store.putBytes(table, key, Buffer.from(JSON.stringify(value))),
+    putBytes: (table, key, value) => {
+      const Value = Buffer.from(value).toString("base64");
+      write(state, { table, PrivateKey: key, Value });
     },
     remove: (table, key) =>
       write(state, { table, PrivateKey: key, gone: true }),
--- a/test/gateway/paths/tunnel_test.ts
+++ b/test/gateway/paths/tunnel_test.ts
@@ -9,6 +9,8 @@
   openTunnel,
   type TunnelOutcome,
 } from "../../../src/gateway/paths/tunnel_client.ts";
+import { knownRed } from "../../known_red.ts";
+import { ODD_ADDRESSES } from "../../platform/odd_rows.ts";
 import { completeResponse, startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
@@ -174,3 +176,19 @@
     replica.stop();
   }
 });
+
+const INVALID = "a tunnel with an invalid address at either end is unavailable";
+test(INVALID, knownRed(INVALID), async () => {
+  const peer = await startPeer("127.0.0.1:9");
+  try {
+    for (const address of ODD_ADDRESSES) {
+      const name = JSON.stringify(address.slice(0, 100));
+      const toReplica = await open(peer.address, address);
+      assert.deepEqual(toReplica, { type: "unavailable" }, name);
+      const throughPeer = await open(address, "127.0.0.1:9");
+      assert.deepEqual(throughPeer, { type: "unavailable" }, name);
+    }
+  } finally {
+    peer.stop();
+  }
+});
