Strict addresses: digits, ports 1 to 65535, IPv6 in brackets

What callers saw: all hosts end, and end again after each start, while another writer's row with the address "127.0.0.1: 80" stands among the replicas'.

Cause: parseAddress passed the port to Number(), which accepts white space, line ends, signs, "0x1F", "1e3" and nothing at all. The text itself, not what was parsed, is the path of the CONNECT request for a tunnel, for which Node.js throws ERR_UNESCAPED_CHARACTERS, in a callback of a timer.

Only the canonical text is an address now, so the text and what it means can't differ. Port 0 is for addresses to listen on (parseListenAddress): in settings, seeds, the store and peer_address are addresses to connect to. openTunnel checks both of its ends; with an invalid peer it connected to localhost:80.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from "node:http";
 import type { Milliseconds } from "../util/units.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
-import { parseAddress } from "../util/address.ts";
+import { parseListenAddress } from "../util/address.ts";
 import { CallerServer } from "./callers/server.ts";
 import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
@@ -306,7 +306,7 @@
   }
 
   #listenOn(server: Server, address: string): Promise<void> {
-    const endpoint = parseAddress(address);
+    const endpoint = parseListenAddress(address);
     this.#servers.push(server);
     return new Promise((resolve, reject) => {
       server.once("error", reject);
--- a/src/gateway/paths/tunnel_client.ts
+++ b/src/gateway/paths/tunnel_client.ts
@@ -57,9 +57,12 @@
   },
 ): TunnelAttempt {
   const address = parseAddress(peer);
+  if (!address || !parseAddress(replica)) {
+    const outcome = Promise.resolve({ type: "unavailable" } as const);
+    return { outcome, cancel: () => undefined };
+  }
   const outgoing = request({
-    host: address?.host,
-    port: address?.port,
+    ...address,
     method: "CONNECT",
     path: replica,
     headers: { [LINK_HOST_HEADER]: self },
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -3,6 +3,7 @@
 import {
   address,
   duration,
+  listenAddress,
   name,
   requiredDuration,
   requiredSize,
@@ -26,10 +27,10 @@
 });
 
 const Listen = z.strictObject({
-  callers: address(),
-  readiness: address(),
-  peers: address(),
-  metrics: address().optional(),
+  callers: listenAddress(),
+  readiness: listenAddress(),
+  peers: listenAddress(),
+  metrics: listenAddress().optional(),
 });
 
 const Store = z.strictObject({
--- a/src/settings/router.ts
+++ b/src/settings/router.ts
@@ -1,6 +1,6 @@
 /** Settings schema of an entry host; docs/SETTINGS.md describes each key. */
 import * as z from "zod";
-import { address, duration, name, size } from "./units.ts";
+import { address, duration, listenAddress, name, size } from "./units.ts";
 
 const Host = z.strictObject({
   id: name(),
@@ -9,8 +9,8 @@
 });
 
 const Listen = z.strictObject({
-  callers: address(),
-  peers: address(),
+  callers: listenAddress(),
+  peers: listenAddress(),
 });
 
 const Platform = z.strictObject({
--- a/src/settings/standin.ts
+++ b/src/settings/standin.ts
@@ -1,7 +1,7 @@
 /** Settings schemas of the stand-ins. */
 import * as z from "zod";
 import { DEFAULT_ENGINE } from "../standins/engine/mod.ts";
-import { address, duration, name } from "./units.ts";
+import { address, duration, listenAddress, name } from "./units.ts";
 
 const Engine = z.strictObject({
   slots: z.int().min(1).default(DEFAULT_ENGINE.slots),
@@ -45,7 +45,7 @@
 /** The schema of an engine stand-in's settings file. */
 export const EngineSchema = z.strictObject({
   id: name(),
-  listen: address(),
+  listen: listenAddress(),
   engine: Engine.prefault({}),
 });
 /** Checked settings of an engine stand-in. */
@@ -54,7 +54,7 @@
 /** The schema of a plain service stand-in's settings file. */
 export const PlainSchema = z.strictObject({
   id: name(),
-  listen: address(),
+  listen: listenAddress(),
   plain: Plain.prefault({}),
 });
 /** Checked settings of a plain service stand-in. */
@@ -62,7 +62,7 @@
 
 /** The schema of the platform stand-in's settings file. */
 export const PlatformSchema = z.strictObject({
-  listen: address(),
+  listen: listenAddress(),
   hosts: z.array(ListEntrySchema).default([]),
 });
 /** Checked settings of the platform stand-in. */
--- a/src/settings/units.ts
+++ b/src/settings/units.ts
@@ -2,7 +2,7 @@
 import bytes from "bytes";
 import ms, { type StringValue } from "ms";
 import * as z from "zod";
-import { parseAddress } from "../util/address.ts";
+import { parseAddress, parseListenAddress } from "../util/address.ts";
 
 /** A duration with a default. */
 export function duration(defaultValue: string) {
@@ -37,9 +37,18 @@
   });
 }
 
-/** An address of the form `IP:port`. */
+/** An address of the form `IP:port` to connect to. */
 export function address() {
-  return z.string().refine((text) => parseAddress(text) !== undefined, {
+  return addressOf(parseAddress);
+}
+
+/** An address of the form `IP:port` to listen on; port 0 is any free one. */
+export function listenAddress() {
+  return addressOf(parseListenAddress);
+}
+
+function addressOf(parse: (text: string) => object | undefined) {
+  return z.string().refine((text) => parse(text) !== undefined, {
     error: (issue) => `expected "IP:port", got "${String(issue.input)}"`,
   });
 }
--- a/src/shell/host.ts
+++ b/src/shell/host.ts
@@ -17,7 +17,7 @@
   type World,
 } from "../core/mod.ts";
 import type { RouterSettings } from "../settings/mod.ts";
-import { parseAddress } from "../util/address.ts";
+import { parseListenAddress } from "../util/address.ts";
 import { sha256 } from "../util/sha256.ts";
 import { type Callers, createCallers } from "./callers/server.ts";
 import { monotonicNow, newIncarnation } from "./clock.ts";
@@ -276,7 +276,7 @@
 }
 
 function listenOn(server: Server, address: string): Promise<number> {
-  const listenAddress = parseAddress(address);
+  const listenAddress = parseListenAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(listenAddress?.port, listenAddress?.host, () => {
@@ -287,5 +287,5 @@
 }
 
 function withPort(address: string, port: number): string {
-  return `${parseAddress(address)?.host}:${port}`;
+  return `${parseListenAddress(address)?.host}:${port}`;
 }
--- a/src/standins/http/json_server.ts
+++ b/src/standins/http/json_server.ts
@@ -6,7 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import { readBody } from "../../shell/callers/read_body.ts";
-import { parseAddress } from "../../util/address.ts";
+import { parseListenAddress } from "../../util/address.ts";
 
 /** A request with its response. */
 export type Exchange = {
@@ -35,7 +35,7 @@
   const server = createServer((request, response) => {
     void handleRequest(request, response, route);
   });
-  const listenAddress = parseAddress(address);
+  const listenAddress = parseListenAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(listenAddress?.port, listenAddress?.host, resolve);
