Tests of odd rows and messages in each schema, known red

- the quick check of a replica's row accepts ColdRemainingMs 1e400, the schema doesn't; in messages between hosts the number becomes null;
- a replica's row with a service of 1,001 characters gets into the writer's row of hosts, which no host can read then, so that the row lists no host; an odd part of such a row, or one odd host in it, hides all its hosts as well;

--- a/test/gateway/peers/host_rows_test.ts
+++ b/test/gateway/peers/host_rows_test.ts
@@ -12,11 +12,17 @@
   Store,
 } from "../../../src/gateway/mod.ts";
 import { HostDirectory } from "../../../src/gateway/peers/directory.ts";
-import { liveHosts, readHosts } from "../../../src/gateway/peers/host_rows.ts";
+import {
+  exchangeRows,
+  liveHosts,
+  readHosts,
+} from "../../../src/gateway/peers/host_rows.ts";
 import type { PeerClient } from "../../../src/gateway/peers/peer_client.ts";
 import { startPeerLoops } from "../../../src/gateway/peers/peer_loop.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import { emptyCrashWatch } from "../crashes/empty_crash_watch.ts";
+import { knownRed } from "../../known_red.ts";
+import { deepText, ODD_ADDRESSES } from "../../platform/odd_rows.ts";
 import type { Synchronizer } from "../../../src/gateway/state/synchronizer.ts";
 import { neverSuspended } from "../never_suspended.ts";
 import { emptyStoreEras } from "../empty_store_eras.ts";
@@ -186,3 +192,76 @@
   assert.equal(ahead(5000), 1);
   assert.equal(ahead(62_000), 0);
 });
+
+/** Reads the hosts of one row, given as JSON text. */
+async function hostsOf(text: string): Promise<readonly HostEntry[]> {
+  const rows = [{ key: "a", value: text, revision: 1 }];
+  const read: RowReading = { nowMs: 1000, rows };
+  const store = { readRows: () => Promise.resolve(read) } as unknown as Store;
+  const signal = new AbortController().signal;
+  return (await readHosts({ store, now: () => 0, signal })).hosts;
+}
+
+// Guards against hosts that don't find each other while a row of a replica
+// names a service that no other row can.
+const NAMES = "a row with overlong names of services lists its hosts";
+test(NAMES, knownRed(NAMES), async () => {
+  let written = "";
+  const store = {
+    readRows: () => Promise.resolve({ nowMs: 1000, rows: [] }),
+    writeRow: ({ value }: RowWrite) => {
+      written = value;
+      return Promise.resolve({ type: "written", revision: 1, nowMs: 1000 });
+    },
+  } as unknown as Store;
+  const signal = new AbortController().signal;
+  const reported = (service: string) => ({
+    service,
+    softwareVersion: "v1",
+    isListed: true,
+    seenAgoMs: 0,
+  });
+  await exchangeRows({ store, now: () => 0, signal }, () => ({
+    writer: "a",
+    hosts: [host("a")],
+    crashes: { records: [], clearances: [] },
+    versions: {
+      isCovered: true,
+      versions: [reported("plain"), reported("s".repeat(1001))],
+    },
+  }));
+  assert.deepEqual(await hostsOf(written), [host("a")]);
+});
+
+const PARTS = "odd parts of a row don't hide its hosts";
+test(PARTS, knownRed(PARTS), async () => {
+  const hosts = JSON.stringify([host("a")]);
+  for (const odd of ["null", "1e400", "{}", "[]", '"x"', deepText()]) {
+    for (const field of ["crashes", "versions", "era", "other"]) {
+      const text = `{"hosts":${hosts},"writtenMs":1000,"${field}":${odd}}`;
+      const name = `${field} ${odd.slice(0, 100)}`;
+      assert.deepEqual(await hostsOf(text), [host("a")], name);
+    }
+  }
+});
+
+const ENTRIES = "an odd host in a row doesn't hide the others";
+test(ENTRIES, knownRed(ENTRIES), async () => {
+  const sound = JSON.stringify(host("a"));
+  const odd = [
+    ...ODD_ADDRESSES.map((address) => JSON.stringify(host("b", address))),
+    ...["0", "-1", "1e400", "1e300", "null"].map((capacity) =>
+      `{"id":"b","address":"127.0.0.1:1","hall":"h","capacity":${capacity}}`
+    ),
+    JSON.stringify({ ...host("b"), id: "" }),
+    JSON.stringify({ ...host("b"), id: "b\nc" }),
+    JSON.stringify({ ...host("b"), id: "b".repeat(300_000) }),
+    JSON.stringify({ ...host("b"), hall: "h".repeat(300_000) }),
+    deepText(),
+    "null",
+  ];
+  for (const text of odd) {
+    const row = `{"hosts":[${text},${sound}],"writtenMs":1000}`;
+    assert.deepEqual(await hostsOf(row), [host("a")], text.slice(0, 100));
+  }
+});
--- a/test/platform/replica_row_test.ts
+++ b/test/platform/replica_row_test.ts
@@ -3,6 +3,19 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import "../fixed_seed.ts";
+import { knownRed } from "../known_red.ts";
+import {
+  IGNORED_ODD_FIELDS,
+  ODD_FIELDS,
+  oddRows,
+  rowText,
+} from "./odd_rows.ts";
+import { digestOf } from "../../src/gateway/replicas/listing_digest.ts";
+import { isSameEntry } from "../../src/gateway/replicas/model.ts";
+import {
+  encodeEntry,
+  ReplicaEntrySchema,
+} from "../../src/gateway/replicas/schema.ts";
 import {
   isReplicaRow,
   ReplicaRow,
@@ -210,3 +223,77 @@
   for (const value of [null, 1, "x", []]) assert.ok(!isReplicaRow(value));
   assert.ok(isReplicaRow(VALID_ROW));
 });
+
+const JSON_FIELDS = Object.fromEntries(
+  Object.entries(VALID_ROW).map(([name, value]) => [
+    name,
+    JSON.stringify(value),
+  ]),
+);
+
+/** Rows with up to two fields that may be odd, as JSON text. */
+const oddTexts = fc.dictionary(
+  fc.constantFrom(...Object.keys(JSON_FIELDS), "born", "Other"),
+  fc.oneof(
+    fc.constantFrom(...ODD_FIELDS.map(([, value]) => value)),
+    fc.constantFrom("1e400", "-1e400", "1e12", "1e13", "-0", "0", "1", "1e-7"),
+    fc.double().map((value) => JSON.stringify(value)),
+    fc.json({ maxDepth: 2 }),
+  ),
+  { maxKeys: 2 },
+).map((change) => rowText({ ...JSON_FIELDS, born: "1", ...change }));
+
+// Guards against rows that hosts accept and can't tell each other.
+const SAME = "the quick check and the schema accept the same rows";
+test(SAME, knownRed(SAME), () => {
+  let accepted = 0;
+  fc.assert(
+    fc.property(oddTexts, (text) => {
+      const row: unknown = JSON.parse(text);
+      const read = ReplicaRow.safeParse(row);
+      if (isReplicaRow(row)) {
+        accepted += 1;
+        assert.ok(read.success, text.slice(0, 500));
+      } else if (read.success) {
+        // The schema drops a version that it can't read.
+        assert.notEqual(read.data.Version, Reflect.get(Object(row), "Version"));
+      }
+    }),
+    { numRuns: 3000 },
+  );
+  assert.ok(accepted > 100, `${accepted} rows`);
+});
+
+const TOLD = "hosts can tell each other each row that they accept";
+test(TOLD, knownRed(TOLD), () => {
+  fc.assert(
+    fc.property(oddTexts, (text) => {
+      const { entries } = replicasOf([encodeRow("a", text)]);
+      for (const entry of entries) {
+        const message: unknown = JSON.parse(JSON.stringify(encodeEntry(entry)));
+        const told = ReplicaEntrySchema.parse(message);
+        assert.ok(isSameEntry(told, entry));
+        assert.equal(digestOf(told), digestOf(entry));
+      }
+    }),
+    { numRuns: 3000 },
+  );
+});
+
+const FAULTS = "rows with an odd field or value are faults";
+test(FAULTS, knownRed(FAULTS), () => {
+  for (const { name, value } of oddRows(JSON_FIELDS)) {
+    const { entries, faults } = replicasOf([
+      { PrivateKey: "a", Value: Buffer.from(value).toString("base64"), ver: 1 },
+    ]);
+    assert.deepEqual(entries, [], name);
+    assert.equal(faults.length, 1);
+  }
+});
+
+test("odd values of fields that are not used are no faults", () => {
+  for (const [field, value] of IGNORED_ODD_FIELDS) {
+    const text = rowText({ ...JSON_FIELDS, [field]: value });
+    assert.deepEqual(replicasOf([encodeRow("a", text)]).faults, [], field);
+  }
+});
