--- a/test/gateway/paths/single_host_paths.ts
+++ b/test/gateway/paths/single_host_paths.ts
@@ -1,18 +1,22 @@
-/** The paths of a host without peers, which uses its own only. */
+/** The paths of a host, by default one without peers. */
 import type { Clock } from "../../../src/gateway/clock.ts";
 import {
   createPaths,
   type ReplicaPaths,
 } from "../../../src/gateway/paths/create_paths.ts";
+import type { HostEntry } from "../../../src/gateway/port.ts";
 import { tcpConnect } from "../../../src/gateway/upstreams/connect.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
 
-/** Creates the paths of a host without peers. */
-export function singleHostPaths(clock: Clock): ReplicaPaths {
+/** Creates the paths of a host, which has no peers by default. */
+export function singleHostPaths(
+  clock: Clock,
+  peers: readonly HostEntry[] = [],
+): ReplicaPaths {
   return createPaths({
     clock,
     self: { id: "host", hall: "hall" },
-    peers: () => [],
+    peers: () => peers,
     replicas: () => [],
     isListed: () => true,
     events: { note: () => undefined },
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -15,6 +15,7 @@
   type Route,
   type Service,
 } from "../../src/gateway/mod.ts";
+import type { HostEntry } from "../../src/gateway/port.ts";
 import { Metrics } from "../../src/gateway/observe/metrics.ts";
 import { ReplicaTable } from "../../src/gateway/replicas/replica_table.ts";
 import { PlannerClient } from "../../src/gateway/planning/planner_client.ts";
@@ -56,6 +57,8 @@
   /** Connections that each replica accepts from all hosts; 100 by default. */
   readonly connectionLimit?: number;
   readonly replicas: readonly RigReplica[];
+  /** Hosts through which replicas can be reached; none by default. */
+  readonly peers?: readonly HostEntry[];
   readonly customers?: readonly Customer[];
   /** Age of the host's configuration; 0 by default. */
   readonly configAgeMs?: () => number;
@@ -232,7 +235,7 @@
   const metrics = new Metrics();
   const replicas = new ReplicaTable();
   const clock = { ...systemClock, now: options.now ?? systemClock.now };
-  const paths = singleHostPaths(clock);
+  const paths = singleHostPaths(clock, options.peers);
   const limits = singleHostLimits({
     clock,
     events: log,
@@ -261,7 +264,7 @@
       isDraining: (entry) => replicas.isDraining(entry),
       probe: (entry) => paths.monitor.probe(entry),
       countReplicas: () => 2,
-      isPeerResponding: () => Promise.resolve(false),
+      isPeerResponding: () => Promise.resolve(options.peers !== undefined),
       isAlive: () => Promise.resolve(false),
     }),
     limits,
