Failing test: the first bytes of a tunnel are lost

A replica that refuses a connection before it has read the request, and whose bytes arrive with the head of the peer's response to CONNECT, is not heard.

--- a/test/gateway/paths/tunnel_test.ts
+++ b/test/gateway/paths/tunnel_test.ts
@@ -9,6 +9,7 @@
   openTunnel,
   type TunnelOutcome,
 } from "../../../src/gateway/paths/tunnel_client.ts";
+import { knownRed } from "../../known_red.ts";
 import { completeResponse, startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
@@ -78,6 +79,27 @@
   });
 });
 
+const EARLY =
+  "bytes that a replica sends before its request are not lost with the head of a tunnel";
+test(EARLY, knownRed(EARLY), async () => {
+  // A replica may refuse a connection before it has read a request.
+  const refusal = "HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n";
+  const server = createServer();
+  server.on("connect", (_request, socket: Socket) => {
+    socket.on("error", () => undefined);
+    socket.end(`HTTP/1.1 200 OK\r\n\r\n${refusal}`);
+  });
+  const outcome = await open(await listen(server), "127.0.0.1:1");
+  server.close();
+  assert.equal(outcome.type, "open");
+  if (outcome.type !== "open") return;
+  let received = "";
+  outcome.socket.on("data", (bytes) => received += String(bytes));
+  await once(outcome.socket, "end");
+  assert.equal(received, refusal);
+  outcome.socket.destroy();
+});
+
 test("a tunnel that the peer closes does not look like the end of a response", async () => {
   await withTunnel(() => undefined, async (tunnel, peer) => {
     const ended = endingOf(tunnel);
