A body in a transfer coding that is not removed is no response

What callers saw: 200 with bytes that are not the replica's body, framed as whole. Node.js removes the coding `chunked` and no other. The header was dropped for the caller, so that coded bytes became the body: with a coding cut in its value (`chunk`), with `gzip`, and with the codings in the wrong order.

Class: a message forwarded without the header that says how to read it. Such a response now counts as none, as RFC 9112, 6.1 allows for a coding that was not asked for: a safe request goes to another replica, another one gets 502. Its connection is closed.

Before: 200 and the coded bytes with the first of six codings, where the test ended. After: all six pass.

--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -8,7 +8,7 @@
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
 import type { CarriedCalls } from "./carried_calls.ts";
-import { BodyEnding, Framing, framingOf } from "./framing.ts";
+import { BodyEnding, Framing, framingOf, hasUnknownCoding } from "./framing.ts";
 import {
   type OpenRequest,
   openRequest,
@@ -177,6 +177,11 @@
   return carried().count > 0 && elapsedMs < STALE_CONNECTION_MS;
 }
 
+/** Why a response can't be used, if so. */
+function faultOf(message: IncomingMessage): string | undefined {
+  return hasUnknownCoding(message) ? "Unknown transfer coding" : undefined;
+}
+
 function answered(
   message: IncomingMessage,
   { method, address, remoteAddressOf }: CallOptions,
@@ -185,6 +190,11 @@
     readonly hasFailed: () => boolean;
   },
 ): CallOutcome {
+  const reason = faultOf(message);
+  if (reason !== undefined) {
+    opened.clientRequest.destroy();
+    return { type: "broken", reason, isAborted: true, isStale: false };
+  }
   // Prevents an uncaught error; the reader of the body checks its ending.
   message.on("error", () => undefined);
   const framing = framingOf(message, method);
--- a/src/gateway/upstreams/framing.ts
+++ b/src/gateway/upstreams/framing.ts
@@ -30,10 +30,21 @@
 
 /** Statuses of responses without a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-/** `chunked` as the last transfer coding. */
-const LAST_CODING_CHUNKED = /(^|,)\s*chunked\s*$/i;
+/** The only transfer coding that Node.js removes. */
+const CHUNKED = "chunked";
 
-/** Returns what delimits the body of a response to a request. */
+/** Whether a body is in a transfer coding that is still to be removed. */
+export function hasUnknownCoding(
+  { headers }: Pick<IncomingMessage, "headers">,
+): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding !== undefined && coding.toLowerCase() !== CHUNKED;
+}
+
+/**
+ * Returns what delimits the body of a response to a request. The body is in no
+ * unknown transfer coding.
+ */
 export function framingOf(
   { statusCode, headers }: Pick<IncomingMessage, "statusCode" | "headers">,
   method: string,
@@ -41,12 +52,7 @@
   if (method === "HEAD" || BODILESS_STATUSES.has(statusCode ?? 0)) {
     return Framing.length;
   }
-  const coding = headers["transfer-encoding"];
-  if (coding !== undefined) {
-    return LAST_CODING_CHUNKED.test(coding)
-      ? Framing.chunked
-      : Framing.connection;
-  }
+  if (headers["transfer-encoding"] !== undefined) return Framing.chunked;
   return headers["content-length"] === undefined
     ? Framing.connection
     : Framing.length;
