Failing test: 101 in the place of a final response

A replica that responds with 101, although no upgrade was requested, has it forwarded to the caller, who waits for another protocol or for a final response.

--- a/test/gateway/requests/unusable_heads_test.ts
+++ b/test/gateway/requests/unusable_heads_test.ts
@@ -16,12 +16,16 @@
   socket.write(completeResponse(request, "whole"));
 };
 
-/** Responds with this status and these headers, and ends the connection. */
-function answerWith(status: string, lines: readonly string[]): RawAnswer {
+/** Responds with this status, these headers and a body, and ends. */
+function answerWith(
+  status: string,
+  lines: readonly string[],
+  body = BODY,
+): RawAnswer {
   return ({ headers }, socket) => {
     const id = `x-id: ${headers.get("x-id")}`;
     const head = [`HTTP/1.1 ${status}`, id, ...lines, "", ""].join("\r\n");
-    socket.end(head + BODY);
+    socket.end(head + body);
   };
 }
 
@@ -66,3 +70,12 @@
     assert.deepEqual([status, body, ending], [200, "hi", SeenEnding.complete]);
   });
 });
+
+const INTERIM =
+  "an interim response that takes the final one's place is no response";
+test(INTERIM, knownRed(INTERIM), async () => {
+  for (const lines of [[], ["content-length: 0"], ["upgrade: a"]]) {
+    const answer = answerWith("101 Switching Protocols", lines, "");
+    await assertUnused(answer, lines.join());
+  }
+});
