An interim response in the place of the final one is no response

What callers saw: 101 as the response to a request that asked for no other protocol. A caller waits behind it for a final response or reads on in another protocol.

Cause: Node.js handles 1xx itself, except for 101, which it reports as a final response if it names no protocol. Class: a status forwarded without a check that it is one of a final response. Such a response now counts as none, for callers' requests and for control calls: a safe request goes to another replica, another one gets 502.

Before: the test got 101. After: it passes.

--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -23,6 +23,9 @@
  */
 const STALE_CONNECTION_MS = 10;
 
+/** Lower statuses are those of interim responses (RFC 9110, 15.2). */
+const MIN_FINAL_STATUS = 200;
+
 const CLOSED = "Connection closed before a response";
 
 /** Options of {@link startCall}. */
@@ -179,6 +182,9 @@
 
 /** Why a response can't be used, if so. */
 function faultOf(message: IncomingMessage): string | undefined {
+  const { statusCode = 0 } = message;
+  // Node.js takes 101 for a final response.
+  if (statusCode < MIN_FINAL_STATUS) return "No final response";
   return hasUnknownCoding(message) ? "Unknown transfer coding" : undefined;
 }
 
