Hosts out of step together don't infer a stream's version from each other

Now the only version is inferred without the store if all hosts that were asked respond and the listing is recent. Otherwise the listing and the streams in the store are read, side by side. The version before a transition needs both reads, a response of a keeper that has known both versions as long as this host, and no silent hall. While the store is silent a recent listing of one version decides, unless this host may be cut off. A broken question is asked once more.

--- a/src/gateway/state/shared_read.ts
+++ b/src/gateway/state/shared_read.ts
@@ -5,7 +5,7 @@
  * Time for which a read is shared: many streams are taken up at once after a
  * host has ended.
  */
-const MAX_AGE_MS = 250;
+const MAX_AGE_MS = 500;
 
 /** A read whose result later callers share for a short time. */
 export class SharedRead<Value> {
--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -134,10 +134,10 @@
   }
 
   async #confirm(): Promise<boolean> {
-    const outcome =
-      await (this.#canCatchUp ? this.#catchUp() : this.#listReplicas());
-    // "older": another message has brought a later listing meanwhile.
-    return outcome !== "failed";
+    const outcome = this.#canCatchUp ? await this.#catchUp() : "older";
+    // The table has changed meanwhile, or takes no changes.
+    if (outcome !== "older") return outcome === "applied";
+    return await this.#listReplicas() === "applied";
   }
 
   async #followReplicas(): Promise<void> {
--- a/src/gateway/streams/archive_reader.ts
+++ b/src/gateway/streams/archive_reader.ts
@@ -17,6 +17,15 @@
   readonly events: EventLog;
 };
 
+/** What the store has of a stream. */
+export type ArchiveFinding =
+  | { readonly type: "found"; readonly softwareVersion: SoftwareVersion }
+  | { readonly type: "absent" }
+  /** It is stored with several versions. */
+  | { readonly type: "contradictory" }
+  /** The store hasn't responded. */
+  | { readonly type: "unreadable" };
+
 /** The versions of streams, by service and digest. */
 type VersionIndex = ReadonlyMap<string, ReadonlySet<SoftwareVersion>>;
 
@@ -30,15 +39,15 @@
     this.#index = new SharedRead(() => this.#read());
   }
 
-  /** The version of a stream; undefined if none or several are stored. */
-  async find(
-    stream: StreamKey,
-  ): Promise<{ readonly softwareVersion: SoftwareVersion } | undefined> {
+  /** Looks for a stream. */
+  async find(stream: StreamKey): Promise<ArchiveFinding> {
     const index = await this.#index.get(this.#options.clock.now());
-    const versions = index?.get(indexKeyOf(stream.service, digestOf(stream)));
-    if (versions?.size !== 1) return undefined;
+    if (!index) return { type: "unreadable" };
+    const key = indexKeyOf(stream.service, digestOf(stream));
+    const versions = index.get(key) ?? new Set();
     const [softwareVersion] = versions;
-    return { softwareVersion };
+    if (versions.size === 1) return { type: "found", softwareVersion };
+    return { type: versions.size === 0 ? "absent" : "contradictory" };
   }
 
   async #read(): Promise<VersionIndex | undefined> {
--- a/src/gateway/streams/keeper_client.ts
+++ b/src/gateway/streams/keeper_client.ts
@@ -116,7 +116,16 @@
     this.#connections.close();
   }
 
-  async #askOne(
+  /**
+   * Asks again if the connection breaks: a kept one may have been reset though
+   * the host runs.
+   */
+  async #askOne(host: HostEntry, stream: StreamKey): Promise<AskOutcome> {
+    const outcome = await this.#askOnce(host, stream);
+    return outcome.type === "ended" ? this.#askOnce(host, stream) : outcome;
+  }
+
+  async #askOnce(
     { address }: HostEntry,
     { service, id }: StreamKey,
   ): Promise<AskOutcome> {
--- a/src/gateway/streams/keepers.ts
+++ b/src/gateway/streams/keepers.ts
@@ -33,6 +33,11 @@
   readonly spares: readonly HostEntry[];
   /** The hosts that are asked for its record. */
   readonly asked: readonly HostEntry[];
+  /**
+   * Those of them that keep its record whoever made it, unless they made it
+   * themselves.
+   */
+  readonly certain: readonly HostEntry[];
 };
 
 /** All hosts, prepared for many rankings. */
@@ -110,7 +115,9 @@
   const asked = takeSpread(ranked, { count: ASKED, perHall: ASKED_PER_HALL })
     .filter((host) => host !== self);
   const spares = asked.filter((host) => !keepers.includes(host));
-  return { keepers, spares, asked };
+  const certain = takeSpread(ranked, { count: KEEPERS, perHall: 1 })
+    .filter((host) => host !== self);
+  return { keepers, spares, asked, certain };
 }
 
 function rankHosts(
--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { HostEntry } from "../port.ts";
 import type { KeeperAnswer, KeeperPoll } from "./keeper_client.ts";
+import type { ArchiveFinding } from "./archive_reader.ts";
 import type { SoftwareVersion, StreamRecord, VersionBinding } from "./model.ts";
 import type { VersionState } from "./version_history.ts";
 
@@ -12,6 +13,9 @@
  */
 const TRANSITION_MS = 5000;
 
+/** Time within which a change of the listing has reached all hosts, mostly. */
+const MAX_LISTING_LAG_MS = 500;
+
 /** Where a version was found. */
 export const VersionSource = {
   /** This host sent the stream. */
@@ -27,13 +31,15 @@
 /** One of the values of {@link VersionSource}. */
 export type VersionSource = typeof VersionSource[keyof typeof VersionSource];
 
+const UNKNOWN = { type: "unknown" } as const;
+
 /** The version of a stream. */
 export type Resolution = {
   readonly binding: VersionBinding;
   readonly source: VersionSource;
   /** Number of hosts that have responded. */
   readonly answered: number;
-  /** Whether these would know of a stream that any host began. */
+  /** Whether these are all that were asked. */
   readonly isHeard: boolean;
 };
 
@@ -46,60 +52,97 @@
   readonly stateOf: () => VersionState;
   /** The hosts to ask. */
   readonly asked: readonly HostEntry[];
+  /** Those of them that keep the stream's record, whoever made it. */
+  readonly keepers: readonly HostEntry[];
   readonly ask: (hosts: readonly HostEntry[]) => Promise<KeeperPoll>;
   /**
-   * Reads the listing from the store; resolves to whether the store has
-   * responded.
+   * The listing is as recent as the store's, but for the time in which a change
+   * takes to reach all hosts.
    */
+  readonly isListingRecent: () => boolean;
+  /** Reads the listing from the store; resolves to whether it is current now. */
   readonly confirmListing: () => Promise<boolean>;
-  /** Finds the version in the store. */
-  readonly findArchived: () => Promise<VersionChoice | undefined>;
+  /** Looks for the stream in the store. */
+  readonly findArchived: () => Promise<ArchiveFinding>;
 };
 
 /**
  * Finds the version of a stream. Other hosts are asked unless this one sent it:
  * they may list a version that has not reached this host yet. Their silence is
- * no answer, since this host may be the one that is cut off: the store is read
- * then before anything is inferred.
+ * no answer, since this host may be the one that is out of step, or several
+ * may be together: the store is read then before anything is inferred.
  */
 export async function resolveVersion(
   query: ResolutionQuery,
 ): Promise<Resolution> {
-  const { record, origin } = query;
+  const { record, origin, asked } = query;
   if (record?.origin === origin) {
-    return bound(record, { source: "own", answered: 0, isHeard: false });
+    return bound(record, { source: "own", answered: 0, isHeard: true });
   }
-  const poll = await query.ask(query.asked);
+  const poll = await query.ask(asked);
   const { answers } = poll;
-  const isHeard = isFleetHeard(query.asked, poll);
+  const isHeard = answers.length === asked.length;
   const about = { answered: answers.length, isHeard };
-  const unknown: Resolution = {
-    binding: { type: "unknown" },
-    source: "unknown",
-    ...about,
-  };
   const found = (choice: VersionChoice, source: VersionSource) =>
     bound(choice, { source, ...about });
+  const unknown = { binding: UNKNOWN, source: "unknown", ...about } as const;
   const told = answers.flatMap(recordOf);
-  // Others may have a later record than a host that hears nobody.
+  // Others may have a later record than a host that doesn't hear all.
   if (told.length > 0 || record && isHeard) {
     const agreed = agreedVersion([...told, ...(record ? [record] : [])]);
     return agreed ? found(agreed, "kept") : unknown;
   }
-  const isListed = isHeard || await query.confirmListing();
-  const infer = () =>
-    isListed ? inferVersion(query, { answers, isHeard }) : undefined;
-  // While several versions count, the store may know the stream.
-  const isMixed = query.stateOf().type === "mixed";
-  const only = isHeard && !isMixed ? infer() : undefined;
-  if (only) return found(only, "inferred");
-  const archived = await query.findArchived();
-  if (archived) return found(archived, "archived");
+  if (isHeard && query.isListingRecent()) {
+    const only = inferOnly(query.stateOf(), answers);
+    if (only) return found(only, "inferred");
+  }
+  const [isConfirmed, finding] = await Promise.all([
+    query.confirmListing(),
+    query.findArchived(),
+  ]);
+  if (finding.type === "found") return found(finding, "archived");
+  if (finding.type === "contradictory") return unknown;
   if (record) return found(record, "kept");
-  const inferred = infer();
+  const inferred = isConfirmed && finding.type === "absent"
+    ? inferFromStore(query, poll)
+    : inferFromPeers(query, poll);
   return inferred ? found(inferred, "inferred") : unknown;
 }
 
+/** What follows if the store lists what this host does and lacks the stream. */
+function inferFromStore(
+  { stateOf, asked, keepers }: ResolutionQuery,
+  poll: KeeperPoll,
+): VersionChoice | undefined {
+  const { answers } = poll;
+  const state = stateOf();
+  if (state.type !== "mixed") return inferOnly(state, answers);
+  // It would have the record, unless it started after the second version.
+  const hasKeeper = answers.some((answer) =>
+    keepers.includes(answer.host) &&
+    mixedForMs(answer) >= state.forMs - MAX_LISTING_LAG_MS
+  );
+  return hasKeeper && isEachHallHeard(asked, poll)
+    ? inferBefore(state, answers)
+    : undefined;
+}
+
+/**
+ * What follows while the store doesn't respond. Hosts that have ended can't tell
+ * what they knew, but unlike silent ones they are no sign of a cut.
+ */
+function inferFromPeers(
+  { stateOf, asked, isListingRecent }: ResolutionQuery,
+  { answers, ended }: KeeperPoll,
+): VersionChoice | undefined {
+  const state = stateOf();
+  if (answers.length === asked.length) return inferOnly(state, answers);
+  const accounted = answers.length + ended.length;
+  const isAlone = answers.length === 0 && accounted < asked.length;
+  const isCutOff = isAlone || 2 * accounted < asked.length;
+  return isListingRecent() && !isCutOff ? inferOnly(state, answers) : undefined;
+}
+
 type KnownVersion = Pick<StreamRecord, "softwareVersion" | "origin" | "order">;
 
 function recordOf({ response }: KeeperAnswer): KnownVersion[] {
@@ -123,19 +166,12 @@
   return onlyOf([...latest.values()].map((record) => record.softwareVersion));
 }
 
-/** The version of a stream without a record, if it can only be one. */
-function inferVersion(
-  { stateOf }: Pick<ResolutionQuery, "stateOf">,
-  { answers, isHeard }: {
-    readonly answers: readonly KeeperAnswer[];
-    readonly isHeard: boolean;
-  },
+/** The version of a stream without a record, if a service has had only one. */
+function inferOnly(
+  state: VersionState,
+  answers: readonly KeeperAnswer[],
 ): VersionChoice | undefined {
-  const state = stateOf();
-  if (state.type === "none") return undefined;
-  if (state.type === "mixed") {
-    return isHeard ? inferBefore(state, answers) : undefined;
-  }
+  if (state.type !== "single") return undefined;
   // A version may have ended just before this host started. Hosts that have
   // just started, too, can't rule that out.
   const isCovered = state.isCovered || answers.some(isFromCoveredHost);
@@ -176,22 +212,23 @@
 }
 
 /**
- * Whether the hosts that responded would know of a stream that any host began.
- * One host at least responds, half of those asked do or have ended, and no hall
- * is silent: it may be cut off together with the keepers of a stream. A host
- * that has ended begins no more streams, and sent the records of its last ones
- * to other halls, too.
+ * Whether a host of each hall has responded, apart from halls whose hosts have
+ * all ended. A hall that is silent may be cut off with the keepers of a stream.
  */
-function isFleetHeard(
+function isEachHallHeard(
   asked: readonly HostEntry[],
   { answers, ended }: KeeperPoll,
 ): boolean {
-  if (asked.length === 0) return true;
-  if (answers.length === 0) return false;
+  const running = asked.filter((host) => !ended.includes(host));
+  return isHeardInEachHall(running, answers);
+}
+
+function isHeardInEachHall(
+  hosts: readonly HostEntry[],
+  answers: readonly KeeperAnswer[],
+): boolean {
   const heardHalls = new Set(answers.map(({ host }) => host.hall));
-  const isAccounted = 2 * (answers.length + ended.length) >= asked.length;
-  return isAccounted &&
-    asked.every((host) => heardHalls.has(host.hall) || ended.includes(host));
+  return hosts.every(({ hall }) => heardHalls.has(hall));
 }
 
 /** The version that is taken for a stream's. */
--- a/src/gateway/streams/stream_archive.ts
+++ b/src/gateway/streams/stream_archive.ts
@@ -2,11 +2,10 @@
  * The streams of services with several software versions, in the store: all
  * hosts may end at once, and their records with them.
  */
-import { ArchiveReader } from "./archive_reader.ts";
+import { type ArchiveFinding, ArchiveReader } from "./archive_reader.ts";
 import { ArchiveSender, type ArchiveSenderOptions } from "./archive_sender.ts";
 import { ArchiveWriter, type ArchiveWriterOptions } from "./archive_writer.ts";
 import type { StreamKey, StreamRecord } from "./model.ts";
-import type { VersionChoice } from "./resolve_version.ts";
 
 /** Options of {@link StreamArchive}. */
 export type StreamArchiveOptions =
@@ -57,8 +56,8 @@
     this.#writer.add(records);
   }
 
-  /** The version of a stream; undefined if none or several are stored. */
-  find(stream: StreamKey): Promise<VersionChoice | undefined> {
+  /** Looks for a stream in the store. */
+  find(stream: StreamKey): Promise<ArchiveFinding> {
     return this.#reader.find(stream);
   }
 
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -36,6 +36,11 @@
  * elsewhere without this host knowing.
  */
 const MAX_LISTING_AGE_MS = 3000;
+/**
+ * Age of the listing up to which the only version is inferred without a read of
+ * the store. Readers confirm the listing more often.
+ */
+const RECENT_LISTING_MS = 1500;
 /** Interval at which the listing is read again while streams are sent. */
 const LISTING_INTERVAL_MS = 100;
 /** Records sent at a time of those made before a service became mixed. */
@@ -68,11 +73,14 @@
   readonly hosts: () => readonly HostEntry[];
   /** Time for which the streams of a service may be resumed. */
   readonly resumableForMs: (service: string) => Milliseconds;
-  /** Age of the newest listing that this host knows. */
+  /**
+   * Age of the newest listing that this host knows, which a message that waited
+   * in a socket doesn't lower.
+   */
   readonly listingAgeMs: () => Milliseconds;
   /**
-   * Reads the listing from the store; resolves to whether the store has
-   * responded. Calls at about the same time may share a read.
+   * Reads the listing from the store; resolves to whether it is current now.
+   * Calls at about the same time may share a read.
    */
   readonly confirmListing: () => Promise<boolean>;
   /** Creates an HTTP client for a peer's address. */
@@ -205,16 +213,19 @@
     const { clock, metrics, events } = this.#options;
     this.#observe(clock.now());
     const record = this.#table.get(stream, clock.now());
+    const { asked, certain } = this.#chooser.of(stream, this.#options.hosts());
     const { binding, source, answered, isHeard } = await resolveVersion({
       origin: this.#origin,
       record,
       stateOf: () => this.#history.stateOf(stream.service, clock.now()),
-      asked: this.#chooser.of(stream, this.#options.hosts()).asked,
+      asked,
+      keepers: certain,
       ask: (hosts) =>
         this.#client.ask(
           hosts,
           isRecordable(stream) ? stream : { ...stream, id: NO_STREAM },
         ),
+      isListingRecent: () => this.#options.listingAgeMs() <= RECENT_LISTING_MS,
       confirmListing: () => this.#confirmListing(),
       findArchived: () => this.#archive.find(stream),
     });
--- a/test/gateway/streams/out_of_step_host_test.ts
+++ b/test/gateway/streams/out_of_step_host_test.ts
@@ -135,3 +135,34 @@
   const binding = await fleet.resolve(second, stream("a"), RESOLVED_MS);
   assert.deepEqual(binding, bound("v1"));
 });
+
+// Guards against hosts out of step that confirm each other.
+test("hosts that are cut off together don't take streams of a new version for the first's once its host has ended", async () => {
+  for (const listingAgeMs of [0, 10_000]) {
+    const fleet = new StreamFleet(3);
+    await fleet.settle("v1");
+    const [first, ...late] = fleet.hosts;
+    assert.ok(first);
+    fleet.isCut = (from, to) => (from === first) !== (to === first);
+    fleet.listAt([first], ["v1", "v2"]);
+    for (const host of late) host.listingAgeMs = listingAgeMs;
+    const ids = beginAll([first], "v2");
+    await fleet.run(ARCHIVED_MS);
+    first.isAlive = false;
+    fleet.isCut = () => false;
+    const host = fleet.host(1);
+    await assertAllBound({ fleet, host, ids, version: "v2" });
+  }
+});
+
+test("streams of the only version go on while a hall is gone and the store is silent", async () => {
+  const fleet = new StreamFleet(9);
+  await fleet.settle("v1");
+  for (const host of fleet.hosts.filter((_, at) => at % 3 === 0)) {
+    host.isAlive = false;
+    host.isSilent = true;
+  }
+  fleet.store.mode = "silent";
+  const ids = Array.from({ length: STREAMS }, (_, at) => `stream-${at}`);
+  await assertAllBound({ fleet, host: fleet.host(1), ids, version: "v1" });
+});
