Failing test: 204 with a length

A replica's 204 with a length is forwarded with that length and without a body. Callers whose parser reads 204 as llhttp does take it from the next response.

--- a/test/gateway/requests/unusable_heads_test.ts
+++ b/test/gateway/requests/unusable_heads_test.ts
@@ -79,3 +79,14 @@
     await assertUnused(answer, lines.join());
   }
 });
+
+const BODILESS =
+  "a response without a body has no length, so that its caller stays in step";
+test(BODILESS, knownRed(BODILESS), async () => {
+  const answer = answerWith("204 No Content", ["content-length: 2"], "hi");
+  await withRig({ replicas: [{ answer }] }, async (rig) => {
+    const { status, headers, body } = await callRaw(rig.address);
+    const length = headers.get("content-length");
+    assert.deepEqual([status, length, body], [204, undefined, ""]);
+  });
+});
