204 is forwarded without a length

What callers saw: a replica's 204 with a length reached them with that length and without a body. llhttp reads a body for it (trial with a Node.js client), so the next response on the connection would lose its first bytes.

Class: framing forwarded for a body that isn't sent. RFC 9110, 8.6 forbids the header there; it is left out.

--- a/src/gateway/callers/reply.ts
+++ b/src/gateway/callers/reply.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { resetSocket } from "../../util/reset_socket.ts";
 import { GATEWAY_ANSWERS, type GatewayError } from "../answers.ts";
-import { answerHeaders } from "../http/headers.ts";
+import { answerHeaders, withoutHeaders } from "../http/headers.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { Dialect } from "../port.ts";
@@ -16,6 +16,9 @@
  */
 const RESET_DELAY_MS: Milliseconds = 300;
 
+/** A response that must not have a length (RFC 9110, 8.6). */
+const NO_CONTENT = 204;
+
 /** Options of {@link createReply}. */
 export type ReplyOptions = {
   readonly response: ServerResponse;
@@ -93,7 +96,12 @@
     response.shouldKeepAlive = false;
   }
   const headers = answerHeaders(rawHeaders, dialect.endToEndHeaders);
-  response.writeHead(status, headers);
+  response.writeHead(
+    status,
+    status === NO_CONTENT
+      ? withoutHeaders(headers, (name) => name === "content-length")
+      : headers,
+  );
   response.flushHeaders();
 }
 
