Failing test: a part of a head on a reused connection counts as none

A replica that ends within 10 ms in the head of its response, on a connection that has carried a call before, counts as one that had closed an idle connection. The request isn't recorded as one that its replica ended under.

--- a/test/gateway/upstreams/call_test.ts
+++ b/test/gateway/upstreams/call_test.ts
@@ -8,6 +8,7 @@
   NotSentCause,
   startCall,
 } from "../../../src/gateway/upstreams/call.ts";
+import { knownRed } from "../../known_red.ts";
 import {
   completeResponse,
   type RawReplica,
@@ -37,9 +38,11 @@
  * connection `elapsedMs` after the start of the second call.
  */
 async function secondCall(
-  { keepAlive, elapsedMs }: {
+  { keepAlive, elapsedMs, part = "" }: {
     readonly keepAlive: boolean;
     readonly elapsedMs: number;
+    /** Sent before the connection closes. */
+    readonly part?: string;
   },
 ): Promise<CallOutcome> {
   let now = 0;
@@ -48,7 +51,8 @@
       return void socket.write(completeResponse(request, ""));
     }
     now = elapsedMs;
-    socket.destroy();
+    if (part === "") return void socket.destroy();
+    socket.end(part);
   });
   const agent = new Agent({ keepAlive, maxSockets: 1 });
   const call = () => getFrom(replica, agent, () => now);
@@ -80,6 +84,18 @@
   }
 });
 
+const PART_OF_HEAD =
+  "a reused connection that brought a part of a head was not stale";
+// Guards against replicas that end in their responses and count as idle.
+test(PART_OF_HEAD, knownRed(PART_OF_HEAD), async () => {
+  const head = "HTTP/1.1 200 OK\r\nx-id: 1\r\n";
+  for (let bytes = 1; bytes <= head.length; bytes++) {
+    const part = head.slice(0, bytes);
+    const outcome = await secondCall({ keepAlive: true, elapsedMs: 1, part });
+    assert.equal(outcome.type === "broken" && outcome.isStale, false, part);
+  }
+});
+
 // Guards against a closed connection that is taken for a crash under the call.
 test("a call that waited for a connection that closes at once counts as stale", async () => {
   let now = 0;
