A reused connection that brought a part of a head was not stale

What callers saw: nothing at once; a request that crashes its replicas was not recorded as such where they end within 10 ms in the head of their response, on a connection that had carried a call before. It could go on to further replicas.

Cause: such an end was taken for that of an idle connection, which the request never reached. A byte of a response shows that it did. Class: an inference from time alone where the connection itself tells.

--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -17,9 +17,10 @@
 import { isRefusal } from "./probe.ts";
 
 /**
- * When a reused connection ends this soon after the call was sent, the replica
- * had already closed it before the request arrived. The value is above a round
- * trip within a region and below the time in which a request can crash a replica.
+ * When a reused connection ends this soon after the call was sent, and without a
+ * byte, the replica had already closed it before the request arrived. The value
+ * is above a round trip within a region and below the time in which a request can
+ * crash a replica.
  */
 const STALE_CONNECTION_MS = 10;
 
@@ -176,8 +177,12 @@
 }
 
 /** Whether the replica had closed a connection that ends after `elapsedMs`. */
-function wasStale({ carried }: OpenRequest, elapsedMs: Milliseconds): boolean {
-  return carried().count > 0 && elapsedMs < STALE_CONNECTION_MS;
+function wasStale(
+  { carried, hasReceived }: OpenRequest,
+  elapsedMs: Milliseconds,
+): boolean {
+  return carried().count > 0 && !hasReceived() &&
+    elapsedMs < STALE_CONNECTION_MS;
 }
 
 /** Why a response can't be used, if so. */
--- a/src/gateway/upstreams/open_request.ts
+++ b/src/gateway/upstreams/open_request.ts
@@ -31,6 +31,8 @@
   readonly clientRequest: ClientRequest;
   /** What its connection had carried; valid once it has a connection. */
   carried(): CarriedCalls;
+  /** Whether any byte has arrived on its connection. */
+  hasReceived(): boolean;
 };
 
 /**
@@ -56,7 +58,7 @@
   try {
     const clientRequest = request(requestOptions);
     limitHead(clientRequest);
-    return { clientRequest, carried: recordConnection(clientRequest, options) };
+    return { clientRequest, ...recordConnection(clientRequest, options) };
   } catch {
     return undefined;
   }
@@ -66,12 +68,15 @@
 function recordConnection(
   clientRequest: ClientRequest,
   { id }: ReplicaRequest,
-): () => CarriedCalls {
+): Pick<OpenRequest, "carried" | "hasReceived"> {
   let carried: CarriedCalls = { connection: 0, count: 0, hasSameId: false };
+  let hasReceived = () => false;
   clientRequest.once("socket", (socket) => {
     carried = noteCarriedCall(socket, id);
+    const { bytesRead } = socket;
+    hasReceived = () => socket.bytesRead > bytesRead;
   });
-  return () => carried;
+  return { carried: () => carried, hasReceived: () => hasReceived() };
 }
 
 /** Closes the connection when too many bytes arrive that are no response. */
