--- a/test/gateway/requests/unusable_heads_test.ts
+++ b/test/gateway/requests/unusable_heads_test.ts
@@ -56,6 +56,7 @@
       "gzip, chunked",
       "chunked, gzip",
       "chunked,",
+      "",
     ]
   ) {
     const answer = answerWith("200 OK", [`transfer-encoding: ${coding}`]);
