Hosts' entries: checked one by one, with strict addresses

What operators saw: hosts that don't find each other through the store while one part of a host's row can't be read: a host with an odd capacity, a crash record with a number that JSON can't express, an odd version report.

Cause: one odd value made the whole row, or the whole message, unreadable, and an address in them was any string. With an address that can't be parsed, links were opened to localhost:80, Node.js's default.

A list of hosts leaves out the entries that it can't read, crash records and versions of a row count as absent if they can't be read, and an address has the form of the replicas' addresses. A version report stays all or nothing: with a part left out it would still claim to be complete.

--- a/src/gateway/peers/host_rows.ts
+++ b/src/gateway/peers/host_rows.ts
@@ -21,23 +21,24 @@
   type VersionReport,
   VersionReportSchema,
 } from "../streams/version_report.ts";
-import { HostEntrySchema } from "./host_schema.ts";
+import { HostEntriesSchema } from "./host_schema.ts";
 
 const TABLE = "otterhill-hosts";
 /** Age from which a row is ignored. */
 const ROW_TTL_MS = 60_000;
 
 const Row = z.object({
-  hosts: z.array(HostEntrySchema).readonly(),
+  hosts: HostEntriesSchema,
   /** Time of the write, by the store's clock. */
   writtenMs: z.number(),
   /**
    * The store's era at the time of the write. Absent if the store reports none,
    * or if the era is not settled at the writer yet.
    */
-  era: z.number().exactOptional(),
-  crashes: CrashesSchema.exactOptional(),
-  versions: VersionReportSchema.exactOptional(),
+  era: z.number().optional().catch(undefined),
+  // Parts that can't be read must not hide the hosts.
+  crashes: CrashesSchema.optional().catch(undefined),
+  versions: VersionReportSchema.optional().catch(undefined),
 });
 type Row = z.output<typeof Row>;
 
--- a/src/gateway/peers/host_schema.ts
+++ b/src/gateway/peers/host_schema.ts
@@ -1,10 +1,20 @@
-/** The schema of host entries in messages between hosts. */
+/** The schema of host entries in rows and in messages between hosts. */
 import * as z from "zod";
+import { parseAddress } from "../../util/address.ts";
+import { validItems } from "../../util/valid_items.ts";
+
+const MAX_NAME_CHARS = 1000;
+/** Hosts are weighed by the square of their capacity. */
+const MAX_CAPACITY = 1e6;
 
 /** Parses a `HostEntry`. */
 export const HostEntrySchema = z.object({
-  id: z.string(),
-  address: z.string(),
-  hall: z.string(),
-  capacity: z.number().positive().exactOptional(),
+  /** Visible ASCII characters. */
+  id: z.string().max(MAX_NAME_CHARS).regex(/^[!-~]+$/),
+  address: z.string().refine((text) => parseAddress(text) !== undefined),
+  hall: z.string().max(MAX_NAME_CHARS),
+  capacity: z.number().positive().max(MAX_CAPACITY).exactOptional(),
 });
+
+/** Parses a list of hosts, without invalid entries. */
+export const HostEntriesSchema = validItems(HostEntrySchema);
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -117,9 +117,13 @@
 /** Opens a link to a host; `closed` is also called if that fails. */
 export function openLink(target: LinkTarget, events: LinkEvents): Link {
   const address = parseAddress(target.address);
+  if (!address) {
+    // As with a failed connection, after the caller has the link.
+    setImmediate(() => events.closed());
+    return { send: () => undefined, close: () => undefined };
+  }
   const outgoing = request({
-    host: address?.host,
-    port: address?.port,
+    ...address,
     method: "POST",
     path: target.path,
     headers: { [LINK_HOST_HEADER]: target.self },
--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -13,7 +13,7 @@
   ListingDeltaSchema,
   ReplicaEntrySchema,
 } from "../replicas/schema.ts";
-import { HostEntrySchema } from "./host_schema.ts";
+import { HostEntriesSchema } from "./host_schema.ts";
 
 const Listing = z.object({
   revision: z.number(),
@@ -30,7 +30,7 @@
   listing: Listing.exactOptional(),
   /** The changes of the listing since the position that was requested. */
   changes: ListingDeltaSchema.exactOptional(),
-  hosts: z.array(HostEntrySchema).readonly(),
+  hosts: HostEntriesSchema,
   /** Version of the peer's configuration. */
   version: z.number(),
   /** The newest version that the peer has observed; absent if it is its own. */
--- a/src/gateway/state/state_messages.ts
+++ b/src/gateway/state/state_messages.ts
@@ -5,7 +5,7 @@
   ListingComparisonSchema,
   ListingDeltaSchema,
 } from "../replicas/schema.ts";
-import { HostEntrySchema } from "../peers/host_schema.ts";
+import { HostEntriesSchema, HostEntrySchema } from "../peers/host_schema.ts";
 import { RouteConfigSchema } from "../routing/schema.ts";
 import { UPDATE_SCHEMAS } from "./fleet_updates.ts";
 
@@ -35,7 +35,7 @@
 /** Hosts that follow the sender, directly or not, and are new to it. */
 const Joined = z.object({
   type: z.literal("joined"),
-  hosts: z.array(HostEntrySchema).readonly(),
+  hosts: HostEntriesSchema,
 });
 
 const State = z.object({
@@ -73,7 +73,7 @@
   /** Changes of the listing since the last message. */
   listing: ListingDeltaSchema.exactOptional(),
   /** Hosts that were not yet sent to the follower. */
-  hosts: z.array(HostEntrySchema).readonly().exactOptional(),
+  hosts: HostEntriesSchema.exactOptional(),
   /** Hosts that have expired. */
   hostsGone: z.array(z.string()).readonly().exactOptional(),
 });
