State requests: the query of any target

What callers saw: a host that ends when anything sends "GET //" to its address for peers.

Cause: the target of a request was parsed as a URL, and `new URL` throws for some, in the callback of the server: the process ends.

Only the query after the first "?" is parsed, which never throws.

Evidence: "a request with an odd target gets the state" and "odd messages that hosts receive end none" failed on (ERR_INVALID_URL) and pass.

--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -84,7 +84,8 @@
 
 /** Parses the path and query of a request. */
 export function parseStateRequest(target: string): PeerStateRequest {
-  const query = new URL(target, "http://peer").searchParams;
+  // Not as a URL: the target of a request need not be one.
+  const query = new URLSearchParams(target.split("?", 2)[1]);
   return {
     version: Number(query.get("routes") ?? 0) || 0,
     revision: Number(query.get("replicas") ?? -1),
