--- a/test/gateway/state/fleet_host.ts
+++ b/test/gateway/state/fleet_host.ts
@@ -71,3 +71,25 @@
     (key, value) => key === "digest" ? undefined : value as unknown,
   );
 }
+
+/** The address of a host by its number. */
+export function addressOf(at: number): string {
+  return `10.0.${at >> 8}.${at & 255}:1`;
+}
+
+/** The host at an address. */
+export function hostAt(
+  hosts: readonly FleetHost[],
+  address: string,
+): FleetHost {
+  const host = hosts.find(({ entry }) => entry.address === address);
+  if (!host) throw new Error(`No host at "${address}"`);
+  return host;
+}
+
+/** The host with an id. */
+export function hostOf(hosts: readonly FleetHost[], id: string): FleetHost {
+  const host = hosts.find(({ entry }) => entry.id === id);
+  if (!host) throw new Error(`No host "${id}"`);
+  return host;
+}
--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -24,10 +24,13 @@
 import type { ProbeResult } from "../../../src/gateway/upstreams/probe.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
 import {
+  addressOf,
   createRandom,
   encodeLine,
   type FleetHost,
   type FleetRole,
+  hostAt,
+  hostOf,
   roleIn,
   type StateFleetOptions,
   type Suspension,
@@ -55,10 +58,6 @@
   close(): void;
 };
 
-function addressOf(at: number): string {
-  return `10.0.${at >> 8}.${at & 255}:1`;
-}
-
 /** Hosts in three halls, all of which know each other. */
 export class StateFleet {
   readonly hosts: FleetHost[];
@@ -153,7 +152,7 @@
   }
 
   #isCutBetween(from: string, to: string): boolean {
-    return this.#isCut(this.#hostOf(from), this.#hostOf(to));
+    return this.#isCut(hostOf(this.hosts, from), hostOf(this.hosts, to));
   }
 
   /** Schedules `run` at a time. */
@@ -241,24 +240,12 @@
     };
   }
 
-  #hostOf(id: string): FleetHost {
-    const host = this.hosts.find((host) => host.entry.id === id);
-    if (!host) throw new Error(`No host "${id}"`);
-    return host;
-  }
-
-  #hostAt(address: string): FleetHost {
-    const host = this.hosts.find(({ entry }) => entry.address === address);
-    if (!host) throw new Error(`No host at "${address}"`);
-    return host;
-  }
-
   #openLink(
     from: string,
     { address, path }: LinkTarget,
     fromEvents: LinkEvents,
   ): Link {
-    const to = this.#hostAt(address);
+    const to = hostAt(this.hosts, address);
     const { id: toId } = to.entry;
     const isCut = () => this.#isCutBetween(from, toId);
     let toEvents: LinkEvents | undefined;
@@ -293,7 +280,7 @@
       const open = (events: LinkEvents) => {
         toEvents = events;
         return {
-          send: lineTo(toId, this.#hostOf(from), () => fromEvents),
+          send: lineTo(toId, hostOf(this.hosts, from), () => fromEvents),
           close,
         };
       };
@@ -312,7 +299,7 @@
     address: string,
     { path, signal }: PeerCall,
   ): Promise<JsonAnswer> {
-    const host = this.#hostAt(address);
+    const host = hostAt(this.hosts, address);
     const { id } = host.entry;
     const answer = new Promise<JsonAnswer>((resolve) => {
       if (this.#isCutBetween(from, id)) return;
