Summaries of rates: at most 12 levels of nesting

Cause: a host keeps a planner's summary as it was received, for the next planner. JSON.parse reads 200,000 nested levels, JSON.stringify throws a RangeError for 5,000, in a callback that nothing surrounds, so that the host would end when it passes the summary on. It is the only value that hosts pass on unread.

A summary with more levels than any version needs is refused at its boundary.

--- a/src/gateway/planning/messages.ts
+++ b/src/gateway/planning/messages.ts
@@ -1,5 +1,9 @@
 /** Messages between hosts and a planner, as lines of JSON. */
 import * as z from "zod";
+import { isNestedDeeper } from "../../util/is_nested_deeper.ts";
+
+/** Levels of a summary of rates, with some for later versions. */
+const MAX_SUMMARY_LEVELS = 12;
 
 /** Progress of an assigned request. */
 export const AssignmentStage = {
@@ -169,7 +173,9 @@
   /** Time since the planner made the summary. */
   ageMs: z.number(),
   /** See `rate_summary.ts`; only the planner that adopts it parses it. */
-  summary: z.unknown(),
+  summary: z.unknown().refine((summary) =>
+    !isNestedDeeper(summary, MAX_SUMMARY_LEVELS)
+  ),
 });
 /** What a planner has measured of the replicas of a service. */
 export type RatesMessage = z.output<typeof RatesMessageSchema>;
