Timers: at most 2^31 - 1 ms

What callers would see: a request on a route with a timeout of more than 24 days times out at once; found by reading, shown by a test of the clock.

Cause: Node.js fires a timer with a delay that it can't hold after 1 ms, and the configuration allows times of up to 30 years.

--- a/src/gateway/clock.ts
+++ b/src/gateway/clock.ts
@@ -12,11 +12,15 @@
   after(delayMs: Milliseconds, callback: () => void): () => void;
 };
 
+/** Node.js fires a timer with a longer delay at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** The clock of this process. */
 export const systemClock: Clock = {
   now: () => performance.now(),
   after: (delayMs, callback) => {
-    const timer = setTimeout(callback, Math.max(0, delayMs));
+    const timerMs = Math.min(MAX_TIMER_MS, Math.max(0, delayMs));
+    const timer = setTimeout(callback, timerMs);
     return () => clearTimeout(timer);
   },
 };
