--- a/test/gateway/state/state_fleet.ts
+++ b/test/gateway/state/state_fleet.ts
@@ -24,10 +24,13 @@
 import type { ProbeResult } from "../../../src/gateway/upstreams/probe.ts";
 import { VirtualTime } from "../../fake/virtual_time.ts";
 import {
+  addressOf,
   createRandom,
   encodeLine,
   type FleetHost,
   type FleetRole,
+  hostAt,
+  hostOf,
   roleIn,
   type StateFleetOptions,
   type Suspension,
@@ -81,7 +84,7 @@
     this.store = new FleetStore(this.#time.clock, reportsEra, limits);
     const entries = Array.from({ length: size }, (_, at) => ({
       id: `h${at}`,
-      address: `h${at}`,
+      address: addressOf(at),
       hall: `hall-${at % HALLS}`,
     }));
     this.hosts = entries.map((entry) => this.#makeHost(entry, entries));
@@ -103,7 +106,7 @@
   add(): FleetHost {
     const { entry } = this.hosts[this.hosts.length - 1] as FleetHost;
     const id = `${entry.id}-next`;
-    const added = { ...entry, id, address: id };
+    const added = { ...entry, id, address: addressOf(this.hosts.length) };
     const host = this.#makeHost(added, this.hosts.map((host) => host.entry));
     this.hosts.push(host);
     host.state.start();
@@ -149,7 +152,7 @@
   }
 
   #isCutBetween(from: string, to: string): boolean {
-    return this.#isCut(this.#hostOf(from), this.#hostOf(to));
+    return this.#isCut(hostOf(this.hosts, from), hostOf(this.hosts, to));
   }
 
   /** Schedules `run` at a time. */
@@ -237,19 +240,14 @@
     };
   }
 
-  #hostOf(id: string): FleetHost {
-    const host = this.hosts.find((host) => host.entry.id === id);
-    if (!host) throw new Error(`No host "${id}"`);
-    return host;
-  }
-
   #openLink(
     from: string,
     { address, path }: LinkTarget,
     fromEvents: LinkEvents,
   ): Link {
-    const to = this.#hostOf(address);
-    const isCut = () => this.#isCutBetween(from, address);
+    const to = hostAt(this.hosts, address);
+    const { id: toId } = to.entry;
+    const isCut = () => this.#isCutBetween(from, toId);
     let toEvents: LinkEvents | undefined;
     let isOpen = true;
     const close = () => {
@@ -272,7 +270,7 @@
         if (isOpen && !isCut()) events()?.line(text);
       });
     };
-    const link = { from, to: address, close };
+    const link = { from, to: toId, close };
     this.#openLinks.add(link);
     if (isCut()) {
       this.#time.clock.after(LINK_TIMEOUT_MS, close);
@@ -282,7 +280,7 @@
       const open = (events: LinkEvents) => {
         toEvents = events;
         return {
-          send: lineTo(address, this.#hostOf(from), () => fromEvents),
+          send: lineTo(toId, hostOf(this.hosts, from), () => fromEvents),
           close,
         };
       };
@@ -301,15 +299,16 @@
     address: string,
     { path, signal }: PeerCall,
   ): Promise<JsonAnswer> {
+    const host = hostAt(this.hosts, address);
+    const { id } = host.entry;
     const answer = new Promise<JsonAnswer>((resolve) => {
-      if (this.#isCutBetween(from, address)) return;
+      if (this.#isCutBetween(from, id)) return;
       this.#time.clock.after(LINK_LATENCY_MS, () => {
-        const host = this.#hostOf(address);
         const { entry: self, context, directory, state, listings } = host;
         const configAgeMs = (now: number) => state.configAgeMs(now);
         const options = { context, self, directory, configAgeMs, listings };
         const body = JSON.stringify(peerStateResponse(options, path));
-        this.traffic.note({ from: address, to: from, text: body });
+        this.traffic.note({ from: id, to: from, text: body });
         this.#time.clock.after(
           LINK_LATENCY_MS,
           () => resolve({ status: 200, body }),
