--- a/test/soak/fault_proxy.ts
+++ b/test/soak/fault_proxy.ts
@@ -33,8 +33,11 @@
 
 type SocketPair = { readonly caller: Socket; readonly target: Socket };
 
-/** Starts a proxy to `target` on a free port. */
-export async function startFaultProxy(target: string): Promise<FaultProxy> {
+/** Starts a proxy to `target`, on a free port if none is given. */
+export async function startFaultProxy(
+  target: string,
+  listenPort = 0,
+): Promise<FaultProxy> {
   const targetAddress = parseAddress(target);
   const pairs = new Set<SocketPair>();
   const sockets = new Set<Socket>();
@@ -77,7 +80,7 @@
     }
   });
   const port = await new Promise<number>((resolve) => {
-    server.listen(0, LOOPBACK, () => {
+    server.listen(listenPort, LOOPBACK, () => {
       const bound = server.address();
       resolve(typeof bound === "object" && bound ? bound.port : 0);
     });
