--- a/src/gateway/paths/tunnel_client.ts
+++ b/src/gateway/paths/tunnel_client.ts
@@ -57,9 +57,12 @@
   },
 ): TunnelAttempt {
   const address = parseAddress(peer);
+  if (!address || !parseAddress(replica)) {
+    const outcome = Promise.resolve({ type: "unavailable" } as const);
+    return { outcome, cancel: () => undefined };
+  }
   const outgoing = request({
-    host: address?.host,
-    port: address?.port,
+    ...address,
     method: "CONNECT",
     path: replica,
     headers: { [LINK_HOST_HEADER]: self },
@@ -67,9 +70,11 @@
   });
   const cancelTimer = clock.after(timeoutMs, () => outgoing.destroy());
   const outcome = new Promise<TunnelOutcome>((resolve) => {
-    outgoing.on("connect", (response, socket: Socket) => {
+    outgoing.on("connect", (response, socket: Socket, first) => {
       cancelTimer();
       if (response.statusCode === TunnelStatus.open) {
+        // What the replica sent may arrive with the head of this response.
+        if (first.length > 0) socket.unshift(first);
         socket.setNoDelay(true);
         return resolve({ type: "open", socket, peer });
       }
