--- a/test/soak/order_hunt_test.ts
+++ b/test/soak/order_hunt_test.ts
@@ -8,8 +8,12 @@
 import { huntOrder, type RoundPlan } from "./order_hunt.ts";
 import { MIN_RESUMPTIONS } from "./resumptions.ts";
 
-async function assertInOrder(seed: number, plan: RoundPlan): Promise<void> {
-  const hunt = await huntOrder({ seed, rounds: 1, plan });
+async function assertInOrder(
+  seed: number,
+  plan: RoundPlan,
+  rounds = 1,
+): Promise<void> {
+  const hunt = await huntOrder({ seed, rounds, plan });
   const { disordered, resumed, folder } = hunt;
   assert.deepEqual(disordered, [], `Logs of the hosts: ${folder}`);
   assert.ok(resumed >= MIN_RESUMPTIONS, `${resumed}`);
@@ -32,3 +36,12 @@
     disruption: "a third is killed",
   });
 });
+
+const RESTARTED_IN_PLACE =
+  "streams don't go on at replicas that have restarted at their addresses at another version";
+test(RESTARTED_IN_PLACE, knownRed(RESTARTED_IN_PLACE), async () => {
+  await assertInOrder(212, {
+    change: "replicas restart at their addresses at another version",
+    disruption: "one is killed",
+  }, 2);
+});
