The soak draws hosts that are out of step while a software version joins

Hosts stand still or are cut off from the other hosts, with or without the store, while a release adds replicas of another version; the others are killed, stopped or stand still as these go on. Callers of such a run give up streams that are silent for 0.6 s, so that those at a host that stands still break, too. Half of the runs wait until the hosts have seen a whole window of versions: the runs before never did, so that no host inferred the version before a transition.

--- a/test/soak/call.ts
+++ b/test/soak/call.ts
@@ -54,6 +54,8 @@
 
 const REQUEST_TIMEOUT_MS = 5000;
 const ABORT_AFTER_MS = 300;
+/** Several times the longest gap between two events of a sound replica. */
+const MAX_SILENCE_MS = 600;
 
 /** Options of {@link callOnce}. */
 export type CallOptions = {
@@ -65,6 +67,8 @@
   readonly body: string;
   /** Closes the connection after 0.3 s. */
   readonly abortsEarly: boolean;
+  /** Closes the connection when a response is silent for long. */
+  readonly isImpatient?: boolean;
   readonly resumption?: Resumption;
   /** Ids of the parts of its prompt before its own, which is the last one. */
   readonly promptParts?: readonly string[];
@@ -110,6 +114,9 @@
       response = message;
       message.on("error", () => undefined);
       message.on("data", (bytes: Buffer) => body += bytes.toString());
+      if (options.isImpatient) {
+        message.setTimeout(MAX_SILENCE_MS, () => outgoing.destroy());
+      }
     });
     outgoing.on("close", () => {
       for (const timer of timers) clearTimeout(timer);
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -24,6 +24,8 @@
   readonly pauseMs?: number;
   /** Resumes broken streams at other hosts, if the route allows it. */
   readonly isResuming?: boolean;
+  /** As in {@link CallOptions}. */
+  readonly isImpatient?: boolean;
   /** Stops after this many requests and aborts none of them early. */
   readonly maxRequests?: number;
   /** The host that most new connections go to, if there is one. */
@@ -63,6 +65,7 @@
   const { hosts, random, name, kinds = KINDS, maxRequests = Infinity } =
     options;
   const { body = "body", promptParts = [], pauseMs = PAUSE_MS } = options;
+  const { isImpatient = false } = options;
   let sent = 0;
   for (let round = 0; !options.isStopped() && sent < maxRequests; round++) {
     const host = chooseHost(options, hosts);
@@ -85,6 +88,7 @@
         kind,
         body: options.hasOwnBodies ? id : body,
         abortsEarly,
+        isImpatient,
         promptParts,
       });
       options.onResult(result);
@@ -104,7 +108,7 @@
   options: CallerOptions,
   broken: CallResult,
 ): Promise<void> {
-  const { body = "body", pauseMs = PAUSE_MS } = options;
+  const { body = "body", pauseMs = PAUSE_MS, isImpatient = false } = options;
   const triedHosts = new Set<string>();
   let previous = broken;
   for (let count = 1; count <= MAX_RESUMPTIONS; count++) {
@@ -123,6 +127,7 @@
       kind: broken.kind,
       body,
       abortsEarly: false,
+      isImpatient,
       resumption,
     });
     agent.destroy();
--- a/test/soak/draw_faults.ts
+++ b/test/soak/draw_faults.ts
@@ -12,6 +12,10 @@
   readonly isFirstKindsOnly?: boolean;
   /** Machines of hosts sleep, too. */
   readonly hasSleeps?: boolean;
+  /** Hosts are out of step while a software version joins. */
+  readonly hasOutOfStepHosts?: boolean;
+  /** Leaves out all other faults. */
+  readonly isOutOfStepOnly?: boolean;
 };
 
 /** The shortest duration of a fault. */
--- a/test/soak/fault_kinds.ts
+++ b/test/soak/fault_kinds.ts
@@ -49,6 +49,8 @@
   machineSleep: "machine sleeps",
   hotHost: "most new connections go to one host",
   replicaChangesVersion: "replica restarts under its id at another version",
+  hostCutOff: "host cut off from the other hosts",
+  hostIsolated: "host cut off from the other hosts and the store",
 } as const;
 /** One of the values of {@link FaultKind}. */
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
--- a/test/soak/gateway_main.ts
+++ b/test/soak/gateway_main.ts
@@ -1,6 +1,6 @@
 /**
- * Entry point of a gateway whose path to the replicas the soak can cut, and
- * whose machine it can let sleep, with messages over the IPC channel.
+ * Entry point of a gateway whose paths to replicas and other hosts the soak can
+ * cut, and whose machine it can let sleep, with messages over the IPC channel.
  */
 import { deferReloads } from "../../src/gateway/early_reload.ts";
 import { type HostMessage, sleepMachine } from "./machine_sleep.ts";
@@ -8,9 +8,13 @@
 deferReloads();
 const { start } = await import("../../platform/start.ts");
 const { ReplicaPath } = await import("./replica_path.ts");
+const { PeerPath } = await import("./peer_path.ts");
 const path = new ReplicaPath();
+const peerPath = new PeerPath();
+peerPath.install();
 process.on("message", (message: HostMessage) => {
   if (message.type === "sleep") sleepMachine(message.forMs);
+  else if (message.type === "cutPeers") peerPath.setCutPorts(message.ports);
   else path.setCut(message.cut);
 });
 process.channel?.unref();
--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -35,6 +35,7 @@
   readonly #logFile: string;
   #child: ChildProcess | undefined;
   #cut: PathCut = PathCut.none;
+  #cutPorts: readonly number[] = [];
   #isStopRequested = false;
   #isPaused = false;
   #hasLogged = false;
@@ -85,6 +86,7 @@
     child.stderr?.pipe(log, { end: false });
     this.#child = child;
     if (this.#cut !== PathCut.none) this.#send(cutMessage(this.#cut));
+    if (this.#cutPorts.length > 0) this.cutPeers(this.#cutPorts);
     running.add(child);
     child.on("exit", (code, signal) => {
       this.exits.push({ code, signal, isRequested: this.#isStopRequested });
@@ -135,6 +137,12 @@
     this.#send(cutMessage(cut));
   }
 
+  /** Cuts the paths to other hosts' ports only; outlasts a restart. */
+  cutPeers(ports: readonly number[]): void {
+    this.#cutPorts = ports;
+    this.#send({ type: "cutPeers", ports });
+  }
+
   /** Lets the machine of the process sleep. */
   sleep(forMs: number): void {
     this.#send({ type: "sleep", forMs });
--- a/test/soak/host_faults.ts
+++ b/test/soak/host_faults.ts
@@ -1,4 +1,5 @@
 /** Which hosts were affected by faults, and when. */
+import { OUT_OF_STEP_KINDS } from "./draw_out_of_step.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { type FleetHost, targetHost } from "./fleet.ts";
 import { hostsWithCutPaths } from "./path_faults.ts";
@@ -35,6 +36,7 @@
   FaultKind.peerPathBlocked,
   FaultKind.peerPathSlow,
   FaultKind.peerPathReset,
+  ...OUT_OF_STEP_KINDS,
 ];
 
 /** Names of the hosts that none of the faults of these kinds affects. */
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -6,8 +6,10 @@
 import { BlockedDirection } from "./fault_proxy.ts";
 import {
   block,
+  cutOff,
   cutPaths,
   injectPathFault,
+  isolate,
   resetAll,
   silence,
   slow,
@@ -90,6 +92,10 @@
       return slow(host.peerProxy);
     case FaultKind.peerPathReset:
       return resetAll(host.peerProxy);
+    case FaultKind.hostCutOff:
+      return cutOff(hosts, host);
+    case FaultKind.hostIsolated:
+      return isolate(hosts, host);
     case FaultKind.replicaPathBlockedOneWay:
     case FaultKind.replicaPathSlow:
     case FaultKind.replicaPathReset:
--- a/test/soak/machine_sleep.ts
+++ b/test/soak/machine_sleep.ts
@@ -4,6 +4,8 @@
 /** What the soak sends to a gateway process. */
 export type HostMessage =
   | { readonly type: "cutPaths"; readonly cut: PathCut }
+  /** Ports of other hosts to which no path is left. */
+  | { readonly type: "cutPeers"; readonly ports: readonly number[] }
   | { readonly type: "sleep"; readonly forMs: number };
 
 const steadyNow = performance.now.bind(performance);
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -17,6 +17,7 @@
   readonly first?: number;
   readonly jobs: number;
   readonly regressions: boolean;
+  readonly outOfStep: "all" | "only" | "none";
 };
 
 const parseInteger = (text: string) => Number.parseInt(text, 10);
@@ -37,6 +38,10 @@
       .argParser(parseInteger),
   )
   .option("--no-regressions", "leave out the regression seeds")
+  .addOption(
+    new Option("--out-of-step <faults>", "hosts that are out of step")
+      .choices(["all", "only", "none"]).default("all"),
+  )
   .parse();
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
   process.on(signal, () => process.exit(1));
@@ -57,6 +62,8 @@
         windowMs: FAULT_WINDOW_MS,
         isFirstKindsOnly,
         hasSleeps: true,
+        hasOutOfStepHosts: flags.outOfStep !== "none",
+        isOutOfStepOnly: flags.outOfStep === "only",
       });
       const outcome = await runSoak(schedule);
       console.log(formatOutcome(outcome));
--- a/test/soak/path_faults.ts
+++ b/test/soak/path_faults.ts
@@ -1,4 +1,5 @@
 /** Faults of network paths, and what those to the replicas may cost. */
+import { parseAddress } from "../../src/util/address.ts";
 import type { CallResult } from "./call.ts";
 import { type FleetHost, targetHost } from "./fleet.ts";
 import { BlockedDirection, type FaultProxy } from "./fault_proxy.ts";
@@ -105,6 +106,35 @@
   };
 }
 
+/** Cuts the paths between a host and all others; the result heals them. */
+export function cutOff(
+  hosts: readonly FleetHost[],
+  { process, peerProxy }: FleetHost,
+): () => void {
+  const heal = block(peerProxy, BlockedDirection.both);
+  const others = hosts.filter((host) => host.peerProxy !== peerProxy);
+  process.cutPeers(
+    others.map((host) => parseAddress(host.peerProxy.address)?.port ?? 0),
+  );
+  return () => {
+    heal();
+    process.cutPeers([]);
+  };
+}
+
+/** Cuts a host off from the other hosts and the store. */
+export function isolate(
+  hosts: readonly FleetHost[],
+  host: FleetHost,
+): () => void {
+  const heal = cutOff(hosts, host);
+  const healStore = block(host.storeProxy, BlockedDirection.both);
+  return () => {
+    healStore();
+    heal();
+  };
+}
+
 /** When which hosts had no path. */
 export function pathCutIntervals(
   hosts: readonly FleetHost[],
--- a/test/soak/replica_path.ts
+++ b/test/soak/replica_path.ts
@@ -35,7 +35,10 @@
     for (const socket of this.#silenced) socket.destroy(networkError("RESET"));
     this.#silenced.clear();
     for (const socket of this.#sockets) {
-      if (cut === PathCut.hang) this.#silence(socket);
+      if (cut === PathCut.hang) {
+        this.#silenced.add(socket);
+        silenceSocket(socket);
+      }
       if (cut === PathCut.reset) socket.destroy(networkError("RESET"));
     }
   }
@@ -48,14 +51,13 @@
     });
     return socket;
   }
+}
 
-  /** Drops what arrives, and holds up what is written. */
-  #silence(socket: Socket): void {
-    this.#silenced.add(socket);
-    socket.push = () => true;
-    socket._write = () => undefined;
-    socket._writev = () => undefined;
-  }
+/** Drops what arrives at a socket, and holds up what is written. */
+export function silenceSocket(socket: Socket): void {
+  socket.push = () => true;
+  socket._write = () => undefined;
+  socket._writev = () => undefined;
 }
 
 /** A socket whose connection is not established. */
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -83,7 +83,10 @@
   const run = new Run(schedule, world, hosts);
   const stalls = new StallMeter();
   try {
-    const observations = await withTimeout(run.play());
+    const observations = await withTimeout(
+      run.play(),
+      RUN_TIMEOUT_MS + schedule.settleMs,
+    );
     const delays = stalls.end();
     const outcome = { schedule, folder, delays };
     if (observations === undefined) {
@@ -108,9 +111,12 @@
 }
 
 /** Resolves with undefined if the work takes longer than the timeout. */
-function withTimeout<Value>(work: Promise<Value>): Promise<Value | undefined> {
+function withTimeout<Value>(
+  work: Promise<Value>,
+  timeoutMs: number,
+): Promise<Value | undefined> {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => resolve(undefined), RUN_TIMEOUT_MS);
+    const timer = setTimeout(() => resolve(undefined), timeoutMs);
     work.finally(() => clearTimeout(timer)).then(resolve, reject);
   });
 }
@@ -136,6 +142,7 @@
     for (const { process } of this.#hosts) process.start();
     for (const host of this.#hosts) this.#monitor(host);
     const notStarted = await this.#findUnrecoveredHosts();
+    await sleep(this.#schedule.settleMs);
     const callers = startCallers(this.#schedule, {
       hosts: this.#hosts,
       hotHost: () => this.#world.balance.hotHost,
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -9,6 +9,11 @@
 } from "./draw_faults.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { CROWD_KINDS, drawCrowds, NO_CROWDS } from "./draw_crowds.ts";
+import {
+  drawOutOfStep,
+  IN_STEP,
+  OUT_OF_STEP_KINDS,
+} from "./draw_out_of_step.ts";
 import { drawReleases, NO_RELEASES, RELEASE_KINDS } from "./draw_releases.ts";
 import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
@@ -21,6 +26,10 @@
   readonly isPlannedOnly: boolean;
   /** Callers that send resumable streams and resume those that break. */
   readonly resumingCallers: number;
+  /** Callers give up responses that are silent for long. */
+  readonly isImpatient: boolean;
+  /** How long the hosts run before the first request. */
+  readonly settleMs: number;
   /** One caller sends requests that crash their replicas. */
   readonly hasCrashingCaller: boolean;
   /** One caller sends requests with a part that crashes replicas. */
@@ -111,6 +120,7 @@
     ...SLEEP_KINDS,
     ...RELEASE_KINDS,
     ...CROWD_KINDS,
+    ...OUT_OF_STEP_KINDS,
   ].includes(kind)
 );
 /** Each `..._RANGE` is the exclusive upper bound of a draw from 0. */
@@ -164,6 +174,10 @@
 /** Draws the schedule of a seed. */
 export function createSchedule(options: ScheduleOptions): Schedule {
   const first = drawFirstSchedule(options);
+  if (options.isOutOfStepOnly) {
+    const outOfStep = drawOutOfStep(options, first.hosts);
+    return { ...first, ...outOfStep, isPlannedOnly: false };
+  }
   if (options.isFirstKindsOnly || first.isPlannedOnly) return first;
   const random = xoroshiro128plus(options.seed + LATER_SEED);
   const faults = drawFaults(random, options, {
@@ -178,9 +192,15 @@
   const { framing, faults: responseFaults } = drawResponses(options);
   const releases = drawReleases(options, first.hosts);
   const crowds = drawCrowds(options);
+  const outOfStep = drawOutOfStep(options, first.hosts);
   return {
     ...first,
-    resumingCallers: releases.resumingCallers,
+    resumingCallers: Math.max(
+      releases.resumingCallers,
+      outOfStep.resumingCallers,
+    ),
+    isImpatient: outOfStep.isImpatient,
+    settleMs: outOfStep.settleMs,
     hasCrashingCaller,
     hasPartCaller: crowds.hasPartCaller,
     load: { ...load, framing },
@@ -196,6 +216,7 @@
       ...drawSleeps(options),
       ...releases.faults,
       ...crowds.faults,
+      ...outOfStep.faults,
     ],
   };
 }
@@ -294,6 +315,8 @@
     callers,
     isPlannedOnly,
     resumingCallers: NO_RELEASES.resumingCallers,
+    isImpatient: IN_STEP.isImpatient,
+    settleMs: IN_STEP.settleMs,
     hasCrashingCaller: false,
     hasPartCaller: NO_CROWDS.hasPartCaller,
     load: LIGHT_LOAD,
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -27,10 +27,11 @@
 
 /** Starts the callers of a schedule; each resolves after it was stopped. */
 export function startCallers(
-  { seed, callers, resumingCallers, hasCrashingCaller, hasPartCaller }:
-    Schedule,
+  schedule: Schedule,
   { hosts: fleet, hotHost, isStopped, onResult }: SoakCallerOptions,
 ): Promise<void>[] {
+  const { seed, callers, resumingCallers, hasCrashingCaller, hasPartCaller } =
+    schedule;
   const byName = new Map(fleet.map((host) => [host.process.name, host]));
   const hosts = callerHosts(fleet);
   const isHostInRotation = (name: string) => {
@@ -60,6 +61,7 @@
         name: `s${seed}r${at}`,
         kinds: [CallKind.resumable],
         isResuming: true,
+        isImpatient: schedule.isImpatient,
       }),
   );
   started.push(...resuming);
