The soak can add odd rows among those of the replicas

`--odd-rows` draws rows of another writer with an address that has a space or a line end or a port out of range, or with deep nesting. Off by default until hosts read such rows safely.

--- a/test/soak/draw_faults.ts
+++ b/test/soak/draw_faults.ts
@@ -14,6 +14,8 @@
   readonly hasSleeps?: boolean;
   /** Hosts are out of step while a software version joins. */
   readonly hasOutOfStepHosts?: boolean;
+  /** Another writer's odd rows appear while a software version joins. */
+  readonly hasOddRows?: boolean;
   /** Leaves out all other faults. */
   readonly isOutOfStepOnly?: boolean;
 };
--- a/test/soak/fault_kinds.ts
+++ b/test/soak/fault_kinds.ts
@@ -49,6 +49,7 @@
   machineSleep: "machine sleeps",
   hotHost: "most new connections go to one host",
   replicaChangesVersion: "replica restarts under its id at another version",
+  oddRow: "another writer's row that no replica would write",
   hostCutOff: "host cut off from the other hosts",
   hostIsolated: "host cut off from the other hosts and the store",
 } as const;
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -4,6 +4,7 @@
 import { BACKOFF_TEXTS, LIMIT_TEXTS } from "./fault_values.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import { BlockedDirection } from "./fault_proxy.ts";
+import { writeOddRow } from "./odd_rows.ts";
 import {
   block,
   cutOff,
@@ -107,6 +108,8 @@
     case FaultKind.foreignRows:
       world.writeForeignRows();
       return NO_UNDO;
+    case FaultKind.oddRow:
+      return writeOddRow(world, fault);
     case FaultKind.config:
       world.changeConfig();
       return NO_UNDO;
@@ -131,7 +134,7 @@
     case FaultKind.replicaSlow:
       return slowDown(replica);
     case FaultKind.plannerKill:
-      return killPlanner(hosts, fault);
+      return injectProcessFault(host, FaultKind.kill);
     case FaultKind.replicaSilent:
       return silence(world, replica);
     case FaultKind.hostPathsHang:
@@ -311,8 +314,3 @@
     standin.slowdown = usual;
   };
 }
-
-function killPlanner(hosts: readonly FleetHost[], fault: Fault): Undo {
-  const { process } = targetHost(hosts, fault);
-  return restartAfter(process, process.kill());
-}
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -17,6 +17,7 @@
   readonly first?: number;
   readonly jobs: number;
   readonly regressions: boolean;
+  readonly oddRows: boolean;
   readonly outOfStep: "all" | "only" | "none";
 };
 
@@ -42,6 +43,7 @@
     new Option("--out-of-step <faults>", "hosts that are out of step")
       .choices(["all", "only", "none"]).default("all"),
   )
+  .option("--odd-rows", "adds odd rows among those of the replicas", false)
   .parse();
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
   process.on(signal, () => process.exit(1));
@@ -62,6 +64,7 @@
         windowMs: FAULT_WINDOW_MS,
         isFirstKindsOnly,
         hasSleeps: true,
+        hasOddRows: flags.oddRows,
         hasOutOfStepHosts: flags.outOfStep !== "none",
         isOutOfStepOnly: flags.outOfStep === "only",
       });
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -14,6 +14,7 @@
   IN_STEP,
   OUT_OF_STEP_KINDS,
 } from "./draw_out_of_step.ts";
+import { drawOddRows, ODD_ROW_KINDS } from "./odd_rows.ts";
 import { drawReleases, NO_RELEASES, RELEASE_KINDS } from "./draw_releases.ts";
 import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
@@ -121,6 +122,7 @@
     ...RELEASE_KINDS,
     ...CROWD_KINDS,
     ...OUT_OF_STEP_KINDS,
+    ...ODD_ROW_KINDS,
   ].includes(kind)
 );
 /** Each `..._RANGE` is the exclusive upper bound of a draw from 0. */
@@ -176,7 +178,8 @@
   const first = drawFirstSchedule(options);
   if (options.isOutOfStepOnly) {
     const outOfStep = drawOutOfStep(options, first.hosts);
-    return { ...first, ...outOfStep, isPlannedOnly: false };
+    const faults = [...outOfStep.faults, ...drawOddRows(options)];
+    return { ...first, ...outOfStep, faults, isPlannedOnly: false };
   }
   if (options.isFirstKindsOnly || first.isPlannedOnly) return first;
   const random = xoroshiro128plus(options.seed + LATER_SEED);
@@ -217,6 +220,7 @@
       ...releases.faults,
       ...crowds.faults,
       ...outOfStep.faults,
+      ...drawOddRows(options),
     ],
   };
 }
