--- a/test/gateway/upstreams/pool_rig.ts
+++ b/test/gateway/upstreams/pool_rig.ts
@@ -1,11 +1,12 @@
 /** A host's connections to replicas, for tests. */
-import { systemClock } from "../../../src/gateway/clock.ts";
+import { type Clock, systemClock } from "../../../src/gateway/clock.ts";
 import {
   createPaths,
   type ReplicaPaths,
 } from "../../../src/gateway/paths/create_paths.ts";
 import { tcpConnect } from "../../../src/gateway/upstreams/connect.ts";
 import { UpstreamPool } from "../../../src/gateway/upstreams/pool.ts";
+import type { Milliseconds } from "../../../src/util/units.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
 
 /** Options of {@link startPool}. */
@@ -14,6 +15,8 @@
   readonly peer?: string;
   /** Whether replicas are listed; they are by default. */
   readonly isListed?: boolean;
+  readonly clock?: Clock;
+  readonly connectTimeoutMs?: Milliseconds;
 };
 
 /** A pool and the paths that it uses. */
@@ -24,13 +27,18 @@
 
 /** Creates the pool of a host. */
 export function startPool(
-  { peer, isListed = true }: PoolRigOptions = {},
+  {
+    peer,
+    isListed = true,
+    clock = systemClock,
+    connectTimeoutMs = TEST_TIMEOUT_MS,
+  }: PoolRigOptions = {},
 ): PoolRig {
   const peers = peer === undefined
     ? []
     : [{ id: "peer", address: peer, hall: "h" }];
   const paths = createPaths({
-    clock: systemClock,
+    clock,
     self: { id: "host", hall: "h" },
     peers: () => peers,
     replicas: () => [],
@@ -38,7 +46,7 @@
     events: { note: () => undefined },
     metrics: { count: () => undefined },
     connect: tcpConnect,
-    connectTimeoutMs: TEST_TIMEOUT_MS,
+    connectTimeoutMs,
   });
-  return { pool: new UpstreamPool(systemClock, paths), paths };
+  return { pool: new UpstreamPool(clock, paths), paths };
 }
