A call that waits for a connection is no sign of a lost path

What callers saw: at hosts and replicas that are short of processor time, calls broken off and repeated through other hosts, and replicas taken for unreachable.

Cause: the connect timeout of a call also counted its wait for one of the host's connections to the replica. With three control calls in progress for 100 ms, a fourth one was sent through a peer over connections beyond the bound; as that connected, the host's own path counted as lost, and all repeatable calls over it were aborted and made again. If the tunnel had to wait as well, the replica counted as unreachable. Each such verdict adds calls and connections where calls are slow already.

The connect timeout now begins when the call has a connection that is to open; the wait for one has a limit of its own, the timeout over all paths. A call that was not sent for that reason is not sent through a peer, and says nothing about replica or path. When a path is lost, calls that wait are aborted, too, so that they go through a peer.

--- a/src/gateway/paths/routed_call.ts
+++ b/src/gateway/paths/routed_call.ts
@@ -60,9 +60,10 @@
   };
 }
 
-/** Causes for which another path would not help. */
+/** Causes for which another path would not help, or must not be used. */
 const FINAL_CAUSES: ReadonlySet<NotSentCause> = new Set([
   NotSentCause.withheld,
+  NotSentCause.queued,
   NotSentCause.idUsed,
   NotSentCause.invalid,
 ]);
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -283,7 +283,7 @@
     const obstacle = context.gate.obstacle(replica) ?? { type: "leaving" };
     return { type: "closed", obstacle };
   }
-  if (cause !== NotSentCause.invalid) {
+  if (cause !== NotSentCause.invalid && cause !== NotSentCause.queued) {
     noteFailure(context, replica, { reason, severe: true });
   }
   if (cause === NotSentCause.refused) {
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -28,7 +28,13 @@
 /** Options of {@link startCall}. */
 export type CallOptions = ReplicaRequest & {
   readonly clock: Clock;
+  /** Time within which a new connection is open. */
   readonly connectTimeoutMs: Milliseconds;
+  /**
+   * Time for which the call waits for one of the agent's connections;
+   * `connectTimeoutMs` by default.
+   */
+  readonly queueTimeoutMs?: Milliseconds;
   /**
    * Called once the call has a connection, for which it may have waited. If it
    * returns false, nothing is sent. Without it, the request is always sent.
@@ -56,6 +62,8 @@
   notConnected: "notConnected",
   /** The connection was refused: nothing listens at the address. */
   refused: "refused",
+  /** All connections that this host may have were in use. */
+  queued: "queued",
   /** The check before sending did not allow it. */
   withheld: "withheld",
   /** The connection had carried a call with the same id. */
@@ -99,12 +107,18 @@
   abort(reason: string): void;
 };
 
+/** A call that may wait for one of its agent's connections. */
+export type QueuedCall = Call & { isQueued(): boolean };
+
 /** Starts a call. */
-export function startCall(options: CallOptions): Call {
+export function startCall(options: CallOptions): QueuedCall {
   const target = parseAddress(options.address);
   if (!target) return failedCall(`Invalid address: ${options.address}`);
   const opened = openRequest(options, target);
-  if (!opened) return invalidCall();
+  return opened ? sendOpened(options, opened) : invalidCall();
+}
+
+function sendOpened(options: CallOptions, opened: OpenRequest): QueuedCall {
   const { clientRequest } = opened;
   let isConnected = false;
   let hasFailed = false;
@@ -121,12 +135,15 @@
     // While a request waits for a connection, Node does not report its end.
     if (!isConnected) settle(notSent(reason, { withheldBy }));
   };
-  const cancelTimer = limitConnectTime(options, () => {
-    if (!isConnected) end("Connection timed out");
+  const timer = limitConnectTime(options, (reason, cause) => {
+    if (isConnected) return;
+    withheldBy = cause;
+    end(reason);
   });
   watchSocket(clientRequest, {
+    onSocket: () => timer.noteSocket(),
     onConnected: () => {
-      cancelTimer();
+      timer.cancel();
       sentAt = options.clock.now();
       withheldBy = causeToWithhold(options, opened);
       isConnected = withheldBy === undefined;
@@ -142,12 +159,12 @@
     });
     clientRequest.on("error", (error) => {
       hasFailed = true;
-      cancelTimer();
+      timer.cancel();
       if (isConnected) resolve(broken(error.message));
       else resolve(notSent(error.message, { withheldBy, error }));
     });
     clientRequest.on("close", () => {
-      cancelTimer();
+      timer.cancel();
       resolve(isConnected ? broken(CLOSED) : notSent(CLOSED, { withheldBy }));
     });
   });
@@ -156,9 +173,10 @@
     outcome,
     abort: (reason) => {
       isAborted = true;
-      cancelTimer();
+      timer.cancel();
       end(reason);
     },
+    isQueued: () => timer.isQueued(),
   };
 }
 
@@ -208,13 +226,15 @@
 }
 
 /**
- * Notifies `on` when the connection of a call is open and when it was reset.
+ * Notifies `on` when a call has a connection, when that is open, and when it was
+ * reset.
  */
 function watchSocket(
   clientRequest: ClientRequest,
-  on: { onConnected(): void; onReset(): void },
+  on: { onSocket(): void; onConnected(): void; onReset(): void },
 ): void {
   clientRequest.on("socket", (socket) => {
+    on.onSocket();
     const onEnd = () => {
       // A reset right after the last bytes is reported as an end, but a reset
       // connection has no peer address any more (getpeername(2)). Nothing may
@@ -238,7 +258,8 @@
 ): CallOutcome {
   const code = error && codeOf(error);
   const cause = withheldBy ?? causeOf(error);
-  return { type: "notSent", reason, cause, code };
+  const isLocal = cause === NotSentCause.queued;
+  return { type: "notSent", reason, cause, code, isLocal };
 }
 
 function causeOf(error: Error | undefined): NotSentCause {
@@ -252,29 +273,48 @@
     : undefined;
 }
 
-/** Calls `onTimeout` when the time for the connection is over. */
+/** Limits how long a call waits for a connection, and then for it to open. */
 function limitConnectTime(
-  { clock, connectTimeoutMs }: CallOptions,
-  onTimeout: () => void,
-): () => void {
+  { clock, connectTimeoutMs, queueTimeoutMs = connectTimeoutMs }: CallOptions,
+  onTimeout: (reason: string, cause?: NotSentCause) => void,
+): { isQueued(): boolean; noteSocket(): void; cancel(): void } {
+  let isQueued = true;
   // After a stall of this process the connection may be established, but not
   // yet handled.
-  return clock.after(connectTimeoutMs, () => setImmediate(onTimeout));
+  const after = (timeoutMs: Milliseconds, run: () => void) =>
+    clock.after(timeoutMs, () => setImmediate(run));
+  let cancel = after(queueTimeoutMs, () => {
+    if (!isQueued) return;
+    onTimeout("All connections were in use", NotSentCause.queued);
+  });
+  return {
+    isQueued: () => isQueued,
+    noteSocket: () => {
+      isQueued = false;
+      cancel();
+      cancel = after(
+        connectTimeoutMs,
+        () => onTimeout("Connection timed out"),
+      );
+    },
+    cancel: () => cancel(),
+  };
 }
 
 /** A call that is not sent for the given reason. */
 export function failedCall(
   reason: string,
   cause: NotSentCause = NotSentCause.notConnected,
-): Call {
+): QueuedCall {
   return {
     outcome: Promise.resolve({ type: "notSent", reason, cause }),
     abort: () => undefined,
+    isQueued: () => false,
   };
 }
 
 /** A call that can't be sent to any replica. */
-function invalidCall(): Call {
+function invalidCall(): QueuedCall {
   return failedCall("Invalid header or path", NotSentCause.invalid);
 }
 
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -16,7 +16,8 @@
 import type { JsonCall } from "../port.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import { type AgentSet, createAgentSet } from "./agent_set.ts";
-import { type Call, type CallOutcome, failedCall, startCall } from "./call.ts";
+import type { Call, CallOutcome, QueuedCall } from "./call.ts";
+import { failedCall, startCall } from "./call.ts";
 import {
   type ControlOutcome,
   readControlResponse,
@@ -39,7 +40,7 @@
 /** A call in progress over this host's own path. */
 type DirectCall = {
   readonly entry: ReplicaEntry;
-  readonly call: Call;
+  readonly call: QueuedCall;
   /** It may be sent again if its path is lost. */
   readonly isRepeatable: boolean;
 };
@@ -234,6 +235,7 @@
       agent,
       clock: this.#clock,
       connectTimeoutMs,
+      queueTimeoutMs: this.#paths.connectTimeoutMs,
     });
     const directCall = { entry, call: started, isRepeatable };
     this.#directCalls.add(directCall);
@@ -287,8 +289,8 @@
   #onPathLost(lost: ReplicaEntry): void {
     const { incarnation } = lost;
     for (const { entry, call, isRepeatable } of this.#directCalls) {
-      if (!isRepeatable || entry.incarnation !== incarnation) continue;
-      call.abort(PATH_LOST_REASON);
+      if (entry.incarnation !== incarnation) continue;
+      if (isRepeatable || call.isQueued()) call.abort(PATH_LOST_REASON);
     }
     this.#onUnreachable(lost);
   }
