--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -43,7 +43,7 @@
     new Option("--out-of-step <faults>", "hosts that are out of step")
       .choices(["all", "only", "none"]).default("all"),
   )
-  .option("--odd-rows", "adds odd rows among those of the replicas", false)
+  .option("--no-odd-rows", "leave out odd rows among those of the replicas")
   .parse();
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
   process.on(signal, () => process.exit(1));
