--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -4,10 +4,13 @@
 import { BACKOFF_TEXTS, LIMIT_TEXTS } from "./fault_values.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import { BlockedDirection } from "./fault_proxy.ts";
+import { writeOddRow } from "./odd_rows.ts";
 import {
   block,
+  cutOff,
   cutPaths,
   injectPathFault,
+  isolate,
   resetAll,
   silence,
   slow,
@@ -90,6 +93,10 @@
       return slow(host.peerProxy);
     case FaultKind.peerPathReset:
       return resetAll(host.peerProxy);
+    case FaultKind.hostCutOff:
+      return cutOff(hosts, host);
+    case FaultKind.hostIsolated:
+      return isolate(hosts, host);
     case FaultKind.replicaPathBlockedOneWay:
     case FaultKind.replicaPathSlow:
     case FaultKind.replicaPathReset:
@@ -101,6 +108,8 @@
     case FaultKind.foreignRows:
       world.writeForeignRows();
       return NO_UNDO;
+    case FaultKind.oddRow:
+      return writeOddRow(world, fault);
     case FaultKind.config:
       world.changeConfig();
       return NO_UNDO;
@@ -125,7 +134,7 @@
     case FaultKind.replicaSlow:
       return slowDown(replica);
     case FaultKind.plannerKill:
-      return killPlanner(hosts, fault);
+      return injectProcessFault(host, FaultKind.kill);
     case FaultKind.replicaSilent:
       return silence(world, replica);
     case FaultKind.hostPathsHang:
@@ -305,8 +314,3 @@
     standin.slowdown = usual;
   };
 }
-
-function killPlanner(hosts: readonly FleetHost[], fault: Fault): Undo {
-  const { process } = targetHost(hosts, fault);
-  return restartAfter(process, process.kill());
-}
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -17,6 +17,8 @@
   readonly first?: number;
   readonly jobs: number;
   readonly regressions: boolean;
+  readonly oddRows: boolean;
+  readonly outOfStep: "all" | "only" | "none";
 };
 
 const parseInteger = (text: string) => Number.parseInt(text, 10);
@@ -37,6 +39,11 @@
       .argParser(parseInteger),
   )
   .option("--no-regressions", "leave out the regression seeds")
+  .addOption(
+    new Option("--out-of-step <faults>", "hosts that are out of step")
+      .choices(["all", "only", "none"]).default("all"),
+  )
+  .option("--no-odd-rows", "leave out odd rows among those of the replicas")
   .parse();
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
   process.on(signal, () => process.exit(1));
@@ -57,6 +64,9 @@
         windowMs: FAULT_WINDOW_MS,
         isFirstKindsOnly,
         hasSleeps: true,
+        hasOddRows: flags.oddRows,
+        hasOutOfStepHosts: flags.outOfStep !== "none",
+        isOutOfStepOnly: flags.outOfStep === "only",
       });
       const outcome = await runSoak(schedule);
       console.log(formatOutcome(outcome));
