--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -111,10 +111,7 @@
       directory,
       connections: this.#connections,
       connect,
-      listingAgeMs: () => {
-        context.suspensions.check();
-        return this.#fleetState.listingAgeMs(context.clock.now());
-      },
+      listingAgeMs: () => this.#fleetState.listingAgeMs,
       confirmListing: () => this.#fleetState.confirmListing(),
     });
     const configAgeMs = (now: Milliseconds) => {
--- a/src/gateway/state/fleet_state.ts
+++ b/src/gateway/state/fleet_state.ts
@@ -166,8 +166,10 @@
   }
 
   /** As {@link Synchronizer.listingAgeMs}. */
-  listingAgeMs(now: Milliseconds): Milliseconds {
-    return this.#synchronizer.listingAgeMs(now);
+  get listingAgeMs(): Milliseconds {
+    const { clock, suspensions } = this.#options.context;
+    suspensions.check();
+    return this.#synchronizer.listingAgeMs(clock.now());
   }
 
   /** As {@link StoreLoops.confirmListing}. */
--- a/test/gateway/streams/resolve_version_test.ts
+++ b/test/gateway/streams/resolve_version_test.ts
@@ -2,69 +2,18 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { HostEntry } from "../../../src/gateway/mod.ts";
-import type { KeeperAnswer } from "../../../src/gateway/streams/keeper_client.ts";
 import type { AskResponse } from "../../../src/gateway/streams/keeper_messages.ts";
-import type { StreamRecord } from "../../../src/gateway/streams/model.ts";
-import {
-  type ResolutionQuery,
-  resolveVersion,
-} from "../../../src/gateway/streams/resolve_version.ts";
+import type { ResolutionQuery } from "../../../src/gateway/streams/resolve_version.ts";
 import type { VersionState } from "../../../src/gateway/streams/version_history.ts";
-
-const HOSTS: HostEntry[] = [0, 1, 2, 3, 4, 5].map((at) => ({
-  id: `h${at}`,
-  address: `a${at}`,
-  hall: `hall-${at % 3}`,
-}));
-const SINGLE: VersionState = {
-  type: "single",
-  softwareVersion: "v1",
-  isCovered: true,
-};
-const MIXED: VersionState = { type: "mixed", forMs: 60_000 };
-const NONE: AskResponse = { type: "unknown", versions: [] };
-
-function known(
-  softwareVersion: string | undefined,
-  { origin = "h9@1", order = 1 } = {},
-): AskResponse {
-  const version = softwareVersion === undefined ? {} : { softwareVersion };
-  return { type: "known", ...version, origin, order };
-}
-
-function versions(
-  ...listed: (string | null)[]
-): Extract<AskResponse, { type: "unknown" }> {
-  return { type: "unknown", versions: listed };
-}
-
-/** Responses of the hosts in order; null: none. */
-function resolve(
-  responses: readonly (AskResponse | null)[],
-  change: Partial<ResolutionQuery> = {},
-) {
-  const answers: KeeperAnswer[] = HOSTS.flatMap((host, at) => {
-    const response = responses[at];
-    return response ? [{ host, response }] : [];
-  });
-  return resolveVersion({
-    origin: "self@1",
-    record: undefined,
-    stateOf: () => MIXED,
-    asked: HOSTS,
-    ask: () => Promise.resolve({ answers, ended: [] }),
-    keepers: HOSTS.slice(0, 3),
-    isListingRecent: () => true,
-    confirmListing: () => Promise.resolve(true),
-    findArchived: () => Promise.resolve({ type: "absent" }),
-    ...change,
-  });
-}
-
-function recordOf(origin: string, softwareVersion = "v1"): StreamRecord {
-  const stream = { service: "s", id: "a" };
-  return { stream, softwareVersion, origin, order: 1, expiresAt: 1 };
-}
+import {
+  HOSTS,
+  known,
+  NONE,
+  recordOf,
+  resolve,
+  SINGLE,
+  versions,
+} from "./resolution.ts";
 
 const asksNobody: ResolutionQuery["ask"] = () => {
   throw new Error("unexpected question");
@@ -205,152 +154,6 @@
   assert.equal(unknown.binding.type, "unknown");
 });
 
-test("while the store is silent, a host with an old listing infers only when all hosts respond", async () => {
-  const change: Partial<ResolutionQuery> = {
-    stateOf: () => SINGLE,
-    isListingRecent: () => false,
-    confirmListing: () => Promise.resolve(false),
-    findArchived: () => Promise.resolve({ type: "unreadable" }),
-  };
-  const typeOf = async (responses: readonly (AskResponse | null)[]) =>
-    (await resolve(responses, change)).binding.type;
-  const one = versions("v1");
-  assert.equal(await typeOf([]), "unknown");
-  assert.equal(await typeOf([one, null, null, one, null, null]), "unknown");
-  assert.equal(await typeOf([null, one, null, null, null, null]), "unknown");
-  assert.equal(await typeOf([one, one, null, null, null, one]), "unknown");
-  assert.equal(await typeOf([one, one, one, one, one, one]), "bound");
-  assert.equal(await typeOf([one, one, one, one, one, NONE]), "bound");
-  assert.equal(
-    await typeOf([one, one, one, one, one, versions("v2")]),
-    "unknown",
-  );
-});
-
-// Guards against several hosts that are out of step together.
-test("a host with an old listing asks the store although all hosts respond", async () => {
-  const one = versions("v1");
-  const { binding, source } = await resolve([one, one, one, one, one, one], {
-    stateOf: () => SINGLE,
-    isListingRecent: () => false,
-    findArchived: () =>
-      Promise.resolve({ type: "found", softwareVersion: "v2" }),
-  });
-  assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
-  assert.equal(source, "archived");
-});
-
-// Guards against a failed read that is taken for "not stored".
-test("nothing is inferred beside silent hosts while the streams in the store can't be read", async () => {
-  const before = { softwareVersion: "v1" };
-  const both = versions("v1", "v2");
-  const typeOf = async (
-    stateOf: () => VersionState,
-    responses: readonly (AskResponse | null)[],
-  ) => {
-    const { binding } = await resolve(responses, {
-      stateOf,
-      isListingRecent: () => false,
-      findArchived: () => Promise.resolve({ type: "unreadable" }),
-    });
-    return binding.type;
-  };
-  const mixed = (): VersionState => ({ type: "mixed", forMs: 10, before });
-  assert.equal(await typeOf(mixed, [both, both, both]), "unknown");
-  assert.equal(await typeOf(() => SINGLE, []), "unknown");
-});
-
-// Guards against rejecting all streams when the other hosts have just ended.
-test("the only version is inferred when all others have ended and the store is silent for a moment", async () => {
-  const typeOf = async (isRecent: boolean, ended: readonly HostEntry[]) => {
-    const { binding } = await resolve([], {
-      stateOf: () => SINGLE,
-      ask: () => Promise.resolve({ answers: [], ended }),
-      isListingRecent: () => isRecent,
-      confirmListing: () => Promise.resolve(false),
-      findArchived: () => Promise.resolve({ type: "unreadable" }),
-    });
-    return binding.type;
-  };
-  assert.equal(await typeOf(true, HOSTS), "bound");
-  assert.equal(await typeOf(true, HOSTS.slice(1)), "unknown");
-  assert.equal(await typeOf(false, HOSTS), "unknown");
-});
-
-// Guards against a keeper that has lost its records.
-test("a keeper that started after the second version joined doesn't speak for the one before", async () => {
-  const before = { softwareVersion: "v1" };
-  const typeOf = async (mixedForMs: number) => {
-    const response = { ...versions("v1", "v2"), mixedForMs };
-    const { binding } = await resolve([response, response, response], {
-      stateOf: () => ({ type: "mixed", forMs: 2000, before }),
-    });
-    return binding.type;
-  };
-  assert.equal(await typeOf(400), "unknown");
-  assert.equal(await typeOf(1900), "bound");
-});
-
-// Guards against the word of hosts that would not have the record.
-test("the version before a transition isn't inferred without a keeper of the stream", async () => {
-  const before = { softwareVersion: "v1" };
-  const typeOf = async (keepers: readonly HostEntry[]) => {
-    const answers = HOSTS.slice(3).map((host) => ({
-      host,
-      response: versions("v1", "v2"),
-    }));
-    const { binding } = await resolve([], {
-      stateOf: () => ({ type: "mixed", forMs: 10, before }),
-      keepers,
-      ask: () => Promise.resolve({ answers, ended: HOSTS.slice(0, 3) }),
-    });
-    return binding.type;
-  };
-  assert.equal(await typeOf(HOSTS.slice(0, 3)), "unknown");
-  assert.equal(await typeOf(HOSTS.slice(1, 4)), "bound");
-});
-
-// Guards against the silence of hosts that is taken for their consent.
-test("a host that hears nobody doesn't infer the version before a transition", async () => {
-  const before = { softwareVersion: "v1" };
-  const stateOf = (): VersionState => ({ type: "mixed", forMs: 10, before });
-  const both = versions("v1", "v2");
-  for (
-    const responses of [[], [both], [both, both], [both, null, null, both]]
-  ) {
-    assert.equal(
-      (await resolve(responses, { stateOf })).binding.type,
-      "unknown",
-    );
-  }
-});
-
-test("hosts that have ended are not waited for, but one host has to respond", async () => {
-  const before = { softwareVersion: "v1" };
-  const both = versions("v1", "v2");
-  const typeOf = async (respondingHosts: number) => {
-    const answers = HOSTS.slice(0, respondingHosts)
-      .map((host) => ({ host, response: both }));
-    const ended = HOSTS.slice(respondingHosts);
-    const { binding } = await resolve([], {
-      stateOf: () => ({ type: "mixed", forMs: 10, before }),
-      ask: () => Promise.resolve({ answers, ended }),
-    });
-    return binding.type;
-  };
-  assert.equal(await typeOf(1), "bound");
-  assert.equal(await typeOf(0), "unknown");
-});
-
-test("a host that hears nobody prefers what the store says to a record that it keeps", async () => {
-  const record = recordOf("h9@1");
-  const archived = { type: "found", softwareVersion: "v2" } as const;
-  const findArchived = () => Promise.resolve(archived);
-  const { binding, source } = await resolve([], { record, findArchived });
-  assert.deepEqual(binding, { type: "bound", softwareVersion: "v2" });
-  assert.equal(source, "archived");
-});
-
 test("without replicas nothing is inferred", async () => {
   const none = { stateOf: (): VersionState => ({ type: "none" }) };
   assert.equal((await resolve([versions("v1")], none)).binding.type, "unknown");
