--- a/src/gateway/state/store_loops.ts
+++ b/src/gateway/state/store_loops.ts
@@ -126,8 +126,9 @@
   }
 
   /**
-   * Reads the listing now, whatever the reader reports: a report may have been
-   * buffered for long. Resolves to whether the listing is as recent as the call.
+   * Reads the listing, whatever the reader reports: a report may have been
+   * buffered for long. Resolves to whether the read, which calls at about the
+   * same time share, has succeeded.
    */
   confirmListing(): Promise<boolean> {
     return this.#confirmation.get(this.#options.context.clock.now());
