--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -15,5 +15,6 @@
   type JsonClient,
 } from "./upstreams/json_client.ts";
 export { parseAddress } from "../util/address.ts";
+export { MAX_NAME_CHARS, Name } from "./name_schema.ts";
 export { systemClock } from "./clock.ts";
 export { runGateway } from "./program.ts";
--- a/src/gateway/peers/host_schema.ts
+++ b/src/gateway/peers/host_schema.ts
@@ -2,17 +2,17 @@
 import * as z from "zod";
 import { parseAddress } from "../../util/address.ts";
 import { validItems } from "../../util/valid_items.ts";
+import { Name } from "../name_schema.ts";
 
-const MAX_NAME_CHARS = 1000;
 /** Hosts are weighed by the square of their capacity. */
 const MAX_CAPACITY = 1e6;
 
 /** Parses a `HostEntry`. */
 export const HostEntrySchema = z.object({
   /** Visible ASCII characters. */
-  id: z.string().max(MAX_NAME_CHARS).regex(/^[!-~]+$/),
+  id: Name.regex(/^[!-~]+$/),
   address: z.string().refine((text) => parseAddress(text) !== undefined),
-  hall: z.string().max(MAX_NAME_CHARS),
+  hall: Name,
   capacity: z.number().positive().max(MAX_CAPACITY).exactOptional(),
 });
 
--- a/src/gateway/streams/archive_rows.ts
+++ b/src/gateway/streams/archive_rows.ts
@@ -3,6 +3,7 @@
 import { sha256 } from "../../util/sha256.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { Milliseconds } from "../../util/units.ts";
+import { Name } from "../name_schema.ts";
 import type { StoreRow } from "../port.ts";
 import {
   MAX_RECORD_TTL_MS,
@@ -17,8 +18,6 @@
 
 /** Hex digits; enough that no two streams of a service share a digest. */
 const DIGEST_CHARS = 16;
-const MAX_NAME_CHARS = 1000;
-const Name = z.string().max(MAX_NAME_CHARS);
 
 const ArchiveRow = z.object({
   service: Name,
--- a/src/gateway/streams/keeper_messages.ts
+++ b/src/gateway/streams/keeper_messages.ts
@@ -1,6 +1,7 @@
 /** Messages in which hosts keep and look up each other's stream records. */
 import * as z from "zod";
 import type { Milliseconds } from "../../util/units.ts";
+import { Name } from "../name_schema.ts";
 import {
   MAX_RECORD_TTL_MS,
   MAX_STREAM_ID_CHARS,
@@ -14,8 +15,6 @@
 /** Maximum number of records in one message. */
 export const MAX_BATCH_RECORDS = 500;
 
-const MAX_NAME_CHARS = 1000;
-const Name = z.string().max(MAX_NAME_CHARS);
 const StreamId = z.string().min(1).max(MAX_STREAM_ID_CHARS);
 
 const RecordMessage = z.object({
--- a/src/gateway/streams/version_report.ts
+++ b/src/gateway/streams/version_report.ts
@@ -6,13 +6,12 @@
 import * as z from "zod";
 import { readJson } from "../../util/read_json.ts";
 import type { Milliseconds } from "../../util/units.ts";
+import { Name } from "../name_schema.ts";
 import type { RowReading } from "../port.ts";
 import { MAX_RECORD_TTL_MS, type SoftwareVersion } from "./model.ts";
 
 /** A row has a limited size; the versions seen last are reported. */
 const MAX_VERSIONS = 200;
-const MAX_NAME_CHARS = 1000;
-const Name = z.string().max(MAX_NAME_CHARS);
 
 /** A version of a service. */
 export type ReportedVersion = {
