Versions of streams: one check of halls, one reading of a service's state

The check of halls was in two functions of which only one was called from outside, and each stream that was sent made the state of its service twice. The hosts that keep a record whoever made it are commonKeepers in the choice and in the query, where keepers meant two things.

--- a/src/gateway/streams/keepers.ts
+++ b/src/gateway/streams/keepers.ts
@@ -37,7 +37,7 @@
    * Those of them that keep its record whoever made it, unless they made it
    * themselves.
    */
-  readonly certain: readonly HostEntry[];
+  readonly commonKeepers: readonly HostEntry[];
 };
 
 /** All hosts, prepared for many rankings. */
@@ -115,9 +115,9 @@
   const asked = takeSpread(ranked, { count: ASKED, perHall: ASKED_PER_HALL })
     .filter((host) => host !== self);
   const spares = asked.filter((host) => !keepers.includes(host));
-  const certain = takeSpread(ranked, { count: KEEPERS, perHall: 1 })
+  const commonKeepers = takeSpread(ranked, { count: KEEPERS, perHall: 1 })
     .filter((host) => host !== self);
-  return { keepers, spares, asked, certain };
+  return { keepers, spares, asked, commonKeepers };
 }
 
 function rankHosts(
--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -1,8 +1,8 @@
 /** Decides at which version a resumed stream may go on. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { HostEntry } from "../port.ts";
-import type { KeeperAnswer, KeeperPoll } from "./keeper_client.ts";
 import type { ArchiveFinding } from "./archive_reader.ts";
+import type { KeeperAnswer, KeeperPoll } from "./keeper_client.ts";
 import type { SoftwareVersion, StreamRecord, VersionBinding } from "./model.ts";
 import type { VersionState } from "./version_history.ts";
 
@@ -53,7 +53,7 @@
   /** The hosts to ask. */
   readonly asked: readonly HostEntry[];
   /** Those of them that keep the stream's record, whoever made it. */
-  readonly keepers: readonly HostEntry[];
+  readonly commonKeepers: readonly HostEntry[];
   readonly ask: (hosts: readonly HostEntry[]) => Promise<KeeperPoll>;
   /**
    * The listing is as recent as the store's, but for the time in which a change
@@ -111,7 +111,7 @@
 
 /** What follows if the store lists what this host does and lacks the stream. */
 function inferFromStore(
-  { stateOf, asked, keepers }: ResolutionQuery,
+  { stateOf, asked, commonKeepers }: ResolutionQuery,
   poll: KeeperPoll,
 ): VersionChoice | undefined {
   const { answers } = poll;
@@ -119,7 +119,7 @@
   if (state.type !== "mixed") return inferOnly(state, answers);
   // It would have the record, unless it started after the second version.
   const hasKeeper = answers.some((answer) =>
-    keepers.includes(answer.host) &&
+    commonKeepers.includes(answer.host) &&
     mixedForMs(answer) >= state.forMs - MAX_LISTING_LAG_MS
   );
   return hasKeeper && isEachHallHeard(asked, poll)
@@ -218,21 +218,15 @@
 function isEachHallHeard(
   asked: readonly HostEntry[],
   { answers, ended }: KeeperPoll,
-): boolean {
-  const running = asked.filter((host) => !ended.includes(host));
-  return isHeardInEachHall(running, answers);
-}
-
-function isHeardInEachHall(
-  hosts: readonly HostEntry[],
-  answers: readonly KeeperAnswer[],
 ): boolean {
   const heardHalls = new Set(answers.map(({ host }) => host.hall));
-  return hosts.every(({ hall }) => heardHalls.has(hall));
+  return asked.every((host) =>
+    heardHalls.has(host.hall) || ended.includes(host)
+  );
 }
 
 /** The version that is taken for a stream's. */
-export type VersionChoice = { readonly softwareVersion: SoftwareVersion };
+type VersionChoice = { readonly softwareVersion: SoftwareVersion };
 
 /** The only version among these; undefined if they are several. */
 function onlyOf(
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -25,7 +25,7 @@
 import { RecordSender } from "./record_sender.ts";
 import { resolveVersion } from "./resolve_version.ts";
 import { StreamArchive } from "./stream_archive.ts";
-import { VersionHistory } from "./version_history.ts";
+import { VersionHistory, type VersionState } from "./version_history.ts";
 import type { VersionReport } from "./version_report.ts";
 import { VersionTable } from "./version_table.ts";
 
@@ -173,8 +173,7 @@
       expiresAt: now + boundedTtlMs,
     };
     // Before the record is set, so that it is not sent with the backlog, too.
-    this.#updateShared(service, now);
-    this.#updateArchived(service, now);
+    this.#updateService(service, now);
     this.#table.set(record, now);
     if (!this.#sharedServices.has(service)) return Promise.resolve(true);
     return this.#sendInTime(record);
@@ -213,13 +212,16 @@
     const { clock, metrics, events } = this.#options;
     this.#observe(clock.now());
     const record = this.#table.get(stream, clock.now());
-    const { asked, certain } = this.#chooser.of(stream, this.#options.hosts());
+    const { asked, commonKeepers } = this.#chooser.of(
+      stream,
+      this.#options.hosts(),
+    );
     const { binding, source, answered, isHeard } = await resolveVersion({
       origin: this.#origin,
       record,
       stateOf: () => this.#history.stateOf(stream.service, clock.now()),
       asked,
-      keepers: certain,
+      commonKeepers,
       ask: (hosts) =>
         this.#client.ask(
           hosts,
@@ -276,18 +278,26 @@
     this.#observedAt = now;
     this.#history.observe(this.#options.replicas.entries(), now);
     for (const service of this.#history.services) {
-      this.#updateShared(service, now);
-      this.#updateArchived(service, now);
+      this.#updateService(service, now);
     }
   }
 
+  #updateService(service: string, now: Milliseconds): void {
+    const state = this.#history.stateOf(service, now);
+    this.#updateShared(service, state, now);
+    this.#updateArchived(service, state, now);
+  }
+
   /** Starts or stops recording the streams of a service in the store. */
-  #updateArchived(service: string, now: Milliseconds): void {
+  #updateArchived(
+    service: string,
+    { type }: VersionState,
+    now: Milliseconds,
+  ): void {
     const origin = this.#origin;
-    const isMixed = this.#history.stateOf(service, now).type === "mixed";
     this.#archive.setRecorded(
       service,
-      isMixed,
+      type === "mixed",
       () =>
         this.#table.recordsOf({ service, origin }, now)
           .filter(({ hasBegun }) => hasBegun),
@@ -295,8 +305,11 @@
   }
 
   /** Starts or stops sending the records of a service to keepers. */
-  #updateShared(service: string, now: Milliseconds): void {
-    const state = this.#history.stateOf(service, now);
+  #updateShared(
+    service: string,
+    state: VersionState,
+    now: Milliseconds,
+  ): void {
     // A host that has not seen the window itself can't infer the version before
     // a transition, so others need the records of its streams by then.
     const isSingle = state.type === "single" && this.#isListingFresh &&
--- a/test/gateway/streams/keepers_test.ts
+++ b/test/gateway/streams/keepers_test.ts
@@ -141,6 +141,6 @@
 test("a host without others has no keepers", () => {
   const [self] = hostsIn(1, 1);
   assert.ok(self);
-  const none = { keepers: [], spares: [], asked: [], certain: [] };
+  const none = { keepers: [], spares: [], asked: [], commonKeepers: [] };
   assert.deepEqual(chooseKeepers(0, createFleet(self, [])), none);
 });
--- a/test/gateway/streams/resolution.ts
+++ b/test/gateway/streams/resolution.ts
@@ -54,7 +54,7 @@
     stateOf: () => MIXED,
     asked: HOSTS,
     ask: () => Promise.resolve({ answers, ended: [] }),
-    keepers: HOSTS.slice(0, 3),
+    commonKeepers: HOSTS.slice(0, 3),
     isListingRecent: () => true,
     confirmListing: () => Promise.resolve(true),
     findArchived: () => Promise.resolve({ type: "absent" }),
--- a/test/gateway/streams/unheard_hosts_test.ts
+++ b/test/gateway/streams/unheard_hosts_test.ts
@@ -103,14 +103,14 @@
 // Guards against the word of hosts that would not have the record.
 test("the version before a transition isn't inferred without a keeper of the stream", async () => {
   const before = { softwareVersion: "v1" };
-  const typeOf = async (keepers: readonly HostEntry[]) => {
+  const typeOf = async (commonKeepers: readonly HostEntry[]) => {
     const answers = HOSTS.slice(3).map((host) => ({
       host,
       response: versions("v1", "v2"),
     }));
     const { binding } = await resolve([], {
       stateOf: () => ({ type: "mixed", forMs: 10, before }),
-      keepers,
+      commonKeepers,
       ask: () => Promise.resolve({ answers, ended: HOSTS.slice(0, 3) }),
     });
     return binding.type;
