--- a/test/soak/out_of_step_host_test.ts
+++ b/test/soak/out_of_step_host_test.ts
@@ -3,11 +3,10 @@
  * stood still while replicas of that version joined.
  */
 import assert from "node:assert/strict";
-import { Agent } from "node:http";
 import { test } from "node:test";
 import { knownRed } from "../known_red.ts";
-import { CallKind, callOnce, type CallResult } from "./call.ts";
-import type { FleetHost } from "./fleet.ts";
+import { attemptStream } from "./attempt_stream.ts";
+import type { CallResult } from "./call.ts";
 import {
   findMixedStreams,
   findResumption,
@@ -30,22 +29,6 @@
 /** From the start of the last stream to the end of the other hosts. */
 const RUNNING_MS = 900;
 
-type Attempt = Pick<Parameters<typeof callOnce>[0], "id" | "resumption">;
-
-function attempt(
-  { process, callers }: FleetHost,
-  options: Attempt,
-): Promise<CallResult> {
-  return callOnce({
-    agent: new Agent(),
-    host: { name: process.name, address: callers },
-    kind: CallKind.resumable,
-    body: "body",
-    abortsEarly: false,
-    ...options,
-  });
-}
-
 const STOOD_STILL =
   "streams of a version that joined while a host stood still don't go on at another one there";
 test(STOOD_STILL, knownRed(STOOD_STILL), async () => {
@@ -62,7 +45,7 @@
       const host = others[at % others.length];
       assert.ok(host);
       const id = `stream-${at}`;
-      streams.push({ id, result: attempt(host, { id }) });
+      streams.push({ id, result: attemptStream(host, { id }) });
       await sleep(STREAM_INTERVAL_MS);
     }
     await sleep(RUNNING_MS);
@@ -73,7 +56,7 @@
       const resumption = findResumption(broken);
       if (!resumption) return [broken];
       const options = { id: `${id}-resumed`, resumption };
-      return [broken, await attempt(late, options)];
+      return [broken, await attemptStream(late, options)];
     }))).flat();
     const resumed = attempts.filter(({ resumption }) => resumption);
     assert.ok(resumed.length >= MIN_RESUMPTIONS, `${resumed.length}`);
--- a/test/soak/restarted_fleet_test.ts
+++ b/test/soak/restarted_fleet_test.ts
@@ -3,10 +3,10 @@
  * rejected although they could go on, after all hosts of a fleet have ended.
  */
 import assert from "node:assert/strict";
-import { Agent } from "node:http";
 import { test } from "node:test";
 import { knownRed } from "../known_red.ts";
-import { CallKind, callOnce, type CallResult } from "./call.ts";
+import { attemptStream } from "./attempt_stream.ts";
+import type { CallResult } from "./call.ts";
 import type { FleetHost } from "./fleet.ts";
 import {
   findMixedStreams,
@@ -37,21 +37,6 @@
 
 type Stream = { readonly id: string; readonly result: Promise<CallResult> };
 
-/** Sends an attempt of a stream. */
-function attempt(
-  { process, callers }: FleetHost,
-  options: Pick<Parameters<typeof callOnce>[0], "id" | "resumption">,
-): Promise<CallResult> {
-  return callOnce({
-    agent: new Agent(),
-    host: { name: process.name, address: callers },
-    kind: CallKind.resumable,
-    body: "body",
-    abortsEarly: false,
-    ...options,
-  });
-}
-
 function hostAt({ hosts }: TestFleet, at: number): FleetHost {
   const host = hosts[at % hosts.length];
   assert.ok(host);
@@ -62,7 +47,7 @@
   const streams: Stream[] = [];
   for (let at = 0; at < STREAMS; at++) {
     const id = `stream-${at}`;
-    streams.push({ id, result: attempt(hostAt(fleet, at), { id }) });
+    streams.push({ id, result: attemptStream(hostAt(fleet, at), { id }) });
     await sleep(STREAM_INTERVAL_MS);
   }
   return streams;
@@ -91,7 +76,7 @@
     if (!resumption) return [];
     broken.push(first);
     const host = hostAt(fleet, at + 1);
-    return [await attempt(host, { id: `${id}-resumed`, resumption })];
+    return [await attemptStream(host, { id: `${id}-resumed`, resumption })];
   }));
   return { broken, resumed: resumed.flat() };
 }
@@ -109,7 +94,7 @@
     const resumption = last && findResumption(last);
     if (!resumption) break;
     const options = { id: `${id}-${count}`, resumption };
-    attempts.push(await attempt(hostAt(fleet, at + count), options));
+    attempts.push(await attemptStream(hostAt(fleet, at + count), options));
     await sleep(RETRY_INTERVAL_MS);
   }
   return attempts;
