Tests of starts that end: early signals, taken ports, torn settings, uncaught errors

Callers of a host that ends while it starts find nobody there until it is started again; those of one that ends while it runs lose their streams.

--- /dev/null
+++ b/test/platform/faulty_gateway.ts
@@ -0,0 +1,16 @@
+/**
+ * A gateway that throws, and rejects a promise, outside of all handlers when it
+ * connects to a replica.
+ */
+import { deferReloads } from "../../src/gateway/early_reload.ts";
+
+deferReloads();
+const { start } = await import("../../platform/start.ts");
+const { tcpConnect } = await import("../../src/gateway/upstreams/connect.ts");
+await start((options) => {
+  setImmediate(() => {
+    throw new Error("thrown outside of handlers");
+  });
+  void Promise.reject(new Error("rejected outside of handlers"));
+  return tcpConnect(options);
+});
--- a/test/platform/gateway_process_test.ts
+++ b/test/platform/gateway_process_test.ts
@@ -1,166 +1,26 @@
 /** Runs the gateway as a process against a stand-in of the platform. */
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
+import { spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { Agent, request } from "node:http";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { writeFileSync } from "node:fs";
+import { Agent } from "node:http";
 import { test } from "node:test";
-import { freeAddress } from "../free_address.ts";
 import { config, engineConfig } from "./configs.ts";
-import { type PlatformStandin, startPlatformStandin } from "./standin.ts";
+import {
+  call,
+  type GatewayUnderTest,
+  isReady,
+  waitUntil,
+  withGatewayProcess,
+} from "./gateway_process.ts";
 
-/** Upper bound on each wait. */
-const TEST_TIMEOUT_MS = 30_000;
-const POLL_INTERVAL_MS = 20;
-
-type RunningGateway = {
-  readonly standin: PlatformStandin;
-  readonly process: ChildProcess;
-  readonly callers: string;
-  readonly readiness: string;
-  readonly metrics: string;
-  readonly settings: string;
-  /** Lines logged so far. */
-  readonly lines: string[];
-  stop(): Promise<void>;
-};
-
-type CallResult = { readonly status: number; readonly body: string };
-
-async function start(): Promise<RunningGateway> {
-  const standin = await startPlatformStandin();
-  standin.put("op", "config", config(1, "/a/"));
-  standin.put("servers", "i-1", {
-    Service: "plain",
-    Address: standin.replicaAddress,
-    Zone: "hall",
-    Version: "v1",
-    Slots: 4,
-    State: "ready",
-    ColdRemainingMs: 0,
-    Sequence: 1,
-  });
-  const [callers, readiness, peers, metrics] = await Promise.all([
-    freeAddress(),
-    freeAddress(),
-    freeAddress(),
-    freeAddress(),
-  ]);
-  const folder = mkdtempSync(join(tmpdir(), "otterhill-"));
-  const settings = join(folder, "gateway.toml");
-  writeFileSync(
-    settings,
-    settingsText(standin, { callers, readiness, peers, metrics }),
-  );
-  const child = spawn(process.execPath, ["dist/platform/main.js"], {
-    env: { ...process.env, OTTERHILL_CONFIG: settings },
-    stdio: ["ignore", "pipe", "inherit"],
-  });
-  const lines: string[] = [];
-  child.stdout.on(
-    "data",
-    (bytes: Buffer) => lines.push(...bytes.toString().split("\n")),
-  );
-  return {
-    standin,
-    process: child,
-    callers: callers ?? "",
-    readiness: readiness ?? "",
-    metrics: metrics ?? "",
-    settings,
-    lines,
-    stop: async () => {
-      if (child.exitCode === null && child.signalCode === null) {
-        child.kill("SIGKILL");
-        await once(child, "exit");
-      }
-      standin.stop();
-      rmSync(folder, { recursive: true });
-    },
-  };
-}
-
-function settingsText(
-  standin: PlatformStandin,
-  listen: Readonly<Record<string, string | undefined>>,
-): string {
-  const addresses = Object.entries(listen).map(([name, address]) =>
-    `${name} = "${address}"`
-  );
-  return [
-    "[host]",
-    'id = "host-1"',
-    'hall = "hall"',
-    "[listen]",
-    ...addresses,
-    "[store]",
-    `address = "${standin.storeAddress}"`,
-    "",
-  ].join("\n");
-}
-
-function call(
-  address: string,
-  path: string,
-  options: { readonly agent?: Agent; readonly body?: string } = {},
-): Promise<CallResult> {
-  const [host, port] = address.split(":");
-  const { agent = new Agent(), body } = options;
-  return new Promise((resolve, reject) => {
-    const outgoing = request({
-      host,
-      port,
-      path,
-      agent,
-      method: body === undefined ? "GET" : "POST",
-      headers: { host: "example", "attempt-id": "a1" },
-    });
-    outgoing.on("error", reject);
-    outgoing.on("response", (answer) => {
-      let text = "";
-      answer.on("data", (bytes: Buffer) => text += bytes.toString());
-      answer.on(
-        "end",
-        () => resolve({ status: answer.statusCode ?? 0, body: text }),
-      );
-      answer.on("error", reject);
-    });
-    outgoing.end(body);
-  });
-}
-
-/** Polls until `condition` holds; a rejection counts as false. */
-async function waitUntil(
-  condition: () => Promise<boolean> | boolean,
-): Promise<void> {
-  const endsAt = performance.now() + TEST_TIMEOUT_MS;
-  for (;;) {
-    const holds = await Promise.resolve(condition()).catch(() => false);
-    if (holds) return;
-    assert.ok(
-      performance.now() < endsAt,
-      "condition did not hold before the timeout",
-    );
-    await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
-  }
-}
-
-async function isReady(running: RunningGateway): Promise<boolean> {
-  return (await call(running.readiness, "/readiness")).status === 200;
-}
-
-async function withGateway(
-  work: (running: RunningGateway) => Promise<void>,
+function withGateway(
+  work: (gateway: GatewayUnderTest) => Promise<void>,
 ): Promise<void> {
-  const running = await start();
-  try {
-    await waitUntil(() => isReady(running));
-    await work(running);
-  } finally {
-    await running.stop();
-  }
+  return withGatewayProcess({}, async (gateway) => {
+    await waitUntil(() => isReady(gateway));
+    await work(gateway);
+  });
 }
 
 test("requests are routed through the adapter and route changes take effect", async () => {
