--- /dev/null
+++ b/test/soak/endless_bytes_test.ts
@@ -0,0 +1,97 @@
+/**
+ * Guards against replicas that send bytes without end: a host held them in parts
+ * that took many times their size, ran out of memory and ended, and with it the
+ * requests of all its callers.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { knownRed } from "../known_red.ts";
+import { type FaultyCalls, MODEL_HEADERS, Pace } from "./endless_replies.ts";
+import {
+  HOST_MEMORY_BYTES,
+  type LimitedHostOptions,
+  Path,
+  withLimitedHost,
+} from "./limited_host.ts";
+import { sleep } from "./sleep.ts";
+
+const RUN_MS = 4000;
+const MANY = 100;
+const CHUNKED = ["Transfer-Encoding: chunked"];
+/** The body takes a sixth of the bytes, and each part of it an object. */
+const SMALL_CHUNKS = {
+  place: "body",
+  headers: CHUNKED,
+  piece: "1\r\nx\r\n",
+} as const;
+
+/** Requests whose responses have no end. */
+type EndlessCase = LimitedHostOptions & FaultyCalls;
+
+/** Fails unless the host runs on within its memory and serves others. */
+async function checkHost(
+  { endless, isEngine, ...calls }: EndlessCase,
+): Promise<void> {
+  const options = { endless, ...(isEngine === undefined ? {} : { isEngine }) };
+  const figures = await withLimitedHost(options, async ({ callFaulty }) => {
+    callFaulty(calls);
+    await sleep(RUN_MS);
+  });
+  const { exit, peakBytes, sound: { sent, statuses, slowestMs } } = figures;
+  const served = statuses.filter((status) => status === 200);
+  console.log(
+    `Peak ${Math.round(peakBytes / 1e6)} MB; others: ${served.length} of ` +
+      `${sent} served, the slowest in ${Math.round(slowestMs)} ms`,
+  );
+  assert.equal(exit, undefined);
+  assert.ok(peakBytes < HOST_MEMORY_BYTES, `Peak ${peakBytes} bytes`);
+  assert.deepEqual(statuses, served);
+}
+
+const SMALL_CHUNK_CASES: Readonly<Record<string, EndlessCase>> = {
+  "a response that is buffered": {
+    endless: SMALL_CHUNKS,
+    path: Path.safe,
+    count: 1,
+    pace: Pace.full,
+  },
+  "a stream that can be resumed": {
+    endless: SMALL_CHUNKS,
+    path: Path.resumable,
+    count: 1,
+    pace: Pace.full,
+  },
+  "streams that callers read": {
+    endless: SMALL_CHUNKS,
+    path: Path.stream,
+    count: MANY,
+    pace: Pace.full,
+  },
+  "streams that callers don't read": {
+    endless: SMALL_CHUNKS,
+    path: Path.stream,
+    count: MANY,
+    pace: Pace.none,
+  },
+  "events of one byte": {
+    endless: { ...SMALL_CHUNKS, piece: "1\r\n\n\r\n" },
+    path: Path.resumable,
+    count: MANY,
+    pace: Pace.none,
+  },
+  "prefills": {
+    endless: { ...SMALL_CHUNKS, place: "prefill" },
+    isEngine: true,
+    path: Path.engine,
+    count: MANY,
+    pace: Pace.full,
+    headers: MODEL_HEADERS,
+  },
+};
+
+for (const [what, one] of Object.entries(SMALL_CHUNK_CASES)) {
+  const name = `no host ends by small chunks without end: ${what}`;
+  test(name, knownRed(name), async () => {
+    await checkHost(one);
+  });
+}
