Tests: streams go on at a replica that has started again at its address

Red: a replica that starts again under its id and at its address accepts streams of its last start until its entry is read.

--- a/test/gateway/dialect.ts
+++ b/test/gateway/dialect.ts
@@ -5,7 +5,9 @@
   type CallMetadata,
   CallMode,
   type Dialect,
+  type EngineReport,
   type LimitHeader,
+  ReplicaStage,
   withoutHeaders,
 } from "../../src/gateway/mod.ts";
 import { readJson } from "../../src/util/read_json.ts";
@@ -62,7 +64,7 @@
   dropReservation: (id) => ({ method: "DELETE", path: `/reserve/${id}` }),
   dropExport: (id) => ({ method: "DELETE", path: `/export/${id}` }),
   report: { method: "GET", path: "/report" },
-  readReport: () => undefined,
+  readReport,
   orderStage: (order) => ({
     method: "POST",
     path: "/order",
@@ -75,6 +77,13 @@
   retryAfterHeader: "retry-after",
 };
 
+function readReport(body: string): EngineReport | undefined {
+  const born = /"born":(\d+)/.exec(body)?.[1];
+  if (born === undefined) return undefined;
+  const stage = ReplicaStage.decode;
+  return { born: Number(born), stage, orderCount: 0, isChanging: false };
+}
+
 /** The header holds milliseconds. */
 function backoffOf(value: string | string[] | undefined): BackoffHeader {
   if (value === undefined) return { type: "none" };
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -17,6 +17,7 @@
 } from "../../src/gateway/mod.ts";
 import type { HostEntry } from "../../src/gateway/port.ts";
 import { Metrics } from "../../src/gateway/observe/metrics.ts";
+import { incarnationOf } from "../../src/gateway/replicas/model.ts";
 import { ReplicaTable } from "../../src/gateway/replicas/replica_table.ts";
 import { PlannerClient } from "../../src/gateway/planning/planner_client.ts";
 import { PlanService } from "../../src/gateway/planning/plan_service.ts";
@@ -48,6 +49,8 @@
   readonly answer: RawAnswer;
   readonly stage?: ReplicaStage;
   readonly softwareVersion?: string;
+  /** Its start, as in its entry. */
+  readonly born?: number;
 };
 
 /** Options of {@link startRig}. */
@@ -191,10 +194,12 @@
   options: RigOptions,
   index: number,
 ): ReplicaEntry {
-  const { stage, softwareVersion } = options.replicas[index] ?? {};
+  const { stage, softwareVersion, born } = options.replicas[index] ?? {};
+  const id = `r${index}`;
   return {
-    id: `r${index}`,
-    incarnation: `r${index}`,
+    id,
+    incarnation: incarnationOf(id, born),
+    ...(born === undefined ? {} : { born }),
     service: "service",
     address: replica.address,
     hall: "hall",
