A bound stream goes on only at the listed start of its replica

Callers got streams of two software versions: a replica that starts again under its id and at its address accepts what is sent to its last start until its entry is read, and a stream bound to the old version was forwarded from the new process.

Cause: a send names only the id of a replica. What tells its starts apart is `born`, which the entry and the report of a model engine name; responses to requests don't.

Events of a bound stream are now held until the replica has reported the start that is listed. The report is asked for after the head of the response has arrived, over a connection of its own: an address belongs to one process at a time, so a process that reports the listed start then sent the response, too. Another start, or silence for half of the time for which callers wait, withholds the response, excludes the replica and sends the stream elsewhere. A replica that reports no start is trusted as before, and so is one of a service without a model, which nobody can ask. New streams cost nothing.

--- a/src/gateway/observe/request_events.ts
+++ b/src/gateway/observe/request_events.ts
@@ -58,6 +58,11 @@
     "The software version that began a resumed stream was found",
     REQUESTS_PER_SECOND,
   ),
+  continuationWithheld: warn(
+    "streams",
+    "A replica that has perhaps started again does not continue a stream",
+    FAILURES_PER_SECOND,
+  ),
   resumed: warn(
     "retry",
     "A stream is resumed at another replica",
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -104,11 +104,14 @@
 
   /**
    * Records that the replica's response was interrupted. A model engine is not
-   * excluded the first time: it caches the prompt, and often only the
-   * connection was lost.
+   * excluded the first time, unless it has started again: it caches the prompt,
+   * and often only the connection was lost.
    */
-  noteInterrupted({ incarnation, stage }: ReplicaEntry): void {
-    const hasPromptCached = stage !== undefined &&
+  noteInterrupted(
+    { incarnation, stage }: ReplicaEntry,
+    isOutdated: boolean,
+  ): void {
+    const hasPromptCached = stage !== undefined && !isOutdated &&
       !this.#interrupted.has(incarnation);
     if (!hasPromptCached) this.exclude(incarnation);
     this.#interrupted.add(incarnation);
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -20,7 +20,7 @@
 import { type Failure, failureOf, ReplyWriter } from "./reply_writer.ts";
 import type { Placement } from "./placement.ts";
 import type { EventPosition } from "./relay.ts";
-import type { RelayOutcome } from "./relay_outcome.ts";
+import { type RelayOutcome, UNFORWARDED_REASONS } from "./relay_outcome.ts";
 import { relayToCaller } from "./relay_to_caller.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal } from "./request_journal.ts";
@@ -32,11 +32,6 @@
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
 import { AbortReason, type Sending, type SendResult } from "./sender.ts";
 
-const UNFORWARDED_REASONS = {
-  unread: "The caller did not read the answer",
-  withheld: "Other hosts have a record of another version",
-} as const;
-
 /** Options of {@link Exchange}. */
 export type ExchangeOptions = {
   readonly context: GatewayContext;
@@ -241,15 +236,21 @@
     const result = { placed, status, outcome, isByReplica };
     reportOutcome({ ...this.#state, ...this.#lane }, result);
     if (this.#ended) return;
+    const isOutdated = this.#binding.isOutdated(placed.replica.entry);
+    if (outcome === "interrupted" || isOutdated) {
+      return this.#handleInterrupted(placed);
+    }
+    if (outcome === "unread") this.#context.metrics.count("answers_unread");
     if (outcome === "unread" || outcome === "withheld") {
-      return this.#endUnforwarded(outcome);
+      return this.#failUnknown(UNFORWARDED_REASONS[outcome]);
     }
-    if (outcome === "interrupted") return this.#handleInterrupted(placed);
     this.#journal.answered(status, outcome);
     this.#end();
   }
 
   #relay(placed: Placement, answer: Answer): Promise<RelayOutcome> {
+    const { entry } = placed.replica;
+    const mayForward = this.#binding.mayForward(entry);
     return relayToCaller(this.#context, this.#request, {
       answer,
       startedAt: this.#context.clock.now(),
@@ -257,8 +258,8 @@
       writer: this.#writer,
       journal: this.#journal,
       position: this.#position,
-      entry: placed.replica.entry,
-      mayForward: this.#binding.mayBegin.then((may) => may && !this.#ended),
+      entry,
+      mayForward: mayForward.then((may) => may && !this.#ended),
       abandonStalled: () => this.#abandonStalled(placed),
       onFirstEvent: () => this.#binding.noteForwarded(),
       observer: this.#lane.meter.observer(),
@@ -281,7 +282,8 @@
 
   #handleInterrupted(placed: Placement): void {
     placed.replica.noteFailure(this.#context.clock.now(), false);
-    this.#attempts.noteInterrupted(placed.replica.entry);
+    const { entry } = placed.replica;
+    this.#attempts.noteInterrupted(entry, this.#binding.isOutdated(entry));
     const reason = "The answer was cut off";
     const hasRetry = this.#retryAcquired ||
       (this.#mayContinue && this.#attempts.repeatable &&
@@ -292,12 +294,6 @@
     this.#journal.resumed(placed, this.#position);
   }
 
-  /** Ends a response that its caller does not receive, or not to its end. */
-  #endUnforwarded(outcome: keyof typeof UNFORWARDED_REASONS): void {
-    if (outcome === "unread") this.#context.metrics.count("answers_unread");
-    this.#failUnknown(UNFORWARDED_REASONS[outcome]);
-  }
-
   #failUnknown(reason: string): void {
     this.#fail(GatewayError.outcomeUnknown, { reason });
   }
--- a/src/gateway/requests/stream_binding.ts
+++ b/src/gateway/requests/stream_binding.ts
@@ -3,7 +3,6 @@
  * another version can't continue it, and accept it all the same.
  */
 import type { Milliseconds } from "../../util/units.ts";
-import type { GatewayContext } from "../context.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import {
   hasRequiredVersion,
@@ -12,11 +11,18 @@
 import { isRepeatable, RouteKind } from "../routing/model.ts";
 import type { StreamVersions } from "../streams/stream_versions.ts";
 import type { StreamKey } from "../streams/model.ts";
+import { findStart, type StartCheckContext } from "../upstreams/start_check.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** How long after the deadline of a request its caller may resume its stream. */
 const RETURN_MARGIN_MS: Milliseconds = 30_000;
 
+/**
+ * Share of the time for which a caller waits for an event that is spent on a
+ * silent replica; the rest is for another one.
+ */
+const START_CHECK_SHARE = 0.5;
+
 /** Records which software version began a stream, and finds it again. */
 export type StreamVersionSource = Pick<
   StreamVersions,
@@ -24,7 +30,7 @@
 >;
 
 /** What a {@link StreamBinding} depends on. */
-export type BindingContext = Pick<GatewayContext, "clock"> & {
+export type BindingContext = StartCheckContext & {
   readonly streams: StreamVersionSource;
 };
 
@@ -37,7 +43,14 @@
   #requiredVersion: RequiredVersion | undefined;
   /** The stream as it was recorded at its last send; undefined: it was not. */
   #recorded: StreamKey | undefined;
+  /**
+   * Resolves when the last send is recorded at another host. A stream that its
+   * caller received earlier could not be resumed if this host ended. False: other
+   * hosts would resume it at another version.
+   */
   #mayBegin: Promise<boolean> = Promise.resolve(true);
+  /** Incarnations that don't run as they are listed, as far as is known. */
+  readonly #outdated = new Set<string>();
 
   constructor(
     context: BindingContext,
@@ -85,12 +98,42 @@
   }
 
   /**
-   * Resolves when the last send is recorded at another host. A stream that its
-   * caller received earlier could not be resumed if this host ended. False: other
-   * hosts would resume it at another version, so its caller must not receive it.
+   * Whether the caller may receive the response that the replica is sending.
+   * False: other hosts would resume the stream at another version, or the replica
+   * has perhaps started again since its entry was written, with another version.
    */
-  get mayBegin(): Promise<boolean> {
-    return this.#mayBegin;
+  async mayForward(entry: ReplicaEntry): Promise<boolean> {
+    const [isRecorded, mayGoOn] = await Promise.all([
+      this.#mayBegin,
+      this.#mayGoOnAt(entry),
+    ]);
+    return isRecorded && mayGoOn;
+  }
+
+  /**
+   * Whether a response continues the stream. A bound stream waits until the replica
+   * has confirmed its start.
+   */
+  async #mayGoOnAt(entry: ReplicaEntry): Promise<boolean> {
+    if (!this.#requiredVersion) return true;
+    const { route, facts } = this.#request;
+    const timeoutMs = START_CHECK_SHARE * route.silenceMs;
+    const start = await findStart(this.#context, entry, timeoutMs);
+    if (start === "listed" || start === "untold") return true;
+    const { incarnation } = entry;
+    this.#outdated.add(incarnation);
+    this.#context.metrics.count(`continuations_withheld_${start}`);
+    this.#context.events.note("continuationWithheld", {
+      request: facts.id,
+      replica: incarnation,
+      start,
+    });
+    return false;
+  }
+
+  /** Whether the replica, as listed, has been found not to run. */
+  isOutdated({ incarnation }: ReplicaEntry): boolean {
+    return this.#outdated.has(incarnation);
   }
 
   /** Clients choose the ids, so those of different customers are kept apart. */
--- a/test/gateway/requests/outdated_entry_test.ts
+++ b/test/gateway/requests/outdated_entry_test.ts
@@ -6,7 +6,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ReplicaStage } from "../../../src/gateway/mod.ts";
-import { knownRed } from "../../known_red.ts";
 import { completeResponse, type RawAnswer } from "../raw_replica.ts";
 import { ENGINE, type RigReplica, withRig } from "../rig.ts";
 import {
@@ -63,9 +62,7 @@
   interruptedAfter(OTHER_VERSION)(request, socket);
 };
 
-const RESUMED_ELSEWHERE =
-  "a resumed stream doesn't go on at a later start of its replica than the listed one";
-test(RESUMED_ELSEWHERE, knownRed(RESUMED_ELSEWHERE), async () => {
+test("a resumed stream doesn't go on at a later start of its replica than the listed one", async () => {
   const replicas = [
     startedAt(LATER_START, otherVersion),
     startedAt(LISTED_START, continues),
@@ -77,9 +74,7 @@
   });
 });
 
-const ONLY_REPLICA =
-  "a resumed stream brings no event while its only replica has started again";
-test(ONLY_REPLICA, knownRed(ONLY_REPLICA), async () => {
+test("a resumed stream brings no event while its only replica has started again", async () => {
   const replicas = [startedAt(LATER_START, continues)];
   await withRig(resuming(replicas), async (rig) => {
     const { status, body } = await rig.call({ headers: RESUMED });
@@ -88,9 +83,7 @@
   });
 });
 
-const WITHIN_A_RESPONSE =
-  "an interrupted stream doesn't go on at a later start of its replica";
-test(WITHIN_A_RESPONSE, knownRed(WITHIN_A_RESPONSE), async () => {
+test("an interrupted stream doesn't go on at a later start of its replica", async () => {
   const replicas = [startedAt(LATER_START, otherVersion)];
   const options = { route: ROUTE, engine: ENGINE, replicas };
   await withRig(options, async (rig) => {
--- a/test/soak/order_hunt_test.ts
+++ b/test/soak/order_hunt_test.ts
@@ -37,9 +37,7 @@
   });
 });
 
-const RESTARTED_IN_PLACE =
-  "streams don't go on at replicas that have restarted at their addresses at another version";
-test(RESTARTED_IN_PLACE, knownRed(RESTARTED_IN_PLACE), async () => {
+test("streams don't go on at replicas that have restarted at their addresses at another version", async () => {
   await assertInOrder(212, {
     change: "replicas restart at their addresses at another version",
     disruption: "one is killed",
