Soak: disrupted starts and stops of hosts, bytes without end

Processes at the users' ended by themselves; the soak never disturbed a start. Drawn from a generator of its own (--lifecycle all, only, none), so the other faults of a seed stay as they were (draw_lifecycle_test):

- SIGHUP 0 to 400 ms after a start, in series, several hosts at once; SIGTERM during a start; a start while the predecessor drains
- a port of the host that something else holds from before its start until 0.8 to 2 s after the program's first line
- a settings file cut short or missing, while a host starts or runs
- planned stops in series with busy callers and late bodies
- replicas that send bytes without end

--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -9,7 +9,7 @@
 import type { CutResponse } from "../platform/response_standin.ts";
 import { CallKind, type CallResult } from "./call.ts";
 import { checkCrashingParts } from "./crashing_parts.ts";
-import type { HostFaultInterval } from "./host_faults.ts";
+import type { HostFaultInterval, PlayedFault } from "./host_faults.ts";
 import { findUnresumedStreams, type ServingSample } from "./resumed_streams.ts";
 import { findMixedStreams } from "./resumptions.ts";
 import { findHeldRequests } from "./held_requests.ts";
@@ -20,7 +20,15 @@
 import { findUnservedCuts, type PathCutInterval } from "./path_faults.ts";
 import type { LimitInterval } from "./replica_limits.ts";
 import { ROUTE_TIMEOUT_MS } from "./world_config.ts";
-import type { Exit } from "./gateway_process.ts";
+import {
+  findMemoryExcess,
+  findOwnEnds,
+  findUnansweredAtStops,
+  findUnexpectedErrors,
+  type HostExit,
+} from "./own_ends.ts";
+import type { HostMemory } from "./peak_memory.ts";
+import type { StopCall } from "./stop_callers.ts";
 
 /** Everything that was recorded in one run. */
 export type Observations = {
@@ -29,7 +37,14 @@
   readonly faults: readonly ReplicaFault[];
   /** Responses that replicas cut. */
   readonly cuts: readonly CutResponse[];
-  readonly exits: readonly (Exit & { readonly host: string })[];
+  readonly exits: readonly HostExit[];
+  /** Empty if hosts have no memory limit that is checked. */
+  readonly memory: readonly HostMemory[];
+  /** The lines that each host has logged. */
+  readonly logs: ReadonlyMap<string, readonly string[]>;
+  /** Requests to hosts that were being stopped. */
+  readonly stopCalls: readonly StopCall[];
+  readonly played: readonly PlayedFault[];
   /** Route versions that each start of each host reported, in order. */
   readonly versions: ReadonlyMap<string, readonly number[]>;
   /** The time after which each drained replica must get no new requests. */
@@ -72,6 +87,9 @@
   checkDraining,
   checkVersions,
   checkExits,
+  checkUnexpectedErrors,
+  checkMemory,
+  checkStops,
   checkRecovery,
   checkPlannedStops,
   checkCrashes,
@@ -177,10 +195,29 @@
 
 /** No process exits unless the test stops it. */
 function checkExits({ exits }: Observations): Violation[] {
-  return exits.filter((exit) => !exit.isRequested).map((exit) => ({
-    rule: "processes do not exit unless stopped",
-    detail: `${exit.host}: code ${exit.code}, signal ${exit.signal}`,
-  }));
+  const rule = "processes do not exit unless stopped";
+  return findOwnEnds(exits).map((detail) => ({ rule, detail }));
+}
+
+/** No error in a host is left without handling. */
+function checkUnexpectedErrors({ logs }: Observations): Violation[] {
+  const rule = "hosts handle all errors";
+  return findUnexpectedErrors(logs).map((detail) => ({ rule, detail }));
+}
+
+/** Hosts stay within their memory limit. */
+function checkMemory({ memory }: Observations): Violation[] {
+  const rule = "hosts stay within their memory";
+  return findMemoryExcess(memory).map((detail) => ({ rule, detail }));
+}
+
+/** A stopping host answers what it has read. */
+function checkStops(
+  { stopCalls, played, arrivals }: Observations,
+): Violation[] {
+  const rule = "stopping hosts answer what they have read";
+  return findUnansweredAtStops(stopCalls, { played, arrivals })
+    .map((detail) => ({ rule, detail }));
 }
 
 /**
--- a/test/soak/draw_faults.ts
+++ b/test/soak/draw_faults.ts
@@ -16,8 +16,10 @@
   readonly hasOutOfStepHosts?: boolean;
   /** Another writer's odd rows appear while a software version joins. */
   readonly hasOddRows?: boolean;
-  /** Leaves out all other faults. */
-  readonly isOutOfStepOnly?: boolean;
+  /** Disruptions around starts and stops, and bytes without end. */
+  readonly hasLifecycleFaults?: boolean;
+  /** Leaves out all faults but these. */
+  readonly only?: "outOfStep" | "lifecycle" | undefined;
 };
 
 /** The shortest duration of a fault. */
--- a/test/soak/fault_kinds.ts
+++ b/test/soak/fault_kinds.ts
@@ -52,6 +52,14 @@
   oddRow: "another writer's row that no replica would write",
   hostCutOff: "host cut off from the other hosts",
   hostIsolated: "host cut off from the other hosts and the store",
+  reloadsDuringStarts: "host started in series, reloaded during each start",
+  stopDuringStart: "host stopped during its start",
+  startBeforeEnd: "host started while its predecessor drains",
+  portTaken: "port of a host is taken while it starts",
+  settingsTornAtStart: "settings of a host are torn while it starts",
+  settingsTorn: "settings of a host are torn while it runs",
+  stopUnderLoad: "busy host stopped",
+  endlessBytes: "replica sends bytes without end",
 } as const;
 /** One of the values of {@link FaultKind}. */
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
@@ -64,3 +72,6 @@
   /** Selects the target: the index modulo the number of candidates. */
   readonly target: number;
 };
+
+/** Ends a fault. */
+export type Undo = () => void | Promise<void>;
--- a/test/soak/fault_proxy.ts
+++ b/test/soak/fault_proxy.ts
@@ -3,6 +3,7 @@
 import { parseAddress } from "../../src/util/address.ts";
 import { resetSocket } from "../../src/util/reset_socket.ts";
 import { LOOPBACK } from "../loopback.ts";
+import { type EndlessText, sendEndless } from "./endless_bytes.ts";
 
 /** The direction in which bytes are dropped. */
 export const BlockedDirection = {
@@ -24,6 +25,8 @@
   delayMs: number;
   /** New connections are closed at once. */
   refusesConnections: boolean;
+  /** Sent without end to callers that send anything; undefined: nothing. */
+  endless: EndlessText | undefined;
   /** Resets the open connections for which `isChosen` returns true. */
   reset(isChosen: () => boolean): void;
   /** Ends all faults, and resets all connections if bytes were dropped. */
@@ -51,12 +54,14 @@
     pairs.add(pair);
     const isBlocked = (direction: BlockedDirection) =>
       proxy.blocked === BlockedDirection.both || proxy.blocked === direction;
+    let hasFlood = false;
+    const isFlooded = () => hasFlood || proxy.endless !== undefined;
     forwardBytes(
       caller,
       upstream,
       proxy,
       {
-        isBlocked: () => isBlocked(BlockedDirection.toTarget),
+        isBlocked: () => isBlocked(BlockedDirection.toTarget) || isFlooded(),
         onReset: () => resetPair(pair),
       },
     );
@@ -65,10 +70,15 @@
       caller,
       proxy,
       {
-        isBlocked: () => isBlocked(BlockedDirection.toCaller),
+        isBlocked: () => isBlocked(BlockedDirection.toCaller) || isFlooded(),
         onReset: () => resetPair(pair),
       },
     );
+    caller.on("data", () => {
+      if (hasFlood || !proxy.endless) return;
+      hasFlood = true;
+      sendEndless(caller, proxy.endless);
+    });
     for (const socket of [caller, upstream]) {
       sockets.add(socket);
       socket.setNoDelay(true);
@@ -90,14 +100,17 @@
     blocked: BlockedDirection.none,
     delayMs: 0,
     refusesConnections: false,
+    endless: undefined,
     reset: (isChosen) => {
       for (const pair of [...pairs]) if (isChosen()) resetPair(pair);
     },
     clearFaults: () => {
-      const lostBytes = proxy.blocked !== BlockedDirection.none;
+      const lostBytes = proxy.blocked !== BlockedDirection.none ||
+        proxy.endless !== undefined;
       proxy.blocked = BlockedDirection.none;
       proxy.delayMs = 0;
       proxy.refusesConnections = false;
+      proxy.endless = undefined;
       if (lostBytes) proxy.reset(() => true);
     },
     stop: () => {
--- a/test/soak/fault_proxy_test.ts
+++ b/test/soak/fault_proxy_test.ts
@@ -4,12 +4,15 @@
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { LOOPBACK } from "../loopback.ts";
+import { endlessText } from "./endless_bytes.ts";
 import {
   BlockedDirection,
   type FaultProxy,
   startFaultProxy,
 } from "./fault_proxy.ts";
 
+const FLOOD_BYTES = 1_000_000;
+
 async function withEcho(
   work: (proxy: FaultProxy, caller: Socket) => Promise<void>,
 ): Promise<void> {
@@ -57,3 +60,18 @@
     assert.equal(caller.bytesRead, 1);
   });
 });
+
+test("a flooded proxy sends bytes until the connection is closed", async () => {
+  await withEcho(async (proxy, caller) => {
+    proxy.endless = endlessText(0);
+    let received = 0;
+    const isFlooded = new Promise<void>((resolve) => {
+      caller.on("data", (bytes) => {
+        received += bytes.length;
+        if (received > FLOOD_BYTES) resolve();
+      });
+    });
+    caller.write("request");
+    await isFlooded;
+  });
+});
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -5,6 +5,7 @@
 import { type CallerHost, runCaller } from "./callers.ts";
 import { type FaultProxy, startFaultProxy } from "./fault_proxy.ts";
 import { GatewayProcess } from "./gateway_process.ts";
+import type { HostMemory } from "./peak_memory.ts";
 import { ProcessorLimit } from "./processor_limit.ts";
 import { rendezvous } from "../../src/util/rendezvous.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
@@ -17,6 +18,7 @@
   readonly callers: string;
   readonly readiness: string;
   readonly metrics: string;
+  readonly peers: string;
   /** From this host to the store. */
   readonly storeProxy: FaultProxy;
   /** From other hosts to this one. */
@@ -37,6 +39,8 @@
     readonly storeAddress: string;
     /** Switches on all optional decisions under load. */
     readonly isScheduled?: boolean;
+    /** The memory limit of each host. */
+    readonly memoryMb?: number | undefined;
   },
 ): Promise<FleetHost[]> {
   const endpoints = await Promise.all(
@@ -47,19 +51,19 @@
     const name = `host-${at + 1}`;
     const hall = HALLS[at % HALLS.length] ?? HALLS[0];
     const settings = settingsText(hostEndpoints, { name, hall, seeds }) +
+      memorySettings(options) +
       (options.isScheduled ? SCHEDULING_SETTINGS : "");
     const process = new GatewayProcess({
       name,
       folder: options.folder,
       settings,
+      ...(options.memoryMb !== undefined && { maxHeapMb: MAX_HEAP_MB }),
     });
     return { ...hostEndpoints, process, failedChecks: FAILED_CHECKS_LIMIT };
   });
 }
 
-type HostEndpoints = Omit<FleetHost, "process" | "failedChecks"> & {
-  readonly peers: string;
-};
+type HostEndpoints = Omit<FleetHost, "process" | "failedChecks">;
 
 async function createEndpoints(storeAddress: string): Promise<HostEndpoints> {
   const [callers, readiness, metrics, peers] = await Promise.all([
@@ -80,9 +84,6 @@
 
 /** Switches on all optional decisions under load. */
 const SCHEDULING_SETTINGS = `
-[memory]
-process = "96MB"
-unread_timeout = "1s"
 [scheduling]
 replica_rates = true
 measured_split = true
@@ -91,6 +92,26 @@
 customer_shares = true
 `;
 
+/** So little that callers' bytes fill it. */
+const SCARCE_MEMORY_MB = 96;
+/** As in deploy/system.toml. */
+const MAX_HEAP_MB = 90;
+
+function memorySettings(
+  { isScheduled = false, memoryMb }: {
+    readonly isScheduled?: boolean;
+    readonly memoryMb?: number | undefined;
+  },
+): string {
+  const processMb = memoryMb ?? (isScheduled ? SCARCE_MEMORY_MB : undefined);
+  if (processMb === undefined) return "";
+  return `
+[memory]
+process = "${processMb}MB"
+${isScheduled ? 'unread_timeout = "1s"' : ""}
+`;
+}
+
 /** The host that a fault affects. */
 export function targetHost(
   hosts: readonly FleetHost[],
@@ -179,6 +200,19 @@
   }));
 }
 
+/** The memory that hosts have used at most; empty without a limit. */
+export function memoryOf(
+  hosts: readonly FleetHost[],
+  limitMb: number | undefined,
+): HostMemory[] {
+  if (limitMb === undefined) return [];
+  return hosts.map(({ process: { name: host, peakMemoryMb: peakMb } }) => ({
+    host,
+    peakMb,
+    limitMb,
+  }));
+}
+
 /** Limits the processor time of all hosts to a share of a core each. */
 export function limitHosts(
   hosts: readonly FleetHost[],
--- a/test/soak/gateway_main.ts
+++ b/test/soak/gateway_main.ts
@@ -2,6 +2,7 @@
  * Entry point of a gateway whose paths to replicas and other hosts the soak can
  * cut, and whose machine it can let sleep, with messages over the IPC channel.
  */
+import "./first_line.ts";
 import { deferReloads } from "../../src/gateway/early_reload.ts";
 import { type HostMessage, sleepMachine } from "./machine_sleep.ts";
 
--- a/test/soak/host_faults.ts
+++ b/test/soak/host_faults.ts
@@ -1,4 +1,5 @@
 /** Which hosts were affected by faults, and when. */
+import { LIFECYCLE_HOST_KINDS } from "./draw_lifecycle.ts";
 import { OUT_OF_STEP_KINDS } from "./draw_out_of_step.ts";
 import { type Fault, FaultKind } from "./fault_kinds.ts";
 import { type FleetHost, targetHost } from "./fleet.ts";
@@ -26,6 +27,7 @@
   FaultKind.pause,
   FaultKind.machineSleep,
   FaultKind.plannerKill,
+  ...LIFECYCLE_HOST_KINDS,
 ];
 /** Faults of a host's process or its network paths. */
 export const HOST_FAULTS: readonly FaultKind[] = [
--- a/test/soak/inject_fault.ts
+++ b/test/soak/inject_fault.ts
@@ -4,39 +4,34 @@
 import { BACKOFF_TEXTS, LIMIT_TEXTS } from "./fault_values.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import { BlockedDirection } from "./fault_proxy.ts";
+import { injectLifecycleFault } from "./lifecycle_faults.ts";
 import { writeOddRow } from "./odd_rows.ts";
 import {
   block,
   cutOff,
   cutPaths,
+  flood,
   injectPathFault,
   isolate,
   resetAll,
   silence,
   slow,
 } from "./path_faults.ts";
-import { type Fault, FaultKind } from "./fault_kinds.ts";
-import { StoreMode } from "../platform/store_standin.ts";
+import { type Fault, FaultKind, type Undo } from "./fault_kinds.ts";
+import { injectStoreFault, restoreStore } from "./store_faults.ts";
 import { changeVersion, release } from "./releases.ts";
 import { sleep } from "./sleep.ts";
+import type { StopCall } from "./stop_callers.ts";
 import type { World, WorldReplica } from "./world.ts";
 
 /** The targets of faults. */
 export type FaultTargets = {
   readonly world: World;
   readonly hosts: readonly FleetHost[];
+  /** Requests to hosts that are being stopped. */
+  readonly stopCalls: StopCall[];
 };
 
-const STORE_SLOW_MS = 500;
-/**
- * The delay after which replicas write their entries to a store that is
- * available again.
- */
-const RELIST_DELAY_MS = 1200;
-/** More than the writes of a run. */
-const LOST_WRITES = 1000;
-/** How long a store is unavailable before it is restored from a copy. */
-const OUTAGE_MS = 700;
 /** In one of this many backoffs a replica accepts every other request. */
 const PARTIAL_ONE_IN = 3;
 const RESTART_DELAY_MS = 400;
@@ -53,8 +48,6 @@
   await undo();
 }
 
-type Undo = () => void | Promise<void>;
-
 const NO_UNDO: Undo = () => undefined;
 
 function startFault(targets: FaultTargets, fault: Fault): Undo | Promise<Undo> {
@@ -69,6 +62,16 @@
     case FaultKind.pause:
     case FaultKind.reload:
       return injectProcessFault(host, fault.kind);
+    case FaultKind.reloadsDuringStarts:
+    case FaultKind.stopDuringStart:
+    case FaultKind.startBeforeEnd:
+    case FaultKind.portTaken:
+    case FaultKind.settingsTornAtStart:
+    case FaultKind.settingsTorn:
+    case FaultKind.stopUnderLoad:
+      return injectLifecycleFault(host, fault, targets.stopCalls);
+    case FaultKind.endlessBytes:
+      return flood(world, replica, fault);
     case FaultKind.hotHost:
       return concentrateConnections(world, host, fault);
     case FaultKind.machineSleep:
@@ -201,71 +204,6 @@
   };
 }
 
-function injectStoreFault(world: World, kind: FaultKind): Undo {
-  const { store } = world;
-  const recover = () => {
-    store.mode = StoreMode.up;
-    store.delayMs = 0;
-  };
-  switch (kind) {
-    case FaultKind.storeDown:
-      store.mode = StoreMode.down;
-      return recover;
-    case FaultKind.storeSilent:
-      store.mode = StoreMode.unresponsive;
-      return recover;
-    case FaultKind.storeLosesResponses:
-      store.mode = StoreMode.responseLost;
-      return recover;
-    case FaultKind.storeSlow:
-      store.delayMs = STORE_SLOW_MS;
-      return recover;
-    case FaultKind.storeLosesHistory:
-      store.loseHistory();
-      return NO_UNDO;
-    default:
-      store.mode = StoreMode.down;
-      world.removeReadyEntries();
-      return async () => {
-        recover();
-        await sleep(RELIST_DELAY_MS);
-        for (const replica of world.readyReplicas()) world.putEntry(replica);
-      };
-  }
-}
-
-/**
- * Copies the store now and restores the copy when the fault ends. At that time
- * a replica starts to drain.
- */
-function restoreStore(
-  world: World,
-  fault: Fault,
-  { hasOutage }: { readonly hasOutage: boolean },
-): Undo {
-  const { store } = world;
-  const copy = store.copy();
-  // Otherwise the counter soon passes the position from before the restore.
-  if (hasOutage) store.advanceRevision(LOST_WRITES);
-  return async () => {
-    if (hasOutage) {
-      store.mode = StoreMode.down;
-      await sleep(OUTAGE_MS);
-      store.mode = StoreMode.up;
-    }
-    store.restore(copy);
-    const [draining] = world.readyReplicas().slice(
-      fault.target % world.readyReplicas().length,
-    );
-    if (draining) await world.drain(draining);
-    await sleep(RELIST_DELAY_MS);
-    world.rewriteRows();
-    // The run checks that all hosts still receive updates and apply this
-    // version.
-    world.changeConfig();
-  };
-}
-
 async function injectReplicaFault(
   world: World,
   replica: WorldReplica,
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -6,6 +6,8 @@
 import PQueue from "p-queue";
 import { makeCommand } from "../../src/programs/common/command.ts";
 import { REGRESSIONS } from "./regressions.ts";
+import type { ScheduleOptions } from "./draw_faults.ts";
+import { formatEarlyHangups } from "./own_ends.ts";
 import { type Outcome, runSoak } from "./run.ts";
 import { createSchedule } from "./schedule.ts";
 
@@ -19,6 +21,7 @@
   readonly regressions: boolean;
   readonly oddRows: boolean;
   readonly outOfStep: "all" | "only" | "none";
+  readonly lifecycle: "all" | "only" | "none";
 };
 
 const parseInteger = (text: string) => Number.parseInt(text, 10);
@@ -43,6 +46,10 @@
     new Option("--out-of-step <faults>", "hosts that are out of step")
       .choices(["all", "only", "none"]).default("all"),
   )
+  .addOption(
+    new Option("--lifecycle <faults>", "disrupted starts and stops of hosts")
+      .choices(["all", "only", "none"]).default("all"),
+  )
   .option("--no-odd-rows", "leave out odd rows among those of the replicas")
   .parse();
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
@@ -66,7 +73,8 @@
         hasSleeps: true,
         hasOddRows: flags.oddRows,
         hasOutOfStepHosts: flags.outOfStep !== "none",
-        isOutOfStepOnly: flags.outOfStep === "only",
+        hasLifecycleFaults: flags.lifecycle !== "none",
+        only: onlyFaults(flags),
       });
       const outcome = await runSoak(schedule);
       console.log(formatOutcome(outcome));
@@ -82,10 +90,20 @@
 );
 process.exit(failed.length > 0 ? 1 : 0);
 
+function onlyFaults({ lifecycle, outOfStep }: Flags): ScheduleOptions["only"] {
+  if (lifecycle === "only") return "lifecycle";
+  return outOfStep === "only" ? "outOfStep" : undefined;
+}
+
 function formatOutcome(outcome: Outcome): string {
   const { schedule, violations, requests, served, folder, delays } = outcome;
   const share = `${served}/${requests} served`;
-  const summary = `seed ${schedule.seed}: ${schedule.hosts} hosts, ${share}`;
+  const { earlyHangups } = outcome;
+  const hangups = earlyHangups > 0
+    ? `; ${formatEarlyHangups(earlyHangups)}`
+    : "";
+  const summary =
+    `seed ${schedule.seed}: ${schedule.hosts} hosts, ${share}${hangups}`;
   if (violations.length === 0) return summary;
   const faultTexts = schedule.faults.map((fault) =>
     `${fault.kind} ${fault.target} at ${fault.atMs} for ${fault.durationMs}`
--- a/test/soak/out_of_step_test.ts
+++ b/test/soak/out_of_step_test.ts
@@ -10,4 +10,4 @@
  */
 const SUSPENDED_SEED = 53;
 
-testSeeds([SUSPENDED_SEED], { isOutOfStepOnly: true });
+testSeeds([SUSPENDED_SEED], { only: "outOfStep" });
--- a/test/soak/path_faults.ts
+++ b/test/soak/path_faults.ts
@@ -1,6 +1,7 @@
 /** Faults of network paths, and what those to the replicas may cost. */
 import { parseAddress } from "../../src/util/address.ts";
 import type { CallResult } from "./call.ts";
+import { endlessText } from "./endless_bytes.ts";
 import { type FleetHost, targetHost } from "./fleet.ts";
 import { BlockedDirection, type FaultProxy } from "./fault_proxy.ts";
 import type { PlayedFault } from "./host_faults.ts";
@@ -43,6 +44,17 @@
   return () => undefined;
 }
 
+/** Sends bytes without end in the place of the replica's responses. */
+export function flood(
+  world: World,
+  { standin, proxy }: WorldReplica,
+  { target }: Fault,
+): () => void {
+  world.disruptedReplicas.add(standin.id);
+  proxy.endless = endlessText(target);
+  return () => proxy.clearFaults();
+}
+
 /** Disrupts the path from all hosts to a replica. */
 export function injectPathFault(
   world: World,
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -13,6 +13,7 @@
   createHosts,
   type FleetHost,
   isInRotation,
+  memoryOf,
   readRoutesVersion,
   stopHosts,
 } from "./fleet.ts";
@@ -25,6 +26,7 @@
   type PlayedFault,
   PROCESS_FAULTS,
 } from "./host_faults.ts";
+import { isEarlyHangup } from "./own_ends.ts";
 import type { Schedule } from "./schedule.ts";
 import { sendUnfinishedBodies } from "./unfinished_bodies.ts";
 import { injectFault } from "./inject_fault.ts";
@@ -33,6 +35,8 @@
 import { startCallers } from "./soak_callers.ts";
 import { StallMeter } from "./stall_meter.ts";
 import type { ServingSample } from "./resumed_streams.ts";
+import type { StopCall } from "./stop_callers.ts";
+import { withTimeout } from "./with_timeout.ts";
 import { World } from "./world.ts";
 
 /** The outcome of a run. */
@@ -47,6 +51,8 @@
   readonly folder: string;
   /** Delays of this process's event loop, which plays replicas and callers. */
   readonly delays: string;
+  /** Processes that SIGHUP ended before their program had begun. */
+  readonly earlyHangups: number;
 };
 
 const READINESS_INTERVAL_MS = 500;
@@ -79,6 +85,7 @@
     folder,
     storeAddress,
     isScheduled: load.isScheduled,
+    memoryMb: schedule.memoryMb,
   });
   const run = new Run(schedule, world, hosts);
   const stalls = new StallMeter();
@@ -88,7 +95,7 @@
       RUN_TIMEOUT_MS + schedule.settleMs,
     );
     const delays = stalls.end();
-    const outcome = { schedule, folder, delays };
+    const outcome = { schedule, folder, delays, earlyHangups: 0 };
     if (observations === undefined) {
       return {
         ...outcome,
@@ -104,23 +111,19 @@
       call.status === 200 && call.isComplete
     );
     const requests = calls.length;
-    return { ...outcome, violations, requests, served: served.length };
+    const earlyHangups = observations.exits.filter(isEarlyHangup).length;
+    return {
+      ...outcome,
+      violations,
+      requests,
+      served: served.length,
+      earlyHangups,
+    };
   } finally {
     await run.end();
   }
 }
 
-/** Resolves with undefined if the work takes longer than the timeout. */
-function withTimeout<Value>(
-  work: Promise<Value>,
-  timeoutMs: number,
-): Promise<Value | undefined> {
-  return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => resolve(undefined), timeoutMs);
-    work.finally(() => clearTimeout(timer)).then(resolve, reject);
-  });
-}
-
 class Run {
   readonly #schedule: Schedule;
   readonly #world: World;
@@ -128,6 +131,7 @@
   readonly #calls: CallResult[] = [];
   readonly #versions = new Map<string, number[]>();
   readonly #playedFaults: PlayedFault[] = [];
+  readonly #stopCalls: StopCall[] = [];
   readonly #servingSamples: ServingSample[] = [];
   #isStopped = false;
   #hasEnded = false;
@@ -176,7 +180,12 @@
   async #inject(fault: Fault): Promise<void> {
     await sleep(fault.atMs);
     const fromMs = performance.now();
-    await injectFault({ world: this.#world, hosts: this.#hosts }, fault);
+    const targets = {
+      world: this.#world,
+      hosts: this.#hosts,
+      stopCalls: this.#stopCalls,
+    };
+    await injectFault(targets, fault);
     this.#playedFaults.push({ fault, fromMs, toMs: performance.now() });
   }
 
@@ -217,6 +226,12 @@
       exits: this.#hosts.flatMap(({ process }) =>
         process.exits.map((exit) => ({ ...exit, host: process.name }))
       ),
+      memory: memoryOf(this.#hosts, this.#schedule.memoryMb),
+      logs: new Map(
+        this.#hosts.map(({ process }) => [process.name, process.logLines]),
+      ),
+      stopCalls: this.#stopCalls,
+      played: this.#playedFaults,
       versions: this.#versions,
       drainDeadlines: new Map([...drained].map((id) => [id, drainDeadlineMs])),
       runningRequests: this.#world.runningRequests(),
@@ -260,6 +275,13 @@
         await sleep(VERSION_INTERVAL_MS);
       }
     };
+    const pollMemory = async () => {
+      while (!this.#hasEnded) {
+        host.process.samplePeakMemory();
+        await sleep(SAMPLE_INTERVAL_MS);
+      }
+    };
+    if (this.#schedule.memoryMb !== undefined) void pollMemory();
     void pollReadiness();
     void pollVersion();
   }
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -14,7 +14,9 @@
   IN_STEP,
   OUT_OF_STEP_KINDS,
 } from "./draw_out_of_step.ts";
+import { drawLifecycle, LIFECYCLE_KINDS } from "./draw_lifecycle.ts";
 import { drawOddRows, ODD_ROW_KINDS } from "./odd_rows.ts";
+import { CUT_RESPONSE_KINDS, drawResponses } from "./draw_responses.ts";
 import { drawReleases, NO_RELEASES, RELEASE_KINDS } from "./draw_releases.ts";
 import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
@@ -37,6 +39,8 @@
   readonly hasPartCaller: boolean;
   /** What the hosts and callers are set up for. */
   readonly load: Load;
+  /** The memory limit of each host; absent: none is checked. */
+  readonly memoryMb?: number;
   readonly faults: readonly Fault[];
 };
 
@@ -101,14 +105,7 @@
   ...PATH_CUT_KINDS,
   FaultKind.replicaSilent,
 ];
-const CUT_RESPONSE_KINDS: readonly FaultKind[] = [
-  FaultKind.replicaCutsResponses,
-  FaultKind.replicaCutsResponses,
-  FaultKind.serviceCutsResponses,
-];
 const SLEEP_KINDS: readonly FaultKind[] = [FaultKind.machineSleep];
-/** Shares of responses that end with their connection, in percent. */
-const UNFRAMED_PERCENTS = [0, 10, 50, 100];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) =>
   ![
     ...LATER_KINDS,
@@ -123,6 +120,7 @@
     ...CROWD_KINDS,
     ...OUT_OF_STEP_KINDS,
     ...ODD_ROW_KINDS,
+    ...LIFECYCLE_KINDS,
   ].includes(kind)
 );
 /** Each `..._RANGE` is the exclusive upper bound of a draw from 0. */
@@ -132,7 +130,6 @@
 const NOTICE_RANGE = 8;
 const LOAD_RANGE = 5;
 const PATH_RANGE = 4;
-const CUT_RESPONSE_RANGE = 4;
 const SLEEP_RANGE = 3;
 const UNFINISHED_BODY_RANGE = 20;
 /** Offsets that separate these generators from those of the callers. */
@@ -142,7 +139,6 @@
 const NOTICE_SEED = 4_000_037;
 const LOAD_SEED = 5_000_011;
 const PATH_SEED = 6_000_011;
-const RESPONSE_SEED = 7_000_003;
 const SLEEP_SEED = 9_000_011;
 /** One run in this many keeps today's decisions under load switched off. */
 const UNSCHEDULED_ONE_IN = 3;
@@ -176,7 +172,11 @@
 /** Draws the schedule of a seed. */
 export function createSchedule(options: ScheduleOptions): Schedule {
   const first = drawFirstSchedule(options);
-  if (options.isOutOfStepOnly) {
+  if (options.only === "lifecycle") {
+    const lifecycle = drawLifecycle(options, first.hosts);
+    return { ...first, ...lifecycle, isPlannedOnly: false };
+  }
+  if (options.only === "outOfStep") {
     const outOfStep = drawOutOfStep(options, first.hosts);
     const faults = [...outOfStep.faults, ...drawOddRows(options)];
     return { ...first, ...outOfStep, faults, isPlannedOnly: false };
@@ -196,8 +196,10 @@
   const releases = drawReleases(options, first.hosts);
   const crowds = drawCrowds(options);
   const outOfStep = drawOutOfStep(options, first.hosts);
+  const lifecycle = drawLifecycle(options, first.hosts);
   return {
     ...first,
+    ...lifecycle,
     resumingCallers: Math.max(
       releases.resumingCallers,
       outOfStep.resumingCallers,
@@ -221,6 +223,7 @@
       ...crowds.faults,
       ...outOfStep.faults,
       ...drawOddRows(options),
+      ...lifecycle.faults,
     ],
   };
 }
@@ -251,21 +254,6 @@
   );
 }
 
-function drawResponses(options: ScheduleOptions): {
-  readonly framing: FramingLoad;
-  readonly faults: readonly Fault[];
-} {
-  const seed = options.seed + RESPONSE_SEED;
-  const random = mixedGenerator(seed);
-  const at = randomInt(random, UNFRAMED_PERCENTS.length);
-  const framing = { seed, unframedPercent: UNFRAMED_PERCENTS[at] ?? 0 };
-  const faults = drawFaults(random, options, {
-    kinds: CUT_RESPONSE_KINDS,
-    count: randomInt(random, CUT_RESPONSE_RANGE),
-  });
-  return { framing, faults };
-}
-
 function drawSleeps(options: ScheduleOptions): Fault[] {
   if (!options.hasSleeps) return [];
   const random = mixedGenerator(options.seed + SLEEP_SEED);
