A large chunk behind small ones is not lost while its caller reads slowly

What callers would have seen: a body without one of its chunks.

Cause: the result of passing on the small parts, which says whether there is room for more, also decided whether the large part was passed on.

Looked for the same cause elsewhere: no other write depends on the result of the one before.

--- a/src/gateway/upstreams/coalesce_body.ts
+++ b/src/gateway/upstreams/coalesce_body.ts
@@ -34,7 +34,10 @@
       process.nextTick(onReadEnd);
       return push(part);
     }
-    if (part.length >= MIN_PART_BYTES) return flush() && push(part);
+    if (part.length >= MIN_PART_BYTES) {
+      const hasRoom = flush();
+      return push(part) && hasRoom;
+    }
     parts.push(part);
     return true;
   };
