--- /dev/null
+++ b/test/soak/planned_stop_test.ts
@@ -0,0 +1,196 @@
+/**
+ * Callers of a host that stops, beside a host that goes on. Guards against
+ * requests that a stopping host sends to a replica although it exits before
+ * they are answered.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { knownRed } from "../known_red.ts";
+import { CallKind, type CallResult } from "./call.ts";
+import { callHost, type FleetHost } from "./fleet.ts";
+import { type LateRequest, type LateResult, sendLate } from "./late_request.ts";
+import { sleep } from "./sleep.ts";
+import { type TestFleet, withFleet } from "./test_fleet.ts";
+
+/** The grace period of the hosts; they end what is left 0.5 s before. */
+const GRACE_MS = 8000;
+/** Requests that are sent by then are served if there is time. */
+const SERVED_UNTIL_MS = 3000;
+/** Longer than the grace period, so that only the stop ends requests. */
+const ROUTE_TIMEOUT_MS = 12_000;
+/** Work of a plain replica without a slowdown. */
+const PLAIN_DURATION_MS = 30;
+const WARM_UP_CALLS = 12;
+const OPTIONS = { hosts: 2, routeTimeoutMs: ROUTE_TIMEOUT_MS };
+
+function slowDown({ world }: TestFleet, durationMs: number): void {
+  for (const { standin } of world.readyReplicas()) {
+    if (standin.role === "plain") {
+      standin.slowdown = durationMs / PLAIN_DURATION_MS;
+    }
+  }
+}
+
+/** Lets a host observe how long the calls of a kind take. */
+async function warmUp(host: FleetHost, kind: CallKind): Promise<void> {
+  await Promise.all(
+    Array.from(
+      { length: WARM_UP_CALLS },
+      (_, at) => callHost(host, { id: `warm-${kind}-${at}`, kind }),
+    ),
+  );
+}
+
+/** Sends late requests from the moment on at which a host is told to stop. */
+async function stopBeside(
+  { process, callers: address }: FleetHost,
+  requests: readonly Omit<LateRequest, "address">[],
+): Promise<LateResult[]> {
+  const [results] = await Promise.all([
+    Promise.all(requests.map((late) => sendLate({ ...late, address }))),
+    process.stop(),
+  ]);
+  assert.deepEqual(process.exits.at(-1)?.code, 0);
+  return results;
+}
+
+function unanswered(results: readonly LateResult[]): LateResult[] {
+  return results.filter(({ isComplete }) => !isComplete);
+}
+
+function statusesOf(
+  results: readonly Pick<LateResult, "id" | "status">[],
+): string {
+  return results.map(({ id, status }) => `${id}: ${status}`).join(", ");
+}
+
+const LATE_BODY =
+  "a request whose body ends late in a stop is served or refused as not run";
+// Whether there is time was decided by the head of the request.
+test(LATE_BODY, knownRed(LATE_BODY), async () => {
+  await withFleet(async (fleet) => {
+    const [host] = fleet.hosts;
+    assert.ok(host);
+    slowDown(fleet, 2200);
+    await warmUp(host, CallKind.unsafe);
+    const results = await stopBeside(
+      host,
+      Array.from({ length: 12 }, (_, at) => ({
+        id: `late-${at}`,
+        kind: CallKind.unsafe,
+        headAfterMs: 300 + 200 * at,
+        bodyAfterMs: at % 2 === 0 ? 2800 : 3500,
+        isChunked: at % 3 === 0,
+      })),
+    );
+    assert.deepEqual(unanswered(results), []);
+    const other = results.filter(({ status }) => ![200, 503].includes(status));
+    assert.deepEqual(other, [], statusesOf(results));
+    const ran = new Set(
+      fleet.world.arrivals.filter(({ ran }) => ran).map(({ request }) =>
+        request
+      ),
+    );
+    const refused = results.filter(({ status }) => status === 503);
+    assert.deepEqual(refused.filter(({ id }) => ran.has(id)), []);
+    assert.ok(refused.every((result) => result.closesConnection));
+    // There is time for those that are whole early.
+    assert.ok(results.some(({ status }) => status === 200));
+  }, OPTIONS);
+});
+
+const SLOW_REPLICAS =
+  "a stopping host sends nothing to replicas that it does not see answered";
+// Every request counted as one that is answered within half a second.
+test(SLOW_REPLICAS, knownRed(SLOW_REPLICAS), async () => {
+  await withFleet(async (fleet) => {
+    const [host] = fleet.hosts;
+    assert.ok(host);
+    const durationMs = 5000;
+    slowDown(fleet, durationMs);
+    await warmUp(host, CallKind.unsafe);
+    const results = await stopBeside(
+      host,
+      Array.from({ length: 24 }, (_, at) => ({
+        id: `slow-${at}`,
+        kind: CallKind.unsafe,
+        headAfterMs: 100 + 120 * at,
+        bodyAfterMs: 10,
+      })),
+    );
+    assert.deepEqual(unanswered(results), []);
+    const other = results.filter(({ status }) => ![200, 503].includes(status));
+    assert.deepEqual(other, [], statusesOf(results));
+    const early = results.filter(({ sentAtMs }) => sentAtMs < 500);
+    assert.ok(early.every(({ status }) => status === 200), statusesOf(early));
+  }, OPTIONS);
+});
+
+const ENDLESS_BODY =
+  "a request whose body never ends is refused before its host exits";
+// It was cut without an answer when the process ended.
+test(ENDLESS_BODY, knownRed(ENDLESS_BODY), async () => {
+  await withFleet(async (fleet) => {
+    const [host] = fleet.hosts;
+    assert.ok(host);
+    const results = await stopBeside(
+      host,
+      [true, false].map((isChunked) => ({
+        id: `endless-${isChunked}`,
+        kind: CallKind.unsafe,
+        headAfterMs: 500,
+        bodyAfterMs: Infinity,
+        isChunked,
+      })),
+    );
+    assert.deepEqual(results.map(({ status }) => status), [503, 503]);
+    assert.ok(results.every(({ closesConnection }) => closesConnection));
+  }, OPTIONS);
+});
+
+test("callers that keep a stopping host busy get complete answers", async () => {
+  await withFleet(async (fleet) => {
+    const [host] = fleet.hosts;
+    assert.ok(host);
+    slowDown(fleet, 600);
+    const kinds = [CallKind.safe, CallKind.unsafe, CallKind.stream];
+    await Promise.all(kinds.map((kind) => warmUp(host, kind)));
+    const startedAt = performance.now();
+    let isStopped = false;
+    const results: CallResult[] = [];
+    const callers = Array.from({ length: 24 }, async (_, at) => {
+      const kind = kinds[at % kinds.length] ?? CallKind.safe;
+      for (let count = 0; !isStopped; count++) {
+        results.push(
+          await callHost(host, { id: `busy-${at}-${count}`, kind }),
+        );
+        await sleep(20);
+      }
+    });
+    await host.process.stop();
+    isStopped = true;
+    await Promise.all(callers);
+    const sentAfterMs = (result: CallResult) => result.sentAtMs - startedAt;
+    // A connection that is refused, or reset unread, was not taken.
+    const arrived = new Set(
+      fleet.world.arrivals.map(({ request }) => request),
+    );
+    const cut = results.filter(({ id, isComplete }) =>
+      !isComplete && arrived.has(id)
+    );
+    assert.deepEqual(cut, []);
+    const early = results.filter((result) =>
+      sentAfterMs(result) < SERVED_UNTIL_MS
+    );
+    assert.deepEqual(
+      early.filter(({ status }) => status !== 200 && status !== 503),
+      [],
+    );
+    const late = results.filter(({ status }) =>
+      ![0, 200, 503].includes(status)
+    );
+    assert.deepEqual(late, []);
+    assert.ok(early.some(({ status }) => status === 200));
+    assert.ok(performance.now() - startedAt < GRACE_MS);
+  }, OPTIONS);
+});
--- a/test/soak/test_fleet.ts
+++ b/test/soak/test_fleet.ts
@@ -45,8 +45,15 @@
 /** Starts a fleet, runs `work` and stops the fleet; keeps its logs on failure. */
 export async function withFleet(
   work: (fleet: TestFleet) => Promise<void>,
-  { hosts: hostCount = HOSTS, isScheduled = false, connectionLimit }: {
+  {
+    hosts: hostCount = HOSTS,
+    isScheduled = false,
+    connectionLimit,
+    routeTimeoutMs,
+  }: {
     readonly hosts?: number;
+    /** The timeout of all routes. */
+    readonly routeTimeoutMs?: number;
     /** Connections that each replica accepts from all hosts. */
     readonly connectionLimit?: number;
     /** Switches on all optional decisions under load, and bounds on memory. */
@@ -57,6 +64,7 @@
   const world = await World.start({
     ...EVEN_LOAD,
     ...(connectionLimit === undefined ? {} : { connectionLimit }),
+    ...(routeTimeoutMs === undefined ? {} : { routeTimeoutMs }),
   });
   const storeAddress = world.store.address;
   const hosts = await createHosts(hostCount, {
--- a/test/soak/world_config.ts
+++ b/test/soak/world_config.ts
@@ -2,7 +2,7 @@
 import { CallKind } from "./call.ts";
 import { CHUNKED_LOAD, type FramingLoad } from "./response_shapes.ts";
 
-/** The timeout of all routes. */
+/** The timeout of all routes unless a test sets another. */
 export const ROUTE_TIMEOUT_MS = 4000;
 
 /** How replicas and memory of a world are set up. */
@@ -12,6 +12,8 @@
   readonly framing: FramingLoad;
   /** Connections that each replica accepts from all hosts; 200 by default. */
   readonly connectionLimit?: number;
+  /** The timeout of all routes; {@link ROUTE_TIMEOUT_MS} by default. */
+  readonly routeTimeoutMs?: number;
 };
 
 /** Equal replicas with ample memory. */
@@ -23,14 +25,15 @@
 /** A version of the configuration. */
 export function configOf(
   version: number,
-  { isUneven, connectionLimit = 200 }: WorldLoad,
+  { isUneven, connectionLimit = 200, routeTimeoutMs = ROUTE_TIMEOUT_MS }:
+    WorldLoad,
 ): object {
   const routes = Object.values(CallKind).map((kind) => ({
     Name: kind,
     Host: "example",
     PathPrefix: `/${kind}/`,
     Kind: kind === CallKind.resumable ? CallKind.stream : kind,
-    TimeoutMs: ROUTE_TIMEOUT_MS,
+    TimeoutMs: routeTimeoutMs,
     TargetLatencyMs: 900,
     GapTargetMs: 300,
     Priority: 1,
