--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -126,6 +126,12 @@
     else child.stdout?.once("data", () => child.kill("SIGHUP"));
   }
 
+  /** Changes the settings file; the process learns of it by a reload. */
+  changeSettings(change: (settings: string) => string): void {
+    const settings = readFileSync(this.#settingsFile, "utf8");
+    writeFileSync(this.#settingsFile, change(settings));
+  }
+
   /** Suspends the process with SIGSTOP. */
   pause(): void {
     this.#isPaused = this.#child?.kill("SIGSTOP") ?? false;
--- a/test/soak/planned_stop_test.ts
+++ b/test/soak/planned_stop_test.ts
@@ -5,6 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { knownRed } from "../known_red.ts";
 import { CallKind, type CallResult } from "./call.ts";
 import { callHost, type FleetHost } from "./fleet.ts";
 import { type LateRequest, type LateResult, sendLate } from "./late_request.ts";
@@ -148,6 +149,36 @@
   }, OPTIONS);
 });
 
+const RELOAD =
+  "a reload while a host stops does not change when its requests end";
+// Requests were weighed against the new grace period and cut by the old one.
+test(RELOAD, knownRed(RELOAD), async (test) => {
+  await withFleet(async (fleet) => {
+    const [host] = fleet.hosts;
+    assert.ok(host);
+    slowDown(fleet, 5000);
+    await warmUp(host, CallKind.unsafe);
+    const stopped = stopBeside(
+      host,
+      Array.from({ length: 8 }, (_, at) => ({
+        id: `reload-${at}`,
+        kind: CallKind.unsafe,
+        headAfterMs: 2600 + 50 * at,
+        bodyAfterMs: 10,
+      })),
+    );
+    await sleep(500);
+    host.process.changeSettings((settings) =>
+      settings.replace('grace = "8s"', 'grace = "30s"')
+    );
+    host.process.reload();
+    const results = await stopped;
+    test.diagnostic(statusesOf(results));
+    assert.ok(host.process.logLines.some((line) => line.includes("SIGHUP")));
+    assert.deepEqual(results.filter(({ status }) => status !== 503), []);
+  }, OPTIONS);
+});
+
 test("callers that keep a stopping host busy get complete answers", async () => {
   await withFleet(async (fleet) => {
     const [host] = fleet.hosts;
