Planned stop: a short grace period ends before the balancer's delay

A stopping host waited 3.2 s for the load balancer even if its grace period was shorter, and was killed with its requests unanswered. It now waits until the end of the grace period at most (drain_host_test, virtual time: ended after 3200 ms of 500 before, after 500 ms now).

--- a/src/gateway/drain_host.ts
+++ b/src/gateway/drain_host.ts
@@ -32,7 +32,8 @@
   { clock, deadline, callers, tunnels }: DrainHostOptions,
 ): Promise<HostDrainResult> {
   void callers.refuseLate(clock, deadline);
-  await sleep(clock, BALANCER_REMOVAL_MS);
+  const leftMs = Math.max(0, deadline - clock.now());
+  await sleep(clock, Math.min(BALANCER_REMOVAL_MS, leftMs));
   const drained = await callers.drain(clock, deadline);
   while (tunnels.size > 0 && clock.now() < deadline) {
     await sleep(clock, TUNNEL_POLL_INTERVAL_MS);
--- a/test/gateway/drain_host_test.ts
+++ b/test/gateway/drain_host_test.ts
@@ -6,7 +6,6 @@
 import { test } from "node:test";
 import type { Clock } from "../../src/gateway/clock.ts";
 import { drainHost } from "../../src/gateway/drain_host.ts";
-import { knownRed } from "../known_red.ts";
 
 const REQUESTED_AT = 1000;
 
@@ -42,9 +41,7 @@
   return drainedAt - REQUESTED_AT;
 }
 
-const SHORT_GRACE =
-  "a host whose grace period is shorter than the balancer's delay ends in time";
-test(SHORT_GRACE, knownRed(SHORT_GRACE), async () => {
+test("a host whose grace period is shorter than the balancer's delay ends in time", async () => {
   for (const graceMs of [500, 2000, 7500]) {
     assert.equal(await drainedAfterMs(graceMs), graceMs);
   }
