--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { CallerServer } from "./callers/server.ts";
 import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
+import { drainHost } from "./drain_host.ts";
 import {
   crashRuleOf,
   createContext,
@@ -39,24 +40,15 @@
 import type { StoreTimes } from "./state/store_loops.ts";
 import type { SplitDecision } from "./stages/measured_balance.ts";
 import { runStageLoop } from "./stages/stage_loop.ts";
+import { stopDeadline } from "./stop_deadline.ts";
 import { type Connect, tcpConnect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
 
-/**
- * Time within which the load balancer stops sending requests to a host whose
- * readiness check fails.
- */
-const BALANCER_REMOVAL_MS = 3200;
-/** Part of the grace period that is reserved for the exit itself. */
-const EXIT_MARGIN_MS = 500;
 /** Time for writing the last log lines. */
 const LOG_FLUSH_MS = 50;
 /** A tick that is later than this is logged as a stall of the process. */
 const STALL_THRESHOLD_MS = 1000;
 const TICK_INTERVAL_MS = 1000;
-/** Interval at which a stopping host checks whether it carries tunnels. */
-const TUNNEL_POLL_INTERVAL_MS = 50;
-
 /** Options of {@link createGateway}. */
 export type GatewayOptions = {
   /** Opens connections to replicas; over TCP by default. */
@@ -228,7 +220,9 @@
     this.#context.retryBudget.setRule(retryBudgetRuleOf(settings));
     this.#context.crashes.setRule(crashRuleOf(settings));
     this.#context.heldBytes.setCapacity(callerBytesOf(settings.memory.process));
-    this.#context.stop.graceMs = settings.grace;
+    // The process is killed by the grace period that held at its signal.
+    const { stop } = this.#context;
+    if (stop.requestedAt === undefined) stop.graceMs = settings.grace;
     this.#customers.applySettings(settings.customers);
     const before = this.#settingsState.version;
     this.#settingsState.noteLoaded(settings, this.#context.clock.now());
@@ -246,13 +240,14 @@
     const { clock, events, stop, pool, streams } = this.#context;
     const requestedAt = clock.now();
     stop.requestedAt = requestedAt;
+    const deadline = stopDeadline(stop) ?? requestedAt;
     events.note("stopping", { open: this.#callerServer.openRequestCount });
-    const deadline = requestedAt + stop.graceMs - EXIT_MARGIN_MS;
-    await sleep(clock, BALANCER_REMOVAL_MS);
-    await this.#callerServer.drain(clock, deadline);
-    while (this.#tunnels.size > 0 && clock.now() < deadline) {
-      await sleep(clock, TUNNEL_POLL_INTERVAL_MS);
-    }
+    const drained = await drainHost({
+      clock,
+      deadline,
+      callers: this.#callerServer,
+      tunnels: this.#tunnels,
+    });
     for (const server of this.#servers) server.close();
     this.#tunnels.close();
     this.#fleetState.stop();
@@ -260,7 +255,7 @@
     streams.close();
     this.#connections.close();
     this.#unwatchIterations();
-    events.note("stopped", { open: this.#callerServer.openRequestCount });
+    events.note("stopped", drained);
     await sleep(clock, LOG_FLUSH_MS);
   }
 
--- a/src/gateway/requests/report_outcome.ts
+++ b/src/gateway/requests/report_outcome.ts
@@ -31,7 +31,7 @@
   { context, request, placer, meter }: OutcomeReport,
   { placed: { replica }, status, outcome, isByReplica }: PlacementOutcome,
 ): void {
-  const { crashes } = context;
+  const { crashes, metrics } = context;
   const { fingerprints } = request;
   switch (outcome) {
     case "complete":
@@ -45,8 +45,10 @@
       }
       // It was answered, but its duration may be that of a part.
       return placer.completed();
-    case "withheld":
     case "unread":
+      metrics.count("answers_unread");
+      return placer.release();
+    case "withheld":
       return placer.release();
     case "interrupted": {
       const { incarnation } = replica.entry;
--- a/test/soak/settings_file.ts
+++ b/test/soak/settings_file.ts
@@ -4,7 +4,7 @@
 /** A settings file and its whole text. */
 export class SettingsFile {
   readonly path: string;
-  readonly #text: string;
+  #text: string;
 
   constructor(path: string, text: string) {
     this.path = path;
@@ -17,6 +17,12 @@
     writeFileSync(this.path, this.#text);
   }
 
+  /** Changes the text; a running process learns of it by a reload. */
+  change(edit: (text: string) => string): void {
+    this.#text = edit(this.#text);
+    this.restore();
+  }
+
   /** Writes only the first part of the text; `share` is from 0 to 1. */
   truncate(share: number): void {
     const length = Math.floor(this.#text.length * share);
