A host asks again before it rejects a resumed stream

A resumption was rejected (503) when the keepers hadn't responded in 250 ms and the store not in 500 ms, although callers wait for two seconds at least and a host that is short of processor time responds a moment later.

While a stream is unknown and hosts or the store are silent, all are asked again, each time with twice the timeout, for three quarters of the time after which callers give the stream up or that is left to their deadline. What can't change isn't asked again: records that contradict each other, or nobody's knowledge when all respond and the store is read. What binds a stream is unchanged, so none joins versions that didn't before.

late_keepers_test, in virtual time: keepers that respond after 400 ms, and hosts that are silent for 0.75 s. With patience 0, as before: the first two tests red ("unknown"); now all streams go on at their versions. Rejected at once (below 250 ms) where all respond and nobody knows; in time (below 2.25 s) where the keepers stay silent. Logging of a resolution is in a module of its own; fields unchanged.

--- a/src/gateway/requests/stream_binding.ts
+++ b/src/gateway/requests/stream_binding.ts
@@ -23,6 +23,12 @@
  */
 const START_CHECK_SHARE = 0.5;
 
+/**
+ * Share of the time for which a caller waits for an event that may be spent on
+ * finding the version of its stream; the rest is for the replica.
+ */
+const RESOLUTION_SHARE = 0.75;
+
 /** Records which software version began a stream, and finds it again. */
 export type StreamVersionSource = Pick<
   StreamVersions,
@@ -78,7 +84,10 @@
     const { facts } = this.#request;
     if (!this.#isResumable || facts.lastEventId === undefined) return true;
     const key = this.#keyOf(facts.resumes);
-    const version = await this.#context.streams.resolve(key);
+    const { streams, clock } = this.#context;
+    const { route, deadline } = this.#request;
+    const leftMs = Math.min(route.silenceMs, deadline - clock.now());
+    const version = await streams.resolve(key, RESOLUTION_SHARE * leftMs);
     if (version.type === "unknown") return false;
     this.#requiredVersion = { softwareVersion: version.softwareVersion };
     return true;
--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -41,6 +41,8 @@
   readonly answered: number;
   /** Whether these are all that were asked. */
   readonly isHeard: boolean;
+  /** Whether asking again can't change it. */
+  readonly isFinal: boolean;
 };
 
 /** Input of {@link resolveVersion}. */
@@ -85,12 +87,13 @@
   const about = { answered: answers.length, isHeard };
   const found = (choice: VersionChoice, source: VersionSource) =>
     bound(choice, { source, ...about });
-  const unknown = { binding: UNKNOWN, source: "unknown", ...about } as const;
+  const unknown = (isFinal: boolean) =>
+    ({ binding: UNKNOWN, source: "unknown", ...about, isFinal }) as const;
   const told = answers.flatMap(recordOf);
   // Others may have a later record than a host that doesn't hear all.
   if (told.length > 0 || record && isHeard) {
     const agreed = agreedVersion([...told, ...(record ? [record] : [])]);
-    return agreed ? found(agreed, "kept") : unknown;
+    return agreed ? found(agreed, "kept") : unknown(true);
   }
   if (isHeard && query.isListingRecent()) {
     const only = inferOnly(query.stateOf(), answers);
@@ -101,12 +104,13 @@
     query.findArchived(),
   ]);
   if (finding.type === "found") return found(finding, "archived");
-  if (finding.type === "contradictory") return unknown;
+  if (finding.type === "contradictory") return unknown(true);
   if (record) return found(record, "kept");
-  const inferred = isConfirmed && finding.type === "absent"
+  const isRead = isConfirmed && finding.type === "absent";
+  const inferred = isRead
     ? inferFromStore(query, poll)
     : inferFromPeers(query, poll);
-  return inferred ? found(inferred, "inferred") : unknown;
+  return inferred ? found(inferred, "inferred") : unknown(isRead && isHeard);
 }
 
 /** What follows if the store lists what this host does and lacks the stream. */
@@ -239,7 +243,8 @@
 
 function bound(
   { softwareVersion }: VersionChoice,
-  about: Omit<Resolution, "binding">,
+  about: Omit<Resolution, "binding" | "isFinal">,
 ): Resolution {
-  return { binding: { type: "bound", softwareVersion }, ...about };
+  const binding = { type: "bound", softwareVersion } as const;
+  return { binding, ...about, isFinal: true };
 }
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -12,6 +12,7 @@
 import { afterRunning } from "../running_timer.ts";
 import type { JsonClient } from "../upstreams/json_client.ts";
 import type { ArchiveStore } from "./archive_writer.ts";
+import { resolveInTime } from "./ask_again.ts";
 import { KeeperClient } from "./keeper_client.ts";
 import { KeeperServer } from "./keeper_server.ts";
 import { KeeperChooser } from "./keepers.ts";
@@ -23,8 +24,9 @@
   type StreamRecord,
   type VersionBinding,
 } from "./model.ts";
+import { noteResolution } from "./note_resolution.ts";
 import { RecordSender } from "./record_sender.ts";
-import { resolveVersion } from "./resolve_version.ts";
+import { type Resolution, resolveVersion } from "./resolve_version.ts";
 import { StreamArchive } from "./stream_archive.ts";
 import { VersionHistory, type VersionState } from "./version_history.ts";
 import type { VersionReport } from "./version_report.ts";
@@ -57,9 +59,6 @@
 /** In place of an id that nobody records, to learn the versions alone. */
 const NO_STREAM = "-";
 
-/** Maximum number of characters logged of an id. */
-const MAX_LOGGED_CHARS = 200;
-
 /** Options of {@link StreamVersions}. */
 export type StreamVersionsOptions = {
   readonly self: HostEntry & {
@@ -208,47 +207,45 @@
     return this.#history.isAllCovered(this.#options.clock.now());
   }
 
-  /** Finds the version that began a stream; never rejects. */
-  async resolve(stream: StreamKey): Promise<VersionBinding> {
-    const { clock, metrics, events } = this.#options;
-    this.#observe(clock.now());
-    const record = this.#table.get(stream, clock.now());
-    const { asked, commonKeepers } = this.#chooser.of(
-      stream,
-      this.#options.hosts(),
+  /**
+   * Finds the version that began a stream; never rejects. Hosts that are silent
+   * are asked again for up to `patienceMs`.
+   */
+  async resolve(
+    stream: StreamKey,
+    patienceMs: Milliseconds = 0,
+  ): Promise<VersionBinding> {
+    const { clock } = this.#options;
+    const resolution = await resolveInTime(
+      { clock, patienceMs },
+      (timeoutMs) => this.#resolveOnce(stream, timeoutMs),
     );
-    const { binding, source, answered, isHeard } = await resolveVersion({
+    const state = this.#history.stateOf(stream.service, clock.now());
+    noteResolution(this.#options, { stream, state, resolution });
+    return resolution.binding;
+  }
+
+  #resolveOnce(
+    stream: StreamKey,
+    timeoutMs: Milliseconds,
+  ): Promise<Resolution> {
+    const { clock, hosts, listingAgeMs } = this.#options;
+    this.#observe(clock.now());
+    const { asked, commonKeepers } = this.#chooser.of(stream, hosts());
+    const question = isRecordable(stream)
+      ? stream
+      : { ...stream, id: NO_STREAM };
+    return resolveVersion({
       origin: this.#origin,
-      record,
+      record: this.#table.get(stream, clock.now()),
       stateOf: () => this.#history.stateOf(stream.service, clock.now()),
       asked,
       commonKeepers,
-      ask: (hosts) =>
-        this.#client.ask(
-          hosts,
-          isRecordable(stream) ? stream : { ...stream, id: NO_STREAM },
-        ),
-      isListingRecent: () => this.#options.listingAgeMs() <= RECENT_LISTING_MS,
+      ask: (others) => this.#client.ask(others, question, timeoutMs),
+      isListingRecent: () => listingAgeMs() <= RECENT_LISTING_MS,
       confirmListing: () => this.#confirmListing(),
       findArchived: () => this.#archive.find(stream),
     });
-    metrics.count(`stream_versions_${source}`);
-    const state = this.#history.stateOf(stream.service, clock.now());
-    const fields = {
-      service: stream.service,
-      stream: stream.id.slice(0, MAX_LOGGED_CHARS),
-      answered,
-      is_heard: isHeard,
-      state: state.type,
-      is_covered: state.type === "single" && state.isCovered,
-    };
-    if (binding.type === "unknown") events.note("streamVersionUnknown", fields);
-    else {
-      const { softwareVersion } = binding;
-      const found = { ...fields, source, software_version: softwareVersion };
-      events.note("streamVersionFound", found);
-    }
-    return binding;
   }
 
   /** Reads the listing; to be called at least once a second. */
