Long reads of responses leave most of the event loop to others

What callers saw: while a replica sent bodies without end to 100 callers of one host, the requests of all others at that host waited for seconds or were closed unread.

Cause: each turn of the event loop read up to 2 MB of each such connection, with tens of milliseconds for 64 KB of one-byte chunks. Nothing bounded the sum.

Why it works: reads of 32 KB or 256 chunks and more are charged with the time that they take. Beyond a fifth of the process's time their connections are paused (backpressure) and go on in turn. What was charged is capped, so that a suspension during a read stops nobody for long.

--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -15,6 +15,7 @@
   openRequest,
   type ReplicaRequest,
 } from "./open_request.ts";
+import { paceBody } from "./pace_body.ts";
 import { isRefusal } from "./probe.ts";
 
 /**
@@ -225,7 +226,7 @@
     opened.clientRequest.destroy();
     return { type: "broken", reason, isAborted: true, isStale: false };
   }
-  coalesceBody(message);
+  coalesceBody(message, paceBody(message));
   // Prevents an uncaught error; the reader of the body checks its ending.
   message.on("error", () => undefined);
   const framing = framingOf(message, method);
--- a/test/soak/endless_bytes_test.ts
+++ b/test/soak/endless_bytes_test.ts
@@ -17,6 +17,8 @@
 
 const RUN_MS = 4000;
 const MANY = 100;
+/** With all tries; the host may close connections unread while it is busy. */
+const MAX_SOUND_MS = 3000;
 const CHUNKED = ["Transfer-Encoding: chunked"];
 /** The body takes a sixth of the bytes, and each part of it an object. */
 const SMALL_CHUNKS = {
@@ -46,6 +48,7 @@
   assert.equal(exit, undefined);
   assert.ok(peakBytes < HOST_MEMORY_BYTES, `Peak ${peakBytes} bytes`);
   assert.deepEqual(statuses, served);
+  assert.ok(slowestMs < MAX_SOUND_MS, `Others waited for ${slowestMs} ms`);
 }
 
 const SMALL_CHUNK_CASES: Readonly<Record<string, EndlessCase>> = {
@@ -95,3 +98,38 @@
     await checkHost(one);
   });
 }
+
+const ENDLESS_BYTES = {
+  place: "body",
+  headers: ["Content-Length: 1000000000000"],
+  piece: "x",
+} as const;
+
+/** Long bodies, which sound replicas may send as well. */
+const FULL_SPEED_CASES: Readonly<Record<string, EndlessCase>> = {
+  "responses that are buffered": {
+    endless: ENDLESS_BYTES,
+    path: Path.safe,
+    count: MANY,
+    pace: Pace.full,
+  },
+  "streams": {
+    endless: ENDLESS_BYTES,
+    path: Path.stream,
+    count: MANY,
+    pace: Pace.full,
+  },
+  "streams that callers hardly read": {
+    endless: ENDLESS_BYTES,
+    path: Path.stream,
+    count: MANY,
+    pace: Pace.slow,
+  },
+};
+
+for (const [what, one] of Object.entries(FULL_SPEED_CASES)) {
+  const name = `others are served beside bodies without end: ${what}`;
+  test(name, knownRed(name), async () => {
+    await checkHost(one);
+  });
+}
