--- a/test/soak/planned_stop_test.ts
+++ b/test/soak/planned_stop_test.ts
@@ -19,9 +19,17 @@
 const ROUTE_TIMEOUT_MS = 12_000;
 /** Work of a plain replica without a slowdown. */
 const PLAIN_DURATION_MS = 30;
+/** Streams of 20 events last for 4 s. */
+const STREAM_SLOWDOWN = 5;
 const WARM_UP_CALLS = 12;
 const OPTIONS = { hosts: 2, routeTimeoutMs: ROUTE_TIMEOUT_MS };
 
+function slowStreams({ world }: TestFleet, slowdown: number): void {
+  for (const { standin } of world.readyReplicas()) {
+    if (standin.role === "decode") standin.slowdown = slowdown;
+  }
+}
+
 function slowDown({ world }: TestFleet, durationMs: number): void {
   for (const { standin } of world.readyReplicas()) {
     if (standin.role === "plain") {
@@ -149,6 +157,34 @@
 });
 
 // Requests were weighed against the new grace period and cut by the old one.
+// Streams were refused by a constant, whatever they took.
+for (const kind of [CallKind.stream, CallKind.resumable]) {
+  test(`a stopping host finishes each stream that it begins (${kind})`, async (test) => {
+    await withFleet(async (fleet) => {
+      const [host] = fleet.hosts;
+      assert.ok(host);
+      slowStreams(fleet, STREAM_SLOWDOWN);
+      await warmUp(host, kind);
+      const stopped = stopBeside(
+        host,
+        Array.from({ length: 20 }, (_, at) => ({
+          id: `${kind}-${at}`,
+          kind,
+          headAfterMs: 100 + 140 * at,
+          bodyAfterMs: at % 4 === 0 ? 2500 : 10,
+        })),
+      );
+      // A second signal must change nothing.
+      await sleep(1000);
+      void host.process.stop();
+      const results = await stopped;
+      test.diagnostic(statusesOf(results));
+      assert.deepEqual(unanswered(results), []);
+      assert.ok(results.some(({ status }) => status === 200));
+    }, OPTIONS);
+  });
+}
+
 test("a reload while a host stops does not change when its requests end", async (test) => {
   await withFleet(async (fleet) => {
     const [host] = fleet.hosts;
