What is held of responses before they are forwarded counts in the budget

What callers would see: a host over its memory limit is killed, and all requests at it with it.

Cause: a response that is buffered (256 KB) and an event without its end (1 MB) had a bound each, but not in sum, and no budget counted them.

Without room, a buffered response is forwarded as it arrives, and a stream whose event is above 16 KB counts as broken off and goes on elsewhere; a smaller event is never broken off for it. Both sides: one event of up to 1 MB is forwarded as before while there is room.

--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../clock.ts";
 import type { Milliseconds } from "../../util/units.ts";
 import { ByteCollector } from "../memory/byte_collector.ts";
+import { HeldBytes } from "../memory/held_bytes.ts";
 import {
   PacedWriter,
   type PacedWriterOptions,
@@ -29,6 +30,10 @@
  * bytes without end, and an event is held until it is complete.
  */
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** A stream with a larger event is broken off if this host has no memory left. */
+const MIN_EVENT_BYTES = 16 * 1024;
+/** Memory of a connection that a long event arrives on, besides the event. */
+const READ_BUFFER_BYTES = 64 * 1024;
 
 /** Options of {@link relayAnswer}. */
 export type AnswerRelayOptions = {
@@ -74,14 +79,16 @@
   const { route, scanner, writeHead, onFirstByte, observer, pace } = options;
   const { confirmEnd } = options;
   const paced = pacedReply(answer, reply, pace);
+  const heldBytes = new HeldBytes(pace);
+  answer.message.on("close", () => heldBytes.set(0));
   if (!scanner) {
-    const output = { paced, writeHead, confirmEnd };
+    const output = { paced, writeHead, confirmEnd, held: heldBytes };
     const outcome = await relayBuffered(answer, output);
     onFirstByte();
     return outcome;
   }
   if (observer) observe(answer, scanner, observer);
-  const output = { paced, scanner, confirmEnd };
+  const output = { paced, scanner, confirmEnd, unfinished: heldBytes };
   const begin = () => {
     writeHead();
     onFirstByte();
@@ -98,6 +105,8 @@
   readonly paced: PacedReply;
   readonly scanner: EventScanner;
   readonly confirmEnd: () => Promise<boolean>;
+  /** The event that has no end yet. */
+  readonly unfinished: HeldBytes;
 };
 
 function observe(
@@ -165,7 +174,7 @@
     & EventRelayOptions
     & { readonly begin: () => void },
 ): Promise<RelayOutcome> {
-  const { paced, scanner, confirmEnd } = output;
+  const { paced, scanner, confirmEnd, unfinished } = output;
   const splitter = new EventSplitter();
   const events = eventStreamOf(answer);
   const { message } = answer;
@@ -202,7 +211,7 @@
     data: (bytes) => {
       stallTimer.restart();
       const complete = splitter.push(bytes, scanner.endInPart);
-      if (splitter.remainingBytes > MAX_EVENT_BYTES) message.destroy();
+      if (!mayHoldEvent(splitter, unfinished)) message.destroy();
       if (!complete) return;
       hasEvents = true;
       held.push(complete);
@@ -221,10 +230,20 @@
   return await forwarded;
 }
 
+/** Whether the host may go on to hold the event that has no end yet. */
+function mayHoldEvent(
+  { remainingBytes }: EventSplitter,
+  unfinished: HeldBytes,
+): boolean {
+  if (remainingBytes <= MIN_EVENT_BYTES) return unfinished.set(0);
+  if (remainingBytes > MAX_EVENT_BYTES) return false;
+  return unfinished.set(remainingBytes + READ_BUFFER_BYTES);
+}
+
 /** A response that is buffered, and the response to its caller. */
 type BufferedOutput =
   & Pick<AnswerRelayOptions, "writeHead" | "confirmEnd">
-  & { readonly paced: PacedReply };
+  & { readonly paced: PacedReply; readonly held: HeldBytes };
 
 /**
  * Buffers a small response until it is complete, so that nothing has been sent
@@ -232,12 +251,13 @@
  */
 function relayBuffered(
   answer: Answer,
-  { paced, writeHead, confirmEnd }: BufferedOutput,
+  { paced, writeHead, confirmEnd, held }: BufferedOutput,
 ): Promise<RelayOutcome> {
   const buffered = new ByteCollector();
   let started = false;
   const start = (bodyBytes?: number) => {
     started = true;
+    held.set(0);
     writeHead(bodyBytes);
     for (const bytes of buffered.take()) paced.write(bytes);
   };
@@ -245,7 +265,8 @@
     data: (bytes) => {
       if (started) return paced.write(bytes);
       buffered.push(bytes);
-      if (buffered.length > MAX_BUFFERED_BYTES) start();
+      const isHeld = held.set(buffered.length);
+      if (!isHeld || buffered.length > MAX_BUFFERED_BYTES) start();
     },
     outcome: () => receivedOutcome(answer, { confirmEnd }),
     complete: () => {
