--- a/test/soak/stopping_peers_test.ts
+++ b/test/soak/stopping_peers_test.ts
@@ -7,6 +7,8 @@
 import { CallKind, type CallResult } from "./call.ts";
 import { callHost, type FleetHost } from "./fleet.ts";
 import { PathCut } from "./replica_path.ts";
+import { knownRed } from "../known_red.ts";
+import { sendLate } from "./late_request.ts";
 import { sleep } from "./sleep.ts";
 import {
   areServedAtAll,
@@ -21,6 +23,8 @@
 const PAUSE_MS = 20;
 /** A multiple of the work of plain replicas: 30 ms. */
 const SLOWDOWN = 20;
+/** Calls that outlast the grace period of a host that stopped before them. */
+const LONG_SLOWDOWN = 250;
 const KINDS = [CallKind.safe, CallKind.unsafe, CallKind.stream];
 
 /** Calls these hosts without a pause while `work` goes on. */
@@ -125,3 +129,39 @@
     assert.ok(results.some(({ status }) => status === 200));
   });
 });
+
+const SLOW_CARRIED =
+  "no call begins over a tunnel of a host that has announced its stop";
+// A tunnel is used for two seconds, whether its host stops or not.
+test(SLOW_CARRIED, knownRed(SLOW_CARRIED), async (test) => {
+  await withFleet(async (fleet) => {
+    const [carrier, host] = fleet.hosts;
+    assert.ok(carrier && host);
+    host.process.cutReplicas(PathCut.hang);
+    const kinds = [CallKind.unsafe];
+    await runCallersUntil(fleet, {
+      kinds,
+      condition: (results) => areServedAtAll(fleet, results),
+      what: "both hosts serve",
+    });
+    // Opens tunnels that are young when their host stops.
+    await runCallers(fleet, { kinds, forMs: WARM_UP_MS });
+    const stopped = carrier.process.stop();
+    for (const { standin } of fleet.world.readyReplicas()) {
+      standin.slowdown = LONG_SLOWDOWN;
+    }
+    const results = await Promise.all(
+      Array.from({ length: 8 }, (_, at) =>
+        sendLate({
+          id: `carried-${at}`,
+          kind: CallKind.unsafe,
+          address: host.callers,
+          headAfterMs: 600 + 100 * at,
+          bodyAfterMs: 0,
+        })),
+    );
+    await stopped;
+    test.diagnostic(results.map(({ status }) => status).join());
+    assert.deepEqual(results.filter(({ status }) => status === 502), []);
+  }, { hosts: 2, routeTimeoutMs: 12_000 });
+});
