--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -19,6 +19,7 @@
 import type { StoreEras } from "./state/store_eras.ts";
 import type { SuspensionWatch } from "./suspension.ts";
 import type { UpstreamPool } from "./upstreams/pool.ts";
+import type { StartChecks } from "./upstreams/start_check.ts";
 
 /** The optional decisions under load that are switched on. */
 export type Scheduling = {
@@ -106,6 +107,7 @@
   readonly pool: UpstreamPool;
   readonly paths: ReplicaPaths;
   readonly crashes: CrashWatch;
+  readonly starts: StartChecks;
   readonly limits: ReplicaLimits;
   readonly draining: DrainingReplicas;
   readonly gate: ReplicaGate;
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -36,6 +36,7 @@
 import type { Connect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
+import { StartChecks } from "./upstreams/start_check.ts";
 
 const LOOP_TIMES: LoopTimes = { now: monotonicNow, idleMs: loopIdleMs };
 
@@ -64,7 +65,7 @@
   logSleeps(suspensions, events);
   const metrics = new Metrics();
   const self = { ...fleet.self, run: String(newIncarnation()) };
-  const { replicas, limits, draining, gate } = createReplicaState({
+  const replicaState = createReplicaState({
     self,
     clock,
     random: Math.random,
@@ -73,6 +74,7 @@
     directory,
     openLink: (target, events) => openLink({ ...target, metrics }, events),
   });
+  const { replicas, gate } = replicaState;
   const paths = createPaths({
     clock,
     self,
@@ -96,6 +98,7 @@
   };
   return {
     ...shared,
+    ...replicaState,
     self,
     suspensions,
     iterations: new IterationMeter(LOOP_TIMES),
@@ -104,9 +107,7 @@
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
     heldBytes: new ByteBudget(callerBytesOf(settings.memory.process)),
     crashes: createCrashWatch(settings, fleet, shared),
-    limits,
-    draining,
-    gate,
+    starts: new StartChecks({ ...shared, gate }),
     streams: createStreamVersions(fleet, port.store, { ...shared, self }),
     tuning: tuningOf(settings),
     hostCount: () => directory.count,
--- a/src/gateway/requests/stream_binding.ts
+++ b/src/gateway/requests/stream_binding.ts
@@ -11,7 +11,7 @@
 import { isRepeatable, RouteKind } from "../routing/model.ts";
 import type { StreamVersions } from "../streams/stream_versions.ts";
 import type { StreamKey } from "../streams/model.ts";
-import { findStart, type StartCheckContext } from "../upstreams/start_check.ts";
+import type { GatewayContext } from "../context.ts";
 import type { GatewayRequest } from "./request.ts";
 
 /** How long after the deadline of a request its caller may resume its stream. */
@@ -36,9 +36,11 @@
 >;
 
 /** What a {@link StreamBinding} depends on. */
-export type BindingContext = StartCheckContext & {
-  readonly streams: StreamVersionSource;
-};
+export type BindingContext =
+  & Pick<GatewayContext, "clock" | "events" | "metrics" | "starts">
+  & {
+    readonly streams: StreamVersionSource;
+  };
 
 /** The version to which the stream of one request is bound. */
 export class StreamBinding {
@@ -127,7 +129,7 @@
     if (!this.#requiredVersion) return true;
     const { route, facts } = this.#request;
     const timeoutMs = START_CHECK_SHARE * route.silenceMs;
-    const start = await findStart(this.#context, entry, timeoutMs);
+    const start = await this.#context.starts.find(entry, timeoutMs);
     if (start === "listed" || start === "untold") return true;
     const { incarnation } = entry;
     this.#outdated.add(incarnation);
--- a/src/gateway/upstreams/start_check.ts
+++ b/src/gateway/upstreams/start_check.ts
@@ -31,42 +31,80 @@
 /** One of the values of {@link StartFinding}. */
 export type StartFinding = typeof StartFinding[keyof typeof StartFinding];
 
-/** What {@link findStart} depends on. */
-export type StartCheckContext = Pick<
+/** Options of {@link StartChecks}. */
+export type StartChecksOptions = Pick<
   GatewayContext,
   "pool" | "dialect" | "clock" | "gate" | "events" | "metrics"
 >;
 
-/**
- * Asks a replica of a model engine for its start, again while it is silent or
- * rejects the call. If it runs as it is listed, so does the process that sent
- * any response before: an address belongs to one process at a time.
- */
-export async function findStart(
-  context: StartCheckContext,
-  entry: ReplicaEntry,
-  timeoutMs: Milliseconds,
-): Promise<StartFinding> {
-  if (entry.stage === undefined || entry.born === undefined) return "untold";
-  const { clock } = context;
-  const deadline = clock.now() + timeoutMs;
-  for (;;) {
-    const finding = await askOnce(context, entry, deadline - clock.now());
-    if (finding !== "silent") return finding;
-    if (clock.now() + RETRY_PAUSE_MS >= deadline) return "silent";
-    await sleep(clock, RETRY_PAUSE_MS);
+/** Asks replicas for their starts, each at most once at a time. */
+export class StartChecks {
+  readonly #options: StartChecksOptions;
+  /** Questions in progress, by incarnation. */
+  readonly #asked = new Map<string, Promise<StartFinding>>();
+  /** Questions that follow those in progress. */
+  readonly #next = new Map<string, Promise<StartFinding>>();
+
+  constructor(options: StartChecksOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Asks a replica of a model engine for its start, again while it is silent or
+   * rejects the call. If it runs as it is listed, so does the process that sent
+   * any response before: an address belongs to one process at a time.
+   */
+  async find(
+    entry: ReplicaEntry,
+    timeoutMs: Milliseconds,
+  ): Promise<StartFinding> {
+    if (entry.stage === undefined || entry.born === undefined) return "untold";
+    const { clock } = this.#options;
+    const deadline = clock.now() + timeoutMs;
+    for (;;) {
+      const finding = await this.#ask(entry);
+      if (finding !== "silent") return finding;
+      if (clock.now() + RETRY_PAUSE_MS >= deadline) return "silent";
+      await sleep(clock, RETRY_PAUSE_MS);
+    }
+  }
+
+  /**
+   * Asks now, or shares the question that follows the one in progress: that one
+   * may have been answered before the response whose sender is in question.
+   */
+  #ask(entry: ReplicaEntry): Promise<StartFinding> {
+    const { incarnation } = entry;
+    const current = this.#asked.get(incarnation);
+    if (!current) return this.#start(entry);
+    const next = this.#next.get(incarnation) ?? current.then(() => {
+      this.#next.delete(incarnation);
+      return this.#start(entry);
+    });
+    this.#next.set(incarnation, next);
+    return next;
+  }
+
+  #start(entry: ReplicaEntry): Promise<StartFinding> {
+    const { incarnation } = entry;
+    const asked = askOnce(this.#options, entry);
+    this.#asked.set(incarnation, asked);
+    return asked.finally(() => {
+      if (this.#asked.get(incarnation) === asked) {
+        this.#asked.delete(incarnation);
+      }
+    });
   }
 }
 
 async function askOnce(
-  context: StartCheckContext,
+  context: StartChecksOptions,
   entry: ReplicaEntry,
-  leftMs: Milliseconds,
 ): Promise<StartFinding> {
   const { dialect } = context;
   const answer = await callEngine(context, entry, {
     call: dialect.report,
-    timeoutMs: Math.min(REPORT_TIMEOUT_MS, leftMs),
+    timeoutMs: REPORT_TIMEOUT_MS,
   });
   if (!answer || isRejection(answer.status)) return "silent";
   const born = dialect.readReport(answer.body)?.born;
--- a/test/gateway/requests/outdated_entry_test.ts
+++ b/test/gateway/requests/outdated_entry_test.ts
@@ -28,6 +28,8 @@
   born: LISTED_START,
 };
 const RESUMED_EVENT = event(1);
+const RESUMPTIONS = 8;
+const REPORT_MS = 100;
 
 type ReportAnswer = (respond: (text: string) => void, count: number) => void;
 
@@ -119,3 +121,24 @@
     assert.ok(!paths?.includes("/report"));
   });
 });
+
+// Guards against streams that wait for connections for as many reports.
+test("streams that are resumed at a replica at the same time share its reports", async () => {
+  const replica = reporting(continues, (respond) => {
+    const report = JSON.stringify({ born: LISTED_START });
+    setTimeout(() => respond(report), REPORT_MS);
+  });
+  await withRig(resuming([replica]), async (rig) => {
+    const calls = await Promise.all(
+      Array.from(
+        { length: RESUMPTIONS },
+        (_, at) => rig.call({ id: `resumed-${at}`, headers: RESUMED }),
+      ),
+    );
+    assert.ok(calls.every(({ status }) => status === 200));
+    const reports = rig.replicas[0]?.requests.filter(({ path }) =>
+      path === "/report"
+    );
+    assert.ok(reports && reports.length <= RESUMPTIONS / 2);
+  });
+});
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -31,6 +31,7 @@
 import { singleHostStreams } from "./streams/single_host_streams.ts";
 import { singleHostPaths } from "./paths/single_host_paths.ts";
 import { UpstreamPool } from "../../src/gateway/upstreams/pool.ts";
+import { StartChecks } from "../../src/gateway/upstreams/start_check.ts";
 import { TEST_TIMEOUT_MS, TEST_TUNING } from "./test_tuning.ts";
 import { TEST_ROUTE } from "./test_route.ts";
 import { neverSuspended } from "./never_suspended.ts";
@@ -248,19 +249,23 @@
     replicaOf: (incarnation) => replicas.get(incarnation),
   });
   const recorded = { clock, events: log, metrics, replicas };
+  const pool = new UpstreamPool(clock, paths);
+  const gates = singleHostGate({ clock, events: log, replicas, limits });
+  const dialect = testDialect;
   return {
     self: { id: "host", hall: "hall", run: "1" },
     clock,
     suspensions: neverSuspended(),
     eras: emptyStoreEras(),
     random: () => 0,
-    dialect: testDialect,
+    dialect,
     routes,
     replicas,
     heldBytes: new ByteBudget(Infinity),
     iterations: idleLoop(),
     retryBudget: new RetryBudget({ ...rule, ...budget }, -TEST_TIMEOUT_MS),
-    pool: new UpstreamPool(clock, paths),
+    pool,
+    starts: new StartChecks({ ...recorded, ...gates, pool, dialect }),
     paths,
     crashes: new CrashWatch({
       ...recorded,
@@ -273,7 +278,7 @@
       isAlive: () => Promise.resolve(false),
     }),
     limits,
-    ...singleHostGate({ clock, events: log, replicas, limits }),
+    ...gates,
     streams: Object.assign(singleHostStreams(recorded), options.streams),
     events: log,
     metrics,
--- a/test/soak/frozen_host_main.ts
+++ b/test/soak/frozen_host_main.ts
@@ -46,9 +46,10 @@
     const attempts = await resumeAtFrozenHost(fleet, plan);
     const resumed = attempts.filter(({ resumption }) => resumption);
     const wentOn = resumed.filter(hasEvents).length;
+    const unread = resumed.filter(({ status }) => status === 0).length;
     const load = loadavg().map((value) => value.toFixed(1)).join(" ");
     console.log(
-      `${wentOn} of ${resumed.length} went on, ` +
+      `${wentOn} of ${resumed.length} went on, ${unread} without a response, ` +
         `${findMixedStreams(attempts).length} of two versions; load ${load}`,
     );
   }, { hosts: HOSTS });
