A connection that gets bytes while it waits for a call is closed

Cause: Node.js leaves a kept connection flowing without a listener, so that what a replica sends behind a response is read and dropped for as long as it comes; each read extends the idle timeout, so the connection never closes. The next call would also have got the rest of such bytes.

Why it works: bytes on a connection without a call belong to none, so it is closed at the first of them. Both sides: calls before and after share or open connections as ever. The client of the store and of peers uses Node's own agent, which still reads such bytes: open.

--- a/src/gateway/upstreams/replica_agent.ts
+++ b/src/gateway/upstreams/replica_agent.ts
@@ -1,5 +1,10 @@
 /** Connections to one replica; kept ones are closed before the replica does it. */
-import { Agent, type ClientRequestArgs, type IncomingMessage } from "node:http";
+import {
+  Agent,
+  type ClientRequest,
+  type ClientRequestArgs,
+  type IncomingMessage,
+} from "node:http";
 import type { Socket, TcpNetConnectOpts } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Milliseconds } from "../../util/units.ts";
@@ -61,8 +66,20 @@
     socket.setKeepAlive(true, DEFAULT_IDLE_MS);
     socket.unref();
     socket.setTimeout(idleMs);
+    socket.on("data", closeUnasked);
     return true;
   }
+
+  /** Called by Node when an idle connection gets its next call. */
+  override reuseSocket(socket: Socket, request: ClientRequest): void {
+    socket.off("data", closeUnasked);
+    super.reuseSocket(socket, request);
+  }
+}
+
+/** Bytes on an idle connection belong to no call, and may have no end. */
+function closeUnasked(this: Socket): void {
+  this.destroy();
 }
 
 /**
