A late reservation that is about to expire is released at once

What callers would see: streams refused for lack of memory that nobody uses, as the planner kept the assignment of an ended request for up to 20 s, or a request refused halfway through its time.

Cause: a reservation granted in its last 100 ms was announced as usable, then discarded by the one that took it: it was neither deleted at its replica nor was the assignment ended, and the wait for another assignment had been interrupted.

Now it is released when it is granted, or when it is found to have expired.

--- a/src/gateway/requests/engine_placement.ts
+++ b/src/gateway/requests/engine_placement.ts
@@ -49,9 +49,9 @@
 
 /**
  * Each reservation without a response doubles the time until another one is
- * requested, up to this often. Where hosts and replicas are short of processor time, every call is
- * slow; with a fixed timeout all would time out, be repeated at once, and keep
- * them busy.
+ * requested, up to this often. Where hosts and replicas are short of processor
+ * time, every call is slow; with a fixed time all would be repeated at once and
+ * keep them busy.
  */
 const MAX_DOUBLINGS = 2;
 
@@ -88,9 +88,11 @@
       context,
       onGranted: () => this.#assignment.interrupt(),
     });
-    const placed = await this.#place(constraints);
-    late.close();
-    return placed;
+    try {
+      return await this.#place(constraints);
+    } finally {
+      late.close();
+    }
   }
 
   async #place(
@@ -143,11 +145,13 @@
     return { reservation: reserved, permit, prefill: assignment.prefill };
   }
 
-  #acquireLate(
+  async #acquireLate(
     constraints: PlacementConstraints,
   ): Promise<Acquired | undefined> {
     const late = this.#late.take();
-    return late ? this.#useLate(late, constraints) : Promise.resolve(undefined);
+    if (late) return await this.#useLate(late, constraints);
+    this.#assignment.end();
+    return undefined;
   }
 
   /** Uses a reservation that was granted late in place of the assignment. */
--- a/src/gateway/requests/late_reservations.ts
+++ b/src/gateway/requests/late_reservations.ts
@@ -49,7 +49,7 @@
     void call.pending.result.then((result) => {
       // A request may wait for it again in the meantime.
       if (!this.#calls.delete(call) || typeof result === "string") return;
-      if (this.#isClosed) return this.#drop(result);
+      if (this.#isClosed || !this.#isUsable(result)) return this.#drop(result);
       this.#granted.push({ reservation: result, prefill: call.prefill });
       this.#resolve();
       this.#options.onGranted();
@@ -67,19 +67,29 @@
 
   /** Takes a reservation out that was granted and has not expired. */
   take(): LateReservation | undefined {
-    const now = this.#options.context.clock.now();
-    for (;;) {
-      const granted = this.#granted.shift();
-      if (!granted || isUsable(granted.reservation, now)) return granted;
-    }
+    this.#dropExpired();
+    return this.#granted.shift();
   }
 
   /** Resolves once there is a reservation to take. */
   granted(): Promise<"late"> {
+    this.#dropExpired();
     if (this.#granted.length > 0) return Promise.resolve("late");
     return new Promise((resolve) => this.#resolve = () => resolve("late"));
   }
 
+  #isUsable(reservation: Reservation): boolean {
+    return isUsable(reservation, this.#options.context.clock.now());
+  }
+
+  #dropExpired(): void {
+    for (const granted of this.#granted.splice(0)) {
+      const { reservation } = granted;
+      if (this.#isUsable(reservation)) this.#granted.push(granted);
+      else this.#drop(reservation);
+    }
+  }
+
   /** Releases all reservations, also those that are granted from now on. */
   close(): void {
     this.#isClosed = true;
--- a/test/gateway/requests/late_reservations_test.ts
+++ b/test/gateway/requests/late_reservations_test.ts
@@ -64,3 +64,20 @@
   const { running, reserved } = plans.memoryByUse;
   assert.equal(running + reserved, 0);
 });
+
+// The planner kept the assignment of such a request for 20 s.
+test("a reservation that is granted just before its expiry leaves nothing behind", async () => {
+  for (const lateMs of [1890, 1905, 1930, 1960, 1990]) {
+    const { advance, sent, place, plans } = startPlacements({
+      reservationMs: { d1: lateMs, d2: lateMs },
+    });
+    const { placer } = place();
+    await advance(4500);
+    placer.end();
+    await advance(3000);
+    const { running, reserved } = plans.memoryByUse;
+    assert.equal(running + reserved, 0, `${lateMs} ms`);
+    const granted = callsOf(sent, "POST").length;
+    assert.equal(callsOf(sent, "DELETE").length, granted, `${lateMs} ms`);
+  }
+});
