Times of runs: the longest counts when it has just ended, waiting doesn't count

What callers would see in a planned stop: a request sent though it can't be finished, then cut with 502, or one refused although there was time. Found by the review of planned stops.

Cause: the sorted durations were kept for 200 ms, while the run that had just ended was no longer open; and a send that was rejected or withheld stayed an open run while its request waited for another replica. A send withheld in a stop also kept its placement until the next attempt.

--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -31,7 +31,7 @@
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
 import { AbortReason, type Sending, type SendResult } from "./sender.ts";
 import { RequestTime } from "./request_time.ts";
-import { rejection, sendRefusal } from "./send_refusal.ts";
+import { rejection, sendRefusal, timeoutError } from "./send_refusal.ts";
 import type { StopCheck } from "./stop_check.ts";
 
 /** Options of {@link Exchange}. */
@@ -156,6 +156,7 @@
       return this.#passOver(placement, "version");
     }
     const { placed, result } = await this.#send(placement);
+    this.#state.time.noteResult(result.type);
     if (this.#ended) {
       if (result.type === "answer") result.answer.message.destroy();
       return;
@@ -163,10 +164,12 @@
     switch (result.type) {
       case "answer":
         return await this.#handleAnswer(placed, result.answer);
-      case "closed":
+      case "closed": {
         this.#attempts.noteNotArrived();
-        if (this.#state.time.shortage) return;
-        return this.#passOver(placed, result.obstacle.type);
+        const { time: { shortage } } = this.#state;
+        const { obstacle } = result;
+        return this.#passOver(placed, shortage ? "stopping" : obstacle.type);
+      }
       default:
         return this.#handleFailure(placed, result);
     }
@@ -174,12 +177,11 @@
 
   /** Gives a placement back that must not be used; the next attempt follows. */
   #passOver(
-    { replica }: Placement,
-    reason: Obstacle["type"] | "version",
+    placed: Placement,
+    reason: Obstacle["type"] | "version" | "stopping",
   ): void {
     this.#lane.placer.release();
-    const fields = { replica: replica.entry.incarnation, reason };
-    this.#journal.note("passedOver", fields);
+    this.#journal.passedOver(placed, reason);
   }
 
   /** Ends a request that may not be sent to any replica. */
@@ -304,10 +306,8 @@
   }
 
   #onTimeout(): void {
-    const error = this.#attempts.mayHaveRun
-      ? GatewayError.outOfTime
-      : GatewayError.outOfTimeNotRun;
-    this.#fail(error, { reason: "The request's time is over" });
+    const reason = "The request's time is over";
+    this.#fail(timeoutError(this.#attempts), { reason });
   }
 
   #end(): void {
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -56,6 +56,11 @@
     });
   }
 
+  /** Logs why a replica was not used that the request had been placed at. */
+  passedOver({ replica }: Placement, reason: string): void {
+    this.note("passedOver", { replica: replica.entry.incarnation, reason });
+  }
+
   /** Logs a send to a replica and what the placement was based on. */
   placed(placed: Placement, { sends, position }: JournalledSend): void {
     const { metrics, replicas, routes, clock, gate, paths } = this.#context;
--- a/src/gateway/requests/request_time.ts
+++ b/src/gateway/requests/request_time.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayRequest } from "./request.ts";
 import type { OpenRun } from "./run_times.ts";
+import type { SendResult } from "./sender.ts";
 import type { StopCheck, TimedRequest, TimeShortage } from "./stop_check.ts";
 
 /** Options of {@link RequestTime}. */
@@ -40,6 +41,12 @@
     this.#run = this.#stopCheck.runs.start(key, this.#now());
   }
 
+  /** Records what came of the last send; waiting for the next one is no run. */
+  noteResult(type: SendResult["type"]): void {
+    if (type === "unknown") this.noteEnded();
+    else if (type !== "answer") this.#run?.cancelled();
+  }
+
   /** Records that the last send was answered. */
   noteAnswered(): void {
     this.#run?.completed(this.#now());
--- a/src/gateway/requests/run_times.ts
+++ b/src/gateway/requests/run_times.ts
@@ -22,6 +22,8 @@
    * than those before is recorded, because it would have taken even longer.
    */
   dropped(now: Milliseconds): void;
+  /** Forgets a run that has not begun after all. */
+  cancelled(): void;
 };
 
 /** The time within which a share of the recent runs ended. */
@@ -51,6 +53,8 @@
     const record = (now: Milliseconds) => {
       runs.ended.push({ at: now, runMs: now - startedAt });
       if (runs.ended.length > MAX_RUNS) runs.ended.shift();
+      // It no longer counts as an open run.
+      runs.sortedAt = -Infinity;
     };
     return {
       completed: (now) => {
@@ -63,6 +67,7 @@
         );
         if (isLongest) record(now);
       },
+      cancelled: () => void runs.open.delete(run),
     };
   }
 
--- a/src/gateway/requests/send_refusal.ts
+++ b/src/gateway/requests/send_refusal.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request may be sent at all, to whichever replica. */
 import { GatewayError } from "../answers.ts";
 import { refusalOf } from "../crashes/refusal.ts";
+import type { Attempts } from "./attempts.ts";
 import { refusalWhenNoneAvailable } from "./availability.ts";
 import { type Failure, failureOf } from "./reply_writer.ts";
 import type { RequestJournal } from "./request_journal.ts";
@@ -30,6 +31,13 @@
   return [GatewayError.stopping, { basis: shortageFields(shortage) }];
 }
 
+/** The error of a request whose time is over. */
+export function timeoutError(
+  { mayHaveRun }: Pick<Attempts, "mayHaveRun">,
+): GatewayError {
+  return mayHaveRun ? GatewayError.outOfTime : GatewayError.outOfTimeNotRun;
+}
+
 /**
  * The refusal of a request that replicas rejected. If all of them back off, the
  * caller should not retry before one reopens.
--- a/src/gateway/requests/stop_check.ts
+++ b/src/gateway/requests/stop_check.ts
@@ -31,7 +31,7 @@
   [RouteKind.safe]: 0,
   // Those that come while callers are still directed here are served.
   [RouteKind.unsafe]: 4500,
-  // The longest streams take as long.
+  // Long streams take about as long; they are refused rather than cut off.
   [RouteKind.streaming]: 4800,
 };
 /** A run may take a little longer than those before. */
