--- a/src/gateway/upstreams/start_check.ts
+++ b/src/gateway/upstreams/start_check.ts
@@ -42,7 +42,7 @@
   readonly #options: StartChecksOptions;
   /** Questions in progress, by incarnation. */
   readonly #asked = new Map<string, Promise<StartFinding>>();
-  /** Questions that follow those in progress. */
+  /** Questions to ask after those in progress. */
   readonly #next = new Map<string, Promise<StartFinding>>();
 
   constructor(options: StartChecksOptions) {
@@ -77,7 +77,9 @@
     const { incarnation } = entry;
     const current = this.#asked.get(incarnation);
     if (!current) return this.#start(entry);
-    const next = this.#next.get(incarnation) ?? current.then(() => {
+    // Whoever asked first handles the error of that question.
+    const ended = current.catch(() => undefined);
+    const next = this.#next.get(incarnation) ?? ended.then(() => {
       this.#next.delete(incarnation);
       return this.#start(entry);
     });
