Tests of bytes without end through a tunnel and in the answer to CONNECT

Two host processes with the memory and heap of deployed ones; the first reaches the replicas only through the second. In one process: endless answers to CONNECT and bytes behind them, from 1 and 100 peers, are read for less than 16 MB each, and all calls end. Nothing was red, so no code changes.

The checks of endless_bytes_test move to check_host.ts and the callers of the sound service to sound_calls.ts, unchanged, so that both tests share them.

--- a/test/soak/endless_bytes_test.ts
+++ b/test/soak/endless_bytes_test.ts
@@ -3,55 +3,18 @@
  * that took many times their size, ran out of memory and ended, and with it the
  * requests of all its callers.
  */
-import assert from "node:assert/strict";
 import { test } from "node:test";
 import { knownRed } from "../known_red.ts";
-import { type FaultyCalls, MODEL_HEADERS, Pace } from "./endless_replies.ts";
+import { checkHost, type EndlessCase } from "./check_host.ts";
 import {
-  HOST_MEMORY_BYTES,
-  type LimitedHostOptions,
-  Path,
-  withLimitedHost,
-} from "./limited_host.ts";
-import { sleep } from "./sleep.ts";
+  ENDLESS_BYTES,
+  MODEL_HEADERS,
+  Pace,
+  SMALL_CHUNKS,
+} from "./endless_replies.ts";
+import { Path } from "./limited_host.ts";
 
-const RUN_MS = 4000;
 const MANY = 100;
-/** With all tries; the host may close connections unread while it is busy. */
-const MAX_SOUND_MS = 3000;
-const CHUNKED = ["Transfer-Encoding: chunked"];
-/** The body takes a sixth of the bytes, and each part of it an object. */
-const SMALL_CHUNKS = {
-  place: "body",
-  headers: CHUNKED,
-  piece: "1\r\nx\r\n",
-} as const;
-
-/** Requests whose responses have no end. */
-type EndlessCase = LimitedHostOptions & FaultyCalls;
-
-/** Fails unless the host runs on within its memory and serves others. */
-async function checkHost(
-  { endless, isEngine, ...calls }: EndlessCase,
-  runMs = RUN_MS,
-): Promise<void> {
-  const options = { endless, ...(isEngine === undefined ? {} : { isEngine }) };
-  const figures = await withLimitedHost(options, async ({ callFaulty }) => {
-    callFaulty(calls);
-    await sleep(runMs);
-  });
-  const { exit, peakBytes, sound: { sent, statuses, slowestMs } } = figures;
-  const served = statuses.filter((status) => status === 200);
-  console.log(
-    `Peak ${Math.round(peakBytes / 1e6)} MB; others: ${served.length} of ` +
-      `${sent} served, the slowest in ${Math.round(slowestMs)} ms`,
-  );
-  assert.equal(exit, undefined);
-  assert.ok(peakBytes < HOST_MEMORY_BYTES, `Peak ${peakBytes} bytes`);
-  assert.deepEqual(statuses, served);
-  assert.ok(slowestMs < MAX_SOUND_MS, `Others waited for ${slowestMs} ms`);
-}
-
 const SMALL_CHUNK_CASES: Readonly<Record<string, EndlessCase>> = {
   "a response that is buffered": {
     endless: SMALL_CHUNKS,
@@ -100,12 +63,6 @@
   });
 }
 
-const ENDLESS_BYTES = {
-  place: "body",
-  headers: ["Content-Length: 1000000000000"],
-  piece: "x",
-} as const;
-
 /** Long bodies, which sound replicas may send as well. */
 const FULL_SPEED_CASES: Readonly<Record<string, EndlessCase>> = {
   "responses that are buffered": {
--- a/test/soak/endless_replies.ts
+++ b/test/soak/endless_replies.ts
@@ -33,6 +33,20 @@
   readonly isOnce?: boolean;
 };
 
+/** The body takes a sixth of the bytes, and each part of it an object. */
+export const SMALL_CHUNKS = {
+  place: "body",
+  headers: ["Transfer-Encoding: chunked"],
+  piece: "1\r\nx\r\n",
+} as const;
+
+/** A body that is as fast as its reader. */
+export const ENDLESS_BYTES = {
+  place: "body",
+  headers: ["Content-Length: 1000000000000"],
+  piece: "x",
+} as const;
+
 /** How a faulty replica answers. */
 export function faultyAnswer(endless: Endless): RawAnswer {
   const { place, headers, start = "", piece, isOnce = false } = endless;
--- a/test/soak/limited_host.ts
+++ b/test/soak/limited_host.ts
@@ -1,11 +1,11 @@
 /**
- * One host process with the memory of a deployed one, replicas that a test
- * chooses the bytes of, and callers of both a sound and a faulty service.
+ * A host process with the memory of a deployed one, replicas that a test
+ * chooses the bytes of, and callers of both a sound and a faulty service. The
+ * host may reach the replicas only by way of a second one.
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { freeAddress } from "../free_address.ts";
@@ -17,18 +17,20 @@
   successHead,
 } from "./endless_replies.ts";
 import { startFaultySide } from "./faulty_side.ts";
-import { sleep } from "./sleep.ts";
+import { MARK_VARIABLE } from "./first_line.ts";
+import type { HostMessage } from "./machine_sleep.ts";
+import { PathCut } from "./replica_path.ts";
+import { callSoundly, SOUND_PATH, waitUntilServing } from "./sound_calls.ts";
 
 /** The memory that the platform gives a host, in bytes. */
 export const HOST_MEMORY_BYTES = 200e6;
 /** The limit of the JavaScript heap in `deploy/system.toml`. */
 const HEAP_OPTION = "--max-old-space-size=90";
+const MAIN = "dist/platform/main.js";
+/** The same with paths that a test can cut. */
+const CUT_MAIN = "dist/test/soak/gateway_main.js";
 const CONNECTION_LIMIT = 500;
-const START_TIMEOUT_MS = 30_000;
 const POLL_INTERVAL_MS = 50;
-const SOUND_INTERVAL_MS = 40;
-const SOUND_TIMEOUT_MS = 10_000;
-const RETRY_DELAY_MS = 50;
 
 /** Paths of the routes of the faulty service, and of the sound one. */
 export const Path = {
@@ -37,15 +39,16 @@
   stream: "/stream/x",
   resumable: "/resumable/x",
   engine: "/engine/x",
-  sound: "/sound/x",
+  sound: SOUND_PATH,
 } as const;
 /** One of the values of {@link Path}. */
 export type Path = typeof Path[keyof typeof Path];
 
-/** What became of the host and of others' requests. */
+/** What became of the hosts and of others' requests. */
 export type HostFigures = {
+  /** How a host ended, if one did. */
   readonly exit: string | undefined;
-  /** The most memory that the process has had. */
+  /** The most memory that a process has had. */
   readonly peakBytes: number;
   readonly sound: {
     readonly sent: number;
@@ -69,11 +72,13 @@
   readonly endless: Endless;
   /** Whether the faulty replica has the roles of a model engine's. */
   readonly isEngine?: boolean;
+  /** Whether the host reaches all replicas by way of a second one only. */
+  readonly isByPeer?: boolean;
 };
 
 /** Starts a host, waits until it serves, runs `work` and stops the host. */
 export async function withLimitedHost(
-  { endless, isEngine = false }: LimitedHostOptions,
+  { endless, isEngine = false, isByPeer = false }: LimitedHostOptions,
   work: (host: LimitedHost) => Promise<void>,
 ): Promise<HostFigures> {
   const store = await startStore();
@@ -95,22 +100,33 @@
       service: "faulty",
     });}
   const folder = mkdtempSync(join(tmpdir(), "otterhill-limited-"));
-  const started = await startHost(store, folder);
-  const { child, callers } = started;
+  const main = isByPeer ? CUT_MAIN : MAIN;
+  const host = await startHost(store, { folder, id: "host-1", main });
+  const { callers } = host;
+  const hosts = [host];
+  if (isByPeer) {
+    cutReplicas(host.child);
+    hosts.push(await startHost(store, { folder, id: "host-2", main }));
+  }
+  const children = hosts.map(({ child }) => child);
   const record = { sent: 0, slowestMs: 0, statuses: [] as number[] };
   let peakBytes = 0;
   const sampling = setInterval(() => {
-    peakBytes = Math.max(peakBytes, peakOf(child));
+    peakBytes = Math.max(peakBytes, ...children.map(peakOf));
   }, POLL_INTERVAL_MS);
   const figures = () => ({
-    exit: exitOf(child),
-    peakBytes: Math.max(peakBytes, peakOf(child)),
+    exit: children.map(exitOf).find((exit) => exit !== undefined),
+    peakBytes: Math.max(peakBytes, ...children.map(peakOf)),
     sound: { ...record },
   });
   let isDone = false;
   try {
-    await waitUntilServing(callers);
-    const others = callSoundly(callers, { record, isDone: () => isDone });
+    await Promise.all(hosts.map((each) => waitUntilServing(each.callers)));
+    const others = Promise.all(
+      hosts.map((each) =>
+        callSoundly(each.callers, { record, isDone: () => isDone })
+      ),
+    );
     const callFaulty = (calls: FaultyCalls) => faulty.call(callers, calls);
     await work({ callers, store, callFaulty });
     isDone = true;
@@ -119,10 +135,7 @@
   } finally {
     isDone = true;
     clearInterval(sampling);
-    if (exitOf(child) === undefined) {
-      child.kill("SIGKILL");
-      await once(child, "exit");
-    }
+    await Promise.all(children.map(endChild));
     store.stop();
     faulty.stop();
     sound.stop();
@@ -130,6 +143,18 @@
   }
 }
 
+async function endChild(child: ChildProcess): Promise<void> {
+  if (exitOf(child) !== undefined) return;
+  child.kill("SIGKILL");
+  await once(child, "exit");
+}
+
+/** Cuts the path of a host to all replicas. */
+function cutReplicas(child: ChildProcess): void {
+  const message: HostMessage = { type: "cutPaths", cut: PathCut.hang };
+  child.send(message);
+}
+
 function exitOf({ exitCode, signalCode }: ChildProcess): string | undefined {
   return signalCode ?? (exitCode === null ? undefined : String(exitCode));
 }
@@ -151,17 +176,21 @@
 
 async function startHost(
   store: StoreStandin,
-  folder: string,
+  { folder, id, main }: {
+    readonly folder: string;
+    readonly id: string;
+    readonly main: string;
+  },
 ): Promise<{ readonly child: ChildProcess; readonly callers: string }> {
   const [callers, readiness, peers, metrics] = await Promise.all(
     Array.from({ length: 4 }, () => freeAddress()),
   );
-  const settings = join(folder, "gateway.toml");
+  const settings = join(folder, `${id}.toml`);
   const megabytes = HOST_MEMORY_BYTES / 1e6;
   writeFileSync(
     settings,
     [
-      `[host]\nid = "host-1"\nhall = "hall"`,
+      `[host]\nid = "${id}"\nhall = "hall"`,
       `[listen]\ncallers = "${callers}"\nreadiness = "${readiness}"`,
       `peers = "${peers}"\nmetrics = "${metrics}"`,
       `[store]\naddress = "${store.address}"`,
@@ -170,10 +199,14 @@
   );
   const child = spawn(
     process.execPath,
-    [HEAP_OPTION, "dist/platform/main.js"],
+    [HEAP_OPTION, main],
     {
-      env: { ...process.env, OTTERHILL_CONFIG: settings },
-      stdio: ["ignore", "ignore", "inherit"],
+      env: {
+        ...process.env,
+        OTTERHILL_CONFIG: settings,
+        [MARK_VARIABLE]: join(folder, `${id}.begun`),
+      },
+      stdio: ["ignore", "ignore", "inherit", "ipc"],
     },
   );
   return { child, callers: callers ?? "" };
@@ -250,54 +283,3 @@
     ...extra,
   });
 }
-
-async function waitUntilServing(callers: string): Promise<void> {
-  const deadline = performance.now() + START_TIMEOUT_MS;
-  while (await callSound(callers, "start") !== 200) {
-    if (performance.now() > deadline) throw new Error("The host didn't start");
-    await sleep(POLL_INTERVAL_MS);
-  }
-}
-
-/** Sends requests to the sound service, one after the other. */
-async function callSoundly(
-  callers: string,
-  { record, isDone }: {
-    readonly record: { sent: number; slowestMs: number; statuses: number[] };
-    readonly isDone: () => boolean;
-  },
-): Promise<void> {
-  while (!isDone()) {
-    const sentAt = performance.now();
-    record.sent += 1;
-    const id = `sound-${record.sent}`;
-    let status = await callSound(callers, id);
-    // The host may close a new connection unread while it is busy.
-    while (status === 0 && performance.now() - sentAt < SOUND_TIMEOUT_MS) {
-      await sleep(RETRY_DELAY_MS);
-      status = await callSound(callers, id);
-    }
-    record.statuses.push(status);
-    const tookMs = performance.now() - sentAt;
-    record.slowestMs = Math.max(record.slowestMs, tookMs);
-    await sleep(SOUND_INTERVAL_MS);
-  }
-}
-
-/** The status of a whole response; 0 if there is none. */
-function callSound(callers: string, id: string): Promise<number> {
-  const [host, port] = callers.split(":");
-  return new Promise((resolve) => {
-    const headers = { Host: "example", "Attempt-Id": id };
-    const path = Path.sound;
-    const outgoing = request({ host, port, path, headers, agent: false });
-    outgoing.setTimeout(SOUND_TIMEOUT_MS, () => outgoing.destroy());
-    outgoing.on("error", () => resolve(0));
-    outgoing.on("response", (response) => {
-      response.on("error", () => resolve(0));
-      response.on("end", () => resolve(response.statusCode ?? 0));
-      response.resume();
-    });
-    outgoing.end();
-  });
-}
