--- a/test/soak/limited_host.ts
+++ b/test/soak/limited_host.ts
@@ -74,14 +74,18 @@
   readonly isEngine?: boolean;
   /** Whether the host reaches all replicas by way of a second one only. */
   readonly isByPeer?: boolean;
+  /** Starts what stands between the host and its store; by default nothing. */
+  readonly startProxy?: (store: string) => Promise<string>;
 };
 
 /** Starts a host, waits until it serves, runs `work` and stops the host. */
 export async function withLimitedHost(
-  { endless, isEngine = false, isByPeer = false }: LimitedHostOptions,
+  options: LimitedHostOptions,
   work: (host: LimitedHost) => Promise<void>,
 ): Promise<HostFigures> {
+  const { endless, isEngine = false, isByPeer = false, startProxy } = options;
   const store = await startStore();
+  const storeAddress = await startProxy?.(store.address) ?? store.address;
   const faulty = await startFaultySide(endless);
   const sound = await startRawReplica(answerSoundly);
   store.put("op", "config", configuration());
@@ -101,12 +105,12 @@
     });}
   const folder = mkdtempSync(join(tmpdir(), "otterhill-limited-"));
   const main = isByPeer ? CUT_MAIN : MAIN;
-  const host = await startHost(store, { folder, id: "host-1", main });
+  const host = await startHost(storeAddress, { folder, id: "host-1", main });
   const { callers } = host;
   const hosts = [host];
   if (isByPeer) {
     cutReplicas(host.child);
-    hosts.push(await startHost(store, { folder, id: "host-2", main }));
+    hosts.push(await startHost(storeAddress, { folder, id: "host-2", main }));
   }
   const children = hosts.map(({ child }) => child);
   const record = { sent: 0, slowestMs: 0, statuses: [] as number[] };
@@ -175,7 +179,7 @@
 };
 
 async function startHost(
-  store: StoreStandin,
+  store: string,
   { folder, id, main }: {
     readonly folder: string;
     readonly id: string;
@@ -193,7 +197,7 @@
       `[host]\nid = "${id}"\nhall = "hall"`,
       `[listen]\ncallers = "${callers}"\nreadiness = "${readiness}"`,
       `peers = "${peers}"\nmetrics = "${metrics}"`,
-      `[store]\naddress = "${store.address}"`,
+      `[store]\naddress = "${store}"`,
       `[memory]\nprocess = "${megabytes}MB"\nunread_timeout = "3s"\n`,
     ].join("\n"),
   );
