--- a/src/gateway/callers/check_headers.ts
+++ b/src/gateway/callers/check_headers.ts
@@ -23,7 +23,7 @@
   readonly admission: AdmissionOptions;
 };
 
-/** Options of {@link shortageAtAll}. */
+/** Options of {@link shortageAtEveryService}. */
 export type TimeCheckOptions = {
   readonly stopCheck: StopCheck;
   readonly receivedAt: Milliseconds;
@@ -44,7 +44,7 @@
   const route = routes.match(headers.host ?? "", url ?? "/");
   if (!route) return { type: "refused", error: noRouteError(context) };
   const facts = dialect.readRequest(headers);
-  const shortage = shortageAtAll(options, { route, facts });
+  const shortage = shortageAtEveryService(options, { route, facts });
   if (shortage) {
     return { type: "refused", error: GatewayError.stopping, shortage };
   }
@@ -64,10 +64,10 @@
 }
 
 /**
- * The shortage of time at the last of the route's services, if none of them
- * would respond in time. The service of the request is chosen later.
+ * The shortage of time at the last of the route's services, for the log; undefined
+ * if at least one of them has the time. The service is chosen later.
  */
-export function shortageAtAll(
+export function shortageAtEveryService(
   { stopCheck, receivedAt, wholeAt }: TimeCheckOptions,
   { route, facts }: Pick<AcceptedHeaders, "route" | "facts">,
 ): TimeShortage | undefined {
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -33,7 +33,7 @@
   checkHeaders,
   type HeaderCheck,
   isOverloaded,
-  shortageAtAll,
+  shortageAtEveryService,
 } from "./check_headers.ts";
 import { createRequest, deadlineOf, priorityOf } from "./create_request.ts";
 import { serveHalfClosed, watchHalfClosed } from "./half_closed.ts";
@@ -164,7 +164,7 @@
       receivedAt,
       isTooLate: () =>
         firstCheck.type === "taken" &&
-        shortageAtAll(options, firstCheck) !== undefined,
+        shortageAtEveryService(options, firstCheck) !== undefined,
     });
     if (reading.type === "gone") return;
     if (isOverloaded(firstCheck)) response.shouldKeepAlive = false;
@@ -178,7 +178,7 @@
       const error = INCOMPLETE_BODY_ERRORS[reading.type];
       const refusal = firstCheck.type === "refused"
         ? firstCheck
-        : { error, shortage: shortageAtAll(options, firstCheck) };
+        : { error, shortage: shortageAtEveryService(options, firstCheck) };
       return reject(refusal);
     }
     onceClosed(incoming, response, () => reading.release());
--- a/src/gateway/requests/relay.ts
+++ b/src/gateway/requests/relay.ts
@@ -74,7 +74,7 @@
   reply: Reply,
   options: AnswerRelayOptions,
 ): Promise<RelayOutcome> {
-  // It was cut off, and what was received of it is gone.
+  // The connection closed before this, so the rest can't be read any more.
   if (answer.message.closed) return "interrupted";
   const { route, scanner, writeHead, onFirstByte, observer, pace } = options;
   const { confirmEnd } = options;
--- a/src/gateway/requests/stream_binding.ts
+++ b/src/gateway/requests/stream_binding.ts
@@ -130,7 +130,7 @@
     const { route, facts } = this.#request;
     const timeoutMs = START_CHECK_SHARE * route.silenceMs;
     const start = await this.#context.starts.find(entry, timeoutMs);
-    if (start === "listed" || start === "untold") return true;
+    if (start === "asListed" || start === "notReported") return true;
     const { incarnation } = entry;
     this.#outdated.add(incarnation);
     this.#context.metrics.count(`continuations_withheld_${start}`);
--- a/src/gateway/upstreams/start_check.ts
+++ b/src/gateway/upstreams/start_check.ts
@@ -20,11 +20,11 @@
 /** What a replica has told of its start. */
 export const StartFinding = {
   /** It runs as it is listed. */
-  listed: "listed",
+  asListed: "asListed",
   /** It has started again. */
   other: "other",
   /** Its entry, or what it reports, names no start. */
-  untold: "untold",
+  notReported: "notReported",
   /** It hasn't reported in time. */
   silent: "silent",
 } as const;
@@ -58,7 +58,9 @@
     entry: ReplicaEntry,
     timeoutMs: Milliseconds,
   ): Promise<StartFinding> {
-    if (entry.stage === undefined || entry.born === undefined) return "untold";
+    if (entry.stage === undefined || entry.born === undefined) {
+      return "notReported";
+    }
     const { clock } = this.#options;
     const deadline = clock.now() + timeoutMs;
     for (;;) {
@@ -110,8 +112,8 @@
   });
   if (!answer || isRejection(answer.status)) return "silent";
   const born = dialect.readReport(answer.body)?.born;
-  if (born === undefined) return "untold";
-  return born === entry.born ? "listed" : "other";
+  if (born === undefined) return "notReported";
+  return born === entry.born ? "asListed" : "other";
 }
 
 /** Whether a later call may be answered. */
