Revert "Responses of the store and of hosts are bounded in sum"

Suspected: the agent closes idle connections of hosts, and a connection that breaks is taken for the end of the host that keeps records of streams.

--- a/src/gateway/upstreams/json_client.ts
+++ b/src/gateway/upstreams/json_client.ts
@@ -1,13 +1,9 @@
 /** JSON calls to one address over persistent connections. */
-import type { Agent, IncomingHttpHeaders } from "node:http";
+import { Agent, type IncomingHttpHeaders } from "node:http";
 import type { JsonCall } from "../port.ts";
 import type { Clock } from "../clock.ts";
-import { ByteBudget } from "../memory/byte_budget.ts";
-import { HeldBytes } from "../memory/held_bytes.ts";
 import { startCall } from "./call.ts";
-import { tcpConnect } from "./connect.ts";
 import { readBody } from "./read_body.ts";
-import { ReplicaAgent } from "./replica_agent.ts";
 
 /** A complete response. */
 export type JsonAnswer = {
@@ -24,26 +20,13 @@
   close(): void;
 };
 
-/** Room for a blob of 8 MB in base64, the longest value of the store. */
-const MAX_BODY_BYTES = 12 << 20;
-/**
- * Bodies up to this size are read whatever is held: most calls must not depend on
- * the responses of one faulty address.
- */
-const SMALL_BODY_BYTES = 64 << 10;
-/** Of all longer bodies that are being read; one always fits beside another. */
-const MAX_HELD_BYTES = 2 * MAX_BODY_BYTES;
-/** Shared by all clients: they share the memory of the process. */
-const LONG_BODIES = new ByteBudget(MAX_HELD_BYTES);
+const MAX_BODY_BYTES = 64 << 20;
 const CONNECT_TIMEOUT_MS = 600;
 const MAX_SOCKETS = 4;
 
 /** Creates a client, which opens connections on demand. */
 export function createJsonClient(address: string, clock: Clock): JsonClient {
-  const agent = new ReplicaAgent(
-    { maxConnections: MAX_SOCKETS, keepAlive: true },
-    tcpConnect,
-  );
+  const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS });
   return {
     call: (call, signal) => sendCall({ address, clock, agent }, call, signal),
     close: () => agent.destroy(),
@@ -73,20 +56,16 @@
   });
   const abort = () => call.abort("Call aborted");
   signal.addEventListener("abort", abort, { once: true });
-  const held = new HeldBytes({ budget: LONG_BODIES, isMostUrgent: true });
   try {
     const outcome = await call.outcome;
     if (outcome.type !== "answer") throw new Error(outcome.reason);
-    const body = await readBody(outcome.answer, MAX_BODY_BYTES, {
-      mayHold: (bytes) => bytes <= SMALL_BODY_BYTES || held.set(bytes),
-    });
+    const body = await readBody(outcome.answer, MAX_BODY_BYTES);
     if (body === undefined) {
       throw new Error("Response body cut off or too long");
     }
     const { statusCode = 0, headers } = outcome.answer.message;
     return { status: statusCode, body, headers };
   } finally {
-    held.set(0);
     signal.removeEventListener("abort", abort);
   }
 }
--- a/src/gateway/upstreams/read_body.ts
+++ b/src/gateway/upstreams/read_body.ts
@@ -3,26 +3,16 @@
 import type { Answer } from "./call.ts";
 import { BodyEnding } from "./framing.ts";
 
-/** Options of {@link readBody}. */
-export type ReadBodyOptions = {
-  /**
-   * Gets the body before its connection carries another call; if it returns
-   * false, the connection is closed.
-   */
-  readonly mayReuse?: (body: string) => boolean;
-  /** Whether there is room for a body of this length, as far as it is read. */
-  readonly mayHold?: (bytes: number) => boolean;
-};
-
 /**
- * Reads the body of a response; undefined if it was cut off, is longer than
- * `maxBytes` or finds no room. Its reader has to parse it as a JSON object, which
- * a truncated body without framing is not.
+ * Reads the body of a response; undefined if it was cut off or is longer than
+ * `maxBytes`. Its reader has to parse it as a JSON object, which a truncated
+ * body without framing is not. `mayReuse` gets the body before its connection
+ * carries another call; if it returns false, the connection is closed.
  */
 export function readBody(
   answer: Answer,
   maxBytes: number,
-  { mayReuse, mayHold = () => true }: ReadBodyOptions = {},
+  mayReuse?: (body: string) => boolean,
 ): Promise<string | undefined> {
   return new Promise((resolve) => {
     const received = new ByteCollector();
@@ -31,8 +21,7 @@
     const { socket } = message;
     const text = () => received.bytes().toString("utf8");
     message.on("data", (chunk: Buffer) => {
-      const bytes = received.length + chunk.length;
-      isTooLong ||= bytes > maxBytes || !mayHold(bytes);
+      isTooLong ||= received.length + chunk.length > maxBytes;
       if (isTooLong) message.destroy();
       else received.push(chunk);
     });
