--- a/test/soak/planned_stop_test.ts
+++ b/test/soak/planned_stop_test.ts
@@ -5,6 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { knownRed } from "../known_red.ts";
 import { CallKind, type CallResult } from "./call.ts";
 import { callHost, type FleetHost } from "./fleet.ts";
 import { type LateRequest, type LateResult, sendLate } from "./late_request.ts";
@@ -185,6 +186,68 @@
   });
 }
 
+/** Longer than all streams before the stop, and than a late one may take. */
+const LONG_STREAM_SLOWDOWN = 7;
+const LATE_HEADS = "a stopping host cuts no stream that is sent late";
+const LATE_BODIES = "a stopping host cuts no stream whose body ends late";
+
+// The time for a late stream was that of the longest one before.
+for (
+  const [name, timesOf] of [
+    [LATE_HEADS, (at: number) => [3010 + 15 * at, 0]],
+    [LATE_BODIES, (at: number) => [800 + 150 * at, 2500]],
+  ] as const
+) {
+  test(name, knownRed(name), async (test) => {
+    await withFleet(async (fleet) => {
+      const [host] = fleet.hosts;
+      assert.ok(host);
+      await warmUp(host, CallKind.stream);
+      slowStreams(fleet, LONG_STREAM_SLOWDOWN);
+      const results = await stopBeside(
+        host,
+        Array.from({ length: 10 }, (_, at) => {
+          const [headAfterMs = 0, bodyAfterMs = 0] = timesOf(at);
+          const id = `long-${at}`;
+          const kind = CallKind.stream;
+          return { id, kind, headAfterMs, bodyAfterMs, isChunked: true };
+        }),
+      );
+      test.diagnostic(statusesOf(results));
+      const cut = unanswered(results).filter(({ status, sentAtMs }) =>
+        status !== 0 && sentAtMs > SERVED_UNTIL_MS
+      );
+      assert.deepEqual(cut, []);
+      assert.ok(results.some(({ status }) => status === 503));
+    }, OPTIONS);
+  });
+}
+
+const LATE_UNSAFE = "a stopping host cuts no unsafe request that is sent late";
+// The time for a late request was that of the longest one before.
+test(LATE_UNSAFE, knownRed(LATE_UNSAFE), async (test) => {
+  await withFleet(async (fleet) => {
+    const [host] = fleet.hosts;
+    assert.ok(host);
+    await warmUp(host, CallKind.unsafe);
+    slowDown(fleet, 5000);
+    const results = await stopBeside(
+      host,
+      Array.from({ length: 10 }, (_, at) => ({
+        id: `long-${at}`,
+        kind: CallKind.unsafe,
+        headAfterMs: 800 + 150 * at,
+        bodyAfterMs: 2500,
+      })),
+    );
+    test.diagnostic(statusesOf(results));
+    const cut = results.filter(({ status, sentAtMs }) =>
+      status !== 503 && sentAtMs > SERVED_UNTIL_MS
+    );
+    assert.deepEqual(cut, [], statusesOf(cut));
+  }, OPTIONS);
+});
+
 test("a reload while a host stops does not change when its requests end", async (test) => {
   await withFleet(async (fleet) => {
     const [host] = fleet.hosts;
