Planned stop: a late request is accepted only if it can't outlast the host

What callers saw: a stream that was sent more than 3 s after the signal, or whose body ended so late, was accepted and cut at the end of the grace period; an unsafe request got 502, outcome unknown.

Cause: since a late request was accepted if the longest run of its route in the last minute would have ended in time. The next run may take longer, and nothing can be done about it then.

Change: late unsafe requests and streams are accepted only if their own deadline ends them before the host does; others get 503, not run, with Connection: close, at the head or as soon as they are late. Late safe requests are weighed as before: their callers repeat them.

--- a/src/gateway/requests/stop_check.ts
+++ b/src/gateway/requests/stop_check.ts
@@ -23,6 +23,14 @@
 const REDIRECTED_AFTER_MS: Milliseconds = 3000;
 /** Later requests come from few callers, who are sent to other hosts. */
 const LATE_IN_TIME_SHARE = 1;
+/**
+ * Kinds of which no late request is accepted that may outlast this host. Any run
+ * may take longer than all before, and callers can't just repeat these.
+ */
+const BOUNDED_KINDS: ReadonlySet<RouteKind> = new Set([
+  RouteKind.unsafe,
+  RouteKind.streaming,
+]);
 /** Fewer runs don't show how long others take. */
 const MIN_RUNS = 8;
 /** Time for a run if too few have been observed. */
@@ -86,6 +94,7 @@
     { route, service }: TimedRequest,
     { isLate, now }: { readonly isLate: boolean; readonly now: Milliseconds },
   ): Milliseconds {
+    if (isLate && BOUNDED_KINDS.has(route.kind)) return Infinity;
     const share = isLate ? LATE_IN_TIME_SHARE : IN_TIME_SHARES[route.kind];
     const key = { service, route: route.name };
     const { runMs, runs } = this.runs.timeOf(key, { share, now });
