Planned stop: only the longest run is compared with runs in progress, as before

Under load the runs in progress are long at all hosts, so refusing by them sends callers to hosts that are as slow.

--- a/src/gateway/requests/run_times.ts
+++ b/src/gateway/requests/run_times.ts
@@ -79,13 +79,11 @@
     const runs = this.#routes.get(keyOf(route));
     if (!runs) return { runMs: 0, runs: 0 };
     const sorted = sortedRuns(runs, now);
-    const endedMs = quantile(sorted, share);
-    // Runs in progress that have already lasted longer count as well: the
-    // replicas may be slower than they were.
-    const longer = [...runs.open].map(({ startedAt }) => now - startedAt)
-      .filter((openMs) => openMs > endedMs);
-    const runMs = quantile([...sorted, ...longer].sort(byLength), share);
-    return { runMs, runs: sorted.length };
+    const endedMs = sorted[Math.ceil(share * sorted.length) - 1] ?? 0;
+    // A run in progress shows that runs may take as long.
+    const [oldest] = share === 1 ? runs.open : [];
+    const openMs = oldest ? now - oldest.startedAt : 0;
+    return { runMs: Math.max(endedMs, openMs), runs: sorted.length };
   }
 
   #runsOf(route: RunRoute): RouteRuns {
@@ -100,18 +98,6 @@
   }
 }
 
-/** The value that a share of the sorted values doesn't exceed; 0 without any. */
-function quantile(
-  sorted: readonly Milliseconds[],
-  share: number,
-): Milliseconds {
-  return sorted[Math.ceil(share * sorted.length) - 1] ?? 0;
-}
-
-function byLength(a: Milliseconds, b: Milliseconds): number {
-  return a - b;
-}
-
 function sortedRuns(
   runs: RouteRuns,
   now: Milliseconds,
@@ -120,7 +106,7 @@
   runs.sortedAt = now;
   runs.sorted = runs.ended.filter(({ at }) => now - at < MAX_AGE_MS)
     .map(({ runMs }) => runMs)
-    .sort(byLength);
+    .sort((a, b) => a - b);
   return runs.sorted;
 }
 
