A stream without a record isn't taken for the version before while a missing host may have it

Two of five hosts stood still while v3 joined; the other three began streams of it and were killed as the two went on.

Cause: the version before a transition was inferred on the word of one keeper that had run for a window and had known both versions as long as the host that asked. A stream begins as soon as one of its keepers has the record, so another keeper may lack it: host-2 asked host-3, both had just gone on, and each confirmed the other (streamVersionFound answered 1, is_heard false, state mixed, source inferred, software_version v1). The store lacked the streams, which were under 0.6 s old.

Now nobody else may have the record: all keepers of the stream respond with their word, or the whole fleet is asked and one host at most is missing. A record is at its origin and at a keeper, so of these two one has responded.

Tests: three of resolve_version_test and unheard_hosts_test asserted the fault itself, that one keeper's word binds while the others of its keepers have ended or have just started. They assert "unknown" for these cases now, and "bound" where all keepers respond; the bounds of the transition are unchanged, and the case of a host that isn't asked is new.

--- a/src/gateway/streams/resolve_version.ts
+++ b/src/gateway/streams/resolve_version.ts
@@ -56,6 +56,8 @@
   readonly asked: readonly HostEntry[];
   /** Those of them that keep the stream's record, whoever made it. */
   readonly commonKeepers: readonly HostEntry[];
+  /** Whether these are all other hosts. */
+  readonly isFleetAsked: boolean;
   readonly ask: (hosts: readonly HostEntry[]) => Promise<KeeperPoll>;
   /**
    * The listing is as recent as the store's, but for the time in which a change
@@ -115,22 +117,39 @@
 
 /** What follows if the store lists what this host does and lacks the stream. */
 function inferFromStore(
-  { stateOf, asked, commonKeepers }: ResolutionQuery,
+  query: ResolutionQuery,
   poll: KeeperPoll,
 ): VersionChoice | undefined {
   const { answers } = poll;
-  const state = stateOf();
+  const state = query.stateOf();
   if (state.type !== "mixed") return inferOnly(state, answers);
-  // It would have the record, unless it started after the second version.
-  const hasKeeper = answers.some((answer) =>
-    commonKeepers.includes(answer.host) && hasRunBefore(answer) &&
+  // Others that lack the record may have lost it, or may never have had it.
+  const witnesses = answers.filter((answer) =>
+    hasRunBefore(answer) &&
     mixedForMs(answer) >= state.forMs - MAX_LISTING_LAG_MS
-  );
-  return hasKeeper && isEachHallHeard(asked, poll)
+  ).map(({ host }) => host);
+  return isRecordRuledOut(query, witnesses) &&
+      isEachHallHeard(query.asked, poll)
     ? inferBefore(state, answers)
     : undefined;
 }
 
+/**
+ * Whether no other host can have the record of a stream that these lack. A
+ * stream begins once one of its keepers has its record, so that keeper may be
+ * the only host besides the origin. Of a single host that is no witness, the
+ * other of the two is one, unless the origin isn't asked.
+ */
+function isRecordRuledOut(
+  { asked, commonKeepers, isFleetAsked }: ResolutionQuery,
+  witnesses: readonly HostEntry[],
+): boolean {
+  if (!commonKeepers.some((host) => witnesses.includes(host))) return false;
+  const others = asked.filter((host) => !witnesses.includes(host));
+  return others.length === 1 && isFleetAsked ||
+    !others.some((host) => commonKeepers.includes(host));
+}
+
 /**
  * What follows while the store doesn't respond. Hosts that have ended can't tell
  * what they knew, but unlike silent ones they are no sign of a cut.
--- a/src/gateway/streams/stream_versions.ts
+++ b/src/gateway/streams/stream_versions.ts
@@ -231,7 +231,8 @@
   ): Promise<Resolution> {
     const { clock, hosts, listingAgeMs } = this.#options;
     this.#observe(clock.now());
-    const { asked, commonKeepers } = this.#chooser.of(stream, hosts());
+    const others = hosts();
+    const { asked, commonKeepers } = this.#chooser.of(stream, others);
     const question = isRecordable(stream)
       ? stream
       : { ...stream, id: NO_STREAM };
@@ -241,7 +242,8 @@
       stateOf: () => this.#history.stateOf(stream.service, clock.now()),
       asked,
       commonKeepers,
-      ask: (others) => this.#client.ask(others, question, timeoutMs),
+      isFleetAsked: asked.length === others.length,
+      ask: (asked) => this.#client.ask(asked, question, timeoutMs),
       isListingRecent: () => listingAgeMs() <= RECENT_LISTING_MS,
       confirmListing: () => this.#confirmListing(),
       findArchived: () => this.#archive.find(stream),
--- a/test/gateway/streams/resolution.ts
+++ b/test/gateway/streams/resolution.ts
@@ -55,6 +55,7 @@
     asked: HOSTS,
     ask: () => Promise.resolve({ answers, ended: [] }),
     commonKeepers: HOSTS.slice(0, 3),
+    isFleetAsked: true,
     isListingRecent: () => true,
     confirmListing: () => Promise.resolve(true),
     findArchived: () => Promise.resolve({ type: "absent" }),
--- a/test/gateway/streams/resolve_version_test.ts
+++ b/test/gateway/streams/resolve_version_test.ts
@@ -87,15 +87,19 @@
 
 test("just after a transition, an unknown stream is of the version before", async () => {
   const before = { softwareVersion: "v1" };
-  const at = (forMs: number) =>
-    resolve([NONE, { ...NONE, mixedForMs: forMs }, NONE], {
+  const at = (forMs: number, ...others: AskResponse[]) =>
+    resolve([{ ...NONE, mixedForMs: forMs }, ...others], {
       stateOf: () => ({ type: "mixed", forMs, before }),
     });
-  assert.deepEqual((await at(4999)).binding, {
+  const seen = (mixedForMs: number) => ({ ...NONE, mixedForMs });
+  assert.deepEqual((await at(4999, seen(4999), seen(4999))).binding, {
     type: "bound",
     softwareVersion: "v1",
   });
-  assert.equal((await at(5000)).binding.type, "unknown");
+  const ended = await at(5000, seen(5000), seen(5000));
+  assert.equal(ended.binding.type, "unknown");
+  // Keepers that have just started may have lost the record.
+  assert.equal((await at(4999, NONE, NONE)).binding.type, "unknown");
 });
 
 test("a transition is over once any host has seen both versions for long", async () => {
--- a/test/gateway/streams/unheard_hosts_test.ts
+++ b/test/gateway/streams/unheard_hosts_test.ts
@@ -100,8 +100,8 @@
   assert.equal(await typeOf(1900), "bound");
 });
 
-// Guards against the word of hosts that would not have the record.
-test("the version before a transition isn't inferred without a keeper of the stream", async () => {
+// Guards against the word of hosts that may not have the record.
+test("the version before a transition isn't inferred without the keepers of the stream", async () => {
   const before = { softwareVersion: "v1" };
   const typeOf = async (commonKeepers: readonly HostEntry[]) => {
     const answers = HOSTS.slice(3).map((host) => ({
@@ -116,7 +116,33 @@
     return binding.type;
   };
   assert.equal(await typeOf(HOSTS.slice(0, 3)), "unknown");
-  assert.equal(await typeOf(HOSTS.slice(1, 4)), "bound");
+  // The record may have reached only those that have ended.
+  assert.equal(await typeOf(HOSTS.slice(1, 4)), "unknown");
+  assert.equal(await typeOf(HOSTS.slice(2, 5)), "unknown");
+  assert.equal(await typeOf(HOSTS.slice(3)), "bound");
+});
+
+// Guards against a keeper that has ended with the only record of a host that
+// isn't asked.
+test("a keeper may have ended only if it can have been the origin", async () => {
+  const before = { softwareVersion: "v1" };
+  const typeOf = async (isFleetAsked: boolean, ended: number) => {
+    const answers = HOSTS.slice(ended).map((host) => ({
+      host,
+      response: versions("v1", "v2"),
+    }));
+    const { binding } = await resolve([], {
+      stateOf: () => ({ type: "mixed", forMs: 10, before }),
+      isFleetAsked,
+      ask: () => Promise.resolve({ answers, ended: HOSTS.slice(0, ended) }),
+    });
+    return binding.type;
+  };
+  assert.equal(await typeOf(true, 0), "bound");
+  assert.equal(await typeOf(true, 1), "bound");
+  assert.equal(await typeOf(true, 2), "unknown");
+  assert.equal(await typeOf(false, 0), "bound");
+  assert.equal(await typeOf(false, 1), "unknown");
 });
 
 // Guards against the silence of hosts that is taken for their consent.
@@ -134,7 +160,7 @@
   }
 });
 
-test("hosts that have ended are not waited for, but one host has to respond", async () => {
+test("hosts that have ended are not waited for, but the keepers have to respond", async () => {
   const before = { softwareVersion: "v1" };
   const both = versions("v1", "v2");
   const typeOf = async (respondingHosts: number) => {
@@ -147,7 +173,9 @@
     });
     return binding.type;
   };
-  assert.equal(await typeOf(1), "bound");
+  assert.equal(await typeOf(3), "bound");
+  assert.equal(await typeOf(2), "unknown");
+  assert.equal(await typeOf(1), "unknown");
   assert.equal(await typeOf(0), "unknown");
 });
 
