JSON of the store and of hosts is bounded by its values, and by its faults

Callers saw that a host ended: a page of the store of 11 MB of empty objects took 251 MB when it was parsed (heap limit 90 MB). A bound on bytes doesn't help: a page of 190 KB did the same, since zod collects the issues of all rows, and their text. So did a listing of a peer with 65,000 invalid entries.

A body with more than 131,072 delimiters, which a listing of a thousand replicas with a hundred fields each doesn't have, is rejected as it arrives, before it is parsed. Arrays in the messages of the store and of peers report their first invalid item only (arrayOf).

--- a/src/gateway/peers/peer_state.ts
+++ b/src/gateway/peers/peer_state.ts
@@ -4,6 +4,7 @@
  * hosts.
  */
 import * as z from "zod";
+import { arrayOf } from "../../util/array_of.ts";
 import { readJson } from "../../util/read_json.ts";
 import { RouteConfigSchema } from "../routing/schema.ts";
 import type { ReplicaListing } from "../replicas/model.ts";
@@ -17,10 +18,10 @@
 
 const Listing = z.object({
   revision: z.number(),
-  entries: z.array(ReplicaEntrySchema).readonly(),
+  entries: arrayOf(ReplicaEntrySchema),
   /** Absent: peers of an earlier version don't know it of their listing. */
   isExact: z.boolean().exactOptional(),
-  retained: z.array(z.string()).readonly().exactOptional(),
+  retained: arrayOf(z.string()).exactOptional(),
 });
 
 /** The schema of a peer's response. */
--- a/src/gateway/replicas/schema.ts
+++ b/src/gateway/replicas/schema.ts
@@ -1,5 +1,6 @@
 /** Encoding of replica entries in messages between hosts. */
 import * as z from "zod";
+import { arrayOf } from "../../util/array_of.ts";
 import {
   incarnationOf,
   type ListingDelta,
@@ -41,18 +42,18 @@
 export const ListingDeltaSchema = z.object({
   since: z.number(),
   revision: z.number(),
-  changed: z.array(ReplicaEntrySchema).readonly(),
-  gone: z.array(z.string()).readonly(),
+  changed: arrayOf(ReplicaEntrySchema),
+  gone: arrayOf(z.string()),
   size: z.number(),
   digest: z.number().exactOptional(),
   isUnverified: z.literal(true).exactOptional(),
-  buckets: z.array(z.number()).readonly().exactOptional(),
+  buckets: arrayOf(z.number()).exactOptional(),
   comparedState: z.number().exactOptional(),
 });
 
 /** Decodes a {@link ListingComparison}. */
 export const ListingComparisonSchema = z.object({
-  digests: z.array(z.number()).readonly(),
+  digests: arrayOf(z.number()),
   state: z.number(),
 });
 
--- a/src/gateway/routing/schema.ts
+++ b/src/gateway/routing/schema.ts
@@ -1,5 +1,6 @@
 /** Schema of the configuration in messages between hosts. */
 import * as z from "zod";
+import { arrayOf } from "../../util/array_of.ts";
 import { QuotaUnit } from "../customers/model.ts";
 import { RouteKind } from "./model.ts";
 
@@ -14,8 +15,7 @@
   silenceMs: z.number(),
   attempts: z.number(),
   priority: z.number(),
-  targets: z.array(z.object({ service: z.string(), weight: z.number() }))
-    .readonly(),
+  targets: arrayOf(z.object({ service: z.string(), weight: z.number() })),
   resumable: z.boolean(),
   anonymous: z.boolean(),
 });
@@ -31,7 +31,7 @@
 
 const Customer = z.object({
   name: z.string(),
-  keyDigests: z.array(z.string()).readonly(),
+  keyDigests: arrayOf(z.string()),
   priority: z.number().exactOptional(),
   quota: z.object({
     unit: z.enum(QuotaUnit),
@@ -44,18 +44,18 @@
 /** Parses a `RouteConfig`. */
 export const RouteConfigSchema = z.object({
   version: z.number(),
-  routes: z.array(Route).readonly(),
-  services: z.array(z.object({
+  routes: arrayOf(Route),
+  services: arrayOf(z.object({
     name: z.string(),
     connectionLimit: z.number(),
     healthPath: z.string().exactOptional(),
     engine: Engine.exactOptional(),
-  })).readonly(),
+  })),
   limits: z.object({
     bodyBytes: z.number(),
     headBytes: z.number().exactOptional(),
     headerMs: z.number(),
     idleMs: z.number(),
   }),
-  customers: z.array(Customer).readonly().exactOptional(),
+  customers: arrayOf(Customer).exactOptional(),
 });
--- a/src/gateway/upstreams/json_body.ts
+++ b/src/gateway/upstreams/json_body.ts
@@ -1,13 +1,14 @@
 /** Reads the bodies of JSON responses within bounds of memory. */
 import { ResponseBudget } from "../memory/response_budget.ts";
 import type { Answer } from "./call.ts";
+import { countDelimiters } from "./json_values.ts";
 import { readBody } from "./read_body.ts";
 
 /** Why a response was not read to its end. */
 export const ResponseFault = {
   /** The connection ended first. */
   cutOff: "cutOff",
-  /** No message is as long. */
+  /** No message is as long, or has as many values. */
   tooLong: "tooLong",
   /** The responses that are being read take too much memory together. */
   noRoom: "noRoom",
@@ -36,6 +37,11 @@
 
 /** Room for a blob of 8 MB in base64, the longest value of the store. */
 const MAX_BODY_BYTES = 12 << 20;
+/**
+ * Bounds what is parsed: small values take many times their text. The listing of
+ * a thousand replicas, with a hundred fields each, has fewer.
+ */
+const MAX_DELIMITERS = 128 << 10;
 /** A longest body always fits beside another. */
 const MAX_HELD_BYTES = 2 * MAX_BODY_BYTES;
 /** Shared by all clients, since they share the memory of the process. */
@@ -58,9 +64,11 @@
     () => breakOff(ResponseFault.noRoom),
   );
   let bytes = 0;
+  let delimiters = 0;
   const mayRead = (part: Buffer) => {
     bytes += part.length;
-    const isTooLong = bytes > MAX_BODY_BYTES;
+    delimiters += countDelimiters(part);
+    const isTooLong = bytes > MAX_BODY_BYTES || delimiters > MAX_DELIMITERS;
     if (isTooLong) fault = ResponseFault.tooLong;
     else held.hold(bytes);
     return !isTooLong && !message.destroyed;
--- a/test/gateway/upstreams/json_client_test.ts
+++ b/test/gateway/upstreams/json_client_test.ts
@@ -129,6 +129,10 @@
       socket.write(CHUNKED_HEAD);
       sendWithoutEnd(socket, `3e8\r\n${piece}\r\n`);
     }],
+    [ResponseFault.tooLong, (socket) => {
+      const values = "{},".repeat(200_000);
+      socket.write(headOf(LONGEST_CHARS) + values);
+    }],
     [ResponseFault.cutOff, (socket) => socket.end(headOf(10) + "x")],
   ];
   for (const [fault, respond] of cases) {
--- a/test/soak/endless_store_test.ts
+++ b/test/soak/endless_store_test.ts
@@ -16,6 +16,7 @@
 const CASES: Readonly<Record<string, number>> = {
   "pages of the store that are too long": 60e6,
   "pages of the store whose objects take many times their size": 11e6,
+  "pages of the store of which each row is invalid": 190e3,
 };
 
 /** A response whose body has this length and holds empty objects. */
