Stop: requests that wait behind another on a connection are answered

A stopping host sent Connection: close with its next response, and closed the connection with the requests that it had already read behind that one: their callers got no response. It now asks for the close with the response to the last request that waits.

What a caller sends behind a response whose head has asked for the close is dropped, as before, and so are requests behind a response that is cut.

--- a/src/gateway/callers/caller_connections.ts
+++ b/src/gateway/callers/caller_connections.ts
@@ -74,6 +74,11 @@
     return Promise.resolve(Turn.closed);
   }
 
+  /** Whether requests on the connection wait for their turn. */
+  hasWaiting(socket: Socket): boolean {
+    return this.#pipelines.get(socket)?.hasWaiting ?? false;
+  }
+
   /** Whether callers had better leave this host once they are served. */
   get isBehind(): boolean {
     return this.#lateLoop.isBehind;
--- a/src/gateway/callers/pipeline.ts
+++ b/src/gateway/callers/pipeline.ts
@@ -79,6 +79,11 @@
     return this.#running !== undefined;
   }
 
+  /** Whether requests wait behind the one in progress. */
+  get hasWaiting(): boolean {
+    return this.#waiting.length > 0;
+  }
+
   /** Adds a request on its arrival; resolves when its turn has come. */
   add(incoming: IncomingMessage, response: ServerResponse): Promise<Turn> {
     const { socket } = this.#options;
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -220,8 +220,12 @@
       response,
       clock,
       dialect,
-      shouldCloseConnection: () =>
-        stop.requestedAt !== undefined || this.#connections.isBehind,
+      shouldCloseConnection: () => {
+        if (this.#connections.isBehind) return true;
+        // Requests that wait on the connection are answered first.
+        const isLast = !this.#connections.hasWaiting(incoming.socket);
+        return stop.requestedAt !== undefined && isLast;
+      },
     });
     this.#open.replies.add(reply, { incoming, response });
     return reply;
