Planned stop: what has arrived when the grace ends is delivered first

Callers of a stopping host got 502, or a cut stream, although the response of their replica had arrived at the host before its deadline: the timer of the deadline runs before the event loop reads from connections, so a host that was busy across the deadline ended the request unread. Responses whose last bytes a caller had not read by then were aborted at once, although the process runs on for 0.2 s more.

OpenRequests.drain now waits for one poll of the event loop behind the deadline before it ends requests, and lets callers read for LAST_RESPONSES_MS before it aborts what is unsent. The wait for the last connections is drainServer's own, which also closes those that become idle in that time.

--- a/src/gateway/callers/open_requests.ts
+++ b/src/gateway/callers/open_requests.ts
@@ -11,7 +11,6 @@
 const LATE_CHECK_INTERVAL_MS: Milliseconds = 50;
 /** Time in which the last responses reach their callers. */
 const LAST_RESPONSES_MS: Milliseconds = 200;
-const CLOSE_CHECK_INTERVAL_MS: Milliseconds = 10;
 
 /** What a host ended when its grace period was over. */
 export type DrainResult = {
@@ -25,8 +24,6 @@
 export type DrainOptions = {
   readonly clock: Clock;
   readonly deadline: Milliseconds;
-  /** Number of open connections of callers. */
-  readonly connectionCount: () => number;
 };
 
 /** Requests from their arrival until their responses have been sent. */
@@ -48,21 +45,48 @@
     }
   }
 
-  /** Waits for the requests of a server, and ends those that are left. */
+  /**
+   * Waits for the requests of a server, ends those that are left at `deadline`,
+   * and gives callers a little more time to read their responses.
+   */
   async drain(
     server: Server,
-    { clock, deadline, connectionCount }: DrainOptions,
+    { clock, deadline }: DrainOptions,
   ): Promise<DrainResult> {
-    await drainServer(server, this.replies, { clock, deadline });
+    const closed = drainServer(server, this.replies, {
+      clock,
+      deadline: deadline + LAST_RESPONSES_MS,
+    });
+    await settled(closed, { clock, deadline });
+    await nextPoll();
     this.#isDrained = true;
     const pending = this.pending.refuseAll();
     const open = [...this.exchanges];
     const cut = open.filter((exchange) => exchange.hostStops()).length;
+    await closed;
     this.replies.resetAborted();
-    const closedBy = clock.now() + LAST_RESPONSES_MS;
-    while (connectionCount() > 0 && clock.now() < closedBy) {
-      await sleep(clock, CLOSE_CHECK_INTERVAL_MS);
-    }
     return { cut, refused: pending + open.length - cut };
   }
 }
+
+/** Resolves when `work` has ended, at the latest at `deadline`. */
+function settled(
+  work: Promise<void>,
+  { clock, deadline }: DrainOptions,
+): Promise<void> {
+  return new Promise((resolve) => {
+    const cancel = clock.after(deadline - clock.now(), resolve);
+    void work.then(() => {
+      cancel();
+      resolve();
+    });
+  });
+}
+
+/**
+ * Resolves when what has arrived by now has been read: the event loop calls timers
+ * before it reads from connections, and immediates after that.
+ */
+function nextPoll(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -128,9 +128,7 @@
    * exits end in order, as if they were complete.
    */
   drain(clock: Clock, deadline: Milliseconds): Promise<DrainResult> {
-    const connectionCount = () => this.connectionCount;
-    const options = { clock, deadline, connectionCount };
-    return this.#open.drain(this.server, options);
+    return this.#open.drain(this.server, { clock, deadline });
   }
 
   /** Called when a stop is requested; see {@link OpenRequests.refuseLate}. */
--- a/test/gateway/callers/drain_test.ts
+++ b/test/gateway/callers/drain_test.ts
@@ -3,7 +3,7 @@
  * logged as answered and cut off when the host closes its idle connections.
  */
 import assert from "node:assert/strict";
-import { once } from "node:events";
+import { type EventEmitter, once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { RouteKind } from "../../../src/gateway/mod.ts";
@@ -21,6 +21,8 @@
 const REQUEST = "GET /a/b HTTP/1.1\r\nHost: example\r\nx-id: 1\r\n\r\n";
 /** Lets a stopping host check its connections more than once. */
 const SEVERAL_CHECKS_MS = 200;
+/** Responses that are sent at all are sent sooner over loopback. */
+const UNSENT_AFTER_MS = 100;
 
 const framed: RawAnswer = (request, socket) => {
   socket.write(completeResponse(request, BODY));
@@ -62,6 +64,36 @@
   return answered === replica?.requests.length && accepted.writableLength > 0;
 }
 
+/**
+ * Sends one request after the other until the last bytes of a response stay
+ * unsent; returns the caller and the number of responses.
+ */
+async function fillInTurn(
+  rig: Rig,
+): Promise<{ readonly caller: Socket; readonly responses: number }> {
+  const connected = once(rig.callers.server, "connection");
+  const caller = connectTo(rig);
+  await connected;
+  for (let responses = 1;; responses++) {
+    const finished = once(rig.callers.server, "request")
+      .then(([, response]) => once(response as EventEmitter, "finish"))
+      .then(() => true);
+    caller.write(REQUEST.replace("x-id: 1", `x-id: ${responses}`));
+    while (answeredIn(rig) < responses) await nextTurn();
+    const isSent = await Promise.race([finished, sleep(UNSENT_AFTER_MS)]);
+    if (!isSent) return { caller, responses };
+  }
+}
+
+function answeredIn({ events }: Rig): number {
+  return events.filter(({ name }) => name === "answered").length;
+}
+
+/** Keeps this thread busy until `until`. */
+function work(until: number): void {
+  while (performance.now() < until);
+}
+
 type Received = { readonly text: string; readonly isReset: boolean };
 
 function received(caller: Socket): Promise<Received> {
@@ -87,8 +119,8 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
 /** Number of complete bodies, and of bytes behind the last one. */
@@ -143,3 +175,40 @@
     assert.deepEqual(endingsIn(rig), [["failed", "outcome_unknown"]]);
   });
 });
+
+// The timer of the deadline ran before the connections were read.
+test("a response that arrived before the deadline is delivered by a busy host", async () => {
+  let respond = () => {};
+  const answer: RawAnswer = (request, socket) => {
+    respond = () => void socket.write(completeResponse(request, BODY));
+  };
+  const options = { route: ROUTE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const response = rig.call();
+    await rig.waitForRequests(1);
+    stop.requestedAt = clock.now();
+    const deadline = clock.now() + SEVERAL_CHECKS_MS;
+    const drained = rig.callers.drain(clock, deadline);
+    respond();
+    work(deadline + SEVERAL_CHECKS_MS);
+    const { status, complete, body } = await response;
+    assert.deepEqual([status, complete, body.length], [200, true, BODY.length]);
+    assert.equal((await drained).cut, 0);
+  });
+});
+
+// What was not sent at the deadline was aborted although the host ran on.
+test("a caller that reads a little after the deadline gets its whole response", async () => {
+  const options = { route: ROUTE, replicas: [{ answer: framed }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const { caller, responses } = await fillInTurn(rig);
+    const requestedAt = stop.requestedAt = clock.now();
+    const drained = rig.callers.drain(clock, requestedAt);
+    await nextTurn();
+    const { text } = await received(caller);
+    assert.deepEqual(bodiesIn(text), { complete: responses, rest: 0 });
+    await drained;
+  });
+});
