Log: a stopping host names each request that it leaves unfinished

A planned stop could cut requests that no line of any log names:

- `broken` and `failed` have a limit of 60 lines a second and `placed` of 40.
A host ends all that is left in one moment, and what was left out is told by the next line of the kind, which doesn't come any more.
- A response whose last bytes were not sent was logged as `answered` and aborted without a line; `stopped` counted neither it nor the pipelined requests behind it (`notStarted`, limited as well).
- Lines beyond 256 KB were dropped, `stopped` among them.

UnfinishedRequests follows each request from its arrival until its response has been handed to the operating system. While the host stops, each one that ends without it, whoever ended it, is logged as `unfinished` with its state, replica, arrival since the signal and whether it was received whole. The event has no limit a second, and its lines are written whatever waits; so are those of `stopping` and `stopped`. There is one line an open request, so the volume is bounded by their number. `stopped` has `unsent`, `unstarted` and `unfinished`, the number of the lines. The process ends when the reader of its log has taken them, after 0.2 s at most (50 ms in every case before).

`otterhillctl why` lists them as failures with `stopping` as a cause; `explain` finds them by their request as before.

Changed: late_in_stop_test and drain_host_test compare the result of a drain, which has three more fields.

--- a/src/gateway/callers/open_requests.ts
+++ b/src/gateway/callers/open_requests.ts
@@ -6,18 +6,29 @@
 import { drainServer } from "./drain_server.ts";
 import { OpenReplies } from "./open_replies.ts";
 import { PendingRequests } from "./pending_requests.ts";
+import {
+  UnfinishedRequests,
+  type UnfinishedRequestsContext,
+  UnfinishedState,
+} from "./unfinished_requests.ts";
 
 /** Interval at which a stopping host looks for requests that are too late. */
 const LATE_CHECK_INTERVAL_MS: Milliseconds = 50;
 /** Time in which the last responses reach their callers. */
 const LAST_RESPONSES_MS: Milliseconds = 200;
 
-/** What a host ended when its grace period was over. */
+/** What a host has not finished when it exits. */
 export type DrainResult = {
-  /** Requests that may have run. */
+  /** Requests that were ended although they may have run. */
   readonly cut: number;
-  /** Requests that have not run. */
+  /** Requests that were ended and have not run. */
   readonly refused: number;
+  /** Responses that were complete at this host but not sent in full. */
+  readonly unsent: number;
+  /** Pipelined requests that were not started. */
+  readonly unstarted: number;
+  /** All requests that were logged as unfinished during the stop. */
+  readonly unfinished: number;
 };
 
 /** Options of {@link OpenRequests.drain}. */
@@ -31,8 +42,13 @@
   readonly exchanges = new Set<Exchange>();
   readonly pending = new PendingRequests();
   readonly replies = new OpenReplies();
+  readonly unfinished: UnfinishedRequests;
   #isDrained = false;
 
+  constructor(context: UnfinishedRequestsContext) {
+    this.unfinished = new UnfinishedRequests(context);
+  }
+
   /**
    * Refuses each request that waits as soon as it can't be finished before this
    * host exits, until `deadline` or the end of {@link drain}.
@@ -60,12 +76,26 @@
     await settled(closed, { clock, deadline });
     await nextPoll();
     this.#isDrained = true;
-    const pending = this.pending.refuseAll();
-    const open = [...this.exchanges];
-    const cut = open.filter((exchange) => exchange.hostStops()).length;
+    const { cut, refused } = this.#endOpen();
     await closed;
     this.replies.resetAborted();
-    return { cut, refused: pending + open.length - cut };
+    const { unfinished } = this;
+    unfinished.noteOpen();
+    return {
+      cut,
+      refused,
+      unsent: unfinished.count(UnfinishedState.unsent),
+      unstarted: unfinished.count(UnfinishedState.queued),
+      unfinished: unfinished.total,
+    };
+  }
+
+  #endOpen(): Pick<DrainResult, "cut" | "refused"> {
+    const pending = this.pending.refuseAll();
+    const open = [...this.exchanges];
+    const cut = new Set(open.filter((exchange) => exchange.hostStops()));
+    this.unfinished.noteCut(cut);
+    return { cut: cut.size, refused: pending + open.length - cut.size };
   }
 }
 
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -69,7 +69,7 @@
   readonly #admission: AdmissionOptions;
   readonly #quotas: QuotaAcquisitionOptions["quotas"];
   readonly #connections: CallerConnections;
-  readonly #open = new OpenRequests();
+  readonly #open: OpenRequests;
   readonly #stopCheck: StopCheck;
   /** Requests that are being read, or wait for their turn or quota units. */
   #pendingCount = 0;
@@ -80,6 +80,7 @@
     this.#planner = planner;
     this.#admission = admission;
     this.#quotas = quotas;
+    this.#open = new OpenRequests(context);
     this.#stopCheck = new StopCheck(context);
     this.server = createServer(
       {
@@ -231,9 +232,12 @@
     response: ServerResponse,
   ): Promise<Turn> {
     const { dialect, events } = this.#context;
+    const { unfinished } = this.#open;
+    unfinished.add(incoming, response);
     this.#pendingCount += 1;
     const turn = await this.#connections.add(incoming, response);
     this.#pendingCount -= 1;
+    if (turn !== Turn.closed) unfinished.started(response);
     if (turn === Turn.closed) {
       const { id } = dialect.readRequest(incoming.headers);
       events.note("notStarted", { request: id });
@@ -310,6 +314,7 @@
       },
     });
     this.#open.exchanges.add(exchange);
+    this.#open.unfinished.served(response, exchange);
     onceClosed(incoming, response, () => {
       if (!response.writableFinished) exchange.callerDisconnected();
     });
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -16,7 +16,7 @@
 import { IterationMeter, type LoopTimes } from "./load/iteration_meter.ts";
 import { ByteBudget, callerBytesOf } from "./memory/byte_budget.ts";
 import { type EventLog, openEventLog } from "./observe/event_log.ts";
-import { LineWriter } from "./observe/line_writer.ts";
+import type { LineWriter } from "./observe/line_writer.ts";
 import { Metrics } from "./observe/metrics.ts";
 import { createElapsedClock } from "./elapsed_clock.ts";
 import type { HostDirectory } from "./peers/directory.ts";
@@ -47,6 +47,8 @@
   readonly connections: Pick<PeerConnections, "call">;
   /** Opens connections to replicas. */
   readonly connect: Connect;
+  /** Writes the log. */
+  readonly logWriter: LineWriter;
   /** Age of the newest listing that this host knows. */
   readonly listingAgeMs: () => Milliseconds;
   /** As in {@link StreamVersionsOptions}. */
@@ -61,7 +63,7 @@
 ): GatewayContext {
   const { directory, connect } = fleet;
   const { clock, suspensions } = createClocks();
-  const events = eventLogOf(settings, clock);
+  const events = eventLogOf(settings, clock, fleet.logWriter);
   logSleeps(suspensions, events);
   const metrics = new Metrics();
   const self = { ...fleet.self, run: String(newIncarnation()) };
@@ -190,13 +192,17 @@
   });
 }
 
-function eventLogOf({ host, log }: GatewaySettings, clock: Clock): EventLog {
+function eventLogOf(
+  { host, log }: GatewaySettings,
+  clock: Clock,
+  writer: LineWriter,
+): EventLog {
   return openEventLog({
     program: "otterhill-gateway",
     host: host.id,
     level: log.level,
     clock,
-    writer: new LineWriter(),
+    writer,
   });
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -34,6 +34,7 @@
 import { hostEntryOf } from "./host_entry.ts";
 import { keepRunning } from "./keep_running.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
+import { LineWriter } from "./observe/line_writer.ts";
 import { PlannerClient } from "./planning/planner_client.ts";
 import { PlanService } from "./planning/plan_service.ts";
 import type { CreatedGateway, RunningGateway } from "./running_gateway.ts";
@@ -47,8 +48,8 @@
 import { type Connect, tcpConnect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
 
-/** Time for writing the last log lines. */
-const LOG_FLUSH_MS = 50;
+/** Time for a reader of the log to read the last lines. */
+const LOG_FLUSH_MS: Milliseconds = 200;
 
 /** Options of {@link createGateway}. */
 export type GatewayOptions = {
@@ -99,6 +100,7 @@
   readonly #tunnels: TunnelServer;
   readonly #settingsState: SettingsState;
   readonly #splits = new Map<string, SplitDecision>();
+  readonly #logWriter = new LineWriter();
   #unwatchIterations = () => {};
 
   constructor(
@@ -108,13 +110,14 @@
   ) {
     this.#settings = settings;
     this.#settingsState = new SettingsState(settings, systemClock.now());
-    const self = hostEntryOf(settings);
+    const self = this.#self = hostEntryOf(settings);
     const directory = new HostDirectory(self, settings.seeds);
     const context = createContext(settings, port, {
       self,
       directory,
       connections: this.#connections,
       connect,
+      logWriter: this.#logWriter,
       listingAgeMs: () => this.#fleetState.listingAgeMs,
       confirmListing: () => this.#fleetState.confirmListing(),
     });
@@ -122,7 +125,6 @@
       context.suspensions.check();
       return this.#fleetState.configAgeMs(now);
     };
-    this.#self = self;
     this.#directory = directory;
     this.#context = context;
     this.#planService = new PlanService(context);
@@ -262,7 +264,10 @@
     this.#connections.close();
     this.#unwatchIterations();
     events.note("stopped", drained);
-    await sleep(clock, LOG_FLUSH_MS);
+    await Promise.race([
+      this.#logWriter.flushed(),
+      sleep(clock, LOG_FLUSH_MS),
+    ]);
   }
 
   #isReady(): boolean {
--- a/src/gateway/observe/event_kind.ts
+++ b/src/gateway/observe/event_kind.ts
@@ -17,6 +17,12 @@
 /** As {@link REQUESTS_PER_SECOND}, of changes of state. */
 export const CHANGES_PER_SECOND = 20;
 
+/**
+ * Each event is written, whatever waits to be written. For events whose number
+ * is bounded by other means, such as one for each open request.
+ */
+export const UNLIMITED = Infinity;
+
 /** An event that is logged with level "info". */
 export function info(
   part: string,
--- a/src/gateway/observe/event_log.ts
+++ b/src/gateway/observe/event_log.ts
@@ -2,7 +2,7 @@
 import bunyan from "bunyan";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
-import type { EventKind } from "./event_kind.ts";
+import { type EventKind, UNLIMITED } from "./event_kind.ts";
 import { EVENT_KINDS, type EventName } from "./event_names.ts";
 import type { LineWriter } from "./line_writer.ts";
 
@@ -30,11 +30,9 @@
 /** Opens a log that writes JSON lines. */
 export function openEventLog(options: EventLogOptions): EventLog {
   const { clock, writer } = options;
-  const logger = bunyan.createLogger({
-    name: options.program,
-    host: options.host,
-    level: options.level,
-    stream: writer as unknown as NodeJS.WritableStream,
+  const logger = createLogger(options, writer);
+  const unlimitedLogger = createLogger(options, {
+    write: (line) => writer.writeUnbounded(line),
   });
   const windows = new Map<EventName, RateWindow>();
   return {
@@ -49,11 +47,25 @@
         ...(admitted.suppressed > 0 ? { left_out: admitted.suppressed } : {}),
         ...(dropped > 0 ? { lines_dropped: dropped } : {}),
       };
-      logger[kind.level](record, `${kind.part}: ${kind.sentence}`);
+      const { level, perSecond } = kind;
+      const output = perSecond === UNLIMITED ? unlimitedLogger : logger;
+      output[level](record, `${kind.part}: ${kind.sentence}`);
     },
   };
 }
 
+function createLogger(
+  { program, host, level }: EventLogOptions,
+  stream: Pick<LineWriter, "write">,
+): bunyan {
+  return bunyan.createLogger({
+    name: program,
+    host,
+    level,
+    stream: stream as unknown as NodeJS.WritableStream,
+  });
+}
+
 /**
  * Returns the number of events suppressed since the last written one, or
  * undefined if this event is suppressed too.
--- a/src/gateway/observe/event_names.ts
+++ b/src/gateway/observe/event_names.ts
@@ -7,6 +7,7 @@
   CHANGES_PER_SECOND,
   info,
   REQUESTS_PER_SECOND,
+  UNLIMITED,
   warn,
 } from "./event_kind.ts";
 import { REQUEST_EVENTS } from "./request_events.ts";
@@ -56,9 +57,9 @@
   stopping: info(
     "process",
     "The process is stopping and finishes its open requests",
-    CHANGES_PER_SECOND,
+    UNLIMITED,
   ),
-  stopped: info("process", "The process has stopped", CHANGES_PER_SECOND),
+  stopped: info("process", "The process has stopped", UNLIMITED),
   stoodStill: warn(
     "process",
     "The process was stalled",
--- a/src/gateway/observe/line_writer.ts
+++ b/src/gateway/observe/line_writer.ts
@@ -2,7 +2,7 @@
  * Writes log lines without blocking the event loop. `process.stdout` writes to
  * pipes synchronously, so a reader that stops reading would block the process;
  * `fs.write` runs on the thread pool instead. Lines beyond the buffer limit are
- * dropped and counted.
+ * dropped and counted, except those that are written without a bound.
  */
 import { write } from "node:fs";
 
@@ -25,6 +25,8 @@
   #pendingLength = 0;
   #writing = false;
   #dropped = 0;
+  /** Called when all lines have been written. */
+  readonly #waiting: (() => void)[] = [];
 
   constructor(write: RawWrite = writeToStdout) {
     this.#write = write;
@@ -43,18 +45,30 @@
       this.#dropped += 1;
       return;
     }
+    this.writeUnbounded(line);
+  }
+
+  /** Buffers a line, however many wait. */
+  writeUnbounded(line: string): void {
     this.#pending.push(line);
     this.#pendingLength += line.length;
     if (!this.#writing) setImmediate(() => this.#writeNext());
     this.#writing = true;
   }
 
+  /** Resolves when all lines have been written. */
+  flushed(): Promise<void> {
+    if (!this.#writing) return Promise.resolve();
+    return new Promise((resolve) => this.#waiting.push(resolve));
+  }
+
   #writeNext(): void {
     const text = this.#pending.join("");
     this.#pending = [];
     this.#pendingLength = 0;
     if (text === "") {
       this.#writing = false;
+      for (const resolve of this.#waiting.splice(0)) resolve();
       return;
     }
     this.#writeAll(Buffer.from(text));
--- a/src/gateway/observe/request_events.ts
+++ b/src/gateway/observe/request_events.ts
@@ -4,6 +4,7 @@
   FAILURES_PER_SECOND,
   info,
   REQUESTS_PER_SECOND,
+  UNLIMITED,
   warn,
 } from "./event_kind.ts";
 
@@ -72,6 +73,11 @@
   refused: warn("requests", "A request was refused", FAILURES_PER_SECOND),
   failed: warn("requests", "A request failed", FAILURES_PER_SECOND),
   broken: warn("requests", "A response was cut off", FAILURES_PER_SECOND),
+  unfinished: warn(
+    "requests",
+    "A request ended without its whole response while this host was stopping",
+    UNLIMITED,
+  ),
   endUnconfirmed: warn(
     "requests",
     "A response without framing ended, and its replica or the peer on the way does not respond",
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -14,6 +14,7 @@
   raceAttempts,
   secondAfterMs,
   type SecondAttemptOptions,
+  type SendOutcome,
 } from "./second_attempt.ts";
 import { type Failure, failureOf, ReplyWriter } from "./reply_writer.ts";
 import type { Placement } from "./placement.ts";
@@ -21,7 +22,7 @@
 import { type RelayOutcome, UNFORWARDED_REASONS } from "./relay_outcome.ts";
 import { relayToCaller } from "./relay_to_caller.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
-import { RequestJournal } from "./request_journal.ts";
+import { RequestJournal, type RequestProgress } from "./request_journal.ts";
 import { StreamBinding } from "./stream_binding.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
@@ -29,7 +30,7 @@
 import { discardBody } from "../upstreams/discard_body.ts";
 import { reportOutcome } from "./report_outcome.ts";
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
-import { AbortReason, type Sending, type SendResult } from "./sender.ts";
+import { AbortReason, type Sending } from "./sender.ts";
 import { RequestTime } from "./request_time.ts";
 import { rejection, sendRefusal, timeoutError } from "./send_refusal.ts";
 import type { StopCheck } from "./stop_check.ts";
@@ -45,12 +46,6 @@
   readonly onEnd: (mayHaveRun: boolean) => void;
 };
 
-/** The placement that a request was sent to, and what came of it. */
-type SendOutcome = {
-  readonly placed: Placement;
-  readonly result: SendResult;
-};
-
 /** Serves one request. */
 export class Exchange {
   readonly #context: GatewayContext;
@@ -119,6 +114,11 @@
     this.#end();
   }
 
+  /** How far the request has come. */
+  get progress(): RequestProgress {
+    return this.#journal.progress(this.#attempts.mayHaveRun);
+  }
+
   /** Ends the request because this host ends; true if it may have run. */
   hostStops(): boolean {
     const { mayHaveRun } = this.#attempts;
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -26,6 +26,14 @@
   readonly position: EventPosition;
 };
 
+/** How far a request has come. */
+export type RequestProgress = {
+  /** Whether it may have run at a replica. */
+  readonly mayHaveRun: boolean;
+  /** Its route and its last send, for the log. */
+  readonly fields: EventFields;
+};
+
 /** Writes the log events and the metrics of one request. */
 export class RequestJournal {
   readonly #context: GatewayContext;
@@ -128,6 +136,12 @@
     });
   }
 
+  /** How far the request has come, given whether it may have run. */
+  progress(mayHaveRun: boolean): RequestProgress {
+    const route = this.#request.route.name;
+    return { mayHaveRun, fields: { route, ...this.#lastSendFields() } };
+  }
+
   /** Logs that the request is not sent because it crashes replicas. */
   quarantined({ kind, fingerprint, incarnations }: Quarantine): void {
     const replicas = incarnations.join();
--- a/src/gateway/requests/second_attempt.ts
+++ b/src/gateway/requests/second_attempt.ts
@@ -13,6 +13,7 @@
 import type { RequestJournal } from "./request_journal.ts";
 import { RunMeter } from "./run_meter.ts";
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
+import type { SendResult } from "./sender.ts";
 
 /** The parts of an attempt that last until its response has ended. */
 export type Lane = { readonly placer: Placer; readonly meter: RunMeter };
@@ -20,6 +21,12 @@
 /** An attempt of an exchange. */
 export type LaneAttempt = Attempt & Lane;
 
+/** The placement that a request was sent to, and what came of it. */
+export type SendOutcome = {
+  readonly placed: Placement;
+  readonly result: SendResult;
+};
+
 /** What a second attempt needs of its request. */
 export type SecondAttemptOptions = {
   readonly state: RequestState;
--- a/src/programs/ctl/incident_summary.ts
+++ b/src/programs/ctl/incident_summary.ts
@@ -4,6 +4,7 @@
  */
 import type { EventName } from "../../gateway/observe/event_names.ts";
 import type { GatewayError } from "../../gateway/answers.ts";
+import type { UnfinishedState } from "../../gateway/callers/unfinished_requests.ts";
 import { parseLogLine } from "./request_log.ts";
 import { formatTable } from "./table.ts";
 
@@ -49,6 +50,7 @@
   "refused",
   "failed",
   "broken",
+  "unfinished",
 ]);
 
 const REPLICA_LOSSES: readonly EventName[] = [
@@ -69,8 +71,13 @@
   "plannerLost",
 ];
 
-/** Changes of state that may cause an error. */
-const CAUSES: Readonly<Partial<Record<GatewayError, readonly EventName[]>>> = {
+/**
+ * Changes of state that may cause an error, or leave a request in the state that
+ * a stopping host names.
+ */
+const CAUSES: Readonly<
+  Partial<Record<GatewayError | UnfinishedState, readonly EventName[]>>
+> = {
   no_config: ["started", "storeLost", "callFailed"],
   stale_routes: ["configHeard", "callFailed"],
   stale_keys: ["storeLost", "suspended", "stoodStill"],
@@ -86,6 +93,10 @@
   stream_version_unknown: ["streamVersionUnknown", "callFailed", "started"],
   stream_version_gone: ["replicaRemoved", "replicaLeaving"],
   stopping: ["stopping"],
+  queued: ["stopping"],
+  waiting: ["stopping"],
+  running: ["stopping", ...REPLICA_LOSSES],
+  unsent: ["stopping"],
   out_of_time_not_run: CAPACITY_LOSSES,
   out_of_time: [...REPLICA_LOSSES, "replicaEjected", "stoodStill"],
   outcome_unknown: [...REPLICA_LOSSES, "retryDenied"],
@@ -130,6 +141,11 @@
   return String(record["time"] ?? "");
 }
 
+/** The error of a request, or the state that it was left in. */
+function errorOf({ error, state }: LogRecord): unknown {
+  return error ?? state;
+}
+
 /** Counts lines of one kind. */
 class Counter {
   count = 0;
@@ -167,7 +183,7 @@
   }
 
   get error(): string {
-    return String(this.#sample["error"] ?? "");
+    return String(errorOf(this.#sample) ?? "");
   }
 
   override add(record: LogRecord): void {
@@ -217,8 +233,8 @@
   }
 
   #addFailure(event: string, record: LogRecord): void {
-    const { error, route } = record;
-    const key = JSON.stringify([event, error, route]);
+    const { route } = record;
+    const key = JSON.stringify([event, errorOf(record), route]);
     const counter = this.#failures.get(key) ?? new FailureCounter(record);
     this.#failures.set(key, counter);
     counter.add(record);
--- a/test/gateway/callers/drain_test.ts
+++ b/test/gateway/callers/drain_test.ts
@@ -23,6 +23,8 @@
 const SEVERAL_CHECKS_MS = 200;
 /** Responses that are sent at all are sent sooner over loopback. */
 const UNSENT_AFTER_MS = 100;
+/** Requests that wait behind another one on their connection. */
+const PIPELINED = 3;
 
 const framed: RawAnswer = (request, socket) => {
   socket.write(completeResponse(request, BODY));
@@ -89,6 +91,13 @@
   return events.filter(({ name }) => name === "answered").length;
 }
 
+/** The requests that the host names as unfinished, and their states. */
+function unfinishedIn({ events }: Rig): unknown[] {
+  return events.filter(({ name }) => name === "unfinished")
+    .map(({ fields }) => fields as Record<string, unknown>)
+    .map(({ request, state }) => [request, state]);
+}
+
 /** Keeps this thread busy until `until`. */
 function work(until: number): void {
   while (performance.now() < until);
@@ -176,6 +185,71 @@
   });
 });
 
+// It was logged as answered, and nothing told that its caller got a part.
+test("a stopping host names and counts a response whose last bytes it can't send", async () => {
+  const options = { route: ROUTE, replicas: [{ answer: framed }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const { caller, responses } = await fillInTurn(rig);
+    const requestedAt = stop.requestedAt = clock.now();
+    const drained = await rig.callers.drain(clock, requestedAt);
+    assert.deepEqual(unfinishedIn(rig), [[String(responses), "unsent"]]);
+    assert.deepEqual(
+      drained,
+      { cut: 0, refused: 0, unsent: 1, unstarted: 0, unfinished: 1 },
+    );
+    const { complete } = bodiesIn((await received(caller)).text);
+    assert.equal(complete, responses - 1);
+  });
+});
+
+// They were counted nowhere, and named up to the limit of the log.
+test("a stopping host names and counts the pipelined requests that it doesn't start", async () => {
+  const answer: RawAnswer = () => undefined;
+  const options = { route: ROUTE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const caller = connectTo(rig);
+    const ids = Array.from({ length: PIPELINED }, (_, at) => `${at}`);
+    caller.write(
+      ids.map((id) => REQUEST.replace("x-id: 1", `x-id: ${id}`)).join(""),
+    );
+    await rig.waitForRequests(1);
+    while (rig.callers.openRequestCount < PIPELINED) await nextTurn();
+    const requestedAt = stop.requestedAt = clock.now();
+    const response = received(caller);
+    const drained = await rig.callers.drain(clock, requestedAt);
+    assert.deepEqual(
+      unfinishedIn(rig),
+      [["0", "running"], ["1", "queued"], ["2", "queued"]],
+    );
+    assert.deepEqual(
+      drained,
+      { cut: 1, refused: 0, unsent: 0, unstarted: 2, unfinished: 3 },
+    );
+    assert.match((await response).text, /^HTTP\/1.1 502 /);
+  });
+});
+
+// The line of a caller that disconnects is limited in number.
+test("a stopping host names the requests whose callers disconnect", async () => {
+  const answer: RawAnswer = () => undefined;
+  const options = { route: ROUTE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const caller = connectTo(rig);
+    caller.write(REQUEST);
+    await rig.waitForRequests(1);
+    stop.requestedAt = clock.now();
+    const deadline = clock.now() + TEST_TIMEOUT_MS;
+    const drained = rig.callers.drain(clock, deadline);
+    caller.destroy();
+    const { unfinished } = await drained;
+    assert.equal(unfinished, 1);
+    assert.deepEqual(unfinishedIn(rig), [["1", "running"]]);
+  });
+});
+
 // The timer of the deadline ran before the connections were read.
 test("a response that arrived before the deadline is delivered by a busy host", async () => {
   let respond = () => {};
@@ -194,7 +268,8 @@
     work(deadline + SEVERAL_CHECKS_MS);
     const { status, complete, body } = await response;
     assert.deepEqual([status, complete, body.length], [200, true, BODY.length]);
-    assert.equal((await drained).cut, 0);
+    const { cut, unfinished } = await drained;
+    assert.deepEqual([cut, unfinished], [0, 0]);
   });
 });
 
@@ -209,6 +284,6 @@
     await nextTurn();
     const { text } = await received(caller);
     assert.deepEqual(bodiesIn(text), { complete: responses, rest: 0 });
-    await drained;
+    assert.equal((await drained).unfinished, 0);
   });
 });
--- a/test/gateway/callers/late_in_stop_test.ts
+++ b/test/gateway/callers/late_in_stop_test.ts
@@ -121,7 +121,10 @@
     await waitUntil(() => rig.callers.openRequestCount === 2);
     rig.context.stop.requestedAt = clock.now();
     const drained = await rig.callers.drain(clock, clock.now());
-    assert.deepEqual(drained, { cut: 1, refused: 1 });
+    assert.deepEqual(
+      drained,
+      { cut: 1, refused: 1, unsent: 0, unstarted: 0, unfinished: 1 },
+    );
     assert.equal((await running).status, 502);
     assert.match(await received, /^HTTP\/1\.1 503 /);
   });
--- a/test/gateway/drain_host_test.ts
+++ b/test/gateway/drain_host_test.ts
@@ -33,7 +33,13 @@
       refuseLate: () => Promise.resolve(),
       drain: (_, deadline) => {
         drainedAt = Math.max(clock.now(), deadline);
-        return Promise.resolve({ cut: 0, refused: 0 });
+        return Promise.resolve({
+          cut: 0,
+          refused: 0,
+          unsent: 0,
+          unstarted: 0,
+          unfinished: 0,
+        });
       },
     },
     tunnels: { size: 0 },
--- a/test/gateway/observe/observe_test.ts
+++ b/test/gateway/observe/observe_test.ts
@@ -52,6 +52,39 @@
   assert.equal(writer.resetDroppedCount(), 0);
 });
 
+// More of them than a second's lines, or than the buffer, were dropped.
+test("each request that a stopping host leaves unfinished is named, also to a slow reader", async () => {
+  const lines: string[] = [];
+  let release = () => {};
+  const write: RawWrite = (bytes, done) => {
+    lines.push(...bytes.toString().trim().split("\n"));
+    const written = () => done(null, bytes.length);
+    if (lines.length > 1) written();
+    else release = written;
+  };
+  const writer = new LineWriter(write);
+  const clock = { now: () => 0, after: () => () => undefined };
+  const options = { program: "p", host: "h", level: "info" as const };
+  const log = openEventLog({ ...options, clock, writer });
+  log.note("stopping");
+  await nextImmediates();
+  const count = 5000;
+  for (let at = 0; at < count; at++) {
+    log.note("unfinished", { request: `${at}` });
+  }
+  log.note("stopped");
+  let isFlushed = false;
+  const flushed = writer.flushed().then(() => isFlushed = true);
+  await nextImmediates();
+  assert.equal(isFlushed, false);
+  release();
+  await flushed;
+  const named = lines.map((line) => JSON.parse(line) as { request?: string })
+    .flatMap(({ request }) => request ?? []);
+  assert.match(lines.at(-1) ?? "", /"event":"stopped"/);
+  assert.deepEqual(named, Array.from({ length: count }, (_, at) => `${at}`));
+});
+
 test("partial writes are continued without loss and in order", async () => {
   let text = "";
   const partialWrite: RawWrite = (bytes, done) => {
--- a/test/programs/incident_summary_test.ts
+++ b/test/programs/incident_summary_test.ts
@@ -55,6 +55,29 @@
   assert.deepEqual(overQuota?.causes, []);
 });
 
+// A response that was cut off after its end had no failure.
+test("requests that a stopping host left unfinished are failures", () => {
+  const time = "2026-01-01T10:00:08Z";
+  const left = { ...BASE, event: "unfinished", time, route: "recap" };
+  const { failures } = summarize([
+    JSON.stringify({
+      ...BASE,
+      event: "stopping",
+      time: "2026-01-01T10:00:00Z",
+    }),
+    JSON.stringify({ ...left, request: "r1", state: "unsent" }),
+    JSON.stringify({ ...left, request: "r2", state: "running" }),
+  ]);
+  assert.deepEqual(
+    failures.map(({ event, error, example }) => [event, error, example]),
+    [["unfinished", "unsent", "r1"], ["unfinished", "running", "r2"]],
+  );
+  const causes = failures.map((group) =>
+    group.causes.map(({ event }) => event)
+  );
+  assert.deepEqual(causes, [["stopping"], ["stopping"]]);
+});
+
 test("lines outside the window and other text are ignored", () => {
   const { failures, changes } = summarize([
     "not JSON",
--- /dev/null
+++ b/test/soak/stop_log_test.ts
@@ -0,0 +1,70 @@
+/**
+ * The log of a host that stops. Guards against requests that are cut and that no
+ * line of the log names, because there are more of them than lines a second.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FAILURES_PER_SECOND } from "../../src/gateway/observe/event_kind.ts";
+import { CallKind } from "./call.ts";
+import type { FleetHost } from "./fleet.ts";
+import { type LateResult, sendLate } from "./late_request.ts";
+import { withFleet } from "./test_fleet.ts";
+
+/** Longer than the grace period, so that only the stop ends requests. */
+const ROUTE_TIMEOUT_MS = 12_000;
+/** Streams of 20 events last for 9.6 s. */
+const STREAM_SLOWDOWN = 12;
+const STREAMS = 2 * FAILURES_PER_SECOND;
+const OPTIONS = { hosts: 2, routeTimeoutMs: ROUTE_TIMEOUT_MS };
+
+type Line = Readonly<Record<string, unknown>>;
+
+function linesOf({ process }: FleetHost, event: string): Line[] {
+  return process.logLines
+    .filter((line) => line.startsWith("{"))
+    .map((line) => JSON.parse(line) as Line)
+    .filter((line) => line["event"] === event);
+}
+
+function idsOf(lines: readonly Line[]): string[] {
+  return lines.map(({ request }) => String(request)).sort();
+}
+
+function cutIn(results: readonly LateResult[]): string[] {
+  return results.filter(({ isComplete, status }) => !isComplete && status !== 0)
+    .map(({ id }) => id).sort();
+}
+
+test("each stream that a stopping host cuts is named by a line of its log", async (test) => {
+  await withFleet(async ({ world, hosts: [host] }) => {
+    assert.ok(host);
+    for (const { standin } of world.readyReplicas()) {
+      if (standin.role === "decode") standin.slowdown = STREAM_SLOWDOWN;
+    }
+    const [results] = await Promise.all([
+      Promise.all(Array.from({ length: STREAMS }, (_, at) =>
+        sendLate({
+          id: `stream-${at}`,
+          kind: CallKind.stream,
+          address: host.callers,
+          headAfterMs: 100,
+          bodyAfterMs: 0,
+        }))),
+      host.process.stop(),
+    ]);
+    const cut = cutIn(results);
+    const broken = idsOf(linesOf(host, "broken"));
+    const placed = idsOf(linesOf(host, "placed"));
+    const unfinished = idsOf(linesOf(host, "unfinished"));
+    test.diagnostic(
+      `cut ${cut.length}, placed ${placed.length}, broken ${broken.length}, ` +
+        `unfinished ${unfinished.length}`,
+    );
+    const [stopped] = linesOf(host, "stopped");
+    test.diagnostic(JSON.stringify(stopped));
+    assert.ok(cut.length > FAILURES_PER_SECOND, `${cut.length} cut`);
+    assert.deepEqual(unfinished, cut);
+    assert.equal(stopped?.["cut"], cut.length);
+    assert.equal(stopped["unfinished"], unfinished.length);
+  }, OPTIONS);
+});
