Planned stop: the grace period of a busy host counts from the signal

A stop counted from when the event loop handled the signal, which is after all that the loop was busy with when it came.

IterationMeter.maxEventAgeMs tells how long ago an event came at most that is handled now: since the current iteration began to be busy, and since the one before it did, unless the loop has waited between them, since the loop asks for events once an iteration. beginStop subtracts it. `stopping` has it as `waited_ms`, so a late signal shows in the log.

Not covered: a process that stands still while its loop waits for events (SIGSTOP, a processor quota) sees the signal when it runs again, and can't tell that from a signal that came then.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import type { Milliseconds } from "../util/units.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
+import { beginStop } from "./begin_stop.ts";
 import { CallerServer } from "./callers/server.ts";
 import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
@@ -43,7 +44,6 @@
 import type { StoreTimes } from "./state/store_times.ts";
 import type { SplitDecision } from "./stages/measured_balance.ts";
 import { runStageLoop, type StageLoopOptions } from "./stages/stage_loop.ts";
-import { stopDeadline } from "./stop_deadline.ts";
 import { noteUnexpectedError } from "./unexpected_errors.ts";
 import { type Connect, tcpConnect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
@@ -245,11 +245,12 @@
   }
 
   async stop(): Promise<void> {
-    const { clock, events, stop, pool, streams } = this.#context;
-    const requestedAt = clock.now();
-    stop.requestedAt = requestedAt;
-    const deadline = stopDeadline(stop) ?? requestedAt;
-    events.note("stopping", { open: this.#callerServer.openRequestCount });
+    const { clock, events, pool, streams } = this.#context;
+    const { deadline, waitedMs } = beginStop(this.#context);
+    events.note("stopping", {
+      open: this.#callerServer.openRequestCount,
+      waited_ms: Math.round(waitedMs),
+    });
     const drained = await drainHost({
       clock,
       deadline,
--- a/src/gateway/load/iteration_meter.ts
+++ b/src/gateway/load/iteration_meter.ts
@@ -11,6 +11,12 @@
   idleMs(): Milliseconds;
 };
 
+/**
+ * A loop that has waited for so long had nothing to read. Shorter waits are the
+ * cost of asking for events.
+ */
+const MIN_WAIT_MS: Milliseconds = 1;
+
 /** Measures iterations; {@link watchIterations} reports their ends. */
 export class IterationMeter {
   readonly #loop: LoopTimes;
@@ -18,6 +24,7 @@
   #idleMs: Milliseconds;
   #longestMs: Milliseconds = 0;
   #busyMs: Milliseconds = 0;
+  #lastMs: Milliseconds = 0;
 
   constructor(loop: LoopTimes) {
     this.#loop = loop;
@@ -33,6 +40,16 @@
     return this.#busySinceEnd(this.#loop.now(), this.#loop.idleMs());
   }
 
+  /**
+   * How long ago an event came at most that is handled now. The loop asks for
+   * events once an iteration, so one that came while the last iteration handled
+   * others is handled in the current one, unless the loop has waited since.
+   */
+  get maxEventAgeMs(): Milliseconds {
+    const waitedMs = this.#loop.idleMs() - this.#idleMs;
+    return this.currentMs + (waitedMs < MIN_WAIT_MS ? this.#lastMs : 0);
+  }
+
   /** Total time for which the loop has been busy. */
   get busyMs(): Milliseconds {
     return this.#busyMs;
@@ -46,6 +63,7 @@
     this.#endedAt = now;
     this.#idleMs = idleMs;
     this.#busyMs += lastedMs;
+    this.#lastMs = lastedMs;
     this.#longestMs = Math.max(this.#longestMs, lastedMs);
     return lastedMs;
   }
--- a/test/soak/gateway_process.ts
+++ b/test/soak/gateway_process.ts
@@ -178,6 +178,19 @@
     return endProcess(this.#child, "SIGTERM");
   }
 
+  /**
+   * Lets the process send itself SIGTERM while its event loop is busy; resolves
+   * when it has exited.
+   */
+  async stopWhileBusy(forMs: number): Promise<void> {
+    const child = this.#child;
+    if (!child) return;
+    child.signals.add("SIGTERM");
+    const ended = once(child.process, "exit");
+    this.#send({ type: "busyStop", forMs });
+    await ended;
+  }
+
   /**
    * Stops the process and starts the next one while it still drains; resolves
    * when the first one has exited.
--- a/test/soak/machine_sleep.ts
+++ b/test/soak/machine_sleep.ts
@@ -1,4 +1,5 @@
 /** A machine that sleeps: nothing runs, and its steady clock stands still. */
+import type { BusyStop } from "./busy_stop.ts";
 import type { PathCut } from "./replica_path.ts";
 
 /** What the soak sends to a gateway process. */
@@ -6,7 +7,8 @@
   | { readonly type: "cutPaths"; readonly cut: PathCut }
   /** Ports of other hosts to which no path is left. */
   | { readonly type: "cutPeers"; readonly ports: readonly number[] }
-  | { readonly type: "sleep"; readonly forMs: number };
+  | { readonly type: "sleep"; readonly forMs: number }
+  | BusyStop;
 
 const steadyNow = performance.now.bind(performance);
 let sleptMs = 0;
--- a/test/soak/stop_log_test.ts
+++ b/test/soak/stop_log_test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FAILURES_PER_SECOND } from "../../src/gateway/observe/event_kind.ts";
+import { SIGNALLED } from "./busy_stop.ts";
 import { CallKind } from "./call.ts";
 import type { FleetHost } from "./fleet.ts";
 import { type LateResult, sendLate } from "./late_request.ts";
@@ -17,6 +18,11 @@
 const STREAMS = 2 * FAILURES_PER_SECOND;
 const OPTIONS = { hosts: 2, routeTimeoutMs: ROUTE_TIMEOUT_MS };
 
+/** How long the event loop of a busy host doesn't handle signals. */
+const BUSY_MS = 600;
+/** Times in the log are whole milliseconds. */
+const ROUNDING_MS = 2;
+
 type Line = Readonly<Record<string, unknown>>;
 
 function linesOf({ process }: FleetHost, event: string): Line[] {
@@ -26,6 +32,10 @@
     .filter((line) => line["event"] === event);
 }
 
+function timeOf(line: Line | undefined): number {
+  return Date.parse(String(line?.["time"]));
+}
+
 function idsOf(lines: readonly Line[]): string[] {
   return lines.map(({ request }) => String(request)).sort();
 }
@@ -68,3 +78,20 @@
     assert.equal(stopped["unfinished"], unfinished.length);
   }, OPTIONS);
 });
+
+// It counted from when the event loop handled the signal.
+test("the grace period of a busy host counts from the signal", async (test) => {
+  await withFleet(async ({ hosts: [host] }) => {
+    assert.ok(host);
+    await host.process.stopWhileBusy(BUSY_MS);
+    const [signalled] = linesOf(host, SIGNALLED);
+    const [stopping] = linesOf(host, "stopping");
+    const { waited_ms: waitedMs = 0 } = stopping ?? {};
+    const loggedAt = timeOf(stopping);
+    const signalledAt = timeOf(signalled);
+    test.diagnostic(`${loggedAt - signalledAt} ms, waited ${waitedMs} ms`);
+    assert.ok(loggedAt - signalledAt >= BUSY_MS);
+    assert.ok(loggedAt - Number(waitedMs) <= signalledAt + ROUNDING_MS);
+    assert.equal(host.process.exits.at(-1)?.code, 0);
+  }, OPTIONS);
+});
