--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -69,7 +69,7 @@
   readonly #admission: AdmissionOptions;
   readonly #quotas: QuotaAcquisitionOptions["quotas"];
   readonly #connections: CallerConnections;
-  readonly #open = new OpenRequests();
+  readonly #open: OpenRequests;
   readonly #stopCheck: StopCheck;
   /** Requests that are being read, or wait for their turn or quota units. */
   #pendingCount = 0;
@@ -80,6 +80,7 @@
     this.#planner = planner;
     this.#admission = admission;
     this.#quotas = quotas;
+    this.#open = new OpenRequests(context);
     this.#stopCheck = new StopCheck(context);
     this.server = createServer(
       {
@@ -128,9 +129,7 @@
    * exits end in order, as if they were complete.
    */
   drain(clock: Clock, deadline: Milliseconds): Promise<DrainResult> {
-    const connectionCount = () => this.connectionCount;
-    const options = { clock, deadline, connectionCount };
-    return this.#open.drain(this.server, options);
+    return this.#open.drain(this.server, { clock, deadline });
   }
 
   /** Called when a stop is requested; see {@link OpenRequests.refuseLate}. */
@@ -237,9 +236,12 @@
     response: ServerResponse,
   ): Promise<Turn> {
     const { dialect, events } = this.#context;
+    const { unfinished } = this.#open;
+    unfinished.add(incoming, response);
     this.#pendingCount += 1;
     const turn = await this.#connections.add(incoming, response);
     this.#pendingCount -= 1;
+    if (turn !== Turn.closed) unfinished.started(response);
     if (turn === Turn.closed) {
       const { id } = dialect.readRequest(incoming.headers);
       events.note("notStarted", { request: id });
@@ -316,6 +318,7 @@
       },
     });
     this.#open.exchanges.add(exchange);
+    this.#open.unfinished.served(response, exchange);
     onceClosed(incoming, response, () => {
       if (!response.writableFinished) exchange.callerDisconnected();
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import type { Milliseconds } from "../util/units.ts";
 import type { GatewaySettings } from "../settings/mod.ts";
+import { beginStop } from "./begin_stop.ts";
 import { CallerServer } from "./callers/server.ts";
 import { sleep, systemClock } from "./clock.ts";
 import type { GatewayContext } from "./context.ts";
@@ -34,6 +35,7 @@
 import { hostEntryOf } from "./host_entry.ts";
 import { keepRunning } from "./keep_running.ts";
 import type { HostEntry, PlatformPort } from "./port.ts";
+import { LineWriter } from "./observe/line_writer.ts";
 import { PlannerClient } from "./planning/planner_client.ts";
 import { PlanService } from "./planning/plan_service.ts";
 import type { CreatedGateway, RunningGateway } from "./running_gateway.ts";
@@ -42,13 +44,12 @@
 import type { StoreTimes } from "./state/store_times.ts";
 import type { SplitDecision } from "./stages/measured_balance.ts";
 import { runStageLoop, type StageLoopOptions } from "./stages/stage_loop.ts";
-import { stopDeadline } from "./stop_deadline.ts";
 import { noteUnexpectedError } from "./unexpected_errors.ts";
 import { type Connect, tcpConnect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
 
-/** Time for writing the last log lines. */
-const LOG_FLUSH_MS = 50;
+/** Time for a reader of the log to read the last lines. */
+const LOG_FLUSH_MS: Milliseconds = 200;
 
 /** Options of {@link createGateway}. */
 export type GatewayOptions = {
@@ -99,6 +100,7 @@
   readonly #tunnels: TunnelServer;
   readonly #settingsState: SettingsState;
   readonly #splits = new Map<string, SplitDecision>();
+  readonly #logWriter = new LineWriter();
   #unwatchIterations = () => {};
 
   constructor(
@@ -108,13 +110,14 @@
   ) {
     this.#settings = settings;
     this.#settingsState = new SettingsState(settings, systemClock.now());
-    const self = hostEntryOf(settings);
+    const self = this.#self = hostEntryOf(settings);
     const directory = new HostDirectory(self, settings.seeds);
     const context = createContext(settings, port, {
       self,
       directory,
       connections: this.#connections,
       connect,
+      logWriter: this.#logWriter,
       listingAgeMs: () => this.#fleetState.listingAgeMs,
       confirmListing: () => this.#fleetState.confirmListing(),
     });
@@ -122,7 +125,6 @@
       context.suspensions.check();
       return this.#fleetState.configAgeMs(now);
     };
-    this.#self = self;
     this.#directory = directory;
     this.#context = context;
     this.#planService = new PlanService(context);
@@ -243,11 +245,12 @@
   }
 
   async stop(): Promise<void> {
-    const { clock, events, stop, pool, streams } = this.#context;
-    const requestedAt = clock.now();
-    stop.requestedAt = requestedAt;
-    const deadline = stopDeadline(stop) ?? requestedAt;
-    events.note("stopping", { open: this.#callerServer.openRequestCount });
+    const { clock, events, pool, streams } = this.#context;
+    const { deadline, waitedMs } = beginStop(this.#context);
+    events.note("stopping", {
+      open: this.#callerServer.openRequestCount,
+      waited_ms: Math.round(waitedMs),
+    });
     const drained = await drainHost({
       clock,
       deadline,
@@ -262,7 +265,10 @@
     this.#connections.close();
     this.#unwatchIterations();
     events.note("stopped", drained);
-    await sleep(clock, LOG_FLUSH_MS);
+    await Promise.race([
+      this.#logWriter.flushed(),
+      sleep(clock, LOG_FLUSH_MS),
+    ]);
   }
 
   #isReady(): boolean {
--- a/test/gateway/callers/drain_test.ts
+++ b/test/gateway/callers/drain_test.ts
@@ -3,7 +3,7 @@
  * logged as answered and cut off when the host closes its idle connections.
  */
 import assert from "node:assert/strict";
-import { once } from "node:events";
+import { type EventEmitter, once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { RouteKind } from "../../../src/gateway/mod.ts";
@@ -21,6 +21,10 @@
 const REQUEST = "GET /a/b HTTP/1.1\r\nHost: example\r\nx-id: 1\r\n\r\n";
 /** Lets a stopping host check its connections more than once. */
 const SEVERAL_CHECKS_MS = 200;
+/** Responses that are sent at all are sent sooner over loopback. */
+const UNSENT_AFTER_MS = 100;
+/** Requests that wait behind another one on their connection. */
+const PIPELINED = 3;
 
 const framed: RawAnswer = (request, socket) => {
   socket.write(completeResponse(request, BODY));
@@ -62,6 +66,43 @@
   return answered === replica?.requests.length && accepted.writableLength > 0;
 }
 
+/**
+ * Sends one request after the other until the last bytes of a response stay
+ * unsent; returns the caller and the number of responses.
+ */
+async function fillInTurn(
+  rig: Rig,
+): Promise<{ readonly caller: Socket; readonly responses: number }> {
+  const connected = once(rig.callers.server, "connection");
+  const caller = connectTo(rig);
+  await connected;
+  for (let responses = 1;; responses++) {
+    const finished = once(rig.callers.server, "request")
+      .then(([, response]) => once(response as EventEmitter, "finish"))
+      .then(() => true);
+    caller.write(REQUEST.replace("x-id: 1", `x-id: ${responses}`));
+    while (answeredIn(rig) < responses) await nextTurn();
+    const isSent = await Promise.race([finished, sleep(UNSENT_AFTER_MS)]);
+    if (!isSent) return { caller, responses };
+  }
+}
+
+function answeredIn({ events }: Rig): number {
+  return events.filter(({ name }) => name === "answered").length;
+}
+
+/** The requests that the host names as unfinished, and their states. */
+function unfinishedIn({ events }: Rig): unknown[] {
+  return events.filter(({ name }) => name === "unfinished")
+    .map(({ fields }) => fields as Record<string, unknown>)
+    .map(({ request, state }) => [request, state]);
+}
+
+/** Keeps this thread busy until `until`. */
+function work(until: number): void {
+  while (performance.now() < until);
+}
+
 type Received = { readonly text: string; readonly isReset: boolean };
 
 function received(caller: Socket): Promise<Received> {
@@ -87,8 +128,8 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
 /** Number of complete bodies, and of bytes behind the last one. */
@@ -143,3 +184,106 @@
     assert.deepEqual(endingsIn(rig), [["failed", "outcome_unknown"]]);
   });
 });
+
+// It was logged as answered, and nothing told that its caller got a part.
+test("a stopping host names and counts a response whose last bytes it can't send", async () => {
+  const options = { route: ROUTE, replicas: [{ answer: framed }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const { caller, responses } = await fillInTurn(rig);
+    const requestedAt = stop.requestedAt = clock.now();
+    const drained = await rig.callers.drain(clock, requestedAt);
+    assert.deepEqual(unfinishedIn(rig), [[String(responses), "unsent"]]);
+    assert.deepEqual(
+      drained,
+      { cut: 0, refused: 0, unsent: 1, unstarted: 0, unfinished: 1 },
+    );
+    const { complete } = bodiesIn((await received(caller)).text);
+    assert.equal(complete, responses - 1);
+  });
+});
+
+// They were counted nowhere, and named up to the limit of the log.
+test("a stopping host names and counts the pipelined requests that it doesn't start", async () => {
+  const answer: RawAnswer = () => undefined;
+  const options = { route: ROUTE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const caller = connectTo(rig);
+    const ids = Array.from({ length: PIPELINED }, (_, at) => `${at}`);
+    caller.write(
+      ids.map((id) => REQUEST.replace("x-id: 1", `x-id: ${id}`)).join(""),
+    );
+    await rig.waitForRequests(1);
+    while (rig.callers.openRequestCount < PIPELINED) await nextTurn();
+    const requestedAt = stop.requestedAt = clock.now();
+    const response = received(caller);
+    const drained = await rig.callers.drain(clock, requestedAt);
+    assert.deepEqual(
+      unfinishedIn(rig),
+      [["0", "running"], ["1", "queued"], ["2", "queued"]],
+    );
+    assert.deepEqual(
+      drained,
+      { cut: 1, refused: 0, unsent: 0, unstarted: 2, unfinished: 3 },
+    );
+    assert.match((await response).text, /^HTTP\/1.1 502 /);
+  });
+});
+
+// The line of a caller that disconnects is limited in number.
+test("a stopping host names the requests whose callers disconnect", async () => {
+  const answer: RawAnswer = () => undefined;
+  const options = { route: ROUTE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const caller = connectTo(rig);
+    caller.write(REQUEST);
+    await rig.waitForRequests(1);
+    stop.requestedAt = clock.now();
+    const deadline = clock.now() + TEST_TIMEOUT_MS;
+    const drained = rig.callers.drain(clock, deadline);
+    caller.destroy();
+    const { unfinished } = await drained;
+    assert.equal(unfinished, 1);
+    assert.deepEqual(unfinishedIn(rig), [["1", "running"]]);
+  });
+});
+
+// The timer of the deadline ran before the connections were read.
+test("a response that arrived before the deadline is delivered by a busy host", async () => {
+  let respond = () => {};
+  const answer: RawAnswer = (request, socket) => {
+    respond = () => void socket.write(completeResponse(request, BODY));
+  };
+  const options = { route: ROUTE, replicas: [{ answer }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const response = rig.call();
+    await rig.waitForRequests(1);
+    stop.requestedAt = clock.now();
+    const deadline = clock.now() + SEVERAL_CHECKS_MS;
+    const drained = rig.callers.drain(clock, deadline);
+    respond();
+    work(deadline + SEVERAL_CHECKS_MS);
+    const { status, complete, body } = await response;
+    assert.deepEqual([status, complete, body.length], [200, true, BODY.length]);
+    const { cut, unfinished } = await drained;
+    assert.deepEqual([cut, unfinished], [0, 0]);
+  });
+});
+
+// What was not sent at the deadline was aborted although the host ran on.
+test("a caller that reads a little after the deadline gets its whole response", async () => {
+  const options = { route: ROUTE, replicas: [{ answer: framed }] };
+  await withRig(options, async (rig) => {
+    const { clock, stop } = rig.context;
+    const { caller, responses } = await fillInTurn(rig);
+    const requestedAt = stop.requestedAt = clock.now();
+    const drained = rig.callers.drain(clock, requestedAt);
+    await nextTurn();
+    const { text } = await received(caller);
+    assert.deepEqual(bodiesIn(text), { complete: responses, rest: 0 });
+    assert.equal((await drained).unfinished, 0);
+  });
+});
