--- a/src/gateway/requests/stop_check.ts
+++ b/src/gateway/requests/stop_check.ts
@@ -22,6 +22,8 @@
 };
 /** Callers are directed to other hosts by this time after the signal. */
 const REDIRECTED_AFTER_MS: Milliseconds = 3000;
+/** The process may be scheduled, and so handle the signal, as late as this. */
+const SIGNAL_DELAY_MS: Milliseconds = 100;
 /** Later requests come from few callers, who are sent to other hosts. */
 const LATE_IN_TIME_SHARE = 1;
 /**
@@ -84,7 +86,8 @@
     }
     const now = clock.now();
     const { wholeAt = now, deadline } = request;
-    const isLate = wholeAt > stop.requestedAt + REDIRECTED_AFTER_MS;
+    const lateAfter = stop.requestedAt + REDIRECTED_AFTER_MS - SIGNAL_DELAY_MS;
+    const isLate = wholeAt > lateAfter;
     const runMs = this.#runMsOf(request, { isLate, now });
     const neededMs = Math.max(MIN_RUN_MS, Math.min(runMs, deadline - now));
     const leftMs = endsAt - now;
