--- a/test/platform/replica_standin.ts
+++ b/test/platform/replica_standin.ts
@@ -12,13 +12,14 @@
 import { crashesReplica } from "./crashing_requests.ts";
 import { popExport } from "./replica_exports.ts";
 import { listen, send, textOf } from "./store_standin.ts";
-import type { ReplicaWorld } from "./replica_world.ts";
+import type { ReplicaArrival, ReplicaWorld } from "./replica_world.ts";
 import {
   ConnectionEnd,
   Framing,
   type ResponseShape,
   writeResponse,
 } from "./response_standin.ts";
+import { sleep } from "../soak/sleep.ts";
 import { streamTexts } from "./stream_standin.ts";
 
 /** The role of a replica. */
@@ -191,8 +192,7 @@
     readonly response: ServerResponse;
   },
 ): Promise<void> {
-  const { options, settings } = engine;
-  const { role, world } = options;
+  const { options, settings, options: { role, world } } = engine;
   if (settings.limit !== undefined) {
     response.setHeader("Server-Limit", settings.limit);
   }
@@ -203,20 +203,21 @@
   }
   const isPrefill = header("serving-stage") === "prefill";
   const fromEvent = Number(header("last-event-id") || -1) + 1;
-  const { start } = engine;
-  const { draining: reportedDraining } = settings;
   const backoff = nextBackoff(engine);
-  const note = (ran: boolean) =>
-    world.arrivals.push({
+  const note = (ran: boolean) => {
+    const arrival: ReplicaArrival = {
       request: id,
       replica: options.id,
-      start,
+      start: engine.start,
       atMs: performance.now(),
       ran,
       fromEvent,
-      reportedDraining,
+      reportedDraining: settings.draining,
       ...(backoff === undefined ? {} : { backoff }),
-    });
+    };
+    world.arrivals.push(arrival);
+    return arrival;
+  };
   if (isPrefill !== (role === "prefill")) {
     note(false);
     return notRun(response, 421, id);
@@ -232,9 +233,12 @@
     note(false);
     return notRun(response, 503, id);
   }
-  note(true);
+  const arrival = note(true);
   engine.running += 1;
-  response.on("close", () => engine.running -= 1);
+  response.on("close", () => {
+    engine.running -= 1;
+    arrival.endedAtMs = performance.now();
+  });
   if (crashesReplica({ role, body, prompt: header("prompt-prefix") })) {
     await sleep(CRASH_DELAY_MS);
     return world.onCrash?.(options.id);
@@ -326,7 +330,3 @@
   response.writeHead(status, { "Attempt-Id": id, "Not-Executed": "1" });
   response.end();
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/test/platform/replica_world.ts
+++ b/test/platform/replica_world.ts
@@ -16,6 +16,8 @@
   readonly reportedDraining: boolean;
   /** The `Retry-After` header with which it was rejected, if it was. */
   readonly backoff?: string;
+  /** When its run ended, whole or not; absent if it goes on or never began. */
+  endedAtMs?: number;
 };
 
 /** A violation that a replica detected. */
--- a/test/soak/call.ts
+++ b/test/soak/call.ts
@@ -40,6 +40,8 @@
   readonly isComplete: boolean;
   /** The caller closed the connection before the response ended. */
   readonly isAborted: boolean;
+  /** When its last byte was sent; absent if it was not sent as a whole. */
+  readonly wholeAtMs?: number;
   /** Absent for a new request. */
   readonly resumption?: Resumption;
 };
@@ -72,12 +74,18 @@
   readonly resumption?: Resumption;
   /** Ids of the parts of its prompt before its own, which is the last one. */
   readonly promptParts?: readonly string[];
+  /** Its deadline, when the caller gives up; 5 s by default. */
+  readonly timeoutMs?: number;
+  /** From the head to the end of the body, which is sent in chunks then. */
+  readonly bodyAfterMs?: number;
+  /** From the response's head until the caller reads on; 0 by default. */
+  readonly readsAfterMs?: number;
 };
 
 /** Sends one request; never rejects. */
 export function callOnce(options: CallOptions): Promise<CallResult> {
   const { agent, host, id, kind, abortsEarly, resumption } = options;
-  const { promptParts = [] } = options;
+  const { promptParts = [], timeoutMs = REQUEST_TIMEOUT_MS } = options;
   const requestBody = kind === CallKind.safe ? undefined : options.body;
   const [ip, port] = host.address.split(":");
   const sentAtMs = performance.now();
@@ -86,6 +94,8 @@
     let body = "";
     let isAborted = false;
     let isReset = false;
+    let isUnread = false;
+    let wholeAtMs: number | undefined;
     const outgoing = request({
       host: ip,
       port,
@@ -97,16 +107,17 @@
         "attempt-id": id,
         "token-counts": "100,20",
         "prompt-prefix": promptHeader([...promptParts, id]),
-        "deadline-remaining-ms": String(REQUEST_TIMEOUT_MS),
+        "deadline-remaining-ms": String(timeoutMs),
         ...(resumption && resumptionHeaders(resumption)),
       },
     });
     const abortAfter = (afterMs: number) =>
       setTimeout(() => {
         isAborted = true;
+        isUnread = !response?.readableEnded;
         outgoing.destroy();
       }, afterMs);
-    const timers = [abortAfter(REQUEST_TIMEOUT_MS)];
+    const timers = [abortAfter(timeoutMs)];
     if (abortsEarly) timers.push(abortAfter(ABORT_AFTER_MS));
     outgoing.on("error", () => isReset = true);
     onConnectionReset(outgoing, () => isReset = true);
@@ -114,11 +125,15 @@
       response = message;
       message.on("error", () => undefined);
       message.on("data", (bytes: Buffer) => body += bytes.toString());
+      if (options.readsAfterMs) {
+        message.pause();
+        timers.push(setTimeout(() => message.resume(), options.readsAfterMs));
+      }
       if (options.isImpatient) {
         message.setTimeout(MAX_SILENCE_MS, () => outgoing.destroy());
       }
     });
-    outgoing.on("close", () => {
+    const finish = () => {
       for (const timer of timers) clearTimeout(timer);
       const framing = framingOf(response);
       const isWhole = framing !== Framing.none ||
@@ -133,12 +148,27 @@
         seal: String(response?.headers["server-seal"] ?? ""),
         body,
         framing,
-        isComplete: isWhole && (response?.complete ?? false),
+        isComplete: isWhole && (response?.complete ?? false) && !isUnread,
         isAborted,
+        ...(wholeAtMs !== undefined && { wholeAtMs }),
         ...(resumption && { resumption }),
       });
+    };
+    outgoing.on("close", () => {
+      // The connection may close before its last bytes have been read.
+      if (!options.readsAfterMs || !response?.complete) return finish();
+      if (isAborted || response.readableEnded) return finish();
+      response.once("end", finish).resume();
     });
-    outgoing.end(requestBody);
+    const end = (lastBytes: string | undefined) => {
+      outgoing.end(lastBytes);
+      wholeAtMs = performance.now();
+    };
+    if (requestBody === undefined || !options.bodyAfterMs) {
+      return end(requestBody);
+    }
+    outgoing.write(requestBody.slice(0, 1));
+    timers.push(setTimeout(end, options.bodyAfterMs, requestBody.slice(1)));
   });
 }
 
