Stop: the listener and idle connections close after what waits has been read

A stopping host closed its listener and its idle connections in the callback of a timer. The event loop reads connections after its timers, so requests that had arrived during the iteration before were still unread: their connections, and those that waited to be accepted, were reset.

It now closes them after an iteration of the event loop in which neither a connection nor a request arrived (of the connections that wait, one is accepted per iteration), at the latest when the grace period ends.

What arrives between the last read and the close is still reset.

--- a/src/gateway/callers/drain_server.ts
+++ b/src/gateway/callers/drain_server.ts
@@ -1,4 +1,4 @@
-/** Stops the callers' server without losing responses. */
+/** Stops the callers' server without losing requests or responses. */
 import type { Server } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Milliseconds } from "../../util/units.ts";
@@ -7,6 +7,12 @@
 
 const CLOSE_CHECK_INTERVAL_MS = 50;
 
+/** Options of {@link drainServer}. */
+export type DrainServerOptions = {
+  readonly clock: Clock;
+  readonly deadline: Milliseconds;
+};
+
 /**
  * Stops accepting connections, closes idle ones, and waits until the deadline
  * for the others to close. What has not been sent by then is aborted: the
@@ -15,12 +21,12 @@
 export async function drainServer(
   server: Server,
   replies: OpenReplies,
-  { clock, deadline }: {
-    readonly clock: Clock;
-    readonly deadline: Milliseconds;
-  },
+  options: DrainServerOptions,
 ): Promise<void> {
+  const { clock, deadline } = options;
+  const untilQuiet = watchArrivals(server, options);
   let isClosed = false;
+  await untilQuiet();
   // The method of the HTTP server also closes idle connections.
   NetServer.prototype.close.call(server, () => isClosed = true);
   while (!isClosed && clock.now() < deadline) {
@@ -28,6 +34,36 @@
     // although bytes of it may not have been sent.
     if (!replies.hasUnsent) server.closeIdleConnections();
     await sleep(clock, CLOSE_CHECK_INTERVAL_MS);
+    await untilQuiet();
   }
   replies.abortUnsent();
 }
+
+/**
+ * Returns a function that waits for an iteration of the event loop in which
+ * callers have sent nothing. What they sent before has been read then; it would
+ * be lost with a connection that waits to be accepted, or looks idle.
+ */
+function watchArrivals(
+  server: Server,
+  { clock, deadline }: DrainServerOptions,
+): () => Promise<void> {
+  let arrivals = 0;
+  for (const name of ["connection", "request", "drop"]) {
+    server.on(name, () => arrivals += 1);
+  }
+  return async () => {
+    // The loop may be in the middle of an iteration.
+    await iterationEnd();
+    let before: number;
+    do {
+      before = arrivals;
+      await iterationEnd();
+    } while (arrivals !== before && clock.now() < deadline);
+  };
+}
+
+/** Resolves after the event loop has read its connections. */
+function iterationEnd(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
