Requests that wait for a connection are ended as not run

A request that waited for a connection to its replica when its host exited, or when its own time was over, got 502 or 504, outcome unknown, though no byte of it had been sent. A stopping host also let such a request wait when it could no more be finished in time.

A send says whether it has begun: that is, whether its last check before sending, which runs once a connection is open, let it go. One that has not begun is withdrawn, and its request gets 503 as not run; units of quota are returned. A late request is refused while it waits for a connection, as it is in the other waits.

connectionShare moves to a file of its own; two tests import it from there. A safe request with two sends in progress that both wait still counts as one that may have run.

--- a/src/gateway/requests/attempt_race.ts
+++ b/src/gateway/requests/attempt_race.ts
@@ -77,6 +77,12 @@
     }
   }
 
+  /** Whether more than one send is in progress, or the only one has started. */
+  hasStarted(): boolean {
+    const [only, other] = this.#open;
+    return !only || other !== undefined || only.sending.hasStarted();
+  }
+
   async #startSecond(): Promise<void> {
     const pending = this.#pending = this.#options.startSecond();
     const attempt = await pending.attempt;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -30,6 +30,7 @@
 import { reportOutcome } from "./report_outcome.ts";
 import { type RequestState, sendObstacle, sendPlaced } from "./send_placed.ts";
 import { AbortReason, type Sending, type SendResult } from "./sender.ts";
+import { withdrawUnsent } from "./withdraw_unsent.ts";
 import { RequestTime } from "./request_time.ts";
 import { rejection, sendRefusal, timeoutError } from "./send_refusal.ts";
 import type { StopCheck } from "./stop_check.ts";
@@ -67,9 +68,8 @@
   readonly #position: EventPosition = {};
   readonly #binding: StreamBinding;
   readonly #cancelTimeout: () => void;
-  #sending: Pick<Sending, "abort"> | undefined;
-  /** Whether something else than a replica's response is awaited. */
-  #isWaiting = true;
+  /** Undefined while something else than a replica's response is awaited. */
+  #sending: Pick<Sending, "abort" | "hasStarted"> | undefined;
   /** The next retry has already been charged to the retry budget. */
   #retryAcquired = false;
   #ended = false;
@@ -95,22 +95,18 @@
 
   /** Serves the request; resolves when it has ended. */
   async run(): Promise<void> {
+    const { retryBudget, clock } = this.#context;
     try {
-      await this.#serve();
+      retryBudget.noteRequest(this.#request.service, clock.now());
+      const isKnown = await this.#binding.resolve();
+      if (!isKnown) this.#fail(GatewayError.streamVersionUnknown, {});
+      while (!this.#ended) await this.#attempt();
     } catch (error) {
       // Node.js accepts neither all status codes nor all header values.
       this.#failUnknown(error instanceof Error ? error.message : String(error));
     }
   }
 
-  async #serve(): Promise<void> {
-    const { retryBudget, clock } = this.#context;
-    retryBudget.noteRequest(this.#request.service, clock.now());
-    const isKnown = await this.#binding.resolve();
-    if (!isKnown) this.#fail(GatewayError.streamVersionUnknown, {});
-    while (!this.#ended) await this.#attempt();
-  }
-
   /** Ends the request and aborts its calls when the caller disconnects. */
   callerDisconnected(): void {
     if (this.#ended) return;
@@ -121,6 +117,7 @@
 
   /** Ends the request because this host ends; true if it may have run. */
   hostStops(): boolean {
+    withdrawUnsent(this.#sending, this.#attempts);
     const { mayHaveRun } = this.#attempts;
     this.#fail(GatewayError.stopping, { reason: "The host stops" });
     return mayHaveRun;
@@ -128,12 +125,14 @@
 
   /** Ends a request that waits if this host exits before its response. */
   refuseIfLate(): void {
-    if (this.#isWaiting && this.#state.time.shortage) this.#rejectUnsendable();
+    if (!this.#state.time.shortage) return;
+    const isWaiting = withdrawUnsent(this.#sending, this.#attempts);
+    if (isWaiting) this.#rejectUnsendable();
   }
 
   async #attempt(): Promise<void> {
     const { context: { crashes }, request, attempts } = this.#state;
-    this.#isWaiting = true;
+    this.#sending = undefined;
     await crashes.awaitProbes(request.fingerprints, attempts.sends);
     if (this.#ended || this.#rejectUnsendable()) return;
     const placement = await this.#lane.placer.place({
@@ -192,7 +191,6 @@
   }
 
   async #send(placed: Placement): Promise<SendOutcome> {
-    this.#isWaiting = false;
     this.#state.time.noteSent();
     this.#attempts.noteSent();
     this.#binding.noteSend(placed.replica.entry);
@@ -306,6 +304,7 @@
   }
 
   #onTimeout(): void {
+    withdrawUnsent(this.#sending, this.#attempts);
     const reason = "The request's time is over";
     this.#fail(timeoutError(this.#attempts), { reason });
   }
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -19,6 +19,7 @@
   NotSentCause,
 } from "../upstreams/call.ts";
 import { recordSend } from "./replica_sends.ts";
+import { connectionShare } from "../upstreams/connection_share.ts";
 import { discardBody } from "../upstreams/discard_body.ts";
 import { isOwnResponse } from "../upstreams/own_response.ts";
 import type { GatewayRequest } from "./request.ts";
@@ -35,8 +36,6 @@
 } as const;
 const NO_ANSWER = "No answer in time";
 const NO_FAILURES: ReadonlySet<string> = new Set(Object.values(AbortReason));
-/** Share of a replica's connection limit that the fleet uses. */
-const CONNECTION_SHARE = 0.8;
 
 /** The result of a send, up to the headers of the response. */
 export type SendResult =
@@ -68,6 +67,8 @@
 export type Sending = {
   readonly result: Promise<SendResult>;
   abort(reason: string): void;
+  /** False while it waits for a connection, and if it was not sent. */
+  hasStarted(): boolean;
 };
 
 /** Options of {@link sendRequest}. */
@@ -102,9 +103,10 @@
   if (obstacle) {
     permit.release();
     const result = Promise.resolve({ type: "closed", obstacle } as const);
-    return { result, abort: () => undefined };
+    return { result, abort: () => undefined, hasStarted: () => false };
   }
   permit.use();
+  let hasStarted = false;
   context.gate.noteSend(replica.entry);
   const call = context.pool.send({
     entry: replica.entry,
@@ -123,7 +125,10 @@
       context.hostCount(),
     ),
     // Checked again once a connection is available.
-    maySend: () => context.gate.obstacle(replica) === undefined && mayStart(),
+    maySend: () => {
+      hasStarted = context.gate.obstacle(replica) === undefined && mayStart();
+      return hasStarted;
+    },
   });
   replica.activeCalls += 1;
   const sentAt = context.clock.now();
@@ -138,7 +143,11 @@
     cancelTimeout();
     replica.activeCalls -= 1;
   });
-  return { result, abort: (reason) => call.abort(reason) };
+  return {
+    result,
+    abort: (reason) => call.abort(reason),
+    hasStarted: () => hasStarted,
+  };
 }
 
 /** Whether another replica could serve the request instead of `entry`. */
@@ -160,16 +169,6 @@
   });
 }
 
-/**
- * This host's share of a replica's connection limit, at least one connection.
- * The shares of all hosts stay within the limit unless there are more hosts
- * than connections.
- */
-export function connectionShare(limit: number, hosts: number): number {
-  const share = limit * CONNECTION_SHARE / Math.max(1, hosts);
-  return Math.max(1, Math.floor(share));
-}
-
 /** A call that was started. */
 type Sent = {
   readonly call: Call;
--- a/test/gateway/requests/connection_share_test.ts
+++ b/test/gateway/requests/connection_share_test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import "../../fixed_seed.ts";
-import { connectionShare } from "../../../src/gateway/requests/sender.ts";
+import { connectionShare } from "../../../src/gateway/upstreams/connection_share.ts";
 
 test("the connection shares of all hosts stay within a replica's limit", () => {
   const sizes = fc.record({
--- a/test/gateway/requests/draining_test.ts
+++ b/test/gateway/requests/draining_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ReplicaStage } from "../../../src/gateway/mod.ts";
-import { connectionShare } from "../../../src/gateway/requests/sender.ts";
+import { connectionShare } from "../../../src/gateway/upstreams/connection_share.ts";
 import {
   chunk,
   chunkedHeaders,
