--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -15,6 +15,7 @@
   type JsonAnswer,
   type JsonClient,
 } from "./upstreams/json_client.ts";
+export { ResponseError, ResponseFault } from "./upstreams/json_body.ts";
 export { parseAddress } from "../util/address.ts";
 export { MAX_NAME_CHARS, Name } from "./name_schema.ts";
 export { systemClock } from "./clock.ts";
--- a/test/platform/long_pages_test.ts
+++ b/test/platform/long_pages_test.ts
@@ -1,12 +1,13 @@
 /**
  * Guards against listings whose pages never end, which a host collected until its
- * memory was full.
+ * memory was full, and against a feed that fails for ever because it is too long.
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createStore } from "../../platform/store.ts";
 import {
   createJsonClient,
+  ResponseFault,
   type Store,
   systemClock,
 } from "../../src/gateway/mod.ts";
@@ -16,7 +17,10 @@
   startRawReplica,
 } from "../gateway/raw_replica.ts";
 
+const FROM = { revision: 1 };
 const SIGNAL = new AbortController().signal;
+/** Longer than any response may be. */
+const TOO_LONG_BYTES = 64 << 20;
 const PAGE_CHARS = 1 << 20;
 const PAGES = 16;
 
@@ -36,6 +40,27 @@
   return server.requests.map(({ path }) => path);
 }
 
+const answerTooLong: RawAnswer = (_call, socket) => {
+  socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${TOO_LONG_BYTES}\r\n\r\n`);
+};
+
+test("changes that are too long for one response count as a lost history", async () => {
+  await withStore(answerTooLong, async (store) => {
+    const changes = await store.watchReplicas(FROM, 0, SIGNAL);
+    assert.equal(changes, undefined);
+    assert.deepEqual(await store.watchConfig(FROM, 0, SIGNAL), {});
+  });
+});
+
+test("a page of a listing that is too long fails the call", async () => {
+  await withStore(answerTooLong, async (store) => {
+    const fault = ResponseFault.tooLong;
+    await assert.rejects(store.readReplicas(SIGNAL), { fault });
+    await assert.rejects(store.readConfig(SIGNAL), { fault });
+    await assert.rejects(store.readRows("t", SIGNAL), { fault });
+  });
+});
+
 test("a listing whose pages never end fails", async () => {
   const answer: RawAnswer = (call, socket) => {
     const PrivateKey = `key-${call.number}`;
