A listing doesn't wait for the turns of all responses that never end

Callers saw nothing yet: found by reading. Long reads of all responses share a fifth of a process's time, and went on in turn. A listing of 600 replicas takes several long reads, so beside a hundred bodies without end each of them waited for a hundred others, some seconds in all, above the timeout of the call.

Every other turn is now that of the response that has taken least time so far; the others go to the one that has waited longest, so a long response goes on, too. The share is unchanged.

read_pacer_test: with the old order, "a listing doesn't wait for the turns of all responses that never end" fails (8 reads take more than 16 turns beside 100 readers); passes now. With processes: not run yet.

--- a/src/gateway/upstreams/pace_body.ts
+++ b/src/gateway/upstreams/pace_body.ts
@@ -23,6 +23,7 @@
 export function paceBody(message: IncomingMessage): (read: BodyRead) => void {
   const read = message._read.bind(message);
   let isWaiting = false;
+  let spentMs: Milliseconds = 0;
   let endWait = () => {};
   message.once("close", () => endWait());
   // Node.js resumes the socket whenever the message may take more.
@@ -35,13 +36,14 @@
   };
   return ({ parts, bytes, tookMs }) => {
     if (parts < MIN_LONG_PARTS && bytes < MIN_LONG_BYTES) return;
-    const receivedMs = bytes / RECEIVED_BYTES_PER_MS;
-    const mustWait = PACER.charge(tookMs + receivedMs, performance.now());
+    const readMs = tookMs + bytes / RECEIVED_BYTES_PER_MS;
+    spentMs += readMs;
+    const mustWait = PACER.charge(readMs, performance.now());
     const hasEnded = message.complete || message.destroyed;
     if (!mustWait || hasEnded || isWaiting) return;
     isWaiting = true;
     message.socket.pause();
-    endWait = PACER.wait(resume);
+    endWait = PACER.wait(resume, spentMs);
     schedule();
   };
 }
--- a/src/gateway/upstreams/read_pacer.ts
+++ b/src/gateway/upstreams/read_pacer.ts
@@ -16,7 +16,11 @@
 const MAX_DEBT_MS: Milliseconds = 100;
 
 /** A reader that was told to wait. */
-type Waiting = { readonly resume: () => void };
+type Waiting = {
+  readonly resume: () => void;
+  /** What reading its response has taken so far. */
+  readonly spentMs: Milliseconds;
+};
 
 /** Decides which of the long reads of a process wait, and how long. */
 export class ReadPacer {
@@ -24,6 +28,8 @@
   #leftMs = BURST_MS;
   #updatedAt: Milliseconds = 0;
   readonly #waiting = new Set<Waiting>();
+  /** Whether the next turn is that of the reader that has waited longest. */
+  #isLongestNext = false;
 
   /** Records the time that a read took; returns whether the next one must wait. */
   charge(tookMs: Milliseconds, now: Milliseconds): boolean {
@@ -32,9 +38,12 @@
     return this.#leftMs < 0;
   }
 
-  /** Adds a reader that waits; returns how to remove it. */
-  wait(resume: () => void): () => void {
-    const waiting = { resume };
+  /**
+   * Adds a reader that waits, with the time that its response has taken so far;
+   * returns how to remove it.
+   */
+  wait(resume: () => void, spentMs: Milliseconds = 0): () => void {
+    const waiting = { resume, spentMs };
     this.#waiting.add(waiting);
     return () => void this.#waiting.delete(waiting);
   }
@@ -46,15 +55,29 @@
     return Math.max(0, -this.#leftMs / SHARE);
   }
 
-  /** Lets the reader go on that has waited longest, if there is time left. */
+  /**
+   * Lets a reader go on if there is time left: in turns the one whose response
+   * has taken least, so that a listing doesn't wait for all that never end, and
+   * the one that has waited longest.
+   */
   resumeNext(now: Milliseconds): void {
     this.#update(now);
-    const [next] = this.#waiting;
-    if (!next || this.#leftMs < 0) return;
+    const [longest] = this.#waiting;
+    if (!longest || this.#leftMs < 0) return;
+    const next = this.#isLongestNext ? longest : this.#shortestAfter(longest);
+    this.#isLongestNext = !this.#isLongestNext;
     this.#waiting.delete(next);
     next.resume();
   }
 
+  #shortestAfter(first: Waiting): Waiting {
+    let shortest = first;
+    for (const waiting of this.#waiting) {
+      if (waiting.spentMs < shortest.spentMs) shortest = waiting;
+    }
+    return shortest;
+  }
+
   #update(now: Milliseconds): void {
     const gainedMs = Math.max(0, now - this.#updatedAt) * SHARE;
     this.#leftMs = Math.min(BURST_MS, this.#leftMs + gainedMs);
--- a/test/gateway/upstreams/read_pacer_test.ts
+++ b/test/gateway/upstreams/read_pacer_test.ts
@@ -45,6 +45,52 @@
   assert.ok(most - least <= READ_MS, `${least} to ${most} ms`);
 });
 
+/** Plays turns of a pacer until `isDone`; returns how many there were. */
+function playTurns(pacer: ReadPacer, isDone: () => boolean): number {
+  for (let turns = 0; turns < 100 * READERS; turns++) {
+    if (isDone()) return turns;
+    pacer.resumeNext(0);
+  }
+  return assert.fail("A reader waits without end");
+}
+
+/** A reader of a response that takes `reads` more reads. */
+function startReader(
+  pacer: ReadPacer,
+  { spentMs, reads }: { readonly spentMs: number; readonly reads: number },
+): { readonly isDone: () => boolean } {
+  let taken = 0;
+  const isDone = () => taken >= reads;
+  const wait = () => {
+    if (isDone()) return;
+    pacer.wait(() => {
+      taken += 1;
+      wait();
+    }, spentMs + taken * READ_MS);
+  };
+  wait();
+  return { isDone };
+}
+
+test("a listing doesn't wait for the turns of all responses that never end", () => {
+  const pacer = new ReadPacer();
+  for (let count = 0; count < READERS; count++) {
+    startReader(pacer, { spentMs: 1000, reads: Infinity });
+  }
+  const listing = startReader(pacer, { spentMs: 0, reads: 8 });
+  assert.ok(playTurns(pacer, listing.isDone) <= 2 * 8);
+});
+
+test("a long response goes on while short ones begin without end", () => {
+  const pacer = new ReadPacer();
+  const long = startReader(pacer, { spentMs: 1000, reads: 8 });
+  const begin = () => {
+    pacer.wait(begin);
+  };
+  for (let count = 0; count < READERS; count++) begin();
+  assert.ok(playTurns(pacer, long.isDone) <= 2 * 8 * (READERS + 1));
+});
+
 test("a long read after a pause is not delayed", () => {
   const pacer = new ReadPacer();
   assert.equal(pacer.charge(READ_MS, 1000), false);
