A replica is asked for its start again after a stall of this host

Cause of a part: the time for which a replica is asked for its start was counted by the clock. After a stall of this host timers fire before what has arrived is read, so the report in progress counted as missing and the time as over, and the replica was not asked again. The time counts while the process runs now, as in questions to keepers.

Evidence: start_check_test, "a replica is asked again after this host stalled", failed before (silent). outdated_entry_test passes.

--- a/src/gateway/upstreams/start_check.ts
+++ b/src/gateway/upstreams/start_check.ts
@@ -7,6 +7,7 @@
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
+import { afterRunning } from "../running_timer.ts";
 import { callEngine } from "./engine_call.ts";
 
 /** Timeout of one report. A caller waits for it when its stream is taken up. */
@@ -52,7 +53,8 @@
   /**
    * Asks a replica of a model engine for its start, again while it is silent or
    * rejects the call. If it runs as it is listed, so does the process that sent
-   * any response before: an address belongs to one process at a time.
+   * any response before: an address belongs to one process at a time. The timeout
+   * counts the time for which this process runs.
    */
   async find(
     entry: ReplicaEntry,
@@ -62,12 +64,20 @@
       return "notReported";
     }
     const { clock } = this.#options;
-    const deadline = clock.now() + timeoutMs;
-    for (;;) {
-      const finding = await this.#ask(entry);
-      if (finding !== "silent") return finding;
-      if (clock.now() + RETRY_PAUSE_MS >= deadline) return "silent";
-      await sleep(clock, RETRY_PAUSE_MS);
+    let isOver = false;
+    const cancel = afterRunning(
+      clock,
+      timeoutMs - RETRY_PAUSE_MS,
+      () => isOver = true,
+    );
+    try {
+      for (;;) {
+        const finding = await this.#ask(entry);
+        if (finding !== "silent" || isOver) return finding;
+        await sleep(clock, RETRY_PAUSE_MS);
+      }
+    } finally {
+      cancel();
     }
   }
 
