--- a/test/soak/restarts_in_series_checks_test.ts
+++ b/test/soak/restarts_in_series_checks_test.ts
@@ -58,6 +58,7 @@
     arrivals: [RUN],
     cuts: [],
     routeTimeoutMs: 12_000,
+    heldUpMs: 0,
     ...others,
   };
 }
@@ -89,6 +90,9 @@
   assert.deepEqual(rulesOf(recordOf(lost, { arrivals: [] })), []);
   const held = { status: 0, wholeAtMs: CUT_MS - 1500 };
   assert.deepEqual(rulesOf(recordOf(held, { arrivals: [] })), [CUT_RULE]);
+  const stalled = { arrivals: [], heldUpMs: 600 };
+  assert.deepEqual(rulesOf(recordOf(held, stalled)), []);
+  assert.deepEqual(rulesOf(recordOf({}, { heldUpMs: 600 })), [CUT_RULE]);
 });
 
 test("the end of the time or of the replica excuses a cut", () => {
--- a/test/soak/stall_meter.ts
+++ b/test/soak/stall_meter.ts
@@ -15,6 +15,11 @@
     this.#delays.enable();
   }
 
+  /** The longest time for which the process has been held up so far. */
+  get longestMs(): number {
+    return this.#delays.max / NANOSECONDS_PER_MS;
+  }
+
   /** Ends the measurement and describes the delays of the event loop. */
   end(): string {
     this.#delays.disable();
