Streams: a silent replica is given up only if another one can finish the stream

Cause: a stall is an estimate, and the retry that it is given up for was not sure to find a replica. At a stopping host without the time for another run it never does.

Change: before a stalled stream is given up, another replica of its version must be open to this host, and the time of a stop must allow another run.

--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -23,6 +23,7 @@
 import { relayToCaller } from "./relay_to_caller.ts";
 import type { GatewayRequest, Reply } from "./request.ts";
 import { RequestJournal, type RequestProgress } from "./request_journal.ts";
+import { mayAbandon } from "./may_abandon.ts";
 import { StreamBinding } from "./stream_binding.ts";
 import type { Replica } from "../replicas/replica.ts";
 import type { Obstacle } from "../replicas/replica_gate.ts";
@@ -272,10 +273,9 @@
     return this.#request.route.resumable && !this.#position.endsWithoutId;
   }
 
-  /** Abandons a stalled stream only if its replica also fails other calls. */
+  /** Abandons a stalled stream only if it can go on at another replica. */
   #abandonStalled(replica: Replica): boolean {
-    const isPaused = replica.isPaused(this.#context.clock.now());
-    if (!isPaused || !this.#mayContinue) return false;
+    if (!this.#mayContinue || !mayAbandon(this.#state, replica)) return false;
     this.#retryAcquired = this.#attempts.acquireRetry("The stream stalled");
     return this.#retryAcquired;
   }
