Planned stop: late begins 0.2 s earlier, for signals that are noticed late

stop_check_test: without observations requests are accepted up to 2.8 s after the signal, give or take 0.1 s as before; the window moved from 3.0 s, since the 3 s are counted by the callers, from the signal.

--- a/src/gateway/requests/stop_check.ts
+++ b/src/gateway/requests/stop_check.ts
@@ -23,7 +23,7 @@
 /** Callers are directed to other hosts by this time after the signal. */
 const REDIRECTED_AFTER_MS: Milliseconds = 3000;
 /** The process may be scheduled, and so handle the signal, as late as this. */
-const SIGNAL_DELAY_MS: Milliseconds = 100;
+const SIGNAL_DELAY_MS: Milliseconds = 200;
 /** Later requests come from few callers, who are sent to other hosts. */
 const LATE_IN_TIME_SHARE = 1;
 /**
--- a/test/gateway/requests/stop_check_test.ts
+++ b/test/gateway/requests/stop_check_test.ts
@@ -13,6 +13,8 @@
 const ENDS_AFTER_MS = 7500;
 /** Requests that are whole later have other hosts to go to. */
 const REDIRECTED_AFTER_MS = 3000;
+/** By how much a host may notice its signal late. */
+const SIGNAL_DELAY_MS = 200;
 const SERVICE = "service";
 
 type World = {
@@ -106,7 +108,8 @@
   for (const route of [unsafe, stream]) {
     const world = createWorld();
     world.observe(route, same(100));
-    assert.ok(world.acceptedUntilMs(route) <= REDIRECTED_AFTER_MS);
+    const lateAfterMs = REDIRECTED_AFTER_MS - SIGNAL_DELAY_MS;
+    assert.ok(world.acceptedUntilMs(route) <= lateAfterMs);
     const shortWorld = createWorld();
     shortWorld.observe(route, same(100));
     const short = { ...route, timeoutMs: 2500 };
@@ -152,5 +155,6 @@
 
 test("without observations, requests that come after the redirection are refused", () => {
   const lastMs = createWorld().acceptedUntilMs(unsafe);
-  assert.ok(lastMs >= 2900 && lastMs <= 3100, String(lastMs));
+  const lateAfterMs = REDIRECTED_AFTER_MS - SIGNAL_DELAY_MS;
+  assert.ok(Math.abs(lastMs - lateAfterMs) <= 100, String(lastMs));
 });
--- a/test/soak/late_signal_test.ts
+++ b/test/soak/late_signal_test.ts
@@ -6,7 +6,6 @@
 import { test } from "node:test";
 import { CallKind } from "./call.ts";
 import { type LateResult, sendLate } from "./late_request.ts";
-import { knownRed } from "../known_red.ts";
 import { sleep } from "./sleep.ts";
 import { type TestFleet, withFleet } from "./test_fleet.ts";
 
@@ -43,7 +42,7 @@
 const NAME =
   "a stopping host that noticed its signal late cuts no stream that is sent late";
 
-test(NAME, knownRed(NAME), async (test) => {
+test(NAME, async (test) => {
   await withFleet(async (fleet) => {
     const [host] = fleet.hosts;
     assert.ok(host);
