--- a/test/gateway/requests/unsent_request_test.ts
+++ b/test/gateway/requests/unsent_request_test.ts
@@ -35,7 +35,10 @@
     const { running, waiting } = await fillConnection(rig);
     rig.context.stop.requestedAt = clock.now();
     const drained = await rig.callers.drain(clock, clock.now());
-    assert.deepEqual(drained, { cut: 1, refused: 1 });
+    assert.deepEqual(
+      drained,
+      { cut: 1, refused: 1, unsent: 0, unstarted: 0, unfinished: 1 },
+    );
     assert.equal((await running).status, 502);
     assert.equal((await waiting).status, 503);
     assert.equal(rig.replicas[0]?.requests.length, 1);
