Streams: a keeper whose response this host breaks off has not ended

A keeper of which a response is too long, or is broken off for lack of memory, counted as a host whose process has ended: it was not waited for when the version of a stream was inferred, which may join two versions. Found by reading. It counts as silent now.

--- a/src/gateway/streams/keeper_client.ts
+++ b/src/gateway/streams/keeper_client.ts
@@ -7,6 +7,7 @@
 import { PeerConnections } from "../peers/peer_connections.ts";
 import { afterRunning } from "../running_timer.ts";
 import { withTimeout } from "../state/with_timeout.ts";
+import { ResponseError, ResponseFault } from "../upstreams/json_body.ts";
 import type { JsonAnswer, JsonClient } from "../upstreams/json_client.ts";
 import {
   type AskResponse,
@@ -167,14 +168,24 @@
       path: KEEPER_PATH,
       body: JSON.stringify(message),
     } as const;
+    let isEndedHere = false;
+    const work = async (signal: AbortSignal) => {
+      try {
+        return await this.#connections.call(address, { ...call, signal });
+      } catch (error) {
+        isEndedHere = error instanceof ResponseError &&
+          error.fault !== ResponseFault.cutOff;
+        throw error;
+      }
+    };
     return withTimeout({
       clock,
       timeoutMs,
       countsRunningTime: true,
-      work: (signal) => this.#connections.call(address, { ...call, signal }),
+      work,
       onFault: (reason, isTimeout) => {
         events.note("callFailed", { call: "streams", address, reason });
-        if (!isTimeout) onBroken();
+        if (!isTimeout && !isEndedHere) onBroken();
       },
     });
   }
--- a/test/gateway/streams/keeper_call_test.ts
+++ b/test/gateway/streams/keeper_call_test.ts
@@ -89,6 +89,21 @@
   });
 });
 
+// It counted as a host whose process has ended, which nobody waits for.
+test("a keeper whose response is broken off for its length has not ended", async () => {
+  const tooLong: RequestListener = (request, response) => {
+    request.resume();
+    response.writeHead(200, { "Content-Length": String(1 << 30) });
+    response.write("{");
+  };
+  await withServer(tooLong, async (host, client) => {
+    assert.deepEqual(await client.ask([host], RECORD.stream), {
+      answers: [],
+      ended: [],
+    });
+  });
+});
+
 test("a body over the bound is rejected and nothing is stored", async () => {
   const { table, server } = createKeeper();
   const accept: RequestListener = (request, response) =>
