--- a/src/gateway/requests/stop_check.ts
+++ b/src/gateway/requests/stop_check.ts
@@ -24,16 +24,6 @@
 const REDIRECTED_AFTER_MS: Milliseconds = 3000;
 /** The process may be scheduled, and so handle the signal, as late as this. */
 const SIGNAL_DELAY_MS: Milliseconds = 200;
-/** Later requests come from few callers, who are sent to other hosts. */
-const LATE_IN_TIME_SHARE = 1;
-/**
- * Kinds of which no late request is accepted that may outlast this host. Any run
- * may take longer than all before, and callers can't just repeat these.
- */
-const BOUNDED_KINDS: ReadonlySet<RouteKind> = new Set([
-  RouteKind.unsafe,
-  RouteKind.streaming,
-]);
 /** Fewer runs don't show how long others take. */
 const MIN_RUNS = 8;
 /** Time for a run if too few have been observed. */
@@ -88,7 +78,9 @@
     const { wholeAt = now, deadline } = request;
     const lateAfter = stop.requestedAt + REDIRECTED_AFTER_MS - SIGNAL_DELAY_MS;
     const isLate = wholeAt > lateAfter;
-    const runMs = this.#runMsOf(request, { isLate, now });
+    // Any run may take longer than all before. A late request has other hosts to
+    // go to, so none is accepted that may outlast this one.
+    const runMs = isLate ? Infinity : this.#runMsOf(request, now);
     const neededMs = Math.max(MIN_RUN_MS, Math.min(runMs, deadline - now));
     const leftMs = endsAt - now;
     return leftMs < neededMs ? { leftMs, neededMs } : undefined;
@@ -96,10 +88,9 @@
 
   #runMsOf(
     { route, service }: TimedRequest,
-    { isLate, now }: { readonly isLate: boolean; readonly now: Milliseconds },
+    now: Milliseconds,
   ): Milliseconds {
-    if (isLate && BOUNDED_KINDS.has(route.kind)) return Infinity;
-    const share = isLate ? LATE_IN_TIME_SHARE : IN_TIME_SHARES[route.kind];
+    const share = IN_TIME_SHARES[route.kind];
     const key = { service, route: route.name };
     const { runMs, runs } = this.runs.timeOf(key, { share, now });
     const observedMs = runMs + RUN_MARGIN_MS;
