Planned stop: a waiting send is withdrawn and its request refused at once

Seen by the review, forced by a clock that moves between two calls: the time was asked for twice, before a waiting send was withdrawn and before its request was refused. If the second answer was another, the request went on to be sent, and its caller got 503, 'nothing ran', though the replica had received it.

Change: the first answer decides. No test of our own forces the order.

--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -35,7 +35,7 @@
 import { withdrawUnsent } from "./withdraw_unsent.ts";
 import { RequestTime } from "./request_time.ts";
 import { rejection, sendRefusal, timeoutError } from "./send_refusal.ts";
-import type { StopCheck } from "./stop_check.ts";
+import { shortageFields, type StopCheck } from "./stop_check.ts";
 
 /** Options of {@link Exchange}. */
 export type ExchangeOptions = {
@@ -126,9 +126,9 @@
 
   /** Ends a request that waits if this host exits before its response. */
   refuseIfLate(): void {
-    if (!this.#state.time.shortage) return;
-    const isWaiting = withdrawUnsent(this.#sending, this.#attempts);
-    if (isWaiting) this.#rejectUnsendable();
+    const { shortage } = this.#state.time;
+    if (!shortage || !withdrawUnsent(this.#sending, this.#attempts)) return;
+    this.#fail(GatewayError.stopping, { basis: shortageFields(shortage) });
   }
 
   async #attempt(): Promise<void> {
