--- a/src/gateway/callers/drain_server.ts
+++ b/src/gateway/callers/drain_server.ts
@@ -63,7 +63,10 @@
   };
 }
 
-/** Resolves after the event loop has read its connections. */
-function iterationEnd(): Promise<void> {
+/**
+ * Resolves after the event loop has read its connections: it calls timers before
+ * it reads, and immediates after that.
+ */
+export function iterationEnd(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
--- a/src/gateway/callers/open_requests.ts
+++ b/src/gateway/callers/open_requests.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { type Clock, sleep } from "../clock.ts";
 import type { Exchange } from "../requests/exchange.ts";
-import { drainServer } from "./drain_server.ts";
+import { drainServer, iterationEnd } from "./drain_server.ts";
 import { OpenReplies } from "./open_replies.ts";
 import { PendingRequests } from "./pending_requests.ts";
 import {
@@ -74,7 +74,8 @@
       deadline: deadline + LAST_RESPONSES_MS,
     });
     await settled(closed, { clock, deadline });
-    await nextPoll();
+    // What has arrived by now is delivered first.
+    await iterationEnd();
     this.#isDrained = true;
     const { cut, refused } = this.#endOpen();
     await closed;
@@ -112,11 +113,3 @@
     });
   });
 }
-
-/**
- * Resolves when what has arrived by now has been read: the event loop calls timers
- * before it reads from connections, and immediates after that.
- */
-function nextPoll(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
--- a/src/gateway/upstreams/json_body.ts
+++ b/src/gateway/upstreams/json_body.ts
@@ -35,7 +35,7 @@
   }
 }
 
-/** Room for a listing in which other writers have left rows of 12 MB, in base64. */
+/** Room for a page of the store with long rows of other writers, in base64. */
 const MAX_BODY_BYTES = 20 << 20;
 /**
  * Bounds what is parsed: small values take many times their text. The listing of
