--- a/review/lib-2/engine.js
+++ b/review/lib-2/engine.js
@@ -25,6 +25,10 @@
   handleMs,
   isListedAtStart,
   isCutFromStore,
+  /** Its streams have neither a length nor chunks. */
+  isUnframed,
+  /** The queue of new connections takes one more than this. */
+  backlog = 511,
 } = JSON.parse(process.argv[2]);
 const born = Date.now();
 
@@ -268,10 +272,12 @@
   const job = { tokens: promptTokens + outputTokens };
   running.add(job);
   report({ type: "run", attempt, from: last, version, body });
+  if (isUnframed) response.removeHeader("Transfer-Encoding");
   response.writeHead(200, {
     "Content-Type": "text/event-stream",
     "Attempt-Id": attempt,
     "Server-Seal": `seal-${id}-${attempt}`,
+    ...(isUnframed ? { Connection: "close" } : {}),
   });
   for (let event = last + 1; event <= outputTokens; event++) {
     await sleep(EVENT_INTERVAL_MS);
@@ -283,7 +289,7 @@
   response.end();
 }
 
-server.listen(port, host, () => {
+server.listen({ port, host, backlog }, () => {
   address = `${host}:${server.address().port}`;
   report({ type: "listening", address, version, born });
   if (isListedAtStart) beat();
--- a/review/lib-2/world.js
+++ b/review/lib-2/world.js
@@ -2,6 +2,7 @@
 import { spawn } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
 import { request } from "node:http";
+import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { createInterface } from "node:readline";
@@ -12,8 +13,11 @@
 const LIB = dirname(fileURLToPath(import.meta.url));
 
 export const SERVICE = "recap-llm";
+export const PLAIN_SERVICE = "reel-api";
 export const HOST = "caption.example";
 export const HEARTBEAT_MS = 1200;
+/** More than the queue of a replica with a small backlog takes. */
+const OTHER_CONNECTIONS = 4;
 
 export function sleep(ms) {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -37,8 +41,22 @@
       Resumable: true,
       SessionAffinity: true,
       ...route,
+    }, {
+      Name: "thumb-fetch",
+      Host: HOST,
+      PathPrefix: "/thumb/",
+      Kind: "unsafe",
+      TimeoutMs: 1200,
+      TargetLatencyMs: 150,
+      MaxAttempts: 1,
+      Priority: 2,
+      Service: PLAIN_SERVICE,
     }],
     Services: [{
+      Name: PLAIN_SERVICE,
+      HealthPath: "/health",
+      ConnectionLimit: 110,
+    }, {
       Name: SERVICE,
       HealthPath: "/health",
       ConnectionLimit: 370,
@@ -79,7 +97,7 @@
   /** Starts the process; resolves when it listens. */
   start(changes = {}) {
     const parameters = this.#parameters = { ...this.#parameters, ...changes };
-    const file = join(LIB, "engine.js");
+    const file = join(LIB, parameters.program ?? "engine.js");
     const child = this.#child = spawn(
       process.execPath,
       [file, JSON.stringify(parameters)],
@@ -103,6 +121,24 @@
     });
   }
 
+  /**
+   * The replica falls silent, and goes on. Meanwhile new connections of other
+   * callers fill its queue, which drops those that come then.
+   */
+  async stall(ms) {
+    this.#world.record({ type: "silent", id: this.id, ms });
+    const child = this.#child;
+    child.kill("SIGSTOP");
+    const [host, port] = this.address.split(":");
+    const others = Array.from({ length: OTHER_CONNECTIONS }, () => {
+      const socket = connect(Number(port), host);
+      return socket.on("error", () => undefined);
+    });
+    await sleep(ms);
+    child.kill("SIGCONT");
+    for (const socket of others) socket.destroy();
+  }
+
   /** Ends the process as a crash does; its entry lapses later. */
   crash() {
     this.#world.record({ type: "crash", id: this.id, version: this.version });
@@ -272,3 +308,31 @@
     outgoing.end(body);
   });
 }
+
+/** Sends one request on the plain route; resolves to its status and body. */
+export function callPlain(gateway, { attempt, deadlineMs }) {
+  const [host, port] = gateway.callers.split(":");
+  const headers = {
+    "Host": HOST,
+    "Attempt-Id": attempt,
+    "Deadline-Remaining-Ms": String(deadlineMs),
+  };
+  return new Promise((resolve) => {
+    const outgoing = request(
+      { host, port, method: "POST", path: "/thumb/1", headers, agent: false },
+      (answer) => {
+        const { statusCode: status } = answer;
+        const seal = answer.headers["server-seal"];
+        let bytes = 0;
+        answer.on("data", (part) => bytes += part.length);
+        answer.on("error", () => undefined);
+        answer.on(
+          "close",
+          () => resolve({ status, seal, bytes, isWhole: answer.complete }),
+        );
+      },
+    );
+    outgoing.on("error", () => resolve({ status: 0 }));
+    outgoing.end("a clip");
+  });
+}
