Review, case 5: truncated streams end as complete after a gateway was restarted

Cause: for a stream without a length or chunks that came through another gateway, the end is confirmed by whether that gateway's address responds. A gateway that was killed and started again while the replica is silent responds. Change: the case; requests of callers have a file of their own in review/lib-2.

--- a/review/lib-2/streams.js
+++ b/review/lib-2/streams.js
@@ -1,6 +1,7 @@
 /** Callers of resumable streams, and the check of ORDER over what they got. */
 import { writeFileSync } from "node:fs";
-import { callStream, sleep } from "./world.js";
+import { callStream } from "./calls.js";
+import { sleep } from "./world.js";
 
 /** Tokens of a prompt and of an answer; an event holds one token. */
 const TOKENS = [600, 68];
