Review, case 5: a longer silence and an earlier restart, for slower machines

Cause: the gateway that is killed has to be back before the replica goes on; a machine on which it starts more slowly would not show the case. Change: silence of 1.4 s in place of 1.2, restart after 0.1 s in place of 0.2.

--- a/review/5/run.js
+++ b/review/5/run.js
@@ -27,10 +27,10 @@
 const SHORT_SILENCES = 4;
 const SHORT_SILENCE_INTERVAL_MS = 170;
 /** "A second or so". */
-const SILENCE_MS = 1200;
+const SILENCE_MS = 1400;
 const KILL_DELAY_MS = 100;
 /** "It is started again after a short delay." */
-const RESTART_DELAY_MS = 200;
+const RESTART_DELAY_MS = 100;
 const SETTLE_MS = 4000;
 
 function replicas() {
