Review: a case that can't run says so, and ends what it started

With a program that can't be started the scripts' clean-up killed their own process group, since such a child has no id; an error at the start exited with 1 as a broken rule does; nothing bounded a run that hangs; folders stayed behind an aborted run. Change: review/lib-2 only.

--- a/review/lib-2/gateways.js
+++ b/review/lib-2/gateways.js
@@ -141,17 +141,19 @@
     const keep = (bytes) => this.#log.push(bytes);
     this.#child.stdout.on("data", keep);
     this.#child.stderr.on("data", keep);
-    this.exited = new Promise((resolve) =>
-      this.#child.on("exit", (code, signal) => resolve({ code, signal }))
-    );
+    this.exited = new Promise((resolve) => {
+      this.#child.on("exit", (code, signal) => resolve({ code, signal }));
+      this.#child.on("error", (error) => resolve({ error }));
+    });
   }
 
   get pid() {
     return this.#child.pid;
   }
 
+  /** Does nothing if the process couldn't be started: it has no id then. */
   signal(name) {
-    this.#child.kill(name);
+    if (this.#child?.pid !== undefined) this.#child.kill(name);
   }
 
   /** The lines that the process has logged. */
--- a/review/lib-2/streams.js
+++ b/review/lib-2/streams.js
@@ -108,15 +108,27 @@
   return mixed.length > ALLOWED_STREAMS ? 1 : 0;
 }
 
+/** A case ends within 120 s. */
+const MAX_RUN_MS = 115_000;
+const NOT_RUN = 2;
+
 /** Runs a case in a world that it ends; returns the exit code. */
 export async function runCase(startWorld, play) {
+  const abort = (reason) => {
+    console.error("The case could not run:", reason);
+    process.exit(NOT_RUN);
+  };
+  for (const event of ["uncaughtException", "SIGINT", "SIGTERM"]) {
+    process.on(event, abort);
+  }
+  setTimeout(() => abort("it took too long"), MAX_RUN_MS).unref();
   const world = await startWorld();
   try {
     if (!await world.isReady(20_000)) throw new Error("A gateway isn't ready");
     return await play(world);
   } catch (error) {
     console.error(error);
-    return 2;
+    return NOT_RUN;
   } finally {
     await world.stop();
   }
--- a/review/lib-2/world.js
+++ b/review/lib-2/world.js
@@ -159,10 +159,10 @@
   /** Starts a store, replicas and gateways. */
   static async start({ replicas, zones, config }) {
     const world = new World();
-    process.on("exit", () => world.#killAll());
-    for (const signal of ["SIGINT", "SIGTERM"]) {
-      process.on(signal, () => process.exit(2));
-    }
+    process.on("exit", () => {
+      world.#killAll();
+      rmSync(world.#folder, { recursive: true, force: true });
+    });
     world.store = await startStore();
     world.store.put("op", "config", config);
     for (const parameters of replicas) {
@@ -238,7 +238,9 @@
   }
 
   #killAll() {
-    for (const child of this.#children) child.kill("SIGKILL");
+    for (const child of this.#children) {
+      if (child.pid !== undefined) child.kill("SIGKILL");
+    }
     for (const gateway of this.gateways) gateway.signal("SIGKILL");
   }
 
@@ -247,6 +249,6 @@
     this.#killAll();
     await Promise.all(this.gateways.map((gateway) => gateway.exited));
     this.store.stop();
-    rmSync(this.#folder, { recursive: true });
+    rmSync(this.#folder, { recursive: true, force: true });
   }
 }
