Ends of responses: confirmed by the process of the peer that carried them

Their host had reached the replica through a peer that was killed and started again while the replica was silent.

Cause: the host asked whether anything responds at the peer's address. The next process of the peer did, and confirmed the end that the operating system had sent for the one before.

Change: the response to CONNECT names the run of the process, and so does the response to the question (`/process`); another run confirms nothing. A question is sent after the end was read, so the same run was alive behind that end and passed it on itself. A peer that names no run, as an earlier build, confirms nothing.

--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../observe/event_log.ts";
 import type { Metrics } from "../observe/metrics.ts";
+import type { PeerProcess } from "../peers/peer_process.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { ProbeResult } from "../upstreams/probe.ts";
 import {
@@ -39,8 +40,8 @@
   readonly countReplicas: (entry: ReplicaEntry) => number;
   /** Checks whether the replica listens, over any path. */
   readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
-  /** Whether the peer at this address responds now. */
-  readonly isPeerResponding: (address: string) => Promise<boolean>;
+  /** Whether this process of a peer runs now. */
+  readonly isPeerRunning: (peer: PeerProcess) => Promise<boolean>;
   /** Whether this incarnation still runs, although it is not listed. */
   readonly isAlive: (entry: ReplicaEntry) => Promise<boolean>;
 };
--- a/src/gateway/crashes/end_confirmation.ts
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../observe/event_log.ts";
+import type { PeerProcess } from "../peers/peer_process.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { ProbeResult } from "../upstreams/probe.ts";
 
@@ -28,14 +29,14 @@
   readonly events: EventLog;
   /** Checks whether the replica listens, over any path. */
   readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
-  /** Whether the peer at this address responds now. */
-  readonly isPeerResponding: (address: string) => Promise<boolean>;
+  /** Whether this process of a peer runs now. */
+  readonly isPeerRunning: (peer: PeerProcess) => Promise<boolean>;
 };
 
 /** Options of {@link EndConfirmation.confirm}. */
 export type ConfirmOptions = {
-  /** The other end of the connection; by default, the replica's address. */
-  readonly remoteAddress?: string;
+  /** The peer that the response came through. */
+  readonly peer?: PeerProcess | undefined;
   /**
    * Whether a silent replica is probed for a while; for requests that can't be
    * sent to another one.
@@ -57,22 +58,22 @@
 
   /**
    * Whether the replica runs, so that a response of it has ended. One that can't
-   * be reached confirms nothing. If the connection to `remoteAddress` went
-   * through a peer, that has to run as well.
+   * be reached confirms nothing. The peer that the response came through has to
+   * run as well: the same process, since a later one at its address didn't carry
+   * the response.
    */
   async confirm(
     entry: ReplicaEntry,
-    { remoteAddress = entry.address, waits = false }: ConfirmOptions = {},
+    { peer, waits = false }: ConfirmOptions = {},
   ): Promise<boolean> {
-    const { clock, events, isPeerResponding } = this.#options;
-    const peer = remoteAddress === entry.address ? undefined : remoteAddress;
+    const { clock, events, isPeerRunning } = this.#options;
     const deadline = clock.now() + (waits ? SILENCE_MS : 0);
     let probe = await this.#probe(entry);
     while (probe === "silent" && clock.now() < deadline) {
       probe = await this.#probe(entry);
     }
     const isRunning = probe === "listens";
-    if (isRunning && (!peer || await isPeerResponding(peer))) {
+    if (isRunning && (!peer || await isPeerRunning(peer))) {
       this.#noteConfirmed(entry);
       return true;
     }
@@ -81,7 +82,7 @@
       address: entry.address,
       probe,
       // The peer is asked only if the replica listens.
-      peer,
+      peer: peer?.address,
     });
     return false;
   }
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -20,8 +20,8 @@
 import { Metrics } from "./observe/metrics.ts";
 import { createElapsedClock } from "./elapsed_clock.ts";
 import type { HostDirectory } from "./peers/directory.ts";
-import { isPeerResponding } from "./peers/is_peer_responding.ts";
 import { openLink } from "./peers/link.ts";
+import { askProcess } from "./peers/process_report.ts";
 import type { PeerConnections } from "./peers/peer_connections.ts";
 import { createPaths } from "./paths/create_paths.ts";
 import type { HostEntry, PlatformPort, Store } from "./port.ts";
@@ -144,8 +144,8 @@
         other.service === service && other.stage === stage
       ).length,
     probe: (entry) => paths.monitor.probe(entry),
-    isPeerResponding: (address) =>
-      isPeerResponding(address, { clock, connections }),
+    isPeerRunning: async (peer) =>
+      await askProcess(peer, { clock, connections }) !== undefined,
     isAlive: (entry) =>
       isReplicaAlive({ pool, dialect, routes, paths, replicas }, entry),
   });
--- a/src/gateway/paths/create_tunnel_server.ts
+++ b/src/gateway/paths/create_tunnel_server.ts
@@ -4,9 +4,10 @@
 
 /** Tunnels lead to listed replicas only. */
 export function createTunnelServer(context: GatewayContext): TunnelServer {
-  const { clock, events, metrics, paths, replicas, stop } = context;
+  const { self, clock, events, metrics, paths, replicas, stop } = context;
   return new TunnelServer({
     clock,
+    run: self.run,
     events,
     metrics,
     connect: paths.connect,
--- a/src/gateway/paths/tunnel_agent.ts
+++ b/src/gateway/paths/tunnel_agent.ts
@@ -4,6 +4,7 @@
 import type { Duplex } from "node:stream";
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
+import type { PeerProcess } from "../peers/peer_process.ts";
 import { tcpConnect } from "../upstreams/connect.ts";
 import {
   ReplicaAgent,
@@ -40,8 +41,7 @@
 /** A tunnel that has been opened. */
 type OpenTunnel = {
   readonly openedAt: Milliseconds;
-  /** Address of the peer. */
-  readonly peer: string;
+  readonly peer: PeerProcess;
   /** Bytes that were written to open it. */
   readonly bytesWritten: number;
 };
@@ -74,8 +74,8 @@
     return undefined;
   }
 
-  /** Returns the address of the peer that a tunnel goes through. */
-  peerOf(socket: Socket): string | undefined {
+  /** Returns the peer that a tunnel goes through. */
+  peerOf(socket: Socket): PeerProcess | undefined {
     return this.#tunnels.get(socket)?.peer;
   }
 
@@ -83,7 +83,7 @@
   closeIdleThrough(peer: string): void {
     for (const sockets of Object.values(this.freeSockets)) {
       for (const socket of sockets ?? []) {
-        if (this.peerOf(socket) === peer) socket.destroy();
+        if (this.peerOf(socket)?.address === peer) socket.destroy();
       }
     }
   }
@@ -99,14 +99,14 @@
     const outcome = await open();
     if (outcome.type !== "open") return outcome;
     const { socket, peer } = outcome;
-    if (carriers.isStopping(peer)) {
+    if (carriers.isStopping(peer.address)) {
       socket.destroy();
       // The peer is not asked again.
       return this.#open();
     }
     const { bytesWritten } = socket;
     this.#tunnels.set(socket, { openedAt: clock.now(), peer, bytesWritten });
-    if (keepAlive) carriers.noteUsed(peer);
+    if (keepAlive) carriers.noteUsed(peer.address);
     return outcome;
   }
 
@@ -119,7 +119,7 @@
   #mayCarry(socket: Socket): boolean {
     const tunnel = this.#tunnels.get(socket);
     return tunnel !== undefined && this.#ageOf(socket) < MAX_AGE_MS &&
-      this.#options.carriers.isServing(tunnel.peer);
+      this.#options.carriers.isServing(tunnel.peer.address);
   }
 
   #ageOf(socket: Socket): Milliseconds {
--- a/src/gateway/paths/tunnel_client.ts
+++ b/src/gateway/paths/tunnel_client.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import type { Clock } from "../clock.ts";
 import { LINK_HOST_HEADER } from "../peers/link.ts";
+import { type PeerProcess, RUN_HEADER } from "../peers/peer_process.ts";
 
 /** Status of a peer's response to a CONNECT request. */
 export const TunnelStatus = {
@@ -22,8 +23,7 @@
   | {
     readonly type: "open";
     readonly socket: Socket;
-    /** Address of the peer. */
-    readonly peer: string;
+    readonly peer: PeerProcess;
   }
   /** Nothing listens at the replica's address, according to the peer. */
   | { readonly type: "refused" }
@@ -76,7 +76,12 @@
         // What the replica sent may arrive with the head of this response.
         if (first.length > 0) socket.unshift(first);
         socket.setNoDelay(true);
-        return resolve({ type: "open", socket, peer });
+        const run = response.headers[RUN_HEADER];
+        return resolve({
+          type: "open",
+          socket,
+          peer: { address: peer, run: run === undefined ? run : String(run) },
+        });
       }
       socket.destroy();
       resolve({ type: failureOf(response.statusCode) });
--- a/src/gateway/paths/tunnel_server.ts
+++ b/src/gateway/paths/tunnel_server.ts
@@ -12,6 +12,7 @@
 import type { EventLog } from "../observe/event_log.ts";
 import type { Metrics } from "../observe/metrics.ts";
 import { LINK_HOST_HEADER } from "../peers/link.ts";
+import { RUN_HEADER } from "../peers/peer_process.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Connect } from "../upstreams/connect.ts";
 import { isRefusal } from "../upstreams/probe.ts";
@@ -29,6 +30,8 @@
 /** Options of {@link TunnelServer}. */
 export type TunnelServerOptions = {
   readonly clock: Clock;
+  /** Identifies this run of the process. */
+  readonly run: string;
   readonly events: EventLog;
   readonly metrics: Pick<Metrics, "count" | "countLabelled">;
   readonly connect: Connect;
@@ -82,7 +85,7 @@
   }
 
   #connect(socket: Socket, replica: ReplicaEntry, host: string): void {
-    const { clock, connect, connectTimeoutMs, isStopping } = this.#options;
+    const { clock, run, connect, connectTimeoutMs, isStopping } = this.#options;
     const target = parseAddress(replica.address);
     if (!target) return reject(socket, TunnelStatus.unavailable);
     const upstream = connect({ host: target.host, port: target.port });
@@ -105,7 +108,8 @@
       }
       isConnected = true;
       this.#noteServed(replica, host);
-      socket.write(`HTTP/1.1 ${TunnelStatus.open} OK\r\n\r\n`);
+      const head = `HTTP/1.1 ${TunnelStatus.open} OK\r\n${RUN_HEADER}: ${run}`;
+      socket.write(`${head}\r\n\r\n`);
       joinSockets(socket, upstream);
     });
     upstream.on("error", (error) => {
--- a/src/gateway/peers/server.ts
+++ b/src/gateway/peers/server.ts
@@ -20,6 +20,7 @@
   type PeerStateMessage,
   type PeerStateRequest,
 } from "./peer_state.ts";
+import { PROCESS_PATH, reportProcess } from "./process_report.ts";
 
 /**
  * In a large fleet a host sends records of streams to the same peer every few
@@ -63,6 +64,9 @@
       return options.context.streams.server.accept(request, response);
     }
     request.resume();
+    if (request.url === PROCESS_PATH) {
+      return reportProcess(options.context, response);
+    }
     const target = request.url ?? "/";
     const body = JSON.stringify(
       peerStateResponse({ ...options, listings }, target),
--- a/src/gateway/requests/body_record.ts
+++ b/src/gateway/requests/body_record.ts
@@ -11,21 +11,13 @@
 export class BodyRecord {
   readonly #answer: Answer;
   readonly #scanner: EventScanner | undefined;
-  readonly #replicaAddress: string;
   #bytes = 0;
   #firstId: string | undefined;
 
   /** `scanner` scans the events of a stream. */
-  constructor(
-    answer: Answer,
-    { scanner, replicaAddress }: {
-      readonly scanner: EventScanner | undefined;
-      readonly replicaAddress: string;
-    },
-  ) {
+  constructor(answer: Answer, scanner: EventScanner | undefined) {
     this.#answer = answer;
     this.#scanner = scanner;
-    this.#replicaAddress = replicaAddress;
     answer.message.on("data", (bytes: Buffer) => {
       if (scanner && this.#bytes === 0) this.#firstId = firstIdOf(bytes);
       this.#bytes += bytes.length;
@@ -37,11 +29,8 @@
    * its events and the id of the first one, too.
    */
   fields(): EventFields {
-    const { framing, remoteAddress } = this.#answer;
-    const peer = remoteAddress === this.#replicaAddress
-      ? undefined
-      : remoteAddress;
-    const fields = { framing, bytes: this.#bytes, peer };
+    const { framing, peer } = this.#answer;
+    const fields = { framing, bytes: this.#bytes, peer: peer?.address };
     if (!this.#scanner) return fields;
     return {
       ...fields,
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -52,8 +52,7 @@
   const { answer, startedAt, reply, writer, position, observer } = relay;
   const isStream = route.kind === RouteKind.streaming;
   const scanner = isStream ? scanEvents(answer) : undefined;
-  const { address: replicaAddress } = relay.entry;
-  relay.journal.received(answer, { scanner, replicaAddress });
+  relay.journal.received(answer, scanner);
   return relayAnswer(answer, reply, {
     route,
     scanner,
@@ -61,7 +60,7 @@
       writer.writeHead(headOf(answer, route, bodyBytes)),
     confirmEnd: () =>
       crashes.ends.confirm(relay.entry, {
-        remoteAddress: answer.remoteAddress,
+        peer: answer.peer,
         waits: route.kind !== RouteKind.safe && !route.resumable,
       }),
     onFirstByte: () => {
--- a/src/gateway/requests/request_journal.ts
+++ b/src/gateway/requests/request_journal.ts
@@ -102,14 +102,8 @@
   }
 
   /** Records a response whose forwarding begins. */
-  received(
-    answer: Answer,
-    from: {
-      readonly scanner: EventScanner | undefined;
-      readonly replicaAddress: string;
-    },
-  ): void {
-    this.#body = new BodyRecord(answer, from);
+  received(answer: Answer, scanner: EventScanner | undefined): void {
+    this.#body = new BodyRecord(answer, scanner);
     if (answer.framing !== Framing.connection) return;
     this.#context.metrics.count("answers_unframed");
   }
--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { parseAddress } from "../../util/address.ts";
 import type { Clock } from "../clock.ts";
+import type { PeerProcess } from "../peers/peer_process.ts";
 import type { CarriedCalls } from "./carried_calls.ts";
 import { coalesceBody } from "./coalesce_body.ts";
 import { BodyEnding, Framing, framingOf, hasUnknownCoding } from "./framing.ts";
@@ -46,16 +47,18 @@
    * returns false, nothing is sent. Without it, the request is always sent.
    */
   readonly maySend?: () => boolean;
-  /** Returns the other end of a connection; by default, it is `address`. */
-  readonly remoteAddressOf?: (socket: Socket) => string;
+  /** Returns the peer that a connection goes through; by default, none. */
+  readonly peerOf?: (socket: Socket) => PeerProcess | undefined;
 };
 
 /** A response whose headers have been received. */
 export type Answer = {
   readonly message: IncomingMessage;
   readonly framing: Framing;
-  /** The other end of the connection: the replica, or a peer on the way to it. */
-  readonly remoteAddress: string;
+  /** The address that was called. */
+  readonly address: string;
+  /** The peer that the connection goes through. */
+  readonly peer: PeerProcess | undefined;
   /** What the connection had carried before. */
   readonly carried: CarriedCalls;
   /** How the body ended; valid once the message is closed. */
@@ -215,7 +218,7 @@
 
 function answered(
   message: IncomingMessage,
-  { method, address, remoteAddressOf }: CallOptions,
+  { method, address, peerOf }: CallOptions,
   { opened, hasFailed }: {
     readonly opened: OpenRequest;
     readonly hasFailed: () => boolean;
@@ -238,11 +241,11 @@
       ? BodyEnding.unconfirmed
       : BodyEnding.complete;
   };
-  const remoteAddress = remoteAddressOf?.(message.socket) ?? address;
   const answer = {
     message,
     framing,
-    remoteAddress,
+    address,
+    peer: peerOf?.(message.socket),
     carried: opened.carried(),
     ending,
   };
--- a/src/gateway/upstreams/json_body.ts
+++ b/src/gateway/upstreams/json_body.ts
@@ -49,7 +49,7 @@
 
 /** Reads a body; rejects with a {@link ResponseError} if it isn't complete. */
 export async function readJsonBody(answer: Answer): Promise<string> {
-  const { message, remoteAddress } = answer;
+  const { message, address } = answer;
   let fault: ResponseFault = ResponseFault.cutOff;
   const breakOff = (reason: ResponseFault) => {
     fault = reason;
@@ -59,10 +59,7 @@
     breakOff(ResponseFault.tooLong);
     throw new ResponseError(fault);
   }
-  const held = RESPONSES.begin(
-    remoteAddress,
-    () => breakOff(ResponseFault.noRoom),
-  );
+  const held = RESPONSES.begin(address, () => breakOff(ResponseFault.noRoom));
   let bytes = 0;
   let delimiters = 0;
   const mayRead = (part: Buffer) => {
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -283,7 +283,7 @@
       agent,
       clock: this.#clock,
       connectTimeoutMs,
-      remoteAddressOf: (socket) => agent.peerOf(socket) ?? address,
+      peerOf: (socket) => agent.peerOf(socket),
     });
   }
 
--- a/test/gateway/crashes/crash_watch_test.ts
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -33,7 +33,7 @@
       });
     },
     countReplicas: () => 2,
-    isPeerResponding: () => Promise.resolve(false),
+    isPeerRunning: () => Promise.resolve(false),
     isAlive: () => Promise.resolve(isAlive),
   });
   const breaks = (name: string, endedByReplica = true, entry = ENTRY) =>
--- a/test/gateway/crashes/crash_world.ts
+++ b/test/gateway/crashes/crash_world.ts
@@ -102,7 +102,7 @@
       probe: () =>
         new Promise((resolve) => clock.after(30, () => resolve("refused"))),
       countReplicas: () => this.#upReplicas().length,
-      isPeerResponding: () => Promise.resolve(false),
+      isPeerRunning: () => Promise.resolve(false),
       isAlive: () => Promise.resolve(false),
     });
   }
--- a/test/gateway/crashes/empty_crash_watch.ts
+++ b/test/gateway/crashes/empty_crash_watch.ts
@@ -19,7 +19,7 @@
     isDraining: () => false,
     probe: () => Promise.resolve("listens"),
     countReplicas: () => 2,
-    isPeerResponding: () => Promise.resolve(false),
+    isPeerRunning: () => Promise.resolve(false),
     isAlive: () => Promise.resolve(false),
   });
 }
--- a/test/gateway/crashes/end_confirmation_test.ts
+++ b/test/gateway/crashes/end_confirmation_test.ts
@@ -6,14 +6,18 @@
   type EndConfirmationOptions,
 } from "../../../src/gateway/crashes/end_confirmation.ts";
 import { type Clock, systemClock } from "../../../src/gateway/clock.ts";
-import { isPeerResponding } from "../../../src/gateway/peers/is_peer_responding.ts";
 import { PeerConnections } from "../../../src/gateway/peers/peer_connections.ts";
+import type { PeerProcess } from "../../../src/gateway/peers/peer_process.ts";
+import { askProcess } from "../../../src/gateway/peers/process_report.ts";
 import { createJsonClient } from "../../../src/gateway/upstreams/json_client.ts";
 import { startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 
 const ENTRY = replicaEntry("a");
 
+const PROCESS_RESPONSE =
+  'HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\n{"run":"1"}';
+
 const NO_LOG = { note: () => undefined };
 
 const notAsked = () => Promise.reject(new Error("unexpected question"));
@@ -35,12 +39,12 @@
 async function confirm(
   options: Omit<
     EndConfirmationOptions,
-    "clock" | "events" | "isPeerResponding"
+    "clock" | "events" | "isPeerRunning"
   >,
-  { ends = 1, remoteAddress, isPeerResponding = notAsked }: {
+  { ends = 1, peer, isPeerRunning = notAsked }: {
     readonly ends?: number;
-    readonly remoteAddress?: string;
-    readonly isPeerResponding?: EndConfirmationOptions["isPeerResponding"];
+    readonly peer?: PeerProcess;
+    readonly isPeerRunning?: EndConfirmationOptions["isPeerRunning"];
   } = {},
 ): Promise<boolean[]> {
   const timers: (() => void)[] = [];
@@ -55,11 +59,11 @@
     ...options,
     clock,
     events: NO_LOG,
-    isPeerResponding,
+    isPeerRunning,
   });
   const results = Array.from(
     { length: ends },
-    () => confirmation.confirm(ENTRY, remoteAddress ? { remoteAddress } : {}),
+    () => confirmation.confirm(ENTRY, { peer }),
   );
   for (const work of timers) work();
   return await Promise.all(results);
@@ -81,7 +85,7 @@
       clock: steppedClock(),
       events: NO_LOG,
       probe: () => Promise.resolve(results[probes++] ?? "listens"),
-      isPeerResponding: notAsked,
+      isPeerRunning: notAsked,
     });
     assert.equal(await confirmation.confirm(ENTRY, { waits }), waits);
     assert.equal(probes, waits ? 3 : 1);
@@ -93,7 +97,7 @@
     clock: steppedClock(),
     events: NO_LOG,
     probe: () => Promise.resolve("silent"),
-    isPeerResponding: notAsked,
+    isPeerRunning: notAsked,
   });
   assert.equal(await confirmation.confirm(ENTRY, { waits: true }), false);
 });
@@ -109,21 +113,21 @@
 });
 
 test("a stream that came through a peer has ended only if the peer runs, too", async () => {
-  for (const isResponding of [true, false]) {
+  for (const isRunning of [true, false]) {
     const confirmed = await confirm({
       probe: () => Promise.resolve("listens"),
     }, {
-      remoteAddress: "peer",
-      isPeerResponding: () => Promise.resolve(isResponding),
+      peer: { address: "peer", run: "1" },
+      isPeerRunning: () => Promise.resolve(isRunning),
     });
-    assert.deepEqual(confirmed, [isResponding]);
+    assert.deepEqual(confirmed, [isRunning]);
   }
 });
 
 test("a peer's address that accepts connections without a response confirms nothing", async () => {
   for (const isResponding of [true, false]) {
     const peer = await startRawReplica((_request, socket) => {
-      if (isResponding) socket.write("HTTP/1.1 204 No Content\r\n\r\n");
+      if (isResponding) socket.write(PROCESS_RESPONSE);
       else socket.resetAndDestroy();
     });
     const clock = systemClock;
@@ -134,11 +138,11 @@
       clock,
       events: NO_LOG,
       probe: () => Promise.resolve("listens"),
-      isPeerResponding: (address) =>
-        isPeerResponding(address, { clock, connections }),
+      isPeerRunning: async (process) =>
+        await askProcess(process, { clock, connections }) !== undefined,
     });
     const isConfirmed = await confirmation.confirm(ENTRY, {
-      remoteAddress: peer.address,
+      peer: { address: peer.address, run: "1" },
     });
     connections.close();
     peer.stop();
--- a/test/gateway/paths/stopping_peer_test.ts
+++ b/test/gateway/paths/stopping_peer_test.ts
@@ -40,9 +40,9 @@
       isResend: false,
     }).outcome;
     if (outcome.type !== "answer") return outcome.reason;
-    const { message, remoteAddress } = outcome.answer;
+    const { message, peer: via } = outcome.answer;
     await new Promise((resolve) => message.resume().on("close", resolve));
-    return remoteAddress === peer.address ? "peer" : "replica";
+    return via?.address === peer.address ? "peer" : "replica";
   };
   const isServing = () => paths.carriers.isServing(peer.address);
   const release = () => {
--- a/test/gateway/paths/test_peer.ts
+++ b/test/gateway/paths/test_peer.ts
@@ -5,6 +5,10 @@
 import { systemClock } from "../../../src/gateway/clock.ts";
 import { TunnelServer } from "../../../src/gateway/paths/tunnel_server.ts";
 import { LinkPath } from "../../../src/gateway/peers/link.ts";
+import {
+  PROCESS_PATH,
+  reportProcess,
+} from "../../../src/gateway/peers/process_report.ts";
 import {
   type Connect,
   tcpConnect,
@@ -13,9 +17,15 @@
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
 
-/** Starts a server on a free port and returns its address. */
-export async function listen(server: Server | HttpServer): Promise<string> {
-  server.listen(0, LOOPBACK);
+/** The run of a peer unless a test sets another. */
+export const TEST_RUN = "1";
+
+/** Starts a server, on a free port by default, and returns its address. */
+export async function listen(
+  server: Server | HttpServer,
+  port = 0,
+): Promise<string> {
+  server.listen(port, LOOPBACK);
   await once(server, "listening");
   return `${LOOPBACK}:${(server.address() as AddressInfo).port}`;
 }
@@ -27,6 +37,10 @@
   /** Responds to links as a version that accepts none. */
   readonly isOld?: boolean;
   readonly connect?: Connect;
+  /** Identifies the run of its process. */
+  readonly run?: string;
+  /** A free port by default. */
+  readonly port?: number;
 };
 
 /** A running peer. */
@@ -40,6 +54,11 @@
   /** What the signal to stop does. */
   beginStop(): void;
   stop(): void;
+  /**
+   * Ends its connections and its server as the operating system does for a
+   * process that was killed; resolves once its port is free.
+   */
+  kill(): Promise<void>;
 };
 
 /** Starts a peer that lists one replica. */
@@ -48,12 +67,14 @@
   options: TestPeerOptions = {},
 ): Promise<TestPeer> {
   const { isLost = false, isConfirmed = true, connect = tcpConnect } = options;
+  const { run = TEST_RUN, port } = options;
   const entry = { ...replicaEntry("a"), address: replica };
   let isStopping = false;
   let isCut = false;
   const links: Socket[] = [];
   const tunnels = new TunnelServer({
     clock: systemClock,
+    run,
     events: { note: () => undefined },
     metrics: { count: () => undefined, countLabelled: () => undefined },
     connect,
@@ -68,16 +89,21 @@
   const server = createServer((request, response) => {
     links.push(request.socket);
     if (isCut) return void request.socket.destroy();
+    if (request.url === PROCESS_PATH) {
+      return reportProcess({ self: { run } }, response);
+    }
     if (options.isOld || request.url !== LinkPath.tunnel) {
       return void response.end("{}");
     }
     tunnels.acceptLink(request, response);
   });
+  const carried: Socket[] = [];
   server.on("connect", (request, socket: Socket) => {
+    carried.push(socket);
     tunnels.accept(request, socket);
   });
   return {
-    address: await listen(server),
+    address: await listen(server, port),
     tunnels,
     links: () => links.length,
     cutLinks: () => {
@@ -93,5 +119,12 @@
       server.closeAllConnections();
       server.close();
     },
+    kill: async () => {
+      const closed = once(server, "close");
+      server.close();
+      server.closeAllConnections();
+      for (const socket of carried) socket.destroy();
+      await closed;
+    },
   };
 }
--- a/test/gateway/paths/tunnel_test.ts
+++ b/test/gateway/paths/tunnel_test.ts
@@ -15,7 +15,7 @@
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
 import { startPool } from "../upstreams/pool_rig.ts";
-import { listen, startPeer, type TestPeer } from "./test_peer.ts";
+import { listen, startPeer, TEST_RUN, type TestPeer } from "./test_peer.ts";
 
 function open(peer: string, replica: string): Promise<TunnelOutcome> {
   const options = { clock: systemClock, timeoutMs: TEST_TIMEOUT_MS };
@@ -165,14 +165,14 @@
   assert.equal(outcome.type, "unavailable");
 });
 
-test("an answer names the replica, or the peer that it came through", async () => {
+test("an answer names the process of the peer that it came through", async () => {
   const replica = await startRawReplica((request, socket) => {
     socket.write(completeResponse(request, ""));
   });
   const peer = await startPeer(replica.address);
   const { pool, paths } = startPool({ peer: peer.address });
   const entry = { ...replicaEntry("a"), address: replica.address };
-  const remoteAddress = async () => {
+  const peerOfAnswer = async () => {
     const outcome = await pool.send({
       entry,
       method: "GET",
@@ -185,12 +185,15 @@
     }).outcome;
     if (outcome.type !== "answer") return outcome.reason;
     outcome.answer.message.resume();
-    return outcome.answer.remoteAddress;
+    return outcome.answer.peer;
   };
   try {
-    assert.equal(await remoteAddress(), replica.address);
+    assert.equal(await peerOfAnswer(), undefined);
     paths.monitor.noteLost(entry, "checked");
-    assert.equal(await remoteAddress(), peer.address);
+    assert.deepEqual(await peerOfAnswer(), {
+      address: peer.address,
+      run: TEST_RUN,
+    });
   } finally {
     pool.close();
     peer.stop();
--- a/test/gateway/peers/is_peer_responding_test.ts
+++ b/test/gateway/peers/process_report_test.ts
@@ -1,8 +1,8 @@
-/** Guards against peers that are gone and count as running. */
+/** Guards against peers that are gone, or were restarted, and count as running. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type Clock, systemClock } from "../../../src/gateway/clock.ts";
-import { isPeerResponding } from "../../../src/gateway/peers/is_peer_responding.ts";
+import { askProcess } from "../../../src/gateway/peers/process_report.ts";
 import { PeerConnections } from "../../../src/gateway/peers/peer_connections.ts";
 import { createJsonClient } from "../../../src/gateway/upstreams/json_client.ts";
 import {
@@ -11,7 +11,12 @@
   startRawReplica,
 } from "../raw_replica.ts";
 
-const RESPONSE = "HTTP/1.1 204 No Content\r\n\r\n";
+const RUN = "1";
+const RESPONSE = responseOf(JSON.stringify({ run: RUN }));
+
+function responseOf(body: string): string {
+  return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
 
 const respond: RawAnswer = (_request, socket) => void socket.write(RESPONSE);
 const reset: RawAnswer = (_request, socket) => void socket.resetAndDestroy();
@@ -51,7 +56,9 @@
   const results: boolean[] = [];
   for (let at = 0; at < times; at++) {
     const { address } = peer;
-    results.push(await isPeerResponding(address, { clock, connections }));
+    const process = { address, run: RUN };
+    const report = await askProcess(process, { clock, connections });
+    results.push(report !== undefined);
     await pause();
   }
   connections.close();
@@ -113,3 +120,26 @@
   assert.deepEqual(results, [true, true]);
   assert.equal(peer.connections(), 2);
 });
+
+test("a peer that was started again, or names no run, confirms nothing", async () => {
+  for (const body of ['{"run":"2"}', "{}", "null", "[", ""]) {
+    const answer: RawAnswer = (_request, socket) => {
+      socket.write(responseOf(body));
+    };
+    const { results } = await check(answer, 1);
+    assert.deepEqual(results, [false], body);
+  }
+});
+
+test("a peer whose tunnel named no run confirms nothing", async () => {
+  const peer = await startRawReplica(respond);
+  const clock = patientClock;
+  const connections = new PeerConnections((address) =>
+    createJsonClient(address, clock)
+  );
+  const process = { address: peer.address, run: undefined };
+  const report = await askProcess(process, { clock, connections });
+  connections.close();
+  peer.stop();
+  assert.equal(report, undefined);
+});
--- a/test/gateway/requests/relay_rig.ts
+++ b/test/gateway/requests/relay_rig.ts
@@ -141,7 +141,8 @@
   return {
     message: message as IncomingMessage,
     framing: isUnframed ? Framing.connection : Framing.chunked,
-    remoteAddress: "127.0.0.1:1",
+    address: "127.0.0.1:1",
+    peer: undefined,
     carried: { connection: 1, count: 0, hasSameId: false },
     ending: () => ending,
   };
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -23,7 +23,7 @@
 import { PlanService } from "../../src/gateway/planning/plan_service.ts";
 import { singleHostGate } from "./replicas/single_host_gate.ts";
 import { singleHostLimits } from "./limits/single_host_limits.ts";
-import { CrashWatch } from "../../src/gateway/crashes/crash_watch.ts";
+import { rigCrashWatch } from "./crashes/rig_crash_watch.ts";
 import { idleLoop } from "./load/idle_loop.ts";
 import { ByteBudget } from "../../src/gateway/memory/byte_budget.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
@@ -267,16 +267,7 @@
     pool,
     starts: new StartChecks({ ...recorded, ...gates, pool, dialect }),
     paths,
-    crashes: new CrashWatch({
-      ...recorded,
-      host: "host",
-      rule: { crashThreshold: 3, ttlMs: TEST_TIMEOUT_MS },
-      isDraining: (entry) => replicas.isDraining(entry),
-      probe: (entry) => paths.monitor.probe(entry),
-      countReplicas: () => 2,
-      isPeerResponding: () => Promise.resolve(options.peers !== undefined),
-      isAlive: () => Promise.resolve(false),
-    }),
+    crashes: rigCrashWatch({ ...recorded, paths }),
     limits,
     ...gates,
     streams: Object.assign(singleHostStreams(recorded), options.streams),
--- a/test/gateway/state/fleet_crashes.ts
+++ b/test/gateway/state/fleet_crashes.ts
@@ -18,7 +18,7 @@
     ...options,
     rule: CRASH_RULE,
     countReplicas: () => REPLICAS,
-    isPeerResponding: () => Promise.resolve(false),
+    isPeerRunning: () => Promise.resolve(false),
     isAlive: () => Promise.resolve(false),
   });
 }
