Ends of responses: confirmed by the process of the replica that sent them

The host asked whether something listens at the replica's address. A host that stood still reads the end late, so that the next process answers; so does a host that probes a silent replica for 1.5 s, and one that is told by a peer which stood still.

Change: a replica of a model engine is asked for its start (GET /report), whatever the delay; one that listens without reporting it counts as silent. Plain services report none. Where the end may have been read late (this host or the peer stood still for 250 ms since the response began, or the replica was silent as long), a replica whose id is new at each start has to give it in its health check; one that starts again under its id confirms nothing: 502 for an unsafe request, another replica for a safe one. LoopStalls ticks each 100 ms; peers tell their last stall. endUnconfirmed says which of these it was.

Weighed, not done: a kept connection to each plain replica as a witness. It proves as much as a start, but has to be open before the request is sent and asked in a slot of the service.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from "./observe/metrics.ts";
 import type { CrashWatch } from "./crashes/crash_watch.ts";
 import type { IterationMeter } from "./load/iteration_meter.ts";
+import type { LoopStalls } from "./load/loop_stalls.ts";
 import type { ByteBudget } from "./memory/byte_budget.ts";
 import type { ReplicaLimits } from "./limits/replica_limits.ts";
 import type { Dialect } from "./port.ts";
@@ -95,6 +96,8 @@
   readonly suspensions: SuspensionWatch;
   /** Tells how far the event loop of this host is behind. */
   readonly iterations: IterationMeter;
+  /** Tells whether the event loop of this host has stood still. */
+  readonly stalls: LoopStalls;
   readonly eras: StoreEras;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
--- a/src/gateway/crashes/crash_watch.ts
+++ b/src/gateway/crashes/crash_watch.ts
@@ -5,12 +5,8 @@
  * it is removed from the listing without draining and no longer runs, or if
  * another host reports it.
  */
-import type { Clock } from "../clock.ts";
-import type { EventLog } from "../observe/event_log.ts";
 import type { Metrics } from "../observe/metrics.ts";
-import type { PeerProcess } from "../peers/peer_process.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
-import type { ProbeResult } from "../upstreams/probe.ts";
 import {
   type BrokenSendDetails,
   BrokenSends,
@@ -18,7 +14,10 @@
 } from "./broken_sends.ts";
 import { countParts, crashRecordsOf } from "./crash_records.ts";
 import { CrashTable } from "./crash_table.ts";
-import { EndConfirmation } from "./end_confirmation.ts";
+import {
+  EndConfirmation,
+  type EndConfirmationOptions,
+} from "./end_confirmation.ts";
 import type { Fingerprints } from "./fingerprint.ts";
 import type { Clearance, CrashRule, CrashUpdate, Quarantine } from "./model.ts";
 import { RecentResponses } from "./recent_responses.ts";
@@ -27,9 +26,7 @@
 const WORST_BOUNDS = { minCount: 2, limit: 30 };
 
 /** Options of {@link CrashWatch}. */
-export type CrashWatchOptions = {
-  readonly clock: Clock;
-  readonly events: EventLog;
+export type CrashWatchOptions = EndConfirmationOptions & {
   readonly metrics: Pick<Metrics, "count">;
   /** The id of this host. */
   readonly host: string;
@@ -38,10 +35,6 @@
   readonly isDraining: (entry: ReplicaEntry) => boolean;
   /** Number of listed replicas of the same service and stage. */
   readonly countReplicas: (entry: ReplicaEntry) => number;
-  /** Checks whether the replica listens, over any path. */
-  readonly probe: (entry: ReplicaEntry) => Promise<ProbeResult>;
-  /** Whether this process of a peer runs now. */
-  readonly isPeerRunning: (peer: PeerProcess) => Promise<boolean>;
   /** Whether this incarnation still runs, although it is not listed. */
   readonly isAlive: (entry: ReplicaEntry) => Promise<boolean>;
 };
--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -14,6 +14,7 @@
 import { CrashWatch } from "./crashes/crash_watch.ts";
 import type { CrashRule } from "./crashes/model.ts";
 import { IterationMeter, type LoopTimes } from "./load/iteration_meter.ts";
+import { LoopStalls } from "./load/loop_stalls.ts";
 import { ByteBudget, callerBytesOf } from "./memory/byte_budget.ts";
 import { type EventLog, openEventLog } from "./observe/event_log.ts";
 import type { LineWriter } from "./observe/line_writer.ts";
@@ -23,9 +24,9 @@
 import { openLink } from "./peers/link.ts";
 import { askProcess } from "./peers/process_report.ts";
 import type { PeerConnections } from "./peers/peer_connections.ts";
-import { createPaths } from "./paths/create_paths.ts";
+import { createPaths, type ReplicaPaths } from "./paths/create_paths.ts";
 import type { HostEntry, PlatformPort, Store } from "./port.ts";
-import { isReplicaAlive } from "./replicas/health_check.ts";
+import { isReplicaAlive, readReplicaId } from "./replicas/health_check.ts";
 import { createReplicaState } from "./replicas/create_replica_state.ts";
 import { type BudgetRule, RetryBudget } from "./retries/retry_budget.ts";
 import { RouteTable } from "./routing/route_table.ts";
@@ -61,7 +62,7 @@
   port: PlatformPort,
   fleet: FleetConnections,
 ): GatewayContext {
-  const { directory, connect } = fleet;
+  const { directory } = fleet;
   const { clock, suspensions } = createClocks();
   const events = eventLogOf(settings, clock, fleet.logWriter);
   logSleeps(suspensions, events);
@@ -77,39 +78,34 @@
     openLink: (target, events) => openLink({ ...target, metrics }, events),
   });
   const { replicas, gate } = replicaState;
-  const paths = createPaths({
+  const known = { self, clock, events, metrics, replicas };
+  const paths = createReplicaPaths(settings, fleet, known);
+  const recorded = {
     clock,
-    self,
-    peers: () => directory.entries(),
-    replicas: () => replicas.entries(),
-    isListed: (incarnation) => replicas.get(incarnation) !== undefined,
     events,
     metrics,
-    connect,
-    connectTimeoutMs: settings.tuning.connect_timeout,
-  });
+    gate,
+    pool: new UpstreamPool(clock, paths),
+    dialect: port.dialect,
+  };
   const shared = {
-    clock,
-    events,
-    metrics,
+    ...recorded,
     replicas,
     paths,
-    pool: new UpstreamPool(clock, paths),
-    dialect: port.dialect,
     routes: new RouteTable(),
+    starts: new StartChecks(recorded),
+    ...loopState(clock),
   };
   return {
     ...shared,
     ...replicaState,
     self,
     suspensions,
-    iterations: new IterationMeter(LOOP_TIMES),
     eras: new StoreEras(events),
     random: Math.random,
     retryBudget: new RetryBudget(retryBudgetRuleOf(settings), clock.now()),
     heldBytes: new ByteBudget(callerBytesOf(settings.memory.process)),
     crashes: createCrashWatch(settings, fleet, shared),
-    starts: new StartChecks({ ...shared, gate }),
     streams: createStreamVersions(fleet, port.store, { ...shared, self }),
     tuning: tuningOf(settings),
     hostCount: () => directory.count,
@@ -117,10 +113,28 @@
   };
 }
 
+function createReplicaPaths(
+  { tuning }: GatewaySettings,
+  { directory, connect }: FleetConnections,
+  { replicas, ...known }: Pick<
+    GatewayContext,
+    "self" | "clock" | "events" | "metrics" | "replicas"
+  >,
+): ReplicaPaths {
+  return createPaths({
+    ...known,
+    peers: () => directory.entries(),
+    replicas: () => replicas.entries(),
+    isListed: (incarnation) => replicas.get(incarnation) !== undefined,
+    connect,
+    connectTimeoutMs: tuning.connect_timeout,
+  });
+}
+
 function createCrashWatch(
   settings: GatewaySettings,
   { connections, self }: FleetConnections,
-  { clock, events, metrics, replicas, paths, pool, dialect, routes }: Pick<
+  context: Pick<
     GatewayContext,
     | "clock"
     | "events"
@@ -130,8 +144,11 @@
     | "pool"
     | "dialect"
     | "routes"
+    | "stalls"
+    | "starts"
   >,
 ): CrashWatch {
+  const { clock, events, metrics, replicas, paths, stalls, starts } = context;
   return new CrashWatch({
     clock,
     events,
@@ -144,13 +161,23 @@
         other.service === service && other.stage === stage
       ).length,
     probe: (entry) => paths.monitor.probe(entry),
-    isPeerRunning: async (peer) =>
-      await askProcess(peer, { clock, connections }) !== undefined,
-    isAlive: (entry) =>
-      isReplicaAlive({ pool, dialect, routes, paths, replicas }, entry),
+    findStart: (entry) => starts.findOnce(entry),
+    readId: (entry) => readReplicaId(context, entry),
+    stalls,
+    askPeer: (peer) => askProcess(peer, { clock, connections }),
+    isAlive: (entry) => isReplicaAlive(context, entry),
   });
 }
 
+function loopState(
+  clock: Clock,
+): Pick<GatewayContext, "iterations" | "stalls"> {
+  return {
+    iterations: new IterationMeter(LOOP_TIMES),
+    stalls: new LoopStalls(clock),
+  };
+}
+
 function createStreamVersions(
   { self: entry, directory, listingAgeMs, confirmListing }: FleetConnections,
   store: Store,
--- a/src/gateway/load/follow_iterations.ts
+++ b/src/gateway/load/follow_iterations.ts
@@ -1,4 +1,4 @@
-/** Follows the iterations of the event loop. */
+/** Follows the iterations of the event loop, and its stalls. */
 import type { Milliseconds } from "../../util/units.ts";
 import type { GatewayContext } from "../context.ts";
 import { watchIterations } from "./iteration_meter.ts";
@@ -11,16 +11,21 @@
  * that ends it.
  */
 export function followIterations(
-  { iterations, clock, events }: Pick<
+  { iterations, stalls, clock, events }: Pick<
     GatewayContext,
-    "iterations" | "clock" | "events"
+    "iterations" | "stalls" | "clock" | "events"
   >,
   onEnd: (now: Milliseconds, busyMs: Milliseconds) => void,
 ): () => void {
-  return watchIterations(() => {
+  const stopTicks = stalls.start();
+  const unwatch = watchIterations(() => {
     const busyMs = iterations.end();
     onEnd(clock.now(), busyMs);
     if (busyMs < LOGGED_ITERATION_MS) return;
     events.note("loopLate", { for_ms: Math.round(busyMs) });
   });
+  return () => {
+    stopTicks();
+    unwatch();
+  };
 }
--- a/src/gateway/peers/process_report.ts
+++ b/src/gateway/peers/process_report.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from "../../util/units.ts";
 import { readJson } from "../../util/read_json.ts";
 import type { Clock } from "../clock.ts";
+import type { LoopStalls } from "../load/loop_stalls.ts";
 import { Name } from "../name_schema.ts";
 import { withTimeout } from "../state/with_timeout.ts";
 import type { PeerConnections } from "./peer_connections.ts";
@@ -14,16 +15,27 @@
 
 const TIMEOUT_MS: Milliseconds = 300;
 
-const ProcessReport = z.object({ run: Name });
+const ProcessReport = z.object({
+  run: Name,
+  /** Time since its event loop last stood still; absent if it never did. */
+  stalledAgoMs: z.number().min(0).exactOptional(),
+});
 /** What a peer tells of its process. */
 export type ProcessReport = z.output<typeof ProcessReport>;
 
 /** Responds to the question of a peer. */
 export function reportProcess(
-  { self }: { readonly self: { readonly run: string } },
+  { self, stalls }: {
+    readonly self: { readonly run: string };
+    readonly stalls: Pick<LoopStalls, "lastAgeMs">;
+  },
   response: ServerResponse,
 ): void {
-  const report: ProcessReport = { run: self.run };
+  const stalledAgoMs = stalls.lastAgeMs();
+  const report: ProcessReport = {
+    run: self.run,
+    ...(stalledAgoMs === undefined ? {} : { stalledAgoMs }),
+  };
   response.sendDate = false;
   response.writeHead(200, { "Content-Type": "application/json" });
   response.end(JSON.stringify(report));
--- a/src/gateway/requests/relay_to_caller.ts
+++ b/src/gateway/requests/relay_to_caller.ts
@@ -61,6 +61,7 @@
     confirmEnd: () =>
       crashes.ends.confirm(relay.entry, {
         peer: answer.peer,
+        receivedAt: startedAt,
         waits: route.kind !== RouteKind.safe && !route.resumable,
       }),
     onFirstByte: () => {
--- a/src/gateway/upstreams/start_check.ts
+++ b/src/gateway/upstreams/start_check.ts
@@ -60,9 +60,6 @@
     entry: ReplicaEntry,
     timeoutMs: Milliseconds,
   ): Promise<StartFinding> {
-    if (entry.stage === undefined || entry.born === undefined) {
-      return "notReported";
-    }
     const { clock } = this.#options;
     let isOver = false;
     const cancel = afterRunning(
@@ -72,7 +69,7 @@
     );
     try {
       for (;;) {
-        const finding = await this.#ask(entry);
+        const finding = await this.findOnce(entry);
         if (finding !== "silent" || isOver) return finding;
         await sleep(clock, RETRY_PAUSE_MS);
       }
@@ -81,6 +78,14 @@
     }
   }
 
+  /** Like {@link find}, but asks once. */
+  async findOnce(entry: ReplicaEntry): Promise<StartFinding> {
+    if (entry.stage === undefined || entry.born === undefined) {
+      return "notReported";
+    }
+    return await this.#ask(entry);
+  }
+
   /**
    * Asks now, or shares the question that follows the one in progress: that one
    * may have been answered before the response whose sender is in question.
--- a/test/gateway/crashes/crash_watch_test.ts
+++ b/test/gateway/crashes/crash_watch_test.ts
@@ -11,6 +11,7 @@
   SERVICE_FINGERPRINT,
 } from "./named_fingerprints.ts";
 import { replicaEntry } from "../replica_entry.ts";
+import { UNASKED } from "./unasked.ts";
 
 const ENTRY = replicaEntry("a");
 
@@ -33,7 +34,7 @@
       });
     },
     countReplicas: () => 2,
-    isPeerRunning: () => Promise.resolve(false),
+    ...UNASKED,
     isAlive: () => Promise.resolve(isAlive),
   });
   const breaks = (name: string, endedByReplica = true, entry = ENTRY) =>
--- a/test/gateway/crashes/crash_world.ts
+++ b/test/gateway/crashes/crash_world.ts
@@ -8,6 +8,7 @@
 import { VirtualTime } from "../../fake/virtual_time.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { namedFingerprints } from "./named_fingerprints.ts";
+import { UNASKED } from "./unasked.ts";
 
 /** What a world plays. */
 export type CrashWorldOptions = {
@@ -102,7 +103,7 @@
       probe: () =>
         new Promise((resolve) => clock.after(30, () => resolve("refused"))),
       countReplicas: () => this.#upReplicas().length,
-      isPeerRunning: () => Promise.resolve(false),
+      ...UNASKED,
       isAlive: () => Promise.resolve(false),
     });
   }
--- a/test/gateway/crashes/empty_crash_watch.ts
+++ b/test/gateway/crashes/empty_crash_watch.ts
@@ -2,6 +2,7 @@
 import { systemClock } from "../../../src/gateway/clock.ts";
 import type { UpdateExchange } from "../../../src/gateway/state/fleet_updates.ts";
 import { CrashWatch } from "../../../src/gateway/crashes/crash_watch.ts";
+import { UNASKED } from "./unasked.ts";
 
 /** An update exchange that sends nothing. */
 export function noopUpdateExchange(): UpdateExchange {
@@ -19,7 +20,7 @@
     isDraining: () => false,
     probe: () => Promise.resolve("listens"),
     countReplicas: () => 2,
-    isPeerRunning: () => Promise.resolve(false),
+    ...UNASKED,
     isAlive: () => Promise.resolve(false),
   });
 }
--- a/test/gateway/paths/test_peer.ts
+++ b/test/gateway/paths/test_peer.ts
@@ -39,6 +39,8 @@
   readonly connect?: Connect;
   /** Identifies the run of its process. */
   readonly run?: string;
+  /** Time since its event loop stood still; by default, it never did. */
+  readonly stalledAgoMs?: number;
   /** A free port by default. */
   readonly port?: number;
 };
@@ -67,7 +69,8 @@
   options: TestPeerOptions = {},
 ): Promise<TestPeer> {
   const { isLost = false, isConfirmed = true, connect = tcpConnect } = options;
-  const { run = TEST_RUN, port } = options;
+  const { run = TEST_RUN, port, stalledAgoMs } = options;
+  const stalls = { lastAgeMs: () => stalledAgoMs };
   const entry = { ...replicaEntry("a"), address: replica };
   let isStopping = false;
   let isCut = false;
@@ -90,7 +93,7 @@
     links.push(request.socket);
     if (isCut) return void request.socket.destroy();
     if (request.url === PROCESS_PATH) {
-      return reportProcess({ self: { run } }, response);
+      return reportProcess({ self: { run }, stalls }, response);
     }
     if (options.isOld || request.url !== LinkPath.tunnel) {
       return void response.end("{}");
--- a/test/gateway/rig.ts
+++ b/test/gateway/rig.ts
@@ -25,6 +25,7 @@
 import { singleHostLimits } from "./limits/single_host_limits.ts";
 import { rigCrashWatch } from "./crashes/rig_crash_watch.ts";
 import { idleLoop } from "./load/idle_loop.ts";
+import { LoopStalls } from "../../src/gateway/load/loop_stalls.ts";
 import { ByteBudget } from "../../src/gateway/memory/byte_budget.ts";
 import { RetryBudget } from "../../src/gateway/retries/retry_budget.ts";
 import { RouteTable } from "../../src/gateway/routing/route_table.ts";
@@ -71,6 +72,8 @@
   readonly budget?: { readonly ratio: number; readonly extra: number };
   /** Replaces the record of the versions that began streams. */
   readonly streams?: Partial<GatewayContext["streams"]>;
+  /** The stalls of the host; none by default. */
+  readonly stalls?: LoopStalls;
   /** Replaces the time of the host's clock; its timers stay real. */
   readonly now?: () => number;
 };
@@ -252,6 +255,9 @@
   const pool = new UpstreamPool(clock, paths);
   const gates = singleHostGate({ clock, events: log, replicas, limits });
   const dialect = testDialect;
+  const starts = new StartChecks({ ...recorded, ...gates, pool, dialect });
+  const stalls = options.stalls ?? new LoopStalls(clock);
+  const asked = { ...recorded, paths, pool, dialect, routes, starts, stalls };
   return {
     self: { id: "host", hall: "hall", run: "1" },
     clock,
@@ -265,9 +271,10 @@
     iterations: idleLoop(),
     retryBudget: new RetryBudget({ ...rule, ...budget }, -TEST_TIMEOUT_MS),
     pool,
-    starts: new StartChecks({ ...recorded, ...gates, pool, dialect }),
+    starts,
+    stalls,
     paths,
-    crashes: rigCrashWatch({ ...recorded, paths }),
+    crashes: rigCrashWatch(asked),
     limits,
     ...gates,
     streams: Object.assign(singleHostStreams(recorded), options.streams),
--- a/test/gateway/state/fleet_crashes.ts
+++ b/test/gateway/state/fleet_crashes.ts
@@ -3,6 +3,7 @@
   CrashWatch,
   type CrashWatchOptions,
 } from "../../../src/gateway/crashes/crash_watch.ts";
+import { UNASKED } from "../crashes/unasked.ts";
 
 const CRASH_RULE = { crashThreshold: 3, ttlMs: 60_000 };
 const REPLICAS = 8;
@@ -18,7 +19,7 @@
     ...options,
     rule: CRASH_RULE,
     countReplicas: () => REPLICAS,
-    isPeerRunning: () => Promise.resolve(false),
+    ...UNASKED,
     isAlive: () => Promise.resolve(false),
   });
 }
