Responses of replicas: a status above 599 is no response

What callers saw: a replica in trouble answers with status 600 or 999, and its response reaches the caller as an answer, with the replica's signature (MIXED).

Cause: `startCall` refused statuses below 200 only. Statuses outside 100 to 599 are invalid (RFC 9110, 15).

Change: such a response breaks its call: 502 for an unsafe request or a stream, another replica for a safe one, no outcome for a control call, a rejected call to the store or a peer.

--- a/src/gateway/upstreams/call.ts
+++ b/src/gateway/upstreams/call.ts
@@ -29,6 +29,8 @@
 
 /** Lower statuses are those of interim responses (RFC 9110, 15.2). */
 const MIN_FINAL_STATUS = 200;
+/** Higher ones are invalid (RFC 9110, 15). */
+const MAX_STATUS = 599;
 
 const CLOSED = "Connection closed before a response";
 
@@ -213,6 +215,7 @@
   const { statusCode = 0 } = message;
   // Node.js takes 101 for a final response.
   if (statusCode < MIN_FINAL_STATUS) return "No final response";
+  if (statusCode > MAX_STATUS) return "Invalid status";
   return hasUnknownCoding(message) ? "Unknown transfer coding" : undefined;
 }
 
