Rows of replicas: one that lacks a field names no replica to use

Cause, of both: an absent `Version`, or one of another type, counted as a version that such replicas share, and the rest of the row was believed.

Anything else is a fault of the row, which names no replica, as with the other fields.

Tests replaced: "a version that is not a string is absent and no fault" asked for the fault; "a row that lacks any field that replicas write names no replica" and more invalid rows stand in its place. Quick check and schema have to agree on every row now, without an exception for versions.

--- a/deploy/demo/settings.ts
+++ b/deploy/demo/settings.ts
@@ -96,8 +96,11 @@
     Version: "v1",
     Slots: stage === undefined ? PLAIN_SLOTS : ENGINE.slots,
     State: "ready",
-    ...(stage === undefined ? {} : { Stage: stage }),
+    ...(stage === undefined
+      ? {}
+      : { Stage: stage, Models: [{ Name: "m", Version: 1, Adapters: [] }] }),
     ColdRemainingMs: 0,
+    Sequence: 1,
     born: 1,
   };
 }
--- a/test/platform/gateway_process_test.ts
+++ b/test/platform/gateway_process_test.ts
@@ -58,9 +58,12 @@
       Service: "engine",
       Address: standin.replicaAddress,
       Zone: "hall",
+      Version: "v1",
       Slots: 4,
       State: "ready",
       ColdRemainingMs: 0,
+      Sequence: 1,
+      Models: [{ Name: "m" }],
     };
     standin.put("servers", "i-2", { ...replica, Stage: "prefill" });
     standin.put("servers", "i-3", { ...replica, Stage: "decode" });
--- a/test/platform/odd_rows.ts
+++ b/test/platform/odd_rows.ts
@@ -84,6 +84,11 @@
   ["Stage", '"training"'],
   ["Stage", "null"],
   ["State", '"resting"'],
+  ["Version", deepText(FITTING_LEVELS)],
+  ["Version", "7"],
+  ["Models", "1e400"],
+  ["Sequence", "1e400"],
+  ["Sequence", deepText(FITTING_LEVELS)],
   ...["Service", "Address", "Zone", "Slots", "State", "ColdRemainingMs"]
     .concat("Stage", "born").flatMap((field) => [
       [field, deepText()] as const,
@@ -94,11 +99,7 @@
 
 /** Fields in which any value is allowed, with odd ones, as JSON text. */
 export const IGNORED_ODD_FIELDS: readonly (readonly [string, string])[] = [
-  ["Version", deepText(FITTING_LEVELS)],
   ["Models", deepText(FITTING_LEVELS)],
-  ["Models", "1e400"],
-  ["Sequence", "1e400"],
-  ["Sequence", deepText(FITTING_LEVELS)],
   ["__proto__", '{"Address":1}'],
   ["constructor", "7"],
 ];
--- a/test/platform/replica_row_test.ts
+++ b/test/platform/replica_row_test.ts
@@ -32,6 +32,7 @@
   Sequence: 3,
   ColdRemainingMs: 0,
   Stage: "decode",
+  Models: [{ Name: "m" }],
 };
 
 function encodeRow(key: string, text: string) {
@@ -73,6 +74,13 @@
     { ...VALID_ROW, ColdRemainingMs: null },
     { ...VALID_ROW, born: 1.5 },
     { ...VALID_ROW, born: "yesterday" },
+    ...[undefined, 7, null, true, ["v1"], { v: 1 }, "v".repeat(201)]
+      .map((Version) => ({ ...VALID_ROW, Version })),
+    ...[undefined, "3", null, 1.5, -1]
+      .map((Sequence) => ({ ...VALID_ROW, Sequence })),
+    ...[undefined, null, "m", { Name: "m" }]
+      .map((Models) => ({ ...VALID_ROW, Models })),
+    { ...VALID_ROW, Stage: undefined },
     missing,
     { x: 1 },
     [1, 2],
@@ -86,27 +94,22 @@
 });
 
 test("a row's version is that of the replica's software", () => {
-  const versionOf = (row: object) => {
-    const { entries, faults } = replicasOf([
-      encodeRow("a", JSON.stringify(row)),
-    ]);
-    assert.deepEqual(faults, []);
-    const [entry] = entries;
-    assert.ok(entry);
-    return "softwareVersion" in entry ? entry.softwareVersion : "absent";
-  };
-  const weights = { "Weight-Versions": ["w1"] };
-  assert.equal(versionOf({ ...VALID_ROW, ...weights }), "v1");
-  assert.equal(versionOf({ ...VALID_ROW, Version: undefined }), "absent");
+  const row = { ...VALID_ROW, "Weight-Versions": ["w1"] };
+  const { entries, faults } = replicasOf([encodeRow("a", JSON.stringify(row))]);
+  assert.deepEqual(faults, []);
+  assert.deepEqual(entries.map((entry) => entry.softwareVersion), ["v1"]);
 });
 
-test("a version that is not a string is absent and no fault", () => {
-  for (const Version of [7, null, true, ["v1"], { v: 1 }]) {
-    const row = encodeRow("a", JSON.stringify({ ...VALID_ROW, Version }));
+// Guards against replicas of another service, or of no version, by such rows.
+test("a row that lacks any field that replicas write names no replica", () => {
+  for (const field of Object.keys(VALID_ROW)) {
+    const row = encodeRow(
+      "a",
+      JSON.stringify({ ...VALID_ROW, [field]: undefined }),
+    );
     const { entries, faults } = replicasOf([row]);
-    assert.deepEqual(faults, []);
-    assert.equal(entries.length, 1);
-    assert.ok(entries[0] && !("softwareVersion" in entries[0]));
+    assert.deepEqual(entries, [], field);
+    assert.equal(faults.length, 1, field);
   }
 });
 
@@ -254,9 +257,8 @@
       if (isReplicaRow(row)) {
         accepted += 1;
         assert.ok(read.success, text.slice(0, 500));
-      } else if (read.success) {
-        // The schema drops a version that it can't read.
-        assert.notEqual(read.data.Version, Reflect.get(Object(row), "Version"));
+      } else {
+        assert.ok(!read.success, text.slice(0, 500));
       }
     }),
     { numRuns: 3000 },
--- a/test/platform/store_test.ts
+++ b/test/platform/store_test.ts
@@ -14,9 +14,11 @@
   Service: "s",
   Address: "127.0.0.1:1",
   Zone: "h",
+  Version: "v1",
   Slots: 1,
   State: "ready",
   ColdRemainingMs: 0,
+  Sequence: 1,
 };
 
 async function start(
--- a/test/soak/odd_entries_test.ts
+++ b/test/soak/odd_entries_test.ts
@@ -47,6 +47,7 @@
     Slots: "64",
     State: '"ready"',
     ColdRemainingMs: "0",
+    Sequence: "1",
     born: "1",
     ...(service === "engine"
       ? { Stage: '"decode"', Models: '[{"Name":"m"}]' }
--- a/test/soak/odd_rows.ts
+++ b/test/soak/odd_rows.ts
@@ -51,6 +51,8 @@
     Version: FIRST_SOFTWARE_VERSION,
     Slots: 64,
     ColdRemainingMs: 0,
+    Sequence: 1,
+    Models: [{ Name: "m" }],
     born: 1,
     ...ODD_FIELDS[target % ODD_FIELDS.length],
   });
--- a/test/soak/world.ts
+++ b/test/soak/world.ts
@@ -198,8 +198,9 @@
       Version: softwareVersion,
       Slots: 64,
       State: isReady ? "ready" : "draining",
-      ...(role === "plain" ? {} : { Stage: role }),
+      ...(role === "plain" ? {} : { Stage: role, Models: [{ Name: "m" }] }),
       ColdRemainingMs: 0,
+      Sequence: 1,
       born: incarnation,
     });
   }
