New resumable streams: a replica that may have ended confirms its start first

Replicas had crashed behind a cut from the store, started again with another version, and begun new streams while their entries told of the start before. The hosts recorded these at the version of the entry, and let them go on there.

Cause: only a stream that was bound to a version asked its replica for its start.

Change: a host notes signs that a replica has ended: a call that it broke off, a refused connection, an idle connection that it ended early. Until the replica has reported the start of its entry, asked after the last sign, it begins no resumable stream: events are held back, and another replica is tried if it has started again or is silent, as for a stream that goes on. Without a sign nothing is asked.

A host that has seen no sign takes the replica for the old one still (docs/design/stream_versions.md).

--- a/src/gateway/create_context.ts
+++ b/src/gateway/create_context.ts
@@ -37,7 +37,10 @@
 import type { Connect } from "./upstreams/connect.ts";
 import { createJsonClient } from "./upstreams/json_client.ts";
 import { UpstreamPool } from "./upstreams/pool.ts";
-import { StartChecks } from "./upstreams/start_check.ts";
+import {
+  StartChecks,
+  type StartChecksOptions,
+} from "./upstreams/start_check.ts";
 
 const LOOP_TIMES: LoopTimes = { now: monotonicNow, idleMs: loopIdleMs };
 
@@ -93,7 +96,7 @@
     replicas,
     paths,
     routes: new RouteTable(),
-    starts: new StartChecks(recorded),
+    starts: createStartChecks(recorded),
     ...loopState(clock),
   };
   return {
@@ -169,6 +172,13 @@
   });
 }
 
+/** A replica that ends an idle connection may have started again. */
+function createStartChecks(options: StartChecksOptions): StartChecks {
+  const starts = new StartChecks(options);
+  options.pool.listenForIdleEnds((entry) => starts.noteEnd(entry));
+  return starts;
+}
+
 function loopState(
   clock: Clock,
 ): Pick<GatewayContext, "iterations" | "stalls"> {
--- a/src/gateway/requests/prefill.ts
+++ b/src/gateway/requests/prefill.ts
@@ -13,15 +13,11 @@
 import { Framing } from "../upstreams/framing.ts";
 import { readBody } from "../upstreams/read_body.ts";
 import { Timing } from "../observe/metrics.ts";
+import { noteInterruption } from "./note_interruption.ts";
 import { noteLimit } from "./refusals.ts";
 import type { GatewayRequest } from "./request.ts";
 import type { Attempts } from "./attempts.ts";
-import {
-  noteInterruption,
-  type Sending,
-  sendRequest,
-  type SendResult,
-} from "./sender.ts";
+import { type Sending, sendRequest, type SendResult } from "./sender.ts";
 
 /** Maximum size of the response body of a prefill. */
 const MAX_BODY_BYTES = 64 * 1024;
--- a/src/gateway/requests/report_outcome.ts
+++ b/src/gateway/requests/report_outcome.ts
@@ -4,7 +4,7 @@
 import type { RelayOutcome } from "./relay_outcome.ts";
 import type { GatewayRequest } from "./request.ts";
 import type { RunMeter } from "./run_meter.ts";
-import { noteInterruption } from "./sender.ts";
+import { noteInterruption } from "./note_interruption.ts";
 
 const FIRST_ERROR_STATUS = 400;
 const FIRST_FAILURE_STATUS = 500;
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -4,7 +4,6 @@
 import type { AnswerMetadata, CallMetadata } from "../port.ts";
 import type { SendPermit } from "../limits/replica_limits.ts";
 import type { EventFields } from "../observe/event_log.ts";
-import type { BrokenSendDetails } from "../crashes/broken_sends.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { Replica } from "../replicas/replica.ts";
 import {
@@ -18,6 +17,7 @@
   type CallOutcome,
   NotSentCause,
 } from "../upstreams/call.ts";
+import { noteInterruption } from "./note_interruption.ts";
 import { recordSend } from "./replica_sends.ts";
 import { connectionShare } from "../upstreams/connection_share.ts";
 import { discardBody } from "../upstreams/discard_body.ts";
@@ -271,6 +271,7 @@
   const { reason, isAborted, isStale, sentAt } = outcome;
   const { incarnation } = replica.entry;
   const isLocal = isAborted && context.paths.monitor.isLost(incarnation);
+  if (!isAborted) context.starts.noteEnd(replica.entry);
   const severe = reason === NO_ANSWER;
   if (!isLocal) noteFailure(context, replica, { reason, severe });
   if (!isLocal && !isStale) {
@@ -295,6 +296,7 @@
     noteFailure(context, replica, { reason, severe: true });
   }
   if (cause === NotSentCause.refused) {
+    context.starts.noteEnd(replica.entry);
     context.crashes.noteRefused(replica.entry);
   }
   return {
@@ -307,19 +309,6 @@
   };
 }
 
-/**
- * Records an interrupted response; `endedByReplica` is false if this host
- * aborted it.
- */
-export function noteInterruption(
-  { crashes }: GatewayContext,
-  { fingerprints }: GatewayRequest,
-  { entry }: Replica,
-  send: Pick<BrokenSendDetails, "sentAt" | "endedByReplica">,
-): void {
-  crashes.noteBrokenSend(entry, { fingerprints, ...send });
-}
-
 function noteFailure(
   context: GatewayContext,
   replica: Replica,
--- a/src/gateway/requests/stream_binding.ts
+++ b/src/gateway/requests/stream_binding.ts
@@ -114,22 +114,26 @@
    * has perhaps started again since its entry was written, with another version.
    */
   async mayForward(entry: ReplicaEntry): Promise<boolean> {
-    const [isRecorded, mayGoOn] = await Promise.all([
+    const [isRecorded, isOfListedVersion] = await Promise.all([
       this.#mayBegin,
-      this.#mayGoOnAt(entry),
+      this.#isOfListedVersion(entry),
     ]);
-    return isRecorded && mayGoOn;
+    return isRecorded && isOfListedVersion;
   }
 
   /**
-   * Whether a response continues the stream. A bound stream waits until the replica
-   * has confirmed its start.
+   * Whether a response is of the software version that the replica's entry names.
+   * A bound stream waits until the replica has confirmed its start; a new one, if
+   * the replica may have started again.
    */
-  async #mayGoOnAt(entry: ReplicaEntry): Promise<boolean> {
-    if (!this.#requiredVersion) return true;
+  async #isOfListedVersion(entry: ReplicaEntry): Promise<boolean> {
+    const { starts } = this.#context;
+    const isChecked = this.#requiredVersion !== undefined ||
+      this.#isResumable && starts.mayHaveEnded(entry);
+    if (!isChecked) return true;
     const { route, facts } = this.#request;
     const timeoutMs = START_CHECK_SHARE * route.silenceMs;
-    const start = await this.#context.starts.find(entry, timeoutMs);
+    const start = await starts.find(entry, timeoutMs);
     if (start === "asListed" || start === "notReported") return true;
     const { incarnation } = entry;
     this.#outdated.add(incarnation);
--- a/src/gateway/upstreams/engine_call.ts
+++ b/src/gateway/upstreams/engine_call.ts
@@ -5,7 +5,7 @@
 import type { GatewayContext } from "../context.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import type { JsonAnswer } from "./json_client.ts";
-import type { ControlCallOptions } from "./pool.ts";
+import type { ControlCallOptions } from "./control_call.ts";
 
 /**
  * Calls a replica and passes what the headers of its response report about it
--- a/src/gateway/upstreams/pool.ts
+++ b/src/gateway/upstreams/pool.ts
@@ -13,7 +13,6 @@
   startUnrepeatedCall,
 } from "../paths/routed_call.ts";
 import { NO_PEER_CODE, TunnelAgent } from "../paths/tunnel_agent.ts";
-import type { JsonCall } from "../port.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
 import {
   type AgentSet,
@@ -23,10 +22,10 @@
 } from "./agent_set.ts";
 import type { Call, CallOutcome, QueuedCall } from "./call.ts";
 import { failedCall, startCall } from "./call.ts";
+import type { ControlCallOptions } from "./control_call.ts";
 import {
   type ControlOutcome,
   readControlResponse,
-  type ResponseCheck,
 } from "./control_response.ts";
 import type { JsonAnswer } from "./json_client.ts";
 import { closeIdle, ReplicaAgent } from "./replica_agent.ts";
@@ -61,18 +60,6 @@
   readonly isDirectOnly: boolean;
 };
 
-/** Options of {@link UpstreamPool.sendControlCall}. */
-export type ControlCallOptions = {
-  readonly call: JsonCall & { readonly headers?: readonly string[] };
-  readonly timeoutMs: Milliseconds;
-  /** The replica must see this host's own address. */
-  readonly isDirectOnly?: boolean | undefined;
-  /** By default, the call has a connection of its own. */
-  readonly check?: ResponseCheck | undefined;
-  /** Called for each response that belongs to an earlier call. */
-  readonly onSurplus?: (() => void) | undefined;
-};
-
 /** The connections of a gateway to all replicas. */
 export class UpstreamPool {
   readonly #clock: Clock;
@@ -95,6 +82,8 @@
     this.#controlAgents,
   ];
   readonly #directCalls = new Set<DirectCall>();
+  /** Called when a replica has ended an idle connection. */
+  #onIdleEnd: (entry: ReplicaEntry) => void = () => {};
   /** Replicas to which this host has had a connection of its own. */
   readonly #connected = new Map<string, ReplicaEntry>();
 
@@ -108,6 +97,11 @@
     paths.carriers.listen((peer) => closeIdleThrough(peer, this.#agentSets));
   }
 
+  /** Calls `listener` when a replica has ended an idle connection. */
+  listenForIdleEnds(listener: (entry: ReplicaEntry) => void): void {
+    this.#onIdleEnd = listener;
+  }
+
   /**
    * Sends a request unchanged to a replica. A connection that has carried its id
    * carries it no more: a copy of the earlier response could not be told from the
@@ -231,7 +225,11 @@
     const { incarnation, address } = entry;
     const { keepAlive } = agents;
     const agent = agents.direct.get(incarnation) ??
-      new ReplicaAgent({ maxConnections, keepAlive }, connect);
+      new ReplicaAgent({
+        maxConnections,
+        keepAlive,
+        onIdleEnd: () => this.#onIdleEnd(entry),
+      }, connect);
     agent.limitConnections(maxConnections);
     // Nothing would remove what is stored for a replica that isn't listed.
     if (monitor.isListed(entry)) {
--- a/src/gateway/upstreams/replica_agent.ts
+++ b/src/gateway/upstreams/replica_agent.ts
@@ -30,14 +30,19 @@
   readonly maxConnections: number;
   /** Whether a connection carries more than one call. */
   readonly keepAlive: boolean;
+  /** Called when the replica's side ends an idle connection. */
+  readonly onIdleEnd?: () => void;
 };
 
 /** An agent whose idle timeout is shorter than that of the replica. */
 export class ReplicaAgent extends Agent {
   readonly #connect: Connect;
+  readonly #onIdleEnd: () => void;
+  /** Whether each kept connection is idle. */
+  readonly #isIdle = new WeakMap<Socket, boolean>();
 
   constructor(
-    { maxConnections, keepAlive }: ReplicaAgentOptions,
+    { maxConnections, keepAlive, onIdleEnd = () => {} }: ReplicaAgentOptions,
     connect: Connect,
   ) {
     super({
@@ -47,6 +52,7 @@
       scheduling: "lifo",
     });
     this.#connect = connect;
+    this.#onIdleEnd = onIdleEnd;
   }
 
   /** Sets a new limit; connections beyond it close once their calls have ended. */
@@ -68,14 +74,26 @@
     socket.unref();
     socket.setTimeout(idleMs);
     closeOnBytes(socket);
+    this.#watchIdle(socket);
     return true;
   }
 
   /** Called by Node when an idle connection gets its next call. */
   override reuseSocket(socket: Socket, request: ClientRequest): void {
     acceptBytes(socket);
+    this.#isIdle.set(socket, false);
     super.reuseSocket(socket, request);
   }
+
+  #watchIdle(socket: Socket): void {
+    const isWatched = this.#isIdle.has(socket);
+    this.#isIdle.set(socket, true);
+    if (isWatched) return;
+    socket.once("close", (hadError) => {
+      const isByReplica = hadError || socket.readableEnded;
+      if (isByReplica && this.#isIdle.get(socket)) this.#onIdleEnd();
+    });
+  }
 }
 
 /**
--- a/src/gateway/upstreams/start_check.ts
+++ b/src/gateway/upstreams/start_check.ts
@@ -4,6 +4,7 @@
  * address accepts them, whatever its software version is now.
  */
 import type { Milliseconds } from "../../util/units.ts";
+import { evictOldest } from "../../util/evict_oldest.ts";
 import { sleep } from "../clock.ts";
 import type { GatewayContext } from "../context.ts";
 import type { ReplicaEntry } from "../replicas/model.ts";
@@ -14,6 +15,8 @@
 const REPORT_TIMEOUT_MS: Milliseconds = 400;
 /** Pause after a response without a report. */
 const RETRY_PAUSE_MS: Milliseconds = 50;
+/** Maximum number of replicas whose ends are stored. */
+const MAX_REPLICAS = 3000;
 
 const FIRST_REJECTION_STATUS = 429;
 const NOT_IMPLEMENTED_STATUS = 501;
@@ -45,6 +48,11 @@
   readonly #asked = new Map<string, Promise<StartFinding>>();
   /** Questions to ask after those in progress. */
   readonly #next = new Map<string, Promise<StartFinding>>();
+  /**
+   * Incarnations that may have ended, with the number of signs of it: calls that
+   * they broke off or refused.
+   */
+  readonly #mayHaveEnded = new Map<string, number>();
 
   constructor(options: StartChecksOptions) {
     this.#options = options;
@@ -78,6 +86,22 @@
     }
   }
 
+  /** Records a sign that the process of a replica has ended. */
+  noteEnd({ incarnation }: ReplicaEntry): void {
+    const signs = this.#mayHaveEnded.get(incarnation) ?? 0;
+    this.#mayHaveEnded.delete(incarnation);
+    this.#mayHaveEnded.set(incarnation, signs + 1);
+    evictOldest(this.#mayHaveEnded, MAX_REPLICAS);
+  }
+
+  /**
+   * Whether the replica has shown signs of an end, and hasn't confirmed its start
+   * since. It may have started again, with another software version.
+   */
+  mayHaveEnded({ incarnation }: ReplicaEntry): boolean {
+    return this.#mayHaveEnded.has(incarnation);
+  }
+
   /** Like {@link find}, but asks once. */
   async findOnce(entry: ReplicaEntry): Promise<StartFinding> {
     if (entry.stage === undefined || entry.born === undefined) {
@@ -106,9 +130,16 @@
 
   #start(entry: ReplicaEntry): Promise<StartFinding> {
     const { incarnation } = entry;
+    const signs = this.#mayHaveEnded.get(incarnation);
     const asked = askOnce(this.#options, entry);
     this.#asked.set(incarnation, asked);
-    return asked.finally(() => {
+    return asked.then((finding) => {
+      const isCurrent = this.#mayHaveEnded.get(incarnation) === signs;
+      if (finding === "asListed" && isCurrent) {
+        this.#mayHaveEnded.delete(incarnation);
+      }
+      return finding;
+    }).finally(() => {
       if (this.#asked.get(incarnation) === asked) {
         this.#asked.delete(incarnation);
       }
--- a/test/gateway/requests/placement_rig.ts
+++ b/test/gateway/requests/placement_rig.ts
@@ -20,7 +20,7 @@
 import type { GatewayRequest } from "../../../src/gateway/requests/request.ts";
 import { RouteTable } from "../../../src/gateway/routing/route_table.ts";
 import type { Call, CallOutcome } from "../../../src/gateway/upstreams/call.ts";
-import type { ControlCallOptions } from "../../../src/gateway/upstreams/pool.ts";
+import type { ControlCallOptions } from "../../../src/gateway/upstreams/control_call.ts";
 import { namedFingerprints } from "../crashes/named_fingerprints.ts";
 import { testDialect } from "../dialect.ts";
 import { singleHostLimits } from "../limits/single_host_limits.ts";
--- /dev/null
+++ b/test/gateway/requests/restarted_version_test.ts
@@ -0,0 +1,82 @@
+/**
+ * New streams at a replica that was started again before its entry tells it.
+ * Guards against streams that are recorded at the software version of the entry,
+ * and go on at that version though another one wrote their first events.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ReplicaStage, RouteKind } from "../../../src/gateway/mod.ts";
+import { completeResponse, type RawAnswer } from "../raw_replica.ts";
+import { ENGINE, type Rig, withRig } from "../rig.ts";
+
+const BORN = 1;
+const ROUTE = { kind: RouteKind.streaming, resumable: true, attempts: 2 };
+const STREAM = { "x-tokens": "10,10" };
+
+/** Streams an event that names the replica, and reports this start. */
+function answerAs(name: string, born: () => number): RawAnswer {
+  return (request, socket) => {
+    const body = request.path === "/report"
+      ? reportOf(born())
+      : request.path === "/reserve"
+      ? `{"reservation":"${name}${request.number}"}`
+      : `id: 1\ndata: ${name}\n\n`;
+    const type = ["content-type: text/event-stream"];
+    socket.write(completeResponse(request, body, type));
+  };
+}
+
+function reportOf(born: number): string {
+  return JSON.stringify({
+    stage: "decode",
+    born,
+    orderCount: 0,
+    isChanging: false,
+  });
+}
+
+/** A decode replica and one more, to which the first one's streams may go. */
+async function withEngine(
+  end: (rig: Rig) => Promise<void>,
+  check: (bodies: readonly string[], rig: Rig) => void,
+): Promise<void> {
+  let born = BORN;
+  const replicas = [answerAs("a", () => born), answerAs("b", () => BORN)]
+    .map((answer) => ({ answer, stage: ReplicaStage.decode, born: BORN }));
+  const options = { route: ROUTE, engine: ENGINE, replicas };
+  await withRig(options, async (rig) => {
+    const call = (id: string) =>
+      rig.call({ id, method: "POST", headers: STREAM });
+    for (const id of ["1", "2", "3", "4"]) await call(id);
+    born += 1;
+    await end(rig);
+    const responses = [];
+    for (const id of ["5", "6", "7", "8"]) responses.push(await call(id));
+    check(responses.map(({ body }) => body), rig);
+  });
+}
+
+const EVENTS_OF_B = "id: 1\ndata: b\n\n";
+
+test("a replica that broke off a call begins no stream before it confirms its start", async () => {
+  await withEngine(({ context }) => {
+    const entry = context.replicas.get(`r0@${BORN}`)?.entry;
+    assert.ok(entry);
+    context.starts.noteEnd(entry);
+    return Promise.resolve();
+  }, (bodies, rig) => {
+    assert.deepEqual(bodies, bodies.map(() => EVENTS_OF_B));
+    const withheld = rig.events
+      .filter(({ name }) => name === "continuationWithheld");
+    assert.ok(withheld.length > 0);
+  });
+});
+
+test("a replica without a sign of its end is asked for no start", async () => {
+  await withEngine(() => Promise.resolve(), (bodies, rig) => {
+    assert.ok(bodies.some((body) => body !== EVENTS_OF_B));
+    const asked = rig.replicas.flatMap(({ requests }) => requests)
+      .filter(({ path }) => path === "/report");
+    assert.deepEqual(asked, []);
+  });
+});
--- a/test/gateway/upstreams/start_check_test.ts
+++ b/test/gateway/upstreams/start_check_test.ts
@@ -66,3 +66,31 @@
   for (let stalls = 0; stalls < 30 && !finding; stalls++) await loop.stall();
   assert.equal(finding, "silent");
 });
+
+/** Responses of a replica that reports this start. */
+function reportOf(born: number): Promise<unknown> {
+  const body = JSON.stringify({ born });
+  return Promise.resolve({ status: 200, headers: {}, body });
+}
+
+test("a replica that broke off a call may have ended until it confirms its start", async () => {
+  const checks = checksWith(new StallingLoop(), [
+    reportOf(BORN + 1),
+    reportOf(BORN),
+  ]);
+  assert.equal(checks.mayHaveEnded(ENTRY), false);
+  checks.noteEnd(ENTRY);
+  assert.equal(await checks.findOnce(ENTRY), "other");
+  assert.equal(checks.mayHaveEnded(ENTRY), true);
+  assert.equal(await checks.findOnce(ENTRY), "asListed");
+  assert.equal(checks.mayHaveEnded(ENTRY), false);
+});
+
+test("a start that was confirmed before the last broken call counts no more", async () => {
+  const checks = checksWith(new StallingLoop(), [reportOf(BORN)]);
+  checks.noteEnd(ENTRY);
+  const finding = checks.findOnce(ENTRY);
+  checks.noteEnd(ENTRY);
+  assert.equal(await finding, "asListed");
+  assert.equal(checks.mayHaveEnded(ENTRY), true);
+});
