Planner: the processes of one host have links of their own

The host's process had started while its predecessor drained; both had links to the planner.

Cause, by reading and by the test below, not traced in those runs: the planner kept one function for sending per host name, that of the link opened last. If that was the predecessor's, its end dropped the name, and the next process got no responses over a link that stood.

Change: a link names the run of the process that opens it, and the planner keeps what it plans for by host and run. The gauge of reported failures stays by host.

--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../clock.ts";
 import { LinkDirection, LinkTraffic } from "./link_traffic.ts";
 import type { Metrics } from "../observe/metrics.ts";
+import { RUN_HEADER } from "./peer_process.ts";
 
 /** Paths, on a host's peer address, of the links that it accepts. */
 export const LinkPath = {
@@ -109,6 +110,8 @@
   readonly path: LinkPath;
   /** Name of the host that opens the link. */
   readonly self: string;
+  /** Identifies the run of its process. */
+  readonly run?: string;
   readonly clock: Clock;
   /** Uses short heartbeat times when idle, too; must be set at both ends. */
   readonly isCloselyMonitored?: boolean;
@@ -128,7 +131,10 @@
     ...address,
     method: "POST",
     path: target.path,
-    headers: { [LINK_HOST_HEADER]: target.self },
+    headers: {
+      [LINK_HOST_HEADER]: target.self,
+      ...(target.run === undefined ? {} : { [RUN_HEADER]: target.run }),
+    },
     agent: false,
   });
   outgoing.flushHeaders();
--- a/src/gateway/planning/plan_service.ts
+++ b/src/gateway/planning/plan_service.ts
@@ -6,6 +6,7 @@
 import type { LabelledGauge } from "../observe/metrics.ts";
 import type { ReplicaEntry, ReplicaStage } from "../replicas/model.ts";
 import { acceptLink, type Link, LINK_HOST_HEADER } from "../peers/link.ts";
+import { RUN_HEADER } from "../peers/peer_process.ts";
 import {
   AssignmentStage,
   type HostMessage,
@@ -41,7 +42,11 @@
   readonly #planner: Planner;
   readonly #rateHandover: RateHandover;
   readonly #keepers = new SummaryKeepers();
-  readonly #hosts = new Map<string, (message: PlannerLine) => void>();
+  /**
+   * Sends messages to the processes of hosts, by host and run. A host may have
+   * two: one that drains, and the next one.
+   */
+  readonly #processes = new Map<string, (message: PlannerLine) => void>();
   /** Reports, by host, that a replica did not serve a request. */
   readonly #failuresByHost = new Map<string, number>();
   readonly #memoryPressure = new MemoryPressure();
@@ -170,13 +175,13 @@
     };
   }
 
-  /** Registers the function that sends the planner's messages to a host. */
-  attach(host: string, send: (message: PlannerLine) => void): void {
-    this.#hosts.set(host, send);
+  /** Registers the function that sends the planner's messages to a process. */
+  attach(process: string, send: (message: PlannerLine) => void): void {
+    this.#processes.set(process, send);
   }
 
-  /** Handles a message from a host. */
-  handle(from: string, message: HostMessage): void {
+  /** Handles a message from a process of a host. */
+  handle(from: string, message: HostMessage, host = from): void {
     const now = this.#context.clock.now();
     switch (message.type) {
       case "ask":
@@ -187,7 +192,7 @@
         this.#planner.restore(from, message, now);
         break;
       case "progress":
-        if (message.stage === AssignmentStage.failed) this.#noteFailure(from);
+        if (message.stage === AssignmentStage.failed) this.#noteFailure(host);
         this.#planner.report(message, now);
         break;
       case "rates":
@@ -220,7 +225,7 @@
     this.#keepers.noteSent(service, bytes * keepers.length, now);
     if (!message) return;
     this.#context.metrics.count("rate_summary_bytes", bytes * keepers.length);
-    for (const keeper of keepers) this.#hosts.get(keeper)?.(message);
+    for (const keeper of keepers) this.#processes.get(keeper)?.(message);
   }
 
   #noteFailure(host: string): void {
@@ -233,6 +238,7 @@
   /** Serves a link that another host has opened. */
   accept(incoming: IncomingMessage, response: ServerResponse): void {
     const host = String(incoming.headers[LINK_HOST_HEADER] ?? "");
+    const process = `${host}@${String(incoming.headers[RUN_HEADER] ?? "")}`;
     response.writeHead(200, { "Content-Type": "application/x-ndjson" });
     response.flushHeaders();
     const { clock, metrics } = this.#context;
@@ -241,28 +247,26 @@
       clock,
       metrics,
       events: {
-        line: (text) => this.#handleLine(host, text),
+        line: (text) => {
+          const message = readJson(HostMessageSchema, text);
+          if (message) this.handle(process, message, host);
+        },
         closed: () => {
-          // A newer link of the same host may have replaced this one.
-          if (this.#hosts.get(host) !== reply) return;
-          this.#hosts.delete(host);
-          this.#planner.noteHostLost(host, clock.now());
+          // A newer link of the same process may have replaced this one.
+          if (this.#processes.get(process) !== reply) return;
+          this.#processes.delete(process);
+          this.#planner.noteHostLost(process, clock.now());
         },
       },
     });
-    this.attach(host, reply);
-  }
-
-  #handleLine(from: string, text: string): void {
-    const message = readJson(HostMessageSchema, text);
-    if (message) this.handle(from, message);
+    this.attach(process, reply);
   }
 
   #pass(): void {
     for (
       const { to, message } of this.#planner.pass(this.#context.clock.now())
     ) {
-      this.#hosts.get(to)?.(message);
+      this.#processes.get(to)?.(message);
     }
   }
 }
--- a/src/gateway/planning/planner_links.ts
+++ b/src/gateway/planning/planner_links.ts
@@ -78,7 +78,8 @@
 
   #open({ id, address }: HostEntry): void {
     const { context: { clock, self }, open, onLine } = this.#options;
-    const target = { address, path: LinkPath.plan, self: self.id, clock };
+    const { id: name, run } = self;
+    const target = { address, path: LinkPath.plan, self: name, run, clock };
     const link = open(target, {
       ready: () => this.#handleReady(id, link),
       line: (text) => onLine(id, text),
