New resumable streams: a replica that is slow to report its start may begin them

Change: a new stream asks once, and goes on where there is no report in time; only another start withholds it. Continuations wait for the report as before.

--- a/src/gateway/requests/stream_binding.ts
+++ b/src/gateway/requests/stream_binding.ts
@@ -123,18 +123,23 @@
 
   /**
    * Whether a response is of the software version that the replica's entry names.
-   * A bound stream waits until the replica has confirmed its start; a new one, if
-   * the replica may have started again.
+   * A bound stream waits until the replica has confirmed its start. A new one asks
+   * once if the replica may have started again: one that is merely slow to report
+   * may begin it.
    */
   async #isOfListedVersion(entry: ReplicaEntry): Promise<boolean> {
     const { starts } = this.#context;
-    const isChecked = this.#requiredVersion !== undefined ||
-      this.#isResumable && starts.mayHaveEnded(entry);
-    if (!isChecked) return true;
+    const isBound = this.#requiredVersion !== undefined;
+    if (!isBound && !(this.#isResumable && starts.mayHaveEnded(entry))) {
+      return true;
+    }
     const { route, facts } = this.#request;
     const timeoutMs = START_CHECK_SHARE * route.silenceMs;
-    const start = await starts.find(entry, timeoutMs);
+    const start = isBound
+      ? await starts.find(entry, timeoutMs)
+      : await starts.findOnce(entry);
     if (start === "asListed" || start === "notReported") return true;
+    if (!isBound && start === "silent") return true;
     const { incarnation } = entry;
     this.#outdated.add(incarnation);
     this.#context.metrics.count(`continuations_withheld_${start}`);
