Reading the change again: names, reasons and shared test set-ups

Cause: read as a newcomer. MAX_RESTART_MS was the least time that a start takes; the reason why a kept connection to a peer confirms as much as a new one had been lost; a broken call noted its replica's end twice; paragraphs ran over their width; five tests spelled out the same request of a pool, two the same move behind a peer.

Change: MIN_RESTART_MS; the reason is back; only a stale call notes the end by itself, noteInterruption does for the others; SINGLE_GET, moveBehindPeer and one noteEnd serve the tests. No assertion, bound or literal changed.

--- a/src/gateway/crashes/end_confirmation.ts
+++ b/src/gateway/crashes/end_confirmation.ts
@@ -23,10 +23,10 @@
  */
 const SILENCE_MS: Milliseconds = 1500;
 /**
- * A process that listens this soon behind an end is the one that runs since
- * before it: it takes longer to start another one.
+ * Starting a process takes longer. One that listens this soon behind an end had
+ * been running before it.
  */
-const MAX_RESTART_MS: Milliseconds = 250;
+const MIN_RESTART_MS: Milliseconds = 250;
 
 /** Options of {@link EndConfirmation}. */
 export type EndConfirmationOptions = ReplicaProbeOptions & {
@@ -101,7 +101,7 @@
       // The peer is asked only if the replica listens.
       peer: peer?.address,
       peer_runs: isRunning && peer ? isCarried : undefined,
-      late: isRunning && isCarried ? true : undefined,
+      late: isRunning && isCarried || undefined,
     });
     return false;
   }
@@ -144,7 +144,7 @@
     const { clock, stalls, readId } = this.#options;
     const now = clock.now();
     const peerStalledAt = now - (peer?.stalledAgoMs ?? Infinity);
-    const isLate = now - at > MAX_RESTART_MS || peerStalledAt >= receivedAt ||
+    const isLate = now - at > MIN_RESTART_MS || peerStalledAt >= receivedAt ||
       stalls.hasStalledSince(receivedAt);
     if (!isLate) return true;
     return entry.born === undefined && await readId(entry) === entry.id;
--- a/src/gateway/peers/process_report.ts
+++ b/src/gateway/peers/process_report.ts
@@ -17,7 +17,7 @@
 
 const ProcessReport = z.object({
   run: Name,
-  /** Time since its event loop last stood still; absent if it never did. */
+  /** Time since its event loop caught up with a stall; absent: it had none. */
   stalledAgoMs: z.number().min(0).exactOptional(),
 });
 /** What a peer tells of its process. */
@@ -44,7 +44,9 @@
 /**
  * Asks whether this process of a peer runs now; undefined if it doesn't, or
  * doesn't respond in time. Only its response confirms that it runs: a proxy in
- * front of a peer that is gone may accept connections or keep them open.
+ * front of a peer that is gone may accept connections or keep them open. A kept
+ * connection confirms as much as a new one: it carries one call at a time, a call
+ * that times out closes it, and peers send nothing unasked.
  */
 export async function askProcess(
   { address, run }: PeerProcess,
--- a/src/gateway/requests/sender.ts
+++ b/src/gateway/requests/sender.ts
@@ -271,7 +271,8 @@
   const { reason, isAborted, isStale, sentAt } = outcome;
   const { incarnation } = replica.entry;
   const isLocal = isAborted && context.paths.monitor.isLost(incarnation);
-  if (!isAborted) context.starts.noteEnd(replica.entry);
+  // Its end interrupts no request, and is a sign all the same.
+  if (isStale && !isAborted) context.starts.noteEnd(replica.entry);
   const severe = reason === NO_ANSWER;
   if (!isLocal) noteFailure(context, replica, { reason, severe });
   if (!isLocal && !isStale) {
--- a/test/gateway/paths/endless_connect_test.ts
+++ b/test/gateway/paths/endless_connect_test.ts
@@ -11,7 +11,7 @@
 import { sendWithoutEnd } from "../../soak/endless_replies.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
-import { startPool } from "../upstreams/pool_rig.ts";
+import { SINGLE_GET, startPool } from "../upstreams/pool_rig.ts";
 import { listen } from "./test_peer.ts";
 
 const COUNTS = [1, 100];
@@ -127,17 +127,11 @@
         const { pool, paths } = startPool({ peer });
         const entry = { ...replicaEntry("a"), address: REPLICA };
         paths.monitor.noteLost(entry, "checked");
-        const calls = Array.from({ length: count }, () =>
-          pool.send({
-            entry,
-            method: "GET",
-            path: "/",
-            headers: [],
-            body: Buffer.alloc(0),
-            maxConnections: count,
-            isRepeatable: false,
-            isResend: false,
-          }).outcome);
+        const calls = Array.from(
+          { length: count },
+          () =>
+            pool.send({ ...SINGLE_GET, entry, maxConnections: count }).outcome,
+        );
         for (const { type } of await Promise.all(calls)) {
           assert.notEqual(type, "answer");
         }
--- a/test/gateway/paths/restarted_peer_test.ts
+++ b/test/gateway/paths/restarted_peer_test.ts
@@ -10,7 +10,7 @@
 import { callRaw, SeenEnding, type SeenResponse } from "../raw_caller.ts";
 import { type RawAnswer, startRawReplica } from "../raw_replica.ts";
 import { startRig } from "../rig.ts";
-import { losePath } from "./lose_path.ts";
+import { moveBehindPeer } from "./lose_path.ts";
 import { startPeer, type TestPeer } from "./test_peer.ts";
 
 const EVENT = "id: 1\ndata: a\n\n";
@@ -21,7 +21,7 @@
 /** What happens once the replica has sent a part of its response. */
 type Ending = (
   peer: TestPeer,
-  replica: { end(): void },
+  endResponse: () => void,
 ) => Promise<TestPeer>;
 
 /** Calls a host that reaches its only replica through a peer. */
@@ -29,16 +29,14 @@
   kind: RouteKind,
   ending: Ending,
 ): Promise<SeenResponse> {
-  let endReplica = () => {};
   let ended: Promise<void> = Promise.resolve();
   const answer: RawAnswer = (request, socket) => {
     const id = request.headers.get("x-id") ?? "";
     const type = kind === RouteKind.streaming ? STREAM_HEAD : "";
     socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n${type}\r\n${EVENT}`);
-    endReplica = () => socket.end();
     ended = new Promise((resolve) => setTimeout(resolve, AFTER_READ_MS))
       .then(async () => {
-        peer = await ending(peer, { end: endReplica });
+        peer = await ending(peer, () => socket.end());
       });
   };
   const replica = await startRawReplica(answer);
@@ -48,11 +46,7 @@
     replicas: [{ answer }],
     peers: [{ id: "peer", address: peer.address, hall: "hall" }],
   });
-  const { replicas } = rig.context;
-  const entries = replicas.entries()
-    .map((entry) => ({ ...entry, address: replica.address }));
-  replicas.adopt({ revision: 2, entries });
-  losePath(rig);
+  moveBehindPeer(rig, replica.address);
   try {
     const response = await callRaw(rig.address);
     await ended;
@@ -87,8 +81,8 @@
 
 test("a response that ends while its peer runs on is complete", async () => {
   for (const kind of Object.values(RouteKind)) {
-    const response = await callThroughPeer(kind, (peer, replica) => {
-      replica.end();
+    const response = await callThroughPeer(kind, (peer, endResponse) => {
+      endResponse();
       return Promise.resolve(peer);
     });
     assert.deepEqual(
--- a/test/gateway/paths/stopping_peer_test.ts
+++ b/test/gateway/paths/stopping_peer_test.ts
@@ -12,7 +12,7 @@
 import { completeResponse, startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
-import { startPool } from "../upstreams/pool_rig.ts";
+import { SINGLE_GET, startPool } from "../upstreams/pool_rig.ts";
 import { startPeer, type TestPeerOptions } from "./test_peer.ts";
 
 /** Starts a host that reaches its replica through a peer first. */
@@ -29,16 +29,7 @@
   paths.monitor.noteLost(entry, "checked");
   /** Makes a call; resolves with the other end of its connection. */
   const call = async (path = "/"): Promise<"peer" | "replica" | string> => {
-    const outcome = await pool.send({
-      entry,
-      method: "GET",
-      path,
-      headers: [],
-      body: Buffer.alloc(0),
-      maxConnections: 1,
-      isRepeatable: false,
-      isResend: false,
-    }).outcome;
+    const outcome = await pool.send({ ...SINGLE_GET, entry, path }).outcome;
     if (outcome.type !== "answer") return outcome.reason;
     const { message, peer: via } = outcome.answer;
     await new Promise((resolve) => message.resume().on("close", resolve));
--- a/test/gateway/paths/tunnel_test.ts
+++ b/test/gateway/paths/tunnel_test.ts
@@ -14,7 +14,7 @@
 import { completeResponse, startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
-import { startPool } from "../upstreams/pool_rig.ts";
+import { SINGLE_GET, startPool } from "../upstreams/pool_rig.ts";
 import { listen, startPeer, TEST_RUN, type TestPeer } from "./test_peer.ts";
 
 function open(peer: string, replica: string): Promise<TunnelOutcome> {
@@ -173,16 +173,7 @@
   const { pool, paths } = startPool({ peer: peer.address });
   const entry = { ...replicaEntry("a"), address: replica.address };
   const peerOfAnswer = async () => {
-    const outcome = await pool.send({
-      entry,
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: Buffer.alloc(0),
-      maxConnections: 1,
-      isRepeatable: false,
-      isResend: false,
-    }).outcome;
+    const outcome = await pool.send({ ...SINGLE_GET, entry }).outcome;
     if (outcome.type !== "answer") return outcome.reason;
     outcome.answer.message.resume();
     return outcome.answer.peer;
--- a/test/gateway/requests/invalid_statuses_test.ts
+++ b/test/gateway/requests/invalid_statuses_test.ts
@@ -9,7 +9,7 @@
 import { ReplicaStage, RouteKind } from "../../../src/gateway/mod.ts";
 import { openTunnel } from "../../../src/gateway/paths/tunnel_client.ts";
 import { createJsonClient } from "../../../src/gateway/upstreams/json_client.ts";
-import { losePath } from "../paths/lose_path.ts";
+import { moveBehindPeer } from "../paths/lose_path.ts";
 import { startPeer } from "../paths/test_peer.ts";
 import { callRaw } from "../raw_caller.ts";
 import {
@@ -99,11 +99,7 @@
     const route = { kind: RouteKind.unsafe, attempts: 1 };
     const replicas = [{ answer: WHOLE }];
     await withRig({ route, replicas, peers }, async (rig) => {
-      const { replicas } = rig.context;
-      const entries = replicas.entries()
-        .map((entry) => ({ ...entry, address: replica.address }));
-      replicas.adopt({ revision: 2, entries });
-      losePath(rig);
+      moveBehindPeer(rig, replica.address);
       assert.equal((await callRaw(rig.address)).status, 502);
     });
     peer.stop();
--- a/test/gateway/requests/restarted_version_test.ts
+++ b/test/gateway/requests/restarted_version_test.ts
@@ -38,7 +38,7 @@
 
 /** A decode replica and one more, to which the first one's streams may go. */
 async function withEngine(
-  end: (rig: Rig) => Promise<void>,
+  end: (rig: Rig) => void,
   check: (bodies: readonly string[], rig: Rig) => void,
   bornAfter?: number,
 ): Promise<void> {
@@ -51,22 +51,24 @@
       rig.call({ id, method: "POST", headers: STREAM });
     for (const id of ["1", "2", "3", "4"]) await call(id);
     born = bornAfter;
-    await end(rig);
+    end(rig);
     const responses = [];
     for (const id of ["5", "6", "7", "8"]) responses.push(await call(id));
     check(responses.map(({ body }) => body), rig);
   });
 }
 
+/** Records a sign that the first replica has ended. */
+function noteEnd({ context }: Rig): void {
+  const entry = context.replicas.get(`r0@${BORN}`)?.entry;
+  assert.ok(entry);
+  context.starts.noteEnd(entry);
+}
+
 const EVENTS_OF_B = "id: 1\ndata: b\n\n";
 
 test("a replica that broke off a call begins no stream before it confirms its start", async () => {
-  await withEngine(({ context }) => {
-    const entry = context.replicas.get(`r0@${BORN}`)?.entry;
-    assert.ok(entry);
-    context.starts.noteEnd(entry);
-    return Promise.resolve();
-  }, (bodies, rig) => {
+  await withEngine(noteEnd, (bodies, rig) => {
     assert.deepEqual(bodies, bodies.map(() => EVENTS_OF_B));
     const withheld = rig.events
       .filter(({ name }) => name === "continuationWithheld");
@@ -75,18 +77,13 @@
 });
 
 test("a replica that is slow to report its start begins streams", async () => {
-  await withEngine(({ context }) => {
-    const entry = context.replicas.get(`r0@${BORN}`)?.entry;
-    assert.ok(entry);
-    context.starts.noteEnd(entry);
-    return Promise.resolve();
-  }, (bodies) => {
+  await withEngine(noteEnd, (bodies) => {
     assert.ok(bodies.some((body) => body !== EVENTS_OF_B));
   });
 });
 
 test("a replica without a sign of its end is asked for no start", async () => {
-  await withEngine(() => Promise.resolve(), (bodies, rig) => {
+  await withEngine(() => undefined, (bodies, rig) => {
     assert.ok(bodies.some((body) => body !== EVENTS_OF_B));
     const asked = rig.replicas.flatMap(({ requests }) => requests)
       .filter(({ path }) => path === "/report");
--- a/test/gateway/upstreams/idle_ends_test.ts
+++ b/test/gateway/upstreams/idle_ends_test.ts
@@ -8,7 +8,7 @@
   startRawReplica,
 } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
-import { startPool } from "./pool_rig.ts";
+import { SINGLE_GET, startPool } from "./pool_rig.ts";
 
 /** Makes two calls over one connection; returns the ends that were noticed. */
 async function endIdle(end: (socket: Socket) => void): Promise<string[]> {
@@ -23,16 +23,7 @@
   pool.listenForIdleEnds(({ incarnation }) => ended.push(incarnation));
   const entry = replicaEntry("a", { address: replica.address });
   for (let calls = 0; calls < 2; calls++) {
-    const outcome = await pool.send({
-      entry,
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: Buffer.alloc(0),
-      maxConnections: 1,
-      isRepeatable: false,
-      isResend: false,
-    }).outcome;
+    const outcome = await pool.send({ ...SINGLE_GET, entry }).outcome;
     assert.equal(outcome.type, "answer");
     if (outcome.type !== "answer") return ended;
     const { message } = outcome.answer;
--- a/test/gateway/upstreams/pool_rig.ts
+++ b/test/gateway/upstreams/pool_rig.ts
@@ -19,6 +19,17 @@
   readonly connectTimeoutMs?: Milliseconds;
 };
 
+/** A request that is sent once, over one connection. */
+export const SINGLE_GET = {
+  method: "GET",
+  path: "/",
+  headers: [],
+  body: Buffer.alloc(0),
+  maxConnections: 1,
+  isRepeatable: false,
+  isResend: false,
+} as const;
+
 /** A pool and the paths that it uses. */
 export type PoolRig = {
   readonly pool: UpstreamPool;
--- a/test/gateway/upstreams/pool_test.ts
+++ b/test/gateway/upstreams/pool_test.ts
@@ -4,7 +4,7 @@
 import { completeResponse, startRawReplica } from "../raw_replica.ts";
 import { replicaEntry } from "../replica_entry.ts";
 import { TEST_TIMEOUT_MS } from "../test_tuning.ts";
-import { startPool } from "./pool_rig.ts";
+import { SINGLE_GET, startPool } from "./pool_rig.ts";
 
 /** Makes two calls in a row; returns the number of connections. */
 async function connectionsOf(isListed: boolean): Promise<number> {
@@ -46,15 +46,11 @@
   const send = async (maxConnections: number) => {
     const id = `${calls++}`;
     const { outcome } = pool.send({
+      ...SINGLE_GET,
       entry,
-      method: "GET",
-      path: "/",
       headers: ["x-id", id],
       id,
-      body: Buffer.alloc(0),
       maxConnections,
-      isRepeatable: false,
-      isResend: false,
     });
     const sent = await outcome;
     assert.ok(sent.type === "answer");
